--- /dev/null
+++ b/src/decide/fleet.rs
@@ -0,0 +1,177 @@
+//! All endpoints, in pools that are kept in order of load.
+
+use {
+  super::{Endpoint, EndpointKind, EndpointSpec, LeavingEndpoint, LoadReport, Role, Sign},
+  crate::ids::Name,
+  std::collections::{BTreeMap, BTreeSet},
+};
+
+/// Endpoints that can stand in for each other.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct PoolKey {
+  /// The hall.
+  pub hall: Name,
+  /// The model, or the plain service.
+  pub subject: Name,
+  /// The role; none for plain services.
+  pub role: Option<Role>,
+}
+
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Slot {
+  key: u64,
+  index: usize,
+}
+
+/// All endpoints that settings name.
+pub struct Fleet {
+  endpoints: Vec<Endpoint>,
+  by_name: BTreeMap<Name, usize>,
+  pools: BTreeMap<PoolKey, BTreeSet<Slot>>,
+  places: Vec<Vec<PoolKey>>,
+  keys: Vec<u64>,
+}
+
+impl Fleet {
+  /// Takes over the endpoints of the settings.
+  pub fn new(specs: Vec<EndpointSpec>) -> Self {
+    let endpoints = specs.into_iter().map(Endpoint::new).collect::<Vec<_>>();
+    let by_name = endpoints
+      .iter()
+      .enumerate()
+      .map(|(index, endpoint)| (endpoint.spec.name.clone(), index))
+      .collect();
+    Self {
+      by_name,
+      keys: vec![0; endpoints.len()],
+      places: vec![Vec::new(); endpoints.len()],
+      pools: BTreeMap::new(),
+      endpoints,
+    }
+  }
+
+  /// The endpoint of that name.
+  pub fn get(&self, name: &Name) -> Option<&Endpoint> {
+    self.by_name.get(name).map(|index| &self.endpoints[*index])
+  }
+
+  /// All endpoints.
+  pub fn iter(&self) -> impl Iterator<Item = &Endpoint> {
+    self.endpoints.iter()
+  }
+
+  /// Changes an endpoint and puts it back in its place in the pools.
+  pub(crate) fn change<T>(&mut self, name: &Name, change: impl FnOnce(&mut Endpoint) -> T) -> Option<T> {
+    let index = *self.by_name.get(name)?;
+    let changed = change(&mut self.endpoints[index]);
+    self.replace(index);
+    Some(changed)
+  }
+
+  /// Moves an endpoint through its life; true when its state changed.
+  pub(crate) fn sign(&mut self, name: &Name, sign: &Sign) -> bool {
+    self
+      .change(name, |endpoint| endpoint.sign(sign))
+      .unwrap_or(false)
+  }
+
+  /// Takes in a load report; true when the endpoint's state changed.
+  pub(crate) fn report(&mut self, now_ms: u64, report: &LoadReport) -> bool {
+    let sign = Sign::Reported {
+      incarnation: report.incarnation,
+      leaving: report.leaving,
+    };
+    self
+      .change(&report.endpoint, |endpoint| {
+        endpoint.take(now_ms, report) && endpoint.sign(&sign)
+      })
+      .unwrap_or(false)
+  }
+
+  /// Endpoints of a pool, least loaded first.
+  pub(crate) fn pool(&self, key: &PoolKey) -> impl Iterator<Item = &Endpoint> {
+    self
+      .pools
+      .get(key)
+      .into_iter()
+      .flatten()
+      .map(|slot| &self.endpoints[slot.index])
+  }
+
+  /// The number of endpoints in a pool.
+  pub(crate) fn pool_size(&self, key: &PoolKey) -> usize {
+    self.pools.get(key).map_or(0, BTreeSet::len)
+  }
+
+  /// The hall whose pool serves a subject: the own one, or else the first other that has any.
+  pub(crate) fn serving_hall(&self, own: &Name, subject: &Name, role: Option<Role>) -> Option<Name> {
+    let key = |hall: &Name| PoolKey {
+      hall: hall.clone(),
+      role,
+      subject: subject.clone(),
+    };
+    if self.pool_size(&key(own)) > 0 {
+      return Some(own.clone());
+    }
+    self
+      .pools
+      .iter()
+      .find(|(pool, slots)| {
+        pool.subject == *subject && pool.role == role && !slots.is_empty()
+      })
+      .map(|(pool, _)| pool.hall.clone())
+  }
+
+  /// Endpoints known to be leaving.
+  pub(crate) fn leaving(&self) -> Vec<LeavingEndpoint> {
+    self
+      .iter()
+      .filter(|endpoint| endpoint.is_leaving())
+      .map(|endpoint| LeavingEndpoint {
+        endpoint: endpoint.spec.name.clone(),
+        incarnation: endpoint.incarnation,
+      })
+      .collect()
+  }
+
+  fn replace(&mut self, index: usize) {
+    let old = Slot {
+      index,
+      key: self.keys[index],
+    };
+    for place in std::mem::take(&mut self.places[index]) {
+      if let Some(pool) = self.pools.get_mut(&place) {
+        pool.remove(&old);
+      }
+    }
+    let endpoint = &self.endpoints[index];
+    if !endpoint.is_live() {
+      return;
+    }
+    let slot = Slot {
+      index,
+      key: endpoint.pool_key(),
+    };
+    let places = Self::places_of(endpoint);
+    self.keys[index] = slot.key;
+    for place in &places {
+      self.pools.entry(place.clone()).or_default().insert(slot);
+    }
+    self.places[index] = places;
+  }
+
+  fn places_of(endpoint: &Endpoint) -> Vec<PoolKey> {
+    let subjects = match &endpoint.spec.kind {
+      EndpointKind::Engine { models, .. } => models.clone(),
+      EndpointKind::Service { service } => vec![service.clone()],
+    };
+    subjects
+      .into_iter()
+      .map(|subject| PoolKey {
+        hall: endpoint.spec.hall.clone(),
+        role: endpoint.role,
+        subject,
+      })
+      .collect()
+  }
+}
--- /dev/null
+++ b/src/decide/machine.rs
@@ -0,0 +1,632 @@
+//! The decisions of a box: a pure machine from events to actions.
+
+use {
+  super::{
+    Action, Arrival, BoxEntry, CancelAnswer, ConfigurationView, EndpointKind, EndpointSpec,
+    EndpointState, EndpointStatus, Ending, Event, Fleet, HeldAttempt, Identity, Lane, LoadReport,
+    NoPlace, NoteKind, PeerStatus, Placed, Rank, Refusal, Role, Scene, Sign, StageOutcome,
+    StageReport, Status, Step, Work, life::{Life, State},
+    scene::order_key,
+  },
+  crate::{
+    ids::{AttemptId, Name, RequestId},
+    policy::{Clock, RequestFacts},
+  },
+  statig::{blocking::InitializedStateMachine, prelude::*},
+  std::{collections::BTreeMap, sync::Arc},
+};
+
+const ABSENT_RETRY_MS: u64 = 1_000;
+const LEAST_RETRY_MS: u64 = 100;
+const EXPIRY_PERIOD_MS: u64 = 50;
+const STOPPING_RETRY_MS: u64 = 100;
+
+/// What a machine starts with.
+pub struct Setup {
+  /// Who the box is.
+  pub identity: Identity,
+  /// The endpoints of the settings.
+  pub endpoints: Vec<EndpointSpec>,
+  /// Unix time at which the box's clock read zero.
+  pub epoch_unix_ms: u64,
+  /// Seed for all that is drawn at random.
+  pub seed: u64,
+}
+
+/// The decisions of a box. It has no clock, thread or socket: time comes with each event.
+///
+/// ```
+/// use rillford::decide::{Event, Identity, Machine, Setup};
+/// let identity = Identity { name: "north-1".into(), hall: "north".into(), incarnation: 1 };
+/// let setup = Setup { identity, endpoints: Vec::new(), epoch_unix_ms: 0, seed: 7 };
+/// let mut machine = Machine::new(setup);
+/// assert!(machine.handle(0, Event::Tick).is_empty());
+/// ```
+pub struct Machine {
+  pub(super) scene: Scene,
+  pub(super) timers: super::Timers,
+  requests: BTreeMap<RequestId, InitializedStateMachine<Life>>,
+  lanes: BTreeMap<Name, Lane>,
+  in_progress: BTreeMap<Name, usize>,
+  good_ranks: BTreeMap<Name, Rank>,
+  last_event_ms: u64,
+  expired_ms: u64,
+}
+
+impl Machine {
+  /// A machine at time zero.
+  pub fn new(setup: Setup) -> Self {
+    let fleet = Fleet::new(setup.endpoints);
+    Self {
+      expired_ms: 0,
+      good_ranks: BTreeMap::new(),
+      in_progress: BTreeMap::new(),
+      lanes: BTreeMap::new(),
+      last_event_ms: 0,
+      requests: BTreeMap::new(),
+      scene: Scene::new(setup.identity, fleet, setup.epoch_unix_ms, setup.seed),
+      timers: super::Timers::default(),
+    }
+  }
+
+  /// Takes in one event and answers with what is to be done.
+  pub fn handle(&mut self, now_ms: u64, event: Event) -> Vec<Action> {
+    self.scene.now_ms = now_ms;
+    self.check_clock();
+    // After its claim a request waits for the next event, so that a caller who left is heard first.
+    let pump = !matches!(event, Event::ClaimSettled(..));
+    self.dispatch(event);
+    if pump {
+      self.pump();
+    }
+    self.scene.take_actions()
+  }
+
+  fn dispatch(&mut self, event: Event) {
+    match event {
+      Event::Arrived(arrival) => self.arrived(arrival),
+      Event::CallerGone(request) => self.step(request, &Step::CallerGone),
+      Event::ClaimSettled(request, outcome) => self.step(request, &Step::Claim(outcome)),
+      Event::Stage(report) => self.stage(report),
+      Event::CancelSettled(attempt, endpoint, answer) => {
+        self.cancel_settled(&attempt, &endpoint, answer);
+      }
+      Event::LoadReported(report) => self.load_reported(&report),
+      Event::ReportMissed(_) | Event::HoldsMissed(_) => {}
+      Event::CacheReported(engine, blocks) => {
+        self.scene.hints.saw(self.scene.now_ms, &engine, &blocks);
+      }
+      Event::Listed(engine, held) => self.listed(&engine, held),
+      Event::HoldsExtended(engine, unknown) => self.holds_extended(&engine, &unknown),
+      Event::Peer(from, message) => self.peer(from, message),
+      Event::Boxes(entries) => self.boxes(&entries),
+      Event::Configured(view) => self.configured(view),
+      Event::StewardUntil { until_ms, fence } => self.timers.hold_lease(until_ms, fence),
+      Event::Drain(endpoint, leaving) => self.drain(&endpoint, leaving),
+      Event::Stopping => self.stop(),
+      Event::Tick => self.tick(),
+    }
+  }
+
+  /// Whether the box has a configuration and takes requests.
+  pub fn is_ready(&self) -> bool {
+    self.scene.configured && !self.scene.stopping
+  }
+
+  /// The number of requests in progress.
+  pub fn in_progress(&self) -> usize {
+    self.requests.len()
+  }
+
+  /// The number of requests that wait.
+  pub fn waiting(&self) -> usize {
+    self.lanes.values().map(|lane| lane.queue.len()).sum()
+  }
+
+  /// Orders open or being cancelled.
+  pub fn open_orders(&self) -> usize {
+    self.scene.orders.len()
+  }
+
+  /// What an operator can see.
+  pub fn status(&mut self) -> Status {
+    let endpoints = self.endpoint_statuses();
+    let scene = &self.scene;
+    Status {
+      configuration_digest: scene.configuration.digest(),
+      endpoints,
+      in_progress: self.in_progress(),
+      open_orders: scene.orders.len(),
+      peers: scene
+        .members
+        .peers()
+        .map(|peer| PeerStatus {
+          hall: peer.entry.hall.clone(),
+          leaving: peer.leaving,
+          live: peer.live && peer.incarnation > 0,
+          name: peer.entry.name.clone(),
+        })
+        .collect(),
+      ready: self.is_ready(),
+      seats_granted: scene.books.values().map(super::SeatBook::len).sum(),
+      steward: self.timers.holds_lease(scene.now_ms),
+      stopping: scene.stopping,
+      waiting: self.waiting(),
+    }
+  }
+
+  fn endpoint_statuses(&mut self) -> Vec<EndpointStatus> {
+    let names = self
+      .scene
+      .fleet
+      .iter()
+      .map(|endpoint| endpoint.spec.name.clone())
+      .collect::<Vec<_>>();
+    names
+      .into_iter()
+      .filter_map(|name| {
+        let home = self.scene.home(&name);
+        let now_ms = self.scene.now_ms;
+        let endpoint = self.scene.fleet.get(&name)?;
+        Some(EndpointStatus {
+          hall: endpoint.spec.hall.clone(),
+          home,
+          queue_tokens_ms: endpoint.prefill_free_at_ms().saturating_sub(now_ms),
+          role: endpoint.role,
+          seats: endpoint.seats(),
+          state: if endpoint.is_live() {
+            EndpointState::Live
+          } else if endpoint.is_leaving() {
+            EndpointState::Leaving
+          } else if endpoint.is_unseen() {
+            EndpointState::Unseen
+          } else {
+            EndpointState::Suspect
+          },
+          used_seats: endpoint.used_seats(),
+          name,
+        })
+      })
+      .collect()
+  }
+
+  /// After a pause the box suspects itself before it suspects others.
+  fn check_clock(&mut self) {
+    let now_ms = self.scene.now_ms;
+    let jump_ms = now_ms.saturating_sub(self.last_event_ms);
+    let started = self.last_event_ms > 0;
+    self.last_event_ms = now_ms;
+    if !started || jump_ms < self.scene.tuning().clock_jump_ms {
+      return;
+    }
+    self.scene.note(NoteKind::ClockJumped, jump_ms, "");
+    self.scene.members.forgive(now_ms);
+    self.timers.drop_lease();
+    self.give_up_lost_holds();
+  }
+
+  fn arrived(&mut self, arrival: Arrival) {
+    let rank = self.rank(&arrival);
+    self
+      .scene
+      .note(NoteKind::RequestArrived, arrival.request.0, &rank.class);
+    if let Some(ending) = self.refusal(&arrival, &rank) {
+      self.refuse(arrival.request, ending);
+      return;
+    }
+    self.scene.budget.earn();
+    *self
+      .in_progress
+      .entry(arrival.organisation.clone())
+      .or_default() += 1;
+    let request = arrival.request;
+    let life = Life::new(arrival, rank, self.scene.now_ms);
+    let claim = life.needs_claim();
+    let waiting = life.waiting();
+    let lane = life.lane().clone();
+    let mut machine = life
+      .uninitialized_state_machine()
+      .init_with_context(&mut self.scene);
+    if let Some(key) = claim {
+      machine.handle_with_context(&Step::AwaitClaim, &mut self.scene);
+      self
+        .scene
+        .act(Action::Claim(request, waiting.organisation.clone(), key));
+    } else {
+      self.lanes.entry(lane).or_default().queue.push(waiting);
+    }
+    self.requests.insert(request, machine);
+  }
+
+  fn rank(&mut self, arrival: &Arrival) -> Rank {
+    let Some(policy) = self.scene.configuration.policy.clone() else {
+      return Rank::plain();
+    };
+    let (subject, kind, prompt_tokens, max_tokens) = match &arrival.work {
+      Work::Model(work) => (&work.model, "model", work.prompt_tokens, work.max_tokens),
+      Work::Service(work) => (&work.service, "service", 0, 0),
+    };
+    let facts = RequestFacts {
+      kind: kind.into(),
+      max_tokens,
+      organisation: arrival.organisation.clone(),
+      prompt_tokens,
+      subject: subject.clone(),
+      task: arrival.task.clone(),
+    };
+    match policy.rank(&facts, self.clock()) {
+      Ok(rank) => {
+        self.good_ranks.insert(arrival.task.clone(), rank.clone());
+        rank
+      }
+      Err(error) => {
+        self.scene.note(NoteKind::PolicyFailed, &arrival.task, error);
+        let last = self.good_ranks.get(&arrival.task).cloned();
+        last.unwrap_or_else(Rank::plain)
+      }
+    }
+  }
+
+  pub(super) fn clock(&self) -> Clock {
+    Clock::at(
+      self.scene.epoch_unix_ms + self.scene.now_ms,
+      self.scene.configuration.utc_offset_minutes,
+    )
+  }
+
+  /// Why a request is refused on arrival, if it is. May shed another to make room.
+  fn refusal(&mut self, arrival: &Arrival, rank: &Rank) -> Option<Ending> {
+    let not_run = |reason, retry_after_ms| {
+      Some(Ending::NotRun {
+        reason,
+        retry_after_ms,
+      })
+    };
+    if self.scene.stopping {
+      return not_run(Refusal::Stopping, STOPPING_RETRY_MS);
+    }
+    if !self.scene.configured {
+      return not_run(Refusal::NotReady, ABSENT_RETRY_MS);
+    }
+    let organisation = &arrival.organisation;
+    let view = &self.scene.configuration;
+    let limit = view
+      .organisations
+      .get(organisation)
+      .and_then(|limits| limits.in_progress)
+      .unwrap_or(view.tuning.organisation_limit);
+    if self.in_progress.get(organisation).copied().unwrap_or(0) >= limit {
+      return not_run(Refusal::OrganisationLimit, ABSENT_RETRY_MS);
+    }
+    let allowed_ms = arrival.deadline_ms.unwrap_or(rank.first_token_ms);
+    let Some(predicted_ms) = self.predicted_ms(&arrival.work, rank) else {
+      return not_run(Refusal::NoEndpoint, ABSENT_RETRY_MS);
+    };
+    if self.scene.tuning().early_refusal && predicted_ms > allowed_ms {
+      let retry_after_ms = (predicted_ms - allowed_ms).max(LEAST_RETRY_MS);
+      return not_run(Refusal::TooLate, retry_after_ms);
+    }
+    if !self.make_room(&arrival.work, rank) {
+      return not_run(Refusal::QueueFull, predicted_ms.max(ABSENT_RETRY_MS));
+    }
+    None
+  }
+
+  /// Predicted time to the first byte; none where no endpoint could serve the work.
+  fn predicted_ms(&mut self, work: &Work, rank: &Rank) -> Option<u64> {
+    let lane = match work {
+      Work::Model(work) => &work.model,
+      Work::Service(work) => &work.service,
+    };
+    let wait_ms = self
+      .lanes
+      .get(lane)
+      .map_or(0, |lane| lane.wait_ms(rank.priority));
+    let serving_ms = match work {
+      Work::Model(work) => self.scene.least_first_token_ms(work)?,
+      Work::Service(work) => match self.scene.place_call(&work.service, &[]) {
+        Ok(_) | Err(NoPlace::NoSeat) => 0,
+        Err(NoPlace::NoEngine) => return None,
+      },
+    };
+    Some(wait_ms + serving_ms)
+  }
+
+  /// Sheds the least of the lane when it is full; false when the newcomer itself is the least.
+  fn make_room(&mut self, work: &Work, rank: &Rank) -> bool {
+    let lane = match work {
+      Work::Model(work) => &work.model,
+      Work::Service(work) => &work.service,
+    };
+    let Some(full) = self
+      .lanes
+      .get(lane)
+      .filter(|lane| lane.queue.len() >= self.scene.tuning().queue_limit)
+    else {
+      return true;
+    };
+    let Some(least) = full.queue.least() else {
+      return false;
+    };
+    let newcomer_is_less =
+      rank.may_wait && (rank.priority, rank.weight) <= (least.priority, least.weight);
+    if newcomer_is_less || rank.priority < least.priority {
+      return false;
+    }
+    let retry_after_ms = full.wait_ms(least.priority).max(ABSENT_RETRY_MS);
+    self.step(least.request, &Step::Refuse(Refusal::Shed, retry_after_ms));
+    true
+  }
+
+  fn refuse(&mut self, request: RequestId, ending: Ending) {
+    if let Ending::NotRun { reason, .. } = ending {
+      self
+        .scene
+        .note(NoteKind::RequestNotRun, request.0, format!("{reason:?}"));
+    }
+    self.scene.act(Action::End(request, ending));
+  }
+
+  fn stage(&mut self, report: StageReport) {
+    let request = report.attempt.request();
+    if matches!(report.outcome, StageOutcome::Finished { .. }) {
+      self.scene.close(&report.attempt, &report.endpoint);
+    }
+    self.step(
+      request,
+      &Step::Stage {
+        attempt: report.attempt,
+        endpoint: report.endpoint,
+        outcome: report.outcome,
+      },
+    );
+  }
+
+  /// Moves one request, and puts it where its new state belongs.
+  pub(super) fn step(&mut self, request: RequestId, step: &Step) {
+    let Some(machine) = self.requests.get_mut(&request) else {
+      return;
+    };
+    let was_queued = *machine.state() == State::Queued {};
+    machine.handle_with_context(step, &mut self.scene);
+    let is_queued = *machine.state() == State::Queued {};
+    let ended = *machine.state() == State::Ended {};
+    let life = machine.inner();
+    let waiting = life.waiting();
+    let lane = life.lane().clone();
+    let requeue = life.requeue;
+    if was_queued && !is_queued && let Some(lane) = self.lanes.get_mut(&lane) {
+      lane
+        .queue
+        .remove(waiting.priority, &waiting.organisation, request);
+    }
+    if requeue && is_queued {
+      machine.handle_with_context(&Step::Requeued, &mut self.scene);
+      self.lanes.entry(lane).or_default().queue.push_front(waiting.clone());
+    }
+    if ended {
+      self.requests.remove(&request);
+      if let Some(count) = self.in_progress.get_mut(&waiting.organisation) {
+        *count -= 1;
+        if *count == 0 {
+          self.in_progress.remove(&waiting.organisation);
+        }
+      }
+    }
+  }
+
+  /// Whether a request waits for the answer to this very ask.
+  pub(super) fn is_asking(&self, attempt: &AttemptId) -> bool {
+    self
+      .requests
+      .get(&attempt.request())
+      .is_some_and(|machine| *machine.state() == State::Asking {})
+      && attempt.incarnation == self.scene.identity.incarnation
+  }
+
+  /// Places as many waiting requests as there is room for.
+  fn pump(&mut self) {
+    let lanes = self
+      .lanes
+      .iter()
+      .filter(|(_, lane)| !lane.queue.is_empty())
+      .map(|(name, _)| name.clone())
+      .collect::<Vec<_>>();
+    for lane in lanes {
+      while self.place_next(&lane) {}
+    }
+  }
+
+  /// Places the next request of a lane; false when it has to wait.
+  fn place_next(&mut self, lane_name: &Name) -> bool {
+    let Some(lane) = self.lanes.get_mut(lane_name) else {
+      return false;
+    };
+    let Some(next) = lane.queue.peek().map(|waiting| waiting.request) else {
+      return false;
+    };
+    self.place_one(lane_name, next)
+  }
+
+  fn place_one(&mut self, lane_name: &Name, request: RequestId) -> bool {
+    let Some(machine) = self.requests.get_mut(&request) else {
+      if let Some(lane) = self.lanes.get_mut(lane_name) {
+        lane.queue.pop();
+      }
+      return true;
+    };
+    machine.handle_with_context(&Step::Place, &mut self.scene);
+    if let Placed::Waits(no_place) = machine.inner().placed {
+      return no_place == NoPlace::NoEngine && self.end_without_engine(request);
+    }
+    if let Some(lane) = self.lanes.get_mut(lane_name) {
+      lane.queue.pop();
+      lane.started(self.scene.now_ms);
+    }
+    // The state has moved already: only its consequences are left.
+    self.step(request, &Step::Tick);
+    true
+  }
+
+  fn end_without_engine(&mut self, request: RequestId) -> bool {
+    self.step(request, &Step::Refuse(Refusal::NoEndpoint, ABSENT_RETRY_MS));
+    true
+  }
+
+  fn cancel_settled(&mut self, attempt: &AttemptId, endpoint: &Name, answer: CancelAnswer) {
+    let key = order_key(attempt, endpoint);
+    if self.scene.orders.settled(&key, answer) {
+      self
+        .scene
+        .note(NoteKind::CancelSettled, attempt, format!("{endpoint} {answer:?}"));
+    }
+  }
+
+  fn load_reported(&mut self, report: &LoadReport) {
+    let before = self.scene.fleet.get(&report.endpoint).map(|known| known.incarnation);
+    if before.is_some_and(|before| before > 0 && report.incarnation > before) {
+      self.scene.orders.forget_endpoint(&report.endpoint);
+      self.scene.books.remove(&report.endpoint);
+      self
+        .scene
+        .note(NoteKind::EndpointReturned, &report.endpoint, report.incarnation);
+    }
+    if self.scene.fleet.report(self.scene.now_ms, report) {
+      self.note_endpoint(&report.endpoint);
+    }
+  }
+
+  pub(super) fn note_endpoint(&mut self, name: &Name) {
+    let Some(endpoint) = self.scene.fleet.get(name) else {
+      return;
+    };
+    let kind = if endpoint.is_live() {
+      NoteKind::EndpointLive
+    } else if endpoint.is_leaving() {
+      NoteKind::EndpointLeaving
+    } else {
+      NoteKind::EndpointSuspect
+    };
+    self.scene.note(kind, name, "");
+  }
+
+  /// As home of an engine: cancels what nobody holds on to any more.
+  fn listed(&mut self, engine: &Name, held: Vec<HeldAttempt>) {
+    for held in held {
+      if !self.is_orphan(engine, &held) {
+        continue;
+      }
+      let attempt = held.attempt;
+      let key = order_key(&attempt, engine);
+      if self.scene.orders.is_open(&key) {
+        continue;
+      }
+      self.scene.note(NoteKind::OrphanSwept, &attempt, engine);
+      self.scene.open(&attempt, engine);
+      self.scene.cancel(&attempt, engine);
+    }
+  }
+
+  fn is_orphan(&self, engine: &Name, held: &HeldAttempt) -> bool {
+    let owner = &held.attempt.box_name;
+    let identity = &self.scene.identity;
+    if *owner == identity.name {
+      let key = order_key(&held.attempt, engine);
+      let ours = held.attempt.incarnation == identity.incarnation;
+      return !ours || held.hold_left_ms <= 0 && !self.scene.orders.is_open(&key);
+    }
+    let replaced = self
+      .scene
+      .members
+      .peer(owner)
+      .is_some_and(|peer| peer.incarnation > held.attempt.incarnation);
+    replaced || held.hold_left_ms <= 0
+  }
+
+  fn boxes(&mut self, entries: &[BoxEntry]) {
+    self.scene.members.list(self.scene.now_ms, entries);
+    self.scene.forget_homes();
+  }
+
+  fn configured(&mut self, view: Arc<ConfigurationView>) {
+    self
+      .scene
+      .budget
+      .set(view.tuning.retry_share, view.tuning.retry_burst);
+    let first = !self.scene.configured;
+    self.scene.configuration = view;
+    self.scene.configured = true;
+    let digest = self.scene.configuration.digest();
+    self
+      .scene
+      .note(NoteKind::ConfigurationApplied, format!("{digest:016x}"), "");
+    if first {
+      self.scene.note(NoteKind::BoxReady, self.scene.identity.name.clone(), "");
+    }
+  }
+
+  fn drain(&mut self, name: &Name, leaving: bool) {
+    let sign = if leaving {
+      let incarnation = self.scene.fleet.get(name).map_or(0, |known| known.incarnation);
+      Sign::Leaving(incarnation)
+    } else {
+      Sign::Undrained
+    };
+    if self.scene.fleet.sign(name, &sign) {
+      self.note_endpoint(name);
+      self.timers.hurry();
+    }
+  }
+
+  fn stop(&mut self) {
+    self.scene.stopping = true;
+    self.scene.forget_homes();
+    self.timers.hurry();
+    self
+      .scene
+      .note(NoteKind::StopBegan, self.scene.identity.name.clone(), "");
+  }
+
+  /// Tells "not run" to those that can't be served in time any more, and passes time on to asks.
+  pub(super) fn expire_requests(&mut self) {
+    let now_ms = self.scene.now_ms;
+    if now_ms < self.expired_ms + EXPIRY_PERIOD_MS {
+      return;
+    }
+    self.expired_ms = now_ms;
+    let asking = self
+      .requests
+      .iter()
+      .filter(|(_, machine)| *machine.state() == State::Asking {})
+      .map(|(request, _)| *request)
+      .collect::<Vec<_>>();
+    for request in asking {
+      self.step(request, &Step::Tick);
+    }
+    let late = self
+      .lanes
+      .values()
+      .flat_map(|lane| lane.queue.iter())
+      .map(|waiting| waiting.request)
+      .filter(|request| {
+        self
+          .requests
+          .get(request)
+          .is_some_and(|machine| machine.inner().deadline_ms <= now_ms)
+      })
+      .collect::<Vec<_>>();
+    for request in late {
+      self.step(request, &Step::Refuse(Refusal::TooLate, ABSENT_RETRY_MS));
+    }
+  }
+
+  /// Engines of this box's hall that serve a model.
+  pub(super) fn engines_of(&self, model: &Name) -> impl Iterator<Item = &super::Endpoint> {
+    self.scene.fleet.iter().filter(move |endpoint| {
+      endpoint.spec.hall == self.scene.identity.hall
+        && endpoint.is_live()
+        && matches!(&endpoint.spec.kind, EndpointKind::Engine { models, .. } if models.contains(model))
+        && matches!(endpoint.role, Some(Role::Prefill | Role::Decode))
+    })
+  }
+}
--- /dev/null
+++ b/src/decide/peer_handling.rs
@@ -0,0 +1,74 @@
+//! What a box does on messages of its peers.
+
+use {
+  super::{Action, Heartbeat, Machine, NoteKind, PeerMessage, SeatAnswer, Sign, Step},
+  crate::ids::Name,
+};
+
+impl Machine {
+  pub(super) fn peer(&mut self, from: Name, message: PeerMessage) {
+    match message {
+      PeerMessage::Heartbeat(heartbeat) => self.heartbeat(&from, &heartbeat),
+      PeerMessage::SeatAsk(ask) => self.scene.answer_ask(from, ask),
+      PeerMessage::SeatAnswer(answer) => self.seat_answered(from, answer),
+      PeerMessage::SeatReturn(attempt, engine) => self.scene.take_back(&attempt, &engine),
+      PeerMessage::SeatFreed(engine) => self.scene.reopen(&engine),
+      PeerMessage::DocumentsWanted(revisions) => {
+        let documents = self.scene.configuration.newer_than(&revisions);
+        if !documents.is_empty() {
+          let message = PeerMessage::Documents(documents);
+          self.scene.act(Action::Send(from, message));
+        }
+      }
+      // Documents are checked and compiled before `decide` hears of them.
+      PeerMessage::Documents(_) => {}
+    }
+  }
+
+  fn heartbeat(&mut self, from: &Name, heartbeat: &Heartbeat) {
+    let now_ms = self.scene.now_ms;
+    let before = self.scene.members.peer(from).map(|peer| peer.leaving);
+    let came_alive = self.scene.members.heard(now_ms, from, heartbeat);
+    if came_alive || before != Some(heartbeat.leaving) {
+      self.scene.forget_homes();
+    }
+    if came_alive {
+      self.scene.note(NoteKind::PeerLive, from, "");
+    }
+    for leaving in &heartbeat.leaving_endpoints {
+      let sign = Sign::Leaving(leaving.incarnation);
+      if self.scene.fleet.sign(&leaving.endpoint, &sign) {
+        self.note_endpoint(&leaving.endpoint);
+      }
+    }
+    for load in &heartbeat.loads {
+      if self.scene.fleet.report(now_ms, load) {
+        self.note_endpoint(&load.endpoint);
+      }
+    }
+    if heartbeat.configuration_digest != self.scene.configuration.digest() {
+      let revisions = self.scene.configuration.revisions();
+      self.scene.act(Action::Send(
+        from.clone(),
+        PeerMessage::DocumentsWanted(revisions),
+      ));
+    }
+  }
+
+  fn seat_answered(&mut self, from: Name, answer: SeatAnswer) {
+    if !self.is_asking(&answer.attempt) {
+      if answer.granted {
+        // Granted too late: nobody waits for it any more.
+        let message = PeerMessage::SeatReturn(answer.attempt, answer.engine);
+        self.scene.act(Action::Send(from, message));
+      }
+      return;
+    }
+    let step = Step::Seat {
+      attempt: answer.attempt.clone(),
+      granted: answer.granted,
+      link_wait_ms: answer.link_wait_ms,
+    };
+    self.step(answer.attempt.request(), &step);
+  }
+}
--- /dev/null
+++ b/src/decide/placement.rs
@@ -0,0 +1,239 @@
+//! Choosing engines by predicted time to the first token, or by one of the ways it is measured against.
+
+use {
+  super::{Endpoint, ModelWork, PlacementMode, PoolKey, Role, Scene, SeatMode},
+  crate::ids::Name,
+  rand::RngExt,
+};
+
+/// Engines looked at per role; the pools are in order of load, so the best is among the first.
+const CANDIDATES: usize = 4;
+
+/// The engines chosen for an attempt, and what is expected of them.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Placement {
+  /// Reads the prompt.
+  pub prefill: Name,
+  /// Writes the answer.
+  pub decode: Name,
+  /// When the prompt is expected to be read, counted from now.
+  pub ready_in_ms: u64,
+  /// When the first token is expected, counted from now.
+  pub first_token_in_ms: u64,
+  /// Tokens expected to be read anew.
+  pub uncached_tokens: u64,
+  /// Bytes expected to be moved.
+  pub kv_bytes: u64,
+}
+
+/// Why no engines could be chosen.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum NoPlace {
+  /// No live engine serves the model.
+  NoEngine,
+  /// All decode seats are taken for now.
+  NoSeat,
+}
+
+struct Reading {
+  engine: Name,
+  ready_in_ms: u64,
+  uncached_tokens: u64,
+}
+
+impl Scene {
+  /// Chooses a prefill and a decode engine for a completion.
+  pub(crate) fn place(&mut self, work: &ModelWork) -> Result<Placement, NoPlace> {
+    let reading = self.best_prefill(work).ok_or(NoPlace::NoEngine)?;
+    let decode = self.best_decode(work)?;
+    let engine = self.fleet.get(&decode).ok_or(NoPlace::NoEngine)?;
+    let transfer_ms = engine.transfer_ms(work.prompt_tokens);
+    Ok(Placement {
+      decode,
+      first_token_in_ms: reading.ready_in_ms + transfer_ms + self.tuning().token_ms,
+      kv_bytes: work.prompt_tokens * engine.spec.kv_bytes_per_token,
+      prefill: reading.engine,
+      ready_in_ms: reading.ready_in_ms,
+      uncached_tokens: reading.uncached_tokens,
+    })
+  }
+
+  /// Least time to a first token that any engine could give now, without regard to seats.
+  pub(crate) fn least_first_token_ms(&mut self, work: &ModelWork) -> Option<u64> {
+    let reading = self.best_prefill(work)?;
+    Some(reading.ready_in_ms + self.tuning().token_ms)
+  }
+
+  /// Chooses an instance of a plain service with a free place.
+  pub(crate) fn place_call(&mut self, service: &Name, tried: &[Name]) -> Result<Name, NoPlace> {
+    let hall = self
+      .fleet
+      .serving_hall(&self.identity.hall, service, None)
+      .ok_or(NoPlace::NoEngine)?;
+    let key = PoolKey {
+      hall,
+      role: None,
+      subject: service.clone(),
+    };
+    let boxes = self.boxes_of(&key.hall);
+    let mut untried = self
+      .fleet
+      .pool(&key)
+      .filter(|endpoint| !tried.contains(&endpoint.spec.name))
+      .take(CANDIDATES)
+      .peekable();
+    if untried.peek().is_none() {
+      return Err(NoPlace::NoEngine);
+    }
+    let mode = SeatMode::LaggingLoad;
+    untried
+      .find(|endpoint| has_seat(endpoint, mode, self.now_ms, boxes))
+      .map(|endpoint| endpoint.spec.name.clone())
+      .ok_or(NoPlace::NoSeat)
+  }
+
+  fn best_prefill(&mut self, work: &ModelWork) -> Option<Reading> {
+    let hall = self
+      .fleet
+      .serving_hall(&self.identity.hall, &work.model, Some(Role::Prefill))?;
+    let key = PoolKey {
+      hall,
+      role: Some(Role::Prefill),
+      subject: work.model.clone(),
+    };
+    let candidates = match self.tuning().placement {
+      PlacementMode::PredictedTime => self.likely_prefill(&key, work),
+      PlacementMode::RoundRobin => self.next_in_turn(&key),
+      PlacementMode::TwoChoices => self.two_of(&key),
+    };
+    candidates
+      .into_iter()
+      .filter_map(|name| self.read_by(name, work))
+      .min_by_key(|reading| reading.ready_in_ms)
+  }
+
+  /// The least loaded engines, and those that probably have the prompt's prefix.
+  fn likely_prefill(&self, key: &PoolKey, work: &ModelWork) -> Vec<Name> {
+    let mut names = self
+      .fleet
+      .pool(key)
+      .take(CANDIDATES)
+      .map(|engine| engine.spec.name.clone())
+      .collect::<Vec<_>>();
+    for engine in self.hints.engines(&work.prefix) {
+      let usable = self.fleet.get(engine).is_some_and(|endpoint| {
+        endpoint.is_live()
+          && endpoint.role == Some(Role::Prefill)
+          && endpoint.spec.hall == key.hall
+      });
+      if usable && !names.contains(engine) {
+        names.push(engine.clone());
+      }
+    }
+    names
+  }
+
+  fn read_by(&self, name: Name, work: &ModelWork) -> Option<Reading> {
+    let engine = self.fleet.get(&name)?;
+    let cached = match self.tuning().placement {
+      PlacementMode::PredictedTime => {
+        self.hints.expected_tokens(self.now_ms, &name, &work.prefix)
+      }
+      PlacementMode::RoundRobin | PlacementMode::TwoChoices => 0,
+    };
+    let uncached_tokens = work.prompt_tokens.saturating_sub(cached).max(1);
+    let queue_ms = engine.prefill_free_at_ms().saturating_sub(self.now_ms);
+    Some(Reading {
+      ready_in_ms: queue_ms + engine.read_ms(uncached_tokens),
+      uncached_tokens,
+      engine: name,
+    })
+  }
+
+  fn best_decode(&mut self, work: &ModelWork) -> Result<Name, NoPlace> {
+    let role = Some(Role::Decode);
+    let hall = self
+      .fleet
+      .serving_hall(&self.identity.hall, &work.model, role)
+      .ok_or(NoPlace::NoEngine)?;
+    let key = PoolKey {
+      hall,
+      role,
+      subject: work.model.clone(),
+    };
+    let candidates = match self.tuning().placement {
+      PlacementMode::PredictedTime => None,
+      PlacementMode::RoundRobin => Some(self.next_in_turn(&key)),
+      PlacementMode::TwoChoices => Some(self.two_of(&key)),
+    };
+    let boxes = self.boxes_of(&key.hall);
+    let mode = self.tuning().seat_mode;
+    let now_ms = self.now_ms;
+    if !self.tuning().reserve_before_prefill {
+      let any = candidates.map_or_else(
+        || self.fleet.pool(&key).next().map(|engine| engine.spec.name.clone()),
+        |names| names.into_iter().next(),
+      );
+      return any.ok_or(NoPlace::NoEngine);
+    }
+    let free = match candidates {
+      Some(names) => names
+        .into_iter()
+        .filter_map(|name| self.fleet.get(&name))
+        .filter(|engine| has_seat(engine, mode, now_ms, boxes))
+        .min_by_key(|engine| engine.pool_key()),
+      None => self
+        .fleet
+        .pool(&key)
+        .find(|engine| has_seat(engine, mode, now_ms, boxes)),
+    };
+    free
+      .map(|engine| engine.spec.name.clone())
+      .ok_or(NoPlace::NoSeat)
+  }
+
+  fn boxes_of(&self, hall: &Name) -> u32 {
+    let boxes = self.members.candidates(hall, self.stopping).len();
+    u32::try_from(boxes).unwrap_or(u32::MAX).max(1)
+  }
+
+  fn next_in_turn(&mut self, key: &PoolKey) -> Vec<Name> {
+    let mut names = self
+      .fleet
+      .pool(key)
+      .map(|engine| engine.spec.name.clone())
+      .collect::<Vec<_>>();
+    names.sort();
+    self.turn = self.turn.wrapping_add(1);
+    let size = names.len();
+    names.into_iter().nth(self.turn % size.max(1)).into_iter().collect()
+  }
+
+  fn two_of(&mut self, key: &PoolKey) -> Vec<Name> {
+    let size = self.fleet.pool_size(key);
+    if size == 0 {
+      return Vec::new();
+    }
+    let draws = [
+      self.random.random_range(0..size),
+      self.random.random_range(0..size),
+    ];
+    draws
+      .into_iter()
+      .filter_map(|draw| self.fleet.pool(key).nth(draw))
+      .map(|engine| engine.spec.name.clone())
+      .collect()
+  }
+}
+
+fn has_seat(endpoint: &Endpoint, mode: SeatMode, now_ms: u64, boxes: u32) -> bool {
+  if endpoint.refused_until_ms > now_ms {
+    return false;
+  }
+  match mode {
+    // The home counts on seats that end in time, so a full engine is still worth asking.
+    SeatMode::HomeGrants => true,
+    SeatMode::LaggingLoad => endpoint.used_seats() < endpoint.seats(),
+    SeatMode::FixedShares => endpoint.own_seats < (endpoint.seats() / boxes).max(1),
+  }
+}
--- /dev/null
+++ b/src/decide/steward.rs
@@ -0,0 +1,79 @@
+//! Which engine changes its role next: wanted split, dead band, least stay.
+
+use {
+  super::Role,
+  crate::{ids::Name, policy::Split},
+};
+
+/// An engine as the steward sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Candidate {
+  /// The engine.
+  pub engine: Name,
+  /// Its present role.
+  pub role: Role,
+  /// How long it has had that role.
+  pub stayed_ms: u64,
+  /// Requests it holds; the least busy turns first.
+  pub used_seats: u32,
+}
+
+/// One change of role.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Turn {
+  /// The engine.
+  pub engine: Name,
+  /// The role it is to take.
+  pub role: Role,
+}
+
+/// Bounds on changes of role.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct TurnBounds {
+  /// Difference between wanted and present share that is left alone.
+  pub dead_band: f64,
+  /// Least time in a role.
+  pub least_stay_ms: u64,
+}
+
+/// The one engine of a model that is to turn now, if any. Each role keeps at least one engine.
+///
+/// ```
+/// use rillford::{decide::{next_turn, Candidate, Role, TurnBounds}, policy::Split};
+/// let engine = |name: &str, role| Candidate {
+///   engine: name.into(), role, stayed_ms: 500_000, used_seats: 0,
+/// };
+/// let engines = [
+///   engine("a", Role::Prefill), engine("b", Role::Decode),
+///   engine("c", Role::Decode), engine("d", Role::Decode),
+/// ];
+/// let split = Split { model: "m".into(), prefill_share: 0.5 };
+/// let bounds = TurnBounds { dead_band: 0.1, least_stay_ms: 60_000 };
+/// assert_eq!(next_turn(&engines, &split, bounds).unwrap().engine, "b".into());
+/// ```
+pub fn next_turn(engines: &[Candidate], split: &Split, bounds: TurnBounds) -> Option<Turn> {
+  let total = engines.len();
+  if total < 2 {
+    return None;
+  }
+  let reading = engines.iter().filter(|engine| engine.role == Role::Prefill).count();
+  let present = reading as f64 / total as f64;
+  if (split.prefill_share - present).abs() <= bounds.dead_band {
+    return None;
+  }
+  let wanted = (split.prefill_share * total as f64).round() as usize;
+  let wanted = wanted.clamp(1, total - 1);
+  let (from, to) = match wanted.cmp(&reading) {
+    std::cmp::Ordering::Equal => return None,
+    std::cmp::Ordering::Less => (Role::Prefill, Role::Decode),
+    std::cmp::Ordering::Greater => (Role::Decode, Role::Prefill),
+  };
+  engines
+    .iter()
+    .filter(|engine| engine.role == from && engine.stayed_ms >= bounds.least_stay_ms)
+    .min_by_key(|engine| (engine.used_seats, engine.engine.clone()))
+    .map(|engine| Turn {
+      engine: engine.engine.clone(),
+      role: to,
+    })
+}
--- /dev/null
+++ b/src/decide/timers.rs
@@ -0,0 +1,321 @@
+//! What a box does as time passes: heartbeats, polls, holds, sweeps, cancels, roles.
+
+use {
+  super::{
+    Action, Candidate, EndpointKind, Heartbeat, Machine, NoteKind, PeerMessage, Role, RoleOrder,
+    Sign, TurnBounds, next_turn,
+  },
+  crate::{
+    ids::{AttemptId, Name},
+    policy::PoolFacts,
+  },
+  std::collections::{BTreeMap, BTreeSet},
+};
+
+const HOLD_EXTENSIONS: u64 = 3;
+const SCAN_PERIOD_MS: u64 = 100;
+const STEWARD_PERIOD_MS: u64 = 2_000;
+const SWEEP_PERIOD_MS: u64 = 2_000;
+
+/// When each periodic duty is due.
+#[derive(Debug, Default)]
+pub(crate) struct Timers {
+  heartbeat_ms: u64,
+  poll_ms: u64,
+  scan_ms: u64,
+  sweep_ms: u64,
+  holds_ms: u64,
+  steward_ms: u64,
+  lease_until_ms: u64,
+  fence: u64,
+  held_since_ms: BTreeMap<Name, u64>,
+}
+
+impl Timers {
+  pub(crate) fn hold_lease(&mut self, until_ms: u64, fence: u64) {
+    self.lease_until_ms = until_ms;
+    self.fence = fence;
+  }
+
+  pub(crate) fn drop_lease(&mut self) {
+    self.lease_until_ms = 0;
+  }
+
+  pub(crate) fn holds_lease(&self, now_ms: u64) -> bool {
+    now_ms < self.lease_until_ms
+  }
+
+  /// The next heartbeat goes out at once.
+  pub(crate) fn hurry(&mut self) {
+    self.heartbeat_ms = 0;
+  }
+}
+
+/// Whether a duty with this period is due; notes it as done.
+fn due(last_ms: &mut u64, now_ms: u64, period_ms: u64) -> bool {
+  if *last_ms > 0 && now_ms < *last_ms + period_ms {
+    return false;
+  }
+  *last_ms = now_ms.max(1);
+  true
+}
+
+impl Machine {
+  pub(super) fn tick(&mut self) {
+    let now_ms = self.scene.now_ms;
+    self.expire_requests();
+    self.send_cancels();
+    if due(&mut self.timers.scan_ms, now_ms, SCAN_PERIOD_MS) {
+      self.scan_silence();
+    }
+    if due(&mut self.timers.poll_ms, now_ms, self.scene.tuning().poll_ms) {
+      self.poll_loads();
+    }
+    if due(&mut self.timers.heartbeat_ms, now_ms, self.scene.tuning().heartbeat_ms) {
+      self.send_heartbeats();
+    }
+    if due(&mut self.timers.sweep_ms, now_ms, SWEEP_PERIOD_MS) {
+      self.list_attempts();
+    }
+    let extension_ms = self.scene.tuning().hold_ms / HOLD_EXTENSIONS;
+    if due(&mut self.timers.holds_ms, now_ms, extension_ms) {
+      self.give_up_lost_holds();
+      self.extend_holds();
+    }
+    if self.timers.holds_lease(now_ms)
+      && due(&mut self.timers.steward_ms, now_ms, STEWARD_PERIOD_MS)
+    {
+      self.order_roles();
+    }
+  }
+
+  fn send_cancels(&mut self) {
+    for key in self.scene.orders.due(self.scene.now_ms) {
+      self.scene.act(Action::Cancel(key.attempt, key.endpoint));
+    }
+  }
+
+  fn scan_silence(&mut self) {
+    let now_ms = self.scene.now_ms;
+    let silence_ms = self.scene.tuning().endpoint_silence_ms;
+    let silent = self
+      .scene
+      .fleet
+      .iter()
+      .filter(|endpoint| endpoint.is_live() && now_ms.saturating_sub(endpoint.heard_ms) > silence_ms)
+      .map(|endpoint| endpoint.spec.name.clone())
+      .collect::<Vec<_>>();
+    for name in silent {
+      self.scene.fleet.sign(&name, &Sign::Silent);
+      self.note_endpoint(&name);
+    }
+    let lost = self
+      .scene
+      .members
+      .expire(now_ms, self.scene.tuning().peer_silence_ms);
+    for peer in lost {
+      self.scene.forget_homes();
+      for book in self.scene.books.values_mut() {
+        book.drop_box(&peer.entry.name, peer.incarnation);
+      }
+      self.scene.note(NoteKind::PeerLost, peer.entry.name, "");
+    }
+  }
+
+  /// The endpoints that this box is home of.
+  fn homes_held(&mut self) -> Vec<Name> {
+    let hall = self.scene.identity.hall.clone();
+    let names = self
+      .scene
+      .fleet
+      .iter()
+      .filter(|endpoint| endpoint.spec.hall == hall)
+      .map(|endpoint| endpoint.spec.name.clone())
+      .collect::<Vec<_>>();
+    names
+      .into_iter()
+      .filter(|name| self.scene.is_home(name))
+      .collect()
+  }
+
+  fn poll_loads(&mut self) {
+    let held = self.homes_held();
+    let kept = held.iter().cloned().collect::<BTreeSet<_>>();
+    self.scene.books.retain(|engine, _| kept.contains(engine));
+    for endpoint in held {
+      self.scene.act(Action::PollLoad(endpoint));
+    }
+  }
+
+  fn send_heartbeats(&mut self) {
+    let now_ms = self.scene.now_ms;
+    let held = self.homes_held();
+    let loads = held
+      .iter()
+      .filter_map(|name| self.scene.fleet.get(name))
+      .filter(|endpoint| endpoint.is_live() || endpoint.is_leaving())
+      .map(|endpoint| endpoint.relay(now_ms))
+      .collect::<Vec<_>>();
+    let heartbeat = Heartbeat {
+      configuration_digest: self.scene.configuration.digest(),
+      incarnation: self.scene.identity.incarnation,
+      leaving: self.scene.stopping,
+      leaving_endpoints: self.scene.fleet.leaving(),
+      loads,
+    };
+    for peer in self.scene.members.neighbours() {
+      let message = PeerMessage::Heartbeat(heartbeat.clone());
+      self.scene.act(Action::Send(peer, message));
+    }
+  }
+
+  fn list_attempts(&mut self) {
+    for name in self.homes_held() {
+      let is_engine = self
+        .scene
+        .fleet
+        .get(&name)
+        .is_some_and(|endpoint| matches!(endpoint.spec.kind, EndpointKind::Engine { .. }));
+      if is_engine {
+        self.scene.act(Action::ListAttempts(name));
+      }
+    }
+  }
+
+  fn extend_holds(&mut self) {
+    let now_ms = self.scene.now_ms;
+    let held = self.scene.orders.held();
+    self
+      .timers
+      .held_since_ms
+      .retain(|engine, _| held.contains_key(engine));
+    for (engine, attempts) in held {
+      self
+        .timers
+        .held_since_ms
+        .entry(engine.clone())
+        .or_insert(now_ms);
+      self.scene.act(Action::ExtendHolds(engine, attempts));
+    }
+  }
+
+  /// A box that could not extend its holds for half their time treats its attempts as lost first.
+  pub(super) fn give_up_lost_holds(&mut self) {
+    let now_ms = self.scene.now_ms;
+    let bound_ms = self.scene.tuning().hold_ms / 2;
+    let lost = self
+      .timers
+      .held_since_ms
+      .iter()
+      .filter(|(_, since_ms)| now_ms.saturating_sub(**since_ms) > bound_ms)
+      .map(|(engine, _)| engine.clone())
+      .collect::<Vec<_>>();
+    let mut held = self.scene.orders.held();
+    for engine in lost {
+      self.timers.held_since_ms.insert(engine.clone(), now_ms);
+      for attempt in held.remove(&engine).unwrap_or_default() {
+        self.scene.note(NoteKind::HoldLost, &attempt, &engine);
+        self.scene.act(Action::GiveUp(attempt, engine.clone()));
+      }
+    }
+  }
+
+  pub(super) fn holds_extended(&mut self, engine: &Name, unknown: &[AttemptId]) {
+    let now_ms = self.scene.now_ms;
+    if let Some(since_ms) = self.timers.held_since_ms.get_mut(engine) {
+      *since_ms = now_ms;
+    }
+    for attempt in unknown {
+      let key = super::scene::order_key(attempt, engine);
+      if self.scene.orders.is_open(&key) {
+        self.scene.act(Action::GiveUp(attempt.clone(), engine.clone()));
+      }
+    }
+  }
+
+  /// As steward of the hall: orders at most one engine of each model to change its role.
+  fn order_roles(&mut self) {
+    let Some(policy) = self.scene.configuration.policy.clone() else {
+      return;
+    };
+    let models = self.models();
+    let pools = models.iter().map(|model| self.pool_facts(model)).collect::<Vec<_>>();
+    let splits = match policy.shift(self.clock(), &pools) {
+      Ok(splits) => splits,
+      Err(error) => {
+        self.scene.note(NoteKind::PolicyFailed, "shift", error);
+        return;
+      }
+    };
+    let bounds = TurnBounds {
+      dead_band: self.scene.tuning().role_dead_band,
+      least_stay_ms: self.scene.tuning().role_least_stay_ms,
+    };
+    for split in splits {
+      let candidates = self.candidates(&split.model);
+      let Some(turn) = next_turn(&candidates, &split, bounds) else {
+        continue;
+      };
+      self.scene.note(NoteKind::RoleOrdered, &turn.engine, format!("{:?}", turn.role));
+      self.scene.act(Action::OrderRole(RoleOrder {
+        engine: turn.engine,
+        fence: self.timers.fence,
+        role: turn.role,
+        valid_until_ms: self.timers.lease_until_ms,
+      }));
+    }
+  }
+
+  fn models(&self) -> Vec<Name> {
+    let mut models = BTreeSet::new();
+    for endpoint in self.scene.fleet.iter() {
+      if let EndpointKind::Engine { models: served, .. } = &endpoint.spec.kind
+        && endpoint.spec.hall == self.scene.identity.hall
+      {
+        models.extend(served.iter().cloned());
+      }
+    }
+    models.into_iter().collect()
+  }
+
+  fn pool_facts(&self, model: &Name) -> PoolFacts {
+    let now_ms = self.scene.now_ms;
+    let mut facts = PoolFacts {
+      decode_engines: 0,
+      model: model.clone(),
+      prefill_engines: 0,
+      queue_tokens: 0,
+      seats_used: 0.0,
+    };
+    let mut used = 0;
+    let mut seats = 0;
+    for engine in self.engines_of(model) {
+      if engine.role == Some(Role::Prefill) {
+        facts.prefill_engines += 1;
+        let queue_ms = engine.prefill_free_at_ms().saturating_sub(now_ms);
+        facts.queue_tokens += queue_ms * engine.spec.prefill_tokens_per_s / 1_000;
+      } else {
+        facts.decode_engines += 1;
+        used += engine.used_seats();
+        seats += engine.seats();
+      }
+    }
+    facts.seats_used = f64::from(used) / f64::from(seats.max(1));
+    facts
+  }
+
+  fn candidates(&self, model: &Name) -> Vec<Candidate> {
+    let now_ms = self.scene.now_ms;
+    self
+      .engines_of(model)
+      .filter_map(|engine| {
+        Some(Candidate {
+          engine: engine.spec.name.clone(),
+          role: engine.role?,
+          stayed_ms: now_ms.saturating_sub(engine.role_since_ms),
+          used_seats: engine.used_seats(),
+        })
+      })
+      .collect()
+  }
+}
--- /dev/null
+++ b/src/policy/program.rs
@@ -0,0 +1,231 @@
+//! A compiled policy program.
+
+use {
+  super::{Clock, PolicyError, PoolFacts, RequestFacts, Split},
+  crate::{decide::Rank, ids::Name},
+  rhai::{AST, Array, Dynamic, Engine, EvalAltResult, ImmutableString, Map, Position, Scope},
+  std::sync::Arc,
+};
+
+const MOST_ARRAY_ITEMS: usize = 1_024;
+const MOST_CALL_LEVELS: usize = 16;
+const MOST_EXPRESSION_DEPTH: usize = 32;
+const MOST_FIRST_TOKEN_MS: i64 = 600_000;
+const MOST_MAP_ITEMS: usize = 256;
+const MOST_OPERATIONS: u64 = 20_000;
+const MOST_PRIORITY: i64 = 1_000;
+const MOST_STRING_BYTES: usize = 4_096;
+const MOST_VARIABLES: usize = 64;
+
+const RANK: &str = "rank";
+const SHIFT: &str = "shift";
+
+/// A compiled policy program. It sees only what it is given, and its work is bounded.
+///
+/// ```
+/// use rillford::policy::{Clock, Program, RequestFacts};
+/// let program = Program::compile(r#"
+///   fn rank(request, now) {
+///     #{ class: request.task, priority: if now.hour < 8 { 1 } else { 5 } }
+///   }
+/// "#).unwrap();
+/// let facts = RequestFacts {
+///   organisation: "oslo".into(), subject: "summary-model".into(), kind: "model".into(),
+///   task: "summary".into(), prompt_tokens: 900, max_tokens: 100,
+/// };
+/// let rank = program.rank(&facts, Clock { minute_of_day: 600, day: 0 }).unwrap();
+/// assert_eq!(rank.priority, 5);
+/// ```
+pub struct Program {
+  engine: Engine,
+  ast: AST,
+  shifts: bool,
+}
+
+impl std::fmt::Debug for Program {
+  fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+    f.debug_struct("Program").finish_non_exhaustive()
+  }
+}
+
+impl Program {
+  /// Compiles a program; `rank` must be there, `shift` may be.
+  pub fn compile(text: &str) -> Result<Arc<Self>, PolicyError> {
+    let engine = bounded_engine();
+    let ast = engine.compile(text).map_err(|error| PolicyError::Parse {
+      column: error.1.position().unwrap_or(1),
+      line: error.1.line().unwrap_or(1),
+      message: error.0.to_string(),
+    })?;
+    let has = |name: &str, parameters: usize| {
+      ast
+        .iter_functions()
+        .any(|function| function.name == name && function.params.len() == parameters)
+    };
+    if !has(RANK, 2) {
+      return Err(PolicyError::Missing("rank(request, now)"));
+    }
+    let shifts = has(SHIFT, 2);
+    Ok(Arc::new(Self {
+      ast,
+      engine,
+      shifts,
+    }))
+  }
+
+  /// What the program says of a request.
+  pub fn rank(&self, facts: &RequestFacts, clock: Clock) -> Result<Rank, PolicyError> {
+    let mut request = Map::new();
+    request.insert("organisation".into(), text(&facts.organisation));
+    request.insert("subject".into(), text(&facts.subject));
+    request.insert("kind".into(), text(&facts.kind));
+    request.insert("task".into(), text(&facts.task));
+    request.insert("prompt_tokens".into(), number(facts.prompt_tokens));
+    request.insert("max_tokens".into(), number(facts.max_tokens));
+    let answer = self.call(RANK, request.into(), clock_map(clock).into())?;
+    rank_from(answer)
+  }
+
+  /// The wanted split of roles; none where the program has no `shift`.
+  pub fn shift(&self, clock: Clock, pools: &[PoolFacts]) -> Result<Vec<Split>, PolicyError> {
+    if !self.shifts {
+      return Ok(Vec::new());
+    }
+    let pools = pools.iter().map(pool_map).map(Dynamic::from).collect::<Array>();
+    let answer = self.call(SHIFT, clock_map(clock).into(), pools.into())?;
+    splits_from(answer)
+  }
+
+  fn call(&self, function: &'static str, first: Dynamic, second: Dynamic) -> Result<Dynamic, PolicyError> {
+    self
+      .engine
+      .call_fn::<Dynamic>(&mut Scope::new(), &self.ast, function, (first, second))
+      .map_err(|error| run_error(function, &error))
+  }
+}
+
+fn bounded_engine() -> Engine {
+  let mut engine = Engine::new();
+  engine.set_max_operations(MOST_OPERATIONS);
+  engine.set_max_call_levels(MOST_CALL_LEVELS);
+  engine.set_max_expr_depths(MOST_EXPRESSION_DEPTH, MOST_EXPRESSION_DEPTH);
+  engine.set_max_string_size(MOST_STRING_BYTES);
+  engine.set_max_array_size(MOST_ARRAY_ITEMS);
+  engine.set_max_map_size(MOST_MAP_ITEMS);
+  engine.set_max_variables(MOST_VARIABLES);
+  engine.disable_symbol("eval");
+  engine.on_print(|_| {});
+  engine.on_debug(|_, _, _| {});
+  engine
+}
+
+fn run_error(function: &'static str, error: &EvalAltResult) -> PolicyError {
+  let position = innermost(error);
+  PolicyError::Run {
+    column: position.position().unwrap_or(0),
+    function,
+    line: position.line().unwrap_or(0),
+    message: error.to_string(),
+  }
+}
+
+fn innermost(error: &EvalAltResult) -> Position {
+  match error {
+    EvalAltResult::ErrorInFunctionCall(_, _, inner, _) => innermost(inner),
+    other => other.position(),
+  }
+}
+
+fn text(name: &Name) -> Dynamic {
+  ImmutableString::from(name.as_ref()).into()
+}
+
+fn number(value: u64) -> Dynamic {
+  i64::try_from(value).unwrap_or(i64::MAX).into()
+}
+
+fn clock_map(clock: Clock) -> Map {
+  let mut map = Map::new();
+  map.insert("hour".into(), number(clock.minute_of_day / 60));
+  map.insert("minute_of_day".into(), number(clock.minute_of_day));
+  map.insert("weekday".into(), number(clock.weekday()));
+  map
+}
+
+fn pool_map(pool: &PoolFacts) -> Map {
+  let mut map = Map::new();
+  map.insert("model".into(), text(&pool.model));
+  map.insert("prefill_engines".into(), number(pool.prefill_engines));
+  map.insert("decode_engines".into(), number(pool.decode_engines));
+  map.insert("queue_tokens".into(), number(pool.queue_tokens));
+  map.insert("seats_used".into(), pool.seats_used.into());
+  map
+}
+
+fn rank_from(answer: Dynamic) -> Result<Rank, PolicyError> {
+  let wrong = |wanted| PolicyError::Answer {
+    function: RANK,
+    wanted,
+  };
+  let map = answer
+    .try_cast::<Map>()
+    .ok_or_else(|| wrong("a map such as #{ class: \"draft\", priority: 1 }"))?;
+  for key in map.keys() {
+    if !["class", "first_token_ms", "may_wait", "priority", "weight"].contains(&key.as_str()) {
+      return Err(wrong(
+        "only class, priority, may_wait, weight and first_token_ms",
+      ));
+    }
+  }
+  let mut rank = Rank::plain();
+  if let Some(class) = map.get("class") {
+    let class = class.clone().into_string();
+    rank.class = class.map_err(|_| wrong("a string as class"))?.into();
+  }
+  if let Some(priority) = map.get("priority") {
+    let priority = priority.as_int().map_err(|_| wrong("a whole number as priority"))?;
+    rank.priority = priority.clamp(-MOST_PRIORITY, MOST_PRIORITY);
+  }
+  if let Some(may_wait) = map.get("may_wait") {
+    rank.may_wait = may_wait.as_bool().map_err(|_| wrong("true or false as may_wait"))?;
+  }
+  if let Some(weight) = map.get("weight") {
+    let weight = weight
+      .as_float()
+      .or_else(|_| weight.as_int().map(|whole| whole as f64));
+    rank.weight = weight
+      .ok()
+      .filter(|weight| weight.is_finite())
+      .ok_or_else(|| wrong("a number as weight"))?;
+  }
+  if let Some(first_token_ms) = map.get("first_token_ms") {
+    let first_token_ms = first_token_ms
+      .as_int()
+      .map_err(|_| wrong("a whole number as first_token_ms"))?;
+    rank.first_token_ms = first_token_ms.clamp(1, MOST_FIRST_TOKEN_MS).unsigned_abs();
+  }
+  Ok(rank)
+}
+
+fn splits_from(answer: Dynamic) -> Result<Vec<Split>, PolicyError> {
+  let wrong = || PolicyError::Answer {
+    function: SHIFT,
+    wanted: "a map from model to a prefill share between 0 and 1",
+  };
+  let map = answer.try_cast::<Map>().ok_or_else(wrong)?;
+  map
+    .into_iter()
+    .map(|(model, share)| {
+      let prefill_share = share
+        .as_float()
+        .or_else(|_| share.as_int().map(|whole| whole as f64))
+        .ok()
+        .filter(|share| (0.0..=1.0).contains(share))
+        .ok_or_else(wrong)?;
+      Ok(Split {
+        model: model.as_str().into(),
+        prefill_share,
+      })
+    })
+    .collect()
+}
