--- /dev/null
+++ b/emulator/src/deployment.rs
@@ -0,0 +1,496 @@
+//! A whole deployment on loopback: stand-ins in this process, boxes as processes of their own.
+
+use {
+  crate::{
+    Authority, BoxListStandIn, DoorFaults, EngineOptions, EngineStandIn, Host, KeyValueStandIn,
+    Relay, ServiceStandIn,
+  },
+  rillford::{
+    configuration::hash_key,
+    decide::{BoxEntry, Role},
+  },
+  std::{
+    collections::BTreeMap,
+    fmt::Write as _,
+    fs::{self, File},
+    io,
+    net::{SocketAddr, TcpListener, UdpSocket},
+    path::{Path, PathBuf},
+    process::{Child, Command, ExitStatus, Stdio},
+    time::Duration,
+  },
+  tempfile::TempDir,
+};
+
+/// Bearer key of the organisation that deployments start with.
+pub const CALLER_KEY: &str = "caller-key";
+
+/// Administration key of all boxes.
+pub const ADMIN_KEY: &str = "admin-key";
+
+/// The organisation's name.
+pub const ORGANISATION: &str = "oslo";
+
+/// One endpoint of a plan.
+#[derive(Clone, Debug)]
+pub enum EndpointPlan {
+  /// An engine for the model `lecture`.
+  Engine(EngineOptions),
+  /// An instance of a plain service.
+  Service(String),
+}
+
+/// One hall of a plan.
+#[derive(Clone, Debug)]
+pub struct HallPlan {
+  /// Its name.
+  pub name: String,
+  /// Its boxes.
+  pub boxes: Vec<String>,
+  /// Its endpoints, by name.
+  pub endpoints: Vec<(String, EndpointPlan)>,
+}
+
+/// What to bring up.
+#[derive(Clone, Debug)]
+pub struct Plan {
+  /// The program `rillford`.
+  pub program: PathBuf,
+  /// The halls.
+  pub halls: Vec<HallPlan>,
+  /// The platform's document.
+  pub platform_document: String,
+  /// Further lines for each box's settings, as whole sections.
+  pub more_settings: String,
+  /// Time to live of the steward lease.
+  pub lease_ms: u64,
+  /// Whether boxes are started at once.
+  pub start_boxes: bool,
+}
+
+impl HallPlan {
+  /// A hall with one prefill engine, two decode engines and one instance of `portal`.
+  pub fn small(name: &str, boxes: &[&str]) -> Self {
+    let engine = |role| {
+      EndpointPlan::Engine(EngineOptions {
+        role,
+        ..EngineOptions::default()
+      })
+    };
+    Self {
+      boxes: boxes.iter().map(ToString::to_string).collect(),
+      endpoints: vec![
+        (format!("{name}-prefill-1"), engine(Role::Prefill)),
+        (format!("{name}-decode-1"), engine(Role::Decode)),
+        (format!("{name}-decode-2"), engine(Role::Decode)),
+        (
+          format!("{name}-portal-1"),
+          EndpointPlan::Service("portal".into()),
+        ),
+      ],
+      name: name.into(),
+    }
+  }
+}
+
+impl Plan {
+  /// A plan of these halls.
+  pub fn new(program: impl Into<PathBuf>, halls: Vec<HallPlan>) -> Self {
+    Self {
+      halls,
+      lease_ms: 3_000,
+      more_settings: "[limits]\nbalancer_lag_ms = 200\nstall_ms = 1000\n".into(),
+      platform_document: "{}".into(),
+      program: program.into(),
+      start_boxes: true,
+    }
+  }
+}
+
+/// A stand-in of an endpoint.
+pub enum Endpoint {
+  /// An engine.
+  Engine(EngineStandIn),
+  /// A plain service.
+  Service(ServiceStandIn),
+}
+
+/// A running box process, or the place of one.
+pub struct BoxProcess {
+  /// Its hall.
+  pub hall: String,
+  /// Where callers reach it.
+  pub callers: SocketAddr,
+  /// Where operators reach it.
+  pub administration: SocketAddr,
+  /// Its own peer socket.
+  pub peers: SocketAddr,
+  /// The relay before its peer socket.
+  pub relay: Relay,
+  settings: PathBuf,
+  log: PathBuf,
+  child: Option<Child>,
+}
+
+impl BoxProcess {
+  /// Base URL for callers.
+  pub fn url(&self) -> String {
+    format!("http://{}", self.callers)
+  }
+
+  /// Base URL for operators.
+  pub fn admin_url(&self) -> String {
+    format!("http://{}", self.administration)
+  }
+
+  /// Starts the process.
+  pub fn start(&mut self, program: &Path) -> io::Result<()> {
+    let log = File::options().create(true).append(true).open(&self.log)?;
+    let child = Command::new(program)
+      .arg("serve")
+      .arg("--settings")
+      .arg(&self.settings)
+      .stdin(Stdio::null())
+      .stdout(Stdio::null())
+      .stderr(log)
+      .spawn()?;
+    self.child = Some(child);
+    Ok(())
+  }
+
+  /// The process's id, while it runs.
+  pub fn id(&self) -> Option<u32> {
+    self.child.as_ref().map(Child::id)
+  }
+
+  /// Its log so far.
+  pub fn log(&self) -> String {
+    fs::read_to_string(&self.log).unwrap_or_default()
+  }
+
+  /// Its settings file.
+  pub fn settings(&self) -> &Path {
+    &self.settings
+  }
+
+  /// Sends it a signal.
+  pub fn signal(&self, signal: i32) {
+    let Some(id) = self.id().and_then(|id| i32::try_from(id).ok()) else {
+      return;
+    };
+    // SAFETY: kill(2) takes two integers; the id is that of our own child, not yet waited for.
+    unsafe { libc::kill(id, signal) };
+  }
+
+  /// Ends it at once.
+  pub fn kill(&mut self) {
+    if let Some(mut child) = self.child.take() {
+      let _ = child.kill();
+      let _ = child.wait();
+    }
+  }
+
+  /// Whether it has ended by itself, and how.
+  pub fn ended(&mut self) -> Option<ExitStatus> {
+    self.child.as_mut()?.try_wait().ok().flatten()
+  }
+}
+
+impl Drop for BoxProcess {
+  fn drop(&mut self) {
+    self.kill();
+  }
+}
+
+/// A running deployment.
+pub struct Deployment {
+  /// The key-value service.
+  pub key_value: KeyValueStandIn,
+  /// Faults of the key-value service, by hall.
+  pub doors: BTreeMap<String, DoorFaults>,
+  /// The box list.
+  pub box_list: BoxListStandIn,
+  /// The endpoints, by name.
+  pub endpoints: BTreeMap<String, Endpoint>,
+  /// The endpoints' hosts, by name; killing one is the endpoint's death.
+  pub hosts: BTreeMap<String, Host>,
+  /// The boxes, by name.
+  pub boxes: BTreeMap<String, BoxProcess>,
+  program: PathBuf,
+  _platform: Vec<Host>,
+  folder: TempDir,
+}
+
+pub(crate) fn free_tcp() -> io::Result<SocketAddr> {
+  TcpListener::bind(("127.0.0.1", 0))?.local_addr()
+}
+
+fn free_udp() -> io::Result<SocketAddr> {
+  UdpSocket::bind(("127.0.0.1", 0))?.local_addr()
+}
+
+/// Where a box finds the platform's services.
+pub(crate) struct PlatformUrls {
+  pub(crate) key_value: String,
+  pub(crate) box_list: String,
+}
+
+impl Deployment {
+  /// Brings a plan up. Boxes are started but perhaps not ready yet.
+  pub fn start(plan: &Plan) -> io::Result<Self> {
+    let folder = tempfile::tempdir()?;
+    let key_value = KeyValueStandIn::default();
+    let organisation = format!("{{\"keys_sha256\": [\"{}\"]}}", hash_key(CALLER_KEY));
+    key_value.put("rillford/configuration/platform", &plan.platform_document);
+    let key = format!("rillford/configuration/organisations/{ORGANISATION}");
+    key_value.put(&key, &organisation);
+    let box_list = BoxListStandIn::default();
+    let list_host = Host::start(box_list.router())?;
+    let mut platform = Vec::new();
+    let mut doors = BTreeMap::new();
+    let mut endpoints = BTreeMap::new();
+    let mut hosts = BTreeMap::new();
+    let mut sections = String::new();
+    for hall in &plan.halls {
+      let (router, faults) = key_value.door();
+      let host = Host::start(router)?;
+      doors.insert(hall.name.clone(), (faults, host.url()));
+      platform.push(host);
+      for (name, endpoint) in &hall.endpoints {
+        let (endpoint, host, section) = start_endpoint(&hall.name, name, endpoint)?;
+        sections.push_str(&section);
+        endpoints.insert(name.clone(), endpoint);
+        hosts.insert(name.clone(), host);
+      }
+    }
+    let authority = Authority::new()?;
+    let mut boxes = BTreeMap::new();
+    for hall in &plan.halls {
+      let urls = PlatformUrls {
+        box_list: format!("{}/boxes", list_host.url()),
+        key_value: doors[&hall.name].1.clone(),
+      };
+      for name in &hall.boxes {
+        authority.issue(folder.path(), name)?;
+        let process = place_box(&folder, plan, &hall.name, name, &urls, &sections)?;
+        boxes.insert(name.clone(), process);
+      }
+    }
+    platform.push(list_host);
+    let mut deployment = Self {
+      _platform: platform,
+      box_list,
+      boxes,
+      doors: doors
+        .into_iter()
+        .map(|(hall, (faults, _))| (hall, faults))
+        .collect(),
+      endpoints,
+      folder,
+      hosts,
+      key_value,
+      program: plan.program.clone(),
+    };
+    deployment.list_all();
+    if plan.start_boxes {
+      let names = deployment.boxes.keys().cloned().collect::<Vec<_>>();
+      for name in names {
+        deployment.start_box(&name)?;
+      }
+    }
+    Ok(deployment)
+  }
+
+  /// The folder with settings, keys and logs.
+  pub fn folder(&self) -> &Path {
+    self.folder.path()
+  }
+
+  /// Shows all boxes in the box list.
+  pub fn list_all(&self) {
+    let entries = self
+      .boxes
+      .iter()
+      .map(|(name, process)| BoxEntry {
+        hall: process.hall.as_str().into(),
+        leaving: false,
+        name: name.as_str().into(),
+        peer_address: process.relay.address().to_string().into(),
+      })
+      .collect();
+    self.box_list.set(entries);
+  }
+
+  /// Starts a box's process.
+  pub fn start_box(&mut self, name: &str) -> io::Result<()> {
+    match self.boxes.get_mut(name) {
+      Some(process) => process.start(&self.program),
+      None => Err(io::Error::other(format!("no box {name}"))),
+    }
+  }
+
+  /// Waits until all running boxes are ready; false when they are not in time.
+  pub async fn ready(&self, bound: Duration) -> bool {
+    let caller = crate::Caller::new(CALLER_KEY);
+    crate::eventually(bound, async || {
+      for process in self.boxes.values().filter(|process| process.id().is_some()) {
+        if !caller.is_ready(&process.url()).await {
+          return false;
+        }
+      }
+      true
+    })
+    .await
+  }
+
+  /// An engine by name.
+  pub fn engine(&self, name: &str) -> Option<&EngineStandIn> {
+    match self.endpoints.get(name) {
+      Some(Endpoint::Engine(engine)) => Some(engine),
+      _ => None,
+    }
+  }
+
+  /// A plain service by name.
+  pub fn service(&self, name: &str) -> Option<&ServiceStandIn> {
+    match self.endpoints.get(name) {
+      Some(Endpoint::Service(service)) => Some(service),
+      _ => None,
+    }
+  }
+
+  /// All engines.
+  pub fn engines(&self) -> impl Iterator<Item = &EngineStandIn> {
+    self
+      .endpoints
+      .values()
+      .filter_map(|endpoint| match endpoint {
+        Endpoint::Engine(engine) => Some(engine),
+        Endpoint::Service(_) => None,
+      })
+  }
+
+  /// Attempts held by any engine.
+  pub fn held(&self) -> usize {
+    self.engines().map(|engine| engine.held().len()).sum()
+  }
+
+  /// Cuts all links between boxes of two halls.
+  pub fn cut_halls(&self, one: &str, other: &str) {
+    for process in self.boxes.values() {
+      let far = if process.hall == one {
+        other
+      } else if process.hall == other {
+        one
+      } else {
+        continue;
+      };
+      let senders = self
+        .boxes
+        .values()
+        .filter(|peer| peer.hall == far)
+        .map(|peer| peer.peers);
+      process.relay.cut(senders);
+    }
+  }
+
+  /// Cuts a box from all others.
+  pub fn cut_box(&self, name: &str) {
+    for (other, process) in &self.boxes {
+      let senders = self
+        .boxes
+        .iter()
+        .filter(|(peer, _)| other == name || *peer == name)
+        .map(|(_, peer)| peer.peers);
+      process.relay.cut(senders);
+    }
+  }
+
+  /// Mends all links.
+  pub fn mend_links(&self) {
+    for process in self.boxes.values() {
+      process.relay.cut([]);
+    }
+  }
+}
+
+fn start_endpoint(
+  hall: &str,
+  name: &str,
+  plan: &EndpointPlan,
+) -> io::Result<(Endpoint, Host, String)> {
+  match plan {
+    EndpointPlan::Engine(options) => {
+      let engine = EngineStandIn::new(options.clone());
+      let host = Host::start(engine.router())?;
+      let role = match options.role {
+        Role::Prefill => "prefill",
+        Role::Decode => "decode",
+      };
+      let section = format!(
+        "\n[[endpoint]]\nname = \"{name}\"\nhall = \"{hall}\"\nkind = \"engine\"\nrole = \"{role}\"\n\
+         models = [\"lecture\"]\nurl = \"{}\"\nseats = {}\nchecks_fence = {}\n\
+         prefill_tokens_per_s = {}\nkv_bytes_per_token = {}\nlink_bytes_per_s = {}\n",
+        host.url(),
+        options.seats,
+        options.checks_fence,
+        options.prefill_tokens_per_s,
+        options.kv_bytes_per_token,
+        options.link_bytes_per_s,
+      );
+      Ok((Endpoint::Engine(engine), host, section))
+    }
+    EndpointPlan::Service(service) => {
+      let seats = 32;
+      let stand_in = ServiceStandIn::new(seats);
+      let host = Host::start(stand_in.router())?;
+      let section = format!(
+        "\n[[endpoint]]\nname = \"{name}\"\nhall = \"{hall}\"\nkind = \"service\"\n\
+         service = \"{service}\"\nurl = \"{}\"\nseats = {seats}\n",
+        host.url(),
+      );
+      Ok((Endpoint::Service(stand_in), host, section))
+    }
+  }
+}
+
+/// Writes a box's settings and starts the relay before it.
+pub(crate) fn place_box(
+  folder: &TempDir,
+  plan: &Plan,
+  hall: &str,
+  name: &str,
+  urls: &PlatformUrls,
+  endpoints: &str,
+) -> io::Result<BoxProcess> {
+  let callers = free_tcp()?;
+  let administration = free_tcp()?;
+  let peers = free_udp()?;
+  let relay = Relay::start(peers)?;
+  let mut text = String::new();
+  let _ = write!(
+    text,
+    "[box]\nname = \"{name}\"\nhall = \"{hall}\"\n\n\
+     [listen]\ncallers = \"{callers}\"\nadministration = \"{administration}\"\npeers = \"{peers}\"\n\n\
+     [peers]\ncertificate = \"{name}.pem\"\nkey = \"{name}.key\"\nauthority = \"authority.pem\"\n\n\
+     [platform]\nkey_value = \"{}\"\nbox_list = \"{}\"\ncall_ms = 500\nlease_ms = {}\n\n\
+     [administration]\nkeys_sha256 = [\"{}\"]\n\n[log]\nlevel = \"debug\"\n\n{}{endpoints}",
+    urls.key_value,
+    urls.box_list,
+    plan.lease_ms,
+    hash_key(ADMIN_KEY),
+    plan.more_settings,
+  );
+  let settings = folder.path().join(format!("{name}.toml"));
+  fs::write(&settings, text)?;
+  Ok(BoxProcess {
+    administration,
+    callers,
+    child: None,
+    hall: hall.into(),
+    log: folder.path().join(format!("{name}.log")),
+    peers,
+    relay,
+    settings,
+  })
+}
--- /dev/null
+++ b/emulator/src/engine/answer_text.rs
@@ -0,0 +1,24 @@
+//! What the stand-in answers: text that only its own prompt gives.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+fn mark(prompt: &str) -> u64 {
+  let mut hasher = DefaultHasher::new();
+  prompt.hash(&mut hasher);
+  hasher.finish() & 0xffff_ffff
+}
+
+/// One token of the answer to a prompt.
+pub fn token_text(prompt: &str, index: u64) -> String {
+  format!("{:08x}-{index} ", mark(prompt))
+}
+
+/// The whole answer to a prompt.
+///
+/// ```
+/// use emulator::answer_text;
+/// assert_ne!(answer_text("a", 2), answer_text("b", 2));
+/// ```
+pub fn answer_text(prompt: &str, tokens: u64) -> String {
+  (0..tokens).map(|index| token_text(prompt, index)).collect()
+}
--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -1,1 +1,29 @@
+//! Stand-ins for all that rillford meets, a caller, and experiments. Never shipped.
 
+mod box_list;
+mod caller;
+mod demo;
+mod deployment;
+mod engine;
+mod host;
+mod key_value;
+mod keys;
+mod relay;
+mod service;
+mod subcommand;
+
+pub use self::{
+  box_list::{BoxListStandIn, ShownList},
+  caller::{Ask, Caller, Stream, Told, eventually},
+  deployment::{
+    ADMIN_KEY, BoxProcess, CALLER_KEY, Deployment, Endpoint, EndpointPlan, HallPlan, ORGANISATION,
+    Plan,
+  },
+  engine::{EngineFaults, EngineOptions, EngineStandIn, EngineTally, answer_text, token_text},
+  host::Host,
+  key_value::{DoorFaults, KeyValueFaults, KeyValueStandIn},
+  keys::Authority,
+  relay::Relay,
+  service::{Echo, ServiceFaults, ServiceStandIn},
+  subcommand::run,
+};
--- a/emulator/src/main.rs
+++ b/emulator/src/main.rs
@@ -1,1 +1,7 @@
-fn main() {}
+//! The `emulator` program.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+  emulator::run()
+}
--- /dev/null
+++ b/emulator/src/subcommand.rs
@@ -0,0 +1,110 @@
+//! The command line of the emulator.
+
+use {
+  crate::{
+    BoxListStandIn, EngineOptions, EngineStandIn, Host, KeyValueStandIn, ServiceStandIn, demo,
+  },
+  bpaf::Bpaf,
+  rillford::decide::Role,
+  std::{io, net::SocketAddr, path::PathBuf, process::ExitCode, thread},
+};
+
+/// Stand-ins, load and experiments for rillford
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version, generate(options))]
+enum Subcommand {
+  /// Run a key-value service (etcd v3 JSON gateway)
+  #[bpaf(command("key-value"))]
+  KeyValue {
+    /// Address to listen on
+    #[bpaf(long, argument("ADDRESS"))]
+    listen: SocketAddr,
+  },
+  /// Run a box list
+  #[bpaf(command("box-list"))]
+  BoxList {
+    /// Address to listen on
+    #[bpaf(long, argument("ADDRESS"))]
+    listen: SocketAddr,
+  },
+  /// Run a model engine
+  #[bpaf(command)]
+  Engine {
+    /// Address to listen on
+    #[bpaf(long, argument("ADDRESS"))]
+    listen: SocketAddr,
+    /// Begin in the prefill role
+    #[bpaf(long)]
+    prefill: bool,
+    /// Requests it can hold
+    #[bpaf(long, argument("N"), fallback(16))]
+    seats: u32,
+    /// Time a token takes to write
+    #[bpaf(long("token-ms"), argument("MS"), fallback(20))]
+    token_ms: u64,
+  },
+  /// Run a plain service
+  #[bpaf(command)]
+  Service {
+    /// Address to listen on
+    #[bpaf(long, argument("ADDRESS"))]
+    listen: SocketAddr,
+  },
+  /// Bring up stand-ins and three boxes over two halls, use them, kill a box, show the time line
+  #[bpaf(command)]
+  Demo {
+    /// The program `rillford`; found beside this one if not given
+    #[bpaf(long, argument("FILE"))]
+    program: Option<PathBuf>,
+  },
+}
+
+/// Runs the program.
+pub fn run() -> ExitCode {
+  match options().run().run() {
+    Ok(()) => ExitCode::SUCCESS,
+    Err(error) => {
+      eprintln!("error: {error}");
+      ExitCode::FAILURE
+    }
+  }
+}
+
+/// Serves until the process is ended.
+fn forever(host: io::Result<Host>) -> io::Result<()> {
+  let host = host?;
+  println!("listening on {}", host.url());
+  loop {
+    thread::park();
+  }
+}
+
+impl Subcommand {
+  fn run(self) -> io::Result<()> {
+    match self {
+      Self::KeyValue { listen } => {
+        let (router, _) = KeyValueStandIn::default().door();
+        forever(Host::start_at(listen, router))
+      }
+      Self::BoxList { listen } => {
+        forever(Host::start_at(listen, BoxListStandIn::default().router()))
+      }
+      Self::Engine {
+        listen,
+        prefill,
+        seats,
+        token_ms,
+      } => {
+        let options = EngineOptions {
+          role: if prefill { Role::Prefill } else { Role::Decode },
+          seats,
+          token_ms,
+          ..EngineOptions::default()
+        };
+        forever(Host::start_at(listen, EngineStandIn::new(options).router()))
+      }
+      Self::Service { listen } => forever(Host::start_at(listen, ServiceStandIn::new(32).router())),
+      Self::Demo { program } => demo::run(program),
+    }
+  }
+}
--- /dev/null
+++ b/src/admin/mod.rs
@@ -0,0 +1,13 @@
+//! The administration API, on its own listener with its own keys.
+
+mod configuration;
+mod desk;
+mod problem;
+mod router;
+
+pub(crate) use self::desk::{AdminSetup, Desk, run};
+
+pub use self::{
+  configuration::{ConfigurationBody, HistoryBody, Revision},
+  problem::ProblemBody,
+};
--- a/src/decide/event.rs
+++ b/src/decide/event.rs
@@ -160,8 +160,8 @@
   CacheReported(Name, Vec<u64>),
   /// The answer to a listing.
   Listed(Name, Vec<HeldAttempt>),
-  /// A batch of holds was extended; these attempts the engine did not know.
-  HoldsExtended(Name, Vec<AttemptId>),
+  /// A batch of holds was extended.
+  HoldsExtended(Name),
   /// A batch of holds could not be extended.
   HoldsMissed(Name),
   /// A peer said something.
--- a/src/decide/fair_queue.rs
+++ b/src/decide/fair_queue.rs
@@ -43,8 +43,10 @@
     }
     if front {
       // It was charged when it was taken out.
-      *self.deficits.entry(waiting.organisation.clone()).or_default() +=
-        i64::try_from(waiting.cost_tokens).unwrap_or(0);
+      *self
+        .deficits
+        .entry(waiting.organisation.clone())
+        .or_default() += i64::try_from(waiting.cost_tokens).unwrap_or(0);
       queue.push_front(waiting);
     } else {
       queue.push_back(waiting);
@@ -182,11 +184,14 @@
       .values()
       .rev()
       .find_map(|level| {
-        level.iter().filter(|waiting| waiting.may_wait).min_by(|a, b| {
-          a.weight
-            .total_cmp(&b.weight)
-            .then(b.request.cmp(&a.request))
-        })
+        level
+          .iter()
+          .filter(|waiting| waiting.may_wait)
+          .min_by(|a, b| {
+            a.weight
+              .total_cmp(&b.weight)
+              .then(b.request.cmp(&a.request))
+          })
       })
       .cloned()
   }
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -61,7 +61,11 @@
   }
 
   /// Changes an endpoint and puts it back in its place in the pools.
-  pub(crate) fn change<T>(&mut self, name: &Name, change: impl FnOnce(&mut Endpoint) -> T) -> Option<T> {
+  pub(crate) fn change<T>(
+    &mut self,
+    name: &Name,
+    change: impl FnOnce(&mut Endpoint) -> T,
+  ) -> Option<T> {
     let index = *self.by_name.get(name)?;
     let changed = change(&mut self.endpoints[index]);
     self.replace(index);
@@ -104,7 +108,12 @@
   }
 
   /// The hall whose pool serves a subject: the own one, or else the first other that has any.
-  pub(crate) fn serving_hall(&self, own: &Name, subject: &Name, role: Option<Role>) -> Option<Name> {
+  pub(crate) fn serving_hall(
+    &self,
+    own: &Name,
+    subject: &Name,
+    role: Option<Role>,
+  ) -> Option<Name> {
     let key = |hall: &Name| PoolKey {
       hall: hall.clone(),
       role,
@@ -116,9 +125,7 @@
     self
       .pools
       .iter()
-      .find(|(pool, slots)| {
-        pool.subject == *subject && pool.role == role && !slots.is_empty()
-      })
+      .find(|(pool, slots)| pool.subject == *subject && pool.role == role && !slots.is_empty())
       .map(|(pool, _)| pool.hall.clone())
   }
 
--- a/src/decide/life.rs
+++ b/src/decide/life.rs
@@ -2,9 +2,9 @@
 
 use {
   super::{
-    Action, Arrival, Began, ClaimOutcome, DecodeOrder, Doubt, Ending, ImportOrder,
-    NoPlace, NoteKind, PeerMessage, Placement, PrefillOrder, Rank, Refusal, Scene, SeatAsk,
-    SeatDecision, SeatMode, ServiceOrder, StageOutcome, Waiting, Work,
+    Action, Arrival, Began, ClaimOutcome, DecodeOrder, Doubt, Ending, ImportOrder, NoPlace,
+    NoteKind, PeerMessage, Placement, PrefillOrder, Rank, Refusal, Scene, SeatAsk, SeatDecision,
+    SeatMode, ServiceOrder, StageOutcome, Waiting, Work,
   },
   crate::ids::{AttemptId, Name},
   statig::prelude::*,
@@ -441,7 +441,9 @@
     context.fleet.change(&endpoint, |endpoint| {
       endpoint.own_seats += 1;
     });
-    context.fleet.change(&endpoint, |service| service.note_sent(context.now_ms, 1));
+    context
+      .fleet
+      .change(&endpoint, |service| service.note_sent(context.now_ms, 1));
     self.seat = Some(endpoint.clone());
     self.endpoint = Some(endpoint.clone());
     context.note(NoteKind::ServiceCalled, &attempt, &endpoint);
@@ -650,7 +652,12 @@
   }
 
   /// Ends a request that waits: "not run" if nothing ever began, else "unknown".
-  fn give_up(&mut self, context: &mut Scene, reason: Refusal, retry_after_ms: u64) -> Outcome<State> {
+  fn give_up(
+    &mut self,
+    context: &mut Scene,
+    reason: Refusal,
+    retry_after_ms: u64,
+  ) -> Outcome<State> {
     if self.began {
       let doubt = if self.streaming {
         Doubt::AnswerBroken
@@ -662,7 +669,12 @@
     self.not_run(context, reason, retry_after_ms)
   }
 
-  fn not_run(&mut self, context: &mut Scene, reason: Refusal, retry_after_ms: u64) -> Outcome<State> {
+  fn not_run(
+    &mut self,
+    context: &mut Scene,
+    reason: Refusal,
+    retry_after_ms: u64,
+  ) -> Outcome<State> {
     self.release_claim(context);
     let request = self.arrival.request;
     context.note(NoteKind::RequestNotRun, request.0, format!("{reason:?}"));
@@ -753,7 +765,10 @@
 
   /// Begins with the claim where one is needed.
   pub(crate) fn needs_claim(&self) -> Option<Name> {
-    if self.claimed { None } else { self.claim_wanted() }
+    if self.claimed {
+      None
+    } else {
+      self.claim_wanted()
+    }
   }
-
 }
--- a/src/decide/machine.rs
+++ b/src/decide/machine.rs
@@ -2,10 +2,11 @@
 
 use {
   super::{
-    Action, Arrival, BoxEntry, CancelAnswer, ConfigurationView, EndpointKind, EndpointSpec,
-    EndpointState, EndpointStatus, Ending, Event, Fleet, HeldAttempt, Identity, Lane, LoadReport,
-    NoPlace, NoteKind, PeerStatus, Placed, Rank, Refusal, Role, Scene, Sign, StageOutcome,
-    StageReport, Status, Step, Work, life::{Life, State},
+    Action, Arrival, BoxEntry, CancelAnswer, ConfigurationView, Ending, EndpointKind, EndpointSpec,
+    EndpointState, EndpointStatus, Event, Fleet, HeldAttempt, Identity, Lane, LoadReport, NoPlace,
+    NoteKind, PeerStatus, Placed, Rank, Refusal, Role, Scene, Sign, StageOutcome, StageReport,
+    Status, Step, Work,
+    life::{Life, State},
     scene::order_key,
   },
   crate::{
@@ -19,7 +20,6 @@
 const ABSENT_RETRY_MS: u64 = 1_000;
 const LEAST_RETRY_MS: u64 = 100;
 const EXPIRY_PERIOD_MS: u64 = 50;
-const STOPPING_RETRY_MS: u64 = 100;
 
 /// What a machine starts with.
 pub struct Setup {
@@ -97,7 +97,7 @@
         self.scene.hints.saw(self.scene.now_ms, &engine, &blocks);
       }
       Event::Listed(engine, held) => self.listed(&engine, held),
-      Event::HoldsExtended(engine, unknown) => self.holds_extended(&engine, &unknown),
+      Event::HoldsExtended(engine) => self.holds_extended(&engine),
       Event::Peer(from, message) => self.peer(from, message),
       Event::Boxes(entries) => self.boxes(&entries),
       Event::Configured(view) => self.configured(view),
@@ -108,7 +108,7 @@
     }
   }
 
-  /// Whether the box has a configuration and takes requests.
+  /// Whether the box has a configuration and is not stopping.
   pub fn is_ready(&self) -> bool {
     self.scene.configured && !self.scene.stopping
   }
@@ -260,7 +260,9 @@
         rank
       }
       Err(error) => {
-        self.scene.note(NoteKind::PolicyFailed, &arrival.task, error);
+        self
+          .scene
+          .note(NoteKind::PolicyFailed, &arrival.task, error);
         let last = self.good_ranks.get(&arrival.task).cloned();
         last.unwrap_or_else(Rank::plain)
       }
@@ -282,9 +284,6 @@
         retry_after_ms,
       })
     };
-    if self.scene.stopping {
-      return not_run(Refusal::Stopping, STOPPING_RETRY_MS);
-    }
     if !self.scene.configured {
       return not_run(Refusal::NotReady, ABSENT_RETRY_MS);
     }
@@ -395,14 +394,22 @@
     let waiting = life.waiting();
     let lane = life.lane().clone();
     let requeue = life.requeue;
-    if was_queued && !is_queued && let Some(lane) = self.lanes.get_mut(&lane) {
+    if was_queued
+      && !is_queued
+      && let Some(lane) = self.lanes.get_mut(&lane)
+    {
       lane
         .queue
         .remove(waiting.priority, &waiting.organisation, request);
     }
     if requeue && is_queued {
       machine.handle_with_context(&Step::Requeued, &mut self.scene);
-      self.lanes.entry(lane).or_default().queue.push_front(waiting.clone());
+      self
+        .lanes
+        .entry(lane)
+        .or_default()
+        .queue
+        .push_front(waiting.clone());
     }
     if ended {
       self.requests.remove(&request);
@@ -476,20 +483,28 @@
   fn cancel_settled(&mut self, attempt: &AttemptId, endpoint: &Name, answer: CancelAnswer) {
     let key = order_key(attempt, endpoint);
     if self.scene.orders.settled(&key, answer) {
-      self
-        .scene
-        .note(NoteKind::CancelSettled, attempt, format!("{endpoint} {answer:?}"));
+      self.scene.note(
+        NoteKind::CancelSettled,
+        attempt,
+        format!("{endpoint} {answer:?}"),
+      );
     }
   }
 
   fn load_reported(&mut self, report: &LoadReport) {
-    let before = self.scene.fleet.get(&report.endpoint).map(|known| known.incarnation);
+    let before = self
+      .scene
+      .fleet
+      .get(&report.endpoint)
+      .map(|known| known.incarnation);
     if before.is_some_and(|before| before > 0 && report.incarnation > before) {
       self.scene.orders.forget_endpoint(&report.endpoint);
       self.scene.books.remove(&report.endpoint);
-      self
-        .scene
-        .note(NoteKind::EndpointReturned, &report.endpoint, report.incarnation);
+      self.scene.note(
+        NoteKind::EndpointReturned,
+        &report.endpoint,
+        report.incarnation,
+      );
     }
     if self.scene.fleet.report(self.scene.now_ms, report) {
       self.note_endpoint(&report.endpoint);
@@ -561,13 +576,19 @@
       .scene
       .note(NoteKind::ConfigurationApplied, format!("{digest:016x}"), "");
     if first {
-      self.scene.note(NoteKind::BoxReady, self.scene.identity.name.clone(), "");
+      self
+        .scene
+        .note(NoteKind::BoxReady, self.scene.identity.name.clone(), "");
     }
   }
 
   fn drain(&mut self, name: &Name, leaving: bool) {
     let sign = if leaving {
-      let incarnation = self.scene.fleet.get(name).map_or(0, |known| known.incarnation);
+      let incarnation = self
+        .scene
+        .fleet
+        .get(name)
+        .map_or(0, |known| known.incarnation);
       Sign::Leaving(incarnation)
     } else {
       Sign::Undrained
--- a/src/decide/membership.rs
+++ b/src/decide/membership.rs
@@ -46,13 +46,16 @@
   /// Takes in the platform's list. A box that is not listed any more stays while it is heard.
   pub fn list(&mut self, now_ms: u64, entries: &[BoxEntry]) {
     for entry in entries.iter().filter(|entry| entry.name != self.own) {
-      let peer = self.peers.entry(entry.name.clone()).or_insert_with(|| Peer {
-        entry: entry.clone(),
-        heard_ms: now_ms,
-        incarnation: 0,
-        leaving: entry.leaving,
-        live: true,
-      });
+      let peer = self
+        .peers
+        .entry(entry.name.clone())
+        .or_insert_with(|| Peer {
+          entry: entry.clone(),
+          heard_ms: now_ms,
+          incarnation: 0,
+          leaving: entry.leaving,
+          live: true,
+        });
       peer.entry = entry.clone();
     }
     self.peers.retain(|name, peer| {
@@ -76,11 +79,13 @@
     news
   }
 
-  /// Marks silent peers dead and answers with them.
+  /// Marks silent peers dead and answers with them. A box of another hall that never sent anything
+  /// here is not expected to: the platform's list alone speaks for it.
   pub fn expire(&mut self, now_ms: u64, silence_ms: u64) -> Vec<Peer> {
     let mut lost = Vec::new();
     for peer in self.peers.values_mut() {
-      if peer.live && now_ms.saturating_sub(peer.heard_ms) > silence_ms {
+      let expected = peer.incarnation > 0 || peer.entry.hall == self.own_hall;
+      if peer.live && expected && now_ms.saturating_sub(peer.heard_ms) > silence_ms {
         peer.live = false;
         lost.push(peer.clone());
       }
--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -122,9 +122,7 @@
       .collect::<Vec<_>>();
     for engine in self.hints.engines(&work.prefix) {
       let usable = self.fleet.get(engine).is_some_and(|endpoint| {
-        endpoint.is_live()
-          && endpoint.role == Some(Role::Prefill)
-          && endpoint.spec.hall == key.hall
+        endpoint.is_live() && endpoint.role == Some(Role::Prefill) && endpoint.spec.hall == key.hall
       });
       if usable && !names.contains(engine) {
         names.push(engine.clone());
@@ -136,9 +134,7 @@
   fn read_by(&self, name: Name, work: &ModelWork) -> Option<Reading> {
     let engine = self.fleet.get(&name)?;
     let cached = match self.tuning().placement {
-      PlacementMode::PredictedTime => {
-        self.hints.expected_tokens(self.now_ms, &name, &work.prefix)
-      }
+      PlacementMode::PredictedTime => self.hints.expected_tokens(self.now_ms, &name, &work.prefix),
       PlacementMode::RoundRobin | PlacementMode::TwoChoices => 0,
     };
     let uncached_tokens = work.prompt_tokens.saturating_sub(cached).max(1);
@@ -171,7 +167,13 @@
     let now_ms = self.now_ms;
     if !self.tuning().reserve_before_prefill {
       let any = candidates.map_or_else(
-        || self.fleet.pool(&key).next().map(|engine| engine.spec.name.clone()),
+        || {
+          self
+            .fleet
+            .pool(&key)
+            .next()
+            .map(|engine| engine.spec.name.clone())
+        },
         |names| names.into_iter().next(),
       );
       return any.ok_or(NoPlace::NoEngine);
@@ -206,7 +208,11 @@
     names.sort();
     self.turn = self.turn.wrapping_add(1);
     let size = names.len();
-    names.into_iter().nth(self.turn % size.max(1)).into_iter().collect()
+    names
+      .into_iter()
+      .nth(self.turn % size.max(1))
+      .into_iter()
+      .collect()
   }
 
   fn two_of(&mut self, key: &PoolKey) -> Vec<Name> {
--- a/src/decide/scene.rs
+++ b/src/decide/scene.rs
@@ -154,13 +154,18 @@
     if waiting == self.identity.name {
       self.reopen(engine);
     } else {
-      self.act(Action::Send(waiting, PeerMessage::SeatFreed(engine.clone())));
+      self.act(Action::Send(
+        waiting,
+        PeerMessage::SeatFreed(engine.clone()),
+      ));
     }
   }
 
   /// An engine that refused may be asked again.
   pub(crate) fn reopen(&mut self, engine: &Name) {
-    self.fleet.change(engine, |engine| engine.refused_until_ms = 0);
+    self
+      .fleet
+      .change(engine, |engine| engine.refused_until_ms = 0);
   }
 
   /// Gives a seat back, to whichever box is home now.
--- a/src/decide/steward.rs
+++ b/src/decide/steward.rs
@@ -56,7 +56,10 @@
   if total < 2 {
     return None;
   }
-  let reading = engines.iter().filter(|engine| engine.role == Role::Prefill).count();
+  let reading = engines
+    .iter()
+    .filter(|engine| engine.role == Role::Prefill)
+    .count();
   let present = reading as f64 / total as f64;
   if (split.prefill_share - present).abs() <= bounds.dead_band {
     return None;
--- a/src/decide/timers.rs
+++ b/src/decide/timers.rs
@@ -5,10 +5,7 @@
     Action, Candidate, EndpointKind, Heartbeat, Machine, NoteKind, PeerMessage, Role, RoleOrder,
     Sign, TurnBounds, next_turn,
   },
-  crate::{
-    ids::{AttemptId, Name},
-    policy::PoolFacts,
-  },
+  crate::{ids::Name, policy::PoolFacts},
   std::collections::{BTreeMap, BTreeSet},
 };
 
@@ -68,10 +65,18 @@
     if due(&mut self.timers.scan_ms, now_ms, SCAN_PERIOD_MS) {
       self.scan_silence();
     }
-    if due(&mut self.timers.poll_ms, now_ms, self.scene.tuning().poll_ms) {
+    if due(
+      &mut self.timers.poll_ms,
+      now_ms,
+      self.scene.tuning().poll_ms,
+    ) {
       self.poll_loads();
     }
-    if due(&mut self.timers.heartbeat_ms, now_ms, self.scene.tuning().heartbeat_ms) {
+    if due(
+      &mut self.timers.heartbeat_ms,
+      now_ms,
+      self.scene.tuning().heartbeat_ms,
+    ) {
       self.send_heartbeats();
     }
     if due(&mut self.timers.sweep_ms, now_ms, SWEEP_PERIOD_MS) {
@@ -102,7 +107,9 @@
       .scene
       .fleet
       .iter()
-      .filter(|endpoint| endpoint.is_live() && now_ms.saturating_sub(endpoint.heard_ms) > silence_ms)
+      .filter(|endpoint| {
+        endpoint.is_live() && now_ms.saturating_sub(endpoint.heard_ms) > silence_ms
+      })
       .map(|endpoint| endpoint.spec.name.clone())
       .collect::<Vec<_>>();
     for name in silent {
@@ -220,17 +227,11 @@
     }
   }
 
-  pub(super) fn holds_extended(&mut self, engine: &Name, unknown: &[AttemptId]) {
+  pub(super) fn holds_extended(&mut self, engine: &Name) {
     let now_ms = self.scene.now_ms;
     if let Some(since_ms) = self.timers.held_since_ms.get_mut(engine) {
       *since_ms = now_ms;
     }
-    for attempt in unknown {
-      let key = super::scene::order_key(attempt, engine);
-      if self.scene.orders.is_open(&key) {
-        self.scene.act(Action::GiveUp(attempt.clone(), engine.clone()));
-      }
-    }
   }
 
   /// As steward of the hall: orders at most one engine of each model to change its role.
@@ -239,7 +240,10 @@
       return;
     };
     let models = self.models();
-    let pools = models.iter().map(|model| self.pool_facts(model)).collect::<Vec<_>>();
+    let pools = models
+      .iter()
+      .map(|model| self.pool_facts(model))
+      .collect::<Vec<_>>();
     let splits = match policy.shift(self.clock(), &pools) {
       Ok(splits) => splits,
       Err(error) => {
@@ -256,7 +260,11 @@
       let Some(turn) = next_turn(&candidates, &split, bounds) else {
         continue;
       };
-      self.scene.note(NoteKind::RoleOrdered, &turn.engine, format!("{:?}", turn.role));
+      self.scene.note(
+        NoteKind::RoleOrdered,
+        &turn.engine,
+        format!("{:?}", turn.role),
+      );
       self.scene.act(Action::OrderRole(RoleOrder {
         engine: turn.engine,
         fence: self.timers.fence,
--- /dev/null
+++ b/src/egress/calls.rs
@@ -0,0 +1,127 @@
+//! Calls to plain services, passed through.
+
+use {
+  super::endpoint_client::EndpointClient,
+  crate::{
+    chunk::{Chunk, Payload},
+    decide::{Began, StageOutcome},
+    http_client::CallError,
+  },
+  bytes::Bytes,
+  http::{HeaderMap, HeaderName, Method, Request, Response, header},
+  http_body_util::{BodyExt, Full},
+  hyper::body::Incoming,
+  std::{sync::Arc, time::Duration},
+  tokio::time::timeout,
+};
+
+const HOP_BY_HOP: [HeaderName; 8] = [
+  header::CONNECTION,
+  header::PROXY_AUTHENTICATE,
+  header::PROXY_AUTHORIZATION,
+  header::TE,
+  header::TRAILER,
+  header::TRANSFER_ENCODING,
+  header::UPGRADE,
+  HeaderName::from_static("keep-alive"),
+];
+
+/// Drops the headers that are for one connection only.
+pub(crate) fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+  let named = headers
+    .get_all(header::CONNECTION)
+    .iter()
+    .filter_map(|value| value.to_str().ok())
+    .flat_map(|value| value.split(','))
+    .filter_map(|name| name.trim().parse::<HeaderName>().ok())
+    .collect::<Vec<_>>();
+  headers
+    .iter()
+    .filter(|(name, _)| !HOP_BY_HOP.contains(name) && !named.contains(name))
+    .map(|(name, value)| (name.clone(), value.clone()))
+    .collect()
+}
+
+/// What is sent to a plain service.
+pub(super) struct ServiceCall<'a> {
+  pub(super) method: &'a Method,
+  pub(super) path: &'a str,
+  pub(super) headers: &'a HeaderMap,
+  pub(super) body: &'a Bytes,
+  /// Time for the first byte of the answer.
+  pub(super) limit: Duration,
+}
+
+/// Calls a plain service and passes its answer on.
+pub(super) async fn call(
+  client: &EndpointClient,
+  payload: &Payload,
+  call: ServiceCall<'_>,
+  stall: Duration,
+  mut began: impl FnMut(),
+) -> StageOutcome {
+  let request = match build(client, &call) {
+    Ok(request) => request,
+    Err(_) => return broke(Began::Never, 0),
+  };
+  let sent = timeout(call.limit, client.http.send(request)).await;
+  let response = match sent {
+    Ok(Ok(response)) => response,
+    Ok(Err(CallError::NotSent(_))) => return broke(Began::Never, 0),
+    Ok(Err(_)) | Err(_) => return broke(Began::Perhaps, 0),
+  };
+  began();
+  pass_on(response, payload, stall).await
+}
+
+fn build(client: &EndpointClient, call: &ServiceCall) -> Result<Request<Full<Bytes>>, http::Error> {
+  let mut request = Request::builder()
+    .method(call.method.clone())
+    .uri(format!("{}{}", client.url, call.path))
+    .body(Full::new(call.body.clone()))?;
+  *request.headers_mut() = call.headers.clone();
+  request.headers_mut().remove(header::HOST);
+  request.headers_mut().remove(header::CONTENT_LENGTH);
+  Ok(request)
+}
+
+async fn pass_on(response: Response<Incoming>, payload: &Payload, stall: Duration) -> StageOutcome {
+  let (head, mut body) = response.into_parts();
+  let headers = end_to_end(&head.headers);
+  let mut offset = 0;
+  if payload
+    .chunks
+    .send(Chunk::Head(head.status, headers))
+    .await
+    .is_err()
+  {
+    return broke(Began::Perhaps, offset);
+  }
+  loop {
+    let frame = match timeout(stall, body.frame()).await {
+      Ok(None) => return StageOutcome::Finished { tokens: 0 },
+      Ok(Some(Ok(frame))) => frame,
+      Ok(Some(Err(_))) | Err(_) => return broke(Began::Perhaps, offset),
+    };
+    let Ok(data) = frame.into_data() else {
+      continue;
+    };
+    offset += data.len() as u64;
+    if payload.chunks.send(Chunk::Body(data)).await.is_err() {
+      return broke(Began::Perhaps, offset);
+    }
+  }
+}
+
+fn broke(began: Began, offset: u64) -> StageOutcome {
+  StageOutcome::Broke {
+    began,
+    offset,
+    resumable: offset == 0,
+  }
+}
+
+/// The URL of an endpoint as shared text.
+pub(super) fn trimmed(url: &str) -> Arc<str> {
+  url.trim_end_matches('/').into()
+}
--- /dev/null
+++ b/src/egress/desk.rs
@@ -0,0 +1,617 @@
+//! The egress duty: takes orders from `decide`, runs each as a task of its own, reports back.
+
+use {
+  super::{
+    calls::{ServiceCall, call, trimmed},
+    endpoint_client::{EndpointClient, OrderFailure},
+    joiner::{Joiner, Piece},
+    pace::Pace,
+    streams::ChunkStream,
+  },
+  crate::{
+    chunk::{Body, Chunk, Payload, Usage},
+    decide::{
+      Action, Began, DecodeOrder, Event, ImportOrder, LoadReport, PrefillOrder, RoleOrder,
+      ServiceOrder, StageOutcome, StageReport,
+    },
+    endpoint_api::{DecodeRequest, HoldsRequest, ImportRequest, PrefillRequest},
+    http_client::HttpClient,
+    ids::{AttemptId, Name, RequestId},
+    observe::Observer,
+    ring::{Receiver, Sender},
+    settings::{EndpointSettings, Limits, Targets},
+  },
+  std::{
+    collections::{BTreeMap, HashMap},
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+  },
+  tokio::{
+    sync::Notify,
+    task::AbortHandle,
+    time::{Instant, sleep, timeout},
+  },
+};
+
+const ORDER_SLACK: Duration = Duration::from_secs(2);
+const LEAST_PREFILL: Duration = Duration::from_secs(8);
+
+/// What egress is told.
+#[derive(Debug)]
+pub(crate) enum EgressInput {
+  /// A request's body, from ingress; comes before any order for it.
+  Payload(Payload),
+  /// An order, from `decide`.
+  Order(Action),
+}
+
+/// What the egress duty starts with.
+pub(crate) struct EgressSetup {
+  pub(crate) endpoints: Vec<EndpointSettings>,
+  pub(crate) limits: Limits,
+  pub(crate) targets: Targets,
+  pub(crate) observer: Observer,
+  pub(crate) started: Instant,
+  pub(crate) to_decide: Sender<Event>,
+  pub(crate) payloads: Receiver<EgressInput>,
+  pub(crate) orders: Receiver<EgressInput>,
+  pub(crate) notify: Arc<Notify>,
+}
+
+/// A request as egress keeps it.
+struct Errand {
+  payload: Payload,
+  joiner: Mutex<Joiner>,
+  pace: Mutex<Option<Pace>>,
+  prompt_tokens: Mutex<u64>,
+}
+
+impl Errand {
+  fn joiner(&self) -> std::sync::MutexGuard<'_, Joiner> {
+    self.joiner.lock().unwrap_or_else(PoisonError::into_inner)
+  }
+
+  fn offset(&self) -> u64 {
+    self.joiner().offset()
+  }
+}
+
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct TaskKey {
+  attempt: AttemptId,
+  endpoint: Name,
+}
+
+/// What the tasks share.
+struct Office {
+  clients: BTreeMap<Name, EndpointClient>,
+  limits: Limits,
+  targets: Targets,
+  observer: Observer,
+  started: Instant,
+  to_decide: Sender<Event>,
+  hold_ms: u64,
+}
+
+struct Desk {
+  office: Arc<Office>,
+  errands: HashMap<RequestId, Arc<Errand>>,
+  tasks: HashMap<TaskKey, AbortHandle>,
+  cursors: Arc<Mutex<BTreeMap<Name, u64>>>,
+}
+
+/// Runs the egress duty until the process ends.
+pub(crate) async fn run(setup: EgressSetup) {
+  let http = HttpClient::default();
+  let clients = setup
+    .endpoints
+    .iter()
+    .map(|endpoint| {
+      let client = EndpointClient {
+        http: http.clone(),
+        url: trimmed(&endpoint.url),
+      };
+      (endpoint.name.clone(), client)
+    })
+    .collect();
+  let office = Office {
+    clients,
+    hold_ms: crate::decide::Tuning::default().hold_ms,
+    limits: setup.limits,
+    observer: setup.observer,
+    started: setup.started,
+    targets: setup.targets,
+    to_decide: setup.to_decide,
+  };
+  let mut desk = Desk {
+    cursors: Arc::default(),
+    errands: HashMap::new(),
+    office: Arc::new(office),
+    tasks: HashMap::new(),
+  };
+  let (mut payloads, mut orders) = (setup.payloads, setup.orders);
+  loop {
+    // Orders are taken only after all payloads that were there before them.
+    let order = orders.pop();
+    while let Some(EgressInput::Payload(payload)) = payloads.pop() {
+      desk.keep(payload);
+    }
+    match order {
+      Some(EgressInput::Order(action)) => desk.order(action),
+      Some(EgressInput::Payload(payload)) => desk.keep(payload),
+      None => setup.notify.notified().await,
+    }
+  }
+}
+
+impl Office {
+  fn client(&self, endpoint: &Name) -> Option<EndpointClient> {
+    self.clients.get(endpoint).cloned()
+  }
+
+  async fn report(&self, attempt: AttemptId, endpoint: Name, outcome: StageOutcome) {
+    let report = StageReport {
+      attempt,
+      endpoint,
+      outcome,
+    };
+    self.to_decide.send(Event::Stage(report)).await;
+  }
+
+  fn stall(&self) -> Duration {
+    Duration::from_millis(self.limits.stall_ms)
+  }
+
+  fn now_ms(&self) -> u64 {
+    u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
+  }
+}
+
+impl Desk {
+  fn keep(&mut self, payload: Payload) {
+    let errand = Errand {
+      joiner: Mutex::default(),
+      pace: Mutex::new(Some(Pace::new(payload.arrived))),
+      prompt_tokens: Mutex::default(),
+      payload,
+    };
+    self
+      .errands
+      .insert(errand.payload.request, Arc::new(errand));
+  }
+
+  fn order(&mut self, action: Action) {
+    match action {
+      Action::Prefill(order) => self.prefill(order),
+      Action::Import(order) => self.import(order),
+      Action::Decode(order) => self.decode(order),
+      Action::Call(order) => self.call(order),
+      Action::Cancel(attempt, endpoint) => self.cancel(attempt, endpoint),
+      Action::GiveUp(attempt, endpoint) => self.give_up(attempt, endpoint),
+      Action::ExtendHolds(endpoint, attempts) => self.extend_holds(endpoint, attempts),
+      Action::PollLoad(endpoint) => self.poll_load(endpoint),
+      Action::ListAttempts(endpoint) => self.list_attempts(endpoint),
+      Action::OrderRole(order) => self.change_role(order),
+      Action::End(request, _) => self.forget(request),
+      Action::Claim(..) | Action::ReleaseClaim(..) | Action::Send(..) | Action::Note(_) => {}
+    }
+  }
+
+  fn forget(&mut self, request: RequestId) {
+    self.errands.remove(&request);
+    self.tasks.retain(|key, task| {
+      let keep = key.attempt.request() != request && !task.is_finished();
+      if key.attempt.request() == request {
+        task.abort();
+      }
+      keep
+    });
+  }
+
+  /// Runs an order as a task that ends with a report.
+  fn spawn<F>(&mut self, attempt: AttemptId, endpoint: Name, work: F)
+  where
+    F: Future<Output = StageOutcome> + Send + 'static,
+  {
+    let office = self.office.clone();
+    let key = TaskKey {
+      attempt: attempt.clone(),
+      endpoint: endpoint.clone(),
+    };
+    let task = tokio::spawn(async move {
+      let outcome = work.await;
+      office.report(attempt, endpoint, outcome).await;
+    });
+    self.tasks.insert(key, task.abort_handle());
+  }
+
+  /// The errand and the client of an order; without them the order never leaves.
+  fn prepare(
+    &mut self,
+    attempt: &AttemptId,
+    endpoint: &Name,
+  ) -> Option<(Arc<Errand>, EndpointClient)> {
+    let errand = self.errands.get(&attempt.request()).cloned();
+    let client = self.office.client(endpoint);
+    if let (Some(errand), Some(client)) = (errand, client) {
+      return Some((errand, client));
+    }
+    self.spawn(attempt.clone(), endpoint.clone(), async {
+      OrderFailure::NeverBegan.outcome(0)
+    });
+    None
+  }
+
+  fn prefill(&mut self, order: PrefillOrder) {
+    let PrefillOrder {
+      attempt,
+      engine,
+      priority,
+      deadline_ms,
+    } = order;
+    let Some((errand, client)) = self.prepare(&attempt, &engine) else {
+      return;
+    };
+    let office = self.office.clone();
+    self.spawn(attempt.clone(), engine, async move {
+      let Body::Completion {
+        model,
+        prompt,
+        max_tokens,
+      } = &errand.payload.body
+      else {
+        return OrderFailure::NeverBegan.outcome(0);
+      };
+      let request = PrefillRequest {
+        answered: errand.joiner().text().into(),
+        attempt,
+        deadline_ms,
+        hold_ms: office.hold_ms,
+        max_tokens: *max_tokens,
+        model: model.clone(),
+        priority,
+        prompt: prompt.clone(),
+      };
+      let limit = Duration::from_millis(deadline_ms).max(LEAST_PREFILL) + ORDER_SLACK;
+      match client.prefill(&request, limit).await {
+        Ok(answer) => {
+          *errand
+            .prompt_tokens
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) = answer.prompt_tokens;
+          StageOutcome::Prefilled {
+            cached_tokens: answer.cached_tokens,
+            kv_bytes: answer.kv_bytes,
+            prompt_tokens: answer.prompt_tokens,
+          }
+        }
+        Err(failure) => failure.outcome(errand.offset()),
+      }
+    });
+  }
+
+  fn import(&mut self, order: ImportOrder) {
+    let ImportOrder {
+      attempt,
+      source,
+      engine,
+      link_wait_ms,
+      ..
+    } = order;
+    let Some((errand, client)) = self.prepare(&attempt, &engine) else {
+      return;
+    };
+    let Some(source) = self.office.client(&source) else {
+      return;
+    };
+    let office = self.office.clone();
+    self.spawn(attempt.clone(), engine, async move {
+      sleep(Duration::from_millis(link_wait_ms)).await;
+      let request = ImportRequest {
+        attempt,
+        hold_ms: office.hold_ms,
+        source_url: source.url,
+      };
+      match client.import(&request, office.stall()).await {
+        Ok(_) => StageOutcome::Imported,
+        Err(failure) => failure.outcome(errand.offset()),
+      }
+    });
+  }
+
+  fn decode(&mut self, order: DecodeOrder) {
+    let DecodeOrder {
+      attempt,
+      engine,
+      offset,
+    } = order;
+    let Some((errand, client)) = self.prepare(&attempt, &engine) else {
+      return;
+    };
+    errand.joiner().begin(&attempt);
+    let office = self.office.clone();
+    let reporter = (attempt.clone(), engine.clone());
+    self.spawn(attempt.clone(), engine, async move {
+      let request = DecodeRequest {
+        attempt,
+        max_tokens: match &errand.payload.body {
+          Body::Completion { max_tokens, .. } => *max_tokens,
+          Body::Call { .. } => 0,
+        },
+        offset,
+      };
+      let opened = timeout(office.stall(), client.decode(&request)).await;
+      let outcome = match opened {
+        Ok(Ok(response)) => {
+          let stream = ChunkStream::new(response, office.stall());
+          read_answer(&office, &errand, stream, &reporter.0, &reporter.1).await
+        }
+        Ok(Err(failure)) => Err(failure),
+        Err(_) => Err(OrderFailure::PerhapsBegan),
+      };
+      match outcome {
+        Ok(tokens) => StageOutcome::Finished { tokens },
+        Err(failure) => {
+          errand.joiner().abandon();
+          failure.outcome(errand.offset())
+        }
+      }
+    });
+  }
+
+  fn call(&mut self, order: ServiceOrder) {
+    let ServiceOrder {
+      attempt,
+      deadline_ms,
+      endpoint,
+    } = order;
+    let Some((errand, client)) = self.prepare(&attempt, &endpoint) else {
+      return;
+    };
+    let office = self.office.clone();
+    let reporter = (attempt.clone(), endpoint.clone());
+    self.spawn(attempt, endpoint, async move {
+      let Body::Call {
+        method,
+        path,
+        headers,
+        body,
+      } = &errand.payload.body
+      else {
+        return OrderFailure::NeverBegan.outcome(0);
+      };
+      let what = ServiceCall {
+        body,
+        headers,
+        limit: Duration::from_millis(deadline_ms).max(office.stall()),
+        method,
+        path,
+      };
+      let began = || {
+        let report = StageReport {
+          attempt: reporter.0.clone(),
+          endpoint: reporter.1.clone(),
+          outcome: StageOutcome::FirstChunk,
+        };
+        office.to_decide.push(Event::Stage(report)).ok();
+      };
+      tokio::select! {
+        outcome = call(&client, &errand.payload, what, office.stall(), began) => outcome,
+        () = errand.payload.chunks.closed() => StageOutcome::Broke {
+          began: Began::Perhaps,
+          offset: 0,
+          resumable: false,
+        },
+      }
+    });
+  }
+
+  fn cancel(&mut self, attempt: AttemptId, endpoint: Name) {
+    let key = TaskKey {
+      attempt: attempt.clone(),
+      endpoint: endpoint.clone(),
+    };
+    if let Some(task) = self.tasks.remove(&key) {
+      task.abort();
+    }
+    let Some(client) = self.office.client(&endpoint) else {
+      return;
+    };
+    let office = self.office.clone();
+    tokio::spawn(async move {
+      let answer = client.cancel(attempt.clone()).await;
+      let event = Event::CancelSettled(attempt, endpoint, answer);
+      office.to_decide.send(event).await;
+    });
+  }
+
+  fn give_up(&mut self, attempt: AttemptId, endpoint: Name) {
+    let key = TaskKey {
+      attempt: attempt.clone(),
+      endpoint: endpoint.clone(),
+    };
+    if let Some(task) = self.tasks.remove(&key) {
+      task.abort();
+    }
+    let Some(errand) = self.errands.get(&attempt.request()).cloned() else {
+      return;
+    };
+    errand.joiner().abandon();
+    let outcome = OrderFailure::PerhapsBegan.outcome(errand.offset());
+    self.spawn(attempt, endpoint, async move { outcome });
+  }
+
+  fn extend_holds(&mut self, endpoint: Name, attempts: Vec<AttemptId>) {
+    let Some(client) = self.office.client(&endpoint) else {
+      return;
+    };
+    let office = self.office.clone();
+    tokio::spawn(async move {
+      let request = HoldsRequest {
+        attempts,
+        hold_ms: office.hold_ms,
+      };
+      let event = match client.extend_holds(&request).await {
+        Some(_) => Event::HoldsExtended(endpoint),
+        None => Event::HoldsMissed(endpoint),
+      };
+      office.to_decide.send(event).await;
+    });
+  }
+
+  fn poll_load(&mut self, endpoint: Name) {
+    let Some(client) = self.office.client(&endpoint) else {
+      return;
+    };
+    let office = self.office.clone();
+    let cursors = self.cursors.clone();
+    tokio::spawn(async move {
+      let asked_ms = office.now_ms();
+      let Some(reply) = client.load().await else {
+        office.to_decide.send(Event::ReportMissed(endpoint)).await;
+        return;
+      };
+      let has_cache = reply.role.is_some();
+      let report = LoadReport {
+        age_ms: reply.age_ms + office.now_ms().saturating_sub(asked_ms),
+        endpoint: endpoint.clone(),
+        incarnation: reply.incarnation,
+        leaving: reply.leaving,
+        queue_tokens: reply.queue_tokens,
+        role: reply.role,
+        seats: reply.seats,
+        used_seats: reply.used_seats,
+      };
+      office.to_decide.send(Event::LoadReported(report)).await;
+      if has_cache {
+        read_cache_events(&office, &client, endpoint, &cursors).await;
+      }
+    });
+  }
+
+  fn list_attempts(&mut self, endpoint: Name) {
+    let Some(client) = self.office.client(&endpoint) else {
+      return;
+    };
+    let office = self.office.clone();
+    tokio::spawn(async move {
+      if let Some(reply) = client.attempts().await {
+        let event = Event::Listed(endpoint, reply.attempts);
+        office.to_decide.send(event).await;
+      }
+    });
+  }
+
+  /// The lease is checked on the monotonic clock directly before the order is sent.
+  fn change_role(&mut self, order: RoleOrder) {
+    let Some(client) = self.office.client(&order.engine) else {
+      return;
+    };
+    let office = self.office.clone();
+    tokio::spawn(async move {
+      if office.now_ms() < order.valid_until_ms {
+        client.change_role(order.role, order.fence).await;
+      }
+    });
+  }
+}
+
+/// Reads an answer to its end; only its normal end with all of it delivered counts.
+async fn read_answer(
+  office: &Office,
+  errand: &Errand,
+  mut stream: ChunkStream,
+  attempt: &AttemptId,
+  endpoint: &Name,
+) -> Result<u64, OrderFailure> {
+  let mut first = true;
+  loop {
+    let Some(chunk) = stream.next().await? else {
+      return Err(OrderFailure::PerhapsBegan);
+    };
+    let tokens = chunk.tokens;
+    let piece = errand.joiner().take(chunk);
+    match piece {
+      Piece::Wrong => return Err(OrderFailure::PerhapsBegan),
+      Piece::Nothing => {}
+      Piece::Text(text) => {
+        if std::mem::take(&mut first) {
+          let outcome = StageOutcome::FirstChunk;
+          office
+            .report(attempt.clone(), endpoint.clone(), outcome)
+            .await;
+        }
+        if let Some(pace) = errand
+          .pace
+          .lock()
+          .unwrap_or_else(PoisonError::into_inner)
+          .as_mut()
+        {
+          pace.piece(tokens);
+        }
+        if errand.payload.chunks.send(Chunk::Text(text)).await.is_err() {
+          return Err(OrderFailure::PerhapsBegan);
+        }
+      }
+    }
+    let finished = {
+      let joiner = errand.joiner();
+      joiner.finished().map(|finish| (finish, joiner.tokens()))
+    };
+    if let Some((finish, completion_tokens)) = finished {
+      finish_answer(office, errand, finish, completion_tokens).await;
+      return Ok(completion_tokens);
+    }
+  }
+}
+
+async fn finish_answer(
+  office: &Office,
+  errand: &Errand,
+  finish: crate::endpoint_api::FinishReason,
+  completion_tokens: u64,
+) {
+  let usage = Usage {
+    completion_tokens,
+    finish,
+    prompt_tokens: *errand
+      .prompt_tokens
+      .lock()
+      .unwrap_or_else(PoisonError::into_inner),
+  };
+  // A caller who has gone is told to `decide` by ingress.
+  let _ = errand.payload.chunks.send(Chunk::Usage(usage)).await;
+  let pace = errand
+    .pace
+    .lock()
+    .unwrap_or_else(PoisonError::into_inner)
+    .take();
+  if let Some(pace) = pace {
+    office.observer.tell(pace.completed(&office.targets));
+  }
+}
+
+async fn read_cache_events(
+  office: &Office,
+  client: &EndpointClient,
+  endpoint: Name,
+  cursors: &Mutex<BTreeMap<Name, u64>>,
+) {
+  let since = cursors
+    .lock()
+    .unwrap_or_else(PoisonError::into_inner)
+    .get(&endpoint)
+    .copied()
+    .unwrap_or(0);
+  let Some(reply) = client.cache_events(since).await else {
+    return;
+  };
+  cursors
+    .lock()
+    .unwrap_or_else(PoisonError::into_inner)
+    .insert(endpoint.clone(), reply.next);
+  if !reply.blocks.is_empty() {
+    let event = Event::CacheReported(endpoint, reply.blocks);
+    office.to_decide.send(event).await;
+  }
+}
--- /dev/null
+++ b/src/egress/mod.rs
@@ -0,0 +1,15 @@
+//! The egress filter: orders become calls to endpoints, and their streams go to ingress.
+
+mod calls;
+mod desk;
+mod endpoint_client;
+mod joiner;
+mod pace;
+mod streams;
+
+pub(crate) use self::{
+  calls::end_to_end,
+  desk::{EgressInput, EgressSetup, run},
+};
+
+pub use self::joiner::{Joiner, Piece};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,33 @@
 //! A router for separate prefill and decode pools.
+//!
+//! A request's way: [`ingress`](crate) → [`decide`] → [`egress`], with peers, platform and observe at the
+//! side. Each is a folder, a thread, and a filter between bounded rings.
 
+mod admin;
+mod chunk;
+mod error;
+mod http_client;
+mod ingress;
+mod listener;
+mod run;
+mod serve;
+mod subcommand;
+
+pub mod configuration;
 pub mod decide;
+pub mod egress;
+pub mod endpoint_api;
 pub mod ids;
+pub mod observe;
+pub mod peers;
+pub mod platform;
 pub mod policy;
 pub mod ring;
+pub mod settings;
+
+pub use self::{
+  admin::{ConfigurationBody, HistoryBody, ProblemBody, Revision},
+  error::{Error, Result},
+  http_client::{CallError, HttpClient},
+  run::run,
+};
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,1 +1,7 @@
-fn main() {}
+//! The `rillford` program.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+  rillford::run()
+}
--- /dev/null
+++ b/src/observe/metrics.rs
@@ -0,0 +1,81 @@
+//! Metrics over statsd by `cadence`; docs/OPERATORS.md lists them with their units.
+
+use {
+  crate::{
+    Error, Result,
+    decide::{NoteKind, Status},
+  },
+  cadence::{BufferedUdpMetricSink, Counted, Gauged, NopMetricSink, StatsdClient, Timed},
+  std::{
+    net::{SocketAddr, UdpSocket},
+    time::Duration,
+  },
+};
+
+const PREFIX: &str = "rillford";
+
+/// Where metrics go.
+pub(crate) struct MetricSink(StatsdClient);
+
+impl MetricSink {
+  /// Sends to a statsd address, or nowhere.
+  pub(crate) fn open(statsd: Option<SocketAddr>) -> Result<Self> {
+    let Some(address) = statsd else {
+      return Ok(Self(StatsdClient::from_sink(PREFIX, NopMetricSink)));
+    };
+    let error = |message: String| Error::Metrics {
+      message,
+      peer: address.to_string(),
+    };
+    let local = if address.is_ipv4() {
+      "0.0.0.0:0"
+    } else {
+      "[::]:0"
+    };
+    let socket = UdpSocket::bind(local).map_err(|source| error(source.to_string()))?;
+    let sink =
+      BufferedUdpMetricSink::from(address, socket).map_err(|source| error(source.to_string()))?;
+    Ok(Self(StatsdClient::from_sink(PREFIX, sink)))
+  }
+
+  pub(crate) fn note(&self, kind: NoteKind, detail: &str) {
+    let name = match kind {
+      NoteKind::RequestAnswered => "requests.answered",
+      NoteKind::RequestNotRun => "requests.not_run",
+      NoteKind::RequestUnknown => "requests.unknown",
+      NoteKind::RequestAbandoned => "requests.abandoned",
+      NoteKind::DecodeResumed => "retries.resumed",
+      NoteKind::RetryDenied => "retries.denied",
+      NoteKind::CancelSent => "cancels.sent",
+      NoteKind::CancelSettled => "cancels.settled",
+      NoteKind::PrefillWasted => "prefill.wasted_tokens",
+      _ => return,
+    };
+    let amount = match kind {
+      NoteKind::PrefillWasted => detail.parse().unwrap_or(0),
+      _ => 1,
+    };
+    let _ = self.0.count(name, amount);
+  }
+
+  pub(crate) fn completed(&self, first_token: Duration, between_tokens: Duration, good: bool) {
+    let _ = self.0.time("first_token_ms", first_token);
+    let _ = self.0.time("between_token_ms", between_tokens);
+    if good {
+      let _ = self.0.count("goodput.requests", 1);
+    }
+  }
+
+  pub(crate) fn platform_call(&self) {
+    let _ = self.0.count("platform.calls", 1);
+  }
+
+  pub(crate) fn status(&self, status: &Status) {
+    let _ = self.0.gauge("queue.requests", status.waiting as u64);
+    let _ = self
+      .0
+      .gauge("requests.in_progress", status.in_progress as u64);
+    let _ = self.0.gauge("orders.open", status.open_orders as u64);
+    let _ = self.0.gauge("seats.granted", status.seats_granted as u64);
+  }
+}
--- /dev/null
+++ b/src/observe/mod.rs
@@ -0,0 +1,21 @@
+//! Seeing what the system does: time line, log, metrics.
+
+mod hybrid_clock;
+mod logging;
+mod metrics;
+mod observer;
+mod stamped_note;
+mod timeline;
+
+pub(crate) use self::{
+  hybrid_clock::unix_ms,
+  logging::set_up_logging,
+  metrics::MetricSink,
+  observer::{Observation, Observer, observe},
+};
+
+pub use self::{
+  hybrid_clock::{HybridClock, Stamp},
+  stamped_note::StampedNote,
+  timeline::{EventPage, Timeline, chrome_trace, merge},
+};
--- /dev/null
+++ b/src/platform/mod.rs
@@ -0,0 +1,17 @@
+//! The platform duty: configuration, claims and the steward lease in the key-value service, and the
+//! box list.
+
+mod claims;
+mod configuration;
+mod desk;
+mod key_value;
+mod lease;
+
+pub(crate) use self::desk::{PlatformInput, PlatformSetup, run};
+
+pub use self::{
+  claims::{CLAIM_RETENTION_HOURS, claim_bucket, claim_key},
+  key_value::{KeyValue, KeyValueError, Stored, Swap, Watch},
+};
+
+pub(crate) use self::configuration::stored_key;
--- a/src/policy/program.rs
+++ b/src/policy/program.rs
@@ -91,12 +91,21 @@
     if !self.shifts {
       return Ok(Vec::new());
     }
-    let pools = pools.iter().map(pool_map).map(Dynamic::from).collect::<Array>();
+    let pools = pools
+      .iter()
+      .map(pool_map)
+      .map(Dynamic::from)
+      .collect::<Array>();
     let answer = self.call(SHIFT, clock_map(clock).into(), pools.into())?;
     splits_from(answer)
   }
 
-  fn call(&self, function: &'static str, first: Dynamic, second: Dynamic) -> Result<Dynamic, PolicyError> {
+  fn call(
+    &self,
+    function: &'static str,
+    first: Dynamic,
+    second: Dynamic,
+  ) -> Result<Dynamic, PolicyError> {
     self
       .engine
       .call_fn::<Dynamic>(&mut Scope::new(), &self.ast, function, (first, second))
@@ -183,11 +192,15 @@
     rank.class = class.map_err(|_| wrong("a string as class"))?.into();
   }
   if let Some(priority) = map.get("priority") {
-    let priority = priority.as_int().map_err(|_| wrong("a whole number as priority"))?;
+    let priority = priority
+      .as_int()
+      .map_err(|_| wrong("a whole number as priority"))?;
     rank.priority = priority.clamp(-MOST_PRIORITY, MOST_PRIORITY);
   }
   if let Some(may_wait) = map.get("may_wait") {
-    rank.may_wait = may_wait.as_bool().map_err(|_| wrong("true or false as may_wait"))?;
+    rank.may_wait = may_wait
+      .as_bool()
+      .map_err(|_| wrong("true or false as may_wait"))?;
   }
   if let Some(weight) = map.get("weight") {
     let weight = weight
--- /dev/null
+++ b/src/serve/decide_loop.rs
@@ -0,0 +1,144 @@
+//! The decide duty: drains its rings, asks the machine, and hands out the actions.
+
+use {
+  crate::{
+    decide::{Action, Ending, Event, Machine, Status},
+    egress::EgressInput,
+    ids::RequestId,
+    observe::{Observation, Observer},
+    peers::PeersInput,
+    platform::PlatformInput,
+    ring::{Receiver, Sender},
+  },
+  arc_swap::ArcSwap,
+  std::{
+    collections::VecDeque,
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+  },
+};
+
+const EVENTS_PER_RING: usize = 64;
+const STATUS_PERIOD: Duration = Duration::from_millis(200);
+const TICK: Duration = Duration::from_millis(10);
+
+/// A ring to another duty, with what it had no room for yet.
+pub(super) struct Outlet<T> {
+  sender: Sender<T>,
+  backlog: VecDeque<T>,
+}
+
+impl<T> Outlet<T> {
+  pub(super) fn new(sender: Sender<T>) -> Self {
+    Self {
+      backlog: VecDeque::new(),
+      sender,
+    }
+  }
+
+  fn put(&mut self, value: T) {
+    self.backlog.push_back(value);
+    self.flush();
+  }
+
+  fn flush(&mut self) {
+    while let Some(value) = self.backlog.pop_front() {
+      if let Err(value) = self.sender.push(value) {
+        self.backlog.push_front(value);
+        return;
+      }
+    }
+  }
+}
+
+/// What the decide duty starts with.
+pub(super) struct DecideLoop {
+  pub(super) machine: Machine,
+  pub(super) started: Instant,
+  pub(super) inputs: Vec<Receiver<Event>>,
+  pub(super) to_egress: Outlet<EgressInput>,
+  pub(super) to_ingress: Outlet<(RequestId, Ending)>,
+  pub(super) to_peers: Outlet<PeersInput>,
+  pub(super) to_platform: Outlet<PlatformInput>,
+  pub(super) observer: Observer,
+  pub(super) status: Arc<ArcSwap<Status>>,
+}
+
+impl DecideLoop {
+  /// Runs the decide duty until the process ends.
+  pub(super) fn run(mut self) {
+    let mut ticked = Instant::now();
+    let mut shown = Instant::now();
+    loop {
+      let worked = self.drain();
+      if ticked.elapsed() >= TICK {
+        ticked = Instant::now();
+        self.handle(Event::Tick);
+        self.flush();
+      }
+      if shown.elapsed() >= STATUS_PERIOD {
+        shown = Instant::now();
+        self.show();
+      }
+      if !worked {
+        thread::park_timeout(TICK.saturating_sub(ticked.elapsed()));
+      }
+    }
+  }
+
+  /// Takes a few events from each ring in turn, so that none starves another.
+  fn drain(&mut self) -> bool {
+    let mut worked = false;
+    for index in 0..self.inputs.len() {
+      for _ in 0..EVENTS_PER_RING {
+        let Some(event) = self.inputs[index].pop() else {
+          break;
+        };
+        worked = true;
+        self.handle(event);
+      }
+    }
+    worked
+  }
+
+  fn handle(&mut self, event: Event) {
+    let now_ms = u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX);
+    for action in self.machine.handle(now_ms, event) {
+      self.hand_out(action);
+    }
+  }
+
+  fn hand_out(&mut self, action: Action) {
+    match action {
+      Action::Note(note) => self.observer.note(note),
+      Action::Send(to, message) => self.to_peers.put(PeersInput::Send(to, message)),
+      Action::Claim(request, organisation, key) => {
+        let input = PlatformInput::Claim(request, organisation, key);
+        self.to_platform.put(input);
+      }
+      Action::ReleaseClaim(request, organisation, key) => {
+        let input = PlatformInput::Release(request, organisation, key);
+        self.to_platform.put(input);
+      }
+      Action::End(request, ending) => {
+        self.to_ingress.put((request, ending));
+        self.to_egress.put(EgressInput::Order(action));
+      }
+      order => self.to_egress.put(EgressInput::Order(order)),
+    }
+  }
+
+  fn flush(&mut self) {
+    self.to_egress.flush();
+    self.to_ingress.flush();
+    self.to_peers.flush();
+    self.to_platform.flush();
+  }
+
+  fn show(&mut self) {
+    let status = Arc::new(self.machine.status());
+    self.observer.tell(Observation::Status(status.clone()));
+    self.status.store(status);
+  }
+}
--- /dev/null
+++ b/src/serve/start.rs
@@ -0,0 +1,317 @@
+//! Starting a box: addresses first, then rings, then a thread for each duty.
+
+use {
+  super::{
+    decide_loop::{DecideLoop, Outlet},
+    stop::{await_signal, stop},
+  },
+  crate::{
+    Error, Result,
+    admin::{self, AdminSetup},
+    decide::{Identity, Machine, Note, NoteKind, Setup, Status},
+    egress::{self, EgressSetup},
+    ids::Name,
+    ingress::{self, Desk, IngressSetup, SharedPhase},
+    listener::bind,
+    observe::{
+      HybridClock, MetricSink, Observation, Observer, Timeline, observe, set_up_logging, unix_ms,
+    },
+    peers::{self, PeersSetup},
+    platform::{self, KeyValue, PlatformSetup},
+    ring::{Receiver, Waker, ring},
+    settings::{EndpointKindWord, Settings},
+  },
+  arc_swap::ArcSwap,
+  std::{
+    collections::{BTreeSet, HashMap},
+    net::UdpSocket,
+    sync::{Arc, Mutex, atomic::AtomicU64, mpsc},
+    thread,
+    time::{Duration, Instant},
+  },
+  tokio::sync::Notify,
+};
+
+const OBSERVATIONS: usize = 65_536;
+const RING_SLOTS: usize = 4_096;
+
+/// Runs a box until it is told to stop.
+pub(crate) fn serve(settings: Settings) -> Result {
+  set_up_logging(&settings.log)?;
+  peers::check_keys(&settings.peers)?;
+  let callers = bind("callers", settings.listen.callers)?;
+  let administration = bind("administration", settings.listen.administration)?;
+  let peer_socket = bind_peers(&settings)?;
+  let metrics = MetricSink::open(settings.metrics.statsd)?;
+
+  let started = Instant::now();
+  let epoch_unix_ms = unix_ms();
+  let identity = Identity {
+    hall: settings.identity.hall.clone(),
+    incarnation: epoch_unix_ms,
+    name: settings.identity.name.clone(),
+  };
+  let phase = Arc::new(SharedPhase::default());
+  let status = Arc::new(ArcSwap::from_pointee(Status::default()));
+  let keys = Arc::new(ArcSwap::default());
+  let timeline = Arc::new(Timeline::default());
+
+  // The observe thread is started first: all others report to it.
+  let observations = start_with_ring("observe", OBSERVATIONS, {
+    let timeline = timeline.clone();
+    move |receiver| observe(receiver, &timeline, &metrics)
+  })?;
+  let clock = Arc::new(HybridClock::default());
+  let observer = Observer::new(identity.name.clone(), clock, observations);
+
+  // Room for an arrival and a farewell of each request.
+  let arrival_slots = settings.limits.requests * 2 + RING_SLOTS;
+  let decide = DecideThread::spawn()?;
+  let (from_ingress, ingress_events) = ring(arrival_slots, decide.waker());
+  let (from_egress, egress_events) = ring(RING_SLOTS, decide.waker());
+  let (from_peers, peer_events) = ring(RING_SLOTS, decide.waker());
+  let (from_platform, platform_events) = ring(RING_SLOTS, decide.waker());
+  let (from_operators, operator_events) = ring(RING_SLOTS, decide.waker());
+
+  let egress_notify = Arc::new(Notify::new());
+  let egress_waker = Waker::Task(egress_notify.clone());
+  let (to_egress_payloads, payloads) = ring(arrival_slots, egress_waker.clone());
+  let (to_egress_orders, orders) = ring(RING_SLOTS, egress_waker);
+  let ingress_notify = Arc::new(Notify::new());
+  let (to_ingress, endings) = ring(RING_SLOTS, Waker::Task(ingress_notify.clone()));
+  let peers_notify = Arc::new(Notify::new());
+  let peers_waker = Waker::Task(peers_notify.clone());
+  let (to_peers, peer_sends) = ring(RING_SLOTS, peers_waker.clone());
+  let (to_peers_boxes, peer_boxes) = ring(RING_SLOTS, peers_waker);
+  let platform_notify = Arc::new(Notify::new());
+  let platform_waker = Waker::Task(platform_notify.clone());
+  let (to_platform, platform_inputs) = ring(RING_SLOTS, platform_waker.clone());
+  let (to_platform_documents, documents) = ring(RING_SLOTS, platform_waker);
+
+  observer.say(
+    NoteKind::BoxStarted,
+    &identity.name,
+    env!("CARGO_PKG_VERSION"),
+  );
+
+  decide.run(DecideLoop {
+    inputs: vec![
+      ingress_events,
+      egress_events,
+      peer_events,
+      platform_events,
+      operator_events,
+    ],
+    machine: Machine::new(Setup {
+      endpoints: settings
+        .endpoints
+        .iter()
+        .map(|endpoint| endpoint.spec())
+        .collect(),
+      epoch_unix_ms,
+      identity: identity.clone(),
+      seed: epoch_unix_ms,
+    }),
+    observer: observer.clone(),
+    started,
+    status: status.clone(),
+    to_egress: Outlet::new(to_egress_orders),
+    to_ingress: Outlet::new(to_ingress),
+    to_peers: Outlet::new(to_peers),
+    to_platform: Outlet::new(to_platform),
+  });
+
+  start_runtime("egress", {
+    let setup = EgressSetup {
+      endpoints: settings.endpoints.clone(),
+      limits: settings.limits.clone(),
+      notify: egress_notify,
+      observer: observer.clone(),
+      orders,
+      payloads,
+      started: started.into(),
+      targets: settings.targets.clone(),
+      to_decide: from_egress,
+    };
+    move || egress::run(setup)
+  })?;
+  start_runtime("peers", {
+    let setup = PeersSetup {
+      inputs: vec![peer_sends, peer_boxes],
+      keys: settings.peers.clone(),
+      name: identity.name.clone(),
+      notify: peers_notify,
+      observer: observer.clone(),
+      socket: peer_socket,
+      to_decide: from_peers,
+      to_platform: to_platform_documents.clone(),
+    };
+    move || peers::run(setup)
+  })?;
+  start_runtime("platform", {
+    let setup = PlatformSetup {
+      documents,
+      identity: settings.identity.clone(),
+      inputs: platform_inputs,
+      keys: keys.clone(),
+      notify: platform_notify,
+      observer: observer.clone(),
+      phase: phase.clone(),
+      settings: settings.platform.clone(),
+      started: started.into(),
+      status: status.clone(),
+      to_decide: from_platform,
+      to_peers: to_peers_boxes,
+    };
+    move || platform::run(setup)
+  })?;
+  start_runtime("administration", {
+    let counter = observer.clone();
+    let counted = Arc::new(move || counter.tell(Observation::PlatformCall));
+    let limit = Duration::from_millis(settings.platform.call_ms);
+    let desk = admin::Desk {
+      endpoints: settings
+        .endpoints
+        .iter()
+        .map(|endpoint| endpoint.name.clone())
+        .collect(),
+      keys_sha256: settings.administration.keys_sha256.clone(),
+      service: KeyValue::new(&settings.platform.key_value, limit, counted),
+      status: status.clone(),
+      timeline,
+      to_decide: from_operators.clone(),
+      to_platform: to_platform_documents,
+    };
+    let setup = AdminSetup {
+      desk,
+      listener: administration,
+    };
+    move || admin::run(setup)
+  })?;
+  start_runtime("ingress", {
+    let desk = Desk {
+      keys,
+      limits: settings.limits.clone(),
+      models: models(&settings),
+      next: AtomicU64::new(1),
+      phase: phase.clone(),
+      to_decide: from_ingress,
+      to_egress: to_egress_payloads,
+      waiting: Mutex::new(HashMap::new()),
+    };
+    let setup = IngressSetup {
+      desk: Arc::new(desk),
+      endings,
+      listener: callers,
+      notify: ingress_notify,
+    };
+    move || ingress::run(setup)
+  })?;
+
+  let balancer_lag = Duration::from_millis(settings.limits.balancer_lag_ms);
+  let runtime = build_runtime("signals")?;
+  runtime.block_on(async {
+    if let Err(error) = await_signal().await {
+      log::error!("signals: {error}");
+    }
+    stop(&phase, &status, &from_operators, balancer_lag).await;
+    observer.note(Note::new(NoteKind::BoxStopped, identity.name.clone(), ""));
+  });
+  Ok(())
+}
+
+fn bind_peers(settings: &Settings) -> Result<UdpSocket> {
+  let address = settings.listen.peers;
+  UdpSocket::bind(address).map_err(|source| Error::Listen {
+    peer: address.to_string(),
+    source,
+    step: "peers",
+  })
+}
+
+fn models(settings: &Settings) -> Vec<Name> {
+  settings
+    .endpoints
+    .iter()
+    .filter(|endpoint| endpoint.kind == EndpointKindWord::Engine)
+    .flat_map(|endpoint| endpoint.models.iter().cloned())
+    .collect::<BTreeSet<_>>()
+    .into_iter()
+    .collect()
+}
+
+fn build_runtime(step: &'static str) -> Result<tokio::runtime::Runtime> {
+  tokio::runtime::Builder::new_current_thread()
+    .enable_all()
+    .build()
+    .map_err(|source| Error::Thread { step, source })
+}
+
+/// Starts a thread with a runtime of its own. A duty that ends takes the process with it.
+fn start_runtime<F, Fut>(step: &'static str, duty: F) -> Result
+where
+  F: FnOnce() -> Fut + Send + 'static,
+  Fut: Future<Output = ()>,
+{
+  let runtime = build_runtime(step)?;
+  start_thread(step, move || {
+    runtime.block_on(duty());
+  })
+  .map(|_| ())
+}
+
+fn start_thread(
+  step: &'static str,
+  duty: impl FnOnce() + Send + 'static,
+) -> Result<thread::JoinHandle<()>> {
+  thread::Builder::new()
+    .name(step.into())
+    .spawn(duty)
+    .map_err(|source| Error::Thread { step, source })
+}
+
+/// Starts a thread whose ring has to know the thread first.
+fn start_with_ring<T: Send + 'static>(
+  step: &'static str,
+  slots: usize,
+  duty: impl FnOnce(Receiver<T>) + Send + 'static,
+) -> Result<crate::ring::Sender<T>> {
+  let (hand_over, take_over) = mpsc::channel();
+  let handle = start_thread(step, move || {
+    if let Ok(receiver) = take_over.recv() {
+      duty(receiver);
+    }
+  })?;
+  let (sender, receiver) = ring(slots, Waker::Thread(handle.thread().clone()));
+  let _ = hand_over.send(receiver);
+  Ok(sender)
+}
+
+/// The decide thread, waiting for its loop: its rings have to know the thread first.
+struct DecideThread {
+  hand_over: mpsc::Sender<DecideLoop>,
+  thread: thread::Thread,
+}
+
+impl DecideThread {
+  fn spawn() -> Result<Self> {
+    let (hand_over, take_over) = mpsc::channel::<DecideLoop>();
+    let handle = start_thread("decide", move || {
+      if let Ok(decide_loop) = take_over.recv() {
+        decide_loop.run();
+      }
+    })?;
+    Ok(Self {
+      hand_over,
+      thread: handle.thread().clone(),
+    })
+  }
+
+  fn waker(&self) -> Waker {
+    Waker::Thread(self.thread.clone())
+  }
+
+  fn run(self, decide_loop: DecideLoop) {
+    let _ = self.hand_over.send(decide_loop);
+  }
+}
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,13 @@
+//! Settings: a TOML file, checked whole, each error with file, line and key.
+
+mod document;
+mod settings_error;
+mod types;
+
+pub use self::{
+  settings_error::SettingsError,
+  types::{
+    Administration, BoxSettings, EndpointKindWord, EndpointSettings, Limits, Listen, LogFormat,
+    LogSettings, Metrics, PeerKeys, Platform, Settings, Targets,
+  },
+};
--- /dev/null
+++ b/src/settings/types.rs
@@ -0,0 +1,265 @@
+//! The sections of a settings file.
+
+use {
+  crate::{
+    decide::{EndpointKind, EndpointSpec, Role},
+    ids::Name,
+  },
+  serde::Deserialize,
+  std::{net::SocketAddr, path::PathBuf},
+};
+
+/// A whole settings file.
+#[derive(Clone, Debug)]
+pub struct Settings {
+  /// Who the box is.
+  pub identity: BoxSettings,
+  /// Where it listens.
+  pub listen: Listen,
+  /// Keys for peers.
+  pub peers: PeerKeys,
+  /// The platform's services.
+  pub platform: Platform,
+  /// Who may administer.
+  pub administration: Administration,
+  /// Bounds at the edges.
+  pub limits: Limits,
+  /// Latency targets, for figures.
+  pub targets: Targets,
+  /// The log.
+  pub log: LogSettings,
+  /// Metrics.
+  pub metrics: Metrics,
+  /// All endpoints.
+  pub endpoints: Vec<EndpointSettings>,
+}
+
+/// Who the box is: `[box]`.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct BoxSettings {
+  /// Its name; also the DNS name in its certificate.
+  pub name: Name,
+  /// Its hall.
+  pub hall: Name,
+}
+
+/// Where the box listens: `[listen]`.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+  /// For callers.
+  pub callers: SocketAddr,
+  /// For administration.
+  pub administration: SocketAddr,
+  /// For peers, over UDP.
+  pub peers: SocketAddr,
+}
+
+/// Keys for peers: `[peers]`. Paths are relative to the settings file.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PeerKeys {
+  /// The box's certificate, PEM.
+  pub certificate: PathBuf,
+  /// Its private key, PEM.
+  pub key: PathBuf,
+  /// The operators' authority, PEM.
+  pub authority: PathBuf,
+}
+
+/// The platform's services: `[platform]`.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Platform {
+  /// The key-value service (etcd v3 JSON gateway).
+  pub key_value: Name,
+  /// The box list.
+  pub box_list: Name,
+  /// Time allowed for one call.
+  #[serde(default = "default_call_ms")]
+  pub call_ms: u64,
+  /// Time to live of a steward lease.
+  #[serde(default = "default_lease_ms")]
+  pub lease_ms: u64,
+}
+
+/// Who may administer: `[administration]`.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Administration {
+  /// SHA-256 of each key, in hexadecimal.
+  pub keys_sha256: Vec<Name>,
+}
+
+/// Bounds at the edges: `[limits]`.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Limits {
+  /// Largest request body.
+  pub body_bytes: usize,
+  /// Time for a caller to send its headers.
+  pub header_ms: u64,
+  /// Time for a caller to send its body.
+  pub body_ms: u64,
+  /// Connections from callers.
+  pub connections: usize,
+  /// Requests in progress.
+  pub requests: usize,
+  /// Silence of an endpoint in the middle of an answer that counts as a stall.
+  pub stall_ms: u64,
+  /// Time that a planned stop goes on accepting, for the balancer to notice.
+  pub balancer_lag_ms: u64,
+}
+
+impl Default for Limits {
+  fn default() -> Self {
+    Self {
+      balancer_lag_ms: 3_000,
+      body_bytes: 1024 * 1024,
+      body_ms: 10_000,
+      connections: 4_096,
+      header_ms: 5_000,
+      requests: 4_096,
+      stall_ms: 3_000,
+    }
+  }
+}
+
+/// Latency targets: `[targets]`.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Targets {
+  /// Time to the first token.
+  pub first_token_ms: u64,
+  /// Time between tokens.
+  pub between_token_ms: u64,
+}
+
+impl Default for Targets {
+  fn default() -> Self {
+    Self {
+      between_token_ms: 36,
+      first_token_ms: 1_400,
+    }
+  }
+}
+
+/// The form of the log.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "snake_case")]
+pub enum LogFormat {
+  /// A line a message.
+  #[default]
+  Text,
+  /// A JSON object a line.
+  Json,
+}
+
+/// The log: `[log]`.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LogSettings {
+  /// Its form.
+  pub format: LogFormat,
+  /// The least severe level written: error, warn, info, debug or trace.
+  pub level: Option<Name>,
+}
+
+/// Metrics: `[metrics]`.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Metrics {
+  /// Where statsd packets go; nowhere if absent.
+  pub statsd: Option<SocketAddr>,
+}
+
+/// What an endpoint is, as a word.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "snake_case")]
+pub enum EndpointKindWord {
+  /// A model engine.
+  Engine,
+  /// An instance of a plain service.
+  Service,
+}
+
+/// One endpoint: `[[endpoint]]`.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EndpointSettings {
+  /// Its name.
+  pub name: Name,
+  /// Its hall.
+  pub hall: Name,
+  /// What it is.
+  pub kind: EndpointKindWord,
+  /// Where it listens.
+  pub url: Name,
+  /// Requests it may hold at once.
+  pub seats: u32,
+  /// For engines: the role it starts with.
+  pub role: Option<Role>,
+  /// For engines: the models it serves.
+  #[serde(default)]
+  pub models: Vec<Name>,
+  /// For engines: whether it refuses orders with an old fence.
+  #[serde(default)]
+  pub checks_fence: bool,
+  /// For plain services: the service's name.
+  pub service: Option<Name>,
+  /// Prompt tokens read a second.
+  #[serde(default = "default_prefill_tokens_per_s")]
+  pub prefill_tokens_per_s: u64,
+  /// Size of a token in the KV cache.
+  #[serde(default = "default_kv_bytes_per_token")]
+  pub kv_bytes_per_token: u64,
+  /// Rate of its link for KV transfers.
+  #[serde(default = "default_link_bytes_per_s")]
+  pub link_bytes_per_s: u64,
+}
+
+impl EndpointSettings {
+  /// What `decide` goes by; the settings have been checked.
+  pub fn spec(&self) -> EndpointSpec {
+    let kind = match self.kind {
+      EndpointKindWord::Engine => EndpointKind::Engine {
+        checks_fence: self.checks_fence,
+        models: self.models.clone(),
+        role: self.role.unwrap_or(Role::Decode),
+      },
+      EndpointKindWord::Service => EndpointKind::Service {
+        service: self.service.clone().unwrap_or_else(|| "".into()),
+      },
+    };
+    EndpointSpec {
+      hall: self.hall.clone(),
+      kind,
+      kv_bytes_per_token: self.kv_bytes_per_token,
+      link_bytes_per_s: self.link_bytes_per_s,
+      name: self.name.clone(),
+      prefill_tokens_per_s: self.prefill_tokens_per_s,
+      seats: self.seats,
+    }
+  }
+}
+
+fn default_call_ms() -> u64 {
+  1_000
+}
+
+fn default_lease_ms() -> u64 {
+  10_000
+}
+
+fn default_prefill_tokens_per_s() -> u64 {
+  10_000
+}
+
+fn default_kv_bytes_per_token() -> u64 {
+  131_072
+}
+
+fn default_link_bytes_per_s() -> u64 {
+  12_500_000_000
+}
--- /dev/null
+++ b/src/subcommand/admin_client.rs
@@ -0,0 +1,88 @@
+//! Calls to the administration API of a box.
+
+use {
+  crate::{CallError, Error, HttpClient, ProblemBody, Result},
+  bpaf::Bpaf,
+  bytes::Bytes,
+  http::{Method, Request, header},
+  http_body_util::Full,
+  serde::de::DeserializeOwned,
+  std::time::Duration,
+};
+
+const LIMIT: Duration = Duration::from_secs(10);
+
+/// Which box to ask, and the key to ask with.
+#[derive(Clone, Debug, Bpaf)]
+pub(crate) struct AdminClient {
+  /// Base URL of a box's administration API
+  #[bpaf(long, argument("URL"))]
+  pub(crate) server: String,
+  /// Administration key
+  #[bpaf(long, env("RILLFORD_KEY"), argument("KEY"))]
+  pub(crate) key: String,
+}
+
+/// A call to be made.
+pub(super) struct AdminCall<'a> {
+  pub(super) step: &'static str,
+  pub(super) method: Method,
+  pub(super) path: &'a str,
+  pub(super) if_match: Option<u64>,
+  pub(super) body: String,
+}
+
+impl<'a> AdminCall<'a> {
+  pub(super) fn get(step: &'static str, path: &'a str) -> Self {
+    Self {
+      body: String::new(),
+      if_match: None,
+      method: Method::GET,
+      path,
+      step,
+    }
+  }
+}
+
+impl AdminClient {
+  /// Makes a call and reads its JSON answer.
+  pub(super) fn call<T: DeserializeOwned>(&self, call: AdminCall) -> Result<T> {
+    let step = call.step;
+    let failed = |message: String| Error::Call {
+      message,
+      peer: self.server.clone(),
+      step,
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread()
+      .enable_all()
+      .build()
+      .map_err(|source| Error::Thread { step, source })?;
+    let request = self
+      .request(call)
+      .map_err(|error| failed(error.to_string()))?;
+    runtime
+      .block_on(async { HttpClient::default().whole(request, LIMIT).await })
+      .map_err(|error| failed(explain(&error)))
+  }
+
+  fn request(&self, call: AdminCall) -> Result<Request<Full<Bytes>>, http::Error> {
+    let server = self.server.trim_end_matches('/');
+    let mut request = Request::builder()
+      .method(call.method)
+      .uri(format!("{server}{}", call.path))
+      .header(header::AUTHORIZATION, format!("Bearer {}", self.key));
+    if let Some(revision) = call.if_match {
+      request = request.header(header::IF_MATCH, revision);
+    }
+    request.body(Full::new(call.body.into()))
+  }
+}
+
+fn explain(error: &CallError) -> String {
+  if let CallError::Status { status, text } = error
+    && let Ok(problem) = serde_json::from_str::<ProblemBody>(text)
+  {
+    return format!("{status}: {}", problem.error);
+  }
+  error.to_string()
+}
--- /dev/null
+++ b/src/subcommand/mod.rs
@@ -0,0 +1,70 @@
+//! The command line.
+
+mod admin_client;
+mod check;
+mod config;
+mod drain;
+mod policy;
+mod status;
+mod timeline;
+
+use {
+  self::{
+    check::Check, config::Config, drain::Drain, policy::Policy, status::ShowStatus,
+    timeline::ShowTimeline,
+  },
+  crate::{Result, serve::serve, settings::Settings},
+  bpaf::Bpaf,
+  std::path::PathBuf,
+};
+
+/// A router for separate prefill and decode pools
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version, generate(options))]
+pub(crate) enum Subcommand {
+  /// Run a box
+  #[bpaf(command)]
+  Serve {
+    /// The settings file
+    #[bpaf(long, argument("FILE"))]
+    settings: PathBuf,
+  },
+  /// Check settings, policies and configuration documents without running anything
+  #[bpaf(command)]
+  Check(#[bpaf(external(check::check))] Check),
+  /// Work on policy programs
+  #[bpaf(command)]
+  Policy(#[bpaf(external(policy::policy))] Policy),
+  /// Read and write configuration documents
+  #[bpaf(command)]
+  Config(#[bpaf(external(config::config))] Config),
+  /// Show a box, its endpoints and its peers
+  #[bpaf(command)]
+  Status(#[bpaf(external(status::show_status))] ShowStatus),
+  /// Stop new work to an endpoint, or take it back
+  #[bpaf(command)]
+  Drain(#[bpaf(external(drain::drain))] Drain),
+  /// Merge the events of boxes into one time line
+  #[bpaf(command)]
+  Timeline(#[bpaf(external(timeline::show_timeline))] ShowTimeline),
+}
+
+impl Subcommand {
+  /// Reads the command line; help and wrong usage end the process.
+  pub(crate) fn parse() -> Self {
+    options().run()
+  }
+
+  /// Runs the subcommand.
+  pub(crate) fn run(self) -> Result {
+    match self {
+      Self::Serve { settings } => serve(Settings::load(&settings)?),
+      Self::Check(check) => check.run(),
+      Self::Policy(policy) => policy.run(),
+      Self::Config(config) => config.run(),
+      Self::Status(status) => status.run(),
+      Self::Drain(drain) => drain.run(),
+      Self::Timeline(timeline) => timeline.run(),
+    }
+  }
+}
