--- a/emulator/src/service.rs
+++ b/emulator/src/service.rs
@@ -20,6 +20,7 @@
   tokio::time::sleep,
 };
 
+const CUT_PAUSE: Duration = Duration::from_millis(100);
 const MOST_BODY_BYTES: usize = 1024 * 1024;
 
 /// Fault switches of a plain service.
@@ -155,9 +156,13 @@
 
 /// An answer whose connection breaks before its announced end.
 fn cut() -> Response {
-  let pieces = futures_util::stream::iter([
-    Ok::<_, std::io::Error>(Bytes::from("half of an ans")),
-    Err(std::io::Error::other("cut")),
-  ]);
+  let pieces = futures_util::stream::unfold(0, |piece| async move {
+    if piece == 0 {
+      return Some((Ok(Bytes::from("half of an ans")), 1));
+    }
+    // The first half is on its way before the cut.
+    sleep(CUT_PAUSE).await;
+    Some((Err(std::io::Error::other("cut")), 2))
+  });
   Body::from_stream(pieces).into_response()
 }
--- a/src/decide/action.rs
+++ b/src/decide/action.rs
@@ -14,6 +14,8 @@
   pub engine: Name,
   /// Priority, for engines that honour it.
   pub priority: i64,
+  /// Time that the engine keeps the attempt without an extension.
+  pub hold_ms: u64,
   /// Time until the caller's deadline.
   pub deadline_ms: u64,
 }
@@ -27,6 +29,8 @@
   pub source: Name,
   /// The engine that is to decode.
   pub engine: Name,
+  /// Time that the engine keeps the attempt without an extension.
+  pub hold_ms: u64,
   /// Wait before the transfer begins, so that its link window is free.
   pub link_wait_ms: u64,
   /// Time until the caller's deadline.
@@ -44,6 +48,17 @@
   pub offset: u64,
 }
 
+/// An order to keep attempts for a while longer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct HoldOrder {
+  /// The engine.
+  pub engine: Name,
+  /// The attempts.
+  pub attempts: Vec<AttemptId>,
+  /// How long, from now.
+  pub hold_ms: u64,
+}
+
 /// One call to a plain service.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ServiceOrder {
@@ -88,7 +103,7 @@
   /// Stop reading this attempt's stream and report it as broken: the hold on it is lost.
   GiveUp(AttemptId, Name),
   /// Extend the holds of these attempts.
-  ExtendHolds(Name, Vec<AttemptId>),
+  ExtendHolds(HoldOrder),
   /// Ask an endpoint for its load.
   PollLoad(Name),
   /// Ask an engine what it holds.
--- a/src/decide/endpoint.rs
+++ b/src/decide/endpoint.rs
@@ -155,8 +155,10 @@
   pub reported_ms: u64,
   /// When anything was last heard of it.
   pub heard_ms: u64,
-  /// No seat is asked for here until then.
+  /// It was full: no seat is asked for here until then, or until its home says sooner.
   pub refused_until_ms: u64,
+  /// An order failed here: it gets no work until then.
+  pub shunned_until_ms: u64,
   /// Own attempts that hold a seat here.
   pub own_seats: u32,
   life: InitializedStateMachine<EndpointLife>,
@@ -191,6 +193,7 @@
       reported_ms: 0,
       role,
       role_since_ms: 0,
+      shunned_until_ms: 0,
       sent: VecDeque::new(),
       spec,
     }
@@ -208,6 +211,11 @@
     *self.life.state() == State::Live {}
   }
 
+  /// Whether it can be asked for anything now.
+  pub fn is_open(&self, now_ms: u64) -> bool {
+    self.refused_until_ms <= now_ms && self.shunned_until_ms <= now_ms
+  }
+
   /// Whether it is leaving.
   pub fn is_leaving(&self) -> bool {
     *self.life.state() == State::Leaving {}
--- a/src/decide/life.rs
+++ b/src/decide/life.rs
@@ -13,6 +13,9 @@
 /// Time that a full engine is left alone, unless its home says sooner that a seat is free.
 const FULL_PAUSE_MS: u64 = 100;
 
+/// Time that an endpoint is left alone after an order failed there.
+const FAILED_PAUSE_MS: u64 = 1_000;
+
 /// What moves a request on.
 #[derive(Clone, Debug)]
 pub enum Step {
@@ -75,6 +78,7 @@
   /// Whether it wants to be put back before the others of its organisation.
   pub requeue: bool,
   attempt: u32,
+  failures: u32,
   placement: Option<Placement>,
   seat: Option<Name>,
   asked_ms: u64,
@@ -100,6 +104,7 @@
       claimed: false,
       deadline_ms: now_ms + allowed_ms,
       endpoint: None,
+      failures: 0,
       link_wait_ms: 0,
       offset: 0,
       placed: Placed::Waits(NoPlace::NoSeat),
@@ -353,7 +358,7 @@
         outcome: StageOutcome::Full,
       } if self.is_current(attempt) => {
         context.close(attempt, endpoint);
-        self.failed(context, endpoint, Began::Never, true)
+        self.refused_as_full(context, endpoint)
       }
       Step::Stage {
         attempt,
@@ -381,7 +386,7 @@
     let Work::Model(work) = &self.arrival.work else {
       return Handled;
     };
-    let placement = match context.place(work) {
+    let placement = match context.place(work, &self.tried) {
       Ok(placement) => placement,
       Err(no_place) => {
         self.placed = Placed::Waits(no_place);
@@ -502,6 +507,7 @@
       attempt,
       deadline_ms: self.left_ms(context),
       engine: placement.prefill,
+      hold_ms: context.tuning().hold_ms,
       priority: self.rank.priority,
     }));
     Transition(State::prefilling())
@@ -539,6 +545,7 @@
       attempt,
       deadline_ms: self.left_ms(context),
       engine: placement.decode,
+      hold_ms: context.tuning().hold_ms,
       link_wait_ms: self.link_wait_ms,
       source: placement.prefill,
     }));
@@ -561,7 +568,7 @@
     let Work::Model(work) = &self.arrival.work else {
       return Handled;
     };
-    let Ok(other) = context.place(work) else {
+    let Ok(other) = context.place(work, &self.tried) else {
       return self.failed(context, &full, Began::Perhaps, true);
     };
     if other.decode == full {
@@ -601,6 +608,17 @@
     Transition(State::decoding())
   }
 
+  /// Nothing began: the request waits for its turn again, and no retry is spent.
+  fn refused_as_full(&mut self, context: &mut Scene, endpoint: &Name) -> Outcome<State> {
+    let until_ms = context.now_ms + FULL_PAUSE_MS;
+    context
+      .fleet
+      .change(endpoint, |endpoint| endpoint.refused_until_ms = until_ms);
+    self.leave_attempt(context);
+    self.requeue = true;
+    Transition(State::queued())
+  }
+
   /// An order failed: try again where that is allowed, or end.
   fn failed(
     &mut self,
@@ -614,20 +632,25 @@
     self.began |= began == Began::Perhaps;
     self.leave_attempt(context);
     self.tried.push(endpoint.clone());
+    self.failures += 1;
+    let until_ms = context.now_ms + FAILED_PAUSE_MS;
+    context
+      .fleet
+      .change(endpoint, |endpoint| endpoint.shunned_until_ms = until_ms);
+    let doubt = if self.streaming {
+      Doubt::AnswerBroken
+    } else {
+      Doubt::EndpointFailed
+    };
     if !self.may_retry(resumable) {
-      let doubt = if self.streaming {
-        Doubt::AnswerBroken
-      } else {
-        Doubt::EndpointFailed
-      };
       return self.end_failed(context, Refusal::NeverBegan, doubt);
     }
-    if self.attempt >= context.tuning().max_attempts {
-      return self.end_failed(context, Refusal::NeverBegan, Doubt::EndpointFailed);
+    if self.failures >= context.tuning().max_attempts {
+      return self.end_failed(context, Refusal::NeverBegan, doubt);
     }
     if !context.budget.take() {
       context.note(NoteKind::RetryDenied, &attempt, "");
-      return self.end_failed(context, Refusal::RetryBudget, Doubt::EndpointFailed);
+      return self.end_failed(context, Refusal::RetryBudget, doubt);
     }
     self.requeue = true;
     Transition(State::queued())
@@ -659,10 +682,10 @@
     retry_after_ms: u64,
   ) -> Outcome<State> {
     if self.began {
-      let doubt = if self.streaming {
-        Doubt::AnswerBroken
-      } else {
-        Doubt::TimedOut
+      let doubt = match reason {
+        _ if self.streaming => Doubt::AnswerBroken,
+        Refusal::TooLate => Doubt::TimedOut,
+        _ => Doubt::EndpointFailed,
       };
       return self.unknown(context, doubt);
     }
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -34,7 +34,7 @@
 pub(crate) use self::timers::Timers;
 
 pub use self::{
-  action::{Action, DecodeOrder, ImportOrder, PrefillOrder, RoleOrder, ServiceOrder},
+  action::{Action, DecodeOrder, HoldOrder, ImportOrder, PrefillOrder, RoleOrder, ServiceOrder},
   arrival::{Arrival, ModelWork, ServiceWork, Work},
   configuration_view::{ConfigurationView, OrganisationLimits},
   ending::{Doubt, Ending, Refusal},
--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -42,10 +42,11 @@
 }
 
 impl Scene {
-  /// Chooses a prefill and a decode engine for a completion.
-  pub(crate) fn place(&mut self, work: &ModelWork) -> Result<Placement, NoPlace> {
-    let reading = self.best_prefill(work).ok_or(NoPlace::NoEngine)?;
-    let decode = self.best_decode(work)?;
+  /// Chooses a prefill and a decode engine for a completion; engines that failed it are the last
+  /// resort.
+  pub(crate) fn place(&mut self, work: &ModelWork, tried: &[Name]) -> Result<Placement, NoPlace> {
+    let reading = self.best_prefill(work, tried)?;
+    let decode = self.best_decode(work, tried)?;
     let engine = self.fleet.get(&decode).ok_or(NoPlace::NoEngine)?;
     let transfer_ms = engine.transfer_ms(work.prompt_tokens);
     Ok(Placement {
@@ -60,7 +61,11 @@
 
   /// Least time to a first token that any engine could give now, without regard to seats.
   pub(crate) fn least_first_token_ms(&mut self, work: &ModelWork) -> Option<u64> {
-    let reading = self.best_prefill(work)?;
+    let reading = match self.best_prefill(work, &[]) {
+      Ok(reading) => reading,
+      Err(NoPlace::NoSeat) => return Some(self.tuning().token_ms),
+      Err(NoPlace::NoEngine) => return None,
+    };
     Some(reading.ready_in_ms + self.tuning().token_ms)
   }
 
@@ -92,10 +97,11 @@
       .ok_or(NoPlace::NoSeat)
   }
 
-  fn best_prefill(&mut self, work: &ModelWork) -> Option<Reading> {
+  fn best_prefill(&mut self, work: &ModelWork, tried: &[Name]) -> Result<Reading, NoPlace> {
     let hall = self
       .fleet
-      .serving_hall(&self.identity.hall, &work.model, Some(Role::Prefill))?;
+      .serving_hall(&self.identity.hall, &work.model, Some(Role::Prefill))
+      .ok_or(NoPlace::NoEngine)?;
     let key = PoolKey {
       hall,
       role: Some(Role::Prefill),
@@ -109,7 +115,8 @@
     candidates
       .into_iter()
       .filter_map(|name| self.read_by(name, work))
-      .min_by_key(|reading| reading.ready_in_ms)
+      .min_by_key(|reading| (tried.contains(&reading.engine), reading.ready_in_ms))
+      .ok_or(NoPlace::NoSeat)
   }
 
   /// The least loaded engines, and those that probably have the prompt's prefix.
@@ -117,6 +124,7 @@
     let mut names = self
       .fleet
       .pool(key)
+      .filter(|engine| engine.is_open(self.now_ms))
       .take(CANDIDATES)
       .map(|engine| engine.spec.name.clone())
       .collect::<Vec<_>>();
@@ -133,6 +141,9 @@
 
   fn read_by(&self, name: Name, work: &ModelWork) -> Option<Reading> {
     let engine = self.fleet.get(&name)?;
+    if !engine.is_open(self.now_ms) || engine.used_seats() >= engine.seats() {
+      return None;
+    }
     let cached = match self.tuning().placement {
       PlacementMode::PredictedTime => self.hints.expected_tokens(self.now_ms, &name, &work.prefix),
       PlacementMode::RoundRobin | PlacementMode::TwoChoices => 0,
@@ -146,7 +157,7 @@
     })
   }
 
-  fn best_decode(&mut self, work: &ModelWork) -> Result<Name, NoPlace> {
+  fn best_decode(&mut self, work: &ModelWork, tried: &[Name]) -> Result<Name, NoPlace> {
     let role = Some(Role::Decode);
     let hall = self
       .fleet
@@ -183,11 +194,13 @@
         .into_iter()
         .filter_map(|name| self.fleet.get(&name))
         .filter(|engine| has_seat(engine, mode, now_ms, boxes))
-        .min_by_key(|engine| engine.pool_key()),
+        .min_by_key(|engine| (tried.contains(&engine.spec.name), engine.pool_key())),
       None => self
         .fleet
         .pool(&key)
-        .find(|engine| has_seat(engine, mode, now_ms, boxes)),
+        .filter(|engine| has_seat(engine, mode, now_ms, boxes))
+        .take(CANDIDATES)
+        .min_by_key(|engine| tried.contains(&engine.spec.name)),
     };
     free
       .map(|engine| engine.spec.name.clone())
@@ -233,7 +246,7 @@
 }
 
 fn has_seat(endpoint: &Endpoint, mode: SeatMode, now_ms: u64, boxes: u32) -> bool {
-  if endpoint.refused_until_ms > now_ms {
+  if !endpoint.is_open(now_ms) {
     return false;
   }
   match mode {
--- a/src/decide/timers.rs
+++ b/src/decide/timers.rs
@@ -2,8 +2,8 @@
 
 use {
   super::{
-    Action, Candidate, EndpointKind, Heartbeat, Machine, NoteKind, PeerMessage, Role, RoleOrder,
-    Sign, TurnBounds, next_turn,
+    Action, Candidate, EndpointKind, Heartbeat, HoldOrder, Machine, NoteKind, PeerMessage, Role,
+    RoleOrder, Sign, TurnBounds, next_turn,
   },
   crate::{ids::Name, policy::PoolFacts},
   std::collections::{BTreeMap, BTreeSet},
@@ -202,7 +202,11 @@
         .held_since_ms
         .entry(engine.clone())
         .or_insert(now_ms);
-      self.scene.act(Action::ExtendHolds(engine, attempts));
+      self.scene.act(Action::ExtendHolds(HoldOrder {
+        attempts,
+        engine,
+        hold_ms: self.scene.tuning().hold_ms,
+      }));
     }
   }
 
--- a/src/egress/desk.rs
+++ b/src/egress/desk.rs
@@ -11,8 +11,8 @@
   crate::{
     chunk::{Body, Chunk, Payload, Usage},
     decide::{
-      Action, Began, DecodeOrder, Event, ImportOrder, LoadReport, PrefillOrder, RoleOrder,
-      ServiceOrder, StageOutcome, StageReport,
+      Action, Began, DecodeOrder, Event, HoldOrder, ImportOrder, LoadReport, PrefillOrder,
+      RoleOrder, ServiceOrder, StageOutcome, StageReport,
     },
     endpoint_api::{DecodeRequest, HoldsRequest, ImportRequest, PrefillRequest},
     http_client::HttpClient,
@@ -90,7 +90,6 @@
   observer: Observer,
   started: Instant,
   to_decide: Sender<Event>,
-  hold_ms: u64,
 }
 
 struct Desk {
@@ -116,7 +115,6 @@
     .collect();
   let office = Office {
     clients,
-    hold_ms: crate::decide::Tuning::default().hold_ms,
     limits: setup.limits,
     observer: setup.observer,
     started: setup.started,
@@ -188,7 +186,7 @@
       Action::Call(order) => self.call(order),
       Action::Cancel(attempt, endpoint) => self.cancel(attempt, endpoint),
       Action::GiveUp(attempt, endpoint) => self.give_up(attempt, endpoint),
-      Action::ExtendHolds(endpoint, attempts) => self.extend_holds(endpoint, attempts),
+      Action::ExtendHolds(order) => self.extend_holds(order),
       Action::PollLoad(endpoint) => self.poll_load(endpoint),
       Action::ListAttempts(endpoint) => self.list_attempts(endpoint),
       Action::OrderRole(order) => self.change_role(order),
@@ -247,12 +245,12 @@
       attempt,
       engine,
       priority,
+      hold_ms,
       deadline_ms,
     } = order;
     let Some((errand, client)) = self.prepare(&attempt, &engine) else {
       return;
     };
-    let office = self.office.clone();
     self.spawn(attempt.clone(), engine, async move {
       let Body::Completion {
         model,
@@ -266,7 +264,7 @@
         answered: errand.joiner().text().into(),
         attempt,
         deadline_ms,
-        hold_ms: office.hold_ms,
+        hold_ms,
         max_tokens: *max_tokens,
         model: model.clone(),
         priority,
@@ -295,6 +293,7 @@
       attempt,
       source,
       engine,
+      hold_ms,
       link_wait_ms,
       ..
     } = order;
@@ -309,7 +308,7 @@
       sleep(Duration::from_millis(link_wait_ms)).await;
       let request = ImportRequest {
         attempt,
-        hold_ms: office.hold_ms,
+        hold_ms,
         source_url: source.url,
       };
       match client.import(&request, office.stall()).await {
@@ -441,16 +440,18 @@
     self.spawn(attempt, endpoint, async move { outcome });
   }
 
-  fn extend_holds(&mut self, endpoint: Name, attempts: Vec<AttemptId>) {
+  fn extend_holds(&mut self, order: HoldOrder) {
+    let HoldOrder {
+      engine: endpoint,
+      attempts,
+      hold_ms,
+    } = order;
     let Some(client) = self.office.client(&endpoint) else {
       return;
     };
     let office = self.office.clone();
     tokio::spawn(async move {
-      let request = HoldsRequest {
-        attempts,
-        hold_ms: office.hold_ms,
-      };
+      let request = HoldsRequest { attempts, hold_ms };
       let event = match client.extend_holds(&request).await {
         Some(_) => Event::HoldsExtended(endpoint),
         None => Event::HoldsMissed(endpoint),
--- /dev/null
+++ b/tests/answers.rs
@@ -0,0 +1,123 @@
+//! Each caller receives the whole answer to its own request, once.
+
+use {
+  crate::{Test, test::finish},
+  emulator::{Ask, EngineFaults, Told, answer_text},
+  rillford::decide::Role,
+  rstest::rstest,
+};
+
+const PROMPT: &str = "Which theorem was that? ";
+
+fn faults(change: impl FnOnce(&mut EngineFaults)) -> EngineFaults {
+  let mut faults = EngineFaults::default();
+  change(&mut faults);
+  faults
+}
+
+#[rstest]
+#[case::doubled_chunks(faults(|faults| faults.double_chunks = true))]
+#[case::reordered_chunks(faults(|faults| faults.swap_chunks = true))]
+#[case::chunks_of_another_attempt(faults(|faults| faults.foreign_chunks = true))]
+#[tokio::test]
+async fn disordered_chunks_still_make_the_whole_answer(#[case] faults: EngineFaults) {
+  let test = Test::new().start().await;
+  test.set_faults(Role::Decode, faults);
+  let told = test.complete("north-1", &Ask::new(PROMPT, 41)).await;
+  assert_eq!(told, Told::Answered(answer_text(PROMPT, 41)));
+  test.wait_nothing_held().await;
+}
+
+#[rstest]
+#[case::cut_in_the_middle(faults(|faults| faults.cut_decode_after = Some(7)))]
+#[case::stall_in_the_middle(faults(|faults| faults.stall_decode_after = Some(7)))]
+#[case::cut_before_the_first(faults(|faults| faults.cut_decode_after = Some(0)))]
+#[case::wrong_offset(faults(|faults| faults.shift_offset = 5))]
+#[case::malformed_line(faults(|faults| faults.malformed_line = true))]
+#[case::endless_line(faults(|faults| faults.endless_line = true))]
+#[case::stalled_transfer(faults(|faults| faults.stall_transfer = true))]
+#[case::refused_as_full(faults(|faults| faults.full = true))]
+#[case::failing_before(faults(|faults| faults.fail_before = true))]
+#[tokio::test]
+async fn broken_decode_engine_is_left_for_another_and_the_answer_is_whole(
+  #[case] faults: EngineFaults,
+) {
+  let test = Test::new().start().await;
+  test.engine("north-decode-1").set_faults(faults);
+  // Several, so that the broken engine gets some of them.
+  for index in 0..4 {
+    let prompt = format!("{PROMPT}{index}");
+    let told = test.complete("north-1", &Ask::new(&prompt, 23)).await;
+    assert_eq!(told, Told::Answered(answer_text(&prompt, 23)), "{index}");
+  }
+  test.wait_nothing_held().await;
+}
+
+#[tokio::test]
+async fn dead_decode_engine_hands_its_answers_on_at_the_exact_offset() {
+  let mut test = Test::new().slow_answers().start().await;
+  let stream = test.open("north-1", &Ask::new(PROMPT, 120)).await;
+  let dead = ["north-decode-1", "north-decode-2"]
+    .into_iter()
+    .find(|name| !test.engine(name).held().is_empty())
+    .unwrap();
+  test.deployment.hosts.get_mut(dead).unwrap().kill();
+  assert_eq!(
+    finish(stream).await,
+    Told::Answered(answer_text(PROMPT, 120))
+  );
+}
+
+#[tokio::test]
+async fn answer_that_no_engine_can_finish_never_ends_as_if_whole() {
+  let test = Test::new().start().await;
+  test.set_faults(
+    Role::Decode,
+    faults(|faults| faults.cut_decode_after = Some(7)),
+  );
+  let told = test.complete("north-1", &Ask::new(PROMPT, 23)).await;
+  let Told::Unknown { code, .. } = told else {
+    panic!("{told:?}");
+  };
+  assert_eq!(code, "answer_broken");
+  test.wait_nothing_held().await;
+}
+
+#[tokio::test]
+async fn many_callers_at_once_each_get_their_own_answer() {
+  let test = Test::new().start().await;
+  let asks = (0..60).map(|index| {
+    let caller = test.caller.clone();
+    let url = test.url(if index % 2 == 0 { "north-1" } else { "north-2" });
+    tokio::spawn(async move {
+      let prompt = format!("Question {index}. ");
+      let ask = Ask::new(&prompt, 10).header("x-rillford-deadline-ms", "60000");
+      (prompt, caller.complete(&url, &ask).await)
+    })
+  });
+  for asked in asks.collect::<Vec<_>>() {
+    let (prompt, told) = asked.await.unwrap();
+    assert_eq!(told, Told::Answered(answer_text(&prompt, 10)));
+  }
+  test.wait_nothing_held().await;
+}
+
+#[tokio::test]
+async fn cut_answer_of_a_plain_service_breaks_the_callers_connection() {
+  let test = Test::new().start().await;
+  test.portal().set_faults(emulator::ServiceFaults {
+    cut_answer: true,
+    ..emulator::ServiceFaults::default()
+  });
+  let told = test
+    .caller
+    .call(
+      &test.url("north-1"),
+      http::Method::GET,
+      "portal/clip",
+      &[],
+      "",
+    )
+    .await;
+  assert!(matches!(told, Told::Lost(_)), "{told:?}");
+}
