Measure the decisions in virtual time, and mend what that showed

A bench of the real decide: boxes, fakes of engines, links and lagging reports, two sites, faults, plots (emulator decisions).

Cause found: a home kept its link as one time up to which it is taken, in the order of asks. A long prompt whose transfer lay seconds ahead held up short ones due now, beyond the 0.8 s that a prefill result is kept. Ruled out: overfilled seats (lagging load, without the link's windows, had no such loss at low load). Windows are now kept by time.

Requests whose work began are no longer told 'unknown' just because their first-token deadline passes while a retry waits, and an endpoint is shunned for longer each time in a row that an order fails there.

--- /dev/null
+++ b/emulator/src/decisions/experiments.rs
@@ -0,0 +1,186 @@
+//! The tables of the decision bench.
+
+use {
+  super::{
+    figures::{Figures, TABLE_HEAD, row},
+    plots,
+    variant::{Fault, Variant},
+    workload::{Day, Site},
+    world::simulate,
+  },
+  std::{fmt::Write, io, path::Path, thread},
+};
+
+/// What to print.
+#[derive(Clone, Debug)]
+pub struct Report {
+  /// Seeds, from 1.
+  pub seeds: u64,
+  /// Where plots go, if anywhere.
+  pub plots: Option<std::path::PathBuf>,
+  /// Only tables whose title contains this.
+  pub only: Option<String>,
+}
+
+impl Report {
+  fn wants(&self, site: Site, title: &str) -> bool {
+    let whole = format!("{site:?}: {title}");
+    self.only.as_ref().is_none_or(|only| whole.contains(only))
+  }
+}
+
+/// The certainty that each site's example ships with.
+pub(super) fn shipped_certainty(site: Site) -> f64 {
+  match site {
+    Site::Oslo => 0.7,
+    Site::Sariwa => 0.3,
+  }
+}
+
+/// Runs a variant over all seeds, a thread a seed.
+pub(super) fn runs(site: Site, day: Day, variant: &Variant, seeds: u64) -> Vec<Figures> {
+  thread::scope(|scope| {
+    let started = (1..=seeds)
+      .map(|seed| scope.spawn(move || simulate(site, day, variant, seed)))
+      .collect::<Vec<_>>();
+    started
+      .into_iter()
+      .filter_map(|run| run.join().ok())
+      .collect()
+  })
+}
+
+/// The best of all ways under perfect knowledge, seed by seed.
+pub(super) fn upper_bound(site: Site, day: Day, load: f64, seeds: u64) -> Vec<Figures> {
+  let mut best = Vec::<Figures>::new();
+  for variant in Variant::perfect() {
+    let runs = runs(site, day, &variant.at(load), seeds);
+    if best.is_empty() {
+      best = runs;
+      continue;
+    }
+    for (best, run) in best.iter_mut().zip(runs) {
+      if run.good > best.good {
+        *best = run;
+      }
+    }
+  }
+  best
+}
+
+/// Rows of one table, all variants at once: the machine's cores bound what runs side by side.
+fn table(title: &str, site: Site, bounds: &[f64], variants: &[Variant], seeds: u64) -> String {
+  let mut text = format!("\n### {site:?}: {title}\n\n{TABLE_HEAD}");
+  let rows = thread::scope(|scope| {
+    let bounds = bounds.iter().map(|load| {
+      scope.spawn(move || {
+        let runs = upper_bound(site, Day::Peak, *load, seeds);
+        row(&format!("upper bound at {load}"), &runs)
+      })
+    });
+    let bounds = bounds.collect::<Vec<_>>();
+    let variants = variants.iter().map(|variant| {
+      scope.spawn(move || row(variant.name, &runs(site, Day::Peak, variant, seeds)))
+    });
+    let started = bounds.into_iter().chain(variants.collect::<Vec<_>>());
+    started
+      .filter_map(|row| row.join().ok())
+      .collect::<Vec<_>>()
+  });
+  text.extend(rows);
+  text
+}
+
+fn named(name: &'static str, variant: Variant) -> Variant {
+  Variant { name, ..variant }
+}
+
+/// The ways of deciding, side by side.
+fn ways(site: Site) -> Vec<Variant> {
+  let certainty = shipped_certainty(site);
+  let shipped = || Variant::shipped("shipped", certainty);
+  vec![
+    shipped(),
+    Variant::round_robin(),
+    Variant::two_choices(),
+    Variant::lagging_load(certainty),
+    Variant::fixed_shares(certainty),
+    named(
+      "no reservation",
+      shipped().tuned(|tuning| tuning.reserve_before_prefill = false),
+    ),
+    named(
+      "no early refusal",
+      shipped().tuned(|tuning| tuning.early_refusal = false),
+    ),
+    Variant {
+      cache_events: false,
+      ..named("no cache events", shipped())
+    },
+  ]
+}
+
+fn loads(site: Site) -> Vec<Variant> {
+  let shipped = |name, load| Variant::shipped(name, shipped_certainty(site)).at(load);
+  vec![
+    shipped("0.5 of the peak", 0.5),
+    shipped("0.8 of the peak", 0.8),
+    shipped("1.0 of the peak", 1.0),
+    shipped("1.25 of the peak", 1.25),
+    shipped("1.5 of the peak", 1.5),
+    shipped("2.0 of the peak", 2.0),
+  ]
+}
+
+fn faults(site: Site) -> Vec<Variant> {
+  let with = |name, fault| Variant::shipped(name, shipped_certainty(site)).with(fault);
+  vec![
+    with("no fault", Fault::None),
+    with("a tenth of the engines stall", Fault::EnginesStall),
+    with("a decode engine dies", Fault::EngineDies),
+    with("a box dies", Fault::BoxDies),
+    with("reports 3 s late", Fault::LateReports),
+    with("a hall is cut off", Fault::HallCut),
+    with("key-value service away", Fault::PlatformAway),
+    with("half of the callers leave", Fault::CallersLeave),
+    with("retry storm", Fault::RetryStorm),
+  ]
+}
+
+/// Prints the tables, and draws the plots where asked to.
+pub fn run_report(report: &Report) -> io::Result<()> {
+  let mut text = String::new();
+  for site in [Site::Oslo, Site::Sariwa] {
+    let tables = [
+      ("ways of deciding, at the peak", vec![1.0], ways(site)),
+      ("over the load", vec![1.0, 1.5], loads(site)),
+      ("under faults, at the peak", vec![], faults(site)),
+    ];
+    for (title, bounds, variants) in tables {
+      if !report.wants(site, title) {
+        continue;
+      }
+      text.push_str(&table(title, site, &bounds, &variants, report.seeds));
+    }
+    if !report.wants(site, "the knob") {
+      continue;
+    }
+    let curve = plots::certainty_curve(site, report.seeds);
+    let _ = write!(
+      text,
+      "\n### {site:?}: the knob\n\n{}",
+      plots::curve_table(&curve)
+    );
+    if let Some(folder) = &report.plots {
+      draw(folder, site, &curve, report.seeds)?;
+    }
+  }
+  println!("{text}");
+  Ok(())
+}
+
+fn draw(folder: &Path, site: Site, curve: &[plots::CurvePoint], seeds: u64) -> io::Result<()> {
+  let word = format!("{site:?}").to_lowercase();
+  plots::draw_curve(&folder.join(format!("knob-{word}.svg")), site, curve)?;
+  plots::draw_load(&folder.join(format!("load-{word}.svg")), site, seeds)
+}
--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod box_list;
 mod caller;
+pub mod decisions;
 mod demo;
 mod deployment;
 mod engine;
--- a/emulator/src/subcommand.rs
+++ b/emulator/src/subcommand.rs
@@ -2,7 +2,9 @@
 
 use {
   crate::{
-    BoxListStandIn, EngineOptions, EngineStandIn, Host, KeyValueStandIn, ServiceStandIn, demo,
+    BoxListStandIn, EngineOptions, EngineStandIn, Host, KeyValueStandIn, ServiceStandIn,
+    decisions::{Report, run_report},
+    demo,
   },
   bpaf::Bpaf,
   rillford::decide::Role,
@@ -50,6 +52,19 @@
     #[bpaf(long, argument("ADDRESS"))]
     listen: SocketAddr,
   },
+  /// Compare ways of deciding in virtual time and print the tables
+  #[bpaf(command)]
+  Decisions {
+    /// Seeds per variant
+    #[bpaf(long, argument("N"), fallback(5))]
+    seeds: u64,
+    /// Folder for plots
+    #[bpaf(long, argument("FOLDER"))]
+    plots: Option<PathBuf>,
+    /// Only tables whose title contains this, such as `Oslo: ways`
+    #[bpaf(long, argument("TEXT"))]
+    only: Option<String>,
+  },
   /// Bring up stand-ins and three boxes over two halls, use them, kill a box, show the time line
   #[bpaf(command)]
   Demo {
@@ -104,6 +119,7 @@
         forever(Host::start_at(listen, EngineStandIn::new(options).router()))
       }
       Self::Service { listen } => forever(Host::start_at(listen, ServiceStandIn::new(32).router())),
+      Self::Decisions { seeds, plots, only } => run_report(&Report { only, plots, seeds }),
       Self::Demo { program } => demo::run(program),
     }
   }
--- a/src/decide/endpoint.rs
+++ b/src/decide/endpoint.rs
@@ -8,6 +8,9 @@
   std::collections::VecDeque,
 };
 
+const FIRST_SHUN_MS: u64 = 1_000;
+const MOST_SHUN_DOUBLINGS: u32 = 4;
+
 /// What an endpoint is.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -159,6 +162,8 @@
   pub refused_until_ms: u64,
   /// An order failed here: it gets no work until then.
   pub shunned_until_ms: u64,
+  /// Orders that failed here since one came to something.
+  pub failures_in_a_row: u32,
   /// Own attempts that hold a seat here.
   pub own_seats: u32,
   life: InitializedStateMachine<EndpointLife>,
@@ -184,6 +189,7 @@
       used_seats: 0,
     };
     Self {
+      failures_in_a_row: 0,
       heard_ms: 0,
       incarnation: 0,
       life: EndpointLife::default().uninitialized_state_machine().init(),
@@ -199,6 +205,19 @@
     }
   }
 
+  /// An order failed here: it is shunned, each time for longer.
+  pub(crate) fn failed(&mut self, now_ms: u64) {
+    let doublings = self.failures_in_a_row.min(MOST_SHUN_DOUBLINGS);
+    self.shunned_until_ms = now_ms + (FIRST_SHUN_MS << doublings);
+    self.failures_in_a_row += 1;
+  }
+
+  /// An order came to something here.
+  pub(crate) fn succeeded(&mut self) {
+    self.failures_in_a_row = 0;
+    self.shunned_until_ms = 0;
+  }
+
   /// Moves the endpoint through its life; true when its state changed.
   pub(crate) fn sign(&mut self, sign: &Sign) -> bool {
     let before = self.life.state().clone();
--- a/src/decide/life.rs
+++ b/src/decide/life.rs
@@ -2,9 +2,9 @@
 
 use {
   super::{
-    Action, Arrival, Began, ClaimOutcome, DecodeOrder, Doubt, Ending, ImportOrder, NoPlace,
-    NoteKind, PeerMessage, Placement, PrefillOrder, Rank, Refusal, Scene, SeatAsk, SeatDecision,
-    SeatMode, ServiceOrder, StageOutcome, Waiting, Work,
+    Action, Arrival, Began, ClaimOutcome, DecodeOrder, Doubt, Ending, Endpoint, ImportOrder,
+    NoPlace, NoteKind, PeerMessage, Placement, PrefillOrder, Rank, Refusal, Scene, SeatAsk,
+    SeatDecision, SeatMode, ServiceOrder, StageOutcome, Waiting, Work,
   },
   crate::ids::{AttemptId, Name},
   statig::prelude::*,
@@ -13,9 +13,6 @@
 /// Time that a full engine is left alone, unless its home says sooner that a seat is free.
 const FULL_PAUSE_MS: u64 = 100;
 
-/// Time that an endpoint is left alone after an order failed there.
-const FAILED_PAUSE_MS: u64 = 1_000;
-
 /// What moves a request on.
 #[derive(Clone, Debug)]
 pub enum Step {
@@ -144,6 +141,13 @@
     }
   }
 
+  /// Whether it has waited for longer than makes sense. Work that began was accepted for good: late is
+  /// better for it than "unknown", up to a bound.
+  pub(crate) fn is_overdue(&self, now_ms: u64) -> bool {
+    let grace_ms = if self.began { BEGUN_GRACE_MS } else { 0 };
+    now_ms >= self.deadline_ms + grace_ms
+  }
+
   fn attempt_id(&self, scene: &Scene) -> AttemptId {
     AttemptId {
       attempt: self.attempt,
@@ -293,10 +297,11 @@
     match event {
       Step::Stage {
         attempt,
+        endpoint,
         outcome: StageOutcome::FirstChunk,
-        ..
       } if self.is_current(attempt) => {
         self.streaming = true;
+        context.fleet.change(endpoint, Endpoint::succeeded);
         context.note(NoteKind::FirstChunk, attempt, "");
         Handled
       }
@@ -378,6 +383,7 @@
   }
 }
 
+const BEGUN_GRACE_MS: u64 = 20_000;
 const CLAIM_RETRY_MS: u64 = 2_000;
 const BUSY_RETRY_MS: u64 = 1_000;
 
@@ -394,7 +400,7 @@
       }
     };
     let late = placement.first_token_in_ms > self.left_ms(context);
-    if late && !self.streaming && context.tuning().early_refusal {
+    if late && !self.began && context.tuning().early_refusal {
       self.placed = Placed::Moved;
       let retry_after_ms = placement.ready_in_ms;
       return self.give_up(context, Refusal::TooLate, retry_after_ms);
@@ -521,6 +527,7 @@
     cached_tokens: u64,
   ) -> Outcome<State> {
     self.began = true;
+    context.fleet.change(endpoint, Endpoint::succeeded);
     self.read_tokens = prompt_tokens.saturating_sub(cached_tokens);
     let attempt = self.attempt_id(context);
     if let Work::Model(work) = &mut self.arrival.work {
@@ -633,10 +640,10 @@
     self.leave_attempt(context);
     self.tried.push(endpoint.clone());
     self.failures += 1;
-    let until_ms = context.now_ms + FAILED_PAUSE_MS;
+    let now_ms = context.now_ms;
     context
       .fleet
-      .change(endpoint, |endpoint| endpoint.shunned_until_ms = until_ms);
+      .change(endpoint, |endpoint| endpoint.failed(now_ms));
     let doubt = if self.streaming {
       Doubt::AnswerBroken
     } else {
--- a/src/decide/machine.rs
+++ b/src/decide/machine.rs
@@ -633,7 +633,7 @@
         self
           .requests
           .get(request)
-          .is_some_and(|machine| machine.inner().deadline_ms <= now_ms)
+          .is_some_and(|machine| machine.inner().is_overdue(now_ms))
       })
       .collect::<Vec<_>>();
     for request in late {
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -14,6 +14,7 @@
 mod fleet;
 mod lane;
 pub mod life;
+mod link_windows;
 mod machine;
 mod membership;
 mod note;
@@ -47,6 +48,7 @@
   fleet::{Fleet, PoolKey},
   lane::Lane,
   life::{Life, Placed, Step},
+  link_windows::LinkWindows,
   machine::{Machine, Setup},
   membership::{FULL_MESH_BOXES, Membership, Peer, ranked},
   note::{Note, NoteKind},
--- a/src/decide/seat_book.rs
+++ b/src/decide/seat_book.rs
@@ -1,7 +1,7 @@
 //! What a home box has granted on one decode engine: seats, and windows of its link.
 
 use {
-  super::SeatAsk,
+  super::{LinkWindows, SeatAsk},
   crate::ids::{AttemptId, Name},
   std::collections::{BTreeMap, VecDeque},
 };
@@ -45,7 +45,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct SeatBook {
   grants: BTreeMap<AttemptId, Grant>,
-  link_free_at_ms: u64,
+  windows: LinkWindows,
   refused: VecDeque<Name>,
 }
 
@@ -64,7 +64,8 @@
       self.remember_refused(&ask.attempt.box_name);
       return SeatDecision::Full;
     }
-    let link_wait_ms = self.take_link(now_ms, ready_at_ms, ask.kv_bytes, view.link_bytes_per_s);
+    let take_ms = ask.kv_bytes * 1_000 / view.link_bytes_per_s.max(1);
+    let link_wait_ms = self.windows.take(now_ms, ready_at_ms, take_ms) - ready_at_ms;
     let ends_at_ms = ready_at_ms + link_wait_ms + ask.hold_ms;
     self.grants.insert(
       ask.attempt.clone(),
@@ -118,12 +119,6 @@
     u32::try_from(ending).unwrap_or(u32::MAX)
   }
 
-  fn take_link(&mut self, now_ms: u64, ready_at_ms: u64, bytes: u64, bytes_per_s: u64) -> u64 {
-    let begin_ms = self.link_free_at_ms.max(ready_at_ms).max(now_ms);
-    self.link_free_at_ms = begin_ms + bytes * 1_000 / bytes_per_s.max(1);
-    begin_ms - ready_at_ms
-  }
-
   fn remember_refused(&mut self, box_name: &Name) {
     if !self.refused.contains(box_name) {
       self.refused.push_back(box_name.clone());
