--- a/emulator/src/decisions/experiments.rs
+++ b/emulator/src/decisions/experiments.rs
@@ -29,14 +29,6 @@
   }
 }
 
-/// The certainty that each site's example ships with.
-pub(super) fn shipped_certainty(site: Site) -> f64 {
-  match site {
-    Site::Oslo => 0.7,
-    Site::Sariwa => 0.3,
-  }
-}
-
 /// Runs a variant over all seeds, a thread a seed.
 pub(super) fn runs(site: Site, day: Day, variant: &Variant, seeds: u64) -> Vec<Figures> {
   thread::scope(|scope| {
@@ -53,7 +45,7 @@
 /// The best of all ways under perfect knowledge, seed by seed.
 pub(super) fn upper_bound(site: Site, day: Day, load: f64, seeds: u64) -> Vec<Figures> {
   let mut best = Vec::<Figures>::new();
-  for variant in Variant::perfect() {
+  for variant in Variant::perfect(site) {
     let runs = runs(site, day, &variant.at(load), seeds);
     if best.is_empty() {
       best = runs;
@@ -97,14 +89,13 @@
 
 /// The ways of deciding, side by side.
 fn ways(site: Site) -> Vec<Variant> {
-  let certainty = shipped_certainty(site);
-  let shipped = || Variant::shipped("shipped", certainty);
+  let shipped = || Variant::shipped("shipped", site);
   vec![
     shipped(),
-    Variant::round_robin(),
-    Variant::two_choices(),
-    Variant::lagging_load(certainty),
-    Variant::fixed_shares(certainty),
+    Variant::round_robin(site),
+    Variant::two_choices(site),
+    Variant::lagging_load(site),
+    Variant::fixed_shares(site),
     named(
       "no reservation",
       shipped().tuned(|tuning| tuning.reserve_before_prefill = false),
@@ -121,7 +112,7 @@
 }
 
 fn loads(site: Site) -> Vec<Variant> {
-  let shipped = |name, load| Variant::shipped(name, shipped_certainty(site)).at(load);
+  let shipped = |name, load| Variant::shipped(name, site).at(load);
   vec![
     shipped("0.5 of the peak", 0.5),
     shipped("0.8 of the peak", 0.8),
@@ -133,7 +124,7 @@
 }
 
 fn faults(site: Site) -> Vec<Variant> {
-  let with = |name, fault| Variant::shipped(name, shipped_certainty(site)).with(fault);
+  let with = |name, fault| Variant::shipped(name, site).with(fault);
   vec![
     with("no fault", Fault::None),
     with("a tenth of the engines stall", Fault::EnginesStall),
--- a/emulator/src/decisions/plots.rs
+++ b/emulator/src/decisions/plots.rs
@@ -2,7 +2,7 @@
 
 use {
   super::{
-    experiments::{runs, shipped_certainty, upper_bound},
+    experiments::{runs, upper_bound},
     figures::{Figures, spread},
     variant::Variant,
     workload::{Day, Site},
@@ -26,7 +26,9 @@
   (0..=5)
     .map(|step| {
       let certainty = f64::from(step) / 5.0;
-      let variant = Variant::shipped("knob", certainty).at(1.25);
+      let variant = Variant::shipped("knob", site)
+        .tuned(|tuning| tuning.seat_certainty = certainty)
+        .at(1.25);
       let runs = runs(site, Day::Peak, &variant, seeds);
       CurvePoint {
         certainty,
@@ -107,8 +109,8 @@
 /// Draws goodput over the load, beside the upper bound and two choices.
 pub(super) fn draw_load(path: &Path, site: Site, seeds: u64) -> io::Result<()> {
   let loads = [0.5, 0.75, 1.0, 1.25, 1.5, 2.0];
-  let shipped = Variant::shipped("shipped", shipped_certainty(site));
-  let two_choices = Variant::two_choices();
+  let shipped = Variant::shipped("shipped", site);
+  let two_choices = Variant::two_choices(site);
   let line = |runs_at: &dyn Fn(f64) -> Vec<Figures>| {
     loads
       .map(|load| (load, spread(&runs_at(load), Figures::goodput_per_s).mean))
--- a/emulator/src/decisions/variant.rs
+++ b/emulator/src/decisions/variant.rs
@@ -1,6 +1,24 @@
 //! What is compared in the decision bench.
 
-use rillford::decide::{PlacementMode, SeatMode, Tuning};
+use {
+  super::workload::Site,
+  rillford::{
+    configuration::PlatformDocument,
+    decide::{PlacementMode, SeatMode, Tuning},
+  },
+};
+
+const OSLO: &str = include_str!("../../../examples/oslo/platform.json");
+const SARIWA: &str = include_str!("../../../examples/sariwa/platform.json");
+
+fn example(site: Site) -> Tuning {
+  let text = match site {
+    Site::Oslo => OSLO,
+    Site::Sariwa => SARIWA,
+  };
+  let document = serde_json::from_str::<PlatformDocument>(text);
+  document.expect("the example is a platform document").tuning
+}
 
 /// How well boxes know the engines.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -52,18 +70,15 @@
 }
 
 impl Variant {
-  /// The design as it ships.
-  pub fn shipped(name: &'static str, certainty: f64) -> Self {
+  /// The design as the site's example ships it.
+  pub fn shipped(name: &'static str, site: Site) -> Self {
     Self {
       cache_events: true,
       fault: Fault::None,
       knowledge: Knowledge::Real,
       load: 1.0,
       name,
-      tuning: Tuning {
-        seat_certainty: certainty,
-        ..Tuning::default()
-      },
+      tuning: example(site),
     }
   }
 
@@ -86,23 +101,23 @@
   }
 
   /// Perfect knowledge, no lag: the best of several ways counts, run by run.
-  pub fn perfect() -> Vec<Self> {
+  pub fn perfect(site: Site) -> Vec<Self> {
     let perfect = |variant: Self| Self {
       knowledge: Knowledge::Perfect,
       name: "upper bound",
       ..variant
     };
     vec![
-      perfect(Self::lagging_load(1.0)),
-      perfect(Self::shipped("", 1.0)),
-      perfect(Self::shipped("", 0.5)),
-      perfect(Self::shipped("", 0.0)),
+      perfect(Self::lagging_load(site)),
+      perfect(Self::shipped("", site).tuned(|tuning| tuning.full_pause_ms = 10)),
+      perfect(Self::shipped("", site).tuned(|tuning| tuning.seat_certainty = 0.5)),
+      perfect(Self::shipped("", site)),
     ]
   }
 
   /// Round robin over engines, no reservation.
-  pub fn round_robin() -> Self {
-    Self::shipped("round robin", 0.5).tuned(|tuning| {
+  pub fn round_robin(site: Site) -> Self {
+    Self::shipped("round robin", site).tuned(|tuning| {
       tuning.placement = PlacementMode::RoundRobin;
       tuning.seat_mode = SeatMode::LaggingLoad;
       tuning.reserve_before_prefill = false;
@@ -111,8 +126,8 @@
   }
 
   /// The less loaded of two, by lagging load, no reservation.
-  pub fn two_choices() -> Self {
-    Self::shipped("two choices", 0.5).tuned(|tuning| {
+  pub fn two_choices(site: Site) -> Self {
+    Self::shipped("two choices", site).tuned(|tuning| {
       tuning.placement = PlacementMode::TwoChoices;
       tuning.seat_mode = SeatMode::LaggingLoad;
       tuning.reserve_before_prefill = false;
@@ -121,14 +136,12 @@
   }
 
   /// The shipped placement, with seats by lagging load.
-  pub fn lagging_load(certainty: f64) -> Self {
-    Self::shipped("lagging load", certainty)
-      .tuned(|tuning| tuning.seat_mode = SeatMode::LaggingLoad)
+  pub fn lagging_load(site: Site) -> Self {
+    Self::shipped("lagging load", site).tuned(|tuning| tuning.seat_mode = SeatMode::LaggingLoad)
   }
 
   /// The shipped placement, with a fixed share of seats for each box.
-  pub fn fixed_shares(certainty: f64) -> Self {
-    Self::shipped("fixed shares", certainty)
-      .tuned(|tuning| tuning.seat_mode = SeatMode::FixedShares)
+  pub fn fixed_shares(site: Site) -> Self {
+    Self::shipped("fixed shares", site).tuned(|tuning| tuning.seat_mode = SeatMode::FixedShares)
   }
 }
--- a/src/decide/life.rs
+++ b/src/decide/life.rs
@@ -10,9 +10,6 @@
   statig::prelude::*,
 };
 
-/// Time that a full engine is left alone, unless its home says sooner that a seat is free.
-const FULL_PAUSE_MS: u64 = 100;
-
 /// What moves a request on.
 #[derive(Clone, Debug)]
 pub enum Step {
@@ -77,6 +74,7 @@
   attempt: u32,
   failures: u32,
   placement: Option<Placement>,
+  prefilled_ms: u64,
   seat: Option<Name>,
   asked_ms: u64,
   link_wait_ms: u64,
@@ -106,6 +104,7 @@
       offset: 0,
       placed: Placed::Waits(NoPlace::NoSeat),
       placement: None,
+      prefilled_ms: 0,
       read_tokens: 0,
       requeue: false,
       seat: None,
@@ -286,7 +285,7 @@
         attempt,
         outcome: StageOutcome::Full,
         ..
-      } if self.is_current(attempt) => self.other_decode(context),
+      } if self.is_current(attempt) => self.decode_full(context),
       _ => Super,
     }
   }
@@ -383,6 +382,8 @@
   }
 }
 
+/// Time after which a full decode engine is tried again while the export lasts.
+const FULL_AGAIN_MS: u64 = 60;
 const BEGUN_GRACE_MS: u64 = 20_000;
 const CLAIM_RETRY_MS: u64 = 2_000;
 const BUSY_RETRY_MS: u64 = 1_000;
@@ -468,7 +469,7 @@
 
   fn seat_refused(&mut self, context: &mut Scene) -> Outcome<State> {
     if let Some(engine) = self.placement.as_ref().map(|place| place.decode.clone()) {
-      let until_ms = context.now_ms + FULL_PAUSE_MS;
+      let until_ms = context.now_ms + context.tuning().full_pause_ms;
       context
         .fleet
         .change(&engine, |engine| engine.refused_until_ms = until_ms);
@@ -529,6 +530,7 @@
     self.began = true;
     context.fleet.change(endpoint, Endpoint::succeeded);
     self.read_tokens = prompt_tokens.saturating_sub(cached_tokens);
+    self.prefilled_ms = context.now_ms;
     let attempt = self.attempt_id(context);
     if let Work::Model(work) = &mut self.arrival.work {
       let found = usize::try_from(cached_tokens / super::BLOCK_TOKENS).unwrap_or(usize::MAX);
@@ -560,37 +562,43 @@
     Transition(State::transferring())
   }
 
-  /// The decode engine was full at the end: another in the hall, while the export lasts.
-  fn other_decode(&mut self, context: &mut Scene) -> Outcome<State> {
+  /// The decode engine was full at the end: another in the hall, or the same a little later, while
+  /// the export lasts.
+  fn decode_full(&mut self, context: &mut Scene) -> Outcome<State> {
     let attempt = self.attempt_id(context);
     let Some(full) = self.placement.as_ref().map(|place| place.decode.clone()) else {
       return Handled;
     };
     context.close(&attempt, &full);
-    self.release_seat(context);
-    let until_ms = context.now_ms + FULL_PAUSE_MS;
+    let until_ms = context.now_ms + FULL_AGAIN_MS;
     context
       .fleet
       .change(&full, |engine| engine.refused_until_ms = until_ms);
+    let lasts_until_ms = self.prefilled_ms + context.tuning().export_keep_ms;
+    if context.now_ms + FULL_AGAIN_MS >= lasts_until_ms {
+      return self.failed(context, &full, Began::Perhaps, true);
+    }
     let Work::Model(work) = &self.arrival.work else {
       return Handled;
     };
-    let Ok(other) = context.place(work, &self.tried) else {
-      return self.failed(context, &full, Began::Perhaps, true);
-    };
-    if other.decode == full {
-      return self.failed(context, &full, Began::Perhaps, true);
+    match context.free_decode(work, &full) {
+      Some(other) => self.move_seat(context, other),
+      None => self.link_wait_ms = FULL_AGAIN_MS,
     }
+    self.order_import(context)
+  }
+
+  fn move_seat(&mut self, context: &mut Scene, other: Name) {
+    self.release_seat(context);
     let now_ms = context.now_ms;
-    context.fleet.change(&other.decode, |engine| {
+    context.fleet.change(&other, |engine| {
       engine.own_seats += 1;
       engine.note_sent(now_ms, 1);
     });
-    self.seat = Some(other.decode.clone());
+    self.seat = Some(other.clone());
     if let Some(placement) = &mut self.placement {
-      placement.decode = other.decode;
+      placement.decode = other;
     }
-    self.order_import(context)
   }
 
   fn order_decode(&mut self, context: &mut Scene) -> Outcome<State> {
@@ -617,7 +625,7 @@
 
   /// Nothing began: the request waits for its turn again, and no retry is spent.
   fn refused_as_full(&mut self, context: &mut Scene, endpoint: &Name) -> Outcome<State> {
-    let until_ms = context.now_ms + FULL_PAUSE_MS;
+    let until_ms = context.now_ms + context.tuning().full_pause_ms;
     context
       .fleet
       .change(endpoint, |endpoint| endpoint.refused_until_ms = until_ms);
--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -59,6 +59,29 @@
     })
   }
 
+  /// A decode engine other than a full one that has a seat by its last report.
+  pub(crate) fn free_decode(&self, work: &ModelWork, full: &Name) -> Option<Name> {
+    let role = Some(Role::Decode);
+    let hall = self
+      .fleet
+      .serving_hall(&self.identity.hall, &work.model, role)?;
+    let key = PoolKey {
+      hall,
+      role,
+      subject: work.model.clone(),
+    };
+    self
+      .fleet
+      .pool(&key)
+      .take(CANDIDATES)
+      .find(|engine| {
+        engine.spec.name != *full
+          && engine.is_open(self.now_ms)
+          && engine.used_seats() < engine.seats()
+      })
+      .map(|engine| engine.spec.name.clone())
+  }
+
   /// Least time to a first token that any engine could give now, without regard to seats.
   pub(crate) fn least_first_token_ms(&mut self, work: &ModelWork) -> Option<u64> {
     let reading = match self.best_prefill(work, &[]) {
--- a/src/decide/tuning.rs
+++ b/src/decide/tuning.rs
@@ -70,12 +70,16 @@
   pub peer_silence_ms: u64,
   /// Time after which a seat ask counts as lost.
   pub ask_timeout_ms: u64,
+  /// Time for which a prefill result can be counted on; less than engines keep it.
+  pub export_keep_ms: u64,
   /// Time between tokens that is expected of decode engines.
   pub token_ms: u64,
   /// Difference between wanted and present share of roles that is left alone.
   pub role_dead_band: f64,
   /// Least time an engine keeps its role.
   pub role_least_stay_ms: u64,
+  /// Time that a full engine is not asked for a seat, unless its home says sooner that one is free.
+  pub full_pause_ms: u64,
   /// Jump of the own clock after which the box suspects itself.
   pub clock_jump_ms: u64,
 }
@@ -87,6 +91,8 @@
       clock_jump_ms: 1_500,
       early_refusal: true,
       endpoint_silence_ms: 2_500,
+      export_keep_ms: 650,
+      full_pause_ms: 400,
       heartbeat_ms: 250,
       hold_ms: 6_000,
       max_attempts: 3,
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -4,9 +4,12 @@
 mod at_most_once;
 mod configuration;
 mod leaving;
+mod machine;
 mod memory;
+
 mod path;
 mod roles;
+mod specification;
 mod test;
 
 pub(crate) use test::Test;
