Hold each interface to a table of faults; command line, events, examples

A role order now lives at most 0.5 s, and a lease shorter than 2.5 s is refused: its margin, a quarter, has to outlast an order on its way.

--- a/emulator/src/decisions/variant.rs
+++ b/emulator/src/decisions/variant.rs
@@ -109,6 +109,8 @@
     };
     vec![
       perfect(Self::lagging_load(site)),
+      perfect(Self::shipped("", site).tuned(|tuning| tuning.reserve_before_prefill = false)),
+      perfect(Self::two_choices(site)),
       perfect(Self::shipped("", site).tuned(|tuning| tuning.full_pause_ms = 10)),
       perfect(Self::shipped("", site).tuned(|tuning| tuning.seat_certainty = 0.5)),
       perfect(Self::shipped("", site)),
--- a/src/egress/endpoint_client.rs
+++ b/src/egress/endpoint_client.rs
@@ -17,6 +17,8 @@
   std::time::Duration,
 };
 
+/// Longest life of a role order; shorter than the margin of the shortest lease.
+const ROLE_ORDER_LIFE: Duration = Duration::from_millis(500);
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Why an order failed.
@@ -126,10 +128,12 @@
 
   pub(super) async fn change_role(&self, role: Role, fence: u64) -> bool {
     let request = RoleRequest { fence, role };
+    let uri = self.uri("/v1/role");
     self
-      .control::<_, serde_json::Value>("/v1/role", &request)
+      .http
+      .post::<_, serde_json::Value>(&uri, &request, ROLE_ORDER_LIFE)
       .await
-      .is_some()
+      .is_ok()
   }
 
   pub(super) async fn load(&self) -> Option<LoadReply> {
--- a/src/settings/document.rs
+++ b/src/settings/document.rs
@@ -32,6 +32,8 @@
 ];
 
 const HASH_HEX_DIGITS: usize = 64;
+/// A quarter of a lease is its margin, which has to outlast an order on its way.
+const LEAST_LEASE_MS: u64 = 2_500;
 const LEVELS: [&str; 5] = ["error", "warn", "info", "debug", "trace"];
 
 struct Reader<'a> {
@@ -184,6 +186,25 @@
         self.refuse(&place, format!("platform.{key}"), message);
       }
     }
+    if value.lease_ms < LEAST_LEASE_MS {
+      let place = self.place_of(span, "lease_ms");
+      let message = format!("must be at least {LEAST_LEASE_MS}: the margin must outlast an order");
+      self.refuse(&place, "platform.lease_ms", message);
+    }
+  }
+
+  fn check_identity(&mut self, identity: Option<&Section<BoxSettings>>) {
+    let Some(Section { value, span }) = identity else {
+      return;
+    };
+    let is_label = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-';
+    for (key, name) in [("name", &value.name), ("hall", &value.hall)] {
+      if name.is_empty() || !name.chars().all(is_label) {
+        let place = self.place_of(span, key);
+        let message = format!("`{name}` must be lower-case letters, digits and dashes");
+        self.refuse(&place, format!("box.{key}"), message);
+      }
+    }
   }
 
   fn check_keys(&mut self, keys: Option<&Section<Administration>>) {
@@ -267,6 +288,7 @@
     let log = reader.optional::<LogSettings>(table, "log");
     let metrics = reader.optional::<Metrics>(table, "metrics");
     let endpoints = reader.endpoints(table);
+    reader.check_identity(identity.as_ref());
     reader.check_endpoints(&endpoints);
     reader.check_platform(platform.as_ref());
     reader.check_keys(administration.as_ref());
--- /dev/null
+++ b/tests/contracts.rs
@@ -0,0 +1,467 @@
+//! What each interface does with bad input: fault cases in tables.
+
+use {
+  crate::{
+    Test,
+    test::{PATIENCE, Running},
+  },
+  bytes::Bytes,
+  emulator::{CALLER_KEY, Caller, HallPlan, eventually},
+  http::{Method, Request, StatusCode},
+  http_body_util::Full,
+  rillford::{
+    configuration::Store,
+    decide::{Document, PeerMessage},
+    observe::Stamp,
+    peers::{Frame, FrameError, MOST_FRAME_BYTES, decode, encode},
+    settings::Settings,
+  },
+  rstest::rstest,
+};
+
+const SETTINGS: &str = r#"[box]
+name = "north-1"
+hall = "north"
+
+[listen]
+callers = "127.0.0.1:1"
+administration = "127.0.0.1:2"
+peers = "127.0.0.1:3"
+
+[peers]
+certificate = "a"
+key = "b"
+authority = "c"
+
+[platform]
+key_value = "http://127.0.0.1:4"
+box_list = "http://127.0.0.1:5/boxes"
+
+[administration]
+keys_sha256 = []
+
+[[endpoint]]
+name = "p"
+hall = "north"
+kind = "engine"
+role = "prefill"
+models = ["m"]
+url = "http://127.0.0.1:6"
+seats = 4
+"#;
+
+fn settings_error(from: &str, to: &str) -> String {
+  let text = SETTINGS.replace(from, to);
+  assert_ne!(text, SETTINGS, "{from}");
+  Settings::parse("box.toml".as_ref(), &text)
+    .unwrap_err()
+    .to_string()
+}
+
+#[test]
+fn settings_without_fault_are_taken() {
+  Settings::parse("box.toml".as_ref(), SETTINGS).unwrap();
+}
+
+#[rstest]
+#[case::syntax("[box]", "[box", "box.toml:1: syntax")]
+#[case::unknown_section("[listen]", "[listens]", "box.toml:5: listens: unknown section")]
+#[case::unknown_key(
+  "hall = \"north\"\n\n",
+  "halls = \"north\"\n\n",
+  "box.toml:3: box: unknown field `halls`"
+)]
+#[case::missing_key("name = \"north-1\"\n", "", "box: missing field `name`")]
+#[case::wrong_type("seats = 4", "seats = \"four\"", "box.toml:29: endpoint: invalid type")]
+#[case::wrong_address("127.0.0.1:2", "nowhere", "box.toml:7: listen: invalid socket address")]
+#[case::wrong_url(
+  "http://127.0.0.1:6",
+  "ftp://x",
+  "box.toml:28: endpoint.url: `ftp://x`"
+)]
+#[case::no_seats(
+  "seats = 4",
+  "seats = 0",
+  "box.toml:29: endpoint.seats: must be at least 1"
+)]
+#[case::no_role("role = \"prefill\"\n", "", "endpoint.role: an engine needs")]
+#[case::wrong_hash(
+  "keys_sha256 = []",
+  "keys_sha256 = [\"abc\"]",
+  "box.toml:20: administration.keys_sha256"
+)]
+#[case::short_lease(
+  "key_value =",
+  "lease_ms = 100\nkey_value =",
+  "box.toml:16: platform.lease_ms"
+)]
+#[case::wrong_name("\"north-1\"", "\"north one\"", "box.toml:2: box.name")]
+fn settings_errors_name_file_line_and_key(
+  #[case] from: &str,
+  #[case] to: &str,
+  #[case] wanted: &str,
+) {
+  let error = settings_error(from, to);
+  assert!(error.contains(wanted), "{error}");
+}
+
+#[test]
+fn all_settings_errors_are_told_at_once() {
+  let text = SETTINGS
+    .replace("name = \"north-1\"", "name = 7")
+    .replace("callers = \"127.0.0.1:1\"", "callers = \"x\"")
+    .replace("seats = 4", "seats = 0");
+  let error = Settings::parse("box.toml".as_ref(), &text)
+    .unwrap_err()
+    .to_string();
+  assert_eq!(error.lines().count(), 3, "{error}");
+}
+
+fn document(revision: u64, text: &str) -> Document {
+  Document {
+    key: "platform".into(),
+    revision,
+    text: text.into(),
+  }
+}
+
+#[test]
+fn store_never_goes_back_and_applies_nothing_half() {
+  let mut store = Store::default();
+  let one = r#"{"tuning": {"queue_limit": 1}}"#;
+  let two = r#"{"tuning": {"queue_limit": 2}}"#;
+  assert_eq!(store.apply(document(5, one)), Ok(true));
+  assert_eq!(store.apply(document(4, two)), Ok(false));
+  assert_eq!(store.apply(document(5, two)), Ok(false));
+  assert!(
+    store
+      .apply(document(6, "{\"tuning\": {\"queue_limit\": 2, \"x\": 1}}"))
+      .is_err()
+  );
+  assert_eq!(store.view().tuning.queue_limit, 1);
+  assert_eq!(store.apply(document(7, two)), Ok(true));
+  assert_eq!(store.view().tuning.queue_limit, 2);
+}
+
+fn frame() -> Frame {
+  Frame {
+    from: "north-1".into(),
+    message: PeerMessage::SeatFreed("d-1".into()),
+    stamp: Stamp(7),
+  }
+}
+
+#[rstest]
+#[case::empty(Vec::new(), FrameError::Empty)]
+#[case::other_version(vec![9, 1, 2], FrameError::Version(9))]
+#[case::too_large(vec![1; MOST_FRAME_BYTES + 1], FrameError::TooLarge(MOST_FRAME_BYTES + 1))]
+fn refused_frames(#[case] bytes: Vec<u8>, #[case] wanted: FrameError) {
+  assert_eq!(decode(&bytes), Err(wanted));
+}
+
+#[test]
+fn cut_or_lengthened_frames_are_malformed() {
+  let bytes = encode(&frame()).unwrap();
+  for length in 1..bytes.len() {
+    assert!(decode(&bytes[..length]).is_err(), "{length}");
+  }
+  let longer = [bytes, vec![0]].concat();
+  assert!(matches!(decode(&longer), Err(FrameError::Malformed(_))));
+}
+
+struct Edge {
+  key: &'static str,
+  method: Method,
+  path: &'static str,
+  header: Option<(&'static str, &'static str)>,
+  body: String,
+}
+
+fn edge(path: &'static str, body: &str) -> Edge {
+  Edge {
+    body: body.into(),
+    header: None,
+    key: CALLER_KEY,
+    method: Method::POST,
+    path,
+  }
+}
+
+const ASK: &str = r#"{"model": "lecture", "prompt": "x", "max_tokens": 1}"#;
+
+async fn send(test: &Running, edge: Edge) -> (StatusCode, String) {
+  let mut request = Request::builder()
+    .method(edge.method)
+    .uri(format!("{}{}", test.url("north-1"), edge.path))
+    .header("authorization", format!("Bearer {}", edge.key));
+  if let Some((name, value)) = edge.header {
+    request = request.header(name, value);
+  }
+  let request = request.body(Full::new(Bytes::from(edge.body))).unwrap();
+  Caller::new("").raw(request).await.unwrap()
+}
+
+#[tokio::test]
+async fn callers_mistakes_get_a_clear_error() {
+  let test = Test::new().start().await;
+  let path = "/v1/completions";
+  let big = format!("{{\"prompt\": \"{}\"}}", "x".repeat(2 * 1024 * 1024));
+  let header = |name, value| Edge {
+    header: Some((name, value)),
+    ..edge(path, ASK)
+  };
+  let cases = [
+    (
+      Edge {
+        key: "wrong",
+        ..edge(path, ASK)
+      },
+      401,
+      "bearer key",
+    ),
+    (edge(path, "{"), 400, "body: EOF"),
+    (
+      edge(path, r#"{"model": "lecture"}"#),
+      400,
+      "missing field `prompt`",
+    ),
+    (
+      edge(path, &ASK.replace("lecture", "no")),
+      404,
+      "model `no` is not served",
+    ),
+    (
+      edge(path, &ASK.replace("\"x\"", "\"\"")),
+      400,
+      "the prompt is empty",
+    ),
+    (
+      edge(path, &ASK.replace(": 1", ": 0")),
+      400,
+      "max_tokens must lie between",
+    ),
+    (edge(path, &big), 413, "larger than 1048576 bytes"),
+    (
+      header("x-rillford-deadline-ms", "soon"),
+      400,
+      "x-rillford-deadline-ms",
+    ),
+    (
+      header("x-rillford-not-repeatable", "yes"),
+      400,
+      "must be `true` or `false`",
+    ),
+    (header("idempotency-key", ""), 400, "idempotency-key"),
+    (edge("/nowhere", ""), 404, "no such path"),
+    (edge("/services/unknown/x", ""), 503, "no live endpoint"),
+  ];
+  for (edge, status, wanted) in cases {
+    let shown = format!("{} {:?}", edge.path, edge.header);
+    let (found, body) = send(&test, edge).await;
+    assert_eq!(found.as_u16(), status, "{shown}: {body}");
+    assert!(
+      body.contains(wanted) && body.contains("\"outcome\":\"not_run\""),
+      "{shown}: {body}"
+    );
+  }
+}
+
+#[tokio::test]
+async fn models_and_health_are_told() {
+  let test = Test::new().start().await;
+  let get = |path| Edge {
+    method: Method::GET,
+    ..edge(path, "")
+  };
+  let (status, body) = send(&test, get("/v1/models")).await;
+  assert!(
+    status.is_success() && body.contains("\"id\":\"lecture\""),
+    "{body}"
+  );
+  let (status, body) = send(&test, get("/health")).await;
+  assert!(status.is_success() && body.contains("ready"), "{body}");
+}
+
+#[tokio::test]
+async fn operators_mistakes_get_a_clear_error_and_change_nothing() {
+  let test = Test::new().start().await;
+  let before = test.status("north-1").await.configuration_digest;
+  let platform = "/configuration/platform";
+  let broken = "{\"policy\": \"fn rank(request, now) {\\n  #{ class: }\\n}\"}";
+  let looping = "{\"policy\": \"fn rank(request, now) { loop {} }\"}";
+  let cases = [
+    (Method::PUT, platform, None, "{}", 428, "If-Match"),
+    (
+      Method::PUT,
+      platform,
+      Some(1),
+      "{",
+      400,
+      "platform: line 1, column 1",
+    ),
+    (
+      Method::PUT,
+      platform,
+      Some(1),
+      "{\"tunings\": {}}",
+      400,
+      "unknown field `tunings`",
+    ),
+    (
+      Method::PUT,
+      platform,
+      Some(1),
+      "{\"tuning\": {\"seat_certainty\": 2}}",
+      400,
+      "between 0 and 1",
+    ),
+    (
+      Method::PUT,
+      platform,
+      Some(1),
+      broken,
+      400,
+      "policy: line 2, column",
+    ),
+    (
+      Method::PUT,
+      platform,
+      Some(1),
+      looping,
+      400,
+      "`rank` failed",
+    ),
+    (
+      Method::PUT,
+      platform,
+      Some(999),
+      "{}",
+      409,
+      "\"revision\":1",
+    ),
+    (
+      Method::PUT,
+      "/configuration/teams/x",
+      Some(0),
+      "{}",
+      404,
+      "is no document",
+    ),
+    (
+      Method::PUT,
+      "/configuration/organisations/x",
+      Some(0),
+      "{\"keys_sha256\": [\"1\"]}",
+      400,
+      "keys_sha256",
+    ),
+    (
+      Method::GET,
+      "/configuration/organisations/x",
+      None,
+      "",
+      404,
+      "not written yet",
+    ),
+    (
+      Method::POST,
+      "/endpoints/nobody/drain",
+      None,
+      "",
+      404,
+      "`nobody` is no endpoint",
+    ),
+    (Method::GET, "/nowhere", None, "", 404, "no such path"),
+  ];
+  for (method, path, if_match, body, status, wanted) in cases {
+    let (found, text) = test.admin("north-1", method, path, if_match, body).await;
+    assert_eq!(found.as_u16(), status, "{path} {body}: {text}");
+    assert!(text.contains(wanted), "{path} {body}: {text}");
+  }
+  let uri = format!("{}/status", test.deployment.boxes["north-1"].admin_url());
+  let request = Request::get(uri)
+    .header("authorization", "Bearer wrong")
+    .body(Full::default())
+    .unwrap();
+  let (status, body) = Caller::new("").raw(request).await.unwrap();
+  assert_eq!(status, StatusCode::UNAUTHORIZED, "{body}");
+  assert_eq!(test.status("north-1").await.configuration_digest, before);
+}
+
+#[tokio::test]
+async fn box_with_a_foreign_certificate_is_refused_until_its_keys_are_mended_without_a_restart() {
+  let mut test = Test::new()
+    .plan(|plan| plan.start_boxes = false)
+    .start_unready();
+  let folder = test.deployment.folder().to_path_buf();
+  let read = |name: &str| std::fs::read(folder.join(name)).unwrap();
+  let write = |name: &str, bytes: &[u8]| std::fs::write(folder.join(name), bytes).unwrap();
+  let files = ["authority.pem", "north-2.pem", "north-2.key"];
+  let right = files.map(|name| (name, read(name)));
+  emulator::Authority::new()
+    .unwrap()
+    .issue(&folder, "north-2")
+    .unwrap();
+  write(files[0], &right[0].1);
+  for name in ["north-1", "north-2"] {
+    test.deployment.start_box(name).unwrap();
+  }
+  assert!(test.deployment.ready(PATIENCE).await);
+  let refused = eventually(PATIENCE, async || {
+    test.deployment.boxes["north-1"].log().contains("refused")
+  });
+  assert!(refused.await);
+  let is_live = async || {
+    let status = test.status("north-1").await;
+    status
+      .peers
+      .iter()
+      .any(|peer| peer.name.as_ref() == "north-2" && peer.live)
+  };
+  assert!(!is_live().await);
+  for (name, bytes) in &right {
+    write(name, bytes);
+  }
+  assert!(eventually(PATIENCE, is_live).await, "keys are not reloaded");
+}
+
+#[tokio::test]
+async fn peer_without_a_certificate_is_refused() {
+  let test = Test::halls(vec![HallPlan::small("north", &["north-1"])])
+    .start()
+    .await;
+  let authority = test.deployment.folder().join("authority.pem");
+  let client = crate::test::client_without_certificate(&authority);
+  let mut endpoint = quinn::Endpoint::client(([127, 0, 0, 1], 0).into()).unwrap();
+  endpoint.set_default_client_config(client);
+  let address = test.deployment.boxes["north-1"].peers;
+  // TLS 1.3 lets the client go first: the refusal shows on the first use.
+  let outcome = match endpoint.connect(address, "north-1").unwrap().await {
+    Ok(connection) => Err(connection.closed().await),
+    Err(error) => Err::<(), _>(error),
+  };
+  let error = outcome.unwrap_err().to_string();
+  assert!(error.contains("certificate"), "{error}");
+}
+
+#[tokio::test]
+async fn box_that_the_list_shows_late_is_taken_in() {
+  let mut test = Test::new()
+    .plan(|plan| plan.start_boxes = false)
+    .start_unready();
+  test.deployment.box_list.set(Vec::new());
+  test
+    .deployment
+    .box_list
+    .set_lag(std::time::Duration::from_secs(2));
+  test.deployment.list_all();
+  for name in ["north-1", "north-2"] {
+    test.deployment.start_box(name).unwrap();
+  }
+  test.wait_serving("north-1").await;
+  test
+    .wait_status("north-1", |status| {
+      status.peers.iter().any(|peer| peer.live)
+    })
+    .await;
+}
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -2,7 +2,9 @@
 
 mod answers;
 mod at_most_once;
+mod command_line;
 mod configuration;
+mod contracts;
 mod leaving;
 mod machine;
 mod memory;
