Measure the path, the slopes and a run of failures; mend what they showed

Causes found, each with its figures: - 649 of 1,000 connections that came at once were lost to a listener's backlog of 128 (path-bench). A test holds 400 connections of a stopped box. - after an outage each claim that could not be settled was read ten times a second for 15 s: 7,980 key-value calls a minute over 5 boxes (emulator failures). Only boxes that count this one among their neighbours are expected to speak now (tests/membership). - heartbeats at the target's size took 17.8 KB a second of each box: loads went to 15 peers four times a second.

--- a/emulator/src/demo.rs
+++ b/emulator/src/demo.rs
@@ -62,7 +62,8 @@
   _folder: TempDir,
 }
 
-fn beside(program: Option<PathBuf>) -> io::Result<PathBuf> {
+/// The program given, or the one beside this.
+pub(crate) fn beside(program: Option<PathBuf>) -> io::Result<PathBuf> {
   let program = match program {
     Some(program) => program,
     None => env::current_exe()?.with_file_name("rillford"),
--- a/emulator/src/engine/answer_text.rs
+++ b/emulator/src/engine/answer_text.rs
@@ -22,3 +22,15 @@
 pub fn answer_text(prompt: &str, tokens: u64) -> String {
   (0..tokens).map(|index| token_text(prompt, index)).collect()
 }
+
+/// A token that carries the time, in microseconds of the Unix epoch; always of the same length.
+pub(crate) fn stamped_token(index: u64) -> String {
+  format!("{:016}-{index:06} ", unix_us())
+}
+
+/// Microseconds of the Unix epoch.
+pub(crate) fn unix_us() -> u64 {
+  std::time::SystemTime::now()
+    .duration_since(std::time::UNIX_EPOCH)
+    .map_or(0, |since| u64::try_from(since.as_micros()).unwrap_or(0))
+}
--- a/emulator/src/engine/mod.rs
+++ b/emulator/src/engine/mod.rs
@@ -6,6 +6,8 @@
 mod routes;
 mod state;
 
+pub(crate) use self::answer_text::unix_us;
+
 pub use self::{
   answer_text::{answer_text, token_text},
   faults::EngineFaults,
--- a/emulator/src/engine/routes.rs
+++ b/emulator/src/engine/routes.rs
@@ -2,7 +2,7 @@
 
 use {
   super::{
-    answer_text::token_text,
+    answer_text::{stamped_token, token_text},
     state::{Attempt, EngineStandIn, EngineTally, Export},
   },
   axum::{
@@ -310,13 +310,22 @@
   let mut offset = 0;
   let mut held_back = None;
   for index in 0..request.max_tokens {
-    let text = token_text(&export.prompt, index);
+    let text = if engine.options.stamps_tokens {
+      stamped_token(index)
+    } else {
+      token_text(&export.prompt, index)
+    };
     let begin = offset;
     offset += text.len() as u64;
     if offset <= request.offset {
       continue;
     }
     sleep(Duration::from_millis(engine.options.token_ms)).await;
+    let text = if engine.options.stamps_tokens {
+      stamped_token(index)
+    } else {
+      text
+    };
     let faults = engine.inner().faults.clone();
     if faults
       .stall_decode_after
--- a/emulator/src/engine/state.rs
+++ b/emulator/src/engine/state.rs
@@ -39,6 +39,8 @@
   pub link_bytes_per_s: u64,
   /// Whether it refuses orders with an old fence.
   pub checks_fence: bool,
+  /// Whether its tokens carry the time at which they were sent, for measurements.
+  pub stamps_tokens: bool,
 }
 
 impl Default for EngineOptions {
@@ -51,6 +53,7 @@
       prefill_tokens_per_s: 100_000,
       role: Role::Decode,
       seats: 16,
+      stamps_tokens: false,
       token_ms: 5,
     }
   }
--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -6,11 +6,14 @@
 mod demo;
 mod deployment;
 mod engine;
+mod failures;
 mod host;
 mod key_value;
 mod keys;
+mod path_bench;
 mod relay;
 mod service;
+mod slopes;
 mod subcommand;
 
 pub use self::{
--- a/emulator/src/subcommand.rs
+++ b/emulator/src/subcommand.rs
@@ -4,7 +4,7 @@
   crate::{
     BoxListStandIn, EngineOptions, EngineStandIn, Host, KeyValueStandIn, ServiceStandIn,
     decisions::{Report, run_report},
-    demo,
+    demo, failures, path_bench, slopes,
   },
   bpaf::Bpaf,
   rillford::decide::Role,
@@ -65,6 +65,23 @@
     #[bpaf(long, argument("TEXT"))]
     only: Option<String>,
   },
+  /// Let one thing after another fail under load and print what came of it
+  #[bpaf(command)]
+  Failures {
+    /// The program `rillford`; found beside this one if not given
+    #[bpaf(long, argument("FILE"))]
+    program: Option<PathBuf>,
+  },
+  /// Measure what a box adds over a direct call; build with --release first
+  #[bpaf(command("path-bench"))]
+  PathBench {
+    /// The program `rillford`; found beside this one if not given
+    #[bpaf(long, argument("FILE"))]
+    program: Option<PathBuf>,
+  },
+  /// Measure what control costs at several sizes of the fleet; build with --release first
+  #[bpaf(command)]
+  Slopes,
   /// Bring up stand-ins and three boxes over two halls, use them, kill a box, show the time line
   #[bpaf(command)]
   Demo {
@@ -120,6 +137,12 @@
       }
       Self::Service { listen } => forever(Host::start_at(listen, ServiceStandIn::new(32).router())),
       Self::Decisions { seeds, plots, only } => run_report(&Report { only, plots, seeds }),
+      Self::Failures { program } => failures::run(&demo::beside(program)?),
+      Self::PathBench { program } => path_bench::run(&demo::beside(program)?),
+      Self::Slopes => {
+        slopes::run();
+        Ok(())
+      }
       Self::Demo { program } => demo::run(program),
     }
   }
--- a/src/decide/membership.rs
+++ b/src/decide/membership.rs
@@ -4,7 +4,7 @@
   super::{BoxEntry, Heartbeat},
   crate::ids::Name,
   sha2::{Digest, Sha256},
-  std::collections::BTreeMap,
+  std::collections::{BTreeMap, BTreeSet},
 };
 
 /// Boxes that exchange heartbeats with all others of their hall; above, each has so many neighbours.
@@ -31,12 +31,15 @@
   own: Name,
   own_hall: Name,
   peers: BTreeMap<Name, Peer>,
+  /// Peers of the own hall that count this box among their neighbours.
+  expected: BTreeSet<Name>,
 }
 
 impl Membership {
   /// A box that knows only itself.
   pub fn new(own: Name, own_hall: Name) -> Self {
     Self {
+      expected: BTreeSet::new(),
       own,
       own_hall,
       peers: BTreeMap::new(),
@@ -61,6 +64,28 @@
     self.peers.retain(|name, peer| {
       peer.live && peer.incarnation > 0 || entries.iter().any(|entry| entry.name == *name)
     });
+    self.expected = self.expected_senders();
+  }
+
+  /// Boxes of the own hall by name, this one included.
+  fn hall_boxes(&self) -> Vec<Name> {
+    let peers = self.peers.values();
+    peers
+      .filter(|peer| peer.entry.hall == self.own_hall)
+      .map(|peer| peer.entry.name.clone())
+      .chain([self.own.clone()])
+      .collect()
+  }
+
+  fn expected_senders(&self) -> BTreeSet<Name> {
+    let hall = self.hall_boxes();
+    let is_sender = |sender: &&Name| neighbours_of(sender, &hall).contains(&self.own);
+    hall
+      .iter()
+      .filter(|name| **name != self.own)
+      .filter(is_sender)
+      .cloned()
+      .collect()
   }
 
   /// Takes in a heartbeat; true when the peer counts as alive only since now.
@@ -79,12 +104,12 @@
     news
   }
 
-  /// Marks silent peers dead and answers with them. A box of another hall that never sent anything
-  /// here is not expected to: the platform's list alone speaks for it.
+  /// Marks silent peers dead and answers with them. For a box that is not expected to send anything
+  /// here the platform's list alone speaks.
   pub fn expire(&mut self, now_ms: u64, silence_ms: u64) -> Vec<Peer> {
     let mut lost = Vec::new();
     for peer in self.peers.values_mut() {
-      let expected = peer.incarnation > 0 || peer.entry.hall == self.own_hall;
+      let expected = self.expected.contains(&peer.entry.name);
       if peer.live && expected && now_ms.saturating_sub(peer.heard_ms) > silence_ms {
         peer.live = false;
         lost.push(peer.clone());
@@ -124,23 +149,23 @@
     names
   }
 
-  /// The peers that get this box's heartbeats: the whole hall while it is small, else fixed
-  /// neighbours; and one box of each other hall.
-  pub fn neighbours(&self) -> Vec<Name> {
-    let hall = self
-      .peers
-      .values()
+  /// Whether the hall is small enough for all its boxes to speak with each other.
+  pub fn is_full_mesh(&self) -> bool {
+    let peers = self.peers.values();
+    let others = peers
       .filter(|peer| peer.entry.hall == self.own_hall)
-      .map(|peer| peer.entry.name.clone())
-      .collect::<Vec<_>>();
-    let mut names = if hall.len() < FULL_MESH_BOXES {
-      hall
-    } else {
-      ranked(&self.own, &hall)
-        .into_iter()
-        .take(FULL_MESH_BOXES - 1)
-        .collect()
-    };
+      .count();
+    others < FULL_MESH_BOXES
+  }
+
+  /// The peers of the own hall that get this box's heartbeats: all while the hall is small, else
+  /// fixed neighbours.
+  pub fn hall_neighbours(&self) -> Vec<Name> {
+    neighbours_of(&self.own, &self.hall_boxes())
+  }
+
+  /// One box of each other hall.
+  pub fn far_neighbours(&self) -> Vec<Name> {
     let mut halls = BTreeMap::<Name, Vec<Name>>::new();
     for peer in self.peers.values() {
       if peer.entry.hall != self.own_hall && peer.live {
@@ -150,13 +175,27 @@
           .push(peer.entry.name.clone());
       }
     }
-    names.extend(
-      halls
-        .into_values()
-        .filter_map(|boxes| ranked(&self.own, &boxes).into_iter().next()),
-    );
-    names
+    halls
+      .into_values()
+      .filter_map(|boxes| ranked(&self.own, &boxes).into_iter().next())
+      .collect()
+  }
+}
+
+/// The boxes of its hall that a box sends heartbeats to: all while the hall is small, else a fixed
+/// number by rendezvous order.
+fn neighbours_of(name: &Name, hall: &[Name]) -> Vec<Name> {
+  let others = hall
+    .iter()
+    .filter(|other| *other != name)
+    .cloned()
+    .collect::<Vec<_>>();
+  if others.len() < FULL_MESH_BOXES {
+    return others;
   }
+  let mut ranked = ranked(name, &others);
+  ranked.truncate(FULL_MESH_BOXES - 1);
+  ranked
 }
 
 /// Candidates in rendezvous order for a subject, the best first.
--- a/src/decide/timers.rs
+++ b/src/decide/timers.rs
@@ -9,6 +9,8 @@
   std::collections::{BTreeMap, BTreeSet},
 };
 
+/// In large halls each so-manieth heartbeat carries loads and goes to other halls.
+const FULL_BEAT: u64 = 4;
 const HOLD_EXTENSIONS: u64 = 3;
 const SCAN_PERIOD_MS: u64 = 100;
 const STEWARD_PERIOD_MS: u64 = 2_000;
@@ -18,6 +20,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Timers {
   heartbeat_ms: u64,
+  beats: u64,
   poll_ms: u64,
   scan_ms: u64,
   sweep_ms: u64,
@@ -154,9 +157,17 @@
     }
   }
 
+  /// In halls with many boxes loads go along only with each fourth heartbeat, and other halls hear
+  /// only those, without loads: a box's share of the network does not grow with the fleet.
   fn send_heartbeats(&mut self) {
     let now_ms = self.scene.now_ms;
-    let held = self.homes_held();
+    self.timers.beats += 1;
+    let is_full = self.scene.members.is_full_mesh() || self.timers.beats.is_multiple_of(FULL_BEAT);
+    let held = if is_full {
+      self.homes_held()
+    } else {
+      Vec::new()
+    };
     let loads = held
       .iter()
       .filter_map(|name| self.scene.fleet.get(name))
@@ -170,7 +181,18 @@
       leaving_endpoints: self.scene.fleet.leaving(),
       loads,
     };
-    for peer in self.scene.members.neighbours() {
+    for peer in self.scene.members.hall_neighbours() {
+      let message = PeerMessage::Heartbeat(heartbeat.clone());
+      self.scene.act(Action::Send(peer, message));
+    }
+    if !is_full {
+      return;
+    }
+    let mut heartbeat = heartbeat;
+    if !self.scene.members.is_full_mesh() {
+      heartbeat.loads.clear();
+    }
+    for peer in self.scene.members.far_neighbours() {
       let message = PeerMessage::Heartbeat(heartbeat.clone());
       self.scene.act(Action::Send(peer, message));
     }
--- a/src/listener.rs
+++ b/src/listener.rs
@@ -8,10 +8,13 @@
     rt::{TokioIo, TokioTimer},
     service::TowerToHyperService,
   },
+  socket2::{Domain, Socket, Type},
   std::{net::SocketAddr, sync::Arc, time::Duration},
   tokio::{net::TcpListener, sync::Semaphore},
 };
 
+/// Connections that may wait to be accepted: callers come in bursts when a box has died.
+const BACKLOG: i32 = 4_096;
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Bounds on a listener.
@@ -28,9 +31,13 @@
     source,
     step,
   };
-  let listener = std::net::TcpListener::bind(address).map_err(error)?;
-  listener.set_nonblocking(true).map_err(error)?;
-  Ok(listener)
+  let socket = Socket::new(Domain::for_address(address), Type::STREAM, None).map_err(error)?;
+  // A box is replaced on the same address at once.
+  socket.set_reuse_address(true).map_err(error)?;
+  socket.bind(&address.into()).map_err(error)?;
+  socket.listen(BACKLOG).map_err(error)?;
+  socket.set_nonblocking(true).map_err(error)?;
+  Ok(socket.into())
 }
 
 /// Serves a router on a bound listener until the process ends.
--- a/src/platform/claims.rs
+++ b/src/platform/claims.rs
@@ -13,7 +13,8 @@
 const BUCKET_PREFIX: &str = "rillford/claim-hours/";
 const CLAIM_PREFIX: &str = "rillford/claims/";
 const HOUR_MS: u64 = 3_600_000;
-const READ_BACK_PAUSE: Duration = Duration::from_millis(100);
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+const MOST_PAUSE: Duration = Duration::from_secs(4);
 
 /// The key of a claim. The caller's text is hashed, so any text will do.
 ///
@@ -55,12 +56,13 @@
 /// A write without an answer may take effect late: absence settles nothing, presence does.
 async fn read_back(service: &KeyValue, key: &str, token: &str, limit: Duration) -> ClaimOutcome {
   let until = Instant::now() + limit;
+  let mut pause = FIRST_PAUSE;
   loop {
     match service.get(key).await {
       Ok(Some(stored)) if stored.value == token => return ClaimOutcome::Held,
       Ok(Some(_)) => return ClaimOutcome::Taken,
       Ok(None) | Err(_) if Instant::now() >= until => return ClaimOutcome::Unavailable,
-      Ok(None) | Err(_) => sleep(READ_BACK_PAUSE).await,
+      Ok(None) | Err(_) => wait(&mut pause).await,
     }
   }
 }
@@ -75,22 +77,29 @@
 ) {
   let key = claim_key(organisation, idempotency_key);
   let until = Instant::now() + limit;
+  let mut pause = FIRST_PAUSE;
   while Instant::now() < until {
     let stored = match service.get(&key).await {
       Ok(Some(stored)) if stored.value == token => stored,
       Ok(Some(_)) => return,
       // Absent now; but a write of ours without an answer may still take effect.
       Ok(None) | Err(_) => {
-        sleep(READ_BACK_PAUSE).await;
+        wait(&mut pause).await;
         continue;
       }
     };
     if service.remove(&key, stored.revision).await.is_err() {
-      sleep(READ_BACK_PAUSE).await;
+      wait(&mut pause).await;
     }
   }
 }
 
+/// Waits, and for twice as long the next time: after an outage many claims are settled at once.
+async fn wait(pause: &mut Duration) {
+  sleep(*pause).await;
+  *pause = (*pause * 2).min(MOST_PAUSE);
+}
+
 /// Deletes the claims of hours that lie beyond the retention.
 pub(super) async fn sweep(service: &KeyValue) {
   let Ok((listed, _)) = service.list(BUCKET_PREFIX).await else {
--- a/src/platform/lease.rs
+++ b/src/platform/lease.rs
@@ -30,6 +30,10 @@
 /// Tries to take the lease. A new holder of a hall whose engines don't all check fences has to wait
 /// the lease and the longest message life before its first order: the key lapses no sooner.
 pub(super) async fn take(service: &KeyValue, hall: &str, own: &str, ttl: Duration) -> Option<Held> {
+  // While another holds it, one reading is all that is asked of the platform.
+  if service.get(&key(hall)).await.ok()?.is_some() {
+    return None;
+  }
   let asked = Instant::now();
   let lease = service.grant_lease(ttl).await.ok()?;
   match service.swap(&key(hall), 0, own, Some(&lease)).await {
--- a/tests/contracts.rs
+++ b/tests/contracts.rs
@@ -465,3 +465,20 @@
     })
     .await;
 }
+
+#[tokio::test]
+async fn burst_of_connections_waits_while_a_box_is_busy() {
+  const CONNECTIONS: usize = 400;
+  let test = Test::halls(vec![HallPlan::small("north", &["north-1"])])
+    .start()
+    .await;
+  let process = &test.deployment.boxes["north-1"];
+  let (address, bound) = (process.callers, std::time::Duration::from_millis(900));
+  // A stopped process accepts nothing: only the backlog can hold what comes.
+  process.signal(libc::SIGSTOP);
+  let connected = (0..CONNECTIONS)
+    .map_while(|_| std::net::TcpStream::connect_timeout(&address, bound).ok())
+    .collect::<Vec<_>>();
+  process.signal(libc::SIGCONT);
+  assert_eq!(connected.len(), CONNECTIONS);
+}
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -7,6 +7,7 @@
 mod contracts;
 mod leaving;
 mod machine;
+mod membership;
 mod memory;
 
 mod path;
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -58,6 +58,10 @@
     caller.complete(&url, &ask).await
   });
   test.wait_held().await;
+  // The status may be a little old: from here on it is of after the arrival.
+  test
+    .wait_status("north-1", |status| status.in_progress == 1)
+    .await;
   waiting.abort();
   test.wait_nothing_held().await;
   test
