Read as a newcomer: split the request's life, admission and the answer's reader

The test of a planned stop now streams for longer than every other wait of the stop: a mutant that waits for no request had survived it.

--- /dev/null
+++ b/src/decide/admission.rs
@@ -0,0 +1,169 @@
+//! What becomes of a request on arrival: its rank, a refusal at once, or a place in its lane.
+
+use {
+  super::{
+    Action, Arrival, Ending, Life, Machine, NoPlace, NoteKind, Rank, Refusal, Step, Work,
+    machine::ABSENT_RETRY_MS,
+  },
+  crate::{ids::RequestId, policy::RequestFacts},
+  statig::prelude::*,
+};
+
+/// The least time after which a refused caller is told to come back.
+const LEAST_RETRY_MS: u64 = 100;
+
+impl Machine {
+  pub(super) fn arrived(&mut self, arrival: Arrival) {
+    let rank = self.rank(&arrival);
+    self
+      .scene
+      .note(NoteKind::RequestArrived, arrival.request.0, &rank.class);
+    if let Some(ending) = self.refusal(&arrival, &rank) {
+      self.refuse(arrival.request, ending);
+      return;
+    }
+    self.scene.budget.earn();
+    *self
+      .in_progress
+      .entry(arrival.organisation.clone())
+      .or_default() += 1;
+    let request = arrival.request;
+    let life = Life::new(arrival, rank, self.scene.now_ms);
+    let claim = life.needs_claim();
+    let waiting = life.waiting();
+    let lane = life.lane().clone();
+    let mut machine = life
+      .uninitialized_state_machine()
+      .init_with_context(&mut self.scene);
+    if let Some(key) = claim {
+      machine.handle_with_context(&Step::AwaitClaim, &mut self.scene);
+      self
+        .scene
+        .act(Action::Claim(request, waiting.organisation.clone(), key));
+    } else {
+      self.lanes.entry(lane).or_default().queue.push(waiting);
+    }
+    self.requests.insert(request, machine);
+  }
+
+  pub(super) fn rank(&mut self, arrival: &Arrival) -> Rank {
+    let Some(policy) = self.scene.configuration.policy.clone() else {
+      return Rank::plain();
+    };
+    let (subject, kind, prompt_tokens, max_tokens) = match &arrival.work {
+      Work::Model(work) => (&work.model, "model", work.prompt_tokens, work.max_tokens),
+      Work::Service(work) => (&work.service, "service", 0, 0),
+    };
+    let facts = RequestFacts {
+      kind: kind.into(),
+      max_tokens,
+      organisation: arrival.organisation.clone(),
+      prompt_tokens,
+      subject: subject.clone(),
+      task: arrival.task.clone(),
+    };
+    match policy.rank(&facts, self.clock()) {
+      Ok(rank) => {
+        self.good_ranks.insert(arrival.task.clone(), rank.clone());
+        rank
+      }
+      Err(error) => {
+        self
+          .scene
+          .note(NoteKind::PolicyFailed, &arrival.task, error);
+        let last = self.good_ranks.get(&arrival.task).cloned();
+        last.unwrap_or_else(Rank::plain)
+      }
+    }
+  }
+
+  /// Why a request is refused on arrival, if it is. May shed another to make room.
+  pub(super) fn refusal(&mut self, arrival: &Arrival, rank: &Rank) -> Option<Ending> {
+    let not_run = |reason, retry_after_ms| {
+      Some(Ending::NotRun {
+        reason,
+        retry_after_ms,
+      })
+    };
+    if !self.scene.configured {
+      return not_run(Refusal::NotReady, ABSENT_RETRY_MS);
+    }
+    let organisation = &arrival.organisation;
+    let view = &self.scene.configuration;
+    let limit = view
+      .organisations
+      .get(organisation)
+      .and_then(|limits| limits.in_progress)
+      .unwrap_or(view.tuning.organisation_limit);
+    if self.in_progress.get(organisation).copied().unwrap_or(0) >= limit {
+      return not_run(Refusal::OrganisationLimit, ABSENT_RETRY_MS);
+    }
+    let allowed_ms = arrival.deadline_ms.unwrap_or(rank.first_token_ms);
+    let Some(predicted_ms) = self.predicted_ms(&arrival.work, rank) else {
+      return not_run(Refusal::NoEndpoint, ABSENT_RETRY_MS);
+    };
+    if self.scene.tuning().early_refusal && predicted_ms > allowed_ms {
+      let retry_after_ms = (predicted_ms - allowed_ms).max(LEAST_RETRY_MS);
+      return not_run(Refusal::TooLate, retry_after_ms);
+    }
+    if !self.make_room(&arrival.work, rank) {
+      return not_run(Refusal::QueueFull, predicted_ms.max(ABSENT_RETRY_MS));
+    }
+    None
+  }
+
+  /// Predicted time to the first byte; none where no endpoint could serve the work.
+  pub(super) fn predicted_ms(&mut self, work: &Work, rank: &Rank) -> Option<u64> {
+    let lane = match work {
+      Work::Model(work) => &work.model,
+      Work::Service(work) => &work.service,
+    };
+    let wait_ms = self
+      .lanes
+      .get(lane)
+      .map_or(0, |lane| lane.wait_ms(rank.priority));
+    let serving_ms = match work {
+      Work::Model(work) => self.scene.least_first_token_ms(work)?,
+      Work::Service(work) => match self.scene.place_call(&work.service, &[]) {
+        Ok(_) | Err(NoPlace::NoSeat) => 0,
+        Err(NoPlace::NoEngine) => return None,
+      },
+    };
+    Some(wait_ms + serving_ms)
+  }
+
+  /// Sheds the least of the lane when it is full; false when the newcomer itself is the least.
+  pub(super) fn make_room(&mut self, work: &Work, rank: &Rank) -> bool {
+    let lane = match work {
+      Work::Model(work) => &work.model,
+      Work::Service(work) => &work.service,
+    };
+    let Some(full) = self
+      .lanes
+      .get(lane)
+      .filter(|lane| lane.queue.len() >= self.scene.tuning().queue_limit)
+    else {
+      return true;
+    };
+    let Some(least) = full.queue.least() else {
+      return false;
+    };
+    let newcomer_is_less =
+      rank.may_wait && (rank.priority, rank.weight) <= (least.priority, least.weight);
+    if newcomer_is_less || rank.priority < least.priority {
+      return false;
+    }
+    let retry_after_ms = full.wait_ms(least.priority).max(ABSENT_RETRY_MS);
+    self.step(least.request, &Step::Refuse(Refusal::Shed, retry_after_ms));
+    true
+  }
+
+  pub(super) fn refuse(&mut self, request: RequestId, ending: Ending) {
+    if let Ending::NotRun { reason, .. } = ending {
+      self
+        .scene
+        .note(NoteKind::RequestNotRun, request.0, format!("{reason:?}"));
+    }
+    self.scene.act(Action::End(request, ending));
+  }
+}
--- /dev/null
+++ b/src/decide/life/closing.rs
@@ -0,0 +1,198 @@
+//! Retries, endings, and letting go of all that an attempt holds.
+
+use {
+  super::{Life, State},
+  crate::{
+    decide::{Action, Began, Doubt, Ending, NoteKind, Refusal, Scene, Work},
+    ids::Name,
+  },
+  statig::prelude::*,
+};
+
+/// When to come back after nothing could be begun.
+const BUSY_RETRY_MS: u64 = 1_000;
+
+impl Life {
+  /// Nothing began: the request waits for its turn again, and no retry is spent.
+  pub(super) fn refused_as_full(&mut self, context: &mut Scene, endpoint: &Name) -> Outcome<State> {
+    let until_ms = context.now_ms + context.tuning().full_pause_ms;
+    context
+      .fleet
+      .change(endpoint, |endpoint| endpoint.refused_until_ms = until_ms);
+    self.leave_attempt(context);
+    self.requeue = true;
+    Transition(State::queued())
+  }
+
+  /// An order failed: try again where that is allowed, or end.
+  pub(super) fn failed(
+    &mut self,
+    context: &mut Scene,
+    endpoint: &Name,
+    began: Began,
+    resumable: bool,
+  ) -> Outcome<State> {
+    let attempt = self.attempt_id(context);
+    context.note(NoteKind::OrderFailed, &attempt, endpoint);
+    self.began |= began == Began::Perhaps;
+    self.leave_attempt(context);
+    self.tried.push(endpoint.clone());
+    self.failures += 1;
+    let now_ms = context.now_ms;
+    context
+      .fleet
+      .change(endpoint, |endpoint| endpoint.failed(now_ms));
+    let doubt = if self.streaming {
+      Doubt::AnswerBroken
+    } else {
+      Doubt::EndpointFailed
+    };
+    if !self.may_retry(resumable) {
+      return self.end_failed(context, Refusal::NeverBegan, doubt);
+    }
+    if self.failures >= context.tuning().max_attempts {
+      return self.end_failed(context, Refusal::NeverBegan, doubt);
+    }
+    if !context.budget.take() {
+      context.note(NoteKind::RetryDenied, &attempt, "");
+      return self.end_failed(context, Refusal::RetryBudget, doubt);
+    }
+    self.requeue = true;
+    Transition(State::queued())
+  }
+
+  pub(super) fn may_retry(&self, resumable: bool) -> bool {
+    if self.streaming && !resumable {
+      return false;
+    }
+    match &self.arrival.work {
+      _ if self.arrival.not_repeatable => !self.began,
+      Work::Model(_) => true,
+      Work::Service(work) => !self.streaming && (work.idempotent || !self.began),
+    }
+  }
+
+  pub(super) fn end_failed(
+    &mut self,
+    context: &mut Scene,
+    reason: Refusal,
+    doubt: Doubt,
+  ) -> Outcome<State> {
+    if self.began {
+      return self.unknown(context, doubt);
+    }
+    self.not_run(context, reason, BUSY_RETRY_MS)
+  }
+
+  /// Ends a request that waits: "not run" if nothing ever began, else "unknown".
+  pub(super) fn give_up(
+    &mut self,
+    context: &mut Scene,
+    reason: Refusal,
+    retry_after_ms: u64,
+  ) -> Outcome<State> {
+    if self.began {
+      let doubt = match reason {
+        _ if self.streaming => Doubt::AnswerBroken,
+        Refusal::TooLate => Doubt::TimedOut,
+        _ => Doubt::EndpointFailed,
+      };
+      return self.unknown(context, doubt);
+    }
+    self.not_run(context, reason, retry_after_ms)
+  }
+
+  pub(super) fn not_run(
+    &mut self,
+    context: &mut Scene,
+    reason: Refusal,
+    retry_after_ms: u64,
+  ) -> Outcome<State> {
+    self.release_claim(context);
+    let request = self.arrival.request;
+    context.note(NoteKind::RequestNotRun, request.0, format!("{reason:?}"));
+    context.act(Action::End(
+      request,
+      Ending::NotRun {
+        reason,
+        retry_after_ms,
+      },
+    ));
+    Transition(State::ended())
+  }
+
+  pub(super) fn unknown(&mut self, context: &mut Scene, reason: Doubt) -> Outcome<State> {
+    let request = self.arrival.request;
+    context.note(NoteKind::RequestUnknown, request.0, format!("{reason:?}"));
+    context.act(Action::End(request, Ending::Unknown { reason }));
+    Transition(State::ended())
+  }
+
+  pub(super) fn answered(&mut self, context: &mut Scene) -> Outcome<State> {
+    let attempt = self.attempt_id(context);
+    if let Some(placement) = &self.placement {
+      context.close(&attempt, &placement.decode);
+    }
+    self.release_seat(context);
+    let request = self.arrival.request;
+    context.note(NoteKind::RequestAnswered, request.0, &attempt);
+    context.act(Action::End(request, Ending::Answered));
+    Transition(State::ended())
+  }
+
+  pub(super) fn abandoned(&mut self, context: &mut Scene) -> Outcome<State> {
+    self.leave_attempt(context);
+    if !self.began && self.attempt == 0 {
+      self.release_claim(context);
+    }
+    let request = self.arrival.request;
+    context.note(NoteKind::RequestAbandoned, request.0, "");
+    context.act(Action::End(request, Ending::Abandoned));
+    Transition(State::ended())
+  }
+
+  pub(super) fn release_claim(&mut self, context: &mut Scene) {
+    if !std::mem::take(&mut self.claimed) {
+      return;
+    }
+    let Some(key) = self.arrival.idempotency_key.clone() else {
+      return;
+    };
+    context.note(NoteKind::ClaimReleased, self.arrival.request.0, "");
+    context.act(Action::ReleaseClaim(
+      self.arrival.request,
+      self.arrival.organisation.clone(),
+      key,
+    ));
+  }
+
+  /// Cancels all that the present attempt may hold anywhere.
+  pub(super) fn leave_attempt(&mut self, context: &mut Scene) {
+    let attempt = self.attempt_id(context);
+    if self.read_tokens > 0 {
+      self.wasted_tokens += self.read_tokens;
+      context.note(NoteKind::PrefillWasted, &attempt, self.read_tokens);
+      self.read_tokens = 0;
+    }
+    if let Some(placement) = self.placement.clone() {
+      context.cancel(&attempt, &placement.prefill);
+      context.cancel(&attempt, &placement.decode);
+    }
+    self.release_seat(context);
+  }
+
+  pub(super) fn release_seat(&mut self, context: &mut Scene) {
+    let Some(engine) = self.seat.take() else {
+      return;
+    };
+    let attempt = self.attempt_id(context);
+    if self.placement.is_some() {
+      context.return_seat(&attempt, &engine);
+    } else {
+      context.fleet.change(&engine, |service| {
+        service.own_seats = service.own_seats.saturating_sub(1);
+        service.forget_sent(1);
+      });
+    }
+  }
+}
--- /dev/null
+++ b/src/decide/life/moving.rs
@@ -0,0 +1,120 @@
+//! From a prompt that has been read to an answer that is being written.
+
+use {
+  super::{Life, State},
+  crate::{
+    decide::{
+      Action, BLOCK_TOKENS, Began, DecodeOrder, Endpoint, ImportOrder, NoteKind, Scene, Work,
+    },
+    ids::Name,
+  },
+  statig::prelude::*,
+};
+
+/// Time after which a full decode engine is tried again while the export lasts.
+const FULL_AGAIN_MS: u64 = 60;
+
+impl Life {
+  pub(super) fn prefilled(
+    &mut self,
+    context: &mut Scene,
+    endpoint: &Name,
+    prompt_tokens: u64,
+    cached_tokens: u64,
+  ) -> Outcome<State> {
+    self.began = true;
+    context.fleet.change(endpoint, Endpoint::succeeded);
+    self.read_tokens = prompt_tokens.saturating_sub(cached_tokens);
+    self.prefilled_ms = context.now_ms;
+    let attempt = self.attempt_id(context);
+    if let Work::Model(work) = &mut self.arrival.work {
+      let found = usize::try_from(cached_tokens / BLOCK_TOKENS).unwrap_or(usize::MAX);
+      let missed = work.prefix.get(found..).unwrap_or_default().to_vec();
+      context.hints.missed(endpoint, &missed);
+      context.hints.saw(context.now_ms, endpoint, &work.prefix);
+      work.prompt_tokens = prompt_tokens.max(1);
+    }
+    context.note(NoteKind::PrefillDone, &attempt, cached_tokens);
+    self.order_import(context)
+  }
+
+  pub(super) fn order_import(&mut self, context: &mut Scene) -> Outcome<State> {
+    let Some(placement) = self.placement.clone() else {
+      return Handled;
+    };
+    let attempt = self.attempt_id(context);
+    context.open(&attempt, &placement.decode);
+    context.note(NoteKind::TransferOrdered, &attempt, &placement.decode);
+    context.act(Action::Import(ImportOrder {
+      attempt,
+      deadline_ms: self.left_ms(context),
+      engine: placement.decode,
+      hold_ms: context.tuning().hold_ms,
+      link_wait_ms: self.link_wait_ms,
+      source: placement.prefill,
+    }));
+    self.link_wait_ms = 0;
+    Transition(State::transferring())
+  }
+
+  /// The decode engine was full at the end: another in the hall, or the same a little later, while
+  /// the export lasts.
+  pub(super) fn decode_full(&mut self, context: &mut Scene) -> Outcome<State> {
+    let attempt = self.attempt_id(context);
+    let Some(full) = self.placement.as_ref().map(|place| place.decode.clone()) else {
+      return Handled;
+    };
+    context.close(&attempt, &full);
+    let until_ms = context.now_ms + FULL_AGAIN_MS;
+    context
+      .fleet
+      .change(&full, |engine| engine.refused_until_ms = until_ms);
+    let lasts_until_ms = self.prefilled_ms + context.tuning().export_keep_ms;
+    if context.now_ms + FULL_AGAIN_MS >= lasts_until_ms {
+      return self.failed(context, &full, Began::Perhaps, true);
+    }
+    let Work::Model(work) = &self.arrival.work else {
+      return Handled;
+    };
+    match context.free_decode(work, &full) {
+      Some(other) => self.move_seat(context, other),
+      None => self.link_wait_ms = FULL_AGAIN_MS,
+    }
+    self.order_import(context)
+  }
+
+  pub(super) fn move_seat(&mut self, context: &mut Scene, other: Name) {
+    self.release_seat(context);
+    let now_ms = context.now_ms;
+    context.fleet.change(&other, |engine| {
+      engine.own_seats += 1;
+      engine.note_sent(now_ms, 1);
+    });
+    self.seat = Some(other.clone());
+    if let Some(placement) = &mut self.placement {
+      placement.decode = other;
+    }
+  }
+
+  pub(super) fn order_decode(&mut self, context: &mut Scene) -> Outcome<State> {
+    let Some(placement) = self.placement.clone() else {
+      return Handled;
+    };
+    let attempt = self.attempt_id(context);
+    context.close(&attempt, &placement.prefill);
+    self.read_tokens = 0;
+    context.note(NoteKind::TransferDone, &attempt, &placement.decode);
+    let kind = if self.offset > 0 {
+      NoteKind::DecodeResumed
+    } else {
+      NoteKind::DecodeOrdered
+    };
+    context.note(kind, &attempt, &placement.decode);
+    context.act(Action::Decode(DecodeOrder {
+      attempt,
+      engine: placement.decode,
+      offset: self.offset,
+    }));
+    Transition(State::decoding())
+  }
+}
--- /dev/null
+++ b/src/decide/life/placing.rs
@@ -0,0 +1,143 @@
+//! Placing a request: engines, a seat, the order to read its prompt.
+
+use {
+  super::{Life, Placed, State},
+  crate::decide::{
+    Action, NoteKind, PeerMessage, PrefillOrder, Refusal, Scene, SeatAsk, SeatDecision, SeatMode,
+    ServiceOrder, Work,
+  },
+  statig::prelude::*,
+};
+
+impl Life {
+  pub(super) fn place_model(&mut self, context: &mut Scene) -> Outcome<State> {
+    let Work::Model(work) = &self.arrival.work else {
+      return Handled;
+    };
+    let placement = match context.place(work, &self.tried) {
+      Ok(placement) => placement,
+      Err(no_place) => {
+        self.placed = Placed::Waits(no_place);
+        return Handled;
+      }
+    };
+    let late = placement.first_token_in_ms > self.left_ms(context);
+    if late && !self.began && context.tuning().early_refusal {
+      self.placed = Placed::Moved;
+      let retry_after_ms = placement.ready_in_ms;
+      return self.give_up(context, Refusal::TooLate, retry_after_ms);
+    }
+    let max_tokens = work.max_tokens;
+    self.placed = Placed::Moved;
+    self.attempt += 1;
+    self.link_wait_ms = 0;
+    let reserve = context.tuning().reserve_before_prefill;
+    let home = context.home(&placement.decode);
+    let ask = SeatAsk {
+      attempt: self.attempt_id(context),
+      engine: placement.decode.clone(),
+      hold_ms: max_tokens * context.tuning().token_ms,
+      kv_bytes: placement.kv_bytes,
+      ready_in_ms: placement.ready_in_ms,
+    };
+    self.placement = Some(placement);
+    if !reserve || context.tuning().seat_mode != SeatMode::HomeGrants {
+      return self.order_prefill(context, 0);
+    }
+    match home {
+      Some(home) if home == context.identity.name => match context.grant(&ask) {
+        SeatDecision::Granted { link_wait_ms } => self.order_prefill(context, link_wait_ms),
+        SeatDecision::Full => self.seat_refused(context),
+      },
+      Some(home) => {
+        self.asked_ms = context.now_ms;
+        context.act(Action::Send(home, PeerMessage::SeatAsk(ask)));
+        Transition(State::asking())
+      }
+      // No home lives: the engine itself still refuses when full.
+      None => self.order_prefill(context, 0),
+    }
+  }
+
+  pub(super) fn place_call(&mut self, context: &mut Scene) -> Outcome<State> {
+    let service = self.lane().clone();
+    let endpoint = match context.place_call(&service, &self.tried) {
+      Ok(endpoint) => endpoint,
+      Err(no_place) => {
+        self.placed = Placed::Waits(no_place);
+        return Handled;
+      }
+    };
+    self.placed = Placed::Moved;
+    self.attempt += 1;
+    let attempt = self.attempt_id(context);
+    context.fleet.change(&endpoint, |endpoint| {
+      endpoint.own_seats += 1;
+    });
+    context
+      .fleet
+      .change(&endpoint, |service| service.note_sent(context.now_ms, 1));
+    self.seat = Some(endpoint.clone());
+    self.endpoint = Some(endpoint.clone());
+    context.note(NoteKind::ServiceCalled, &attempt, &endpoint);
+    context.act(Action::Call(ServiceOrder {
+      attempt,
+      deadline_ms: self.left_ms(context),
+      endpoint,
+    }));
+    Transition(State::calling())
+  }
+
+  pub(super) fn seat_refused(&mut self, context: &mut Scene) -> Outcome<State> {
+    if let Some(engine) = self.placement.as_ref().map(|place| place.decode.clone()) {
+      let until_ms = context.now_ms + context.tuning().full_pause_ms;
+      context
+        .fleet
+        .change(&engine, |engine| engine.refused_until_ms = until_ms);
+      let attempt = self.attempt_id(context);
+      context.note(NoteKind::SeatRefused, attempt, engine);
+    }
+    // The ask was no try at an engine.
+    self.requeue = true;
+    Transition(State::queued())
+  }
+
+  /// The home may have granted what this box no longer waits for.
+  pub(super) fn take_ask_back(&mut self, context: &mut Scene) {
+    let Some(engine) = self.placement.as_ref().map(|place| place.decode.clone()) else {
+      return;
+    };
+    let attempt = self.attempt_id(context);
+    if let Some(home) = context.home(&engine) {
+      context.act(Action::Send(home, PeerMessage::SeatReturn(attempt, engine)));
+    }
+  }
+
+  pub(super) fn order_prefill(&mut self, context: &mut Scene, link_wait_ms: u64) -> Outcome<State> {
+    let Some(placement) = self.placement.clone() else {
+      return Handled;
+    };
+    let attempt = self.attempt_id(context);
+    self.link_wait_ms = link_wait_ms;
+    self.read_tokens = 0;
+    self.seat = Some(placement.decode.clone());
+    let now_ms = context.now_ms;
+    context.fleet.change(&placement.decode, |engine| {
+      engine.own_seats += 1;
+      engine.note_sent(now_ms, 1);
+    });
+    context.fleet.change(&placement.prefill, |engine| {
+      engine.note_sent(now_ms, placement.uncached_tokens);
+    });
+    context.open(&attempt, &placement.prefill);
+    context.note(NoteKind::PrefillOrdered, &attempt, &placement.prefill);
+    context.act(Action::Prefill(PrefillOrder {
+      attempt,
+      deadline_ms: self.left_ms(context),
+      engine: placement.prefill,
+      hold_ms: context.tuning().hold_ms,
+      priority: self.rank.priority,
+    }));
+    Transition(State::prefilling())
+  }
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -5,6 +5,7 @@
 //! and [`life::Life`] follows the orders to one of the [`Ending`]s.
 
 mod action;
+mod admission;
 mod arrival;
 mod configuration_view;
 mod ending;
--- a/src/egress/desk.rs
+++ b/src/egress/desk.rs
@@ -2,14 +2,15 @@
 
 use {
   super::{
+    answer_reader::read_answer,
     calls::{ServiceCall, call, trimmed},
     endpoint_client::{EndpointClient, OrderFailure},
-    joiner::{Joiner, Piece},
+    joiner::Joiner,
     pace::Pace,
     streams::ChunkStream,
   },
   crate::{
-    chunk::{Body, Chunk, Payload, Usage},
+    chunk::{Body, Payload},
     decide::{
       Action, Began, DecodeOrder, Event, HoldOrder, ImportOrder, LoadReport, PrefillOrder,
       RoleOrder, ServiceOrder, StageOutcome, StageReport,
@@ -59,15 +60,15 @@
 }
 
 /// A request as egress keeps it.
-struct Errand {
-  payload: Payload,
+pub(super) struct Errand {
+  pub(super) payload: Payload,
   joiner: Mutex<Joiner>,
-  pace: Mutex<Option<Pace>>,
-  prompt_tokens: Mutex<u64>,
+  pub(super) pace: Mutex<Option<Pace>>,
+  pub(super) prompt_tokens: Mutex<u64>,
 }
 
 impl Errand {
-  fn joiner(&self) -> std::sync::MutexGuard<'_, Joiner> {
+  pub(super) fn joiner(&self) -> std::sync::MutexGuard<'_, Joiner> {
     self.joiner.lock().unwrap_or_else(PoisonError::into_inner)
   }
 
@@ -83,11 +84,11 @@
 }
 
 /// What the tasks share.
-struct Office {
+pub(super) struct Office {
   clients: BTreeMap<Name, EndpointClient>,
   limits: Limits,
-  targets: Targets,
-  observer: Observer,
+  pub(super) targets: Targets,
+  pub(super) observer: Observer,
   started: Instant,
   to_decide: Sender<Event>,
 }
@@ -147,7 +148,7 @@
     self.clients.get(endpoint).cloned()
   }
 
-  async fn report(&self, attempt: AttemptId, endpoint: Name, outcome: StageOutcome) {
+  pub(super) async fn report(&self, attempt: AttemptId, endpoint: Name, outcome: StageOutcome) {
     let report = StageReport {
       attempt,
       endpoint,
@@ -517,81 +518,6 @@
   }
 }
 
-/// Reads an answer to its end; only its normal end with all of it delivered counts.
-async fn read_answer(
-  office: &Office,
-  errand: &Errand,
-  mut stream: ChunkStream,
-  attempt: &AttemptId,
-  endpoint: &Name,
-) -> Result<u64, OrderFailure> {
-  let mut first = true;
-  loop {
-    let Some(chunk) = stream.next().await? else {
-      return Err(OrderFailure::PerhapsBegan);
-    };
-    let tokens = chunk.tokens;
-    let piece = errand.joiner().take(chunk);
-    match piece {
-      Piece::Wrong => return Err(OrderFailure::PerhapsBegan),
-      Piece::Nothing => {}
-      Piece::Text(text) => {
-        if std::mem::take(&mut first) {
-          let outcome = StageOutcome::FirstChunk;
-          office
-            .report(attempt.clone(), endpoint.clone(), outcome)
-            .await;
-        }
-        if let Some(pace) = errand
-          .pace
-          .lock()
-          .unwrap_or_else(PoisonError::into_inner)
-          .as_mut()
-        {
-          pace.piece(tokens);
-        }
-        if errand.payload.chunks.send(Chunk::Text(text)).await.is_err() {
-          return Err(OrderFailure::PerhapsBegan);
-        }
-      }
-    }
-    let finished = {
-      let joiner = errand.joiner();
-      joiner.finished().map(|finish| (finish, joiner.tokens()))
-    };
-    if let Some((finish, completion_tokens)) = finished {
-      finish_answer(office, errand, finish, completion_tokens).await;
-      return Ok(completion_tokens);
-    }
-  }
-}
-
-async fn finish_answer(
-  office: &Office,
-  errand: &Errand,
-  finish: crate::endpoint_api::FinishReason,
-  completion_tokens: u64,
-) {
-  let usage = Usage {
-    completion_tokens,
-    finish,
-    prompt_tokens: *errand
-      .prompt_tokens
-      .lock()
-      .unwrap_or_else(PoisonError::into_inner),
-  };
-  // A caller who has gone is told to `decide` by ingress.
-  let _ = errand.payload.chunks.send(Chunk::Usage(usage)).await;
-  let pace = errand
-    .pace
-    .lock()
-    .unwrap_or_else(PoisonError::into_inner)
-    .take();
-  if let Some(pace) = pace {
-    office.observer.tell(pace.completed(&office.targets));
-  }
-}
-
 async fn read_cache_events(
   office: &Office,
   client: &EndpointClient,
--- a/src/egress/mod.rs
+++ b/src/egress/mod.rs
@@ -1,5 +1,6 @@
 //! The egress filter: orders become calls to endpoints, and their streams go to ingress.
 
+mod answer_reader;
 mod calls;
 mod desk;
 mod endpoint_client;
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -81,7 +81,7 @@
 #[tokio::test]
 async fn planned_stop_ends_streams_whole_and_hands_homes_on() {
   let mut test = Test::new().slow_answers().start().await;
-  let ask = Ask::new("A stream over a planned stop. ", 120);
+  let ask = Ask::new("A stream over a planned stop. ", 330);
   let mut streams = Vec::new();
   for name in ["north-1", "north-1", "north-2"] {
     streams.push(test.open(name, &ask).await);
@@ -95,7 +95,7 @@
   });
   assert!(gone.await, "the health check still passes");
   for stream in streams {
-    let whole = answer_text("A stream over a planned stop. ", 120);
+    let whole = answer_text("A stream over a planned stop. ", 330);
     assert_eq!(finish(stream).await, Told::Answered(whole));
   }
   let process = test.deployment.boxes.get_mut("north-1").unwrap();
