--- a/emulator/src/path_bench.rs
+++ b/emulator/src/path_bench.rs
@@ -24,6 +24,8 @@
 };
 
 const DECODERS: u32 = 4;
+const IDLE_DECODERS: [u32; 3] = [2, 14, 28];
+const IDLE_TIME: Duration = Duration::from_secs(12);
 const LIMIT: Duration = Duration::from_secs(30);
 const STREAMS: [u32; 3] = [1, 100, 1_000];
 const MOST_US: u64 = 60_000_000;
@@ -72,6 +74,10 @@
 }
 
 fn plan(program: &Path, token_ms: u64, seats: u32) -> Plan {
+  plan_with(program, token_ms, seats, DECODERS)
+}
+
+fn plan_with(program: &Path, token_ms: u64, seats: u32, decoders: u32) -> Plan {
   let engine = |role, seats| {
     EndpointPlan::Engine(EngineOptions {
       prefill_tokens_per_s: 50_000_000,
@@ -83,7 +89,7 @@
     })
   };
   let mut endpoints = vec![("prefill".to_string(), engine(Role::Prefill, 4_096))];
-  for index in 0..DECODERS {
+  for index in 0..decoders {
     endpoints.push((format!("decode-{index}"), engine(Role::Decode, seats)));
   }
   let hall = HallPlan {
@@ -324,6 +330,22 @@
   Ok(())
 }
 
+/// What an idle box costs as home of some engines: polls, cache events, listings, ticks.
+async fn idle(program: &Path) -> io::Result<()> {
+  println!("\n| endpoints of one home | % of a core | resident KB |\n| ---: | ---: | ---: |");
+  for decoders in IDLE_DECODERS {
+    let deployment = Deployment::start(&plan_with(program, 20, 8, decoders))?;
+    ready(&deployment).await?;
+    let id = the_box(&deployment).id().unwrap_or(0);
+    let before_s = processor_s(id);
+    let began = Instant::now();
+    tokio::time::sleep(IDLE_TIME).await;
+    let core = (processor_s(id) - before_s) / began.elapsed().as_secs_f64() * 100.0;
+    println!("| {} | {core:.2} | {} |", decoders + 1, resident_kb(id));
+  }
+  Ok(())
+}
+
 /// Runs the benchmark and prints its tables.
 pub(crate) fn run(program: &Path) -> io::Result<()> {
   tokio::runtime::Builder::new_multi_thread()
@@ -332,6 +354,7 @@
     .build()?
     .block_on(async {
       side_by_side(program).await?;
-      flood(program).await
+      flood(program).await?;
+      idle(program).await
     })
 }
--- a/src/serve/decide_loop.rs
+++ b/src/serve/decide_loop.rs
@@ -22,6 +22,8 @@
 const EVENTS_PER_RING: usize = 64;
 const STATUS_PERIOD: Duration = Duration::from_millis(200);
 const TICK: Duration = Duration::from_millis(10);
+/// With nothing in progress there is nothing to place or to cancel in a hurry.
+const IDLE_TICK: Duration = Duration::from_millis(50);
 
 /// A ring to another duty, with what it had no room for yet.
 pub(super) struct Outlet<T> {
@@ -72,7 +74,8 @@
     let mut shown = Instant::now();
     loop {
       let worked = self.drain();
-      if ticked.elapsed() >= TICK {
+      let tick = self.tick();
+      if ticked.elapsed() >= tick {
         ticked = Instant::now();
         self.handle(Event::Tick);
         self.flush();
@@ -82,11 +85,19 @@
         self.show();
       }
       if !worked {
-        thread::park_timeout(TICK.saturating_sub(ticked.elapsed()));
+        thread::park_timeout(tick.saturating_sub(ticked.elapsed()));
       }
     }
   }
 
+  fn tick(&self) -> Duration {
+    if self.machine.in_progress() > 0 || self.machine.open_orders() > 0 {
+      TICK
+    } else {
+      IDLE_TICK
+    }
+  }
+
   /// Takes a few events from each ring in turn, so that none starves another.
   fn drain(&mut self) -> bool {
     let mut worked = false;
