--- a/src/decide/life.rs
+++ b/src/decide/life.rs
@@ -90,7 +90,6 @@
   began: bool,
   streaming: bool,
   claimed: bool,
-  wasted_tokens: u64,
   read_tokens: u64,
   endpoint: Option<Name>,
   tried: Vec<Name>,
@@ -118,7 +117,6 @@
       seat: None,
       streaming: false,
       tried: Vec::new(),
-      wasted_tokens: 0,
       arrival,
       rank,
     }
--- a/src/decide/life/closing.rs
+++ b/src/decide/life/closing.rs
@@ -170,7 +170,6 @@
   pub(super) fn leave_attempt(&mut self, context: &mut Scene) {
     let attempt = self.attempt_id(context);
     if self.read_tokens > 0 {
-      self.wasted_tokens += self.read_tokens;
       context.note(NoteKind::PrefillWasted, &attempt, self.read_tokens);
       self.read_tokens = 0;
     }
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -19,6 +19,13 @@
     .revision
 }
 
+/// Reads the platform document's revision by one box and writes a new text by another.
+async fn rewrite(test: &crate::test::Running, name: &str, text: &str) -> (StatusCode, String) {
+  let (_, body) = test.admin("north-1", Method::GET, PLATFORM, None, "").await;
+  let read = Some(revision(&body));
+  test.admin(name, Method::PUT, PLATFORM, read, text).await
+}
+
 async fn digests(test: &crate::test::Running) -> Vec<u64> {
   let mut digests = Vec::new();
   for name in test.deployment.boxes.keys() {
@@ -43,16 +50,7 @@
 async fn written_configuration_is_in_force_on_all_boxes_of_all_halls() {
   let test = Test::two_halls().start().await;
   let old = test.status("north-1").await.configuration_digest;
-  let (_, body) = test.admin("north-1", Method::GET, PLATFORM, None, "").await;
-  let (status, body) = test
-    .admin(
-      "north-2",
-      Method::PUT,
-      PLATFORM,
-      Some(revision(&body)),
-      &document(99),
-    )
-    .await;
+  let (status, body) = rewrite(&test, "north-2", &document(99)).await;
   assert_eq!(status, StatusCode::OK, "{body}");
   assert!(all_agree_on_other_than(&test, old).await);
 }
@@ -106,16 +104,7 @@
     ..KeyValueFaults::default()
   });
   let old = test.status("south-1").await.configuration_digest;
-  let (_, body) = test.admin("north-1", Method::GET, PLATFORM, None, "").await;
-  let (status, _) = test
-    .admin(
-      "north-1",
-      Method::PUT,
-      PLATFORM,
-      Some(revision(&body)),
-      &document(55),
-    )
-    .await;
+  let (status, _) = rewrite(&test, "north-1", &document(55)).await;
   assert_eq!(status, StatusCode::OK);
   assert!(all_agree_on_other_than(&test, old).await);
 }
@@ -129,16 +118,7 @@
   });
   test.deployment.cut_halls("north", "south");
   let old = test.status("south-1").await.configuration_digest;
-  let (_, body) = test.admin("north-1", Method::GET, PLATFORM, None, "").await;
-  test
-    .admin(
-      "north-1",
-      Method::PUT,
-      PLATFORM,
-      Some(revision(&body)),
-      &document(44),
-    )
-    .await;
+  rewrite(&test, "north-1", &document(44)).await;
   let changed = eventually(PATIENCE, async || {
     test.status("north-2").await.configuration_digest != old
   });
@@ -155,16 +135,7 @@
 async fn replaced_box_takes_the_newest_from_its_peers_while_the_platform_is_down() {
   let mut test = Test::new().start().await;
   let old = test.status("north-1").await.configuration_digest;
-  let (_, body) = test.admin("north-1", Method::GET, PLATFORM, None, "").await;
-  test
-    .admin(
-      "north-1",
-      Method::PUT,
-      PLATFORM,
-      Some(revision(&body)),
-      &document(33),
-    )
-    .await;
+  rewrite(&test, "north-1", &document(33)).await;
   assert!(all_agree_on_other_than(&test, old).await);
   test.deployment.doors["north"].set(KeyValueFaults {
     down: true,
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -14,5 +14,6 @@
 mod roles;
 mod specification;
 mod test;
+mod two_at_once;
 
 pub(crate) use test::Test;
