Measure decisions at 10, 100, 1,000 and 5,600 endpoints

Cause of the steep growth noted before: without reports in the measurement engines looked full, and at small sizes requests were refused at once, which is cheap. Only the measurement changed.

--- a/emulator/src/slopes.rs
+++ b/emulator/src/slopes.rs
@@ -16,6 +16,8 @@
 };
 
 const POLICY: &str = include_str!("../../examples/sariwa/policy.rhai");
+const ARRIVAL_MS: u64 = 4;
+const REPORT_EVERY: u64 = 10;
 const REQUESTS: u64 = 4_000;
 const TICK_MS: u64 = 10;
 const VIRTUAL_S: u64 = 20;
@@ -52,6 +54,9 @@
   },
 ];
 
+/// Sizes for the decisions alone, in one hall, so that each endpoint is a candidate.
+const DECISION_ENDPOINTS: [usize; 4] = [10, 100, 1_000, 5_600];
+
 fn hall(index: usize, size: Size) -> Name {
   format!("hall-{}", index % size.halls).into()
 }
@@ -228,7 +233,16 @@
   let began = Instant::now();
   let mut ended = 0;
   for request in 0..REQUESTS {
-    let now_ms = 2 + request / 8;
+    let now_ms = 2 + request * ARRIVAL_MS;
+    if request.is_multiple_of(REPORT_EVERY) {
+      for spec in specs
+        .iter()
+        .skip((request as usize * 7) % specs.len())
+        .take(10)
+      {
+        machine.handle(now_ms, Event::LoadReported(report(spec)));
+      }
+    }
     let actions = machine.handle(now_ms, Event::Arrived(arrival(request)));
     ended += follow(&mut machine, now_ms, actions, &mut peers);
   }
@@ -414,6 +428,15 @@
     "| boxes | endpoints | ended | us a request | requests a second of a core | peer bytes a request |"
   );
   println!("| ---: | ---: | ---: | ---: | ---: | ---: |");
+  for endpoints in DECISION_ENDPOINTS {
+    let size = Size {
+      boxes: 1,
+      endpoints,
+      halls: 1,
+    };
+    let specs = (0..endpoints).map(|index| endpoint(index, size));
+    decisions(size, &specs.collect::<Vec<_>>());
+  }
   for (size, specs) in SIZES.iter().zip(&specs) {
     decisions(*size, specs);
   }
