--- a/emulator/src/demo.rs
+++ b/emulator/src/demo.rs
@@ -9,7 +9,7 @@
   },
   http::{Method, Request},
   http_body_util::Full,
-  rillford::{configuration::hash_key, decide::BoxEntry, platform::KeyValue},
+  rillford::{configuration::hash_key, decide::BoxEntry, store::KeyValue},
   std::{
     env, io,
     path::{Path, PathBuf},
--- a/src/admin/configuration.rs
+++ b/src/admin/configuration.rs
@@ -6,7 +6,7 @@
     configuration::{DocumentKey, parse_document},
     decide::Document,
     ids::Name,
-    platform::{KeyValueError, Swap, stored_key},
+    store::{KeyValueError, Swap, stored_key},
   },
   axum::{
     Json,
--- a/src/admin/desk.rs
+++ b/src/admin/desk.rs
@@ -7,7 +7,7 @@
     ids::Name,
     listener::{ListenerBounds, serve},
     observe::Timeline,
-    platform::KeyValue,
+    store::KeyValue,
     ring::Sender,
   },
   arc_swap::ArcSwap,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,10 +20,10 @@
 pub mod ids;
 pub mod observe;
 pub mod peers;
-pub mod platform;
 pub mod policy;
 pub mod ring;
 pub mod settings;
+pub mod store;
 
 pub use self::{
   admin::{ConfigurationBody, HistoryBody, ProblemBody, Revision},
--- a/src/serve/decide_loop.rs
+++ b/src/serve/decide_loop.rs
@@ -7,7 +7,7 @@
     ids::RequestId,
     observe::{Observation, Observer},
     peers::PeersInput,
-    platform::PlatformInput,
+    store::StoreInput,
     ring::{Receiver, Sender},
   },
   arc_swap::ArcSwap,
@@ -62,7 +62,7 @@
   pub(super) to_egress: Outlet<EgressInput>,
   pub(super) to_ingress: Outlet<(RequestId, Ending)>,
   pub(super) to_peers: Outlet<PeersInput>,
-  pub(super) to_platform: Outlet<PlatformInput>,
+  pub(super) to_platform: Outlet<StoreInput>,
   pub(super) observer: Observer,
   pub(super) status: Arc<ArcSwap<Status>>,
 }
@@ -125,11 +125,11 @@
       Action::Note(note) => self.observer.note(note),
       Action::Send(to, message) => self.to_peers.put(PeersInput::Send(to, message)),
       Action::Claim(request, organisation, key) => {
-        let input = PlatformInput::Claim(request, organisation, key);
+        let input = StoreInput::Claim(request, organisation, key);
         self.to_platform.put(input);
       }
       Action::ReleaseClaim(request, organisation, key) => {
-        let input = PlatformInput::Release(request, organisation, key);
+        let input = StoreInput::Release(request, organisation, key);
         self.to_platform.put(input);
       }
       Action::End(request, ending) => {
--- a/src/serve/start.rs
+++ b/src/serve/start.rs
@@ -17,7 +17,7 @@
       HybridClock, MetricSink, Observation, Observer, Timeline, observe, set_up_logging, unix_ms,
     },
     peers::{self, PeersSetup},
-    platform::{self, KeyValue, PlatformSetup},
+    store::{self, KeyValue, StoreSetup},
     ring::{Receiver, Waker, ring},
     settings::{EndpointKindWord, Settings},
   },
@@ -149,7 +149,7 @@
     move || peers::run(setup)
   })?;
   start_runtime("platform", {
-    let setup = PlatformSetup {
+    let setup = StoreSetup {
       documents,
       identity: settings.identity.clone(),
       inputs: platform_inputs,
@@ -163,7 +163,7 @@
       to_decide: from_platform,
       to_peers: to_peers_boxes,
     };
-    move || platform::run(setup)
+    move || store::run(setup)
   })?;
   start_runtime("administration", {
     let counter = observer.clone();
--- a/src/platform/claims.rs
+++ b/src/store/claims.rs
@@ -19,7 +19,7 @@
 /// The key of a claim. The caller's text is hashed, so any text will do.
 ///
 /// ```
-/// use rillford::platform::claim_key;
+/// use rillford::store::claim_key;
 /// assert_ne!(claim_key("oslo", "quiz-1"), claim_key("oslo", "quiz-2"));
 /// ```
 pub fn claim_key(organisation: &str, idempotency_key: &str) -> String {
--- a/src/platform/desk.rs
+++ b/src/store/desk.rs
@@ -42,7 +42,7 @@
 
 /// What the platform duty is told by `decide`.
 #[derive(Debug)]
-pub(crate) enum PlatformInput {
+pub(crate) enum StoreInput {
   /// Write a claim.
   Claim(RequestId, Name, Name),
   /// Release a claim.
@@ -50,7 +50,7 @@
 }
 
 /// What the platform duty starts with.
-pub(crate) struct PlatformSetup {
+pub(crate) struct StoreSetup {
   pub(crate) identity: BoxSettings,
   pub(crate) settings: Platform,
   pub(crate) started: Instant,
@@ -60,7 +60,7 @@
   pub(crate) status: Arc<ArcSwap<Status>>,
   pub(crate) to_decide: Sender<Event>,
   pub(crate) to_peers: Sender<PeersInput>,
-  pub(crate) inputs: Receiver<PlatformInput>,
+  pub(crate) inputs: Receiver<StoreInput>,
   pub(crate) documents: Receiver<Vec<Document>>,
   pub(crate) notify: Arc<Notify>,
 }
@@ -87,7 +87,7 @@
 }
 
 /// Runs the platform duty until the process ends.
-pub(crate) async fn run(setup: PlatformSetup) {
+pub(crate) async fn run(setup: StoreSetup) {
   let call_limit = Duration::from_millis(setup.settings.call_ms);
   let counter = setup.observer.clone();
   let counted = Arc::new(move || counter.tell(Observation::PlatformCall));
@@ -129,9 +129,9 @@
     Duration::from_millis(self.settings.call_ms)
   }
 
-  async fn settle(self: Arc<Self>, input: PlatformInput) {
+  async fn settle(self: Arc<Self>, input: StoreInput) {
     match input {
-      PlatformInput::Claim(request, organisation, key) => {
+      StoreInput::Claim(request, organisation, key) => {
         let token = self.token(request);
         let limit = self.call_limit() * CLAIM_LIMIT_CALLS;
         let outcome = claims::claim(&self.service, &organisation, &key, &token, limit).await;
@@ -144,7 +144,7 @@
           self.release(request, &organisation, &key).await;
         }
       }
-      PlatformInput::Release(request, organisation, key) => {
+      StoreInput::Release(request, organisation, key) => {
         self.release(request, &organisation, &key).await;
       }
     }
--- a/src/platform/mod.rs
+++ b/src/store/mod.rs
@@ -7,7 +7,7 @@
 mod key_value;
 mod lease;
 
-pub(crate) use self::desk::{PlatformInput, PlatformSetup, run};
+pub(crate) use self::desk::{StoreInput, StoreSetup, run};
 
 pub use self::{
   claims::{CLAIM_RETENTION_HOURS, claim_bucket, claim_key},
