--- /dev/null
+++ b/src/gateway/answer.rs
@@ -0,0 +1,87 @@
+//! Answers to callers: an endpoint's own, unchanged, or this box's own.
+
+use {
+  bytes::Bytes,
+  http::{
+    HeaderMap, HeaderValue, Response, StatusCode,
+    header::{CONNECTION, RETRY_AFTER},
+  },
+  http_body_util::{BodyExt, Full},
+  hyper::body::Body,
+  std::pin::Pin,
+};
+
+/// The stream to the caller has to break: its end can't be delivered.
+#[derive(Debug, thiserror::Error)]
+#[error("the stream broke: {0}")]
+pub(crate) struct StreamBroke(pub(crate) String);
+
+/// An answer's body.
+pub(crate) type AnswerBody = Pin<Box<dyn Body<Data = Bytes, Error = StreamBroke>>>;
+
+/// Why this box answers itself.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum OwnAnswer {
+  /// The request can't be read.
+  Malformed,
+  /// The body is longer than allowed.
+  TooLong,
+  /// The configuration has no such route.
+  NoRoute,
+  /// The request has not run and never will; when to come back.
+  NotRun {
+    /// Time until a further try makes sense.
+    retry_after_ms: u64,
+  },
+  /// The endpoint was lost: the request may have run.
+  Unknown,
+  /// The time is over: the request may have run.
+  TimedOut,
+}
+
+impl OwnAnswer {
+  pub(crate) fn status(self) -> StatusCode {
+    match self {
+      Self::Malformed => StatusCode::BAD_REQUEST,
+      Self::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
+      Self::NoRoute => StatusCode::NOT_FOUND,
+      Self::NotRun { .. } => StatusCode::SERVICE_UNAVAILABLE,
+      Self::Unknown => StatusCode::BAD_GATEWAY,
+      Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+    }
+  }
+
+  /// Whether the rest of the request may still be on its way.
+  fn ends_connection(self) -> bool {
+    matches!(self, Self::Malformed | Self::TooLong)
+  }
+
+  pub(crate) fn response(self) -> Response<AnswerBody> {
+    let mut response = Response::new(whole_body(Bytes::new()));
+    *response.status_mut() = self.status();
+    let headers = response.headers_mut();
+    if let Self::NotRun { retry_after_ms } = self {
+      let seconds = format!("{:.3}", retry_after_ms as f64 / 1_000.0);
+      if let Ok(value) = HeaderValue::from_str(&seconds) {
+        headers.insert(RETRY_AFTER, value);
+      }
+    }
+    if self.ends_connection() {
+      headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+  }
+}
+
+/// A body that is there as a whole.
+pub(crate) fn whole_body(bytes: Bytes) -> AnswerBody {
+  Box::pin(Full::new(bytes).map_err(|never| match never {}))
+}
+
+/// An endpoint's answer, passed on.
+pub(crate) fn passed_on(status: StatusCode, headers: HeaderMap, body: AnswerBody) -> Response<AnswerBody> {
+  let mut response = Response::new(body);
+  *response.status_mut() = status;
+  *response.headers_mut() = headers;
+  response
+}
--- /dev/null
+++ b/src/gateway/counters.rs
@@ -0,0 +1,96 @@
+//! What a box counts, and the text in which it is read.
+
+use std::{cell::{Cell, RefCell}, fmt::Write};
+
+/// Upper bounds of the latency histograms' buckets.
+const BUCKETS_MS: [u64; 12] = [5, 10, 25, 50, 100, 200, 300, 500, 900, 1_500, 3_000, 10_000];
+
+/// A number that only grows.
+#[derive(Debug, Default)]
+pub(crate) struct Counter(Cell<u64>);
+
+impl Counter {
+  pub(crate) fn inc(&self) {
+    self.0.set(self.0.get() + 1);
+  }
+}
+
+/// How often something took how long.
+#[derive(Debug, Default)]
+pub(crate) struct Histogram {
+  counts: RefCell<[u64; BUCKETS_MS.len() + 1]>,
+  sum_ms: Cell<u64>,
+}
+
+impl Histogram {
+  pub(crate) fn note(&self, took_ms: u64) {
+    let bucket = BUCKETS_MS.partition_point(|bound_ms| *bound_ms < took_ms);
+    self.counts.borrow_mut()[bucket] += 1;
+    self.sum_ms.set(self.sum_ms.get() + took_ms);
+  }
+
+  fn write(&self, name: &str, text: &mut String) {
+    let counts = self.counts.borrow();
+    let mut total = 0;
+    for (bound_ms, count) in BUCKETS_MS.iter().zip(counts.iter()) {
+      total += count;
+      let _ = writeln!(text, "{name}_bucket{{le=\"{bound_ms}\"}} {total}");
+    }
+    total += counts[BUCKETS_MS.len()];
+    let _ = writeln!(text, "{name}_bucket{{le=\"+Inf\"}} {total}");
+    let _ = writeln!(text, "{name}_sum {}", self.sum_ms.get());
+    let _ = writeln!(text, "{name}_count {total}");
+  }
+}
+
+/// All that a box counts.
+#[derive(Debug, Default)]
+pub(crate) struct Counters {
+  pub(crate) requests: Counter,
+  pub(crate) answered: Counter,
+  pub(crate) endpoint_failures: Counter,
+  pub(crate) not_run: Counter,
+  pub(crate) unknown: Counter,
+  pub(crate) timed_out: Counter,
+  pub(crate) refused: Counter,
+  pub(crate) broken_streams: Counter,
+  pub(crate) callers_gone: Counter,
+  pub(crate) repeats: Counter,
+  pub(crate) repeats_denied: Counter,
+  pub(crate) resumed: Counter,
+  pub(crate) connections: Counter,
+  pub(crate) store_calls: Counter,
+  pub(crate) store_failures: Counter,
+  pub(crate) whole_ms: Histogram,
+  pub(crate) first_event_ms: Histogram,
+}
+
+impl Counters {
+  /// The figures as text, a line each.
+  pub(crate) fn text(&self) -> String {
+    let counters = [
+      ("rillford_requests_total", &self.requests),
+      ("rillford_answered_total", &self.answered),
+      ("rillford_endpoint_failures_total", &self.endpoint_failures),
+      ("rillford_not_run_total", &self.not_run),
+      ("rillford_unknown_total", &self.unknown),
+      ("rillford_timed_out_total", &self.timed_out),
+      ("rillford_refused_total", &self.refused),
+      ("rillford_broken_streams_total", &self.broken_streams),
+      ("rillford_callers_gone_total", &self.callers_gone),
+      ("rillford_repeats_total", &self.repeats),
+      ("rillford_repeats_denied_total", &self.repeats_denied),
+      ("rillford_resumed_total", &self.resumed),
+      ("rillford_connections_total", &self.connections),
+      ("rillford_store_calls_total", &self.store_calls),
+      ("rillford_store_failures_total", &self.store_failures),
+    ];
+    let mut text = String::new();
+    for (name, counter) in counters {
+      let _ = writeln!(text, "{name} {}", counter.0.get());
+    }
+    self.whole_ms.write("rillford_whole_answer_ms", &mut text);
+    self.first_event_ms.write("rillford_first_event_ms", &mut text);
+    text
+  }
+}
--- /dev/null
+++ b/src/gateway/endpoint_entry.rs
@@ -0,0 +1,25 @@
+//! One endpoint as the store's list shows it.
+
+use {
+  crate::{decide::Role, ids::Name},
+  std::net::SocketAddr,
+};
+
+/// One incarnation of an endpoint. Its address may belong to another one soon after it has ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EndpointEntry {
+  /// The incarnation.
+  pub id: Name,
+  /// The service that it belongs to.
+  pub service: Name,
+  /// Where it listens.
+  pub address: SocketAddr,
+  /// Its data hall.
+  pub hall: Name,
+  /// Requests that it works on at once.
+  pub seats: u32,
+  /// Whether it is leaving.
+  pub leaving: bool,
+  /// An engine's role; plain services have none.
+  pub role: Option<Role>,
+}
--- /dev/null
+++ b/src/gateway/engine_call.rs
@@ -0,0 +1,126 @@
+//! The router's own calls to engines: reservations, and freeing what is no longer wanted.
+
+use {
+  super::{EndpointEntry, dialect::{EndpointCall, Export}, gateway::Gateway, part::exchange},
+  crate::ids::Name,
+  bytes::Bytes,
+  http::{Request, StatusCode, header::{CONTENT_TYPE, HOST}},
+  http_body_util::{BodyExt, Full, Limited},
+  std::{rc::Rc, time::Duration},
+  tokio::time::timeout,
+};
+
+/// An engine answers a call of the router's own within milliseconds.
+const CALL_LIMIT: Duration = Duration::from_millis(400);
+/// These answers are a few words long.
+const MOST_ANSWER_BYTES: usize = 64 * 1024;
+
+/// Makes a call and answers with its body.
+pub(crate) async fn call_engine(
+  gateway: &Gateway,
+  entry: &EndpointEntry,
+  call: EndpointCall,
+) -> Result<Bytes, String> {
+  let request = build(entry, call).map_err(|error| error.to_string())?;
+  let answer = async {
+    let (connection, response) = exchange(gateway, entry, request).await.map_err(|error| error.to_string())?;
+    let (head, body) = response.into_parts();
+    let read = Limited::new(body, MOST_ANSWER_BYTES).collect().await;
+    let body = read.map_err(|error| error.to_string())?.to_bytes();
+    gateway.pool.put(connection, &head.headers, gateway.now_ms());
+    match head.status {
+      StatusCode::OK => Ok(body),
+      status => Err(format!("status {status}")),
+    }
+  };
+  timeout(CALL_LIMIT, answer).await.unwrap_or_else(|_| Err("no answer in time".into()))
+}
+
+fn build(entry: &EndpointEntry, call: EndpointCall) -> http::Result<Request<Full<Bytes>>> {
+  let mut request = Request::builder()
+    .method(call.method)
+    .uri(call.path)
+    .header(HOST, entry.address.to_string());
+  if !call.body.is_empty() {
+    request = request.header(CONTENT_TYPE, "application/json");
+  }
+  request.body(Full::new(call.body))
+}
+
+/// A prompt that an engine keeps; freed there unless it was used.
+pub(crate) struct KeptExport {
+  pub(crate) export: Export,
+  gateway: Rc<Gateway>,
+  entry: EndpointEntry,
+  used: bool,
+}
+
+impl KeptExport {
+  pub(crate) fn new(gateway: &Rc<Gateway>, entry: &EndpointEntry, handle: Name) -> Self {
+    Self {
+      entry: entry.clone(),
+      export: Export {
+        handle,
+        source: entry.address,
+      },
+      gateway: gateway.clone(),
+      used: false,
+    }
+  }
+
+  pub(crate) fn set_used(&mut self) {
+    self.used = true;
+  }
+}
+
+impl Drop for KeptExport {
+  fn drop(&mut self) {
+    if !self.used {
+      let call = self.gateway.dialect.free_export(&self.export.handle);
+      free_later(&self.gateway, &self.entry, call);
+    }
+  }
+}
+
+/// A reserved seat; given back unless it was used.
+pub(crate) struct Reservation {
+  pub(crate) id: Name,
+  gateway: Rc<Gateway>,
+  entry: EndpointEntry,
+  used: bool,
+}
+
+impl Reservation {
+  pub(crate) fn new(gateway: &Rc<Gateway>, entry: &EndpointEntry, id: Name) -> Self {
+    Self {
+      entry: entry.clone(),
+      gateway: gateway.clone(),
+      id,
+      used: false,
+    }
+  }
+
+  pub(crate) fn set_used(&mut self) {
+    self.used = true;
+  }
+}
+
+impl Drop for Reservation {
+  fn drop(&mut self) {
+    if !self.used {
+      let call = self.gateway.dialect.free_reservation(&self.id);
+      free_later(&self.gateway, &self.entry, call);
+    }
+  }
+}
+
+/// Frees something without holding anybody up; the engine drops it by itself when the call is lost.
+fn free_later(gateway: &Rc<Gateway>, entry: &EndpointEntry, call: EndpointCall) {
+  let gateway = gateway.clone();
+  let entry = entry.clone();
+  tokio::task::spawn_local(async move {
+    if let Err(error) = call_engine(&gateway, &entry, call).await {
+      log::info!("E512 not freed at {}: {error}", entry.id);
+    }
+  });
+}
--- /dev/null
+++ b/src/gateway/front.rs
@@ -0,0 +1,165 @@
+//! Callers' connections and requests.
+
+use {
+  super::{
+    RouteKind,
+    answer::{AnswerBody, OwnAnswer},
+    gateway::{Gateway, InFlight, Phase},
+    headers::remove_connection_headers,
+    plain::answer_plain,
+    request::RoutedRequest,
+    retry_after::RETRY_AFTER_NO_CONFIGURATION_MS,
+    stream::answer_stream,
+  },
+  bytes::Bytes,
+  http::{
+    HeaderValue, Request, Response,
+    header::{CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING},
+  },
+  http_body_util::{BodyExt, LengthLimitError, Limited},
+  hyper::{body::Incoming, server::conn::http1, service::service_fn},
+  hyper_util::rt::{TokioIo, TokioTimer},
+  std::{convert::Infallible, pin::pin, rc::Rc, time::Duration},
+  tokio::{
+    net::{TcpListener, TcpStream},
+    time::timeout,
+  },
+};
+
+/// Pause after a connection could not be accepted, for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// How long a connection may rest before a configuration says so.
+const REST_MS: u64 = 60_000;
+/// The connection's one timer covers its rest and the next head: it must outlast both, also after a change.
+const REST_FACTOR: u64 = 2;
+/// The longest head before a configuration says so.
+const HEAD_BYTES: usize = 16 * 1024;
+/// The smallest buffer that the HTTP library takes.
+const LEAST_BUFFER_BYTES: usize = 8 * 1024;
+
+/// Accepts callers until the process ends.
+pub(crate) async fn accept_callers(gateway: Rc<Gateway>, listener: TcpListener) {
+  loop {
+    match listener.accept().await {
+      Ok((stream, _)) => drop(tokio::task::spawn_local(serve_caller(gateway.clone(), stream))),
+      Err(error) => {
+        log::warn!("E601 connection not accepted: {error}");
+        tokio::time::sleep(ACCEPT_PAUSE).await;
+      }
+    }
+  }
+}
+
+async fn serve_caller(gateway: Rc<Gateway>, stream: TcpStream) {
+  if let Err(error) = super::connection::set_limits(&stream) {
+    log::debug!("a caller's connection ended at once: {error}");
+    return;
+  }
+  let limits = gateway.table().map(|table| table.limits());
+  let rest_ms = limits.map_or(REST_MS, |limits| limits.idle_ms * REST_FACTOR + limits.head_ms);
+  let head_bytes = limits.map_or(HEAD_BYTES, |limits| limits.head_bytes);
+  let mut phase = gateway.phase.subscribe();
+  let service = service_fn(move |request| handle(gateway.clone(), request));
+  let connection = http1::Builder::new()
+    .timer(TokioTimer::new())
+    .header_read_timeout(Duration::from_millis(rest_ms))
+    .max_buf_size(head_bytes.max(LEAST_BUFFER_BYTES))
+    .serve_connection(TokioIo::new(stream), service);
+  let mut connection = pin!(connection);
+  let ended = tokio::select! {
+    ended = connection.as_mut() => ended,
+    _ = phase.wait_for(|phase| *phase == Phase::Closing) => {
+      connection.as_mut().graceful_shutdown();
+      connection.await
+    }
+  };
+  if let Err(error) = ended {
+    log::debug!("a caller's connection ended: {error}");
+  }
+}
+
+async fn handle(gateway: Rc<Gateway>, request: Request<Incoming>) -> Result<Response<AnswerBody>, Infallible> {
+  let in_flight = InFlight::new(&gateway);
+  gateway.counters.requests.inc();
+  let arrived_ms = gateway.now_ms();
+  let mut response = respond(gateway.clone(), request, in_flight).await;
+  count(&gateway, &response, arrived_ms);
+  if *gateway.phase.borrow() != Phase::Serving {
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+  }
+  Ok(response)
+}
+
+fn count(gateway: &Gateway, response: &Response<AnswerBody>, arrived_ms: u64) {
+  let counters = &gateway.counters;
+  match response.status().as_u16() {
+    200..300 => {
+      counters.answered.inc();
+      counters.whole_ms.note(gateway.now_ms() - arrived_ms);
+    }
+    502 => counters.unknown.inc(),
+    503 => counters.not_run.inc(),
+    504 => counters.timed_out.inc(),
+    400..500 => counters.refused.inc(),
+    _ => {}
+  }
+}
+
+async fn respond(gateway: Rc<Gateway>, request: Request<Incoming>, in_flight: InFlight) -> Response<AnswerBody> {
+  match route(&gateway, request).await {
+    Ok(request) => {
+      gateway.note_request(&request.service);
+      let request = Rc::new(request);
+      match request.route.kind {
+        RouteKind::Stream { .. } => answer_stream(gateway, request, in_flight).await,
+        RouteKind::Repeatable | RouteKind::Unrepeatable => answer_plain(gateway, request).await,
+      }
+    }
+    Err(own) => own.response(),
+  }
+}
+
+/// Reads a request whole and finds its route.
+async fn route(gateway: &Gateway, request: Request<Incoming>) -> Result<RoutedRequest, OwnAnswer> {
+  let arrived_ms = gateway.now_ms();
+  let (head, body) = request.into_parts();
+  if head.headers.contains_key(CONTENT_LENGTH) && head.headers.contains_key(TRANSFER_ENCODING) {
+    return Err(OwnAnswer::Malformed);
+  }
+  let host = head.headers.get(HOST).and_then(|host| host.to_str().ok()).ok_or(OwnAnswer::Malformed)?;
+  let not_run = OwnAnswer::NotRun { retry_after_ms: RETRY_AFTER_NO_CONFIGURATION_MS };
+  let table = gateway.table().ok_or(not_run)?;
+  let Some(route) = table.find(host, head.uri.path()).cloned() else {
+    let current = gateway.is_current();
+    log::info!("E602 no route: {host}{} in configuration {}, current {current}", head.uri.path(), table.version());
+    // A newer configuration that has not come may have it.
+    return Err(if current { OwnAnswer::NoRoute } else { not_run });
+  };
+  let facts = gateway.dialect.caller_facts(&head.headers);
+  let timeout_ms = route.timeout_ms.min(facts.deadline_ms.unwrap_or(u64::MAX));
+  let body = read_body(body, table.limits().body_bytes, timeout_ms).await?;
+  let service = route.service(gateway.draw()).cloned().ok_or(not_run)?;
+  let mut headers = head.headers;
+  remove_connection_headers(&mut headers);
+  gateway.dialect.remove_reserved(&mut headers);
+  Ok(RoutedRequest {
+    arrived_ms,
+    body,
+    facts,
+    headers,
+    method: head.method,
+    route,
+    service,
+    until_ms: arrived_ms + timeout_ms,
+    uri: head.uri,
+  })
+}
+
+async fn read_body(body: Incoming, most_bytes: usize, limit_ms: u64) -> Result<Bytes, OwnAnswer> {
+  let read = Limited::new(body, most_bytes).collect();
+  match timeout(Duration::from_millis(limit_ms), read).await {
+    Ok(Ok(body)) => Ok(body.to_bytes()),
+    Ok(Err(error)) if error.is::<LengthLimitError>() => Err(OwnAnswer::TooLong),
+    Ok(Err(_)) | Err(_) => Err(OwnAnswer::Malformed),
+  }
+}
--- /dev/null
+++ b/src/gateway/gateway.rs
@@ -0,0 +1,158 @@
+//! What a gateway box holds: the configuration in force, the endpoints, connections and budgets.
+
+use {
+  super::{
+    Choice, EndpointBook, GatewaySettings, PartEnd, RetryWindow, RouteTable, Wanted,
+    connection_pool::ConnectionPool, counters::Counters, dialect::Dialect,
+  },
+  crate::ids::Name,
+  rand::{RngExt, SeedableRng},
+  rand_chacha::ChaCha8Rng,
+  std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+    time::Instant,
+  },
+};
+
+/// What a box does with new requests.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Phase {
+  /// It serves.
+  Serving,
+  /// It serves what comes, and asks callers to go elsewhere.
+  Leaving,
+  /// It closes connections that rest.
+  Closing,
+}
+
+/// One gateway box.
+pub(crate) struct Gateway {
+  pub(crate) dialect: Rc<dyn Dialect>,
+  pub(crate) settings: GatewaySettings,
+  pub(crate) book: RefCell<EndpointBook>,
+  pub(crate) pool: ConnectionPool,
+  pub(crate) counters: Counters,
+  pub(crate) phase: tokio::sync::watch::Sender<Phase>,
+  pub(crate) in_flight: Cell<usize>,
+  pub(crate) boxes: RefCell<std::collections::HashSet<Name>>,
+  pub(crate) store_heard_ms: Cell<Option<u64>>,
+  table: RefCell<Option<Rc<RouteTable>>>,
+  windows: RefCell<HashMap<Name, RetryWindow>>,
+  random: RefCell<ChaCha8Rng>,
+  started: Instant,
+}
+
+impl Gateway {
+  pub(crate) fn new(dialect: Rc<dyn Dialect>, settings: GatewaySettings, seed: u64) -> Self {
+    Self {
+      book: RefCell::default(),
+      boxes: RefCell::default(),
+      counters: Counters::default(),
+      dialect,
+      in_flight: Cell::new(0),
+      phase: tokio::sync::watch::Sender::new(Phase::Serving),
+      pool: ConnectionPool::default(),
+      random: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
+      settings,
+      started: Instant::now(),
+      store_heard_ms: Cell::new(None),
+      table: RefCell::new(None),
+      windows: RefCell::default(),
+    }
+  }
+
+  /// Time on this box's clock.
+  pub(crate) fn now_ms(&self) -> u64 {
+    u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
+  }
+
+  /// A number from 0 to 1.
+  pub(crate) fn draw(&self) -> f64 {
+    self.random.borrow_mut().random()
+  }
+
+  /// The configuration in force.
+  pub(crate) fn table(&self) -> Option<Rc<RouteTable>> {
+    self.table.borrow().clone()
+  }
+
+  /// Puts a configuration in force, unless it is not newer than the one that is.
+  pub(crate) fn put_in_force(&self, table: RouteTable) -> bool {
+    let mut current = self.table.borrow_mut();
+    if current.as_ref().is_some_and(|current| current.version() >= table.version()) {
+      return false;
+    }
+    *current = Some(Rc::new(table));
+    true
+  }
+
+  /// Whether the store was heard so recently that what this box knows can be trusted.
+  pub(crate) fn is_current(&self) -> bool {
+    let contact_ms = self.settings.bounds.contact_ms;
+    self
+      .store_heard_ms
+      .get()
+      .is_some_and(|heard_ms| self.now_ms() < heard_ms + contact_ms)
+  }
+
+  /// Whether the balancer may send callers.
+  pub(crate) fn is_ready(&self) -> bool {
+    *self.phase.borrow() == Phase::Serving
+      && self.table.borrow().is_some()
+      && !self.book.borrow().is_empty()
+  }
+
+  /// Chooses an endpoint.
+  pub(crate) fn choose(&self, wanted: Wanted) -> Option<Choice> {
+    self.book.borrow().choose(wanted, self.now_ms(), || self.draw())
+  }
+
+  /// Books the end of an endpoint's part.
+  pub(crate) fn ended(&self, id: &str, size: u64, units: u64, end: PartEnd) {
+    self.book.borrow_mut().ended(id, size, units, end, self.now_ms());
+    if end == PartEnd::Lost {
+      self.pool.close(id);
+    }
+  }
+
+  /// Counts a caller's request towards its service's repeats.
+  pub(crate) fn note_request(&self, service: &Name) {
+    let now_ms = self.now_ms();
+    self.windows.borrow_mut().entry(service.clone()).or_default().note_request(now_ms);
+  }
+
+  /// Takes a repeat from the budget that all boxes share.
+  pub(crate) fn take_repeat(&self, service: &Name) -> bool {
+    let boxes = self.boxes.borrow().len();
+    let taken = self.windows.borrow_mut().entry(service.clone()).or_default().take(
+      self.settings.retry_allowance(),
+      boxes.max(LEAST_BOXES),
+      self.now_ms(),
+    );
+    if !taken {
+      self.counters.repeats_denied.inc();
+    }
+    taken
+  }
+}
+
+/// Boxes that are assumed while their list is not yet known: the smallest deployment has six.
+const LEAST_BOXES: usize = 6;
+
+/// Counts a request from its arrival until its answer has gone out.
+pub(crate) struct InFlight(Rc<Gateway>);
+
+impl InFlight {
+  pub(crate) fn new(gateway: &Rc<Gateway>) -> Self {
+    gateway.in_flight.set(gateway.in_flight.get() + 1);
+    Self(gateway.clone())
+  }
+}
+
+impl Drop for InFlight {
+  fn drop(&mut self) {
+    self.0.in_flight.set(self.0.in_flight.get() - 1);
+  }
+}
--- /dev/null
+++ b/src/gateway/headers.rs
@@ -0,0 +1,47 @@
+//! Headers that concern one connection only are not passed on.
+
+use http::{
+  HeaderMap, HeaderName,
+  header::{
+    CONNECTION, CONTENT_LENGTH, EXPECT, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
+    TRANSFER_ENCODING, UPGRADE,
+  },
+};
+
+const OF_ONE_CONNECTION: [HeaderName; 9] = [
+  CONNECTION,
+  CONTENT_LENGTH,
+  EXPECT,
+  PROXY_AUTHENTICATE,
+  PROXY_AUTHORIZATION,
+  TE,
+  TRAILER,
+  TRANSFER_ENCODING,
+  UPGRADE,
+];
+
+/// Removes the headers that concern one connection, those that `Connection` names included.
+///
+/// ```
+/// use http::HeaderMap;
+/// let mut headers = HeaderMap::new();
+/// headers.insert("connection", "x-hop".parse().unwrap());
+/// headers.insert("x-hop", "1".parse().unwrap());
+/// headers.insert("x-kept", "1".parse().unwrap());
+/// rillford::gateway::remove_connection_headers(&mut headers);
+/// assert_eq!(headers.len(), 1);
+/// ```
+pub fn remove_connection_headers(headers: &mut HeaderMap) {
+  let named: Vec<HeaderName> = headers
+    .get_all(CONNECTION)
+    .iter()
+    .filter_map(|value| value.to_str().ok())
+    .flat_map(|value| value.split(','))
+    .filter_map(|name| name.trim().parse().ok())
+    .collect();
+  for name in named.iter().chain(&OF_ONE_CONNECTION) {
+    headers.remove(name);
+  }
+  headers.remove("keep-alive");
+  headers.remove("proxy-connection");
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,52 @@
+//! A box that routes requests by host and path to endpoints that come and go.
+//!
+//! A request's way: `front` reads it and finds its [`Route`], `plain` or `stream` chooses endpoints from the
+//! [`EndpointBook`] within the [`RetryWindow`], `part` sends it over a `connection`, and the answer goes back
+//! unchanged. `store_sync` keeps routes and endpoints as the store has them. What a platform calls all this
+//! stands behind [`Dialect`] and [`Store`].
+//!
+//! One thread serves everything: a box has a fraction of a core, and each thread costs it memory.
+
+mod answer;
+mod connection;
+mod connection_pool;
+mod counters;
+mod dialect;
+mod endpoint_book;
+mod endpoint_entry;
+mod engine_call;
+mod event_cutter;
+mod front;
+#[allow(clippy::module_inception)]
+mod gateway;
+mod headers;
+mod log_writer;
+mod own_pages;
+mod part;
+mod plain;
+mod request;
+mod retry_after;
+mod retry_window;
+mod route_table;
+mod settings;
+mod start;
+mod store;
+mod store_sync;
+mod stream;
+
+pub use self::{
+  dialect::{
+    AnswerFacts, CallerFacts, DecodeError, Dialect, EndpointCall, Export, Marks, Part, ToldLoad,
+  },
+  endpoint_book::{Choice, EndpointBook, PartEnd, Wanted},
+  endpoint_entry::EndpointEntry,
+  event_cutter::{EventCutter, WholeEvent},
+  headers::remove_connection_headers,
+  retry_window::{RetryAllowance, RetryWindow},
+  route_table::{
+    CallerLimits, EngineSpec, Route, RouteKind, RouteTable, ServiceSpec, WeightedService,
+  },
+  settings::{GatewayBounds, GatewayIdentity, GatewayListen, GatewaySettings, StoreSettings},
+  start::run_gateway,
+  store::{Store, StoreChanges, StoreError, StoreItem, StoreKey, StoreLease, StorePage},
+};
--- /dev/null
+++ b/src/gateway/part.rs
@@ -0,0 +1,241 @@
+//! One part of a request at one endpoint, from the choice of a connection to the answer's head.
+
+use {
+  super::{
+    AnswerFacts, EndpointEntry, Marks, PartEnd,
+    connection::{Connection, SendError},
+    gateway::Gateway,
+    headers::remove_connection_headers,
+    request::RoutedRequest,
+  },
+  crate::ids::Name,
+  bytes::Bytes,
+  http::{HeaderMap, Request, Response, StatusCode, header::{CONTENT_ENCODING, CONTENT_LENGTH, TRANSFER_ENCODING}},
+  http_body_util::{BodyExt, Full, Limited},
+  hyper::body::Incoming,
+  std::rc::Rc,
+};
+
+/// The longest answer that is held whole before it is passed on.
+const MOST_WHOLE_BYTES: usize = 4 * 1024 * 1024;
+
+/// Why a part came to nothing.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+pub(crate) enum PartError {
+  /// The endpoint never saw it.
+  #[error("unsent: {0}")]
+  Unsent(String),
+  /// The endpoint says that it did not run.
+  #[error("refused by the endpoint with status {0}")]
+  NotRun(u16),
+  /// It may have run, and no answer can be passed on.
+  #[error("lost: {0}")]
+  Lost(String),
+}
+
+/// The books' entry for one part; counts as dropped unless it is settled.
+pub(crate) struct Booking {
+  gateway: Rc<Gateway>,
+  endpoint: Name,
+  size: u64,
+  units: u64,
+  sent_ms: u64,
+  end: PartEnd,
+}
+
+impl Booking {
+  pub(crate) fn new(gateway: &Rc<Gateway>, endpoint: &Name, size: u64, units: u64) -> Self {
+    gateway.book.borrow_mut().sent(endpoint, size);
+    Self {
+      end: PartEnd::Dropped,
+      endpoint: endpoint.clone(),
+      gateway: gateway.clone(),
+      sent_ms: gateway.now_ms(),
+      size,
+      units,
+    }
+  }
+
+  pub(crate) fn settle(&mut self, end: PartEnd) {
+    self.end = end;
+  }
+
+  pub(crate) fn answered(&mut self) {
+    let took_ms = self.gateway.now_ms() - self.sent_ms;
+    self.end = PartEnd::Answered { took_ms };
+  }
+
+  fn settle_error(&mut self, error: &PartError) {
+    self.end = match error {
+      PartError::NotRun(421) | PartError::Unsent(_) | PartError::Lost(_) => PartEnd::Lost,
+      PartError::NotRun(_) => PartEnd::Full,
+    };
+  }
+}
+
+impl Drop for Booking {
+  fn drop(&mut self) {
+    self.gateway.ended(&self.endpoint, self.size, self.units, self.end);
+  }
+}
+
+/// An answer's head that belongs to the request.
+pub(crate) struct Head {
+  pub(crate) status: StatusCode,
+  /// As they came, those of the connection included.
+  pub(crate) raw_headers: HeaderMap,
+  pub(crate) facts: AnswerFacts,
+  pub(crate) body: Incoming,
+  pub(crate) connection: Connection,
+  pub(crate) booking: Booking,
+}
+
+impl Head {
+  /// The headers that are passed on.
+  pub(crate) fn headers(&self) -> HeaderMap {
+    let mut headers = self.raw_headers.clone();
+    remove_connection_headers(&mut headers);
+    headers
+  }
+
+  /// Whether its end can be told from a connection that broke.
+  pub(crate) fn is_framed(&self) -> bool {
+    self.raw_headers.contains_key(CONTENT_LENGTH) || self.raw_headers.contains_key(TRANSFER_ENCODING)
+  }
+
+  /// Reads the body whole and lets the connection rest.
+  pub(crate) async fn whole(mut self, gateway: &Gateway) -> Result<WholeAnswer, PartError> {
+    let headers = self.headers();
+    let read = Limited::new(&mut self.body, MOST_WHOLE_BYTES).collect().await;
+    let body = match read {
+      Ok(body) => body.to_bytes(),
+      Err(error) => {
+        self.booking.settle(PartEnd::Lost);
+        return Err(PartError::Lost(format!("answer broke off: {error}")));
+      }
+    };
+    if self.status.is_server_error() {
+      self.booking.settle(PartEnd::Failed);
+    } else {
+      self.booking.answered();
+    }
+    gateway.pool.put(self.connection, &self.raw_headers, gateway.now_ms());
+    Ok(WholeAnswer {
+      body,
+      headers,
+      status: self.status,
+    })
+  }
+}
+
+/// An answer that is there as a whole.
+pub(crate) struct WholeAnswer {
+  pub(crate) status: StatusCode,
+  pub(crate) headers: HeaderMap,
+  pub(crate) body: Bytes,
+}
+
+/// Sends one part of a request to an endpoint and reads the answer's head.
+pub(crate) async fn send_part(
+  gateway: &Rc<Gateway>,
+  request: &RoutedRequest,
+  entry: &EndpointEntry,
+  marks: &Marks,
+  size: u64,
+  units: u64,
+) -> Result<Head, PartError> {
+  let mut booking = Booking::new(gateway, &entry.id, size, units);
+  let sent = request.for_endpoint(&*gateway.dialect, marks);
+  match exchange(gateway, entry, sent).await {
+    Ok((connection, response)) => {
+      let checked = check(gateway, request, entry, response);
+      match checked {
+        Ok(checked) => Ok(Head {
+          body: checked.body,
+          booking,
+          connection,
+          facts: checked.facts,
+          raw_headers: checked.headers,
+          status: checked.status,
+        }),
+        Err(error) => {
+          booking.settle_error(&error);
+          Err(error)
+        }
+      }
+    }
+    Err(error) => {
+      booking.settle_error(&error);
+      Err(error)
+    }
+  }
+}
+
+/// Sends a request on a resting connection, or on a new one when none is left or it closed unused.
+pub(crate) async fn exchange(
+  gateway: &Gateway,
+  entry: &EndpointEntry,
+  request: Request<Full<Bytes>>,
+) -> Result<(Connection, Response<Incoming>), PartError> {
+  if let Some(mut connection) = gateway.pool.take(&entry.id, gateway.now_ms()) {
+    match connection.send(request.clone()).await {
+      Ok(response) => return Ok((connection, response)),
+      Err(SendError::Broke(text)) => return Err(PartError::Lost(text)),
+      Err(SendError::Unsent(_)) => {}
+    }
+  }
+  gateway.counters.connections.inc();
+  let opened = Connection::open(entry.id.clone(), entry.address).await;
+  let mut connection = opened.map_err(|error| PartError::Unsent(error.to_string()))?;
+  if !gateway.book.borrow().may_send(&entry.id) {
+    return Err(PartError::Unsent("the endpoint is leaving".into()));
+  }
+  match connection.send(request).await {
+    Ok(response) => Ok((connection, response)),
+    Err(SendError::Unsent(text)) => Err(PartError::Unsent(text)),
+    Err(SendError::Broke(text)) => Err(PartError::Lost(text)),
+  }
+}
+
+struct Checked {
+  status: StatusCode,
+  headers: HeaderMap,
+  facts: AnswerFacts,
+  body: Incoming,
+}
+
+/// Believes an answer only when it is this request's own.
+fn check(
+  gateway: &Gateway,
+  request: &RoutedRequest,
+  entry: &EndpointEntry,
+  response: Response<Incoming>,
+) -> Result<Checked, PartError> {
+  let (head, body) = response.into_parts();
+  let facts = gateway.dialect.answer_facts(&head.headers);
+  if facts.request_id != request.facts.request_id {
+    return Err(PartError::Lost("answer to another request".into()));
+  }
+  if let Some(load) = facts.load {
+    gateway.book.borrow_mut().told_load(&entry.id, load, gateway.now_ms());
+  }
+  if facts.not_run {
+    return Err(PartError::NotRun(head.status.as_u16()));
+  }
+  if head.status == StatusCode::MISDIRECTED_REQUEST {
+    return Err(PartError::NotRun(421));
+  }
+  // These promise that the request has not run, which this endpoint does not say.
+  if matches!(head.status.as_u16(), 408 | 429 | 503) {
+    return Err(PartError::Lost(format!("status {} without a word on running", head.status)));
+  }
+  if head.headers.contains_key(CONTENT_ENCODING) {
+    return Err(PartError::Lost("answer with an encoding that was not asked for".into()));
+  }
+  Ok(Checked {
+    body,
+    facts,
+    headers: head.headers,
+    status: head.status,
+  })
+}
--- /dev/null
+++ b/src/gateway/plain.rs
@@ -0,0 +1,182 @@
+//! A request that is answered whole: one endpoint after another, as far as its route and the budget allow.
+
+use {
+  super::{
+    Marks, Part, Wanted,
+    answer::{AnswerBody, OwnAnswer, passed_on, whole_body},
+    gateway::Gateway,
+    part::{PartError, WholeAnswer, send_part},
+    request::RoutedRequest,
+    retry_after::{RETRY_AFTER_FULL_MS, RETRY_AFTER_NO_ENDPOINT_MS},
+  },
+  crate::ids::Name,
+  futures_util::{FutureExt, StreamExt, future::LocalBoxFuture, stream::FuturesUnordered},
+  http::Response,
+  std::{rc::Rc, time::Duration},
+  tokio::time::sleep,
+};
+
+/// Part of the wanted latency after which a repeatable request is sent to a second endpoint too.
+const HEDGE_SHARE: f64 = 0.6;
+
+type Try = LocalBoxFuture<'static, (Name, Result<WholeAnswer, PartError>)>;
+
+/// How a request that is answered whole stands.
+struct PlainRequest {
+  gateway: Rc<Gateway>,
+  request: Rc<RoutedRequest>,
+  tried: Vec<Name>,
+  running: FuturesUnordered<Try>,
+  /// An endpoint's own failure, passed on when nothing better comes.
+  failure: Option<WholeAnswer>,
+  /// Whether a lost endpoint may have run it.
+  perhaps_run: bool,
+}
+
+/// Answers a request.
+pub(crate) async fn answer_plain(gateway: Rc<Gateway>, request: Rc<RoutedRequest>) -> Response<AnswerBody> {
+  let mut plain = PlainRequest {
+    failure: None,
+    gateway,
+    perhaps_run: false,
+    request,
+    running: FuturesUnordered::new(),
+    tried: Vec::new(),
+  };
+  if !plain.start() {
+    log::warn!("E501 refused: {} no endpoint of {} is known", plain.request.id(), plain.request.service);
+    return OwnAnswer::NotRun { retry_after_ms: RETRY_AFTER_NO_ENDPOINT_MS }.response();
+  }
+  plain.run().await
+}
+
+impl PlainRequest {
+  async fn run(mut self) -> Response<AnswerBody> {
+    let now_ms = self.gateway.now_ms();
+    let mut deadline = sleep(Duration::from_millis(self.request.left_ms(now_ms))).boxed_local();
+    let hedge_ms = (self.request.route.target_ms as f64 * HEDGE_SHARE) as u64;
+    let mut hedge = sleep(Duration::from_millis(hedge_ms)).boxed_local();
+    let mut may_hedge = self.request.route.kind.may_repeat();
+    loop {
+      tokio::select! {
+        biased;
+        Some((endpoint, result)) = self.running.next() => {
+          if let Some(response) = self.judge(&endpoint, result) {
+            return response;
+          }
+          if self.running.is_empty() && !self.start_again() {
+            return self.give_up();
+          }
+        }
+        () = &mut deadline => return self.time_out(),
+        () = &mut hedge, if may_hedge => {
+          may_hedge = false;
+          self.start_again();
+        }
+      }
+    }
+  }
+
+  /// What an endpoint's answer means; nothing when another endpoint may be asked.
+  fn judge(&mut self, endpoint: &Name, result: Result<WholeAnswer, PartError>) -> Option<Response<AnswerBody>> {
+    match result {
+      Ok(answer) if !answer.status.is_server_error() => return Some(pass_on(answer)),
+      Ok(answer) => {
+        self.gateway.counters.endpoint_failures.inc();
+        self.perhaps_run = true;
+        self.failure = Some(answer);
+      }
+      Err(error) => {
+        log::info!("E502 part failed: {} at {endpoint}: {error}", self.request.id());
+        self.perhaps_run |= matches!(error, PartError::Lost(_));
+        if matches!(error, PartError::Unsent(_)) {
+          // The endpoint never saw it: it counts as no attempt.
+          return self.start_unsent();
+        }
+      }
+    }
+    None
+  }
+
+  fn start_unsent(&mut self) -> Option<Response<AnswerBody>> {
+    self.start();
+    None
+  }
+
+  /// Sends the request to a further endpoint, if its route and the budget allow.
+  fn start_again(&mut self) -> bool {
+    let repeats = self.request.route.kind.may_repeat() || !self.perhaps_run;
+    let attempts_left = (self.tried.len() as u32) < self.request.route.most_attempts.max(1 + u32::from(!self.perhaps_run));
+    if !repeats || !attempts_left || !self.gateway.take_repeat(&self.request.service) {
+      return false;
+    }
+    self.gateway.counters.repeats.inc();
+    self.start()
+  }
+
+  fn start(&mut self) -> bool {
+    let gateway = &self.gateway;
+    let request = &self.request;
+    let choice = gateway.choose(Wanted {
+      hall: &gateway.settings.identity.hall,
+      may_repeat: request.route.kind.may_repeat(),
+      role: None,
+      service: &request.service,
+      size: 1,
+      tried: &self.tried,
+    });
+    let Some(choice) = choice else { return false };
+    let entry = choice.entry;
+    self.tried.push(entry.id.clone());
+    let marks = Marks {
+      deadline_ms: request.left_ms(gateway.now_ms()),
+      endpoint_id: entry.id.clone(),
+      last_event_id: None,
+      part: Part::Whole,
+      priority: request.route.priority,
+      reservation: None,
+    };
+    let gateway = gateway.clone();
+    let request = request.clone();
+    self.running.push(
+      async move {
+        let result = async {
+          let head = send_part(&gateway, &request, &entry, &marks, 1, 1).await?;
+          let has_receipt = head.facts.has_receipt;
+          let whole = head.whole(&gateway).await?;
+          if whole.status.is_success() && !has_receipt {
+            return Err(PartError::Lost("success without a receipt".into()));
+          }
+          Ok(whole)
+        };
+        let result = result.await;
+        (entry.id, result)
+      }
+      .boxed_local(),
+    );
+    true
+  }
+
+  fn give_up(self) -> Response<AnswerBody> {
+    if let Some(answer) = self.failure {
+      return pass_on(answer);
+    }
+    if self.perhaps_run {
+      self.gateway.counters.unknown.inc();
+      return OwnAnswer::Unknown.response();
+    }
+    OwnAnswer::NotRun { retry_after_ms: RETRY_AFTER_FULL_MS }.response()
+  }
+
+  fn time_out(self) -> Response<AnswerBody> {
+    log::info!("E503 timed out: {} at {:?}", self.request.id(), self.tried);
+    match self.failure {
+      Some(answer) => pass_on(answer),
+      None => OwnAnswer::TimedOut.response(),
+    }
+  }
+}
+
+fn pass_on(answer: WholeAnswer) -> Response<AnswerBody> {
+  passed_on(answer.status, answer.headers, whole_body(answer.body))
+}
--- /dev/null
+++ b/src/gateway/request.rs
@@ -0,0 +1,54 @@
+//! A caller's request, read whole and matched to its route.
+
+use {
+  super::{CallerFacts, Marks, Route, dialect::Dialect},
+  crate::ids::Name,
+  bytes::Bytes,
+  http::{HeaderMap, Method, Request, Uri},
+  http_body_util::Full,
+  std::rc::Rc,
+};
+
+/// A caller's request on its way.
+#[derive(Debug)]
+pub(crate) struct RoutedRequest {
+  pub(crate) method: Method,
+  pub(crate) uri: Uri,
+  /// The caller's headers, without those of its connection and those that only this router sets.
+  pub(crate) headers: HeaderMap,
+  pub(crate) body: Bytes,
+  pub(crate) facts: CallerFacts,
+  pub(crate) route: Rc<Route>,
+  pub(crate) service: Name,
+  /// When it came, on the box's clock.
+  pub(crate) arrived_ms: u64,
+  /// When its final answer is due at the latest.
+  pub(crate) until_ms: u64,
+}
+
+impl RoutedRequest {
+  /// The request as one endpoint gets it.
+  pub(crate) fn for_endpoint(&self, dialect: &dyn Dialect, marks: &Marks) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(self.body.clone()));
+    *request.method_mut() = self.method.clone();
+    *request.uri_mut() = self.uri.clone();
+    *request.headers_mut() = self.headers.clone();
+    dialect.mark(request.headers_mut(), marks);
+    request
+  }
+
+  /// Its id, for logs.
+  pub(crate) fn id(&self) -> &str {
+    self.facts.request_id.as_deref().unwrap_or("-")
+  }
+
+  /// Time that is left.
+  pub(crate) fn left_ms(&self, now_ms: u64) -> u64 {
+    self.until_ms.saturating_sub(now_ms)
+  }
+
+  /// Tokens that it takes in an engine's memory at the most.
+  pub(crate) fn tokens(&self) -> u64 {
+    self.facts.prompt_tokens + self.facts.answer_tokens
+  }
+}
--- /dev/null
+++ b/src/gateway/settings.rs
@@ -0,0 +1,129 @@
+//! The settings of a gateway box.
+
+use {
+  super::RetryAllowance,
+  crate::{Error, Result, ids::Name, settings::SettingsError},
+  serde::Deserialize,
+  std::{net::SocketAddr, path::Path},
+};
+
+/// The settings file of `rillford gateway`.
+#[derive(Clone, Debug, Deserialize)]
+pub struct GatewaySettings {
+  /// Who this box is.
+  #[serde(rename = "box")]
+  pub identity: GatewayIdentity,
+  /// Where it listens.
+  pub listen: GatewayListen,
+  /// The platform's store.
+  pub store: StoreSettings,
+  /// Bounds that the users set.
+  pub bounds: GatewayBounds,
+}
+
+/// Who a box is.
+#[derive(Clone, Debug, Deserialize)]
+pub struct GatewayIdentity {
+  /// Its name.
+  pub name: Name,
+  /// Its data hall.
+  pub hall: Name,
+}
+
+/// Where a box listens.
+#[derive(Clone, Debug, Deserialize)]
+pub struct GatewayListen {
+  /// For callers.
+  pub callers: SocketAddr,
+  /// For the balancer's question whether it is ready.
+  pub ready: SocketAddr,
+  /// For whoever reads its figures.
+  pub metrics: Option<SocketAddr>,
+}
+
+/// The store.
+#[derive(Clone, Debug, Deserialize)]
+pub struct StoreSettings {
+  /// Where it listens.
+  pub address: SocketAddr,
+  /// The shortest lease that it grants.
+  pub least_lease_ms: u64,
+}
+
+/// Bounds that the users set; fractions are theirs.
+#[derive(Clone, Debug, Deserialize)]
+pub struct GatewayBounds {
+  /// From the signal to stop until the process is killed.
+  pub stop_s: f64,
+  /// Repeats for each request, over all boxes.
+  pub retry_ratio: f64,
+  /// The window for repeats.
+  pub retry_window_s: f64,
+  /// Repeats beyond the ratio, over all boxes.
+  pub retry_slack: f64,
+  /// Time without trouble after which a box counts as connected to the store.
+  pub contact_ms: u64,
+}
+
+impl GatewaySettings {
+  /// Reads a settings file.
+  pub fn load(path: &Path) -> Result<Self> {
+    let text = std::fs::read_to_string(path).map_err(|source| Error::Read {
+      path: path.into(),
+      source,
+    })?;
+    Self::parse(path, &text)
+  }
+
+  /// Reads settings from text; `path` stands in errors.
+  pub fn parse(path: &Path, text: &str) -> Result<Self> {
+    let settings: Self = toml::from_str(text).map_err(|error| {
+      let start = error.span().map_or(0, |span| span.start);
+      let before = text.get(..start).unwrap_or_default();
+      refusal(path, before.matches('\n').count() + 1, "settings", error.message())
+    })?;
+    settings.check(path)?;
+    Ok(settings)
+  }
+
+  fn check(&self, path: &Path) -> Result {
+    let bounds = &self.bounds;
+    let positive = [
+      ("bounds.stop_s", bounds.stop_s),
+      ("bounds.retry_window_s", bounds.retry_window_s),
+    ];
+    for (key, value) in positive {
+      if !value.is_finite() || value <= 0.0 {
+        return Err(refusal(path, 1, key, "must be a number above 0"));
+      }
+    }
+    let shares = [
+      ("bounds.retry_ratio", bounds.retry_ratio),
+      ("bounds.retry_slack", bounds.retry_slack),
+    ];
+    for (key, value) in shares {
+      if !value.is_finite() || value < 0.0 {
+        return Err(refusal(path, 1, key, "must be a number of 0 or more"));
+      }
+    }
+    Ok(())
+  }
+
+  /// What is allowed in repeats.
+  pub fn retry_allowance(&self) -> RetryAllowance {
+    RetryAllowance {
+      ratio: self.bounds.retry_ratio,
+      slack: self.bounds.retry_slack,
+      window_ms: (self.bounds.retry_window_s * 1_000.0) as u64,
+    }
+  }
+}
+
+fn refusal(path: &Path, line: usize, key: &str, message: &str) -> Error {
+  Error::Settings(vec![SettingsError {
+    file: path.into(),
+    key: key.into(),
+    line,
+    message: message.into(),
+  }])
+}
--- /dev/null
+++ b/src/gateway/start.rs
@@ -0,0 +1,132 @@
+//! Starting a gateway box, and stopping it without cutting a request.
+
+use {
+  super::{
+    GatewaySettings,
+    dialect::Dialect,
+    front::accept_callers,
+    gateway::{Gateway, Phase},
+    log_writer::LogWriter,
+    own_pages::{OwnPage, serve_page},
+    store::Store,
+    store_sync::{follow_store, keep_entry},
+  },
+  crate::{Error, Result, listener::bind, observe::unix_ms},
+  fern::Dispatch,
+  log::LevelFilter,
+  std::{net::SocketAddr, rc::Rc, time::Duration},
+  tokio::{
+    net::TcpListener,
+    signal::unix::{Signal, SignalKind, signal},
+    task::LocalSet,
+    time::sleep,
+  },
+};
+
+/// The balancer asks every second and takes a box out after two misses.
+const BALANCER_LAG: Duration = Duration::from_millis(2_300);
+/// What is left between the last answer and the kill.
+const KILL_MARGIN: Duration = Duration::from_millis(700);
+/// Time for connections that rest to be closed politely.
+const CLOSING: Duration = Duration::from_millis(150);
+const DRAIN_POLL: Duration = Duration::from_millis(50);
+/// Pause between closing connections that rested for too long.
+const HOUSEKEEPING: Duration = Duration::from_millis(1_000);
+
+/// Runs a gateway box until it is told to stop.
+pub fn run_gateway<S: Store>(
+  settings: GatewaySettings,
+  dialect: Rc<dyn Dialect>,
+  store: impl FnOnce(&GatewaySettings) -> S,
+) -> Result {
+  set_up_log()?;
+  let runtime = tokio::runtime::Builder::new_current_thread()
+    .enable_all()
+    .build()
+    .map_err(|source| Error::Thread { step: "gateway", source })?;
+  LocalSet::new().block_on(&runtime, async move {
+    let store = store(&settings);
+    serve(settings, dialect, store).await
+  })
+}
+
+async fn serve<S: Store>(settings: GatewaySettings, dialect: Rc<dyn Dialect>, store: S) -> Result {
+  let callers = listen("callers", settings.listen.callers)?;
+  let ready = listen("ready", settings.listen.ready)?;
+  let metrics = settings.listen.metrics.map(|address| listen("metrics", address)).transpose()?;
+  let mut stop = stop_signal()?;
+  let mut reload = reload_signal()?;
+  let name = settings.identity.name.clone();
+  log::info!("E101 started: {name} {}", env!("CARGO_PKG_VERSION"));
+  let gateway = Rc::new(Gateway::new(dialect, settings, unix_ms() ^ u64::from(std::process::id())));
+  tokio::task::spawn_local(serve_page(gateway.clone(), ready, OwnPage::Ready));
+  if let Some(metrics) = metrics {
+    tokio::task::spawn_local(serve_page(gateway.clone(), metrics, OwnPage::Metrics));
+  }
+  tokio::task::spawn_local(follow_store(gateway.clone(), store.clone()));
+  tokio::task::spawn_local(keep_entry(gateway.clone(), store));
+  tokio::task::spawn_local(accept_callers(gateway.clone(), callers));
+  tokio::task::spawn_local(keep_house(gateway.clone()));
+  loop {
+    tokio::select! {
+      _ = stop.recv() => break,
+      _ = reload.recv() => log::info!("E102 settings changed: in force at the next start"),
+    }
+  }
+  leave(&gateway).await;
+  log::info!("E103 stopped: {name}, {} requests left", gateway.in_flight.get());
+  Ok(())
+}
+
+/// Serves what still comes, then closes what rests.
+async fn leave(gateway: &Gateway) {
+  let now_ms = gateway.now_ms();
+  let stop_ms = (gateway.settings.bounds.stop_s * 1_000.0) as u64;
+  let end_ms = now_ms + stop_ms.saturating_sub(u64::try_from(KILL_MARGIN.as_millis()).unwrap_or(0));
+  gateway.phase.send_replace(Phase::Leaving);
+  log::info!("E104 leaving: {} requests in progress", gateway.in_flight.get());
+  sleep(BALANCER_LAG).await;
+  gateway.phase.send_replace(Phase::Closing);
+  while gateway.in_flight.get() > 0 && gateway.now_ms() < end_ms {
+    sleep(DRAIN_POLL).await;
+  }
+  sleep(CLOSING).await;
+}
+
+async fn keep_house(gateway: Rc<Gateway>) {
+  loop {
+    sleep(HOUSEKEEPING).await;
+    let now_ms = gateway.now_ms();
+    gateway.pool.close_old(now_ms);
+    gateway.book.borrow_mut().forget_lapsed(now_ms);
+  }
+}
+
+fn listen(step: &'static str, address: SocketAddr) -> Result<TcpListener> {
+  TcpListener::from_std(bind(step, address)?).map_err(|source| Error::Listen {
+    peer: address.to_string(),
+    source,
+    step,
+  })
+}
+
+fn stop_signal() -> Result<Signal> {
+  signal(SignalKind::terminate()).map_err(|source| Error::Thread { step: "stop signal", source })
+}
+
+fn reload_signal() -> Result<Signal> {
+  signal(SignalKind::hangup()).map_err(|source| Error::Thread { step: "reload signal", source })
+}
+
+fn set_up_log() -> Result {
+  let writer = LogWriter::start().map_err(|source| Error::Thread { step: "log", source })?;
+  Dispatch::new()
+    .level(LevelFilter::Warn)
+    .level_for("rillford", LevelFilter::Info)
+    .format(|out, message, record| {
+      out.finish(format_args!("{} {} {message}", unix_ms(), record.level()));
+    })
+    .chain(Box::new(writer) as Box<dyn std::io::Write + Send>)
+    .apply()
+    .map_err(|error| Error::Log(error.to_string()))
+}
--- /dev/null
+++ b/src/gateway/store.rs
@@ -0,0 +1,92 @@
+//! The key-value store that holds the configuration and the list of endpoints.
+
+use {crate::ids::Name, bytes::Bytes, std::time::Duration};
+
+/// What a key of the store is about.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum StoreKey {
+  /// The configuration.
+  Configuration,
+  /// An endpoint, by its incarnation.
+  Endpoint(Name),
+  /// A box of this router, by its name.
+  Box(Name),
+  /// Something else.
+  Other,
+}
+
+/// One item, as it was written or removed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct StoreItem {
+  /// What it is about.
+  pub key: StoreKey,
+  /// The revision of this change.
+  pub revision: u64,
+  /// The value; nothing when it was removed.
+  pub value: Option<Bytes>,
+}
+
+/// One page of a listing. Pages are not a snapshot.
+#[derive(Clone, Debug)]
+pub struct StorePage {
+  /// The items.
+  pub items: Vec<StoreItem>,
+  /// The store's revision when the page was made.
+  pub revision: u64,
+  /// Where the next page begins.
+  pub next_after: Option<String>,
+}
+
+/// What a watch came to.
+#[derive(Clone, Debug)]
+pub enum StoreChanges {
+  /// Changes in order; none when the wait ran out.
+  Some {
+    /// The changes.
+    items: Vec<StoreItem>,
+    /// Where to go on.
+    revision: u64,
+  },
+  /// The store no longer has the history asked for.
+  HistoryLost,
+}
+
+/// A lease of the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StoreLease(pub u64);
+
+/// Why a call to the store came to nothing.
+#[derive(Debug, thiserror::Error)]
+pub enum StoreError {
+  /// The lease is over.
+  #[error("the lease is over")]
+  LeaseOver,
+  /// The call failed, or its answer can't be read.
+  #[error("{0}")]
+  Call(String),
+}
+
+/// The calls of the store that this router uses.
+pub trait Store: Clone + 'static {
+  /// Lists configuration, endpoints and boxes, a page at a time.
+  fn page(&self, after: Option<&str>) -> impl Future<Output = Result<StorePage, StoreError>>;
+  /// Waits for changes after a revision.
+  fn changes(
+    &self,
+    after_revision: u64,
+    wait: Duration,
+  ) -> impl Future<Output = Result<StoreChanges, StoreError>>;
+  /// Takes a lease.
+  fn grant(&self, ttl: Duration) -> impl Future<Output = Result<StoreLease, StoreError>>;
+  /// Renews a lease.
+  fn renew(&self, lease: StoreLease) -> impl Future<Output = Result<(), StoreError>>;
+  /// Ends a lease, and its keys with it.
+  fn end(&self, lease: StoreLease) -> impl Future<Output = Result<(), StoreError>>;
+  /// Writes this box's entry under a lease.
+  fn put_box(
+    &self,
+    name: &str,
+    value: Bytes,
+    lease: StoreLease,
+  ) -> impl Future<Output = Result<(), StoreError>>;
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod decide;
 pub mod egress;
 pub mod endpoint_api;
+pub mod gateway;
 pub mod ids;
 pub mod observe;
 pub mod peers;
@@ -29,5 +30,5 @@
   admin::{ConfigurationBody, HistoryBody, ProblemBody, Revision},
   error::{Error, Result},
   http_client::{CallError, HttpClient},
-  run::run,
+  run::{RunGateway, run},
 };
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,6 +2,9 @@
 
 use std::process::ExitCode;
 
+#[path = "../platform/mod.rs"]
+mod platform;
+
 fn main() -> ExitCode {
-  rillford::run()
+  rillford::run(platform::run_gateway)
 }
--- a/src/subcommand/mod.rs
+++ b/src/subcommand/mod.rs
@@ -13,7 +13,7 @@
     check::Check, config::Config, drain::Drain, policy::Policy, status::ShowStatus,
     timeline::ShowTimeline,
   },
-  crate::{Result, serve::serve, settings::Settings},
+  crate::{Result, gateway::GatewaySettings, run::RunGateway, serve::serve, settings::Settings},
   bpaf::Bpaf,
   std::path::PathBuf,
 };
@@ -29,6 +29,13 @@
     #[bpaf(long, argument("FILE"))]
     settings: PathBuf,
   },
+  /// Run a box that routes by host and path to the platform's endpoints
+  #[bpaf(command)]
+  Gateway {
+    /// The settings file
+    #[bpaf(long, argument("FILE"))]
+    settings: PathBuf,
+  },
   /// Check settings, policies and configuration documents without running anything
   #[bpaf(command)]
   Check(#[bpaf(external(check::check))] Check),
@@ -56,9 +63,10 @@
   }
 
   /// Runs the subcommand.
-  pub(crate) fn run(self) -> Result {
+  pub(crate) fn run(self, run_gateway: RunGateway) -> Result {
     match self {
       Self::Serve { settings } => serve(Settings::load(&settings)?),
+      Self::Gateway { settings } => run_gateway(GatewaySettings::load(&settings)?),
       Self::Check(check) => check.run(),
       Self::Policy(policy) => policy.run(),
       Self::Config(config) => config.run(),
