--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -79,7 +79,11 @@
 }
 
 /// An endpoint's answer, passed on.
-pub(crate) fn passed_on(status: StatusCode, headers: HeaderMap, body: AnswerBody) -> Response<AnswerBody> {
+pub(crate) fn passed_on(
+  status: StatusCode,
+  headers: HeaderMap,
+  body: AnswerBody,
+) -> Response<AnswerBody> {
   let mut response = Response::new(body);
   *response.status_mut() = status;
   *response.headers_mut() = headers;
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -82,16 +82,24 @@
     &mut self,
     request: Request<Full<Bytes>>,
   ) -> Result<Response<Incoming>, SendError> {
-    self.sender.ready().await.map_err(|error| SendError::Unsent(error.to_string()))?;
-    self.sender.try_send_request(request).await.map_err(|mut refused| {
-      let unsent = refused.take_message().is_some();
-      let text = refused.error().to_string();
-      if unsent {
-        SendError::Unsent(text)
-      } else {
-        SendError::Broke(text)
-      }
-    })
+    self
+      .sender
+      .ready()
+      .await
+      .map_err(|error| SendError::Unsent(error.to_string()))?;
+    self
+      .sender
+      .try_send_request(request)
+      .await
+      .map_err(|mut refused| {
+        let unsent = refused.take_message().is_some();
+        let text = refused.error().to_string();
+        if unsent {
+          SendError::Unsent(text)
+        } else {
+          SendError::Broke(text)
+        }
+      })
   }
 
   /// Whether a further request may be sent now.
@@ -105,6 +113,8 @@
   stream.set_nodelay(true)?;
   let socket = SockRef::from(stream);
   socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))?;
-  let probes = TcpKeepalive::new().with_time(PROBE_PAUSE).with_interval(PROBE_PAUSE);
+  let probes = TcpKeepalive::new()
+    .with_time(PROBE_PAUSE)
+    .with_interval(PROBE_PAUSE);
   socket.set_tcp_keepalive(&probes)
 }
--- a/src/gateway/connection_pool.rs
+++ b/src/gateway/connection_pool.rs
@@ -31,7 +31,9 @@
 
   /// Lets a connection rest whose answer came whole; `headers` are that answer's.
   pub(crate) fn put(&self, mut connection: Connection, headers: &HeaderMap, now_ms: u64) {
-    let Some(rest_ms) = rest_ms(headers) else { return };
+    let Some(rest_ms) = rest_ms(headers) else {
+      return;
+    };
     connection.good_until_ms = now_ms + rest_ms;
     let mut resting = self.resting.borrow_mut();
     let connections = resting.entry(connection.endpoint.clone()).or_default();
@@ -67,9 +69,15 @@
   let told_ms = headers
     .get("keep-alive")
     .and_then(|value| value.to_str().ok())
-    .and_then(|text| text.split(',').find_map(|part| part.trim().strip_prefix("timeout=")))
+    .and_then(|text| {
+      text
+        .split(',')
+        .find_map(|part| part.trim().strip_prefix("timeout="))
+    })
     .and_then(|seconds| seconds.trim().parse::<u64>().ok())
     .map(|seconds| seconds.saturating_mul(1_000));
-  let rest_ms = told_ms.map_or(REST_MS, |told_ms| told_ms.saturating_sub(REST_MARGIN_MS).min(REST_MS * 2));
+  let rest_ms = told_ms.map_or(REST_MS, |told_ms| {
+    told_ms.saturating_sub(REST_MARGIN_MS).min(REST_MS * 2)
+  });
   (rest_ms > 0).then_some(rest_ms)
 }
--- a/src/gateway/counters.rs
+++ b/src/gateway/counters.rs
@@ -1,6 +1,9 @@
 //! What a box counts, and the text in which it is read.
 
-use std::{cell::{Cell, RefCell}, fmt::Write};
+use std::{
+  cell::{Cell, RefCell},
+  fmt::Write,
+};
 
 /// Upper bounds of the latency histograms' buckets.
 const BUCKETS_MS: [u64; 12] = [5, 10, 25, 50, 100, 200, 300, 500, 900, 1_500, 3_000, 10_000];
@@ -90,7 +93,9 @@
       let _ = writeln!(text, "{name} {}", counter.0.get());
     }
     self.whole_ms.write("rillford_whole_answer_ms", &mut text);
-    self.first_event_ms.write("rillford_first_event_ms", &mut text);
+    self
+      .first_event_ms
+      .write("rillford_first_event_ms", &mut text);
     text
   }
 }
--- a/src/gateway/endpoint_book.rs
+++ b/src/gateway/endpoint_book.rs
@@ -49,6 +49,8 @@
   pub entry: EndpointEntry,
   /// Work of this box and, as far as known, of others that is ahead.
   pub ahead: u64,
+  /// Whether it said just now that it is full, or failed: no other is left.
+  pub left_alone: bool,
 }
 
 /// How an endpoint's part of the work ended.
@@ -160,7 +162,9 @@
 
   /// Forgets the endpoints whose entries did not come back in time.
   pub fn forget_lapsed(&mut self, now_ms: u64) {
-    self.known.retain(|_, known| known.lapses_ms.is_none_or(|until_ms| now_ms < until_ms));
+    self
+      .known
+      .retain(|_, known| known.lapses_ms.is_none_or(|until_ms| now_ms < until_ms));
   }
 
   /// The incarnations that are known.
@@ -203,11 +207,18 @@
     let peers = Peers::of(&candidates);
     candidates
       .into_iter()
-      .map(|known| (known.rank(wanted, now_ms), known.cost(wanted, peers, now_ms) * (1.0 + NOISE * draw()), known))
+      .map(|known| {
+        (
+          known.rank(wanted, now_ms),
+          known.cost(wanted, peers, now_ms) * (1.0 + NOISE * draw()),
+          known,
+        )
+      })
       .min_by(|one, other| one.0.cmp(&other.0).then(one.1.total_cmp(&other.1)))
       .map(|(_, _, known)| Choice {
         ahead: known.ahead(wanted.size, now_ms) as u64,
         entry: known.entry.clone(),
+        left_alone: now_ms < known.avoid_until_ms,
       })
   }
 
@@ -221,7 +232,9 @@
 
   /// Work of a size ended; `units` is what its duration is measured by.
   pub fn ended(&mut self, id: &str, size: u64, units: u64, end: PartEnd, now_ms: u64) {
-    let Some(known) = self.known.get_mut(id) else { return };
+    let Some(known) = self.known.get_mut(id) else {
+      return;
+    };
     known.requests = known.requests.saturating_sub(1);
     known.size = known.size.saturating_sub(size);
     match end {
@@ -264,8 +277,15 @@
 impl Peers {
   fn of(candidates: &[&Known]) -> Self {
     let count = candidates.len().max(1) as f64;
-    let failure_share = candidates.iter().map(|known| known.failure_share).sum::<f64>() / count;
-    let paces: Vec<f64> = candidates.iter().filter_map(|known| known.pace_ms).collect();
+    let failure_share = candidates
+      .iter()
+      .map(|known| known.failure_share)
+      .sum::<f64>()
+      / count;
+    let paces: Vec<f64> = candidates
+      .iter()
+      .filter_map(|known| known.pace_ms)
+      .collect();
     let pace_ms = paces.iter().sum::<f64>() / paces.len().max(1) as f64;
     Self {
       failure_share,
--- a/src/gateway/engine_call.rs
+++ b/src/gateway/engine_call.rs
@@ -1,39 +1,65 @@
 //! The router's own calls to engines: reservations, and freeing what is no longer wanted.
 
 use {
-  super::{EndpointEntry, dialect::{EndpointCall, Export}, gateway::Gateway, part::exchange},
+  super::{
+    EndpointEntry,
+    dialect::{EndpointCall, Export},
+    gateway::Gateway,
+    part::exchange,
+  },
   crate::ids::Name,
   bytes::Bytes,
-  http::{Request, StatusCode, header::{CONTENT_TYPE, HOST}},
+  http::{
+    Request, StatusCode,
+    header::{CONTENT_TYPE, HOST},
+  },
   http_body_util::{BodyExt, Full, Limited},
   std::{rc::Rc, time::Duration},
   tokio::time::timeout,
 };
 
 /// An engine answers a call of the router's own within milliseconds.
-const CALL_LIMIT: Duration = Duration::from_millis(400);
+const CALL_LIMIT: Duration = Duration::from_millis(150);
 /// These answers are a few words long.
 const MOST_ANSWER_BYTES: usize = 64 * 1024;
 
+/// Why a call came to nothing.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum CallFailure {
+  /// The engine refused it.
+  #[error("status {0}")]
+  Refused(StatusCode),
+  /// The engine was not reached, or its answer was lost.
+  #[error("{0}")]
+  Lost(String),
+}
+
 /// Makes a call and answers with its body.
 pub(crate) async fn call_engine(
   gateway: &Gateway,
   entry: &EndpointEntry,
   call: EndpointCall,
-) -> Result<Bytes, String> {
-  let request = build(entry, call).map_err(|error| error.to_string())?;
+) -> Result<Bytes, CallFailure> {
+  let lost = |error: &dyn std::fmt::Display| CallFailure::Lost(error.to_string());
+  let request = build(entry, call).map_err(|error| lost(&error))?;
   let answer = async {
-    let (connection, response) = exchange(gateway, entry, request).await.map_err(|error| error.to_string())?;
+    let (connection, response) = exchange(gateway, entry, request)
+      .await
+      .map_err(|error| lost(&error))?;
     let (head, body) = response.into_parts();
     let read = Limited::new(body, MOST_ANSWER_BYTES).collect().await;
-    let body = read.map_err(|error| error.to_string())?.to_bytes();
-    gateway.pool.put(connection, &head.headers, gateway.now_ms());
+    let body = read.map_err(|error| lost(&error))?.to_bytes();
+    gateway
+      .pool
+      .put(connection, &head.headers, gateway.now_ms());
     match head.status {
       StatusCode::OK => Ok(body),
-      status => Err(format!("status {status}")),
+      status => Err(CallFailure::Refused(status)),
     }
   };
-  timeout(CALL_LIMIT, answer).await.unwrap_or_else(|_| Err("no answer in time".into()))
+  timeout(CALL_LIMIT, answer)
+    .await
+    .unwrap_or_else(|_| Err(CallFailure::Lost("no answer in time".into())))
 }
 
 fn build(entry: &EndpointEntry, call: EndpointCall) -> http::Result<Request<Full<Bytes>>> {
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -41,7 +41,10 @@
 pub(crate) async fn accept_callers(gateway: Rc<Gateway>, listener: TcpListener) {
   loop {
     match listener.accept().await {
-      Ok((stream, _)) => drop(tokio::task::spawn_local(serve_caller(gateway.clone(), stream))),
+      Ok((stream, _)) => drop(tokio::task::spawn_local(serve_caller(
+        gateway.clone(),
+        stream,
+      ))),
       Err(error) => {
         log::warn!("E601 connection not accepted: {error}");
         tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -56,7 +59,9 @@
     return;
   }
   let limits = gateway.table().map(|table| table.limits());
-  let rest_ms = limits.map_or(REST_MS, |limits| limits.idle_ms * REST_FACTOR + limits.head_ms);
+  let rest_ms = limits.map_or(REST_MS, |limits| {
+    limits.idle_ms * REST_FACTOR + limits.head_ms
+  });
   let head_bytes = limits.map_or(HEAD_BYTES, |limits| limits.head_bytes);
   let mut phase = gateway.phase.subscribe();
   let service = service_fn(move |request| handle(gateway.clone(), request));
@@ -78,14 +83,19 @@
   }
 }
 
-async fn handle(gateway: Rc<Gateway>, request: Request<Incoming>) -> Result<Response<AnswerBody>, Infallible> {
+async fn handle(
+  gateway: Rc<Gateway>,
+  request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Infallible> {
   let in_flight = InFlight::new(&gateway);
   gateway.counters.requests.inc();
   let arrived_ms = gateway.now_ms();
   let mut response = respond(gateway.clone(), request, in_flight).await;
   count(&gateway, &response, arrived_ms);
   if *gateway.phase.borrow() != Phase::Serving {
-    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    response
+      .headers_mut()
+      .insert(CONNECTION, HeaderValue::from_static("close"));
   }
   Ok(response)
 }
@@ -105,7 +115,11 @@
   }
 }
 
-async fn respond(gateway: Rc<Gateway>, request: Request<Incoming>, in_flight: InFlight) -> Response<AnswerBody> {
+async fn respond(
+  gateway: Rc<Gateway>,
+  request: Request<Incoming>,
+  in_flight: InFlight,
+) -> Response<AnswerBody> {
   match route(&gateway, request).await {
     Ok(request) => {
       gateway.note_request(&request.service);
@@ -126,12 +140,22 @@
   if head.headers.contains_key(CONTENT_LENGTH) && head.headers.contains_key(TRANSFER_ENCODING) {
     return Err(OwnAnswer::Malformed);
   }
-  let host = head.headers.get(HOST).and_then(|host| host.to_str().ok()).ok_or(OwnAnswer::Malformed)?;
-  let not_run = OwnAnswer::NotRun { retry_after_ms: RETRY_AFTER_NO_CONFIGURATION_MS };
+  let host = head
+    .headers
+    .get(HOST)
+    .and_then(|host| host.to_str().ok())
+    .ok_or(OwnAnswer::Malformed)?;
+  let not_run = OwnAnswer::NotRun {
+    retry_after_ms: RETRY_AFTER_NO_CONFIGURATION_MS,
+  };
   let table = gateway.table().ok_or(not_run)?;
   let Some(route) = table.find(host, head.uri.path()).cloned() else {
     let current = gateway.is_current();
-    log::info!("E602 no route: {host}{} in configuration {}, current {current}", head.uri.path(), table.version());
+    log::info!(
+      "E602 no route: {host}{} in configuration {}, current {current}",
+      head.uri.path(),
+      table.version()
+    );
     // A newer configuration that has not come may have it.
     return Err(if current { OwnAnswer::NoRoute } else { not_run });
   };
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -38,6 +38,8 @@
   pub(crate) in_flight: Cell<usize>,
   pub(crate) boxes: RefCell<std::collections::HashSet<Name>>,
   pub(crate) store_heard_ms: Cell<Option<u64>>,
+  /// Held by the request that looks for a seat: the oldest goes first.
+  pub(crate) seat_turn: tokio::sync::Mutex<()>,
   table: RefCell<Option<Rc<RouteTable>>>,
   windows: RefCell<HashMap<Name, RetryWindow>>,
   random: RefCell<ChaCha8Rng>,
@@ -55,6 +57,7 @@
       phase: tokio::sync::watch::Sender::new(Phase::Serving),
       pool: ConnectionPool::default(),
       random: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
+      seat_turn: tokio::sync::Mutex::new(()),
       settings,
       started: Instant::now(),
       store_heard_ms: Cell::new(None),
@@ -81,7 +84,10 @@
   /// Puts a configuration in force, unless it is not newer than the one that is.
   pub(crate) fn put_in_force(&self, table: RouteTable) -> bool {
     let mut current = self.table.borrow_mut();
-    if current.as_ref().is_some_and(|current| current.version() >= table.version()) {
+    if current
+      .as_ref()
+      .is_some_and(|current| current.version() >= table.version())
+    {
       return false;
     }
     *current = Some(Rc::new(table));
@@ -106,12 +112,18 @@
 
   /// Chooses an endpoint.
   pub(crate) fn choose(&self, wanted: Wanted) -> Option<Choice> {
-    self.book.borrow().choose(wanted, self.now_ms(), || self.draw())
+    self
+      .book
+      .borrow()
+      .choose(wanted, self.now_ms(), || self.draw())
   }
 
   /// Books the end of an endpoint's part.
   pub(crate) fn ended(&self, id: &str, size: u64, units: u64, end: PartEnd) {
-    self.book.borrow_mut().ended(id, size, units, end, self.now_ms());
+    self
+      .book
+      .borrow_mut()
+      .ended(id, size, units, end, self.now_ms());
     if end == PartEnd::Lost {
       self.pool.close(id);
     }
@@ -120,17 +132,27 @@
   /// Counts a caller's request towards its service's repeats.
   pub(crate) fn note_request(&self, service: &Name) {
     let now_ms = self.now_ms();
-    self.windows.borrow_mut().entry(service.clone()).or_default().note_request(now_ms);
+    self
+      .windows
+      .borrow_mut()
+      .entry(service.clone())
+      .or_default()
+      .note_request(now_ms);
   }
 
   /// Takes a repeat from the budget that all boxes share.
   pub(crate) fn take_repeat(&self, service: &Name) -> bool {
     let boxes = self.boxes.borrow().len();
-    let taken = self.windows.borrow_mut().entry(service.clone()).or_default().take(
-      self.settings.retry_allowance(),
-      boxes.max(LEAST_BOXES),
-      self.now_ms(),
-    );
+    let taken = self
+      .windows
+      .borrow_mut()
+      .entry(service.clone())
+      .or_default()
+      .take(
+        self.settings.retry_allowance(),
+        boxes.max(LEAST_BOXES),
+        self.now_ms(),
+      );
     if !taken {
       self.counters.repeats_denied.inc();
     }
--- a/src/gateway/log_writer.rs
+++ b/src/gateway/log_writer.rs
@@ -64,7 +64,10 @@
     }
     let lost = dropped.swap(0, Ordering::Relaxed);
     if lost > 0 {
-      let _ = writeln!(lines, "E603 {lost} log lines dropped: the reader is too slow");
+      let _ = writeln!(
+        lines,
+        "E603 {lost} log lines dropped: the reader is too slow"
+      );
     }
     // Nobody is left to be told when the output itself is gone.
     let _ = output.write_all(&lines);
--- a/src/gateway/own_pages.rs
+++ b/src/gateway/own_pages.rs
@@ -39,7 +39,10 @@
         let response = answer(&gateway, page);
         async move { Ok::<_, Infallible>(response) }
       });
-      if let Err(error) = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await {
+      if let Err(error) = http1::Builder::new()
+        .serve_connection(TokioIo::new(stream), service)
+        .await
+      {
         log::debug!("connection to {page:?} ended: {error}");
       }
     });
--- a/src/gateway/part.rs
+++ b/src/gateway/part.rs
@@ -10,7 +10,10 @@
   },
   crate::ids::Name,
   bytes::Bytes,
-  http::{HeaderMap, Request, Response, StatusCode, header::{CONTENT_ENCODING, CONTENT_LENGTH, TRANSFER_ENCODING}},
+  http::{
+    HeaderMap, Request, Response, StatusCode,
+    header::{CONTENT_ENCODING, CONTENT_LENGTH, TRANSFER_ENCODING},
+  },
   http_body_util::{BodyExt, Full, Limited},
   hyper::body::Incoming,
   std::rc::Rc,
@@ -75,7 +78,9 @@
 
 impl Drop for Booking {
   fn drop(&mut self) {
-    self.gateway.ended(&self.endpoint, self.size, self.units, self.end);
+    self
+      .gateway
+      .ended(&self.endpoint, self.size, self.units, self.end);
   }
 }
 
@@ -100,13 +105,16 @@
 
   /// Whether its end can be told from a connection that broke.
   pub(crate) fn is_framed(&self) -> bool {
-    self.raw_headers.contains_key(CONTENT_LENGTH) || self.raw_headers.contains_key(TRANSFER_ENCODING)
+    self.raw_headers.contains_key(CONTENT_LENGTH)
+      || self.raw_headers.contains_key(TRANSFER_ENCODING)
   }
 
   /// Reads the body whole and lets the connection rest.
   pub(crate) async fn whole(mut self, gateway: &Gateway) -> Result<WholeAnswer, PartError> {
     let headers = self.headers();
-    let read = Limited::new(&mut self.body, MOST_WHOLE_BYTES).collect().await;
+    let read = Limited::new(&mut self.body, MOST_WHOLE_BYTES)
+      .collect()
+      .await;
     let body = match read {
       Ok(body) => body.to_bytes(),
       Err(error) => {
@@ -119,7 +127,9 @@
     } else {
       self.booking.answered();
     }
-    gateway.pool.put(self.connection, &self.raw_headers, gateway.now_ms());
+    gateway
+      .pool
+      .put(self.connection, &self.raw_headers, gateway.now_ms());
     Ok(WholeAnswer {
       body,
       headers,
@@ -217,7 +227,10 @@
     return Err(PartError::Lost("answer to another request".into()));
   }
   if let Some(load) = facts.load {
-    gateway.book.borrow_mut().told_load(&entry.id, load, gateway.now_ms());
+    gateway
+      .book
+      .borrow_mut()
+      .told_load(&entry.id, load, gateway.now_ms());
   }
   if facts.not_run {
     return Err(PartError::NotRun(head.status.as_u16()));
@@ -227,10 +240,15 @@
   }
   // These promise that the request has not run, which this endpoint does not say.
   if matches!(head.status.as_u16(), 408 | 429 | 503) {
-    return Err(PartError::Lost(format!("status {} without a word on running", head.status)));
+    return Err(PartError::Lost(format!(
+      "status {} without a word on running",
+      head.status
+    )));
   }
   if head.headers.contains_key(CONTENT_ENCODING) {
-    return Err(PartError::Lost("answer with an encoding that was not asked for".into()));
+    return Err(PartError::Lost(
+      "answer with an encoding that was not asked for".into(),
+    ));
   }
   Ok(Checked {
     body,
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -34,7 +34,10 @@
 }
 
 /// Answers a request.
-pub(crate) async fn answer_plain(gateway: Rc<Gateway>, request: Rc<RoutedRequest>) -> Response<AnswerBody> {
+pub(crate) async fn answer_plain(
+  gateway: Rc<Gateway>,
+  request: Rc<RoutedRequest>,
+) -> Response<AnswerBody> {
   let mut plain = PlainRequest {
     failure: None,
     gateway,
@@ -44,8 +47,15 @@
     tried: Vec::new(),
   };
   if !plain.start() {
-    log::warn!("E501 refused: {} no endpoint of {} is known", plain.request.id(), plain.request.service);
-    return OwnAnswer::NotRun { retry_after_ms: RETRY_AFTER_NO_ENDPOINT_MS }.response();
+    log::warn!(
+      "E501 refused: {} no endpoint of {} is known",
+      plain.request.id(),
+      plain.request.service
+    );
+    return OwnAnswer::NotRun {
+      retry_after_ms: RETRY_AFTER_NO_ENDPOINT_MS,
+    }
+    .response();
   }
   plain.run().await
 }
@@ -78,7 +88,11 @@
   }
 
   /// What an endpoint's answer means; nothing when another endpoint may be asked.
-  fn judge(&mut self, endpoint: &Name, result: Result<WholeAnswer, PartError>) -> Option<Response<AnswerBody>> {
+  fn judge(
+    &mut self,
+    endpoint: &Name,
+    result: Result<WholeAnswer, PartError>,
+  ) -> Option<Response<AnswerBody>> {
     match result {
       Ok(answer) if !answer.status.is_server_error() => return Some(pass_on(answer)),
       Ok(answer) => {
@@ -87,7 +101,10 @@
         self.failure = Some(answer);
       }
       Err(error) => {
-        log::info!("E502 part failed: {} at {endpoint}: {error}", self.request.id());
+        log::info!(
+          "E502 part failed: {} at {endpoint}: {error}",
+          self.request.id()
+        );
         self.perhaps_run |= matches!(error, PartError::Lost(_));
         if matches!(error, PartError::Unsent(_)) {
           // The endpoint never saw it: it counts as no attempt.
@@ -105,9 +122,11 @@
 
   /// Sends the request to a further endpoint, if its route and the budget allow.
   fn start_again(&mut self) -> bool {
-    let repeats = self.request.route.kind.may_repeat() || !self.perhaps_run;
-    let attempts_left = (self.tried.len() as u32) < self.request.route.most_attempts.max(1 + u32::from(!self.perhaps_run));
-    if !repeats || !attempts_left || !self.gateway.take_repeat(&self.request.service) {
+    let may_have_run = self.perhaps_run || !self.running.is_empty();
+    let route = &self.request.route;
+    let allowed =
+      !may_have_run || (route.kind.may_repeat() && (self.tried.len() as u32) < route.most_attempts);
+    if !allowed || !self.gateway.take_repeat(&self.request.service) {
       return false;
     }
     self.gateway.counters.repeats.inc();
@@ -165,7 +184,10 @@
       self.gateway.counters.unknown.inc();
       return OwnAnswer::Unknown.response();
     }
-    OwnAnswer::NotRun { retry_after_ms: RETRY_AFTER_FULL_MS }.response()
+    OwnAnswer::NotRun {
+      retry_after_ms: RETRY_AFTER_FULL_MS,
+    }
+    .response()
   }
 
   fn time_out(self) -> Response<AnswerBody> {
--- a/src/gateway/retry_window.rs
+++ b/src/gateway/retry_window.rs
@@ -65,7 +65,11 @@
   /// Repeats that this box may still send now.
   pub fn left(&mut self, allowance: RetryAllowance, boxes: usize, now_ms: u64) -> f64 {
     let oldest = (now_ms.saturating_sub(allowance.window_ms)) / SLICE_MS;
-    while self.slices.front().is_some_and(|slice| slice.number < oldest) {
+    while self
+      .slices
+      .front()
+      .is_some_and(|slice| slice.number < oldest)
+    {
       self.slices.pop_front();
     }
     let requests: u32 = self.slices.iter().map(|slice| slice.requests).sum();
--- a/src/gateway/route_table.rs
+++ b/src/gateway/route_table.rs
@@ -75,7 +75,11 @@
         return Some(&target.service);
       }
     }
-    self.services.iter().rfind(|target| target.weight > 0).map(|target| &target.service)
+    self
+      .services
+      .iter()
+      .rfind(|target| target.weight > 0)
+      .map(|target| &target.service)
   }
 }
 
@@ -133,7 +137,10 @@
   ) -> Self {
     let mut by_host: HashMap<Name, Vec<Rc<Route>>> = HashMap::new();
     for route in routes {
-      by_host.entry(route.host.clone()).or_default().push(Rc::new(route));
+      by_host
+        .entry(route.host.clone())
+        .or_default()
+        .push(Rc::new(route));
     }
     for routes in by_host.values_mut() {
       routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
@@ -163,7 +170,9 @@
       Some(routes) => routes,
       None => self.by_host.get(host.to_ascii_lowercase().as_str())?,
     };
-    routes.iter().find(|route| path.starts_with(&*route.path_prefix))
+    routes
+      .iter()
+      .find(|route| path.starts_with(&*route.path_prefix))
   }
 
   /// A service's own settings.
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -80,7 +80,12 @@
     let settings: Self = toml::from_str(text).map_err(|error| {
       let start = error.span().map_or(0, |span| span.start);
       let before = text.get(..start).unwrap_or_default();
-      refusal(path, before.matches('\n').count() + 1, "settings", error.message())
+      refusal(
+        path,
+        before.matches('\n').count() + 1,
+        "settings",
+        error.message(),
+      )
     })?;
     settings.check(path)?;
     Ok(settings)
--- a/src/gateway/start.rs
+++ b/src/gateway/start.rs
@@ -43,7 +43,10 @@
   let runtime = tokio::runtime::Builder::new_current_thread()
     .enable_all()
     .build()
-    .map_err(|source| Error::Thread { step: "gateway", source })?;
+    .map_err(|source| Error::Thread {
+      step: "gateway",
+      source,
+    })?;
   LocalSet::new().block_on(&runtime, async move {
     let store = store(&settings);
     serve(settings, dialect, store).await
@@ -53,12 +56,20 @@
 async fn serve<S: Store>(settings: GatewaySettings, dialect: Rc<dyn Dialect>, store: S) -> Result {
   let callers = listen("callers", settings.listen.callers)?;
   let ready = listen("ready", settings.listen.ready)?;
-  let metrics = settings.listen.metrics.map(|address| listen("metrics", address)).transpose()?;
+  let metrics = settings
+    .listen
+    .metrics
+    .map(|address| listen("metrics", address))
+    .transpose()?;
   let mut stop = stop_signal()?;
   let mut reload = reload_signal()?;
   let name = settings.identity.name.clone();
   log::info!("E101 started: {name} {}", env!("CARGO_PKG_VERSION"));
-  let gateway = Rc::new(Gateway::new(dialect, settings, unix_ms() ^ u64::from(std::process::id())));
+  let gateway = Rc::new(Gateway::new(
+    dialect,
+    settings,
+    unix_ms() ^ u64::from(std::process::id()),
+  ));
   tokio::task::spawn_local(serve_page(gateway.clone(), ready, OwnPage::Ready));
   if let Some(metrics) = metrics {
     tokio::task::spawn_local(serve_page(gateway.clone(), metrics, OwnPage::Metrics));
@@ -74,7 +85,10 @@
     }
   }
   leave(&gateway).await;
-  log::info!("E103 stopped: {name}, {} requests left", gateway.in_flight.get());
+  log::info!(
+    "E103 stopped: {name}, {} requests left",
+    gateway.in_flight.get()
+  );
   Ok(())
 }
 
@@ -84,7 +98,10 @@
   let stop_ms = (gateway.settings.bounds.stop_s * 1_000.0) as u64;
   let end_ms = now_ms + stop_ms.saturating_sub(u64::try_from(KILL_MARGIN.as_millis()).unwrap_or(0));
   gateway.phase.send_replace(Phase::Leaving);
-  log::info!("E104 leaving: {} requests in progress", gateway.in_flight.get());
+  log::info!(
+    "E104 leaving: {} requests in progress",
+    gateway.in_flight.get()
+  );
   sleep(BALANCER_LAG).await;
   gateway.phase.send_replace(Phase::Closing);
   while gateway.in_flight.get() > 0 && gateway.now_ms() < end_ms {
@@ -111,15 +128,24 @@
 }
 
 fn stop_signal() -> Result<Signal> {
-  signal(SignalKind::terminate()).map_err(|source| Error::Thread { step: "stop signal", source })
+  signal(SignalKind::terminate()).map_err(|source| Error::Thread {
+    step: "stop signal",
+    source,
+  })
 }
 
 fn reload_signal() -> Result<Signal> {
-  signal(SignalKind::hangup()).map_err(|source| Error::Thread { step: "reload signal", source })
+  signal(SignalKind::hangup()).map_err(|source| Error::Thread {
+    step: "reload signal",
+    source,
+  })
 }
 
 fn set_up_log() -> Result {
-  let writer = LogWriter::start().map_err(|source| Error::Thread { step: "log", source })?;
+  let writer = LogWriter::start().map_err(|source| Error::Thread {
+    step: "log",
+    source,
+  })?;
   Dispatch::new()
     .level(LevelFilter::Warn)
     .level_for("rillford", LevelFilter::Info)
--- a/src/gateway/store_sync.rs
+++ b/src/gateway/store_sync.rs
@@ -106,8 +106,16 @@
     for id in known.iter().filter(|id| !endpoints.contains(*id)) {
       self.endpoint_gone(id);
     }
-    self.gateway.boxes.borrow_mut().retain(|name| boxes.contains(name));
-    log::info!("E403 store listed: {} endpoints, {} boxes at revision {first_revision:?}", endpoints.len(), boxes.len());
+    self
+      .gateway
+      .boxes
+      .borrow_mut()
+      .retain(|name| boxes.contains(name));
+    log::info!(
+      "E403 store listed: {} endpoints, {} boxes at revision {first_revision:?}",
+      endpoints.len(),
+      boxes.len()
+    );
     first_revision
   }
 
@@ -116,13 +124,20 @@
     loop {
       self.gateway.counters.store_calls.inc();
       match self.store.changes(revision, WATCH_WAIT).await {
-        Ok(StoreChanges::Some { items, revision: next }) => {
+        Ok(StoreChanges::Some {
+          items,
+          revision: next,
+        }) => {
           self.heard();
           for item in items {
             self.apply(item);
           }
           revision = next.max(revision);
-          self.gateway.book.borrow_mut().forget_lapsed(self.gateway.now_ms());
+          self
+            .gateway
+            .book
+            .borrow_mut()
+            .forget_lapsed(self.gateway.now_ms());
         }
         Ok(StoreChanges::HistoryLost) => {
           log::warn!("E404 store history lost after revision {revision}: listing again");
@@ -139,19 +154,26 @@
   fn apply(&mut self, item: StoreItem) {
     match (item.key, item.value) {
       (StoreKey::Configuration, Some(value)) => self.configuration(&value, item.revision),
-      (StoreKey::Endpoint(id), Some(value)) => match self.gateway.dialect.endpoint_entry(&id, &value) {
-        Ok(entry) => {
-          if entry.leaving {
-            self.gateway.pool.close(&id);
+      (StoreKey::Endpoint(id), Some(value)) => {
+        match self.gateway.dialect.endpoint_entry(&id, &value) {
+          Ok(entry) => {
+            if entry.leaving {
+              self.gateway.pool.close(&id);
+            }
+            self.gateway.book.borrow_mut().put(entry);
           }
-          self.gateway.book.borrow_mut().put(entry);
+          Err(error) => log::warn!(
+            "E405 entry of {id} at revision {} can't be read: {error}",
+            item.revision
+          ),
         }
-        Err(error) => log::warn!("E405 entry of {id} at revision {} can't be read: {error}", item.revision),
-      },
+      }
       (StoreKey::Endpoint(id), None) => self.endpoint_gone(&id),
       (StoreKey::Box(name), Some(_)) => drop(self.gateway.boxes.borrow_mut().insert(name)),
       (StoreKey::Box(name), None) => drop(self.gateway.boxes.borrow_mut().remove(&name)),
-      (StoreKey::Configuration, None) => log::warn!("E406 configuration removed: the last one stays"),
+      (StoreKey::Configuration, None) => {
+        log::warn!("E406 configuration removed: the last one stays")
+      }
       (StoreKey::Other, _) => {}
     }
   }
@@ -196,7 +218,11 @@
 
 async fn enter<S: Store>(gateway: &Gateway, store: &S, ttl: Duration) -> Option<StoreLease> {
   gateway.counters.store_calls.inc();
-  let lease = store.grant(ttl).await.inspect_err(|error| log::info!("E409 no lease: {error}")).ok()?;
+  let lease = store
+    .grant(ttl)
+    .await
+    .inspect_err(|error| log::info!("E409 no lease: {error}"))
+    .ok()?;
   gateway.counters.store_calls.inc();
   let name = &gateway.settings.identity.name;
   match store.put_box(name, Bytes::from_static(b"1"), lease).await {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -4,11 +4,11 @@
   super::{
     Choice, EndpointEntry, EventCutter, Marks, Part, PartEnd, Wanted,
     answer::{AnswerBody, OwnAnswer, StreamBroke, passed_on, whole_body},
-    engine_call::{KeptExport, Reservation, call_engine},
+    engine_call::{CallFailure, KeptExport, Reservation, call_engine},
     gateway::{Gateway, InFlight},
-    part::{Head, PartError, send_part},
+    part::{Booking, Head, PartError, send_part},
     request::RoutedRequest,
-    retry_after::{RETRY_AFTER_FULL_MS, RETRY_AFTER_NO_ENDPOINT_MS},
+    retry_after::{RETRY_AFTER_FULL_MS, retry_after_no_seat_ms},
   },
   crate::{decide::Role, ids::Name},
   bytes::Bytes,
@@ -17,7 +17,7 @@
   http_body_util::{BodyExt, StreamBody},
   hyper::body::Frame,
   std::{rc::Rc, time::Duration},
-  tokio::time::timeout,
+  tokio::time::{sleep, timeout},
 };
 
 /// Time for reading a prompt: a floor for queueing, and this much for each token ahead of it and its own.
@@ -25,8 +25,10 @@
 const READ_US_PER_TOKEN: u64 = 60;
 /// A reservation outlasts reading and a retry.
 const RESERVATION_MS: u64 = 1_500;
-/// Engines that are asked for a seat for one request.
-const MOST_SEAT_ASKS: usize = 3;
+/// Part of the wanted latency that a request may wait for a seat: refused later, its return counts for less.
+const SEAT_WAIT_SHARE: f64 = 0.22;
+/// Pause between asks when every engine has just said that it is full.
+const SEAT_PAUSE: Duration = Duration::from_millis(8);
 /// How long a repeatable stream may be silent before another engine takes it up: less than a caller's patience.
 const SILENCE_MS: u64 = 1_200;
 
@@ -81,11 +83,21 @@
       passed_on(status, headers, events.into_body())
     }
     Ok(Err(NoStream::NoEndpoint)) => {
-      log::warn!("E501 refused: {} no endpoint of {} is free", stream.request.id(), stream.request.service);
-      OwnAnswer::NotRun { retry_after_ms: RETRY_AFTER_NO_ENDPOINT_MS }.response()
+      log::warn!(
+        "E501 refused: {} no endpoint of {} is free",
+        stream.request.id(),
+        stream.request.service
+      );
+      OwnAnswer::NotRun {
+        retry_after_ms: retry_after_no_seat_ms(stream.gateway.draw()),
+      }
+      .response()
     }
     Ok(Err(NoStream::Failed(PartError::Lost(_)))) => OwnAnswer::Unknown.response(),
-    Ok(Err(NoStream::Failed(_))) => OwnAnswer::NotRun { retry_after_ms: RETRY_AFTER_FULL_MS }.response(),
+    Ok(Err(NoStream::Failed(_))) => OwnAnswer::NotRun {
+      retry_after_ms: RETRY_AFTER_FULL_MS,
+    }
+    .response(),
     Ok(Err(NoStream::Answered(head))) => {
       let gateway = stream.gateway.clone();
       match head.whole(&gateway).await {
@@ -94,7 +106,11 @@
       }
     }
     Err(_) => {
-      log::info!("E503 timed out: {} at {:?}", stream.request.id(), stream.tried);
+      log::info!(
+        "E503 timed out: {} at {:?}",
+        stream.request.id(),
+        stream.tried
+      );
       OwnAnswer::TimedOut.response()
     }
   }
@@ -113,7 +129,11 @@
         Ok(head) if head.status.is_success() => {
           last = Some(PartError::Lost("success without a receipt".into()));
         }
-        Ok(head) if head.status.is_server_error() && self.may_repeat() && self.attempts < self.request.route.most_attempts => {
+        Ok(head)
+          if head.status.is_server_error()
+            && self.may_repeat()
+            && self.attempts < self.request.route.most_attempts =>
+        {
           let status = head.status;
           self.gateway.counters.endpoint_failures.inc();
           let mut head = head;
@@ -154,10 +174,11 @@
     let (entry, reservation, export) = if split {
       let gateway = self.gateway.clone();
       let request = self.request.clone();
-      let tried = self.tried.clone();
-      let (seat, export) = tokio::join!(reserve_seat(&gateway, &request, tried), read_prompt(&gateway, &request));
-      let Some((entry, reservation)) = seat else { return Err(None) };
-      (entry, reservation, export)
+      let Some((entry, reservation)) = reserve_seat(&gateway, &request, &self.tried).await else {
+        return Err(None);
+      };
+      let export = read_prompt(&gateway, &request).await;
+      (entry, Some(reservation), export)
     } else {
       let choice = choose(&self.gateway, &self.request, None, &self.tried).ok_or(None)?;
       (choice.entry, None, None)
@@ -183,7 +204,9 @@
       last_event_id: self.last_event_id,
       part,
       priority: self.request.route.priority,
-      reservation: reservation.as_ref().map(|reservation| reservation.id.clone()),
+      reservation: reservation
+        .as_ref()
+        .map(|reservation| reservation.id.clone()),
     };
     let size = self.request.tokens().max(1);
     let sending = send_part(&self.gateway, &self.request, &entry, &marks, size, 1);
@@ -203,7 +226,11 @@
           reservation.set_used();
         }
       }
-      Err(error) => log::info!("E502 part failed: {} at {}: {error}", self.request.id(), entry.id),
+      Err(error) => log::info!(
+        "E502 part failed: {} at {}: {error}",
+        self.request.id(),
+        entry.id
+      ),
     }
     result
   }
@@ -212,7 +239,11 @@
   fn is_split(&self) -> bool {
     let table = self.gateway.table();
     table
-      .and_then(|table| table.service(&self.request.service).map(|service| service.engine.is_some()))
+      .and_then(|table| {
+        table
+          .service(&self.request.service)
+          .map(|service| service.engine.is_some())
+      })
       .unwrap_or(false)
   }
 }
@@ -220,7 +251,12 @@
 /// Endpoints that may turn out not to be reachable before a request is refused.
 const MOST_UNSENT: u32 = 4;
 
-fn choose(gateway: &Gateway, request: &RoutedRequest, role: Option<Role>, tried: &[Name]) -> Option<Choice> {
+fn choose(
+  gateway: &Gateway,
+  request: &RoutedRequest,
+  role: Option<Role>,
+  tried: &[Name],
+) -> Option<Choice> {
   let size = match role {
     Some(Role::Prefill) => request.facts.prompt_tokens,
     _ => request.tokens(),
@@ -235,27 +271,61 @@
   })
 }
 
-/// Reserves a seat at a decode engine: it shows that the engine is there before the prompt is read for it.
+/// Reserves a seat at a decode engine before the prompt is read for it. The oldest request of the box goes
+/// first; one that finds no seat in time is refused while its caller may still come back.
 async fn reserve_seat(
   gateway: &Rc<Gateway>,
   request: &Rc<RoutedRequest>,
-  mut tried: Vec<Name>,
-) -> Option<(EndpointEntry, Option<Reservation>)> {
-  for _ in 0..MOST_SEAT_ASKS {
-    let entry = choose(gateway, request, Some(Role::Decode), &tried)?.entry;
-    let call = gateway.dialect.reserve(request.tokens(), RESERVATION_MS);
-    let mut booking = super::part::Booking::new(gateway, &entry.id, request.tokens(), 1);
-    let answer = call_engine(gateway, &entry, call).await;
-    match answer.and_then(|body| gateway.dialect.reservation(&body).map_err(|error| error.to_string())) {
-      Ok(id) => {
-        let reservation = Reservation::new(gateway, &entry, id);
-        return Some((entry, Some(reservation)));
+  tried: &[Name],
+) -> Option<(EndpointEntry, Reservation)> {
+  let wait_ms = (request.route.target_ms as f64 * SEAT_WAIT_SHARE) as u64;
+  let since_ms = gateway.now_ms();
+  let until_ms = since_ms + wait_ms;
+  let asking = async {
+    let _turn = gateway.seat_turn.lock().await;
+    loop {
+      let choice = choose(gateway, request, Some(Role::Decode), tried)?;
+      let was_full = choice.left_alone;
+      match ask_seat(gateway, request, &choice.entry).await {
+        Some(reservation) => return Some((choice.entry, reservation)),
+        None if was_full => sleep(SEAT_PAUSE).await,
+        None => {}
       }
+    }
+  };
+  let left = Duration::from_millis(until_ms.saturating_sub(gateway.now_ms()));
+  let seat = timeout(left, asking).await.unwrap_or(None);
+  if seat.is_none() {
+    log::info!(
+      "E504 no seat: {} waited {} ms, {} engines known",
+      request.id(),
+      gateway.now_ms() - since_ms,
+      gateway.book.borrow().len()
+    );
+  }
+  seat
+}
+
+async fn ask_seat(
+  gateway: &Rc<Gateway>,
+  request: &RoutedRequest,
+  entry: &EndpointEntry,
+) -> Option<Reservation> {
+  let call = gateway.dialect.reserve(request.tokens(), RESERVATION_MS);
+  let mut booking = Booking::new(gateway, &entry.id, request.tokens(), 1);
+  let answer = call_engine(gateway, entry, call).await;
+  match answer {
+    Ok(body) => match gateway.dialect.reservation(&body) {
+      Ok(id) => return Some(Reservation::new(gateway, entry, id)),
       Err(error) => {
-        log::info!("E504 no seat: {} at {}: {error}", request.id(), entry.id);
-        booking.settle(if error.starts_with("status") { PartEnd::Full } else { PartEnd::Lost });
-        tried.push(entry.id);
+        log::warn!("E504 no seat: {} at {}: {error}", request.id(), entry.id);
+        booking.settle(PartEnd::Lost);
       }
+    },
+    Err(CallFailure::Refused(_)) => booking.settle(PartEnd::Full),
+    Err(error) => {
+      log::info!("E504 no seat: {} at {}: {error}", request.id(), entry.id);
+      booking.settle(PartEnd::Lost);
     }
   }
   None
@@ -275,7 +345,8 @@
     reservation: None,
   };
   let ahead = choice.ahead + tokens;
-  let limit = Duration::from_millis(READ_FLOOR_MS) + Duration::from_micros(READ_US_PER_TOKEN * ahead);
+  let limit =
+    Duration::from_millis(READ_FLOOR_MS) + Duration::from_micros(READ_US_PER_TOKEN * ahead);
   let read = async {
     let head = send_part(gateway, request, &entry, &marks, tokens, ahead).await?;
     head.whole(gateway).await
@@ -283,15 +354,29 @@
   let answer = match timeout(limit, read).await {
     Ok(Ok(answer)) if answer.status.is_success() => answer,
     Ok(Ok(answer)) => {
-      log::info!("E505 prompt not read: {} at {}: status {}", request.id(), entry.id, answer.status);
+      log::info!(
+        "E505 prompt not read: {} at {}: status {}",
+        request.id(),
+        entry.id,
+        answer.status
+      );
       return None;
     }
     Ok(Err(error)) => {
-      log::info!("E505 prompt not read: {} at {}: {error}", request.id(), entry.id);
+      log::info!(
+        "E505 prompt not read: {} at {}: {error}",
+        request.id(),
+        entry.id
+      );
       return None;
     }
     Err(_) => {
-      log::info!("E505 prompt not read: {} at {}: no answer in {} ms", request.id(), entry.id, limit.as_millis());
+      log::info!(
+        "E505 prompt not read: {} at {}: no answer in {} ms",
+        request.id(),
+        entry.id,
+        limit.as_millis()
+      );
       gateway.ended(&entry.id, 0, 1, PartEnd::Lost);
       return None;
     }
@@ -299,7 +384,11 @@
   match gateway.dialect.export_handle(&answer.body) {
     Ok(handle) => Some(KeptExport::new(gateway, &entry, handle)),
     Err(error) => {
-      log::warn!("E505 prompt not read: {} at {}: {error}", request.id(), entry.id);
+      log::warn!(
+        "E505 prompt not read: {} at {}: {error}",
+        request.id(),
+        entry.id
+      );
       None
     }
   }
@@ -367,7 +456,11 @@
       return Err("no endpoint".into());
     };
     let left_ms = self.stream.request.left_ms(self.stream.gateway.now_ms());
-    let limit_ms = if self.stream.may_repeat() { left_ms.min(SILENCE_MS) } else { left_ms };
+    let limit_ms = if self.stream.may_repeat() {
+      left_ms.min(SILENCE_MS)
+    } else {
+      left_ms
+    };
     let frame = timeout(Duration::from_millis(limit_ms), head.body.frame()).await;
     match frame {
       Ok(Some(Ok(frame))) => {
@@ -380,7 +473,9 @@
         Ok(true)
       }
       Ok(Some(Err(error))) => Err(error.to_string()),
-      Ok(None) if self.cutter.has_rest() && !head.is_framed() => Err("ended within an event".into()),
+      Ok(None) if self.cutter.has_rest() && !head.is_framed() => {
+        Err("ended within an event".into())
+      }
       Ok(None) => Ok(false),
       Err(_) => Err(format!("silent for {limit_ms} ms")),
     }
@@ -391,7 +486,9 @@
     let gateway = self.stream.gateway.clone();
     if let Some(mut head) = self.head.take() {
       head.booking.answered();
-      gateway.pool.put(head.connection, &head.raw_headers, gateway.now_ms());
+      gateway
+        .pool
+        .put(head.connection, &head.raw_headers, gateway.now_ms());
     }
     gateway.counters.answered.inc();
     let rest = self.cutter.take_rest();
@@ -401,13 +498,22 @@
   /// Has another engine go on after the last whole event.
   async fn resume(&mut self, error: String) -> Result<(), String> {
     let request = &self.stream.request;
-    log::info!("E506 stream broke: {} after event {:?}: {error}", request.id(), self.stream.last_event_id);
+    log::info!(
+      "E506 stream broke: {} after event {:?}: {error}",
+      request.id(),
+      self.stream.last_event_id
+    );
     if let Some(mut head) = self.head.take() {
       head.booking.settle(PartEnd::Lost);
     }
     self.cutter = EventCutter::default();
     let left_ms = request.left_ms(self.stream.gateway.now_ms());
-    if !self.stream.may_repeat() || left_ms == 0 || !self.stream.may_try_again(Some(&PartError::Lost(String::new()))) {
+    if !self.stream.may_repeat()
+      || left_ms == 0
+      || !self
+        .stream
+        .may_try_again(Some(&PartError::Lost(String::new())))
+    {
       return Err(error);
     }
     match timeout(Duration::from_millis(left_ms), self.stream.begin_again()).await {
@@ -424,7 +530,10 @@
   fn break_off(&mut self, error: String) -> StreamBroke {
     self.ended = true;
     self.stream.gateway.counters.broken_streams.inc();
-    log::info!("E507 stream broken off: {}: {error}", self.stream.request.id());
+    log::info!(
+      "E507 stream broken off: {}: {error}",
+      self.stream.request.id()
+    );
     StreamBroke(error)
   }
 }
--- a/src/serve/decide_loop.rs
+++ b/src/serve/decide_loop.rs
@@ -7,8 +7,8 @@
     ids::RequestId,
     observe::{Observation, Observer},
     peers::PeersInput,
-    store::StoreInput,
     ring::{Receiver, Sender},
+    store::StoreInput,
   },
   arc_swap::ArcSwap,
   std::{
--- a/src/serve/start.rs
+++ b/src/serve/start.rs
@@ -17,9 +17,9 @@
       HybridClock, MetricSink, Observation, Observer, Timeline, observe, set_up_logging, unix_ms,
     },
     peers::{self, PeersSetup},
-    store::{self, KeyValue, StoreSetup},
     ring::{Receiver, Waker, ring},
     settings::{EndpointKindWord, Settings},
+    store::{self, KeyValue, StoreSetup},
   },
   arc_swap::ArcSwap,
   std::{
