--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -2,7 +2,7 @@
 
 use {
   super::{EndpointEntry, RouteTable},
-  crate::ids::Name,
+  crate::{decide::Role, ids::Name},
   bytes::Bytes,
   http::{HeaderMap, Method},
 };
@@ -92,6 +92,34 @@
   pub path: String,
   /// A JSON body, or nothing.
   pub body: Bytes,
+  /// Headers of the platform's own.
+  pub headers: HeaderMap,
+}
+
+/// An order to an engine to change its role.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RoleChange {
+  /// The incarnation that the order is for.
+  pub endpoint_id: Name,
+  /// The role wanted.
+  pub role: Role,
+  /// The box that gives the order.
+  pub holder: Name,
+  /// The fencing token: the revision under which the box holds the stewardship.
+  pub fence: u64,
+  /// Orders that the engine must have taken before; else it refuses.
+  pub orders_taken: u64,
+}
+
+/// What an engine says of its orders.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct EngineReport {
+  /// Its role at present.
+  pub role: Option<Role>,
+  /// Orders that it has taken since its start.
+  pub orders_taken: u64,
+  /// Whether one is being carried out.
+  pub order_under_way: bool,
 }
 
 /// Something that was received can't be read.
@@ -124,6 +152,12 @@
   fn reservation(&self, body: &[u8]) -> Result<Name, DecodeError>;
   /// The call that gives a reservation back.
   fn free_reservation(&self, reservation: &str) -> EndpointCall;
+  /// The call that asks an engine for its report.
+  fn ask_report(&self) -> EndpointCall;
+  /// Reads an engine's report.
+  fn report(&self, body: &[u8]) -> Result<EngineReport, DecodeError>;
+  /// The call that changes an engine's role.
+  fn change_role(&self, change: &RoleChange) -> EndpointCall;
   /// Reads a whole configuration.
   fn route_table(&self, value: &[u8]) -> Result<RouteTable, DecodeError>;
   /// Reads one endpoint's entry.
--- a/src/gateway/endpoint_book.rs
+++ b/src/gateway/endpoint_book.rs
@@ -172,6 +172,11 @@
     self.known.keys().cloned().collect()
   }
 
+  /// All entries.
+  pub fn entries(&self) -> impl Iterator<Item = &EndpointEntry> {
+    self.known.values().map(|known| &known.entry)
+  }
+
   /// Whether an endpoint may still be sent work.
   pub fn may_send(&self, id: &str) -> bool {
     self.known.get(id).is_some_and(|known| !known.entry.leaving)
--- a/src/gateway/engine_call.rs
+++ b/src/gateway/engine_call.rs
@@ -53,7 +53,7 @@
       .pool
       .put(connection, &head.headers, gateway.now_ms());
     match head.status {
-      StatusCode::OK => Ok(body),
+      status if status.is_success() => Ok(body),
       status => Err(CallFailure::Refused(status)),
     }
   };
@@ -70,7 +70,9 @@
   if !call.body.is_empty() {
     request = request.header(CONTENT_TYPE, "application/json");
   }
-  request.body(Full::new(call.body))
+  let mut request = request.body(Full::new(call.body))?;
+  request.headers_mut().extend(call.headers);
+  Ok(request)
 }
 
 /// A prompt that an engine keeps; freed there unless it was used.
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -8,7 +8,7 @@
     headers::remove_connection_headers,
     plain::answer_plain,
     request::RoutedRequest,
-    retry_after::RETRY_AFTER_NO_CONFIGURATION_MS,
+    retry_after::{RETRY_AFTER_LEAVING_MS, RETRY_AFTER_NO_CONFIGURATION_MS},
     stream::answer_stream,
   },
   bytes::Bytes,
@@ -125,6 +125,14 @@
       gateway.note_request(&request.service);
       let request = Rc::new(request);
       match request.route.kind {
+        // It would outlast the process.
+        RouteKind::Stream { .. } if *gateway.phase.borrow() == Phase::Closing => {
+          log::info!("E605 refused: {} the box is about to stop", request.id());
+          OwnAnswer::NotRun {
+            retry_after_ms: RETRY_AFTER_LEAVING_MS,
+          }
+          .response()
+        }
         RouteKind::Stream { .. } => answer_stream(gateway, request, in_flight).await,
         RouteKind::Repeatable | RouteKind::Unrepeatable => answer_plain(gateway, request).await,
       }
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -3,7 +3,7 @@
 use {
   super::{
     Choice, EndpointBook, GatewaySettings, PartEnd, RetryWindow, RouteTable, Wanted,
-    connection_pool::ConnectionPool, counters::Counters, dialect::Dialect,
+    connection_pool::ConnectionPool, counters::Counters, dialect::Dialect, store::StoreLease,
   },
   crate::ids::Name,
   rand::{RngExt, SeedableRng},
@@ -27,6 +27,14 @@
   Closing,
 }
 
+/// A lease that this box holds.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct HeldLease {
+  pub(crate) lease: StoreLease,
+  /// When the call that renewed it was sent.
+  pub(crate) renewed_ms: u64,
+}
+
 /// One gateway box.
 pub(crate) struct Gateway {
   pub(crate) dialect: Rc<dyn Dialect>,
@@ -40,6 +48,10 @@
   pub(crate) store_heard_ms: Cell<Option<u64>>,
   /// Held by the request that looks for a seat: the oldest goes first.
   pub(crate) seat_turn: tokio::sync::Mutex<()>,
+  /// This box's lease in the store, and when it was last renewed.
+  pub(crate) lease: Cell<Option<HeldLease>>,
+  /// Whether a box is steward, as far as this one knows.
+  pub(crate) has_steward: Cell<bool>,
   table: RefCell<Option<Rc<RouteTable>>>,
   windows: RefCell<HashMap<Name, RetryWindow>>,
   random: RefCell<ChaCha8Rng>,
@@ -53,7 +65,9 @@
       boxes: RefCell::default(),
       counters: Counters::default(),
       dialect,
+      has_steward: Cell::new(false),
       in_flight: Cell::new(0),
+      lease: Cell::new(None),
       phase: tokio::sync::watch::Sender::new(Phase::Serving),
       pool: ConnectionPool::default(),
       random: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -27,6 +27,8 @@
 mod request;
 mod retry_after;
 mod retry_window;
+mod role_plan;
+mod role_steward;
 mod route_table;
 mod settings;
 mod start;
@@ -36,17 +38,23 @@
 
 pub use self::{
   dialect::{
-    AnswerFacts, CallerFacts, DecodeError, Dialect, EndpointCall, Export, Marks, Part, ToldLoad,
+    AnswerFacts, CallerFacts, DecodeError, Dialect, EndpointCall, EngineReport, Export, Marks,
+    Part, RoleChange, ToldLoad,
   },
   endpoint_book::{Choice, EndpointBook, PartEnd, Wanted},
   endpoint_entry::EndpointEntry,
   event_cutter::{EventCutter, WholeEvent},
   headers::remove_connection_headers,
   retry_window::{RetryAllowance, RetryWindow},
+  role_plan::{Surplus, surplus},
   route_table::{
     CallerLimits, EngineSpec, Route, RouteKind, RouteTable, ServiceSpec, WeightedService,
   },
-  settings::{GatewayBounds, GatewayIdentity, GatewayListen, GatewaySettings, StoreSettings},
+  settings::{
+    EngineSettings, GatewayBounds, GatewayIdentity, GatewayListen, GatewaySettings, StoreSettings,
+  },
   start::run_gateway,
-  store::{Store, StoreChanges, StoreError, StoreItem, StoreKey, StoreLease, StorePage},
+  store::{
+    Stewardship, Store, StoreChanges, StoreError, StoreItem, StoreKey, StoreLease, StorePage,
+  },
 };
--- a/src/gateway/retry_after.rs
+++ b/src/gateway/retry_after.rs
@@ -14,3 +14,5 @@
   let (least, most) = RETRY_AFTER_NO_SEAT_MS;
   (least + draw * (most - least)) as u64
 }
+/// This box is about to stop; the others serve.
+pub(crate) const RETRY_AFTER_LEAVING_MS: u64 = 50;
--- /dev/null
+++ b/src/gateway/role_steward.rs
@@ -0,0 +1,242 @@
+//! One box, the steward, gives engines their roles; its right to do so is a key under its lease.
+
+use {
+  super::{
+    EndpointEntry, EngineReport, RoleChange, Surplus,
+    engine_call::call_engine,
+    gateway::{Gateway, Phase},
+    role_plan::surplus,
+    store::Store,
+  },
+  crate::{decide::Role, ids::Name},
+  std::{collections::HashMap, rc::Rc, time::Duration},
+  tokio::time::sleep,
+};
+
+/// Pause between looks at the engines.
+const LOOK_PAUSE: Duration = Duration::from_millis(300);
+/// Spread of the boxes' tries to become steward.
+const TRY_SPREAD_MS: f64 = 250.0;
+/// A new steward waits this much longer than orders of two boxes must be apart.
+const GAP_MARGIN_MS: u64 = 300;
+/// An order is sent this soon after the store has said that this box is steward, or not at all.
+const ORDER_LIFE_MS: u64 = 300;
+/// Part of the lease after whose last renewal no order is given.
+const LEASE_FRESH_MS: u64 = 5_000;
+/// An order may be carried out this much later: until then its engine counts as ordered.
+const ORDER_PENDING_MS: u64 = 15_000;
+/// An engine changes its role for seconds, so a want of prefill engines has to last this long: a crashed one
+/// is back sooner.
+const WANT_PATIENCE_MS: u64 = 10_000;
+
+/// Keeps the engines' roles until the process ends.
+pub(crate) async fn keep_roles<S: Store>(gateway: Rc<Gateway>, store: S) {
+  let mut steward = RoleSteward {
+    fence: None,
+    gateway,
+    ordered_ms: HashMap::new(),
+    since_ms: 0,
+    store,
+    wanting_since_ms: None,
+  };
+  loop {
+    sleep(LOOK_PAUSE).await;
+    if *steward.gateway.phase.borrow() == Phase::Serving && steward.gateway.is_current() {
+      steward.look().await;
+    }
+  }
+}
+
+struct RoleSteward<S> {
+  gateway: Rc<Gateway>,
+  store: S,
+  /// This box's fencing token while it is steward.
+  fence: Option<u64>,
+  since_ms: u64,
+  ordered_ms: HashMap<Name, u64>,
+  wanting_since_ms: Option<u64>,
+}
+
+impl<S: Store> RoleSteward<S> {
+  async fn look(&mut self) {
+    if self.fence.is_none() {
+      self.try_to_become_steward().await;
+      return;
+    }
+    let now_ms = self.gateway.now_ms();
+    let gap_ms = self.gateway.settings.bounds.order_gap_ms + GAP_MARGIN_MS;
+    if now_ms < self.since_ms + gap_ms {
+      return;
+    }
+    self
+      .ordered_ms
+      .retain(|_, ordered_ms| now_ms < *ordered_ms + ORDER_PENDING_MS);
+    for service in self.services() {
+      if let Some(surplus) = self.surplus_of(&service, now_ms) {
+        self.order(surplus).await;
+      }
+    }
+  }
+
+  async fn try_to_become_steward(&mut self) {
+    if self.gateway.has_steward.get() || self.services().is_empty() {
+      return;
+    }
+    sleep(Duration::from_millis(
+      (self.gateway.draw() * TRY_SPREAD_MS) as u64,
+    ))
+    .await;
+    let Some(held) = self.gateway.lease.get() else {
+      return;
+    };
+    if self.gateway.has_steward.get() {
+      return;
+    }
+    self.gateway.counters.store_calls.inc();
+    let name = self.gateway.settings.identity.name.clone();
+    match self.store.become_steward(&name, held.lease).await {
+      Ok(Some(fence)) => {
+        log::info!("E420 steward of the engines' roles: fence {fence}");
+        self.fence = Some(fence);
+        self.since_ms = self.gateway.now_ms();
+        self.gateway.has_steward.set(true);
+      }
+      Ok(None) => self.gateway.has_steward.set(true),
+      Err(error) => log::info!("E421 not steward: {error}"),
+    }
+  }
+
+  /// The services whose endpoints are engines with roles.
+  fn services(&self) -> Vec<Name> {
+    let mut services: Vec<Name> = self
+      .gateway
+      .book
+      .borrow()
+      .entries()
+      .filter(|entry| entry.role.is_some())
+      .map(|entry| entry.service.clone())
+      .collect();
+    services.sort();
+    services.dedup();
+    services
+  }
+
+  fn surplus_of(&mut self, service: &Name, now_ms: u64) -> Option<Surplus> {
+    let engines: Vec<EndpointEntry> = self
+      .gateway
+      .book
+      .borrow()
+      .entries()
+      .filter(|entry| entry.service == *service && !entry.leaving)
+      .cloned()
+      .collect();
+    let share = self.gateway.settings.engines.prefill_share;
+    let Some(mut surplus) = surplus(&engines, share) else {
+      self.wanting_since_ms = None;
+      return None;
+    };
+    if surplus.role == Role::Prefill {
+      let since_ms = *self.wanting_since_ms.get_or_insert(now_ms);
+      if now_ms < since_ms + WANT_PATIENCE_MS {
+        return None;
+      }
+    } else {
+      self.wanting_since_ms = None;
+    }
+    surplus
+      .engines
+      .retain(|engine| !self.ordered_ms.contains_key(&engine.id));
+    (!surplus.engines.is_empty()).then_some(surplus)
+  }
+
+  async fn order(&mut self, surplus: Surplus) {
+    for engine in surplus.engines {
+      let Some(report) = self.report(&engine).await else {
+        continue;
+      };
+      if report.order_under_way || report.role == Some(surplus.role) {
+        self
+          .ordered_ms
+          .insert(engine.id.clone(), self.gateway.now_ms());
+        continue;
+      }
+      let Some(fence) = self.confirmed_fence().await else {
+        return;
+      };
+      let change = RoleChange {
+        endpoint_id: engine.id.clone(),
+        fence,
+        holder: self.gateway.settings.identity.name.clone(),
+        orders_taken: report.orders_taken,
+        role: surplus.role,
+      };
+      self.send(&engine, &change).await;
+    }
+  }
+
+  async fn report(&self, engine: &EndpointEntry) -> Option<EngineReport> {
+    let answer = call_engine(&self.gateway, engine, self.gateway.dialect.ask_report()).await;
+    let report = answer.map_err(|error| error.to_string()).and_then(|body| {
+      self
+        .gateway
+        .dialect
+        .report(&body)
+        .map_err(|error| error.to_string())
+    });
+    report
+      .inspect_err(|error| log::info!("E424 role not ordered: {}: {error}", engine.id))
+      .ok()
+  }
+
+  /// The fencing token, if the store says now that this box is steward.
+  async fn confirmed_fence(&mut self) -> Option<u64> {
+    let asked_ms = self.gateway.now_ms();
+    self.gateway.counters.store_calls.inc();
+    let steward = self.store.steward().await;
+    let name = &self.gateway.settings.identity.name;
+    match steward {
+      Ok(Some(steward)) if steward.holder == *name && Some(steward.fence) == self.fence => {
+        let answered_ms = self.gateway.now_ms();
+        let fresh = self
+          .gateway
+          .lease
+          .get()
+          .is_some_and(|held| answered_ms < held.renewed_ms + LEASE_FRESH_MS);
+        (fresh && answered_ms < asked_ms + ORDER_LIFE_MS).then_some(steward.fence)
+      }
+      Ok(other) => {
+        log::info!("E422 no longer steward: {other:?}");
+        self.fence = None;
+        self.gateway.has_steward.set(other.is_some());
+        None
+      }
+      Err(error) => {
+        log::info!("E421 not known to be steward: {error}");
+        None
+      }
+    }
+  }
+
+  async fn send(&mut self, engine: &EndpointEntry, change: &RoleChange) {
+    let RoleChange { role, fence, .. } = change;
+    self
+      .ordered_ms
+      .insert(engine.id.clone(), self.gateway.now_ms());
+    match call_engine(
+      &self.gateway,
+      engine,
+      self.gateway.dialect.change_role(change),
+    )
+    .await
+    {
+      Ok(_) => log::info!(
+        "E423 role ordered: {} becomes {role:?}, fence {fence}",
+        engine.id
+      ),
+      Err(error) => log::info!(
+        "E424 role not ordered: {} {role:?}, fence {fence}: {error}",
+        engine.id
+      ),
+    }
+  }
+}
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -19,6 +19,8 @@
   pub store: StoreSettings,
   /// Bounds that the users set.
   pub bounds: GatewayBounds,
+  /// How engines are shared out.
+  pub engines: EngineSettings,
 }
 
 /// Who a box is.
@@ -61,10 +63,19 @@
   pub retry_window_s: f64,
   /// Repeats beyond the ratio, over all boxes.
   pub retry_slack: f64,
+  /// Orders of two boxes to one engine are at least this far apart.
+  pub order_gap_ms: u64,
   /// Time without trouble after which a box counts as connected to the store.
   pub contact_ms: u64,
 }
 
+/// How engines are shared out between reading prompts and writing answers.
+#[derive(Clone, Debug, Deserialize)]
+pub struct EngineSettings {
+  /// Part of a service's engines that reads prompts, from 0 to 1.
+  pub prefill_share: f64,
+}
+
 impl GatewaySettings {
   /// Reads a settings file.
   pub fn load(path: &Path) -> Result<Self> {
@@ -111,6 +122,15 @@
         return Err(refusal(path, 1, key, "must be a number of 0 or more"));
       }
     }
+    let share = self.engines.prefill_share;
+    if !(share > 0.0 && share < 1.0) {
+      return Err(refusal(
+        path,
+        1,
+        "engines.prefill_share",
+        "must lie between 0 and 1",
+      ));
+    }
     Ok(())
   }
 
--- a/src/gateway/start.rs
+++ b/src/gateway/start.rs
@@ -8,8 +8,9 @@
     gateway::{Gateway, Phase},
     log_writer::LogWriter,
     own_pages::{OwnPage, serve_page},
+    role_steward::keep_roles,
     store::Store,
-    store_sync::{follow_store, keep_entry},
+    store_sync::{end_entry, follow_store, keep_entry},
   },
   crate::{Error, Result, listener::bind, observe::unix_ms},
   fern::Dispatch,
@@ -26,7 +27,7 @@
 /// The balancer asks every second and takes a box out after two misses.
 const BALANCER_LAG: Duration = Duration::from_millis(2_300);
 /// What is left between the last answer and the kill.
-const KILL_MARGIN: Duration = Duration::from_millis(700);
+const KILL_MARGIN: Duration = Duration::from_millis(400);
 /// Time for connections that rest to be closed politely.
 const CLOSING: Duration = Duration::from_millis(150);
 const DRAIN_POLL: Duration = Duration::from_millis(50);
@@ -75,7 +76,8 @@
     tokio::task::spawn_local(serve_page(gateway.clone(), metrics, OwnPage::Metrics));
   }
   tokio::task::spawn_local(follow_store(gateway.clone(), store.clone()));
-  tokio::task::spawn_local(keep_entry(gateway.clone(), store));
+  tokio::task::spawn_local(keep_entry(gateway.clone(), store.clone()));
+  tokio::task::spawn_local(keep_roles(gateway.clone(), store.clone()));
   tokio::task::spawn_local(accept_callers(gateway.clone(), callers));
   tokio::task::spawn_local(keep_house(gateway.clone()));
   loop {
@@ -84,7 +86,7 @@
       _ = reload.recv() => log::info!("E102 settings changed: in force at the next start"),
     }
   }
-  leave(&gateway).await;
+  leave(&gateway, &store).await;
   log::info!(
     "E103 stopped: {name}, {} requests left",
     gateway.in_flight.get()
@@ -93,7 +95,7 @@
 }
 
 /// Serves what still comes, then closes what rests.
-async fn leave(gateway: &Gateway) {
+async fn leave<S: Store>(gateway: &Gateway, store: &S) {
   let now_ms = gateway.now_ms();
   let stop_ms = (gateway.settings.bounds.stop_s * 1_000.0) as u64;
   let end_ms = now_ms + stop_ms.saturating_sub(u64::try_from(KILL_MARGIN.as_millis()).unwrap_or(0));
@@ -102,6 +104,7 @@
     "E104 leaving: {} requests in progress",
     gateway.in_flight.get()
   );
+  end_entry(gateway, store).await;
   sleep(BALANCER_LAG).await;
   gateway.phase.send_replace(Phase::Closing);
   while gateway.in_flight.get() > 0 && gateway.now_ms() < end_ms {
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -11,6 +11,8 @@
   Endpoint(Name),
   /// A box of this router, by its name.
   Box(Name),
+  /// Which box is steward of the engines' roles.
+  Steward,
   /// Something else.
   Other,
 }
@@ -51,6 +53,15 @@
   HistoryLost,
 }
 
+/// Which box is steward.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Stewardship {
+  /// The box.
+  pub holder: Name,
+  /// The revision at which it became steward: its fencing token.
+  pub fence: u64,
+}
+
 /// A lease of the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct StoreLease(pub u64);
@@ -82,6 +93,14 @@
   fn renew(&self, lease: StoreLease) -> impl Future<Output = Result<(), StoreError>>;
   /// Ends a lease, and its keys with it.
   fn end(&self, lease: StoreLease) -> impl Future<Output = Result<(), StoreError>>;
+  /// Makes a box the steward under its lease, unless there is one; answers with the fencing token.
+  fn become_steward(
+    &self,
+    name: &str,
+    lease: StoreLease,
+  ) -> impl Future<Output = Result<Option<u64>, StoreError>>;
+  /// Reads who is steward now.
+  fn steward(&self) -> impl Future<Output = Result<Option<Stewardship>, StoreError>>;
   /// Writes this box's entry under a lease.
   fn put_box(
     &self,
--- a/src/gateway/store_sync.rs
+++ b/src/gateway/store_sync.rs
@@ -2,8 +2,8 @@
 
 use {
   super::{
-    gateway::Gateway,
-    store::{Store, StoreChanges, StoreError, StoreItem, StoreKey, StoreLease},
+    gateway::{Gateway, HeldLease, Phase},
+    store::{Store, StoreChanges, StoreError, StoreItem, StoreKey},
   },
   bytes::Bytes,
   std::{collections::HashSet, rc::Rc, time::Duration},
@@ -78,6 +78,7 @@
     let mut first_revision = None;
     let mut endpoints = HashSet::new();
     let mut boxes = HashSet::new();
+    let mut steward = false;
     loop {
       self.gateway.counters.store_calls.inc();
       let page = match self.store.page(after.as_deref()).await {
@@ -93,6 +94,7 @@
         match &item.key {
           StoreKey::Endpoint(id) => drop(endpoints.insert(id.clone())),
           StoreKey::Box(name) => drop(boxes.insert(name.clone())),
+          StoreKey::Steward => steward = true,
           StoreKey::Configuration | StoreKey::Other => {}
         }
         self.apply(item);
@@ -102,6 +104,7 @@
         break;
       }
     }
+    self.gateway.has_steward.set(steward);
     let known = self.gateway.book.borrow().ids();
     for id in known.iter().filter(|id| !endpoints.contains(*id)) {
       self.endpoint_gone(id);
@@ -174,6 +177,7 @@
       (StoreKey::Configuration, None) => {
         log::warn!("E406 configuration removed: the last one stays")
       }
+      (StoreKey::Steward, value) => self.gateway.has_steward.set(value.is_some()),
       (StoreKey::Other, _) => {}
     }
   }
@@ -206,42 +210,57 @@
 /// Keeps this box's own entry, by which the others count the boxes.
 pub(crate) async fn keep_entry<S: Store>(gateway: Rc<Gateway>, store: S) {
   let ttl = Duration::from_millis(LEASE_TTL_MS.max(gateway.settings.store.least_lease_ms));
-  let mut lease = None;
-  loop {
-    lease = match lease {
-      None => enter(&gateway, &store, ttl).await,
-      Some(lease) => renew(&gateway, &store, lease).await,
-    };
+  while *gateway.phase.borrow() == Phase::Serving {
+    let sent_ms = gateway.now_ms();
+    gateway.counters.store_calls.inc();
+    match gateway.lease.get() {
+      None => enter(&gateway, &store, ttl, sent_ms).await,
+      Some(held) => renew(&gateway, &store, held, sent_ms).await,
+    }
     sleep(RENEW_PAUSE).await;
   }
 }
 
-async fn enter<S: Store>(gateway: &Gateway, store: &S, ttl: Duration) -> Option<StoreLease> {
-  gateway.counters.store_calls.inc();
-  let lease = store
-    .grant(ttl)
-    .await
-    .inspect_err(|error| log::info!("E409 no lease: {error}"))
-    .ok()?;
+async fn enter<S: Store>(gateway: &Gateway, store: &S, ttl: Duration, sent_ms: u64) {
+  let lease = match store.grant(ttl).await {
+    Ok(lease) => lease,
+    Err(error) => {
+      log::info!("E409 no lease: {error}");
+      return;
+    }
+  };
   gateway.counters.store_calls.inc();
   let name = &gateway.settings.identity.name;
   match store.put_box(name, Bytes::from_static(b"1"), lease).await {
-    Ok(()) => Some(lease),
-    Err(error) => {
-      log::info!("E409 entry not written: {error}");
-      None
+    Ok(()) => gateway.lease.set(Some(HeldLease {
+      lease,
+      renewed_ms: sent_ms,
+    })),
+    Err(error) => log::info!("E409 entry not written: {error}"),
+  }
+}
+
+async fn renew<S: Store>(gateway: &Gateway, store: &S, held: HeldLease, sent_ms: u64) {
+  match store.renew(held.lease).await {
+    Ok(()) => gateway.lease.set(Some(HeldLease {
+      renewed_ms: sent_ms,
+      ..held
+    })),
+    Err(StoreError::LeaseOver) => {
+      log::info!("E410 lease over: this box enters itself again");
+      gateway.lease.set(None);
     }
+    Err(error) => log::debug!("lease not renewed: {error}"),
   }
 }
 
-async fn renew<S: Store>(gateway: &Gateway, store: &S, lease: StoreLease) -> Option<StoreLease> {
+/// Gives this box's lease back, so that the others take over at once.
+pub(crate) async fn end_entry<S: Store>(gateway: &Gateway, store: &S) {
+  let Some(held) = gateway.lease.take() else {
+    return;
+  };
   gateway.counters.store_calls.inc();
-  match store.renew(lease).await {
-    Err(StoreError::LeaseOver) => None,
-    Err(error) => {
-      log::debug!("lease not renewed: {error}");
-      Some(lease)
-    }
-    Ok(()) => Some(lease),
+  if let Err(error) = store.end(held.lease).await {
+    log::info!("E411 lease not given back, it runs out by itself: {error}");
   }
 }
