--- a/src/gateway/endpoint_book.rs
+++ b/src/gateway/endpoint_book.rs
@@ -260,6 +260,13 @@
     }
   }
 
+  /// An endpoint is at fault although it answers.
+  pub fn blame(&mut self, id: &str, now_ms: u64) {
+    if let Some(known) = self.known.get_mut(id) {
+      known.lost(now_ms);
+    }
+  }
+
   /// An endpoint told its load with an answer that this box still counts.
   pub fn told_load(&mut self, id: &str, load: ToldLoad, now_ms: u64) {
     if let Some(known) = self.known.get_mut(id) {
--- a/src/gateway/engine_call.rs
+++ b/src/gateway/engine_call.rs
@@ -80,17 +80,27 @@
   pub(crate) export: Export,
   gateway: Rc<Gateway>,
   entry: EndpointEntry,
+  good_until_ms: u64,
   used: bool,
 }
 
+/// An export is not handed on when it is about to lapse.
+const EXPORT_MARGIN_MS: u64 = 120;
+
 impl KeptExport {
-  pub(crate) fn new(gateway: &Rc<Gateway>, entry: &EndpointEntry, handle: Name) -> Self {
+  pub(crate) fn new(
+    gateway: &Rc<Gateway>,
+    entry: &EndpointEntry,
+    handle: Name,
+    ttl_ms: u64,
+  ) -> Self {
     Self {
       entry: entry.clone(),
       export: Export {
         handle,
         source: entry.address,
       },
+      good_until_ms: gateway.now_ms() + ttl_ms.saturating_sub(EXPORT_MARGIN_MS),
       gateway: gateway.clone(),
       used: false,
     }
@@ -99,6 +109,16 @@
   pub(crate) fn set_used(&mut self) {
     self.used = true;
   }
+
+  /// Whether an engine can still fetch it.
+  pub(crate) fn is_fresh(&self) -> bool {
+    self.gateway.now_ms() < self.good_until_ms
+  }
+
+  /// The engine that keeps it.
+  pub(crate) fn engine(&self) -> &Name {
+    &self.entry.id
+  }
 }
 
 impl Drop for KeptExport {
--- /dev/null
+++ b/src/gateway/event_source.rs
@@ -0,0 +1,178 @@
+//! A stream's events on their way to the caller, over all engines that write it.
+
+use {
+  super::{
+    EventCutter, PartEnd,
+    answer::{AnswerBody, StreamBroke},
+    gateway::InFlight,
+    part::{Head, PartError},
+    stream_request::{SILENCE_MS, StreamRequest},
+  },
+  bytes::Bytes,
+  futures_util::stream,
+  http_body_util::{BodyExt, StreamBody},
+  hyper::body::Frame,
+  std::time::Duration,
+  tokio::time::timeout,
+};
+
+/// Where the caller's events come from, over all engines that write the answer.
+pub(crate) struct EventSource {
+  stream: StreamRequest,
+  head: Option<Head>,
+  cutter: EventCutter,
+  ended: bool,
+  first_event_noted: bool,
+  in_flight: InFlight,
+}
+
+impl EventSource {
+  pub(crate) fn new(stream: StreamRequest, head: Head, in_flight: InFlight) -> Self {
+    Self {
+      cutter: EventCutter::default(),
+      ended: false,
+      first_event_noted: false,
+      head: Some(head),
+      in_flight,
+      stream,
+    }
+  }
+
+  pub(crate) fn into_body(self) -> AnswerBody {
+    let events = stream::unfold(self, |mut source| async move {
+      let item = source.next().await?;
+      Some((item.map(Frame::data), source))
+    });
+    Box::pin(BodyExt::map_err(StreamBody::new(events), |error| error))
+  }
+
+  /// The next bytes for the caller; nothing after the whole stream.
+  async fn next(&mut self) -> Option<Result<Bytes, StreamBroke>> {
+    loop {
+      if self.ended {
+        return None;
+      }
+      if let Some(event) = self.cutter.next_event() {
+        if let (Some(id), Some(last)) = (event.id, self.stream.last_event_id)
+          && id <= last
+        {
+          continue;
+        }
+        self.note_event(event.id);
+        return Some(Ok(event.bytes));
+      }
+      match self.read().await {
+        Ok(true) => {}
+        Ok(false) => return self.finish(),
+        Err(error) => {
+          if let Err(error) = self.resume(error).await {
+            return Some(Err(self.break_off(error)));
+          }
+        }
+      }
+    }
+  }
+
+  fn note_event(&mut self, id: Option<u64>) {
+    if id.is_some() {
+      self.stream.last_event_id = id;
+    }
+    if !self.first_event_noted {
+      self.first_event_noted = true;
+      let took_ms = self.stream.gateway.now_ms() - self.stream.request.arrived_ms;
+      self.stream.gateway.counters.first_event_ms.note(took_ms);
+    }
+  }
+
+  /// Reads on; `false` at the stream's end.
+  async fn read(&mut self) -> Result<bool, String> {
+    let Some(head) = &mut self.head else {
+      return Err("no endpoint".into());
+    };
+    let left_ms = self.stream.request.left_ms(self.stream.gateway.now_ms());
+    let limit_ms = if self.stream.may_repeat() {
+      left_ms.min(SILENCE_MS)
+    } else {
+      left_ms
+    };
+    let frame = timeout(Duration::from_millis(limit_ms), head.body.frame()).await;
+    match frame {
+      Ok(Some(Ok(frame))) => {
+        if let Some(data) = frame.data_ref() {
+          self.cutter.push(data);
+        }
+        if self.cutter.is_overlong() {
+          return Err("an event is too long".into());
+        }
+        Ok(true)
+      }
+      Ok(Some(Err(error))) => Err(error.to_string()),
+      Ok(None) if self.cutter.has_rest() && !head.is_framed() => {
+        Err("ended within an event".into())
+      }
+      Ok(None) => Ok(false),
+      Err(_) => Err(format!("silent for {limit_ms} ms")),
+    }
+  }
+
+  fn finish(&mut self) -> Option<Result<Bytes, StreamBroke>> {
+    self.ended = true;
+    let gateway = self.stream.gateway.clone();
+    if let Some(mut head) = self.head.take() {
+      head.booking.answered();
+      gateway
+        .pool
+        .put(head.connection, &head.raw_headers, gateway.now_ms());
+    }
+    gateway.counters.answered.inc();
+    let rest = self.cutter.take_rest();
+    (!rest.is_empty()).then_some(Ok(rest))
+  }
+
+  /// Has another engine go on after the last whole event.
+  async fn resume(&mut self, error: String) -> Result<(), String> {
+    let request = self.stream.request.clone();
+    log::info!(
+      "E506 stream broke: {} after event {:?}: {error}",
+      request.id(),
+      self.stream.last_event_id
+    );
+    if let Some(mut head) = self.head.take() {
+      head.booking.settle(PartEnd::Lost);
+    }
+    self.cutter = EventCutter::default();
+    let left_ms = request.left_ms(self.stream.gateway.now_ms());
+    if left_ms == 0 || !self.stream.may_try_again(&PartError::Lost(String::new())) {
+      return Err(error);
+    }
+    match timeout(Duration::from_millis(left_ms), self.stream.begin()).await {
+      Ok(Ok(head)) => {
+        self.stream.gateway.counters.resumed.inc();
+        self.head = Some(head);
+        Ok(())
+      }
+      Ok(Err(_)) => Err(format!("no endpoint resumes it after: {error}")),
+      Err(_) => Err("time is over".into()),
+    }
+  }
+
+  fn break_off(&mut self, error: String) -> StreamBroke {
+    self.ended = true;
+    self.stream.gateway.counters.broken_streams.inc();
+    log::info!(
+      "E507 stream broken off: {}: {error}",
+      self.stream.request.id()
+    );
+    StreamBroke(error)
+  }
+}
+
+impl Drop for EventSource {
+  fn drop(&mut self) {
+    if !self.ended {
+      self.stream.gateway.counters.callers_gone.inc();
+      log::debug!("caller left: {}", self.stream.request.id());
+    }
+    let _ = &self.in_flight;
+  }
+}
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -143,6 +143,12 @@
     }
   }
 
+  /// An endpoint is at fault although it answers: it is left alone like a lost one.
+  pub(crate) fn blame(&self, id: &str) {
+    log::info!("E513 left alone: {id} has a seat and refuses requests, or its exports are gone");
+    self.book.borrow_mut().blame(id, self.now_ms());
+  }
+
   /// Counts a caller's request towards its service's repeats.
   pub(crate) fn note_request(&self, service: &Name) {
     let now_ms = self.now_ms();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod endpoint_entry;
 mod engine_call;
 mod event_cutter;
+mod event_source;
 mod front;
 #[allow(clippy::module_inception)]
 mod gateway;
@@ -24,17 +25,20 @@
 mod own_pages;
 mod part;
 mod plain;
+mod prompt;
 mod request;
 mod retry_after;
 mod retry_window;
 mod role_plan;
 mod role_steward;
 mod route_table;
+mod seat;
 mod settings;
 mod start;
 mod store;
 mod store_sync;
 mod stream;
+mod stream_request;
 
 pub use self::{
   dialect::{
--- /dev/null
+++ b/src/gateway/prompt.rs
@@ -0,0 +1,105 @@
+//! Having a prompt read by an engine for another one.
+
+use {
+  super::{
+    EndpointEntry, Marks, Part, PartEnd, Wanted,
+    engine_call::KeptExport,
+    gateway::Gateway,
+    part::{PartError, send_part},
+    request::RoutedRequest,
+  },
+  crate::{decide::Role, ids::Name},
+  std::{rc::Rc, time::Duration},
+  tokio::time::timeout,
+};
+
+/// Time for reading a prompt: a floor for queueing, and this much for each token ahead of it and its own.
+const READ_FLOOR_MS: u64 = 500;
+const READ_US_PER_TOKEN: u64 = 60;
+/// Engines that may turn out not to be reachable.
+const MOST_UNREACHABLE: usize = 3;
+
+/// Has the prompt read; nothing when the engine that writes the answer has to read it.
+pub(crate) async fn read_prompt(
+  gateway: &Rc<Gateway>,
+  request: &Rc<RoutedRequest>,
+) -> Option<KeptExport> {
+  let mut tried = Vec::new();
+  for _ in 0..MOST_UNREACHABLE {
+    let choice = gateway.choose(Wanted {
+      hall: &gateway.settings.identity.hall,
+      may_repeat: true,
+      role: Some(Role::Prefill),
+      service: &request.service,
+      size: request.facts.prompt_tokens.max(1),
+      tried: &tried,
+    })?;
+    let entry = choice.entry;
+    match read_at(gateway, request, &entry, choice.ahead).await {
+      Ok(handle) => {
+        return Some(KeptExport::new(
+          gateway,
+          &entry,
+          handle,
+          export_ttl_ms(gateway, request),
+        ));
+      }
+      Err(error) => {
+        log::info!(
+          "E505 prompt not read: {} at {}: {error}",
+          request.id(),
+          entry.id
+        );
+        if !matches!(error, PartError::Unsent(_)) {
+          return None;
+        }
+        tried.push(entry.id);
+      }
+    }
+  }
+  None
+}
+
+async fn read_at(
+  gateway: &Rc<Gateway>,
+  request: &Rc<RoutedRequest>,
+  entry: &EndpointEntry,
+  tokens_ahead: u64,
+) -> Result<Name, PartError> {
+  let tokens = request.facts.prompt_tokens.max(1);
+  let marks = Marks {
+    deadline_ms: request.left_ms(gateway.now_ms()),
+    endpoint_id: entry.id.clone(),
+    last_event_id: None,
+    part: Part::ReadPrompt,
+    priority: request.route.priority,
+    reservation: None,
+  };
+  let work = tokens_ahead + tokens;
+  let limit_ms = READ_FLOOR_MS + READ_US_PER_TOKEN * work / 1_000;
+  let reading = async {
+    let head = send_part(gateway, request, entry, &marks, tokens, work).await?;
+    head.whole(gateway).await
+  };
+  let Ok(answer) = timeout(Duration::from_millis(limit_ms), reading).await else {
+    gateway.ended(&entry.id, 0, 1, PartEnd::Lost);
+    return Err(PartError::Lost(format!("no answer in {limit_ms} ms")));
+  };
+  let answer = answer?;
+  if !answer.status.is_success() {
+    return Err(PartError::Lost(format!("status {}", answer.status)));
+  }
+  gateway
+    .dialect
+    .export_handle(&answer.body)
+    .map_err(|error| PartError::Lost(error.to_string()))
+}
+
+fn export_ttl_ms(gateway: &Gateway, request: &RoutedRequest) -> u64 {
+  let table = gateway.table();
+  let engine = table
+    .as_ref()
+    .and_then(|table| table.service(&request.service))
+    .and_then(|service| service.engine);
+  engine.map_or(0, |engine| engine.export_ttl_ms)
+}
--- a/src/gateway/role_steward.rs
+++ b/src/gateway/role_steward.rs
@@ -135,7 +135,16 @@
       self.wanting_since_ms = None;
       return None;
     };
+    let reading = engines
+      .iter()
+      .filter(|engine| engine.role == Some(Role::Prefill))
+      .count();
     if surplus.role == Role::Prefill {
+      let wanted = reading + surplus.engines.len();
+      if reading * 2 > wanted {
+        self.wanting_since_ms = None;
+        return None;
+      }
       let since_ms = *self.wanting_since_ms.get_or_insert(now_ms);
       if now_ms < since_ms + WANT_PATIENCE_MS {
         return None;
--- /dev/null
+++ b/src/gateway/seat.rs
@@ -0,0 +1,99 @@
+//! Reserving a seat at a decode engine before a prompt is read for it.
+
+use {
+  super::{
+    EndpointEntry, PartEnd, Wanted,
+    engine_call::{CallFailure, Reservation, call_engine},
+    gateway::Gateway,
+    part::Booking,
+    request::RoutedRequest,
+  },
+  crate::{decide::Role, ids::Name},
+  std::{rc::Rc, time::Duration},
+  tokio::time::{sleep, timeout},
+};
+
+/// A reservation outlasts reading and a retry.
+const RESERVATION_MS: u64 = 1_500;
+/// Part of the wanted latency that a request may wait for a seat: refused later, its return counts for less.
+const SEAT_WAIT_SHARE: f64 = 0.22;
+/// A stream that broke waits longer: its caller has a part of the answer, and patience for two seconds.
+const RESUME_WAIT_MS: u64 = 900;
+/// Pause between asks when every engine has just said that it is full.
+const SEAT_PAUSE: Duration = Duration::from_millis(8);
+
+/// Reserves a seat. The oldest request of the box goes first; one that finds no seat in time is refused while
+/// its caller may still come back.
+pub(crate) async fn reserve_seat(
+  gateway: &Rc<Gateway>,
+  request: &Rc<RoutedRequest>,
+  tried: &[Name],
+) -> Option<(EndpointEntry, Reservation)> {
+  let wait_ms = if tried.is_empty() {
+    (request.route.target_ms as f64 * SEAT_WAIT_SHARE) as u64
+  } else {
+    RESUME_WAIT_MS
+  };
+  let since_ms = gateway.now_ms();
+  let asking = async {
+    let _turn = gateway.seat_turn.lock().await;
+    loop {
+      let choice = gateway.choose(Wanted {
+        hall: &gateway.settings.identity.hall,
+        may_repeat: request.route.kind.may_repeat(),
+        role: Some(Role::Decode),
+        service: &request.service,
+        size: request.tokens().max(1),
+        tried,
+      })?;
+      match ask_seat(gateway, request, &choice.entry).await {
+        Some(reservation) => return Some((choice.entry, reservation)),
+        None if choice.left_alone => sleep(SEAT_PAUSE).await,
+        None => {}
+      }
+    }
+  };
+  let seat = timeout(Duration::from_millis(wait_ms), asking)
+    .await
+    .unwrap_or(None);
+  if seat.is_none() {
+    log::info!(
+      "E504 no seat: {} waited {} of {wait_ms} ms",
+      request.id(),
+      gateway.now_ms() - since_ms
+    );
+  }
+  seat
+}
+
+async fn ask_seat(
+  gateway: &Rc<Gateway>,
+  request: &RoutedRequest,
+  entry: &EndpointEntry,
+) -> Option<Reservation> {
+  let call = gateway.dialect.reserve(request.tokens(), RESERVATION_MS);
+  let mut booking = Booking::new(gateway, &entry.id, request.tokens(), 1);
+  match call_engine(gateway, entry, call).await {
+    Ok(body) => match gateway.dialect.reservation(&body) {
+      Ok(id) => return Some(Reservation::new(gateway, entry, id)),
+      Err(error) => {
+        log::warn!(
+          "E511 reservation failed: {} at {}: {error}",
+          request.id(),
+          entry.id
+        );
+        booking.settle(PartEnd::Lost);
+      }
+    },
+    Err(CallFailure::Refused(_)) => booking.settle(PartEnd::Full),
+    Err(error) => {
+      log::info!(
+        "E511 reservation failed: {} at {}: {error}",
+        request.id(),
+        entry.id
+      );
+      booking.settle(PartEnd::Lost);
+    }
+  }
+  None
+}
--- /dev/null
+++ b/src/gateway/stream_request.rs
@@ -0,0 +1,240 @@
+//! The tries of one streamed request: a seat, the prompt, the stream.
+
+use {
+  super::{
+    EndpointEntry, Marks, Part, PartEnd, Wanted,
+    engine_call::{KeptExport, Reservation},
+    gateway::Gateway,
+    part::{Head, PartError, send_part},
+    prompt::read_prompt,
+    request::RoutedRequest,
+    seat::reserve_seat,
+  },
+  crate::ids::Name,
+  std::{rc::Rc, time::Duration},
+  tokio::time::timeout,
+};
+
+/// How long a repeatable stream may be silent before another engine takes it up: less than a caller's patience.
+pub(crate) const SILENCE_MS: u64 = 1_200;
+/// Endpoints that may turn out not to be reachable before a request is refused.
+const MOST_UNSENT: usize = 4;
+/// Engines that may refuse a request before it is refused.
+const MOST_REFUSALS: u32 = 3;
+
+/// Why no endpoint streams.
+pub(crate) enum NoStream {
+  /// No endpoint has a seat, and none was sent it.
+  NoSeat,
+  /// It failed at the last endpoint that may be tried.
+  Failed(PartError),
+  /// An endpoint answered with something other than a stream.
+  Answered(Box<Head>),
+}
+
+/// One streamed request.
+pub(crate) struct StreamRequest {
+  pub(crate) gateway: Rc<Gateway>,
+  pub(crate) request: Rc<RoutedRequest>,
+  /// The last event that went to the caller.
+  pub(crate) last_event_id: Option<u64>,
+  /// Endpoints that were sent it.
+  tried: Vec<Name>,
+  /// Sends that may have run.
+  attempts: u32,
+  refusals: u32,
+  /// The prompt as it was read, kept after a refusal.
+  export: Option<KeptExport>,
+  /// The engine that refused that prompt.
+  refused_by: Option<Name>,
+  /// Whether the engine that writes the answer is to read the prompt.
+  reads_itself: bool,
+}
+
+impl StreamRequest {
+  pub(crate) fn new(gateway: Rc<Gateway>, request: Rc<RoutedRequest>) -> Self {
+    Self {
+      attempts: 0,
+      export: None,
+      gateway,
+      last_event_id: request.facts.last_event_id,
+      reads_itself: false,
+      refusals: 0,
+      refused_by: None,
+      request,
+      tried: Vec::new(),
+    }
+  }
+
+  /// The endpoints that were sent it.
+  pub(crate) fn tried(&self) -> &[Name] {
+    &self.tried
+  }
+
+  /// Whether it has run nowhere for sure.
+  pub(crate) fn is_unsent(&self) -> bool {
+    self.tried.is_empty()
+  }
+
+  /// Whether another endpoint may be sent what may have run.
+  pub(crate) fn may_repeat(&self) -> bool {
+    self.request.route.kind.may_repeat()
+  }
+
+  /// Sends the request until an endpoint streams, or no further one may be tried.
+  pub(crate) async fn begin(&mut self) -> Result<Head, NoStream> {
+    loop {
+      let error = match self.attempt().await? {
+        Ok(head) if head.status.is_success() && head.facts.has_receipt => return Ok(head),
+        Ok(head) if head.status.is_success() => PartError::Lost("success without a receipt".into()),
+        Ok(mut head) if head.status.is_server_error() && self.has_attempts_left() => {
+          self.gateway.counters.endpoint_failures.inc();
+          head.booking.settle(PartEnd::Failed);
+          PartError::Lost(format!("status {}", head.status))
+        }
+        Ok(head) => return Err(NoStream::Answered(Box::new(head))),
+        Err(error) => error,
+      };
+      if !self.may_try_again(&error) {
+        return Err(NoStream::Failed(error));
+      }
+    }
+  }
+
+  fn has_attempts_left(&self) -> bool {
+    self.may_repeat() && self.attempts < self.request.route.most_attempts
+  }
+
+  /// Whether the request may be sent once more after an error; takes the repeat from the budget.
+  pub(crate) fn may_try_again(&mut self, error: &PartError) -> bool {
+    let allowed = match error {
+      PartError::Unsent(_) => return self.tried.len() < MOST_UNSENT,
+      PartError::NotRun(_) => self.refusals < MOST_REFUSALS,
+      PartError::Lost(_) => self.has_attempts_left(),
+    };
+    let taken = allowed && self.gateway.take_repeat(&self.request.service);
+    if taken {
+      self.gateway.counters.repeats.inc();
+    }
+    taken
+  }
+
+  /// One try. The outer error says that there is no endpoint to try.
+  async fn attempt(&mut self) -> Result<Result<Head, PartError>, NoStream> {
+    if !self.is_split() {
+      let choice = self.gateway.choose(Wanted {
+        hall: &self.gateway.settings.identity.hall,
+        may_repeat: self.may_repeat(),
+        role: None,
+        service: &self.request.service,
+        size: self.request.tokens().max(1),
+        tried: &self.tried,
+      });
+      let entry = choice.ok_or(NoStream::NoSeat)?.entry;
+      return Ok(self.send(&entry, None, None).await);
+    }
+    let seat = reserve_seat(&self.gateway, &self.request, &self.tried).await;
+    let (entry, reservation) = seat.ok_or(NoStream::NoSeat)?;
+    let export = self.prompt().await;
+    Ok(self.send(&entry, Some(reservation), export).await)
+  }
+
+  async fn prompt(&mut self) -> Option<KeptExport> {
+    if self.reads_itself {
+      return None;
+    }
+    match self.export.take() {
+      Some(export) if export.is_fresh() => Some(export),
+      _ => read_prompt(&self.gateway, &self.request).await,
+    }
+  }
+
+  async fn send(
+    &mut self,
+    entry: &EndpointEntry,
+    mut reservation: Option<Reservation>,
+    mut export: Option<KeptExport>,
+  ) -> Result<Head, PartError> {
+    self.tried.push(entry.id.clone());
+    let marks = Marks {
+      deadline_ms: self.request.left_ms(self.gateway.now_ms()),
+      endpoint_id: entry.id.clone(),
+      last_event_id: self.last_event_id,
+      part: match &export {
+        Some(kept) => Part::AnswerFrom(kept.export.clone()),
+        None => Part::Whole,
+      },
+      priority: self.request.route.priority,
+      reservation: reservation
+        .as_ref()
+        .map(|reservation| reservation.id.clone()),
+    };
+    let size = self.request.tokens().max(1);
+    let sending = send_part(&self.gateway, &self.request, entry, &marks, size, 1);
+    let result = if self.may_repeat() {
+      let limit = Duration::from_millis(SILENCE_MS);
+      timeout(limit, sending)
+        .await
+        .unwrap_or_else(|_| Err(PartError::Lost("no answer in time".into())))
+    } else {
+      sending.await
+    };
+    if !matches!(result, Err(PartError::Unsent(_) | PartError::NotRun(_))) {
+      self.attempts += 1;
+    }
+    match &result {
+      Ok(_) => {
+        if let Some(export) = &mut export {
+          export.set_used();
+        }
+        if let Some(reservation) = &mut reservation {
+          reservation.set_used();
+        }
+        self.blame_for_refusal();
+      }
+      Err(error) => {
+        log::info!(
+          "E502 part failed: {} at {}: {error}",
+          self.request.id(),
+          entry.id
+        );
+        if matches!(error, PartError::NotRun(_)) {
+          self.note_refusal(entry, export);
+        }
+      }
+    }
+    result
+  }
+
+  /// Another engine took the prompt: the one that refused it is at fault.
+  fn blame_for_refusal(&mut self) {
+    if let Some(engine) = self.refused_by.take() {
+      self.gateway.blame(&engine);
+    }
+  }
+
+  /// An engine with a seat refused: it, or the prompt that another engine keeps, may be at fault.
+  fn note_refusal(&mut self, entry: &EndpointEntry, export: Option<KeptExport>) {
+    self.refusals += 1;
+    match (export, self.refused_by.take()) {
+      (None, _) => self.gateway.blame(&entry.id),
+      (Some(export), None) => {
+        self.refused_by = Some(entry.id.clone());
+        self.export = Some(export);
+      }
+      (Some(export), Some(_)) => {
+        self.gateway.blame(export.engine());
+        self.reads_itself = true;
+      }
+    }
+  }
+
+  /// Whether the service has engines for both parts.
+  fn is_split(&self) -> bool {
+    let Some(table) = self.gateway.table() else {
+      return false;
+    };
+    let service = table.service(&self.request.service);
+    service.is_some_and(|service| service.engine.is_some())
+  }
+}
