--- a/src/gateway/prompt.rs
+++ b/src/gateway/prompt.rs
@@ -19,11 +19,28 @@
 /// Engines that may turn out not to be reachable.
 const MOST_UNREACHABLE: usize = 3;
 
-/// Has the prompt read; nothing when the engine that writes the answer has to read it.
+/// What became of a prompt.
+pub(crate) struct PromptReading {
+  /// The prompt as an engine keeps it; nothing when the engine that writes the answer has to read it.
+  pub(crate) export: Option<KeptExport>,
+  /// Whether an engine was reached.
+  pub(crate) arrived: bool,
+}
+
+impl PromptReading {
+  fn unread(arrived: bool) -> Self {
+    Self {
+      arrived,
+      export: None,
+    }
+  }
+}
+
+/// Has the prompt read.
 pub(crate) async fn read_prompt(
   gateway: &Rc<Gateway>,
   request: &Rc<RoutedRequest>,
-) -> Option<KeptExport> {
+) -> PromptReading {
   let mut tried = Vec::new();
   for _ in 0..MOST_UNREACHABLE {
     let choice = gateway.choose(Wanted {
@@ -33,16 +50,16 @@
       service: &request.service,
       size: request.facts.prompt_tokens.max(1),
       tried: &tried,
-    })?;
+    });
+    let Some(choice) = choice else { break };
     let entry = choice.entry;
     match read_at(gateway, request, &entry, choice.ahead).await {
       Ok(handle) => {
-        return Some(KeptExport::new(
-          gateway,
-          &entry,
-          handle,
-          export_ttl_ms(gateway, request),
-        ));
+        let ttl_ms = export_ttl_ms(gateway, request);
+        return PromptReading {
+          arrived: true,
+          export: Some(KeptExport::new(gateway, &entry, handle, ttl_ms)),
+        };
       }
       Err(error) => {
         log::info!(
@@ -51,13 +68,13 @@
           entry.id
         );
         if !matches!(error, PartError::Unsent(_)) {
-          return None;
+          return PromptReading::unread(true);
         }
         tried.push(entry.id);
       }
     }
   }
-  None
+  PromptReading::unread(false)
 }
 
 async fn read_at(
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -5,7 +5,6 @@
     answer::{AnswerBody, OwnAnswer, passed_on, whole_body},
     event_source::EventSource,
     gateway::{Gateway, InFlight},
-    part::PartError,
     request::RoutedRequest,
     retry_after::{RETRY_AFTER_FULL_MS, retry_after_no_seat_ms},
     stream_request::{NoStream, StreamRequest},
@@ -33,10 +32,12 @@
         EventSource::new(stream, head, in_flight).into_body(),
       )
     }
-    Ok(Err(no_stream)) => answer_without_stream(&gateway, &request, no_stream).await,
-    Err(_) if stream.is_unsent() => {
+    Ok(Err(no_stream)) => {
+      answer_without_stream(&gateway, &request, no_stream, stream.may_have_run()).await
+    }
+    Err(_) if !stream.may_have_run() => {
       log::info!(
-        "E503 timed out: {} before any endpoint was sent it",
+        "E503 timed out: {} before any endpoint ran it",
         request.id()
       );
       OwnAnswer::NotRun {
@@ -55,14 +56,15 @@
   gateway: &Gateway,
   request: &RoutedRequest,
   no_stream: NoStream,
+  may_have_run: bool,
 ) -> Response<AnswerBody> {
   let own = match no_stream {
     NoStream::Answered(head) => match head.whole(gateway).await {
       Ok(answer) => return passed_on(answer.status, answer.headers, whole_body(answer.body)),
       Err(_) => OwnAnswer::Unknown,
     },
-    NoStream::Failed(PartError::Lost(_)) => OwnAnswer::Unknown,
-    NoStream::Failed(_) => OwnAnswer::NotRun {
+    _ if may_have_run => OwnAnswer::Unknown,
+    NoStream::Failed => OwnAnswer::NotRun {
       retry_after_ms: RETRY_AFTER_FULL_MS,
     },
     NoStream::NoSeat => OwnAnswer::NotRun {
--- a/src/gateway/stream_request.rs
+++ b/src/gateway/stream_request.rs
@@ -27,7 +27,7 @@
   /// No endpoint has a seat, and none was sent it.
   NoSeat,
   /// It failed at the last endpoint that may be tried.
-  Failed(PartError),
+  Failed,
   /// An endpoint answered with something other than a stream.
   Answered(Box<Head>),
 }
@@ -42,6 +42,8 @@
   tried: Vec<Name>,
   /// Sends that may have run.
   attempts: u32,
+  /// Arrivals at endpoints; all but the first are paid from the budget for repeats.
+  arrivals: u32,
   refusals: u32,
   /// The prompt as it was read, kept after a refusal.
   export: Option<KeptExport>,
@@ -49,14 +51,18 @@
   refused_by: Option<Name>,
   /// Whether the engine that writes the answer is to read the prompt.
   reads_itself: bool,
+  /// Whether an engine was asked to read the prompt; the first time is free.
+  prompt_was_read: bool,
 }
 
 impl StreamRequest {
   pub(crate) fn new(gateway: Rc<Gateway>, request: Rc<RoutedRequest>) -> Self {
     Self {
+      arrivals: 0,
       attempts: 0,
       export: None,
       gateway,
+      prompt_was_read: false,
       last_event_id: request.facts.last_event_id,
       reads_itself: false,
       refusals: 0,
@@ -71,9 +77,9 @@
     &self.tried
   }
 
-  /// Whether it has run nowhere for sure.
-  pub(crate) fn is_unsent(&self) -> bool {
-    self.tried.is_empty()
+  /// Whether an endpoint may have run it.
+  pub(crate) fn may_have_run(&self) -> bool {
+    self.attempts > 0
   }
 
   /// Whether another endpoint may be sent what may have run.
@@ -96,7 +102,7 @@
         Err(error) => error,
       };
       if !self.may_try_again(&error) {
-        return Err(NoStream::Failed(error));
+        return Err(NoStream::Failed);
       }
     }
   }
@@ -105,14 +111,22 @@
     self.may_repeat() && self.attempts < self.request.route.most_attempts
   }
 
-  /// Whether the request may be sent once more after an error; takes the repeat from the budget.
-  pub(crate) fn may_try_again(&mut self, error: &PartError) -> bool {
-    let allowed = match error {
-      PartError::Unsent(_) => return self.tried.len() < MOST_UNSENT,
+  /// Whether the request may be sent once more after an error.
+  pub(crate) fn may_try_again(&self, error: &PartError) -> bool {
+    match error {
+      PartError::Unsent(_) => self.tried.len() < MOST_UNSENT,
       PartError::NotRun(_) => self.refusals < MOST_REFUSALS,
       PartError::Lost(_) => self.has_attempts_left(),
-    };
-    let taken = allowed && self.gateway.take_repeat(&self.request.service);
+    }
+  }
+
+  /// Whether the request may arrive at an endpoint: the first time always, then as the budget allows.
+  fn may_arrive(&mut self) -> bool {
+    self.arrivals += 1;
+    if self.arrivals == 1 {
+      return true;
+    }
+    let taken = self.gateway.take_repeat(&self.request.service);
     if taken {
       self.gateway.counters.repeats.inc();
     }
@@ -131,12 +145,12 @@
         tried: &self.tried,
       });
       let entry = choice.ok_or(NoStream::NoSeat)?.entry;
-      return Ok(self.send(&entry, None, None).await);
+      return self.arrive(&entry, None, None).await;
     }
     let seat = reserve_seat(&self.gateway, &self.request, &self.tried).await;
     let (entry, reservation) = seat.ok_or(NoStream::NoSeat)?;
     let export = self.prompt().await;
-    Ok(self.send(&entry, Some(reservation), export).await)
+    self.arrive(&entry, Some(reservation), export).await
   }
 
   async fn prompt(&mut self) -> Option<KeptExport> {
@@ -145,8 +159,33 @@
     }
     match self.export.take() {
       Some(export) if export.is_fresh() => Some(export),
-      _ => read_prompt(&self.gateway, &self.request).await,
+      // A second reading is paid for; else the engine that writes the answer reads.
+      _ if self.prompt_was_read && !self.may_arrive() => None,
+      _ => {
+        let reading = read_prompt(&self.gateway, &self.request).await;
+        if !self.prompt_was_read && reading.arrived && reading.export.is_none() {
+          self.arrivals += 1;
+        }
+        self.prompt_was_read = true;
+        reading.export
+      }
+    }
+  }
+
+  async fn arrive(
+    &mut self,
+    entry: &EndpointEntry,
+    reservation: Option<Reservation>,
+    export: Option<KeptExport>,
+  ) -> Result<Result<Head, PartError>, NoStream> {
+    if !self.may_arrive() {
+      return Err(NoStream::Failed);
+    }
+    let sent = self.send(entry, reservation, export).await;
+    if matches!(sent, Err(PartError::Unsent(_))) {
+      self.arrivals -= 1;
     }
+    Ok(sent)
   }
 
   async fn send(
@@ -156,6 +195,8 @@
     mut export: Option<KeptExport>,
   ) -> Result<Head, PartError> {
     self.tried.push(entry.id.clone());
+    // Counted before it is sent: the time may run out while no answer is known.
+    self.attempts += 1;
     let marks = Marks {
       deadline_ms: self.request.left_ms(self.gateway.now_ms()),
       endpoint_id: entry.id.clone(),
@@ -179,8 +220,8 @@
     } else {
       sending.await
     };
-    if !matches!(result, Err(PartError::Unsent(_) | PartError::NotRun(_))) {
-      self.attempts += 1;
+    if matches!(result, Err(PartError::Unsent(_) | PartError::NotRun(_))) {
+      self.attempts -= 1;
     }
     match &result {
       Ok(_) => {
