--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -13,8 +13,8 @@
 };
 
 /// An endpoint in reach accepts within milliseconds; one packet lost costs a second and is worth another
-/// endpoint.
-const CONNECT_LIMIT: Duration = Duration::from_millis(300);
+/// endpoint. A box that has used up its share of a core stands still for up to 100 ms.
+const CONNECT_LIMIT: Duration = Duration::from_millis(150);
 /// Bytes that are not acknowledged for this long mean that the path is gone.
 const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(1_500);
 /// Pause before probes of a silent connection, and between them.
@@ -25,6 +25,9 @@
 /// Why nothing came back.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
 pub(crate) enum SendError {
+  /// The endpoint does not answer at all: it, or the path to it, is gone.
+  #[error("no connection in time")]
+  Unreachable,
   /// The endpoint never saw the request.
   #[error("not sent: {0}")]
   Unsent(String),
@@ -56,7 +59,7 @@
     let unsent = |error: &dyn std::fmt::Display| SendError::Unsent(error.to_string());
     let stream = timeout(CONNECT_LIMIT, TcpStream::connect(address))
       .await
-      .map_err(|_| unsent(&"no connection in time"))?
+      .map_err(|_| SendError::Unreachable)?
       .map_err(|error| unsent(&error))?;
     set_limits(&stream).map_err(|error| unsent(&error))?;
     let (sender, connection) = http1::Builder::new()
--- a/src/gateway/endpoint_book.rs
+++ b/src/gateway/endpoint_book.rs
@@ -3,7 +3,7 @@
 use {
   super::{EndpointEntry, ToldLoad},
   crate::{decide::Role, ids::Name},
-  std::collections::HashMap,
+  std::collections::{HashMap, HashSet},
 };
 
 /// Time that a failing endpoint is left alone at first; doubled with each further failure.
@@ -16,12 +16,17 @@
 const NEWEST_WEIGHT: f64 = 0.12;
 /// How much an endpoint's surplus of failures over its peers' makes it look busier.
 const FAILURE_PENALTY: f64 = 12.0;
-/// Another hall's endpoint looks this much busier: bytes between halls are priced.
-const OTHER_HALL_FACTOR: f64 = 1.15;
+/// Another hall's endpoint looks this much busier: bytes between halls are priced, and cuts between them
+/// break streams.
+const OTHER_HALL_FACTOR: f64 = 2.0;
 /// Width of the random factor that keeps boxes with the same knowledge from the same choice.
 const NOISE: f64 = 0.2;
 /// Bounds on how much faster or slower than its peers an endpoint is taken to be.
 const SPEED_RANGE: (f64, f64) = (0.5, 6.0);
+/// So many endpoints of a hall without any answer mean that the hall is cut off.
+const CUT_ENDPOINTS: usize = 2;
+/// How long a hall that seems cut off is left alone before an endpoint there is tried again.
+const CUT_MS: u64 = 1_000;
 /// After this time an endpoint's word on its load says nothing.
 const TOLD_LOAD_MS: f64 = 1_500.0;
 
@@ -65,7 +70,9 @@
   Failed,
   /// It said that it is full.
   Full,
-  /// It can't be reached, fell silent or broke off.
+  /// It does not answer at all: it, or the path to its hall, is gone.
+  Unreachable,
+  /// It refused a connection, fell silent or broke off.
   Lost,
   /// This box no longer wanted the answer.
   Dropped,
@@ -132,6 +139,21 @@
 #[derive(Debug, Default)]
 pub struct EndpointBook {
   known: HashMap<Name, Known>,
+  halls: HashMap<Name, HallReach>,
+}
+
+/// Whether a hall seems to be cut off.
+#[derive(Debug, Default)]
+struct HallReach {
+  /// Endpoints there that did not answer at all, since one last did.
+  unreachable: HashSet<Name>,
+  noted_ms: u64,
+}
+
+impl HallReach {
+  fn is_cut(&self, now_ms: u64) -> bool {
+    self.unreachable.len() >= CUT_ENDPOINTS && now_ms < self.noted_ms + CUT_MS
+  }
 }
 
 impl EndpointBook {
@@ -214,7 +236,7 @@
       .into_iter()
       .map(|known| {
         (
-          known.rank(wanted, now_ms),
+          known.rank(wanted, self.is_cut(&known.entry.hall, now_ms), now_ms),
           known.cost(wanted, peers, now_ms) * (1.0 + NOISE * draw()),
           known,
         )
@@ -227,6 +249,14 @@
       })
   }
 
+  /// Whether a hall seems to be cut off from this box.
+  pub fn is_cut(&self, hall: &str, now_ms: u64) -> bool {
+    self
+      .halls
+      .get(hall)
+      .is_some_and(|reach| reach.is_cut(now_ms))
+  }
+
   /// Work of a size was sent.
   pub fn sent(&mut self, id: &str, size: u64) {
     if let Some(known) = self.known.get_mut(id) {
@@ -242,6 +272,15 @@
     };
     known.requests = known.requests.saturating_sub(1);
     known.size = known.size.saturating_sub(size);
+    let hall = self.halls.entry(known.entry.hall.clone()).or_default();
+    match end {
+      PartEnd::Answered { .. } | PartEnd::Failed | PartEnd::Full => hall.unreachable.clear(),
+      PartEnd::Unreachable => {
+        hall.unreachable.insert(known.entry.id.clone());
+        hall.noted_ms = now_ms;
+      }
+      PartEnd::Lost | PartEnd::Dropped => {}
+    }
     match end {
       PartEnd::Answered { took_ms } => {
         known.lost_in_row = 0;
@@ -252,7 +291,7 @@
       }
       PartEnd::Failed => known.note_failure_share(true),
       PartEnd::Full => known.avoid_until_ms = known.avoid_until_ms.max(now_ms + FULL_AVOID_MS),
-      PartEnd::Lost => {
+      PartEnd::Lost | PartEnd::Unreachable => {
         known.note_failure_share(true);
         known.lost(now_ms);
       }
@@ -308,8 +347,11 @@
 
 impl Known {
   /// The order of preference before all cost: sound, on trial, left alone.
-  fn rank(&self, wanted: Wanted, now_ms: u64) -> u8 {
+  fn rank(&self, wanted: Wanted, hall_is_cut: bool, now_ms: u64) -> u8 {
     let lapsed = u8::from(self.lapses_ms.is_some());
+    if hall_is_cut {
+      return 6 + lapsed;
+    }
     if now_ms < self.avoid_until_ms {
       return 4 + lapsed;
     }
--- a/src/gateway/engine_call.rs
+++ b/src/gateway/engine_call.rs
@@ -29,6 +29,9 @@
   /// The engine refused it.
   #[error("status {0}")]
   Refused(StatusCode),
+  /// The engine does not answer at all.
+  #[error("no answer in time")]
+  TimedOut,
   /// The engine was not reached, or its answer was lost.
   #[error("{0}")]
   Lost(String),
@@ -59,7 +62,7 @@
   };
   timeout(CALL_LIMIT, answer)
     .await
-    .unwrap_or_else(|_| Err(CallFailure::Lost("no answer in time".into())))
+    .unwrap_or(Err(CallFailure::TimedOut))
 }
 
 fn build(entry: &EndpointEntry, call: EndpointCall) -> http::Result<Request<Full<Bytes>>> {
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -142,7 +142,7 @@
       .book
       .borrow_mut()
       .ended(id, size, units, end, self.now_ms());
-    if end == PartEnd::Lost {
+    if matches!(end, PartEnd::Lost | PartEnd::Unreachable) {
       self.pool.close(id);
     }
   }
--- a/src/gateway/part.rs
+++ b/src/gateway/part.rs
@@ -25,6 +25,9 @@
 /// Why a part came to nothing.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
 pub(crate) enum PartError {
+  /// The endpoint does not answer at all, and never saw it.
+  #[error("unreachable")]
+  Unreachable,
   /// The endpoint never saw it.
   #[error("unsent: {0}")]
   Unsent(String),
@@ -70,12 +73,30 @@
 
   fn settle_error(&mut self, error: &PartError) {
     self.end = match error {
+      PartError::Unreachable => PartEnd::Unreachable,
       PartError::NotRun(421) | PartError::Unsent(_) | PartError::Lost(_) => PartEnd::Lost,
       PartError::NotRun(_) => PartEnd::Full,
     };
   }
 }
 
+impl PartError {
+  /// Whether the endpoint never saw the request.
+  pub(crate) fn is_unsent(&self) -> bool {
+    matches!(self, Self::Unreachable | Self::Unsent(_))
+  }
+}
+
+impl From<SendError> for PartError {
+  fn from(error: SendError) -> Self {
+    match error {
+      SendError::Unreachable => Self::Unreachable,
+      SendError::Unsent(text) => Self::Unsent(text),
+      SendError::Broke(text) => Self::Lost(text),
+    }
+  }
+}
+
 impl Drop for Booking {
   fn drop(&mut self) {
     self
@@ -191,20 +212,17 @@
     match connection.send(request.clone()).await {
       Ok(response) => return Ok((connection, response)),
       Err(SendError::Broke(text)) => return Err(PartError::Lost(text)),
-      Err(SendError::Unsent(_)) => {}
+      Err(SendError::Unreachable | SendError::Unsent(_)) => {}
     }
   }
   gateway.counters.connections.inc();
   let opened = Connection::open(entry.id.clone(), entry.address).await;
-  let mut connection = opened.map_err(|error| PartError::Unsent(error.to_string()))?;
+  let mut connection = opened?;
   if !gateway.book.borrow().may_send(&entry.id) {
     return Err(PartError::Unsent("the endpoint is leaving".into()));
   }
-  match connection.send(request).await {
-    Ok(response) => Ok((connection, response)),
-    Err(SendError::Unsent(text)) => Err(PartError::Unsent(text)),
-    Err(SendError::Broke(text)) => Err(PartError::Lost(text)),
-  }
+  let response = connection.send(request).await?;
+  Ok((connection, response))
 }
 
 struct Checked {
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -94,7 +94,16 @@
     result: Result<WholeAnswer, PartError>,
   ) -> Option<Response<AnswerBody>> {
     match result {
-      Ok(answer) if !answer.status.is_server_error() => return Some(pass_on(answer)),
+      Ok(answer) if !answer.status.is_server_error() => {
+        log::info!(
+          "E508 answered: {} by {endpoint} with status {}, {} ms after arrival, tried {}",
+          self.request.id(),
+          answer.status,
+          self.gateway.now_ms() - self.request.arrived_ms,
+          self.tried.len()
+        );
+        return Some(pass_on(answer));
+      }
       Ok(answer) => {
         self.gateway.counters.endpoint_failures.inc();
         self.perhaps_run = true;
@@ -106,7 +115,7 @@
           self.request.id()
         );
         self.perhaps_run |= matches!(error, PartError::Lost(_));
-        if matches!(error, PartError::Unsent(_)) {
+        if error.is_unsent() {
           // The endpoint never saw it: it counts as no attempt.
           return self.start_unsent();
         }
--- a/src/gateway/prompt.rs
+++ b/src/gateway/prompt.rs
@@ -14,8 +14,8 @@
 };
 
 /// Time for reading a prompt: a floor for queueing, and this much for each token ahead of it and its own.
-const READ_FLOOR_MS: u64 = 500;
-const READ_US_PER_TOKEN: u64 = 60;
+const READ_FLOOR_MS: u64 = 300;
+const READ_US_PER_TOKEN: u64 = 50;
 /// Engines that may turn out not to be reachable.
 const MOST_UNREACHABLE: usize = 3;
 
@@ -36,15 +36,16 @@
   }
 }
 
-/// Has the prompt read.
+/// Has the prompt read, best in the hall of the engine that writes the answer: a move between halls costs more.
 pub(crate) async fn read_prompt(
   gateway: &Rc<Gateway>,
   request: &Rc<RoutedRequest>,
+  hall: &str,
 ) -> PromptReading {
   let mut tried = Vec::new();
   for _ in 0..MOST_UNREACHABLE {
     let choice = gateway.choose(Wanted {
-      hall: &gateway.settings.identity.hall,
+      hall,
       may_repeat: true,
       role: Some(Role::Prefill),
       service: &request.service,
@@ -67,7 +68,7 @@
           request.id(),
           entry.id
         );
-        if !matches!(error, PartError::Unsent(_)) {
+        if !error.is_unsent() {
           return PromptReading::unread(true);
         }
         tried.push(entry.id);
--- a/src/gateway/seat.rs
+++ b/src/gateway/seat.rs
@@ -86,6 +86,14 @@
       }
     },
     Err(CallFailure::Refused(_)) => booking.settle(PartEnd::Full),
+    Err(CallFailure::TimedOut) => {
+      log::info!(
+        "E511 reservation failed: {} at {}: no answer in time",
+        request.id(),
+        entry.id
+      );
+      booking.settle(PartEnd::Unreachable);
+    }
     Err(error) => {
       log::info!(
         "E511 reservation failed: {} at {}: {error}",
--- a/src/gateway/stream_request.rs
+++ b/src/gateway/stream_request.rs
@@ -114,7 +114,7 @@
   /// Whether the request may be sent once more after an error.
   pub(crate) fn may_try_again(&self, error: &PartError) -> bool {
     match error {
-      PartError::Unsent(_) => self.tried.len() < MOST_UNSENT,
+      PartError::Unreachable | PartError::Unsent(_) => self.tried.len() < MOST_UNSENT,
       PartError::NotRun(_) => self.refusals < MOST_REFUSALS,
       PartError::Lost(_) => self.has_attempts_left(),
     }
@@ -147,13 +147,33 @@
       let entry = choice.ok_or(NoStream::NoSeat)?.entry;
       return self.arrive(&entry, None, None).await;
     }
+    let asked_ms = self.gateway.now_ms();
     let seat = reserve_seat(&self.gateway, &self.request, &self.tried).await;
+    let seated_ms = self.gateway.now_ms();
     let (entry, reservation) = seat.ok_or(NoStream::NoSeat)?;
-    let export = self.prompt().await;
-    self.arrive(&entry, Some(reservation), export).await
+    let export = self.prompt(&entry.hall).await;
+    let read_ms = self.gateway.now_ms();
+    let reader = export
+      .as_ref()
+      .map_or_else(|| entry.id.clone(), |export| export.engine().clone());
+    let arrived = self.arrive(&entry, Some(reservation), export).await?;
+    if let Ok(head) = &arrived {
+      log::info!(
+        "E510 streaming: {} at {} with status {}, read by {reader}: seat {} ms, prompt {} ms, head {} ms, {} ms after arrival, try {}",
+        self.request.id(),
+        entry.id,
+        head.status,
+        seated_ms - asked_ms,
+        read_ms - seated_ms,
+        self.gateway.now_ms() - read_ms,
+        self.gateway.now_ms() - self.request.arrived_ms,
+        self.tried.len()
+      );
+    }
+    Ok(arrived)
   }
 
-  async fn prompt(&mut self) -> Option<KeptExport> {
+  async fn prompt(&mut self, hall: &str) -> Option<KeptExport> {
     if self.reads_itself {
       return None;
     }
@@ -162,7 +182,7 @@
       // A second reading is paid for; else the engine that writes the answer reads.
       _ if self.prompt_was_read && !self.may_arrive() => None,
       _ => {
-        let reading = read_prompt(&self.gateway, &self.request).await;
+        let reading = read_prompt(&self.gateway, &self.request, hall).await;
         if !self.prompt_was_read && reading.arrived && reading.export.is_none() {
           self.arrivals += 1;
         }
@@ -182,7 +202,7 @@
       return Err(NoStream::Failed);
     }
     let sent = self.send(entry, reservation, export).await;
-    if matches!(sent, Err(PartError::Unsent(_))) {
+    if matches!(&sent, Err(error) if error.is_unsent()) {
       self.arrivals -= 1;
     }
     Ok(sent)
@@ -220,7 +240,10 @@
     } else {
       sending.await
     };
-    if matches!(result, Err(PartError::Unsent(_) | PartError::NotRun(_))) {
+    if matches!(
+      result,
+      Err(PartError::Unreachable | PartError::Unsent(_) | PartError::NotRun(_))
+    ) {
       self.attempts -= 1;
     }
     match &result {
