--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -9,6 +9,9 @@
   std::rc::Rc,
 };
 
+/// Part of the longest answer that is reserved: answers are a third of it at the mean, and grow while others end.
+const EXPECTED_ANSWER_SHARE: f64 = 0.5;
+
 /// A caller's request on its way.
 #[derive(Debug)]
 pub(crate) struct RoutedRequest {
@@ -47,8 +50,9 @@
     self.until_ms.saturating_sub(now_ms)
   }
 
-  /// Tokens that it takes in an engine's memory at the most.
+  /// Tokens that it is expected to take in an engine's memory: the prompt, and part of the longest answer.
   pub(crate) fn tokens(&self) -> u64 {
-    self.facts.prompt_tokens + self.facts.answer_tokens
+    let answer_tokens = self.facts.answer_tokens as f64 * EXPECTED_ANSWER_SHARE;
+    self.facts.prompt_tokens + answer_tokens as u64
   }
 }
