--- a/src/gateway/endpoint_book.rs
+++ b/src/gateway/endpoint_book.rs
@@ -199,6 +199,14 @@
     self.known.get(id).map(|known| &known.entry)
   }
 
+  /// This box's requests at an endpoint, and their size.
+  pub fn own_load(&self, id: &str) -> (u64, u64) {
+    self
+      .known
+      .get(id)
+      .map_or((0, 0), |known| (u64::from(known.requests), known.size))
+  }
+
   /// All entries.
   pub fn entries(&self) -> impl Iterator<Item = &EndpointEntry> {
     self.known.values().map(|known| &known.entry)
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -181,6 +181,7 @@
     .min(ends_ms.saturating_sub(arrived_ms));
   let body = read_body(body, table.limits().body_bytes, timeout_ms).await?;
   let service = route.service(gateway.draw()).cloned().ok_or(not_run)?;
+  let rank = gateway.policy.rank(&route, &service, &facts);
   let mut headers = head.headers;
   remove_connection_headers(&mut headers);
   gateway.dialect.remove_reserved(&mut headers);
@@ -190,6 +191,7 @@
     facts,
     headers,
     method: head.method,
+    rank,
     route,
     service,
     until_ms: arrived_ms + timeout_ms,
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -2,9 +2,9 @@
 
 use {
   super::{
-    BoxList, ChangeLog, Choice, EndpointBook, GatewaySettings, PartEnd, RetryWindow, RouteTable,
-    Wanted, connection::Connection, connection_pool::ConnectionPool, counters::Counters,
-    dialect::Dialect, store::StoreLease,
+    BoxList, ChangeLog, Choice, EndpointBook, GatewaySettings, PartEnd, RetryWindow, RoutePolicy,
+    RouteTable, Wanted, connection::Connection, connection_pool::ConnectionPool,
+    counters::Counters, dialect::Dialect, store::StoreLease,
   },
   crate::ids::Name,
   http::HeaderMap,
@@ -43,6 +43,7 @@
 pub(crate) struct Gateway {
   pub(crate) dialect: Rc<dyn Dialect>,
   pub(crate) settings: GatewaySettings,
+  pub(crate) policy: RoutePolicy,
   pub(crate) book: RefCell<EndpointBook>,
   pub(crate) pool: ConnectionPool,
   pub(crate) counters: Counters,
@@ -69,7 +70,12 @@
 }
 
 impl Gateway {
-  pub(crate) fn new(dialect: Rc<dyn Dialect>, settings: GatewaySettings, seed: u64) -> Self {
+  pub(crate) fn new(
+    dialect: Rc<dyn Dialect>,
+    settings: GatewaySettings,
+    policy: RoutePolicy,
+    seed: u64,
+  ) -> Self {
     Self {
       book: RefCell::default(),
       boxes: RefCell::default(),
@@ -82,6 +88,7 @@
       in_flight: Cell::new(0),
       lease: Cell::new(None),
       phase: tokio::sync::watch::Sender::new(Phase::Serving),
+      policy,
       pool: ConnectionPool::default(),
       random: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
       seat_turn: tokio::sync::Mutex::new(()),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -34,6 +34,7 @@
 mod retry_window;
 mod role_plan;
 mod role_steward;
+mod route_policy;
 mod route_table;
 mod seat;
 mod settings;
@@ -56,11 +57,13 @@
   headers::remove_connection_headers,
   retry_window::{RetryAllowance, RetryWindow},
   role_plan::{Surplus, surplus},
+  route_policy::{RoutePolicy, RouteRank},
   route_table::{
     CallerLimits, EngineSpec, Route, RouteKind, RouteTable, ServiceSpec, WeightedService,
   },
   settings::{
-    EngineSettings, GatewayBounds, GatewayIdentity, GatewayListen, GatewaySettings, StoreSettings,
+    EngineSettings, GatewayBounds, GatewayIdentity, GatewayListen, GatewaySettings, PolicySettings,
+    StoreSettings,
   },
   start::run_gateway,
   store::{
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -161,7 +161,7 @@
       endpoint_id: entry.id.clone(),
       last_event_id: None,
       part: Part::Whole,
-      priority: request.route.priority,
+      priority: request.rank.priority,
       reservation: None,
     };
     let gateway = gateway.clone();
--- a/src/gateway/prompt.rs
+++ b/src/gateway/prompt.rs
@@ -90,7 +90,7 @@
     endpoint_id: entry.id.clone(),
     last_event_id: None,
     part: Part::ReadPrompt,
-    priority: request.route.priority,
+    priority: request.rank.priority,
     reservation: None,
   };
   let work = tokens_ahead + tokens;
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -1,7 +1,7 @@
 //! A caller's request, read whole and matched to its route.
 
 use {
-  super::{CallerFacts, Marks, Route, dialect::Dialect},
+  super::{CallerFacts, Marks, Route, RouteRank, dialect::Dialect},
   crate::ids::Name,
   bytes::Bytes,
   http::{HeaderMap, Method, Request, Uri},
@@ -23,6 +23,7 @@
   pub(crate) facts: CallerFacts,
   pub(crate) route: Rc<Route>,
   pub(crate) service: Name,
+  pub(crate) rank: RouteRank,
   /// When it came, on the box's clock.
   pub(crate) arrived_ms: u64,
   /// When its final answer is due at the latest.
--- a/src/gateway/role_steward.rs
+++ b/src/gateway/role_steward.rs
@@ -8,7 +8,7 @@
     role_plan::surplus,
     store::Store,
   },
-  crate::{decide::Role, ids::Name},
+  crate::{decide::Role, ids::Name, policy::PoolFacts},
   std::{collections::HashMap, rc::Rc, time::Duration},
   tokio::time::sleep,
 };
@@ -130,7 +130,7 @@
       .filter(|entry| entry.service == *service && !entry.leaving)
       .cloned()
       .collect();
-    let share = self.gateway.settings.engines.prefill_share;
+    let share = self.prefill_share(service, &engines);
     let Some(mut surplus) = surplus(&engines, share) else {
       self.wanting_since_ms = None;
       return None;
@@ -158,6 +158,34 @@
     (!surplus.engines.is_empty()).then_some(surplus)
   }
 
+  /// The policy's share, or the settings'. The load is this box's own, taken as usual for all boxes.
+  fn prefill_share(&self, service: &Name, engines: &[EndpointEntry]) -> f64 {
+    let with_role = |role| {
+      engines
+        .iter()
+        .filter(move |engine| engine.role == Some(role))
+    };
+    let boxes = self.gateway.boxes.borrow().len().max(1) as u64;
+    let book = self.gateway.book.borrow();
+    let load = |role| {
+      with_role(role)
+        .map(|engine| book.own_load(&engine.id))
+        .fold((0, 0), |sum, load| (sum.0 + load.0, sum.1 + load.1))
+    };
+    let seats: u64 = with_role(Role::Decode)
+      .map(|engine| u64::from(engine.seats))
+      .sum();
+    let pool = PoolFacts {
+      decode_engines: with_role(Role::Decode).count() as u64,
+      model: service.clone(),
+      prefill_engines: with_role(Role::Prefill).count() as u64,
+      queue_tokens: load(Role::Prefill).1 * boxes,
+      seats_used: (load(Role::Decode).0 * boxes) as f64 / seats.max(1) as f64,
+    };
+    let share = self.gateway.policy.prefill_share(&pool);
+    share.unwrap_or(self.gateway.settings.engines.prefill_share)
+  }
+
   async fn order(&mut self, surplus: Surplus) {
     for engine in surplus.engines {
       let Some(report) = self.report(&engine).await else {
--- /dev/null
+++ b/src/gateway/route_policy.rs
@@ -0,0 +1,113 @@
+//! What the operators' policy program says of a request and of the engines' roles; the routes' own words where
+//! there is none.
+
+use {
+  super::{CallerFacts, Route, RouteKind},
+  crate::{
+    Error, Result,
+    ids::Name,
+    observe::unix_ms,
+    policy::{Clock, PoolFacts, Program, RequestFacts},
+  },
+  std::{path::Path, sync::Arc},
+};
+
+/// Part of the wanted latency that a request may wait for a seat: refused later, its return counts for less.
+const SEAT_WAIT_SHARE: f64 = 0.22;
+/// The least urgent priority that engines know.
+const LEAST_URGENT: i64 = 9;
+
+/// How a request is treated.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RouteRank {
+  /// 0 goes first.
+  pub priority: u8,
+  /// How long it may wait for a seat.
+  pub seat_wait_ms: u64,
+}
+
+/// The policy of a gateway box.
+#[derive(Clone, Debug, Default)]
+pub struct RoutePolicy {
+  program: Option<Arc<Program>>,
+  utc_offset_minutes: i64,
+}
+
+impl RoutePolicy {
+  /// Reads a policy program.
+  pub fn load(path: &Path, utc_offset_minutes: i64) -> Result<Self> {
+    let text = std::fs::read_to_string(path).map_err(|source| Error::Read {
+      path: path.into(),
+      source,
+    })?;
+    let program = Program::compile(&text)
+      .map_err(|error| Error::Usage(format!("{}: {error}", path.display())))?;
+    Ok(Self {
+      program: Some(program),
+      utc_offset_minutes,
+    })
+  }
+
+  /// The rank of a request: the route's own unless the program says otherwise.
+  pub fn rank(&self, route: &Route, service: &Name, facts: &CallerFacts) -> RouteRank {
+    let own = RouteRank {
+      priority: route.priority,
+      seat_wait_ms: seat_wait_ms(route.target_ms),
+    };
+    let Some(program) = &self.program else {
+      return own;
+    };
+    let kind = match route.kind {
+      RouteKind::Stream { .. } => "model",
+      RouteKind::Repeatable | RouteKind::Unrepeatable => "service",
+    };
+    let told = RequestFacts {
+      kind: kind.into(),
+      max_tokens: facts.answer_tokens,
+      organisation: route.host.clone(),
+      prompt_tokens: facts.prompt_tokens,
+      subject: service.clone(),
+      task: route.name.clone(),
+    };
+    match program.rank(&told, self.clock()) {
+      Ok(rank) => RouteRank {
+        // The program's higher goes first, the engines' lower.
+        priority: (LEAST_URGENT - rank.priority.clamp(0, LEAST_URGENT)) as u8,
+        seat_wait_ms: seat_wait_ms(rank.first_token_ms.min(route.target_ms)),
+      },
+      Err(error) => {
+        log::warn!(
+          "E520 policy failed for route {}: {error}: the route's own rank is used",
+          route.name
+        );
+        own
+      }
+    }
+  }
+
+  /// The wanted share of engines that read prompts, if the program says.
+  pub fn prefill_share(&self, pool: &PoolFacts) -> Option<f64> {
+    let program = self.program.as_ref()?;
+    match program.shift(self.clock(), std::slice::from_ref(pool)) {
+      Ok(splits) => splits
+        .into_iter()
+        .find(|split| split.model == pool.model)
+        .map(|split| split.prefill_share),
+      Err(error) => {
+        log::warn!(
+          "E520 policy failed for the engines of {}: {error}: the settings' share is used",
+          pool.model
+        );
+        None
+      }
+    }
+  }
+
+  fn clock(&self) -> Clock {
+    Clock::at(unix_ms(), self.utc_offset_minutes)
+  }
+}
+
+fn seat_wait_ms(target_ms: u64) -> u64 {
+  (target_ms as f64 * SEAT_WAIT_SHARE) as u64
+}
--- a/src/gateway/seat.rs
+++ b/src/gateway/seat.rs
@@ -15,8 +15,6 @@
 
 /// A reservation outlasts reading and a retry.
 const RESERVATION_MS: u64 = 1_500;
-/// Part of the wanted latency that a request may wait for a seat: refused later, its return counts for less.
-const SEAT_WAIT_SHARE: f64 = 0.22;
 /// A stream that broke waits longer: its caller has a part of the answer, and patience for two seconds.
 const RESUME_WAIT_MS: u64 = 900;
 /// Pause between asks when every engine has just said that it is full.
@@ -30,7 +28,7 @@
   tried: &[Name],
 ) -> Option<(EndpointEntry, Reservation)> {
   let wait_ms = if tried.is_empty() {
-    (request.route.target_ms as f64 * SEAT_WAIT_SHARE) as u64
+    request.rank.seat_wait_ms
   } else {
     RESUME_WAIT_MS
   };
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -1,10 +1,13 @@
 //! The settings of a gateway box.
 
 use {
-  super::RetryAllowance,
+  super::{RetryAllowance, RoutePolicy},
   crate::{Error, Result, ids::Name, settings::SettingsError},
   serde::Deserialize,
-  std::{net::SocketAddr, path::Path},
+  std::{
+    net::SocketAddr,
+    path::{Path, PathBuf},
+  },
 };
 
 /// The settings file of `rillford gateway`.
@@ -21,6 +24,8 @@
   pub bounds: GatewayBounds,
   /// How engines are shared out.
   pub engines: EngineSettings,
+  /// The operators' policy program; the routes' own words hold without one.
+  pub policy: Option<PolicySettings>,
 }
 
 /// Who a box is.
@@ -71,6 +76,16 @@
   pub contact_ms: u64,
 }
 
+/// Where the policy program is.
+#[derive(Clone, Debug, Deserialize)]
+pub struct PolicySettings {
+  /// The program, from the directory that the process was started in.
+  pub file: PathBuf,
+  /// Local time's distance from UTC.
+  #[serde(default)]
+  pub utc_offset_minutes: i64,
+}
+
 /// How engines are shared out between reading prompts and writing answers.
 #[derive(Clone, Debug, Deserialize)]
 pub struct EngineSettings {
@@ -136,6 +151,14 @@
     Ok(())
   }
 
+  /// Reads the policy program, if there is one.
+  pub fn load_policy(&self) -> Result<RoutePolicy> {
+    match &self.policy {
+      Some(policy) => RoutePolicy::load(&policy.file, policy.utc_offset_minutes),
+      None => Ok(RoutePolicy::default()),
+    }
+  }
+
   /// What is allowed in repeats.
   pub fn retry_allowance(&self) -> RetryAllowance {
     RetryAllowance {
--- a/src/gateway/start.rs
+++ b/src/gateway/start.rs
@@ -58,6 +58,7 @@
 }
 
 async fn serve<S: Store>(settings: GatewaySettings, dialect: Rc<dyn Dialect>, store: S) -> Result {
+  let policy = settings.load_policy()?;
   let callers = listen("callers", settings.listen.callers)?;
   let ready = listen("ready", settings.listen.ready)?;
   let boxes = listen("boxes", settings.listen.boxes)?;
@@ -73,6 +74,7 @@
   let gateway = Rc::new(Gateway::new(
     dialect,
     settings,
+    policy,
     unix_ms() ^ u64::from(std::process::id()),
   ));
   tokio::task::spawn_local(serve_page(gateway.clone(), ready, OwnPage::Ready));
--- a/src/gateway/stream_request.rs
+++ b/src/gateway/stream_request.rs
@@ -225,7 +225,7 @@
         Some(kept) => Part::AnswerFrom(kept.export.clone()),
         None => Part::Whole,
       },
-      priority: self.request.route.priority,
+      priority: self.request.rank.priority,
       reservation: reservation
         .as_ref()
         .map(|reservation| reservation.id.clone()),
--- a/src/subcommand/check.rs
+++ b/src/subcommand/check.rs
@@ -4,6 +4,7 @@
   crate::{
     Error, Result,
     configuration::parse_document,
+    gateway::GatewaySettings,
     policy::{PolicyError, Program},
     settings::{Settings, SettingsError},
   },
@@ -20,6 +21,9 @@
   /// Settings file to check; may be given more than once
   #[bpaf(long, argument("FILE"))]
   settings: Vec<PathBuf>,
+  /// Settings file of a gateway box to check, with its policy; may be given more than once
+  #[bpaf(long, argument("FILE"))]
+  gateway: Vec<PathBuf>,
   /// Policy program to check; may be given more than once
   #[bpaf(long, argument("FILE"))]
   policy: Vec<PathBuf>,
@@ -70,6 +74,14 @@
   }])
 }
 
+fn gateway_errors(path: &Path) -> Result<Vec<SettingsError>> {
+  match GatewaySettings::load(path).and_then(|settings| settings.load_policy()) {
+    Ok(_) => Ok(Vec::new()),
+    Err(Error::Settings(errors)) => Ok(errors),
+    Err(error) => Err(error),
+  }
+}
+
 fn settings_errors(path: &Path) -> Result<Vec<SettingsError>> {
   match Settings::load(path) {
     Ok(_) => Ok(Vec::new()),
@@ -80,16 +92,23 @@
 
 impl Check {
   pub(crate) fn run(self) -> Result {
-    let files =
-      self.settings.len() + self.policy.len() + self.platform.len() + self.organisation.len();
+    let files = self.gateway.len()
+      + self.settings.len()
+      + self.policy.len()
+      + self.platform.len()
+      + self.organisation.len();
     if files == 0 {
-      let message = "nothing to check: give --settings, --policy, --platform or --organisation";
+      let message =
+        "nothing to check: give --settings, --gateway, --policy, --platform or --organisation";
       return Err(Error::Usage(message.into()));
     }
     let mut errors = Vec::new();
     for path in &self.settings {
       errors.extend(settings_errors(path)?);
     }
+    for path in &self.gateway {
+      errors.extend(gateway_errors(path)?);
+    }
     for path in &self.policy {
       errors.extend(policy_errors(path)?);
     }
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod endpoint;
 mod harness;
 mod leaving;
+mod policy;
 mod relay;
 mod roles;
 mod store;
