--- a/src/gateway/log_writer.rs
+++ b/src/gateway/log_writer.rs
@@ -8,15 +8,26 @@
     mpsc::{Receiver, SyncSender, TrySendError, sync_channel},
   },
   thread,
+  time::Duration,
 };
 
 /// Lines that wait for a slow reader; more are dropped and counted.
 const MOST_WAITING_LINES: usize = 1_024;
 const STACK_BYTES: usize = 64 * 1024;
 
+/// How long a stopping process waits for its last lines to be written.
+const FLUSH_LIMIT: Duration = Duration::from_millis(200);
+
+enum Entry {
+  /// A whole line.
+  Line(Vec<u8>),
+  /// All lines before it have been written: tell so.
+  Flush(SyncSender<()>),
+}
+
 /// Takes whole lines without ever waiting.
 pub(crate) struct LogWriter {
-  lines: SyncSender<Vec<u8>>,
+  lines: SyncSender<Entry>,
   dropped: Arc<AtomicU64>,
   line: Vec<u8>,
 }
@@ -44,32 +55,45 @@
     self.line.extend_from_slice(bytes);
     if self.line.ends_with(b"\n") {
       let line = std::mem::take(&mut self.line);
-      if let Err(TrySendError::Full(_)) = self.lines.try_send(line) {
+      if let Err(TrySendError::Full(_)) = self.lines.try_send(Entry::Line(line)) {
         self.dropped.fetch_add(1, Ordering::Relaxed);
       }
     }
     Ok(bytes.len())
   }
 
+  /// Waits until the lines so far are written; only a process that stops calls this.
   fn flush(&mut self) -> io::Result<()> {
+    let (written, wait) = sync_channel(1);
+    if self.lines.try_send(Entry::Flush(written)).is_ok() {
+      // A reader that is too slow must not hold up the stop.
+      let _ = wait.recv_timeout(FLUSH_LIMIT);
+    }
     Ok(())
   }
 }
 
-fn write_lines(waiting: &Receiver<Vec<u8>>, dropped: &AtomicU64) {
+fn write_lines(waiting: &Receiver<Entry>, dropped: &AtomicU64) {
   let mut output = io::stdout();
-  while let Ok(mut lines) = waiting.recv() {
-    for line in waiting.try_iter() {
-      lines.extend_from_slice(&line);
+  while let Ok(first) = waiting.recv() {
+    let mut text = Vec::new();
+    let mut flushed = Vec::new();
+    for entry in std::iter::once(first).chain(waiting.try_iter()) {
+      match entry {
+        Entry::Line(line) => text.extend_from_slice(&line),
+        Entry::Flush(written) => flushed.push(written),
+      }
     }
     let lost = dropped.swap(0, Ordering::Relaxed);
     if lost > 0 {
-      let _ = writeln!(
-        lines,
-        "E603 {lost} log lines dropped: the reader is too slow"
-      );
+      let line = format!("E603 {lost} log lines dropped: the reader is too slow\n");
+      text.extend_from_slice(line.as_bytes());
+    }
+    // Nobody is left to be told when the output itself is gone, or who waited for it.
+    let _ = output.write_all(&text);
+    let _ = output.flush();
+    for written in flushed {
+      let _ = written.send(());
     }
-    // Nobody is left to be told when the output itself is gone.
-    let _ = output.write_all(&lines);
   }
 }
--- a/src/gateway/start.rs
+++ b/src/gateway/start.rs
@@ -98,6 +98,7 @@
     "E103 stopped: {name}, {} requests left",
     gateway.in_flight.get()
   );
+  log::logger().flush();
   Ok(())
 }
 
