--- a/src/gateway/endpoint_book.rs
+++ b/src/gateway/endpoint_book.rs
@@ -312,6 +312,25 @@
     }
   }
 
+  /// Another endpoint that was asked later answered first.
+  pub fn outrun(&mut self, id: &str) {
+    if let Some(known) = self.known.get_mut(id) {
+      known.note_failure_share(true);
+    }
+  }
+
+  /// An endpoint has owed an answer for too long: it, or the path to its hall, may be gone.
+  pub fn overdue(&mut self, id: &str, now_ms: u64) {
+    let Some(known) = self.known.get_mut(id) else {
+      return;
+    };
+    known.note_failure_share(true);
+    known.lost(now_ms);
+    let hall = self.halls.entry(known.entry.hall.clone()).or_default();
+    hall.unreachable.insert(known.entry.id.clone());
+    hall.noted_ms = now_ms;
+  }
+
   /// An endpoint is at fault although it answers.
   pub fn blame(&mut self, id: &str, now_ms: u64) {
     if let Some(known) = self.known.get_mut(id) {
--- a/src/gateway/event_source.rs
+++ b/src/gateway/event_source.rs
@@ -115,7 +115,10 @@
         Err("ended within an event".into())
       }
       Ok(None) => Ok(false),
-      Err(_) => Err(format!("silent for {limit_ms} ms")),
+      Err(_) => {
+        self.stream.gateway.overdue(&head.connection.endpoint);
+        Err(format!("silent for {limit_ms} ms"))
+      }
     }
   }
 
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -182,6 +182,13 @@
     (share as usize).clamp(1, MOST_RESTING)
   }
 
+  /// An endpoint has owed an answer for too long; its resting connections may be as dead.
+  pub(crate) fn overdue(&self, id: &str) {
+    log::info!("E514 overdue: {id} is left alone");
+    self.book.borrow_mut().overdue(id, self.now_ms());
+    self.pool.close(id);
+  }
+
   /// An endpoint is at fault although it answers: it is left alone like a lost one.
   pub(crate) fn blame(&self, id: &str) {
     log::info!("E513 left alone: {id} has a seat and refuses requests, or its exports are gone");
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -27,6 +27,8 @@
   request: Rc<RoutedRequest>,
   tried: Vec<Name>,
   running: FuturesUnordered<Try>,
+  /// The endpoints that have not answered yet.
+  awaited: Vec<Name>,
   /// An endpoint's own failure, passed on when nothing better comes.
   failure: Option<WholeAnswer>,
   /// Whether a lost endpoint may have run it.
@@ -39,6 +41,7 @@
   request: Rc<RoutedRequest>,
 ) -> Response<AnswerBody> {
   let mut plain = PlainRequest {
+    awaited: Vec::new(),
     failure: None,
     gateway,
     perhaps_run: false,
@@ -71,6 +74,7 @@
       tokio::select! {
         biased;
         Some((endpoint, result)) = self.running.next() => {
+          self.awaited.retain(|awaited| *awaited != endpoint);
           if let Some(response) = self.judge(&endpoint, result) {
             return response;
           }
@@ -102,6 +106,7 @@
           self.gateway.now_ms() - self.request.arrived_ms,
           self.tried.len()
         );
+        self.note_slower_endpoints();
         return Some(pass_on(answer));
       }
       Ok(answer) => {
@@ -142,6 +147,13 @@
     self.start()
   }
 
+  /// Endpoints that were asked first and have still not answered count as failing, for the choice to come.
+  fn note_slower_endpoints(&self) {
+    for endpoint in &self.awaited {
+      self.gateway.book.borrow_mut().outrun(endpoint);
+    }
+  }
+
   fn start(&mut self) -> bool {
     let gateway = &self.gateway;
     let request = &self.request;
@@ -156,6 +168,7 @@
     let Some(choice) = choice else { return false };
     let entry = choice.entry;
     self.tried.push(entry.id.clone());
+    self.awaited.push(entry.id.clone());
     let marks = Marks {
       deadline_ms: request.left_ms(gateway.now_ms()),
       endpoint_id: entry.id.clone(),
@@ -200,6 +213,9 @@
   }
 
   fn time_out(self) -> Response<AnswerBody> {
+    for endpoint in &self.awaited {
+      self.gateway.overdue(endpoint);
+    }
     log::info!("E503 timed out: {} at {:?}", self.request.id(), self.tried);
     match self.failure {
       Some(answer) => pass_on(answer),
--- a/src/gateway/prompt.rs
+++ b/src/gateway/prompt.rs
@@ -2,7 +2,7 @@
 
 use {
   super::{
-    EndpointEntry, Marks, Part, PartEnd, Wanted,
+    EndpointEntry, Marks, Part, Wanted,
     engine_call::KeptExport,
     gateway::Gateway,
     part::{PartError, send_part},
@@ -100,7 +100,7 @@
     head.whole(gateway).await
   };
   let Ok(answer) = timeout(Duration::from_millis(limit_ms), reading).await else {
-    gateway.ended(&entry.id, 0, 1, PartEnd::Lost);
+    gateway.overdue(&entry.id);
     return Err(PartError::Lost(format!("no answer in {limit_ms} ms")));
   };
   let answer = answer?;
--- a/src/gateway/stream_request.rs
+++ b/src/gateway/stream_request.rs
@@ -11,7 +11,7 @@
     seat::reserve_seat,
   },
   crate::ids::Name,
-  std::{rc::Rc, time::Duration},
+  std::{pin::pin, rc::Rc, time::Duration},
   tokio::time::timeout,
 };
 
@@ -232,14 +232,7 @@
     };
     let size = self.request.tokens().max(1);
     let sending = send_part(&self.gateway, &self.request, entry, &marks, size, 1);
-    let result = if self.may_repeat() {
-      let limit = Duration::from_millis(SILENCE_MS);
-      timeout(limit, sending)
-        .await
-        .unwrap_or_else(|_| Err(PartError::Lost("no answer in time".into())))
-    } else {
-      sending.await
-    };
+    let result = self.within_patience(entry, sending).await;
     if matches!(
       result,
       Err(PartError::Unreachable | PartError::Unsent(_) | PartError::NotRun(_))
@@ -270,6 +263,24 @@
     result
   }
 
+  /// Waits for an answer; an engine that is silent for too long is left alone, and given up where another may
+  /// be asked.
+  async fn within_patience(
+    &self,
+    entry: &EndpointEntry,
+    sending: impl Future<Output = Result<Head, PartError>>,
+  ) -> Result<Head, PartError> {
+    let mut sending = pin!(sending);
+    if let Ok(result) = timeout(Duration::from_millis(SILENCE_MS), sending.as_mut()).await {
+      return result;
+    }
+    self.gateway.overdue(&entry.id);
+    if self.may_repeat() {
+      return Err(PartError::Lost("no answer in time".into()));
+    }
+    sending.await
+  }
+
   /// Another engine took the prompt: the one that refused it is at fault.
   fn blame_for_refusal(&mut self) {
     if let Some(engine) = self.refused_by.take() {
--- a/tests/gateway/answers.rs
+++ b/tests/gateway/answers.rs
@@ -206,3 +206,21 @@
     assert_eq!(one.requests().len() + other.requests().len(), sends);
   }
 }
+
+/// Before, an endpoint that never answers was asked again and again: giving up on it was not held against it.
+#[tokio::test]
+async fn silent_endpoint_is_left_alone_after_its_first_request() {
+  let one = EndpointStandIn::start(|_| Reply::Silence).await;
+  let other = EndpointStandIn::start(|seen| Reply::ok(seen, "fine")).await;
+  let test = GatewayTest::new().await.configure(|configuration| {
+    configuration["routes"][1]["timeoutMs"] = 200.into();
+  });
+  let gateway = test.with_portals(&one, &other).await;
+  let mut timed_out = 0;
+  for number in 0..40 {
+    let asked = gateway.ask("/unsafe/a", &format!("r{number}")).await;
+    timed_out += usize::from(asked.status == StatusCode::GATEWAY_TIMEOUT);
+  }
+  assert_eq!(timed_out, one.requests().len());
+  assert!(timed_out <= 1, "{timed_out} requests waited for it");
+}
--- a/tests/gateway/choice.rs
+++ b/tests/gateway/choice.rs
@@ -192,3 +192,30 @@
   }
   assert!(counts.values().all(|count| *count == 100), "{counts:?}");
 }
+
+#[test]
+fn overdue_endpoint_is_left_alone_and_two_mark_their_hall() {
+  let mut book = EndpointBook::default();
+  for (id, hall) in [
+    ("n-1", "north"),
+    ("s-1", "south"),
+    ("s-2", "south"),
+    ("s-3", "south"),
+  ] {
+    book.put(entry(id, hall, None));
+  }
+  for _ in 0..20 {
+    book.sent("n-1", 1);
+  }
+  book.overdue("s-1", 0);
+  assert_ne!(chosen(&book, wanted(), 10), "s-1");
+  assert!(!book.is_cut("south", 10));
+  book.overdue("s-2", 0);
+  assert!(book.is_cut("south", 10));
+  // Busy as it is, the endpoint that answers is better than a hall that does not.
+  assert_eq!(chosen(&book, wanted(), 10), "n-1");
+  book.sent("s-3", 1);
+  book.ended("s-3", 1, 1, PartEnd::Answered { took_ms: 5 }, 20);
+  assert!(!book.is_cut("south", 30));
+  assert_eq!(chosen(&book, wanted(), 30), "s-3");
+}
--- a/tests/gateway/configuration.rs
+++ b/tests/gateway/configuration.rs
@@ -40,6 +40,15 @@
   put(&gateway, 10, "/newest/");
   assert!(eventually(PATIENCE, async || is_found(&gateway, "/newest/a").await).await);
   put(&gateway, 8, "/older/");
+  // What is entered after it shows that the box has seen it.
+  let other = EndpointStandIn::start(|seen| Reply::ok(seen, "other")).await;
+  gateway.test.enter("p-2", "portal", None, &other);
+  let seen_by_other = async || {
+    gateway.ask("/unsafe/a", "r").await;
+    !other.requests().is_empty()
+  };
+  assert!(eventually(PATIENCE, seen_by_other).await);
+  assert!(is_found(&gateway, "/newest/a").await);
   gateway.test.store.put("op/config", b"{not a configuration");
   gateway.test.store.forget_history();
   let listings = gateway.test.store.listings();
