--- a/src/gateway/event_source.rs
+++ b/src/gateway/event_source.rs
@@ -9,7 +9,7 @@
     stream_request::{SILENCE_MS, StreamRequest},
   },
   bytes::Bytes,
-  futures_util::stream,
+  futures_util::{FutureExt, stream},
   http_body_util::{BodyExt, StreamBody},
   hyper::body::Frame,
   std::time::Duration,
@@ -99,9 +99,36 @@
     } else {
       left_ms
     };
-    let frame = timeout(Duration::from_millis(limit_ms), head.body.frame()).await;
+    let Ok(frame) = timeout(Duration::from_millis(limit_ms), head.body.frame()).await else {
+      return self.silent(limit_ms, left_ms).await;
+    };
+    self.take(frame)
+  }
+
+  /// The endpoint has been silent. It is given up once another one has a seat, or when the time is over.
+  async fn silent(&mut self, silent_ms: u64, left_ms: u64) -> Result<bool, String> {
+    let Some(head) = &mut self.head else {
+      return Err("no endpoint".into());
+    };
+    self.stream.gateway.overdue(&head.connection.endpoint);
+    let silent = format!("silent for {silent_ms} ms");
+    if silent_ms >= left_ms {
+      return Err(silent);
+    }
+    if !self.stream.prepare_takeover().await {
+      return Ok(true);
+    }
+    // It may have gone on while a seat was looked for.
+    if let Some(frame) = head.body.frame().now_or_never() {
+      self.stream.cancel_takeover();
+      return self.take(frame);
+    }
+    Err(silent)
+  }
+
+  fn take(&mut self, frame: Option<hyper::Result<Frame<Bytes>>>) -> Result<bool, String> {
     match frame {
-      Ok(Some(Ok(frame))) => {
+      Some(Ok(frame)) => {
         if let Some(data) = frame.data_ref() {
           self.cutter.push(data);
         }
@@ -110,18 +137,16 @@
         }
         Ok(true)
       }
-      Ok(Some(Err(error))) => Err(error.to_string()),
-      Ok(None) if self.cutter.has_rest() && !head.is_framed() => {
-        Err("ended within an event".into())
-      }
-      Ok(None) => Ok(false),
-      Err(_) => {
-        self.stream.gateway.overdue(&head.connection.endpoint);
-        Err(format!("silent for {limit_ms} ms"))
-      }
+      Some(Err(error)) => Err(error.to_string()),
+      None if self.cutter.has_rest() && !self.is_framed() => Err("ended within an event".into()),
+      None => Ok(false),
     }
   }
 
+  fn is_framed(&self) -> bool {
+    self.head.as_ref().is_some_and(Head::is_framed)
+  }
+
   fn finish(&mut self) -> Option<Result<Bytes, StreamBroke>> {
     self.ended = true;
     let gateway = self.stream.gateway.clone();
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -206,6 +206,19 @@
       .note_request(now_ms);
   }
 
+  /// Whether a repeat could be taken now.
+  pub(crate) fn has_repeat_left(&self, service: &Name) -> bool {
+    let boxes = self.boxes.borrow().len().max(LEAST_BOXES);
+    let now_ms = self.now_ms();
+    let allowance = self.settings.retry_allowance();
+    let mut windows = self.windows.borrow_mut();
+    windows
+      .entry(service.clone())
+      .or_default()
+      .left(allowance, boxes, now_ms)
+      >= 1.0
+  }
+
   /// Takes a repeat from the budget that all boxes share.
   pub(crate) fn take_repeat(&self, service: &Name) -> bool {
     let boxes = self.boxes.borrow().len();
--- a/src/gateway/stream_request.rs
+++ b/src/gateway/stream_request.rs
@@ -11,6 +11,7 @@
     seat::reserve_seat,
   },
   crate::ids::Name,
+  futures_util::FutureExt,
   std::{pin::pin, rc::Rc, time::Duration},
   tokio::time::timeout,
 };
@@ -45,6 +46,8 @@
   /// Arrivals at endpoints; all but the first are paid from the budget for repeats.
   arrivals: u32,
   refusals: u32,
+  /// A seat that was found while another engine was silent.
+  seat: Option<(EndpointEntry, Reservation)>,
   /// The prompt as it was read, kept after a refusal.
   export: Option<KeptExport>,
   /// The engine that refused that prompt.
@@ -68,6 +71,7 @@
       refusals: 0,
       refused_by: None,
       request,
+      seat: None,
       tried: Vec::new(),
     }
   }
@@ -148,7 +152,10 @@
       return self.arrive(&entry, None, None).await;
     }
     let asked_ms = self.gateway.now_ms();
-    let seat = reserve_seat(&self.gateway, &self.request, &self.tried).await;
+    let seat = match self.seat.take() {
+      Some(seat) => Some(seat),
+      None => reserve_seat(&self.gateway, &self.request, &self.tried).await,
+    };
     let seated_ms = self.gateway.now_ms();
     let (entry, reservation) = seat.ok_or(NoStream::NoSeat)?;
     let export = self.prompt(&entry.hall).await;
@@ -231,7 +238,8 @@
         .map(|reservation| reservation.id.clone()),
     };
     let size = self.request.tokens().max(1);
-    let sending = send_part(&self.gateway, &self.request, entry, &marks, size, 1);
+    let (gateway, request) = (self.gateway.clone(), self.request.clone());
+    let sending = send_part(&gateway, &request, entry, &marks, size, 1);
     let result = self.within_patience(entry, sending).await;
     if matches!(
       result,
@@ -263,22 +271,47 @@
     result
   }
 
-  /// Waits for an answer; an engine that is silent for too long is left alone, and given up where another may
-  /// be asked.
+  /// Waits for an answer; an engine that is silent for too long is left alone, and given up once another one has
+  /// a seat. Silence by itself ends nothing.
   async fn within_patience(
-    &self,
+    &mut self,
     entry: &EndpointEntry,
     sending: impl Future<Output = Result<Head, PartError>>,
   ) -> Result<Head, PartError> {
     let mut sending = pin!(sending);
-    if let Ok(result) = timeout(Duration::from_millis(SILENCE_MS), sending.as_mut()).await {
-      return result;
-    }
-    self.gateway.overdue(&entry.id);
-    if self.may_repeat() {
+    loop {
+      let silence = Duration::from_millis(SILENCE_MS);
+      if let Ok(result) = timeout(silence, sending.as_mut()).await {
+        return result;
+      }
+      self.gateway.overdue(&entry.id);
+      if !self.prepare_takeover().await {
+        continue;
+      }
+      // It may have answered while a seat was looked for.
+      if let Some(result) = sending.as_mut().now_or_never() {
+        self.seat = None;
+        return result;
+      }
       return Err(PartError::Lost("no answer in time".into()));
     }
-    sending.await
+  }
+
+  /// Finds a seat for a further try while the present endpoint is silent.
+  pub(crate) async fn prepare_takeover(&mut self) -> bool {
+    if !self.has_attempts_left() || !self.gateway.has_repeat_left(&self.request.service) {
+      return false;
+    }
+    if !self.is_split() {
+      return true;
+    }
+    self.seat = reserve_seat(&self.gateway, &self.request, &self.tried).await;
+    self.seat.is_some()
+  }
+
+  /// The present endpoint goes on after all.
+  pub(crate) fn cancel_takeover(&mut self) {
+    self.seat = None;
   }
 
   /// Another engine took the prompt: the one that refused it is at fault.
--- a/tests/gateway/endpoint.rs
+++ b/tests/gateway/endpoint.rs
@@ -46,6 +46,8 @@
   WriteAndClose(String),
   /// Waits, then writes bytes.
   WriteLater(Duration, String),
+  /// Writes bytes, waits, and writes more.
+  WriteInTwo(String, Duration, String),
   /// Never answers.
   Silence,
 }
@@ -176,6 +178,13 @@
         sleep(pause).await;
         text
       }
+      Reply::WriteInTwo(first, pause, rest) => {
+        if stream.write_all(first.as_bytes()).await.is_err() {
+          return;
+        }
+        sleep(pause).await;
+        rest
+      }
       Reply::WriteAndClose(text) => {
         let _ = stream.write_all(text.as_bytes()).await;
         return;
--- a/tests/gateway/streams.rs
+++ b/tests/gateway/streams.rs
@@ -7,6 +7,7 @@
   emulator::eventually,
   http::StatusCode,
   rstest::rstest,
+  std::time::Duration,
 };
 
 const EVENTS: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
@@ -199,3 +200,36 @@
   };
   assert!(eventually(PATIENCE, dropped).await);
 }
+
+/// Found by a hunt (sariwa-ops, mix --seed 135855253762): a stream that paused for longer than the router's
+/// patience was given up before it was known that anyone could go on.
+#[rstest]
+#[case::no_other_engine(false)]
+#[case::the_other_is_full(true)]
+#[tokio::test]
+async fn stream_that_pauses_is_waited_for_when_nobody_can_go_on(#[case] has_other: bool) {
+  let prefill = EndpointStandIn::engine(EVENTS).await;
+  let pausing = |seen: &Seen| {
+    if is_stream(seen) {
+      let rest = "id: 3\ndata: c\n\n";
+      let first = Reply::stream_part(seen, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+      Reply::WriteInTwo(
+        first,
+        Duration::from_millis(2_000),
+        format!("{:x}\r\n{rest}\r\n0\r\n\r\n", rest.len()),
+      )
+    } else {
+      engine_reply(seen, EVENTS)
+    }
+  };
+  let decode = EndpointStandIn::start(pausing).await;
+  let full = EndpointStandIn::start(Reply::not_run).await;
+  let test = GatewayTest::new().await;
+  if has_other {
+    test.enter("e-3", "llm", Some("decode"), &full);
+  }
+  let gateway = test.with_engines(&prefill, &decode).await;
+  let asked = gateway.ask("/resumable/a", "r1").await;
+  assert_eq!(asked.body.unwrap(), EVENTS);
+  assert_eq!(decode.requests().len(), 1);
+}
