--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -3,7 +3,9 @@
 use {
   super::{
     RouteKind,
+    accept::accept,
     answer::{AnswerBody, OwnAnswer},
+    connection::set_limits,
     gateway::{Gateway, InFlight, Phase},
     headers::remove_connection_headers,
     plain::answer_plain,
@@ -22,12 +24,11 @@
   std::{convert::Infallible, pin::pin, rc::Rc, time::Duration},
   tokio::{
     net::{TcpListener, TcpStream},
+    task::spawn_local,
     time::timeout,
   },
 };
 
-/// Pause after a connection could not be accepted, for want of descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// How long a connection may rest before a configuration says so.
 const REST_MS: u64 = 60_000;
 /// The connection's one timer covers its rest and the next head: it must outlast both, also after a change.
@@ -41,29 +42,21 @@
 pub(crate) async fn accept_callers(gateway: Rc<Gateway>, listener: TcpListener) {
   let mut phase = gateway.phase.subscribe();
   loop {
-    let accepted = tokio::select! {
-      accepted = listener.accept() => accepted,
+    let stream = tokio::select! {
+      stream = accept(&listener) => stream,
       _ = phase.wait_for(|phase| *phase == Phase::Closed) => return,
     };
-    match accepted {
-      Ok((stream, _)) => {
-        gateway.connections.set(gateway.connections.get() + 1);
-        let gateway = gateway.clone();
-        tokio::task::spawn_local(async move {
-          serve_caller(gateway.clone(), stream).await;
-          gateway.connections.set(gateway.connections.get() - 1);
-        });
-      }
-      Err(error) => {
-        log::warn!("E601 connection not accepted: {error}");
-        tokio::time::sleep(ACCEPT_PAUSE).await;
-      }
-    }
+    gateway.connections.set(gateway.connections.get() + 1);
+    let gateway = gateway.clone();
+    spawn_local(async move {
+      serve_caller(gateway.clone(), stream).await;
+      gateway.connections.set(gateway.connections.get() - 1);
+    });
   }
 }
 
 async fn serve_caller(gateway: Rc<Gateway>, stream: TcpStream) {
-  if let Err(error) = super::connection::set_limits(&stream) {
+  if let Err(error) = set_limits(&stream) {
     log::debug!("a caller's connection ended at once: {error}");
     return;
   }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 //!
 //! One thread serves everything: a box has a fraction of a core, and each thread costs it memory.
 
+mod accept;
 mod answer;
 mod box_list;
 mod change_log;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,15 +1,14 @@
 //! Changes of the store on their way from the boxes that read it to those that follow them.
 
 use {
-  super::{StoreChanges, gateway::Gateway},
+  super::{StoreChanges, accept::serve_port, gateway::Gateway},
   crate::{CallError, HttpClient},
   bytes::Bytes,
   http::{Request, Response, StatusCode},
   http_body_util::Full,
-  hyper::{body::Incoming, server::conn::http1, service::service_fn},
-  hyper_util::rt::TokioIo,
+  hyper::body::Incoming,
   serde::{Deserialize, Serialize},
-  std::{convert::Infallible, net::SocketAddr, rc::Rc, time::Duration},
+  std::{net::SocketAddr, rc::Rc, time::Duration},
   tokio::{net::TcpListener, time::timeout},
 };
 
@@ -17,7 +16,6 @@
 const FOLLOW_WAIT: Duration = Duration::from_millis(900);
 /// A box in the same hall answers at once after that.
 const FOLLOW_MARGIN: Duration = Duration::from_millis(400);
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// What a box that is followed answers.
 #[derive(Debug, Deserialize, Serialize)]
@@ -42,37 +40,20 @@
 
 /// Answers other boxes until the process ends.
 pub(crate) async fn serve_boxes(gateway: Rc<Gateway>, listener: TcpListener) {
-  loop {
-    let stream = match listener.accept().await {
-      Ok((stream, _)) => stream,
-      Err(error) => {
-        log::warn!("E601 connection not accepted: {error}");
-        tokio::time::sleep(ACCEPT_PAUSE).await;
-        continue;
-      }
-    };
-    let gateway = gateway.clone();
-    tokio::task::spawn_local(async move {
-      let service = service_fn(move |request| answer(gateway.clone(), request));
-      let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-      if let Err(error) = connection.await {
-        log::debug!("connection of a box ended: {error}");
-      }
-    });
-  }
+  serve_port(listener, "boxes", move |request| {
+    answer(gateway.clone(), request)
+  })
+  .await;
 }
 
-async fn answer(
-  gateway: Rc<Gateway>,
-  request: Request<Incoming>,
-) -> Result<Response<Full<Bytes>>, Infallible> {
+async fn answer(gateway: Rc<Gateway>, request: Request<Incoming>) -> Response<Full<Bytes>> {
   let revision = request
     .uri()
     .path()
     .strip_prefix("/changes/")
     .and_then(|text| text.parse().ok());
   let Some(revision) = revision else {
-    return Ok(status(StatusCode::NOT_FOUND));
+    return status(StatusCode::NOT_FOUND);
   };
   // An answer without changes says that there are none.
   let _ = timeout(FOLLOW_WAIT, gateway.change_log.wait_after(revision)).await;
@@ -83,13 +64,13 @@
       .get()
       .map(|heard_ms| gateway.now_ms() - heard_ms),
   };
-  Ok(match postcard::to_stdvec(&answer) {
+  match postcard::to_stdvec(&answer) {
     Ok(body) => Response::new(Full::new(body.into())),
     Err(error) => {
       log::error!("E430 changes for a box can't be written: {error}");
       status(StatusCode::INTERNAL_SERVER_ERROR)
     }
-  })
+  }
 }
 
 fn status(status: StatusCode) -> Response<Full<Bytes>> {
--- a/src/listener.rs
+++ b/src/listener.rs
@@ -15,7 +15,8 @@
 
 /// Connections that may wait to be accepted: callers come in bursts when a box has died.
 const BACKLOG: i32 = 4_096;
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Pause after a connection could not be accepted, for want of descriptors.
+pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Bounds on a listener.
 #[derive(Clone, Copy, Debug)]
