--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -8,8 +8,12 @@
   hyper::{body::Incoming, client::conn::http1},
   hyper_util::rt::TokioIo,
   socket2::{SockRef, TcpKeepalive},
-  std::{net::SocketAddr, time::Duration},
-  tokio::{net::TcpStream, task::AbortHandle, time::timeout},
+  std::{fmt::Display, io, net::SocketAddr, time::Duration},
+  tokio::{
+    net::TcpStream,
+    task::{AbortHandle, spawn_local},
+    time::timeout,
+  },
 };
 
 /// An endpoint in reach accepts within milliseconds; one packet lost costs a second and is worth another
@@ -56,7 +60,7 @@
 impl Connection {
   /// Opens a connection.
   pub(crate) async fn open(endpoint: Name, address: SocketAddr) -> Result<Self, SendError> {
-    let unsent = |error: &dyn std::fmt::Display| SendError::Unsent(error.to_string());
+    let unsent = |error: &dyn Display| SendError::Unsent(error.to_string());
     let stream = timeout(CONNECT_LIMIT, TcpStream::connect(address))
       .await
       .map_err(|_| SendError::Unreachable)?
@@ -67,7 +71,7 @@
       .handshake(TokioIo::new(stream))
       .await
       .map_err(|error| unsent(&error))?;
-    let task = tokio::task::spawn_local(async move {
+    let task = spawn_local(async move {
       if let Err(error) = connection.await {
         log::debug!("connection to {address} ended: {error}");
       }
@@ -112,7 +116,7 @@
 }
 
 /// Bounds the silence of a connection whose path is cut.
-pub(crate) fn set_limits(stream: &TcpStream) -> std::io::Result<()> {
+pub(crate) fn set_limits(stream: &TcpStream) -> io::Result<()> {
   stream.set_nodelay(true)?;
   let socket = SockRef::from(stream);
   socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))?;
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -5,6 +5,7 @@
   crate::{decide::Role, ids::Name},
   bytes::Bytes,
   http::{HeaderMap, Method},
+  std::net::SocketAddr,
 };
 
 /// What a caller's headers say.
@@ -37,7 +38,7 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Export {
   /// The engine that keeps it.
-  pub source: std::net::SocketAddr,
+  pub source: SocketAddr,
   /// Its name there.
   pub handle: Name,
 }
--- a/src/gateway/endpoint_book.rs
+++ b/src/gateway/endpoint_book.rs
@@ -133,6 +133,42 @@
     let newest = f64::from(u8::from(failed));
     self.failure_share += NEWEST_WEIGHT * (newest - self.failure_share);
   }
+
+  /// The order of preference before all cost: sound, on trial, left alone.
+  fn rank(&self, wanted: Wanted, hall_is_cut: bool, now_ms: u64) -> u8 {
+    let lapsed = u8::from(self.lapses_ms.is_some());
+    if hall_is_cut {
+      return 6 + lapsed;
+    }
+    if now_ms < self.avoid_until_ms {
+      return 4 + lapsed;
+    }
+    if self.is_on_trial() && (!wanted.may_repeat || self.requests > 0) {
+      return 2 + lapsed;
+    }
+    lapsed
+  }
+
+  fn ahead(&self, size: u64, now_ms: u64) -> f64 {
+    self.size as f64 + self.others(now_ms) * size as f64
+  }
+
+  fn cost(&self, wanted: Wanted, peers: Peers, now_ms: u64) -> f64 {
+    let surplus = (self.failure_share - peers.failure_share).max(0.0);
+    let speed = match self.pace_ms {
+      Some(pace_ms) if peers.pace_ms > 0.0 => {
+        (pace_ms / peers.pace_ms).clamp(SPEED_RANGE.0, SPEED_RANGE.1)
+      }
+      _ => 1.0,
+    };
+    let hall = if &*self.entry.hall == wanted.hall {
+      1.0
+    } else {
+      OTHER_HALL_FACTOR
+    };
+    let work = self.ahead(wanted.size, now_ms) + wanted.size as f64;
+    work * speed * hall * (1.0 + FAILURE_PENALTY * surplus)
+  }
 }
 
 /// The endpoints by incarnation.
@@ -357,41 +393,3 @@
     }
   }
 }
-
-impl Known {
-  /// The order of preference before all cost: sound, on trial, left alone.
-  fn rank(&self, wanted: Wanted, hall_is_cut: bool, now_ms: u64) -> u8 {
-    let lapsed = u8::from(self.lapses_ms.is_some());
-    if hall_is_cut {
-      return 6 + lapsed;
-    }
-    if now_ms < self.avoid_until_ms {
-      return 4 + lapsed;
-    }
-    if self.is_on_trial() && (!wanted.may_repeat || self.requests > 0) {
-      return 2 + lapsed;
-    }
-    lapsed
-  }
-
-  fn ahead(&self, size: u64, now_ms: u64) -> f64 {
-    self.size as f64 + self.others(now_ms) * size as f64
-  }
-
-  fn cost(&self, wanted: Wanted, peers: Peers, now_ms: u64) -> f64 {
-    let surplus = (self.failure_share - peers.failure_share).max(0.0);
-    let speed = match self.pace_ms {
-      Some(pace_ms) if peers.pace_ms > 0.0 => {
-        (pace_ms / peers.pace_ms).clamp(SPEED_RANGE.0, SPEED_RANGE.1)
-      }
-      _ => 1.0,
-    };
-    let hall = if &*self.entry.hall == wanted.hall {
-      1.0
-    } else {
-      OTHER_HALL_FACTOR
-    };
-    let work = self.ahead(wanted.size, now_ms) + wanted.size as f64;
-    work * speed * hall * (1.0 + FAILURE_PENALTY * surplus)
-  }
-}
--- a/src/gateway/engine_call.rs
+++ b/src/gateway/engine_call.rs
@@ -14,14 +14,16 @@
     header::{CONTENT_TYPE, HOST},
   },
   http_body_util::{BodyExt, Full, Limited},
-  std::{rc::Rc, time::Duration},
-  tokio::time::timeout,
+  std::{fmt::Display, rc::Rc, time::Duration},
+  tokio::{task::spawn_local, time::timeout},
 };
 
 /// An engine answers a call of the router's own within milliseconds.
 const CALL_LIMIT: Duration = Duration::from_millis(150);
 /// These answers are a few words long.
 const MOST_ANSWER_BYTES: usize = 64 * 1024;
+/// An export is not handed on when it is about to lapse.
+const EXPORT_MARGIN_MS: u64 = 120;
 
 /// Why a call came to nothing.
 #[derive(Debug, thiserror::Error)]
@@ -43,7 +45,7 @@
   entry: &EndpointEntry,
   call: EndpointCall,
 ) -> Result<Bytes, CallFailure> {
-  let lost = |error: &dyn std::fmt::Display| CallFailure::Lost(error.to_string());
+  let lost = |error: &dyn Display| CallFailure::Lost(error.to_string());
   let request = build(entry, call).map_err(|error| lost(&error))?;
   let answer = async {
     let (connection, response) = exchange(gateway, entry, request)
@@ -85,9 +87,6 @@
   used: bool,
 }
 
-/// An export is not handed on when it is about to lapse.
-const EXPORT_MARGIN_MS: u64 = 120;
-
 impl KeptExport {
   pub(crate) fn new(
     gateway: &Rc<Gateway>,
@@ -167,7 +166,7 @@
 fn free_later(gateway: &Rc<Gateway>, entry: &EndpointEntry, call: EndpointCall) {
   let gateway = gateway.clone();
   let entry = entry.clone();
-  tokio::task::spawn_local(async move {
+  spawn_local(async move {
     if let Err(error) = call_engine(&gateway, &entry, call).await {
       log::info!("E512 not freed at {}: {error}", entry.id);
     }
--- a/src/gateway/event_source.rs
+++ b/src/gateway/event_source.rs
@@ -23,7 +23,8 @@
   cutter: EventCutter,
   ended: bool,
   first_event_noted: bool,
-  in_flight: InFlight,
+  /// Held until the caller has the last event.
+  _in_flight: InFlight,
 }
 
 impl EventSource {
@@ -33,8 +34,8 @@
       ended: false,
       first_event_noted: false,
       head: Some(head),
-      in_flight,
       stream,
+      _in_flight: in_flight,
     }
   }
 
@@ -43,7 +44,7 @@
       let item = source.next().await?;
       Some((item.map(Frame::data), source))
     });
-    Box::pin(BodyExt::map_err(StreamBody::new(events), |error| error))
+    Box::pin(StreamBody::new(events))
   }
 
   /// The next bytes for the caller; nothing after the whole stream.
@@ -175,6 +176,5 @@
       self.stream.gateway.counters.callers_gone.inc();
       log::debug!("caller left: {}", self.stream.request.id());
     }
-    let _ = &self.in_flight;
   }
 }
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -16,8 +16,16 @@
     rc::Rc,
     time::Instant,
   },
+  tokio::sync::{Mutex, watch},
 };
 
+/// Boxes that are assumed while their list is not yet known: the smallest deployment has six.
+const LEAST_BOXES: usize = 6;
+/// Part of an endpoint's connections that may rest: the others are for waves, and for boxes that come.
+const RESTING_SHARE: f64 = 0.5;
+/// Connections that rest for one endpoint; a box has few requests at one endpoint at once.
+const MOST_RESTING: usize = 8;
+
 /// What a box does with new requests.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) enum Phase {
@@ -47,7 +55,7 @@
   pub(crate) book: RefCell<EndpointBook>,
   pub(crate) pool: ConnectionPool,
   pub(crate) counters: Counters,
-  pub(crate) phase: tokio::sync::watch::Sender<Phase>,
+  pub(crate) phase: watch::Sender<Phase>,
   pub(crate) in_flight: Cell<usize>,
   /// Callers' connections.
   pub(crate) connections: Cell<usize>,
@@ -58,7 +66,7 @@
   pub(crate) change_log: ChangeLog,
   pub(crate) store_heard_ms: Cell<Option<u64>>,
   /// Held by the request that looks for a seat: the oldest goes first.
-  pub(crate) seat_turn: tokio::sync::Mutex<()>,
+  pub(crate) seat_turn: Mutex<()>,
   /// This box's lease in the store, and when it was last renewed.
   pub(crate) lease: Cell<Option<HeldLease>>,
   /// Whether a box is steward, as far as this one knows.
@@ -80,18 +88,18 @@
       book: RefCell::default(),
       boxes: RefCell::default(),
       change_log: ChangeLog::default(),
+      connections: Cell::new(0),
       counters: Counters::default(),
       dialect,
-      has_steward: Cell::new(false),
-      connections: Cell::new(0),
       ends_ms: Cell::new(None),
+      has_steward: Cell::new(false),
       in_flight: Cell::new(0),
       lease: Cell::new(None),
-      phase: tokio::sync::watch::Sender::new(Phase::Serving),
+      phase: watch::Sender::new(Phase::Serving),
       policy,
       pool: ConnectionPool::default(),
       random: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
-      seat_turn: tokio::sync::Mutex::new(()),
+      seat_turn: Mutex::new(()),
       settings,
       started: Instant::now(),
       store_heard_ms: Cell::new(None),
@@ -219,14 +227,6 @@
   }
 }
 
-/// Boxes that are assumed while their list is not yet known: the smallest deployment has six.
-const LEAST_BOXES: usize = 6;
-
-/// Part of an endpoint's connections that may rest: the others are for waves, and for boxes that come.
-const RESTING_SHARE: f64 = 0.5;
-/// Connections that rest for one endpoint; a box has few requests at one endpoint at once.
-const MOST_RESTING: usize = 8;
-
 /// Counts a request from its arrival until its answer has gone out.
 pub(crate) struct InFlight(Rc<Gateway>);
 
--- a/src/gateway/log_writer.rs
+++ b/src/gateway/log_writer.rs
@@ -2,6 +2,7 @@
 
 use std::{
   io::{self, Write},
+  mem,
   sync::{
     Arc,
     atomic::{AtomicU64, Ordering},
@@ -43,7 +44,7 @@
   fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
     self.line.extend_from_slice(bytes);
     if self.line.ends_with(b"\n") {
-      let line = std::mem::take(&mut self.line);
+      let line = mem::take(&mut self.line);
       if let Err(TrySendError::Full(_)) = self.lines.try_send(line) {
         self.dropped.fetch_add(1, Ordering::Relaxed);
       }
--- a/src/gateway/part.rs
+++ b/src/gateway/part.rs
@@ -39,7 +39,24 @@
   Lost(String),
 }
 
-/// The books' entry for one part; counts as dropped unless it is settled.
+impl PartError {
+  /// Whether the endpoint never saw the request.
+  pub(crate) fn is_unsent(&self) -> bool {
+    matches!(self, Self::Unreachable | Self::Unsent(_))
+  }
+}
+
+impl From<SendError> for PartError {
+  fn from(error: SendError) -> Self {
+    match error {
+      SendError::Unreachable => Self::Unreachable,
+      SendError::Unsent(text) => Self::Unsent(text),
+      SendError::Broke(text) => Self::Lost(text),
+    }
+  }
+}
+
+/// The book's entry for one part; counts as dropped unless it is settled.
 pub(crate) struct Booking {
   gateway: Rc<Gateway>,
   endpoint: Name,
@@ -80,23 +97,6 @@
   }
 }
 
-impl PartError {
-  /// Whether the endpoint never saw the request.
-  pub(crate) fn is_unsent(&self) -> bool {
-    matches!(self, Self::Unreachable | Self::Unsent(_))
-  }
-}
-
-impl From<SendError> for PartError {
-  fn from(error: SendError) -> Self {
-    match error {
-      SendError::Unreachable => Self::Unreachable,
-      SendError::Unsent(text) => Self::Unsent(text),
-      SendError::Broke(text) => Self::Lost(text),
-    }
-  }
-}
-
 impl Drop for Booking {
   fn drop(&mut self) {
     self
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -117,18 +117,13 @@
         self.perhaps_run |= matches!(error, PartError::Lost(_));
         if error.is_unsent() {
           // The endpoint never saw it: it counts as no attempt.
-          return self.start_unsent();
+          self.start();
         }
       }
     }
     None
   }
 
-  fn start_unsent(&mut self) -> Option<Response<AnswerBody>> {
-    self.start();
-    None
-  }
-
   /// Sends the request to a further endpoint, if its route and the budget allow.
   fn start_again(&mut self) -> bool {
     let may_have_run = self.perhaps_run || !self.running.is_empty();
--- a/src/gateway/route_table.rs
+++ b/src/gateway/route_table.rs
@@ -2,7 +2,7 @@
 
 use {
   crate::ids::Name,
-  std::{collections::HashMap, rc::Rc},
+  std::{cmp::Reverse, collections::HashMap, rc::Rc},
 };
 
 /// What may be repeated on a route.
@@ -143,7 +143,7 @@
         .push(Rc::new(route));
     }
     for routes in by_host.values_mut() {
-      routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
+      routes.sort_by_key(|route| Reverse(route.path_prefix.len()));
     }
     Self {
       by_host,
