--- a/src/gateway/engine_call.rs
+++ b/src/gateway/engine_call.rs
@@ -2,7 +2,7 @@
 
 use {
   super::{
-    EndpointEntry,
+    EndpointEntry, PartEnd,
     dialect::{EndpointCall, Export},
     gateway::Gateway,
     part::exchange,
@@ -39,6 +39,17 @@
   Lost(String),
 }
 
+impl CallFailure {
+  /// How the work asked for ended, for the endpoint book.
+  pub(crate) fn part_end(&self) -> PartEnd {
+    match self {
+      Self::Refused(_) => PartEnd::Full,
+      Self::TimedOut => PartEnd::Unreachable,
+      Self::Lost(_) => PartEnd::Lost,
+    }
+  }
+}
+
 /// Makes a call and answers with its body.
 pub(crate) async fn call_engine(
   gateway: &Gateway,
--- a/src/gateway/part.rs
+++ b/src/gateway/part.rs
@@ -13,6 +13,7 @@
   http::{
     HeaderMap, Request, Response, StatusCode,
     header::{CONTENT_ENCODING, CONTENT_LENGTH, TRANSFER_ENCODING},
+    response,
   },
   http_body_util::{BodyExt, Full, Limited},
   hyper::body::Incoming,
@@ -40,6 +41,11 @@
 }
 
 impl PartError {
+  /// Whether the request certainly has not run at the endpoint, and will not.
+  pub(crate) fn has_not_run(&self) -> bool {
+    !matches!(self, Self::Lost(_))
+  }
+
   /// Whether the endpoint never saw the request.
   pub(crate) fn is_unsent(&self) -> bool {
     matches!(self, Self::Unreachable | Self::Unsent(_))
@@ -164,7 +170,8 @@
   pub(crate) body: Bytes,
 }
 
-/// Sends one part of a request to an endpoint and reads the answer's head.
+/// Sends one part of a request to an endpoint and reads the answer's head. `size` is what the part weighs in
+/// the endpoint's load, `units` what the time until its answer is measured by.
 pub(crate) async fn send_part(
   gateway: &Rc<Gateway>,
   request: &RoutedRequest,
@@ -175,24 +182,22 @@
 ) -> Result<Head, PartError> {
   let mut booking = Booking::new(gateway, &entry.id, size, units);
   let sent = request.for_endpoint(&*gateway.dialect, marks);
-  match exchange(gateway, entry, sent).await {
-    Ok((connection, response)) => {
-      let checked = check(gateway, request, entry, response);
-      match checked {
-        Ok(checked) => Ok(Head {
-          body: checked.body,
-          booking,
-          connection,
-          facts: checked.facts,
-          raw_headers: checked.headers,
-          status: checked.status,
-        }),
-        Err(error) => {
-          booking.settle_error(&error);
-          Err(error)
-        }
-      }
-    }
+  let answered = exchange(gateway, entry, sent)
+    .await
+    .and_then(|(connection, response)| {
+      let (head, body) = response.into_parts();
+      let facts = check(gateway, request, entry, &head)?;
+      Ok((connection, head, body, facts))
+    });
+  match answered {
+    Ok((connection, head, body, facts)) => Ok(Head {
+      body,
+      booking,
+      connection,
+      facts,
+      raw_headers: head.headers,
+      status: head.status,
+    }),
     Err(error) => {
       booking.settle_error(&error);
       Err(error)
@@ -223,21 +228,13 @@
   Ok((connection, response))
 }
 
-struct Checked {
-  status: StatusCode,
-  headers: HeaderMap,
-  facts: AnswerFacts,
-  body: Incoming,
-}
-
 /// Believes an answer only when it is this request's own.
 fn check(
   gateway: &Gateway,
   request: &RoutedRequest,
   entry: &EndpointEntry,
-  response: Response<Incoming>,
-) -> Result<Checked, PartError> {
-  let (head, body) = response.into_parts();
+  head: &response::Parts,
+) -> Result<AnswerFacts, PartError> {
   let facts = gateway.dialect.answer_facts(&head.headers);
   if facts.request_id != request.facts.request_id {
     return Err(PartError::Lost("answer to another request".into()));
@@ -266,10 +263,5 @@
       "answer with an encoding that was not asked for".into(),
     ));
   }
-  Ok(Checked {
-    body,
-    facts,
-    headers: head.headers,
-    status: head.status,
-  })
+  Ok(facts)
 }
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -2,7 +2,7 @@
 
 use {
   super::{
-    Marks, Part, Wanted,
+    EndpointEntry, Marks, Part, Wanted,
     answer::{AnswerBody, OwnAnswer, passed_on, whole_body},
     gateway::Gateway,
     part::{PartError, WholeAnswer, send_part},
@@ -114,7 +114,7 @@
           "E502 part failed: {} at {endpoint}: {error}",
           self.request.id()
         );
-        self.perhaps_run |= matches!(error, PartError::Lost(_));
+        self.perhaps_run |= !error.has_not_run();
         if error.is_unsent() {
           // The endpoint never saw it: it counts as no attempt.
           self.start();
@@ -124,7 +124,7 @@
     None
   }
 
-  /// Sends the request to a further endpoint, if its route and the budget allow.
+  /// Sends the request to a further endpoint as a repeat, if its route and the budget allow.
   fn start_again(&mut self) -> bool {
     let may_have_run = self.perhaps_run || !self.running.is_empty();
     let route = &self.request.route;
@@ -137,6 +137,7 @@
     self.start()
   }
 
+  /// Sends the request to the best endpoint not tried yet; `false` when there is none.
   fn start(&mut self) -> bool {
     let gateway = &self.gateway;
     let request = &self.request;
@@ -151,32 +152,9 @@
     let Some(choice) = choice else { return false };
     let entry = choice.entry;
     self.tried.push(entry.id.clone());
-    let marks = Marks {
-      deadline_ms: request.left_ms(gateway.now_ms()),
-      endpoint_id: entry.id.clone(),
-      last_event_id: None,
-      part: Part::Whole,
-      priority: request.rank.priority,
-      reservation: None,
-    };
-    let gateway = gateway.clone();
-    let request = request.clone();
-    self.running.push(
-      async move {
-        let result = async {
-          let head = send_part(&gateway, &request, &entry, &marks, 1, 1).await?;
-          let has_receipt = head.facts.has_receipt;
-          let whole = head.whole(&gateway).await?;
-          if whole.status.is_success() && !has_receipt {
-            return Err(PartError::Lost("success without a receipt".into()));
-          }
-          Ok(whole)
-        };
-        let result = result.await;
-        (entry.id, result)
-      }
-      .boxed_local(),
-    );
+    let marks = request.marks(&entry, Part::Whole, gateway.now_ms());
+    let asking = ask_endpoint(gateway.clone(), request.clone(), entry, marks);
+    self.running.push(asking.boxed_local());
     true
   }
 
@@ -203,6 +181,31 @@
   }
 }
 
+async fn ask_endpoint(
+  gateway: Rc<Gateway>,
+  request: Rc<RoutedRequest>,
+  entry: EndpointEntry,
+  marks: Marks,
+) -> (Name, Result<WholeAnswer, PartError>) {
+  let answer = whole_answer(&gateway, &request, &entry, &marks).await;
+  (entry.id, answer)
+}
+
+async fn whole_answer(
+  gateway: &Rc<Gateway>,
+  request: &RoutedRequest,
+  entry: &EndpointEntry,
+  marks: &Marks,
+) -> Result<WholeAnswer, PartError> {
+  let head = send_part(gateway, request, entry, marks, 1, 1).await?;
+  let has_receipt = head.facts.has_receipt;
+  let answer = head.whole(gateway).await?;
+  if answer.status.is_success() && !has_receipt {
+    return Err(PartError::Lost("success without a receipt".into()));
+  }
+  Ok(answer)
+}
+
 fn pass_on(answer: WholeAnswer) -> Response<AnswerBody> {
   passed_on(answer.status, answer.headers, whole_body(answer.body))
 }
--- a/src/gateway/prompt.rs
+++ b/src/gateway/prompt.rs
@@ -2,7 +2,7 @@
 
 use {
   super::{
-    EndpointEntry, Marks, Part, PartEnd, Wanted,
+    EndpointEntry, Part, PartEnd, Wanted,
     engine_call::KeptExport,
     gateway::Gateway,
     part::{PartError, send_part},
@@ -85,14 +85,7 @@
   tokens_ahead: u64,
 ) -> Result<Name, PartError> {
   let tokens = request.facts.prompt_tokens.max(1);
-  let marks = Marks {
-    deadline_ms: request.left_ms(gateway.now_ms()),
-    endpoint_id: entry.id.clone(),
-    last_event_id: None,
-    part: Part::ReadPrompt,
-    priority: request.rank.priority,
-    reservation: None,
-  };
+  let marks = request.marks(entry, Part::ReadPrompt, gateway.now_ms());
   let work = tokens_ahead + tokens;
   let limit_ms = READ_FLOOR_MS + READ_US_PER_TOKEN * work / 1_000;
   let reading = async {
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -1,7 +1,7 @@
 //! A caller's request, read whole and matched to its route.
 
 use {
-  super::{CallerFacts, Marks, Route, RouteRank, dialect::Dialect},
+  super::{CallerFacts, EndpointEntry, Marks, Part, Route, RouteRank, dialect::Dialect},
   crate::ids::Name,
   bytes::Bytes,
   http::{HeaderMap, Method, Request, Uri},
@@ -31,6 +31,18 @@
 }
 
 impl RoutedRequest {
+  /// What one endpoint has to know of a part; without a reservation or an event to go on after.
+  pub(crate) fn marks(&self, entry: &EndpointEntry, part: Part, now_ms: u64) -> Marks {
+    Marks {
+      deadline_ms: self.left_ms(now_ms),
+      endpoint_id: entry.id.clone(),
+      last_event_id: None,
+      part,
+      priority: self.rank.priority,
+      reservation: None,
+    }
+  }
+
   /// The request as one endpoint gets it.
   pub(crate) fn for_endpoint(&self, dialect: &dyn Dialect, marks: &Marks) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(self.body.clone()));
--- a/src/gateway/seat.rs
+++ b/src/gateway/seat.rs
@@ -64,6 +64,7 @@
   seat
 }
 
+/// Asks one engine for a seat; nothing when it has none or does not answer.
 async fn ask_seat(
   gateway: &Rc<Gateway>,
   request: &RoutedRequest,
@@ -83,22 +84,16 @@
         booking.settle(PartEnd::Lost);
       }
     },
-    Err(CallFailure::Refused(_)) => booking.settle(PartEnd::Full),
-    Err(CallFailure::TimedOut) => {
-      log::info!(
-        "E511 reservation failed: {} at {}: no answer in time",
-        request.id(),
-        entry.id
-      );
-      booking.settle(PartEnd::Unreachable);
-    }
-    Err(error) => {
-      log::info!(
-        "E511 reservation failed: {} at {}: {error}",
-        request.id(),
-        entry.id
-      );
-      booking.settle(PartEnd::Lost);
+    Err(failure) => {
+      // A refusal is usual: the engine is full.
+      if !matches!(failure, CallFailure::Refused(_)) {
+        log::info!(
+          "E511 reservation failed: {} at {}: {failure}",
+          request.id(),
+          entry.id
+        );
+      }
+      booking.settle(failure.part_end());
     }
   }
   None
--- a/src/gateway/stream_request.rs
+++ b/src/gateway/stream_request.rs
@@ -32,6 +32,9 @@
   Answered(Box<Head>),
 }
 
+/// What one try came to. The outer error says that there is no endpoint to try.
+type Attempt = Result<Result<Head, PartError>, NoStream>;
+
 /// One streamed request.
 pub(crate) struct StreamRequest {
   pub(crate) gateway: Rc<Gateway>,
@@ -44,6 +47,7 @@
   attempts: u32,
   /// Arrivals at endpoints; all but the first are paid from the budget for repeats.
   arrivals: u32,
+  /// Endpoints that said that it did not run.
   refusals: u32,
   /// The prompt as it was read, kept after a refusal.
   export: Option<KeptExport>,
@@ -133,20 +137,30 @@
     taken
   }
 
-  /// One try. The outer error says that there is no endpoint to try.
-  async fn attempt(&mut self) -> Result<Result<Head, PartError>, NoStream> {
-    if !self.is_split() {
-      let choice = self.gateway.choose(Wanted {
-        hall: &self.gateway.settings.identity.hall,
-        may_repeat: self.may_repeat(),
-        role: None,
-        service: &self.request.service,
-        size: self.request.tokens().max(1),
-        tried: &self.tried,
-      });
-      let entry = choice.ok_or(NoStream::NoSeat)?.entry;
-      return self.arrive(&entry, None, None).await;
+  async fn attempt(&mut self) -> Attempt {
+    if self.is_split() {
+      self.attempt_split().await
+    } else {
+      self.attempt_whole().await
     }
+  }
+
+  /// A try at an endpoint that reads the prompt itself.
+  async fn attempt_whole(&mut self) -> Attempt {
+    let choice = self.gateway.choose(Wanted {
+      hall: &self.gateway.settings.identity.hall,
+      may_repeat: self.may_repeat(),
+      role: None,
+      service: &self.request.service,
+      size: self.request.tokens().max(1),
+      tried: &self.tried,
+    });
+    let entry = choice.ok_or(NoStream::NoSeat)?.entry;
+    self.arrive(&entry, None, None).await
+  }
+
+  /// A try with a seat at one engine, and the prompt read by another.
+  async fn attempt_split(&mut self) -> Attempt {
     let asked_ms = self.gateway.now_ms();
     let seat = reserve_seat(&self.gateway, &self.request, &self.tried).await;
     let seated_ms = self.gateway.now_ms();
@@ -173,6 +187,7 @@
     Ok(arrived)
   }
 
+  /// The prompt for an engine in a hall; nothing when the engine that writes the answer is to read it.
   async fn prompt(&mut self, hall: &str) -> Option<KeptExport> {
     if self.reads_itself {
       return None;
@@ -192,12 +207,13 @@
     }
   }
 
+  /// Sends the request to an endpoint, if it may arrive there.
   async fn arrive(
     &mut self,
     entry: &EndpointEntry,
     reservation: Option<Reservation>,
     export: Option<KeptExport>,
-  ) -> Result<Result<Head, PartError>, NoStream> {
+  ) -> Attempt {
     if !self.may_arrive() {
       return Err(NoStream::Failed);
     }
@@ -211,63 +227,74 @@
   async fn send(
     &mut self,
     entry: &EndpointEntry,
-    mut reservation: Option<Reservation>,
-    mut export: Option<KeptExport>,
+    reservation: Option<Reservation>,
+    export: Option<KeptExport>,
   ) -> Result<Head, PartError> {
     self.tried.push(entry.id.clone());
     // Counted before it is sent: the time may run out while no answer is known.
     self.attempts += 1;
-    let marks = Marks {
-      deadline_ms: self.request.left_ms(self.gateway.now_ms()),
-      endpoint_id: entry.id.clone(),
+    let marks = self.marks(entry, reservation.as_ref(), export.as_ref());
+    let result = self.send_within_silence(entry, &marks).await;
+    match &result {
+      Ok(_) => self.note_answer(reservation, export),
+      Err(error) => self.note_error(entry, error, export),
+    }
+    result
+  }
+
+  fn marks(
+    &self,
+    entry: &EndpointEntry,
+    reservation: Option<&Reservation>,
+    export: Option<&KeptExport>,
+  ) -> Marks {
+    let part = export.map_or(Part::Whole, |kept| Part::AnswerFrom(kept.export.clone()));
+    Marks {
       last_event_id: self.last_event_id,
-      part: match &export {
-        Some(kept) => Part::AnswerFrom(kept.export.clone()),
-        None => Part::Whole,
-      },
-      priority: self.request.rank.priority,
-      reservation: reservation
-        .as_ref()
-        .map(|reservation| reservation.id.clone()),
-    };
+      reservation: reservation.map(|reservation| reservation.id.clone()),
+      ..self.request.marks(entry, part, self.gateway.now_ms())
+    }
+  }
+
+  /// Waits for the head of what may be repeated no longer than for an event; else until the deadline.
+  async fn send_within_silence(
+    &self,
+    entry: &EndpointEntry,
+    marks: &Marks,
+  ) -> Result<Head, PartError> {
     let size = self.request.tokens().max(1);
-    let sending = send_part(&self.gateway, &self.request, entry, &marks, size, 1);
-    let result = if self.may_repeat() {
-      let limit = Duration::from_millis(SILENCE_MS);
-      timeout(limit, sending)
-        .await
-        .unwrap_or_else(|_| Err(PartError::Lost("no answer in time".into())))
-    } else {
-      sending.await
-    };
-    if matches!(
-      result,
-      Err(PartError::Unreachable | PartError::Unsent(_) | PartError::NotRun(_))
-    ) {
+    let sending = send_part(&self.gateway, &self.request, entry, marks, size, 1);
+    if !self.may_repeat() {
+      return sending.await;
+    }
+    timeout(Duration::from_millis(SILENCE_MS), sending)
+      .await
+      .unwrap_or_else(|_| Err(PartError::Lost("no answer in time".into())))
+  }
+
+  /// An endpoint answered: it has used up the seat and the prompt.
+  fn note_answer(&mut self, reservation: Option<Reservation>, export: Option<KeptExport>) {
+    if let Some(mut export) = export {
+      export.set_used();
+    }
+    if let Some(mut reservation) = reservation {
+      reservation.set_used();
+    }
+    self.blame_for_refusal();
+  }
+
+  fn note_error(&mut self, entry: &EndpointEntry, error: &PartError, export: Option<KeptExport>) {
+    if error.has_not_run() {
       self.attempts -= 1;
     }
-    match &result {
-      Ok(_) => {
-        if let Some(export) = &mut export {
-          export.set_used();
-        }
-        if let Some(reservation) = &mut reservation {
-          reservation.set_used();
-        }
-        self.blame_for_refusal();
-      }
-      Err(error) => {
-        log::info!(
-          "E502 part failed: {} at {}: {error}",
-          self.request.id(),
-          entry.id
-        );
-        if matches!(error, PartError::NotRun(_)) {
-          self.note_refusal(entry, export);
-        }
-      }
+    log::info!(
+      "E502 part failed: {} at {}: {error}",
+      self.request.id(),
+      entry.id
+    );
+    if matches!(error, PartError::NotRun(_)) {
+      self.note_refusal(entry, export);
     }
-    result
   }
 
   /// Another engine took the prompt: the one that refused it is at fault.
