--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -2,7 +2,7 @@
 
 use {
   super::{
-    RouteKind,
+    RouteKind, RouteTable,
     accept::accept,
     answer::{AnswerBody, OwnAnswer},
     connection::set_limits,
@@ -38,6 +38,11 @@
 /// The smallest buffer that the HTTP library takes.
 const LEAST_BUFFER_BYTES: usize = 8 * 1024;
 
+/// What a request is told while the configuration that it needs has not come.
+const NO_CONFIGURATION: OwnAnswer = OwnAnswer::NotRun {
+  retry_after_ms: RETRY_AFTER_NO_CONFIGURATION_MS,
+};
+
 /// Accepts callers until the process ends.
 pub(crate) async fn accept_callers(gateway: Rc<Gateway>, listener: TcpListener) {
   let mut phase = gateway.phase.subscribe();
@@ -55,6 +60,7 @@
   }
 }
 
+/// Serves one connection until it ends; what rests is closed once the box is closing.
 async fn serve_caller(gateway: Rc<Gateway>, stream: TcpStream) {
   if let Err(error) = set_limits(&stream) {
     log::debug!("a caller's connection ended at once: {error}");
@@ -85,6 +91,7 @@
   }
 }
 
+/// Answers one request, and asks its caller to go elsewhere while the box is leaving.
 async fn handle(
   gateway: Rc<Gateway>,
   request: Request<Incoming>,
@@ -102,6 +109,7 @@
   Ok(response)
 }
 
+/// Counts an answer by its status.
 fn count(gateway: &Gateway, response: &Response<AnswerBody>, arrived_ms: u64) {
   let counters = &gateway.counters;
   match response.status().as_u16() {
@@ -117,6 +125,7 @@
   }
 }
 
+/// The answer to a request, from an endpoint or this box's own.
 async fn respond(
   gateway: Rc<Gateway>,
   request: Request<Incoming>,
@@ -152,20 +161,11 @@
     .get(HOST)
     .and_then(|host| host.to_str().ok())
     .ok_or(OwnAnswer::Malformed)?;
-  let not_run = OwnAnswer::NotRun {
-    retry_after_ms: RETRY_AFTER_NO_CONFIGURATION_MS,
-  };
-  let table = gateway.table().ok_or(not_run)?;
-  let Some(route) = table.find(host, head.uri.path()).cloned() else {
-    let current = gateway.is_current();
-    log::info!(
-      "E602 no route: {host}{} in configuration {}, current {current}",
-      head.uri.path(),
-      table.version()
-    );
-    // A newer configuration that has not come may have it.
-    return Err(if current { OwnAnswer::NoRoute } else { not_run });
-  };
+  let table = gateway.table().ok_or(NO_CONFIGURATION)?;
+  let route = table
+    .find(host, head.uri.path())
+    .cloned()
+    .ok_or_else(|| no_route(gateway, &table, host, head.uri.path()))?;
   let facts = gateway.dialect.caller_facts(&head.headers);
   let ends_ms = gateway.ends_ms.get().unwrap_or(u64::MAX);
   let timeout_ms = route
@@ -173,7 +173,10 @@
     .min(facts.deadline_ms.unwrap_or(u64::MAX))
     .min(ends_ms.saturating_sub(arrived_ms));
   let body = read_body(body, table.limits().body_bytes, timeout_ms).await?;
-  let service = route.service(gateway.draw()).cloned().ok_or(not_run)?;
+  let service = route
+    .service(gateway.draw())
+    .cloned()
+    .ok_or(NO_CONFIGURATION)?;
   let rank = gateway.policy.rank(&route, &service, &facts);
   let mut headers = head.headers;
   remove_connection_headers(&mut headers);
@@ -192,6 +195,21 @@
   })
 }
 
+/// The answer to a request without a route: a newer configuration that has not come may have one.
+fn no_route(gateway: &Gateway, table: &RouteTable, host: &str, path: &str) -> OwnAnswer {
+  let current = gateway.is_current();
+  log::info!(
+    "E602 no route: {host}{path} in configuration {}, current {current}",
+    table.version()
+  );
+  if current {
+    OwnAnswer::NoRoute
+  } else {
+    NO_CONFIGURATION
+  }
+}
+
+/// Reads a body within bounds on its length and time.
 async fn read_body(body: Incoming, most_bytes: usize, limit_ms: u64) -> Result<Bytes, OwnAnswer> {
   let read = Limited::new(body, most_bytes).collect();
   match timeout(Duration::from_millis(limit_ms), read).await {
--- a/src/gateway/role_plan.rs
+++ b/src/gateway/role_plan.rs
@@ -42,10 +42,7 @@
     return None;
   }
   let wanted = ((prefill_share * total as f64).ceil() as usize).clamp(1, total - 1);
-  let reading = engines
-    .iter()
-    .filter(|engine| engine.role == Some(Role::Prefill))
-    .count();
+  let reading = with_role(engines, Role::Prefill).count();
   let (from, to) = if reading > wanted {
     (Role::Prefill, Role::Decode)
   } else {
@@ -55,8 +52,29 @@
   if count == 0 {
     return None;
   }
+  Some(Surplus {
+    engines: from_fullest_halls(with_role(engines, from), count)?,
+    role: to,
+  })
+}
+
+/// The engines with a role.
+pub(crate) fn with_role(
+  engines: &[EndpointEntry],
+  role: Role,
+) -> impl Iterator<Item = &EndpointEntry> {
+  engines
+    .iter()
+    .filter(move |engine| engine.role == Some(role))
+}
+
+/// So many engines, each from the hall that has most of them left; nothing when there are not so many.
+fn from_fullest_halls<'a>(
+  engines: impl Iterator<Item = &'a EndpointEntry>,
+  count: usize,
+) -> Option<Vec<EndpointEntry>> {
   let mut by_hall: BTreeMap<Name, Vec<&EndpointEntry>> = BTreeMap::new();
-  for engine in engines.iter().filter(|engine| engine.role == Some(from)) {
+  for engine in engines {
     by_hall.entry(engine.hall.clone()).or_default().push(engine);
   }
   for hall in by_hall.values_mut() {
@@ -67,8 +85,5 @@
     let fullest = by_hall.values_mut().rev().max_by_key(|hall| hall.len())?;
     chosen.push(fullest.pop()?.clone());
   }
-  Some(Surplus {
-    engines: chosen,
-    role: to,
-  })
+  Some(chosen)
 }
--- a/src/gateway/role_steward.rs
+++ b/src/gateway/role_steward.rs
@@ -5,7 +5,7 @@
     EndpointEntry, EngineReport, RoleChange, Surplus,
     engine_call::call_engine,
     gateway::{Gateway, Phase},
-    role_plan::surplus,
+    role_plan::{surplus, with_role},
     store::Store,
   },
   crate::{decide::Role, ids::Name, policy::PoolFacts},
@@ -21,7 +21,7 @@
 const GAP_MARGIN_MS: u64 = 300;
 /// An order is sent this soon after the store has said that this box is steward, or not at all.
 const ORDER_LIFE_MS: u64 = 300;
-/// Part of the lease after whose last renewal no order is given.
+/// No order is given when the lease was renewed longer ago than this: it may be over.
 const LEASE_FRESH_MS: u64 = 5_000;
 /// An order may be carried out this much later: until then its engine counts as ordered.
 const ORDER_PENDING_MS: u64 = 15_000;
@@ -52,12 +52,16 @@
   store: S,
   /// This box's fencing token while it is steward.
   fence: Option<u64>,
+  /// When this box became steward.
   since_ms: u64,
+  /// When engines were last ordered, or found to need no order.
   ordered_ms: HashMap<Name, u64>,
+  /// Since when too few engines read prompts.
   wanting_since_ms: Option<u64>,
 }
 
 impl<S: Store> RoleSteward<S> {
+  /// One look at the engines: tries to become steward, or orders what is due.
   async fn look(&mut self) {
     if self.fence.is_none() {
       self.try_to_become_steward().await;
@@ -82,10 +86,8 @@
     if self.gateway.has_steward.get() || self.services().is_empty() {
       return;
     }
-    sleep(Duration::from_millis(
-      (self.gateway.draw() * TRY_SPREAD_MS) as u64,
-    ))
-    .await;
+    let spread_ms = (self.gateway.draw() * TRY_SPREAD_MS) as u64;
+    sleep(Duration::from_millis(spread_ms)).await;
     let Some(held) = self.gateway.lease.get() else {
       return;
     };
@@ -121,36 +123,17 @@
     services
   }
 
+  /// The engines of a service that are to be ordered into another role now.
   fn surplus_of(&mut self, service: &Name, now_ms: u64) -> Option<Surplus> {
-    let engines: Vec<EndpointEntry> = self
-      .gateway
-      .book
-      .borrow()
-      .entries()
-      .filter(|entry| entry.service == *service && !entry.leaving)
-      .cloned()
-      .collect();
+    let engines = self.engines(service);
     let share = self.prefill_share(service, &engines);
     let Some(mut surplus) = surplus(&engines, share) else {
       self.wanting_since_ms = None;
       return None;
     };
-    let reading = engines
-      .iter()
-      .filter(|engine| engine.role == Some(Role::Prefill))
-      .count();
-    if surplus.role == Role::Prefill {
-      let wanted = reading + surplus.engines.len();
-      if reading * 2 > wanted {
-        self.wanting_since_ms = None;
-        return None;
-      }
-      let since_ms = *self.wanting_since_ms.get_or_insert(now_ms);
-      if now_ms < since_ms + WANT_PATIENCE_MS {
-        return None;
-      }
-    } else {
-      self.wanting_since_ms = None;
+    let reading = with_role(&engines, Role::Prefill).count();
+    if !self.is_due(&surplus, reading, now_ms) {
+      return None;
     }
     surplus
       .engines
@@ -158,34 +141,65 @@
     (!surplus.engines.is_empty()).then_some(surplus)
   }
 
-  /// The policy's share, or the settings'. The load is this box's own, taken as usual for all boxes.
+  /// The engines of a service that stay.
+  fn engines(&self, service: &Name) -> Vec<EndpointEntry> {
+    self
+      .gateway
+      .book
+      .borrow()
+      .entries()
+      .filter(|entry| entry.service == *service && !entry.leaving)
+      .cloned()
+      .collect()
+  }
+
+  /// Whether a surplus is to be ordered away now: one of decode engines only when at least half of the wanted
+  /// prefill engines are missing, and have been for long.
+  fn is_due(&mut self, surplus: &Surplus, reading: usize, now_ms: u64) -> bool {
+    if surplus.role == Role::Decode {
+      self.wanting_since_ms = None;
+      return true;
+    }
+    let wanted = reading + surplus.engines.len();
+    if reading * 2 > wanted {
+      self.wanting_since_ms = None;
+      return false;
+    }
+    let since_ms = *self.wanting_since_ms.get_or_insert(now_ms);
+    now_ms >= since_ms + WANT_PATIENCE_MS
+  }
+
+  /// The share of a service's engines that is to read prompts: the policy's, or the settings'.
   fn prefill_share(&self, service: &Name, engines: &[EndpointEntry]) -> f64 {
-    let with_role = |role| {
-      engines
-        .iter()
-        .filter(move |engine| engine.role == Some(role))
-    };
+    let pool = self.pool_facts(service, engines);
+    let share = self.gateway.policy.prefill_share(&pool);
+    share.unwrap_or(self.gateway.settings.engines.prefill_share)
+  }
+
+  /// What a policy is told of a service's engines. The load is this box's own, taken as usual for all boxes.
+  fn pool_facts(&self, service: &Name, engines: &[EndpointEntry]) -> PoolFacts {
     let boxes = self.gateway.boxes.borrow().len().max(1) as u64;
     let book = self.gateway.book.borrow();
     let load = |role| {
-      with_role(role)
+      with_role(engines, role)
         .map(|engine| book.own_load(&engine.id))
         .fold((0, 0), |sum, load| (sum.0 + load.0, sum.1 + load.1))
     };
-    let seats: u64 = with_role(Role::Decode)
+    let (_, queue_tokens) = load(Role::Prefill);
+    let (seats_taken, _) = load(Role::Decode);
+    let seats: u64 = with_role(engines, Role::Decode)
       .map(|engine| u64::from(engine.seats))
       .sum();
-    let pool = PoolFacts {
-      decode_engines: with_role(Role::Decode).count() as u64,
+    PoolFacts {
+      decode_engines: with_role(engines, Role::Decode).count() as u64,
       model: service.clone(),
-      prefill_engines: with_role(Role::Prefill).count() as u64,
-      queue_tokens: load(Role::Prefill).1 * boxes,
-      seats_used: (load(Role::Decode).0 * boxes) as f64 / seats.max(1) as f64,
-    };
-    let share = self.gateway.policy.prefill_share(&pool);
-    share.unwrap_or(self.gateway.settings.engines.prefill_share)
+      prefill_engines: with_role(engines, Role::Prefill).count() as u64,
+      queue_tokens: queue_tokens * boxes,
+      seats_used: (seats_taken * boxes) as f64 / seats.max(1) as f64,
+    }
   }
 
+  /// Orders engines into their role, each with the store's fresh word that this box is steward.
   async fn order(&mut self, surplus: Surplus) {
     for engine in surplus.engines {
       let Some(report) = self.report(&engine).await else {
@@ -211,6 +225,7 @@
     }
   }
 
+  /// What an engine says of its orders; nothing when it does not say.
   async fn report(&self, engine: &EndpointEntry) -> Option<EngineReport> {
     let answer = call_engine(&self.gateway, engine, self.gateway.dialect.ask_report()).await;
     let report = answer.map_err(|error| error.to_string()).and_then(|body| {
@@ -259,13 +274,8 @@
     self
       .ordered_ms
       .insert(engine.id.clone(), self.gateway.now_ms());
-    match call_engine(
-      &self.gateway,
-      engine,
-      self.gateway.dialect.change_role(change),
-    )
-    .await
-    {
+    let call = self.gateway.dialect.change_role(change);
+    match call_engine(&self.gateway, engine, call).await {
       Ok(_) => log::info!(
         "E423 role ordered: {} becomes {role:?}, fence {fence}",
         engine.id
--- a/src/gateway/start.rs
+++ b/src/gateway/start.rs
@@ -2,7 +2,7 @@
 
 use {
   super::{
-    GatewaySettings,
+    GatewayListen, GatewaySettings,
     dialect::Dialect,
     front::accept_callers,
     gateway::{Gateway, Phase},
@@ -20,7 +20,7 @@
   tokio::{
     net::TcpListener,
     signal::unix::{Signal, SignalKind, signal},
-    task::LocalSet,
+    task::{LocalSet, spawn_local},
     time::sleep,
   },
 };
@@ -33,11 +33,13 @@
 const LAST_CALL_MS: u64 = 1_500;
 /// A request that comes while the box is leaving has its final answer this long before the end.
 const ANSWER_MARGIN_MS: u64 = 200;
+/// Pause between looks at what is still in progress.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 /// Pause between closing connections that rested for too long.
 const HOUSEKEEPING: Duration = Duration::from_millis(1_000);
 
-/// Runs a gateway box until it is told to stop.
+/// Runs a gateway box until it is told to stop, and then until its requests have ended or their time is over.
+/// Fails when an address can't be bound, or the policy program can't be read.
 pub fn run_gateway<S: Store>(
   settings: GatewaySettings,
   dialect: Rc<dyn Dialect>,
@@ -57,18 +59,12 @@
   })
 }
 
+/// Serves until the signal to stop, then leaves.
 async fn serve<S: Store>(settings: GatewaySettings, dialect: Rc<dyn Dialect>, store: S) -> Result {
   let policy = settings.load_policy()?;
-  let callers = listen("callers", settings.listen.callers)?;
-  let ready = listen("ready", settings.listen.ready)?;
-  let boxes = listen("boxes", settings.listen.boxes)?;
-  let metrics = settings
-    .listen
-    .metrics
-    .map(|address| listen("metrics", address))
-    .transpose()?;
-  let mut stop = stop_signal()?;
-  let mut reload = reload_signal()?;
+  let ports = Ports::open(&settings.listen)?;
+  let mut stop = on_signal("stop signal", SignalKind::terminate())?;
+  let mut reload = on_signal("reload signal", SignalKind::hangup())?;
   let name = settings.identity.name.clone();
   log::info!("E101 started: {name} {}", env!("CARGO_PKG_VERSION"));
   let gateway = Rc::new(Gateway::new(
@@ -77,16 +73,7 @@
     policy,
     unix_ms() ^ u64::from(std::process::id()),
   ));
-  tokio::task::spawn_local(serve_page(gateway.clone(), ready, OwnPage::Ready));
-  if let Some(metrics) = metrics {
-    tokio::task::spawn_local(serve_page(gateway.clone(), metrics, OwnPage::Metrics));
-  }
-  tokio::task::spawn_local(follow_store(gateway.clone(), store.clone()));
-  tokio::task::spawn_local(keep_entry(gateway.clone(), store.clone()));
-  tokio::task::spawn_local(keep_roles(gateway.clone(), store.clone()));
-  tokio::task::spawn_local(accept_callers(gateway.clone(), callers));
-  tokio::task::spawn_local(serve_boxes(gateway.clone(), boxes));
-  tokio::task::spawn_local(keep_house(gateway.clone()));
+  spawn_tasks(&gateway, &store, ports);
   loop {
     tokio::select! {
       _ = stop.recv() => break,
@@ -101,6 +88,46 @@
   Ok(())
 }
 
+/// The box's listeners, bound before it says that it has started.
+struct Ports {
+  callers: TcpListener,
+  ready: TcpListener,
+  boxes: TcpListener,
+  metrics: Option<TcpListener>,
+}
+
+impl Ports {
+  fn open(addresses: &GatewayListen) -> Result<Self> {
+    let callers = listen("callers", addresses.callers)?;
+    let ready = listen("ready", addresses.ready)?;
+    let boxes = listen("boxes", addresses.boxes)?;
+    let metrics = addresses
+      .metrics
+      .map(|address| listen("metrics", address))
+      .transpose()?;
+    Ok(Self {
+      boxes,
+      callers,
+      metrics,
+      ready,
+    })
+  }
+}
+
+/// Starts what a box does at the same time; all of it ends with the process.
+fn spawn_tasks<S: Store>(gateway: &Rc<Gateway>, store: &S, ports: Ports) {
+  spawn_local(serve_page(gateway.clone(), ports.ready, OwnPage::Ready));
+  if let Some(metrics) = ports.metrics {
+    spawn_local(serve_page(gateway.clone(), metrics, OwnPage::Metrics));
+  }
+  spawn_local(follow_store(gateway.clone(), store.clone()));
+  spawn_local(keep_entry(gateway.clone(), store.clone()));
+  spawn_local(keep_roles(gateway.clone(), store.clone()));
+  spawn_local(accept_callers(gateway.clone(), ports.callers));
+  spawn_local(serve_boxes(gateway.clone(), ports.boxes));
+  spawn_local(keep_house(gateway.clone()));
+}
+
 /// Serves what still comes, then closes what rests.
 async fn leave<S: Store>(gateway: &Gateway, store: &S) {
   let now_ms = gateway.now_ms();
@@ -128,6 +155,7 @@
   }
 }
 
+/// Closes connections and forgets endpoints whose time is over, until the process ends.
 async fn keep_house(gateway: Rc<Gateway>) {
   loop {
     sleep(HOUSEKEEPING).await;
@@ -145,18 +173,8 @@
   })
 }
 
-fn stop_signal() -> Result<Signal> {
-  signal(SignalKind::terminate()).map_err(|source| Error::Thread {
-    step: "stop signal",
-    source,
-  })
-}
-
-fn reload_signal() -> Result<Signal> {
-  signal(SignalKind::hangup()).map_err(|source| Error::Thread {
-    step: "reload signal",
-    source,
-  })
+fn on_signal(step: &'static str, kind: SignalKind) -> Result<Signal> {
+  signal(kind).map_err(|source| Error::Thread { step, source })
 }
 
 fn set_up_log() -> Result {
--- a/src/gateway/store_sync.rs
+++ b/src/gateway/store_sync.rs
@@ -56,6 +56,7 @@
 struct StoreSync<S> {
   gateway: Rc<Gateway>,
   store: S,
+  /// Whether the last call to the store failed.
   failing: bool,
   http: HttpClient,
   /// Which reader is followed; moves on when one fails.
@@ -66,7 +67,29 @@
   lapse_until_ms: u64,
 }
 
+/// What a listing had, over all its pages.
+#[derive(Default)]
+struct Listing {
+  /// The revision of its first page: later changes may be missing from the pages.
+  first_revision: Option<u64>,
+  endpoints: HashSet<Name>,
+  boxes: HashSet<Name>,
+  has_steward: bool,
+}
+
+impl Listing {
+  fn note(&mut self, key: &StoreKey) {
+    match key {
+      StoreKey::Endpoint(id) => drop(self.endpoints.insert(id.clone())),
+      StoreKey::Box(name) => drop(self.boxes.insert(name.clone())),
+      StoreKey::Steward => self.has_steward = true,
+      StoreKey::Configuration | StoreKey::Other => {}
+    }
+  }
+}
+
 impl<S: Store> StoreSync<S> {
+  /// Waits before the store is asked again, longer with many boxes.
   async fn pause(&self) {
     let boxes = self.gateway.boxes.borrow().len() as f64;
     let spread = (boxes / PAUSE_BOXES).max(1.0);
@@ -96,11 +119,31 @@
 
   /// Lists everything; answers with the revision to watch from.
   async fn list(&mut self) -> Option<u64> {
+    let listing = self.list_pages().await?;
+    self.gateway.has_steward.set(listing.has_steward);
+    let known = self.gateway.book.borrow().ids();
+    for id in known.iter().filter(|id| !listing.endpoints.contains(*id)) {
+      self.endpoint_gone(id);
+    }
+    self
+      .gateway
+      .boxes
+      .borrow_mut()
+      .retain(|name| listing.boxes.contains(name));
+    log::info!(
+      "E403 store listed: {} endpoints, {} boxes at revision {:?}",
+      listing.endpoints.len(),
+      listing.boxes.len(),
+      listing.first_revision
+    );
+    self.gateway.change_log.restart(listing.first_revision?);
+    listing.first_revision
+  }
+
+  /// Reads all pages and applies their items; nothing when a call fails.
+  async fn list_pages(&mut self) -> Option<Listing> {
+    let mut listing = Listing::default();
     let mut after = None;
-    let mut first_revision = None;
-    let mut endpoints = HashSet::new();
-    let mut boxes = HashSet::new();
-    let mut steward = false;
     loop {
       self.gateway.counters.store_calls.inc();
       let page = match self.store.page(after.as_deref()).await {
@@ -111,38 +154,16 @@
         }
       };
       self.heard(0);
-      first_revision.get_or_insert(page.revision);
+      listing.first_revision.get_or_insert(page.revision);
       for item in page.items {
-        match &item.key {
-          StoreKey::Endpoint(id) => drop(endpoints.insert(id.clone())),
-          StoreKey::Box(name) => drop(boxes.insert(name.clone())),
-          StoreKey::Steward => steward = true,
-          StoreKey::Configuration | StoreKey::Other => {}
-        }
+        listing.note(&item.key);
         self.apply(item);
       }
       after = page.next_after;
       if after.is_none() {
-        break;
+        return Some(listing);
       }
     }
-    self.gateway.has_steward.set(steward);
-    let known = self.gateway.book.borrow().ids();
-    for id in known.iter().filter(|id| !endpoints.contains(*id)) {
-      self.endpoint_gone(id);
-    }
-    self
-      .gateway
-      .boxes
-      .borrow_mut()
-      .retain(|name| boxes.contains(name));
-    log::info!(
-      "E403 store listed: {} endpoints, {} boxes at revision {first_revision:?}",
-      endpoints.len(),
-      boxes.len()
-    );
-    self.gateway.change_log.restart(first_revision?);
-    first_revision
   }
 
   /// Watches until the history is lost or a call fails.
@@ -202,6 +223,7 @@
     self.direct_until_ms = self.gateway.now_ms() + DIRECT_MS;
   }
 
+  /// Waits for the store's own word of changes; nothing when the call fails.
   async fn changes(&mut self, revision: u64) -> Option<StoreChanges> {
     self.gateway.counters.store_calls.inc();
     let wait = if self.gateway.boxes.borrow().is_large() {
@@ -243,23 +265,10 @@
     Some(changes)
   }
 
-  fn apply(&mut self, item: StoreItem) {
+  fn apply(&self, item: StoreItem) {
     match (item.key, item.value) {
       (StoreKey::Configuration, Some(value)) => self.configuration(&value, item.revision),
-      (StoreKey::Endpoint(id), Some(value)) => {
-        match self.gateway.dialect.endpoint_entry(&id, &value) {
-          Ok(entry) => {
-            if entry.leaving {
-              self.gateway.pool.close(&id);
-            }
-            self.gateway.book.borrow_mut().put(entry);
-          }
-          Err(error) => log::warn!(
-            "E405 entry of {id} at revision {} can't be read: {error}",
-            item.revision
-          ),
-        }
-      }
+      (StoreKey::Endpoint(id), Some(value)) => self.endpoint_entered(&id, &value, item.revision),
       (StoreKey::Endpoint(id), None) => self.endpoint_gone(&id),
       (StoreKey::Box(name), Some(value)) => self.box_entered(name, &value),
       (StoreKey::Box(name), None) => self.gateway.boxes.borrow_mut().remove(&name),
@@ -271,6 +280,18 @@
     }
   }
 
+  fn endpoint_entered(&self, id: &str, value: &[u8], revision: u64) {
+    match self.gateway.dialect.endpoint_entry(id, value) {
+      Ok(entry) => {
+        if entry.leaving {
+          self.gateway.pool.close(id);
+        }
+        self.gateway.book.borrow_mut().put(entry);
+      }
+      Err(error) => log::warn!("E405 entry of {id} at revision {revision} can't be read: {error}"),
+    }
+  }
+
   fn box_entered(&self, name: Name, value: &[u8]) {
     match postcard::from_bytes(value) {
       Ok(entry) => self.gateway.boxes.borrow_mut().put(name, entry),
@@ -317,6 +338,7 @@
   }
 }
 
+/// Takes a lease and writes this box's entry under it.
 async fn enter<S: Store>(gateway: &Gateway, store: &S, ttl: Duration, sent_ms: u64) {
   let lease = match store.grant(ttl).await {
     Ok(lease) => lease,
@@ -347,6 +369,7 @@
   }
 }
 
+/// Renews the lease; one that is over is forgotten, and taken anew at the next turn.
 async fn renew<S: Store>(gateway: &Gateway, store: &S, held: HeldLease, sent_ms: u64) {
   match store.renew(held.lease).await {
     Ok(()) => gateway.lease.set(Some(HeldLease {
