--- a/tests/gateway/budget.rs
+++ b/tests/gateway/budget.rs
@@ -1,7 +1,7 @@
 //! Repeats are paid for from a budget that all boxes share.
 
 use {
-  super::{EndpointStandIn, GatewayTest, Reply},
+  super::{EndpointStandIn, GatewayTest, Reply, Seen},
   rillford::gateway::{RetryAllowance, RetryWindow},
   rstest::rstest,
 };
@@ -57,7 +57,7 @@
 
 #[tokio::test]
 async fn repeats_end_when_the_budget_does() {
-  let failing = |seen: &super::Seen| Reply::status(seen, "500 Internal Server Error", "");
+  let failing = |seen: &Seen| Reply::status(seen, "500 Internal Server Error", "");
   let one = EndpointStandIn::start(failing).await;
   let other = EndpointStandIn::start(failing).await;
   let gateway = GatewayTest::new().await.with_portals(&one, &other).await;
--- a/tests/gateway/callers.rs
+++ b/tests/gateway/callers.rs
@@ -1,8 +1,9 @@
 //! What callers may send.
 
 use {
-  super::{EndpointStandIn, GatewayBox, GatewayTest, Reply},
+  super::{EndpointStandIn, GatewayBox, GatewayTest, PATIENCE, Reply},
   bytes::Bytes,
+  emulator::eventually,
   http::StatusCode,
   http_body_util::Full,
   rstest::rstest,
@@ -14,9 +15,7 @@
 
 async fn portal() -> (EndpointStandIn, GatewayBox) {
   let one = EndpointStandIn::start(|seen| Reply::ok(seen, "fine")).await;
-  let test = GatewayTest::new().await;
-  test.enter("p-1", "portal", None, &one);
-  let gateway = test.start().await;
+  let gateway = GatewayTest::new().await.with_portal(&one).await;
   (one, gateway)
 }
 
@@ -92,12 +91,8 @@
 #[tokio::test]
 async fn box_that_knows_no_configuration_says_that_nothing_ran() {
   let gateway = GatewayTest::new().await.start_unready();
-  let answered = async || {
-    tokio::net::TcpStream::connect(gateway.callers)
-      .await
-      .is_ok()
-  };
-  assert!(emulator::eventually(super::PATIENCE, answered).await);
+  let answered = async || TcpStream::connect(gateway.callers).await.is_ok();
+  assert!(eventually(PATIENCE, answered).await);
   let asked = gateway.ask("/unsafe/a", "r1").await;
   assert_eq!(asked.status, StatusCode::SERVICE_UNAVAILABLE);
   assert!(asked.headers.contains_key("retry-after"));
--- a/tests/gateway/choice.rs
+++ b/tests/gateway/choice.rs
@@ -40,6 +40,13 @@
   }
 }
 
+fn unrepeatable() -> Wanted<'static> {
+  Wanted {
+    may_repeat: false,
+    ..wanted()
+  }
+}
+
 fn chosen(book: &EndpointBook, wanted: Wanted, now_ms: u64) -> String {
   book
     .choose(wanted, now_ms, || 0.5)
@@ -88,32 +95,12 @@
   assert_eq!(chosen(&book, wanted(), 100), "b");
   // The time has passed: a repeatable request tries it, another does not.
   assert_eq!(chosen(&book, wanted(), 800), "a");
-  assert_eq!(
-    chosen(
-      &book,
-      Wanted {
-        may_repeat: false,
-        ..wanted()
-      },
-      800
-    ),
-    "b"
-  );
+  assert_eq!(chosen(&book, unrepeatable(), 800), "b");
   // Only one at a time.
   book.sent("a", 1);
   assert_eq!(chosen(&book, wanted(), 800), "b");
   book.ended("a", 1, 1, PartEnd::Answered { took_ms: 5 }, 900);
-  assert_eq!(
-    chosen(
-      &book,
-      Wanted {
-        may_repeat: false,
-        ..wanted()
-      },
-      900
-    ),
-    "a"
-  );
+  assert_eq!(chosen(&book, unrepeatable(), 900), "a");
 }
 
 #[rstest]
--- a/tests/gateway/configuration.rs
+++ b/tests/gateway/configuration.rs
@@ -6,13 +6,13 @@
   http::StatusCode,
   rillford::gateway::GatewaySettings,
   rstest::rstest,
+  std::time::Duration,
+  tokio::time::sleep,
 };
 
 async fn portal() -> (EndpointStandIn, GatewayBox) {
   let one = EndpointStandIn::start(|seen| Reply::ok(seen, "one")).await;
-  let test = GatewayTest::new().await;
-  test.enter("p-1", "portal", None, &one);
-  let gateway = test.start().await;
+  let gateway = GatewayTest::new().await.with_portal(&one).await;
   (one, gateway)
 }
 
@@ -100,7 +100,7 @@
   gateway.test.store.set_down(true);
   assert!(eventually(PATIENCE, async || is_found(&gateway, "/safe/a").await).await);
   // Longer than the pause after a failed call, so that the box has noticed.
-  tokio::time::sleep(std::time::Duration::from_millis(800)).await;
+  sleep(Duration::from_millis(800)).await;
   gateway.test.store.remove("servers/p-1");
   gateway.test.store.forget_history();
   let listings = gateway.test.store.listings();
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -6,7 +6,7 @@
   emulator::eventually,
   http::{HeaderMap, Method, Request, StatusCode},
   http_body_util::{BodyExt, Full},
-  rillford::HttpClient,
+  rillford::{CallError, HttpClient},
   serde_json::{Value, json},
   std::{
     net::{Ipv4Addr, SocketAddr},
@@ -14,6 +14,7 @@
     sync::atomic::{AtomicU32, Ordering},
     time::Duration,
   },
+  tokio::task::JoinHandle,
 };
 
 /// Bound on all waiting; far above what is expected, so that a slow machine changes no verdict.
@@ -111,6 +112,12 @@
       .put(&format!("servers/{id}"), entry.to_string().as_bytes());
   }
 
+  /// A box with one plain endpoint.
+  pub(crate) async fn with_portal(self, one: &EndpointStandIn) -> GatewayBox {
+    self.enter("p-1", "portal", None, one);
+    self.start().await
+  }
+
   /// A box with both plain endpoints.
   pub(crate) async fn with_portals(
     self,
@@ -260,6 +267,17 @@
     self.send(self.request(path, id)).await
   }
 
+  /// Asks on a connection of its own, without waiting for the answer.
+  pub(crate) fn ask_in_background(
+    &self,
+    path: &str,
+    id: &str,
+  ) -> JoinHandle<Result<StatusCode, CallError>> {
+    let request = self.request(path, id);
+    let client = HttpClient::default();
+    tokio::spawn(async move { Ok(client.send(request).await?.status()) })
+  }
+
   pub(crate) async fn send(&self, request: Request<Full<Bytes>>) -> Asked {
     let response = self.client.send(request).await.unwrap();
     let (head, body) = response.into_parts();
--- a/tests/gateway/leaving.rs
+++ b/tests/gateway/leaving.rs
@@ -14,9 +14,7 @@
     other => other,
   };
   let one = EndpointStandIn::start(slow).await;
-  let test = GatewayTest::new().await;
-  test.enter("p-1", "portal", None, &one);
-  let mut gateway = test.start().await;
+  let mut gateway = GatewayTest::new().await.with_portal(&one).await;
   let entry = "rillford/boxes/north-1".to_string();
   assert!(
     eventually(PATIENCE, async || gateway
@@ -26,9 +24,7 @@
       .contains(&entry))
     .await
   );
-  let request = gateway.request("/unsafe/a", "r1");
-  let client = rillford::HttpClient::default();
-  let asking = tokio::spawn(async move { client.send(request).await.unwrap().status() });
+  let asking = gateway.ask_in_background("/unsafe/a", "r1");
   assert!(eventually(PATIENCE, async || one.requests().len() == 1).await);
   gateway.signal(libc::SIGTERM);
   assert!(eventually(PATIENCE, async || !gateway.is_ready().await).await);
@@ -40,7 +36,7 @@
       .contains(&entry))
     .await
   );
-  assert_eq!(asking.await.unwrap(), StatusCode::OK);
+  assert_eq!(asking.await.unwrap().unwrap(), StatusCode::OK);
   // It still serves what comes, and asks the caller to go elsewhere.
   let asked = gateway.ask("/unsafe/a", "r2").await;
   assert_eq!(asked.status, StatusCode::OK);
@@ -72,9 +68,7 @@
     .await
     .with_engines(&prefill, &decode)
     .await;
-  let request = gateway.request("/stream/a", "r1");
-  let client = rillford::HttpClient::default();
-  let holding = tokio::spawn(async move { client.send(request).await.map(drop) });
+  let holding = gateway.ask_in_background("/stream/a", "r1");
   assert!(eventually(PATIENCE, async || decode.requests().len() == 1).await);
   gateway.signal(libc::SIGTERM);
   let mut number = 1;
@@ -91,9 +85,7 @@
 #[tokio::test]
 async fn changed_settings_disturb_nothing() {
   let one = EndpointStandIn::start(|seen| Reply::ok(seen, "fine")).await;
-  let test = GatewayTest::new().await;
-  test.enter("p-1", "portal", None, &one);
-  let gateway = test.start().await;
+  let gateway = GatewayTest::new().await.with_portal(&one).await;
   gateway.signal(libc::SIGHUP);
   for number in 0..5 {
     assert_eq!(
@@ -112,9 +104,7 @@
     other => other,
   };
   let one = EndpointStandIn::start(slow).await;
-  let test = GatewayTest::new().await;
-  test.enter("p-1", "portal", None, &one);
-  let mut gateway = test.start().await;
+  let mut gateway = GatewayTest::new().await.with_portal(&one).await;
   gateway.signal(libc::SIGTERM);
   let mut number = 0;
   let mut cut = Vec::new();
--- a/tests/gateway/roles.rs
+++ b/tests/gateway/roles.rs
@@ -5,6 +5,8 @@
   emulator::eventually,
   rstest::rstest,
   serde_json::Value,
+  std::time::Duration,
+  tokio::time::sleep,
 };
 
 fn engine(seen: &Seen) -> Reply {
@@ -58,7 +60,7 @@
     assert!(order.header("x-expect-instance").starts_with("e-"));
   }
   // Later looks repeat none of them.
-  tokio::time::sleep(std::time::Duration::from_millis(1_200)).await;
+  sleep(Duration::from_millis(1_200)).await;
   assert_eq!(orders(&endpoints).len(), 3);
 }
 
@@ -76,7 +78,7 @@
     test.enter(&format!("e-{number}"), "llm", Some("prefill"), endpoint);
   }
   let gateway = test.start().await;
-  tokio::time::sleep(std::time::Duration::from_millis(1_500)).await;
+  sleep(Duration::from_millis(1_500)).await;
   assert!(orders(&endpoints).is_empty());
   gateway.test.store.remove(key);
   assert!(eventually(PATIENCE, async || orders(&endpoints).len() == 1).await);
@@ -107,6 +109,6 @@
   gateway
     .test
     .enter("e-1", "llm", Some("prefill"), &endpoints[1]);
-  tokio::time::sleep(std::time::Duration::from_millis(1_500)).await;
+  sleep(Duration::from_millis(1_500)).await;
   assert!(orders(&endpoints).is_empty());
 }
--- a/tests/gateway/store.rs
+++ b/tests/gateway/store.rs
@@ -16,7 +16,7 @@
     sync::{Arc, Mutex},
     time::Duration,
   },
-  tokio::{sync::watch, time::timeout},
+  tokio::{net::TcpListener, sync::watch, time::timeout},
 };
 
 #[derive(Clone)]
@@ -49,7 +49,7 @@
 
 impl PlatformStore {
   pub(crate) async fn start() -> Self {
-    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let store = Self {
       address: listener.local_addr().unwrap(),
       changed: watch::Sender::new(0),
--- a/tests/gateway/streams.rs
+++ b/tests/gateway/streams.rs
@@ -16,6 +16,15 @@
   seen.path.starts_with("/stream/") || seen.path.starts_with("/resumable/")
 }
 
+/// An engine that grants seats and then says that the stream did not run.
+fn refusing(seen: &Seen) -> Reply {
+  if is_stream(seen) {
+    Reply::not_run(seen)
+  } else {
+    engine_reply(seen, EVENTS)
+  }
+}
+
 async fn serve(prefill: &EndpointStandIn, decode: &EndpointStandIn) -> GatewayBox {
   GatewayTest::new().await.with_engines(prefill, decode).await
 }
@@ -112,18 +121,10 @@
 #[tokio::test]
 async fn refused_prompt_is_offered_to_another_engine_without_reading_it_again() {
   let prefill = EndpointStandIn::engine(EVENTS).await;
-  let refusing = |seen: &Seen| {
-    if is_stream(seen) {
-      Reply::not_run(seen)
-    } else {
-      engine_reply(seen, EVENTS)
-    }
-  };
   let one = EndpointStandIn::start(refusing).await;
   let other = EndpointStandIn::start(refusing).await;
   let third = EndpointStandIn::engine(EVENTS).await;
   let test = GatewayTest::new().await;
-  // Another hall: it is asked after the others.
   test.enter("e-3", "llm", Some("decode"), &other);
   let gateway = test.with_engines(&prefill, &one).await;
   let asked = gateway.ask("/stream/a", "r1").await;
@@ -143,13 +144,6 @@
 #[tokio::test]
 async fn what_was_kept_for_a_request_is_freed_when_it_is_refused() {
   let prefill = EndpointStandIn::engine(EVENTS).await;
-  let refusing = |seen: &Seen| {
-    if is_stream(seen) {
-      Reply::not_run(seen)
-    } else {
-      engine_reply(seen, EVENTS)
-    }
-  };
   let decode = EndpointStandIn::start(refusing).await;
   let gateway = serve(&prefill, &decode).await;
   let asked = gateway.ask("/stream/a", "r1").await;
@@ -172,9 +166,7 @@
   };
   let decode = EndpointStandIn::start(silent).await;
   let gateway = serve(&prefill, &decode).await;
-  let request = gateway.request("/stream/a", "r1");
-  let client = rillford::HttpClient::default();
-  let asking = tokio::spawn(async move { client.send(request).await.map(drop) });
+  let asking = gateway.ask_in_background("/stream/a", "r1");
   assert!(eventually(PATIENCE, async || decode.requests().len() == 1).await);
   asking.abort();
   assert!(eventually(PATIENCE, async || decode.closed().len() == 1).await);
@@ -185,9 +177,7 @@
   let prefill = EndpointStandIn::start(|_| Reply::Silence).await;
   let decode = EndpointStandIn::engine(EVENTS).await;
   let gateway = serve(&prefill, &decode).await;
-  let request = gateway.request("/stream/a", "r1");
-  let client = rillford::HttpClient::default();
-  let asking = tokio::spawn(async move { client.send(request).await.map(drop) });
+  let asking = gateway.ask_in_background("/stream/a", "r1");
   assert!(eventually(PATIENCE, async || prefill.requests().len() == 1).await);
   asking.abort();
   assert!(eventually(PATIENCE, async || prefill.closed().len() == 1).await);
