--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -30,7 +30,7 @@
   NoRoute,
   /// The request has not run and never will; when to come back.
   NotRun {
-    /// Time until a further try makes sense.
+    /// Time until a further try makes sense; told in seconds, with three decimals.
     retry_after_ms: u64,
   },
   /// The endpoint was lost: the request may have run.
@@ -40,6 +40,7 @@
 }
 
 impl OwnAnswer {
+  /// The status that a caller gets.
   pub(crate) fn status(self) -> StatusCode {
     match self {
       Self::Malformed => StatusCode::BAD_REQUEST,
@@ -56,6 +57,7 @@
     matches!(self, Self::Malformed | Self::TooLong)
   }
 
+  /// The whole answer: an empty body, and when to come back where the request has not run.
   pub(crate) fn response(self) -> Response<AnswerBody> {
     let mut response = Response::new(whole_body(Bytes::new()));
     *response.status_mut() = self.status();
--- a/src/gateway/connection_pool.rs
+++ b/src/gateway/connection_pool.rs
@@ -7,7 +7,7 @@
   std::{cell::RefCell, collections::HashMap},
 };
 
-/// How long a connection may rest when its endpoint does not say.
+/// How long a connection may rest when its endpoint does not say; one that does gets twice that at the most.
 const REST_MS: u64 = 4_000;
 /// A connection is not used when its endpoint may be closing it at this moment.
 const REST_MARGIN_MS: u64 = 1_000;
--- a/src/gateway/counters.rs
+++ b/src/gateway/counters.rs
@@ -13,6 +13,7 @@
 pub(crate) struct Counter(Cell<u64>);
 
 impl Counter {
+  /// Counts one more.
   pub(crate) fn inc(&self) {
     self.0.set(self.0.get() + 1);
   }
@@ -26,12 +27,14 @@
 }
 
 impl Histogram {
+  /// Counts something that took so long.
   pub(crate) fn note(&self, took_ms: u64) {
     let bucket = BUCKETS_MS.partition_point(|bound_ms| *bound_ms < took_ms);
     self.counts.borrow_mut()[bucket] += 1;
     self.sum_ms.set(self.sum_ms.get() + took_ms);
   }
 
+  /// Writes the buckets, each with all that took no longer, then sum and count.
   fn write(&self, name: &str, text: &mut String) {
     let counts = self.counts.borrow();
     let mut total = 0;
--- a/src/gateway/endpoint_book.rs
+++ b/src/gateway/endpoint_book.rs
@@ -78,21 +78,31 @@
   Dropped,
 }
 
+/// What is known of one endpoint.
 #[derive(Debug)]
 struct Known {
   entry: EndpointEntry,
+  /// Set when its entry went while the store was away: until then it may come back.
   lapses_ms: Option<u64>,
+  /// This box's requests there.
   requests: u32,
+  /// Their size.
   size: u64,
+  /// The load that it told with its last answer.
   told: Option<Told>,
+  /// Losses since its last answer.
   lost_in_row: u32,
   avoid_until_ms: u64,
+  /// Moving share of its answers that were failures, from 0 to 1.
   failure_share: f64,
+  /// Moving time for each unit of work.
   pace_ms: Option<f64>,
 }
 
+/// An endpoint's word on its load.
 #[derive(Clone, Copy, Debug)]
 struct Told {
+  /// Requests there beyond this box's own.
   others: u32,
   at_ms: u64,
 }
@@ -112,6 +122,7 @@
     }
   }
 
+  /// Requests of other boxes, as far as the endpoint's word still holds.
   fn others(&self, now_ms: u64) -> f64 {
     let Some(told) = self.told else { return 0.0 };
     let age_ms = now_ms.saturating_sub(told.at_ms) as f64;
@@ -123,7 +134,28 @@
     self.lost_in_row > 0
   }
 
+  fn note_end(&mut self, units: u64, end: PartEnd, now_ms: u64) {
+    match end {
+      PartEnd::Answered { took_ms } => {
+        self.lost_in_row = 0;
+        self.note_failure_share(false);
+        let pace_ms = took_ms as f64 / units.max(1) as f64;
+        let before = self.pace_ms.unwrap_or(pace_ms);
+        self.pace_ms = Some(before + NEWEST_WEIGHT * (pace_ms - before));
+      }
+      PartEnd::Failed => self.note_failure_share(true),
+      PartEnd::Full => self.avoid_until_ms = self.avoid_until_ms.max(now_ms + FULL_AVOID_MS),
+      PartEnd::Lost | PartEnd::Unreachable => {
+        self.note_failure_share(true);
+        self.lost(now_ms);
+      }
+      PartEnd::Dropped => {}
+    }
+  }
+
+  /// Leaves the endpoint alone, longer with each loss in a row.
   fn lost(&mut self, now_ms: u64) {
+    // Four doublings are above the bound already.
     let doubled = FIRST_AVOID_MS << self.lost_in_row.min(4);
     self.lost_in_row += 1;
     self.avoid_until_ms = now_ms + doubled.min(MOST_AVOID_MS);
@@ -134,7 +166,8 @@
     self.failure_share += NEWEST_WEIGHT * (newest - self.failure_share);
   }
 
-  /// The order of preference before all cost: sound, on trial, left alone.
+  /// The order of preference before all cost: sound, on trial, left alone, in a hall that is cut off; each
+  /// with those whose entry lapsed behind the others.
   fn rank(&self, wanted: Wanted, hall_is_cut: bool, now_ms: u64) -> u8 {
     let lapsed = u8::from(self.lapses_ms.is_some());
     if hall_is_cut {
@@ -149,10 +182,12 @@
     lapsed
   }
 
+  /// Work that is ahead of new work of a size; others' requests count as of the same size.
   fn ahead(&self, size: u64, now_ms: u64) -> f64 {
     self.size as f64 + self.others(now_ms) * size as f64
   }
 
+  /// How long the work is expected to take, in no unit: it is compared only.
   fn cost(&self, wanted: Wanted, peers: Peers, now_ms: u64) -> f64 {
     let surplus = (self.failure_share - peers.failure_share).max(0.0);
     let speed = match self.pace_ms {
@@ -183,10 +218,22 @@
 struct HallReach {
   /// Endpoints there that did not answer at all, since one last did.
   unreachable: HashSet<Name>,
+  /// When one last did not.
   noted_ms: u64,
 }
 
 impl HallReach {
+  fn note(&mut self, endpoint: &Name, end: PartEnd, now_ms: u64) {
+    match end {
+      PartEnd::Answered { .. } | PartEnd::Failed | PartEnd::Full => self.unreachable.clear(),
+      PartEnd::Unreachable => {
+        self.unreachable.insert(endpoint.clone());
+        self.noted_ms = now_ms;
+      }
+      PartEnd::Lost | PartEnd::Dropped => {}
+    }
+  }
+
   fn is_cut(&self, now_ms: u64) -> bool {
     self.unreachable.len() >= CUT_ENDPOINTS && now_ms < self.noted_ms + CUT_MS
   }
@@ -314,7 +361,7 @@
     }
   }
 
-  /// Work of a size ended; `units` is what its duration is measured by.
+  /// Work of a size ended; `units` is what the time until its answer is measured by.
   pub fn ended(&mut self, id: &str, size: u64, units: u64, end: PartEnd, now_ms: u64) {
     let Some(known) = self.known.get_mut(id) else {
       return;
@@ -322,30 +369,8 @@
     known.requests = known.requests.saturating_sub(1);
     known.size = known.size.saturating_sub(size);
     let hall = self.halls.entry(known.entry.hall.clone()).or_default();
-    match end {
-      PartEnd::Answered { .. } | PartEnd::Failed | PartEnd::Full => hall.unreachable.clear(),
-      PartEnd::Unreachable => {
-        hall.unreachable.insert(known.entry.id.clone());
-        hall.noted_ms = now_ms;
-      }
-      PartEnd::Lost | PartEnd::Dropped => {}
-    }
-    match end {
-      PartEnd::Answered { took_ms } => {
-        known.lost_in_row = 0;
-        known.note_failure_share(false);
-        let pace_ms = took_ms as f64 / units.max(1) as f64;
-        let before = known.pace_ms.unwrap_or(pace_ms);
-        known.pace_ms = Some(before + NEWEST_WEIGHT * (pace_ms - before));
-      }
-      PartEnd::Failed => known.note_failure_share(true),
-      PartEnd::Full => known.avoid_until_ms = known.avoid_until_ms.max(now_ms + FULL_AVOID_MS),
-      PartEnd::Lost | PartEnd::Unreachable => {
-        known.note_failure_share(true);
-        known.lost(now_ms);
-      }
-      PartEnd::Dropped => {}
-    }
+    hall.note(&known.entry.id, end, now_ms);
+    known.note_end(units, end, now_ms);
   }
 
   /// An endpoint is at fault although it answers.
--- a/src/gateway/engine_call.rs
+++ b/src/gateway/engine_call.rs
@@ -50,14 +50,14 @@
   }
 }
 
-/// Makes a call and answers with its body.
+/// Makes a call within [`CALL_LIMIT`] and answers with the body of a success.
 pub(crate) async fn call_engine(
   gateway: &Gateway,
   entry: &EndpointEntry,
   call: EndpointCall,
 ) -> Result<Bytes, CallFailure> {
   let lost = |error: &dyn Display| CallFailure::Lost(error.to_string());
-  let request = build(entry, call).map_err(|error| lost(&error))?;
+  let request = build_request(entry, call).map_err(|error| lost(&error))?;
   let answer = async {
     let (connection, response) = exchange(gateway, entry, request)
       .await
@@ -76,7 +76,7 @@
     .unwrap_or(Err(CallFailure::TimedOut))
 }
 
-fn build(entry: &EndpointEntry, call: EndpointCall) -> http::Result<Request<Full<Bytes>>> {
+fn build_request(entry: &EndpointEntry, call: EndpointCall) -> http::Result<Request<Full<Bytes>>> {
   let mut request = Request::builder()
     .method(call.method)
     .uri(call.path)
@@ -99,6 +99,7 @@
 }
 
 impl KeptExport {
+  /// A prompt that an engine has just read and keeps for `ttl_ms`.
   pub(crate) fn new(
     gateway: &Rc<Gateway>,
     entry: &EndpointEntry,
@@ -117,11 +118,12 @@
     }
   }
 
+  /// Another engine was sent for it: it is not freed from here.
   pub(crate) fn set_used(&mut self) {
     self.used = true;
   }
 
-  /// Whether an engine can still fetch it.
+  /// Whether another engine can still fetch it.
   pub(crate) fn is_fresh(&self) -> bool {
     self.gateway.now_ms() < self.good_until_ms
   }
@@ -159,6 +161,7 @@
     }
   }
 
+  /// A request has used it up.
   pub(crate) fn set_used(&mut self) {
     self.used = true;
   }
--- a/src/gateway/event_cutter.rs
+++ b/src/gateway/event_cutter.rs
@@ -4,6 +4,7 @@
 
 /// The most bytes that one event may have.
 const MOST_EVENT_BYTES: usize = 1024 * 1024;
+/// The blank line that ends an event.
 const EVENT_END: &[u8] = b"\n\n";
 
 /// One whole event, with its bytes as they came.
@@ -11,7 +12,7 @@
 pub struct WholeEvent {
   /// The bytes, the blank line included.
   pub bytes: Bytes,
-  /// Its id.
+  /// Its id; nothing when it states no number.
   pub id: Option<u64>,
 }
 
@@ -64,6 +65,7 @@
   }
 }
 
+/// The id that an event states; nothing when it has none, or one that is no number.
 fn event_id(bytes: &[u8]) -> Option<u64> {
   let text = std::str::from_utf8(bytes).ok()?;
   let id = text.lines().find_map(|line| line.strip_prefix("id:"))?;
--- a/src/gateway/event_source.rs
+++ b/src/gateway/event_source.rs
@@ -39,6 +39,7 @@
     }
   }
 
+  /// The body that the caller gets.
   pub(crate) fn into_body(self) -> AnswerBody {
     let events = stream::unfold(self, |mut source| async move {
       let item = source.next().await?;
@@ -74,6 +75,7 @@
     }
   }
 
+  /// An event goes to the caller: a resumed stream goes on behind it.
   fn note_event(&mut self, id: Option<u64>) {
     if id.is_some() {
       self.stream.last_event_id = id;
@@ -120,6 +122,7 @@
     }
   }
 
+  /// The stream is whole: the last bytes, if any are left.
   fn finish(&mut self) -> Option<Result<Bytes, StreamBroke>> {
     self.ended = true;
     let gateway = self.stream.gateway.clone();
@@ -159,6 +162,7 @@
     }
   }
 
+  /// Ends the stream so that the caller sees that its end is missing.
   fn break_off(&mut self, error: String) -> StreamBroke {
     self.ended = true;
     self.stream.gateway.counters.broken_streams.inc();
--- a/src/gateway/headers.rs
+++ b/src/gateway/headers.rs
@@ -1,4 +1,4 @@
-//! Headers that concern one connection only are not passed on.
+//! Leaves out the headers that concern one connection only when a message is passed on (RFC 9110, 7.6.1).
 
 use http::{
   HeaderMap, HeaderName,
@@ -8,6 +8,7 @@
   },
 };
 
+/// Headers that are never passed on; the HTTP library writes its own framing.
 const OF_ONE_CONNECTION: [HeaderName; 9] = [
   CONNECTION,
   CONTENT_LENGTH,
--- a/src/gateway/log_writer.rs
+++ b/src/gateway/log_writer.rs
@@ -13,6 +13,7 @@
 
 /// Lines that wait for a slow reader; more are dropped and counted.
 const MOST_WAITING_LINES: usize = 1_024;
+/// The thread only copies lines.
 const STACK_BYTES: usize = 64 * 1024;
 
 /// Takes whole lines without ever waiting.
--- a/src/gateway/own_pages.rs
+++ b/src/gateway/own_pages.rs
@@ -1,4 +1,4 @@
-//! The box's own pages: whether it is ready, and its figures.
+//! The box's own pages, each on a port of its own: whether it is ready, and its figures.
 
 use {
   super::{accept::serve_port, gateway::Gateway},
@@ -19,6 +19,7 @@
 }
 
 impl OwnPage {
+  /// Its port's name, for logs.
   fn port(self) -> &'static str {
     match self {
       Self::Metrics => "metrics",
@@ -29,11 +30,11 @@
 
 /// Serves one page until the process ends.
 pub(crate) async fn serve_page(gateway: Rc<Gateway>, listener: TcpListener, page: OwnPage) {
-  let answer = move |_| ready(answer(&gateway, page));
+  let answer = move |_| ready(page_answer(&gateway, page));
   serve_port(listener, page.port(), answer).await;
 }
 
-fn answer(gateway: &Gateway, page: OwnPage) -> Response<Full<Bytes>> {
+fn page_answer(gateway: &Gateway, page: OwnPage) -> Response<Full<Bytes>> {
   match page {
     OwnPage::Metrics => Response::new(Full::new(gateway.counters.text().into())),
     OwnPage::Ready => {
--- a/src/gateway/part.rs
+++ b/src/gateway/part.rs
@@ -22,6 +22,8 @@
 
 /// The longest answer that is held whole before it is passed on.
 const MOST_WHOLE_BYTES: usize = 4 * 1024 * 1024;
+/// The status of an endpoint that is not the incarnation that the request was for (RFC 9110, 15.5.20).
+const MISDIRECTED: u16 = 421;
 
 /// Why a part came to nothing.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
@@ -41,7 +43,7 @@
 }
 
 impl PartError {
-  /// Whether the request certainly has not run at the endpoint, and will not.
+  /// Whether the endpoint certainly has not run the request.
   pub(crate) fn has_not_run(&self) -> bool {
     !matches!(self, Self::Lost(_))
   }
@@ -73,6 +75,7 @@
 }
 
 impl Booking {
+  /// Books work that is about to be sent.
   pub(crate) fn new(gateway: &Rc<Gateway>, endpoint: &Name, size: u64, units: u64) -> Self {
     gateway.book.borrow_mut().sent(endpoint, size);
     Self {
@@ -85,10 +88,12 @@
     }
   }
 
+  /// Says how the part ended; booked when this is dropped.
   pub(crate) fn settle(&mut self, end: PartEnd) {
     self.end = end;
   }
 
+  /// The answer is there, or its first part, as late as now.
   pub(crate) fn answered(&mut self) {
     let took_ms = self.gateway.now_ms() - self.sent_ms;
     self.end = PartEnd::Answered { took_ms };
@@ -97,7 +102,7 @@
   fn settle_error(&mut self, error: &PartError) {
     self.end = match error {
       PartError::Unreachable => PartEnd::Unreachable,
-      PartError::NotRun(421) | PartError::Unsent(_) | PartError::Lost(_) => PartEnd::Lost,
+      PartError::NotRun(MISDIRECTED) | PartError::Unsent(_) | PartError::Lost(_) => PartEnd::Lost,
       PartError::NotRun(_) => PartEnd::Full,
     };
   }
@@ -248,8 +253,8 @@
   if facts.not_run {
     return Err(PartError::NotRun(head.status.as_u16()));
   }
-  if head.status == StatusCode::MISDIRECTED_REQUEST {
-    return Err(PartError::NotRun(421));
+  if head.status.as_u16() == MISDIRECTED {
+    return Err(PartError::NotRun(MISDIRECTED));
   }
   // These promise that the request has not run, which this endpoint does not say.
   if matches!(head.status.as_u16(), 408 | 429 | 503) {
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -61,6 +61,7 @@
 }
 
 impl PlainRequest {
+  /// Waits for an answer, the deadline, or the time to send the request to a second endpoint too.
   async fn run(mut self) -> Response<AnswerBody> {
     let now_ms = self.gateway.now_ms();
     let mut deadline = sleep(Duration::from_millis(self.request.left_ms(now_ms))).boxed_local();
@@ -158,6 +159,7 @@
     true
   }
 
+  /// The answer when no further endpoint may be asked.
   fn give_up(self) -> Response<AnswerBody> {
     if let Some(answer) = self.failure {
       return pass_on(answer);
@@ -172,6 +174,7 @@
     .response()
   }
 
+  /// The answer at the deadline.
   fn time_out(self) -> Response<AnswerBody> {
     log::info!("E503 timed out: {} at {:?}", self.request.id(), self.tried);
     match self.failure {
--- a/src/gateway/prompt.rs
+++ b/src/gateway/prompt.rs
@@ -13,8 +13,9 @@
   tokio::time::timeout,
 };
 
-/// Time for reading a prompt: a floor for queueing, and this much for each token ahead of it and its own.
+/// Time for reading a prompt: this much for queueing, and [`READ_US_PER_TOKEN`] for each token.
 const READ_FLOOR_MS: u64 = 450;
+/// Microseconds for each token of the prompt, and of the prompts ahead of it.
 const READ_US_PER_TOKEN: u64 = 50;
 /// Engines that may turn out not to be reachable.
 const MOST_UNREACHABLE: usize = 3;
@@ -78,6 +79,7 @@
   PromptReading::unread(false)
 }
 
+/// Has one engine read the prompt; answers with the handle under which it keeps it.
 async fn read_at(
   gateway: &Rc<Gateway>,
   request: &Rc<RoutedRequest>,
@@ -106,6 +108,7 @@
     .map_err(|error| PartError::Lost(error.to_string()))
 }
 
+/// How long an engine of the request's service keeps a prompt; 0 when it is no service of engines.
 fn export_ttl_ms(gateway: &Gateway, request: &RoutedRequest) -> u64 {
   let table = gateway.table();
   let engine = table
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -46,6 +46,7 @@
   .await;
 }
 
+/// Answers `/changes/REVISION` with the changes after a revision, once there are some or the wait is over.
 async fn answer(gateway: Rc<Gateway>, request: Request<Incoming>) -> Response<Full<Bytes>> {
   let revision = request
     .uri()
@@ -53,7 +54,7 @@
     .strip_prefix("/changes/")
     .and_then(|text| text.parse().ok());
   let Some(revision) = revision else {
-    return status(StatusCode::NOT_FOUND);
+    return empty_answer(StatusCode::NOT_FOUND);
   };
   // An answer without changes says that there are none.
   let _ = timeout(FOLLOW_WAIT, gateway.change_log.wait_after(revision)).await;
@@ -68,12 +69,12 @@
     Ok(body) => Response::new(Full::new(body.into())),
     Err(error) => {
       log::error!("E430 changes for a box can't be written: {error}");
-      status(StatusCode::INTERNAL_SERVER_ERROR)
+      empty_answer(StatusCode::INTERNAL_SERVER_ERROR)
     }
   }
 }
 
-fn status(status: StatusCode) -> Response<Full<Bytes>> {
+fn empty_answer(status: StatusCode) -> Response<Full<Bytes>> {
   let mut response = Response::new(Full::default());
   *response.status_mut() = status;
   response
--- a/src/gateway/retry_after.rs
+++ b/src/gateway/retry_after.rs
@@ -1,4 +1,4 @@
-//! When a caller is told to come back.
+//! When a caller whose request has not run is told to come back, and why then.
 
 /// All endpoints refused: their queues are short, and some place is free soon.
 pub(crate) const RETRY_AFTER_FULL_MS: u64 = 400;
--- a/src/gateway/retry_window.rs
+++ b/src/gateway/retry_window.rs
@@ -2,8 +2,9 @@
 
 use std::collections::VecDeque;
 
-/// Shares of a second that the window is counted in.
+/// Slices of a second that the window is counted in.
 const SLICES_PER_SECOND: u64 = 4;
+/// Length of a slice.
 const SLICE_MS: u64 = 1_000 / SLICES_PER_SECOND;
 /// Part of the allowance that is used: boxes count in slices, and see each other join late.
 const USED_SHARE: f64 = 0.7;
@@ -79,6 +80,7 @@
     USED_SHARE * allowed - f64::from(repeats)
   }
 
+  /// The slice of this moment, begun when it is the first to need it.
   fn slice(&mut self, now_ms: u64) -> &mut Slice {
     let number = now_ms / SLICE_MS;
     if self.slices.back().is_none_or(|slice| slice.number < number) {
--- a/src/gateway/route_policy.rs
+++ b/src/gateway/route_policy.rs
@@ -34,7 +34,7 @@
 }
 
 impl RoutePolicy {
-  /// Reads a policy program.
+  /// Reads a policy program. Fails when the file can't be read or the program does not compile.
   pub fn load(path: &Path, utc_offset_minutes: i64) -> Result<Self> {
     let text = std::fs::read_to_string(path).map_err(|source| Error::Read {
       path: path.into(),
@@ -108,6 +108,7 @@
   }
 }
 
+/// How long a request may wait for a seat when its first event is wanted within a time.
 fn seat_wait_ms(target_ms: u64) -> u64 {
   (target_ms as f64 * SEAT_WAIT_SHARE) as u64
 }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -62,13 +62,13 @@
 /// Bounds that the users set; fractions are theirs.
 #[derive(Clone, Debug, Deserialize)]
 pub struct GatewayBounds {
-  /// From the signal to stop until the process is killed.
+  /// Seconds from the signal to stop until the process is killed.
   pub stop_s: f64,
-  /// Repeats for each request, over all boxes.
+  /// Repeats for each request in a window, over all boxes.
   pub retry_ratio: f64,
-  /// The window for repeats.
+  /// Length of the sliding window in which repeats are counted, in seconds.
   pub retry_window_s: f64,
-  /// Repeats beyond the ratio, over all boxes.
+  /// Repeats in a window beyond the ratio, over all boxes.
   pub retry_slack: f64,
   /// Orders of two boxes to one engine are at least this far apart.
   pub order_gap_ms: u64,
@@ -81,7 +81,7 @@
 pub struct PolicySettings {
   /// The program, from the directory that the process was started in.
   pub file: PathBuf,
-  /// Local time's distance from UTC.
+  /// Minutes that local time is ahead of UTC.
   #[serde(default)]
   pub utc_offset_minutes: i64,
 }
@@ -94,7 +94,7 @@
 }
 
 impl GatewaySettings {
-  /// Reads a settings file.
+  /// Reads a settings file. Fails when it can't be read, is no such file, or has a value out of bounds.
   pub fn load(path: &Path) -> Result<Self> {
     let text = std::fs::read_to_string(path).map_err(|source| Error::Read {
       path: path.into(),
@@ -119,6 +119,7 @@
     Ok(settings)
   }
 
+  /// Refuses the first value that is out of bounds.
   fn check(&self, path: &Path) -> Result {
     let bounds = &self.bounds;
     let positive = [
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -1,4 +1,5 @@
-//! The key-value store that holds the configuration and the list of endpoints.
+//! What the router asks of the key-value store that holds the configuration and the lists of endpoints and
+//! boxes: its items, its calls and their errors.
 
 use {
   crate::ids::Name,
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -52,6 +52,7 @@
   }
 }
 
+/// The answer when no endpoint streams: an endpoint's own, or this box's.
 async fn answer_without_stream(
   gateway: &Gateway,
   request: &RoutedRequest,
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -1,4 +1,5 @@
-//! A small JSON client over `hyper-util`, for endpoints, the platform and the command line.
+//! A small pooled HTTP client over `hyper-util`, mostly for JSON: it calls endpoints, the platform, other boxes
+//! and, from the command line, a running box.
 
 use {
   bytes::Bytes,
@@ -14,17 +15,20 @@
   tokio::time::timeout,
 };
 
+/// Time for a connection to be made.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// The longest answer that is read whole.
 const MOST_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+/// How long a connection rests before it is closed.
 const POOL_IDLE: Duration = Duration::from_secs(20);
 
 /// Why a call came to nothing.
 #[derive(Debug, thiserror::Error)]
 pub enum CallError {
-  /// No connection was made: the peer never saw the call.
+  /// No connection was made, or the request could not be built: the peer never saw the call.
   #[error("no connection: {0}")]
   NotSent(String),
-  /// The connection broke after the call may have been seen.
+  /// The connection broke after the call may have been seen, or the answer is too long.
   #[error("connection broke: {0}")]
   Broke(String),
   /// No answer in time.
@@ -110,7 +114,7 @@
     self.whole(request, limit).await
   }
 
-  /// Sends a request and reads the whole JSON answer.
+  /// Sends a request and reads the whole JSON answer of a success, all within a time.
   pub async fn whole<A: DeserializeOwned>(
     &self,
     request: Request<Full<Bytes>>,
@@ -120,7 +124,7 @@
     serde_json::from_slice(&bytes).map_err(|error| CallError::Answer(error.to_string()))
   }
 
-  /// Sends a request and reads the whole answer.
+  /// Sends a request and reads the whole answer of a success, all within a time.
   pub async fn bytes(
     &self,
     request: Request<Full<Bytes>>,
