--- a/src/gateway/seat.rs
+++ b/src/gateway/seat.rs
@@ -33,27 +33,12 @@
     RESUME_WAIT_MS
   };
   let since_ms = gateway.now_ms();
-  let asking = async {
-    let _turn = gateway.seat_turn.lock().await;
-    loop {
-      let choice = gateway.choose(Wanted {
-        hall: &gateway.settings.identity.hall,
-        may_repeat: request.route.kind.may_repeat(),
-        role: Some(Role::Decode),
-        service: &request.service,
-        size: request.tokens().max(1),
-        tried,
-      })?;
-      match ask_seat(gateway, request, &choice.entry).await {
-        Some(reservation) => return Some((choice.entry, reservation)),
-        None if choice.left_alone => sleep(SEAT_PAUSE).await,
-        None => {}
-      }
-    }
-  };
-  let seat = timeout(Duration::from_millis(wait_ms), asking)
-    .await
-    .unwrap_or(None);
+  let seat = timeout(
+    Duration::from_millis(wait_ms),
+    ask_in_turn(gateway, request, tried),
+  )
+  .await
+  .unwrap_or(None);
   if seat.is_none() {
     log::info!(
       "E504 no seat: {} waited {} of {wait_ms} ms",
@@ -64,6 +49,30 @@
   seat
 }
 
+/// Asks one engine after another until one has a seat, once the older requests of the box have theirs.
+async fn ask_in_turn(
+  gateway: &Rc<Gateway>,
+  request: &RoutedRequest,
+  tried: &[Name],
+) -> Option<(EndpointEntry, Reservation)> {
+  let _turn = gateway.seat_turn.lock().await;
+  loop {
+    let choice = gateway.choose(Wanted {
+      hall: &gateway.settings.identity.hall,
+      may_repeat: request.route.kind.may_repeat(),
+      role: Some(Role::Decode),
+      service: &request.service,
+      size: request.tokens().max(1),
+      tried,
+    })?;
+    match ask_seat(gateway, request, &choice.entry).await {
+      Some(reservation) => return Some((choice.entry, reservation)),
+      None if choice.left_alone => sleep(SEAT_PAUSE).await,
+      None => {}
+    }
+  }
+}
+
 /// Asks one engine for a seat; nothing when it has none or does not answer.
 async fn ask_seat(
   gateway: &Rc<Gateway>,
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -148,11 +148,9 @@
     gateway
   }
 
-  pub(crate) fn start_unready(self) -> GatewayBox {
-    let [callers, ready, boxes] = own_addresses();
-    let directory = tempfile::tempdir().unwrap();
-    let path = directory.path().join("box.toml");
-    let settings = format!(
+  /// The box's settings file.
+  fn settings(&self, callers: SocketAddr, ready: SocketAddr, boxes: SocketAddr) -> String {
+    format!(
       r#"
 [box]
 name = "{}"
@@ -175,8 +173,15 @@
 prefill_share = 0.25
 "#,
       self.name, self.store.address, self.stop_s
-    );
-    std::fs::write(&path, settings).unwrap();
+    )
+  }
+
+  /// Starts the box without waiting for anything.
+  pub(crate) fn start_unready(self) -> GatewayBox {
+    let [callers, ready, boxes] = own_addresses();
+    let directory = tempfile::tempdir().unwrap();
+    let path = directory.path().join("box.toml");
+    std::fs::write(&path, self.settings(callers, ready, boxes)).unwrap();
     let process = Command::new(env!("CARGO_BIN_EXE_rillford"))
       .args(["gateway", "--settings"])
       .arg(&path)
