--- a/src/gateway/engine_call.rs
+++ b/src/gateway/engine_call.rs
@@ -2,7 +2,7 @@
 
 use {
   super::{
-    EndpointEntry,
+    EndpointEntry, PartEnd,
     dialect::{EndpointCall, Export},
     gateway::Gateway,
     part::exchange,
@@ -14,14 +14,16 @@
     header::{CONTENT_TYPE, HOST},
   },
   http_body_util::{BodyExt, Full, Limited},
-  std::{rc::Rc, time::Duration},
-  tokio::time::timeout,
+  std::{fmt::Display, rc::Rc, time::Duration},
+  tokio::{task::spawn_local, time::timeout},
 };
 
 /// An engine answers a call of the router's own within milliseconds.
 const CALL_LIMIT: Duration = Duration::from_millis(150);
 /// These answers are a few words long.
 const MOST_ANSWER_BYTES: usize = 64 * 1024;
+/// An export is not handed on when it is about to lapse.
+const EXPORT_MARGIN_MS: u64 = 120;
 
 /// Why a call came to nothing.
 #[derive(Debug, thiserror::Error)]
@@ -37,14 +39,25 @@
   Lost(String),
 }
 
-/// Makes a call and answers with its body.
+impl CallFailure {
+  /// How the work asked for ended, for the endpoint book.
+  pub(crate) fn part_end(&self) -> PartEnd {
+    match self {
+      Self::Refused(_) => PartEnd::Full,
+      Self::TimedOut => PartEnd::Unreachable,
+      Self::Lost(_) => PartEnd::Lost,
+    }
+  }
+}
+
+/// Makes a call within [`CALL_LIMIT`] and answers with the body of a success.
 pub(crate) async fn call_engine(
   gateway: &Gateway,
   entry: &EndpointEntry,
   call: EndpointCall,
 ) -> Result<Bytes, CallFailure> {
-  let lost = |error: &dyn std::fmt::Display| CallFailure::Lost(error.to_string());
-  let request = build(entry, call).map_err(|error| lost(&error))?;
+  let lost = |error: &dyn Display| CallFailure::Lost(error.to_string());
+  let request = build_request(entry, call).map_err(|error| lost(&error))?;
   let answer = async {
     let (connection, response) = exchange(gateway, entry, request)
       .await
@@ -63,7 +76,7 @@
     .unwrap_or(Err(CallFailure::TimedOut))
 }
 
-fn build(entry: &EndpointEntry, call: EndpointCall) -> http::Result<Request<Full<Bytes>>> {
+fn build_request(entry: &EndpointEntry, call: EndpointCall) -> http::Result<Request<Full<Bytes>>> {
   let mut request = Request::builder()
     .method(call.method)
     .uri(call.path)
@@ -85,10 +98,8 @@
   used: bool,
 }
 
-/// An export is not handed on when it is about to lapse.
-const EXPORT_MARGIN_MS: u64 = 120;
-
 impl KeptExport {
+  /// A prompt that an engine has just read and keeps for `ttl_ms`.
   pub(crate) fn new(
     gateway: &Rc<Gateway>,
     entry: &EndpointEntry,
@@ -107,11 +118,12 @@
     }
   }
 
+  /// Another engine was sent for it: it is not freed from here.
   pub(crate) fn set_used(&mut self) {
     self.used = true;
   }
 
-  /// Whether an engine can still fetch it.
+  /// Whether another engine can still fetch it.
   pub(crate) fn is_fresh(&self) -> bool {
     self.gateway.now_ms() < self.good_until_ms
   }
@@ -149,6 +161,7 @@
     }
   }
 
+  /// A request has used it up.
   pub(crate) fn set_used(&mut self) {
     self.used = true;
   }
@@ -167,7 +180,7 @@
 fn free_later(gateway: &Rc<Gateway>, entry: &EndpointEntry, call: EndpointCall) {
   let gateway = gateway.clone();
   let entry = entry.clone();
-  tokio::task::spawn_local(async move {
+  spawn_local(async move {
     if let Err(error) = call_engine(&gateway, &entry, call).await {
       log::info!("E512 not freed at {}: {error}", entry.id);
     }
--- a/src/gateway/event_source.rs
+++ b/src/gateway/event_source.rs
@@ -23,7 +23,8 @@
   cutter: EventCutter,
   ended: bool,
   first_event_noted: bool,
-  in_flight: InFlight,
+  /// Held until the caller has the last event.
+  _in_flight: InFlight,
 }
 
 impl EventSource {
@@ -33,17 +34,18 @@
       ended: false,
       first_event_noted: false,
       head: Some(head),
-      in_flight,
       stream,
+      _in_flight: in_flight,
     }
   }
 
+  /// The body that the caller gets.
   pub(crate) fn into_body(self) -> AnswerBody {
     let events = stream::unfold(self, |mut source| async move {
       let item = source.next().await?;
       Some((item.map(Frame::data), source))
     });
-    Box::pin(BodyExt::map_err(StreamBody::new(events), |error| error))
+    Box::pin(StreamBody::new(events))
   }
 
   /// The next bytes for the caller; nothing after the whole stream.
@@ -73,6 +75,7 @@
     }
   }
 
+  /// An event goes to the caller: a resumed stream goes on behind it.
   fn note_event(&mut self, id: Option<u64>) {
     if id.is_some() {
       self.stream.last_event_id = id;
@@ -147,6 +150,7 @@
     self.head.as_ref().is_some_and(Head::is_framed)
   }
 
+  /// The stream is whole: the last bytes, if any are left.
   fn finish(&mut self) -> Option<Result<Bytes, StreamBroke>> {
     self.ended = true;
     let gateway = self.stream.gateway.clone();
@@ -186,6 +190,7 @@
     }
   }
 
+  /// Ends the stream so that the caller sees that its end is missing.
   fn break_off(&mut self, error: String) -> StreamBroke {
     self.ended = true;
     self.stream.gateway.counters.broken_streams.inc();
@@ -203,6 +208,5 @@
       self.stream.gateway.counters.callers_gone.inc();
       log::debug!("caller left: {}", self.stream.request.id());
     }
-    let _ = &self.in_flight;
   }
 }
--- a/src/gateway/log_writer.rs
+++ b/src/gateway/log_writer.rs
@@ -2,6 +2,7 @@
 
 use std::{
   io::{self, Write},
+  mem,
   sync::{
     Arc,
     atomic::{AtomicU64, Ordering},
@@ -13,6 +14,7 @@
 
 /// Lines that wait for a slow reader; more are dropped and counted.
 const MOST_WAITING_LINES: usize = 1_024;
+/// The thread only copies lines.
 const STACK_BYTES: usize = 64 * 1024;
 
 /// How long a stopping process waits for its last lines to be written.
@@ -54,7 +56,7 @@
   fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
     self.line.extend_from_slice(bytes);
     if self.line.ends_with(b"\n") {
-      let line = std::mem::take(&mut self.line);
+      let line = mem::take(&mut self.line);
       if let Err(TrySendError::Full(_)) = self.lines.try_send(Entry::Line(line)) {
         self.dropped.fetch_add(1, Ordering::Relaxed);
       }
--- a/src/gateway/part.rs
+++ b/src/gateway/part.rs
@@ -13,6 +13,7 @@
   http::{
     HeaderMap, Request, Response, StatusCode,
     header::{CONTENT_ENCODING, CONTENT_LENGTH, TRANSFER_ENCODING},
+    response,
   },
   http_body_util::{BodyExt, Full, Limited},
   hyper::body::Incoming,
@@ -21,6 +22,8 @@
 
 /// The longest answer that is held whole before it is passed on.
 const MOST_WHOLE_BYTES: usize = 4 * 1024 * 1024;
+/// The status of an endpoint that is not the incarnation that the request was for (RFC 9110, 15.5.20).
+const MISDIRECTED: u16 = 421;
 
 /// Why a part came to nothing.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
@@ -39,7 +42,29 @@
   Lost(String),
 }
 
-/// The books' entry for one part; counts as dropped unless it is settled.
+impl PartError {
+  /// Whether the endpoint certainly has not run the request.
+  pub(crate) fn has_not_run(&self) -> bool {
+    !matches!(self, Self::Lost(_))
+  }
+
+  /// Whether the endpoint never saw the request.
+  pub(crate) fn is_unsent(&self) -> bool {
+    matches!(self, Self::Unreachable | Self::Unsent(_))
+  }
+}
+
+impl From<SendError> for PartError {
+  fn from(error: SendError) -> Self {
+    match error {
+      SendError::Unreachable => Self::Unreachable,
+      SendError::Unsent(text) => Self::Unsent(text),
+      SendError::Broke(text) => Self::Lost(text),
+    }
+  }
+}
+
+/// The book's entry for one part; counts as dropped unless it is settled.
 pub(crate) struct Booking {
   gateway: Rc<Gateway>,
   endpoint: Name,
@@ -50,6 +75,7 @@
 }
 
 impl Booking {
+  /// Books work that is about to be sent.
   pub(crate) fn new(gateway: &Rc<Gateway>, endpoint: &Name, size: u64, units: u64) -> Self {
     gateway.book.borrow_mut().sent(endpoint, size);
     Self {
@@ -62,10 +88,12 @@
     }
   }
 
+  /// Says how the part ended; booked when this is dropped.
   pub(crate) fn settle(&mut self, end: PartEnd) {
     self.end = end;
   }
 
+  /// The answer is there, or its first part, as late as now.
   pub(crate) fn answered(&mut self) {
     let took_ms = self.gateway.now_ms() - self.sent_ms;
     self.end = PartEnd::Answered { took_ms };
@@ -74,29 +102,12 @@
   fn settle_error(&mut self, error: &PartError) {
     self.end = match error {
       PartError::Unreachable => PartEnd::Unreachable,
-      PartError::NotRun(421) | PartError::Unsent(_) | PartError::Lost(_) => PartEnd::Lost,
+      PartError::NotRun(MISDIRECTED) | PartError::Unsent(_) | PartError::Lost(_) => PartEnd::Lost,
       PartError::NotRun(_) => PartEnd::Full,
     };
   }
 }
 
-impl PartError {
-  /// Whether the endpoint never saw the request.
-  pub(crate) fn is_unsent(&self) -> bool {
-    matches!(self, Self::Unreachable | Self::Unsent(_))
-  }
-}
-
-impl From<SendError> for PartError {
-  fn from(error: SendError) -> Self {
-    match error {
-      SendError::Unreachable => Self::Unreachable,
-      SendError::Unsent(text) => Self::Unsent(text),
-      SendError::Broke(text) => Self::Lost(text),
-    }
-  }
-}
-
 impl Drop for Booking {
   fn drop(&mut self) {
     self
@@ -164,7 +175,8 @@
   pub(crate) body: Bytes,
 }
 
-/// Sends one part of a request to an endpoint and reads the answer's head.
+/// Sends one part of a request to an endpoint and reads the answer's head. `size` is what the part weighs in
+/// the endpoint's load, `units` what the time until its answer is measured by.
 pub(crate) async fn send_part(
   gateway: &Rc<Gateway>,
   request: &RoutedRequest,
@@ -175,24 +187,22 @@
 ) -> Result<Head, PartError> {
   let mut booking = Booking::new(gateway, &entry.id, size, units);
   let sent = request.for_endpoint(&*gateway.dialect, marks);
-  match exchange(gateway, entry, sent).await {
-    Ok((connection, response)) => {
-      let checked = check(gateway, request, entry, response);
-      match checked {
-        Ok(checked) => Ok(Head {
-          body: checked.body,
-          booking,
-          connection,
-          facts: checked.facts,
-          raw_headers: checked.headers,
-          status: checked.status,
-        }),
-        Err(error) => {
-          booking.settle_error(&error);
-          Err(error)
-        }
-      }
-    }
+  let answered = exchange(gateway, entry, sent)
+    .await
+    .and_then(|(connection, response)| {
+      let (head, body) = response.into_parts();
+      let facts = check(gateway, request, entry, &head)?;
+      Ok((connection, head, body, facts))
+    });
+  match answered {
+    Ok((connection, head, body, facts)) => Ok(Head {
+      body,
+      booking,
+      connection,
+      facts,
+      raw_headers: head.headers,
+      status: head.status,
+    }),
     Err(error) => {
       booking.settle_error(&error);
       Err(error)
@@ -223,21 +233,13 @@
   Ok((connection, response))
 }
 
-struct Checked {
-  status: StatusCode,
-  headers: HeaderMap,
-  facts: AnswerFacts,
-  body: Incoming,
-}
-
 /// Believes an answer only when it is this request's own.
 fn check(
   gateway: &Gateway,
   request: &RoutedRequest,
   entry: &EndpointEntry,
-  response: Response<Incoming>,
-) -> Result<Checked, PartError> {
-  let (head, body) = response.into_parts();
+  head: &response::Parts,
+) -> Result<AnswerFacts, PartError> {
   let facts = gateway.dialect.answer_facts(&head.headers);
   if facts.request_id != request.facts.request_id {
     return Err(PartError::Lost("answer to another request".into()));
@@ -251,8 +253,8 @@
   if facts.not_run {
     return Err(PartError::NotRun(head.status.as_u16()));
   }
-  if head.status == StatusCode::MISDIRECTED_REQUEST {
-    return Err(PartError::NotRun(421));
+  if head.status.as_u16() == MISDIRECTED {
+    return Err(PartError::NotRun(MISDIRECTED));
   }
   // These promise that the request has not run, which this endpoint does not say.
   if matches!(head.status.as_u16(), 408 | 429 | 503) {
@@ -266,10 +268,5 @@
       "answer with an encoding that was not asked for".into(),
     ));
   }
-  Ok(Checked {
-    body,
-    facts,
-    headers: head.headers,
-    status: head.status,
-  })
+  Ok(facts)
 }
--- a/src/gateway/stream_request.rs
+++ b/src/gateway/stream_request.rs
@@ -33,6 +33,9 @@
   Answered(Box<Head>),
 }
 
+/// What one try came to. The outer error says that there is no endpoint to try.
+type Attempt = Result<Result<Head, PartError>, NoStream>;
+
 /// One streamed request.
 pub(crate) struct StreamRequest {
   pub(crate) gateway: Rc<Gateway>,
@@ -45,6 +48,7 @@
   attempts: u32,
   /// Arrivals at endpoints; all but the first are paid from the budget for repeats.
   arrivals: u32,
+  /// Endpoints that said that it did not run.
   refusals: u32,
   /// A seat that was found while another engine was silent.
   seat: Option<(EndpointEntry, Reservation)>,
@@ -65,8 +69,8 @@
       attempts: 0,
       export: None,
       gateway,
-      prompt_was_read: false,
       last_event_id: request.facts.last_event_id,
+      prompt_was_read: false,
       reads_itself: false,
       refusals: 0,
       refused_by: None,
@@ -137,20 +141,30 @@
     taken
   }
 
-  /// One try. The outer error says that there is no endpoint to try.
-  async fn attempt(&mut self) -> Result<Result<Head, PartError>, NoStream> {
-    if !self.is_split() {
-      let choice = self.gateway.choose(Wanted {
-        hall: &self.gateway.settings.identity.hall,
-        may_repeat: self.may_repeat(),
-        role: None,
-        service: &self.request.service,
-        size: self.request.tokens().max(1),
-        tried: &self.tried,
-      });
-      let entry = choice.ok_or(NoStream::NoSeat)?.entry;
-      return self.arrive(&entry, None, None).await;
+  async fn attempt(&mut self) -> Attempt {
+    if self.is_split() {
+      self.attempt_split().await
+    } else {
+      self.attempt_whole().await
     }
+  }
+
+  /// A try at an endpoint that reads the prompt itself.
+  async fn attempt_whole(&mut self) -> Attempt {
+    let choice = self.gateway.choose(Wanted {
+      hall: &self.gateway.settings.identity.hall,
+      may_repeat: self.may_repeat(),
+      role: None,
+      service: &self.request.service,
+      size: self.request.tokens().max(1),
+      tried: &self.tried,
+    });
+    let entry = choice.ok_or(NoStream::NoSeat)?.entry;
+    self.arrive(&entry, None, None).await
+  }
+
+  /// A try with a seat at one engine, and the prompt read by another.
+  async fn attempt_split(&mut self) -> Attempt {
     let asked_ms = self.gateway.now_ms();
     let seat = match self.seat.take() {
       Some(seat) => Some(seat),
@@ -180,6 +194,7 @@
     Ok(arrived)
   }
 
+  /// The prompt for an engine in a hall; nothing when the engine that writes the answer is to read it.
   async fn prompt(&mut self, hall: &str) -> Option<KeptExport> {
     if self.reads_itself {
       return None;
@@ -199,12 +214,13 @@
     }
   }
 
+  /// Sends the request to an endpoint, if it may arrive there.
   async fn arrive(
     &mut self,
     entry: &EndpointEntry,
     reservation: Option<Reservation>,
     export: Option<KeptExport>,
-  ) -> Result<Result<Head, PartError>, NoStream> {
+  ) -> Attempt {
     if !self.may_arrive() {
       return Err(NoStream::Failed);
     }
@@ -218,79 +234,57 @@
   async fn send(
     &mut self,
     entry: &EndpointEntry,
-    mut reservation: Option<Reservation>,
-    mut export: Option<KeptExport>,
+    reservation: Option<Reservation>,
+    export: Option<KeptExport>,
   ) -> Result<Head, PartError> {
     self.tried.push(entry.id.clone());
     // Counted before it is sent: the time may run out while no answer is known.
     self.attempts += 1;
-    let marks = Marks {
-      deadline_ms: self.request.left_ms(self.gateway.now_ms()),
-      endpoint_id: entry.id.clone(),
-      last_event_id: self.last_event_id,
-      part: match &export {
-        Some(kept) => Part::AnswerFrom(kept.export.clone()),
-        None => Part::Whole,
-      },
-      priority: self.request.rank.priority,
-      reservation: reservation
-        .as_ref()
-        .map(|reservation| reservation.id.clone()),
-    };
-    let size = self.request.tokens().max(1);
-    let (gateway, request) = (self.gateway.clone(), self.request.clone());
-    let sending = send_part(&gateway, &request, entry, &marks, size, 1);
-    let result = self.within_patience(entry, sending).await;
-    if matches!(
-      result,
-      Err(PartError::Unreachable | PartError::Unsent(_) | PartError::NotRun(_))
-    ) {
-      self.attempts -= 1;
-    }
+    let marks = self.marks(entry, reservation.as_ref(), export.as_ref());
+    let result = self.send_within_silence(entry, &marks).await;
     match &result {
-      Ok(_) => {
-        if let Some(export) = &mut export {
-          export.set_used();
-        }
-        if let Some(reservation) = &mut reservation {
-          reservation.set_used();
-        }
-        self.blame_for_refusal();
-      }
-      Err(error) => {
-        log::info!(
-          "E502 part failed: {} at {}: {error}",
-          self.request.id(),
-          entry.id
-        );
-        if matches!(error, PartError::NotRun(_)) {
-          self.note_refusal(entry, export);
-        }
-      }
+      Ok(_) => self.note_answer(reservation, export),
+      Err(error) => self.note_error(entry, error, export),
     }
     result
   }
 
-  /// Waits for an answer; an engine that is silent for too long is left alone, and given up once another one has
+  fn marks(
+    &self,
+    entry: &EndpointEntry,
+    reservation: Option<&Reservation>,
+    export: Option<&KeptExport>,
+  ) -> Marks {
+    let part = export.map_or(Part::Whole, |kept| Part::AnswerFrom(kept.export.clone()));
+    Marks {
+      last_event_id: self.last_event_id,
+      reservation: reservation.map(|reservation| reservation.id.clone()),
+      ..self.request.marks(entry, part, self.gateway.now_ms())
+    }
+  }
+
+  /// Waits for the head; an engine that is silent for too long is left alone, and given up once another one has
   /// a seat. Silence by itself ends nothing.
-  async fn within_patience(
+  async fn send_within_silence(
     &mut self,
     entry: &EndpointEntry,
-    sending: impl Future<Output = Result<Head, PartError>>,
+    marks: &Marks,
   ) -> Result<Head, PartError> {
-    let mut sending = pin!(sending);
+    let (gateway, request) = (self.gateway.clone(), self.request.clone());
+    let size = request.tokens().max(1);
+    let mut sending = pin!(send_part(&gateway, &request, entry, marks, size, 1));
     loop {
       let silence = Duration::from_millis(SILENCE_MS);
       if let Ok(result) = timeout(silence, sending.as_mut()).await {
         return result;
       }
-      self.gateway.overdue(&entry.id);
+      gateway.overdue(&entry.id);
       if !self.prepare_takeover().await {
         continue;
       }
       // It may have answered while a seat was looked for.
       if let Some(result) = sending.as_mut().now_or_never() {
-        self.seat = None;
+        self.cancel_takeover();
         return result;
       }
       return Err(PartError::Lost("no answer in time".into()));
@@ -314,6 +308,31 @@
     self.seat = None;
   }
 
+  /// An endpoint answered: it has used up the seat and the prompt.
+  fn note_answer(&mut self, reservation: Option<Reservation>, export: Option<KeptExport>) {
+    if let Some(mut export) = export {
+      export.set_used();
+    }
+    if let Some(mut reservation) = reservation {
+      reservation.set_used();
+    }
+    self.blame_for_refusal();
+  }
+
+  fn note_error(&mut self, entry: &EndpointEntry, error: &PartError, export: Option<KeptExport>) {
+    if error.has_not_run() {
+      self.attempts -= 1;
+    }
+    log::info!(
+      "E502 part failed: {} at {}: {error}",
+      self.request.id(),
+      entry.id
+    );
+    if matches!(error, PartError::NotRun(_)) {
+      self.note_refusal(entry, export);
+    }
+  }
+
   /// Another engine took the prompt: the one that refused it is at fault.
   fn blame_for_refusal(&mut self) {
     if let Some(engine) = self.refused_by.take() {
