--- a/src/gateway/counters.rs
+++ b/src/gateway/counters.rs
@@ -67,7 +67,7 @@
   pub(crate) connections: Counter,
   pub(crate) store_calls: Counter,
   pub(crate) store_failures: Counter,
-  pub(crate) whole_ms: Histogram,
+  pub(crate) head_ms: Histogram,
   pub(crate) first_event_ms: Histogram,
 }
 
@@ -95,7 +95,7 @@
     for (name, counter) in counters {
       let _ = writeln!(text, "{name} {}", counter.0.get());
     }
-    self.whole_ms.write("rillford_whole_answer_ms", &mut text);
+    self.head_ms.write("rillford_answer_head_ms", &mut text);
     self
       .first_event_ms
       .write("rillford_first_event_ms", &mut text);
--- a/src/gateway/endpoint_book.rs
+++ b/src/gateway/endpoint_book.rs
@@ -402,7 +402,10 @@
   /// An endpoint told its load with an answer that this box still counts.
   pub fn told_load(&mut self, id: &str, load: ToldLoad, now_ms: u64) {
     if let Some(known) = self.known.get_mut(id) {
-      let others = (load.running + load.waiting).saturating_sub(known.requests);
+      let others = load
+        .running
+        .saturating_add(load.waiting)
+        .saturating_sub(known.requests);
       known.told = Some(Told {
         at_ms: now_ms,
         others,
--- a/src/gateway/event_source.rs
+++ b/src/gateway/event_source.rs
@@ -158,7 +158,6 @@
       head.booking.answered();
       gateway.rest(head.connection, &head.raw_headers);
     }
-    gateway.counters.answered.inc();
     let rest = self.cutter.take_rest();
     (!rest.is_empty()).then_some(Ok(rest))
   }
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -115,7 +115,7 @@
   match response.status().as_u16() {
     200..300 => {
       counters.answered.inc();
-      counters.whole_ms.note(gateway.now_ms() - arrived_ms);
+      counters.head_ms.note(gateway.now_ms() - arrived_ms);
     }
     502 => counters.unknown.inc(),
     503 => counters.not_run.inc(),
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -19,6 +19,9 @@
 /// Part of the wanted latency after which a repeatable request is sent to a second endpoint too.
 const HEDGE_SHARE: f64 = 0.6;
 
+/// Endpoints that may turn out not to be reachable before a request is refused.
+const MOST_UNSENT: u32 = 4;
+
 type Try = LocalBoxFuture<'static, (Name, Result<WholeAnswer, PartError>)>;
 
 /// How a request that is answered whole stands.
@@ -26,6 +29,8 @@
   gateway: Rc<Gateway>,
   request: Rc<RoutedRequest>,
   tried: Vec<Name>,
+  /// Of these, the endpoints that never saw it.
+  unsent: u32,
   running: FuturesUnordered<Try>,
   /// The endpoints that have not answered yet.
   awaited: Vec<Name>,
@@ -48,6 +53,7 @@
     request,
     running: FuturesUnordered::new(),
     tried: Vec::new(),
+    unsent: 0,
   };
   if !plain.start() {
     log::warn!(
@@ -123,7 +129,10 @@
         self.perhaps_run |= !error.has_not_run();
         if error.is_unsent() {
           // The endpoint never saw it: it counts as no attempt.
-          self.start();
+          self.unsent += 1;
+          if self.unsent < MOST_UNSENT {
+            self.start();
+          }
         }
       }
     }
@@ -133,9 +142,9 @@
   /// Sends the request to a further endpoint as a repeat, if its route and the budget allow.
   fn start_again(&mut self) -> bool {
     let may_have_run = self.perhaps_run || !self.running.is_empty();
+    let attempts = self.tried.len() as u32 - self.unsent;
     let route = &self.request.route;
-    let allowed =
-      !may_have_run || (route.kind.may_repeat() && (self.tried.len() as u32) < route.most_attempts);
+    let allowed = !may_have_run || (route.kind.may_repeat() && attempts < route.most_attempts);
     if !allowed || !self.gateway.take_repeat(&self.request.service) {
       return false;
     }
@@ -178,7 +187,6 @@
       return pass_on(answer);
     }
     if self.perhaps_run {
-      self.gateway.counters.unknown.inc();
       return OwnAnswer::Unknown.response();
     }
     OwnAnswer::NotRun {
--- a/src/gateway/role_steward.rs
+++ b/src/gateway/role_steward.rs
@@ -37,7 +37,7 @@
     ordered_ms: HashMap::new(),
     since_ms: 0,
     store,
-    wanting_since_ms: None,
+    wanting_since_ms: HashMap::new(),
   };
   loop {
     sleep(LOOK_PAUSE).await;
@@ -57,7 +57,7 @@
   /// When engines were last ordered, or found to need no order.
   ordered_ms: HashMap<Name, u64>,
   /// Since when too few engines read prompts.
-  wanting_since_ms: Option<u64>,
+  wanting_since_ms: HashMap<Name, u64>,
 }
 
 impl<S: Store> RoleSteward<S> {
@@ -128,11 +128,11 @@
     let engines = self.engines(service);
     let share = self.prefill_share(service, &engines);
     let Some(mut surplus) = surplus(&engines, share) else {
-      self.wanting_since_ms = None;
+      self.wanting_since_ms.remove(service);
       return None;
     };
     let reading = with_role(&engines, Role::Prefill).count();
-    if !self.is_due(&surplus, reading, now_ms) {
+    if !self.is_due(service, &surplus, reading, now_ms) {
       return None;
     }
     surplus
@@ -155,17 +155,20 @@
 
   /// Whether a surplus is to be ordered away now: one of decode engines only when at least half of the wanted
   /// prefill engines are missing, and have been for long.
-  fn is_due(&mut self, surplus: &Surplus, reading: usize, now_ms: u64) -> bool {
+  fn is_due(&mut self, service: &Name, surplus: &Surplus, reading: usize, now_ms: u64) -> bool {
     if surplus.role == Role::Decode {
-      self.wanting_since_ms = None;
+      self.wanting_since_ms.remove(service);
       return true;
     }
     let wanted = reading + surplus.engines.len();
     if reading * 2 > wanted {
-      self.wanting_since_ms = None;
+      self.wanting_since_ms.remove(service);
       return false;
     }
-    let since_ms = *self.wanting_since_ms.get_or_insert(now_ms);
+    let since_ms = *self
+      .wanting_since_ms
+      .entry(service.clone())
+      .or_insert(now_ms);
     now_ms >= since_ms + WANT_PATIENCE_MS
   }
 
--- a/tests/gateway/streams.rs
+++ b/tests/gateway/streams.rs
@@ -131,6 +131,7 @@
   let asked = gateway.ask("/stream/a", "r1").await;
   assert_eq!(asked.status, StatusCode::SERVICE_UNAVAILABLE);
   assert_eq!(prefill.requests().len(), 1);
+  assert_eq!((one.requests().len(), other.requests().len()), (1, 1));
   gateway.test.enter("e-4", "llm", Some("decode"), &third);
   assert!(
     eventually(PATIENCE, async || gateway
