--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -69,6 +69,8 @@
   pub(crate) seat_turn: Mutex<()>,
   /// This box's lease in the store, and when it was last renewed.
   pub(crate) lease: Cell<Option<HeldLease>>,
+  /// Whether the store was listed to its end: before that some endpoints are not known.
+  pub(crate) has_listed: Cell<bool>,
   /// Whether a box is steward, as far as this one knows.
   pub(crate) has_steward: Cell<bool>,
   table: RefCell<Option<Rc<RouteTable>>>,
@@ -92,6 +94,7 @@
       counters: Counters::default(),
       dialect,
       ends_ms: Cell::new(None),
+      has_listed: Cell::new(false),
       has_steward: Cell::new(false),
       in_flight: Cell::new(0),
       lease: Cell::new(None),
@@ -149,6 +152,7 @@
   pub(crate) fn is_ready(&self) -> bool {
     *self.phase.borrow() == Phase::Serving
       && self.table.borrow().is_some()
+      && self.has_listed.get()
       && !self.book.borrow().is_empty()
   }
 
--- a/src/gateway/store_sync.rs
+++ b/src/gateway/store_sync.rs
@@ -137,6 +137,7 @@
       listing.first_revision
     );
     self.gateway.change_log.restart(listing.first_revision?);
+    self.gateway.has_listed.set(true);
     listing.first_revision
   }
 
--- a/tests/gateway/configuration.rs
+++ b/tests/gateway/configuration.rs
@@ -163,3 +163,22 @@
     "{error}"
   );
 }
+
+/// Seen once as a test that failed: a box that had read the first page of the list said that it was ready and
+/// refused streams, since it knew no engine yet.
+#[tokio::test]
+async fn box_is_ready_only_when_it_has_read_the_whole_list() {
+  let one = EndpointStandIn::start(|seen| Reply::ok(seen, "one")).await;
+  let test = GatewayTest::new().await;
+  test.put_configuration();
+  for id in ["p-1", "p-2", "p-3"] {
+    test.enter(id, "portal", None, &one);
+  }
+  test.store.set_holds_pages(true);
+  let gateway = test.start_unready();
+  let asked_for_more = async || gateway.test.store.listings() >= 2;
+  assert!(eventually(PATIENCE, asked_for_more).await);
+  assert!(!gateway.is_ready().await);
+  gateway.test.store.set_holds_pages(false);
+  assert!(gateway.is_ready_soon().await);
+}
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -262,7 +262,7 @@
       .uri(format!("http://{}{path}", self.callers))
       .header("host", HOST)
       .header("x-request-id", id)
-      .header("x-deadline-ms", "8000")
+      .header("x-deadline-ms", "120000")
       .header("x-token-counts", "100,50")
       .body(Full::new(Bytes::from_static(body.as_bytes())))
       .unwrap()
--- a/tests/gateway/store.rs
+++ b/tests/gateway/store.rs
@@ -16,7 +16,11 @@
     sync::{Arc, Mutex},
     time::Duration,
   },
-  tokio::{net::TcpListener, sync::watch, time::timeout},
+  tokio::{
+    net::TcpListener,
+    sync::watch,
+    time::{sleep, timeout},
+  },
 };
 
 #[derive(Clone)]
@@ -34,6 +38,7 @@
   history_from: u64,
   revision: u64,
   is_down: bool,
+  holds_pages: bool,
   listings: usize,
 }
 
@@ -109,6 +114,11 @@
     self.changed.send_replace(revision);
   }
 
+  /// Withholds every page of a listing but the first.
+  pub(crate) fn set_holds_pages(&self, holds_pages: bool) {
+    self.contents.lock().unwrap().holds_pages = holds_pages;
+  }
+
   pub(crate) fn keys(&self) -> Vec<String> {
     self
       .contents
@@ -160,8 +170,11 @@
   if store.is_down() {
     return down();
   }
-  let mut contents = store.contents.lock().unwrap();
-  contents.listings += 1;
+  store.contents.lock().unwrap().listings += 1;
+  while ask.contains_key("after") && store.contents.lock().unwrap().holds_pages {
+    sleep(Duration::from_millis(5)).await;
+  }
+  let contents = store.contents.lock().unwrap();
   let prefix = ask.get("pathPrefix").map_or("", String::as_str);
   let after = ask.get("after").map_or("", String::as_str);
   // Two items a page, so that every listing has pages.
--- a/tests/gateway/streams.rs
+++ b/tests/gateway/streams.rs
@@ -27,7 +27,11 @@
 }
 
 async fn serve(prefill: &EndpointStandIn, decode: &EndpointStandIn) -> GatewayBox {
-  GatewayTest::new().await.with_engines(prefill, decode).await
+  // Longer than a test waits: nothing ends because the route's time is over.
+  let test = GatewayTest::new().await.configure(|configuration| {
+    configuration["routes"][2]["timeoutMs"] = 120_000.into();
+  });
+  test.with_engines(prefill, decode).await
 }
 
 #[tokio::test]
