--- a/src/gateway/start.rs
+++ b/src/gateway/start.rs
@@ -102,10 +102,16 @@
     let callers = listen("callers", addresses.callers)?;
     let ready = listen("ready", addresses.ready)?;
     let boxes = listen("boxes", addresses.boxes)?;
+    // Requests are served without figures too.
     let metrics = addresses
       .metrics
-      .map(|address| listen("metrics", address))
-      .transpose()?;
+      .and_then(|address| match listen("metrics", address) {
+        Ok(listener) => Some(listener),
+        Err(error) => {
+          log::warn!("E606 no figures: {error}");
+          None
+        }
+      });
     Ok(Self {
       boxes,
       callers,
--- a/tests/gateway/callers.rs
+++ b/tests/gateway/callers.rs
@@ -98,3 +98,24 @@
   assert!(asked.headers.contains_key("retry-after"));
   assert!(!gateway.is_ready().await);
 }
+
+#[tokio::test]
+async fn figures_are_read_as_text() {
+  let (_, gateway) = portal().await;
+  gateway.ask("/unsafe/a", "r1").await;
+  let request = http::Request::get(format!("http://{}/metrics", gateway.metrics))
+    .body(Full::default())
+    .unwrap();
+  let text = gateway.send(request).await.body.unwrap();
+  assert!(text.contains("rillford_requests_total 1\n"), "{text}");
+  assert!(text.contains("rillford_answer_head_ms_count 1\n"), "{text}");
+}
+
+#[tokio::test]
+async fn box_serves_without_figures_when_their_address_is_taken() {
+  let one = EndpointStandIn::start(|seen| Reply::ok(seen, "fine")).await;
+  let mut test = GatewayTest::new().await;
+  test.is_metrics_taken = true;
+  let gateway = test.with_portal(&one).await;
+  assert_eq!(gateway.ask("/unsafe/a", "r1").await.status, StatusCode::OK);
+}
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -35,6 +35,8 @@
 pub(crate) struct GatewayTest {
   pub(crate) store: PlatformStore,
   pub(crate) configuration: Value,
+  /// Whether the address for figures is one that the box has already.
+  pub(crate) is_metrics_taken: bool,
   name: String,
   stop_s: f64,
 }
@@ -64,6 +66,7 @@
     });
     Self {
       configuration,
+      is_metrics_taken: false,
       name: "north-1".into(),
       stop_s: 6.0,
       store: PlatformStore::start().await,
@@ -149,7 +152,7 @@
   }
 
   /// The box's settings file.
-  fn settings(&self, callers: SocketAddr, ready: SocketAddr, boxes: SocketAddr) -> String {
+  fn settings(&self, [callers, ready, boxes, metrics]: [SocketAddr; 4]) -> String {
     format!(
       r#"
 [box]
@@ -159,6 +162,7 @@
 callers = "{callers}"
 ready = "{ready}"
 boxes = "{boxes}"
+metrics = "{metrics}"
 [store]
 address = "{}"
 least_lease_ms = 1000
@@ -178,10 +182,14 @@
 
   /// Starts the box without waiting for anything.
   pub(crate) fn start_unready(self) -> GatewayBox {
-    let [callers, ready, boxes] = own_addresses();
+    let mut addresses = own_addresses();
+    if self.is_metrics_taken {
+      addresses[3] = addresses[0];
+    }
+    let [callers, ready, _, metrics] = addresses;
     let directory = tempfile::tempdir().unwrap();
     let path = directory.path().join("box.toml");
-    std::fs::write(&path, self.settings(callers, ready, boxes)).unwrap();
+    std::fs::write(&path, self.settings(addresses)).unwrap();
     let process = Command::new(env!("CARGO_BIN_EXE_rillford"))
       .args(["gateway", "--settings"])
       .arg(&path)
@@ -191,6 +199,7 @@
     GatewayBox {
       callers,
       client: HttpClient::default(),
+      metrics,
       process,
       ready,
       test: self,
@@ -225,6 +234,7 @@
   pub(crate) test: GatewayTest,
   client: HttpClient,
   ready: SocketAddr,
+  pub(crate) metrics: SocketAddr,
   _directory: tempfile::TempDir,
 }
 
