--- /dev/null
+++ b/soak/src/box_process.rs
@@ -0,0 +1,237 @@
+//! One gateway box: a process of the real program, with links before its callers' port and its store.
+
+use {
+  super::{
+    error::{Error, Result},
+    ledger::{Ledger, PlannedStop, Target},
+    link::Link,
+    platform_store::PlatformStore,
+  },
+  std::{
+    fs::File,
+    net::{Ipv4Addr, SocketAddr},
+    path::{Path, PathBuf},
+    process::Stdio,
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+  },
+  tokio::{
+    process::{Child, Command},
+    sync::Mutex,
+    time::{sleep, timeout},
+  },
+};
+
+/// Seconds from the signal to stop until the process is killed (the users' `graceS` is 8).
+const STOP_S: f64 = 6.0;
+/// Pause before a process that has ended is started again.
+const RESTART_PAUSE: Duration = Duration::from_millis(200);
+
+/// What all boxes of a run share.
+pub(crate) struct BoxPlan<'a> {
+  /// The program.
+  pub(crate) program: &'a Path,
+  /// Where settings and logs go.
+  pub(crate) directory: &'a Path,
+  pub(crate) store: &'a PlatformStore,
+  pub(crate) ledger: &'a Ledger,
+}
+
+/// One box.
+pub(crate) struct BoxProcess {
+  pub(crate) index: usize,
+  /// Where callers connect: the link before the box.
+  pub(crate) callers: Link,
+  /// Where the box itself takes callers.
+  pub(crate) direct: SocketAddr,
+  pub(crate) ready: SocketAddr,
+  pub(crate) store_link: Link,
+  ledger: Ledger,
+  program: PathBuf,
+  settings: PathBuf,
+  log: PathBuf,
+  /// Counts the starts.
+  lives: AtomicU64,
+  /// Nothing while the box is down.
+  process: Mutex<Option<Child>>,
+}
+
+impl BoxProcess {
+  /// Lays out a box's settings and starts it.
+  pub(crate) async fn start(plan: &BoxPlan<'_>, index: usize) -> Result<Self> {
+    let [direct, ready, boxes, metrics] = own_addresses(index);
+    let store_link = open_link(plan.store.address).await?;
+    let callers = open_link(direct).await?;
+    let name = format!("north-{index:03}");
+    let text = format!(
+      "[box]\nname = \"{name}\"\nhall = \"north\"\n\
+       [listen]\ncallers = \"{direct}\"\nready = \"{ready}\"\nboxes = \"{boxes}\"\nmetrics = \"{metrics}\"\n\
+       [store]\naddress = \"{}\"\nleast_lease_ms = 1000\n\
+       [bounds]\nstop_s = {STOP_S:.1}\nretry_ratio = 0.2\nretry_window_s = 10\nretry_slack = 60\n\
+       order_gap_ms = 1000\ncontact_ms = 3000\n\
+       [engines]\nprefill_share = 0.25\n",
+      store_link.address
+    );
+    let settings = plan.directory.join(format!("{name}.toml"));
+    std::fs::write(&settings, text).map_err(|source| Error::File {
+      path: settings.clone(),
+      source,
+    })?;
+    let started = Self {
+      callers,
+      direct,
+      index,
+      ledger: plan.ledger.clone(),
+      lives: AtomicU64::new(0),
+      log: plan.directory.join(format!("{name}.log")),
+      process: Mutex::new(None),
+      program: plan.program.into(),
+      ready,
+      settings,
+      store_link,
+    };
+    *started.process.lock().await = Some(started.spawn()?);
+    Ok(started)
+  }
+
+  /// Which process of this box runs now, or ran last.
+  pub(crate) fn life(&self) -> u64 {
+    self.lives.load(Ordering::Relaxed)
+  }
+
+  fn spawn(&self) -> Result<Child> {
+    let log = File::options()
+      .create(true)
+      .append(true)
+      .open(&self.log)
+      .map_err(|source| Error::File {
+        path: self.log.clone(),
+        source,
+      })?;
+    self.lives.fetch_add(1, Ordering::Relaxed);
+    Command::new(&self.program)
+      .args(["gateway", "--settings"])
+      .arg(&self.settings)
+      .stdout(Stdio::from(log))
+      .stderr(Stdio::inherit())
+      .kill_on_drop(true)
+      .spawn()
+      .map_err(|source| Error::Program {
+        path: self.program.clone(),
+        source,
+      })
+  }
+
+  /// Sends a signal, if the process is up.
+  async fn signal(&self, signal: i32) -> Option<()> {
+    let process = self.process.lock().await;
+    let id = process.as_ref()?.id()?;
+    // SAFETY: the process is this run's own child and has not been waited for: the lock is held.
+    let sent = unsafe { libc::kill(id.cast_signed(), signal) };
+    (sent == 0).then_some(())
+  }
+
+  /// Kills the process and starts it again later.
+  pub(crate) async fn kill(&self, down_ms: u64) -> Result {
+    let Some(mut child) = self.process.lock().await.take() else {
+      return Ok(());
+    };
+    let _disturbed = self.ledger.disturb(Target::Box(self.index));
+    child.kill().await.map_err(Error::Wait)?;
+    sleep(Duration::from_millis(down_ms)).await;
+    self.start_again().await
+  }
+
+  /// Tells the process to stop, waits until it is gone, and starts it again.
+  pub(crate) async fn stop(&self) -> Result {
+    let leaving = self.ledger.disturb(Target::Leaving(self.index));
+    if self.signal(libc::SIGTERM).await.is_none() {
+      return Ok(());
+    }
+    // The lock is not held meanwhile: further signals may come.
+    let limit = Duration::from_secs_f64(STOP_S);
+    let mut was_killed = timeout(limit, self.is_gone()).await.is_err();
+    let Some(mut child) = self.process.lock().await.take() else {
+      return Ok(());
+    };
+    if was_killed {
+      child.kill().await.map_err(Error::Wait)?;
+    }
+    was_killed |= child
+      .try_wait()
+      .map_err(Error::Wait)?
+      .is_none_or(|status| !status.success());
+    let gone_ms = self.ledger.now_ms();
+    if !was_killed {
+      let stop = PlannedStop {
+        box_index: self.index,
+        gone_ms,
+        signalled_ms: leaving.began_ms(),
+      };
+      self.ledger.records().stops.push(stop);
+    }
+    sleep(RESTART_PAUSE).await;
+    self.start_again().await
+  }
+
+  async fn is_gone(&self) {
+    loop {
+      let mut process = self.process.lock().await;
+      let Some(child) = process.as_mut() else {
+        return;
+      };
+      // A process that can't be asked is taken to be gone; waiting for it later tells the error.
+      if !matches!(child.try_wait(), Ok(None)) {
+        return;
+      }
+      drop(process);
+      sleep(Duration::from_millis(20)).await;
+    }
+  }
+
+  async fn start_again(&self) -> Result {
+    let mut process = self.process.lock().await;
+    if process.is_none() {
+      *process = Some(self.spawn()?);
+    }
+    Ok(())
+  }
+
+  /// Lets the process stand still for a while.
+  pub(crate) async fn pause(&self, for_ms: u64) {
+    let _disturbed = self.ledger.disturb(Target::Box(self.index));
+    if self.signal(libc::SIGSTOP).await.is_none() {
+      return;
+    }
+    sleep(Duration::from_millis(for_ms)).await;
+    // A process that was killed meanwhile needs no waking.
+    let _ = self.signal(libc::SIGCONT).await;
+  }
+
+  /// Tells the process that its settings have changed. That disturbs nothing.
+  pub(crate) async fn reload(&self) {
+    // A process that is down reads its settings when it starts.
+    let _ = self.signal(libc::SIGHUP).await;
+  }
+}
+
+async fn open_link(target: SocketAddr) -> Result<Link> {
+  Link::open(target).await.map_err(Error::Listen)
+}
+
+/// Addresses of a loopback IP that no other box has: a port that was found free on 127.0.0.1 may be taken by an
+/// outgoing connection before the box listens there.
+fn own_addresses<const COUNT: usize>(index: usize) -> [SocketAddr; COUNT] {
+  let process = std::process::id();
+  let ip = Ipv4Addr::new(
+    127,
+    160 + (process % 64) as u8,
+    (process / 64 % 256) as u8,
+    (index % 250) as u8 + 1,
+  );
+  let mut port = 7_000 + 10 * (index / 250) as u16;
+  [(); COUNT].map(|()| {
+    port += 1;
+    SocketAddr::from((ip, port))
+  })
+}
--- /dev/null
+++ b/soak/src/caller.rs
@@ -0,0 +1,202 @@
+//! A caller: keeps its connection to a box until that breaks, asks one thing after another, and sometimes leaves.
+
+use {
+  super::{
+    fleet::Fleet,
+    ledger::{Outcome, RequestKind},
+  },
+  bytes::Bytes,
+  http::{Method, Request, Response, header::CONNECTION},
+  http_body_util::{BodyExt, Full},
+  hyper::body::Incoming,
+  rand::{RngExt, SeedableRng},
+  rand_chacha::ChaCha8Rng,
+  rillford::HttpClient,
+  std::{sync::Arc, time::Duration},
+  tokio::{
+    sync::watch,
+    time::{sleep, timeout},
+  },
+};
+
+/// The host of all routes.
+pub(crate) const HOST: &str = "lectures.example";
+/// How long a caller waits.
+const DEADLINE: Duration = Duration::from_millis(4_000);
+/// A request that has not ended this long after its deadline counts as unanswered.
+const ANSWER_MARGIN: Duration = Duration::from_millis(1_500);
+/// Share of requests whose caller leaves early.
+const LEAVE_CHANCE: f64 = 0.05;
+/// When it leaves, after sending.
+const LEAVE_AFTER_MS: (u64, u64) = (5, 400);
+/// Pause between requests.
+const PAUSE_MS: (u64, u64) = (5, 60);
+/// Pause after a refusal or a broken connection: callers come back, not at once.
+const FAILED_PAUSE: Duration = Duration::from_millis(150);
+
+/// The path of each kind's route.
+pub(crate) fn path(kind: RequestKind) -> &'static str {
+  match kind {
+    RequestKind::Repeatable => "/safe/",
+    RequestKind::Unrepeatable => "/unsafe/",
+    RequestKind::Stream => "/stream/",
+    RequestKind::ResumableStream => "/resumable/",
+  }
+}
+
+/// One caller.
+pub(crate) struct Caller {
+  fleet: Arc<Fleet>,
+  name: String,
+  random: ChaCha8Rng,
+  client: HttpClient,
+  box_index: usize,
+  count: u64,
+}
+
+impl Caller {
+  pub(crate) fn new(fleet: Arc<Fleet>, number: u64, seed: u64) -> Self {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    random.set_stream(number + 1);
+    Self {
+      box_index: 0,
+      client: HttpClient::default(),
+      count: 0,
+      fleet,
+      name: format!("c{number}"),
+      random,
+    }
+  }
+
+  /// Asks until told to end.
+  pub(crate) async fn run(mut self, end: watch::Receiver<bool>) {
+    self.move_on();
+    while !*end.borrow() {
+      let keeps_box = self.ask().await;
+      if !keeps_box {
+        self.move_on();
+        sleep(FAILED_PAUSE).await;
+      }
+      let pause_ms = self.random.random_range(PAUSE_MS.0..=PAUSE_MS.1);
+      sleep(Duration::from_millis(pause_ms)).await;
+    }
+  }
+
+  /// Takes a new connection to a box that is ready.
+  fn move_on(&mut self) {
+    self.client = HttpClient::default();
+    let draw = self.random.random();
+    self.box_index = self.fleet.ready_box(draw);
+  }
+
+  fn kind(&mut self) -> RequestKind {
+    match self.random.random_range(0..4) {
+      0 => RequestKind::Repeatable,
+      1 => RequestKind::Unrepeatable,
+      2 => RequestKind::Stream,
+      _ => RequestKind::ResumableStream,
+    }
+  }
+
+  /// Sends one request and notes how it ended; whether the connection is kept.
+  async fn ask(&mut self) -> bool {
+    let kind = self.kind();
+    self.count += 1;
+    let id = format!("{}-{}", self.name, self.count);
+    let leaves_after_ms = self.random.random_bool(LEAVE_CHANCE).then(|| {
+      self
+        .random
+        .random_range(LEAVE_AFTER_MS.0..=LEAVE_AFTER_MS.1)
+    });
+    let ledger = &self.fleet.ledger;
+    let request = self.request(kind, &id);
+    ledger.sent(&id, kind, self.box_index);
+    let limit = leaves_after_ms.map_or(DEADLINE + ANSWER_MARGIN, Duration::from_millis);
+    let asked = timeout(limit, self.answer(request)).await;
+    let (outcome, keeps_box) = match asked {
+      Ok((outcome, keeps_box)) => (outcome, keeps_box),
+      Err(_) if leaves_after_ms.is_some() => (Outcome::Left, false),
+      Err(_) => (Outcome::Unanswered, false),
+    };
+    ledger.ended(&id, outcome);
+    keeps_box
+  }
+
+  fn request(&self, kind: RequestKind, id: &str) -> Request<Full<Bytes>> {
+    let address = self.fleet.boxes[self.box_index].callers.address;
+    let is_get = kind == RequestKind::Repeatable;
+    let mut request = Request::new(Full::new(Bytes::from_static(if is_get {
+      b""
+    } else {
+      b"prompt"
+    })));
+    *request.method_mut() = if is_get { Method::GET } else { Method::POST };
+    let uri = format!("http://{address}{}{id}", path(kind));
+    *request.uri_mut() = uri.parse().unwrap_or_default();
+    let deadline = DEADLINE.as_millis().to_string();
+    for (name, value) in [
+      ("host", HOST),
+      ("x-request-id", id),
+      ("x-deadline-ms", &deadline),
+      ("x-token-counts", "100,50"),
+    ] {
+      if let Ok(value) = value.parse() {
+        request.headers_mut().insert(name, value);
+      }
+    }
+    request
+  }
+
+  async fn answer(&self, request: Request<Full<Bytes>>) -> (Outcome, bool) {
+    match self.client.send(request).await {
+      Ok(response) => read(response).await,
+      Err(_) => (
+        Outcome::Broken {
+          body: String::new(),
+          status: None,
+        },
+        false,
+      ),
+    }
+  }
+}
+
+/// Reads an answer to its end, or to where it breaks.
+async fn read(response: Response<Incoming>) -> (Outcome, bool) {
+  let (head, mut body) = response.into_parts();
+  let status = head.status.as_u16();
+  let closes = head
+    .headers
+    .get(CONNECTION)
+    .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
+  let receipt = head
+    .headers
+    .get("x-response-seal")
+    .and_then(|value| value.to_str().ok())
+    .map(String::from);
+  let mut bytes = Vec::new();
+  let mut is_whole = true;
+  while let Some(frame) = body.frame().await {
+    match frame {
+      Ok(frame) => bytes.extend(frame.into_data().unwrap_or_default()),
+      Err(_) => {
+        is_whole = false;
+        break;
+      }
+    }
+  }
+  let body = String::from_utf8_lossy(&bytes).into_owned();
+  let outcome = if is_whole {
+    Outcome::Whole {
+      body,
+      receipt,
+      status,
+    }
+  } else {
+    Outcome::Broken {
+      body,
+      status: Some(status),
+    }
+  };
+  (outcome, is_whole && !closes && status < 500)
+}
--- /dev/null
+++ b/soak/src/conductor.rs
@@ -0,0 +1,185 @@
+//! Carries out the faults of a plan. Each runs by itself, so that they overlap.
+
+use {
+  super::{
+    error::Result,
+    fault::{Fault, LinkFault, StoreFault},
+    fleet::Fleet,
+    ledger::Target,
+    link::Link,
+  },
+  std::time::Duration,
+  tokio::time::sleep,
+};
+
+/// An endpoint that leaves serves on for so long (the users' bound on draining, and a little longer).
+const LEAVES_AFTER: Duration = Duration::from_millis(2_800);
+/// Endpoints whose entries lapsed are back this soon after the store's return (the users' two seconds).
+const ENTRIES_BACK: Duration = Duration::from_millis(1_200);
+/// The entry of an endpoint that crashed stands for so long, although its address has another owner.
+const STALE_ENTRY: Duration = Duration::from_millis(1_500);
+
+/// Carries out one fault to its end.
+pub(crate) async fn carry_out(fleet: &Fleet, fault: Fault) -> Result {
+  match fault {
+    Fault::BoxKilled { index, down_ms } => fleet.boxes[index].kill(down_ms).await,
+    Fault::BoxStopped { index } => fleet.boxes[index].stop().await,
+    Fault::BoxPaused { index, for_ms } => {
+      fleet.boxes[index].pause(for_ms).await;
+      Ok(())
+    }
+    Fault::BoxReloaded { index } => {
+      fleet.boxes[index].reload().await;
+      Ok(())
+    }
+    Fault::CallerLink {
+      index,
+      fault,
+      for_ms,
+    } => {
+      let link = &fleet.boxes[index].callers;
+      disturb_link(fleet, link, Target::Box(index), fault, for_ms).await;
+      Ok(())
+    }
+    Fault::StoreLink {
+      index,
+      fault,
+      for_ms,
+    } => {
+      let link = &fleet.boxes[index].store_link;
+      disturb_link(fleet, link, Target::StoreLink(index), fault, for_ms).await;
+      Ok(())
+    }
+    Fault::EndpointLink {
+      place,
+      fault,
+      for_ms,
+    } => {
+      let link = &fleet.places[place].link;
+      disturb_link(fleet, link, Target::Place(place), fault, for_ms).await;
+      Ok(())
+    }
+    Fault::Store { fault, for_ms } => {
+      disturb_store(fleet, fault, Duration::from_millis(for_ms)).await;
+      Ok(())
+    }
+    Fault::EndpointCrashed { place, down_ms } => crash(fleet, place, down_ms).await,
+    Fault::EndpointLeaves { place } => leave(fleet, place).await,
+    Fault::Endpoint {
+      place,
+      fault,
+      for_ms,
+    } => {
+      let _disturbed = fleet.ledger.disturb(Target::Place(place));
+      fleet.with_endpoint(place, |endpoint| endpoint.set_fault(Some(fault)));
+      sleep(Duration::from_millis(for_ms)).await;
+      fleet.with_endpoint(place, |endpoint| endpoint.set_fault(None));
+      Ok(())
+    }
+    Fault::AddressesExchanged { place, other } => exchange(fleet, place, other).await,
+    Fault::Configured => {
+      fleet.configure();
+      Ok(())
+    }
+  }
+}
+
+async fn disturb_link(fleet: &Fleet, link: &Link, target: Target, fault: LinkFault, for_ms: u64) {
+  let _disturbed = fleet.ledger.disturb(target);
+  link.begin(fault);
+  sleep(Duration::from_millis(for_ms)).await;
+  link.mend();
+}
+
+async fn disturb_store(fleet: &Fleet, fault: StoreFault, lasts: Duration) {
+  let store = &fleet.store;
+  let _disturbed = fleet.ledger.disturb(Target::Store);
+  match fault {
+    StoreFault::Down => {
+      store.set_down(true);
+      sleep(lasts).await;
+      store.set_down(false);
+    }
+    StoreFault::Slow { delay_ms } => {
+      store.set_delay(Duration::from_millis(delay_ms));
+      sleep(lasts).await;
+      store.set_delay(Duration::ZERO);
+    }
+    StoreFault::LosesAnswers => {
+      store.set_loses_answers(true);
+      sleep(lasts).await;
+      store.set_loses_answers(false);
+    }
+    StoreFault::ForgetsHistory => store.forget_history(),
+    StoreFault::LosesEntries => {
+      store.set_down(true);
+      sleep(lasts).await;
+      fleet.remove_entries();
+      store.set_down(false);
+      sleep(ENTRIES_BACK).await;
+      for place in 0..fleet.places.len() {
+        fleet.enter(place);
+      }
+    }
+    StoreFault::EndsLeases => store.end_leases(),
+  }
+}
+
+/// The endpoint says nothing; its entry stays until it is back as another incarnation.
+async fn crash(fleet: &Fleet, place: usize, down_ms: u64) -> Result {
+  let _disturbed = fleet.ledger.disturb(Target::Place(place));
+  let Some(ended) = fleet.end(place) else {
+    return Ok(());
+  };
+  sleep(Duration::from_millis(down_ms)).await;
+  fleet.remove_entry(&ended);
+  fleet.serve_again(place, ended.part).await
+}
+
+/// The endpoint says that it leaves, serves on for a while, and ends.
+async fn leave(fleet: &Fleet, place: usize) -> Result {
+  let Some(incarnation) = fleet.say_leaving(place) else {
+    return Ok(());
+  };
+  sleep(LEAVES_AFTER).await;
+  let mut is_same = false;
+  fleet.with_endpoint(place, |endpoint| {
+    is_same = endpoint.incarnation == incarnation
+  });
+  if !is_same {
+    return Ok(());
+  }
+  let _disturbed = fleet.ledger.disturb(Target::Place(place));
+  let Some(ended) = fleet.end(place) else {
+    return Ok(());
+  };
+  fleet.remove_entry(&ended);
+  fleet.serve_again(place, ended.part).await
+}
+
+/// Both endpoints crash, and each comes back at the other's address: at once, while the old entries still stand.
+async fn exchange(fleet: &Fleet, place: usize, other: usize) -> Result {
+  if place == other {
+    return Ok(());
+  }
+  let _disturbed = [place, other].map(|place| fleet.ledger.disturb(Target::Place(place)));
+  let (ended, other_ended) = (fleet.end(place), fleet.end(other));
+  let (part, other_part) = match (&ended, &other_ended) {
+    (Some(ended), Some(other_ended)) => (Some(other_ended.part), Some(ended.part)),
+    // One is down already: the other only comes back.
+    _ => (
+      ended.as_ref().map(|ended| ended.part),
+      other_ended.as_ref().map(|ended| ended.part),
+    ),
+  };
+  for (place, part) in [(place, part), (other, other_part)] {
+    if let Some(part) = part {
+      fleet.serve_again(place, part).await?;
+    }
+  }
+  sleep(STALE_ENTRY).await;
+  for ended in [ended, other_ended].iter().flatten() {
+    fleet.remove_entry(ended);
+  }
+  Ok(())
+}
--- /dev/null
+++ b/soak/src/fault.rs
@@ -0,0 +1,149 @@
+//! What a run makes misbehave, from outside the boxes.
+
+/// What is wrong with a link.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LinkFault {
+  /// Bytes come later.
+  Delayed {
+    /// By how much, each way.
+    delay_ms: u64,
+  },
+  /// Nothing passes, and nothing is said.
+  Silent,
+  /// Nothing passes towards the target.
+  SilentForward,
+  /// Nothing passes back from the target.
+  SilentBack,
+  /// All connections are reset at once; new ones pass.
+  Reset,
+}
+
+/// What is wrong with the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StoreFault {
+  /// It answers 503.
+  Down,
+  /// It answers later.
+  Slow {
+    /// By how much.
+    delay_ms: u64,
+  },
+  /// It carries out writes and does not answer them.
+  LosesAnswers,
+  /// It forgets its history once.
+  ForgetsHistory,
+  /// It is down, and on its return the endpoints' entries are missing for a while.
+  LosesEntries,
+  /// The leases that boxes hold are over at once.
+  EndsLeases,
+}
+
+/// How an endpoint misbehaves while it is up.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EndpointFault {
+  /// It runs requests and answers 500.
+  Fails,
+  /// It runs requests and closes the connection instead of answering.
+  LosesAnswers,
+  /// It breaks answers off within.
+  CutsAnswers,
+  /// It runs requests and never answers.
+  Mute,
+  /// It says that it is full.
+  Full,
+  /// It answers with another request's id.
+  Confuses,
+}
+
+/// One fault.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fault {
+  /// A box's process is killed and started again.
+  BoxKilled {
+    /// The box.
+    index: usize,
+    /// How long it is down.
+    down_ms: u64,
+  },
+  /// A box is told to stop, and started again once it is gone.
+  BoxStopped {
+    /// The box.
+    index: usize,
+  },
+  /// A box's process stands still.
+  BoxPaused {
+    /// The box.
+    index: usize,
+    /// For how long.
+    for_ms: u64,
+  },
+  /// A box is told that its settings have changed.
+  BoxReloaded {
+    /// The box.
+    index: usize,
+  },
+  /// The link between callers and a box.
+  CallerLink {
+    /// The box.
+    index: usize,
+    /// What is wrong.
+    fault: LinkFault,
+    /// For how long.
+    for_ms: u64,
+  },
+  /// The link between a box and the store.
+  StoreLink {
+    /// The box.
+    index: usize,
+    /// What is wrong.
+    fault: LinkFault,
+    /// For how long.
+    for_ms: u64,
+  },
+  /// The link between the boxes and an endpoint.
+  EndpointLink {
+    /// The endpoint's place.
+    place: usize,
+    /// What is wrong.
+    fault: LinkFault,
+    /// For how long.
+    for_ms: u64,
+  },
+  /// The store.
+  Store {
+    /// What is wrong.
+    fault: StoreFault,
+    /// For how long.
+    for_ms: u64,
+  },
+  /// An endpoint crashes, and a new incarnation comes at its address.
+  EndpointCrashed {
+    /// The endpoint's place.
+    place: usize,
+    /// How long it is down.
+    down_ms: u64,
+  },
+  /// An endpoint leaves as planned, and a new incarnation comes at its address.
+  EndpointLeaves {
+    /// The endpoint's place.
+    place: usize,
+  },
+  /// An endpoint misbehaves.
+  Endpoint {
+    /// The endpoint's place.
+    place: usize,
+    /// What is wrong.
+    fault: EndpointFault,
+    /// For how long.
+    for_ms: u64,
+  },
+  /// Two endpoints crash, and each comes back at the other's address.
+  AddressesExchanged {
+    /// The one's place.
+    place: usize,
+    /// The other's.
+    other: usize,
+  },
+  /// The operator changes the configuration.
+  Configured,
+}
--- /dev/null
+++ b/soak/src/fleet.rs
@@ -0,0 +1,355 @@
+//! All that a run has: the store, the endpoints at their places, the boxes, and the balancer's view of them.
+
+use {
+  super::{
+    box_process::{BoxPlan, BoxProcess},
+    caller::{HOST, path},
+    endpoint::{EXPORT_TTL, Endpoint, Exports, Identity, Part, SEATS, Serving},
+    error::{Error, Result},
+    ledger::{Ledger, Probe, RequestKind},
+    link::Link,
+    platform_store::PlatformStore,
+    promises::MOST_ATTEMPTS,
+  },
+  bytes::Bytes,
+  http::{Request, StatusCode},
+  http_body_util::Full,
+  rillford::HttpClient,
+  serde_json::{Value, json},
+  std::{
+    path::Path,
+    sync::{
+      Mutex, MutexGuard, PoisonError,
+      atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+  },
+  tokio::{
+    net::TcpListener,
+    sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
+    time::timeout,
+  },
+};
+
+/// How many versions' routes a configuration has: a box is asked for the newest of them.
+const KEPT_VERSIONS: u64 = 12;
+/// How long a box has to say whether it is ready, or has a version.
+const ASK_LIMIT: Duration = Duration::from_millis(800);
+
+/// One endpoint's place: an address behind a link, where one incarnation serves after the other.
+pub(crate) struct Place {
+  pub(crate) link: Link,
+  /// Nothing while the endpoint is down.
+  serving: Mutex<Option<Serving>>,
+}
+
+impl Place {
+  fn serving(&self) -> MutexGuard<'_, Option<Serving>> {
+    self.serving.lock().unwrap_or_else(PoisonError::into_inner)
+  }
+}
+
+/// An incarnation that is no more.
+pub(crate) struct Ended {
+  pub(crate) incarnation: String,
+  pub(crate) part: Part,
+}
+
+/// A running deployment.
+pub(crate) struct Fleet {
+  pub(crate) ledger: Ledger,
+  pub(crate) store: PlatformStore,
+  pub(crate) boxes: Vec<BoxProcess>,
+  pub(crate) places: Vec<Place>,
+  ready: Mutex<Vec<usize>>,
+  exports: Exports,
+  incarnations: AtomicU64,
+  versions: AtomicU64,
+  changed_part: UnboundedSender<(usize, Part)>,
+}
+
+/// Tells which engine changed its role: its entry has to follow.
+pub(crate) type PartChanges = UnboundedReceiver<(usize, Part)>;
+
+impl Fleet {
+  /// Starts everything. A quarter of the places, two at the least, are plain services; of the rest a quarter
+  /// reads prompts.
+  pub(crate) async fn start(
+    program: &Path,
+    directory: &Path,
+    boxes: usize,
+    places: usize,
+  ) -> Result<(Self, PartChanges)> {
+    let ledger = Ledger::default();
+    let store = PlatformStore::start().await.map_err(Error::Listen)?;
+    let (changed_part, part_changes) = unbounded_channel();
+    let mut fleet = Self {
+      boxes: Vec::new(),
+      changed_part,
+      exports: Exports::default(),
+      incarnations: AtomicU64::new(0),
+      ledger,
+      places: Vec::new(),
+      ready: Mutex::default(),
+      store,
+      versions: AtomicU64::new(0),
+    };
+    let plain = (places / 4).max(2);
+    let prefill = ((places - plain) / 4).max(1);
+    for number in 0..places {
+      let part = match number {
+        number if number < plain => Part::Plain,
+        number if number < plain + prefill => Part::Prefill,
+        _ => Part::Decode,
+      };
+      fleet.add_place(part).await?;
+    }
+    fleet.configure();
+    let plan = BoxPlan {
+      directory,
+      ledger: &fleet.ledger,
+      program,
+      store: &fleet.store,
+    };
+    let mut started = Vec::new();
+    for index in 0..boxes {
+      started.push(BoxProcess::start(&plan, index).await?);
+    }
+    fleet.boxes = started;
+    Ok((fleet, part_changes))
+  }
+
+  async fn add_place(&mut self, part: Part) -> Result {
+    let listener = listen().await?;
+    let target = listener.local_addr().map_err(Error::Listen)?;
+    let link = Link::open(target).await.map_err(Error::Listen)?;
+    let place = Place {
+      link,
+      serving: Mutex::new(None),
+    };
+    self.places.push(place);
+    self.serve(self.places.len() - 1, part, listener);
+    Ok(())
+  }
+
+  /// Starts a new incarnation at a place and enters it in the store.
+  fn serve(&self, place: usize, part: Part, listener: TcpListener) {
+    let number = self.incarnations.fetch_add(1, Ordering::Relaxed);
+    let identity = Identity {
+      incarnation: format!("i-{number}"),
+      part,
+      place,
+      shown: self.places[place].link.address,
+    };
+    let endpoint = Endpoint::new(
+      identity,
+      &self.ledger,
+      &self.exports,
+      self.changed_part.clone(),
+    );
+    *self.places[place].serving() = Some(Serving::start(endpoint, listener));
+    self.enter(place);
+  }
+
+  /// Starts a new incarnation at a place that is down.
+  pub(crate) async fn serve_again(&self, place: usize, part: Part) -> Result {
+    let listener = listen().await?;
+    let target = listener.local_addr().map_err(Error::Listen)?;
+    self.places[place].link.set_target(target);
+    self.serve(place, part, listener);
+    Ok(())
+  }
+
+  /// Writes the entry of a place's endpoint, if it is up.
+  pub(crate) fn enter(&self, place: usize) {
+    self.write_entry(place, "ready");
+  }
+
+  /// Writes that a place's endpoint leaves; its incarnation.
+  pub(crate) fn say_leaving(&self, place: usize) -> Option<String> {
+    let incarnation = self.write_entry(place, "draining")?;
+    let now_ms = self.ledger.now_ms();
+    self
+      .ledger
+      .records()
+      .leaving
+      .insert(incarnation.clone(), now_ms);
+    Some(incarnation)
+  }
+
+  fn write_entry(&self, place: usize, state: &str) -> Option<String> {
+    let serving = self.places[place].serving();
+    let endpoint = &serving.as_ref()?.endpoint;
+    let incarnation = endpoint.incarnation.clone();
+    if self.ledger.records().leaving.contains_key(&incarnation) {
+      return None;
+    }
+    let part = endpoint.part();
+    let mut entry = json!({
+      "service": part.service(), "address": self.places[place].link.address, "zone": "north", "version": "v1",
+      "slots": SEATS, "state": state, "coldRemainingMs": 0, "callSeq": 1,
+    });
+    if let Some(stage) = part.stage() {
+      entry["stage"] = json!(stage);
+    }
+    let key = format!("servers/{incarnation}");
+    self.store.put(&key, entry.to_string().as_bytes());
+    Some(incarnation)
+  }
+
+  /// Removes the entries of all endpoints, as when they lapsed while the store was away.
+  pub(crate) fn remove_entries(&self) {
+    for key in self.store.keys() {
+      if key.starts_with("servers/") {
+        self.store.remove(&key);
+      }
+    }
+  }
+
+  /// Ends the endpoint of a place with its connections. Its entry stays.
+  pub(crate) fn end(&self, place: usize) -> Option<Ended> {
+    let serving = self.places[place].serving().take()?;
+    Some(Ended {
+      incarnation: serving.endpoint.incarnation.clone(),
+      part: serving.endpoint.part(),
+    })
+  }
+
+  /// Removes the entry of an endpoint that has ended.
+  pub(crate) fn remove_entry(&self, ended: &Ended) {
+    self.store.remove(&format!("servers/{}", ended.incarnation));
+  }
+
+  /// Does something to the endpoint of a place, if it is up.
+  pub(crate) fn with_endpoint(&self, place: usize, act: impl FnOnce(&Endpoint)) {
+    if let Some(serving) = self.places[place].serving().as_ref() {
+      act(&serving.endpoint);
+    }
+  }
+
+  /// Writes a new configuration: each version has a route of its own by which it is known.
+  pub(crate) fn configure(&self) {
+    let version = self.versions.fetch_add(1, Ordering::Relaxed) + 1;
+    let oldest = version.saturating_sub(KEPT_VERSIONS - 1).max(1);
+    let mut routes = vec![
+      route(path(RequestKind::Repeatable), "safe", "portal", 2),
+      route(path(RequestKind::Unrepeatable), "unsafe", "portal", 1),
+      route(path(RequestKind::Stream), "stream", "llm", 1),
+      route(
+        path(RequestKind::ResumableStream),
+        "stream",
+        "llm",
+        MOST_ATTEMPTS,
+      ),
+    ];
+    routes.extend((oldest..=version).map(|kept| route(&version_path(kept), "safe", "portal", 2)));
+    let document = json!({
+      "version": version,
+      "routes": routes,
+      "services": [
+        {"name": "portal", "healthPath": "/health", "maxConnections": 400},
+        {"name": "llm", "healthPath": "/health", "maxConnections": 400, "engine": {
+          "slots": SEATS, "kvTokens": 60_000, "handleTtlS": EXPORT_TTL.as_secs_f64(), "holdMs": 2_000.0}},
+      ],
+      "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 65_536, "headerTimeoutMs": 3_000,
+        "idleTimeoutMs": 15_000},
+    });
+    self.store.put("op/config", document.to_string().as_bytes());
+    let now_ms = self.ledger.now_ms();
+    self.ledger.records().versions.insert(version, now_ms);
+  }
+
+  /// Asks a box whether it has the newest version, past all links.
+  pub(crate) async fn probe(&self, index: usize) {
+    let asked = &self.boxes[index];
+    let version = self.versions.load(Ordering::Relaxed);
+    let (life, sent_ms) = (asked.life(), self.ledger.now_ms());
+    let id = format!("probe-{index}-{sent_ms}");
+    self.ledger.records().probe_ids.insert(id.clone());
+    let request = Request::get(format!(
+      "http://{}{}probe",
+      asked.direct,
+      version_path(version)
+    ))
+    .header("host", HOST)
+    .header("x-request-id", id)
+    .header("x-deadline-ms", ASK_LIMIT.as_millis().to_string());
+    let status = ask(request).await;
+    let in_force = match status {
+      Some(StatusCode::NOT_FOUND) => Some(false),
+      Some(status) if status.is_success() => Some(true),
+      _ => None,
+    };
+    if life == asked.life() {
+      self.ledger.records().probes.push(Probe {
+        box_index: index,
+        in_force,
+        life,
+        sent_ms,
+        version,
+      });
+    }
+  }
+
+  /// Asks all boxes whether they are ready, as the balancer does; how many are not.
+  pub(crate) async fn look(&self) -> usize {
+    let asks = self.boxes.iter().map(|asked| async move {
+      let status = ask(Request::get(format!("http://{}/ready", asked.ready))).await;
+      (asked.index, status == Some(StatusCode::OK))
+    });
+    let answers = futures_util::future::join_all(asks).await;
+    let ready: Vec<usize> = answers
+      .iter()
+      .filter(|(_, is_ready)| *is_ready)
+      .map(|(index, _)| *index)
+      .collect();
+    let missing = self.boxes.len() - ready.len();
+    *self.ready.lock().unwrap_or_else(PoisonError::into_inner) = ready;
+    missing
+  }
+
+  /// A box that new connections go to; any when none is ready.
+  pub(crate) fn ready_box(&self, draw: f64) -> usize {
+    let ready = self.ready.lock().unwrap_or_else(PoisonError::into_inner);
+    let pick = |count: usize| ((draw * count as f64) as usize).min(count.saturating_sub(1));
+    ready
+      .get(pick(ready.len()))
+      .copied()
+      .unwrap_or_else(|| pick(self.boxes.len()))
+  }
+
+  /// What engines hold for requests.
+  pub(crate) fn held(&self) -> Vec<String> {
+    let mut held = self.exports.kept();
+    for place in 0..self.places.len() {
+      self.with_endpoint(place, |endpoint| held.extend(endpoint.held()));
+    }
+    held
+  }
+}
+
+async fn listen() -> Result<TcpListener> {
+  TcpListener::bind("127.0.0.1:0")
+    .await
+    .map_err(Error::Listen)
+}
+
+fn route(path: &str, kind: &str, service: &str, attempts: usize) -> Value {
+  json!({
+    "name": path, "host": HOST, "pathPrefix": path, "kind": kind, "timeoutMs": 4_000, "targetLatencyMs": 900,
+    "priority": 1, "service": service, "maxAttempts": attempts,
+    "resumable": path == self::path(RequestKind::ResumableStream),
+  })
+}
+
+fn version_path(version: u64) -> String {
+  format!("/v{version}/")
+}
+
+/// Sends a question on a connection of its own; nothing when no answer comes in time.
+async fn ask(request: http::request::Builder) -> Option<StatusCode> {
+  let request = request.body(Full::<Bytes>::default()).ok()?;
+  let client = HttpClient::default();
+  let response = timeout(ASK_LIMIT, client.send(request)).await.ok()?.ok()?;
+  Some(response.status())
+}
--- /dev/null
+++ b/soak/src/lib.rs
@@ -0,0 +1,32 @@
+//! A randomized soak: real gateway processes, stand-ins that speak the platform's published protocol, faults
+//! from outside, and the users' promises checked against what callers and endpoints saw. Never shipped.
+
+mod box_process;
+mod caller;
+mod conductor;
+mod content;
+mod endpoint;
+mod error;
+mod fault;
+mod fleet;
+mod ledger;
+mod link;
+mod plan;
+mod platform_store;
+mod play;
+mod promises;
+mod subcommand;
+
+pub use self::{
+  error::{Error, Result},
+  fault::{EndpointFault, Fault, LinkFault, StoreFault},
+  ledger::{
+    Disturbance, Ledger, OrderRecord, Outcome, PlannedStop, Probe, Records, RequestKind,
+    RequestRecord, Run, Target,
+  },
+  plan::{Size, Step, draw_plan},
+  platform_store::PlatformStore,
+  play::{Options, Report, play},
+  promises::{Breach, Promise, breaches},
+  subcommand::run,
+};
--- /dev/null
+++ b/soak/src/link.rs
@@ -0,0 +1,193 @@
+//! A loopback TCP proxy before one listener: the place where connections are delayed, cut one way, silenced or
+//! reset.
+
+use {
+  super::fault::LinkFault,
+  socket2::SockRef,
+  std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+  },
+  tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+      TcpListener, TcpStream,
+      tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    sync::watch,
+    time::sleep,
+  },
+};
+
+/// Bytes that are moved at once.
+const CHUNK_BYTES: usize = 16 * 1024;
+
+/// What a link does with bytes now.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+struct Condition {
+  fault: Option<LinkFault>,
+  /// Connections made before it rose are reset.
+  resets: u64,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Direction {
+  Forward,
+  Back,
+}
+
+impl Condition {
+  fn blocks(self, direction: Direction) -> bool {
+    match self.fault {
+      Some(LinkFault::Silent) => true,
+      Some(LinkFault::SilentForward) => direction == Direction::Forward,
+      Some(LinkFault::SilentBack) => direction == Direction::Back,
+      Some(LinkFault::Delayed { .. } | LinkFault::Reset) | None => false,
+    }
+  }
+
+  fn delay(self) -> Duration {
+    match self.fault {
+      Some(LinkFault::Delayed { delay_ms }) => Duration::from_millis(delay_ms),
+      _ => Duration::ZERO,
+    }
+  }
+}
+
+/// A proxied way to one target.
+#[derive(Clone)]
+pub(crate) struct Link {
+  /// Where connections are taken.
+  pub(crate) address: SocketAddr,
+  target: Arc<Mutex<SocketAddr>>,
+  condition: watch::Sender<Condition>,
+}
+
+impl Link {
+  /// Opens a link on a free loopback port.
+  pub(crate) async fn open(target: SocketAddr) -> io::Result<Self> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let link = Self {
+      address: listener.local_addr()?,
+      condition: watch::Sender::default(),
+      target: Arc::new(Mutex::new(target)),
+    };
+    tokio::spawn(accept(listener, link.clone()));
+    Ok(link)
+  }
+
+  /// New connections go elsewhere.
+  pub(crate) fn set_target(&self, target: SocketAddr) {
+    *self.target.lock().unwrap_or_else(PoisonError::into_inner) = target;
+  }
+
+  fn target(&self) -> SocketAddr {
+    *self.target.lock().unwrap_or_else(PoisonError::into_inner)
+  }
+
+  /// Begins a fault; a reset strikes once.
+  pub(crate) fn begin(&self, fault: LinkFault) {
+    self.condition.send_modify(|condition| {
+      if fault == LinkFault::Reset {
+        condition.resets += 1;
+      } else {
+        condition.fault = Some(fault);
+      }
+    });
+  }
+
+  /// Ends the present fault; bytes that were held pass.
+  pub(crate) fn mend(&self) {
+    self
+      .condition
+      .send_modify(|condition| condition.fault = None);
+  }
+}
+
+async fn accept(listener: TcpListener, link: Link) {
+  while let Ok((caller, _)) = listener.accept().await {
+    tokio::spawn(carry(caller, link.clone()));
+  }
+}
+
+async fn carry(caller: TcpStream, link: Link) {
+  let mut condition = link.condition.subscribe();
+  let resets = condition.borrow().resets;
+  // A connection through a cut comes up once the cut is mended, if its caller still waits.
+  if condition
+    .wait_for(|now| !now.blocks(Direction::Forward) || now.resets != resets)
+    .await
+    .is_err()
+  {
+    return;
+  }
+  let Ok(target) = TcpStream::connect(link.target()).await else {
+    reset(&caller);
+    return;
+  };
+  let small_packets = caller.set_nodelay(true).and(target.set_nodelay(true));
+  if small_packets.is_err() {
+    return;
+  }
+  let reset_caller = SockRef::from(&caller).try_clone();
+  let reset_target = SockRef::from(&target).try_clone();
+  let (caller_read, caller_write) = caller.into_split();
+  let (target_read, target_write) = target.into_split();
+  let forward = pump(
+    caller_read,
+    target_write,
+    link.condition.subscribe(),
+    Direction::Forward,
+  );
+  let back = pump(
+    target_read,
+    caller_write,
+    link.condition.subscribe(),
+    Direction::Back,
+  );
+  tokio::select! {
+    _ = async { tokio::join!(forward, back) } => {}
+    _ = condition.wait_for(|now| now.resets != resets) => {
+      for socket in [reset_caller, reset_target].into_iter().flatten() {
+        // A socket that has closed by itself needs no reset.
+        let _ = socket.set_linger(Some(Duration::ZERO));
+      }
+    }
+  }
+}
+
+fn reset(stream: &TcpStream) {
+  // A socket that has closed by itself needs no reset.
+  let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+}
+
+/// Moves bytes one way until the end or an error, as far as the link's condition allows.
+async fn pump(
+  mut from: OwnedReadHalf,
+  mut to: OwnedWriteHalf,
+  mut condition: watch::Receiver<Condition>,
+  direction: Direction,
+) {
+  let mut buffer = vec![0; CHUNK_BYTES];
+  loop {
+    let count = from.read(&mut buffer).await.unwrap_or(0);
+    let Ok(now) = condition
+      .wait_for(|now| !now.blocks(direction))
+      .await
+      .map(|now| *now)
+    else {
+      return;
+    };
+    sleep(now.delay()).await;
+    if count == 0 {
+      // The other side may have closed already.
+      let _ = to.shutdown().await;
+      return;
+    }
+    if to.write_all(&buffer[..count]).await.is_err() {
+      return;
+    }
+  }
+}
--- /dev/null
+++ b/soak/src/main.rs
@@ -0,0 +1,5 @@
+//! The soak's program.
+
+fn main() -> std::process::ExitCode {
+  soak::run()
+}
--- /dev/null
+++ b/soak/src/plan.rs
@@ -0,0 +1,198 @@
+//! The faults of one run, drawn from a seed: the same seed draws the same faults at the same times.
+
+use {
+  super::fault::{EndpointFault, Fault, LinkFault, StoreFault},
+  rand::{RngExt, SeedableRng},
+  rand_chacha::ChaCha8Rng,
+};
+
+/// Mean pause between faults.
+const MEAN_PAUSE_MS: f64 = 900.0;
+/// How long a fault that ends by itself lasts.
+const LASTS_MS: (u64, u64) = (200, 4_000);
+/// Added latency of a delayed link, and of a slow store.
+const DELAY_MS: (u64, u64) = (20, 800);
+/// Chance that a fault is soon followed by another on the same box: signals come in series and overlap.
+const SERIES_CHANCE: f64 = 0.3;
+/// Pause within a series.
+const SERIES_PAUSE_MS: (u64, u64) = (20, 700);
+
+/// How large a run is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Size {
+  /// Boxes.
+  pub boxes: usize,
+  /// Places of endpoints.
+  pub places: usize,
+  /// How long faults come.
+  pub faults_ms: u64,
+}
+
+/// A fault at its time.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Step {
+  /// When, since the traffic began.
+  pub at_ms: u64,
+  /// What.
+  pub fault: Fault,
+}
+
+/// Draws the faults of a run, in the order of their times.
+///
+/// ```
+/// use soak::{Size, draw_plan};
+/// let size = Size { boxes: 3, places: 6, faults_ms: 20_000 };
+/// assert_eq!(draw_plan(7, size), draw_plan(7, size));
+/// assert_ne!(draw_plan(7, size), draw_plan(8, size));
+/// ```
+pub fn draw_plan(seed: u64, size: Size) -> Vec<Step> {
+  let mut draw = Draw {
+    random: ChaCha8Rng::seed_from_u64(seed),
+    size,
+  };
+  let mut steps = Vec::new();
+  let mut at_ms = draw.pause_ms();
+  while at_ms < size.faults_ms {
+    let fault = draw.fault();
+    steps.push(Step { at_ms, fault });
+    if let Some(index) = box_of(fault)
+      && draw.random.random_bool(SERIES_CHANCE)
+    {
+      let later_ms = at_ms + draw.between(SERIES_PAUSE_MS);
+      steps.push(Step {
+        at_ms: later_ms,
+        fault: draw.process_fault(index),
+      });
+    }
+    at_ms += draw.pause_ms();
+  }
+  steps.sort_by_key(|step| step.at_ms);
+  steps
+}
+
+/// The box whose process a fault strikes.
+fn box_of(fault: Fault) -> Option<usize> {
+  match fault {
+    Fault::BoxKilled { index, .. }
+    | Fault::BoxStopped { index }
+    | Fault::BoxPaused { index, .. }
+    | Fault::BoxReloaded { index } => Some(index),
+    _ => None,
+  }
+}
+
+struct Draw {
+  random: ChaCha8Rng,
+  size: Size,
+}
+
+impl Draw {
+  fn between(&mut self, (least, most): (u64, u64)) -> u64 {
+    self.random.random_range(least..=most)
+  }
+
+  /// An exponential pause: faults cluster as they do by chance.
+  fn pause_ms(&mut self) -> u64 {
+    let draw: f64 = self.random.random();
+    (-MEAN_PAUSE_MS * (1.0 - draw).ln()) as u64 + 1
+  }
+
+  fn fault(&mut self) -> Fault {
+    let index = self.random.random_range(0..self.size.boxes);
+    let place = self.random.random_range(0..self.size.places);
+    let for_ms = self.between(LASTS_MS);
+    match self.random.random_range(0..12) {
+      0..3 => self.process_fault(index),
+      3 => Fault::CallerLink {
+        fault: self.link_fault(),
+        for_ms,
+        index,
+      },
+      4 => Fault::StoreLink {
+        fault: self.link_fault(),
+        for_ms,
+        index,
+      },
+      5 => Fault::EndpointLink {
+        fault: self.link_fault(),
+        for_ms,
+        place,
+      },
+      6 => Fault::Store {
+        fault: self.store_fault(),
+        for_ms,
+      },
+      7 => Fault::EndpointCrashed {
+        down_ms: for_ms,
+        place,
+      },
+      8 => Fault::EndpointLeaves { place },
+      9 => Fault::Endpoint {
+        fault: self.endpoint_fault(),
+        for_ms,
+        place,
+      },
+      10 => Fault::AddressesExchanged {
+        other: self.random.random_range(0..self.size.places),
+        place,
+      },
+      _ => Fault::Configured,
+    }
+  }
+
+  fn process_fault(&mut self, index: usize) -> Fault {
+    match self.random.random_range(0..4) {
+      0 => Fault::BoxKilled {
+        down_ms: self.between(LASTS_MS),
+        index,
+      },
+      1 => Fault::BoxStopped { index },
+      2 => Fault::BoxPaused {
+        for_ms: self.between(LASTS_MS),
+        index,
+      },
+      _ => Fault::BoxReloaded { index },
+    }
+  }
+
+  fn link_fault(&mut self) -> LinkFault {
+    let delay_ms = self.between(DELAY_MS);
+    let faults = [
+      LinkFault::Delayed { delay_ms },
+      LinkFault::Silent,
+      LinkFault::SilentForward,
+      LinkFault::SilentBack,
+      LinkFault::Reset,
+    ];
+    self.one_of(&faults)
+  }
+
+  fn store_fault(&mut self) -> StoreFault {
+    let delay_ms = self.between(DELAY_MS);
+    let faults = [
+      StoreFault::Down,
+      StoreFault::Slow { delay_ms },
+      StoreFault::LosesAnswers,
+      StoreFault::ForgetsHistory,
+      StoreFault::LosesEntries,
+      StoreFault::EndsLeases,
+    ];
+    self.one_of(&faults)
+  }
+
+  fn endpoint_fault(&mut self) -> EndpointFault {
+    let faults = [
+      EndpointFault::Fails,
+      EndpointFault::LosesAnswers,
+      EndpointFault::CutsAnswers,
+      EndpointFault::Mute,
+      EndpointFault::Full,
+      EndpointFault::Confuses,
+    ];
+    self.one_of(&faults)
+  }
+
+  fn one_of<T: Copy>(&mut self, from: &[T]) -> T {
+    from[self.random.random_range(0..from.len())]
+  }
+}
--- /dev/null
+++ b/soak/src/play.rs
@@ -0,0 +1,173 @@
+//! One run: traffic while faults come, then calm, then an end in which engines must be empty.
+
+use {
+  super::{
+    caller::Caller,
+    conductor::carry_out,
+    error::{Error, Result},
+    fleet::{Fleet, PartChanges},
+    ledger::{Outcome, Records},
+    plan::{Size, Step, draw_plan},
+    promises::{Breach, breaches},
+  },
+  std::{path::PathBuf, sync::Arc, time::Duration},
+  tokio::{
+    sync::watch,
+    task::JoinSet,
+    time::{sleep, timeout},
+  },
+};
+
+/// How long all boxes have to come up, and to come back after the last fault.
+const START_LIMIT: Duration = Duration::from_secs(30);
+/// Pause of the balancer between its questions.
+const LOOK_PAUSE: Duration = Duration::from_millis(300);
+/// Calm traffic after the last fault: the users' bound on contact, and as long again to be served in.
+const CALM: Duration = Duration::from_millis(8_000);
+/// How long callers may take to end their last requests.
+const CALLERS_LIMIT: Duration = Duration::from_secs(8);
+/// Engines are empty this long after the traffic: reservations and prompts lapse in 1.5 s.
+const EMPTY_AFTER: Duration = Duration::from_millis(2_500);
+
+/// What to play.
+#[derive(Clone, Debug)]
+pub struct Options {
+  /// The program whose boxes are run.
+  pub program: PathBuf,
+  /// Draws the faults and the callers' choices.
+  pub seed: u64,
+  /// Boxes, endpoints, and how long faults come.
+  pub size: Size,
+  /// Callers at work at once.
+  pub callers: u64,
+  /// Stretches the promises' bounds on time, for the machine.
+  pub slack_ms: u64,
+  /// Where settings and the boxes' logs go.
+  pub directory: PathBuf,
+}
+
+/// What a run came to.
+#[derive(Debug)]
+pub struct Report {
+  /// The faults that were played.
+  pub steps: Vec<Step>,
+  /// What was seen.
+  pub records: Records,
+  /// Promises that were broken.
+  pub breaches: Vec<Breach>,
+}
+
+impl Report {
+  /// How many requests ended in a way.
+  pub fn count(&self, ended: impl Fn(&Outcome) -> bool) -> usize {
+    let outcomes = self
+      .records
+      .requests
+      .values()
+      .filter_map(|request| request.outcome.as_ref());
+    outcomes.filter(|outcome| ended(outcome)).count()
+  }
+}
+
+/// Plays one run. Fails when it can't be played; broken promises stand in the report.
+pub async fn play(options: &Options) -> Result<Report> {
+  let size = options.size;
+  let (fleet, part_changes) = Fleet::start(
+    &options.program,
+    &options.directory,
+    size.boxes,
+    size.places,
+  )
+  .await?;
+  let fleet = Arc::new(fleet);
+  wait_until_ready(&fleet).await?;
+  let mut background = JoinSet::new();
+  background.spawn(keep_looking(fleet.clone()));
+  background.spawn(keep_probing(fleet.clone()));
+  background.spawn(follow_part_changes(fleet.clone(), part_changes));
+  let (end, ended) = watch::channel(false);
+  let mut callers = JoinSet::new();
+  for number in 0..options.callers {
+    callers.spawn(Caller::new(fleet.clone(), number, options.seed).run(ended.clone()));
+  }
+  let steps = draw_plan(options.seed, size);
+  play_steps(&fleet, &steps).await?;
+  wait_until_ready(&fleet).await?;
+  let calm_ms = fleet.ledger.now_ms();
+  fleet.ledger.records().calm_ms = Some(calm_ms);
+  sleep(CALM).await;
+  // All callers hold a receiver until they end.
+  let _ = end.send(true);
+  // One that is stuck shows as a request without an outcome.
+  let _ = timeout(CALLERS_LIMIT, async {
+    while callers.join_next().await.is_some() {}
+  })
+  .await;
+  sleep(EMPTY_AFTER).await;
+  let held = fleet.held();
+  fleet.ledger.records().held_at_end = held;
+  background.shutdown().await;
+  let records = fleet.ledger.records().clone();
+  Ok(Report {
+    breaches: breaches(&records, options.slack_ms),
+    records,
+    steps,
+  })
+}
+
+/// Begins each fault at its time, and waits for the last to end.
+async fn play_steps(fleet: &Arc<Fleet>, steps: &[Step]) -> Result {
+  let begun_ms = fleet.ledger.now_ms();
+  let mut running = JoinSet::new();
+  for step in steps {
+    let passed_ms = fleet.ledger.now_ms() - begun_ms;
+    sleep(Duration::from_millis(step.at_ms.saturating_sub(passed_ms))).await;
+    let (fleet, fault) = (fleet.clone(), step.fault);
+    running.spawn(async move { carry_out(&fleet, fault).await });
+  }
+  while let Some(ended) = running.join_next().await {
+    match ended {
+      Ok(result) => result?,
+      Err(error) => std::panic::resume_unwind(error.into_panic()),
+    }
+  }
+  Ok(())
+}
+
+async fn wait_until_ready(fleet: &Fleet) -> Result {
+  let mut missing = fleet.boxes.len();
+  let waiting = async {
+    loop {
+      missing = fleet.look().await;
+      if missing == 0 {
+        return;
+      }
+      sleep(LOOK_PAUSE).await;
+    }
+  };
+  let is_ready = timeout(START_LIMIT, waiting).await.is_ok();
+  is_ready.then_some(()).ok_or(Error::NotReady(missing))
+}
+
+async fn keep_looking(fleet: Arc<Fleet>) {
+  loop {
+    sleep(LOOK_PAUSE).await;
+    fleet.look().await;
+  }
+}
+
+async fn keep_probing(fleet: Arc<Fleet>) {
+  loop {
+    for index in 0..fleet.boxes.len() {
+      fleet.probe(index).await;
+    }
+    sleep(LOOK_PAUSE).await;
+  }
+}
+
+/// Writes the entries of engines that have changed their role.
+async fn follow_part_changes(fleet: Arc<Fleet>, mut changes: PartChanges) {
+  while let Some((place, _)) = changes.recv().await {
+    fleet.enter(place);
+  }
+}
--- /dev/null
+++ b/soak/src/subcommand.rs
@@ -0,0 +1,150 @@
+//! The command line: plays seeds one after another, and tells what broke.
+
+use {
+  super::{
+    ledger::Outcome,
+    plan::Size,
+    play::{Options, Report, play},
+  },
+  bpaf::Bpaf,
+  std::{
+    path::{Path, PathBuf},
+    process::ExitCode,
+  },
+};
+
+/// Plays faults against real gateway boxes and checks their promises.
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(options)]
+struct Arguments {
+  /// The program whose boxes are run
+  #[bpaf(argument("PATH"), fallback(PathBuf::from("target/release/rillford")))]
+  program: PathBuf,
+  /// The first seed
+  #[bpaf(argument("SEED"), fallback(1))]
+  seed: u64,
+  /// How many seeds are played, one after another
+  #[bpaf(argument("COUNT"), fallback(1))]
+  count: u64,
+  /// Boxes
+  #[bpaf(argument("COUNT"), fallback(4))]
+  boxes: usize,
+  /// Endpoints
+  #[bpaf(argument("COUNT"), fallback(10))]
+  endpoints: usize,
+  /// Callers
+  #[bpaf(argument("COUNT"), fallback(24))]
+  callers: u64,
+  /// How long faults come, in seconds
+  #[bpaf(argument("SECONDS"), fallback(30))]
+  faults_s: u64,
+  /// Stretches the promises' bounds on time, in milliseconds
+  #[bpaf(argument("MS"), fallback(700))]
+  slack_ms: u64,
+  /// Where each seed's settings and logs are kept
+  #[bpaf(argument("DIRECTORY"), fallback(PathBuf::from("target/soak")))]
+  keep: PathBuf,
+  /// Plays the seeds of a file instead: a number at the start of each line
+  #[bpaf(argument("FILE"), optional)]
+  seeds: Option<PathBuf>,
+}
+
+/// Runs the program.
+pub fn run() -> ExitCode {
+  let arguments = arguments().run();
+  match play_all(&arguments) {
+    Ok(0) => ExitCode::SUCCESS,
+    Ok(broken) => {
+      println!("{broken} seeds broke a promise");
+      ExitCode::FAILURE
+    }
+    Err(error) => {
+      eprintln!("soak: {error}");
+      ExitCode::FAILURE
+    }
+  }
+}
+
+fn play_all(arguments: &Arguments) -> Result<usize, String> {
+  let seeds = match &arguments.seeds {
+    Some(file) => read_seeds(file)?,
+    None => (arguments.seed..arguments.seed + arguments.count).collect(),
+  };
+  let mut broken = 0;
+  for seed in seeds {
+    let report = play_seed(arguments, seed)?;
+    broken += usize::from(!report.breaches.is_empty());
+  }
+  Ok(broken)
+}
+
+/// The seeds of a file: the first word of each line that is not empty and no comment.
+fn read_seeds(file: &Path) -> Result<Vec<u64>, String> {
+  let text =
+    std::fs::read_to_string(file).map_err(|error| format!("{}: {error}", file.display()))?;
+  let lines = text
+    .lines()
+    .filter(|line| !line.is_empty() && !line.starts_with('#'));
+  lines
+    .map(|line| {
+      let word = line.split_whitespace().next().unwrap_or_default();
+      word
+        .parse()
+        .map_err(|error| format!("{}: {word}: {error}", file.display()))
+    })
+    .collect()
+}
+
+fn play_seed(arguments: &Arguments, seed: u64) -> Result<Report, String> {
+  let directory = arguments.keep.join(seed.to_string());
+  // What an earlier run of this seed left would mix with this one's logs.
+  if directory.exists() {
+    std::fs::remove_dir_all(&directory).map_err(|error| error.to_string())?;
+  }
+  std::fs::create_dir_all(&directory).map_err(|error| error.to_string())?;
+  let options = Options {
+    callers: arguments.callers,
+    directory: directory.clone(),
+    program: arguments.program.clone(),
+    seed,
+    size: Size {
+      boxes: arguments.boxes,
+      faults_ms: arguments.faults_s * 1_000,
+      places: arguments.endpoints,
+    },
+    slack_ms: arguments.slack_ms,
+  };
+  let runtime = tokio::runtime::Runtime::new().map_err(|error| error.to_string())?;
+  let report = runtime
+    .block_on(play(&options))
+    .map_err(|error| error.to_string())?;
+  print_report(seed, &report);
+  let records = format!("{:#?}\n{:#?}\n", report.steps, report.records);
+  std::fs::write(directory.join("records.txt"), records).map_err(|error| error.to_string())?;
+  Ok(report)
+}
+
+fn print_report(seed: u64, report: &Report) {
+  let whole = |wanted: std::ops::Range<u16>| {
+    report
+      .count(|outcome| matches!(outcome, Outcome::Whole { status, .. } if wanted.contains(status)))
+  };
+  println!(
+    "seed {seed}: {} faults, {} requests: {} served, {} told not run, {} told other errors, {} broken, {} left, \
+     {} unanswered; {} orders, {} planned stops; {} breaches",
+    report.steps.len(),
+    report.records.requests.len(),
+    whole(200..300),
+    whole(503..504),
+    whole(400..503) + whole(504..600),
+    report.count(|outcome| matches!(outcome, Outcome::Broken { .. })),
+    report.count(|outcome| *outcome == Outcome::Left),
+    report.count(|outcome| *outcome == Outcome::Unanswered),
+    report.records.orders.len(),
+    report.records.stops.len(),
+    report.breaches.len()
+  );
+  for breach in &report.breaches {
+    println!("  {breach}");
+  }
+}
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -1,13 +1,14 @@
 //! One gateway box with its store and endpoints.
 
 use {
-  super::{EndpointStandIn, PlatformStore},
+  super::EndpointStandIn,
   bytes::Bytes,
   emulator::eventually,
   http::{HeaderMap, Method, Request, StatusCode},
   http_body_util::{BodyExt, Full},
   rillford::{CallError, HttpClient},
   serde_json::{Value, json},
+  soak::PlatformStore,
   std::{
     net::{Ipv4Addr, SocketAddr},
     process::{Child, Command, Stdio},
@@ -69,7 +70,7 @@
       is_metrics_taken: false,
       name: "north-1".into(),
       stop_s: 6.0,
-      store: PlatformStore::start().await,
+      store: PlatformStore::start().await.unwrap(),
     }
   }
 
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -11,11 +11,9 @@
 mod policy;
 mod relay;
 mod roles;
-mod store;
 mod streams;
 
 pub(crate) use self::{
   endpoint::{EndpointStandIn, Reply, Seen},
   harness::{GatewayBox, GatewayTest, PATIENCE},
-  store::PlatformStore,
 };
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -13,6 +13,8 @@
 
 mod path;
 mod roles;
+mod soak_play;
+mod soak_promises;
 mod specification;
 mod test;
 mod two_at_once;
--- /dev/null
+++ b/tests/soak_promises.rs
@@ -0,0 +1,280 @@
+//! The soak's checks: each finds its promise broken in planted records, and nothing in sound ones.
+
+use {
+  rstest::rstest,
+  soak::{
+    Disturbance, OrderRecord, Outcome, PlannedStop, Probe, Promise, Records, RequestKind,
+    RequestRecord, Run, Target, breaches,
+  },
+};
+
+const SLACK_MS: u64 = 500;
+
+fn run(place: usize, began_ms: u64, ended_ms: Option<u64>) -> Run {
+  Run {
+    began_ms,
+    ended_ms,
+    incarnation: format!("i-{place}"),
+    place,
+  }
+}
+
+fn whole(status: u16, receipt: Option<&str>, body: &str) -> Outcome {
+  Outcome::Whole {
+    body: body.into(),
+    receipt: receipt.map(String::from),
+    status,
+  }
+}
+
+fn served(body: &str) -> Outcome {
+  whole(200, Some("i-0"), body)
+}
+
+fn request(kind: RequestKind, outcome: Outcome, runs: Vec<Run>) -> RequestRecord {
+  RequestRecord {
+    box_index: 0,
+    ended_ms: Some(20_000),
+    kind,
+    outcome: Some(outcome),
+    runs,
+    sent_ms: 10_000,
+  }
+}
+
+/// Records of one request with the id "a".
+fn one(kind: RequestKind, outcome: Outcome, runs: Vec<Run>) -> Records {
+  let mut records = Records::default();
+  records
+    .requests
+    .insert("a".into(), request(kind, outcome, runs));
+  records
+}
+
+/// The whole answer to the request "a".
+fn plain_body() -> String {
+  "answer to a\n".repeat(8)
+}
+
+/// The events of the stream "a" from one to another.
+fn events(first: u64, last: u64) -> String {
+  (first..=last)
+    .map(|number| format!("id: {number}\ndata: a part {number}\n\n"))
+    .collect()
+}
+
+/// The stream "a" has so many events: 4, and its letter's code modulo 24.
+const EVENTS: u64 = 4 + 97 % 24;
+
+fn found(records: &Records) -> Vec<Promise> {
+  let mut found: Vec<Promise> = breaches(records, SLACK_MS)
+    .into_iter()
+    .map(|breach| breach.promise)
+    .collect();
+  found.dedup();
+  found
+}
+
+#[rstest]
+#[case::plain(RequestKind::Unrepeatable, served(&plain_body()), vec![run(0, 10_010, Some(10_020))])]
+#[case::stream(RequestKind::Stream, served(&events(1, EVENTS)), vec![run(0, 10_010, Some(10_900))])]
+#[case::repeated(
+  RequestKind::ResumableStream,
+  served(&events(1, EVENTS)),
+  vec![run(0, 10_010, Some(10_100)), run(1, 10_200, Some(10_900))]
+)]
+#[case::not_run(RequestKind::Unrepeatable, whole(503, None, ""), vec![])]
+#[case::lost(RequestKind::Unrepeatable, whole(502, None, ""), vec![run(0, 10_010, Some(10_020))])]
+#[case::cut_stream_that_shows(
+  RequestKind::Stream,
+  Outcome::Broken { body: events(1, 3), status: Some(200) },
+  vec![run(0, 10_010, Some(10_100))]
+)]
+#[case::caller_who_left(RequestKind::Stream, Outcome::Left, vec![run(0, 10_010, Some(20_900))])]
+fn sound_requests_break_nothing(
+  #[case] kind: RequestKind,
+  #[case] outcome: Outcome,
+  #[case] runs: Vec<Run>,
+) {
+  assert_eq!(found(&one(kind, outcome, runs)), []);
+}
+
+#[rstest]
+#[case::run_twice(
+  RequestKind::Unrepeatable,
+  served(&plain_body()),
+  vec![run(0, 10_010, Some(10_020)), run(1, 10_030, Some(10_040))],
+  Promise::RunsOnce
+)]
+#[case::told_not_run(RequestKind::Stream, whole(503, None, ""), vec![run(0, 10_010, None)], Promise::NotRunIsTrue)]
+#[case::foreign_receipt(
+  RequestKind::Repeatable,
+  whole(200, Some("i-9"), &plain_body()),
+  vec![run(0, 10_010, Some(10_020))],
+  Promise::OwnWholeAnswer
+)]
+#[case::no_receipt(
+  RequestKind::Repeatable,
+  whole(200, None, &plain_body()),
+  vec![run(0, 10_010, Some(10_020))],
+  Promise::OwnWholeAnswer
+)]
+#[case::missing_event(
+  RequestKind::Stream,
+  served(&[events(1, 2), events(4, EVENTS)].concat()),
+  vec![run(0, 10_010, Some(10_900))],
+  Promise::OwnWholeAnswer
+)]
+#[case::event_twice(
+  RequestKind::ResumableStream,
+  served(&[events(1, 5), events(5, EVENTS)].concat()),
+  vec![run(0, 10_010, Some(10_900))],
+  Promise::OwnWholeAnswer
+)]
+#[case::cut_that_looks_whole(
+  RequestKind::Stream,
+  served(&events(1, 3)),
+  vec![run(0, 10_010, Some(10_100))],
+  Promise::OwnWholeAnswer
+)]
+#[case::too_many_endpoints(
+  RequestKind::Repeatable,
+  served(&plain_body()),
+  (0..4).map(|place| run(place, 10_010, Some(10_020))).collect(),
+  Promise::Attempts
+)]
+#[case::never_ended(RequestKind::Repeatable, Outcome::Unanswered, vec![], Promise::Ended)]
+#[case::at_work_for_nobody(
+  RequestKind::Stream,
+  Outcome::Left,
+  vec![run(0, 10_010, Some(21_100))],
+  Promise::Freed
+)]
+fn broken_requests_are_found(
+  #[case] kind: RequestKind,
+  #[case] outcome: Outcome,
+  #[case] runs: Vec<Run>,
+  #[case] promise: Promise,
+) {
+  assert_eq!(found(&one(kind, outcome, runs)), [promise]);
+}
+
+#[rstest]
+#[case::its_box(Target::Box(0), true)]
+#[case::another_box(Target::Box(1), false)]
+#[case::its_endpoint(Target::Place(0), true)]
+#[case::another_endpoint(Target::Place(1), false)]
+fn bounds_on_time_hold_for_the_undisturbed(#[case] target: Target, #[case] excused: bool) {
+  let mut records = one(
+    RequestKind::Stream,
+    Outcome::Left,
+    vec![run(0, 10_010, Some(22_000))],
+  );
+  records.disturbances.push(Disturbance {
+    from_ms: 9_000,
+    target,
+    until_ms: Some(9_500),
+  });
+  assert_eq!(found(&records).is_empty(), excused);
+}
+
+#[rstest]
+#[case::in_time(12_400, vec![])]
+#[case::late(12_600, vec![Promise::Drained])]
+fn leaving_endpoints_get_nothing_new(#[case] began_ms: u64, #[case] promises: Vec<Promise>) {
+  let mut records = one(
+    RequestKind::Stream,
+    served(&events(1, EVENTS)),
+    vec![run(0, began_ms, Some(13_000))],
+  );
+  records.leaving.insert("i-0".into(), 10_000);
+  assert_eq!(found(&records), promises);
+}
+
+fn probe(version: u64, sent_ms: u64, in_force: Option<bool>) -> Probe {
+  Probe {
+    box_index: 0,
+    in_force,
+    life: 1,
+    sent_ms,
+    version,
+  }
+}
+
+#[rstest]
+#[case::in_force(vec![probe(5, 11_000, Some(true))], vec![])]
+#[case::not_yet(vec![probe(5, 12_400, Some(false))], vec![])]
+#[case::too_late(vec![probe(5, 12_600, Some(false))], vec![Promise::Configured])]
+#[case::no_answer(vec![probe(5, 12_600, None)], vec![])]
+#[case::gone_back(
+  vec![probe(5, 11_000, Some(true)), probe(5, 11_500, Some(false))],
+  vec![Promise::NeverBack]
+)]
+fn configurations_come_in_time_and_stay(
+  #[case] probes: Vec<Probe>,
+  #[case] promises: Vec<Promise>,
+) {
+  let mut records = Records::default();
+  records.versions.insert(5, 10_000);
+  records.probes = probes;
+  assert_eq!(found(&records), promises);
+}
+
+#[rstest]
+#[case::read_and_cut(vec![run(0, 10_010, Some(20_000))], None, vec![Promise::StopCutsNothing])]
+#[case::its_endpoint_crashed(vec![run(0, 10_010, Some(20_000))], Some(Target::Place(0)), vec![])]
+#[case::told_to_stop_again(
+  vec![run(0, 10_010, Some(20_000))],
+  Some(Target::Leaving(0)),
+  vec![Promise::StopCutsNothing]
+)]
+fn planned_stops_cut_nothing(
+  #[case] runs: Vec<Run>,
+  #[case] disturbed: Option<Target>,
+  #[case] promises: Vec<Promise>,
+) {
+  let cut = Outcome::Broken {
+    body: String::new(),
+    status: None,
+  };
+  let mut records = one(RequestKind::Stream, cut, runs);
+  records.stops.push(PlannedStop {
+    box_index: 0,
+    gone_ms: 20_000,
+    signalled_ms: 15_000,
+  });
+  records
+    .disturbances
+    .extend(disturbed.map(|target| Disturbance {
+      from_ms: 16_000,
+      target,
+      until_ms: Some(17_000),
+    }));
+  assert_eq!(found(&records), promises);
+}
+
+#[rstest]
+#[case::one_after_the_other(&[("north", 3), ("south", 5)], vec![])]
+#[case::passed(&[("south", 5), ("north", 3)], vec![Promise::OneSteward])]
+#[case::shared_fence(&[("north", 3), ("south", 3)], vec![Promise::OneSteward])]
+fn orders_of_two_boxes_never_pass(#[case] orders: &[(&str, u64)], #[case] promises: Vec<Promise>) {
+  let mut records = Records::default();
+  records
+    .orders
+    .extend(orders.iter().map(|(holder, fence)| OrderRecord {
+      fence: *fence,
+      holder: (*holder).into(),
+      incarnation: "i-0".into(),
+    }));
+  assert_eq!(found(&records), promises);
+}
+
+#[test]
+fn what_is_held_and_what_is_not_served_at_the_end_is_found() {
+  let mut records = one(RequestKind::Repeatable, whole(503, None, ""), vec![]);
+  records.calm_ms = Some(1_000);
+  records.held_at_end.push("seat h1 at i-0".into());
+  assert_eq!(found(&records), [Promise::NothingHeld, Promise::Recovered]);
+  records.unasked.push("b at i-0".into());
+  assert!(found(&records).contains(&Promise::OnlyWhatWasAsked));
+}
