Wait 900 ms for a prompt instead of 450, and log answers that are an endpoint's own failure

What had been read was thrown away, and the decode engine read it again at half the pace. Logs could not tell how a 500 of an endpoint came to its caller: E502 now names the status, and E508 the failure that is passed on.

--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -117,6 +117,11 @@
         return Some(pass_on(answer));
       }
       Ok(answer) => {
+        log::info!(
+          "E502 part failed: {} at {endpoint}: status {}",
+          self.request.id(),
+          answer.status
+        );
         self.gateway.counters.endpoint_failures.inc();
         self.perhaps_run = true;
         self.failure = Some(answer);
@@ -184,6 +189,13 @@
   /// The answer when no further endpoint may be asked.
   fn give_up(self) -> Response<AnswerBody> {
     if let Some(answer) = self.failure {
+      log::info!(
+        "E508 answered: {} with status {}, {} ms after arrival, tried {}",
+        self.request.id(),
+        answer.status,
+        self.gateway.now_ms() - self.request.arrived_ms,
+        self.tried.len()
+      );
       return pass_on(answer);
     }
     if self.perhaps_run {
--- a/src/gateway/prompt.rs
+++ b/src/gateway/prompt.rs
@@ -14,7 +14,7 @@
 };
 
 /// Time for reading a prompt: this much for queueing, and [`READ_US_PER_TOKEN`] for each token.
-const READ_FLOOR_MS: u64 = 450;
+const READ_FLOOR_MS: u64 = 900;
 /// Microseconds for each token of the prompt, and of the prompts ahead of it.
 const READ_US_PER_TOKEN: u64 = 50;
 /// Engines that may turn out not to be reachable.
