Send nothing on a connection that rests at a leaving endpoint; keep an unsent prompt; log how streams end

Only new connections asked whether the endpoint stays; a connection whose stream had ended after the notice came to rest anew, and was taken. Both ways ask now.

A request that an engine never saw takes its prompt along to the next one; before, it was freed and read again.

Ruled out: a box that had not heard of the notice (other boxes and this one refused new connections by E512 at 25.1 s).

--- a/src/gateway/event_source.rs
+++ b/src/gateway/event_source.rs
@@ -154,6 +154,13 @@
   fn finish(&mut self) -> Option<Result<Bytes, StreamBroke>> {
     self.ended = true;
     let gateway = self.stream.gateway.clone();
+    log::info!(
+      "E515 streamed: {} whole to event {:?}, {} ms after arrival, tried {}",
+      self.stream.request.id(),
+      self.stream.last_event_id,
+      gateway.now_ms() - self.stream.request.arrived_ms,
+      self.stream.tried().len()
+    );
     if let Some(mut head) = self.head.take() {
       head.booking.answered();
       gateway.rest(head.connection, &head.raw_headers);
@@ -205,7 +212,11 @@
   fn drop(&mut self) {
     if !self.ended {
       self.stream.gateway.counters.callers_gone.inc();
-      log::debug!("caller left: {}", self.stream.request.id());
+      log::info!(
+        "E516 caller left: {} after event {:?}",
+        self.stream.request.id(),
+        self.stream.last_event_id
+      );
     }
   }
 }
--- a/src/gateway/part.rs
+++ b/src/gateway/part.rs
@@ -216,6 +216,8 @@
   entry: &EndpointEntry,
   request: Request<Full<Bytes>>,
 ) -> Result<(Connection, Response<Incoming>), PartError> {
+  // Time has passed since the endpoint was chosen; a connection may rest whose request outlasted the notice.
+  check_stays(gateway, entry)?;
   if let Some(mut connection) = gateway.pool.take(&entry.id, gateway.now_ms()) {
     match connection.send(request.clone()).await {
       Ok(response) => return Ok((connection, response)),
@@ -226,13 +228,19 @@
   gateway.counters.connections.inc();
   let opened = Connection::open(entry.id.clone(), entry.address).await;
   let mut connection = opened?;
-  if !gateway.book.borrow().may_send(&entry.id) {
-    return Err(PartError::Unsent("the endpoint is leaving".into()));
-  }
+  check_stays(gateway, entry)?;
   let response = connection.send(request).await?;
   Ok((connection, response))
 }
 
+/// Refuses an endpoint that leaves, or whose entry has gone.
+fn check_stays(gateway: &Gateway, entry: &EndpointEntry) -> Result<(), PartError> {
+  if gateway.book.borrow().may_send(&entry.id) {
+    return Ok(());
+  }
+  Err(PartError::Unsent("the endpoint is leaving".into()))
+}
+
 /// Believes an answer only when it is this request's own.
 fn check(
   gateway: &Gateway,
--- a/src/gateway/stream_request.rs
+++ b/src/gateway/stream_request.rs
@@ -328,8 +328,11 @@
       self.request.id(),
       entry.id
     );
-    if matches!(error, PartError::NotRun(_)) {
-      self.note_refusal(entry, export);
+    match error {
+      PartError::NotRun(_) => self.note_refusal(entry, export),
+      // No engine has fetched it.
+      PartError::Unreachable | PartError::Unsent(_) => self.export = export,
+      PartError::Lost(_) => {}
     }
   }
 
--- a/tests/gateway/leaving.rs
+++ b/tests/gateway/leaving.rs
@@ -122,3 +122,47 @@
   assert!(number > 0);
   assert!(cut.is_empty(), "{cut:?}");
 }
+
+#[tokio::test]
+async fn engine_that_leaves_while_the_prompt_is_read_is_not_sent_the_request() {
+  let events = "id: 1\ndata: a\n\n";
+  let prefill = EndpointStandIn::start(move |seen| match engine_reply(seen, events) {
+    Reply::Write(text) if seen.is_prompt() && seen.id() == "r2" => {
+      Reply::WriteLater(Duration::from_millis(700), text)
+    }
+    reply => reply,
+  })
+  .await;
+  // The first stream ends after the engine has said that it leaves: its connection could rest.
+  let decode = EndpointStandIn::start(move |seen| {
+    if seen.id() == "r1" {
+      let head = Reply::stream_part(seen, events);
+      return Reply::WriteInTwo(head, Duration::from_millis(400), "0\r\n\r\n".into());
+    }
+    engine_reply(seen, events)
+  })
+  .await;
+  let other = EndpointStandIn::engine(events).await;
+  let gateway = GatewayTest::new()
+    .await
+    .with_engines(&prefill, &decode)
+    .await;
+  let reads_second = async || prefill.requests().iter().any(|seen| seen.id() == "r2");
+  let leaving = async {
+    assert!(eventually(PATIENCE, async || !decode.requests().is_empty()).await);
+    let second = gateway.ask_in_background("/stream/a", "r2");
+    assert!(eventually(PATIENCE, reads_second).await);
+    gateway.test.enter("e-3", "llm", Some("decode"), &other);
+    gateway
+      .test
+      .enter_at("e-2", "llm", Some("decode"), decode.address, "draining");
+    second.await.unwrap().unwrap()
+  };
+  let (first, second) = tokio::join!(gateway.ask("/stream/a", "r1"), leaving);
+  assert_eq!(first.body.unwrap(), events);
+  assert_eq!(second, StatusCode::OK);
+  assert_eq!(decode.requests().len(), 1);
+  // The prompt that was read goes along: it is not read again.
+  let is_second = |seen: &&Seen| seen.id() == "r2";
+  assert_eq!(prefill.requests().iter().filter(is_second).count(), 1);
+}
