Count an engine in its new role as soon as it is ordered there

From 14 s on one engine read all prompts (1.2 to 2.3 s each) until the 25th second.

The steward now counts an engine in the role that it was ordered into for the 15 s in which the order may be carried out. Test: an engine that joins meanwhile gets no order; seen failing with three orders instead of two.

--- a/src/gateway/role_steward.rs
+++ b/src/gateway/role_steward.rs
@@ -34,7 +34,7 @@
   let mut steward = RoleSteward {
     fence: None,
     gateway,
-    ordered_ms: HashMap::new(),
+    pending: HashMap::new(),
     since_ms: 0,
     store,
     wanting_since_ms: HashMap::new(),
@@ -47,6 +47,15 @@
   }
 }
 
+/// An order that an engine may still have to carry out.
+#[derive(Clone, Copy, Debug)]
+struct PendingOrder {
+  /// The role that it takes.
+  role: Role,
+  /// When it was ordered, or found to need no order.
+  since_ms: u64,
+}
+
 struct RoleSteward<S> {
   gateway: Rc<Gateway>,
   store: S,
@@ -54,8 +63,8 @@
   fence: Option<u64>,
   /// When this box became steward.
   since_ms: u64,
-  /// When engines were last ordered, or found to need no order.
-  ordered_ms: HashMap<Name, u64>,
+  /// Orders that may not have been carried out yet: their engines count in the new role.
+  pending: HashMap<Name, PendingOrder>,
   /// Since when too few engines read prompts.
   wanting_since_ms: HashMap<Name, u64>,
 }
@@ -73,8 +82,8 @@
       return;
     }
     self
-      .ordered_ms
-      .retain(|_, ordered_ms| now_ms < *ordered_ms + ORDER_PENDING_MS);
+      .pending
+      .retain(|_, order| now_ms < order.since_ms + ORDER_PENDING_MS);
     for service in self.services() {
       if let Some(surplus) = self.surplus_of(&service, now_ms) {
         self.order(surplus).await;
@@ -137,11 +146,11 @@
     }
     surplus
       .engines
-      .retain(|engine| !self.ordered_ms.contains_key(&engine.id));
+      .retain(|engine| !self.pending.contains_key(&engine.id));
     (!surplus.engines.is_empty()).then_some(surplus)
   }
 
-  /// The engines of a service that stay.
+  /// The engines of a service that stay, each in the role that it has or is about to take.
   fn engines(&self, service: &Name) -> Vec<EndpointEntry> {
     self
       .gateway
@@ -149,7 +158,13 @@
       .borrow()
       .entries()
       .filter(|entry| entry.service == *service && !entry.leaving)
-      .cloned()
+      .map(|entry| {
+        let order = self.pending.get(&entry.id);
+        EndpointEntry {
+          role: order.map_or(entry.role, |order| Some(order.role)),
+          ..entry.clone()
+        }
+      })
       .collect()
   }
 
@@ -209,9 +224,7 @@
         continue;
       };
       if report.order_under_way || report.role == Some(surplus.role) {
-        self
-          .ordered_ms
-          .insert(engine.id.clone(), self.gateway.now_ms());
+        self.note_order(&engine, surplus.role);
         continue;
       }
       let Some(fence) = self.confirmed_fence().await else {
@@ -272,11 +285,17 @@
     }
   }
 
+  fn note_order(&mut self, engine: &EndpointEntry, role: Role) {
+    let order = PendingOrder {
+      role,
+      since_ms: self.gateway.now_ms(),
+    };
+    self.pending.insert(engine.id.clone(), order);
+  }
+
   async fn send(&mut self, engine: &EndpointEntry, change: &RoleChange) {
     let RoleChange { role, fence, .. } = change;
-    self
-      .ordered_ms
-      .insert(engine.id.clone(), self.gateway.now_ms());
+    self.note_order(engine, *role);
     let call = self.gateway.dialect.change_role(change);
     match call_engine(&self.gateway, engine, call).await {
       Ok(_) => log::info!(
--- a/tests/gateway/roles.rs
+++ b/tests/gateway/roles.rs
@@ -112,3 +112,25 @@
   sleep(Duration::from_millis(1_500)).await;
   assert!(orders(&endpoints).is_empty());
 }
+
+#[tokio::test]
+async fn engine_with_an_order_not_yet_carried_out_counts_in_its_new_role() {
+  let mut endpoints = Vec::new();
+  for _ in 0..5 {
+    endpoints.push(EndpointStandIn::start(engine).await);
+  }
+  let test = GatewayTest::new().await;
+  for (number, endpoint) in endpoints.iter().enumerate().skip(1) {
+    let stage = if number < 4 { "prefill" } else { "decode" };
+    test.enter(&format!("e-{number}"), "llm", Some(stage), endpoint);
+  }
+  let gateway = test.start().await;
+  // One of four is to read prompts. The two that are ordered away still say that they do.
+  assert!(eventually(PATIENCE, async || orders(&endpoints).len() == 2).await);
+  // Two of five are, and with the new one there are two.
+  gateway
+    .test
+    .enter("e-0", "llm", Some("prefill"), &endpoints[0]);
+  sleep(Duration::from_millis(1_500)).await;
+  assert_eq!(orders(&endpoints).len(), 2);
+}
