Prompts go past readers that are behind

From 24 s on two prefill engines are left; prompts take 0.6 to 0.8 s each.

Now this is decided before a prompt is sent: from the engine's pace and what is ahead, and by chance in proportion, so that the rest shows when the readers have caught up (E517). Limit: 0.7 of the wanted latency.

The soak learnt slow endpoints. Test: choice::work_is_expected_to_take_as_long_as_its_like_did.

--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -44,6 +44,8 @@
 const OWN_READING: Duration = Duration::from_millis(20);
 /// Pause between the events of a stream.
 const EVENT_PAUSE: Duration = Duration::from_millis(25);
+/// How much later a slow endpoint begins its work.
+const SLOW_PAUSE: Duration = Duration::from_millis(600);
 /// How long an engine changes its role.
 const SWITCH_WORK: Duration = Duration::from_millis(400);
 
@@ -339,6 +341,9 @@
     if fault == Some(EndpointFault::Full) || switching {
       return Ok(not_run(headers, StatusCode::SERVICE_UNAVAILABLE));
     }
+    if fault == Some(EndpointFault::Slow) {
+      sleep(SLOW_PAUSE).await;
+    }
     let reads_prompt = header(headers, "x-serving-stage") == Some("prefill");
     match (part, reads_prompt) {
       (Part::Plain, _) => self.run_plain(&id, fault).await,
--- a/soak/src/fault.rs
+++ b/soak/src/fault.rs
@@ -53,6 +53,8 @@
   Full,
   /// It answers with another request's id.
   Confuses,
+  /// It begins its work late: much may change between a prompt and its answer.
+  Slow,
 }
 
 /// One fault.
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -188,6 +188,7 @@
       EndpointFault::Mute,
       EndpointFault::Full,
       EndpointFault::Confuses,
+      EndpointFault::Slow,
     ];
     self.one_of(&faults)
   }
--- a/src/gateway/endpoint_book.rs
+++ b/src/gateway/endpoint_book.rs
@@ -54,10 +54,23 @@
   pub entry: EndpointEntry,
   /// Work of this box and, as far as known, of others that is ahead.
   pub ahead: u64,
+  /// How long the work is expected to take with what is ahead, at the pace that was seen; nothing before the
+  /// first answer.
+  pub expected_ms: Option<u64>,
   /// Whether it said just now that it is full, or failed: no other is left.
   pub left_alone: bool,
 }
 
+impl Choice {
+  /// Part of such work that has to go elsewhere for the rest to be done within a time; 0 before the first answer.
+  pub fn share_beyond(&self, limit_ms: f64) -> f64 {
+    let Some(expected_ms) = self.expected_ms else {
+      return 0.0;
+    };
+    (1.0 - limit_ms / expected_ms.max(1) as f64).max(0.0)
+  }
+}
+
 /// How an endpoint's part of the work ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum PartEnd {
@@ -187,6 +200,12 @@
     self.size as f64 + self.others(now_ms) * size as f64
   }
 
+  /// How long work of a size is expected to take; nothing before the first answer.
+  fn expected_ms(&self, size: u64, now_ms: u64) -> Option<u64> {
+    let work = self.ahead(size, now_ms) + size as f64;
+    Some((self.pace_ms? * work) as u64)
+  }
+
   /// How long the work is expected to take, in no unit: it is compared only.
   fn cost(&self, wanted: Wanted, peers: Peers, now_ms: u64) -> f64 {
     let surplus = (self.failure_share - peers.failure_share).max(0.0);
@@ -341,6 +360,7 @@
       .map(|(_, _, known)| Choice {
         ahead: known.ahead(wanted.size, now_ms) as u64,
         entry: known.entry.clone(),
+        expected_ms: known.expected_ms(wanted.size, now_ms),
         left_alone: now_ms < known.avoid_until_ms,
       })
   }
--- a/src/gateway/prompt.rs
+++ b/src/gateway/prompt.rs
@@ -2,7 +2,7 @@
 
 use {
   super::{
-    EndpointEntry, Part, Wanted,
+    Choice, EndpointEntry, Part, Wanted,
     engine_call::KeptExport,
     gateway::Gateway,
     part::{PartError, send_part},
@@ -17,6 +17,9 @@
 const READ_FLOOR_MS: u64 = 900;
 /// Microseconds for each token of the prompt, and of the prompts ahead of it.
 const READ_US_PER_TOKEN: u64 = 50;
+/// Part of the wanted latency that a prompt may be expected to take before some are read by the engines that
+/// write the answers. docs/design/platform.md has the shares that were tried.
+const READING_SHARE: f64 = 0.7;
 /// Engines that may turn out not to be reachable.
 const MOST_UNREACHABLE: usize = 3;
 
@@ -54,6 +57,9 @@
       tried: &tried,
     });
     let Some(choice) = choice else { break };
+    if reads_itself(gateway, request, &choice) {
+      return PromptReading::unread(false);
+    }
     let entry = choice.entry;
     match read_at(gateway, request, &entry, choice.ahead).await {
       Ok(handle) => {
@@ -79,6 +85,22 @@
   PromptReading::unread(false)
 }
 
+/// Whether the engine that writes the answer is to read the prompt, because those for it are behind. The further
+/// they are, the more prompts go past them; the rest still shows when they have caught up.
+fn reads_itself(gateway: &Gateway, request: &RoutedRequest, choice: &Choice) -> bool {
+  let limit_ms = request.route.target_ms as f64 * READING_SHARE;
+  if gateway.draw() >= choice.share_beyond(limit_ms) {
+    return false;
+  }
+  log::info!(
+    "E517 prompt goes past its readers: {} is expected to take {:?} ms at {}",
+    request.id(),
+    choice.expected_ms,
+    choice.entry.id
+  );
+  true
+}
+
 /// Has one engine read the prompt; answers with the handle under which it keeps it.
 async fn read_at(
   gateway: &Rc<Gateway>,
--- a/tests/gateway/choice.rs
+++ b/tests/gateway/choice.rs
@@ -206,3 +206,23 @@
   assert!(!book.is_cut("south", 30));
   assert_eq!(chosen(&book, wanted(), 30), "s-3");
 }
+
+#[test]
+fn work_is_expected_to_take_as_long_as_its_like_did() {
+  let mut book = book(&["a"]);
+  let work = Wanted {
+    size: 500,
+    ..wanted()
+  };
+  let choice = book.choose(work, 0, || 0.5).unwrap();
+  assert_eq!(choice.expected_ms, None);
+  assert_eq!(choice.share_beyond(1.0), 0.0);
+  book.sent("a", 500);
+  book.ended("a", 500, 500, PartEnd::Answered { took_ms: 100 }, 100);
+  // As much again is ahead of the next.
+  book.sent("a", 500);
+  let choice = book.choose(work, 100, || 0.5).unwrap();
+  assert_eq!(choice.expected_ms, Some(200));
+  assert_eq!(choice.share_beyond(300.0), 0.0);
+  assert_eq!(choice.share_beyond(50.0), 0.75);
+}
