Ask the store again within half the time of contact, however many boxes there are

The mean pause is bounded so that its longest draw is half of the time of contact. The test fails without the bound for 87 and 390 boxes.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -32,6 +32,7 @@
 mod relay;
 mod request;
 mod retry_after;
+mod retry_pause;
 mod retry_window;
 mod role_plan;
 mod role_steward;
@@ -56,6 +57,7 @@
   endpoint_entry::EndpointEntry,
   event_cutter::{EventCutter, WholeEvent},
   headers::remove_connection_headers,
+  retry_pause::retry_pause_ms,
   retry_window::{RetryAllowance, RetryWindow},
   role_plan::{Surplus, surplus},
   route_policy::{RoutePolicy, RouteRank},
--- a/src/gateway/store_sync.rs
+++ b/src/gateway/store_sync.rs
@@ -5,6 +5,7 @@
     BoxEntry,
     gateway::{Gateway, HeldLease, Phase},
     relay::follow,
+    retry_pause::retry_pause_ms,
     store::{Store, StoreChanges, StoreError, StoreItem, StoreKey},
   },
   crate::{HttpClient, ids::Name},
@@ -15,10 +16,6 @@
 
 /// How long one watch waits. A path that is cut without a word is noticed this much later at the most.
 const WATCH_WAIT: Duration = Duration::from_millis(2_500);
-/// Pause after a call that failed; a box has to be up to date again soon after the store is back.
-const FAILED_PAUSE_MS: u64 = 250;
-/// With more boxes than this, each pauses longer: all their calls together are priced.
-const PAUSE_BOXES: f64 = 16.0;
 /// How long a watch of a reader waits: its followers learn from its end that it still hears the store.
 const READER_WAIT: Duration = Duration::from_millis(500);
 /// Pause of a reader between watches: changes that come together cost one call, and one answer to each follower.
@@ -95,12 +92,12 @@
 }
 
 impl<S: Store> StoreSync<S> {
-  /// Waits before the store is asked again, longer with many boxes.
+  /// Waits before the store is asked again.
   async fn pause(&self) {
-    let boxes = self.gateway.boxes.borrow().len() as f64;
-    let spread = (boxes / PAUSE_BOXES).max(1.0);
-    let pause_ms = FAILED_PAUSE_MS as f64 * spread * (0.5 + self.gateway.draw());
-    sleep(Duration::from_millis(pause_ms as u64)).await;
+    let boxes = self.gateway.boxes.borrow().len();
+    let contact_ms = self.gateway.settings.bounds.contact_ms;
+    let pause_ms = retry_pause_ms(boxes, contact_ms, self.gateway.draw());
+    sleep(Duration::from_millis(pause_ms)).await;
   }
 
   /// The store was heard, some time ago when a reader says so.
--- a/tests/gateway/relay.rs
+++ b/tests/gateway/relay.rs
@@ -1,7 +1,9 @@
 //! Boxes that follow others, and when they stop doing so.
 
 use {
-  rillford::gateway::{BoxEntry, BoxList, ChangeLog, StoreChanges, StoreItem, StoreKey},
+  rillford::gateway::{
+    BoxEntry, BoxList, ChangeLog, StoreChanges, StoreItem, StoreKey, retry_pause_ms,
+  },
   rstest::rstest,
 };
 
@@ -91,3 +93,16 @@
   tokio::join!(log.wait_after(10), async { log.add(&[item(11)], 11) });
   tokio::join!(log.wait_after(11), async { log.restart(20) });
 }
+
+#[rstest]
+#[case::few(8, 3_000)]
+#[case::grown(87, 4_000)]
+#[case::target(390, 3_000)]
+fn store_is_asked_again_well_before_a_box_counts_as_connected(
+  #[case] boxes: usize,
+  #[case] contact_ms: u64,
+) {
+  for draw in [0.0, 0.5, 1.0] {
+    assert!(retry_pause_ms(boxes, contact_ms, draw) <= contact_ms / 2);
+  }
+}
