--- a/justfile
+++ b/justfile
@@ -18,3 +18,16 @@
 
 clippy:
   cargo clippy --workspace --all-targets -- -D warnings
+
+# play the fault soak: `just soak 1 50` plays 50 seeds from 1 on
+soak seed="1" count="1":
+  cargo build --release --locked -p rillford -p soak
+  target/release/soak --seed {{seed}} --count {{count}}
+
+# score a site on the users' bench: `just score BENCH SITE "why"`
+score bench site why:
+  {{bench}} score {{site}} --why "{{why}}"
+
+# hunt days of a site for broken rules: `just hunt BENCH SITE 40 "why"`
+hunt bench site days why:
+  {{bench}} hunt {{site}} --days {{days}} --why "{{why}}"
