--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -3,19 +3,18 @@
 use {
   super::{
     content,
+    event_stream::EventStream,
+    exports::Exports,
     fault::EndpointFault,
-    ledger::{Ledger, OrderRecord, RunGuard},
+    ledger::{Ledger, OrderRecord},
+    part::Part,
+    reply::{ReplyBody, cut_body, json_answer, not_run, status, whole},
+    seat::Seat,
   },
   bytes::Bytes,
-  futures_util::stream,
-  http::{HeaderMap, Method, Request, Response, StatusCode},
-  http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody},
-  hyper::{
-    body::{Frame, Incoming},
-    server::conn::http1,
-    service::service_fn,
-  },
-  hyper_util::rt::TokioIo,
+  http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode},
+  http_body_util::BodyExt,
+  hyper::body::Incoming,
   serde_json::{Value, json},
   std::{
     collections::HashMap,
@@ -25,114 +24,33 @@
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
   },
-  tokio::{
-    net::{TcpListener, TcpStream},
-    task::JoinSet,
-    time::sleep,
-  },
+  tokio::{sync::mpsc::UnboundedSender, time::sleep},
 };
 
 /// Requests that an engine holds at once.
 pub(crate) const SEATS: usize = 8;
-/// How long an engine keeps a prompt that nobody fetches.
-pub(crate) const EXPORT_TTL: Duration = Duration::from_millis(700);
 /// How long a plain request takes.
 const PLAIN_WORK: Duration = Duration::from_millis(12);
 /// How long a prompt takes to be read.
 const PROMPT_WORK: Duration = Duration::from_millis(8);
 /// How much longer an engine takes that reads a prompt for itself.
 const OWN_READING: Duration = Duration::from_millis(20);
-/// Pause between the events of a stream.
-const EVENT_PAUSE: Duration = Duration::from_millis(25);
 /// How much later a slow endpoint begins its work.
 const SLOW_PAUSE: Duration = Duration::from_millis(600);
 /// How long an engine changes its role.
 const SWITCH_WORK: Duration = Duration::from_millis(400);
 
-type Body = UnsyncBoxBody<Bytes, io::Error>;
-
-/// What an endpoint is.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Part {
-  /// A plain service.
-  Plain,
-  /// An engine that reads prompts.
-  Prefill,
-  /// An engine that writes answers.
-  Decode,
-}
-
-impl Part {
-  /// The service that it belongs to.
-  pub(crate) fn service(self) -> &'static str {
-    match self {
-      Self::Plain => "portal",
-      Self::Prefill | Self::Decode => "llm",
-    }
-  }
-
-  /// An engine's role, as the platform spells it.
-  pub(crate) fn stage(self) -> Option<&'static str> {
-    match self {
-      Self::Plain => None,
-      Self::Prefill => Some("prefill"),
-      Self::Decode => Some("decode"),
-    }
-  }
-}
-
-/// A prompt that an engine keeps.
-struct Export {
-  request: String,
-  until: Instant,
-}
-
-/// The prompts that all engines keep, by the address and handle under which they are fetched.
-#[derive(Clone, Default)]
-pub(crate) struct Exports(Arc<Mutex<HashMap<String, Export>>>);
-
-impl Exports {
-  fn lock(&self) -> MutexGuard<'_, HashMap<String, Export>> {
-    self.0.lock().unwrap_or_else(PoisonError::into_inner)
-  }
-
-  fn keep(&self, key: String, request: &str) {
-    let export = Export {
-      request: request.into(),
-      until: Instant::now() + EXPORT_TTL,
-    };
-    self.lock().insert(key, export);
-  }
-
-  /// Takes a prompt once; the request that it was read for.
-  fn take(&self, key: &str) -> Option<String> {
-    let export = self.lock().remove(key)?;
-    (Instant::now() < export.until).then_some(export.request)
-  }
-
-  fn drop_all_of(&self, address: SocketAddr) {
-    let prefix = format!("{address}/");
-    self.lock().retain(|key, _| !key.starts_with(&prefix));
-  }
-
-  /// The prompts that are kept now.
-  pub(crate) fn kept(&self) -> Vec<String> {
-    let now = Instant::now();
-    let lock = self.lock();
-    let kept = lock.iter().filter(|(_, export)| now < export.until);
-    kept
-      .map(|(key, export)| format!("prompt of {} at {key}", export.request))
-      .collect()
-  }
-}
-
+/// What of an endpoint changes.
 struct State {
   part: Part,
+  /// Seats that are taken.
   running: usize,
   /// Seats that are reserved, until when.
   holds: HashMap<String, Instant>,
+  /// Numbers the reservations and prompts.
   last_number: u64,
   orders_taken: u64,
+  /// Whether it is changing its role.
   switching: bool,
   fault: Option<EndpointFault>,
 }
@@ -159,7 +77,8 @@
   ledger: Ledger,
   exports: Exports,
   state: Mutex<State>,
-  changed_part: tokio::sync::mpsc::UnboundedSender<(usize, Part)>,
+  /// Hears of a changed role.
+  changed_part: UnboundedSender<(usize, Part)>,
 }
 
 /// Who an incarnation is.
@@ -176,7 +95,7 @@
     identity: Identity,
     ledger: &Ledger,
     exports: &Exports,
-    changed_part: tokio::sync::mpsc::UnboundedSender<(usize, Part)>,
+    changed_part: UnboundedSender<(usize, Part)>,
   ) -> Arc<Self> {
     Arc::new(Self {
       changed_part,
@@ -210,6 +129,27 @@
     self.state().fault = fault;
   }
 
+  /// Drops the prompts that it keeps.
+  pub(crate) fn drop_exports(&self) {
+    self.exports.drop_all_of(self.shown);
+  }
+
+  /// Takes the reserved seat, or a free one; whether there was one.
+  pub(crate) fn take_seat(&self, hold: Option<&str>) -> bool {
+    let mut state = self.state();
+    let reserved = hold.is_some_and(|id| state.holds.remove(id).is_some());
+    if !reserved && !state.has_seat() {
+      return false;
+    }
+    state.running += 1;
+    true
+  }
+
+  /// Frees a seat that was taken.
+  pub(crate) fn free_seat(&self) {
+    self.state().running -= 1;
+  }
+
   /// What it still holds for requests.
   pub(crate) fn held(&self) -> Vec<String> {
     let mut state = self.state();
@@ -227,19 +167,11 @@
     held
   }
 
-  /// Serves until the task is ended; with it end all connections.
-  pub(crate) async fn serve(self: Arc<Self>, listener: TcpListener) {
-    let mut connections = JoinSet::new();
-    loop {
-      let Ok((stream, _)) = listener.accept().await else {
-        return;
-      };
-      connections.spawn(serve_connection(self.clone(), stream));
-      while connections.try_join_next().is_some() {}
-    }
-  }
-
-  async fn answer(self: Arc<Self>, request: Request<Incoming>) -> io::Result<Response<Body>> {
+  /// Answers a call of a box, or a request that it passes on.
+  pub(crate) async fn answer(
+    self: Arc<Self>,
+    request: Request<Incoming>,
+  ) -> io::Result<Response<ReplyBody>> {
     let (head, body) = request.into_parts();
     let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
     let path = head.uri.path().to_string();
@@ -255,7 +187,7 @@
     }
   }
 
-  fn reserve(&self, body: &Bytes) -> Response<Body> {
+  fn reserve(&self, body: &Bytes) -> Response<ReplyBody> {
     let mut state = self.state();
     if state.part == Part::Plain || state.fault == Some(EndpointFault::Full) || !state.has_seat() {
       return status(StatusCode::SERVICE_UNAVAILABLE);
@@ -267,7 +199,7 @@
     json_answer(json!({"hold": id}))
   }
 
-  fn free(&self, path: &str) -> Response<Body> {
+  fn free(&self, path: &str) -> Response<ReplyBody> {
     if let Some(id) = path.strip_prefix("/hold-drop/") {
       self.state().holds.remove(id);
     }
@@ -277,7 +209,7 @@
     status(StatusCode::OK)
   }
 
-  fn report(&self) -> Response<Body> {
+  fn report(&self) -> Response<ReplyBody> {
     let state = self.state();
     json_answer(json!({
       "stage": state.part.stage(), "callSeq": state.orders_taken, "utilization": state.switching,
@@ -285,15 +217,13 @@
     }))
   }
 
-  fn order(self: &Arc<Self>, body: &Bytes) -> Response<Body> {
+  fn order(self: &Arc<Self>, body: &Bytes) -> Response<ReplyBody> {
     let call: Value = serde_json::from_slice(body).unwrap_or_default();
     let (Some(holder), Some(fence)) = (call["holder"].as_str(), call["fence"].as_u64()) else {
       return status(StatusCode::BAD_REQUEST);
     };
-    let part = match call["stage"].as_str() {
-      Some("prefill") => Part::Prefill,
-      Some("decode") => Part::Decode,
-      _ => return status(StatusCode::BAD_REQUEST),
+    let Some(part) = call["stage"].as_str().and_then(Part::of_stage) else {
+      return status(StatusCode::BAD_REQUEST);
     };
     let order = OrderRecord {
       fence,
@@ -330,7 +260,7 @@
   }
 
   /// A caller's request, or a part of one.
-  async fn work(self: Arc<Self>, headers: &HeaderMap) -> io::Result<Response<Body>> {
+  async fn work(self: Arc<Self>, headers: &HeaderMap) -> io::Result<Response<ReplyBody>> {
     let id = header(headers, "x-request-id")
       .unwrap_or_default()
       .to_string();
@@ -355,7 +285,11 @@
     }
   }
 
-  async fn run_plain(&self, id: &str, fault: Option<EndpointFault>) -> io::Result<Response<Body>> {
+  async fn run_plain(
+    &self,
+    id: &str,
+    fault: Option<EndpointFault>,
+  ) -> io::Result<Response<ReplyBody>> {
     let _run = self.ledger.run(id, self.place, &self.incarnation);
     sleep(PLAIN_WORK).await;
     self.spoiled(id, fault).await?;
@@ -374,7 +308,7 @@
     &self,
     id: &str,
     fault: Option<EndpointFault>,
-  ) -> io::Result<Response<Body>> {
+  ) -> io::Result<Response<ReplyBody>> {
     sleep(PROMPT_WORK).await;
     self.spoiled(id, fault).await?;
     if fault == Some(EndpointFault::Fails) {
@@ -391,7 +325,7 @@
     id: &str,
     headers: &HeaderMap,
     fault: Option<EndpointFault>,
-  ) -> io::Result<Response<Body>> {
+  ) -> io::Result<Response<ReplyBody>> {
     if let Some(source) = header(headers, "x-kv-source") {
       match self.exports.take(source) {
         Some(request) if request == id => {}
@@ -414,7 +348,7 @@
     }
     let last = header(headers, "last-event-id").and_then(|text| text.parse().ok());
     let first = last.unwrap_or(0) + 1;
-    let events = Events {
+    let events = EventStream {
       cut_at: (fault == Some(EndpointFault::CutsAnswers)).then(|| first + 1),
       id: id.into(),
       next: first,
@@ -424,7 +358,7 @@
     let mut response = self.sealed(id, StatusCode::OK, events.into_body());
     response.headers_mut().insert(
       "content-type",
-      http::HeaderValue::from_static("text/event-stream"),
+      HeaderValue::from_static("text/event-stream"),
     );
     Ok(response)
   }
@@ -441,7 +375,7 @@
   }
 
   /// An answer with this incarnation's receipt.
-  fn sealed(&self, id: &str, status: StatusCode, body: Body) -> Response<Body> {
+  fn sealed(&self, id: &str, status: StatusCode, body: ReplyBody) -> Response<ReplyBody> {
     let state = self.state();
     let shown_id = if state.fault == Some(EndpointFault::Confuses) {
       "another"
@@ -458,130 +392,6 @@
   }
 }
 
-/// A seat of an engine that a run takes.
-struct Seat(Arc<Endpoint>);
-
-impl Seat {
-  /// Takes the reserved seat, or a free one.
-  fn take(endpoint: &Arc<Endpoint>, hold: Option<&str>) -> Option<Self> {
-    let mut state = endpoint.state();
-    let reserved = hold.is_some_and(|id| state.holds.remove(id).is_some());
-    if !reserved && !state.has_seat() {
-      return None;
-    }
-    state.running += 1;
-    Some(Self(endpoint.clone()))
-  }
-}
-
-impl Drop for Seat {
-  fn drop(&mut self) {
-    self.0.state().running -= 1;
-  }
-}
-
-/// The rest of a stream.
-struct Events {
-  id: String,
-  next: u64,
-  /// The event within which the stream is cut.
-  cut_at: Option<u64>,
-  _run: RunGuard,
-  _seat: Seat,
-}
-
-impl Events {
-  fn into_body(self) -> Body {
-    let events = stream::unfold(self, |mut events| async move {
-      let item = events.take_next().await?;
-      Some((item.map(Frame::data), events))
-    });
-    StreamBody::new(events).boxed_unsync()
-  }
-
-  async fn take_next(&mut self) -> Option<io::Result<Bytes>> {
-    if self.next > content::event_count(&self.id) {
-      return None;
-    }
-    sleep(EVENT_PAUSE).await;
-    let event = content::event(&self.id, self.next);
-    if self.cut_at.is_some_and(|cut_at| self.next > cut_at) {
-      return Some(Err(io::Error::other("cut")));
-    }
-    let is_cut = self.cut_at == Some(self.next);
-    self.next += 1;
-    let shown = if is_cut {
-      &event[..event.len() / 2]
-    } else {
-      &event
-    };
-    Some(Ok(Bytes::copy_from_slice(shown.as_bytes())))
-  }
-}
-
-async fn serve_connection(endpoint: Arc<Endpoint>, stream: TcpStream) {
-  let service = service_fn(move |request| endpoint.clone().answer(request));
-  // A connection that breaks ends the runs on it; the ledger has them.
-  let _ = http1::Builder::new()
-    .serve_connection(TokioIo::new(stream), service)
-    .await;
-}
-
-/// An incarnation that serves until this is dropped.
-pub(crate) struct Serving {
-  pub(crate) endpoint: Arc<Endpoint>,
-  task: tokio::task::JoinHandle<()>,
-}
-
-impl Serving {
-  pub(crate) fn start(endpoint: Arc<Endpoint>, listener: TcpListener) -> Self {
-    let task = tokio::spawn(endpoint.clone().serve(listener));
-    Self { endpoint, task }
-  }
-}
-
-impl Drop for Serving {
-  fn drop(&mut self) {
-    self.task.abort();
-    self.endpoint.exports.drop_all_of(self.endpoint.shown);
-  }
-}
-
 fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
   headers.get(name)?.to_str().ok()
 }
-
-fn whole(text: &str) -> Body {
-  Full::new(Bytes::copy_from_slice(text.as_bytes()))
-    .map_err(|never| match never {})
-    .boxed_unsync()
-}
-
-/// Half of a text, then a break.
-fn cut_body(text: &str) -> Body {
-  let half = Bytes::copy_from_slice(&text.as_bytes()[..text.len() / 2]);
-  let parts = stream::iter([Ok(Frame::data(half)), Err(io::Error::other("cut"))]);
-  StreamBody::new(parts).boxed_unsync()
-}
-
-fn status(status: StatusCode) -> Response<Body> {
-  let mut response = Response::new(whole(""));
-  *response.status_mut() = status;
-  response
-}
-
-fn json_answer(value: Value) -> Response<Body> {
-  Response::new(whole(&value.to_string()))
-}
-
-/// The word that a request did not run.
-fn not_run(headers: &HeaderMap, code: StatusCode) -> Response<Body> {
-  let mut response = status(code);
-  if let Some(id) = headers.get("x-request-id") {
-    response.headers_mut().insert("x-request-id", id.clone());
-  }
-  response
-    .headers_mut()
-    .insert("x-not-executed", http::HeaderValue::from_static("1"));
-  response
-}
--- /dev/null
+++ b/soak/src/event_stream.rs
@@ -0,0 +1,53 @@
+//! The body of an engine's answer.
+
+use {
+  super::{content, ledger::RunGuard, reply::ReplyBody, seat::Seat},
+  bytes::Bytes,
+  futures_util::stream,
+  http_body_util::{BodyExt, StreamBody},
+  hyper::body::Frame,
+  std::{io, time::Duration},
+  tokio::time::sleep,
+};
+
+/// Pause between the events of a stream.
+const EVENT_PAUSE: Duration = Duration::from_millis(25);
+
+/// The rest of a stream, sent event by event. The run and its seat last until the stream is dropped.
+pub(crate) struct EventStream {
+  pub(crate) id: String,
+  pub(crate) next: u64,
+  /// The event within which the stream is cut.
+  pub(crate) cut_at: Option<u64>,
+  pub(crate) _run: RunGuard,
+  pub(crate) _seat: Seat,
+}
+
+impl EventStream {
+  pub(crate) fn into_body(self) -> ReplyBody {
+    let events = stream::unfold(self, |mut events| async move {
+      let item = events.take_next().await?;
+      Some((item.map(Frame::data), events))
+    });
+    StreamBody::new(events).boxed_unsync()
+  }
+
+  async fn take_next(&mut self) -> Option<io::Result<Bytes>> {
+    if self.next > content::event_count(&self.id) {
+      return None;
+    }
+    sleep(EVENT_PAUSE).await;
+    let event = content::event(&self.id, self.next);
+    if self.cut_at.is_some_and(|cut_at| self.next > cut_at) {
+      return Some(Err(io::Error::other("cut")));
+    }
+    let is_cut = self.cut_at == Some(self.next);
+    self.next += 1;
+    let shown = if is_cut {
+      &event[..event.len() / 2]
+    } else {
+      &event
+    };
+    Some(Ok(Bytes::copy_from_slice(shown.as_bytes())))
+  }
+}
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -7,14 +7,20 @@
 mod content;
 mod endpoint;
 mod error;
+mod event_stream;
+mod exports;
 mod fault;
 mod fleet;
 mod ledger;
 mod link;
+mod part;
 mod plan;
 mod platform_store;
 mod play;
 mod promises;
+mod reply;
+mod seat;
+mod serving;
 mod subcommand;
 
 pub use self::{
--- /dev/null
+++ b/soak/src/reply.rs
@@ -0,0 +1,52 @@
+//! The answers of endpoints.
+
+use {
+  bytes::Bytes,
+  futures_util::stream,
+  http::{HeaderMap, HeaderValue, Response, StatusCode},
+  http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody},
+  hyper::body::Frame,
+  serde_json::Value,
+  std::io,
+};
+
+/// The body of an answer.
+pub(crate) type ReplyBody = UnsyncBoxBody<Bytes, io::Error>;
+
+/// A body that comes whole.
+pub(crate) fn whole(text: &str) -> ReplyBody {
+  Full::new(Bytes::copy_from_slice(text.as_bytes()))
+    .map_err(|never| match never {})
+    .boxed_unsync()
+}
+
+/// Half of a text, then a break.
+pub(crate) fn cut_body(text: &str) -> ReplyBody {
+  let half = Bytes::copy_from_slice(&text.as_bytes()[..text.len() / 2]);
+  let parts = stream::iter([Ok(Frame::data(half)), Err(io::Error::other("cut"))]);
+  StreamBody::new(parts).boxed_unsync()
+}
+
+/// An answer without a body.
+pub(crate) fn status(status: StatusCode) -> Response<ReplyBody> {
+  let mut response = Response::new(whole(""));
+  *response.status_mut() = status;
+  response
+}
+
+/// An answer to a call of a box.
+pub(crate) fn json_answer(value: Value) -> Response<ReplyBody> {
+  Response::new(whole(&value.to_string()))
+}
+
+/// The word that a request did not run.
+pub(crate) fn not_run(headers: &HeaderMap, code: StatusCode) -> Response<ReplyBody> {
+  let mut response = status(code);
+  if let Some(id) = headers.get("x-request-id") {
+    response.headers_mut().insert("x-request-id", id.clone());
+  }
+  response
+    .headers_mut()
+    .insert("x-not-executed", HeaderValue::from_static("1"));
+  response
+}
--- /dev/null
+++ b/soak/src/serving.rs
@@ -0,0 +1,53 @@
+//! An endpoint at work behind its listener.
+
+use {
+  super::endpoint::Endpoint,
+  hyper::{server::conn::http1, service::service_fn},
+  hyper_util::rt::TokioIo,
+  std::sync::Arc,
+  tokio::{
+    net::{TcpListener, TcpStream},
+    task::{JoinHandle, JoinSet},
+  },
+};
+
+/// An incarnation that serves until this is dropped.
+pub(crate) struct Serving {
+  pub(crate) endpoint: Arc<Endpoint>,
+  task: JoinHandle<()>,
+}
+
+impl Serving {
+  /// Serves on a listener.
+  pub(crate) fn start(endpoint: Arc<Endpoint>, listener: TcpListener) -> Self {
+    let task = tokio::spawn(serve(endpoint.clone(), listener));
+    Self { endpoint, task }
+  }
+}
+
+impl Drop for Serving {
+  fn drop(&mut self) {
+    self.task.abort();
+    self.endpoint.drop_exports();
+  }
+}
+
+/// Serves until the task is ended; with it end all connections.
+async fn serve(endpoint: Arc<Endpoint>, listener: TcpListener) {
+  let mut connections = JoinSet::new();
+  loop {
+    let Ok((stream, _)) = listener.accept().await else {
+      return;
+    };
+    connections.spawn(serve_connection(endpoint.clone(), stream));
+    while connections.try_join_next().is_some() {}
+  }
+}
+
+async fn serve_connection(endpoint: Arc<Endpoint>, stream: TcpStream) {
+  let service = service_fn(move |request| endpoint.clone().answer(request));
+  // A connection that breaks ends the runs on it; the ledger has them.
+  let _ = http1::Builder::new()
+    .serve_connection(TokioIo::new(stream), service)
+    .await;
+}
