--- /dev/null
+++ b/soak/src/calm.rs
@@ -0,0 +1,51 @@
+//! Whether what a bound on time concerns was left undisturbed.
+
+use super::ledger::{Disturbance, Records, RequestRecord, Target};
+
+/// Time without trouble after which a box counts as connected (the users' bound on contact).
+pub(crate) const CONTACT_MS: u64 = 3_000;
+
+impl Records {
+  /// Whether nothing that a request met was disturbed from shortly before a time until another.
+  pub(crate) fn is_calm(&self, request: &RequestRecord, from_ms: u64, until_ms: u64) -> bool {
+    self.is_undisturbed(from_ms, until_ms, |target| match target {
+      Target::Box(index) | Target::Leaving(index) => index == request.box_index,
+      Target::Place(place) => request.runs.iter().any(|run| run.place == place),
+      Target::Store | Target::StoreLink(_) => false,
+    })
+  }
+
+  /// Whether a box and its way to the store were undisturbed from shortly before a time until another.
+  pub(crate) fn is_connected(&self, box_index: usize, from_ms: u64, until_ms: u64) -> bool {
+    self.is_undisturbed(from_ms, until_ms, |target| match target {
+      Target::Box(index) | Target::Leaving(index) | Target::StoreLink(index) => index == box_index,
+      Target::Store => true,
+      Target::Place(_) => false,
+    })
+  }
+
+  /// Whether nothing but planned stops disturbed a request.
+  pub(crate) fn is_calm_but_for_stop(&self, request: &RequestRecord) -> bool {
+    let until_ms = request.ended_ms.unwrap_or(u64::MAX);
+    self.is_undisturbed(request.sent_ms, until_ms, |target| match target {
+      Target::Box(index) => index == request.box_index,
+      // A stream that breaks at its endpoint may be cut on any day.
+      Target::Place(_) => true,
+      Target::Leaving(_) | Target::Store | Target::StoreLink(_) => false,
+    })
+  }
+
+  /// Whether no disturbance of what is concerned lies within a time or shortly before it.
+  fn is_undisturbed(&self, from_ms: u64, until_ms: u64, concerns: impl Fn(Target) -> bool) -> bool {
+    !self
+      .disturbances
+      .iter()
+      .any(|disturbance| concerns(disturbance.target) && overlaps(disturbance, from_ms, until_ms))
+  }
+}
+
+/// Whether a disturbance lies within the time from shortly before `from_ms` to `until_ms`.
+fn overlaps(disturbance: &Disturbance, from_ms: u64, until_ms: u64) -> bool {
+  let ended_ms = disturbance.until_ms.unwrap_or(u64::MAX);
+  disturbance.from_ms <= until_ms && ended_ms.saturating_add(CONTACT_MS) >= from_ms
+}
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -11,7 +11,7 @@
     link::Link,
     part::Part,
     platform_store::PlatformStore,
-    promises::MOST_ATTEMPTS,
+    request_check::MOST_ATTEMPTS,
     serving::Serving,
   },
   bytes::Bytes,
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -2,7 +2,9 @@
 //! from outside, and the users' promises checked against what callers and endpoints saw. Never shipped.
 
 mod box_process;
+mod breach;
 mod caller;
+mod calm;
 mod conductor;
 mod content;
 mod endpoint;
@@ -17,13 +19,16 @@
 mod plan;
 mod platform_store;
 mod play;
+mod promise;
 mod promises;
 mod reply;
+mod request_check;
 mod seat;
 mod serving;
 mod subcommand;
 
 pub use self::{
+  breach::Breach,
   error::{Error, Result},
   fault::{EndpointFault, Fault, LinkFault, StoreFault},
   ledger::{
@@ -33,6 +38,7 @@
   plan::{Size, Step, draw_plan},
   platform_store::PlatformStore,
   play::{Options, Report, play},
-  promises::{Breach, Promise, breaches},
+  promise::Promise,
+  promises::breaches,
   subcommand::run,
 };
--- a/soak/src/play.rs
+++ b/soak/src/play.rs
@@ -2,13 +2,14 @@
 
 use {
   super::{
+    breach::Breach,
     caller::Caller,
     conductor::carry_out,
     error::{Error, Result},
     fleet::{Fleet, PartChanges},
     ledger::{Outcome, Records},
     plan::{Size, Step, draw_plan},
-    promises::{Breach, breaches},
+    promises::breaches,
   },
   std::{path::PathBuf, sync::Arc, time::Duration},
   tokio::{
--- /dev/null
+++ b/soak/src/promise.rs
@@ -0,0 +1,34 @@
+//! The promises of the users' pages.
+
+/// A promise to the users.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Promise {
+  /// What may not be repeated runs once at most.
+  RunsOnce,
+  /// "Not run" is true.
+  NotRunIsTrue,
+  /// A caller gets its own answer, whole, or sees that it is not.
+  OwnWholeAnswer,
+  /// No request goes to more endpoints than its route allows.
+  Attempts,
+  /// No endpoint runs what nobody asked for, or goes on from another request's prompt.
+  OnlyWhatWasAsked,
+  /// Each request is ended within its deadline.
+  Ended,
+  /// Endpoints stop soon after a caller has left.
+  Freed,
+  /// Endpoints that leave get nothing new.
+  Drained,
+  /// Configurations are in force in time.
+  Configured,
+  /// Configurations never go back.
+  NeverBack,
+  /// A planned stop cuts no request.
+  StopCutsNothing,
+  /// Engines hold nothing once the traffic has ended.
+  NothingHeld,
+  /// Callers are served again after all faults.
+  Recovered,
+  /// Role orders of different boxes never pass each other.
+  OneSteward,
+}
--- /dev/null
+++ b/soak/src/request_check.rs
@@ -0,0 +1,187 @@
+//! The promises that are checked request by request.
+
+use super::{
+  breach::Breach,
+  content,
+  ledger::{Outcome, PlannedStop, Records, RequestRecord, Run},
+  promise::Promise,
+};
+
+/// The most runs of one request that any route allows.
+pub(crate) const MOST_ATTEMPTS: usize = 3;
+/// A caller that left frees its endpoint this soon (the users' rule on callers who leave).
+const GONE_MS: u64 = 500;
+/// An endpoint that leaves gets nothing new after this time (the users' bound on draining).
+const DRAIN_MS: u64 = 2_000;
+/// A closed connection that carried no request to an endpoint may cross it (the users' bound on losses).
+const CROSSING_MS: u64 = 200;
+
+/// One request, to be checked.
+pub(crate) struct RequestCheck<'a> {
+  pub(crate) id: &'a str,
+  pub(crate) records: &'a Records,
+  pub(crate) request: &'a RequestRecord,
+  pub(crate) slack_ms: u64,
+}
+
+impl RequestCheck<'_> {
+  /// The promises that the request broke, but for those on planned stops.
+  pub(crate) fn breaches(&self) -> Vec<Breach> {
+    [
+      self.runs_once(),
+      self.not_run_is_true(),
+      self.own_whole_answer(),
+      self.attempts(),
+      self.is_ended(),
+      self.is_freed(),
+      self.is_drained(),
+    ]
+    .into_iter()
+    .flatten()
+    .collect()
+  }
+
+  fn runs_once(&self) -> Option<Breach> {
+    let Self { id, request, .. } = self;
+    if request.kind.may_repeat() || request.runs.len() <= 1 {
+      return None;
+    }
+    let seen = format!("{id} ran at {:?}", request.runs);
+    Some(Breach::new(Promise::RunsOnce, seen))
+  }
+
+  fn not_run_is_true(&self) -> Option<Breach> {
+    let Self { id, request, .. } = self;
+    let Some(Outcome::Whole { status, .. }) = request.outcome else {
+      return None;
+    };
+    let promised = matches!(status, 408 | 421 | 429 | 503);
+    if !promised || request.kind.may_repeat() || request.runs.is_empty() {
+      return None;
+    }
+    let seen = format!("{id} told {status}, ran at {:?}", request.runs);
+    Some(Breach::new(Promise::NotRunIsTrue, seen))
+  }
+
+  fn own_whole_answer(&self) -> Option<Breach> {
+    let id = self.id;
+    let seen = match self.request.outcome.as_ref()? {
+      Outcome::Whole {
+        status: 200..300,
+        receipt,
+        ..
+      } if !self.has_run_with(receipt.as_deref()) => format!("{id} has the receipt {receipt:?}"),
+      Outcome::Whole {
+        status: 200..300,
+        body,
+        ..
+      } if *body != self.expected_body() => format!("{id} whole true got {body:?}"),
+      Outcome::Broken {
+        status: Some(200),
+        body,
+      } if !self.expected_body().starts_with(body) => format!("{id} whole false got {body:?}"),
+      _ => return None,
+    };
+    Some(Breach::new(Promise::OwnWholeAnswer, seen))
+  }
+
+  /// Whether the endpoint with this receipt ran the request.
+  fn has_run_with(&self, receipt: Option<&str>) -> bool {
+    let is_its_own = |run: &Run| receipt == Some(&run.incarnation);
+    self.request.runs.iter().any(is_its_own)
+  }
+
+  fn expected_body(&self) -> String {
+    if self.request.kind.is_stream() {
+      content::stream_after(self.id, 0)
+    } else {
+      content::plain_answer(self.id)
+    }
+  }
+
+  fn attempts(&self) -> Option<Breach> {
+    let Self { id, request, .. } = self;
+    if request.runs.len() <= MOST_ATTEMPTS {
+      return None;
+    }
+    let seen = format!("{id} ran at {:?}", request.runs);
+    Some(Breach::new(Promise::Attempts, seen))
+  }
+
+  fn is_ended(&self) -> Option<Breach> {
+    let Self { id, request, .. } = self;
+    let ended_ms = request.ended_ms?;
+    if request.outcome != Some(Outcome::Unanswered)
+      || !self.records.is_calm(request, request.sent_ms, ended_ms)
+    {
+      return None;
+    }
+    let seen = format!("{id} sent at {} ms, open at {ended_ms} ms", request.sent_ms);
+    Some(Breach::new(Promise::Ended, seen))
+  }
+
+  fn is_freed(&self) -> Option<Breach> {
+    let Self { id, request, .. } = self;
+    let left_ms = request.ended_ms?;
+    if request.outcome != Some(Outcome::Left) {
+      return None;
+    }
+    let due_ms = left_ms + GONE_MS + self.slack_ms;
+    let is_late = |run: &&Run| run.ended_ms.is_none_or(|ended_ms| ended_ms > due_ms);
+    let run = request.runs.iter().find(is_late)?;
+    if !self.records.is_calm(request, request.sent_ms, due_ms) {
+      return None;
+    }
+    let seen = format!(
+      "{id} left at {left_ms} ms, {} at work until {:?}",
+      run.incarnation, run.ended_ms
+    );
+    Some(Breach::new(Promise::Freed, seen))
+  }
+
+  fn is_drained(&self) -> Option<Breach> {
+    let mut runs = self.request.runs.iter();
+    runs.find_map(|run| self.began_at_leaving(run))
+  }
+
+  /// Finds that a run began long after its endpoint had said that it leaves.
+  fn began_at_leaving(&self, run: &Run) -> Option<Breach> {
+    let Self { id, request, .. } = self;
+    let leaving_ms = *self.records.leaving.get(&run.incarnation)?;
+    let due_ms = leaving_ms + DRAIN_MS + self.slack_ms;
+    let began_ms = run.began_ms;
+    if began_ms <= due_ms
+      || !self
+        .records
+        .is_connected(request.box_index, leaving_ms, began_ms)
+      || !self.records.is_calm(request, leaving_ms, began_ms)
+    {
+      return None;
+    }
+    let seen = format!(
+      "{id} began at {began_ms} ms at {}, which has been leaving since {leaving_ms} ms",
+      run.incarnation
+    );
+    Some(Breach::new(Promise::Drained, seen))
+  }
+
+  /// Finds that a planned stop cut the request.
+  pub(crate) fn is_cut_by(&self, stop: &PlannedStop) -> Option<Breach> {
+    let Self { id, request, .. } = self;
+    let ended_ms = request.ended_ms?;
+    let cut = matches!(request.outcome, Some(Outcome::Broken { .. }));
+    let was_read =
+      !request.runs.is_empty() || ended_ms > request.sent_ms + CROSSING_MS + self.slack_ms;
+    let concerned = request.box_index == stop.box_index
+      && request.sent_ms < stop.gone_ms
+      && ended_ms > stop.signalled_ms;
+    if !cut || !was_read || !concerned || !self.records.is_calm_but_for_stop(request) {
+      return None;
+    }
+    let seen = format!(
+      "{id} sent at {} ms, cut at {ended_ms} ms: {stop:?}",
+      request.sent_ms
+    );
+    Some(Breach::new(Promise::StopCutsNothing, seen))
+  }
+}
