--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -31,6 +31,8 @@
 mod request_kind;
 mod seat;
 mod serving;
+mod store_calls;
+mod store_contents;
 mod subcommand;
 
 pub use self::{
