--- a/soak/src/link.rs
+++ b/soak/src/link.rs
@@ -32,9 +32,12 @@
   resets: u64,
 }
 
+/// Which way bytes go.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Direction {
+  /// Towards the target.
   Forward,
+  /// Back from the target.
   Back,
 }
 
@@ -112,6 +115,7 @@
   }
 }
 
+/// Carries one connection to its end, or until it is reset.
 async fn carry(caller: TcpStream, link: Link) {
   let mut condition = link.condition.subscribe();
   let resets = condition.borrow().resets;
@@ -131,8 +135,20 @@
   if small_packets.is_err() {
     return;
   }
-  let reset_caller = SockRef::from(&caller).try_clone();
-  let reset_target = SockRef::from(&target).try_clone();
+  let sockets = [&caller, &target].map(|stream| SockRef::from(stream).try_clone());
+  tokio::select! {
+    () = pump_both_ways(caller, target, &link) => {}
+    _ = condition.wait_for(|now| now.resets != resets) => {
+      for socket in sockets.into_iter().flatten() {
+        // A socket that has closed by itself needs no reset.
+        let _ = socket.set_linger(Some(Duration::ZERO));
+      }
+    }
+  }
+}
+
+/// Moves bytes until both directions have ended.
+async fn pump_both_ways(caller: TcpStream, target: TcpStream, link: &Link) {
   let (caller_read, caller_write) = caller.into_split();
   let (target_read, target_write) = target.into_split();
   let forward = pump(
@@ -147,15 +163,7 @@
     link.condition.subscribe(),
     Direction::Back,
   );
-  tokio::select! {
-    _ = async { tokio::join!(forward, back) } => {}
-    _ = condition.wait_for(|now| now.resets != resets) => {
-      for socket in [reset_caller, reset_target].into_iter().flatten() {
-        // A socket that has closed by itself needs no reset.
-        let _ = socket.set_linger(Some(Duration::ZERO));
-      }
-    }
-  }
+  tokio::join!(forward, back);
 }
 
 fn reset(stream: &TcpStream) {
--- a/soak/src/play.rs
+++ b/soak/src/play.rs
@@ -82,28 +82,16 @@
   .await?;
   let fleet = Arc::new(fleet);
   wait_until_ready(&fleet).await?;
-  let mut background = JoinSet::new();
-  background.spawn(keep_looking(fleet.clone()));
-  background.spawn(keep_probing(fleet.clone()));
-  background.spawn(follow_part_changes(fleet.clone(), part_changes));
+  let mut background = start_background(&fleet, part_changes);
   let (end, ended) = watch::channel(false);
-  let mut callers = JoinSet::new();
-  for number in 0..options.callers {
-    callers.spawn(Caller::new(fleet.clone(), number, options.seed).run(ended.clone()));
-  }
+  let mut callers = start_callers(&fleet, options, &ended);
   let steps = draw_plan(options.seed, size);
   play_steps(&fleet, &steps).await?;
   wait_until_ready(&fleet).await?;
   let calm_ms = fleet.ledger.now_ms();
   fleet.ledger.records().calm_ms = Some(calm_ms);
   sleep(CALM).await;
-  // All callers hold a receiver until they end.
-  let _ = end.send(true);
-  // One that is stuck shows as a request without an outcome.
-  let _ = timeout(CALLERS_LIMIT, async {
-    while callers.join_next().await.is_some() {}
-  })
-  .await;
+  end_traffic(&end, &mut callers).await;
   sleep(EMPTY_AFTER).await;
   let held = fleet.held();
   fleet.ledger.records().held_at_end = held;
@@ -116,6 +104,38 @@
   })
 }
 
+/// What runs beside the traffic until the end: the balancer, the questions for versions, and the engines' entries.
+fn start_background(fleet: &Arc<Fleet>, part_changes: PartChanges) -> JoinSet<()> {
+  let mut background = JoinSet::new();
+  background.spawn(keep_looking(fleet.clone()));
+  background.spawn(keep_probing(fleet.clone()));
+  background.spawn(follow_part_changes(fleet.clone(), part_changes));
+  background
+}
+
+fn start_callers(
+  fleet: &Arc<Fleet>,
+  options: &Options,
+  ended: &watch::Receiver<bool>,
+) -> JoinSet<()> {
+  let mut callers = JoinSet::new();
+  for number in 0..options.callers {
+    callers.spawn(Caller::new(fleet.clone(), number, options.seed).run(ended.clone()));
+  }
+  callers
+}
+
+/// Tells the callers to end, and waits for their last requests.
+async fn end_traffic(end: &watch::Sender<bool>, callers: &mut JoinSet<()>) {
+  // All callers hold a receiver until they end.
+  let _ = end.send(true);
+  // One that is stuck shows as a request without an outcome.
+  let _ = timeout(CALLERS_LIMIT, async {
+    while callers.join_next().await.is_some() {}
+  })
+  .await;
+}
+
 /// Begins each fault at its time, and waits for the last to end.
 async fn play_steps(fleet: &Arc<Fleet>, steps: &[Step]) -> Result {
   let begun_ms = fleet.ledger.now_ms();
--- a/src/gateway/role_steward.rs
+++ b/src/gateway/role_steward.rs
@@ -285,6 +285,7 @@
     }
   }
 
+  /// Counts an engine in the role that it has been ordered to take.
   fn note_order(&mut self, engine: &EndpointEntry, role: Role) {
     let order = PendingOrder {
       role,
--- a/tests/soak_play.rs
+++ b/tests/soak_play.rs
@@ -1,4 +1,4 @@
-//! A short seeded run of the soak, and the seeds that once broke a promise.
+//! A short seeded run of the soak.
 
 use {
   soak::{Options, Size, play},
