--- a/soak/src/box_process.rs
+++ b/soak/src/box_process.rs
@@ -46,6 +46,7 @@
   pub(crate) callers: Link,
   /// Where the box itself takes callers.
   pub(crate) direct: SocketAddr,
+  /// Where the balancer asks whether it is ready.
   pub(crate) ready: SocketAddr,
   pub(crate) store_link: Link,
   ledger: Ledger,
@@ -65,15 +66,8 @@
     let store_link = open_link(plan.store.address).await?;
     let callers = open_link(direct).await?;
     let name = format!("north-{index:03}");
-    let text = format!(
-      "[box]\nname = \"{name}\"\nhall = \"north\"\n\
-       [listen]\ncallers = \"{direct}\"\nready = \"{ready}\"\nboxes = \"{boxes}\"\nmetrics = \"{metrics}\"\n\
-       [store]\naddress = \"{}\"\nleast_lease_ms = 1000\n\
-       [bounds]\nstop_s = {STOP_S:.1}\nretry_ratio = 0.2\nretry_window_s = 10\nretry_slack = 60\n\
-       order_gap_ms = 1000\ncontact_ms = 3000\n\
-       [engines]\nprefill_share = 0.25\n",
-      store_link.address
-    );
+    let addresses = [direct, ready, boxes, metrics, store_link.address];
+    let text = settings_text(&name, addresses);
     let settings = plan.directory.join(format!("{name}.toml"));
     std::fs::write(&settings, text).map_err(|source| Error::File {
       path: settings.clone(),
@@ -217,6 +211,19 @@
   }
 }
 
+/// The settings of a box: its addresses for callers, the balancer, boxes and metrics, and the store's.
+fn settings_text(name: &str, addresses: [SocketAddr; 5]) -> String {
+  let [callers, ready, boxes, metrics, store] = addresses;
+  format!(
+    "[box]\nname = \"{name}\"\nhall = \"north\"\n\
+     [listen]\ncallers = \"{callers}\"\nready = \"{ready}\"\nboxes = \"{boxes}\"\nmetrics = \"{metrics}\"\n\
+     [store]\naddress = \"{store}\"\nleast_lease_ms = 1000\n\
+     [bounds]\nstop_s = {STOP_S:.1}\nretry_ratio = 0.2\nretry_window_s = 10\nretry_slack = 60\n\
+     order_gap_ms = 1000\ncontact_ms = 3000\n\
+     [engines]\nprefill_share = 0.25\n"
+  )
+}
+
 async fn open_link(target: SocketAddr) -> Result<Link> {
   Link::open(target).await.map_err(Error::Listen)
 }
--- a/soak/src/conductor.rs
+++ b/soak/src/conductor.rs
@@ -4,7 +4,7 @@
   super::{
     disturbance::Target,
     error::Result,
-    fault::{Fault, LinkFault, StoreFault},
+    fault::{EndpointFault, Fault, LinkFault, StoreFault},
     fleet::Fleet,
     link::Link,
   },
@@ -70,10 +70,7 @@
       fault,
       for_ms,
     } => {
-      let _disturbed = fleet.ledger.disturb(Target::Place(place));
-      fleet.with_endpoint(place, |endpoint| endpoint.set_fault(Some(fault)));
-      sleep(Duration::from_millis(for_ms)).await;
-      fleet.with_endpoint(place, |endpoint| endpoint.set_fault(None));
+      disturb_endpoint(fleet, place, fault, for_ms).await;
       Ok(())
     }
     Fault::AddressesExchanged { place, other } => exchange(fleet, place, other).await,
@@ -91,6 +88,13 @@
   link.mend();
 }
 
+async fn disturb_endpoint(fleet: &Fleet, place: usize, fault: EndpointFault, for_ms: u64) {
+  let _disturbed = fleet.ledger.disturb(Target::Place(place));
+  fleet.with_endpoint(place, |endpoint| endpoint.set_fault(Some(fault)));
+  sleep(Duration::from_millis(for_ms)).await;
+  fleet.with_endpoint(place, |endpoint| endpoint.set_fault(None));
+}
+
 async fn disturb_store(fleet: &Fleet, fault: StoreFault, lasts: Duration) {
   let store = &fleet.store;
   let _disturbed = fleet.ledger.disturb(Target::Store);
--- a/soak/src/configuration.rs
+++ b/soak/src/configuration.rs
@@ -2,7 +2,8 @@
 
 use {
   super::{
-    endpoint::SEATS, exports::EXPORT_TTL, request_check::MOST_ATTEMPTS, request_kind::RequestKind,
+    endpoint_state::SEATS, exports::EXPORT_TTL, request_check::MOST_ATTEMPTS,
+    request_kind::RequestKind,
   },
   serde_json::{Value, json},
 };
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -3,6 +3,7 @@
 use {
   super::{
     content,
+    endpoint_state::{EndpointState, SEATS},
     event_stream::EventStream,
     exports::Exports,
     fault::EndpointFault,
@@ -18,7 +19,6 @@
   hyper::body::Incoming,
   serde_json::{Value, json},
   std::{
-    collections::HashMap,
     future::pending,
     io,
     net::SocketAddr,
@@ -28,8 +28,6 @@
   tokio::{sync::mpsc::UnboundedSender, time::sleep},
 };
 
-/// Requests that an engine holds at once.
-pub(crate) const SEATS: usize = 8;
 /// How long a plain request takes.
 const PLAIN_WORK: Duration = Duration::from_millis(12);
 /// How long a prompt takes to be read.
@@ -41,34 +39,6 @@
 /// How long an engine changes its role.
 const SWITCH_WORK: Duration = Duration::from_millis(400);
 
-/// What of an endpoint changes.
-struct State {
-  part: Part,
-  /// Seats that are taken.
-  running: usize,
-  /// Seats that are reserved, until when.
-  holds: HashMap<String, Instant>,
-  /// Numbers the reservations and prompts.
-  last_number: u64,
-  orders_taken: u64,
-  /// Whether it is changing its role.
-  switching: bool,
-  fault: Option<EndpointFault>,
-}
-
-impl State {
-  fn next_number(&mut self) -> u64 {
-    self.last_number += 1;
-    self.last_number
-  }
-
-  fn has_seat(&mut self) -> bool {
-    let now = Instant::now();
-    self.holds.retain(|_, until| now < *until);
-    self.running + self.holds.len() < SEATS
-  }
-}
-
 /// One incarnation of an endpoint.
 pub(crate) struct Endpoint {
   pub(crate) incarnation: String,
@@ -77,7 +47,7 @@
   shown: SocketAddr,
   ledger: Ledger,
   exports: Exports,
-  state: Mutex<State>,
+  state: Mutex<EndpointState>,
   /// Hears of a changed role.
   changed_part: UnboundedSender<(usize, Part)>,
 }
@@ -105,19 +75,11 @@
       ledger: ledger.clone(),
       place: identity.place,
       shown: identity.shown,
-      state: Mutex::new(State {
-        fault: None,
-        holds: HashMap::new(),
-        last_number: 0,
-        orders_taken: 0,
-        part: identity.part,
-        running: 0,
-        switching: false,
-      }),
+      state: Mutex::new(EndpointState::new(identity.part)),
     })
   }
 
-  fn state(&self) -> MutexGuard<'_, State> {
+  fn state(&self) -> MutexGuard<'_, EndpointState> {
     // A task that panicked between two changes leaves them whole.
     self.state.lock().unwrap_or_else(PoisonError::into_inner)
   }
--- /dev/null
+++ b/soak/src/endpoint_state.rs
@@ -0,0 +1,51 @@
+//! What of an endpoint changes.
+
+use {
+  super::{fault::EndpointFault, part::Part},
+  std::{collections::HashMap, time::Instant},
+};
+
+/// Requests that an engine holds at once.
+pub(crate) const SEATS: usize = 8;
+
+/// What of an endpoint changes.
+pub(crate) struct EndpointState {
+  pub(crate) part: Part,
+  /// Seats that are taken.
+  pub(crate) running: usize,
+  /// Seats that are reserved, until when.
+  pub(crate) holds: HashMap<String, Instant>,
+  /// Numbers the reservations and prompts.
+  pub(crate) last_number: u64,
+  pub(crate) orders_taken: u64,
+  /// Whether it is changing its role.
+  pub(crate) switching: bool,
+  pub(crate) fault: Option<EndpointFault>,
+}
+
+impl EndpointState {
+  pub(crate) fn new(part: Part) -> Self {
+    Self {
+      fault: None,
+      holds: HashMap::new(),
+      last_number: 0,
+      orders_taken: 0,
+      part,
+      running: 0,
+      switching: false,
+    }
+  }
+
+  /// A number that no earlier reservation or prompt has.
+  pub(crate) fn next_number(&mut self) -> u64 {
+    self.last_number += 1;
+    self.last_number
+  }
+
+  /// Whether a seat is free; forgets the reservations that are over.
+  pub(crate) fn has_seat(&mut self) -> bool {
+    let now = Instant::now();
+    self.holds.retain(|_, until| now < *until);
+    self.running + self.holds.len() < SEATS
+  }
+}
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -4,7 +4,8 @@
   super::{
     box_process::{BoxPlan, BoxProcess},
     configuration::{self, HOST, version_path},
-    endpoint::{Endpoint, Identity, SEATS},
+    endpoint::{Endpoint, Identity},
+    endpoint_state::SEATS,
     error::{Error, Result},
     exports::Exports,
     ledger::Ledger,
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -10,6 +10,7 @@
 mod content;
 mod disturbance;
 mod endpoint;
+mod endpoint_state;
 mod error;
 mod event_stream;
 mod exports;
--- a/soak/src/records.rs
+++ b/soak/src/records.rs
@@ -75,7 +75,7 @@
   pub in_force: Option<bool>,
 }
 
-/// A role order that an engine accepted.
+/// A role order that reached an engine, taken or not.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct OrderRecord {
   /// The engine's incarnation.
