--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -2,31 +2,52 @@
 //! from outside, and the users' promises checked against what callers and endpoints saw. Never shipped.
 
 mod box_process;
+mod breach;
 mod caller;
+mod calm;
 mod conductor;
+mod configuration;
 mod content;
+mod disturbance;
 mod endpoint;
+mod endpoint_state;
 mod error;
+mod event_stream;
+mod exports;
 mod fault;
 mod fleet;
 mod ledger;
 mod link;
+mod part;
+mod place;
 mod plan;
 mod platform_store;
 mod play;
+mod promise;
 mod promises;
+mod question;
+mod records;
+mod reply;
+mod request_check;
+mod request_kind;
+mod seat;
+mod serving;
+mod store_calls;
+mod store_contents;
 mod subcommand;
 
 pub use self::{
+  breach::Breach,
+  disturbance::{Disturbance, Target},
   error::{Error, Result},
   fault::{EndpointFault, Fault, LinkFault, StoreFault},
-  ledger::{
-    Disturbance, Ledger, OrderRecord, Outcome, PlannedStop, Probe, Records, RequestKind,
-    RequestRecord, Run, Target,
-  },
+  ledger::Ledger,
   plan::{Size, Step, draw_plan},
   platform_store::PlatformStore,
   play::{Options, Report, play},
-  promises::{Breach, Promise, breaches},
+  promise::Promise,
+  promises::breaches,
+  records::{OrderRecord, Outcome, PlannedStop, Probe, Records, RequestRecord, Run},
+  request_kind::RequestKind,
   subcommand::run,
 };
