Give back to leaving endpoints what they keep, and close gaps in the soak's checks

The router's own calls go to a leaving endpoint again, callers' requests do not (test in leaving: its seat is given back). The soak: a link's reset is a reset on both sides (before, both read an orderly end); attempts are bound by each kind's route; a request still open at the end, a box that does not stop by itself, and a calm end without a served request break their promise. Each has a planted record in tests/soak_promises.rs.

--- a/soak/src/box_process.rs
+++ b/soak/src/box_process.rs
@@ -26,6 +26,8 @@
 
 /// Seconds from the signal to stop until the process is killed (the users' `graceS` is 8).
 const STOP_S: f64 = 6.0;
+/// A box that uses all of its time is not killed within this much more.
+const KILL_MARGIN: Duration = Duration::from_millis(1_000);
 /// Pause before a process that has ended is started again.
 const RESTART_PAUSE: Duration = Duration::from_millis(200);
 
@@ -145,27 +147,22 @@
       return Ok(());
     }
     // The lock is not held meanwhile: further signals may come.
-    let limit = Duration::from_secs_f64(STOP_S);
-    let mut was_killed = timeout(limit, self.is_gone()).await.is_err();
+    let limit = Duration::from_secs_f64(STOP_S) + KILL_MARGIN;
+    let is_gone = timeout(limit, self.is_gone()).await.is_ok();
     let Some(mut child) = self.process.lock().await.take() else {
       return Ok(());
     };
-    if was_killed {
+    if !is_gone {
       child.kill().await.map_err(Error::Wait)?;
     }
-    was_killed |= child
-      .try_wait()
-      .map_err(Error::Wait)?
-      .is_none_or(|status| !status.success());
-    let gone_ms = self.ledger.now_ms();
-    if !was_killed {
-      let stop = PlannedStop {
-        box_index: self.index,
-        gone_ms,
-        signalled_ms: leaving.began_ms(),
-      };
-      self.ledger.records().stops.push(stop);
-    }
+    let status = child.wait().await.map_err(Error::Wait)?;
+    let stop = PlannedStop {
+      box_index: self.index,
+      gone_ms: self.ledger.now_ms(),
+      is_clean: is_gone && status.success(),
+      signalled_ms: leaving.began_ms(),
+    };
+    self.ledger.records().stops.push(stop);
     sleep(RESTART_PAUSE).await;
     self.start_again().await
   }
--- a/soak/src/calm.rs
+++ b/soak/src/calm.rs
@@ -2,7 +2,7 @@
 
 use super::{
   disturbance::{Disturbance, Target},
-  records::{Records, RequestRecord},
+  records::{PlannedStop, Records, RequestRecord},
 };
 
 /// Time without trouble after which a box counts as connected (the users' bound on contact).
@@ -38,6 +38,13 @@
     })
   }
 
+  /// Whether nothing but signals to stop struck a box while it stopped.
+  pub(crate) fn is_box_undisturbed(&self, stop: &PlannedStop) -> bool {
+    self.is_undisturbed(stop.signalled_ms, stop.gone_ms, |target| {
+      target == Target::Box(stop.box_index)
+    })
+  }
+
   /// Whether no disturbance of what is concerned lies within a time or shortly before it.
   fn is_undisturbed(&self, from_ms: u64, until_ms: u64, concerns: impl Fn(Target) -> bool) -> bool {
     !self
--- a/soak/src/configuration.rs
+++ b/soak/src/configuration.rs
@@ -1,10 +1,7 @@
 //! The configurations that the operator writes.
 
 use {
-  super::{
-    endpoint_state::SEATS, exports::EXPORT_TTL, request_check::MOST_ATTEMPTS,
-    request_kind::RequestKind,
-  },
+  super::{endpoint_state::SEATS, exports::EXPORT_TTL, request_kind::RequestKind},
   serde_json::{Value, json},
 };
 
@@ -17,17 +14,17 @@
 pub(crate) fn document(version: u64) -> Value {
   let oldest = version.saturating_sub(KEPT_VERSIONS - 1).max(1);
   let mut routes = vec![
-    route(RequestKind::Repeatable.path(), "safe", "portal", 2),
-    route(RequestKind::Unrepeatable.path(), "unsafe", "portal", 1),
-    route(RequestKind::Stream.path(), "stream", "llm", 1),
-    route(
-      RequestKind::ResumableStream.path(),
-      "stream",
-      "llm",
-      MOST_ATTEMPTS,
-    ),
+    route(RequestKind::Repeatable, "safe", "portal"),
+    route(RequestKind::Unrepeatable, "unsafe", "portal"),
+    route(RequestKind::Stream, "stream", "llm"),
+    route(RequestKind::ResumableStream, "stream", "llm"),
   ];
-  routes.extend((oldest..=version).map(|kept| route(&version_path(kept), "safe", "portal", 2)));
+  routes.extend((oldest..=version).map(|kept| {
+    let mut route = route(RequestKind::Repeatable, "safe", "portal");
+    route["name"] = json!(version_path(kept));
+    route["pathPrefix"] = json!(version_path(kept));
+    route
+  }));
   json!({
     "version": version,
     "routes": routes,
@@ -41,11 +38,11 @@
   })
 }
 
-fn route(path: &str, kind: &str, service: &str, attempts: usize) -> Value {
+fn route(kind: RequestKind, word: &str, service: &str) -> Value {
   json!({
-    "name": path, "host": HOST, "pathPrefix": path, "kind": kind, "timeoutMs": 4_000, "targetLatencyMs": 900,
-    "priority": 1, "service": service, "maxAttempts": attempts,
-    "resumable": path == RequestKind::ResumableStream.path(),
+    "name": kind.path(), "host": HOST, "pathPrefix": kind.path(), "kind": word, "timeoutMs": 4_000,
+    "targetLatencyMs": 900, "priority": 1, "service": service, "maxAttempts": kind.most_attempts(),
+    "resumable": kind == RequestKind::ResumableStream,
   })
 }
 
--- a/soak/src/link.rs
+++ b/soak/src/link.rs
@@ -136,34 +136,31 @@
     return;
   }
   let sockets = [&caller, &target].map(|stream| SockRef::from(stream).try_clone());
-  tokio::select! {
-    () = pump_both_ways(caller, target, &link) => {}
-    _ = condition.wait_for(|now| now.resets != resets) => {
-      for socket in sockets.into_iter().flatten() {
-        // A socket that has closed by itself needs no reset.
-        let _ = socket.set_linger(Some(Duration::ZERO));
-      }
+  if pump_both_ways(caller, target, &link, resets).await == Ending::Reset {
+    for socket in sockets.into_iter().flatten() {
+      // A socket that has closed by itself needs no reset.
+      let _ = socket.set_linger(Some(Duration::ZERO));
     }
   }
 }
 
-/// Moves bytes until both directions have ended.
-async fn pump_both_ways(caller: TcpStream, target: TcpStream, link: &Link) {
+/// Moves bytes until both directions have ended, or one is reset.
+async fn pump_both_ways(caller: TcpStream, target: TcpStream, link: &Link, resets: u64) -> Ending {
   let (caller_read, caller_write) = caller.into_split();
   let (target_read, target_write) = target.into_split();
-  let forward = pump(
-    caller_read,
-    target_write,
-    link.condition.subscribe(),
-    Direction::Forward,
-  );
-  let back = pump(
-    target_read,
-    caller_write,
-    link.condition.subscribe(),
-    Direction::Back,
-  );
-  tokio::join!(forward, back);
+  let pump = |from, to, direction| Pump {
+    condition: link.condition.subscribe(),
+    direction,
+    from,
+    resets,
+    to,
+  };
+  let forward = pump(caller_read, target_write, Direction::Forward);
+  let back = pump(target_read, caller_write, Direction::Back);
+  match tokio::join!(forward.run(), back.run()) {
+    (Ending::Closed, Ending::Closed) => Ending::Closed,
+    _ => Ending::Reset,
+  }
 }
 
 fn reset(stream: &TcpStream) {
@@ -171,31 +168,62 @@
   let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
 }
 
-/// Moves bytes one way until the end or an error, as far as the link's condition allows.
-async fn pump(
-  mut from: OwnedReadHalf,
-  mut to: OwnedWriteHalf,
-  mut condition: watch::Receiver<Condition>,
+/// How one direction ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Ending {
+  /// With an end of the bytes.
+  Closed,
+  /// By a reset of the link, or of the connection on one side.
+  Reset,
+}
+
+/// One direction of a connection.
+struct Pump {
+  from: OwnedReadHalf,
+  to: OwnedWriteHalf,
+  condition: watch::Receiver<Condition>,
   direction: Direction,
-) {
-  let mut buffer = vec![0; CHUNK_BYTES];
-  loop {
-    let count = from.read(&mut buffer).await.unwrap_or(0);
-    let Ok(now) = condition
-      .wait_for(|now| !now.blocks(direction))
-      .await
-      .map(|now| *now)
-    else {
-      return;
-    };
-    sleep(now.delay()).await;
-    if count == 0 {
-      // The other side may have closed already.
-      let _ = to.shutdown().await;
-      return;
+  /// The link's resets when the connection was made.
+  resets: u64,
+}
+
+impl Pump {
+  /// Moves bytes until the end, as far as the link's condition allows.
+  async fn run(mut self) -> Ending {
+    match self.move_all().await {
+      Ok(()) => Ending::Closed,
+      Err(_) => {
+        // Dropped, it would say an orderly end before the reset.
+        self.to.forget();
+        Ending::Reset
+      }
     }
-    if to.write_all(&buffer[..count]).await.is_err() {
-      return;
+  }
+
+  /// Fails when the connection or the link was reset.
+  async fn move_all(&mut self) -> io::Result<()> {
+    let mut buffer = vec![0; CHUNK_BYTES];
+    let mut watched = self.condition.clone();
+    let resets = self.resets;
+    loop {
+      let count = tokio::select! {
+        count = self.from.read(&mut buffer) => count?,
+        _ = watched.wait_for(|now| now.resets != resets) => 0,
+      };
+      let direction = self.direction;
+      let now = *self
+        .condition
+        .wait_for(|now| !now.blocks(direction) || now.resets != resets)
+        .await
+        .map_err(io::Error::other)?;
+      if now.resets != resets {
+        return Err(io::ErrorKind::ConnectionReset.into());
+      }
+      sleep(now.delay()).await;
+      if count == 0 {
+        return self.to.shutdown().await;
+      }
+      self.to.write_all(&buffer[..count]).await?;
     }
   }
 }
--- a/soak/src/promises.rs
+++ b/soak/src/promises.rs
@@ -5,7 +5,7 @@
     breach::Breach,
     calm::CONTACT_MS,
     promise::Promise,
-    records::{OrderRecord, Outcome, Probe, Records, RequestRecord},
+    records::{OrderRecord, Outcome, PlannedStop, Probe, Records, RequestRecord},
     request_check::RequestCheck,
   },
   std::collections::BTreeMap,
@@ -13,8 +13,6 @@
 
 /// A configuration is in force this soon after the store took it (the users' bound).
 const CONFIGURE_MS: u64 = 2_000;
-/// After the last fault, all kinds are served again this soon (the users' bound on recovery).
-const RECOVER_MS: u64 = 12_000;
 /// Share of requests that is served once recovered.
 const RECOVERED_SHARE: f64 = 0.9;
 
@@ -98,10 +96,20 @@
     let stops = self.records.stops.iter();
     stops.flat_map(|stop| {
       let requests = self.requests();
-      requests.filter_map(move |request| request.is_cut_by(stop))
+      let cut = requests.filter_map(move |request| request.is_cut_by(stop));
+      cut.chain(self.is_unclean(stop))
     })
   }
 
+  /// A process that was told to stop, was left alone, and did not end by itself and well.
+  fn is_unclean(&self, stop: &PlannedStop) -> Option<Breach> {
+    let is_left_alone = self.records.is_box_undisturbed(stop);
+    if stop.is_clean || !is_left_alone {
+      return None;
+    }
+    Some(Breach::new(Promise::StopCutsNothing, format!("{stop:?}")))
+  }
+
   fn orders(&self) -> Vec<Breach> {
     let mut newest: BTreeMap<&str, &OrderRecord> = BTreeMap::new();
     let mut found = Vec::new();
@@ -125,7 +133,7 @@
   }
 
   fn recovery(&self) -> Option<Breach> {
-    let since_ms = self.records.calm_ms? + RECOVER_MS.min(CONTACT_MS + self.slack_ms);
+    let since_ms = self.records.calm_ms? + CONTACT_MS;
     let late: Vec<&RequestRecord> = self
       .records
       .requests
@@ -133,7 +141,8 @@
       .filter(|request| request.sent_ms >= since_ms && request.outcome != Some(Outcome::Left))
       .collect();
     let served = late.iter().filter(|request| is_served(request)).count();
-    if served as f64 >= RECOVERED_SHARE * late.len() as f64 {
+    // Without a request nothing is shown.
+    if served > 0 && served as f64 >= RECOVERED_SHARE * late.len() as f64 {
       return None;
     }
     let seen = format!("{served} of {} served after {since_ms} ms", late.len());
--- a/soak/src/records.rs
+++ b/soak/src/records.rs
@@ -95,6 +95,8 @@
   pub signalled_ms: u64,
   /// When the process was gone.
   pub gone_ms: u64,
+  /// Whether the process ended in time by itself, with success.
+  pub is_clean: bool,
 }
 
 /// All records of one run.
--- a/soak/src/request_check.rs
+++ b/soak/src/request_check.rs
@@ -7,8 +7,6 @@
   records::{Outcome, PlannedStop, Records, RequestRecord, Run},
 };
 
-/// The most runs of one request that any route allows.
-pub(crate) const MOST_ATTEMPTS: usize = 3;
 /// A caller that left frees its endpoint this soon (the users' rule on callers who leave).
 const GONE_MS: u64 = 500;
 /// An endpoint that leaves gets nothing new after this time (the users' bound on draining).
@@ -101,7 +99,8 @@
 
   fn attempts(&self) -> Option<Breach> {
     let Self { id, request, .. } = self;
-    if request.runs.len() <= MOST_ATTEMPTS {
+    // A second run of what may not be repeated is told as such.
+    if !request.kind.may_repeat() || request.runs.len() <= request.kind.most_attempts() {
       return None;
     }
     let seen = format!("{id} ran at {:?}", request.runs);
@@ -110,13 +109,16 @@
 
   fn is_ended(&self) -> Option<Breach> {
     let Self { id, request, .. } = self;
-    let ended_ms = request.ended_ms?;
-    if request.outcome != Some(Outcome::Unanswered)
-      || !self.records.is_calm(request, request.sent_ms, ended_ms)
-    {
+    // One without an outcome was still open when its caller was ended.
+    let is_open = matches!(request.outcome, None | Some(Outcome::Unanswered));
+    let ended_ms = request.ended_ms.unwrap_or(u64::MAX);
+    if !is_open || !self.records.is_calm(request, request.sent_ms, ended_ms) {
       return None;
     }
-    let seen = format!("{id} sent at {} ms, open at {ended_ms} ms", request.sent_ms);
+    let seen = format!(
+      "{id} sent at {} ms, open at {:?} ms",
+      request.sent_ms, request.ended_ms
+    );
     Some(Breach::new(Promise::Ended, seen))
   }
 
--- a/soak/src/request_kind.rs
+++ b/soak/src/request_kind.rs
@@ -33,4 +33,13 @@
       Self::ResumableStream => "/resumable/",
     }
   }
+
+  /// The most endpoints that its route allows one request to be sent to.
+  pub fn most_attempts(self) -> usize {
+    match self {
+      Self::Unrepeatable | Self::Stream => 1,
+      Self::Repeatable => 2,
+      Self::ResumableStream => 3,
+    }
+  }
 }
--- a/src/gateway/engine_call.rs
+++ b/src/gateway/engine_call.rs
@@ -5,7 +5,7 @@
     EndpointEntry, PartEnd,
     dialect::{EndpointCall, Export},
     gateway::Gateway,
-    part::{PartError, exchange},
+    part::{PartError, Purpose, exchange},
   },
   crate::ids::Name,
   bytes::Bytes,
@@ -59,13 +59,12 @@
   let lost = |error: &dyn Display| CallFailure::Lost(error.to_string());
   let request = build_request(entry, call).map_err(|error| lost(&error))?;
   let answer = async {
-    let (connection, response) =
-      exchange(gateway, entry, request)
-        .await
-        .map_err(|error| match error {
-          PartError::Unreachable => CallFailure::TimedOut,
-          error => lost(&error),
-        })?;
+    let (connection, response) = exchange(gateway, entry, request, Purpose::OwnCall)
+      .await
+      .map_err(|error| match error {
+        PartError::Unreachable => CallFailure::TimedOut,
+        error => lost(&error),
+      })?;
     let (head, body) = response.into_parts();
     let read = Limited::new(body, MOST_ANSWER_BYTES).collect().await;
     let body = read.map_err(|error| lost(&error))?.to_bytes();
--- a/src/gateway/part.rs
+++ b/src/gateway/part.rs
@@ -187,7 +187,7 @@
 ) -> Result<Head, PartError> {
   let mut booking = Booking::new(gateway, &entry.id, size, units);
   let sent = request.for_endpoint(&*gateway.dialect, marks);
-  let answered = exchange(gateway, entry, sent)
+  let answered = exchange(gateway, entry, sent, Purpose::Request)
     .await
     .and_then(|(connection, response)| {
       let (head, body) = response.into_parts();
@@ -210,14 +210,24 @@
   }
 }
 
+/// What is sent to an endpoint.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Purpose {
+  /// A caller's request, or a part of it: never to an endpoint that leaves.
+  Request,
+  /// A call of this router's own: what an endpoint keeps is given back to one that leaves, too.
+  OwnCall,
+}
+
 /// Sends a request on a resting connection, or on a new one when none is left or it closed unused.
 pub(crate) async fn exchange(
   gateway: &Gateway,
   entry: &EndpointEntry,
   request: Request<Full<Bytes>>,
+  purpose: Purpose,
 ) -> Result<(Connection, Response<Incoming>), PartError> {
   // Time has passed since the endpoint was chosen; a connection may rest whose request outlasted the notice.
-  check_stays(gateway, entry)?;
+  check_stays(gateway, entry, purpose)?;
   if let Some(mut connection) = gateway.pool.take(&entry.id, gateway.now_ms()) {
     match connection.send(request.clone()).await {
       Ok(response) => return Ok((connection, response)),
@@ -228,14 +238,23 @@
   gateway.counters.connections.inc();
   let opened = Connection::open(entry.id.clone(), entry.address).await;
   let mut connection = opened?;
-  check_stays(gateway, entry)?;
+  check_stays(gateway, entry, purpose)?;
   let response = connection.send(request).await?;
   Ok((connection, response))
 }
 
-/// Refuses an endpoint that leaves, or whose entry has gone.
-fn check_stays(gateway: &Gateway, entry: &EndpointEntry) -> Result<(), PartError> {
-  if gateway.book.borrow().may_send(&entry.id) {
+/// Refuses an endpoint whose entry has gone, and for callers' requests one that leaves.
+fn check_stays(
+  gateway: &Gateway,
+  entry: &EndpointEntry,
+  purpose: Purpose,
+) -> Result<(), PartError> {
+  let book = gateway.book.borrow();
+  let stays = match purpose {
+    Purpose::Request => book.may_send(&entry.id),
+    Purpose::OwnCall => book.entry(&entry.id).is_some(),
+  };
+  if stays {
     return Ok(());
   }
   Err(PartError::Unsent("the endpoint is leaving".into()))
--- a/tests/gateway/leaving.rs
+++ b/tests/gateway/leaving.rs
@@ -162,6 +162,14 @@
   assert_eq!(first.body.unwrap(), events);
   assert_eq!(second, StatusCode::OK);
   assert_eq!(decode.requests().len(), 1);
+  // The engine gets its seat back, although it leaves.
+  let is_given_back = async || {
+    let calls = decode.seen();
+    calls
+      .iter()
+      .any(|seen| seen.path.starts_with("/hold-drop/"))
+  };
+  assert!(eventually(PATIENCE, is_given_back).await);
   // The prompt that was read goes along: it is not read again.
   let is_second = |seen: &&Seen| seen.id() == "r2";
   assert_eq!(prefill.requests().iter().filter(is_second).count(), 1);
--- a/tests/soak_promises.rs
+++ b/tests/soak_promises.rs
@@ -143,6 +143,12 @@
   (0..4).map(|place| run(place, 10_010, Some(10_020))).collect(),
   Promise::Attempts
 )]
+#[case::one_endpoint_too_many(
+  RequestKind::Repeatable,
+  served(&plain_body()),
+  (0..3).map(|place| run(place, 10_010, Some(10_020))).collect(),
+  Promise::Attempts
+)]
 #[case::never_ended(RequestKind::Repeatable, Outcome::Unanswered, vec![], Promise::Ended)]
 #[case::at_work_for_nobody(
   RequestKind::Stream,
@@ -241,6 +247,7 @@
   records.stops.push(PlannedStop {
     box_index: 0,
     gone_ms: 20_000,
+    is_clean: true,
     signalled_ms: 15_000,
   });
   records
@@ -278,3 +285,45 @@
   records.unasked.push("b at i-0".into());
   assert!(found(&records).contains(&Promise::OnlyWhatWasAsked));
 }
+
+#[rstest]
+#[case::left_alone(None, vec![Promise::StopCutsNothing])]
+#[case::killed_meanwhile(Some(Target::Box(0)), vec![])]
+fn box_that_does_not_stop_by_itself_is_found(
+  #[case] disturbed: Option<Target>,
+  #[case] promises: Vec<Promise>,
+) {
+  let mut records = Records::default();
+  records.stops.push(PlannedStop {
+    box_index: 0,
+    gone_ms: 20_000,
+    is_clean: false,
+    signalled_ms: 15_000,
+  });
+  records
+    .disturbances
+    .extend(disturbed.map(|target| Disturbance {
+      from_ms: 16_000,
+      target,
+      until_ms: Some(17_000),
+    }));
+  assert_eq!(found(&records), promises);
+}
+
+#[test]
+fn request_that_is_still_open_at_the_end_is_found() {
+  let mut records = one(RequestKind::Repeatable, Outcome::Unanswered, vec![]);
+  let request = records.requests.get_mut("a").unwrap();
+  request.ended_ms = None;
+  request.outcome = None;
+  assert_eq!(found(&records), [Promise::Ended]);
+}
+
+#[test]
+fn calm_without_a_request_shows_nothing() {
+  let records = Records {
+    calm_ms: Some(1_000),
+    ..Records::default()
+  };
+  assert_eq!(found(&records), [Promise::Recovered]);
+}
