--- a/soak/src/calm.rs
+++ b/soak/src/calm.rs
@@ -33,7 +33,7 @@
     self.is_undisturbed(request.sent_ms, until_ms, |target| match target {
       Target::Box(index) => index == request.box_index,
       // A stream that breaks at its endpoint may be cut on any day.
-      Target::Place(_) => true,
+      Target::Place(place) => request.runs.iter().any(|run| run.place == place),
       Target::Leaving(_) | Target::Store | Target::StoreLink(_) => false,
     })
   }
--- a/tests/soak_promises.rs
+++ b/tests/soak_promises.rs
@@ -229,6 +229,11 @@
 #[rstest]
 #[case::read_and_cut(vec![run(0, 10_010, Some(20_000))], None, vec![Promise::StopCutsNothing])]
 #[case::its_endpoint_crashed(vec![run(0, 10_010, Some(20_000))], Some(Target::Place(0)), vec![])]
+#[case::another_endpoint_crashed(
+  vec![run(0, 10_010, Some(20_000))],
+  Some(Target::Place(1)),
+  vec![Promise::StopCutsNothing]
+)]
 #[case::told_to_stop_again(
   vec![run(0, 10_010, Some(20_000))],
   Some(Target::Leaving(0)),
