--- a/soak/src/box_process.rs
+++ b/soak/src/box_process.rs
@@ -6,9 +6,9 @@
     error::{Error, Result},
     ledger::Ledger,
     link::Link,
-    platform_store::PlatformStore,
     records::PlannedStop,
   },
+  stand_ins::PlatformStore,
   std::{
     fs::File,
     net::{Ipv4Addr, SocketAddr},
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -12,7 +12,6 @@
     link::Link,
     part::Part,
     place::Place,
-    platform_store::PlatformStore,
     question::{ASK_LIMIT, ask},
     records::Probe,
     serving::Serving,
@@ -20,6 +19,7 @@
   futures_util::future::join_all,
   http::{Request, StatusCode},
   serde_json::json,
+  stand_ins::PlatformStore,
   std::{
     path::Path,
     sync::{
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -21,7 +21,6 @@
 mod part;
 mod place;
 mod plan;
-mod platform_store;
 mod play;
 mod promise;
 mod promises;
@@ -32,8 +31,6 @@
 mod request_kind;
 mod seat;
 mod serving;
-mod store_calls;
-mod store_contents;
 mod subcommand;
 
 pub use self::{
@@ -43,7 +40,6 @@
   fault::{EndpointFault, Fault, LinkFault, StoreFault},
   ledger::Ledger,
   plan::{Size, Step, draw_plan},
-  platform_store::PlatformStore,
   play::{Options, Report, play},
   promise::Promise,
   promises::breaches,
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -8,7 +8,7 @@
   http_body_util::{BodyExt, Full},
   rillford::{CallError, HttpClient},
   serde_json::{Value, json},
-  soak::PlatformStore,
+  stand_ins::PlatformStore,
   std::{
     net::{Ipv4Addr, SocketAddr},
     process::{Child, Command, Stdio},
