Go on with a listing after a page that was refused, instead of beginning anew

A refused page is asked for again, up to eight times; the pages before it stand, and the watch from the first page's revision brings what has changed since. Test: listing_goes_on_after_a_page_that_was_refused; seen failing (4 listings instead of 1).

--- a/src/gateway/store_sync.rs
+++ b/src/gateway/store_sync.rs
@@ -23,6 +23,9 @@
 /// A reader that has not heard the store for this long is no source. The second reader of a hall hears it
 /// through the first: a watch, a pause and a follower's wait old at the most.
 const READER_STALE_MS: u64 = 1_500;
+/// Tries at one page of a listing: with the longest pauses they end within the 20 s for which the store keeps its
+/// history.
+const MOST_PAGE_TRIES: u32 = 8;
 /// Boxes that list the store at the same moment spread over this much for each box: a listing at the target has 12
 /// pages, and the store takes 2,000 reads a second.
 const LISTING_MS_PER_BOX: f64 = 4.0;
@@ -175,15 +178,23 @@
   async fn list_pages(&mut self) -> Option<Listing> {
     let mut listing = Listing::default();
     let mut after = None;
+    let mut failed_tries = 0;
     loop {
       self.gateway.counters.store_calls.inc();
       let page = match self.store.page(after.as_deref()).await {
         Ok(page) => page,
         Err(error) => {
           self.failed("listing", &error);
-          return None;
+          failed_tries += 1;
+          if listing.first_revision.is_none() || failed_tries == MOST_PAGE_TRIES {
+            return None;
+          }
+          // What was read stays read: boxes that all begin anew after each refusal never come to an end.
+          self.pause(WatchEnd::CallFailed).await;
+          continue;
         }
       };
+      failed_tries = 0;
       self.heard(0);
       listing.first_revision.get_or_insert(page.revision);
       for item in page.items {
--- a/stand_ins/src/platform_store.rs
+++ b/stand_ins/src/platform_store.rs
@@ -128,6 +128,24 @@
     self.contents().items.keys().cloned().collect()
   }
 
+  /// Refuses so many pages of listings, none of them a first one, as a store does that is asked too often.
+  pub fn refuse_pages(&self, count: usize) {
+    self.contents().pages_to_refuse = count;
+  }
+
+  /// Whether a page is to be refused.
+  pub(crate) fn takes_refusal(&self) -> bool {
+    let mut contents = self.contents();
+    let is_refused = contents.pages_to_refuse > 0;
+    contents.pages_to_refuse = contents.pages_to_refuse.saturating_sub(1);
+    is_refused
+  }
+
+  /// How many listings began.
+  pub fn first_pages(&self) -> usize {
+    self.contents().first_pages
+  }
+
   /// How many pages were asked for.
   pub fn listings(&self) -> usize {
     self.contents().listings
--- a/stand_ins/src/store_calls.rs
+++ b/stand_ins/src/store_calls.rs
@@ -30,6 +30,11 @@
     return down();
   }
   store.contents().listings += 1;
+  if !ask.contains_key("after") {
+    store.contents().first_pages += 1;
+  } else if store.takes_refusal() {
+    return StatusCode::TOO_MANY_REQUESTS.into_response();
+  }
   while ask.contains_key("after") && store.contents().holds_pages {
     sleep(Duration::from_millis(5)).await;
   }
--- a/stand_ins/src/store_contents.rs
+++ b/stand_ins/src/store_contents.rs
@@ -38,6 +38,10 @@
   pub(crate) delay: Duration,
   pub(crate) holds_pages: bool,
   pub(crate) listings: usize,
+  /// Listings that began with the first page.
+  pub(crate) first_pages: usize,
+  /// Pages after the first that are still to be refused.
+  pub(crate) pages_to_refuse: usize,
 }
 
 impl Contents {
--- a/tests/gateway/configuration.rs
+++ b/tests/gateway/configuration.rs
@@ -182,3 +182,15 @@
   gateway.test.store.set_holds_pages(false);
   assert!(gateway.is_ready_soon().await);
 }
+
+#[tokio::test]
+async fn listing_goes_on_after_a_page_that_was_refused() {
+  let endpoint = EndpointStandIn::start(|seen| Reply::ok(seen, "fine")).await;
+  let test = GatewayTest::new().await;
+  test.store.refuse_pages(3);
+  for number in 1..6 {
+    test.enter(&format!("p-{number}"), "portal", None, &endpoint);
+  }
+  let gateway = test.start().await;
+  assert_eq!(gateway.test.store.first_pages(), 1);
+}
