Never grant a lease's id twice in the key-value stand-in

When the paused box's lease had lapsed, the next box's lease got the same id; the woken box extended that one and both were steward. It failed when the first steward held id 1001, which two boxes that ask at the same time decide by luck.

Ruled out: a status that hangs, a steward that takes the key again.

--- a/emulator/src/key_value.rs
+++ b/emulator/src/key_value.rs
@@ -58,6 +58,8 @@
   revision: u64,
   keys: BTreeMap<String, Vec<Version>>,
   leases: BTreeMap<u64, Lease>,
+  /// Leases granted so far: an id is never granted again.
+  granted: u64,
   calls: u64,
   watches: u64,
 }
@@ -466,7 +468,8 @@
     .unwrap_or(1);
   let ttl = Duration::from_secs(ttl_s);
   let mut data = door.service.data();
-  let id = data.leases.keys().last().copied().unwrap_or(1_000) + 1;
+  data.granted += 1;
+  let id = data.granted;
   data.leases.insert(
     id,
     Lease {
--- a/tests/contracts.rs
+++ b/tests/contracts.rs
@@ -6,7 +6,7 @@
     test::{PATIENCE, Running},
   },
   bytes::Bytes,
-  emulator::{CALLER_KEY, Caller, HallPlan, eventually},
+  emulator::{CALLER_KEY, Caller, HallPlan, Host, KeyValueStandIn, eventually},
   http::{Method, Request, StatusCode},
   http_body_util::Full,
   rillford::{
@@ -15,8 +15,10 @@
     observe::Stamp,
     peers::{Frame, FrameError, MOST_FRAME_BYTES, decode, encode},
     settings::Settings,
+    store::KeyValue,
   },
   rstest::rstest,
+  std::{sync::Arc, time::Duration},
 };
 
 const SETTINGS: &str = r#"[box]
@@ -482,3 +484,20 @@
   process.signal(libc::SIGCONT);
   assert_eq!(connected.len(), CONNECTIONS);
 }
+
+/// A box that wakes extends its old lease: were its id another's by then, both would be steward.
+#[tokio::test]
+async fn lapsed_lease_is_not_extended_by_the_id_of_a_later_one() {
+  let (router, _faults) = KeyValueStandIn::default().door();
+  let host = Host::start(router).unwrap();
+  let service = KeyValue::new(&host.url(), PATIENCE, Arc::new(|| {}));
+  let lapsed = service.grant_lease(Duration::from_secs(1)).await.unwrap();
+  let over = eventually(PATIENCE, async || {
+    tokio::time::sleep(Duration::from_millis(1_100)).await;
+    !service.keep_alive(&lapsed).await.unwrap()
+  });
+  assert!(over.await, "the lease does not lapse");
+  let later = service.grant_lease(PATIENCE).await.unwrap();
+  assert_ne!(lapsed, later);
+  assert!(!service.keep_alive(&lapsed).await.unwrap());
+}
