--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -1,7 +1,7 @@
 //! How requests, answers and endpoints are spelled by a platform: names and formats, no decisions.
 
 use {
-  super::{EndpointEntry, RouteTable},
+  super::{EndpointEntry, PromptPart, RouteTable},
   crate::{decide::Role, ids::Name},
   bytes::Bytes,
   http::{HeaderMap, Method},
@@ -21,6 +21,8 @@
   pub answer_tokens: u64,
   /// The last event that the caller has of a stream.
   pub last_event_id: Option<u64>,
+  /// The parts of the prompt in order; the last is shared by no other request, or only within a session.
+  pub prompt_parts: Vec<PromptPart>,
 }
 
 /// What part of a request an endpoint is asked to do.
@@ -153,6 +155,10 @@
   fn reservation(&self, body: &[u8]) -> Result<Name, DecodeError>;
   /// The call that gives a reservation back.
   fn free_reservation(&self, reservation: &str) -> EndpointCall;
+  /// The call that asks an engine which prompts it keeps.
+  fn list_kept(&self) -> EndpointCall;
+  /// Reads the prompts that an engine keeps.
+  fn kept_parts(&self, body: &[u8]) -> Result<Vec<PromptPart>, DecodeError>;
   /// The call that asks an engine for its report.
   fn ask_report(&self) -> EndpointCall;
   /// Reads an engine's report.
--- a/src/gateway/event_source.rs
+++ b/src/gateway/event_source.rs
@@ -179,6 +179,7 @@
     );
     if let Some(mut head) = self.head.take() {
       head.booking.settle(PartEnd::Lost);
+      self.stream.wrote_it = Some(head.connection.endpoint.clone());
     }
     self.cutter = EventCutter::default();
     let left_ms = request.left_ms(self.stream.gateway.now_ms());
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -2,8 +2,8 @@
 
 use {
   super::{
-    BoxList, ChangeLog, Choice, EndpointBook, GatewaySettings, PartEnd, RetryWindow, RoutePolicy,
-    RouteTable, Wanted, connection::Connection, connection_pool::ConnectionPool,
+    BoxList, ChangeLog, Choice, EndpointBook, GatewaySettings, KeptPrompts, PartEnd, RetryWindow,
+    RoutePolicy, RouteTable, Wanted, connection::Connection, connection_pool::ConnectionPool,
     counters::Counters, dialect::Dialect, store::StoreLease,
   },
   crate::ids::Name,
@@ -67,6 +67,8 @@
   pub(crate) store_heard_ms: Cell<Option<u64>>,
   /// Held by the request that looks for a seat: the oldest goes first.
   pub(crate) seat_turn: Mutex<()>,
+  /// What engines listed as kept; held while they are asked.
+  pub(crate) kept_prompts: Mutex<KeptPrompts>,
   /// This box's lease in the store, and when it was last renewed.
   pub(crate) lease: Cell<Option<HeldLease>>,
   /// Whether the store was listed to its end: before that some endpoints are not known.
@@ -97,6 +99,7 @@
       has_listed: Cell::new(false),
       has_steward: Cell::new(false),
       in_flight: Cell::new(0),
+      kept_prompts: Mutex::default(),
       lease: Cell::new(None),
       phase: watch::Sender::new(Phase::Serving),
       policy,
@@ -156,6 +159,15 @@
       && !self.book.borrow().is_empty()
   }
 
+  /// The hall whose endpoints are preferred: the own one, or none.
+  pub(crate) fn preferred_hall(&self) -> &str {
+    if self.settings.mechanisms.own_hall_first {
+      &self.settings.identity.hall
+    } else {
+      ""
+    }
+  }
+
   /// Chooses an endpoint.
   pub(crate) fn choose(&self, wanted: Wanted) -> Option<Choice> {
     self
--- /dev/null
+++ b/src/gateway/mechanisms.rs
@@ -0,0 +1,40 @@
+//! Which of the gateway's mechanisms are in use. All are, unless an operator or an experiment switches one off.
+
+use serde::Deserialize;
+
+/// Switches under `[mechanisms]` in the settings; each is on unless it is said to be `false`.
+///
+/// ```
+/// use rillford::gateway::Mechanisms;
+/// let mechanisms = Mechanisms { role_orders: false, ..Mechanisms::default() };
+/// assert!(mechanisms.resume_where_kept);
+/// ```
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+pub struct Mechanisms {
+  /// Endpoints of the own hall are preferred.
+  pub own_hall_first: bool,
+  /// Prompts go past readers that are behind: the engine that writes the answer reads.
+  pub prompts_past_readers: bool,
+  /// Engines that were here lately count for the roles of the others.
+  pub recent_engines: bool,
+  /// A stream goes on at the engine that keeps its prompt.
+  pub resume_where_kept: bool,
+  /// The steward orders engines into other roles.
+  pub role_orders: bool,
+  /// A silent endpoint of a repeatable request is given up for another one.
+  pub silence_takeover: bool,
+}
+
+impl Default for Mechanisms {
+  fn default() -> Self {
+    Self {
+      own_hall_first: true,
+      prompts_past_readers: true,
+      recent_engines: true,
+      resume_where_kept: true,
+      role_orders: true,
+      silence_takeover: true,
+    }
+  }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -24,13 +24,17 @@
 #[allow(clippy::module_inception)]
 mod gateway;
 mod headers;
+mod kept_prompts;
 mod log_writer;
+mod mechanisms;
 mod own_pages;
 mod part;
 mod plain;
 mod prompt;
+mod recent_engines;
 mod relay;
 mod request;
+mod resume_seat;
 mod retry_after;
 mod retry_pause;
 mod retry_window;
@@ -57,6 +61,9 @@
   endpoint_entry::EndpointEntry,
   event_cutter::{EventCutter, WholeEvent},
   headers::remove_connection_headers,
+  kept_prompts::{KeptPrompts, PromptPart},
+  mechanisms::Mechanisms,
+  recent_engines::RecentEngines,
   retry_pause::retry_pause_ms,
   retry_window::{RetryAllowance, RetryWindow},
   role_plan::{Surplus, surplus},
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -169,7 +169,7 @@
     let gateway = &self.gateway;
     let request = &self.request;
     let choice = gateway.choose(Wanted {
-      hall: &gateway.settings.identity.hall,
+      hall: gateway.preferred_hall(),
       may_repeat: request.route.kind.may_repeat(),
       role: None,
       service: &request.service,
--- a/src/gateway/prompt.rs
+++ b/src/gateway/prompt.rs
@@ -89,6 +89,9 @@
 /// they are, the more prompts go past them; the rest still shows when they have caught up.
 fn reads_itself(gateway: &Gateway, request: &RoutedRequest, choice: &Choice) -> bool {
   let limit_ms = request.route.target_ms as f64 * READING_SHARE;
+  if !gateway.settings.mechanisms.prompts_past_readers {
+    return false;
+  }
   if gateway.draw() >= choice.share_beyond(limit_ms) {
     return false;
   }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -65,7 +65,11 @@
 
   /// Tokens that it is expected to take in an engine's memory: the prompt, and part of the longest answer.
   pub(crate) fn tokens(&self) -> u64 {
-    let answer_tokens = self.facts.answer_tokens as f64 * EXPECTED_ANSWER_SHARE;
-    self.facts.prompt_tokens + answer_tokens as u64
+    self.facts.prompt_tokens + self.expected_answer_tokens()
+  }
+
+  /// Tokens that the answer is expected to take there.
+  pub(crate) fn expected_answer_tokens(&self) -> u64 {
+    (self.facts.answer_tokens as f64 * EXPECTED_ANSWER_SHARE) as u64
   }
 }
--- a/src/gateway/role_plan.rs
+++ b/src/gateway/role_plan.rs
@@ -16,7 +16,8 @@
 }
 
 /// The engines of one service that are to change their role so that about `prefill_share` of them read
-/// prompts. Each role keeps one engine. The same engines give the same answer on every box.
+/// prompts. Engines that are `missing` for a short while count in their roles. Each role keeps one engine. The same
+/// engines give the same answer on every box.
 ///
 /// ```
 /// use rillford::{decide::Role, gateway::{EndpointEntry, surplus}};
@@ -28,32 +29,36 @@
 ///   engine("a", "north", Role::Prefill), engine("b", "north", Role::Prefill),
 ///   engine("c", "south", Role::Prefill), engine("d", "south", Role::Decode),
 /// ];
-/// let surplus = surplus(&engines, 0.5).unwrap();
+/// let surplus = surplus(&engines, &[], 0.5).unwrap();
 /// assert_eq!(surplus.role, Role::Decode);
 /// assert_eq!(&*surplus.engines[0].id, "a");
 /// assert_eq!(surplus.engines.len(), 1);
 /// ```
-pub fn surplus(engines: &[EndpointEntry], prefill_share: f64) -> Option<Surplus> {
-  let total = engines
-    .iter()
-    .filter(|engine| engine.role.is_some())
-    .count();
+pub fn surplus(
+  engines: &[EndpointEntry],
+  missing: &[EndpointEntry],
+  prefill_share: f64,
+) -> Option<Surplus> {
+  let count = |role| with_role(engines, role).count() + with_role(missing, role).count();
+  let total = count(Role::Prefill) + count(Role::Decode);
   if total < 2 {
     return None;
   }
   let wanted = ((prefill_share * total as f64).ceil() as usize).clamp(1, total - 1);
-  let reading = with_role(engines, Role::Prefill).count();
+  let reading = count(Role::Prefill);
   let (from, to) = if reading > wanted {
     (Role::Prefill, Role::Decode)
   } else {
     (Role::Decode, Role::Prefill)
   };
-  let count = reading.abs_diff(wanted);
-  if count == 0 {
+  // The last one here keeps its role.
+  let spare = with_role(engines, from).count().saturating_sub(1);
+  let turning = reading.abs_diff(wanted).min(spare);
+  if turning == 0 {
     return None;
   }
   Some(Surplus {
-    engines: from_fullest_halls(with_role(engines, from), count)?,
+    engines: from_fullest_halls(with_role(engines, from), turning)?,
     role: to,
   })
 }
--- a/src/gateway/role_steward.rs
+++ b/src/gateway/role_steward.rs
@@ -2,7 +2,7 @@
 
 use {
   super::{
-    EndpointEntry, EngineReport, RoleChange, Surplus,
+    EndpointEntry, EngineReport, RecentEngines, RoleChange, Surplus,
     engine_call::call_engine,
     gateway::{Gateway, Phase},
     role_plan::{surplus, with_role},
@@ -35,6 +35,7 @@
     fence: None,
     gateway,
     pending: HashMap::new(),
+    recent: RecentEngines::default(),
     since_ms: 0,
     store,
     wanting_since_ms: HashMap::new(),
@@ -65,6 +66,8 @@
   since_ms: u64,
   /// Orders that may not have been carried out yet: their engines count in the new role.
   pending: HashMap<Name, PendingOrder>,
+  /// Engines that were here lately; noted whether this box is steward or not.
+  recent: RecentEngines,
   /// Since when too few engines read prompts.
   wanting_since_ms: HashMap<Name, u64>,
 }
@@ -72,6 +75,7 @@
 impl<S: Store> RoleSteward<S> {
   /// One look at the engines: tries to become steward, or orders what is due.
   async fn look(&mut self) {
+    self.note_engines();
     if self.fence.is_none() {
       self.try_to_become_steward().await;
       return;
@@ -91,6 +95,11 @@
     }
   }
 
+  fn note_engines(&mut self) {
+    let entries: Vec<EndpointEntry> = self.gateway.book.borrow().entries().cloned().collect();
+    self.recent.note(&entries, self.gateway.now_ms());
+  }
+
   async fn try_to_become_steward(&mut self) {
     if self.gateway.has_steward.get() || self.services().is_empty() {
       return;
@@ -136,7 +145,8 @@
   fn surplus_of(&mut self, service: &Name, now_ms: u64) -> Option<Surplus> {
     let engines = self.engines(service);
     let share = self.prefill_share(service, &engines);
-    let Some(mut surplus) = surplus(&engines, share) else {
+    let missing = self.missing(service);
+    let Some(mut surplus) = surplus(&engines, &missing, share) else {
       self.wanting_since_ms.remove(service);
       return None;
     };
@@ -150,6 +160,14 @@
     (!surplus.engines.is_empty()).then_some(surplus)
   }
 
+  /// The engines of a service that were here lately.
+  fn missing(&self, service: &Name) -> Vec<EndpointEntry> {
+    if !self.gateway.settings.mechanisms.recent_engines {
+      return Vec::new();
+    }
+    self.recent.missing(service)
+  }
+
   /// The engines of a service that stay, each in the role that it has or is about to take.
   fn engines(&self, service: &Name) -> Vec<EndpointEntry> {
     self
--- a/src/gateway/seat.rs
+++ b/src/gateway/seat.rs
@@ -58,14 +58,14 @@
   let _turn = gateway.seat_turn.lock().await;
   loop {
     let choice = gateway.choose(Wanted {
-      hall: &gateway.settings.identity.hall,
+      hall: gateway.preferred_hall(),
       may_repeat: request.route.kind.may_repeat(),
       role: Some(Role::Decode),
       service: &request.service,
       size: request.tokens().max(1),
       tried,
     })?;
-    match ask_seat(gateway, request, &choice.entry).await {
+    match ask_seat(gateway, request, &choice.entry, request.tokens()).await {
       Some(reservation) => return Some((choice.entry, reservation)),
       None if choice.left_alone => sleep(SEAT_PAUSE).await,
       None => {}
@@ -73,13 +73,14 @@
   }
 }
 
-/// Asks one engine for a seat; nothing when it has none or does not answer.
-async fn ask_seat(
+/// Asks one engine for a seat with memory for some tokens; nothing when it has none or does not answer.
+pub(crate) async fn ask_seat(
   gateway: &Rc<Gateway>,
   request: &RoutedRequest,
   entry: &EndpointEntry,
+  tokens: u64,
 ) -> Option<Reservation> {
-  let call = gateway.dialect.reserve(request.tokens(), RESERVATION_MS);
+  let call = gateway.dialect.reserve(tokens, RESERVATION_MS);
   let mut booking = Booking::new(gateway, &entry.id, request.tokens(), 1);
   match call_engine(gateway, entry, call).await {
     Ok(body) => match gateway.dialect.reservation(&body) {
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -1,7 +1,7 @@
 //! The settings of a gateway box.
 
 use {
-  super::{RetryAllowance, RoutePolicy},
+  super::{Mechanisms, RetryAllowance, RoutePolicy},
   crate::{Error, Result, ids::Name, settings::SettingsError},
   serde::Deserialize,
   std::{
@@ -26,6 +26,9 @@
   pub engines: EngineSettings,
   /// The operators' policy program; the routes' own words hold without one.
   pub policy: Option<PolicySettings>,
+  /// Mechanisms that are switched off.
+  #[serde(default)]
+  pub mechanisms: Mechanisms,
 }
 
 /// Who a box is.
--- a/src/gateway/start.rs
+++ b/src/gateway/start.rs
@@ -129,7 +129,9 @@
   }
   spawn_local(follow_store(gateway.clone(), store.clone()));
   spawn_local(keep_entry(gateway.clone(), store.clone()));
-  spawn_local(keep_roles(gateway.clone(), store.clone()));
+  if gateway.settings.mechanisms.role_orders {
+    spawn_local(keep_roles(gateway.clone(), store.clone()));
+  }
   spawn_local(accept_callers(gateway.clone(), ports.callers));
   spawn_local(serve_boxes(gateway.clone(), ports.boxes));
   spawn_local(keep_house(gateway.clone()));
--- a/src/gateway/stream_request.rs
+++ b/src/gateway/stream_request.rs
@@ -8,6 +8,7 @@
     part::{Head, PartError, send_part},
     prompt::read_prompt,
     request::RoutedRequest,
+    resume_seat::reserve_resume_seat,
     seat::reserve_seat,
   },
   crate::ids::Name,
@@ -58,6 +59,10 @@
   refused_by: Option<Name>,
   /// Whether the engine that writes the answer is to read the prompt.
   reads_itself: bool,
+  /// The engine that wrote the stream so far, when it may go on there.
+  pub(crate) wrote_it: Option<Name>,
+  /// Whether an engine that keeps the prompt was looked for.
+  looked_for_kept: bool,
   /// Whether an engine was asked to read the prompt; the first time is free.
   prompt_was_read: bool,
 }
@@ -69,6 +74,7 @@
       attempts: 0,
       export: None,
       gateway,
+      looked_for_kept: false,
       last_event_id: request.facts.last_event_id,
       prompt_was_read: false,
       reads_itself: false,
@@ -77,6 +83,7 @@
       request,
       seat: None,
       tried: Vec::new(),
+      wrote_it: None,
     }
   }
 
@@ -152,7 +159,7 @@
   /// A try at an endpoint that reads the prompt itself.
   async fn attempt_whole(&mut self) -> Attempt {
     let choice = self.gateway.choose(Wanted {
-      hall: &self.gateway.settings.identity.hall,
+      hall: self.gateway.preferred_hall(),
       may_repeat: self.may_repeat(),
       role: None,
       service: &self.request.service,
@@ -165,6 +172,9 @@
 
   /// A try with a seat at one engine, and the prompt read by another.
   async fn attempt_split(&mut self) -> Attempt {
+    if let Some((entry, reservation)) = self.resume_seat().await {
+      return self.arrive(&entry, Some(reservation), None).await;
+    }
     let asked_ms = self.gateway.now_ms();
     let seat = match self.seat.take() {
       Some(seat) => Some(seat),
@@ -194,6 +204,21 @@
     Ok(arrived)
   }
 
+  /// A seat at an engine that keeps the prompt of a stream that goes on; looked for once a break.
+  async fn resume_seat(&mut self) -> Option<(EndpointEntry, Reservation)> {
+    let wrote_it = self.wrote_it.take();
+    let is_new = self.tried.is_empty() && !self.looked_for_kept;
+    let may_look = wrote_it.is_some() || is_new;
+    if self.seat.is_some() || self.last_event_id.is_none() || !may_look {
+      return None;
+    }
+    self.looked_for_kept = true;
+    if !self.gateway.settings.mechanisms.resume_where_kept {
+      return None;
+    }
+    reserve_resume_seat(&self.gateway, &self.request, wrote_it.as_ref()).await
+  }
+
   /// The prompt for an engine in a hall; nothing when the engine that writes the answer is to read it.
   async fn prompt(&mut self, hall: &str) -> Option<KeptExport> {
     if self.reads_itself {
@@ -293,6 +318,9 @@
 
   /// Finds a seat for a further try while the present endpoint is silent.
   pub(crate) async fn prepare_takeover(&mut self) -> bool {
+    if !self.gateway.settings.mechanisms.silence_takeover {
+      return false;
+    }
     if !self.has_attempts_left() || !self.gateway.has_repeat_left(&self.request.service) {
       return false;
     }
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -10,6 +10,8 @@
 mod leaving;
 mod policy;
 mod relay;
+mod resume;
+mod role_plan;
 mod roles;
 mod streams;
 
--- /dev/null
+++ b/tests/gateway/role_plan.rs
@@ -0,0 +1,82 @@
+//! Which engines are to change their role, without a box around it.
+
+use {
+  rillford::{
+    decide::Role,
+    gateway::{EndpointEntry, RecentEngines, surplus},
+  },
+  rstest::rstest,
+};
+
+const HALLS: [&str; 3] = ["north", "south", "west"];
+
+fn engine(number: usize, role: Role) -> EndpointEntry {
+  EndpointEntry {
+    address: format!("127.0.0.1:{}", 1_000 + number).parse().unwrap(),
+    hall: HALLS[number % HALLS.len()].into(),
+    id: format!("e-{number}").into(),
+    leaving: false,
+    role: Some(role),
+    seats: 16,
+    service: "llm".into(),
+  }
+}
+
+/// So many engines, of which the first ones read prompts.
+fn engines(reading: usize, total: usize) -> Vec<EndpointEntry> {
+  (0..total)
+    .map(|number| {
+      let role = if number < reading {
+        Role::Prefill
+      } else {
+        Role::Decode
+      };
+      engine(number, role)
+    })
+    .collect()
+}
+
+#[test]
+fn short_outage_changes_no_role() {
+  let all = engines(3, 9);
+  let mut recent = RecentEngines::default();
+  recent.note(&all, 0);
+  // Two engines that write crash, and are back after 3.4 s under other ids.
+  let left = &all[..7];
+  recent.note(left, 300);
+  assert_eq!(surplus(left, &recent.missing("llm"), 0.25), None);
+  let mut back = all.clone();
+  for engine in &mut back[7..] {
+    engine.id = format!("{}-again", engine.id).into();
+  }
+  recent.note(&back, 3_400);
+  assert!(recent.missing("llm").is_empty());
+  assert_eq!(surplus(&back, &recent.missing("llm"), 0.25), None);
+}
+
+#[test]
+fn engines_that_stay_away_no_longer_count() {
+  let all = engines(3, 9);
+  let mut recent = RecentEngines::default();
+  recent.note(&all, 0);
+  let mut left = all.clone();
+  for engine in &mut left[7..] {
+    engine.leaving = true;
+  }
+  recent.note(&left, 10_000);
+  assert_eq!(recent.missing("llm").len(), 2);
+  recent.note(&left, 15_000);
+  let missing = recent.missing("llm");
+  let turning = surplus(&left[..7], &missing, 0.25).unwrap();
+  assert_eq!((turning.role, turning.engines.len()), (Role::Decode, 1));
+}
+
+#[rstest]
+#[case::readers_away(1, 0)]
+#[case::writers_away(0, 1)]
+fn last_engine_of_a_role_keeps_it(#[case] reading: usize, #[case] writing: usize) {
+  let here = engines(reading, reading + writing);
+  let away: Vec<EndpointEntry> = engines(4, 8);
+  assert_eq!(surplus(&here, &away, 0.01), None);
+  assert_eq!(surplus(&here, &away, 0.99), None);
+}
