--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -19,6 +19,8 @@
   pub prompt_tokens: u64,
   /// The most tokens in the answer.
   pub answer_tokens: u64,
+  /// The caller's estimate of the tokens in the answer.
+  pub answer_estimate: Option<u64>,
   /// The last event that the caller has of a stream.
   pub last_event_id: Option<u64>,
   /// The parts of the prompt in order; the last is shared by no other request, or only within a session.
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -166,7 +166,10 @@
     .find(host, head.uri.path())
     .cloned()
     .ok_or_else(|| no_route(gateway, &table, host, head.uri.path()))?;
-  let facts = gateway.dialect.caller_facts(&head.headers);
+  let mut facts = gateway.dialect.caller_facts(&head.headers);
+  if !gateway.settings.mechanisms.seat_by_estimate {
+    facts.answer_estimate = None;
+  }
   let ends_ms = gateway.ends_ms.get().unwrap_or(u64::MAX);
   let timeout_ms = route
     .timeout_ms
@@ -177,6 +180,7 @@
     .service(gateway.draw())
     .cloned()
     .ok_or(NO_CONFIGURATION)?;
+  let waited_ms = gateway.waited_ms(&route.name, facts.deadline_ms);
   let rank = gateway.policy.rank(&route, &service, &facts);
   let mut headers = head.headers;
   remove_connection_headers(&mut headers);
@@ -191,6 +195,7 @@
     route,
     service,
     until_ms: arrived_ms + timeout_ms,
+    waited_ms,
     uri: head.uri,
   })
 }
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -3,8 +3,8 @@
 use {
   super::{
     BoxList, ChangeLog, Choice, EndpointBook, GatewaySettings, KeptPrompts, PartEnd, RetryWindow,
-    RoutePolicy, RouteTable, Wanted, connection::Connection, connection_pool::ConnectionPool,
-    counters::Counters, dialect::Dialect, store::StoreLease,
+    RoutePolicy, RouteTable, SeatQueue, Wanted, connection::Connection,
+    connection_pool::ConnectionPool, counters::Counters, dialect::Dialect, store::StoreLease,
   },
   crate::ids::Name,
   http::HeaderMap,
@@ -16,7 +16,7 @@
     rc::Rc,
     time::Instant,
   },
-  tokio::sync::{Mutex, watch},
+  tokio::sync::{Mutex, Notify, watch},
 };
 
 /// Boxes that are assumed while their list is not yet known: the smallest deployment has six.
@@ -26,6 +26,9 @@
 /// Connections that rest for one endpoint; a box has few requests at one endpoint at once.
 const MOST_RESTING: usize = 8;
 
+/// Weight of the newest first event in their moving mean.
+const NEWEST_START_WEIGHT: f64 = 0.1;
+
 /// What a box does with new requests.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) enum Phase {
@@ -65,8 +68,14 @@
   /// The latest changes of the store, for boxes that follow this one.
   pub(crate) change_log: ChangeLog,
   pub(crate) store_heard_ms: Cell<Option<u64>>,
-  /// Held by the request that looks for a seat: the oldest goes first.
-  pub(crate) seat_turn: Mutex<()>,
+  /// The requests that look for a seat.
+  pub(crate) seat_queue: RefCell<SeatQueue>,
+  /// Told when a request leaves that queue.
+  pub(crate) seat_queue_moved: Notify,
+  /// Moving mean of the time from a seat to the first event.
+  pub(crate) start_ms: Cell<Option<f64>>,
+  /// The longest time that callers of a route said they would wait: one that says less was here before.
+  patience_ms: RefCell<HashMap<Name, u64>>,
   /// What engines listed as kept; held while they are asked.
   pub(crate) kept_prompts: Mutex<KeptPrompts>,
   /// This box's lease in the store, and when it was last renewed.
@@ -105,7 +114,10 @@
       policy,
       pool: ConnectionPool::default(),
       random: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
-      seat_turn: Mutex::new(()),
+      patience_ms: RefCell::default(),
+      seat_queue: RefCell::default(),
+      seat_queue_moved: Notify::new(),
+      start_ms: Cell::new(None),
       settings,
       started: Instant::now(),
       store_heard_ms: Cell::new(None),
@@ -219,6 +231,26 @@
     self.book.borrow_mut().blame(id, self.now_ms());
   }
 
+  /// How long a caller has waited before this request, as far as the time that is left for it shows.
+  pub(crate) fn waited_ms(&self, route: &Name, deadline_ms: Option<u64>) -> u64 {
+    let Some(deadline_ms) = deadline_ms.filter(|_| self.settings.mechanisms.first_tries_first)
+    else {
+      return 0;
+    };
+    let mut patience = self.patience_ms.borrow_mut();
+    let longest_ms = patience.entry(route.clone()).or_insert(deadline_ms);
+    *longest_ms = (*longest_ms).max(deadline_ms);
+    *longest_ms - deadline_ms
+  }
+
+  /// A first event came this long after its request had a seat.
+  pub(crate) fn note_start(&self, took_ms: u64) {
+    let before = self.start_ms.get().unwrap_or(took_ms as f64);
+    self.start_ms.set(Some(
+      before + NEWEST_START_WEIGHT * (took_ms as f64 - before),
+    ));
+  }
+
   /// Counts a caller's request towards its service's repeats.
   pub(crate) fn note_request(&self, service: &Name) {
     let now_ms = self.now_ms();
--- a/src/gateway/mechanisms.rs
+++ b/src/gateway/mechanisms.rs
@@ -12,6 +12,8 @@
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
 #[serde(default, deny_unknown_fields)]
 pub struct Mechanisms {
+  /// Callers that come for the first time get seats before those that were refused.
+  pub first_tries_first: bool,
   /// Endpoints of the own hall are preferred.
   pub own_hall_first: bool,
   /// Prompts go past readers that are behind: the engine that writes the answer reads.
@@ -22,6 +24,8 @@
   pub resume_where_kept: bool,
   /// The steward orders engines into other roles.
   pub role_orders: bool,
+  /// A seat's memory is reserved by the caller's estimate of the answer.
+  pub seat_by_estimate: bool,
   /// A silent endpoint of a repeatable request is given up for another one.
   pub silence_takeover: bool,
 }
@@ -29,11 +33,13 @@
 impl Default for Mechanisms {
   fn default() -> Self {
     Self {
+      first_tries_first: true,
       own_hall_first: true,
       prompts_past_readers: true,
       recent_engines: true,
       resume_where_kept: true,
       role_orders: true,
+      seat_by_estimate: true,
       silence_takeover: true,
     }
   }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -43,6 +43,7 @@
 mod route_policy;
 mod route_table;
 mod seat;
+mod seat_queue;
 mod settings;
 mod start;
 mod store;
@@ -71,6 +72,7 @@
   route_table::{
     CallerLimits, EngineSpec, Route, RouteKind, RouteTable, ServiceSpec, WeightedService,
   },
+  seat_queue::{SeatQueue, SeatUrgency, SeatWait},
   settings::{
     EngineSettings, GatewayBounds, GatewayIdentity, GatewayListen, GatewaySettings, PolicySettings,
     StoreSettings,
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -9,8 +9,13 @@
   std::rc::Rc,
 };
 
-/// Part of the longest answer that is reserved: answers are a third of it at the mean, and grow while others end.
+/// Part of the longest answer that is reserved where the caller gives no estimate: answers are a third of it at the
+/// mean, and grow while others end.
 const EXPECTED_ANSWER_SHARE: f64 = 0.5;
+/// Part of the caller's estimate that is reserved: a stream holds half of its answer on the mean over its life.
+const ESTIMATE_SHARE: f64 = 0.45;
+/// Part of the longest answer that is reserved besides an estimate: estimates are right at the median, and often far off.
+const BESIDES_ESTIMATE_SHARE: f64 = 0.1;
 
 /// A caller's request on its way.
 #[derive(Debug)]
@@ -26,6 +31,8 @@
   pub(crate) rank: RouteRank,
   /// When it came, on the box's clock.
   pub(crate) arrived_ms: u64,
+  /// How long its caller had waited before, since the first try.
+  pub(crate) waited_ms: u64,
   /// When its final answer is due at the latest.
   pub(crate) until_ms: u64,
 }
@@ -70,6 +77,13 @@
 
   /// Tokens that the answer is expected to take there.
   pub(crate) fn expected_answer_tokens(&self) -> u64 {
-    (self.facts.answer_tokens as f64 * EXPECTED_ANSWER_SHARE) as u64
+    let longest = self.facts.answer_tokens as f64;
+    let expected = match self.facts.answer_estimate {
+      Some(estimate) => {
+        (estimate as f64).min(longest) * ESTIMATE_SHARE + longest * BESIDES_ESTIMATE_SHARE
+      }
+      None => longest * EXPECTED_ANSWER_SHARE,
+    };
+    expected as u64
   }
 }
--- a/src/gateway/route_policy.rs
+++ b/src/gateway/route_policy.rs
@@ -12,8 +12,6 @@
   std::{path::Path, sync::Arc},
 };
 
-/// Part of the wanted latency that a request may wait for a seat: refused later, its return counts for less.
-const SEAT_WAIT_SHARE: f64 = 0.22;
 /// The least urgent priority that engines know.
 const LEAST_URGENT: i64 = 9;
 
@@ -22,8 +20,8 @@
 pub struct RouteRank {
   /// 0 goes first.
   pub priority: u8,
-  /// How long it may wait for a seat.
-  pub seat_wait_ms: u64,
+  /// The time within which its answer, or first event, is wanted.
+  pub target_ms: u64,
 }
 
 /// The policy of a gateway box.
@@ -52,7 +50,7 @@
   pub fn rank(&self, route: &Route, service: &Name, facts: &CallerFacts) -> RouteRank {
     let own = RouteRank {
       priority: route.priority,
-      seat_wait_ms: seat_wait_ms(route.target_ms),
+      target_ms: route.target_ms,
     };
     let Some(program) = &self.program else {
       return own;
@@ -73,7 +71,7 @@
       Ok(rank) => RouteRank {
         // The program's higher goes first, the engines' lower.
         priority: (LEAST_URGENT - rank.priority.clamp(0, LEAST_URGENT)) as u8,
-        seat_wait_ms: seat_wait_ms(rank.first_token_ms.min(route.target_ms)),
+        target_ms: rank.first_token_ms.min(route.target_ms),
       },
       Err(error) => {
         log::warn!(
@@ -107,8 +105,3 @@
     Clock::at(unix_ms(), self.utc_offset_minutes)
   }
 }
-
-/// How long a request may wait for a seat when its first event is wanted within a time.
-fn seat_wait_ms(target_ms: u64) -> u64 {
-  (target_ms as f64 * SEAT_WAIT_SHARE) as u64
-}
--- a/src/gateway/seat.rs
+++ b/src/gateway/seat.rs
@@ -2,7 +2,7 @@
 
 use {
   super::{
-    EndpointEntry, PartEnd, Wanted,
+    EndpointEntry, PartEnd, SeatWait, Wanted,
     engine_call::{CallFailure, Reservation, call_engine},
     gateway::Gateway,
     part::Booking,
@@ -15,27 +15,31 @@
 
 /// A reservation outlasts reading and a retry.
 const RESERVATION_MS: u64 = 1_500;
-/// A stream that broke waits longer: its caller has a part of the answer, and patience for two seconds.
-const RESUME_WAIT_MS: u64 = 900;
+/// How long a stream that broke looks for a seat: its caller has patience for two seconds.
+const GO_ON_WAIT_MS: u64 = 900;
 /// Pause between asks when every engine has just said that it is full.
 const SEAT_PAUSE: Duration = Duration::from_millis(8);
+/// Part of the wanted time that a request which can no longer be in time looks for a seat. Longer waits were worse:
+/// what is served late takes the seat of what would be in time (docs/design/policy.md).
+const LATE_WAIT_SHARE: f64 = 0.22;
+/// Part of the wanted time that is taken for the way from a seat to the first event before any was seen.
+const UNSEEN_START_SHARE: f64 = 0.4;
+/// The way from a seat to the first event varies; this many times its mean is allowed for.
+const START_MARGIN: f64 = 1.5;
 
-/// Reserves a seat. The oldest request of the box goes first; one that finds no seat in time is refused while
-/// its caller may still come back.
+/// Reserves a seat. Requests that can be in time go first, the oldest before the others, and wait no longer than they
+/// can be; behind them those whose callers were refused before.
 pub(crate) async fn reserve_seat(
   gateway: &Rc<Gateway>,
   request: &Rc<RoutedRequest>,
   tried: &[Name],
 ) -> Option<(EndpointEntry, Reservation)> {
-  let wait_ms = if tried.is_empty() {
-    request.rank.seat_wait_ms
-  } else {
-    RESUME_WAIT_MS
-  };
   let since_ms = gateway.now_ms();
+  let wait = seat_wait(gateway, request, tried);
+  let wait_ms = wait.until_ms.saturating_sub(since_ms);
   let seat = timeout(
     Duration::from_millis(wait_ms),
-    ask_in_turn(gateway, request, tried),
+    ask_in_turn(gateway, request, tried, wait),
   )
   .await
   .unwrap_or(None);
@@ -49,14 +53,80 @@
   seat
 }
 
-/// Asks one engine after another until one has a seat, once the older requests of the box have theirs.
+/// How long a request waits for a seat.
+fn seat_wait(gateway: &Gateway, request: &RoutedRequest, tried: &[Name]) -> SeatWait {
+  let now_ms = gateway.now_ms();
+  if !tried.is_empty() || request.facts.last_event_id.is_some() {
+    return SeatWait {
+      goes_on: true,
+      in_time_until_ms: now_ms,
+      until_ms: now_ms + GO_ON_WAIT_MS,
+    };
+  }
+  let target_ms = request.rank.target_ms;
+  let start_ms = gateway
+    .start_ms
+    .get()
+    .unwrap_or(target_ms as f64 * UNSEEN_START_SHARE);
+  let start_ms = (start_ms * START_MARGIN) as u64;
+  let left_ms = target_ms.saturating_sub(request.waited_ms + start_ms);
+  let wait_ms = if left_ms > 0 {
+    left_ms
+  } else {
+    (target_ms as f64 * LATE_WAIT_SHARE) as u64
+  };
+  SeatWait {
+    goes_on: false,
+    in_time_until_ms: request.arrived_ms + left_ms,
+    until_ms: (request.arrived_ms + wait_ms).min(request.until_ms),
+  }
+}
+
+/// A request's place in the queue; given up when this is dropped.
+struct Place<'a> {
+  gateway: &'a Gateway,
+  number: u64,
+}
+
+impl<'a> Place<'a> {
+  fn new(gateway: &'a Gateway, wait: SeatWait) -> Self {
+    let number = gateway.seat_queue.borrow_mut().join(wait);
+    Self { gateway, number }
+  }
+
+  fn is_first(&self) -> bool {
+    let now_ms = self.gateway.now_ms();
+    self
+      .gateway
+      .seat_queue
+      .borrow()
+      .is_first(self.number, now_ms)
+  }
+}
+
+impl Drop for Place<'_> {
+  fn drop(&mut self) {
+    self.gateway.seat_queue.borrow_mut().leave(self.number);
+    self.gateway.seat_queue_moved.notify_waiters();
+  }
+}
+
+/// Asks one engine after another until one has a seat, while no other request of the box goes first.
 async fn ask_in_turn(
   gateway: &Rc<Gateway>,
   request: &RoutedRequest,
   tried: &[Name],
+  wait: SeatWait,
 ) -> Option<(EndpointEntry, Reservation)> {
-  let _turn = gateway.seat_turn.lock().await;
+  let place = Place::new(gateway, wait);
   loop {
+    let moved = gateway.seat_queue_moved.notified();
+    if !place.is_first() {
+      let change = Duration::from_millis(wait.next_change_ms(gateway.now_ms()).max(1));
+      // Either way the queue is looked at again.
+      let _ = timeout(change, moved).await;
+      continue;
+    }
     let choice = gateway.choose(Wanted {
       hall: gateway.preferred_hall(),
       may_repeat: request.route.kind.may_repeat(),
--- a/src/gateway/stream_request.rs
+++ b/src/gateway/stream_request.rs
@@ -189,6 +189,7 @@
       .map_or_else(|| entry.id.clone(), |export| export.engine().clone());
     let arrived = self.arrive(&entry, Some(reservation), export).await?;
     if let Ok(head) = &arrived {
+      self.gateway.note_start(self.gateway.now_ms() - seated_ms);
       log::info!(
         "E510 streaming: {} at {} with status {}, read by {reader}: seat {} ms, prompt {} ms, head {} ms, {} ms after arrival, try {}",
         self.request.id(),
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod resume;
 mod role_plan;
 mod roles;
+mod seats;
 mod streams;
 
 pub(crate) use self::{
