--- a/src/gateway/event_source.rs
+++ b/src/gateway/event_source.rs
@@ -161,6 +161,8 @@
       gateway.now_ms() - self.stream.request.arrived_ms,
       self.stream.tried().len()
     );
+    let took_ms = gateway.now_ms() - self.stream.request.arrived_ms;
+    gateway.seat_forecast.borrow_mut().note_stream(took_ms);
     if let Some(mut head) = self.head.take() {
       head.booking.answered();
       gateway.rest(head.connection, &head.raw_headers);
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -3,7 +3,7 @@
 use {
   super::{
     BoxList, ChangeLog, Choice, EndpointBook, GatewaySettings, KeptPrompts, PartEnd, RetryWindow,
-    RoutePolicy, RouteTable, SeatQueue, Wanted, connection::Connection,
+    RoutePolicy, RouteTable, SeatForecast, SeatQueue, Wanted, connection::Connection,
     connection_pool::ConnectionPool, counters::Counters, dialect::Dialect, store::StoreLease,
   },
   crate::ids::Name,
@@ -68,6 +68,8 @@
   /// The latest changes of the store, for boxes that follow this one.
   pub(crate) change_log: ChangeLog,
   pub(crate) store_heard_ms: Cell<Option<u64>>,
+  /// What is expected of the engines' seats.
+  pub(crate) seat_forecast: RefCell<SeatForecast>,
   /// The requests that look for a seat.
   pub(crate) seat_queue: RefCell<SeatQueue>,
   /// Told when a request leaves that queue.
@@ -115,6 +117,7 @@
       pool: ConnectionPool::default(),
       random: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
       patience_ms: RefCell::default(),
+      seat_forecast: RefCell::default(),
       seat_queue: RefCell::default(),
       seat_queue_moved: Notify::new(),
       start_ms: Cell::new(None),
--- a/src/gateway/mechanisms.rs
+++ b/src/gateway/mechanisms.rs
@@ -22,6 +22,8 @@
   pub recent_engines: bool,
   /// A stream goes on at the engine that keeps its prompt.
   pub resume_where_kept: bool,
+  /// A request without a chance of a seat in time is refused at once.
+  pub refusal_by_forecast: bool,
   /// The steward orders engines into other roles.
   pub role_orders: bool,
   /// A seat's memory is reserved by the caller's estimate of the answer.
@@ -38,6 +40,7 @@
       prompts_past_readers: true,
       recent_engines: true,
       resume_where_kept: true,
+      refusal_by_forecast: true,
       role_orders: true,
       seat_by_estimate: true,
       silence_takeover: true,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -43,6 +43,7 @@
 mod route_policy;
 mod route_table;
 mod seat;
+mod seat_forecast;
 mod seat_queue;
 mod settings;
 mod start;
@@ -72,6 +73,7 @@
   route_table::{
     CallerLimits, EngineSpec, Route, RouteKind, RouteTable, ServiceSpec, WeightedService,
   },
+  seat_forecast::SeatForecast,
   seat_queue::{SeatQueue, SeatUrgency, SeatWait},
   settings::{
     EngineSettings, GatewayBounds, GatewayIdentity, GatewayListen, GatewaySettings, PolicySettings,
--- a/src/gateway/seat.rs
+++ b/src/gateway/seat.rs
@@ -37,6 +37,10 @@
   let since_ms = gateway.now_ms();
   let wait = seat_wait(gateway, request, tried);
   let wait_ms = wait.until_ms.saturating_sub(since_ms);
+  if !has_chance(gateway, wait, since_ms) {
+    log::info!("E524 no seat expected: {} of {wait_ms} ms", request.id());
+    return None;
+  }
   let seat = timeout(
     Duration::from_millis(wait_ms),
     ask_in_turn(gateway, request, tried, wait),
@@ -53,6 +57,16 @@
   seat
 }
 
+/// Whether a request may get a seat before its wait is over; one whose caller has a part of the answer always tries.
+fn has_chance(gateway: &Gateway, wait: SeatWait, now_ms: u64) -> bool {
+  if wait.goes_on || !gateway.settings.mechanisms.refusal_by_forecast {
+    return true;
+  }
+  let ahead = gateway.seat_queue.borrow().ahead_of(wait, now_ms);
+  let within_ms = wait.until_ms.saturating_sub(now_ms);
+  gateway.seat_forecast.borrow().has_chance(ahead, within_ms)
+}
+
 /// How long a request waits for a seat.
 fn seat_wait(gateway: &Gateway, request: &RoutedRequest, tried: &[Name]) -> SeatWait {
   let now_ms = gateway.now_ms();
@@ -94,6 +108,17 @@
     Self { gateway, number }
   }
 
+  /// The request has a seat.
+  fn note_seat(&self) {
+    let others_wait = self.gateway.seat_queue.borrow().len() > 1;
+    let now_ms = self.gateway.now_ms();
+    self
+      .gateway
+      .seat_forecast
+      .borrow_mut()
+      .note_seat(now_ms, others_wait);
+  }
+
   fn is_first(&self) -> bool {
     let now_ms = self.gateway.now_ms();
     self
@@ -106,7 +131,12 @@
 
 impl Drop for Place<'_> {
   fn drop(&mut self) {
-    self.gateway.seat_queue.borrow_mut().leave(self.number);
+    let mut queue = self.gateway.seat_queue.borrow_mut();
+    queue.leave(self.number);
+    if queue.is_empty() {
+      self.gateway.seat_forecast.borrow_mut().note_idle();
+    }
+    drop(queue);
     self.gateway.seat_queue_moved.notify_waiters();
   }
 }
@@ -136,7 +166,10 @@
       tried,
     })?;
     match ask_seat(gateway, request, &choice.entry, request.tokens()).await {
-      Some(reservation) => return Some((choice.entry, reservation)),
+      Some(reservation) => {
+        place.note_seat();
+        return Some((choice.entry, reservation));
+      }
       None if choice.left_alone => sleep(SEAT_PAUSE).await,
       None => {}
     }
--- a/src/gateway/seat_queue.rs
+++ b/src/gateway/seat_queue.rs
@@ -80,6 +80,26 @@
     self.waiting.remove(&number);
   }
 
+  /// How many requests would go before one that joined now.
+  pub fn ahead_of(&self, wait: SeatWait, now_ms: u64) -> usize {
+    let urgency = wait.urgency(now_ms);
+    self
+      .waiting
+      .values()
+      .filter(|waiting| waiting.urgency(now_ms) <= urgency)
+      .count()
+  }
+
+  /// How many requests look for a seat.
+  pub fn len(&self) -> usize {
+    self.waiting.len()
+  }
+
+  /// Whether no request looks for a seat.
+  pub fn is_empty(&self) -> bool {
+    self.waiting.is_empty()
+  }
+
   /// Whether no other request goes first.
   pub fn is_first(&self, number: u64, now_ms: u64) -> bool {
     self
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -6,7 +6,7 @@
     event_source::EventSource,
     gateway::{Gateway, InFlight},
     request::RoutedRequest,
-    retry_after::{RETRY_AFTER_FULL_MS, retry_after_no_seat_ms},
+    retry_after::RETRY_AFTER_FULL_MS,
     stream_request::{NoStream, StreamRequest},
   },
   http::Response,
@@ -41,7 +41,10 @@
         request.id()
       );
       OwnAnswer::NotRun {
-        retry_after_ms: retry_after_no_seat_ms(gateway.draw()),
+        retry_after_ms: gateway
+          .seat_forecast
+          .borrow()
+          .retry_after_ms(gateway.draw()),
       }
       .response()
     }
@@ -69,7 +72,10 @@
       retry_after_ms: RETRY_AFTER_FULL_MS,
     },
     NoStream::NoSeat => OwnAnswer::NotRun {
-      retry_after_ms: retry_after_no_seat_ms(gateway.draw()),
+      retry_after_ms: gateway
+        .seat_forecast
+        .borrow()
+        .retry_after_ms(gateway.draw()),
     },
   };
   log::info!(
--- a/tests/gateway/seats.rs
+++ b/tests/gateway/seats.rs
@@ -4,7 +4,7 @@
   super::{EndpointStandIn, GatewayTest, PATIENCE, Reply, Seen, endpoint::engine_reply},
   emulator::eventually,
   http::HeaderValue,
-  rillford::gateway::{SeatQueue, SeatUrgency, SeatWait},
+  rillford::gateway::{SeatForecast, SeatQueue, SeatUrgency, SeatWait},
   rstest::rstest,
   std::sync::{
     Arc,
@@ -120,3 +120,43 @@
   let hold = String::from_utf8_lossy(&decode.seen()[0].body).into_owned();
   assert!(hold.contains(&format!("\"tokens\":{tokens}")), "{hold}");
 }
+
+#[rstest]
+#[case::nothing_seen(&[], 9, true)]
+#[case::one_ahead(&[0, 500, 1_000], 1, true)]
+#[case::many_ahead(&[0, 500, 1_000], 4, false)]
+#[case::seats_come_fast(&[0, 50, 100], 4, true)]
+fn refusal_follows_the_seats_that_were_seen(
+  #[case] seats_ms: &[u64],
+  #[case] ahead: usize,
+  #[case] has_chance: bool,
+) {
+  let mut forecast = SeatForecast::default();
+  for seat_ms in seats_ms {
+    forecast.note_seat(*seat_ms, true);
+  }
+  assert_eq!(forecast.has_chance(ahead, 450), has_chance);
+}
+
+#[test]
+fn time_without_waiting_requests_says_nothing_of_seats() {
+  let mut forecast = SeatForecast::default();
+  forecast.note_seat(0, true);
+  forecast.note_idle();
+  forecast.note_seat(60_000, true);
+  assert!(forecast.has_chance(9, 450));
+  forecast.note_seat(60_050, false);
+  forecast.note_seat(90_000, true);
+  assert!(forecast.has_chance(4, 450));
+}
+
+#[test]
+fn callers_return_when_the_streams_of_now_have_ended() {
+  let mut forecast = SeatForecast::default();
+  assert_eq!(forecast.retry_after_ms(0.0), 3_500);
+  for _ in 0..50 {
+    forecast.note_stream(10_000);
+  }
+  assert_eq!(forecast.retry_after_ms(0.0), 10_000);
+  assert_eq!(forecast.retry_after_ms(1.0), 18_000);
+}
