A tool for paired experiments: emulator experiment

It prints means and paired differences with their standard error, and writes all measurements as JSON and the differences as an SVG plot.

An unknown name under [mechanisms] is a clear error.

--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -6,6 +6,7 @@
 mod demo;
 mod deployment;
 mod engine;
+pub mod experiment;
 mod failures;
 mod host;
 mod key_value;
--- a/emulator/src/subcommand.rs
+++ b/emulator/src/subcommand.rs
@@ -4,7 +4,9 @@
   crate::{
     BoxListStandIn, EngineOptions, EngineStandIn, Host, KeyValueStandIn, ServiceStandIn,
     decisions::{Report, run_report},
-    demo, failures, path_bench, slopes,
+    demo,
+    experiment::{self, ExperimentOptions, experiment_options},
+    failures, path_bench, slopes,
   },
   bpaf::Bpaf,
   rillford::decide::Role,
@@ -65,6 +67,12 @@
     #[bpaf(long, argument("TEXT"))]
     only: Option<String>,
   },
+  /// Compare variants of the gateway's settings on days of the users' bench, paired by seed
+  #[bpaf(command)]
+  Experiment {
+    #[bpaf(external(experiment_options))]
+    options: ExperimentOptions,
+  },
   /// Let one thing after another fail under load and print what came of it
   #[bpaf(command)]
   Failures {
@@ -137,6 +145,7 @@
       }
       Self::Service { listen } => forever(Host::start_at(listen, ServiceStandIn::new(32).router())),
       Self::Decisions { seeds, plots, only } => run_report(&Report { only, plots, seeds }),
+      Self::Experiment { options } => experiment::run(&options).map_err(io::Error::other),
       Self::Failures { program } => failures::run(&demo::beside(program)?),
       Self::PathBench { program } => path_bench::run(&demo::beside(program)?),
       Self::Slopes => {
--- /dev/null
+++ b/tests/experiment.rs
@@ -0,0 +1,148 @@
+//! Paired experiments, against a small stand-in of the users' bench.
+
+use {
+  rstest::rstest,
+  std::{
+    fs,
+    os::unix::fs::PermissionsExt,
+    path::{Path, PathBuf},
+    process::{Command, Output},
+  },
+  tempfile::TempDir,
+};
+
+/// Worth is the seed in thousandths, and 0.1 more without role orders; the day `broken` fails.
+const BENCH: &str = r#"#!/usr/bin/env bash
+[ "$1" = build ] && exit 0
+echo "played $3"
+[ "$3" = broken ] && exit 3
+seed="$5"
+while [ $# -gt 0 ]; do [ "$1" = --report ] && report="$2"; shift; done
+more=0
+grep -q 'role_orders = false' deploy/box.toml.template && more=100
+touch "journal/$more-$seed.json"
+printf '{"G": %s, "served": 0.9, "prices": [["calls", 3, 0.02], ["orders", 1, 0.01]], "breaks": []}' \
+  "0.$((seed + more))" > "$report"
+"#;
+
+struct Setup {
+  folder: TempDir,
+}
+
+impl Setup {
+  fn new() -> Self {
+    let folder = tempfile::tempdir().unwrap();
+    let root = folder.path();
+    fs::create_dir_all(root.join("checkout/deploy")).unwrap();
+    fs::write(
+      root.join("checkout/deploy/box.toml.template"),
+      "[engines]\n",
+    )
+    .unwrap();
+    fs::write(root.join("site.toml"), "").unwrap();
+    fs::write(root.join("bench"), BENCH).unwrap();
+    fs::set_permissions(root.join("bench"), fs::Permissions::from_mode(0o755)).unwrap();
+    Self { folder }
+  }
+
+  fn path(&self, name: &str) -> PathBuf {
+    self.folder.path().join(name)
+  }
+
+  fn run(&self, arguments: &[&str]) -> Output {
+    Command::new(Path::new(env!("CARGO_BIN_EXE_rillford")).with_file_name("emulator"))
+      .current_dir(self.folder.path())
+      .args(["experiment", "--checkout", "checkout", "--why", "a test"])
+      .args(arguments)
+      .output()
+      .unwrap()
+  }
+}
+
+const USUAL: [&str; 6] = ["--bench", "./bench", "--site", "site.toml", "--day", "calm"];
+
+fn with_usual<'a>(arguments: &[&'a str]) -> Vec<&'a str> {
+  [&USUAL, arguments].concat()
+}
+
+#[test]
+fn variants_are_compared_by_seed() {
+  let setup = Setup::new();
+  let output = setup.run(&with_usual(&[
+    "--variant",
+    "as it is",
+    "--variant",
+    "no orders:mechanisms.role_orders=false",
+    "--seeds",
+    "3",
+    "--first-seed",
+    "500",
+    "--json",
+    "all.json",
+    "--plot",
+    "plot.svg",
+  ]));
+  let text = String::from_utf8_lossy(&output.stdout);
+  assert!(output.status.success(), "{output:?}");
+  assert!(
+    text.contains("| site | as it is | 3 | 0.501 | 0.030 | +0.0000 | 0.0000 | 0 |"),
+    "{text}"
+  );
+  assert!(
+    text.contains("| site | no orders | 3 | 0.601 | 0.030 | +0.1000 | 0.0000 | 0 |"),
+    "{text}"
+  );
+  let json: serde_json::Value =
+    serde_json::from_slice(&fs::read(setup.path("all.json")).unwrap()).unwrap();
+  assert_eq!(json.as_array().unwrap().len(), 6);
+  let plot = fs::read_to_string(setup.path("plot.svg")).unwrap();
+  assert!(plot.contains("<svg") && plot.contains("no orders"));
+  // The bench's entries of all variants are kept, and the checkout's own settings are as they were.
+  for entry in ["0-500.json", "100-502.json"] {
+    assert!(
+      setup.path("checkout/journal").join(entry).exists(),
+      "{entry}"
+    );
+  }
+  let settings = fs::read_to_string(setup.path("checkout/deploy/box.toml.template")).unwrap();
+  assert_eq!(settings, "[engines]\n");
+}
+
+#[test]
+fn what_was_measured_before_a_failure_is_kept() {
+  let setup = Setup::new();
+  let arguments = [
+    "--day", "broken", "--jobs", "1", "--seeds", "1", "--json", "all.json",
+  ];
+  let output = setup.run(&with_usual(&arguments));
+  let errors = String::from_utf8_lossy(&output.stderr);
+  assert!(!output.status.success());
+  assert!(
+    errors.contains("the bench failed on site broken with seed 1000"),
+    "{errors}"
+  );
+  assert!(
+    errors.contains("exit status: 3") && errors.contains("played broken"),
+    "{errors}"
+  );
+  assert!(String::from_utf8_lossy(&output.stdout).contains("| site | as it is | 1 |"));
+  assert!(
+    fs::read_to_string(setup.path("all.json"))
+      .unwrap()
+      .contains("\"day\": \"calm\"")
+  );
+}
+
+#[rstest]
+#[case(&["--bench", "nowhere", "--site", "site.toml", "--day", "calm"], "--bench: nowhere does not exist")]
+#[case(&["--bench", "./bench", "--site", "other.toml", "--day", "calm"], "--site: other.toml does not exist")]
+#[case(&["--bench", "./bench", "--site", "site.toml"], "at least one --day is wanted")]
+#[case(&with_usual(&["--seeds", "0"]), "--seeds: must be 1 or more")]
+#[case(&with_usual(&["--variant", "x:no_section=1"]), "is not NAME or NAME:section.key=value")]
+#[case(&with_usual(&["--variant", "x", "--variant", "x"]), "x is given twice")]
+fn option_that_cannot_be_met(#[case] arguments: &[&str], #[case] message: &str) {
+  let output = Setup::new().run(arguments);
+  let errors = String::from_utf8_lossy(&output.stderr);
+  assert!(!output.status.success());
+  assert!(errors.contains(message), "{errors}");
+}
--- a/tests/gateway/configuration.rs
+++ b/tests/gateway/configuration.rs
@@ -147,6 +147,12 @@
 #[case("retry_slack = 56", "retry_slack = -1", "bounds.retry_slack")]
 #[case("callers = \"127.0.0.1:1\"", "callers = \"here\"", "box.toml:5")]
 #[case("least_lease_ms = 1000", "", "least_lease_ms")]
+#[case(
+  "[engines]",
+  "[mechanisms]\nrole_order = false\n[engines]",
+  "unknown field `role_order`"
+)]
+#[case("[engines]", "[mechanisms]\nrole_orders = 0\n[engines]", "box.toml:")]
 fn wrong_settings_are_told_with_file_and_key(
   #[case] from: &str,
   #[case] to: &str,
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -5,6 +5,7 @@
 mod command_line;
 mod configuration;
 mod contracts;
+mod experiment;
 mod gateway;
 mod leaving;
 mod machine;
