--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -11,6 +11,7 @@
 mod host;
 mod key_value;
 mod keys;
+pub mod log_summary;
 mod path_bench;
 mod relay;
 mod service;
--- a/emulator/src/subcommand.rs
+++ b/emulator/src/subcommand.rs
@@ -6,7 +6,9 @@
     decisions::{Report, run_report},
     demo,
     experiment::{self, ExperimentOptions, experiment_options},
-    failures, path_bench, slopes,
+    failures,
+    log_summary::log_summary,
+    path_bench, slopes,
   },
   bpaf::Bpaf,
   rillford::decide::Role,
@@ -73,6 +75,13 @@
     #[bpaf(external(experiment_options))]
     options: ExperimentOptions,
   },
+  /// Read gateway boxes' logs from standard input and print where their streams lose time
+  #[bpaf(command("log-summary"))]
+  LogSummary {
+    /// Seconds of a row
+    #[bpaf(long, argument("N"), fallback(2))]
+    seconds: u64,
+  },
   /// Let one thing after another fail under load and print what came of it
   #[bpaf(command)]
   Failures {
@@ -146,6 +155,10 @@
       Self::Service { listen } => forever(Host::start_at(listen, ServiceStandIn::new(32).router())),
       Self::Decisions { seeds, plots, only } => run_report(&Report { only, plots, seeds }),
       Self::Experiment { options } => experiment::run(&options).map_err(io::Error::other),
+      Self::LogSummary { seconds } => {
+        print!("{}", log_summary(io::stdin().lock(), seconds)?);
+        Ok(())
+      }
       Self::Failures { program } => failures::run(&demo::beside(program)?),
       Self::PathBench { program } => path_bench::run(&demo::beside(program)?),
       Self::Slopes => {
--- a/src/gateway/role_steward.rs
+++ b/src/gateway/role_steward.rs
@@ -157,7 +157,17 @@
     surplus
       .engines
       .retain(|engine| !self.pending.contains_key(&engine.id));
-    (!surplus.engines.is_empty()).then_some(surplus)
+    if surplus.engines.is_empty() {
+      return None;
+    }
+    log::info!(
+      "E425 roles of {service}: {reading} of {} engines read, {} more were here lately, a share of {share} is to: {} become {:?}",
+      engines.len(),
+      missing.len(),
+      surplus.engines.len(),
+      surplus.role
+    );
+    Some(surplus)
   }
 
   /// The engines of a service that were here lately.
--- a/src/gateway/seat.rs
+++ b/src/gateway/seat.rs
@@ -37,8 +37,7 @@
   let since_ms = gateway.now_ms();
   let wait = seat_wait(gateway, request, tried);
   let wait_ms = wait.until_ms.saturating_sub(since_ms);
-  if !has_chance(gateway, wait, since_ms) {
-    log::info!("E524 no seat expected: {} of {wait_ms} ms", request.id());
+  if !has_chance(gateway, request, wait, since_ms) {
     return None;
   }
   let seat = timeout(
@@ -58,13 +57,22 @@
 }
 
 /// Whether a request may get a seat before its wait is over; one whose caller has a part of the answer always tries.
-fn has_chance(gateway: &Gateway, wait: SeatWait, now_ms: u64) -> bool {
+fn has_chance(gateway: &Gateway, request: &RoutedRequest, wait: SeatWait, now_ms: u64) -> bool {
   if wait.goes_on || !gateway.settings.mechanisms.refusal_by_forecast {
     return true;
   }
   let ahead = gateway.seat_queue.borrow().ahead_of(wait, now_ms);
   let within_ms = wait.until_ms.saturating_sub(now_ms);
-  gateway.seat_forecast.borrow().has_chance(ahead, within_ms)
+  let forecast = gateway.seat_forecast.borrow();
+  if forecast.has_chance(ahead, within_ms) {
+    return true;
+  }
+  log::info!(
+    "E524 no seat expected: {} has {within_ms} ms and {ahead} ahead, a seat comes each {:?} ms",
+    request.id(),
+    forecast.interval_ms()
+  );
+  false
 }
 
 /// How long a request waits for a seat.
--- a/src/gateway/seat_forecast.rs
+++ b/src/gateway/seat_forecast.rs
@@ -53,6 +53,11 @@
     self.stream_ms = Some(moved(self.stream_ms, took_ms));
   }
 
+  /// Time between two seats while requests wait; nothing before any was seen.
+  pub fn interval_ms(&self) -> Option<u64> {
+    self.interval_ms.map(|interval_ms| interval_ms as u64)
+  }
+
   /// Whether a request with so many ahead of it may get a seat within a time. Seats are taken to come at random.
   pub fn has_chance(&self, ahead: usize, within_ms: u64) -> bool {
     let Some(interval_ms) = self.interval_ms else {
