--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -65,7 +65,7 @@
   headers::remove_connection_headers,
   kept_prompts::{KeptPrompts, PromptPart},
   mechanisms::Mechanisms,
-  recent_engines::RecentEngines,
+  recent_engines::{RecentEngines, staying_engines},
   retry_pause::retry_pause_ms,
   retry_window::{RetryAllowance, RetryWindow},
   role_plan::{Surplus, surplus},
--- a/src/gateway/recent_engines.rs
+++ b/src/gateway/recent_engines.rs
@@ -10,6 +10,30 @@
 /// a change of role takes half of it (`switchS` of the users' sites is 6 s).
 const MISSED_MS: u64 = 15_000;
 
+/// The engines that stay. A crashed one's entry lapses only after its next incarnation has entered: while an address
+/// stands twice, neither entry tells what is there.
+///
+/// ```
+/// use rillford::{decide::Role, gateway::{EndpointEntry, staying_engines}};
+/// let engine = |id: &str, port: u16| EndpointEntry {
+///   address: ([127, 0, 0, 1], port).into(), hall: "north".into(), id: id.into(), leaving: false,
+///   role: Some(Role::Decode), seats: 16, service: "llm".into(),
+/// };
+/// let engines = [engine("a", 1), engine("b", 2), engine("b-again", 2)];
+/// let staying: Vec<_> = staying_engines(&engines).map(|engine| &*engine.id).collect();
+/// assert_eq!(staying, ["a"]);
+/// ```
+pub fn staying_engines(engines: &[EndpointEntry]) -> impl Iterator<Item = &EndpointEntry> {
+  let mut entries: HashMap<SocketAddr, u32> = HashMap::new();
+  for engine in engines {
+    *entries.entry(engine.address).or_default() += 1;
+  }
+  engines
+    .iter()
+    .filter(move |engine| entries[&engine.address] == 1)
+    .filter(|engine| engine.role.is_some() && !engine.leaving)
+}
+
 #[derive(Clone, Debug)]
 struct Sight {
   entry: EndpointEntry,
@@ -38,13 +62,11 @@
 }
 
 impl RecentEngines {
-  /// Notes the engines that are here at a time. Those that leave count as gone.
+  /// Notes the engines that are here at a time. Those that leave count as gone, and so do, for now, those of an address
+  /// that stands twice.
   pub fn note(&mut self, engines: &[EndpointEntry], now_ms: u64) {
     self.noted_ms = now_ms;
-    let staying = engines
-      .iter()
-      .filter(|engine| engine.role.is_some() && !engine.leaving);
-    for engine in staying {
+    for engine in staying_engines(engines) {
       let sight = Sight {
         entry: engine.clone(),
         seen_ms: now_ms,
--- a/src/gateway/role_steward.rs
+++ b/src/gateway/role_steward.rs
@@ -6,6 +6,7 @@
     engine_call::call_engine,
     gateway::{Gateway, Phase},
     role_plan::{surplus, with_role},
+    staying_engines,
     store::Store,
   },
   crate::{decide::Role, ids::Name, policy::PoolFacts},
@@ -180,12 +181,9 @@
 
   /// The engines of a service that stay, each in the role that it has or is about to take.
   fn engines(&self, service: &Name) -> Vec<EndpointEntry> {
-    self
-      .gateway
-      .book
-      .borrow()
-      .entries()
-      .filter(|entry| entry.service == *service && !entry.leaving)
+    let entries: Vec<EndpointEntry> = self.gateway.book.borrow().entries().cloned().collect();
+    staying_engines(&entries)
+      .filter(|entry| entry.service == *service)
       .map(|entry| {
         let order = self.pending.get(&entry.id);
         EndpointEntry {
--- a/tests/gateway/role_plan.rs
+++ b/tests/gateway/role_plan.rs
@@ -3,7 +3,7 @@
 use {
   rillford::{
     decide::Role,
-    gateway::{EndpointEntry, RecentEngines, surplus},
+    gateway::{EndpointEntry, RecentEngines, staying_engines, surplus},
   },
   rstest::rstest,
 };
@@ -54,6 +54,28 @@
   assert_eq!(surplus(&back, &recent.missing("llm"), 0.25), None);
 }
 
+/// Seen on a day with a crash: the old entries and those of the next incarnations together looked like more engines.
+#[test]
+fn engine_that_stands_twice_for_a_moment_changes_no_role() {
+  let all = engines(3, 9);
+  let mut recent = RecentEngines::default();
+  recent.note(&all, 0);
+  let mut doubled = all.clone();
+  for engine in &all[7..] {
+    let again = EndpointEntry {
+      id: format!("{}-again", engine.id).into(),
+      role: Some(Role::Prefill),
+      ..engine.clone()
+    };
+    doubled.push(again);
+  }
+  recent.note(&doubled, 3_000);
+  let here: Vec<EndpointEntry> = staying_engines(&doubled).cloned().collect();
+  assert_eq!(here.len(), 7);
+  assert_eq!(recent.missing("llm").len(), 2);
+  assert_eq!(surplus(&here, &recent.missing("llm"), 0.25), None);
+}
+
 #[test]
 fn engines_that_stay_away_no_longer_count() {
   let all = engines(3, 9);
