Leaving engines count for 3 s in the plan of roles, those gone without a word for 7 s

Cause: after scale_in took two of nine engines, three went on reading for 15 s, since the two still counted; then the steward turned one in the middle of a hall's cut.

--- a/src/gateway/recent_engines.rs
+++ b/src/gateway/recent_engines.rs
@@ -6,9 +6,11 @@
   std::{collections::HashMap, net::SocketAddr},
 };
 
-/// How long an engine that is gone still counts in its last role: a crashed or replaced one is back sooner, and
-/// a change of role takes half of it (`switchS` of the users' sites is 6 s).
-const MISSED_MS: u64 = 15_000;
+/// How long an engine that is gone without a word still counts in its last role. The users' crashes and cuts last up to
+/// 6 s, of which its entry outlasts three heartbeats; a change of role takes 6 s.
+const MISSED_MS: u64 = 7_000;
+/// How long an engine that leaves still counts: the one that replaces it enters sooner.
+const LEAVING_MS: u64 = 3_000;
 
 /// The engines that stay. A crashed one's entry lapses only after its next incarnation has entered: while an address
 /// stands twice, neither entry tells what is there.
@@ -38,6 +40,7 @@
 struct Sight {
   entry: EndpointEntry,
   seen_ms: u64,
+  counts_until_ms: u64,
 }
 
 /// The engines that were seen lately, by address: a restarted one comes back there under another id.
@@ -69,13 +72,19 @@
     for engine in staying_engines(engines) {
       let sight = Sight {
         entry: engine.clone(),
+        counts_until_ms: now_ms + MISSED_MS,
         seen_ms: now_ms,
       };
       self.by_address.insert(engine.address, sight);
     }
+    for engine in engines.iter().filter(|engine| engine.leaving) {
+      if let Some(sight) = self.by_address.get_mut(&engine.address) {
+        sight.counts_until_ms = sight.counts_until_ms.min(now_ms + LEAVING_MS);
+      }
+    }
     self
       .by_address
-      .retain(|_, sight| now_ms < sight.seen_ms + MISSED_MS);
+      .retain(|_, sight| now_ms < sight.counts_until_ms);
   }
 
   /// The engines of a service that were not here at the last note, and may come back.
--- a/tests/gateway/role_plan.rs
+++ b/tests/gateway/role_plan.rs
@@ -76,18 +76,29 @@
   assert_eq!(surplus(&here, &recent.missing("llm"), 0.25), None);
 }
 
-#[test]
-fn engines_that_stay_away_no_longer_count() {
+#[rstest]
+#[case::gone_without_a_word(false, 6_900, 7_000)]
+#[case::leaving(true, 2_900, 3_100)]
+fn engines_that_stay_away_no_longer_count(
+  #[case] is_leaving: bool,
+  #[case] still_ms: u64,
+  #[case] no_longer_ms: u64,
+) {
   let all = engines(3, 9);
   let mut recent = RecentEngines::default();
   recent.note(&all, 0);
   let mut left = all.clone();
-  for engine in &mut left[7..] {
-    engine.leaving = true;
+  if is_leaving {
+    for engine in &mut left[7..] {
+      engine.leaving = true;
+    }
+  } else {
+    left.truncate(7);
   }
-  recent.note(&left, 10_000);
+  recent.note(&left, 100);
+  recent.note(&left, still_ms);
   assert_eq!(recent.missing("llm").len(), 2);
-  recent.note(&left, 15_000);
+  recent.note(&left, no_longer_ms);
   let missing = recent.missing("llm");
   let turning = surplus(&left[..7], &missing, 0.25).unwrap();
   assert_eq!((turning.role, turning.engines.len()), (Role::Decode, 1));
