--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -180,7 +180,6 @@
     .service(gateway.draw())
     .cloned()
     .ok_or(NO_CONFIGURATION)?;
-  let waited_ms = gateway.waited_ms(&route.name, facts.deadline_ms);
   let rank = gateway.policy.rank(&route, &service, &facts);
   let mut headers = head.headers;
   remove_connection_headers(&mut headers);
@@ -195,7 +194,6 @@
     route,
     service,
     until_ms: arrived_ms + timeout_ms,
-    waited_ms,
     uri: head.uri,
   })
 }
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -76,8 +76,6 @@
   pub(crate) seat_queue_moved: Notify,
   /// Moving mean of the time from a seat to the first event.
   pub(crate) start_ms: Cell<Option<f64>>,
-  /// The longest time that callers of a route said they would wait: one that says less was here before.
-  patience_ms: RefCell<HashMap<Name, u64>>,
   /// What engines listed as kept; held while they are asked.
   pub(crate) kept_prompts: Mutex<KeptPrompts>,
   /// This box's lease in the store, and when it was last renewed.
@@ -116,7 +114,6 @@
       policy,
       pool: ConnectionPool::default(),
       random: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
-      patience_ms: RefCell::default(),
       seat_forecast: RefCell::default(),
       seat_queue: RefCell::default(),
       seat_queue_moved: Notify::new(),
@@ -234,18 +231,6 @@
     self.book.borrow_mut().blame(id, self.now_ms());
   }
 
-  /// How long a caller has waited before this request, as far as the time that is left for it shows.
-  pub(crate) fn waited_ms(&self, route: &Name, deadline_ms: Option<u64>) -> u64 {
-    let Some(deadline_ms) = deadline_ms.filter(|_| self.settings.mechanisms.first_tries_first)
-    else {
-      return 0;
-    };
-    let mut patience = self.patience_ms.borrow_mut();
-    let longest_ms = patience.entry(route.clone()).or_insert(deadline_ms);
-    *longest_ms = (*longest_ms).max(deadline_ms);
-    *longest_ms - deadline_ms
-  }
-
   /// A first event came this long after its request had a seat.
   pub(crate) fn note_start(&self, took_ms: u64) {
     let before = self.start_ms.get().unwrap_or(took_ms as f64);
--- a/src/gateway/mechanisms.rs
+++ b/src/gateway/mechanisms.rs
@@ -12,8 +12,6 @@
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
 #[serde(default, deny_unknown_fields)]
 pub struct Mechanisms {
-  /// Callers that come for the first time get seats before those that were refused.
-  pub first_tries_first: bool,
   /// Endpoints of the own hall are preferred.
   pub own_hall_first: bool,
   /// Prompts go past readers that are behind: the engine that writes the answer reads.
@@ -35,7 +33,6 @@
 impl Default for Mechanisms {
   fn default() -> Self {
     Self {
-      first_tries_first: true,
       own_hall_first: true,
       prompts_past_readers: true,
       recent_engines: true,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -74,7 +74,7 @@
     CallerLimits, EngineSpec, Route, RouteKind, RouteTable, ServiceSpec, WeightedService,
   },
   seat_forecast::SeatForecast,
-  seat_queue::{SeatQueue, SeatUrgency, SeatWait},
+  seat_queue::{SeatPlace, SeatQueue, SeatUrgency},
   settings::{
     EngineSettings, GatewayBounds, GatewayIdentity, GatewayListen, GatewaySettings, PolicySettings,
     StoreSettings,
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -31,8 +31,6 @@
   pub(crate) rank: RouteRank,
   /// When it came, on the box's clock.
   pub(crate) arrived_ms: u64,
-  /// How long its caller had waited before, since the first try.
-  pub(crate) waited_ms: u64,
   /// When its final answer is due at the latest.
   pub(crate) until_ms: u64,
 }
--- a/src/gateway/seat.rs
+++ b/src/gateway/seat.rs
@@ -2,7 +2,7 @@
 
 use {
   super::{
-    EndpointEntry, PartEnd, SeatWait, Wanted,
+    EndpointEntry, PartEnd, SeatPlace, SeatUrgency, Wanted,
     engine_call::{CallFailure, Reservation, call_engine},
     gateway::Gateway,
     part::Booking,
@@ -19,16 +19,22 @@
 const GO_ON_WAIT_MS: u64 = 900;
 /// Pause between asks when every engine has just said that it is full.
 const SEAT_PAUSE: Duration = Duration::from_millis(8);
-/// Part of the wanted time that a request which can no longer be in time looks for a seat. Longer waits were worse:
-/// what is served late takes the seat of what would be in time (docs/design/policy.md).
-const LATE_WAIT_SHARE: f64 = 0.22;
+/// Part of the wanted time for which a request looks for a seat at least, though its first event may come too late.
+const LEAST_WAIT_SHARE: f64 = 0.22;
 /// Part of the wanted time that is taken for the way from a seat to the first event before any was seen.
 const UNSEEN_START_SHARE: f64 = 0.4;
 /// The way from a seat to the first event varies; this many times its mean is allowed for.
 const START_MARGIN: f64 = 1.5;
 
-/// Reserves a seat. Requests that can be in time go first, the oldest before the others, and wait no longer than they
-/// can be; behind them those whose callers were refused before.
+/// How long a request looks for a seat, and how it stands among the others.
+#[derive(Clone, Copy, Debug)]
+struct SeatWait {
+  urgency: SeatUrgency,
+  until_ms: u64,
+}
+
+/// Reserves a seat. A stream that goes on comes first, then the oldest request; one that begins looks for a seat as
+/// long as its first event can still come in the wanted time.
 pub(crate) async fn reserve_seat(
   gateway: &Rc<Gateway>,
   request: &Rc<RoutedRequest>,
@@ -37,12 +43,12 @@
   let since_ms = gateway.now_ms();
   let wait = seat_wait(gateway, request, tried);
   let wait_ms = wait.until_ms.saturating_sub(since_ms);
-  if !has_chance(gateway, request, wait, since_ms) {
+  if !has_chance(gateway, request, wait.urgency, wait_ms) {
     return None;
   }
   let seat = timeout(
     Duration::from_millis(wait_ms),
-    ask_in_turn(gateway, request, tried, wait),
+    ask_in_turn(gateway, request, tried, wait.urgency),
   )
   .await
   .unwrap_or(None);
@@ -56,13 +62,17 @@
   seat
 }
 
-/// Whether a request may get a seat before its wait is over; one whose caller has a part of the answer always tries.
-fn has_chance(gateway: &Gateway, request: &RoutedRequest, wait: SeatWait, now_ms: u64) -> bool {
-  if wait.goes_on || !gateway.settings.mechanisms.refusal_by_forecast {
+/// Whether a request may get a seat before its wait is over; a stream that goes on always tries.
+fn has_chance(
+  gateway: &Gateway,
+  request: &RoutedRequest,
+  urgency: SeatUrgency,
+  within_ms: u64,
+) -> bool {
+  if urgency == SeatUrgency::GoesOn || !gateway.settings.mechanisms.refusal_by_forecast {
     return true;
   }
-  let ahead = gateway.seat_queue.borrow().ahead_of(wait, now_ms);
-  let within_ms = wait.until_ms.saturating_sub(now_ms);
+  let ahead = gateway.seat_queue.borrow().len();
   let forecast = gateway.seat_forecast.borrow();
   if forecast.has_chance(ahead, within_ms) {
     return true;
@@ -75,45 +85,37 @@
   false
 }
 
-/// How long a request waits for a seat.
+/// How long a request looks for a seat.
 fn seat_wait(gateway: &Gateway, request: &RoutedRequest, tried: &[Name]) -> SeatWait {
-  let now_ms = gateway.now_ms();
   if !tried.is_empty() || request.facts.last_event_id.is_some() {
     return SeatWait {
-      goes_on: true,
-      in_time_until_ms: now_ms,
-      until_ms: now_ms + GO_ON_WAIT_MS,
+      until_ms: gateway.now_ms() + GO_ON_WAIT_MS,
+      urgency: SeatUrgency::GoesOn,
     };
   }
-  let target_ms = request.rank.target_ms;
+  let target_ms = request.rank.target_ms as f64;
   let start_ms = gateway
     .start_ms
     .get()
-    .unwrap_or(target_ms as f64 * UNSEEN_START_SHARE);
-  let start_ms = (start_ms * START_MARGIN) as u64;
-  let left_ms = target_ms.saturating_sub(request.waited_ms + start_ms);
-  let wait_ms = if left_ms > 0 {
-    left_ms
-  } else {
-    (target_ms as f64 * LATE_WAIT_SHARE) as u64
-  };
+    .unwrap_or(target_ms * UNSEEN_START_SHARE);
+  let in_time_ms = target_ms - start_ms * START_MARGIN;
+  let wait_ms = in_time_ms.max(target_ms * LEAST_WAIT_SHARE) as u64;
   SeatWait {
-    goes_on: false,
-    in_time_until_ms: request.arrived_ms + left_ms,
     until_ms: (request.arrived_ms + wait_ms).min(request.until_ms),
+    urgency: SeatUrgency::Begins,
   }
 }
 
 /// A request's place in the queue; given up when this is dropped.
 struct Place<'a> {
   gateway: &'a Gateway,
-  number: u64,
+  place: SeatPlace,
 }
 
 impl<'a> Place<'a> {
-  fn new(gateway: &'a Gateway, wait: SeatWait) -> Self {
-    let number = gateway.seat_queue.borrow_mut().join(wait);
-    Self { gateway, number }
+  fn new(gateway: &'a Gateway, urgency: SeatUrgency) -> Self {
+    let place = gateway.seat_queue.borrow_mut().join(urgency);
+    Self { gateway, place }
   }
 
   /// The request has a seat.
@@ -128,19 +130,14 @@
   }
 
   fn is_first(&self) -> bool {
-    let now_ms = self.gateway.now_ms();
-    self
-      .gateway
-      .seat_queue
-      .borrow()
-      .is_first(self.number, now_ms)
+    self.gateway.seat_queue.borrow().is_first(self.place)
   }
 }
 
 impl Drop for Place<'_> {
   fn drop(&mut self) {
     let mut queue = self.gateway.seat_queue.borrow_mut();
-    queue.leave(self.number);
+    queue.leave(self.place);
     if queue.is_empty() {
       self.gateway.seat_forecast.borrow_mut().note_idle();
     }
@@ -154,15 +151,13 @@
   gateway: &Rc<Gateway>,
   request: &RoutedRequest,
   tried: &[Name],
-  wait: SeatWait,
+  urgency: SeatUrgency,
 ) -> Option<(EndpointEntry, Reservation)> {
-  let place = Place::new(gateway, wait);
+  let place = Place::new(gateway, urgency);
   loop {
     let moved = gateway.seat_queue_moved.notified();
     if !place.is_first() {
-      let change = Duration::from_millis(wait.next_change_ms(gateway.now_ms()).max(1));
-      // Either way the queue is looked at again.
-      let _ = timeout(change, moved).await;
+      moved.await;
       continue;
     }
     let choice = gateway.choose(Wanted {
