The soak: a stream cut within its last event is cut, not whole

Cause: the stand-in engine looked at its count of events before the cut; c18-69 has four events, was cut within the fourth, and the chunked body then ended as complete. Ruled out: the gateway, which passes on what an engine ends by its framing.

--- a/soak/src/event_stream.rs
+++ b/soak/src/event_stream.rs
@@ -33,14 +33,15 @@
   }
 
   async fn take_next(&mut self) -> Option<io::Result<Bytes>> {
+    // Looked at before the end: a stream that is cut within its last event must not end as a whole one.
+    if self.cut_at.is_some_and(|cut_at| self.next > cut_at) {
+      return Some(Err(io::Error::other("cut")));
+    }
     if self.next > content::event_count(&self.id) {
       return None;
     }
     sleep(EVENT_PAUSE).await;
     let event = content::event(&self.id, self.next);
-    if self.cut_at.is_some_and(|cut_at| self.next > cut_at) {
-      return Some(Err(io::Error::other("cut")));
-    }
     let is_cut = self.cut_at == Some(self.next);
     self.next += 1;
     let shown = if is_cut {
