--- a/justfile
+++ b/justfile
@@ -31,3 +31,8 @@
 # hunt days of a site for broken rules: `just hunt BENCH SITE 40 "why"`
 hunt bench site days why:
   {{bench}} hunt {{site}} --days {{days}} --why "{{why}}"
+
+# compare settings, paired by seed: `just experiment BENCH SITE DAY "why" --variant a --variant b:mechanisms.role_orders=false`
+experiment bench site day why *variants:
+  cargo build --release --locked -p rillford -p emulator
+  target/release/emulator experiment --bench {{bench}} --site {{site}} --day {{day}} --why "{{why}}" {{variants}}
