--- a/src/gateway/resume_seat.rs
+++ b/src/gateway/resume_seat.rs
@@ -2,7 +2,7 @@
 
 use {
   super::{
-    EndpointEntry,
+    EndpointEntry, PromptPart,
     engine_call::{Reservation, call_engine},
     gateway::Gateway,
     request::RoutedRequest,
@@ -47,7 +47,8 @@
   None
 }
 
-/// The engines that list the last part of the request's prompt.
+/// The engines that list enough of the prompt's beginning, those with most of it first. The listing is asked for once
+/// in a while, by the first request that needs it.
 async fn engines_that_keep(gateway: &Rc<Gateway>, request: &RoutedRequest) -> Vec<Name> {
   let mut kept = gateway.kept_prompts.lock().await;
   if !kept.is_fresh(gateway.now_ms()) {
@@ -78,7 +79,7 @@
 }
 
 /// What one engine keeps; nothing when it does not say.
-async fn list_kept(gateway: &Gateway, engine: &EndpointEntry) -> Vec<super::PromptPart> {
+async fn list_kept(gateway: &Gateway, engine: &EndpointEntry) -> Vec<PromptPart> {
   let call = gateway.dialect.list_kept();
   let listed = match call_engine(gateway, engine, call).await {
     Ok(body) => gateway
--- a/src/gateway/seat.rs
+++ b/src/gateway/seat.rs
@@ -106,13 +106,13 @@
   }
 }
 
-/// A request's place in the queue; given up when this is dropped.
-struct Place<'a> {
+/// A request in the queue; it leaves when this is dropped.
+struct QueuedRequest<'a> {
   gateway: &'a Gateway,
   place: SeatPlace,
 }
 
-impl<'a> Place<'a> {
+impl<'a> QueuedRequest<'a> {
   fn new(gateway: &'a Gateway, urgency: SeatUrgency) -> Self {
     let place = gateway.seat_queue.borrow_mut().join(urgency);
     Self { gateway, place }
@@ -134,7 +134,7 @@
   }
 }
 
-impl Drop for Place<'_> {
+impl Drop for QueuedRequest<'_> {
   fn drop(&mut self) {
     let mut queue = self.gateway.seat_queue.borrow_mut();
     queue.leave(self.place);
@@ -153,10 +153,10 @@
   tried: &[Name],
   urgency: SeatUrgency,
 ) -> Option<(EndpointEntry, Reservation)> {
-  let place = Place::new(gateway, urgency);
+  let queued = QueuedRequest::new(gateway, urgency);
   loop {
     let moved = gateway.seat_queue_moved.notified();
-    if !place.is_first() {
+    if !queued.is_first() {
       moved.await;
       continue;
     }
@@ -170,7 +170,7 @@
     })?;
     match ask_seat(gateway, request, &choice.entry, request.tokens()).await {
       Some(reservation) => {
-        place.note_seat();
+        queued.note_seat();
         return Some((choice.entry, reservation));
       }
       None if choice.left_alone => sleep(SEAT_PAUSE).await,
