--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -76,8 +76,8 @@
   pub(crate) seat_queue_moved: Notify,
   /// Moving mean of the time from a seat to the first event.
   pub(crate) start_ms: Cell<Option<f64>>,
-  /// What engines listed as kept; held while they are asked.
-  pub(crate) kept_prompts: Mutex<KeptPrompts>,
+  /// What the engines of each service listed as kept.
+  kept_prompts: RefCell<HashMap<Name, Rc<Mutex<KeptPrompts>>>>,
   /// This box's lease in the store, and when it was last renewed.
   pub(crate) lease: Cell<Option<HeldLease>>,
   /// Whether the store was listed to its end: before that some endpoints are not known.
@@ -108,7 +108,7 @@
       has_listed: Cell::new(false),
       has_steward: Cell::new(false),
       in_flight: Cell::new(0),
-      kept_prompts: Mutex::default(),
+      kept_prompts: RefCell::default(),
       lease: Cell::new(None),
       phase: watch::Sender::new(Phase::Serving),
       policy,
@@ -239,6 +239,16 @@
     ));
   }
 
+  /// What the engines of a service listed as kept; locked while they are asked.
+  pub(crate) fn kept_prompts(&self, service: &Name) -> Rc<Mutex<KeptPrompts>> {
+    self
+      .kept_prompts
+      .borrow_mut()
+      .entry(service.clone())
+      .or_default()
+      .clone()
+  }
+
   /// Counts a caller's request towards its service's repeats.
   pub(crate) fn note_request(&self, service: &Name) {
     let now_ms = self.now_ms();
--- a/src/gateway/resume_seat.rs
+++ b/src/gateway/resume_seat.rs
@@ -47,10 +47,11 @@
   None
 }
 
-/// The engines that list enough of the prompt's beginning, those with most of it first. The listing is asked for once
-/// in a while, by the first request that needs it.
+/// The engines that list enough of the prompt's beginning, those with most of it first. The listing of a service is
+/// asked for once in a while, by the first request that needs it.
 async fn engines_that_keep(gateway: &Rc<Gateway>, request: &RoutedRequest) -> Vec<Name> {
-  let mut kept = gateway.kept_prompts.lock().await;
+  let listing = gateway.kept_prompts(&request.service);
+  let mut kept = listing.lock().await;
   if !kept.is_fresh(gateway.now_ms()) {
     kept.begin(gateway.now_ms());
     let engines = writing_engines(gateway, &request.service);
--- a/tests/gateway/resume.rs
+++ b/tests/gateway/resume.rs
@@ -116,3 +116,47 @@
   assert_eq!(prefill.requests().len(), 1);
   assert!(full.requests().is_empty());
 }
+
+/// Found by reading: one listing stood for all services, so a request of the second one found engines of the first.
+#[tokio::test]
+async fn each_service_has_a_listing_of_its_own() {
+  let prefill = EndpointStandIn::engine(EVENTS).await;
+  let decode = EndpointStandIn::start(keeps_all).await;
+  let test = GatewayTest::new().await.configure(|configuration| {
+    let mut service = configuration["services"][1].clone();
+    service["name"] = "other".into();
+    let mut route = configuration["routes"][3].clone();
+    route["name"] = "other".into();
+    route["pathPrefix"] = "/resumable/other/".into();
+    route["service"] = "other".into();
+    let list = |key: &str, row| {
+      configuration[key]
+        .as_array()
+        .unwrap()
+        .iter()
+        .cloned()
+        .chain([row])
+        .collect()
+    };
+    let (services, routes): (Vec<_>, Vec<_>) = (list("services", service), list("routes", route));
+    configuration["services"] = services.into();
+    configuration["routes"] = routes.into();
+  });
+  let other_prefill = EndpointStandIn::engine(EVENTS).await;
+  let other_decode = EndpointStandIn::start(keeps_all).await;
+  test.enter("o-1", "other", Some("prefill"), &other_prefill);
+  test.enter("o-2", "other", Some("decode"), &other_decode);
+  let gateway = test.with_engines(&prefill, &decode).await;
+  for path in ["/resumable/a", "/resumable/other/a"] {
+    let mut request = gateway.request(path, path);
+    let headers = request.headers_mut();
+    headers.insert("last-event-id", HeaderValue::from_static("1"));
+    headers.insert("x-prompt-prefix", HeaderValue::from_static(PARTS));
+    assert_eq!(gateway.send(request).await.body.unwrap(), REST);
+  }
+  assert!(prefill.requests().is_empty());
+  assert!(other_prefill.requests().is_empty());
+  // Without a listing of its own the second request goes on at an engine of the first service.
+  assert_eq!(decode.requests().len(), 1);
+  assert_eq!(other_decode.requests().len(), 1);
+}
