--- a/emulator/src/decisions/experiments.rs
+++ b/emulator/src/decisions/experiments.rs
@@ -2,11 +2,11 @@
 
 use {
   super::{
-    figures::{Figures, TABLE_HEAD, row},
+    figures::{TABLE_HEAD, row},
     plots,
+    runs::{runs, upper_bound},
     variant::{Fault, Variant},
     workload::{Day, Site},
-    world::simulate,
   },
   std::{fmt::Write, io, path::Path, thread},
 };
@@ -29,37 +29,6 @@
   }
 }
 
-/// Runs a variant over all seeds, a thread a seed.
-pub(super) fn runs(site: Site, day: Day, variant: &Variant, seeds: u64) -> Vec<Figures> {
-  thread::scope(|scope| {
-    let started = (1..=seeds)
-      .map(|seed| scope.spawn(move || simulate(site, day, variant, seed)))
-      .collect::<Vec<_>>();
-    started
-      .into_iter()
-      .filter_map(|run| run.join().ok())
-      .collect()
-  })
-}
-
-/// The best of all ways under perfect knowledge, seed by seed.
-pub(super) fn upper_bound(site: Site, day: Day, load: f64, seeds: u64) -> Vec<Figures> {
-  let mut best = Vec::<Figures>::new();
-  for variant in Variant::perfect(site) {
-    let runs = runs(site, day, &variant.at(load), seeds);
-    if best.is_empty() {
-      best = runs;
-      continue;
-    }
-    for (best, run) in best.iter_mut().zip(runs) {
-      if run.good > best.good {
-        *best = run;
-      }
-    }
-  }
-  best
-}
-
 /// Rows of one table, all variants at once: the machine's cores bound what runs side by side.
 fn table(title: &str, site: Site, bounds: &[f64], variants: &[Variant], seeds: u64) -> String {
   let mut text = format!("\n### {site:?}: {title}\n\n{TABLE_HEAD}");
--- a/emulator/src/decisions/mod.rs
+++ b/emulator/src/decisions/mod.rs
@@ -4,6 +4,7 @@
 mod experiments;
 mod figures;
 mod plots;
+mod runs;
 mod schedule;
 mod sim_engine;
 mod sim_service;
--- a/emulator/src/decisions/plots.rs
+++ b/emulator/src/decisions/plots.rs
@@ -2,8 +2,8 @@
 
 use {
   super::{
-    experiments::{runs, upper_bound},
     figures::{Figures, spread},
+    runs::{runs, upper_bound},
     variant::Variant,
     workload::{Day, Site},
   },
--- /dev/null
+++ b/emulator/src/decisions/runs.rs
@@ -0,0 +1,42 @@
+//! Runs of one variant over several seeds.
+
+use {
+  super::{
+    figures::Figures,
+    variant::Variant,
+    workload::{Day, Site},
+    world::simulate,
+  },
+  std::thread,
+};
+
+/// Runs a variant over all seeds, a thread a seed.
+pub(super) fn runs(site: Site, day: Day, variant: &Variant, seeds: u64) -> Vec<Figures> {
+  thread::scope(|scope| {
+    let started = (1..=seeds)
+      .map(|seed| scope.spawn(move || simulate(site, day, variant, seed)))
+      .collect::<Vec<_>>();
+    started
+      .into_iter()
+      .filter_map(|run| run.join().ok())
+      .collect()
+  })
+}
+
+/// The best of all ways under perfect knowledge, seed by seed.
+pub(super) fn upper_bound(site: Site, day: Day, load: f64, seeds: u64) -> Vec<Figures> {
+  let mut best = Vec::<Figures>::new();
+  for variant in Variant::perfect(site) {
+    let runs = runs(site, day, &variant.at(load), seeds);
+    if best.is_empty() {
+      best = runs;
+      continue;
+    }
+    for (best, run) in best.iter_mut().zip(runs) {
+      if run.good > best.good {
+        *best = run;
+      }
+    }
+  }
+  best
+}
--- a/emulator/src/engine/routes.rs
+++ b/emulator/src/engine/routes.rs
@@ -34,21 +34,24 @@
 const BLOCK_TOKENS: u64 = 128;
 const CHUNKS_AHEAD: usize = 16;
 
-pub(super) fn router(engine: EngineStandIn) -> Router {
-  Router::new()
-    .route("/v1/prefill", post(prefill))
-    .route("/v1/export", post(export))
-    .route("/v1/import", post(import))
-    .route("/v1/decode", post(decode))
-    .route("/v1/cancel", post(cancel))
-    .route("/v1/holds", post(holds))
-    .route("/v1/attempts", get(attempts))
-    .route("/v1/load", get(load))
-    .route("/v1/cache-events", get(cache_events))
-    .route("/v1/role", post(role))
-    .route("/tally", get(tally))
-    .route("/switch", post(switch))
-    .with_state(engine)
+impl EngineStandIn {
+  /// The routes of the stand-in.
+  pub fn router(&self) -> Router {
+    Router::new()
+      .route("/v1/prefill", post(prefill))
+      .route("/v1/export", post(export))
+      .route("/v1/import", post(import))
+      .route("/v1/decode", post(decode))
+      .route("/v1/cancel", post(cancel))
+      .route("/v1/holds", post(holds))
+      .route("/v1/attempts", get(attempts))
+      .route("/v1/load", get(load))
+      .route("/v1/cache-events", get(cache_events))
+      .route("/v1/role", post(role))
+      .route("/tally", get(tally))
+      .route("/switch", post(switch))
+      .with_state(self.clone())
+  }
 }
 
 fn refuse(status: StatusCode, refusal: OrderRefusal) -> Response {
--- a/emulator/src/engine/state.rs
+++ b/emulator/src/engine/state.rs
@@ -1,8 +1,7 @@
 //! What an engine holds, and what it has done.
 
 use {
-  super::{EngineFaults, routes::router},
-  axum::Router,
+  super::faults::EngineFaults,
   rillford::{
     decide::{HeldAttempt, Role},
     endpoint_api::LoadReply,
@@ -151,11 +150,6 @@
     self.inner.lock().unwrap_or_else(PoisonError::into_inner)
   }
 
-  /// The routes of the stand-in.
-  pub fn router(&self) -> Router {
-    router(self.clone())
-  }
-
   /// Sets the fault switches.
   pub fn set_faults(&self, faults: EngineFaults) {
     self.inner().faults = faults;
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -11,7 +11,6 @@
     part::Part,
     records::OrderRecord,
     reply::{ReplyBody, cut_body, json_answer, not_run, status, whole},
-    seat::Seat,
   },
   bytes::Bytes,
   http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode},
@@ -358,3 +357,22 @@
 fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
   headers.get(name)?.to_str().ok()
 }
+
+/// A seat of an engine, taken until this is dropped.
+pub(crate) struct Seat(Arc<Endpoint>);
+
+impl Seat {
+  /// Takes the reserved seat, or a free one.
+  pub(crate) fn take(endpoint: &Arc<Endpoint>, hold: Option<&str>) -> Option<Self> {
+    if !endpoint.take_seat(hold) {
+      return None;
+    }
+    Some(Self(endpoint.clone()))
+  }
+}
+
+impl Drop for Seat {
+  fn drop(&mut self) {
+    self.0.free_seat();
+  }
+}
--- a/soak/src/event_stream.rs
+++ b/soak/src/event_stream.rs
@@ -1,7 +1,7 @@
 //! The body of an engine's answer.
 
 use {
-  super::{content, ledger::RunGuard, reply::ReplyBody, seat::Seat},
+  super::{content, ledger::RunGuard, reply::ReplyBody},
   bytes::Bytes,
   futures_util::stream,
   http_body_util::{BodyExt, StreamBody},
@@ -14,16 +14,16 @@
 const EVENT_PAUSE: Duration = Duration::from_millis(25);
 
 /// The rest of a stream, sent event by event. The run and its seat last until the stream is dropped.
-pub(crate) struct EventStream {
+pub(crate) struct EventStream<S> {
   pub(crate) id: String,
   pub(crate) next: u64,
   /// The event within which the stream is cut.
   pub(crate) cut_at: Option<u64>,
   pub(crate) _run: RunGuard,
-  pub(crate) _seat: Seat,
+  pub(crate) _seat: S,
 }
 
-impl EventStream {
+impl<S: Send + 'static> EventStream<S> {
   pub(crate) fn into_body(self) -> ReplyBody {
     let events = stream::unfold(self, |mut events| async move {
       let item = events.take_next().await?;
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -29,7 +29,6 @@
 mod reply;
 mod request_check;
 mod request_kind;
-mod seat;
 mod serving;
 mod subcommand;
 
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -2,10 +2,14 @@
 
 mod configuration;
 mod desk;
+mod duty;
 mod problem;
 mod router;
 
-pub(crate) use self::desk::{AdminSetup, Desk, run};
+pub(crate) use self::{
+  desk::Desk,
+  duty::{AdminSetup, run},
+};
 
 pub use self::{
   configuration::{ConfigurationBody, HistoryBody, Revision},
--- a/src/egress/answer_reader.rs
+++ b/src/egress/answer_reader.rs
@@ -2,9 +2,7 @@
 
 use {
   super::{
-    desk::{Errand, Office},
-    endpoint_client::OrderFailure,
-    joiner::Piece,
+    endpoint_client::OrderFailure, errand::Errand, joiner::Piece, office::Office,
     streams::ChunkStream,
   },
   crate::{
--- a/src/egress/desk.rs
+++ b/src/egress/desk.rs
@@ -5,7 +5,8 @@
     answer_reader::read_answer,
     calls::{ServiceCall, call, trimmed},
     endpoint_client::{EndpointClient, OrderFailure},
-    joiner::Joiner,
+    errand::Errand,
+    office::Office,
     pace::Pace,
     streams::ChunkStream,
   },
@@ -59,40 +60,12 @@
   pub(crate) notify: Arc<Notify>,
 }
 
-/// A request as egress keeps it.
-pub(super) struct Errand {
-  pub(super) payload: Payload,
-  joiner: Mutex<Joiner>,
-  pub(super) pace: Mutex<Option<Pace>>,
-  pub(super) prompt_tokens: Mutex<u64>,
-}
-
-impl Errand {
-  pub(super) fn joiner(&self) -> std::sync::MutexGuard<'_, Joiner> {
-    self.joiner.lock().unwrap_or_else(PoisonError::into_inner)
-  }
-
-  fn offset(&self) -> u64 {
-    self.joiner().offset()
-  }
-}
-
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 struct TaskKey {
   attempt: AttemptId,
   endpoint: Name,
 }
 
-/// What the tasks share.
-pub(super) struct Office {
-  clients: BTreeMap<Name, EndpointClient>,
-  limits: Limits,
-  pub(super) targets: Targets,
-  pub(super) observer: Observer,
-  started: Instant,
-  to_decide: Sender<Event>,
-}
-
 struct Desk {
   office: Arc<Office>,
   errands: HashMap<RequestId, Arc<Errand>>,
@@ -143,29 +116,6 @@
   }
 }
 
-impl Office {
-  fn client(&self, endpoint: &Name) -> Option<EndpointClient> {
-    self.clients.get(endpoint).cloned()
-  }
-
-  pub(super) async fn report(&self, attempt: AttemptId, endpoint: Name, outcome: StageOutcome) {
-    let report = StageReport {
-      attempt,
-      endpoint,
-      outcome,
-    };
-    self.to_decide.send(Event::Stage(report)).await;
-  }
-
-  fn stall(&self) -> Duration {
-    Duration::from_millis(self.limits.stall_ms)
-  }
-
-  fn now_ms(&self) -> u64 {
-    u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
-  }
-}
-
 impl Desk {
   fn keep(&mut self, payload: Payload) {
     let errand = Errand {
--- a/src/egress/mod.rs
+++ b/src/egress/mod.rs
@@ -4,7 +4,9 @@
 mod calls;
 mod desk;
 mod endpoint_client;
+mod errand;
 mod joiner;
+mod office;
 mod pace;
 mod streams;
 
--- /dev/null
+++ b/src/gateway/connections/mod.rs
@@ -0,0 +1,18 @@
+//! Connections to endpoints, and the listeners that others connect to: limits, rest and reuse, headers that concern one
+//! connection alone.
+//!
+//! Imports nothing of the gateway. A request comes in through [`accept`] and goes out over a [`Connection`], which then
+//! rests in the [`ConnectionPool`].
+
+mod accept;
+mod connection;
+mod connection_pool;
+mod headers;
+
+pub use self::headers::remove_connection_headers;
+
+pub(crate) use self::{
+  accept::{accept, serve_port},
+  connection::{Connection, SendError, set_limits},
+  connection_pool::ConnectionPool,
+};
--- a/src/gateway/decisions/endpoint_book.rs
+++ b/src/gateway/decisions/endpoint_book.rs
@@ -1,229 +1,20 @@
 //! What this box knows of each endpoint, and the choice among them. Free of I/O.
 
 use {
-  super::{EndpointEntry, ToldLoad},
-  crate::{decide::Role, ids::Name},
-  std::collections::{HashMap, HashSet},
+  super::{
+    choice::{Choice, PartEnd, Wanted},
+    hall_reach::HallReach,
+    known_endpoint::{Known, Peers, Told},
+  },
+  crate::{
+    gateway::edge::{EndpointEntry, ToldLoad},
+    ids::Name,
+  },
+  std::collections::HashMap,
 };
 
-/// Time that a failing endpoint is left alone at first; doubled with each further failure.
-const FIRST_AVOID_MS: u64 = 700;
-/// The longest time that a failing endpoint is left alone: a crashed one is back within seconds.
-const MOST_AVOID_MS: u64 = 4_000;
-/// Time that an endpoint which said that it is full is left alone.
-const FULL_AVOID_MS: u64 = 120;
-/// Weight of the newest answer in the moving shares and speeds.
-const NEWEST_WEIGHT: f64 = 0.12;
-/// How much an endpoint's surplus of failures over its peers' makes it look busier.
-const FAILURE_PENALTY: f64 = 12.0;
-/// Another hall's endpoint looks this much busier: bytes between halls are priced, and cuts between them
-/// break streams.
-const OTHER_HALL_FACTOR: f64 = 2.0;
 /// Width of the random factor that keeps boxes with the same knowledge from the same choice.
 const NOISE: f64 = 0.2;
-/// Bounds on how much faster or slower than its peers an endpoint is taken to be.
-const SPEED_RANGE: (f64, f64) = (0.5, 6.0);
-/// So many endpoints of a hall without any answer mean that the hall is cut off.
-const CUT_ENDPOINTS: usize = 2;
-/// How long a hall that seems cut off is left alone before an endpoint there is tried again.
-const CUT_MS: u64 = 1_000;
-/// After this time an endpoint's word on its load says nothing.
-const TOLD_LOAD_MS: f64 = 1_500.0;
-
-/// What is wanted of an endpoint.
-#[derive(Clone, Copy, Debug)]
-pub struct Wanted<'a> {
-  /// The service.
-  pub service: &'a str,
-  /// The role; `None` takes any.
-  pub role: Option<Role>,
-  /// Size of the work: prompt tokens for engines, 1 for plain services.
-  pub size: u64,
-  /// Endpoints that were tried.
-  pub tried: &'a [Name],
-  /// The hall that is preferred.
-  pub hall: &'a str,
-  /// Whether the work may be repeated: only such work tries an endpoint that failed before.
-  pub may_repeat: bool,
-}
-
-/// The endpoint that was chosen.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Choice {
-  /// The endpoint.
-  pub entry: EndpointEntry,
-  /// Work of this box and, as far as known, of others that is ahead.
-  pub ahead: u64,
-  /// How long the work is expected to take with what is ahead, at the pace that was seen; nothing before the
-  /// first answer.
-  pub expected_ms: Option<u64>,
-  /// Whether it said just now that it is full, or failed: no other is left.
-  pub left_alone: bool,
-}
-
-impl Choice {
-  /// Part of such work that has to go elsewhere for the rest to be done within a time; 0 before the first answer.
-  pub fn share_beyond(&self, limit_ms: f64) -> f64 {
-    let Some(expected_ms) = self.expected_ms else {
-      return 0.0;
-    };
-    (1.0 - limit_ms / expected_ms.max(1) as f64).max(0.0)
-  }
-}
-
-/// How an endpoint's part of the work ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum PartEnd {
-  /// It answered.
-  Answered {
-    /// From sending to the answer, or to its first part.
-    took_ms: u64,
-  },
-  /// It answered with a failure of its own.
-  Failed,
-  /// It said that it is full.
-  Full,
-  /// It does not answer at all: it, or the path to its hall, is gone.
-  Unreachable,
-  /// It refused a connection, fell silent or broke off.
-  Lost,
-  /// This box no longer wanted the answer.
-  Dropped,
-}
-
-/// What is known of one endpoint.
-#[derive(Debug)]
-struct Known {
-  entry: EndpointEntry,
-  /// Set when its entry went while the store was away: until then it may come back.
-  lapses_ms: Option<u64>,
-  /// This box's requests there.
-  requests: u32,
-  /// Their size.
-  size: u64,
-  /// The load that it told with its last answer.
-  told: Option<Told>,
-  /// Losses since its last answer.
-  lost_in_row: u32,
-  avoid_until_ms: u64,
-  /// Moving share of its answers that were failures, from 0 to 1.
-  failure_share: f64,
-  /// Moving time for each unit of work.
-  pace_ms: Option<f64>,
-}
-
-/// An endpoint's word on its load.
-#[derive(Clone, Copy, Debug)]
-struct Told {
-  /// Requests there beyond this box's own.
-  others: u32,
-  at_ms: u64,
-}
-
-impl Known {
-  fn new(entry: EndpointEntry) -> Self {
-    Self {
-      avoid_until_ms: 0,
-      entry,
-      failure_share: 0.0,
-      lapses_ms: None,
-      lost_in_row: 0,
-      pace_ms: None,
-      requests: 0,
-      size: 0,
-      told: None,
-    }
-  }
-
-  /// Requests of other boxes, as far as the endpoint's word still holds.
-  fn others(&self, now_ms: u64) -> f64 {
-    let Some(told) = self.told else { return 0.0 };
-    let age_ms = now_ms.saturating_sub(told.at_ms) as f64;
-    f64::from(told.others) * (1.0 - age_ms / TOLD_LOAD_MS).max(0.0)
-  }
-
-  /// An endpoint that was lost gets one request at a time until it answers.
-  fn is_on_trial(&self) -> bool {
-    self.lost_in_row > 0
-  }
-
-  fn note_end(&mut self, units: u64, end: PartEnd, now_ms: u64) {
-    match end {
-      PartEnd::Answered { took_ms } => {
-        self.lost_in_row = 0;
-        self.note_failure_share(false);
-        let pace_ms = took_ms as f64 / units.max(1) as f64;
-        let before = self.pace_ms.unwrap_or(pace_ms);
-        self.pace_ms = Some(before + NEWEST_WEIGHT * (pace_ms - before));
-      }
-      PartEnd::Failed => self.note_failure_share(true),
-      PartEnd::Full => self.avoid_until_ms = self.avoid_until_ms.max(now_ms + FULL_AVOID_MS),
-      PartEnd::Lost | PartEnd::Unreachable => {
-        self.note_failure_share(true);
-        self.lost(now_ms);
-      }
-      PartEnd::Dropped => {}
-    }
-  }
-
-  /// Leaves the endpoint alone, longer with each loss in a row.
-  fn lost(&mut self, now_ms: u64) {
-    // Four doublings are above the bound already.
-    let doubled = FIRST_AVOID_MS << self.lost_in_row.min(4);
-    self.lost_in_row += 1;
-    self.avoid_until_ms = now_ms + doubled.min(MOST_AVOID_MS);
-  }
-
-  fn note_failure_share(&mut self, failed: bool) {
-    let newest = f64::from(u8::from(failed));
-    self.failure_share += NEWEST_WEIGHT * (newest - self.failure_share);
-  }
-
-  /// The order of preference before all cost: sound, on trial, left alone, in a hall that is cut off; each
-  /// with those whose entry lapsed behind the others.
-  fn rank(&self, wanted: Wanted, hall_is_cut: bool, now_ms: u64) -> u8 {
-    let lapsed = u8::from(self.lapses_ms.is_some());
-    if hall_is_cut {
-      return 6 + lapsed;
-    }
-    if now_ms < self.avoid_until_ms {
-      return 4 + lapsed;
-    }
-    if self.is_on_trial() && (!wanted.may_repeat || self.requests > 0) {
-      return 2 + lapsed;
-    }
-    lapsed
-  }
-
-  /// Work that is ahead of new work of a size; others' requests count as of the same size.
-  fn ahead(&self, size: u64, now_ms: u64) -> f64 {
-    self.size as f64 + self.others(now_ms) * size as f64
-  }
-
-  /// How long work of a size is expected to take; nothing before the first answer.
-  fn expected_ms(&self, size: u64, now_ms: u64) -> Option<u64> {
-    let work = self.ahead(size, now_ms) + size as f64;
-    Some((self.pace_ms? * work) as u64)
-  }
-
-  /// How long the work is expected to take, in no unit: it is compared only.
-  fn cost(&self, wanted: Wanted, peers: Peers, now_ms: u64) -> f64 {
-    let surplus = (self.failure_share - peers.failure_share).max(0.0);
-    let speed = match self.pace_ms {
-      Some(pace_ms) if peers.pace_ms > 0.0 => {
-        (pace_ms / peers.pace_ms).clamp(SPEED_RANGE.0, SPEED_RANGE.1)
-      }
-      _ => 1.0,
-    };
-    let hall = if &*self.entry.hall == wanted.hall {
-      1.0
-    } else {
-      OTHER_HALL_FACTOR
-    };
-    let work = self.ahead(wanted.size, now_ms) + wanted.size as f64;
-    work * speed * hall * (1.0 + FAILURE_PENALTY * surplus)
-  }
-}
 
 /// The endpoints by incarnation.
 #[derive(Debug, Default)]
@@ -232,32 +23,6 @@
   halls: HashMap<Name, HallReach>,
 }
 
-/// Whether a hall seems to be cut off.
-#[derive(Debug, Default)]
-struct HallReach {
-  /// Endpoints there that did not answer at all, since one last did.
-  unreachable: HashSet<Name>,
-  /// When one last did not.
-  noted_ms: u64,
-}
-
-impl HallReach {
-  fn note(&mut self, endpoint: &Name, end: PartEnd, now_ms: u64) {
-    match end {
-      PartEnd::Answered { .. } | PartEnd::Failed | PartEnd::Full => self.unreachable.clear(),
-      PartEnd::Unreachable => {
-        self.unreachable.insert(endpoint.clone());
-        self.noted_ms = now_ms;
-      }
-      PartEnd::Lost | PartEnd::Dropped => {}
-    }
-  }
-
-  fn is_cut(&self, now_ms: u64) -> bool {
-    self.unreachable.len() >= CUT_ENDPOINTS && now_ms < self.noted_ms + CUT_MS
-  }
-}
-
 impl EndpointBook {
   /// Takes over an entry as it was written.
   pub fn put(&mut self, entry: EndpointEntry) {
@@ -433,30 +198,3 @@
     }
   }
 }
-
-/// What is usual among the candidates.
-#[derive(Clone, Copy, Debug)]
-struct Peers {
-  failure_share: f64,
-  pace_ms: f64,
-}
-
-impl Peers {
-  fn of(candidates: &[&Known]) -> Self {
-    let count = candidates.len().max(1) as f64;
-    let failure_share = candidates
-      .iter()
-      .map(|known| known.failure_share)
-      .sum::<f64>()
-      / count;
-    let paces: Vec<f64> = candidates
-      .iter()
-      .filter_map(|known| known.pace_ms)
-      .collect();
-    let pace_ms = paces.iter().sum::<f64>() / paces.len().max(1) as f64;
-    Self {
-      failure_share,
-      pace_ms,
-    }
-  }
-}
--- a/src/gateway/decisions/kept_prompts.rs
+++ b/src/gateway/decisions/kept_prompts.rs
@@ -1,19 +1,13 @@
 //! Which engines keep which parts of prompts in their memory, as they listed them. Free of I/O.
 
-use {crate::ids::Name, std::collections::HashMap};
+use {
+  crate::{gateway::edge::PromptPart, ids::Name},
+  std::collections::HashMap,
+};
 
 /// After this time a listing says nothing: what is not used gives way to new prompts.
 const LISTING_MS: u64 = 2_000;
 
-/// A part of a prompt, with all its tokens or those of them that an engine keeps.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct PromptPart {
-  /// The part's id.
-  pub id: Name,
-  /// How many tokens.
-  pub tokens: u64,
-}
-
 /// What the engines of one service keep.
 ///
 /// ```
--- a/src/gateway/decisions/recent_engines.rs
+++ b/src/gateway/decisions/recent_engines.rs
@@ -2,7 +2,7 @@
 //! Free of I/O.
 
 use {
-  super::EndpointEntry,
+  crate::gateway::edge::EndpointEntry,
   std::{collections::HashMap, net::SocketAddr},
 };
 
--- a/src/gateway/decisions/role_plan.rs
+++ b/src/gateway/decisions/role_plan.rs
@@ -1,8 +1,7 @@
 //! Which engines of a service have a role that too many have. Free of I/O.
 
 use {
-  super::EndpointEntry,
-  crate::{decide::Role, ids::Name},
+  crate::{decide::Role, gateway::edge::EndpointEntry, ids::Name},
   std::collections::BTreeMap,
 };
 
--- a/src/gateway/edge/dialect.rs
+++ b/src/gateway/edge/dialect.rs
@@ -1,7 +1,7 @@
 //! How requests, answers and endpoints are spelled by a platform: names and formats, no decisions.
 
 use {
-  super::{EndpointEntry, PromptPart, RouteTable},
+  super::{endpoint_entry::EndpointEntry, prompt_part::PromptPart, route_table::RouteTable},
   crate::{decide::Role, ids::Name},
   bytes::Bytes,
   http::{HeaderMap, Method},
--- /dev/null
+++ b/src/gateway/edge/mod.rs
@@ -0,0 +1,25 @@
+//! What a platform has to provide, and the words shared with it: the traits [`Dialect`] and [`Store`], endpoints' entries,
+//! routes.
+//!
+//! Imports nothing of the gateway. The folder `platform/` at the root implements the two traits.
+
+mod dialect;
+mod endpoint_entry;
+mod prompt_part;
+mod route_table;
+mod store;
+
+pub use self::{
+  dialect::{
+    AnswerFacts, CallerFacts, DecodeError, Dialect, EndpointCall, EngineReport, Export, Marks,
+    Part, RoleChange, ToldLoad,
+  },
+  endpoint_entry::EndpointEntry,
+  prompt_part::PromptPart,
+  route_table::{
+    CallerLimits, EngineSpec, Route, RouteKind, RouteTable, ServiceSpec, WeightedService,
+  },
+  store::{
+    Stewardship, Store, StoreChanges, StoreError, StoreItem, StoreKey, StoreLease, StorePage,
+  },
+};
--- a/src/gateway/membership/relay.rs
+++ b/src/gateway/membership/relay.rs
@@ -1,8 +1,10 @@
 //! Changes of the store on their way from the boxes that read it to those that follow them.
 
 use {
-  super::{StoreChanges, accept::serve_port, gateway::Gateway},
-  crate::{CallError, HttpClient},
+  crate::{
+    CallError, HttpClient,
+    gateway::{connections::serve_port, edge::StoreChanges, state::Gateway},
+  },
   bytes::Bytes,
   http::{Request, Response, StatusCode},
   http_body_util::Full,
--- a/src/gateway/parts/engine_call.rs
+++ b/src/gateway/parts/engine_call.rs
@@ -1,13 +1,15 @@
 //! The router's own calls to engines: reservations, and freeing what is no longer wanted.
 
 use {
-  super::{
-    EndpointEntry, PartEnd,
-    dialect::{EndpointCall, Export},
-    gateway::Gateway,
-    part::{PartError, Purpose, exchange},
+  super::part::{PartError, Purpose, exchange},
+  crate::{
+    gateway::{
+      decisions::PartEnd,
+      edge::{EndpointCall, EndpointEntry, Export},
+      state::Gateway,
+    },
+    ids::Name,
   },
-  crate::ids::Name,
   bytes::Bytes,
   http::{
     Request, StatusCode,
--- a/src/gateway/parts/part.rs
+++ b/src/gateway/parts/part.rs
@@ -1,14 +1,16 @@
 //! One part of a request at one endpoint, from the choice of a connection to the answer's head.
 
 use {
-  super::{
-    AnswerFacts, EndpointEntry, Marks, PartEnd,
-    connection::{Connection, SendError},
-    gateway::Gateway,
-    headers::remove_connection_headers,
-    request::RoutedRequest,
+  super::request::RoutedRequest,
+  crate::{
+    gateway::{
+      connections::{Connection, SendError, remove_connection_headers},
+      decisions::PartEnd,
+      edge::{AnswerFacts, EndpointEntry, Marks},
+      state::Gateway,
+    },
+    ids::Name,
   },
-  crate::ids::Name,
   bytes::Bytes,
   http::{
     HeaderMap, Request, Response, StatusCode,
--- a/src/gateway/parts/request.rs
+++ b/src/gateway/parts/request.rs
@@ -1,8 +1,13 @@
 //! A caller's request, read whole and matched to its route.
 
 use {
-  super::{CallerFacts, EndpointEntry, Marks, Part, Route, RouteRank, dialect::Dialect},
-  crate::ids::Name,
+  crate::{
+    gateway::{
+      edge::{CallerFacts, Dialect, EndpointEntry, Marks, Part, Route},
+      settings::RouteRank,
+    },
+    ids::Name,
+  },
   bytes::Bytes,
   http::{HeaderMap, Method, Request, Uri},
   http_body_util::Full,
--- a/src/gateway/process/own_pages.rs
+++ b/src/gateway/process/own_pages.rs
@@ -1,7 +1,7 @@
 //! The box's own pages, each on a port of its own: whether it is ready, and its figures.
 
 use {
-  super::{accept::serve_port, gateway::Gateway},
+  crate::gateway::{connections::serve_port, state::Gateway},
   bytes::Bytes,
   http::{Response, StatusCode},
   http_body_util::Full,
--- a/src/gateway/process/start.rs
+++ b/src/gateway/process/start.rs
@@ -2,18 +2,22 @@
 
 use {
   super::{
-    GatewayListen, GatewaySettings,
-    dialect::Dialect,
-    front::accept_callers,
-    gateway::{Gateway, Phase},
     log_writer::LogWriter,
     own_pages::{OwnPage, serve_page},
-    relay::serve_boxes,
-    role_steward::keep_roles,
-    store::Store,
-    store_sync::{end_entry, follow_store, keep_entry},
   },
-  crate::{Error, Result, listener::bind, observe::unix_ms},
+  crate::{
+    Error, Result,
+    gateway::{
+      edge::{Dialect, Store},
+      membership::{end_entry, follow_store, keep_entry, serve_boxes},
+      requests::accept_callers,
+      roles::keep_roles,
+      settings::{GatewayListen, GatewaySettings},
+      state::{Gateway, Phase},
+    },
+    listener::bind,
+    observe::unix_ms,
+  },
   fern::Dispatch,
   log::LevelFilter,
   std::{net::SocketAddr, rc::Rc, time::Duration},
--- a/src/gateway/requests/event_source.rs
+++ b/src/gateway/requests/event_source.rs
@@ -2,11 +2,15 @@
 
 use {
   super::{
-    EventCutter, PartEnd,
     answer::{AnswerBody, StreamBroke},
-    gateway::InFlight,
-    part::{Head, PartError},
-    stream_request::{SILENCE_MS, StreamRequest},
+    event_cutter::EventCutter,
+    stream_request::StreamRequest,
+    stream_send::SILENCE_MS,
+  },
+  crate::gateway::{
+    decisions::PartEnd,
+    parts::{Head, PartError},
+    state::InFlight,
   },
   bytes::Bytes,
   futures_util::{FutureExt, stream},
--- a/src/gateway/requests/front.rs
+++ b/src/gateway/requests/front.rs
@@ -2,17 +2,17 @@
 
 use {
   super::{
-    RouteKind, RouteTable,
-    accept::accept,
     answer::{AnswerBody, OwnAnswer},
-    connection::set_limits,
-    gateway::{Gateway, InFlight, Phase},
-    headers::remove_connection_headers,
     plain::answer_plain,
-    request::RoutedRequest,
-    retry_after::{RETRY_AFTER_LEAVING_MS, RETRY_AFTER_NO_CONFIGURATION_MS},
     stream::answer_stream,
   },
+  crate::gateway::{
+    connections::{accept, remove_connection_headers, set_limits},
+    decisions::{RETRY_AFTER_LEAVING_MS, RETRY_AFTER_NO_CONFIGURATION_MS},
+    edge::{RouteKind, RouteTable},
+    parts::RoutedRequest,
+    state::{Gateway, InFlight, Phase},
+  },
   bytes::Bytes,
   http::{
     HeaderValue, Request, Response,
--- a/src/gateway/requests/plain.rs
+++ b/src/gateway/requests/plain.rs
@@ -1,15 +1,16 @@
 //! A request that is answered whole: one endpoint after another, as far as its route and the budget allow.
 
 use {
-  super::{
-    EndpointEntry, Marks, Part, Wanted,
-    answer::{AnswerBody, OwnAnswer, passed_on, whole_body},
-    gateway::Gateway,
-    part::{PartError, WholeAnswer, send_part},
-    request::RoutedRequest,
-    retry_after::{RETRY_AFTER_FULL_MS, RETRY_AFTER_NO_ENDPOINT_MS},
+  super::answer::{AnswerBody, OwnAnswer, passed_on, whole_body},
+  crate::{
+    gateway::{
+      decisions::{RETRY_AFTER_FULL_MS, RETRY_AFTER_NO_ENDPOINT_MS, Wanted},
+      edge::{EndpointEntry, Marks, Part},
+      parts::{PartError, RoutedRequest, WholeAnswer, send_part},
+      state::Gateway,
+    },
+    ids::Name,
   },
-  crate::ids::Name,
   futures_util::{FutureExt, StreamExt, future::LocalBoxFuture, stream::FuturesUnordered},
   http::Response,
   std::{rc::Rc, time::Duration},
--- a/src/gateway/requests/prompt.rs
+++ b/src/gateway/requests/prompt.rs
@@ -1,14 +1,16 @@
 //! Having a prompt read by an engine for another one.
 
 use {
-  super::{
-    Choice, EndpointEntry, Part, Wanted,
-    engine_call::KeptExport,
-    gateway::Gateway,
-    part::{PartError, send_part},
-    request::RoutedRequest,
+  crate::{
+    decide::Role,
+    gateway::{
+      decisions::{Choice, Wanted},
+      edge::{EndpointEntry, Part},
+      parts::{KeptExport, PartError, RoutedRequest, send_part},
+      state::Gateway,
+    },
+    ids::Name,
   },
-  crate::{decide::Role, ids::Name},
   std::{rc::Rc, time::Duration},
   tokio::time::timeout,
 };
--- a/src/gateway/requests/resume_seat.rs
+++ b/src/gateway/requests/resume_seat.rs
@@ -1,14 +1,16 @@
 //! A seat for a stream that goes on, at the engine that still keeps its prompt: nothing is read again there.
 
 use {
-  super::{
-    EndpointEntry, PromptPart,
-    engine_call::{Reservation, call_engine},
-    gateway::Gateway,
-    request::RoutedRequest,
-    seat::ask_seat,
+  super::seat::ask_seat,
+  crate::{
+    decide::Role,
+    gateway::{
+      edge::{EndpointEntry, PromptPart},
+      parts::{Reservation, RoutedRequest, call_engine},
+      state::Gateway,
+    },
+    ids::Name,
   },
-  crate::{decide::Role, ids::Name},
   futures_util::future::join_all,
   std::rc::Rc,
 };
--- a/src/gateway/requests/seat.rs
+++ b/src/gateway/requests/seat.rs
@@ -1,14 +1,16 @@
 //! Reserving a seat at a decode engine before a prompt is read for it.
 
 use {
-  super::{
-    EndpointEntry, PartEnd, SeatPlace, SeatUrgency, Wanted,
-    engine_call::{CallFailure, Reservation, call_engine},
-    gateway::Gateway,
-    part::Booking,
-    request::RoutedRequest,
+  crate::{
+    decide::Role,
+    gateway::{
+      decisions::{PartEnd, SeatPlace, SeatUrgency, Wanted},
+      edge::EndpointEntry,
+      parts::{Booking, CallFailure, Reservation, RoutedRequest, call_engine},
+      state::Gateway,
+    },
+    ids::Name,
   },
-  crate::{decide::Role, ids::Name},
   std::{rc::Rc, time::Duration},
   tokio::time::{sleep, timeout},
 };
--- a/src/gateway/requests/stream.rs
+++ b/src/gateway/requests/stream.rs
@@ -4,11 +4,13 @@
   super::{
     answer::{AnswerBody, OwnAnswer, passed_on, whole_body},
     event_source::EventSource,
-    gateway::{Gateway, InFlight},
-    request::RoutedRequest,
-    retry_after::RETRY_AFTER_FULL_MS,
     stream_request::{NoStream, StreamRequest},
   },
+  crate::gateway::{
+    decisions::RETRY_AFTER_FULL_MS,
+    parts::RoutedRequest,
+    state::{Gateway, InFlight},
+  },
   http::Response,
   std::{rc::Rc, time::Duration},
   tokio::time::timeout,
--- a/src/gateway/requests/stream_request.rs
+++ b/src/gateway/requests/stream_request.rs
@@ -1,24 +1,19 @@
 //! The tries of one streamed request: a seat, the prompt, the stream.
 
 use {
-  super::{
-    EndpointEntry, Marks, Part, PartEnd, Wanted,
-    engine_call::{KeptExport, Reservation},
-    gateway::Gateway,
-    part::{Head, PartError, send_part},
-    prompt::read_prompt,
-    request::RoutedRequest,
-    resume_seat::reserve_resume_seat,
-    seat::reserve_seat,
+  super::{prompt::read_prompt, resume_seat::reserve_resume_seat, seat::reserve_seat},
+  crate::{
+    gateway::{
+      decisions::{PartEnd, Wanted},
+      edge::EndpointEntry,
+      parts::{Head, KeptExport, PartError, Reservation, RoutedRequest},
+      state::Gateway,
+    },
+    ids::Name,
   },
-  crate::ids::Name,
-  futures_util::FutureExt,
-  std::{pin::pin, rc::Rc, time::Duration},
-  tokio::time::timeout,
+  std::rc::Rc,
 };
 
-/// How long a repeatable stream may be silent before another engine takes it up: less than a caller's patience.
-pub(crate) const SILENCE_MS: u64 = 1_200;
 /// Endpoints that may turn out not to be reachable before a request is refused.
 const MOST_UNSENT: usize = 4;
 /// Engines that may refuse a request before it is refused.
@@ -44,27 +39,27 @@
   /// The last event that went to the caller.
   pub(crate) last_event_id: Option<u64>,
   /// Endpoints that were sent it.
-  tried: Vec<Name>,
+  pub(super) tried: Vec<Name>,
   /// Sends that may have run.
-  attempts: u32,
+  pub(super) attempts: u32,
   /// Arrivals at endpoints; all but the first are paid from the budget for repeats.
-  arrivals: u32,
+  pub(super) arrivals: u32,
   /// Endpoints that said that it did not run.
-  refusals: u32,
+  pub(super) refusals: u32,
   /// A seat that was found while another engine was silent.
-  seat: Option<(EndpointEntry, Reservation)>,
+  pub(super) seat: Option<(EndpointEntry, Reservation)>,
   /// The prompt as it was read, kept after a refusal.
-  export: Option<KeptExport>,
+  pub(super) export: Option<KeptExport>,
   /// The engine that refused that prompt.
-  refused_by: Option<Name>,
+  pub(super) refused_by: Option<Name>,
   /// Whether the engine that writes the answer is to read the prompt.
-  reads_itself: bool,
+  pub(super) reads_itself: bool,
   /// The engine that wrote the stream so far, when it may go on there.
   pub(crate) wrote_it: Option<Name>,
   /// Whether an engine that keeps the prompt was looked for.
-  looked_for_kept: bool,
+  pub(super) looked_for_kept: bool,
   /// Whether an engine was asked to read the prompt; the first time is free.
-  prompt_was_read: bool,
+  pub(super) prompt_was_read: bool,
 }
 
 impl StreamRequest {
@@ -122,7 +117,7 @@
     }
   }
 
-  fn has_attempts_left(&self) -> bool {
+  pub(super) fn has_attempts_left(&self) -> bool {
     self.may_repeat() && self.attempts < self.request.route.most_attempts
   }
 
@@ -257,139 +252,8 @@
     Ok(sent)
   }
 
-  async fn send(
-    &mut self,
-    entry: &EndpointEntry,
-    reservation: Option<Reservation>,
-    export: Option<KeptExport>,
-  ) -> Result<Head, PartError> {
-    self.tried.push(entry.id.clone());
-    // Counted before it is sent: the time may run out while no answer is known.
-    self.attempts += 1;
-    let marks = self.marks(entry, reservation.as_ref(), export.as_ref());
-    let result = self.send_within_silence(entry, &marks).await;
-    match &result {
-      Ok(_) => self.note_answer(reservation, export),
-      Err(error) => self.note_error(entry, error, export),
-    }
-    result
-  }
-
-  fn marks(
-    &self,
-    entry: &EndpointEntry,
-    reservation: Option<&Reservation>,
-    export: Option<&KeptExport>,
-  ) -> Marks {
-    let part = export.map_or(Part::Whole, |kept| Part::AnswerFrom(kept.export.clone()));
-    Marks {
-      last_event_id: self.last_event_id,
-      reservation: reservation.map(|reservation| reservation.id.clone()),
-      ..self.request.marks(entry, part, self.gateway.now_ms())
-    }
-  }
-
-  /// Waits for the head; an engine that is silent for too long is left alone, and given up once another one has
-  /// a seat. Silence by itself ends nothing.
-  async fn send_within_silence(
-    &mut self,
-    entry: &EndpointEntry,
-    marks: &Marks,
-  ) -> Result<Head, PartError> {
-    let (gateway, request) = (self.gateway.clone(), self.request.clone());
-    let size = request.tokens().max(1);
-    let mut sending = pin!(send_part(&gateway, &request, entry, marks, size, 1));
-    loop {
-      let silence = Duration::from_millis(SILENCE_MS);
-      if let Ok(result) = timeout(silence, sending.as_mut()).await {
-        return result;
-      }
-      gateway.overdue(&entry.id);
-      if !self.prepare_takeover().await {
-        continue;
-      }
-      // It may have answered while a seat was looked for.
-      if let Some(result) = sending.as_mut().now_or_never() {
-        self.cancel_takeover();
-        return result;
-      }
-      return Err(PartError::Lost("no answer in time".into()));
-    }
-  }
-
-  /// Finds a seat for a further try while the present endpoint is silent.
-  pub(crate) async fn prepare_takeover(&mut self) -> bool {
-    if !self.gateway.settings.mechanisms.silence_takeover {
-      return false;
-    }
-    if !self.has_attempts_left() || !self.gateway.has_repeat_left(&self.request.service) {
-      return false;
-    }
-    if !self.is_split() {
-      return true;
-    }
-    self.seat = reserve_seat(&self.gateway, &self.request, &self.tried).await;
-    self.seat.is_some()
-  }
-
-  /// The present endpoint goes on after all.
-  pub(crate) fn cancel_takeover(&mut self) {
-    self.seat = None;
-  }
-
-  /// An endpoint answered: it has used up the seat and the prompt.
-  fn note_answer(&mut self, reservation: Option<Reservation>, export: Option<KeptExport>) {
-    if let Some(mut export) = export {
-      export.set_used();
-    }
-    if let Some(mut reservation) = reservation {
-      reservation.set_used();
-    }
-    self.blame_for_refusal();
-  }
-
-  fn note_error(&mut self, entry: &EndpointEntry, error: &PartError, export: Option<KeptExport>) {
-    if error.has_not_run() {
-      self.attempts -= 1;
-    }
-    log::info!(
-      "E502 part failed: {} at {}: {error}",
-      self.request.id(),
-      entry.id
-    );
-    match error {
-      PartError::NotRun(_) => self.note_refusal(entry, export),
-      // No engine has fetched it.
-      PartError::Unreachable | PartError::Unsent(_) => self.export = export,
-      PartError::Lost(_) => {}
-    }
-  }
-
-  /// Another engine took the prompt: the one that refused it is at fault.
-  fn blame_for_refusal(&mut self) {
-    if let Some(engine) = self.refused_by.take() {
-      self.gateway.blame(&engine);
-    }
-  }
-
-  /// An engine with a seat refused: it, or the prompt that another engine keeps, may be at fault.
-  fn note_refusal(&mut self, entry: &EndpointEntry, export: Option<KeptExport>) {
-    self.refusals += 1;
-    match (export, self.refused_by.take()) {
-      (None, _) => self.gateway.blame(&entry.id),
-      (Some(export), None) => {
-        self.refused_by = Some(entry.id.clone());
-        self.export = Some(export);
-      }
-      (Some(export), Some(_)) => {
-        self.gateway.blame(export.engine());
-        self.reads_itself = true;
-      }
-    }
-  }
-
   /// Whether the service has engines for both parts.
-  fn is_split(&self) -> bool {
+  pub(super) fn is_split(&self) -> bool {
     let Some(table) = self.gateway.table() else {
       return false;
     };
--- a/src/gateway/roles/role_steward.rs
+++ b/src/gateway/roles/role_steward.rs
@@ -1,15 +1,17 @@
 //! One box, the steward, gives engines their roles; its right to do so is a key under its lease.
 
 use {
-  super::{
-    EndpointEntry, EngineReport, RecentEngines, RoleChange, Surplus,
-    engine_call::call_engine,
-    gateway::{Gateway, Phase},
-    role_plan::{surplus, with_role},
-    staying_engines,
-    store::Store,
+  crate::{
+    decide::Role,
+    gateway::{
+      decisions::{RecentEngines, Surplus, staying_engines, surplus, with_role},
+      edge::{EndpointEntry, EngineReport, RoleChange, Store},
+      parts::call_engine,
+      state::{Gateway, Phase},
+    },
+    ids::Name,
+    policy::PoolFacts,
   },
-  crate::{decide::Role, ids::Name, policy::PoolFacts},
   std::{collections::HashMap, rc::Rc, time::Duration},
   tokio::time::sleep,
 };
--- a/src/gateway/settings/document.rs
+++ b/src/gateway/settings/document.rs
@@ -1,8 +1,8 @@
 //! The settings of a gateway box.
 
 use {
-  super::{Mechanisms, RetryAllowance, RoutePolicy},
-  crate::{Error, Result, ids::Name, settings::SettingsError},
+  super::{mechanisms::Mechanisms, route_policy::RoutePolicy},
+  crate::{Error, Result, gateway::decisions::RetryAllowance, ids::Name, settings::SettingsError},
   serde::Deserialize,
   std::{
     net::SocketAddr,
--- /dev/null
+++ b/src/gateway/settings/mod.rs
@@ -0,0 +1,16 @@
+//! The settings file of a box, checked, with the switches of its mechanisms and the operators' policy.
+//!
+//! Imports `decisions` and `edge`.
+
+mod document;
+mod mechanisms;
+mod route_policy;
+
+pub use self::{
+  document::{
+    EngineSettings, GatewayBounds, GatewayIdentity, GatewayListen, GatewaySettings, PolicySettings,
+    StoreSettings,
+  },
+  mechanisms::Mechanisms,
+  route_policy::{RoutePolicy, RouteRank},
+};
--- a/src/gateway/settings/route_policy.rs
+++ b/src/gateway/settings/route_policy.rs
@@ -2,9 +2,9 @@
 //! there is none.
 
 use {
-  super::{CallerFacts, Route, RouteKind},
   crate::{
     Error, Result,
+    gateway::edge::{CallerFacts, Route, RouteKind},
     ids::Name,
     observe::unix_ms,
     policy::{Clock, PoolFacts, Program, RequestFacts},
--- a/src/gateway/state/change_log.rs
+++ b/src/gateway/state/change_log.rs
@@ -1,7 +1,7 @@
 //! The latest changes of the store, as this box saw them, for boxes that follow it.
 
 use {
-  super::{StoreChanges, StoreItem},
+  crate::gateway::edge::{StoreChanges, StoreItem},
   std::{cell::RefCell, collections::VecDeque},
   tokio::sync::watch,
 };
--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -1,12 +1,19 @@
 //! What a gateway box holds: the configuration in force, the endpoints, connections and budgets.
 
 use {
-  super::{
-    BoxList, ChangeLog, Choice, EndpointBook, GatewaySettings, KeptPrompts, PartEnd, RetryWindow,
-    RoutePolicy, RouteTable, SeatForecast, SeatQueue, Wanted, connection::Connection,
-    connection_pool::ConnectionPool, counters::Counters, dialect::Dialect, store::StoreLease,
+  super::{change_log::ChangeLog, counters::Counters},
+  crate::{
+    gateway::{
+      connections::{Connection, ConnectionPool},
+      decisions::{
+        BoxList, Choice, EndpointBook, KeptPrompts, PartEnd, RetryWindow, SeatForecast, SeatQueue,
+        Wanted,
+      },
+      edge::{Dialect, RouteTable, StoreLease},
+      settings::{GatewaySettings, RoutePolicy},
+    },
+    ids::Name,
   },
-  crate::ids::Name,
   http::HeaderMap,
   rand::{RngExt, SeedableRng},
   rand_chacha::ChaCha8Rng,
--- /dev/null
+++ b/src/gateway/state/mod.rs
@@ -0,0 +1,11 @@
+//! What a box holds while it runs, for all of its requests: configuration, endpoints, connections, budgets, counters.
+//!
+//! Imports `settings`, `connections`, `decisions` and `edge`.
+
+mod change_log;
+mod counters;
+mod gateway;
+
+pub use self::change_log::ChangeLog;
+
+pub(crate) use self::gateway::{Gateway, HeldLease, InFlight, Phase};
--- a/src/ingress/completions.rs
+++ b/src/ingress/completions.rs
@@ -4,10 +4,10 @@
   super::{
     Desk,
     answer::{self, Letterhead},
+    caller_headers::{CallerHeaders, read_headers},
     completion_api::{ChatRequest, PlainRequest, Style},
     desk::Asked,
     outcome::mistake,
-    router::{CallerHeaders, read_headers},
   },
   crate::{
     chunk::Body,
--- a/src/ingress/desk.rs
+++ b/src/ingress/desk.rs
@@ -1,15 +1,14 @@
-//! The ingress duty: numbers requests, hands them on, and pairs endings with callers.
+//! What the handlers of ingress share: requests are numbered, handed on, and wait for their endings.
 
 use {
-  super::{caller_guard::CallerGuard, outcome::outcome_response, router::router},
+  super::{caller_guard::CallerGuard, outcome::outcome_response},
   crate::{
     chunk::{Body, CHUNKS_IN_FLIGHT, Chunk, Payload},
     configuration::KeyTable,
     decide::{Arrival, Ending, Event, Refusal, Work},
     egress::EgressInput,
     ids::{Name, RequestId},
-    listener::{ListenerBounds, serve},
-    ring::{Receiver, Sender},
+    ring::Sender,
     settings::Limits,
   },
   arc_swap::ArcSwap,
@@ -20,10 +19,9 @@
       Arc, Mutex, PoisonError,
       atomic::{AtomicU8, AtomicU64, Ordering},
     },
-    time::Duration,
   },
   tokio::{
-    sync::{Notify, mpsc, oneshot},
+    sync::{mpsc, oneshot},
     time::Instant,
   },
 };
@@ -71,14 +69,6 @@
   }
 }
 
-/// What the ingress duty starts with.
-pub(crate) struct IngressSetup {
-  pub(crate) desk: Arc<Desk>,
-  pub(crate) listener: std::net::TcpListener,
-  pub(crate) endings: Receiver<(RequestId, Ending)>,
-  pub(crate) notify: Arc<Notify>,
-}
-
 /// What the handlers share.
 pub(crate) struct Desk {
   pub(crate) keys: Arc<ArcSwap<KeyTable>>,
@@ -169,7 +159,7 @@
       .remove(&request);
   }
 
-  fn end(&self, request: RequestId, ending: Ending) {
+  pub(super) fn end(&self, request: RequestId, ending: Ending) {
     let waiting = self
       .waiting
       .lock()
@@ -187,18 +177,3 @@
     retry_after_ms,
   }))
 }
-
-/// Runs the ingress duty until the process ends.
-pub(crate) async fn run(setup: IngressSetup) {
-  let bounds = ListenerBounds {
-    connections: setup.desk.limits.connections,
-    header_timeout: Duration::from_millis(setup.desk.limits.header_ms),
-  };
-  let router = router(setup.desk.clone());
-  tokio::spawn(serve(setup.listener, router, bounds));
-  let mut endings = setup.endings;
-  loop {
-    let (request, ending) = endings.next(&setup.notify).await;
-    setup.desk.end(request, ending);
-  }
-}
--- a/src/ingress/services.rs
+++ b/src/ingress/services.rs
@@ -1,7 +1,7 @@
 //! The handlers for plain services.
 
 use {
-  super::{Desk, answer, completions::read_body, desk::Asked, router::read_headers},
+  super::{Desk, answer, caller_headers::read_headers, completions::read_body, desk::Asked},
   crate::{
     chunk::Body,
     decide::{ServiceWork, Work},
--- a/stand_ins/src/lib.rs
+++ b/stand_ins/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins that speak the published protocol of the users' platform, for the integration tests and the soak.
 
 mod platform_store;
+mod start_store;
 mod store_calls;
 mod store_contents;
 
--- a/stand_ins/src/platform_store.rs
+++ b/stand_ins/src/platform_store.rs
@@ -1,62 +1,31 @@
 //! The platform's store, in memory, with what a test or a run may do to it.
 
 use {
-  super::{store_calls, store_contents::Contents},
-  axum::{
-    Router,
-    response::Response,
-    routing::{delete, get, post},
-  },
+  super::store_contents::Contents,
+  axum::response::Response,
   base64::{Engine, engine::general_purpose::STANDARD},
   std::{
     future::pending,
-    io,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::{Duration, Instant},
+    time::Duration,
   },
   tokio::{
-    net::TcpListener,
     sync::watch,
     time::{sleep, timeout},
   },
 };
 
-/// Pause between looks for leases that are over.
-const LEASE_LOOK: Duration = Duration::from_millis(100);
-
 /// A running store.
 #[derive(Clone)]
 pub struct PlatformStore {
   /// Where it listens.
   pub address: SocketAddr,
-  contents: Arc<Mutex<Contents>>,
-  changed: watch::Sender<u64>,
+  pub(crate) contents: Arc<Mutex<Contents>>,
+  pub(crate) changed: watch::Sender<u64>,
 }
 
 impl PlatformStore {
-  /// Starts a store on a free loopback port. Fails when none can be had.
-  pub async fn start() -> io::Result<Self> {
-    let listener = TcpListener::bind("127.0.0.1:0").await?;
-    let store = Self {
-      address: listener.local_addr()?,
-      changed: watch::Sender::new(0),
-      contents: Arc::default(),
-    };
-    let router = Router::new()
-      .route("/kv-range", get(store_calls::range))
-      .route("/kv-key", get(store_calls::key))
-      .route("/kv-watch", get(store_calls::changes))
-      .route("/kv-txn", post(store_calls::change))
-      .route("/kv-lease", post(store_calls::grant))
-      .route("/kv-keep/{lease}", post(store_calls::renew))
-      .route("/kv-lease-end/{lease}", delete(store_calls::end_lease))
-      .with_state(store.clone());
-    tokio::spawn(async move { axum::serve(listener, router).await });
-    tokio::spawn(end_old_leases(store.clone()));
-    Ok(store)
-  }
-
   /// The contents, locked.
   pub(crate) fn contents(&self) -> MutexGuard<'_, Contents> {
     // A task that panicked between two changes leaves them whole.
@@ -177,18 +146,3 @@
     answer
   }
 }
-
-async fn end_old_leases(store: PlatformStore) {
-  loop {
-    sleep(LEASE_LOOK).await;
-    let now = Instant::now();
-    let over: Vec<u64> = {
-      let contents = store.contents();
-      let old = contents.leases.iter().filter(|(_, lease)| lease.ends < now);
-      old.map(|(id, _)| *id).collect()
-    };
-    for lease in over {
-      store.alter(|contents| contents.end_lease(lease));
-    }
-  }
-}
--- /dev/null
+++ b/stand_ins/src/start_store.rs
@@ -0,0 +1,57 @@
+//! Starting the platform's store.
+
+use {
+  super::{platform_store::PlatformStore, store_calls},
+  axum::{
+    Router,
+    routing::{delete, get, post},
+  },
+  std::{
+    io,
+    sync::Arc,
+    time::{Duration, Instant},
+  },
+  tokio::{net::TcpListener, sync::watch, time::sleep},
+};
+
+/// Pause between looks for leases that are over.
+const LEASE_LOOK: Duration = Duration::from_millis(100);
+
+impl PlatformStore {
+  /// Starts a store on a free loopback port. Fails when none can be had.
+  pub async fn start() -> io::Result<Self> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let store = Self {
+      address: listener.local_addr()?,
+      changed: watch::Sender::new(0),
+      contents: Arc::default(),
+    };
+    let router = Router::new()
+      .route("/kv-range", get(store_calls::range))
+      .route("/kv-key", get(store_calls::key))
+      .route("/kv-watch", get(store_calls::changes))
+      .route("/kv-txn", post(store_calls::change))
+      .route("/kv-lease", post(store_calls::grant))
+      .route("/kv-keep/{lease}", post(store_calls::renew))
+      .route("/kv-lease-end/{lease}", delete(store_calls::end_lease))
+      .with_state(store.clone());
+    tokio::spawn(async move { axum::serve(listener, router).await });
+    tokio::spawn(end_old_leases(store.clone()));
+    Ok(store)
+  }
+}
+
+async fn end_old_leases(store: PlatformStore) {
+  loop {
+    sleep(LEASE_LOOK).await;
+    let now = Instant::now();
+    let over: Vec<u64> = {
+      let contents = store.contents();
+      let old = contents.leases.iter().filter(|(_, lease)| lease.ends < now);
+      old.map(|(id, _)| *id).collect()
+    };
+    for lease in over {
+      store.alter(|contents| contents.end_lease(lease));
+    }
+  }
+}
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -1,6 +1,7 @@
 //! The integration tests: a module a feature.
 
 mod answers;
+mod architecture;
 mod at_most_once;
 mod command_line;
 mod configuration;
