--- a/src/gateway/edge/mod.rs
+++ b/src/gateway/edge/mod.rs
@@ -20,6 +20,7 @@
     CallerLimits, EngineSpec, Route, RouteKind, RouteTable, ServiceSpec, WeightedService,
   },
   store::{
-    Stewardship, Store, StoreChanges, StoreError, StoreItem, StoreKey, StoreLease, StorePage,
+    PageAge, Stewardship, Store, StoreChanges, StoreError, StoreItem, StoreKey, StoreLease,
+    StorePage,
   },
 };
--- a/src/gateway/edge/store.rs
+++ b/src/gateway/edge/store.rs
@@ -45,6 +45,15 @@
   pub next_after: Option<String>,
 }
 
+/// How old a page of a listing may be.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PageAge {
+  /// As the store is now.
+  Current,
+  /// As it was up to some seconds ago: cheap for the store, and of use only if the changes since then are asked for.
+  MayLag,
+}
+
 /// What a watch came to.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum StoreChanges {
@@ -86,7 +95,11 @@
 /// The calls of the store that this router uses.
 pub trait Store: Clone + 'static {
   /// Lists configuration, endpoints and boxes, a page at a time.
-  fn page(&self, after: Option<&str>) -> impl Future<Output = Result<StorePage, StoreError>>;
+  fn page(
+    &self,
+    after: Option<&str>,
+    age: PageAge,
+  ) -> impl Future<Output = Result<StorePage, StoreError>>;
   /// Waits for changes after a revision.
   fn changes(
     &self,
--- a/src/gateway/membership/mod.rs
+++ b/src/gateway/membership/mod.rs
@@ -3,6 +3,7 @@
 //! Imports `state` and what lies below it. Changes come in from the store or from another box, and go out to the state of
 //! this box and to the boxes that follow it.
 
+mod listing;
 mod own_entry;
 mod relay;
 mod store_sync;
--- a/src/gateway/membership/store_sync.rs
+++ b/src/gateway/membership/store_sync.rs
@@ -1,7 +1,10 @@
 //! Keeps a box's view of the store: one listing, then one watch.
 
 use {
-  super::relay::follow,
+  super::{
+    listing::{Listing, ListingKind},
+    relay::follow,
+  },
   crate::{
     HttpClient,
     gateway::{
@@ -11,7 +14,7 @@
     },
     ids::Name,
   },
-  std::{collections::HashSet, net::SocketAddr, rc::Rc, time::Duration},
+  std::{net::SocketAddr, rc::Rc, time::Duration},
   tokio::time::sleep,
 };
 
@@ -83,27 +86,6 @@
   lapse_until_ms: u64,
 }
 
-/// What a listing had, over all its pages.
-#[derive(Default)]
-struct Listing {
-  /// The revision of its first page: later changes may be missing from the pages.
-  first_revision: Option<u64>,
-  endpoints: HashSet<Name>,
-  boxes: HashSet<Name>,
-  has_steward: bool,
-}
-
-impl Listing {
-  fn note(&mut self, key: &StoreKey) {
-    match key {
-      StoreKey::Endpoint(id) => drop(self.endpoints.insert(id.clone())),
-      StoreKey::Box(name) => drop(self.boxes.insert(name.clone())),
-      StoreKey::Steward => self.has_steward = true,
-      StoreKey::Configuration | StoreKey::Other => {}
-    }
-  }
-}
-
 impl<S: Store> StoreSync<S> {
   /// Waits before the store is listed again.
   async fn pause(&self, ended: WatchEnd) {
@@ -164,26 +146,35 @@
       "E403 store listed: {} endpoints, {} boxes at revision {:?}",
       listing.endpoints.len(),
       listing.boxes.len(),
-      listing.first_revision
+      listing.revision()
     );
-    self.gateway.change_log.restart(listing.first_revision?);
+    let revision = listing.revision()?;
+    self.gateway.change_log.restart(revision);
     self.gateway.has_listed.set(true);
-    listing.first_revision
+    Some(revision)
   }
 
   /// Reads all pages and applies their items; nothing when a call fails.
   async fn list_pages(&mut self) -> Option<Listing> {
-    let mut listing = Listing::default();
+    let kind = match self.gateway.has_listed.get() {
+      false => ListingKind::First,
+      true => ListingKind::Again,
+    };
+    let mut listing = Listing::new(kind);
     let mut after = None;
     let mut failed_tries = 0;
     loop {
       self.gateway.counters.store_calls.inc();
-      let page = match self.store.page(after.as_deref()).await {
+      let page = match self
+        .store
+        .page(after.as_deref(), listing.next_page_age())
+        .await
+      {
         Ok(page) => page,
         Err(error) => {
           self.failed("listing", &error);
           failed_tries += 1;
-          if listing.first_revision.is_none() || failed_tries == MOST_PAGE_TRIES {
+          if listing.revision().is_none() || failed_tries == MOST_PAGE_TRIES {
             return None;
           }
           // What was read stays read: boxes that all begin anew after each refusal never come to an end.
@@ -193,7 +184,7 @@
       };
       failed_tries = 0;
       self.heard(0);
-      listing.first_revision.get_or_insert(page.revision);
+      listing.note_page(page.revision);
       for item in page.items {
         listing.note(&item.key);
         self.apply(item);
--- a/stand_ins/src/platform_store.rs
+++ b/stand_ins/src/platform_store.rs
@@ -1,7 +1,7 @@
 //! The platform's store, in memory, with what a test or a run may do to it.
 
 use {
-  super::store_contents::Contents,
+  super::store_contents::{Contents, OldItems},
   axum::response::Response,
   base64::{Engine, engine::general_purpose::STANDARD},
   std::{
@@ -92,6 +92,20 @@
     self.contents().holds_pages = holds_pages;
   }
 
+  /// From now on, pages that need not be as of now show what is there at this moment.
+  pub fn lag(&self) {
+    let mut contents = self.contents();
+    contents.old = Some(OldItems {
+      items: contents.items.clone(),
+      revision: contents.revision,
+    });
+  }
+
+  /// How many pages that need not be as of now were asked for.
+  pub fn old_pages(&self) -> usize {
+    self.contents().old_pages
+  }
+
   /// The keys that are there.
   pub fn keys(&self) -> Vec<String> {
     self.contents().items.keys().cloned().collect()
--- a/stand_ins/src/store_calls.rs
+++ b/stand_ins/src/store_calls.rs
@@ -38,11 +38,16 @@
   while ask.contains_key("after") && store.contents().holds_pages {
     sleep(Duration::from_millis(5)).await;
   }
-  let contents = store.contents();
+  let mut contents = store.contents();
+  let may_lag = ask.get("serializable").is_some_and(|text| text == "1");
+  contents.old_pages += usize::from(may_lag);
+  let (items, revision) = match &contents.old {
+    Some(old) if may_lag => (&old.items, old.revision),
+    _ => (&contents.items, contents.revision),
+  };
   let prefix = ask.get("pathPrefix").map_or("", String::as_str);
   let after = ask.get("after").map_or("", String::as_str);
-  let rows: Vec<_> = contents
-    .items
+  let rows: Vec<_> = items
     .iter()
     .filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after)
     .collect();
@@ -52,7 +57,7 @@
     .map(|(key, item)| shown(key, item))
     .collect();
   let has_more = rows.len() > PAGE_ITEMS;
-  Json(json!({"items": items, "hasMore": has_more, "timestamp": contents.revision})).into_response()
+  Json(json!({"items": items, "hasMore": has_more, "timestamp": revision})).into_response()
 }
 
 pub(crate) async fn key(State(store): State<PlatformStore>, Query(ask): Query<Ask>) -> Response {
--- a/stand_ins/src/store_contents.rs
+++ b/stand_ins/src/store_contents.rs
@@ -23,6 +23,13 @@
   pub(crate) ends: Instant,
 }
 
+/// The items as they were at a revision.
+#[derive(Clone)]
+pub(crate) struct OldItems {
+  pub(crate) items: BTreeMap<String, Item>,
+  pub(crate) revision: u64,
+}
+
 /// All that the store knows, and how it misbehaves.
 #[derive(Default)]
 pub(crate) struct Contents {
@@ -33,11 +40,15 @@
   pub(crate) history: Vec<(u64, Value)>,
   pub(crate) history_from: u64,
   pub(crate) revision: u64,
+  /// What pages show that need not be as of now.
+  pub(crate) old: Option<OldItems>,
   pub(crate) is_down: bool,
   pub(crate) loses_answers: bool,
   pub(crate) delay: Duration,
   pub(crate) holds_pages: bool,
   pub(crate) listings: usize,
+  /// Pages that need not be as of now.
+  pub(crate) old_pages: usize,
   /// Listings that began with the first page.
   pub(crate) first_pages: usize,
   /// Pages after the first that are still to be refused.
--- a/tests/gateway/configuration.rs
+++ b/tests/gateway/configuration.rs
@@ -200,3 +200,74 @@
   let gateway = test.start().await;
   assert_eq!(gateway.test.store.first_pages(), 1);
 }
+
+/// A store with an old page: after it one endpoint came, one left, and the configuration changed.
+async fn store_that_lags(
+  first: &EndpointStandIn,
+  left: &EndpointStandIn,
+  came: &EndpointStandIn,
+) -> GatewayTest {
+  let test = GatewayTest::new().await;
+  test.put_configuration();
+  test.enter("p-1", "portal", None, first);
+  test.enter("p-2", "portal", None, left);
+  test.store.lag();
+  test.store.remove("servers/p-2");
+  test.enter("p-3", "portal", None, came);
+  test
+}
+
+/// Asks until an endpoint has been seen, and then some more.
+async fn is_reached(gateway: &GatewayBox, endpoint: &EndpointStandIn) -> bool {
+  let reached = async || {
+    gateway.ask("/unsafe/a", "r").await;
+    !endpoint.requests().is_empty()
+  };
+  eventually(PATIENCE, reached).await
+}
+
+#[rstest]
+#[case::history_is_there(false)]
+#[case::history_is_lost(true)]
+#[tokio::test]
+async fn first_listing_reads_old_pages_and_makes_up_for_them(#[case] history_is_lost: bool) {
+  let first = EndpointStandIn::start(|seen| Reply::ok(seen, "first")).await;
+  let left = EndpointStandIn::start(|seen| Reply::ok(seen, "left")).await;
+  let came = EndpointStandIn::start(|seen| Reply::ok(seen, "came")).await;
+  let test = store_that_lags(&first, &left, &came).await;
+  if history_is_lost {
+    test.store.forget_history();
+  }
+  let gateway = test.start().await;
+  assert!(gateway.test.store.old_pages() > 0);
+  assert!(is_reached(&gateway, &came).await);
+  let before = left.requests().len();
+  for _ in 0..10 {
+    gateway.ask("/unsafe/a", "r").await;
+  }
+  assert_eq!(left.requests().len(), before);
+}
+
+#[tokio::test]
+async fn later_listing_takes_nothing_back_by_an_old_page() {
+  let first = EndpointStandIn::start(|seen| Reply::ok(seen, "first")).await;
+  let came = EndpointStandIn::start(|seen| Reply::ok(seen, "came")).await;
+  let test = GatewayTest::new().await;
+  test.enter("p-1", "portal", None, &first);
+  let gateway = test.start().await;
+  gateway.test.store.lag();
+  gateway.test.store.remove("servers/p-1");
+  gateway.test.enter("p-2", "portal", None, &came);
+  assert!(is_reached(&gateway, &came).await);
+  let (listings, old_pages) = (
+    gateway.test.store.listings(),
+    gateway.test.store.old_pages(),
+  );
+  gateway.test.store.forget_history();
+  assert!(eventually(PATIENCE, async || gateway.test.store.listings() > listings).await);
+  assert_eq!(
+    gateway.ask("/safe/a", "r").await.body.as_deref(),
+    Ok("came")
+  );
+  assert_eq!(gateway.test.store.old_pages(), old_pages);
+}
