--- a/emulator/src/subcommand.rs
+++ b/emulator/src/subcommand.rs
@@ -7,8 +7,11 @@
     demo,
     experiment::{self, ExperimentOptions, experiment_options},
     failures,
+    load::{LoadReport, load_report, print_report},
     log_summary::log_summary,
-    path_bench, slopes,
+    path_bench,
+    regress::{RegressOptions, regress, regress_options},
+    slopes,
   },
   bpaf::Bpaf,
   rillford::decide::Role,
@@ -75,6 +78,18 @@
     #[bpaf(external(experiment_options))]
     options: ExperimentOptions,
   },
+  /// Play the sites that have landed on the users' bench, each beside its last landing
+  #[bpaf(command)]
+  Regress {
+    #[bpaf(external(regress_options))]
+    options: RegressOptions,
+  },
+  /// Replay load at its worst in virtual time, with and without each decision, and print the table
+  #[bpaf(command)]
+  Load {
+    #[bpaf(external(load_report))]
+    report: LoadReport,
+  },
   /// Read gateway boxes' logs from standard input and print where their streams lose time
   #[bpaf(command("log-summary"))]
   LogSummary {
@@ -155,6 +170,11 @@
       Self::Service { listen } => forever(Host::start_at(listen, ServiceStandIn::new(32).router())),
       Self::Decisions { seeds, plots, only } => run_report(&Report { only, plots, seeds }),
       Self::Experiment { options } => experiment::run(&options).map_err(io::Error::other),
+      Self::Regress { options } => regress(&options).map_err(io::Error::other),
+      Self::Load { report } => {
+        print_report(&report);
+        Ok(())
+      }
       Self::LogSummary { seconds } => {
         print!("{}", log_summary(io::stdin().lock(), seconds)?);
         Ok(())
--- a/justfile
+++ b/justfile
@@ -36,3 +36,8 @@
 experiment bench site day why *variants:
   cargo build --release --locked -p rillford -p emulator
   target/release/emulator experiment --bench {{bench}} --site {{site}} --day {{day}} --why "{{why}}" {{variants}}
+
+# play the sites that have landed, each beside its last landing: `just regress BENCH SITES "why"`
+regress bench sites why:
+  cargo build --release --locked -p rillford -p emulator
+  target/release/emulator regress --bench {{bench}} --sites {{sites}} --why "{{why}}"
--- a/src/gateway/decisions/endpoint_book.rs
+++ b/src/gateway/decisions/endpoint_book.rs
@@ -10,7 +10,7 @@
     gateway::edge::{EndpointEntry, ToldLoad},
     ids::Name,
   },
-  std::collections::HashMap,
+  std::collections::{BTreeMap, HashMap},
 };
 
 /// Width of the random factor that keeps boxes with the same knowledge from the same choice.
@@ -19,7 +19,8 @@
 /// The endpoints by incarnation.
 #[derive(Debug, Default)]
 pub struct EndpointBook {
-  known: HashMap<Name, Known>,
+  /// In order, so that equal draws make equal choices.
+  known: BTreeMap<Name, Known>,
   halls: HashMap<Name, HallReach>,
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -25,8 +25,8 @@
   connections::remove_connection_headers,
   decisions::{
     BoxEntry, BoxList, Choice, EndpointBook, KeptPrompts, PartEnd, RecentEngines, RetryAllowance,
-    RetryWindow, SeatForecast, SeatMargin, SeatPlace, SeatQueue, SeatUrgency, Surplus, Wanted,
-    retry_pause_ms, staying_engines, surplus,
+    RetryWindow, SeatForecast, SeatPlace, SeatQueue, SeatUrgency, Surplus, Wanted, retry_pause_ms,
+    staying_engines, surplus,
   },
   edge::{
     AnswerFacts, CallerFacts, CallerLimits, DecodeError, Dialect, EndpointCall, EndpointEntry,
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod endpoint;
 mod harness;
 mod leaving;
+mod load;
 mod policy;
 mod relay;
 mod resume;
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -14,6 +14,7 @@
 mod memory;
 
 mod path;
+mod regress;
 mod roles;
 mod soak_play;
 mod soak_promises;
