--- a/emulator/src/load/replay.rs
+++ b/emulator/src/load/replay.rs
@@ -284,9 +284,7 @@
   /// The box's book learns how a send ended, as far as the variant heeds it.
   fn book_end(&mut self, now_ms: u64, at_box: usize, engine: usize, end: PartEnd) {
     let noted = match end {
-      PartEnd::Lost | PartEnd::Unreachable if !self.variant.leaves_failing_alone => {
-        PartEnd::Dropped
-      }
+      PartEnd::Lost | PartEnd::Unreachable if !self.variant.heeds_losses => PartEnd::Dropped,
       PartEnd::Unreachable if !self.variant.notices_cut_halls => PartEnd::Lost,
       end => end,
     };
--- a/emulator/src/load/variant.rs
+++ b/emulator/src/load/variant.rs
@@ -5,14 +5,14 @@
 /// ```
 /// use emulator::load::Variant;
 /// let variant = Variant { notices_cut_halls: false, ..Variant::default() };
-/// assert!(variant.leaves_failing_alone);
+/// assert!(variant.heeds_losses);
 /// ```
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Variant {
   /// Boxes heed the load that an endpoint tells with its answers.
   pub heeds_told_load: bool,
-  /// An endpoint that lost a request, or did not answer, is left alone for a while.
-  pub leaves_failing_alone: bool,
+  /// Losses and silence are heeded at all: endpoints are left alone for a while, and cut halls are noticed.
+  pub heeds_losses: bool,
   /// A hall of which several endpoints don't answer counts as cut off.
   pub notices_cut_halls: bool,
 }
@@ -31,9 +31,9 @@
         },
       ),
       (
-        "failing ones not left alone",
+        "losses not heeded",
         Self {
-          leaves_failing_alone: false,
+          heeds_losses: false,
           ..all
         },
       ),
@@ -52,7 +52,7 @@
   fn default() -> Self {
     Self {
       heeds_told_load: true,
-      leaves_failing_alone: true,
+      heeds_losses: true,
       notices_cut_halls: true,
     }
   }
--- a/tests/gateway/load.rs
+++ b/tests/gateway/load.rs
@@ -19,18 +19,19 @@
   plays.iter().map(count).sum()
 }
 
-fn without_leaving_alone() -> Variant {
+fn without_heeding_losses() -> Variant {
   Variant {
-    leaves_failing_alone: false,
+    heeds_losses: false,
     ..Variant::default()
   }
 }
 
-/// A fifth of the engines is gone for 2 s in a burst of 2.3 times the load: each is met by a box once, or little more.
+/// A fifth of the engines is gone for 2 s in a burst of 2.3 times the load. What carries this is the noticing of halls (the test
+/// below): with single endpoints not left alone it still passes, as a mutant showed.
 #[test]
-fn engines_that_are_gone_are_left_alone() {
+fn engines_that_are_gone_are_met_less_often_when_losses_are_heeded() {
   let with = plays(Pattern::BurstWithCrash, Variant::default());
-  let without = plays(Pattern::BurstWithCrash, without_leaving_alone());
+  let without = plays(Pattern::BurstWithCrash, without_heeding_losses());
   let unreached = |plays: &[Figures]| sum(plays, |play| play.unreached_sends);
   assert!(2 * unreached(&with) < unreached(&without));
   assert!(served_share(&with) > served_share(&without) + 0.02);
@@ -57,9 +58,9 @@
 #[case::lost_answers_in_a_burst(Pattern::LostAnswersInBurst)]
 #[case::cut_hall(Pattern::CutHall)]
 #[case::all_return(Pattern::AllReturn)]
-fn leaving_alone_serves_nobody_worse(#[case] pattern: Pattern) {
+fn heeding_losses_serves_nobody_worse(#[case] pattern: Pattern) {
   let with = served_share(&plays(pattern, Variant::default()));
-  let without = served_share(&plays(pattern, without_leaving_alone()));
+  let without = served_share(&plays(pattern, without_heeding_losses()));
   assert!(with >= without - 0.01, "{with} {without}");
 }
 
