The gateway knows organisations: keys, names to endpoints, priority

Change: the configuration's organisations with a table of hashed keys, the same one that serve has; a request's holder is found at its arrival and named on every part; 401 for no or an unknown key, 400 for several, 503 where the box has not heard of changes within the time that a configuration has. One reader of bearer keys for serve, administration and gateway. An organisation's priority goes before the route's, in the marks and in the queue for seats. Ruled out: a table of plain keys (shown by a dump), Basic as anonymous.

--- a/src/admin/router.rs
+++ b/src/admin/router.rs
@@ -3,6 +3,7 @@
 use {
   super::{configuration, desk::Desk, problem::Problem},
   crate::{
+    bearer_key::BearerKey,
     configuration::hash_key,
     decide::{Event, Status},
     observe::EventPage,
@@ -14,7 +15,7 @@
     response::Response,
     routing::{get, post},
   },
-  http::{HeaderMap, StatusCode, header},
+  http::{HeaderMap, StatusCode},
   serde::Deserialize,
   std::sync::Arc,
 };
@@ -48,14 +49,10 @@
 }
 
 fn is_allowed(desk: &Desk, headers: &HeaderMap) -> bool {
-  let key = headers
-    .get(header::AUTHORIZATION)
-    .and_then(|value| value.to_str().ok())
-    .and_then(|value| value.strip_prefix("Bearer "));
-  let Some(key) = key else {
+  let Some(key) = BearerKey::read(headers).given() else {
     return false;
   };
-  let hash = hash_key(key.trim());
+  let hash = hash_key(key);
   desk
     .keys_sha256
     .iter()
--- a/src/configuration/store.rs
+++ b/src/configuration/store.rs
@@ -84,9 +84,7 @@
     for entry in self.entries.values() {
       if let ParsedDocument::Organisation(name, document) = &entry.parsed {
         for key in &document.keys_sha256 {
-          table
-            .0
-            .insert(key.to_ascii_lowercase().into(), name.clone());
+          table.insert_hash(key, name.clone());
         }
       }
     }
--- a/src/gateway/decisions/seat_queue.rs
+++ b/src/gateway/decisions/seat_queue.rs
@@ -15,6 +15,8 @@
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct SeatPlace {
   urgency: SeatUrgency,
+  /// 0 goes first.
+  priority: u8,
   /// Places are numbered as they are taken.
   number: u64,
 }
@@ -24,13 +26,15 @@
 /// ```
 /// use rillford::gateway::{SeatQueue, SeatUrgency};
 /// let mut queue = SeatQueue::default();
-/// let older = queue.join(SeatUrgency::Begins);
-/// let newer = queue.join(SeatUrgency::Begins);
-/// let going_on = queue.join(SeatUrgency::GoesOn);
+/// let older = queue.join(SeatUrgency::Begins, 1);
+/// let newer = queue.join(SeatUrgency::Begins, 1);
+/// let going_on = queue.join(SeatUrgency::GoesOn, 2);
 /// assert!(queue.is_first(going_on));
 /// queue.leave(going_on);
 /// assert!(queue.is_first(older) && !queue.is_first(newer));
 /// assert_eq!(queue.len(), 2);
+/// let more_urgent = queue.join(SeatUrgency::Begins, 0);
+/// assert!(queue.is_first(more_urgent));
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct SeatQueue {
@@ -40,10 +44,11 @@
 
 impl SeatQueue {
   /// A request joins.
-  pub fn join(&mut self, urgency: SeatUrgency) -> SeatPlace {
+  pub fn join(&mut self, urgency: SeatUrgency, priority: u8) -> SeatPlace {
     self.joined += 1;
     let place = SeatPlace {
       number: self.joined,
+      priority,
       urgency,
     };
     self.places.insert(place);
--- a/src/gateway/edge/dialect.rs
+++ b/src/gateway/edge/dialect.rs
@@ -62,6 +62,8 @@
   pub reservation: Option<Name>,
   /// The last event that the caller has of a stream.
   pub last_event_id: Option<u64>,
+  /// The organisation that asks.
+  pub organisation: Option<Name>,
 }
 
 /// An endpoint's load, as it told it with an answer.
--- a/src/gateway/edge/mod.rs
+++ b/src/gateway/edge/mod.rs
@@ -5,6 +5,7 @@
 
 mod dialect;
 mod endpoint_entry;
+mod organisation;
 mod prompt_part;
 mod route_table;
 mod store;
@@ -15,6 +16,7 @@
     Part, RoleChange, ToldLoad,
   },
   endpoint_entry::EndpointEntry,
+  organisation::{Organisation, Organisations, UseLimit, UseUnit},
   prompt_part::PromptPart,
   route_table::{
     CallerLimits, EngineSpec, Route, RouteKind, RouteTable, ServiceSpec, WeightedService,
--- a/src/gateway/edge/route_table.rs
+++ b/src/gateway/edge/route_table.rs
@@ -1,6 +1,7 @@
 //! The routes in force: which service a host and path belong to, and how its requests may be treated.
 
 use {
+  super::organisation::Organisations,
   crate::ids::Name,
   std::{cmp::Reverse, collections::HashMap, rc::Rc},
 };
@@ -60,6 +61,8 @@
   pub priority: u8,
   /// The most endpoints that one request may be sent to.
   pub most_attempts: u32,
+  /// Whether it serves callers without a key.
+  pub is_open: bool,
   /// The services that its requests go to.
   pub services: Vec<WeightedService>,
 }
@@ -125,6 +128,7 @@
   by_host: HashMap<Name, Vec<Rc<Route>>>,
   services: HashMap<Name, ServiceSpec>,
   limits: CallerLimits,
+  organisations: Option<Organisations>,
 }
 
 impl RouteTable {
@@ -148,11 +152,25 @@
     Self {
       by_host,
       limits,
+      organisations: None,
       services,
       version,
     }
   }
 
+  /// Has each caller belong to an organisation.
+  pub fn with_organisations(self, organisations: Organisations) -> Self {
+    Self {
+      organisations: Some(organisations),
+      ..self
+    }
+  }
+
+  /// The organisations; nothing when callers belong to none.
+  pub fn organisations(&self) -> Option<&Organisations> {
+    self.organisations.as_ref()
+  }
+
   /// The version; a higher one replaces a lower one.
   pub fn version(&self) -> u64 {
     self.version
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -30,9 +30,10 @@
   },
   edge::{
     AnswerFacts, CallerFacts, CallerLimits, DecodeError, Dialect, EndpointCall, EndpointEntry,
-    EngineReport, EngineSpec, Export, Marks, PageAge, Part, PromptPart, RoleChange, Route,
-    RouteKind, RouteTable, ServiceSpec, Stewardship, Store, StoreChanges, StoreError, StoreItem,
-    StoreKey, StoreLease, StorePage, ToldLoad, WeightedService,
+    EngineReport, EngineSpec, Export, Marks, Organisation, Organisations, PageAge, Part,
+    PromptPart, RoleChange, Route, RouteKind, RouteTable, ServiceSpec, Stewardship, Store,
+    StoreChanges, StoreError, StoreItem, StoreKey, StoreLease, StorePage, ToldLoad, UseLimit,
+    UseUnit, WeightedService,
   },
   process::run_gateway,
   requests::{EventCutter, WholeEvent},
--- a/src/gateway/parts/request.rs
+++ b/src/gateway/parts/request.rs
@@ -3,7 +3,7 @@
 use {
   crate::{
     gateway::{
-      edge::{CallerFacts, Dialect, EndpointEntry, Marks, Part, Route},
+      edge::{CallerFacts, Dialect, EndpointEntry, Marks, Organisation, Part, Route},
       settings::RouteRank,
     },
     ids::Name,
@@ -31,6 +31,8 @@
   pub(crate) headers: HeaderMap,
   pub(crate) body: Bytes,
   pub(crate) facts: CallerFacts,
+  /// Who asks; nothing where callers belong to none.
+  pub(crate) organisation: Option<Rc<Organisation>>,
   pub(crate) route: Rc<Route>,
   pub(crate) service: Name,
   pub(crate) rank: RouteRank,
@@ -47,6 +49,10 @@
       deadline_ms: self.left_ms(now_ms),
       endpoint_id: entry.id.clone(),
       last_event_id: None,
+      organisation: self
+        .organisation
+        .as_ref()
+        .map(|organisation| organisation.name.clone()),
       part,
       priority: self.rank.priority,
       reservation: None,
--- a/src/gateway/requests/answer.rs
+++ b/src/gateway/requests/answer.rs
@@ -4,7 +4,7 @@
   bytes::Bytes,
   http::{
     HeaderMap, HeaderValue, Response, StatusCode,
-    header::{CONNECTION, RETRY_AFTER},
+    header::{CONNECTION, RETRY_AFTER, WWW_AUTHENTICATE},
   },
   http_body_util::{BodyExt, Full},
   hyper::body::Body,
@@ -26,6 +26,8 @@
   Malformed,
   /// The body is longer than allowed.
   TooLong,
+  /// No organisation of the configuration holds the request's key.
+  Unauthorised,
   /// The configuration has no such route.
   NoRoute,
   /// The request has not run and never will; when to come back.
@@ -45,6 +47,7 @@
     match self {
       Self::Malformed => StatusCode::BAD_REQUEST,
       Self::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
+      Self::Unauthorised => StatusCode::UNAUTHORIZED,
       Self::NoRoute => StatusCode::NOT_FOUND,
       Self::NotRun { .. } => StatusCode::SERVICE_UNAVAILABLE,
       Self::Unknown => StatusCode::BAD_GATEWAY,
@@ -68,6 +71,9 @@
         headers.insert(RETRY_AFTER, value);
       }
     }
+    if self == Self::Unauthorised {
+      headers.insert(WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
+    }
     if self.ends_connection() {
       headers.insert(CONNECTION, HeaderValue::from_static("close"));
     }
--- a/src/gateway/requests/front.rs
+++ b/src/gateway/requests/front.rs
@@ -3,6 +3,7 @@
 use {
   super::{
     answer::{AnswerBody, OwnAnswer},
+    caller_identity::identify,
     plain::answer_plain,
     stream::answer_stream,
   },
@@ -155,7 +156,7 @@
 /// Reads a request whole and finds its route.
 async fn route(gateway: &Gateway, request: Request<Incoming>) -> Result<RoutedRequest, OwnAnswer> {
   let arrived_ms = gateway.now_ms();
-  let (head, body) = request.into_parts();
+  let (mut head, body) = request.into_parts();
   let host = head
     .headers
     .get(HOST)
@@ -166,6 +167,7 @@
     .find(host, head.uri.path())
     .cloned()
     .ok_or_else(|| no_route(gateway, &table, host, head.uri.path()))?;
+  let organisation = identify(gateway, &table, &route, &mut head.headers)?;
   let mut facts = gateway.dialect.caller_facts(&head.headers);
   if !gateway.settings.mechanisms.seat_by_estimate {
     facts.answer_estimate = None;
@@ -180,7 +182,9 @@
     .service(gateway.draw())
     .cloned()
     .ok_or(NO_CONFIGURATION)?;
-  let rank = gateway.policy.rank(&route, &service, &facts);
+  let rank = gateway
+    .policy
+    .rank(&route, &service, &facts, organisation.as_deref());
   let mut headers = head.headers;
   remove_connection_headers(&mut headers);
   gateway.dialect.remove_reserved(&mut headers);
@@ -190,6 +194,7 @@
     facts,
     headers,
     method: head.method,
+    organisation,
     rank,
     route,
     service,
--- a/src/gateway/requests/mod.rs
+++ b/src/gateway/requests/mod.rs
@@ -5,6 +5,7 @@
 //! Imports `parts` and what lies below it. A request comes in at [`accept_callers`] and leaves as an `answer`.
 
 mod answer;
+mod caller_identity;
 mod event_cutter;
 mod event_source;
 mod front;
--- a/src/gateway/requests/seat.rs
+++ b/src/gateway/requests/seat.rs
@@ -115,8 +115,8 @@
 }
 
 impl<'a> QueuedRequest<'a> {
-  fn new(gateway: &'a Gateway, urgency: SeatUrgency) -> Self {
-    let place = gateway.seat_queue.borrow_mut().join(urgency);
+  fn new(gateway: &'a Gateway, urgency: SeatUrgency, priority: u8) -> Self {
+    let place = gateway.seat_queue.borrow_mut().join(urgency, priority);
     Self { gateway, place }
   }
 
@@ -155,7 +155,7 @@
   tried: &[Name],
   urgency: SeatUrgency,
 ) -> Option<(EndpointEntry, Reservation)> {
-  let queued = QueuedRequest::new(gateway, urgency);
+  let queued = QueuedRequest::new(gateway, urgency, request.rank.priority);
   loop {
     let moved = gateway.seat_queue_moved.notified();
     if !queued.is_first() {
--- a/src/gateway/settings/document.rs
+++ b/src/gateway/settings/document.rs
@@ -77,6 +77,8 @@
   pub order_gap_ms: u64,
   /// Time without trouble after which a box counts as connected to the store.
   pub contact_ms: u64,
+  /// Time within which a configuration is to be in force on every box that is connected.
+  pub configuration_ms: u64,
 }
 
 /// Where the policy program is.
--- a/src/gateway/settings/route_policy.rs
+++ b/src/gateway/settings/route_policy.rs
@@ -4,7 +4,7 @@
 use {
   crate::{
     Error, Result,
-    gateway::edge::{CallerFacts, Route, RouteKind},
+    gateway::edge::{CallerFacts, Organisation, Route, RouteKind},
     ids::Name,
     observe::unix_ms,
     policy::{Clock, PoolFacts, Program, RequestFacts},
@@ -46,10 +46,18 @@
     })
   }
 
-  /// The rank of a request: the route's own unless the program says otherwise.
-  pub fn rank(&self, route: &Route, service: &Name, facts: &CallerFacts) -> RouteRank {
+  /// The rank of a request: the organisation's priority, else the route's own, unless the program says otherwise.
+  pub fn rank(
+    &self,
+    route: &Route,
+    service: &Name,
+    facts: &CallerFacts,
+    organisation: Option<&Organisation>,
+  ) -> RouteRank {
     let own = RouteRank {
-      priority: route.priority,
+      priority: organisation
+        .and_then(|organisation| organisation.priority)
+        .unwrap_or(route.priority),
       target_ms: route.target_ms,
     };
     let Some(program) = &self.program else {
@@ -62,7 +70,7 @@
     let told = RequestFacts {
       kind: kind.into(),
       max_tokens: facts.answer_tokens,
-      organisation: route.host.clone(),
+      organisation: organisation.map_or_else(|| route.host.clone(), |asks| asks.name.clone()),
       prompt_tokens: facts.prompt_tokens,
       subject: service.clone(),
       task: route.name.clone(),
--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -163,11 +163,12 @@
 
   /// Whether the store was heard so recently that what this box knows can be trusted.
   pub(crate) fn is_current(&self) -> bool {
-    let contact_ms = self.settings.bounds.contact_ms;
+    let bounds = &self.settings.bounds;
+    let most_ms = bounds.contact_ms.min(bounds.configuration_ms);
     self
       .store_heard_ms
       .get()
-      .is_some_and(|heard_ms| self.now_ms() < heard_ms + contact_ms)
+      .is_some_and(|heard_ms| self.now_ms() < heard_ms + most_ms)
   }
 
   /// Whether the balancer may send callers.
--- a/src/ingress/caller_headers.rs
+++ b/src/ingress/caller_headers.rs
@@ -2,9 +2,9 @@
 
 use {
   super::{Desk, outcome::mistake},
-  crate::ids::Name,
+  crate::{bearer_key::BearerKey, ids::Name},
   axum::response::Response,
-  http::{HeaderMap, StatusCode, header},
+  http::{HeaderMap, StatusCode},
 };
 
 const DEADLINE: &str = "x-rillford-deadline-ms";
@@ -42,9 +42,8 @@
 }
 
 fn organisation(desk: &Desk, headers: &HeaderMap) -> Option<Name> {
-  let value = headers.get(header::AUTHORIZATION)?.to_str().ok()?;
-  let key = value.strip_prefix("Bearer ")?;
-  desk.keys.load().organisation(key.trim()).cloned()
+  let key = BearerKey::read(headers).given()?;
+  desk.keys.load().organisation(key).cloned()
 }
 
 fn wrong_header(name: &str, message: &str) -> Box<Response> {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! side. Each is a folder, a thread, and a filter between bounded rings.
 
 mod admin;
+mod bearer_key;
 mod chunk;
 mod error;
 mod http_client;
--- a/tests/gateway/configuration.rs
+++ b/tests/gateway/configuration.rs
@@ -137,6 +137,7 @@
 retry_slack = 56
 order_gap_ms = 3000
 contact_ms = 3000
+configuration_ms = 2000
 [engines]
 prefill_share = 0.25
 "#;
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -174,6 +174,7 @@
 retry_slack = 60
 order_gap_ms = 300
 contact_ms = 3000
+configuration_ms = 3000
 [engines]
 prefill_share = 0.25
 "#,
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod harness;
 mod leaving;
 mod load;
+mod organisations;
 mod policy;
 mod relay;
 mod resume;
--- /dev/null
+++ b/tests/gateway/organisations.rs
@@ -0,0 +1,204 @@
+//! Whose request it is: keys, organisations, and what endpoints are told of them.
+
+use {
+  super::{EndpointStandIn, GatewayBox, GatewayTest, PATIENCE, Reply, Seen},
+  emulator::eventually,
+  http::{HeaderValue, StatusCode, header::AUTHORIZATION},
+  rstest::rstest,
+  serde_json::{Value, json},
+};
+
+/// A configuration with two organisations, and `/unsafe/` open to callers without a key.
+fn with_organisations(configuration: &mut Value) {
+  configuration["tenants"] = json!([
+    {"name": "captions", "apiKeys": ["key-a", "key-b"], "priority": 3, "unit": "token_stream", "plainTokens": 200},
+    {"name": "lectures", "apiKeys": ["key-c"], "unit": "token_stream", "plainTokens": 200},
+  ]);
+  configuration["routes"][1]["allowAnonymous"] = json!(true);
+}
+
+async fn portal() -> (EndpointStandIn, GatewayBox) {
+  let one = EndpointStandIn::start(|seen| Reply::ok(seen, "one")).await;
+  let test = GatewayTest::new().await.configure(with_organisations);
+  let gateway = test.with_portal(&one).await;
+  (one, gateway)
+}
+
+/// Asks with `Authorization` fields and an organisation's name that the caller claims.
+async fn ask(gateway: &GatewayBox, path: &str, authorization: &[&str]) -> StatusCode {
+  let mut request = gateway.request(path, "r");
+  for value in authorization {
+    let value = HeaderValue::from_bytes(value.as_bytes()).unwrap();
+    request.headers_mut().append(AUTHORIZATION, value);
+  }
+  let claimed = HeaderValue::from_static("claimed");
+  request.headers_mut().insert("x-tenant", claimed);
+  gateway.send(request).await.status
+}
+
+async fn is_served(gateway: &GatewayBox, key: &str) -> bool {
+  ask(gateway, "/safe/a", &[&format!("Bearer {key}")]).await == StatusCode::OK
+}
+
+fn last(endpoint: &EndpointStandIn) -> Seen {
+  endpoint.requests().last().unwrap().clone()
+}
+
+#[rstest]
+#[case::unknown("/safe/a", &["Bearer wrong"], StatusCode::UNAUTHORIZED)]
+#[case::unknown_on_an_open_route("/unsafe/a", &["Bearer wrong"], StatusCode::UNAUTHORIZED)]
+#[case::none("/safe/a", &[], StatusCode::UNAUTHORIZED)]
+#[case::other_scheme("/safe/a", &["Basic key-a"], StatusCode::UNAUTHORIZED)]
+#[case::no_scheme("/safe/a", &["key-a"], StatusCode::UNAUTHORIZED)]
+#[case::empty("/safe/a", &["Bearer "], StatusCode::UNAUTHORIZED)]
+#[case::no_text("/safe/a", &["Bearer k\u{e9}y"], StatusCode::UNAUTHORIZED)]
+#[case::several("/safe/a", &["Bearer key-a", "Bearer key-c"], StatusCode::BAD_REQUEST)]
+#[case::several_on_an_open_route("/unsafe/a", &["Bearer key-a", "Bearer key-a"], StatusCode::BAD_REQUEST)]
+#[tokio::test]
+async fn request_of_nobody_reaches_no_endpoint(
+  #[case] path: &str,
+  #[case] authorization: &[&str],
+  #[case] status: StatusCode,
+) {
+  let (one, gateway) = portal().await;
+  assert_eq!(ask(&gateway, path, authorization).await, status);
+  assert!(one.requests().is_empty());
+}
+
+#[rstest]
+#[case::key("/safe/a", &["Bearer key-b"], "captions")]
+#[case::scheme_in_other_case("/safe/a", &["bEARER  key-c"], "lectures")]
+#[case::key_on_an_open_route("/unsafe/a", &["Bearer key-a"], "captions")]
+#[case::open_route("/unsafe/a", &[], "")]
+#[tokio::test]
+async fn endpoint_is_told_the_holder_and_never_the_key(
+  #[case] path: &str,
+  #[case] authorization: &[&str],
+  #[case] organisation: &str,
+) {
+  let (one, gateway) = portal().await;
+  assert_eq!(ask(&gateway, path, authorization).await, StatusCode::OK);
+  let seen = last(&one);
+  assert_eq!(seen.header("x-tenant"), organisation);
+  assert_eq!(seen.header("authorization"), "");
+}
+
+#[tokio::test]
+async fn key_is_passed_on_where_there_are_no_organisations() {
+  let one = EndpointStandIn::start(|seen| Reply::ok(seen, "one")).await;
+  let gateway = GatewayTest::new().await.with_portal(&one).await;
+  assert_eq!(
+    ask(&gateway, "/safe/a", &["Bearer theirs"]).await,
+    StatusCode::OK
+  );
+  assert_eq!(last(&one).header("authorization"), "Bearer theirs");
+}
+
+#[tokio::test]
+async fn each_part_of_a_stream_names_the_organisation_and_its_priority() {
+  let prefill = EndpointStandIn::start(|seen| {
+    Reply::status(
+      seen,
+      "200 OK",
+      r#"{"promptHandle":"h","tokens":3,"version":1}"#,
+    )
+  })
+  .await;
+  let decode = EndpointStandIn::start(|seen| match seen.path.as_str() {
+    "/hold-take" => Reply::status(seen, "200 OK", r#"{"hold":"s"}"#),
+    _ => Reply::stream(seen, "id: 1\ndata: a\n\n"),
+  })
+  .await;
+  let test = GatewayTest::new().await.configure(with_organisations);
+  let gateway = test.with_engines(&prefill, &decode).await;
+  assert_eq!(
+    ask(&gateway, "/stream/a", &["Bearer key-a"]).await,
+    StatusCode::OK
+  );
+  let parts = [&prefill, &decode].map(|engine| {
+    let of_caller = |seen: &Seen| seen.path.starts_with("/stream/");
+    engine.requests().into_iter().find(of_caller).unwrap()
+  });
+  for part in parts {
+    assert_eq!(part.header("x-tenant"), "captions");
+    assert_eq!(part.header("x-request-priority"), "3");
+    assert_eq!(part.header("authorization"), "");
+  }
+}
+
+/// Puts a newer version with other organisations.
+fn put(gateway: &GatewayBox, version: u64, organisations: Value) {
+  let mut configuration = gateway.test.configuration.clone();
+  configuration["version"] = version.into();
+  configuration["tenants"] = organisations;
+  gateway
+    .test
+    .store
+    .put("op/config", configuration.to_string().as_bytes());
+}
+
+#[tokio::test]
+async fn keys_are_added_passed_on_and_taken_away_with_the_configuration() {
+  let (one, gateway) = portal().await;
+  let organisations = json!([
+    {"name": "captions", "apiKeys": ["key-a"]},
+    {"name": "lectures", "apiKeys": ["key-b", "key-d"]},
+    {"name": "idle", "apiKeys": []},
+  ]);
+  put(&gateway, 9, organisations);
+  assert!(eventually(PATIENCE, async || is_served(&gateway, "key-d").await).await);
+  assert!(!is_served(&gateway, "key-c").await);
+  assert!(is_served(&gateway, "key-b").await);
+  assert_eq!(last(&one).header("x-tenant"), "lectures");
+  // An older list of keys never comes back.
+  put(
+    &gateway,
+    8,
+    json!([{"name": "captions", "apiKeys": ["key-c"]}]),
+  );
+  put(
+    &gateway,
+    10,
+    json!([{"name": "captions", "apiKeys": ["key-e"]}]),
+  );
+  assert!(eventually(PATIENCE, async || is_served(&gateway, "key-e").await).await);
+  assert!(!is_served(&gateway, "key-c").await);
+}
+
+#[rstest]
+#[case::key_of_two(json!([{"name": "a", "apiKeys": ["key-c"]}, {"name": "b", "apiKeys": ["key-c"]}]))]
+#[case::key_twice(json!([{"name": "a", "apiKeys": ["key-c", "key-c"]}]))]
+#[case::name_twice(json!([{"name": "a", "apiKeys": ["key-c"]}, {"name": "a", "apiKeys": ["key-d"]}]))]
+#[case::name_no_header(json!([{"name": "a\nb", "apiKeys": ["key-c"]}]))]
+#[case::no_name(json!([{"name": " ", "apiKeys": ["key-c"]}]))]
+#[tokio::test]
+async fn document_with_a_mistake_leaves_the_former_one_in_force(#[case] organisations: Value) {
+  let (_, gateway) = portal().await;
+  put(&gateway, 9, organisations);
+  // What is entered after it shows that the box has seen it.
+  let other = EndpointStandIn::start(|seen| Reply::ok(seen, "other")).await;
+  gateway.test.enter("p-2", "portal", None, &other);
+  let seen_by_other = async || {
+    is_served(&gateway, "key-a").await;
+    !other.requests().is_empty()
+  };
+  assert!(eventually(PATIENCE, seen_by_other).await);
+  assert!(is_served(&gateway, "key-a").await);
+}
+
+/// A box that hears nothing does not know that a key is wrong: a newer configuration may have it.
+#[tokio::test]
+async fn unknown_key_is_no_mistake_while_the_store_is_silent() {
+  let (one, gateway) = portal().await;
+  gateway.test.store.set_down(true);
+  let not_run = async || {
+    let status = ask(&gateway, "/safe/a", &["Bearer new"]).await;
+    status == StatusCode::SERVICE_UNAVAILABLE
+  };
+  assert!(eventually(PATIENCE, not_run).await);
+  assert_eq!(
+    ask(&gateway, "/safe/a", &[]).await,
+    StatusCode::UNAUTHORIZED
+  );
+  assert!(one.requests().is_empty());
+}
--- a/tests/gateway/policy.rs
+++ b/tests/gateway/policy.rs
@@ -12,6 +12,7 @@
 fn route(kind: RouteKind) -> Route {
   Route {
     host: "lectures.example".into(),
+    is_open: false,
     kind,
     most_attempts: 1,
     name: "r-1".into(),
@@ -41,6 +42,7 @@
     &route(RouteKind::Stream { resumable: false }),
     &"llm".into(),
     &facts,
+    None,
   )
 }
 
--- a/tests/gateway/seats.rs
+++ b/tests/gateway/seats.rs
@@ -17,9 +17,9 @@
 #[test]
 fn going_on_comes_first_and_then_the_oldest() {
   let mut queue = SeatQueue::default();
-  let older = queue.join(SeatUrgency::Begins);
-  let newer = queue.join(SeatUrgency::Begins);
-  let going_on = queue.join(SeatUrgency::GoesOn);
+  let older = queue.join(SeatUrgency::Begins, 1);
+  let newer = queue.join(SeatUrgency::Begins, 1);
+  let going_on = queue.join(SeatUrgency::GoesOn, 1);
   for place in [going_on, older, newer] {
     assert!(queue.is_first(place), "{place:?}");
     queue.leave(place);
