A box that the store turns away hears of changes from another box

Cause: a box that reads the store itself, or whose readers were all turned away, asked nobody else: keys that were taken away held there until the store was back. Change: when its own call fails, a box asks up to six others, its hall's first, for the changes after what it knows, and follows the one that hears the store for 3 s; a listing that fails is followed by the same. Ruled out: the stop of a listing at a failed call as the cause (the watch went on from no box at all).

--- a/src/gateway/decisions/box_list.rs
+++ b/src/gateway/decisions/box_list.rs
@@ -90,6 +90,20 @@
     !self.is_large() || self.is_reader(name)
   }
 
+  /// The boxes that a box asks in turn when it doesn't reach the store itself: of each hall those that others ask, the own hall's
+  /// first.
+  pub fn helpers_for(&self, name: &str, hall: &str) -> Vec<SocketAddr> {
+    let asked = self
+      .boxes
+      .iter()
+      .filter(|(other, _)| &***other != name && self.is_asked(other));
+    let (own, others): (Vec<_>, Vec<_>) = asked
+      .map(|(_, entry)| entry)
+      .partition(|entry| &*entry.hall == hall);
+    let entries = own.into_iter().chain(others);
+    entries.map(|entry| entry.address).collect()
+  }
+
   /// Whether a box counts organisations' use for others: all do in a small deployment, and the readers of each hall in a large
   /// one.
   pub fn is_counting(&self, name: &str, hall: &str) -> bool {
--- a/src/gateway/membership/store_sync.rs
+++ b/src/gateway/membership/store_sync.rs
@@ -10,7 +10,7 @@
     HttpClient,
     gateway::{
       decisions::retry_pause_ms,
-      edge::{Store, StoreChanges},
+      edge::{Store, StoreChanges, StoreItem},
       state::Gateway,
     },
   },
@@ -34,6 +34,11 @@
 const LISTING_MS_PER_BOX: f64 = 4.0;
 /// How long a box that others ask reads the store itself after its readers failed.
 const DIRECT_MS: u64 = 3_000;
+/// Boxes that are asked one after the other when the store does not answer: with a third of them turned away too, one in a
+/// thousand tries finds nobody.
+const MOST_HELPERS: usize = 6;
+/// How long a box that heard the store is followed before the store is tried again.
+const HELPED_MS: u64 = 3_000;
 /// Boxes that start together start within 0.3 s, and have entered themselves some milliseconds later.
 const JOINT_START: Duration = Duration::from_millis(400);
 
@@ -42,6 +47,8 @@
   let mut sync = StoreSync {
     direct_until_ms: 0,
     failed_readers: 0,
+    helper: None,
+    helper_turn: 0,
     gateway: gateway.clone(),
     http: HttpClient::default(),
     reader_turn: 0,
@@ -58,7 +65,8 @@
         }
         sync.watch(revision).await
       }
-      None => WatchEnd::CallFailed,
+      None if is_start => WatchEnd::CallFailed,
+      None => sync.watch_with_help().await,
     };
     sync.pause(ended).await;
   }
@@ -84,6 +92,10 @@
   failed_readers: usize,
   /// Until then this box reads the store itself.
   direct_until_ms: u64,
+  /// A box that hears the store while this one doesn't, and until when it is followed.
+  helper: Option<(SocketAddr, u64)>,
+  /// Which box is asked for help next.
+  helper_turn: usize,
   /// Whether the next changes are the store's own.
   reads_once: bool,
 }
@@ -202,7 +214,10 @@
         },
         None => match self.changes(revision).await {
           Some(changes) => changes,
-          None => return WatchEnd::CallFailed,
+          None => match self.ask_for_help(revision).await {
+            Some(changes) => changes,
+            None => return WatchEnd::CallFailed,
+          },
         },
       };
       let (items, next) = match changes {
@@ -218,16 +233,52 @@
         }
       };
       revision = next.max(revision);
-      self.gateway.change_log.add(&items, revision);
-      for item in items {
-        self.view.apply(item);
+      self.take_over(items, revision);
+    }
+  }
+
+  /// Applies changes up to a revision, and keeps them for followers.
+  fn take_over(&mut self, items: Vec<StoreItem>, revision: u64) {
+    self.gateway.change_log.add(&items, revision);
+    for item in items {
+      self.view.apply(item);
+    }
+    self
+      .gateway
+      .book
+      .borrow_mut()
+      .forget_lapsed(self.gateway.now_ms());
+  }
+
+  /// Goes on from what is known with another box's help, when the store can't be listed.
+  async fn watch_with_help(&mut self) -> WatchEnd {
+    let revision = self.gateway.change_log.known_to();
+    let Some(StoreChanges::Some { items, revision }) = self.ask_for_help(revision).await else {
+      return WatchEnd::CallFailed;
+    };
+    self.take_over(items, revision);
+    self.watch(revision).await
+  }
+
+  /// Asks other boxes for the changes after a revision, since the store does not answer this one; nothing when none of them
+  /// hears it. A store that turns some boxes away is heard through the others: keys that were taken away hold here too.
+  async fn ask_for_help(&mut self, revision: u64) -> Option<StoreChanges> {
+    let identity = &self.gateway.settings.identity;
+    let helpers = self
+      .gateway
+      .boxes
+      .borrow()
+      .helpers_for(&identity.name, &identity.hall);
+    for _ in 0..helpers.len().min(MOST_HELPERS) {
+      let address = helpers[self.helper_turn % helpers.len()];
+      if let Some(changes) = self.follow(address, revision).await {
+        let until_ms = self.gateway.now_ms() + HELPED_MS;
+        self.helper = Some((address, until_ms));
+        return Some(changes);
       }
-      self
-        .gateway
-        .book
-        .borrow_mut()
-        .forget_lapsed(self.gateway.now_ms());
+      self.helper_turn += 1;
     }
+    None
   }
 
   /// The box to follow; nothing while this box reads the store itself, as it does once all readers have failed.
@@ -235,6 +286,11 @@
     if mem::take(&mut self.reads_once) || self.gateway.now_ms() < self.direct_until_ms {
       return None;
     }
+    if let Some((address, until_ms)) = self.helper
+      && self.gateway.now_ms() < until_ms
+    {
+      return Some(address);
+    }
     let identity = &self.gateway.settings.identity;
     let readers = self
       .gateway
@@ -302,6 +358,7 @@
       }
     };
     let Some((age_ms, changes)) = fresh else {
+      self.helper = None;
       self.reader_turn += 1;
       self.failed_readers += 1;
       return None;
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -40,6 +40,8 @@
   pub(crate) is_metrics_taken: bool,
   name: String,
   stop_s: f64,
+  /// Where the box reaches the store.
+  store_address: SocketAddr,
 }
 
 impl GatewayTest {
@@ -65,12 +67,26 @@
       ],
       "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
     });
+    let store = PlatformStore::start().await.unwrap();
     Self {
       configuration,
       is_metrics_taken: false,
       name: "north-1".into(),
       stop_s: 6.0,
-      store: PlatformStore::start().await.unwrap(),
+      store_address: store.address,
+      store,
+    }
+  }
+
+  /// Another box on the same store, which it reaches at an address of its own.
+  pub(crate) fn beside(&self, name: &str, store_address: SocketAddr) -> Self {
+    Self {
+      configuration: self.configuration.clone(),
+      is_metrics_taken: false,
+      name: name.into(),
+      stop_s: self.stop_s,
+      store: self.store.clone(),
+      store_address,
     }
   }
 
@@ -178,7 +194,7 @@
 [engines]
 prefill_share = 0.25
 "#,
-      self.name, self.store.address, self.stop_s
+      self.name, self.store_address, self.stop_s
     )
   }
 
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod role_plan;
 mod roles;
 mod seats;
+mod store_path;
 mod streams;
 
 pub(crate) use self::{
--- a/tests/gateway/organisations.rs
+++ b/tests/gateway/organisations.rs
@@ -1,7 +1,7 @@
 //! Whose request it is: keys, organisations, and what endpoints are told of them.
 
 use {
-  super::{EndpointStandIn, GatewayBox, GatewayTest, PATIENCE, Reply, Seen},
+  super::{EndpointStandIn, GatewayBox, GatewayTest, PATIENCE, Reply, Seen, store_path::StorePath},
   emulator::eventually,
   http::{HeaderValue, StatusCode, header::AUTHORIZATION},
   rstest::rstest,
@@ -186,6 +186,47 @@
   assert!(is_served(&gateway, "key-a").await);
 }
 
+/// A box that the store turns away hears of a key that was taken away from any box that it reaches.
+#[tokio::test]
+async fn box_cut_off_from_the_store_hears_of_keys_from_another() {
+  let one = EndpointStandIn::start(|seen| Reply::ok(seen, "one")).await;
+  let test = GatewayTest::new().await.configure(with_organisations);
+  let path = StorePath::to(test.store.address).await;
+  let beside = test.beside("north-2", path.address);
+  let sound = test.with_portal(&one).await;
+  let cut_off = beside.start().await;
+  let know_each_other = async || {
+    let entered = |key: &String| key.contains("north-1") || key.contains("north-2");
+    sound
+      .test
+      .store
+      .keys()
+      .iter()
+      .filter(|key| entered(key))
+      .count()
+      >= 2
+  };
+  assert!(eventually(PATIENCE, know_each_other).await);
+  // What is entered now is seen after the boxes' entries.
+  let other = EndpointStandIn::start(|seen| Reply::ok(seen, "other")).await;
+  sound.test.enter("p-2", "portal", None, &other);
+  let has_seen_it = async || {
+    is_served(&cut_off, "key-a").await;
+    !other.requests().is_empty()
+  };
+  assert!(eventually(PATIENCE, has_seen_it).await);
+  path.cut().await;
+  put(
+    &sound,
+    9,
+    json!([{"name": "captions", "apiKeys": ["key-b"]}]),
+  );
+  let is_refused =
+    async || ask(&cut_off, "/safe/a", &["Bearer key-a"]).await == StatusCode::UNAUTHORIZED;
+  assert!(eventually(PATIENCE, is_refused).await);
+  assert!(is_served(&cut_off, "key-b").await);
+}
+
 /// A box that hears nothing does not know that a key is wrong: a newer configuration may have it.
 #[tokio::test]
 async fn unknown_key_is_no_mistake_while_the_store_is_silent() {
