Help is asked of three boxes at once: a hall that is cut off tries the store again sooner

Cause: six boxes one after the other, each waited for 750 ms, keep a box that has the store back from it for 4.5 s, longer than it may take to count as connected. Change: three at once, the next three at the next try. Ruled out: a shorter wait (a box that hears the store answers after half a second when nothing has changed).

--- a/src/gateway/membership/store_sync.rs
+++ b/src/gateway/membership/store_sync.rs
@@ -3,17 +3,18 @@
 use {
   super::{
     listing::{Listing, ListingKind},
-    relay::{READER_STALE_MS, follow},
+    relay::{READER_STALE_MS, RelayAnswer, follow},
     store_view::StoreView,
   },
   crate::{
-    HttpClient,
+    CallError, HttpClient,
     gateway::{
       decisions::retry_pause_ms,
       edge::{Store, StoreChanges, StoreItem},
       state::Gateway,
     },
   },
+  futures_util::{StreamExt, stream::FuturesUnordered},
   std::{mem, net::SocketAddr, rc::Rc, time::Duration},
   tokio::time::sleep,
 };
@@ -34,9 +35,9 @@
 const LISTING_MS_PER_BOX: f64 = 4.0;
 /// How long a box that others ask reads the store itself after its readers failed.
 const DIRECT_MS: u64 = 3_000;
-/// Boxes that are asked one after the other when the store does not answer: with a third of them turned away too, one in a
-/// thousand tries finds nobody.
-const MOST_HELPERS: usize = 6;
+/// Boxes that are asked at once when the store does not answer: with a third of them turned away too, one try in 27 finds nobody,
+/// and the next asks others.
+const MOST_HELPERS: usize = 3;
 /// How long a box that heard the store is followed before the store is tried again.
 const HELPED_MS: u64 = 3_000;
 /// Boxes that start together start within 0.3 s, and have entered themselves some milliseconds later.
@@ -269,15 +270,23 @@
       .boxes
       .borrow()
       .helpers_for(&identity.name, &identity.hall);
-    for _ in 0..helpers.len().min(MOST_HELPERS) {
-      let address = helpers[self.helper_turn % helpers.len()];
-      if let Some(changes) = self.follow(address, revision).await {
+    let at_once = helpers.len().min(MOST_HELPERS);
+    let mut asked: FuturesUnordered<_> = (0..at_once)
+      .map(|number| helpers[(self.helper_turn + number) % helpers.len()])
+      .map(|address| {
+        let http = self.http.clone();
+        async move { (address, follow(&http, address, revision).await) }
+      })
+      .collect();
+    while let Some((address, answer)) = asked.next().await {
+      if let Some((age_ms, changes)) = fresh(address, answer) {
         let until_ms = self.gateway.now_ms() + HELPED_MS;
         self.helper = Some((address, until_ms));
+        self.view.heard(age_ms);
         return Some(changes);
       }
-      self.helper_turn += 1;
     }
+    self.helper_turn += at_once;
     None
   }
 
@@ -347,17 +356,7 @@
   /// Asks a reader; nothing when it fails or has not heard the store itself.
   async fn follow(&mut self, reader: SocketAddr, revision: u64) -> Option<StoreChanges> {
     let answer = follow(&self.http, reader, revision).await;
-    let fresh = match answer {
-      Ok(answer) => answer
-        .store_age_ms
-        .filter(|age_ms| *age_ms <= READER_STALE_MS)
-        .map(|age_ms| (age_ms, answer.changes)),
-      Err(error) => {
-        log::info!("E431 reader at {reader} lost: {error}");
-        None
-      }
-    };
-    let Some((age_ms, changes)) = fresh else {
+    let Some((age_ms, changes)) = fresh(reader, answer) else {
       self.helper = None;
       self.reader_turn += 1;
       self.failed_readers += 1;
@@ -368,3 +367,20 @@
     Some(changes)
   }
 }
+
+/// What a box told that hears the store, and how long ago that heard it; nothing of one that doesn't.
+fn fresh(
+  address: SocketAddr,
+  answer: Result<RelayAnswer, CallError>,
+) -> Option<(u64, StoreChanges)> {
+  match answer {
+    Ok(answer) => answer
+      .store_age_ms
+      .filter(|age_ms| *age_ms <= READER_STALE_MS)
+      .map(|age_ms| (age_ms, answer.changes)),
+    Err(error) => {
+      log::info!("E431 reader at {address} lost: {error}");
+      None
+    }
+  }
+}
