--- a/src/gateway/settings/limits.rs
+++ b/src/gateway/settings/limits.rs
@@ -13,9 +13,9 @@
 ///
 /// ```
 /// use rillford::gateway::{LimitSettings, UseLimit};
-/// let settings = LimitSettings { overage: 0.1, slack_units: 400.0, ..LimitSettings::default() };
+/// let settings = LimitSettings { overage: 0.5, slack_units: 400.0, ..LimitSettings::default() };
 /// let kept = settings.kept(UseLimit { burst: 1_000.0, rate_per_s: 100.0 });
-/// assert_eq!(kept, UseLimit { burst: 1_100.0, rate_per_s: 102.5 });
+/// assert_eq!(kept, UseLimit { burst: 1_100.0, rate_per_s: 112.5 });
 /// ```
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq)]
 #[serde(default, deny_unknown_fields)]
