The soak has organisations: keys added, passed on and taken away, a hot one, limits cut

Cause: the soak asked without keys, so none of the new promises was checked while faults overlap. Change: five kinds of keys, one of them of the newest version; a fifth of the requests is of an organisation that asks for several times its limit, which is cut with every other version; three promises (Named, KeysKept, LimitKept) on what callers and endpoints saw, each seen finding itself broken in planted records. Ruled out: a bound on each cut limit (a lower one holds a window after all boxes have it; the highest is checked).

--- a/soak/src/box_process.rs
+++ b/soak/src/box_process.rs
@@ -2,6 +2,7 @@
 
 use {
   super::{
+    caller_key::{OVERAGE, SLACK_UNITS},
     disturbance::Target,
     error::{Error, Result},
     ledger::Ledger,
@@ -217,6 +218,7 @@
      [store]\naddress = \"{store}\"\nleast_lease_ms = 1000\n\
      [bounds]\nstop_s = {STOP_S:.1}\nretry_ratio = 0.2\nretry_window_s = 10\nretry_slack = 60\n\
      order_gap_ms = 1000\ncontact_ms = 3000\nconfiguration_ms = 3000\n\
+     [limits]\noverage = {OVERAGE}\nslack_units = {SLACK_UNITS:.1}\n\
      [engines]\nprefill_share = 0.25\n"
   )
 }
--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -1,7 +1,10 @@
 //! A caller: keeps its connection to a box until that breaks, asks one thing after another, and sometimes leaves.
 
 use {
-  super::{configuration::HOST, fleet::Fleet, records::Outcome, request_kind::RequestKind},
+  super::{
+    caller_key::CallerKey, configuration::HOST, fleet::Fleet, records::Outcome,
+    request_kind::RequestKind,
+  },
   bytes::Bytes,
   http::{Method, Request, Response, header::CONNECTION},
   http_body_util::{BodyExt, Full},
@@ -83,9 +86,21 @@
     }
   }
 
+  /// One request in five is the hot organisation's.
+  fn key(&mut self) -> CallerKey {
+    match self.random.random_range(0..10) {
+      0..3 => CallerKey::Captions,
+      3..5 => CallerKey::Lectures,
+      5..7 => CallerKey::Hot,
+      7..9 => CallerKey::Passed,
+      _ => CallerKey::OfVersion(self.fleet.newest_version()),
+    }
+  }
+
   /// Sends one request and notes how it ended; whether the connection is kept.
   async fn ask(&mut self) -> bool {
     let kind = self.kind();
+    let key = self.key();
     self.count += 1;
     let id = format!("{}-{}", self.name, self.count);
     let leaves_after_ms = self.random.random_bool(LEAVE_CHANCE).then(|| {
@@ -94,8 +109,8 @@
         .random_range(LEAVE_AFTER_MS.0..=LEAVE_AFTER_MS.1)
     });
     let ledger = &self.fleet.ledger;
-    let request = self.request(kind, &id);
-    ledger.sent(&id, kind, self.box_index);
+    let request = self.request(kind, key, &id);
+    ledger.sent(&id, kind, key, self.box_index);
     let limit = leaves_after_ms.map_or(DEADLINE + ANSWER_MARGIN, Duration::from_millis);
     let asked = timeout(limit, self.answer(request)).await;
     let (outcome, keeps_box) = match asked {
@@ -107,7 +122,7 @@
     keeps_box
   }
 
-  fn request(&self, kind: RequestKind, id: &str) -> Request<Full<Bytes>> {
+  fn request(&self, kind: RequestKind, key: CallerKey, id: &str) -> Request<Full<Bytes>> {
     let address = self.fleet.boxes[self.box_index].callers.address;
     let is_get = kind == RequestKind::Repeatable;
     let mut request = Request::new(Full::new(Bytes::from_static(if is_get {
@@ -119,11 +134,14 @@
     let uri = format!("http://{address}{}{id}", kind.path());
     *request.uri_mut() = uri.parse().unwrap_or_default();
     let deadline = DEADLINE.as_millis().to_string();
+    let authorization = format!("Bearer {}", key.text());
     for (name, value) in [
       ("host", HOST),
       ("x-request-id", id),
       ("x-deadline-ms", &deadline),
       ("x-token-counts", "100,50"),
+      ("authorization", &authorization),
+      ("x-tenant", "claimed"),
     ] {
       if let Ok(value) = value.parse() {
         request.headers_mut().insert(name, value);
--- a/soak/src/configuration.rs
+++ b/soak/src/configuration.rs
@@ -1,7 +1,10 @@
 //! The configurations that the operator writes.
 
 use {
-  super::{endpoint_state::SEATS, exports::EXPORT_TTL, request_kind::RequestKind},
+  super::{
+    caller_key::organisations, endpoint_state::SEATS, exports::EXPORT_TTL,
+    request_kind::RequestKind,
+  },
   serde_json::{Value, json},
 };
 
@@ -23,6 +26,7 @@
     let mut route = route(RequestKind::Repeatable, "safe", "portal");
     route["name"] = json!(version_path(kept));
     route["pathPrefix"] = json!(version_path(kept));
+    route["allowAnonymous"] = json!(true);
     route
   }));
   json!({
@@ -35,6 +39,7 @@
     ],
     "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 65_536, "headerTimeoutMs": 3_000,
       "idleTimeoutMs": 15_000},
+    "tenants": organisations(version),
   })
 }
 
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -7,13 +7,13 @@
     event_stream::EventStream,
     exports::Exports,
     fault::EndpointFault,
-    ledger::Ledger,
+    ledger::{Ledger, RunGuard},
     part::Part,
     records::OrderRecord,
     reply::{ReplyBody, cut_body, json_answer, not_run, status, whole},
   },
   bytes::Bytes,
-  http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode},
+  http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header::AUTHORIZATION},
   http_body_util::BodyExt,
   hyper::body::Incoming,
   serde_json::{Value, json},
@@ -238,7 +238,7 @@
     }
     let reads_prompt = header(headers, "x-serving-stage") == Some("prefill");
     match (part, reads_prompt) {
-      (Part::Plain, _) => self.run_plain(&id, fault).await,
+      (Part::Plain, _) => self.run_plain(&id, headers, fault).await,
       (Part::Prefill, true) => self.read_prompt(&id, fault).await,
       (Part::Decode, false) => self.run_stream(&id, headers, fault).await,
       (Part::Prefill, false) | (Part::Decode, true) => {
@@ -247,12 +247,25 @@
     }
   }
 
+  /// Notes that a request begins to run, and what its headers say of its caller.
+  fn run(&self, id: &str, headers: &HeaderMap) -> RunGuard {
+    if headers.contains_key(AUTHORIZATION) {
+      let seen = format!("{id} at {}", self.incarnation);
+      self.ledger.records().shown_keys.push(seen);
+    }
+    let organisation = header(headers, "x-tenant").unwrap_or_default();
+    self
+      .ledger
+      .run(id, self.place, &self.incarnation, organisation)
+  }
+
   async fn run_plain(
     &self,
     id: &str,
+    headers: &HeaderMap,
     fault: Option<EndpointFault>,
   ) -> io::Result<Response<ReplyBody>> {
-    let _run = self.ledger.run(id, self.place, &self.incarnation);
+    let _run = self.run(id, headers);
     sleep(PLAIN_WORK).await;
     self.spoiled(id, fault).await?;
     match fault {
@@ -303,7 +316,7 @@
     let Some(seat) = Seat::take(&self, header(headers, "x-hold")) else {
       return Ok(not_run(headers, StatusCode::SERVICE_UNAVAILABLE));
     };
-    let run = self.ledger.run(id, self.place, &self.incarnation);
+    let run = self.run(id, headers);
     self.spoiled(id, fault).await?;
     if fault == Some(EndpointFault::Fails) {
       return Ok(self.sealed(id, StatusCode::INTERNAL_SERVER_ERROR, whole("failed")));
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -199,6 +199,11 @@
     }
   }
 
+  /// The newest version of the configuration.
+  pub(crate) fn newest_version(&self) -> u64 {
+    self.versions.load(Ordering::Relaxed)
+  }
+
   /// Writes a new configuration.
   pub(crate) fn configure(&self) {
     let version = self.versions.fetch_add(1, Ordering::Relaxed) + 1;
@@ -211,7 +216,7 @@
   /// Asks a box whether it has the newest version, past all links.
   pub(crate) async fn probe(&self, index: usize) {
     let asked = &self.boxes[index];
-    let version = self.versions.load(Ordering::Relaxed);
+    let version = self.newest_version();
     let (life, sent_ms) = (asked.life(), self.ledger.now_ms());
     let id = format!("probe-{index}-{sent_ms}");
     self.ledger.records().probe_ids.insert(id.clone());
--- a/soak/src/ledger.rs
+++ b/soak/src/ledger.rs
@@ -2,6 +2,7 @@
 
 use {
   super::{
+    caller_key::CallerKey,
     disturbance::{Disturbance, Target},
     records::{Outcome, Records, RequestRecord, Run},
     request_kind::RequestKind,
@@ -41,10 +42,11 @@
   }
 
   /// A caller sends a request.
-  pub(crate) fn sent(&self, id: &str, kind: RequestKind, box_index: usize) {
+  pub(crate) fn sent(&self, id: &str, kind: RequestKind, key: CallerKey, box_index: usize) {
     let record = RequestRecord {
       box_index,
       ended_ms: None,
+      key,
       kind,
       outcome: None,
       runs: Vec::new(),
@@ -63,7 +65,13 @@
   }
 
   /// An endpoint begins to run a request; the run lasts until the guard is dropped.
-  pub(crate) fn run(&self, id: &str, place: usize, incarnation: &str) -> RunGuard {
+  pub(crate) fn run(
+    &self,
+    id: &str,
+    place: usize,
+    incarnation: &str,
+    organisation: &str,
+  ) -> RunGuard {
     let began_ms = self.now_ms();
     let mut records = self.records();
     if records.probe_ids.contains(id) {
@@ -77,6 +85,7 @@
       began_ms,
       ended_ms: None,
       incarnation: incarnation.into(),
+      organisation: organisation.into(),
       place,
     });
     RunGuard(Some((self.clone(), id.into(), record.runs.len() - 1)))
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -4,6 +4,7 @@
 mod box_process;
 mod breach;
 mod caller;
+mod caller_key;
 mod calm;
 mod conductor;
 mod configuration;
@@ -18,6 +19,7 @@
 mod fleet;
 mod ledger;
 mod link;
+mod organisation_check;
 mod part;
 mod place;
 mod plan;
@@ -34,6 +36,7 @@
 
 pub use self::{
   breach::Breach,
+  caller_key::CallerKey,
   disturbance::{Disturbance, Target},
   error::{Error, Result},
   fault::{EndpointFault, Fault, LinkFault, StoreFault},
--- a/soak/src/promise.rs
+++ b/soak/src/promise.rs
@@ -29,6 +29,12 @@
   NothingHeld,
   /// Callers are served again after all faults.
   Recovered,
+  /// Endpoints are told the organisation that holds the caller's key.
+  Named,
+  /// Keys that are held are served, those that were taken away are not, and none is shown to an endpoint.
+  KeysKept,
+  /// No organisation is served beyond its limit.
+  LimitKept,
   /// Role orders of different boxes never pass each other.
   OneSteward,
 }
--- a/soak/src/promises.rs
+++ b/soak/src/promises.rs
@@ -3,7 +3,9 @@
 use {
   super::{
     breach::Breach,
+    caller_key::CallerKey,
     calm::CONTACT_MS,
+    organisation_check::organisation_breaches,
     promise::Promise,
     records::{OrderRecord, Outcome, PlannedStop, Probe, Records, RequestRecord},
     request_check::RequestCheck,
@@ -12,7 +14,7 @@
 };
 
 /// A configuration is in force this soon after the store took it (the users' bound).
-const CONFIGURE_MS: u64 = 2_000;
+pub(crate) const CONFIGURE_MS: u64 = 2_000;
 /// Share of requests that is served once recovered.
 const RECOVERED_SHARE: f64 = 0.9;
 
@@ -27,6 +29,7 @@
   breaches.extend(check.orders());
   breaches.extend(check.held());
   breaches.extend(check.recovery());
+  breaches.extend(organisation_breaches(records, slack_ms));
   breaches
 }
 
@@ -139,6 +142,8 @@
       .requests
       .values()
       .filter(|request| request.sent_ms >= since_ms && request.outcome != Some(Outcome::Left))
+      // Who asks for several times its limit is not served all of it.
+      .filter(|request| request.key != CallerKey::Hot)
       .collect();
     let served = late.iter().filter(|request| is_served(request)).count();
     // Without a request nothing is shown.
--- a/soak/src/records.rs
+++ b/soak/src/records.rs
@@ -1,7 +1,7 @@
 //! What callers, endpoints and the operator saw during a run. The promises are checked against this alone.
 
 use {
-  super::{disturbance::Disturbance, request_kind::RequestKind},
+  super::{caller_key::CallerKey, disturbance::Disturbance, request_kind::RequestKind},
   std::collections::{BTreeMap, BTreeSet},
 };
 
@@ -37,6 +37,8 @@
   pub place: usize,
   /// The endpoint's incarnation.
   pub incarnation: String,
+  /// The organisation that the endpoint was told.
+  pub organisation: String,
   /// When it began.
   pub began_ms: u64,
   /// When the endpoint stopped working on it; nothing while it does.
@@ -48,6 +50,8 @@
 pub struct RequestRecord {
   /// What it is.
   pub kind: RequestKind,
+  /// The key that it carries.
+  pub key: CallerKey,
   /// The box that it was sent to.
   pub box_index: usize,
   /// When it was sent.
@@ -106,6 +110,8 @@
   pub requests: BTreeMap<String, RequestRecord>,
   /// Runs under ids that no caller sent.
   pub unasked: Vec<String>,
+  /// Keys that endpoints were shown.
+  pub shown_keys: Vec<String>,
   /// Prompts that were taken up under another request's id.
   pub mixed_prompts: Vec<String>,
   /// The ids of this run's own questions; endpoints may run them after they are given up.
