One request at a limit is one value; totals and parts outlast a limit that goes and comes

Cause: an organisation that lost its limit and got it back began at a total of 0, which other boxes would take for units given back; a part of a limit that has changed stayed while a box was alone; six parameters in a row. Change: totals of organisations without a limit are kept, a part is renewed with its limit, UseRequest; the ways of the ledger are a function each; the replay's events and boxes have files of their own. Its test failed before (total 0 instead of 80: read from the code and shown by the test's expectation on the former set_limits).

--- /dev/null
+++ b/emulator/src/limits/limit_box.rs
@@ -0,0 +1,15 @@
+//! A box in a replay of limits.
+
+use rillford::gateway::{UseBook, UseLedger};
+
+/// A box.
+#[derive(Default)]
+pub(super) struct LimitBox {
+  pub(super) book: UseBook,
+  pub(super) ledger: UseLedger,
+  pub(super) started_ms: u64,
+  pub(super) idle_turns: u32,
+  pub(super) turns: u32,
+  pub(super) messages: u32,
+  pub(super) bytes: usize,
+}
--- a/emulator/src/limits/mod.rs
+++ b/emulator/src/limits/mod.rs
@@ -4,8 +4,10 @@
 //! A [`LimitPattern`] says what goes wrong and when, a [`LimitFleet`] how many boxes and organisations there are;
 //! [`replay_limits`] plays them with a seed and answers with [`LimitFigures`].
 
+mod event;
 mod figures;
 mod fleet;
+mod limit_box;
 mod pattern;
 mod replay;
 mod report;
--- a/emulator/src/limits/replay.rs
+++ b/emulator/src/limits/replay.rs
@@ -2,8 +2,10 @@
 
 use {
   super::{
+    event::Event,
     figures::{LimitFigures, WindowUse},
     fleet::{LimitFleet, REQUEST_UNITS},
+    limit_box::LimitBox,
     pattern::{BEGINS_MS, ENDS_MS, LimitPattern},
   },
   crate::queue::Queue,
@@ -11,8 +13,8 @@
   rand_chacha::ChaCha8Rng,
   rillford::{
     gateway::{
-      BoxList, LimitSettings, LimitWay, LocalVerdict, ToldSpan, UseBook, UseLedger, UseLimit,
-      UseTotals, UseVerdict,
+      BoxList, LimitSettings, LimitWay, LocalVerdict, ToldSpan, UseLimit, UseRequest, UseTotals,
+      UseVerdict,
     },
     ids::Name,
   },
@@ -32,40 +34,6 @@
 /// Bytes of an entry with a name and a number in a message.
 const ENTRY_BYTES: usize = 14;
 
-/// What happens at a moment.
-enum Event {
-  /// A request of an organisation comes.
-  Arrives { organisation: usize },
-  /// A box tells what it has to tell.
-  Tells { from: usize },
-  /// A box that counts hears another's totals.
-  HearsTotals { at: usize, totals: UseTotals },
-  /// A box that counts hears a report.
-  HearsReport {
-    at: usize,
-    from: usize,
-    used: Vec<(Name, i64)>,
-  },
-  /// The answer to a report.
-  HearsShort { at: usize, short: Vec<(Name, f64)> },
-  /// All boxes start anew.
-  BoxesStart,
-  /// Limits change.
-  LimitsChange,
-}
-
-/// A box.
-#[derive(Default)]
-struct LimitBox {
-  book: UseBook,
-  ledger: UseLedger,
-  started_ms: u64,
-  idle_turns: u32,
-  turns: u32,
-  messages: u32,
-  bytes: usize,
-}
-
 struct LimitReplay {
   pattern: LimitPattern,
   fleet: LimitFleet,
@@ -237,10 +205,8 @@
       let verdict = self.boxes[at].book.admit(&name, REQUEST_UNITS, now_ms);
       return verdict == UseVerdict::Within;
     }
-    let boxes = self.fleet.boxes;
-    let local = self.boxes[at]
-      .ledger
-      .admit(&name, limit, REQUEST_UNITS, self.way, boxes, now_ms);
+    let request = self.request(&name, limit, now_ms);
+    let local = self.boxes[at].ledger.admit(request, self.way);
     let verdict = match local {
       LocalVerdict::Settled(verdict) => verdict,
       LocalVerdict::Ask => self.ask(at, &name, limit, now_ms),
@@ -248,14 +214,23 @@
     verdict == UseVerdict::Within
   }
 
+  fn request<'a>(&self, organisation: &'a Name, limit: UseLimit, now_ms: u64) -> UseRequest<'a> {
+    UseRequest {
+      boxes: self.fleet.boxes,
+      limit,
+      now_ms,
+      organisation,
+      units: REQUEST_UNITS,
+    }
+  }
+
   /// Asks the first box that counts and is reached; in the replay it answers at once.
   fn ask(&mut self, at: usize, name: &Name, limit: UseLimit, now_ms: u64) -> UseVerdict {
     let Some(counting) = self.first_reached(at, now_ms) else {
-      let boxes = self.fleet.boxes;
-      self.boxes[at].ledger.note_unreached();
-      return self.boxes[at]
-        .ledger
-        .admit_alone(name, limit, REQUEST_UNITS, boxes, now_ms);
+      let request = self.request(name, limit, now_ms);
+      let ledger = &mut self.boxes[at].ledger;
+      ledger.note_unreached();
+      return ledger.admit_alone(request);
     };
     let used = self.boxes[at].ledger.take_untold();
     self.note_message(at, counting, used.len() + 1);
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -39,7 +39,7 @@
   seat_queue::{SeatPlace, SeatQueue, SeatUrgency},
   use_book::{ToldSpan, UseBook, UseTotals},
   use_bucket::UseBucket,
-  use_ledger::{LocalVerdict, UseLedger},
+  use_ledger::{LocalVerdict, UseLedger, UseRequest},
   use_verdict::UseVerdict,
 };
 
--- a/src/gateway/decisions/use_book.rs
+++ b/src/gateway/decisions/use_book.rs
@@ -82,6 +82,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct UseBook {
   accounts: HashMap<Name, Account>,
+  /// Totals of organisations that have no limit any more.
+  former_totals: HashMap<Name, i64>,
   peers: HashMap<Name, Peer>,
   followers: FollowerList,
   /// Part of all boxes that reports to nobody who counts.
@@ -89,17 +91,21 @@
 }
 
 impl UseBook {
-  /// Puts limits in force; organisations that have none any more are forgotten.
+  /// Puts limits in force. Of organisations that have none any more the totals are kept, since others go by their growth.
   pub fn set_limits(&mut self, limits: impl IntoIterator<Item = (Name, UseLimit)>, now_ms: u64) {
     let mut accounts = HashMap::new();
     for (name, limit) in limits {
       let account = match self.accounts.remove(&name) {
         Some(known) => known.with_limit(limit, now_ms),
-        None => Account::new(limit, now_ms),
+        None => Account::new(limit, self.former_totals.remove(&name), now_ms),
       };
       accounts.insert(name, account);
     }
-    self.accounts = accounts;
+    let gone = std::mem::replace(&mut self.accounts, accounts);
+    let totals = gone
+      .into_iter()
+      .map(|(name, account)| (name, account.total));
+    self.former_totals.extend(totals);
   }
 
   /// Whether no organisation is limited.
@@ -261,14 +267,15 @@
 }
 
 impl Account {
-  fn new(limit: UseLimit, now_ms: u64) -> Self {
+  fn new(limit: UseLimit, former_total: Option<i64>, now_ms: u64) -> Self {
+    let total = former_total.unwrap_or(0);
     Self {
       bucket: UseBucket::full(limit, now_ms),
       kept_back_to_ms: now_ms,
       limit,
       recent: RecentUse::default(),
-      told: 0,
-      total: 0,
+      told: total,
+      total,
     }
   }
 
--- a/src/gateway/decisions/use_ledger.rs
+++ b/src/gateway/decisions/use_ledger.rs
@@ -21,8 +21,21 @@
 const ALONE_FACTOR: f64 = 1.05;
 /// Part of a burst that a box admits before it has told: a fiftieth, or one request, for each of some hundred boxes.
 const UNTOLD_SHARE: f64 = 0.02;
-/// Requests that a box's own part holds at least: it has a fraction of a request a second of most organisations.
-const LEAST_BURST_REQUESTS: u64 = 1;
+
+/// A request of an organisation that has a limit.
+#[derive(Clone, Copy, Debug)]
+pub struct UseRequest<'a> {
+  /// The organisation.
+  pub organisation: &'a Name,
+  /// Its limit over all boxes.
+  pub limit: UseLimit,
+  /// What the request counts.
+  pub units: u64,
+  /// How many boxes there are.
+  pub boxes: usize,
+  /// When it came.
+  pub now_ms: u64,
+}
 
 /// What a box makes of a request by itself.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -44,16 +57,17 @@
 /// The limits as a box that does not count sees them.
 ///
 /// ```
-/// use rillford::gateway::{LimitWay, LocalVerdict, UseLedger, UseLimit, UseVerdict};
+/// use rillford::gateway::{LimitWay, LocalVerdict, UseLedger, UseLimit, UseRequest, UseVerdict};
 /// let lectures = "lectures".into();
 /// let limit = UseLimit { burst: 100.0, rate_per_s: 10.0 };
 /// let mut ledger = UseLedger::default();
 /// ledger.heard(vec![], 0);
-/// let verdict = ledger.admit(&lectures, limit, 80, LimitWay::AskedWhenShort, 10, 0);
+/// let request = UseRequest { boxes: 10, limit, now_ms: 0, organisation: &lectures, units: 80 };
+/// let verdict = ledger.admit(request, LimitWay::AskedWhenShort);
 /// assert_eq!(verdict, LocalVerdict::Settled(UseVerdict::Within));
 /// assert_eq!(ledger.take_untold(), vec![("lectures".into(), 80)]);
 /// ledger.heard(vec![("lectures".into(), 20.0)], 100);
-/// let verdict = ledger.admit(&lectures, limit, 80, LimitWay::AskedWhenShort, 10, 100);
+/// let verdict = ledger.admit(UseRequest { now_ms: 100, ..request }, LimitWay::AskedWhenShort);
 /// assert_eq!(verdict, LocalVerdict::Ask);
 /// ```
 #[derive(Clone, Debug, Default)]
@@ -71,50 +85,62 @@
 /// A box's own part of a limit.
 #[derive(Clone, Copy, Debug)]
 struct OwnPart {
+  /// The limit that it is a part of.
+  of: UseLimit,
   part: UseLimit,
   bucket: UseBucket,
 }
 
 impl UseLedger {
   /// Decides on a request of an organisation, and notes it when it is within the limit.
-  pub fn admit(
-    &mut self,
-    organisation: &Name,
-    limit: UseLimit,
-    units: u64,
-    way: LimitWay,
-    boxes: usize,
-    now_ms: u64,
-  ) -> LocalVerdict {
-    // A box that has just started is not alone yet.
-    if way == LimitWay::AskedWhenShort && self.heard_ms.is_none() && !self.is_unreached {
-      return LocalVerdict::Ask;
-    }
-    if way == LimitWay::EvenParts || self.is_alone(now_ms) {
-      let verdict = self.admit_by_part(organisation, limit, units, way, boxes, now_ms);
-      return LocalVerdict::Settled(verdict);
-    }
-    self.own.remove(organisation);
-    let verdict = match self.short.get(organisation) {
-      None
-        if way == LimitWay::AskedWhenShort && self.has_much_untold(organisation, limit, units) =>
-      {
+  pub fn admit(&mut self, request: UseRequest, way: LimitWay) -> LocalVerdict {
+    match way {
+      LimitWay::EvenParts => LocalVerdict::Settled(self.admit_by_even_part(request)),
+      // A box that has just started is not alone yet.
+      LimitWay::AskedWhenShort if self.heard_ms.is_none() && !self.is_unreached => {
         LocalVerdict::Ask
       }
-      None => LocalVerdict::Settled(UseVerdict::Within),
-      Some(short) if now_ms < short.refused_until_ms => LocalVerdict::Settled(UseVerdict::Beyond {
-        left: short.left,
-        wait_ms: short.refused_until_ms - now_ms,
-      }),
-      Some(_) if way == LimitWay::AskedWhenShort => LocalVerdict::Ask,
-      Some(short) => LocalVerdict::Settled(short.verdict(limit, units)),
+      _ if self.is_alone(request.now_ms) => LocalVerdict::Settled(self.admit_alone(request)),
+      LimitWay::ToldSums => LocalVerdict::Settled(self.admit_by_told(request)),
+      LimitWay::AskedWhenShort => self.admit_or_ask(request),
+    }
+  }
+
+  /// Decides by what was left when it was heard.
+  fn admit_by_told(&mut self, request: UseRequest) -> UseVerdict {
+    let verdict = match self.short.get(request.organisation) {
+      Some(short) => short.verdict(request.limit, request.units),
+      None => UseVerdict::Within,
     };
-    if verdict == LocalVerdict::Settled(UseVerdict::Within) {
-      self.note(organisation, units as i64, now_ms);
+    if verdict == UseVerdict::Within {
+      self.note_request(request);
     }
     verdict
   }
 
+  /// Decides where the limit is far off, or where a refusal was heard just now.
+  fn admit_or_ask(&mut self, request: UseRequest) -> LocalVerdict {
+    match self.short.get(request.organisation) {
+      None if self.has_much_untold(request) => LocalVerdict::Ask,
+      None => {
+        self.note_request(request);
+        LocalVerdict::Settled(UseVerdict::Within)
+      }
+      Some(short) if request.now_ms < short.refused_until_ms => {
+        LocalVerdict::Settled(UseVerdict::Beyond {
+          left: short.left,
+          wait_ms: short.refused_until_ms - request.now_ms,
+        })
+      }
+      Some(_) => LocalVerdict::Ask,
+    }
+  }
+
+  fn note_request(&mut self, request: UseRequest) {
+    self.own.remove(request.organisation);
+    self.note(request.organisation, request.units as i64, request.now_ms);
+  }
+
   /// Whether no box that counts is heard.
   pub fn is_alone(&self, now_ms: u64) -> bool {
     let heard_lately = self
@@ -129,9 +155,9 @@
   }
 
   /// Whether a request comes on top of so much that others have not heard of that it is asked for.
-  fn has_much_untold(&self, organisation: &Name, limit: UseLimit, units: u64) -> bool {
-    let untold = self.untold.get(organisation).copied().unwrap_or(0);
-    untold > 0 && untold as f64 + units as f64 > limit.burst * UNTOLD_SHARE
+  fn has_much_untold(&self, request: UseRequest) -> bool {
+    let untold = self.untold.get(request.organisation).copied().unwrap_or(0);
+    untold > 0 && untold as f64 + request.units as f64 > request.limit.burst * UNTOLD_SHARE
   }
 
   /// How old what it knows is; nothing when it knows nothing.
@@ -201,75 +227,70 @@
     recent.note(units, now_ms);
   }
 
-  /// Decides without any other box, when none answers.
-  pub fn admit_alone(
-    &mut self,
-    organisation: &Name,
-    limit: UseLimit,
-    units: u64,
-    boxes: usize,
-    now_ms: u64,
-  ) -> UseVerdict {
-    let way = LimitWay::AskedWhenShort;
-    self.admit_by_part(organisation, limit, units, way, boxes, now_ms)
+  /// Decides without any other box, when none answers: by the rate that this box had, fixed when it is first needed.
+  pub fn admit_alone(&mut self, request: UseRequest) -> UseVerdict {
+    let UseRequest { limit, now_ms, .. } = request;
+    let even = limit.rate_per_s / request.boxes.max(1) as f64;
+    let before = self.recent.get(request.organisation);
+    let as_before = before.map_or(0.0, |before| before.per_s(now_ms) * ALONE_FACTOR);
+    let part = part_of(request, as_before.clamp(even, limit.rate_per_s));
+    let own = match self.own.get(request.organisation) {
+      Some(own) if own.of == limit => *own,
+      _ => OwnPart::new(limit, part, now_ms),
+    };
+    self.take_from(own, request)
   }
 
-  /// Decides by this box's own part of the limit, which is fixed when it is first needed.
-  fn admit_by_part(
-    &mut self,
-    organisation: &Name,
-    limit: UseLimit,
-    units: u64,
-    way: LimitWay,
-    boxes: usize,
-    now_ms: u64,
-  ) -> UseVerdict {
-    let part = self.own_part(organisation, limit, units, way, boxes, now_ms);
-    let bucket = &mut part.bucket;
-    // Where the part is smaller than a request, one goes when the bucket is full.
-    let wanted = (units as f64).min(part.part.burst);
-    let left = bucket.left(part.part, now_ms);
-    if left < wanted {
-      let wait_ms = bucket.wait_ms(part.part, wanted, now_ms);
-      return UseVerdict::Beyond { left, wait_ms };
-    }
-    bucket.charge(part.part, units as f64);
-    UseVerdict::Within
+  /// Decides by an even part of the limit.
+  fn admit_by_even_part(&mut self, request: UseRequest) -> UseVerdict {
+    let UseRequest { limit, now_ms, .. } = request;
+    let part = part_of(request, limit.rate_per_s / request.boxes.max(1) as f64);
+    let mut own = match self.own.get(request.organisation) {
+      Some(own) => *own,
+      None => OwnPart::new(limit, part, now_ms),
+    };
+    own.bucket.change(own.part, part, now_ms);
+    own.part = part;
+    self.take_from(own, request)
   }
 
-  fn own_part(
-    &mut self,
-    organisation: &Name,
-    limit: UseLimit,
-    units: u64,
-    way: LimitWay,
-    boxes: usize,
-    now_ms: u64,
-  ) -> &mut OwnPart {
-    let even = 1.0 / boxes.max(1) as f64;
-    let before = self.recent.get(organisation);
-    let rate_per_s = match (way, before) {
-      (LimitWay::EvenParts, _) | (_, None) => limit.rate_per_s * even,
-      (_, Some(before)) => {
-        let as_before = before.per_s(now_ms) * ALONE_FACTOR;
-        as_before.clamp(limit.rate_per_s * even, limit.rate_per_s)
-      }
-    };
-    let least_burst = (units * LEAST_BURST_REQUESTS) as f64;
-    let part = UseLimit {
-      burst: (limit.burst * rate_per_s / limit.rate_per_s).max(least_burst),
-      rate_per_s,
+  /// Takes a request from a part of the limit, if it is there, and keeps the part.
+  fn take_from(&mut self, mut own: OwnPart, request: UseRequest) -> UseVerdict {
+    let UseRequest { now_ms, units, .. } = request;
+    // Where the part is smaller than a request, one goes when the bucket is full.
+    let wanted = (units as f64).min(own.part.burst);
+    let left = own.bucket.left(own.part, now_ms);
+    let verdict = if left < wanted {
+      let wait_ms = own.bucket.wait_ms(own.part, wanted, now_ms);
+      UseVerdict::Beyond { left, wait_ms }
+    } else {
+      own.bucket.charge(own.part, units as f64);
+      UseVerdict::Within
     };
-    let fresh = OwnPart {
+    self.own.insert(request.organisation.clone(), own);
+    verdict
+  }
+}
+
+/// The part of a limit with a rate; it holds one request at least.
+fn part_of(request: UseRequest, rate_per_s: f64) -> UseLimit {
+  let UseLimit {
+    burst,
+    rate_per_s: whole_per_s,
+  } = request.limit;
+  UseLimit {
+    burst: (burst * rate_per_s / whole_per_s).max(request.units as f64),
+    rate_per_s,
+  }
+}
+
+impl OwnPart {
+  fn new(of: UseLimit, part: UseLimit, now_ms: u64) -> Self {
+    Self {
       bucket: UseBucket::full(part, now_ms),
+      of,
       part,
-    };
-    let own = self.own.entry(organisation.clone()).or_insert(fresh);
-    if way == LimitWay::EvenParts && own.part != part {
-      own.bucket.change(own.part, part, now_ms);
-      own.part = part;
     }
-    own
   }
 }
 
--- a/src/gateway/limits/admission.rs
+++ b/src/gateway/limits/admission.rs
@@ -7,7 +7,7 @@
   },
   crate::{
     gateway::{
-      decisions::{LocalVerdict, UseVerdict},
+      decisions::{LocalVerdict, UseRequest, UseVerdict},
       edge::{CallerFacts, Organisation, UseLimit},
       state::Gateway,
     },
@@ -115,33 +115,24 @@
   limit: UseLimit,
   units: u64,
 ) -> UseVerdict {
-  let local = decide_here(gateway, name, limit, units);
+  let request = || UseRequest {
+    boxes: gateway.box_count(),
+    limit,
+    now_ms: gateway.now_ms(),
+    organisation: name,
+    units,
+  };
+  let way = gateway.settings.limits.way;
+  let local = gateway.use_ledger.borrow_mut().admit(request(), way);
   match local {
     LocalVerdict::Settled(verdict) => verdict,
     LocalVerdict::Ask => match ask(gateway, name, units).await {
       Some(verdict) => verdict,
-      None => decide_alone(gateway, name, limit, units),
+      None => gateway.use_ledger.borrow_mut().admit_alone(request()),
     },
   }
 }
 
-fn decide_here(gateway: &Gateway, name: &Name, limit: UseLimit, units: u64) -> LocalVerdict {
-  let boxes = gateway.box_count();
-  let way = gateway.settings.limits.way;
-  gateway
-    .use_ledger
-    .borrow_mut()
-    .admit(name, limit, units, way, boxes, gateway.now_ms())
-}
-
-fn decide_alone(gateway: &Gateway, name: &Name, limit: UseLimit, units: u64) -> UseVerdict {
-  let boxes = gateway.box_count();
-  gateway
-    .use_ledger
-    .borrow_mut()
-    .admit_alone(name, limit, units, boxes, gateway.now_ms())
-}
-
 /// Asks the boxes that count; nothing when none answers in time.
 async fn ask(gateway: &Gateway, name: &Name, units: u64) -> Option<UseVerdict> {
   for address in candidates(gateway).into_iter().take(MOST_ASKED) {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -27,7 +27,7 @@
   decisions::{
     BoxEntry, BoxList, Choice, EndpointBook, KeptPrompts, LimitWay, LocalVerdict, PartEnd,
     RecentEngines, RetryAllowance, RetryWindow, SeatForecast, SeatPlace, SeatQueue, SeatUrgency,
-    Surplus, ToldSpan, UseBook, UseBucket, UseLedger, UseTotals, UseVerdict, Wanted,
+    Surplus, ToldSpan, UseBook, UseBucket, UseLedger, UseRequest, UseTotals, UseVerdict, Wanted,
     retry_pause_ms, staying_engines, surplus,
   },
   edge::{
--- a/tests/gateway/limits.rs
+++ b/tests/gateway/limits.rs
@@ -173,6 +173,19 @@
   assert_eq!(book.admit(&a, 1_000, 0), UseVerdict::Within);
 }
 
+/// Totals that fell back to nothing would be taken for units given back.
+#[test]
+fn organisation_that_loses_its_limit_and_gets_it_back_goes_on_from_its_total() {
+  let mut counting = book(0);
+  counting.count("a", 80, 0);
+  counting.set_limits([], 0);
+  counting.set_limits([("a".into(), limit())], 0);
+  assert_eq!(
+    counting.totals_to_tell(ToldSpan::All),
+    [(Name::from("a"), 80)]
+  );
+}
+
 /// One step of two boxes that count for each other.
 #[derive(Clone, Copy, Debug)]
 enum Step {
