Mutants of the limits point to the tests that find them

Cause: two survived: alone or not makes no difference to the bound, since a question that fails ends in the same part of the limit; what is untold matters where boxes are alone, not in the comparison of two ways. Ruled out: dropping the check for being alone (each question would hold a request up for 240 ms).

--- a/tests/gateway/limits.rs
+++ b/tests/gateway/limits.rs
@@ -6,7 +6,10 @@
   http::{HeaderValue, StatusCode, header::AUTHORIZATION},
   proptest::{prelude::*, proptest},
   rillford::{
-    gateway::{LimitWay, ToldSpan, UseBook, UseLimit, UseTotals, UseVerdict},
+    gateway::{
+      LimitWay, LocalVerdict, ToldSpan, UseBook, UseLedger, UseLimit, UseRequest, UseTotals,
+      UseVerdict,
+    },
     ids::Name,
   },
   rstest::rstest,
@@ -186,6 +189,33 @@
   );
 }
 
+/// Each question would hold a request up until it times out.
+#[rstest]
+#[case::silence(false, 1_001)]
+#[case::no_answer(true, 10)]
+fn box_that_is_alone_asks_nobody(#[case] is_unreached: bool, #[case] now_ms: u64) {
+  let mut ledger = UseLedger::default();
+  ledger.heard(vec![("a".into(), 10.0)], 0);
+  let organisation = "a".into();
+  let mut request = UseRequest {
+    boxes: 10,
+    limit: limit(),
+    now_ms: 0,
+    organisation: &organisation,
+    units: 5,
+  };
+  let way = LimitWay::AskedWhenShort;
+  assert_eq!(ledger.admit(request, way), LocalVerdict::Ask);
+  if is_unreached {
+    ledger.note_unreached();
+  }
+  request.now_ms = now_ms;
+  let within = LocalVerdict::Settled(UseVerdict::Within);
+  assert_eq!(ledger.admit(request, way), within);
+  ledger.heard(vec![], now_ms);
+  assert_eq!(ledger.admit(request, way), within);
+}
+
 /// One step of two boxes that count for each other.
 #[derive(Clone, Copy, Debug)]
 enum Step {
