--- a/tests/gateway/limits.rs
+++ b/tests/gateway/limits.rs
@@ -80,6 +80,14 @@
   }
 }
 
+/// Messages between boxes take half a second. The bound is passed then; without a bound on what a box admits untold, by twice as
+/// much.
+#[test]
+fn little_is_admitted_untold_while_messages_lag() {
+  let plays = plays(LimitPattern::HotAndLag, LimitWay::AskedWhenShort);
+  assert!(most_used(&plays) < 1.25, "{plays:?}");
+}
+
 fn limit() -> UseLimit {
   UseLimit {
     burst: 100.0,
