--- a/soak/src/calm.rs
+++ b/soak/src/calm.rs
@@ -7,6 +7,8 @@
 
 /// Time without trouble after which a box counts as connected (the users' bound on contact).
 pub(crate) const CONTACT_MS: u64 = 3_000;
+/// A configuration is in force this soon after the store took it (the users' bound).
+pub(crate) const CONFIGURE_MS: u64 = 2_000;
 
 impl Records {
   /// Whether nothing that a request met was disturbed from shortly before a time until another.
--- a/soak/src/organisation_check.rs
+++ b/soak/src/organisation_check.rs
@@ -3,8 +3,8 @@
 use super::{
   breach::Breach,
   caller_key::{CallerKey, HOT, HOT_UNITS_PER_S, OVERAGE, REQUEST_UNITS, SLACK_UNITS},
+  calm::CONFIGURE_MS,
   promise::Promise,
-  promises::CONFIGURE_MS,
   records::{Outcome, Records, RequestRecord, Run},
 };
 
--- a/soak/src/promises.rs
+++ b/soak/src/promises.rs
@@ -4,7 +4,7 @@
   super::{
     breach::Breach,
     caller_key::CallerKey,
-    calm::CONTACT_MS,
+    calm::{CONFIGURE_MS, CONTACT_MS},
     organisation_check::organisation_breaches,
     promise::Promise,
     records::{OrderRecord, Outcome, PlannedStop, Probe, Records, RequestRecord},
@@ -13,8 +13,6 @@
   std::collections::BTreeMap,
 };
 
-/// A configuration is in force this soon after the store took it (the users' bound).
-pub(crate) const CONFIGURE_MS: u64 = 2_000;
 /// Share of requests that is served once recovered.
 const RECOVERED_SHARE: f64 = 0.9;
 
