Boxes of the tests listen on loopback addresses of their own: no address is bound to find out that it is free

'boxes are not ready' came again in one of two runs of answers, memory, leaving, at_most_once and contracts on 24 threads, now with the boxes' logs in the message: 'listening for administration on 127.0.0.1:11150: Address already in use'. The harness bound each port once, dropped it and gave it to a box. A process that another thread is just starting holds a copy of that socket until it runs its own program, so the box finds the port taken. Ruled out: outgoing connections (they take ports from 32,768 on), two calls with one port (a counter).

Now each process has a loopback IP of its own, as the gateway's tests had already (that twin is gone).

--- a/emulator/src/demo.rs
+++ b/emulator/src/demo.rs
@@ -4,8 +4,8 @@
   crate::{
     ADMIN_KEY, Ask, Authority, BoxProcess, CALLER_KEY, Caller, HallPlan, ORGANISATION, Plan,
     ShownList, Told, answer_text,
-    deployment::{PlatformUrls, free_tcp, place_box},
-    eventually,
+    deployment::{PlatformUrls, place_box},
+    eventually, own_addresses,
   },
   http::{Method, Request},
   http_body_util::Full,
@@ -38,7 +38,7 @@
 }
 
 fn stand_in(arguments: &[&str]) -> io::Result<StandIn> {
-  let address = free_tcp()?;
+  let [address] = own_addresses();
   let child = Command::new(env::current_exe()?)
     .args(arguments)
     .arg("--listen")
--- a/emulator/src/deployment.rs
+++ b/emulator/src/deployment.rs
@@ -3,7 +3,7 @@
 use {
   crate::{
     Authority, BoxListStandIn, DoorFaults, EngineOptions, EngineStandIn, Host, KeyValueStandIn,
-    Relay, ServiceStandIn,
+    Relay, ServiceStandIn, own_addresses,
   },
   rillford::{
     configuration::hash_key,
@@ -14,19 +14,14 @@
     fmt::Write as _,
     fs::{self, File},
     io,
-    net::{SocketAddr, TcpListener, UdpSocket},
+    net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Stdio},
-    sync::atomic::{AtomicU32, Ordering},
     time::Duration,
   },
   tempfile::TempDir,
 };
 
-const FIRST_PORT: u16 = 10_000;
-const PORTS: u32 = 20_000;
-const PORTS_PER_PROCESS: u32 = 1_009;
-
 /// Bearer key of the organisation that deployments start with.
 pub const CALLER_KEY: &str = "caller-key";
 
@@ -226,35 +221,6 @@
   folder: TempDir,
 }
 
-/// Ports for processes that bind them later. They lie below the range from which the system takes
-/// ports for outgoing connections, and no two calls of this process get the same.
-fn next_port() -> u16 {
-  static NEXT: AtomicU32 = AtomicU32::new(0);
-  let first = std::process::id().wrapping_mul(PORTS_PER_PROCESS);
-  let port = first.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)) % PORTS;
-  FIRST_PORT + u16::try_from(port).unwrap_or(0)
-}
-
-pub(crate) fn free_tcp() -> io::Result<SocketAddr> {
-  for _ in 0..PORTS {
-    let address = SocketAddr::from(([127, 0, 0, 1], next_port()));
-    if TcpListener::bind(address).is_ok() {
-      return Ok(address);
-    }
-  }
-  Err(io::Error::other("no free port"))
-}
-
-fn free_udp() -> io::Result<SocketAddr> {
-  for _ in 0..PORTS {
-    let address = SocketAddr::from(([127, 0, 0, 1], next_port()));
-    if UdpSocket::bind(address).is_ok() {
-      return Ok(address);
-    }
-  }
-  Err(io::Error::other("no free port"))
-}
-
 /// Where a box finds the platform's services.
 pub(crate) struct PlatformUrls {
   pub(crate) key_value: String,
@@ -489,9 +455,7 @@
   urls: &PlatformUrls,
   endpoints: &str,
 ) -> io::Result<BoxProcess> {
-  let callers = free_tcp()?;
-  let administration = free_tcp()?;
-  let peers = free_udp()?;
+  let [callers, administration, peers] = own_addresses();
   let relay = Relay::start(peers)?;
   let mut text = String::new();
   let _ = write!(
--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod limits;
 pub mod load;
 pub mod log_summary;
+mod own_addresses;
 mod path_bench;
 mod queue;
 pub mod regress;
@@ -34,6 +35,7 @@
   host::Host,
   key_value::{DoorFaults, KeyValueFaults, KeyValueStandIn},
   keys::Authority,
+  own_addresses::own_addresses,
   relay::Relay,
   service::{Echo, ServiceFaults, ServiceStandIn},
   subcommand::run,
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -3,16 +3,15 @@
 use {
   super::EndpointStandIn,
   bytes::Bytes,
-  emulator::eventually,
+  emulator::{eventually, own_addresses},
   http::{HeaderMap, Method, Request, StatusCode},
   http_body_util::{BodyExt, Full},
   rillford::{CallError, HttpClient},
   serde_json::{Value, json},
   stand_ins::PlatformStore,
   std::{
-    net::{Ipv4Addr, SocketAddr},
+    net::SocketAddr,
     process::{Child, Command, Stdio},
-    sync::atomic::{AtomicU32, Ordering},
     time::Duration,
   },
   tokio::task::JoinHandle,
@@ -232,25 +231,6 @@
   }
 }
 
-/// Addresses of a loopback IP that no other test has: a port that was found free on 127.0.0.1 may be taken by
-/// an outgoing connection before the box listens there.
-fn own_addresses<const COUNT: usize>() -> [SocketAddr; COUNT] {
-  static BOXES: AtomicU32 = AtomicU32::new(0);
-  let number = BOXES.fetch_add(1, Ordering::Relaxed);
-  let process = std::process::id();
-  let ip = Ipv4Addr::new(
-    127,
-    64 + (process % 64) as u8,
-    (process / 64 % 256) as u8,
-    number as u8 + 1,
-  );
-  let mut port = 7_000;
-  [(); COUNT].map(|()| {
-    port += 1;
-    SocketAddr::from((ip, port))
-  })
-}
-
 /// A running box.
 pub(crate) struct GatewayBox {
   /// Where the other boxes reach it.
--- a/tests/test.rs
+++ b/tests/test.rs
@@ -76,10 +76,11 @@
 
   /// Starts the deployment and waits until each box serves both kinds of work.
   pub(crate) async fn start(self) -> Running {
-    let running = self.start_unready();
+    let mut running = self.start_unready();
     assert!(
       running.deployment.ready(PATIENCE).await,
-      "boxes are not ready"
+      "boxes are not ready:\n{}",
+      running.box_reports()
     );
     for name in running.deployment.boxes.keys() {
       running.wait_serving(name).await;
@@ -97,6 +98,16 @@
 }
 
 impl Running {
+  /// What became of each box's process, and its log.
+  fn box_reports(&mut self) -> String {
+    let boxes = self.deployment.boxes.iter_mut();
+    let reports = boxes.map(|(name, process)| {
+      let ended = process.ended();
+      format!("{name}: ended {ended:?}\n{}", process.log())
+    });
+    reports.collect::<Vec<_>>().join("\n")
+  }
+
   pub(crate) fn url(&self, name: &str) -> String {
     self.deployment.boxes[name].url()
   }
