A lost part's line names the request's fingerprint, the endpoint's life, and whether the endpoint has ended

E528 has the first 8 hex digits of a hash over organisation, method, host, path and body, the endpoint with its start, how long the part had run there, and what one connection to the endpoint shows right after: refused or closed at once (ended), accepted (it lives), neither (unknown: a cut). The key is not in the hash; the body can't be told from eight digits. No decision changes. What it costs: one connection for each lost part.

--- a/emulator/src/load/replay.rs
+++ b/emulator/src/load/replay.rs
@@ -131,6 +131,7 @@
   let port = FIRST_PORT + number as u16;
   EndpointEntry {
     address: ([127, 0, 0, 1], port).into(),
+    born_ms: None,
     hall: hall_name(number),
     id: engine_name(number),
     leaving: false,
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -6,6 +6,8 @@
 mod box_list;
 mod choice;
 mod endpoint_book;
+mod endpoint_life;
+mod fingerprint;
 mod follower_list;
 mod hall_reach;
 mod kept_prompts;
@@ -29,6 +31,8 @@
   box_list::{BoxEntry, BoxList},
   choice::{Choice, PartEnd, Wanted},
   endpoint_book::EndpointBook,
+  endpoint_life::EndpointLife,
+  fingerprint::{Fingerprint, RequestIdentity},
   kept_prompts::KeptPrompts,
   limit_way::LimitWay,
   recent_engines::{RecentEngines, staying_engines},
--- a/src/gateway/edge/dialect.rs
+++ b/src/gateway/edge/dialect.rs
@@ -105,6 +105,8 @@
 /// What an engine says of its orders.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct EngineReport {
+  /// When it started, as Unix milliseconds, if it says so.
+  pub born_ms: Option<u64>,
   /// Its role at present.
   pub role: Option<Role>,
   /// Orders that it has taken since its start.
--- a/src/gateway/edge/endpoint_entry.rs
+++ b/src/gateway/edge/endpoint_entry.rs
@@ -10,6 +10,8 @@
 pub struct EndpointEntry {
   /// The incarnation.
   pub id: Name,
+  /// When it started, as Unix milliseconds; nothing when it does not say. It may start again under its id.
+  pub born_ms: Option<u64>,
   /// The service that it belongs to.
   pub service: Name,
   /// Where it listens.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -25,10 +25,10 @@
 pub use self::{
   connections::remove_connection_headers,
   decisions::{
-    BoxEntry, BoxList, Choice, EndpointBook, KeptPrompts, LimitWay, LocalVerdict, PartEnd,
-    RecentEngines, RetryAllowance, RetryWindow, SeatForecast, SeatPlace, SeatQueue, SeatUrgency,
-    Surplus, ToldSpan, UseBook, UseBucket, UseLedger, UseRequest, UseTotals, UseVerdict, Wanted,
-    retry_pause_ms, staying_engines, surplus,
+    BoxEntry, BoxList, Choice, EndpointBook, EndpointLife, Fingerprint, KeptPrompts, LimitWay,
+    LocalVerdict, PartEnd, RecentEngines, RequestIdentity, RetryAllowance, RetryWindow,
+    SeatForecast, SeatPlace, SeatQueue, SeatUrgency, Surplus, ToldSpan, UseBook, UseBucket,
+    UseLedger, UseRequest, UseTotals, UseVerdict, Wanted, retry_pause_ms, staying_engines, surplus,
   },
   edge::{
     AnswerFacts, CallerFacts, CallerLimits, DecodeError, Dialect, EndpointCall, EndpointEntry,
--- a/src/gateway/parts/part.rs
+++ b/src/gateway/parts/part.rs
@@ -120,6 +120,9 @@
 
 /// An answer's head that belongs to the request.
 pub(crate) struct Head {
+  /// The endpoint as it was when the request was sent there.
+  pub(crate) entry: EndpointEntry,
+  pub(crate) sent_ms: u64,
   pub(crate) status: StatusCode,
   /// As they came, those of the connection included.
   pub(crate) raw_headers: HeaderMap,
@@ -188,6 +191,7 @@
   units: u64,
 ) -> Result<Head, PartError> {
   let mut booking = Booking::new(gateway, &entry.id, size, units);
+  let sent_ms = gateway.now_ms();
   let sent = request.for_endpoint(&*gateway.dialect, marks);
   let answered = exchange(gateway, entry, sent, Purpose::Request)
     .await
@@ -201,8 +205,10 @@
       body,
       booking,
       connection,
+      entry: entry.clone(),
       facts,
       raw_headers: head.headers,
+      sent_ms,
       status: head.status,
     }),
     Err(error) => {
--- a/src/gateway/parts/request.rs
+++ b/src/gateway/parts/request.rs
@@ -3,15 +3,16 @@
 use {
   crate::{
     gateway::{
+      decisions::{Fingerprint, RequestIdentity},
       edge::{CallerFacts, Dialect, EndpointEntry, Marks, Organisation, Part, Route},
       settings::RouteRank,
     },
     ids::Name,
   },
   bytes::Bytes,
-  http::{HeaderMap, Method, Request, Uri},
+  http::{HeaderMap, Method, Request, Uri, header::HOST},
   http_body_util::Full,
-  std::rc::Rc,
+  std::{cell::OnceCell, rc::Rc},
 };
 
 /// Part of the longest answer that is reserved where the caller gives no estimate: answers are a third of it at the
@@ -42,6 +43,8 @@
   pub(crate) arrived_ms: u64,
   /// When its final answer is due at the latest.
   pub(crate) until_ms: u64,
+  /// Worked out when it is first asked for.
+  pub(crate) fingerprint: OnceCell<Fingerprint>,
 }
 
 impl RoutedRequest {
@@ -71,6 +74,26 @@
     request
   }
 
+  /// What it shares with its repeats, whatever their ids.
+  pub(crate) fn fingerprint(&self) -> Fingerprint {
+    *self.fingerprint.get_or_init(|| {
+      let host = self.headers.get(HOST).and_then(|host| host.to_str().ok());
+      Fingerprint::of(RequestIdentity {
+        body: &self.body,
+        host: host.unwrap_or_default(),
+        method: self.method.as_str(),
+        organisation: self
+          .organisation
+          .as_ref()
+          .map(|organisation| &*organisation.name),
+        path: self
+          .uri
+          .path_and_query()
+          .map_or(self.uri.path(), |path| path.as_str()),
+      })
+    })
+  }
+
   /// Its id, for logs.
   pub(crate) fn id(&self) -> &str {
     self.facts.request_id.as_deref().unwrap_or("-")
--- a/src/gateway/requests/event_source.rs
+++ b/src/gateway/requests/event_source.rs
@@ -9,7 +9,7 @@
   },
   crate::gateway::{
     decisions::PartEnd,
-    parts::{Head, PartError},
+    parts::{Head, LostPart, PartError, note_lost},
     state::InFlight,
   },
   bytes::Bytes,
@@ -196,6 +196,12 @@
     );
     if let Some(mut head) = self.head.take() {
       head.booking.settle(PartEnd::Lost);
+      let lost = LostPart {
+        entry: head.entry.clone(),
+        error: error.clone(),
+        sent_ms: head.sent_ms,
+      };
+      note_lost(&self.stream.gateway, &request, lost);
       self.stream.wrote_it = Some(head.connection.endpoint.clone());
     }
     self.cutter = EventCutter::default();
--- a/src/gateway/requests/front.rs
+++ b/src/gateway/requests/front.rs
@@ -24,7 +24,7 @@
   http_body_util::{BodyExt, LengthLimitError, Limited},
   hyper::{body::Incoming, server::conn::http1, service::service_fn},
   hyper_util::rt::{TokioIo, TokioTimer},
-  std::{convert::Infallible, pin::pin, rc::Rc, time::Duration},
+  std::{cell::OnceCell, convert::Infallible, pin::pin, rc::Rc, time::Duration},
   tokio::{
     net::{TcpListener, TcpStream},
     task::spawn_local,
@@ -226,6 +226,7 @@
     arrived_ms,
     body,
     facts,
+    fingerprint: OnceCell::new(),
     headers,
     method: head.method,
     organisation,
--- a/src/gateway/requests/plain.rs
+++ b/src/gateway/requests/plain.rs
@@ -6,7 +6,7 @@
     gateway::{
       decisions::{RETRY_AFTER_FULL_MS, RETRY_AFTER_NO_ENDPOINT_MS, Wanted},
       edge::{EndpointEntry, Marks, Part},
-      parts::{PartError, RoutedRequest, WholeAnswer, send_part},
+      parts::{LostPart, PartError, RoutedRequest, WholeAnswer, note_lost, send_part},
       state::Gateway,
     },
     ids::Name,
@@ -227,8 +227,22 @@
   entry: EndpointEntry,
   marks: Marks,
 ) -> (Name, Result<WholeAnswer, PartError>) {
+  let sent_ms = gateway.now_ms();
   let answer = whole_answer(&gateway, &request, &entry, &marks).await;
-  (entry.id, answer)
+  let id = entry.id.clone();
+  if let Err(PartError::Lost(error)) = &answer {
+    let error = error.clone();
+    note_lost(
+      &gateway,
+      &request,
+      LostPart {
+        entry,
+        error,
+        sent_ms,
+      },
+    );
+  }
+  (id, answer)
 }
 
 async fn whole_answer(
--- a/src/gateway/requests/prompt.rs
+++ b/src/gateway/requests/prompt.rs
@@ -6,7 +6,7 @@
     gateway::{
       decisions::{Choice, Wanted},
       edge::{EndpointEntry, Part},
-      parts::{KeptExport, PartError, RoutedRequest, send_part},
+      parts::{KeptExport, LostPart, PartError, RoutedRequest, note_lost, send_part},
       state::Gateway,
     },
     ids::Name,
@@ -63,6 +63,7 @@
       return PromptReading::unread(false);
     }
     let entry = choice.entry;
+    let sent_ms = gateway.now_ms();
     match read_at(gateway, request, &entry, choice.ahead).await {
       Ok(handle) => {
         let ttl_ms = export_ttl_ms(gateway, request);
@@ -77,6 +78,15 @@
           request.id(),
           entry.id
         );
+        if let PartError::Lost(error) = &error {
+          let error = format!("prompt not read: {error}");
+          let lost = LostPart {
+            entry: entry.clone(),
+            error,
+            sent_ms,
+          };
+          note_lost(gateway, request, lost);
+        }
         if !error.is_unsent() {
           return PromptReading::unread(true);
         }
--- a/src/gateway/requests/stream_send.rs
+++ b/src/gateway/requests/stream_send.rs
@@ -5,7 +5,7 @@
   super::{seat::reserve_seat, stream_request::StreamRequest},
   crate::gateway::{
     edge::{EndpointEntry, Marks, Part},
-    parts::{Head, KeptExport, PartError, Reservation, send_part},
+    parts::{Head, KeptExport, LostPart, PartError, Reservation, note_lost, send_part},
   },
   futures_util::FutureExt,
   std::{pin::pin, time::Duration},
@@ -26,10 +26,11 @@
     // Counted before it is sent: the time may run out while no answer is known.
     self.attempts += 1;
     let marks = self.marks(entry, reservation.as_ref(), export.as_ref());
+    let sent_ms = self.gateway.now_ms();
     let result = self.send_within_silence(entry, &marks).await;
     match &result {
       Ok(_) => self.note_answer(reservation, export),
-      Err(error) => self.note_error(entry, error, export),
+      Err(error) => self.note_error(entry, sent_ms, error, export),
     }
     result
   }
@@ -107,7 +108,13 @@
     self.blame_for_refusal();
   }
 
-  fn note_error(&mut self, entry: &EndpointEntry, error: &PartError, export: Option<KeptExport>) {
+  fn note_error(
+    &mut self,
+    entry: &EndpointEntry,
+    sent_ms: u64,
+    error: &PartError,
+    export: Option<KeptExport>,
+  ) {
     if error.has_not_run() {
       self.attempts -= 1;
     }
@@ -120,7 +127,14 @@
       PartError::NotRun(_) => self.note_refusal(entry, export),
       // No engine has fetched it.
       PartError::Unreachable | PartError::Unsent(_) => self.export = export,
-      PartError::Lost(_) => {}
+      PartError::Lost(error) => {
+        let lost = LostPart {
+          entry: entry.clone(),
+          error: error.clone(),
+          sent_ms,
+        };
+        note_lost(&self.gateway, &self.request, lost);
+      }
     }
   }
 
--- a/src/gateway/state/counters.rs
+++ b/src/gateway/state/counters.rs
@@ -61,6 +61,8 @@
   pub(crate) refused: Counter,
   pub(crate) beyond_limit: Counter,
   pub(crate) broken_streams: Counter,
+  /// Parts that were lost with their endpoint.
+  pub(crate) lost_with_endpoint: Counter,
   pub(crate) callers_gone: Counter,
   pub(crate) repeats: Counter,
   pub(crate) repeats_denied: Counter,
@@ -85,6 +87,10 @@
       ("rillford_refused_total", &self.refused),
       ("rillford_beyond_limit_total", &self.beyond_limit),
       ("rillford_broken_streams_total", &self.broken_streams),
+      (
+        "rillford_lost_with_endpoint_total",
+        &self.lost_with_endpoint,
+      ),
       ("rillford_callers_gone_total", &self.callers_gone),
       ("rillford_repeats_total", &self.repeats),
       ("rillford_repeats_denied_total", &self.repeats_denied),
--- a/tests/gateway/choice.rs
+++ b/tests/gateway/choice.rs
@@ -12,6 +12,7 @@
 fn entry(id: &str, hall: &str, role: Option<Role>) -> EndpointEntry {
   EndpointEntry {
     address: "127.0.0.1:1".parse().unwrap(),
+    born_ms: None,
     hall: hall.into(),
     id: id.into(),
     leaving: false,
--- a/tests/gateway/role_plan.rs
+++ b/tests/gateway/role_plan.rs
@@ -13,6 +13,7 @@
 fn engine(number: usize, role: Role) -> EndpointEntry {
   EndpointEntry {
     address: format!("127.0.0.1:{}", 1_000 + number).parse().unwrap(),
+    born_ms: None,
     hall: HALLS[number % HALLS.len()].into(),
     id: format!("e-{number}").into(),
     leaving: false,
