Failing test: a request that ended three engines is sent to many more by boxes that know nothing of each other

Three boxes, six engines that end as soon as they run one body and are back under their id, with another start, after 0.3 s. Other requests are served before and after.

--- a/tests/gateway/endpoint.rs
+++ b/tests/gateway/endpoint.rs
@@ -1,8 +1,10 @@
 //! An endpoint of the platform whose every byte is scripted.
 
 use {
+  emulator::own_addresses,
   std::{
     collections::HashMap,
+    future::pending,
     net::SocketAddr,
     sync::{Arc, Mutex},
     time::Duration,
@@ -10,6 +12,8 @@
   tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
+    sync::mpsc,
+    task::JoinSet,
     time::sleep,
   },
 };
@@ -50,6 +54,8 @@
   WriteInTwo(String, Duration, String),
   /// Never answers.
   Silence,
+  /// Writes bytes, and ends the endpoint with all of its connections; it starts again after a while.
+  End(String, Duration),
 }
 
 impl Reply {
@@ -101,25 +107,39 @@
 
 impl EndpointStandIn {
   pub(crate) async fn start(script: impl Fn(&Seen) -> Reply + Send + Sync + 'static) -> Self {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    let seen = Arc::new(Mutex::new(Vec::new()));
-    let closed = Arc::new(Mutex::new(Vec::new()));
-    let script: Script = Arc::new(script);
-    tokio::spawn({
-      let seen = seen.clone();
-      let closed = closed.clone();
-      async move {
-        while let Ok((stream, _)) = listener.accept().await {
-          tokio::spawn(serve(stream, script.clone(), seen.clone(), closed.clone()));
-        }
+    Self::start_in_lives(script, |_, _| ()).await
+  }
+
+  /// An endpoint that may end and start again at its address; told of each start, with its number from 1.
+  pub(crate) async fn start_in_lives(
+    script: impl Fn(&Seen) -> Reply + Send + Sync + 'static,
+    on_start: impl Fn(SocketAddr, u64) + Send + Sync + 'static,
+  ) -> Self {
+    let [address] = own_addresses();
+    let endpoint = Self {
+      address,
+      closed: Arc::default(),
+      seen: Arc::default(),
+    };
+    let listener = TcpListener::bind(address).await.unwrap();
+    on_start(address, 1);
+    let life = Life {
+      closed: endpoint.closed.clone(),
+      script: Arc::new(script),
+      seen: endpoint.seen.clone(),
+    };
+    tokio::spawn(async move {
+      let mut listener = listener;
+      for start in 2.. {
+        let Some(down) = life.live(listener).await else {
+          return;
+        };
+        sleep(down).await;
+        listener = TcpListener::bind(address).await.unwrap();
+        on_start(address, start);
       }
     });
-    Self {
-      address,
-      closed,
-      seen,
-    }
+    endpoint
   }
 
   /// An engine that grants seats, reads prompts and streams `events`.
@@ -163,16 +183,37 @@
   }
 }
 
-async fn serve(
-  mut stream: TcpStream,
+/// What all lives of an endpoint share.
+#[derive(Clone)]
+struct Life {
   script: Script,
   seen: Arc<Mutex<Vec<Seen>>>,
   closed: Arc<Mutex<Vec<Seen>>>,
-) {
+}
+
+impl Life {
+  /// Serves until a request ends it; for how long it is down then.
+  async fn live(&self, listener: TcpListener) -> Option<Duration> {
+    // Dropped with all connections at the end.
+    let mut connections = JoinSet::new();
+    let (end, mut ended) = mpsc::channel(1);
+    loop {
+      tokio::select! {
+        accepted = listener.accept() => {
+          let (stream, _) = accepted.ok()?;
+          connections.spawn(serve(stream, self.clone(), end.clone()));
+        }
+        down = ended.recv() => return down,
+      }
+    }
+  }
+}
+
+async fn serve(mut stream: TcpStream, life: Life, end: mpsc::Sender<Duration>) {
   let mut bytes = Vec::new();
   while let Some(request) = read_request(&mut stream, &mut bytes).await {
-    seen.lock().unwrap().push(request.clone());
-    let text = match script(&request) {
+    life.seen.lock().unwrap().push(request.clone());
+    let text = match (life.script)(&request) {
       Reply::Write(text) => text,
       Reply::WriteLater(pause, text) => {
         sleep(pause).await;
@@ -192,9 +233,15 @@
       Reply::Silence => {
         let mut rest = [0; 1];
         let _ = stream.read(&mut rest).await;
-        closed.lock().unwrap().push(request);
+        life.closed.lock().unwrap().push(request);
         return;
       }
+      Reply::End(text, down) => {
+        let _ = stream.write_all(text.as_bytes()).await;
+        let _ = end.send(down).await;
+        // This connection goes with the endpoint.
+        return pending().await;
+      }
     };
     if stream.write_all(text.as_bytes()).await.is_err() {
       return;
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -135,6 +135,21 @@
       .put(&format!("servers/{id}"), entry.to_string().as_bytes());
   }
 
+  /// Enters a life of an engine, which may start again under its id.
+  pub(crate) fn enter_life(
+    store: &PlatformStore,
+    id: &str,
+    stage: &str,
+    address: SocketAddr,
+    born: u64,
+  ) {
+    let entry = json!({
+      "service": "llm", "address": address, "zone": "north", "version": "v1", "slots": 8, "state": "ready",
+      "coldRemainingMs": 0, "callSeq": 0, "stage": stage, "born": born,
+    });
+    store.put(&format!("servers/{id}"), entry.to_string().as_bytes());
+  }
+
   /// A box with one plain endpoint.
   pub(crate) async fn with_portal(self, one: &EndpointStandIn) -> GatewayBox {
     self.enter("p-1", "portal", None, one);
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -5,6 +5,7 @@
 mod callers;
 mod choice;
 mod configuration;
+mod crashing_request;
 mod endpoint;
 mod harness;
 mod leaving;
