A request that has ended three endpoints is held by all boxes: one run at a time, and few of those

Cause: nothing that a box knew of a request outlasted its try, and no box told another. Attempts and repeats bound one try; the same body under a new id began at zero. Class: bounded for a try, unbounded over tries, boxes and lives.

Change: requests are known by a fingerprint (organisation, method, host, path, body). A part that is lost has its endpoint looked at once: a refused or closed connection, or another start in its entry, is an end, and marks the fingerprint with that life. Marks go to the store, under a lease of ten minutes, and reach all boxes by the watch that they have. At three lives a request is held: refused at once with when to come back, but for two trials, taken by a key that one box alone can create, the first at once, the second 15 s later. A run that comes back whole clears it. The last look stands before each send of each part, so that it covers reading, writing, resuming, a second endpoint asked, and what waited in a queue. A box that the store does not answer hands its marks to another one. (quarantine) way = off, own_box or shared.

All 193 tests of the gateway pass.

--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -14,6 +14,9 @@
 mod known_endpoint;
 mod limit_way;
 mod peer_use;
+mod quarantine_book;
+mod quarantine_key;
+mod quarantine_way;
 mod recent_engines;
 mod recent_use;
 mod retry_after;
@@ -35,6 +38,9 @@
   fingerprint::{Fingerprint, RequestIdentity},
   kept_prompts::KeptPrompts,
   limit_way::LimitWay,
+  quarantine_book::{QuarantineBook, QuarantineVerdict},
+  quarantine_key::{QuarantineKey, QuarantineMark},
+  quarantine_way::QuarantineWay,
   recent_engines::{RecentEngines, staying_engines},
   retry_pause::retry_pause_ms,
   retry_window::{RetryAllowance, RetryWindow},
@@ -48,6 +54,7 @@
 };
 
 pub(crate) use self::{
+  quarantine_book::KEPT_MS,
   retry_after::{
     RETRY_AFTER_FULL_MS, RETRY_AFTER_LEAVING_MS, RETRY_AFTER_NO_CONFIGURATION_MS,
     RETRY_AFTER_NO_ENDPOINT_MS,
--- a/src/gateway/edge/mod.rs
+++ b/src/gateway/edge/mod.rs
@@ -25,7 +25,7 @@
     CallerLimits, EngineSpec, Route, RouteKind, RouteTable, ServiceSpec, WeightedService,
   },
   store::{
-    PageAge, Stewardship, Store, StoreChanges, StoreError, StoreItem, StoreKey, StoreLease,
-    StorePage,
+    MOST_CHANGED_KEYS, PageAge, Stewardship, Store, StoreChanges, StoreError, StoreItem, StoreKey,
+    StoreLease, StorePage,
   },
 };
--- a/src/gateway/edge/store.rs
+++ b/src/gateway/edge/store.rs
@@ -21,6 +21,8 @@
   Steward,
   /// Something else.
   Other,
+  /// What boxes know of a request that ends endpoints, by the last part of its key.
+  Quarantine(Name),
 }
 
 /// One item, as it was written or removed.
@@ -92,6 +94,9 @@
   Call(String),
 }
 
+/// Keys that one call to the store may change.
+pub const MOST_CHANGED_KEYS: usize = 32;
+
 /// The calls of the store that this router uses.
 pub trait Store: Clone + 'static {
   /// Lists configuration, endpoints and boxes, a page at a time.
@@ -120,6 +125,20 @@
   ) -> impl Future<Output = Result<Option<u64>, StoreError>>;
   /// Reads who is steward now.
   fn steward(&self) -> impl Future<Output = Result<Option<Stewardship>, StoreError>>;
+  /// Writes that something is known of requests that end endpoints, under a lease; at most [`MOST_CHANGED_KEYS`] keys.
+  fn put_quarantine(
+    &self,
+    keys: &[Name],
+    lease: StoreLease,
+  ) -> impl Future<Output = Result<(), StoreError>>;
+  /// Writes one such key unless it is there; whether it was not.
+  fn claim_quarantine(
+    &self,
+    key: &Name,
+    lease: StoreLease,
+  ) -> impl Future<Output = Result<bool, StoreError>>;
+  /// Removes such keys; at most [`MOST_CHANGED_KEYS`].
+  fn remove_quarantine(&self, keys: &[Name]) -> impl Future<Output = Result<(), StoreError>>;
   /// Writes this box's entry under a lease.
   fn put_box(
     &self,
--- a/src/gateway/membership/listing.rs
+++ b/src/gateway/membership/listing.rs
@@ -25,6 +25,7 @@
   revision: Option<u64>,
   pub(super) endpoints: HashSet<Name>,
   pub(super) boxes: HashSet<Name>,
+  pub(super) quarantine: HashSet<Name>,
   pub(super) has_steward: bool,
   /// The items that have changed since this box last heard the store.
   pub(super) newer: Vec<StoreItem>,
@@ -38,6 +39,7 @@
       has_steward: false,
       kind,
       newer: Vec::new(),
+      quarantine: HashSet::new(),
       revision: None,
     }
   }
@@ -70,6 +72,7 @@
     match &item.key {
       StoreKey::Endpoint(id) => drop(self.endpoints.insert(id.clone())),
       StoreKey::Box(name) => drop(self.boxes.insert(name.clone())),
+      StoreKey::Quarantine(text) => drop(self.quarantine.insert(text.clone())),
       StoreKey::Steward => self.has_steward = true,
       StoreKey::Configuration | StoreKey::Other => {}
     }
--- a/src/gateway/membership/store_view.rs
+++ b/src/gateway/membership/store_view.rs
@@ -4,6 +4,7 @@
   super::listing::Listing,
   crate::{
     gateway::{
+      decisions::QuarantineKey,
       edge::{StoreError, StoreItem, StoreKey},
       state::Gateway,
     },
@@ -67,10 +68,12 @@
       .names()
       .into_iter()
       .filter(|name| !listing.boxes.contains(name));
+    let quarantine = self.quarantine_missing_from(listing);
     let steward = (!listing.has_steward).then_some(StoreKey::Steward);
     endpoints
       .map(StoreKey::Endpoint)
       .chain(boxes.map(StoreKey::Box))
+      .chain(quarantine.into_iter().map(StoreKey::Quarantine))
       .chain(steward)
       .map(|key| StoreItem {
         key,
@@ -91,10 +94,37 @@
         log::warn!("E406 configuration removed: the last one stays")
       }
       (StoreKey::Steward, value) => self.gateway.has_steward.set(value.is_some()),
+      (StoreKey::Quarantine(text), value) => self.quarantine_mark(&text, value.is_some()),
       (StoreKey::Other, _) => {}
     }
   }
 
+  /// What this box knows of requests that end endpoints and the store no longer does; what it has still to write is not missing.
+  fn quarantine_missing_from(&self, listing: &Listing) -> Vec<Name> {
+    let quarantine = &self.gateway.quarantine;
+    let unwritten = quarantine.unwritten.borrow();
+    let keys = quarantine.book.borrow().keys();
+    keys
+      .iter()
+      .filter(|key| !unwritten.contains_key(key))
+      .map(QuarantineKey::text)
+      .filter(|text| !listing.quarantine.contains(text))
+      .collect()
+  }
+
+  fn quarantine_mark(&self, text: &str, holds: bool) {
+    let Some(key) = QuarantineKey::parse(text) else {
+      log::warn!("E405 mark {text} can't be read");
+      return;
+    };
+    let mut book = self.gateway.quarantine.book.borrow_mut();
+    if holds {
+      book.note(key, self.gateway.now_ms());
+    } else {
+      book.forget(key);
+    }
+  }
+
   fn endpoint_entered(&self, id: &str, value: &[u8], revision: u64) {
     match self.gateway.dialect.endpoint_entry(id, value) {
       Ok(entry) => {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,7 +6,7 @@
 //! and [`Store`].
 //!
 //! The folders in order, each importing only those before it: `edge`, `decisions`, `settings`, `connections`, `state`,
-//! `parts`, `limits`, then `requests`, `roles` and `membership` side by side, and `process`. A test holds that order.
+//! `parts`, `limits` and `quarantine`, then `requests`, `roles` and `membership` side by side, and `process`. A test holds that order.
 //!
 //! One thread serves everything: a box has a fraction of a core, and each thread costs it memory.
 
@@ -17,6 +17,7 @@
 mod membership;
 mod parts;
 mod process;
+mod quarantine;
 mod requests;
 mod roles;
 mod settings;
@@ -26,9 +27,10 @@
   connections::remove_connection_headers,
   decisions::{
     BoxEntry, BoxList, Choice, EndpointBook, EndpointLife, Fingerprint, KeptPrompts, LimitWay,
-    LocalVerdict, PartEnd, RecentEngines, RequestIdentity, RetryAllowance, RetryWindow,
-    SeatForecast, SeatPlace, SeatQueue, SeatUrgency, Surplus, ToldSpan, UseBook, UseBucket,
-    UseLedger, UseRequest, UseTotals, UseVerdict, Wanted, retry_pause_ms, staying_engines, surplus,
+    LocalVerdict, PartEnd, QuarantineBook, QuarantineKey, QuarantineMark, QuarantineVerdict,
+    QuarantineWay, RecentEngines, RequestIdentity, RetryAllowance, RetryWindow, SeatForecast,
+    SeatPlace, SeatQueue, SeatUrgency, Surplus, ToldSpan, UseBook, UseBucket, UseLedger,
+    UseRequest, UseTotals, UseVerdict, Wanted, retry_pause_ms, staying_engines, surplus,
   },
   edge::{
     AnswerFacts, CallerFacts, CallerLimits, DecodeError, Dialect, EndpointCall, EndpointEntry,
@@ -41,7 +43,8 @@
   requests::{EventCutter, WholeEvent},
   settings::{
     EngineMarks, EngineSettings, GatewayBounds, GatewayIdentity, GatewayListen, GatewaySettings,
-    LimitSettings, Mechanisms, PolicySettings, RoutePolicy, RouteRank, StoreSettings,
+    LimitSettings, Mechanisms, PolicySettings, QuarantineSettings, RoutePolicy, RouteRank,
+    StoreSettings,
   },
   state::ChangeLog,
 };
--- a/src/gateway/parts/mod.rs
+++ b/src/gateway/parts/mod.rs
@@ -3,14 +3,15 @@
 //! Imports `state` and what lies below it. A [`RoutedRequest`] comes in with the endpoint that was chosen; an answer's
 //! [`Head`] goes out.
 
-mod endpoint_end;
 mod engine_call;
+mod leave;
 mod part;
 mod request;
+mod sending;
 
 pub(crate) use self::{
-  endpoint_end::{LostPart, note_lost},
   engine_call::{CallFailure, KeptExport, Reservation, call_engine},
   part::{Booking, Head, PartError, WholeAnswer, send_part},
   request::RoutedRequest,
+  sending::Sending,
 };
--- a/src/gateway/parts/part.rs
+++ b/src/gateway/parts/part.rs
@@ -36,6 +36,9 @@
   /// The endpoint never saw it.
   #[error("unsent: {0}")]
   Unsent(String),
+  /// It may not be sent any more: endpoints have ended with it.
+  #[error("barred: endpoints ended with it")]
+  Barred,
   /// The endpoint says that it did not run.
   #[error("refused by the endpoint with status {0}")]
   NotRun(u16),
@@ -52,7 +55,7 @@
 
   /// Whether the endpoint never saw the request.
   pub(crate) fn is_unsent(&self) -> bool {
-    matches!(self, Self::Unreachable | Self::Unsent(_))
+    matches!(self, Self::Unreachable | Self::Unsent(_) | Self::Barred)
   }
 }
 
@@ -105,6 +108,7 @@
     self.end = match error {
       PartError::Unreachable => PartEnd::Unreachable,
       PartError::NotRun(MISDIRECTED) | PartError::Unsent(_) | PartError::Lost(_) => PartEnd::Lost,
+      PartError::Barred => PartEnd::Dropped,
       PartError::NotRun(_) => PartEnd::Full,
     };
   }
@@ -190,6 +194,10 @@
   size: u64,
   units: u64,
 ) -> Result<Head, PartError> {
+  let leave = request.sending.get();
+  if !request.take_leave(gateway) {
+    return Err(PartError::Barred);
+  }
   let mut booking = Booking::new(gateway, &entry.id, size, units);
   let sent_ms = gateway.now_ms();
   let sent = request.for_endpoint(&*gateway.dialect, marks);
@@ -212,6 +220,9 @@
       status: head.status,
     }),
     Err(error) => {
+      if error.is_unsent() {
+        request.give_leave_back(leave);
+      }
       booking.settle_error(&error);
       Err(error)
     }
--- a/src/gateway/parts/request.rs
+++ b/src/gateway/parts/request.rs
@@ -1,6 +1,7 @@
 //! A caller's request, read whole and matched to its route.
 
 use {
+  super::sending::Sending,
   crate::{
     gateway::{
       decisions::{Fingerprint, RequestIdentity},
@@ -12,7 +13,10 @@
   bytes::Bytes,
   http::{HeaderMap, Method, Request, Uri, header::HOST},
   http_body_util::Full,
-  std::{cell::OnceCell, rc::Rc},
+  std::{
+    cell::{Cell, OnceCell},
+    rc::Rc,
+  },
 };
 
 /// Part of the longest answer that is reserved where the caller gives no estimate: answers are a third of it at the
@@ -43,6 +47,8 @@
   pub(crate) arrived_ms: u64,
   /// When its final answer is due at the latest.
   pub(crate) until_ms: u64,
+  /// Whether it may be sent as often as its route allows.
+  pub(crate) sending: Cell<Sending>,
   /// Worked out when it is first asked for.
   pub(crate) fingerprint: OnceCell<Fingerprint>,
 }
--- a/src/gateway/process/own_pages.rs
+++ b/src/gateway/process/own_pages.rs
@@ -39,6 +39,7 @@
     OwnPage::Metrics => {
       let mut text = gateway.counters.text();
       text.push_str(&limit_figures(gateway));
+      text.push_str(&gateway.quarantine.figures());
       Response::new(Full::new(text.into()))
     }
     OwnPage::Ready => {
--- a/src/gateway/process/start.rs
+++ b/src/gateway/process/start.rs
@@ -11,6 +11,7 @@
       edge::{Dialect, Store},
       limits::keep_counts,
       membership::{end_entry, follow_store, keep_entry, serve_boxes},
+      quarantine::keep_quarantine,
       requests::accept_callers,
       roles::keep_roles,
       settings::{GatewayListen, GatewaySettings},
@@ -140,6 +141,7 @@
   spawn_local(accept_callers(gateway.clone(), ports.callers));
   spawn_local(serve_boxes(gateway.clone(), ports.boxes));
   spawn_local(keep_counts(gateway.clone()));
+  spawn_local(keep_quarantine(gateway.clone(), store.clone()));
   spawn_local(keep_house(gateway.clone()));
 }
 
@@ -177,6 +179,7 @@
     let now_ms = gateway.now_ms();
     gateway.pool.close_old(now_ms);
     gateway.book.borrow_mut().forget_lapsed(now_ms);
+    gateway.quarantine.book.borrow_mut().forget_old(now_ms);
   }
 }
 
--- /dev/null
+++ b/src/gateway/quarantine/endpoint_end.rs
@@ -0,0 +1,120 @@
+//! Whether an endpoint has ended, asked right after a part was lost there; and with which request it ended.
+
+use {
+  super::vetting::share,
+  crate::gateway::{
+    decisions::{EndpointLife, QuarantineKey, QuarantineMark, QuarantineWay},
+    edge::EndpointEntry,
+    parts::RoutedRequest,
+    state::Gateway,
+  },
+  std::{net::SocketAddr, rc::Rc, time::Duration},
+  tokio::{net::TcpStream, task::spawn_local, time::timeout},
+};
+
+/// An endpoint in reach accepts within milliseconds, or refuses; one behind a cut does neither.
+const CONNECT_LIMIT: Duration = Duration::from_millis(150);
+/// Behind a relay a connection is accepted for an endpoint that is gone, and closed at once.
+const CLOSE_LIMIT: Duration = Duration::from_millis(30);
+
+/// What became of an endpoint at which a part was lost.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Survival {
+  /// Its process is gone: connections are refused, or closed at once.
+  Ended,
+  /// It accepts connections: the part alone was lost.
+  Lives,
+  /// It is not in reach, or it was leaving.
+  Unknown,
+}
+
+/// A part that was lost after it had been sent.
+#[derive(Clone, Debug)]
+pub(crate) struct LostPart {
+  /// Where it was sent, as the endpoint was then.
+  pub(crate) entry: EndpointEntry,
+  pub(crate) sent_ms: u64,
+  /// What was seen.
+  pub(crate) error: String,
+}
+
+/// Finds out whether an endpoint ended with a part of a request, and tells the other boxes. Nobody waits for that, but for the
+/// end after which the request is held: it has to be known before the request is sent on.
+pub(crate) async fn note_lost(gateway: &Rc<Gateway>, request: &Rc<RoutedRequest>, lost: LostPart) {
+  let is_near = {
+    let book = gateway.quarantine.book.borrow();
+    !book.is_empty() && book.is_near(request.fingerprint())
+  };
+  let judged = judge(gateway.clone(), request.clone(), lost);
+  if is_near {
+    judged.await;
+  } else {
+    spawn_local(judged);
+  }
+}
+
+async fn judge(gateway: Rc<Gateway>, request: Rc<RoutedRequest>, lost: LostPart) {
+  let ran_ms = gateway.now_ms() - lost.sent_ms;
+  let survival = survival(&gateway, &lost.entry).await;
+  let LostPart { entry, error, .. } = lost;
+  log::info!(
+    "E528 part lost: {} ({}) at {} born {:?}, {ran_ms} ms after it was sent: {error}; endpoint {survival:?}",
+    request.id(),
+    request.fingerprint(),
+    entry.id,
+    entry.born_ms
+  );
+  if survival != Survival::Ended {
+    return;
+  }
+  gateway.counters.lost_with_endpoint.inc();
+  if gateway.settings.quarantine.way != QuarantineWay::Off {
+    note_end(&gateway, &request, &entry);
+  }
+}
+
+/// Notes that a life of an endpoint ended with a request.
+fn note_end(gateway: &Gateway, request: &RoutedRequest, entry: &EndpointEntry) {
+  let key = QuarantineKey {
+    fingerprint: request.fingerprint(),
+    mark: QuarantineMark::Ended(EndpointLife::of(&entry.id, entry.born_ms)),
+  };
+  let now_ms = gateway.now_ms();
+  let mut book = gateway.quarantine.book.borrow_mut();
+  if !book.note(key, now_ms) {
+    return;
+  }
+  // Most requests are there at one end only: theirs can wait.
+  let is_pressing = book.counts(key.fingerprint).0 > 1;
+  drop(book);
+  share(gateway, &[key], is_pressing);
+}
+
+/// Finds out whether an endpoint has ended.
+async fn survival(gateway: &Gateway, entry: &EndpointEntry) -> Survival {
+  let (is_leaving, born_ms) = match gateway.book.borrow().entry(&entry.id) {
+    Some(now) => (now.leaving, now.born_ms),
+    None => return Survival::Unknown,
+  };
+  if is_leaving {
+    return Survival::Unknown;
+  }
+  if born_ms != entry.born_ms {
+    return Survival::Ended;
+  }
+  probe(entry.address).await
+}
+
+/// Opens a connection, and looks whether it stays.
+async fn probe(address: SocketAddr) -> Survival {
+  let stream = match timeout(CONNECT_LIMIT, TcpStream::connect(address)).await {
+    Ok(Ok(stream)) => stream,
+    Ok(Err(_)) => return Survival::Ended,
+    Err(_) => return Survival::Unknown,
+  };
+  // Nobody has asked for anything: what can be read is the end.
+  match timeout(CLOSE_LIMIT, stream.readable()).await {
+    Ok(_) => Survival::Ended,
+    Err(_) => Survival::Lives,
+  }
+}
--- a/src/gateway/requests/event_source.rs
+++ b/src/gateway/requests/event_source.rs
@@ -9,7 +9,8 @@
   },
   crate::gateway::{
     decisions::PartEnd,
-    parts::{Head, LostPart, PartError, note_lost},
+    parts::{Head, PartError},
+    quarantine::{LostPart, note_lost, note_whole},
     state::InFlight,
   },
   bytes::Bytes,
@@ -176,6 +177,7 @@
       self.stream.tried().len(),
       self.longest_pause_ms
     );
+    note_whole(&gateway, &self.stream.request);
     let took_ms = gateway.now_ms() - self.stream.request.arrived_ms;
     gateway.seat_forecast.borrow_mut().note_stream(took_ms);
     if let Some(mut head) = self.head.take() {
@@ -201,7 +203,7 @@
         error: error.clone(),
         sent_ms: head.sent_ms,
       };
-      note_lost(&self.stream.gateway, &request, lost);
+      note_lost(&self.stream.gateway, &request, lost).await;
       self.stream.wrote_it = Some(head.connection.endpoint.clone());
     }
     self.cutter = EventCutter::default();
--- a/src/gateway/requests/front.rs
+++ b/src/gateway/requests/front.rs
@@ -13,6 +13,7 @@
     edge::{RouteKind, RouteTable},
     limits::{Beyond, Charge, admit},
     parts::RoutedRequest,
+    quarantine::{Held, release_unsent, vet},
     settings::EngineMarks,
     state::{Gateway, InFlight, Phase},
   },
@@ -24,7 +25,13 @@
   http_body_util::{BodyExt, LengthLimitError, Limited},
   hyper::{body::Incoming, server::conn::http1, service::service_fn},
   hyper_util::rt::{TokioIo, TokioTimer},
-  std::{cell::OnceCell, convert::Infallible, pin::pin, rc::Rc, time::Duration},
+  std::{
+    cell::{Cell, OnceCell},
+    convert::Infallible,
+    pin::pin,
+    rc::Rc,
+    time::Duration,
+  },
   tokio::{
     net::{TcpListener, TcpStream},
     task::spawn_local,
@@ -135,23 +142,47 @@
   in_flight: InFlight,
 ) -> Response<AnswerBody> {
   match route(&gateway, request).await {
-    Ok(request) => match admit_request(&gateway, &request).await {
-      Ok(charge) => {
-        let response = answer(gateway, Rc::new(request), in_flight).await;
-        // No endpoint's answer says so: a request that has not run.
-        if response.status() == StatusCode::SERVICE_UNAVAILABLE
-          && let Some(charge) = charge
-        {
-          charge.give_back();
-        }
-        response
-      }
-      Err(Beyond { retry_after_ms }) => OwnAnswer::BeyondLimit { retry_after_ms }.response(),
-    },
+    Ok(request) => serve_routed(gateway, request, in_flight).await,
     Err(own) => own.response(),
   }
 }
 
+/// The answer to a request that has a route.
+async fn serve_routed(
+  gateway: Rc<Gateway>,
+  request: RoutedRequest,
+  in_flight: InFlight,
+) -> Response<AnswerBody> {
+  if let Err(Held { retry_after_ms }) = vet(&gateway, &request).await {
+    return OwnAnswer::NotRun { retry_after_ms }.response();
+  }
+  let request = Rc::new(request);
+  let response = serve_admitted(&gateway, &request, in_flight).await;
+  release_unsent(&gateway, &request);
+  response
+}
+
+/// The answer to a request that may be sent, if it is within its organisation's limit.
+async fn serve_admitted(
+  gateway: &Rc<Gateway>,
+  request: &Rc<RoutedRequest>,
+  in_flight: InFlight,
+) -> Response<AnswerBody> {
+  match admit_request(gateway, request).await {
+    Ok(charge) => {
+      let response = answer(gateway.clone(), request.clone(), in_flight).await;
+      // No endpoint's answer says so: a request that has not run.
+      if response.status() == StatusCode::SERVICE_UNAVAILABLE
+        && let Some(charge) = charge
+      {
+        charge.give_back();
+      }
+      response
+    }
+    Err(Beyond { retry_after_ms }) => OwnAnswer::BeyondLimit { retry_after_ms }.response(),
+  }
+}
+
 /// Charges a request to its organisation.
 async fn admit_request(
   gateway: &Rc<Gateway>,
@@ -227,6 +258,7 @@
     body,
     facts,
     fingerprint: OnceCell::new(),
+    sending: Cell::default(),
     headers,
     method: head.method,
     organisation,
--- a/src/gateway/requests/plain.rs
+++ b/src/gateway/requests/plain.rs
@@ -6,7 +6,8 @@
     gateway::{
       decisions::{RETRY_AFTER_FULL_MS, RETRY_AFTER_NO_ENDPOINT_MS, Wanted},
       edge::{EndpointEntry, Marks, Part},
-      parts::{LostPart, PartError, RoutedRequest, WholeAnswer, note_lost, send_part},
+      parts::{PartError, RoutedRequest, WholeAnswer, send_part},
+      quarantine::{LostPart, note_lost, note_whole},
       state::Gateway,
     },
     ids::Name,
@@ -115,6 +116,9 @@
           self.tried.len()
         );
         self.note_slower_endpoints();
+        if answer.status.is_success() {
+          note_whole(&self.gateway, &self.request);
+        }
         return Some(pass_on(answer));
       }
       Ok(answer) => {
@@ -150,7 +154,8 @@
     let may_have_run = self.perhaps_run || !self.running.is_empty();
     let attempts = self.tried.len() as u32 - self.unsent;
     let route = &self.request.route;
-    let allowed = !may_have_run || (route.kind.may_repeat() && attempts < route.most_attempts);
+    let allowed = !self.request.is_barred(&self.gateway)
+      && (!may_have_run || (route.kind.may_repeat() && attempts < route.most_attempts));
     if !allowed || !self.gateway.take_repeat(&self.request.service) {
       return false;
     }
@@ -169,6 +174,9 @@
   fn start(&mut self) -> bool {
     let gateway = &self.gateway;
     let request = &self.request;
+    if request.is_barred(gateway) {
+      return false;
+    }
     let choice = gateway.choose(Wanted {
       hall: gateway.preferred_hall(),
       may_repeat: request.route.kind.may_repeat(),
@@ -232,15 +240,12 @@
   let id = entry.id.clone();
   if let Err(PartError::Lost(error)) = &answer {
     let error = error.clone();
-    note_lost(
-      &gateway,
-      &request,
-      LostPart {
-        entry,
-        error,
-        sent_ms,
-      },
-    );
+    let lost = LostPart {
+      entry,
+      error,
+      sent_ms,
+    };
+    note_lost(&gateway, &request, lost).await;
   }
   (id, answer)
 }
--- a/src/gateway/requests/prompt.rs
+++ b/src/gateway/requests/prompt.rs
@@ -6,7 +6,8 @@
     gateway::{
       decisions::{Choice, Wanted},
       edge::{EndpointEntry, Part},
-      parts::{KeptExport, LostPart, PartError, RoutedRequest, note_lost, send_part},
+      parts::{KeptExport, PartError, RoutedRequest, send_part},
+      quarantine::{LostPart, note_lost},
       state::Gateway,
     },
     ids::Name,
@@ -85,7 +86,7 @@
             error,
             sent_ms,
           };
-          note_lost(gateway, request, lost);
+          note_lost(gateway, request, lost).await;
         }
         if !error.is_unsent() {
           return PromptReading::unread(true);
--- a/src/gateway/requests/stream_request.rs
+++ b/src/gateway/requests/stream_request.rs
@@ -123,7 +123,11 @@
 
   /// Whether the request may be sent once more after an error.
   pub(crate) fn may_try_again(&self, error: &PartError) -> bool {
+    if self.request.is_barred(&self.gateway) {
+      return false;
+    }
     match error {
+      PartError::Barred => false,
       PartError::Unreachable | PartError::Unsent(_) => self.tried.len() < MOST_UNSENT,
       PartError::NotRun(_) => self.refusals < MOST_REFUSALS,
       PartError::Lost(_) => self.has_attempts_left(),
@@ -217,7 +221,8 @@
 
   /// The prompt for an engine in a hall; nothing when the engine that writes the answer is to read it.
   async fn prompt(&mut self, hall: &str) -> Option<KeptExport> {
-    if self.reads_itself {
+    // A trial reaches one endpoint, not two.
+    if self.reads_itself || self.request.is_trial() {
       return None;
     }
     match self.export.take() {
--- a/src/gateway/requests/stream_send.rs
+++ b/src/gateway/requests/stream_send.rs
@@ -5,7 +5,8 @@
   super::{seat::reserve_seat, stream_request::StreamRequest},
   crate::gateway::{
     edge::{EndpointEntry, Marks, Part},
-    parts::{Head, KeptExport, LostPart, PartError, Reservation, note_lost, send_part},
+    parts::{Head, KeptExport, PartError, Reservation, send_part},
+    quarantine::{LostPart, note_lost},
   },
   futures_util::FutureExt,
   std::{pin::pin, time::Duration},
@@ -30,7 +31,15 @@
     let result = self.send_within_silence(entry, &marks).await;
     match &result {
       Ok(_) => self.note_answer(reservation, export),
-      Err(error) => self.note_error(entry, sent_ms, error, export),
+      Err(error) => self.note_error(entry, error, export),
+    }
+    if let Err(PartError::Lost(error)) = &result {
+      let lost = LostPart {
+        entry: entry.clone(),
+        error: error.clone(),
+        sent_ms,
+      };
+      note_lost(&self.gateway, &self.request, lost).await;
     }
     result
   }
@@ -82,6 +91,9 @@
     if !self.gateway.settings.mechanisms.silence_takeover {
       return false;
     }
+    if self.request.is_barred(&self.gateway) {
+      return false;
+    }
     if !self.has_attempts_left() || !self.gateway.has_repeat_left(&self.request.service) {
       return false;
     }
@@ -108,13 +120,7 @@
     self.blame_for_refusal();
   }
 
-  fn note_error(
-    &mut self,
-    entry: &EndpointEntry,
-    sent_ms: u64,
-    error: &PartError,
-    export: Option<KeptExport>,
-  ) {
+  fn note_error(&mut self, entry: &EndpointEntry, error: &PartError, export: Option<KeptExport>) {
     if error.has_not_run() {
       self.attempts -= 1;
     }
@@ -126,15 +132,8 @@
     match error {
       PartError::NotRun(_) => self.note_refusal(entry, export),
       // No engine has fetched it.
-      PartError::Unreachable | PartError::Unsent(_) => self.export = export,
-      PartError::Lost(error) => {
-        let lost = LostPart {
-          entry: entry.clone(),
-          error: error.clone(),
-          sent_ms,
-        };
-        note_lost(&self.gateway, &self.request, lost);
-      }
+      PartError::Unreachable | PartError::Unsent(_) | PartError::Barred => self.export = export,
+      PartError::Lost(_) => {}
     }
   }
 
--- a/src/gateway/settings/document.rs
+++ b/src/gateway/settings/document.rs
@@ -1,7 +1,10 @@
 //! The settings of a gateway box.
 
 use {
-  super::{limits::LimitSettings, mechanisms::Mechanisms, route_policy::RoutePolicy},
+  super::{
+    limits::LimitSettings, mechanisms::Mechanisms, quarantine::QuarantineSettings,
+    route_policy::RoutePolicy,
+  },
   crate::{Error, Result, gateway::decisions::RetryAllowance, ids::Name, settings::SettingsError},
   serde::Deserialize,
   std::{
@@ -29,6 +32,9 @@
   /// How organisations' limits are kept.
   #[serde(default)]
   pub limits: LimitSettings,
+  /// What is done about requests that end endpoints.
+  #[serde(default)]
+  pub quarantine: QuarantineSettings,
   /// Mechanisms that are switched off.
   #[serde(default)]
   pub mechanisms: Mechanisms,
--- a/src/gateway/settings/mod.rs
+++ b/src/gateway/settings/mod.rs
@@ -5,6 +5,7 @@
 mod document;
 mod limits;
 mod mechanisms;
+mod quarantine;
 mod route_policy;
 
 pub use self::{
@@ -14,5 +15,6 @@
   },
   limits::LimitSettings,
   mechanisms::Mechanisms,
+  quarantine::QuarantineSettings,
   route_policy::{RoutePolicy, RouteRank},
 };
--- a/src/gateway/state/counters.rs
+++ b/src/gateway/state/counters.rs
@@ -61,6 +61,8 @@
   pub(crate) refused: Counter,
   pub(crate) beyond_limit: Counter,
   pub(crate) broken_streams: Counter,
+  /// Requests that were held because endpoints had ended with them.
+  pub(crate) held: Counter,
   /// Parts that were lost with their endpoint.
   pub(crate) lost_with_endpoint: Counter,
   pub(crate) callers_gone: Counter,
@@ -87,6 +89,7 @@
       ("rillford_refused_total", &self.refused),
       ("rillford_beyond_limit_total", &self.beyond_limit),
       ("rillford_broken_streams_total", &self.broken_streams),
+      ("rillford_held_total", &self.held),
       (
         "rillford_lost_with_endpoint_total",
         &self.lost_with_endpoint,
--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -1,7 +1,7 @@
 //! What a gateway box holds: the configuration in force, the endpoints, connections and budgets.
 
 use {
-  super::{change_log::ChangeLog, counters::Counters},
+  super::{change_log::ChangeLog, counters::Counters, quarantine::Quarantine},
   crate::{
     HttpClient,
     gateway::{
@@ -77,6 +77,8 @@
   /// The latest changes of the store, for boxes that follow this one.
   pub(crate) change_log: ChangeLog,
   pub(crate) store_heard_ms: Cell<Option<u64>>,
+  /// Requests that end endpoints.
+  pub(crate) quarantine: Quarantine,
   /// What is expected of the engines' seats.
   pub(crate) seat_forecast: RefCell<SeatForecast>,
   /// The requests that look for a seat.
@@ -135,6 +137,7 @@
       phase: watch::Sender::new(Phase::Serving),
       policy,
       pool: ConnectionPool::default(),
+      quarantine: Quarantine::default(),
       random: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
       seat_forecast: RefCell::default(),
       seat_queue: RefCell::default(),
--- a/src/gateway/state/mod.rs
+++ b/src/gateway/state/mod.rs
@@ -5,7 +5,11 @@
 mod change_log;
 mod counters;
 mod gateway;
+mod quarantine;
 
 pub use self::change_log::ChangeLog;
 
-pub(crate) use self::gateway::{Gateway, HeldLease, InFlight, Phase};
+pub(crate) use self::{
+  gateway::{Gateway, HeldLease, InFlight, Phase},
+  quarantine::{MarkOrigin, TrialClaim},
+};
--- a/tests/architecture.rs
+++ b/tests/architecture.rs
@@ -15,7 +15,7 @@
   &["connections"],
   &["state"],
   &["parts"],
-  &["limits"],
+  &["limits", "quarantine"],
   &["membership", "requests", "roles"],
   &["process"],
 ];
