What is known of requests that end endpoints outlasts all leases; the soak has such a request, and engines that come back under their id

Marks stood under a lease. Leases run out while the store is away, and boxes heard of that as of a request that was cleared: a held one would have been free again. They stand without a lease now, hold when they were written, and the first box by name removes those that nobody has asked for in ten minutes.

The soak: one more caller sends one body again and again, which ends each decode engine 40 ms after it begins; the engine is back a second later under its id, with another start. A new promise: at most three more runs, later than the bound on contact after the third end.

--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -2,7 +2,11 @@
 
 use {
   super::{
-    caller_key::CallerKey, configuration::HOST, fleet::Fleet, records::Outcome,
+    caller_key::CallerKey,
+    configuration::HOST,
+    content::{CRASHING_BODY, CRASHING_NAME},
+    fleet::Fleet,
+    records::Outcome,
     request_kind::RequestKind,
   },
   bytes::Bytes,
@@ -32,8 +36,18 @@
 /// Pause after a refusal or a broken connection: callers come back, not at once.
 const FAILED_PAUSE: Duration = Duration::from_millis(150);
 
+/// What a caller asks for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum CallerWork {
+  /// All kinds of requests that endpoints survive.
+  Mixed,
+  /// The one request that ends engines, again and again.
+  Crashing,
+}
+
 /// One caller.
 pub(crate) struct Caller {
+  work: CallerWork,
   fleet: Arc<Fleet>,
   name: String,
   random: ChaCha8Rng,
@@ -43,7 +57,7 @@
 }
 
 impl Caller {
-  pub(crate) fn new(fleet: Arc<Fleet>, number: u64, seed: u64) -> Self {
+  pub(crate) fn new(fleet: Arc<Fleet>, number: u64, seed: u64, work: CallerWork) -> Self {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     random.set_stream(number + 1);
     Self {
@@ -53,6 +67,7 @@
       fleet,
       name: format!("c{number}"),
       random,
+      work,
     }
   }
 
@@ -78,6 +93,9 @@
   }
 
   fn kind(&mut self) -> RequestKind {
+    if self.work == CallerWork::Crashing {
+      return RequestKind::CrashingStream;
+    }
     match self.random.random_range(0..4) {
       0 => RequestKind::Repeatable,
       1 => RequestKind::Unrepeatable,
@@ -88,6 +106,9 @@
 
   /// One request in five is the hot organisation's.
   fn key(&mut self) -> CallerKey {
+    if self.work == CallerWork::Crashing {
+      return CallerKey::Captions;
+    }
     match self.random.random_range(0..10) {
       0..3 => CallerKey::Captions,
       3..5 => CallerKey::Lectures,
@@ -103,7 +124,8 @@
     let key = self.key();
     self.count += 1;
     let id = format!("{}-{}", self.name, self.count);
-    let leaves_after_ms = self.random.random_bool(LEAVE_CHANCE).then(|| {
+    let may_leave = self.work == CallerWork::Mixed;
+    let leaves_after_ms = (may_leave && self.random.random_bool(LEAVE_CHANCE)).then(|| {
       self
         .random
         .random_range(LEAVE_AFTER_MS.0..=LEAVE_AFTER_MS.1)
@@ -124,14 +146,16 @@
 
   fn request(&self, kind: RequestKind, key: CallerKey, id: &str) -> Request<Full<Bytes>> {
     let address = self.fleet.boxes[self.box_index].callers.address;
-    let is_get = kind == RequestKind::Repeatable;
-    let mut request = Request::new(Full::new(Bytes::from_static(if is_get {
-      b""
-    } else {
-      b"prompt"
-    })));
-    *request.method_mut() = if is_get { Method::GET } else { Method::POST };
-    let uri = format!("http://{address}{}{id}", kind.path());
+    let (method, name, body): (_, _, &[u8]) = match kind {
+      RequestKind::Repeatable => (Method::GET, id, b""),
+      RequestKind::CrashingStream => (Method::POST, CRASHING_NAME, CRASHING_BODY),
+      RequestKind::Unrepeatable | RequestKind::Stream | RequestKind::ResumableStream => {
+        (Method::POST, id, b"prompt")
+      }
+    };
+    let mut request = Request::new(Full::new(Bytes::from_static(body)));
+    *request.method_mut() = method;
+    let uri = format!("http://{address}{}{name}", kind.path());
     *request.uri_mut() = uri.parse().unwrap_or_default();
     let deadline = DEADLINE.as_millis().to_string();
     let authorization = format!("Bearer {}", key.text());
--- a/soak/src/conductor.rs
+++ b/soak/src/conductor.rs
@@ -16,6 +16,8 @@
 const LEAVES_AFTER: Duration = Duration::from_millis(2_800);
 /// Endpoints whose entries lapsed are back this soon after the store's return (the users' two seconds).
 const ENTRIES_BACK: Duration = Duration::from_millis(1_200);
+/// How long an engine is down that a request has ended.
+const CRASHED: Duration = Duration::from_millis(1_000);
 /// The entry of an endpoint that crashed stands for so long, although its address has another owner.
 const STALE_ENTRY: Duration = Duration::from_millis(1_500);
 
@@ -140,6 +142,25 @@
   fleet.serve_again(place, ended.part).await
 }
 
+/// A request has ended an engine: it comes back under its id, as another life. Its entry stands meanwhile.
+pub(crate) async fn crash_again(fleet: &Fleet, place: usize, incarnation: &str) {
+  let mut is_same = false;
+  fleet.with_endpoint(place, |endpoint| {
+    is_same = endpoint.incarnation == incarnation;
+  });
+  if !is_same {
+    return;
+  }
+  let _disturbed = fleet.ledger.disturb(Target::Place(place));
+  let Some(ended) = fleet.end(place) else {
+    return;
+  };
+  fleet.note_crash();
+  sleep(CRASHED).await;
+  // Without a free port the place stays down, and the run says so at its end.
+  let _ = fleet.serve_under_id(place, ended).await;
+}
+
 /// The endpoint says that it leaves, serves on for a while, and ends.
 async fn leave(fleet: &Fleet, place: usize) -> Result {
   let Some(incarnation) = fleet.say_leaving(place) else {
--- a/soak/src/content.rs
+++ b/soak/src/content.rs
@@ -5,6 +5,11 @@
 /// Streams differ in length by up to this many events.
 const EVENT_SPREAD: u64 = 24;
 
+/// The body of a request that ends each engine that runs it.
+pub(crate) const CRASHING_BODY: &[u8] = b"no engine survives this";
+/// The last part of its path.
+pub(crate) const CRASHING_NAME: &str = "crashing";
+
 /// The whole answer of a plain endpoint.
 pub(crate) fn plain_answer(id: &str) -> String {
   format!("answer to {id}\n").repeat(8)
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -2,8 +2,9 @@
 
 use {
   super::{
-    content,
+    content::{self, CRASHING_BODY},
     endpoint_state::{EndpointState, SEATS},
+    engine_news::{EngineNewsItem, EngineReports},
     event_stream::EventStream,
     exports::Exports,
     fault::EndpointFault,
@@ -24,7 +25,7 @@
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
   },
-  tokio::{sync::mpsc::UnboundedSender, time::sleep},
+  tokio::time::sleep,
 };
 
 /// How long a plain request takes.
@@ -35,6 +36,8 @@
 const OWN_READING: Duration = Duration::from_millis(20);
 /// How much later a slow endpoint begins its work.
 const SLOW_PAUSE: Duration = Duration::from_millis(600);
+/// How long an engine runs a request that ends it.
+const CRASH_AFTER: Duration = Duration::from_millis(40);
 /// How long an engine changes its role.
 const SWITCH_WORK: Duration = Duration::from_millis(400);
 
@@ -47,13 +50,15 @@
   ledger: Ledger,
   exports: Exports,
   state: Mutex<EndpointState>,
-  /// Hears of a changed role.
-  changed_part: UnboundedSender<(usize, Part)>,
+  /// Counts the starts of all endpoints: the time of this one's.
+  pub(crate) born: u64,
+  reports: EngineReports,
 }
 
 /// Who an incarnation is.
 pub(crate) struct Identity {
   pub(crate) incarnation: String,
+  pub(crate) born: u64,
   pub(crate) place: usize,
   pub(crate) part: Part,
   /// The address under which boxes know it.
@@ -65,14 +70,15 @@
     identity: Identity,
     ledger: &Ledger,
     exports: &Exports,
-    changed_part: UnboundedSender<(usize, Part)>,
+    reports: EngineReports,
   ) -> Arc<Self> {
     Arc::new(Self {
-      changed_part,
+      born: identity.born,
       exports: exports.clone(),
       incarnation: identity.incarnation,
       ledger: ledger.clone(),
       place: identity.place,
+      reports,
       shown: identity.shown,
       state: Mutex::new(EndpointState::new(identity.part)),
     })
@@ -145,6 +151,7 @@
       (&Method::POST, "/order") => Ok(self.order(&body)),
       (&Method::GET, "/report") => Ok(self.report()),
       (&Method::DELETE, path) => Ok(self.free(path)),
+      _ if body == CRASHING_BODY && self.part() == Part::Decode => self.crash(&head.headers).await,
       _ => self.work(&head.headers).await,
     }
   }
@@ -218,7 +225,26 @@
     state.switching = false;
     drop(state);
     // Nobody is told once the run is over.
-    let _ = self.changed_part.send((self.place, part));
+    let _ = self
+      .reports
+      .send(EngineNewsItem::ChangedPart { place: self.place });
+  }
+
+  /// Begins to run a request, and ends in the middle of it.
+  async fn crash(self: Arc<Self>, headers: &HeaderMap) -> io::Result<Response<ReplyBody>> {
+    let Some(_seat) = Seat::take(&self, header(headers, "x-hold")) else {
+      return Ok(not_run(headers, StatusCode::SERVICE_UNAVAILABLE));
+    };
+    let id = header(headers, "x-request-id").unwrap_or_default();
+    let _run = self.run(id, headers);
+    sleep(CRASH_AFTER).await;
+    let incarnation = self.incarnation.clone();
+    // Nobody is told once the run is over.
+    let _ = self.reports.send(EngineNewsItem::Crashed {
+      incarnation,
+      place: self.place,
+    });
+    pending().await
   }
 
   /// A caller's request, or a part of one.
--- /dev/null
+++ b/soak/src/engine_news.rs
@@ -0,0 +1,25 @@
+//! What engines tell the run of themselves.
+
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
+
+/// Something that happened to an engine.
+pub(crate) enum EngineNewsItem {
+  /// It changed its role: its entry has to follow.
+  ChangedPart {
+    /// Where it is.
+    place: usize,
+  },
+  /// A request ended it.
+  Crashed {
+    /// Where it was.
+    place: usize,
+    /// Its id.
+    incarnation: String,
+  },
+}
+
+/// Where engines tell it.
+pub(crate) type EngineReports = UnboundedSender<EngineNewsItem>;
+
+/// Where the run hears it.
+pub(crate) type EngineNews = UnboundedReceiver<EngineNewsItem>;
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -6,6 +6,7 @@
     configuration::{self, HOST, version_path},
     endpoint::{Endpoint, Identity},
     endpoint_state::SEATS,
+    engine_news::{EngineNews, EngineReports},
     error::{Error, Result},
     exports::Exports,
     ledger::Ledger,
@@ -27,10 +28,7 @@
       atomic::{AtomicU64, Ordering},
     },
   },
-  tokio::{
-    net::TcpListener,
-    sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
-  },
+  tokio::{net::TcpListener, sync::mpsc::unbounded_channel},
 };
 
 /// An incarnation that is no more.
@@ -48,13 +46,12 @@
   ready: Mutex<Vec<usize>>,
   exports: Exports,
   incarnations: AtomicU64,
+  /// Starts of endpoints: the time of a start is a number that rises.
+  births: AtomicU64,
   versions: AtomicU64,
-  changed_part: UnboundedSender<(usize, Part)>,
+  reports: EngineReports,
 }
 
-/// Tells which engine changed its role: its entry has to follow.
-pub(crate) type PartChanges = UnboundedReceiver<(usize, Part)>;
-
 impl Fleet {
   /// Starts everything.
   pub(crate) async fn start(
@@ -62,17 +59,18 @@
     directory: &Path,
     boxes: usize,
     places: usize,
-  ) -> Result<(Self, PartChanges)> {
+  ) -> Result<(Self, EngineNews)> {
     let ledger = Ledger::default();
     let store = PlatformStore::start().await.map_err(Error::Listen)?;
-    let (changed_part, part_changes) = unbounded_channel();
+    let (reports, news) = unbounded_channel();
     let mut fleet = Self {
       boxes: Vec::new(),
-      changed_part,
       exports: Exports::default(),
+      births: AtomicU64::new(1),
       incarnations: AtomicU64::new(0),
       ledger,
       places: Vec::new(),
+      reports,
       ready: Mutex::default(),
       store,
       versions: AtomicU64::new(0),
@@ -92,7 +90,7 @@
       started.push(BoxProcess::start(&plan, index).await?);
     }
     fleet.boxes = started;
-    Ok((fleet, part_changes))
+    Ok((fleet, news))
   }
 
   async fn add_place(&mut self, part: Part) -> Result {
@@ -107,29 +105,42 @@
   /// Starts a new incarnation at a place and enters it in the store.
   fn serve(&self, place: usize, part: Part, listener: TcpListener) {
     let number = self.incarnations.fetch_add(1, Ordering::Relaxed);
+    self.serve_as(format!("i-{number}"), place, part, listener);
+  }
+
+  /// Starts an incarnation with an id, which may have been there before.
+  fn serve_as(&self, incarnation: String, place: usize, part: Part, listener: TcpListener) {
     let identity = Identity {
-      incarnation: format!("i-{number}"),
+      born: self.births.fetch_add(1, Ordering::Relaxed),
+      incarnation,
       part,
       place,
       shown: self.places[place].link.address,
     };
-    let endpoint = Endpoint::new(
-      identity,
-      &self.ledger,
-      &self.exports,
-      self.changed_part.clone(),
-    );
+    let endpoint = Endpoint::new(identity, &self.ledger, &self.exports, self.reports.clone());
     *self.places[place].serving() = Some(Serving::start(endpoint, listener));
     self.enter(place);
   }
 
   /// Starts a new incarnation at a place that is down.
   pub(crate) async fn serve_again(&self, place: usize, part: Part) -> Result {
+    let listener = self.listen_at(place).await?;
+    self.serve(place, part, listener);
+    Ok(())
+  }
+
+  /// Starts an endpoint again under the id that it had.
+  pub(crate) async fn serve_under_id(&self, place: usize, ended: Ended) -> Result {
+    let listener = self.listen_at(place).await?;
+    self.serve_as(ended.incarnation, place, ended.part, listener);
+    Ok(())
+  }
+
+  async fn listen_at(&self, place: usize) -> Result<TcpListener> {
     let listener = listen().await?;
     let target = listener.local_addr().map_err(Error::Listen)?;
     self.places[place].link.set_target(target);
-    self.serve(place, part, listener);
-    Ok(())
+    Ok(listener)
   }
 
   /// Writes the entry of a place's endpoint, if it is up.
@@ -160,6 +171,7 @@
     let mut entry = json!({
       "service": part.service(), "address": self.places[place].link.address, "zone": "north", "version": "v1",
       "slots": SEATS, "state": state, "coldRemainingMs": 0, "callSeq": 1,
+      "born": endpoint.born,
     });
     if let Some(stage) = part.stage() {
       entry["stage"] = json!(stage);
@@ -187,6 +199,12 @@
     })
   }
 
+  /// A request has just ended an engine.
+  pub(crate) fn note_crash(&self) {
+    let now_ms = self.ledger.now_ms();
+    self.ledger.records().crashes.push(now_ms);
+  }
+
   /// Removes the entry of an endpoint that has ended.
   pub(crate) fn remove_entry(&self, ended: &Ended) {
     self.store.remove(&format!("servers/{}", ended.incarnation));
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -12,6 +12,7 @@
 mod disturbance;
 mod endpoint;
 mod endpoint_state;
+mod engine_news;
 mod error;
 mod event_stream;
 mod exports;
--- a/soak/src/play.rs
+++ b/soak/src/play.rs
@@ -3,10 +3,11 @@
 use {
   super::{
     breach::Breach,
-    caller::Caller,
-    conductor::carry_out,
+    caller::{Caller, CallerWork},
+    conductor::{carry_out, crash_again},
+    engine_news::{EngineNews, EngineNewsItem},
     error::{Error, Result},
-    fleet::{Fleet, PartChanges},
+    fleet::Fleet,
     plan::{Size, Step, draw_plan},
     promises::breaches,
     records::{Outcome, Records},
@@ -73,7 +74,7 @@
 /// Plays one run. Fails when it can't be played; broken promises stand in the report.
 pub async fn play(options: &Options) -> Result<Report> {
   let size = options.size;
-  let (fleet, part_changes) = Fleet::start(
+  let (fleet, engine_news) = Fleet::start(
     &options.program,
     &options.directory,
     size.boxes,
@@ -82,7 +83,7 @@
   .await?;
   let fleet = Arc::new(fleet);
   wait_until_ready(&fleet).await?;
-  let mut background = start_background(&fleet, part_changes);
+  let mut background = start_background(&fleet, engine_news);
   let (end, ended) = watch::channel(false);
   let mut callers = start_callers(&fleet, options, &ended);
   let steps = draw_plan(options.seed, size);
@@ -105,11 +106,11 @@
 }
 
 /// What runs beside the traffic until the end: the balancer, the questions for versions, and the engines' entries.
-fn start_background(fleet: &Arc<Fleet>, part_changes: PartChanges) -> JoinSet<()> {
+fn start_background(fleet: &Arc<Fleet>, engine_news: EngineNews) -> JoinSet<()> {
   let mut background = JoinSet::new();
   background.spawn(keep_looking(fleet.clone()));
   background.spawn(keep_probing(fleet.clone()));
-  background.spawn(follow_part_changes(fleet.clone(), part_changes));
+  background.spawn(follow_engines(fleet.clone(), engine_news));
   background
 }
 
@@ -120,8 +121,16 @@
 ) -> JoinSet<()> {
   let mut callers = JoinSet::new();
   for number in 0..options.callers {
-    callers.spawn(Caller::new(fleet.clone(), number, options.seed).run(ended.clone()));
+    let caller = Caller::new(fleet.clone(), number, options.seed, CallerWork::Mixed);
+    callers.spawn(caller.run(ended.clone()));
   }
+  let crashing = Caller::new(
+    fleet.clone(),
+    options.callers,
+    options.seed,
+    CallerWork::Crashing,
+  );
+  callers.spawn(crashing.run(ended.clone()));
   callers
 }
 
@@ -186,9 +195,17 @@
   }
 }
 
-/// Writes the entries of engines that have changed their role.
-async fn follow_part_changes(fleet: Arc<Fleet>, mut changes: PartChanges) {
-  while let Some((place, _)) = changes.recv().await {
-    fleet.enter(place);
+/// Writes the entries of engines that have changed their role, and starts those again that a request has ended.
+async fn follow_engines(fleet: Arc<Fleet>, mut news: EngineNews) {
+  let mut restarts = JoinSet::new();
+  while let Some(told) = news.recv().await {
+    match told {
+      EngineNewsItem::ChangedPart { place } => fleet.enter(place),
+      EngineNewsItem::Crashed { place, incarnation } => {
+        let fleet = fleet.clone();
+        restarts.spawn(async move { crash_again(&fleet, place, &incarnation).await });
+      }
+    }
+    while restarts.try_join_next().is_some() {}
   }
 }
--- a/soak/src/promise.rs
+++ b/soak/src/promise.rs
@@ -35,6 +35,8 @@
   KeysKept,
   /// No organisation is served beyond its limit.
   LimitKept,
+  /// A request that has ended three engines is sent to few more.
+  FewCrashes,
   /// Role orders of different boxes never pass each other.
   OneSteward,
 }
--- a/soak/src/promises.rs
+++ b/soak/src/promises.rs
@@ -9,10 +9,14 @@
     promise::Promise,
     records::{OrderRecord, Outcome, PlannedStop, Probe, Records, RequestRecord},
     request_check::RequestCheck,
+    request_kind::RequestKind,
   },
   std::collections::BTreeMap,
 };
 
+/// Ends of engines after which a request is held, and runs that it may still have (the users' bounds).
+const ENDS_BEFORE_HELD: usize = 3;
+const MOST_RUNS_HELD: usize = 3;
 /// Share of requests that is served once recovered.
 const RECOVERED_SHARE: f64 = 0.9;
 
@@ -25,6 +29,7 @@
   breaches.extend(check.configuration());
   breaches.extend(check.planned_stops());
   breaches.extend(check.orders());
+  breaches.extend(check.crashes());
   breaches.extend(check.held());
   breaches.extend(check.recovery());
   breaches.extend(organisation_breaches(records, slack_ms));
@@ -128,6 +133,32 @@
     found
   }
 
+  /// A request that ends engines is sent on by boxes that had time to hear of its third end, more often than is allowed.
+  fn crashes(&self) -> Option<Breach> {
+    let third_ms = *self.records.crashes.get(ENDS_BEFORE_HELD - 1)?;
+    let known_ms = third_ms + CONTACT_MS + self.slack_ms;
+    let late = self.records.requests.iter().flat_map(|(id, request)| {
+      let is_late = |began_ms: &u64| {
+        *began_ms > known_ms
+          && self
+            .records
+            .is_connected(request.box_index, third_ms, *began_ms)
+      };
+      let runs = request.runs.iter().map(|run| run.began_ms);
+      let runs = runs.filter(move |_| request.kind == RequestKind::CrashingStream);
+      runs
+        .filter(is_late)
+        .map(move |began_ms| format!("{id} at {began_ms} ms"))
+        .collect::<Vec<_>>()
+    });
+    let late: Vec<String> = late.collect();
+    if late.len() <= MOST_RUNS_HELD {
+      return None;
+    }
+    let seen = format!("the third end was at {third_ms} ms: {late:?}");
+    Some(Breach::new(Promise::FewCrashes, seen))
+  }
+
   fn held(&self) -> impl Iterator<Item = Breach> {
     let held = self.records.held_at_end.iter();
     held.map(|held| Breach::new(Promise::NothingHeld, held))
@@ -142,6 +173,8 @@
       .filter(|request| request.sent_ms >= since_ms && request.outcome != Some(Outcome::Left))
       // Who asks for several times its limit is not served all of it.
       .filter(|request| request.key != CallerKey::Hot)
+      // Nobody expects what ends engines to be served.
+      .filter(|request| request.kind != RequestKind::CrashingStream)
       .collect();
     let served = late.iter().filter(|request| is_served(request)).count();
     // Without a request nothing is shown.
--- a/soak/src/records.rs
+++ b/soak/src/records.rs
@@ -124,6 +124,8 @@
   pub leaving: BTreeMap<String, u64>,
   /// Role orders in the order of their arrival.
   pub orders: Vec<OrderRecord>,
+  /// When the request that ends engines ended one.
+  pub crashes: Vec<u64>,
   /// Planned stops.
   pub stops: Vec<PlannedStop>,
   /// Disturbances.
--- a/soak/src/request_kind.rs
+++ b/soak/src/request_kind.rs
@@ -11,17 +11,25 @@
   Stream,
   /// A stream that another engine may go on with.
   ResumableStream,
+  /// The same, with a body that ends each engine that runs it. Its path is the same each time.
+  CrashingStream,
 }
 
 impl RequestKind {
   /// Whether a second run breaks no promise.
   pub fn may_repeat(self) -> bool {
-    matches!(self, Self::Repeatable | Self::ResumableStream)
+    matches!(
+      self,
+      Self::Repeatable | Self::ResumableStream | Self::CrashingStream
+    )
   }
 
   /// Whether the answer is a series of events.
   pub fn is_stream(self) -> bool {
-    matches!(self, Self::Stream | Self::ResumableStream)
+    matches!(
+      self,
+      Self::Stream | Self::ResumableStream | Self::CrashingStream
+    )
   }
 
   /// The path of its route.
@@ -30,7 +38,7 @@
       Self::Repeatable => "/safe/",
       Self::Unrepeatable => "/unsafe/",
       Self::Stream => "/stream/",
-      Self::ResumableStream => "/resumable/",
+      Self::ResumableStream | Self::CrashingStream => "/resumable/",
     }
   }
 
@@ -39,7 +47,7 @@
     match self {
       Self::Unrepeatable | Self::Stream => 1,
       Self::Repeatable => 2,
-      Self::ResumableStream => 3,
+      Self::ResumableStream | Self::CrashingStream => 3,
     }
   }
 }
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -54,7 +54,6 @@
 };
 
 pub(crate) use self::{
-  quarantine_book::KEPT_MS,
   retry_after::{
     RETRY_AFTER_FULL_MS, RETRY_AFTER_LEAVING_MS, RETRY_AFTER_NO_CONFIGURATION_MS,
     RETRY_AFTER_NO_ENDPOINT_MS,
--- a/src/gateway/decisions/quarantine_book.rs
+++ b/src/gateway/decisions/quarantine_book.rs
@@ -25,8 +25,8 @@
 /// Pauses before the trials. The first comes at once: it frees the innocent. The second comes after the endpoints that the
 /// request ended are back and have served others for some seconds.
 const TRIAL_PAUSES_MS: [u64; 2] = [0, 15_000];
-/// How long something is kept that nobody asks for: the longest lease that the platform's store grants.
-pub(crate) const KEPT_MS: u64 = 600_000;
+/// How long something is kept that nobody asks for.
+const KEPT_MS: u64 = 600_000;
 /// A mark this old is written anew when its request is asked for.
 const REFRESH_MS: u64 = KEPT_MS / 2;
 /// Callers of a request that is being tried come back after this: most answers are whole within it.
@@ -51,7 +51,7 @@
   },
 }
 
-/// What is known of one request, each with the time at which this box heard of it.
+/// What is known of one request, each with the time since when it stands.
 #[derive(Clone, Debug, Default)]
 struct Case {
   ended: BTreeMap<EndpointLife, u64>,
@@ -125,15 +125,15 @@
 }
 
 impl QuarantineBook {
-  /// Takes over something that this box saw or heard; whether it is new to it.
-  pub fn note(&mut self, key: QuarantineKey, now_ms: u64) -> bool {
+  /// Takes over something that this box saw or heard of, and since when it stands; whether it is new to it.
+  pub fn note(&mut self, key: QuarantineKey, since_ms: u64) -> bool {
     if !self.cases.contains_key(&key.fingerprint) && self.cases.len() >= MOST_KEPT {
       self.drop_least();
     }
     let case = self.cases.entry(key.fingerprint).or_default();
     let before = match key.mark {
-      QuarantineMark::Ended(life) => case.ended.insert(life, now_ms),
-      QuarantineMark::Trial(number) => case.trials.insert(number, now_ms),
+      QuarantineMark::Ended(life) => case.ended.insert(life, since_ms),
+      QuarantineMark::Trial(number) => case.trials.insert(number, since_ms),
     };
     before.is_none()
   }
@@ -158,11 +158,19 @@
     case.map_or_else(Vec::new, |case| case.keys(fingerprint))
   }
 
-  /// Forgets what nobody has asked for in a long time.
-  pub fn forget_old(&mut self, now_ms: u64) {
-    self
+  /// Forgets what nobody has asked for in a long time; what was known of it.
+  pub fn forget_old(&mut self, now_ms: u64) -> Vec<QuarantineKey> {
+    let is_old = |case: &Case| now_ms >= case.newest_ms() + KEPT_MS;
+    let old: Vec<Fingerprint> = self
       .cases
-      .retain(|_, case| now_ms < case.newest_ms() + KEPT_MS);
+      .iter()
+      .filter(|(_, case)| is_old(case))
+      .map(|(fingerprint, _)| *fingerprint)
+      .collect();
+    old
+      .into_iter()
+      .flat_map(|fingerprint| self.clear(fingerprint))
+      .collect()
   }
 
   /// Whether a request may be sent now.
--- a/src/gateway/edge/store.rs
+++ b/src/gateway/edge/store.rs
@@ -125,17 +125,18 @@
   ) -> impl Future<Output = Result<Option<u64>, StoreError>>;
   /// Reads who is steward now.
   fn steward(&self) -> impl Future<Output = Result<Option<Stewardship>, StoreError>>;
-  /// Writes that something is known of requests that end endpoints, under a lease; at most [`MOST_CHANGED_KEYS`] keys.
+  /// Writes that something is known of requests that end endpoints, all with one value; at most [`MOST_CHANGED_KEYS`] keys. They
+  /// outlast all leases.
   fn put_quarantine(
     &self,
     keys: &[Name],
-    lease: StoreLease,
+    value: Bytes,
   ) -> impl Future<Output = Result<(), StoreError>>;
   /// Writes one such key unless it is there; whether it was not.
   fn claim_quarantine(
     &self,
     key: &Name,
-    lease: StoreLease,
+    value: Bytes,
   ) -> impl Future<Output = Result<bool, StoreError>>;
   /// Removes such keys; at most [`MOST_CHANGED_KEYS`].
   fn remove_quarantine(&self, keys: &[Name]) -> impl Future<Output = Result<(), StoreError>>;
--- a/src/gateway/membership/store_view.rs
+++ b/src/gateway/membership/store_view.rs
@@ -6,6 +6,7 @@
     gateway::{
       decisions::QuarantineKey,
       edge::{StoreError, StoreItem, StoreKey},
+      quarantine::mark_age_ms,
       state::Gateway,
     },
     ids::Name,
@@ -94,7 +95,7 @@
         log::warn!("E406 configuration removed: the last one stays")
       }
       (StoreKey::Steward, value) => self.gateway.has_steward.set(value.is_some()),
-      (StoreKey::Quarantine(text), value) => self.quarantine_mark(&text, value.is_some()),
+      (StoreKey::Quarantine(text), value) => self.quarantine_mark(&text, value.as_deref()),
       (StoreKey::Other, _) => {}
     }
   }
@@ -112,16 +113,19 @@
       .collect()
   }
 
-  fn quarantine_mark(&self, text: &str, holds: bool) {
+  /// A mark was written or removed; one that can't be read marks nothing.
+  fn quarantine_mark(&self, text: &str, value: Option<&[u8]>) {
     let Some(key) = QuarantineKey::parse(text) else {
       log::warn!("E405 mark {text} can't be read");
       return;
     };
     let mut book = self.gateway.quarantine.book.borrow_mut();
-    if holds {
-      book.note(key, self.gateway.now_ms());
-    } else {
-      book.forget(key);
+    match value.map(mark_age_ms) {
+      Some(Some(age_ms)) => {
+        book.note(key, self.gateway.now_ms().saturating_sub(age_ms));
+      }
+      Some(None) => log::warn!("E405 value of mark {text} can't be read"),
+      None => book.forget(key),
     }
   }
 
--- a/src/gateway/process/start.rs
+++ b/src/gateway/process/start.rs
@@ -179,7 +179,6 @@
     let now_ms = gateway.now_ms();
     gateway.pool.close_old(now_ms);
     gateway.book.borrow_mut().forget_lapsed(now_ms);
-    gateway.quarantine.book.borrow_mut().forget_old(now_ms);
   }
 }
 
--- a/src/gateway/quarantine/mod.rs
+++ b/src/gateway/quarantine/mod.rs
@@ -11,6 +11,6 @@
 pub(crate) use self::{
   endpoint_end::{LostPart, note_lost},
   messages::{MARKS_PATH, answer_marks},
-  sharing::keep_quarantine,
+  sharing::{keep_quarantine, mark_age_ms},
   vetting::{Held, note_whole, release_unsent, vet},
 };
--- a/src/gateway/quarantine/sharing.rs
+++ b/src/gateway/quarantine/sharing.rs
@@ -1,39 +1,34 @@
 //! Keeps in the store what boxes know of requests that end endpoints: each box hears of it by its watch, one that has just started by
-//! its listing, and it outlasts all of them.
+//! its listing, and it outlasts all of them, and their leases too: those run out while the store is away, and a request that was held
+//! would be free again.
 
 use {
   super::messages::tell_marks,
   crate::{
     gateway::{
-      decisions::{KEPT_MS, QuarantineKey, retry_pause_ms},
-      edge::{MOST_CHANGED_KEYS, Store, StoreError, StoreLease},
+      decisions::{QuarantineKey, retry_pause_ms},
+      edge::{MOST_CHANGED_KEYS, Store, StoreError},
       state::{Gateway, MarkOrigin, TrialClaim},
     },
     ids::Name,
+    observe::unix_ms,
   },
-  std::{cell::Cell, rc::Rc, time::Duration},
+  bytes::Bytes,
+  std::{rc::Rc, time::Duration},
   tokio::{sync::mpsc, task::spawn_local, time::sleep},
 };
 
 /// Time for each box over which the first ends of requests are gathered: when an engine ends, all boxes that had streams there
 /// write at once, and the store takes 400 changes a second.
 const GATHER_MS_PER_BOX: u64 = 4;
-/// A lease this old is used for nothing new, so that marks stay for three quarters of [`KEPT_MS`] at least.
-const LEASE_USED_MS: u64 = KEPT_MS / 4;
+/// Pause between looks for what is old.
+const FORGET_PAUSE: Duration = Duration::from_secs(10);
 /// Other boxes that are asked to write when the store does not answer this one.
 const MOST_TOLD: usize = 3;
 
-/// A lease under which marks are written; all run out by themselves.
-#[derive(Clone, Copy, Debug)]
-struct MarkLease {
-  lease: StoreLease,
-  granted_ms: u64,
-}
-
 struct Sharing<S> {
   gateway: Rc<Gateway>,
   store: S,
-  lease: Cell<Option<MarkLease>>,
 }
 
 /// Writes marks and takes trials until the process ends.
@@ -41,12 +36,9 @@
   let Some(claims) = gateway.quarantine.take_claims() else {
     return;
   };
-  let sharing = Rc::new(Sharing {
-    gateway,
-    lease: Cell::new(None),
-    store,
-  });
+  let sharing = Rc::new(Sharing { gateway, store });
   spawn_local(serve_claims(sharing.clone(), claims));
+  spawn_local(forget_old(sharing.gateway.clone()));
   loop {
     sharing.gather().await;
     if sharing.write_marks().await && sharing.remove_marks().await {
@@ -70,6 +62,22 @@
   }
 }
 
+/// Forgets what is old. One box alone has it removed from the store: the first by name.
+async fn forget_old(gateway: Rc<Gateway>) {
+  loop {
+    sleep(FORGET_PAUSE).await;
+    let now_ms = gateway.now_ms();
+    let old = gateway.quarantine.book.borrow_mut().forget_old(now_ms);
+    let is_first = {
+      let boxes = gateway.boxes.borrow();
+      boxes.names().first() == Some(&gateway.settings.identity.name)
+    };
+    if is_first && !old.is_empty() {
+      gateway.quarantine.remove(&old);
+    }
+  }
+}
+
 impl<S: Store> Sharing<S> {
   /// Waits until there is something to write, and for more of it unless it can't wait.
   async fn gather(&self) {
@@ -109,11 +117,9 @@
   }
 
   async fn write(&self, keys: &[QuarantineKey]) -> Result<(), StoreError> {
-    let lease = self.lease().await?;
     self.gateway.counters.store_calls.inc();
-    let written = self.store.put_quarantine(&texts(keys), lease).await;
-    self.forget_lease_that_is_over(&written);
-    written
+    let value = mark_value();
+    self.store.put_quarantine(&texts(keys), value).await
   }
 
   /// Removes what no longer holds; whether the store has done so.
@@ -140,43 +146,14 @@
 
   /// Takes a trial, unless another box has it or the store does not say.
   async fn claim(&self, key: QuarantineKey) -> bool {
-    let claimed = match self.lease().await {
-      Ok(lease) => {
-        self.gateway.counters.store_calls.inc();
-        self.store.claim_quarantine(&key.text(), lease).await
-      }
-      Err(error) => Err(error),
-    };
-    self.forget_lease_that_is_over(&claimed);
+    self.gateway.counters.store_calls.inc();
+    let claimed = self.store.claim_quarantine(&key.text(), mark_value()).await;
     claimed.unwrap_or_else(|error| {
       log::info!("E532 trial not taken: {error}");
       false
     })
   }
 
-  /// A lease for new marks.
-  async fn lease(&self) -> Result<StoreLease, StoreError> {
-    let now_ms = self.gateway.now_ms();
-    if let Some(held) = self.lease.get()
-      && now_ms < held.granted_ms + LEASE_USED_MS
-    {
-      return Ok(held.lease);
-    }
-    self.gateway.counters.store_calls.inc();
-    let lease = self.store.grant(Duration::from_millis(KEPT_MS)).await?;
-    self.lease.set(Some(MarkLease {
-      granted_ms: now_ms,
-      lease,
-    }));
-    Ok(lease)
-  }
-
-  fn forget_lease_that_is_over<T>(&self, called: &Result<T, StoreError>) {
-    if matches!(called, Err(StoreError::LeaseOver)) {
-      self.lease.set(None);
-    }
-  }
-
   /// Has another box write what this one saw, while the store does not answer it; what was handed over.
   async fn hand_over(&self, keys: &[QuarantineKey]) -> Vec<QuarantineKey> {
     let own: Vec<QuarantineKey> = {
@@ -203,6 +180,17 @@
   }
 }
 
+/// What a mark holds: when it was written. Boxes forget it by that, also one that has just started.
+fn mark_value() -> Bytes {
+  unix_ms().to_string().into()
+}
+
+/// For how long a mark has stood; nothing for one that this router did not write. Clocks of two boxes may differ by seconds.
+pub(crate) fn mark_age_ms(value: &[u8]) -> Option<u64> {
+  let written_ms: u64 = std::str::from_utf8(value).ok()?.parse().ok()?;
+  Some(unix_ms().saturating_sub(written_ms))
+}
+
 fn texts(keys: &[QuarantineKey]) -> Vec<Name> {
   keys.iter().map(QuarantineKey::text).collect()
 }
