Reading a prompt apart is held by itself; tests of what is held, on whose word, and for how long

Found by a new test (all_kinds_of_endpoints_are_spared, reading): a prompt that ended each engine which read it was answered by an engine that writes, came back whole, and was cleared: 17 readers ended in 20 tries. The two parts have fingerprints of their own now: what is held for reading is read by the engine that writes. After: 5 at most.

--- a/src/gateway/decisions/fingerprint.rs
+++ b/src/gateway/decisions/fingerprint.rs
@@ -60,6 +60,25 @@
       hasher.update(part.len().to_le_bytes());
       hasher.update(part);
     }
+    Self::cut(hasher)
+  }
+
+  /// The fingerprint of reading the request's prompt apart. An engine that ends while it reads says nothing of those that write, and an
+  /// answer that comes back whole nothing of those that read.
+  ///
+  /// ```
+  /// use rillford::gateway::{Fingerprint, RequestIdentity};
+  /// let fingerprint = Fingerprint::of(RequestIdentity {
+  ///   body: b"prompt", host: "lectures.example", method: "POST", organisation: None, path: "/a/1",
+  /// });
+  /// assert_ne!(fingerprint.of_reading(), fingerprint);
+  /// assert_eq!(fingerprint.of_reading(), fingerprint.of_reading());
+  /// ```
+  pub fn of_reading(&self) -> Self {
+    Self::cut(Sha256::new().chain_update(self.0).chain_update("reading"))
+  }
+
+  fn cut(hasher: Sha256) -> Self {
     let hash = hasher.finalize();
     let mut bytes = [0; BYTES];
     bytes.copy_from_slice(&hash[..BYTES]);
--- a/src/gateway/parts/leave.rs
+++ b/src/gateway/parts/leave.rs
@@ -3,7 +3,8 @@
 use {
   super::{request::RoutedRequest, sending::Sending},
   crate::gateway::{
-    decisions::{QuarantineVerdict, QuarantineWay},
+    decisions::{Fingerprint, QuarantineVerdict, QuarantineWay},
+    edge::Part,
     state::Gateway,
   },
 };
@@ -19,24 +20,19 @@
     match self.sending.get() {
       Sending::Trial(_) => false,
       Sending::TrialSent => true,
-      Sending::Usual => self.is_held(gateway),
+      Sending::Usual => is_held(gateway, || self.fingerprint()),
     }
   }
 
-  fn is_held(&self, gateway: &Gateway) -> bool {
-    if gateway.settings.quarantine.way == QuarantineWay::Off {
-      return false;
-    }
-    let book = gateway.quarantine.book.borrow();
-    if book.is_empty() {
-      return false;
-    }
-    book.verdict(self.fingerprint(), gateway.now_ms()) != QuarantineVerdict::Free
+  /// Whether no engine may be asked any more to read its prompt apart.
+  pub(crate) fn is_reading_barred(&self, gateway: &Gateway) -> bool {
+    is_held(gateway, || self.fingerprint().of_reading())
   }
 
   /// Takes leave to send one part; `false` when there is none.
-  pub(super) fn take_leave(&self, gateway: &Gateway) -> bool {
-    if self.is_barred(gateway) {
+  pub(super) fn take_leave(&self, gateway: &Gateway, part: &Part) -> bool {
+    let is_reading = *part == Part::ReadPrompt;
+    if self.is_barred(gateway) || (is_reading && self.is_reading_barred(gateway)) {
       return false;
     }
     if self.is_trial() {
@@ -50,3 +46,12 @@
     self.sending.set(before);
   }
 }
+
+/// Whether a fingerprint is held; it is worked out only when something is.
+fn is_held(gateway: &Gateway, fingerprint: impl FnOnce() -> Fingerprint) -> bool {
+  let book = gateway.quarantine.book.borrow();
+  if book.is_empty() || gateway.settings.quarantine.way == QuarantineWay::Off {
+    return false;
+  }
+  book.verdict(fingerprint(), gateway.now_ms()) != QuarantineVerdict::Free
+}
--- a/src/gateway/parts/part.rs
+++ b/src/gateway/parts/part.rs
@@ -195,7 +195,7 @@
   units: u64,
 ) -> Result<Head, PartError> {
   let leave = request.sending.get();
-  if !request.take_leave(gateway) {
+  if !request.take_leave(gateway, &marks.part) {
     return Err(PartError::Barred);
   }
   let mut booking = Booking::new(gateway, &entry.id, size, units);
--- a/src/gateway/quarantine/endpoint_end.rs
+++ b/src/gateway/quarantine/endpoint_end.rs
@@ -3,7 +3,7 @@
 use {
   super::vetting::share,
   crate::gateway::{
-    decisions::{EndpointLife, QuarantineKey, QuarantineMark, QuarantineWay},
+    decisions::{EndpointLife, Fingerprint, QuarantineKey, QuarantineMark, QuarantineWay},
     edge::EndpointEntry,
     parts::RoutedRequest,
     state::Gateway,
@@ -36,6 +36,8 @@
   pub(crate) sent_ms: u64,
   /// What was seen.
   pub(crate) error: String,
+  /// What it shares with repeats of the same part.
+  pub(crate) fingerprint: Fingerprint,
 }
 
 /// Finds out whether an endpoint ended with a part of a request, and tells the other boxes. Nobody waits for that, but for the
@@ -43,7 +45,7 @@
 pub(crate) async fn note_lost(gateway: &Rc<Gateway>, request: &Rc<RoutedRequest>, lost: LostPart) {
   let is_near = {
     let book = gateway.quarantine.book.borrow();
-    !book.is_empty() && book.is_near(request.fingerprint())
+    !book.is_empty() && book.is_near(lost.fingerprint)
   };
   let judged = judge(gateway.clone(), request.clone(), lost);
   if is_near {
@@ -56,11 +58,15 @@
 async fn judge(gateway: Rc<Gateway>, request: Rc<RoutedRequest>, lost: LostPart) {
   let ran_ms = gateway.now_ms() - lost.sent_ms;
   let survival = survival(&gateway, &lost.entry).await;
-  let LostPart { entry, error, .. } = lost;
+  let LostPart {
+    entry,
+    error,
+    fingerprint,
+    ..
+  } = lost;
   log::info!(
-    "E528 part lost: {} ({}) at {} born {:?}, {ran_ms} ms after it was sent: {error}; endpoint {survival:?}",
+    "E528 part lost: {} ({fingerprint}) at {} born {:?}, {ran_ms} ms after it was sent: {error}; endpoint {survival:?}",
     request.id(),
-    request.fingerprint(),
     entry.id,
     entry.born_ms
   );
@@ -69,14 +75,14 @@
   }
   gateway.counters.lost_with_endpoint.inc();
   if gateway.settings.quarantine.way != QuarantineWay::Off {
-    note_end(&gateway, &request, &entry);
+    note_end(&gateway, fingerprint, &entry);
   }
 }
 
 /// Notes that a life of an endpoint ended with a request.
-fn note_end(gateway: &Gateway, request: &RoutedRequest, entry: &EndpointEntry) {
+fn note_end(gateway: &Gateway, fingerprint: Fingerprint, entry: &EndpointEntry) {
   let key = QuarantineKey {
-    fingerprint: request.fingerprint(),
+    fingerprint,
     mark: QuarantineMark::Ended(EndpointLife::of(&entry.id, entry.born_ms)),
   };
   let now_ms = gateway.now_ms();
--- a/src/gateway/quarantine/vetting.rs
+++ b/src/gateway/quarantine/vetting.rs
@@ -2,7 +2,7 @@
 
 use {
   crate::gateway::{
-    decisions::{QuarantineKey, QuarantineMark, QuarantineVerdict, QuarantineWay},
+    decisions::{Fingerprint, QuarantineKey, QuarantineMark, QuarantineVerdict, QuarantineWay},
     parts::{RoutedRequest, Sending},
     state::{Gateway, MarkOrigin},
   },
@@ -114,13 +114,12 @@
   }
 }
 
-/// A request came to an end of its own: whatever ended before had another cause. One end is let stand, since to remove it costs a call to
+/// A request, or the reading of its prompt, came to an end of its own: whatever ended before had another cause. One end is let stand, since to remove it costs a call to
 /// the store, and holds nobody.
-pub(crate) fn note_whole(gateway: &Gateway, request: &RoutedRequest) {
+pub(crate) fn note_whole(gateway: &Gateway, request: &RoutedRequest, fingerprint: Fingerprint) {
   if gateway.quarantine.book.borrow().is_empty() {
     return;
   }
-  let fingerprint = request.fingerprint();
   let (ended, trials) = gateway.quarantine.book.borrow().counts(fingerprint);
   if ended < 2 && trials == 0 {
     return;
--- a/src/gateway/requests/event_source.rs
+++ b/src/gateway/requests/event_source.rs
@@ -177,7 +177,8 @@
       self.stream.tried().len(),
       self.longest_pause_ms
     );
-    note_whole(&gateway, &self.stream.request);
+    let request = &self.stream.request;
+    note_whole(&gateway, request, request.fingerprint());
     let took_ms = gateway.now_ms() - self.stream.request.arrived_ms;
     gateway.seat_forecast.borrow_mut().note_stream(took_ms);
     if let Some(mut head) = self.head.take() {
@@ -201,6 +202,7 @@
       let lost = LostPart {
         entry: head.entry.clone(),
         error: error.clone(),
+        fingerprint: request.fingerprint(),
         sent_ms: head.sent_ms,
       };
       note_lost(&self.stream.gateway, &request, lost).await;
--- a/src/gateway/requests/plain.rs
+++ b/src/gateway/requests/plain.rs
@@ -117,7 +117,7 @@
         );
         self.note_slower_endpoints();
         if answer.status.is_success() {
-          note_whole(&self.gateway, &self.request);
+          note_whole(&self.gateway, &self.request, self.request.fingerprint());
         }
         return Some(pass_on(answer));
       }
@@ -243,6 +243,7 @@
     let lost = LostPart {
       entry,
       error,
+      fingerprint: request.fingerprint(),
       sent_ms,
     };
     note_lost(&gateway, &request, lost).await;
--- a/src/gateway/requests/prompt.rs
+++ b/src/gateway/requests/prompt.rs
@@ -7,7 +7,7 @@
       decisions::{Choice, Wanted},
       edge::{EndpointEntry, Part},
       parts::{KeptExport, PartError, RoutedRequest, send_part},
-      quarantine::{LostPart, note_lost},
+      quarantine::{LostPart, note_lost, note_whole},
       state::Gateway,
     },
     ids::Name,
@@ -49,6 +49,10 @@
   request: &Rc<RoutedRequest>,
   hall: &str,
 ) -> PromptReading {
+  // Engines that write answers read it themselves, and may survive it.
+  if request.is_reading_barred(gateway) {
+    return PromptReading::unread(false);
+  }
   let mut tried = Vec::new();
   for _ in 0..MOST_UNREACHABLE {
     let choice = gateway.choose(Wanted {
@@ -67,6 +71,9 @@
     let sent_ms = gateway.now_ms();
     match read_at(gateway, request, &entry, choice.ahead).await {
       Ok(handle) => {
+        if !gateway.quarantine.book.borrow().is_empty() {
+          note_whole(gateway, request, request.fingerprint().of_reading());
+        }
         let ttl_ms = export_ttl_ms(gateway, request);
         return PromptReading {
           arrived: true,
@@ -84,6 +91,7 @@
           let lost = LostPart {
             entry: entry.clone(),
             error,
+            fingerprint: request.fingerprint().of_reading(),
             sent_ms,
           };
           note_lost(gateway, request, lost).await;
--- a/src/gateway/requests/stream_send.rs
+++ b/src/gateway/requests/stream_send.rs
@@ -37,6 +37,7 @@
       let lost = LostPart {
         entry: entry.clone(),
         error: error.clone(),
+        fingerprint: self.request.fingerprint(),
         sent_ms,
       };
       note_lost(&self.gateway, &self.request, lost).await;
--- a/tests/gateway/crashing_request.rs
+++ b/tests/gateway/crashing_request.rs
@@ -14,10 +14,21 @@
 //! ```
 
 use {
-  super::{EndpointStandIn, GatewayBox, GatewayTest, Reply, Seen, endpoint::engine_reply},
+  super::{
+    EndpointStandIn, GatewayBox, GatewayTest, PATIENCE, Reply, Seen, endpoint::engine_reply,
+    store_path::StorePath,
+  },
+  emulator::eventually,
   http::{Request, StatusCode},
   http_body_util::Full,
-  std::time::Duration,
+  rstest::rstest,
+  std::{
+    sync::{
+      Arc,
+      atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+  },
   tokio::time::sleep,
 };
 
@@ -108,3 +119,184 @@
     assert_eq!(asked.body.unwrap(), EVENTS);
   }
 }
+
+/// Sends the crashing request to a box until three engines have ended, and it has told so.
+async fn end_three(gateway: &GatewayBox, writers: &[EndpointStandIn]) {
+  let mut tries = 0;
+  while crashing_runs(writers) < 3 {
+    tries += 1;
+    let _ = gateway.send(crashing(gateway, &format!("e-{tries}"))).await;
+    sleep(DOWN).await;
+  }
+}
+
+/// How many marks the store has, of those who ended and of trials.
+fn marks(test: &GatewayTest, kind: &str) -> usize {
+  let keys = test.store.keys();
+  let of_kind = |key: &&String| key.contains("/quarantine/") && key.contains(kind);
+  keys.iter().filter(of_kind).count()
+}
+
+/// Asks until a try is held: it reached no endpoint, is told so at once, and when to come back.
+async fn is_held(gateway: &GatewayBox, writers: &[EndpointStandIn], id: &str) -> bool {
+  let before = crashing_runs(writers);
+  let asked = gateway.send(crashing(gateway, id)).await;
+  let is_refused = asked.status == StatusCode::SERVICE_UNAVAILABLE;
+  is_refused && asked.headers.contains_key("retry-after") && crashing_runs(writers) == before
+}
+
+#[tokio::test]
+async fn box_that_has_just_started_knows_what_is_held_and_bodies_stay_out_of_the_store() {
+  let test = GatewayTest::new().await;
+  let reader = EndpointStandIn::engine(EVENTS).await;
+  test.enter("e-1", "llm", Some("prefill"), &reader);
+  let writers = fragile_writers(&test, WRITERS).await;
+  let later = test.beside("north-2", test.store.address);
+  let gateway = test.start().await;
+  end_three(&gateway, &writers).await;
+  // The first trial, and what follows it.
+  let held = async || is_held(&gateway, &writers, "f").await;
+  assert!(eventually(PATIENCE, held).await);
+  assert!(eventually(PATIENCE, async || marks(&gateway.test, "ended") >= 4).await);
+  assert_eq!(marks(&gateway.test, "trial"), 1);
+  let later = later.start().await;
+  assert!(is_held(&later, &writers, "g").await);
+  let keys = gateway.test.store.keys().join(" ");
+  assert!(
+    !keys.contains("prompt") && !keys.contains("survives"),
+    "{keys}"
+  );
+}
+
+#[tokio::test]
+async fn box_that_the_store_turns_away_has_another_one_write_its_marks() {
+  let test = GatewayTest::new().await;
+  let reader = EndpointStandIn::engine(EVENTS).await;
+  test.enter("e-1", "llm", Some("prefill"), &reader);
+  let writers = fragile_writers(&test, WRITERS).await;
+  let path = StorePath::to(test.store.address).await;
+  let turned_away = test.beside("north-2", path.address);
+  let sound = test.start().await;
+  let turned_away = turned_away.start().await;
+  let boxes_entered = async || {
+    let keys = sound.test.store.keys();
+    keys.iter().filter(|key| key.contains("/boxes/")).count() == 2
+  };
+  assert!(eventually(PATIENCE, boxes_entered).await);
+  // What is entered now is known after the boxes' entries.
+  let late = EndpointStandIn::start(|seen| Reply::ok(seen, "late")).await;
+  sound.test.enter("p-1", "portal", None, &late);
+  let knows = async || turned_away.ask("/safe/a", "s").await.status == StatusCode::OK;
+  assert!(eventually(PATIENCE, knows).await);
+  path.cut().await;
+  end_three(&turned_away, &writers).await;
+  assert!(eventually(PATIENCE, async || marks(&sound.test, "ended") >= 3).await);
+  let held = async || is_held(&sound, &writers, "f").await;
+  assert!(eventually(PATIENCE, held).await);
+}
+
+/// What shared the end of three engines by chance, and comes back whole.
+#[tokio::test]
+async fn innocent_request_is_held_for_one_run() {
+  let test = GatewayTest::new().await;
+  let reader = EndpointStandIn::engine(EVENTS).await;
+  test.enter("e-1", "llm", Some("prefill"), &reader);
+  let ends = Arc::new(AtomicUsize::new(0));
+  let mut writers = Vec::new();
+  for number in 0..WRITERS {
+    let (store, ends) = (test.store.clone(), ends.clone());
+    let script = move |seen: &Seen| {
+      let is_run = seen.path.starts_with("/resumable/") && !seen.is_prompt();
+      if is_run && ends.fetch_add(1, Ordering::SeqCst) < 3 {
+        return Reply::End(String::new(), DOWN);
+      }
+      engine_reply(seen, EVENTS)
+    };
+    let on_start = move |address, start| {
+      GatewayTest::enter_life(
+        &store,
+        &format!("e-{}", 10 + number),
+        "decode",
+        address,
+        start,
+      );
+    };
+    writers.push(EndpointStandIn::start_in_lives(script, on_start).await);
+  }
+  let gateway = test.start().await;
+  let served = async || gateway.ask("/resumable/a", "r").await.status == StatusCode::OK;
+  assert!(eventually(PATIENCE, served).await);
+  assert!(eventually(PATIENCE, async || marks(&gateway.test, "") == 0).await);
+  assert!(served().await);
+}
+
+/// Each kind of endpoint may end with a request: one that reads prompts, one that answers whole, one at work on what can't be
+/// repeated.
+#[rstest]
+#[case::plain("/safe/a", None, Ends::Plain)]
+#[case::unrepeatable("/unsafe/a", None, Ends::Plain)]
+#[case::unrepeatable_stream("/stream/a", Some("decode"), Ends::Writing)]
+#[case::reading("/resumable/a", Some("prefill"), Ends::Reading)]
+#[tokio::test]
+async fn all_kinds_of_endpoints_are_spared(
+  #[case] path: &str,
+  #[case] stage: Option<&'static str>,
+  #[case] ends: Ends,
+) {
+  let test = GatewayTest::new().await;
+  let sound = EndpointStandIn::engine(EVENTS).await;
+  match ends {
+    Ends::Plain => {}
+    Ends::Writing => test.enter("e-1", "llm", Some("prefill"), &sound),
+    Ends::Reading => test.enter("e-1", "llm", Some("decode"), &sound),
+  }
+  let mut fragile = Vec::new();
+  for number in 0..WRITERS {
+    let store = test.store.clone();
+    let script = move |seen: &Seen| match ends.is_struck(seen) {
+      true => Reply::End(String::new(), DOWN),
+      false => engine_reply(seen, EVENTS),
+    };
+    let on_start = move |address, start| {
+      let id = format!("x-{number}");
+      match stage {
+        Some(stage) => GatewayTest::enter_life(&store, &id, stage, address, start),
+        None => GatewayTest::enter_plain_life(&store, &id, address, start),
+      }
+    };
+    fragile.push(EndpointStandIn::start_in_lives(script, on_start).await);
+  }
+  let gateway = test.start().await;
+  let struck = || {
+    let seen = fragile.iter().flat_map(EndpointStandIn::requests);
+    seen.filter(|seen| ends.is_struck(seen)).count()
+  };
+  for number in 0..20 {
+    let _ = gateway.ask(path, &format!("r-{number}")).await;
+    sleep(DOWN / 2).await;
+  }
+  // Three, the trial, and one that began before the third end was known.
+  assert!(struck() <= 5, "{} began", struck());
+}
+
+/// Which part of a request ends endpoints.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Ends {
+  Plain,
+  Reading,
+  Writing,
+}
+
+impl Ends {
+  fn is_struck(self, seen: &Seen) -> bool {
+    let is_callers = ["/safe/", "/unsafe/", "/stream/", "/resumable/"];
+    if !is_callers.iter().any(|path| seen.path.starts_with(path)) {
+      return false;
+    }
+    match self {
+      Self::Plain => true,
+      Self::Reading => seen.is_prompt(),
+      Self::Writing => !seen.is_prompt(),
+    }
+  }
+}
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -150,6 +150,15 @@
     store.put(&format!("servers/{id}"), entry.to_string().as_bytes());
   }
 
+  /// Enters a life of a plain endpoint.
+  pub(crate) fn enter_plain_life(store: &PlatformStore, id: &str, address: SocketAddr, born: u64) {
+    let entry = json!({
+      "service": "portal", "address": address, "zone": "north", "version": "v1", "slots": 8, "state": "ready",
+      "coldRemainingMs": 0, "callSeq": 0, "born": born,
+    });
+    store.put(&format!("servers/{id}"), entry.to_string().as_bytes());
+  }
+
   /// A box with one plain endpoint.
   pub(crate) async fn with_portal(self, one: &EndpointStandIn) -> GatewayBox {
     self.enter("p-1", "portal", None, one);
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod load;
 mod organisations;
 mod policy;
+mod quarantine;
 mod relay;
 mod resume;
 mod role_plan;
