--- a/tests/soak_promises.rs
+++ b/tests/soak_promises.rs
@@ -284,6 +284,39 @@
   assert_eq!(found(&records), promises);
 }
 
+/// The third engine ended at 10 s; contact and slack make 13.5 s.
+#[rstest]
+#[case::three_more(&[9_000, 14_000, 15_000, 16_000], None, vec![])]
+#[case::four_more(&[14_000, 15_000, 16_000, 17_000], None, vec![Promise::FewCrashes])]
+#[case::four_while_the_store_was_away(&[14_000, 15_000, 16_000, 17_000], Some(Target::Store), vec![])]
+#[case::four_right_after_the_third(&[10_100, 11_000, 12_000, 13_000], None, vec![])]
+fn crashing_request_that_is_sent_on_is_found(
+  #[case] began_ms: &[u64],
+  #[case] disturbed: Option<Target>,
+  #[case] promises: Vec<Promise>,
+) {
+  let mut records = Records::default();
+  records.versions.insert(1, 0);
+  records.crashes = vec![8_000, 9_000, 10_000];
+  for (number, began_ms) in began_ms.iter().enumerate() {
+    let runs = vec![run(0, *began_ms, Some(began_ms + 40))];
+    let broken = Outcome::Broken {
+      body: String::new(),
+      status: Some(200),
+    };
+    let request = request(RequestKind::CrashingStream, broken, runs);
+    records.requests.insert(format!("c-{number}"), request);
+  }
+  records
+    .disturbances
+    .extend(disturbed.map(|target| Disturbance {
+      from_ms: 11_000,
+      target,
+      until_ms: Some(18_000),
+    }));
+  assert_eq!(found(&records), promises);
+}
+
 #[test]
 fn what_is_held_and_what_is_not_served_at_the_end_is_found() {
   let mut records = one(RequestKind::Repeatable, whole(503, None, ""), vec![]);
