A lost part is judged although its caller leaves; fingerprints are worked out only while something is kept; way off and own_box keep to it

Found by reading the diff: the third end was judged inside the request's own future, so that a caller who left within these milliseconds took the mark along; each whole answer worked out a hash although nothing was kept; a box with way off refused by other boxes' marks; one with own_box forgot its own at each listing.

--- a/src/gateway/membership/store_view.rs
+++ b/src/gateway/membership/store_view.rs
@@ -4,7 +4,7 @@
   super::listing::Listing,
   crate::{
     gateway::{
-      decisions::QuarantineKey,
+      decisions::{QuarantineKey, QuarantineWay},
       edge::{StoreError, StoreItem, StoreKey},
       quarantine::mark_age_ms,
       state::Gateway,
@@ -102,6 +102,9 @@
 
   /// What this box knows of requests that end endpoints and the store no longer does; what it has still to write is not missing.
   fn quarantine_missing_from(&self, listing: &Listing) -> Vec<Name> {
+    if self.gateway.settings.quarantine.way != QuarantineWay::Shared {
+      return Vec::new();
+    }
     let quarantine = &self.gateway.quarantine;
     let unwritten = quarantine.unwritten.borrow();
     let keys = quarantine.book.borrow().keys();
--- a/src/gateway/parts/leave.rs
+++ b/src/gateway/parts/leave.rs
@@ -26,7 +26,7 @@
 
   /// Whether no engine may be asked any more to read its prompt apart.
   pub(crate) fn is_reading_barred(&self, gateway: &Gateway) -> bool {
-    is_held(gateway, || self.fingerprint().of_reading())
+    is_held(gateway, || self.reading_fingerprint())
   }
 
   /// Takes leave to send one part; `false` when there is none.
--- a/src/gateway/parts/request.rs
+++ b/src/gateway/parts/request.rs
@@ -100,6 +100,11 @@
     })
   }
 
+  /// What reading its prompt apart shares with that of its repeats.
+  pub(crate) fn reading_fingerprint(&self) -> Fingerprint {
+    self.fingerprint().of_reading()
+  }
+
   /// Its id, for logs.
   pub(crate) fn id(&self) -> &str {
     self.facts.request_id.as_deref().unwrap_or("-")
--- a/src/gateway/quarantine/endpoint_end.rs
+++ b/src/gateway/quarantine/endpoint_end.rs
@@ -47,11 +47,10 @@
     let book = gateway.quarantine.book.borrow();
     !book.is_empty() && book.is_near(lost.fingerprint)
   };
-  let judged = judge(gateway.clone(), request.clone(), lost);
-  if is_near {
-    judged.await;
-  } else {
-    spawn_local(judged);
+  // It goes on when the caller leaves meanwhile.
+  let judged = spawn_local(judge(gateway.clone(), request.clone(), lost));
+  if is_near && let Err(error) = judged.await {
+    log::error!("E528 a lost part was not judged: {error}");
   }
 }
 
--- a/src/gateway/quarantine/vetting.rs
+++ b/src/gateway/quarantine/vetting.rs
@@ -21,7 +21,8 @@
 
 /// Lets a request pass, or takes a trial for it. One that is held is refused at once: no endpoint sees it.
 pub(crate) async fn vet(gateway: &Rc<Gateway>, request: &RoutedRequest) -> Result<(), Held> {
-  if gateway.quarantine.book.borrow().is_empty() {
+  let is_off = gateway.settings.quarantine.way == QuarantineWay::Off;
+  if is_off || gateway.quarantine.book.borrow().is_empty() {
     return Ok(());
   }
   let fingerprint = request.fingerprint();
@@ -75,7 +76,7 @@
     QuarantineWay::OwnBox => true,
     QuarantineWay::Shared => gateway.quarantine.claim(key).await,
   };
-  // Its outcome is heard a moment later than the claim of another box.
+  // One that is not this box's is another's, or the store does not say: this box waits either way.
   let now_ms = gateway.now_ms();
   gateway.quarantine.book.borrow_mut().note(key, now_ms);
   if is_own {
@@ -114,12 +115,17 @@
   }
 }
 
-/// A request, or the reading of its prompt, came to an end of its own: whatever ended before had another cause. One end is let stand, since to remove it costs a call to
-/// the store, and holds nobody.
-pub(crate) fn note_whole(gateway: &Gateway, request: &RoutedRequest, fingerprint: Fingerprint) {
+/// A request, or the reading of its prompt, came to an end of its own: whatever ended before had another cause. One end is let
+/// stand, since it holds nobody, and to remove it costs a call to the store.
+pub(crate) fn note_whole(
+  gateway: &Gateway,
+  request: &RoutedRequest,
+  fingerprint: impl FnOnce(&RoutedRequest) -> Fingerprint,
+) {
   if gateway.quarantine.book.borrow().is_empty() {
     return;
   }
+  let fingerprint = fingerprint(request);
   let (ended, trials) = gateway.quarantine.book.borrow().counts(fingerprint);
   if ended < 2 && trials == 0 {
     return;
--- a/src/gateway/requests/event_source.rs
+++ b/src/gateway/requests/event_source.rs
@@ -9,7 +9,7 @@
   },
   crate::gateway::{
     decisions::PartEnd,
-    parts::{Head, PartError},
+    parts::{Head, PartError, RoutedRequest},
     quarantine::{LostPart, note_lost, note_whole},
     state::InFlight,
   },
@@ -177,8 +177,7 @@
       self.stream.tried().len(),
       self.longest_pause_ms
     );
-    let request = &self.stream.request;
-    note_whole(&gateway, request, request.fingerprint());
+    note_whole(&gateway, &self.stream.request, RoutedRequest::fingerprint);
     let took_ms = gateway.now_ms() - self.stream.request.arrived_ms;
     gateway.seat_forecast.borrow_mut().note_stream(took_ms);
     if let Some(mut head) = self.head.take() {
--- a/src/gateway/requests/plain.rs
+++ b/src/gateway/requests/plain.rs
@@ -117,7 +117,7 @@
         );
         self.note_slower_endpoints();
         if answer.status.is_success() {
-          note_whole(&self.gateway, &self.request, self.request.fingerprint());
+          note_whole(&self.gateway, &self.request, RoutedRequest::fingerprint);
         }
         return Some(pass_on(answer));
       }
--- a/src/gateway/requests/prompt.rs
+++ b/src/gateway/requests/prompt.rs
@@ -71,9 +71,7 @@
     let sent_ms = gateway.now_ms();
     match read_at(gateway, request, &entry, choice.ahead).await {
       Ok(handle) => {
-        if !gateway.quarantine.book.borrow().is_empty() {
-          note_whole(gateway, request, request.fingerprint().of_reading());
-        }
+        note_whole(gateway, request, RoutedRequest::reading_fingerprint);
         let ttl_ms = export_ttl_ms(gateway, request);
         return PromptReading {
           arrived: true,
@@ -91,7 +89,7 @@
           let lost = LostPart {
             entry: entry.clone(),
             error,
-            fingerprint: request.fingerprint().of_reading(),
+            fingerprint: request.reading_fingerprint(),
             sent_ms,
           };
           note_lost(gateway, request, lost).await;
