--- a/tests/gateway/crashing_request.rs
+++ b/tests/gateway/crashing_request.rs
@@ -21,6 +21,7 @@
   emulator::eventually,
   http::{Request, StatusCode},
   http_body_util::Full,
+  rillford::HttpClient,
   rstest::rstest,
   std::{
     sync::{
@@ -195,6 +196,36 @@
   assert!(eventually(PATIENCE, held).await);
 }
 
+/// Eight tries come at the same moment, and their prompts are read one after the other: those that are read last have been let in before
+/// any engine ended, and are looked at again before they are sent.
+#[tokio::test]
+async fn tries_that_wait_while_others_end_engines_are_not_sent() {
+  let test = GatewayTest::new().await;
+  let reads = AtomicUsize::new(0);
+  let reader = EndpointStandIn::start(move |seen| match engine_reply(seen, EVENTS) {
+    Reply::Write(text) if seen.is_prompt() => {
+      let turn = reads.fetch_add(1, Ordering::SeqCst) as u32;
+      Reply::WriteLater(DOWN * turn, text)
+    }
+    other => other,
+  })
+  .await;
+  test.enter("e-1", "llm", Some("prefill"), &reader);
+  let writers = fragile_writers(&test, WRITERS).await;
+  let gateway = test.start().await;
+  let tries: Vec<_> = (0..8)
+    .map(|number| crashing(&gateway, &format!("c-{number}")))
+    .map(|request| tokio::spawn(async move { HttpClient::default().send(request).await.is_ok() }))
+    .collect();
+  sleep(DOWN * 10).await;
+  // Three, and what was on its way when the third ended.
+  let runs = crashing_runs(&writers);
+  assert!((3..=5).contains(&runs), "{runs} began");
+  for one in tries {
+    one.abort();
+  }
+}
+
 /// What shared the end of three engines by chance, and comes back whole.
 #[tokio::test]
 async fn innocent_request_is_held_for_one_run() {
