--- a/emulator/src/quarantine/mod.rs
+++ b/emulator/src/quarantine/mod.rs
@@ -12,6 +12,7 @@
 mod replay;
 mod report;
 mod request;
+mod words;
 
 pub use self::{
   figures::CrashFigures,
--- a/emulator/src/quarantine/replay.rs
+++ b/emulator/src/quarantine/replay.rs
@@ -37,8 +37,6 @@
 const CRASHING_PAUSE_MS: f64 = 400.0;
 /// The way from one engine to the next.
 const NEXT_MS: u64 = 5;
-/// First ends are gathered over this time for each box.
-const GATHER_MS_PER_BOX: u64 = 4;
 /// The users' bound on what boxes know of each other.
 const CONTACT_MS: u64 = 3_000;
 /// Ends after which runs are late.
@@ -52,24 +50,24 @@
   late: u32,
 }
 
-struct CrashReplay {
-  pattern: CrashPattern,
-  fleet: CrashFleet,
-  way: QuarantineWay,
+pub(super) struct CrashReplay {
+  pub(super) pattern: CrashPattern,
+  pub(super) fleet: CrashFleet,
+  pub(super) way: QuarantineWay,
   random: ChaCha8Rng,
   /// Draws how long words take: ways that tell more change nothing else.
-  words: ChaCha8Rng,
-  queue: Queue<Event>,
+  pub(super) words: ChaCha8Rng,
+  pub(super) queue: Queue<Event>,
   engines: Vec<Engine>,
-  books: Vec<QuarantineBook>,
+  pub(super) books: Vec<QuarantineBook>,
   /// What the store has.
-  stored: BTreeSet<QuarantineKey>,
+  pub(super) stored: BTreeSet<QuarantineKey>,
   requests: Vec<Request>,
   crashing: Vec<Crashing>,
   /// Store calls are counted once for each box and moment.
-  written: HashSet<(usize, u64)>,
+  pub(super) written: HashSet<(usize, u64)>,
   bodies: u64,
-  figures: CrashFigures,
+  pub(super) figures: CrashFigures,
 }
 
 /// Plays a pattern with a seed.
@@ -404,63 +402,7 @@
     }
   }
 
-  fn note_end(&mut self, at: usize, key: QuarantineKey, now_ms: u64) {
-    if self.way == QuarantineWay::Off || !self.books[at].note(key, now_ms) {
-      return;
-    }
-    self.note_book(at);
-    if self.way == QuarantineWay::OwnBox {
-      return;
-    }
-    let is_first = self.books[at].counts(key.fingerprint).0 == 1;
-    let gather_ms = if is_first {
-      GATHER_MS_PER_BOX * self.fleet.boxes as u64
-    } else {
-      0
-    };
-    if self.written.insert((at, now_ms + gather_ms)) {
-      self.figures.store_calls += 1;
-    }
-    self.stored.insert(key);
-    self.tell(at, key, gather_ms, now_ms);
-  }
-
-  /// A mark reaches all other boxes by the store.
-  fn tell(&mut self, from: usize, key: QuarantineKey, gather_ms: u64, now_ms: u64) {
-    for at in (0..self.fleet.boxes).filter(|at| *at != from) {
-      let at_ms = self.heard_ms(gather_ms, now_ms);
-      self.queue.put(at_ms, Event::Hears { at, key });
-    }
-  }
-
-  fn tell_clear(
-    &mut self,
-    from: usize,
-    fingerprint: Fingerprint,
-    cleared: &[QuarantineKey],
-    now_ms: u64,
-  ) {
-    if self.way != QuarantineWay::Shared {
-      return;
-    }
-    self.figures.store_calls += 1;
-    for key in cleared {
-      self.stored.remove(key);
-    }
-    for at in (0..self.fleet.boxes).filter(|at| *at != from) {
-      let at_ms = self.heard_ms(0, now_ms);
-      self.queue.put(at_ms, Event::HearsClear { at, fingerprint });
-    }
-  }
-
-  /// When a box hears of what is told now.
-  fn heard_ms(&mut self, gather_ms: u64, now_ms: u64) -> u64 {
-    let told_ms = self.pattern.store_back_ms(now_ms).unwrap_or(now_ms) + gather_ms;
-    let word_ms = self.pattern.word_ms();
-    told_ms + self.words.random_range(word_ms / 2..=word_ms * 2)
-  }
-
-  fn note_book(&mut self, at: usize) {
+  pub(super) fn note_book(&mut self, at: usize) {
     self.figures.largest_book = self.figures.largest_book.max(self.books[at].len());
   }
 
--- a/src/gateway/parts/part.rs
+++ b/src/gateway/parts/part.rs
@@ -194,6 +194,7 @@
   size: u64,
   units: u64,
 ) -> Result<Head, PartError> {
+  // A request that ends what runs it comes again under other ids, at other boxes: attempts bound one try alone.
   let leave = request.sending.get();
   if !request.take_leave(gateway, &marks.part) {
     return Err(PartError::Barred);
