--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -1,5 +1,5 @@
 //! What a box decides, free of I/O: the choice among endpoints, seats and who goes first, the forecast behind a refusal,
-//! repeats, roles, and which boxes read the store.
+//! repeats, requests that are held because endpoints ended with them, roles, and which boxes read the store.
 //!
 //! Imports `edge` alone: a decision gets the time, what was seen and a random number, and answers with what to do.
 
--- a/src/gateway/parts/mod.rs
+++ b/src/gateway/parts/mod.rs
@@ -4,8 +4,8 @@
 //! [`Head`] goes out.
 
 mod engine_call;
-mod leave;
 mod part;
+mod permit;
 mod request;
 mod sending;
 
--- a/src/gateway/parts/part.rs
+++ b/src/gateway/parts/part.rs
@@ -195,8 +195,8 @@
   units: u64,
 ) -> Result<Head, PartError> {
   // A request that ends what runs it comes again under other ids, at other boxes: attempts bound one try alone.
-  let leave = request.sending.get();
-  if !request.take_leave(gateway, &marks.part) {
+  let before = request.sending.get();
+  if !request.take_permit(gateway, &marks.part) {
     return Err(PartError::Barred);
   }
   let mut booking = Booking::new(gateway, &entry.id, size, units);
@@ -222,7 +222,7 @@
     }),
     Err(error) => {
       if error.is_unsent() {
-        request.give_leave_back(leave);
+        request.return_permit(before);
       }
       booking.settle_error(&error);
       Err(error)
--- a/src/gateway/parts/leave.rs
+++ b/src/gateway/parts/permit.rs
@@ -29,8 +29,8 @@
     is_held(gateway, || self.reading_fingerprint())
   }
 
-  /// Takes leave to send one part; `false` when there is none.
-  pub(super) fn take_leave(&self, gateway: &Gateway, part: &Part) -> bool {
+  /// Takes a permit to send one part; `false` when there is none.
+  pub(super) fn take_permit(&self, gateway: &Gateway, part: &Part) -> bool {
     let is_reading = *part == Part::ReadPrompt;
     if self.is_barred(gateway) || (is_reading && self.is_reading_barred(gateway)) {
       return false;
@@ -41,8 +41,8 @@
     true
   }
 
-  /// A part that went out never reached its endpoint: a trial is still to be sent.
-  pub(super) fn give_leave_back(&self, before: Sending) {
+  /// A part never reached its endpoint: its permit is there for the next one.
+  pub(super) fn return_permit(&self, before: Sending) {
     self.sending.set(before);
   }
 }
