Boxes write down what endpoints say of themselves in their answers, and what the store says meanwhile; nothing is decided by it yet

Retry-After is read as seconds, with fractions, or as a date; what can't be read is told once a second.

An endpoint that leaves is taken back when the store, heard for a minute without a break, has listed it as ready all that time: only the note is dropped, sends are as before.

--- a/src/gateway/decisions/endpoint_book.rs
+++ b/src/gateway/decisions/endpoint_book.rs
@@ -5,9 +5,10 @@
     choice::{Choice, PartEnd, Wanted},
     hall_reach::HallReach,
     known_endpoint::{Known, Peers, Told},
+    notice_book::{Availability, NoticeBook, NoticeNews},
   },
   crate::{
-    gateway::edge::{EndpointEntry, ToldLoad},
+    gateway::edge::{EndpointEntry, EndpointNotice, ToldLoad},
     ids::Name,
   },
   std::collections::{BTreeMap, HashMap},
@@ -22,6 +23,10 @@
   /// In order, so that equal draws make equal choices.
   known: BTreeMap<Name, Known>,
   halls: HashMap<Name, HallReach>,
+  /// What they have said of themselves; outlasts entries that go and come back.
+  notices: NoticeBook,
+  /// Since when the store has been heard without a break.
+  store_since_ms: Option<u64>,
 }
 
 impl EndpointBook {
@@ -159,6 +164,59 @@
     known.note_end(units, end, now_ms);
   }
 
+  /// Takes over what an endpoint said of itself in an answer to what was sent to this entry of it; nothing where another life
+  /// has entered since.
+  pub fn note_notice(
+    &mut self,
+    entry: &EndpointEntry,
+    notice: &EndpointNotice,
+    now_ms: u64,
+  ) -> NoticeNews {
+    let is_earlier_life = self
+      .entry(&entry.id)
+      .is_some_and(|now| now.born_ms != entry.born_ms);
+    if is_earlier_life {
+      return NoticeNews::default();
+    }
+    self.notices.note(entry, notice, now_ms)
+  }
+
+  /// Whether a life of an endpoint may be sent work, by its own word.
+  pub fn availability(&self, entry: &EndpointEntry, now_ms: u64) -> Availability {
+    self.notices.availability(entry, now_ms)
+  }
+
+  /// The store was heard, or was lost.
+  pub fn set_store_since(&mut self, since_ms: Option<u64>) {
+    self.store_since_ms = since_ms;
+  }
+
+  /// Forgets what endpoints said once it no longer counts; answers with those that are taken back although they said that
+  /// they leave.
+  pub fn forget_notices(&mut self, now_ms: u64) -> Vec<Name> {
+    let known = &self.known;
+    self.notices.forget_old(
+      self.store_since_ms,
+      |id| known.get(id).map(|known| &known.entry),
+      now_ms,
+    )
+  }
+
+  /// How many endpoints leave by their own word, and how many pause.
+  pub fn told_off(&self, now_ms: u64) -> (usize, usize) {
+    let count = |wanted: fn(&Availability) -> bool| {
+      self
+        .entries()
+        .map(|entry| self.availability(entry, now_ms))
+        .filter(wanted)
+        .count()
+    };
+    (
+      count(|availability| matches!(availability, Availability::Leaving { .. })),
+      count(|availability| matches!(availability, Availability::Pausing { .. })),
+    )
+  }
+
   /// Another endpoint that was asked later answered first.
   pub fn outrun(&mut self, id: &str) {
     if let Some(known) = self.known.get_mut(id) {
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -13,6 +13,7 @@
 mod kept_prompts;
 mod known_endpoint;
 mod limit_way;
+mod notice_book;
 mod peer_use;
 mod quarantine_book;
 mod quarantine_key;
@@ -38,6 +39,7 @@
   fingerprint::{Fingerprint, RequestIdentity},
   kept_prompts::KeptPrompts,
   limit_way::LimitWay,
+  notice_book::{Availability, NoticeBook, NoticeNews},
   quarantine_book::{QuarantineBook, QuarantineVerdict},
   quarantine_key::{QuarantineKey, QuarantineMark},
   quarantine_way::QuarantineWay,
--- a/src/gateway/edge/dialect.rs
+++ b/src/gateway/edge/dialect.rs
@@ -3,11 +3,11 @@
 use {
   super::{
     caller_facts::CallerFacts, decode_error::DecodeError, endpoint_entry::EndpointEntry,
-    prompt_part::PromptPart, route_table::RouteTable,
+    endpoint_notice::EndpointNotice, prompt_part::PromptPart, route_table::RouteTable,
   },
   crate::{decide::Role, ids::Name},
   bytes::Bytes,
-  http::{HeaderMap, Method},
+  http::{HeaderMap, Method, StatusCode},
   std::net::SocketAddr,
 };
 
@@ -125,6 +125,8 @@
   fn mark(&self, headers: &mut HeaderMap, marks: &Marks);
   /// Reads an answer's headers.
   fn answer_facts(&self, headers: &HeaderMap) -> AnswerFacts;
+  /// Reads what an endpoint says of itself in any answer.
+  fn notice(&self, status: StatusCode, headers: &HeaderMap) -> EndpointNotice;
   /// Reads the name of the prompt that an engine keeps.
   fn export_handle(&self, body: &[u8]) -> Result<Name, DecodeError>;
   /// The call that frees a prompt.
--- a/src/gateway/edge/mod.rs
+++ b/src/gateway/edge/mod.rs
@@ -7,6 +7,7 @@
 mod decode_error;
 mod dialect;
 mod endpoint_entry;
+mod endpoint_notice;
 mod organisation;
 mod prompt_part;
 mod route_table;
@@ -19,6 +20,7 @@
     AnswerFacts, Dialect, EndpointCall, EngineReport, Export, Marks, Part, RoleChange, ToldLoad,
   },
   endpoint_entry::EndpointEntry,
+  endpoint_notice::{EndpointNotice, UnreadableNotice},
   organisation::{Organisation, Organisations, UseLimit, UseUnit},
   prompt_part::PromptPart,
   route_table::{
--- a/src/gateway/membership/store_view.rs
+++ b/src/gateway/membership/store_view.rs
@@ -46,6 +46,9 @@
       self.lapse_until_ms = now_ms + LAPSE_GRACE_MS;
       log::info!("E401 store regained: silent since {before:?} ms, now {now_ms} ms");
     }
+    if self.failing || away || before.is_none() {
+      self.gateway.book.borrow_mut().set_store_since(Some(now_ms));
+    }
     self.failing = false;
   }
 
@@ -54,6 +57,7 @@
     if !self.failing {
       log::warn!("E402 store lost: {step}: {error}");
     }
+    self.gateway.book.borrow_mut().set_store_since(None);
     self.failing = true;
   }
 
--- a/src/gateway/parts/mod.rs
+++ b/src/gateway/parts/mod.rs
@@ -4,6 +4,7 @@
 //! [`Head`] goes out.
 
 mod engine_call;
+mod notice;
 mod part;
 mod permit;
 mod request;
--- /dev/null
+++ b/src/gateway/parts/notice.rs
@@ -0,0 +1,79 @@
+//! What an endpoint says of itself in an answer, heard before anything else of that answer is looked at.
+
+use {
+  crate::gateway::{
+    decisions::NoticeNews,
+    edge::{EndpointEntry, EndpointNotice},
+    state::Gateway,
+  },
+  http::{StatusCode, response},
+};
+
+/// Takes over what an endpoint says in an answer to what was sent to this entry of it. Any answer counts that came over a
+/// connection to that endpoint, whichever request it is for; but one that says that another endpoint is there.
+pub(super) fn hear_notice(gateway: &Gateway, entry: &EndpointEntry, answer: &response::Parts) {
+  if answer.status == StatusCode::MISDIRECTED_REQUEST {
+    return;
+  }
+  let notice = gateway.dialect.notice(answer.status, &answer.headers);
+  if notice == EndpointNotice::default() {
+    return;
+  }
+  let now_ms = gateway.now_ms();
+  if let Some(unreadable) = &notice.unreadable
+    && gateway.may_log_unreadable(now_ms)
+  {
+    log::warn!("E538 not understood: {} says {unreadable}", entry.id);
+  }
+  let news = gateway
+    .book
+    .borrow_mut()
+    .note_notice(entry, &notice, now_ms);
+  log_news(gateway, entry, answer, news, now_ms);
+}
+
+/// Says once what changed, by whose word, and what the store says of the endpoint.
+fn log_news(
+  gateway: &Gateway,
+  entry: &EndpointEntry,
+  answer: &response::Parts,
+  news: NoticeNews,
+  now_ms: u64,
+) {
+  if news == NoticeNews::default() {
+    return;
+  }
+  let facts = gateway.dialect.answer_facts(&answer.headers);
+  let request = facts.request_id.as_deref().unwrap_or("-");
+  let heard_ms = gateway
+    .store_heard_ms
+    .get()
+    .map(|heard_ms| now_ms - heard_ms.min(now_ms));
+  let id = &entry.id;
+  let status = answer.status.as_u16();
+  if news.leaves {
+    gateway.counters.leaving_notices.inc();
+    log::info!(
+      "E535 leaves by its own word: {id} born {:?}, in its answer {status} to {request}; listed as {}, store heard {heard_ms:?} ms ago",
+      entry.born_ms,
+      listed(gateway, id)
+    );
+  }
+  if let Some(until_ms) = news.pauses_until_ms {
+    gateway.counters.pause_notices.inc();
+    log::info!(
+      "E536 pauses by its own word: {id} born {:?}, in its answer {status} to {request}, for {} ms",
+      entry.born_ms,
+      until_ms - now_ms
+    );
+  }
+}
+
+/// What the store's list says of an endpoint.
+fn listed(gateway: &Gateway, id: &str) -> &'static str {
+  match gateway.book.borrow().entry(id) {
+    Some(entry) if entry.leaving => "leaving",
+    Some(_) => "ready",
+    None => "gone",
+  }
+}
--- a/src/gateway/parts/part.rs
+++ b/src/gateway/parts/part.rs
@@ -1,7 +1,7 @@
 //! One part of a request at one endpoint, from the choice of a connection to the answer's head.
 
 use {
-  super::request::RoutedRequest,
+  super::{notice::hear_notice, request::RoutedRequest},
   crate::{
     gateway::{
       connections::{Connection, SendError, remove_connection_headers},
@@ -250,7 +250,7 @@
   check_stays(gateway, entry, purpose)?;
   if let Some(mut connection) = gateway.pool.take(&entry.id, gateway.now_ms()) {
     match connection.send(request.clone()).await {
-      Ok(response) => return Ok((connection, response)),
+      Ok(response) => return Ok((connection, heard(gateway, entry, response))),
       Err(SendError::Broke(text)) => return Err(PartError::Lost(text)),
       Err(SendError::Unreachable | SendError::Unsent(_)) => {}
     }
@@ -260,7 +260,18 @@
   let mut connection = opened?;
   check_stays(gateway, entry, purpose)?;
   let response = connection.send(request).await?;
-  Ok((connection, response))
+  Ok((connection, heard(gateway, entry, response)))
+}
+
+/// The answer, once what the endpoint says of itself in its head was taken over: callers may wait for its end for long.
+fn heard(
+  gateway: &Gateway,
+  entry: &EndpointEntry,
+  answer: Response<Incoming>,
+) -> Response<Incoming> {
+  let (head, body) = answer.into_parts();
+  hear_notice(gateway, entry, &head);
+  Response::from_parts(head, body)
 }
 
 /// Refuses an endpoint whose entry has gone, and for callers' requests one that leaves.
--- a/src/gateway/state/counters.rs
+++ b/src/gateway/state/counters.rs
@@ -65,6 +65,9 @@
   pub(crate) held: Counter,
   /// Parts that were lost with their endpoint.
   pub(crate) lost_with_endpoint: Counter,
+  /// Endpoints that said in an answer that they leave, and pauses that began by an endpoint's word.
+  pub(crate) leaving_notices: Counter,
+  pub(crate) pause_notices: Counter,
   pub(crate) callers_gone: Counter,
   pub(crate) repeats: Counter,
   pub(crate) repeats_denied: Counter,
@@ -94,6 +97,8 @@
         "rillford_lost_with_endpoint_total",
         &self.lost_with_endpoint,
       ),
+      ("rillford_leaving_notices_total", &self.leaving_notices),
+      ("rillford_pause_notices_total", &self.pause_notices),
       ("rillford_callers_gone_total", &self.callers_gone),
       ("rillford_repeats_total", &self.repeats),
       ("rillford_repeats_denied_total", &self.repeats_denied),
--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -35,6 +35,8 @@
 /// Connections that rest for one endpoint; a box has few requests at one endpoint at once.
 const MOST_RESTING: usize = 8;
 
+/// Pause between lines on what endpoints say and nobody can read: it may stand in each of their answers.
+const UNREADABLE_LINE_PAUSE_MS: u64 = 1_000;
 /// Weight of the newest first event in their moving mean.
 const NEWEST_START_WEIGHT: f64 = 0.1;
 
@@ -105,6 +107,8 @@
   pub(crate) has_listed: Cell<bool>,
   /// Whether a box is steward, as far as this one knows.
   pub(crate) has_steward: Cell<bool>,
+  /// Until then no further line is written on what endpoints say and nobody can read.
+  quiet_until_ms: Cell<u64>,
   table: RefCell<Option<Rc<RouteTable>>>,
   windows: RefCell<HashMap<Name, RetryWindow>>,
   random: RefCell<ChaCha8Rng>,
@@ -138,6 +142,7 @@
       policy,
       pool: ConnectionPool::default(),
       quarantine: Quarantine::default(),
+      quiet_until_ms: Cell::new(0),
       random: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
       seat_forecast: RefCell::default(),
       seat_queue: RefCell::default(),
@@ -280,6 +285,23 @@
     self.book.borrow_mut().blame(id, self.now_ms());
   }
 
+  /// Whether a line may be written on what an endpoint says and nobody can read.
+  pub(crate) fn may_log_unreadable(&self, now_ms: u64) -> bool {
+    if now_ms < self.quiet_until_ms.get() {
+      return false;
+    }
+    self.quiet_until_ms.set(now_ms + UNREADABLE_LINE_PAUSE_MS);
+    true
+  }
+
+  /// How many endpoints leave or pause by their own word, as text.
+  pub(crate) fn notice_figures(&self) -> String {
+    let (leaving, pausing) = self.book.borrow().told_off(self.now_ms());
+    format!(
+      "rillford_endpoints_leaving_by_notice {leaving}\nrillford_endpoints_pausing {pausing}\n"
+    )
+  }
+
   /// A first event came this long after its request had a seat.
   pub(crate) fn note_start(&self, took_ms: u64) {
     let before = self.start_ms.get().unwrap_or(took_ms as f64);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 mod http_client;
 mod ingress;
 mod listener;
+mod retry_after;
 mod run;
 mod serve;
 mod subcommand;
@@ -31,5 +32,6 @@
   admin::{ConfigurationBody, HistoryBody, ProblemBody, Revision},
   error::{Error, Result},
   http_client::{CallError, HttpClient},
+  retry_after::{BadRetryAfter, retry_after_ms},
   run::{RunGateway, run},
 };
