Failing tests: endpoints that say in their answers that they leave, or want a pause, are sent requests all the same

A plain endpoint whose answers say that it leaves got 29 more of 30 requests while the store listed it as ready. Of two plain endpoints one turned all away and asked for 3 s: 16 requests in 2.5 s. Engines that turn seats, prompts or streams away: 17, 22 and 6 calls in 2.5 s (three allowed for the plain one, four for engines: what is on its way, and two more).

So hypothesis 1: the headers are read by nobody who decides.

--- a/tests/gateway/endpoint.rs
+++ b/tests/gateway/endpoint.rs
@@ -183,6 +183,28 @@
   }
 }
 
+/// The same answer from an endpoint that leaves.
+pub(crate) fn leaving(reply: Reply) -> Reply {
+  let marked = |text: String| text.replacen("\r\n", "\r\nserver-leaving: 1\r\n", 1);
+  match reply {
+    Reply::Write(text) => Reply::Write(marked(text)),
+    Reply::WriteAndClose(text) => Reply::WriteAndClose(marked(text)),
+    Reply::WriteLater(pause, text) => Reply::WriteLater(pause, marked(text)),
+    Reply::WriteInTwo(first, pause, rest) => Reply::WriteInTwo(marked(first), pause, rest),
+    Reply::Silence => Reply::Silence,
+    Reply::End(text, down) => Reply::End(marked(text), down),
+  }
+}
+
+/// An endpoint that has not run the request, and wants none for so many seconds.
+pub(crate) fn turned_away(seen: &Seen, retry_after: &str) -> Reply {
+  Reply::Write(format!(
+    "HTTP/1.1 503 Service Unavailable\r\nx-request-id: {}\r\nx-not-executed: 1\r\nretry-after: {retry_after}\r\n\
+     content-length: 0\r\n\r\n",
+    seen.id()
+  ))
+}
+
 /// What all lives of an endpoint share.
 #[derive(Clone)]
 struct Life {
