An endpoint that says in an answer that it leaves, or wants no work for a while, gets none: looked at when it is chosen and right before each send

Cause: a box learnt from the store alone what becomes of an endpoint; of an answer it read the request's id, "not run", the receipt and the load. Class: an endpoint's own word on itself that nobody reads. So a box sent on to an endpoint that leaves while the store is away, and an endpoint that turns all away within a millisecond looked the least busy of three.

Change: the head of each answer is heard in one place, for callers' requests, prompts, reservations, lists, reports and orders alike (parts/notice.rs); what it says is kept by life of the endpoint, apart from the entry, so that an entry that is written anew, lapses or is listed again takes nothing back (decisions/notice_book.rs). An endpoint that leaves or pauses is not chosen; a part that was chosen before is not sent, and goes elsewhere as one that was never sent; what frees memory goes to it all the same. After a pause one request at a time until one is taken. A repeat is taken from the budget only when there is an endpoint for it. Where all pause, callers are refused at once and told when the first pause ends. [mechanisms] endpoint_notices = false switches it off.

--- a/src/gateway/decisions/endpoint_book.rs
+++ b/src/gateway/decisions/endpoint_book.rs
@@ -3,11 +3,14 @@
 use {
   super::{
     choice::{Choice, PartEnd, Wanted},
+    endpoint_counts::EndpointCounts,
     hall_reach::HallReach,
     known_endpoint::{Known, Peers, Told},
     notice_book::{Availability, NoticeBook, NoticeNews},
+    unavailable::Unavailable,
   },
   crate::{
+    decide::Role,
     gateway::edge::{EndpointEntry, EndpointNotice, ToldLoad},
     ids::Name,
   },
@@ -25,11 +28,21 @@
   halls: HashMap<Name, HallReach>,
   /// What they have said of themselves; outlasts entries that go and come back.
   notices: NoticeBook,
+  /// Whether what they have said of themselves decides nothing.
+  ignores_notices: bool,
   /// Since when the store has been heard without a break.
   store_since_ms: Option<u64>,
 }
 
 impl EndpointBook {
+  /// An empty book in which nothing is decided by what endpoints say of themselves.
+  pub fn ignoring_notices() -> Self {
+    Self {
+      ignores_notices: true,
+      ..Self::default()
+    }
+  }
+
   /// Takes over an entry as it was written.
   pub fn put(&mut self, entry: EndpointEntry) {
     match self.known.get_mut(&entry.id) {
@@ -85,9 +98,66 @@
     self.known.values().map(|known| &known.entry)
   }
 
-  /// Whether an endpoint may still be sent work.
-  pub fn may_send(&self, id: &str) -> bool {
-    self.known.get(id).is_some_and(|known| !known.entry.leaving)
+  /// All entries; those of endpoints that leave by their own word say so too.
+  pub fn current_entries(&self, now_ms: u64) -> Vec<EndpointEntry> {
+    self
+      .entries()
+      .map(|entry| EndpointEntry {
+        leaving: self.is_leaving(entry, now_ms),
+        ..entry.clone()
+      })
+      .collect()
+  }
+
+  /// Whether an endpoint leaves, by the store's word or its own.
+  pub fn is_leaving(&self, entry: &EndpointEntry, now_ms: u64) -> bool {
+    entry.leaving
+      || matches!(
+        self.availability(entry, now_ms),
+        Availability::Leaving { .. }
+      )
+  }
+
+  /// Whether the life of an endpoint that was chosen before may be sent work now. Fails when it may not, and says why.
+  pub fn check(&self, chosen: &EndpointEntry, now_ms: u64) -> Result<(), Unavailable> {
+    let entry = self.entry(&chosen.id).ok_or(Unavailable::Gone)?;
+    self.check_listed(entry, now_ms)
+  }
+
+  /// The same of an entry that is listed.
+  fn check_listed(&self, entry: &EndpointEntry, now_ms: u64) -> Result<(), Unavailable> {
+    if entry.leaving {
+      return Err(Unavailable::ListedAsLeaving);
+    }
+    match self.availability(entry, now_ms) {
+      Availability::Open | Availability::OnTrial { .. } => Ok(()),
+      Availability::Leaving { said_ms } => Err(Unavailable::Leaving {
+        said_ms: now_ms.saturating_sub(said_ms),
+      }),
+      Availability::Pausing { asked_ms, until_ms } => Err(Unavailable::Pausing {
+        asked_ms: now_ms.saturating_sub(asked_ms),
+        left_ms: until_ms - now_ms,
+      }),
+    }
+  }
+
+  /// How long it takes until a first endpoint of a service that answers requests takes work again; nothing while one does, or when none
+  /// pauses.
+  pub fn reopens_in_ms(&self, service: &str, now_ms: u64) -> Option<u64> {
+    let answering = self
+      .entries()
+      .filter(|entry| &*entry.service == service && entry.role != Some(Role::Prefill));
+    let mut first_ms = None;
+    for entry in answering {
+      match self.check_listed(entry, now_ms) {
+        Ok(()) => return None,
+        Err(Unavailable::Pausing { left_ms, .. }) => {
+          first_ms = Some(first_ms.map_or(left_ms, |first_ms: u64| first_ms.min(left_ms)));
+        }
+        Err(_) => {}
+      }
+    }
+    first_ms
   }
 
   /// How many endpoints are known.
@@ -112,7 +182,7 @@
       .values()
       .filter(|known| {
         &*known.entry.service == wanted.service
-          && !known.entry.leaving
+          && self.check_listed(&known.entry, now_ms).is_ok()
           && (wanted.role.is_none() || known.entry.role == wanted.role)
           && !wanted.tried.contains(&known.entry.id)
       })
@@ -122,7 +192,12 @@
       .into_iter()
       .map(|known| {
         (
-          known.rank(wanted, self.is_cut(&known.entry.hall, now_ms), now_ms),
+          known.rank(
+            wanted,
+            self.availability(&known.entry, now_ms),
+            self.is_cut(&known.entry.hall, now_ms),
+            now_ms,
+          ),
           known.cost(wanted, peers, now_ms) * (1.0 + NOISE * draw()),
           known,
         )
@@ -183,9 +258,22 @@
 
   /// Whether a life of an endpoint may be sent work, by its own word.
   pub fn availability(&self, entry: &EndpointEntry, now_ms: u64) -> Availability {
+    if self.ignores_notices {
+      return Availability::Open;
+    }
     self.notices.availability(entry, now_ms)
   }
 
+  /// Something is sent to an endpoint; answers with when it asked for a pause if it is the first since the pause.
+  pub fn sent_after_pause(&mut self, id: &str, now_ms: u64) -> Option<u64> {
+    self.notices.sent(id, now_ms)
+  }
+
+  /// An endpoint took work.
+  pub fn took_work(&mut self, id: &str, now_ms: u64) {
+    self.notices.took_work(id, now_ms);
+  }
+
   /// The store was heard, or was lost.
   pub fn set_store_since(&mut self, since_ms: Option<u64>) {
     self.store_since_ms = since_ms;
@@ -202,19 +290,22 @@
     )
   }
 
-  /// How many endpoints leave by their own word, and how many pause.
-  pub fn told_off(&self, now_ms: u64) -> (usize, usize) {
-    let count = |wanted: fn(&Availability) -> bool| {
-      self
-        .entries()
-        .map(|entry| self.availability(entry, now_ms))
-        .filter(wanted)
-        .count()
-    };
-    (
-      count(|availability| matches!(availability, Availability::Leaving { .. })),
-      count(|availability| matches!(availability, Availability::Pausing { .. })),
-    )
+  /// How many endpoints take work: of a service, or of all.
+  pub fn count(&self, service: Option<&str>, now_ms: u64) -> EndpointCounts {
+    let mut counts = EndpointCounts::default();
+    let wanted = self
+      .entries()
+      .filter(|entry| service.is_none_or(|service| &*entry.service == service));
+    for entry in wanted {
+      let pauses = matches!(
+        self.availability(entry, now_ms),
+        Availability::Pausing { .. }
+      );
+      counts.known += 1;
+      counts.leaving += usize::from(self.is_leaving(entry, now_ms));
+      counts.pausing += usize::from(pauses);
+    }
+    counts
   }
 
   /// Another endpoint that was asked later answered first.
--- /dev/null
+++ b/src/gateway/decisions/endpoint_counts.rs
@@ -0,0 +1,34 @@
+//! How many endpoints take work.
+
+use std::fmt::{self, Display, Formatter};
+
+/// How many endpoints are known, and how many of them take no work.
+///
+/// ```
+/// use rillford::gateway::EndpointCounts;
+/// let counts = EndpointCounts { known: 3, leaving: 1, pausing: 2 };
+/// assert_eq!(counts.to_string(), "3 endpoints known, 1 leaving, 2 pausing");
+/// ```
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct EndpointCounts {
+  /// All of them.
+  pub known: usize,
+  /// Those that leave, by the store's word or their own.
+  pub leaving: usize,
+  /// Those that want no work for now.
+  pub pausing: usize,
+}
+
+impl Display for EndpointCounts {
+  fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+    let Self {
+      known,
+      leaving,
+      pausing,
+    } = self;
+    write!(
+      formatter,
+      "{known} endpoints known, {leaving} leaving, {pausing} pausing"
+    )
+  }
+}
--- a/src/gateway/decisions/known_endpoint.rs
+++ b/src/gateway/decisions/known_endpoint.rs
@@ -1,7 +1,10 @@
 //! What a box knows of one endpoint, from its own requests there.
 
 use {
-  super::choice::{PartEnd, Wanted},
+  super::{
+    choice::{PartEnd, Wanted},
+    notice_book::Availability,
+  },
   crate::gateway::edge::EndpointEntry,
 };
 
@@ -113,7 +116,13 @@
 
   /// The order of preference before all cost: sound, on trial, left alone, in a hall that is cut off; each
   /// with those whose entry lapsed behind the others.
-  pub(super) fn rank(&self, wanted: Wanted, hall_is_cut: bool, now_ms: u64) -> u8 {
+  pub(super) fn rank(
+    &self,
+    wanted: Wanted,
+    availability: Availability,
+    hall_is_cut: bool,
+    now_ms: u64,
+  ) -> u8 {
     let lapsed = u8::from(self.lapses_ms.is_some());
     if hall_is_cut {
       return 6 + lapsed;
@@ -124,6 +133,9 @@
     if self.is_on_trial() && (!wanted.may_repeat || self.requests > 0) {
       return 2 + lapsed;
     }
+    if matches!(availability, Availability::OnTrial { is_taken: true, .. }) {
+      return 2 + lapsed;
+    }
     lapsed
   }
 
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -6,6 +6,7 @@
 mod box_list;
 mod choice;
 mod endpoint_book;
+mod endpoint_counts;
 mod endpoint_life;
 mod fingerprint;
 mod follower_list;
@@ -26,6 +27,7 @@
 mod role_plan;
 mod seat_forecast;
 mod seat_queue;
+mod unavailable;
 mod use_book;
 mod use_bucket;
 mod use_ledger;
@@ -35,6 +37,7 @@
   box_list::{BoxEntry, BoxList},
   choice::{Choice, PartEnd, Wanted},
   endpoint_book::EndpointBook,
+  endpoint_counts::EndpointCounts,
   endpoint_life::EndpointLife,
   fingerprint::{Fingerprint, RequestIdentity},
   kept_prompts::KeptPrompts,
@@ -44,11 +47,13 @@
   quarantine_key::{QuarantineKey, QuarantineMark},
   quarantine_way::QuarantineWay,
   recent_engines::{RecentEngines, staying_engines},
+  retry_after::retry_after_pause_ms,
   retry_pause::retry_pause_ms,
   retry_window::{RetryAllowance, RetryWindow},
   role_plan::{Surplus, surplus},
   seat_forecast::SeatForecast,
   seat_queue::{SeatPlace, SeatQueue, SeatUrgency},
+  unavailable::Unavailable,
   use_book::{ToldSpan, UseBook, UseTotals},
   use_bucket::UseBucket,
   use_ledger::{LocalVerdict, UseLedger, UseRequest},
--- a/src/gateway/decisions/notice_book.rs
+++ b/src/gateway/decisions/notice_book.rs
@@ -19,6 +19,9 @@
 /// Without the store's word an endpoint counts as leaving for so long; by then it has ended, unless it was mistaken.
 const MOST_LEAVING_MS: u64 = 10 * 60 * 1_000;
 
+/// What is sent first after a pause is answered within this time, or something else may be tried.
+const TRIAL_MS: u64 = 500;
+
 /// Whether an endpoint may be sent work, by its own word.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Availability {
@@ -28,6 +31,8 @@
   OnTrial {
     /// When it asked for the pause.
     asked_ms: u64,
+    /// Whether something was sent there just now: whatever else there is goes elsewhere until that is answered.
+    is_taken: bool,
   },
   /// It wants no work for now.
   Pausing {
@@ -56,6 +61,8 @@
 struct Pause {
   asked_ms: u64,
   until_ms: u64,
+  /// Since when the first request after it is on its way.
+  tried_ms: Option<u64>,
 }
 
 /// What one life of an endpoint has said.
@@ -118,6 +125,17 @@
     }
   }
 
+  /// Something is sent to an endpoint; answers with when it asked for a pause if it is the first since the pause.
+  pub fn sent(&mut self, id: &str, now_ms: u64) -> Option<u64> {
+    let pause = self.noted.get_mut(id)?.pause.as_mut()?;
+    if now_ms < pause.until_ms {
+      return None;
+    }
+    let is_first = pause.tried_ms.is_none();
+    pause.tried_ms = Some(now_ms);
+    is_first.then_some(pause.asked_ms)
+  }
+
   /// An endpoint took work: the pause that it wanted before is over for good.
   pub fn took_work(&mut self, id: &str, now_ms: u64) {
     if let Some(noted) = self.noted.get_mut(id) {
@@ -164,12 +182,16 @@
 
 impl Pause {
   fn availability(self, now_ms: u64) -> Availability {
-    let Self { asked_ms, until_ms } = self;
+    let Self {
+      asked_ms, until_ms, ..
+    } = self;
     if now_ms < until_ms {
-      Availability::Pausing { asked_ms, until_ms }
-    } else {
-      Availability::OnTrial { asked_ms }
+      return Availability::Pausing { asked_ms, until_ms };
     }
+    let is_taken = self
+      .tried_ms
+      .is_some_and(|tried_ms| now_ms < tried_ms + TRIAL_MS);
+    Availability::OnTrial { asked_ms, is_taken }
   }
 }
 
@@ -188,6 +210,7 @@
     if self.pause.is_none_or(|pause| pause.until_ms < until_ms) {
       self.pause = Some(Pause {
         asked_ms: now_ms,
+        tried_ms: None,
         until_ms,
       });
     }
--- a/src/gateway/decisions/retry_after.rs
+++ b/src/gateway/decisions/retry_after.rs
@@ -8,3 +8,17 @@
 pub(crate) const RETRY_AFTER_NO_CONFIGURATION_MS: u64 = 500;
 /// This box is about to stop; the others serve.
 pub(crate) const RETRY_AFTER_LEAVING_MS: u64 = 50;
+/// Callers that are refused while all endpoints pause come back over this time from the first pause's end on: those of some tens of
+/// boxes would else come at one moment.
+const RETURN_SPREAD_MS: f64 = 500.0;
+
+/// When a caller is told to come back whose request finds all endpoints pausing; `draw` from 0 to 1 spreads callers.
+///
+/// ```
+/// use rillford::gateway::retry_after_pause_ms;
+/// assert_eq!(retry_after_pause_ms(2_000, 0.0), 2_000);
+/// assert_eq!(retry_after_pause_ms(2_000, 1.0), 2_500);
+/// ```
+pub fn retry_after_pause_ms(reopens_in_ms: u64, draw: f64) -> u64 {
+  reopens_in_ms + (RETURN_SPREAD_MS * draw) as u64
+}
--- /dev/null
+++ b/src/gateway/decisions/unavailable.rs
@@ -0,0 +1,32 @@
+//! Why an endpoint is sent nothing now.
+
+/// Why an endpoint is sent nothing now, and by whose word.
+///
+/// ```
+/// use rillford::gateway::Unavailable;
+/// let pausing = Unavailable::Pausing { asked_ms: 200, left_ms: 2_800 };
+/// assert_eq!(pausing.to_string(), "it wants no work for 2800 ms more, as it said 200 ms ago");
+/// ```
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum Unavailable {
+  /// The store lists it no more.
+  #[error("its entry has gone")]
+  Gone,
+  /// It leaves, by the store's list.
+  #[error("it leaves, as the store lists it")]
+  ListedAsLeaving,
+  /// It leaves, by its own word.
+  #[error("it leaves, as it said {said_ms} ms ago")]
+  Leaving {
+    /// How long ago it last said so.
+    said_ms: u64,
+  },
+  /// It wants no work for now.
+  #[error("it wants no work for {left_ms} ms more, as it said {asked_ms} ms ago")]
+  Pausing {
+    /// How long ago it said so.
+    asked_ms: u64,
+    /// How long that holds.
+    left_ms: u64,
+  },
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -26,12 +26,12 @@
 pub use self::{
   connections::remove_connection_headers,
   decisions::{
-    Availability, BoxEntry, BoxList, Choice, EndpointBook, EndpointLife, Fingerprint, KeptPrompts,
-    LimitWay, LocalVerdict, NoticeBook, NoticeNews, PartEnd, QuarantineBook, QuarantineKey,
-    QuarantineMark, QuarantineVerdict, QuarantineWay, RecentEngines, RequestIdentity,
-    RetryAllowance, RetryWindow, SeatForecast, SeatPlace, SeatQueue, SeatUrgency, Surplus,
-    ToldSpan, UseBook, UseBucket, UseLedger, UseRequest, UseTotals, UseVerdict, Wanted,
-    retry_pause_ms, staying_engines, surplus,
+    Availability, BoxEntry, BoxList, Choice, EndpointBook, EndpointCounts, EndpointLife,
+    Fingerprint, KeptPrompts, LimitWay, LocalVerdict, NoticeBook, NoticeNews, PartEnd,
+    QuarantineBook, QuarantineKey, QuarantineMark, QuarantineVerdict, QuarantineWay, RecentEngines,
+    RequestIdentity, RetryAllowance, RetryWindow, SeatForecast, SeatPlace, SeatQueue, SeatUrgency,
+    Surplus, ToldSpan, Unavailable, UseBook, UseBucket, UseLedger, UseRequest, UseTotals,
+    UseVerdict, Wanted, retry_after_pause_ms, retry_pause_ms, staying_engines, surplus,
   },
   edge::{
     AnswerFacts, CallerFacts, CallerLimits, DecodeError, Dialect, EndpointCall, EndpointEntry,
--- a/src/gateway/parts/engine_call.rs
+++ b/src/gateway/parts/engine_call.rs
@@ -1,10 +1,13 @@
 //! The router's own calls to engines: reservations, and freeing what is no longer wanted.
 
 use {
-  super::part::{PartError, Purpose, exchange},
+  super::{
+    part::{PartError, exchange},
+    purpose::Purpose,
+  },
   crate::{
     gateway::{
-      decisions::PartEnd,
+      decisions::{PartEnd, Unavailable},
       edge::{EndpointCall, EndpointEntry, Export},
       state::Gateway,
     },
@@ -36,6 +39,9 @@
   /// The engine does not answer at all.
   #[error("no answer in time")]
   TimedOut,
+  /// The engine is sent nothing now.
+  #[error("not sent: {0}")]
+  Unavailable(Unavailable),
   /// The engine was not reached, or its answer was lost.
   #[error("{0}")]
   Lost(String),
@@ -47,6 +53,7 @@
     match self {
       Self::Refused(_) => PartEnd::Full,
       Self::TimedOut => PartEnd::Unreachable,
+      Self::Unavailable(_) => PartEnd::Dropped,
       Self::Lost(_) => PartEnd::Lost,
     }
   }
@@ -57,16 +64,19 @@
   gateway: &Gateway,
   entry: &EndpointEntry,
   call: EndpointCall,
+  purpose: Purpose,
 ) -> Result<Bytes, CallFailure> {
   let lost = |error: &dyn Display| CallFailure::Lost(error.to_string());
   let request = build_request(entry, call).map_err(|error| lost(&error))?;
   let answer = async {
-    let (connection, response) = exchange(gateway, entry, request, Purpose::OwnCall)
-      .await
-      .map_err(|error| match error {
-        PartError::Unreachable => CallFailure::TimedOut,
-        error => lost(&error),
-      })?;
+    let (connection, response) =
+      exchange(gateway, entry, request, purpose)
+        .await
+        .map_err(|error| match error {
+          PartError::Unreachable => CallFailure::TimedOut,
+          PartError::Unavailable(unavailable) => CallFailure::Unavailable(unavailable),
+          error => lost(&error),
+        })?;
     let (head, body) = response.into_parts();
     let read = Limited::new(body, MOST_ANSWER_BYTES).collect().await;
     let body = read.map_err(|error| lost(&error))?.to_bytes();
@@ -186,7 +196,7 @@
   let gateway = gateway.clone();
   let entry = entry.clone();
   spawn_local(async move {
-    if let Err(error) = call_engine(&gateway, &entry, call).await {
+    if let Err(error) = call_engine(&gateway, &entry, call, Purpose::GiveBack).await {
       log::info!("E512 not freed at {}: {error}", entry.id);
     }
   });
--- a/src/gateway/parts/mod.rs
+++ b/src/gateway/parts/mod.rs
@@ -7,12 +7,14 @@
 mod notice;
 mod part;
 mod permit;
+mod purpose;
 mod request;
 mod sending;
 
 pub(crate) use self::{
   engine_call::{CallFailure, KeptExport, Reservation, call_engine},
   part::{Booking, Head, PartError, WholeAnswer, send_part},
+  purpose::Purpose,
   request::RoutedRequest,
   sending::Sending,
 };
--- a/src/gateway/parts/notice.rs
+++ b/src/gateway/parts/notice.rs
@@ -1,6 +1,7 @@
 //! What an endpoint says of itself in an answer, heard before anything else of that answer is looked at.
 
 use {
+  super::purpose::Purpose,
   crate::gateway::{
     decisions::NoticeNews,
     edge::{EndpointEntry, EndpointNotice},
@@ -9,12 +10,27 @@
   http::{StatusCode, response},
 };
 
+/// What an endpoint answers that takes no work for now.
+const TURNED_AWAY: [StatusCode; 2] = [
+  StatusCode::SERVICE_UNAVAILABLE,
+  StatusCode::TOO_MANY_REQUESTS,
+];
+
 /// Takes over what an endpoint says in an answer to what was sent to this entry of it. Any answer counts that came over a
 /// connection to that endpoint, whichever request it is for; but one that says that another endpoint is there.
-pub(super) fn hear_notice(gateway: &Gateway, entry: &EndpointEntry, answer: &response::Parts) {
+pub(super) fn hear_notice(
+  gateway: &Gateway,
+  entry: &EndpointEntry,
+  purpose: Purpose,
+  answer: &response::Parts,
+) {
   if answer.status == StatusCode::MISDIRECTED_REQUEST {
     return;
   }
+  if purpose == Purpose::Work && !TURNED_AWAY.contains(&answer.status) {
+    let now_ms = gateway.now_ms();
+    gateway.book.borrow_mut().took_work(&entry.id, now_ms);
+  }
   let notice = gateway.dialect.notice(answer.status, &answer.headers);
   if notice == EndpointNotice::default() {
     return;
@@ -53,6 +69,7 @@
   let status = answer.status.as_u16();
   if news.leaves {
     gateway.counters.leaving_notices.inc();
+    gateway.pool.close(id);
     log::info!(
       "E535 leaves by its own word: {id} born {:?}, in its answer {status} to {request}; listed as {}, store heard {heard_ms:?} ms ago",
       entry.born_ms,
--- a/src/gateway/parts/part.rs
+++ b/src/gateway/parts/part.rs
@@ -1,11 +1,11 @@
 //! One part of a request at one endpoint, from the choice of a connection to the answer's head.
 
 use {
-  super::{notice::hear_notice, request::RoutedRequest},
+  super::{notice::hear_notice, purpose::Purpose, request::RoutedRequest},
   crate::{
     gateway::{
       connections::{Connection, SendError, remove_connection_headers},
-      decisions::PartEnd,
+      decisions::{PartEnd, Unavailable},
       edge::{AnswerFacts, EndpointEntry, Marks},
       state::Gateway,
     },
@@ -36,6 +36,9 @@
   /// The endpoint never saw it.
   #[error("unsent: {0}")]
   Unsent(String),
+  /// The endpoint never saw it: it is sent nothing now.
+  #[error("not sent: {0}")]
+  Unavailable(#[from] Unavailable),
   /// It may not be sent any more: endpoints have ended with it.
   #[error("barred: endpoints ended with it")]
   Barred,
@@ -55,7 +58,10 @@
 
   /// Whether the endpoint never saw the request.
   pub(crate) fn is_unsent(&self) -> bool {
-    matches!(self, Self::Unreachable | Self::Unsent(_) | Self::Barred)
+    matches!(
+      self,
+      Self::Unreachable | Self::Unsent(_) | Self::Unavailable(_) | Self::Barred
+    )
   }
 }
 
@@ -108,7 +114,7 @@
     self.end = match error {
       PartError::Unreachable => PartEnd::Unreachable,
       PartError::NotRun(MISDIRECTED) | PartError::Unsent(_) | PartError::Lost(_) => PartEnd::Lost,
-      PartError::Barred => PartEnd::Dropped,
+      PartError::Barred | PartError::Unavailable(_) => PartEnd::Dropped,
       PartError::NotRun(_) => PartEnd::Full,
     };
   }
@@ -202,7 +208,7 @@
   let mut booking = Booking::new(gateway, &entry.id, size, units);
   let sent_ms = gateway.now_ms();
   let sent = request.for_endpoint(&*gateway.dialect, marks);
-  let answered = exchange(gateway, entry, sent, Purpose::Request)
+  let answered = exchange(gateway, entry, sent, Purpose::Work)
     .await
     .and_then(|(connection, response)| {
       let (head, body) = response.into_parts();
@@ -230,15 +236,6 @@
   }
 }
 
-/// What is sent to an endpoint.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Purpose {
-  /// A caller's request, or a part of it: never to an endpoint that leaves.
-  Request,
-  /// A call of this router's own: what an endpoint keeps is given back to one that leaves, too.
-  OwnCall,
-}
-
 /// Sends a request on a resting connection, or on a new one when none is left or it closed unused.
 pub(crate) async fn exchange(
   gateway: &Gateway,
@@ -247,10 +244,10 @@
   purpose: Purpose,
 ) -> Result<(Connection, Response<Incoming>), PartError> {
   // Time has passed since the endpoint was chosen; a connection may rest whose request outlasted the notice.
-  check_stays(gateway, entry, purpose)?;
+  check_available(gateway, entry, purpose)?;
   if let Some(mut connection) = gateway.pool.take(&entry.id, gateway.now_ms()) {
     match connection.send(request.clone()).await {
-      Ok(response) => return Ok((connection, heard(gateway, entry, response))),
+      Ok(response) => return Ok((connection, heard(gateway, entry, purpose, response))),
       Err(SendError::Broke(text)) => return Err(PartError::Lost(text)),
       Err(SendError::Unreachable | SendError::Unsent(_)) => {}
     }
@@ -258,37 +255,49 @@
   gateway.counters.connections.inc();
   let opened = Connection::open(entry.id.clone(), entry.address).await;
   let mut connection = opened?;
-  check_stays(gateway, entry, purpose)?;
+  check_available(gateway, entry, purpose)?;
   let response = connection.send(request).await?;
-  Ok((connection, heard(gateway, entry, response)))
+  Ok((connection, heard(gateway, entry, purpose, response)))
 }
 
 /// The answer, once what the endpoint says of itself in its head was taken over: callers may wait for its end for long.
 fn heard(
   gateway: &Gateway,
   entry: &EndpointEntry,
+  purpose: Purpose,
   answer: Response<Incoming>,
 ) -> Response<Incoming> {
   let (head, body) = answer.into_parts();
-  hear_notice(gateway, entry, &head);
+  hear_notice(gateway, entry, purpose, &head);
   Response::from_parts(head, body)
 }
 
-/// Refuses an endpoint whose entry has gone, and for callers' requests one that leaves.
-fn check_stays(
+/// Refuses an endpoint whose entry has gone, and for work one that leaves or wants none.
+fn check_available(
   gateway: &Gateway,
   entry: &EndpointEntry,
   purpose: Purpose,
 ) -> Result<(), PartError> {
-  let book = gateway.book.borrow();
-  let stays = match purpose {
-    Purpose::Request => book.may_send(&entry.id),
-    Purpose::OwnCall => book.entry(&entry.id).is_some(),
-  };
-  if stays {
-    return Ok(());
+  let now_ms = gateway.now_ms();
+  let mut book = gateway.book.borrow_mut();
+  match (book.check(entry, now_ms), purpose) {
+    (Ok(()), Purpose::Work) => {
+      if let Some(asked_ms) = book.sent_after_pause(&entry.id, now_ms) {
+        log::info!(
+          "E537 first after its pause: {}, asked for {} ms ago",
+          entry.id,
+          now_ms - asked_ms
+        );
+      }
+      Ok(())
+    }
+    (Err(Unavailable::Gone), _) => Err(Unavailable::Gone.into()),
+    (_, Purpose::GiveBack) => Ok(()),
+    (Err(unavailable), Purpose::Work) => {
+      gateway.counters.not_sent.inc();
+      Err(unavailable.into())
+    }
   }
-  Err(PartError::Unsent("the endpoint is leaving".into()))
 }
 
 /// Believes an answer only when it is this request's own.
--- a/src/gateway/process/own_pages.rs
+++ b/src/gateway/process/own_pages.rs
@@ -40,7 +40,7 @@
       let mut text = gateway.counters.text();
       text.push_str(&limit_figures(gateway));
       text.push_str(&gateway.quarantine.figures());
-      text.push_str(&gateway.notice_figures());
+      text.push_str(&gateway.endpoint_figures());
       Response::new(Full::new(text.into()))
     }
     OwnPage::Ready => {
--- a/src/gateway/quarantine/endpoint_end.rs
+++ b/src/gateway/quarantine/endpoint_end.rs
@@ -97,9 +97,12 @@
 
 /// Finds out whether an endpoint has ended.
 async fn survival(gateway: &Gateway, entry: &EndpointEntry) -> Survival {
-  let (is_leaving, born_ms) = match gateway.book.borrow().entry(&entry.id) {
-    Some(now) => (now.leaving, now.born_ms),
-    None => return Survival::Unknown,
+  let (is_leaving, born_ms) = {
+    let book = gateway.book.borrow();
+    match book.entry(&entry.id) {
+      Some(now) => (book.is_leaving(now, gateway.now_ms()), now.born_ms),
+      None => return Survival::Unknown,
+    }
   };
   if is_leaving {
     return Survival::Unknown;
--- a/src/gateway/requests/plain.rs
+++ b/src/gateway/requests/plain.rs
@@ -58,15 +58,7 @@
     unsent: 0,
   };
   if !plain.start() {
-    log::warn!(
-      "E501 refused: {} no endpoint of {} is known",
-      plain.request.id(),
-      plain.request.service
-    );
-    return OwnAnswer::NotRun {
-      retry_after_ms: RETRY_AFTER_NO_ENDPOINT_MS,
-    }
-    .response();
+    return plain.refuse(RETRY_AFTER_NO_ENDPOINT_MS);
   }
   plain.run().await
 }
@@ -156,11 +148,18 @@
     let route = &self.request.route;
     let allowed = !self.request.is_barred(&self.gateway)
       && (!may_have_run || (route.kind.may_repeat() && attempts < route.most_attempts));
-    if !allowed || !self.gateway.take_repeat(&self.request.service) {
+    if !allowed {
+      return false;
+    }
+    let Some(entry) = self.choose() else {
+      return false;
+    };
+    if !self.gateway.take_repeat(&self.request.service) {
       return false;
     }
     self.gateway.counters.repeats.inc();
-    self.start()
+    self.send_to(entry);
+    true
   }
 
   /// Endpoints that were asked first and have still not answered count as failing, for the choice to come.
@@ -172,27 +171,36 @@
 
   /// Sends the request to the best endpoint not tried yet; `false` when there is none.
   fn start(&mut self) -> bool {
-    let gateway = &self.gateway;
-    let request = &self.request;
-    if request.is_barred(gateway) {
+    if self.request.is_barred(&self.gateway) {
       return false;
     }
-    let choice = gateway.choose(Wanted {
-      hall: gateway.preferred_hall(),
-      may_repeat: request.route.kind.may_repeat(),
+    let Some(entry) = self.choose() else {
+      return false;
+    };
+    self.send_to(entry);
+    true
+  }
+
+  /// The best endpoint not tried yet.
+  fn choose(&self) -> Option<EndpointEntry> {
+    let choice = self.gateway.choose(Wanted {
+      hall: self.gateway.preferred_hall(),
+      may_repeat: self.request.route.kind.may_repeat(),
       role: None,
-      service: &request.service,
+      service: &self.request.service,
       size: 1,
       tried: &self.tried,
     });
-    let Some(choice) = choice else { return false };
-    let entry = choice.entry;
+    choice.map(|choice| choice.entry)
+  }
+
+  fn send_to(&mut self, entry: EndpointEntry) {
+    let gateway = &self.gateway;
     self.tried.push(entry.id.clone());
     self.awaited.push(entry.id.clone());
-    let marks = request.marks(&entry, Part::Whole, gateway.now_ms());
-    let asking = ask_endpoint(gateway.clone(), request.clone(), entry, marks);
+    let marks = self.request.marks(&entry, Part::Whole, gateway.now_ms());
+    let asking = ask_endpoint(gateway.clone(), self.request.clone(), entry, marks);
     self.running.push(asking.boxed_local());
-    true
   }
 
   /// The answer when no further endpoint may be asked.
@@ -210,10 +218,20 @@
     if self.perhaps_run {
       return OwnAnswer::Unknown.response();
     }
-    OwnAnswer::NotRun {
-      retry_after_ms: RETRY_AFTER_FULL_MS,
-    }
-    .response()
+    self.refuse(RETRY_AFTER_FULL_MS)
+  }
+
+  /// Tells the caller at once that it has not run, and when to come back.
+  fn refuse(&self, otherwise_ms: u64) -> Response<AnswerBody> {
+    let service = &self.request.service;
+    let retry_after_ms = self.gateway.retry_after_ms(service, otherwise_ms);
+    log::info!(
+      "E501 refused: {} {service} with status 503, tried {}, {}, to come back in {retry_after_ms} ms",
+      self.request.id(),
+      self.tried.len(),
+      self.gateway.count_endpoints(service)
+    );
+    OwnAnswer::NotRun { retry_after_ms }.response()
   }
 
   /// The answer at the deadline.
--- a/src/gateway/requests/resume_seat.rs
+++ b/src/gateway/requests/resume_seat.rs
@@ -6,7 +6,7 @@
     decide::Role,
     gateway::{
       edge::{EndpointEntry, PromptPart},
-      parts::{Reservation, RoutedRequest, call_engine},
+      parts::{Purpose, Reservation, RoutedRequest, call_engine},
       state::Gateway,
     },
     ids::Name,
@@ -31,12 +31,11 @@
   for engine in keeping {
     let entry = {
       let book = gateway.book.borrow();
-      if !book.may_send(&engine) {
-        continue;
-      }
       book.entry(&engine).cloned()
     };
-    let Some(entry) = entry.filter(|entry| entry.role == Some(Role::Decode)) else {
+    let may_write =
+      |entry: &EndpointEntry| entry.role == Some(Role::Decode) && gateway.check(entry).is_ok();
+    let Some(entry) = entry.filter(may_write) else {
       continue;
     };
     if let Some(reservation) =
@@ -76,7 +75,8 @@
   let book = gateway.book.borrow();
   book
     .entries()
-    .filter(|entry| entry.service == *service && entry.role == Some(Role::Decode) && !entry.leaving)
+    .filter(|entry| entry.service == *service && entry.role == Some(Role::Decode))
+    .filter(|entry| gateway.check(entry).is_ok())
     .cloned()
     .collect()
 }
@@ -84,7 +84,7 @@
 /// What one engine keeps; nothing when it does not say.
 async fn list_kept(gateway: &Gateway, engine: &EndpointEntry) -> Vec<PromptPart> {
   let call = gateway.dialect.list_kept();
-  let listed = match call_engine(gateway, engine, call).await {
+  let listed = match call_engine(gateway, engine, call, Purpose::Work).await {
     Ok(body) => gateway
       .dialect
       .kept_parts(&body)
--- a/src/gateway/requests/stream.rs
+++ b/src/gateway/requests/stream.rs
@@ -70,21 +70,28 @@
       Err(_) => OwnAnswer::Unknown,
     },
     _ if may_have_run => OwnAnswer::Unknown,
-    NoStream::Failed => OwnAnswer::NotRun {
-      retry_after_ms: RETRY_AFTER_FULL_MS,
-    },
-    NoStream::NoSeat => OwnAnswer::NotRun {
-      retry_after_ms: gateway
+    NoStream::Failed => not_run(gateway, request, RETRY_AFTER_FULL_MS),
+    NoStream::NoSeat => {
+      let forecast_ms = gateway
         .seat_forecast
         .borrow()
-        .retry_after_ms(gateway.draw()),
-    },
+        .retry_after_ms(gateway.draw());
+      not_run(gateway, request, forecast_ms)
+    }
   };
   log::info!(
-    "E501 refused: {} {} with status {}",
+    "E501 refused: {} {} with status {}, {}",
     request.id(),
     request.service,
-    own.status()
+    own.status(),
+    gateway.count_endpoints(&request.service)
   );
   own.response()
 }
+
+/// The request has not run; its caller may come back when the first pause ends where all endpoints pause.
+fn not_run(gateway: &Gateway, request: &RoutedRequest, otherwise_ms: u64) -> OwnAnswer {
+  OwnAnswer::NotRun {
+    retry_after_ms: gateway.retry_after_ms(&request.service, otherwise_ms),
+  }
+}
--- a/src/gateway/requests/stream_request.rs
+++ b/src/gateway/requests/stream_request.rs
@@ -128,7 +128,9 @@
     }
     match error {
       PartError::Barred => false,
-      PartError::Unreachable | PartError::Unsent(_) => self.tried.len() < MOST_UNSENT,
+      PartError::Unreachable | PartError::Unsent(_) | PartError::Unavailable(_) => {
+        self.tried.len() < MOST_UNSENT
+      }
       PartError::NotRun(_) => self.refusals < MOST_REFUSALS,
       PartError::Lost(_) => self.has_attempts_left(),
     }
--- a/src/gateway/requests/stream_send.rs
+++ b/src/gateway/requests/stream_send.rs
@@ -133,7 +133,10 @@
     match error {
       PartError::NotRun(_) => self.note_refusal(entry, export),
       // No engine has fetched it.
-      PartError::Unreachable | PartError::Unsent(_) | PartError::Barred => self.export = export,
+      PartError::Unreachable
+      | PartError::Unsent(_)
+      | PartError::Unavailable(_)
+      | PartError::Barred => self.export = export,
       PartError::Lost(_) => {}
     }
   }
--- a/src/gateway/roles/role_steward.rs
+++ b/src/gateway/roles/role_steward.rs
@@ -6,7 +6,7 @@
     gateway::{
       decisions::{RecentEngines, Surplus, staying_engines, surplus, with_role},
       edge::{EndpointEntry, EngineReport, RoleChange, Store},
-      parts::call_engine,
+      parts::{Purpose, call_engine},
       state::{Gateway, Phase},
     },
     ids::Name,
@@ -99,10 +99,15 @@
   }
 
   fn note_engines(&mut self) {
-    let entries: Vec<EndpointEntry> = self.gateway.book.borrow().entries().cloned().collect();
+    let entries = self.current_entries();
     self.recent.note(&entries, self.gateway.now_ms());
   }
 
+  fn current_entries(&self) -> Vec<EndpointEntry> {
+    let now_ms = self.gateway.now_ms();
+    self.gateway.book.borrow().current_entries(now_ms)
+  }
+
   async fn try_to_become_steward(&mut self) {
     if self.gateway.has_steward.get() || self.services().is_empty() {
       return;
@@ -187,7 +192,7 @@
 
   /// The engines of a service that stay, each in the role that it has or is about to take.
   fn engines(&self, service: &Name) -> Vec<EndpointEntry> {
-    let entries: Vec<EndpointEntry> = self.gateway.book.borrow().entries().cloned().collect();
+    let entries = self.current_entries();
     staying_engines(&entries)
       .filter(|entry| entry.service == *service)
       .map(|entry| {
@@ -275,7 +280,13 @@
 
   /// What an engine says of its orders; nothing when it does not say.
   async fn report(&self, engine: &EndpointEntry) -> Option<EngineReport> {
-    let answer = call_engine(&self.gateway, engine, self.gateway.dialect.ask_report()).await;
+    let answer = call_engine(
+      &self.gateway,
+      engine,
+      self.gateway.dialect.ask_report(),
+      Purpose::Work,
+    )
+    .await;
     let report = answer.map_err(|error| error.to_string()).and_then(|body| {
       self
         .gateway
@@ -330,7 +341,7 @@
     let RoleChange { role, fence, .. } = change;
     self.note_order(engine, *role);
     let call = self.gateway.dialect.change_role(change);
-    match call_engine(&self.gateway, engine, call).await {
+    match call_engine(&self.gateway, engine, call, Purpose::Work).await {
       Ok(_) => log::info!(
         "E423 role ordered: {} becomes {role:?}, fence {fence}",
         engine.id
--- a/src/gateway/settings/mechanisms.rs
+++ b/src/gateway/settings/mechanisms.rs
@@ -12,6 +12,8 @@
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
 #[serde(default, deny_unknown_fields)]
 pub struct Mechanisms {
+  /// An endpoint that says in an answer that it leaves, or wants no work for a while, gets none.
+  pub endpoint_notices: bool,
   /// Endpoints of the own hall are preferred.
   pub own_hall_first: bool,
   /// Prompts go past readers that are behind: the engine that writes the answer reads.
@@ -33,6 +35,7 @@
 impl Default for Mechanisms {
   fn default() -> Self {
     Self {
+      endpoint_notices: true,
       own_hall_first: true,
       prompts_past_readers: true,
       recent_engines: true,
--- a/src/gateway/state/counters.rs
+++ b/src/gateway/state/counters.rs
@@ -68,6 +68,8 @@
   /// Endpoints that said in an answer that they leave, and pauses that began by an endpoint's word.
   pub(crate) leaving_notices: Counter,
   pub(crate) pause_notices: Counter,
+  /// Parts and calls that were not sent because their endpoint came to leave or pause after it was chosen.
+  pub(crate) not_sent: Counter,
   pub(crate) callers_gone: Counter,
   pub(crate) repeats: Counter,
   pub(crate) repeats_denied: Counter,
@@ -99,6 +101,7 @@
       ),
       ("rillford_leaving_notices_total", &self.leaving_notices),
       ("rillford_pause_notices_total", &self.pause_notices),
+      ("rillford_not_sent_total", &self.not_sent),
       ("rillford_callers_gone_total", &self.callers_gone),
       ("rillford_repeats_total", &self.repeats),
       ("rillford_repeats_denied_total", &self.repeats_denied),
--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -7,10 +7,10 @@
     gateway::{
       connections::{Connection, ConnectionPool},
       decisions::{
-        BoxList, Choice, EndpointBook, KeptPrompts, PartEnd, RetryWindow, SeatForecast, SeatQueue,
-        UseBook, UseLedger, Wanted,
+        BoxList, Choice, EndpointBook, EndpointCounts, KeptPrompts, PartEnd, RetryWindow,
+        SeatForecast, SeatQueue, Unavailable, UseBook, UseLedger, Wanted, retry_after_pause_ms,
       },
-      edge::{Dialect, RouteTable, StoreLease},
+      edge::{Dialect, EndpointEntry, RouteTable, StoreLease},
       settings::{GatewaySettings, RoutePolicy},
     },
     ids::Name,
@@ -122,8 +122,13 @@
     policy: RoutePolicy,
     seed: u64,
   ) -> Self {
+    let book = if settings.mechanisms.endpoint_notices {
+      EndpointBook::default()
+    } else {
+      EndpointBook::ignoring_notices()
+    };
     Self {
-      book: RefCell::default(),
+      book: RefCell::new(book),
       box_calls: HttpClient::default(),
       boxes: RefCell::default(),
       change_log: ChangeLog::default(),
@@ -242,6 +247,20 @@
       .choose(wanted, self.now_ms(), || self.draw())
   }
 
+  /// Whether an endpoint that was chosen before may be sent work now.
+  pub(crate) fn check(&self, chosen: &EndpointEntry) -> Result<(), Unavailable> {
+    self.book.borrow().check(chosen, self.now_ms())
+  }
+
+  /// When a caller may come back whose request found no endpoint of a service that takes work: when the first pause ends, or after
+  /// `otherwise_ms` where it is not pauses that keep it waiting.
+  pub(crate) fn retry_after_ms(&self, service: &str, otherwise_ms: u64) -> u64 {
+    let reopens_in_ms = self.book.borrow().reopens_in_ms(service, self.now_ms());
+    reopens_in_ms.map_or(otherwise_ms, |reopens_in_ms| {
+      retry_after_pause_ms(reopens_in_ms, self.draw())
+    })
+  }
+
   /// Books the end of an endpoint's part.
   pub(crate) fn ended(&self, id: &str, size: u64, units: u64, end: PartEnd) {
     self
@@ -294,11 +313,20 @@
     true
   }
 
-  /// How many endpoints leave or pause by their own word, as text.
-  pub(crate) fn notice_figures(&self) -> String {
-    let (leaving, pausing) = self.book.borrow().told_off(self.now_ms());
+  /// How many endpoints of a service take work.
+  pub(crate) fn count_endpoints(&self, service: &str) -> EndpointCounts {
+    self.book.borrow().count(Some(service), self.now_ms())
+  }
+
+  /// How many endpoints are known, leave, and pause, as text.
+  pub(crate) fn endpoint_figures(&self) -> String {
+    let EndpointCounts {
+      known,
+      leaving,
+      pausing,
+    } = self.book.borrow().count(None, self.now_ms());
     format!(
-      "rillford_endpoints_leaving_by_notice {leaving}\nrillford_endpoints_pausing {pausing}\n"
+      "rillford_endpoints {known}\nrillford_endpoints_leaving {leaving}\nrillford_endpoints_pausing {pausing}\n"
     )
   }
 
