--- a/emulator/src/experiment/trial.rs
+++ b/emulator/src/experiment/trial.rs
@@ -22,12 +22,38 @@
   pub checkout: usize,
   /// The site file.
   pub site: PathBuf,
-  /// The day's name.
+  /// The day's name, or its file.
   pub day: String,
   /// The day's seed.
   pub seed: u64,
 }
 
+impl Trial {
+  /// The file of its report, in the folder of the copies. A day's file may lie anywhere.
+  ///
+  /// ```
+  /// use emulator::experiment::Trial;
+  /// let trial = Trial { checkout: 0, day: "days/shed.toml".into(), seed: 7, site: "sites/oslo.toml".into(), variant: "on".into() };
+  /// assert_eq!(trial.report_file(), "oslo-shed-7.json");
+  /// ```
+  pub fn report_file(&self) -> String {
+    format!(
+      "{}-{}-{}.json",
+      stem(&self.site),
+      stem(Path::new(&self.day)),
+      self.seed
+    )
+  }
+}
+
+fn stem(path: &Path) -> String {
+  path
+    .file_stem()
+    .unwrap_or_default()
+    .to_string_lossy()
+    .into_owned()
+}
+
 /// What came of a trial.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Measurement {
@@ -69,17 +95,19 @@
     checkouts: &[Checkout],
     trial: &Trial,
   ) -> Result<Measurement, ExperimentError> {
-    let site = trial.site.file_stem().unwrap_or_default().to_string_lossy();
+    let site = stem(&trial.site);
     let what = format!(
       "{site} {} with seed {} of {}",
       trial.day, trial.seed, trial.variant
     );
     let checkout = &checkouts[trial.checkout].path;
-    let report = checkout.with_extension(format!("{site}-{}-{}.json", trial.day, trial.seed));
+    let report = checkout.with_extension(trial.report_file());
     let reason = format!("{} [{}]", self.reason, trial.variant);
     let site_path = fs::canonicalize(&trial.site).map_err(ExperimentError::io("site file"))?;
     let mut command = self.command(checkout);
-    command.arg("run").arg(site_path).arg(&trial.day);
+    // A name where there is no such file.
+    let day = fs::canonicalize(&trial.day).unwrap_or_else(|_| PathBuf::from(&trial.day));
+    command.arg("run").arg(site_path).arg(day);
     command.args([
       "--seed",
       &trial.seed.to_string(),
--- a/tests/experiment.rs
+++ b/tests/experiment.rs
@@ -11,18 +11,22 @@
   tempfile::TempDir,
 };
 
-/// Worth is the seed in thousandths, and 0.1 more without role orders; the day `broken` fails.
+/// Worth is the seed in thousandths, and 0.1 more without role orders; the day `broken` fails, and one of a file of its own breaks
+/// a rule, in the form of later benches.
 const BENCH: &str = r#"#!/usr/bin/env bash
 [ "$1" = build ] && exit 0
 echo "played $3"
 [ "$3" = broken ] && exit 3
+day="$3"
 seed="$5"
 while [ $# -gt 0 ]; do [ "$1" = --report ] && report="$2"; shift; done
 more=0
 grep -q 'role_orders = false' deploy/box.toml.template && more=100
 touch "journal/$more-$seed.json"
-printf '{"G": %s, "served": 0.9, "prices": [["calls", 3, 0.02], ["orders", 1, 0.01]], "breaks": []}' \
-  "0.$((seed + more))" > "$report"
+breaks='[]'
+[ "${day##*.}" = toml ] && breaks='{"DRAIN": {"count": 2}}'
+printf '{"G": %s, "served": 0.9, "prices": [["calls", 3, 0.02], ["orders", 1, 0.01]], "breaks": %s}' \
+  "0.$((seed + more))" "$breaks" > "$report"
 "#;
 
 struct Setup {
@@ -65,6 +69,30 @@
   [&USUAL, arguments].concat()
 }
 
+/// A day's file lay in a folder, and its path became part of a file name; later benches name the rules that were broken in a table.
+#[test]
+fn day_of_a_file_is_played_and_its_broken_rules_are_counted() {
+  let setup = Setup::new();
+  fs::create_dir(setup.path("days")).unwrap();
+  fs::write(setup.path("days/shed.toml"), "").unwrap();
+  let output = setup.run(&[
+    "--bench",
+    "./bench",
+    "--site",
+    "site.toml",
+    "--day",
+    "days/shed.toml",
+    "--seeds",
+    "2",
+  ]);
+  let text = String::from_utf8(output.stdout).unwrap();
+  assert!(output.status.success(), "{text}");
+  let row = text
+    .lines()
+    .find(|line| line.starts_with("| site |") && !line.contains("variant"));
+  assert!(row.is_some_and(|row| row.ends_with("| 2 |")), "{text}");
+}
+
 #[test]
 fn variants_are_compared_by_seed() {
   let setup = Setup::new();
