Replay of endpoints that leave or want a pause; boxes come back one after the other; a mistaken word holds for 15 s

emulator notices plays the gateway's own book and budget in virtual time: six patterns, four ways (off, each box by itself, the same with turns, boxes that tell each other).

--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod limits;
 pub mod load;
 pub mod log_summary;
+pub mod notices;
 mod own_addresses;
 mod path_bench;
 pub mod quarantine;
--- a/emulator/src/subcommand.rs
+++ b/emulator/src/subcommand.rs
@@ -11,6 +11,7 @@
     limits::{LimitReport, limit_report, print_limits},
     load::{LoadReport, load_report, print_report},
     log_summary::log_summary,
+    notices::{NoticeReport, notice_report, print_notices},
     path_bench,
     quarantine::{CrashReport, crash_report, print_crashes},
     regress::{RegressOptions, regress, regress_options},
@@ -111,6 +112,12 @@
     #[bpaf(external(crash_report))]
     report: CrashReport,
   },
+  /// Replay endpoints that say that they leave or want no work in virtual time, in each way of heeding them, and print the table
+  #[bpaf(command)]
+  Notices {
+    #[bpaf(external(notice_report))]
+    report: NoticeReport,
+  },
   /// Read gateway boxes' logs from standard input and print where their streams lose time
   #[bpaf(command("log-summary"))]
   LogSummary {
@@ -205,6 +212,10 @@
         print_crashes(report);
         Ok(())
       }
+      Self::Notices { report } => {
+        print_notices(report);
+        Ok(())
+      }
       Self::LogSummary { seconds } => {
         print!("{}", log_summary(io::stdin().lock(), seconds)?);
         Ok(())
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -15,6 +15,7 @@
 mod known_endpoint;
 mod limit_way;
 mod notice_book;
+mod pause_turn;
 mod peer_use;
 mod quarantine_book;
 mod quarantine_key;
@@ -43,6 +44,7 @@
   kept_prompts::KeptPrompts,
   limit_way::LimitWay,
   notice_book::{Availability, NoticeBook, NoticeNews},
+  pause_turn::kept_pause_ms,
   quarantine_book::{QuarantineBook, QuarantineVerdict},
   quarantine_key::{QuarantineKey, QuarantineMark},
   quarantine_way::QuarantineWay,
--- a/src/gateway/decisions/notice_book.rs
+++ b/src/gateway/decisions/notice_book.rs
@@ -14,8 +14,8 @@
 /// The longest pause that is kept at one word: an endpoint that asks for hours by mistake is asked again after this.
 const MOST_PAUSE_MS: u64 = 5 * 60 * 1_000;
 /// An endpoint that has said that it leaves is taken back when the store, heard all the while, has listed it as ready for so
-/// long. Heartbeats and late writes reach the store within some ten seconds; an entry without heartbeats goes.
-const CONTRADICTED_MS: u64 = 60 * 1_000;
+/// long: its heartbeats and late writes reach the store within some eleven seconds, and an entry without heartbeats goes.
+const CONTRADICTED_MS: u64 = 15 * 1_000;
 /// Without the store's word an endpoint counts as leaving for so long; by then it has ended, unless it was mistaken.
 const MOST_LEAVING_MS: u64 = 10 * 60 * 1_000;
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -31,7 +31,8 @@
     QuarantineBook, QuarantineKey, QuarantineMark, QuarantineVerdict, QuarantineWay, RecentEngines,
     RequestIdentity, RetryAllowance, RetryWindow, SeatForecast, SeatPlace, SeatQueue, SeatUrgency,
     Surplus, ToldSpan, Unavailable, UseBook, UseBucket, UseLedger, UseRequest, UseTotals,
-    UseVerdict, Wanted, retry_after_pause_ms, retry_pause_ms, staying_engines, surplus,
+    UseVerdict, Wanted, kept_pause_ms, retry_after_pause_ms, retry_pause_ms, staying_engines,
+    surplus,
   },
   edge::{
     AnswerFacts, CallerFacts, CallerLimits, DecodeError, Dialect, EndpointCall, EndpointEntry,
--- a/src/gateway/parts/notice.rs
+++ b/src/gateway/parts/notice.rs
@@ -3,7 +3,7 @@
 use {
   super::purpose::Purpose,
   crate::gateway::{
-    decisions::NoticeNews,
+    decisions::{NoticeNews, kept_pause_ms},
     edge::{EndpointEntry, EndpointNotice},
     state::Gateway,
   },
@@ -31,10 +31,14 @@
     let now_ms = gateway.now_ms();
     gateway.book.borrow_mut().took_work(&entry.id, now_ms);
   }
-  let notice = gateway.dialect.notice(answer.status, &answer.headers);
+  let mut notice = gateway.dialect.notice(answer.status, &answer.headers);
   if notice == EndpointNotice::default() {
     return;
   }
+  let boxes = gateway.box_count();
+  notice.pause_ms = notice
+    .pause_ms
+    .map(|wanted_ms| kept_pause_ms(wanted_ms, boxes, gateway.draw()));
   let now_ms = gateway.now_ms();
   if let Some(unreadable) = &notice.unreadable
     && gateway.may_log_unreadable(now_ms)
