Failing test: serve calls a plain service in the pause that it wants

The same cause elsewhere: serve passes a service's 503 with Retry-After on to its caller and calls the service again with the next: 6 calls in 1.5 s of a pause of 3 s, one is allowed.

--- a/emulator/src/service.rs
+++ b/emulator/src/service.rs
@@ -9,7 +9,7 @@
     routing::{get, post},
   },
   bytes::Bytes,
-  http::StatusCode,
+  http::{StatusCode, header::RETRY_AFTER},
   rillford::endpoint_api::LoadReply,
   serde::{Deserialize, Serialize},
   std::{
@@ -37,6 +37,8 @@
   pub cut_answer: bool,
   /// Reports that it is leaving.
   pub leaving: bool,
+  /// Turns calls away, and wants none for so many seconds.
+  pub pause_s: Option<u32>,
 }
 
 #[derive(Debug, Default)]
@@ -45,6 +47,7 @@
   incarnation: u64,
   runs: BTreeMap<String, u64>,
   busy: u32,
+  turned_away: u32,
 }
 
 /// A plain service. Clones share its state.
@@ -90,6 +93,11 @@
     self.inner().runs.clone()
   }
 
+  /// Calls that were turned away.
+  pub fn turned_away(&self) -> u32 {
+    self.inner().turned_away
+  }
+
   /// The routes of the stand-in.
   pub fn router(&self) -> Router {
     Router::new()
@@ -127,6 +135,11 @@
   if faults.fail_before {
     return StatusCode::INTERNAL_SERVER_ERROR.into_response();
   }
+  if let Some(pause_s) = faults.pause_s {
+    service.inner().turned_away += 1;
+    let retry_after = [(RETRY_AFTER, pause_s.to_string())];
+    return (StatusCode::SERVICE_UNAVAILABLE, retry_after).into_response();
+  }
   let method = request.method().to_string();
   let path = request.uri().to_string();
   let headers = request.headers().keys().map(ToString::to_string).collect();
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -121,3 +121,26 @@
     .await;
   assert!(matches!(told, Told::Lost(_)), "{told:?}");
 }
+
+/// A box passed a service's wish for a pause on to its caller and called the service again at once, as often as callers came.
+#[tokio::test]
+async fn service_that_wants_a_pause_is_called_no_more_until_its_end() {
+  let test = Test::new().start().await;
+  let portal = test.portal();
+  portal.set_faults(emulator::ServiceFaults {
+    pause_s: Some(3),
+    ..emulator::ServiceFaults::default()
+  });
+  let (url, method) = (test.url("north-1"), http::Method::GET);
+  for _ in 0..6 {
+    let asking = test
+      .caller
+      .call(&url, method.clone(), "portal/clip", &[], "");
+    // The calls after the first wait for the end of the pause, and are given up.
+    let _ = tokio::time::timeout(std::time::Duration::from_millis(250), asking).await;
+  }
+  assert_eq!(portal.turned_away(), 1);
+  portal.set_faults(emulator::ServiceFaults::default());
+  let told = test.caller.call(&url, method, "portal/clip", &[], "").await;
+  assert!(matches!(told, Told::Answered(_)), "{told:?}");
+}
