serve heeds for how long an endpoint wants no orders: engines' refusals and plain services' answers alike

Retry-After with 429 or 503 closes the endpoint to this box until then, five minutes at the most. Before: 6 calls in 1.5 s of a pause of 3 s (the failing test); after: one. Whether an endpoint leaves was read all along, from its own load reports; looked at and found sound.

--- a/src/decide/endpoint.rs
+++ b/src/decide/endpoint.rs
@@ -10,6 +10,8 @@
 
 const FIRST_SHUN_MS: u64 = 1_000;
 const MOST_SHUN_DOUBLINGS: u32 = 4;
+/// The longest pause that is kept at one word: an endpoint that asks for hours by mistake is asked again after this.
+const MOST_PAUSE_MS: u64 = 5 * 60 * 1_000;
 
 /// What an endpoint is.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -162,6 +164,8 @@
   pub refused_until_ms: u64,
   /// An order failed here: it gets no work until then.
   pub shunned_until_ms: u64,
+  /// It turned an order away and wanted none until then.
+  pub paused_until_ms: u64,
   /// Orders that failed here since one came to something.
   pub failures_in_a_row: u32,
   /// Own attempts that hold a seat here.
@@ -194,6 +198,7 @@
       incarnation: 0,
       life: EndpointLife::default().uninitialized_state_machine().init(),
       own_seats: 0,
+      paused_until_ms: 0,
       refused_until_ms: 0,
       report,
       reported_ms: 0,
@@ -212,6 +217,12 @@
     self.failures_in_a_row += 1;
   }
 
+  /// It wants no orders for a while; of several pauses the one that ends last counts.
+  pub(crate) fn pause(&mut self, now_ms: u64, wanted_ms: u64) {
+    let until_ms = now_ms + wanted_ms.min(MOST_PAUSE_MS);
+    self.paused_until_ms = self.paused_until_ms.max(until_ms);
+  }
+
   /// An order came to something here.
   pub(crate) fn succeeded(&mut self) {
     self.failures_in_a_row = 0;
@@ -232,7 +243,11 @@
 
   /// Whether it can be asked for anything now.
   pub fn is_open(&self, now_ms: u64) -> bool {
-    self.refused_until_ms <= now_ms && self.shunned_until_ms <= now_ms
+    let closed_until_ms = self
+      .refused_until_ms
+      .max(self.shunned_until_ms)
+      .max(self.paused_until_ms);
+    closed_until_ms <= now_ms
   }
 
   /// Whether it is leaving.
--- a/src/decide/event.rs
+++ b/src/decide/event.rs
@@ -156,6 +156,8 @@
   LoadReported(LoadReport),
   /// An endpoint did not answer a poll.
   ReportMissed(Name),
+  /// An endpoint turned an order away, and wants none for so many milliseconds.
+  EndpointPauses(Name, u64),
   /// Cache events of an engine: prefix blocks it now holds.
   CacheReported(Name, Vec<u64>),
   /// The answer to a listing.
--- a/src/decide/machine.rs
+++ b/src/decide/machine.rs
@@ -91,6 +91,13 @@
         self.cancel_settled(&attempt, &endpoint, answer);
       }
       Event::LoadReported(report) => self.load_reported(&report),
+      Event::EndpointPauses(endpoint, wanted_ms) => {
+        let now_ms = self.scene.now_ms;
+        self
+          .scene
+          .fleet
+          .change(&endpoint, |endpoint| endpoint.pause(now_ms, wanted_ms));
+      }
       Event::ReportMissed(_) | Event::HoldsMissed(_) => {}
       Event::CacheReported(engine, blocks) => {
         self.scene.hints.saw(self.scene.now_ms, &engine, &blocks);
--- a/src/egress/calls.rs
+++ b/src/egress/calls.rs
@@ -6,6 +6,7 @@
     chunk::{Chunk, Payload},
     decide::{Began, StageOutcome},
     http_client::CallError,
+    retry_after_ms,
   },
   bytes::Bytes,
   http::{HeaderMap, HeaderName, Method, Request, Response, header},
@@ -70,6 +71,9 @@
     Ok(Err(CallError::NotSent(_))) => return broke(Began::Never, 0),
     Ok(Err(_)) | Err(_) => return broke(Began::Perhaps, 0),
   };
+  if let Ok(Some(wanted_ms)) = retry_after_ms(response.headers()) {
+    client.hear_pause(response.status(), wanted_ms);
+  }
   began();
   pass_on(response, payload, stall).await
 }
--- a/src/egress/desk.rs
+++ b/src/egress/desk.rs
@@ -82,6 +82,8 @@
     .map(|endpoint| {
       let client = EndpointClient {
         http: http.clone(),
+        name: endpoint.name.clone(),
+        to_decide: setup.to_decide.clone(),
         url: trimmed(&endpoint.url),
       };
       (endpoint.name.clone(), client)
--- a/src/egress/endpoint_client.rs
+++ b/src/egress/endpoint_client.rs
@@ -2,14 +2,15 @@
 
 use {
   crate::{
-    decide::{Began, CancelAnswer, Role, StageOutcome},
+    decide::{Began, CancelAnswer, Event, Role, StageOutcome},
     endpoint_api::{
       AttemptsReply, CacheEventsReply, CancelReply, CancelRequest, DecodeRequest, HoldsReply,
       HoldsRequest, ImportAnswer, ImportRequest, LoadReply, OrderRefusal, PrefillAnswer,
       PrefillRequest, RefusalReply, RoleRequest,
     },
     http_client::{CallError, HttpClient},
-    ids::AttemptId,
+    ids::{AttemptId, Name},
+    ring::Sender,
   },
   http::{Response, StatusCode},
   hyper::body::Incoming,
@@ -52,7 +53,7 @@
   fn from(error: CallError) -> Self {
     match error {
       CallError::NotSent(_) => Self::NeverBegan,
-      CallError::Status { status, text } => match refusal(status, &text) {
+      CallError::Status { status, text, .. } => match refusal(status, &text) {
         Some(OrderRefusal::Full) => Self::Full,
         Some(OrderRefusal::Cancelled | OrderRefusal::NotServing) => Self::NeverBegan,
         Some(OrderRefusal::ExportGone | OrderRefusal::OldFence) | None => Self::PerhapsBegan,
@@ -76,7 +77,9 @@
 #[derive(Clone)]
 pub(super) struct EndpointClient {
   pub(super) http: HttpClient,
+  pub(super) name: Name,
   pub(super) url: std::sync::Arc<str>,
+  pub(super) to_decide: Sender<Event>,
 }
 
 impl EndpointClient {
@@ -84,13 +87,41 @@
     format!("{}{path}", self.url)
   }
 
+  /// What a failed order means; an endpoint that turns orders away may want none for a while.
+  fn refused(&self, error: CallError) -> OrderFailure {
+    if let CallError::Status {
+      status,
+      retry_after_ms: Some(wanted_ms),
+      ..
+    } = &error
+    {
+      self.hear_pause(*status, *wanted_ms);
+    }
+    error.into()
+  }
+
+  /// The endpoint answers with a status, and with for how long it wants to be left alone.
+  pub(super) fn hear_pause(&self, status: StatusCode, wanted_ms: u64) {
+    let turns_away = matches!(
+      status,
+      StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
+    );
+    if !turns_away {
+      return;
+    }
+    let pauses = Event::EndpointPauses(self.name.clone(), wanted_ms);
+    // With a full ring the next refusal tells it.
+    let _ = self.to_decide.push(pauses);
+  }
+
   pub(super) async fn prefill(
     &self,
     request: &PrefillRequest,
     limit: Duration,
   ) -> Result<PrefillAnswer, OrderFailure> {
     let uri = self.uri("/v1/prefill");
-    Ok(self.http.post(&uri, request, limit).await?)
+    let answer = self.http.post(&uri, request, limit).await;
+    answer.map_err(|error| self.refused(error))
   }
 
   pub(super) async fn import(
@@ -99,19 +130,17 @@
     limit: Duration,
   ) -> Result<ImportAnswer, OrderFailure> {
     let uri = self.uri("/v1/import");
-    Ok(self.http.post(&uri, request, limit).await?)
+    let answer = self.http.post(&uri, request, limit).await;
+    answer.map_err(|error| self.refused(error))
   }
 
   pub(super) async fn decode(
     &self,
     request: &DecodeRequest,
   ) -> Result<Response<Incoming>, OrderFailure> {
-    Ok(
-      self
-        .http
-        .post_stream(&self.uri("/v1/decode"), request)
-        .await?,
-    )
+    let uri = self.uri("/v1/decode");
+    let answer = self.http.post_stream(&uri, request).await;
+    answer.map_err(|error| self.refused(error))
   }
 
   pub(super) async fn cancel(&self, attempt: AttemptId) -> CancelAnswer {
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -2,6 +2,7 @@
 //! and, from the command line, a running box.
 
 use {
+  crate::retry_after_ms,
   bytes::Bytes,
   http::{Method, Request, Response, StatusCode, Uri, header::CONTENT_TYPE},
   http_body_util::{BodyExt, Full, Limited},
@@ -41,6 +42,8 @@
     status: StatusCode,
     /// The start of the body.
     text: String,
+    /// For how long the peer wants to be left alone, if it says so.
+    retry_after_ms: Option<u64>,
   },
   /// The answer can't be read.
   #[error("answer can't be read: {0}")]
@@ -153,8 +156,10 @@
 
 async fn status_error(response: Response<Incoming>) -> CallError {
   let status = response.status();
+  let retry_after_ms = retry_after_ms(response.headers()).unwrap_or_default();
   let bytes = read_whole(response).await.unwrap_or_default();
   CallError::Status {
+    retry_after_ms,
     status,
     text: String::from_utf8_lossy(&bytes).trim().to_string(),
   }
--- a/src/subcommand/admin_client.rs
+++ b/src/subcommand/admin_client.rs
@@ -79,7 +79,7 @@
 }
 
 fn explain(error: &CallError) -> String {
-  if let CallError::Status { status, text } = error
+  if let CallError::Status { status, text, .. } = error
     && let Ok(problem) = serde_json::from_str::<ProblemBody>(text)
   {
     return format!("{status}: {}", problem.error);
