The soak has endpoints that leave by their own word alone, or turn all away and want a pause; planted records for both promises

Stand-ins of the soak say so in all their answers, those that the store lists as leaving too. Two promises: nothing from a box later than 2 s after an endpoint's own answer to it (whatever the store says), and at most two requests in a pause, from half a second on; a box that was struck, or an endpoint that started again, is excused.

--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -10,7 +10,7 @@
     request_kind::RequestKind,
   },
   bytes::Bytes,
-  http::{Method, Request, Response, header::CONNECTION},
+  http::{HeaderMap, Method, Request, Response, header::CONNECTION},
   http_body_util::{BodyExt, Full},
   hyper::body::Incoming,
   rand::{RngExt, SeedableRng},
@@ -174,9 +174,19 @@
     request
   }
 
+  /// Notes whose answer says that its endpoint leaves.
+  fn note_leaving(&self, headers: &HeaderMap) {
+    if let (Some(incarnation), true) = (receipt(headers), headers.contains_key("server-leaving")) {
+      self.fleet.ledger.told_leaving(self.box_index, incarnation);
+    }
+  }
+
   async fn answer(&self, request: Request<Full<Bytes>>) -> (Outcome, bool) {
     match self.client.send(request).await {
-      Ok(response) => read(response).await,
+      Ok(response) => {
+        self.note_leaving(response.headers());
+        read(response).await
+      }
       Err(_) => (
         Outcome::Broken {
           body: String::new(),
@@ -188,6 +198,11 @@
   }
 }
 
+/// The endpoint that signed an answer.
+fn receipt(headers: &HeaderMap) -> Option<&str> {
+  headers.get("x-response-seal")?.to_str().ok()
+}
+
 /// Reads an answer to its end, or to where it breaks.
 async fn read(response: Response<Incoming>) -> (Outcome, bool) {
   let (head, mut body) = response.into_parts();
@@ -196,11 +211,7 @@
     .headers
     .get(CONNECTION)
     .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
-  let receipt = head
-    .headers
-    .get("x-response-seal")
-    .and_then(|value| value.to_str().ok())
-    .map(String::from);
+  let receipt = receipt(&head.headers).map(String::from);
   let mut bytes = Vec::new();
   let mut is_whole = true;
   while let Some(frame) = body.frame().await {
--- a/soak/src/calm.rs
+++ b/soak/src/calm.rs
@@ -20,6 +20,22 @@
     })
   }
 
+  /// Whether a box itself was undisturbed from shortly before a time until another.
+  pub(crate) fn is_box_calm(&self, box_index: usize, from_ms: u64, until_ms: u64) -> bool {
+    self.is_undisturbed(from_ms, until_ms, |target| match target {
+      Target::Box(index) | Target::Leaving(index) => index == box_index,
+      Target::Place(_) | Target::Store | Target::StoreLink(_) => false,
+    })
+  }
+
+  /// Whether an endpoint did not start again between two times.
+  pub(crate) fn is_same_life(&self, incarnation: &str, from_ms: u64, until_ms: u64) -> bool {
+    !self
+      .starts
+      .iter()
+      .any(|start| start.incarnation == incarnation && (from_ms..=until_ms).contains(&start.at_ms))
+  }
+
   /// Whether a box and its way to the store were undisturbed from shortly before a time until another.
   pub(crate) fn is_connected(&self, box_index: usize, from_ms: u64, until_ms: u64) -> bool {
     self.is_undisturbed(from_ms, until_ms, |target| match target {
--- a/soak/src/conductor.rs
+++ b/soak/src/conductor.rs
@@ -66,7 +66,14 @@
       Ok(())
     }
     Fault::EndpointCrashed { place, down_ms } => crash(fleet, place, down_ms).await,
-    Fault::EndpointLeaves { place } => leave(fleet, place).await,
+    Fault::EndpointLeaves { place } => match fleet.say_leaving(place) {
+      Some(incarnation) => leave(fleet, place, incarnation).await,
+      None => Ok(()),
+    },
+    Fault::EndpointLeavesUnlisted { place } => match fleet.incarnation(place) {
+      Some(incarnation) => leave(fleet, place, incarnation).await,
+      None => Ok(()),
+    },
     Fault::Endpoint {
       place,
       fault,
@@ -161,11 +168,9 @@
   let _ = fleet.serve_under_id(place, ended).await;
 }
 
-/// The endpoint says that it leaves, serves on for a while, and ends.
-async fn leave(fleet: &Fleet, place: usize) -> Result {
-  let Some(incarnation) = fleet.say_leaving(place) else {
-    return Ok(());
-  };
+/// The endpoint says in its answers that it leaves, serves on for a while, and ends.
+async fn leave(fleet: &Fleet, place: usize, incarnation: String) -> Result {
+  fleet.with_endpoint(place, |endpoint| endpoint.set_leaving());
   sleep(LEAVES_AFTER).await;
   let mut is_same = false;
   fleet.with_endpoint(place, |endpoint| {
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -11,7 +11,7 @@
     ledger::{Ledger, RunGuard},
     part::Part,
     records::OrderRecord,
-    reply::{ReplyBody, cut_body, json_answer, not_run, status, whole},
+    reply::{ReplyBody, cut_body, json_answer, not_run, status, wants_pause, whole},
   },
   bytes::Bytes,
   http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header::AUTHORIZATION},
@@ -36,6 +36,8 @@
 const OWN_READING: Duration = Duration::from_millis(20);
 /// How much later a slow endpoint begins its work.
 const SLOW_PAUSE: Duration = Duration::from_millis(600);
+/// The pause that an endpoint wants which turns all away.
+const PAUSE: Duration = Duration::from_secs(3);
 /// How long an engine runs a request that ends it.
 const CRASH_AFTER: Duration = Duration::from_millis(40);
 /// How long an engine changes its role.
@@ -97,6 +99,11 @@
     self.state().fault = fault;
   }
 
+  /// From now on all of its answers say that it leaves.
+  pub(crate) fn set_leaving(&self) {
+    self.state().leaving = true;
+  }
+
   /// Drops the prompts that it keeps.
   pub(crate) fn drop_exports(&self) {
     self.exports.drop_all_of(self.shown);
@@ -135,10 +142,22 @@
     held
   }
 
-  /// Answers a call of a box, or a request that it passes on.
+  /// Answers a call of a box, or a request that it passes on; says in each answer that it leaves, if it does.
   pub(crate) async fn answer(
     self: Arc<Self>,
     request: Request<Incoming>,
+  ) -> io::Result<Response<ReplyBody>> {
+    let mut response = self.clone().answer_as_usual(request).await?;
+    if self.state().leaving {
+      let says = HeaderValue::from_static("1");
+      response.headers_mut().insert("server-leaving", says);
+    }
+    Ok(response)
+  }
+
+  async fn answer_as_usual(
+    self: Arc<Self>,
+    request: Request<Incoming>,
   ) -> io::Result<Response<ReplyBody>> {
     let (head, body) = request.into_parts();
     let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
@@ -158,6 +177,9 @@
 
   fn reserve(&self, body: &Bytes) -> Response<ReplyBody> {
     let mut state = self.state();
+    if state.fault == Some(EndpointFault::Sheds) {
+      return wants_pause(status(StatusCode::SERVICE_UNAVAILABLE), PAUSE);
+    }
     if state.part == Part::Plain || state.fault == Some(EndpointFault::Full) || !state.has_seat() {
       return status(StatusCode::SERVICE_UNAVAILABLE);
     }
@@ -259,6 +281,12 @@
     if fault == Some(EndpointFault::Full) || switching {
       return Ok(not_run(headers, StatusCode::SERVICE_UNAVAILABLE));
     }
+    if fault == Some(EndpointFault::Sheds) {
+      let pause_ms = u64::try_from(PAUSE.as_millis()).unwrap_or(u64::MAX);
+      self.ledger.turned_away(&id, &self.incarnation, pause_ms);
+      let refusal = not_run(headers, StatusCode::SERVICE_UNAVAILABLE);
+      return Ok(wants_pause(refusal, PAUSE));
+    }
     if fault == Some(EndpointFault::Slow) {
       sleep(SLOW_PAUSE).await;
     }
--- a/soak/src/endpoint_state.rs
+++ b/soak/src/endpoint_state.rs
@@ -21,6 +21,8 @@
   /// Whether it is changing its role.
   pub(crate) switching: bool,
   pub(crate) fault: Option<EndpointFault>,
+  /// Whether all of its answers say that it leaves.
+  pub(crate) leaving: bool,
 }
 
 impl EndpointState {
@@ -29,6 +31,7 @@
       fault: None,
       holds: HashMap::new(),
       last_number: 0,
+      leaving: false,
       orders_taken: 0,
       part,
       running: 0,
--- a/soak/src/fault.rs
+++ b/soak/src/fault.rs
@@ -53,6 +53,8 @@
   Full,
   /// It answers with another request's id.
   Confuses,
+  /// It turns all away, and wants none for a while.
+  Sheds,
   /// It begins its work late: much may change between a prompt and its answer.
   Slow,
 }
@@ -127,6 +129,11 @@
   },
   /// An endpoint leaves as planned, and a new incarnation comes at its address.
   EndpointLeaves {
+    /// Its place.
+    place: usize,
+  },
+  /// The same, but for the store's entry: its answers alone say so.
+  EndpointLeavesUnlisted {
     /// The endpoint's place.
     place: usize,
   },
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -117,6 +117,7 @@
       place,
       shown: self.places[place].link.address,
     };
+    self.ledger.started(&identity.incarnation);
     let endpoint = Endpoint::new(identity, &self.ledger, &self.exports, self.reports.clone());
     *self.places[place].serving() = Some(Serving::start(endpoint, listener));
     self.enter(place);
@@ -160,6 +161,12 @@
     Some(incarnation)
   }
 
+  /// The incarnation at a place, if one is up.
+  pub(crate) fn incarnation(&self, place: usize) -> Option<String> {
+    let serving = self.places[place].serving();
+    Some(serving.as_ref()?.endpoint.incarnation.clone())
+  }
+
   fn write_entry(&self, place: usize, state: &str) -> Option<String> {
     let serving = self.places[place].serving();
     let endpoint = &serving.as_ref()?.endpoint;
--- a/soak/src/ledger.rs
+++ b/soak/src/ledger.rs
@@ -4,7 +4,7 @@
   super::{
     caller_key::CallerKey,
     disturbance::{Disturbance, Target},
-    records::{Outcome, Records, RequestRecord, Run},
+    records::{Outcome, Records, RequestRecord, Run, Start, ToldLeaving, TurnedAway},
     request_kind::RequestKind,
   },
   std::{
@@ -64,6 +64,36 @@
     }
   }
 
+  /// A caller has an answer of an endpoint that leaves.
+  pub(crate) fn told_leaving(&self, box_index: usize, incarnation: &str) {
+    let told = ToldLeaving {
+      at_ms: self.now_ms(),
+      box_index,
+      incarnation: incarnation.into(),
+    };
+    self.records().told_leaving.push(told);
+  }
+
+  /// An endpoint turns a request away, and wants none for a while.
+  pub(crate) fn turned_away(&self, id: &str, incarnation: &str, pause_ms: u64) {
+    let turned_away = TurnedAway {
+      at_ms: self.now_ms(),
+      id: id.into(),
+      incarnation: incarnation.into(),
+      pause_ms,
+    };
+    self.records().turned_away.push(turned_away);
+  }
+
+  /// An endpoint starts.
+  pub(crate) fn started(&self, incarnation: &str) {
+    let start = Start {
+      at_ms: self.now_ms(),
+      incarnation: incarnation.into(),
+    };
+    self.records().starts.push(start);
+  }
+
   /// An endpoint begins to run a request; the run lasts until the guard is dropped.
   pub(crate) fn run(
     &self,
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -20,6 +20,7 @@
 mod fleet;
 mod ledger;
 mod link;
+mod notice_check;
 mod organisation_check;
 mod part;
 mod place;
@@ -46,7 +47,10 @@
   play::{Options, Report, play},
   promise::Promise,
   promises::breaches,
-  records::{OrderRecord, Outcome, PlannedStop, Probe, Records, RequestRecord, Run},
+  records::{
+    OrderRecord, Outcome, PlannedStop, Probe, Records, RequestRecord, Run, Start, ToldLeaving,
+    TurnedAway,
+  },
   request_kind::RequestKind,
   subcommand::run,
 };
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -10,6 +10,10 @@
 const MEAN_PAUSE_MS: f64 = 900.0;
 /// How long a fault that ends by itself lasts.
 const LASTS_MS: (u64, u64) = (200, 4_000);
+/// How long an endpoint turns all away.
+const SHEDS_MS: (u64, u64) = (2_000, 6_000);
+/// Such endpoints come so many times more rarely than all else.
+const NOTICES_RARER: u64 = 4;
 /// Added latency of a delayed link, and of a slow store.
 const DELAY_MS: (u64, u64) = (20, 800);
 /// Chance that a fault is soon followed by another on the same box: signals come in series and overlap.
@@ -66,10 +70,36 @@
     }
     at_ms += draw.pause_ms();
   }
+  steps.extend(draw_notices(seed, size));
   steps.sort_by_key(|step| step.at_ms);
   steps
 }
 
+/// Draws endpoints that turn all away, or leave by their own word alone: apart from the others, whose times stay as they are.
+fn draw_notices(seed: u64, size: Size) -> Vec<Step> {
+  let mut draw = Draw {
+    random: ChaCha8Rng::seed_from_u64(!seed),
+    size,
+  };
+  let mut steps = Vec::new();
+  let mut at_ms = NOTICES_RARER * draw.pause_ms();
+  while at_ms < size.faults_ms {
+    let place = draw.random.random_range(0..size.places);
+    let fault = if draw.random.random_bool(0.5) {
+      Fault::EndpointLeavesUnlisted { place }
+    } else {
+      Fault::Endpoint {
+        fault: EndpointFault::Sheds,
+        for_ms: draw.between(SHEDS_MS),
+        place,
+      }
+    };
+    steps.push(Step { at_ms, fault });
+    at_ms += NOTICES_RARER * draw.pause_ms();
+  }
+  steps
+}
+
 /// The box whose process a fault strikes.
 fn box_of(fault: Fault) -> Option<usize> {
   match fault {
--- a/soak/src/promise.rs
+++ b/soak/src/promise.rs
@@ -19,6 +19,10 @@
   Freed,
   /// Endpoints that leave get nothing new.
   Drained,
+  /// An endpoint that has told a box that it leaves gets nothing new from it, whatever the store says.
+  OwnWordOfLeaving,
+  /// An endpoint that wants no requests of a box for a while gets next to none.
+  PauseKept,
   /// Configurations are in force in time.
   Configured,
   /// Configurations never go back.
--- a/soak/src/promises.rs
+++ b/soak/src/promises.rs
@@ -5,6 +5,7 @@
     breach::Breach,
     caller_key::CallerKey,
     calm::{CONFIGURE_MS, CONTACT_MS},
+    notice_check::notice_breaches,
     organisation_check::organisation_breaches,
     promise::Promise,
     records::{OrderRecord, Outcome, PlannedStop, Probe, Records, RequestRecord},
@@ -33,6 +34,7 @@
   breaches.extend(check.held());
   breaches.extend(check.recovery());
   breaches.extend(organisation_breaches(records, slack_ms));
+  breaches.extend(notice_breaches(records, slack_ms));
   breaches
 }
 
--- a/soak/src/records.rs
+++ b/soak/src/records.rs
@@ -90,6 +90,39 @@
   pub fence: u64,
 }
 
+/// An answer that told a box, and through it a caller, that its endpoint leaves.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ToldLeaving {
+  /// The box.
+  pub box_index: usize,
+  /// The endpoint's incarnation.
+  pub incarnation: String,
+  /// When the caller had it.
+  pub at_ms: u64,
+}
+
+/// A request that an endpoint turned away, with the wish for a pause.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct TurnedAway {
+  /// The request.
+  pub id: String,
+  /// The endpoint's incarnation.
+  pub incarnation: String,
+  /// When.
+  pub at_ms: u64,
+  /// The pause.
+  pub pause_ms: u64,
+}
+
+/// A start of an endpoint, which may have had its id before.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Start {
+  /// The incarnation.
+  pub incarnation: String,
+  /// When.
+  pub at_ms: u64,
+}
+
 /// A planned stop of a box.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct PlannedStop {
@@ -122,6 +155,12 @@
   pub versions: BTreeMap<u64, u64>,
   /// When incarnations said that they leave.
   pub leaving: BTreeMap<String, u64>,
+  /// Answers of endpoints that leave.
+  pub told_leaving: Vec<ToldLeaving>,
+  /// Requests that were turned away with the wish for a pause.
+  pub turned_away: Vec<TurnedAway>,
+  /// Starts of endpoints.
+  pub starts: Vec<Start>,
   /// Role orders in the order of their arrival.
   pub orders: Vec<OrderRecord>,
   /// When the request that ends engines ended one.
--- a/soak/src/reply.rs
+++ b/soak/src/reply.rs
@@ -3,11 +3,11 @@
 use {
   bytes::Bytes,
   futures_util::stream,
-  http::{HeaderMap, HeaderValue, Response, StatusCode},
+  http::{HeaderMap, HeaderValue, Response, StatusCode, header::RETRY_AFTER},
   http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody},
   hyper::body::Frame,
   serde_json::Value,
-  std::io,
+  std::{io, time::Duration},
 };
 
 /// The body of an answer.
@@ -50,3 +50,14 @@
     .insert("x-not-executed", HeaderValue::from_static("1"));
   response
 }
+
+/// The same refusal, with the wish for a pause.
+pub(crate) fn wants_pause(
+  mut refusal: Response<ReplyBody>,
+  pause: Duration,
+) -> Response<ReplyBody> {
+  refusal
+    .headers_mut()
+    .insert(RETRY_AFTER, HeaderValue::from(pause.as_secs()));
+  refusal
+}
--- a/tests/soak_promises.rs
+++ b/tests/soak_promises.rs
@@ -4,7 +4,7 @@
   rstest::rstest,
   soak::{
     CallerKey, Disturbance, OrderRecord, Outcome, PlannedStop, Probe, Promise, Records,
-    RequestKind, RequestRecord, Run, Target, breaches,
+    RequestKind, RequestRecord, Run, Start, Target, ToldLeaving, TurnedAway, breaches,
   },
 };
 
@@ -460,3 +460,72 @@
   assert_eq!(found(&hot_requests(150)), []);
   assert_eq!(found(&hot_requests(170)), [Promise::LimitKept]);
 }
+
+/// A request that was sent at 10 s and ran at an endpoint which had told its box at a time that it leaves.
+fn sent_after_word(told_ms: u64) -> Records {
+  let run = run(0, 10_050, Some(10_100));
+  let mut records = one(RequestKind::Unrepeatable, served(&plain_body()), vec![run]);
+  records.told_leaving.push(ToldLeaving {
+    at_ms: told_ms,
+    box_index: 0,
+    incarnation: "i-0".into(),
+  });
+  records
+}
+
+#[test]
+fn request_to_an_endpoint_that_had_told_its_box_that_it_leaves_is_found() {
+  assert_eq!(found(&sent_after_word(8_000)), []);
+  let late = sent_after_word(7_000);
+  assert_eq!(found(&late), [Promise::OwnWordOfLeaving]);
+  let mut of_another_box = late.clone();
+  of_another_box.told_leaving[0].box_index = 1;
+  assert_eq!(found(&of_another_box), []);
+  let mut started_again = late.clone();
+  started_again.starts.push(Start {
+    at_ms: 9_000,
+    incarnation: "i-0".into(),
+  });
+  assert_eq!(found(&started_again), []);
+  let mut stood_still = late;
+  stood_still.disturbances.push(Disturbance {
+    from_ms: 8_000,
+    target: Target::Box(0),
+    until_ms: Some(9_000),
+  });
+  assert_eq!(found(&stood_still), []);
+}
+
+/// So many requests that an endpoint turned away, one each 100 ms from 10 s on, the first of them with a pause of 3 s.
+fn turned_away(count: u64) -> Records {
+  let mut records = Records::default();
+  records.versions.insert(1, 0);
+  for number in 0..count {
+    let id = format!("t{number}");
+    let sent = request(RequestKind::Unrepeatable, whole(503, None, ""), vec![]);
+    records.requests.insert(id.clone(), sent);
+    records.turned_away.push(TurnedAway {
+      at_ms: 10_000 + number * 100,
+      id,
+      incarnation: "i-0".into(),
+      pause_ms: if number == 0 { 3_000 } else { 0 },
+    });
+  }
+  records
+}
+
+#[test]
+fn requests_in_a_pause_are_found() {
+  // Those within a second are on their way, with the slack of these checks.
+  assert_eq!(found(&turned_away(12)), []);
+  let three = turned_away(13);
+  assert_eq!(found(&three), [Promise::PauseKept]);
+  let mut of_another_box = three.clone();
+  of_another_box.requests.get_mut("t12").unwrap().box_index = 1;
+  assert_eq!(found(&of_another_box), []);
+  let mut with_run = turned_away(12);
+  let run = run(0, 11_500, Some(11_550));
+  let served = request(RequestKind::Unrepeatable, Outcome::Left, vec![run]);
+  with_run.requests.insert("r".into(), served);
+  assert_eq!(found(&with_run), [Promise::PauseKept]);
+}
