--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod leaving;
 mod limits;
 mod load;
+mod notice_book;
 mod notices;
 mod organisations;
 mod policy;
