--- a/src/gateway/decisions/endpoint_book.rs
+++ b/src/gateway/decisions/endpoint_book.rs
@@ -5,7 +5,7 @@
     choice::{Choice, PartEnd, Wanted},
     endpoint_counts::EndpointCounts,
     hall_reach::HallReach,
-    known_endpoint::{Known, Peers, Told},
+    known_endpoint::{Known, ON_TRIAL_RANK, Peers, Told},
     notice_book::{Availability, NoticeBook, NoticeNews},
     unavailable::Unavailable,
   },
@@ -177,12 +177,17 @@
     now_ms: u64,
     mut draw: impl FnMut() -> f64,
   ) -> Option<Choice> {
+    // Hardly ever has an endpoint said anything: a look at each made a choice among 2,000 twice as long, 85 us instead of 45.
+    let heeds_notices = self.heeds_notices();
+    let takes_work = |known: &Known| {
+      !known.entry.leaving && (!heeds_notices || self.check_listed(&known.entry, now_ms).is_ok())
+    };
     let candidates: Vec<&Known> = self
       .known
       .values()
       .filter(|known| {
         &*known.entry.service == wanted.service
-          && self.check_listed(&known.entry, now_ms).is_ok()
+          && takes_work(known)
           && (wanted.role.is_none() || known.entry.role == wanted.role)
           && !wanted.tried.contains(&known.entry.id)
       })
@@ -191,13 +196,16 @@
     candidates
       .into_iter()
       .map(|known| {
+        let hall_is_cut = self.is_cut(&known.entry.hall, now_ms);
+        let rank = known.rank(wanted, hall_is_cut, now_ms);
+        let is_being_tried =
+          heeds_notices && self.availability(&known.entry, now_ms).is_being_tried();
         (
-          known.rank(
-            wanted,
-            self.availability(&known.entry, now_ms),
-            self.is_cut(&known.entry.hall, now_ms),
-            now_ms,
-          ),
+          if is_being_tried {
+            rank.max(ON_TRIAL_RANK)
+          } else {
+            rank
+          },
           known.cost(wanted, peers, now_ms) * (1.0 + NOISE * draw()),
           known,
         )
@@ -211,6 +219,11 @@
       })
   }
 
+  /// Whether anything was said that decides something.
+  fn heeds_notices(&self) -> bool {
+    !self.ignores_notices && !self.notices.is_empty()
+  }
+
   /// Whether a hall seems to be cut off from this box.
   pub fn is_cut(&self, hall: &str, now_ms: u64) -> bool {
     self
@@ -258,7 +271,7 @@
 
   /// Whether a life of an endpoint may be sent work, by its own word.
   pub fn availability(&self, entry: &EndpointEntry, now_ms: u64) -> Availability {
-    if self.ignores_notices {
+    if !self.heeds_notices() {
       return Availability::Open;
     }
     self.notices.availability(entry, now_ms)
--- a/src/gateway/decisions/known_endpoint.rs
+++ b/src/gateway/decisions/known_endpoint.rs
@@ -1,10 +1,7 @@
 //! What a box knows of one endpoint, from its own requests there.
 
 use {
-  super::{
-    choice::{PartEnd, Wanted},
-    notice_book::Availability,
-  },
+  super::choice::{PartEnd, Wanted},
   crate::gateway::edge::EndpointEntry,
 };
 
@@ -23,6 +20,8 @@
 const OTHER_HALL_FACTOR: f64 = 2.0;
 /// Bounds on how much faster or slower than its peers an endpoint is taken to be.
 const SPEED_RANGE: (f64, f64) = (0.5, 6.0);
+/// Where endpoints on trial stand in the order of preference.
+pub(super) const ON_TRIAL_RANK: u8 = 2;
 /// After this time an endpoint's word on its load says nothing.
 const TOLD_LOAD_MS: f64 = 1_500.0;
 
@@ -116,13 +115,7 @@
 
   /// The order of preference before all cost: sound, on trial, left alone, in a hall that is cut off; each
   /// with those whose entry lapsed behind the others.
-  pub(super) fn rank(
-    &self,
-    wanted: Wanted,
-    availability: Availability,
-    hall_is_cut: bool,
-    now_ms: u64,
-  ) -> u8 {
+  pub(super) fn rank(&self, wanted: Wanted, hall_is_cut: bool, now_ms: u64) -> u8 {
     let lapsed = u8::from(self.lapses_ms.is_some());
     if hall_is_cut {
       return 6 + lapsed;
@@ -131,10 +124,7 @@
       return 4 + lapsed;
     }
     if self.is_on_trial() && (!wanted.may_repeat || self.requests > 0) {
-      return 2 + lapsed;
-    }
-    if matches!(availability, Availability::OnTrial { is_taken: true, .. }) {
-      return 2 + lapsed;
+      return ON_TRIAL_RANK + lapsed;
     }
     lapsed
   }
--- a/src/gateway/decisions/notice_book.rs
+++ b/src/gateway/decisions/notice_book.rs
@@ -48,6 +48,13 @@
   },
 }
 
+impl Availability {
+  /// Whether its first request after a pause is on its way.
+  pub fn is_being_tried(self) -> bool {
+    matches!(self, Self::OnTrial { is_taken: true, .. })
+  }
+}
+
 /// What is new in a notice.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct NoticeNews {
@@ -80,6 +87,11 @@
 }
 
 impl NoticeBook {
+  /// Whether nothing that was said counts any more.
+  pub fn is_empty(&self) -> bool {
+    self.noted.is_empty()
+  }
+
   /// Takes over what a life of an endpoint said in an answer.
   pub fn note(
     &mut self,
