--- a/tests/gateway/notice_book.rs
+++ b/tests/gateway/notice_book.rs
@@ -1,6 +1,7 @@
 //! What a box makes of endpoints' word on themselves: by life, for how long, and against what the store says.
 
 use {
+  emulator::notices::{NoticeFleet, NoticePattern, NoticeWay, replay_notices},
   http::{HeaderMap, HeaderValue},
   rillford::{
     gateway::{
@@ -225,3 +226,36 @@
   headers.insert("date", sent);
   assert_eq!(retry_after_ms(&headers), Ok(Some(7_000)));
 }
+
+/// An endpoint of three turns all away for 9 s, twice; callers were refused while the others served.
+#[rstest]
+#[case(1)]
+#[case(2)]
+fn replay_of_an_endpoint_that_turns_all_away_serves_everybody_and_keeps_to_its_pauses(
+  #[case] seed: u64,
+) {
+  let play = |way| replay_notices(NoticePattern::OneSheds, NoticeFleet::SMALL, way, seed);
+  let (before, kept) = (play(NoticeWay::Off), play(NoticeWay::OwnBoxSpread));
+  assert!(before.most_in_pause > 2 && before.served < before.callers);
+  assert!(kept.most_in_pause <= 2 && kept.served == kept.callers);
+  assert!(kept.repeats < before.repeats);
+}
+
+#[rstest]
+#[case(1)]
+#[case(2)]
+fn replay_of_an_endpoint_that_leaves_unlisted_sends_nothing_late(#[case] seed: u64) {
+  let play = |way| replay_notices(NoticePattern::OneLeaves, NoticeFleet::SMALL, way, seed);
+  assert!(play(NoticeWay::Off).late_after_word > 0);
+  assert_eq!(play(NoticeWay::OwnBoxSpread).late_after_word, 0);
+}
+
+/// All endpoints ask for the same pause; boxes that come back one after the other, in place of all at once, serve more.
+#[test]
+fn replay_of_many_boxes_that_pause_together_serves_more_with_turns() {
+  let served = |way| -> u32 {
+    let play = |seed| replay_notices(NoticePattern::AllShed, NoticeFleet::WIDE, way, seed).served;
+    (1..=2).map(play).sum()
+  };
+  assert!(served(NoticeWay::OwnBoxSpread) > served(NoticeWay::OwnBox));
+}
