Boxes write down the limits that endpoints name in their answers, and names that nobody reads

E540 and E541 say when an endpoint comes to name a limit for all boxes, names another, or none any more; an answer without one counts only if its request was sent after the last word. Figures: endpoints that name limits, unknown names, boxes known. Nothing is decided by it yet. An answer to a caller's request and one to a call of the router's own are told apart, since only the former can say that a limit has ended.

--- a/emulator/src/notices/replay.rs
+++ b/emulator/src/notices/replay.rs
@@ -14,7 +14,7 @@
   rand_chacha::ChaCha8Rng,
   rillford::{
     gateway::{
-      EndpointBook, EndpointEntry, EndpointNotice, NoticeNews, PartEnd, RetryAllowance,
+      EndpointBook, EndpointEntry, EndpointNotice, NamedLimit, NoticeNews, PartEnd, RetryAllowance,
       RetryWindow, Wanted, kept_pause_ms, retry_after_pause_ms,
     },
     ids::Name,
@@ -288,6 +288,7 @@
     let speaks = matches!(kind, ReplyKind::Done | ReplyKind::TurnedAway);
     let notice = EndpointNotice {
       leaving: speaks && self.pattern.leaves(endpoint, now_ms),
+      limit: NamedLimit::Unsaid,
       pause_ms: (kind == ReplyKind::TurnedAway).then(|| self.pattern.pause_ms()),
       unreadable: None,
     };
--- a/src/gateway/decisions/endpoint_book.rs
+++ b/src/gateway/decisions/endpoint_book.rs
@@ -6,12 +6,13 @@
     endpoint_counts::EndpointCounts,
     hall_reach::HallReach,
     known_endpoint::{Known, ON_TRIAL_RANK, Peers, Told},
+    limit_book::{HeardLimit, LimitBook, LimitNews},
     notice_book::{Availability, NoticeBook, NoticeNews},
     unavailable::Unavailable,
   },
   crate::{
     decide::Role,
-    gateway::edge::{EndpointEntry, EndpointNotice, ToldLoad},
+    gateway::edge::{EndpointEntry, EndpointNotice, NamedLimit, ToldLoad},
     ids::Name,
   },
   std::collections::{BTreeMap, HashMap},
@@ -28,6 +29,8 @@
   halls: HashMap<Name, HallReach>,
   /// What they have said of themselves; outlasts entries that go and come back.
   notices: NoticeBook,
+  /// The limits that they name.
+  limits: LimitBook,
   /// Whether what they have said of themselves decides nothing.
   ignores_notices: bool,
   /// Since when the store has been heard without a break.
@@ -260,15 +263,44 @@
     notice: &EndpointNotice,
     now_ms: u64,
   ) -> NoticeNews {
-    let is_earlier_life = self
-      .entry(&entry.id)
-      .is_some_and(|now| now.born_ms != entry.born_ms);
-    if is_earlier_life {
+    if self.has_later_life(entry) {
       return NoticeNews::default();
     }
     self.notices.note(entry, notice, now_ms)
   }
 
+  /// Takes over what an endpoint named as its limit in an answer to what was sent to this entry of it; nothing where another life
+  /// has entered since.
+  pub fn note_limit(
+    &mut self,
+    entry: &EndpointEntry,
+    said: NamedLimit,
+    sent_ms: u64,
+    now_ms: u64,
+  ) -> LimitNews {
+    if self.has_later_life(entry) {
+      return LimitNews::Nothing;
+    }
+    self.limits.note_answer(entry, said, sent_ms, now_ms)
+  }
+
+  /// The requests a second that a life of an endpoint takes of all boxes together, if it names a limit.
+  pub fn limit_per_s(&self, entry: &EndpointEntry) -> Option<f64> {
+    self.limits.per_s(entry)
+  }
+
+  /// A life's newest word on its limit, if it has named one.
+  pub fn heard_limit(&self, entry: &EndpointEntry) -> Option<HeardLimit> {
+    self.limits.heard(entry)
+  }
+
+  /// Whether another life has entered under an endpoint's id.
+  fn has_later_life(&self, entry: &EndpointEntry) -> bool {
+    self
+      .entry(&entry.id)
+      .is_some_and(|now| now.born_ms != entry.born_ms)
+  }
+
   /// Whether a life of an endpoint may be sent work, by its own word.
   pub fn availability(&self, entry: &EndpointEntry, now_ms: u64) -> Availability {
     if !self.heeds_notices() {
@@ -295,6 +327,7 @@
   /// Forgets what endpoints said once it no longer counts; answers with those that are taken back although they said that
   /// they leave.
   pub fn forget_notices(&mut self, now_ms: u64) -> Vec<Name> {
+    self.limits.forget_old(now_ms);
     let known = &self.known;
     self.notices.forget_old(
       self.store_since_ms,
@@ -316,6 +349,7 @@
       );
       counts.known += 1;
       counts.leaving += usize::from(self.is_leaving(entry, now_ms));
+      counts.limited += usize::from(self.limit_per_s(entry).is_some());
       counts.pausing += usize::from(pauses);
     }
     counts
--- a/src/gateway/decisions/endpoint_counts.rs
+++ b/src/gateway/decisions/endpoint_counts.rs
@@ -6,8 +6,8 @@
 ///
 /// ```
 /// use rillford::gateway::EndpointCounts;
-/// let counts = EndpointCounts { known: 3, leaving: 1, pausing: 2 };
-/// assert_eq!(counts.to_string(), "3 endpoints known, 1 leaving, 2 pausing");
+/// let counts = EndpointCounts { known: 3, leaving: 1, limited: 0, pausing: 2 };
+/// assert_eq!(counts.to_string(), "3 endpoints known, 1 leaving, 2 pausing, 0 limited");
 /// ```
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct EndpointCounts {
@@ -15,6 +15,8 @@
   pub known: usize,
   /// Those that leave, by the store's word or their own.
   pub leaving: usize,
+  /// Those that take so many requests a second of all boxes.
+  pub limited: usize,
   /// Those that want no work for now.
   pub pausing: usize,
 }
@@ -24,11 +26,12 @@
     let Self {
       known,
       leaving,
+      limited,
       pausing,
     } = self;
     write!(
       formatter,
-      "{known} endpoints known, {leaving} leaving, {pausing} pausing"
+      "{known} endpoints known, {leaving} leaving, {pausing} pausing, {limited} limited"
     )
   }
 }
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -13,6 +13,7 @@
 mod hall_reach;
 mod kept_prompts;
 mod known_endpoint;
+mod limit_book;
 mod limit_way;
 mod notice_book;
 mod pause_turn;
@@ -42,6 +43,7 @@
   endpoint_life::EndpointLife,
   fingerprint::{Fingerprint, RequestIdentity},
   kept_prompts::KeptPrompts,
+  limit_book::{HeardLimit, LimitBook, LimitNews, LimitSource},
   limit_way::LimitWay,
   notice_book::{Availability, NoticeBook, NoticeNews},
   pause_turn::kept_pause_ms,
--- a/src/gateway/edge/dialect.rs
+++ b/src/gateway/edge/dialect.rs
@@ -7,7 +7,7 @@
   },
   crate::{decide::Role, ids::Name},
   bytes::Bytes,
-  http::{HeaderMap, Method, StatusCode},
+  http::{HeaderMap, HeaderName, Method, StatusCode},
   std::net::SocketAddr,
 };
 
@@ -125,6 +125,8 @@
   fn mark(&self, headers: &mut HeaderMap, marks: &Marks);
   /// Reads an answer's headers.
   fn answer_facts(&self, headers: &HeaderMap) -> AnswerFacts;
+  /// Whether a name in an endpoint's answer is one of the platform's, or of the protocol's that both speak.
+  fn knows_in_answers(&self, name: &HeaderName) -> bool;
   /// Reads what an endpoint says of itself in any answer.
   fn notice(&self, status: StatusCode, headers: &HeaderMap) -> EndpointNotice;
   /// Reads the name of the prompt that an engine keeps.
--- a/src/gateway/edge/mod.rs
+++ b/src/gateway/edge/mod.rs
@@ -20,7 +20,7 @@
     AnswerFacts, Dialect, EndpointCall, EngineReport, Export, Marks, Part, RoleChange, ToldLoad,
   },
   endpoint_entry::EndpointEntry,
-  endpoint_notice::{EndpointNotice, UnreadableNotice},
+  endpoint_notice::{EndpointNotice, NamedLimit, UnreadableNotice},
   organisation::{Organisation, Organisations, UseLimit, UseUnit},
   prompt_part::PromptPart,
   route_table::{
--- a/src/gateway/parts/notice.rs
+++ b/src/gateway/parts/notice.rs
@@ -3,8 +3,8 @@
 use {
   super::purpose::Purpose,
   crate::gateway::{
-    decisions::{NoticeNews, kept_pause_ms},
-    edge::{EndpointEntry, EndpointNotice},
+    decisions::{LimitNews, NoticeNews, kept_pause_ms},
+    edge::{EndpointEntry, EndpointNotice, NamedLimit},
     state::Gateway,
   },
   http::{StatusCode, response},
@@ -16,22 +16,29 @@
   StatusCode::TOO_MANY_REQUESTS,
 ];
 
+/// What an answer answers.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SentPart<'a> {
+  /// The endpoint as it was when it was sent there.
+  pub(super) entry: &'a EndpointEntry,
+  pub(super) purpose: Purpose,
+  pub(super) sent_ms: u64,
+}
+
 /// Takes over what an endpoint says in an answer to what was sent to this entry of it. Any answer counts that came over a
 /// connection to that endpoint, whichever request it is for; but one that says that another endpoint is there.
-pub(super) fn hear_notice(
-  gateway: &Gateway,
-  entry: &EndpointEntry,
-  purpose: Purpose,
-  answer: &response::Parts,
-) {
+pub(super) fn hear_notice(gateway: &Gateway, sent: SentPart, answer: &response::Parts) {
+  let SentPart { entry, purpose, .. } = sent;
   if answer.status == StatusCode::MISDIRECTED_REQUEST {
     return;
   }
-  if purpose == Purpose::Work && !TURNED_AWAY.contains(&answer.status) {
+  if purpose != Purpose::GiveBack && !TURNED_AWAY.contains(&answer.status) {
     let now_ms = gateway.now_ms();
     gateway.book.borrow_mut().took_work(&entry.id, now_ms);
   }
+  note_unknown_names(gateway, entry, answer);
   let mut notice = gateway.dialect.notice(answer.status, &answer.headers);
+  hear_limit(gateway, sent, notice.limit, answer);
   if notice == EndpointNotice::default() {
     return;
   }
@@ -41,7 +48,7 @@
     .map(|wanted_ms| kept_pause_ms(wanted_ms, boxes, gateway.draw()));
   let now_ms = gateway.now_ms();
   if let Some(unreadable) = &notice.unreadable
-    && gateway.may_log_unreadable(now_ms)
+    && gateway.unreadable_lines.is_over(now_ms)
   {
     log::warn!("E538 not understood: {} says {unreadable}", entry.id);
   }
@@ -52,6 +59,53 @@
   log_news(gateway, entry, answer, news, now_ms);
 }
 
+/// Says once of each name that the platform's page doesn't have: it may be a word that boxes ought to heed.
+fn note_unknown_names(gateway: &Gateway, entry: &EndpointEntry, answer: &response::Parts) {
+  for name in answer.headers.keys() {
+    if !gateway.dialect.knows_in_answers(name) && gateway.unknown_names.borrow_mut().note(name) {
+      log::info!("E542 unknown name: {} has {name} in its answers", entry.id);
+    }
+  }
+}
+
+/// Takes over what an endpoint names as its limit. That it names none counts in the answer to a caller's request alone: others
+/// may lack the word.
+fn hear_limit(gateway: &Gateway, sent: SentPart, said: NamedLimit, answer: &response::Parts) {
+  let SentPart {
+    entry,
+    purpose,
+    sent_ms,
+  } = sent;
+  if said == NamedLimit::Unsaid && purpose != Purpose::Request {
+    return;
+  }
+  let now_ms = gateway.now_ms();
+  let news = gateway
+    .book
+    .borrow_mut()
+    .note_limit(entry, said, sent_ms, now_ms);
+  let per_s = gateway.book.borrow().limit_per_s(entry);
+  let facts = gateway.dialect.answer_facts(&answer.headers);
+  let request = facts.request_id.as_deref().unwrap_or("-");
+  let status = answer.status.as_u16();
+  let (id, born_ms) = (&entry.id, entry.born_ms);
+  match news {
+    LimitNews::Begins => {
+      gateway.counters.limit_notices.inc();
+      log::info!(
+        "E540 names a limit: {id} born {born_ms:?} takes {per_s:?} requests a second of all boxes, in its answer {status} to {request}"
+      );
+    }
+    LimitNews::Changes(before) if gateway.limit_lines.is_over(now_ms) => log::info!(
+      "E540 names a limit: {id} born {born_ms:?} takes {per_s:?} requests a second of all boxes, {before} before, in its answer {status} to {request}"
+    ),
+    LimitNews::Ends => log::info!(
+      "E541 names no limit any more: {id} born {born_ms:?}, in its answer {status} to {request}"
+    ),
+    LimitNews::Changes(_) | LimitNews::Nothing => {}
+  }
+}
+
 /// Says once what changed, by whose word, and what the store says of the endpoint.
 fn log_news(
   gateway: &Gateway,
--- a/src/gateway/parts/part.rs
+++ b/src/gateway/parts/part.rs
@@ -1,7 +1,11 @@
 //! One part of a request at one endpoint, from the choice of a connection to the answer's head.
 
 use {
-  super::{notice::hear_notice, purpose::Purpose, request::RoutedRequest},
+  super::{
+    notice::{SentPart, hear_notice},
+    purpose::Purpose,
+    request::RoutedRequest,
+  },
   crate::{
     gateway::{
       connections::{Connection, SendError, remove_connection_headers},
@@ -208,7 +212,7 @@
   let mut booking = Booking::new(gateway, &entry.id, size, units);
   let sent_ms = gateway.now_ms();
   let sent = request.for_endpoint(&*gateway.dialect, marks);
-  let answered = exchange(gateway, entry, sent, Purpose::Work)
+  let answered = exchange(gateway, entry, sent, Purpose::Request)
     .await
     .and_then(|(connection, response)| {
       let (head, body) = response.into_parts();
@@ -245,9 +249,14 @@
 ) -> Result<(Connection, Response<Incoming>), PartError> {
   // Time has passed since the endpoint was chosen; a connection may rest whose request outlasted the notice.
   check_available(gateway, entry, purpose)?;
+  let mut sent = SentPart {
+    entry,
+    purpose,
+    sent_ms: gateway.now_ms(),
+  };
   if let Some(mut connection) = gateway.pool.take(&entry.id, gateway.now_ms()) {
     match connection.send(request.clone()).await {
-      Ok(response) => return Ok((connection, heard(gateway, entry, purpose, response))),
+      Ok(response) => return Ok((connection, heard(gateway, sent, response))),
       Err(SendError::Broke(text)) => return Err(PartError::Lost(text)),
       Err(SendError::Unreachable | SendError::Unsent(_)) => {}
     }
@@ -256,19 +265,15 @@
   let opened = Connection::open(entry.id.clone(), entry.address).await;
   let mut connection = opened?;
   check_available(gateway, entry, purpose)?;
+  sent.sent_ms = gateway.now_ms();
   let response = connection.send(request).await?;
-  Ok((connection, heard(gateway, entry, purpose, response)))
+  Ok((connection, heard(gateway, sent, response)))
 }
 
 /// The answer, once what the endpoint says of itself in its head was taken over: callers may wait for its end for long.
-fn heard(
-  gateway: &Gateway,
-  entry: &EndpointEntry,
-  purpose: Purpose,
-  answer: Response<Incoming>,
-) -> Response<Incoming> {
+fn heard(gateway: &Gateway, sent: SentPart, answer: Response<Incoming>) -> Response<Incoming> {
   let (head, body) = answer.into_parts();
-  hear_notice(gateway, entry, purpose, &head);
+  hear_notice(gateway, sent, &head);
   Response::from_parts(head, body)
 }
 
@@ -281,7 +286,7 @@
   let now_ms = gateway.now_ms();
   let mut book = gateway.book.borrow_mut();
   match (book.check(entry, now_ms), purpose) {
-    (Ok(()), Purpose::Work) => {
+    (Ok(()), Purpose::Request | Purpose::Call) => {
       if let Some(asked_ms) = book.sent_after_pause(&entry.id, now_ms) {
         log::info!(
           "E537 first after its pause: {}, asked for {} ms ago",
@@ -293,7 +298,7 @@
     }
     (Err(Unavailable::Gone), _) => Err(Unavailable::Gone.into()),
     (_, Purpose::GiveBack) => Ok(()),
-    (Err(unavailable), Purpose::Work) => {
+    (Err(unavailable), Purpose::Request | Purpose::Call) => {
       gateway.counters.not_sent.inc();
       Err(unavailable.into())
     }
--- a/src/gateway/parts/purpose.rs
+++ b/src/gateway/parts/purpose.rs
@@ -3,8 +3,10 @@
 /// What is sent to an endpoint.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Purpose {
-  /// Work, or a question that leads to work: never to an endpoint that leaves or wants none.
-  Work,
+  /// A caller's request, or a part of it: never to an endpoint that leaves or wants none.
+  Request,
+  /// A question or an order of the router's own that leads to work: as little.
+  Call,
   /// What an endpoint keeps is given back: it frees memory, so it goes to one that leaves or wants no work too.
   GiveBack,
 }
--- a/src/gateway/requests/seat.rs
+++ b/src/gateway/requests/seat.rs
@@ -190,7 +190,7 @@
 ) -> Option<Reservation> {
   let call = gateway.dialect.reserve(tokens, RESERVATION_MS);
   let mut booking = Booking::new(gateway, &entry.id, request.tokens(), 1);
-  match call_engine(gateway, entry, call, Purpose::Work).await {
+  match call_engine(gateway, entry, call, Purpose::Call).await {
     Ok(body) => match gateway.dialect.reservation(&body) {
       Ok(id) => return Some(Reservation::new(gateway, entry, id)),
       Err(error) => {
--- a/src/gateway/roles/role_steward.rs
+++ b/src/gateway/roles/role_steward.rs
@@ -284,7 +284,7 @@
       &self.gateway,
       engine,
       self.gateway.dialect.ask_report(),
-      Purpose::Work,
+      Purpose::Call,
     )
     .await;
     let report = answer.map_err(|error| error.to_string()).and_then(|body| {
@@ -341,7 +341,7 @@
     let RoleChange { role, fence, .. } = change;
     self.note_order(engine, *role);
     let call = self.gateway.dialect.change_role(change);
-    match call_engine(&self.gateway, engine, call, Purpose::Work).await {
+    match call_engine(&self.gateway, engine, call, Purpose::Call).await {
       Ok(_) => log::info!(
         "E423 role ordered: {} becomes {role:?}, fence {fence}",
         engine.id
--- a/src/gateway/state/counters.rs
+++ b/src/gateway/state/counters.rs
@@ -68,6 +68,8 @@
   /// Endpoints that said in an answer that they leave, and pauses that began by an endpoint's word.
   pub(crate) leaving_notices: Counter,
   pub(crate) pause_notices: Counter,
+  /// Endpoints that came to name a limit.
+  pub(crate) limit_notices: Counter,
   /// Parts and calls that were not sent because their endpoint came to leave or pause after it was chosen.
   pub(crate) not_sent: Counter,
   pub(crate) callers_gone: Counter,
@@ -101,6 +103,7 @@
       ),
       ("rillford_leaving_notices_total", &self.leaving_notices),
       ("rillford_pause_notices_total", &self.pause_notices),
+      ("rillford_limit_notices_total", &self.limit_notices),
       ("rillford_not_sent_total", &self.not_sent),
       ("rillford_callers_gone_total", &self.callers_gone),
       ("rillford_repeats_total", &self.repeats),
--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -1,7 +1,10 @@
 //! What a gateway box holds: the configuration in force, the endpoints, connections and budgets.
 
 use {
-  super::{change_log::ChangeLog, counters::Counters, quarantine::Quarantine},
+  super::{
+    change_log::ChangeLog, counters::Counters, line_pause::LinePause, quarantine::Quarantine,
+    unknown_names::UnknownNames,
+  },
   crate::{
     HttpClient,
     gateway::{
@@ -34,9 +37,6 @@
 const RESTING_SHARE: f64 = 0.5;
 /// Connections that rest for one endpoint; a box has few requests at one endpoint at once.
 const MOST_RESTING: usize = 8;
-
-/// Pause between lines on what endpoints say and nobody can read: it may stand in each of their answers.
-const UNREADABLE_LINE_PAUSE_MS: u64 = 1_000;
 /// Weight of the newest first event in their moving mean.
 const NEWEST_START_WEIGHT: f64 = 0.1;
 
@@ -107,8 +107,12 @@
   pub(crate) has_listed: Cell<bool>,
   /// Whether a box is steward, as far as this one knows.
   pub(crate) has_steward: Cell<bool>,
-  /// Until then no further line is written on what endpoints say and nobody can read.
-  quiet_until_ms: Cell<u64>,
+  /// For lines on what endpoints say and nobody can read.
+  pub(crate) unreadable_lines: LinePause,
+  /// For lines on limits whose figures change.
+  pub(crate) limit_lines: LinePause,
+  /// Names in endpoints' answers that the platform's page doesn't have.
+  pub(crate) unknown_names: RefCell<UnknownNames>,
   table: RefCell<Option<Rc<RouteTable>>>,
   windows: RefCell<HashMap<Name, RetryWindow>>,
   random: RefCell<ChaCha8Rng>,
@@ -143,11 +147,11 @@
       incarnation: seed,
       kept_prompts: RefCell::default(),
       lease: Cell::new(None),
+      limit_lines: LinePause::default(),
       phase: watch::Sender::new(Phase::Serving),
       policy,
       pool: ConnectionPool::default(),
       quarantine: Quarantine::default(),
-      quiet_until_ms: Cell::new(0),
       random: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
       seat_forecast: RefCell::default(),
       seat_queue: RefCell::default(),
@@ -157,6 +161,8 @@
       started: Instant::now(),
       store_heard_ms: Cell::new(None),
       table: RefCell::new(None),
+      unknown_names: RefCell::default(),
+      unreadable_lines: LinePause::default(),
       use_book: RefCell::default(),
       use_ledger: RefCell::default(),
       windows: RefCell::default(),
@@ -304,29 +310,24 @@
     self.book.borrow_mut().blame(id, self.now_ms());
   }
 
-  /// Whether a line may be written on what an endpoint says and nobody can read.
-  pub(crate) fn may_log_unreadable(&self, now_ms: u64) -> bool {
-    if now_ms < self.quiet_until_ms.get() {
-      return false;
-    }
-    self.quiet_until_ms.set(now_ms + UNREADABLE_LINE_PAUSE_MS);
-    true
-  }
-
   /// How many endpoints of a service take work.
   pub(crate) fn count_endpoints(&self, service: &str) -> EndpointCounts {
     self.book.borrow().count(Some(service), self.now_ms())
   }
 
-  /// How many endpoints are known, leave, and pause, as text.
+  /// How many endpoints are known, leave, pause, and name limits, and how many unknown names their answers have, as text.
   pub(crate) fn endpoint_figures(&self) -> String {
     let EndpointCounts {
       known,
       leaving,
+      limited,
       pausing,
     } = self.book.borrow().count(None, self.now_ms());
+    let unknown = self.unknown_names.borrow().count();
     format!(
-      "rillford_endpoints {known}\nrillford_endpoints_leaving {leaving}\nrillford_endpoints_pausing {pausing}\n"
+      "rillford_endpoints {known}\nrillford_endpoints_leaving {leaving}\nrillford_endpoints_pausing {pausing}\n\
+       rillford_endpoints_limited {limited}\nrillford_unknown_answer_names {unknown}\nrillford_boxes {}\n",
+      self.boxes.borrow().len()
     )
   }
 
--- a/src/gateway/state/mod.rs
+++ b/src/gateway/state/mod.rs
@@ -5,7 +5,9 @@
 mod change_log;
 mod counters;
 mod gateway;
+mod line_pause;
 mod quarantine;
+mod unknown_names;
 
 pub use self::change_log::ChangeLog;
 
