Failing test: three boxes send an endpoint that names a limit as much as any other

The endpoint names 2.5 requests a second in each answer, the other one nothing. 76 requests in four seconds reach it, counted from three seconds after its first word, where the users allow 20.

--- a/tests/gateway/endpoint.rs
+++ b/tests/gateway/endpoint.rs
@@ -7,7 +7,7 @@
     future::pending,
     net::SocketAddr,
     sync::{Arc, Mutex},
-    time::Duration,
+    time::{Duration, Instant},
   },
   tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -25,6 +25,7 @@
   pub(crate) path: String,
   pub(crate) headers: HashMap<String, String>,
   pub(crate) body: Vec<u8>,
+  pub(crate) at: Instant,
 }
 
 impl Seen {
@@ -162,6 +163,11 @@
       .collect()
   }
 
+  /// When callers' requests came.
+  pub(crate) fn arrivals(&self) -> Vec<Instant> {
+    self.requests().iter().map(|seen| seen.at).collect()
+  }
+
   /// Unanswered requests whose connection the router has closed.
   pub(crate) fn closed(&self) -> Vec<Seen> {
     self.closed.lock().unwrap().clone()
@@ -185,7 +191,17 @@
 
 /// The same answer from an endpoint that leaves.
 pub(crate) fn leaving(reply: Reply) -> Reply {
-  let marked = |text: String| text.replacen("\r\n", "\r\nserver-leaving: 1\r\n", 1);
+  with_header(reply, "server-leaving: 1")
+}
+
+/// The same answer from an endpoint that takes so many requests a second of all boxes together.
+pub(crate) fn limited(reply: Reply, per_s: &str) -> Reply {
+  with_header(reply, &format!("server-limit: {per_s}"))
+}
+
+/// The same answer with one more header.
+fn with_header(reply: Reply, header: &str) -> Reply {
+  let marked = |text: String| text.replacen("\r\n", &format!("\r\n{header}\r\n"), 1);
   match reply {
     Reply::Write(text) => Reply::Write(marked(text)),
     Reply::WriteAndClose(text) => Reply::WriteAndClose(marked(text)),
@@ -291,6 +307,7 @@
         let body = bytes[end + 4..end + 4 + length].to_vec();
         bytes.drain(..end + 4 + length);
         return Some(Seen {
+          at: Instant::now(),
           body,
           headers,
           method,
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -336,6 +336,22 @@
     }
   }
 
+  /// A figure of the box's metrics by its name; 0 where there is none.
+  pub(crate) async fn figure(&self, name: &str) -> f64 {
+    let request = Request::get(format!("http://{}/metrics", self.metrics))
+      .body(Full::default())
+      .unwrap();
+    let Ok(figures) = HttpClient::default().bytes(request, PATIENCE).await else {
+      return 0.0;
+    };
+    let text = String::from_utf8_lossy(&figures);
+    let rows = text.lines().filter_map(|line| line.split_once(' '));
+    rows
+      .filter(|(row, _)| *row == name)
+      .find_map(|(_, value)| value.parse().ok())
+      .unwrap_or(0.0)
+  }
+
   pub(crate) fn signal(&self, signal: i32) {
     // SAFETY: the process is this test's own child and has not been waited for.
     assert_eq!(
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod configuration;
 mod crashing_request;
 mod endpoint;
+mod endpoint_limits;
 mod harness;
 mod leaving;
 mod limits;
