serve reads an endpoint's answer before the call that follows from it

Cause: a pause that a plain service wants and callers' next calls reach the decide thread by two rings, read in turn. A call that followed the answer by a millisecond was read in the moment between the two and sent in the pause. Traced with lines at both ends beside ten busy loops: the pause heard at 1704 ms, the next arrival handled at 1705, the pause after it. Ruled out by the trace: six tries that outlast the 3 s (1.3 s in all), an answer on which nobody waits any more (it was heard). Change: CauseFirst joins the two rings; an arrival waits for the answers that are in their ring when it is read, and for no more.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod admin;
 mod bearer_key;
+mod cause_first;
 mod chunk;
 mod error;
 mod http_client;
@@ -30,6 +31,7 @@
 
 pub use self::{
   admin::{ConfigurationBody, HistoryBody, ProblemBody, Revision},
+  cause_first::CauseFirst,
   error::{Error, Result},
   http_client::{CallError, HttpClient},
   retry_after::{BadRetryAfter, retry_after_ms},
--- a/src/ring.rs
+++ b/src/ring.rs
@@ -99,6 +99,11 @@
     self.0.pop().ok()
   }
 
+  /// How many values wait.
+  pub fn len(&self) -> usize {
+    self.0.slots()
+  }
+
   /// Whether nothing waits.
   pub fn is_empty(&self) -> bool {
     self.0.is_empty()
--- a/src/serve/decide_loop.rs
+++ b/src/serve/decide_loop.rs
@@ -2,6 +2,7 @@
 
 use {
   crate::{
+    CauseFirst,
     decide::{Action, Ending, Event, Machine, Status},
     egress::EgressInput,
     ids::RequestId,
@@ -20,6 +21,8 @@
 };
 
 const EVENTS_PER_RING: usize = 64;
+/// Two rings are read there.
+const EVENTS_FROM_CALLS: usize = 2 * EVENTS_PER_RING;
 const STATUS_PERIOD: Duration = Duration::from_millis(200);
 const TICK: Duration = Duration::from_millis(10);
 /// With nothing in progress there is nothing to place or to cancel in a hurry.
@@ -58,6 +61,8 @@
 pub(super) struct DecideLoop {
   pub(super) machine: Machine,
   pub(super) started: Instant,
+  /// What endpoints answered, and callers' requests: a caller may ask because of an answer.
+  pub(super) calls: CauseFirst<Event>,
   pub(super) inputs: Vec<Receiver<Event>>,
   pub(super) to_egress: Outlet<EgressInput>,
   pub(super) to_ingress: Outlet<(RequestId, Ending)>,
@@ -101,6 +106,13 @@
   /// Takes a few events from each ring in turn, so that none starves another.
   fn drain(&mut self) -> bool {
     let mut worked = false;
+    for _ in 0..EVENTS_FROM_CALLS {
+      let Some(event) = self.calls.pop() else {
+        break;
+      };
+      worked = true;
+      self.handle(event);
+    }
     for index in 0..self.inputs.len() {
       for _ in 0..EVENTS_PER_RING {
         let Some(event) = self.inputs[index].pop() else {
--- a/src/serve/start.rs
+++ b/src/serve/start.rs
@@ -6,7 +6,7 @@
     stop::{await_signal, stop},
   },
   crate::{
-    Error, Result,
+    CauseFirst, Error, Result,
     admin::{self, AdminSetup},
     decide::{Identity, Machine, Note, NoteKind, Setup, Status},
     egress::{self, EgressSetup},
@@ -95,13 +95,8 @@
   );
 
   decide.run(DecideLoop {
-    inputs: vec![
-      ingress_events,
-      egress_events,
-      peer_events,
-      platform_events,
-      operator_events,
-    ],
+    calls: CauseFirst::new(egress_events, ingress_events),
+    inputs: vec![peer_events, platform_events, operator_events],
     machine: Machine::new(Setup {
       endpoints: settings
         .endpoints
