--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod notices;
 mod own_addresses;
 mod path_bench;
+pub mod places;
 pub mod quarantine;
 mod queue;
 pub mod regress;
--- a/emulator/src/subcommand.rs
+++ b/emulator/src/subcommand.rs
@@ -13,6 +13,7 @@
     log_summary::log_summary,
     notices::{NoticeReport, notice_report, print_notices},
     path_bench,
+    places::{PlaceReport, place_report, print_places},
     quarantine::{CrashReport, crash_report, print_crashes},
     regress::{RegressOptions, regress, regress_options},
     slopes,
@@ -118,6 +119,12 @@
     #[bpaf(external(notice_report))]
     report: NoticeReport,
   },
+  /// Replay an endpoint that names a limit for all boxes in virtual time, in each way of keeping it, and print the table
+  #[bpaf(command)]
+  Places {
+    #[bpaf(external(place_report))]
+    report: PlaceReport,
+  },
   /// Read gateway boxes' logs from standard input and print where their streams lose time
   #[bpaf(command("log-summary"))]
   LogSummary {
@@ -216,6 +223,10 @@
         print_notices(report);
         Ok(())
       }
+      Self::Places { report } => {
+        print_places(report);
+        Ok(())
+      }
       Self::LogSummary { seconds } => {
         print!("{}", log_summary(io::stdin().lock(), seconds)?);
         Ok(())
--- a/src/gateway/decisions/box_list.rs
+++ b/src/gateway/decisions/box_list.rs
@@ -143,6 +143,41 @@
       .collect()
   }
 
+  /// The boxes that one of them tells of what it heard first: all others in a small deployment. In a large one those that read the
+  /// store for their halls, and for these also the part of their hall's boxes that is theirs.
+  pub fn told_by(&self, name: &str) -> Vec<SocketAddr> {
+    let mut addresses = self.other_counting(name);
+    addresses.extend(self.told_on_by(name));
+    addresses
+  }
+
+  /// The boxes of its hall that a box tells on what it was told: the readers of a hall share the others.
+  ///
+  /// ```
+  /// use rillford::gateway::{BoxEntry, BoxList};
+  /// let mut boxes = BoxList::default();
+  /// for number in 10..40 {
+  ///   let address = format!("127.0.0.1:70{number}").parse().unwrap();
+  ///   boxes.put(format!("box-{number}").as_str().into(), BoxEntry { hall: "north".into(), address });
+  /// }
+  /// assert_eq!(boxes.told_on_by("box-10").len(), 14);
+  /// assert_eq!(boxes.told_by("box-10").len(), 15);
+  /// assert_eq!(boxes.told_by("box-30").len(), 2);
+  /// ```
+  pub fn told_on_by(&self, name: &str) -> Vec<SocketAddr> {
+    let place = self.place_in_hall(name).filter(|_| self.is_reader(name));
+    let Some((place, own)) = place.zip(self.boxes.get(name)) else {
+      return Vec::new();
+    };
+    let of_hall = self.boxes.values().filter(|entry| entry.hall == own.hall);
+    of_hall
+      .skip(READERS)
+      .enumerate()
+      .filter(|(at, _)| at % READERS == place)
+      .map(|(_, entry)| entry.address)
+      .collect()
+  }
+
   fn counting(&self) -> impl Iterator<Item = (&Name, &BoxEntry)> {
     self
       .boxes
--- a/src/gateway/decisions/endpoint_limit.rs
+++ b/src/gateway/decisions/endpoint_limit.rs
@@ -16,7 +16,7 @@
 const MOST_PER_S: f64 = 1e6;
 /// Places that may be there at once: one for the request at hand, one kept for an urgent one, one for what comes unevenly.
 const BURST: f64 = 3.0;
-/// The same for high limits, as a time at the limit.
+/// The same for high limits: one, and what comes in so long.
 const BURST_S: f64 = 0.1;
 /// Part of a limit that boxes give out together that don't reach the one that counts.
 const ALONE_SHARE: f64 = 0.5;
@@ -33,7 +33,7 @@
 pub fn counted_limit(per_s: f64) -> UseLimit {
   let kept_per_s = per_s.clamp(LEAST_PER_S, MOST_PER_S);
   UseLimit {
-    burst: BURST.max(kept_per_s * BURST_S),
+    burst: BURST.max(1.0 + kept_per_s * BURST_S),
     rate_per_s: kept_per_s * KEPT_SHARE,
   }
 }
--- a/src/gateway/decisions/endpoint_order.rs
+++ b/src/gateway/decisions/endpoint_order.rs
@@ -1,7 +1,7 @@
 //! Which box counts the requests of an endpoint for all boxes. Free of I/O.
 
 use {
-  super::box_list::BoxList,
+  super::box_list::{BoxEntry, BoxList},
   crate::ids::Name,
   sha2::{Digest, Sha256},
   std::{cmp::Reverse, net::SocketAddr},
@@ -27,17 +27,24 @@
   hall: &str,
   most: usize,
 ) -> Vec<(Name, SocketAddr)> {
+  let (own, others): (Vec<_>, Vec<_>) =
+    boxes.entries().partition(|(_, entry)| &*entry.hall == hall);
+  let mut order = by_weight(own, endpoint);
+  if order.len() < most {
+    order.extend(by_weight(others, endpoint));
+  }
+  order.truncate(most);
+  order
+}
+
+fn by_weight(boxes: Vec<(&Name, &BoxEntry)>, endpoint: &str) -> Vec<(Name, SocketAddr)> {
   let mut ranked: Vec<_> = boxes
-    .entries()
-    .map(|(name, entry)| {
-      let weight = weight(name, endpoint);
-      ((&*entry.hall == hall, weight), name, entry.address)
-    })
+    .into_iter()
+    .map(|(name, entry)| (weight(name, endpoint), name, entry.address))
     .collect();
-  ranked.sort_by_key(|(rank, name, _)| (Reverse(*rank), *name));
+  ranked.sort_by_key(|(weight, name, _)| (Reverse(*weight), *name));
   ranked
     .into_iter()
-    .take(most)
     .map(|(_, name, address)| (name.clone(), address))
     .collect()
 }
--- a/src/gateway/decisions/place_book.rs
+++ b/src/gateway/decisions/place_book.rs
@@ -24,7 +24,7 @@
     &mut self,
     life: EndpointLife,
     limit: UseLimit,
-    wish: PlaceWish,
+    wish: &PlaceWish,
     now_ms: u64,
   ) -> PlaceVerdict {
     let account = self
--- a/src/gateway/decisions/place_ledger.rs
+++ b/src/gateway/decisions/place_ledger.rs
@@ -49,6 +49,20 @@
   asked_ms: u64,
 }
 
+impl Standing {
+  fn has_spare(&self, now_ms: u64) -> bool {
+    self.spare > 0 && now_ms < self.spare_until_ms
+  }
+
+  /// How long there is no place; of several questions one may have brought some, and the next one none.
+  fn closed_for_ms(&self, now_ms: u64) -> u64 {
+    if self.has_spare(now_ms) {
+      return 0;
+    }
+    self.closed_until_ms.saturating_sub(now_ms)
+  }
+}
+
 /// The endpoints' standings, by id.
 #[derive(Debug, Default)]
 pub struct PlaceLedger {
@@ -58,23 +72,20 @@
 impl PlaceLedger {
   /// How long there is no place at an endpoint; 0 when there may be one.
   pub fn closed_for_ms(&self, id: &str, now_ms: u64) -> u64 {
-    self.standings.get(id).map_or(0, |standing| {
-      standing.closed_until_ms.saturating_sub(now_ms)
-    })
+    let standing = self.standings.get(id);
+    standing.map_or(0, |standing| standing.closed_for_ms(now_ms))
   }
 
   /// Takes a place for a request, if this box has one left.
   pub fn take(&mut self, id: &Name, now_ms: u64) -> LocalPlace {
     let standing = self.standings.entry(id.clone()).or_default();
     standing.asked_ms = now_ms;
-    let closed_for_ms = standing.closed_until_ms.saturating_sub(now_ms);
-    if closed_for_ms > 0 {
-      return LocalPlace::Refused {
-        wait_ms: closed_for_ms,
-      };
+    let wait_ms = standing.closed_for_ms(now_ms);
+    if wait_ms > 0 {
+      return LocalPlace::Refused { wait_ms };
     }
     standing.wanted.note(1.0, now_ms);
-    if standing.spare > 0 && now_ms < standing.spare_until_ms {
+    if standing.has_spare(now_ms) {
       standing.spare -= 1;
       return LocalPlace::Granted;
     }
--- a/src/gateway/membership/relay.rs
+++ b/src/gateway/membership/relay.rs
@@ -7,7 +7,7 @@
       connections::serve_port,
       edge::StoreChanges,
       limits::{TOTALS_PATH, USE_PATH, answer_totals, answer_use},
-      places::{PLACES_PATH, answer_places},
+      places::{LIMITS_PATH, PLACES_PATH, answer_limit, answer_places},
       quarantine::{MARKS_PATH, answer_marks},
       state::Gateway,
     },
@@ -66,6 +66,7 @@
   match request.uri().path() {
     USE_PATH => answer_use(&gateway, request).await,
     TOTALS_PATH => answer_totals(&gateway, request).await,
+    LIMITS_PATH => answer_limit(&gateway, request).await,
     PLACES_PATH => answer_places(&gateway, request).await,
     MARKS_PATH => answer_marks(&gateway, request).await,
     _ => answer_changes(gateway, request).await,
--- a/src/gateway/parts/engine_call.rs
+++ b/src/gateway/parts/engine_call.rs
@@ -62,7 +62,7 @@
 
 /// Makes a call within [`CALL_LIMIT`] and answers with the body of a success.
 pub(crate) async fn call_engine(
-  gateway: &Gateway,
+  gateway: &Rc<Gateway>,
   entry: &EndpointEntry,
   call: EndpointCall,
   purpose: Purpose,
--- a/src/gateway/parts/notice.rs
+++ b/src/gateway/parts/notice.rs
@@ -5,9 +5,11 @@
   crate::gateway::{
     decisions::{LimitNews, NoticeNews, kept_pause_ms},
     edge::{EndpointEntry, EndpointNotice, NamedLimit},
+    places::tell_limit,
     state::Gateway,
   },
   http::{StatusCode, response},
+  std::rc::Rc,
 };
 
 /// What an endpoint answers that takes no work for now.
@@ -27,7 +29,7 @@
 
 /// Takes over what an endpoint says in an answer to what was sent to this entry of it. Any answer counts that came over a
 /// connection to that endpoint, whichever request it is for; but one that says that another endpoint is there.
-pub(super) fn hear_notice(gateway: &Gateway, sent: SentPart, answer: &response::Parts) {
+pub(super) fn hear_notice(gateway: &Rc<Gateway>, sent: SentPart, answer: &response::Parts) {
   let SentPart { entry, purpose, .. } = sent;
   if answer.status == StatusCode::MISDIRECTED_REQUEST {
     return;
@@ -70,7 +72,7 @@
 
 /// Takes over what an endpoint names as its limit. That it names none counts in the answer to a caller's request alone: others
 /// may lack the word.
-fn hear_limit(gateway: &Gateway, sent: SentPart, said: NamedLimit, answer: &response::Parts) {
+fn hear_limit(gateway: &Rc<Gateway>, sent: SentPart, said: NamedLimit, answer: &response::Parts) {
   let SentPart {
     entry,
     purpose,
@@ -97,6 +99,9 @@
   match news {
     LimitNews::Begins => {
       gateway.counters.limit_notices.inc();
+      if gateway.settings.mechanisms.endpoint_limits {
+        tell_limit(gateway, id, born_ms);
+      }
       log::info!(
         "E540 names a limit: {id} born {born_ms:?} takes {per_s:?} requests a second of all boxes, in its answer {status} to {request}"
       );
--- a/src/gateway/parts/part.rs
+++ b/src/gateway/parts/part.rs
@@ -296,7 +296,7 @@
 
 /// Sends a request on a resting connection, or on a new one when none is left or it closed unused.
 pub(crate) async fn exchange(
-  gateway: &Gateway,
+  gateway: &Rc<Gateway>,
   entry: &EndpointEntry,
   request: Request<Full<Bytes>>,
   purpose: Purpose,
@@ -325,7 +325,7 @@
 }
 
 /// The answer, once what the endpoint says of itself in its head was taken over: callers may wait for its end for long.
-fn heard(gateway: &Gateway, sent: SentPart, answer: Response<Incoming>) -> Response<Incoming> {
+fn heard(gateway: &Rc<Gateway>, sent: SentPart, answer: Response<Incoming>) -> Response<Incoming> {
   let (head, body) = answer.into_parts();
   hear_notice(gateway, sent, &head);
   Response::from_parts(head, body)
--- a/src/gateway/places/messages.rs
+++ b/src/gateway/places/messages.rs
@@ -1,13 +1,11 @@
 //! What boxes ask each other for places at endpoints, and the answers.
 
 use {
+  super::{telling::note_told, told_limit::ToldLimit},
   crate::{
     CallError, HttpClient,
     gateway::{
-      decisions::{
-        EndpointLife, HeardLimit, LimitNews, LimitSource, PlaceVerdict, PlaceWish, counted_limit,
-        endpoint_order,
-      },
+      decisions::{EndpointLife, PlaceVerdict, PlaceWish, counted_limit, endpoint_order},
       state::Gateway,
     },
     ids::Name,
@@ -25,18 +23,10 @@
 /// The longest question: two names and some numbers.
 const MOST_BYTES: usize = 4 * 1024;
 
-/// An endpoint's word as a box heard it.
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
-pub(super) struct ToldLimit {
-  /// Requests a second; nothing when it names no limit any more.
-  pub(super) per_s: Option<f64>,
-  /// How long ago it was heard.
-  pub(super) age_ms: u64,
-}
-
 /// A question for places.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(super) struct PlaceQuestion {
+  pub(super) box_name: Name,
   pub(super) endpoint: Name,
   pub(super) born_ms: Option<u64>,
   pub(super) hall: Name,
@@ -54,27 +44,6 @@
   pub(super) told: ToldLimit,
 }
 
-impl ToldLimit {
-  /// A word that was heard here.
-  pub(super) fn new(heard: HeardLimit, now_ms: u64) -> Self {
-    Self {
-      age_ms: now_ms.saturating_sub(heard.heard_ms),
-      per_s: heard.per_s,
-    }
-  }
-
-  /// It as heard by the box that is told. A figure that no endpoint can name is none.
-  pub(super) fn heard(self, now_ms: u64) -> HeardLimit {
-    HeardLimit {
-      heard_ms: now_ms.saturating_sub(self.age_ms),
-      per_s: self
-        .per_s
-        .filter(|per_s| per_s.is_finite() && *per_s >= 0.0),
-      source: LimitSource::Box,
-    }
-  }
-}
-
 /// Asks the box that counts.
 pub(super) async fn ask_for_places(
   http: &HttpClient,
@@ -126,25 +95,19 @@
   let now_ms = gateway.now_ms();
   let (id, born_ms) = (&question.endpoint, question.born_ms);
   let told = question.told.heard(now_ms);
-  let mut book = gateway.book.borrow_mut();
-  let news = book.limits_mut().note_told(id, born_ms, told);
+  note_told(gateway, id, born_ms, told);
+  let book = gateway.book.borrow();
   let heard = book.limits().heard_of(id, born_ms).unwrap_or(told);
   drop(book);
-  if news == LimitNews::Begins {
-    log::info!(
-      "E540 names a limit: {id} born {born_ms:?} takes {:?} requests a second of all boxes, as another box heard {} ms ago",
-      heard.per_s,
-      question.told.age_ms
-    );
-  }
   let wish = PlaceWish {
+    box_name: question.box_name.clone(),
     places: question.places,
     priority: question.priority,
     unused: question.unused,
   };
   PlaceAnswer {
     told: ToldLimit::new(heard, now_ms),
-    verdict: give_out(gateway, EndpointLife::of(id, born_ms), heard.per_s, wish),
+    verdict: give_out(gateway, EndpointLife::of(id, born_ms), heard.per_s, &wish),
   }
 }
 
@@ -153,7 +116,7 @@
   gateway: &Gateway,
   life: EndpointLife,
   per_s: Option<f64>,
-  wish: PlaceWish,
+  wish: &PlaceWish,
 ) -> PlaceVerdict {
   let Some(per_s) = per_s else {
     return PlaceVerdict::Granted(wish.places);
--- a/src/gateway/places/mod.rs
+++ b/src/gateway/places/mod.rs
@@ -6,9 +6,12 @@
 mod figures;
 mod messages;
 mod taking;
+mod telling;
+mod told_limit;
 
 pub(crate) use self::{
   figures::place_figures,
   messages::{PLACES_PATH, answer_places},
   taking::{Place, PlaceCaller, give_place_back, take_place},
+  telling::{LIMITS_PATH, answer_limit, tell_limit},
 };
--- a/src/gateway/places/taking.rs
+++ b/src/gateway/places/taking.rs
@@ -1,7 +1,10 @@
 //! Taking a place for a request at an endpoint that names a limit.
 
 use {
-  super::messages::{PlaceAnswer, PlaceQuestion, ToldLimit, ask_for_places, give_out},
+  super::{
+    messages::{PlaceAnswer, PlaceQuestion, ask_for_places, give_out},
+    told_limit::ToldLimit,
+  },
   crate::{
     gateway::{
       decisions::{
@@ -84,12 +87,13 @@
     }
     LocalPlace::Refused { wait_ms } => return Err(no_place(gateway, wait_ms)),
     LocalPlace::Ask { places, unused } => PlaceWish {
+      box_name: gateway.settings.identity.name.clone(),
       places,
       priority: caller.priority,
       unused,
     },
   };
-  let (verdict, decided_by) = decide(gateway, entry, heard, wish).await;
+  let (verdict, decided_by) = decide(gateway, entry, heard, &wish).await;
   let now_ms = gateway.now_ms();
   let Some(heard) = limit_at(gateway, entry) else {
     return Ok(Place::NotNeeded);
@@ -129,7 +133,7 @@
   gateway: &Gateway,
   entry: &EndpointEntry,
   heard: HeardLimit,
-  wish: PlaceWish,
+  wish: &PlaceWish,
 ) -> (PlaceVerdict, DecidedBy) {
   let life = EndpointLife::of(&entry.id, entry.born_ms);
   let order = endpoint_order(
@@ -159,7 +163,7 @@
   address: SocketAddr,
   entry: &EndpointEntry,
   heard: HeardLimit,
-  wish: PlaceWish,
+  wish: &PlaceWish,
 ) -> Option<PlaceAnswer> {
   if gateway
     .unheard_boxes
@@ -169,6 +173,7 @@
     return None;
   }
   let question = PlaceQuestion {
+    box_name: wish.box_name.clone(),
     born_ms: entry.born_ms,
     endpoint: entry.id.clone(),
     hall: entry.hall.clone(),
@@ -203,7 +208,7 @@
   gateway: &Gateway,
   life: EndpointLife,
   heard: HeardLimit,
-  wish: PlaceWish,
+  wish: &PlaceWish,
   order: &[(Name, SocketAddr)],
 ) -> PlaceVerdict {
   let own_name = &gateway.settings.identity.name;
@@ -216,12 +221,12 @@
   let wish = PlaceWish {
     places: 1,
     unused: 0,
-    ..wish
+    ..wish.clone()
   };
   gateway
     .lone_places
     .borrow_mut()
-    .ask(life, lone_limit(per_s), wish, gateway.now_ms())
+    .ask(life, lone_limit(per_s), &wish, gateway.now_ms())
 }
 
 fn no_place(gateway: &Gateway, left_ms: u64) -> Unavailable {
--- /dev/null
+++ b/src/gateway/places/telling.rs
@@ -0,0 +1,148 @@
+//! Telling other boxes of an endpoint that comes to name a limit: each of them would send it one request before it hears so.
+
+use {
+  super::told_limit::ToldLimit,
+  crate::{
+    CallError, HttpClient,
+    gateway::{
+      decisions::{HeardLimit, LimitNews},
+      state::Gateway,
+    },
+    ids::Name,
+  },
+  bytes::Bytes,
+  http::{Request, Response, StatusCode},
+  http_body_util::{BodyExt, Full, Limited},
+  hyper::body::Incoming,
+  serde::{Deserialize, Serialize},
+  std::{net::SocketAddr, rc::Rc, time::Duration},
+  tokio::task::spawn_local,
+};
+
+/// The path on which a box is told that an endpoint names a limit.
+pub(crate) const LIMITS_PATH: &str = "/limits";
+/// The longest message: a name and some numbers.
+const MOST_BYTES: usize = 4 * 1024;
+/// A box that does not answer in this time hears of the limit in the endpoint's own answer.
+const TELL_LIMIT: Duration = Duration::from_millis(200);
+
+/// What a box tells of an endpoint that comes to name a limit.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+struct LimitMessage {
+  endpoint: Name,
+  born_ms: Option<u64>,
+  told: ToldLimit,
+  /// Whether a reader tells it on to the boxes of its hall; these tell nobody.
+  is_told_on: bool,
+}
+
+/// Tells others that this box heard an endpoint begin to name a limit; nobody waits for it.
+pub(crate) fn tell_limit(gateway: &Rc<Gateway>, endpoint: &Name, born_ms: Option<u64>) {
+  let heard = gateway.book.borrow().limits().heard_of(endpoint, born_ms);
+  let Some(heard) = heard else {
+    return;
+  };
+  let own_name = &gateway.settings.identity.name;
+  let (all, own_hall) = {
+    let boxes = gateway.boxes.borrow();
+    (boxes.other_counting(own_name), boxes.told_on_by(own_name))
+  };
+  let message = LimitMessage {
+    born_ms,
+    endpoint: endpoint.clone(),
+    is_told_on: false,
+    told: ToldLimit::new(heard, gateway.now_ms()),
+  };
+  tell(gateway, all, &message);
+  tell_on(gateway, own_hall, message);
+}
+
+fn tell_on(gateway: &Rc<Gateway>, addresses: Vec<SocketAddr>, message: LimitMessage) {
+  let message = LimitMessage {
+    is_told_on: true,
+    ..message
+  };
+  tell(gateway, addresses, &message);
+}
+
+fn tell(gateway: &Rc<Gateway>, addresses: Vec<SocketAddr>, message: &LimitMessage) {
+  let body = match postcard::to_stdvec(message) {
+    Ok(body) => Bytes::from(body),
+    Err(error) => {
+      log::error!("E430 a limit for other boxes can't be written: {error}");
+      return;
+    }
+  };
+  for address in addresses {
+    let (gateway, body) = (gateway.clone(), body.clone());
+    spawn_local(async move {
+      if let Err(error) = send(&gateway.box_calls, address, body).await {
+        log::debug!("a limit was not told to {address}: {error}");
+      }
+    });
+  }
+}
+
+async fn send(http: &HttpClient, address: SocketAddr, body: Bytes) -> Result<(), CallError> {
+  let request = Request::post(format!("http://{address}{LIMITS_PATH}"))
+    .body(Full::new(body))
+    .map_err(|error| CallError::NotSent(error.to_string()))?;
+  http.bytes(request, TELL_LIMIT).await.map(drop)
+}
+
+/// Takes over what another box tells, and tells it on in this box's hall when it is new and that is this box's part.
+pub(crate) async fn answer_limit(
+  gateway: &Rc<Gateway>,
+  request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
+  let Some(message) = read(request).await else {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = StatusCode::BAD_REQUEST;
+    return response;
+  };
+  let now_ms = gateway.now_ms();
+  let LimitMessage {
+    endpoint, born_ms, ..
+  } = &message;
+  let told = message.told.heard(now_ms);
+  if note_told(gateway, endpoint, *born_ms, told) == LimitNews::Begins && !message.is_told_on {
+    let addresses = {
+      let boxes = gateway.boxes.borrow();
+      boxes.told_on_by(&gateway.settings.identity.name)
+    };
+    let told = ToldLimit::new(told, now_ms);
+    tell_on(gateway, addresses, LimitMessage { told, ..message });
+  }
+  Response::new(Full::default())
+}
+
+/// Takes over a word that another box heard, and says so where it begins.
+pub(super) fn note_told(
+  gateway: &Gateway,
+  endpoint: &Name,
+  born_ms: Option<u64>,
+  told: HeardLimit,
+) -> LimitNews {
+  let mut book = gateway.book.borrow_mut();
+  let news = book.limits_mut().note_told(endpoint, born_ms, told);
+  if news == LimitNews::Begins {
+    log::info!(
+      "E540 names a limit: {endpoint} born {born_ms:?} takes {:?} requests a second of all boxes, as another box heard {} ms ago",
+      told.per_s,
+      gateway.now_ms().saturating_sub(told.heard_ms)
+    );
+  }
+  news
+}
+
+async fn read(request: Request<Incoming>) -> Option<LimitMessage> {
+  let read = Limited::new(request.into_body(), MOST_BYTES)
+    .collect()
+    .await;
+  let message = read
+    .map_err(|error| error.to_string())
+    .and_then(|body| postcard::from_bytes(&body.to_bytes()).map_err(|error| error.to_string()));
+  message
+    .inspect_err(|error| log::info!("E609 an endpoint's limit not read: {error}"))
+    .ok()
+}
--- a/src/gateway/requests/resume_seat.rs
+++ b/src/gateway/requests/resume_seat.rs
@@ -82,7 +82,7 @@
 }
 
 /// What one engine keeps; nothing when it does not say.
-async fn list_kept(gateway: &Gateway, engine: &EndpointEntry) -> Vec<PromptPart> {
+async fn list_kept(gateway: &Rc<Gateway>, engine: &EndpointEntry) -> Vec<PromptPart> {
   let call = gateway.dialect.list_kept();
   let listed = match call_engine(gateway, engine, call, Purpose::Call).await {
     Ok(body) => gateway
--- a/tests/gateway/endpoint_limits.rs
+++ b/tests/gateway/endpoint_limits.rs
@@ -81,10 +81,18 @@
   counted.iter().map(|from| within(from)).max().unwrap_or(0)
 }
 
+/// The same answer from an endpoint that has much to do: the one that names a limit looks the better one.
+fn busy(reply: Reply) -> Reply {
+  match reply {
+    Reply::Write(text) => Reply::WriteLater(Duration::from_millis(100), text),
+    other => other,
+  }
+}
+
 #[tokio::test]
 async fn endpoint_gets_no_more_than_the_limit_that_it_names_of_all_boxes_together() {
   let one = EndpointStandIn::start(|seen| limited(Reply::ok(seen, "one"), "2.5")).await;
-  let other = EndpointStandIn::start(|seen| Reply::ok(seen, "other")).await;
+  let other = EndpointStandIn::start(|seen| busy(Reply::ok(seen, "other"))).await;
   let test = GatewayTest::new().await;
   test.enter("p-1", "portal", None, &one);
   test.enter("p-2", "portal", None, &other);
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod notice_book;
 mod notices;
 mod organisations;
+mod places;
 mod policy;
 mod quarantine;
 mod relay;
--- /dev/null
+++ b/tests/gateway/places.rs
@@ -0,0 +1,332 @@
+//! Places at an endpoint that names a limit for all boxes together: who gives them out, how many, to whom, and for how long a
+//! word holds.
+
+use {
+  emulator::places::{PlaceFleet, PlacePattern, PlaceWay, replay_places},
+  rillford::gateway::{
+    ALONE_BOXES, EndpointBook, EndpointEntry, EndpointLimits, HeardLimit, LimitNews, LimitSource,
+    LocalPlace, NamedLimit, PlaceAccount, PlaceLedger, PlaceVerdict, PlaceWish, Wanted,
+    counted_limit, lone_limit,
+  },
+  rstest::rstest,
+};
+
+/// The users' window, and what they allow in it.
+const WINDOW_S: f64 = 4.0;
+const ALLOWED_FACTOR: f64 = 1.5;
+const ALLOWED_BESIDES: f64 = 5.0;
+/// The part of a limit that is to be used where enough requests come.
+const LEAST_USED: f64 = 0.9;
+
+fn entry(id: &str, born_ms: u64) -> EndpointEntry {
+  EndpointEntry {
+    address: "127.0.0.1:1".parse().unwrap(),
+    born_ms: Some(born_ms),
+    hall: "north".into(),
+    id: id.into(),
+    leaving: false,
+    role: None,
+    seats: 8,
+    service: "portal".into(),
+  }
+}
+
+fn wish(box_name: &str, priority: u8) -> PlaceWish {
+  PlaceWish {
+    box_name: box_name.into(),
+    places: 1,
+    priority,
+    unused: 0,
+  }
+}
+
+/// Whatever messages are late, lost or kept from the box that counts, the sum stays within the users' bound: the parts that all
+/// may give out do.
+#[rstest]
+fn parts_of_all_boxes_together_are_within_the_bound(
+  #[values(0.0, 0.05, 0.2, 0.7, 2.0, 2.4, 9.0, 25.0, 40.0, 150.0, 400.0, 5_000.0)] per_s: f64,
+) {
+  let counted = counted_limit(per_s);
+  let alone = lone_limit(per_s);
+  // A place may be used a quarter of a second after it was given.
+  let lasts_s = WINDOW_S + 0.25;
+  let of_counting = counted.rate_per_s * lasts_s + counted.burst;
+  let of_alone = ALONE_BOXES as f64 * (alone.rate_per_s * WINDOW_S + alone.burst);
+  let allowed = per_s * WINDOW_S * ALLOWED_FACTOR + ALLOWED_BESIDES;
+  let all = of_counting + of_alone;
+  // An endpoint that names next to nothing is asked now and then all the same: its word could not end else.
+  let allowed = if per_s < 0.2 { allowed + 1.3 } else { allowed };
+  assert!(all <= allowed, "{all} of {allowed}");
+}
+
+#[rstest]
+fn sum_over_boxes_is_kept_in_each_pattern(
+  #[values(3, 8, 30, 78)] boxes: usize,
+  #[values(0.0, 0.2, 2.0, 40.0)] limit_per_s: f64,
+  #[values(1, 2, 3)] seed: u64,
+) {
+  let fleet = PlaceFleet::pressed(boxes, limit_per_s);
+  for pattern in PlacePattern::ALL {
+    let figures = replay_places(pattern, fleet, PlaceWay::AskedAndTold, seed);
+    let most = f64::from(figures.most_in_window);
+    assert!(most <= fleet.allowed(), "{pattern:?}: {figures:?}");
+    if pattern.is_calm() && limit_per_s >= 2.0 {
+      assert!(figures.used_share >= LEAST_USED, "{pattern:?}: {figures:?}");
+    }
+  }
+}
+
+#[rstest]
+#[case::few_places(2.0)]
+#[case::many_places(400.0)]
+fn sum_over_hundreds_of_boxes_is_kept(#[case] limit_per_s: f64) {
+  let fleet = PlaceFleet::pressed(300, limit_per_s);
+  for pattern in [
+    PlacePattern::Even,
+    PlacePattern::OneBox,
+    PlacePattern::CountingEnds,
+  ] {
+    let figures = replay_places(pattern, fleet, PlaceWay::AskedAndTold, 1);
+    let most = f64::from(figures.most_in_window);
+    assert!(most <= fleet.allowed(), "{pattern:?}: {figures:?}");
+    if pattern.is_calm() {
+      assert!(figures.used_share >= LEAST_USED, "{pattern:?}: {figures:?}");
+      assert!(figures.used_share <= 1.0, "{pattern:?}: {figures:?}");
+    }
+  }
+}
+
+/// The other ways lose what the kept one was chosen for.
+#[test]
+fn unheeded_limit_and_even_parts_fail_where_the_kept_way_does_not() {
+  let fleet = PlaceFleet::pressed(8, 2.4);
+  let unheeded = replay_places(PlacePattern::Even, fleet, PlaceWay::Off, 1);
+  assert!(f64::from(unheeded.most_in_window) > fleet.allowed());
+  let parts = replay_places(PlacePattern::OneBox, fleet, PlaceWay::EvenParts, 1);
+  assert!(parts.used_share < 0.5, "{parts:?}");
+  let large = PlaceFleet::pressed(30, 2.0);
+  let of_seed = |seed| replay_places(PlacePattern::Even, large, PlaceWay::ToldSums, seed);
+  let most = (1..=4).map(|seed| of_seed(seed).most_in_window).max();
+  assert!(most.map(f64::from) > Some(large.allowed()), "{most:?}");
+  let untold = replay_places(
+    PlacePattern::Even,
+    PlaceFleet::pressed(300, 2.0),
+    PlaceWay::Asked,
+    1,
+  );
+  assert!(untold.used_share > ALLOWED_FACTOR, "{untold:?}");
+}
+
+#[test]
+fn account_begins_without_a_place_and_holds_few_after_a_pause() {
+  let limit = counted_limit(2.0);
+  let mut account = PlaceAccount::new(limit, 0);
+  assert!(matches!(
+    account.ask(&wish("a", 1), 0),
+    PlaceVerdict::Refused { .. }
+  ));
+  let mut granted = 0;
+  for _ in 0..20 {
+    if let PlaceVerdict::Granted(places) = account.ask(&wish("a", 1), 3_600_000) {
+      granted += places;
+    }
+  }
+  assert_eq!(granted, 3);
+}
+
+#[test]
+fn boxes_that_found_no_place_are_called_in_one_after_the_other() {
+  let mut account = PlaceAccount::new(counted_limit(2.0), 0);
+  let mut waits = Vec::new();
+  for number in 0..4 {
+    match account.ask(&wish(&format!("box-{number}"), 1), 0) {
+      PlaceVerdict::Refused { wait_ms } => waits.push(wait_ms),
+      PlaceVerdict::Granted(_) => panic!("a place from nowhere"),
+    }
+  }
+  assert!(waits.is_sorted_by(|one, other| one < other), "{waits:?}");
+  let again = account.ask(&wish("box-0", 1), 0);
+  assert_eq!(again, PlaceVerdict::Refused { wait_ms: waits[0] });
+}
+
+#[test]
+fn less_urgent_requests_leave_a_place_for_urgent_ones() {
+  let mut account = PlaceAccount::new(counted_limit(2.0), 0);
+  assert_eq!(account.ask(&wish("a", 0), 60_000), PlaceVerdict::Granted(1));
+  assert_eq!(account.ask(&wish("a", 5), 60_001), PlaceVerdict::Granted(1));
+  assert!(matches!(
+    account.ask(&wish("a", 5), 60_002),
+    PlaceVerdict::Refused { .. }
+  ));
+  assert_eq!(account.ask(&wish("b", 0), 60_003), PlaceVerdict::Granted(1));
+  // Once nobody urgent asks any more, the others get all.
+  assert_eq!(
+    account.ask(&wish("a", 5), 120_000),
+    PlaceVerdict::Granted(1)
+  );
+  assert_eq!(
+    account.ask(&wish("a", 5), 120_001),
+    PlaceVerdict::Granted(1)
+  );
+  assert_eq!(
+    account.ask(&wish("a", 5), 120_002),
+    PlaceVerdict::Granted(1)
+  );
+}
+
+#[test]
+fn figure_that_goes_up_and_down_brings_no_place() {
+  let (high, low) = (counted_limit(400.0), counted_limit(200.0));
+  let mut account = PlaceAccount::new(high, 0);
+  account.ask(&wish("a", 1), 10_000);
+  while let PlaceVerdict::Granted(_) = account.ask(&wish("a", 1), 10_000) {}
+  for _ in 0..50 {
+    account.set_limit(low, 10_000);
+    account.set_limit(high, 10_000);
+  }
+  assert!(matches!(
+    account.ask(&wish("a", 1), 10_000),
+    PlaceVerdict::Refused { .. }
+  ));
+}
+
+#[test]
+fn places_that_are_not_used_in_time_go_back() {
+  let mut ledger = PlaceLedger::default();
+  let id = "e-1".into();
+  for at_ms in 0..200 {
+    ledger.take(&id, at_ms);
+  }
+  let LocalPlace::Ask { places, unused: 0 } = ledger.take(&id, 200) else {
+    panic!("nothing was given yet");
+  };
+  assert!(places > 1);
+  assert!(ledger.note_verdict(&id, PlaceVerdict::Granted(3), 200));
+  assert_eq!(ledger.take(&id, 201), LocalPlace::Granted);
+  let LocalPlace::Ask { unused, .. } = ledger.take(&id, 1_000) else {
+    panic!("what was given is too old");
+  };
+  assert_eq!(unused, 1);
+}
+
+fn limits(entry: &EndpointEntry, per_s: f64, at_ms: u64) -> EndpointLimits {
+  let mut limits = EndpointLimits::default();
+  limits.note_answer(entry, NamedLimit::PerS(per_s), at_ms, at_ms);
+  limits
+}
+
+#[test]
+fn word_ends_with_the_first_later_answer_without_it() {
+  let entry = entry("e-1", 1);
+  let mut limits = limits(&entry, 2.0, 10_000);
+  // Sent before the word was heard: nobody knows which answer the endpoint gave first.
+  assert_eq!(
+    limits.note_answer(&entry, NamedLimit::Unsaid, 9_990, 12_000),
+    LimitNews::Nothing
+  );
+  // An endpoint that names it on and off names it.
+  assert_eq!(
+    limits.note_answer(&entry, NamedLimit::Unsaid, 10_100, 10_200),
+    LimitNews::Nothing
+  );
+  assert_eq!(
+    limits.note_answer(&entry, NamedLimit::Unreadable, 11_900, 12_000),
+    LimitNews::Nothing
+  );
+  assert_eq!(limits.per_s(&entry), Some(2.0));
+  assert_eq!(
+    limits.note_answer(&entry, NamedLimit::Unsaid, 11_900, 12_000),
+    LimitNews::Ends
+  );
+  assert_eq!(limits.per_s(&entry), None);
+}
+
+#[test]
+fn word_holds_over_silence_and_ends_with_the_life() {
+  let first = entry("e-1", 1);
+  let mut limits = limits(&first, 2.0, 10_000);
+  limits.forget_old(300_000);
+  assert_eq!(limits.per_s(&first), Some(2.0));
+  assert_eq!(limits.per_s(&entry("e-1", 2)), None);
+}
+
+#[test]
+fn of_answers_that_crossed_the_smaller_figure_holds() {
+  let entry = entry("e-1", 1);
+  let mut limits = limits(&entry, 2.0, 10_000);
+  limits.note_answer(&entry, NamedLimit::PerS(5.0), 9_990, 10_010);
+  assert_eq!(limits.per_s(&entry), Some(2.0));
+  limits.note_answer(&entry, NamedLimit::PerS(5.0), 10_020, 10_030);
+  assert_eq!(limits.per_s(&entry), Some(5.0));
+}
+
+#[test]
+fn newest_word_holds_whichever_box_heard_it() {
+  let entry = entry("e-1", 1);
+  let mut limits = limits(&entry, 2.0, 10_000);
+  let told = |per_s, heard_ms| HeardLimit {
+    heard_ms,
+    per_s,
+    source: LimitSource::Box,
+  };
+  let older = limits.note_told(&entry.id, entry.born_ms, told(Some(9.0), 9_000));
+  assert_eq!(older, LimitNews::Nothing);
+  let newer = limits.note_told(&entry.id, entry.born_ms, told(Some(3.0), 11_000));
+  assert_eq!(newer, LimitNews::Changes(2.0));
+  assert_eq!(limits.per_s(&entry), Some(3.0));
+  let ended = limits.note_told(&entry.id, entry.born_ms, told(None, 12_000));
+  assert_eq!(ended, LimitNews::Ends);
+  assert_eq!(limits.per_s(&entry), None);
+}
+
+/// An endpoint without a place is not chosen, though it looks the least busy; when none has one, callers are told when the first has.
+#[test]
+fn endpoint_without_a_place_is_passed_by() {
+  let mut book = EndpointBook::default();
+  let (one, other) = (entry("a", 1), entry("b", 1));
+  book.put(one.clone());
+  book.put(other.clone());
+  for _ in 0..5 {
+    book.sent("b", 1);
+  }
+  let chosen = |book: &EndpointBook, now_ms| {
+    let wanted = Wanted {
+      hall: "north",
+      may_repeat: false,
+      role: None,
+      service: "portal",
+      size: 1,
+      tried: &[],
+    };
+    let choice = book.choose(wanted, now_ms, || 0.5);
+    choice.map(|choice| choice.entry.id.to_string())
+  };
+  book.note_limit(&one, NamedLimit::PerS(2.0), 1_000, 1_000);
+  assert_eq!(chosen(&book, 1_000), Some("a".into()));
+  let refused = PlaceVerdict::Refused { wait_ms: 400 };
+  book
+    .limits_mut()
+    .places()
+    .note_verdict(&one.id, refused, 1_000);
+  assert_eq!(chosen(&book, 1_100), Some("b".into()));
+  assert_eq!(book.reopens_in_ms("portal", 1_100), None);
+  book.note_limit(&other, NamedLimit::PerS(2.0), 1_000, 1_000);
+  let refused = PlaceVerdict::Refused { wait_ms: 900 };
+  book
+    .limits_mut()
+    .places()
+    .note_verdict(&other.id, refused, 1_000);
+  assert_eq!(chosen(&book, 1_100), None);
+  assert_eq!(book.reopens_in_ms("portal", 1_100), Some(300));
+  assert_eq!(chosen(&book, 1_400), Some("a".into()));
+}
+
+#[test]
+fn book_that_ignores_limits_chooses_as_before() {
+  let mut book = EndpointBook::default().ignoring_limits();
+  let one = entry("a", 1);
+  book.put(one.clone());
+  book.note_limit(&one, NamedLimit::PerS(0.0), 1_000, 1_000);
+  assert!(!book.limits().are_heeded());
+  assert_eq!(book.limits().per_s(&one), None);
+}
