--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -174,17 +174,23 @@
     request
   }
 
-  /// Notes whose answer says that its endpoint leaves.
-  fn note_leaving(&self, headers: &HeaderMap) {
-    if let (Some(incarnation), true) = (receipt(headers), headers.contains_key("server-leaving")) {
+  /// Notes whose answer says that its endpoint leaves, or names a limit.
+  fn note_words(&self, headers: &HeaderMap) {
+    let Some(incarnation) = receipt(headers) else {
+      return;
+    };
+    if headers.contains_key("server-leaving") {
       self.fleet.ledger.told_leaving(self.box_index, incarnation);
     }
+    if headers.contains_key("server-limit") {
+      self.fleet.ledger.told_limit(self.box_index, incarnation);
+    }
   }
 
   async fn answer(&self, request: Request<Full<Bytes>>) -> (Outcome, bool) {
     match self.client.send(request).await {
       Ok(response) => {
-        self.note_leaving(response.headers());
+        self.note_words(response.headers());
         read(response).await
       }
       Err(_) => (
--- a/soak/src/conductor.rs
+++ b/soak/src/conductor.rs
@@ -74,6 +74,14 @@
       Some(incarnation) => leave(fleet, place, incarnation).await,
       None => Ok(()),
     },
+    Fault::EndpointLimited {
+      place,
+      per_s,
+      for_ms,
+    } => {
+      limit_endpoint(fleet, place, per_s, for_ms).await;
+      Ok(())
+    }
     Fault::Endpoint {
       place,
       fault,
@@ -104,6 +112,20 @@
   fleet.with_endpoint(place, |endpoint| endpoint.set_fault(None));
 }
 
+/// The endpoint names a limit for a while, unless it ends before.
+async fn limit_endpoint(fleet: &Fleet, place: usize, per_s: u32, for_ms: u64) {
+  let Some(incarnation) = fleet.incarnation(place) else {
+    return;
+  };
+  fleet.with_endpoint(place, |endpoint| endpoint.set_limit(Some(per_s)));
+  sleep(Duration::from_millis(for_ms)).await;
+  fleet.with_endpoint(place, |endpoint| {
+    if endpoint.incarnation == incarnation {
+      endpoint.set_limit(None);
+    }
+  });
+}
+
 async fn disturb_store(fleet: &Fleet, fault: StoreFault, lasts: Duration) {
   let store = &fleet.store;
   let _disturbed = fleet.ledger.disturb(Target::Store);
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -104,6 +104,15 @@
     self.state().leaving = true;
   }
 
+  /// From now on all of its answers name this limit, or none.
+  pub(crate) fn set_limit(&self, per_s: Option<u32>) {
+    match per_s {
+      Some(per_s) => self.ledger.names_limit(&self.incarnation, per_s),
+      None => self.ledger.names_no_limit(&self.incarnation),
+    }
+    self.state().limit_per_s = per_s;
+  }
+
   /// Drops the prompts that it keeps.
   pub(crate) fn drop_exports(&self) {
     self.exports.drop_all_of(self.shown);
@@ -142,16 +151,22 @@
     held
   }
 
-  /// Answers a call of a box, or a request that it passes on; says in each answer that it leaves, if it does.
+  /// Answers a call of a box, or a request that it passes on; says in each answer that it leaves, if it does, and its limit.
   pub(crate) async fn answer(
     self: Arc<Self>,
     request: Request<Incoming>,
   ) -> io::Result<Response<ReplyBody>> {
     let mut response = self.clone().answer_as_usual(request).await?;
-    if self.state().leaving {
+    let state = self.state();
+    if state.leaving {
       let says = HeaderValue::from_static("1");
       response.headers_mut().insert("server-leaving", says);
     }
+    if let Some(per_s) = state.limit_per_s {
+      let says = HeaderValue::from(per_s);
+      response.headers_mut().insert("server-limit", says);
+    }
+    drop(state);
     Ok(response)
   }
 
--- a/soak/src/endpoint_state.rs
+++ b/soak/src/endpoint_state.rs
@@ -23,6 +23,8 @@
   pub(crate) fault: Option<EndpointFault>,
   /// Whether all of its answers say that it leaves.
   pub(crate) leaving: bool,
+  /// The limit that all of its answers name.
+  pub(crate) limit_per_s: Option<u32>,
 }
 
 impl EndpointState {
@@ -32,6 +34,7 @@
       holds: HashMap::new(),
       last_number: 0,
       leaving: false,
+      limit_per_s: None,
       orders_taken: 0,
       part,
       running: 0,
--- a/soak/src/fault.rs
+++ b/soak/src/fault.rs
@@ -137,6 +137,15 @@
     /// The endpoint's place.
     place: usize,
   },
+  /// An endpoint names a limit for all boxes together.
+  EndpointLimited {
+    /// Its place.
+    place: usize,
+    /// Requests a second.
+    per_s: u32,
+    /// For how long.
+    for_ms: u64,
+  },
   /// An endpoint misbehaves.
   Endpoint {
     /// The endpoint's place.
--- a/soak/src/ledger.rs
+++ b/soak/src/ledger.rs
@@ -4,7 +4,9 @@
   super::{
     caller_key::CallerKey,
     disturbance::{Disturbance, Target},
-    records::{Outcome, Records, RequestRecord, Run, Start, ToldLeaving, TurnedAway},
+    records::{
+      NamedLimit, Outcome, Records, RequestRecord, Run, Start, ToldLeaving, ToldLimit, TurnedAway,
+    },
     request_kind::RequestKind,
   },
   std::{
@@ -74,6 +76,37 @@
     self.records().told_leaving.push(told);
   }
 
+  /// A caller has an answer of an endpoint that names a limit.
+  pub(crate) fn told_limit(&self, box_index: usize, incarnation: &str) {
+    let told = ToldLimit {
+      at_ms: self.now_ms(),
+      box_index,
+      incarnation: incarnation.into(),
+    };
+    self.records().told_limits.push(told);
+  }
+
+  /// An endpoint names a limit from now on.
+  pub(crate) fn names_limit(&self, incarnation: &str, per_s: u32) {
+    let named = NamedLimit {
+      from_ms: self.now_ms(),
+      incarnation: incarnation.into(),
+      per_s,
+      until_ms: None,
+    };
+    self.records().named_limits.push(named);
+  }
+
+  /// An endpoint names none any more.
+  pub(crate) fn names_no_limit(&self, incarnation: &str) {
+    let now_ms = self.now_ms();
+    let mut records = self.records();
+    let named = records.named_limits.iter_mut();
+    for named in named.filter(|named| named.incarnation == incarnation) {
+      named.until_ms.get_or_insert(now_ms);
+    }
+  }
+
   /// An endpoint turns a request away, and wants none for a while.
   pub(crate) fn turned_away(&self, id: &str, incarnation: &str, pause_ms: u64) {
     let turned_away = TurnedAway {
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -19,6 +19,7 @@
 mod fault;
 mod fleet;
 mod ledger;
+mod limit_check;
 mod link;
 mod notice_check;
 mod organisation_check;
@@ -48,8 +49,8 @@
   promise::Promise,
   promises::breaches,
   records::{
-    OrderRecord, Outcome, PlannedStop, Probe, Records, RequestRecord, Run, Start, ToldLeaving,
-    TurnedAway,
+    NamedLimit, OrderRecord, Outcome, PlannedStop, Probe, Records, RequestRecord, Run, Start,
+    ToldLeaving, ToldLimit, TurnedAway,
   },
   request_kind::RequestKind,
   subcommand::run,
--- /dev/null
+++ b/soak/src/limit_check.rs
@@ -0,0 +1,82 @@
+//! The promise on limits that endpoints name for all boxes together.
+
+use super::{
+  breach::Breach,
+  calm::CONTACT_MS,
+  promise::Promise,
+  records::{NamedLimit, Records, ToldLimit},
+};
+
+/// The users' bounds: from so long after a box was told what it sends counts; in a window so many times the limit, and so many
+/// requests besides.
+const HEARD_MS: u64 = 500;
+const WINDOW_MS: u64 = 4_000;
+const ALLOWED_FACTOR: f64 = 1.5;
+const ALLOWED_BESIDES: f64 = 5.0;
+
+/// What boxes together sent beyond a limit that they had been told. A box that was struck since is excused.
+pub(crate) fn limit_breaches(records: &Records, slack_ms: u64) -> Vec<Breach> {
+  let named = records.named_limits.iter();
+  named
+    .filter_map(|named| beyond_limit(records, named, slack_ms))
+    .collect()
+}
+
+fn beyond_limit(records: &Records, named: &NamedLimit, slack_ms: u64) -> Option<Breach> {
+  let until_ms = named.until_ms.unwrap_or(u64::MAX);
+  let told = first_words(records, named, until_ms);
+  let first_ms = told.iter().map(|told| told.at_ms).min()?;
+  let counts_from_ms = first_ms + CONTACT_MS + slack_ms;
+  let mut counted: Vec<u64> = Vec::new();
+  for request in records.requests.values() {
+    let Some(word) = told.iter().find(|told| told.box_index == request.box_index) else {
+      continue;
+    };
+    let from_ms = counts_from_ms.max(word.at_ms + HEARD_MS + slack_ms);
+    let runs = request.runs.iter().filter(|run| {
+      run.incarnation == named.incarnation
+        && (from_ms..until_ms).contains(&run.began_ms)
+        && records.is_same_life(&run.incarnation, named.from_ms, run.began_ms)
+        && records.is_box_calm(request.box_index, word.at_ms, run.began_ms)
+    });
+    counted.extend(runs.map(|run| run.began_ms));
+  }
+  counted.sort_unstable();
+  let allowed =
+    f64::from(named.per_s) * WINDOW_MS as f64 / 1_000.0 * ALLOWED_FACTOR + ALLOWED_BESIDES;
+  let within = |from_ms: u64| {
+    let after = counted.partition_point(|at_ms| *at_ms < from_ms + WINDOW_MS);
+    after - counted.partition_point(|at_ms| *at_ms < from_ms)
+  };
+  let most_from_ms = counted
+    .iter()
+    .copied()
+    .max_by_key(|from_ms| within(*from_ms))?;
+  let most = within(most_from_ms);
+  if most as f64 <= allowed {
+    return None;
+  }
+  let seen = format!(
+    "{} had named {} a second at {} ms, and got {most} requests in 4 s from {most_from_ms} ms on",
+    named.incarnation, named.per_s, named.from_ms
+  );
+  Some(Breach::new(Promise::EndpointLimitKept, seen))
+}
+
+/// When each box was first told of a limit.
+fn first_words(records: &Records, named: &NamedLimit, until_ms: u64) -> Vec<ToldLimit> {
+  let mut first: Vec<ToldLimit> = Vec::new();
+  let of_limit = records.told_limits.iter().filter(|told| {
+    told.incarnation == named.incarnation && (named.from_ms..until_ms).contains(&told.at_ms)
+  });
+  for told in of_limit {
+    match first
+      .iter_mut()
+      .find(|known| known.box_index == told.box_index)
+    {
+      Some(known) => known.at_ms = known.at_ms.min(told.at_ms),
+      None => first.push(told.clone()),
+    }
+  }
+  first
+}
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -14,6 +14,13 @@
 const SHEDS_MS: (u64, u64) = (2_000, 6_000);
 /// Such endpoints come so many times more rarely than all else.
 const NOTICES_RARER: u64 = 4;
+/// How long an endpoint names a limit, and which: it holds from three seconds on.
+const LIMITED_MS: (u64, u64) = (6_000, 10_000);
+const LIMITS_PER_S: std::ops::Range<u32> = 0..6;
+/// Such endpoints come so many times more rarely than all else.
+const LIMITS_RARER: u64 = 5;
+/// Their draws are those of another seed.
+const LIMITS_ROTATION: u32 = 17;
 /// Added latency of a delayed link, and of a slow store.
 const DELAY_MS: (u64, u64) = (20, 800);
 /// Chance that a fault is soon followed by another on the same box: signals come in series and overlap.
@@ -71,6 +78,7 @@
     at_ms += draw.pause_ms();
   }
   steps.extend(draw_notices(seed, size));
+  steps.extend(draw_limits(seed, size));
   steps.sort_by_key(|step| step.at_ms);
   steps
 }
@@ -100,6 +108,26 @@
   steps
 }
 
+/// Draws endpoints that name limits, apart from all others.
+fn draw_limits(seed: u64, size: Size) -> Vec<Step> {
+  let mut draw = Draw {
+    random: ChaCha8Rng::seed_from_u64(seed.rotate_left(LIMITS_ROTATION)),
+    size,
+  };
+  let mut steps = Vec::new();
+  let mut at_ms = draw.pause_ms();
+  while at_ms < size.faults_ms {
+    let fault = Fault::EndpointLimited {
+      for_ms: draw.between(LIMITED_MS),
+      per_s: draw.random.random_range(LIMITS_PER_S),
+      place: draw.random.random_range(0..size.places),
+    };
+    steps.push(Step { at_ms, fault });
+    at_ms += LIMITS_RARER * draw.pause_ms();
+  }
+  steps
+}
+
 /// The box whose process a fault strikes.
 fn box_of(fault: Fault) -> Option<usize> {
   match fault {
--- a/soak/src/records.rs
+++ b/soak/src/records.rs
@@ -101,6 +101,30 @@
   pub at_ms: u64,
 }
 
+/// A limit that an endpoint names in all of its answers.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct NamedLimit {
+  /// The endpoint's incarnation.
+  pub incarnation: String,
+  /// Requests a second that it takes of all boxes together.
+  pub per_s: u32,
+  /// From when on.
+  pub from_ms: u64,
+  /// Until when; nothing while it does.
+  pub until_ms: Option<u64>,
+}
+
+/// An answer that told a box, and through it a caller, its endpoint's limit.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ToldLimit {
+  /// The box.
+  pub box_index: usize,
+  /// The endpoint's incarnation.
+  pub incarnation: String,
+  /// When the caller had it.
+  pub at_ms: u64,
+}
+
 /// A request that an endpoint turned away, with the wish for a pause.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct TurnedAway {
@@ -157,6 +181,10 @@
   pub leaving: BTreeMap<String, u64>,
   /// Answers of endpoints that leave.
   pub told_leaving: Vec<ToldLeaving>,
+  /// Limits that endpoints name.
+  pub named_limits: Vec<NamedLimit>,
+  /// Answers that told of them.
+  pub told_limits: Vec<ToldLimit>,
   /// Requests that were turned away with the wish for a pause.
   pub turned_away: Vec<TurnedAway>,
   /// Starts of endpoints.
--- a/tests/soak_promises.rs
+++ b/tests/soak_promises.rs
@@ -3,8 +3,8 @@
 use {
   rstest::rstest,
   soak::{
-    CallerKey, Disturbance, OrderRecord, Outcome, PlannedStop, Probe, Promise, Records,
-    RequestKind, RequestRecord, Run, Start, Target, ToldLeaving, TurnedAway, breaches,
+    CallerKey, Disturbance, NamedLimit, OrderRecord, Outcome, PlannedStop, Probe, Promise, Records,
+    RequestKind, RequestRecord, Run, Start, Target, ToldLeaving, ToldLimit, TurnedAway, breaches,
   },
 };
 
@@ -529,3 +529,50 @@
   with_run.requests.insert("r".into(), served);
   assert_eq!(found(&with_run), [Promise::PauseKept]);
 }
+
+/// An endpoint that named a limit of 2 a second at 10 s, and got a request each `pause_ms` from then on, by two boxes in turn.
+fn requests_at_limited(pause_ms: u64) -> Records {
+  let mut records = Records::default();
+  records.versions.insert(1, 0);
+  records.named_limits.push(NamedLimit {
+    from_ms: 10_000,
+    incarnation: "i-0".into(),
+    per_s: 2,
+    until_ms: Some(25_000),
+  });
+  for box_index in 0..2 {
+    records.told_limits.push(ToldLimit {
+      at_ms: 10_100,
+      box_index,
+      incarnation: "i-0".into(),
+    });
+  }
+  for number in 0..15_000 / pause_ms {
+    let began_ms = 10_000 + number * pause_ms;
+    let run = run(0, began_ms, Some(began_ms + 5));
+    let mut sent = request(RequestKind::Unrepeatable, Outcome::Left, vec![run]);
+    sent.box_index = usize::from(number.is_multiple_of(2));
+    records.requests.insert(format!("l{number}"), sent);
+  }
+  records
+}
+
+#[test]
+fn sum_over_boxes_beyond_an_endpoints_limit_is_found() {
+  assert_eq!(found(&requests_at_limited(240)), []);
+  let beyond = requests_at_limited(220);
+  assert_eq!(found(&beyond), [Promise::EndpointLimitKept]);
+  let mut one_was_not_told = beyond.clone();
+  one_was_not_told.told_limits.pop();
+  assert_eq!(found(&one_was_not_told), []);
+  let mut one_stood_still = beyond.clone();
+  one_stood_still.disturbances.push(Disturbance {
+    from_ms: 12_000,
+    target: Target::Box(0),
+    until_ms: Some(12_500),
+  });
+  assert_eq!(found(&one_stood_still), []);
+  let mut ended = beyond;
+  ended.named_limits[0].until_ms = Some(15_000);
+  assert_eq!(found(&ended), []);
+}
