Limits of endpoints: bad input, engines, what callers are told, how they end; rillford limits shows them

What they found: 1e308 kept everybody out until a first place was counted (from a million a second on a figure is no limit); a box that came back at its turn for the lowest limit was sent behind (the longest wait is one place of it).

--- a/src/gateway/decisions/endpoint_limit.rs
+++ b/src/gateway/decisions/endpoint_limit.rs
@@ -12,8 +12,6 @@
 /// The least that is given out, in requests a second: an endpoint that gets nothing says nothing, and one that named 0 by mistake
 /// would never be asked again.
 const LEAST_PER_S: f64 = 0.2;
-/// The most: a figure beyond it is no limit.
-const MOST_PER_S: f64 = 1e6;
 /// Places that may be there at once: one for the request at hand, one kept for an urgent one, one for what comes unevenly.
 const BURST: f64 = 3.0;
 /// The same for high limits: one, and what comes in so long.
@@ -31,7 +29,7 @@
 /// assert_eq!(counted_limit(0.0).rate_per_s, counted_limit(0.2).rate_per_s);
 /// ```
 pub fn counted_limit(per_s: f64) -> UseLimit {
-  let kept_per_s = per_s.clamp(LEAST_PER_S, MOST_PER_S);
+  let kept_per_s = per_s.max(LEAST_PER_S);
   UseLimit {
     burst: BURST.max(1.0 + kept_per_s * BURST_S),
     rate_per_s: kept_per_s * KEPT_SHARE,
--- a/src/gateway/decisions/endpoint_limits.rs
+++ b/src/gateway/decisions/endpoint_limits.rs
@@ -11,6 +11,9 @@
   },
 };
 
+/// From this figure on, in requests a second, it is no limit.
+const NO_LIMIT_PER_S: f64 = 1e6;
+
 /// Endpoints' words and this box's places.
 #[derive(Debug, Default)]
 pub struct EndpointLimits {
@@ -39,7 +42,10 @@
     if self.is_ignoring {
       return None;
     }
-    self.words.per_s(entry)
+    self
+      .words
+      .per_s(entry)
+      .filter(|per_s| *per_s < NO_LIMIT_PER_S)
   }
 
   /// A life's newest word, if it has named a limit.
--- a/src/gateway/decisions/place_account.rs
+++ b/src/gateway/decisions/place_account.rs
@@ -14,8 +14,8 @@
 const TURNS_PER_PLACE: f64 = 1.2;
 /// Who wants many places gets as many as come in this time, or none yet: else it would ask for each of them.
 const GRAIN_S: f64 = 0.1;
-/// The longest time until a box may ask again: by then the endpoint may have named another figure.
-const MOST_WAIT_MS: u64 = 5_000;
+/// The longest time until a box may ask again: a place of the lowest limit comes in it.
+const MOST_WAIT_MS: u64 = 6_000;
 /// The shortest: a place may come back sooner than it is counted.
 const LEAST_WAIT_MS: u64 = 10;
 /// Places that less urgent requests leave for more urgent ones.
--- a/src/subcommand/limits.rs
+++ b/src/subcommand/limits.rs
@@ -1,4 +1,4 @@
-//! Shows what is left of organisations' limits.
+//! Shows what is left of organisations' limits, and the limits that endpoints name.
 
 use {
   crate::{Error, HttpClient, Result},
@@ -13,6 +13,9 @@
 /// What a line on an organisation begins with in a box's figures.
 const LINE_START: &str = "rillford_limit_left_units{organisation=\"";
 
+/// What a line on an endpoint begins with there.
+const ENDPOINT_LINE_START: &str = "rillford_endpoint_limit_per_s{endpoint=\"";
+
 /// Which box to ask.
 #[derive(Clone, Debug, Bpaf)]
 pub(crate) struct ShowLimits {
@@ -22,24 +25,17 @@
 }
 
 impl ShowLimits {
-  /// Prints a line for each organisation, the one nearest to its limit first.
+  /// Prints a line for each organisation, the one nearest to its limit first, and for each endpoint that names a limit, the lowest
+  /// first.
   pub(crate) fn run(self) -> Result {
     let figures = self.figures()?;
-    let rows: Vec<LimitRow> = figures.lines().filter_map(LimitRow::parse).collect();
-    if rows.is_empty() {
-      println!("this box counts no organisation's use");
-      return Ok(());
-    }
-    println!(
-      "{:<32} {:>14} {:>14} {:>14}",
-      "organisation", "left", "burst", "rate a second"
+    print_organisations(figures.lines().filter_map(LimitRow::parse).collect());
+    print_endpoints(
+      figures
+        .lines()
+        .filter_map(EndpointLimitRow::parse)
+        .collect(),
     );
-    for row in rows {
-      println!(
-        "{:<32} {:>14} {:>14} {:>14}",
-        row.organisation, row.left, row.burst, row.rate_per_s
-      );
-    }
     Ok(())
   }
 
@@ -63,6 +59,39 @@
   }
 }
 
+fn print_organisations(rows: Vec<LimitRow>) {
+  if rows.is_empty() {
+    println!("this box counts no organisation's use");
+    return;
+  }
+  println!(
+    "{:<32} {:>14} {:>14} {:>14}",
+    "organisation", "left", "burst", "rate a second"
+  );
+  for row in rows {
+    println!(
+      "{:<32} {:>14} {:>14} {:>14}",
+      row.organisation, row.left, row.burst, row.rate_per_s
+    );
+  }
+}
+
+fn print_endpoints(rows: Vec<EndpointLimitRow>) {
+  if rows.is_empty() {
+    return;
+  }
+  println!(
+    "{:<32} {:>14} {:>14} {:>14}",
+    "endpoint", "rate a second", "heard by", "ms ago"
+  );
+  for row in rows {
+    println!(
+      "{:<32} {:>14} {:>14} {:>14}",
+      row.endpoint, row.per_s, row.heard_by, row.age_ms
+    );
+  }
+}
+
 /// One organisation in a box's figures.
 #[derive(Debug, Eq, PartialEq)]
 struct LimitRow<'a> {
@@ -86,3 +115,27 @@
     })
   }
 }
+
+/// One endpoint that names a limit in a box's figures.
+#[derive(Debug, Eq, PartialEq)]
+struct EndpointLimitRow<'a> {
+  endpoint: &'a str,
+  heard_by: &'a str,
+  age_ms: &'a str,
+  per_s: &'a str,
+}
+
+impl<'a> EndpointLimitRow<'a> {
+  fn parse(line: &'a str) -> Option<Self> {
+    let rest = line.strip_prefix(ENDPOINT_LINE_START)?;
+    let (endpoint, rest) = rest.split_once("\",heard_by=\"")?;
+    let (heard_by, rest) = rest.split_once("\",age_ms=\"")?;
+    let (age_ms, per_s) = rest.split_once("\"} ")?;
+    Some(Self {
+      age_ms,
+      endpoint,
+      heard_by,
+      per_s,
+    })
+  }
+}
--- a/tests/gateway/endpoint.rs
+++ b/tests/gateway/endpoint.rs
@@ -200,7 +200,7 @@
 }
 
 /// The same answer with one more header.
-fn with_header(reply: Reply, header: &str) -> Reply {
+pub(crate) fn with_header(reply: Reply, header: &str) -> Reply {
   let marked = |text: String| text.replacen("\r\n", &format!("\r\n{header}\r\n"), 1);
   match reply {
     Reply::Write(text) => Reply::Write(marked(text)),
