--- a/src/gateway/decisions/pause_turn.rs
+++ b/src/gateway/decisions/pause_turn.rs
@@ -3,9 +3,8 @@
 //! Load pattern: an endpoint that is full turns away one request of each of hundreds of boxes within a second, and asks all of them for
 //! the same pause. They would come back as one, find it full, and be sent away again.
 
-/// Each box comes back so much later than the one before, at the mean. Callers served when all endpoints ask for the same pause: 0.950
-/// instead of 0.941 with 300 boxes before 3 endpoints, 0.786 instead of 0.722 with 30; when callers press on 78 boxes before 6:
-/// 0.794 instead of 0.752 (replay, mean of four seeds). With 8 boxes at a usual load it changes nothing.
+/// Each box comes back so much later than the one before, at the mean: hundreds of boxes that come as one find the endpoint full and
+/// are sent away again, and more callers are refused.
 const TURN_MS: f64 = 5.0;
 
 /// The pause that one of so many boxes keeps; `draw` from 0 to 1 spreads them, over no longer than the pause itself.
--- a/src/gateway/decisions/place_account.rs
+++ b/src/gateway/decisions/place_account.rs
@@ -98,7 +98,12 @@
     self.asked_ms = now_ms;
     self.bucket.left(self.limit, now_ms);
     self.bucket.charge(self.limit, -f64::from(wish.unused));
-    let grain = self.grain(wish.places);
+    // Who comes at its turn takes what is there: sent behind again, it would leave places idle.
+    let grain = if self.takes_turn(&wish.box_name, now_ms) {
+      1.0
+    } else {
+      self.grain(wish.places)
+    };
     let wanted = grain + self.kept_for_others(wish.priority, now_ms);
     let left = self.bucket.left(self.limit, now_ms);
     if left < wanted {
@@ -148,11 +153,25 @@
     }
   }
 
+  /// Whether it is a box's turn, or was and it has not asked since.
+  fn takes_turn(&mut self, box_name: &Name, now_ms: u64) -> bool {
+    let had_turn = self
+      .turns_ms
+      .get(box_name)
+      .is_some_and(|turn_ms| *turn_ms <= now_ms);
+    if had_turn {
+      self.turns_ms.remove(box_name);
+    }
+    had_turn
+  }
+
   /// The turn of a box that found no place: how long it is until then. Of several requests of one box each has the same.
   fn turn_ms(&mut self, box_name: &Name, places: f64, now_ms: u64) -> u64 {
-    self.turns_ms.retain(|_, turn_ms| now_ms < *turn_ms);
+    self
+      .turns_ms
+      .retain(|_, turn_ms| now_ms < *turn_ms + MOST_WAIT_MS);
     if let Some(turn_ms) = self.turns_ms.get(box_name) {
-      return turn_ms - now_ms;
+      return turn_ms.saturating_sub(now_ms);
     }
     let gap_ms = places * 1_000.0 / (self.limit.rate_per_s * TURNS_PER_PLACE);
     let turn_ms = self.last_turn_ms.max(now_ms) + gap_ms as u64;
--- a/src/gateway/decisions/quarantine_book.rs
+++ b/src/gateway/decisions/quarantine_book.rs
@@ -22,9 +22,8 @@
 
 /// Lives of endpoints that end with a request before it is held.
 const MOST_ENDS: usize = 3;
-/// Pauses before the trials. The first comes at once: it frees the innocent (where four bodies are all that is asked for and a rack
-/// goes three times, 0.92 of the callers are served instead of 0.89 without trials; the same replay). The second comes after the
-/// endpoints that the request ended are back and have served others for some seconds.
+/// Pauses before the trials. The first comes at once: it frees the innocent, whose endpoints went for another reason. The second
+/// comes after the endpoints that the request ended are back and have served others for some seconds.
 const TRIAL_PAUSES_MS: [u64; 2] = [0, 15_000];
 /// How long something is kept that nobody asks for.
 const KEPT_MS: u64 = 600_000;
--- a/src/gateway/decisions/quarantine_way.rs
+++ b/src/gateway/decisions/quarantine_way.rs
@@ -10,8 +10,8 @@
   Off,
   /// Each box keeps what it has seen itself.
   OwnBox,
-  /// Boxes share what they have seen by the store: one body ends 5 engines in a minute instead of 111 (off) or 37 (own box), and 0.92
-  /// of the other callers are served instead of 0.02 or 0.67 (replay of 8 boxes before 7 engines, mean of 8 seeds).
+  /// Boxes share what they have seen by the store: a request that comes again at other boxes ends few endpoints more, and nearly all
+  /// other callers are served.
   #[default]
   Shared,
 }
--- a/src/gateway/parts/request.rs
+++ b/src/gateway/parts/request.rs
@@ -24,8 +24,7 @@
 /// mean, and grow while others end.
 const EXPECTED_ANSWER_SHARE: f64 = 0.5;
 /// Part of the caller's estimate that is reserved. Half is what a stream holds on the mean over its life, but engines that are
-/// short of memory preempt then, and read prompts anew: 0.8 instead of 0.45 raises worth there by 0.020 (mean of five days,
-/// three scores beside two).
+/// short of memory preempt then, and read prompts anew.
 const ESTIMATE_SHARE: f64 = 0.8;
 /// Part of the longest answer that is reserved besides an estimate: estimates are right at the median, and often far off.
 const BESIDES_ESTIMATE_SHARE: f64 = 0.1;
--- a/src/gateway/settings/document.rs
+++ b/src/gateway/settings/document.rs
@@ -115,7 +115,7 @@
 #[serde(rename_all = "snake_case")]
 pub enum EngineMarks {
   /// The route's. Organisations' priorities order each box's queue alone: where their streams share engines whose memory is
-  /// short, marks by organisation double the preemptions, and worth falls by 0.027 (mean of five days, one play each way).
+  /// short, marks by organisation double the preemptions.
   #[default]
   Route,
   /// The organisation's, where it has one.
--- a/tests/gateway/places.rs
+++ b/tests/gateway/places.rs
@@ -4,9 +4,9 @@
 use {
   emulator::places::{PlaceFleet, PlacePattern, PlaceWay, replay_places},
   rillford::gateway::{
-    ALONE_BOXES, EndpointBook, EndpointEntry, EndpointLimits, HeardLimit, LimitNews, LimitSource,
-    LocalPlace, NamedLimit, PlaceAccount, PlaceLedger, PlaceVerdict, PlaceWish, Wanted,
-    counted_limit, lone_limit,
+    ALONE_BOXES, BoxEntry, BoxList, EndpointBook, EndpointEntry, EndpointLimits, HeardLimit,
+    LimitNews, LimitSource, LocalPlace, NamedLimit, PlaceAccount, PlaceLedger, PlaceVerdict,
+    PlaceWish, Wanted, counted_limit, endpoint_order, lone_limit,
   },
   rstest::rstest,
 };
@@ -330,3 +330,43 @@
   assert!(!book.limits().are_heeded());
   assert_eq!(book.limits().per_s(&one), None);
 }
+
+fn box_list(boxes: usize, without: Option<usize>) -> BoxList {
+  let mut list = BoxList::default();
+  for number in (0..boxes).filter(|number| Some(*number) != without) {
+    let entry = BoxEntry {
+      address: "127.0.0.1:1".parse().unwrap(),
+      hall: format!("hall-{}", number % 3).as_str().into(),
+    };
+    list.put(format!("box-{number:03}").as_str().into(), entry);
+  }
+  list
+}
+
+/// The boxes of an endpoint's hall count its requests, all of them in turn, and a box that goes changes that for its endpoints alone.
+#[test]
+fn boxes_of_an_endpoints_hall_share_the_counting() {
+  let first = |list: &BoxList, number: usize| {
+    let order = endpoint_order(list, &format!("e-{number}"), "hall-1", 1);
+    order[0].0.to_string()
+  };
+  let all = box_list(30, None);
+  let counting: Vec<String> = (0..400).map(|number| first(&all, number)).collect();
+  let of_hall: Vec<String> = (0..30)
+    .filter(|number| number % 3 == 1)
+    .map(|number| format!("box-{number:03}"))
+    .collect();
+  assert!(counting.iter().all(|name| of_hall.contains(name)));
+  for name in &of_hall {
+    let endpoints = counting.iter().filter(|counting| *counting == name).count();
+    assert!((20..=60).contains(&endpoints), "{name}: {endpoints}");
+  }
+  let fewer = box_list(30, Some(4));
+  for (number, before) in counting.iter().enumerate() {
+    let now = first(&fewer, number);
+    assert!(
+      now == *before || before == "box-004",
+      "{number}: {before}, {now}"
+    );
+  }
+}
