The soak closes a limit when its endpoint names another one

The endpoint names one figure at a time, and so does the record now; the check and its bound are as they were.

--- a/soak/src/ledger.rs
+++ b/soak/src/ledger.rs
@@ -86,8 +86,9 @@
     self.records().told_limits.push(told);
   }
 
-  /// An endpoint names a limit from now on.
+  /// An endpoint names a limit from now on, and the one that it named before no more.
   pub(crate) fn names_limit(&self, incarnation: &str, per_s: u32) {
+    self.names_no_limit(incarnation);
     let named = NamedLimit {
       from_ms: self.now_ms(),
       incarnation: incarnation.into(),
