Messages between boxes are sent, read and answered in one place

Counts, marks of held requests, places, limits and changes each had their own code for it: four readers, three senders, five answers of the same shape.

--- a/src/gateway/limits/messages.rs
+++ b/src/gateway/limits/messages.rs
@@ -4,6 +4,7 @@
   crate::{
     CallError, HttpClient,
     gateway::{
+      connections::{message_answer, read_message, send_message, status_answer},
       decisions::{UseTotals, UseVerdict},
       state::Gateway,
     },
@@ -11,7 +12,7 @@
   },
   bytes::Bytes,
   http::{Request, Response, StatusCode},
-  http_body_util::{BodyExt, Full, Limited},
+  http_body_util::Full,
   hyper::body::Incoming,
   serde::{Deserialize, Serialize, de::DeserializeOwned},
   std::{net::SocketAddr, time::Duration},
@@ -51,7 +52,7 @@
   message: &UseReport,
   limit: Duration,
 ) -> Result<UseAnswer, CallError> {
-  let body = send(http, address, USE_PATH, message, limit).await?;
+  let body = send_message(http, address, USE_PATH, message, limit).await?;
   postcard::from_bytes(&body).map_err(|error| CallError::Answer(error.to_string()))
 }
 
@@ -62,32 +63,18 @@
   totals: &UseTotals,
   limit: Duration,
 ) -> Result<(), CallError> {
-  send(http, address, TOTALS_PATH, totals, limit)
+  send_message(http, address, TOTALS_PATH, totals, limit)
     .await
     .map(drop)
 }
 
-async fn send<M: Serialize>(
-  http: &HttpClient,
-  address: SocketAddr,
-  path: &str,
-  message: &M,
-  limit: Duration,
-) -> Result<Bytes, CallError> {
-  let body = postcard::to_stdvec(message).map_err(|error| CallError::NotSent(error.to_string()))?;
-  let request = Request::post(format!("http://{address}{path}"))
-    .body(Full::new(body.into()))
-    .map_err(|error| CallError::NotSent(error.to_string()))?;
-  http.bytes(request, limit).await
-}
-
 /// Counts what another box reports, and answers it.
 pub(crate) async fn answer_use(
   gateway: &Gateway,
   request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
   let Some(report) = read::<UseReport>(request).await else {
-    return empty_answer(StatusCode::BAD_REQUEST);
+    return status_answer(StatusCode::BAD_REQUEST);
   };
   let now_ms = gateway.now_ms();
   let mut book = gateway.use_book.borrow_mut();
@@ -102,13 +89,7 @@
     short: book.short(now_ms),
     verdict,
   };
-  match postcard::to_stdvec(&answer) {
-    Ok(body) => Response::new(Full::new(body.into())),
-    Err(error) => {
-      log::error!("E430 an answer to a box can't be written: {error}");
-      empty_answer(StatusCode::INTERNAL_SERVER_ERROR)
-    }
-  }
+  message_answer(&answer)
 }
 
 /// Takes over the totals of another box that counts.
@@ -117,7 +98,7 @@
   request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
   let Some(totals) = read::<UseTotals>(request).await else {
-    return empty_answer(StatusCode::BAD_REQUEST);
+    return status_answer(StatusCode::BAD_REQUEST);
   };
   let now_ms = gateway.now_ms();
   // This box's clock starts with its process.
@@ -126,31 +107,12 @@
     .use_book
     .borrow_mut()
     .hear(&totals, uptime_ms, now_ms);
-  empty_answer(StatusCode::OK)
+  status_answer(StatusCode::OK)
 }
 
 async fn read<M: DeserializeOwned>(request: Request<Incoming>) -> Option<M> {
-  let read = Limited::new(request.into_body(), MOST_BYTES)
-    .collect()
-    .await;
-  let bytes = match read {
-    Ok(body) => body.to_bytes(),
-    Err(error) => {
-      log::info!("E609 counts not read: {error}");
-      return None;
-    }
-  };
-  match postcard::from_bytes(&bytes) {
-    Ok(message) => Some(message),
-    Err(error) => {
-      log::info!("E609 counts not read: {error}");
-      None
-    }
-  }
-}
-
-fn empty_answer(status: StatusCode) -> Response<Full<Bytes>> {
-  let mut response = Response::new(Full::default());
-  *response.status_mut() = status;
-  response
+  read_message(request, MOST_BYTES)
+    .await
+    .inspect_err(|error| log::info!("E609 counts not read: {error}"))
+    .ok()
 }
--- a/src/gateway/membership/relay.rs
+++ b/src/gateway/membership/relay.rs
@@ -4,7 +4,7 @@
   crate::{
     CallError, HttpClient,
     gateway::{
-      connections::serve_port,
+      connections::{message_answer, serve_port, status_answer},
       edge::StoreChanges,
       limits::{TOTALS_PATH, USE_PATH, answer_totals, answer_use},
       places::{LIMITS_PATH, PLACES_PATH, answer_limit, answer_places},
@@ -81,7 +81,7 @@
     .strip_prefix("/changes/")
     .and_then(|text| text.parse().ok());
   let Some(revision) = revision else {
-    return empty_answer(StatusCode::NOT_FOUND);
+    return status_answer(StatusCode::NOT_FOUND);
   };
   let heard_ms = gateway.store_heard_ms.get();
   let is_source = heard_ms.is_some_and(|heard_ms| gateway.now_ms() < heard_ms + READER_STALE_MS);
@@ -97,17 +97,5 @@
       .get()
       .map(|heard_ms| gateway.now_ms() - heard_ms),
   };
-  match postcard::to_stdvec(&answer) {
-    Ok(body) => Response::new(Full::new(body.into())),
-    Err(error) => {
-      log::error!("E430 changes for a box can't be written: {error}");
-      empty_answer(StatusCode::INTERNAL_SERVER_ERROR)
-    }
-  }
-}
-
-fn empty_answer(status: StatusCode) -> Response<Full<Bytes>> {
-  let mut response = Response::new(Full::default());
-  *response.status_mut() = status;
-  response
+  message_answer(&answer)
 }
--- a/src/gateway/places/messages.rs
+++ b/src/gateway/places/messages.rs
@@ -5,6 +5,7 @@
   crate::{
     CallError, HttpClient,
     gateway::{
+      connections::{message_answer, read_message, send_message, status_answer},
       decisions::{EndpointLife, PlaceVerdict, PlaceWish, counted_limit, endpoint_order},
       state::Gateway,
     },
@@ -12,7 +13,7 @@
   },
   bytes::Bytes,
   http::{Request, Response, StatusCode},
-  http_body_util::{BodyExt, Full, Limited},
+  http_body_util::Full,
   hyper::body::Incoming,
   serde::{Deserialize, Serialize},
   std::{net::SocketAddr, time::Duration},
@@ -51,12 +52,7 @@
   question: &PlaceQuestion,
   limit: Duration,
 ) -> Result<PlaceAnswer, CallError> {
-  let body =
-    postcard::to_stdvec(question).map_err(|error| CallError::NotSent(error.to_string()))?;
-  let request = Request::post(format!("http://{address}{PLACES_PATH}"))
-    .body(Full::new(Bytes::from(body)))
-    .map_err(|error| CallError::NotSent(error.to_string()))?;
-  let answer = http.bytes(request, limit).await?;
+  let answer = send_message(http, address, PLACES_PATH, question, limit).await?;
   postcard::from_bytes(&answer).map_err(|error| CallError::Answer(error.to_string()))
 }
 
@@ -65,18 +61,12 @@
   gateway: &Gateway,
   request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
-  let Some(question) = read(request).await else {
-    return empty_answer(StatusCode::BAD_REQUEST);
-  };
-  if !counts_for(gateway, &question) {
-    return empty_answer(StatusCode::CONFLICT);
-  }
-  let answer = answer_question(gateway, &question);
-  match postcard::to_stdvec(&answer) {
-    Ok(body) => Response::new(Full::new(body.into())),
+  match read_message(request, MOST_BYTES).await {
+    Ok(question) if !counts_for(gateway, &question) => status_answer(StatusCode::CONFLICT),
+    Ok(question) => message_answer(&answer_question(gateway, &question)),
     Err(error) => {
-      log::error!("E430 an answer to a box can't be written: {error}");
-      empty_answer(StatusCode::INTERNAL_SERVER_ERROR)
+      log::info!("E609 question for places not read: {error}");
+      status_answer(StatusCode::BAD_REQUEST)
     }
   }
 }
@@ -132,21 +122,3 @@
   }
   verdict
 }
-
-async fn read(request: Request<Incoming>) -> Option<PlaceQuestion> {
-  let read = Limited::new(request.into_body(), MOST_BYTES)
-    .collect()
-    .await;
-  let question = read
-    .map_err(|error| error.to_string())
-    .and_then(|body| postcard::from_bytes(&body.to_bytes()).map_err(|error| error.to_string()));
-  question
-    .inspect_err(|error| log::info!("E609 question for places not read: {error}"))
-    .ok()
-}
-
-fn empty_answer(status: StatusCode) -> Response<Full<Bytes>> {
-  let mut response = Response::new(Full::default());
-  *response.status_mut() = status;
-  response
-}
--- a/src/gateway/places/telling.rs
+++ b/src/gateway/places/telling.rs
@@ -3,8 +3,8 @@
 use {
   super::told_limit::ToldLimit,
   crate::{
-    CallError, HttpClient,
     gateway::{
+      connections::{read_message, send_message, status_answer},
       decisions::{HeardLimit, LimitNews},
       state::Gateway,
     },
@@ -12,7 +12,7 @@
   },
   bytes::Bytes,
   http::{Request, Response, StatusCode},
-  http_body_util::{BodyExt, Full, Limited},
+  http_body_util::Full,
   hyper::body::Incoming,
   serde::{Deserialize, Serialize},
   std::{net::SocketAddr, rc::Rc, time::Duration},
@@ -66,40 +66,35 @@
 }
 
 fn tell(gateway: &Rc<Gateway>, addresses: Vec<SocketAddr>, message: &LimitMessage) {
-  let body = match postcard::to_stdvec(message) {
-    Ok(body) => Bytes::from(body),
-    Err(error) => {
-      log::error!("E430 a limit for other boxes can't be written: {error}");
-      return;
-    }
-  };
   for address in addresses {
-    let (gateway, body) = (gateway.clone(), body.clone());
+    let (gateway, message) = (gateway.clone(), message.clone());
     spawn_local(async move {
-      if let Err(error) = send(&gateway.box_calls, address, body).await {
+      let http = &gateway.box_calls;
+      if let Err(error) = send_message(http, address, LIMITS_PATH, &message, TELL_LIMIT).await {
         log::debug!("a limit was not told to {address}: {error}");
       }
     });
   }
 }
 
-async fn send(http: &HttpClient, address: SocketAddr, body: Bytes) -> Result<(), CallError> {
-  let request = Request::post(format!("http://{address}{LIMITS_PATH}"))
-    .body(Full::new(body))
-    .map_err(|error| CallError::NotSent(error.to_string()))?;
-  http.bytes(request, TELL_LIMIT).await.map(drop)
-}
-
 /// Takes over what another box tells, and tells it on in this box's hall when it is new and that is this box's part.
 pub(crate) async fn answer_limit(
   gateway: &Rc<Gateway>,
   request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
-  let Some(message) = read(request).await else {
-    let mut response = Response::new(Full::default());
-    *response.status_mut() = StatusCode::BAD_REQUEST;
-    return response;
-  };
+  match read_message::<LimitMessage>(request, MOST_BYTES).await {
+    Ok(message) => {
+      hear_told(gateway, message);
+      status_answer(StatusCode::OK)
+    }
+    Err(error) => {
+      log::info!("E609 an endpoint's limit not read: {error}");
+      status_answer(StatusCode::BAD_REQUEST)
+    }
+  }
+}
+
+fn hear_told(gateway: &Rc<Gateway>, message: LimitMessage) {
   let now_ms = gateway.now_ms();
   let LimitMessage {
     endpoint, born_ms, ..
@@ -113,7 +108,6 @@
     let told = ToldLimit::new(told, now_ms);
     tell_on(gateway, addresses, LimitMessage { told, ..message });
   }
-  Response::new(Full::default())
 }
 
 /// Takes over a word that another box heard, and says so where it begins.
@@ -134,15 +128,3 @@
   }
   news
 }
-
-async fn read(request: Request<Incoming>) -> Option<LimitMessage> {
-  let read = Limited::new(request.into_body(), MOST_BYTES)
-    .collect()
-    .await;
-  let message = read
-    .map_err(|error| error.to_string())
-    .and_then(|body| postcard::from_bytes(&body.to_bytes()).map_err(|error| error.to_string()));
-  message
-    .inspect_err(|error| log::info!("E609 an endpoint's limit not read: {error}"))
-    .ok()
-}
--- a/src/gateway/quarantine/messages.rs
+++ b/src/gateway/quarantine/messages.rs
@@ -4,6 +4,7 @@
   crate::{
     CallError, HttpClient,
     gateway::{
+      connections::{read_message, send_message, status_answer},
       decisions::QuarantineKey,
       state::{Gateway, MarkOrigin},
     },
@@ -11,7 +12,7 @@
   },
   bytes::Bytes,
   http::{Request, Response, StatusCode},
-  http_body_util::{BodyExt, Full, Limited},
+  http_body_util::Full,
   hyper::body::Incoming,
   std::{net::SocketAddr, time::Duration},
 };
@@ -30,11 +31,9 @@
   keys: &[QuarantineKey],
 ) -> Result<(), CallError> {
   let texts: Vec<Name> = keys.iter().map(QuarantineKey::text).collect();
-  let body = postcard::to_stdvec(&texts).map_err(|error| CallError::NotSent(error.to_string()))?;
-  let request = Request::post(format!("http://{address}{MARKS_PATH}"))
-    .body(Full::new(body.into()))
-    .map_err(|error| CallError::NotSent(error.to_string()))?;
-  http.bytes(request, TELL_LIMIT).await.map(drop)
+  send_message(http, address, MARKS_PATH, &texts, TELL_LIMIT)
+    .await
+    .map(drop)
 }
 
 /// Takes over another box's marks, and has them written.
@@ -42,33 +41,26 @@
   gateway: &Gateway,
   request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
-  let mut response = Response::new(Full::default());
-  match read(request).await {
-    Ok(keys) => {
-      let now_ms = gateway.now_ms();
-      for key in &keys {
-        gateway.quarantine.book.borrow_mut().note(*key, now_ms);
-      }
-      gateway.quarantine.write(&keys, MarkOrigin::Told, true);
+  match read_message::<Vec<Name>>(request, MOST_BYTES).await {
+    Ok(texts) => {
+      note_marks(gateway, &texts);
+      status_answer(StatusCode::OK)
     }
     Err(error) => {
       log::info!("E534 marks of another box not read: {error}");
-      *response.status_mut() = StatusCode::BAD_REQUEST;
+      status_answer(StatusCode::BAD_REQUEST)
     }
   }
-  response
 }
 
-async fn read(request: Request<Incoming>) -> Result<Vec<QuarantineKey>, String> {
-  let read = Limited::new(request.into_body(), MOST_BYTES)
-    .collect()
-    .await;
-  let body = read.map_err(|error| error.to_string())?.to_bytes();
-  let texts: Vec<Name> = postcard::from_bytes(&body).map_err(|error| error.to_string())?;
-  Ok(
-    texts
-      .iter()
-      .filter_map(|text| QuarantineKey::parse(text))
-      .collect(),
-  )
+fn note_marks(gateway: &Gateway, texts: &[Name]) {
+  let now_ms = gateway.now_ms();
+  let keys: Vec<QuarantineKey> = texts
+    .iter()
+    .filter_map(|text| QuarantineKey::parse(text))
+    .collect();
+  for key in &keys {
+    gateway.quarantine.book.borrow_mut().note(*key, now_ms);
+  }
+  gateway.quarantine.write(&keys, MarkOrigin::Told, true);
 }
--- a/tests/gateway/endpoint_limits.rs
+++ b/tests/gateway/endpoint_limits.rs
@@ -356,3 +356,13 @@
   }
   assert_eq!(gateway.figure("rillford_unknown_answer_names").await, 1.0);
 }
+
+#[tokio::test]
+async fn limits_that_endpoints_name_are_shown() {
+  let one = EndpointStandIn::start(|seen| limited(Reply::ok(seen, "one"), "2.5")).await;
+  let gateway = GatewayTest::new().await.with_portal(&one).await;
+  gateway.ask("/unsafe/a", "first").await;
+  let text = gateway.shown_limits();
+  let row: Vec<&str> = text.lines().last().unwrap().split_whitespace().collect();
+  assert_eq!(row[..3], ["p-1", "2.5", "Answer"], "{text}");
+}
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -336,6 +336,16 @@
     }
   }
 
+  /// What `rillford limits` shows of the box.
+  pub(crate) fn shown_limits(&self) -> String {
+    let shown = Command::new(env!("CARGO_BIN_EXE_rillford"))
+      .args(["limits", "--metrics"])
+      .arg(format!("http://{}/metrics", self.metrics))
+      .output()
+      .unwrap();
+    String::from_utf8(shown.stdout).unwrap()
+  }
+
   /// A figure of the box's metrics by its name; 0 where there is none.
   pub(crate) async fn figure(&self, name: &str) -> f64 {
     let request = Request::get(format!("http://{}/metrics", self.metrics))
--- a/tests/gateway/limits.rs
+++ b/tests/gateway/limits.rs
@@ -14,7 +14,6 @@
   },
   rstest::rstest,
   serde_json::{Value, json},
-  std::process::Command,
 };
 
 const SEEDS: std::ops::RangeInclusive<u64> = 1..=2;
@@ -342,12 +341,7 @@
   let test = GatewayTest::new().await.configure(with_a_limit);
   let gateway = test.with_portal(&one).await;
   assert_eq!(ask(&gateway, "key-a", None).await.status, StatusCode::OK);
-  let shown = Command::new(env!("CARGO_BIN_EXE_rillford"))
-    .args(["limits", "--metrics"])
-    .arg(format!("http://{}/metrics", gateway.metrics))
-    .output()
-    .unwrap();
-  let text = String::from_utf8(shown.stdout).unwrap();
+  let text = gateway.shown_limits();
   let row: Vec<&str> = text.lines().nth(1).unwrap().split_whitespace().collect();
   assert_eq!(row[0], "captions", "{text}");
   let left: f64 = row[1].parse().unwrap();
