--- a/src/gateway/parts/notice.rs
+++ b/src/gateway/parts/notice.rs
@@ -86,33 +86,47 @@
     .book
     .borrow_mut()
     .note_limit(entry, said, sent_ms, now_ms);
-  let per_s = gateway
-    .book
-    .borrow()
-    .limits()
-    .heard(entry)
-    .and_then(|heard| heard.per_s);
+  if news == LimitNews::Begins {
+    gateway.counters.limit_notices.inc();
+    if gateway.settings.mechanisms.endpoint_limits {
+      tell_limit(gateway, &entry.id, entry.born_ms);
+    }
+  }
+  log_limit(gateway, entry, answer, news, now_ms);
+}
+
+/// Says that a limit begins or ends, and now and then that its figure changes.
+fn log_limit(
+  gateway: &Gateway,
+  entry: &EndpointEntry,
+  answer: &response::Parts,
+  news: LimitNews,
+  now_ms: u64,
+) {
+  let is_due = match news {
+    LimitNews::Nothing => false,
+    LimitNews::Changes(_) => gateway.limit_lines.is_over(now_ms),
+    LimitNews::Begins | LimitNews::Ends => true,
+  };
+  if !is_due {
+    return;
+  }
+  let heard = gateway.book.borrow().limits().heard(entry);
+  let per_s = heard.and_then(|heard| heard.per_s);
   let facts = gateway.dialect.answer_facts(&answer.headers);
   let request = facts.request_id.as_deref().unwrap_or("-");
   let status = answer.status.as_u16();
   let (id, born_ms) = (&entry.id, entry.born_ms);
-  match news {
-    LimitNews::Begins => {
-      gateway.counters.limit_notices.inc();
-      if gateway.settings.mechanisms.endpoint_limits {
-        tell_limit(gateway, id, born_ms);
-      }
-      log::info!(
-        "E540 names a limit: {id} born {born_ms:?} takes {per_s:?} requests a second of all boxes, in its answer {status} to {request}"
-      );
-    }
-    LimitNews::Changes(before) if gateway.limit_lines.is_over(now_ms) => log::info!(
-      "E540 names a limit: {id} born {born_ms:?} takes {per_s:?} requests a second of all boxes, {before} before, in its answer {status} to {request}"
+  match (news, per_s) {
+    (LimitNews::Changes(before), Some(per_s)) => log::info!(
+      "E540 names a limit: {id} born {born_ms:?} takes {per_s} requests a second of all boxes, {before} before, in its answer {status} to {request}"
+    ),
+    (_, Some(per_s)) => log::info!(
+      "E540 names a limit: {id} born {born_ms:?} takes {per_s} requests a second of all boxes, in its answer {status} to {request}"
     ),
-    LimitNews::Ends => log::info!(
+    (_, None) => log::info!(
       "E541 names no limit any more: {id} born {born_ms:?}, in its answer {status} to {request}"
     ),
-    LimitNews::Changes(_) | LimitNews::Nothing => {}
   }
 }
 
--- a/src/gateway/places/taking.rs
+++ b/src/gateway/places/taking.rs
@@ -245,10 +245,10 @@
 ) {
   let PlaceCaller { request, priority } = caller;
   let HeardLimit { per_s, source, .. } = heard;
+  let per_s = per_s.unwrap_or_default();
   let age_ms = gateway.now_ms().saturating_sub(heard.heard_ms);
   let id = &entry.id;
-  let limit =
-    format!("limit {per_s:?} heard by {source:?} {age_ms} ms ago, decided by {decided_by}");
+  let limit = format!("limit {per_s} heard by {source:?} {age_ms} ms ago, decided by {decided_by}");
   match verdict {
     PlaceVerdict::Granted(places) => {
       log::info!("E544 place: {request} (priority {priority}) at {id}, {places} places, {limit}");
--- a/src/gateway/places/telling.rs
+++ b/src/gateway/places/telling.rs
@@ -121,8 +121,8 @@
   let news = book.limits_mut().note_told(endpoint, born_ms, told);
   if news == LimitNews::Begins {
     log::info!(
-      "E540 names a limit: {endpoint} born {born_ms:?} takes {:?} requests a second of all boxes, as another box heard {} ms ago",
-      told.per_s,
+      "E540 names a limit: {endpoint} born {born_ms:?} takes {} requests a second of all boxes, as another box heard {} ms ago",
+      told.per_s.unwrap_or_default(),
       gateway.now_ms().saturating_sub(told.heard_ms)
     );
   }
