A place is used up once its request has reached the engine

Found in reading the diff: a reservation that is dropped unused gives its place back, also after its stream had been sent and refused or lost, and once more where the send had given it back. One place then let everything pass: 122 and 124 requests in four seconds at an engine that names 2.5 a second and refuses or loses its streams, 20 allowed; the test fails so before the change and passes with it. The stream takes the place along when it is sent.

--- a/src/gateway/parts/engine_call.rs
+++ b/src/gateway/parts/engine_call.rs
@@ -162,8 +162,8 @@
 /// A reserved seat; given back unless it was used.
 pub(crate) struct Reservation {
   pub(crate) id: Name,
-  /// The place for the request that it is for.
-  pub(crate) place: Place,
+  /// The place for the request that it is for, until that is sent.
+  place: Place,
   gateway: Rc<Gateway>,
   entry: EndpointEntry,
   used: bool,
@@ -184,6 +184,11 @@
   pub(crate) fn set_used(&mut self) {
     self.used = true;
   }
+
+  /// The place, for the request that is sent now: from here on it goes back only if the engine never sees that request.
+  pub(crate) fn take_place(&mut self) -> Place {
+    std::mem::replace(&mut self.place, Place::NotNeeded)
+  }
 }
 
 impl Drop for Reservation {
--- a/src/gateway/requests/stream_send.rs
+++ b/src/gateway/requests/stream_send.rs
@@ -21,7 +21,7 @@
   pub(super) async fn send(
     &mut self,
     entry: &EndpointEntry,
-    reservation: Option<Reservation>,
+    mut reservation: Option<Reservation>,
     export: Option<KeptExport>,
   ) -> Result<Head, PartError> {
     self.tried.push(entry.id.clone());
@@ -30,8 +30,8 @@
     let marks = self.marks(entry, reservation.as_ref(), export.as_ref());
     let sent_ms = self.gateway.now_ms();
     let place = reservation
-      .as_ref()
-      .map_or(Place::NotNeeded, |reservation| reservation.place);
+      .as_mut()
+      .map_or(Place::NotNeeded, Reservation::take_place);
     let result = self.send_within_silence(entry, &marks, place).await;
     match &result {
       Ok(_) => self.note_answer(reservation, export),
--- a/tests/gateway/endpoint_limits.rs
+++ b/tests/gateway/endpoint_limits.rs
@@ -158,6 +158,30 @@
   );
 }
 
+/// A place is used up once its request has reached the engine, whatever the engine makes of it.
+#[rstest]
+#[case::refused("refused")]
+#[case::lost("lost")]
+#[tokio::test]
+async fn request_that_an_engine_refuses_or_loses_has_used_its_place(#[case] what: &'static str) {
+  let one = EndpointStandIn::start(move |seen| match (seen.path.as_str(), what) {
+    ("/resumable/a", "refused") => limited(Reply::not_run(seen), "2.5"),
+    ("/resumable/a", _) => Reply::WriteAndClose(String::new()),
+    _ => limited(engine_reply(seen, EVENTS), "2.5"),
+  })
+  .await;
+  let reader = EndpointStandIn::engine(EVENTS).await;
+  let test = GatewayTest::new().await;
+  test.enter("e-1", "llm", Some("prefill"), &reader);
+  test.enter("e-2", "llm", Some("decode"), &one);
+  let boxes = start_boxes(test, 1).await;
+  let pause = Duration::from_millis(20);
+  ask_all(&boxes, "/resumable/a", pause, CONTACT + WINDOW).await;
+  let most = most_in_window(&one.arrivals());
+  let allowed = LIMIT_PER_S * WINDOW.as_secs_f64() * ALLOWED_FACTOR + ALLOWED_BESIDES;
+  assert!(most as f64 <= allowed, "{most} requests in a window");
+}
+
 #[tokio::test]
 async fn caller_is_told_at_once_when_all_endpoints_are_at_their_limits() {
   let scripts = [0; 2].map(|_| EndpointStandIn::start(|seen| limited(Reply::ok(seen, "one"), "1")));
