--- a/tests/soak_promises.rs
+++ b/tests/soak_promises.rs
@@ -552,6 +552,8 @@
     let run = run(0, began_ms, Some(began_ms + 5));
     let mut sent = request(RequestKind::Unrepeatable, Outcome::Left, vec![run]);
     sent.box_index = usize::from(number.is_multiple_of(2));
+    sent.sent_ms = began_ms;
+    sent.ended_ms = Some(began_ms + 10);
     records.requests.insert(format!("l{number}"), sent);
   }
   records
