A hall that operators drain gets nothing new from any box

Cause: the operators' key for a drained hall was read by nobody.

The newest revision holds, whatever order news come in; the value says nothing, so that one that can't be read drains too. An endpoint of a drained hall is unavailable: looked at in each choice and right before each send, which covers requests, prompts, seats reserved before, resumed streams, repeats and role orders. The steward counts the hall's engines as leaving.

Ruled out: marking the hall's entries as leaving when the word comes; entries that are written again meanwhile would undo it. The other way for the steward (drained engines count in their roles) was not compared.

--- a/soak/src/conductor.rs
+++ b/soak/src/conductor.rs
@@ -6,6 +6,7 @@
     error::Result,
     fault::{EndpointFault, Fault, LinkFault, StoreFault},
     fleet::Fleet,
+    hall::Hall,
     link::Link,
   },
   std::time::Duration,
@@ -82,6 +83,10 @@
       limit_endpoint(fleet, place, per_s, for_ms).await;
       Ok(())
     }
+    Fault::HallDrained { hall, for_ms } => {
+      drain_hall(fleet, hall, for_ms).await;
+      Ok(())
+    }
     Fault::Endpoint {
       place,
       fault,
@@ -126,6 +131,14 @@
   });
 }
 
+async fn drain_hall(fleet: &Fleet, hall: Hall, for_ms: u64) {
+  if !fleet.drain_hall(hall) {
+    return;
+  }
+  sleep(Duration::from_millis(for_ms)).await;
+  fleet.end_hall_drain(hall);
+}
+
 async fn disturb_store(fleet: &Fleet, fault: StoreFault, lasts: Duration) {
   let store = &fleet.store;
   let _disturbed = fleet.ledger.disturb(Target::Store);
--- a/soak/src/fault.rs
+++ b/soak/src/fault.rs
@@ -1,5 +1,7 @@
 //! What a run makes misbehave, from outside the boxes.
 
+use super::hall::Hall;
+
 /// What is wrong with a link.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LinkFault {
@@ -146,6 +148,13 @@
     /// For how long.
     for_ms: u64,
   },
+  /// Operators drain a data hall.
+  HallDrained {
+    /// The hall.
+    hall: Hall,
+    /// For how long.
+    for_ms: u64,
+  },
   /// An endpoint misbehaves.
   Endpoint {
     /// The endpoint's place.
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -9,12 +9,13 @@
     engine_news::{EngineNews, EngineReports},
     error::{Error, Result},
     exports::Exports,
+    hall::Hall,
     ledger::Ledger,
     link::Link,
     part::Part,
     place::Place,
     question::{ASK_LIMIT, ask},
-    records::Probe,
+    records::{HallDrain, Probe},
     serving::Serving,
   },
   futures_util::future::join_all,
@@ -176,7 +177,8 @@
     }
     let part = endpoint.part();
     let mut entry = json!({
-      "service": part.service(), "address": self.places[place].link.address, "zone": "north", "version": "v1",
+      "service": part.service(), "address": self.places[place].link.address, "version": "v1",
+      "zone": Hall::of_place(place).name(),
       "slots": SEATS, "state": state, "coldRemainingMs": 0, "callSeq": 1,
       "born": endpoint.born,
     });
@@ -206,6 +208,39 @@
     })
   }
 
+  /// Operators drain a hall, unless they do already; whether they did not.
+  pub(crate) fn drain_hall(&self, hall: Hall) -> bool {
+    let mut records = self.ledger.records();
+    let drains = &mut records.hall_drains;
+    if drains
+      .iter()
+      .any(|drain| drain.hall == hall && drain.until_ms.is_none())
+    {
+      return false;
+    }
+    self.store.put(&drain_key(hall), b"{}");
+    drains.push(HallDrain {
+      from_ms: self.ledger.now_ms(),
+      hall,
+      until_ms: None,
+    });
+    true
+  }
+
+  /// Operators end the drain of a hall.
+  pub(crate) fn end_hall_drain(&self, hall: Hall) {
+    let now_ms = self.ledger.now_ms();
+    let mut records = self.ledger.records();
+    for drain in records
+      .hall_drains
+      .iter_mut()
+      .filter(|drain| drain.hall == hall)
+    {
+      drain.until_ms.get_or_insert(now_ms);
+    }
+    self.store.remove(&drain_key(hall));
+  }
+
   /// A request has just ended an engine.
   pub(crate) fn note_crash(&self) {
     let now_ms = self.ledger.now_ms();
@@ -319,6 +354,10 @@
   }
 }
 
+fn drain_key(hall: Hall) -> String {
+  format!("op/evacuate/{}", hall.name())
+}
+
 async fn listen() -> Result<TcpListener> {
   TcpListener::bind("127.0.0.1:0")
     .await
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -18,6 +18,8 @@
 mod exports;
 mod fault;
 mod fleet;
+mod hall;
+mod hall_check;
 mod ledger;
 mod limit_check;
 mod link;
@@ -43,14 +45,15 @@
   disturbance::{Disturbance, Target},
   error::{Error, Result},
   fault::{EndpointFault, Fault, LinkFault, StoreFault},
+  hall::Hall,
   ledger::Ledger,
   plan::{Size, Step, draw_plan},
   play::{Options, Report, play},
   promise::Promise,
   promises::breaches,
   records::{
-    NamedLimit, OrderRecord, Outcome, PlannedStop, Probe, Records, RequestRecord, Run, Start,
-    ToldLeaving, ToldLimit, TurnedAway,
+    HallDrain, NamedLimit, OrderRecord, Outcome, PlannedStop, Probe, Records, RequestRecord, Run,
+    Start, ToldLeaving, ToldLimit, TurnedAway,
   },
   request_kind::RequestKind,
   subcommand::run,
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -1,7 +1,10 @@
 //! The faults of one run, drawn from a seed: the same seed draws the same faults at the same times.
 
 use {
-  super::fault::{EndpointFault, Fault, LinkFault, StoreFault},
+  super::{
+    fault::{EndpointFault, Fault, LinkFault, StoreFault},
+    hall::Hall,
+  },
   rand::{RngExt, SeedableRng},
   rand_chacha::ChaCha8Rng,
 };
@@ -21,6 +24,12 @@
 const LIMITS_RARER: u64 = 5;
 /// Their draws are those of another seed.
 const LIMITS_ROTATION: u32 = 17;
+/// How long a hall is drained: what reaches it counts from five seconds on.
+const HALL_DRAINED_MS: (u64, u64) = (6_000, 10_000);
+/// Drained halls come so many times more rarely than all else.
+const HALL_DRAINS_RARER: u64 = 8;
+/// Their draws are those of another seed.
+const HALL_DRAINS_ROTATION: u32 = 31;
 /// Added latency of a delayed link, and of a slow store.
 const DELAY_MS: (u64, u64) = (20, 800);
 /// Chance that a fault is soon followed by another on the same box: signals come in series and overlap.
@@ -79,6 +88,7 @@
   }
   steps.extend(draw_notices(seed, size));
   steps.extend(draw_limits(seed, size));
+  steps.extend(draw_hall_drains(seed, size));
   steps.sort_by_key(|step| step.at_ms);
   steps
 }
@@ -128,6 +138,25 @@
   steps
 }
 
+/// Draws data halls that operators drain, apart from all others; both may be drained at once.
+fn draw_hall_drains(seed: u64, size: Size) -> Vec<Step> {
+  let mut draw = Draw {
+    random: ChaCha8Rng::seed_from_u64(seed.rotate_left(HALL_DRAINS_ROTATION)),
+    size,
+  };
+  let mut steps = Vec::new();
+  let mut at_ms = draw.pause_ms();
+  while at_ms < size.faults_ms {
+    let fault = Fault::HallDrained {
+      for_ms: draw.between(HALL_DRAINED_MS),
+      hall: draw.one_of(&[Hall::North, Hall::South]),
+    };
+    steps.push(Step { at_ms, fault });
+    at_ms += HALL_DRAINS_RARER * draw.pause_ms();
+  }
+  steps
+}
+
 /// The box whose process a fault strikes.
 fn box_of(fault: Fault) -> Option<usize> {
   match fault {
--- a/soak/src/promise.rs
+++ b/soak/src/promise.rs
@@ -23,6 +23,8 @@
   OwnWordOfLeaving,
   /// An endpoint that wants no requests of a box for a while gets next to none.
   PauseKept,
+  /// A data hall that operators drain gets nothing new.
+  HallDrained,
   /// An endpoint that names a limit for all boxes gets no more of them together.
   EndpointLimitKept,
   /// Configurations are in force in time.
--- a/soak/src/promises.rs
+++ b/soak/src/promises.rs
@@ -5,6 +5,7 @@
     breach::Breach,
     caller_key::CallerKey,
     calm::{CONFIGURE_MS, CONTACT_MS},
+    hall_check::hall_breaches,
     limit_check::limit_breaches,
     notice_check::notice_breaches,
     organisation_check::organisation_breaches,
@@ -37,6 +38,7 @@
   breaches.extend(organisation_breaches(records, slack_ms));
   breaches.extend(notice_breaches(records, slack_ms));
   breaches.extend(limit_breaches(records, slack_ms));
+  breaches.extend(hall_breaches(records, slack_ms));
   breaches
 }
 
--- a/soak/src/records.rs
+++ b/soak/src/records.rs
@@ -1,7 +1,7 @@
 //! What callers, endpoints and the operator saw during a run. The promises are checked against this alone.
 
 use {
-  super::{caller_key::CallerKey, disturbance::Disturbance, request_kind::RequestKind},
+  super::{caller_key::CallerKey, disturbance::Disturbance, hall::Hall, request_kind::RequestKind},
   std::collections::{BTreeMap, BTreeSet},
 };
 
@@ -125,6 +125,17 @@
   pub at_ms: u64,
 }
 
+/// A data hall that operators drain.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct HallDrain {
+  /// The hall.
+  pub hall: Hall,
+  /// When the store took the operators' word.
+  pub from_ms: u64,
+  /// When the operators took it back; nothing while it holds.
+  pub until_ms: Option<u64>,
+}
+
 /// A request that an endpoint turned away, with the wish for a pause.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct TurnedAway {
@@ -185,6 +196,8 @@
   pub named_limits: Vec<NamedLimit>,
   /// Answers that told of them.
   pub told_limits: Vec<ToldLimit>,
+  /// Data halls that operators drained.
+  pub hall_drains: Vec<HallDrain>,
   /// Requests that were turned away with the wish for a pause.
   pub turned_away: Vec<TurnedAway>,
   /// Starts of endpoints.
--- a/src/gateway/decisions/endpoint_book.rs
+++ b/src/gateway/decisions/endpoint_book.rs
@@ -3,6 +3,7 @@
 use {
   super::{
     choice::{Choice, PartEnd, Wanted},
+    drained_halls::DrainedHalls,
     endpoint_counts::EndpointCounts,
     endpoint_limits::EndpointLimits,
     hall_reach::HallReach,
@@ -28,6 +29,8 @@
   /// In order, so that equal draws make equal choices.
   known: BTreeMap<Name, Known>,
   halls: HashMap<Name, HallReach>,
+  /// The halls that operators drain.
+  drained_halls: DrainedHalls,
   /// What they have said of themselves; outlasts entries that go and come back.
   notices: NoticeBook,
   /// The limits that they name.
@@ -110,12 +113,12 @@
     self.known.values().map(|known| &known.entry)
   }
 
-  /// All entries; those of endpoints that leave by their own word say so too.
+  /// All entries; those of endpoints that leave by their own word say so too, and those of drained halls.
   pub fn current_entries(&self, now_ms: u64) -> Vec<EndpointEntry> {
     self
       .entries()
       .map(|entry| EndpointEntry {
-        leaving: self.is_leaving(entry, now_ms),
+        leaving: self.is_leaving(entry, now_ms) || self.drained_halls.is_drained(&entry.hall),
         ..entry.clone()
       })
       .collect()
@@ -144,6 +147,9 @@
     if entry.leaving {
       return Err(Unavailable::ListedAsLeaving);
     }
+    if self.drained_halls.is_drained(&entry.hall) {
+      return Err(Unavailable::HallDrained);
+    }
     match self.availability(entry, now_ms) {
       Availability::Open | Availability::OnTrial { .. } => Ok(()),
       Availability::Leaving { said_ms } => Err(Unavailable::Leaving {
@@ -201,9 +207,9 @@
     now_ms: u64,
     mut draw: impl FnMut() -> f64,
   ) -> Option<Choice> {
-    // Hardly ever has an endpoint said anything, and a look at each makes a choice among thousands twice as long.
+    // Hardly ever has an endpoint or an operator said anything, and a look at each makes a choice among thousands twice as long.
     let heeds_notices = self.heeds_notices();
-    let heeds_words = heeds_notices || self.limits.are_heeded();
+    let heeds_words = heeds_notices || self.limits.are_heeded() || !self.drained_halls.is_empty();
     let takes_work = |known: &Known| {
       !known.entry.leaving && (!heeds_words || self.check_place(&known.entry, now_ms).is_ok())
     };
@@ -306,6 +312,16 @@
     self.limits.note_answer(entry, said, sent_ms, now_ms)
   }
 
+  /// The halls that operators drain.
+  pub fn drained_halls(&self) -> &DrainedHalls {
+    &self.drained_halls
+  }
+
+  /// The same, to change.
+  pub fn drained_halls_mut(&mut self) -> &mut DrainedHalls {
+    &mut self.drained_halls
+  }
+
   /// The limits that endpoints name, and this box's places there.
   pub fn limits(&self) -> &EndpointLimits {
     &self.limits
@@ -369,6 +385,7 @@
         self.availability(entry, now_ms),
         Availability::Pausing { .. }
       );
+      counts.drained += usize::from(self.drained_halls.is_drained(&entry.hall));
       counts.known += 1;
       counts.leaving += usize::from(self.is_leaving(entry, now_ms));
       counts.limited += usize::from(self.limits.per_s(entry).is_some());
--- a/src/gateway/decisions/endpoint_counts.rs
+++ b/src/gateway/decisions/endpoint_counts.rs
@@ -6,11 +6,13 @@
 ///
 /// ```
 /// use rillford::gateway::EndpointCounts;
-/// let counts = EndpointCounts { known: 3, leaving: 1, limited: 0, pausing: 2 };
-/// assert_eq!(counts.to_string(), "3 endpoints known, 1 leaving, 2 pausing, 0 limited");
+/// let counts = EndpointCounts { drained: 0, known: 3, leaving: 1, limited: 0, pausing: 2 };
+/// assert_eq!(counts.to_string(), "3 endpoints known, 1 leaving, 2 pausing, 0 limited, 0 in drained halls");
 /// ```
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct EndpointCounts {
+  /// Those of halls that operators drain.
+  pub drained: usize,
   /// All of them.
   pub known: usize,
   /// Those that leave, by the store's word or their own.
@@ -24,6 +26,7 @@
 impl Display for EndpointCounts {
   fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
     let Self {
+      drained,
       known,
       leaving,
       limited,
@@ -31,7 +34,7 @@
     } = self;
     write!(
       formatter,
-      "{known} endpoints known, {leaving} leaving, {pausing} pausing, {limited} limited"
+      "{known} endpoints known, {leaving} leaving, {pausing} pausing, {limited} limited, {drained} in drained halls"
     )
   }
 }
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -5,6 +5,7 @@
 
 mod box_list;
 mod choice;
+mod drained_halls;
 mod endpoint_book;
 mod endpoint_counts;
 mod endpoint_life;
@@ -44,6 +45,7 @@
 pub use self::{
   box_list::{BoxEntry, BoxList},
   choice::{Choice, PartEnd, Wanted},
+  drained_halls::{DrainedHalls, HallDrainNews},
   endpoint_book::EndpointBook,
   endpoint_counts::EndpointCounts,
   endpoint_life::EndpointLife,
--- a/src/gateway/decisions/unavailable.rs
+++ b/src/gateway/decisions/unavailable.rs
@@ -12,6 +12,9 @@
   /// The store lists it no more.
   #[error("its entry has gone")]
   Gone,
+  /// Operators drain its hall.
+  #[error("its hall is drained")]
+  HallDrained,
   /// It leaves, by the store's list.
   #[error("it leaves, as the store lists it")]
   ListedAsLeaving,
--- a/src/gateway/edge/store.rs
+++ b/src/gateway/edge/store.rs
@@ -23,6 +23,8 @@
   Other,
   /// What boxes know of a request that ends endpoints, by the last part of its key.
   Quarantine(Name),
+  /// Operators drain a data hall as long as this stands, whatever its value.
+  HallDrain(Name),
 }
 
 /// One item, as it was written or removed.
--- a/src/gateway/membership/listing.rs
+++ b/src/gateway/membership/listing.rs
@@ -25,6 +25,7 @@
   revision: Option<u64>,
   pub(super) endpoints: HashSet<Name>,
   pub(super) boxes: HashSet<Name>,
+  pub(super) drained_halls: HashSet<Name>,
   pub(super) quarantine: HashSet<Name>,
   pub(super) has_steward: bool,
   /// The items that have changed since this box last heard the store.
@@ -35,6 +36,7 @@
   pub(super) fn new(kind: ListingKind) -> Self {
     Self {
       boxes: HashSet::new(),
+      drained_halls: HashSet::new(),
       endpoints: HashSet::new(),
       has_steward: false,
       kind,
@@ -73,6 +75,7 @@
       StoreKey::Endpoint(id) => drop(self.endpoints.insert(id.clone())),
       StoreKey::Box(name) => drop(self.boxes.insert(name.clone())),
       StoreKey::Quarantine(text) => drop(self.quarantine.insert(text.clone())),
+      StoreKey::HallDrain(hall) => drop(self.drained_halls.insert(hall.clone())),
       StoreKey::Steward => self.has_steward = true,
       StoreKey::Configuration | StoreKey::Other => {}
     }
--- a/src/gateway/membership/store_view.rs
+++ b/src/gateway/membership/store_view.rs
@@ -4,7 +4,7 @@
   super::listing::Listing,
   crate::{
     gateway::{
-      decisions::{QuarantineKey, QuarantineWay},
+      decisions::{HallDrainNews, QuarantineKey, QuarantineWay},
       edge::{StoreError, StoreItem, StoreKey},
       quarantine::mark_age_ms,
       state::Gateway,
@@ -73,11 +73,14 @@
       .names()
       .into_iter()
       .filter(|name| !listing.boxes.contains(name));
+    let halls = book.drained_halls().names().cloned();
+    let halls = halls.filter(|hall| !listing.drained_halls.contains(hall));
     let quarantine = self.quarantine_missing_from(listing);
     let steward = (!listing.has_steward).then_some(StoreKey::Steward);
     endpoints
       .map(StoreKey::Endpoint)
       .chain(boxes.map(StoreKey::Box))
+      .chain(halls.map(StoreKey::HallDrain))
       .chain(quarantine.into_iter().map(StoreKey::Quarantine))
       .chain(steward)
       .map(|key| StoreItem {
@@ -99,6 +102,7 @@
         log::warn!("E406 configuration removed: the last one stays")
       }
       (StoreKey::Steward, value) => self.gateway.has_steward.set(value.is_some()),
+      (StoreKey::HallDrain(hall), value) => self.hall_drain(&hall, value.is_some(), item.revision),
       (StoreKey::Quarantine(text), value) => self.quarantine_mark(&text, value.as_deref()),
       (StoreKey::Other, _) => {}
     }
@@ -136,6 +140,22 @@
     }
   }
 
+  fn hall_drain(&self, hall: &Name, is_drained: bool, revision: u64) {
+    let news = self
+      .gateway
+      .book
+      .borrow_mut()
+      .drained_halls_mut()
+      .note(hall, is_drained, revision);
+    match news {
+      HallDrainNews::Nothing => {}
+      HallDrainNews::Begins => {
+        log::info!("E412 hall drained: {hall} is sent nothing new, revision {revision}");
+      }
+      HallDrainNews::Ends => log::info!("E413 drain ended: {hall}, revision {revision}"),
+    }
+  }
+
   fn endpoint_entered(&self, id: &str, value: &[u8], revision: u64) {
     match self.gateway.dialect.endpoint_entry(id, value) {
       Ok(entry) => {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -27,14 +27,15 @@
 pub use self::{
   connections::remove_connection_headers,
   decisions::{
-    ALONE_BOXES, Availability, BoxEntry, BoxList, Choice, EndpointBook, EndpointCounts,
-    EndpointLife, EndpointLimits, Fingerprint, HeardLimit, KeptPrompts, LimitBook, LimitNews,
-    LimitSource, LimitWay, LocalPlace, LocalVerdict, NoticeBook, NoticeNews, PartEnd, PlaceAccount,
-    PlaceBook, PlaceLedger, PlaceVerdict, PlaceWish, QuarantineBook, QuarantineKey, QuarantineMark,
-    QuarantineVerdict, QuarantineWay, RecentEngines, RequestIdentity, RetryAllowance, RetryWindow,
-    SeatForecast, SeatPlace, SeatQueue, SeatUrgency, Surplus, ToldSpan, Unavailable, UseBook,
-    UseBucket, UseLedger, UseRequest, UseTotals, UseVerdict, Wanted, counted_limit, endpoint_order,
-    kept_pause_ms, lone_limit, retry_after_pause_ms, retry_pause_ms, staying_engines, surplus,
+    ALONE_BOXES, Availability, BoxEntry, BoxList, Choice, DrainedHalls, EndpointBook,
+    EndpointCounts, EndpointLife, EndpointLimits, Fingerprint, HallDrainNews, HeardLimit,
+    KeptPrompts, LimitBook, LimitNews, LimitSource, LimitWay, LocalPlace, LocalVerdict, NoticeBook,
+    NoticeNews, PartEnd, PlaceAccount, PlaceBook, PlaceLedger, PlaceVerdict, PlaceWish,
+    QuarantineBook, QuarantineKey, QuarantineMark, QuarantineVerdict, QuarantineWay, RecentEngines,
+    RequestIdentity, RetryAllowance, RetryWindow, SeatForecast, SeatPlace, SeatQueue, SeatUrgency,
+    Surplus, ToldSpan, Unavailable, UseBook, UseBucket, UseLedger, UseRequest, UseTotals,
+    UseVerdict, Wanted, counted_limit, endpoint_order, kept_pause_ms, lone_limit,
+    retry_after_pause_ms, retry_pause_ms, staying_engines, surplus,
   },
   edge::{
     AnswerFacts, CallerFacts, CallerLimits, DecodeError, Dialect, EndpointCall, EndpointEntry,
--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -25,6 +25,7 @@
   std::{
     cell::{Cell, RefCell},
     collections::HashMap,
+    fmt::Write,
     net::SocketAddr,
     rc::Rc,
     time::Instant,
@@ -321,20 +322,28 @@
     self.book.borrow().count(Some(service), self.now_ms())
   }
 
-  /// How many endpoints are known, leave, pause, and name limits, and how many unknown names their answers have, as text.
+  /// How many endpoints are known, leave, pause, name limits, and stand in drained halls, which halls these are, and how many
+  /// unknown names endpoints' answers have, as text.
   pub(crate) fn endpoint_figures(&self) -> String {
     let EndpointCounts {
+      drained,
       known,
       leaving,
       limited,
       pausing,
     } = self.book.borrow().count(None, self.now_ms());
     let unknown = self.unknown_names.borrow().count();
-    format!(
+    let mut text = format!(
       "rillford_endpoints {known}\nrillford_endpoints_leaving {leaving}\nrillford_endpoints_pausing {pausing}\n\
-       rillford_endpoints_limited {limited}\nrillford_unknown_answer_names {unknown}\nrillford_boxes {}\n",
+       rillford_endpoints_limited {limited}\nrillford_endpoints_drained {drained}\n\
+       rillford_unknown_answer_names {unknown}\nrillford_boxes {}\n",
       self.boxes.borrow().len()
-    )
+    );
+    for hall in self.book.borrow().drained_halls().names() {
+      // Writing to a string does not fail.
+      let _ = writeln!(text, "rillford_hall_drained{{hall={hall:?}}} 1");
+    }
+    text
   }
 
   /// A first event came this long after its request had a seat.
--- a/stand_ins/src/platform_store.rs
+++ b/stand_ins/src/platform_store.rs
@@ -48,6 +48,11 @@
     self.alter(|contents| contents.write(key, STANDARD.encode(value), 0));
   }
 
+  /// Writes a key with a value that need not be base64.
+  pub fn put_text(&self, key: &str, value: &str) {
+    self.alter(|contents| contents.write(key, value.into(), 0));
+  }
+
   /// Removes a key.
   pub fn remove(&self, key: &str) {
     self.alter(|contents| contents.remove(key));
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -122,14 +122,42 @@
     stage: Option<&str>,
     address: SocketAddr,
     state: &str,
+  ) {
+    self.put_entry(id, service, stage, address, |entry| {
+      entry["state"] = json!(state);
+    });
+  }
+
+  /// Enters an endpoint of a hall.
+  pub(crate) fn enter_in_hall(
+    &self,
+    id: &str,
+    service: &str,
+    stage: Option<&str>,
+    endpoint: &EndpointStandIn,
+    hall: &str,
+  ) {
+    self.put_entry(id, service, stage, endpoint.address, |entry| {
+      entry["zone"] = json!(hall);
+    });
+  }
+
+  fn put_entry(
+    &self,
+    id: &str,
+    service: &str,
+    stage: Option<&str>,
+    address: SocketAddr,
+    change: impl FnOnce(&mut Value),
   ) {
     let mut entry = json!({
-      "service": service, "address": address, "zone": "north", "version": "v1", "slots": 8, "state": state,
+      "service": service, "address": address, "zone": "north", "version": "v1", "slots": 8, "state": "ready",
       "coldRemainingMs": 0, "callSeq": 9,
     });
     if let Some(stage) = stage {
       entry["stage"] = json!(stage);
     }
+    change(&mut entry);
     self
       .store
       .put(&format!("servers/{id}"), entry.to_string().as_bytes());
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod crashing_request;
 mod endpoint;
 mod endpoint_limits;
+mod hall_drain;
 mod harness;
 mod leaving;
 mod limits;
--- a/tests/gateway/notice_book.rs
+++ b/tests/gateway/notice_book.rs
@@ -119,6 +119,7 @@
   assert_eq!(chosen(&book, 2_600), None);
   assert!(book.current_entries(2_600)[0].leaving);
   let counts = EndpointCounts {
+    drained: 0,
     known: 1,
     leaving: 1,
     limited: 0,
--- a/tests/soak_promises.rs
+++ b/tests/soak_promises.rs
@@ -3,8 +3,9 @@
 use {
   rstest::rstest,
   soak::{
-    CallerKey, Disturbance, NamedLimit, OrderRecord, Outcome, PlannedStop, Probe, Promise, Records,
-    RequestKind, RequestRecord, Run, Start, Target, ToldLeaving, ToldLimit, TurnedAway, breaches,
+    CallerKey, Disturbance, Hall, HallDrain, NamedLimit, OrderRecord, Outcome, PlannedStop, Probe,
+    Promise, Records, RequestKind, RequestRecord, Run, Start, Target, ToldLeaving, ToldLimit,
+    TurnedAway, breaches,
   },
 };
 
@@ -578,3 +579,34 @@
   ended.named_limits[0].until_ms = Some(15_000);
   assert_eq!(found(&ended), []);
 }
+
+/// A request that began at a place at a time, while the hall of the even places was drained from 1,000 ms on.
+fn run_while_drained(place: usize, began_ms: u64) -> Records {
+  let run = run(place, began_ms, Some(began_ms + 5));
+  let mut records = one(RequestKind::Unrepeatable, Outcome::Left, vec![run]);
+  records.hall_drains.push(HallDrain {
+    from_ms: 1_000,
+    hall: Hall::North,
+    until_ms: Some(18_000),
+  });
+  let request = records.requests.get_mut("a").unwrap();
+  request.sent_ms = began_ms;
+  request.ended_ms = Some(began_ms + 10);
+  records
+}
+
+#[test]
+fn run_in_a_hall_that_was_drained_long_before_is_found() {
+  let late = run_while_drained(0, 7_000);
+  assert_eq!(found(&late), [Promise::HallDrained]);
+  assert_eq!(found(&run_while_drained(1, 7_000)), []);
+  assert_eq!(found(&run_while_drained(0, 5_500)), []);
+  assert_eq!(found(&run_while_drained(0, 18_500)), []);
+  let mut out_of_reach = late;
+  out_of_reach.disturbances.push(Disturbance {
+    from_ms: 2_000,
+    target: Target::StoreLink(0),
+    until_ms: Some(2_500),
+  });
+  assert_eq!(found(&out_of_reach), []);
+}
