--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -341,7 +341,7 @@
     );
     for hall in self.book.borrow().drained_halls().names() {
       // Writing to a string does not fail.
-      let _ = writeln!(text, "rillford_hall_drained{{hall={hall:?}}} 1");
+      let _ = writeln!(text, "rillford_hall_drained{{hall=\"{hall}\"}} 1");
     }
     text
   }
--- a/src/subcommand/limits.rs
+++ b/src/subcommand/limits.rs
@@ -1,4 +1,4 @@
-//! Shows what is left of organisations' limits, and the limits that endpoints name.
+//! Shows what is left of organisations' limits, the limits that endpoints name, and the halls that operators drain.
 
 use {
   crate::{Error, HttpClient, Result},
@@ -16,6 +16,9 @@
 /// What a line on an endpoint begins with there.
 const ENDPOINT_LINE_START: &str = "rillford_endpoint_limit_per_s{endpoint=\"";
 
+/// What a line on a drained hall begins with there.
+const HALL_LINE_START: &str = "rillford_hall_drained{hall=\"";
+
 /// Which box to ask.
 #[derive(Clone, Debug, Bpaf)]
 pub(crate) struct ShowLimits {
@@ -25,8 +28,8 @@
 }
 
 impl ShowLimits {
-  /// Prints a line for each organisation, the one nearest to its limit first, and for each endpoint that names a limit, the lowest
-  /// first.
+  /// Prints a line for each organisation, the one nearest to its limit first, for each endpoint that names a limit, the lowest
+  /// first, and for each hall that is drained.
   pub(crate) fn run(self) -> Result {
     let figures = self.figures()?;
     print_organisations(figures.lines().filter_map(LimitRow::parse).collect());
@@ -36,6 +39,7 @@
         .filter_map(EndpointLimitRow::parse)
         .collect(),
     );
+    print_drained_halls(figures.lines().filter_map(drained_hall));
     Ok(())
   }
 
@@ -92,6 +96,18 @@
   }
 }
 
+fn print_drained_halls<'a>(halls: impl Iterator<Item = &'a str>) {
+  for hall in halls {
+    println!("hall {hall} is drained: its endpoints are sent nothing new");
+  }
+}
+
+/// The hall of a line on one that is drained.
+fn drained_hall(line: &str) -> Option<&str> {
+  let (hall, _) = line.strip_prefix(HALL_LINE_START)?.split_once("\"} ")?;
+  Some(hall)
+}
+
 /// One organisation in a box's figures.
 #[derive(Debug, Eq, PartialEq)]
 struct LimitRow<'a> {
--- a/tests/gateway/hall_drain.rs
+++ b/tests/gateway/hall_drain.rs
@@ -93,7 +93,11 @@
   drain(&gateway.test, OWN_HALL);
   assert!(leaves_alone(&gateway, OWN_HALL).await);
   assert!(is_answered_by(&gateway, OTHER_HALL).await);
-  assert!(gateway.figure("rillford_endpoints_drained").await as usize == 1);
+  assert_eq!(
+    gateway.figure("rillford_endpoints_drained").await as usize,
+    1
+  );
+  assert!(gateway.shown_limits().contains("hall north is drained"));
   assert!(is_used_again(&gateway, &gateway.test).await);
 }
 
