A cold endpoint gets no more of all boxes together than it carries

Cause: the time for which an endpoint is cold and the rate that it carries then were read by nobody. A hall that comes back at once looks the least busy to every box.

Change: a cold span is a second source of what an endpoint takes of all boxes together, beside the limit that it names; the lower figure holds, in the one account that gives out places. Spans come from entries, from answers, and from the end of a hall's drain, whose endpoints may have turned cold shortly before. A question for places names the span, for a box that counts and has not heard.

Tests: three boxes together, engines' prompts and streams, nobody refused beside a warm endpoint, and a replay at 3, 74 and 300 boxes that counts requests in any second and questions.

Ruled out: even parts of the rate (a box of 74 would have one request each nine seconds).

--- a/emulator/src/load/replay.rs
+++ b/emulator/src/load/replay.rs
@@ -132,6 +132,7 @@
   EndpointEntry {
     address: ([127, 0, 0, 1], port).into(),
     born_ms: None,
+    cold_ms: 0,
     hall: hall_name(number),
     id: engine_name(number),
     leaving: false,
--- a/emulator/src/notices/replay.rs
+++ b/emulator/src/notices/replay.rs
@@ -118,6 +118,7 @@
   EndpointEntry {
     address: ([127, 0, 0, 1], u16::try_from(number).unwrap_or(0)).into(),
     born_ms: Some(1),
+    cold_ms: 0,
     hall: "north".into(),
     id: format!("e-{number:03}").into(),
     leaving: false,
@@ -287,6 +288,7 @@
     let at = self.requests[number].at;
     let speaks = matches!(kind, ReplyKind::Done | ReplyKind::TurnedAway);
     let notice = EndpointNotice {
+      cold_ms: None,
       leaving: speaks && self.pattern.leaves(endpoint, now_ms),
       limit: NamedLimit::Unsaid,
       pause_ms: (kind == ReplyKind::TurnedAway).then(|| self.pattern.pause_ms()),
--- a/emulator/src/places/replay.rs
+++ b/emulator/src/places/replay.rs
@@ -80,6 +80,7 @@
   let entry = EndpointEntry {
     address: ([127, 0, 0, 1], 1).into(),
     born_ms: Some(1),
+    cold_ms: 0,
     hall: PlaceFleet::hall(0).as_str().into(),
     id: format!("e-{seed}").as_str().into(),
     leaving: false,
@@ -235,7 +236,7 @@
   /// The endpoint that names a limit is wanted first: it looks the least busy.
   fn at_box(&mut self, at: usize) {
     let now_ms = self.now_ms;
-    let Some(per_s) = self.boxes[at].limits.per_s(&self.entry) else {
+    let Some(per_s) = self.boxes[at].limits.per_s(&self.entry, now_ms) else {
       return self.send(at);
     };
     match self.way {
--- a/src/gateway/decisions/endpoint_book.rs
+++ b/src/gateway/decisions/endpoint_book.rs
@@ -388,7 +388,7 @@
       counts.drained += usize::from(self.drained_halls.is_drained(&entry.hall));
       counts.known += 1;
       counts.leaving += usize::from(self.is_leaving(entry, now_ms));
-      counts.limited += usize::from(self.limits.per_s(entry).is_some());
+      counts.limited += usize::from(self.limits.per_s(entry, now_ms).is_some());
       counts.pausing += usize::from(pauses);
     }
     counts
--- a/src/gateway/decisions/endpoint_limits.rs
+++ b/src/gateway/decisions/endpoint_limits.rs
@@ -1,8 +1,10 @@
-//! The limits that endpoints name, and the places that this box has there. Free of I/O.
+//! What endpoints take of all boxes together, by their own word or while they are cold, and the places that this box has there.
+//! Free of I/O.
 
 use {
   super::{
-    limit_book::{HeardLimit, LimitBook, LimitNews},
+    cold_endpoints::{ColdEndpoints, ColdSpan},
+    limit_book::{HeardLimit, LimitBook, LimitNews, LimitSource},
     place_ledger::PlaceLedger,
   },
   crate::{
@@ -18,8 +20,9 @@
 #[derive(Debug, Default)]
 pub struct EndpointLimits {
   words: LimitBook,
+  cold: ColdEndpoints,
   places: PlaceLedger,
-  /// Whether the words decide nothing.
+  /// Whether limits decide nothing.
   is_ignoring: bool,
 }
 
@@ -32,20 +35,51 @@
     }
   }
 
-  /// Whether any word decides something.
+  /// Whether any limit decides something.
   pub fn are_heeded(&self) -> bool {
-    !self.is_ignoring && !self.words.is_empty()
+    !self.is_ignoring && !(self.words.is_empty() && self.cold.is_empty())
   }
 
-  /// The requests a second that a life of an endpoint takes of all boxes together, if it names a limit that is heeded.
-  pub fn per_s(&self, entry: &EndpointEntry) -> Option<f64> {
+  /// The requests a second that a life of an endpoint takes of all boxes together, if any limit that is heeded is in force.
+  pub fn per_s(&self, entry: &EndpointEntry, now_ms: u64) -> Option<f64> {
+    self.in_force(entry, now_ms)?.per_s
+  }
+
+  /// The same of a life that this box may not list.
+  pub fn lowest_per_s(&self, id: &str, born_ms: Option<u64>, now_ms: u64) -> Option<f64> {
+    self.lowest(id, born_ms, now_ms)?.per_s
+  }
+
+  /// The lower of the limits that are in force at a life of an endpoint: the one that it names, and what it carries while it
+  /// is cold.
+  pub fn in_force(&self, entry: &EndpointEntry, now_ms: u64) -> Option<HeardLimit> {
     if self.is_ignoring {
       return None;
     }
-    self
-      .words
-      .per_s(entry)
-      .filter(|per_s| *per_s < NO_LIMIT_PER_S)
+    self.lowest(&entry.id, entry.born_ms, now_ms)
+  }
+
+  fn lowest(&self, id: &str, born_ms: Option<u64>, now_ms: u64) -> Option<HeardLimit> {
+    let is_limit = |limit: &HeardLimit| limit.per_s.is_some_and(|per_s| per_s < NO_LIMIT_PER_S);
+    let named = self.words.heard_of(id, born_ms).filter(is_limit);
+    let cold = self.cold_span(id, born_ms, now_ms);
+    let cold = cold.map(HeardLimit::from);
+    [named, cold]
+      .into_iter()
+      .flatten()
+      .min_by(|one, other| one.lowest().total_cmp(&other.lowest()))
+  }
+
+  /// Since when and for how long a life of an endpoint is cold.
+  pub fn cold_span(&self, id: &str, born_ms: Option<u64>, now_ms: u64) -> Option<ColdSpan> {
+    self.cold.span(id, born_ms, now_ms)
+  }
+
+  /// Takes over that a life of an endpoint is cold.
+  pub fn note_cold(&mut self, id: &Name, born_ms: Option<u64>, span: ColdSpan) {
+    if span.noted_ms < span.until_ms {
+      self.cold.note(id, born_ms, span);
+    }
   }
 
   /// A life's newest word, if it has named a limit.
@@ -60,7 +94,7 @@
 
   /// How long there is no place for this box at an endpoint; 0 when there may be one.
   pub fn closed_for_ms(&self, entry: &EndpointEntry, now_ms: u64) -> u64 {
-    match self.per_s(entry) {
+    match self.per_s(entry, now_ms) {
       Some(_) => self.places.closed_for_ms(&entry.id, now_ms),
       None => 0,
     }
@@ -92,6 +126,7 @@
   /// Forgets what no longer counts.
   pub fn forget_old(&mut self, now_ms: u64) {
     self.words.forget_old(now_ms);
+    self.cold.forget_old(now_ms);
     self.places.forget_old(now_ms);
   }
 
@@ -108,3 +143,13 @@
     news
   }
 }
+
+impl From<ColdSpan> for HeardLimit {
+  fn from(span: ColdSpan) -> Self {
+    Self {
+      heard_ms: span.noted_ms,
+      per_s: Some(span.per_s),
+      source: LimitSource::Cold,
+    }
+  }
+}
--- a/src/gateway/decisions/limit_book.rs
+++ b/src/gateway/decisions/limit_book.rs
@@ -24,6 +24,8 @@
   Answer,
   /// Another box.
   Box,
+  /// It is cold: the configuration says what it carries.
+  Cold,
 }
 
 /// An endpoint's newest word.
@@ -37,6 +39,13 @@
   pub source: LimitSource,
 }
 
+impl HeardLimit {
+  /// The figure, to be compared; above all others when there is none.
+  pub(super) fn lowest(&self) -> f64 {
+    self.per_s.unwrap_or(f64::INFINITY)
+  }
+}
+
 /// What is new in an endpoint's word.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum LimitNews {
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -5,6 +5,7 @@
 
 mod box_list;
 mod choice;
+mod cold_endpoints;
 mod drained_halls;
 mod endpoint_book;
 mod endpoint_counts;
@@ -45,6 +46,7 @@
 pub use self::{
   box_list::{BoxEntry, BoxList},
   choice::{Choice, PartEnd, Wanted},
+  cold_endpoints::{ColdEndpoints, ColdSpan},
   drained_halls::{DrainedHalls, HallDrainNews},
   endpoint_book::EndpointBook,
   endpoint_counts::EndpointCounts,
--- a/src/gateway/decisions/recent_engines.rs
+++ b/src/gateway/decisions/recent_engines.rs
@@ -18,7 +18,7 @@
 /// ```
 /// use rillford::{decide::Role, gateway::{EndpointEntry, staying_engines}};
 /// let engine = |id: &str, port: u16| EndpointEntry {
-///   address: ([127, 0, 0, 1], port).into(), born_ms: None, hall: "north".into(), id: id.into(), leaving: false,
+///   address: ([127, 0, 0, 1], port).into(), born_ms: None, cold_ms: 0, hall: "north".into(), id: id.into(), leaving: false,
 ///   role: Some(Role::Decode), seats: 16, service: "llm".into(),
 /// };
 /// let engines = [engine("a", 1), engine("b", 2), engine("b-again", 2)];
@@ -48,7 +48,7 @@
 /// ```
 /// use rillford::{decide::Role, gateway::{EndpointEntry, RecentEngines}};
 /// let engine = EndpointEntry {
-///   address: "127.0.0.1:1".parse().unwrap(), born_ms: None, hall: "north".into(), id: "a".into(), leaving: false,
+///   address: "127.0.0.1:1".parse().unwrap(), born_ms: None, cold_ms: 0, hall: "north".into(), id: "a".into(), leaving: false,
 ///   role: Some(Role::Decode), seats: 16, service: "llm".into(),
 /// };
 /// let mut recent = RecentEngines::default();
--- a/src/gateway/decisions/role_plan.rs
+++ b/src/gateway/decisions/role_plan.rs
@@ -21,7 +21,7 @@
 /// ```
 /// use rillford::{decide::Role, gateway::{EndpointEntry, surplus}};
 /// let engine = |id: &str, hall: &str, role| EndpointEntry {
-///   address: "127.0.0.1:1".parse().unwrap(), born_ms: None, hall: hall.into(), id: id.into(), leaving: false,
+///   address: "127.0.0.1:1".parse().unwrap(), born_ms: None, cold_ms: 0, hall: hall.into(), id: id.into(), leaving: false,
 ///   role: Some(role), seats: 16, service: "llm".into(),
 /// };
 /// let engines = [
--- a/src/gateway/edge/endpoint_entry.rs
+++ b/src/gateway/edge/endpoint_entry.rs
@@ -20,6 +20,8 @@
   pub hall: Name,
   /// Requests that it works on at once.
   pub seats: u32,
+  /// How much longer it was cold when the entry was written.
+  pub cold_ms: u64,
   /// Whether it is leaving.
   pub leaving: bool,
   /// An engine's role; plain services have none.
--- a/src/gateway/edge/endpoint_notice.rs
+++ b/src/gateway/edge/endpoint_notice.rs
@@ -9,6 +9,8 @@
   pub leaving: bool,
   /// For how long it wants no work from this box, in milliseconds.
   pub pause_ms: Option<u64>,
+  /// How much longer it is cold.
+  pub cold_ms: Option<u64>,
   /// How many requests a second it takes of all boxes together.
   pub limit: NamedLimit,
   /// What it says and nobody can read.
--- a/src/gateway/edge/mod.rs
+++ b/src/gateway/edge/mod.rs
@@ -24,7 +24,7 @@
   organisation::{Organisation, Organisations, UseLimit, UseUnit},
   prompt_part::PromptPart,
   route_table::{
-    CallerLimits, EngineSpec, Route, RouteKind, RouteTable, ServiceSpec, WeightedService,
+    CallerLimits, ColdStart, EngineSpec, Route, RouteKind, RouteTable, ServiceSpec, WeightedService,
   },
   store::{
     MOST_CHANGED_KEYS, PageAge, Stewardship, Store, StoreChanges, StoreError, StoreItem, StoreKey,
--- a/src/gateway/edge/route_table.rs
+++ b/src/gateway/edge/route_table.rs
@@ -99,13 +99,24 @@
   pub reservation_ms: u64,
 }
 
+/// What the endpoints of a service carry while they are cold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdStart {
+  /// How long one is cold after its start.
+  pub lasts_ms: u64,
+  /// Requests a second that it carries of all boxes together.
+  pub per_s: f64,
+}
+
 /// One service.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ServiceSpec {
   /// Connections that one endpoint accepts from all callers together.
   pub most_connections: u32,
   /// Set where its endpoints are engines.
   pub engine: Option<EngineSpec>,
+  /// Set where its endpoints carry less while they are cold.
+  pub cold_start: Option<ColdStart>,
 }
 
 /// What callers may send.
--- a/src/gateway/membership/store_view.rs
+++ b/src/gateway/membership/store_view.rs
@@ -152,7 +152,10 @@
       HallDrainNews::Begins => {
         log::info!("E412 hall drained: {hall} is sent nothing new, revision {revision}");
       }
-      HallDrainNews::Ends => log::info!("E413 drain ended: {hall}, revision {revision}"),
+      HallDrainNews::Ends => {
+        log::info!("E413 drain ended: {hall}, revision {revision}");
+        self.gateway.note_hall_cold(hall);
+      }
     }
   }
 
@@ -162,6 +165,7 @@
         if entry.leaving {
           self.gateway.pool.close(id);
         }
+        self.gateway.note_cold(&entry, entry.cold_ms);
         self.gateway.book.borrow_mut().put(entry);
       }
       Err(error) => log::warn!("E405 entry of {id} at revision {revision} can't be read: {error}"),
--- a/src/gateway/parts/notice.rs
+++ b/src/gateway/parts/notice.rs
@@ -41,6 +41,9 @@
   note_unknown_names(gateway, entry, answer);
   let mut notice = gateway.dialect.notice(answer.status, &answer.headers);
   hear_limit(gateway, sent, notice.limit, answer);
+  if let Some(cold_ms) = notice.cold_ms.take() {
+    gateway.note_cold(entry, cold_ms);
+  }
   if notice == EndpointNotice::default() {
     return;
   }
--- a/src/gateway/places/messages.rs
+++ b/src/gateway/places/messages.rs
@@ -1,7 +1,7 @@
 //! What boxes ask each other for places at endpoints, and the answers.
 
 use {
-  super::{telling::note_told, told_limit::ToldLimit},
+  super::{telling::note_told, told_cold_span::ToldColdSpan, told_limit::ToldLimit},
   crate::{
     CallError, HttpClient,
     gateway::{
@@ -31,7 +31,10 @@
   pub(super) endpoint: Name,
   pub(super) born_ms: Option<u64>,
   pub(super) hall: Name,
-  pub(super) told: ToldLimit,
+  /// The endpoint's own word; nothing when it has named no limit.
+  pub(super) told: Option<ToldLimit>,
+  /// Nothing when it is warm, as far as the box that asks knows.
+  pub(super) cold: Option<ToldColdSpan>,
   pub(super) places: u32,
   pub(super) unused: u32,
   pub(super) priority: u8,
@@ -41,8 +44,8 @@
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 pub(super) struct PlaceAnswer {
   pub(super) verdict: PlaceVerdict,
-  /// The newest word that it knows.
-  pub(super) told: ToldLimit,
+  /// The endpoint's newest word that it knows.
+  pub(super) told: Option<ToldLimit>,
 }
 
 /// Asks the box that counts.
@@ -84,10 +87,16 @@
 fn answer_question(gateway: &Gateway, question: &PlaceQuestion) -> PlaceAnswer {
   let now_ms = gateway.now_ms();
   let (id, born_ms) = (&question.endpoint, question.born_ms);
-  let told = question.told.heard(now_ms);
-  note_told(gateway, id, born_ms, told);
-  let book = gateway.book.borrow();
-  let heard = book.limits().heard_of(id, born_ms).unwrap_or(told);
+  if let Some(told) = question.told {
+    note_told(gateway, id, born_ms, told.heard(now_ms));
+  }
+  let mut book = gateway.book.borrow_mut();
+  if let Some(cold) = question.cold {
+    let limits = book.limits_mut();
+    limits.note_cold(id, born_ms, cold.span(now_ms));
+  }
+  let named = book.limits().heard_of(id, born_ms);
+  let per_s = book.limits().lowest_per_s(id, born_ms, now_ms);
   drop(book);
   let wish = PlaceWish {
     box_name: question.box_name.clone(),
@@ -96,8 +105,8 @@
     unused: question.unused,
   };
   PlaceAnswer {
-    told: ToldLimit::new(heard, now_ms),
-    verdict: give_out(gateway, EndpointLife::of(id, born_ms), heard.per_s, &wish),
+    told: named.map(|named| ToldLimit::new(named, now_ms)),
+    verdict: give_out(gateway, EndpointLife::of(id, born_ms), per_s, &wish),
   }
 }
 
--- a/src/gateway/places/mod.rs
+++ b/src/gateway/places/mod.rs
@@ -7,6 +7,7 @@
 mod messages;
 mod taking;
 mod telling;
+mod told_cold_span;
 mod told_limit;
 
 pub(crate) use self::{
--- a/src/gateway/places/taking.rs
+++ b/src/gateway/places/taking.rs
@@ -3,6 +3,7 @@
 use {
   super::{
     messages::{PlaceAnswer, PlaceQuestion, ask_for_places, give_out},
+    told_cold_span::ToldColdSpan,
     told_limit::ToldLimit,
   },
   crate::{
@@ -121,11 +122,10 @@
   book.limits_mut().places().give_back(&entry.id, now_ms);
 }
 
-/// The word on a limit that holds at an endpoint.
+/// The limit that is in force at an endpoint.
 fn limit_at(gateway: &Gateway, entry: &EndpointEntry) -> Option<HeardLimit> {
-  let book = gateway.book.borrow();
-  book.limits().per_s(entry)?;
-  book.limits().heard(entry)
+  let now_ms = gateway.now_ms();
+  gateway.book.borrow().limits().in_force(entry, now_ms)
 }
 
 /// Decides as the box that counts, asks it, or goes on alone.
@@ -147,7 +147,7 @@
     if name == own_name {
       return (give_out(gateway, life, heard.per_s, wish), DecidedBy::Own);
     }
-    if let Some(answer) = ask(gateway, *address, entry, heard, wish).await {
+    if let Some(answer) = ask(gateway, *address, entry, wish).await {
       return (answer.verdict, DecidedBy::Box(*address));
     }
   }
@@ -162,7 +162,6 @@
   gateway: &Gateway,
   address: SocketAddr,
   entry: &EndpointEntry,
-  heard: HeardLimit,
   wish: &PlaceWish,
 ) -> Option<PlaceAnswer> {
   if gateway
@@ -172,23 +171,35 @@
   {
     return None;
   }
+  let now_ms = gateway.now_ms();
+  let (named, cold) = {
+    let book = gateway.book.borrow();
+    let limits = book.limits();
+    (
+      limits.heard(entry),
+      limits.cold_span(&entry.id, entry.born_ms, now_ms),
+    )
+  };
   let question = PlaceQuestion {
     box_name: wish.box_name.clone(),
     born_ms: entry.born_ms,
+    cold: cold.map(|span| ToldColdSpan::new(span, now_ms)),
     endpoint: entry.id.clone(),
     hall: entry.hall.clone(),
     places: wish.places,
     priority: wish.priority,
-    told: ToldLimit::new(heard, gateway.now_ms()),
+    told: named.map(|named| ToldLimit::new(named, now_ms)),
     unused: wish.unused,
   };
   let asked = ask_for_places(&gateway.box_calls, address, &question, ASK_LIMIT).await;
   let now_ms = gateway.now_ms();
   match asked {
     Ok(answer) => {
-      let told = answer.told.heard(now_ms);
-      let mut book = gateway.book.borrow_mut();
-      book.limits_mut().note_told(&entry.id, entry.born_ms, told);
+      if let Some(told) = answer.told {
+        let mut book = gateway.book.borrow_mut();
+        let limits = book.limits_mut();
+        limits.note_told(&entry.id, entry.born_ms, told.heard(now_ms));
+      }
       Some(answer)
     }
     Err(error) => {
--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -10,11 +10,11 @@
     gateway::{
       connections::{Connection, ConnectionPool},
       decisions::{
-        BoxList, Choice, EndpointBook, EndpointCounts, KeptPrompts, PartEnd, PlaceBook,
+        BoxList, Choice, ColdSpan, EndpointBook, EndpointCounts, KeptPrompts, PartEnd, PlaceBook,
         RetryWindow, SeatForecast, SeatQueue, Unavailable, UseBook, UseLedger, Wanted,
         retry_after_pause_ms,
       },
-      edge::{Dialect, EndpointEntry, RouteTable, StoreLease},
+      edge::{ColdStart, Dialect, EndpointEntry, RouteTable, StoreLease},
       settings::{GatewaySettings, RoutePolicy},
     },
     ids::Name,
@@ -260,6 +260,42 @@
       .choose(wanted, self.now_ms(), || self.draw())
   }
 
+  /// An endpoint is cold for so long from now on. It decides something where the configuration says what one of its service carries.
+  pub(crate) fn note_cold(&self, entry: &EndpointEntry, cold_ms: u64) {
+    let Some(cold_start) = self.cold_start(&entry.service) else {
+      return;
+    };
+    let noted_ms = self.now_ms();
+    let span = ColdSpan {
+      noted_ms,
+      per_s: cold_start.per_s,
+      until_ms: noted_ms + cold_ms,
+    };
+    let mut book = self.book.borrow_mut();
+    let limits = book.limits_mut();
+    limits.note_cold(&entry.id, entry.born_ms, span);
+  }
+
+  /// The endpoints of a hall whose drain has ended may have turned cold shortly before, and their entries tell so late.
+  pub(crate) fn note_hall_cold(&self, hall: &str) {
+    let entries: Vec<EndpointEntry> = {
+      let book = self.book.borrow();
+      let of_hall = book.entries().filter(|entry| &*entry.hall == hall);
+      of_hall.cloned().collect()
+    };
+    for entry in entries {
+      if let Some(cold_start) = self.cold_start(&entry.service) {
+        self.note_cold(&entry, cold_start.lasts_ms);
+      }
+    }
+  }
+
+  /// What the endpoints of a service carry while they are cold.
+  fn cold_start(&self, service: &str) -> Option<ColdStart> {
+    let table = self.table.borrow();
+    table.as_ref()?.service(service)?.cold_start
+  }
+
   /// Whether an endpoint that was chosen before may be sent work now.
   pub(crate) fn check(&self, chosen: &EndpointEntry) -> Result<(), Unavailable> {
     self.book.borrow().check(chosen, self.now_ms())
--- a/tests/gateway/hall_drain.rs
+++ b/tests/gateway/hall_drain.rs
@@ -242,6 +242,7 @@
   EndpointEntry {
     address: "127.0.0.1:1".parse().unwrap(),
     born_ms: None,
+    cold_ms: 0,
     hall: hall.into(),
     id: id.into(),
     leaving: false,
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -142,6 +142,20 @@
     });
   }
 
+  /// Enters an endpoint that says for how long it is cold.
+  pub(crate) fn enter_cold(
+    &self,
+    id: &str,
+    service: &str,
+    stage: Option<&str>,
+    endpoint: &EndpointStandIn,
+    cold_ms: u64,
+  ) {
+    self.put_entry(id, service, stage, endpoint.address, |entry| {
+      entry["coldRemainingMs"] = json!(cold_ms);
+    });
+  }
+
   fn put_entry(
     &self,
     id: &str,
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod callers;
 mod choice;
+mod cold_endpoints;
 mod configuration;
 mod crashing_request;
 mod endpoint;
--- a/tests/gateway/notice_book.rs
+++ b/tests/gateway/notice_book.rs
@@ -17,6 +17,7 @@
   EndpointEntry {
     address: "127.0.0.1:1".parse().unwrap(),
     born_ms,
+    cold_ms: 0,
     hall: "north".into(),
     id: id.into(),
     leaving: false,
--- a/tests/gateway/places.rs
+++ b/tests/gateway/places.rs
@@ -22,6 +22,7 @@
   EndpointEntry {
     address: "127.0.0.1:1".parse().unwrap(),
     born_ms: Some(born_ms),
+    cold_ms: 0,
     hall: "north".into(),
     id: id.into(),
     leaving: false,
@@ -231,12 +232,12 @@
     limits.note_answer(&entry, NamedLimit::Unreadable, 11_900, 12_000),
     LimitNews::Nothing
   );
-  assert_eq!(limits.per_s(&entry), Some(2.0));
+  assert_eq!(limits.per_s(&entry, 0), Some(2.0));
   assert_eq!(
     limits.note_answer(&entry, NamedLimit::Unsaid, 11_900, 12_000),
     LimitNews::Ends
   );
-  assert_eq!(limits.per_s(&entry), None);
+  assert_eq!(limits.per_s(&entry, 0), None);
 }
 
 #[test]
@@ -244,8 +245,8 @@
   let first = entry("e-1", 1);
   let mut limits = limits(&first, 2.0, 10_000);
   limits.forget_old(300_000);
-  assert_eq!(limits.per_s(&first), Some(2.0));
-  assert_eq!(limits.per_s(&entry("e-1", 2)), None);
+  assert_eq!(limits.per_s(&first, 0), Some(2.0));
+  assert_eq!(limits.per_s(&entry("e-1", 2), 0), None);
 }
 
 #[test]
@@ -253,9 +254,9 @@
   let entry = entry("e-1", 1);
   let mut limits = limits(&entry, 2.0, 10_000);
   limits.note_answer(&entry, NamedLimit::PerS(5.0), 9_990, 10_010);
-  assert_eq!(limits.per_s(&entry), Some(2.0));
+  assert_eq!(limits.per_s(&entry, 0), Some(2.0));
   limits.note_answer(&entry, NamedLimit::PerS(5.0), 10_020, 10_030);
-  assert_eq!(limits.per_s(&entry), Some(5.0));
+  assert_eq!(limits.per_s(&entry, 0), Some(5.0));
 }
 
 #[test]
@@ -271,10 +272,10 @@
   assert_eq!(older, LimitNews::Nothing);
   let newer = limits.note_told(&entry.id, entry.born_ms, told(Some(3.0), 11_000));
   assert_eq!(newer, LimitNews::Changes(2.0));
-  assert_eq!(limits.per_s(&entry), Some(3.0));
+  assert_eq!(limits.per_s(&entry, 0), Some(3.0));
   let ended = limits.note_told(&entry.id, entry.born_ms, told(None, 12_000));
   assert_eq!(ended, LimitNews::Ends);
-  assert_eq!(limits.per_s(&entry), None);
+  assert_eq!(limits.per_s(&entry, 0), None);
 }
 
 /// An endpoint without a place is not chosen, though it looks the least busy; when none has one, callers are told when the first has.
@@ -326,7 +327,7 @@
   book.put(one.clone());
   book.note_limit(&one, NamedLimit::PerS(0.0), 1_000, 1_000);
   assert!(!book.limits().are_heeded());
-  assert_eq!(book.limits().per_s(&one), None);
+  assert_eq!(book.limits().per_s(&one, 0), None);
 }
 
 fn box_list(boxes: usize, without: Option<usize>) -> BoxList {
--- a/tests/gateway/role_plan.rs
+++ b/tests/gateway/role_plan.rs
@@ -14,6 +14,7 @@
   EndpointEntry {
     address: format!("127.0.0.1:{}", 1_000 + number).parse().unwrap(),
     born_ms: None,
+    cold_ms: 0,
     hall: HALLS[number % HALLS.len()].into(),
     id: format!("e-{number}").into(),
     leaving: false,
