Requests stay in the homes of their route and their organisation

Cause: the regions that a route or an organisation allows were read by nobody.

Change: the halls that both leave are worked out as a request comes, by the region of each hall in the box's settings, and looked at in each choice and before a stream goes on where its prompt is kept. What no home can serve is refused at once. A document with an empty list, a region of no hall or another type stays out of force (E408).

--- a/emulator/src/load/replay.rs
+++ b/emulator/src/load/replay.rs
@@ -11,7 +11,7 @@
   rand_chacha::ChaCha8Rng,
   rillford::{
     decide::Role,
-    gateway::{EndpointBook, EndpointEntry, PartEnd, ToldLoad, Wanted},
+    gateway::{AllowedHalls, EndpointBook, EndpointEntry, PartEnd, ToldLoad, Wanted},
     ids::Name,
   },
 };
@@ -200,6 +200,7 @@
     let random = &mut self.random;
     let book = &mut self.books[request.at_box];
     let wanted = Wanted {
+      allowed_halls: &AllowedHalls::Any,
       hall: &hall,
       may_repeat: true,
       role: Some(Role::Decode),
--- a/emulator/src/notices/replay.rs
+++ b/emulator/src/notices/replay.rs
@@ -14,8 +14,8 @@
   rand_chacha::ChaCha8Rng,
   rillford::{
     gateway::{
-      EndpointBook, EndpointEntry, EndpointNotice, NamedLimit, NoticeNews, PartEnd, RetryAllowance,
-      RetryWindow, Wanted, kept_pause_ms, retry_after_pause_ms,
+      AllowedHalls, EndpointBook, EndpointEntry, EndpointNotice, NamedLimit, NoticeNews, PartEnd,
+      RetryAllowance, RetryWindow, Wanted, kept_pause_ms, retry_after_pause_ms,
     },
     ids::Name,
   },
@@ -214,6 +214,7 @@
   fn choose(&mut self, number: usize, now_ms: u64) -> Option<usize> {
     let request = &self.requests[number];
     let wanted = Wanted {
+      allowed_halls: &AllowedHalls::Any,
       hall: "north",
       may_repeat: false,
       role: None,
--- a/src/gateway/decisions/choice.rs
+++ b/src/gateway/decisions/choice.rs
@@ -1,6 +1,9 @@
 //! What is asked of the book of endpoints, and what it answers.
 
-use crate::{decide::Role, gateway::edge::EndpointEntry, ids::Name};
+use {
+  super::allowed_halls::AllowedHalls,
+  crate::{decide::Role, gateway::edge::EndpointEntry, ids::Name},
+};
 
 /// What is wanted of an endpoint.
 #[derive(Clone, Copy, Debug)]
@@ -13,6 +16,8 @@
   pub size: u64,
   /// Endpoints that were tried.
   pub tried: &'a [Name],
+  /// The halls that may be chosen.
+  pub allowed_halls: &'a AllowedHalls,
   /// The hall that is preferred.
   pub hall: &'a str,
   /// Whether the work may be repeated: only such work tries an endpoint that failed before.
--- a/src/gateway/decisions/endpoint_book.rs
+++ b/src/gateway/decisions/endpoint_book.rs
@@ -219,6 +219,7 @@
       .filter(|known| {
         &*known.entry.service == wanted.service
           && takes_work(known)
+          && wanted.allowed_halls.contains(&known.entry.hall)
           && (wanted.role.is_none() || known.entry.role == wanted.role)
           && !wanted.tried.contains(&known.entry.id)
       })
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -3,6 +3,7 @@
 //!
 //! Imports `edge` alone: a decision gets the time, what was seen and a random number, and answers with what to do.
 
+mod allowed_halls;
 mod box_list;
 mod choice;
 mod cold_endpoints;
@@ -44,6 +45,7 @@
 mod use_verdict;
 
 pub use self::{
+  allowed_halls::AllowedHalls,
   box_list::{BoxEntry, BoxList},
   choice::{Choice, PartEnd, Wanted},
   cold_endpoints::{ColdEndpoints, ColdSpan},
--- a/src/gateway/edge/mod.rs
+++ b/src/gateway/edge/mod.rs
@@ -8,6 +8,7 @@
 mod dialect;
 mod endpoint_entry;
 mod endpoint_notice;
+mod homes;
 mod organisation;
 mod prompt_part;
 mod route_table;
@@ -21,6 +22,7 @@
   },
   endpoint_entry::EndpointEntry,
   endpoint_notice::{EndpointNotice, NamedLimit, UnreadableNotice},
+  homes::Homes,
   organisation::{Organisation, Organisations, UseLimit, UseUnit},
   prompt_part::PromptPart,
   route_table::{
--- a/src/gateway/edge/organisation.rs
+++ b/src/gateway/edge/organisation.rs
@@ -1,7 +1,7 @@
 //! Who asks: the organisations of the configuration, their keys and limits.
 
 use {
-  super::{caller_facts::CallerFacts, decode_error::DecodeError},
+  super::{caller_facts::CallerFacts, decode_error::DecodeError, homes::Homes},
   crate::{configuration::KeyTable, ids::Name},
   std::{collections::HashMap, rc::Rc},
 };
@@ -34,6 +34,8 @@
   pub name: Name,
   /// Goes before the route's; 0 is first.
   pub priority: Option<u8>,
+  /// The regions in which its requests may be served; nothing where all may.
+  pub homes: Option<Homes>,
   /// What its limit is counted in.
   pub unit: UseUnit,
   /// What it may use; nothing when it is not limited.
@@ -46,6 +48,7 @@
   /// ```
   /// use rillford::gateway::{CallerFacts, Organisation, UseUnit};
   /// let organisation = Organisation {
+  ///   homes: None,
   ///   limit: None,
   ///   name: "lectures".into(),
   ///   priority: None,
--- a/src/gateway/edge/route_table.rs
+++ b/src/gateway/edge/route_table.rs
@@ -1,7 +1,10 @@
 //! The routes in force: which service a host and path belong to, and how its requests may be treated.
 
 use {
-  super::organisation::{Organisations, UseLimit},
+  super::{
+    homes::Homes,
+    organisation::{Organisations, UseLimit},
+  },
   crate::ids::Name,
   std::{cmp::Reverse, collections::HashMap, rc::Rc},
 };
@@ -61,6 +64,8 @@
   pub priority: u8,
   /// The most endpoints that one request may be sent to.
   pub most_attempts: u32,
+  /// The regions in which its requests may be served; nothing where all may.
+  pub homes: Option<Homes>,
   /// Whether it serves callers without a key.
   pub is_open: bool,
   /// The services that its requests go to.
@@ -215,6 +220,18 @@
     self.services.get(name)
   }
 
+  /// A region that is some route's or organisation's home and none of the regions that there are.
+  pub fn unknown_home<'a>(&'a self, is_region: impl Fn(&str) -> bool) -> Option<&'a Name> {
+    let of_routes = self.by_host.values().flatten();
+    let of_routes = of_routes.filter_map(|route| route.homes.as_ref());
+    let organisations = self.organisations.iter().flat_map(Organisations::iter);
+    let of_organisations = organisations.filter_map(|organisation| organisation.homes.as_ref());
+    let homes = of_routes.chain(of_organisations);
+    homes
+      .flat_map(Homes::names)
+      .find(|region| !is_region(region))
+  }
+
   /// How many routes there are.
   pub fn route_count(&self) -> usize {
     self.by_host.values().map(Vec::len).sum()
--- a/src/gateway/membership/store_view.rs
+++ b/src/gateway/membership/store_view.rs
@@ -5,7 +5,7 @@
   crate::{
     gateway::{
       decisions::{HallDrainNews, QuarantineKey, QuarantineWay},
-      edge::{StoreError, StoreItem, StoreKey},
+      edge::{RouteTable, StoreError, StoreItem, StoreKey},
       quarantine::mark_age_ms,
       state::Gateway,
     },
@@ -182,6 +182,12 @@
   fn configuration(&self, value: &[u8], revision: u64) {
     match self.gateway.dialect.route_table(value) {
       Ok(table) => {
+        if let Some(region) = self.unknown_home(&table) {
+          log::error!(
+            "E408 configuration at revision {revision} has the home {region}, which is the region of no hall: the last one stays"
+          );
+          return;
+        }
         let version = table.version();
         let routes = table.route_count();
         if self.gateway.put_in_force(table) {
@@ -192,6 +198,13 @@
     }
   }
 
+  /// A home that is the region of no hall that this box knows: what is meant for it would be refused for good.
+  fn unknown_home(&self, table: &RouteTable) -> Option<Name> {
+    let regions = &self.gateway.settings.regions;
+    let is_region = |home: &str| regions.values().any(|region| &**region == home);
+    table.unknown_home(is_region).cloned()
+  }
+
   fn endpoint_gone(&self, id: &str) {
     let now_ms = self.gateway.now_ms();
     let mut book = self.gateway.book.borrow_mut();
--- a/src/gateway/parts/request.rs
+++ b/src/gateway/parts/request.rs
@@ -4,7 +4,7 @@
   super::sending::Sending,
   crate::{
     gateway::{
-      decisions::{Fingerprint, RequestIdentity},
+      decisions::{AllowedHalls, Fingerprint, RequestIdentity},
       edge::{CallerFacts, Dialect, EndpointEntry, Marks, Organisation, Part, Route},
       places::PlaceCaller,
       settings::RouteRank,
@@ -44,6 +44,8 @@
   /// Who asks; nothing where callers belong to none.
   pub(crate) organisation: Option<Rc<Organisation>>,
   pub(crate) route: Rc<Route>,
+  /// The halls that the homes of its route and its organisation leave.
+  pub(crate) allowed_halls: AllowedHalls,
   pub(crate) service: Name,
   pub(crate) rank: RouteRank,
   /// When it came, on the box's clock.
--- a/src/gateway/requests/front.rs
+++ b/src/gateway/requests/front.rs
@@ -9,7 +9,7 @@
   },
   crate::gateway::{
     connections::{accept, remove_connection_headers, set_limits},
-    decisions::{RETRY_AFTER_LEAVING_MS, RETRY_AFTER_NO_CONFIGURATION_MS},
+    decisions::{AllowedHalls, RETRY_AFTER_LEAVING_MS, RETRY_AFTER_NO_CONFIGURATION_MS},
     edge::{RouteKind, RouteTable},
     limits::{Beyond, Charge, admit},
     parts::RoutedRequest,
@@ -250,10 +250,18 @@
   if gateway.settings.engines.marks == EngineMarks::Organisation {
     rank.mark = rank.priority;
   }
+  let homes = [
+    route.homes.as_ref(),
+    organisation
+      .as_ref()
+      .and_then(|organisation| organisation.homes.as_ref()),
+  ];
+  let allowed_halls = AllowedHalls::of(&gateway.settings.regions, homes);
   let mut headers = head.headers;
   remove_connection_headers(&mut headers);
   gateway.dialect.remove_reserved(&mut headers);
   Ok(RoutedRequest {
+    allowed_halls,
     arrived_ms,
     body,
     facts,
--- a/src/gateway/requests/plain.rs
+++ b/src/gateway/requests/plain.rs
@@ -203,6 +203,7 @@
   /// The best endpoint not tried yet.
   fn choose(&self) -> Option<EndpointEntry> {
     let choice = self.gateway.choose(Wanted {
+      allowed_halls: &self.request.allowed_halls,
       hall: self.gateway.preferred_hall(),
       may_repeat: self.request.route.kind.may_repeat(),
       role: None,
--- a/src/gateway/requests/prompt.rs
+++ b/src/gateway/requests/prompt.rs
@@ -56,6 +56,7 @@
   let mut tried = Vec::new();
   for _ in 0..MOST_UNREACHABLE {
     let choice = gateway.choose(Wanted {
+      allowed_halls: &request.allowed_halls,
       hall,
       may_repeat: true,
       role: Some(Role::Prefill),
--- a/src/gateway/requests/resume_seat.rs
+++ b/src/gateway/requests/resume_seat.rs
@@ -33,8 +33,11 @@
       let book = gateway.book.borrow();
       book.entry(&engine).cloned()
     };
-    let may_write =
-      |entry: &EndpointEntry| entry.role == Some(Role::Decode) && gateway.check(entry).is_ok();
+    let may_write = |entry: &EndpointEntry| {
+      entry.role == Some(Role::Decode)
+        && request.allowed_halls.contains(&entry.hall)
+        && gateway.check(entry).is_ok()
+    };
     let Some(entry) = entry.filter(may_write) else {
       continue;
     };
--- a/src/gateway/requests/seat.rs
+++ b/src/gateway/requests/seat.rs
@@ -164,6 +164,7 @@
       continue;
     }
     let choice = gateway.choose(Wanted {
+      allowed_halls: &request.allowed_halls,
       hall: gateway.preferred_hall(),
       may_repeat: request.route.kind.may_repeat(),
       role: Some(Role::Decode),
--- a/src/gateway/requests/stream_request.rs
+++ b/src/gateway/requests/stream_request.rs
@@ -160,6 +160,7 @@
   /// A try at an endpoint that reads the prompt itself.
   async fn attempt_whole(&mut self) -> Attempt {
     let choice = self.gateway.choose(Wanted {
+      allowed_halls: &self.request.allowed_halls,
       hall: self.gateway.preferred_hall(),
       may_repeat: self.may_repeat(),
       role: None,
--- a/src/gateway/settings/document.rs
+++ b/src/gateway/settings/document.rs
@@ -8,6 +8,7 @@
   crate::{Error, Result, gateway::decisions::RetryAllowance, ids::Name, settings::SettingsError},
   serde::Deserialize,
   std::{
+    collections::BTreeMap,
     net::SocketAddr,
     path::{Path, PathBuf},
   },
@@ -19,6 +20,9 @@
   /// Who this box is.
   #[serde(rename = "box")]
   pub identity: GatewayIdentity,
+  /// The region of each data hall; needed where routes or organisations have homes.
+  #[serde(default)]
+  pub regions: BTreeMap<Name, Name>,
   /// Where it listens.
   pub listen: GatewayListen,
   /// The platform's store.
--- a/tests/gateway/choice.rs
+++ b/tests/gateway/choice.rs
@@ -3,7 +3,7 @@
 use {
   rillford::{
     decide::Role,
-    gateway::{EndpointBook, EndpointEntry, PartEnd, ToldLoad, Unavailable, Wanted},
+    gateway::{AllowedHalls, EndpointBook, EndpointEntry, PartEnd, ToldLoad, Unavailable, Wanted},
   },
   rstest::rstest,
   std::collections::HashMap,
@@ -33,6 +33,7 @@
 
 fn wanted() -> Wanted<'static> {
   Wanted {
+    allowed_halls: &AllowedHalls::Any,
     hall: "north",
     may_repeat: true,
     role: None,
--- a/tests/gateway/hall_drain.rs
+++ b/tests/gateway/hall_drain.rs
@@ -13,7 +13,9 @@
   http::StatusCode,
   rillford::{
     decide::Role,
-    gateway::{DrainedHalls, EndpointBook, EndpointEntry, HallDrainNews, Unavailable, Wanted},
+    gateway::{
+      AllowedHalls, DrainedHalls, EndpointBook, EndpointEntry, HallDrainNews, Unavailable, Wanted,
+    },
   },
   rstest::rstest,
   std::time::{Duration, Instant},
@@ -259,6 +261,7 @@
   book.put(entry("b", OTHER_HALL));
   book.drained_halls_mut().note(&OWN_HALL.into(), true, 7);
   let wanted = Wanted {
+    allowed_halls: &AllowedHalls::Any,
     hall: OWN_HALL,
     may_repeat: true,
     role: None,
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -244,6 +244,9 @@
 [box]
 name = "{}"
 hall = "north"
+[regions]
+north = "north-land"
+south = "south-land"
 [listen]
 callers = "{callers}"
 ready = "{ready}"
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod endpoint_limits;
 mod hall_drain;
 mod harness;
+mod homes;
 mod leaving;
 mod limits;
 mod load;
--- a/tests/gateway/notice_book.rs
+++ b/tests/gateway/notice_book.rs
@@ -5,8 +5,8 @@
   http::{HeaderMap, HeaderValue},
   rillford::{
     gateway::{
-      Availability, EndpointBook, EndpointCounts, EndpointEntry, EndpointNotice, Unavailable,
-      Wanted,
+      AllowedHalls, Availability, EndpointBook, EndpointCounts, EndpointEntry, EndpointNotice,
+      Unavailable, Wanted,
     },
     retry_after_ms,
   },
@@ -51,6 +51,7 @@
 
 fn chosen(book: &EndpointBook, now_ms: u64) -> Option<String> {
   let wanted = Wanted {
+    allowed_halls: &AllowedHalls::Any,
     hall: "north",
     may_repeat: false,
     role: None,
--- a/tests/gateway/places.rs
+++ b/tests/gateway/places.rs
@@ -4,9 +4,9 @@
 use {
   emulator::places::{PlaceFleet, PlacePattern, PlaceWay, replay_places},
   rillford::gateway::{
-    ALONE_BOXES, BoxEntry, BoxList, EndpointBook, EndpointEntry, EndpointLimits, HeardLimit,
-    LimitNews, LimitSource, LocalPlace, NamedLimit, PlaceAccount, PlaceLedger, PlaceVerdict,
-    PlaceWish, Wanted, counted_limit, endpoint_order, lone_limit,
+    ALONE_BOXES, AllowedHalls, BoxEntry, BoxList, EndpointBook, EndpointEntry, EndpointLimits,
+    HeardLimit, LimitNews, LimitSource, LocalPlace, NamedLimit, PlaceAccount, PlaceLedger,
+    PlaceVerdict, PlaceWish, Wanted, counted_limit, endpoint_order, lone_limit,
   },
   rstest::rstest,
 };
@@ -290,6 +290,7 @@
   }
   let chosen = |book: &EndpointBook, now_ms| {
     let wanted = Wanted {
+      allowed_halls: &AllowedHalls::Any,
       hall: "north",
       may_repeat: false,
       role: None,
--- a/tests/gateway/policy.rs
+++ b/tests/gateway/policy.rs
@@ -11,6 +11,7 @@
 
 fn route(kind: RouteKind) -> Route {
   Route {
+    homes: None,
     host: "lectures.example".into(),
     is_open: false,
     kind,
