--- a/soak/src/configuration.rs
+++ b/soak/src/configuration.rs
@@ -2,7 +2,10 @@
 
 use {
   super::{
-    caller_key::organisations, endpoint_state::SEATS, exports::EXPORT_TTL,
+    caller_key::organisations,
+    cold_check::{COLD_MS, COLD_PER_S},
+    endpoint_state::SEATS,
+    exports::EXPORT_TTL,
     request_kind::RequestKind,
   },
   serde_json::{Value, json},
@@ -29,12 +32,15 @@
     route["allowAnonymous"] = json!(true);
     route
   }));
+  let cold_start_s = COLD_MS as f64 / 1_000.0;
   json!({
     "version": version,
     "routes": routes,
     "services": [
-      {"name": "portal", "healthPath": "/health", "maxConnections": 400},
-      {"name": "llm", "healthPath": "/health", "maxConnections": 400, "engine": {
+      {"name": "portal", "healthPath": "/health", "maxConnections": 400, "coldStartS": cold_start_s,
+       "coldPerS": COLD_PER_S},
+      {"name": "llm", "healthPath": "/health", "maxConnections": 400, "coldStartS": cold_start_s,
+       "coldPerS": COLD_PER_S, "engine": {
         "slots": SEATS, "kvTokens": 60_000, "handleTtlS": EXPORT_TTL.as_secs_f64(), "holdMs": 2_000.0}},
     ],
     "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 65_536, "headerTimeoutMs": 3_000,
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -3,6 +3,7 @@
 use {
   super::{
     box_process::{BoxPlan, BoxProcess},
+    cold_check::COLD_MS,
     configuration::{self, HOST, version_path},
     endpoint::{Endpoint, Identity},
     endpoint_state::SEATS,
@@ -179,7 +180,7 @@
     let mut entry = json!({
       "service": part.service(), "address": self.places[place].link.address, "version": "v1",
       "zone": Hall::of_place(place).name(),
-      "slots": SEATS, "state": state, "coldRemainingMs": 0, "callSeq": 1,
+      "slots": SEATS, "state": state, "coldRemainingMs": self.cold_left_ms(&incarnation), "callSeq": 1,
       "born": endpoint.born,
     });
     if let Some(stage) = part.stage() {
@@ -190,6 +191,15 @@
     Some(incarnation)
   }
 
+  /// How much longer an endpoint is cold.
+  fn cold_left_ms(&self, incarnation: &str) -> u64 {
+    let now_ms = self.ledger.now_ms();
+    let records = self.ledger.records();
+    let mut starts = records.starts.iter().rev();
+    let started = starts.find(|start| start.incarnation == incarnation);
+    started.map_or(0, |start| (start.at_ms + COLD_MS).saturating_sub(now_ms))
+  }
+
   /// Removes the entries of all endpoints, as when they lapsed while the store was away.
   pub(crate) fn remove_entries(&self) {
     for key in self.store.keys() {
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -6,6 +6,7 @@
 mod caller;
 mod caller_key;
 mod calm;
+mod cold_check;
 mod conductor;
 mod configuration;
 mod content;
--- a/soak/src/promise.rs
+++ b/soak/src/promise.rs
@@ -23,6 +23,8 @@
   OwnWordOfLeaving,
   /// An endpoint that wants no requests of a box for a while gets next to none.
   PauseKept,
+  /// Boxes together send a cold endpoint no more than it carries.
+  ColdRateKept,
   /// A data hall that operators drain gets nothing new.
   HallDrained,
   /// An endpoint that names a limit for all boxes gets no more of them together.
--- a/soak/src/promises.rs
+++ b/soak/src/promises.rs
@@ -5,6 +5,7 @@
     breach::Breach,
     caller_key::CallerKey,
     calm::{CONFIGURE_MS, CONTACT_MS},
+    cold_check::cold_breaches,
     hall_check::hall_breaches,
     limit_check::limit_breaches,
     notice_check::notice_breaches,
@@ -39,6 +40,7 @@
   breaches.extend(notice_breaches(records, slack_ms));
   breaches.extend(limit_breaches(records, slack_ms));
   breaches.extend(hall_breaches(records, slack_ms));
+  breaches.extend(cold_breaches(records));
   breaches
 }
 
--- a/tests/soak_promises.rs
+++ b/tests/soak_promises.rs
@@ -610,3 +610,43 @@
   });
   assert_eq!(found(&out_of_reach), []);
 }
+
+/// Requests that began one after the other, with pauses, at an endpoint that started at 1,000 ms.
+fn requests_after_start(pause_ms: u64) -> Records {
+  let mut records = Records::default();
+  records.versions.insert(1, 0);
+  records.starts.push(Start {
+    at_ms: 1_000,
+    incarnation: "i-0".into(),
+  });
+  for number in 0..3_000 / pause_ms {
+    let began_ms = 1_000 + number * pause_ms;
+    let run = run(0, began_ms, Some(began_ms + 5));
+    let mut sent = request(RequestKind::Unrepeatable, Outcome::Left, vec![run]);
+    sent.box_index = usize::from(number.is_multiple_of(2));
+    sent.sent_ms = began_ms;
+    sent.ended_ms = Some(began_ms + 10);
+    records.requests.insert(format!("c{number}"), sent);
+  }
+  records
+}
+
+#[test]
+fn sum_over_boxes_beyond_what_a_cold_endpoint_carries_is_found() {
+  assert_eq!(found(&requests_after_start(95)), []);
+  let beyond = requests_after_start(80);
+  assert_eq!(found(&beyond), [Promise::ColdRateKept]);
+  let mut under_its_id = beyond.clone();
+  under_its_id.starts.push(Start {
+    at_ms: 500,
+    incarnation: "i-0".into(),
+  });
+  assert_eq!(found(&under_its_id), []);
+  let mut one_was_out_of_reach = beyond;
+  one_was_out_of_reach.disturbances.push(Disturbance {
+    from_ms: 500,
+    target: Target::StoreLink(0),
+    until_ms: Some(900),
+  });
+  assert_eq!(found(&one_was_out_of_reach), []);
+}
