--- a/src/gateway/decisions/endpoint_limits.rs
+++ b/src/gateway/decisions/endpoint_limits.rs
@@ -37,7 +37,8 @@
 
   /// Whether any limit decides something.
   pub fn are_heeded(&self) -> bool {
-    !self.is_ignoring && !(self.words.is_empty() && self.cold.is_empty())
+    let has_any = !self.words.is_empty() || !self.cold.is_empty();
+    has_any && !self.is_ignoring
   }
 
   /// The requests a second that a life of an endpoint takes of all boxes together, if any limit that is heeded is in force.
--- a/src/gateway/edge/route_table.rs
+++ b/src/gateway/edge/route_table.rs
@@ -221,7 +221,7 @@
   }
 
   /// A region that is some route's or organisation's home and none of the regions that there are.
-  pub fn unknown_home<'a>(&'a self, is_region: impl Fn(&str) -> bool) -> Option<&'a Name> {
+  pub fn unknown_home(&self, is_region: impl Fn(&str) -> bool) -> Option<&Name> {
     let of_routes = self.by_host.values().flatten();
     let of_routes = of_routes.filter_map(|route| route.homes.as_ref());
     let organisations = self.organisations.iter().flat_map(Organisations::iter);
