--- a/src/gateway/decisions/endpoint_limits.rs
+++ b/src/gateway/decisions/endpoint_limits.rs
@@ -71,7 +71,7 @@
       .min_by(|one, other| one.lowest().total_cmp(&other.lowest()))
   }
 
-  /// Since when and for how long a life of an endpoint is cold.
+  /// The span in which a life of an endpoint is cold; nothing once it is warm.
   pub fn cold_span(&self, id: &str, born_ms: Option<u64>, now_ms: u64) -> Option<ColdSpan> {
     self.cold.span(id, born_ms, now_ms)
   }
--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -269,7 +269,7 @@
     let span = ColdSpan {
       noted_ms,
       per_s: cold_start.per_s,
-      until_ms: noted_ms + cold_ms,
+      until_ms: noted_ms.saturating_add(cold_ms),
     };
     let mut book = self.book.borrow_mut();
     let limits = book.limits_mut();
--- a/tests/gateway/cold_endpoints.rs
+++ b/tests/gateway/cold_endpoints.rs
@@ -175,6 +175,25 @@
   );
 }
 
+/// Entries and answers may have any number, or none.
+#[rstest]
+#[case::hours(json!(1e30))]
+#[case::below_zero(json!(-5))]
+#[case::text(json!("soon"))]
+#[tokio::test]
+async fn time_that_nobody_can_mean_does_no_harm(#[case] cold_ms: Value) {
+  let one = EndpointStandIn::start(|seen| Reply::ok(seen, "one")).await;
+  let test = GatewayTest::new().await.configure(with_cold_starts);
+  let entry = json!({
+    "service": "portal", "address": one.address, "zone": "north", "slots": 8, "state": "ready", "coldRemainingMs": cold_ms,
+  });
+  let entry = entry.to_string();
+  test.store.put("servers/p-1", entry.as_bytes());
+  let gateway = test.start().await;
+  let is_served = async || gateway.ask("/unsafe/a", "r").await.status == StatusCode::OK;
+  assert!(eventually(PATIENCE, is_served).await);
+}
+
 /// What an endpoint names and what it carries while it is cold share one account: the lower one holds.
 #[rstest]
 #[case::named_is_lower("1", LimitSource::Answer)]
