--- a/tests/gateway/hall_drain.rs
+++ b/tests/gateway/hall_drain.rs
@@ -2,7 +2,13 @@
 //!
 //! Operators drained one hall of three for twelve seconds. No box read that entry: each went on sending there, most of all the boxes
 //! of that hall, which prefer its endpoints. The users count what reaches such a hall later than five seconds after the store took the
-//! entry; it was 1,991 requests.
+//! entry; it was 1,991 requests. What settled it (seconds of the day; the hall was drained at 1.97, and the endpoint stands in it):
+//!
+//! ```text
+//! 7.0586 E508 answered: 05089ca386c1f38b by i-3c90f1817d with status 200 OK, 22 ms after arrival, tried 1
+//! 7.1966 E508 answered: 17d84148d3be0d88 by i-3c90f1817d with status 200 OK, 18 ms after arrival, tried 1
+//! 7.3294 E508 answered: 39413f9a20040f8f by i-3c90f1817d with status 200 OK, 12 ms after arrival, tried 1
+//! ```
 
 use {
   super::{
