--- a/emulator/src/places/event.rs
+++ b/emulator/src/places/event.rs
@@ -1,6 +1,6 @@
 //! What happens in a replay of places.
 
-use rillford::gateway::{PlaceVerdict, PlaceWish, UseTotals};
+use rillford::gateway::{PermitRequest, PermitVerdict, UseTotals};
 
 /// What happens at a moment.
 pub(super) enum Event {
@@ -11,7 +11,7 @@
     from: usize,
     to: usize,
     number: u32,
-    wish: PlaceWish,
+    wish: PermitRequest,
     told: Word,
   },
   /// The answer is there.
@@ -19,7 +19,7 @@
     to: usize,
     from: usize,
     number: u32,
-    verdict: PlaceVerdict,
+    verdict: PermitVerdict,
     told: Word,
   },
   /// A question has had its time.
@@ -27,7 +27,7 @@
     at: usize,
     to: usize,
     number: u32,
-    wish: PlaceWish,
+    wish: PermitRequest,
   },
   /// A request reaches the endpoint.
   AtEndpoint { from: usize, is_told: bool },
--- a/emulator/src/places/replay.rs
+++ b/emulator/src/places/replay.rs
@@ -15,8 +15,8 @@
   rillford::{
     gateway::{
       ALONE_BOXES, BoxList, EndpointEntry, EndpointLife, HeardLimit, LimitNews, LimitSource,
-      LocalPlace, NamedLimit, PlaceVerdict, PlaceWish, ToldSpan, UseBucket, UseLimit, UseTotals,
-      UseVerdict, counted_limit, endpoint_order, lone_limit,
+      LocalPermit, NamedLimit, PermitRequest, PermitVerdict, ToldSpan, UseBucket, UseLimit,
+      UseTotals, UseVerdict, counted_limit, endpoint_order, lone_limit,
     },
     ids::Name,
   },
@@ -295,13 +295,13 @@
       return;
     }
     let id = self.entry.id.clone();
-    match self.boxes[at].limits.places().take(&id, now_ms) {
-      LocalPlace::Granted => self.send(at),
-      LocalPlace::Refused { .. } => self.figures.elsewhere += 1,
-      LocalPlace::Ask { places, unused } => {
-        let wish = PlaceWish {
+    match self.boxes[at].limits.permits().take(&id, now_ms) {
+      LocalPermit::Granted => self.send(at),
+      LocalPermit::Refused { .. } => self.figures.elsewhere += 1,
+      LocalPermit::Ask { permits, unused } => {
+        let wish = PermitRequest {
           box_name: PlaceFleet::name(at).as_str().into(),
-          places,
+          permits,
           priority: 1,
           unused,
         };
@@ -319,7 +319,7 @@
     }
   }
 
-  fn ask(&mut self, at: usize, wish: PlaceWish) {
+  fn ask(&mut self, at: usize, wish: PermitRequest) {
     let now_ms = self.now_ms;
     let first = self.order(at)[0];
     if first == at {
@@ -380,7 +380,7 @@
     self.queue.put(self.now_ms + BOX_DELAY_MS + late_ms, event);
   }
 
-  fn question(&mut self, from: usize, to: usize, number: u32, wish: PlaceWish, told: Word) {
+  fn question(&mut self, from: usize, to: usize, number: u32, wish: PermitRequest, told: Word) {
     // A box that knows another one that counts says so; here it does not answer.
     if !self.is_up(to) || self.order(to)[0] != to {
       return;
@@ -412,20 +412,20 @@
     EndpointLife::of(&self.entry.id, self.entry.born_ms)
   }
 
-  fn give_out(&mut self, at: usize, wish: &PlaceWish) -> PlaceVerdict {
+  fn give_out(&mut self, at: usize, wish: &PermitRequest) -> PermitVerdict {
     let limit = counted_limit(self.word(at).per_s);
     let (life, now_ms) = (self.life(), self.now_ms);
     self.boxes[at].counted.ask(life, limit, wish, now_ms)
   }
 
-  fn decide_alone(&mut self, at: usize, wish: &PlaceWish) -> PlaceVerdict {
+  fn decide_alone(&mut self, at: usize, wish: &PermitRequest) -> PermitVerdict {
     if !self.order(at).iter().skip(1).any(|one| *one == at) {
-      return PlaceVerdict::Refused {
+      return PermitVerdict::Refused {
         wait_ms: NOT_ALONE_WAIT_MS,
       };
     }
-    let wish = PlaceWish {
-      places: 1,
+    let wish = PermitRequest {
+      permits: 1,
       unused: 0,
       ..wish.clone()
     };
@@ -434,14 +434,14 @@
     self.boxes[at].alone.ask(life, limit, &wish, now_ms)
   }
 
-  fn decided(&mut self, at: usize, verdict: PlaceVerdict) {
+  fn decided(&mut self, at: usize, verdict: PermitVerdict) {
     let (id, now_ms) = (self.entry.id.clone(), self.now_ms);
-    let places = self.boxes[at].limits.places();
-    let has_place = places.note_verdict(&id, verdict, now_ms);
+    let permits = self.boxes[at].limits.permits();
+    let has_place = permits.note_verdict(&id, verdict, now_ms);
     self.send_or_not(at, has_place);
   }
 
-  fn answer(&mut self, to: usize, _from: usize, number: u32, verdict: PlaceVerdict, told: Word) {
+  fn answer(&mut self, to: usize, _from: usize, number: u32, verdict: PermitVerdict, told: Word) {
     // Too late: the request has gone elsewhere, and what was given out is lost.
     if !self.boxes[to].open.remove(&number) {
       return;
@@ -450,7 +450,7 @@
     self.decided(to, verdict);
   }
 
-  fn timed_out(&mut self, at: usize, to: usize, number: u32, wish: PlaceWish) {
+  fn timed_out(&mut self, at: usize, to: usize, number: u32, wish: PermitRequest) {
     if !self.boxes[at].open.remove(&number) {
       return;
     }
--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -2,7 +2,7 @@
 
 use {
   super::{
-    Action, Arrival, Ending, Life, Machine, NoPlace, NoteKind, Rank, Refusal, Step, Work,
+    Action, Arrival, Ending, Life, Machine, NoPermit, NoteKind, Rank, Refusal, Step, Work,
     machine::ABSENT_RETRY_MS,
   },
   crate::{ids::RequestId, policy::RequestFacts},
@@ -125,8 +125,8 @@
     let serving_ms = match work {
       Work::Model(work) => self.scene.least_first_token_ms(work)?,
       Work::Service(work) => match self.scene.place_call(&work.service, &[]) {
-        Ok(_) | Err(NoPlace::NoSeat) => 0,
-        Err(NoPlace::NoEngine) => return None,
+        Ok(_) | Err(NoPermit::NoSeat) => 0,
+        Err(NoPermit::NoEngine) => return None,
       },
     };
     Some(wait_ms + serving_ms)
--- a/src/decide/life.rs
+++ b/src/decide/life.rs
@@ -2,7 +2,7 @@
 
 use {
   super::{
-    Arrival, ClaimOutcome, Endpoint, NoPlace, NoteKind, Placement, Rank, Refusal, Scene,
+    Arrival, ClaimOutcome, Endpoint, NoPermit, NoteKind, Placement, Rank, Refusal, Scene,
     StageOutcome, Waiting, Work,
   },
   crate::ids::{AttemptId, Name},
@@ -61,7 +61,7 @@
   /// It left the queue.
   Moved,
   /// It has to wait.
-  Waits(NoPlace),
+  Waits(NoPermit),
 }
 
 /// One request.
@@ -109,7 +109,7 @@
       failures: 0,
       link_wait_ms: 0,
       offset: 0,
-      placed: Placed::Waits(NoPlace::NoSeat),
+      placed: Placed::Waits(NoPermit::NoSeat),
       placement: None,
       prefilled_ms: 0,
       read_tokens: 0,
--- a/src/decide/life/placing.rs
+++ b/src/decide/life/placing.rs
@@ -16,8 +16,8 @@
     };
     let placement = match context.place(work, &self.tried) {
       Ok(placement) => placement,
-      Err(no_place) => {
-        self.placed = Placed::Waits(no_place);
+      Err(no_permit) => {
+        self.placed = Placed::Waits(no_permit);
         return Handled;
       }
     };
@@ -63,8 +63,8 @@
     let service = self.lane().clone();
     let endpoint = match context.place_call(&service, &self.tried) {
       Ok(endpoint) => endpoint,
-      Err(no_place) => {
-        self.placed = Placed::Waits(no_place);
+      Err(no_permit) => {
+        self.placed = Placed::Waits(no_permit);
         return Handled;
       }
     };
--- a/src/decide/machine.rs
+++ b/src/decide/machine.rs
@@ -3,7 +3,7 @@
 use {
   super::{
     Action, BoxEntry, CancelAnswer, ConfigurationView, EndpointKind, EndpointSpec, EndpointState,
-    EndpointStatus, Event, Fleet, HeldAttempt, Identity, Lane, LoadReport, NoPlace, NoteKind,
+    EndpointStatus, Event, Fleet, HeldAttempt, Identity, Lane, LoadReport, NoPermit, NoteKind,
     PeerStatus, Placed, Rank, Refusal, Role, Scene, Sign, StageOutcome, StageReport, Status, Step,
     life::{Life, State},
     scene::order_key,
@@ -315,8 +315,8 @@
       return true;
     };
     machine.handle_with_context(&Step::Place, &mut self.scene);
-    if let Placed::Waits(no_place) = machine.inner().placed {
-      return no_place == NoPlace::NoEngine && self.end_without_engine(request);
+    if let Placed::Waits(no_permit) = machine.inner().placed {
+      return no_permit == NoPermit::NoEngine && self.end_without_engine(request);
     }
     if let Some(lane) = self.lanes.get_mut(lane_name) {
       lane.queue.pop();
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -57,7 +57,7 @@
   peer_message::{
     Document, DocumentRevision, Heartbeat, LeavingEndpoint, PeerMessage, SeatAnswer, SeatAsk,
   },
-  placement::{NoPlace, Placement},
+  placement::{NoPermit, Placement},
   prefix_hints::{BLOCK_TOKENS, PrefixHints},
   rank::Rank,
   retry_budget::RetryBudget,
--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -28,7 +28,7 @@
 
 /// Why no engines could be chosen.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum NoPlace {
+pub enum NoPermit {
   /// No live engine serves the model.
   NoEngine,
   /// All decode seats are taken for now.
@@ -44,10 +44,10 @@
 impl Scene {
   /// Chooses a prefill and a decode engine for a completion; engines that failed it are the last
   /// resort.
-  pub(crate) fn place(&mut self, work: &ModelWork, tried: &[Name]) -> Result<Placement, NoPlace> {
+  pub(crate) fn place(&mut self, work: &ModelWork, tried: &[Name]) -> Result<Placement, NoPermit> {
     let reading = self.best_prefill(work, tried)?;
     let decode = self.best_decode(work, tried)?;
-    let engine = self.fleet.get(&decode).ok_or(NoPlace::NoEngine)?;
+    let engine = self.fleet.get(&decode).ok_or(NoPermit::NoEngine)?;
     let transfer_ms = engine.transfer_ms(work.prompt_tokens);
     Ok(Placement {
       decode,
@@ -86,18 +86,18 @@
   pub(crate) fn least_first_token_ms(&mut self, work: &ModelWork) -> Option<u64> {
     let reading = match self.best_prefill(work, &[]) {
       Ok(reading) => reading,
-      Err(NoPlace::NoSeat) => return Some(self.tuning().token_ms),
-      Err(NoPlace::NoEngine) => return None,
+      Err(NoPermit::NoSeat) => return Some(self.tuning().token_ms),
+      Err(NoPermit::NoEngine) => return None,
     };
     Some(reading.ready_in_ms + self.tuning().token_ms)
   }
 
   /// Chooses an instance of a plain service with a free place.
-  pub(crate) fn place_call(&mut self, service: &Name, tried: &[Name]) -> Result<Name, NoPlace> {
+  pub(crate) fn place_call(&mut self, service: &Name, tried: &[Name]) -> Result<Name, NoPermit> {
     let hall = self
       .fleet
       .serving_hall(&self.identity.hall, service, None)
-      .ok_or(NoPlace::NoEngine)?;
+      .ok_or(NoPermit::NoEngine)?;
     let key = PoolKey {
       hall,
       role: None,
@@ -111,20 +111,20 @@
       .take(CANDIDATES)
       .peekable();
     if untried.peek().is_none() {
-      return Err(NoPlace::NoEngine);
+      return Err(NoPermit::NoEngine);
     }
     let mode = SeatMode::LaggingLoad;
     untried
       .find(|endpoint| has_seat(endpoint, mode, self.now_ms, boxes))
       .map(|endpoint| endpoint.spec.name.clone())
-      .ok_or(NoPlace::NoSeat)
+      .ok_or(NoPermit::NoSeat)
   }
 
-  fn best_prefill(&mut self, work: &ModelWork, tried: &[Name]) -> Result<Reading, NoPlace> {
+  fn best_prefill(&mut self, work: &ModelWork, tried: &[Name]) -> Result<Reading, NoPermit> {
     let hall = self
       .fleet
       .serving_hall(&self.identity.hall, &work.model, Some(Role::Prefill))
-      .ok_or(NoPlace::NoEngine)?;
+      .ok_or(NoPermit::NoEngine)?;
     let key = PoolKey {
       hall,
       role: Some(Role::Prefill),
@@ -139,7 +139,7 @@
       .into_iter()
       .filter_map(|name| self.read_by(name, work))
       .min_by_key(|reading| (tried.contains(&reading.engine), reading.ready_in_ms))
-      .ok_or(NoPlace::NoSeat)
+      .ok_or(NoPermit::NoSeat)
   }
 
   /// The least loaded engines, and those that probably have the prompt's prefix.
@@ -180,12 +180,12 @@
     })
   }
 
-  fn best_decode(&mut self, work: &ModelWork, tried: &[Name]) -> Result<Name, NoPlace> {
+  fn best_decode(&mut self, work: &ModelWork, tried: &[Name]) -> Result<Name, NoPermit> {
     let role = Some(Role::Decode);
     let hall = self
       .fleet
       .serving_hall(&self.identity.hall, &work.model, role)
-      .ok_or(NoPlace::NoEngine)?;
+      .ok_or(NoPermit::NoEngine)?;
     let key = PoolKey {
       hall,
       role,
@@ -210,7 +210,7 @@
         },
         |names| names.into_iter().next(),
       );
-      return any.ok_or(NoPlace::NoEngine);
+      return any.ok_or(NoPermit::NoEngine);
     }
     let free = match candidates {
       Some(names) => names
@@ -227,7 +227,7 @@
     };
     free
       .map(|engine| engine.spec.name.clone())
-      .ok_or(NoPlace::NoSeat)
+      .ok_or(NoPermit::NoSeat)
   }
 
   fn boxes_of(&self, hall: &Name) -> u32 {
--- a/src/gateway/decisions/endpoint_book.rs
+++ b/src/gateway/decisions/endpoint_book.rs
@@ -163,11 +163,11 @@
   }
 
   /// The same, and whether there may be a place for it within the endpoint's limit.
-  fn check_place(&self, entry: &EndpointEntry, now_ms: u64) -> Result<(), Unavailable> {
+  fn check_permit(&self, entry: &EndpointEntry, now_ms: u64) -> Result<(), Unavailable> {
     self.check_listed(entry, now_ms)?;
     match self.limits.closed_for_ms(entry, now_ms) {
       0 => Ok(()),
-      left_ms => Err(Unavailable::NoPlace { left_ms }),
+      left_ms => Err(Unavailable::NoPermit { left_ms }),
     }
   }
 
@@ -179,9 +179,9 @@
       .filter(|entry| &*entry.service == service && entry.role != Some(Role::Prefill));
     let mut first_ms = None;
     for entry in answering {
-      match self.check_place(entry, now_ms) {
+      match self.check_permit(entry, now_ms) {
         Ok(()) => return None,
-        Err(Unavailable::Pausing { left_ms, .. } | Unavailable::NoPlace { left_ms }) => {
+        Err(Unavailable::Pausing { left_ms, .. } | Unavailable::NoPermit { left_ms }) => {
           first_ms = Some(first_ms.map_or(left_ms, |first_ms: u64| first_ms.min(left_ms)));
         }
         Err(_) => {}
@@ -211,7 +211,7 @@
     let heeds_notices = self.heeds_notices();
     let heeds_words = heeds_notices || self.limits.are_heeded() || !self.drained_halls.is_empty();
     let takes_work = |known: &Known| {
-      !known.entry.leaving && (!heeds_words || self.check_place(&known.entry, now_ms).is_ok())
+      !known.entry.leaving && (!heeds_words || self.check_permit(&known.entry, now_ms).is_ok())
     };
     let candidates: Vec<&Known> = self
       .known
@@ -323,7 +323,7 @@
     &mut self.drained_halls
   }
 
-  /// The limits that endpoints name, and this box's places there.
+  /// The limits that endpoints name, and this box's permits there.
   pub fn limits(&self) -> &EndpointLimits {
     &self.limits
   }
--- a/src/gateway/decisions/endpoint_limit.rs
+++ b/src/gateway/decisions/endpoint_limit.rs
@@ -7,12 +7,12 @@
 
 use crate::gateway::edge::UseLimit;
 
-/// Part of a limit that is given out. The rest is for places that are used later than they were given.
+/// Part of a limit that is given out. The rest is for permits that are used later than they were given.
 const KEPT_SHARE: f64 = 0.94;
 /// The least that is given out, in requests a second: an endpoint that gets nothing says nothing, and one that named 0 by mistake
 /// would never be asked again.
 const LEAST_PER_S: f64 = 0.2;
-/// Places that may be there at once: one for the request at hand, one kept for an urgent one, one for what comes unevenly.
+/// Permits that may be there at once: one for the request at hand, one kept for an urgent one, one for what comes unevenly.
 const BURST: f64 = 3.0;
 /// The same for high limits: one, and what comes in so long.
 const BURST_S: f64 = 0.1;
--- a/src/gateway/decisions/endpoint_limits.rs
+++ b/src/gateway/decisions/endpoint_limits.rs
@@ -1,11 +1,11 @@
-//! What endpoints take of all boxes together, by their own word or while they are cold, and the places that this box has there.
+//! What endpoints take of all boxes together, by their own word or while they are cold, and the permits that this box has there.
 //! Free of I/O.
 
 use {
   super::{
     cold_endpoints::{ColdEndpoints, ColdSpan},
     limit_book::{HeardLimit, LimitBook, LimitNews, LimitSource},
-    place_ledger::PlaceLedger,
+    permit_ledger::PermitLedger,
   },
   crate::{
     gateway::edge::{EndpointEntry, NamedLimit},
@@ -16,12 +16,12 @@
 /// From this figure on, in requests a second, it is no limit.
 const NO_LIMIT_PER_S: f64 = 1e6;
 
-/// Endpoints' words and this box's places.
+/// Endpoints' words and this box's permits.
 #[derive(Debug, Default)]
 pub struct EndpointLimits {
   words: LimitBook,
   cold: ColdEndpoints,
-  places: PlaceLedger,
+  permits: PermitLedger,
   /// Whether limits decide nothing.
   is_ignoring: bool,
 }
@@ -93,10 +93,10 @@
     self.words.heard_of(id, born_ms)
   }
 
-  /// How long there is no place for this box at an endpoint; 0 when there may be one.
+  /// How long there is no permit for this box at an endpoint; 0 when there may be one.
   pub fn closed_for_ms(&self, entry: &EndpointEntry, now_ms: u64) -> u64 {
     match self.per_s(entry, now_ms) {
-      Some(_) => self.places.closed_for_ms(&entry.id, now_ms),
+      Some(_) => self.permits.closed_for_ms(&entry.id, now_ms),
       None => 0,
     }
   }
@@ -119,16 +119,16 @@
     self.note_news(id, news)
   }
 
-  /// This box's places.
-  pub fn places(&mut self) -> &mut PlaceLedger {
-    &mut self.places
+  /// This box's permits.
+  pub fn permits(&mut self) -> &mut PermitLedger {
+    &mut self.permits
   }
 
   /// Forgets what no longer counts.
   pub fn forget_old(&mut self, now_ms: u64) {
     self.words.forget_old(now_ms);
     self.cold.forget_old(now_ms);
-    self.places.forget_old(now_ms);
+    self.permits.forget_old(now_ms);
   }
 
   /// The endpoints that name a limit, with it.
@@ -136,10 +136,10 @@
     self.words.named()
   }
 
-  /// What is known of places is of the limit that has ended, or of an earlier life.
+  /// What is known of permits is of the limit that has ended, or of an earlier life.
   fn note_news(&mut self, id: &Name, news: LimitNews) -> LimitNews {
     if matches!(news, LimitNews::Begins | LimitNews::Ends) {
-      self.places.open(id);
+      self.permits.open(id);
     }
     news
   }
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -24,9 +24,9 @@
 mod notice_book;
 mod pause_turn;
 mod peer_use;
-mod place_account;
-mod place_book;
-mod place_ledger;
+mod permit_account;
+mod permit_book;
+mod permit_ledger;
 mod quarantine_book;
 mod quarantine_key;
 mod quarantine_way;
@@ -62,9 +62,9 @@
   limit_way::LimitWay,
   notice_book::{Availability, NoticeBook, NoticeNews},
   pause_turn::kept_pause_ms,
-  place_account::{PlaceAccount, PlaceVerdict, PlaceWish},
-  place_book::PlaceBook,
-  place_ledger::{LocalPlace, PlaceLedger},
+  permit_account::{PermitAccount, PermitRequest, PermitVerdict},
+  permit_book::PermitBook,
+  permit_ledger::{LocalPermit, PermitLedger},
   quarantine_book::{QuarantineBook, QuarantineVerdict},
   quarantine_key::{QuarantineKey, QuarantineMark},
   quarantine_way::QuarantineWay,
--- a/src/gateway/decisions/place_account.rs
+++ b/src/gateway/decisions/permit_account.rs
@@ -1,7 +1,7 @@
-//! The places at one endpoint that names a limit, as the one box counts them that gives them out. Free of I/O.
+//! The permits at one endpoint that names a limit, as the one box counts them that gives them out. Free of I/O.
 //!
-//! Load pattern: hundreds of boxes ask for a few places a second. Each box that finds none is told when to ask again, one after the
-//! other, so that neither all ask at once nor a place lies idle.
+//! Load pattern: hundreds of boxes ask for a few permits a second. Each box that finds none is told when to ask again, one after the
+//! other, so that neither all ask at once nor a permit lies idle.
 
 use {
   super::use_bucket::UseBucket,
@@ -10,35 +10,35 @@
   std::collections::HashMap,
 };
 
-/// Boxes that found no place are called in so many times as often as places come: some of them have no request by then.
-const TURNS_PER_PLACE: f64 = 1.2;
-/// Who wants many places gets as many as come in this time, or none yet: else it would ask for each of them.
+/// Boxes that found no permit are called in so many times as often as permits come: some of them have no request by then.
+const TURNS_PER_PERMIT: f64 = 1.2;
+/// Who wants many permits gets as many as come in this time, or none yet: else it would ask for each of them.
 const GRAIN_S: f64 = 0.1;
-/// The longest time until a box may ask again: a place of the lowest limit comes in it.
+/// The longest time until a box may ask again: a permit of the lowest limit comes in it.
 const MOST_WAIT_MS: u64 = 6_000;
-/// The shortest: a place may come back sooner than it is counted.
+/// The shortest: a permit may come back sooner than it is counted.
 const LEAST_WAIT_MS: u64 = 10;
-/// Places that less urgent requests leave for more urgent ones.
+/// Permits that less urgent requests leave for more urgent ones.
 const KEPT_FOR_URGENT: f64 = 1.0;
-/// For so long after the most urgent request the others leave it a place.
+/// For so long after the most urgent request the others leave it a permit.
 const URGENT_MS: u64 = 2_000;
 
-/// A question for places.
+/// A question for permits.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub struct PlaceWish {
+pub struct PermitRequest {
   /// The box that asks.
   pub box_name: Name,
-  /// Places that could be used soon; one at least.
-  pub places: u32,
-  /// Places that were given before and will not be used.
+  /// Permits that could be used soon; one at least.
+  pub permits: u32,
+  /// Permits that were given before and will not be used.
   pub unused: u32,
   /// 0 goes first.
   pub priority: u8,
 }
 
-/// What becomes of a question for places.
+/// What becomes of a question for permits.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub enum PlaceVerdict {
+pub enum PermitVerdict {
   /// So many may be used, one or more.
   Granted(u32),
   /// There is none.
@@ -48,23 +48,23 @@
   },
 }
 
-/// The places at one endpoint.
+/// The permits at one endpoint.
 ///
 /// ```
-/// use rillford::gateway::{PlaceAccount, PlaceVerdict, PlaceWish, UseLimit};
+/// use rillford::gateway::{PermitAccount, PermitVerdict, PermitRequest, UseLimit};
 /// let limit = UseLimit { burst: 3.0, rate_per_s: 2.0 };
-/// let mut account = PlaceAccount::new(limit, 0);
-/// let wish = PlaceWish { box_name: "north-1".into(), places: 1, priority: 4, unused: 0 };
+/// let mut account = PermitAccount::new(limit, 0);
+/// let wish = PermitRequest { box_name: "north-1".into(), permits: 1, priority: 4, unused: 0 };
 /// // Nothing is there at first: what was sent before the limit was heard is still under way.
-/// assert_eq!(account.ask(&wish, 0), PlaceVerdict::Refused { wait_ms: 500 });
-/// assert_eq!(account.ask(&wish, 500), PlaceVerdict::Granted(1));
-/// assert_eq!(account.ask(&PlaceWish { places: 9, ..wish }, 60_000), PlaceVerdict::Granted(3));
+/// assert_eq!(account.ask(&wish, 0), PermitVerdict::Refused { wait_ms: 500 });
+/// assert_eq!(account.ask(&wish, 500), PermitVerdict::Granted(1));
+/// assert_eq!(account.ask(&PermitRequest { permits: 9, ..wish }, 60_000), PermitVerdict::Granted(3));
 /// ```
 #[derive(Clone, Debug)]
-pub struct PlaceAccount {
+pub struct PermitAccount {
   limit: UseLimit,
   bucket: UseBucket,
-  /// When the last of the boxes is called in that found no place.
+  /// When the last of the boxes is called in that found no permit.
   last_turn_ms: u64,
   /// When each of them is.
   turns_ms: HashMap<Name, u64>,
@@ -73,8 +73,8 @@
   asked_ms: u64,
 }
 
-impl PlaceAccount {
-  /// An account without a place.
+impl PermitAccount {
+  /// An account without a permit.
   pub fn new(limit: UseLimit, now_ms: u64) -> Self {
     Self {
       asked_ms: now_ms,
@@ -86,23 +86,23 @@
     }
   }
 
-  /// The endpoint names another figure: places that come from now on come at that rate. A figure that goes up and down with each
-  /// answer brings no place by that.
+  /// The endpoint names another figure: permits that come from now on come at that rate. A figure that goes up and down with each
+  /// answer brings no permit by that.
   pub fn set_limit(&mut self, limit: UseLimit, now_ms: u64) {
     self.bucket.left(self.limit, now_ms);
     self.limit = limit;
   }
 
-  /// Gives out places, or says when to ask again.
-  pub fn ask(&mut self, wish: &PlaceWish, now_ms: u64) -> PlaceVerdict {
+  /// Gives out permits, or says when to ask again.
+  pub fn ask(&mut self, wish: &PermitRequest, now_ms: u64) -> PermitVerdict {
     self.asked_ms = now_ms;
     self.bucket.left(self.limit, now_ms);
     self.bucket.charge(self.limit, -f64::from(wish.unused));
-    // Who comes at its turn takes what is there: sent behind again, it would leave places idle.
+    // Who comes at its turn takes what is there: sent behind again, it would leave permits idle.
     let grain = if self.takes_turn(&wish.box_name, now_ms) {
       1.0
     } else {
-      self.grain(wish.places)
+      self.grain(wish.permits)
     };
     let wanted = grain + self.kept_for_others(wish.priority, now_ms);
     let left = self.bucket.left(self.limit, now_ms);
@@ -110,17 +110,17 @@
       let turn_ms = self.turn_ms(&wish.box_name, grain, now_ms);
       let until_left_ms = self.bucket.wait_ms(self.limit, wanted, now_ms);
       let wait_ms = turn_ms.max(until_left_ms);
-      return PlaceVerdict::Refused {
+      return PermitVerdict::Refused {
         wait_ms: wait_ms.clamp(LEAST_WAIT_MS, MOST_WAIT_MS),
       };
     }
     let spare = (left - wanted) as u32;
-    let granted = wish.places.min(grain as u32 + spare);
+    let granted = wish.permits.min(grain as u32 + spare);
     self.bucket.charge(self.limit, f64::from(granted));
-    PlaceVerdict::Granted(granted)
+    PermitVerdict::Granted(granted)
   }
 
-  /// Places that are left.
+  /// Permits that are left.
   pub fn left(&mut self, now_ms: u64) -> f64 {
     self.bucket.left(self.limit, now_ms)
   }
@@ -131,10 +131,10 @@
   }
 
   /// The least that is given out to who wants so many; one or more.
-  fn grain(&self, places: u32) -> f64 {
+  fn grain(&self, permits: u32) -> f64 {
     let grain = (self.limit.rate_per_s * GRAIN_S).floor();
     let most = (self.limit.burst - KEPT_FOR_URGENT).max(1.0);
-    grain.min(f64::from(places)).clamp(1.0, most)
+    grain.min(f64::from(permits)).clamp(1.0, most)
   }
 
   /// What a request of a priority leaves to more urgent ones.
@@ -165,15 +165,15 @@
     had_turn
   }
 
-  /// The turn of a box that found no place: how long it is until then. Of several requests of one box each has the same.
-  fn turn_ms(&mut self, box_name: &Name, places: f64, now_ms: u64) -> u64 {
+  /// The turn of a box that found no permit: how long it is until then. Of several requests of one box each has the same.
+  fn turn_ms(&mut self, box_name: &Name, permits: f64, now_ms: u64) -> u64 {
     self
       .turns_ms
       .retain(|_, turn_ms| now_ms < *turn_ms + MOST_WAIT_MS);
     if let Some(turn_ms) = self.turns_ms.get(box_name) {
       return turn_ms.saturating_sub(now_ms);
     }
-    let gap_ms = places * 1_000.0 / (self.limit.rate_per_s * TURNS_PER_PLACE);
+    let gap_ms = permits * 1_000.0 / (self.limit.rate_per_s * TURNS_PER_PERMIT);
     let turn_ms = self.last_turn_ms.max(now_ms) + gap_ms as u64;
     self.last_turn_ms = turn_ms.min(now_ms + MOST_WAIT_MS);
     self.turns_ms.insert(box_name.clone(), self.last_turn_ms);
--- a/src/gateway/decisions/place_book.rs
+++ b/src/gateway/decisions/permit_book.rs
@@ -1,41 +1,41 @@
-//! The places that a box gives out: an account for each endpoint that names a limit. Free of I/O.
+//! The permits that a box gives out: an account for each endpoint that names a limit. Free of I/O.
 
 use {
   super::{
     endpoint_life::EndpointLife,
-    place_account::{PlaceAccount, PlaceVerdict, PlaceWish},
+    permit_account::{PermitAccount, PermitRequest, PermitVerdict},
   },
   crate::gateway::edge::UseLimit,
   std::collections::HashMap,
 };
 
-/// An account that nobody asked for so long is closed: its bucket would be full, and begins without a place again.
+/// An account that nobody asked for so long is closed: its bucket would be full, and begins without a permit again.
 const MOST_IDLE_MS: u64 = 60_000;
 
 /// Accounts by endpoint's life.
 #[derive(Clone, Debug, Default)]
-pub struct PlaceBook {
-  accounts: HashMap<EndpointLife, PlaceAccount>,
+pub struct PermitBook {
+  accounts: HashMap<EndpointLife, PermitAccount>,
 }
 
-impl PlaceBook {
-  /// Gives out places at a life of an endpoint within a limit, or says when to ask again.
+impl PermitBook {
+  /// Gives out permits at a life of an endpoint within a limit, or says when to ask again.
   pub fn ask(
     &mut self,
     life: EndpointLife,
     limit: UseLimit,
-    wish: &PlaceWish,
+    wish: &PermitRequest,
     now_ms: u64,
-  ) -> PlaceVerdict {
+  ) -> PermitVerdict {
     let account = self
       .accounts
       .entry(life)
-      .or_insert_with(|| PlaceAccount::new(limit, now_ms));
+      .or_insert_with(|| PermitAccount::new(limit, now_ms));
     account.set_limit(limit, now_ms);
     account.ask(wish, now_ms)
   }
 
-  /// Places that are left at a life of an endpoint; nothing where none were asked for lately.
+  /// Permits that are left at a life of an endpoint; nothing where none were asked for lately.
   pub fn left(&mut self, life: EndpointLife, now_ms: u64) -> Option<f64> {
     self
       .accounts
--- a/src/gateway/decisions/place_ledger.rs
+++ b/src/gateway/decisions/permit_ledger.rs
@@ -1,26 +1,26 @@
-//! What a box knows of the places at endpoints that name limits, from its own questions for them. Free of I/O.
+//! What a box knows of the permits at endpoints that name limits, from its own questions for them. Free of I/O.
 //!
 //! Load pattern: a box has a fraction of a request a second for an endpoint, or all callers come by this one box. It asks for as
-//! many places as it used lately in a short time, asks none where it was told to wait, and lets an endpoint be chosen only
-//! where there may be a place.
+//! many permits as it used lately in a short time, asks none where it was told to wait, and lets an endpoint be chosen only
+//! where there may be a permit.
 
 use {
-  super::{place_account::PlaceVerdict, recent_use::RecentUse},
+  super::{permit_account::PermitVerdict, recent_use::RecentUse},
   crate::ids::Name,
   std::collections::HashMap,
 };
 
-/// For so long a place is good that was given for a request to come; one question serves as many requests as came in such a time.
+/// For so long a permit is good that was given for a request to come; one question serves as many requests as came in such a time.
 const PLACE_GOOD_MS: u64 = 250;
-/// The most places in one question.
+/// The most permits in one question.
 const MOST_PLACES: u32 = 64;
 /// What is known of an endpoint is forgotten after so long without a question.
 const MOST_IDLE_MS: u64 = 60_000;
 
 /// What a box makes of a request for an endpoint by itself.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum LocalPlace {
-  /// It has a place left.
+pub enum LocalPermit {
+  /// It has a permit left.
   Granted,
   /// There is none for so long.
   Refused {
@@ -29,9 +29,9 @@
   },
   /// The box that counts has to be asked for so many.
   Ask {
-    /// Places that it could use soon.
-    places: u32,
-    /// Places that it was given and has not used in time.
+    /// Permits that it could use soon.
+    permits: u32,
+    /// Permits that it was given and has not used in time.
     unused: u32,
   },
 }
@@ -39,12 +39,12 @@
 /// What is known of one endpoint.
 #[derive(Clone, Copy, Debug, Default)]
 struct Standing {
-  /// Until then there is no place.
+  /// Until then there is no permit.
   closed_until_ms: u64,
-  /// Places that were given beyond those used.
+  /// Permits that were given beyond those used.
   spare: u32,
   spare_until_ms: u64,
-  /// Requests of late, for which a place was looked for.
+  /// Requests of late, for which a permit was looked for.
   wanted: RecentUse,
   asked_ms: u64,
 }
@@ -54,7 +54,7 @@
     self.spare > 0 && now_ms < self.spare_until_ms
   }
 
-  /// How long there is no place; of several questions one may have brought some, and the next one none.
+  /// How long there is no permit; of several questions one may have brought some, and the next one none.
   fn closed_for_ms(&self, now_ms: u64) -> u64 {
     if self.has_spare(now_ms) {
       return 0;
@@ -65,54 +65,54 @@
 
 /// The endpoints' standings, by id.
 #[derive(Debug, Default)]
-pub struct PlaceLedger {
+pub struct PermitLedger {
   standings: HashMap<Name, Standing>,
 }
 
-impl PlaceLedger {
-  /// How long there is no place at an endpoint; 0 when there may be one.
+impl PermitLedger {
+  /// How long there is no permit at an endpoint; 0 when there may be one.
   pub fn closed_for_ms(&self, id: &str, now_ms: u64) -> u64 {
     let standing = self.standings.get(id);
     standing.map_or(0, |standing| standing.closed_for_ms(now_ms))
   }
 
-  /// Takes a place for a request, if this box has one left.
-  pub fn take(&mut self, id: &Name, now_ms: u64) -> LocalPlace {
+  /// Takes a permit for a request, if this box has one left.
+  pub fn take(&mut self, id: &Name, now_ms: u64) -> LocalPermit {
     let standing = self.standings.entry(id.clone()).or_default();
     standing.asked_ms = now_ms;
     let wait_ms = standing.closed_for_ms(now_ms);
     if wait_ms > 0 {
-      return LocalPlace::Refused { wait_ms };
+      return LocalPermit::Refused { wait_ms };
     }
     standing.wanted.note(1.0, now_ms);
     if standing.has_spare(now_ms) {
       standing.spare -= 1;
-      return LocalPlace::Granted;
+      return LocalPermit::Granted;
     }
     let soon = standing.wanted.per_s(now_ms) * PLACE_GOOD_MS as f64 / 1_000.0;
-    LocalPlace::Ask {
-      places: (soon as u32).clamp(1, MOST_PLACES),
+    LocalPermit::Ask {
+      permits: (soon as u32).clamp(1, MOST_PLACES),
       unused: std::mem::take(&mut standing.spare),
     }
   }
 
-  /// Takes over what became of a question; whether this box has a place now.
-  pub fn note_verdict(&mut self, id: &Name, verdict: PlaceVerdict, now_ms: u64) -> bool {
+  /// Takes over what became of a question; whether this box has a permit now.
+  pub fn note_verdict(&mut self, id: &Name, verdict: PermitVerdict, now_ms: u64) -> bool {
     let standing = self.standings.entry(id.clone()).or_default();
     match verdict {
-      PlaceVerdict::Granted(places) => {
-        standing.spare += places.saturating_sub(1);
+      PermitVerdict::Granted(permits) => {
+        standing.spare += permits.saturating_sub(1);
         standing.spare_until_ms = now_ms + PLACE_GOOD_MS;
         true
       }
-      PlaceVerdict::Refused { wait_ms } => {
+      PermitVerdict::Refused { wait_ms } => {
         standing.closed_until_ms = now_ms + wait_ms;
         false
       }
     }
   }
 
-  /// A place was not used: the endpoint never saw the request.
+  /// A permit was not used: the endpoint never saw the request.
   pub fn give_back(&mut self, id: &str, now_ms: u64) {
     if let Some(standing) = self.standings.get_mut(id) {
       standing.spare += 1;
--- a/src/gateway/decisions/unavailable.rs
+++ b/src/gateway/decisions/unavailable.rs
@@ -33,8 +33,8 @@
     left_ms: u64,
   },
   /// It takes so many requests a second of all boxes together, and these are there.
-  #[error("there is no place within its limit for {left_ms} ms more")]
-  NoPlace {
+  #[error("there is no permit within its limit for {left_ms} ms more")]
+  NoPermit {
     /// How long that holds.
     left_ms: u64,
   },
--- a/src/gateway/membership/relay.rs
+++ b/src/gateway/membership/relay.rs
@@ -7,7 +7,7 @@
       connections::{message_answer, serve_port, status_answer},
       edge::StoreChanges,
       limits::{TOTALS_PATH, USE_PATH, answer_totals, answer_use},
-      places::{LIMITS_PATH, PLACES_PATH, answer_limit, answer_places},
+      permits::{LIMITS_PATH, PERMITS_PATH, answer_limit, answer_permits},
       quarantine::{MARKS_PATH, answer_marks},
       state::Gateway,
     },
@@ -67,7 +67,7 @@
     USE_PATH => answer_use(&gateway, request).await,
     TOTALS_PATH => answer_totals(&gateway, request).await,
     LIMITS_PATH => answer_limit(&gateway, request).await,
-    PLACES_PATH => answer_places(&gateway, request).await,
+    PERMITS_PATH => answer_permits(&gateway, request).await,
     MARKS_PATH => answer_marks(&gateway, request).await,
     _ => answer_changes(gateway, request).await,
   }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,7 +6,7 @@
 //! and [`Store`].
 //!
 //! The folders in order, each importing only those before it: `edge`, `decisions`, `settings`, `connections`, `state`,
-//! `places`, `parts`, `limits` and `quarantine`, then `requests`, `roles` and `membership` side by side, and `process`. A test holds that order.
+//! `permits`, `parts`, `limits` and `quarantine`, then `requests`, `roles` and `membership` side by side, and `process`. A test holds that order.
 //!
 //! One thread serves everything: a box has a fraction of a core, and each thread costs it memory.
 
@@ -16,7 +16,7 @@
 mod limits;
 mod membership;
 mod parts;
-mod places;
+mod permits;
 mod process;
 mod quarantine;
 mod requests;
@@ -30,8 +30,8 @@
     ALONE_BOXES, AllowedHalls, Availability, BoxEntry, BoxList, Choice, ColdEndpoints, ColdSpan,
     DrainedHalls, EndpointBook, EndpointCounts, EndpointLife, EndpointLimits, Fingerprint,
     HallDrainNews, HeardLimit, KeptPrompts, LimitBook, LimitNews, LimitSource, LimitWay,
-    LocalPlace, LocalVerdict, NoticeBook, NoticeNews, PartEnd, PlaceAccount, PlaceBook,
-    PlaceLedger, PlaceVerdict, PlaceWish, QuarantineBook, QuarantineKey, QuarantineMark,
+    LocalPermit, LocalVerdict, NoticeBook, NoticeNews, PartEnd, PermitAccount, PermitBook,
+    PermitLedger, PermitRequest, PermitVerdict, QuarantineBook, QuarantineKey, QuarantineMark,
     QuarantineVerdict, QuarantineWay, RecentEngines, RequestIdentity, RetryAllowance, RetryWindow,
     SeatForecast, SeatPlace, SeatQueue, SeatUrgency, Surplus, ToldSpan, Unavailable, UseBook,
     UseBucket, UseLedger, UseRequest, UseTotals, UseVerdict, Wanted, counted_limit, endpoint_order,
--- a/src/gateway/parts/engine_call.rs
+++ b/src/gateway/parts/engine_call.rs
@@ -9,7 +9,7 @@
     gateway::{
       decisions::{PartEnd, Unavailable},
       edge::{EndpointCall, EndpointEntry, Export},
-      places::{Place, give_place_back},
+      permits::{Permit, return_permit},
       state::Gateway,
     },
     ids::Name,
@@ -162,20 +162,25 @@
 /// A reserved seat; given back unless it was used.
 pub(crate) struct Reservation {
   pub(crate) id: Name,
-  /// The place for the request that it is for, until that is sent.
-  place: Place,
+  /// The permit for the request that it is for, until that is sent.
+  permit: Permit,
   gateway: Rc<Gateway>,
   entry: EndpointEntry,
   used: bool,
 }
 
 impl Reservation {
-  pub(crate) fn new(gateway: &Rc<Gateway>, entry: &EndpointEntry, id: Name, place: Place) -> Self {
+  pub(crate) fn new(
+    gateway: &Rc<Gateway>,
+    entry: &EndpointEntry,
+    id: Name,
+    permit: Permit,
+  ) -> Self {
     Self {
       entry: entry.clone(),
       gateway: gateway.clone(),
       id,
-      place,
+      permit,
       used: false,
     }
   }
@@ -185,17 +190,17 @@
     self.used = true;
   }
 
-  /// The place, for the request that is sent now: from here on it goes back only if the engine never sees that request.
-  pub(crate) fn take_place(&mut self) -> Place {
-    std::mem::replace(&mut self.place, Place::NotNeeded)
+  /// The permit, for the request that is sent now: from here on it goes back only if the engine never sees that request.
+  pub(crate) fn take_permit(&mut self) -> Permit {
+    std::mem::replace(&mut self.permit, Permit::NotNeeded)
   }
 }
 
 impl Drop for Reservation {
   fn drop(&mut self) {
     if !self.used {
-      if self.place == Place::Taken {
-        give_place_back(&self.gateway, &self.entry);
+      if self.permit == Permit::Taken {
+        return_permit(&self.gateway, &self.entry);
       }
       let call = self.gateway.dialect.free_reservation(&self.id);
       free_later(&self.gateway, &self.entry, call);
--- a/src/gateway/parts/notice.rs
+++ b/src/gateway/parts/notice.rs
@@ -5,7 +5,7 @@
   crate::gateway::{
     decisions::{LimitNews, NoticeNews, kept_pause_ms},
     edge::{EndpointEntry, EndpointNotice, NamedLimit},
-    places::tell_limit,
+    permits::tell_limit,
     state::Gateway,
   },
   http::{StatusCode, response},
--- a/src/gateway/parts/part.rs
+++ b/src/gateway/parts/part.rs
@@ -11,7 +11,7 @@
       connections::{Connection, SendError, remove_connection_headers},
       decisions::{PartEnd, Unavailable},
       edge::{AnswerFacts, EndpointEntry, Marks},
-      places::{Place, give_place_back, take_place},
+      permits::{Permit, return_permit, take_permit},
       state::Gateway,
     },
     ids::Name,
@@ -61,9 +61,9 @@
     !matches!(self, Self::Lost(_))
   }
 
-  /// Whether there was no place for it within the endpoint's limit.
-  pub(crate) fn is_without_place(&self) -> bool {
-    matches!(self, Self::Unavailable(Unavailable::NoPlace { .. }))
+  /// Whether there was no permit for it within the endpoint's limit.
+  pub(crate) fn is_without_permit(&self) -> bool {
+    matches!(self, Self::Unavailable(Unavailable::NoPermit { .. }))
   }
 
   /// Whether the endpoint never saw the request.
@@ -210,7 +210,7 @@
   /// What the time until its answer is measured by.
   pub(crate) units: u64,
   /// What a reservation before it took already.
-  pub(crate) place: Place,
+  pub(crate) permit: Permit,
 }
 
 impl<'a> OutgoingPart<'a> {
@@ -219,7 +219,7 @@
     Self {
       entry,
       marks,
-      place: Place::NotNeeded,
+      permit: Permit::NotNeeded,
       size,
       units,
     }
@@ -233,20 +233,20 @@
   part: OutgoingPart<'_>,
 ) -> Result<Head, PartError> {
   let entry = part.entry;
-  let place = match part.place {
-    Place::Taken => Place::Taken,
-    Place::NotNeeded => take_place(gateway, entry, request.place_caller()).await?,
+  let permit = match part.permit {
+    Permit::Taken => Permit::Taken,
+    Permit::NotNeeded => take_permit(gateway, entry, request.permit_caller()).await?,
   };
-  let sent = send_placed(gateway, request, part).await;
+  let sent = send_permitted(gateway, request, part).await;
   let never_seen = matches!(&sent, Err(error) if error.is_unsent());
-  if never_seen && place == Place::Taken {
-    give_place_back(gateway, entry);
+  if never_seen && permit == Permit::Taken {
+    return_permit(gateway, entry);
   }
   sent
 }
 
-/// Sends a part that has its place.
-async fn send_placed(
+/// Sends a part that has its permit.
+async fn send_permitted(
   gateway: &Rc<Gateway>,
   request: &RoutedRequest,
   part: OutgoingPart<'_>,
@@ -260,7 +260,7 @@
   } = part;
   // A request that ends what runs it comes again under other ids, at other boxes: attempts bound one try alone.
   let before = request.sending.get();
-  if !request.take_permit(gateway, &marks.part) {
+  if !request.begin_sending(gateway, &marks.part) {
     return Err(PartError::Barred);
   }
   let mut booking = Booking::new(gateway, &entry.id, size, units);
@@ -286,7 +286,7 @@
     }),
     Err(error) => {
       if error.is_unsent() {
-        request.return_permit(before);
+        request.undo_sending(before);
       }
       booking.settle_error(&error);
       Err(error)
--- a/src/gateway/parts/request.rs
+++ b/src/gateway/parts/request.rs
@@ -6,7 +6,7 @@
     gateway::{
       decisions::{AllowedHalls, Fingerprint, RequestIdentity},
       edge::{CallerFacts, Dialect, EndpointEntry, Marks, Organisation, Part, Route},
-      places::PlaceCaller,
+      permits::PermitCaller,
       settings::RouteRank,
     },
     ids::Name,
@@ -116,9 +116,9 @@
   }
 
   /// Who wants a place at an endpoint.
-  pub(crate) fn place_caller(&self) -> PlaceCaller<'_> {
+  pub(crate) fn permit_caller(&self) -> PermitCaller<'_> {
     let goes_on = self.facts.last_event_id.is_some();
-    PlaceCaller {
+    PermitCaller {
       priority: if goes_on {
         MOST_URGENT
       } else {
--- a/src/gateway/parts/permit.rs
+++ b/src/gateway/parts/sending_check.rs
@@ -30,7 +30,7 @@
   }
 
   /// Takes a permit to send one part; `false` when there is none.
-  pub(super) fn take_permit(&self, gateway: &Gateway, part: &Part) -> bool {
+  pub(super) fn begin_sending(&self, gateway: &Gateway, part: &Part) -> bool {
     let is_reading = *part == Part::ReadPrompt;
     if self.is_barred(gateway) || (is_reading && self.is_reading_barred(gateway)) {
       return false;
@@ -42,7 +42,7 @@
   }
 
   /// A part never reached its endpoint: its permit is there for the next one.
-  pub(super) fn return_permit(&self, before: Sending) {
+  pub(super) fn undo_sending(&self, before: Sending) {
     self.sending.set(before);
   }
 }
--- a/src/gateway/places/told_cold_span.rs
+++ b/src/gateway/permits/cold_span_message.rs
@@ -7,14 +7,14 @@
 
 /// A span as a box knows it.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
-pub(super) struct ToldColdSpan {
+pub(super) struct ColdSpanMessage {
   /// Requests a second that the endpoint carries.
   per_s: f64,
   /// How much longer it is cold.
   left_ms: u64,
 }
 
-impl ToldColdSpan {
+impl ColdSpanMessage {
   /// A span that is known here.
   pub(super) fn new(span: ColdSpan, now_ms: u64) -> Self {
     Self {
--- a/src/gateway/places/figures.rs
+++ b/src/gateway/permits/figures.rs
@@ -12,8 +12,8 @@
 /// Endpoints that are shown: those with the lowest limits.
 const MOST_SHOWN: usize = 20;
 
-/// The limits that endpoints name as text, a line each, and the places that are left where this box counts.
-pub(crate) fn place_figures(gateway: &Gateway) -> String {
+/// The limits that endpoints name as text, a line each, and the permits that are left where this box counts.
+pub(crate) fn permit_figures(gateway: &Gateway) -> String {
   let now_ms = gateway.now_ms();
   let mut text = String::new();
   for (id, heard) in lowest_limits(gateway) {
@@ -25,7 +25,7 @@
       "rillford_endpoint_limit_per_s{{endpoint=\"{id}\",heard_by=\"{:?}\",age_ms=\"{age_ms}\"}} {per_s}",
       heard.source
     );
-    if let Some(left) = places_left(gateway, &id, now_ms) {
+    if let Some(left) = permits_left(gateway, &id, now_ms) {
       let _ = writeln!(text, "rillford_places_left{{endpoint=\"{id}\"}} {left:.1}");
     }
   }
@@ -49,9 +49,9 @@
   named
 }
 
-/// The places that are left at an endpoint, on the box that counts.
-fn places_left(gateway: &Gateway, id: &str, now_ms: u64) -> Option<f64> {
+/// The permits that are left at an endpoint, on the box that counts.
+fn permits_left(gateway: &Gateway, id: &str, now_ms: u64) -> Option<f64> {
   let born_ms = gateway.book.borrow().entry(id)?.born_ms;
   let life = EndpointLife::of(id, born_ms);
-  gateway.place_book.borrow_mut().left(life, now_ms)
+  gateway.permit_book.borrow_mut().left(life, now_ms)
 }
--- a/src/gateway/places/messages.rs
+++ b/src/gateway/permits/messages.rs
@@ -1,12 +1,12 @@
-//! What boxes ask each other for places at endpoints, and the answers.
+//! What boxes ask each other for permits at endpoints, and the answers.
 
 use {
-  super::{telling::note_told, told_cold_span::ToldColdSpan, told_limit::ToldLimit},
+  super::{cold_span_message::ColdSpanMessage, telling::note_told, told_limit::ToldLimit},
   crate::{
     CallError, HttpClient,
     gateway::{
       connections::{message_answer, read_message, send_message, status_answer},
-      decisions::{EndpointLife, PlaceVerdict, PlaceWish, counted_limit, endpoint_order},
+      decisions::{EndpointLife, PermitRequest, PermitVerdict, counted_limit, endpoint_order},
       state::Gateway,
     },
     ids::Name,
@@ -19,14 +19,14 @@
   std::{net::SocketAddr, time::Duration},
 };
 
-/// The path on which the box that counts an endpoint's requests is asked for places.
-pub(crate) const PLACES_PATH: &str = "/places";
+/// The path on which the box that counts an endpoint's requests is asked for permits.
+pub(crate) const PERMITS_PATH: &str = "/permits";
 /// The longest question: two names and some numbers.
 const MOST_BYTES: usize = 4 * 1024;
 
-/// A question for places.
+/// A question for permits.
 #[derive(Clone, Debug, Deserialize, Serialize)]
-pub(super) struct PlaceQuestion {
+pub(super) struct PermitQuestion {
   pub(super) box_name: Name,
   pub(super) endpoint: Name,
   pub(super) born_ms: Option<u64>,
@@ -34,33 +34,33 @@
   /// The endpoint's own word; nothing when it has named no limit.
   pub(super) told: Option<ToldLimit>,
   /// Nothing when it is warm, as far as the box that asks knows.
-  pub(super) cold: Option<ToldColdSpan>,
-  pub(super) places: u32,
+  pub(super) cold: Option<ColdSpanMessage>,
+  pub(super) permits: u32,
   pub(super) unused: u32,
   pub(super) priority: u8,
 }
 
 /// What the box that counts answers.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
-pub(super) struct PlaceAnswer {
-  pub(super) verdict: PlaceVerdict,
+pub(super) struct PermitAnswer {
+  pub(super) verdict: PermitVerdict,
   /// The endpoint's newest word that it knows.
   pub(super) told: Option<ToldLimit>,
 }
 
 /// Asks the box that counts.
-pub(super) async fn ask_for_places(
+pub(super) async fn ask_for_permits(
   http: &HttpClient,
   address: SocketAddr,
-  question: &PlaceQuestion,
+  question: &PermitQuestion,
   limit: Duration,
-) -> Result<PlaceAnswer, CallError> {
-  let answer = send_message(http, address, PLACES_PATH, question, limit).await?;
+) -> Result<PermitAnswer, CallError> {
+  let answer = send_message(http, address, PERMITS_PATH, question, limit).await?;
   postcard::from_bytes(&answer).map_err(|error| CallError::Answer(error.to_string()))
 }
 
 /// Answers another box's question; with 409 where another box counts, as far as this one knows.
-pub(crate) async fn answer_places(
+pub(crate) async fn answer_permits(
   gateway: &Gateway,
   request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
@@ -68,14 +68,14 @@
     Ok(question) if !counts_for(gateway, &question) => status_answer(StatusCode::CONFLICT),
     Ok(question) => message_answer(&answer_question(gateway, &question)),
     Err(error) => {
-      log::info!("E609 question for places not read: {error}");
+      log::info!("E609 question for permits not read: {error}");
       status_answer(StatusCode::BAD_REQUEST)
     }
   }
 }
 
 /// Whether this box is the one that counts an endpoint's requests.
-fn counts_for(gateway: &Gateway, question: &PlaceQuestion) -> bool {
+fn counts_for(gateway: &Gateway, question: &PermitQuestion) -> bool {
   let boxes = gateway.boxes.borrow();
   let order = endpoint_order(&boxes, &question.endpoint, &question.hall, 1);
   let is_first = order
@@ -84,7 +84,7 @@
   is_first && gateway.settings.mechanisms.endpoint_limits
 }
 
-fn answer_question(gateway: &Gateway, question: &PlaceQuestion) -> PlaceAnswer {
+fn answer_question(gateway: &Gateway, question: &PermitQuestion) -> PermitAnswer {
   let now_ms = gateway.now_ms();
   let (id, born_ms) = (&question.endpoint, question.born_ms);
   if let Some(told) = question.told {
@@ -98,36 +98,36 @@
   let named = book.limits().heard_of(id, born_ms);
   let per_s = book.limits().lowest_per_s(id, born_ms, now_ms);
   drop(book);
-  let wish = PlaceWish {
+  let wish = PermitRequest {
     box_name: question.box_name.clone(),
-    places: question.places,
+    permits: question.permits,
     priority: question.priority,
     unused: question.unused,
   };
-  PlaceAnswer {
+  PermitAnswer {
     told: named.map(|named| ToldLimit::new(named, now_ms)),
     verdict: give_out(gateway, EndpointLife::of(id, born_ms), per_s, &wish),
   }
 }
 
-/// Gives out places as the box that counts; without a limit as many as are wanted.
+/// Gives out permits as the box that counts; without a limit as many as are wanted.
 pub(super) fn give_out(
   gateway: &Gateway,
   life: EndpointLife,
   per_s: Option<f64>,
-  wish: &PlaceWish,
-) -> PlaceVerdict {
+  wish: &PermitRequest,
+) -> PermitVerdict {
   let Some(per_s) = per_s else {
-    return PlaceVerdict::Granted(wish.places);
+    return PermitVerdict::Granted(wish.permits);
   };
   let verdict =
     gateway
-      .place_book
+      .permit_book
       .borrow_mut()
       .ask(life, counted_limit(per_s), wish, gateway.now_ms());
   match verdict {
-    PlaceVerdict::Granted(places) => gateway.counters.places_granted.add(places.into()),
-    PlaceVerdict::Refused { .. } => gateway.counters.places_refused.inc(),
+    PermitVerdict::Granted(permits) => gateway.counters.permits_granted.add(permits.into()),
+    PermitVerdict::Refused { .. } => gateway.counters.permits_refused.inc(),
   }
   verdict
 }
--- a/src/gateway/places/taking.rs
+++ b/src/gateway/permits/taking.rs
@@ -1,16 +1,16 @@
-//! Taking a place for a request at an endpoint that names a limit.
+//! Taking a permit for a request at an endpoint that names a limit.
 
 use {
   super::{
-    messages::{PlaceAnswer, PlaceQuestion, ask_for_places, give_out},
-    told_cold_span::ToldColdSpan,
+    cold_span_message::ColdSpanMessage,
+    messages::{PermitAnswer, PermitQuestion, ask_for_permits, give_out},
     told_limit::ToldLimit,
   },
   crate::{
     gateway::{
       decisions::{
-        ALONE_BOXES, EndpointLife, HeardLimit, LocalPlace, PlaceVerdict, PlaceWish, Unavailable,
-        endpoint_order, lone_limit,
+        ALONE_BOXES, EndpointLife, HeardLimit, LocalPermit, PermitRequest, PermitVerdict,
+        Unavailable, endpoint_order, lone_limit,
       },
       edge::EndpointEntry,
       state::Gateway,
@@ -26,9 +26,9 @@
 /// A box that neither counts nor goes on alone looks again for the one that counts after this time.
 const NOT_ALONE_WAIT_MS: u64 = 1_000;
 
-/// Who wants a place.
+/// Who wants a permit.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct PlaceCaller<'a> {
+pub(crate) struct PermitCaller<'a> {
   /// The request's id, for logs.
   pub(crate) request: &'a str,
   /// 0 goes first.
@@ -37,14 +37,14 @@
 
 /// What a request has at an endpoint.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Place {
+pub(crate) enum Permit {
   /// The endpoint named no limit when it was looked for.
   NotNeeded,
-  /// A place that was counted for all boxes.
+  /// A permit that was counted for all boxes.
   Taken,
 }
 
-/// Who decided on a place.
+/// Who decided on a permit.
 #[derive(Clone, Copy, Debug)]
 enum DecidedBy {
   /// This box, which counts for all.
@@ -65,31 +65,31 @@
   }
 }
 
-/// Takes a place for a request. Fails when there is none: the request has to go elsewhere.
-pub(crate) async fn take_place(
+/// Takes a permit for a request. Fails when there is none: the request has to go elsewhere.
+pub(crate) async fn take_permit(
   gateway: &Gateway,
   entry: &EndpointEntry,
-  caller: PlaceCaller<'_>,
-) -> Result<Place, Unavailable> {
+  caller: PermitCaller<'_>,
+) -> Result<Permit, Unavailable> {
   let Some(heard) = limit_at(gateway, entry) else {
-    return Ok(Place::NotNeeded);
+    return Ok(Permit::NotNeeded);
   };
   let now_ms = gateway.now_ms();
   let local = gateway
     .book
     .borrow_mut()
     .limits_mut()
-    .places()
+    .permits()
     .take(&entry.id, now_ms);
   let wish = match local {
-    LocalPlace::Granted => {
-      gateway.counters.places_taken.inc();
-      return Ok(Place::Taken);
+    LocalPermit::Granted => {
+      gateway.counters.permits_taken.inc();
+      return Ok(Permit::Taken);
     }
-    LocalPlace::Refused { wait_ms } => return Err(no_place(gateway, wait_ms)),
-    LocalPlace::Ask { places, unused } => PlaceWish {
+    LocalPermit::Refused { wait_ms } => return Err(no_permit(gateway, wait_ms)),
+    LocalPermit::Ask { permits, unused } => PermitRequest {
       box_name: gateway.settings.identity.name.clone(),
-      places,
+      permits,
       priority: caller.priority,
       unused,
     },
@@ -97,29 +97,29 @@
   let (verdict, decided_by) = decide(gateway, entry, heard, &wish).await;
   let now_ms = gateway.now_ms();
   let Some(heard) = limit_at(gateway, entry) else {
-    return Ok(Place::NotNeeded);
+    return Ok(Permit::NotNeeded);
   };
   log_verdict(gateway, entry, caller, heard, verdict, decided_by);
   gateway
     .book
     .borrow_mut()
     .limits_mut()
-    .places()
+    .permits()
     .note_verdict(&entry.id, verdict, now_ms);
   match verdict {
-    PlaceVerdict::Granted(_) => {
-      gateway.counters.places_taken.inc();
-      Ok(Place::Taken)
+    PermitVerdict::Granted(_) => {
+      gateway.counters.permits_taken.inc();
+      Ok(Permit::Taken)
     }
-    PlaceVerdict::Refused { wait_ms } => Err(no_place(gateway, wait_ms)),
+    PermitVerdict::Refused { wait_ms } => Err(no_permit(gateway, wait_ms)),
   }
 }
 
-/// A place was not used: the endpoint never saw the request.
-pub(crate) fn give_place_back(gateway: &Gateway, entry: &EndpointEntry) {
+/// A permit was not used: the endpoint never saw the request.
+pub(crate) fn return_permit(gateway: &Gateway, entry: &EndpointEntry) {
   let now_ms = gateway.now_ms();
   let mut book = gateway.book.borrow_mut();
-  book.limits_mut().places().give_back(&entry.id, now_ms);
+  book.limits_mut().permits().give_back(&entry.id, now_ms);
 }
 
 /// The limit that is in force at an endpoint.
@@ -133,8 +133,8 @@
   gateway: &Gateway,
   entry: &EndpointEntry,
   heard: HeardLimit,
-  wish: &PlaceWish,
-) -> (PlaceVerdict, DecidedBy) {
+  wish: &PermitRequest,
+) -> (PermitVerdict, DecidedBy) {
   let life = EndpointLife::of(&entry.id, entry.born_ms);
   let order = endpoint_order(
     &gateway.boxes.borrow(),
@@ -162,8 +162,8 @@
   gateway: &Gateway,
   address: SocketAddr,
   entry: &EndpointEntry,
-  wish: &PlaceWish,
-) -> Option<PlaceAnswer> {
+  wish: &PermitRequest,
+) -> Option<PermitAnswer> {
   if gateway
     .unheard_boxes
     .borrow()
@@ -180,18 +180,18 @@
       limits.cold_span(&entry.id, entry.born_ms, now_ms),
     )
   };
-  let question = PlaceQuestion {
+  let question = PermitQuestion {
     box_name: wish.box_name.clone(),
     born_ms: entry.born_ms,
-    cold: cold.map(|span| ToldColdSpan::new(span, now_ms)),
+    cold: cold.map(|span| ColdSpanMessage::new(span, now_ms)),
     endpoint: entry.id.clone(),
     hall: entry.hall.clone(),
-    places: wish.places,
+    permits: wish.permits,
     priority: wish.priority,
     told: named.map(|named| ToldLimit::new(named, now_ms)),
     unused: wish.unused,
   };
-  let asked = ask_for_places(&gateway.box_calls, address, &question, ASK_LIMIT).await;
+  let asked = ask_for_permits(&gateway.box_calls, address, &question, ASK_LIMIT).await;
   let now_ms = gateway.now_ms();
   match asked {
     Ok(answer) => {
@@ -204,7 +204,7 @@
     }
     Err(error) => {
       log::info!(
-        "E545 places not asked for: {address} on {}: {error}",
+        "E545 permits not asked for: {address} on {}: {error}",
         entry.id
       );
       gateway.unheard_boxes.borrow_mut().note(address, now_ms);
@@ -219,54 +219,56 @@
   gateway: &Gateway,
   life: EndpointLife,
   heard: HeardLimit,
-  wish: &PlaceWish,
+  wish: &PermitRequest,
   order: &[(Name, SocketAddr)],
-) -> PlaceVerdict {
+) -> PermitVerdict {
   let own_name = &gateway.settings.identity.name;
   let goes_on = order.iter().skip(1).any(|(name, _)| name == own_name) || order.is_empty();
   let Some(per_s) = heard.per_s.filter(|_| goes_on) else {
-    return PlaceVerdict::Refused {
+    return PermitVerdict::Refused {
       wait_ms: NOT_ALONE_WAIT_MS,
     };
   };
-  let wish = PlaceWish {
-    places: 1,
+  let wish = PermitRequest {
+    permits: 1,
     unused: 0,
     ..wish.clone()
   };
   gateway
-    .lone_places
+    .lone_permits
     .borrow_mut()
     .ask(life, lone_limit(per_s), &wish, gateway.now_ms())
 }
 
-fn no_place(gateway: &Gateway, left_ms: u64) -> Unavailable {
-  gateway.counters.without_place.inc();
-  Unavailable::NoPlace { left_ms }
+fn no_permit(gateway: &Gateway, left_ms: u64) -> Unavailable {
+  gateway.counters.without_permit.inc();
+  Unavailable::NoPermit { left_ms }
 }
 
 /// Says why a request goes to an endpoint, or not: which figure, who heard it, how old it is, who decided.
 fn log_verdict(
   gateway: &Gateway,
   entry: &EndpointEntry,
-  caller: PlaceCaller,
+  caller: PermitCaller,
   heard: HeardLimit,
-  verdict: PlaceVerdict,
+  verdict: PermitVerdict,
   decided_by: DecidedBy,
 ) {
-  let PlaceCaller { request, priority } = caller;
+  let PermitCaller { request, priority } = caller;
   let HeardLimit { per_s, source, .. } = heard;
   let per_s = per_s.unwrap_or_default();
   let age_ms = gateway.now_ms().saturating_sub(heard.heard_ms);
   let id = &entry.id;
   let limit = format!("limit {per_s} heard by {source:?} {age_ms} ms ago, decided by {decided_by}");
   match verdict {
-    PlaceVerdict::Granted(places) => {
-      log::info!("E544 place: {request} (priority {priority}) at {id}, {places} places, {limit}");
+    PermitVerdict::Granted(permits) => {
+      log::info!(
+        "E544 permit: {request} (priority {priority}) at {id}, {permits} permits, {limit}"
+      );
     }
-    PlaceVerdict::Refused { wait_ms } => {
+    PermitVerdict::Refused { wait_ms } => {
       log::info!(
-        "E543 no place: {request} (priority {priority}) at {id} for {wait_ms} ms, {limit}"
+        "E543 no permit: {request} (priority {priority}) at {id} for {wait_ms} ms, {limit}"
       );
     }
   }
--- a/src/gateway/process/own_pages.rs
+++ b/src/gateway/process/own_pages.rs
@@ -2,7 +2,7 @@
 
 use {
   crate::gateway::{
-    connections::serve_port, limits::limit_figures, places::place_figures, state::Gateway,
+    connections::serve_port, limits::limit_figures, permits::permit_figures, state::Gateway,
   },
   bytes::Bytes,
   http::{Response, StatusCode},
@@ -43,7 +43,7 @@
       text.push_str(&limit_figures(gateway));
       text.push_str(&gateway.quarantine.figures());
       text.push_str(&gateway.endpoint_figures());
-      text.push_str(&place_figures(gateway));
+      text.push_str(&permit_figures(gateway));
       Response::new(Full::new(text.into()))
     }
     OwnPage::Ready => {
--- a/src/gateway/process/start.rs
+++ b/src/gateway/process/start.rs
@@ -180,8 +180,8 @@
     gateway.pool.close_old(now_ms);
     gateway.book.borrow_mut().forget_lapsed(now_ms);
     forget_notices(&gateway, now_ms);
-    gateway.place_book.borrow_mut().forget_old(now_ms);
-    gateway.lone_places.borrow_mut().forget_old(now_ms);
+    gateway.permit_book.borrow_mut().forget_old(now_ms);
+    gateway.lone_permits.borrow_mut().forget_old(now_ms);
   }
 }
 
--- a/src/gateway/requests/plain.rs
+++ b/src/gateway/requests/plain.rs
@@ -34,7 +34,7 @@
   /// Of these, the endpoints that never saw it.
   unsent: u32,
   /// Of those, the ones at which there was no place for it.
-  without_place: u32,
+  without_permit: u32,
   /// Whether a repeat was taken from the budget that no endpoint has seen.
   has_repeat_left: bool,
   running: FuturesUnordered<Try>,
@@ -61,7 +61,7 @@
     running: FuturesUnordered::new(),
     tried: Vec::new(),
     unsent: 0,
-    without_place: 0,
+    without_permit: 0,
   };
   if !plain.start() {
     return plain.refuse(RETRY_AFTER_NO_ENDPOINT_MS);
@@ -138,7 +138,7 @@
         if error.is_unsent() {
           // The endpoint never saw it: it counts as no attempt.
           self.unsent += 1;
-          self.without_place += u32::from(error.is_without_place());
+          self.without_permit += u32::from(error.is_without_permit());
           self.go_elsewhere();
         } else {
           self.has_repeat_left = false;
@@ -172,7 +172,7 @@
 
   /// Sends what an endpoint never saw to another one. Where there is none, a repeat that was taken for it goes back.
   fn go_elsewhere(&mut self) {
-    let may_start = self.unsent - self.without_place < MOST_UNSENT;
+    let may_start = self.unsent - self.without_permit < MOST_UNSENT;
     if may_start && self.start() {
       return;
     }
--- a/src/gateway/requests/seat.rs
+++ b/src/gateway/requests/seat.rs
@@ -7,7 +7,7 @@
       decisions::{PartEnd, SeatPlace, SeatUrgency, Wanted},
       edge::EndpointEntry,
       parts::{Booking, CallFailure, Purpose, Reservation, RoutedRequest, call_engine},
-      places::{Place, give_place_back, take_place},
+      permits::{Permit, return_permit, take_permit},
       state::Gateway,
     },
     ids::Name,
@@ -190,16 +190,16 @@
   entry: &EndpointEntry,
   tokens: u64,
 ) -> Option<Reservation> {
-  // One place is for the seat and for the stream in it: a seat without a place would be reserved in vain.
-  let place = match take_place(gateway, entry, request.place_caller()).await {
-    Ok(place) => place,
+  // One permit is for the seat and for the stream in it: a seat without a permit would be reserved in vain.
+  let permit = match take_permit(gateway, entry, request.permit_caller()).await {
+    Ok(permit) => permit,
     Err(_) => return None,
   };
   let call = gateway.dialect.reserve(tokens, RESERVATION_MS);
   let mut booking = Booking::new(gateway, &entry.id, request.tokens(), 1);
   match call_engine(gateway, entry, call, Purpose::Call).await {
     Ok(body) => match gateway.dialect.reservation(&body) {
-      Ok(id) => return Some(Reservation::new(gateway, entry, id, place)),
+      Ok(id) => return Some(Reservation::new(gateway, entry, id, permit)),
       Err(error) => {
         log::warn!(
           "E511 reservation failed: {} at {}: {error}",
@@ -221,9 +221,9 @@
       booking.settle(failure.part_end());
     }
   }
-  // What gets a place is a caller's request, and none was sent.
-  if place == Place::Taken {
-    give_place_back(gateway, entry);
+  // What gets a permit is a caller's request, and none was sent.
+  if permit == Permit::Taken {
+    return_permit(gateway, entry);
   }
   None
 }
--- a/src/gateway/requests/stream_send.rs
+++ b/src/gateway/requests/stream_send.rs
@@ -6,7 +6,7 @@
   crate::gateway::{
     edge::{EndpointEntry, Marks, Part},
     parts::{Head, KeptExport, OutgoingPart, PartError, Reservation, send_part},
-    places::Place,
+    permits::Permit,
     quarantine::{LostPart, note_lost},
   },
   futures_util::FutureExt,
@@ -29,10 +29,10 @@
     self.attempts += 1;
     let marks = self.marks(entry, reservation.as_ref(), export.as_ref());
     let sent_ms = self.gateway.now_ms();
-    let place = reservation
+    let permit = reservation
       .as_mut()
-      .map_or(Place::NotNeeded, Reservation::take_place);
-    let result = self.send_within_silence(entry, &marks, place).await;
+      .map_or(Permit::NotNeeded, Reservation::take_permit);
+    let result = self.send_within_silence(entry, &marks, permit).await;
     match &result {
       Ok(_) => self.note_answer(reservation, export),
       Err(error) => self.note_error(entry, error, export),
@@ -69,12 +69,12 @@
     &mut self,
     entry: &EndpointEntry,
     marks: &Marks,
-    place: Place,
+    permit: Permit,
   ) -> Result<Head, PartError> {
     let (gateway, request) = (self.gateway.clone(), self.request.clone());
     let size = request.tokens().max(1);
     let part = OutgoingPart {
-      place,
+      permit,
       ..OutgoingPart::new(entry, marks, size, 1)
     };
     let mut sending = pin!(send_part(&gateway, &request, part));
--- a/src/gateway/state/counters.rs
+++ b/src/gateway/state/counters.rs
@@ -76,12 +76,12 @@
   /// Endpoints that came to name a limit.
   pub(crate) limit_notices: Counter,
   /// Sends that found no place within their endpoint's limit.
-  pub(crate) without_place: Counter,
+  pub(crate) without_permit: Counter,
   /// Places that this box's requests took.
-  pub(crate) places_taken: Counter,
+  pub(crate) permits_taken: Counter,
   /// Places that this box gave out for all boxes, and questions for which it had none.
-  pub(crate) places_granted: Counter,
-  pub(crate) places_refused: Counter,
+  pub(crate) permits_granted: Counter,
+  pub(crate) permits_refused: Counter,
   /// Parts and calls that were not sent because their endpoint came to leave or pause after it was chosen.
   pub(crate) not_sent: Counter,
   pub(crate) callers_gone: Counter,
@@ -116,10 +116,10 @@
       ("rillford_leaving_notices_total", &self.leaving_notices),
       ("rillford_pause_notices_total", &self.pause_notices),
       ("rillford_limit_notices_total", &self.limit_notices),
-      ("rillford_without_place_total", &self.without_place),
-      ("rillford_places_taken_total", &self.places_taken),
-      ("rillford_places_granted_total", &self.places_granted),
-      ("rillford_places_refused_total", &self.places_refused),
+      ("rillford_without_place_total", &self.without_permit),
+      ("rillford_places_taken_total", &self.permits_taken),
+      ("rillford_places_granted_total", &self.permits_granted),
+      ("rillford_places_refused_total", &self.permits_refused),
       ("rillford_not_sent_total", &self.not_sent),
       ("rillford_callers_gone_total", &self.callers_gone),
       ("rillford_repeats_total", &self.repeats),
--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -10,7 +10,7 @@
     gateway::{
       connections::{Connection, ConnectionPool},
       decisions::{
-        BoxList, Choice, ColdSpan, EndpointBook, EndpointCounts, KeptPrompts, PartEnd, PlaceBook,
+        BoxList, Choice, ColdSpan, EndpointBook, EndpointCounts, KeptPrompts, PartEnd, PermitBook,
         RetryWindow, SeatForecast, SeatQueue, Unavailable, UseBook, UseLedger, Wanted,
         retry_after_pause_ms,
       },
@@ -102,9 +102,9 @@
   /// The box that counts and answered last.
   pub(crate) counting_box: Cell<Option<SocketAddr>>,
   /// Places at endpoints that this box gives out for all boxes.
-  pub(crate) place_book: RefCell<PlaceBook>,
+  pub(crate) permit_book: RefCell<PermitBook>,
   /// Places that it gives out by itself while it does not reach the box that does.
-  pub(crate) lone_places: RefCell<PlaceBook>,
+  pub(crate) lone_permits: RefCell<PermitBook>,
   /// Boxes that did not answer a moment ago.
   pub(crate) unheard_boxes: RefCell<UnheardBoxes>,
   /// For calls to other boxes.
@@ -152,9 +152,9 @@
       kept_prompts: RefCell::default(),
       lease: Cell::new(None),
       limit_lines: LinePause::default(),
-      lone_places: RefCell::default(),
+      lone_permits: RefCell::default(),
       phase: watch::Sender::new(Phase::Serving),
-      place_book: RefCell::default(),
+      permit_book: RefCell::default(),
       policy,
       pool: ConnectionPool::default(),
       quarantine: Quarantine::default(),
--- a/tests/architecture.rs
+++ b/tests/architecture.rs
@@ -14,7 +14,7 @@
   &["settings"],
   &["connections"],
   &["state"],
-  &["places"],
+  &["permits"],
   &["parts"],
   &["limits", "quarantine"],
   &["membership", "requests", "roles"],
--- a/tests/gateway/cold_endpoints.rs
+++ b/tests/gateway/cold_endpoints.rs
@@ -10,8 +10,8 @@
   rand::{RngExt, SeedableRng},
   rand_chacha::ChaCha8Rng,
   rillford::gateway::{
-    ColdSpan, EndpointEntry, EndpointLife, EndpointLimits, HeardLimit, LimitSource, LocalPlace,
-    NamedLimit, PlaceBook, PlaceVerdict, PlaceWish, counted_limit,
+    ColdSpan, EndpointEntry, EndpointLife, EndpointLimits, HeardLimit, LimitSource, LocalPermit,
+    NamedLimit, PermitBook, PermitRequest, PermitVerdict, counted_limit,
   },
   rstest::rstest,
   serde_json::{Value, json},
@@ -268,7 +268,7 @@
   let entry = entry();
   let life = EndpointLife::of(&entry.id, entry.born_ms);
   let mut random = ChaCha8Rng::seed_from_u64(boxes as u64);
-  let mut counting = PlaceBook::default();
+  let mut counting = PermitBook::default();
   let mut fleet: Vec<ReplayBox> = (0..boxes)
     .map(|number| {
       let mut limits = EndpointLimits::default();
@@ -286,21 +286,21 @@
     }
     let at = random.random_range(0..boxes);
     let here = &mut fleet[at];
-    let local = here.limits.places().take(&entry.id, now_ms);
+    let local = here.limits.permits().take(&entry.id, now_ms);
     let granted = match local {
-      LocalPlace::Granted => true,
-      LocalPlace::Refused { .. } => false,
-      LocalPlace::Ask { places, unused } => {
+      LocalPermit::Granted => true,
+      LocalPermit::Refused { .. } => false,
+      LocalPermit::Ask { permits, unused } => {
         questions += 1;
-        let wish = PlaceWish {
+        let wish = PermitRequest {
           box_name: here.name.as_str().into(),
-          places,
+          permits,
           priority: 1,
           unused,
         };
         let limit = counted_limit(here.limits.per_s(&entry, now_ms).unwrap());
-        let verdict: PlaceVerdict = counting.ask(life, limit, &wish, now_ms);
-        let ledger = here.limits.places();
+        let verdict: PermitVerdict = counting.ask(life, limit, &wish, now_ms);
+        let ledger = here.limits.permits();
         ledger.note_verdict(&entry.id, verdict, now_ms)
       }
     };
--- a/tests/gateway/places.rs
+++ b/tests/gateway/places.rs
@@ -5,8 +5,8 @@
   emulator::places::{PlaceFleet, PlacePattern, PlaceWay, replay_places},
   rillford::gateway::{
     ALONE_BOXES, AllowedHalls, BoxEntry, BoxList, EndpointBook, EndpointEntry, EndpointLimits,
-    HeardLimit, LimitNews, LimitSource, LocalPlace, NamedLimit, PlaceAccount, PlaceLedger,
-    PlaceVerdict, PlaceWish, Wanted, counted_limit, endpoint_order, lone_limit,
+    HeardLimit, LimitNews, LimitSource, LocalPermit, NamedLimit, PermitAccount, PermitLedger,
+    PermitRequest, PermitVerdict, Wanted, counted_limit, endpoint_order, lone_limit,
   },
   rstest::rstest,
 };
@@ -32,10 +32,10 @@
   }
 }
 
-fn wish(box_name: &str, priority: u8) -> PlaceWish {
-  PlaceWish {
+fn wish(box_name: &str, priority: u8) -> PermitRequest {
+  PermitRequest {
     box_name: box_name.into(),
-    places: 1,
+    permits: 1,
     priority,
     unused: 0,
   }
@@ -119,14 +119,14 @@
 #[test]
 fn account_begins_without_a_place_and_holds_few_after_a_pause() {
   let limit = counted_limit(2.0);
-  let mut account = PlaceAccount::new(limit, 0);
+  let mut account = PermitAccount::new(limit, 0);
   assert!(matches!(
     account.ask(&wish("a", 1), 0),
-    PlaceVerdict::Refused { .. }
+    PermitVerdict::Refused { .. }
   ));
   let mut granted = 0;
   for _ in 0..20 {
-    if let PlaceVerdict::Granted(places) = account.ask(&wish("a", 1), 3_600_000) {
+    if let PermitVerdict::Granted(places) = account.ask(&wish("a", 1), 3_600_000) {
       granted += places;
     }
   }
@@ -135,74 +135,83 @@
 
 #[test]
 fn boxes_that_found_no_place_are_called_in_one_after_the_other() {
-  let mut account = PlaceAccount::new(counted_limit(2.0), 0);
+  let mut account = PermitAccount::new(counted_limit(2.0), 0);
   let mut waits = Vec::new();
   for number in 0..4 {
     match account.ask(&wish(&format!("box-{number}"), 1), 0) {
-      PlaceVerdict::Refused { wait_ms } => waits.push(wait_ms),
-      PlaceVerdict::Granted(_) => panic!("a place from nowhere"),
+      PermitVerdict::Refused { wait_ms } => waits.push(wait_ms),
+      PermitVerdict::Granted(_) => panic!("a place from nowhere"),
     }
   }
   assert!(waits.is_sorted_by(|one, other| one < other), "{waits:?}");
   let again = account.ask(&wish("box-0", 1), 0);
-  assert_eq!(again, PlaceVerdict::Refused { wait_ms: waits[0] });
+  assert_eq!(again, PermitVerdict::Refused { wait_ms: waits[0] });
 }
 
 #[test]
 fn less_urgent_requests_leave_a_place_for_urgent_ones() {
-  let mut account = PlaceAccount::new(counted_limit(2.0), 0);
-  assert_eq!(account.ask(&wish("a", 0), 60_000), PlaceVerdict::Granted(1));
-  assert_eq!(account.ask(&wish("a", 5), 60_001), PlaceVerdict::Granted(1));
+  let mut account = PermitAccount::new(counted_limit(2.0), 0);
+  assert_eq!(
+    account.ask(&wish("a", 0), 60_000),
+    PermitVerdict::Granted(1)
+  );
+  assert_eq!(
+    account.ask(&wish("a", 5), 60_001),
+    PermitVerdict::Granted(1)
+  );
   assert!(matches!(
     account.ask(&wish("a", 5), 60_002),
-    PlaceVerdict::Refused { .. }
+    PermitVerdict::Refused { .. }
   ));
-  assert_eq!(account.ask(&wish("b", 0), 60_003), PlaceVerdict::Granted(1));
+  assert_eq!(
+    account.ask(&wish("b", 0), 60_003),
+    PermitVerdict::Granted(1)
+  );
   // Once nobody urgent asks any more, the others get all.
   assert_eq!(
     account.ask(&wish("a", 5), 120_000),
-    PlaceVerdict::Granted(1)
+    PermitVerdict::Granted(1)
   );
   assert_eq!(
     account.ask(&wish("a", 5), 120_001),
-    PlaceVerdict::Granted(1)
+    PermitVerdict::Granted(1)
   );
   assert_eq!(
     account.ask(&wish("a", 5), 120_002),
-    PlaceVerdict::Granted(1)
+    PermitVerdict::Granted(1)
   );
 }
 
 #[test]
 fn figure_that_goes_up_and_down_brings_no_place() {
   let (high, low) = (counted_limit(400.0), counted_limit(200.0));
-  let mut account = PlaceAccount::new(high, 0);
+  let mut account = PermitAccount::new(high, 0);
   account.ask(&wish("a", 1), 10_000);
-  while let PlaceVerdict::Granted(_) = account.ask(&wish("a", 1), 10_000) {}
+  while let PermitVerdict::Granted(_) = account.ask(&wish("a", 1), 10_000) {}
   for _ in 0..50 {
     account.set_limit(low, 10_000);
     account.set_limit(high, 10_000);
   }
   assert!(matches!(
     account.ask(&wish("a", 1), 10_000),
-    PlaceVerdict::Refused { .. }
+    PermitVerdict::Refused { .. }
   ));
 }
 
 #[test]
 fn places_that_are_not_used_in_time_go_back() {
-  let mut ledger = PlaceLedger::default();
+  let mut ledger = PermitLedger::default();
   let id = "e-1".into();
   for at_ms in 0..200 {
     ledger.take(&id, at_ms);
   }
-  let LocalPlace::Ask { places, unused: 0 } = ledger.take(&id, 200) else {
+  let LocalPermit::Ask { permits, unused: 0 } = ledger.take(&id, 200) else {
     panic!("nothing was given yet");
   };
-  assert!(places > 1);
-  assert!(ledger.note_verdict(&id, PlaceVerdict::Granted(3), 200));
-  assert_eq!(ledger.take(&id, 201), LocalPlace::Granted);
-  let LocalPlace::Ask { unused, .. } = ledger.take(&id, 1_000) else {
+  assert!(permits > 1);
+  assert!(ledger.note_verdict(&id, PermitVerdict::Granted(3), 200));
+  assert_eq!(ledger.take(&id, 201), LocalPermit::Granted);
+  let LocalPermit::Ask { unused, .. } = ledger.take(&id, 1_000) else {
     panic!("what was given is too old");
   };
   assert_eq!(unused, 1);
@@ -303,18 +312,18 @@
   };
   book.note_limit(&one, NamedLimit::PerS(2.0), 1_000, 1_000);
   assert_eq!(chosen(&book, 1_000), Some("a".into()));
-  let refused = PlaceVerdict::Refused { wait_ms: 400 };
+  let refused = PermitVerdict::Refused { wait_ms: 400 };
   book
     .limits_mut()
-    .places()
+    .permits()
     .note_verdict(&one.id, refused, 1_000);
   assert_eq!(chosen(&book, 1_100), Some("b".into()));
   assert_eq!(book.reopens_in_ms("portal", 1_100), None);
   book.note_limit(&other, NamedLimit::PerS(2.0), 1_000, 1_000);
-  let refused = PlaceVerdict::Refused { wait_ms: 900 };
+  let refused = PermitVerdict::Refused { wait_ms: 900 };
   book
     .limits_mut()
-    .places()
+    .permits()
     .note_verdict(&other.id, refused, 1_000);
   assert_eq!(chosen(&book, 1_100), None);
   assert_eq!(book.reopens_in_ms("portal", 1_100), Some(300));
