--- a/src/gateway/decisions/endpoint_limits.rs
+++ b/src/gateway/decisions/endpoint_limits.rs
@@ -48,7 +48,7 @@
 
   /// The same of a life that this box may not list.
   pub fn lowest_per_s(&self, id: &str, born_ms: Option<u64>, now_ms: u64) -> Option<f64> {
-    self.lowest(id, born_ms, now_ms)?.per_s
+    self.lowest_limit(id, born_ms, now_ms)?.per_s
   }
 
   /// The lower of the limits that are in force at a life of an endpoint: the one that it names, and what it carries while it
@@ -57,18 +57,19 @@
     if self.is_ignoring {
       return None;
     }
-    self.lowest(&entry.id, entry.born_ms, now_ms)
+    self.lowest_limit(&entry.id, entry.born_ms, now_ms)
   }
 
-  fn lowest(&self, id: &str, born_ms: Option<u64>, now_ms: u64) -> Option<HeardLimit> {
+  fn lowest_limit(&self, id: &str, born_ms: Option<u64>, now_ms: u64) -> Option<HeardLimit> {
     let is_limit = |limit: &HeardLimit| limit.per_s.is_some_and(|per_s| per_s < NO_LIMIT_PER_S);
     let named = self.words.heard_of(id, born_ms).filter(is_limit);
     let cold = self.cold_span(id, born_ms, now_ms);
     let cold = cold.map(HeardLimit::from);
-    [named, cold]
-      .into_iter()
-      .flatten()
-      .min_by(|one, other| one.lowest().total_cmp(&other.lowest()))
+    [named, cold].into_iter().flatten().min_by(|one, other| {
+      one
+        .per_s_or_infinite()
+        .total_cmp(&other.per_s_or_infinite())
+    })
   }
 
   /// The span in which a life of an endpoint is cold; nothing once it is warm.
--- a/src/gateway/decisions/limit_book.rs
+++ b/src/gateway/decisions/limit_book.rs
@@ -40,8 +40,8 @@
 }
 
 impl HeardLimit {
-  /// The figure, to be compared; above all others when there is none.
-  pub(super) fn lowest(&self) -> f64 {
+  /// The figure; above all others when there is none.
+  pub(super) fn per_s_or_infinite(&self) -> f64 {
     self.per_s.unwrap_or(f64::INFINITY)
   }
 }
--- a/src/gateway/decisions/permit_account.rs
+++ b/src/gateway/decisions/permit_account.rs
@@ -54,11 +54,11 @@
 /// use rillford::gateway::{PermitAccount, PermitVerdict, PermitRequest, UseLimit};
 /// let limit = UseLimit { burst: 3.0, rate_per_s: 2.0 };
 /// let mut account = PermitAccount::new(limit, 0);
-/// let wish = PermitRequest { box_name: "north-1".into(), permits: 1, priority: 4, unused: 0 };
+/// let permit_request = PermitRequest { box_name: "north-1".into(), permits: 1, priority: 4, unused: 0 };
 /// // Nothing is there at first: what was sent before the limit was heard is still under way.
-/// assert_eq!(account.ask(&wish, 0), PermitVerdict::Refused { wait_ms: 500 });
-/// assert_eq!(account.ask(&wish, 500), PermitVerdict::Granted(1));
-/// assert_eq!(account.ask(&PermitRequest { permits: 9, ..wish }, 60_000), PermitVerdict::Granted(3));
+/// assert_eq!(account.ask(&permit_request, 0), PermitVerdict::Refused { wait_ms: 500 });
+/// assert_eq!(account.ask(&permit_request, 500), PermitVerdict::Granted(1));
+/// assert_eq!(account.ask(&PermitRequest { permits: 9, ..permit_request }, 60_000), PermitVerdict::Granted(3));
 /// ```
 #[derive(Clone, Debug)]
 pub struct PermitAccount {
@@ -94,20 +94,22 @@
   }
 
   /// Gives out permits, or says when to ask again.
-  pub fn ask(&mut self, wish: &PermitRequest, now_ms: u64) -> PermitVerdict {
+  pub fn ask(&mut self, permit_request: &PermitRequest, now_ms: u64) -> PermitVerdict {
     self.asked_ms = now_ms;
     self.bucket.left(self.limit, now_ms);
-    self.bucket.charge(self.limit, -f64::from(wish.unused));
+    self
+      .bucket
+      .charge(self.limit, -f64::from(permit_request.unused));
     // Who comes at its turn takes what is there: sent behind again, it would leave permits idle.
-    let grain = if self.takes_turn(&wish.box_name, now_ms) {
+    let grain = if self.takes_turn(&permit_request.box_name, now_ms) {
       1.0
     } else {
-      self.grain(wish.permits)
+      self.grain(permit_request.permits)
     };
-    let wanted = grain + self.kept_for_others(wish.priority, now_ms);
+    let wanted = grain + self.kept_for_others(permit_request.priority, now_ms);
     let left = self.bucket.left(self.limit, now_ms);
     if left < wanted {
-      let turn_ms = self.turn_ms(&wish.box_name, grain, now_ms);
+      let turn_ms = self.turn_ms(&permit_request.box_name, grain, now_ms);
       let until_left_ms = self.bucket.wait_ms(self.limit, wanted, now_ms);
       let wait_ms = turn_ms.max(until_left_ms);
       return PermitVerdict::Refused {
@@ -115,7 +117,7 @@
       };
     }
     let spare = (left - wanted) as u32;
-    let granted = wish.permits.min(grain as u32 + spare);
+    let granted = permit_request.permits.min(grain as u32 + spare);
     self.bucket.charge(self.limit, f64::from(granted));
     PermitVerdict::Granted(granted)
   }
--- a/src/gateway/decisions/permit_book.rs
+++ b/src/gateway/decisions/permit_book.rs
@@ -24,7 +24,7 @@
     &mut self,
     life: EndpointLife,
     limit: UseLimit,
-    wish: &PermitRequest,
+    permit_request: &PermitRequest,
     now_ms: u64,
   ) -> PermitVerdict {
     let account = self
@@ -32,7 +32,7 @@
       .entry(life)
       .or_insert_with(|| PermitAccount::new(limit, now_ms));
     account.set_limit(limit, now_ms);
-    account.ask(wish, now_ms)
+    account.ask(permit_request, now_ms)
   }
 
   /// Permits that are left at a life of an endpoint; nothing where none were asked for lately.
--- a/src/gateway/permits/messages.rs
+++ b/src/gateway/permits/messages.rs
@@ -98,7 +98,7 @@
   let named = book.limits().heard_of(id, born_ms);
   let per_s = book.limits().lowest_per_s(id, born_ms, now_ms);
   drop(book);
-  let wish = PermitRequest {
+  let permit_request = PermitRequest {
     box_name: question.box_name.clone(),
     permits: question.permits,
     priority: question.priority,
@@ -106,7 +106,12 @@
   };
   PermitAnswer {
     told: named.map(|named| ToldLimit::new(named, now_ms)),
-    verdict: give_out(gateway, EndpointLife::of(id, born_ms), per_s, &wish),
+    verdict: give_out(
+      gateway,
+      EndpointLife::of(id, born_ms),
+      per_s,
+      &permit_request,
+    ),
   }
 }
 
@@ -115,16 +120,17 @@
   gateway: &Gateway,
   life: EndpointLife,
   per_s: Option<f64>,
-  wish: &PermitRequest,
+  permit_request: &PermitRequest,
 ) -> PermitVerdict {
   let Some(per_s) = per_s else {
-    return PermitVerdict::Granted(wish.permits);
+    return PermitVerdict::Granted(permit_request.permits);
   };
-  let verdict =
-    gateway
-      .permit_book
-      .borrow_mut()
-      .ask(life, counted_limit(per_s), wish, gateway.now_ms());
+  let verdict = gateway.permit_book.borrow_mut().ask(
+    life,
+    counted_limit(per_s),
+    permit_request,
+    gateway.now_ms(),
+  );
   match verdict {
     PermitVerdict::Granted(permits) => gateway.counters.permits_granted.add(permits.into()),
     PermitVerdict::Refused { .. } => gateway.counters.permits_refused.inc(),
--- a/src/gateway/permits/taking.rs
+++ b/src/gateway/permits/taking.rs
@@ -81,7 +81,7 @@
     .limits_mut()
     .permits()
     .take(&entry.id, now_ms);
-  let wish = match local {
+  let permit_request = match local {
     LocalPermit::Granted => {
       gateway.counters.permits_taken.inc();
       return Ok(Permit::Taken);
@@ -94,7 +94,7 @@
       unused,
     },
   };
-  let (verdict, decided_by) = decide(gateway, entry, heard, &wish).await;
+  let (verdict, decided_by) = decide(gateway, entry, heard, &permit_request).await;
   let now_ms = gateway.now_ms();
   let Some(heard) = limit_at(gateway, entry) else {
     return Ok(Permit::NotNeeded);
@@ -133,7 +133,7 @@
   gateway: &Gateway,
   entry: &EndpointEntry,
   heard: HeardLimit,
-  wish: &PermitRequest,
+  permit_request: &PermitRequest,
 ) -> (PermitVerdict, DecidedBy) {
   let life = EndpointLife::of(&entry.id, entry.born_ms);
   let order = endpoint_order(
@@ -145,14 +145,17 @@
   let own_name = &gateway.settings.identity.name;
   if let Some((name, address)) = order.first() {
     if name == own_name {
-      return (give_out(gateway, life, heard.per_s, wish), DecidedBy::Own);
+      return (
+        give_out(gateway, life, heard.per_s, permit_request),
+        DecidedBy::Own,
+      );
     }
-    if let Some(answer) = ask(gateway, *address, entry, wish).await {
+    if let Some(answer) = ask(gateway, *address, entry, permit_request).await {
       return (answer.verdict, DecidedBy::Box(*address));
     }
   }
   (
-    decide_alone(gateway, life, heard, wish, &order),
+    decide_alone(gateway, life, heard, permit_request, &order),
     DecidedBy::Alone,
   )
 }
@@ -162,7 +165,7 @@
   gateway: &Gateway,
   address: SocketAddr,
   entry: &EndpointEntry,
-  wish: &PermitRequest,
+  permit_request: &PermitRequest,
 ) -> Option<PermitAnswer> {
   if gateway
     .unheard_boxes
@@ -181,15 +184,15 @@
     )
   };
   let question = PermitQuestion {
-    box_name: wish.box_name.clone(),
+    box_name: permit_request.box_name.clone(),
     born_ms: entry.born_ms,
     cold: cold.map(|span| ColdSpanMessage::new(span, now_ms)),
     endpoint: entry.id.clone(),
     hall: entry.hall.clone(),
-    permits: wish.permits,
-    priority: wish.priority,
+    permits: permit_request.permits,
+    priority: permit_request.priority,
     told: named.map(|named| ToldLimit::new(named, now_ms)),
-    unused: wish.unused,
+    unused: permit_request.unused,
   };
   let asked = ask_for_permits(&gateway.box_calls, address, &question, ASK_LIMIT).await;
   let now_ms = gateway.now_ms();
@@ -219,7 +222,7 @@
   gateway: &Gateway,
   life: EndpointLife,
   heard: HeardLimit,
-  wish: &PermitRequest,
+  permit_request: &PermitRequest,
   order: &[(Name, SocketAddr)],
 ) -> PermitVerdict {
   let own_name = &gateway.settings.identity.name;
@@ -229,15 +232,15 @@
       wait_ms: NOT_ALONE_WAIT_MS,
     };
   };
-  let wish = PermitRequest {
+  let permit_request = PermitRequest {
     permits: 1,
     unused: 0,
-    ..wish.clone()
+    ..permit_request.clone()
   };
   gateway
     .lone_permits
     .borrow_mut()
-    .ask(life, lone_limit(per_s), &wish, gateway.now_ms())
+    .ask(life, lone_limit(per_s), &permit_request, gateway.now_ms())
 }
 
 fn no_permit(gateway: &Gateway, left_ms: u64) -> Unavailable {
