Log each retry that is charged or denied, with the inputs that decided it

Change: E546 and E547 with the request, the retries and requests in the window, the share, and the number of boxes; RetryWindow::usage returns them. No decision changes.

--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -72,7 +72,7 @@
   quarantine_strategy::QuarantineStrategy,
   recent_engines::{RecentEngines, stable_engines},
   retry_after::retry_after_backoff_ms,
-  retry_window::{RetryAllowance, RetryWindow},
+  retry_window::{RetryAllowance, RetryUsage, RetryWindow},
   role_plan::{RolePlan, plan_roles},
   slot_forecast::SlotForecast,
   slot_queue::{QueuePosition, SlotQueue, SlotUrgency},
--- a/src/gateway/decisions/retry_window.rs
+++ b/src/gateway/decisions/retry_window.rs
@@ -26,6 +26,22 @@
   retries: u32,
 }
 
+/// A box's use of its share of the allowance.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryUsage {
+  /// Retries in the window that this box may send.
+  pub allowed: f64,
+  pub requests: u32,
+  pub retries: u32,
+}
+
+impl RetryUsage {
+  /// Whether one more retry is within the allowance.
+  pub fn has_retry_left(&self) -> bool {
+    self.allowed - f64::from(self.retries) >= 1.0
+  }
+}
+
 /// The requests and retries that this box sent to one service in the last window.
 ///
 /// ```
@@ -61,15 +77,15 @@
 
   /// Takes a retry if one is available.
   pub fn take(&mut self, allowance: RetryAllowance, boxes: usize, now_ms: u64) -> bool {
-    if self.remaining(allowance, boxes, now_ms) < 1.0 {
+    if !self.usage(allowance, boxes, now_ms).has_retry_left() {
       return false;
     }
     self.record_retry(now_ms);
     true
   }
 
-  /// Retries that this box may still send.
-  pub fn remaining(&mut self, allowance: RetryAllowance, boxes: usize, now_ms: u64) -> f64 {
+  /// The requests and retries in the window, and the retries that this box may send in it.
+  pub fn usage(&mut self, allowance: RetryAllowance, boxes: usize, now_ms: u64) -> RetryUsage {
     let oldest = (now_ms.saturating_sub(allowance.window_ms)) / BUCKET_MS;
     while self
       .buckets
@@ -82,7 +98,11 @@
     let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
     let boxes = boxes.max(1) as f64;
     let allowed = allowance.ratio * f64::from(requests) + allowance.slack / boxes;
-    USED_SHARE * allowed - f64::from(retries)
+    RetryUsage {
+      allowed: USED_SHARE * allowed,
+      requests,
+      retries,
+    }
   }
 
   /// The current bucket, created on first use.
--- a/src/gateway/requests/stream_request.rs
+++ b/src/gateway/requests/stream_request.rs
@@ -144,7 +144,9 @@
     if self.sends == 1 {
       return true;
     }
-    let taken = self.gateway.take_retry(&self.request.service);
+    let taken = self
+      .gateway
+      .take_retry(self.request.id(), &self.request.service);
     if taken {
       self.gateway.counters.retries.inc();
     }
--- a/src/gateway/requests/unary.rs
+++ b/src/gateway/requests/unary.rs
@@ -163,7 +163,10 @@
     let Some(entry) = self.choose() else {
       return false;
     };
-    if !self.gateway.take_retry(&self.request.service) {
+    if !self
+      .gateway
+      .take_retry(self.request.id(), &self.request.service)
+    {
       return false;
     }
     self.gateway.counters.retries.inc();
--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -11,8 +11,8 @@
       connections::{Connection, ConnectionPool},
       decisions::{
         AttemptOutcome, BoxList, CachedPrompts, Choice, ColdPeriod, EndpointCounts,
-        EndpointCriteria, EndpointRegistry, LocalUsage, PermitTable, RetryWindow, SlotForecast,
-        SlotQueue, Unavailable, UsageTable, retry_after_backoff_ms,
+        EndpointCriteria, EndpointRegistry, LocalUsage, PermitTable, RetryUsage, RetryWindow,
+        SlotForecast, SlotQueue, Unavailable, UsageTable, retry_after_backoff_ms,
       },
       edge::{ColdStart, EndpointEntry, PlatformCodec, RouteTable, StoreLease},
       settings::{GatewaySettings, RoutePolicy},
@@ -418,15 +418,17 @@
 
   /// Whether the retry budget allows a retry now.
   pub(crate) fn has_retry_left(&self, service: &Name) -> bool {
+    self.retry_usage(service).has_retry_left()
+  }
+
+  /// This box's use of its share of a service's retry budget.
+  fn retry_usage(&self, service: &Name) -> RetryUsage {
     let boxes = self.box_count();
     let now_ms = self.now_ms();
     let allowance = self.settings.retry_allowance();
     let mut windows = self.retry_windows.borrow_mut();
-    windows
-      .entry(service.clone())
-      .or_default()
-      .remaining(allowance, boxes, now_ms)
-      >= 1.0
+    let window = windows.entry(service.clone()).or_default();
+    window.usage(allowance, boxes, now_ms)
   }
 
   /// Returns a retry that reached no endpoint to the budget.
@@ -437,19 +439,32 @@
     }
   }
 
-  /// Takes a retry from this box's share of the retry budget; returns whether one was left.
-  pub(crate) fn take_retry(&self, service: &Name) -> bool {
-    let boxes = self.box_count();
-    let taken = self
-      .retry_windows
-      .borrow_mut()
-      .entry(service.clone())
-      .or_default()
-      .take(self.settings.retry_allowance(), boxes, self.now_ms());
-    if !taken {
+  /// Takes a retry of a request from this box's share of the retry budget; returns whether one was left.
+  pub(crate) fn take_retry(&self, request_id: &str, service: &Name) -> bool {
+    let usage = self.retry_usage(service);
+    let is_taken = usage.has_retry_left();
+    if is_taken {
+      let mut windows = self.retry_windows.borrow_mut();
+      let window = windows.entry(service.clone()).or_default();
+      window.record_retry(self.now_ms());
+    } else {
       self.counters.retries_denied.inc();
     }
-    taken
+    let RetryUsage {
+      allowed,
+      requests,
+      retries,
+    } = usage;
+    let event = if is_taken {
+      "E546 retry charged"
+    } else {
+      "E547 retry denied"
+    };
+    log::info!(
+      "{event}: {request_id} {service}: {retries} of {allowed:.1} used before, {requests} requests, {} boxes",
+      self.box_count()
+    );
+    is_taken
   }
 }
 
