--- a/tests/gateway/budget.rs
+++ b/tests/gateway/budget.rs
@@ -1,8 +1,11 @@
 //! Retries are charged to a budget that all boxes share.
 
 use {
-  super::{EndpointStandIn, GatewayTest, ReceivedRequest, Reply},
-  rillford::gateway::{RetryAllowance, RetryWindow},
+  super::{EndpointStandIn, GatewayTest, ReceivedRequest, Reply, TIMEOUT},
+  emulator::eventually,
+  rand::{RngExt, SeedableRng},
+  rand_chacha::ChaCha8Rng,
+  rillford::gateway::{BoxEntry, RetryAllowance, RetryWindow},
   rstest::rstest,
 };
 
@@ -76,3 +79,154 @@
     "{retries}"
   );
 }
+
+/// Boxes that share the budget at least, as far as a box knows.
+const MIN_BOXES: usize = 6;
+
+/// How requests and retries fall over boxes and time.
+#[derive(Clone, Copy, Debug)]
+enum RetryPattern {
+  /// All boxes get requests evenly, and retry whatever they may.
+  Steady,
+  /// Requests end at 20 s, and retries begin.
+  RequestsEnd,
+  /// Callers move from one half of the boxes to the other at 20 s; the first half retries before, the second 10 s later.
+  CallersMove,
+  /// Boxes restart at random times, several times within a window, and retry at once.
+  Restarts,
+  /// All boxes restart at the same moment, after they have spent their shares.
+  JointRestart,
+}
+
+/// A box of the simulation: its requests and retries, counted on its own clock.
+struct SimulatedBox {
+  started_ms: u64,
+  window: RetryWindow,
+}
+
+impl SimulatedBox {
+  fn restart(&mut self, now_ms: u64) {
+    self.started_ms = now_ms;
+    self.window = RetryWindow::default();
+  }
+
+  fn may_retry(&mut self, boxes: usize, now_ms: u64) -> bool {
+    self.window.take(ALLOWANCE, boxes, now_ms - self.started_ms)
+  }
+}
+
+/// Plays a pattern with a share of 20 requests a second at each box, and returns the times of requests and of retries.
+fn play(
+  pattern: RetryPattern,
+  boxes: usize,
+  request_share: f64,
+  seed: u64,
+) -> (Vec<u64>, Vec<u64>) {
+  let mut random = ChaCha8Rng::seed_from_u64(seed);
+  let mut fleet: Vec<_> = (0..boxes)
+    .map(|_| SimulatedBox {
+      started_ms: 0,
+      window: RetryWindow::default(),
+    })
+    .collect();
+  let (mut requests, mut retries) = (Vec::new(), Vec::new());
+  for now_ms in (20_000..60_000).step_by(50) {
+    for (index, at) in fleet.iter_mut().enumerate() {
+      let is_first_half = index < boxes / 2;
+      let (has_request, retries_now) = match pattern {
+        RetryPattern::Steady | RetryPattern::JointRestart => (true, true),
+        RetryPattern::RequestsEnd => (now_ms < 40_000, now_ms >= 39_950),
+        RetryPattern::CallersMove if is_first_half => (now_ms < 40_000, now_ms == 39_950),
+        RetryPattern::CallersMove => (now_ms >= 40_000, now_ms >= 49_900),
+        RetryPattern::Restarts => (true, true),
+      };
+      let restarts = match pattern {
+        RetryPattern::Restarts => random.random_bool(0.01),
+        RetryPattern::JointRestart => now_ms == 40_000,
+        _ => false,
+      };
+      if restarts {
+        at.restart(now_ms);
+      }
+      if has_request && random.random_bool(request_share) {
+        at.window.record_request(now_ms - at.started_ms);
+        requests.push(now_ms);
+      }
+      while retries_now && at.may_retry(boxes.max(MIN_BOXES), now_ms) {
+        retries.push(now_ms);
+      }
+    }
+  }
+  (requests, retries)
+}
+
+fn count_within(times: &[u64], from_ms: u64) -> f64 {
+  let until_ms = from_ms + ALLOWANCE.window_ms;
+  let within = times.partition_point(|at_ms| *at_ms < until_ms)
+    - times.partition_point(|at_ms| *at_ms < from_ms);
+  within as f64
+}
+
+/// The requests of a window count, or those of the window half or one length before it if they are more.
+#[rstest]
+fn retries_of_boxes_that_share_a_budget_stay_within_it(
+  #[values(
+    RetryPattern::Steady,
+    RetryPattern::RequestsEnd,
+    RetryPattern::CallersMove,
+    RetryPattern::Restarts,
+    RetryPattern::JointRestart
+  )]
+  pattern: RetryPattern,
+  #[values(3, 8, 30, 58, 300, 985)] boxes: usize,
+  #[values(0.02, 0.5)] request_share: f64,
+  #[values(1, 2)] seed: u64,
+) {
+  let (requests, retries) = play(pattern, boxes, request_share, seed);
+  for from_ms in (20_000..50_000).step_by(50) {
+    let counted = [0, 5_000, 10_000].map(|before_ms| count_within(&requests, from_ms - before_ms));
+    let counted = counted.into_iter().fold(0.0, f64::max);
+    let allowed = ALLOWANCE.ratio * counted + ALLOWANCE.slack;
+    let sent = count_within(&retries, from_ms);
+    assert!(
+      sent <= allowed,
+      "{sent} retries of {allowed} allowed, from {from_ms} ms"
+    );
+  }
+}
+
+/// Guards against boxes that divide the budget by the few boxes that are still registered after leases have expired.
+#[tokio::test]
+async fn boxes_whose_entries_have_expired_still_share_the_budget() {
+  let failing = |seen: &ReceivedRequest| Reply::status(seen, "500 Internal Server Error", "");
+  let one = EndpointStandIn::start(failing).await;
+  let other = EndpointStandIn::start(failing).await;
+  let test = GatewayTest::new().await;
+  let others: Vec<String> = (1..58)
+    .map(|number| format!("rillford/boxes/south-{number:02}"))
+    .collect();
+  let entry = BoxEntry {
+    address: "127.0.0.1:9".parse().unwrap(),
+    hall: "south".into(),
+  };
+  let value = postcard::to_stdvec(&entry).unwrap();
+  for key in &others {
+    test.store.put(key, &value);
+  }
+  let gateway = test.with_portals(&one, &other).await;
+  let counts = async |boxes: f64| gateway.metric("rillford_boxes").await == boxes;
+  assert!(eventually(TIMEOUT, async || counts(58.0).await).await);
+  for key in &others {
+    gateway.test.store.remove(key);
+  }
+  assert!(eventually(TIMEOUT, async || counts(1.0).await).await);
+  let sent = 40;
+  for number in 0..sent {
+    gateway.ask("/safe/a", &format!("r{number}")).await;
+  }
+  let retries = one.requests().len() + other.requests().len() - sent;
+  assert!(
+    retries as f64 <= 0.2 * sent as f64 + 60.0 / 58.0,
+    "{retries}"
+  );
+}
