Permits: one time slot for each permit while every box comes to its slot

Cause, traced: slots are assigned 1.2 times as often as permits accrue, since some boxes don't come. With 3 boxes under full load all come; each sixth slot finds no permit, and its box is rejected for another round. Change: a box that is rejected in its own slot sets the rate to one slot for each permit; two permits in the bucket set it back to 1.2. Ruled out: concurrent requests of one box (they share a slot), a slot that expires.

--- a/src/gateway/decisions/permit_account.rs
+++ b/src/gateway/decisions/permit_account.rs
@@ -10,8 +10,11 @@
   std::collections::HashMap,
 };
 
-/// Boxes that got no permit are invited back this much more often than permits accrue: some have no request by then.
-const INVITATIONS_PER_PERMIT: f64 = 1.2;
+/// Boxes that got no permit are invited back this much more often than permits accrue while some invitations are not
+/// followed: some boxes have no request by then.
+const MAX_INVITATIONS_PER_PERMIT: f64 = 1.2;
+/// Permits in the bucket that show that an invitation was not followed.
+const SURPLUS_PERMITS: f64 = 2.0;
 /// A box that wants many permits gets at least what accrues in this time, or none yet: else it would ask for each one.
 const MIN_GRANT_S: f64 = 0.1;
 /// Longest time until a box may ask again: one permit of the lowest limit accrues in it.
@@ -67,6 +70,8 @@
   last_slot_ms: u64,
   /// The time slot of each of these boxes.
   slots_ms: HashMap<Name, u64>,
+  /// Time slots that are assigned for each permit that accrues.
+  invitations_per_permit: f64,
   /// The most urgent priority of a recent request, and its time.
   urgent: Option<(u8, u64)>,
   last_request_ms: u64,
@@ -77,6 +82,7 @@
     Self {
       last_request_ms: now_ms,
       bucket: TokenBucket::empty(now_ms),
+      invitations_per_permit: MAX_INVITATIONS_PER_PERMIT,
       limit,
       last_slot_ms: now_ms,
       slots_ms: HashMap::new(),
@@ -99,14 +105,22 @@
       .bucket
       .charge(self.limit, -f64::from(permit_request.unused));
     // A box in its time slot takes what is available: postponed again, it would leave permits unused.
-    let min_grant = if self.claims_slot(&permit_request.box_name, now_ms) {
+    let claims_slot = self.claims_slot(&permit_request.box_name, now_ms);
+    let min_grant = if claims_slot {
       1.0
     } else {
       self.min_grant(permit_request.permits)
     };
     let wanted = min_grant + self.reserved_for_urgent(permit_request.priority, now_ms);
     let remaining = self.bucket.level(self.limit, now_ms);
+    if remaining >= SURPLUS_PERMITS {
+      self.invitations_per_permit = MAX_INVITATIONS_PER_PERMIT;
+    }
     if remaining < wanted {
+      if claims_slot {
+        // All invitations are followed: more than one for each permit would only be rejected.
+        self.invitations_per_permit = 1.0;
+      }
       let slot_ms = self.slot_ms(&permit_request.box_name, min_grant, now_ms);
       let until_available_ms = self.bucket.wait_ms(self.limit, wanted, now_ms);
       let wait_ms = slot_ms.max(until_available_ms);
@@ -173,7 +187,7 @@
     if let Some(slot_ms) = self.slots_ms.get(box_name) {
       return slot_ms.saturating_sub(now_ms);
     }
-    let gap_ms = permits * 1_000.0 / (self.limit.rate_per_s * INVITATIONS_PER_PERMIT);
+    let gap_ms = permits * 1_000.0 / (self.limit.rate_per_s * self.invitations_per_permit);
     let slot_ms = self.last_slot_ms.max(now_ms) + gap_ms as u64;
     self.last_slot_ms = slot_ms.min(now_ms + MAX_WAIT_MS);
     self.slots_ms.insert(box_name.clone(), self.last_slot_ms);
