Shares of limits are divided by the most boxes that were listed lately

Cause: each box divides the slack of all boxes by the number of entries in the store. Entries of boxes that serve on expire with their leases; 58 boxes then divided by 6, for the seconds until they registered again. Class: a share that grows when a box knows less. Change: PeakBoxCount keeps the largest number of the last 15 to 30 minutes, longer than halls usually are cut off from each other; all users of box_count follow (retries, organisations' usage, backoff jitter, idle connections, quarantine batches). Why it works: the sum of the shares of n boxes is at most the limit while each divides by n or more. Ruled out: keeping removed entries for a time (replaced boxes would count twice); a count kept in the store (a restarted box lists it no sooner than the others register again, within a renewal interval).

--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -25,6 +25,7 @@
 mod local_permits;
 mod local_usage;
 mod notice_tracker;
+mod peak_box_count;
 mod peer_usage;
 mod permit_account;
 mod permit_table;
@@ -65,6 +66,7 @@
   local_permits::{LocalPermitVerdict, LocalPermits},
   local_usage::{LocalUsage, LocalVerdict, UsageRequest},
   notice_tracker::{Availability, NoticeChange, NoticeTracker},
+  peak_box_count::PeakBoxCount,
   permit_account::{PermitAccount, PermitRequest, PermitVerdict},
   permit_table::PermitTable,
   quarantine_key::{QuarantineKey, QuarantineMark},
--- a/src/gateway/membership/store_view.rs
+++ b/src/gateway/membership/store_view.rs
@@ -186,7 +186,7 @@
 
   fn put_box(&self, name: Name, value: &[u8]) {
     match postcard::from_bytes(value) {
-      Ok(entry) => self.gateway.boxes.borrow_mut().put(name, entry),
+      Ok(entry) => self.gateway.put_box(name, entry),
       Err(error) => log::warn!("E405 entry of box {name} not decoded: {error}"),
     }
   }
--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -10,9 +10,9 @@
     gateway::{
       connections::{Connection, ConnectionPool},
       decisions::{
-        AttemptOutcome, BoxList, CachedPrompts, Choice, ColdPeriod, EndpointCounts,
-        EndpointCriteria, EndpointRegistry, LocalUsage, PermitTable, RetryUsage, RetryWindow,
-        SlotForecast, SlotQueue, Unavailable, UsageTable, retry_after_backoff_ms,
+        AttemptOutcome, BoxEntry, BoxList, CachedPrompts, Choice, ColdPeriod, EndpointCounts,
+        EndpointCriteria, EndpointRegistry, LocalUsage, PeakBoxCount, PermitTable, RetryUsage,
+        RetryWindow, SlotForecast, SlotQueue, Unavailable, UsageTable, retry_after_backoff_ms,
       },
       edge::{ColdStart, EndpointEntry, PlatformCodec, RouteTable, StoreLease},
       settings::{GatewaySettings, RoutePolicy},
@@ -78,6 +78,7 @@
   /// When the last responses are due, once the box is leaving.
   pub(crate) exit_ms: Cell<Option<u64>>,
   pub(crate) boxes: RefCell<BoxList>,
+  peak_box_count: RefCell<PeakBoxCount>,
   /// The latest changes of the store, for this box's followers.
   pub(crate) change_log: ChangeLog,
   /// Time of the last contact with the store, direct or through another box.
@@ -152,6 +153,7 @@
       limit_log_throttle: LogThrottle::default(),
       local_usage: RefCell::default(),
       mean_first_event_ms: Cell::new(None),
+      peak_box_count: RefCell::default(),
       permit_table: RefCell::default(),
       phase: watch::Sender::new(Phase::Serving),
       policy,
@@ -208,9 +210,22 @@
     true
   }
 
-  /// The number of boxes among which shared budgets are divided.
+  /// Lists a box.
+  pub(crate) fn put_box(&self, name: Name, entry: BoxEntry) {
+    self.boxes.borrow_mut().put(name, entry);
+    self.record_box_count();
+  }
+
+  /// The number of boxes among which limits of all boxes are divided.
   pub(crate) fn box_count(&self) -> usize {
-    self.boxes.borrow().len().max(MIN_BOXES)
+    self.record_box_count();
+    self.peak_box_count.borrow().get().max(MIN_BOXES)
+  }
+
+  fn record_box_count(&self) {
+    let boxes = self.boxes.borrow().len();
+    let now_ms = self.now_ms();
+    self.peak_box_count.borrow_mut().record(boxes, now_ms);
   }
 
   /// Whether this box is a coordinator of organisations' usage.
@@ -377,8 +392,9 @@
     let mut text = format!(
       "rillford_endpoints {known}\nrillford_endpoints_leaving {leaving}\nrillford_endpoints_pausing {backing_off}\n\
        rillford_endpoints_limited {limited}\nrillford_endpoints_drained {drained}\n\
-       rillford_unknown_answer_names {unknown_headers}\nrillford_boxes {}\n",
-      self.boxes.borrow().len()
+       rillford_unknown_answer_names {unknown_headers}\nrillford_boxes {}\nrillford_boxes_sharing_limits {}\n",
+      self.boxes.borrow().len(),
+      self.box_count()
     );
     for hall in self.endpoints.borrow().drained_halls().names() {
       // Writing to a `String` cannot fail.
