Retry budget: requests that two windows of a box cover count half

Cause: each box allows retries for the requests of its own last window. The windows end at different times, so that all retries in one window can rest on requests of two. The share of 0.7 covered that only while the slack is large beside the requests. Change: half the ratio and 0.9 of the slack; requests of the bucket that lies partly before the window don't count. Why it works: retries of a box in [t, t+w] are at most ratio/2 x its requests in [t-w, t+w] + its slack; over all boxes that is at most ratio x the larger of the two windows + 0.9 x slack. Ruled out: a token bucket that requests fill: it bounds each window by itself, but a short outage finds only the slack in it.

--- a/src/gateway/decisions/retry_window.rs
+++ b/src/gateway/decisions/retry_window.rs
@@ -5,8 +5,10 @@
 /// Buckets per second of the window.
 const BUCKETS_PER_SECOND: u64 = 4;
 const BUCKET_MS: u64 = 1_000 / BUCKETS_PER_SECOND;
-/// Share of the allowance that is used: boxes count in buckets, and learn late of boxes that join.
-const USED_SHARE: f64 = 0.7;
+/// The windows of boxes end at different times, so that a window over all boxes covers requests of two windows of each.
+const WINDOWS_COVERED: f64 = 2.0;
+/// Share of the slack that is used: boxes learn late of boxes that join.
+const USED_SLACK_SHARE: f64 = 0.9;
 
 /// The retries that are allowed over all boxes.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -48,8 +50,8 @@
 /// use rillford::gateway::{RetryAllowance, RetryWindow};
 /// let allowance = RetryAllowance { ratio: 0.2, window_ms: 10_000, slack: 10.0 };
 /// let mut window = RetryWindow::default();
-/// // Two boxes share the slack: 0.7 of five retries each.
-/// assert!((0..3).all(|_| window.take(allowance, 2, 0)));
+/// // Two boxes share the slack: 0.9 of five retries each.
+/// assert!((0..4).all(|_| window.take(allowance, 2, 0)));
 /// assert!(!window.take(allowance, 2, 0));
 /// assert!(window.take(allowance, 2, 20_000));
 /// ```
@@ -86,20 +88,26 @@
 
   /// The requests and retries in the window, and the retries that this box may send in it.
   pub fn usage(&mut self, allowance: RetryAllowance, boxes: usize, now_ms: u64) -> RetryUsage {
-    let oldest = (now_ms.saturating_sub(allowance.window_ms)) / BUCKET_MS;
+    let oldest = now_ms
+      .checked_sub(allowance.window_ms)
+      .map(|from_ms| from_ms / BUCKET_MS);
     while self
       .buckets
       .front()
-      .is_some_and(|bucket| bucket.number < oldest)
+      .is_some_and(|bucket| Some(bucket.number) < oldest)
     {
       self.buckets.pop_front();
     }
-    let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
+    // The oldest bucket lies partly before the window: its retries count, its requests do not.
+    let within = self
+      .buckets
+      .iter()
+      .filter(|bucket| Some(bucket.number) > oldest);
+    let requests: u32 = within.map(|bucket| bucket.requests).sum();
     let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
-    let boxes = boxes.max(1) as f64;
-    let allowed = allowance.ratio * f64::from(requests) + allowance.slack / boxes;
+    let slack = USED_SLACK_SHARE * allowance.slack / boxes.max(1) as f64;
     RetryUsage {
-      allowed: USED_SHARE * allowed,
+      allowed: allowance.ratio / WINDOWS_COVERED * f64::from(requests) + slack,
       requests,
       retries,
     }
