Retry budget: no slack in the first window after a start

Cause: a box that restarts has an empty window and takes its share of the slack again, though its last life may have used it. Class: a share of a limit over all boxes that is forgotten at a restart. Change: slack only once the process has run for a window; retries that requests of this life earn are allowed at once. Why it works: a window that has slack of a life contains none of the life before it.

--- a/src/gateway/decisions/retry_window.rs
+++ b/src/gateway/decisions/retry_window.rs
@@ -44,16 +44,18 @@
   }
 }
 
-/// The requests and retries that this box sent to one service in the last window.
+/// The requests and retries that this box sent to one service in the last window. Times are since the process started.
 ///
 /// ```
 /// use rillford::gateway::{RetryAllowance, RetryWindow};
 /// let allowance = RetryAllowance { ratio: 0.2, window_ms: 10_000, slack: 10.0 };
 /// let mut window = RetryWindow::default();
 /// // Two boxes share the slack: 0.9 of five retries each.
-/// assert!((0..4).all(|_| window.take(allowance, 2, 0)));
-/// assert!(!window.take(allowance, 2, 0));
-/// assert!(window.take(allowance, 2, 20_000));
+/// assert!((0..4).all(|_| window.take(allowance, 2, 20_000)));
+/// assert!(!window.take(allowance, 2, 20_000));
+/// assert!(window.take(allowance, 2, 40_000));
+/// // For a window after the start there is no slack: the box may have used it before a restart.
+/// assert!(!RetryWindow::default().take(allowance, 2, 5_000));
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct RetryWindow {
@@ -105,7 +107,13 @@
       .filter(|bucket| Some(bucket.number) > oldest);
     let requests: u32 = within.map(|bucket| bucket.requests).sum();
     let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
-    let slack = USED_SLACK_SHARE * allowance.slack / boxes.max(1) as f64;
+    // Before a restart this box may have used its slack in this window.
+    let has_slack = now_ms >= allowance.window_ms;
+    let slack = if has_slack {
+      USED_SLACK_SHARE * allowance.slack / boxes.max(1) as f64
+    } else {
+      0.0
+    };
     RetryUsage {
       allowed: allowance.ratio / WINDOWS_COVERED * f64::from(requests) + slack,
       requests,
