Organisations' usage: boxes that are no longer listed withhold no share of a limit

Cause: the share of boxes that report to no coordinator is withheld from an organisation's limit. With the peak number of boxes, removed boxes would withhold theirs for up to half an hour. Change: that share follows the listed boxes, as before; a box without a coordinator still divides by the peak.

--- a/src/gateway/limits/reporting.rs
+++ b/src/gateway/limits/reporting.rs
@@ -63,7 +63,8 @@
     let mut usage = gateway.usage_table.borrow_mut();
     usage.set_coordinators(|peer| names.iter().any(|name| &**name == peer));
     let now_ms = gateway.now_ms();
-    usage.set_box_count(gateway.box_count(), now_ms);
+    // Boxes that were removed for good use no share.
+    usage.set_box_count(gateway.listed_box_count(), now_ms);
     UsageTotals {
       box_name: name,
       reporters: usage.reporter_count(now_ms),
--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -222,6 +222,11 @@
     self.peak_box_count.borrow().get().max(MIN_BOXES)
   }
 
+  /// The number of boxes that are listed now.
+  pub(crate) fn listed_box_count(&self) -> usize {
+    self.boxes.borrow().len().max(MIN_BOXES)
+  }
+
   fn record_box_count(&self) {
     let boxes = self.boxes.borrow().len();
     let now_ms = self.now_ms();
