Streams: a retry is charged before the prompt is prefilled for it

Callers saw: 502 though the last retry was left, and a prompt prefilled for nothing. Cause: a further attempt prefilled its prompt (charged, if it was the second) and was then denied the retry for the decode engine. A first prefill after a rejected resumption was not charged at all when it failed. A retry that reached no engine was charged again. Change: the send is charged before the prefill, a failed first prefill is charged when it fails, and what reached no engine is returned. Ruled out: two retries asked for at once, which leaves the last one unused.

--- a/src/gateway/requests/stream_request.rs
+++ b/src/gateway/requests/stream_request.rs
@@ -140,17 +140,23 @@
 
   /// Whether the request may be sent: always the first time, then as the retry budget allows.
   fn take_send(&mut self) -> bool {
-    self.sends += 1;
-    if self.sends == 1 {
-      return true;
-    }
-    let taken = self
-      .gateway
-      .take_retry(self.request.id(), &self.request.service);
-    if taken {
+    if self.sends > 0 {
+      let service = &self.request.service;
+      if !self.gateway.take_retry(self.request.id(), service) {
+        return false;
+      }
       self.gateway.counters.retries.inc();
     }
-    taken
+    self.sends += 1;
+    true
+  }
+
+  /// Returns a send that reached no endpoint.
+  fn return_send(&mut self) {
+    self.sends -= 1;
+    if self.sends > 0 {
+      self.gateway.return_retry(&self.request.service);
+    }
   }
 
   async fn attempt(&mut self) -> Attempt {
@@ -173,13 +179,15 @@
       tried: &self.tried,
     });
     let entry = choice.ok_or(StreamFailure::NoSlot)?.entry;
-    self.send_charged(&entry, None, None).await
+    self.charge_send()?;
+    Ok(self.send_charged(&entry, None, None).await)
   }
 
   /// An attempt with disaggregated prefill: a slot at a decode engine, and the prefill at another engine.
   async fn attempt_split(&mut self) -> Attempt {
     if let Some((entry, reservation)) = self.resume_slot().await {
-      return self.send_charged(&entry, Some(reservation), None).await;
+      self.charge_send()?;
+      return Ok(self.send_charged(&entry, Some(reservation), None).await);
     }
     let requested_ms = self.gateway.now_ms();
     let slot = match self.slot.take() {
@@ -188,12 +196,14 @@
     };
     let reserved_ms = self.gateway.now_ms();
     let (entry, reservation) = slot.ok_or(StreamFailure::NoSlot)?;
-    let export = self.export_for(&entry.hall).await;
+    // Charged before the prefill: without a retry for the stream its result would be lost.
+    self.charge_send()?;
+    let export = self.export_for(&entry.hall).await?;
     let prefilled_ms = self.gateway.now_ms();
     let prefilled_by = export
       .as_ref()
       .map_or_else(|| entry.id.clone(), |export| export.engine().clone());
-    let sent = self.send_charged(&entry, Some(reservation), export).await?;
+    let sent = self.send_charged(&entry, Some(reservation), export).await;
     if let Ok(head) = &sent {
       self
         .gateway
@@ -229,41 +239,52 @@
   }
 
   /// The exported KV cache for a decode engine in a hall; `None` when that engine has to prefill the prompt itself.
-  async fn export_for(&mut self, hall: &str) -> Option<ExportGuard> {
+  async fn export_for(&mut self, hall: &str) -> Result<Option<ExportGuard>, StreamFailure> {
     // A quarantine probe must reach one endpoint only.
     if self.skips_prefill || self.request.is_probe() {
-      return None;
+      return Ok(None);
     }
-    match self.export.take() {
-      Some(export) if export.is_fresh() => Some(export),
-      // A second prefill is charged to the retry budget; without budget the decode engine prefills.
-      _ if self.was_prefilled && !self.take_send() => None,
-      _ => {
-        let result = prefill(&self.gateway, &self.request, hall).await;
-        if !self.was_prefilled && result.was_received && result.export.is_none() {
-          self.sends += 1;
-        }
-        self.was_prefilled = true;
-        result.export
-      }
+    if let Some(export) = self.export.take().filter(ExportGuard::is_fresh) {
+      return Ok(Some(export));
     }
+    let is_charged = self.was_prefilled;
+    // A second prefill is charged to the retry budget; without budget the decode engine prefills.
+    if is_charged && !self.take_send() {
+      return Ok(None);
+    }
+    let result = prefill(&self.gateway, &self.request, hall).await;
+    self.was_prefilled = true;
+    if is_charged && !result.was_received {
+      self.return_send();
+    }
+    // A first prefill that failed counts like a send.
+    if !is_charged && result.was_received && result.export.is_none() {
+      self.charge_send()?;
+    }
+    Ok(result.export)
   }
 
-  /// Sends the request to an endpoint, if the retry budget allows.
+  /// Charges a send, before it is sent; fails when the retry budget is spent.
+  fn charge_send(&mut self) -> Result<(), StreamFailure> {
+    if self.take_send() {
+      Ok(())
+    } else {
+      Err(StreamFailure::Failed)
+    }
+  }
+
+  /// Sends the request to an endpoint; the send was charged.
   async fn send_charged(
     &mut self,
     entry: &EndpointEntry,
     reservation: Option<Reservation>,
     export: Option<ExportGuard>,
-  ) -> Attempt {
-    if !self.take_send() {
-      return Err(StreamFailure::Failed);
-    }
+  ) -> Result<ResponseHead, StageError> {
     let sent = self.send(entry, reservation, export).await;
     if matches!(&sent, Err(error) if error.is_unsent()) {
-      self.sends -= 1;
+      self.return_send();
     }
-    Ok(sent)
+    sent
   }
 
   /// Whether the service has prefill and decode engines.
--- a/tests/gateway/budget.rs
+++ b/tests/gateway/budget.rs
@@ -1,8 +1,9 @@
 //! Retries are charged to a budget that all boxes share.
 
 use {
-  super::{EndpointStandIn, GatewayTest, ReceivedRequest, Reply, TIMEOUT},
+  super::{EndpointStandIn, GatewayTest, ReceivedRequest, Reply, TIMEOUT, endpoint::engine_reply},
   emulator::eventually,
+  http::{HeaderValue, StatusCode},
   rand::{RngExt, SeedableRng},
   rand_chacha::ChaCha8Rng,
   rillford::gateway::{BoxEntry, RetryAllowance, RetryWindow},
@@ -230,3 +231,59 @@
     "{retries}"
   );
 }
+
+/// Requests after which a box without slack may send a retry.
+const REQUESTS_PER_RETRY: usize = 10;
+
+/// Guards against a prefill that is sent after another engine has rejected the request, without a retry for it.
+#[tokio::test]
+async fn prefill_after_a_rejected_resumption_needs_a_retry() {
+  let prefill = EndpointStandIn::start(Reply::not_run).await;
+  let caching = EndpointStandIn::start(|seen| match seen.path.as_str() {
+    "/kv-list" => Reply::ok(
+      seen,
+      r#"{"epoch":1,"nextPageToken":3,"held":[["","91bd",80,"m"]]}"#,
+    ),
+    path if path.starts_with("/resumable/") => Reply::not_run(seen),
+    _ => engine_reply(seen, ""),
+  })
+  .await;
+  let other = EndpointStandIn::engine("").await;
+  let mut test = GatewayTest::new().await;
+  test.retry_slack = 0.0;
+  test.enter("e-3", "llm", Some("decode"), &other);
+  let gateway = test.with_engines(&prefill, &caching).await;
+  let mut request = gateway.request("/resumable/a", "r1");
+  let headers = request.headers_mut();
+  headers.insert("last-event-id", HeaderValue::from_static("1"));
+  headers.insert("x-prompt-prefix", HeaderValue::from_static("91bd:80"));
+  let response = gateway.send(request).await;
+  assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
+  assert_eq!(caching.requests().len(), 1);
+  assert_eq!(prefill.requests().len(), 0);
+}
+
+/// Guards against a second prefill whose result is lost, since no retry is left for the decode engine.
+#[tokio::test]
+async fn last_retry_is_not_spent_on_a_prefill() {
+  const EVENTS: &str = "id: 1\ndata: a\n\n";
+  let prefill = EndpointStandIn::engine(EVENTS).await;
+  let script = |seen: &ReceivedRequest| match seen.id() {
+    "lost" if seen.path.starts_with("/resumable/") && !seen.header("x-kv-source").is_empty() => {
+      Reply::WriteAndClose("HTTP/1.1 200 OK".into())
+    }
+    _ => engine_reply(seen, EVENTS),
+  };
+  let one = EndpointStandIn::start(script).await;
+  let other = EndpointStandIn::start(script).await;
+  let mut test = GatewayTest::new().await;
+  test.retry_slack = 0.0;
+  test.enter("e-3", "llm", Some("decode"), &other);
+  let gateway = test.with_engines(&prefill, &one).await;
+  for number in 1..REQUESTS_PER_RETRY {
+    gateway.ask("/resumable/a", &format!("r{number}")).await;
+  }
+  let response = gateway.ask("/resumable/a", "lost").await;
+  assert_eq!(response.status, StatusCode::OK);
+  assert_eq!(prefill.requests().len(), REQUESTS_PER_RETRY);
+}
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -40,6 +40,8 @@
   /// Which priority is sent to engines.
   pub(crate) engine_priority: &'static str,
   name: String,
+  /// Retries of all boxes in excess of the ratio.
+  pub(crate) retry_slack: f64,
   stop_s: f64,
   /// The address by which the box reaches the store.
   store_address: SocketAddr,
@@ -74,6 +76,7 @@
       engine_priority: "route",
       metrics_port_taken: false,
       name: "north-1".into(),
+      retry_slack: 60.0,
       stop_s: 6.0,
       store_address: store.address,
       store,
@@ -87,6 +90,7 @@
       engine_priority: self.engine_priority,
       metrics_port_taken: false,
       name: name.into(),
+      retry_slack: self.retry_slack,
       stop_s: self.stop_s,
       store: self.store.clone(),
       store_address,
@@ -264,7 +268,7 @@
 stop_s = {:.1}
 retry_ratio = 0.2
 retry_window_s = 10
-retry_slack = 60
+retry_slack = {:.1}
 order_gap_ms = 300
 contact_ms = 3000
 configuration_ms = 3000
@@ -272,7 +276,7 @@
 prefill_share = 0.25
 marks = "{}"
 "#,
-      self.name, self.store_address, self.stop_s, self.engine_priority
+      self.name, self.store_address, self.stop_s, self.retry_slack, self.engine_priority
     )
   }
 
