Log when this box can't reach the endpoints of a service, and when it can again

Change: Reachability counts endpoints that failed to connect since the last contact with their service and role; E548, E549 and rillford_unreachable{service,role}. No decision changes.

--- a/src/gateway/decisions/endpoint_registry.rs
+++ b/src/gateway/decisions/endpoint_registry.rs
@@ -10,6 +10,7 @@
     endpoint_state::{EndpointState, PROBE_RANK, PeerAverages, ReportedLoad},
     hall_reachability::HallReachability,
     notice_tracker::{Availability, NoticeChange, NoticeTracker},
+    reachability::EndpointGroup,
     unavailable::Unavailable,
   },
   crate::{
@@ -389,6 +390,13 @@
     )
   }
 
+  /// The number of endpoints of a group.
+  pub fn count_group(&self, group: &EndpointGroup) -> usize {
+    let in_group =
+      |entry: &&EndpointEntry| entry.service == group.service && entry.role == group.role;
+    self.entries().filter(in_group).count()
+  }
+
   /// Counts the endpoints of a service, or all, by availability.
   pub fn count(&self, service: Option<&str>, now_ms: u64) -> EndpointCounts {
     let mut counts = EndpointCounts::default();
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -32,6 +32,7 @@
 mod quarantine_key;
 mod quarantine_registry;
 mod quarantine_strategy;
+mod reachability;
 mod recent_engines;
 mod recent_usage;
 mod reporter_list;
@@ -72,6 +73,7 @@
   quarantine_key::{QuarantineKey, QuarantineMark},
   quarantine_registry::{QuarantineRegistry, QuarantineVerdict},
   quarantine_strategy::QuarantineStrategy,
+  reachability::{EndpointGroup, GroupLost, Reachability},
   recent_engines::{RecentEngines, stable_engines},
   retry_after::retry_after_backoff_ms,
   retry_window::{RetryAllowance, RetryUsage, RetryWindow},
--- a/src/gateway/stages/engine_call.rs
+++ b/src/gateway/stages/engine_call.rs
@@ -87,9 +87,13 @@
       status => Err(EngineCallError::Rejected(status)),
     }
   };
-  timeout(CALL_TIMEOUT, response)
+  let result = timeout(CALL_TIMEOUT, response)
     .await
-    .unwrap_or(Err(EngineCallError::TimedOut))
+    .unwrap_or(Err(EngineCallError::TimedOut));
+  if matches!(result, Err(EngineCallError::TimedOut)) {
+    gateway.record_unreached(entry);
+  }
+  result
 }
 
 fn build_request(entry: &EndpointEntry, call: EndpointCall) -> http::Result<Request<Full<Bytes>>> {
--- a/src/gateway/stages/stage.rs
+++ b/src/gateway/stages/stage.rs
@@ -318,13 +318,20 @@
   };
   if let Some(mut connection) = gateway.pool.take_idle(&entry.id, gateway.now_ms()) {
     match connection.send(request.clone()).await {
-      Ok(response) => return Ok((connection, apply_response_notice(gateway, sent, response))),
+      Ok(response) => {
+        gateway.record_reached(entry);
+        return Ok((connection, apply_response_notice(gateway, sent, response)));
+      }
       Err(SendError::ConnectionLost(text)) => return Err(StageError::Lost(text)),
       Err(SendError::Unreachable | SendError::Unsent(_)) => {}
     }
   }
   gateway.counters.connections.inc();
   let opened = Connection::open(entry.id.clone(), entry.address).await;
+  match &opened {
+    Ok(_) => gateway.record_reached(entry),
+    Err(_) => gateway.record_unreached(entry),
+  }
   let mut connection = opened?;
   check_available(gateway, entry, purpose)?;
   sent.sent_ms = gateway.now_ms();
--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -11,8 +11,9 @@
       connections::{Connection, ConnectionPool},
       decisions::{
         AttemptOutcome, BoxEntry, BoxList, CachedPrompts, Choice, ColdPeriod, EndpointCounts,
-        EndpointCriteria, EndpointRegistry, LocalUsage, PeakBoxCount, PermitTable, RetryUsage,
-        RetryWindow, SlotForecast, SlotQueue, Unavailable, UsageTable, retry_after_backoff_ms,
+        EndpointCriteria, EndpointRegistry, LocalUsage, PeakBoxCount, PermitTable, Reachability,
+        RetryUsage, RetryWindow, SlotForecast, SlotQueue, Unavailable, UsageTable,
+        retry_after_backoff_ms,
       },
       edge::{ColdStart, EndpointEntry, PlatformCodec, RouteTable, StoreLease},
       settings::{GatewaySettings, RoutePolicy},
@@ -119,6 +120,8 @@
   pub(crate) limit_log_throttle: LogThrottle,
   /// Response headers of endpoints that the platform does not define.
   pub(crate) unknown_headers: RefCell<UnknownHeaders>,
+  /// The endpoints that this box can't reach.
+  pub(crate) reachability: RefCell<Reachability>,
   route_table: RefCell<Option<Rc<RouteTable>>>,
   retry_windows: RefCell<HashMap<Name, RetryWindow>>,
   random: RefCell<ChaCha8Rng>,
@@ -160,6 +163,7 @@
       pool: ConnectionPool::default(),
       quarantine: Quarantine::default(),
       random: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
+      reachability: RefCell::default(),
       retry_windows: RefCell::default(),
       route_table: RefCell::new(None),
       settings,
@@ -368,6 +372,10 @@
   pub(crate) fn mark_overdue(&self, id: &str) {
     log::info!("E514 response overdue: backing off from {id}");
     self.endpoints.borrow_mut().mark_overdue(id, self.now_ms());
+    let entry = self.endpoints.borrow().entry(id).cloned();
+    if let Some(entry) = entry {
+      self.record_unreached(&entry);
+    }
     self.pool.close(id);
   }
 
--- a/src/gateway/state/mod.rs
+++ b/src/gateway/state/mod.rs
@@ -7,6 +7,7 @@
 mod gateway;
 mod log_throttle;
 mod quarantine;
+mod reachability;
 mod unknown_headers;
 mod unresponsive_boxes;
 
--- /dev/null
+++ b/src/gateway/state/reachability.rs
@@ -0,0 +1,73 @@
+//! Records which endpoints this box reaches.
+
+use {
+  super::gateway::Gateway,
+  crate::{
+    decide::Role,
+    gateway::{
+      decisions::{EndpointGroup, GroupLost},
+      edge::EndpointEntry,
+    },
+  },
+  std::fmt::Write,
+};
+
+impl Gateway {
+  /// Records contact with an endpoint: a connection or a response.
+  pub(crate) fn record_reached(&self, entry: &EndpointEntry) {
+    let group = EndpointGroup::of(entry);
+    let regained = self
+      .reachability
+      .borrow_mut()
+      .record_contact(&group, self.now_ms());
+    if let Some(unreachable_ms) = regained {
+      log::info!(
+        "E549 endpoints reached again: {} {:?} by {}, after {unreachable_ms} ms",
+        group.service,
+        group.role,
+        entry.id
+      );
+    }
+  }
+
+  /// Records that an endpoint could not be reached.
+  pub(crate) fn record_unreached(&self, entry: &EndpointEntry) {
+    let group = EndpointGroup::of(entry);
+    let known = self.endpoints.borrow().count_group(&group);
+    let lost =
+      self
+        .reachability
+        .borrow_mut()
+        .record_failure(&group, entry.id.clone(), known, self.now_ms());
+    if let Some(GroupLost {
+      unreached,
+      contact_age_ms,
+    }) = lost
+    {
+      log::warn!(
+        "E548 endpoints unreachable from this box: {} {:?}, {unreached} of {known} tried, last contact {contact_age_ms:?} ms ago",
+        group.service,
+        group.role
+      );
+    }
+  }
+
+  /// The groups of endpoints that this box can't reach, as text.
+  pub(crate) fn reachability_metrics(&self) -> String {
+    let mut text = String::new();
+    for group in self.reachability.borrow().unreachable() {
+      let role = match group.role {
+        None => "none",
+        Some(Role::Decode) => "decode",
+        Some(Role::Prefill) => "prefill",
+      };
+      // Writing to a `String` cannot fail.
+      let _ = writeln!(
+        text,
+        "rillford_unreachable{{service=\"{}\",role=\"{role}\"}} 1",
+        group.service
+      );
+    }
+    text
+  }
+}
