--- a/src/gateway/decisions/reachability.rs
+++ b/src/gateway/decisions/reachability.rs
@@ -11,6 +11,8 @@
 
 /// Endpoints that failed to connect in a row, from which on their group counts as unreachable.
 const MIN_UNREACHED: usize = 3;
+/// Shortest time without contact. Where one endpoint of many can be reached, requests there alternate with failures at the others.
+const MIN_SILENCE_MS: u64 = 300;
 
 /// Endpoints that can stand in for each other: those of a service, by role.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
@@ -75,14 +77,16 @@
   ) -> Option<GroupLost> {
     let state = self.groups.entry(group.clone()).or_default();
     state.unreached.insert(endpoint);
-    let is_lost = state.unreached.len() >= MIN_UNREACHED.min(known.max(1));
+    let contact_age = |contact_ms| now_ms.saturating_sub(contact_ms);
+    let contact_age_ms = state.last_contact_ms.map(contact_age);
+    let is_silent = contact_age_ms.is_none_or(|age_ms| age_ms >= MIN_SILENCE_MS);
+    let is_lost = is_silent && state.unreached.len() >= MIN_UNREACHED.min(known.max(1));
     if !is_lost || state.unreachable_since_ms.is_some() {
       return None;
     }
     state.unreachable_since_ms = Some(now_ms);
-    let contact_age = |contact_ms| now_ms.saturating_sub(contact_ms);
     Some(GroupLost {
-      contact_age_ms: state.last_contact_ms.map(contact_age),
+      contact_age_ms,
       unreached: state.unreached.len(),
     })
   }
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -6,7 +6,7 @@
   emulator::{eventually, own_addresses},
   http::{HeaderMap, Method, Request, StatusCode},
   http_body_util::{BodyExt, Full},
-  rillford::{CallError, HttpClient},
+  rillford::{CallError, HttpClient, gateway::BoxEntry},
   serde_json::{Value, json},
   stand_ins::PlatformStore,
   std::{
@@ -97,6 +97,22 @@
     }
   }
 
+  /// The same test for a box of another name.
+  pub(crate) fn named(mut self, name: &str) -> Self {
+    self.name = name.into();
+    self
+  }
+
+  /// Lists another box of the hall.
+  pub(crate) fn enter_box(&self, name: &str, address: SocketAddr) {
+    let entry = BoxEntry {
+      address,
+      hall: "north".into(),
+    };
+    let value = postcard::to_stdvec(&entry).unwrap();
+    self.store.put(&format!("rillford/boxes/{name}"), &value);
+  }
+
   pub(crate) fn configure(mut self, change: impl FnOnce(&mut Value)) -> Self {
     change(&mut self.configuration);
     self
