A box that can't reach a service's endpoints forwards requests to one that may

Cause: a box can only ask endpoints, and noticed failures one endpoint and hall at a time, so it stayed ready and tried three endpoints, or waited for a slot, for each request. Class: a box that is sound by all it knows of itself and serves nobody. Evidence: E502 'unreachable' and E511 'timed out' alone at the cut boxes, leases and watches of the store in order. Change: a request that no endpoint has received goes to another box over the port for boxes, one hop, at once while E548 holds, else after the tries here failed. The other box serves it like its own caller's: authentication, limits, drains, quarantine, permits and the retry budget count there alone. It declines while it is leaving, cut off itself, on an older configuration, or holds 128 such requests; a box without forwarding answers 404. A request that may have run is forwarded no further (502). What the endpoint states about itself in the response is applied at both boxes. A connection attempt every 500 ms finds out when endpoints are reached again; backoffs are then forgotten. The file that read, routed and served requests is split in three. Why it works: a box that is cut off needs only one box that is not; who is at fault is answered by that box, not guessed.

--- a/src/gateway/decisions/box_list.rs
+++ b/src/gateway/decisions/box_list.rs
@@ -108,6 +108,17 @@
     entries.map(|entry| entry.address).collect()
   }
 
+  /// The other boxes: those of a hall, and the rest.
+  pub fn peers(&self, name: &str, hall: &str) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+    let others = self.boxes.iter().filter(|(other, _)| &***other != name);
+    let (own, rest): (Vec<_>, Vec<_>) = others
+      .map(|(_, entry)| entry)
+      .partition(|entry| &*entry.hall == hall);
+    let addresses =
+      |entries: Vec<&BoxEntry>| entries.into_iter().map(|entry| entry.address).collect();
+    (addresses(own), addresses(rest))
+  }
+
   /// Whether a box coordinates organisations' usage: all do in a small deployment, the store readers of each hall in a large
   /// one.
   pub fn is_coordinator(&self, name: &str, hall: &str) -> bool {
--- a/src/gateway/decisions/endpoint_registry.rs
+++ b/src/gateway/decisions/endpoint_registry.rs
@@ -390,6 +390,15 @@
     )
   }
 
+  /// Ends the backoffs of a group: its endpoints failed while this box could reach none of them.
+  pub fn forget_losses(&mut self, group: &EndpointGroup) {
+    for endpoint in self.endpoints.values_mut() {
+      if EndpointGroup::of(&endpoint.entry) == *group {
+        endpoint.forget_losses();
+      }
+    }
+  }
+
   /// The number of endpoints of a group.
   pub fn count_group(&self, group: &EndpointGroup) -> usize {
     let in_group =
--- a/src/gateway/decisions/endpoint_state.rs
+++ b/src/gateway/decisions/endpoint_state.rs
@@ -111,6 +111,12 @@
     self.backoff_until_ms = now_ms + doubled.min(MAX_BACKOFF_MS);
   }
 
+  /// Ends the backoff after losses.
+  pub(super) fn forget_losses(&mut self) {
+    self.consecutive_losses = 0;
+    self.backoff_until_ms = 0;
+  }
+
   pub(super) fn record_failure_share(&mut self, failed: bool) {
     let newest = f64::from(u8::from(failed));
     self.failure_share += NEWEST_WEIGHT * (newest - self.failure_share);
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -26,6 +26,7 @@
 mod local_usage;
 mod notice_tracker;
 mod peak_box_count;
+mod peer_choice;
 mod peer_usage;
 mod permit_account;
 mod permit_table;
@@ -68,6 +69,7 @@
   local_usage::{LocalUsage, LocalVerdict, UsageRequest},
   notice_tracker::{Availability, NoticeChange, NoticeTracker},
   peak_box_count::PeakBoxCount,
+  peer_choice::choose_peers,
   permit_account::{PermitAccount, PermitRequest, PermitVerdict},
   permit_table::PermitTable,
   quarantine_key::{QuarantineKey, QuarantineMark},
--- a/src/gateway/decisions/reachability.rs
+++ b/src/gateway/decisions/reachability.rs
@@ -103,6 +103,11 @@
     Some(now_ms.saturating_sub(since_ms))
   }
 
+  /// Removes a group that has no endpoints any more.
+  pub fn remove(&mut self, group: &EndpointGroup) {
+    self.groups.remove(group);
+  }
+
   pub fn is_unreachable(&self, group: &EndpointGroup) -> bool {
     let state = self.groups.get(group);
     state.is_some_and(|state| state.unreachable_since_ms.is_some())
--- a/src/gateway/decisions/retry_window.rs
+++ b/src/gateway/decisions/retry_window.rs
@@ -73,6 +73,12 @@
     self.current_bucket(now_ms).requests += 1;
   }
 
+  /// Withdraws a request that another box serves.
+  pub fn withdraw_request(&mut self, now_ms: u64) {
+    let bucket = self.current_bucket(now_ms);
+    bucket.requests = bucket.requests.saturating_sub(1);
+  }
+
   /// Records a retry that could not be avoided.
   pub fn record_retry(&mut self, now_ms: u64) {
     self.current_bucket(now_ms).retries += 1;
--- a/src/gateway/membership/mod.rs
+++ b/src/gateway/membership/mod.rs
@@ -13,6 +13,6 @@
 
 pub(crate) use self::{
   own_entry::{maintain_entry, revoke_entry},
-  relay::serve_boxes,
+  relay::handle_message,
   store_sync::sync_store,
 };
--- a/src/gateway/membership/relay.rs
+++ b/src/gateway/membership/relay.rs
@@ -1,10 +1,10 @@
-//! Relays changes of the store from the boxes that read it to their followers, and serves the port for calls between boxes.
+//! Relays changes of the store from the boxes that read it to their followers, and responds to messages of other boxes.
 
 use {
   crate::{
     CallError, HttpClient,
     gateway::{
-      connections::{message_response, serve_port, status_response},
+      connections::{message_response, status_response},
       edge::StoreChanges,
       limits::{TOTALS_PATH, USAGE_PATH, handle_totals, handle_usage},
       permits::{LIMITS_PATH, PERMITS_PATH, handle_limit, handle_permits},
@@ -18,7 +18,7 @@
   hyper::body::Incoming,
   serde::{Deserialize, Serialize},
   std::{net::SocketAddr, rc::Rc, time::Duration},
-  tokio::{net::TcpListener, time::timeout},
+  tokio::time::timeout,
 };
 
 /// How long a follower's long poll waits for a change. A follower whose two readers fail one after the other loses twice this and
@@ -52,15 +52,11 @@
   postcard::from_bytes(&body).map_err(|error| CallError::InvalidResponse(error.to_string()))
 }
 
-/// Serves calls of other boxes until the process exits.
-pub(crate) async fn serve_boxes(gateway: Rc<Gateway>, listener: TcpListener) {
-  serve_port(listener, "boxes", move |request| {
-    dispatch(gateway.clone(), request)
-  })
-  .await;
-}
-
-async fn dispatch(gateway: Rc<Gateway>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+/// Responds to a message of another box.
+pub(crate) async fn handle_message(
+  gateway: Rc<Gateway>,
+  request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
   match request.uri().path() {
     USAGE_PATH => handle_usage(&gateway, request).await,
     TOTALS_PATH => handle_totals(&gateway, request).await,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -36,9 +36,9 @@
     QuarantineKey, QuarantineMark, QuarantineRegistry, QuarantineStrategy, QuarantineVerdict,
     QueuePosition, Reachability, RecentEngines, ReportScope, RequestIdentity, RetryAllowance,
     RetryUsage, RetryWindow, RolePlan, SlotForecast, SlotQueue, SlotUrgency, TokenBucket,
-    Unavailable, UsageRequest, UsageTable, UsageTotals, UsageVerdict, coordinator_limit,
-    coordinator_order, isolated_limit, jittered_backoff_ms, plan_roles, retry_after_backoff_ms,
-    stable_engines, store_retry_delay_ms,
+    Unavailable, UsageRequest, UsageTable, UsageTotals, UsageVerdict, choose_peers,
+    coordinator_limit, coordinator_order, isolated_limit, jittered_backoff_ms, plan_roles,
+    retry_after_backoff_ms, stable_engines, store_retry_delay_ms,
   },
   edge::{
     CallerAttributes, CallerLimits, ColdStart, DecodeError, EndpointCall, EndpointEntry,
--- a/src/gateway/process/mod.rs
+++ b/src/gateway/process/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! May import every other module of the gateway; none imports it.
 
+mod box_port;
 mod log_writer;
 mod start;
 mod status_pages;
--- a/src/gateway/process/start.rs
+++ b/src/gateway/process/start.rs
@@ -2,6 +2,7 @@
 
 use {
   super::{
+    box_port::serve_boxes,
     log_writer::LogWriter,
     status_pages::{StatusPage, serve_page},
   },
@@ -10,11 +11,12 @@
     gateway::{
       edge::{PlatformCodec, Store},
       limits::sync_usage,
-      membership::{maintain_entry, revoke_entry, serve_boxes, sync_store},
+      membership::{maintain_entry, revoke_entry, sync_store},
       quarantine::sync_quarantine,
       requests::accept_callers,
       roles::manage_roles,
       settings::{GatewayListen, GatewaySettings},
+      stages::probe_unreachable,
       state::{Gateway, Phase},
     },
     listener::bind,
@@ -144,6 +146,7 @@
   }
   spawn_local(accept_callers(gateway.clone(), ports.callers));
   spawn_local(serve_boxes(gateway.clone(), ports.boxes));
+  spawn_local(probe_unreachable(gateway.clone()));
   spawn_local(sync_usage(gateway.clone()));
   spawn_local(sync_quarantine(gateway.clone(), store.clone()));
   spawn_local(remove_expired(gateway.clone()));
--- /dev/null
+++ b/src/gateway/requests/forwarding.rs
@@ -0,0 +1,208 @@
+//! Forwards a request whose endpoints this box can't reach to a box that may reach them. There is one hop: the other box
+//! treats it like a request of its own caller, and charges limits and retries there.
+
+use {
+  super::{
+    forwarding_headers::{
+      ACCEPTED, CONFIGURATION, ENDPOINT, FORWARD_PATH, FORWARDED_BY, REMAINING_MS, header_text,
+      remove_forwarding_headers, set_header,
+    },
+    response::{LocalReply, ResponseBody, StreamAborted},
+  },
+  crate::gateway::{
+    connections::{Connection, SendError, remove_connection_headers},
+    decisions::{EndpointIncarnation, choose_peers},
+    stages::{RequestOrigin, RoutedRequest, apply_forwarded_notice},
+    state::{Gateway, InFlight},
+  },
+  bytes::Bytes,
+  futures_util::stream,
+  http::{HeaderMap, Request, Response},
+  http_body_util::{BodyExt, Full, StreamBody},
+  hyper::body::{Frame, Incoming},
+  std::{net::SocketAddr, rc::Rc, time::Duration},
+  tokio::time::timeout,
+};
+
+/// The other box answers at the deadline itself; its answer says whether the request has run.
+const RESPONSE_MARGIN: Duration = Duration::from_millis(100);
+/// How long requests are not forwarded after no box has accepted one: each try may take a connection timeout.
+const NO_PEER_BACKOFF_MS: u64 = 1_000;
+
+/// Why another box did not answer a request.
+enum ForwardError {
+  /// It has not received it, or does not serve it.
+  NotAccepted(String),
+  /// It may have served it.
+  Lost(String),
+}
+
+impl From<SendError> for ForwardError {
+  fn from(error: SendError) -> Self {
+    match error {
+      SendError::Unreachable | SendError::Unsent(_) => Self::NotAccepted(error.to_string()),
+      SendError::ConnectionLost(_) => Self::Lost(error.to_string()),
+    }
+  }
+}
+
+/// The connection on which another box responds, and its response.
+type PeerResponse = (Connection, Response<Incoming>);
+
+/// Forwards a request that no endpoint has received; `None` when no other box accepts it.
+pub(super) async fn forward_to_box(
+  gateway: &Rc<Gateway>,
+  request: &RoutedRequest,
+) -> Option<Response<ResponseBody>> {
+  let RequestOrigin::Caller { headers } = &request.origin else {
+    return None;
+  };
+  if gateway.now_ms() < gateway.no_peer_until_ms.get() {
+    return None;
+  }
+  let in_flight = InFlight::new(gateway);
+  for address in peers(gateway) {
+    match send(gateway, request, headers, address).await {
+      Ok(response) => {
+        gateway.counters.forwarded.inc();
+        log::info!(
+          "E550 forwarded: {} {} answered by box {address} with status {}, {} ms after arrival",
+          request.id(),
+          request.service,
+          response.1.status(),
+          gateway.now_ms() - request.arrived_ms
+        );
+        return Some(into_response(gateway, in_flight, response));
+      }
+      Err(ForwardError::NotAccepted(error)) => {
+        log::info!(
+          "E551 not forwarded: {} to box {address}: {error}",
+          request.id()
+        );
+        record_unresponsive(gateway, address);
+      }
+      Err(ForwardError::Lost(error)) => {
+        log::info!(
+          "E551 forwarded and lost: {} at box {address}: {error}",
+          request.id()
+        );
+        record_unresponsive(gateway, address);
+        return Some(LocalReply::Unknown.response());
+      }
+    }
+  }
+  gateway.counters.not_forwarded.inc();
+  let until_ms = gateway.now_ms() + NO_PEER_BACKOFF_MS;
+  gateway.no_peer_until_ms.set(until_ms);
+  None
+}
+
+fn record_unresponsive(gateway: &Gateway, address: SocketAddr) {
+  let now_ms = gateway.now_ms();
+  gateway
+    .unresponsive_boxes
+    .borrow_mut()
+    .record_failure(address, now_ms);
+}
+
+/// The boxes to try, without those that did not accept a request lately.
+fn peers(gateway: &Gateway) -> Vec<SocketAddr> {
+  let identity = &gateway.settings.identity;
+  let (mut own_hall, mut other_halls) = {
+    let boxes = gateway.boxes.borrow();
+    boxes.peers(&identity.name, &identity.hall)
+  };
+  let unresponsive = gateway.unresponsive_boxes.borrow();
+  let now_ms = gateway.now_ms();
+  for addresses in [&mut own_hall, &mut other_halls] {
+    addresses.retain(|address| !unresponsive.is_unresponsive(*address, now_ms));
+  }
+  choose_peers(own_hall, other_halls, || gateway.draw())
+}
+
+/// Sends the request to a box and waits for the response's head.
+async fn send(
+  gateway: &Gateway,
+  request: &RoutedRequest,
+  headers: &HeaderMap,
+  address: SocketAddr,
+) -> Result<PeerResponse, ForwardError> {
+  let remaining_ms = request.remaining_ms(gateway.now_ms());
+  let forwarded = build(gateway, request, headers, remaining_ms)
+    .map_err(|error| ForwardError::NotAccepted(error.to_string()))?;
+  let mut connection = Connection::open(address.to_string().as_str().into(), address).await?;
+  let wait = Duration::from_millis(remaining_ms) + RESPONSE_MARGIN;
+  let response = timeout(wait, connection.send(forwarded))
+    .await
+    .map_err(|_| ForwardError::Lost(format!("no response within {} ms", wait.as_millis())))??;
+  if !response.headers().contains_key(ACCEPTED) {
+    let status = response.status();
+    return Err(ForwardError::NotAccepted(format!(
+      "status {status}, not accepted"
+    )));
+  }
+  Ok((connection, response))
+}
+
+fn build(
+  gateway: &Gateway,
+  request: &RoutedRequest,
+  headers: &HeaderMap,
+  remaining_ms: u64,
+) -> http::Result<Request<Full<Bytes>>> {
+  let path = request.uri.path_and_query();
+  let path = path.map_or(request.uri.path(), |path| path.as_str());
+  let mut forwarded = Request::builder()
+    .method(request.method.clone())
+    .uri(format!("{FORWARD_PATH}{path}"))
+    .body(Full::new(request.body.clone()))?;
+  let mut headers = headers.clone();
+  remove_forwarding_headers(&mut headers);
+  set_header(&mut headers, FORWARDED_BY, &gateway.settings.identity.name);
+  set_header(&mut headers, REMAINING_MS, &remaining_ms.to_string());
+  let version = gateway.route_table().map_or(0, |table| table.version());
+  set_header(&mut headers, CONFIGURATION, &version.to_string());
+  *forwarded.headers_mut() = headers;
+  Ok(forwarded)
+}
+
+/// The response for the caller. What the endpoint states about itself holds at this box too, which passes it on.
+fn into_response(
+  gateway: &Rc<Gateway>,
+  in_flight: InFlight,
+  (connection, response): PeerResponse,
+) -> Response<ResponseBody> {
+  let (mut head, body) = response.into_parts();
+  if let Some((incarnation, id)) = header_text(&head.headers, &ENDPOINT).split_once(' ') {
+    let incarnation = EndpointIncarnation::parse(incarnation);
+    let entry = gateway.endpoints.borrow().entry(id).cloned();
+    let is_same =
+      |of: &EndpointIncarnation, started_ms| *of == EndpointIncarnation::of(id, started_ms);
+    if let Some((entry, of)) = entry.zip(incarnation)
+      && is_same(&of, entry.started_ms)
+    {
+      apply_forwarded_notice(gateway, &entry, &head);
+    }
+  }
+  remove_forwarding_headers(&mut head.headers);
+  remove_connection_headers(&mut head.headers);
+  Response::from_parts(head, relay_body(connection, in_flight, body))
+}
+
+/// The body, read from the other box as the caller takes it. The connection closes when the caller disconnects.
+fn relay_body(connection: Connection, in_flight: InFlight, body: Incoming) -> ResponseBody {
+  let state = (connection, in_flight, body);
+  let frames = stream::unfold(state, |(connection, in_flight, mut body)| async move {
+    let frame = loop {
+      match body.frame().await? {
+        Ok(frame) => match frame.into_data() {
+          Ok(data) => break Ok(Frame::data(data)),
+          Err(_) => continue,
+        },
+        Err(error) => break Err(StreamAborted(error.to_string())),
+      }
+    };
+    Some((frame, (connection, in_flight, body)))
+  });
+  Box::pin(StreamBody::new(frames))
+}
--- a/src/gateway/requests/frontend.rs
+++ b/src/gateway/requests/frontend.rs
@@ -1,41 +1,18 @@
-//! Accepts callers' connections, and reads, routes and admits their requests.
+//! Accepts callers' connections, and responds to their requests.
 
 use {
-  super::{
-    authentication::authenticate,
-    response::{LocalReply, ResponseBody},
-    stream::serve_stream,
-    unary::serve_unary,
-  },
+  super::{response::ResponseBody, routing::route_request, serving::serve_here_or_forward},
   crate::gateway::{
-    connections::{accept, remove_connection_headers, set_socket_options},
-    decisions::{AllowedHalls, RETRY_AFTER_LEAVING_MS, RETRY_AFTER_NO_CONFIGURATION_MS},
-    edge::{RouteKind, RouteTable},
-    limits::{Charge, OverLimit, admit},
-    quarantine::{Quarantined, release_unsent_probe, screen},
-    settings::EnginePriority,
-    stages::RoutedRequest,
+    connections::{accept, set_socket_options},
     state::{Gateway, InFlight, Phase},
   },
-  bytes::Bytes,
-  http::{
-    HeaderValue, Request, Response, StatusCode,
-    header::{CONNECTION, HOST},
-  },
-  http_body_util::{BodyExt, LengthLimitError, Limited},
+  http::{HeaderValue, Request, Response, header::CONNECTION},
   hyper::{body::Incoming, server::conn::http1, service::service_fn},
   hyper_util::rt::{TokioIo, TokioTimer},
-  std::{
-    cell::{Cell, OnceCell},
-    convert::Infallible,
-    pin::pin,
-    rc::Rc,
-    time::Duration,
-  },
+  std::{convert::Infallible, pin::pin, rc::Rc, time::Duration},
   tokio::{
     net::{TcpListener, TcpStream},
     task::spawn_local,
-    time::timeout,
   },
 };
 
@@ -49,11 +26,6 @@
 /// The smallest buffer that the HTTP library accepts.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
-/// The response while the configuration that a request needs is missing.
-const NO_CONFIGURATION: LocalReply = LocalReply::NotRun {
-  retry_after_ms: RETRY_AFTER_NO_CONFIGURATION_MS,
-};
-
 /// Accepts callers' connections until the box has stopped serving.
 pub(crate) async fn accept_callers(gateway: Rc<Gateway>, listener: TcpListener) {
   let mut phase = gateway.phase.subscribe();
@@ -144,168 +116,8 @@
   request: Request<Incoming>,
   in_flight: InFlight,
 ) -> Response<ResponseBody> {
-  match route_request(&gateway, request).await {
-    Ok(request) => serve_routed(gateway, request, in_flight).await,
+  match route_request(&gateway, request, None).await {
+    Ok(request) => serve_here_or_forward(gateway, request, in_flight).await,
     Err(reply) => reply.response(),
   }
 }
-
-/// Serves a request that has a route, unless it is quarantined.
-async fn serve_routed(
-  gateway: Rc<Gateway>,
-  request: RoutedRequest,
-  in_flight: InFlight,
-) -> Response<ResponseBody> {
-  if let Err(Quarantined { retry_after_ms }) = screen(&gateway, &request).await {
-    return LocalReply::NotRun { retry_after_ms }.response();
-  }
-  let request = Rc::new(request);
-  let response = serve_admitted(&gateway, &request, in_flight).await;
-  release_unsent_probe(&gateway, &request);
-  response
-}
-
-/// Serves a request that may be sent, if it is within its organisation's limit.
-async fn serve_admitted(
-  gateway: &Rc<Gateway>,
-  request: &Rc<RoutedRequest>,
-  in_flight: InFlight,
-) -> Response<ResponseBody> {
-  match admit_request(gateway, request).await {
-    Ok(charge) => {
-      let response = dispatch(gateway.clone(), request.clone(), in_flight).await;
-      // Only this box answers with this status: the request has not run.
-      if response.status() == StatusCode::SERVICE_UNAVAILABLE
-        && let Some(charge) = charge
-      {
-        charge.refund();
-      }
-      response
-    }
-    Err(OverLimit { retry_after_ms }) => LocalReply::OverLimit { retry_after_ms }.response(),
-  }
-}
-
-/// Charges a request to its organisation's limit.
-async fn admit_request(
-  gateway: &Rc<Gateway>,
-  request: &RoutedRequest,
-) -> Result<Option<Charge>, OverLimit> {
-  match &request.organisation {
-    Some(organisation) => admit(gateway, organisation, &request.attributes)
-      .await
-      .map(Some),
-    None => Ok(None),
-  }
-}
-
-/// Serves an admitted request as its route's kind requires.
-async fn dispatch(
-  gateway: Rc<Gateway>,
-  request: Rc<RoutedRequest>,
-  in_flight: InFlight,
-) -> Response<ResponseBody> {
-  gateway.record_request(&request.service);
-  match request.route.kind {
-    // The stream would outlast the process.
-    RouteKind::Stream { .. } if *gateway.phase.borrow() >= Phase::Closing => {
-      log::info!("E605 rejected: {} the box is about to stop", request.id());
-      LocalReply::NotRun {
-        retry_after_ms: RETRY_AFTER_LEAVING_MS,
-      }
-      .response()
-    }
-    RouteKind::Stream { .. } => serve_stream(gateway, request, in_flight).await,
-    RouteKind::Retryable | RouteKind::NonRetryable => serve_unary(gateway, request).await,
-  }
-}
-
-/// Reads a whole request and finds its route.
-async fn route_request(
-  gateway: &Gateway,
-  request: Request<Incoming>,
-) -> Result<RoutedRequest, LocalReply> {
-  let arrived_ms = gateway.now_ms();
-  let (mut head, body) = request.into_parts();
-  let host = head
-    .headers
-    .get(HOST)
-    .and_then(|host| host.to_str().ok())
-    .ok_or(LocalReply::Malformed)?;
-  let table = gateway.route_table().ok_or(NO_CONFIGURATION)?;
-  let route = table
-    .find(host, head.uri.path())
-    .cloned()
-    .ok_or_else(|| no_route(gateway, &table, host, head.uri.path()))?;
-  let organisation = authenticate(gateway, &table, &route, &mut head.headers)?;
-  let mut attributes = gateway.codec.caller_attributes(&head.headers);
-  if !gateway.settings.mechanisms.slot_by_estimate {
-    attributes.answer_estimate = None;
-  }
-  let exit_ms = gateway.exit_ms.get().unwrap_or(u64::MAX);
-  let timeout_ms = route
-    .timeout_ms
-    .min(attributes.deadline_ms.unwrap_or(u64::MAX))
-    .min(exit_ms.saturating_sub(arrived_ms));
-  let body = read_body(body, table.limits().body_bytes, timeout_ms).await?;
-  let service = route
-    .service(gateway.draw())
-    .cloned()
-    .ok_or(NO_CONFIGURATION)?;
-  let mut rank = gateway
-    .policy
-    .rank(&route, &service, &attributes, organisation.as_deref());
-  if gateway.settings.engines.engine_priority == EnginePriority::Organisation {
-    rank.engine_priority = rank.priority;
-  }
-  let region_sets = [
-    route.allowed_regions.as_ref(),
-    organisation
-      .as_ref()
-      .and_then(|organisation| organisation.allowed_regions.as_ref()),
-  ];
-  let allowed_halls = AllowedHalls::of(&gateway.settings.regions, region_sets);
-  let mut headers = head.headers;
-  remove_connection_headers(&mut headers);
-  gateway.codec.remove_reserved(&mut headers);
-  Ok(RoutedRequest {
-    allowed_halls,
-    arrived_ms,
-    attributes,
-    body,
-    deadline_ms: arrived_ms + timeout_ms,
-    fingerprint: OnceCell::new(),
-    headers,
-    method: head.method,
-    organisation,
-    rank,
-    route,
-    send_mode: Cell::default(),
-    service,
-    uri: head.uri,
-  })
-}
-
-/// The response to a request without a route. While the box is out of contact with the store, a newer configuration may have one.
-fn no_route(gateway: &Gateway, table: &RouteTable, host: &str, path: &str) -> LocalReply {
-  let current = gateway.is_current();
-  log::info!(
-    "E602 no route: {host}{path} in configuration {}, current {current}",
-    table.version()
-  );
-  if current {
-    LocalReply::NoRoute
-  } else {
-    NO_CONFIGURATION
-  }
-}
-
-/// Reads a body within limits on its length and time.
-async fn read_body(body: Incoming, max_bytes: usize, timeout_ms: u64) -> Result<Bytes, LocalReply> {
-  let read = Limited::new(body, max_bytes).collect();
-  match timeout(Duration::from_millis(timeout_ms), read).await {
-    Ok(Ok(body)) => Ok(body.to_bytes()),
-    Ok(Err(error)) if error.is::<LengthLimitError>() => Err(LocalReply::BodyTooLarge),
-    Ok(Err(_)) | Err(_) => Err(LocalReply::Malformed),
-  }
-}
--- a/src/gateway/requests/mod.rs
+++ b/src/gateway/requests/mod.rs
@@ -1,4 +1,5 @@
-//! Serves callers' requests. `frontend` reads a request and finds its route; `unary` or `stream` serves it. A stream reserves
+//! Serves callers' requests. `frontend` accepts a request, `routing` finds its route, and `serving` has it served, by `unary` or `stream`, or by another box
+//! (`forwarding`) when this one can't reach the endpoints; `forwarded` is the other box's side. A stream reserves
 //! a batch `slot`, has its prompt prefilled (`prefill`), and is sent (`stream_request`, `stream_send`); `event_relay` forwards
 //! the events and resumes an interrupted stream at another engine.
 //!
@@ -7,10 +8,15 @@
 mod authentication;
 mod event_relay;
 mod event_splitter;
+mod forwarded;
+mod forwarding;
+mod forwarding_headers;
 mod frontend;
 mod prefill;
 mod response;
 mod resume_slot;
+mod routing;
+mod serving;
 mod slot;
 mod stream;
 mod stream_request;
@@ -19,4 +25,7 @@
 
 pub use self::event_splitter::{EventSplitter, SseEvent};
 
-pub(crate) use self::frontend::accept_callers;
+pub(crate) use self::{
+  forwarded::serve_forwarded, forwarding_headers::FORWARD_PATH, frontend::accept_callers,
+  response::ResponseBody,
+};
--- a/src/gateway/requests/slot.rs
+++ b/src/gateway/requests/slot.rs
@@ -217,6 +217,9 @@
           entry.id
         );
       }
+      if matches!(error, EngineCallError::TimedOut | EngineCallError::Lost(_)) {
+        request.met_unreachable.set(true);
+      }
       load_guard.settle(error.outcome());
     }
   }
--- a/src/gateway/requests/stream.rs
+++ b/src/gateway/requests/stream.rs
@@ -28,7 +28,9 @@
     Ok(Ok(head)) => {
       let headers = head.headers();
       let status = head.status;
+      let entry = head.entry.clone();
       forward_response(
+        &entry,
         status,
         headers,
         EventRelay::new(stream, head, in_flight).into_body(),
@@ -67,7 +69,12 @@
   let reply = match failure {
     StreamFailure::NotStreamed(head) => match head.buffer(gateway).await {
       Ok(response) => {
-        return forward_response(response.status, response.headers, full_body(response.body));
+        return forward_response(
+          &response.entry,
+          response.status,
+          response.headers,
+          full_body(response.body),
+        );
       }
       Err(_) => LocalReply::Unknown,
     },
--- a/src/gateway/requests/unary.rs
+++ b/src/gateway/requests/unary.rs
@@ -317,5 +317,10 @@
 }
 
 fn forward(response: BufferedResponse) -> Response<ResponseBody> {
-  forward_response(response.status, response.headers, full_body(response.body))
+  forward_response(
+    &response.entry,
+    response.status,
+    response.headers,
+    full_body(response.body),
+  )
 }
--- a/src/gateway/stages/mod.rs
+++ b/src/gateway/stages/mod.rs
@@ -6,6 +6,7 @@
 mod engine_call;
 mod notice;
 mod purpose;
+mod reachability_probe;
 mod request;
 mod send_check;
 mod send_mode;
@@ -13,8 +14,10 @@
 
 pub(crate) use self::{
   engine_call::{EngineCallError, ExportGuard, Reservation, call_engine},
+  notice::apply_forwarded_notice,
   purpose::Purpose,
-  request::RoutedRequest,
+  reachability_probe::probe_unreachable,
+  request::{RequestOrigin, RoutedRequest},
   send_mode::SendMode,
   stage::{BufferedResponse, LoadGuard, OutgoingStage, ResponseHead, StageError, send_stage},
 };
--- a/src/gateway/stages/notice.rs
+++ b/src/gateway/stages/notice.rs
@@ -67,6 +67,20 @@
   log_change(gateway, entry, response, change, now_ms);
 }
 
+/// Applies the notice in a response that another box received and this one passes on to its caller.
+pub(crate) fn apply_forwarded_notice(
+  gateway: &Rc<Gateway>,
+  entry: &EndpointEntry,
+  response: &response::Parts,
+) {
+  let sent = SentCall {
+    entry,
+    purpose: Purpose::Request,
+    sent_ms: gateway.now_ms(),
+  };
+  apply_notice(gateway, sent, response);
+}
+
 /// Logs each response header that the platform's protocol does not define once: it may be one that boxes should honour.
 fn log_unknown_headers(gateway: &Gateway, entry: &EndpointEntry, response: &response::Parts) {
   for name in response.headers.keys() {
--- a/src/gateway/stages/request.rs
+++ b/src/gateway/stages/request.rs
@@ -33,6 +33,18 @@
 /// Priority of a resumed stream: rejecting it would waste the work done for it.
 const HIGHEST_PRIORITY: u8 = 0;
 
+/// Where a request came from.
+#[derive(Debug)]
+pub(crate) enum RequestOrigin {
+  /// From a caller.
+  Caller {
+    /// The headers as the caller sent them, without hop-by-hop headers.
+    headers: HeaderMap,
+  },
+  /// From a box that can't reach the endpoints; it is forwarded no further.
+  Box,
+}
+
 /// A caller's request with its route.
 #[derive(Debug)]
 pub(crate) struct RoutedRequest {
@@ -54,6 +66,11 @@
   /// When its final response is due at the latest.
   pub(crate) deadline_ms: u64,
   pub(crate) send_mode: Cell<SendMode>,
+  pub(crate) origin: RequestOrigin,
+  /// Stages that were sent, or are being sent, to an endpoint that may receive them.
+  pub(crate) sends: Cell<u32>,
+  /// Whether an endpoint could not be reached for it.
+  pub(crate) met_unreachable: Cell<bool>,
   /// Computed on first use.
   pub(crate) fingerprint: OnceCell<Fingerprint>,
 }
--- a/src/gateway/stages/stage.rs
+++ b/src/gateway/stages/stage.rs
@@ -189,6 +189,7 @@
     gateway.keep_alive(self.connection, &self.raw_headers);
     Ok(BufferedResponse {
       body,
+      entry: self.entry,
       headers,
       status: self.status,
     })
@@ -197,6 +198,8 @@
 
 /// A response with its whole body.
 pub(crate) struct BufferedResponse {
+  /// The endpoint's entry when the request was sent.
+  pub(crate) entry: EndpointEntry,
   pub(crate) status: StatusCode,
   pub(crate) headers: HeaderMap,
   pub(crate) body: Bytes,
@@ -274,6 +277,7 @@
   let mut load_guard = LoadGuard::new(gateway, &entry.id, size, units);
   let sent_ms = gateway.now_ms();
   let sent = request.for_endpoint(&*gateway.codec, proxy_headers);
+  request.sends.set(request.sends.get() + 1);
   let response = exchange(gateway, entry, sent, Purpose::Request)
     .await
     .and_then(|(connection, response)| {
@@ -295,6 +299,10 @@
     Err(error) => {
       if error.is_unsent() {
         request.undo_send(before);
+        request.sends.set(request.sends.get() - 1);
+      }
+      if matches!(error, StageError::Unreachable | StageError::Unsent(_)) {
+        request.met_unreachable.set(true);
       }
       load_guard.settle_error(&error);
       Err(error)
--- a/src/gateway/state/counters.rs
+++ b/src/gateway/state/counters.rs
@@ -90,6 +90,12 @@
   pub(crate) retries: Counter,
   pub(crate) retries_denied: Counter,
   pub(crate) resumed: Counter,
+  /// Requests that another box answered, since this one could not reach their endpoints.
+  pub(crate) forwarded: Counter,
+  /// Requests that no other box accepted.
+  pub(crate) not_forwarded: Counter,
+  /// Requests of other boxes' callers that were accepted.
+  pub(crate) accepted_from_boxes: Counter,
   pub(crate) connections: Counter,
   pub(crate) store_calls: Counter,
   pub(crate) store_failures: Counter,
@@ -127,6 +133,12 @@
       ("rillford_repeats_total", &self.retries),
       ("rillford_repeats_denied_total", &self.retries_denied),
       ("rillford_resumed_total", &self.resumed),
+      ("rillford_forwarded_total", &self.forwarded),
+      ("rillford_not_forwarded_total", &self.not_forwarded),
+      (
+        "rillford_accepted_from_boxes_total",
+        &self.accepted_from_boxes,
+      ),
       ("rillford_connections_total", &self.connections),
       ("rillford_store_calls_total", &self.store_calls),
       ("rillford_store_failures_total", &self.store_failures),
--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -108,6 +108,10 @@
   pub(crate) isolated_permits: RefCell<PermitTable>,
   pub(crate) unresponsive_boxes: RefCell<UnresponsiveBoxes>,
   pub(crate) box_client: HttpClient,
+  /// Requests of other boxes' callers in flight here.
+  pub(crate) forwarded_in_flight: Cell<usize>,
+  /// Until then no box accepts requests of this one.
+  pub(crate) no_peer_until_ms: Cell<u64>,
   /// Identifies this run of the process.
   pub(crate) incarnation: u64,
   /// Whether a listing of the store has completed; before that, endpoints may be missing.
@@ -146,6 +150,7 @@
       codec,
       endpoints: RefCell::new(registry),
       exit_ms: Cell::new(None),
+      forwarded_in_flight: Cell::new(0),
       has_leader: Cell::new(false),
       has_listed: Cell::new(false),
       in_flight: Cell::new(0),
@@ -156,6 +161,7 @@
       limit_log_throttle: LogThrottle::default(),
       local_usage: RefCell::default(),
       mean_first_event_ms: Cell::new(None),
+      no_peer_until_ms: Cell::new(0),
       peak_box_count: RefCell::default(),
       permit_table: RefCell::default(),
       phase: watch::Sender::new(Phase::Serving),
@@ -450,6 +456,14 @@
     self.retry_usage(service).has_retry_left()
   }
 
+  /// Withdraws a request from its service's retry budget: another box serves it.
+  pub(crate) fn withdraw_request(&self, service: &Name) {
+    let now_ms = self.now_ms();
+    if let Some(window) = self.retry_windows.borrow_mut().get_mut(service) {
+      window.withdraw_request(now_ms);
+    }
+  }
+
   /// This box's use of its share of a service's retry budget.
   fn retry_usage(&self, service: &Name) -> RetryUsage {
     let boxes = self.box_count();
--- a/src/gateway/state/reachability.rs
+++ b/src/gateway/state/reachability.rs
@@ -8,6 +8,7 @@
       decisions::{EndpointGroup, GroupLost},
       edge::EndpointEntry,
     },
+    ids::Name,
   },
   std::fmt::Write,
 };
@@ -21,6 +22,7 @@
       .borrow_mut()
       .record_contact(&group, self.now_ms());
     if let Some(unreachable_ms) = regained {
+      self.endpoints.borrow_mut().forget_losses(&group);
       log::info!(
         "E549 endpoints reached again: {} {:?} by {}, after {unreachable_ms} ms",
         group.service,
@@ -52,6 +54,15 @@
     }
   }
 
+  /// Whether no endpoint that answers requests of a service can be reached from this box.
+  pub(crate) fn is_cut_off(&self, service: &Name) -> bool {
+    let reachability = self.reachability.borrow();
+    [None, Some(Role::Decode)].into_iter().any(|role| {
+      let service = service.clone();
+      reachability.is_unreachable(&EndpointGroup { role, service })
+    })
+  }
+
   /// The groups of endpoints that this box can't reach, as text.
   pub(crate) fn reachability_metrics(&self) -> String {
     let mut text = String::new();
--- a/tests/gateway/cut_off.rs
+++ b/tests/gateway/cut_off.rs
@@ -1,9 +1,13 @@
 //! Boxes that can't reach endpoints which other boxes reach.
 
 use {
-  super::{EndpointStandIn, GatewayBox, GatewayTest, Reply, TIMEOUT},
+  super::{
+    EndpointStandIn, GatewayBox, GatewayTest, ReceivedRequest, Reply, TIMEOUT,
+    endpoint::{engine_reply, leaving},
+  },
   emulator::eventually,
   http::StatusCode,
+  rillford::HttpClient,
   rstest::rstest,
   socket2::{Domain, Socket, Type},
   std::{
@@ -76,9 +80,21 @@
 
 impl CutOffBox {
   async fn start(cut: Cut) -> Self {
+    Self::start_with(cut, EndpointStandIn::engine(EVENTS).await).await
+  }
+
+  async fn start_with(cut: Cut, decode: EndpointStandIn) -> Self {
     let portal = EndpointStandIn::start(|seen| Reply::ok(seen, "portal")).await;
+    Self::start_between(cut, portal, decode).await
+  }
+
+  async fn start_with_portal(reply: fn(&ReceivedRequest) -> Reply) -> Self {
+    let portal = EndpointStandIn::start(reply).await;
+    Self::start_between(Cut::Refuse, portal, EndpointStandIn::engine(EVENTS).await).await
+  }
+
+  async fn start_between(cut: Cut, portal: EndpointStandIn, decode: EndpointStandIn) -> Self {
     let prefill = EndpointStandIn::engine(EVENTS).await;
-    let decode = EndpointStandIn::engine(EVENTS).await;
     let entries = [
       ("p-1", "portal", None, &portal),
       ("e-1", "llm", Some("prefill"), &prefill),
@@ -130,3 +146,168 @@
   assert!(boxes.prefill.requests().len() <= served);
   assert!(boxes.other.is_ready().await);
 }
+
+/// A box that reaches no endpoint, beside another box at an address.
+async fn cut_off_beside(address: SocketAddr) -> (GatewayBox, Vec<CutAddress>) {
+  let test = GatewayTest::new().await;
+  let addresses = vec![CutAddress::new(Cut::Refuse)];
+  test.enter_at("p-1", "portal", None, addresses[0].address, "ready");
+  test.enter_box("north-2", address);
+  let cut_off = test.start().await;
+  assert!(
+    eventually(TIMEOUT, async || cut_off.metric("rillford_boxes").await
+      == 2.0)
+    .await
+  );
+  (cut_off, addresses)
+}
+
+/// Guards against a request that boxes pass to each other, or hold, while none reaches an endpoint.
+#[tokio::test]
+async fn boxes_that_are_all_cut_off_reject_at_once() {
+  let (one, _one_addresses) = cut_off_beside(CutAddress::new(Cut::Refuse).address).await;
+  let (other, _other_addresses) = cut_off_beside(one.boxes).await;
+  one.test.enter_box("north-2", other.boxes);
+  for number in 0..6 {
+    let response = one.ask("/unsafe/a", &format!("r{number}")).await;
+    assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(response.headers.contains_key("retry-after"));
+  }
+  for gateway in [&one, &other] {
+    assert_eq!(gateway.metric("rillford_forwarded_total").await, 0.0);
+    assert_eq!(
+      gateway.metric("rillford_accepted_from_boxes_total").await,
+      0.0
+    );
+  }
+}
+
+/// Guards against a second run of a request that another box may have had run.
+#[tokio::test]
+async fn request_lost_at_another_box_is_sent_to_no_further_one() {
+  let lossy = EndpointStandIn::start(|_| Reply::WriteAndClose(String::new())).await;
+  let (cut_off, _addresses) = cut_off_beside(lossy.address).await;
+  for number in 3..6 {
+    cut_off
+      .test
+      .enter_box(&format!("north-{number}"), lossy.address);
+  }
+  let response = cut_off.ask("/unsafe/a", "r1").await;
+  assert_eq!(response.status, StatusCode::BAD_GATEWAY);
+  assert_eq!(lossy.received().len(), 1);
+}
+
+#[tokio::test]
+async fn box_without_forwarding_is_passed_over() {
+  let not_found = |seen: &ReceivedRequest| Reply::status(seen, "404 Not Found", "");
+  let older = EndpointStandIn::start(not_found).await;
+  let (cut_off, _addresses) = cut_off_beside(older.address).await;
+  let response = cut_off.ask("/safe/a", "r1").await;
+  assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
+  let forwarded = &older.received()[0];
+  assert_eq!(forwarded.path, "/forward/safe/a");
+  let remaining_ms: u64 = forwarded.header("rillford-remaining-ms").parse().unwrap();
+  assert!(remaining_ms <= 4_000, "{remaining_ms}");
+}
+
+#[tokio::test]
+async fn leaving_box_declines_forwarded_requests() {
+  let boxes = CutOffBox::start(Cut::Refuse).await;
+  boxes.other.signal(libc::SIGTERM);
+  assert!(eventually(TIMEOUT, async || !boxes.other.is_ready().await).await);
+  let response = boxes.cut_off.ask("/unsafe/a", "r1").await;
+  assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
+  assert!(boxes.portal.requests().is_empty());
+}
+
+#[tokio::test]
+async fn engine_is_freed_when_the_caller_of_a_forwarded_stream_disconnects() {
+  let decode = EndpointStandIn::start(|seen| {
+    if seen.path.starts_with("/stream/") && !seen.is_prefill() {
+      Reply::NoResponse
+    } else {
+      engine_reply(seen, EVENTS)
+    }
+  })
+  .await;
+  let boxes = CutOffBox::start_with(Cut::Refuse, decode).await;
+  let pending = boxes.cut_off.ask_in_background("/stream/a", "r1");
+  assert!(eventually(TIMEOUT, async || boxes.decode.requests().len() == 1).await);
+  pending.abort();
+  assert!(eventually(TIMEOUT, async || boxes.decode.closed().len() == 1).await);
+}
+
+#[tokio::test]
+async fn forwarded_stream_ends_when_its_caller_disconnects_midway() {
+  let decode = EndpointStandIn::start(|seen| {
+    if seen.path.starts_with("/stream/") && !seen.is_prefill() {
+      Reply::Write(Reply::stream_part(seen, EVENTS))
+    } else {
+      engine_reply(seen, EVENTS)
+    }
+  })
+  .await;
+  let boxes = CutOffBox::start_with(Cut::Refuse, decode).await;
+  let request = boxes.cut_off.request("/stream/a", "r1");
+  let response = HttpClient::default().send(request).await.unwrap();
+  assert_eq!(response.status(), StatusCode::OK);
+  drop(response);
+  let is_gone = async || boxes.other.metric("rillford_callers_gone_total").await == 1.0;
+  assert!(eventually(TIMEOUT, is_gone).await);
+}
+
+impl CutOffBox {
+  /// Lets the box reach its plain endpoint.
+  fn heal(&self) {
+    let address = self.portal.address;
+    let test = &self.cut_off.test;
+    test.enter_at("p-1", "portal", None, address, "ready");
+  }
+
+  async fn is_cut_off(&self) -> bool {
+    let row = "rillford_unreachable{service=\"portal\",role=\"none\"}";
+    self.cut_off.metric(row).await == 1.0
+  }
+}
+
+#[tokio::test]
+async fn box_serves_by_itself_again_once_it_reaches_an_endpoint() {
+  let boxes = CutOffBox::start(Cut::Hang).await;
+  let mut number = 0;
+  let mut ask = async || {
+    number += 1;
+    boxes
+      .cut_off
+      .ask("/unsafe/a", &format!("r{number}"))
+      .await
+      .status
+  };
+  while !boxes.is_cut_off().await {
+    assert_eq!(ask().await, StatusCode::OK);
+  }
+  boxes.heal();
+  assert!(eventually(TIMEOUT, async || !boxes.is_cut_off().await).await);
+  let forwarded = boxes.cut_off.metric("rillford_forwarded_total").await;
+  for _ in 0..5 {
+    assert_eq!(ask().await, StatusCode::OK);
+  }
+  assert_eq!(
+    boxes.cut_off.metric("rillford_forwarded_total").await,
+    forwarded
+  );
+}
+
+/// Guards against new requests to an endpoint whose shutdown notice this box has passed on for another one.
+#[tokio::test]
+async fn notice_in_a_forwarded_response_counts_at_this_box() {
+  let boxes = CutOffBox::start_with_portal(|seen| leaving(Reply::ok(seen, "portal"))).await;
+  let response = boxes.cut_off.ask("/unsafe/a", "r1").await;
+  assert_eq!(response.status, StatusCode::OK);
+  assert!(!response.headers.contains_key("rillford-endpoint"));
+  boxes.heal();
+  let notices = boxes.cut_off.metric("rillford_leaving_notices_total").await;
+  assert_eq!(notices, 1.0);
+  let response = boxes.cut_off.ask("/unsafe/a", "r2").await;
+  assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
+  assert_eq!(boxes.portal.requests().len(), 1);
+}
