A box that can reach no endpoint at all is not ready

Callers saw: the load balancer kept sending new connections to boxes that could serve none of them. Cause: readiness looked at the configuration and the list of endpoints alone. Change: not ready while every group of endpoints that answer requests is unreachable (E548); open connections are served by forwarding.

--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -271,6 +271,7 @@
       && self.route_table.borrow().is_some()
       && self.has_listed.get()
       && !self.endpoints.borrow().is_empty()
+      && !self.is_cut_off_from_all()
   }
 
   /// The hall whose endpoints are preferred: the own one, or none (empty).
--- a/src/gateway/state/reachability.rs
+++ b/src/gateway/state/reachability.rs
@@ -63,6 +63,19 @@
     })
   }
 
+  /// Whether no endpoint that answers requests can be reached from this box, whatever the service.
+  pub(crate) fn is_cut_off_from_all(&self) -> bool {
+    let reachability = self.reachability.borrow();
+    if reachability.unreachable().next().is_none() {
+      return false;
+    }
+    let endpoints = self.endpoints.borrow();
+    let mut answering = endpoints
+      .entries()
+      .filter(|entry| entry.role != Some(Role::Prefill));
+    answering.all(|entry| reachability.is_unreachable(&EndpointGroup::of(entry)))
+  }
+
   /// The groups of endpoints that this box can't reach, as text.
   pub(crate) fn reachability_metrics(&self) -> String {
     let mut text = String::new();
--- a/tests/gateway/cut_off.rs
+++ b/tests/gateway/cut_off.rs
@@ -311,3 +311,25 @@
   assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
   assert_eq!(boxes.portal.requests().len(), 1);
 }
+
+/// Guards against a box that asks for callers while it can serve none by itself.
+#[tokio::test]
+async fn box_is_not_ready_while_it_reaches_no_endpoint_at_all() {
+  let boxes = CutOffBox::start(Cut::Refuse).await;
+  let mut number = 0;
+  let mut ask_all = async || {
+    for path in ["/unsafe/a", "/stream/a"] {
+      number += 1;
+      let response = boxes.cut_off.ask(path, &format!("r{number}")).await;
+      assert_eq!(response.status, StatusCode::OK);
+    }
+  };
+  while boxes.cut_off.is_ready().await {
+    ask_all().await;
+  }
+  assert!(boxes.other.is_ready().await);
+  // Callers on open connections are served all the same.
+  ask_all().await;
+  boxes.heal();
+  assert!(boxes.cut_off.becomes_ready().await);
+}
