Forwarding: findings of the soak's cuts beside other faults

Causes, each traced in the boxes' lines: a stream at the head of the queue for slots tried refused engines over and over for its whole wait, and those behind it were rejected without a try; the one box that was not cut was passed over for a second after it had not reached an engine for one request; a box whose neighbours' leases had expired had nobody to ask; after one request that no box accepted nothing was forwarded for a second. Change: a request gives up its slot after six engines in a row that can't be reached; a rejection while endpoints are unreachable is forwarded too; a box that reached none for one request is asked again for the next; boxes whose entries are gone are asked when no other is left; forwarding pauses only after three requests in a row that no box accepted.

--- a/src/gateway/decisions/box_list.rs
+++ b/src/gateway/decisions/box_list.rs
@@ -3,7 +3,10 @@
 use {
   crate::ids::Name,
   serde::{Deserialize, Serialize},
-  std::{collections::BTreeMap, net::SocketAddr},
+  std::{
+    collections::{BTreeMap, VecDeque},
+    net::SocketAddr,
+  },
 };
 
 /// Number of boxes from which on only a hall's store readers read the store and relay its changes: each store call is
@@ -16,6 +19,9 @@
 /// need not read the store.
 const FALLBACK_READERS_PER_HALL: usize = 4;
 
+/// Boxes that are remembered after their entries are gone.
+const MAX_FORMER: usize = 64;
+
 /// A box's entry in the store.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct BoxEntry {
@@ -40,16 +46,31 @@
 #[derive(Clone, Debug, Default)]
 pub struct BoxList {
   boxes: BTreeMap<Name, BoxEntry>,
+  /// Boxes whose entries are gone, the last one at the back: their leases may have expired while they serve on.
+  former: VecDeque<(Name, BoxEntry)>,
 }
 
 impl BoxList {
   /// Inserts or updates an entry.
   pub fn put(&mut self, name: Name, entry: BoxEntry) {
+    self.former.retain(|(former, _)| *former != name);
     self.boxes.insert(name, entry);
   }
 
   pub fn remove(&mut self, name: &str) {
-    self.boxes.remove(name);
+    let Some(removed) = self.boxes.remove_entry(name) else {
+      return;
+    };
+    self.former.push_back(removed);
+    if self.former.len() > MAX_FORMER {
+      self.former.pop_front();
+    }
+  }
+
+  /// The other boxes whose entries are gone.
+  pub fn former_peers(&self, name: &str) -> Vec<SocketAddr> {
+    let others = self.former.iter().filter(|(former, _)| &**former != name);
+    others.map(|(_, entry)| entry.address).collect()
   }
 
   pub fn names(&self) -> Vec<Name> {
--- a/src/gateway/requests/forwarded.rs
+++ b/src/gateway/requests/forwarded.rs
@@ -3,8 +3,8 @@
 use {
   super::{
     forwarding_headers::{
-      ACCEPTED, CONFIGURATION, ENDPOINT, FORWARD_PATH, FORWARDED_BY, REMAINING_MS, header_text,
-      remove_forwarding_headers, set_header,
+      ACCEPTED, CONFIGURATION, DECLINED_FOR_NOW, ENDPOINT, FORWARD_PATH, FORWARDED_BY,
+      REMAINING_MS, header_text, remove_forwarding_headers, set_header,
     },
     response::{AnsweredBy, ResponseBody, full_body},
     routing::route_request,
@@ -52,18 +52,22 @@
     (remaining_ms, version, original_uri(request.uri()))
   else {
     log::warn!("E553 forwarded request of box {by} declined: malformed");
-    return declined(StatusCode::BAD_REQUEST);
+    return Decline::Malformed.response();
   };
   if let Some(reason) = decline_reason(&gateway, version) {
     log::info!("E553 forwarded request of box {by} declined: {reason}");
-    return declined(StatusCode::MISDIRECTED_REQUEST);
+    return reason.response();
   }
   *request.uri_mut() = uri;
   remove_forwarding_headers(request.headers_mut());
   let in_flight = ForwardedInFlight::new(&gateway);
   let served = respond(gateway.clone(), request, &by, remaining_ms, in_flight).await;
-  let Some(mut response) = served else {
-    return declined(StatusCode::MISDIRECTED_REQUEST);
+  let mut response = match served {
+    Ok(response) => response,
+    Err(reason) => {
+      log::info!("E553 forwarded request of box {by} declined: {reason}");
+      return reason.response();
+    }
   };
   gateway.counters.accepted_from_boxes.inc();
   let answered_by = response.extensions().get::<AnsweredBy>().cloned();
@@ -75,18 +79,49 @@
   response
 }
 
+/// Why a forwarded request is declined.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+enum Decline {
+  #[error("leaving")]
+  Leaving,
+  #[error("too many in flight")]
+  TooMany,
+  /// The caller may have seen the effect of a newer configuration already.
+  #[error("older configuration")]
+  OlderConfiguration,
+  #[error("endpoints unreachable")]
+  CutOff,
+  /// The endpoints that were tried for this request could not be reached.
+  #[error("not reached for this request")]
+  Unreached,
+  #[error("malformed")]
+  Malformed,
+}
+
+impl Decline {
+  /// The response, by which the other box tries the next one.
+  fn response(self) -> Response<ResponseBody> {
+    let mut response = Response::new(full_body(Bytes::new()));
+    *response.status_mut() = match self {
+      Self::Leaving | Self::TooMany | Self::OlderConfiguration | Self::CutOff => DECLINED_FOR_NOW,
+      Self::Unreached => StatusCode::SERVICE_UNAVAILABLE,
+      Self::Malformed => StatusCode::BAD_REQUEST,
+    };
+    response
+  }
+}
+
 /// Why this box does not serve forwarded requests now.
-fn decline_reason(gateway: &Gateway, version: u64) -> Option<&'static str> {
+fn decline_reason(gateway: &Gateway, version: u64) -> Option<Decline> {
   if *gateway.phase.borrow() != Phase::Serving {
-    return Some("leaving");
+    return Some(Decline::Leaving);
   }
   if gateway.forwarded_in_flight.get() >= MAX_IN_FLIGHT {
-    return Some("too many in flight");
+    return Some(Decline::TooMany);
   }
-  // The caller may have seen the effect of a newer configuration already.
   let own_version = gateway.route_table().map(|table| table.version());
   if own_version.is_none_or(|own_version| own_version < version) {
-    return Some("older configuration");
+    return Some(Decline::OlderConfiguration);
   }
   None
 }
@@ -98,25 +133,18 @@
   Some(Uri::from(path))
 }
 
-/// The response to a box that has to try another one.
-fn declined(status: StatusCode) -> Response<ResponseBody> {
-  let mut response = Response::new(full_body(Bytes::new()));
-  *response.status_mut() = status;
-  response
-}
-
-/// The response to a request that another box forwards; `None` when its endpoints can't be reached from here either.
+/// The response to a request that another box forwards, unless its endpoints can't be reached from here either.
 async fn respond(
   gateway: Rc<Gateway>,
   request: Request<Incoming>,
   by: &str,
   remaining_ms: u64,
   in_flight: ForwardedInFlight,
-) -> Option<Response<ResponseBody>> {
+) -> Result<Response<ResponseBody>, Decline> {
   let own_in_flight = InFlight::new(&gateway);
   let request = match route_request(&gateway, request, Some(remaining_ms)).await {
     Ok(request) => request,
-    Err(reply) => return Some(reply.response()),
+    Err(reply) => return Ok(reply.response()),
   };
   log::info!(
     "E552 forwarded request accepted: {} {} of box {by}, {remaining_ms} ms left",
@@ -124,12 +152,15 @@
     request.service
   );
   if gateway.is_cut_off(&request.service) {
-    return None;
+    return Err(Decline::CutOff);
   }
   let request = Rc::new(request);
   let response = serve_routed(&gateway, &request, own_in_flight).await;
   let response = response.map(|body| hold_until_end(body, in_flight));
-  (!is_unreached(&request, &response)).then_some(response)
+  if is_unreached(&gateway, &request, &response) {
+    return Err(Decline::Unreached);
+  }
+  Ok(response)
 }
 
 /// Keeps a value until a body was read.
--- a/src/gateway/requests/forwarding.rs
+++ b/src/gateway/requests/forwarding.rs
@@ -17,7 +17,7 @@
   },
   bytes::Bytes,
   futures_util::stream,
-  http::{HeaderMap, Request, Response},
+  http::{HeaderMap, Request, Response, StatusCode},
   http_body_util::{BodyExt, Full, StreamBody},
   hyper::body::{Frame, Incoming},
   std::{net::SocketAddr, rc::Rc, time::Duration},
@@ -26,13 +26,17 @@
 
 /// The other box answers at the deadline itself; its answer says whether the request has run.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(100);
-/// How long requests are not forwarded after no box has accepted one: each try may take a connection timeout.
+/// How long requests are not forwarded after [`MAX_REJECTED`] in a row were accepted by no box.
 const NO_PEER_BACKOFF_MS: u64 = 1_000;
+/// A few, since boxes that did not accept a request are passed over for the next ones.
+const MAX_REJECTED: u32 = 3;
 
 /// Why another box did not answer a request.
 enum ForwardError {
-  /// It has not received it, or does not serve it.
+  /// It has not received it, or accepts none for now.
   NotAccepted(String),
+  /// It could not reach the endpoints either that it tried for this request.
+  Unreached,
   /// It may have served it.
   Lost(String),
 }
@@ -61,10 +65,15 @@
     return None;
   }
   let in_flight = InFlight::new(gateway);
-  for address in peers(gateway) {
+  let peers = peers(gateway);
+  if peers.is_empty() {
+    return None;
+  }
+  for address in peers {
     match send(gateway, request, headers, address).await {
       Ok(response) => {
         gateway.counters.forwarded.inc();
+        gateway.not_accepted_in_a_row.set(0);
         log::info!(
           "E550 forwarded: {} {} answered by box {address} with status {}, {} ms after arrival",
           request.id(),
@@ -81,6 +90,12 @@
         );
         record_unresponsive(gateway, address);
       }
+      Err(ForwardError::Unreached) => {
+        log::info!(
+          "E551 not forwarded: {} to box {address}: it reached no endpoint",
+          request.id()
+        );
+      }
       Err(ForwardError::Lost(error)) => {
         log::info!(
           "E551 forwarded and lost: {} at box {address}: {error}",
@@ -91,10 +106,21 @@
       }
     }
   }
+  record_not_accepted(gateway);
+  None
+}
+
+/// Records that no box accepted a request. After a few, all boxes may be cut off: asking them would only add to their load.
+fn record_not_accepted(gateway: &Gateway) {
   gateway.counters.not_forwarded.inc();
+  let in_a_row = gateway.not_accepted_in_a_row.get() + 1;
+  if in_a_row < MAX_REJECTED {
+    gateway.not_accepted_in_a_row.set(in_a_row);
+    return;
+  }
+  gateway.not_accepted_in_a_row.set(0);
   let until_ms = gateway.now_ms() + NO_PEER_BACKOFF_MS;
   gateway.no_peer_until_ms.set(until_ms);
-  None
 }
 
 fn record_unresponsive(gateway: &Gateway, address: SocketAddr) {
@@ -105,19 +131,30 @@
     .record_failure(address, now_ms);
 }
 
-/// The boxes to try, without those that did not accept a request lately.
+/// The boxes to try, without those that did not accept a request lately. Former ones are tried if no other is left.
 fn peers(gateway: &Gateway) -> Vec<SocketAddr> {
   let identity = &gateway.settings.identity;
-  let (mut own_hall, mut other_halls) = {
-    let boxes = gateway.boxes.borrow();
-    boxes.peers(&identity.name, &identity.hall)
-  };
+  let boxes = gateway.boxes.borrow();
+  let (own_hall, other_halls) = boxes.peers(&identity.name, &identity.hall);
+  let draw = || gateway.draw();
+  let peers = choose_peers(
+    responsive(gateway, own_hall),
+    responsive(gateway, other_halls),
+    draw,
+  );
+  if !peers.is_empty() {
+    return peers;
+  }
+  let former = boxes.former_peers(&identity.name);
+  choose_peers(Vec::new(), responsive(gateway, former), draw)
+}
+
+/// The boxes that have not failed to accept a request lately.
+fn responsive(gateway: &Gateway, mut addresses: Vec<SocketAddr>) -> Vec<SocketAddr> {
   let unresponsive = gateway.unresponsive_boxes.borrow();
   let now_ms = gateway.now_ms();
-  for addresses in [&mut own_hall, &mut other_halls] {
-    addresses.retain(|address| !unresponsive.is_unresponsive(*address, now_ms));
-  }
-  choose_peers(own_hall, other_halls, || gateway.draw())
+  addresses.retain(|address| !unresponsive.is_unresponsive(*address, now_ms));
+  addresses
 }
 
 /// Sends the request to a box and waits for the response's head.
@@ -135,13 +172,16 @@
   let response = timeout(wait, connection.send(forwarded))
     .await
     .map_err(|_| ForwardError::Lost(format!("no response within {} ms", wait.as_millis())))??;
-  if !response.headers().contains_key(ACCEPTED) {
-    let status = response.status();
-    return Err(ForwardError::NotAccepted(format!(
-      "status {status}, not accepted"
-    )));
+  if response.headers().contains_key(ACCEPTED) {
+    return Ok((connection, response));
+  }
+  match response.status() {
+    StatusCode::SERVICE_UNAVAILABLE => Err(ForwardError::Unreached),
+    status => {
+      let error = format!("status {status}, not accepted");
+      Err(ForwardError::NotAccepted(error))
+    }
   }
-  Ok((connection, response))
 }
 
 fn build(
--- a/src/gateway/requests/forwarding_headers.rs
+++ b/src/gateway/requests/forwarding_headers.rs
@@ -1,6 +1,6 @@
 //! The headers by which boxes forward requests to each other. They are removed before a message leaves the boxes.
 
-use http::{HeaderMap, HeaderName, HeaderValue};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 
 /// Path prefix of forwarded requests on the port for other boxes. A box without this feature answers it with 404.
 pub(crate) const FORWARD_PATH: &str = "/forward";
@@ -15,6 +15,9 @@
 /// On a response: the incarnation and the id of the endpoint that answered.
 pub(super) const ENDPOINT: HeaderName = HeaderName::from_static("rillford-endpoint");
 
+/// Status of a box that accepts no forwarded requests for now.
+pub(super) const DECLINED_FOR_NOW: StatusCode = StatusCode::MISDIRECTED_REQUEST;
+
 /// Removes all of them.
 pub(super) fn remove_forwarding_headers(headers: &mut HeaderMap) {
   for name in [
--- a/src/gateway/requests/resume_slot.rs
+++ b/src/gateway/requests/resume_slot.rs
@@ -41,7 +41,7 @@
     let Some(entry) = entry.filter(may_decode) else {
       continue;
     };
-    if let Some(reservation) =
+    if let Ok(reservation) =
       request_slot(gateway, request, &entry, request.expected_response_tokens()).await
     {
       log::info!(
--- a/src/gateway/requests/serving.rs
+++ b/src/gateway/requests/serving.rs
@@ -31,7 +31,7 @@
     return forwarded.unwrap_or_else(|| reject_unreachable(&gateway, &request));
   }
   let response = serve_routed(&gateway, &request, in_flight).await;
-  if !is_unreached(&request, &response) {
+  if !is_unreached(&gateway, &request, &response) {
     return response;
   }
   let forwarded = forward_to_box(&gateway, &request).await;
@@ -53,10 +53,15 @@
   LocalReply::NotRun { retry_after_ms }.response()
 }
 
-/// Whether a request was rejected and no endpoint was reached for it.
-pub(super) fn is_unreached(request: &RoutedRequest, response: &Response<ResponseBody>) -> bool {
+/// Whether a request was rejected since endpoints can't be reached, and none has received it.
+pub(super) fn is_unreached(
+  gateway: &Gateway,
+  request: &RoutedRequest,
+  response: &Response<ResponseBody>,
+) -> bool {
+  let is_path_at_fault = request.met_unreachable.get() || gateway.is_cut_off(&request.service);
   response.status() == StatusCode::SERVICE_UNAVAILABLE
-    && request.met_unreachable.get()
+    && is_path_at_fault
     && request.sends.get() == 0
 }
 
--- a/src/gateway/requests/slot.rs
+++ b/src/gateway/requests/slot.rs
@@ -26,6 +26,8 @@
 const MIN_WAIT_SHARE: f64 = 0.22;
 /// Fraction of the latency target that is assumed between a slot and the first event before any was observed.
 const DEFAULT_START_SHARE: f64 = 0.4;
+/// Engines in a row that can't be reached, after which a request gives up: another box may reach them.
+const MAX_UNREACHED: u32 = 6;
 /// Factor on the mean time between a slot and the first event, since it varies.
 const START_MARGIN: f64 = 1.5;
 
@@ -156,7 +158,8 @@
   urgency: SlotUrgency,
 ) -> Option<(EndpointEntry, Reservation)> {
   let queued = QueuedRequest::new(gateway, urgency, request.rank.priority);
-  loop {
+  let mut unreached = 0;
+  while unreached < MAX_UNREACHED {
     let queue_changed = gateway.slot_queue_changed.notified();
     if !queued.is_first() {
       queue_changed.await;
@@ -172,33 +175,47 @@
       tried,
     })?;
     match request_slot(gateway, request, &choice.entry, request.expected_tokens()).await {
-      Some(reservation) => {
+      Ok(reservation) => {
         queued.record_slot();
         return Some((choice.entry, reservation));
       }
-      None if choice.is_backing_off => sleep(FULL_RETRY_DELAY).await,
-      None => {}
+      Err(NoSlot::Unreached) => unreached += 1,
+      Err(NoSlot::Rejected) => unreached = 0,
+    }
+    if choice.is_backing_off {
+      sleep(FULL_RETRY_DELAY).await;
     }
   }
+  None
 }
 
-/// Requests a slot with KV memory for some tokens from one engine; `None` when it is full or does not answer.
+/// Why an engine granted no slot.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum NoSlot {
+  /// It is full, or takes no work now.
+  Rejected,
+  /// It did not answer.
+  Unreached,
+}
+
+/// Requests a slot with KV memory for some tokens from one engine.
 pub(crate) async fn request_slot(
   gateway: &Rc<Gateway>,
   request: &RoutedRequest,
   entry: &EndpointEntry,
   tokens: u64,
-) -> Option<Reservation> {
+) -> Result<Reservation, NoSlot> {
   // One permit covers the slot and the stream in it: without a permit the slot would be useless.
   let permit = match acquire_permit(gateway, entry, request.permit_caller()).await {
     Ok(permit) => permit,
-    Err(_) => return None,
+    Err(_) => return Err(NoSlot::Rejected),
   };
   let call = gateway.codec.reservation_call(tokens, RESERVATION_TTL_MS);
   let mut load_guard = LoadGuard::new(gateway, &entry.id, request.expected_tokens(), 1);
+  let mut reason = NoSlot::Rejected;
   match call_engine(gateway, entry, call, Purpose::Call).await {
     Ok(body) => match gateway.codec.reservation(&body) {
-      Ok(id) => return Some(Reservation::new(gateway, entry, id, permit)),
+      Ok(id) => return Ok(Reservation::new(gateway, entry, id, permit)),
       Err(error) => {
         log::warn!(
           "E511 reservation failed: {} at {}: {error}",
@@ -219,6 +236,7 @@
       }
       if matches!(error, EngineCallError::TimedOut | EngineCallError::Lost(_)) {
         request.met_unreachable.set(true);
+        reason = NoSlot::Unreached;
       }
       load_guard.settle(error.outcome());
     }
@@ -227,5 +245,5 @@
   if permit == Permit::Taken {
     return_permit(gateway, entry);
   }
-  None
+  Err(reason)
 }
--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -110,7 +110,9 @@
   pub(crate) box_client: HttpClient,
   /// Requests of other boxes' callers in flight here.
   pub(crate) forwarded_in_flight: Cell<usize>,
-  /// Until then no box accepts requests of this one.
+  /// Requests in a row that no other box accepted.
+  pub(crate) not_accepted_in_a_row: Cell<u32>,
+  /// Until then no requests are forwarded.
   pub(crate) no_peer_until_ms: Cell<u64>,
   /// Identifies this run of the process.
   pub(crate) incarnation: u64,
@@ -162,6 +164,7 @@
       local_usage: RefCell::default(),
       mean_first_event_ms: Cell::new(None),
       no_peer_until_ms: Cell::new(0),
+      not_accepted_in_a_row: Cell::new(0),
       peak_box_count: RefCell::default(),
       permit_table: RefCell::default(),
       phase: watch::Sender::new(Phase::Serving),
