Soak: boxes that are cut off from all endpoints, in three ways, and their promise

Cause: a link was shared by all boxes, so no run could cut one box off from endpoints that others reach. Change: each box sees endpoints at a loopback host of its own (a view of the store), with a link for each box and endpoint. ServedWhileCutOff is the users' rule; prepared records show that it finds breaches.

--- a/soak/src/box_process.rs
+++ b/soak/src/box_process.rs
@@ -63,7 +63,8 @@
   /// Writes a box's settings file and starts its process.
   pub(crate) async fn start(plan: &BoxPlan<'_>, index: usize) -> Result<Self> {
     let [direct, ready, boxes, metrics] = loopback_addresses(index);
-    let store_link = open_link(plan.store.address).await?;
+    let view = plan.store.start_view(box_host(index)).await;
+    let store_link = open_link(view.map_err(Error::Listen)?.address).await?;
     let caller_link = open_link(direct).await?;
     let name = format!("north-{index:03}");
     let addresses = [direct, ready, boxes, metrics, store_link.address];
@@ -220,6 +221,17 @@
   )
 }
 
+/// The loopback host of a box: it listens there, and sees endpoints there.
+pub(crate) fn box_host(index: usize) -> Ipv4Addr {
+  let process = std::process::id();
+  Ipv4Addr::new(
+    127,
+    160 + (process % 64) as u8,
+    (process / 64 % 256) as u8,
+    (index % 250) as u8 + 1,
+  )
+}
+
 async fn open_link(target: SocketAddr) -> Result<Link> {
   Link::open(target).await.map_err(Error::Listen)
 }
@@ -227,13 +239,7 @@
 /// Addresses on a loopback IP of the box's own: a port that was free on 127.0.0.1 could be taken by an outgoing
 /// connection before the box listens on it.
 fn loopback_addresses<const COUNT: usize>(index: usize) -> [SocketAddr; COUNT] {
-  let process = std::process::id();
-  let ip = Ipv4Addr::new(
-    127,
-    160 + (process % 64) as u8,
-    (process / 64 % 256) as u8,
-    (index % 250) as u8 + 1,
-  );
+  let ip = box_host(index);
   let mut port = 7_000 + 10 * (index / 250) as u16;
   [(); COUNT].map(|()| {
     port += 1;
--- a/soak/src/disturbance.rs
+++ b/soak/src/disturbance.rs
@@ -7,6 +7,8 @@
   Box(usize),
   /// A box from its stop signal until it is up again.
   Leaving(usize),
+  /// The connections of a box to all endpoints.
+  EndpointPaths(usize),
   /// The connection of a box to the store.
   StoreLink(usize),
   /// The endpoint at a place: its process, responses or connections.
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -21,7 +21,7 @@
   std::{
     future::pending,
     io,
-    net::SocketAddr,
+    net::{Ipv4Addr, SocketAddr},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
   },
@@ -379,7 +379,7 @@
     fault: Option<EndpointFault>,
   ) -> io::Result<Response<ReplyBody>> {
     if let Some(source) = header(headers, "x-kv-source") {
-      match self.exports.take(source) {
+      match self.exports.take(&without_host(source)) {
         Some(request) if request == id => {}
         Some(request) => {
           let observed = format!("{id} decoded from the prompt of {request}");
@@ -466,3 +466,11 @@
     self.0.release_slot();
   }
 }
+
+/// The source of a prompt as its engine names it; each box sees engines at another host.
+fn without_host(source: &str) -> String {
+  match source.split_once(':') {
+    Some((_, rest)) => format!("{}:{rest}", Ipv4Addr::LOCALHOST),
+    None => source.into(),
+  }
+}
--- a/soak/src/fault.rs
+++ b/soak/src/fault.rs
@@ -20,6 +20,17 @@
   Reset,
 }
 
+/// How a box is cut off from all endpoints.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EndpointsCut {
+  /// Open connections hang, and connection attempts get no answer.
+  Hang,
+  /// Open connections are reset, and connection attempts get no answer.
+  Reset,
+  /// Open connections live on, and connection attempts are refused.
+  RefuseNew,
+}
+
 /// A fault of the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum StoreFault {
@@ -115,6 +126,15 @@
     /// Duration.
     for_ms: u64,
   },
+  /// A box is cut off from all endpoints.
+  EndpointsCutOff {
+    /// Index of the box.
+    index: usize,
+    /// How.
+    cut: EndpointsCut,
+    /// Duration.
+    for_ms: u64,
+  },
   /// A fault of the store.
   Store {
     /// The fault.
--- a/soak/src/fault_injector.rs
+++ b/soak/src/fault_injector.rs
@@ -4,12 +4,12 @@
   super::{
     disturbance::Target,
     error::Result,
-    fault::{EndpointFault, Fault, LinkFault, StoreFault},
+    fault::{EndpointFault, EndpointsCut, Fault, LinkFault, StoreFault},
     fleet::Fleet,
     hall::Hall,
     link::Link,
   },
-  std::time::Duration,
+  std::{slice, time::Duration},
   tokio::time::sleep,
 };
 
@@ -58,8 +58,12 @@
       fault,
       for_ms,
     } => {
-      let link = &fleet.places[place].link;
-      disturb_link(fleet, link, Target::Endpoint(place), fault, for_ms).await;
+      let links = &fleet.places[place].links;
+      disturb_links(fleet, links, Target::Endpoint(place), fault, for_ms).await;
+      Ok(())
+    }
+    Fault::EndpointsCutOff { index, cut, for_ms } => {
+      cut_off(fleet, index, cut, for_ms).await;
       Ok(())
     }
     Fault::Store { fault, for_ms } => {
@@ -104,10 +108,39 @@
 }
 
 async fn disturb_link(fleet: &Fleet, link: &Link, target: Target, fault: LinkFault, for_ms: u64) {
+  disturb_links(fleet, slice::from_ref(link), target, fault, for_ms).await;
+}
+
+async fn disturb_links(
+  fleet: &Fleet,
+  links: &[Link],
+  target: Target,
+  fault: LinkFault,
+  for_ms: u64,
+) {
   let _disturbed = fleet.recorder.begin_disturbance(target);
-  link.begin_fault(fault);
+  for link in links {
+    link.begin_fault(fault);
+  }
   sleep(Duration::from_millis(for_ms)).await;
-  link.clear_fault();
+  for link in links {
+    link.clear_fault();
+  }
+}
+
+/// Cuts a box off from all endpoints for a while.
+async fn cut_off(fleet: &Fleet, index: usize, cut: EndpointsCut, for_ms: u64) {
+  let _disturbed = fleet
+    .recorder
+    .begin_disturbance(Target::EndpointPaths(index));
+  let links = || fleet.places.iter().map(|place| &place.links[index]);
+  for link in links() {
+    link.begin_cut(cut);
+  }
+  sleep(Duration::from_millis(for_ms)).await;
+  for link in links() {
+    link.end_cut(cut);
+  }
 }
 
 async fn disturb_endpoint(fleet: &Fleet, place: usize, fault: EndpointFault, for_ms: u64) {
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use {
   super::{
-    box_process::{BoxPlan, BoxProcess},
+    box_process::{BoxPlan, BoxProcess, box_host},
     cold_check::COLD_MS,
     configuration::{self, HOST, version_path},
     endpoint::{Endpoint, Identity},
@@ -12,7 +12,6 @@
     error::{Error, Result},
     exports::Exports,
     hall::Hall,
-    link::Link,
     place::Place,
     probe_request::{PROBE_TIMEOUT, send_probe},
     recorder::Recorder,
@@ -24,6 +23,7 @@
   serde_json::json,
   stand_ins::PlatformStore,
   std::{
+    net::Ipv4Addr,
     path::Path,
     sync::{
       Mutex, PoisonError,
@@ -77,8 +77,9 @@
       store,
       versions: AtomicU64::new(0),
     };
+    let hosts: Vec<Ipv4Addr> = (0..boxes).map(box_host).collect();
     for number in 0..places {
-      fleet.add_place(kind_of(number, places)).await?;
+      fleet.add_place(kind_of(number, places), &hosts).await?;
     }
     fleet.configure();
     let plan = BoxPlan {
@@ -95,11 +96,11 @@
     Ok((fleet, event_receiver))
   }
 
-  async fn add_place(&mut self, kind: EndpointKind) -> Result {
+  async fn add_place(&mut self, kind: EndpointKind, hosts: &[Ipv4Addr]) -> Result {
     let listener = listen().await?;
     let target = listener.local_addr().map_err(Error::Listen)?;
-    let link = Link::open(target).await.map_err(Error::Listen)?;
-    self.places.push(Place::new(link));
+    let place = Place::open(hosts, target).await.map_err(Error::Listen)?;
+    self.places.push(place);
     self.serve(self.places.len() - 1, kind, listener);
     Ok(())
   }
@@ -123,7 +124,7 @@
       incarnation,
       kind,
       place,
-      address: self.places[place].link.address,
+      address: self.places[place].address,
     };
     self.recorder.record_start(&identity.incarnation);
     let endpoint = Endpoint::new(identity, &self.recorder, &self.exports, self.events.clone());
@@ -148,7 +149,7 @@
   async fn listen_at(&self, place: usize) -> Result<TcpListener> {
     let listener = listen().await?;
     let target = listener.local_addr().map_err(Error::Listen)?;
-    self.places[place].link.set_target(target);
+    self.places[place].set_target(target);
     Ok(listener)
   }
 
@@ -184,7 +185,7 @@
     }
     let kind = endpoint.kind();
     let mut entry = json!({
-      "service": kind.service(), "address": self.places[place].link.address, "version": "v1",
+      "service": kind.service(), "address": self.places[place].address, "version": "v1",
       "zone": Hall::of_place(place).name(),
       "slots": SLOTS, "state": state, "coldRemainingMs": self.cold_remaining_ms(&incarnation), "callSeq": 1,
       "born": endpoint.start_number,
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -8,6 +8,7 @@
 mod cold_check;
 mod configuration;
 mod content;
+mod cut_off_check;
 mod disturbance;
 mod endpoint;
 mod endpoint_kind;
@@ -45,7 +46,7 @@
   caller_key::CallerKey,
   disturbance::{Disturbance, Target},
   error::{Error, Result},
-  fault::{EndpointFault, Fault, LinkFault, StoreFault},
+  fault::{EndpointFault, EndpointsCut, Fault, LinkFault, StoreFault},
   hall::Hall,
   plan::{ScheduledFault, Size, draw_plan},
   play::{Options, Report, play},
--- a/soak/src/link.rs
+++ b/soak/src/link.rs
@@ -2,8 +2,8 @@
 //! reset.
 
 use {
-  super::fault::LinkFault,
-  socket2::SockRef,
+  super::fault::{EndpointsCut, LinkFault},
+  socket2::{Domain, SockRef, Socket, Type},
   std::{
     io,
     net::SocketAddr,
@@ -21,6 +21,8 @@
   },
 };
 
+/// Time after which a connection attempt shows that a queue is full.
+const FULL_TIMEOUT: Duration = Duration::from_millis(20);
 const CHUNK_BYTES: usize = 16 * 1024;
 
 /// The current state of a link.
@@ -62,26 +64,64 @@
 pub(crate) struct Link {
   /// Listen address.
   pub(crate) address: SocketAddr,
-  target: Arc<Mutex<SocketAddr>>,
+  target: Target,
   condition: watch::Sender<Condition>,
+  /// Whether connection attempts fail, and how.
+  closed: watch::Sender<Option<Closed>>,
+}
+
+/// The target of links, which may change.
+pub(crate) type Target = Arc<Mutex<SocketAddr>>;
+
+/// How connection attempts fail.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Closed {
+  Refused,
+  Unanswered,
 }
 
 impl Link {
   /// Opens a link on a free loopback port.
   pub(crate) async fn open(target: SocketAddr) -> io::Result<Self> {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
+    Self::serve(listener, Arc::new(Mutex::new(target)))
+  }
+
+  /// Opens a link at an address, to a target that other links share.
+  pub(crate) async fn open_at(address: SocketAddr, target: &Target) -> io::Result<Self> {
+    Self::serve(TcpListener::bind(address).await?, target.clone())
+  }
+
+  fn serve(listener: TcpListener, target: Target) -> io::Result<Self> {
     let link = Self {
       address: listener.local_addr()?,
+      closed: watch::Sender::default(),
       condition: watch::Sender::default(),
-      target: Arc::new(Mutex::new(target)),
+      target,
     };
-    tokio::spawn(accept(listener, link.clone()));
+    tokio::spawn(run(listener, link.clone()));
     Ok(link)
   }
 
-  /// Forwards new connections to another target.
-  pub(crate) fn set_target(&self, target: SocketAddr) {
-    *self.target.lock().unwrap_or_else(PoisonError::into_inner) = target;
+  /// Cuts the link until [`end_cut`](Self::end_cut).
+  pub(crate) fn begin_cut(&self, cut: EndpointsCut) {
+    match cut {
+      EndpointsCut::Hang => self.begin_fault(LinkFault::Blocked),
+      EndpointsCut::Reset => self.begin_fault(LinkFault::Reset),
+      EndpointsCut::RefuseNew => {}
+    }
+    let closed = match cut {
+      EndpointsCut::Hang | EndpointsCut::Reset => Closed::Unanswered,
+      EndpointsCut::RefuseNew => Closed::Refused,
+    };
+    self.closed.send_replace(Some(closed));
+  }
+
+  pub(crate) fn end_cut(&self, cut: EndpointsCut) {
+    if cut == EndpointsCut::Hang {
+      self.clear_fault();
+    }
+    self.closed.send_replace(None);
   }
 
   fn target(&self) -> SocketAddr {
@@ -107,12 +147,63 @@
   }
 }
 
-async fn accept(listener: TcpListener, link: Link) {
+/// Accepts connections, except while the link is cut.
+async fn run(mut listener: TcpListener, link: Link) {
+  let mut closed = link.closed.subscribe();
+  loop {
+    tokio::select! {
+      _ = closed.wait_for(Option::is_some) => {}
+      () = accept(&listener, &link) => return,
+    }
+    drop(listener);
+    let is_unanswered = *closed.borrow() == Some(Closed::Unanswered);
+    let blocker = is_unanswered.then(|| FullListener::open(link.address));
+    if closed.wait_for(Option::is_none).await.is_err() {
+      return;
+    }
+    drop(blocker);
+    let Ok(reopened) = TcpListener::bind(link.address).await else {
+      return;
+    };
+    listener = reopened;
+  }
+}
+
+async fn accept(listener: &TcpListener, link: &Link) {
   while let Ok((caller, _)) = listener.accept().await {
     tokio::spawn(proxy_connection(caller, link.clone()));
   }
 }
 
+/// A listener whose queue is full, so that further connection attempts are dropped.
+struct FullListener {
+  _listener: Option<Socket>,
+  _queued: Vec<std::net::TcpStream>,
+}
+
+impl FullListener {
+  /// Opens it. Attempts are refused if that fails.
+  fn open(address: SocketAddr) -> Self {
+    let listener = Self::listen(address).ok();
+    let mut queued = Vec::new();
+    while let Ok(stream) = std::net::TcpStream::connect_timeout(&address, FULL_TIMEOUT) {
+      queued.push(stream);
+    }
+    Self {
+      _listener: listener,
+      _queued: queued,
+    }
+  }
+
+  fn listen(address: SocketAddr) -> io::Result<Socket> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(0)?;
+    Ok(socket)
+  }
+}
+
 /// Forwards one connection until it is closed or reset.
 async fn proxy_connection(caller: TcpStream, link: Link) {
   let mut condition = link.condition.subscribe();
--- a/soak/src/place.rs
+++ b/soak/src/place.rs
@@ -1,21 +1,52 @@
 //! The places of endpoints.
 
 use {
-  super::{link::Link, running_endpoint::RunningEndpoint},
-  std::sync::{Mutex, MutexGuard, PoisonError},
+  super::{
+    link::{Link, Target},
+    running_endpoint::RunningEndpoint,
+  },
+  std::{
+    io,
+    net::{Ipv4Addr, SocketAddr},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+  },
+  tokio::net::TcpListener,
 };
 
-/// An address behind a link, at which incarnations of an endpoint run one after another.
+/// An address behind links, at which incarnations of an endpoint run one after another.
 pub(crate) struct Place {
-  pub(crate) link: Link,
+  /// The address in the store; each box sees its own link's host in it.
+  pub(crate) address: SocketAddr,
+  /// The links, one for each box.
+  pub(crate) links: Vec<Link>,
+  target: Target,
   /// `None` while the endpoint is down.
   running: Mutex<Option<RunningEndpoint>>,
 }
 
 impl Place {
-  pub(crate) fn new(link: Link) -> Self {
-    let running = Mutex::new(None);
-    Self { link, running }
+  /// A place with a link for each host, all at one port.
+  pub(crate) async fn open(hosts: &[Ipv4Addr], target: SocketAddr) -> io::Result<Self> {
+    // Holds the port while the links are opened.
+    let held = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+    let address = held.local_addr()?;
+    let target = Arc::new(Mutex::new(target));
+    let mut links = Vec::new();
+    for host in hosts {
+      let link_address = SocketAddr::from((*host, address.port()));
+      links.push(Link::open_at(link_address, &target).await?);
+    }
+    Ok(Self {
+      address,
+      links,
+      running: Mutex::new(None),
+      target,
+    })
+  }
+
+  /// Forwards new connections to another target.
+  pub(crate) fn set_target(&self, target: SocketAddr) {
+    *self.target.lock().unwrap_or_else(PoisonError::into_inner) = target;
   }
 
   /// The running endpoint, locked.
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -2,7 +2,7 @@
 
 use {
   super::{
-    fault::{EndpointFault, Fault, LinkFault, StoreFault},
+    fault::{EndpointFault, EndpointsCut, Fault, LinkFault, StoreFault},
     hall::Hall,
   },
   rand::{RngExt, SeedableRng},
@@ -30,6 +30,12 @@
 const HALL_DRAIN_INTERVAL_FACTOR: u64 = 8;
 /// Bits by which the seed is rotated, for an independent sequence of draws.
 const HALL_DRAIN_SEED_ROTATION: u32 = 31;
+/// Duration of a cut between boxes and all endpoints. The promise applies after three seconds.
+const CUT_DURATION_MS: (u64, u64) = (4_000, 9_000);
+/// Ratio of the mean interval between such cuts to that of other faults.
+const CUT_INTERVAL_FACTOR: u64 = 6;
+/// Bits by which the seed is rotated, for an independent sequence of draws.
+const CUT_SEED_ROTATION: u32 = 43;
 /// Added latency of a delayed link or a slow store.
 const DELAY_MS: (u64, u64) = (20, 800);
 /// Chance that a fault of a box's process is followed by another one, so that signals overlap.
@@ -89,6 +95,7 @@
   steps.extend(draw_notices(seed, size));
   steps.extend(draw_limits(seed, size));
   steps.extend(draw_hall_drains(seed, size));
+  steps.extend(draw_cuts(seed, size));
   steps.sort_by_key(|step| step.at_ms);
   steps
 }
@@ -157,6 +164,35 @@
   steps
 }
 
+/// Draws boxes that are cut off from all endpoints, from a separate sequence. At least one box is not.
+fn draw_cuts(seed: u64, size: Size) -> Vec<ScheduledFault> {
+  let mut draw = Draw {
+    random: ChaCha8Rng::seed_from_u64(seed.rotate_left(CUT_SEED_ROTATION)),
+    size,
+  };
+  let mut steps = Vec::new();
+  let mut at_ms = draw.interval_ms();
+  while at_ms < size.faults_ms {
+    let cut = draw.one_of(&[
+      EndpointsCut::Hang,
+      EndpointsCut::Reset,
+      EndpointsCut::RefuseNew,
+    ]);
+    let for_ms = draw.between(CUT_DURATION_MS);
+    let first = draw.random.random_range(0..size.boxes);
+    let count = draw.random.random_range(0..size.boxes);
+    let cut_off = (0..count).map(|offset| Fault::EndpointsCutOff {
+      cut,
+      for_ms,
+      index: (first + offset) % size.boxes,
+    });
+    steps.extend(cut_off.map(|fault| ScheduledFault { at_ms, fault }));
+    // One cut after the other: two together could cut off all boxes.
+    at_ms += for_ms + CUT_INTERVAL_FACTOR * draw.interval_ms();
+  }
+  steps
+}
+
 /// The box whose process a fault concerns.
 fn box_of(fault: Fault) -> Option<usize> {
   match fault {
--- a/soak/src/promise.rs
+++ b/soak/src/promise.rs
@@ -39,6 +39,8 @@
   ResourcesReleased,
   /// Callers are served again after all faults.
   Recovered,
+  /// Callers of boxes that are cut off from all endpoints are served nearly as often as those of the others.
+  ServedWhileCutOff,
   /// Endpoints receive the name of the organisation that holds the caller's key.
   OrganisationNamed,
   /// Valid keys are accepted, revoked ones are rejected, and no key is sent to an endpoint.
--- a/soak/src/promises.rs
+++ b/soak/src/promises.rs
@@ -5,6 +5,7 @@
     breach::Breach,
     caller_key::CallerKey,
     cold_check::cold_breaches,
+    cut_off_check::cut_off_breaches,
     hall_check::hall_breaches,
     limit_check::limit_breaches,
     notice_check::notice_breaches,
@@ -41,6 +42,7 @@
   breaches.extend(limit_breaches(records, slack_ms));
   breaches.extend(hall_breaches(records, slack_ms));
   breaches.extend(cold_breaches(records));
+  breaches.extend(cut_off_breaches(records, slack_ms));
   breaches
 }
 
@@ -186,7 +188,7 @@
       // Requests that crash engines are not expected to be served.
       .filter(|request| request.kind != RequestKind::CrashingStream)
       .collect();
-    let served = late.iter().filter(|request| is_served(request)).count();
+    let served = late.iter().filter(|request| request.is_served()).count();
     // A run without requests does not show recovery.
     if served > 0 && served as f64 >= RECOVERED_SHARE * late.len() as f64 {
       return None;
@@ -208,7 +210,3 @@
   );
   Some(Breach::new(Promise::ConfigurationMonotonic, observed))
 }
-
-fn is_served(request: &RequestRecord) -> bool {
-  matches!(&request.outcome, Some(Outcome::Complete { status, .. }) if (200..300).contains(status))
-}
--- a/soak/src/records.rs
+++ b/soak/src/records.rs
@@ -64,6 +64,13 @@
   pub runs: Vec<Run>,
 }
 
+impl RequestRecord {
+  /// Whether the caller received a successful response.
+  pub(crate) fn is_served(&self) -> bool {
+    matches!(&self.outcome, Some(Outcome::Complete { status, .. }) if (200..300).contains(status))
+  }
+}
+
 /// A probe of whether a box has applied a version of the configuration.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Probe {
--- a/soak/src/undisturbed.rs
+++ b/soak/src/undisturbed.rs
@@ -19,7 +19,9 @@
     until_ms: u64,
   ) -> bool {
     self.is_undisturbed(from_ms, until_ms, |target| match target {
-      Target::Box(index) | Target::Leaving(index) => index == request.box_index,
+      Target::Box(index) | Target::Leaving(index) | Target::EndpointPaths(index) => {
+        index == request.box_index
+      }
       Target::Endpoint(place) => request.runs.iter().any(|run| run.place == place),
       Target::Store | Target::StoreLink(_) => false,
     })
@@ -28,7 +30,9 @@
   /// Whether a box was undisturbed from `CONTACT_MS` before a time until another.
   pub(crate) fn is_box_undisturbed(&self, box_index: usize, from_ms: u64, until_ms: u64) -> bool {
     self.is_undisturbed(from_ms, until_ms, |target| match target {
-      Target::Box(index) | Target::Leaving(index) => index == box_index,
+      Target::Box(index) | Target::Leaving(index) | Target::EndpointPaths(index) => {
+        index == box_index
+      }
       Target::Endpoint(_) | Target::Store | Target::StoreLink(_) => false,
     })
   }
@@ -46,7 +50,20 @@
     self.is_undisturbed(from_ms, until_ms, |target| match target {
       Target::Box(index) | Target::Leaving(index) | Target::StoreLink(index) => index == box_index,
       Target::Store => true,
-      Target::Endpoint(_) => false,
+      Target::Endpoint(_) | Target::EndpointPaths(_) => false,
+    })
+  }
+
+  /// Whether the process of a box was undisturbed from `CONTACT_MS` before a time until another.
+  pub(crate) fn is_process_undisturbed(
+    &self,
+    box_index: usize,
+    from_ms: u64,
+    until_ms: u64,
+  ) -> bool {
+    self.is_undisturbed(from_ms, until_ms, |target| match target {
+      Target::Box(index) | Target::Leaving(index) => index == box_index,
+      _ => false,
     })
   }
 
@@ -54,7 +71,7 @@
   pub(crate) fn is_undisturbed_except_stops(&self, request: &RequestRecord) -> bool {
     let until_ms = request.ended_ms.unwrap_or(u64::MAX);
     self.is_undisturbed(request.sent_ms, until_ms, |target| match target {
-      Target::Box(index) => index == request.box_index,
+      Target::Box(index) | Target::EndpointPaths(index) => index == request.box_index,
       // A crash of the endpoint may cut a stream regardless of the planned stop.
       Target::Endpoint(place) => request.runs.iter().any(|run| run.place == place),
       Target::Leaving(_) | Target::Store | Target::StoreLink(_) => false,
@@ -64,7 +81,7 @@
   /// Whether stop signals were the only disturbances of a box while it stopped.
   pub(crate) fn is_stop_undisturbed(&self, stop: &PlannedStop) -> bool {
     self.is_undisturbed(stop.signalled_ms, stop.exited_ms, |target| {
-      target == Target::Box(stop.box_index)
+      target == Target::Box(stop.box_index) || target == Target::EndpointPaths(stop.box_index)
     })
   }
 
--- a/stand_ins/src/platform_store.rs
+++ b/stand_ins/src/platform_store.rs
@@ -4,9 +4,10 @@
   super::store_contents::{Contents, StaleItems},
   axum::response::Response,
   base64::{Engine, engine::general_purpose::STANDARD},
+  serde_json::Value,
   std::{
     future::pending,
-    net::SocketAddr,
+    net::{Ipv4Addr, SocketAddr},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
   },
@@ -23,9 +24,30 @@
   pub address: SocketAddr,
   pub(crate) contents: Arc<Mutex<Contents>>,
   pub(crate) changed: watch::Sender<u64>,
+  /// The host at which endpoints are shown, instead of 127.0.0.1.
+  pub(crate) endpoint_host: Option<Ipv4Addr>,
 }
 
 impl PlatformStore {
+  /// An item or event as it is shown to callers.
+  pub(crate) fn shown(&self, mut item: Value) -> Value {
+    let Some(host) = self.endpoint_host else {
+      return item;
+    };
+    let is_endpoint = item["key"]
+      .as_str()
+      .is_some_and(|key| key.starts_with("servers/"));
+    let value = item["value"]
+      .as_str()
+      .and_then(|text| STANDARD.decode(text).ok());
+    let value = value.and_then(|bytes| String::from_utf8(bytes).ok());
+    if let Some(value) = value.filter(|_| is_endpoint) {
+      let shown = value.replace(&Ipv4Addr::LOCALHOST.to_string(), &host.to_string());
+      item["value"] = STANDARD.encode(shown).into();
+    }
+    item
+  }
+
   /// The contents, locked.
   pub(crate) fn contents(&self) -> MutexGuard<'_, Contents> {
     // A panic between two changes leaves consistent contents.
--- a/stand_ins/src/start_store.rs
+++ b/stand_ins/src/start_store.rs
@@ -8,6 +8,7 @@
   },
   std::{
     io,
+    net::Ipv4Addr,
     sync::Arc,
     time::{Duration, Instant},
   },
@@ -25,7 +26,26 @@
       address: listener.local_addr()?,
       changed: watch::Sender::new(0),
       contents: Arc::default(),
+      endpoint_host: None,
     };
+    store.serve(listener);
+    tokio::spawn(run_lease_expiry(store.clone()));
+    Ok(store)
+  }
+
+  /// Serves the same contents at another address, with endpoints shown at a host. Fails if no port can be opened.
+  pub async fn start_view(&self, endpoint_host: Ipv4Addr) -> io::Result<Self> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let view = Self {
+      address: listener.local_addr()?,
+      endpoint_host: Some(endpoint_host),
+      ..self.clone()
+    };
+    view.serve(listener);
+    Ok(view)
+  }
+
+  fn serve(&self, listener: TcpListener) {
     let router = Router::new()
       .route("/kv-range", get(store_calls::range))
       .route("/kv-key", get(store_calls::key))
@@ -34,10 +54,8 @@
       .route("/kv-lease", post(store_calls::grant))
       .route("/kv-keep/{lease}", post(store_calls::renew))
       .route("/kv-lease-end/{lease}", delete(store_calls::revoke_lease))
-      .with_state(store.clone());
+      .with_state(self.clone());
     tokio::spawn(async move { axum::serve(listener, router).await });
-    tokio::spawn(run_lease_expiry(store.clone()));
-    Ok(store)
   }
 }
 
--- a/stand_ins/src/store_calls.rs
+++ b/stand_ins/src/store_calls.rs
@@ -57,7 +57,7 @@
   let items: Vec<Value> = rows
     .iter()
     .take(PAGE_ITEMS)
-    .map(|(key, item)| item_json(key, item))
+    .map(|(key, item)| store.shown(item_json(key, item)))
     .collect();
   let has_more = rows.len() > PAGE_ITEMS;
   Json(json!({"items": items, "hasMore": has_more, "timestamp": revision})).into_response()
@@ -73,7 +73,7 @@
   let contents = store.contents();
   let requested = params.get("key").map_or("", String::as_str);
   match contents.items.get_key_value(requested) {
-    Some((key, item)) => Json(item_json(key, item)).into_response(),
+    Some((key, item)) => Json(store.shown(item_json(key, item))).into_response(),
     None => StatusCode::NOT_FOUND.into_response(),
   }
 }
@@ -99,11 +99,11 @@
   if after < contents.compacted_revision {
     return StatusCode::GONE.into_response();
   }
-  let events: Vec<&Value> = contents
+  let events: Vec<Value> = contents
     .history
     .iter()
     .filter(|(revision, _)| *revision > after)
-    .map(|(_, event)| event)
+    .map(|(_, event)| store.shown(event.clone()))
     .collect();
   Json(json!({"events": events, "timestamp": contents.revision})).into_response()
 }
--- a/tests/soak_promises.rs
+++ b/tests/soak_promises.rs
@@ -658,3 +658,49 @@
   });
   assert_eq!(found(&one_box_disconnected), []);
 }
+
+/// A cut of box 0 from 10 s to 20 s, and 30 requests at each of two boxes in its last five seconds, of which some are served.
+fn cut_records(served_at_cut: usize, served_at_other: usize) -> Records {
+  let mut records = Records::default();
+  records.disturbances.push(Disturbance {
+    from_ms: 10_000,
+    target: Target::EndpointPaths(0),
+    until_ms: Some(20_000),
+  });
+  for (box_index, served_count) in [(0, served_at_cut), (1, served_at_other)] {
+    for number in 0..30 {
+      let outcome = if number < served_count {
+        served("answer")
+      } else {
+        complete(503, None, "")
+      };
+      let sent = RequestRecord {
+        box_index,
+        sent_ms: 15_000 + 100 * number as u64,
+        ..request(RequestKind::NonRetryable, outcome, Vec::new())
+      };
+      records
+        .requests
+        .insert(format!("{box_index}-{number}"), sent);
+    }
+  }
+  records
+}
+
+#[rstest]
+#[case::none_served_at_the_cut_box(0, 30, true)]
+#[case::half_as_often(15, 30, true)]
+#[case::nearly_as_often(22, 30, false)]
+#[case::few_are_served_anywhere(4, 6, false)]
+#[case::few_failures(19, 30, false)]
+fn boxes_that_are_cut_off_serve_nearly_as_often(
+  #[case] served_at_cut: usize,
+  #[case] served_at_other: usize,
+  #[case] is_breach: bool,
+) {
+  let found = breaches(&cut_records(served_at_cut, served_at_other), SLACK_MS);
+  let is_found = found
+    .iter()
+    .any(|breach| breach.promise == Promise::ServedWhileCutOff);
+  assert_eq!(is_found, is_breach, "{found:?}");
+}
