--- a/soak/src/link.rs
+++ b/soak/src/link.rs
@@ -23,6 +23,7 @@
 
 /// Time after which a connection attempt shows that a queue is full.
 const FULL_TIMEOUT: Duration = Duration::from_millis(20);
+const REOPEN_INTERVAL: Duration = Duration::from_millis(20);
 const CHUNK_BYTES: usize = 16 * 1024;
 
 /// The current state of a link.
@@ -162,10 +163,17 @@
       return;
     }
     drop(blocker);
-    let Ok(reopened) = TcpListener::bind(link.address).await else {
-      return;
-    };
-    listener = reopened;
+    listener = reopen(link.address).await;
+  }
+}
+
+/// Listens again at an address; another socket may hold it for a moment.
+async fn reopen(address: SocketAddr) -> TcpListener {
+  loop {
+    if let Ok(listener) = TcpListener::bind(address).await {
+      return listener;
+    }
+    sleep(REOPEN_INTERVAL).await;
   }
 }
 
--- a/soak/src/place.rs
+++ b/soak/src/place.rs
@@ -13,6 +13,9 @@
   tokio::net::TcpListener,
 };
 
+/// Ports that are tried for a place.
+const MAX_ATTEMPTS: u32 = 20;
+
 /// An address behind links, at which incarnations of an endpoint run one after another.
 pub(crate) struct Place {
   /// The address in the store; each box sees its own link's host in it.
@@ -25,8 +28,20 @@
 }
 
 impl Place {
-  /// A place with a link for each host, all at one port.
+  /// A place with a link for each host, all at one port. Tries another port when one is in use at some host.
   pub(crate) async fn open(hosts: &[Ipv4Addr], target: SocketAddr) -> io::Result<Self> {
+    let mut attempts = 1;
+    loop {
+      match Self::open_at_free_port(hosts, target).await {
+        Err(error) if error.kind() == io::ErrorKind::AddrInUse && attempts < MAX_ATTEMPTS => {
+          attempts += 1;
+        }
+        result => return result,
+      }
+    }
+  }
+
+  async fn open_at_free_port(hosts: &[Ipv4Addr], target: SocketAddr) -> io::Result<Self> {
     // Holds the port while the links are opened.
     let held = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
     let address = held.local_addr()?;
