--- a/src/gateway/decisions/recent_engines.rs
+++ b/src/gateway/decisions/recent_engines.rs
@@ -7,7 +7,7 @@
 };
 
 /// Time for which an engine that disappeared without notice still counts in its last role: crashes and network cuts last up
-/// to 6 s, and a change of role takes 6 s.
+/// to 6 s, of which the entry outlasts three heartbeats, and a change of role takes 6 s.
 const MISSING_GRACE_MS: u64 = 7_000;
 /// Time for which an engine that leaves still counts: its replacement registers sooner.
 const LEAVING_GRACE_MS: u64 = 3_000;
--- a/src/gateway/limits/admission.rs
+++ b/src/gateway/limits/admission.rs
@@ -17,7 +17,7 @@
 };
 
 /// How long a request waits for a coordinator: within a hall one answers in milliseconds, and within 100 ms when it has used up
-/// its CPU quota.
+/// its CPU quota; callers expect a response within some hundred.
 const COORDINATOR_TIMEOUT: Duration = Duration::from_millis(120);
 /// Coordinators asked one after the other for one request.
 const MAX_COORDINATORS_ASKED: usize = 2;
--- a/src/gateway/stages/request.rs
+++ b/src/gateway/stages/request.rs
@@ -22,7 +22,8 @@
   },
 };
 
-/// Fraction of the longest response for which KV memory is reserved without an estimate by the caller.
+/// Fraction of the longest response for which KV memory is reserved without an estimate by the caller: most responses are
+/// shorter, and a stream reaches its length only while others end.
 const EXPECTED_RESPONSE_SHARE: f64 = 0.5;
 /// Fraction of the caller's estimate for which KV memory is reserved. Reserving less makes engines preempt streams, whose
 /// prompts are then prefilled again.
--- a/src/gateway/state/quarantine.rs
+++ b/src/gateway/state/quarantine.rs
@@ -11,7 +11,7 @@
 
 /// Probe claims that may wait for the store; further ones are rejected.
 const MAX_CLAIMS: usize = 64;
-/// Marks that may wait for the store; further ones are not shared.
+/// Marks that may wait for the store, those of some four hundred quarantined requests; further ones are not shared.
 const MAX_UNWRITTEN: usize = 1_024;
 
 /// The box that recorded a mark.
