Reachability: of a group that may be unreachable several endpoints are tried

Cause: a box noticed by failed requests alone. Where each needs a permit it makes few, wastes permits of all boxes on them, and its other requests are rejected for want of a permit, not forwarded. Change: after one failure and 300 ms without contact, connection attempts to three endpoints of the group, each 500 ms, until one is reached or the group counts as unreachable.

--- a/src/gateway/decisions/reachability.rs
+++ b/src/gateway/decisions/reachability.rs
@@ -38,6 +38,15 @@
   unreachable_since_ms: Option<u64>,
 }
 
+impl GroupState {
+  /// Whether there was no contact for a while.
+  fn is_silent(&self, now_ms: u64) -> bool {
+    self
+      .last_contact_ms
+      .is_none_or(|contact_ms| now_ms >= contact_ms + MIN_SILENCE_MS)
+  }
+}
+
 /// A group that has become unreachable.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct GroupLost {
@@ -79,8 +88,8 @@
     state.unreached.insert(endpoint);
     let contact_age = |contact_ms| now_ms.saturating_sub(contact_ms);
     let contact_age_ms = state.last_contact_ms.map(contact_age);
-    let is_silent = contact_age_ms.is_none_or(|age_ms| age_ms >= MIN_SILENCE_MS);
-    let is_lost = is_silent && state.unreached.len() >= MIN_UNREACHED.min(known.max(1));
+    let is_lost =
+      state.is_silent(now_ms) && state.unreached.len() >= MIN_UNREACHED.min(known.max(1));
     if !is_lost || state.unreachable_since_ms.is_some() {
       return None;
     }
@@ -113,6 +122,17 @@
     state.is_some_and(|state| state.unreachable_since_ms.is_some())
   }
 
+  /// The groups that may be unreachable: an endpoint failed, and there was no contact for a while.
+  pub fn suspected(&self, now_ms: u64) -> impl Iterator<Item = &EndpointGroup> {
+    let is_suspected = move |state: &GroupState| {
+      state.unreachable_since_ms.is_none() && !state.unreached.is_empty() && state.is_silent(now_ms)
+    };
+    let groups = self.groups.iter();
+    groups
+      .filter(move |(_, state)| is_suspected(state))
+      .map(|(group, _)| group)
+  }
+
   /// The groups that are unreachable now.
   pub fn unreachable(&self) -> impl Iterator<Item = &EndpointGroup> {
     let unreachable = |state: &GroupState| state.unreachable_since_ms.is_some();
--- a/src/gateway/stages/reachability_probe.rs
+++ b/src/gateway/stages/reachability_probe.rs
@@ -11,37 +11,51 @@
 
 /// Interval of connection attempts to a group of endpoints.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+/// Endpoints of a suspected group that are tried at once; as many failures make it unreachable.
+const SUSPECT_PROBES: usize = 3;
 
-/// Connects to one endpoint of each unreachable group from time to time, until the process exits.
+/// Connects to one endpoint of each unreachable group from time to time, until the process exits. Of a group that may be
+/// unreachable it tries several: requests may be too few to tell, or find no permits.
 pub(crate) async fn probe_unreachable(gateway: Rc<Gateway>) {
   loop {
     sleep(PROBE_INTERVAL).await;
-    let groups: Vec<EndpointGroup> = {
+    let now_ms = gateway.now_ms();
+    let groups: Vec<(EndpointGroup, usize)> = {
       let reachability = gateway.reachability.borrow();
-      reachability.unreachable().cloned().collect()
+      let unreachable = reachability.unreachable().map(|group| (group.clone(), 1));
+      let suspected = reachability.suspected(now_ms);
+      unreachable
+        .chain(suspected.map(|group| (group.clone(), SUSPECT_PROBES)))
+        .collect()
     };
-    join_all(groups.iter().map(|group| probe(&gateway, group))).await;
+    let probes = groups.iter();
+    join_all(probes.map(|(group, count)| probe(&gateway, group, *count))).await;
   }
 }
 
-/// Connects to an endpoint of a group; a group without endpoints counts as reachable.
-async fn probe(gateway: &Gateway, group: &EndpointGroup) {
-  let Some(entry) = random_entry(gateway, group) else {
+/// Connects to some endpoints of a group; a group without endpoints counts as reachable.
+async fn probe(gateway: &Gateway, group: &EndpointGroup, count: usize) {
+  let entries = some_entries(gateway, group, count);
+  if entries.is_empty() {
     gateway.reachability.borrow_mut().remove(group);
-    return;
-  };
-  if Connection::open(entry.id.clone(), entry.address)
-    .await
-    .is_ok()
-  {
-    gateway.record_reached(&entry);
   }
+  join_all(entries.iter().map(|entry| connect(gateway, entry))).await;
 }
 
-fn random_entry(gateway: &Gateway, group: &EndpointGroup) -> Option<EndpointEntry> {
+async fn connect(gateway: &Gateway, entry: &EndpointEntry) {
+  match Connection::open(entry.id.clone(), entry.address).await {
+    Ok(_) => gateway.record_reached(entry),
+    Err(_) => gateway.record_unreached(entry),
+  }
+}
+
+/// Up to `count` neighbouring entries of a group, from a random one on.
+fn some_entries(gateway: &Gateway, group: &EndpointGroup, count: usize) -> Vec<EndpointEntry> {
   let endpoints = gateway.endpoints.borrow();
   let in_group = |entry: &&EndpointEntry| EndpointGroup::of(entry) == *group;
-  let count = endpoints.count_group(group);
-  let index = (gateway.draw() * count as f64) as usize;
-  endpoints.entries().filter(in_group).nth(index).cloned()
+  let known = endpoints.count_group(group);
+  let first = (gateway.draw() * known as f64) as usize;
+  let entries: Vec<&EndpointEntry> = endpoints.entries().filter(in_group).collect();
+  let rotated = entries.iter().cycle().skip(first).take(count.min(known));
+  rotated.map(|entry| (*entry).clone()).collect()
 }
--- a/tests/gateway/cut_off.rs
+++ b/tests/gateway/cut_off.rs
@@ -7,7 +7,10 @@
   },
   emulator::eventually,
   http::StatusCode,
-  rillford::HttpClient,
+  rillford::{
+    HttpClient,
+    gateway::{EndpointGroup, Reachability},
+  },
   rstest::rstest,
   socket2::{Domain, Socket, Type},
   std::{
@@ -333,3 +336,30 @@
   boxes.heal();
   assert!(boxes.cut_off.becomes_ready().await);
 }
+
+/// Guards against a box that needs many requests to notice that it reaches no endpoint.
+#[test]
+fn group_is_suspected_after_one_failure_without_contact() {
+  let group = EndpointGroup {
+    role: None,
+    service: "portal".into(),
+  };
+  let mut reachability = Reachability::default();
+  reachability.record_contact(&group, 1_000);
+  reachability.record_failure(&group, "a".into(), 5, 1_100);
+  assert_eq!(reachability.suspected(1_200).count(), 0);
+  assert_eq!(reachability.suspected(1_300).count(), 1);
+  // Failures beside contact with others don't make a group unreachable.
+  reachability.record_failure(&group, "b".into(), 5, 1_290);
+  assert_eq!(
+    reachability.record_failure(&group, "c".into(), 5, 1_299),
+    None
+  );
+  assert!(
+    reachability
+      .record_failure(&group, "d".into(), 5, 1_300)
+      .is_some()
+  );
+  assert_eq!(reachability.suspected(1_400).count(), 0);
+  assert_eq!(reachability.record_contact(&group, 1_800), Some(500));
+}
