--- a/src/gateway/decisions/reachability.rs
+++ b/src/gateway/decisions/reachability.rs
@@ -1,8 +1,8 @@
 //! Which groups of endpoints this box can't reach, while others may. Free of I/O.
 //!
-//! Load pattern: connections to all endpoints hang, are reset or are refused, for this box or for all boxes. One endpoint
-//! that fails says nothing of the others; several in a row, and no contact in between, mean that a request would try one
-//! after the other in vain.
+//! Load pattern: connections to all endpoints hang, are reset or are refused, for this box or for all boxes. One failing
+//! endpoint is no evidence about the others; after several in a row without contact in between, a request would try one
+//! after the other and fail.
 
 use {
   crate::{decide::Role, gateway::edge::EndpointEntry, ids::Name},
--- a/src/gateway/requests/forwarding.rs
+++ b/src/gateway/requests/forwarding.rs
@@ -24,7 +24,7 @@
   tokio::time::timeout,
 };
 
-/// The other box answers at the deadline itself; its answer says whether the request has run.
+/// The other box answers at the deadline itself, and knows whether the request has run.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(100);
 /// How long requests are not forwarded after [`MAX_REJECTED`] in a row were accepted by no box.
 const NO_PEER_BACKOFF_MS: u64 = 1_000;
