Soak: cut boxes are compared with others only while another box is in touch

The others' requests of those times don't count, so that different seconds were compared.

Change: a request at a cut box counts while some box that is not cut is undisturbed. All other bounds stay. Three cases in tests/soak_promises.rs, one of which still finds the breach when the other box was down at first.

--- a/soak/src/cut_off_check.rs
+++ b/soak/src/cut_off_check.rs
@@ -1,13 +1,16 @@
 //! Checks that boxes which are cut off from all endpoints have their callers served by others.
 
-use super::{
-  breach::Breach,
-  caller_key::CallerKey,
-  disturbance::{Disturbance, Target},
-  promise::Promise,
-  records::{Records, RequestRecord},
-  request_kind::RequestKind,
-  undisturbed::CONTACT_MS,
+use {
+  super::{
+    breach::Breach,
+    caller_key::CallerKey,
+    disturbance::{Disturbance, Target},
+    promise::Promise,
+    records::{Records, RequestRecord},
+    request_kind::RequestKind,
+    undisturbed::CONTACT_MS,
+  },
+  std::collections::BTreeSet,
 };
 
 /// Least share of requests that are served at cut boxes, of that at the others.
@@ -69,6 +72,21 @@
     .requests
     .values()
     .filter(|request| request.key != CallerKey::Hot && request.kind != RequestKind::CrashingStream);
+  let is_cut = |index| {
+    let target = Target::EndpointPaths(index);
+    cuts.iter().any(|cut| cut.target == target)
+  };
+  let others: BTreeSet<usize> = records
+    .requests
+    .values()
+    .map(|request| request.box_index)
+    .filter(|index| !is_cut(*index))
+    .collect();
+  // While every other box is disturbed too, no box could serve the callers of the cut ones.
+  let has_other = |at_ms| {
+    let mut others = others.iter();
+    others.any(|index| records.is_process_undisturbed(*index, at_ms, at_ms))
+  };
   for request in requests {
     let sent_ms = request.sent_ms;
     if !(counted_ms..until_ms).contains(&sent_ms)
@@ -76,11 +94,10 @@
     {
       continue;
     }
-    let target = Target::EndpointPaths(request.box_index);
-    if cuts.iter().any(|cut| cut.target == target) {
-      at_cut.record(request);
-    } else {
+    if !is_cut(request.box_index) {
       at_others.record(request);
+    } else if has_other(sent_ms) {
+      at_cut.record(request);
     }
   }
   let allowed_failures =
--- a/tests/soak_promises.rs
+++ b/tests/soak_promises.rs
@@ -704,3 +704,33 @@
     .any(|breach| breach.promise == Promise::ServedWhileCutOff);
   assert_eq!(is_found, is_breach, "{found:?}");
 }
+
+/// Requests of a time in which no other box was in touch can't be compared with those of another time.
+#[rstest]
+#[case::other_box_up(None, true)]
+#[case::only_other_box_down(Some((14_000, 16_500)), false)]
+#[case::only_other_box_down_at_first(Some((9_000, 12_500)), true)]
+fn cut_off_boxes_are_compared_while_another_box_is_in_touch(
+  #[case] other_down_ms: Option<(u64, u64)>,
+  #[case] is_breach: bool,
+) {
+  let mut records = cut_records(0, 30);
+  records
+    .disturbances
+    .extend(other_down_ms.map(|(from_ms, until_ms)| Disturbance {
+      from_ms,
+      target: Target::Box(1),
+      until_ms: Some(until_ms),
+    }));
+  let later = RequestRecord {
+    box_index: 1,
+    sent_ms: 19_800,
+    ..request(RequestKind::NonRetryable, served("answer"), Vec::new())
+  };
+  records.requests.insert("later".into(), later);
+  let found = breaches(&records, SLACK_MS);
+  let is_found = found
+    .iter()
+    .any(|breach| breach.promise == Promise::ServedWhileCutOff);
+  assert_eq!(is_found, is_breach, "{found:?}");
+}
