Log the versions at which streams begin and go on, and which stream a caller resumes

An endpoint's entry is decoded with the version of its software, a caller's request with the id of the stream that it resumes (Resumes).

--- a/emulator/src/load/replay.rs
+++ b/emulator/src/load/replay.rs
@@ -13,6 +13,7 @@
     decide::Role,
     gateway::{
       AllowedHalls, AttemptOutcome, EndpointCriteria, EndpointEntry, EndpointRegistry, LoadHeader,
+      SoftwareVersion,
     },
     ids::Name,
   },
@@ -140,6 +141,7 @@
     role: Some(Role::Decode),
     slots: SLOTS,
     service: "llm".into(),
+    version: SoftwareVersion::default(),
   }
 }
 
--- a/emulator/src/notices/replay.rs
+++ b/emulator/src/notices/replay.rs
@@ -15,7 +15,7 @@
   rillford::{
     gateway::{
       AllowedHalls, AttemptOutcome, EndpointCriteria, EndpointEntry, EndpointNotice,
-      EndpointRegistry, LimitHeader, NoticeChange, RetryAllowance, RetryWindow,
+      EndpointRegistry, LimitHeader, NoticeChange, RetryAllowance, RetryWindow, SoftwareVersion,
       jittered_backoff_ms, retry_after_backoff_ms,
     },
     ids::Name,
@@ -130,6 +130,7 @@
     role: None,
     slots: 6,
     service: SERVICE.into(),
+    version: SoftwareVersion::default(),
   }
 }
 
--- a/emulator/src/places/replay.rs
+++ b/emulator/src/places/replay.rs
@@ -18,8 +18,8 @@
     gateway::{
       AdvertisedLimit, BoxList, EndpointEntry, EndpointIncarnation, ISOLATED_BOXES, LimitChange,
       LimitHeader, LimitSource, LocalPermitVerdict, PermitRequest, PermitVerdict, ReportScope,
-      TokenBucket, UsageLimit, UsageTotals, UsageVerdict, coordinator_limit, coordinator_order,
-      isolated_limit,
+      SoftwareVersion, TokenBucket, UsageLimit, UsageTotals, UsageVerdict, coordinator_limit,
+      coordinator_order, isolated_limit,
     },
     ids::Name,
   },
@@ -94,6 +94,7 @@
     role: None,
     slots: 8,
     service: "portal".into(),
+    version: SoftwareVersion::default(),
   };
   let list = fleet.list_without(None);
   let order = order_of(&list, &entry);
--- a/src/gateway/decisions/recent_engines.rs
+++ b/src/gateway/decisions/recent_engines.rs
@@ -16,10 +16,10 @@
 /// next incarnation has registered: while two entries share an address, neither is reliable.
 ///
 /// ```
-/// use rillford::{decide::Role, gateway::{EndpointEntry, stable_engines}};
+/// use rillford::{decide::Role, gateway::{EndpointEntry, SoftwareVersion, stable_engines}};
 /// let engine = |id: &str, port: u16| EndpointEntry {
 ///   address: ([127, 0, 0, 1], port).into(), started_ms: None, cold_ms: 0, hall: "north".into(), id: id.into(), leaving: false,
-///   role: Some(Role::Decode), slots: 16, service: "llm".into(),
+///   role: Some(Role::Decode), slots: 16, service: "llm".into(), version: SoftwareVersion::default(),
 /// };
 /// let engines = [engine("a", 1), engine("b", 2), engine("b-again", 2)];
 /// let stable: Vec<_> = stable_engines(&engines).map(|engine| &*engine.id).collect();
@@ -46,10 +46,10 @@
 /// The recently observed engines by address: a restarted one comes back there under another id.
 ///
 /// ```
-/// use rillford::{decide::Role, gateway::{EndpointEntry, RecentEngines}};
+/// use rillford::{decide::Role, gateway::{EndpointEntry, RecentEngines, SoftwareVersion}};
 /// let engine = EndpointEntry {
 ///   address: "127.0.0.1:1".parse().unwrap(), started_ms: None, cold_ms: 0, hall: "north".into(), id: "a".into(), leaving: false,
-///   role: Some(Role::Decode), slots: 16, service: "llm".into(),
+///   role: Some(Role::Decode), slots: 16, service: "llm".into(), version: SoftwareVersion::default(),
 /// };
 /// let mut recent = RecentEngines::default();
 /// recent.record(std::slice::from_ref(&engine), 0);
--- a/src/gateway/decisions/role_plan.rs
+++ b/src/gateway/decisions/role_plan.rs
@@ -18,10 +18,10 @@
 /// `missing` for a short while count in their roles. Each role keeps at least one engine. The plan is the same on every box.
 ///
 /// ```
-/// use rillford::{decide::Role, gateway::{EndpointEntry, plan_roles}};
+/// use rillford::{decide::Role, gateway::{EndpointEntry, SoftwareVersion, plan_roles}};
 /// let engine = |id: &str, hall: &str, role| EndpointEntry {
 ///   address: "127.0.0.1:1".parse().unwrap(), started_ms: None, cold_ms: 0, hall: hall.into(), id: id.into(), leaving: false,
-///   role: Some(role), slots: 16, service: "llm".into(),
+///   role: Some(role), slots: 16, service: "llm".into(), version: SoftwareVersion::default(),
 /// };
 /// let engines = [
 ///   engine("a", "north", Role::Prefill), engine("b", "north", Role::Prefill),
--- a/src/gateway/edge/caller_attributes.rs
+++ b/src/gateway/edge/caller_attributes.rs
@@ -17,6 +17,8 @@
   pub answer_estimate: Option<u64>,
   /// The last event of the stream that the caller has received, when it resumes one.
   pub last_event_id: Option<u64>,
+  /// The id of the request that brought the first event of the stream that the caller resumes.
+  pub resumed_request_id: Option<Name>,
   /// The segments of the prompt in order. The last one is unique to the request or to its session.
   pub prompt_segments: Vec<PromptSegment>,
 }
--- a/src/gateway/edge/endpoint_entry.rs
+++ b/src/gateway/edge/endpoint_entry.rs
@@ -1,6 +1,7 @@
 //! An endpoint, as listed in the store.
 
 use {
+  super::software_version::SoftwareVersion,
   crate::{decide::Role, ids::Name},
   std::net::SocketAddr,
 };
@@ -18,6 +19,8 @@
   pub address: SocketAddr,
   /// Its data hall.
   pub hall: Name,
+  /// The version of its software. What two versions stream does not fit together.
+  pub version: SoftwareVersion,
   /// Requests that it runs at once.
   pub slots: u32,
   /// Remaining time of its cold start when the entry was written.
--- a/src/gateway/edge/mod.rs
+++ b/src/gateway/edge/mod.rs
@@ -12,6 +12,7 @@
 mod prompt_segment;
 mod region_set;
 mod route_table;
+mod software_version;
 mod store;
 
 pub use self::{
@@ -29,6 +30,7 @@
   route_table::{
     CallerLimits, ColdStart, EngineSpec, Route, RouteKind, RouteTable, ServiceSpec, WeightedService,
   },
+  software_version::SoftwareVersion,
   store::{
     MAX_CHANGED_KEYS, ReadConsistency, RoleLeadership, Store, StoreChanges, StoreError, StoreItem,
     StoreKey, StoreLease, StorePage,
--- a/src/gateway/requests/event_relay.rs
+++ b/src/gateway/requests/event_relay.rs
@@ -9,6 +9,7 @@
   },
   crate::gateway::{
     decisions::AttemptOutcome,
+    edge::SoftwareVersion,
     quarantine::{LostStage, record_lost_stage, record_success},
     stages::{ResponseHead, RoutedRequest, StageError},
     state::InFlight,
@@ -99,9 +100,12 @@
       self.first_event_recorded = true;
       let took_ms = self.stream.gateway.now_ms() - self.stream.request.arrived_ms;
       self.stream.gateway.counters.first_event_ms.record(took_ms);
+      let origin = self.head.as_ref().map(|head| &head.entry);
       log::info!(
-        "E509 first event: {} after {took_ms} ms",
-        self.stream.request.id()
+        "E509 first event: {} after {took_ms} ms, from {} version {}",
+        self.stream.request.id(),
+        origin.map_or("-", |entry| &entry.id),
+        origin.map_or_else(SoftwareVersion::default, |entry| entry.version.clone())
       );
     }
   }
@@ -201,7 +205,9 @@
       request.id(),
       self.stream.last_event_id
     );
+    let mut interrupted_version = SoftwareVersion::default();
     if let Some(mut head) = self.head.take() {
+      interrupted_version = head.entry.version.clone();
       head.load_guard.settle(AttemptOutcome::Lost);
       let lost = LostStage {
         entry: head.entry.clone(),
@@ -224,6 +230,14 @@
     match timeout(Duration::from_millis(remaining_ms), self.stream.begin()).await {
       Ok(Ok(head)) => {
         self.stream.gateway.counters.resumed.inc();
+        log::info!(
+          "E557 stream resumed: {} after event {:?} at {} version {}, interrupted at version {}",
+          request.id(),
+          self.stream.last_event_id,
+          head.entry.id,
+          head.entry.version,
+          interrupted_version
+        );
         self.head = Some(head);
         Ok(())
       }
--- a/src/gateway/requests/stream_request.rs
+++ b/src/gateway/requests/stream_request.rs
@@ -209,9 +209,10 @@
         .gateway
         .record_first_event(self.gateway.now_ms() - reserved_ms);
       log::info!(
-        "E510 streaming: {} at {} with status {}, prefilled by {prefilled_by}: seat {} ms, prompt {} ms, head {} ms, {} ms after arrival, try {}",
+        "E510 streaming: {} at {} version {} with status {}, prefilled by {prefilled_by}: seat {} ms, prompt {} ms, head {} ms, {} ms after arrival, try {}",
         self.request.id(),
         entry.id,
+        entry.version,
         head.status,
         reserved_ms - requested_ms,
         prefilled_ms - reserved_ms,
--- a/tests/gateway/choice.rs
+++ b/tests/gateway/choice.rs
@@ -5,7 +5,7 @@
     decide::Role,
     gateway::{
       AllowedHalls, AttemptOutcome, EndpointCriteria, EndpointEntry, EndpointRegistry, LoadHeader,
-      Unavailable,
+      SoftwareVersion, Unavailable,
     },
   },
   rstest::rstest,
@@ -23,6 +23,7 @@
     role,
     slots: 8,
     service: "portal".into(),
+    version: SoftwareVersion::default(),
   }
 }
 
--- a/tests/gateway/cold_endpoints.rs
+++ b/tests/gateway/cold_endpoints.rs
@@ -12,7 +12,8 @@
   rand_chacha::ChaCha8Rng,
   rillford::gateway::{
     AdvertisedLimit, ColdPeriod, EndpointEntry, EndpointIncarnation, EndpointLimits, LimitHeader,
-    LimitSource, LocalPermitVerdict, PermitRequest, PermitTable, PermitVerdict, coordinator_limit,
+    LimitSource, LocalPermitVerdict, PermitRequest, PermitTable, PermitVerdict, SoftwareVersion,
+    coordinator_limit,
   },
   rstest::rstest,
   serde_json::{Value, json},
@@ -244,6 +245,7 @@
     role: None,
     slots: 8,
     service: "portal".into(),
+    version: SoftwareVersion::default(),
   }
 }
 
--- a/tests/gateway/hall_drain.rs
+++ b/tests/gateway/hall_drain.rs
@@ -12,7 +12,7 @@
     decide::Role,
     gateway::{
       AllowedHalls, DrainedHalls, EndpointCriteria, EndpointEntry, EndpointRegistry,
-      HallDrainChange, Unavailable,
+      HallDrainChange, SoftwareVersion, Unavailable,
     },
   },
   rstest::rstest,
@@ -245,6 +245,7 @@
     role: Some(Role::Decode),
     slots: 8,
     service: "llm".into(),
+    version: SoftwareVersion::default(),
   }
 }
 
--- a/tests/gateway/notice_tracker.rs
+++ b/tests/gateway/notice_tracker.rs
@@ -6,7 +6,7 @@
   rillford::{
     gateway::{
       AllowedHalls, Availability, EndpointCounts, EndpointCriteria, EndpointEntry, EndpointNotice,
-      EndpointRegistry, Unavailable,
+      EndpointRegistry, SoftwareVersion, Unavailable,
     },
     retry_after_ms,
   },
@@ -24,6 +24,7 @@
     role: None,
     slots: 8,
     service: "portal".into(),
+    version: SoftwareVersion::default(),
   }
 }
 
--- a/tests/gateway/permits.rs
+++ b/tests/gateway/permits.rs
@@ -6,7 +6,7 @@
   rillford::gateway::{
     AdvertisedLimit, AllowedHalls, BoxEntry, BoxList, EndpointCriteria, EndpointEntry,
     EndpointLimits, EndpointRegistry, ISOLATED_BOXES, LimitChange, LimitHeader, LimitSource,
-    LocalPermitVerdict, LocalPermits, PermitAccount, PermitRequest, PermitVerdict,
+    LocalPermitVerdict, LocalPermits, PermitAccount, PermitRequest, PermitVerdict, SoftwareVersion,
     coordinator_limit, coordinator_order, isolated_limit,
   },
   rstest::rstest,
@@ -30,6 +30,7 @@
     role: None,
     slots: 8,
     service: "portal".into(),
+    version: SoftwareVersion::default(),
   }
 }
 
--- a/tests/gateway/role_plan.rs
+++ b/tests/gateway/role_plan.rs
@@ -3,7 +3,7 @@
 use {
   rillford::{
     decide::Role,
-    gateway::{EndpointEntry, RecentEngines, plan_roles, stable_engines},
+    gateway::{EndpointEntry, RecentEngines, SoftwareVersion, plan_roles, stable_engines},
   },
   rstest::rstest,
 };
@@ -21,6 +21,7 @@
     role: Some(role),
     slots: 16,
     service: "llm".into(),
+    version: SoftwareVersion::default(),
   }
 }
 
