An interrupted stream goes on only at the version that began it, within one response

What callers saw: while endpoints of two versions serve, a stream that was interrupted was resumed at any endpoint of its service, and its response held events of both versions, with status 200.

Cause: the choice of an endpoint didn't consider the software version.

Change: from the response's head on, a stream is bound to that endpoint's version, for a new choice, a slot that is reserved while the engine is silent, and an engine that has the prompt cached. The check directly before each send compares the listed version with the chosen one, so that an endpoint that comes back under its id with another version gets nothing that was chosen for the former one. With no endpoint of the version left the stream is cut at once, and its caller may come back.

The prefill may run at any version: it writes no events.

interrupted_stream_does_not_go_on_at_another_version failed before (r0 ran at both versions) and passes; it now has a case for a silent engine, and enough retry budget for eight streams (the third resumption was denied before).

--- a/emulator/src/load/replay.rs
+++ b/emulator/src/load/replay.rs
@@ -212,6 +212,7 @@
       service: "llm",
       size: PROMPT_TOKENS,
       tried: &request.tried,
+      version: None,
     };
     let Some(choice) = registry.choose(criteria, now_ms, || random.random()) else {
       return;
--- a/emulator/src/notices/replay.rs
+++ b/emulator/src/notices/replay.rs
@@ -226,6 +226,7 @@
       service: SERVICE,
       size: 1,
       tried: &request.tried,
+      version: None,
     };
     let random = &mut self.random;
     let choice = self.boxes[request.at]
--- a/src/gateway/decisions/choice.rs
+++ b/src/gateway/decisions/choice.rs
@@ -2,7 +2,11 @@
 
 use {
   super::allowed_halls::AllowedHalls,
-  crate::{decide::Role, gateway::edge::EndpointEntry, ids::Name},
+  crate::{
+    decide::Role,
+    gateway::edge::{EndpointEntry, SoftwareVersion},
+    ids::Name,
+  },
 };
 
 /// The criteria by which an endpoint is selected.
@@ -15,6 +19,8 @@
   pub size: u64,
   /// Endpoints that were tried before and are excluded.
   pub tried: &'a [Name],
+  /// The version that began the stream; `None` takes any.
+  pub version: Option<&'a SoftwareVersion>,
   /// The halls that may be chosen.
   pub allowed_halls: &'a AllowedHalls,
   /// The preferred hall.
--- a/src/gateway/decisions/endpoint_registry.rs
+++ b/src/gateway/decisions/endpoint_registry.rs
@@ -140,7 +140,7 @@
   pub fn check(&self, chosen: &EndpointEntry, now_ms: u64) -> Result<(), Unavailable> {
     let entry = self
       .entry(&chosen.id)
-      .filter(|entry| entry.started_ms == chosen.started_ms)
+      .filter(|entry| entry.started_ms == chosen.started_ms && entry.version == chosen.version)
       .ok_or(Unavailable::Unlisted)?;
     self.check_listed(entry, now_ms)
   }
@@ -230,6 +230,9 @@
           && accepts_work(endpoint)
           && criteria.allowed_halls.contains(&endpoint.entry.hall)
           && (criteria.role.is_none() || endpoint.entry.role == criteria.role)
+          && criteria
+            .version
+            .is_none_or(|version| endpoint.entry.version == *version)
           && !criteria.tried.contains(&endpoint.entry.id)
       })
       .collect();
--- a/src/gateway/requests/event_relay.rs
+++ b/src/gateway/requests/event_relay.rs
@@ -38,7 +38,8 @@
 }
 
 impl EventRelay {
-  pub(crate) fn new(stream: StreamRequest, head: ResponseHead, in_flight: InFlight) -> Self {
+  pub(crate) fn new(mut stream: StreamRequest, head: ResponseHead, in_flight: InFlight) -> Self {
+    stream.version = Some(head.entry.version.clone());
     Self {
       first_event_recorded: false,
       head: Some(head),
--- a/src/gateway/requests/prefill.rs
+++ b/src/gateway/requests/prefill.rs
@@ -62,6 +62,7 @@
       service: &request.service,
       size: request.attributes.prompt_tokens.max(1),
       tried: &tried,
+      version: None,
     });
     let Some(choice) = choice else { break };
     if bypasses_prefill(gateway, request, &choice) {
--- a/src/gateway/requests/resume_slot.rs
+++ b/src/gateway/requests/resume_slot.rs
@@ -5,7 +5,7 @@
   crate::{
     decide::Role,
     gateway::{
-      edge::{EndpointEntry, PromptSegment},
+      edge::{EndpointEntry, PromptSegment, SoftwareVersion},
       stages::{Purpose, Reservation, RoutedRequest, call_engine},
       state::Gateway,
     },
@@ -23,6 +23,7 @@
   gateway: &Rc<Gateway>,
   request: &Rc<RoutedRequest>,
   interrupted_at: Option<&Name>,
+  version: Option<&SoftwareVersion>,
 ) -> Option<(EndpointEntry, Reservation)> {
   let engines = match interrupted_at {
     Some(engine) => vec![engine.clone()],
@@ -35,6 +36,7 @@
     };
     let may_decode = |entry: &EndpointEntry| {
       entry.role == Some(Role::Decode)
+        && version.is_none_or(|version| entry.version == *version)
         && request.allowed_halls.contains(&entry.hall)
         && gateway.check(entry).is_ok()
     };
--- a/src/gateway/requests/slot.rs
+++ b/src/gateway/requests/slot.rs
@@ -5,7 +5,7 @@
     decide::Role,
     gateway::{
       decisions::{AttemptOutcome, EndpointCriteria, QueuePosition, SlotUrgency},
-      edge::EndpointEntry,
+      edge::{EndpointEntry, SoftwareVersion},
       permits::{Permit, acquire_permit, return_permit},
       stages::{EngineCallError, LoadGuard, Purpose, Reservation, RoutedRequest, call_engine},
       state::Gateway,
@@ -38,22 +38,31 @@
   until_ms: u64,
 }
 
+/// The engines that a request may not get a slot at.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Exclusions<'a> {
+  /// Engines that were tried.
+  pub(crate) tried: &'a [Name],
+  /// The version that began the stream; engines of other versions are excluded.
+  pub(crate) version: Option<&'a SoftwareVersion>,
+}
+
 /// Reserves a slot. Resumed streams go first, then the oldest request of the highest priority. A new request waits as long as its
 /// first event can still meet the latency target.
 pub(crate) async fn reserve_slot(
   gateway: &Rc<Gateway>,
   request: &Rc<RoutedRequest>,
-  tried: &[Name],
+  exclusions: Exclusions<'_>,
 ) -> Option<(EndpointEntry, Reservation)> {
   let since_ms = gateway.now_ms();
-  let wait = slot_wait(gateway, request, tried);
+  let wait = slot_wait(gateway, request, exclusions.tried);
   let wait_ms = wait.until_ms.saturating_sub(since_ms);
   if !has_chance(gateway, request, wait.urgency, wait_ms) {
     return None;
   }
   let slot = timeout(
     Duration::from_millis(wait_ms),
-    request_in_order(gateway, request, tried, wait.urgency),
+    request_in_order(gateway, request, exclusions, wait.urgency),
   )
   .await
   .unwrap_or(None);
@@ -154,7 +163,7 @@
 async fn request_in_order(
   gateway: &Rc<Gateway>,
   request: &RoutedRequest,
-  tried: &[Name],
+  exclusions: Exclusions<'_>,
   urgency: SlotUrgency,
 ) -> Option<(EndpointEntry, Reservation)> {
   let queued = QueuedRequest::new(gateway, urgency, request.rank.priority);
@@ -172,7 +181,8 @@
       role: Some(Role::Decode),
       service: &request.service,
       size: request.expected_tokens().max(1),
-      tried,
+      tried: exclusions.tried,
+      version: exclusions.version,
     })?;
     match request_slot(gateway, request, &choice.entry, request.expected_tokens()).await {
       Ok(reservation) => {
--- a/src/gateway/requests/stream_request.rs
+++ b/src/gateway/requests/stream_request.rs
@@ -1,11 +1,15 @@
 //! The attempts of one streaming request: batch slot, prefill, stream.
 
 use {
-  super::{prefill::prefill, resume_slot::reserve_resume_slot, slot::reserve_slot},
+  super::{
+    prefill::prefill,
+    resume_slot::reserve_resume_slot,
+    slot::{Exclusions, reserve_slot},
+  },
   crate::{
     gateway::{
       decisions::{AttemptOutcome, EndpointCriteria},
-      edge::EndpointEntry,
+      edge::{EndpointEntry, SoftwareVersion},
       stages::{ExportGuard, Reservation, ResponseHead, RoutedRequest, StageError},
       state::Gateway,
     },
@@ -38,6 +42,8 @@
   pub(crate) request: Rc<RoutedRequest>,
   /// The last event that was forwarded to the caller.
   pub(crate) last_event_id: Option<u64>,
+  /// The version of the endpoint that began the stream; only endpoints of that version may go on.
+  pub(crate) version: Option<SoftwareVersion>,
   /// Endpoints that were tried.
   pub(super) tried: Vec<Name>,
   /// Attempts that may have run.
@@ -78,6 +84,7 @@
       skips_prefill: false,
       slot: None,
       tried: Vec::new(),
+      version: None,
       was_prefilled: false,
     }
   }
@@ -87,6 +94,14 @@
     &self.tried
   }
 
+  /// The endpoints that may not run the stream.
+  pub(super) fn exclusions(&self) -> Exclusions<'_> {
+    Exclusions {
+      tried: &self.tried,
+      version: self.version.as_ref(),
+    }
+  }
+
   /// Whether an endpoint may have run the request.
   pub(crate) fn may_have_run(&self) -> bool {
     self.attempts > 0
@@ -177,6 +192,7 @@
       service: &self.request.service,
       size: self.request.expected_tokens().max(1),
       tried: &self.tried,
+      version: self.version.as_ref(),
     });
     let entry = choice.ok_or(StreamFailure::NoSlot)?.entry;
     self.charge_send()?;
@@ -192,7 +208,7 @@
     let requested_ms = self.gateway.now_ms();
     let slot = match self.slot.take() {
       Some(slot) => Some(slot),
-      None => reserve_slot(&self.gateway, &self.request, &self.tried).await,
+      None => reserve_slot(&self.gateway, &self.request, self.exclusions()).await,
     };
     let reserved_ms = self.gateway.now_ms();
     let (entry, reservation) = slot.ok_or(StreamFailure::NoSlot)?;
@@ -236,7 +252,13 @@
     if !self.gateway.settings.mechanisms.resume_on_cached_prompt {
       return None;
     }
-    reserve_resume_slot(&self.gateway, &self.request, interrupted_at.as_ref()).await
+    reserve_resume_slot(
+      &self.gateway,
+      &self.request,
+      interrupted_at.as_ref(),
+      self.version.as_ref(),
+    )
+    .await
   }
 
   /// The exported KV cache for a decode engine in a hall; `None` when that engine has to prefill the prompt itself.
--- a/src/gateway/requests/stream_send.rs
+++ b/src/gateway/requests/stream_send.rs
@@ -112,7 +112,7 @@
     if !self.is_split() {
       return true;
     }
-    self.slot = reserve_slot(&self.gateway, &self.request, &self.tried).await;
+    self.slot = reserve_slot(&self.gateway, &self.request, self.exclusions()).await;
     self.slot.is_some()
   }
 
--- a/src/gateway/requests/unary.rs
+++ b/src/gateway/requests/unary.rs
@@ -215,6 +215,7 @@
       service: &self.request.service,
       size: 1,
       tried: &self.tried,
+      version: None,
     });
     choice.map(|choice| choice.entry)
   }
--- a/tests/gateway/choice.rs
+++ b/tests/gateway/choice.rs
@@ -44,6 +44,7 @@
     service: "portal",
     size: 1,
     tried: &[],
+    version: None,
   }
 }
 
@@ -258,3 +259,32 @@
   );
   assert_eq!(registry.check(&incarnation(2), 0), Ok(()));
 }
+
+/// An entry may come back under its id with another version while a request for the former one is prepared.
+#[test]
+fn new_version_gets_no_requests_chosen_for_the_former_one() {
+  let versioned = |id, version| EndpointEntry {
+    version: SoftwareVersion::new(version),
+    ..entry(id, "north", None)
+  };
+  let mut registry = EndpointRegistry::default();
+  registry.put(versioned("a", "v1"));
+  registry.put(versioned("a", "v2"));
+  registry.put(versioned("b", "v1"));
+  assert_eq!(
+    registry.check(&versioned("a", "v1"), 0),
+    Err(Unavailable::Unlisted)
+  );
+  assert_eq!(registry.check(&versioned("a", "v2"), 0), Ok(()));
+  let choice = |version: &SoftwareVersion| {
+    let work = EndpointCriteria {
+      version: Some(version),
+      ..criteria()
+    };
+    let choice = registry.choose(work, 0, || 0.5);
+    choice.map(|choice| choice.entry.id.to_string())
+  };
+  assert_eq!(choice(&SoftwareVersion::new("v1")).as_deref(), Some("b"));
+  assert_eq!(choice(&SoftwareVersion::new("v2")).as_deref(), Some("a"));
+  assert_eq!(choice(&SoftwareVersion::default()), None);
+}
--- a/tests/gateway/hall_drain.rs
+++ b/tests/gateway/hall_drain.rs
@@ -265,6 +265,7 @@
     service: "llm",
     size: 1,
     tried: &[],
+    version: None,
   };
   assert_eq!(
     &*endpoints.choose(criteria, 0, || 0.5).unwrap().entry.id,
--- a/tests/gateway/notice_tracker.rs
+++ b/tests/gateway/notice_tracker.rs
@@ -59,6 +59,7 @@
     service: "portal",
     size: 1,
     tried: &[],
+    version: None,
   };
   let choice = registry.choose(criteria, now_ms, || 0.5)?;
   Some(choice.entry.id.to_string())
--- a/tests/gateway/permits.rs
+++ b/tests/gateway/permits.rs
@@ -309,6 +309,7 @@
       service: "portal",
       size: 1,
       tried: &[],
+      version: None,
     };
     let choice = registry.choose(criteria, now_ms, || 0.5);
     choice.map(|choice| choice.entry.id.to_string())
--- a/tests/gateway/versions.rs
+++ b/tests/gateway/versions.rs
@@ -6,6 +6,7 @@
     endpoint::engine_reply,
   },
   emulator::eventually,
+  futures_util::future::join_all,
   http::{HeaderValue, StatusCode},
   rstest::rstest,
   std::{collections::HashSet, sync::Mutex, time::Duration},
@@ -30,8 +31,17 @@
   }
 }
 
-/// Cuts each stream that it begins, and rejects its resumption; streams the rest of those that another engine began.
-fn cuts_what_it_begins() -> impl Fn(&ReceivedRequest) -> Reply + Send + Sync + 'static {
+/// How an engine fails within a stream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Failure {
+  Cut,
+  Silent,
+}
+
+/// Fails within each stream that it begins, and rejects its resumption; streams the rest of those that another engine began.
+fn fails_what_it_begins(
+  failure: Failure,
+) -> impl Fn(&ReceivedRequest) -> Reply + Send + Sync + 'static {
   let began: Mutex<HashSet<String>> = Mutex::default();
   move |seen| {
     if !is_stream(seen) {
@@ -40,7 +50,11 @@
     let mut began = began.lock().unwrap();
     if seen.header("last-event-id").is_empty() {
       began.insert(seen.id().into());
-      return Reply::WriteAndClose(Reply::stream_part(seen, BEGINNING));
+      let beginning = Reply::stream_part(seen, BEGINNING);
+      return match failure {
+        Failure::Cut => Reply::WriteAndClose(beginning),
+        Failure::Silent => Reply::Write(beginning),
+      };
     }
     match began.contains(seen.id()) {
       true => Reply::not_run(seen),
@@ -93,23 +107,27 @@
 
 /// Guards against a stream that holds events of two versions in one response.
 #[rstest]
-#[case::another_engine_of_its_version(2, true)]
-#[case::only_another_version(1, false)]
+#[case::another_engine_of_its_version(Failure::Cut, 2, true)]
+#[case::only_another_version(Failure::Cut, 1, false)]
+#[case::silent(Failure::Silent, 2, true)]
 #[tokio::test]
 async fn interrupted_stream_does_not_go_on_at_another_version(
+  #[case] failure: Failure,
   #[case] engines_of_each: usize,
   #[case] is_complete: bool,
 ) {
   let prefill = EndpointStandIn::engine(EVENTS).await;
-  let test = GatewayTest::new().await;
+  let mut test = GatewayTest::new().await;
+  // Each stream needs three retries.
+  test.retry_slack = 600.0;
   test.enter("e-1", "llm", Some("prefill"), &prefill);
-  let engines = Engines::start(&test, engines_of_each, cuts_what_it_begins).await;
+  let engines = Engines::start(&test, engines_of_each, || fails_what_it_begins(failure)).await;
   let gateway = test.start().await;
-  for number in 0..STREAMS {
-    let id = format!("r{number}");
-    let response = gateway.ask("/resumable/a", &id).await;
+  let ids: Vec<String> = (0..STREAMS).map(|number| format!("r{number}")).collect();
+  let responses = join_all(ids.iter().map(|id| gateway.ask("/resumable/a", id))).await;
+  for (id, response) in ids.iter().zip(responses) {
     assert_eq!(response.status, StatusCode::OK);
-    assert_eq!(engines.versions_of(&id).len(), 1, "{id}");
+    assert_eq!(engines.versions_of(id).len(), 1, "{id}");
     assert_eq!(response.body.ok().as_deref(), is_complete.then_some(EVENTS));
   }
 }
