A stream that its caller resumes goes on only at the version that began it

What callers saw: after a broken connection they came back with Last-Event-Id, mostly to another box, and the rest of their answer came from another version than its beginning.

Cause: a box served such a request like a new one. Which version began the stream was known nowhere, and Resumes, by which callers name it, was not read.

Change: - The box that forwards a stream's first event records the service and the version, under a hash of the organisation and the request's id. While the service has, or had within the time in which a stream may be resumed, several versions, it sends the record to up to four boxes, by rendezvous hashing, of up to three halls. Streams that began before the second version was known are sent when it is. - The box that a caller returns to asks them, and goes on at that version only. Unknown while several versions are known to it or to a box that answered: rejected at once with 503. Unknown with one version: goes on, as before. - A service of a divided route is kept too.

Ruled out: asking all boxes without records (the box that began the stream is often the one that was killed), the store (a write for each batch of streams, and it may be away), refusing all (no stream would go on), a version that follows from the request's id alone (streams that began before the second version, or at a full one, would be wrong).

New: streams from before the second version after a kill, a box cut off from the store, Resumes missing, empty, repeated, unknown, overlong.

--- a/src/gateway/decisions/coordinator_order.rs
+++ b/src/gateway/decisions/coordinator_order.rs
@@ -1,10 +1,9 @@
 //! Which box coordinates the permits of an endpoint for all boxes. Free of I/O.
 
 use {
-  super::box_list::{BoxEntry, BoxList},
+  super::{box_list::BoxList, rendezvous::rendezvous_order},
   crate::ids::Name,
-  sha2::{Digest, Sha256},
-  std::{cmp::Reverse, net::SocketAddr},
+  std::net::SocketAddr,
 };
 
 /// The candidates for an endpoint's coordinator, by rendezvous hashing, the coordinator first. Boxes of the endpoint's hall
@@ -29,34 +28,10 @@
 ) -> Vec<(Name, SocketAddr)> {
   let (own, others): (Vec<_>, Vec<_>) =
     boxes.entries().partition(|(_, entry)| &*entry.hall == hall);
-  let mut order = by_weight(own, endpoint);
+  let mut order = rendezvous_order(own, endpoint.as_bytes());
   if order.len() < max {
-    order.extend(by_weight(others, endpoint));
+    order.extend(rendezvous_order(others, endpoint.as_bytes()));
   }
   order.truncate(max);
   order
 }
-
-fn by_weight(boxes: Vec<(&Name, &BoxEntry)>, endpoint: &str) -> Vec<(Name, SocketAddr)> {
-  let mut ranked: Vec<_> = boxes
-    .into_iter()
-    .map(|(name, entry)| (weight(name, endpoint), name, entry.address))
-    .collect();
-  ranked.sort_by_key(|(weight, name, _)| (Reverse(*weight), *name));
-  ranked
-    .into_iter()
-    .map(|(_, name, address)| (name.clone(), address))
-    .collect()
-}
-
-/// A hash that is the same on all boxes, and has no pattern over boxes and endpoints.
-fn weight(name: &str, endpoint: &str) -> [u8; 8] {
-  let mut hasher = Sha256::new();
-  hasher.update(name.len().to_le_bytes());
-  hasher.update(name);
-  hasher.update(endpoint);
-  let hash = hasher.finalize();
-  let mut weight = [0; 8];
-  weight.copy_from_slice(&hash[..8]);
-  weight
-}
--- a/src/gateway/decisions/endpoint_registry.rs
+++ b/src/gateway/decisions/endpoint_registry.rs
@@ -11,6 +11,7 @@
     hall_reachability::HallReachability,
     notice_tracker::{Availability, NoticeChange, NoticeTracker},
     reachability::EndpointGroup,
+    service_versions::ServiceVersions,
     unavailable::Unavailable,
   },
   crate::{
@@ -36,6 +37,8 @@
   notices: NoticeTracker,
   /// The limits that they advertise.
   limits: EndpointLimits,
+  /// The software versions of the services.
+  versions: ServiceVersions,
   /// Whether notices are recorded and not honoured.
   ignores_notices: bool,
   /// Start of the uninterrupted contact with the store.
@@ -61,8 +64,11 @@
 
   /// Inserts or updates an entry.
   pub fn put(&mut self, entry: EndpointEntry) {
+    self.versions.add(&entry.service, &entry.version);
     match self.endpoints.get_mut(&entry.id) {
       Some(endpoint) => {
+        let former = &endpoint.entry;
+        self.versions.remove(&former.service, &former.version);
         endpoint.entry = entry;
         endpoint.lapses_at_ms = None;
       }
@@ -76,7 +82,9 @@
 
   /// Removes an endpoint whose entry was deleted.
   pub fn remove(&mut self, id: &str) {
-    self.endpoints.remove(id);
+    if let Some(EndpointState { entry, .. }) = self.endpoints.remove(id) {
+      self.versions.remove(&entry.service, &entry.version);
+    }
   }
 
   /// Keeps an endpoint until a time although its entry was missing after a store outage, unless the entry comes back.
@@ -88,11 +96,25 @@
 
   /// Removes the endpoints whose lapsed entries did not come back in time.
   pub fn remove_lapsed(&mut self, now_ms: u64) {
-    self.endpoints.retain(|_, endpoint| {
+    let lapsed = self.endpoints.values().filter(|endpoint| {
       endpoint
         .lapses_at_ms
-        .is_none_or(|until_ms| now_ms < until_ms)
+        .is_some_and(|until_ms| now_ms >= until_ms)
     });
+    let lapsed: Vec<Name> = lapsed.map(|endpoint| endpoint.entry.id.clone()).collect();
+    for id in lapsed {
+      self.remove(&id);
+    }
+  }
+
+  /// The software versions of the services.
+  pub fn versions(&self) -> &ServiceVersions {
+    &self.versions
+  }
+
+  /// The same, to record changes that are not listed.
+  pub fn versions_mut(&mut self) -> &mut ServiceVersions {
+    &mut self.versions
   }
 
   /// The ids of all endpoints.
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -13,6 +13,7 @@
 mod cold_endpoints;
 mod coordinator_limit;
 mod coordinator_order;
+mod copy_budget;
 mod drained_halls;
 mod endpoint_counts;
 mod endpoint_incarnation;
@@ -36,13 +37,18 @@
 mod reachability;
 mod recent_engines;
 mod recent_usage;
+mod record_holders;
+mod rendezvous;
 mod reporter_list;
 mod retry_after;
 mod retry_window;
 mod role_plan;
+mod service_versions;
 mod slot_forecast;
 mod slot_queue;
 mod store_retry_delay;
+mod stream_key;
+mod stream_records;
 mod token_bucket;
 mod unavailable;
 mod usage_table;
@@ -58,6 +64,7 @@
   cold_endpoints::{ColdEndpoints, ColdPeriod},
   coordinator_limit::{ISOLATED_BOXES, coordinator_limit, isolated_limit},
   coordinator_order::coordinator_order,
+  copy_budget::CopyBudget,
   drained_halls::{DrainedHalls, HallDrainChange},
   endpoint_counts::EndpointCounts,
   endpoint_incarnation::EndpointIncarnation,
@@ -77,12 +84,16 @@
   quarantine_strategy::QuarantineStrategy,
   reachability::{EndpointGroup, GroupLost, Reachability},
   recent_engines::{RecentEngines, stable_engines},
+  record_holders::{RECORD_COPIES, record_holders, record_sources},
   retry_after::retry_after_backoff_ms,
   retry_window::{RetryAllowance, RetryUsage, RetryWindow},
   role_plan::{RolePlan, plan_roles},
+  service_versions::ServiceVersions,
   slot_forecast::SlotForecast,
   slot_queue::{QueuePosition, SlotQueue, SlotUrgency},
   store_retry_delay::store_retry_delay_ms,
+  stream_key::StreamKey,
+  stream_records::{RecordSource, RecordedOrigin, StreamOrigin, StreamRecords},
   token_bucket::TokenBucket,
   unavailable::Unavailable,
   usage_table::{ReportScope, UsageTable, UsageTotals},
@@ -92,7 +103,7 @@
 pub(crate) use self::{
   retry_after::{
     RETRY_AFTER_FULL_MS, RETRY_AFTER_LEAVING_MS, RETRY_AFTER_NO_CONFIGURATION_MS,
-    RETRY_AFTER_NO_ENDPOINT_MS,
+    RETRY_AFTER_NO_ENDPOINT_MS, RETRY_AFTER_UNKNOWN_ORIGIN_MS,
   },
   role_plan::with_role,
 };
--- a/src/gateway/decisions/retry_after.rs
+++ b/src/gateway/decisions/retry_after.rs
@@ -6,6 +6,8 @@
 pub(crate) const RETRY_AFTER_NO_ENDPOINT_MS: u64 = 1_000;
 /// No configuration is in force on this box yet.
 pub(crate) const RETRY_AFTER_NO_CONFIGURATION_MS: u64 = 500;
+/// The box that recorded where the stream began may be cut off for a while.
+pub(crate) const RETRY_AFTER_UNKNOWN_ORIGIN_MS: u64 = 1_000;
 /// This box is about to stop; other boxes serve.
 pub(crate) const RETRY_AFTER_LEAVING_MS: u64 = 50;
 /// Window over which callers return after the first backoff ends, when all endpoints back off: else the callers of dozens of
--- a/src/gateway/edge/route_table.rs
+++ b/src/gateway/edge/route_table.rs
@@ -89,6 +89,14 @@
       .rfind(|target| target.weight > 0)
       .map(|target| &target.service)
   }
+
+  /// Whether some of its requests go to a service.
+  pub fn leads_to(&self, service: &str) -> bool {
+    self
+      .services
+      .iter()
+      .any(|target| target.weight > 0 && &*target.service == service)
+  }
 }
 
 /// The engines of a language-model service.
@@ -193,6 +201,12 @@
     organisations.filter_map(|organisation| Some((&organisation.name, organisation.limit?)))
   }
 
+  /// The longest timeout of a route; 0 without routes.
+  pub fn longest_timeout_ms(&self) -> u64 {
+    let routes = self.by_host.values().flatten();
+    routes.map(|route| route.timeout_ms).max().unwrap_or(0)
+  }
+
   /// The version; only a higher one replaces it.
   pub fn version(&self) -> u64 {
     self.version
--- a/src/gateway/membership/relay.rs
+++ b/src/gateway/membership/relay.rs
@@ -9,6 +9,7 @@
       limits::{TOTALS_PATH, USAGE_PATH, handle_totals, handle_usage},
       permits::{LIMITS_PATH, PERMITS_PATH, handle_limit, handle_permits},
       quarantine::{MARKS_PATH, handle_marks},
+      resumption::{FIND_STREAM_PATH, STREAMS_PATH, handle_lookup, handle_records},
       state::Gateway,
     },
   },
@@ -63,6 +64,8 @@
     LIMITS_PATH => handle_limit(&gateway, request).await,
     PERMITS_PATH => handle_permits(&gateway, request).await,
     MARKS_PATH => handle_marks(&gateway, request).await,
+    STREAMS_PATH => handle_records(&gateway, request).await,
+    FIND_STREAM_PATH => handle_lookup(&gateway, request).await,
     _ => handle_changes(gateway, request).await,
   }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 mod process;
 mod quarantine;
 mod requests;
+mod resumption;
 mod roles;
 mod settings;
 mod stages;
@@ -28,17 +29,19 @@
   connections::remove_connection_headers,
   decisions::{
     AdvertisedLimit, AdvertisedLimits, AllowedHalls, AttemptOutcome, Availability, BoxEntry,
-    BoxList, CachedPrompts, Choice, ColdEndpoints, ColdPeriod, DrainedHalls, EndpointCounts,
-    EndpointCriteria, EndpointGroup, EndpointIncarnation, EndpointLimits, EndpointRegistry,
-    Fingerprint, GroupLost, HallDrainChange, ISOLATED_BOXES, LimitChange, LimitSource,
-    LimitStrategy, LocalPermitVerdict, LocalPermits, LocalUsage, LocalVerdict, NoticeChange,
-    NoticeTracker, PeakBoxCount, PermitAccount, PermitRequest, PermitTable, PermitVerdict,
-    QuarantineKey, QuarantineMark, QuarantineRegistry, QuarantineStrategy, QuarantineVerdict,
-    QueuePosition, Reachability, RecentEngines, ReportScope, RequestIdentity, RetryAllowance,
-    RetryUsage, RetryWindow, RolePlan, SlotForecast, SlotQueue, SlotUrgency, TokenBucket,
-    Unavailable, UsageRequest, UsageTable, UsageTotals, UsageVerdict, choose_peers,
-    coordinator_limit, coordinator_order, isolated_limit, jittered_backoff_ms, plan_roles,
-    retry_after_backoff_ms, stable_engines, store_retry_delay_ms,
+    BoxList, CachedPrompts, Choice, ColdEndpoints, ColdPeriod, CopyBudget, DrainedHalls,
+    EndpointCounts, EndpointCriteria, EndpointGroup, EndpointIncarnation, EndpointLimits,
+    EndpointRegistry, Fingerprint, GroupLost, HallDrainChange, ISOLATED_BOXES, LimitChange,
+    LimitSource, LimitStrategy, LocalPermitVerdict, LocalPermits, LocalUsage, LocalVerdict,
+    NoticeChange, NoticeTracker, PeakBoxCount, PermitAccount, PermitRequest, PermitTable,
+    PermitVerdict, QuarantineKey, QuarantineMark, QuarantineRegistry, QuarantineStrategy,
+    QuarantineVerdict, QueuePosition, RECORD_COPIES, Reachability, RecentEngines, RecordSource,
+    RecordedOrigin, ReportScope, RequestIdentity, RetryAllowance, RetryUsage, RetryWindow,
+    RolePlan, ServiceVersions, SlotForecast, SlotQueue, SlotUrgency, StreamKey, StreamOrigin,
+    StreamRecords, TokenBucket, Unavailable, UsageRequest, UsageTable, UsageTotals, UsageVerdict,
+    choose_peers, coordinator_limit, coordinator_order, isolated_limit, jittered_backoff_ms,
+    plan_roles, record_holders, record_sources, retry_after_backoff_ms, stable_engines,
+    store_retry_delay_ms,
   },
   edge::{
     CallerAttributes, CallerLimits, ColdStart, DecodeError, EndpointCall, EndpointEntry,
--- a/src/gateway/process/start.rs
+++ b/src/gateway/process/start.rs
@@ -14,6 +14,7 @@
       membership::{maintain_entry, revoke_entry, sync_store},
       quarantine::sync_quarantine,
       requests::accept_callers,
+      resumption::publish_streams,
       roles::manage_roles,
       settings::{GatewayListen, GatewaySettings},
       stages::probe_unreachable,
@@ -148,6 +149,7 @@
   spawn_local(serve_boxes(gateway.clone(), ports.boxes));
   spawn_local(probe_unreachable(gateway.clone()));
   spawn_local(sync_usage(gateway.clone()));
+  spawn_local(publish_streams(gateway.clone()));
   spawn_local(sync_quarantine(gateway.clone(), store.clone()));
   spawn_local(remove_expired(gateway.clone()));
 }
--- a/src/gateway/requests/event_relay.rs
+++ b/src/gateway/requests/event_relay.rs
@@ -11,6 +11,7 @@
     decisions::AttemptOutcome,
     edge::SoftwareVersion,
     quarantine::{LostStage, record_lost_stage, record_success},
+    resumption::record_stream,
     stages::{ResponseHead, RoutedRequest, StageError},
     state::InFlight,
   },
@@ -102,6 +103,9 @@
       let took_ms = self.stream.gateway.now_ms() - self.stream.request.arrived_ms;
       self.stream.gateway.counters.first_event_ms.record(took_ms);
       let origin = self.head.as_ref().map(|head| &head.entry);
+      if let Some(entry) = origin {
+        record_stream(&self.stream.gateway, &self.stream.request, entry);
+      }
       log::info!(
         "E509 first event: {} after {took_ms} ms, from {} version {}",
         self.stream.request.id(),
--- a/src/gateway/requests/forwarded.rs
+++ b/src/gateway/requests/forwarded.rs
@@ -10,7 +10,10 @@
     routing::route_request,
     serving::{is_unreached, serve_routed},
   },
-  crate::gateway::state::{Gateway, InFlight, Phase},
+  crate::gateway::{
+    resumption::resolve_resumption,
+    state::{Gateway, InFlight, Phase},
+  },
   bytes::Bytes,
   futures_util::stream,
   http::{Request, Response, StatusCode, Uri, uri::PathAndQuery},
@@ -154,7 +157,7 @@
     request.id(),
     request.service
   );
-  let request = Rc::new(request);
+  let request = Rc::new(resolve_resumption(&gateway, request).await);
   let response = serve_routed(&gateway, &request, own_in_flight).await;
   let response = response.map(|body| hold_until_end(body, in_flight));
   if is_unreached(&gateway, &request, &response) {
--- a/src/gateway/requests/serving.rs
+++ b/src/gateway/requests/serving.rs
@@ -8,11 +8,14 @@
     unary::serve_unary,
   },
   crate::gateway::{
-    decisions::{RETRY_AFTER_LEAVING_MS, RETRY_AFTER_NO_ENDPOINT_MS},
+    decisions::{
+      RETRY_AFTER_LEAVING_MS, RETRY_AFTER_NO_ENDPOINT_MS, RETRY_AFTER_UNKNOWN_ORIGIN_MS,
+    },
     edge::RouteKind,
     limits::{Charge, OverLimit, admit},
     quarantine::{Quarantined, release_unsent_probe, screen},
-    stages::RoutedRequest,
+    resumption::resolve_resumption,
+    stages::{Resumption, RoutedRequest},
     state::{Gateway, InFlight, Phase},
   },
   http::{Response, StatusCode},
@@ -25,11 +28,12 @@
   request: RoutedRequest,
   in_flight: InFlight,
 ) -> Response<ResponseBody> {
-  let request = Rc::new(request);
   if gateway.is_cut_off(&request.service) {
+    let request = Rc::new(request);
     let forwarded = forward_to_box(&gateway, &request).await;
     return forwarded.unwrap_or_else(|| reject_unreachable(&gateway, &request));
   }
+  let request = Rc::new(resolve_resumption(&gateway, request).await);
   let response = serve_routed(&gateway, &request, in_flight).await;
   if !is_unreached(&gateway, &request, &response) {
     return response;
@@ -53,6 +57,17 @@
   LocalReply::NotRun { retry_after_ms }.response()
 }
 
+/// Rejects a request that resumes a stream of which no box knows where it began.
+fn reject_unknown_origin(request: &RoutedRequest) -> Response<ResponseBody> {
+  let retry_after_ms = RETRY_AFTER_UNKNOWN_ORIGIN_MS;
+  log::info!(
+    "E501 rejected: {} {} with status 503, origin unknown, retry after {retry_after_ms} ms",
+    request.id(),
+    request.service
+  );
+  LocalReply::NotRun { retry_after_ms }.response()
+}
+
 /// Whether a request was rejected since endpoints can't be reached, and none has received it.
 pub(super) fn is_unreached(
   gateway: &Gateway,
@@ -129,6 +144,9 @@
       }
       .response()
     }
+    RouteKind::Stream { .. } if request.resumption == Resumption::UnknownOrigin => {
+      reject_unknown_origin(&request)
+    }
     RouteKind::Stream { .. } => serve_stream(gateway, request, in_flight).await,
     RouteKind::Retryable | RouteKind::NonRetryable => serve_unary(gateway, request).await,
   }
--- a/src/gateway/requests/stream_request.rs
+++ b/src/gateway/requests/stream_request.rs
@@ -10,7 +10,7 @@
     gateway::{
       decisions::{AttemptOutcome, EndpointCriteria},
       edge::{EndpointEntry, SoftwareVersion},
-      stages::{ExportGuard, Reservation, ResponseHead, RoutedRequest, StageError},
+      stages::{ExportGuard, Reservation, ResponseHead, Resumption, RoutedRequest, StageError},
       state::Gateway,
     },
     ids::Name,
@@ -70,6 +70,10 @@
 
 impl StreamRequest {
   pub(crate) fn new(gateway: Rc<Gateway>, request: Rc<RoutedRequest>) -> Self {
+    let version = match &request.resumption {
+      Resumption::At(version) => Some(version.clone()),
+      Resumption::None | Resumption::UnknownOrigin => None,
+    };
     Self {
       attempts: 0,
       export: None,
@@ -84,7 +88,7 @@
       skips_prefill: false,
       slot: None,
       tried: Vec::new(),
-      version: None,
+      version,
       was_prefilled: false,
     }
   }
--- /dev/null
+++ b/src/gateway/resumption/publishing.rs
@@ -0,0 +1,135 @@
+//! Records where streams began, here and, while several versions serve, at other boxes.
+
+use {
+  super::messages::{StreamRecordMessage, send_records},
+  crate::{
+    gateway::{
+      decisions::{RecordSource, StreamKey, StreamOrigin, record_holders},
+      edge::{EndpointEntry, SoftwareVersion},
+      stages::RoutedRequest,
+      state::Gateway,
+    },
+    ids::Name,
+  },
+  std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+  },
+  tokio::{task::spawn_local, time::sleep},
+};
+
+/// How long after a request's deadline its caller may still resume the stream.
+const RETURN_MS: u64 = 10_000;
+/// Interval of checks for services that have got a second version.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Records which version began a stream whose first event is forwarded now.
+pub(crate) fn record_stream(gateway: &Rc<Gateway>, request: &RoutedRequest, entry: &EndpointEntry) {
+  let key = request.stream_key();
+  let origin = StreamOrigin {
+    service: entry.service.clone(),
+    version: entry.version.clone(),
+  };
+  let now_ms = gateway.now_ms();
+  let expires_ms = now_ms + request.remaining_ms(now_ms) + RETURN_MS;
+  gateway
+    .stream_records
+    .borrow_mut()
+    .record(key, origin.clone(), RecordSource::Own, expires_ms);
+  if gateway
+    .endpoints
+    .borrow()
+    .versions()
+    .are_several(&entry.service)
+  {
+    publish(gateway, vec![(key, origin, expires_ms)]);
+  }
+}
+
+/// Publishes the streams of services that get a second version, which were recorded here only; and forgets versions and records
+/// that no stream needs any more. Runs until the process exits.
+pub(crate) async fn publish_streams(gateway: Rc<Gateway>) {
+  let mut before: BTreeMap<Name, BTreeSet<SoftwareVersion>> = BTreeMap::new();
+  loop {
+    sleep(CHECK_INTERVAL).await;
+    expire(&gateway);
+    let divided = gateway.endpoints.borrow().versions().divided();
+    for (service, versions) in &divided {
+      let names: BTreeSet<SoftwareVersion> = versions.keys().cloned().collect();
+      if before.get(service) == Some(&names) {
+        continue;
+      }
+      let counts = versions.iter();
+      let counts: Vec<String> = counts
+        .map(|(version, endpoints)| format!("{version}: {endpoints}"))
+        .collect();
+      log::info!("E560 versions of {service}: {}", counts.join(", "));
+      if !before.contains_key(service) {
+        let now_ms = gateway.now_ms();
+        let own = gateway.stream_records.borrow().own_of(service, now_ms);
+        publish(&gateway, own);
+      }
+    }
+    before = divided
+      .into_iter()
+      .map(|(service, versions)| (service, versions.into_keys().collect()))
+      .collect();
+  }
+}
+
+/// Forgets expired records, and versions that began no stream which may still be resumed.
+fn expire(gateway: &Gateway) {
+  let now_ms = gateway.now_ms();
+  let table = gateway.route_table();
+  let longest_ms = table.map_or(0, |table| table.longest_timeout_ms());
+  gateway
+    .endpoints
+    .borrow_mut()
+    .versions_mut()
+    .expire(now_ms, longest_ms + RETURN_MS);
+  gateway.stream_records.borrow_mut().expire(now_ms);
+}
+
+/// Sends records to the boxes that hold them, in one message for each; does not wait for the calls.
+fn publish(gateway: &Rc<Gateway>, streams: Vec<(StreamKey, StreamOrigin, u64)>) {
+  let now_ms = gateway.now_ms();
+  let identity = &gateway.settings.identity;
+  let mut by_box: BTreeMap<SocketAddr, Vec<StreamRecordMessage>> = BTreeMap::new();
+  for (key, origin, expires_ms) in streams {
+    let copies = gateway.copy_budget.borrow_mut().take(now_ms);
+    if copies == 0 {
+      gateway.counters.streams_not_copied.inc();
+    }
+    let holders = record_holders(
+      &gateway.boxes.borrow(),
+      &key,
+      &identity.name,
+      &identity.hall,
+    );
+    for address in holders.into_iter().take(copies) {
+      by_box
+        .entry(address)
+        .or_default()
+        .push(StreamRecordMessage {
+          key,
+          origin: origin.clone(),
+          ttl_ms: expires_ms.saturating_sub(now_ms),
+        });
+    }
+  }
+  for (address, records) in by_box {
+    gateway
+      .counters
+      .stream_copies
+      .add(u64::try_from(records.len()).unwrap_or(u64::MAX));
+    let gateway = gateway.clone();
+    spawn_local(async move {
+      if let Err(error) = send_records(&gateway.box_client, address, &records).await {
+        gateway.counters.stream_copies_failed.inc();
+        log::debug!("records of streams not sent to {address}: {error}");
+      }
+    });
+  }
+}
--- a/src/gateway/stages/mod.rs
+++ b/src/gateway/stages/mod.rs
@@ -8,6 +8,7 @@
 mod purpose;
 mod reachability_probe;
 mod request;
+mod resumption;
 mod send_check;
 mod send_mode;
 mod stage;
@@ -18,6 +19,7 @@
   purpose::Purpose,
   reachability_probe::probe_unreachable,
   request::{RequestOrigin, RoutedRequest},
+  resumption::Resumption,
   send_mode::SendMode,
   stage::{BufferedResponse, LoadGuard, OutgoingStage, ResponseHead, StageError, send_stage},
 };
--- a/src/gateway/stages/request.rs
+++ b/src/gateway/stages/request.rs
@@ -1,10 +1,10 @@
 //! A caller's request, read whole and matched to its route.
 
 use {
-  super::send_mode::SendMode,
+  super::{resumption::Resumption, send_mode::SendMode},
   crate::{
     gateway::{
-      decisions::{AllowedHalls, Fingerprint, RequestIdentity},
+      decisions::{AllowedHalls, Fingerprint, RequestIdentity, StreamKey},
       edge::{
         CallerAttributes, EndpointEntry, Organisation, PlatformCodec, ProxyHeaders, Route, Stage,
       },
@@ -66,6 +66,7 @@
   pub(crate) arrived_ms: u64,
   /// When its final response is due at the latest.
   pub(crate) deadline_ms: u64,
+  pub(crate) resumption: Resumption,
   pub(crate) send_mode: Cell<SendMode>,
   pub(crate) origin: RequestOrigin,
   /// Stages that were sent, or are being sent, to an endpoint that may receive them.
@@ -132,6 +133,20 @@
     })
   }
 
+  /// Identifies the stream that the request begins or resumes.
+  pub(crate) fn stream_key(&self) -> StreamKey {
+    let attributes = &self.attributes;
+    let resumed = attributes
+      .resumed_request_id
+      .as_deref()
+      .filter(|_| attributes.last_event_id.is_some());
+    let organisation = self.organisation.as_ref();
+    StreamKey::of(
+      organisation.map(|organisation| &*organisation.name),
+      resumed.unwrap_or(self.id()),
+    )
+  }
+
   /// Identifies the separate prefill of this request and of its retries.
   pub(crate) fn prefill_fingerprint(&self) -> Fingerprint {
     self.fingerprint().of_prefill()
--- a/src/gateway/state/counters.rs
+++ b/src/gateway/state/counters.rs
@@ -96,6 +96,17 @@
   pub(crate) not_forwarded: Counter,
   /// Requests of other boxes' callers that were accepted.
   pub(crate) accepted_from_boxes: Counter,
+  /// Streams that callers resume, by how their origins are known: recorded here, recorded by another box, the only version, or not.
+  pub(crate) origins_own: Counter,
+  pub(crate) origins_asked: Counter,
+  pub(crate) origins_only: Counter,
+  pub(crate) origins_unknown: Counter,
+  /// Boxes that were asked where streams began.
+  pub(crate) origin_lookups: Counter,
+  /// Records of streams that were sent to other boxes, messages with them that failed, and streams that the budget left no copy for.
+  pub(crate) stream_copies: Counter,
+  pub(crate) stream_copies_failed: Counter,
+  pub(crate) streams_not_copied: Counter,
   pub(crate) connections: Counter,
   pub(crate) store_calls: Counter,
   pub(crate) store_failures: Counter,
@@ -139,6 +150,20 @@
         "rillford_accepted_from_boxes_total",
         &self.accepted_from_boxes,
       ),
+      ("rillford_origins_own_total", &self.origins_own),
+      ("rillford_origins_asked_total", &self.origins_asked),
+      ("rillford_origins_only_total", &self.origins_only),
+      ("rillford_origins_unknown_total", &self.origins_unknown),
+      ("rillford_origin_lookups_total", &self.origin_lookups),
+      ("rillford_stream_copies_total", &self.stream_copies),
+      (
+        "rillford_stream_copies_failed_total",
+        &self.stream_copies_failed,
+      ),
+      (
+        "rillford_streams_not_copied_total",
+        &self.streams_not_copied,
+      ),
       ("rillford_connections_total", &self.connections),
       ("rillford_store_calls_total", &self.store_calls),
       ("rillford_store_failures_total", &self.store_failures),
--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -10,10 +10,10 @@
     gateway::{
       connections::{Connection, ConnectionPool},
       decisions::{
-        AttemptOutcome, BoxEntry, BoxList, CachedPrompts, Choice, ColdPeriod, EndpointCounts,
-        EndpointCriteria, EndpointRegistry, LocalUsage, PeakBoxCount, PermitTable, Reachability,
-        RetryUsage, RetryWindow, SlotForecast, SlotQueue, Unavailable, UsageTable,
-        retry_after_backoff_ms,
+        AttemptOutcome, BoxEntry, BoxList, CachedPrompts, Choice, ColdPeriod, CopyBudget,
+        EndpointCounts, EndpointCriteria, EndpointRegistry, LocalUsage, PeakBoxCount, PermitTable,
+        Reachability, RetryUsage, RetryWindow, SlotForecast, SlotQueue, StreamRecords, Unavailable,
+        UsageTable, retry_after_backoff_ms,
       },
       edge::{ColdStart, EndpointEntry, PlatformCodec, RouteTable, StoreLease},
       settings::{GatewaySettings, RoutePolicy},
@@ -126,6 +126,10 @@
   pub(crate) limit_log_throttle: LogThrottle,
   /// Response headers of endpoints that the platform does not define.
   pub(crate) unknown_headers: RefCell<UnknownHeaders>,
+  /// Which versions began recent streams.
+  pub(crate) stream_records: RefCell<StreamRecords>,
+  /// Limits the records that are sent to other boxes.
+  pub(crate) copy_budget: RefCell<CopyBudget>,
   /// The endpoints that this box can't reach.
   pub(crate) reachability: RefCell<Reachability>,
   route_table: RefCell<Option<Rc<RouteTable>>>,
@@ -148,6 +152,7 @@
       cached_prompts: RefCell::default(),
       change_log: ChangeLog::default(),
       connections: Cell::new(0),
+      copy_budget: RefCell::new(CopyBudget::new(0)),
       counters: Counters::default(),
       codec,
       endpoints: RefCell::new(registry),
@@ -181,6 +186,7 @@
       slot_queue_changed: Notify::new(),
       started: Instant::now(),
       store_contact_ms: Cell::new(None),
+      stream_records: RefCell::default(),
       unknown_headers: RefCell::default(),
       unreadable_log_throttle: LogThrottle::default(),
       unresponsive_boxes: RefCell::default(),
--- a/tests/architecture.rs
+++ b/tests/architecture.rs
@@ -16,7 +16,7 @@
   &["state"],
   &["permits"],
   &["stages"],
-  &["limits", "quarantine"],
+  &["limits", "quarantine", "resumption"],
   &["membership", "requests", "roles"],
   &["process"],
 ];
--- a/tests/gateway/versions.rs
+++ b/tests/gateway/versions.rs
@@ -3,7 +3,7 @@
 use {
   super::{
     EndpointStandIn, GatewayBox, GatewayTest, ReceivedRequest, Reply, TIMEOUT,
-    endpoint::engine_reply,
+    endpoint::engine_reply, harness::CallerResponse, store_proxy::StoreProxy,
   },
   emulator::eventually,
   futures_util::future::join_all,
@@ -97,7 +97,7 @@
 }
 
 /// Resumes a stream after its first event.
-async fn resume(gateway: &GatewayBox, id: &str, resumes: &str) -> super::harness::CallerResponse {
+async fn resume(gateway: &GatewayBox, id: &str, resumes: &str) -> CallerResponse {
   let mut request = gateway.request("/resumable/a", id);
   let headers = request.headers_mut();
   headers.insert("last-event-id", HeaderValue::from_static("1"));
@@ -186,3 +186,134 @@
     assert_eq!(engines.versions_of(&again), engines.versions_of(&first));
   }
 }
+
+/// What a caller names as the request that began its stream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Named {
+  Nothing,
+  Empty,
+  Twice,
+  UnknownId,
+  OverlongId,
+}
+
+impl Named {
+  /// The values of the header, in a request with an id.
+  fn values(self, id: &str) -> Vec<String> {
+    match self {
+      Self::Nothing => vec![],
+      Self::Empty => vec![String::new()],
+      Self::Twice => vec!["r0".into(), "r0".into()],
+      Self::UnknownId => vec![format!("before-{id}")],
+      Self::OverlongId => vec![id.repeat(600)],
+    }
+  }
+}
+
+/// Guards against a resumption at any version when it is not known which one began the stream.
+#[rstest]
+#[case::nothing(Named::Nothing)]
+#[case::empty(Named::Empty)]
+#[case::twice(Named::Twice)]
+#[case::unknown(Named::UnknownId)]
+#[case::overlong(Named::OverlongId)]
+#[tokio::test]
+async fn stream_of_unknown_origin_is_rejected_only_while_two_versions_serve(#[case] named: Named) {
+  let prefill = EndpointStandIn::engine(EVENTS).await;
+  let test = GatewayTest::new().await;
+  test.enter("e-1", "llm", Some("prefill"), &prefill);
+  let first = EndpointStandIn::start(begins_and_resumes).await;
+  test.enter_version("e-2", &first, "v1");
+  let gateway = test.start().await;
+  gateway.ask_in_background("/resumable/a", "r0");
+  assert!(eventually(TIMEOUT, async || !first.requests().is_empty()).await);
+  let resume = async |id: &str| {
+    let mut request = gateway.request("/resumable/a", id);
+    let headers = request.headers_mut();
+    headers.insert("last-event-id", HeaderValue::from_static("1"));
+    for value in named.values(id) {
+      headers.append("resumes", HeaderValue::from_str(&value).unwrap());
+    }
+    gateway.send(request).await
+  };
+  assert_eq!(resume("one-version").await.body.unwrap(), REST);
+  let other = EndpointStandIn::start(begins_and_resumes).await;
+  gateway.test.enter_version("e-3", &other, "v2");
+  let divided = "rillford_services_of_several_versions";
+  assert!(eventually(TIMEOUT, async || gateway.metric(divided).await == 1.0).await);
+  let rejected = resume("two-versions").await;
+  assert_eq!(rejected.status, StatusCode::SERVICE_UNAVAILABLE);
+  assert_eq!(rejected.headers["retry-after"], "1.000");
+  assert!(other.requests().is_empty());
+}
+
+/// Guards against streams that began before the second version was known, and are recorded at their box only.
+#[tokio::test]
+async fn streams_that_began_before_the_second_version_go_on_after_their_box_is_killed() {
+  let prefill = EndpointStandIn::engine(EVENTS).await;
+  let test = GatewayTest::new().await;
+  test.enter("e-1", "llm", Some("prefill"), &prefill);
+  let first = EndpointStandIn::start(begins_and_resumes).await;
+  test.enter_version("e-2", &first, "v1");
+  let other = test.second_box("north-2", test.store.address);
+  let mut began = test.start().await;
+  let other = other.start().await;
+  assert!(
+    eventually(TIMEOUT, async || began.metric("rillford_boxes").await
+      == 2.0)
+    .await
+  );
+  began.ask_in_background("/resumable/a", "r0");
+  let records = "rillford_stream_records";
+  assert!(eventually(TIMEOUT, async || began.metric(records).await == 1.0).await);
+  assert_eq!(other.metric(records).await, 0.0);
+  let second = EndpointStandIn::start(begins_and_resumes).await;
+  other.test.enter_version("e-3", &second, "v2");
+  assert!(eventually(TIMEOUT, async || other.metric(records).await == 1.0).await);
+  began.process.kill().unwrap();
+  began.process.wait().unwrap();
+  let response = resume(&other, "again", "r0").await;
+  assert_eq!(response.body.unwrap(), REST);
+  assert!(second.requests().is_empty());
+}
+
+/// Guards against a box that has not listed a version yet, and takes the versions that it knows for all.
+#[tokio::test]
+async fn box_that_is_cut_off_from_the_store_learns_of_a_version_from_another_box() {
+  let prefill = EndpointStandIn::engine(EVENTS).await;
+  let test = GatewayTest::new().await;
+  test.enter("e-1", "llm", Some("prefill"), &prefill);
+  let old = EndpointStandIn::start(begins_and_resumes).await;
+  test.enter_version("e-2", &old, "v1");
+  let proxy = StoreProxy::to(test.store.address).await;
+  let stale = test.second_box("north-2", proxy.address).start().await;
+  let began = test.start().await;
+  assert!(
+    eventually(TIMEOUT, async || stale.metric("rillford_boxes").await
+      == 2.0)
+    .await
+  );
+  proxy.cut().await;
+  let new = EndpointStandIn::start(begins_and_resumes).await;
+  began.test.enter_version("e-3", &new, "v2");
+  let divided = "rillford_services_of_several_versions";
+  assert!(eventually(TIMEOUT, async || began.metric(divided).await == 1.0).await);
+  for number in 0.. {
+    began.ask_in_background("/resumable/a", &format!("r{number}"));
+    if eventually(Duration::from_millis(100), async || {
+      !new.requests().is_empty()
+    })
+    .await
+    {
+      break;
+    }
+  }
+  let first = new.requests()[0].id().to_string();
+  let records = "rillford_stream_records";
+  assert!(eventually(TIMEOUT, async || stale.metric(records).await > 0.0).await);
+  // It goes on at the new version if another box has relayed the list, and is rejected otherwise.
+  let response = resume(&stale, "again", &first).await;
+  let allowed = [StatusCode::OK, StatusCode::SERVICE_UNAVAILABLE];
+  assert!(allowed.contains(&response.status), "{response:?}");
+  assert!(old.requests().iter().all(|seen| seen.id() != "again"));
+}
