A stream goes on at no engine that has restarted since it was listed

An engine may start again under its id with another version, and the list may lag: the request's expected endpoint is still right, and nothing else tells the new incarnation from the former one.

Change: while several versions of the service are known, or without recent contact with the store, the engine's report is read right before a stream goes on there, within a response and over its caller's requests, and must name the listed start.

--- a/src/gateway/decisions/unavailable.rs
+++ b/src/gateway/decisions/unavailable.rs
@@ -12,6 +12,9 @@
   /// The incarnation is no longer listed in the store.
   #[error("endpoint is no longer listed")]
   Unlisted,
+  /// It reports another start than the listed one.
+  #[error("endpoint has restarted since it was listed")]
+  Restarted,
   /// Its hall is drained.
   #[error("data hall is drained")]
   HallDrained,
--- a/src/gateway/requests/stream_send.rs
+++ b/src/gateway/requests/stream_send.rs
@@ -3,10 +3,14 @@
 use {
   super::{slot::reserve_slot, stream_request::StreamRequest},
   crate::gateway::{
+    decisions::Unavailable,
     edge::{EndpointEntry, ProxyHeaders, Stage},
     permits::Permit,
     quarantine::{LostStage, record_lost_stage},
-    stages::{ExportGuard, OutgoingStage, Reservation, ResponseHead, StageError, send_stage},
+    stages::{
+      ExportGuard, OutgoingStage, Reservation, ResponseHead, StageError, check_incarnation,
+      send_stage,
+    },
   },
   futures_util::FutureExt,
   std::{pin::pin, time::Duration},
@@ -26,6 +30,10 @@
     self.tried.push(entry.id.clone());
     // Counted before it is sent: the deadline may pass before the result is known.
     self.attempts += 1;
+    if let Err(error) = self.check_version(entry).await {
+      self.record_error(entry, &error, export);
+      return Err(error);
+    }
     let proxy_headers = self.proxy_headers(entry, reservation.as_ref(), export.as_ref());
     let sent_ms = self.gateway.now_ms();
     let permit = reservation
@@ -50,6 +58,25 @@
     result
   }
 
+  /// Checks that an endpoint may go on with the stream: while versions differ, or the list may lag, one that has restarted under its
+  /// id may have another version than the listed one.
+  async fn check_version(&self, entry: &EndpointEntry) -> Result<(), StageError> {
+    let Some(version) = &self.version else {
+      return Ok(());
+    };
+    if entry.version != *version {
+      return Err(Unavailable::Unlisted.into());
+    }
+    let are_several = {
+      let endpoints = self.gateway.endpoints.borrow();
+      endpoints.versions().are_several(&entry.service)
+    };
+    if are_several || !self.gateway.is_current() {
+      check_incarnation(&self.gateway, entry).await?;
+    }
+    Ok(())
+  }
+
   fn proxy_headers(
     &self,
     entry: &EndpointEntry,
--- a/src/gateway/stages/mod.rs
+++ b/src/gateway/stages/mod.rs
@@ -4,6 +4,7 @@
 //! [`ResponseHead`].
 
 mod engine_call;
+mod incarnation_check;
 mod notice;
 mod purpose;
 mod reachability_probe;
@@ -15,6 +16,7 @@
 
 pub(crate) use self::{
   engine_call::{EngineCallError, ExportGuard, Reservation, call_engine},
+  incarnation_check::check_incarnation,
   notice::apply_forwarded_notice,
   purpose::Purpose,
   reachability_probe::probe_unreachable,
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -176,6 +176,20 @@
     });
   }
 
+  /// Lists an incarnation of a decode engine with the version of its software.
+  pub(crate) fn enter_version_started(
+    &self,
+    id: &str,
+    endpoint: &EndpointStandIn,
+    version: &str,
+    born: u64,
+  ) {
+    self.put_entry(id, "llm", Some("decode"), endpoint.address, |entry| {
+      entry["version"] = json!(version);
+      entry["born"] = json!(born);
+    });
+  }
+
   /// Lists a decode engine with the version of its software.
   pub(crate) fn enter_version(&self, id: &str, endpoint: &EndpointStandIn, version: &str) {
     self.put_entry(id, "llm", Some("decode"), endpoint.address, |entry| {
--- a/tests/gateway/versions.rs
+++ b/tests/gateway/versions.rs
@@ -187,6 +187,43 @@
   }
 }
 
+/// An engine that resumes streams and reports when it started.
+fn reports_start(started_ms: u64) -> impl Fn(&ReceivedRequest) -> Reply + Send + Sync + 'static {
+  move |seen| match seen.path.as_str() {
+    "/report" => Reply::ok(
+      seen,
+      &format!(r#"{{"stage":"decode","callSeq":0,"utilization":false,"born":{started_ms}}}"#),
+    ),
+    _ => begins_and_resumes(seen),
+  }
+}
+
+/// Guards against an engine that has restarted under its id with another version before the list shows it.
+#[rstest]
+#[case::as_listed(7, StatusCode::OK)]
+#[case::restarted(8, StatusCode::SERVICE_UNAVAILABLE)]
+#[tokio::test]
+async fn stream_does_not_go_on_at_an_engine_that_has_restarted(
+  #[case] reported_start_ms: u64,
+  #[case] status: StatusCode,
+) {
+  let prefill = EndpointStandIn::engine(EVENTS).await;
+  let test = GatewayTest::new().await;
+  test.enter("e-1", "llm", Some("prefill"), &prefill);
+  let engine = EndpointStandIn::start(reports_start(reported_start_ms)).await;
+  test.enter_version_started("e-2", &engine, "v1", 7);
+  let gateway = test.start().await;
+  gateway.ask_in_background("/resumable/a", "r1");
+  assert!(eventually(TIMEOUT, async || !engine.requests().is_empty()).await);
+  let other = EndpointStandIn::start(begins_and_resumes).await;
+  gateway.test.enter_version("e-3", &other, "v2");
+  let divided = "rillford_services_of_several_versions";
+  assert!(eventually(TIMEOUT, async || gateway.metric(divided).await == 1.0).await);
+  let response = resume(&gateway, "again", "r1").await;
+  assert_eq!(response.status, status);
+  assert!(other.requests().iter().all(|seen| seen.id() != "again"));
+}
+
 /// What a caller names as the request that began its stream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Named {
