Soak: engines of two versions, callers who resume their streams, and two promises on them

Now each start of an endpoint has the other one of two versions, its events name it, its report its start; callers resume a cut stream at a ready box, twice at most, with Last-Event-Id and Resumes; engines cut streams and are replaced in series, drawn from a sequence of their own, so that the other faults of a seed stay.

New promises, each seen finding itself broken in planted records: OneVersion (none is allowed) and ResumedStreamsGoOn. ServedWhileCutOff compares first requests only, as the rule does; there were no others before.

--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -4,9 +4,9 @@
   super::{
     caller_key::CallerKey,
     configuration::HOST,
-    content::{CRASHING_BODY, CRASHING_NAME},
+    content::{self, CRASHING_BODY, CRASHING_NAME},
     fleet::Fleet,
-    records::Outcome,
+    records::{Outcome, ResumedStream},
     request_kind::RequestKind,
   },
   bytes::Bytes,
@@ -33,6 +33,8 @@
 const DISCONNECT_AFTER_MS: (u64, u64) = (5, 400);
 /// Interval between requests.
 const THINK_TIME_MS: (u64, u64) = (5, 60);
+/// Requests with which a caller resumes a stream that was cut.
+const MAX_RESUMPTIONS: u32 = 2;
 /// Delay before reconnecting after a rejection or a lost connection.
 const RECONNECT_DELAY: Duration = Duration::from_millis(150);
 
@@ -117,10 +119,55 @@
     }
   }
 
-  /// Sends one request and records its outcome. Returns whether the connection can be reused.
+  /// Sends one request, and resumes its stream if that is cut. Returns whether the connection can be reused.
   async fn send_request(&mut self) -> bool {
     let kind = self.kind();
     let key = self.key();
+    let (id, mut is_reusable) = self.send_once(kind, key, None).await;
+    let mut last_id = id.clone();
+    for _ in 0..MAX_RESUMPTIONS {
+      let Some(stream) = self.stream_to_resume(&id, &last_id) else {
+        break;
+      };
+      self.reconnect();
+      sleep(RECONNECT_DELAY).await;
+      (last_id, is_reusable) = self.send_once(kind, key, Some(stream)).await;
+    }
+    is_reusable
+  }
+
+  /// The stream that a request began, if it is resumable and the last request for it did not complete it.
+  fn stream_to_resume(&self, first_id: &str, last_id: &str) -> Option<ResumedStream> {
+    let records = self.fleet.recorder.records();
+    let request = records.requests.get(last_id)?;
+    if request.kind != RequestKind::ResumableStream
+      || request.is_served()
+      || request.outcome == Some(Outcome::Disconnected)
+    {
+      return None;
+    }
+    let first = records.requests.get(first_id)?;
+    let version = content::versions(first.body())
+      .into_iter()
+      .next()?
+      .to_owned();
+    let before = request.resumes.as_ref().map(|stream| stream.last_event);
+    let last_event = content::last_event(request.body()).or(before)?;
+    drop(records);
+    Some(ResumedStream {
+      engines: self.fleet.sound_engines(&version),
+      first_id: first_id.into(),
+      last_event,
+    })
+  }
+
+  /// Sends one request and records its outcome. Returns its id, and whether the connection can be reused.
+  async fn send_once(
+    &mut self,
+    kind: RequestKind,
+    key: CallerKey,
+    resumes: Option<ResumedStream>,
+  ) -> (String, bool) {
     self.count += 1;
     let id = format!("{}-{}", self.name, self.count);
     let may_disconnect = self.work == CallerWork::Mixed;
@@ -131,8 +178,8 @@
           .random_range(DISCONNECT_AFTER_MS.0..=DISCONNECT_AFTER_MS.1)
       });
     let recorder = &self.fleet.recorder;
-    let request = self.request(kind, key, &id);
-    recorder.record_request(&id, kind, key, self.box_index);
+    let request = self.request(kind, key, &id, resumes.as_ref());
+    recorder.record_request(&id, kind, key, self.box_index, resumes);
     let timeout_after =
       disconnects_after_ms.map_or(DEADLINE + RESPONSE_MARGIN, Duration::from_millis);
     let result = timeout(timeout_after, self.exchange(request)).await;
@@ -142,10 +189,16 @@
       Err(_) => (Outcome::Unanswered, false),
     };
     recorder.record_outcome(&id, outcome);
-    is_reusable
+    (id, is_reusable)
   }
 
-  fn request(&self, kind: RequestKind, key: CallerKey, id: &str) -> Request<Full<Bytes>> {
+  fn request(
+    &self,
+    kind: RequestKind,
+    key: CallerKey,
+    id: &str,
+    resumes: Option<&ResumedStream>,
+  ) -> Request<Full<Bytes>> {
     let address = self.fleet.boxes[self.box_index].caller_link.address;
     let (method, name, body): (_, _, &[u8]) = match kind {
       RequestKind::Retryable => (Method::GET, id, b""),
@@ -172,6 +225,13 @@
         request.headers_mut().insert(name, value);
       }
     }
+    if let Some(stream) = resumes
+      && let Ok(first_id) = stream.first_id.parse()
+    {
+      let headers = request.headers_mut();
+      headers.insert("resumes", first_id);
+      headers.insert("last-event-id", stream.last_event.into());
+    }
     request
   }
 
--- a/soak/src/content.rs
+++ b/soak/src/content.rs
@@ -1,5 +1,7 @@
 //! Response contents, derived from the request id, so that callers detect mixed-up or truncated responses.
 
+use std::collections::BTreeSet;
+
 const MIN_EVENTS: u64 = 4;
 /// Range of stream lengths above `MIN_EVENTS`.
 const EVENT_SPREAD: u64 = 24;
@@ -20,14 +22,43 @@
   MIN_EVENTS + sum % EVENT_SPREAD
 }
 
-/// One event of a request's stream, numbered from 1.
-pub(crate) fn event(id: &str, number: u64) -> String {
-  format!("id: {number}\ndata: {id} part {number}\n\n")
+/// One event of a stream, numbered from 1, with the version of the engine that sends it.
+pub(crate) fn event(id: &str, number: u64, version: &str) -> String {
+  format!("id: {number}\ndata: {id} part {number} by {version}.\n\n")
 }
 
-/// The events of a request's stream after `last_event`.
+/// The events of a stream after `last_event`, without versions.
 pub(crate) fn stream_after(id: &str, last_event: u64) -> String {
   (last_event + 1..=event_count(id))
-    .map(|number| event(id, number))
+    .map(|number| without_versions(&event(id, number, "")))
+    .collect()
+}
+
+/// A stream without the versions in its events. One that ends within an event's version ends before it.
+pub(crate) fn without_versions(body: &str) -> String {
+  let ends = [" by", " b", " "];
+  let partial = ends.into_iter().find_map(|end| body.strip_suffix(end));
+  let mut parts = partial.unwrap_or(body).split(" by ");
+  let mut text = parts.next().unwrap_or_default().to_string();
+  for part in parts {
+    text.push_str(part.split_once('.').map_or("", |(_, rest)| rest));
+  }
+  text
+}
+
+/// The versions in the complete events of a stream.
+pub(crate) fn versions(body: &str) -> BTreeSet<&str> {
+  let parts = body.split(" by ").skip(1);
+  parts
+    .filter_map(|part| part.split_once('.'))
+    .map(|(version, _)| version)
     .collect()
 }
+
+/// The id of the last complete event of a stream; `None` when there is none.
+pub(crate) fn last_event(body: &str) -> Option<u64> {
+  let (events, _) = body.rsplit_once("\n\n")?;
+  let last = events.rsplit("\n\n").next()?;
+  let (id, _) = last.strip_prefix("id: ")?.split_once('\n')?;
+  id.parse().ok()
+}
--- a/soak/src/cut_off_check.rs
+++ b/soak/src/cut_off_check.rs
@@ -71,7 +71,9 @@
   let requests = records
     .requests
     .values()
-    .filter(|request| request.key != CallerKey::Hot && request.kind != RequestKind::CrashingStream);
+    .filter(|request| request.key != CallerKey::Hot && request.kind != RequestKind::CrashingStream)
+    // Only first requests of callers are compared.
+    .filter(|request| request.resumes.is_none());
   let is_cut = |index| {
     let target = Target::EndpointPaths(index);
     cuts.iter().any(|cut| cut.target == target)
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -40,6 +40,8 @@
 const RETRY_AFTER: Duration = Duration::from_secs(3);
 /// Time that an engine runs a crashing request before it terminates.
 const CRASH_AFTER: Duration = Duration::from_millis(40);
+/// Versions of endpoints' software: each start has the other one than the start before it.
+const VERSIONS: [&str; 2] = ["v1", "v2"];
 /// Duration of a role switch.
 const SWITCH_DURATION: Duration = Duration::from_millis(400);
 
@@ -52,6 +54,8 @@
   recorder: Recorder,
   exports: Exports,
   state: Mutex<EndpointState>,
+  /// Version of its software.
+  pub(crate) version: &'static str,
   /// Start time: the number of this start among the starts of all endpoints.
   pub(crate) start_number: u64,
   events: EngineEventSender,
@@ -75,6 +79,7 @@
     events: EngineEventSender,
   ) -> Arc<Self> {
     Arc::new(Self {
+      version: VERSIONS[usize::from(identity.start_number % 2 == 0)],
       start_number: identity.start_number,
       exports: exports.clone(),
       incarnation: identity.incarnation,
@@ -113,6 +118,16 @@
     self.state().limit_per_s = per_s;
   }
 
+  /// Whether it is a decode engine that streams as usual.
+  pub(crate) fn is_sound_decode(&self) -> bool {
+    let state = self.state();
+    state.kind == EndpointKind::Decode
+      && state.fault.is_none()
+      && state.limit_per_s.is_none()
+      && !state.leaving
+      && !state.switching
+  }
+
   /// Removes the prompts that it has exported.
   pub(crate) fn drop_exports(&self) {
     self.exports.remove_all_of(self.address);
@@ -183,6 +198,8 @@
       (&Method::POST, "/hold-take") => Ok(self.reserve(&body)),
       (&Method::POST, "/order") => Ok(self.handle_role_command(&body)),
       (&Method::GET, "/report") => Ok(self.load_report()),
+      // Its prompts are not cached.
+      (&Method::GET, "/kv-list") => Ok(json_response(json!({"epoch": 1, "held": []}))),
       (&Method::DELETE, path) => Ok(self.release(path)),
       _ if body == CRASHING_BODY && self.kind() == EndpointKind::Decode => {
         self.crash(&head.headers).await
@@ -223,7 +240,7 @@
     let state = self.state();
     json_response(json!({
       "stage": state.kind.stage(), "callSeq": state.commands_taken, "utilization": state.switching,
-      "inFlight": state.running, "queued": 0,
+      "inFlight": state.running, "queued": 0, "born": self.start_number,
     }))
   }
 
@@ -402,7 +419,8 @@
     let first = last.unwrap_or(0) + 1;
     let events = EventStream {
       cut_at: (fault == Some(EndpointFault::TruncatesResponses)).then(|| first + 1),
-      id: id.into(),
+      id: header(headers, "resumes").unwrap_or(id).into(),
+      version: self.version,
       next: first,
       _run: run,
       _slot: slot,
--- a/soak/src/event_stream.rs
+++ b/soak/src/event_stream.rs
@@ -15,7 +15,10 @@
 
 /// The remaining events of a stream. The run ends and the slot is released when the stream is dropped.
 pub(crate) struct EventStream<S> {
+  /// The stream: the id of the request that began it.
   pub(crate) id: String,
+  /// The engine's version.
+  pub(crate) version: &'static str,
   pub(crate) next: u64,
   /// Number of the event in the middle of which the stream is cut.
   pub(crate) cut_at: Option<u64>,
@@ -41,7 +44,7 @@
       return None;
     }
     sleep(EVENT_INTERVAL).await;
-    let event = content::event(&self.id, self.next);
+    let event = content::event(&self.id, self.next, self.version);
     let is_cut = self.cut_at == Some(self.next);
     self.next += 1;
     let data = if is_cut {
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -185,7 +185,7 @@
     }
     let kind = endpoint.kind();
     let mut entry = json!({
-      "service": kind.service(), "address": self.places[place].address, "version": "v1",
+      "service": kind.service(), "address": self.places[place].address, "version": endpoint.version,
       "zone": Hall::of_place(place).name(),
       "slots": SLOTS, "state": state, "coldRemainingMs": self.cold_remaining_ms(&incarnation), "callSeq": 1,
       "born": endpoint.start_number,
@@ -278,6 +278,17 @@
     }
   }
 
+  /// The number of decode engines of a software version that stream as usual.
+  pub(crate) fn sound_engines(&self, version: &str) -> usize {
+    let is_sound = |place: &&Place| {
+      place.running().as_ref().is_some_and(|running| {
+        let endpoint = &running.endpoint;
+        endpoint.version == version && endpoint.is_sound_decode()
+      })
+    };
+    self.places.iter().filter(is_sound).count()
+  }
+
   /// Newest version of the configuration.
   pub(crate) fn newest_version(&self) -> u64 {
     self.versions.load(Ordering::Relaxed)
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -40,6 +40,7 @@
 mod running_endpoint;
 mod subcommand;
 mod undisturbed;
+mod version_check;
 
 pub use self::{
   breach::Breach,
@@ -55,7 +56,7 @@
   recorder::Recorder,
   records::{
     AdvertisedLimit, HallDrain, LeavingReceived, LimitReceived, Outcome, PlannedStop, Probe,
-    Records, Rejection, RequestRecord, RoleCommandRecord, Run, Start,
+    Records, Rejection, RequestRecord, ResumedStream, RoleCommandRecord, Run, Start,
   },
   request_kind::RequestKind,
   subcommand::run,
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -36,6 +36,15 @@
 const CUT_INTERVAL_FACTOR: u64 = 6;
 /// Bits by which the seed is rotated, for an independent sequence of draws.
 const CUT_SEED_ROTATION: u32 = 43;
+/// Ratio of the mean interval between engines that cut streams, or are replaced in a series, to that of other faults.
+const STREAM_FAULT_INTERVAL_FACTOR: u64 = 3;
+/// Bits by which the seed is rotated, for an independent sequence of draws.
+const STREAM_FAULT_SEED_ROTATION: u32 = 53;
+/// Duration in which an engine cuts all streams.
+const STREAM_CUT_DURATION_MS: (u64, u64) = (300, 1_200);
+/// Endpoints of a series, and the interval between them.
+const SERIES_PLACES: u64 = 3;
+const REPLACEMENT_INTERVAL_MS: u64 = 400;
 /// Added latency of a delayed link or a slow store.
 const DELAY_MS: (u64, u64) = (20, 800);
 /// Chance that a fault of a box's process is followed by another one, so that signals overlap.
@@ -96,6 +105,7 @@
   steps.extend(draw_limits(seed, size));
   steps.extend(draw_hall_drains(seed, size));
   steps.extend(draw_cuts(seed, size));
+  steps.extend(draw_stream_faults(seed, size));
   steps.sort_by_key(|step| step.at_ms);
   steps
 }
@@ -193,6 +203,36 @@
   steps
 }
 
+/// Draws endpoints that cut streams, and endpoints that are replaced one after another, from a separate sequence.
+fn draw_stream_faults(seed: u64, size: Size) -> Vec<ScheduledFault> {
+  let mut draw = Draw {
+    random: ChaCha8Rng::seed_from_u64(seed.rotate_left(STREAM_FAULT_SEED_ROTATION)),
+    size,
+  };
+  let mut steps = Vec::new();
+  let mut at_ms = draw.interval_ms();
+  while at_ms < size.faults_ms {
+    let first = draw.random.random_range(0..size.places);
+    if draw.random.random_bool(0.7) {
+      let fault = Fault::Endpoint {
+        fault: EndpointFault::TruncatesResponses,
+        for_ms: draw.between(STREAM_CUT_DURATION_MS),
+        place: first,
+      };
+      steps.push(ScheduledFault { at_ms, fault });
+    } else {
+      steps.extend((0..SERIES_PLACES).map(|number| ScheduledFault {
+        at_ms: at_ms + number * REPLACEMENT_INTERVAL_MS,
+        fault: Fault::EndpointLeaves {
+          place: (first + number as usize) % size.places,
+        },
+      }));
+    }
+    at_ms += STREAM_FAULT_INTERVAL_FACTOR * draw.interval_ms();
+  }
+  steps
+}
+
 /// The box whose process a fault concerns.
 fn box_of(fault: Fault) -> Option<usize> {
   match fault {
--- a/soak/src/promise.rs
+++ b/soak/src/promise.rs
@@ -9,6 +9,10 @@
   NotRunIsTrue,
   /// A caller receives the complete response to its own request, or can tell that it is incomplete.
   OwnCompleteResponse,
+  /// A stream holds events of one software version only, over all requests of its caller.
+  OneVersion,
+  /// Streams that callers resume go on at least half as often as new ones begin, while engines of their version serve.
+  ResumedStreamsGoOn,
   /// No request is sent to more endpoints than its route allows.
   AttemptLimit,
   /// No endpoint runs a request that no caller sent, or decodes from another request's prompt.
--- a/soak/src/promises.rs
+++ b/soak/src/promises.rs
@@ -15,6 +15,7 @@
     request_check::RequestCheck,
     request_kind::RequestKind,
     undisturbed::{CONFIGURATION_MS, CONTACT_MS},
+    version_check::version_breaches,
   },
   std::collections::BTreeMap,
 };
@@ -43,6 +44,7 @@
   breaches.extend(hall_breaches(records, slack_ms));
   breaches.extend(cold_breaches(records));
   breaches.extend(cut_off_breaches(records, slack_ms));
+  breaches.extend(version_breaches(records));
   breaches
 }
 
--- a/soak/src/recorder.rs
+++ b/soak/src/recorder.rs
@@ -6,7 +6,7 @@
     disturbance::{Disturbance, Target},
     records::{
       AdvertisedLimit, LeavingReceived, LimitReceived, Outcome, Records, Rejection, RequestRecord,
-      Run, Start,
+      ResumedStream, Run, Start,
     },
     request_kind::RequestKind,
   },
@@ -51,6 +51,7 @@
     kind: RequestKind,
     key: CallerKey,
     box_index: usize,
+    resumes: Option<ResumedStream>,
   ) {
     let record = RequestRecord {
       box_index,
@@ -58,6 +59,7 @@
       key,
       kind,
       outcome: None,
+      resumes,
       runs: Vec::new(),
       sent_ms: self.now_ms(),
     };
--- a/soak/src/records.rs
+++ b/soak/src/records.rs
@@ -45,11 +45,24 @@
   pub ended_ms: Option<u64>,
 }
 
+/// The stream that a request resumes.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ResumedStream {
+  /// The id of the request that brought its first event.
+  pub first_id: String,
+  /// The last event that the caller has.
+  pub last_event: u64,
+  /// The number of other engines of the version that began it, when it was resumed.
+  pub engines: usize,
+}
+
 /// A caller's request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct RequestRecord {
   /// Kind of request.
   pub kind: RequestKind,
+  /// The stream that it resumes.
+  pub resumes: Option<ResumedStream>,
   /// API key of the request.
   pub key: CallerKey,
   /// Index of the box that received it.
@@ -65,6 +78,22 @@
 }
 
 impl RequestRecord {
+  /// The id of the stream that it begins or resumes, and the last event that its caller has before it.
+  pub(crate) fn stream<'a>(&'a self, id: &'a str) -> (&'a str, u64) {
+    match &self.resumes {
+      Some(resumed) => (&resumed.first_id, resumed.last_event),
+      None => (id, 0),
+    }
+  }
+
+  /// The part of the response that the caller received.
+  pub(crate) fn body(&self) -> &str {
+    match &self.outcome {
+      Some(Outcome::Complete { body, .. } | Outcome::ConnectionLost { body, .. }) => body,
+      _ => "",
+    }
+  }
+
   /// Whether the caller received a successful response.
   pub(crate) fn is_served(&self) -> bool {
     matches!(&self.outcome, Some(Outcome::Complete { status, .. }) if (200..300).contains(status))
--- a/soak/src/request_check.rs
+++ b/soak/src/request_check.rs
@@ -73,11 +73,11 @@
         status: 200..300,
         body,
         ..
-      } if *body != self.expected_body() => format!("{id} complete, but got {body:?}"),
+      } if !self.is_expected(body) => format!("{id} complete, but got {body:?}"),
       Outcome::ConnectionLost {
         status: Some(200),
         body,
-      } if !self.expected_body().starts_with(body) => format!("{id} cut, but got {body:?}"),
+      } if !self.is_expected_beginning(body) => format!("{id} cut, but got {body:?}"),
       _ => return None,
     };
     Some(Breach::new(Promise::OwnCompleteResponse, observed))
@@ -89,9 +89,28 @@
     self.request.runs.iter().any(is_its_run)
   }
 
+  fn is_expected(&self, body: &str) -> bool {
+    self.without_versions(body) == self.expected_body()
+  }
+
+  fn is_expected_beginning(&self, body: &str) -> bool {
+    self
+      .expected_body()
+      .starts_with(&self.without_versions(body))
+  }
+
+  fn without_versions(&self, body: &str) -> String {
+    if self.request.kind.is_stream() {
+      content::without_versions(body)
+    } else {
+      body.into()
+    }
+  }
+
   fn expected_body(&self) -> String {
     if self.request.kind.is_stream() {
-      content::stream_after(self.id, 0)
+      let (stream, last_event) = self.request.stream(self.id);
+      content::stream_after(stream, last_event)
     } else {
       content::plain_response(self.id)
     }
--- a/tests/soak_promises.rs
+++ b/tests/soak_promises.rs
@@ -5,7 +5,7 @@
   soak::{
     AdvertisedLimit, CallerKey, Disturbance, Hall, HallDrain, LeavingReceived, LimitReceived,
     Outcome, PlannedStop, Probe, Promise, Records, Rejection, RequestKind, RequestRecord,
-    RoleCommandRecord, Run, Start, Target, breaches,
+    ResumedStream, RoleCommandRecord, Run, Start, Target, breaches,
   },
 };
 
@@ -40,6 +40,7 @@
     key: CallerKey::Captions,
     kind,
     outcome: Some(outcome),
+    resumes: None,
     runs,
     sent_ms: 10_000,
   }
@@ -734,3 +735,100 @@
     .any(|breach| breach.promise == Promise::ServedWhileCutOff);
   assert_eq!(is_found, is_breach, "{found:?}");
 }
+
+/// The events `first` to `last` of the stream "a", by engines of a version.
+fn versioned_events(first: u64, last: u64, version: &str) -> String {
+  (first..=last)
+    .map(|number| format!("id: {number}\ndata: a part {number} by {version}.\n\n"))
+    .collect()
+}
+
+fn cut(body: String) -> Outcome {
+  Outcome::ConnectionLost {
+    body,
+    status: Some(200),
+  }
+}
+
+/// Records of the stream "a", which its caller resumes as "b".
+fn resumed_stream(first: Outcome, second: Outcome) -> Records {
+  let runs = || vec![run(0, 10_010, Some(10_900))];
+  let mut records = single_request(RequestKind::ResumableStream, first, runs());
+  let resumption = RequestRecord {
+    resumes: Some(ResumedStream {
+      engines: 2,
+      first_id: "a".into(),
+      last_event: 3,
+    }),
+    ..request(RequestKind::ResumableStream, second, runs())
+  };
+  records.requests.insert("b".into(), resumption);
+  records
+}
+
+#[rstest]
+#[case::one_version("v1", "v1", vec![])]
+#[case::two_versions("v1", "v2", vec![Promise::OneVersion])]
+fn stream_of_two_versions_over_its_callers_requests_is_found(
+  #[case] first: &str,
+  #[case] second: &str,
+  #[case] promises: Vec<Promise>,
+) {
+  let beginning = cut(versioned_events(1, 3, first));
+  let rest = served(&versioned_events(4, EVENTS, second));
+  assert_eq!(found(&resumed_stream(beginning, rest)), promises);
+}
+
+#[test]
+fn stream_of_two_versions_in_one_response_is_found() {
+  let body = [
+    versioned_events(1, 3, "v1"),
+    versioned_events(4, EVENTS, "v2"),
+  ];
+  let runs = vec![run(0, 10_010, Some(10_900))];
+  let records = single_request(RequestKind::ResumableStream, served(&body.concat()), runs);
+  assert_eq!(found(&records), [Promise::OneVersion]);
+}
+
+#[test]
+fn stream_that_goes_on_after_the_wrong_event_is_found() {
+  let beginning = cut(versioned_events(1, 3, "v1"));
+  let rest = served(&versioned_events(5, EVENTS, "v1"));
+  let records = resumed_stream(beginning, rest);
+  assert_eq!(found(&records), [Promise::OwnCompleteResponse]);
+}
+
+#[rstest]
+#[case::half_go_on(20, 10, 2, false)]
+#[case::fewer_go_on(20, 9, 2, true)]
+#[case::fewer_than_twelve(11, 0, 2, false)]
+#[case::without_other_engines(20, 0, 1, false)]
+fn resumed_streams_that_do_not_go_on_are_found(
+  #[case] resumed: usize,
+  #[case] go_on: usize,
+  #[case] engines: usize,
+  #[case] is_breach: bool,
+) {
+  let mut records = Records::default();
+  for number in 0..20 + resumed {
+    let is_resumed = number < resumed;
+    let outcome = match is_resumed && number >= go_on {
+      true => complete(503, None, ""),
+      false => cut(versioned_events(4, 5, "v1")),
+    };
+    let sent = RequestRecord {
+      resumes: is_resumed.then(|| ResumedStream {
+        engines,
+        first_id: "a".into(),
+        last_event: 3,
+      }),
+      ..request(RequestKind::ResumableStream, outcome, Vec::new())
+    };
+    records.requests.insert(format!("r-{number}"), sent);
+  }
+  let found = breaches(&records, SLACK_MS);
+  let is_found = found
+    .iter()
+    .any(|breach| breach.promise == Promise::ResumedStreamsGoOn);
+  assert_eq!(is_found, is_breach, "{found:?}");
+}
