Resumptions: a time to return when the version is gone, no wait for boxes that are down

- A stream whose version has no listed endpoint is rejected with the delay of a service without endpoints (1 s); the forecast of free slots that was sent before concerns other versions.
E562 names the version.
- Former boxes are asked when no other is listed: after an outage of the store the list of boxes is empty for a while.

Tests: a version that is gone, ids of other organisations and of two callers, eviction.

--- a/src/gateway/decisions/service_versions.rs
+++ b/src/gateway/decisions/service_versions.rs
@@ -88,6 +88,13 @@
       .is_some_and(|versions| versions.len() > 1)
   }
 
+  /// The listed endpoints of a version of a service.
+  pub fn listed(&self, service: &str, version: &SoftwareVersion) -> usize {
+    let versions = self.services.get(service);
+    let state = versions.and_then(|versions| versions.get(version));
+    state.map_or(0, |state| state.endpoints)
+  }
+
   /// The services with more than one version, and the listed endpoints of each.
   pub fn divided(&self) -> BTreeMap<Name, BTreeMap<SoftwareVersion, usize>> {
     let divided = self.services.iter();
--- a/src/gateway/requests/stream.rs
+++ b/src/gateway/requests/stream.rs
@@ -7,8 +7,8 @@
     stream_request::{StreamFailure, StreamRequest},
   },
   crate::gateway::{
-    decisions::RETRY_AFTER_FULL_MS,
-    stages::RoutedRequest,
+    decisions::{RETRY_AFTER_FULL_MS, RETRY_AFTER_NO_ENDPOINT_MS},
+    stages::{Resumption, RoutedRequest},
     state::{Gateway, InFlight},
   },
   http::Response,
@@ -79,6 +79,9 @@
       Err(_) => LocalReply::Unknown,
     },
     _ if may_have_run => LocalReply::Unknown,
+    _ if lacks_version(gateway, request) => LocalReply::NotRun {
+      retry_after_ms: RETRY_AFTER_NO_ENDPOINT_MS,
+    },
     StreamFailure::Failed => not_run(gateway, request, RETRY_AFTER_FULL_MS),
     StreamFailure::NoSlot => {
       let forecast_ms = gateway
@@ -98,6 +101,21 @@
   reply.response()
 }
 
+/// Whether a request resumes a stream of a version that no listed endpoint has.
+fn lacks_version(gateway: &Gateway, request: &RoutedRequest) -> bool {
+  let Resumption::At(version) = &request.resumption else {
+    return false;
+  };
+  let endpoints = gateway.endpoints.borrow();
+  let listed = endpoints.versions().listed(&request.service, version);
+  log::info!(
+    "E562 stream not resumed: {} of {} version {version}, {listed} endpoints of it are listed",
+    request.id(),
+    request.service
+  );
+  listed == 0
+}
+
 /// Rejects a request that has not run. When all endpoints back off, the retry-after delay lasts until the first backoff ends.
 fn not_run(gateway: &Gateway, request: &RoutedRequest, default_ms: u64) -> LocalReply {
   LocalReply::NotRun {
--- a/src/gateway/resumption/lookup.rs
+++ b/src/gateway/resumption/lookup.rs
@@ -5,7 +5,7 @@
   crate::{
     CallError,
     gateway::{
-      decisions::{RecordedOrigin, StreamKey, StreamOrigin, record_sources},
+      decisions::{RECORD_COPIES, RecordedOrigin, StreamKey, StreamOrigin, record_sources},
       edge::{RouteKind, SoftwareVersion},
       stages::{Resumption, RoutedRequest},
       state::Gateway,
@@ -15,6 +15,9 @@
   std::{collections::BTreeSet, fmt::Write, net::SocketAddr, rc::Rc},
 };
 
+/// Answers after which a box that knows one version only waits for no more: a box that is down delays nothing.
+const ENOUGH_ANSWERS: usize = 3;
+
 /// What boxes answered to a lookup.
 #[derive(Debug, Default)]
 struct Answers {
@@ -136,15 +139,23 @@
   );
 }
 
+/// The boxes that may have recorded a stream; former ones if no other is listed.
+fn boxes_to_ask(gateway: &Gateway, key: &StreamKey) -> Vec<SocketAddr> {
+  let identity = &gateway.settings.identity;
+  let boxes = gateway.boxes.borrow();
+  let mut addresses = record_sources(&boxes, key, &identity.name, &identity.hall);
+  if addresses.is_empty() {
+    addresses = boxes.former_peers(&identity.name);
+    addresses.truncate(RECORD_COPIES);
+  }
+  addresses
+}
+
 /// Asks the boxes that may have recorded a stream, at the same time, until one has.
 async fn ask_boxes(gateway: &Rc<Gateway>, request: &RoutedRequest, key: StreamKey) -> Answers {
-  let identity = &gateway.settings.identity;
-  let addresses = record_sources(
-    &gateway.boxes.borrow(),
-    &key,
-    &identity.name,
-    &identity.hall,
-  );
+  let listed: BTreeSet<SoftwareVersion> =
+    gateway.endpoints.borrow().versions().of(&request.service);
+  let addresses = boxes_to_ask(gateway, &key);
   let message = LookupMessage {
     key,
     service: request.service.clone(),
@@ -164,7 +175,8 @@
   let mut calls: FuturesUnordered<_> = calls.collect();
   while let Some((address, result)) = calls.next().await {
     answers.record(address, result);
-    if answers.origin.is_some() {
+    let is_one_version = answers.versions.union(&listed).count() <= 1;
+    if answers.origin.is_some() || (is_one_version && answers.answered >= ENOUGH_ANSWERS) {
       break;
     }
   }
--- a/tests/gateway/versions.rs
+++ b/tests/gateway/versions.rs
@@ -8,6 +8,9 @@
   emulator::eventually,
   futures_util::future::join_all,
   http::{HeaderValue, StatusCode},
+  rillford::gateway::{
+    RecordSource, RecordedOrigin, SoftwareVersion, StreamKey, StreamOrigin, StreamRecords,
+  },
   rstest::rstest,
   std::{collections::HashSet, sync::Mutex, time::Duration},
 };
@@ -224,6 +227,66 @@
   assert!(other.requests().iter().all(|seen| seen.id() != "again"));
 }
 
+/// Guards against a stream that goes on at another version when its own is gone.
+#[tokio::test]
+async fn stream_whose_version_is_gone_is_rejected_with_a_time_to_return() {
+  let prefill = EndpointStandIn::engine(EVENTS).await;
+  let test = GatewayTest::new().await;
+  test.enter("e-1", "llm", Some("prefill"), &prefill);
+  let first = EndpointStandIn::start(begins_and_resumes).await;
+  test.enter_version("e-2", &first, "v2");
+  let gateway = test.start().await;
+  gateway.ask_in_background("/resumable/a", "r0");
+  let records = "rillford_stream_records";
+  assert!(eventually(TIMEOUT, async || gateway.metric(records).await == 1.0).await);
+  gateway.test.store.remove("servers/e-2");
+  let other = EndpointStandIn::start(begins_and_resumes).await;
+  gateway.test.enter_version("e-3", &other, "v3");
+  let served = async || gateway.ask("/resumable/a", "new").await.status == StatusCode::OK;
+  assert!(eventually(TIMEOUT, served).await);
+  let rejected = resume(&gateway, "again", "r0").await;
+  assert_eq!(rejected.status, StatusCode::SERVICE_UNAVAILABLE);
+  assert_eq!(rejected.headers["retry-after"], "1.000");
+  assert!(other.requests().iter().all(|seen| seen.id() != "again"));
+}
+
+/// Guards against a stream that another organisation names, or whose id two callers use.
+#[test]
+fn ambiguous_and_foreign_streams_have_no_origin() {
+  let origin = |version| StreamOrigin {
+    service: "llm".into(),
+    version: SoftwareVersion::new(version),
+  };
+  let key = StreamKey::of(Some("captions"), "r0");
+  let mut records = StreamRecords::default();
+  records.record(key, origin("v1"), RecordSource::Own, 1_000);
+  let foreign = StreamKey::of(Some("lectures"), "r0");
+  assert_eq!(records.find(&foreign, 0), RecordedOrigin::Unknown);
+  records.record(key, origin("v2"), RecordSource::Peer, 1_000);
+  assert_eq!(records.find(&key, 0), RecordedOrigin::Ambiguous);
+  records.record(key, origin("v1"), RecordSource::Own, 2_000);
+  assert_eq!(records.find(&key, 1_500), RecordedOrigin::Ambiguous);
+}
+
+/// Guards against records that grow without bound under ids that callers choose.
+#[test]
+fn oldest_records_are_evicted_when_there_are_too_many() {
+  let mut records = StreamRecords::default();
+  let key = |number: usize| StreamKey::of(None, &format!("r{number}"));
+  let origin = StreamOrigin {
+    service: "llm".into(),
+    version: SoftwareVersion::new("v1"),
+  };
+  for number in 0..30_000 {
+    records.record(key(number), origin.clone(), RecordSource::Own, 1_000);
+  }
+  assert_eq!(records.len(), 20_000);
+  assert_eq!(records.find(&key(0), 0), RecordedOrigin::Unknown);
+  assert_eq!(records.find(&key(29_999), 0), RecordedOrigin::Known(origin));
+  records.expire(1_000);
+  assert!(records.is_empty());
+}
+
 /// What a caller names as the request that began its stream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Named {
