--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -49,7 +49,7 @@
   error::{Error, Result},
   fault::{EndpointFault, EndpointsCut, Fault, LinkFault, StoreFault},
   hall::Hall,
-  plan::{ScheduledFault, Size, draw_plan},
+  plan::{ScheduledFault, Size, draw_interruptions, draw_plan},
   play::{Options, Report, play},
   promise::Promise,
   promises::breaches,
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -203,6 +203,35 @@
   steps
 }
 
+/// Draws the faults of a run that interrupts streams only: at engines, at boxes and between callers and boxes.
+pub fn draw_interruptions(seed: u64, size: Size) -> Vec<ScheduledFault> {
+  let mut draw = Draw {
+    random: ChaCha8Rng::seed_from_u64(seed),
+    size,
+  };
+  let mut steps = draw_stream_faults(seed, size);
+  let mut at_ms = draw.interval_ms();
+  while at_ms < size.faults_ms {
+    let index = draw.random.random_range(0..size.boxes);
+    let fault = if draw.random.random_bool(0.5) {
+      Fault::BoxKilled {
+        down_ms: draw.between(FAULT_DURATION_MS),
+        index,
+      }
+    } else {
+      Fault::CallerLink {
+        fault: LinkFault::Reset,
+        for_ms: 1,
+        index,
+      }
+    };
+    steps.push(ScheduledFault { at_ms, fault });
+    at_ms += draw.interval_ms();
+  }
+  steps.sort_by_key(|step| step.at_ms);
+  steps
+}
+
 /// Draws endpoints that cut streams, and endpoints that are replaced one after another, from a separate sequence.
 fn draw_stream_faults(seed: u64, size: Size) -> Vec<ScheduledFault> {
   let mut draw = Draw {
--- a/soak/src/subcommand.rs
+++ b/soak/src/subcommand.rs
@@ -41,6 +41,8 @@
   /// Additional time in the promises' bounds, in milliseconds
   #[bpaf(argument("MS"), fallback(700))]
   slack_ms: u64,
+  /// Interrupt streams, and inject no other faults
+  only_interruptions: bool,
   /// Directory for each seed's settings and logs
   #[bpaf(argument("DIRECTORY"), fallback(PathBuf::from("target/soak")))]
   keep: PathBuf,
@@ -105,6 +107,7 @@
   let options = Options {
     callers: arguments.callers,
     directory: directory.clone(),
+    only_interruptions: arguments.only_interruptions,
     program: arguments.program.clone(),
     seed,
     size: Size {
--- a/tests/soak_play.rs
+++ b/tests/soak_play.rs
@@ -16,6 +16,7 @@
   let report = play(&Options {
     callers: 8,
     directory: directory.path().into(),
+    only_interruptions: false,
     program: Path::new(env!("CARGO_BIN_EXE_rillford")).into(),
     seed: 7,
     size: Size {
