A stream begins at no engine that has restarted while the list may lag

Box 1 was cut off from the store from 1.95 to 5.88 s; engine i-5 crashed and came back under its id at 3.3 s with the other version; at 4.6 and 4.8 s the box began both streams there and recorded the listed version, v2, where v1 wrote. The callers resumed them at v2 through box 3, as recorded.

Change: while several versions are known and the contact with the store is not recent, a resumable stream begins only at an engine whose report names the listed start, as a resumption does. Nothing is asked with recent contact, or with one version.

stream_does_not_begin_at_an_engine_that_has_restarted_while_the_list_may_lag failed before (the restarted engine ran some of the eight streams) and passes.

--- a/src/gateway/requests/stream_send.rs
+++ b/src/gateway/requests/stream_send.rs
@@ -58,20 +58,20 @@
     result
   }
 
-  /// Checks that an endpoint may go on with the stream: while versions differ, or the list may lag, one that has restarted under its
-  /// id may have another version than the listed one.
+  /// Checks that an endpoint has the stream's version, or, if the stream begins there, the version that will be recorded for it:
+  /// one that has restarted under its id may have another version than the listed one.
   async fn check_version(&self, entry: &EndpointEntry) -> Result<(), StageError> {
-    let Some(version) = &self.version else {
-      return Ok(());
-    };
-    if entry.version != *version {
-      return Err(Unavailable::Unlisted.into());
-    }
     let are_several = {
       let endpoints = self.gateway.endpoints.borrow();
       endpoints.versions().are_several(&entry.service)
     };
-    if are_several || !self.gateway.is_current() {
+    let may_lag = !self.gateway.is_current();
+    let needs_check = match &self.version {
+      Some(version) if entry.version != *version => return Err(Unavailable::Unlisted.into()),
+      Some(_) => are_several || may_lag,
+      None => self.may_retry() && are_several && may_lag,
+    };
+    if needs_check {
       check_incarnation(&self.gateway, entry).await?;
     }
     Ok(())
--- a/tests/gateway/versions.rs
+++ b/tests/gateway/versions.rs
@@ -227,6 +227,29 @@
   assert!(other.requests().iter().all(|seen| seen.id() != "again"));
 }
 
+/// Guards against a stream whose origin is recorded as a version that its engine no longer has.
+#[tokio::test]
+async fn stream_does_not_begin_at_an_engine_that_has_restarted_while_the_list_may_lag() {
+  let prefill = EndpointStandIn::engine(EVENTS).await;
+  let test = GatewayTest::new().await;
+  test.enter("e-1", "llm", Some("prefill"), &prefill);
+  let restarted = EndpointStandIn::start(reports_start(8)).await;
+  test.enter_version_started("e-2", &restarted, "v1", 7);
+  let other = EndpointStandIn::start(reports_start(7)).await;
+  test.enter_version_started("e-3", &other, "v2", 7);
+  let proxy = StoreProxy::to(test.store.address).await;
+  let gateway = test.second_box("north-2", proxy.address).start().await;
+  proxy.cut().await;
+  let is_stale = async || gateway.ask("/missing/", "m").await.status != StatusCode::NOT_FOUND;
+  assert!(eventually(TIMEOUT, is_stale).await);
+  for number in 0..STREAMS {
+    gateway.ask_in_background("/resumable/a", &format!("r{number}"));
+  }
+  let all_run = async || other.requests().len() + restarted.requests().len() == STREAMS;
+  assert!(eventually(TIMEOUT, all_run).await);
+  assert!(restarted.requests().is_empty());
+}
+
 /// Guards against a stream that goes on at another version when its own is gone.
 #[tokio::test]
 async fn stream_whose_version_is_gone_is_rejected_with_a_time_to_return() {
