Emulator: streams that callers resume while boxes fail, in four ways to learn where they began

Boxes run record_holders, record_sources, StreamRecords and CopyBudget in virtual time. Four patterns (cuts, boxes killed in turn, half of all at once, a hall) by four ways: own records, asking all boxes, one copy, up to four copies.

--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -25,6 +25,7 @@
 mod relay;
 mod service;
 mod slopes;
+pub mod streams;
 mod subcommand;
 
 pub use self::{
--- a/emulator/src/subcommand.rs
+++ b/emulator/src/subcommand.rs
@@ -17,6 +17,7 @@
     quarantine::{CrashReport, crash_report, print_crashes},
     regress::{RegressOptions, regress, regress_options},
     slopes,
+    streams::{StreamReport, print_streams, stream_report},
   },
   bpaf::Bpaf,
   rillford::decide::Role,
@@ -125,6 +126,12 @@
     #[bpaf(external(place_report))]
     report: PlaceReport,
   },
+  /// Replay streams that callers resume while boxes fail, in virtual time with each way to learn where they began, and print the table
+  #[bpaf(command)]
+  Streams {
+    #[bpaf(external(stream_report))]
+    report: StreamReport,
+  },
   /// Read logs of gateway boxes from standard input and print where streams lose time
   #[bpaf(command("log-summary"))]
   LogSummary {
@@ -229,6 +236,10 @@
         print_places(report);
         Ok(())
       }
+      Self::Streams { report } => {
+        print_streams(report);
+        Ok(())
+      }
       Self::LogSummary { seconds } => {
         print!("{}", log_summary(io::stdin().lock(), seconds)?);
         Ok(())
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -79,7 +79,7 @@
     events: EngineEventSender,
   ) -> Arc<Self> {
     Arc::new(Self {
-      version: VERSIONS[usize::from(identity.start_number % 2 == 0)],
+      version: VERSIONS[usize::from(identity.start_number.is_multiple_of(2))],
       start_number: identity.start_number,
       exports: exports.clone(),
       incarnation: identity.incarnation,
--- a/tests/gateway/versions.rs
+++ b/tests/gateway/versions.rs
@@ -5,7 +5,10 @@
     EndpointStandIn, GatewayBox, GatewayTest, ReceivedRequest, Reply, TIMEOUT,
     endpoint::engine_reply, harness::CallerResponse, store_proxy::StoreProxy,
   },
-  emulator::eventually,
+  emulator::{
+    eventually,
+    streams::{StreamFigures, StreamFleet, StreamPattern, StreamWay, replay_streams},
+  },
   futures_util::future::join_all,
   http::{HeaderValue, StatusCode},
   rillford::gateway::{
@@ -440,3 +443,34 @@
   assert!(allowed.contains(&response.status), "{response:?}");
   assert!(old.requests().iter().all(|seen| seen.id() != "again"));
 }
+
+/// Guards against records that are lost with the boxes that fail, or that cost more than control may.
+#[rstest]
+#[case::smallest(8, 4)]
+#[case::medium(58, 1)]
+fn most_resumed_streams_have_a_known_origin_while_boxes_fail(
+  #[case] boxes: usize,
+  #[case] seeds: u64,
+  #[values(
+    StreamPattern::Cuts,
+    StreamPattern::KilledInTurn,
+    StreamPattern::HalfKilled,
+    StreamPattern::HallLost
+  )]
+  pattern: StreamPattern,
+) {
+  const CONTROL_BYTES_PER_S: f64 = 6_000.0;
+  let fleet = StreamFleet {
+    boxes,
+    ..StreamFleet::SMALL
+  };
+  let runs = (1..=seeds).map(|seed| replay_streams(pattern, fleet, StreamWay::Copies, seed));
+  let runs: Vec<StreamFigures> = runs.collect();
+  let sum = |figure: fn(&StreamFigures) -> u32| runs.iter().map(figure).sum::<u32>();
+  assert_eq!(sum(|run| run.wrong), 0);
+  assert!(
+    2 * sum(|run| run.known) >= sum(|run| run.resumed),
+    "{runs:?}"
+  );
+  assert!(runs.iter().all(|run| run.bytes_per_s < CONTROL_BYTES_PER_S));
+}
