--- a/tests/gateway/cut_off.rs
+++ b/tests/gateway/cut_off.rs
@@ -23,7 +23,7 @@
 
 /// How connections to an endpoint fail at a box.
 #[derive(Clone, Copy, Debug)]
-enum Cut {
+pub(super) enum Cut {
   /// Connection attempts get no answer.
   Hang,
   /// Connection attempts are refused.
@@ -31,14 +31,14 @@
 }
 
 /// An address at which connection attempts fail, as long as it is held.
-struct CutAddress {
-  address: SocketAddr,
+pub(super) struct CutAddress {
+  pub(super) address: SocketAddr,
   _listener: Option<Socket>,
   _queued: Vec<TcpStream>,
 }
 
 impl CutAddress {
-  fn new(cut: Cut) -> Self {
+  pub(super) fn new(cut: Cut) -> Self {
     match cut {
       Cut::Refuse => {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
--- a/tests/gateway/versions.rs
+++ b/tests/gateway/versions.rs
@@ -3,7 +3,10 @@
 use {
   super::{
     EndpointStandIn, GatewayBox, GatewayTest, ReceivedRequest, Reply, TIMEOUT,
-    endpoint::engine_reply, harness::CallerResponse, store_proxy::StoreProxy,
+    cut_off::{Cut, CutAddress},
+    endpoint::engine_reply,
+    harness::CallerResponse,
+    store_proxy::StoreProxy,
   },
   emulator::{
     eventually,
@@ -193,6 +196,107 @@
   }
 }
 
+/// Begins streams at a box, and waits until their callers have the first events.
+async fn begin_streams(gateway: &GatewayBox, engines: &Engines) {
+  for number in 0..STREAMS {
+    let id = format!("r{number}");
+    gateway.ask_in_background("/resumable/a", &id);
+    engines.wait_until_run(&id).await;
+  }
+  let records = async || gateway.metric("rillford_stream_records").await == STREAMS as f64;
+  assert!(eventually(TIMEOUT, records).await);
+}
+
+/// Resumes the streams at a box, and checks that each goes on at its version.
+async fn resume_streams(gateway: &GatewayBox, engines: &Engines) {
+  for number in 0..STREAMS {
+    let (first, again) = (format!("r{number}"), format!("again-{number}"));
+    let response = resume(gateway, &again, &first).await;
+    assert_eq!(response.status, StatusCode::OK);
+    assert_eq!(response.body.unwrap(), REST);
+    assert_eq!(engines.versions_of(&again), engines.versions_of(&first));
+  }
+}
+
+/// Guards against a box that goes by its own records only: it may have started after the streams began.
+#[tokio::test]
+async fn box_that_has_just_started_asks_where_streams_began() {
+  let prefill = EndpointStandIn::engine(EVENTS).await;
+  let test = GatewayTest::new().await;
+  test.enter("e-1", "llm", Some("prefill"), &prefill);
+  let engines = Engines::start(&test, 2, || begins_and_resumes).await;
+  let later = test.second_box("north-2", test.store.address);
+  let began = test.start().await;
+  begin_streams(&began, &engines).await;
+  let later = later.start().await;
+  assert!(
+    eventually(TIMEOUT, async || later.metric("rillford_boxes").await
+      == 2.0)
+    .await
+  );
+  resume_streams(&later, &engines).await;
+}
+
+/// Guards against a box that forwards a resumption to one that serves it at any version.
+#[tokio::test]
+async fn forwarded_stream_goes_on_at_its_version() {
+  let prefill = EndpointStandIn::engine(EVENTS).await;
+  let test = GatewayTest::new().await;
+  test.enter("e-1", "llm", Some("prefill"), &prefill);
+  let engines = Engines::start(&test, 2, || begins_and_resumes).await;
+  let cut_off = GatewayTest::new().await;
+  let addresses: Vec<CutAddress> = (1..6).map(|_| CutAddress::new(Cut::Refuse)).collect();
+  for (number, cut) in (1..).zip(&addresses) {
+    let role = if number == 1 { "prefill" } else { "decode" };
+    cut_off.enter_at(
+      &format!("e-{number}"),
+      "llm",
+      Some(role),
+      cut.address,
+      "ready",
+    );
+  }
+  let other = test.start().await;
+  let cut_off = cut_off.named("north-2").start().await;
+  cut_off.test.enter_box("north-1", other.boxes);
+  assert!(
+    eventually(TIMEOUT, async || cut_off.metric("rillford_boxes").await
+      == 2.0)
+    .await
+  );
+  begin_streams(&other, &engines).await;
+  resume_streams(&cut_off, &engines).await;
+}
+
+/// Guards against a stream that goes on where its prompt is cached, at another version.
+#[tokio::test]
+async fn cached_prompt_at_another_version_is_not_used() {
+  let prefill = EndpointStandIn::engine(EVENTS).await;
+  let test = GatewayTest::new().await;
+  test.enter("e-1", "llm", Some("prefill"), &prefill);
+  let first = EndpointStandIn::start(begins_and_resumes).await;
+  test.enter_version("e-2", &first, "v1");
+  let gateway = test.start().await;
+  gateway.ask_in_background("/resumable/a", "r0");
+  let records = async || gateway.metric("rillford_stream_records").await == 1.0;
+  assert!(eventually(TIMEOUT, records).await);
+  let caching = EndpointStandIn::start(|seen| match seen.path.as_str() {
+    "/kv-list" => Reply::ok(seen, r#"{"epoch":1,"held":[["","91bd",100,"m"]]}"#),
+    _ => begins_and_resumes(seen),
+  })
+  .await;
+  gateway.test.enter_version("e-3", &caching, "v2");
+  let divided = "rillford_services_of_several_versions";
+  assert!(eventually(TIMEOUT, async || gateway.metric(divided).await == 1.0).await);
+  let mut request = gateway.request("/resumable/a", "again");
+  let headers = request.headers_mut();
+  headers.insert("last-event-id", HeaderValue::from_static("1"));
+  headers.insert("resumes", HeaderValue::from_static("r0"));
+  headers.insert("x-prompt-prefix", HeaderValue::from_static("91bd:100"));
+  assert_eq!(gateway.send(request).await.body.unwrap(), REST);
+  assert!(caching.requests().is_empty());
+}
+
 /// An engine that resumes streams and reports when it started.
 fn reports_start(started_ms: u64) -> impl Fn(&ReceivedRequest) -> Reply + Send + Sync + 'static {
   move |seen| match seen.path.as_str() {
