Lookup of streams: one set of versions, a plainer condition

No change of behaviour: the listed versions were read twice, and is_alone named the opposite of what mattered.

--- a/src/gateway/resumption/lookup.rs
+++ b/src/gateway/resumption/lookup.rs
@@ -27,7 +27,7 @@
   answered: usize,
   /// Where the stream began, and which box has recorded it.
   origin: Option<(RecordedOrigin, SocketAddr)>,
-  /// The versions of the service that they know.
+  /// The versions of the service that this box and they know.
   versions: BTreeSet<SoftwareVersion>,
 }
 
@@ -67,12 +67,13 @@
     gateway.counters.origins_own.inc();
     return Some(along_route(request, origin, "recorded here"));
   }
-  let mut answers = match own {
-    RecordedOrigin::Unknown => ask_boxes(gateway, request, key).await,
-    _ => Answers::default(),
+  let mut answers = Answers {
+    versions: gateway.endpoints.borrow().versions().of(&request.service),
+    ..Answers::default()
   };
-  let listed = gateway.endpoints.borrow().versions().of(&request.service);
-  answers.versions.extend(listed);
+  if own == RecordedOrigin::Unknown {
+    ask_boxes(gateway, request, key, &mut answers).await;
+  }
   match &answers.origin {
     Some((RecordedOrigin::Known(origin), address)) => {
       gateway.counters.origins_asked.inc();
@@ -95,11 +96,11 @@
   None
 }
 
-/// The only version that this box and those that answered know of the service. Without an answer it takes a recent contact with
+/// The only version that this box and those that answered know of the service. When no box answered, it takes recent contact with
 /// the store: a version that this box does not know yet may have begun the stream.
 fn only_version(gateway: &Gateway, answers: &Answers) -> Option<SoftwareVersion> {
-  let is_alone = answers.asked == 0 || answers.answered > 0;
-  if !is_alone && !gateway.is_current() {
+  let is_unanswered = answers.asked > 0 && answers.answered == 0;
+  if is_unanswered && !gateway.is_current() {
     return None;
   }
   answers.versions.first().cloned()
@@ -152,18 +153,18 @@
 }
 
 /// Asks the boxes that may have recorded a stream, at the same time, until one has.
-async fn ask_boxes(gateway: &Rc<Gateway>, request: &RoutedRequest, key: StreamKey) -> Answers {
-  let listed: BTreeSet<SoftwareVersion> =
-    gateway.endpoints.borrow().versions().of(&request.service);
+async fn ask_boxes(
+  gateway: &Rc<Gateway>,
+  request: &RoutedRequest,
+  key: StreamKey,
+  answers: &mut Answers,
+) {
   let addresses = boxes_to_ask(gateway, &key);
   let message = LookupMessage {
     key,
     service: request.service.clone(),
   };
-  let mut answers = Answers {
-    asked: addresses.len(),
-    ..Answers::default()
-  };
+  answers.asked = addresses.len();
   gateway
     .counters
     .origin_lookups
@@ -175,12 +176,11 @@
   let mut calls: FuturesUnordered<_> = calls.collect();
   while let Some((address, result)) = calls.next().await {
     answers.record(address, result);
-    let is_one_version = answers.versions.union(&listed).count() <= 1;
+    let is_one_version = answers.versions.len() <= 1;
     if answers.origin.is_some() || (is_one_version && answers.answered >= ENOUGH_ANSWERS) {
       break;
     }
   }
-  answers
 }
 
 impl Answers {
