--- a/src/gateway/decisions/reachability.rs
+++ b/src/gateway/decisions/reachability.rs
@@ -117,6 +117,12 @@
     self.groups.remove(group);
   }
 
+  /// Time since the last contact with an endpoint of a group; `None` when there was none.
+  pub fn contact_age_ms(&self, group: &EndpointGroup, now_ms: u64) -> Option<u64> {
+    let contact_ms = self.groups.get(group)?.last_contact_ms?;
+    Some(now_ms.saturating_sub(contact_ms))
+  }
+
   pub fn is_unreachable(&self, group: &EndpointGroup) -> bool {
     let state = self.groups.get(group);
     state.is_some_and(|state| state.unreachable_since_ms.is_some())
--- a/src/gateway/requests/forwarded.rs
+++ b/src/gateway/requests/forwarded.rs
@@ -3,7 +3,7 @@
 use {
   super::{
     forwarding_headers::{
-      ACCEPTED, CONFIGURATION, DECLINED_FOR_NOW, ENDPOINT, FORWARD_PATH, FORWARDED_BY,
+      ACCEPTED, CONFIGURATION, DECLINED, DECLINED_FOR_NOW, ENDPOINT, FORWARD_PATH, FORWARDED_BY,
       REMAINING_MS, header_text, remove_forwarding_headers, set_header,
     },
     response::{AnsweredBy, ResponseBody, full_body},
@@ -110,6 +110,7 @@
       Self::Unreached => StatusCode::SERVICE_UNAVAILABLE,
       Self::Malformed => StatusCode::BAD_REQUEST,
     };
+    set_header(response.headers_mut(), DECLINED, &self.to_string());
     response
   }
 }
--- a/src/gateway/requests/forwarding.rs
+++ b/src/gateway/requests/forwarding.rs
@@ -4,8 +4,8 @@
 use {
   super::{
     forwarding_headers::{
-      ACCEPTED, CONFIGURATION, ENDPOINT, FORWARD_PATH, FORWARDED_BY, REMAINING_MS, header_text,
-      remove_forwarding_headers, set_header,
+      ACCEPTED, CONFIGURATION, DECLINED, ENDPOINT, FORWARD_PATH, FORWARDED_BY, REMAINING_MS,
+      header_text, remove_forwarding_headers, set_header,
     },
     response::{LocalReply, ResponseBody, StreamAborted},
   },
@@ -178,7 +178,8 @@
   match response.status() {
     StatusCode::SERVICE_UNAVAILABLE => Err(ForwardError::Unreached),
     status => {
-      let error = format!("status {status}, not accepted");
+      let reason = header_text(response.headers(), &DECLINED);
+      let error = format!("declined with status {status}: {reason}");
       Err(ForwardError::NotAccepted(error))
     }
   }
--- a/src/gateway/requests/forwarding_headers.rs
+++ b/src/gateway/requests/forwarding_headers.rs
@@ -15,6 +15,9 @@
 /// On a response: the incarnation and the id of the endpoint that answered.
 pub(super) const ENDPOINT: HeaderName = HeaderName::from_static("rillford-endpoint");
 
+/// On a response to a request that was not accepted: the reason, for logs.
+pub(super) const DECLINED: HeaderName = HeaderName::from_static("rillford-declined");
+
 /// Status of a box that accepts no forwarded requests for now.
 pub(super) const DECLINED_FOR_NOW: StatusCode = StatusCode::MISDIRECTED_REQUEST;
 
@@ -23,6 +26,7 @@
   for name in [
     ACCEPTED,
     CONFIGURATION,
+    DECLINED,
     ENDPOINT,
     FORWARDED_BY,
     REMAINING_MS,
--- a/src/gateway/requests/serving.rs
+++ b/src/gateway/requests/serving.rs
@@ -52,7 +52,7 @@
     "E501 rejected: {} {} with status 503, endpoints unreachable, {}, retry after {retry_after_ms} ms",
     request.id(),
     request.service,
-    gateway.count_endpoints(&request.service)
+    gateway.endpoint_summary(&request.service)
   );
   LocalReply::NotRun { retry_after_ms }.response()
 }
--- a/src/gateway/requests/stream.rs
+++ b/src/gateway/requests/stream.rs
@@ -96,7 +96,7 @@
     request.id(),
     request.service,
     reply.status(),
-    gateway.count_endpoints(&request.service)
+    gateway.endpoint_summary(&request.service)
   );
   reply.response()
 }
--- a/src/gateway/requests/unary.rs
+++ b/src/gateway/requests/unary.rs
@@ -257,7 +257,7 @@
       "E501 rejected: {} {service} with status 503, tried {}, {}, retry after {retry_after_ms} ms",
       self.request.id(),
       self.tried.len(),
-      self.gateway.count_endpoints(service)
+      self.gateway.endpoint_summary(service)
     );
     LocalReply::NotRun { retry_after_ms }.response()
   }
--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -408,6 +408,15 @@
     self.endpoints.borrow().count(Some(service), self.now_ms())
   }
 
+  /// The numbers of a service's endpoints by state, and when this box last reached one that answers requests, for logs.
+  pub(crate) fn endpoint_summary(&self, service: &Name) -> String {
+    let counts = self.count_endpoints(service);
+    match self.contact_age_ms(service) {
+      Some(age_ms) => format!("{counts}, last contact {age_ms} ms ago"),
+      None => format!("{counts}, no contact yet"),
+    }
+  }
+
   /// The numbers of endpoints by state, of unknown response headers and of boxes, and the drained halls, as text.
   pub(crate) fn endpoint_metrics(&self) -> String {
     let EndpointCounts {
--- a/src/gateway/state/reachability.rs
+++ b/src/gateway/state/reachability.rs
@@ -57,10 +57,20 @@
   /// Whether no endpoint that answers requests of a service can be reached from this box.
   pub(crate) fn is_cut_off(&self, service: &Name) -> bool {
     let reachability = self.reachability.borrow();
-    [None, Some(Role::Decode)].into_iter().any(|role| {
-      let service = service.clone();
-      reachability.is_unreachable(&EndpointGroup { role, service })
-    })
+    answering_groups(service)
+      .iter()
+      .any(|group| reachability.is_unreachable(group))
+  }
+
+  /// Time since the last contact with an endpoint that answers requests of a service.
+  pub(crate) fn contact_age_ms(&self, service: &Name) -> Option<u64> {
+    let reachability = self.reachability.borrow();
+    let now_ms = self.now_ms();
+    let groups = answering_groups(service);
+    let ages_ms = groups
+      .iter()
+      .filter_map(|group| reachability.contact_age_ms(group, now_ms));
+    ages_ms.min()
   }
 
   /// Whether no endpoint that answers requests can be reached from this box, whatever the service.
@@ -95,3 +105,11 @@
     text
   }
 }
+
+/// The groups of a service's endpoints that answer requests: plain ones, and decode engines.
+fn answering_groups(service: &Name) -> [EndpointGroup; 2] {
+  [None, Some(Role::Decode)].map(|role| EndpointGroup {
+    role,
+    service: service.clone(),
+  })
+}
