--- a/tests/gateway/cut_off.rs
+++ b/tests/gateway/cut_off.rs
@@ -3,7 +3,7 @@
 use {
   super::{
     EndpointStandIn, GatewayBox, GatewayTest, ReceivedRequest, Reply, TIMEOUT,
-    endpoint::{engine_reply, leaving},
+    endpoint::{engine_reply, leaving, limited},
   },
   emulator::eventually,
   http::StatusCode,
@@ -15,8 +15,9 @@
   socket2::{Domain, Socket, Type},
   std::{
     net::{SocketAddr, TcpListener, TcpStream},
-    time::Duration,
+    time::{Duration, Instant},
   },
+  tokio::time::sleep,
 };
 
 const EVENTS: &str = "id: 1\ndata: a\n\n";
@@ -185,6 +186,74 @@
   }
 }
 
+/// Interval between a caller's requests.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(50);
+/// Time after which a cut has to be noticed.
+const CONTACT: Duration = Duration::from_secs(3);
+
+/// Sends requests for [`CONTACT`], then `count` more; returns how many of these were served.
+async fn served_after_contact(gateway: &GatewayBox, path: &str, count: usize) -> usize {
+  let began = Instant::now();
+  let (mut counted, mut served) = (0, 0);
+  for number in 0.. {
+    let is_counted = began.elapsed() >= CONTACT;
+    let response = gateway.ask(path, &format!("r{number}")).await;
+    counted += usize::from(is_counted);
+    served += usize::from(is_counted && response.status == StatusCode::OK);
+    if counted == count {
+      break;
+    }
+    sleep(REQUEST_INTERVAL).await;
+  }
+  served
+}
+
+/// Guards against callers who are rejected because only boxes that are cut off as well are asked.
+#[rstest]
+#[tokio::test]
+async fn callers_are_served_while_nearly_all_boxes_are_cut_off(
+  #[values(Cut::Hang, Cut::Refuse)] cut: Cut,
+  #[values("/unsafe/a", "/stream/a")] path: &str,
+) {
+  let boxes = CutOffBox::start(cut).await;
+  let mut others = Vec::new();
+  for number in 3..43 {
+    let declines = |seen: &ReceivedRequest| Reply::status(seen, "421 Misdirected Request", "");
+    let other = EndpointStandIn::start(declines).await;
+    let test = &boxes.cut_off.test;
+    test.enter_box(&format!("north-{number}"), other.address);
+    others.push(other);
+  }
+  let lists_all = async || boxes.cut_off.metric("rillford_boxes").await == 42.0;
+  assert!(eventually(TIMEOUT, lists_all).await);
+  let sent = 30;
+  let served = served_after_contact(&boxes.cut_off, path, sent).await;
+  assert!(3 * served >= 2 * sent, "{served} of {sent} served");
+}
+
+/// Guards against a box that does not notice that it is cut off, since no endpoint's limit leaves it a request to try.
+#[rstest]
+#[tokio::test]
+async fn cut_off_box_without_permits_forwards_its_requests(
+  #[values(Cut::Hang, Cut::Refuse)] cut: Cut,
+) {
+  let boxes = CutOffBox::start(cut).await;
+  let limited_portal = EndpointStandIn::start(|seen| limited(Reply::ok(seen, "one"), "0")).await;
+  let test = &boxes.cut_off.test;
+  test.enter("p-2", "portal", None, &limited_portal);
+  test.store.remove("servers/p-1");
+  let has_limit = async || {
+    boxes.cut_off.ask("/unsafe/a", "r").await;
+    boxes.cut_off.metric("rillford_endpoints_limited").await == 1.0
+  };
+  assert!(eventually(TIMEOUT, has_limit).await);
+  let address = CutAddress::new(cut);
+  test.enter_at("p-2", "portal", None, address.address, "ready");
+  let sent = 30;
+  let served = served_after_contact(&boxes.cut_off, "/unsafe/a", sent).await;
+  assert!(3 * served >= 2 * sent, "{served} of {sent} served");
+}
+
 /// Guards against a second run of a request that another box may have had run.
 #[tokio::test]
 async fn request_lost_at_another_box_is_sent_to_no_further_one() {
