A box without permits notices that it is cut off

Cause: reachability was observed from sends alone. Where nothing may be sent nothing fails. Change: a group for which a request found no endpoint to send to is suspected after a second without contact, and all groups once another one is unreachable; a suspected group is tried by one connection, after its failure by three.

--- a/src/gateway/decisions/reachability.rs
+++ b/src/gateway/decisions/reachability.rs
@@ -2,7 +2,8 @@
 //!
 //! Load pattern: connections to all endpoints hang, are reset or are refused, for this box or for all boxes. One failing
 //! endpoint is no evidence about the others; after several in a row without contact in between, a request would try one
-//! after the other and fail.
+//! after the other and fail. While limits or backoffs keep a box from sending anything, nothing fails: silence alone has to make
+//! it try.
 
 use {
   crate::{decide::Role, gateway::edge::EndpointEntry, ids::Name},
@@ -13,6 +14,8 @@
 const MIN_UNREACHED: usize = 3;
 /// Shortest time without contact. Where one endpoint of many can be reached, requests there alternate with failures at the others.
 const MIN_SILENCE_MS: u64 = 300;
+/// Time without contact after which a group that got no requests is suspected, if there were some for it.
+const MAX_IDLE_MS: u64 = 1_000;
 
 /// Endpoints that can stand in for each other: those of a service, by role.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
@@ -36,14 +39,32 @@
   unreached: BTreeSet<Name>,
   last_contact_ms: Option<u64>,
   unreachable_since_ms: Option<u64>,
+  /// Whether a request found no endpoint that it could be sent to, since the last contact.
+  had_unsent: bool,
+  /// Whether another group became unreachable since the last contact.
+  is_doubted: bool,
 }
 
 impl GroupState {
   /// Whether there was no contact for a while.
   fn is_silent(&self, now_ms: u64) -> bool {
+    self.is_silent_for(MIN_SILENCE_MS, now_ms)
+  }
+
+  fn is_silent_for(&self, silence_ms: u64, now_ms: u64) -> bool {
     self
       .last_contact_ms
-      .is_none_or(|contact_ms| now_ms >= contact_ms + MIN_SILENCE_MS)
+      .is_none_or(|contact_ms| now_ms >= contact_ms + silence_ms)
+  }
+
+  /// Whether the group may be unreachable.
+  fn is_suspected(&self, now_ms: u64) -> bool {
+    if self.unreachable_since_ms.is_some() {
+      return false;
+    }
+    let has_cause = !self.unreached.is_empty() || self.is_doubted;
+    (has_cause && self.is_silent(now_ms))
+      || (self.had_unsent && self.is_silent_for(MAX_IDLE_MS, now_ms))
   }
 }
 
@@ -94,10 +115,19 @@
       return None;
     }
     state.unreachable_since_ms = Some(now_ms);
-    Some(GroupLost {
+    let lost = GroupLost {
       contact_age_ms,
       unreached: state.unreached.len(),
-    })
+    };
+    for state in self.groups.values_mut() {
+      state.is_doubted = true;
+    }
+    Some(lost)
+  }
+
+  /// Records that a request found no endpoint of a group that it could be sent to.
+  pub fn record_unsent(&mut self, group: EndpointGroup) {
+    self.groups.entry(group).or_default().had_unsent = true;
   }
 
   /// Records contact with an endpoint of a group; returns for how long the group was unreachable if it was.
@@ -107,6 +137,8 @@
       None => self.groups.entry(group.clone()).or_default(),
     };
     state.unreached.clear();
+    state.had_unsent = false;
+    state.is_doubted = false;
     state.last_contact_ms = Some(now_ms);
     let since_ms = state.unreachable_since_ms.take()?;
     Some(now_ms.saturating_sub(since_ms))
@@ -128,15 +160,12 @@
     state.is_some_and(|state| state.unreachable_since_ms.is_some())
   }
 
-  /// The groups that may be unreachable: an endpoint failed, and there was no contact for a while.
-  pub fn suspected(&self, now_ms: u64) -> impl Iterator<Item = &EndpointGroup> {
-    let is_suspected = move |state: &GroupState| {
-      state.unreachable_since_ms.is_none() && !state.unreached.is_empty() && state.is_silent(now_ms)
-    };
+  /// The groups that may be unreachable, with the number of endpoints that failed since the last contact.
+  pub fn suspected(&self, now_ms: u64) -> impl Iterator<Item = (&EndpointGroup, usize)> {
     let groups = self.groups.iter();
     groups
-      .filter(move |(_, state)| is_suspected(state))
-      .map(|(group, _)| group)
+      .filter(move |(_, state)| state.is_suspected(now_ms))
+      .map(|(group, state)| (group, state.unreached.len()))
   }
 
   /// The groups that are unreachable now.
--- a/src/gateway/stages/reachability_probe.rs
+++ b/src/gateway/stages/reachability_probe.rs
@@ -11,7 +11,7 @@
 
 /// Interval of connection attempts to a group of endpoints.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
-/// Endpoints of a suspected group that are tried at once; as many failures make it unreachable.
+/// Endpoints of a group that are tried at once after one has failed; as many failures make it unreachable.
 const SUSPECT_PROBES: usize = 3;
 
 /// Connects to one endpoint of each unreachable group from time to time, until the process exits. Of a group that may be
@@ -25,7 +25,10 @@
       let unreachable = reachability.unreachable().map(|group| (group.clone(), 1));
       let suspected = reachability.suspected(now_ms);
       unreachable
-        .chain(suspected.map(|group| (group.clone(), SUSPECT_PROBES)))
+        .chain(suspected.map(|(group, failed)| {
+          let count = if failed == 0 { 1 } else { SUSPECT_PROBES };
+          (group.clone(), count)
+        }))
         .collect()
     };
     let probes = groups.iter();
--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -11,9 +11,9 @@
       connections::{Connection, ConnectionPool},
       decisions::{
         AttemptOutcome, BoxEntry, BoxList, CachedPrompts, Choice, ColdPeriod, CopyBudget,
-        EndpointCounts, EndpointCriteria, EndpointRegistry, LocalUsage, PeakBoxCount, PermitTable,
-        Reachability, RetryUsage, RetryWindow, SlotForecast, SlotQueue, StreamRecords, Unavailable,
-        UsageTable, retry_after_backoff_ms,
+        EndpointCounts, EndpointCriteria, EndpointGroup, EndpointRegistry, LocalUsage,
+        PeakBoxCount, PermitTable, Reachability, RetryUsage, RetryWindow, SlotForecast, SlotQueue,
+        StreamRecords, Unavailable, UsageTable, retry_after_backoff_ms,
       },
       edge::{ColdStart, EndpointEntry, PlatformCodec, RouteTable, StoreLease},
       settings::{GatewaySettings, RoutePolicy},
@@ -292,11 +292,19 @@
     }
   }
 
+  /// Chooses an endpoint for a request; `None` when it may be sent to none.
   pub(crate) fn choose(&self, criteria: EndpointCriteria) -> Option<Choice> {
-    self
+    let choice = self
       .endpoints
       .borrow()
-      .choose(criteria, self.now_ms(), || self.draw())
+      .choose(criteria, self.now_ms(), || self.draw());
+    if choice.is_none() {
+      self.reachability.borrow_mut().record_unsent(EndpointGroup {
+        role: criteria.role,
+        service: criteria.service.into(),
+      });
+    }
+    choice
   }
 
   /// Records that an endpoint is cold for `cold_ms` from now. Has no effect when the configuration sets no cold start for its service.
--- a/tests/gateway/cut_off.rs
+++ b/tests/gateway/cut_off.rs
@@ -432,3 +432,38 @@
   assert_eq!(reachability.suspected(1_400).count(), 0);
   assert_eq!(reachability.record_contact(&group, 1_800), Some(500));
 }
+
+/// Guards against a group that is never tried, since no request may be sent there.
+#[test]
+fn group_is_suspected_when_its_requests_can_not_be_sent() {
+  let group = EndpointGroup {
+    role: None,
+    service: "portal".into(),
+  };
+  let mut reachability = Reachability::default();
+  reachability.record_contact(&group, 1_000);
+  assert_eq!(reachability.suspected(9_000).count(), 0);
+  reachability.record_unsent(group.clone());
+  assert_eq!(reachability.suspected(1_999).count(), 0);
+  assert_eq!(reachability.suspected(2_000).count(), 1);
+  reachability.record_contact(&group, 2_000);
+  assert_eq!(reachability.suspected(9_000).count(), 0);
+}
+
+/// Guards against services that are noticed one after the other when a box loses the paths to all endpoints.
+#[test]
+fn groups_are_suspected_when_another_group_becomes_unreachable() {
+  let [portal, engines] = ["portal", "llm"].map(|service| EndpointGroup {
+    role: None,
+    service: service.into(),
+  });
+  let mut reachability = Reachability::default();
+  reachability.record_contact(&portal, 1_000);
+  reachability.record_contact(&engines, 1_000);
+  let lost = reachability.record_failure(&portal, "a".into(), 1, 1_300);
+  assert!(lost.is_some());
+  let suspected: Vec<_> = reachability.suspected(1_300).collect();
+  assert_eq!(suspected, [(&engines, 0)]);
+  reachability.record_contact(&engines, 1_400);
+  assert_eq!(reachability.suspected(9_000).count(), 0);
+}
