A box that is cut off remembers which boxes serve its requests

Cause: three random boxes were asked for each request, what they answered was forgotten within a second, and three requests in a row that none accepted ended forwarding for a second. Wide cuts leave such draws few hits. A box that declined was also taken for unresponsive, and not asked for permits for a second. Change: boxes that accepted are asked first; up to eight for a request; a search gets to all boxes, those that declined the longest ago last; pauses grow from 100 ms. A box that is busy is not taken for one that is cut off. What a box answers to forwarded requests no longer decides whether it is asked for permits.

--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -9,6 +9,7 @@
 mod engine;
 pub mod experiment;
 mod failures;
+pub mod forwarding;
 mod host;
 mod key_value;
 mod keys;
--- a/emulator/src/subcommand.rs
+++ b/emulator/src/subcommand.rs
@@ -8,6 +8,7 @@
     demo,
     experiment::{self, ExperimentOptions, experiment_options},
     failures,
+    forwarding::{ForwardingReport, forwarding_report, print_forwarding},
     limits::{LimitReport, limit_report, print_limits},
     load::{LoadReport, load_report, print_report},
     log_summary::log_summary,
@@ -132,6 +133,12 @@
     #[bpaf(external(stream_report))]
     report: StreamReport,
   },
+  /// Replay boxes that are cut off from all endpoints, in virtual time with each way to find one that is not, and print the table
+  #[bpaf(command)]
+  Forwarding {
+    #[bpaf(external(forwarding_report))]
+    report: ForwardingReport,
+  },
   /// Read logs of gateway boxes from standard input and print where streams lose time
   #[bpaf(command("log-summary"))]
   LogSummary {
@@ -240,6 +247,10 @@
         print_streams(report);
         Ok(())
       }
+      Self::Forwarding { report } => {
+        print_forwarding(report);
+        Ok(())
+      }
       Self::LogSummary { seconds } => {
         print!("{}", log_summary(io::stdin().lock(), seconds)?);
         Ok(())
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -27,7 +27,7 @@
 mod local_usage;
 mod notice_tracker;
 mod peak_box_count;
-mod peer_choice;
+mod peer_answers;
 mod peer_usage;
 mod permit_account;
 mod permit_table;
@@ -76,7 +76,7 @@
   local_usage::{LocalUsage, LocalVerdict, UsageRequest},
   notice_tracker::{Availability, NoticeChange, NoticeTracker},
   peak_box_count::PeakBoxCount,
-  peer_choice::choose_peers,
+  peer_answers::{PeerAnswers, PeerList},
   permit_account::{PermitAccount, PermitRequest, PermitVerdict},
   permit_table::PermitTable,
   quarantine_key::{QuarantineKey, QuarantineMark},
--- a/src/gateway/requests/forwarded.rs
+++ b/src/gateway/requests/forwarded.rs
@@ -3,8 +3,8 @@
 use {
   super::{
     forwarding_headers::{
-      ACCEPTED, CONFIGURATION, DECLINED, DECLINED_FOR_NOW, ENDPOINT, FORWARD_PATH, FORWARDED_BY,
-      REMAINING_MS, header_text, remove_forwarding_headers, set_header,
+      ACCEPTED, BUSY, CONFIGURATION, DECLINED, DECLINED_FOR_NOW, ENDPOINT, FORWARD_PATH,
+      FORWARDED_BY, REMAINING_MS, header_text, remove_forwarding_headers, set_header,
     },
     response::{AnsweredBy, ResponseBody, full_body},
     routing::route_request,
@@ -106,7 +106,8 @@
   fn response(self) -> Response<ResponseBody> {
     let mut response = Response::new(full_body(Bytes::new()));
     *response.status_mut() = match self {
-      Self::Leaving | Self::TooMany | Self::OlderConfiguration | Self::CutOff => DECLINED_FOR_NOW,
+      Self::Leaving | Self::OlderConfiguration | Self::CutOff => DECLINED_FOR_NOW,
+      Self::TooMany => BUSY,
       Self::Unreached => StatusCode::SERVICE_UNAVAILABLE,
       Self::Malformed => StatusCode::BAD_REQUEST,
     };
--- a/src/gateway/requests/forwarding.rs
+++ b/src/gateway/requests/forwarding.rs
@@ -4,20 +4,20 @@
 use {
   super::{
     forwarding_headers::{
-      ACCEPTED, CONFIGURATION, DECLINED, ENDPOINT, FORWARD_PATH, FORWARDED_BY, REMAINING_MS,
+      ACCEPTED, BUSY, CONFIGURATION, DECLINED, ENDPOINT, FORWARD_PATH, FORWARDED_BY, REMAINING_MS,
       header_text, remove_forwarding_headers, set_header,
     },
     response::{LocalReply, ResponseBody, StreamAborted},
   },
   crate::gateway::{
     connections::{Connection, SendError, remove_connection_headers},
-    decisions::{EndpointIncarnation, choose_peers},
+    decisions::{EndpointIncarnation, PeerList},
     stages::{RequestOrigin, RoutedRequest, apply_forwarded_notice},
     state::{Gateway, InFlight},
   },
   bytes::Bytes,
   futures_util::stream,
-  http::{HeaderMap, Request, Response, StatusCode},
+  http::{HeaderMap, Request, Response},
   http_body_util::{BodyExt, Full, StreamBody},
   hyper::body::{Frame, Incoming},
   std::{net::SocketAddr, rc::Rc, time::Duration},
@@ -26,17 +26,12 @@
 
 /// The other box answers at the deadline itself, and knows whether the request has run.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(100);
-/// How long requests are not forwarded after [`MAX_REJECTED`] in a row were accepted by no box.
-const NO_PEER_BACKOFF_MS: u64 = 1_000;
-/// A few, since boxes that did not accept a request are passed over for the next ones.
-const MAX_REJECTED: u32 = 3;
-
 /// Why another box did not answer a request.
 enum ForwardError {
   /// It has not received it, or accepts none for now.
   NotAccepted(String),
-  /// It could not reach the endpoints either that it tried for this request.
-  Unreached,
+  /// It has too many forwarded requests in flight.
+  Busy,
   /// It may have served it.
   Lost(String),
 }
@@ -61,100 +56,101 @@
   let RequestOrigin::Caller { headers } = &request.origin else {
     return None;
   };
-  if gateway.now_ms() < gateway.no_peer_until_ms.get() {
-    return None;
-  }
   let in_flight = InFlight::new(gateway);
   let peers = peers(gateway);
-  if peers.is_empty() {
-    return None;
-  }
-  for address in peers {
+  let mut tried = Vec::new();
+  while let Some(address) = next_peer(gateway, request, &peers, &tried) {
+    tried.push(address);
     match send(gateway, request, headers, address).await {
       Ok(response) => {
         gateway.counters.forwarded.inc();
-        gateway.not_accepted_in_a_row.set(0);
+        gateway
+          .peer_answers
+          .borrow_mut()
+          .record_accepted(&request.service, address);
         log::info!(
-          "E550 forwarded: {} {} answered by box {address} with status {}, {} ms after arrival",
+          "E550 forwarded: {} {} answered by box {address} with status {}, {} ms after arrival, asked {}",
           request.id(),
           request.service,
           response.1.status(),
-          gateway.now_ms() - request.arrived_ms
+          gateway.now_ms() - request.arrived_ms,
+          tried.len()
         );
         return Some(into_response(gateway, in_flight, response));
       }
-      Err(ForwardError::NotAccepted(error)) => {
+      Err(ForwardError::Busy) => {
         log::info!(
-          "E551 not forwarded: {} to box {address}: {error}",
+          "E551 not forwarded: {} to box {address}: busy",
           request.id()
         );
-        record_unresponsive(gateway, address);
       }
-      Err(ForwardError::Unreached) => {
+      Err(ForwardError::NotAccepted(error)) => {
         log::info!(
-          "E551 not forwarded: {} to box {address}: it reached no endpoint",
+          "E551 not forwarded: {} to box {address}: {error}",
           request.id()
         );
+        record_declined(gateway, request, address);
       }
       Err(ForwardError::Lost(error)) => {
         log::info!(
           "E551 forwarded and lost: {} at box {address}: {error}",
           request.id()
         );
-        record_unresponsive(gateway, address);
+        record_declined(gateway, request, address);
         return Some(LocalReply::Unknown.response());
       }
     }
   }
-  record_not_accepted(gateway);
+  record_fruitless(gateway, request, tried.len());
   None
 }
 
-/// Records that no box accepted a request. After a few, all boxes may be cut off: asking them would only add to their load.
-fn record_not_accepted(gateway: &Gateway) {
-  gateway.counters.not_forwarded.inc();
-  let in_a_row = gateway.not_accepted_in_a_row.get() + 1;
-  if in_a_row < MAX_REJECTED {
-    gateway.not_accepted_in_a_row.set(in_a_row);
-    return;
-  }
-  gateway.not_accepted_in_a_row.set(0);
-  let until_ms = gateway.now_ms() + NO_PEER_BACKOFF_MS;
-  gateway.no_peer_until_ms.set(until_ms);
+/// The box to ask next.
+fn next_peer(
+  gateway: &Gateway,
+  request: &RoutedRequest,
+  peers: &PeerList,
+  tried: &[SocketAddr],
+) -> Option<SocketAddr> {
+  let answers = gateway.peer_answers.borrow();
+  answers.next(&request.service, peers, tried, gateway.now_ms(), || {
+    gateway.draw()
+  })
 }
 
-fn record_unresponsive(gateway: &Gateway, address: SocketAddr) {
+fn record_declined(gateway: &Gateway, request: &RoutedRequest, address: SocketAddr) {
   let now_ms = gateway.now_ms();
+  let mut answers = gateway.peer_answers.borrow_mut();
+  answers.record_declined(&request.service, address, now_ms);
+}
+
+/// Records that none of the boxes that were asked accepted a request.
+fn record_fruitless(gateway: &Gateway, request: &RoutedRequest, asked: usize) {
+  log::info!(
+    "E551 not forwarded: {} {}, {asked} boxes asked",
+    request.id(),
+    request.service
+  );
+  if asked == 0 {
+    return;
+  }
+  gateway.counters.not_forwarded.inc();
   gateway
-    .unresponsive_boxes
+    .peer_answers
     .borrow_mut()
-    .record_failure(address, now_ms);
+    .record_fruitless(&request.service, gateway.now_ms());
 }
 
-/// The boxes to try, without those that did not accept a request lately. Former ones are tried if no other is left.
-fn peers(gateway: &Gateway) -> Vec<SocketAddr> {
+/// The boxes that a request may be forwarded to.
+fn peers(gateway: &Gateway) -> PeerList {
   let identity = &gateway.settings.identity;
   let boxes = gateway.boxes.borrow();
   let (own_hall, other_halls) = boxes.peers(&identity.name, &identity.hall);
-  let draw = || gateway.draw();
-  let peers = choose_peers(
-    responsive(gateway, own_hall),
-    responsive(gateway, other_halls),
-    draw,
-  );
-  if !peers.is_empty() {
-    return peers;
+  PeerList {
+    former: boxes.former_peers(&identity.name),
+    other_halls,
+    own_hall,
   }
-  let former = boxes.former_peers(&identity.name);
-  choose_peers(Vec::new(), responsive(gateway, former), draw)
-}
-
-/// The boxes that have not failed to accept a request lately.
-fn responsive(gateway: &Gateway, mut addresses: Vec<SocketAddr>) -> Vec<SocketAddr> {
-  let unresponsive = gateway.unresponsive_boxes.borrow();
-  let now_ms = gateway.now_ms();
-  addresses.retain(|address| !unresponsive.is_unresponsive(*address, now_ms));
-  addresses
 }
 
 /// Sends the request to a box and waits for the response's head.
@@ -175,14 +171,19 @@
   if response.headers().contains_key(ACCEPTED) {
     return Ok((connection, response));
   }
-  match response.status() {
-    StatusCode::SERVICE_UNAVAILABLE => Err(ForwardError::Unreached),
-    status => {
-      let reason = header_text(response.headers(), &DECLINED);
-      let error = format!("declined with status {status}: {reason}");
-      Err(ForwardError::NotAccepted(error))
-    }
+  Err(decline_error(&response))
+}
+
+/// Why a box did not accept a request, from its response.
+fn decline_error(response: &Response<Incoming>) -> ForwardError {
+  if response.status() == BUSY {
+    return ForwardError::Busy;
   }
+  let reason = header_text(response.headers(), &DECLINED);
+  ForwardError::NotAccepted(format!(
+    "declined with status {}: {reason}",
+    response.status()
+  ))
 }
 
 fn build(
--- a/src/gateway/requests/forwarding_headers.rs
+++ b/src/gateway/requests/forwarding_headers.rs
@@ -20,6 +20,8 @@
 
 /// Status of a box that accepts no forwarded requests for now.
 pub(super) const DECLINED_FOR_NOW: StatusCode = StatusCode::MISDIRECTED_REQUEST;
+/// Status of a box that reaches endpoints, and has too many forwarded requests in flight.
+pub(super) const BUSY: StatusCode = StatusCode::TOO_MANY_REQUESTS;
 
 /// Removes all of them.
 pub(super) fn remove_forwarding_headers(headers: &mut HeaderMap) {
--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -12,8 +12,8 @@
       decisions::{
         AttemptOutcome, BoxEntry, BoxList, CachedPrompts, Choice, ColdPeriod, CopyBudget,
         EndpointCounts, EndpointCriteria, EndpointGroup, EndpointRegistry, LocalUsage,
-        PeakBoxCount, PermitTable, Reachability, RetryUsage, RetryWindow, SlotForecast, SlotQueue,
-        StreamRecords, Unavailable, UsageTable, retry_after_backoff_ms,
+        PeakBoxCount, PeerAnswers, PermitTable, Reachability, RetryUsage, RetryWindow,
+        SlotForecast, SlotQueue, StreamRecords, Unavailable, UsageTable, retry_after_backoff_ms,
       },
       edge::{ColdStart, EndpointEntry, PlatformCodec, RouteTable, StoreLease},
       settings::{GatewaySettings, RoutePolicy},
@@ -110,10 +110,8 @@
   pub(crate) box_client: HttpClient,
   /// Requests of other boxes' callers in flight here.
   pub(crate) forwarded_in_flight: Cell<usize>,
-  /// Requests in a row that no other box accepted.
-  pub(crate) not_accepted_in_a_row: Cell<u32>,
-  /// Until then no requests are forwarded.
-  pub(crate) no_peer_until_ms: Cell<u64>,
+  /// What other boxes answered to forwarded requests.
+  pub(crate) peer_answers: RefCell<PeerAnswers>,
   /// Identifies this run of the process.
   pub(crate) incarnation: u64,
   /// Whether a listing of the store has completed; before that, endpoints may be missing.
@@ -168,9 +166,8 @@
       limit_log_throttle: LogThrottle::default(),
       local_usage: RefCell::default(),
       mean_first_event_ms: Cell::new(None),
-      no_peer_until_ms: Cell::new(0),
-      not_accepted_in_a_row: Cell::new(0),
       peak_box_count: RefCell::default(),
+      peer_answers: RefCell::default(),
       permit_table: RefCell::default(),
       phase: watch::Sender::new(Phase::Serving),
       policy,
--- a/tests/gateway/cut_off.rs
+++ b/tests/gateway/cut_off.rs
@@ -5,15 +5,19 @@
     EndpointStandIn, GatewayBox, GatewayTest, ReceivedRequest, Reply, TIMEOUT,
     endpoint::{engine_reply, leaving, limited},
   },
-  emulator::eventually,
+  emulator::{
+    eventually,
+    forwarding::{CutPattern, ForwardingFleet, ForwardingWay, replay_forwarding},
+  },
   http::StatusCode,
   rillford::{
     HttpClient,
-    gateway::{EndpointGroup, Reachability},
+    gateway::{EndpointGroup, PeerAnswers, PeerList, Reachability},
   },
   rstest::rstest,
   socket2::{Domain, Socket, Type},
   std::{
+    collections::BTreeSet,
     net::{SocketAddr, TcpListener, TcpStream},
     time::{Duration, Instant},
   },
@@ -467,3 +471,63 @@
   reachability.record_contact(&engines, 1_400);
   assert_eq!(reachability.suspected(9_000).count(), 0);
 }
+
+/// Guards against callers of boxes in wide cuts who are rejected while other boxes could serve them.
+#[rstest]
+#[case::one(CutPattern::One, 58)]
+#[case::half(CutPattern::Half, 58)]
+#[case::four_of_five(CutPattern::FourOfFive, 58)]
+#[case::one_hall(CutPattern::OneHall, 58)]
+#[case::all_but_one_hall(CutPattern::AllButOneHall, 58)]
+#[case::nearly_all_of_few(CutPattern::NearlyAll, 8)]
+#[case::nearly_all(CutPattern::NearlyAll, 58)]
+#[case::nearly_all_of_many(CutPattern::NearlyAll, 300)]
+fn replay_of_a_wide_cut_serves_callers_of_cut_boxes(
+  #[case] pattern: CutPattern,
+  #[case] boxes: usize,
+) {
+  let fleet = ForwardingFleet {
+    boxes,
+    halls: 3,
+    requests_per_s: 5.6,
+  };
+  let figures = replay_forwarding(pattern, fleet, ForwardingWay::Remembered, 1);
+  assert!(figures.served_share() >= 2.0 / 3.0, "{figures:?}");
+}
+
+/// Guards against boxes that spend their time on asking each other while none reaches an endpoint.
+#[test]
+fn replay_of_boxes_that_are_all_cut_off_bounds_what_they_ask() {
+  let fleet = ForwardingFleet {
+    boxes: 58,
+    halls: 3,
+    requests_per_s: 5.6,
+  };
+  let figures = replay_forwarding(CutPattern::All, fleet, ForwardingWay::Remembered, 1);
+  assert_eq!(figures.served, 0);
+  assert!(figures.asked_per_request() <= 3.0, "{figures:?}");
+}
+
+/// A box that declined is asked again after those that were not asked for longer.
+#[test]
+fn search_for_an_accepting_box_gets_to_all_boxes() {
+  let address = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
+  let peers = PeerList {
+    other_halls: (1..=41).map(address).collect(),
+    ..PeerList::default()
+  };
+  let mut answers = PeerAnswers::default();
+  let mut asked = BTreeSet::new();
+  for request in 0..6 {
+    let now_ms = request * 2_000;
+    let mut tried = Vec::new();
+    while let Some(peer) = answers.next("llm", &peers, &tried, now_ms, || 0.0) {
+      answers.record_declined("llm", peer, now_ms);
+      tried.push(peer);
+      asked.insert(peer);
+    }
+    assert!(!tried.is_empty());
+    answers.record_fruitless("llm", now_ms);
+  }
+  assert_eq!(asked.len(), 41);
+}
