--- a/src/gateway/decisions/fingerprint.rs
+++ b/src/gateway/decisions/fingerprint.rs
@@ -23,6 +23,17 @@
   pub body: &'a [u8],
 }
 
+/// The attributes that identify a segment of prompts: it may be sound at the engines of another service, and ids of organisations
+/// may collide.
+#[derive(Clone, Copy, Debug)]
+pub struct SegmentIdentity<'a> {
+  /// The organisation of the caller, if any.
+  pub organisation: Option<&'a str>,
+  pub service: &'a str,
+  /// The segment's id, as the caller named it.
+  pub segment: &'a str,
+}
+
 /// A hash that all retries of a request share, at any box, on any connection and under any id. The body can't be recovered
 /// from it, and no API key goes into it.
 ///
@@ -44,14 +55,35 @@
 impl Fingerprint {
   /// The fingerprint of a request.
   pub fn of(identity: RequestIdentity) -> Self {
-    let mut hasher = Sha256::new();
-    let parts = [
+    Self::of_parts(&[
       identity.organisation.unwrap_or_default().as_bytes(),
       identity.method.as_bytes(),
       identity.host.as_bytes(),
       identity.path.as_bytes(),
       identity.body,
-    ];
+    ])
+  }
+
+  /// The fingerprint of a segment of prompts, which all requests with it share.
+  ///
+  /// ```
+  /// use rillford::gateway::{Fingerprint, SegmentIdentity};
+  /// let one = SegmentIdentity { organisation: Some("lectures"), service: "llm", segment: "91bd3f06" };
+  /// assert_eq!(Fingerprint::of_segment(one), Fingerprint::of_segment(one));
+  /// let another = SegmentIdentity { organisation: Some("captions"), ..one };
+  /// assert_ne!(Fingerprint::of_segment(one), Fingerprint::of_segment(another));
+  /// ```
+  pub fn of_segment(identity: SegmentIdentity) -> Self {
+    Self::of_parts(&[
+      b"segment",
+      identity.organisation.unwrap_or_default().as_bytes(),
+      identity.service.as_bytes(),
+      identity.segment.as_bytes(),
+    ])
+  }
+
+  fn of_parts(parts: &[&[u8]]) -> Self {
+    let mut hasher = Sha256::new();
     for part in parts {
       // Length prefixes keep adjacent parts from being confused.
       hasher.update(part.len().to_le_bytes());
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -70,7 +70,7 @@
   endpoint_incarnation::EndpointIncarnation,
   endpoint_limits::EndpointLimits,
   endpoint_registry::EndpointRegistry,
-  fingerprint::{Fingerprint, RequestIdentity},
+  fingerprint::{Fingerprint, RequestIdentity, SegmentIdentity},
   limit_strategy::LimitStrategy,
   local_permits::{LocalPermitVerdict, LocalPermits},
   local_usage::{LocalUsage, LocalVerdict, UsageRequest},
--- a/src/gateway/quarantine/crash_detection.rs
+++ b/src/gateway/quarantine/crash_detection.rs
@@ -57,6 +57,10 @@
   pub(crate) error: String,
   /// The same for all attempts of the same stage.
   pub(crate) fingerprint: Fingerprint,
+  /// Those of the segments of its prompt.
+  pub(crate) segments: Rc<[Fingerprint]>,
+  /// For how long the endpoint had been answering; `None` when no byte of the body had arrived.
+  pub(crate) answering_ms: Option<u64>,
 }
 
 /// Finds out whether an endpoint crashed on a stage of a request, and publishes that. Waits for the result only when this crash
@@ -81,16 +85,19 @@
   let ran_ms = gateway.now_ms() - lost.sent_ms;
   let state = endpoint_state(&gateway, &lost.entry).await;
   let LostStage {
+    answering_ms,
     entry,
     error,
     fingerprint,
+    segments,
     sent_ms,
   } = lost;
   log::info!(
-    "E528 stage lost: {} ({fingerprint}) at {} started {:?}, {ran_ms} ms after it was sent: {error}; endpoint {state}",
+    "E528 stage lost: {} ({fingerprint}) at {} started {:?}, {ran_ms} ms after it was sent, answering for {answering_ms:?} ms: {error}; endpoint {state}, segments {}",
     request.id(),
     entry.id,
-    entry.started_ms
+    entry.started_ms,
+    fingerprint_list(&segments)
   );
   if state != EndpointState::Terminated {
     return;
@@ -187,3 +194,9 @@
     Err(_) => EndpointState::Alive,
   }
 }
+
+/// Fingerprints separated by spaces, for logs.
+fn fingerprint_list(fingerprints: &[Fingerprint]) -> String {
+  let texts: Vec<String> = fingerprints.iter().map(Fingerprint::to_string).collect();
+  texts.join(" ")
+}
--- a/src/gateway/requests/event_relay.rs
+++ b/src/gateway/requests/event_relay.rs
@@ -30,6 +30,8 @@
   splitter: EventSplitter,
   is_finished: bool,
   first_event_recorded: bool,
+  /// When the current endpoint sent the first bytes of the body.
+  answering_since_ms: Option<u64>,
   /// When the last event was forwarded.
   last_event_ms: Option<u64>,
   /// The longest time between two events so far.
@@ -42,6 +44,7 @@
   pub(crate) fn new(mut stream: StreamRequest, head: ResponseHead, in_flight: InFlight) -> Self {
     stream.version = Some(head.entry.version.clone());
     Self {
+      answering_since_ms: None,
       first_event_recorded: false,
       head: Some(head),
       _in_flight: in_flight,
@@ -161,6 +164,7 @@
       Some(Ok(frame)) => {
         if let Some(data) = frame.data_ref() {
           self.splitter.push(data);
+          self.record_answering();
         }
         if self.splitter.is_overlong() {
           return Err("event too long".into());
@@ -175,6 +179,12 @@
     }
   }
 
+  /// Records that the current endpoint has sent bytes of the body.
+  fn record_answering(&mut self) {
+    let now_ms = self.stream.gateway.now_ms();
+    self.answering_since_ms.get_or_insert(now_ms);
+  }
+
   fn is_framed(&self) -> bool {
     self.head.as_ref().is_some_and(ResponseHead::is_framed)
   }
@@ -214,10 +224,13 @@
     if let Some(mut head) = self.head.take() {
       interrupted_version = head.entry.version.clone();
       head.load_guard.settle(AttemptOutcome::Lost);
+      let since_ms = self.answering_since_ms.take();
       let lost = LostStage {
+        answering_ms: since_ms.map(|since_ms| self.stream.gateway.now_ms() - since_ms),
         entry: head.entry.clone(),
         error: error.clone(),
         fingerprint: request.fingerprint(),
+        segments: request.segment_fingerprints(),
         sent_ms: head.sent_ms,
       };
       record_lost_stage(&self.stream.gateway, &request, lost).await;
--- a/src/gateway/requests/prefill.rs
+++ b/src/gateway/requests/prefill.rs
@@ -88,9 +88,11 @@
         if let StageError::Lost(error) = &error {
           let error = format!("prefill failed: {error}");
           let lost = LostStage {
+            answering_ms: None,
             entry: entry.clone(),
             error,
             fingerprint: request.prefill_fingerprint(),
+            segments: request.prefill_segment_fingerprints(),
             sent_ms,
           };
           record_lost_stage(gateway, request, lost).await;
--- a/src/gateway/requests/routing.rs
+++ b/src/gateway/requests/routing.rs
@@ -93,6 +93,7 @@
     body,
     deadline_ms: arrived_ms + timeout_ms,
     fingerprint: OnceCell::new(),
+    segment_fingerprints: OnceCell::new(),
     headers,
     method: head.method,
     organisation,
--- a/src/gateway/requests/stream_send.rs
+++ b/src/gateway/requests/stream_send.rs
@@ -48,9 +48,11 @@
     }
     if let Err(StageError::Lost(error)) = &result {
       let lost = LostStage {
+        answering_ms: None,
         entry: entry.clone(),
         error: error.clone(),
         fingerprint: self.request.fingerprint(),
+        segments: self.request.segment_fingerprints(),
         sent_ms,
       };
       record_lost_stage(&self.gateway, &self.request, lost).await;
--- a/src/gateway/requests/unary.rs
+++ b/src/gateway/requests/unary.rs
@@ -287,9 +287,11 @@
   if let Err(StageError::Lost(error)) = &result {
     let error = error.clone();
     let lost = LostStage {
+      answering_ms: None,
       entry,
       error,
       fingerprint: request.fingerprint(),
+      segments: request.segment_fingerprints(),
       sent_ms,
     };
     record_lost_stage(&gateway, &request, lost).await;
--- a/src/gateway/stages/request.rs
+++ b/src/gateway/stages/request.rs
@@ -4,9 +4,10 @@
   super::{resumption::Resumption, send_mode::SendMode},
   crate::{
     gateway::{
-      decisions::{AllowedHalls, Fingerprint, RequestIdentity, StreamKey},
+      decisions::{AllowedHalls, Fingerprint, RequestIdentity, SegmentIdentity, StreamKey},
       edge::{
-        CallerAttributes, EndpointEntry, Organisation, PlatformCodec, ProxyHeaders, Route, Stage,
+        CallerAttributes, EndpointEntry, Organisation, PlatformCodec, PromptSegment, ProxyHeaders,
+        Route, Stage,
       },
       permits::PermitCaller,
       settings::RouteRank,
@@ -31,6 +32,9 @@
 /// Fraction of the longest response that is reserved in addition to an estimate, which may be far too low.
 const ESTIMATE_MARGIN_SHARE: f64 = 0.1;
 
+/// Segments of a prompt that are fingerprinted.
+const MAX_SEGMENTS: usize = 32;
+
 /// Priority of a resumed stream: rejecting it would waste the work done for it.
 const HIGHEST_PRIORITY: u8 = 0;
 
@@ -75,6 +79,8 @@
   pub(crate) met_unreachable: Cell<bool>,
   /// Computed on first use.
   pub(crate) fingerprint: OnceCell<Fingerprint>,
+  /// Computed on first use.
+  pub(crate) segment_fingerprints: OnceCell<Rc<[Fingerprint]>>,
 }
 
 impl RoutedRequest {
@@ -133,6 +139,24 @@
     })
   }
 
+  /// Identifies the segments of the prompt that other requests may share: all but the last.
+  pub(crate) fn segment_fingerprints(&self) -> Rc<[Fingerprint]> {
+    let fingerprints = self.segment_fingerprints.get_or_init(|| {
+      let segments = &self.attributes.prompt_segments;
+      let shared = segments.iter().take(segments.len().saturating_sub(1));
+      let organisation = self.organisation.as_ref();
+      let of_segment = |segment: &PromptSegment| {
+        Fingerprint::of_segment(SegmentIdentity {
+          organisation: organisation.map(|organisation| &*organisation.name),
+          segment: &segment.id,
+          service: &self.service,
+        })
+      };
+      shared.take(MAX_SEGMENTS).map(of_segment).collect()
+    });
+    fingerprints.clone()
+  }
+
   /// Identifies the stream that the request begins or resumes.
   pub(crate) fn stream_key(&self) -> StreamKey {
     let attributes = &self.attributes;
@@ -152,6 +176,12 @@
     self.fingerprint().of_prefill()
   }
 
+  /// Identifies the segments of the prompt in its separate prefill.
+  pub(crate) fn prefill_segment_fingerprints(&self) -> Rc<[Fingerprint]> {
+    let segments = self.segment_fingerprints();
+    segments.iter().map(Fingerprint::of_prefill).collect()
+  }
+
   /// The request's id, for logs.
   pub(crate) fn id(&self) -> &str {
     self.attributes.request_id.as_deref().unwrap_or("-")
