--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod cold_endpoints;
 mod configuration;
 mod crashing_request;
+mod crashing_segment;
 mod cut_off;
 mod endpoint;
 mod endpoint_limits;
