Quarantine prompt segments on which engines crash

Cause: a crash was attributed to whole requests alone. A fingerprint covers the body; nothing compared what the requests of several crashes have in common. Change: a crash is also attributed to the segments of each prompt that was at the beginning of its answer (less than 500 ms), all but the last, which is the request's own. The marks, their bound of three crashes, the probes, the store's keys and the check before each send are those of requests; a segment's fingerprint has the organisation and the service in it, so that nobody can have another's segment rejected. First marks of segments are not batched: the crashes may each be seen by another box. An answer lifts a segment's quarantine, also at a box that has seen it before others blamed the segment.

--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -46,6 +46,7 @@
 mod service_versions;
 mod slot_forecast;
 mod slot_queue;
+mod sound_segments;
 mod store_retry_delay;
 mod stream_key;
 mod stream_records;
@@ -91,6 +92,7 @@
   service_versions::ServiceVersions,
   slot_forecast::SlotForecast,
   slot_queue::{QueuePosition, SlotQueue, SlotUrgency},
+  sound_segments::SoundSegments,
   store_retry_delay::store_retry_delay_ms,
   stream_key::StreamKey,
   stream_records::{RecordSource, RecordedOrigin, StreamOrigin, StreamRecords},
--- a/src/gateway/quarantine/crash_detection.rs
+++ b/src/gateway/quarantine/crash_detection.rs
@@ -23,6 +23,9 @@
 /// A TCP relay accepts a connection for a terminated endpoint, and closes it at once.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(30);
 
+/// A crash at the beginning of an answer is attributed to the segments of its prompt.
+const BEGINNING_MS: u64 = 500;
+
 /// An endpoint registers as it starts, and its entry reaches a box within this time.
 const ENTRY_TIMEOUT_MS: u64 = 1_000;
 const ENTRY_POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -48,6 +51,13 @@
   }
 }
 
+/// What a crash is attributed to.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Suspect {
+  Request,
+  Segment,
+}
+
 /// A stage of a request that was lost after it had been sent.
 #[derive(Clone, Debug)]
 pub(crate) struct LostStage {
@@ -63,6 +73,11 @@
   pub(crate) answering_ms: Option<u64>,
 }
 
+/// Whether an endpoint has answered for so long that a crash has another cause than the segments of the prompt.
+pub(crate) fn is_past_beginning(answering_ms: u64) -> bool {
+  answering_ms >= BEGINNING_MS
+}
+
 /// Finds out whether an endpoint crashed on a stage of a request, and publishes that. Waits for the result only when this crash
 /// may quarantine the request: that has to be known before the request is sent again.
 pub(crate) async fn record_lost_stage(
@@ -72,7 +87,9 @@
 ) {
   let is_near = {
     let registry = gateway.quarantine.registry.borrow();
-    !registry.is_empty() && registry.is_near_quarantine(lost.fingerprint)
+    let fingerprints = [lost.fingerprint];
+    let mut suspects = fingerprints.iter().chain(lost.segments.iter());
+    !registry.is_empty() && suspects.any(|suspect| registry.is_near_quarantine(*suspect))
   };
   // A task of its own: it completes even when the caller disconnects.
   let examined = spawn_local(examine(gateway.clone(), request.clone(), lost));
@@ -105,7 +122,33 @@
   gateway.counters.lost_with_endpoint.inc();
   if gateway.settings.quarantine.strategy != QuarantineStrategy::Off {
     let incarnation = reached_incarnation(&gateway, &entry, fingerprint, sent_ms).await;
-    record_crash(&gateway, fingerprint, incarnation);
+    record_crash(&gateway, fingerprint, incarnation, Suspect::Request);
+    if !answering_ms.is_some_and(is_past_beginning) {
+      blame_segments(&gateway, &request, &segments, incarnation);
+    }
+  }
+}
+
+/// Attributes a crash to the segments of a prompt, but for those on which endpoints answered lately.
+fn blame_segments(
+  gateway: &Gateway,
+  request: &RoutedRequest,
+  segments: &[Fingerprint],
+  incarnation: EndpointIncarnation,
+) {
+  let now_ms = gateway.now_ms();
+  let is_suspect = |segment: &&Fingerprint| {
+    let sound = gateway.quarantine.sound.borrow();
+    !sound.contains(**segment, now_ms)
+  };
+  for segment in segments.iter().filter(is_suspect) {
+    record_crash(gateway, *segment, incarnation, Suspect::Segment);
+    let (crashes, probes) = gateway.quarantine.registry.borrow().counts(*segment);
+    log::info!(
+      "E563 segment suspected: {segment} of {} after crashes of {crashes} endpoints and {probes} probes, the last {}",
+      request.id(),
+      incarnation.key()
+    );
   }
 }
 
@@ -143,8 +186,13 @@
   }
 }
 
-/// Records that an incarnation of an endpoint crashed on a request.
-fn record_crash(gateway: &Gateway, fingerprint: Fingerprint, incarnation: EndpointIncarnation) {
+/// Records that an incarnation of an endpoint crashed on a request or a segment.
+fn record_crash(
+  gateway: &Gateway,
+  fingerprint: Fingerprint,
+  incarnation: EndpointIncarnation,
+  suspect: Suspect,
+) {
   let key = QuarantineKey {
     fingerprint,
     mark: QuarantineMark::Crashed(incarnation),
@@ -154,8 +202,8 @@
   if !registry.record(key, now_ms) {
     return;
   }
-  // Most fingerprints see a single crash, which need not be published at once.
-  let is_urgent = registry.counts(key.fingerprint).0 > 1;
+  // Most requests see a single crash, which need not be published at once. Those that share a segment may each be at another box.
+  let is_urgent = suspect == Suspect::Segment || registry.counts(key.fingerprint).0 > 1;
   drop(registry);
   publish(gateway, &[key], is_urgent);
 }
--- a/src/gateway/quarantine/screening.rs
+++ b/src/gateway/quarantine/screening.rs
@@ -20,7 +20,8 @@
   pub(crate) retry_after_ms: u64,
 }
 
-/// Lets a request pass, or claims a probe for it. A quarantined request is rejected at once and reaches no endpoint.
+/// Lets a request pass, or claims probes for it and the segments of its prompt. A quarantined one is rejected at once and reaches
+/// no endpoint.
 pub(crate) async fn screen(
   gateway: &Rc<Gateway>,
   request: &RoutedRequest,
@@ -29,31 +30,74 @@
   if is_off || gateway.quarantine.registry.borrow().is_empty() {
     return Ok(());
   }
-  let fingerprint = request.fingerprint();
-  let now_ms = gateway.now_ms();
-  let (verdict, due) = {
-    let registry = gateway.quarantine.registry.borrow();
-    (
-      registry.verdict(fingerprint, now_ms),
-      registry.marks_to_refresh(fingerprint, now_ms),
-    )
-  };
-  refresh_marks(gateway, &due, now_ms);
-  let quarantined = match verdict {
-    QuarantineVerdict::Allowed => return Ok(()),
-    QuarantineVerdict::Probe { number } => {
-      if claim_probe(gateway, request, number).await {
-        return Ok(());
-      }
-      Quarantined {
-        retry_after_ms: CLAIM_RETRY_MS,
+  clear_sound_segments(gateway, request);
+  let mut due = Vec::new();
+  for (fingerprint, verdict) in held_fingerprints(gateway, request) {
+    match verdict {
+      QuarantineVerdict::Allowed => {}
+      QuarantineVerdict::Probe { number } => due.push((fingerprint, number)),
+      QuarantineVerdict::Quarantined { retry_after_ms } => {
+        return Err(reject(gateway, request, fingerprint, retry_after_ms));
       }
     }
-    QuarantineVerdict::Quarantined { retry_after_ms } => Quarantined { retry_after_ms },
+  }
+  for (fingerprint, number) in due {
+    if !claim_probe(gateway, request, fingerprint, number).await {
+      release_probes(gateway, request);
+      return Err(reject(gateway, request, fingerprint, CLAIM_RETRY_MS));
+    }
+  }
+  Ok(())
+}
+
+/// The fingerprints of a request and of its segments, with their verdicts. Refreshes their marks.
+fn held_fingerprints(
+  gateway: &Gateway,
+  request: &RoutedRequest,
+) -> Vec<(Fingerprint, QuarantineVerdict)> {
+  let now_ms = gateway.now_ms();
+  let segments = request.segment_fingerprints();
+  let fingerprints = std::iter::once(request.fingerprint()).chain(segments.iter().copied());
+  let with_verdict = |fingerprint| {
+    let (verdict, due) = {
+      let registry = gateway.quarantine.registry.borrow();
+      (
+        registry.verdict(fingerprint, now_ms),
+        registry.marks_to_refresh(fingerprint, now_ms),
+      )
+    };
+    refresh_marks(gateway, &due, now_ms);
+    (fingerprint, verdict)
   };
+  fingerprints.map(with_verdict).collect()
+}
+
+/// Lifts the quarantine of segments on which endpoints answered this box lately: other boxes may have blamed them without having
+/// seen that.
+fn clear_sound_segments(gateway: &Gateway, request: &RoutedRequest) {
+  let now_ms = gateway.now_ms();
+  for segment in request.segment_fingerprints().iter() {
+    let answered_ms = gateway
+      .quarantine
+      .sound
+      .borrow()
+      .answered_ms(*segment, now_ms);
+    if let Some(answered_ms) = answered_ms {
+      lift(gateway, request, *segment, now_ms - answered_ms);
+    }
+  }
+}
+
+fn reject(
+  gateway: &Gateway,
+  request: &RoutedRequest,
+  fingerprint: Fingerprint,
+  retry_after_ms: u64,
+) -> Quarantined {
+  let quarantined = Quarantined { retry_after_ms };
   gateway.counters.quarantined.inc();
-  log_quarantined(gateway, request, quarantined);
-  Err(quarantined)
+  log_quarantined(gateway, request, fingerprint, quarantined);
+  quarantined
 }
 
 /// Refreshes the marks of a fingerprint that is still requested, before they expire.
@@ -70,9 +114,14 @@
 }
 
 /// Claims a probe, unless another box holds it.
-async fn claim_probe(gateway: &Gateway, request: &RoutedRequest, number: u32) -> bool {
+async fn claim_probe(
+  gateway: &Gateway,
+  request: &RoutedRequest,
+  fingerprint: Fingerprint,
+  number: u32,
+) -> bool {
   let key = QuarantineKey {
-    fingerprint: request.fingerprint(),
+    fingerprint,
     mark: QuarantineMark::Probe(number),
   };
   let is_own = match gateway.settings.quarantine.strategy {
@@ -84,52 +133,90 @@
   let now_ms = gateway.now_ms();
   gateway.quarantine.registry.borrow_mut().record(key, now_ms);
   if is_own {
-    request.send_mode.set(SendMode::Probe(number));
-    log::info!(
-      "E530 probe {number}: {} ({})",
-      request.id(),
-      request.fingerprint()
-    );
+    request.send_mode.set(SendMode::Probe);
+    request.probes.borrow_mut().push(key);
+    log::info!("E530 probe {number}: {} ({fingerprint})", request.id());
   }
   is_own
 }
 
 /// Logs a rejection with the data that it was based on, and its age.
-fn log_quarantined(gateway: &Gateway, request: &RoutedRequest, quarantined: Quarantined) {
-  let fingerprint = request.fingerprint();
+fn log_quarantined(
+  gateway: &Gateway,
+  request: &RoutedRequest,
+  fingerprint: Fingerprint,
+  quarantined: Quarantined,
+) {
   let (crashes, probes) = gateway.quarantine.registry.borrow().counts(fingerprint);
   let contact_ms = gateway.store_contact_ms.get();
+  let held = if fingerprint == request.fingerprint() {
+    "request"
+  } else {
+    "segment"
+  };
   log::info!(
-    "E529 quarantined: {} ({fingerprint}) after crashes of {crashes} endpoints and {probes} probes, last store contact {:?} ms ago, retry after {} ms",
+    "E529 quarantined: {} ({held} {fingerprint}) after crashes of {crashes} endpoints and {probes} probes, last store contact {:?} ms ago, retry after {} ms",
     request.id(),
     contact_ms.map(|contact_ms| gateway.now_ms() - contact_ms),
     quarantined.retry_after_ms
   );
 }
 
-/// Releases the probe of a request that was sent to no endpoint.
+/// Releases the probes of a request that was sent to no endpoint.
 pub(crate) fn release_unsent_probe(gateway: &Gateway, request: &RoutedRequest) {
-  if let SendMode::Probe(number) = request.send_mode.get() {
-    let key = QuarantineKey {
-      fingerprint: request.fingerprint(),
-      mark: QuarantineMark::Probe(number),
-    };
-    gateway.quarantine.registry.borrow_mut().remove(key);
-    gateway.quarantine.remove(&[key]);
+  if request.send_mode.get() == SendMode::Probe {
+    release_probes(gateway, request);
+  }
+}
+
+fn release_probes(gateway: &Gateway, request: &RoutedRequest) {
+  request.send_mode.set(SendMode::Normal);
+  let keys = request.probes.take();
+  if keys.is_empty() {
+    return;
   }
+  for key in &keys {
+    gateway.quarantine.registry.borrow_mut().remove(*key);
+  }
+  gateway.quarantine.remove(&keys);
 }
 
-/// Lifts the quarantine of a request, or of its prefill, that succeeded: earlier crashes had another cause. The mark of a single
-/// crash stays, since it quarantines nothing and removing it costs a call to the store.
+/// Lifts the quarantine of a request, or of its prefill, that succeeded: earlier crashes had another cause.
 pub(crate) fn record_success(
   gateway: &Gateway,
   request: &RoutedRequest,
   fingerprint: impl FnOnce(&RoutedRequest) -> Fingerprint,
 ) {
-  if gateway.quarantine.registry.borrow().is_empty() {
-    return;
+  if !gateway.quarantine.registry.borrow().is_empty() {
+    lift(gateway, request, fingerprint(request), 0);
   }
-  let fingerprint = fingerprint(request);
+}
+
+/// Records that an endpoint answered on the segments of a prompt, and lifts their quarantine.
+pub(crate) fn record_sound_segments(
+  gateway: &Gateway,
+  request: &RoutedRequest,
+  segments: impl FnOnce(&RoutedRequest) -> Rc<[Fingerprint]>,
+) {
+  let now_ms = gateway.now_ms();
+  for segment in segments(request).iter() {
+    gateway
+      .quarantine
+      .sound
+      .borrow_mut()
+      .record(*segment, now_ms);
+    lift(gateway, request, *segment, 0);
+  }
+}
+
+/// Removes the marks of a request or segment on which an endpoint answered. The mark of a single crash stays, since it quarantines
+/// nothing and removing it costs a call to the store.
+fn lift(
+  gateway: &Gateway,
+  request: &RoutedRequest,
+  fingerprint: Fingerprint,
+  answered_ago_ms: u64,
+) {
   let (crashes, probes) = gateway.quarantine.registry.borrow().counts(fingerprint);
   if crashes < 2 && probes == 0 {
     return;
@@ -137,7 +224,7 @@
   let cleared = gateway.quarantine.registry.borrow_mut().clear(fingerprint);
   gateway.quarantine.remove(&cleared);
   log::info!(
-    "E531 quarantine lifted: {} ({fingerprint}) succeeded after {crashes} crashes and {probes} probes",
+    "E531 quarantine lifted: {} ({fingerprint}) after {crashes} crashes and {probes} probes, answered {answered_ago_ms} ms ago",
     request.id()
   );
 }
--- a/src/gateway/requests/event_relay.rs
+++ b/src/gateway/requests/event_relay.rs
@@ -10,7 +10,9 @@
   crate::gateway::{
     decisions::AttemptOutcome,
     edge::SoftwareVersion,
-    quarantine::{LostStage, record_lost_stage, record_success},
+    quarantine::{
+      LostStage, is_past_beginning, record_lost_stage, record_sound_segments, record_success,
+    },
     resumption::record_stream,
     stages::{ResponseHead, RoutedRequest, StageError},
     state::InFlight,
@@ -32,6 +34,8 @@
   first_event_recorded: bool,
   /// When the current endpoint sent the first bytes of the body.
   answering_since_ms: Option<u64>,
+  /// Whether the answer has shown that the prompt's segments are sound.
+  has_sound_segments: bool,
   /// When the last event was forwarded.
   last_event_ms: Option<u64>,
   /// The longest time between two events so far.
@@ -46,6 +50,7 @@
     Self {
       answering_since_ms: None,
       first_event_recorded: false,
+      has_sound_segments: false,
       head: Some(head),
       _in_flight: in_flight,
       is_finished: false,
@@ -179,10 +184,18 @@
     }
   }
 
-  /// Records that the current endpoint has sent bytes of the body.
+  /// Records that the current endpoint has sent bytes of the body. One that goes on to answer shows that the prompt's segments are
+  /// sound.
   fn record_answering(&mut self) {
-    let now_ms = self.stream.gateway.now_ms();
-    self.answering_since_ms.get_or_insert(now_ms);
+    let StreamRequest {
+      gateway, request, ..
+    } = &self.stream;
+    let now_ms = gateway.now_ms();
+    let since_ms = *self.answering_since_ms.get_or_insert(now_ms);
+    if !self.has_sound_segments && is_past_beginning(now_ms - since_ms) {
+      self.has_sound_segments = true;
+      record_sound_segments(gateway, request, RoutedRequest::segment_fingerprints);
+    }
   }
 
   fn is_framed(&self) -> bool {
@@ -202,6 +215,11 @@
       self.longest_pause_ms
     );
     record_success(&gateway, &self.stream.request, RoutedRequest::fingerprint);
+    record_sound_segments(
+      &gateway,
+      &self.stream.request,
+      RoutedRequest::segment_fingerprints,
+    );
     let took_ms = gateway.now_ms() - self.stream.request.arrived_ms;
     gateway.slot_forecast.borrow_mut().record_stream(took_ms);
     if let Some(mut head) = self.head.take() {
--- a/src/gateway/requests/prefill.rs
+++ b/src/gateway/requests/prefill.rs
@@ -6,7 +6,7 @@
     gateway::{
       decisions::{Choice, EndpointCriteria},
       edge::{EndpointEntry, Stage},
-      quarantine::{LostStage, record_lost_stage, record_success},
+      quarantine::{LostStage, record_lost_stage, record_sound_segments, record_success},
       stages::{ExportGuard, OutgoingStage, RoutedRequest, StageError, send_stage},
       state::Gateway,
     },
@@ -73,6 +73,11 @@
     match prefill_at(gateway, request, &entry, choice.queued_ahead).await {
       Ok(handle) => {
         record_success(gateway, request, RoutedRequest::prefill_fingerprint);
+        record_sound_segments(
+          gateway,
+          request,
+          RoutedRequest::prefill_segment_fingerprints,
+        );
         let ttl_ms = export_ttl_ms(gateway, request);
         return PrefillResult {
           was_received: true,
--- a/src/gateway/requests/routing.rs
+++ b/src/gateway/requests/routing.rs
@@ -15,7 +15,7 @@
   http_body_util::{BodyExt, LengthLimitError, Limited},
   hyper::body::Incoming,
   std::{
-    cell::{Cell, OnceCell},
+    cell::{Cell, OnceCell, RefCell},
     time::Duration,
   },
   tokio::time::timeout,
@@ -93,6 +93,7 @@
     body,
     deadline_ms: arrived_ms + timeout_ms,
     fingerprint: OnceCell::new(),
+    probes: RefCell::default(),
     segment_fingerprints: OnceCell::new(),
     headers,
     method: head.method,
--- a/src/gateway/requests/unary.rs
+++ b/src/gateway/requests/unary.rs
@@ -7,7 +7,7 @@
     gateway::{
       decisions::{EndpointCriteria, RETRY_AFTER_FULL_MS, RETRY_AFTER_NO_ENDPOINT_MS},
       edge::{EndpointEntry, ProxyHeaders, Stage},
-      quarantine::{LostStage, record_lost_stage, record_success},
+      quarantine::{LostStage, record_lost_stage, record_sound_segments, record_success},
       stages::{BufferedResponse, OutgoingStage, RoutedRequest, StageError, send_stage},
       state::Gateway,
     },
@@ -118,6 +118,11 @@
         self.mark_slower_endpoints();
         if response.status.is_success() {
           record_success(&self.gateway, &self.request, RoutedRequest::fingerprint);
+          record_sound_segments(
+            &self.gateway,
+            &self.request,
+            RoutedRequest::segment_fingerprints,
+          );
         }
         return Some(forward(response));
       }
--- a/src/gateway/stages/request.rs
+++ b/src/gateway/stages/request.rs
@@ -4,7 +4,9 @@
   super::{resumption::Resumption, send_mode::SendMode},
   crate::{
     gateway::{
-      decisions::{AllowedHalls, Fingerprint, RequestIdentity, SegmentIdentity, StreamKey},
+      decisions::{
+        AllowedHalls, Fingerprint, QuarantineKey, RequestIdentity, SegmentIdentity, StreamKey,
+      },
       edge::{
         CallerAttributes, EndpointEntry, Organisation, PlatformCodec, PromptSegment, ProxyHeaders,
         Route, Stage,
@@ -18,7 +20,7 @@
   http::{HeaderMap, Method, Request, Uri, header::HOST},
   http_body_util::Full,
   std::{
-    cell::{Cell, OnceCell},
+    cell::{Cell, OnceCell, RefCell},
     rc::Rc,
   },
 };
@@ -72,6 +74,8 @@
   pub(crate) deadline_ms: u64,
   pub(crate) resumption: Resumption,
   pub(crate) send_mode: Cell<SendMode>,
+  /// The quarantine probes that this box claimed for the request.
+  pub(crate) probes: RefCell<Vec<QuarantineKey>>,
   pub(crate) origin: RequestOrigin,
   /// Stages that were sent, or are being sent, to an endpoint that may receive them.
   pub(crate) sends: Cell<u32>,
--- a/src/gateway/stages/send_check.rs
+++ b/src/gateway/stages/send_check.rs
@@ -7,6 +7,7 @@
     edge::Stage,
     state::Gateway,
   },
+  std::rc::Rc,
 };
 
 impl RoutedRequest {
@@ -18,15 +19,22 @@
   /// Whether the request may be sent to no endpoint any more: it may have been quarantined while it was queued or running.
   pub(crate) fn is_blocked(&self, gateway: &Gateway) -> bool {
     match self.send_mode.get() {
-      SendMode::Probe(_) => false,
+      SendMode::Probe => false,
       SendMode::ProbeSent => true,
-      SendMode::Normal => is_quarantined(gateway, || self.fingerprint()),
+      SendMode::Normal => is_quarantined(gateway, || {
+        (self.fingerprint(), self.segment_fingerprints())
+      }),
     }
   }
 
   /// Whether the request's prompt may be sent to no prefill engine any more.
   pub(crate) fn is_prefill_blocked(&self, gateway: &Gateway) -> bool {
-    is_quarantined(gateway, || self.prefill_fingerprint())
+    is_quarantined(gateway, || {
+      (
+        self.prefill_fingerprint(),
+        self.prefill_segment_fingerprints(),
+      )
+    })
   }
 
   /// Claims the right to send one stage; `false` when the request is blocked.
@@ -47,11 +55,22 @@
   }
 }
 
-/// Whether a fingerprint is quarantined. The fingerprint is computed only when the registry has entries.
-fn is_quarantined(gateway: &Gateway, fingerprint: impl FnOnce() -> Fingerprint) -> bool {
-  let registry = gateway.quarantine.registry.borrow();
+/// Whether a request or a segment of its prompt is quarantined. Fingerprints are computed only when the registry has entries.
+fn is_quarantined(
+  gateway: &Gateway,
+  fingerprints: impl FnOnce() -> (Fingerprint, Rc<[Fingerprint]>),
+) -> bool {
+  let quarantine = &gateway.quarantine;
+  let registry = quarantine.registry.borrow();
   if registry.is_empty() || gateway.settings.quarantine.strategy == QuarantineStrategy::Off {
     return false;
   }
-  registry.verdict(fingerprint(), gateway.now_ms()) != QuarantineVerdict::Allowed
+  let (request, segments) = fingerprints();
+  let now_ms = gateway.now_ms();
+  let is_held = |fingerprint| registry.verdict(fingerprint, now_ms) != QuarantineVerdict::Allowed;
+  let sound = quarantine.sound.borrow();
+  is_held(request)
+    || segments
+      .iter()
+      .any(|segment| is_held(*segment) && !sound.contains(*segment, now_ms))
 }
--- a/src/gateway/stages/send_mode.rs
+++ b/src/gateway/stages/send_mode.rs
@@ -6,8 +6,8 @@
   /// As often as its route allows.
   #[default]
   Normal,
-  /// Once, as the quarantine probe with this number.
-  Probe(u32),
+  /// Once, as a quarantine probe.
+  Probe,
   /// The probe has been sent.
   ProbeSent,
 }
--- a/src/gateway/state/quarantine.rs
+++ b/src/gateway/state/quarantine.rs
@@ -1,7 +1,7 @@
 //! A box's quarantine state: the known marks, and the changes still to be written to the store.
 
 use {
-  crate::gateway::decisions::{QuarantineKey, QuarantineRegistry},
+  crate::gateway::decisions::{QuarantineKey, QuarantineRegistry, SoundSegments},
   std::{
     cell::RefCell,
     collections::{BTreeMap, BTreeSet},
@@ -33,6 +33,8 @@
 /// The quarantine registry, and the queues of changes for the store.
 pub(crate) struct Quarantine {
   pub(crate) registry: RefCell<QuarantineRegistry>,
+  /// The prompt segments on which endpoints answered this box.
+  pub(crate) sound: RefCell<SoundSegments>,
   /// Marks that are not yet in the store.
   pub(crate) unwritten: RefCell<BTreeMap<QuarantineKey, MarkOrigin>>,
   /// Obsolete marks that may still be in the store.
@@ -53,6 +55,7 @@
       claim_receiver: RefCell::new(Some(claim_receiver)),
       claims,
       registry: RefCell::default(),
+      sound: RefCell::default(),
       unremoved: RefCell::default(),
       unwritten: RefCell::default(),
       urgent: Notify::new(),
@@ -109,9 +112,10 @@
   pub(crate) fn metrics(&self) -> String {
     let registry = self.registry.borrow();
     format!(
-      "rillford_quarantine_known {}\nrillford_quarantine_held {}\n",
+      "rillford_quarantine_known {}\nrillford_quarantine_held {}\nrillford_quarantine_sound {}\n",
       registry.len(),
-      registry.quarantined()
+      registry.quarantined(),
+      self.sound.borrow().len()
     )
   }
 
