--- a/emulator/src/quarantine/announcements.rs
+++ b/emulator/src/quarantine/announcements.rs
@@ -10,8 +10,14 @@
 const BATCH_MS_PER_BOX: u64 = 4;
 
 impl CrashReplay {
-  /// Records a crash at the box that saw it, and announces it to the others.
-  pub(super) fn record_crash(&mut self, at: usize, key: QuarantineKey, now_ms: u64) {
+  /// Records a crash at the box that saw it, and announces it to the others. First marks of segments are not batched.
+  pub(super) fn record_crash(
+    &mut self,
+    at: usize,
+    key: QuarantineKey,
+    is_segment: bool,
+    now_ms: u64,
+  ) {
     if self.strategy == QuarantineStrategy::Off || !self.registries[at].record(key, now_ms) {
       return;
     }
@@ -20,7 +26,7 @@
       return;
     }
     let is_first = self.registries[at].counts(key.fingerprint).0 == 1;
-    let batch_ms = if is_first {
+    let batch_ms = if is_first && !is_segment {
       BATCH_MS_PER_BOX * self.fleet.boxes as u64
     } else {
       0
--- a/emulator/src/quarantine/event.rs
+++ b/emulator/src/quarantine/event.rs
@@ -11,6 +11,8 @@
   NewBody { body: u64 },
   /// A box sends a request to an engine, at first or as a retry.
   Send { request: usize },
+  /// An engine has answered a request for a while.
+  RunAnswers { request: usize, run: u64 },
   /// A run completes.
   RunCompletes { request: usize, run: u64 },
   /// A run crashes its engine.
--- a/emulator/src/quarantine/mod.rs
+++ b/emulator/src/quarantine/mod.rs
@@ -13,6 +13,7 @@
 mod replay;
 mod report;
 mod request;
+mod way;
 
 pub use self::{
   figures::CrashFigures,
@@ -20,4 +21,5 @@
   pattern::CrashPattern,
   replay::replay_crashes,
   report::{CrashReport, crash_report, print_crashes},
+  way::CrashWay,
 };
--- a/emulator/src/quarantine/pattern.rs
+++ b/emulator/src/quarantine/pattern.rs
@@ -30,11 +30,21 @@
   RackPopular,
   /// `OneBody` and `Rack` together.
   OneBodyAndRack,
+  /// One prompt segment crashes engines, in requests of which no two are alike.
+  OneSegment,
+  /// Two segments, each as often as in `OneSegment`.
+  TwoSegments,
+  /// `OneSegment`, ten times as often: the fifth crash comes within a second.
+  OneSegmentOften,
+  /// `OneSegment` and `Rack` together.
+  OneSegmentAndRack,
+  /// `Rack`, and innocent requests share no segment with more than a few others.
+  RackRareSegments,
 }
 
 impl CrashPattern {
   /// All patterns, in the order of reports.
-  pub const ALL: [Self; 9] = [
+  pub const ALL: [Self; 14] = [
     Self::OneBody,
     Self::OneBodySlowWord,
     Self::OneBodyStoreAway,
@@ -44,17 +54,54 @@
     Self::Rack,
     Self::RackPopular,
     Self::OneBodyAndRack,
+    Self::OneSegment,
+    Self::TwoSegments,
+    Self::OneSegmentOften,
+    Self::OneSegmentAndRack,
+    Self::RackRareSegments,
   ];
 
   /// Number of crashing bodies that arrive from the start.
   pub(super) fn bodies(self) -> u64 {
     match self {
       Self::TwelveBodies => 12,
-      Self::Rack | Self::RackPopular | Self::NewBodies => 0,
+      Self::TwoSegments => 2,
+      Self::Rack | Self::RackPopular | Self::RackRareSegments | Self::NewBodies => 0,
       _ => 1,
     }
   }
 
+  /// Whether a segment crashes engines, and not a body.
+  pub(super) fn has_crashing_segments(self) -> bool {
+    matches!(
+      self,
+      Self::OneSegment | Self::TwoSegments | Self::OneSegmentOften | Self::OneSegmentAndRack
+    )
+  }
+
+  /// Mean interval between requests with the same crashing body or segment.
+  pub(super) fn crashing_interval_ms(self) -> f64 {
+    if self == Self::OneSegmentOften {
+      40.0
+    } else {
+      400.0
+    }
+  }
+
+  /// Number of second segments that innocent requests have.
+  pub(super) fn innocent_segments(self) -> u64 {
+    if self == Self::RackRareSegments {
+      300
+    } else {
+      8
+    }
+  }
+
+  /// Crashes after which late runs count: of a body, or of a segment.
+  pub(super) fn counted_crashes(self) -> usize {
+    if self.has_crashing_segments() { 5 } else { 3 }
+  }
+
   /// Number of requests with each crashing body.
   pub(super) fn requests_per_body(self) -> u32 {
     if self == Self::NewBodies { 6 } else { u32::MAX }
@@ -68,7 +115,11 @@
   /// Times at which a rack fails.
   pub(super) fn rack_failures_ms(self) -> &'static [u64] {
     match self {
-      Self::Rack | Self::RackPopular | Self::OneBodyAndRack => &RACK_FAILURES_MS,
+      Self::Rack
+      | Self::RackPopular
+      | Self::OneBodyAndRack
+      | Self::OneSegmentAndRack
+      | Self::RackRareSegments => &RACK_FAILURES_MS,
       _ => &[],
     }
   }
--- a/emulator/src/quarantine/replay.rs
+++ b/emulator/src/quarantine/replay.rs
@@ -8,13 +8,14 @@
     fleet::CrashFleet,
     pattern::{CrashPattern, SIMULATION_END_MS},
     request::Request,
+    way::CrashWay,
   },
   crate::queue::Queue,
   rand::{RngExt, SeedableRng},
   rand_chacha::ChaCha8Rng,
   rillford::gateway::{
     Fingerprint, QuarantineKey, QuarantineMark, QuarantineRegistry, QuarantineStrategy,
-    QuarantineVerdict, RequestIdentity,
+    QuarantineVerdict, RequestIdentity, SegmentIdentity, SoundSegments,
   },
   std::collections::{BTreeSet, HashSet},
 };
@@ -35,26 +36,26 @@
 const MAX_ATTEMPTS: u32 = 2;
 /// How often a caller sends a request in all.
 const MAX_CALLER_TRIES: u32 = 2;
-/// Mean interval between requests with the same crashing body.
-const CRASHING_INTERVAL_MS: f64 = 400.0;
+/// Time from the start of a run until the engine has answered for so long that its segments are sound.
+const ANSWERED_MS: u64 = 600;
 /// Delay until a box sends a request to another engine.
 const BOX_RETRY_MS: u64 = 5;
 /// Time after the last allowed crash from which runs are late.
 const CONTACT_MS: u64 = 3_000;
-/// Crashes after which a body should be quarantined.
-const CRASHES_TO_QUARANTINE: usize = 3;
 
-/// Crashes and late runs of one crashing body.
+/// Crashes and late runs of one crashing body or segment.
 #[derive(Clone, Copy, Debug, Default)]
 struct Crashing {
   crashes: usize,
-  third_crash_ms: Option<u64>,
+  /// The crash after which it should be quarantined.
+  counted_crash_ms: Option<u64>,
   late: u32,
 }
 
 pub(super) struct CrashReplay {
   pub(super) pattern: CrashPattern,
   pub(super) fleet: CrashFleet,
+  pub(super) way: CrashWay,
   pub(super) strategy: QuarantineStrategy,
   random: ChaCha8Rng,
   /// Draws the delays of marks. Separate, so that strategies with more announcements draw the same load.
@@ -62,6 +63,7 @@
   pub(super) queue: Queue<Event>,
   engines: Vec<Engine>,
   pub(super) registries: Vec<QuarantineRegistry>,
+  sound: Vec<SoundSegments>,
   /// Marks in the store.
   pub(super) stored: BTreeSet<QuarantineKey>,
   requests: Vec<Request>,
@@ -69,6 +71,7 @@
   /// Boxes and times of batched writes, each of which is one store call.
   pub(super) written: HashSet<(usize, u64)>,
   innocent_bodies: u64,
+  crashing_bodies: u64,
   pub(super) figures: CrashFigures,
 }
 
@@ -76,11 +79,14 @@
 pub fn replay_crashes(
   pattern: CrashPattern,
   fleet: CrashFleet,
-  strategy: QuarantineStrategy,
+  way: impl Into<CrashWay>,
   seed: u64,
 ) -> CrashFigures {
+  let way = way.into();
   let mut replay = CrashReplay {
+    crashing_bodies: 0,
     innocent_bodies: 0,
+    sound: vec![SoundSegments::default(); fleet.boxes],
     registries: vec![QuarantineRegistry::default(); fleet.boxes],
     crashing: Vec::new(),
     engines: vec![Engine::default(); fleet.engines],
@@ -91,7 +97,8 @@
     random: ChaCha8Rng::seed_from_u64(seed),
     requests: Vec::new(),
     stored: BTreeSet::new(),
-    strategy,
+    strategy: way.strategy(),
+    way,
     delay_random: ChaCha8Rng::seed_from_u64(!seed),
     written: HashSet::new(),
   };
@@ -115,6 +122,14 @@
   })
 }
 
+fn segment(id: &str) -> Fingerprint {
+  Fingerprint::of_segment(SegmentIdentity {
+    organisation: None,
+    segment: id,
+    service: "llm",
+  })
+}
+
 impl CrashReplay {
   fn schedule_initial_events(&mut self) {
     self.queue.put(0, Event::InnocentArrives);
@@ -153,6 +168,12 @@
           .put(now_ms + interval_ms, Event::NewBody { body: body + 1 });
       }
       Event::Send { request } => self.send(request, now_ms),
+      Event::RunAnswers { request, run } => {
+        let is_current = self.requests[request].run == run;
+        if is_current && self.requests[request].engine.is_some() {
+          self.record_answer(request, now_ms);
+        }
+      }
       Event::RunCompletes { request, run } => self.complete_run(request, run, now_ms),
       Event::RunCrashes { request, run } => self.crash_run(request, run, now_ms),
       Event::EngineRestarted { engine } => {
@@ -187,7 +208,17 @@
       Some(bodies) => self.random.random_range(0..bodies),
       None => self.innocent_bodies,
     };
-    let request = self.new_request(fingerprint("/innocent", body), None, now_ms);
+    let second = self
+      .random
+      .random_range(0..self.pattern.innocent_segments());
+    // Where segments are rare, so is the first one.
+    let first = if self.pattern == CrashPattern::RackRareSegments {
+      second
+    } else {
+      0
+    };
+    let segments = [format!("first-{first}"), format!("second-{second}")];
+    let request = self.new_request(fingerprint("/innocent", body), segments, None, now_ms);
     self.queue.put(now_ms, Event::Send { request });
     let draw: f64 = self.random.random();
     let interval_ms = -(1.0 - draw).ln() * 1_000.0 / self.fleet.streams_per_s();
@@ -198,13 +229,25 @@
 
   fn handle_crashing(&mut self, body: u64, left: u32, now_ms: u64) {
     let number = usize::try_from(body).unwrap_or(0);
-    let request = self.new_request(fingerprint("/crashing", body), Some(number), now_ms);
+    self.crashing_bodies += 1;
+    let distinct = if self.pattern.has_crashing_segments() {
+      self.crashing_bodies
+    } else {
+      body
+    };
+    let segments = ["first-0".to_owned(), format!("crashing-{body}")];
+    let request = self.new_request(
+      fingerprint("/crashing", distinct),
+      segments,
+      Some(number),
+      now_ms,
+    );
     // The next `CrashingArrives` stands for the caller's retry.
     self.requests[request].caller_retries_left = 0;
     self.queue.put(now_ms, Event::Send { request });
     if left > 1 {
       let draw: f64 = self.random.random();
-      let interval_ms = (-(1.0 - draw).ln() * CRASHING_INTERVAL_MS) as u64 + 1;
+      let interval_ms = (-(1.0 - draw).ln() * self.pattern.crashing_interval_ms()) as u64 + 1;
       let left = left - 1;
       self
         .queue
@@ -215,6 +258,7 @@
   fn new_request(
     &mut self,
     fingerprint: Fingerprint,
+    segments: [String; 2],
     crashing: Option<usize>,
     now_ms: u64,
   ) -> usize {
@@ -226,28 +270,36 @@
       fingerprint,
       is_probe: false,
       run: 0,
+      segments: segments.map(|id| segment(&id)),
+      sent_ms: now_ms,
       caller_retries_left: MAX_CALLER_TRIES - 1,
       deadline_ms: now_ms + CALLER_TIMEOUT_MS,
     });
     self.requests.len() - 1
   }
 
-  /// Sends a request to an engine unless it is quarantined at its box.
+  /// Sends a request to an engine unless it or one of its segments is quarantined at its box.
   fn send(&mut self, number: usize, now_ms: u64) {
     let request = self.requests[number];
-    match self.verdict(&request, now_ms) {
-      QuarantineVerdict::Allowed => {}
-      QuarantineVerdict::Probe { number: probe } if request.attempts_left == MAX_ATTEMPTS => {
-        if !self.claim_probe(&request, probe, now_ms) {
-          return self.reject(number, 1_000, now_ms);
+    let mut probes = Vec::new();
+    for fingerprint in self.fingerprints(&request, now_ms) {
+      match self.verdict(&request, fingerprint, now_ms) {
+        QuarantineVerdict::Allowed => {}
+        QuarantineVerdict::Probe { number } => probes.push((fingerprint, number)),
+        QuarantineVerdict::Quarantined { retry_after_ms } => {
+          return self.reject(number, retry_after_ms, now_ms);
         }
-        self.requests[number].is_probe = true;
       }
-      // Quarantined between two attempts: the box does not retry.
-      QuarantineVerdict::Probe { .. } => return self.retry_caller(number, CALLER_RETRY_MS, now_ms),
-      QuarantineVerdict::Quarantined { retry_after_ms } => {
-        return self.reject(number, retry_after_ms, now_ms);
+    }
+    // Quarantined between two attempts: the box does not retry.
+    if !probes.is_empty() && request.attempts_left < MAX_ATTEMPTS {
+      return self.retry_caller(number, CALLER_RETRY_MS, now_ms);
+    }
+    for (fingerprint, probe) in probes {
+      if !self.claim_probe(&request, fingerprint, probe, now_ms) {
+        return self.reject(number, 1_000, now_ms);
       }
+      self.requests[number].is_probe = true;
     }
     let Some(engine) = self.choose_engine() else {
       return self.retry_caller(number, NO_ENGINE_RETRY_MS, now_ms);
@@ -255,6 +307,24 @@
     self.start_run(number, engine, now_ms);
   }
 
+  /// The fingerprints by which a request may be quarantined.
+  fn fingerprints(&self, request: &Request, now_ms: u64) -> Vec<Fingerprint> {
+    let mut fingerprints = vec![request.fingerprint];
+    if self.way.marks_segments() {
+      fingerprints.extend(self.suspected_segments(request, now_ms));
+    }
+    fingerprints
+  }
+
+  /// The segments of a request, without those that the way takes for sound.
+  fn suspected_segments(&self, request: &Request, now_ms: u64) -> Vec<Fingerprint> {
+    let is_suspected = |segment: &Fingerprint| {
+      let is_sound = self.sound[request.at].contains(*segment, now_ms);
+      !(is_sound && self.way.spares_sound_segments())
+    };
+    request.segments.into_iter().filter(is_suspected).collect()
+  }
+
   fn start_run(&mut self, number: usize, engine: usize, now_ms: u64) {
     self.engines[engine].running.push(number);
     let run_ms = self.random.random_range(RUN_MS.0..=RUN_MS.1);
@@ -262,18 +332,19 @@
     request.attempts_left -= 1;
     request.run += 1;
     request.engine = Some(engine);
+    request.sent_ms = now_ms;
     let run = request.run;
     let Some(body) = request.crashing else {
-      let event = Event::RunCompletes {
-        request: number,
-        run,
-      };
-      return self.queue.put(now_ms + run_ms, event);
+      let request = number;
+      let answers = Event::RunAnswers { request, run };
+      self.queue.put(now_ms + ANSWERED_MS, answers);
+      let completes = Event::RunCompletes { request, run };
+      return self.queue.put(now_ms + run_ms, completes);
     };
     let crashing = &mut self.crashing[body];
     let is_late = crashing
-      .third_crash_ms
-      .is_some_and(|third_crash_ms| now_ms > third_crash_ms + CONTACT_MS);
+      .counted_crash_ms
+      .is_some_and(|counted_ms| now_ms > counted_ms + CONTACT_MS);
     crashing.late += u32::from(is_late);
     let event = Event::RunCrashes {
       request: number,
@@ -282,17 +353,23 @@
     self.queue.put(now_ms + CRASH_MS, event);
   }
 
-  fn verdict(&self, request: &Request, now_ms: u64) -> QuarantineVerdict {
+  fn verdict(&self, request: &Request, fingerprint: Fingerprint, now_ms: u64) -> QuarantineVerdict {
     if self.strategy == QuarantineStrategy::Off {
       return QuarantineVerdict::Allowed;
     }
-    self.registries[request.at].verdict(request.fingerprint, now_ms)
+    self.registries[request.at].verdict(fingerprint, now_ms)
   }
 
   /// Claims a probe for a box. Returns `false` if another has it or the store is unavailable.
-  fn claim_probe(&mut self, request: &Request, probe: u32, now_ms: u64) -> bool {
+  fn claim_probe(
+    &mut self,
+    request: &Request,
+    fingerprint: Fingerprint,
+    probe: u32,
+    now_ms: u64,
+  ) -> bool {
     let key = QuarantineKey {
-      fingerprint: request.fingerprint,
+      fingerprint,
       mark: QuarantineMark::Probe(probe),
     };
     self.registries[request.at].record(key, now_ms);
@@ -348,10 +425,25 @@
     }
     self.leave_engine(number);
     self.figures.served += 1;
-    let (crashes, probes) = self.registries[request.at].counts(request.fingerprint);
+    self.lift(request.at, request.fingerprint, now_ms);
+    self.record_answer(number, now_ms);
+  }
+
+  /// Records that an engine answered on the segments of a request.
+  fn record_answer(&mut self, number: usize, now_ms: u64) {
+    let request = self.requests[number];
+    for segment in request.segments {
+      self.sound[request.at].record(segment, now_ms);
+      self.lift(request.at, segment, now_ms);
+    }
+  }
+
+  /// Removes the marks of a request or a segment on which an engine answered.
+  fn lift(&mut self, at: usize, fingerprint: Fingerprint, now_ms: u64) {
+    let (crashes, probes) = self.registries[at].counts(fingerprint);
     if crashes >= 2 || probes > 0 {
-      let cleared = self.registries[request.at].clear(request.fingerprint);
-      self.announce_clear(request.at, request.fingerprint, &cleared, now_ms);
+      let cleared = self.registries[at].clear(fingerprint);
+      self.announce_clear(at, fingerprint, &cleared, now_ms);
     }
   }
 
@@ -375,8 +467,8 @@
     self.figures.ended += 1;
     let crashing = &mut self.crashing[body];
     crashing.crashes += 1;
-    if crashing.crashes == CRASHES_TO_QUARANTINE {
-      crashing.third_crash_ms = Some(now_ms);
+    if crashing.crashes == self.pattern.counted_crashes() {
+      crashing.counted_crash_ms = Some(now_ms);
     }
     self.crash_engine(engine, now_ms);
   }
@@ -400,8 +492,16 @@
         fingerprint: request.fingerprint,
         mark: QuarantineMark::Crashed(incarnation),
       };
-      self.record_crash(request.at, key, now_ms);
-      if request.attempts_left > 0 && !request.is_probe {
+      self.record_crash(request.at, key, false, now_ms);
+      let is_beginning = now_ms < request.sent_ms + ANSWERED_MS;
+      if is_beginning && self.way.marks_segments() {
+        for fingerprint in self.suspected_segments(&request, now_ms) {
+          let key = QuarantineKey { fingerprint, ..key };
+          self.record_crash(request.at, key, true, now_ms);
+        }
+      }
+      let may_retry = !(is_beginning && self.way == CrashWay::SharedWithoutRetry);
+      if request.attempts_left > 0 && !request.is_probe && may_retry {
         self
           .queue
           .put(now_ms + BOX_RETRY_MS, Event::Send { request: number });
--- a/emulator/src/quarantine/report.rs
+++ b/emulator/src/quarantine/report.rs
@@ -1,9 +1,8 @@
 //! The report of the crash simulation as a Markdown table.
 
 use {
-  super::{CrashFigures, CrashFleet, CrashPattern, replay_crashes},
+  super::{CrashFigures, CrashFleet, CrashPattern, CrashWay, replay_crashes},
   bpaf::Bpaf,
-  rillford::gateway::QuarantineStrategy,
 };
 
 /// Options of the crash report.
@@ -20,7 +19,7 @@
   engines: usize,
 }
 
-/// Runs every pattern with every strategy and prints a table: the maximum over all seeds for late runs and the registry's
+/// Runs every pattern with every way and prints a table: the maximum over all seeds for late runs and the registry's
 /// size, and the mean for all else.
 pub fn print_crashes(report: CrashReport) {
   let fleet = CrashFleet {
@@ -32,26 +31,22 @@
   );
   println!("| --- | --- | ---: | ---: | ---: | ---: | ---: | ---: |");
   for pattern in CrashPattern::ALL {
-    for strategy in [
-      QuarantineStrategy::Off,
-      QuarantineStrategy::OwnBox,
-      QuarantineStrategy::Shared,
-    ] {
+    for way in CrashWay::ALL {
       let runs: Vec<CrashFigures> = (1..=report.seeds)
-        .map(|seed| replay_crashes(pattern, fleet, strategy, seed))
+        .map(|seed| replay_crashes(pattern, fleet, way, seed))
         .collect();
-      print_row(pattern, strategy, &runs);
+      print_row(pattern, way, &runs);
     }
   }
 }
 
-fn print_row(pattern: CrashPattern, strategy: QuarantineStrategy, runs: &[CrashFigures]) {
+fn print_row(pattern: CrashPattern, way: CrashWay, runs: &[CrashFigures]) {
   let mean =
     |figure: fn(&CrashFigures) -> f64| runs.iter().map(figure).sum::<f64>() / runs.len() as f64;
   let max_late = runs.iter().map(|run| run.most_late).max();
   let largest = runs.iter().map(|run| run.largest_book).max();
   println!(
-    "| {pattern:?} | {strategy:?} | {:.1} | {} | {:.4} | {:.1} | {:.0} | {} |",
+    "| {pattern:?} | {way:?} | {:.1} | {} | {:.4} | {:.1} | {:.0} | {} |",
     mean(|run| f64::from(run.ended)),
     max_late.unwrap_or(0),
     mean(CrashFigures::served_share),
--- a/emulator/src/quarantine/request.rs
+++ b/emulator/src/quarantine/request.rs
@@ -6,6 +6,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Request {
   pub(super) fingerprint: Fingerprint,
+  /// Those of the segments of its prompt.
+  pub(super) segments: [Fingerprint; 2],
   /// The number of its body, if it crashes engines.
   pub(super) crashing: Option<usize>,
   /// The box that it arrived at.
@@ -22,4 +24,6 @@
   pub(super) run: u64,
   /// The engine of the current run.
   pub(super) engine: Option<usize>,
+  /// When the current run began.
+  pub(super) sent_ms: u64,
 }
--- a/tests/gateway/quarantine.rs
+++ b/tests/gateway/quarantine.rs
@@ -1,11 +1,11 @@
 //! Quarantine of requests that crash endpoints.
 
 use {
-  emulator::quarantine::{CrashFleet, CrashPattern, replay_crashes},
+  emulator::quarantine::{CrashFleet, CrashPattern, CrashWay, replay_crashes},
   proptest::prelude::*,
   rillford::gateway::{
     EndpointIncarnation, Fingerprint, QuarantineKey, QuarantineMark, QuarantineRegistry,
-    QuarantineStrategy, QuarantineVerdict, RequestIdentity,
+    QuarantineStrategy, QuarantineVerdict, RequestIdentity, SoundSegments,
   },
   rstest::rstest,
 };
@@ -199,6 +199,56 @@
   }
 }
 
+/// Guards against crash loops by requests that share a segment only, and against sound requests that are rejected for sharing
+/// the others.
+#[rstest]
+fn shared_marks_keep_the_bound_for_segments(
+  #[values(
+    CrashPattern::OneSegment,
+    CrashPattern::TwoSegments,
+    CrashPattern::OneSegmentOften,
+    CrashPattern::OneSegmentAndRack
+  )]
+  pattern: CrashPattern,
+  #[values(CrashFleet::SMALL, CrashFleet { boxes: 24, engines: 30 })] fleet: CrashFleet,
+) {
+  for seed in 1..=2 {
+    let figures = replay_crashes(pattern, fleet, CrashWay::Shared, seed);
+    assert!(figures.most_late <= 3, "seed {seed}: {figures:?}");
+    assert!(
+      2 * figures.served >= figures.innocent,
+      "seed {seed}: {figures:?}"
+    );
+  }
+}
+
+/// A fingerprint of whole requests does not bound requests of which no two are alike.
+#[test]
+fn marks_of_requests_break_the_bound_for_segments() {
+  let figures = replay_crashes(
+    CrashPattern::OneSegment,
+    CrashFleet::SMALL,
+    CrashWay::Requests,
+    1,
+  );
+  assert!(figures.most_late > 3, "{figures:?}");
+}
+
+/// Segments are chosen by callers: a hundred thousand of them take no more room than the most that are remembered.
+#[test]
+fn sound_segments_are_bounded_and_the_newest_are_kept() {
+  let mut sound = SoundSegments::default();
+  for number in 0..100_000 {
+    sound.record(fingerprint(number), number / 10);
+  }
+  assert!(sound.len() <= 4_096, "{}", sound.len());
+  assert!(sound.contains(fingerprint(99_999), 10_000));
+  // An answer counts from the last time on.
+  sound.record(fingerprint(99_999), 20_000);
+  assert!(sound.contains(fingerprint(99_999), 45_000));
+  assert!(!sound.contains(fingerprint(99_998), 45_000));
+}
+
 /// While messages take longer than the bound, or the store is unreachable, each box still keeps its own marks.
 #[rstest]
 fn boxes_without_messages_crash_few_engines(
