--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -4,7 +4,7 @@
   super::{
     caller_key::CallerKey,
     configuration::HOST,
-    content::{self, CRASHING_BODY, CRASHING_NAME},
+    content::{self, CRASHING_BODY, CRASHING_NAME, CRASHING_SEGMENT, SOUND_SEGMENT},
     fleet::Fleet,
     records::{Outcome, ResumedStream},
     request_kind::RequestKind,
@@ -45,6 +45,19 @@
   Mixed,
   /// Only the request that crashes engines.
   Crashing,
+  /// Only requests with a prompt segment that crashes engines, no two of them alike.
+  CrashingSegment,
+}
+
+impl CallerWork {
+  /// The work of the caller whose requests crash engines, in turn by seed.
+  pub(crate) fn crashing(seed: u64) -> Self {
+    if seed.is_multiple_of(2) {
+      Self::Crashing
+    } else {
+      Self::CrashingSegment
+    }
+  }
 }
 
 pub(crate) struct Caller {
@@ -94,7 +107,7 @@
   }
 
   fn kind(&mut self) -> RequestKind {
-    if self.work == CallerWork::Crashing {
+    if self.work != CallerWork::Mixed {
       return RequestKind::CrashingStream;
     }
     match self.random.random_range(0..4) {
@@ -107,7 +120,7 @@
 
   /// One request in five belongs to the organisation over its limit.
   fn key(&mut self) -> CallerKey {
-    if self.work == CallerWork::Crashing {
+    if self.work != CallerWork::Mixed {
       return CallerKey::Captions;
     }
     match self.random.random_range(0..10) {
@@ -202,11 +215,20 @@
     let address = self.fleet.boxes[self.box_index].caller_link.address;
     let (method, name, body): (_, _, &[u8]) = match kind {
       RequestKind::Retryable => (Method::GET, id, b""),
-      RequestKind::CrashingStream => (Method::POST, CRASHING_NAME, CRASHING_BODY),
-      RequestKind::NonRetryable | RequestKind::Stream | RequestKind::ResumableStream => {
-        (Method::POST, id, b"prompt")
+      RequestKind::CrashingStream if self.work == CallerWork::Crashing => {
+        (Method::POST, CRASHING_NAME, CRASHING_BODY)
       }
+      RequestKind::CrashingStream
+      | RequestKind::NonRetryable
+      | RequestKind::Stream
+      | RequestKind::ResumableStream => (Method::POST, id, b"prompt"),
+    };
+    let second = if self.work == CallerWork::CrashingSegment {
+      CRASHING_SEGMENT
+    } else {
+      SOUND_SEGMENT
     };
+    let segments = content::prompt_segments(second, id);
     let mut request = Request::new(Full::new(Bytes::from_static(body)));
     *request.method_mut() = method;
     let uri = format!("http://{address}{}{name}", kind.path());
@@ -218,6 +240,7 @@
       ("x-request-id", id),
       ("x-deadline-ms", &deadline),
       ("x-token-counts", "100,50"),
+      ("x-prompt-prefix", &segments),
       ("authorization", &authorization),
       ("x-tenant", "claimed"),
     ] {
--- a/soak/src/content.rs
+++ b/soak/src/content.rs
@@ -10,6 +10,23 @@
 pub(crate) const CRASHING_BODY: &[u8] = b"no engine survives this";
 /// Last path segment of that request.
 pub(crate) const CRASHING_NAME: &str = "crashing";
+/// A prompt segment on which every engine crashes as it begins to answer.
+pub(crate) const CRASHING_SEGMENT: &str = "crashing";
+/// The segment that other prompts have in its place.
+pub(crate) const SOUND_SEGMENT: &str = "sound";
+
+/// The segments of a prompt: one that all share, one that many share, and its own.
+pub(crate) fn prompt_segments(second: &str, id: &str) -> String {
+  format!("all:60,{second}:30,{id}:10")
+}
+
+/// Whether a prompt has the segment on which engines crash.
+pub(crate) fn has_crashing_segment(segments: &str) -> bool {
+  let names = segments
+    .split(',')
+    .filter_map(|segment| segment.split_once(':'));
+  names.into_iter().any(|(name, _)| name == CRASHING_SEGMENT)
+}
 
 /// Complete response of a plain endpoint.
 pub(crate) fn plain_response(id: &str) -> String {
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -201,7 +201,7 @@
       // Its prompts are not cached.
       (&Method::GET, "/kv-list") => Ok(json_response(json!({"epoch": 1, "held": []}))),
       (&Method::DELETE, path) => Ok(self.release(path)),
-      _ if body == CRASHING_BODY && self.kind() == EndpointKind::Decode => {
+      _ if self.kind() == EndpointKind::Decode && is_crashing(&head.headers, &body) => {
         self.crash(&head.headers).await
       }
       _ => self.handle_work(&head.headers).await,
@@ -492,3 +492,10 @@
     None => source.into(),
   }
 }
+
+/// Whether a decode engine crashes on a request.
+fn is_crashing(headers: &HeaderMap, body: &[u8]) -> bool {
+  let segments = headers.get("x-prompt-prefix");
+  let segments = segments.and_then(|segments| segments.to_str().ok());
+  body == CRASHING_BODY || segments.is_some_and(content::has_crashing_segment)
+}
--- a/soak/src/play.rs
+++ b/soak/src/play.rs
@@ -133,7 +133,7 @@
     fleet.clone(),
     options.callers,
     options.seed,
-    CallerWork::Crashing,
+    CallerWork::crashing(options.seed),
   );
   callers.spawn(crashing.run(stopped.clone()));
   callers
--- a/soak/src/request_kind.rs
+++ b/soak/src/request_kind.rs
@@ -11,7 +11,7 @@
   Stream,
   /// A stream that another engine may resume.
   ResumableStream,
-  /// A resumable stream with a body that crashes each engine that runs it, always on the same path.
+  /// A resumable stream that crashes each engine that runs it: by its body, always on the same path, or by a segment of its prompt.
   CrashingStream,
 }
 
