A crashing request uses up no probes of the segments that it shares

Cause: engines crashed before any had answered the organisation, so that the segment which all its requests share was blamed with the crashing one. Requests with both claimed the probes of both; no other request could lift the blame then. Change: a request of which several fingerprints are quarantined runs as a probe once, 15 s after the last crash; one with a single one probes it at once, as before, and its answer frees the segment.

--- a/emulator/src/quarantine/replay.rs
+++ b/emulator/src/quarantine/replay.rs
@@ -282,8 +282,8 @@
   fn send(&mut self, number: usize, now_ms: u64) {
     let request = self.requests[number];
     let mut probes = Vec::new();
-    for fingerprint in self.fingerprints(&request, now_ms) {
-      match self.verdict(&request, fingerprint, now_ms) {
+    for (fingerprint, verdict) in self.verdicts(&request, now_ms) {
+      match verdict {
         QuarantineVerdict::Allowed => {}
         QuarantineVerdict::Probe { number } => probes.push((fingerprint, number)),
         QuarantineVerdict::Quarantined { retry_after_ms } => {
@@ -353,11 +353,12 @@
     self.queue.put(now_ms + CRASH_MS, event);
   }
 
-  fn verdict(&self, request: &Request, fingerprint: Fingerprint, now_ms: u64) -> QuarantineVerdict {
+  fn verdicts(&self, request: &Request, now_ms: u64) -> Vec<(Fingerprint, QuarantineVerdict)> {
     if self.strategy == QuarantineStrategy::Off {
-      return QuarantineVerdict::Allowed;
+      return Vec::new();
     }
-    self.registries[request.at].verdict(fingerprint, now_ms)
+    let fingerprints = self.fingerprints(request, now_ms);
+    self.registries[request.at].verdicts(&fingerprints, now_ms)
   }
 
   /// Claims a probe for a box. Returns `false` if another has it or the store is unavailable.
--- a/src/gateway/decisions/quarantine_registry.rs
+++ b/src/gateway/decisions/quarantine_registry.rs
@@ -8,6 +8,10 @@
 //! endpoint leads to the next probe, much later; after the last probe the request is rejected until it has not been seen for
 //! [`RETENTION_MS`].
 //!
+//! Segments of prompts are tracked like requests. A request of which several are quarantined, itself included, says little by a
+//! crash, and would use up the probes of those that are sound: it runs as a probe once, long after the last crash. Others
+//! that share only the sound ones probe them before.
+//!
 //! Limits: three crashes are accepted, and three more after those; two probes leave one for a run that began before its box
 //! had received the third crash.
 
@@ -25,6 +29,9 @@
 /// Delays of the probes. The first runs at once: it clears innocent requests. The second runs after the crashed endpoints
 /// have restarted and served others for some seconds.
 const PROBE_DELAYS_MS: [u64; 2] = [0, 15_000];
+/// The number of the probe of several at once, and its delay after the last crash.
+const JOINT_PROBE: u32 = 3;
+const JOINT_DELAY_MS: u64 = 15_000;
 /// Retention of marks without a request.
 const RETENTION_MS: u64 = 600_000;
 /// Age from which a mark is written again when its request comes in.
@@ -72,7 +79,7 @@
     if !self.is_quarantined() {
       return QuarantineVerdict::Allowed;
     }
-    let latest = self.probes.last_key_value();
+    let latest = self.probes.range(..JOINT_PROBE).next_back();
     let (probes, since_ms) = latest.map_or((0, 0), |(number, at_ms)| (*number, *at_ms));
     let Some(delay_ms) = PROBE_DELAYS_MS.get(probes as usize) else {
       return QuarantineVerdict::Quarantined {
@@ -94,6 +101,25 @@
     }
   }
 
+  /// The verdict on a request of which others are quarantined too.
+  fn joint_verdict(&self, now_ms: u64) -> QuarantineVerdict {
+    if !self.is_quarantined() {
+      return QuarantineVerdict::Allowed;
+    }
+    if self.probes.contains_key(&JOINT_PROBE) {
+      return QuarantineVerdict::Quarantined {
+        retry_after_ms: RETENTION_MS,
+      };
+    }
+    let crashed_ms = self.crashed.values().copied().max().unwrap_or(0);
+    match (crashed_ms + JOINT_DELAY_MS).saturating_sub(now_ms) {
+      0 => QuarantineVerdict::Probe {
+        number: JOINT_PROBE,
+      },
+      retry_after_ms => QuarantineVerdict::Quarantined { retry_after_ms },
+    }
+  }
+
   fn keys(&self, fingerprint: Fingerprint) -> Vec<QuarantineKey> {
     let crashed = self.crashed.keys().copied().map(QuarantineMark::Crashed);
     let probes = self.probes.keys().copied().map(QuarantineMark::Probe);
@@ -185,6 +211,26 @@
     }
   }
 
+  /// The fingerprints of a request and its segments that are quarantined, with their verdicts.
+  pub fn verdicts(
+    &self,
+    fingerprints: &[Fingerprint],
+    now_ms: u64,
+  ) -> Vec<(Fingerprint, QuarantineVerdict)> {
+    let is_held = |fingerprint: &&Fingerprint| {
+      let case = self.cases.get(fingerprint);
+      case.is_some_and(Case::is_quarantined)
+    };
+    let held: Vec<Fingerprint> = fingerprints.iter().filter(is_held).copied().collect();
+    let verdict = |fingerprint: Fingerprint| match (held.len(), self.cases.get(&fingerprint)) {
+      (_, None) => QuarantineVerdict::Allowed,
+      (1, Some(case)) => case.verdict(now_ms),
+      (_, Some(case)) => case.joint_verdict(now_ms),
+    };
+    let with_verdict = |fingerprint: &Fingerprint| (*fingerprint, verdict(*fingerprint));
+    held.iter().map(with_verdict).collect()
+  }
+
   /// Since when an incarnation of an endpoint is known to have crashed with a request.
   pub fn crashed_since_ms(
     &self,
--- a/src/gateway/quarantine/screening.rs
+++ b/src/gateway/quarantine/screening.rs
@@ -50,26 +50,27 @@
   Ok(())
 }
 
-/// The fingerprints of a request and of its segments, with their verdicts. Refreshes their marks.
+/// Those of a request and its segments that are quarantined, with their verdicts. Refreshes their marks.
 fn held_fingerprints(
   gateway: &Gateway,
   request: &RoutedRequest,
 ) -> Vec<(Fingerprint, QuarantineVerdict)> {
   let now_ms = gateway.now_ms();
-  let segments = request.segment_fingerprints();
-  let fingerprints = std::iter::once(request.fingerprint()).chain(segments.iter().copied());
-  let with_verdict = |fingerprint| {
-    let (verdict, due) = {
-      let registry = gateway.quarantine.registry.borrow();
-      (
-        registry.verdict(fingerprint, now_ms),
-        registry.marks_to_refresh(fingerprint, now_ms),
-      )
-    };
-    refresh_marks(gateway, &due, now_ms);
-    (fingerprint, verdict)
+  let mut fingerprints = vec![request.fingerprint()];
+  fingerprints.extend(request.segment_fingerprints().iter());
+  fingerprints.dedup();
+  let (held, due) = {
+    let registry = gateway.quarantine.registry.borrow();
+    let due = fingerprints
+      .iter()
+      .flat_map(|fingerprint| registry.marks_to_refresh(*fingerprint, now_ms));
+    (
+      registry.verdicts(&fingerprints, now_ms),
+      due.collect::<Vec<_>>(),
+    )
   };
-  fingerprints.map(with_verdict).collect()
+  refresh_marks(gateway, &due, now_ms);
+  held
 }
 
 /// Lifts the quarantine of segments on which endpoints answered this box lately: other boxes may have blamed them without having
--- a/tests/gateway/crashing_segment.rs
+++ b/tests/gateway/crashing_segment.rs
@@ -132,6 +132,24 @@
   assert!(prefilled <= 18 + MAX_MORE, "{prefilled} prompts prefilled");
 }
 
+/// Guards against sound requests that stay rejected since crashing ones use up the probes of the segments that they share.
+#[tokio::test]
+async fn segment_that_was_blamed_with_a_crashing_one_is_freed_by_a_sound_request() {
+  let fleet = Fleet::start().await;
+  fleet.crash_some().await;
+  sleep(CONTACT).await;
+  let before = fleet.crashing_runs();
+  let mut sound = 0;
+  for number in 100..118 {
+    fleet.ask(number, CRASHING).await;
+    sound += usize::from(fleet.ask(number, "91bd3f06").await);
+    sleep(DOWNTIME / 3).await;
+  }
+  let more = fleet.crashing_runs() - before;
+  assert!(more <= MAX_MORE, "{more} more engines got the segment");
+  assert!(2 * sound >= 18, "{sound} of 18 sound requests served");
+}
+
 /// Guards against a rejected request whose caller does not learn when to come back.
 #[tokio::test]
 async fn request_with_a_crashing_segment_is_rejected_with_a_time_to_come_back() {
--- a/tests/gateway/quarantine.rs
+++ b/tests/gateway/quarantine.rs
@@ -109,6 +109,31 @@
   }
 }
 
+/// Guards against probes of sound segments by requests that have a crashing one too.
+#[test]
+fn several_that_are_quarantined_are_probed_at_once_only_long_after_the_last_crash() {
+  let mut registry = quarantining(1, 0);
+  for engine in ["e-1", "e-2", "e-3"] {
+    registry.record(crashed(2, engine, 1), 0);
+  }
+  let [one, other, free] = [1, 2, 3].map(fingerprint);
+  let probe = |number| QuarantineVerdict::Probe { number };
+  assert_eq!(registry.verdicts(&[one, free], 0), [(one, probe(1))]);
+  let held = QuarantineVerdict::Quarantined {
+    retry_after_ms: 14_000,
+  };
+  assert_eq!(
+    registry.verdicts(&[one, other], 1_000),
+    [(one, held), (other, held)]
+  );
+  assert_eq!(
+    registry.verdicts(&[one, other], 15_000),
+    [(one, probe(3)), (other, probe(3))]
+  );
+  registry.clear(other);
+  assert_eq!(registry.verdicts(&[one, other], 15_000), [(one, probe(1))]);
+}
+
 #[test]
 fn marks_of_requests_that_come_in_are_refreshed_and_others_expire() {
   let mut registry = quarantining(1, 0);
