A probe that the store did not grant is claimed again after a second

Cause: a claim without an answer of the store was recorded like one that another box holds, so that the next probe was 15 s away though no request had run. With segments this holds back all requests that share one. Change: such a claim is made again after a second. One that took effect all the same arrives as a mark.

--- a/src/gateway/quarantine/screening.rs
+++ b/src/gateway/quarantine/screening.rs
@@ -6,7 +6,7 @@
       Fingerprint, QuarantineKey, QuarantineMark, QuarantineStrategy, QuarantineVerdict,
     },
     stages::{RoutedRequest, SendMode},
-    state::{Gateway, MarkOrigin},
+    state::{Gateway, MarkOrigin, ProbeGrant},
   },
   std::rc::Rc,
 };
@@ -114,7 +114,8 @@
   publish(gateway, due, false);
 }
 
-/// Claims a probe, unless another box holds it.
+/// Claims a probe, unless another box holds it or the store does not answer. Such a claim may be made again after a while: one that
+/// took effect all the same arrives as a mark.
 async fn claim_probe(
   gateway: &Gateway,
   request: &RoutedRequest,
@@ -125,20 +126,29 @@
     fingerprint,
     mark: QuarantineMark::Probe(number),
   };
-  let is_own = match gateway.settings.quarantine.strategy {
-    QuarantineStrategy::Off => false,
-    QuarantineStrategy::OwnBox => true,
-    QuarantineStrategy::Shared => gateway.quarantine.claim(key).await,
+  let quarantine = &gateway.quarantine;
+  if gateway.now_ms() < quarantine.claims_paused_until_ms.get() {
+    return false;
+  }
+  let grant = match gateway.settings.quarantine.strategy {
+    QuarantineStrategy::Off => ProbeGrant::Taken,
+    QuarantineStrategy::OwnBox => ProbeGrant::Granted,
+    QuarantineStrategy::Shared => quarantine.claim(key).await,
   };
-  // Recorded either way: a probe that was not granted belongs to another box, or its holder is unknown.
   let now_ms = gateway.now_ms();
-  gateway.quarantine.registry.borrow_mut().record(key, now_ms);
-  if is_own {
-    request.send_mode.set(SendMode::Probe);
-    request.probes.borrow_mut().push(key);
-    log::info!("E530 probe {number}: {} ({fingerprint})", request.id());
+  if grant == ProbeGrant::Unknown {
+    let until_ms = now_ms + CLAIM_RETRY_MS;
+    quarantine.claims_paused_until_ms.set(until_ms);
+    return false;
+  }
+  quarantine.registry.borrow_mut().record(key, now_ms);
+  if grant == ProbeGrant::Taken {
+    return false;
   }
-  is_own
+  request.send_mode.set(SendMode::Probe);
+  request.probes.borrow_mut().push(key);
+  log::info!("E530 probe {number}: {} ({fingerprint})", request.id());
+  true
 }
 
 /// Logs a rejection with the data that it was based on, and its age.
--- a/src/gateway/quarantine/sync.rs
+++ b/src/gateway/quarantine/sync.rs
@@ -7,7 +7,7 @@
     gateway::{
       decisions::{QuarantineKey, store_retry_delay_ms},
       edge::{MAX_CHANGED_KEYS, Store, StoreError},
-      state::{Gateway, MarkOrigin, ProbeClaim},
+      state::{Gateway, MarkOrigin, ProbeClaim, ProbeGrant},
     },
     ids::Name,
     observe::unix_ms,
@@ -57,9 +57,9 @@
   while let Some(claim) = claims.recv().await {
     let sync = sync.clone();
     spawn_local(async move {
-      let is_granted = sync.claim(claim.key).await;
+      let grant = sync.claim(claim.key).await;
       // When the request was dropped, its probe is lost.
-      let _ = claim.granted.send(is_granted);
+      let _ = claim.grant.send(grant);
     });
   }
 }
@@ -146,14 +146,17 @@
     true
   }
 
-  /// Claims a probe; fails when another box holds it or the store does not answer.
-  async fn claim(&self, key: QuarantineKey) -> bool {
+  /// Claims a probe.
+  async fn claim(&self, key: QuarantineKey) -> ProbeGrant {
     self.gateway.counters.store_calls.inc();
-    let claimed = self.store.claim_quarantine(&key.text(), mark_value()).await;
-    claimed.unwrap_or_else(|error| {
-      log::info!("E532 probe not claimed: {error}");
-      false
-    })
+    match self.store.claim_quarantine(&key.text(), mark_value()).await {
+      Ok(true) => ProbeGrant::Granted,
+      Ok(false) => ProbeGrant::Taken,
+      Err(error) => {
+        log::info!("E532 probe not claimed: {error}");
+        ProbeGrant::Unknown
+      }
+    }
   }
 
   /// Has another box write this box's own marks while the store does not answer; returns the marks that were taken.
--- a/src/gateway/state/mod.rs
+++ b/src/gateway/state/mod.rs
@@ -15,5 +15,5 @@
 
 pub(crate) use self::{
   gateway::{Gateway, HeldLease, InFlight, Phase},
-  quarantine::{MarkOrigin, ProbeClaim},
+  quarantine::{MarkOrigin, ProbeClaim, ProbeGrant},
 };
--- a/src/gateway/state/quarantine.rs
+++ b/src/gateway/state/quarantine.rs
@@ -3,7 +3,7 @@
 use {
   crate::gateway::decisions::{QuarantineKey, QuarantineRegistry, SoundSegments},
   std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet},
   },
   tokio::sync::{Notify, mpsc, oneshot},
@@ -23,11 +23,21 @@
   Peer,
 }
 
+/// The result of claiming a probe.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum ProbeGrant {
+  /// This box holds it.
+  Granted,
+  /// Another box does.
+  Taken,
+  /// The store did not answer.
+  Unknown,
+}
+
 /// A pending claim of a probe.
 pub(crate) struct ProbeClaim {
   pub(crate) key: QuarantineKey,
-  /// Receives whether this box holds the probe.
-  pub(crate) granted: oneshot::Sender<bool>,
+  pub(crate) grant: oneshot::Sender<ProbeGrant>,
 }
 
 /// The quarantine registry, and the queues of changes for the store.
@@ -43,6 +53,8 @@
   pub(crate) changed: Notify,
   /// Notified when a change must be written without batching.
   pub(crate) urgent: Notify,
+  /// Until then no probes are claimed, since the store did not answer.
+  pub(crate) claims_paused_until_ms: Cell<u64>,
   claims: mpsc::Sender<ProbeClaim>,
   claim_receiver: RefCell<Option<mpsc::Receiver<ProbeClaim>>>,
 }
@@ -54,6 +66,7 @@
       changed: Notify::new(),
       claim_receiver: RefCell::new(Some(claim_receiver)),
       claims,
+      claims_paused_until_ms: Cell::new(0),
       registry: RefCell::default(),
       sound: RefCell::default(),
       unremoved: RefCell::default(),
@@ -69,13 +82,13 @@
     self.claim_receiver.take()
   }
 
-  /// Claims a probe; returns whether this box holds it.
-  pub(crate) async fn claim(&self, key: QuarantineKey) -> bool {
-    let (granted, is_granted) = oneshot::channel();
-    if self.claims.try_send(ProbeClaim { granted, key }).is_err() {
-      return false;
+  /// Claims a probe.
+  pub(crate) async fn claim(&self, key: QuarantineKey) -> ProbeGrant {
+    let (grant, granted) = oneshot::channel();
+    if self.claims.try_send(ProbeClaim { grant, key }).is_err() {
+      return ProbeGrant::Unknown;
     }
-    is_granted.await.unwrap_or(false)
+    granted.await.unwrap_or(ProbeGrant::Unknown)
   }
 
   /// Queues marks for the store; urgent ones are written without batching.
--- a/tests/gateway/crashing_request.rs
+++ b/tests/gateway/crashing_request.rs
@@ -191,6 +191,32 @@
   assert!(eventually(TIMEOUT, quarantined).await);
 }
 
+/// Guards against a request that stays quarantined for the time between probes, though the first was never granted.
+#[tokio::test]
+async fn probe_that_the_store_did_not_grant_is_claimed_again() {
+  let test = GatewayTest::new().await;
+  let prefill = EndpointStandIn::engine(EVENTS).await;
+  test.enter("e-1", "llm", Some("prefill"), &prefill);
+  let engines = fragile_engines(&test, DECODE_ENGINES).await;
+  let proxy = StoreProxy::to(test.store.address).await;
+  let gateway = test.second_box("north-2", proxy.address).start().await;
+  crash_three(&gateway, &engines).await;
+  proxy.cut().await;
+  for number in 0..3 {
+    assert!(is_quarantined(&gateway, &engines, &format!("c{number}")).await);
+  }
+  proxy.restore();
+  let mut attempts = 0;
+  while marks(&gateway.test, "trial") == 0 {
+    attempts += 1;
+    assert!(attempts <= 20, "no probe after {attempts} requests");
+    let _ = gateway
+      .send(crashing(&gateway, &format!("r{attempts}")))
+      .await;
+    sleep(DOWNTIME).await;
+  }
+}
+
 /// Eight attempts arrive at once and are prefilled one after the other: the last ones were admitted before any engine crashed, and must
 /// be checked again before they are sent.
 #[tokio::test]
--- a/tests/gateway/store_proxy.rs
+++ b/tests/gateway/store_proxy.rs
@@ -46,6 +46,11 @@
       sleep(POLL_INTERVAL).await;
     }
   }
+
+  /// Accepts connections again.
+  pub(crate) fn restore(&self) {
+    self.is_cut.store(false, Ordering::Relaxed);
+  }
 }
 
 async fn forward(mut stream: TcpStream, store: SocketAddr, is_cut: Arc<AtomicBool>) {
