--- a/src/gateway/decisions/quarantine_registry.rs
+++ b/src/gateway/decisions/quarantine_registry.rs
@@ -8,9 +8,9 @@
 //! endpoint leads to the next probe, much later; after the last probe the request is rejected until it has not been seen for
 //! [`RETENTION_MS`].
 //!
-//! Segments of prompts are tracked like requests. A request of which several are quarantined, itself included, says little by a
-//! crash, and would use up the probes of those that are sound: it runs as a probe once, long after the last crash. Others
-//! that share only the sound ones probe them before.
+//! Segments of prompts are tracked like requests. When several of a request's fingerprints are quarantined, a crash does not
+//! show which of them is the cause, and a probe would use up those of the sound ones: it runs as a probe once, long after the
+//! last crash. Other requests that share only the sound ones probe them before.
 //!
 //! Limits: three crashes are accepted, and three more after those; two probes leave one for a run that began before its box
 //! had received the third crash.
