Choice of endpoints honours the slowdown that endpoints report

Endpoints that share machines report the current duration of work there as a fourth load figure, and boxes ignored it: work went to machines that were slowed down for fractions of a second. The figure is read from all responses of an endpoint, also those to calls, decays to 100% over 600 ms, is bounded to 50% to 1000% and multiplies the endpoint's cost. Without the figure the cost is the same to the bit. The registry knows which services reported it within the last minute.

--- a/emulator/src/load/replay.rs
+++ b/emulator/src/load/replay.rs
@@ -292,6 +292,7 @@
     let at_box = request.at_box;
     if self.variant.heeds_told_load {
       let load = LoadHeader {
+        slowdown_percent: None,
         running: self.running[engine],
         slots: SLOTS,
         waiting: 0,
--- a/src/gateway/decisions/endpoint_registry.rs
+++ b/src/gateway/decisions/endpoint_registry.rs
@@ -7,7 +7,7 @@
     drained_halls::DrainedHalls,
     endpoint_counts::EndpointCounts,
     endpoint_limits::EndpointLimits,
-    endpoint_state::{EndpointState, PROBE_RANK, PeerAverages, ReportedLoad},
+    endpoint_state::{EndpointState, PROBE_RANK, PeerAverages, ReportedLoad, ReportedSlowdown},
     hall_reachability::HallReachability,
     notice_tracker::{Availability, NoticeChange, NoticeTracker},
     reachability::EndpointGroup,
@@ -24,6 +24,8 @@
 
 /// Width of the random factor that keeps boxes with equal knowledge from making the same choice.
 const NOISE: f64 = 0.2;
+/// How long a service counts as reporting slowdowns after the last report.
+const REPORTS_SLOWDOWN_MS: u64 = 60_000;
 
 /// The endpoints by id.
 #[derive(Debug, Default)]
@@ -41,6 +43,8 @@
   versions: ServiceVersions,
   /// Whether notices are recorded and not honoured.
   ignores_notices: bool,
+  /// When an endpoint of each service reported a slowdown last.
+  slowdown_reported_ms: HashMap<Name, u64>,
   /// Start of the uninterrupted contact with the store.
   store_connected_since_ms: Option<u64>,
 }
@@ -477,6 +481,38 @@
     }
   }
 
+  /// Records the slowdown that an endpoint's incarnation reported, in percent; ignored if a newer one is listed.
+  pub fn record_slowdown(&mut self, entry: &EndpointEntry, percent: u32, now_ms: u64) {
+    let Some(endpoint) = self.endpoints.get_mut(&entry.id) else {
+      return;
+    };
+    if endpoint.entry.started_ms != entry.started_ms {
+      return;
+    }
+    endpoint.reported_slowdown = Some(ReportedSlowdown::new(percent, now_ms));
+    match self.slowdown_reported_ms.get_mut(&entry.service) {
+      Some(reported_ms) => *reported_ms = now_ms,
+      None => drop(
+        self
+          .slowdown_reported_ms
+          .insert(entry.service.clone(), now_ms),
+      ),
+    }
+  }
+
+  /// Whether endpoints of a service reported the slowdown of their machines within the last minute.
+  ///
+  /// ```
+  /// use rillford::gateway::EndpointRegistry;
+  /// assert!(!EndpointRegistry::default().reports_slowdown("llm", 0));
+  /// ```
+  pub fn reports_slowdown(&self, service: &str, now_ms: u64) -> bool {
+    self
+      .slowdown_reported_ms
+      .get(service)
+      .is_some_and(|reported_ms| now_ms < reported_ms + REPORTS_SLOWDOWN_MS)
+  }
+
   /// Records the load that an endpoint reported; this box's open request is still part of it.
   pub fn record_load(&mut self, id: &str, load: LoadHeader, now_ms: u64) {
     if let Some(endpoint) = self.endpoints.get_mut(id) {
--- a/src/gateway/decisions/endpoint_state.rs
+++ b/src/gateway/decisions/endpoint_state.rs
@@ -23,6 +23,10 @@
 pub(super) const PROBE_RANK: u8 = 2;
 /// Time over which a reported load fades out.
 const LOAD_VALIDITY_MS: f64 = 1_500.0;
+/// Time over which a reported slowdown fades out: the usual period of its changes.
+const SLOWDOWN_VALIDITY_MS: f64 = 600.0;
+/// Bounds of a reported slowdown, so that one wrong figure neither attracts all requests nor excludes an endpoint.
+const SLOWDOWN_RANGE_PERCENT: (u32, u32) = (50, 1_000);
 
 /// The state of one endpoint.
 #[derive(Debug)]
@@ -36,6 +40,8 @@
   pub(super) size: u64,
   /// The load that it reported last.
   pub(super) reported_load: Option<ReportedLoad>,
+  /// The slowdown of its machine that it reported last.
+  pub(super) reported_slowdown: Option<ReportedSlowdown>,
   /// Losses since its last response.
   pub(super) consecutive_losses: u32,
   pub(super) backoff_until_ms: u64,
@@ -53,6 +59,32 @@
   pub(super) at_ms: u64,
 }
 
+/// A slowdown that an endpoint reported.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ReportedSlowdown {
+  /// Duration of work in percent of the usual duration.
+  percent: u32,
+  at_ms: u64,
+}
+
+impl ReportedSlowdown {
+  /// A reported slowdown, bounded.
+  pub(super) fn new(percent: u32, at_ms: u64) -> Self {
+    let (min, max) = SLOWDOWN_RANGE_PERCENT;
+    Self {
+      at_ms,
+      percent: percent.clamp(min, max),
+    }
+  }
+
+  /// The factor on the duration of work; it decays to 1 with the age of the report.
+  fn factor(self, now_ms: u64) -> f64 {
+    let age_ms = now_ms.saturating_sub(self.at_ms) as f64;
+    let remaining = (1.0 - age_ms / SLOWDOWN_VALIDITY_MS).max(0.0);
+    1.0 + (f64::from(self.percent) / 100.0 - 1.0) * remaining
+  }
+}
+
 impl EndpointState {
   pub(super) fn new(entry: EndpointEntry) -> Self {
     Self {
@@ -65,6 +97,7 @@
       requests: 0,
       size: 0,
       reported_load: None,
+      reported_slowdown: None,
     }
   }
 
@@ -77,6 +110,13 @@
     f64::from(load.other_requests) * (1.0 - age_ms / LOAD_VALIDITY_MS).max(0.0)
   }
 
+  /// The current factor on the duration of work; 1 when it reports no slowdown.
+  pub(super) fn slowdown(&self, now_ms: u64) -> f64 {
+    self
+      .reported_slowdown
+      .map_or(1.0, |slowdown| slowdown.factor(now_ms))
+  }
+
   /// Whether it gets one request at a time until it answers, since it was lost.
   pub(super) fn is_half_open(&self) -> bool {
     self.consecutive_losses > 0
@@ -169,7 +209,7 @@
       OTHER_HALL_FACTOR
     };
     let work = self.queued_ahead(criteria.size, now_ms) + criteria.size as f64;
-    work * speed * hall * (1.0 + FAILURE_PENALTY * excess)
+    work * speed * hall * (1.0 + FAILURE_PENALTY * excess) * self.slowdown(now_ms)
   }
 }
 
--- a/src/gateway/edge/platform_codec.rs
+++ b/src/gateway/edge/platform_codec.rs
@@ -59,6 +59,8 @@
   pub waiting: u32,
   /// Requests that may run at once.
   pub slots: u32,
+  /// Current duration of work on the endpoint's machine, in percent of the usual duration; `None` when it is not reported.
+  pub slowdown_percent: Option<u32>,
 }
 
 /// What a response's headers state.
@@ -125,6 +127,8 @@
   fn add_proxy_headers(&self, headers: &mut HeaderMap, proxy_headers: &ProxyHeaders);
   /// Decodes a response's headers.
   fn response_attributes(&self, headers: &HeaderMap) -> ResponseAttributes;
+  /// Decodes the load that an endpoint reports in any response.
+  fn load(&self, headers: &HeaderMap) -> Option<LoadHeader>;
   /// Whether a response header belongs to the platform's protocol or to HTTP.
   fn is_known_response_header(&self, name: &HeaderName) -> bool;
   /// Decodes what an endpoint states about itself in any response.
--- a/src/gateway/stages/notice.rs
+++ b/src/gateway/stages/notice.rs
@@ -41,6 +41,7 @@
       .borrow_mut()
       .record_accepted(&entry.id, now_ms);
   }
+  record_slowdown(gateway, entry, response);
   log_unknown_headers(gateway, entry, response);
   let mut notice = gateway.codec.notice(response.status, &response.headers);
   apply_limit(gateway, sent, notice.limit, response);
@@ -67,6 +68,16 @@
   log_change(gateway, entry, response, change, now_ms);
 }
 
+/// Records the slowdown of the endpoint's machine, if the response reports it.
+fn record_slowdown(gateway: &Gateway, entry: &EndpointEntry, response: &response::Parts) {
+  let load = gateway.codec.load(&response.headers);
+  if let Some(percent) = load.and_then(|load| load.slowdown_percent) {
+    let now_ms = gateway.now_ms();
+    let mut endpoints = gateway.endpoints.borrow_mut();
+    endpoints.record_slowdown(entry, percent, now_ms);
+  }
+}
+
 /// Applies the notice in a response that another box received and this one passes on to its caller.
 pub(crate) fn apply_forwarded_notice(
   gateway: &Rc<Gateway>,
--- a/tests/gateway/choice.rs
+++ b/tests/gateway/choice.rs
@@ -74,6 +74,7 @@
     LoadHeader {
       running: 5,
       slots: 8,
+      slowdown_percent: None,
       waiting: 2,
     },
     0,
@@ -288,3 +289,74 @@
   assert_eq!(choice(&SoftwareVersion::new("v2")).as_deref(), Some("a"));
   assert_eq!(choice(&SoftwareVersion::default()), None);
 }
+
+/// Engines share their machines, which slow down for fractions of a second: work sent there in that time is late.
+#[test]
+fn slowed_machine_gets_less_work_until_its_report_has_decayed() {
+  let mut registry = registry(&["a", "b"]);
+  registry.record_slowdown(&entry("a", "north", None), 300, 1_000);
+  assert_eq!(chosen(&registry, criteria(), 1_000), "b");
+  // It still is the better choice over an endpoint with more than three times the work.
+  for _ in 0..3 {
+    registry.record_send("b", 1);
+  }
+  assert_eq!(chosen(&registry, criteria(), 1_000), "a");
+  registry.record_send("a", 1);
+  assert_eq!(chosen(&registry, criteria(), 1_000), "b");
+  assert_eq!(chosen(&registry, criteria(), 1_400), "a");
+}
+
+/// A figure of 0 would attract all requests, and a huge one would exclude the endpoint whatever the others have to do.
+#[rstest]
+#[case::zero(0, 1, 2)]
+#[case::huge(u32::MAX, 9, 10)]
+fn absurd_slowdown_is_bounded(
+  #[case] percent: u32,
+  #[case] requests_preferred: u32,
+  #[case] requests_avoided: u32,
+) {
+  // The reporting endpoint and its peer, by which of them the figure prefers.
+  let (preferred, avoided) = if percent == 0 { ("a", "b") } else { ("b", "a") };
+  for (requests, expected) in [
+    (requests_preferred - 1, preferred),
+    (requests_avoided, avoided),
+  ] {
+    let mut registry = registry(&["a", "b"]);
+    registry.record_slowdown(&entry("a", "north", None), percent, 0);
+    for _ in 0..requests {
+      registry.record_send(preferred, 1);
+    }
+    assert_eq!(
+      chosen(&registry, criteria(), 0),
+      expected,
+      "{requests} requests"
+    );
+  }
+}
+
+/// A response of a former incarnation says nothing about the machine of the present one.
+#[test]
+fn slowdown_of_a_former_incarnation_is_ignored() {
+  let started = |started_ms| EndpointEntry {
+    started_ms: Some(started_ms),
+    ..entry("a", "north", None)
+  };
+  let mut registry = registry(&["b"]);
+  registry.put(started(2));
+  registry.record_send("b", 1);
+  registry.record_slowdown(&started(1), 900, 0);
+  assert!(!registry.reports_slowdown("portal", 0));
+  assert_eq!(chosen(&registry, criteria(), 0), "a");
+  registry.record_slowdown(&started(2), 900, 0);
+  assert_eq!(chosen(&registry, criteria(), 0), "b");
+}
+
+#[test]
+fn service_reports_slowdowns_for_a_minute_after_the_last_report() {
+  let mut registry = registry(&["a"]);
+  assert!(!registry.reports_slowdown("portal", 0));
+  registry.record_slowdown(&entry("a", "north", None), 100, 1_000);
+  assert!(registry.reports_slowdown("portal", 60_999));
+  assert!(!registry.reports_slowdown("other", 1_000));
+  assert!(!registry.reports_slowdown("portal", 61_000));
+}
