Prefill queue: types and a first implementation

Boxes know fractions of the queues of prefill engines, so that prompts wait behind others while engines are idle. Adds the coordinator's decision (PrefillQueue), the groups of engines with their coordinator, and the choice among the offers of several halls.

--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -1,5 +1,5 @@
-//! The decisions of a box, free of I/O: selection of endpoints, batch slots and their queue, the forecast behind early
-//! rejections, retries, limits and permits, quarantine of requests that crash endpoints, roles, and which boxes read the
+//! The decisions of a box, free of I/O: selection of endpoints, batch slots and their queue, the queues of prefill
+//! engines, the forecast behind early rejections, retries, limits and permits, quarantine of requests that crash endpoints, roles, and which boxes read the
 //! store.
 //!
 //! Imports only `edge`: a decision gets the time, observations and a random number, and returns what to do.
@@ -31,6 +31,11 @@
 mod peer_usage;
 mod permit_account;
 mod permit_table;
+mod prefill_engine;
+mod prefill_group;
+mod prefill_offer;
+mod prefill_place;
+mod prefill_queue;
 mod quarantine_key;
 mod quarantine_registry;
 mod quarantine_strategy;
@@ -80,6 +85,10 @@
   peer_answers::{PeerAnswers, PeerList},
   permit_account::{PermitAccount, PermitRequest, PermitVerdict},
   permit_table::PermitTable,
+  prefill_group::{PrefillGroup, prefill_shard, prefill_shard_count},
+  prefill_offer::{PrefillOffer, asks_other_halls, best_prefill_offer, extra_transfer_ms},
+  prefill_place::{EngineQueue, Place, PlaceId, PlaceOutcome, PlaceRequest, ReportedEngineLoad},
+  prefill_queue::PrefillQueue,
   quarantine_key::{QuarantineKey, QuarantineMark},
   quarantine_registry::{QuarantineRegistry, QuarantineVerdict},
   quarantine_strategy::QuarantineStrategy,
