Prefill queue: boxes reserve a place before they send a prompt

Boxes know a fraction of an engine's queue, so that prompts queued behind others while engines were idle. A box asks the coordinator of the engines' group for a place (/prefill-place), in the decode engine's hall first and in up to two others when it would wait there, and reports what became of it (/prefill-finish). Without an answer within 40 ms, or with 404 or 409, it chooses as before and does not ask that coordinator for a second. Off unless [prefill_queue] enables it; E570 to E577 and metrics tell who waits and why.

--- a/src/gateway/decisions/box_list.rs
+++ b/src/gateway/decisions/box_list.rs
@@ -48,19 +48,29 @@
   boxes: BTreeMap<Name, BoxEntry>,
   /// Boxes whose entries are gone, the last one at the back: their leases may have expired while they serve on.
   former: VecDeque<(Name, BoxEntry)>,
+  revision: u64,
 }
 
 impl BoxList {
   /// Inserts or updates an entry.
   pub fn put(&mut self, name: Name, entry: BoxEntry) {
     self.former.retain(|(former, _)| *former != name);
+    if self.boxes.get(&name) != Some(&entry) {
+      self.revision += 1;
+    }
     self.boxes.insert(name, entry);
   }
 
+  /// Changes with each change of the list: what is computed from the list holds while it stays the same.
+  pub fn revision(&self) -> u64 {
+    self.revision
+  }
+
   pub fn remove(&mut self, name: &str) {
     let Some(removed) = self.boxes.remove_entry(name) else {
       return;
     };
+    self.revision += 1;
     self.former.push_back(removed);
     if self.former.len() > MAX_FORMER {
       self.former.pop_front();
--- a/src/gateway/decisions/choice.rs
+++ b/src/gateway/decisions/choice.rs
@@ -45,13 +45,23 @@
 impl Choice {
   /// Share of such work that has to go elsewhere for the rest to finish within a time; 0 before the first response.
   pub fn share_over(&self, limit_ms: f64) -> f64 {
-    let Some(expected_ms) = self.expected_ms else {
-      return 0.0;
-    };
-    (1.0 - limit_ms / expected_ms.max(1) as f64).max(0.0)
+    self
+      .expected_ms
+      .map_or(0.0, |expected_ms| share_over(expected_ms, limit_ms))
   }
 }
 
+/// Share of work that is expected to take `expected_ms` that has to go elsewhere for the rest to finish within `limit_ms`.
+///
+/// ```
+/// use rillford::gateway::share_over;
+/// assert_eq!(share_over(400, 300.0), 0.25);
+/// assert_eq!(share_over(200, 300.0), 0.0);
+/// ```
+pub fn share_over(expected_ms: u64, limit_ms: f64) -> f64 {
+  (1.0 - limit_ms / expected_ms.max(1) as f64).max(0.0)
+}
+
 /// The outcome of an attempt at an endpoint.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AttemptOutcome {
--- a/src/gateway/decisions/endpoint_registry.rs
+++ b/src/gateway/decisions/endpoint_registry.rs
@@ -45,6 +45,8 @@
   ignores_notices: bool,
   /// When an endpoint of each service reported a slowdown last.
   slowdown_reported_ms: HashMap<Name, u64>,
+  /// Changes with each change of the listed prefill engines.
+  prefill_revision: u64,
   /// Start of the uninterrupted contact with the store.
   store_connected_since_ms: Option<u64>,
 }
@@ -69,6 +71,11 @@
   /// Inserts or updates an entry.
   pub fn put(&mut self, entry: EndpointEntry) {
     self.versions.add(&entry.service, &entry.version);
+    let former = self.entry(&entry.id);
+    if lists_prefill_engine(former) || lists_prefill_engine(Some(&entry)) {
+      let is_same = former.is_some_and(|former| has_same_prefill_engine(former, &entry));
+      self.prefill_revision += u64::from(!is_same);
+    }
     match self.endpoints.get_mut(&entry.id) {
       Some(endpoint) => {
         let former = &endpoint.entry;
@@ -88,9 +95,36 @@
   pub fn remove(&mut self, id: &str) {
     if let Some(EndpointState { entry, .. }) = self.endpoints.remove(id) {
       self.versions.remove(&entry.service, &entry.version);
+      self.prefill_revision += u64::from(lists_prefill_engine(Some(&entry)));
     }
   }
 
+  /// Changes with each change of the listed prefill engines.
+  pub fn prefill_revision(&self) -> u64 {
+    self.prefill_revision
+  }
+
+  /// The entry of an endpoint that accepts any amount of work: it is listed, does not leave or back off, and neither it nor a cold
+  /// start limits its requests.
+  pub fn unrestricted_entry(&self, id: &str, now_ms: u64) -> Option<&EndpointEntry> {
+    let endpoint = self
+      .endpoints
+      .get(id)
+      .filter(|endpoint| endpoint.lapses_at_ms.is_none())?;
+    let entry = &endpoint.entry;
+    let is_unrestricted =
+      self.check_listed(entry, now_ms).is_ok() && self.limits.in_force(entry, now_ms).is_none();
+    is_unrestricted.then_some(entry)
+  }
+
+  /// Whether this box backs off from an endpoint after a loss or a full queue.
+  pub fn is_backing_off(&self, id: &str, now_ms: u64) -> bool {
+    self
+      .endpoints
+      .get(id)
+      .is_some_and(|endpoint| now_ms < endpoint.backoff_until_ms)
+  }
+
   /// Keeps an endpoint until a time although its entry was missing after a store outage, unless the entry comes back.
   pub fn mark_lapsed(&mut self, id: &str, until_ms: u64) {
     if let Some(endpoint) = self.endpoints.get_mut(id) {
@@ -527,3 +561,20 @@
     }
   }
 }
+
+fn lists_prefill_engine(entry: Option<&EndpointEntry>) -> bool {
+  entry.is_some_and(|entry| entry.role == Some(Role::Prefill))
+}
+
+/// Whether two entries of an endpoint list the same incarnation of a prefill engine in the same place.
+fn has_same_prefill_engine(one: &EndpointEntry, other: &EndpointEntry) -> bool {
+  let key = |entry: &EndpointEntry| {
+    (
+      entry.role,
+      entry.started_ms,
+      entry.service.clone(),
+      entry.hall.clone(),
+    )
+  };
+  key(one) == key(other)
+}
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -31,6 +31,7 @@
 mod peer_usage;
 mod permit_account;
 mod permit_table;
+mod prefill_directory;
 mod prefill_engine;
 mod prefill_group;
 mod prefill_offer;
@@ -66,7 +67,7 @@
   backoff_jitter::jittered_backoff_ms,
   box_list::{BoxEntry, BoxList},
   cached_prompts::CachedPrompts,
-  choice::{AttemptOutcome, Choice, EndpointCriteria},
+  choice::{AttemptOutcome, Choice, EndpointCriteria, share_over},
   cold_endpoints::{ColdEndpoints, ColdPeriod},
   coordinator_limit::{ISOLATED_BOXES, coordinator_limit, isolated_limit},
   coordinator_order::coordinator_order,
@@ -85,6 +86,7 @@
   peer_answers::{PeerAnswers, PeerList},
   permit_account::{PermitAccount, PermitRequest, PermitVerdict},
   permit_table::PermitTable,
+  prefill_directory::{GroupedEngine, PrefillDirectory},
   prefill_group::{PrefillGroup, prefill_shard, prefill_shard_count},
   prefill_offer::{PrefillOffer, asks_other_halls, best_prefill_offer, extra_transfer_ms},
   prefill_place::{EngineQueue, Place, PlaceId, PlaceOutcome, PlaceRequest, ReportedEngineLoad},
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,7 +5,7 @@
 //! endpoints in sync with the store. The platform is accessed through [`PlatformCodec`] and [`Store`] only.
 //!
 //! The modules in order, each importing only those before it: `edge`, `decisions`, `settings`, `connections`, `state`,
-//! `permits`, `stages`, then `limits` and `quarantine`, then `requests`, `roles` and `membership`, and `process`. A test enforces
+//! `permits`, `stages`, then `limits`, `prefill_queue`, `quarantine` and `resumption`, then `requests`, `roles` and `membership`, and `process`. A test enforces
 //! this order.
 //!
 //! One thread serves everything, since a box has only a fraction of a core and little memory.
@@ -16,6 +16,7 @@
 mod limits;
 mod membership;
 mod permits;
+mod prefill_queue;
 mod process;
 mod quarantine;
 mod requests;
@@ -31,19 +32,20 @@
     AdvertisedLimit, AdvertisedLimits, AllowedHalls, AttemptOutcome, Availability, BoxEntry,
     BoxList, CachedPrompts, Choice, ColdEndpoints, ColdPeriod, CopyBudget, DrainedHalls,
     EndpointCounts, EndpointCriteria, EndpointGroup, EndpointIncarnation, EndpointLimits,
-    EndpointRegistry, EngineQueue, Fingerprint, GroupLost, HallDrainChange, ISOLATED_BOXES,
-    LimitChange, LimitSource, LimitStrategy, LocalPermitVerdict, LocalPermits, LocalUsage,
-    LocalVerdict, NoticeChange, NoticeTracker, PeakBoxCount, PeerAnswers, PeerList, PermitAccount,
-    PermitRequest, PermitTable, PermitVerdict, Place, PlaceId, PlaceOutcome, PlaceRequest,
-    PrefillGroup, PrefillOffer, PrefillQueue, QuarantineKey, QuarantineMark, QuarantineRegistry,
-    QuarantineStrategy, QuarantineVerdict, QueuePosition, RECORD_COPIES, Reachability,
-    RecentEngines, RecordSource, RecordedOrigin, ReportScope, ReportedEngineLoad, RequestIdentity,
-    RetryAllowance, RetryUsage, RetryWindow, RolePlan, SegmentIdentity, ServiceVersions,
-    SlotForecast, SlotQueue, SlotUrgency, SoundSegments, StreamKey, StreamOrigin, StreamRecords,
-    TokenBucket, Unavailable, UsageRequest, UsageTable, UsageTotals, UsageVerdict,
-    asks_other_halls, best_prefill_offer, coordinator_limit, coordinator_order, extra_transfer_ms,
-    isolated_limit, jittered_backoff_ms, plan_roles, prefill_shard, prefill_shard_count,
-    record_holders, record_sources, retry_after_backoff_ms, stable_engines, store_retry_delay_ms,
+    EndpointRegistry, EngineQueue, Fingerprint, GroupLost, GroupedEngine, HallDrainChange,
+    ISOLATED_BOXES, LimitChange, LimitSource, LimitStrategy, LocalPermitVerdict, LocalPermits,
+    LocalUsage, LocalVerdict, NoticeChange, NoticeTracker, PeakBoxCount, PeerAnswers, PeerList,
+    PermitAccount, PermitRequest, PermitTable, PermitVerdict, Place, PlaceId, PlaceOutcome,
+    PlaceRequest, PrefillDirectory, PrefillGroup, PrefillOffer, PrefillQueue, QuarantineKey,
+    QuarantineMark, QuarantineRegistry, QuarantineStrategy, QuarantineVerdict, QueuePosition,
+    RECORD_COPIES, Reachability, RecentEngines, RecordSource, RecordedOrigin, ReportScope,
+    ReportedEngineLoad, RequestIdentity, RetryAllowance, RetryUsage, RetryWindow, RolePlan,
+    SegmentIdentity, ServiceVersions, SlotForecast, SlotQueue, SlotUrgency, SoundSegments,
+    StreamKey, StreamOrigin, StreamRecords, TokenBucket, Unavailable, UsageRequest, UsageTable,
+    UsageTotals, UsageVerdict, asks_other_halls, best_prefill_offer, coordinator_limit,
+    coordinator_order, extra_transfer_ms, isolated_limit, jittered_backoff_ms, plan_roles,
+    prefill_shard, prefill_shard_count, record_holders, record_sources, retry_after_backoff_ms,
+    share_over, stable_engines, store_retry_delay_ms,
   },
   edge::{
     CallerAttributes, CallerLimits, ColdStart, DecodeError, EndpointCall, EndpointEntry,
--- a/src/gateway/process/start.rs
+++ b/src/gateway/process/start.rs
@@ -12,6 +12,7 @@
       edge::{PlatformCodec, Store},
       limits::sync_usage,
       membership::{maintain_entry, revoke_entry, sync_store},
+      prefill_queue::expire_places,
       quarantine::sync_quarantine,
       requests::accept_callers,
       resumption::publish_streams,
@@ -192,6 +193,7 @@
     expire_notices(&gateway, now_ms);
     gateway.permit_table.borrow_mut().expire(now_ms);
     gateway.isolated_permits.borrow_mut().expire(now_ms);
+    expire_places(&gateway);
   }
 }
 
--- a/src/gateway/process/status_pages.rs
+++ b/src/gateway/process/status_pages.rs
@@ -3,7 +3,7 @@
 use {
   crate::gateway::{
     connections::serve_port, limits::limit_metrics, permits::permit_metrics,
-    resumption::stream_metrics, state::Gateway,
+    prefill_queue::prefill_metrics, resumption::stream_metrics, state::Gateway,
   },
   bytes::Bytes,
   http::{Response, StatusCode},
@@ -46,6 +46,7 @@
       text.push_str(&gateway.endpoint_metrics());
       text.push_str(&gateway.reachability_metrics());
       text.push_str(&permit_metrics(gateway));
+      text.push_str(&prefill_metrics(gateway));
       text.push_str(&stream_metrics(gateway));
       Response::new(Full::new(text.into()))
     }
--- a/src/gateway/requests/stream_request.rs
+++ b/src/gateway/requests/stream_request.rs
@@ -64,6 +64,8 @@
   pub(crate) interrupted_at: Option<Name>,
   /// Whether an engine with the prompt cached was searched for.
   pub(super) searched_cached: bool,
+  /// The prefill's place in its engine's queue, for logs.
+  queue_note: Option<String>,
   /// Whether a prefill was requested before; the first one is not charged to the retry budget.
   pub(super) was_prefilled: bool,
 }
@@ -80,6 +82,7 @@
       gateway,
       interrupted_at: None,
       last_event_id: request.attributes.last_event_id,
+      queue_note: None,
       rejected_by: None,
       rejections: 0,
       request,
@@ -229,7 +232,7 @@
         .gateway
         .record_first_event(self.gateway.now_ms() - reserved_ms);
       log::info!(
-        "E510 streaming: {} at {} version {} with status {}, prefilled by {prefilled_by}: seat {} ms, prompt {} ms, head {} ms, {} ms after arrival, try {}",
+        "E510 streaming: {} at {} version {} with status {}, prefilled by {prefilled_by}: seat {} ms, prompt {} ms, head {} ms, {} ms after arrival, try {}{}",
         self.request.id(),
         entry.id,
         entry.version,
@@ -238,7 +241,11 @@
         prefilled_ms - reserved_ms,
         self.gateway.now_ms() - prefilled_ms,
         self.gateway.now_ms() - self.request.arrived_ms,
-        self.tried.len()
+        self.tried.len(),
+        self
+          .queue_note
+          .as_ref()
+          .map_or_else(String::new, |note| format!(", {note}"))
       );
     }
     Ok(sent)
@@ -266,7 +273,7 @@
   }
 
   /// The exported KV cache for a decode engine in a hall; `None` when that engine has to prefill the prompt itself.
-  async fn export_for(&mut self, hall: &str) -> Result<Option<ExportGuard>, StreamFailure> {
+  async fn export_for(&mut self, hall: &Name) -> Result<Option<ExportGuard>, StreamFailure> {
     // A quarantine probe must reach one endpoint only.
     if self.skips_prefill || self.request.is_probe() {
       return Ok(None);
@@ -281,6 +288,7 @@
     }
     let result = prefill(&self.gateway, &self.request, hall).await;
     self.was_prefilled = true;
+    self.queue_note = result.queue_note;
     if is_charged && !result.was_received {
       self.return_send();
     }
--- a/src/gateway/state/counters.rs
+++ b/src/gateway/state/counters.rs
@@ -20,6 +20,10 @@
   pub(crate) fn add(&self, count: u64) {
     self.0.set(self.0.get() + count);
   }
+
+  pub(crate) fn get(&self) -> u64 {
+    self.0.get()
+  }
 }
 
 /// A latency histogram.
--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -2,8 +2,9 @@
 
 use {
   super::{
-    change_log::ChangeLog, counters::Counters, log_throttle::LogThrottle, quarantine::Quarantine,
-    unknown_headers::UnknownHeaders, unresponsive_boxes::UnresponsiveBoxes,
+    change_log::ChangeLog, counters::Counters, log_throttle::LogThrottle,
+    prefill_queues::PrefillQueues, quarantine::Quarantine, unknown_headers::UnknownHeaders,
+    unresponsive_boxes::UnresponsiveBoxes,
   },
   crate::{
     HttpClient,
@@ -107,6 +108,8 @@
   /// Permits that it grants itself while isolated from the coordinator.
   pub(crate) isolated_permits: RefCell<PermitTable>,
   pub(crate) unresponsive_boxes: RefCell<UnresponsiveBoxes>,
+  /// Queue reservations at prefill engines.
+  pub(crate) prefill_queues: PrefillQueues,
   pub(crate) box_client: HttpClient,
   /// Requests of other boxes' callers in flight here.
   pub(crate) forwarded_in_flight: Cell<usize>,
@@ -172,6 +175,7 @@
       phase: watch::Sender::new(Phase::Serving),
       policy,
       pool: ConnectionPool::default(),
+      prefill_queues: PrefillQueues::default(),
       quarantine: Quarantine::default(),
       random: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
       reachability: RefCell::default(),
--- a/src/gateway/state/mod.rs
+++ b/src/gateway/state/mod.rs
@@ -6,6 +6,7 @@
 mod counters;
 mod gateway;
 mod log_throttle;
+mod prefill_queues;
 mod quarantine;
 mod reachability;
 mod unknown_headers;
@@ -15,5 +16,6 @@
 
 pub(crate) use self::{
   gateway::{Gateway, HeldLease, InFlight, Phase},
+  prefill_queues::PlaceReport,
   quarantine::{MarkOrigin, ProbeClaim, ProbeGrant},
 };
--- a/tests/architecture.rs
+++ b/tests/architecture.rs
@@ -16,7 +16,7 @@
   &["state"],
   &["permits"],
   &["stages"],
-  &["limits", "quarantine", "resumption"],
+  &["limits", "prefill_queue", "quarantine", "resumption"],
   &["membership", "requests", "roles"],
   &["process"],
 ];
--- a/tests/gateway/endpoint.rs
+++ b/tests/gateway/endpoint.rs
@@ -47,6 +47,8 @@
 pub(crate) enum Reply {
   /// Writes bytes and keeps the connection open.
   Write(String),
+  /// Writes bytes that are no text, and keeps the connection open.
+  WriteBytes(Vec<u8>),
   /// Writes bytes and closes the connection.
   WriteAndClose(String),
   /// Waits, then writes bytes.
@@ -212,7 +214,7 @@
     Reply::WriteInTwoParts(first, delay, rest) => {
       Reply::WriteInTwoParts(marked(first), delay, rest)
     }
-    Reply::NoResponse => Reply::NoResponse,
+    Reply::NoResponse | Reply::WriteBytes(_) => reply,
     Reply::Crash(text, down) => Reply::Crash(marked(text), down),
   }
 }
@@ -258,6 +260,12 @@
     state.received.lock().unwrap().push(request.clone());
     let text = match (state.script)(&request) {
       Reply::Write(text) => text,
+      Reply::WriteBytes(bytes) => {
+        if stream.write_all(&bytes).await.is_err() {
+          return;
+        }
+        continue;
+      }
       Reply::WriteLater(delay, text) => {
         sleep(delay).await;
         text
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -39,6 +39,10 @@
   pub(crate) metrics_port_taken: bool,
   /// Which priority is sent to engines.
   pub(crate) engine_priority: &'static str,
+  /// Tables that are added to the box's settings.
+  pub(crate) extra_settings: String,
+  /// The box's data hall.
+  pub(crate) hall: &'static str,
   name: String,
   /// Retries of all boxes in excess of the ratio.
   pub(crate) retry_slack: f64,
@@ -74,6 +78,8 @@
     Self {
       configuration,
       engine_priority: "route",
+      extra_settings: String::new(),
+      hall: "north",
       metrics_port_taken: false,
       name: "north-1".into(),
       retry_slack: 60.0,
@@ -88,6 +94,8 @@
     Self {
       configuration: self.configuration.clone(),
       engine_priority: self.engine_priority,
+      extra_settings: self.extra_settings.clone(),
+      hall: self.hall,
       metrics_port_taken: false,
       name: name.into(),
       retry_slack: self.retry_slack,
@@ -289,7 +297,7 @@
       r#"
 [box]
 name = "{}"
-hall = "north"
+hall = "{}"
 [regions]
 north = "north-land"
 south = "south-land"
@@ -312,8 +320,15 @@
 [engines]
 prefill_share = 0.25
 marks = "{}"
+{}
 "#,
-      self.name, self.store_address, self.stop_s, self.retry_slack, self.engine_priority
+      self.name,
+      self.hall,
+      self.store_address,
+      self.stop_s,
+      self.retry_slack,
+      self.engine_priority,
+      self.extra_settings
     )
   }
 
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -21,6 +21,8 @@
 mod organisations;
 mod permits;
 mod policy;
+mod prefill_directory;
+mod prefill_reservations;
 mod quarantine;
 mod relay;
 mod responses;
