Prefill queue: engine model, learning and tests

A place's duration is forecast from tokens, a learnt time per token and overhead, and the machine's slowdown, which decays. Overdue prompts, work of boxes without places, late, repeated and overtaking messages, losses and expired places are accounted for; memory is bounded. Test: an account under any order of messages, and each failure by name.

--- a/src/gateway/decisions/prefill_queue.rs
+++ b/src/gateway/decisions/prefill_queue.rs
@@ -9,16 +9,16 @@
 use {
   super::{
     endpoint_incarnation::EndpointIncarnation,
-    prefill_engine::{PrefillEngine, SharedModel},
+    prefill_engine::{Forecast, PrefillEngine},
+    prefill_overhead::PrefillOverhead,
     prefill_place::{EngineQueue, Place, PlaceId, PlaceOutcome, PlaceRequest},
+    prefill_speed::PrefillModel,
   },
   std::collections::{HashMap, HashSet, VecDeque},
 };
 
-/// Time per token that is assumed before the first report.
-const FIRST_MS_PER_TOKEN: f64 = 0.02;
-/// The fixed cost of a prompt, in tokens.
-const OVERHEAD_TOKENS: f64 = 256.0;
+/// Time per token before the first report: of the order of current engines. All engines are then taken for equal.
+const FIRST_MS_PER_UNIT: f64 = 0.02;
 /// An engine that is not listed for this time is forgotten.
 const MAX_UNLISTED_MS: u64 = 60_000;
 /// Ids of reports that may have overtaken their requests. Requests are delayed at most by a freeze of a few seconds, and
@@ -51,6 +51,7 @@
   /// Places that are finished or were reported before they were requested, the latest at the back.
   finished: HashSet<PlaceId>,
   finished_order: VecDeque<PlaceId>,
+  overhead: PrefillOverhead,
 }
 
 impl PrefillQueue {
@@ -66,44 +67,40 @@
     if self.finished.contains(&request.id) {
       return None;
     }
-    if let Some(engine) = self.places.get(&request.id) {
-      return self.granted(*engine, request.id, now_ms);
+    let model = self.model();
+    if let Some(incarnation) = self.places.get(&request.id) {
+      let engine = self.engines.get(incarnation)?;
+      let (index, tokens) = engine.find(request.id)?;
+      let forecast = engine.forecast(index, tokens, model, now_ms);
+      return Some(place_at(*incarnation, engine, index, forecast));
     }
     for candidate in candidates {
-      self.engines.entry(*candidate).or_default().last_listed_ms = now_ms;
+      let engine = self.engines.entry(*candidate).or_default();
+      engine.mark_listed(now_ms);
     }
-    let model = self.model();
     let available = candidates
       .iter()
       .filter(|candidate| !request.excluded.contains(candidate))
       .filter_map(|candidate| Some((*candidate, self.engines.get(candidate)?)))
-      .filter(|(_, engine)| !engine.is_avoided(now_ms) && !engine.is_full());
-    let (engine, forecast) = available
-      .map(|(candidate, engine)| {
-        let index = engine.count() as usize;
-        let forecast = engine.forecast(index, request.prompt_tokens, model, now_ms);
-        (candidate, forecast)
-      })
-      .min_by(|one, other| {
-        let by_end = one.1.end_in_ms.total_cmp(&other.1.end_in_ms);
-        by_end.then(one.0.cmp(&other.0))
-      })?;
-    let state = self.engines.get_mut(&engine)?;
-    let (ahead, tokens_ahead) = (state.count(), state.tokens());
-    state.add(
+      .filter(|(_, engine)| engine.accepts(now_ms));
+    let forecasts = available.map(|(candidate, engine)| {
+      let forecast = engine.forecast(engine.len(), request.prompt_tokens, model, now_ms);
+      (candidate, forecast)
+    });
+    let (incarnation, forecast) = forecasts.min_by(|one, other| {
+      let by_end = one.1.end_in_ms.total_cmp(&other.1.end_in_ms);
+      by_end.then(one.0.cmp(&other.0))
+    })?;
+    let engine = self.engines.get_mut(&incarnation)?;
+    let place = place_at(incarnation, engine, engine.len(), forecast);
+    engine.add(
       request.id,
       request.prompt_tokens,
       forecast.end_in_ms,
       now_ms,
     );
-    self.places.insert(request.id, engine);
-    Some(Place {
-      ahead,
-      end_in_ms: forecast.end_in_ms as u64,
-      engine,
-      start_in_ms: forecast.start_in_ms as u64,
-      tokens_ahead,
-    })
+    self.places.insert(request.id, incarnation);
+    Some(place)
   }
 
   /// Records what became of a place. The report of an unknown place is kept for a while: it may have overtaken the request.
@@ -118,12 +115,13 @@
     };
     match outcome {
       PlaceOutcome::Completed { took_ms, load } => {
-        engine.complete(id, took_ms, load, model, now_ms);
+        if let Some(sample) = engine.complete(id, took_ms, load, model, now_ms) {
+          self.overhead.record(sample.tokens, sample.units);
+        }
       }
       PlaceOutcome::Lost => engine.lose(id, now_ms),
-      PlaceOutcome::Unused | PlaceOutcome::Cancelled => {
-        engine.release(id, now_ms);
-      }
+      PlaceOutcome::Unused => engine.release(id, false, now_ms),
+      PlaceOutcome::Cancelled => engine.release(id, true, now_ms),
     }
   }
 
@@ -138,7 +136,7 @@
     }
     self
       .engines
-      .retain(|_, engine| !engine.is_empty() || now_ms < engine.last_listed_ms + MAX_UNLISTED_MS);
+      .retain(|_, engine| !engine.is_forgotten(MAX_UNLISTED_MS, now_ms));
     expired
   }
 
@@ -153,20 +151,6 @@
     queues
   }
 
-  fn granted(&self, engine: EndpointIncarnation, id: PlaceId, now_ms: u64) -> Option<Place> {
-    let state = self.engines.get(&engine)?;
-    let index = state.position(id)?;
-    let tokens = state.place(id)?.tokens;
-    let forecast = state.forecast(index, tokens, self.model(), now_ms);
-    Some(Place {
-      ahead: u32::try_from(index).unwrap_or(u32::MAX),
-      end_in_ms: forecast.end_in_ms as u64,
-      engine,
-      start_in_ms: forecast.start_in_ms as u64,
-      tokens_ahead: state.tokens_before(index),
-    })
-  }
-
   fn remember_finished(&mut self, id: PlaceId) {
     if !self.finished.insert(id) {
       return;
@@ -179,19 +163,35 @@
     }
   }
 
-  fn model(&self) -> SharedModel {
+  fn model(&self) -> PrefillModel {
     let measured = self.engines.values();
     let measured: Vec<f64> = measured
-      .filter_map(PrefillEngine::measured_ms_per_unit)
+      .filter_map(|engine| engine.speed().measured())
       .collect();
     let ms_per_unit = if measured.is_empty() {
-      FIRST_MS_PER_TOKEN
+      FIRST_MS_PER_UNIT
     } else {
       measured.iter().sum::<f64>() / measured.len() as f64
     };
-    SharedModel {
+    PrefillModel {
       ms_per_unit,
-      overhead_tokens: OVERHEAD_TOKENS,
+      overhead_units: self.overhead.units(),
     }
   }
 }
+
+fn place_at(
+  incarnation: EndpointIncarnation,
+  engine: &PrefillEngine,
+  index: usize,
+  forecast: Forecast,
+) -> Place {
+  let (ahead, tokens_ahead) = engine.ahead(index);
+  Place {
+    ahead,
+    end_in_ms: forecast.end_in_ms as u64,
+    engine: incarnation,
+    start_in_ms: forecast.start_in_ms as u64,
+    tokens_ahead,
+  }
+}
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -21,6 +21,7 @@
 mod organisations;
 mod permits;
 mod policy;
+mod prefill_queue;
 mod quarantine;
 mod relay;
 mod responses;
