--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -22,6 +22,7 @@
 mod permits;
 mod policy;
 mod prefill_directory;
+mod prefill_queue;
 mod prefill_reservations;
 mod quarantine;
 mod relay;
