--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -1,5 +1,5 @@
-//! The decisions of a box, free of I/O: selection of endpoints, batch slots and their queue, the forecast behind early
-//! rejections, retries, limits and permits, quarantine of requests that crash endpoints, roles, and which boxes read the
+//! The decisions of a box, free of I/O: selection of endpoints, batch slots and their queue, the queues of prefill
+//! engines, the forecast behind early rejections, retries, limits and permits, quarantine of requests that crash endpoints, roles, and which boxes read the
 //! store.
 //!
 //! Imports only `edge`: a decision gets the time, observations and a random number, and returns what to do.
@@ -31,6 +31,14 @@
 mod peer_usage;
 mod permit_account;
 mod permit_table;
+mod prefill_directory;
+mod prefill_engine;
+mod prefill_group;
+mod prefill_offer;
+mod prefill_overhead;
+mod prefill_place;
+mod prefill_queue;
+mod prefill_speed;
 mod quarantine_key;
 mod quarantine_registry;
 mod quarantine_strategy;
@@ -61,7 +69,7 @@
   backoff_jitter::jittered_backoff_ms,
   box_list::{BoxEntry, BoxList},
   cached_prompts::CachedPrompts,
-  choice::{AttemptOutcome, Choice, EndpointCriteria},
+  choice::{AttemptOutcome, Choice, EndpointCriteria, share_over},
   cold_endpoints::{ColdEndpoints, ColdPeriod},
   coordinator_limit::{ISOLATED_BOXES, coordinator_limit, isolated_limit},
   coordinator_order::coordinator_order,
@@ -80,6 +88,11 @@
   peer_answers::{PeerAnswers, PeerList},
   permit_account::{PermitAccount, PermitRequest, PermitVerdict},
   permit_table::PermitTable,
+  prefill_directory::{GroupedEngine, PrefillDirectory},
+  prefill_group::{PrefillGroup, prefill_shard, prefill_shard_count},
+  prefill_offer::{PrefillOffer, asks_other_halls, best_prefill_offer, extra_transfer_ms},
+  prefill_place::{EngineQueue, Place, PlaceId, PlaceOutcome, PlaceRequest, ReportedEngineLoad},
+  prefill_queue::PrefillQueue,
   quarantine_key::{QuarantineKey, QuarantineMark},
   quarantine_registry::{QuarantineRegistry, QuarantineVerdict},
   quarantine_strategy::QuarantineStrategy,
