--- a/emulator/src/limits/event.rs
+++ b/emulator/src/limits/event.rs
@@ -1,6 +1,9 @@
 //! Events of the limits simulation.
 
-use rillford::{gateway::UsageTotals, ids::Name};
+use rillford::{
+  gateway::{BandDemand, RequestedUnits, UsageTotals},
+  ids::Name,
+};
 
 pub(super) enum Event {
   /// A request of an organisation arrives.
@@ -14,6 +17,13 @@
     at: usize,
     from: usize,
     used: Vec<(Name, i64)>,
+    requested: RequestedUnits,
+  },
+  /// A coordinator receives another's demand.
+  DemandReceived {
+    at: usize,
+    from: Name,
+    demand: Vec<(Name, BandDemand)>,
   },
   /// A box receives the response to its report: the organisations near their limits, with their remaining units.
   NearLimitReceived { at: usize, near: Vec<(Name, f64)> },
--- a/emulator/src/limits/figures.rs
+++ b/emulator/src/limits/figures.rs
@@ -1,6 +1,6 @@
 //! Results of a limits simulation.
 
-use {rillford::gateway::UsageLimit, std::collections::VecDeque};
+use {super::request_kind::KindCounts, rillford::gateway::UsageLimit, std::collections::VecDeque};
 
 /// Window over which usage is compared with a limit, and the overage that is allowed in it.
 const WINDOW_MS: u64 = 8_000;
@@ -18,6 +18,10 @@
   pub refused_inside: u32,
   /// Units served to the largest organisation while the pattern is active, as a fraction of what its limit allows.
   pub served_of_limit: f64,
+  /// Requests by kind, where sizes are mixed.
+  pub kinds: [KindCounts; 4],
+  /// Value of the admitted requests of overloading organisations.
+  pub value: f64,
   /// Messages per second, sent and received, of the busiest box.
   pub busiest_messages_per_s: f64,
   /// Payload bytes per second, sent and received, of the box with the most bytes.
--- a/emulator/src/limits/mod.rs
+++ b/emulator/src/limits/mod.rs
@@ -11,11 +11,13 @@
 mod pattern;
 mod replay;
 mod report;
+mod request_kind;
 
 pub use self::{
   figures::LimitFigures,
   fleet::LimitFleet,
   pattern::LimitPattern,
-  replay::replay_limits,
+  replay::{replay_fair_shares, replay_limits},
   report::{LimitReport, limit_report, print_limits},
+  request_kind::{KindCounts, RequestKind},
 };
--- a/emulator/src/limits/pattern.rs
+++ b/emulator/src/limits/pattern.rs
@@ -31,11 +31,13 @@
   LimitsCut,
   /// All requests arrive at boxes of one hall.
   OneHall,
+  /// `Hot`, with small requests and large prompts.
+  MixedSizes,
 }
 
 impl LimitPattern {
   /// All patterns, in the order of reports.
-  pub const ALL: [Self; 9] = [
+  pub const ALL: [Self; 10] = [
     Self::Calm,
     Self::Hot,
     Self::HotAndCutHall,
@@ -45,6 +47,7 @@
     Self::HotAndLag,
     Self::LimitsCut,
     Self::OneHall,
+    Self::MixedSizes,
   ];
 
   pub(super) fn is_active(self, now_ms: u64) -> bool {
--- a/emulator/src/limits/replay.rs
+++ b/emulator/src/limits/replay.rs
@@ -4,17 +4,18 @@
   super::{
     event::Event,
     figures::{LimitFigures, WindowUsage},
-    fleet::{LimitFleet, REQUEST_UNITS},
+    fleet::LimitFleet,
     limit_box::LimitBox,
     pattern::{LimitPattern, PATTERN_START_MS, SIMULATION_END_MS},
+    request_kind::RequestKind,
   },
   crate::queue::Queue,
   rand::{RngExt, SeedableRng},
   rand_chacha::ChaCha8Rng,
   rillford::{
     gateway::{
-      BoxList, LimitSettings, LimitStrategy, LocalVerdict, ReportScope, UsageLimit, UsageRequest,
-      UsageTotals, UsageVerdict,
+      Activation, BandRequest, BoxList, DemandBand, LimitSettings, LimitStrategy, LocalVerdict,
+      ReportScope, RequestedUnits, UsageLimit, UsageRequest, UsageTotals, UsageVerdict,
     },
     ids::Name,
   },
@@ -27,6 +28,7 @@
 const IDLE_ROUNDS: u32 = 3;
 const FULL_TOTALS_ROUNDS: u32 = 10;
 const SETTINGS: LimitSettings = LimitSettings {
+  fair_shares: Activation::Never,
   overage: 0.1,
   slack_units: 190_000.0,
   strategy: LimitStrategy::AskNearLimit,
@@ -38,6 +40,8 @@
   pattern: LimitPattern,
   fleet: LimitFleet,
   strategy: LimitStrategy,
+  /// Whether small and urgent requests go first.
+  is_fair: bool,
   random: ChaCha8Rng,
   queue: Queue<Event>,
   list: BoxList,
@@ -55,11 +59,27 @@
   fleet: LimitFleet,
   strategy: LimitStrategy,
   seed: u64,
+) -> LimitFigures {
+  replay(pattern, fleet, strategy, false, seed)
+}
+
+/// Runs a pattern with fair shares: small and urgent requests of an organisation go first at its limit.
+pub fn replay_fair_shares(pattern: LimitPattern, fleet: LimitFleet, seed: u64) -> LimitFigures {
+  replay(pattern, fleet, LimitStrategy::AskNearLimit, true, seed)
+}
+
+fn replay(
+  pattern: LimitPattern,
+  fleet: LimitFleet,
+  strategy: LimitStrategy,
+  is_fair: bool,
+  seed: u64,
 ) -> LimitFigures {
   let mut replay = LimitReplay {
     boxes: (0..fleet.boxes).map(|_| LimitBox::default()).collect(),
     figures: LimitFigures::default(),
     fleet,
+    is_fair,
     list: fleet.box_list(),
     names: (0..fleet.organisations)
       .map(|number| format!("organisation-{number}").as_str().into())
@@ -120,7 +140,19 @@
           .usage_table
           .merge_totals(&totals, uptime_ms, now_ms);
       }
-      Event::ReportReceived { at, from, used } => self.handle_report(at, from, &used, now_ms),
+      Event::ReportReceived {
+        at,
+        from,
+        requested,
+        used,
+      } => {
+        self.record_demand(at, requested, now_ms);
+        self.handle_report(at, from, &used, now_ms);
+      }
+      Event::DemandReceived { at, demand, from } => {
+        let usage_table = &mut self.boxes[at].usage_table;
+        usage_table.set_peer_demand(&from, demand, now_ms);
+      }
       Event::NearLimitReceived { at, near } => {
         self.boxes[at].local_usage.record_near_limit(near, now_ms)
       }
@@ -179,7 +211,8 @@
     let one_hall = self.pattern == LimitPattern::OneHall;
     let caller = self.random.random_range(0..self.fleet.boxes);
     let at = self.fleet.box_of(organisation, caller, one_hall);
-    let is_admitted = self.admit(at, organisation, now_ms);
+    let (index, kind) = self.draw_kind();
+    let is_admitted = self.admit(at, organisation, kind, now_ms);
     let load = self
       .pattern
       .load(organisation, self.fleet.organisations, now_ms);
@@ -188,9 +221,15 @@
       self.figures.inside += 1;
       self.figures.refused_inside += u32::from(!is_admitted);
     }
+    if is_overloading && self.pattern.is_active(now_ms) {
+      let counts = &mut self.figures.kinds[index];
+      counts.asked += 1;
+      counts.admitted += u32::from(is_admitted);
+      self.figures.value += if is_admitted { kind.value } else { 0.0 };
+    }
     if is_admitted {
       let limit = self.limit(organisation, now_ms);
-      let used = self.usage_windows[organisation].admit(REQUEST_UNITS as f64, limit, now_ms);
+      let used = self.usage_windows[organisation].admit(kind.units as f64, limit, now_ms);
       // A lowered limit applies to whole windows only one window after the change.
       let is_changing = self.pattern == LimitPattern::LimitsCut
         && (PATTERN_START_MS..PATTERN_START_MS + 8_000).contains(&now_ms);
@@ -198,27 +237,61 @@
         self.figures.most_used = self.figures.most_used.max(used);
       }
       if self.pattern.is_active(now_ms) {
-        self.served[organisation] += REQUEST_UNITS as f64;
+        self.served[organisation] += kind.units as f64;
+      }
+    }
+  }
+
+  /// The kind of the next request, and its index.
+  fn draw_kind(&mut self) -> (usize, RequestKind) {
+    if self.pattern != LimitPattern::MixedSizes {
+      return (0, RequestKind::UNIFORM);
+    }
+    let index = RequestKind::mixed(self.random.random());
+    (index, RequestKind::MIXED[index])
+  }
+
+  fn band(&self, kind: RequestKind) -> Option<DemandBand> {
+    self
+      .is_fair
+      .then(|| DemandBand::of(kind.units, kind.priority))
+  }
+
+  fn record_demand(&mut self, at: usize, requested: RequestedUnits, now_ms: u64) {
+    let usage_table = &mut self.boxes[at].usage_table;
+    for (organisation, band, units) in requested {
+      usage_table.record_demand(&organisation, BandRequest { band, units }, now_ms);
+    }
+  }
+
+  /// The decision of a coordinator.
+  fn decide(&mut self, at: usize, name: &Name, kind: RequestKind, now_ms: u64) -> UsageVerdict {
+    let band = self.band(kind);
+    let usage_table = &mut self.boxes[at].usage_table;
+    let units = kind.units;
+    match band {
+      Some(band) => {
+        usage_table
+          .admit_ranked(name, BandRequest { band, units }, now_ms)
+          .verdict
       }
+      None => usage_table.admit(name, units, now_ms),
     }
   }
 
-  fn admit(&mut self, at: usize, organisation: usize, now_ms: u64) -> bool {
+  fn admit(&mut self, at: usize, organisation: usize, kind: RequestKind, now_ms: u64) -> bool {
     let name = self.names[organisation].clone();
     let Some(limit) = self.boxes[at].usage_table.limit(&name) else {
       return true;
     };
     if self.strategy.uses_coordinators() && self.is_coordinator(at) {
-      let verdict = self.boxes[at]
-        .usage_table
-        .admit(&name, REQUEST_UNITS, now_ms);
-      return verdict == UsageVerdict::WithinLimit;
+      return self.decide(at, &name, kind, now_ms) == UsageVerdict::WithinLimit;
     }
-    let request = self.request(&name, limit, now_ms);
+    let request = self.request(&name, limit, kind, now_ms);
     let local = self.boxes[at].local_usage.admit(request, self.strategy);
     let verdict = match local {
       LocalVerdict::Settled(verdict) => verdict,
-      LocalVerdict::Ask => self.ask(at, &name, limit, now_ms),
+      LocalVerdict::Ask => self.ask(at, &name, limit, kind, now_ms),
     };
     verdict == UsageVerdict::WithinLimit
   }
@@ -227,41 +300,53 @@
     &self,
     organisation: &'a Name,
     limit: UsageLimit,
+    kind: RequestKind,
     now_ms: u64,
   ) -> UsageRequest<'a> {
     UsageRequest {
+      band: self.band(kind),
       boxes: self.fleet.boxes,
       limit,
       now_ms,
       organisation,
-      units: REQUEST_UNITS,
+      units: kind.units,
     }
   }
 
   /// Asks the first reachable coordinator, which responds without a delay in the simulation.
-  fn ask(&mut self, at: usize, name: &Name, limit: UsageLimit, now_ms: u64) -> UsageVerdict {
+  fn ask(
+    &mut self,
+    at: usize,
+    name: &Name,
+    limit: UsageLimit,
+    kind: RequestKind,
+    now_ms: u64,
+  ) -> UsageVerdict {
     let Some(coordinator) = self.first_reachable_coordinator(at, now_ms) else {
-      let request = self.request(name, limit, now_ms);
+      let request = self.request(name, limit, kind, now_ms);
       let local_usage = &mut self.boxes[at].local_usage;
       local_usage.record_unreachable();
       return local_usage.admit_isolated(request);
     };
     let used = self.boxes[at].local_usage.take_unreported();
-    self.record_message(at, coordinator, used.len() + 1);
+    let requested = self.boxes[at].local_usage.take_requested();
+    self.record_message(at, coordinator, used.len() + requested.len() + 1);
+    self.record_demand(coordinator, requested, now_ms);
     let reporter: Name = self.fleet.name(at).as_str().into();
     let usage_table = &mut self.boxes[coordinator].usage_table;
     usage_table.record_reporter(&reporter, now_ms);
     for (organisation, units) in &used {
       usage_table.charge(organisation, *units, now_ms);
     }
-    let verdict = usage_table.admit(name, REQUEST_UNITS, now_ms);
-    let near = usage_table.near_limit(now_ms);
+    let verdict = self.decide(coordinator, name, kind, now_ms);
+    let near = self.boxes[coordinator].usage_table.near_limit(now_ms);
+    let band = self.band(kind);
     let local_usage = &mut self.boxes[at].local_usage;
     local_usage.record_near_limit(near, now_ms);
     match verdict {
-      UsageVerdict::WithinLimit => local_usage.record_admitted(name, REQUEST_UNITS, now_ms),
+      UsageVerdict::WithinLimit => local_usage.record_admitted(name, kind.units, now_ms),
       UsageVerdict::OverLimit { remaining, wait_ms } => {
-        local_usage.record_rejected(name, remaining, wait_ms, now_ms)
+        local_usage.record_rejected(name, band, remaining, wait_ms, now_ms)
       }
     }
     verdict
@@ -286,11 +371,18 @@
       return;
     };
     let used = self.boxes[from].local_usage.take_unreported();
-    self.record_message(from, at, used.len());
+    let requested = self.boxes[from].local_usage.take_requested();
+    self.record_message(from, at, used.len() + requested.len());
     let at_ms = now_ms + self.message_delay_ms(from, at, now_ms);
-    self
-      .queue
-      .put(at_ms, Event::ReportReceived { at, from, used });
+    self.queue.put(
+      at_ms,
+      Event::ReportReceived {
+        at,
+        from,
+        requested,
+        used,
+      },
+    );
   }
 
   fn announce_totals(&mut self, from: usize, now_ms: u64) {
@@ -316,6 +408,11 @@
       totals: announced.collect(),
       uptime_ms: now_ms - sender.started_ms,
     };
+    let demand = if self.is_fair {
+      self.boxes[from].usage_table.own_demand(now_ms)
+    } else {
+      Vec::new()
+    };
     for address in self.list.other_coordinators(&name) {
       let at = LimitFleet::number(address);
       if !self
@@ -328,6 +425,15 @@
       let at_ms = now_ms + self.message_delay_ms(from, at, now_ms);
       let totals = totals.clone();
       self.queue.put(at_ms, Event::TotalsReceived { at, totals });
+      if self.is_fair {
+        self.record_message(from, at, demand.iter().map(|(_, bands)| bands.len()).sum());
+        let received = Event::DemandReceived {
+          at,
+          demand: demand.clone(),
+          from: name.clone(),
+        };
+        self.queue.put(at_ms, received);
+      }
     }
   }
 
--- a/src/gateway/decisions/local_usage.rs
+++ b/src/gateway/decisions/local_usage.rs
@@ -7,7 +7,10 @@
 
 use {
   super::{
-    limit_strategy::LimitStrategy, recent_usage::RecentUsage, token_bucket::TokenBucket,
+    demand_bands::{BandRequest, DemandBand, DemandBands, RequestedUnits},
+    limit_strategy::LimitStrategy,
+    recent_usage::RecentUsage,
+    token_bucket::TokenBucket,
     usage_verdict::UsageVerdict,
   },
   crate::{gateway::edge::UsageLimit, ids::Name},
@@ -30,6 +33,8 @@
   /// Its limit over all boxes.
   pub limit: UsageLimit,
   pub units: u64,
+  /// Its band, where fair shares are enabled.
+  pub band: Option<DemandBand>,
   pub boxes: usize,
   /// The time of its arrival.
   pub now_ms: u64,
@@ -45,11 +50,11 @@
 }
 
 /// The state of an organisation near its limit.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct NearLimit {
   remaining: f64,
-  /// Requests are rejected until then.
-  rejected_until_ms: u64,
+  /// Requests of a band are rejected until then; without fair shares, all requests are of no band.
+  rejected_until_ms: BTreeMap<Option<DemandBand>, u64>,
 }
 
 /// A box's own usage, and the limits as reported by coordinators.
@@ -60,7 +65,7 @@
 /// let limit = UsageLimit { burst: 100.0, rate_per_s: 10.0 };
 /// let mut usage = LocalUsage::default();
 /// usage.record_near_limit(vec![], 0);
-/// let request = UsageRequest { boxes: 10, limit, now_ms: 0, organisation: &lectures, units: 80 };
+/// let request = UsageRequest { band: None, boxes: 10, limit, now_ms: 0, organisation: &lectures, units: 80 };
 /// let verdict = usage.admit(request, LimitStrategy::AskNearLimit);
 /// assert_eq!(verdict, LocalVerdict::Settled(UsageVerdict::WithinLimit));
 /// assert_eq!(usage.take_unreported(), vec![("lectures".into(), 80)]);
@@ -76,6 +81,10 @@
   /// Whether no coordinator responded at the last attempt.
   is_unreachable: bool,
   recent: HashMap<Name, RecentUsage>,
+  /// Units requested since the last report, without the requests that coordinators were asked about.
+  requested: BTreeMap<(Name, DemandBand), u64>,
+  /// The demand at this box, for its local shares.
+  demand: HashMap<Name, DemandBands>,
   /// Buckets of an isolated box, or of [`LimitStrategy::EvenSplit`].
   shares: HashMap<Name, LocalShare>,
 }
@@ -91,6 +100,18 @@
 impl LocalUsage {
   /// Decides on a request of an organisation, and records it when it is admitted.
   pub fn admit(&mut self, request: UsageRequest, strategy: LimitStrategy) -> LocalVerdict {
+    let verdict = self.decide(request, strategy);
+    // Demand of an isolated box would be out of date when it is reported.
+    if let (Some(band), LocalVerdict::Settled(_)) = (request.band, verdict)
+      && !self.is_isolated(request.now_ms)
+    {
+      let key = (request.organisation.clone(), band);
+      *self.requested.entry(key).or_default() += request.units;
+    }
+    verdict
+  }
+
+  fn decide(&mut self, request: UsageRequest, strategy: LimitStrategy) -> LocalVerdict {
     match strategy {
       LimitStrategy::EvenSplit => LocalVerdict::Settled(self.admit_by_even_split(request)),
       // A box that has just started is not isolated yet.
@@ -125,13 +146,13 @@
         self.record_request(request);
         LocalVerdict::Settled(UsageVerdict::WithinLimit)
       }
-      Some(near_limit) if request.now_ms < near_limit.rejected_until_ms => {
-        LocalVerdict::Settled(UsageVerdict::OverLimit {
+      Some(near_limit) => match near_limit.rejection_ms(request) {
+        Some(wait_ms) => LocalVerdict::Settled(UsageVerdict::OverLimit {
           remaining: near_limit.remaining,
-          wait_ms: near_limit.rejected_until_ms - request.now_ms,
-        })
-      }
-      Some(_) => LocalVerdict::Ask,
+          wait_ms,
+        }),
+        None => LocalVerdict::Ask,
+      },
     }
   }
 
@@ -185,32 +206,34 @@
     self.record_recent(organisation, units as f64, now_ms);
   }
 
-  /// Records that a coordinator has rejected a request of this box.
+  /// Records that a coordinator has rejected a request of this box, of a band where fair shares are enabled.
   pub fn record_rejected(
     &mut self,
     organisation: &Name,
+    band: Option<DemandBand>,
     remaining: f64,
     wait_ms: u64,
     now_ms: u64,
   ) {
-    let rejected = NearLimit {
-      remaining,
-      rejected_until_ms: now_ms + wait_ms.min(REJECTION_CACHE_MS),
-    };
-    self.near_limit.insert(organisation.clone(), rejected);
+    let near_limit = self
+      .near_limit
+      .entry(organisation.clone())
+      .or_insert_with(|| NearLimit::new(remaining));
+    near_limit.remaining = remaining;
+    near_limit
+      .rejected_until_ms
+      .insert(band, now_ms + wait_ms.min(REJECTION_CACHE_MS));
   }
 
   /// Records a coordinator's response: the organisations near their limits, with their remaining units.
   pub fn record_near_limit(&mut self, near_limit: Vec<(Name, f64)>, now_ms: u64) {
     self.last_contact_ms = Some(now_ms);
     self.is_unreachable = false;
-    let before = std::mem::take(&mut self.near_limit);
+    let mut before = std::mem::take(&mut self.near_limit);
     for (name, remaining) in near_limit {
-      let rejected_until_ms = before.get(&name).map_or(0, |known| known.rejected_until_ms);
-      let limit = NearLimit {
-        remaining,
-        rejected_until_ms,
-      };
+      let known = before.remove(&name);
+      let mut limit = known.unwrap_or_else(|| NearLimit::new(remaining));
+      limit.remaining = remaining;
       self.near_limit.insert(name, limit);
     }
   }
@@ -232,6 +255,15 @@
     }
   }
 
+  /// Takes the units requested since the last report; they are not returned when it fails, since demand is of the last second.
+  pub fn take_requested(&mut self) -> RequestedUnits {
+    let requested = std::mem::take(&mut self.requested);
+    requested
+      .into_iter()
+      .map(|((name, band), units)| (name, band, units))
+      .collect()
+  }
+
   fn record_recent(&mut self, organisation: &Name, units: f64, now_ms: u64) {
     let recent = self.recent.entry(organisation.clone()).or_default();
     recent.record(units, now_ms);
@@ -267,11 +299,10 @@
   /// Charges a request to a share of the limit if it fits, and stores the share.
   fn charge_share(&mut self, mut local: LocalShare, request: UsageRequest) -> UsageVerdict {
     let UsageRequest { now_ms, units, .. } = request;
-    // A request larger than the bucket is admitted when the bucket is full.
-    let wanted = (units as f64).min(local.share.burst);
     let remaining = local.bucket.level(local.share, now_ms);
-    let verdict = if remaining < wanted {
-      let wait_ms = local.bucket.wait_ms(local.share, wanted, now_ms);
+    let required = self.required(&mut local, request);
+    let verdict = if remaining < required {
+      let wait_ms = local.bucket.wait_ms(local.share, required, now_ms);
       UsageVerdict::OverLimit { remaining, wait_ms }
     } else {
       local.bucket.charge(local.share, units as f64);
@@ -280,6 +311,21 @@
     self.shares.insert(request.organisation.clone(), local);
     verdict
   }
+
+  /// Units that a local share has to hold for a request.
+  fn required(&mut self, local: &mut LocalShare, request: UsageRequest) -> f64 {
+    let UsageRequest { now_ms, units, .. } = request;
+    let Some(band) = request.band else {
+      // A request larger than the bucket is admitted when the bucket is full.
+      return (units as f64).min(local.share.burst);
+    };
+    let of_band = BandRequest { band, units };
+    let demand = self.demand.entry(request.organisation.clone()).or_default();
+    demand.record(of_band, now_ms);
+    demand
+      .admit(&mut local.bucket, local.share, of_band, now_ms)
+      .required
+  }
 }
 
 /// The share of a limit at a rate; its burst fits at least one request.
@@ -305,6 +351,19 @@
 }
 
 impl NearLimit {
+  fn new(remaining: f64) -> Self {
+    Self {
+      rejected_until_ms: BTreeMap::new(),
+      remaining,
+    }
+  }
+
+  /// Time for which requests of a request's band are still rejected.
+  fn rejection_ms(&self, request: UsageRequest) -> Option<u64> {
+    let until_ms = self.rejected_until_ms.get(&request.band)?;
+    (request.now_ms < *until_ms).then(|| until_ms - request.now_ms)
+  }
+
   /// The verdict on a request by the remaining units in the last response, less what was admitted since.
   fn verdict(&self, limit: UsageLimit, units: u64) -> UsageVerdict {
     let wanted = (units as f64).min(limit.burst);
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -14,6 +14,7 @@
 mod coordinator_limit;
 mod coordinator_order;
 mod copy_budget;
+mod demand_bands;
 mod drained_halls;
 mod endpoint_counts;
 mod endpoint_incarnation;
@@ -66,6 +67,10 @@
   coordinator_limit::{ISOLATED_BOXES, coordinator_limit, isolated_limit},
   coordinator_order::coordinator_order,
   copy_budget::CopyBudget,
+  demand_bands::{
+    BandCounts, BandDemand, BandRequest, DemandBand, DemandBands, DemandReport, RequestedUnits,
+    ShareState, ShareVerdict,
+  },
   drained_halls::{DrainedHalls, HallDrainChange},
   endpoint_counts::EndpointCounts,
   endpoint_incarnation::EndpointIncarnation,
@@ -98,7 +103,7 @@
   stream_records::{RecordSource, RecordedOrigin, StreamOrigin, StreamRecords},
   token_bucket::TokenBucket,
   unavailable::Unavailable,
-  usage_table::{ReportScope, UsageTable, UsageTotals},
+  usage_table::{RankedVerdict, ReportScope, UsageTable, UsageTotals},
   usage_verdict::UsageVerdict,
 };
 
--- a/src/gateway/decisions/usage_table.rs
+++ b/src/gateway/decisions/usage_table.rs
@@ -9,8 +9,12 @@
 
 use {
   super::{
-    peer_usage::Peer, recent_usage::RecentUsage, reporter_list::ReporterList,
-    token_bucket::TokenBucket, usage_verdict::UsageVerdict,
+    demand_bands::{BandCounts, BandDemand, BandRequest, DemandBand, DemandBands, ShareState},
+    peer_usage::Peer,
+    recent_usage::RecentUsage,
+    reporter_list::ReporterList,
+    token_bucket::TokenBucket,
+    usage_verdict::UsageVerdict,
   },
   crate::{gateway::edge::UsageLimit, ids::Name},
   serde::{Deserialize, Serialize},
@@ -50,6 +54,13 @@
   pub totals: Vec<(Name, i64)>,
 }
 
+/// The verdict on a request by fair shares.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct RankedVerdict {
+  pub verdict: UsageVerdict,
+  pub state: ShareState,
+}
+
 #[derive(Clone, Debug)]
 struct Account {
   limit: UsageLimit,
@@ -61,6 +72,7 @@
   recent: RecentUsage,
   /// Time up to which the share of isolated boxes was withheld.
   withheld_until_ms: u64,
+  demand: DemandBands,
 }
 
 /// The accounts of a coordinator.
@@ -134,6 +146,91 @@
     UsageVerdict::WithinLimit
   }
 
+  /// Charges a request if it is within its organisation's limit and leaves the units that are reserved for others.
+  ///
+  /// ```
+  /// use rillford::gateway::{BandRequest, DemandBand, UsageLimit, UsageTable, UsageVerdict};
+  /// let mut table = UsageTable::default();
+  /// let limit = UsageLimit { burst: 1_000.0, rate_per_s: 100.0 };
+  /// table.set_limits([("lectures".into(), limit)], 0);
+  /// let small = BandRequest { band: DemandBand::of(10, 0), units: 10 };
+  /// let large = BandRequest { band: DemandBand::of(600, 0), units: 600 };
+  /// let lectures = "lectures".into();
+  /// table.record_demand(&lectures, BandRequest { units: 450, ..small }, 0);
+  /// let first = table.admit_ranked(&lectures, large, 0);
+  /// assert!(matches!(first.verdict, UsageVerdict::OverLimit { .. }));
+  /// assert_eq!((first.state.reserved, first.state.lent), (450.0, 50.0));
+  /// assert_eq!(table.admit_ranked(&lectures, small, 0).verdict, UsageVerdict::WithinLimit);
+  /// ```
+  pub fn admit_ranked(
+    &mut self,
+    organisation: &Name,
+    request: BandRequest,
+    now_ms: u64,
+  ) -> RankedVerdict {
+    self.charge_unreachable(organisation, now_ms);
+    let Some(account) = self.accounts.get_mut(organisation) else {
+      return RankedVerdict {
+        state: ShareState::default(),
+        verdict: UsageVerdict::WithinLimit,
+      };
+    };
+    account.demand.record(request, now_ms);
+    let limit = account.limit;
+    let share = account
+      .demand
+      .admit(&mut account.bucket, limit, request, now_ms);
+    let verdict = if share.is_admitted {
+      account.charge(request.units as i64, now_ms);
+      UsageVerdict::WithinLimit
+    } else {
+      UsageVerdict::OverLimit {
+        remaining: account.bucket.level(limit, now_ms),
+        wait_ms: account.bucket.wait_ms(limit, share.required, now_ms),
+      }
+    };
+    RankedVerdict {
+      state: share.state,
+      verdict,
+    }
+  }
+
+  /// Records units that were requested of a reporter, admitted or not.
+  pub fn record_demand(&mut self, organisation: &str, request: BandRequest, now_ms: u64) {
+    if let Some(account) = self.accounts.get_mut(organisation) {
+      account.demand.record(request, now_ms);
+    }
+  }
+
+  /// The demand that was requested of this box and its reporters, by organisation.
+  pub fn own_demand(&mut self, now_ms: u64) -> Vec<(Name, BandDemand)> {
+    let demand = self
+      .accounts
+      .iter_mut()
+      .map(|(name, account)| (name.clone(), account.demand.own_demand(now_ms)));
+    demand.filter(|(_, bands)| !bands.is_empty()).collect()
+  }
+
+  /// Replaces the demand that another coordinator reported; organisations that it leaves out have none.
+  pub fn set_peer_demand(&mut self, peer: &Name, demand: Vec<(Name, BandDemand)>, now_ms: u64) {
+    let mut demand: HashMap<Name, BandDemand> = demand.into_iter().collect();
+    for (name, account) in &mut self.accounts {
+      let bands = demand.remove(name).unwrap_or_default();
+      account.demand.set_peer(peer, bands, now_ms);
+    }
+  }
+
+  /// An organisation's reserved and lent units, and the counts of its bands.
+  pub fn shares(
+    &mut self,
+    organisation: &str,
+    now_ms: u64,
+  ) -> Option<(ShareState, Vec<(DemandBand, BandCounts)>)> {
+    let account = self.accounts.get_mut(organisation)?;
+    let state = account.demand.reserved(account.limit, now_ms);
+    Some((state, account.demand.counts().collect()))
+  }
+
   /// Charges units that a reporter has admitted, or refunds them when negative.
   pub fn charge(&mut self, organisation: &str, units: i64, now_ms: u64) {
     if let Some(account) = self.accounts.get_mut(organisation) {
@@ -272,6 +369,7 @@
     let total = former_total.unwrap_or(0);
     Self {
       bucket: TokenBucket::full(limit, now_ms),
+      demand: DemandBands::default(),
       withheld_until_ms: now_ms,
       limit,
       recent: RecentUsage::default(),
--- a/src/gateway/limits/admission.rs
+++ b/src/gateway/limits/admission.rs
@@ -2,12 +2,15 @@
 
 use {
   super::{
-    messages::{UsageReport, send_usage},
+    messages::{RankedUsageReport, UsageReport, send_report},
     reporting::coordinators,
   },
   crate::{
     gateway::{
-      decisions::{LocalVerdict, UsageRequest, UsageVerdict},
+      decisions::{
+        BandRequest, DemandBand, LocalVerdict, RankedVerdict, ShareState, UsageRequest,
+        UsageVerdict,
+      },
       edge::{CallerAttributes, Organisation, UsageLimit},
       state::Gateway,
     },
@@ -41,6 +44,22 @@
   LocalUsage,
 }
 
+/// A verdict, and the state behind it if it was by rank.
+#[derive(Clone, Copy, Debug)]
+struct Decision {
+  verdict: UsageVerdict,
+  state: Option<ShareState>,
+}
+
+impl From<UsageVerdict> for Decision {
+  fn from(verdict: UsageVerdict) -> Self {
+    Self {
+      state: None,
+      verdict,
+    }
+  }
+}
+
 /// The units that a request was charged to its organisation.
 pub(crate) struct Charge {
   gateway: Rc<Gateway>,
@@ -68,11 +87,12 @@
   }
 }
 
-/// Admits and charges a request if its organisation is within its limit over all boxes.
+/// Admits and charges a request if its organisation is within its limit over all boxes. `priority` is its route's.
 pub(crate) async fn admit(
   gateway: &Rc<Gateway>,
   organisation: &Organisation,
   facts: &CallerAttributes,
+  priority: u8,
 ) -> Result<Charge, OverLimit> {
   let units = organisation.units(facts);
   let name = &organisation.name;
@@ -85,19 +105,24 @@
   let Some(limit) = gateway.usage_table.borrow().limit(name) else {
     return Ok(charge(ChargedTo::Nothing));
   };
-  let (verdict, charged_to) = if gateway.coordinates_usage() {
-    let now_ms = gateway.now_ms();
-    let verdict = gateway.usage_table.borrow_mut().admit(name, units, now_ms);
-    (verdict, ChargedTo::UsageTable)
+  let band = gateway
+    .has_fair_shares()
+    .then(|| DemandBand::of(units, priority));
+  let (decision, charged_to) = if gateway.coordinates_usage() {
+    let decision = admit_by_usage_table(gateway, name, units, band);
+    (decision, ChargedTo::UsageTable)
   } else {
-    let verdict = admit_by_local_usage(gateway, name, limit, units).await;
-    (verdict, ChargedTo::LocalUsage)
+    let decision = admit_by_local_usage(gateway, name, limit, units, band).await;
+    (decision, ChargedTo::LocalUsage)
   };
-  match verdict {
+  match decision.verdict {
     UsageVerdict::WithinLimit => Ok(charge(charged_to)),
     UsageVerdict::OverLimit { remaining, wait_ms } => {
       gateway.counters.over_limit.inc();
       log_over_limit(gateway, facts, name, units, remaining);
+      if let Some(band) = band {
+        log_share(facts, name, band, decision.state);
+      }
       // Spreads the retries of requests rejected at the same time.
       let spread_ms = wait_ms.max(MIN_RETRY_AFTER_MS) as f64 * (1.0 + gateway.draw());
       Err(OverLimit {
@@ -107,14 +132,38 @@
   }
 }
 
+/// Decides as a coordinator: by rank where fair shares are enabled.
+fn admit_by_usage_table(
+  gateway: &Gateway,
+  name: &Name,
+  units: u64,
+  band: Option<DemandBand>,
+) -> Decision {
+  let now_ms = gateway.now_ms();
+  let mut usage = gateway.usage_table.borrow_mut();
+  match band {
+    Some(band) => {
+      let RankedVerdict { state, verdict } =
+        usage.admit_ranked(name, BandRequest { band, units }, now_ms);
+      Decision {
+        state: Some(state),
+        verdict,
+      }
+    }
+    None => usage.admit(name, units, now_ms).into(),
+  }
+}
+
 /// Decides from the usage that this box knows, or asks a coordinator.
 async fn admit_by_local_usage(
   gateway: &Gateway,
   name: &Name,
   limit: UsageLimit,
   units: u64,
-) -> UsageVerdict {
+  band: Option<DemandBand>,
+) -> Decision {
   let request = || UsageRequest {
+    band,
     boxes: gateway.box_count(),
     limit,
     now_ms: gateway.now_ms(),
@@ -124,28 +173,42 @@
   let strategy = gateway.settings.limits.strategy;
   let local = gateway.local_usage.borrow_mut().admit(request(), strategy);
   match local {
-    LocalVerdict::Settled(verdict) => verdict,
-    LocalVerdict::Ask => match ask_coordinator(gateway, name, units).await {
-      Some(verdict) => verdict,
-      None => gateway.local_usage.borrow_mut().admit_isolated(request()),
+    LocalVerdict::Settled(verdict) => verdict.into(),
+    LocalVerdict::Ask => match ask_coordinator(gateway, name, units, band).await {
+      Some(decision) => decision,
+      None => {
+        let mut local_usage = gateway.local_usage.borrow_mut();
+        local_usage.admit_isolated(request()).into()
+      }
     },
   }
 }
 
 /// Asks the coordinators for a decision; `None` when none answers in time.
-async fn ask_coordinator(gateway: &Gateway, name: &Name, units: u64) -> Option<UsageVerdict> {
+async fn ask_coordinator(
+  gateway: &Gateway,
+  name: &Name,
+  units: u64,
+  band: Option<DemandBand>,
+) -> Option<Decision> {
   for address in coordinators(gateway)
     .into_iter()
     .take(MAX_COORDINATORS_ASKED)
   {
-    let used = gateway.local_usage.borrow_mut().take_unreported();
-    let message = UsageReport {
-      box_name: gateway.settings.identity.name.clone(),
-      pending: Some((name.clone(), units)),
-      used,
+    let message = {
+      let mut local_usage = gateway.local_usage.borrow_mut();
+      RankedUsageReport {
+        band,
+        report: UsageReport {
+          box_name: gateway.settings.identity.name.clone(),
+          pending: Some((name.clone(), units)),
+          used: local_usage.take_unreported(),
+        },
+        requested: local_usage.take_requested(),
+      }
     };
-    match send_usage(&gateway.box_client, address, &message, COORDINATOR_TIMEOUT).await {
-      Ok(response) => {
+    match send_report(gateway, address, &message, COORDINATOR_TIMEOUT).await {
+      Ok((response, state)) => {
         gateway.last_coordinator.set(Some(address));
         let now_ms = gateway.now_ms();
         let mut local_usage = gateway.local_usage.borrow_mut();
@@ -153,18 +216,18 @@
         match response.verdict {
           Some(UsageVerdict::WithinLimit) => local_usage.record_admitted(name, units, now_ms),
           Some(UsageVerdict::OverLimit { remaining, wait_ms }) => {
-            local_usage.record_rejected(name, remaining, wait_ms, now_ms);
+            local_usage.record_rejected(name, band, remaining, wait_ms, now_ms);
           }
           None => {}
         }
-        return response.verdict;
+        return response.verdict.map(|verdict| Decision { state, verdict });
       }
       Err(error) => {
         log::info!("E610 coordinator {address} did not decide on {name}: {error}");
         gateway
           .local_usage
           .borrow_mut()
-          .restore_unreported(message.used);
+          .restore_unreported(message.report.used);
       }
     }
   }
@@ -192,3 +255,18 @@
     facts.request_id.as_deref().unwrap_or("-")
   );
 }
+
+/// Logs which share of its organisation's limit a rejected request had; without a state, an earlier rejection of its band applied, or
+/// this box was isolated.
+fn log_share(facts: &CallerAttributes, name: &Name, band: DemandBand, state: Option<ShareState>) {
+  let id = facts.request_id.as_deref().unwrap_or("-");
+  let band = band.number();
+  match state {
+    Some(ShareState { lent, reserved }) => log::info!(
+      "E620 share of the limit: {id} of {name} is in band {band}, {reserved:.0} units reserved for others, {lent:.0} lent"
+    ),
+    None => {
+      log::info!("E620 share of the limit: {id} of {name} is in band {band}, decided by this box")
+    }
+  }
+}
--- a/src/gateway/limits/messages.rs
+++ b/src/gateway/limits/messages.rs
@@ -5,7 +5,9 @@
     CallError, HttpClient,
     gateway::{
       connections::{message_response, read_message, send_message, status_response},
-      decisions::{UsageTotals, UsageVerdict},
+      decisions::{
+        BandDemand, BandRequest, DemandBand, RequestedUnits, ShareState, UsageTotals, UsageVerdict,
+      },
       state::Gateway,
     },
     ids::Name,
@@ -22,6 +24,10 @@
 pub(crate) const USAGE_PATH: &str = "/use";
 /// The path on which coordinators exchange their totals.
 pub(crate) const TOTALS_PATH: &str = "/totals";
+/// The path on which a coordinator receives usage reports with ranks.
+pub(crate) const RANKED_USAGE_PATH: &str = "/use-ranked";
+/// The path on which coordinators exchange their demand.
+pub(crate) const DEMAND_PATH: &str = "/demand";
 /// Limit of a message body: room for 4,000 organisations with names of 60 bytes.
 const MAX_BODY_BYTES: usize = 256 * 1024;
 
@@ -44,15 +50,108 @@
   pub(crate) verdict: Option<UsageVerdict>,
 }
 
+/// A box's report to a coordinator where fair shares are enabled.
+#[derive(Debug, Deserialize, Serialize)]
+pub(crate) struct RankedUsageReport {
+  pub(crate) report: UsageReport,
+  /// The band of the request in `report.pending`.
+  pub(crate) band: Option<DemandBand>,
+  /// Units requested since the last report, without that request.
+  pub(crate) requested: RequestedUnits,
+}
+
+/// A coordinator's response to a report with ranks.
+#[derive(Debug, Deserialize, Serialize)]
+pub(crate) struct RankedUsageResponse {
+  pub(crate) response: UsageResponse,
+  /// The state behind the decision on the pending request.
+  pub(crate) state: Option<ShareState>,
+}
+
+/// A coordinator's demand, sent to the others.
+#[derive(Debug, Deserialize, Serialize)]
+pub(crate) struct DemandMessage {
+  pub(crate) box_name: Name,
+  /// Organisations without demand are left out.
+  pub(crate) demand: Vec<(Name, BandDemand)>,
+}
+
+/// Sends a usage report to a coordinator: with ranks if there are any and it supports them. Also returns the state behind the
+/// decision, if it was by rank.
+pub(super) async fn send_report(
+  gateway: &Gateway,
+  address: SocketAddr,
+  message: &RankedUsageReport,
+  timeout: Duration,
+) -> Result<(UsageResponse, Option<ShareState>), CallError> {
+  let http = &gateway.box_client;
+  if gateway.has_fair_shares() && supports_ranks(gateway, address) {
+    match send_message(http, address, RANKED_USAGE_PATH, message, timeout).await {
+      Err(error) if is_unsupported(&error) => record_unsupported(gateway, address),
+      result => {
+        let decoded: RankedUsageResponse = decode_response(&result?)?;
+        return Ok((decoded.response, decoded.state));
+      }
+    }
+  }
+  let response = send_usage(http, address, &message.report, timeout).await?;
+  Ok((response, None))
+}
+
+/// Sends this coordinator's demand to another one that supports it.
+pub(super) async fn send_demand(
+  gateway: &Gateway,
+  address: SocketAddr,
+  demand: &DemandMessage,
+  timeout: Duration,
+) {
+  if !supports_ranks(gateway, address) {
+    return;
+  }
+  let sent = send_message(&gateway.box_client, address, DEMAND_PATH, demand, timeout).await;
+  match sent {
+    Err(error) if is_unsupported(&error) => record_unsupported(gateway, address),
+    Err(error) => log::debug!("demand not sent to {address}: {error}"),
+    Ok(_) => {}
+  }
+}
+
+fn supports_ranks(gateway: &Gateway, address: SocketAddr) -> bool {
+  let now_ms = gateway.now_ms();
+  let unsupporting = gateway.unsupporting_boxes.borrow();
+  unsupporting.is_supported(address, now_ms)
+}
+
+fn record_unsupported(gateway: &Gateway, address: SocketAddr) {
+  log::info!("E621 fair shares: {address} does not support them, asked in order of arrival");
+  let now_ms = gateway.now_ms();
+  let mut unsupporting = gateway.unsupporting_boxes.borrow_mut();
+  unsupporting.record(address, now_ms);
+}
+
+fn is_unsupported(error: &CallError) -> bool {
+  matches!(
+    error,
+    CallError::Status {
+      status: StatusCode::NOT_FOUND | StatusCode::CONFLICT,
+      ..
+    }
+  )
+}
+
+fn decode_response<M: DeserializeOwned>(body: &[u8]) -> Result<M, CallError> {
+  postcard::from_bytes(body).map_err(|error| CallError::InvalidResponse(error.to_string()))
+}
+
 /// Sends a usage report to a coordinator.
-pub(super) async fn send_usage(
+async fn send_usage(
   http: &HttpClient,
   address: SocketAddr,
   report: &UsageReport,
   timeout: Duration,
 ) -> Result<UsageResponse, CallError> {
   let body = send_message(http, address, USAGE_PATH, report, timeout).await?;
-  postcard::from_bytes(&body).map_err(|error| CallError::InvalidResponse(error.to_string()))
+  decode_response(&body)
 }
 
 /// Sends this coordinator's totals to another one.
@@ -91,6 +190,62 @@
   message_response(&response)
 }
 
+/// Charges the usage that another box reports, and decides by rank on the request that it asks for.
+pub(crate) async fn handle_ranked_usage(
+  gateway: &Gateway,
+  request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
+  if !gateway.has_fair_shares() {
+    return status_response(StatusCode::NOT_FOUND);
+  }
+  let Some(message) = decode_message::<RankedUsageReport>(request).await else {
+    return status_response(StatusCode::BAD_REQUEST);
+  };
+  let RankedUsageReport {
+    band,
+    report,
+    requested,
+  } = message;
+  let now_ms = gateway.now_ms();
+  let mut usage = gateway.usage_table.borrow_mut();
+  usage.record_reporter(&report.box_name, now_ms);
+  for (organisation, units) in &report.used {
+    usage.charge(organisation, *units, now_ms);
+  }
+  for (organisation, band, units) in requested {
+    usage.record_demand(&organisation, BandRequest { band, units }, now_ms);
+  }
+  let decision = report.pending.map(|(organisation, units)| {
+    let band = band.unwrap_or(DemandBand::of(units, 0));
+    usage.admit_ranked(&organisation, BandRequest { band, units }, now_ms)
+  });
+  let response = UsageResponse {
+    near_limit: usage.near_limit(now_ms),
+    verdict: decision.map(|decision| decision.verdict),
+  };
+  message_response(&RankedUsageResponse {
+    response,
+    state: decision.map(|decision| decision.state),
+  })
+}
+
+/// Applies the demand that another coordinator reports.
+pub(crate) async fn handle_demand(
+  gateway: &Gateway,
+  request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
+  if !gateway.has_fair_shares() {
+    return status_response(StatusCode::NOT_FOUND);
+  }
+  let Some(report) = decode_message::<DemandMessage>(request).await else {
+    return status_response(StatusCode::BAD_REQUEST);
+  };
+  let now_ms = gateway.now_ms();
+  let mut usage = gateway.usage_table.borrow_mut();
+  usage.set_peer_demand(&report.box_name, report.demand, now_ms);
+  status_response(StatusCode::OK)
+}
+
 /// Applies the totals of another coordinator.
 pub(crate) async fn handle_totals(
   gateway: &Gateway,
--- a/src/gateway/limits/metrics.rs
+++ b/src/gateway/limits/metrics.rs
@@ -2,7 +2,11 @@
 
 use {
   crate::{
-    gateway::{edge::UsageLimit, state::Gateway},
+    gateway::{
+      decisions::{BandCounts, ShareState},
+      edge::UsageLimit,
+      state::Gateway,
+    },
     ids::Name,
   },
   std::fmt::Write,
@@ -25,10 +29,34 @@
       "rillford_limit_left_units{{organisation=\"{name}\",rate_per_s=\"{:.0}\",burst=\"{:.0}\"}} {remaining:.0}",
       limit.rate_per_s, limit.burst
     );
+    if gateway.has_fair_shares() {
+      write_shares(gateway, &name, &mut text);
+    }
   }
   text
 }
 
+/// Writes an organisation's reserved and lent units, and its bands' decided requests since the band was last idle.
+fn write_shares(gateway: &Gateway, name: &Name, text: &mut String) {
+  let now_ms = gateway.now_ms();
+  let Some((state, bands)) = gateway.usage_table.borrow_mut().shares(name, now_ms) else {
+    return;
+  };
+  let label = format!("organisation=\"{name}\"");
+  let ShareState { lent, reserved } = state;
+  let _ = writeln!(
+    text,
+    "rillford_limit_reserved_units{{{label}}} {reserved:.0}"
+  );
+  let _ = writeln!(text, "rillford_limit_lent_units{{{label}}} {lent:.0}");
+  for (band, counts) in bands {
+    let label = format!("{label},band=\"{}\"", band.number());
+    let BandCounts { admitted, rejected } = counts;
+    let _ = writeln!(text, "rillford_limit_band_admitted{{{label}}} {admitted}");
+    let _ = writeln!(text, "rillford_limit_band_rejected{{{label}}} {rejected}");
+  }
+}
+
 fn nearest_to_limits(gateway: &Gateway) -> Vec<(Name, f64, UsageLimit)> {
   let now_ms = gateway.now_ms();
   let mut all = gateway.usage_table.borrow_mut().balances(now_ms);
--- a/src/gateway/limits/mod.rs
+++ b/src/gateway/limits/mod.rs
@@ -11,7 +11,10 @@
 
 pub(crate) use self::{
   admission::{Charge, OverLimit, admit},
-  messages::{TOTALS_PATH, USAGE_PATH, handle_totals, handle_usage},
+  messages::{
+    DEMAND_PATH, RANKED_USAGE_PATH, TOTALS_PATH, USAGE_PATH, handle_demand, handle_ranked_usage,
+    handle_totals, handle_usage,
+  },
   metrics::limit_metrics,
   reporting::sync_usage,
 };
--- a/src/gateway/limits/reporting.rs
+++ b/src/gateway/limits/reporting.rs
@@ -1,7 +1,9 @@
 //! Periodic usage reports: from each box to a coordinator, and between coordinators.
 
 use {
-  super::messages::{UsageReport, send_totals, send_usage},
+  super::messages::{
+    DemandMessage, RankedUsageReport, UsageReport, send_demand, send_report, send_totals,
+  },
   crate::gateway::{
     decisions::{ReportScope, UsageTotals},
     state::Gateway,
@@ -73,8 +75,18 @@
       uptime_ms: now_ms,
     }
   };
-  let totals = &totals;
+  let demand = gateway.has_fair_shares().then(|| DemandMessage {
+    box_name: totals.box_name.clone(),
+    demand: gateway
+      .usage_table
+      .borrow_mut()
+      .own_demand(gateway.now_ms()),
+  });
+  let (totals, demand) = (&totals, demand.as_ref());
   let calls = addresses.into_iter().map(|address| async move {
+    if let Some(demand) = demand {
+      send_demand(gateway, address, demand, REPORT_TIMEOUT).await;
+    }
     if let Err(error) = send_totals(&gateway.box_client, address, totals, REPORT_TIMEOUT).await {
       log::debug!("totals not sent to {address}: {error}");
     }
@@ -84,15 +96,21 @@
 
 /// Reports this box's usage to the first coordinator that answers.
 async fn report_usage(gateway: &Gateway) {
-  let unreported = gateway.local_usage.borrow_mut().take_unreported();
-  let report = UsageReport {
-    box_name: gateway.settings.identity.name.clone(),
-    pending: None,
-    used: unreported,
+  let message = {
+    let mut local_usage = gateway.local_usage.borrow_mut();
+    RankedUsageReport {
+      band: None,
+      report: UsageReport {
+        box_name: gateway.settings.identity.name.clone(),
+        pending: None,
+        used: local_usage.take_unreported(),
+      },
+      requested: local_usage.take_requested(),
+    }
   };
   for address in coordinators(gateway).into_iter().take(MAX_REPORT_ATTEMPTS) {
-    match send_usage(&gateway.box_client, address, &report, REPORT_TIMEOUT).await {
-      Ok(response) => {
+    match send_report(gateway, address, &message, REPORT_TIMEOUT).await {
+      Ok((response, _)) => {
         let now_ms = gateway.now_ms();
         gateway.last_coordinator.set(Some(address));
         gateway
@@ -107,7 +125,7 @@
   // A coordinator may have charged the report although its response was lost. Reported again it is charged twice, which errs
   // towards rejecting.
   let mut local_usage = gateway.local_usage.borrow_mut();
-  local_usage.restore_unreported(report.used);
+  local_usage.restore_unreported(message.report.used);
   local_usage.record_unreachable();
 }
 
--- a/src/gateway/membership/relay.rs
+++ b/src/gateway/membership/relay.rs
@@ -6,7 +6,10 @@
     gateway::{
       connections::{message_response, status_response},
       edge::StoreChanges,
-      limits::{TOTALS_PATH, USAGE_PATH, handle_totals, handle_usage},
+      limits::{
+        DEMAND_PATH, RANKED_USAGE_PATH, TOTALS_PATH, USAGE_PATH, handle_demand,
+        handle_ranked_usage, handle_totals, handle_usage,
+      },
       permits::{LIMITS_PATH, PERMITS_PATH, handle_limit, handle_permits},
       quarantine::{MARKS_PATH, handle_marks},
       resumption::{FIND_STREAM_PATH, STREAMS_PATH, handle_lookup, handle_records},
@@ -60,7 +63,9 @@
 ) -> Response<Full<Bytes>> {
   match request.uri().path() {
     USAGE_PATH => handle_usage(&gateway, request).await,
+    RANKED_USAGE_PATH => handle_ranked_usage(&gateway, request).await,
     TOTALS_PATH => handle_totals(&gateway, request).await,
+    DEMAND_PATH => handle_demand(&gateway, request).await,
     LIMITS_PATH => handle_limit(&gateway, request).await,
     PERMITS_PATH => handle_permits(&gateway, request).await,
     MARKS_PATH => handle_marks(&gateway, request).await,
--- a/src/gateway/requests/serving.rs
+++ b/src/gateway/requests/serving.rs
@@ -121,9 +121,11 @@
   request: &RoutedRequest,
 ) -> Result<Option<Charge>, OverLimit> {
   match &request.organisation {
-    Some(organisation) => admit(gateway, organisation, &request.attributes)
-      .await
-      .map(Some),
+    Some(organisation) => {
+      let priority = request.route.priority;
+      let charge = admit(gateway, organisation, &request.attributes, priority).await;
+      charge.map(Some)
+    }
     None => Ok(None),
   }
 }
--- a/src/gateway/settings/limits.rs
+++ b/src/gateway/settings/limits.rs
@@ -1,8 +1,9 @@
 //! Settings of the enforcement of organisations' limits.
 
 use {
+  super::activation::Activation,
   crate::gateway::{decisions::LimitStrategy, edge::UsageLimit},
-  serde::Deserialize,
+  serde::{Deserialize, Deserializer},
 };
 
 /// Fraction of the allowed overage that is added to the enforced limit. The rest covers requests that other halls admit before
@@ -27,6 +28,9 @@
   pub overage: f64,
   /// Additional units of allowed overage per window.
   pub slack_units: f64,
+  /// When small and urgent requests of an organisation go first at its limit.
+  #[serde(deserialize_with = "fair_shares")]
+  pub fair_shares: Activation,
 }
 
 impl LimitSettings {
@@ -51,3 +55,7 @@
     invalid.map(|(key, _)| (key, "must be a number of 0 or more"))
   }
 }
+
+fn fair_shares<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Activation, D::Error> {
+  Activation::deserialize_key("limits.fair_shares", deserializer)
+}
--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -4,6 +4,7 @@
   super::{
     change_log::ChangeLog, counters::Counters, log_throttle::LogThrottle, quarantine::Quarantine,
     unknown_headers::UnknownHeaders, unresponsive_boxes::UnresponsiveBoxes,
+    unsupporting_boxes::UnsupportingBoxes,
   },
   crate::{
     HttpClient,
@@ -107,6 +108,8 @@
   /// Permits that it grants itself while isolated from the coordinator.
   pub(crate) isolated_permits: RefCell<PermitTable>,
   pub(crate) unresponsive_boxes: RefCell<UnresponsiveBoxes>,
+  /// Boxes that don't know the messages of fair shares.
+  pub(crate) unsupporting_boxes: RefCell<UnsupportingBoxes>,
   pub(crate) box_client: HttpClient,
   /// Requests of other boxes' callers in flight here.
   pub(crate) forwarded_in_flight: Cell<usize>,
@@ -187,6 +190,7 @@
       unknown_headers: RefCell::default(),
       unreadable_log_throttle: LogThrottle::default(),
       unresponsive_boxes: RefCell::default(),
+      unsupporting_boxes: RefCell::default(),
       usage_table: RefCell::default(),
     }
   }
@@ -261,6 +265,13 @@
     self.settings.limits.strategy.uses_coordinators() && self.is_coordinator()
   }
 
+  /// Whether small and urgent requests of an organisation go first at its limit.
+  pub(crate) fn has_fair_shares(&self) -> bool {
+    let table = self.route_table.borrow();
+    let is_ranked = || table.as_ref().is_some_and(|table| table.ranks_streams());
+    self.settings.limits.fair_shares.is_enabled(is_ranked)
+  }
+
   /// Whether the last contact with the store is recent enough to trust this box's view of it.
   pub(crate) fn is_current(&self) -> bool {
     let bounds = &self.settings.bounds;
--- a/src/gateway/state/mod.rs
+++ b/src/gateway/state/mod.rs
@@ -10,6 +10,7 @@
 mod reachability;
 mod unknown_headers;
 mod unresponsive_boxes;
+mod unsupporting_boxes;
 
 pub use self::change_log::ChangeLog;
 
--- a/tests/gateway/limits.rs
+++ b/tests/gateway/limits.rs
@@ -213,6 +213,7 @@
   usage.record_near_limit(vec![("a".into(), 10.0)], 0);
   let organisation = "a".into();
   let mut request = UsageRequest {
+    band: None,
     boxes: 10,
     limit: limit(),
     now_ms: 0,
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod cut_off;
 mod endpoint;
 mod endpoint_limits;
+mod fair_shares;
 mod hall_drain;
 mod harness;
 mod leaving;
