--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -4,7 +4,7 @@
   super::{
     change_log::ChangeLog, counters::Counters, log_throttle::LogThrottle,
     prefill_queues::PrefillQueues, quarantine::Quarantine, unknown_headers::UnknownHeaders,
-    unresponsive_boxes::UnresponsiveBoxes,
+    unresponsive_boxes::UnresponsiveBoxes, unsupporting_boxes::UnsupportingBoxes,
   },
   crate::{
     HttpClient,
@@ -110,6 +110,8 @@
   pub(crate) unresponsive_boxes: RefCell<UnresponsiveBoxes>,
   /// Queue reservations at prefill engines.
   pub(crate) prefill_queues: PrefillQueues,
+  /// Boxes that don't know the messages of fair shares.
+  pub(crate) unsupporting_boxes: RefCell<UnsupportingBoxes>,
   pub(crate) box_client: HttpClient,
   /// Requests of other boxes' callers in flight here.
   pub(crate) forwarded_in_flight: Cell<usize>,
@@ -191,6 +193,7 @@
       unknown_headers: RefCell::default(),
       unreadable_log_throttle: LogThrottle::default(),
       unresponsive_boxes: RefCell::default(),
+      unsupporting_boxes: RefCell::default(),
       usage_table: RefCell::default(),
     }
   }
@@ -265,6 +268,13 @@
     self.settings.limits.strategy.uses_coordinators() && self.is_coordinator()
   }
 
+  /// Whether small and urgent requests of an organisation go first at its limit.
+  pub(crate) fn has_fair_shares(&self) -> bool {
+    let table = self.route_table.borrow();
+    let is_ranked = || table.as_ref().is_some_and(|table| table.ranks_streams());
+    self.settings.limits.fair_shares.is_enabled(is_ranked)
+  }
+
   /// Whether the last contact with the store is recent enough to trust this box's view of it.
   pub(crate) fn is_current(&self) -> bool {
     let bounds = &self.settings.bounds;
