Replay of prefill engines that many boxes share

The herd at prefill engines shows with dozens of boxes only. emulator prefill runs the boxes' registry and the coordinators' places in virtual time, with waves, bursts, slowed machines and failing coordinators.

--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -20,6 +20,7 @@
 mod own_addresses;
 mod path_bench;
 pub mod places;
+pub mod prefill;
 pub mod quarantine;
 mod queue;
 pub mod regress;
--- a/emulator/src/places/fleet.rs
+++ b/emulator/src/places/fleet.rs
@@ -34,20 +34,20 @@
     self.limit_per_s * 4.0 * 1.5 + 5.0
   }
 
-  pub(super) fn hall(number: usize) -> String {
+  pub(crate) fn hall(number: usize) -> String {
     format!("hall-{}", number % HALLS)
   }
 
-  pub(super) fn name(number: usize) -> String {
+  pub(crate) fn name(number: usize) -> String {
     format!("box-{number:03}")
   }
 
-  pub(super) fn number(address: SocketAddr) -> usize {
+  pub(crate) fn number(address: SocketAddr) -> usize {
     usize::from(address.port()) - FIRST_PORT
   }
 
   /// The box list, without one box if `missing` is set.
-  pub(super) fn list_without(&self, missing: Option<usize>) -> BoxList {
+  pub(crate) fn list_without(&self, missing: Option<usize>) -> BoxList {
     let mut list = BoxList::default();
     for number in (0..self.boxes).filter(|number| Some(*number) != missing) {
       let port = u16::try_from(FIRST_PORT + number).unwrap_or(u16::MAX);
--- a/emulator/src/subcommand.rs
+++ b/emulator/src/subcommand.rs
@@ -15,6 +15,7 @@
     notices::{NoticeReport, notice_report, print_notices},
     path_bench,
     places::{PlaceReport, place_report, print_places},
+    prefill::{PrefillReport, prefill_report, print_prefills},
     quarantine::{CrashReport, crash_report, print_crashes},
     regress::{RegressOptions, regress, regress_options},
     slopes,
@@ -127,6 +128,12 @@
     #[bpaf(external(place_report))]
     report: PlaceReport,
   },
+  /// Replay prefill engines that many boxes share, in virtual time with each way to choose one, and print the table
+  #[bpaf(command)]
+  Prefill {
+    #[bpaf(external(prefill_report))]
+    report: PrefillReport,
+  },
   /// Replay streams that callers resume while boxes fail, in virtual time with each way to learn where they began, and print the table
   #[bpaf(command)]
   Streams {
@@ -243,6 +250,10 @@
         print_places(report);
         Ok(())
       }
+      Self::Prefill { report } => {
+        print_prefills(report);
+        Ok(())
+      }
       Self::Streams { report } => {
         print_streams(report);
         Ok(())
