Schedule of return times for rejected callers

Callers rejected within a second return together, since nothing spaces their retry-after delays. Adds a decision module that hands out return times at the rate at which room becomes free, most urgent first, and leaves room for more urgent callers.

--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -42,6 +42,7 @@
 mod reporter_list;
 mod retry_after;
 mod retry_window;
+mod return_schedule;
 mod role_plan;
 mod service_versions;
 mod slot_forecast;
@@ -88,6 +89,7 @@
   record_holders::{RECORD_COPIES, record_holders, record_sources},
   retry_after::retry_after_backoff_ms,
   retry_window::{RetryAllowance, RetryUsage, RetryWindow},
+  return_schedule::{ReturnSchedule, ReturningCaller},
   role_plan::{RolePlan, plan_roles},
   service_versions::ServiceVersions,
   slot_forecast::SlotForecast,
