Route tables report whether operators rank the streams of a service

Mechanisms that are enabled by configuration need to know whether the stream routes of an engine service differ in priority, and the transfer time between halls needs the size of KV memory and the rate of links. RouteTable gets has_ranked_streams and ranks_streams, EngineSpec gets kv_token_bytes and link_mbps, both optional in the configuration.

--- a/src/gateway/edge/route_table.rs
+++ b/src/gateway/edge/route_table.rs
@@ -100,7 +100,7 @@
 }
 
 /// The engines of a language-model service.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct EngineSpec {
   /// Requests that one engine runs at once.
   pub slots: u32,
@@ -110,6 +110,10 @@
   pub export_ttl_ms: u64,
   /// The longest time that a reservation may last.
   pub reservation_ms: u64,
+  /// Bytes of KV cache per token, if configured.
+  pub kv_token_bytes: Option<f64>,
+  /// Megabits per second of an engine's link, over which it fetches KV caches of other engines, if configured.
+  pub link_mbps: Option<f64>,
 }
 
 /// The cold start of a service's endpoints.
@@ -247,6 +251,84 @@
       .find(|region| !is_region(region))
   }
 
+  /// Whether the operator ranks the callers of a service: its stream routes differ in priority.
+  ///
+  /// ```
+  /// # use rillford::gateway::{CallerLimits, Route, RouteKind, RouteTable, WeightedService};
+  /// # let limits = CallerLimits { head_bytes: 1, body_bytes: 1, head_ms: 1, idle_ms: 1 };
+  /// let stream = |name: &str, priority| Route {
+  ///   name: name.into(),
+  ///   host: "lectures.example".into(),
+  ///   path_prefix: format!("/{name}/").as_str().into(),
+  ///   kind: RouteKind::Stream { resumable: false },
+  ///   timeout_ms: 4_000,
+  ///   target_ms: 900,
+  ///   priority,
+  ///   max_attempts: 1,
+  ///   allowed_regions: None,
+  ///   allows_anonymous: true,
+  ///   services: vec![WeightedService { service: "llm".into(), weight: 1 }],
+  /// };
+  /// let table = |routes| RouteTable::new(1, routes, [].into(), limits);
+  /// assert!(table(vec![stream("appeal", 0), stream("digest", 2)]).has_ranked_streams("llm"));
+  /// assert!(!table(vec![stream("appeal", 1), stream("digest", 1)]).has_ranked_streams("llm"));
+  /// assert!(!table(vec![stream("appeal", 0), stream("digest", 2)]).has_ranked_streams("other"));
+  /// ```
+  pub fn has_ranked_streams(&self, service: &str) -> bool {
+    let routes = self.by_host.values().flatten();
+    let mut priorities = routes
+      .filter(|route| matches!(route.kind, RouteKind::Stream { .. }) && route.leads_to(service))
+      .map(|route| route.priority);
+    let Some(first) = priorities.next() else {
+      return false;
+    };
+    priorities.any(|priority| priority != first)
+  }
+
+  /// Whether the operator ranks the callers of any service of engines: see
+  /// [`has_ranked_streams`](Self::has_ranked_streams).
+  ///
+  /// ```
+  /// # use rillford::gateway::{CallerLimits, EngineSpec, Route, RouteKind, RouteTable, ServiceSpec, WeightedService};
+  /// # let limits = CallerLimits { head_bytes: 1, body_bytes: 1, head_ms: 1, idle_ms: 1 };
+  /// # let stream = |name: &str, priority| Route {
+  /// #   name: name.into(),
+  /// #   host: "lectures.example".into(),
+  /// #   path_prefix: format!("/{name}/").as_str().into(),
+  /// #   kind: RouteKind::Stream { resumable: false },
+  /// #   timeout_ms: 4_000,
+  /// #   target_ms: 900,
+  /// #   priority,
+  /// #   max_attempts: 1,
+  /// #   allowed_regions: None,
+  /// #   allows_anonymous: true,
+  /// #   services: vec![WeightedService { service: "llm".into(), weight: 1 }],
+  /// # };
+  /// let engine = EngineSpec {
+  ///   slots: 8,
+  ///   kv_tokens: 60_000,
+  ///   export_ttl_ms: 500,
+  ///   reservation_ms: 2_000,
+  ///   kv_token_bytes: None,
+  ///   link_mbps: None,
+  /// };
+  /// let service = |engine| ServiceSpec { max_connections: 100, engine, cold_start: None };
+  /// let table = |engine, urgent| {
+  ///   let routes = vec![stream("appeal", urgent), stream("digest", 2)];
+  ///   RouteTable::new(1, routes, [("llm".into(), service(engine))].into(), limits)
+  /// };
+  /// assert!(table(Some(engine), 0).ranks_streams());
+  /// assert!(!table(Some(engine), 2).ranks_streams());
+  /// assert!(!table(None, 0).ranks_streams());
+  /// ```
+  pub fn ranks_streams(&self) -> bool {
+    let mut engine_services = self
+      .services
+      .iter()
+      .filter(|(_, service)| service.engine.is_some());
+    engine_services.any(|(name, _)| self.has_ranked_streams(name))
+  }
+
   pub fn route_count(&self) -> usize {
     self.by_host.values().map(Vec::len).sum()
   }
