--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -54,9 +54,9 @@
   process::run_gateway,
   requests::{EventSplitter, SseEvent},
   settings::{
-    EnginePriority, EngineSettings, GatewayBounds, GatewayIdentity, GatewayListen, GatewaySettings,
-    LimitSettings, Mechanisms, PolicySettings, QuarantineSettings, RoutePolicy, RouteRank,
-    StoreSettings,
+    Activation, EnginePriority, EngineSettings, GatewayBounds, GatewayIdentity, GatewayListen,
+    GatewaySettings, LimitSettings, Mechanisms, PolicySettings, PrefillQueueSettings,
+    QuarantineSettings, RoutePolicy, RouteRank, StoreSettings,
   },
   state::ChangeLog,
 };
--- a/src/gateway/settings/document.rs
+++ b/src/gateway/settings/document.rs
@@ -2,8 +2,8 @@
 
 use {
   super::{
-    limits::LimitSettings, mechanisms::Mechanisms, quarantine::QuarantineSettings,
-    route_policy::RoutePolicy,
+    limits::LimitSettings, mechanisms::Mechanisms, prefill_queue::PrefillQueueSettings,
+    quarantine::QuarantineSettings, route_policy::RoutePolicy,
   },
   crate::{Error, Result, gateway::decisions::RetryAllowance, ids::Name, settings::SettingsError},
   serde::Deserialize,
@@ -39,6 +39,9 @@
   /// Quarantine of requests that crash endpoints.
   #[serde(default)]
   pub quarantine: QuarantineSettings,
+  /// Queue reservations at prefill engines.
+  #[serde(default)]
+  pub prefill_queue: PrefillQueueSettings,
   /// Switches of mechanisms.
   #[serde(default)]
   pub mechanisms: Mechanisms,
--- a/src/gateway/settings/mod.rs
+++ b/src/gateway/settings/mod.rs
@@ -2,19 +2,23 @@
 //!
 //! Imports `decisions` and `edge`.
 
+mod activation;
 mod document;
 mod limits;
 mod mechanisms;
+mod prefill_queue;
 mod quarantine;
 mod route_policy;
 
 pub use self::{
+  activation::Activation,
   document::{
     EnginePriority, EngineSettings, GatewayBounds, GatewayIdentity, GatewayListen, GatewaySettings,
     PolicySettings, StoreSettings,
   },
   limits::LimitSettings,
   mechanisms::Mechanisms,
+  prefill_queue::PrefillQueueSettings,
   quarantine::QuarantineSettings,
   route_policy::{RoutePolicy, RouteRank},
 };
--- a/tests/gateway/configuration.rs
+++ b/tests/gateway/configuration.rs
@@ -4,7 +4,7 @@
   super::{EndpointStandIn, GatewayBox, GatewayTest, Reply, TIMEOUT},
   emulator::eventually,
   http::StatusCode,
-  rillford::gateway::GatewaySettings,
+  rillford::gateway::{Activation, GatewaySettings},
   rstest::rstest,
   std::time::Duration,
   tokio::time::sleep,
@@ -154,6 +154,16 @@
   "unknown field `role_order`"
 )]
 #[case("[engines]", "[mechanisms]\nrole_orders = 0\n[engines]", "box.toml:")]
+#[case(
+  "[engines]",
+  "[prefill_queue]\nenabled = \"sometimes\"\n[engines]",
+  "prefill_queue.enabled must be \"never\", \"by_configuration\" or \"always\", not \"sometimes\""
+)]
+#[case(
+  "[engines]",
+  "[prefill_queue]\nenable = \"always\"\n[engines]",
+  "unknown field `enable`"
+)]
 fn invalid_settings_are_reported_with_file_and_key(
   #[case] from: &str,
   #[case] to: &str,
@@ -171,6 +181,19 @@
   );
 }
 
+#[rstest]
+#[case::missing("", Activation::Never)]
+#[case::by_configuration(
+  "[prefill_queue]\nenabled = \"by_configuration\"",
+  Activation::ByConfiguration
+)]
+#[case::always("[prefill_queue]\nenabled = \"always\"", Activation::Always)]
+fn prefill_queue_is_off_unless_enabled(#[case] table: &str, #[case] expected: Activation) {
+  let text = format!("{SETTINGS}{table}");
+  let settings = GatewaySettings::parse("box.toml".as_ref(), &text).unwrap();
+  assert_eq!(settings.prefill_queue.enabled, expected);
+}
+
 /// Guards against a box that reports ready after the first page of a listing, before it knows all endpoints.
 #[tokio::test]
 async fn box_is_ready_only_after_a_complete_listing() {
