Decisions on returning callers: supply of slots, longest deadlines

The forecast of slots learns only from slots that a box obtains, so a box that gets none lets each request wait its full time.

--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -25,6 +25,7 @@
 mod limit_strategy;
 mod local_permits;
 mod local_usage;
+mod longest_deadlines;
 mod notice_tracker;
 mod peak_box_count;
 mod peer_answers;
@@ -47,6 +48,7 @@
 mod service_versions;
 mod slot_forecast;
 mod slot_queue;
+mod slot_supply;
 mod sound_segments;
 mod store_retry_delay;
 mod stream_key;
@@ -76,6 +78,7 @@
   limit_strategy::LimitStrategy,
   local_permits::{LocalPermitVerdict, LocalPermits},
   local_usage::{LocalUsage, LocalVerdict, UsageRequest},
+  longest_deadlines::LongestDeadlines,
   notice_tracker::{Availability, NoticeChange, NoticeTracker},
   peak_box_count::PeakBoxCount,
   peer_answers::{PeerAnswers, PeerList},
@@ -94,6 +97,7 @@
   service_versions::ServiceVersions,
   slot_forecast::SlotForecast,
   slot_queue::{QueuePosition, SlotQueue, SlotUrgency},
+  slot_supply::SlotSupply,
   sound_segments::SoundSegments,
   store_retry_delay::store_retry_delay_ms,
   stream_key::StreamKey,
--- a/src/gateway/decisions/return_schedule.rs
+++ b/src/gateway/decisions/return_schedule.rs
@@ -4,10 +4,10 @@
 //! are rejected again. The schedule hands out times at the rate at which room becomes free, in steps of [`STEP_MS`].
 //!
 //! Order: callers are grouped into classes by priority, then by the share of their deadline for which they have been refused. A
-//! handed-out time is never taken back, so each class leaves room in every step for the classes before it: their recent demand,
-//! at least [`MIN_RESERVED_SHARE`] of the rate if such a caller was rejected lately, since a burst's first callers are not its
-//! most urgent ones, and at most [`MAX_RESERVED_SHARE`], so that no class is starved. A more urgent caller who is rejected later
-//! uses that room, and returns before less urgent ones.
+//! handed-out time is never taken back, so each class leaves room in every step for the classes before it: their recent demand. It
+//! leaves at least [`MIN_RESERVED_SHARE`] to a class of which a caller was rejected lately, since a burst's first callers are not its
+//! most urgent ones, and at most [`MAX_RESERVED_SHARE`] of what the class before it may use, so that no class is starved. A more urgent
+//! caller who is rejected later uses that room, and returns before less urgent ones.
 //!
 //! Limits: callers wait for a third of their remaining time at most. A caller without room by then gets that time and takes no
 //! room. Steps that have passed are dropped, so callers who do not return delay others at most until their own time. Memory is
@@ -29,12 +29,16 @@
 const CLASSES: usize = PRIORITIES * (REFUSED_SHARES.len() + 1);
 /// Time constant of the demand by class: about the length of the burst that it has to follow.
 const DEMAND_MS: f64 = 1_000.0;
+/// Of a burst that has just begun, this much of that time counts: one caller is no demand of hundreds per second.
+const MIN_COVERED_SHARE: f64 = 0.2;
+/// A burst begins when what is left of the demand before it is less than this share of its first caller.
+const NEW_BURST_SHARE: f64 = 0.1;
 /// A class without a rejection for this long needs no room.
 const DEMAND_TTL_MS: u64 = 60_000;
-/// Least fraction of the rate that is left to more urgent classes that were rejected lately.
+/// Least fraction of what a class may use that those behind it leave to it, if a caller of it was rejected lately.
 const MIN_RESERVED_SHARE: f64 = 0.125;
-/// Largest fraction of the rate that is left to more urgent classes.
-const MAX_RESERVED_SHARE: f64 = 0.75;
+/// Largest fraction of what a class may use that those behind it leave to it.
+const MAX_RESERVED_SHARE: f64 = 0.7;
 
 /// Units below which a caller's need is met: sums over steps are rounded.
 const ROUNDING_UNITS: f64 = 1e-9;
@@ -83,28 +87,42 @@
 struct Demand {
   /// Units that were asked for, decayed.
   units: f64,
-  at_ms: Option<u64>,
+  /// When a burst began, and its last caller was rejected.
+  during_ms: Option<(u64, u64)>,
 }
 
 impl Demand {
   fn record(&mut self, units: f64, now_ms: u64) {
-    self.units = self.units_at(now_ms) + units;
-    self.at_ms = Some(now_ms);
+    let before = self.units_at(now_ms);
+    let began_ms = match self.during_ms {
+      Some((began_ms, _)) if before > units * NEW_BURST_SHARE => began_ms,
+      _ => now_ms,
+    };
+    self.units = before + units;
+    self.during_ms = Some((began_ms, now_ms));
   }
 
   fn units_at(&self, now_ms: u64) -> f64 {
-    let age_ms = self.at_ms.map_or(0, |at_ms| now_ms.saturating_sub(at_ms));
+    let age_ms = self
+      .during_ms
+      .map_or(0, |(_, last_ms)| now_ms.saturating_sub(last_ms));
     self.units * (-(age_ms as f64) / DEMAND_MS).exp()
   }
 
+  /// The moving average, not averaged over the quiet time before a burst.
   fn per_s(&self, now_ms: u64) -> f64 {
-    self.units_at(now_ms) * 1_000.0 / DEMAND_MS
+    let age_ms = self
+      .during_ms
+      .map_or(0, |(began_ms, _)| now_ms.saturating_sub(began_ms));
+    let covered = 1.0 - (-(age_ms as f64) / DEMAND_MS).exp();
+    let covered_ms = DEMAND_MS * covered.max(MIN_COVERED_SHARE);
+    self.units_at(now_ms) * 1_000.0 / covered_ms
   }
 
   fn is_recent(&self, now_ms: u64) -> bool {
     self
-      .at_ms
-      .is_some_and(|at_ms| now_ms.saturating_sub(at_ms) < DEMAND_TTL_MS)
+      .during_ms
+      .is_some_and(|(_, last_ms)| now_ms.saturating_sub(last_ms) < DEMAND_TTL_MS)
   }
 }
 
@@ -187,14 +205,16 @@
   fn reserved_shares(&self, rate_per_s: f64, now_ms: u64) -> [f64; CLASSES] {
     let mut shares = [0.0; CLASSES];
     let mut before_per_s = 0.0;
-    let mut is_recent = false;
+    // The least and the most that is left to a class.
+    let (mut least, mut most) = (1.0, 1.0);
     for (share, demand) in shares.iter_mut().zip(&self.demand) {
-      if is_recent {
-        let demanded = before_per_s / rate_per_s.max(f64::MIN_POSITIVE);
-        *share = demanded.clamp(MIN_RESERVED_SHARE, MAX_RESERVED_SHARE);
+      let demanded = before_per_s / rate_per_s.max(f64::MIN_POSITIVE);
+      *share = 1.0 - (1.0 - demanded).clamp(least, most);
+      if demand.is_recent(now_ms) {
+        before_per_s += demand.per_s(now_ms);
+        least *= 1.0 - MAX_RESERVED_SHARE;
+        most *= 1.0 - MIN_RESERVED_SHARE;
       }
-      before_per_s += demand.per_s(now_ms);
-      is_recent |= demand.is_recent(now_ms);
     }
     shares
   }
--- a/src/gateway/decisions/slot_queue.rs
+++ b/src/gateway/decisions/slot_queue.rs
@@ -7,6 +7,8 @@
 pub enum SlotUrgency {
   /// The caller has received part of the response.
   Resumed,
+  /// The caller was rejected before, and has returned.
+  Returned,
   /// The caller has received nothing.
   New,
 }
@@ -14,9 +16,12 @@
 /// A request's position in the queue.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct QueuePosition {
-  urgency: SlotUrgency,
+  /// Resumed requests go first whatever their priority.
+  is_new: bool,
   /// 0 goes first.
   priority: u8,
+  /// Orders the requests of one priority.
+  urgency: SlotUrgency,
   /// Positions are numbered in the order of arrival.
   number: u64,
 }
@@ -35,6 +40,9 @@
 /// assert_eq!(queue.len(), 2);
 /// let more_urgent = queue.join(SlotUrgency::New, 0);
 /// assert!(queue.is_first(more_urgent));
+/// // Of one priority, callers who return go before new ones.
+/// assert_eq!(queue.ahead_of(SlotUrgency::New, 1), 3);
+/// assert_eq!(queue.ahead_of(SlotUrgency::Returned, 1), 1);
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct SlotQueue {
@@ -46,15 +54,17 @@
   /// Adds a request.
   pub fn join(&mut self, urgency: SlotUrgency, priority: u8) -> QueuePosition {
     self.joined += 1;
-    let position = QueuePosition {
-      number: self.joined,
-      priority,
-      urgency,
-    };
+    let position = position(urgency, priority, self.joined);
     self.positions.insert(position);
     position
   }
 
+  /// The number of requests that would go before one that joins now.
+  pub fn ahead_of(&self, urgency: SlotUrgency, priority: u8) -> usize {
+    let next = position(urgency, priority, self.joined + 1);
+    self.positions.range(..next).count()
+  }
+
   /// Removes a request that has its slot, or no longer needs one.
   pub fn leave(&mut self, position: QueuePosition) {
     self.positions.remove(&position);
@@ -75,3 +85,12 @@
     self.positions.first() == Some(&position)
   }
 }
+
+fn position(urgency: SlotUrgency, priority: u8, number: u64) -> QueuePosition {
+  QueuePosition {
+    is_new: urgency != SlotUrgency::Resumed,
+    number,
+    priority,
+    urgency,
+  }
+}
