Rejected callers return in order of urgency, at the rate of free slots

Retry-after delays were the mean length of a stream for all, and requests waited for slots that did not become free. [limits] return_order enables return times by schedule for streams and plain requests, rejection at once by the supply of slots, and preference for callers who return. Off by default; the deployment's template sets by_configuration.

--- a/emulator/src/limits/replay.rs
+++ b/emulator/src/limits/replay.rs
@@ -13,8 +13,8 @@
   rand_chacha::ChaCha8Rng,
   rillford::{
     gateway::{
-      BoxList, LimitSettings, LimitStrategy, LocalVerdict, ReportScope, UsageLimit, UsageRequest,
-      UsageTotals, UsageVerdict,
+      Activation, BoxList, LimitSettings, LimitStrategy, LocalVerdict, ReportScope, UsageLimit,
+      UsageRequest, UsageTotals, UsageVerdict,
     },
     ids::Name,
   },
@@ -28,6 +28,7 @@
 const FULL_TOTALS_ROUNDS: u32 = 10;
 const SETTINGS: LimitSettings = LimitSettings {
   overage: 0.1,
+  return_order: Activation::Never,
   slack_units: 190_000.0,
   strategy: LimitStrategy::AskNearLimit,
 };
--- a/src/gateway/edge/route_table.rs
+++ b/src/gateway/edge/route_table.rs
@@ -34,6 +34,11 @@
   pub fn may_retry(self) -> bool {
     matches!(self, Self::Retryable | Self::Stream { resumable: true })
   }
+
+  /// Whether the response is a stream.
+  pub fn is_stream(self) -> bool {
+    matches!(self, Self::Stream { .. })
+  }
 }
 
 /// A target service of a route, with its weight.
--- a/src/gateway/process/status_pages.rs
+++ b/src/gateway/process/status_pages.rs
@@ -45,6 +45,7 @@
       text.push_str(&gateway.quarantine.metrics());
       text.push_str(&gateway.endpoint_metrics());
       text.push_str(&gateway.reachability_metrics());
+      text.push_str(&gateway.return_metrics());
       text.push_str(&permit_metrics(gateway));
       text.push_str(&stream_metrics(gateway));
       Response::new(Full::new(text.into()))
--- a/src/gateway/requests/mod.rs
+++ b/src/gateway/requests/mod.rs
@@ -15,6 +15,7 @@
 mod prefill;
 mod response;
 mod resume_slot;
+mod return_time;
 mod routing;
 mod serving;
 mod slot;
--- a/src/gateway/requests/routing.rs
+++ b/src/gateway/requests/routing.rs
@@ -65,6 +65,12 @@
     .min(attributes.deadline_ms.unwrap_or(u64::MAX))
     .min(box_remaining_ms.unwrap_or(u64::MAX))
     .min(exit_ms.saturating_sub(arrived_ms));
+  let caller_ms = attributes.deadline_ms.unwrap_or(u64::MAX);
+  let refused_for_ms = gateway.longest_deadlines.borrow_mut().refused_for_ms(
+    &route.name,
+    route.timeout_ms.min(caller_ms),
+    arrived_ms,
+  );
   let body = read_body(body, table.limits().body_bytes, timeout_ms).await?;
   let service = route
     .service(gateway.draw())
@@ -94,6 +100,7 @@
     deadline_ms: arrived_ms + timeout_ms,
     fingerprint: OnceCell::new(),
     probes: RefCell::default(),
+    refused_for_ms,
     segment_fingerprints: OnceCell::new(),
     headers,
     method: head.method,
--- a/src/gateway/requests/slot.rs
+++ b/src/gateway/requests/slot.rs
@@ -28,6 +28,9 @@
 const DEFAULT_START_SHARE: f64 = 0.4;
 /// Engines in a row that can't be reached, after which a request gives up: another box may reach them.
 const MAX_UNREACHED: u32 = 6;
+/// Least time since a caller's first rejection by which it counts as one who returns: deadlines of callers vary by some
+/// milliseconds, and a caller who returns sooner did not wait as told.
+const MIN_RETURN_MS: u64 = 50;
 /// Factor on the mean time between a slot and the first event, since it varies.
 const START_MARGIN: f64 = 1.5;
 
@@ -38,6 +41,15 @@
   until_ms: u64,
 }
 
+/// How often a request asks engines for a slot.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum SlotTries {
+  /// One engine, which may have become free.
+  One,
+  /// Engines until its wait is over.
+  Unlimited,
+}
+
 /// The engines that a request may not get a slot at.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Exclusions<'a> {
@@ -57,16 +69,18 @@
   let since_ms = gateway.now_ms();
   let wait = slot_wait(gateway, request, exclusions.tried);
   let wait_ms = wait.until_ms.saturating_sub(since_ms);
-  if !has_chance(gateway, request, wait.urgency, wait_ms) {
-    return None;
-  }
+  let tries = slot_tries(gateway, request, wait.urgency, wait_ms)?;
   let slot = timeout(
     Duration::from_millis(wait_ms),
-    request_in_order(gateway, request, exclusions, wait.urgency),
+    request_in_order(gateway, request, exclusions, wait.urgency, tries),
   )
   .await
   .unwrap_or(None);
   if slot.is_none() {
+    gateway
+      .counters
+      .rejected_at_once
+      .add(u64::from(tries == SlotTries::One));
     log::info!(
       "E504 no slot: {} waited {} of {wait_ms} ms",
       request.id(),
@@ -76,27 +90,81 @@
   slot
 }
 
-/// Whether a request is likely to get a slot within its wait; a resumed stream always tries.
-fn has_chance(
+/// How often a request may ask for a slot; `None` when it is unlikely to get one within its wait. A resumed stream always tries.
+fn slot_tries(
   gateway: &Gateway,
   request: &RoutedRequest,
   urgency: SlotUrgency,
   wait_ms: u64,
-) -> bool {
+) -> Option<SlotTries> {
   if urgency == SlotUrgency::Resumed || !gateway.settings.mechanisms.rejection_by_forecast {
-    return true;
+    return Some(SlotTries::Unlimited);
+  }
+  if gateway.orders_returns() {
+    return slot_tries_by_supply(gateway, request, urgency, wait_ms);
   }
   let ahead = gateway.slot_queue.borrow().len();
   let forecast = gateway.slot_forecast.borrow();
   if forecast.has_chance(ahead, wait_ms) {
-    return true;
+    return Some(SlotTries::Unlimited);
   }
   log::info!(
     "E524 no slot expected: {} has {wait_ms} ms and {ahead} ahead, one slot per {:?} ms",
     request.id(),
     forecast.interval_ms()
   );
-  false
+  None
+}
+
+/// The same by waits without a slot and engines that reported themselves full. Without others ahead, one engine is asked in any case:
+/// it may have become free.
+fn slot_tries_by_supply(
+  gateway: &Gateway,
+  request: &RoutedRequest,
+  urgency: SlotUrgency,
+  wait_ms: u64,
+) -> Option<SlotTries> {
+  let ahead = ahead(gateway, request, urgency);
+  let now_ms = gateway.now_ms();
+  let (has_chance, probability) = gateway.service_returns(&request.service, |returns| {
+    let supply = &returns.supply;
+    (
+      supply.has_chance(ahead, wait_ms, now_ms),
+      supply.probability(ahead, wait_ms, now_ms),
+    )
+  });
+  if has_chance {
+    return Some(SlotTries::Unlimited);
+  }
+  log::info!(
+    "E582 no slot expected: {} has {wait_ms} ms and {ahead} ahead, probability {probability:.3}",
+    request.id()
+  );
+  if ahead == 0 {
+    return Some(SlotTries::One);
+  }
+  gateway.counters.rejected_at_once.inc();
+  None
+}
+
+/// The number of requests in the queue that go before a request.
+fn ahead(gateway: &Gateway, request: &RoutedRequest, urgency: SlotUrgency) -> usize {
+  let queue = gateway.slot_queue.borrow();
+  queue.ahead_of(urgency, request.rank.priority)
+}
+
+/// The urgency of a request whose caller has received nothing.
+fn urgency(gateway: &Gateway, request: &RoutedRequest) -> SlotUrgency {
+  if request.refused_for_ms < MIN_RETURN_MS || !gateway.orders_returns() {
+    return SlotUrgency::New;
+  }
+  gateway.counters.returned.inc();
+  log::info!(
+    "E581 caller returned: {} was refused for {} ms",
+    request.id(),
+    request.refused_for_ms
+  );
+  SlotUrgency::Returned
 }
 
 fn slot_wait(gateway: &Gateway, request: &RoutedRequest, tried: &[Name]) -> SlotWait {
@@ -115,20 +183,26 @@
   let wait_ms = timely_wait_ms.max(target_ms * MIN_WAIT_SHARE) as u64;
   SlotWait {
     until_ms: (request.arrived_ms + wait_ms).min(request.deadline_ms),
-    urgency: SlotUrgency::New,
+    urgency: urgency(gateway, request),
   }
 }
 
 /// A request's entry in the slot queue, removed on drop.
 struct QueuedRequest<'a> {
   gateway: &'a Gateway,
+  service: &'a Name,
   position: QueuePosition,
 }
 
 impl<'a> QueuedRequest<'a> {
-  fn new(gateway: &'a Gateway, urgency: SlotUrgency, priority: u8) -> Self {
+  fn new(gateway: &'a Gateway, request: &'a RoutedRequest, urgency: SlotUrgency) -> Self {
+    let priority = request.rank.priority;
     let position = gateway.slot_queue.borrow_mut().join(urgency, priority);
-    Self { gateway, position }
+    Self {
+      gateway,
+      position,
+      service: &request.service,
+    }
   }
 
   /// Records that the request has a slot.
@@ -140,6 +214,7 @@
       .slot_forecast
       .borrow_mut()
       .record_slot(now_ms, others_wait);
+    self.gateway.record_slot(self.service);
   }
 
   fn is_first(&self) -> bool {
@@ -153,6 +228,7 @@
     queue.leave(self.position);
     if queue.is_empty() {
       self.gateway.slot_forecast.borrow_mut().record_idle();
+      self.gateway.record_no_slot_wait(self.service);
     }
     drop(queue);
     self.gateway.slot_queue_changed.notify_waiters();
@@ -165,8 +241,9 @@
   request: &RoutedRequest,
   exclusions: Exclusions<'_>,
   urgency: SlotUrgency,
+  tries: SlotTries,
 ) -> Option<(EndpointEntry, Reservation)> {
-  let queued = QueuedRequest::new(gateway, urgency, request.rank.priority);
+  let queued = QueuedRequest::new(gateway, request, urgency);
   let mut unreached = 0;
   while unreached < MAX_UNREACHED {
     let queue_changed = gateway.slot_queue_changed.notified();
@@ -190,7 +267,13 @@
         return Some((choice.entry, reservation));
       }
       Err(NoSlot::Unreached) => unreached += 1,
-      Err(NoSlot::Rejected) => unreached = 0,
+      Err(NoSlot::Rejected) => {
+        gateway.record_full(&request.service);
+        unreached = 0;
+      }
+    }
+    if tries == SlotTries::One {
+      return None;
     }
     if choice.is_backing_off {
       sleep(FULL_RETRY_DELAY).await;
--- a/src/gateway/requests/stream.rs
+++ b/src/gateway/requests/stream.rs
@@ -4,6 +4,7 @@
   super::{
     event_relay::EventRelay,
     response::{LocalReply, ResponseBody, forward_response, full_body},
+    return_time::retry_after_ms,
     stream_request::{StreamFailure, StreamRequest},
   },
   crate::gateway::{
@@ -116,9 +117,9 @@
   listed == 0
 }
 
-/// Rejects a request that has not run. When all endpoints back off, the retry-after delay lasts until the first backoff ends.
+/// Rejects a request that has not run.
 fn not_run(gateway: &Gateway, request: &RoutedRequest, default_ms: u64) -> LocalReply {
   LocalReply::NotRun {
-    retry_after_ms: gateway.retry_after_ms(&request.service, default_ms),
+    retry_after_ms: retry_after_ms(gateway, request, default_ms),
   }
 }
--- a/src/gateway/requests/unary.rs
+++ b/src/gateway/requests/unary.rs
@@ -2,7 +2,10 @@
 //! budget allow.
 
 use {
-  super::response::{LocalReply, ResponseBody, forward_response, full_body},
+  super::{
+    response::{LocalReply, ResponseBody, forward_response, full_body},
+    return_time::retry_after_ms,
+  },
   crate::{
     gateway::{
       decisions::{EndpointCriteria, RETRY_AFTER_FULL_MS, RETRY_AFTER_NO_ENDPOINT_MS},
@@ -116,6 +119,7 @@
           self.tried.len()
         );
         self.mark_slower_endpoints();
+        self.gateway.record_slot(&self.request.service);
         if response.status.is_success() {
           record_success(&self.gateway, &self.request, RoutedRequest::fingerprint);
           record_sound_segments(
@@ -257,7 +261,7 @@
   /// Rejects a request that has not run, with a retry-after delay.
   fn reject(&self, default_ms: u64) -> Response<ResponseBody> {
     let service = &self.request.service;
-    let retry_after_ms = self.gateway.retry_after_ms(service, default_ms);
+    let retry_after_ms = retry_after_ms(&self.gateway, &self.request, default_ms);
     log::info!(
       "E501 rejected: {} {service} with status 503, tried {}, {}, retry after {retry_after_ms} ms",
       self.request.id(),
--- a/src/gateway/settings/limits.rs
+++ b/src/gateway/settings/limits.rs
@@ -1,8 +1,9 @@
 //! Settings of the enforcement of organisations' limits.
 
 use {
+  super::activation::Activation,
   crate::gateway::{decisions::LimitStrategy, edge::UsageLimit},
-  serde::Deserialize,
+  serde::{Deserialize, Deserializer},
 };
 
 /// Fraction of the allowed overage that is added to the enforced limit. The rest covers requests that other halls admit before
@@ -27,6 +28,9 @@
   pub overage: f64,
   /// Additional units of allowed overage per window.
   pub slack_units: f64,
+  /// When rejected callers are told to return in an order, and what can't be served is rejected at once.
+  #[serde(deserialize_with = "return_order")]
+  pub return_order: Activation,
 }
 
 impl LimitSettings {
@@ -51,3 +55,7 @@
     invalid.map(|(key, _)| (key, "must be a number of 0 or more"))
   }
 }
+
+fn return_order<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Activation, D::Error> {
+  Activation::deserialize_key("limits.return_order", deserializer)
+}
--- a/src/gateway/stages/request.rs
+++ b/src/gateway/stages/request.rs
@@ -72,6 +72,8 @@
   pub(crate) arrived_ms: u64,
   /// When its final response is due at the latest.
   pub(crate) deadline_ms: u64,
+  /// How long ago its caller was rejected first, as far as its deadline tells; 0 for a new caller.
+  pub(crate) refused_for_ms: u64,
   pub(crate) resumption: Resumption,
   pub(crate) send_mode: Cell<SendMode>,
   /// The quarantine probes that this box claimed for the request.
--- a/src/gateway/state/counters.rs
+++ b/src/gateway/state/counters.rs
@@ -65,6 +65,13 @@
   pub(crate) rejected: Counter,
   /// Requests rejected because their organisation was over its limit.
   pub(crate) over_limit: Counter,
+  /// Requests rejected at once, since no slot was expected in their time.
+  pub(crate) rejected_at_once: Counter,
+  /// Callers who returned after a rejection.
+  pub(crate) returned: Counter,
+  /// Return times that were handed out, and those of them at which no room is forecast.
+  pub(crate) return_times: Counter,
+  pub(crate) latest_return_times: Counter,
   pub(crate) interrupted_streams: Counter,
   /// Requests rejected by quarantine.
   pub(crate) quarantined: Counter,
@@ -126,6 +133,13 @@
       ("rillford_timed_out_total", &self.timed_out),
       ("rillford_refused_total", &self.rejected),
       ("rillford_beyond_limit_total", &self.over_limit),
+      ("rillford_rejected_at_once_total", &self.rejected_at_once),
+      ("rillford_returned_total", &self.returned),
+      ("rillford_return_times_total", &self.return_times),
+      (
+        "rillford_return_times_latest_total",
+        &self.latest_return_times,
+      ),
       ("rillford_broken_streams_total", &self.interrupted_streams),
       ("rillford_held_total", &self.quarantined),
       (
--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -3,7 +3,8 @@
 use {
   super::{
     change_log::ChangeLog, counters::Counters, log_throttle::LogThrottle, quarantine::Quarantine,
-    unknown_headers::UnknownHeaders, unresponsive_boxes::UnresponsiveBoxes,
+    service_returns::ServiceReturns, unknown_headers::UnknownHeaders,
+    unresponsive_boxes::UnresponsiveBoxes,
   },
   crate::{
     HttpClient,
@@ -12,8 +13,9 @@
       decisions::{
         AttemptOutcome, BoxEntry, BoxList, CachedPrompts, Choice, ColdPeriod, CopyBudget,
         EndpointCounts, EndpointCriteria, EndpointGroup, EndpointRegistry, LocalUsage,
-        PeakBoxCount, PeerAnswers, PermitTable, Reachability, RetryUsage, RetryWindow,
-        SlotForecast, SlotQueue, StreamRecords, Unavailable, UsageTable, retry_after_backoff_ms,
+        LongestDeadlines, PeakBoxCount, PeerAnswers, PermitTable, Reachability, RetryUsage,
+        RetryWindow, SlotForecast, SlotQueue, StreamRecords, Unavailable, UsageTable,
+        retry_after_backoff_ms,
       },
       edge::{ColdStart, EndpointEntry, PlatformCodec, RouteTable, StoreLease},
       settings::{GatewaySettings, RoutePolicy},
@@ -91,6 +93,10 @@
   pub(crate) slot_queue: RefCell<SlotQueue>,
   /// Notified when a request leaves that queue.
   pub(crate) slot_queue_changed: Notify,
+  /// The longest deadlines of callers, by route.
+  pub(crate) longest_deadlines: RefCell<LongestDeadlines>,
+  /// Room and return times, by service.
+  service_returns: RefCell<HashMap<Name, ServiceReturns>>,
   /// Moving mean of the time from the reservation of a slot to the first event.
   pub(crate) mean_first_event_ms: Cell<Option<f64>>,
   /// The cached prompts that the engines of each service listed.
@@ -165,6 +171,7 @@
       lease: Cell::new(None),
       limit_log_throttle: LogThrottle::default(),
       local_usage: RefCell::default(),
+      longest_deadlines: RefCell::default(),
       mean_first_event_ms: Cell::new(None),
       peak_box_count: RefCell::default(),
       peer_answers: RefCell::default(),
@@ -177,6 +184,7 @@
       reachability: RefCell::default(),
       retry_windows: RefCell::default(),
       route_table: RefCell::new(None),
+      service_returns: RefCell::default(),
       settings,
       slot_forecast: RefCell::default(),
       slot_queue: RefCell::default(),
@@ -357,6 +365,59 @@
     })
   }
 
+  /// Whether rejected callers are told to return in an order, and what can't be served is rejected at once.
+  pub(crate) fn orders_returns(&self) -> bool {
+    self.settings.limits.return_order.is_enabled(|| {
+      let table = self.route_table.borrow();
+      table.as_ref().is_some_and(|table| table.ranks_streams())
+    })
+  }
+
+  /// Uses the room and return times of a service.
+  pub(crate) fn service_returns<T>(
+    &self,
+    service: &Name,
+    use_returns: impl FnOnce(&mut ServiceReturns) -> T,
+  ) -> T {
+    let mut services = self.service_returns.borrow_mut();
+    use_returns(services.entry(service.clone()).or_default())
+  }
+
+  /// Records that a request got a slot, or a plain endpoint's answer.
+  pub(crate) fn record_slot(&self, service: &Name) {
+    let now_ms = self.now_ms();
+    self.service_returns(service, |returns| returns.supply.record_slot(now_ms));
+  }
+
+  /// Records that an engine reported itself full to a request that asks for a slot.
+  pub(crate) fn record_full(&self, service: &Name) {
+    let now_ms = self.now_ms();
+    self.service_returns(service, |returns| returns.supply.record_full(now_ms));
+  }
+
+  /// Records that no request waits for a slot.
+  pub(crate) fn record_no_slot_wait(&self, service: &Name) {
+    let now_ms = self.now_ms();
+    self.service_returns(service, |returns| returns.supply.record_idle(now_ms));
+  }
+
+  /// The rate of room and the return times handed out by service, as text.
+  pub(crate) fn return_metrics(&self) -> String {
+    let now_ms = self.now_ms();
+    let mut text = String::new();
+    for (service, returns) in self.service_returns.borrow().iter() {
+      let rate_per_s = returns.supply.rate_per_s(now_ms).unwrap_or(0.0);
+      let units = returns.schedule.handed_out(now_ms, u64::MAX);
+      // Writing to a `String` cannot fail.
+      let _ = writeln!(
+        text,
+        "rillford_room_per_s{{service=\"{service}\"}} {rate_per_s:.3}\n\
+         rillford_returns_expected{{service=\"{service}\"}} {units:.1}"
+      );
+    }
+    text
+  }
+
   /// Records the outcome of a stage at an endpoint.
   pub(crate) fn finish_stage(&self, id: &str, size: u64, units: u64, outcome: AttemptOutcome) {
     self
--- a/src/gateway/state/mod.rs
+++ b/src/gateway/state/mod.rs
@@ -8,6 +8,7 @@
 mod log_throttle;
 mod quarantine;
 mod reachability;
+mod service_returns;
 mod unknown_headers;
 mod unresponsive_boxes;
 
--- a/tests/gateway/configuration.rs
+++ b/tests/gateway/configuration.rs
@@ -154,6 +154,11 @@
   "unknown field `role_order`"
 )]
 #[case("[engines]", "[mechanisms]\nrole_orders = 0\n[engines]", "box.toml:")]
+#[case(
+  "[engines]",
+  "[limits]\nreturn_order = \"often\"\n[engines]",
+  "limits.return_order must be \"never\", \"by_configuration\" or \"always\", not \"often\""
+)]
 #[case(
   "[engines]",
   "[prefill_queue]\nenabled = \"sometimes\"\n[engines]",
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -43,6 +43,8 @@
   /// Retries of all boxes in excess of the ratio.
   pub(crate) retry_slack: f64,
   stop_s: f64,
+  /// Settings at the end of the file.
+  pub(crate) extra_settings: &'static str,
   /// The address by which the box reaches the store.
   store_address: SocketAddr,
 }
@@ -74,6 +76,7 @@
     Self {
       configuration,
       engine_priority: "route",
+      extra_settings: "",
       metrics_port_taken: false,
       name: "north-1".into(),
       retry_slack: 60.0,
@@ -88,6 +91,7 @@
     Self {
       configuration: self.configuration.clone(),
       engine_priority: self.engine_priority,
+      extra_settings: self.extra_settings,
       metrics_port_taken: false,
       name: name.into(),
       retry_slack: self.retry_slack,
@@ -312,8 +316,14 @@
 [engines]
 prefill_share = 0.25
 marks = "{}"
+{}
 "#,
-      self.name, self.store_address, self.stop_s, self.retry_slack, self.engine_priority
+      self.name,
+      self.store_address,
+      self.stop_s,
+      self.retry_slack,
+      self.engine_priority,
+      self.extra_settings
     )
   }
 
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -25,6 +25,7 @@
 mod relay;
 mod responses;
 mod resume;
+mod return_order;
 mod role_plan;
 mod roles;
 mod slots;
