--- a/emulator/src/limits/replay.rs
+++ b/emulator/src/limits/replay.rs
@@ -30,6 +30,7 @@
 const SETTINGS: LimitSettings = LimitSettings {
   fair_shares: Activation::Never,
   overage: 0.1,
+  return_order: Activation::Never,
   slack_units: 190_000.0,
   strategy: LimitStrategy::AskNearLimit,
 };
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -26,6 +26,7 @@
 mod limit_strategy;
 mod local_permits;
 mod local_usage;
+mod longest_deadlines;
 mod notice_tracker;
 mod peak_box_count;
 mod peer_answers;
@@ -51,10 +52,12 @@
 mod reporter_list;
 mod retry_after;
 mod retry_window;
+mod return_schedule;
 mod role_plan;
 mod service_versions;
 mod slot_forecast;
 mod slot_queue;
+mod slot_supply;
 mod sound_segments;
 mod store_retry_delay;
 mod stream_key;
@@ -88,6 +91,7 @@
   limit_strategy::LimitStrategy,
   local_permits::{LocalPermitVerdict, LocalPermits},
   local_usage::{LocalUsage, LocalVerdict, UsageRequest},
+  longest_deadlines::LongestDeadlines,
   notice_tracker::{Availability, NoticeChange, NoticeTracker},
   peak_box_count::PeakBoxCount,
   peer_answers::{PeerAnswers, PeerList},
@@ -106,10 +110,12 @@
   record_holders::{RECORD_COPIES, record_holders, record_sources},
   retry_after::retry_after_backoff_ms,
   retry_window::{RetryAllowance, RetryUsage, RetryWindow},
+  return_schedule::{ReturnSchedule, ReturningCaller},
   role_plan::{RolePlan, plan_roles},
   service_versions::ServiceVersions,
   slot_forecast::SlotForecast,
   slot_queue::{QueuePosition, SlotQueue, SlotUrgency},
+  slot_supply::SlotSupply,
   sound_segments::SoundSegments,
   store_retry_delay::store_retry_delay_ms,
   stream_key::StreamKey,
--- a/src/gateway/settings/limits.rs
+++ b/src/gateway/settings/limits.rs
@@ -31,6 +31,9 @@
   /// When small and urgent requests of an organisation go first at its limit.
   #[serde(deserialize_with = "fair_shares")]
   pub fair_shares: Activation,
+  /// When rejected callers are told to return in an order, and what can't be served is rejected at once.
+  #[serde(deserialize_with = "return_order")]
+  pub return_order: Activation,
 }
 
 impl LimitSettings {
@@ -59,3 +62,7 @@
 fn fair_shares<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Activation, D::Error> {
   Activation::deserialize_key("limits.fair_shares", deserializer)
 }
+
+fn return_order<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Activation, D::Error> {
+  Activation::deserialize_key("limits.return_order", deserializer)
+}
--- a/src/gateway/state/mod.rs
+++ b/src/gateway/state/mod.rs
@@ -9,6 +9,7 @@
 mod prefill_queues;
 mod quarantine;
 mod reachability;
+mod service_returns;
 mod unknown_headers;
 mod unresponsive_boxes;
 mod unsupporting_boxes;
