Held bytes of a box are counted and bounded, and streams are read ahead

Cause: responses of up to 4 MB were buffered for each request without a bound over all of them, a stream was read from its engine only when its caller's connection took more, and an engine that aborted such an unread stream was avoided. Change: with [memory] box_mb, request bodies, buffered responses and streams read ahead share a bound; a stream is read ahead of a slow caller by up to 64 KB; over the bound, streams are not read ahead, new requests are rejected with 503 before anything is sent, and responses in progress wait for room; an abort of an unread response is not attributed to the endpoint; a caller that takes nothing for the idle timeout is closed. Without the setting requests are served as before.

--- a/src/gateway/connections/connection.rs
+++ b/src/gateway/connections/connection.rs
@@ -114,6 +114,16 @@
   }
 }
 
+/// Bounds what the kernel buffers for a peer that does not read.
+pub(crate) fn set_send_buffer(stream: &TcpStream, bytes: usize) -> io::Result<()> {
+  SockRef::from(stream).set_send_buffer_size(bytes)
+}
+
+/// Sets how long sent data may stay unacknowledged, or unsent because the peer does not read, until the connection is closed.
+pub(crate) fn set_user_timeout(stream: &TcpStream, limit: Duration) -> io::Result<()> {
+  SockRef::from(stream).set_tcp_user_timeout(Some(limit))
+}
+
 /// Sets the socket options that detect an unresponsive peer.
 pub(crate) fn set_socket_options(stream: &TcpStream) -> io::Result<()> {
   stream.set_nodelay(true)?;
--- a/src/gateway/connections/mod.rs
+++ b/src/gateway/connections/mod.rs
@@ -8,12 +8,14 @@
 mod connection;
 mod connection_pool;
 mod headers;
+mod stall_timeout;
 
 pub use self::headers::remove_connection_headers;
 
 pub(crate) use self::{
   accept::{accept, serve_port},
   box_message::{message_response, read_message, send_message, status_response},
-  connection::{Connection, SendError, set_socket_options},
+  connection::{Connection, SendError, set_send_buffer, set_socket_options, set_user_timeout},
   connection_pool::ConnectionPool,
+  stall_timeout::{StallTimeout, Stalled},
 };
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -1,5 +1,5 @@
 //! The decisions of a box, free of I/O: selection of endpoints, batch slots and their queue, the forecast behind early
-//! rejections, retries, limits and permits, quarantine of requests that crash endpoints, roles, and which boxes read the
+//! rejections, retries, the bound on held bytes, limits and permits, quarantine of requests that crash endpoints, roles, and which boxes read the
 //! store.
 //!
 //! Imports only `edge`: a decision gets the time, observations and a random number, and returns what to do.
@@ -22,6 +22,7 @@
 mod endpoint_state;
 mod fingerprint;
 mod hall_reachability;
+mod held_bytes;
 mod limit_strategy;
 mod local_permits;
 mod local_usage;
@@ -52,6 +53,7 @@
 mod stream_records;
 mod token_bucket;
 mod unavailable;
+mod unread_time;
 mod usage_table;
 mod usage_verdict;
 
@@ -72,6 +74,7 @@
   endpoint_limits::EndpointLimits,
   endpoint_registry::EndpointRegistry,
   fingerprint::{Fingerprint, RequestIdentity, SegmentIdentity},
+  held_bytes::{HeldBytes, HeldKind, ResponseTicket},
   limit_strategy::LimitStrategy,
   local_permits::{LocalPermitVerdict, LocalPermits},
   local_usage::{LocalUsage, LocalVerdict, UsageRequest},
@@ -98,14 +101,15 @@
   stream_records::{RecordSource, RecordedOrigin, StreamOrigin, StreamRecords},
   token_bucket::TokenBucket,
   unavailable::Unavailable,
+  unread_time::UnreadTime,
   usage_table::{ReportScope, UsageTable, UsageTotals},
   usage_verdict::UsageVerdict,
 };
 
 pub(crate) use self::{
   retry_after::{
-    RETRY_AFTER_FULL_MS, RETRY_AFTER_LEAVING_MS, RETRY_AFTER_NO_CONFIGURATION_MS,
-    RETRY_AFTER_NO_ENDPOINT_MS, RETRY_AFTER_UNKNOWN_ORIGIN_MS,
+    RETRY_AFTER_FULL_MS, RETRY_AFTER_LEAVING_MS, RETRY_AFTER_MEMORY_MS,
+    RETRY_AFTER_NO_CONFIGURATION_MS, RETRY_AFTER_NO_ENDPOINT_MS, RETRY_AFTER_UNKNOWN_ORIGIN_MS,
   },
   role_plan::with_role,
 };
--- a/src/gateway/decisions/retry_after.rs
+++ b/src/gateway/decisions/retry_after.rs
@@ -10,6 +10,8 @@
 pub(crate) const RETRY_AFTER_UNKNOWN_ORIGIN_MS: u64 = 1_000;
 /// This box is about to stop; other boxes serve.
 pub(crate) const RETRY_AFTER_LEAVING_MS: u64 = 50;
+/// The box holds too many bytes: callers that read slowly take about this long for theirs.
+pub(crate) const RETRY_AFTER_MEMORY_MS: u64 = 400;
 /// Window over which callers return after the first backoff ends, when all endpoints back off: else the callers of dozens of
 /// boxes would return at once.
 const RETURN_SPREAD_MS: f64 = 500.0;
--- a/src/gateway/process/start.rs
+++ b/src/gateway/process/start.rs
@@ -86,6 +86,9 @@
     policy,
     unix_ms() ^ u64::from(std::process::id()),
   ));
+  if let (_, Some(bound)) = gateway.held_memory.usage() {
+    log::info!("E589 memory bound: {bound} bytes for requests, responses and streams");
+  }
   spawn_tasks(&gateway, &store, ports);
   loop {
     tokio::select! {
--- a/src/gateway/process/status_pages.rs
+++ b/src/gateway/process/status_pages.rs
@@ -41,6 +41,7 @@
   match page {
     StatusPage::Metrics => {
       let mut text = gateway.counters.text();
+      text.push_str(&gateway.held_memory.metrics());
       text.push_str(&limit_metrics(gateway));
       text.push_str(&gateway.quarantine.metrics());
       text.push_str(&gateway.endpoint_metrics());
--- a/src/gateway/requests/event_relay.rs
+++ b/src/gateway/requests/event_relay.rs
@@ -2,26 +2,24 @@
 
 use {
   super::{
-    event_splitter::EventSplitter,
-    response::{ResponseBody, StreamAborted},
-    stream_request::StreamRequest,
+    event_splitter::EventSplitter, response::StreamAborted, stream_request::StreamRequest,
     stream_send::SILENCE_TIMEOUT_MS,
   },
   crate::gateway::{
-    decisions::AttemptOutcome,
+    decisions::{AttemptOutcome, UnreadTime},
     edge::SoftwareVersion,
     quarantine::{
       LostStage, is_past_beginning, record_lost_stage, record_sound_segments, record_success,
     },
     resumption::record_stream,
     stages::{ResponseHead, RoutedRequest, StageError},
-    state::InFlight,
+    state::{Gateway, UnreadCause},
   },
   bytes::Bytes,
-  futures_util::{FutureExt, stream},
-  http_body_util::{BodyExt, StreamBody},
+  futures_util::FutureExt,
+  http_body_util::BodyExt,
   hyper::body::Frame,
-  std::time::Duration,
+  std::{rc::Rc, time::Duration},
   tokio::time::timeout,
 };
 
@@ -40,38 +38,45 @@
   last_event_ms: Option<u64>,
   /// The longest time between two events so far.
   longest_pause_ms: u64,
-  /// Held until the last event was forwarded.
-  _in_flight: InFlight,
+  /// For how long the current engine's events have been left unread.
+  unread: UnreadTime,
 }
 
 impl EventRelay {
-  pub(crate) fn new(mut stream: StreamRequest, head: ResponseHead, in_flight: InFlight) -> Self {
+  pub(crate) fn new(mut stream: StreamRequest, head: ResponseHead) -> Self {
     stream.version = Some(head.entry.version.clone());
     Self {
       answering_since_ms: None,
       first_event_recorded: false,
       has_sound_segments: false,
       head: Some(head),
-      _in_flight: in_flight,
       is_finished: false,
       last_event_ms: None,
       longest_pause_ms: 0,
       splitter: EventSplitter::default(),
       stream,
+      unread: UnreadTime::default(),
     }
   }
 
-  /// The body of the response to the caller.
-  pub(crate) fn into_body(self) -> ResponseBody {
-    let events = stream::unfold(self, |mut source| async move {
-      let item = source.next().await?;
-      Some((item.map(Frame::data), source))
-    });
-    Box::pin(StreamBody::new(events))
+  /// The box that forwards the stream.
+  pub(super) fn gateway(&self) -> &Rc<Gateway> {
+    &self.stream.gateway
+  }
+
+  /// The request.
+  pub(super) fn request(&self) -> &Rc<RoutedRequest> {
+    &self.stream.request
+  }
+
+  /// The engine was left unread for some time, until now.
+  pub(super) fn record_pause(&mut self, paused_ms: u64) {
+    let now_ms = self.stream.gateway.now_ms();
+    self.unread.record_pause(paused_ms, now_ms);
   }
 
   /// The next bytes for the caller; `None` after the stream's end.
-  async fn next(&mut self) -> Option<Result<Bytes, StreamAborted>> {
+  pub(super) async fn next(&mut self) -> Option<Result<Bytes, StreamAborted>> {
     loop {
       if self.is_finished {
         return None;
@@ -137,7 +142,11 @@
     } else {
       remaining_ms
     };
-    let Ok(frame) = timeout(Duration::from_millis(timeout_ms), head.body.frame()).await else {
+    let since_ms = self.stream.gateway.now_ms();
+    let read = timeout(Duration::from_millis(timeout_ms), head.body.frame()).await;
+    let now_ms = self.stream.gateway.now_ms();
+    self.unread.record_read(now_ms - since_ms, now_ms);
+    let Ok(frame) = read else {
       return self.handle_silence(timeout_ms, remaining_ms).await;
     };
     self.push_frame(frame)
@@ -148,7 +157,10 @@
     let Some(head) = &mut self.head else {
       return Err("no endpoint".into());
     };
-    self.stream.gateway.mark_overdue(&head.connection.endpoint);
+    // At the deadline, an engine whose events were left unread is not the one that is late.
+    if self.unread.unread_ms().is_none() {
+      self.stream.gateway.mark_overdue(&head.connection.endpoint);
+    }
     let silent = format!("silent for {silent_ms} ms");
     if silent_ms >= remaining_ms {
       return Err(silent);
@@ -241,17 +253,24 @@
     let mut interrupted_version = SoftwareVersion::default();
     if let Some(mut head) = self.head.take() {
       interrupted_version = head.entry.version.clone();
-      head.load_guard.settle(AttemptOutcome::Lost);
       let since_ms = self.answering_since_ms.take();
-      let lost = LostStage {
-        answering_ms: since_ms.map(|since_ms| self.stream.gateway.now_ms() - since_ms),
-        entry: head.entry.clone(),
-        error: error.clone(),
-        fingerprint: request.fingerprint(),
-        segments: request.segment_fingerprints(),
-        sent_ms: head.sent_ms,
-      };
-      record_lost_stage(&self.stream.gateway, &request, lost).await;
+      let unread = std::mem::take(&mut self.unread);
+      if let Some(unread_ms) = unread.unread_ms() {
+        let endpoint = &head.connection.endpoint;
+        let gateway = &self.stream.gateway;
+        gateway.record_left_unread(request.id(), endpoint, UnreadCause::Caller, unread_ms);
+      } else {
+        head.load_guard.settle(AttemptOutcome::Lost);
+        let lost = LostStage {
+          answering_ms: since_ms.map(|since_ms| self.stream.gateway.now_ms() - since_ms),
+          entry: head.entry.clone(),
+          error: error.clone(),
+          fingerprint: request.fingerprint(),
+          segments: request.segment_fingerprints(),
+          sent_ms: head.sent_ms,
+        };
+        record_lost_stage(&self.stream.gateway, &request, lost).await;
+      }
       self.stream.interrupted_at = Some(head.connection.endpoint.clone());
     }
     self.splitter = EventSplitter::default();
--- a/src/gateway/requests/forwarded.rs
+++ b/src/gateway/requests/forwarded.rs
@@ -89,6 +89,8 @@
   Leaving,
   #[error("too many in flight")]
   TooMany,
+  #[error("too many bytes held")]
+  Memory,
   /// The caller may have seen the effect of a newer configuration already.
   #[error("older configuration")]
   OlderConfiguration,
@@ -107,7 +109,7 @@
     let mut response = Response::new(full_body(Bytes::new()));
     *response.status_mut() = match self {
       Self::Leaving | Self::OlderConfiguration | Self::CutOff => DECLINED_FOR_NOW,
-      Self::TooMany => BUSY,
+      Self::TooMany | Self::Memory => BUSY,
       Self::Unreached => StatusCode::SERVICE_UNAVAILABLE,
       Self::Malformed => StatusCode::BAD_REQUEST,
     };
@@ -124,6 +126,9 @@
   if gateway.forwarded_in_flight.get() >= MAX_IN_FLIGHT {
     return Some(Decline::TooMany);
   }
+  if !gateway.held_memory.accepts_request(0) {
+    return Some(Decline::Memory);
+  }
   let own_version = gateway.route_table().map(|table| table.version());
   if own_version.is_none_or(|own_version| own_version < version) {
     return Some(Decline::OlderConfiguration);
--- a/src/gateway/requests/frontend.rs
+++ b/src/gateway/requests/frontend.rs
@@ -3,13 +3,15 @@
 use {
   super::{response::ResponseBody, routing::route_request, serving::serve_here_or_forward},
   crate::gateway::{
-    connections::{accept, set_socket_options},
+    connections::{
+      StallTimeout, Stalled, accept, set_send_buffer, set_socket_options, set_user_timeout,
+    },
     state::{Gateway, InFlight, Phase},
   },
   http::{HeaderValue, Request, Response, header::CONNECTION},
   hyper::{body::Incoming, server::conn::http1, service::service_fn},
   hyper_util::rt::{TokioIo, TokioTimer},
-  std::{convert::Infallible, pin::pin, rc::Rc, time::Duration},
+  std::{convert::Infallible, error::Error, io, pin::pin, rc::Rc, time::Duration},
   tokio::{
     net::{TcpListener, TcpStream},
     task::spawn_local,
@@ -21,6 +23,11 @@
 /// The HTTP library has one timer for the idle time and the next request head: it must outlast both, also when a new
 /// configuration raises the idle timeout.
 const IDLE_TIMEOUT_FACTOR: u64 = 2;
+/// The kernel's timeout for data that a caller does not take is longer than the box's own, which is logged.
+const USER_TIMEOUT_FACTOR: u32 = 2;
+/// Send buffer of a caller's connection where held bytes are bounded: the kernel's own bound is several megabytes for each
+/// connection. Enough for 200 Mbit/s at a round trip of 6 ms.
+const SEND_BUFFER_BYTES: usize = 128 * 1024;
 /// The longest request head before a configuration is known.
 const DEFAULT_MAX_HEAD_BYTES: usize = 16 * 1024;
 /// The smallest buffer that the HTTP library accepts.
@@ -50,12 +57,19 @@
     return;
   }
   let limits = gateway.route_table().map(|table| table.limits());
+  let idle_ms = limits.map_or(DEFAULT_IDLE_TIMEOUT_MS, |limits| limits.idle_ms);
+  let Ok(stream) = with_stall_timeout(&gateway, stream, idle_ms) else {
+    return;
+  };
   let timeout_ms = limits.map_or(DEFAULT_IDLE_TIMEOUT_MS, |limits| {
     limits.idle_ms * IDLE_TIMEOUT_FACTOR + limits.head_ms
   });
   let head_bytes = limits.map_or(DEFAULT_MAX_HEAD_BYTES, |limits| limits.head_bytes);
   let mut phase = gateway.phase.subscribe();
-  let service = service_fn(move |request| handle(gateway.clone(), request));
+  let service = service_fn({
+    let gateway = gateway.clone();
+    move |request| handle(gateway.clone(), request)
+  });
   let connection = http1::Builder::new()
     .timer(TokioTimer::new())
     .header_read_timeout(Duration::from_millis(timeout_ms))
@@ -70,10 +84,40 @@
     }
   };
   if let Err(error) = result {
+    if is_stalled(&error) {
+      gateway.counters.stalled_callers.inc();
+      log::info!("E588 caller's connection closed: it accepted nothing for {idle_ms} ms");
+    }
     log::debug!("a caller's connection failed: {error}");
   }
 }
 
+/// Closes the connection of a caller that accepts nothing for the idle timeout, where held bytes are bounded: they count until
+/// they are written.
+fn with_stall_timeout(
+  gateway: &Gateway,
+  stream: TcpStream,
+  idle_ms: u64,
+) -> io::Result<StallTimeout<TcpStream>> {
+  if !gateway.held_memory.is_bounded() {
+    return Ok(StallTimeout::without_limit(stream));
+  }
+  let limit = Duration::from_millis(idle_ms);
+  // The timeout for unacknowledged data would close the connection of a caller that pauses for longer than that.
+  set_user_timeout(&stream, limit * USER_TIMEOUT_FACTOR)?;
+  set_send_buffer(&stream, SEND_BUFFER_BYTES)?;
+  Ok(StallTimeout::new(stream, limit))
+}
+
+/// Whether a connection failed because the caller accepted nothing.
+fn is_stalled(error: &hyper::Error) -> bool {
+  let source = error
+    .source()
+    .and_then(|source| source.downcast_ref::<io::Error>());
+  let cause = source.and_then(io::Error::get_ref);
+  cause.is_some_and(|cause| cause.is::<Stalled>())
+}
+
 /// Serves one request. While the box shuts down, the response asks the caller to close the connection.
 async fn handle(
   gateway: Rc<Gateway>,
--- a/src/gateway/requests/mod.rs
+++ b/src/gateway/requests/mod.rs
@@ -13,6 +13,7 @@
 mod forwarding_headers;
 mod frontend;
 mod prefill;
+mod read_ahead;
 mod response;
 mod resume_slot;
 mod routing;
--- a/src/gateway/requests/prefill.rs
+++ b/src/gateway/requests/prefill.rs
@@ -145,7 +145,7 @@
   let prefill = async {
     let stage = OutgoingStage::new(entry, &proxy_headers, tokens, work);
     let head = send_stage(gateway, request, stage).await?;
-    head.buffer(gateway).await
+    head.buffer(gateway, request).await
   };
   let Ok(response) = timeout(Duration::from_millis(timeout_ms), prefill).await else {
     gateway.mark_overdue(&entry.id);
@@ -157,7 +157,7 @@
   }
   gateway
     .codec
-    .export_handle(&response.body)
+    .export_handle(&response.body.to_bytes())
     .map_err(|error| StageError::Lost(error.to_string()))
 }
 
--- a/src/gateway/requests/response.rs
+++ b/src/gateway/requests/response.rs
@@ -2,7 +2,7 @@
 
 use {
   crate::{
-    gateway::{decisions::EndpointIncarnation, edge::EndpointEntry},
+    gateway::{decisions::EndpointIncarnation, edge::EndpointEntry, stages::BufferedBody},
     ids::Name,
   },
   bytes::Bytes,
@@ -96,6 +96,11 @@
   Box::pin(Full::new(bytes).map_err(|never| match never {}))
 }
 
+/// A response's body that is buffered whole.
+pub(crate) fn buffered_body(body: BufferedBody) -> ResponseBody {
+  Box::pin(body.map_err(|never| match never {}))
+}
+
 /// The endpoint whose response is forwarded, as an extension of the response.
 #[derive(Clone, Debug)]
 pub(super) struct AnsweredBy {
--- a/src/gateway/requests/routing.rs
+++ b/src/gateway/requests/routing.rs
@@ -4,16 +4,19 @@
   super::{authentication::authenticate, response::LocalReply},
   crate::gateway::{
     connections::remove_connection_headers,
-    decisions::{AllowedHalls, RETRY_AFTER_NO_CONFIGURATION_MS},
+    decisions::{
+      AllowedHalls, HeldKind, RETRY_AFTER_MEMORY_MS, RETRY_AFTER_NO_CONFIGURATION_MS,
+      retry_after_backoff_ms,
+    },
     edge::RouteTable,
     settings::EnginePriority,
     stages::{RequestOrigin, Resumption, RoutedRequest},
-    state::Gateway,
+    state::{Gateway, HeldGuard},
   },
   bytes::Bytes,
   http::{Request, header::HOST},
-  http_body_util::{BodyExt, LengthLimitError, Limited},
-  hyper::body::Incoming,
+  http_body_util::{BodyExt, Limited},
+  hyper::body::{Body, Incoming},
   std::{
     cell::{Cell, OnceCell, RefCell},
     time::Duration,
@@ -21,6 +24,9 @@
   tokio::time::timeout,
 };
 
+/// How long the body of a rejected request is read.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// The response while the configuration that a request needs is missing.
 pub(super) const NO_CONFIGURATION: LocalReply = LocalReply::NotRun {
   retry_after_ms: RETRY_AFTER_NO_CONFIGURATION_MS,
@@ -65,7 +71,7 @@
     .min(attributes.deadline_ms.unwrap_or(u64::MAX))
     .min(box_remaining_ms.unwrap_or(u64::MAX))
     .min(exit_ms.saturating_sub(arrived_ms));
-  let body = read_body(body, table.limits().body_bytes, timeout_ms).await?;
+  let (body, held_body) = read_body(gateway, body, table.limits().body_bytes, timeout_ms).await?;
   let service = route
     .service(gateway.draw())
     .cloned()
@@ -96,6 +102,7 @@
     probes: RefCell::default(),
     segment_fingerprints: OnceCell::new(),
     headers,
+    _held_body: held_body,
     method: head.method,
     organisation,
     rank,
@@ -107,6 +114,7 @@
     sends: Cell::default(),
     service,
     uri: head.uri,
+    waits_for_memory: Cell::default(),
   })
 }
 
@@ -124,12 +132,77 @@
   }
 }
 
-/// Reads a body within limits on its length and time.
-async fn read_body(body: Incoming, max_bytes: usize, timeout_ms: u64) -> Result<Bytes, LocalReply> {
-  let read = Limited::new(body, max_bytes).collect();
-  match timeout(Duration::from_millis(timeout_ms), read).await {
-    Ok(Ok(body)) => Ok(body.to_bytes()),
-    Ok(Err(error)) if error.is::<LengthLimitError>() => Err(LocalReply::BodyTooLarge),
-    Ok(Err(_)) | Err(_) => Err(LocalReply::Malformed),
+/// Reads a body within limits on its length and time, if the box may hold it.
+async fn read_body(
+  gateway: &Gateway,
+  mut body: Incoming,
+  max_bytes: usize,
+  timeout_ms: u64,
+) -> Result<(Bytes, HeldGuard), LocalReply> {
+  let memory = &gateway.held_memory;
+  let length = body.size_hint().exact();
+  let expected = length.filter(|length| *length <= max_bytes as u64);
+  if !memory.accepts_request(expected.unwrap_or(0)) {
+    let reply = reject_for_memory(gateway, length);
+    discard(body, max_bytes).await;
+    return Err(reply);
+  }
+  let mut guard = memory.hold(HeldKind::RequestBodies, expected.unwrap_or(0));
+  let read = async {
+    let mut chunks = Vec::new();
+    let mut total = 0;
+    while let Some(frame) = body.frame().await {
+      let Ok(data) = frame.map_err(|_| LocalReply::Malformed)?.into_data() else {
+        continue;
+      };
+      total += data.len();
+      if total > max_bytes {
+        return Err(LocalReply::BodyTooLarge);
+      }
+      if expected.is_none() {
+        if !memory.accepts_request(data.len() as u64) {
+          return Err(reject_for_memory(gateway, None));
+        }
+        guard.extend(data.len() as u64);
+      }
+      chunks.push(data);
+    }
+    Ok(join(chunks))
+  };
+  let body = timeout(Duration::from_millis(timeout_ms), read)
+    .await
+    .unwrap_or(Err(LocalReply::Malformed))?;
+  Ok((body, guard))
+}
+
+/// The chunks of a body in one piece.
+fn join(mut chunks: Vec<Bytes>) -> Bytes {
+  match (chunks.pop(), chunks.is_empty()) {
+    (None, _) => Bytes::new(),
+    (Some(only), true) => only,
+    (Some(last), false) => {
+      chunks.push(last);
+      chunks.concat().into()
+    }
   }
 }
+
+/// Rejects a request, of which nothing was sent, because the box holds too many bytes.
+fn reject_for_memory(gateway: &Gateway, length: Option<u64>) -> LocalReply {
+  gateway.counters.rejected_for_memory.inc();
+  let retry_after_ms = retry_after_backoff_ms(RETRY_AFTER_MEMORY_MS, gateway.draw());
+  let (held, bound) = gateway.held_memory.usage();
+  log::info!(
+    "E585 rejected: with status 503 for memory, {held} bytes held of {bound:?}, body of {length:?} bytes, retry after \
+     {retry_after_ms} ms"
+  );
+  LocalReply::NotRun { retry_after_ms }
+}
+
+/// Reads the body of a rejected request without holding it: a connection that is closed with unread bytes is reset, and the
+/// caller may lose the response.
+async fn discard(body: Incoming, max_bytes: usize) {
+  let mut body = Limited::new(body, max_bytes);
+  let read = async { while let Some(Ok(_)) = body.frame().await {} };
+  let _ = timeout(DISCARD_TIMEOUT, read).await;
+}
--- a/src/gateway/requests/stream.rs
+++ b/src/gateway/requests/stream.rs
@@ -3,7 +3,8 @@
 use {
   super::{
     event_relay::EventRelay,
-    response::{LocalReply, ResponseBody, forward_response, full_body},
+    read_ahead::relay_events,
+    response::{LocalReply, ResponseBody, buffered_body, forward_response},
     stream_request::{StreamFailure, StreamRequest},
   },
   crate::gateway::{
@@ -33,7 +34,7 @@
         &entry,
         status,
         headers,
-        EventRelay::new(stream, head, in_flight).into_body(),
+        relay_events(EventRelay::new(stream, head), in_flight),
       )
     }
     Ok(Err(failure)) => {
@@ -67,13 +68,13 @@
   may_have_run: bool,
 ) -> Response<ResponseBody> {
   let reply = match failure {
-    StreamFailure::NotStreamed(head) => match head.buffer(gateway).await {
+    StreamFailure::NotStreamed(head) => match head.buffer(gateway, request).await {
       Ok(response) => {
         return forward_response(
           &response.entry,
           response.status,
           response.headers,
-          full_body(response.body),
+          buffered_body(response.body),
         );
       }
       Err(_) => LocalReply::Unknown,
--- a/src/gateway/requests/stream_request.rs
+++ b/src/gateway/requests/stream_request.rs
@@ -153,7 +153,7 @@
         self.tried.len() < MAX_UNSENT
       }
       StageError::NotRun(_) => self.rejections < MAX_REJECTIONS,
-      StageError::Lost(_) => self.has_attempts_left(),
+      StageError::Lost(_) | StageError::LeftUnread { .. } => self.has_attempts_left(),
     }
   }
 
--- a/src/gateway/requests/stream_send.rs
+++ b/src/gateway/requests/stream_send.rs
@@ -182,7 +182,7 @@
       | StageError::Unsent(_)
       | StageError::Unavailable(_)
       | StageError::Blocked => self.export = export,
-      StageError::Lost(_) => {}
+      StageError::Lost(_) | StageError::LeftUnread { .. } => {}
     }
   }
 
--- a/src/gateway/requests/unary.rs
+++ b/src/gateway/requests/unary.rs
@@ -2,7 +2,7 @@
 //! budget allow.
 
 use {
-  super::response::{LocalReply, ResponseBody, forward_response, full_body},
+  super::response::{LocalReply, ResponseBody, buffered_body, forward_response},
   crate::{
     gateway::{
       decisions::{EndpointCriteria, RETRY_AFTER_FULL_MS, RETRY_AFTER_NO_ENDPOINT_MS},
@@ -94,7 +94,10 @@
         () = &mut deadline => return self.time_out(),
         () = &mut hedge, if may_hedge => {
           may_hedge = false;
-          self.retry();
+          // A second response would need room too.
+          if self.gateway.held_memory.accepts_request(0) {
+            self.retry();
+          }
         }
       }
     }
@@ -269,8 +272,16 @@
 
   /// The response at the deadline.
   fn time_out(self) -> Response<ResponseBody> {
-    for endpoint in &self.awaited {
-      self.gateway.mark_overdue(endpoint);
+    let waits_for_memory = self.request.waits_for_memory.get() > 0;
+    if waits_for_memory {
+      log::info!(
+        "E586 response waited for memory until the deadline: {}",
+        self.request.id()
+      );
+    } else {
+      for endpoint in &self.awaited {
+        self.gateway.mark_overdue(endpoint);
+      }
     }
     log::info!("E503 timed out: {} at {:?}", self.request.id(), self.tried);
     match self.failure {
@@ -317,7 +328,7 @@
   )
   .await?;
   let has_receipt = head.attributes.has_receipt;
-  let response = head.buffer(gateway).await?;
+  let response = head.buffer(gateway, request).await?;
   if response.status.is_success() && !has_receipt {
     return Err(StageError::Lost("success without a receipt".into()));
   }
@@ -329,6 +340,6 @@
     &response.entry,
     response.status,
     response.headers,
-    full_body(response.body),
+    buffered_body(response.body),
   )
 }
--- a/src/gateway/settings/document.rs
+++ b/src/gateway/settings/document.rs
@@ -2,8 +2,8 @@
 
 use {
   super::{
-    limits::LimitSettings, mechanisms::Mechanisms, quarantine::QuarantineSettings,
-    route_policy::RoutePolicy,
+    limits::LimitSettings, mechanisms::Mechanisms, memory::MemorySettings,
+    quarantine::QuarantineSettings, route_policy::RoutePolicy,
   },
   crate::{Error, Result, gateway::decisions::RetryAllowance, ids::Name, settings::SettingsError},
   serde::Deserialize,
@@ -39,6 +39,9 @@
   /// Quarantine of requests that crash endpoints.
   #[serde(default)]
   pub quarantine: QuarantineSettings,
+  /// The box's memory.
+  #[serde(default)]
+  pub memory: MemorySettings,
   /// Switches of mechanisms.
   #[serde(default)]
   pub mechanisms: Mechanisms,
@@ -176,6 +179,9 @@
     if let Some((key, message)) = self.limits.validation_error() {
       return Err(invalid(path, 1, key, message));
     }
+    if let Some((key, message)) = self.memory.validation_error() {
+      return Err(invalid(path, 1, key, message));
+    }
     let share = self.engines.prefill_share;
     if !(share > 0.0 && share < 1.0) {
       return Err(invalid(
--- a/src/gateway/settings/mod.rs
+++ b/src/gateway/settings/mod.rs
@@ -5,6 +5,7 @@
 mod document;
 mod limits;
 mod mechanisms;
+mod memory;
 mod quarantine;
 mod route_policy;
 
@@ -15,6 +16,7 @@
   },
   limits::LimitSettings,
   mechanisms::Mechanisms,
+  memory::MemorySettings,
   quarantine::QuarantineSettings,
   route_policy::{RoutePolicy, RouteRank},
 };
--- a/src/gateway/stages/engine_call.rs
+++ b/src/gateway/stages/engine_call.rs
@@ -1,10 +1,7 @@
 //! The gateway's own calls to engines: to reserve batch slots, and to release what is no longer needed.
 
 use {
-  super::{
-    purpose::Purpose,
-    stage::{StageError, exchange},
-  },
+  super::{purpose::Purpose, stage::exchange, stage_error::StageError},
   crate::{
     gateway::{
       decisions::{AttemptOutcome, Unavailable},
--- a/src/gateway/stages/incarnation_check.rs
+++ b/src/gateway/stages/incarnation_check.rs
@@ -2,7 +2,8 @@
 
 use {
   super::{
-    engine_call::EngineCallError, engine_call::call_engine, purpose::Purpose, stage::StageError,
+    engine_call::EngineCallError, engine_call::call_engine, purpose::Purpose,
+    stage_error::StageError,
   },
   crate::gateway::{decisions::Unavailable, edge::EndpointEntry, state::Gateway},
   std::rc::Rc,
--- a/src/gateway/stages/mod.rs
+++ b/src/gateway/stages/mod.rs
@@ -9,10 +9,12 @@
 mod purpose;
 mod reachability_probe;
 mod request;
+mod response_body;
 mod resumption;
 mod send_check;
 mod send_mode;
 mod stage;
+mod stage_error;
 
 pub(crate) use self::{
   engine_call::{EngineCallError, ExportGuard, Reservation, call_engine},
@@ -21,7 +23,9 @@
   purpose::Purpose,
   reachability_probe::probe_unreachable,
   request::{RequestOrigin, RoutedRequest},
+  response_body::BufferedBody,
   resumption::Resumption,
   send_mode::SendMode,
-  stage::{BufferedResponse, LoadGuard, OutgoingStage, ResponseHead, StageError, send_stage},
+  stage::{BufferedResponse, LoadGuard, OutgoingStage, ResponseHead, send_stage},
+  stage_error::StageError,
 };
--- a/src/gateway/stages/request.rs
+++ b/src/gateway/stages/request.rs
@@ -13,6 +13,7 @@
       },
       permits::PermitCaller,
       settings::RouteRank,
+      state::HeldGuard,
     },
     ids::Name,
   },
@@ -81,6 +82,10 @@
   pub(crate) sends: Cell<u32>,
   /// Whether an endpoint could not be reached for it.
   pub(crate) met_unreachable: Cell<bool>,
+  /// Attempts whose response waits until this box has room for it.
+  pub(crate) waits_for_memory: Cell<u32>,
+  /// Held for the body.
+  pub(crate) _held_body: HeldGuard,
   /// Computed on first use.
   pub(crate) fingerprint: OnceCell<Fingerprint>,
   /// Computed on first use.
--- a/src/gateway/stages/stage.rs
+++ b/src/gateway/stages/stage.rs
@@ -5,6 +5,8 @@
     notice::{SentCall, apply_notice},
     purpose::Purpose,
     request::RoutedRequest,
+    response_body::{BodyReader, BufferedBody},
+    stage_error::StageError,
   },
   crate::{
     gateway::{
@@ -12,7 +14,7 @@
       decisions::{AttemptOutcome, Unavailable},
       edge::{EndpointEntry, ProxyHeaders, ResponseAttributes},
       permits::{Permit, acquire_permit, return_permit},
-      state::Gateway,
+      state::{Gateway, UnreadCause},
     },
     ids::Name,
   },
@@ -22,69 +24,14 @@
     header::{CONTENT_ENCODING, CONTENT_LENGTH, TRANSFER_ENCODING},
     response,
   },
-  http_body_util::{BodyExt, Full, Limited},
+  http_body_util::Full,
   hyper::body::Incoming,
   std::rc::Rc,
 };
 
-/// The longest response that is buffered before it is forwarded.
-const MAX_BUFFERED_BYTES: usize = 4 * 1024 * 1024;
 /// The status of an endpoint that is not the incarnation that the request is for (RFC 9110, 15.5.20).
 const MISDIRECTED: u16 = 421;
 
-/// Why a stage failed.
-#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
-pub(crate) enum StageError {
-  /// No connection could be established within the timeout.
-  #[error("unreachable")]
-  Unreachable,
-  /// The connection failed before the request was sent.
-  #[error("unsent: {0}")]
-  Unsent(String),
-  /// The endpoint may not be sent work now.
-  #[error("not sent: {0}")]
-  Unavailable(#[from] Unavailable),
-  /// The request is quarantined: endpoints crashed while they ran it.
-  #[error("blocked: endpoints crashed while running it")]
-  Blocked,
-  /// The endpoint states that it did not run the request.
-  #[error("rejected by the endpoint with status {0}")]
-  NotRun(u16),
-  /// The request may have run, but there is no response to forward.
-  #[error("lost: {0}")]
-  Lost(String),
-}
-
-impl StageError {
-  /// Whether the endpoint has certainly not run the request.
-  pub(crate) fn has_not_run(&self) -> bool {
-    !matches!(self, Self::Lost(_))
-  }
-
-  /// Whether the endpoint's rate limit left no permit for the request.
-  pub(crate) fn is_without_permit(&self) -> bool {
-    matches!(self, Self::Unavailable(Unavailable::NoPermit { .. }))
-  }
-
-  /// Whether the endpoint never received the request.
-  pub(crate) fn is_unsent(&self) -> bool {
-    matches!(
-      self,
-      Self::Unreachable | Self::Unsent(_) | Self::Unavailable(_) | Self::Blocked
-    )
-  }
-}
-
-impl From<SendError> for StageError {
-  fn from(error: SendError) -> Self {
-    match error {
-      SendError::Unreachable => Self::Unreachable,
-      SendError::Unsent(text) => Self::Unsent(text),
-      SendError::ConnectionLost(text) => Self::Lost(text),
-    }
-  }
-}
-
 /// Counts a stage towards its endpoint's load until dropped, and then records the outcome; cancelled unless settled.
 pub(crate) struct LoadGuard {
   gateway: Rc<Gateway>,
@@ -126,7 +73,9 @@
       StageError::NotRun(MISDIRECTED) | StageError::Unsent(_) | StageError::Lost(_) => {
         AttemptOutcome::Lost
       }
-      StageError::Blocked | StageError::Unavailable(_) => AttemptOutcome::Cancelled,
+      StageError::Blocked | StageError::Unavailable(_) | StageError::LeftUnread { .. } => {
+        AttemptOutcome::Cancelled
+      }
       StageError::NotRun(_) => AttemptOutcome::Full,
     };
   }
@@ -168,17 +117,23 @@
       || self.raw_headers.contains_key(TRANSFER_ENCODING)
   }
 
-  /// Reads the whole body and returns the connection to the pool.
-  pub(crate) async fn buffer(mut self, gateway: &Gateway) -> Result<BufferedResponse, StageError> {
+  /// Reads the whole body within the bound on held bytes, and returns the connection to the pool.
+  pub(crate) async fn buffer(
+    mut self,
+    gateway: &Gateway,
+    request: &RoutedRequest,
+  ) -> Result<BufferedResponse, StageError> {
     let headers = self.headers();
-    let read = Limited::new(&mut self.body, MAX_BUFFERED_BYTES)
-      .collect()
-      .await;
-    let body = match read {
-      Ok(body) => body.to_bytes(),
+    let reader = BodyReader::new(gateway, request);
+    let body = match reader.read(&mut self.body).await {
+      Ok(body) => body,
       Err(error) => {
-        self.load_guard.settle(AttemptOutcome::Lost);
-        return Err(StageError::Lost(format!("response truncated: {error}")));
+        if let StageError::LeftUnread { unread_ms } = error {
+          let endpoint = &self.connection.endpoint;
+          gateway.record_left_unread(request.id(), endpoint, UnreadCause::Memory, unread_ms);
+        }
+        self.load_guard.settle_error(&error);
+        return Err(error);
       }
     };
     if self.status.is_server_error() {
@@ -202,7 +157,7 @@
   pub(crate) entry: EndpointEntry,
   pub(crate) status: StatusCode,
   pub(crate) headers: HeaderMap,
-  pub(crate) body: Bytes,
+  pub(crate) body: BufferedBody,
 }
 
 /// A stage of a request that is to be sent to an endpoint.
--- a/src/gateway/state/counters.rs
+++ b/src/gateway/state/counters.rs
@@ -107,6 +107,14 @@
   pub(crate) stream_copies: Counter,
   pub(crate) stream_copies_failed: Counter,
   pub(crate) streams_not_copied: Counter,
+  /// Requests rejected because the box held too many bytes.
+  pub(crate) rejected_for_memory: Counter,
+  /// Streams that were read while events of theirs waited for the caller.
+  pub(crate) streams_read_ahead: Counter,
+  /// Responses that their endpoints aborted since this box had left them unread.
+  pub(crate) aborted_unread: Counter,
+  /// Callers' connections that were closed because they accepted nothing.
+  pub(crate) stalled_callers: Counter,
   pub(crate) connections: Counter,
   pub(crate) store_calls: Counter,
   pub(crate) store_failures: Counter,
@@ -164,6 +172,16 @@
         "rillford_streams_not_copied_total",
         &self.streams_not_copied,
       ),
+      (
+        "rillford_rejected_for_memory_total",
+        &self.rejected_for_memory,
+      ),
+      (
+        "rillford_streams_read_ahead_total",
+        &self.streams_read_ahead,
+      ),
+      ("rillford_aborted_unread_total", &self.aborted_unread),
+      ("rillford_stalled_callers_total", &self.stalled_callers),
       ("rillford_connections_total", &self.connections),
       ("rillford_store_calls_total", &self.store_calls),
       ("rillford_store_failures_total", &self.store_failures),
--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -2,8 +2,8 @@
 
 use {
   super::{
-    change_log::ChangeLog, counters::Counters, log_throttle::LogThrottle, quarantine::Quarantine,
-    unknown_headers::UnknownHeaders, unresponsive_boxes::UnresponsiveBoxes,
+    change_log::ChangeLog, counters::Counters, held_memory::HeldMemory, log_throttle::LogThrottle,
+    quarantine::Quarantine, unknown_headers::UnknownHeaders, unresponsive_boxes::UnresponsiveBoxes,
   },
   crate::{
     HttpClient,
@@ -74,6 +74,8 @@
   pub(crate) counters: Counters,
   pub(crate) phase: watch::Sender<Phase>,
   pub(crate) in_flight: Cell<usize>,
+  /// The bytes that all requests hold.
+  pub(crate) held_memory: HeldMemory,
   /// Open connections of callers.
   pub(crate) connections: Cell<usize>,
   /// When the last responses are due, once the box is leaving.
@@ -157,6 +159,7 @@
       exit_ms: Cell::new(None),
       forwarded_in_flight: Cell::new(0),
       has_leader: Cell::new(false),
+      held_memory: HeldMemory::new(settings.memory.box_mb),
       has_listed: Cell::new(false),
       in_flight: Cell::new(0),
       incarnation: seed,
--- a/tests/gateway/endpoint.rs
+++ b/tests/gateway/endpoint.rs
@@ -2,10 +2,12 @@
 
 use {
   emulator::own_addresses,
+  socket2::SockRef,
   std::{
     collections::HashMap,
     future::pending,
     net::SocketAddr,
+    os::fd::AsRawFd,
     sync::{Arc, Mutex},
     time::{Duration, Instant},
   },
@@ -14,10 +16,13 @@
     net::{TcpListener, TcpStream},
     sync::mpsc,
     task::JoinSet,
-    time::sleep,
+    time::{sleep, timeout},
   },
 };
 
+/// Size of a socket's buffer that the kernel raises to its least.
+const SMALLEST_BUFFER_BYTES: usize = 1;
+
 /// A request as the endpoint received it.
 #[derive(Clone, Debug)]
 pub(crate) struct ReceivedRequest {
@@ -53,6 +58,8 @@
   WriteLater(Duration, String),
   /// Writes bytes, waits, and writes more.
   WriteInTwoParts(String, Duration, String),
+  /// Writes parts one after another, and resets the connection when the gateway has not taken all of them within a time.
+  WritePartsOrAbort(Vec<String>, Duration),
   /// Never responds.
   NoResponse,
   /// Writes bytes and crashes the endpoint with all of its connections; it restarts after a delay.
@@ -104,6 +111,8 @@
   pub(crate) address: SocketAddr,
   received: Arc<Mutex<Vec<ReceivedRequest>>>,
   closed: Arc<Mutex<Vec<ReceivedRequest>>>,
+  written: Arc<Mutex<Vec<ReceivedRequest>>>,
+  aborted: Arc<Mutex<Vec<ReceivedRequest>>>,
 }
 
 impl EndpointStandIn {
@@ -120,16 +129,20 @@
   ) -> Self {
     let [address] = own_addresses();
     let endpoint = Self {
+      aborted: Arc::default(),
       address,
       closed: Arc::default(),
       received: Arc::default(),
+      written: Arc::default(),
     };
     let listener = TcpListener::bind(address).await.unwrap();
     on_start(address, 1);
     let state = IncarnationState {
+      aborted: endpoint.aborted.clone(),
       closed: endpoint.closed.clone(),
       script: Arc::new(script),
       received: endpoint.received.clone(),
+      written: endpoint.written.clone(),
     };
     tokio::spawn(async move {
       let mut listener = listener;
@@ -175,6 +188,16 @@
   pub(crate) fn closed(&self) -> Vec<ReceivedRequest> {
     self.closed.lock().unwrap().clone()
   }
+
+  /// Responses in parts that the gateway took whole.
+  pub(crate) fn written(&self) -> usize {
+    self.written.lock().unwrap().len()
+  }
+
+  /// Responses in parts that this endpoint aborted because the gateway left them unread.
+  pub(crate) fn aborted(&self) -> usize {
+    self.aborted.lock().unwrap().len()
+  }
 }
 
 /// The response of a healthy engine.
@@ -212,6 +235,12 @@
     Reply::WriteInTwoParts(first, delay, rest) => {
       Reply::WriteInTwoParts(marked(first), delay, rest)
     }
+    Reply::WritePartsOrAbort(mut parts, limit) => {
+      if let Some(first) = parts.first_mut() {
+        *first = marked(std::mem::take(first));
+      }
+      Reply::WritePartsOrAbort(parts, limit)
+    }
     Reply::NoResponse => Reply::NoResponse,
     Reply::Crash(text, down) => Reply::Crash(marked(text), down),
   }
@@ -232,6 +261,8 @@
   script: Script,
   received: Arc<Mutex<Vec<ReceivedRequest>>>,
   closed: Arc<Mutex<Vec<ReceivedRequest>>>,
+  written: Arc<Mutex<Vec<ReceivedRequest>>>,
+  aborted: Arc<Mutex<Vec<ReceivedRequest>>>,
 }
 
 impl IncarnationState {
@@ -273,6 +304,16 @@
         let _ = stream.write_all(text.as_bytes()).await;
         return;
       }
+      Reply::WritePartsOrAbort(parts, limit) => {
+        if !write_parts(&mut stream, &parts, limit).await {
+          state.aborted.lock().unwrap().push(request);
+          // Resets the connection.
+          let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+          return;
+        }
+        state.written.lock().unwrap().push(request);
+        continue;
+      }
       Reply::NoResponse => {
         let mut rest = [0; 1];
         let _ = stream.read(&mut rest).await;
@@ -292,6 +333,32 @@
   }
 }
 
+/// Writes parts, each in a segment of its own; `false` when the gateway has not taken all of them within a time.
+async fn write_parts(stream: &mut TcpStream, parts: &[String], limit: Duration) -> bool {
+  let socket = SockRef::from(&*stream);
+  // What the kernel buffers here would hide that nothing is read.
+  let _ = socket.set_send_buffer_size(SMALLEST_BUFFER_BYTES);
+  let _ = socket.set_tcp_nodelay(true);
+  let write = async {
+    for part in parts {
+      stream.write_all(part.as_bytes()).await?;
+    }
+    while unsent_bytes(stream) > 0 {
+      sleep(Duration::from_millis(5)).await;
+    }
+    std::io::Result::Ok(())
+  };
+  matches!(timeout(limit, write).await, Ok(Ok(())))
+}
+
+/// Bytes that the kernel holds and the gateway has not acknowledged.
+fn unsent_bytes(stream: &TcpStream) -> i32 {
+  let mut bytes = 0;
+  // SAFETY: the descriptor is open, and the call writes one integer.
+  unsafe { libc::ioctl(stream.as_raw_fd(), libc::TIOCOUTQ, &raw mut bytes) };
+  bytes
+}
+
 async fn read_request(stream: &mut TcpStream, bytes: &mut Vec<u8>) -> Option<ReceivedRequest> {
   loop {
     if let Some(end) = bytes.windows(4).position(|window| window == b"\r\n\r\n") {
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -43,6 +43,8 @@
   /// Retries of all boxes in excess of the ratio.
   pub(crate) retry_slack: f64,
   stop_s: f64,
+  /// The box's memory.
+  pub(crate) memory_mb: Option<u64>,
   /// The address by which the box reaches the store.
   store_address: SocketAddr,
 }
@@ -74,6 +76,7 @@
     Self {
       configuration,
       engine_priority: "route",
+      memory_mb: None,
       metrics_port_taken: false,
       name: "north-1".into(),
       retry_slack: 60.0,
@@ -88,6 +91,7 @@
     Self {
       configuration: self.configuration.clone(),
       engine_priority: self.engine_priority,
+      memory_mb: self.memory_mb,
       metrics_port_taken: false,
       name: name.into(),
       retry_slack: self.retry_slack,
@@ -285,6 +289,9 @@
 
   /// The box's settings file.
   fn settings(&self, [callers, ready, boxes, metrics]: [SocketAddr; 4]) -> String {
+    let memory = self.memory_mb.map_or_else(String::new, |memory_mb| {
+      format!("[memory]\nbox_mb = {memory_mb}\n")
+    });
     format!(
       r#"
 [box]
@@ -312,7 +319,7 @@
 [engines]
 prefill_share = 0.25
 marks = "{}"
-"#,
+{memory}"#,
       self.name, self.store_address, self.stop_s, self.retry_slack, self.engine_priority
     )
   }
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -28,11 +28,12 @@
 mod role_plan;
 mod roles;
 mod slots;
+mod slow_readers;
 mod store_proxy;
 mod streams;
 mod versions;
 
 pub(crate) use self::{
   endpoint::{EndpointStandIn, ReceivedRequest, Reply},
-  harness::{GatewayBox, GatewayTest, TIMEOUT},
+  harness::{GatewayBox, GatewayTest, HOST, TIMEOUT},
 };
