Kernel buffers of slow connections are bounded with the held bytes

Cause: the kernel buffers up to 4 MB and more for each connection, which the account of held bytes does not see; E585 did not print the request's id; a response that is no stream could wait for room beyond the deadline. Change: socket buffers of 128 KB where held bytes are bounded; the id; the deadline.

--- a/src/gateway/connections/connection.rs
+++ b/src/gateway/connections/connection.rs
@@ -58,13 +58,24 @@
 }
 
 impl Connection {
-  pub(crate) async fn open(endpoint: Name, address: SocketAddr) -> Result<Self, SendError> {
+  /// Connects; `receive_buffer_bytes` bounds what the kernel buffers of a response that is not read.
+  pub(crate) async fn open(
+    endpoint: Name,
+    address: SocketAddr,
+    receive_buffer_bytes: Option<usize>,
+  ) -> Result<Self, SendError> {
     let unsent = |error: &dyn Display| SendError::Unsent(error.to_string());
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
       .await
       .map_err(|_| SendError::Unreachable)?
       .map_err(|error| unsent(&error))?;
     set_socket_options(&stream).map_err(|error| unsent(&error))?;
+    if let Some(bytes) = receive_buffer_bytes {
+      let socket = SockRef::from(&stream);
+      socket
+        .set_recv_buffer_size(bytes)
+        .map_err(|error| unsent(&error))?;
+    }
     let (sender, connection) = http1::Builder::new()
       .max_buf_size(BUFFER_BYTES)
       .handshake(TokioIo::new(stream))
--- a/src/gateway/requests/forwarding.rs
+++ b/src/gateway/requests/forwarding.rs
@@ -163,7 +163,12 @@
   let remaining_ms = request.remaining_ms(gateway.now_ms());
   let forwarded = build(gateway, request, headers, remaining_ms)
     .map_err(|error| ForwardError::NotAccepted(error.to_string()))?;
-  let mut connection = Connection::open(address.to_string().as_str().into(), address).await?;
+  let mut connection = Connection::open(
+    address.to_string().as_str().into(),
+    address,
+    gateway.held_memory.socket_buffer_bytes(),
+  )
+  .await?;
   let wait = Duration::from_millis(remaining_ms) + RESPONSE_MARGIN;
   let response = timeout(wait, connection.send(forwarded))
     .await
--- a/src/gateway/requests/frontend.rs
+++ b/src/gateway/requests/frontend.rs
@@ -25,9 +25,6 @@
 const IDLE_TIMEOUT_FACTOR: u64 = 2;
 /// The kernel's timeout for data that a caller does not take is longer than the box's own, which is logged.
 const USER_TIMEOUT_FACTOR: u32 = 2;
-/// Send buffer of a caller's connection where held bytes are bounded: the kernel's own bound is several megabytes for each
-/// connection. Enough for 200 Mbit/s at a round trip of 6 ms.
-const SEND_BUFFER_BYTES: usize = 128 * 1024;
 /// The longest request head before a configuration is known.
 const DEFAULT_MAX_HEAD_BYTES: usize = 16 * 1024;
 /// The smallest buffer that the HTTP library accepts.
@@ -99,13 +96,13 @@
   stream: TcpStream,
   idle_ms: u64,
 ) -> io::Result<StallTimeout<TcpStream>> {
-  if !gateway.held_memory.is_bounded() {
+  let Some(buffer_bytes) = gateway.held_memory.socket_buffer_bytes() else {
     return Ok(StallTimeout::without_limit(stream));
-  }
+  };
   let limit = Duration::from_millis(idle_ms);
   // The timeout for unacknowledged data would close the connection of a caller that pauses for longer than that.
   set_user_timeout(&stream, limit * USER_TIMEOUT_FACTOR)?;
-  set_send_buffer(&stream, SEND_BUFFER_BYTES)?;
+  set_send_buffer(&stream, buffer_bytes)?;
   Ok(StallTimeout::new(stream, limit))
 }
 
--- a/src/gateway/requests/routing.rs
+++ b/src/gateway/requests/routing.rs
@@ -71,7 +71,12 @@
     .min(attributes.deadline_ms.unwrap_or(u64::MAX))
     .min(box_remaining_ms.unwrap_or(u64::MAX))
     .min(exit_ms.saturating_sub(arrived_ms));
-  let (body, held_body) = read_body(gateway, body, table.limits().body_bytes, timeout_ms).await?;
+  let reading = BodyReading {
+    max_bytes: table.limits().body_bytes,
+    request_id: attributes.request_id.as_deref().unwrap_or("-"),
+    timeout_ms,
+  };
+  let (body, held_body) = read_body(gateway, body, reading).await?;
   let service = route
     .service(gateway.draw())
     .cloned()
@@ -132,18 +137,30 @@
   }
 }
 
+/// How a body is read.
+#[derive(Clone, Copy, Debug)]
+struct BodyReading<'a> {
+  request_id: &'a str,
+  max_bytes: usize,
+  timeout_ms: u64,
+}
+
 /// Reads a body within limits on its length and time, if the box may hold it.
 async fn read_body(
   gateway: &Gateway,
   mut body: Incoming,
-  max_bytes: usize,
-  timeout_ms: u64,
+  reading: BodyReading<'_>,
 ) -> Result<(Bytes, HeldGuard), LocalReply> {
+  let BodyReading {
+    request_id,
+    max_bytes,
+    timeout_ms,
+  } = reading;
   let memory = &gateway.held_memory;
   let length = body.size_hint().exact();
   let expected = length.filter(|length| *length <= max_bytes as u64);
   if !memory.accepts_request(expected.unwrap_or(0)) {
-    let reply = reject_for_memory(gateway, length);
+    let reply = reject_for_memory(gateway, request_id, length);
     discard(body, max_bytes).await;
     return Err(reply);
   }
@@ -161,7 +178,7 @@
       }
       if expected.is_none() {
         if !memory.accepts_request(data.len() as u64) {
-          return Err(reject_for_memory(gateway, None));
+          return Err(reject_for_memory(gateway, request_id, None));
         }
         guard.extend(data.len() as u64);
       }
@@ -188,12 +205,12 @@
 }
 
 /// Rejects a request, of which nothing was sent, because the box holds too many bytes.
-fn reject_for_memory(gateway: &Gateway, length: Option<u64>) -> LocalReply {
+fn reject_for_memory(gateway: &Gateway, request_id: &str, length: Option<u64>) -> LocalReply {
   gateway.counters.rejected_for_memory.inc();
   let retry_after_ms = retry_after_backoff_ms(RETRY_AFTER_MEMORY_MS, gateway.draw());
   let (held, bound) = gateway.held_memory.usage();
   log::info!(
-    "E585 rejected: with status 503 for memory, {held} bytes held of {bound:?}, body of {length:?} bytes, retry after \
+    "E585 rejected: {request_id} with status 503 for memory, {held} bytes held of {bound:?}, body of {length:?} bytes, retry after \
      {retry_after_ms} ms"
   );
   LocalReply::NotRun { retry_after_ms }
--- a/src/gateway/requests/stream.rs
+++ b/src/gateway/requests/stream.rs
@@ -9,7 +9,7 @@
   },
   crate::gateway::{
     decisions::{RETRY_AFTER_FULL_MS, RETRY_AFTER_NO_ENDPOINT_MS},
-    stages::{Resumption, RoutedRequest},
+    stages::{BufferedResponse, ResponseHead, Resumption, RoutedRequest, StageError},
     state::{Gateway, InFlight},
   },
   http::Response,
@@ -68,8 +68,8 @@
   may_have_run: bool,
 ) -> Response<ResponseBody> {
   let reply = match failure {
-    StreamFailure::NotStreamed(head) => match head.buffer(gateway, request).await {
-      Ok(response) => {
+    StreamFailure::NotStreamed(head) => match buffer_in_time(gateway, request, *head).await {
+      Some(Ok(response)) => {
         return forward_response(
           &response.entry,
           response.status,
@@ -77,7 +77,8 @@
           buffered_body(response.body),
         );
       }
-      Err(_) => LocalReply::Unknown,
+      Some(Err(_)) => LocalReply::Unknown,
+      None => LocalReply::TimedOut,
     },
     _ if may_have_run => LocalReply::Unknown,
     _ if lacks_version(gateway, request) => LocalReply::NotRun {
@@ -102,6 +103,20 @@
   reply.response()
 }
 
+/// Buffers a response; `None` when the deadline passes. Without a bound on held bytes it never waits for room.
+async fn buffer_in_time(
+  gateway: &Gateway,
+  request: &RoutedRequest,
+  head: ResponseHead,
+) -> Option<Result<BufferedResponse, StageError>> {
+  let buffered = head.buffer(gateway, request);
+  if !gateway.held_memory.is_bounded() {
+    return Some(buffered.await);
+  }
+  let remaining = Duration::from_millis(request.remaining_ms(gateway.now_ms()));
+  timeout(remaining, buffered).await.ok()
+}
+
 /// Whether a request resumes a stream of a version that no listed endpoint has.
 fn lacks_version(gateway: &Gateway, request: &RoutedRequest) -> bool {
   let Resumption::At(version) = &request.resumption else {
--- a/src/gateway/stages/reachability_probe.rs
+++ b/src/gateway/stages/reachability_probe.rs
@@ -46,7 +46,13 @@
 }
 
 async fn connect(gateway: &Gateway, entry: &EndpointEntry) {
-  match Connection::open(entry.id.clone(), entry.address).await {
+  match Connection::open(
+    entry.id.clone(),
+    entry.address,
+    gateway.held_memory.socket_buffer_bytes(),
+  )
+  .await
+  {
     Ok(_) => gateway.record_reached(entry),
     Err(_) => gateway.record_unreached(entry),
   }
--- a/src/gateway/stages/stage.rs
+++ b/src/gateway/stages/stage.rs
@@ -290,7 +290,12 @@
     }
   }
   gateway.counters.connections.inc();
-  let opened = Connection::open(entry.id.clone(), entry.address).await;
+  let opened = Connection::open(
+    entry.id.clone(),
+    entry.address,
+    gateway.held_memory.socket_buffer_bytes(),
+  )
+  .await;
   match &opened {
     Ok(_) => gateway.record_reached(entry),
     Err(_) => gateway.record_unreached(entry),
--- a/src/gateway/state/held_memory.rs
+++ b/src/gateway/state/held_memory.rs
@@ -10,6 +10,10 @@
   tokio::sync::{Notify, futures::Notified},
 };
 
+/// Size of the kernel's buffers of a connection where held bytes are bounded: its own bound is several megabytes for each. Enough
+/// for 200 Mbit/s at a round trip of 6 ms.
+const SOCKET_BUFFER_BYTES: usize = 128 * 1024;
+
 /// The bytes that all requests of this box hold. Guards are owned by bytes that the HTTP library writes, which have to be `Send`:
 /// hence the lock, which is never contended.
 #[derive(Clone, Debug)]
@@ -35,6 +39,11 @@
     self.held().bound_bytes().is_some()
   }
 
+  /// Size of the kernel's buffers for a connection whose peer may read, or be read, slowly; `None` when it decides itself.
+  pub(crate) fn socket_buffer_bytes(&self) -> Option<usize> {
+    self.is_bounded().then_some(SOCKET_BUFFER_BYTES)
+  }
+
   /// The bytes held now, and their bound.
   pub(crate) fn usage(&self) -> (u64, Option<u64>) {
     let held = self.held();
