--- a/src/gateway/requests/prefill.rs
+++ b/src/gateway/requests/prefill.rs
@@ -253,7 +253,7 @@
     let stage = OutgoingStage::new(entry, &proxy_headers, tokens, work);
     let head = send_stage(gateway, request, stage).await?;
     let load = head.attributes.load;
-    let response = head.buffer(gateway).await;
+    let response = head.buffer(gateway, request).await;
     response.map(|response| (response, load))
   };
   let Ok(response) = timeout(Duration::from_millis(timeout_ms), prefill).await else {
@@ -266,7 +266,7 @@
   }
   gateway
     .codec
-    .export_handle(&response.body)
+    .export_handle(&response.body.to_bytes())
     .map(|handle| (handle, load))
     .map_err(|error| StageError::Lost(error.to_string()))
 }
--- a/src/gateway/settings/mod.rs
+++ b/src/gateway/settings/mod.rs
@@ -6,6 +6,7 @@
 mod document;
 mod limits;
 mod mechanisms;
+mod memory;
 mod prefill_queue;
 mod quarantine;
 mod route_policy;
@@ -18,6 +19,7 @@
   },
   limits::LimitSettings,
   mechanisms::Mechanisms,
+  memory::MemorySettings,
   prefill_queue::PrefillQueueSettings,
   quarantine::QuarantineSettings,
   route_policy::{RoutePolicy, RouteRank},
--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -2,7 +2,7 @@
 
 use {
   super::{
-    change_log::ChangeLog, counters::Counters, log_throttle::LogThrottle,
+    change_log::ChangeLog, counters::Counters, held_memory::HeldMemory, log_throttle::LogThrottle,
     prefill_queues::PrefillQueues, quarantine::Quarantine, service_returns::ServiceReturns,
     unknown_headers::UnknownHeaders, unresponsive_boxes::UnresponsiveBoxes,
     unsupporting_boxes::UnsupportingBoxes,
@@ -77,6 +77,8 @@
   pub(crate) counters: Counters,
   pub(crate) phase: watch::Sender<Phase>,
   pub(crate) in_flight: Cell<usize>,
+  /// The bytes that all requests hold.
+  pub(crate) held_memory: HeldMemory,
   /// Open connections of callers.
   pub(crate) connections: Cell<usize>,
   /// When the last responses are due, once the box is leaving.
@@ -168,6 +170,7 @@
       exit_ms: Cell::new(None),
       forwarded_in_flight: Cell::new(0),
       has_leader: Cell::new(false),
+      held_memory: HeldMemory::new(settings.memory.box_mb),
       has_listed: Cell::new(false),
       in_flight: Cell::new(0),
       incarnation: seed,
--- a/src/gateway/state/mod.rs
+++ b/src/gateway/state/mod.rs
@@ -5,12 +5,14 @@
 mod change_log;
 mod counters;
 mod gateway;
+mod held_memory;
 mod log_throttle;
 mod prefill_queues;
 mod quarantine;
 mod reachability;
 mod service_returns;
 mod unknown_headers;
+mod unread_cause;
 mod unresponsive_boxes;
 mod unsupporting_boxes;
 
@@ -18,6 +20,8 @@
 
 pub(crate) use self::{
   gateway::{Gateway, HeldLease, InFlight, Phase},
+  held_memory::{HeldGuard, ResponseRoom},
   prefill_queues::PlaceReport,
   quarantine::{MarkOrigin, ProbeClaim, ProbeGrant},
+  unread_cause::UnreadCause,
 };
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -47,6 +47,8 @@
   /// Retries of all boxes in excess of the ratio.
   pub(crate) retry_slack: f64,
   stop_s: f64,
+  /// The box's memory.
+  pub(crate) memory_mb: Option<u64>,
   /// The address by which the box reaches the store.
   store_address: SocketAddr,
 }
@@ -80,6 +82,7 @@
       engine_priority: "route",
       extra_settings: String::new(),
       hall: "north",
+      memory_mb: None,
       metrics_port_taken: false,
       name: "north-1".into(),
       retry_slack: 60.0,
@@ -96,6 +99,7 @@
       engine_priority: self.engine_priority,
       extra_settings: self.extra_settings.clone(),
       hall: self.hall,
+      memory_mb: self.memory_mb,
       metrics_port_taken: false,
       name: name.into(),
       retry_slack: self.retry_slack,
@@ -293,6 +297,9 @@
 
   /// The box's settings file.
   fn settings(&self, [callers, ready, boxes, metrics]: [SocketAddr; 4]) -> String {
+    let memory = self.memory_mb.map_or_else(String::new, |memory_mb| {
+      format!("[memory]\nbox_mb = {memory_mb}\n")
+    });
     format!(
       r#"
 [box]
@@ -320,7 +327,7 @@
 [engines]
 prefill_share = 0.25
 marks = "{}"
-{}
+{memory}{}
 "#,
       self.name,
       self.hall,
