Held bytes are bounded only under the rule that the settings name

Elsewhere nothing that slow readers need may change how a deployment is served: stream tasks, socket buffers and time-outs stay off. memory.only_under names the deployment's rule, memory.rules those in force; without only_under the bound always applies.

--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -170,7 +170,7 @@
       exit_ms: Cell::new(None),
       forwarded_in_flight: Cell::new(0),
       has_leader: Cell::new(false),
-      held_memory: HeldMemory::new(settings.memory.box_mb),
+      held_memory: HeldMemory::new(settings.memory.bounded_mb()),
       has_listed: Cell::new(false),
       in_flight: Cell::new(0),
       incarnation: seed,
