Soak: on every third seed boxes bound what they hold

Cause: no run of the soak read streams ahead, or had an account of held bytes. Change: on seeds that are multiples of three, boxes have [memory] box_mb = 64; bytes that a box still holds after the callers have left are a breach of ResourcesReleased.

--- a/soak/src/box_process.rs
+++ b/soak/src/box_process.rs
@@ -38,6 +38,8 @@
   pub(crate) directory: &'a Path,
   pub(crate) store: &'a PlatformStore,
   pub(crate) recorder: &'a Recorder,
+  /// The boxes' memory, which bounds what they hold for callers; `None` for no bound.
+  pub(crate) memory_mb: Option<u64>,
 }
 
 pub(crate) struct BoxProcess {
@@ -48,6 +50,8 @@
   pub(crate) direct: SocketAddr,
   /// Listen address of the readiness probe.
   pub(crate) ready: SocketAddr,
+  /// Listen address of the metrics.
+  pub(crate) metrics: SocketAddr,
   pub(crate) store_link: Link,
   recorder: Recorder,
   program: PathBuf,
@@ -68,7 +72,7 @@
     let caller_link = open_link(direct).await?;
     let name = format!("north-{index:03}");
     let addresses = [direct, ready, boxes, metrics, store_link.address];
-    let contents = settings_text(&name, addresses);
+    let contents = settings_text(&name, addresses, plan.memory_mb);
     let settings = plan.directory.join(format!("{name}.toml"));
     std::fs::write(&settings, contents).map_err(|source| Error::File {
       path: settings.clone(),
@@ -81,6 +85,7 @@
       recorder: plan.recorder.clone(),
       process_count: AtomicU64::new(0),
       log: plan.directory.join(format!("{name}.log")),
+      metrics,
       process: Mutex::new(None),
       program: plan.program.into(),
       ready,
@@ -208,8 +213,11 @@
 }
 
 /// The settings of a box: its addresses for callers, readiness, other boxes and metrics, and the store's address.
-fn settings_text(name: &str, addresses: [SocketAddr; 5]) -> String {
+fn settings_text(name: &str, addresses: [SocketAddr; 5], memory_mb: Option<u64>) -> String {
   let [callers, ready, boxes, metrics, store] = addresses;
+  let memory = memory_mb.map_or_else(String::new, |memory_mb| {
+    format!("[memory]\nbox_mb = {memory_mb}\n")
+  });
   format!(
     "[box]\nname = \"{name}\"\nhall = \"north\"\n\
      [listen]\ncallers = \"{callers}\"\nready = \"{ready}\"\nboxes = \"{boxes}\"\nmetrics = \"{metrics}\"\n\
@@ -217,7 +225,7 @@
      [bounds]\nstop_s = {STOP_S:.1}\nretry_ratio = 0.2\nretry_window_s = 10\nretry_slack = 60\n\
      order_gap_ms = 1000\ncontact_ms = 3000\nconfiguration_ms = 3000\n\
      [limits]\noverage = {OVERAGE}\nslack_units = {SLACK_UNITS:.1}\n\
-     [engines]\nprefill_share = 0.25\n"
+     [engines]\nprefill_share = 0.25\n{memory}"
   )
 }
 
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -20,6 +20,8 @@
   },
   futures_util::future::join_all,
   http::{Request, StatusCode},
+  http_body_util::Full,
+  rillford::HttpClient,
   serde_json::json,
   stand_ins::PlatformStore,
   std::{
@@ -29,10 +31,15 @@
       Mutex, PoisonError,
       atomic::{AtomicU64, Ordering},
     },
+    time::Duration,
   },
-  tokio::{net::TcpListener, sync::mpsc::unbounded_channel},
+  tokio::{net::TcpListener, sync::mpsc::unbounded_channel, time::sleep},
 };
 
+/// Polls after which bytes that a box holds are reported, and the interval between them.
+const HELD_POLLS: usize = 10;
+const HELD_POLL_INTERVAL: Duration = Duration::from_millis(100);
+
 /// An incarnation that has terminated.
 pub(crate) struct StoppedEndpoint {
   pub(crate) incarnation: String,
@@ -61,6 +68,7 @@
     directory: &Path,
     boxes: usize,
     places: usize,
+    memory_mb: Option<u64>,
   ) -> Result<(Self, EngineEventReceiver)> {
     let recorder = Recorder::default();
     let store = PlatformStore::start().await.map_err(Error::Listen)?;
@@ -87,6 +95,7 @@
       recorder: &fleet.recorder,
       program,
       store: &fleet.store,
+      memory_mb,
     };
     let mut started = Vec::new();
     for index in 0..boxes {
@@ -372,6 +381,43 @@
     }
     resources
   }
+
+  /// Lists the bytes that boxes hold for callers, which have all left.
+  pub(crate) async fn held_bytes(&self) -> Vec<String> {
+    let mut held = Vec::new();
+    for target in &self.boxes {
+      held.extend(held_bytes(target).await);
+    }
+    held
+  }
+}
+
+/// The bytes that a box still holds after some time; a probe's response is held for a moment.
+async fn held_bytes(target: &BoxProcess) -> Vec<String> {
+  let mut held = Vec::new();
+  for _ in 0..HELD_POLLS {
+    let Ok(request) =
+      Request::get(format!("http://{}/metrics", target.metrics)).body(Full::default())
+    else {
+      return held;
+    };
+    let Ok(page) = HttpClient::default()
+      .fetch_bytes(request, PROBE_TIMEOUT)
+      .await
+    else {
+      return held;
+    };
+    held = String::from_utf8_lossy(&page)
+      .lines()
+      .filter(|line| line.starts_with("rillford_held_bytes{") && !line.ends_with(" 0"))
+      .map(|line| format!("{line} at box {}", target.index))
+      .collect();
+    if held.is_empty() {
+      return held;
+    }
+    sleep(HELD_POLL_INTERVAL).await;
+  }
+  held
 }
 
 /// The kind of endpoint at a place at the start. A quarter of the places, at least two, are plain services; of the
--- a/soak/src/play.rs
+++ b/soak/src/play.rs
@@ -31,6 +31,16 @@
 /// Time after the end of the traffic until engines must be empty: reservations and prompts expire within 1.5 s.
 const RELEASE_PERIOD: Duration = Duration::from_millis(2_500);
 
+/// Memory of the boxes in runs in which it bounds what they hold.
+const BOX_MB: u64 = 64;
+/// One run in this many has boxes that bound what they hold, and read streams ahead.
+const BOUNDED_RUNS: u64 = 3;
+
+/// Whether the boxes of a run bound what they hold.
+fn has_bounded_boxes(seed: u64) -> bool {
+  seed.is_multiple_of(BOUNDED_RUNS)
+}
+
 /// Options of a run.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -81,6 +91,7 @@
     &options.directory,
     size.boxes,
     size.places,
+    has_bounded_boxes(options.seed).then_some(BOX_MB),
   )
   .await?;
   let fleet = Arc::new(fleet);
@@ -99,7 +110,8 @@
   sleep(RECOVERY_PERIOD).await;
   stop_callers(&stop, &mut callers).await;
   sleep(RELEASE_PERIOD).await;
-  let resources = fleet.unreleased_resources();
+  let mut resources = fleet.unreleased_resources();
+  resources.extend(fleet.held_bytes().await);
   fleet.recorder.records().unreleased_resources = resources;
   background.shutdown().await;
   let records = fleet.recorder.records().clone();
