--- a/tests/gateway/slow_readers.rs
+++ b/tests/gateway/slow_readers.rs
@@ -478,7 +478,7 @@
   assert!(eventually(TIMEOUT, async || decode.aborted() == 1).await);
   let response = caller.read().await;
   assert!(!response.ends_with(b"0\r\n\r\n"));
-  assert_eq!(gateway.metric("rillford_aborted_unread_total").await, 1.0);
   assert_eq!(gateway.metric("rillford_endpoints_pausing").await, 0.0);
+  assert_eq!(gateway.metric("rillford_aborted_unread_total").await, 1.0);
   assert_eq!(gateway.metric("rillford_broken_streams_total").await, 1.0);
 }
