Prefill queue: tests of a cut, of boxes that do not coordinate, and of changed engines

A place was reported only after its lost prompt had been examined, so that the coordinator took the engine for busy meanwhile. The report now precedes the examination; the test of changed engines updates after each change, since it passed without the revision of changed entries; two tests are new.

--- a/src/gateway/requests/prefill.rs
+++ b/src/gateway/requests/prefill.rs
@@ -81,7 +81,9 @@
     let sent_ms = gateway.now_ms();
     let result = prefill_at(gateway, request, &mut target).await;
     let queue_note = target.queue_note();
-    let entry = target.entry;
+    // What became of the place is reported before a loss is examined, which takes a while.
+    let PrefillTarget { entry, place, .. } = target;
+    drop(place);
     match result {
       Ok(handle) => {
         record_success(gateway, request, RoutedRequest::prefill_fingerprint);
@@ -169,7 +171,9 @@
 fn bypasses_place(gateway: &Gateway, request: &RoutedRequest, reserved: &ReservedPlace) -> bool {
   let expected_ms = reserved.offer.end_in_ms();
   let due_ms = request.arrived_ms + request.route.target_ms;
-  if gateway.now_ms() + expected_ms <= due_ms || !gateway.settings.mechanisms.prefill_bypass {
+  if gateway.now_ms().saturating_add(expected_ms) <= due_ms
+    || !gateway.settings.mechanisms.prefill_bypass
+  {
     return false;
   }
   if gateway.draw() >= share_over(expected_ms, max_prefill_ms(request)) {
@@ -248,7 +252,7 @@
   let work = tokens_ahead + tokens;
   // The coordinator knows engines that are slower than the usual time per token.
   let usual_ms = PREFILL_TIMEOUT_US_PER_TOKEN * work / 1_000;
-  let timeout_ms = PREFILL_BASE_TIMEOUT_MS + usual_ms.max(expected_ms);
+  let timeout_ms = PREFILL_BASE_TIMEOUT_MS.saturating_add(usual_ms.max(expected_ms));
   let prefill = async {
     let stage = OutgoingStage::new(entry, &proxy_headers, tokens, work);
     let head = send_stage(gateway, request, stage).await?;
--- a/tests/gateway/prefill_directory.rs
+++ b/tests/gateway/prefill_directory.rs
@@ -80,14 +80,17 @@
   directory.update(&registry, 0);
   assert_eq!(ids(&directory, &group("north", 0)), ["a", "b", "c"]);
   registry.put(entry("a", "north", Role::Decode));
+  directory.update(&registry, 1_000);
+  assert_eq!(ids(&directory, &group("north", 0)), ["b", "c"]);
+  registry.remove("c");
+  directory.update(&registry, 2_000);
+  assert_eq!(ids(&directory, &group("north", 0)), ["b"]);
+  let of = |started_ms| EndpointIncarnation::of("b", Some(started_ms));
   registry.put(EndpointEntry {
     started_ms: Some(2),
     ..entry("b", "north", Role::Prefill)
   });
-  registry.remove("c");
-  directory.update(&registry, 1_000);
-  assert_eq!(ids(&directory, &group("north", 0)), ["b"]);
-  let of = |started_ms| EndpointIncarnation::of("b", Some(started_ms));
+  directory.update(&registry, 3_000);
   assert!(directory.id("llm", of(1)).is_none());
   assert!(directory.id("llm", of(2)).is_some());
 }
--- a/tests/gateway/prefill_reservations.rs
+++ b/tests/gateway/prefill_reservations.rs
@@ -7,15 +7,20 @@
     endpoint::{engine_reply, with_header},
   },
   bytes::Bytes,
-  emulator::eventually,
+  emulator::{eventually, own_addresses},
   http::{Request, StatusCode},
   http_body_util::Full,
   rillford::{
+    HttpClient,
     gateway::{BoxEntry, BoxList, EndpointIncarnation, Place, PlaceId, PlaceOutcome, PrefillGroup},
     ids::Name,
   },
   rstest::rstest,
-  std::time::Duration,
+  std::{net::SocketAddr, os::fd::AsRawFd, time::Duration},
+  tokio::{
+    net::{TcpListener, TcpStream},
+    time::timeout,
+  },
 };
 
 const EVENTS: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
@@ -113,10 +118,10 @@
 /// A peer that is the coordinator, with a box that has one prefill and one decode engine.
 async fn box_beside(
   test: GatewayTest,
-  peer: &EndpointStandIn,
+  peer: SocketAddr,
   decode: &EndpointStandIn,
 ) -> (GatewayBox, EndpointStandIn) {
-  test.enter_box(&name_before_north_1(), peer.address);
+  test.enter_box(&name_before_north_1(), peer);
   let prefill = EndpointStandIn::engine(EVENTS).await;
   let gateway = test.with_engines(&prefill, decode).await;
   let knows_peer = async || gateway.metric("rillford_boxes").await >= 2.0;
@@ -159,7 +164,7 @@
     with_header(reply, header)
   })
   .await;
-  let (gateway, prefill) = box_beside(test, &peer, &decode).await;
+  let (gateway, prefill) = box_beside(test, peer.address, &decode).await;
   for number in 0..5 {
     assert!(is_served(&gateway, &format!("r{number}")).await);
   }
@@ -174,7 +179,7 @@
 async fn box_that_does_not_know_places_is_asked_once_a_second() {
   let peer = EndpointStandIn::start(not_found).await;
   let decode = EndpointStandIn::engine(EVENTS).await;
-  let (gateway, prefill) = box_beside(test("always").await, &peer, &decode).await;
+  let (gateway, prefill) = box_beside(test("always").await, peer.address, &decode).await;
   let mut sent = 0;
   while count(&place_messages(&peer), "/prefill-place") < 3 {
     assert!(is_served(&gateway, &format!("r{sent}")).await);
@@ -199,7 +204,7 @@
   })
   .await;
   let decode = EndpointStandIn::engine(EVENTS).await;
-  let (gateway, prefill) = box_beside(test("always").await, &peer, &decode).await;
+  let (gateway, prefill) = box_beside(test("always").await, peer.address, &decode).await;
   for number in 0..10 {
     assert!(is_served(&gateway, &format!("r{number}")).await);
   }
@@ -210,6 +215,38 @@
   assert!(eventually(TIMEOUT, reported).await);
 }
 
+/// A listener that drops the packets of new connections, as a cut link does: the queue of connections that it has not accepted is
+/// full.
+async fn unreachable_peer() -> (TcpListener, Vec<TcpStream>) {
+  let [address] = own_addresses();
+  let listener = TcpListener::bind(address).await.unwrap();
+  // SAFETY: the descriptor is that of the listener, which is open.
+  assert_eq!(unsafe { libc::listen(listener.as_raw_fd(), 0) }, 0);
+  let mut open = Vec::new();
+  let connect = || timeout(Duration::from_millis(200), TcpStream::connect(address));
+  while let Ok(connection) = connect().await {
+    open.push(connection.unwrap());
+  }
+  (listener, open)
+}
+
+/// Boxes that are cut off from the coordinator, and reach the engines all the same.
+#[tokio::test]
+async fn coordinator_beyond_a_cut_delays_no_prompt_for_long() {
+  let (peer, _open) = unreachable_peer().await;
+  let decode = EndpointStandIn::engine(EVENTS).await;
+  let address = peer.local_addr().unwrap();
+  let (gateway, prefill) = box_beside(test("always").await, address, &decode).await;
+  for number in 0..10 {
+    assert!(is_served(&gateway, &format!("r{number}")).await);
+  }
+  assert_eq!(prefill.requests().len(), 10);
+  for reason in ["no_answer", "skipped"] {
+    let name = format!("rillford_prefill_without_place_total{{reason=\"{reason}\"}}");
+    assert!(gateway.metric(&name).await > 0.0, "{reason}");
+  }
+}
+
 type Reports = (Name, Name, u32, Vec<(PlaceId, PlaceOutcome)>);
 
 /// Lists of endpoints differ between boxes: a coordinator may grant a place at an engine that the box does not list.
@@ -236,7 +273,7 @@
   })
   .await;
   let decode = EndpointStandIn::engine(EVENTS).await;
-  let (gateway, prefill) = box_beside(test("always").await, &peer, &decode).await;
+  let (gateway, prefill) = box_beside(test("always").await, peer.address, &decode).await;
   assert!(is_served(&gateway, "r1").await);
   assert_eq!(prefill.requests().len(), 1);
   let reported = async || count(&place_messages(&peer), "/prefill-finish") > 0;
@@ -429,3 +466,40 @@
   let reserves_again = async || is_served(&one, "after").await && reserved().await > before;
   assert!(eventually(TIMEOUT, reserves_again).await);
 }
+
+/// Boxes whose lists differ, or that don't use places, must not both grant places of one group.
+#[rstest]
+#[case::coordinator("always", "north", StatusCode::OK)]
+#[case::switched_off("never", "north", StatusCode::CONFLICT)]
+#[case::other_hall("always", "south", StatusCode::CONFLICT)]
+#[tokio::test]
+async fn only_the_coordinator_answers_requests_for_places(
+  #[case] enabled: &str,
+  #[case] hall: &str,
+  #[case] status: StatusCode,
+) {
+  let engine = EndpointStandIn::engine(EVENTS).await;
+  let decode = EndpointStandIn::engine(EVENTS).await;
+  let gateway = test(enabled).await.with_engines(&engine, &decode).await;
+  let knows_itself = async || gateway.metric("rillford_boxes").await >= 1.0;
+  assert!(eventually(TIMEOUT, knows_itself).await);
+  let id = PlaceId {
+    box_incarnation: 1,
+    sequence: 1,
+  };
+  let excluded: Vec<EndpointIncarnation> = Vec::new();
+  let place = (
+    "llm", hall, 0_u32, "north-2", id, 100_u64, 900_u64, excluded,
+  );
+  let finish = ("llm", hall, 0_u32, vec![(id, PlaceOutcome::Unused)]);
+  let messages = [
+    ("/prefill-place", postcard::to_stdvec(&place).unwrap()),
+    ("/prefill-finish", postcard::to_stdvec(&finish).unwrap()),
+  ];
+  for (path, body) in messages {
+    let request = Request::post(format!("http://{}{path}", gateway.boxes));
+    let request = request.body(Full::new(Bytes::from(body))).unwrap();
+    let response = HttpClient::default().send(request).await.unwrap();
+    assert_eq!(response.status(), status, "{path}");
+  }
+}
