--- a/emulator/src/prefill/replay.rs
+++ b/emulator/src/prefill/replay.rs
@@ -364,6 +364,7 @@
       load: LoadHeader {
         running: 1,
         slots: 128,
+        slowdown_percent: None,
         waiting,
       },
       request,
