Tests of fair shares: local shares, faults over 78 boxes

The local shares of an isolated box and of even shares were tested by small requests only, which order of arrival admits as well at one bucket: a prompt needs more of it. The test now compares urgent with less urgent prompts of one size. The replay of 78 boxes with fair shares holds the bound with a hall cut off, all boxes new, and isolated boxes.

--- a/tests/gateway/fair_shares.rs
+++ b/tests/gateway/fair_shares.rs
@@ -1,6 +1,7 @@
 //! Fair shares of an organisation's limit: small and urgent requests go first, no band starves, and the sum stays bounded.
 
 use {
+  emulator::limits::{KindCounts, LimitFleet, LimitPattern, replay_fair_shares},
   proptest::{prelude::*, proptest},
   rillford::{
     gateway::{
@@ -255,21 +256,40 @@
 #[rstest]
 #[case::isolated(LimitStrategy::AskNearLimit)]
 #[case::even_split(LimitStrategy::EvenSplit)]
-fn small_requests_go_first_in_a_local_share(#[case] strategy: LimitStrategy) {
+fn urgent_requests_go_first_in_a_local_share(#[case] strategy: LimitStrategy) {
   let mut usage = LocalUsage::default();
   usage.record_unreachable();
   let organisation = name();
   let flows = [SMALL, DIGEST, REVIEW, APPEAL];
-  let mut small = (0, 0);
+  let mut counts = [(0, 0); 4];
   for (now_ms, kind) in arrivals(&flows, 0, 20_000) {
     let request = local_request(&organisation, flows[kind], now_ms);
     let verdict = usage.admit(request, strategy);
-    if kind == 0 {
-      small.0 += u64::from(verdict == LocalVerdict::Settled(UsageVerdict::WithinLimit));
-      small.1 += 1;
-    }
+    let is_admitted = verdict == LocalVerdict::Settled(UsageVerdict::WithinLimit);
+    counts[kind].0 += u64::from(is_admitted);
+    counts[kind].1 += 1;
+  }
+  let [small, digest, _, appeal] = counts.map(share);
+  assert!(small > 0.99, "{counts:?}");
+  assert!(appeal > 2.0 * digest, "{counts:?}");
+}
+
+/// Guards against a sum above the bound of order of arrival while halls are cut off from each other, all boxes restart, or every fourth
+/// box is isolated, and against small requests that are rejected in a deployment of 78 boxes.
+#[rstest]
+#[case::cut_hall(LimitPattern::HotAndCutHall)]
+#[case::all_new(LimitPattern::HotAndAllNew)]
+#[case::isolated_boxes(LimitPattern::HotAndLoneBoxes)]
+#[case::mixed_sizes(LimitPattern::MixedSizes)]
+fn bound_holds_under_faults(#[case] pattern: LimitPattern) {
+  let replay = replay_fair_shares(pattern, LimitFleet::USERS, 1);
+  assert!(replay.most_used < 1.0, "{replay:?}");
+  if pattern == LimitPattern::MixedSizes {
+    let [plain, appeal, _, digest] = replay.kinds;
+    let share = |counts: KindCounts| f64::from(counts.admitted) / f64::from(counts.asked);
+    assert!(share(plain) > 0.95, "{replay:?}");
+    assert!(share(appeal) > share(digest), "{replay:?}");
   }
-  assert!(share(small) > 0.99, "{small:?}");
 }
 
 /// One step of two coordinators.
