Boxes don't coordinate limits while the list of boxes is lost

A list below 16 boxes counts as a small deployment, in which every box is a coordinator: 24 boxes admitted a whole burst each, from buckets that were never charged. While more than a quarter of a large deployment is missing, or so much that it looks small, no box coordinates, for at most 10 s: boxes enter themselves again at the next renewal of their lease. Meanwhile each uses its local share, as an isolated box does. bound_holds_while_the_entries_of_all_boxes_are_lost fails without the change (440 units of 352 allowed).

--- a/src/gateway/decisions/box_list.rs
+++ b/src/gateway/decisions/box_list.rs
@@ -1,6 +1,7 @@
 //! The boxes of the deployment, and which of them read the store for their hall. Free of I/O.
 
 use {
+  super::peak_box_count::{MIN_LARGE_BOXES, PeakBoxCount},
   crate::ids::Name,
   serde::{Deserialize, Serialize},
   std::{
@@ -9,9 +10,6 @@
   },
 };
 
-/// Number of boxes from which on only a hall's store readers read the store and relay its changes: each store call is
-/// billed.
-const MIN_BOXES_FOR_RELAY: usize = 16;
 /// Store readers of a hall. The first reads the store; the second follows the first, and reads the store when it fails.
 const READERS_PER_HALL: usize = 2;
 
@@ -90,9 +88,9 @@
     self.boxes.is_empty()
   }
 
-  /// Whether the deployment is so large that most boxes follow store readers.
+  /// Whether the deployment is so large that most boxes follow store readers: each store call is billed.
   pub fn is_large(&self) -> bool {
-    self.boxes.len() >= MIN_BOXES_FOR_RELAY
+    self.boxes.len() >= MIN_LARGE_BOXES
   }
 
   /// Whether a box is a store reader that others of its hall follow.
@@ -146,6 +144,21 @@
     !self.is_large() || self.before(name, hall).count() < READERS_PER_HALL
   }
 
+  /// Whether a box coordinates organisations' usage now. While the list of a large deployment is lost nobody does: each box
+  /// would take itself for a coordinator, and admit a whole burst that the real ones have already given out.
+  ///
+  /// ```
+  /// use rillford::gateway::{BoxList, PeakBoxCount};
+  /// let mut peak = PeakBoxCount::default();
+  /// peak.record(24, 0);
+  /// peak.record(0, 1_000);
+  /// assert!(!BoxList::default().coordinates(&peak, "box-10", "north", 1_000));
+  /// assert!(BoxList::default().coordinates(&peak, "box-10", "north", 11_000));
+  /// ```
+  pub fn coordinates(&self, peak: &PeakBoxCount, name: &str, hall: &str, now_ms: u64) -> bool {
+    !peak.is_list_lost(now_ms) && self.is_coordinator(name, hall)
+  }
+
   /// The coordinators besides one of them.
   pub fn other_coordinators(&self, name: &str) -> Vec<SocketAddr> {
     let others = self.coordinators().filter(|(other, _)| &***other != name);
--- a/src/gateway/decisions/peak_box_count.rs
+++ b/src/gateway/decisions/peak_box_count.rs
@@ -4,6 +4,11 @@
 //! expired, or since their hall is cut off. If each box divided by the boxes that are listed, their shares would add up to
 //! more than the limit.
 
+/// Number of boxes from which on a deployment is large: only store readers read the store and coordinate usage.
+pub(super) const MIN_LARGE_BOXES: usize = 16;
+/// A box whose entry was removed while it serves on has entered itself again by then: boxes renew their leases every 3 s, and a
+/// renewal may fail or wait for the store.
+const RECOVERY_MS: u64 = 10_000;
 /// Longer than halls usually are cut off from each other.
 const RETENTION_MS: u64 = 15 * 60 * 1_000;
 
@@ -27,6 +32,8 @@
   /// The peak in the retention time before it.
   previous: usize,
   since_ms: u64,
+  /// When the list became too short to name the coordinators, while it is.
+  lost_ms: Option<u64>,
 }
 
 impl PeakBoxCount {
@@ -38,6 +45,34 @@
       self.since_ms = now_ms;
     }
     self.current = self.current.max(boxes);
+    let is_lost = boxes * 4 < self.get() * 3 || boxes < MIN_LARGE_BOXES && self.is_large();
+    self.lost_ms = is_lost.then(|| self.lost_ms.unwrap_or(now_ms));
+  }
+
+  /// Whether more than a quarter of the boxes of a large deployment have disappeared from the list, or so many that it looks small,
+  /// and may still enter themselves again: the store has dropped their entries, and they serve on.
+  ///
+  /// ```
+  /// use rillford::gateway::PeakBoxCount;
+  /// let mut peak = PeakBoxCount::default();
+  /// peak.record(24, 0);
+  /// peak.record(23, 10);
+  /// assert!(!peak.is_list_lost(10));
+  /// peak.record(0, 20);
+  /// assert!(peak.is_list_lost(20));
+  /// peak.record(20, 3_000);
+  /// assert!(!peak.is_list_lost(3_000));
+  /// // Boxes that don't return were removed for good.
+  /// peak.record(8, 4_000);
+  /// assert!(peak.is_list_lost(13_999) && !peak.is_list_lost(14_000));
+  /// ```
+  pub fn is_list_lost(&self, now_ms: u64) -> bool {
+    let lost_ms = self.lost_ms.filter(|_| self.is_large());
+    lost_ms.is_some_and(|lost_ms| now_ms < lost_ms + RECOVERY_MS)
+  }
+
+  fn is_large(&self) -> bool {
+    self.get() >= MIN_LARGE_BOXES
   }
 
   pub fn get(&self) -> usize {
--- a/src/gateway/limits/reporting.rs
+++ b/src/gateway/limits/reporting.rs
@@ -129,8 +129,11 @@
   local_usage.record_unreachable();
 }
 
-/// The coordinators in the order in which to try them: first the one that answered last.
+/// The coordinators in the order in which to try them: first the one that answered last. None while the list of boxes is lost.
 pub(super) fn coordinators(gateway: &Gateway) -> Vec<SocketAddr> {
+  if gateway.is_box_list_lost() {
+    return Vec::new();
+  }
   let identity = &gateway.settings.identity;
   let boxes = gateway.boxes.borrow();
   let mut addresses = boxes.coordinators_for(&identity.name, &identity.hall);
--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -255,9 +255,17 @@
 
   /// Whether this box is a coordinator of organisations' usage.
   pub(crate) fn is_coordinator(&self) -> bool {
+    self.record_box_count();
     let identity = &self.settings.identity;
+    let peak = self.peak_box_count.borrow();
     let boxes = self.boxes.borrow();
-    boxes.is_coordinator(&identity.name, &identity.hall)
+    boxes.coordinates(&peak, &identity.name, &identity.hall, self.now_ms())
+  }
+
+  /// Whether the list of boxes is lost, so that it names no coordinators.
+  pub(crate) fn is_box_list_lost(&self) -> bool {
+    self.record_box_count();
+    self.peak_box_count.borrow().is_list_lost(self.now_ms())
   }
 
   /// Whether this box decides on limits as a coordinator.
--- a/tests/gateway/limits.rs
+++ b/tests/gateway/limits.rs
@@ -7,8 +7,8 @@
   proptest::{prelude::*, proptest},
   rillford::{
     gateway::{
-      LimitStrategy, LocalUsage, LocalVerdict, ReportScope, UsageLimit, UsageRequest, UsageTable,
-      UsageTotals, UsageVerdict,
+      BoxEntry, BoxList, LimitStrategy, LocalUsage, LocalVerdict, PeakBoxCount, ReportScope,
+      UsageLimit, UsageRequest, UsageTable, UsageTotals, UsageVerdict,
     },
     ids::Name,
   },
@@ -232,6 +232,61 @@
   assert_eq!(usage.admit(request, strategy), within);
 }
 
+/// Guards against a limit that is exceeded after the store has dropped the entries of all boxes: each of 24 boxes saw a list of none,
+/// took itself for a coordinator of a small deployment, and admitted a whole burst.
+#[test]
+fn bound_holds_while_the_entries_of_all_boxes_are_lost() {
+  const BOXES: usize = 24;
+  const LOST_MS: u64 = 20_000;
+  let organisation: Name = "a".into();
+  let entry = |number: usize| BoxEntry {
+    address: format!("127.0.0.1:{}", 7_000 + number).parse().unwrap(),
+    hall: "north".into(),
+  };
+  let name = |number: usize| -> Name { format!("north-{number:03}").as_str().into() };
+  let mut peak = PeakBoxCount::default();
+  let mut list = BoxList::default();
+  for number in 0..BOXES {
+    list.put(name(number), entry(number));
+  }
+  peak.record(list.len(), 0);
+  let mut tables: Vec<UsageTable> = (0..BOXES).map(|_| table(0)).collect();
+  let mut usages = vec![LocalUsage::default(); BOXES];
+  for usage in &mut usages {
+    usage.record_near_limit(vec![(organisation.clone(), 0.0)], LOST_MS);
+    usage.record_unreachable();
+  }
+  // The boxes enter themselves again one after the other, within the 3 s between renewals.
+  list = BoxList::default();
+  let (mut admitted, mut passed_ms) = (0, 0);
+  while passed_ms < 2_200 {
+    let now_ms = LOST_MS + passed_ms;
+    let listed = passed_ms as usize * BOXES / 3_000;
+    for number in list.len()..listed {
+      list.put(name(number), entry(number));
+    }
+    peak.record(list.len(), now_ms);
+    let at = passed_ms as usize / 5 % BOXES;
+    let request = UsageRequest {
+      band: None,
+      boxes: BOXES,
+      limit: limit(),
+      now_ms,
+      organisation: &organisation,
+      units: 1,
+    };
+    let verdict = if list.coordinates(&peak, &name(at), "north", now_ms) {
+      tables[at].admit(&organisation, 1, now_ms)
+    } else {
+      usages[at].admit_isolated(request)
+    };
+    admitted += u64::from(verdict == UsageVerdict::WithinLimit);
+    passed_ms += 5;
+  }
+  let allowed = (limit().rate_per_s * 2.2 + limit().burst) * 1.1;
+  assert!(admitted as f64 <= allowed, "{admitted} of {allowed}");
+}
+
 /// One step of two coordinators.
 #[derive(Clone, Copy, Debug)]
 enum Step {
