Organisations above their usual load wait for slots behind others; fair shares over real boxes

Where fair shares are enabled, a request for a slot of an organisation above 1.5 times its average over 30 s (and over 3 requests more) waits behind organisations within theirs, priority by priority. Tests with real boxes: /use-ranked reserves what is reported, 404 where fair shares are off, and a coordinator of an older build is asked by /use.

--- a/src/gateway/decisions/local_usage.rs
+++ b/src/gateway/decisions/local_usage.rs
@@ -101,8 +101,9 @@
   /// Decides on a request of an organisation, and records it when it is admitted.
   pub fn admit(&mut self, request: UsageRequest, strategy: LimitStrategy) -> LocalVerdict {
     let verdict = self.decide(request, strategy);
-    // Demand of an isolated box would be out of date when it is reported.
+    // Far from the limit nothing is reserved. Demand of an isolated box would be out of date when it is reported.
     if let (Some(band), LocalVerdict::Settled(_)) = (request.band, verdict)
+      && self.near_limit.contains_key(request.organisation)
       && !self.is_isolated(request.now_ms)
     {
       let key = (request.organisation.clone(), band);
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -27,6 +27,7 @@
 mod local_permits;
 mod local_usage;
 mod notice_tracker;
+mod organisation_loads;
 mod peak_box_count;
 mod peer_answers;
 mod peer_usage;
@@ -81,6 +82,7 @@
   local_permits::{LocalPermitVerdict, LocalPermits},
   local_usage::{LocalUsage, LocalVerdict, UsageRequest},
   notice_tracker::{Availability, NoticeChange, NoticeTracker},
+  organisation_loads::{OrganisationLoad, OrganisationLoads},
   peak_box_count::PeakBoxCount,
   peer_answers::{PeerAnswers, PeerList},
   permit_account::{PermitAccount, PermitRequest, PermitVerdict},
--- a/src/gateway/decisions/slot_queue.rs
+++ b/src/gateway/decisions/slot_queue.rs
@@ -1,6 +1,6 @@
 //! The queue of a box's requests that wait for a batch slot. Free of I/O.
 
-use std::collections::BTreeSet;
+use {super::organisation_loads::OrganisationLoad, std::collections::BTreeSet};
 
 /// The urgency of a request, the most urgent first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -17,6 +17,8 @@
   urgency: SlotUrgency,
   /// 0 goes first.
   priority: u8,
+  /// Of one priority, organisations within their usual load go first.
+  load: OrganisationLoad,
   /// Positions are numbered in the order of arrival.
   number: u64,
 }
@@ -45,8 +47,29 @@
 impl SlotQueue {
   /// Adds a request.
   pub fn join(&mut self, urgency: SlotUrgency, priority: u8) -> QueuePosition {
+    self.join_with_load(urgency, priority, OrganisationLoad::Usual)
+  }
+
+  /// Adds a request of an organisation with a load.
+  ///
+  /// ```
+  /// use rillford::gateway::{OrganisationLoad, SlotQueue, SlotUrgency};
+  /// let mut queue = SlotQueue::default();
+  /// let above = queue.join_with_load(SlotUrgency::New, 1, OrganisationLoad::AboveUsual);
+  /// let usual = queue.join_with_load(SlotUrgency::New, 1, OrganisationLoad::Usual);
+  /// assert!(queue.is_first(usual));
+  /// let more_urgent = queue.join_with_load(SlotUrgency::New, 0, OrganisationLoad::AboveUsual);
+  /// assert!(queue.is_first(more_urgent));
+  /// ```
+  pub fn join_with_load(
+    &mut self,
+    urgency: SlotUrgency,
+    priority: u8,
+    load: OrganisationLoad,
+  ) -> QueuePosition {
     self.joined += 1;
     let position = QueuePosition {
+      load,
       number: self.joined,
       priority,
       urgency,
--- a/src/gateway/decisions/usage_table.rs
+++ b/src/gateway/decisions/usage_table.rs
@@ -202,12 +202,16 @@
     }
   }
 
-  /// The demand that was requested of this box and its reporters, by organisation.
+  /// The demand that was requested of this box and its reporters, by organisation near its limit: far from it nothing is reserved, and
+  /// messages would grow with the number of organisations.
   pub fn own_demand(&mut self, now_ms: u64) -> Vec<(Name, BandDemand)> {
-    let demand = self
-      .accounts
-      .iter_mut()
-      .map(|(name, account)| (name.clone(), account.demand.own_demand(now_ms)));
+    let near_limit = self.accounts.iter_mut().filter_map(|(name, account)| {
+      let remaining = account.bucket.level(account.limit, now_ms);
+      let is_near = remaining < account.limit.burst * NEAR_LIMIT_SHARE;
+      is_near.then_some((name, account))
+    });
+    let demand =
+      near_limit.map(|(name, account)| (name.clone(), account.demand.own_demand(now_ms)));
     demand.filter(|(_, bands)| !bands.is_empty()).collect()
   }
 
--- a/src/gateway/requests/slot.rs
+++ b/src/gateway/requests/slot.rs
@@ -4,7 +4,7 @@
   crate::{
     decide::Role,
     gateway::{
-      decisions::{AttemptOutcome, EndpointCriteria, QueuePosition, SlotUrgency},
+      decisions::{AttemptOutcome, EndpointCriteria, OrganisationLoad, QueuePosition, SlotUrgency},
       edge::{EndpointEntry, SoftwareVersion},
       permits::{Permit, acquire_permit, return_permit},
       stages::{EngineCallError, LoadGuard, Purpose, Reservation, RoutedRequest, call_engine},
@@ -126,8 +126,10 @@
 }
 
 impl<'a> QueuedRequest<'a> {
-  fn new(gateway: &'a Gateway, urgency: SlotUrgency, priority: u8) -> Self {
-    let position = gateway.slot_queue.borrow_mut().join(urgency, priority);
+  fn new(gateway: &'a Gateway, request: &RoutedRequest, urgency: SlotUrgency) -> Self {
+    let load = organisation_load(gateway, request);
+    let mut queue = gateway.slot_queue.borrow_mut();
+    let position = queue.join_with_load(urgency, request.rank.priority, load);
     Self { gateway, position }
   }
 
@@ -159,6 +161,28 @@
   }
 }
 
+/// Records a request at its organisation's load, where fair shares are enabled, and returns the load.
+fn organisation_load(gateway: &Gateway, request: &RoutedRequest) -> OrganisationLoad {
+  let Some(organisation) = &request.organisation else {
+    return OrganisationLoad::Usual;
+  };
+  if !gateway.has_fair_shares() {
+    return OrganisationLoad::Usual;
+  }
+  let now_ms = gateway.now_ms();
+  let mut loads = gateway.organisation_loads.borrow_mut();
+  loads.record(&organisation.name, now_ms);
+  let load = loads.load(&organisation.name, now_ms);
+  if load == OrganisationLoad::AboveUsual {
+    log::info!(
+      "E622 above usual load: {} of {} waits for a slot behind organisations within theirs",
+      request.id(),
+      organisation.name
+    );
+  }
+  load
+}
+
 /// Requests a slot from one engine after another, whenever the request is first in the box's queue.
 async fn request_in_order(
   gateway: &Rc<Gateway>,
@@ -166,7 +190,7 @@
   exclusions: Exclusions<'_>,
   urgency: SlotUrgency,
 ) -> Option<(EndpointEntry, Reservation)> {
-  let queued = QueuedRequest::new(gateway, urgency, request.rank.priority);
+  let queued = QueuedRequest::new(gateway, request, urgency);
   let mut unreached = 0;
   while unreached < MAX_UNREACHED {
     let queue_changed = gateway.slot_queue_changed.notified();
--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -13,8 +13,9 @@
       decisions::{
         AttemptOutcome, BoxEntry, BoxList, CachedPrompts, Choice, ColdPeriod, CopyBudget,
         EndpointCounts, EndpointCriteria, EndpointGroup, EndpointRegistry, LocalUsage,
-        PeakBoxCount, PeerAnswers, PermitTable, Reachability, RetryUsage, RetryWindow,
-        SlotForecast, SlotQueue, StreamRecords, Unavailable, UsageTable, retry_after_backoff_ms,
+        OrganisationLoads, PeakBoxCount, PeerAnswers, PermitTable, Reachability, RetryUsage,
+        RetryWindow, SlotForecast, SlotQueue, StreamRecords, Unavailable, UsageTable,
+        retry_after_backoff_ms,
       },
       edge::{ColdStart, EndpointEntry, PlatformCodec, RouteTable, StoreLease},
       settings::{GatewaySettings, RoutePolicy},
@@ -90,6 +91,8 @@
   pub(crate) slot_forecast: RefCell<SlotForecast>,
   /// The requests that wait for a batch slot.
   pub(crate) slot_queue: RefCell<SlotQueue>,
+  /// The organisations' loads at this box, where fair shares are enabled.
+  pub(crate) organisation_loads: RefCell<OrganisationLoads>,
   /// Notified when a request leaves that queue.
   pub(crate) slot_queue_changed: Notify,
   /// Moving mean of the time from the reservation of a slot to the first event.
@@ -169,6 +172,7 @@
       limit_log_throttle: LogThrottle::default(),
       local_usage: RefCell::default(),
       mean_first_event_ms: Cell::new(None),
+      organisation_loads: RefCell::default(),
       peak_box_count: RefCell::default(),
       peer_answers: RefCell::default(),
       permit_table: RefCell::default(),
--- a/tests/gateway/fair_shares.rs
+++ b/tests/gateway/fair_shares.rs
@@ -1,16 +1,23 @@
 //! Fair shares of an organisation's limit: small and urgent requests go first, no band starves, and the sum stays bounded.
 
 use {
+  super::{EndpointStandIn, GatewayBox, GatewayTest, Reply, TIMEOUT},
+  bytes::Bytes,
   emulator::limits::{KindCounts, LimitFleet, LimitPattern, replay_fair_shares},
+  http::{HeaderValue, Request, StatusCode, header::AUTHORIZATION},
+  http_body_util::Full,
   proptest::{prelude::*, proptest},
   rillford::{
+    CallError, HttpClient,
     gateway::{
       BandDemand, BandRequest, DemandBand, DemandReport, LimitStrategy, LocalUsage, LocalVerdict,
-      ReportScope, UsageLimit, UsageRequest, UsageTable, UsageTotals, UsageVerdict,
+      OrganisationLoad, OrganisationLoads, ReportScope, ShareState, SlotQueue, SlotUrgency,
+      UsageLimit, UsageRequest, UsageTable, UsageTotals, UsageVerdict,
     },
     ids::Name,
   },
   rstest::rstest,
+  serde_json::{Value, json},
 };
 
 const ORGANISATION: &str = "lectures";
@@ -292,6 +299,34 @@
   }
 }
 
+/// Guards against an organisation with its usual load that waits behind another's overload, and against a lasting increase that stays
+/// penalised.
+#[test]
+fn organisation_above_its_usual_load_waits_behind_others() {
+  let mut loads = OrganisationLoads::default();
+  let (hot, calm): (Name, Name) = ("hot".into(), "calm".into());
+  let mut queue = SlotQueue::default();
+  for now_ms in (0..30_000).step_by(500) {
+    loads.record(&hot, now_ms);
+    loads.record(&calm, now_ms);
+    assert_eq!(loads.load(&hot, now_ms), OrganisationLoad::Usual);
+  }
+  let mut join = |loads: &mut OrganisationLoads, name: &Name, now_ms| {
+    loads.record(name, now_ms);
+    queue.join_with_load(SlotUrgency::New, 1, loads.load(name, now_ms))
+  };
+  let mut last_hot = None;
+  for now_ms in (30_000..32_000).step_by(50) {
+    last_hot = Some(join(&mut loads, &hot, now_ms));
+  }
+  let of_calm = join(&mut loads, &calm, 32_000);
+  assert!(of_calm < last_hot.unwrap());
+  for now_ms in (32_000..130_000).step_by(50) {
+    loads.record(&hot, now_ms);
+  }
+  assert_eq!(loads.load(&hot, 130_000), OrganisationLoad::Usual);
+}
+
 /// One step of two coordinators.
 #[derive(Clone, Copy, Debug)]
 enum Step {
@@ -424,3 +459,90 @@
     }
   }
 }
+
+/// One organisation with a burst of 250 units, and then 1 per second.
+fn with_a_limit(configuration: &mut Value) {
+  configuration["tenants"] = json!([
+    {"name": ORGANISATION, "apiKeys": ["key-a"], "unit": "token_stream", "plainTokens": 100, "ratePerS": 1, "burst": 250},
+  ]);
+}
+
+/// A report of 50 admitted units and 100 requested ones of band 3, with a request of 150 units of band 7.
+async fn report(gateway: &GatewayBox) -> Result<Bytes, CallError> {
+  let name = Name::from(ORGANISATION);
+  let usage = ("north-2", vec![(&name, 50_i64)], Some((&name, 150_u64)));
+  let message = (usage, Some(7_u8), vec![(&name, 3_u8, 100_u64)]);
+  let body = postcard::to_stdvec(&message).unwrap();
+  let request = Request::post(format!("http://{}/use-ranked", gateway.boxes))
+    .body(Full::new(body.into()))
+    .unwrap();
+  HttpClient::default().fetch_bytes(request, TIMEOUT).await
+}
+
+async fn with_fair_shares(fair_shares: &'static str) -> GatewayBox {
+  let one = EndpointStandIn::start(|seen| Reply::ok(seen, "one")).await;
+  let mut test = GatewayTest::new().await.configure(with_a_limit);
+  test.fair_shares = fair_shares;
+  test.with_portal(&one).await
+}
+
+/// Guards against a coordinator that ignores the ranks in a report.
+#[tokio::test]
+async fn coordinator_reserves_what_another_box_reports() {
+  let gateway = with_fair_shares("always").await;
+  let body = report(&gateway).await.unwrap();
+  type Response = ((Vec<(Name, f64)>, Option<UsageVerdict>), Option<ShareState>);
+  let ((_, verdict), state): Response = postcard::from_bytes(&body).unwrap();
+  // 200 units are left, of which 100 are reserved.
+  assert!(
+    matches!(verdict, Some(UsageVerdict::OverLimit { .. })),
+    "{verdict:?}"
+  );
+  let expected = ShareState {
+    lent: 25.0,
+    reserved: 100.0,
+  };
+  assert_eq!(state, Some(expected));
+}
+
+/// Guards against a box that decides by rank although it is not enabled, or although the routes of streams have one priority.
+#[rstest]
+#[case::never("never")]
+#[case::streams_of_one_priority("by_configuration")]
+#[tokio::test]
+async fn box_without_fair_shares_does_not_know_their_messages(#[case] fair_shares: &'static str) {
+  let gateway = with_fair_shares(fair_shares).await;
+  let result = report(&gateway).await;
+  let is_not_found = |error: &CallError| matches!(error, CallError::Status { status, .. } if *status == StatusCode::NOT_FOUND);
+  assert!(result.as_ref().is_err_and(is_not_found), "{result:?}");
+}
+
+/// Guards against requests that are rejected, or each delayed by a refused message, during a release.
+#[tokio::test]
+async fn coordinator_of_an_older_build_is_asked_in_order_of_arrival() {
+  let one = EndpointStandIn::start(|seen| Reply::ok(seen, "one")).await;
+  let coordinator = EndpointStandIn::start(|seen| match seen.path.as_str() {
+    // No organisation is near its limit, and the request is within its limit.
+    "/use" => Reply::ok(seen, "\0\u{1}\0"),
+    _ => Reply::status(seen, "404 Not Found", ""),
+  })
+  .await;
+  let mut test = GatewayTest::new().await.configure(with_a_limit);
+  test.fair_shares = "always";
+  for number in (0..2).chain(20..40) {
+    test.enter_box(&format!("north-{number:02}"), coordinator.address);
+  }
+  let gateway = test.with_portal(&one).await;
+  let count = |path: &str| {
+    let received = coordinator.received();
+    received.iter().filter(|seen| seen.path == path).count()
+  };
+  let used_and_ranked = async || {
+    let mut request = gateway.request("/safe/a", "r");
+    let value = HeaderValue::from_static("Bearer key-a");
+    request.headers_mut().insert(AUTHORIZATION, value);
+    let is_served = gateway.send(request).await.status == StatusCode::OK;
+    is_served && count("/use-ranked") > 0 && count("/use") > 4 * count("/use-ranked")
+  };
+  assert!(emulator::eventually(TIMEOUT, used_and_ranked).await);
+}
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -39,6 +39,8 @@
   pub(crate) metrics_port_taken: bool,
   /// Which priority is sent to engines.
   pub(crate) engine_priority: &'static str,
+  /// When small and urgent requests of an organisation go first at its limit.
+  pub(crate) fair_shares: &'static str,
   name: String,
   /// Retries of all boxes in excess of the ratio.
   pub(crate) retry_slack: f64,
@@ -74,6 +76,7 @@
     Self {
       configuration,
       engine_priority: "route",
+      fair_shares: "never",
       metrics_port_taken: false,
       name: "north-1".into(),
       retry_slack: 60.0,
@@ -88,6 +91,7 @@
     Self {
       configuration: self.configuration.clone(),
       engine_priority: self.engine_priority,
+      fair_shares: self.fair_shares,
       metrics_port_taken: false,
       name: name.into(),
       retry_slack: self.retry_slack,
@@ -312,8 +316,15 @@
 [engines]
 prefill_share = 0.25
 marks = "{}"
+[limits]
+fair_shares = "{}"
 "#,
-      self.name, self.store_address, self.stop_s, self.retry_slack, self.engine_priority
+      self.name,
+      self.store_address,
+      self.stop_s,
+      self.retry_slack,
+      self.engine_priority,
+      self.fair_shares
     )
   }
 
