--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -30,6 +30,7 @@
 mod local_usage;
 mod longest_deadlines;
 mod notice_tracker;
+mod organisation_loads;
 mod peak_box_count;
 mod peer_answers;
 mod peer_usage;
@@ -97,6 +98,7 @@
   local_usage::{LocalUsage, LocalVerdict, UsageRequest},
   longest_deadlines::LongestDeadlines,
   notice_tracker::{Availability, NoticeChange, NoticeTracker},
+  organisation_loads::{OrganisationLoad, OrganisationLoads},
   peak_box_count::PeakBoxCount,
   peer_answers::{PeerAnswers, PeerList},
   permit_account::{PermitAccount, PermitRequest, PermitVerdict},
--- a/src/gateway/decisions/slot_queue.rs
+++ b/src/gateway/decisions/slot_queue.rs
@@ -1,6 +1,6 @@
 //! The queue of a box's requests that wait for a batch slot. Free of I/O.
 
-use std::collections::BTreeSet;
+use {super::organisation_loads::OrganisationLoad, std::collections::BTreeSet};
 
 /// The urgency of a request, the most urgent first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -20,7 +20,9 @@
   is_new: bool,
   /// 0 goes first.
   priority: u8,
-  /// Orders the requests of one priority.
+  /// Of one priority, organisations within their usual load go first.
+  load: OrganisationLoad,
+  /// Orders the requests of one priority and load.
   urgency: SlotUrgency,
   /// Positions are numbered in the order of arrival.
   number: u64,
@@ -29,7 +31,7 @@
 /// The requests of a box that wait for a slot.
 ///
 /// ```
-/// use rillford::gateway::{SlotQueue, SlotUrgency};
+/// use rillford::gateway::{OrganisationLoad, SlotQueue, SlotUrgency};
 /// let mut queue = SlotQueue::default();
 /// let older = queue.join(SlotUrgency::New, 1);
 /// let newer = queue.join(SlotUrgency::New, 1);
@@ -41,8 +43,8 @@
 /// let more_urgent = queue.join(SlotUrgency::New, 0);
 /// assert!(queue.is_first(more_urgent));
 /// // Of one priority, callers who return go before new ones.
-/// assert_eq!(queue.ahead_of(SlotUrgency::New, 1), 3);
-/// assert_eq!(queue.ahead_of(SlotUrgency::Returned, 1), 1);
+/// assert_eq!(queue.ahead_of(SlotUrgency::New, 1, OrganisationLoad::Usual), 3);
+/// assert_eq!(queue.ahead_of(SlotUrgency::Returned, 1, OrganisationLoad::Usual), 1);
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct SlotQueue {
@@ -53,15 +55,35 @@
 impl SlotQueue {
   /// Adds a request.
   pub fn join(&mut self, urgency: SlotUrgency, priority: u8) -> QueuePosition {
+    self.join_with_load(urgency, priority, OrganisationLoad::Usual)
+  }
+
+  /// Adds a request of an organisation with a load.
+  ///
+  /// ```
+  /// use rillford::gateway::{OrganisationLoad, SlotQueue, SlotUrgency};
+  /// let mut queue = SlotQueue::default();
+  /// let above = queue.join_with_load(SlotUrgency::New, 1, OrganisationLoad::AboveUsual);
+  /// let usual = queue.join_with_load(SlotUrgency::New, 1, OrganisationLoad::Usual);
+  /// assert!(queue.is_first(usual));
+  /// let more_urgent = queue.join_with_load(SlotUrgency::New, 0, OrganisationLoad::AboveUsual);
+  /// assert!(queue.is_first(more_urgent));
+  /// ```
+  pub fn join_with_load(
+    &mut self,
+    urgency: SlotUrgency,
+    priority: u8,
+    load: OrganisationLoad,
+  ) -> QueuePosition {
     self.joined += 1;
-    let position = position(urgency, priority, self.joined);
+    let position = position(urgency, priority, load, self.joined);
     self.positions.insert(position);
     position
   }
 
   /// The number of requests that would go before one that joins now.
-  pub fn ahead_of(&self, urgency: SlotUrgency, priority: u8) -> usize {
-    let next = position(urgency, priority, self.joined + 1);
+  pub fn ahead_of(&self, urgency: SlotUrgency, priority: u8, load: OrganisationLoad) -> usize {
+    let next = position(urgency, priority, load, self.joined + 1);
     self.positions.range(..next).count()
   }
 
@@ -86,8 +108,14 @@
   }
 }
 
-fn position(urgency: SlotUrgency, priority: u8, number: u64) -> QueuePosition {
+fn position(
+  urgency: SlotUrgency,
+  priority: u8,
+  load: OrganisationLoad,
+  number: u64,
+) -> QueuePosition {
   QueuePosition {
+    load,
     is_new: urgency != SlotUrgency::Resumed,
     number,
     priority,
--- a/src/gateway/requests/slot.rs
+++ b/src/gateway/requests/slot.rs
@@ -4,7 +4,7 @@
   crate::{
     decide::Role,
     gateway::{
-      decisions::{AttemptOutcome, EndpointCriteria, QueuePosition, SlotUrgency},
+      decisions::{AttemptOutcome, EndpointCriteria, OrganisationLoad, QueuePosition, SlotUrgency},
       edge::{EndpointEntry, SoftwareVersion},
       permits::{Permit, acquire_permit, return_permit},
       stages::{EngineCallError, LoadGuard, Purpose, Reservation, RoutedRequest, call_engine},
@@ -149,8 +149,9 @@
 
 /// The number of requests in the queue that go before a request.
 fn ahead(gateway: &Gateway, request: &RoutedRequest, urgency: SlotUrgency) -> usize {
+  let load = current_load(gateway, request);
   let queue = gateway.slot_queue.borrow();
-  queue.ahead_of(urgency, request.rank.priority)
+  queue.ahead_of(urgency, request.rank.priority, load)
 }
 
 /// The urgency of a request whose caller has received nothing.
@@ -196,8 +197,9 @@
 
 impl<'a> QueuedRequest<'a> {
   fn new(gateway: &'a Gateway, request: &'a RoutedRequest, urgency: SlotUrgency) -> Self {
-    let priority = request.rank.priority;
-    let position = gateway.slot_queue.borrow_mut().join(urgency, priority);
+    let load = organisation_load(gateway, request);
+    let mut queue = gateway.slot_queue.borrow_mut();
+    let position = queue.join_with_load(urgency, request.rank.priority, load);
     Self {
       gateway,
       position,
@@ -235,6 +237,38 @@
   }
 }
 
+/// The load of a request's organisation without the request, where fair shares are enabled.
+fn current_load(gateway: &Gateway, request: &RoutedRequest) -> OrganisationLoad {
+  let organisation = request.organisation.as_ref();
+  let organisation = organisation.filter(|_| gateway.has_fair_shares());
+  let loads = gateway.organisation_loads.borrow();
+  organisation.map_or(OrganisationLoad::Usual, |organisation| {
+    loads.load(&organisation.name, gateway.now_ms())
+  })
+}
+
+/// Records a request at its organisation's load, where fair shares are enabled, and returns the load.
+fn organisation_load(gateway: &Gateway, request: &RoutedRequest) -> OrganisationLoad {
+  let Some(organisation) = &request.organisation else {
+    return OrganisationLoad::Usual;
+  };
+  if !gateway.has_fair_shares() {
+    return OrganisationLoad::Usual;
+  }
+  let now_ms = gateway.now_ms();
+  let mut loads = gateway.organisation_loads.borrow_mut();
+  loads.record(&organisation.name, now_ms);
+  let load = loads.load(&organisation.name, now_ms);
+  if load == OrganisationLoad::AboveUsual {
+    log::info!(
+      "E622 above usual load: {} of {} waits for a slot behind organisations within theirs",
+      request.id(),
+      organisation.name
+    );
+  }
+  load
+}
+
 /// Requests a slot from one engine after another, whenever the request is first in the box's queue.
 async fn request_in_order(
   gateway: &Rc<Gateway>,
--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -14,8 +14,8 @@
       decisions::{
         AttemptOutcome, BoxEntry, BoxList, CachedPrompts, Choice, ColdPeriod, CopyBudget,
         EndpointCounts, EndpointCriteria, EndpointGroup, EndpointRegistry, LocalUsage,
-        LongestDeadlines, PeakBoxCount, PeerAnswers, PermitTable, Reachability, RetryUsage,
-        RetryWindow, SlotForecast, SlotQueue, StreamRecords, Unavailable, UsageTable,
+        LongestDeadlines, OrganisationLoads, PeakBoxCount, PeerAnswers, PermitTable, Reachability,
+        RetryUsage, RetryWindow, SlotForecast, SlotQueue, StreamRecords, Unavailable, UsageTable,
         retry_after_backoff_ms,
       },
       edge::{ColdStart, EndpointEntry, PlatformCodec, RouteTable, StoreLease},
@@ -94,6 +94,8 @@
   pub(crate) slot_forecast: RefCell<SlotForecast>,
   /// The requests that wait for a batch slot.
   pub(crate) slot_queue: RefCell<SlotQueue>,
+  /// The organisations' loads at this box, where fair shares are enabled.
+  pub(crate) organisation_loads: RefCell<OrganisationLoads>,
   /// Notified when a request leaves that queue.
   pub(crate) slot_queue_changed: Notify,
   /// The longest deadlines of callers, by route.
@@ -181,6 +183,7 @@
       local_usage: RefCell::default(),
       longest_deadlines: RefCell::default(),
       mean_first_event_ms: Cell::new(None),
+      organisation_loads: RefCell::default(),
       peak_box_count: RefCell::default(),
       peer_answers: RefCell::default(),
       permit_table: RefCell::default(),
@@ -269,9 +272,17 @@
 
   /// Whether this box is a coordinator of organisations' usage.
   pub(crate) fn is_coordinator(&self) -> bool {
+    self.record_box_count();
     let identity = &self.settings.identity;
+    let peak = self.peak_box_count.borrow();
     let boxes = self.boxes.borrow();
-    boxes.is_coordinator(&identity.name, &identity.hall)
+    boxes.coordinates(&peak, &identity.name, &identity.hall, self.now_ms())
+  }
+
+  /// Whether the list of boxes is lost, so that it names no coordinators.
+  pub(crate) fn is_box_list_lost(&self) -> bool {
+    self.record_box_count();
+    self.peak_box_count.borrow().is_list_lost(self.now_ms())
   }
 
   /// Whether this box decides on limits as a coordinator.
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -43,6 +43,8 @@
   pub(crate) extra_settings: String,
   /// The box's data hall.
   pub(crate) hall: &'static str,
+  /// When small and urgent requests of an organisation go first at its limit.
+  pub(crate) fair_shares: &'static str,
   name: String,
   /// Retries of all boxes in excess of the ratio.
   pub(crate) retry_slack: f64,
@@ -83,6 +85,7 @@
       extra_settings: String::new(),
       hall: "north",
       memory_mb: None,
+      fair_shares: "never",
       metrics_port_taken: false,
       name: "north-1".into(),
       retry_slack: 60.0,
@@ -100,6 +103,7 @@
       extra_settings: self.extra_settings.clone(),
       hall: self.hall,
       memory_mb: self.memory_mb,
+      fair_shares: self.fair_shares,
       metrics_port_taken: false,
       name: name.into(),
       retry_slack: self.retry_slack,
@@ -300,6 +304,10 @@
     let memory = self.memory_mb.map_or_else(String::new, |memory_mb| {
       format!("[memory]\nbox_mb = {memory_mb}\n")
     });
+    let limits = match self.fair_shares {
+      "never" => String::new(),
+      fair_shares => format!("[limits]\nfair_shares = \"{fair_shares}\"\n"),
+    };
     format!(
       r#"
 [box]
@@ -327,7 +335,7 @@
 [engines]
 prefill_share = 0.25
 marks = "{}"
-{memory}{}
+{memory}{limits}{}
 "#,
       self.name,
       self.hall,
--- a/tests/gateway/return_order.rs
+++ b/tests/gateway/return_order.rs
@@ -12,7 +12,8 @@
   rand::{RngExt, SeedableRng},
   rand_chacha::ChaCha8Rng,
   rillford::gateway::{
-    LongestDeadlines, ReturnSchedule, ReturningCaller, SlotQueue, SlotSupply, SlotUrgency,
+    LongestDeadlines, OrganisationLoad, ReturnSchedule, ReturningCaller, SlotQueue, SlotSupply,
+    SlotUrgency,
   },
   rstest::rstest,
   std::sync::{
@@ -290,7 +291,10 @@
   let less_urgent = queue.join(SlotUrgency::Returned, 2);
   let more_urgent = queue.join(SlotUrgency::New, 0);
   let resumed = queue.join(SlotUrgency::Resumed, 2);
-  assert_eq!(queue.ahead_of(SlotUrgency::Returned, 1), 3);
+  assert_eq!(
+    queue.ahead_of(SlotUrgency::Returned, 1, OrganisationLoad::Usual),
+    3
+  );
   for position in [resumed, more_urgent, returned, new, less_urgent] {
     assert!(queue.is_first(position), "{position:?}");
     queue.leave(position);
