Prefill queue: bound on the work that engines report of others

The property test found an engine blocked for an hour: a huge reported load times an inflated duration counted as work of boxes without places. It is bounded to 2 s, past any latency target; the next report shows the rest. The replay's state is a file of its own, since its files imported each other in a loop.

--- a/emulator/src/prefill/mod.rs
+++ b/emulator/src/prefill/mod.rs
@@ -11,6 +11,7 @@
 mod places;
 mod replay;
 mod report;
+mod state;
 mod strategy;
 
 pub use self::{
--- a/emulator/src/prefill/places.rs
+++ b/emulator/src/prefill/places.rs
@@ -2,25 +2,22 @@
 
 use {
   super::{
-    fleet::{Fleet, HALLS, hall_of_box},
+    fleet::{HALLS, hall_of_box},
     pattern::{FAULT_MS, PrefillPattern},
-    replay::{Event, PrefillReplay},
+    state::{Ask, Event, PrefillReplay},
   },
   rand::RngExt,
-  rand_chacha::ChaCha8Rng,
   rillford::gateway::{
     LoadHeader, Place, PlaceId, PlaceOutcome, PlaceRequest, PrefillOffer, PrefillQueue,
     ReportedEngineLoad, asks_other_halls, best_prefill_offer,
   },
-  std::{collections::HashMap, time::Instant},
+  std::time::Instant,
 };
 
 /// Time for which a box waits for a coordinator.
 const ASK_TIMEOUT_MS: u64 = 40;
 /// Time for which a box does not ask a coordinator that did not answer.
 const UNRESPONSIVE_MS: u64 = 1_000;
-/// Largest delay until a box receives a change of the box list.
-const MAX_LIST_DELAY_MS: f64 = 2_000.0;
 /// Delays of messages between boxes.
 const BOX_DELAY_MS: std::ops::RangeInclusive<u64> = 1..=3;
 /// The round trip that a box assumes to other halls.
@@ -32,39 +29,6 @@
 /// A report and its answer.
 const REPORT_BYTES: u64 = 101 + 64;
 
-/// A question of a box to a coordinator.
-struct Ask {
-  request: usize,
-  group: usize,
-  coordinator: usize,
-  is_first: bool,
-  is_closed: bool,
-}
-
-pub(super) struct Places {
-  asks: Vec<Ask>,
-  /// The places of each group at each box that took itself for its coordinator.
-  queues: HashMap<(usize, usize), PrefillQueue>,
-  /// Open questions and offers of each request that asks.
-  offers: HashMap<usize, (u32, Vec<(usize, PrefillOffer)>)>,
-  /// Until when a box does not ask a coordinator.
-  unresponsive_until_ms: HashMap<(usize, usize), u64>,
-  list_delays_ms: Vec<u64>,
-}
-
-impl Places {
-  pub(super) fn new(fleet: &Fleet, random: &mut ChaCha8Rng) -> Self {
-    let delays = (0..fleet.boxes).map(|_| (random.random::<f64>() * MAX_LIST_DELAY_MS) as u64);
-    Self {
-      asks: Vec::new(),
-      list_delays_ms: delays.collect(),
-      offers: HashMap::new(),
-      queues: HashMap::new(),
-      unresponsive_until_ms: HashMap::new(),
-    }
-  }
-}
-
 impl PrefillReplay {
   /// Asks the coordinator of a group in the hall of the decode engine.
   pub(super) fn ask_decode_hall(&mut self, request: usize) {
--- a/emulator/src/prefill/replay.rs
+++ b/emulator/src/prefill/replay.rs
@@ -6,7 +6,8 @@
     figures::PrefillFigures,
     fleet::{Fleet, HALLS, hall_of_box, hall_of_engine},
     pattern::{COUNTED_FROM_MS, FAULT_MS, PrefillPattern, SIMULATION_END_MS},
-    places::Places,
+    places::{PLACE_ANSWER_BYTES, PLACE_REQUEST_BYTES},
+    state::{Event, Places, PrefillReplay, Request},
     strategy::PrefillStrategy,
   },
   crate::{places::PlaceFleet, queue::Queue},
@@ -37,78 +38,6 @@
 /// The mean prompt, for which a slot is allocated.
 const MEAN_TOKENS: u64 = 5_200;
 
-pub(super) enum Event {
-  RequestArrives,
-  /// A box sends a prompt to an engine.
-  Send {
-    request: usize,
-    engine: usize,
-  },
-  AtEngine {
-    request: usize,
-    engine: usize,
-  },
-  /// An engine finished its first prompt.
-  Finished {
-    engine: usize,
-  },
-  /// A box gets the response with the engine's load after the prompt.
-  Response {
-    request: usize,
-    load: LoadHeader,
-    slowdown_percent: u32,
-  },
-  /// A coordinator receives a request for a place.
-  PlaceRequested {
-    ask: usize,
-  },
-  PlaceAnswered {
-    ask: usize,
-    place: Option<rillford::gateway::Place>,
-  },
-  AskTimeout {
-    ask: usize,
-  },
-  /// A coordinator receives a report.
-  Reported {
-    ask: usize,
-    outcome: rillford::gateway::PlaceOutcome,
-  },
-}
-
-pub(super) struct Request {
-  pub(super) at: usize,
-  pub(super) decode_hall: usize,
-  pub(super) tokens: u64,
-  arrived_ms: u64,
-  sent_ms: u64,
-  engine: usize,
-  is_behind: bool,
-  /// The ask whose place it uses.
-  pub(super) ask: Option<usize>,
-}
-
-pub(super) struct PrefillReplay {
-  pub(super) pattern: PrefillPattern,
-  strategy: PrefillStrategy,
-  pub(super) fleet: Fleet,
-  pub(super) random: ChaCha8Rng,
-  pub(super) queue: Queue<Event>,
-  pub(super) now_ms: u64,
-  pub(super) requests: Vec<Request>,
-  engines: Vec<Engine>,
-  /// By box; created when it first chooses by itself.
-  registries: Vec<Option<Box<EndpointRegistry>>>,
-  pub(super) places: Places,
-  durations_ms: Vec<u64>,
-  pub(super) figures: PrefillFigures,
-  /// Messages and bytes that each box sent and received for the choice.
-  pub(super) messages: Vec<u64>,
-  pub(super) bytes: Vec<u64>,
-  pub(super) decision_time: Duration,
-  pub(super) decisions: u32,
-}
-
 /// Runs a pattern with a seed; returns the figures and the mean processor time of a decision.
 ///
 /// ```
@@ -308,7 +237,7 @@
     let queued = |engine: &usize| self.engines[*engine].prompts.len();
     let engine = asked.into_iter().min_by_key(queued).unwrap_or(0);
     self.messages[at] += 4;
-    self.bytes[at] += 2 * (super::places::PLACE_REQUEST_BYTES + super::places::PLACE_ANSWER_BYTES);
+    self.bytes[at] += 2 * (PLACE_REQUEST_BYTES + PLACE_ANSWER_BYTES);
     let answered_ms = self.now_ms + self.random.random_range(2..=4);
     self.queue.put(answered_ms, Event::Send { request, engine });
   }
--- a/src/gateway/decisions/prefill_engine.rs
+++ b/src/gateway/decisions/prefill_engine.rs
@@ -17,6 +17,8 @@
 const EXPIRY_MARGIN_MS: u64 = 1_500;
 /// Places at an engine: with more, the last would wait for longer than the latency target of any route.
 const MAX_PLACES: usize = 64;
+/// Longest work of boxes without places that is assumed: it is past any latency target, and the next report shows the rest.
+const MAX_OTHER_WORK_MS: f64 = 2_000.0;
 /// A report that arrives later than this after the prompt's end says nothing on the current state of the engine, and the box
 /// may have sent the prompt late.
 const MAX_REPORT_DELAY_MS: u64 = 100;
@@ -213,7 +215,7 @@
       .saturating_sub(known);
     let others = f64::from(others.min(MAX_PLACES as u32));
     let other_ms = others * self.speed.work_ms(tokens, model, now_ms);
-    self.other_work_until_ms = now_ms + other_ms as u64;
+    self.other_work_until_ms = now_ms + other_ms.min(MAX_OTHER_WORK_MS) as u64;
   }
 
   /// Removes a place whose prompt the engine does not work on any more, or never did.
--- a/tests/gateway/prefill_queue.rs
+++ b/tests/gateway/prefill_queue.rs
@@ -291,6 +291,17 @@
   assert_eq!(group.place().expect("place").engine, usually_first);
 }
 
+/// A load that is reported in error, or was there for a moment, does not block an engine for minutes.
+#[test]
+fn engine_that_reported_a_huge_load_is_tried_again() {
+  let mut group = Group::trained(&[100; 1], 4);
+  let engine = group.engines[0];
+  let report = completed_with(800, 100_000, 100_000, Some(100_000));
+  group.run_at(engine, 1, report, 800);
+  group.now_ms += 2_000;
+  assert_eq!(group.place().expect("place").start_in_ms, 0);
+}
+
 /// The places of the group itself are part of the reported load, and not counted twice.
 #[test]
 fn known_places_in_the_reported_load_are_not_counted_twice() {
