--- a/tests/gateway/prefill_queue.rs
+++ b/tests/gateway/prefill_queue.rs
@@ -2,6 +2,7 @@
 //! own accounting and without a network.
 
 use {
+  emulator::prefill::{PrefillPattern, PrefillStrategy, replay_prefills},
   proptest::{collection::vec, prelude::*, proptest},
   rillford::gateway::{
     BoxEntry, BoxList, EndpointIncarnation, Place, PlaceId, PlaceOutcome, PlaceRequest,
@@ -695,6 +696,47 @@
   );
 }
 
+/// 87 boxes with one prompt per second each, uneven engines, waves and bursts: slow prefills that start behind others while an
+/// engine is idle are nearly all gone, and late streams are at most half of those of the choice without places.
+#[rstest]
+fn boxes_with_coordinators_do_not_queue_beside_idle_engines(
+  #[values(
+    PrefillPattern::Waves,
+    PrefillPattern::Burst,
+    PrefillPattern::BusyBurst
+  )]
+  pattern: PrefillPattern,
+) {
+  let run = |strategy| replay_prefills(pattern, 87, strategy, 1).0;
+  let before = run(PrefillStrategy::Registry);
+  let after = run(PrefillStrategy::Coordinators);
+  assert!(before.behind_share() > 0.75, "{before:?}");
+  assert!(after.behind_share() < 0.1, "{after:?}");
+  assert!(
+    2.0 * after.late_share() <= before.late_share(),
+    "{after:?} {before:?}"
+  );
+}
+
+/// A coordinator that terminates, freezes or is cut off from some boxes: no more late streams than without places.
+#[rstest]
+fn failing_coordinator_makes_no_more_streams_late(
+  #[values(
+    PrefillPattern::CoordinatorKilled,
+    PrefillPattern::CoordinatorFrozen,
+    PrefillPattern::CoordinatorCutOff
+  )]
+  pattern: PrefillPattern,
+) {
+  let run = |strategy| replay_prefills(pattern, 87, strategy, 1).0;
+  let before = run(PrefillStrategy::Registry);
+  let after = run(PrefillStrategy::Coordinators);
+  assert!(
+    after.late_share() <= before.late_share(),
+    "{after:?} {before:?}"
+  );
+}
+
 /// One message to a coordinator, or a time that passes.
 #[derive(Clone, Debug)]
 enum Step {
