--- a/tests/gateway/prefill_queue.rs
+++ b/tests/gateway/prefill_queue.rs
@@ -2,6 +2,7 @@
 //! own accounting and without a network.
 
 use {
+  emulator::prefill::{PrefillPattern, PrefillStrategy, replay_prefills},
   proptest::{collection::vec, prelude::*, proptest},
   rillford::gateway::{
     BoxEntry, BoxList, EndpointIncarnation, Place, PlaceId, PlaceOutcome, PlaceRequest,
@@ -291,6 +292,17 @@
   assert_eq!(group.place().expect("place").engine, usually_first);
 }
 
+/// A load that is reported in error, or was there for a moment, does not block an engine for minutes.
+#[test]
+fn engine_that_reported_a_huge_load_is_tried_again() {
+  let mut group = Group::trained(&[100; 1], 4);
+  let engine = group.engines[0];
+  let report = completed_with(800, 100_000, 100_000, Some(100_000));
+  group.run_at(engine, 1, report, 800);
+  group.now_ms += 2_000;
+  assert_eq!(group.place().expect("place").start_in_ms, 0);
+}
+
 /// The places of the group itself are part of the reported load, and not counted twice.
 #[test]
 fn known_places_in_the_reported_load_are_not_counted_twice() {
@@ -684,6 +696,47 @@
   );
 }
 
+/// 87 boxes with one prompt per second each, uneven engines, waves and bursts: slow prefills that start behind others while an
+/// engine is idle are nearly all gone, and late streams are at most half of those of the choice without places.
+#[rstest]
+fn boxes_with_coordinators_do_not_queue_beside_idle_engines(
+  #[values(
+    PrefillPattern::Waves,
+    PrefillPattern::Burst,
+    PrefillPattern::BusyBurst
+  )]
+  pattern: PrefillPattern,
+) {
+  let run = |strategy| replay_prefills(pattern, 87, strategy, 1).0;
+  let before = run(PrefillStrategy::Registry);
+  let after = run(PrefillStrategy::Coordinators);
+  assert!(before.behind_share() > 0.75, "{before:?}");
+  assert!(after.behind_share() < 0.1, "{after:?}");
+  assert!(
+    2.0 * after.late_share() <= before.late_share(),
+    "{after:?} {before:?}"
+  );
+}
+
+/// A coordinator that terminates, freezes or is cut off from some boxes: no more late streams than without places.
+#[rstest]
+fn failing_coordinator_makes_no_more_streams_late(
+  #[values(
+    PrefillPattern::CoordinatorKilled,
+    PrefillPattern::CoordinatorFrozen,
+    PrefillPattern::CoordinatorCutOff
+  )]
+  pattern: PrefillPattern,
+) {
+  let run = |strategy| replay_prefills(pattern, 87, strategy, 1).0;
+  let before = run(PrefillStrategy::Registry);
+  let after = run(PrefillStrategy::Coordinators);
+  assert!(
+    after.late_share() <= before.late_share(),
+    "{after:?} {before:?}"
+  );
+}
+
 /// One message to a coordinator, or a time that passes.
 #[derive(Clone, Debug)]
 enum Step {
