Requests wait for a slot beyond a useful rejection only if one is likely

The replay of returns showed that requests were mostly rejected after a quarter of their target, when that costs their value, and that callers return too early where new ones use all slots. A wait goes on past that time only with a slot likely; the rate of returns is what new callers leave. emulator load compares the decisions over the same arrivals.

--- a/emulator/src/load/mod.rs
+++ b/emulator/src/load/mod.rs
@@ -8,6 +8,7 @@
 mod pattern;
 mod replay;
 mod report;
+mod returns;
 mod variant;
 
 pub use self::{
@@ -15,5 +16,6 @@
   pattern::{EngineState, Pattern},
   replay::replay,
   report::{LoadReport, load_report, print_report},
+  returns::{ReturnFigures, ReturnPattern, ReturnVariant, replay_returns},
   variant::Variant,
 };
--- a/src/gateway/decisions/slot_queue.rs
+++ b/src/gateway/decisions/slot_queue.rs
@@ -59,6 +59,11 @@
     position
   }
 
+  /// The number of requests that go before one.
+  pub fn ahead(&self, position: QueuePosition) -> usize {
+    self.positions.range(..position).count()
+  }
+
   /// The number of requests that would go before one that joins now.
   pub fn ahead_of(&self, urgency: SlotUrgency, priority: u8) -> usize {
     let next = position(urgency, priority, self.joined + 1);
--- a/src/gateway/decisions/slot_supply.rs
+++ b/src/gateway/decisions/slot_supply.rs
@@ -18,6 +18,12 @@
 /// A request is rejected at once when its probability of a slot in time is below this.
 const MIN_PROBABILITY: f64 = 0.1;
 
+/// Least fraction of the slots that callers who return get: they go before new callers of their priority.
+const MIN_ROOM_SHARE: f64 = 0.25;
+/// A request goes on waiting beyond the time in which a rejection is useful when its probability of a slot is at least this: a caller
+/// who is rejected in that time and served later has half of the value.
+const MIN_WAIT_PROBABILITY: f64 = 0.5;
+
 /// A sum that fades with time.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 struct FadingSum {
@@ -62,6 +68,8 @@
   contended_slots: FadingSum,
   /// All slots obtained.
   obtained_slots: FadingSum,
+  /// New callers' requests.
+  arrivals: FadingSum,
 }
 
 impl SlotSupply {
@@ -95,6 +103,11 @@
     self.probability(ahead, within_ms, now_ms) >= MIN_PROBABILITY
   }
 
+  /// Whether a request that is still in time for a useful rejection should go on waiting, with `ahead` others before it.
+  pub fn is_likely(&self, ahead: usize, within_ms: u64, now_ms: u64) -> bool {
+    self.probability(ahead, within_ms, now_ms) >= MIN_WAIT_PROBABILITY
+  }
+
   /// The probability that more than `ahead` slots are obtained within a time, from 0 to 1; 1 when nothing was observed.
   ///
   /// ```
@@ -123,19 +136,36 @@
     1.0 - up_to_ahead
   }
 
-  /// The rate at which this box gets slots; `None` when nothing was observed lately.
-  pub fn rate_per_s(&self, now_ms: u64) -> Option<f64> {
+  /// The rate of slots for callers who return: what new callers leave, a share at least; `None` when engines were not full lately, since a box gets as
+  /// many slots as it asks for then. New callers of all priorities count: engines grant slots in order of arrival.
+  ///
+  /// ```
+  /// use rillford::gateway::SlotSupply;
+  /// let mut supply = SlotSupply::default();
+  /// assert_eq!(supply.room_per_s(0), None);
+  /// for at_ms in (0..30_000).step_by(100) {
+  ///   supply.record_full(at_ms);
+  ///   supply.record_slot(at_ms);
+  ///   if at_ms % 200 == 0 {
+  ///     supply.record_arrival(at_ms);
+  ///   }
+  /// }
+  /// // Ten slots a second, of which new callers need five.
+  /// assert_eq!(supply.room_per_s(30_000).map(f64::round), Some(5.0));
+  /// ```
+  pub fn room_per_s(&self, now_ms: u64) -> Option<f64> {
     let contended_ms = self.contended_ms.at(now_ms, MEMORY_MS) + self.uncounted_ms(now_ms);
-    let obtained_per_ms = self.obtained_slots.at(now_ms, OBTAINED_MEMORY_MS) / OBTAINED_MEMORY_MS;
-    // Without competition the box gets as many slots as it asks for: a weak hint at what it gets otherwise.
-    let prior_ms = if obtained_per_ms * MEMORY_MS > MIN_PROBABILITY {
-      PRIOR_SLOTS / obtained_per_ms
-    } else {
-      0.0
-    };
-    let known_ms = contended_ms + prior_ms;
-    let slots = PRIOR_SLOTS + self.contended_slots.at(now_ms, MEMORY_MS);
-    (known_ms >= 1.0).then(|| slots / known_ms * 1_000.0)
+    if contended_ms < 1.0 {
+      return None;
+    }
+    let obtained = self.obtained_slots.at(now_ms, OBTAINED_MEMORY_MS);
+    let needed = self.arrivals.at(now_ms, OBTAINED_MEMORY_MS);
+    Some((obtained - needed).max(obtained * MIN_ROOM_SHARE) * 1_000.0 / OBTAINED_MEMORY_MS)
+  }
+
+  /// Records that a new caller's request asks for a slot.
+  pub fn record_arrival(&mut self, now_ms: u64) {
+    self.arrivals.add(1.0, now_ms, OBTAINED_MEMORY_MS);
   }
 
   fn uncounted_ms(&self, now_ms: u64) -> f64 {
--- a/src/gateway/requests/return_time.rs
+++ b/src/gateway/requests/return_time.rs
@@ -50,15 +50,16 @@
   retry_after_ms
 }
 
-/// The rate at which callers who return find room; `None` when it is not known.
+/// The rate at which a caller who returns finds room; `None` when it is not known.
 fn forecast_rate_per_s(gateway: &Gateway, request: &RoutedRequest) -> Option<f64> {
   let now_ms = gateway.now_ms();
-  let service = &request.service;
-  let supplied = gateway.service_returns(service, |returns| returns.supply.rate_per_s(now_ms))?;
+  let room_per_s = gateway.service_returns(&request.service, |returns| {
+    returns.supply.room_per_s(now_ms)
+  })?;
   if request.route.kind.is_stream() {
-    return Some(supplied);
+    return Some(room_per_s);
   }
   // Plain endpoints answer in a fraction of a second, and a box's own answers show only what it asked for: the first caller
   // returns no later than without the schedule.
-  Some(supplied.max(1_000.0 / RETRY_AFTER_FULL_MS as f64))
+  Some(room_per_s.max(1_000.0 / RETRY_AFTER_FULL_MS as f64))
 }
--- a/src/gateway/requests/slot.rs
+++ b/src/gateway/requests/slot.rs
@@ -12,7 +12,7 @@
     },
     ids::Name,
   },
-  std::{rc::Rc, time::Duration},
+  std::{pin::pin, rc::Rc, time::Duration},
   tokio::time::{sleep, timeout},
 };
 
@@ -31,6 +31,10 @@
 /// Least time since a caller's first rejection by which it counts as one who returns: deadlines of callers vary by some
 /// milliseconds, and a caller who returns sooner did not wait as told.
 const MIN_RETURN_MS: u64 = 50;
+/// Fraction of the latency target within which a rejection is useful to a caller, who returns and is served in time.
+const USEFUL_REJECTION_SHARE: f64 = 0.25;
+/// Time for the rejection to reach the caller.
+const REJECTION_MARGIN_MS: u64 = 20;
 /// Factor on the mean time between a slot and the first event, since it varies.
 const START_MARGIN: f64 = 1.5;
 
@@ -70,12 +74,17 @@
   let wait = slot_wait(gateway, request, exclusions.tried);
   let wait_ms = wait.until_ms.saturating_sub(since_ms);
   let tries = slot_tries(gateway, request, wait.urgency, wait_ms)?;
-  let slot = timeout(
-    Duration::from_millis(wait_ms),
-    request_in_order(gateway, request, exclusions, wait.urgency, tries),
-  )
-  .await
-  .unwrap_or(None);
+  let queued = QueuedRequest::new(gateway, request, wait.urgency);
+  let mut slot_request = pin!(request_in_order(
+    gateway, request, exclusions, &queued, tries
+  ));
+  let soon_ms = soon_wait_ms(gateway, request, wait, since_ms);
+  let mut slot = timeout(Duration::from_millis(soon_ms), slot_request.as_mut()).await;
+  let left_ms = wait.until_ms.saturating_sub(gateway.now_ms());
+  if slot.is_err() && left_ms > 0 && goes_on(&queued, request, left_ms) {
+    slot = timeout(Duration::from_millis(left_ms), slot_request).await;
+  }
+  let slot = slot.unwrap_or(None);
   if slot.is_none() {
     gateway
       .counters
@@ -90,6 +99,44 @@
   slot
 }
 
+/// How long a request waits until it decides whether it goes on: while a rejection is useful to its caller, or its whole wait.
+fn soon_wait_ms(gateway: &Gateway, request: &RoutedRequest, wait: SlotWait, since_ms: u64) -> u64 {
+  let wait_ms = wait.until_ms.saturating_sub(since_ms);
+  if wait.urgency == SlotUrgency::Resumed || !rejects_by_supply(gateway) {
+    return wait_ms;
+  }
+  let useful_ms = (request.rank.target_ms as f64 * USEFUL_REJECTION_SHARE) as u64;
+  let until_ms = (request.arrived_ms + useful_ms).saturating_sub(REJECTION_MARGIN_MS);
+  wait_ms.min(until_ms.saturating_sub(since_ms))
+}
+
+/// Whether a request that has not got a slot soon is likely to get one in the rest of its wait.
+fn goes_on(queued: &QueuedRequest<'_>, request: &RoutedRequest, left_ms: u64) -> bool {
+  let gateway = queued.gateway;
+  let ahead = gateway.slot_queue.borrow().ahead(queued.position);
+  let now_ms = gateway.now_ms();
+  let (is_likely, probability) = gateway.service_returns(&request.service, |returns| {
+    let supply = &returns.supply;
+    (
+      supply.is_likely(ahead, left_ms, now_ms),
+      supply.probability(ahead, left_ms, now_ms),
+    )
+  });
+  if !is_likely {
+    gateway.counters.rejected_soon.inc();
+    log::info!(
+      "E583 wait ended early: {} has {left_ms} ms and {ahead} ahead, probability {probability:.3}",
+      request.id()
+    );
+  }
+  is_likely
+}
+
+/// Whether requests are rejected by the supply of slots.
+fn rejects_by_supply(gateway: &Gateway) -> bool {
+  gateway.settings.mechanisms.rejection_by_forecast && gateway.orders_returns()
+}
+
 /// How often a request may ask for a slot; `None` when it is unlikely to get one within its wait. A resumed stream always tries.
 fn slot_tries(
   gateway: &Gateway,
@@ -155,7 +202,11 @@
 
 /// The urgency of a request whose caller has received nothing.
 fn urgency(gateway: &Gateway, request: &RoutedRequest) -> SlotUrgency {
-  if request.refused_for_ms < MIN_RETURN_MS || !gateway.orders_returns() {
+  if request.refused_for_ms < MIN_RETURN_MS {
+    gateway.record_new_caller(&request.service);
+    return SlotUrgency::New;
+  }
+  if !gateway.orders_returns() {
     return SlotUrgency::New;
   }
   gateway.counters.returned.inc();
@@ -240,10 +291,9 @@
   gateway: &Rc<Gateway>,
   request: &RoutedRequest,
   exclusions: Exclusions<'_>,
-  urgency: SlotUrgency,
+  queued: &QueuedRequest<'_>,
   tries: SlotTries,
 ) -> Option<(EndpointEntry, Reservation)> {
-  let queued = QueuedRequest::new(gateway, request, urgency);
   let mut unreached = 0;
   while unreached < MAX_UNREACHED {
     let queue_changed = gateway.slot_queue_changed.notified();
--- a/src/gateway/requests/unary.rs
+++ b/src/gateway/requests/unary.rs
@@ -55,6 +55,7 @@
   gateway: Rc<Gateway>,
   request: Rc<RoutedRequest>,
 ) -> Response<ResponseBody> {
+  gateway.record_new_caller(&request.service);
   let mut unary = UnaryRequest {
     awaited: Vec::new(),
     failure: None,
@@ -146,6 +147,9 @@
           self.request.id()
         );
         self.may_have_run |= !error.has_not_run();
+        if matches!(error, StageError::NotRun(_)) {
+          self.gateway.record_full(&self.request.service);
+        }
         if error.is_unsent() {
           // Not an attempt: the endpoint never received it.
           self.unsent += 1;
--- a/src/gateway/state/counters.rs
+++ b/src/gateway/state/counters.rs
@@ -67,6 +67,8 @@
   pub(crate) over_limit: Counter,
   /// Requests rejected at once, since no slot was expected in their time.
   pub(crate) rejected_at_once: Counter,
+  /// Requests rejected while that is useful to their callers, since no slot was likely in the rest of their wait.
+  pub(crate) rejected_soon: Counter,
   /// Callers who returned after a rejection.
   pub(crate) returned: Counter,
   /// Return times that were handed out, and those of them at which no room is forecast.
@@ -134,6 +136,7 @@
       ("rillford_refused_total", &self.rejected),
       ("rillford_beyond_limit_total", &self.over_limit),
       ("rillford_rejected_at_once_total", &self.rejected_at_once),
+      ("rillford_rejected_soon_total", &self.rejected_soon),
       ("rillford_returned_total", &self.returned),
       ("rillford_return_times_total", &self.return_times),
       (
--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -389,7 +389,13 @@
     self.service_returns(service, |returns| returns.supply.record_slot(now_ms));
   }
 
-  /// Records that an engine reported itself full to a request that asks for a slot.
+  /// Records that a new caller's request asks for a slot, or for a plain endpoint.
+  pub(crate) fn record_new_caller(&self, service: &Name) {
+    let now_ms = self.now_ms();
+    self.service_returns(service, |returns| returns.supply.record_arrival(now_ms));
+  }
+
+  /// Records that an endpoint reported itself full.
   pub(crate) fn record_full(&self, service: &Name) {
     let now_ms = self.now_ms();
     self.service_returns(service, |returns| returns.supply.record_full(now_ms));
@@ -406,12 +412,12 @@
     let now_ms = self.now_ms();
     let mut text = String::new();
     for (service, returns) in self.service_returns.borrow().iter() {
-      let rate_per_s = returns.supply.rate_per_s(now_ms).unwrap_or(0.0);
+      let room_per_s = returns.supply.room_per_s(now_ms).unwrap_or(0.0);
       let units = returns.schedule.handed_out(now_ms, u64::MAX);
       // Writing to a `String` cannot fail.
       let _ = writeln!(
         text,
-        "rillford_room_per_s{{service=\"{service}\"}} {rate_per_s:.3}\n\
+        "rillford_room_per_s{{service=\"{service}\"}} {room_per_s:.3}\n\
          rillford_returns_expected{{service=\"{service}\"}} {units:.1}"
       );
     }
