Early ends of waits are counted where the request is rejected

The counter was increased also where the wait went on, so that a test could not tell the difference: the mutant of that decision survived. Counts at the rejection; one more case enables the order by configuration.

--- a/src/gateway/requests/slot.rs
+++ b/src/gateway/requests/slot.rs
@@ -81,8 +81,12 @@
   let soon_ms = soon_wait_ms(gateway, request, wait, since_ms);
   let mut slot = timeout(Duration::from_millis(soon_ms), slot_request.as_mut()).await;
   let left_ms = wait.until_ms.saturating_sub(gateway.now_ms());
-  if slot.is_err() && left_ms > 0 && goes_on(&queued, request, left_ms) {
-    slot = timeout(Duration::from_millis(left_ms), slot_request).await;
+  if slot.is_err() && left_ms > 0 {
+    if goes_on(&queued, request, left_ms) {
+      slot = timeout(Duration::from_millis(left_ms), slot_request).await;
+    } else {
+      gateway.counters.rejected_soon.inc();
+    }
   }
   let slot = slot.unwrap_or(None);
   if slot.is_none() {
@@ -123,7 +127,6 @@
     )
   });
   if !is_likely {
-    gateway.counters.rejected_soon.inc();
     log::info!(
       "E583 wait ended early: {} has {left_ms} ms and {ahead} ahead, probability {probability:.3}",
       request.id()
--- a/tests/gateway/return_order.rs
+++ b/tests/gateway/return_order.rs
@@ -416,6 +416,7 @@
 /// A request that could not be served waited its whole time before it was rejected; no prompt was prefilled for it.
 #[rstest]
 #[case::rejected_at_once(RETURN_ORDER, true)]
+#[case::streams_differ_in_priority("[limits]\nreturn_order = \"by_configuration\"", true)]
 #[case::as_before("", false)]
 #[tokio::test]
 async fn request_that_no_engine_can_serve_is_rejected_without_waiting(
