--- a/src/gateway/decisions/slot_queue.rs
+++ b/src/gateway/decisions/slot_queue.rs
@@ -81,6 +81,11 @@
     position
   }
 
+  /// The number of requests that go before one.
+  pub fn ahead(&self, position: QueuePosition) -> usize {
+    self.positions.range(..position).count()
+  }
+
   /// The number of requests that would go before one that joins now.
   pub fn ahead_of(&self, urgency: SlotUrgency, priority: u8, load: OrganisationLoad) -> usize {
     let next = position(urgency, priority, load, self.joined + 1);
