--- a/emulator/src/limits/replay.rs
+++ b/emulator/src/limits/replay.rs
@@ -425,7 +425,7 @@
       let at_ms = now_ms + self.message_delay_ms(from, at, now_ms);
       let totals = totals.clone();
       self.queue.put(at_ms, Event::TotalsReceived { at, totals });
-      if self.is_fair {
+      if !demand.is_empty() {
         self.record_message(from, at, demand.iter().map(|(_, bands)| bands.len()).sum());
         let received = Event::DemandReceived {
           at,
--- a/src/gateway/limits/reporting.rs
+++ b/src/gateway/limits/reporting.rs
@@ -82,6 +82,8 @@
       .borrow_mut()
       .own_demand(gateway.now_ms()),
   });
+  // Without a message, earlier demand expires.
+  let demand = demand.filter(|message| !message.demand.is_empty());
   let (totals, demand) = (&totals, demand.as_ref());
   let calls = addresses.into_iter().map(|address| async move {
     if let Some(demand) = demand {
