--- a/src/gateway/decisions/peak_box_count.rs
+++ b/src/gateway/decisions/peak_box_count.rs
@@ -9,6 +9,11 @@
 /// A box whose entry was removed while it serves on has entered itself again by then: boxes renew their leases every 3 s, and a
 /// renewal may fail or wait for the store.
 const RECOVERY_MS: u64 = 10_000;
+/// The store has dropped the entries when fewer boxes than this share are listed. A cut hall, or a third of the boxes that lose the
+/// store, leaves more: the others have to go on coordinating.
+const LOST_SHARE: f64 = 0.25;
+/// Most boxes have entered themselves again when this share is listed; the coordinators among the first ones would differ.
+const RECOVERED_SHARE: f64 = 0.75;
 /// Longer than halls usually are cut off from each other.
 const RETENTION_MS: u64 = 15 * 60 * 1_000;
 
@@ -32,7 +37,7 @@
   /// The peak in the retention time before it.
   previous: usize,
   since_ms: u64,
-  /// When the list became too short to name the coordinators, while it is.
+  /// When the list was lost, until most boxes are listed again.
   lost_ms: Option<u64>,
 }
 
@@ -45,12 +50,16 @@
       self.since_ms = now_ms;
     }
     self.current = self.current.max(boxes);
-    let is_lost = boxes * 4 < self.get() * 3 || boxes < MIN_LARGE_BOXES && self.is_large();
+    let listed_share = boxes as f64 / self.get().max(1) as f64;
+    let is_lost = match self.lost_ms {
+      None => listed_share < LOST_SHARE,
+      Some(_) => listed_share < RECOVERED_SHARE,
+    };
     self.lost_ms = is_lost.then(|| self.lost_ms.unwrap_or(now_ms));
   }
 
-  /// Whether more than a quarter of the boxes of a large deployment have disappeared from the list, or so many that it looks small,
-  /// and may still enter themselves again: the store has dropped their entries, and they serve on.
+  /// Whether nearly all boxes of a large deployment have disappeared from the list, and may still enter themselves again: the store
+  /// has dropped their entries, and they serve on.
   ///
   /// ```
   /// use rillford::gateway::PeakBoxCount;
@@ -60,10 +69,12 @@
   /// assert!(!peak.is_list_lost(10));
   /// peak.record(0, 20);
   /// assert!(peak.is_list_lost(20));
+  /// peak.record(16, 2_000);
+  /// assert!(peak.is_list_lost(2_000));
   /// peak.record(20, 3_000);
   /// assert!(!peak.is_list_lost(3_000));
   /// // Boxes that don't return were removed for good.
-  /// peak.record(8, 4_000);
+  /// peak.record(5, 4_000);
   /// assert!(peak.is_list_lost(13_999) && !peak.is_list_lost(14_000));
   /// ```
   pub fn is_list_lost(&self, now_ms: u64) -> bool {
--- a/tests/gateway/limits.rs
+++ b/tests/gateway/limits.rs
@@ -426,3 +426,17 @@
     );
   }
 }
+
+/// Without coordinators each box admits by its own share, and a flood passes: boxes that are cut off or killed must not stop the
+/// others' coordination.
+#[rstest]
+#[case::a_third_is_cut_off(40, false)]
+#[case::a_hall_is_cut_off(41, false)]
+#[case::half_are_killed(28, false)]
+#[case::the_store_dropped_all(0, true)]
+fn coordination_outlasts_all_but_the_loss_of_the_list(#[case] listed: usize, #[case] lost: bool) {
+  let mut peak = PeakBoxCount::default();
+  peak.record(61, 0);
+  peak.record(listed, 1_000);
+  assert_eq!(peak.is_list_lost(1_000), lost);
+}
