Silent engines: logs say why a stream stays, is resumed or is aborted

The log of a cut stream named the silence and nothing that came after it: no attempt left, no slot, a second engine that rejects or is silent, and another configuration all read "no endpoint resumed the stream". No decision changes; cargo check and the stream tests pass.

--- a/src/gateway/requests/event_relay.rs
+++ b/src/gateway/requests/event_relay.rs
@@ -3,7 +3,7 @@
 use {
   super::{
     event_splitter::EventSplitter, response::StreamAborted, stream_request::StreamRequest,
-    stream_send::SILENCE_TIMEOUT_MS,
+    stream_send::SILENCE_TIMEOUT_MS, takeover::configurations,
   },
   crate::gateway::{
     decisions::{AttemptOutcome, UnreadTime},
@@ -165,11 +165,15 @@
     if silent_ms >= remaining_ms {
       return Err(silent);
     }
-    if !self.stream.prepare_takeover().await {
+    let engine = &head.connection.endpoint;
+    self.stream.log_silence(engine, silent_ms);
+    if let Err(reason) = self.stream.prepare_takeover().await {
+      self.stream.log_no_takeover(engine, reason);
       return Ok(true);
     }
     // The engine may have sent more in the meantime.
     if let Some(frame) = head.body.frame().now_or_never() {
+      self.stream.log_went_on(engine);
       self.stream.cancel_takeover();
       return self.push_frame(frame);
     }
@@ -275,12 +279,14 @@
     }
     self.splitter = EventSplitter::default();
     let remaining_ms = request.remaining_ms(self.stream.gateway.now_ms());
-    if remaining_ms == 0
-      || !self
-        .stream
-        .may_continue_after(&StageError::Lost(String::new()))
+    if remaining_ms == 0 {
+      return Err(format!("deadline exceeded after: {error}"));
+    }
+    if !self
+      .stream
+      .may_continue_after(&StageError::Lost(String::new()))
     {
-      return Err(error);
+      return Err(format!("no attempt left after: {error}"));
     }
     match timeout(Duration::from_millis(remaining_ms), self.stream.begin()).await {
       Ok(Ok(head)) => {
@@ -296,7 +302,9 @@
         self.head = Some(head);
         Ok(())
       }
-      Ok(Err(_)) => Err(format!("no endpoint resumed the stream after: {error}")),
+      Ok(Err(failure)) => Err(format!(
+        "no endpoint resumed the stream, {failure}, after: {error}"
+      )),
       Err(_) => Err("deadline exceeded".into()),
     }
   }
@@ -305,7 +313,11 @@
   fn abort(&mut self, error: String) -> StreamAborted {
     self.is_finished = true;
     self.stream.gateway.counters.interrupted_streams.inc();
-    log::info!("E507 stream aborted: {}: {error}", self.stream.request.id());
+    log::info!(
+      "E507 stream aborted: {}: {error}; {}",
+      self.stream.request.id(),
+      configurations(&self.stream.gateway, &self.stream.request)
+    );
     StreamAborted(error)
   }
 }
--- a/src/gateway/requests/mod.rs
+++ b/src/gateway/requests/mod.rs
@@ -23,6 +23,7 @@
 mod stream;
 mod stream_request;
 mod stream_send;
+mod takeover;
 mod unary;
 
 pub use self::event_splitter::{EventSplitter, SseEvent};
--- a/src/gateway/requests/routing.rs
+++ b/src/gateway/requests/routing.rs
@@ -108,6 +108,7 @@
     arrived_ms,
     attributes,
     body,
+    configuration: table.version(),
     deadline_ms: arrived_ms + timeout_ms,
     fingerprint: OnceCell::new(),
     probes: RefCell::default(),
--- a/src/gateway/requests/stream.rs
+++ b/src/gateway/requests/stream.rs
@@ -85,7 +85,9 @@
     _ if lacks_version(gateway, request) => LocalReply::NotRun {
       retry_after_ms: RETRY_AFTER_NO_ENDPOINT_MS,
     },
-    StreamFailure::Failed => not_run(gateway, request, RETRY_AFTER_FULL_MS),
+    StreamFailure::NoRetry | StreamFailure::Failed(_) => {
+      not_run(gateway, request, RETRY_AFTER_FULL_MS)
+    }
     StreamFailure::NoSlot => {
       let forecast_ms = gateway
         .slot_forecast
--- a/src/gateway/requests/stream_request.rs
+++ b/src/gateway/requests/stream_request.rs
@@ -15,7 +15,7 @@
     },
     ids::Name,
   },
-  std::rc::Rc,
+  std::{fmt, rc::Rc},
 };
 
 /// Endpoints that may turn out to be unreachable before a request is rejected.
@@ -27,12 +27,25 @@
 pub(crate) enum StreamFailure {
   /// No endpoint has a free slot, and none was sent the request.
   NoSlot,
+  /// The retry budget is spent.
+  NoRetry,
   /// The last attempt has failed.
-  Failed,
+  Failed(StageError),
   /// An endpoint's response is not a stream.
   NotStreamed(Box<ResponseHead>),
 }
 
+impl fmt::Display for StreamFailure {
+  fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+    match self {
+      Self::NoSlot => formatter.write_str("no free slot"),
+      Self::NoRetry => formatter.write_str("no retry left"),
+      Self::Failed(error) => write!(formatter, "last attempt failed: {error}"),
+      Self::NotStreamed(head) => write!(formatter, "status {}", head.status),
+    }
+  }
+}
+
 /// The result of one attempt. The outer error means that no further attempt is possible.
 type Attempt = Result<Result<ResponseHead, StageError>, StreamFailure>;
 
@@ -136,7 +149,7 @@
         Err(error) => error,
       };
       if !self.may_continue_after(&error) {
-        return Err(StreamFailure::Failed);
+        return Err(StreamFailure::Failed(error));
       }
     }
   }
@@ -304,7 +317,7 @@
     if self.take_send() {
       Ok(())
     } else {
-      Err(StreamFailure::Failed)
+      Err(StreamFailure::NoRetry)
     }
   }
 
--- a/src/gateway/requests/stream_send.rs
+++ b/src/gateway/requests/stream_send.rs
@@ -1,7 +1,7 @@
 //! Sends a streaming request to one engine, detects its silence, and records what its result means for the next attempt.
 
 use {
-  super::{slot::reserve_slot, stream_request::StreamRequest},
+  super::{slot::reserve_slot, stream_request::StreamRequest, takeover::NoTakeover},
   crate::gateway::{
     decisions::Unavailable,
     edge::{EndpointEntry, ProxyHeaders, Stage},
@@ -115,11 +115,14 @@
         return result;
       }
       gateway.mark_overdue(&entry.id);
-      if !self.prepare_takeover().await {
+      self.log_silence(&entry.id, SILENCE_TIMEOUT_MS);
+      if let Err(reason) = self.prepare_takeover().await {
+        self.log_no_takeover(&entry.id, reason);
         continue;
       }
       // The engine may have answered in the meantime.
       if let Some(result) = sending.as_mut().now_or_never() {
+        self.log_went_on(&entry.id);
         self.cancel_takeover();
         return result;
       }
@@ -128,21 +131,24 @@
   }
 
   /// Reserves a slot for the next attempt while the current endpoint is silent.
-  pub(crate) async fn prepare_takeover(&mut self) -> bool {
+  pub(crate) async fn prepare_takeover(&mut self) -> Result<(), NoTakeover> {
     if !self.gateway.settings.mechanisms.silence_takeover {
-      return false;
+      return Err(NoTakeover::Disabled);
     }
     if self.request.is_blocked(&self.gateway) {
-      return false;
+      return Err(NoTakeover::Blocked);
     }
-    if !self.has_attempts_left() || !self.gateway.has_retry_left(&self.request.service) {
-      return false;
+    if !self.has_attempts_left() {
+      return Err(NoTakeover::NoAttempt);
+    }
+    if !self.gateway.has_retry_left(&self.request.service) {
+      return Err(NoTakeover::NoRetry);
     }
     if !self.is_split() {
-      return true;
+      return Ok(());
     }
     self.slot = reserve_slot(&self.gateway, &self.request, self.exclusions()).await;
-    self.slot.is_some()
+    self.slot.as_ref().map(|_| ()).ok_or(NoTakeover::NoSlot)
   }
 
   /// Releases that slot: the current endpoint has continued.
--- a/src/gateway/stages/request.rs
+++ b/src/gateway/stages/request.rs
@@ -68,6 +68,8 @@
   /// The halls within the allowed regions of its route and its organisation.
   pub(crate) allowed_halls: AllowedHalls,
   pub(crate) service: Name,
+  /// The version of the configuration that routed it.
+  pub(crate) configuration: u64,
   pub(crate) rank: RouteRank,
   /// When it arrived, on the box's clock.
   pub(crate) arrived_ms: u64,
