--- a/tests/gateway/streams.rs
+++ b/tests/gateway/streams.rs
@@ -6,6 +6,7 @@
     endpoint::engine_reply,
   },
   emulator::eventually,
+  futures_util::future::join_all,
   http::StatusCode,
   rstest::rstest,
   std::time::Duration,
@@ -229,3 +230,46 @@
   assert_eq!(response.body.unwrap(), EVENTS);
   assert_eq!(decode.requests().len(), 1);
 }
+
+/// Streams of one engine that pauses, more than the retry budget allows to take over.
+const PAUSED_STREAMS: usize = 8;
+
+/// Pauses within each stream that it begins.
+fn pausing(seen: &ReceivedRequest, pause: Duration) -> Reply {
+  if !is_stream(seen) || seen.is_prefill() {
+    return engine_reply(seen, EVENTS);
+  }
+  let rest = "id: 3\ndata: c\n\n";
+  Reply::WriteInTwoParts(
+    Reply::stream_part(seen, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"),
+    pause,
+    format!("{:x}\r\n{rest}\r\n0\r\n\r\n", rest.len()),
+  )
+}
+
+/// Guards against streams of a paused engine being aborted because the retry budget does not suffice to resume all of them.
+#[tokio::test]
+async fn paused_streams_beyond_the_retry_budget_continue() {
+  let prefill = EndpointStandIn::engine(EVENTS).await;
+  let paused = EndpointStandIn::start(|seen| pausing(seen, Duration::from_millis(1_900))).await;
+  let other = EndpointStandIn::start(|seen| match seen.header("last-event-id") {
+    "2" => Reply::stream(seen, "id: 3\ndata: c\n\n"),
+    _ => engine_reply(seen, EVENTS),
+  })
+  .await;
+  let mut test = GatewayTest::new().await;
+  test.retry_slack = 6.0;
+  let gateway = test.with_engines(&prefill, &paused).await;
+  let ids: Vec<String> = (0..PAUSED_STREAMS)
+    .map(|number| format!("r{number}"))
+    .collect();
+  let streams = join_all(ids.iter().map(|id| gateway.ask("/resumable/a", id)));
+  let other_joins = async {
+    assert!(eventually(TIMEOUT, async || paused.requests().len() == PAUSED_STREAMS).await);
+    gateway.test.enter("e-3", "llm", Some("decode"), &other);
+  };
+  let (responses, ()) = tokio::join!(streams, other_joins);
+  for response in responses {
+    assert_eq!(response.body.as_deref(), Ok(EVENTS));
+  }
+}
