A silent engine is kept until another one has responded

Callers saw streams end without the rest: an engine that was silent for 1.2 s was given up before another one had continued its stream. The retry budget was checked, a slot awaited, the connection closed, and only then the retry taken, the prompt prefilled and the request sent; whatever failed after the close ended a stream that the engine would have continued. All streams of an engine are silent from the same moment, so all passed the check before the first one took its retry.

A takeover now runs beside the silent engine, which is read all the while: the retry first, then slot, version, prefill and request. The engine is given up when another one has responded; if it continues before that, the takeover is dropped and a retry that sent nothing is returned; if the takeover fails, the stream stays. The same before the response's head. Whether a service has prefill engines is taken from the configuration that routed the request.

The test that failed before (paused_streams_beyond_the_retry_budget_continue) passes; it now also checks that streams without a retry reserve no slot.

--- a/src/gateway/requests/event_relay.rs
+++ b/src/gateway/requests/event_relay.rs
@@ -2,21 +2,21 @@
 
 use {
   super::{
-    event_splitter::EventSplitter, response::StreamAborted, stream_request::StreamRequest,
-    stream_send::SILENCE_TIMEOUT_MS, takeover::configurations,
+    event_splitter::EventSplitter,
+    response::StreamAborted,
+    stream_request::StreamRequest,
+    stream_send::SILENCE_TIMEOUT_MS,
+    takeover::{Race, configurations, race},
   },
   crate::gateway::{
     decisions::{AttemptOutcome, UnreadTime},
     edge::SoftwareVersion,
-    quarantine::{
-      LostStage, is_past_beginning, record_lost_stage, record_sound_segments, record_success,
-    },
+    quarantine::{is_past_beginning, record_lost_stage, record_sound_segments, record_success},
     resumption::record_stream,
     stages::{ResponseHead, RoutedRequest, StageError},
     state::{Gateway, UnreadCause},
   },
   bytes::Bytes,
-  futures_util::FutureExt,
   http_body_util::BodyExt,
   hyper::body::Frame,
   std::{rc::Rc, time::Duration},
@@ -152,32 +152,67 @@
     self.push_frame(frame)
   }
 
-  /// Handles a silent engine: it is abandoned once another one has a free slot, or at the deadline.
+  /// Handles a silent engine: it is abandoned once another one has responded, or at the deadline.
   async fn handle_silence(&mut self, silent_ms: u64, remaining_ms: u64) -> Result<bool, String> {
     let Some(head) = &mut self.head else {
       return Err("no endpoint".into());
     };
+    let engine = head.connection.endpoint.clone();
     // At the deadline, an engine whose events were left unread is not the one that is late.
     if self.unread.unread_ms().is_none() {
-      self.stream.gateway.mark_overdue(&head.connection.endpoint);
+      self.stream.gateway.mark_overdue(&engine);
     }
     let silent = format!("silent for {silent_ms} ms");
     if silent_ms >= remaining_ms {
       return Err(silent);
     }
-    let engine = &head.connection.endpoint;
-    self.stream.log_silence(engine, silent_ms);
-    if let Err(reason) = self.stream.prepare_takeover().await {
-      self.stream.log_no_takeover(engine, reason);
-      return Ok(true);
-    }
-    // The engine may have sent more in the meantime.
-    if let Some(frame) = head.body.frame().now_or_never() {
-      self.stream.log_went_on(engine);
-      self.stream.cancel_takeover();
-      return self.push_frame(frame);
+    self.stream.log_silence(&engine, silent_ms);
+    let now_ms = self.stream.gateway.now_ms();
+    let answering_ms = self.answering_since_ms.map(|since_ms| now_ms - since_ms);
+    let lost = self
+      .stream
+      .lost_stage(&head.entry, head.sent_ms, answering_ms, silent);
+    let left = Duration::from_millis(remaining_ms - silent_ms);
+    let takeover = self.stream.take_over(lost);
+    let has_failed = |frame: &Option<hyper::Result<_>>| matches!(frame, Some(Err(_)));
+    match timeout(left, race(head.body.frame(), has_failed, takeover)).await {
+      Ok(Race::Current(frame)) => {
+        self.stream.cancel_takeover(&engine);
+        self.push_frame(frame)
+      }
+      Ok(Race::TakenOver(head)) => {
+        self.replace_head(*head);
+        Ok(true)
+      }
+      Ok(Race::Stays(reason)) => {
+        self.stream.log_no_takeover(&engine, &reason);
+        Ok(true)
+      }
+      Err(_) => Err("deadline exceeded".into()),
     }
-    Err(silent)
+  }
+
+  /// Goes on with the response of another engine, after the last complete event; the connection to the former one is closed.
+  fn replace_head(&mut self, head: ResponseHead) {
+    let former = self.head.replace(head);
+    self.splitter = EventSplitter::default();
+    self.answering_since_ms = None;
+    self.unread = UnreadTime::default();
+    let version = former.map_or_else(SoftwareVersion::default, |head| head.entry.version);
+    self.record_resumed(&version);
+  }
+
+  /// Records that another endpoint goes on with the stream, which `version` of its software had begun.
+  fn record_resumed(&self, version: &SoftwareVersion) {
+    let Some(head) = &self.head else { return };
+    self.stream.gateway.counters.resumed.inc();
+    log::info!(
+      "E557 stream resumed: {} after event {:?} at {} version {}, interrupted at version {version}",
+      self.stream.request.id(),
+      self.stream.last_event_id,
+      head.entry.id,
+      head.entry.version
+    );
   }
 
   fn push_frame(&mut self, frame: Option<hyper::Result<Frame<Bytes>>>) -> Result<bool, String> {
@@ -265,14 +300,10 @@
         gateway.record_left_unread(request.id(), endpoint, UnreadCause::Caller, unread_ms);
       } else {
         head.load_guard.settle(AttemptOutcome::Lost);
-        let lost = LostStage {
-          answering_ms: since_ms.map(|since_ms| self.stream.gateway.now_ms() - since_ms),
-          entry: head.entry.clone(),
-          error: error.clone(),
-          fingerprint: request.fingerprint(),
-          segments: request.segment_fingerprints(),
-          sent_ms: head.sent_ms,
-        };
+        let answering_ms = since_ms.map(|since_ms| self.stream.gateway.now_ms() - since_ms);
+        let lost = self
+          .stream
+          .lost_stage(&head.entry, head.sent_ms, answering_ms, error.clone());
         record_lost_stage(&self.stream.gateway, &request, lost).await;
       }
       self.stream.interrupted_at = Some(head.connection.endpoint.clone());
@@ -290,16 +321,8 @@
     }
     match timeout(Duration::from_millis(remaining_ms), self.stream.begin()).await {
       Ok(Ok(head)) => {
-        self.stream.gateway.counters.resumed.inc();
-        log::info!(
-          "E557 stream resumed: {} after event {:?} at {} version {}, interrupted at version {}",
-          request.id(),
-          self.stream.last_event_id,
-          head.entry.id,
-          head.entry.version,
-          interrupted_version
-        );
         self.head = Some(head);
+        self.record_resumed(&interrupted_version);
         Ok(())
       }
       Ok(Err(failure)) => Err(format!(
--- a/src/gateway/requests/mod.rs
+++ b/src/gateway/requests/mod.rs
@@ -18,6 +18,7 @@
 mod resume_slot;
 mod return_time;
 mod routing;
+mod send_charge;
 mod serving;
 mod slot;
 mod stream;
--- a/src/gateway/requests/routing.rs
+++ b/src/gateway/requests/routing.rs
@@ -87,6 +87,9 @@
     .service(gateway.draw())
     .cloned()
     .ok_or(NO_CONFIGURATION)?;
+  let is_split = table
+    .service(&service)
+    .is_some_and(|service| service.engine.is_some());
   let mut rank = gateway
     .policy
     .rank(&route, &service, &attributes, organisation.as_deref());
@@ -116,6 +119,7 @@
     segment_fingerprints: OnceCell::new(),
     headers,
     _held_body: held_body,
+    is_split,
     method: head.method,
     organisation,
     rank,
--- a/src/gateway/requests/stream_request.rs
+++ b/src/gateway/requests/stream_request.rs
@@ -4,6 +4,7 @@
   super::{
     prefill::prefill,
     resume_slot::reserve_resume_slot,
+    send_charge::SendCharge,
     slot::{Exclusions, reserve_slot},
   },
   crate::{
@@ -15,7 +16,7 @@
     },
     ids::Name,
   },
-  std::{fmt, rc::Rc},
+  std::{cell::Cell, fmt, rc::Rc},
 };
 
 /// Endpoints that may turn out to be unreachable before a request is rejected.
@@ -46,6 +47,15 @@
   }
 }
 
+/// What an attempt that fails leaves behind.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum AttemptKind {
+  /// No other attempt runs.
+  Sole,
+  /// The attempt before it, whose engine is silent, still runs.
+  Takeover,
+}
+
 /// The result of one attempt. The outer error means that no further attempt is possible.
 type Attempt = Result<Result<ResponseHead, StageError>, StreamFailure>;
 
@@ -62,11 +72,9 @@
   /// Attempts that may have run.
   pub(super) attempts: u32,
   /// Sends that reached an endpoint; all but the first are charged to the retry budget.
-  pub(super) sends: u32,
+  pub(super) sends: Rc<Cell<u32>>,
   /// Endpoints that stated that they did not run the request.
   pub(super) rejections: u32,
-  /// A slot that was reserved while another engine was silent.
-  pub(super) slot: Option<(EndpointEntry, Reservation)>,
   /// The exported KV cache, retained after a rejection.
   pub(super) export: Option<ExportGuard>,
   /// The engine that rejected the request with that export.
@@ -100,9 +108,8 @@
       rejections: 0,
       request,
       searched_cached: false,
-      sends: 0,
+      sends: Rc::default(),
       skips_prefill: false,
-      slot: None,
       tried: Vec::new(),
       version,
       was_prefilled: false,
@@ -134,8 +141,17 @@
 
   /// Sends the request until an endpoint streams or no further attempt is allowed.
   pub(crate) async fn begin(&mut self) -> Result<ResponseHead, StreamFailure> {
+    self.run_attempts(AttemptKind::Sole, None).await
+  }
+
+  /// Attempts of a kind, until an endpoint streams or no further attempt is allowed. The first one may have been charged before.
+  pub(super) async fn run_attempts(
+    &mut self,
+    kind: AttemptKind,
+    mut charge: Option<SendCharge>,
+  ) -> Result<ResponseHead, StreamFailure> {
     loop {
-      let error = match self.attempt().await? {
+      let error = match self.attempt(kind, charge.take()).await? {
         Ok(head) if head.status.is_success() && head.attributes.has_receipt => return Ok(head),
         Ok(head) if head.status.is_success() => {
           StageError::Lost("success without a receipt".into())
@@ -173,37 +189,16 @@
     }
   }
 
-  /// Whether the request may be sent: always the first time, then as the retry budget allows.
-  fn take_send(&mut self) -> bool {
-    if self.sends > 0 {
-      let service = &self.request.service;
-      if !self.gateway.take_retry(self.request.id(), service) {
-        return false;
-      }
-      self.gateway.counters.retries.inc();
-    }
-    self.sends += 1;
-    true
-  }
-
-  /// Returns a send that reached no endpoint.
-  fn return_send(&mut self) {
-    self.sends -= 1;
-    if self.sends > 0 {
-      self.gateway.return_retry(&self.request.service);
-    }
-  }
-
-  async fn attempt(&mut self) -> Attempt {
-    if self.is_split() {
-      self.attempt_split().await
+  async fn attempt(&mut self, kind: AttemptKind, charge: Option<SendCharge>) -> Attempt {
+    if self.request.is_split {
+      self.attempt_split(kind, charge).await
     } else {
-      self.attempt_full().await
+      self.attempt_full(kind, charge).await
     }
   }
 
   /// An attempt at an endpoint that runs the whole request.
-  async fn attempt_full(&mut self) -> Attempt {
+  async fn attempt_full(&mut self, kind: AttemptKind, charge: Option<SendCharge>) -> Attempt {
     let choice = self.gateway.choose(EndpointCriteria {
       allowed_halls: &self.request.allowed_halls,
       hall: self.gateway.preferred_hall(),
@@ -215,32 +210,41 @@
       version: self.version.as_ref(),
     });
     let entry = choice.ok_or(StreamFailure::NoSlot)?.entry;
-    self.charge_send()?;
-    Ok(self.send_charged(&entry, None, None).await)
+    let charge = self.charge_unless(charge)?;
+    let outgoing = OutgoingStream::new(&entry, charge);
+    Ok(self.send_charged(kind, outgoing).await)
   }
 
   /// An attempt with disaggregated prefill: a slot at a decode engine, and the prefill at another engine.
-  async fn attempt_split(&mut self) -> Attempt {
+  async fn attempt_split(&mut self, kind: AttemptKind, charge: Option<SendCharge>) -> Attempt {
     if let Some((entry, reservation)) = self.resume_slot().await {
-      self.charge_send()?;
-      return Ok(self.send_charged(&entry, Some(reservation), None).await);
+      let charge = self.charge_unless(charge)?;
+      let outgoing = OutgoingStream {
+        reservation: Some(reservation),
+        ..OutgoingStream::new(&entry, charge)
+      };
+      return Ok(self.send_charged(kind, outgoing).await);
     }
     let requested_ms = self.gateway.now_ms();
-    let slot = match self.slot.take() {
-      Some(slot) => Some(slot),
-      None => reserve_slot(&self.gateway, &self.request, self.exclusions()).await,
-    };
+    let slot = reserve_slot(&self.gateway, &self.request, self.exclusions()).await;
     let reserved_ms = self.gateway.now_ms();
     let (entry, reservation) = slot.ok_or(StreamFailure::NoSlot)?;
     // Charged before the prefill: without a retry for the stream its result would be lost.
-    self.charge_send()?;
+    let charge = self.charge_unless(charge)?;
     let export = self.export_for(&entry.hall).await?;
     let prefilled_ms = self.gateway.now_ms();
     let prefilled_by = export
       .as_ref()
       .map_or_else(|| entry.id.clone(), |export| export.engine().clone());
-    let sent = self.send_charged(&entry, Some(reservation), export).await;
-    if let Ok(head) = &sent {
+    let outgoing = OutgoingStream {
+      export,
+      reservation: Some(reservation),
+      ..OutgoingStream::new(&entry, charge)
+    };
+    let sent = self.send_charged(kind, outgoing).await;
+    if let Ok(head) = &sent
+      && head.entry.id == entry.id
+    {
       self
         .gateway
         .record_first_event(self.gateway.now_ms() - reserved_ms);
@@ -269,7 +273,7 @@
     let interrupted_at = self.interrupted_at.take();
     let is_new = self.tried.is_empty() && !self.searched_cached;
     let may_search = interrupted_at.is_some() || is_new;
-    if self.slot.is_some() || self.last_event_id.is_none() || !may_search {
+    if self.last_event_id.is_none() || !may_search {
       return None;
     }
     self.searched_cached = true;
@@ -294,53 +298,75 @@
     if let Some(export) = self.export.take().filter(ExportGuard::is_fresh) {
       return Ok(Some(export));
     }
-    let is_charged = self.was_prefilled;
+    let is_first = !std::mem::replace(&mut self.was_prefilled, true);
+    let mut charge = if is_first { None } else { self.take_charge() };
     // A second prefill is charged to the retry budget; without budget the decode engine prefills.
-    if is_charged && !self.take_send() {
+    if !is_first && charge.is_none() {
       return Ok(None);
     }
+    if let Some(charge) = &mut charge {
+      charge.set_sent(true);
+    }
     let result = prefill(&self.gateway, &self.request, hall).await;
-    self.was_prefilled = true;
     self.queue_note = result.queue_note;
-    if is_charged && !result.was_received {
-      self.return_send();
+    if let Some(charge) = &mut charge {
+      charge.set_sent(result.was_received);
     }
     // A first prefill that failed counts like a send.
-    if !is_charged && result.was_received && result.export.is_none() {
-      self.charge_send()?;
+    if is_first && result.was_received && result.export.is_none() {
+      self.charge_unless(None)?.set_sent(true);
     }
     Ok(result.export)
   }
 
-  /// Charges a send, before it is sent; fails when the retry budget is spent.
-  fn charge_send(&mut self) -> Result<(), StreamFailure> {
-    if self.take_send() {
-      Ok(())
-    } else {
-      Err(StreamFailure::NoRetry)
-    }
+  /// Charges a send before it is sent: always the first one, then as the retry budget allows.
+  pub(super) fn take_charge(&self) -> Option<SendCharge> {
+    SendCharge::take(&self.gateway, &self.request, &self.sends)
   }
 
-  /// Sends the request to an endpoint; the send was charged.
+  /// The charge of a send that was charged before, or a new one; fails when the retry budget is spent.
+  fn charge_unless(&self, charge: Option<SendCharge>) -> Result<SendCharge, StreamFailure> {
+    charge
+      .or_else(|| self.take_charge())
+      .ok_or(StreamFailure::NoRetry)
+  }
+
+  /// Sends the request to an endpoint. A charge for what reached no endpoint is returned.
   async fn send_charged(
     &mut self,
-    entry: &EndpointEntry,
-    reservation: Option<Reservation>,
-    export: Option<ExportGuard>,
+    kind: AttemptKind,
+    outgoing: OutgoingStream<'_>,
   ) -> Result<ResponseHead, StageError> {
-    let sent = self.send(entry, reservation, export).await;
+    let OutgoingStream {
+      entry,
+      export,
+      mut charge,
+      reservation,
+    } = outgoing;
+    charge.set_sent(true);
+    let sent = self.send(kind, entry, reservation, export).await;
     if matches!(&sent, Err(error) if error.is_unsent()) {
-      self.return_send();
+      charge.set_sent(false);
     }
     sent
   }
+}
 
-  /// Whether the service has prefill and decode engines.
-  pub(super) fn is_split(&self) -> bool {
-    let Some(table) = self.gateway.route_table() else {
-      return false;
-    };
-    let service = table.service(&self.request.service);
-    service.is_some_and(|service| service.engine.is_some())
+/// A request that is to be sent to an endpoint, with what was secured for it.
+struct OutgoingStream<'a> {
+  entry: &'a EndpointEntry,
+  charge: SendCharge,
+  reservation: Option<Reservation>,
+  export: Option<ExportGuard>,
+}
+
+impl<'a> OutgoingStream<'a> {
+  fn new(entry: &'a EndpointEntry, charge: SendCharge) -> Self {
+    Self {
+      charge,
+      entry,
+      export: None,
+      reservation: None,
+    }
   }
 }
--- a/src/gateway/requests/stream_send.rs
+++ b/src/gateway/requests/stream_send.rs
@@ -1,7 +1,10 @@
 //! Sends a streaming request to one engine, detects its silence, and records what its result means for the next attempt.
 
 use {
-  super::{slot::reserve_slot, stream_request::StreamRequest, takeover::NoTakeover},
+  super::{
+    stream_request::{AttemptKind, StreamRequest},
+    takeover::{Race, race},
+  },
   crate::gateway::{
     decisions::Unavailable,
     edge::{EndpointEntry, ProxyHeaders, Stage},
@@ -12,7 +15,6 @@
       send_stage,
     },
   },
-  futures_util::FutureExt,
   std::{pin::pin, time::Duration},
   tokio::time::timeout,
 };
@@ -20,17 +22,27 @@
 /// How long a retryable stream may be silent before another engine takes it over: less than callers' timeouts.
 pub(crate) const SILENCE_TIMEOUT_MS: u64 = 1_200;
 
+/// How a request that was sent to an engine was answered.
+enum Sent {
+  /// By this engine, or not at all.
+  Responded(Result<ResponseHead, StageError>),
+  /// By another engine, which took it over while this one was silent.
+  TakenOver(ResponseHead),
+}
+
 impl StreamRequest {
   pub(super) async fn send(
     &mut self,
+    kind: AttemptKind,
     entry: &EndpointEntry,
     mut reservation: Option<Reservation>,
     export: Option<ExportGuard>,
   ) -> Result<ResponseHead, StageError> {
     self.tried.push(entry.id.clone());
+    let checked = self.check_version(entry).await;
     // Counted before it is sent: the deadline may pass before the result is known.
     self.attempts += 1;
-    if let Err(error) = self.check_version(entry).await {
+    if let Err(error) = checked {
       self.record_error(entry, &error, export);
       return Err(error);
     }
@@ -39,22 +51,23 @@
     let permit = reservation
       .as_mut()
       .map_or(Permit::NotNeeded, Reservation::take_permit);
-    let result = self
-      .send_within_silence(entry, &proxy_headers, permit)
+    let sent = self
+      .send_within_silence(kind, entry, &proxy_headers, permit)
       .await;
+    let result = match sent {
+      Sent::Responded(result) => result,
+      Sent::TakenOver(head) => {
+        let error = StageError::Lost(format!("taken over by {}", head.entry.id));
+        self.record_error(entry, &error, export);
+        return Ok(head);
+      }
+    };
     match &result {
       Ok(_) => self.record_response(reservation, export),
       Err(error) => self.record_error(entry, error, export),
     }
     if let Err(StageError::Lost(error)) = &result {
-      let lost = LostStage {
-        answering_ms: None,
-        entry: entry.clone(),
-        error: error.clone(),
-        fingerprint: self.request.fingerprint(),
-        segments: self.request.segment_fingerprints(),
-        sent_ms,
-      };
+      let lost = self.lost_stage(entry, sent_ms, None, error.clone());
       record_lost_stage(&self.gateway, &self.request, lost).await;
     }
     result
@@ -95,65 +108,60 @@
     }
   }
 
-  /// Waits for the response's head. A silent engine gets no further requests, and is abandoned only once another one has a slot.
+  /// Waits for the response's head. A silent engine gets no further requests, and is abandoned only once another one has responded.
   async fn send_within_silence(
     &mut self,
+    kind: AttemptKind,
     entry: &EndpointEntry,
     proxy_headers: &ProxyHeaders,
     permit: Permit,
-  ) -> Result<ResponseHead, StageError> {
+  ) -> Sent {
     let (gateway, request) = (self.gateway.clone(), self.request.clone());
     let size = request.expected_tokens().max(1);
     let stage = OutgoingStage {
       permit,
       ..OutgoingStage::new(entry, proxy_headers, size, 1)
     };
+    let sent_ms = gateway.now_ms();
     let mut sending = pin!(send_stage(&gateway, &request, stage));
     loop {
       let silence = Duration::from_millis(SILENCE_TIMEOUT_MS);
       if let Ok(result) = timeout(silence, sending.as_mut()).await {
-        return result;
+        return Sent::Responded(result);
       }
       gateway.mark_overdue(&entry.id);
-      self.log_silence(&entry.id, SILENCE_TIMEOUT_MS);
-      if let Err(reason) = self.prepare_takeover().await {
-        self.log_no_takeover(&entry.id, reason);
-        continue;
+      if kind == AttemptKind::Takeover {
+        return Sent::Responded(Err(StageError::Lost("no response in time".into())));
       }
-      // The engine may have answered in the meantime.
-      if let Some(result) = sending.as_mut().now_or_never() {
-        self.log_went_on(&entry.id);
-        self.cancel_takeover();
-        return result;
+      self.log_silence(&entry.id, SILENCE_TIMEOUT_MS);
+      let lost = self.lost_stage(entry, sent_ms, None, "no response in time".into());
+      match race(sending.as_mut(), Result::is_err, self.take_over(lost)).await {
+        Race::Current(result) => {
+          self.cancel_takeover(&entry.id);
+          return Sent::Responded(result);
+        }
+        Race::TakenOver(head) => return Sent::TakenOver(*head),
+        Race::Stays(reason) => self.log_no_takeover(&entry.id, &reason),
       }
-      return Err(StageError::Lost("no response in time".into()));
     }
   }
 
-  /// Reserves a slot for the next attempt while the current endpoint is silent.
-  pub(crate) async fn prepare_takeover(&mut self) -> Result<(), NoTakeover> {
-    if !self.gateway.settings.mechanisms.silence_takeover {
-      return Err(NoTakeover::Disabled);
-    }
-    if self.request.is_blocked(&self.gateway) {
-      return Err(NoTakeover::Blocked);
-    }
-    if !self.has_attempts_left() {
-      return Err(NoTakeover::NoAttempt);
-    }
-    if !self.gateway.has_retry_left(&self.request.service) {
-      return Err(NoTakeover::NoRetry);
-    }
-    if !self.is_split() {
-      return Ok(());
+  /// A stage of this stream that is lost at an endpoint.
+  pub(super) fn lost_stage(
+    &self,
+    entry: &EndpointEntry,
+    sent_ms: u64,
+    answering_ms: Option<u64>,
+    error: String,
+  ) -> LostStage {
+    LostStage {
+      answering_ms,
+      entry: entry.clone(),
+      error,
+      fingerprint: self.request.fingerprint(),
+      segments: self.request.segment_fingerprints(),
+      sent_ms,
     }
-    self.slot = reserve_slot(&self.gateway, &self.request, self.exclusions()).await;
-    self.slot.as_ref().map(|_| ()).ok_or(NoTakeover::NoSlot)
-  }
-
-  /// Releases that slot: the current endpoint has continued.
-  pub(crate) fn cancel_takeover(&mut self) {
-    self.slot = None;
   }
 
   /// Records a response: the endpoint has consumed the reservation and the export.
--- a/src/gateway/stages/request.rs
+++ b/src/gateway/stages/request.rs
@@ -70,6 +70,8 @@
   pub(crate) service: Name,
   /// The version of the configuration that routed it.
   pub(crate) configuration: u64,
+  /// Whether its service has prefill and decode engines, by that configuration.
+  pub(crate) is_split: bool,
   pub(crate) rank: RouteRank,
   /// When it arrived, on the box's clock.
   pub(crate) arrived_ms: u64,
--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -570,11 +570,6 @@
       .record_request(now_ms);
   }
 
-  /// Whether the retry budget allows a retry now.
-  pub(crate) fn has_retry_left(&self, service: &Name) -> bool {
-    self.retry_usage(service).has_retry_left()
-  }
-
   /// Withdraws a request from its service's retry budget: another box serves it.
   pub(crate) fn withdraw_request(&self, service: &Name) {
     let now_ms = self.now_ms();
--- a/tests/gateway/streams.rs
+++ b/tests/gateway/streams.rs
@@ -272,4 +272,12 @@
   for response in responses {
     assert_eq!(response.body.as_deref(), Ok(EVENTS));
   }
+  // Streams without a retry reserve no slot.
+  let reserved = other
+    .received()
+    .iter()
+    .filter(|seen| seen.path == "/hold-take")
+    .count();
+  assert!((1..PAUSED_STREAMS).contains(&reserved));
+  assert_eq!(other.requests().len(), reserved);
 }
