An engine that goes on after a silence is no longer avoided

A box backs off from a silent engine, twice as long for each of its streams: after 1.3 s of silence with four streams there, a sound engine got no new requests for 4 s, although its events arrived. What works was given up for the seconds after it had shown that it works. The next bytes of an overdue response now end the backoff.

The new test does not compile on the code before; the fault was read there and in the logs (E514 up to four times for one engine and box within 0.5 s).

--- a/src/gateway/decisions/endpoint_registry.rs
+++ b/src/gateway/decisions/endpoint_registry.rs
@@ -508,6 +508,17 @@
     hall.last_failure_ms = now_ms;
   }
 
+  /// Records that an endpoint whose response was overdue has continued it: the box no longer backs off from it.
+  pub fn record_continued(&mut self, id: &str) {
+    let Some(endpoint) = self.endpoints.get_mut(id) else {
+      return;
+    };
+    endpoint.forget_losses();
+    if let Some(hall) = self.halls.get_mut(&endpoint.entry.hall) {
+      hall.unreachable.remove(id);
+    }
+  }
+
   /// Records that an endpoint is faulty although it answers.
   pub fn mark_faulty(&mut self, id: &str, now_ms: u64) {
     if let Some(endpoint) = self.endpoints.get_mut(id) {
--- a/src/gateway/requests/event_relay.rs
+++ b/src/gateway/requests/event_relay.rs
@@ -38,6 +38,8 @@
   last_event_ms: Option<u64>,
   /// The longest time between two events so far.
   longest_pause_ms: u64,
+  /// Whether the current engine is silent.
+  is_overdue: bool,
   /// For how long the current engine's events have been left unread.
   unread: UnreadTime,
 }
@@ -51,6 +53,7 @@
       has_sound_segments: false,
       head: Some(head),
       is_finished: false,
+      is_overdue: false,
       last_event_ms: None,
       longest_pause_ms: 0,
       splitter: EventSplitter::default(),
@@ -161,6 +164,7 @@
     // At the deadline, an engine whose events were left unread is not the one that is late.
     if self.unread.unread_ms().is_none() {
       self.stream.gateway.mark_overdue(&engine);
+      self.is_overdue = true;
     }
     let silent = format!("silent for {silent_ms} ms");
     if silent_ms >= remaining_ms {
@@ -197,6 +201,7 @@
     let former = self.head.replace(head);
     self.splitter = EventSplitter::default();
     self.answering_since_ms = None;
+    self.is_overdue = false;
     self.unread = UnreadTime::default();
     let version = former.map_or_else(SoftwareVersion::default, |head| head.entry.version);
     self.record_resumed(&version);
@@ -241,6 +246,11 @@
     let StreamRequest {
       gateway, request, ..
     } = &self.stream;
+    if std::mem::take(&mut self.is_overdue)
+      && let Some(head) = &self.head
+    {
+      gateway.record_continued(&head.entry);
+    }
     let now_ms = gateway.now_ms();
     let since_ms = *self.answering_since_ms.get_or_insert(now_ms);
     if !self.has_sound_segments && is_past_beginning(now_ms - since_ms) {
@@ -291,6 +301,7 @@
     );
     let mut interrupted_version = SoftwareVersion::default();
     if let Some(mut head) = self.head.take() {
+      self.is_overdue = false;
       interrupted_version = head.entry.version.clone();
       let since_ms = self.answering_since_ms.take();
       let unread = std::mem::take(&mut self.unread);
--- a/src/gateway/requests/stream_send.rs
+++ b/src/gateway/requests/stream_send.rs
@@ -123,13 +123,18 @@
       ..OutgoingStage::new(entry, proxy_headers, size, 1)
     };
     let sent_ms = gateway.now_ms();
+    let mut is_overdue = false;
     let mut sending = pin!(send_stage(&gateway, &request, stage));
     loop {
       let silence = Duration::from_millis(SILENCE_TIMEOUT_MS);
       if let Ok(result) = timeout(silence, sending.as_mut()).await {
+        if is_overdue && result.is_ok() {
+          gateway.record_continued(entry);
+        }
         return Sent::Responded(result);
       }
       gateway.mark_overdue(&entry.id);
+      is_overdue = true;
       if kind == AttemptKind::Takeover {
         return Sent::Responded(Err(StageError::Lost("no response in time".into())));
       }
@@ -138,6 +143,9 @@
       match race(sending.as_mut(), Result::is_err, self.take_over(lost)).await {
         Race::Current(result) => {
           self.cancel_takeover(&entry.id);
+          if result.is_ok() {
+            gateway.record_continued(entry);
+          }
           return Sent::Responded(result);
         }
         Race::TakenOver(head) => return Sent::TakenOver(*head),
--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -495,6 +495,12 @@
     self.pool.close(id);
   }
 
+  /// Ends the backoff from an endpoint whose response was overdue, and has continued.
+  pub(crate) fn record_continued(&self, entry: &EndpointEntry) {
+    self.endpoints.borrow_mut().record_continued(&entry.id);
+    self.record_reached(entry);
+  }
+
   /// Backs off from an endpoint that answers but is faulty.
   pub(crate) fn mark_faulty(&self, id: &str) {
     log::info!(
--- a/tests/gateway/choice.rs
+++ b/tests/gateway/choice.rs
@@ -216,6 +216,22 @@
   assert_eq!(chosen(&registry, criteria(), 30), "s-3");
 }
 
+/// Guards against an endpoint being avoided for seconds after a short silence.
+#[test]
+fn endpoint_that_continues_overdue_responses_is_chosen_again() {
+  let mut registry = registry(&["a", "b"]);
+  for _ in 0..40 {
+    registry.record_send("b", 1);
+  }
+  for _ in 0..30 {
+    registry.mark_overdue("a", 0);
+  }
+  assert_eq!(chosen(&registry, criteria(), 100), "b");
+  registry.record_continued("a");
+  assert_eq!(chosen(&registry, criteria(), 100), "a");
+  assert!(!registry.is_backing_off("a", 100));
+}
+
 #[test]
 fn expected_time_follows_earlier_work_of_the_endpoint() {
   let mut registry = registry(&["a"]);
