A returned retry goes back to the time at which it was taken

A retry that sent nothing was subtracted from the window's newest bucket of 250 ms, which was often empty: the retry stayed charged for the whole window. Takeovers hold a retry for up to 0.9 s while they wait for a slot or until the silent engine goes on, so silences without any send could leave no retry for a crash soon after. Found by the review of the takeover.

The charge keeps the time at which it was taken. The new test fails with the former refund, at the time of the return 0.9 s later (assertion at the take after it).

--- a/src/gateway/decisions/retry_window.rs
+++ b/src/gateway/decisions/retry_window.rs
@@ -83,10 +83,13 @@
     self.current_bucket(now_ms).retries += 1;
   }
 
-  /// Returns a retry that was taken and not sent.
-  pub fn refund(&mut self, now_ms: u64) {
-    let bucket = self.current_bucket(now_ms);
-    bucket.retries = bucket.retries.saturating_sub(1);
+  /// Returns a retry that was taken at a time and not sent.
+  pub fn refund(&mut self, taken_ms: u64) {
+    let number = taken_ms / BUCKET_MS;
+    let mut buckets = self.buckets.iter_mut();
+    if let Some(bucket) = buckets.find(|bucket| bucket.number == number) {
+      bucket.retries = bucket.retries.saturating_sub(1);
+    }
   }
 
   /// Takes a retry if one is available.
--- a/src/gateway/requests/send_charge.rs
+++ b/src/gateway/requests/send_charge.rs
@@ -12,6 +12,7 @@
   request: Rc<RoutedRequest>,
   /// The request's sends, with this one.
   sends: Rc<Cell<u32>>,
+  taken_ms: u64,
   is_sent: bool,
 }
 
@@ -22,6 +23,7 @@
     request: &Rc<RoutedRequest>,
     sends: &Rc<Cell<u32>>,
   ) -> Option<Self> {
+    let taken_ms = gateway.now_ms();
     if sends.get() > 0 {
       if !gateway.take_retry(request.id(), &request.service) {
         return None;
@@ -34,6 +36,7 @@
       is_sent: false,
       request: request.clone(),
       sends: sends.clone(),
+      taken_ms,
     })
   }
 
@@ -51,7 +54,8 @@
     let sends = self.sends.get() - 1;
     self.sends.set(sends);
     if sends > 0 {
-      self.gateway.return_retry(&self.request.service);
+      let service = &self.request.service;
+      self.gateway.return_retry(service, self.taken_ms);
     }
   }
 }
--- a/src/gateway/requests/unary.rs
+++ b/src/gateway/requests/unary.rs
@@ -39,8 +39,8 @@
   unsent: u32,
   /// Of those, the endpoints whose rate limit left no permit.
   without_permit: u32,
-  /// Whether a retry was taken from the budget for a request that no endpoint has received yet.
-  has_unused_retry: bool,
+  /// When a retry was taken from the budget, while no endpoint has received the request that it is for.
+  unused_retry_ms: Option<u64>,
   running: FuturesUnordered<Attempt>,
   /// The endpoints that have not responded yet.
   awaited: Vec<Name>,
@@ -60,12 +60,12 @@
     awaited: Vec::new(),
     failure: None,
     gateway,
-    has_unused_retry: false,
     may_have_run: false,
     request,
     running: FuturesUnordered::new(),
     tried: Vec::new(),
     unsent: 0,
+    unused_retry_ms: None,
     without_permit: 0,
   };
   if !unary.start() {
@@ -159,7 +159,7 @@
           self.without_permit += u32::from(error.is_without_permit());
           self.reroute();
         } else {
-          self.has_unused_retry = false;
+          self.unused_retry_ms = None;
         }
       }
     }
@@ -186,7 +186,7 @@
       return false;
     }
     self.gateway.counters.retries.inc();
-    self.has_unused_retry = true;
+    self.unused_retry_ms = Some(self.gateway.now_ms());
     self.send_to(entry);
     true
   }
@@ -197,8 +197,8 @@
     if may_start && self.start() {
       return;
     }
-    if std::mem::take(&mut self.has_unused_retry) {
-      self.gateway.return_retry(&self.request.service);
+    if let Some(taken_ms) = self.unused_retry_ms.take() {
+      self.gateway.return_retry(&self.request.service, taken_ms);
     }
   }
 
--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -594,11 +594,10 @@
     window.usage(allowance, boxes, now_ms)
   }
 
-  /// Returns a retry that reached no endpoint to the budget.
-  pub(crate) fn return_retry(&self, service: &Name) {
-    let now_ms = self.now_ms();
+  /// Returns a retry that was taken at a time, and reached no endpoint, to the budget.
+  pub(crate) fn return_retry(&self, service: &Name, taken_ms: u64) {
     if let Some(window) = self.retry_windows.borrow_mut().get_mut(service) {
-      window.refund(now_ms);
+      window.refund(taken_ms);
     }
   }
 
--- a/tests/gateway/budget.rs
+++ b/tests/gateway/budget.rs
@@ -62,6 +62,22 @@
   }
 }
 
+/// Guards against retries that were returned some time after they were taken being counted for a whole window.
+#[test]
+fn retry_that_is_returned_later_can_be_taken_again() {
+  let allowance = RetryAllowance {
+    slack: 4.0,
+    ..ALLOWANCE
+  };
+  let mut window = RetryWindow::default();
+  assert!((0..2).all(|_| window.take(allowance, 1, 20_000)));
+  window.record_request(20_900);
+  assert!(!window.take(allowance, 1, 20_900));
+  window.refund(20_000);
+  assert!(window.take(allowance, 1, 20_900));
+  assert!(!window.take(allowance, 1, 20_900));
+}
+
 #[tokio::test]
 async fn retries_stop_when_the_budget_is_spent() {
   let failing = |seen: &ReceivedRequest| Reply::status(seen, "500 Internal Server Error", "");
