Tests: attempts of silent streams, and takeovers that succeed

Cause: whether a silent engine may be given up depends on the attempts, the retries and the slots that are left, and an engine that stays silent has to be replaced all the same. Change: tests for a stream whose attempts are used up, for two failing takeovers in a row, for takeovers without a slot beside a retry budget of two, and for engines that stay silent: the next one resumes after the last whole event, the former connection is closed before that stream ends, a second silent engine is replaced too, and a failed takeover is followed by another one.

--- a/tests/gateway/silent_engines.rs
+++ b/tests/gateway/silent_engines.rs
@@ -7,12 +7,16 @@
     harness::CallerResponse,
   },
   emulator::eventually,
+  futures_util::future::join_all,
   http::StatusCode,
   rstest::rstest,
   std::{
-    collections::HashSet,
+    collections::HashMap,
     ops::RangeInclusive,
-    sync::{Arc, Mutex},
+    sync::{
+      Arc, Mutex,
+      atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
   },
 };
@@ -23,11 +27,16 @@
 const ROUTE_TIMEOUT_MS: u64 = 25_000;
 /// More retries than any test needs.
 const ROOMY_RETRY_SLACK: f64 = 600.0;
+/// A pause that ends while a second engine could have answered.
+const PAUSE: Duration = Duration::from_millis(1_900);
+/// The pause of an engine that does not come back.
+const NEVER: Duration = Duration::from_secs(60);
 
 /// Where an engine pauses within its response.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Place {
   AfterEvent,
+  WithinEvent,
 }
 
 /// What an engine does with a stream that another engine has begun.
@@ -39,6 +48,8 @@
   Fails,
   /// States that it did not run the stream.
   Rejects,
+  /// Streams the rest.
+  Resumes,
   /// Never answers.
   Silent,
 }
@@ -49,6 +60,7 @@
       Self::Closes => Reply::WriteAndClose(String::new()),
       Self::Fails => Reply::status(seen, "500 Internal Server Error", ""),
       Self::Rejects => Reply::not_run(seen),
+      Self::Resumes => Reply::stream(seen, &rest(seen)),
       Self::Silent => Reply::NoResponse,
     }
   }
@@ -62,50 +74,93 @@
   ids.map(|id| format!("id: {id}\ndata: e{id}\n\n")).collect()
 }
 
+/// The first event that a request asks for.
+fn first_id(seen: &ReceivedRequest) -> u64 {
+  seen.header("last-event-id").parse().unwrap_or(0) + 1
+}
+
+/// The events that a request asks for.
+fn rest(seen: &ReceivedRequest) -> String {
+  events(first_id(seen)..=EVENTS)
+}
+
 /// The body of a whole stream.
 fn whole() -> String {
   events(1..=EVENTS)
 }
 
-/// A whole stream with a pause.
+/// The events that a request asks for, with a pause.
 fn paused_stream(seen: &ReceivedRequest, place: Place, pause: Duration) -> Reply {
-  let head = Reply::stream_head(seen);
-  let chunk = |ids| Reply::stream_chunk(&events(ids));
-  let (first, rest) = match place {
-    Place::AfterEvent => (head + chunk(1..=2).as_str(), chunk(3..=EVENTS)),
+  let first = first_id(seen);
+  let text = rest(seen);
+  let event_end = events(first..=first.max(EVENTS / 2)).len();
+  let split = match place {
+    Place::AfterEvent => event_end,
+    Place::WithinEvent => event_end + "id: 3\nda".len(),
   };
-  Reply::WriteInParts(vec![(Duration::ZERO, first), (pause, rest + STREAM_END)])
+  let (before, after) = text.split_at(split);
+  let (head, chunk) = (Reply::stream_head(seen), Reply::stream_chunk(before));
+  let end = Reply::stream_chunk(after) + STREAM_END;
+  let parts = vec![(Duration::ZERO, head + chunk.as_str()), (pause, end)];
+  Reply::WriteInParts(parts)
 }
 
-/// The streams that any engine has begun.
+/// How often each stream was sent to an engine.
 #[derive(Clone, Default)]
-struct BegunStreams(Arc<Mutex<HashSet<String>>>);
+struct SendNumbers(Arc<Mutex<HashMap<String, usize>>>);
 
-impl BegunStreams {
-  /// Whether a stream is new, which it is once.
-  fn begin(&self, seen: &ReceivedRequest) -> bool {
-    self.0.lock().unwrap().insert(seen.id().into())
+impl SendNumbers {
+  /// The number of a send, from 1.
+  fn next(&self, seen: &ReceivedRequest) -> usize {
+    let mut numbers = self.0.lock().unwrap();
+    let number = numbers.entry(seen.id().into()).or_default();
+    *number += 1;
+    *number
   }
 }
 
-/// A script for engines of which the first one that a stream is sent to begins it.
+/// A script for engines that answer each stream by the number of its send.
 fn scripted(
-  begun: &BegunStreams,
-  begin: impl Fn(&ReceivedRequest) -> Reply + Send + Sync + 'static,
-  other: impl Fn(&ReceivedRequest) -> Reply + Send + Sync + 'static,
+  numbers: &SendNumbers,
+  answer: impl Fn(usize, &ReceivedRequest) -> Reply + Send + Sync + 'static,
 ) -> impl Fn(&ReceivedRequest) -> Reply + Send + Sync + 'static {
-  let begun = begun.clone();
+  let numbers = numbers.clone();
   move |seen| {
-    if !is_stream(seen) {
-      engine_reply(seen, "")
-    } else if begun.begin(seen) {
-      begin(seen)
+    if is_stream(seen) {
+      answer(numbers.next(seen), seen)
     } else {
-      other(seen)
+      engine_reply(seen, "")
     }
   }
 }
 
+/// Engines of one script.
+async fn engines<S>(count: usize, script: impl Fn() -> S) -> Vec<EndpointStandIn>
+where
+  S: Fn(&ReceivedRequest) -> Reply + Send + Sync + 'static,
+{
+  let mut engines = Vec::new();
+  for _ in 0..count {
+    engines.push(EndpointStandIn::start(script()).await);
+  }
+  engines
+}
+
+/// Engines of which the first one that a stream is sent to pauses, and any other one does something else with it.
+async fn pausing_engines(
+  count: usize,
+  place: Place,
+  pause: Duration,
+  other: Other,
+) -> Vec<EndpointStandIn> {
+  let numbers = SendNumbers::default();
+  let answer = move |number, seen: &ReceivedRequest| match number {
+    1 => paused_stream(seen, place, pause),
+    _ => other.reply(seen),
+  };
+  engines(count, || scripted(&numbers, answer)).await
+}
+
 /// A test in which neither the retry budget nor a route's timeout ends a stream.
 async fn roomy_test() -> GatewayTest {
   let mut test = GatewayTest::new().await.configure(|configuration| {
@@ -115,7 +170,7 @@
   test
 }
 
-/// A box with a prefill engine and decode engines of one script.
+/// A box with a prefill engine and decode engines.
 struct EngineFleet {
   gateway: GatewayBox,
   engines: Vec<EndpointStandIn>,
@@ -123,28 +178,21 @@
 }
 
 impl EngineFleet {
-  async fn start<S>(test: GatewayTest, versions: &[&str], script: impl Fn() -> S) -> Self
-  where
-    S: Fn(&ReceivedRequest) -> Reply + Send + Sync + 'static,
-  {
-    Self::start_with(test, EndpointStandIn::engine("").await, versions, script).await
+  /// Decode engines of one version.
+  async fn start(test: GatewayTest, engines: Vec<EndpointStandIn>) -> Self {
+    let prefill = EndpointStandIn::engine("").await;
+    Self::start_with(test, prefill, engines, |_| "v1").await
   }
 
-  async fn start_with<S>(
+  async fn start_with(
     test: GatewayTest,
     prefill: EndpointStandIn,
-    versions: &[&str],
-    script: impl Fn() -> S,
-  ) -> Self
-  where
-    S: Fn(&ReceivedRequest) -> Reply + Send + Sync + 'static,
-  {
+    engines: Vec<EndpointStandIn>,
+    version: impl Fn(usize) -> &'static str,
+  ) -> Self {
     test.enter("e-1", "llm", Some("prefill"), &prefill);
-    let mut engines = Vec::new();
-    for (number, version) in (2..).zip(versions) {
-      let engine = EndpointStandIn::start(script()).await;
-      test.enter_version(&format!("e-{number}"), &engine, version);
-      engines.push(engine);
+    for (number, engine) in engines.iter().enumerate() {
+      test.enter_version(&format!("e-{}", number + 2), engine, version(number));
     }
     Self {
       _prefill: prefill,
@@ -157,9 +205,20 @@
     self.gateway.ask("/resumable/a", "r1").await
   }
 
-  /// How often engines were sent a stream.
-  fn sends(&self) -> usize {
-    self.engines.iter().map(|one| one.requests().len()).sum()
+  /// The streams that were sent to engines, in order.
+  fn sends(&self) -> Vec<ReceivedRequest> {
+    let mut sends: Vec<_> = self
+      .engines
+      .iter()
+      .flat_map(EndpointStandIn::requests)
+      .collect();
+    sends.sort_by_key(|seen| seen.at);
+    sends
+  }
+
+  /// The streams whose connections the box closed before they were complete.
+  fn closed(&self) -> usize {
+    self.engines.iter().map(|one| one.closed().len()).sum()
   }
 }
 
@@ -177,58 +236,39 @@
 #[case::fails(Other::Fails, 1_900)]
 #[tokio::test]
 async fn silent_engine_is_kept_when_another_one(#[case] other: Other, #[case] pause_ms: u64) {
-  let begun = BegunStreams::default();
   let pause = Duration::from_millis(pause_ms);
-  let script = || {
-    scripted(
-      &begun,
-      move |seen| paused_stream(seen, Place::AfterEvent, pause),
-      move |seen| other.reply(seen),
-    )
-  };
-  let fleet = EngineFleet::start(roomy_test().await, &["v1", "v1"], script).await;
+  let engines = pausing_engines(2, Place::AfterEvent, pause, other).await;
+  let fleet = EngineFleet::start(roomy_test().await, engines).await;
   assert_whole(fleet.ask().await);
 }
 
 /// Guards against a silent engine that is given up for one of another version.
 #[tokio::test]
 async fn silent_engine_is_kept_when_all_others_are_of_another_version() {
-  let begun = BegunStreams::default();
-  let pause = Duration::from_millis(1_900);
-  let script = || {
-    scripted(
-      &begun,
-      move |seen| paused_stream(seen, Place::AfterEvent, pause),
-      Reply::not_run,
-    )
-  };
-  let fleet = EngineFleet::start(roomy_test().await, &["v1", "v2"], script).await;
+  let engines = pausing_engines(2, Place::AfterEvent, PAUSE, Other::Rejects).await;
+  let prefill = EndpointStandIn::engine("").await;
+  let version = |number: usize| ["v1", "v2"][number];
+  let fleet = EngineFleet::start_with(roomy_test().await, prefill, engines, version).await;
   assert_whole(fleet.ask().await);
-  assert_eq!(fleet.sends(), 1);
+  assert_eq!(fleet.sends().len(), 1);
 }
 
 /// Guards against a silent engine that is given up while the prompt is prefilled for another one, and against slots that are kept
 /// when it goes on.
 #[tokio::test]
 async fn silent_engine_goes_on_before_the_prompt_is_prefilled_for_another_one() {
-  let begun = BegunStreams::default();
+  // Ends before the prefill times out.
   let pause = Duration::from_millis(1_650);
-  let prefills = BegunStreams::default();
-  let prefill = EndpointStandIn::start(move |seen| match prefills.begin(seen) {
-    true => engine_reply(seen, ""),
-    false => Reply::NoResponse,
+  let engines = pausing_engines(2, Place::AfterEvent, pause, Other::Rejects).await;
+  let prefills = SendNumbers::default();
+  let prefill = EndpointStandIn::start(move |seen| match prefills.next(seen) {
+    1 => engine_reply(seen, ""),
+    _ => Reply::NoResponse,
   })
   .await;
-  let script = || {
-    scripted(
-      &begun,
-      move |seen| paused_stream(seen, Place::AfterEvent, pause),
-      Reply::not_run,
-    )
-  };
-  let fleet = EngineFleet::start_with(roomy_test().await, prefill, &["v1", "v1"], script).await;
+  let fleet = EngineFleet::start_with(roomy_test().await, prefill, engines, |_| "v1").await;
   assert_whole(fleet.ask().await);
-  assert_eq!(fleet.sends(), 1);
+  assert_eq!(fleet.sends().len(), 1);
   let has_call = |one: &EndpointStandIn, path: &str| {
     let calls = one.received();
     calls.iter().any(|seen| seen.path.starts_with(path))
@@ -239,3 +279,139 @@
   };
   assert!(eventually(TIMEOUT, released).await);
 }
+
+/// A test in which a stream may be sent to engines so often.
+async fn test_with_attempts(max_attempts: u32) -> GatewayTest {
+  roomy_test().await.configure(|configuration| {
+    configuration["routes"][3]["maxAttempts"] = max_attempts.into();
+  })
+}
+
+/// Guards against a silent engine that is given up when no attempt is left for another one.
+#[tokio::test]
+async fn silent_engine_is_kept_when_no_attempt_is_left() {
+  let numbers = SendNumbers::default();
+  let answer = |number, seen: &ReceivedRequest| match number {
+    1 => Reply::WriteAndClose(Reply::stream_part(seen, &events(1..=1))),
+    2 => paused_stream(seen, Place::AfterEvent, PAUSE),
+    _ => Other::Resumes.reply(seen),
+  };
+  let engines = engines(3, || scripted(&numbers, answer)).await;
+  let fleet = EngineFleet::start(test_with_attempts(2).await, engines).await;
+  assert_whole(fleet.ask().await);
+  assert_eq!(fleet.sends().len(), 2);
+}
+
+/// Guards against a silent engine that is given up after its last attempt has failed elsewhere, and against further attempts.
+#[rstest]
+#[case::rejects(Other::Rejects)]
+#[case::is_silent(Other::Silent)]
+#[case::closes_the_connection(Other::Closes)]
+#[case::fails(Other::Fails)]
+#[tokio::test]
+async fn silent_engine_is_kept_when_each_of_two_others(#[case] other: Other) {
+  let pause = Duration::from_millis(3_000);
+  let engines = pausing_engines(3, Place::AfterEvent, pause, other).await;
+  let fleet = EngineFleet::start(test_with_attempts(3).await, engines).await;
+  assert_whole(fleet.ask().await);
+  assert!(fleet.sends().len() <= 3);
+}
+
+/// Guards against takeovers that find no slot and use the retry budget up.
+#[tokio::test]
+async fn takeovers_without_a_slot_leave_the_retry_budget_as_it_was() {
+  let streams = 10;
+  let answer = |seen: &ReceivedRequest| match seen.id() {
+    "cut" if is_stream(seen) && first_id(seen) == 1 => {
+      Reply::WriteAndClose(Reply::stream_part(seen, &events(1..=1)))
+    }
+    "cut" if is_stream(seen) => Other::Resumes.reply(seen),
+    _ if is_stream(seen) => paused_stream(seen, Place::AfterEvent, PAUSE),
+    _ => engine_reply(seen, ""),
+  };
+  let is_full = Arc::new(AtomicBool::new(true));
+  let refuses = is_full.clone();
+  let full = EndpointStandIn::start(move |seen| match refuses.load(Ordering::Relaxed) {
+    true => Reply::not_run(seen),
+    false => answer(seen),
+  })
+  .await;
+  let engines = vec![EndpointStandIn::start(answer).await, full];
+  let mut test = roomy_test().await;
+  test.retry_slack = 2.0;
+  let fleet = EngineFleet::start(test, engines).await;
+  let ids: Vec<_> = (0..streams).map(|number| format!("r{number}")).collect();
+  let asks = ids.iter().map(|id| fleet.gateway.ask("/resumable/a", id));
+  for response in join_all(asks).await {
+    assert_whole(response);
+  }
+  assert_eq!(fleet.sends().len(), streams);
+  is_full.store(false, Ordering::Relaxed);
+  assert_whole(fleet.gateway.ask("/resumable/a", "cut").await);
+}
+
+/// Guards against a stream that goes on at another engine with lost or doubled events, or while its former engine keeps its slot.
+#[rstest]
+#[case::after_an_event(Place::AfterEvent)]
+#[case::within_an_event(Place::WithinEvent)]
+#[tokio::test]
+async fn engine_that_stays_silent_is_replaced_and_its_connection_closed(#[case] place: Place) {
+  let numbers = SendNumbers::default();
+  let answer = move |number, seen: &ReceivedRequest| match number {
+    1 => paused_stream(seen, place, NEVER),
+    // The former engine's connection is closed before this stream ends.
+    _ => paused_stream(seen, Place::AfterEvent, Duration::from_millis(800)),
+  };
+  let engines = engines(2, || scripted(&numbers, answer)).await;
+  let fleet = EngineFleet::start(roomy_test().await, engines).await;
+  assert_whole(fleet.ask().await);
+  assert_eq!(fleet.closed(), 1);
+  let sends = fleet.sends();
+  assert_eq!(sends.len(), 2);
+  assert_eq!(sends[1].header("last-event-id"), "2");
+  // Not before the engine has been silent for a while.
+  assert!(sends[1].at - sends[0].at >= Duration::from_millis(1_000));
+}
+
+/// Guards against a stream that stays at an engine which has taken it over and does not go on either.
+#[tokio::test]
+async fn second_engine_that_stays_silent_is_replaced_too() {
+  let numbers = SendNumbers::default();
+  let answer = |number, seen: &ReceivedRequest| match number {
+    1 | 2 => {
+      let first = first_id(seen);
+      let part = Reply::stream_part(seen, &events(first..=first));
+      Reply::WriteInParts(vec![(Duration::ZERO, part), (NEVER, STREAM_END.into())])
+    }
+    _ => Other::Resumes.reply(seen),
+  };
+  let engines = engines(3, || scripted(&numbers, answer)).await;
+  let fleet = EngineFleet::start(test_with_attempts(3).await, engines).await;
+  assert_whole(fleet.ask().await);
+  let sends = fleet.sends();
+  let resumed_after: Vec<_> = sends
+    .iter()
+    .map(|seen| seen.header("last-event-id"))
+    .collect();
+  assert_eq!(resumed_after, ["", "1", "2"]);
+  assert!(eventually(TIMEOUT, async || fleet.closed() == 2).await);
+}
+
+/// Guards against an engine that is never replaced because the first takeover failed.
+#[rstest]
+#[case::rejects(Other::Rejects)]
+#[case::closes_the_connection(Other::Closes)]
+#[case::fails(Other::Fails)]
+#[tokio::test]
+async fn engine_that_stays_silent_is_replaced_when_the_first_other_one(#[case] other: Other) {
+  let numbers = SendNumbers::default();
+  let answer = move |number, seen: &ReceivedRequest| match number {
+    1 => paused_stream(seen, Place::AfterEvent, NEVER),
+    2 => other.reply(seen),
+    _ => Other::Resumes.reply(seen),
+  };
+  let engines = engines(3, || scripted(&numbers, answer)).await;
+  let fleet = EngineFleet::start(test_with_attempts(3).await, engines).await;
+  assert_whole(fleet.ask().await);
+  assert_eq!(fleet.sends().len(), 3);
+}
