Tests: two engines that go on together, silence before the head, within an event and before the end

Cause: a silent engine may go on at any moment of a takeover, and may fall silent anywhere in its response. Change: tests in which 31 streams' engines go on after 1.5 s while other engines answer 0 to 0.6 s after the silence is noticed, with the rest, all events, or the head first; silence of 1.9 s before the head, within an event and before the end of the body, two silences in one stream, each beside engines that reject, close, are silent, answer 500 or resume; events that come while a takeover waits for a slot.

--- a/tests/gateway/silent_engines.rs
+++ b/tests/gateway/silent_engines.rs
@@ -9,6 +9,8 @@
   emulator::eventually,
   futures_util::future::join_all,
   http::StatusCode,
+  http_body_util::BodyExt,
+  rillford::HttpClient,
   rstest::rstest,
   std::{
     collections::HashMap,
@@ -17,7 +19,7 @@
       Arc, Mutex,
       atomic::{AtomicBool, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
   },
 };
 
@@ -26,7 +28,7 @@
 /// Much longer than a stream takes, so that none ends by its route's timeout.
 const ROUTE_TIMEOUT_MS: u64 = 25_000;
 /// More retries than any test needs.
-const ROOMY_RETRY_SLACK: f64 = 600.0;
+const ROOMY_RETRY_SLACK: f64 = 6_000.0;
 /// A pause that ends while a second engine could have answered.
 const PAUSE: Duration = Duration::from_millis(1_900);
 /// The pause of an engine that does not come back.
@@ -35,8 +37,10 @@
 /// Where an engine pauses within its response.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Place {
+  BeforeHead,
   AfterEvent,
   WithinEvent,
+  BeforeEnd,
 }
 
 /// What an engine does with a stream that another engine has begun.
@@ -89,20 +93,36 @@
   events(1..=EVENTS)
 }
 
-/// The events that a request asks for, with a pause.
+/// The events that a request asks for, with a pause in the middle and a short one before the last event.
 fn paused_stream(seen: &ReceivedRequest, place: Place, pause: Duration) -> Reply {
   let first = first_id(seen);
   let text = rest(seen);
   let event_end = events(first..=first.max(EVENTS / 2)).len();
   let split = match place {
+    Place::BeforeHead => 0,
     Place::AfterEvent => event_end,
     Place::WithinEvent => event_end + "id: 3\nda".len(),
+    Place::BeforeEnd => text.len(),
   };
   let (before, after) = text.split_at(split);
-  let (head, chunk) = (Reply::stream_head(seen), Reply::stream_chunk(before));
-  let end = Reply::stream_chunk(after) + STREAM_END;
-  let parts = vec![(Duration::ZERO, head + chunk.as_str()), (pause, end)];
-  Reply::WriteInParts(parts)
+  let last_length = events(EVENTS..=EVENTS).len();
+  let (next, last) = after.split_at(after.len().saturating_sub(last_length));
+  let head = Reply::stream_head(seen);
+  let (beginning, next) = match place {
+    Place::BeforeHead => (String::new(), head + Reply::stream_chunk(next).as_str()),
+    Place::AfterEvent | Place::WithinEvent | Place::BeforeEnd => (
+      head + Reply::stream_chunk(before).as_str(),
+      Reply::stream_chunk(next),
+    ),
+  };
+  Reply::WriteInParts(vec![
+    (Duration::ZERO, beginning),
+    (pause, next),
+    (
+      Duration::from_millis(100),
+      Reply::stream_chunk(last) + STREAM_END,
+    ),
+  ])
 }
 
 /// How often each stream was sent to an engine.
@@ -415,3 +435,178 @@
   assert_whole(fleet.ask().await);
   assert_eq!(fleet.sends().len(), 3);
 }
+
+/// How an engine answers a stream that another engine has begun.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Resumption {
+  /// With the events that are missing.
+  Rest,
+  /// With all events, from the first on.
+  All,
+  /// With the head, and later with the events that are missing.
+  HeadFirst,
+}
+
+impl Resumption {
+  fn reply(self, seen: &ReceivedRequest, delay: Duration) -> Reply {
+    let head = Reply::stream_head(seen);
+    let body = |events: &str| Reply::stream_chunk(events) + STREAM_END;
+    Reply::WriteInParts(match self {
+      Self::Rest => vec![(delay, head + body(&rest(seen)).as_str())],
+      Self::All => vec![(delay, head + body(&whole()).as_str())],
+      Self::HeadFirst => vec![
+        (delay, head),
+        (Duration::from_millis(300), body(&rest(seen))),
+      ],
+    })
+  }
+}
+
+/// Guards against lost, doubled or mixed events when two engines go on at nearly the same moment.
+#[rstest]
+#[tokio::test]
+async fn two_engines_that_go_on_at_the_same_moment_bring_one_stream(
+  #[values(Resumption::Rest, Resumption::All, Resumption::HeadFirst)] resumption: Resumption,
+  #[values(Place::AfterEvent, Place::WithinEvent)] place: Place,
+) {
+  // Ends while the other engine answers, in some streams before it and in others after it.
+  let pause = Duration::from_millis(1_500);
+  let delay =
+    |seen: &ReceivedRequest| Duration::from_millis(20 * seen.id().parse::<u64>().unwrap());
+  let numbers = SendNumbers::default();
+  let answer = move |number, seen: &ReceivedRequest| match number {
+    1 => paused_stream(seen, place, pause),
+    _ => resumption.reply(seen, delay(seen)),
+  };
+  let engines = engines(4, || scripted(&numbers, answer)).await;
+  let fleet = EngineFleet::start(roomy_test().await, engines).await;
+  let ids: Vec<_> = (0..31).map(|number| number.to_string()).collect();
+  let asks = ids.iter().map(|id| fleet.gateway.ask("/resumable/a", id));
+  for response in join_all(asks).await {
+    assert_whole(response);
+  }
+}
+
+/// Guards against events that wait until a takeover has got a slot or not.
+#[tokio::test]
+async fn events_are_forwarded_while_a_takeover_waits_for_a_slot() {
+  let (pause, between) = (Duration::from_millis(1_400), Duration::from_millis(600));
+  let pausing = EndpointStandIn::start(move |seen| {
+    if !is_stream(seen) {
+      return engine_reply(seen, "");
+    }
+    let chunk = |id| Reply::stream_chunk(&events(id..=id));
+    Reply::WriteInParts(vec![
+      (Duration::ZERO, Reply::stream_head(seen) + chunk(1).as_str()),
+      (pause, chunk(2)),
+      (between, chunk(3) + STREAM_END),
+    ])
+  })
+  .await;
+  let full = EndpointStandIn::start(Reply::not_run).await;
+  let fleet = EngineFleet::start(roomy_test().await, vec![pausing, full]).await;
+  let request = fleet.gateway.request("/resumable/a", "r1");
+  let mut body = HttpClient::default()
+    .send(request)
+    .await
+    .unwrap()
+    .into_body();
+  let mut received = Vec::new();
+  while let Some(frame) = body.frame().await {
+    let bytes = frame.unwrap().into_data().unwrap();
+    received.push((Instant::now(), String::from_utf8_lossy(&bytes).into_owned()));
+  }
+  let text: String = received.iter().map(|(_, text)| text.as_str()).collect();
+  assert_eq!(text, events(1..=3));
+  let at = |id: u64| {
+    received
+      .iter()
+      .find(|(_, text)| text.contains(&events(id..=id)))
+  };
+  let (second, third) = (at(2).unwrap().0, at(3).unwrap().0);
+  assert!(third - second >= between / 3, "{:?}", third - second);
+}
+
+/// Guards against an engine that is given up before its response has begun, for one that does not take the stream over, and against
+/// more attempts than the route allows.
+#[rstest]
+#[case::rejects(Other::Rejects, 3)]
+#[case::is_silent(Other::Silent, 2)]
+#[case::closes_the_connection(Other::Closes, 2)]
+#[case::fails(Other::Fails, 2)]
+#[tokio::test]
+async fn engine_that_is_silent_before_its_head_is_kept_when_another_one(
+  #[case] other: Other,
+  #[case] max_sends: usize,
+) {
+  let engines = pausing_engines(3, Place::BeforeHead, PAUSE, other).await;
+  let fleet = EngineFleet::start(roomy_test().await, engines).await;
+  assert_whole(fleet.ask().await);
+  assert!(fleet.sends().len() <= max_sends);
+}
+
+/// Guards against a stream that is run by more engines than its route allows.
+#[rstest]
+#[case::goes_on(PAUSE)]
+#[case::stays_silent(NEVER)]
+#[tokio::test]
+async fn another_engine_answers_for_one_that_is_silent_before_its_head_and(
+  #[case] pause: Duration,
+) {
+  let engines = pausing_engines(3, Place::BeforeHead, pause, Other::Resumes).await;
+  let fleet = EngineFleet::start(roomy_test().await, engines).await;
+  assert_whole(fleet.ask().await);
+  let sends = fleet.sends();
+  assert_eq!(sends.len(), 2);
+  assert_eq!(sends[1].header("last-event-id"), "");
+  assert!(eventually(TIMEOUT, async || fleet.closed() == 1).await);
+}
+
+/// Guards against an engine that is given up within an event, or when only the end of its response is missing.
+#[rstest]
+#[tokio::test]
+async fn engine_that_is_silent_within_its_response_is_kept(
+  #[values(Place::WithinEvent, Place::BeforeEnd)] place: Place,
+  #[values(Other::Rejects, Other::Silent, Other::Closes)] other: Other,
+) {
+  let engines = pausing_engines(2, place, PAUSE, other).await;
+  let fleet = EngineFleet::start(roomy_test().await, engines).await;
+  assert_whole(fleet.ask().await);
+}
+
+/// Guards against the part of an event that is forwarded before another engine sends the whole event.
+#[rstest]
+#[tokio::test]
+async fn stream_of_an_engine_that_is_silent_within_its_response_goes_on_at_another_one(
+  #[values(Place::WithinEvent, Place::BeforeEnd)] place: Place,
+  #[values(PAUSE, NEVER)] pause: Duration,
+) {
+  let engines = pausing_engines(2, place, pause, Other::Resumes).await;
+  let fleet = EngineFleet::start(roomy_test().await, engines).await;
+  assert_whole(fleet.ask().await);
+  assert!(fleet.sends().len() <= 2);
+}
+
+/// Guards against an engine that is kept once only.
+#[rstest]
+#[case::rejects(Other::Rejects)]
+#[case::closes_the_connection(Other::Closes)]
+#[tokio::test]
+async fn engine_that_is_silent_twice_is_kept_when_another_one(#[case] other: Other) {
+  let pause = Duration::from_millis(1_700);
+  let numbers = SendNumbers::default();
+  let answer = move |number, seen: &ReceivedRequest| {
+    if number > 1 {
+      return other.reply(seen);
+    }
+    let chunk = |id| Reply::stream_chunk(&events(id..=id));
+    Reply::WriteInParts(vec![
+      (Duration::ZERO, Reply::stream_head(seen) + chunk(1).as_str()),
+      (pause, chunk(2) + chunk(3).as_str()),
+      (pause, chunk(4) + STREAM_END),
+    ])
+  };
+  let engines = engines(3, || scripted(&numbers, answer)).await;
+  let fleet = EngineFleet::start(test_with_attempts(3).await, engines).await;
+  assert_whole(fleet.ask().await);
+}
