Tests: all streams of one engine, or all engines, silent at the same moment

Cause: an engine's streams are silent from the same moment, so their takeovers compete for the same retries and slots. Change: a scripted engine falls silent as a whole, its responses in progress and its calls too; tests with 24 streams at one engine beside three sound ones, and at four engines that are all silent with the prefill engine, for 0.9, 1.3, 1.4 and 2.5 s, with a small and a roomy retry budget.

--- a/tests/gateway/endpoint.rs
+++ b/tests/gateway/endpoint.rs
@@ -16,7 +16,7 @@
     net::{TcpListener, TcpStream},
     sync::mpsc,
     task::JoinSet,
-    time::{sleep, timeout},
+    time::{sleep, sleep_until, timeout},
   },
 };
 
@@ -132,6 +132,7 @@
   closed: Arc<Mutex<Vec<ReceivedRequest>>>,
   written: Arc<Mutex<Vec<ReceivedRequest>>>,
   aborted: Arc<Mutex<Vec<ReceivedRequest>>>,
+  silent_until: Arc<Mutex<Instant>>,
 }
 
 impl EndpointStandIn {
@@ -152,6 +153,7 @@
       address,
       closed: Arc::default(),
       received: Arc::default(),
+      silent_until: Arc::new(Mutex::new(Instant::now())),
       written: Arc::default(),
     };
     let listener = TcpListener::bind(address).await.unwrap();
@@ -161,6 +163,7 @@
       closed: endpoint.closed.clone(),
       script: Arc::new(script),
       received: endpoint.received.clone(),
+      silent_until: endpoint.silent_until.clone(),
       written: endpoint.written.clone(),
     };
     tokio::spawn(async move {
@@ -203,6 +206,11 @@
     self.requests().iter().map(|request| request.at).collect()
   }
 
+  /// Reads no request and writes no part of a response for some time, and goes on.
+  pub(crate) fn fall_silent(&self, silence: Duration) {
+    *self.silent_until.lock().unwrap() = Instant::now() + silence;
+  }
+
   /// Requests whose connection the gateway has closed before the response was complete.
   pub(crate) fn closed(&self) -> Vec<ReceivedRequest> {
     self.closed.lock().unwrap().clone()
@@ -289,9 +297,21 @@
   closed: Arc<Mutex<Vec<ReceivedRequest>>>,
   written: Arc<Mutex<Vec<ReceivedRequest>>>,
   aborted: Arc<Mutex<Vec<ReceivedRequest>>>,
+  silent_until: Arc<Mutex<Instant>>,
 }
 
 impl IncarnationState {
+  /// Waits until the endpoint is not silent.
+  async fn wait_out_silence(&self) {
+    loop {
+      let until = *self.silent_until.lock().unwrap();
+      if until <= Instant::now() {
+        return;
+      }
+      sleep_until(until.into()).await;
+    }
+  }
+
   /// Serves until a request crashes the endpoint; returns the downtime.
   async fn serve_until_crash(&self, listener: TcpListener) -> Option<Duration> {
     // Dropped with all connections at the crash.
@@ -312,6 +332,7 @@
 async fn serve(mut stream: TcpStream, state: IncarnationState, crash: mpsc::Sender<Duration>) {
   let mut bytes = Vec::new();
   while let Some(request) = read_request(&mut stream, &mut bytes).await {
+    state.wait_out_silence().await;
     state.received.lock().unwrap().push(request.clone());
     let text = match (state.script)(&request) {
       Reply::Write(text) => text,
@@ -347,7 +368,7 @@
         continue;
       }
       Reply::WriteInParts(parts) => {
-        if !write_in_parts(&mut stream, parts).await {
+        if !write_in_parts(&mut stream, parts, &state).await {
           state.closed.lock().unwrap().push(request);
           return;
         }
@@ -378,10 +399,18 @@
 }
 
 /// Waits before each part, then writes it; `false` when the gateway has closed the connection before the last one.
-async fn write_in_parts(stream: &mut TcpStream, parts: Vec<(Duration, String)>) -> bool {
+async fn write_in_parts(
+  stream: &mut TcpStream,
+  parts: Vec<(Duration, String)>,
+  state: &IncarnationState,
+) -> bool {
   for (delay, part) in parts {
+    let pause = async {
+      sleep(delay).await;
+      state.wait_out_silence().await;
+    };
     tokio::select! {
-      () = sleep(delay) => {}
+      () = pause => {}
       () = wait_until_closed(stream) => return false,
     }
     if stream.write_all(part.as_bytes()).await.is_err() {
--- a/tests/gateway/silent_engines.rs
+++ b/tests/gateway/silent_engines.rs
@@ -21,6 +21,7 @@
     },
     time::{Duration, Instant},
   },
+  tokio::time::sleep,
 };
 
 /// Events of a whole stream.
@@ -155,7 +156,7 @@
 }
 
 /// Engines of one script.
-async fn engines<S>(count: usize, script: impl Fn() -> S) -> Vec<EndpointStandIn>
+async fn start_engines<S>(count: usize, script: impl Fn() -> S) -> Vec<EndpointStandIn>
 where
   S: Fn(&ReceivedRequest) -> Reply + Send + Sync + 'static,
 {
@@ -178,7 +179,7 @@
     1 => paused_stream(seen, place, pause),
     _ => other.reply(seen),
   };
-  engines(count, || scripted(&numbers, answer)).await
+  start_engines(count, || scripted(&numbers, answer)).await
 }
 
 /// A test in which neither the retry budget nor a route's timeout ends a stream.
@@ -194,7 +195,7 @@
 struct EngineFleet {
   gateway: GatewayBox,
   engines: Vec<EndpointStandIn>,
-  _prefill: EndpointStandIn,
+  prefill: EndpointStandIn,
 }
 
 impl EngineFleet {
@@ -215,7 +216,7 @@
       test.enter_version(&format!("e-{}", number + 2), engine, version(number));
     }
     Self {
-      _prefill: prefill,
+      prefill,
       engines,
       gateway: test.start().await,
     }
@@ -316,7 +317,7 @@
     2 => paused_stream(seen, Place::AfterEvent, PAUSE),
     _ => Other::Resumes.reply(seen),
   };
-  let engines = engines(3, || scripted(&numbers, answer)).await;
+  let engines = start_engines(3, || scripted(&numbers, answer)).await;
   let fleet = EngineFleet::start(test_with_attempts(2).await, engines).await;
   assert_whole(fleet.ask().await);
   assert_eq!(fleet.sends().len(), 2);
@@ -382,7 +383,7 @@
     // The former engine's connection is closed before this stream ends.
     _ => paused_stream(seen, Place::AfterEvent, Duration::from_millis(800)),
   };
-  let engines = engines(2, || scripted(&numbers, answer)).await;
+  let engines = start_engines(2, || scripted(&numbers, answer)).await;
   let fleet = EngineFleet::start(roomy_test().await, engines).await;
   assert_whole(fleet.ask().await);
   assert_eq!(fleet.closed(), 1);
@@ -405,7 +406,7 @@
     }
     _ => Other::Resumes.reply(seen),
   };
-  let engines = engines(3, || scripted(&numbers, answer)).await;
+  let engines = start_engines(3, || scripted(&numbers, answer)).await;
   let fleet = EngineFleet::start(test_with_attempts(3).await, engines).await;
   assert_whole(fleet.ask().await);
   let sends = fleet.sends();
@@ -430,7 +431,7 @@
     2 => other.reply(seen),
     _ => Other::Resumes.reply(seen),
   };
-  let engines = engines(3, || scripted(&numbers, answer)).await;
+  let engines = start_engines(3, || scripted(&numbers, answer)).await;
   let fleet = EngineFleet::start(test_with_attempts(3).await, engines).await;
   assert_whole(fleet.ask().await);
   assert_eq!(fleet.sends().len(), 3);
@@ -478,7 +479,7 @@
     1 => paused_stream(seen, place, pause),
     _ => resumption.reply(seen, delay(seen)),
   };
-  let engines = engines(4, || scripted(&numbers, answer)).await;
+  let engines = start_engines(4, || scripted(&numbers, answer)).await;
   let fleet = EngineFleet::start(roomy_test().await, engines).await;
   let ids: Vec<_> = (0..31).map(|number| number.to_string()).collect();
   let asks = ids.iter().map(|id| fleet.gateway.ask("/resumable/a", id));
@@ -606,7 +607,116 @@
       (pause, chunk(4) + STREAM_END),
     ])
   };
-  let engines = engines(3, || scripted(&numbers, answer)).await;
+  let engines = start_engines(3, || scripted(&numbers, answer)).await;
   let fleet = EngineFleet::start(test_with_attempts(3).await, engines).await;
   assert_whole(fleet.ask().await);
 }
+
+/// Events of a stream that runs while its engine falls silent.
+const LONG_EVENTS: u64 = 30;
+/// Time between two events of it.
+const PACE: Duration = Duration::from_millis(100);
+/// A budget of which this box has some retries.
+const SMALL_RETRY_SLACK: f64 = 60.0;
+
+/// Streams the events that a request asks for one after another.
+fn paced(seen: &ReceivedRequest) -> Reply {
+  if !is_stream(seen) {
+    return engine_reply(seen, "");
+  }
+  let event = |id: u64| (PACE, Reply::stream_chunk(&events(id..=id)));
+  let mut parts = vec![(Duration::ZERO, Reply::stream_head(seen))];
+  parts.extend((first_id(seen)..=LONG_EVENTS).map(event));
+  parts.push((Duration::ZERO, STREAM_END.into()));
+  Reply::WriteInParts(parts)
+}
+
+/// Begins streams, and does something else once engines have them all; returns the responses.
+async fn run_streams(
+  fleet: &EngineFleet,
+  streams: usize,
+  meanwhile: impl AsyncFnOnce(),
+) -> Vec<CallerResponse> {
+  let ids: Vec<_> = (0..streams).map(|number| format!("r{number}")).collect();
+  let asks = ids.iter().map(|id| fleet.gateway.ask("/resumable/a", id));
+  let work = async {
+    assert!(eventually(TIMEOUT, async || fleet.sends().len() == streams).await);
+    meanwhile().await;
+  };
+  let (responses, ()) = tokio::join!(join_all(asks), work);
+  responses
+}
+
+/// Lists other engines of the version, and waits until the box knows them.
+async fn list_others(fleet: &EngineFleet, others: &[EndpointStandIn]) {
+  for (number, other) in others.iter().enumerate() {
+    fleet
+      .gateway
+      .test
+      .enter_version(&format!("f-{number}"), other, "v1");
+  }
+  // With the prefill engine.
+  let known = (1 + fleet.engines.len() + others.len()) as f64;
+  let knows_all = async || fleet.gateway.metric("rillford_endpoints").await == known;
+  assert!(eventually(TIMEOUT, knows_all).await);
+}
+
+fn assert_all_whole(responses: Vec<CallerResponse>) {
+  let expected = events(1..=LONG_EVENTS);
+  let is_whole = |response: &CallerResponse| {
+    response.status == StatusCode::OK && response.body.as_deref() == Ok(&expected)
+  };
+  let count = responses.len();
+  let whole = responses
+    .iter()
+    .filter(|response| is_whole(response))
+    .count();
+  assert_eq!(whole, count);
+}
+
+/// A test with a retry slack, in which no route's timeout ends a stream.
+async fn test_with_retry_slack(retry_slack: f64) -> GatewayTest {
+  let mut test = roomy_test().await;
+  test.retry_slack = retry_slack;
+  test
+}
+
+/// Guards against streams that are cut because all streams of an engine fall silent at the same moment.
+#[rstest]
+#[tokio::test]
+async fn streams_of_one_engine_that_falls_silent_are_whole(
+  #[values(SMALL_RETRY_SLACK, ROOMY_RETRY_SLACK)] retry_slack: f64,
+  #[values(900, 1_300, 1_400, 2_500)] silence_ms: u64,
+) {
+  let engines = start_engines(1, || paced).await;
+  let others = start_engines(3, || paced).await;
+  let fleet = EngineFleet::start(test_with_retry_slack(retry_slack).await, engines).await;
+  let responses = run_streams(&fleet, 24, async || {
+    list_others(&fleet, &others).await;
+    fleet.engines[0].fall_silent(Duration::from_millis(silence_ms));
+  })
+  .await;
+  assert_all_whole(responses);
+}
+
+/// Guards against streams that are cut because no engine answers for some time.
+#[rstest]
+#[tokio::test]
+async fn streams_are_whole_when_all_engines_fall_silent(
+  #[values(SMALL_RETRY_SLACK, ROOMY_RETRY_SLACK)] retry_slack: f64,
+  #[values(900, 1_300, 1_400, 2_500)] silence_ms: u64,
+) {
+  let engines = start_engines(4, || paced).await;
+  let fleet = EngineFleet::start(test_with_retry_slack(retry_slack).await, engines).await;
+  let responses = run_streams(&fleet, 24, async || {
+    // Some events.
+    sleep(5 * PACE).await;
+    let silence = Duration::from_millis(silence_ms);
+    fleet.prefill.fall_silent(silence);
+    for engine in &fleet.engines {
+      engine.fall_silent(silence);
+    }
+  })
+  .await;
+  assert_all_whole(responses);
+}
