Tests: an engine that falls silent beside planned work

Cause: the streams of the record were cut while a configuration was changing. Change: four streams at one engine that is silent for 1.9 s, 0.3 s after each kind of planned work: an idle time or a route's timeout lowered and raised, the route moved or removed, SIGHUP, SIGTERM, the store unreachable, a second version listed, and the engine leaving within its silence; beside another engine that resumes, and one that rejects.

--- a/tests/gateway/silent_engines.rs
+++ b/tests/gateway/silent_engines.rs
@@ -5,6 +5,7 @@
     EndpointStandIn, GatewayBox, GatewayTest, ReceivedRequest, Reply, TIMEOUT,
     endpoint::{STREAM_END, engine_reply},
     harness::CallerResponse,
+    store_proxy::StoreProxy,
   },
   emulator::eventually,
   futures_util::future::join_all,
@@ -12,6 +13,7 @@
   http_body_util::BodyExt,
   rillford::HttpClient,
   rstest::rstest,
+  serde_json::Value,
   std::{
     collections::HashMap,
     ops::RangeInclusive,
@@ -720,3 +722,125 @@
   .await;
   assert_all_whole(responses);
 }
+
+/// Planned work while streams run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Work {
+  IdleTimeLowered,
+  IdleTimeRaised,
+  RouteTimeoutLowered,
+  RouteTimeoutRaised,
+  RouteMoved,
+  RouteRemoved,
+  Reload,
+  Stop,
+  StoreUnreachable,
+  SecondVersion,
+  EngineLeaves,
+}
+
+impl Work {
+  /// Changes the configuration, where the work does.
+  fn change(self, configuration: &mut Value) {
+    let route = &mut configuration["routes"][3];
+    match self {
+      Self::IdleTimeLowered => configuration["limits"]["idleTimeoutMs"] = 1_000.into(),
+      Self::IdleTimeRaised => configuration["limits"]["idleTimeoutMs"] = 60_000.into(),
+      Self::RouteTimeoutLowered => route["timeoutMs"] = (ROUTE_TIMEOUT_MS / 2).into(),
+      Self::RouteTimeoutRaised => route["timeoutMs"] = (ROUTE_TIMEOUT_MS * 2).into(),
+      Self::RouteMoved => {
+        route["service"] = "llm-2".into();
+        let services = configuration["services"].as_array_mut().unwrap();
+        let mut service = services[1].clone();
+        service["name"] = "llm-2".into();
+        services.push(service);
+      }
+      Self::RouteRemoved => {
+        configuration["routes"].as_array_mut().unwrap().remove(3);
+      }
+      Self::Reload
+      | Self::Stop
+      | Self::StoreUnreachable
+      | Self::SecondVersion
+      | Self::EngineLeaves => {}
+    }
+  }
+
+  /// Does the work that precedes the silence.
+  async fn begin(self, fleet: &EngineFleet, store: &StoreProxy, other_version: &EndpointStandIn) {
+    let test = &fleet.gateway.test;
+    match self {
+      Self::IdleTimeLowered
+      | Self::IdleTimeRaised
+      | Self::RouteTimeoutLowered
+      | Self::RouteTimeoutRaised
+      | Self::RouteMoved
+      | Self::RouteRemoved => {
+        let mut configuration = test.configuration.clone();
+        configuration["version"] = 6.into();
+        self.change(&mut configuration);
+        test
+          .store
+          .put("op/config", configuration.to_string().as_bytes());
+      }
+      Self::Reload => fleet.gateway.signal(libc::SIGHUP),
+      Self::Stop => fleet.gateway.signal(libc::SIGTERM),
+      Self::StoreUnreachable => store.cut().await,
+      Self::SecondVersion => test.enter_version("g-1", other_version, "v2"),
+      Self::EngineLeaves => {}
+    }
+  }
+
+  /// Does the work that falls within the silence.
+  fn go_on(self, fleet: &EngineFleet) {
+    if self == Self::EngineLeaves {
+      let address = fleet.engines[0].address;
+      let test = &fleet.gateway.test;
+      test.enter_at("e-2", "llm", Some("decode"), address, "draining");
+    }
+  }
+}
+
+/// Guards against streams that are cut because their engine falls silent beside planned work.
+#[rstest]
+#[tokio::test]
+async fn streams_of_a_silent_engine_are_whole(
+  #[values(Other::Resumes, Other::Rejects)] other: Other,
+  #[values(
+    Work::IdleTimeLowered,
+    Work::IdleTimeRaised,
+    Work::RouteTimeoutLowered,
+    Work::RouteTimeoutRaised,
+    Work::RouteMoved,
+    Work::RouteRemoved,
+    Work::Reload,
+    Work::Stop,
+    Work::StoreUnreachable,
+    Work::SecondVersion,
+    Work::EngineLeaves
+  )]
+  work: Work,
+) {
+  let answer = move |seen: &ReceivedRequest| match other {
+    Other::Rejects if is_stream(seen) => Reply::not_run(seen),
+    _ => paced(seen),
+  };
+  let engines = start_engines(1, || paced).await;
+  let others = start_engines(1, || answer).await;
+  let other_version = EndpointStandIn::start(paced).await;
+  let test = roomy_test().await;
+  let store = StoreProxy::to(test.store.address).await;
+  let test = test.second_box("north-2", store.address);
+  let fleet = EngineFleet::start(test, engines).await;
+  let responses = run_streams(&fleet, 4, async || {
+    list_others(&fleet, &others).await;
+    work.begin(&fleet, &store, &other_version).await;
+    sleep(Duration::from_millis(300)).await;
+    fleet.engines[0].fall_silent(PAUSE);
+    sleep(Duration::from_millis(300)).await;
+    work.go_on(&fleet);
+  })
+  .await;
+  assert_all_whole(responses);
+  assert!(other_version.requests().is_empty());
+}
