Tests: an engine that fails during a takeover, and callers and deadlines during one

Cause: while two engines hold a stream, either may fail, the caller may leave and the deadline may pass. Change: a silent engine closes its connection 0.4 s after the takeover began, and 0.5 s later the other one resumes or rejects; the caller disconnects, or the deadline passes, while both engines are silent: both connections are closed; the same silence where held bytes are bounded, beside an engine that resumes and one that rejects.

--- a/tests/gateway/endpoint.rs
+++ b/tests/gateway/endpoint.rs
@@ -65,6 +65,8 @@
   WriteInTwoParts(String, Duration, String),
   /// Waits before each part, then writes it; records the request when the gateway closes the connection before the last one.
   WriteInParts(Vec<(Duration, String)>),
+  /// The same, and closes the connection after the last part.
+  WriteInPartsAndClose(Vec<(Duration, String)>),
   /// Writes parts one after another, and resets the connection when the gateway has not taken all of them within a time.
   WritePartsOrAbort(Vec<String>, Duration),
   /// Never responds.
@@ -262,13 +264,8 @@
     Reply::WriteInTwoParts(first, delay, rest) => {
       Reply::WriteInTwoParts(marked(first), delay, rest)
     }
-    Reply::WriteInParts(mut parts) => {
-      let first = parts.iter_mut().find(|(_, part)| !part.is_empty());
-      if let Some((_, first)) = first {
-        *first = marked(std::mem::take(first));
-      }
-      Reply::WriteInParts(parts)
-    }
+    Reply::WriteInParts(parts) => Reply::WriteInParts(mark_first(parts, marked)),
+    Reply::WriteInPartsAndClose(parts) => Reply::WriteInPartsAndClose(mark_first(parts, marked)),
     Reply::WritePartsOrAbort(mut parts, limit) => {
       if let Some(first) = parts.first_mut() {
         *first = marked(std::mem::take(first));
@@ -280,6 +277,17 @@
   }
 }
 
+/// Changes the first of the parts of a response that isn't empty.
+fn mark_first(
+  mut parts: Vec<(Duration, String)>,
+  marked: impl Fn(String) -> String,
+) -> Vec<(Duration, String)> {
+  if let Some((_, first)) = parts.iter_mut().find(|(_, part)| !part.is_empty()) {
+    *first = marked(std::mem::take(first));
+  }
+  parts
+}
+
 /// A rejection that marks the request as not run, with a retry-after delay in seconds.
 pub(crate) fn rejection(request: &ReceivedRequest, retry_after: &str) -> Reply {
   Reply::Write(format!(
@@ -374,6 +382,12 @@
         }
         continue;
       }
+      Reply::WriteInPartsAndClose(parts) => {
+        if !write_in_parts(&mut stream, parts, &state).await {
+          state.closed.lock().unwrap().push(request);
+        }
+        return;
+      }
       Reply::NoResponse => {
         wait_until_closed(&mut stream).await;
         state.closed.lock().unwrap().push(request);
--- a/tests/gateway/silent_engines.rs
+++ b/tests/gateway/silent_engines.rs
@@ -844,3 +844,73 @@
   assert_all_whole(responses);
   assert!(other_version.requests().is_empty());
 }
+
+/// Guards against a takeover that is dropped with the engine that it replaces, and against attempts that are counted twice.
+#[rstest]
+#[case::resumes(Other::Resumes, 2)]
+#[case::rejects(Other::Rejects, 3)]
+#[tokio::test]
+async fn silent_engine_fails_before_another_one(#[case] other: Other, #[case] sends: usize) {
+  let numbers = SendNumbers::default();
+  let (failure, answer_delay) = (Duration::from_millis(1_600), Duration::from_millis(900));
+  let answer = move |number, seen: &ReceivedRequest| match number {
+    1 => {
+      let part = Reply::stream_part(seen, &events(1..=2));
+      Reply::WriteInPartsAndClose(vec![(Duration::ZERO, part), (failure, String::new())])
+    }
+    2 => match other.reply(seen) {
+      Reply::Write(text) => Reply::WriteLater(answer_delay, text),
+      reply => reply,
+    },
+    _ => Other::Resumes.reply(seen),
+  };
+  let engines = start_engines(3, || scripted(&numbers, answer)).await;
+  let fleet = EngineFleet::start(roomy_test().await, engines).await;
+  assert_whole(fleet.ask().await);
+  assert_eq!(fleet.sends().len(), sends);
+}
+
+/// Engines of which the first one stays silent within a stream, and the others never answer it.
+async fn fleet_of_silent_engines(test: GatewayTest) -> EngineFleet {
+  let engines = pausing_engines(2, Place::AfterEvent, NEVER, Other::Silent).await;
+  EngineFleet::start(test, engines).await
+}
+
+/// Guards against connections to either engine that outlive the caller's.
+#[tokio::test]
+async fn connections_to_both_engines_close_when_the_caller_disconnects_during_a_takeover() {
+  let fleet = fleet_of_silent_engines(roomy_test().await).await;
+  let request = fleet.gateway.request("/resumable/a", "r1");
+  let reading = tokio::spawn(async move {
+    let response = HttpClient::default().send(request).await.unwrap();
+    response.into_body().collect().await.map(|_| ())
+  });
+  assert!(eventually(TIMEOUT, async || fleet.sends().len() == 2).await);
+  reading.abort();
+  assert!(eventually(TIMEOUT, async || fleet.closed() == 2).await);
+}
+
+/// Guards against connections to either engine that outlive the deadline.
+#[tokio::test]
+async fn connections_to_both_engines_close_at_the_deadline() {
+  let test = roomy_test().await.configure(|configuration| {
+    configuration["routes"][3]["timeoutMs"] = 3_000.into();
+  });
+  let fleet = fleet_of_silent_engines(test).await;
+  assert!(fleet.ask().await.body.is_err());
+  assert_eq!(fleet.sends().len(), 2);
+  assert!(eventually(TIMEOUT, async || fleet.closed() == 2).await);
+}
+
+/// Guards against a silent engine that is given up by the task that reads its stream ahead.
+#[rstest]
+#[case::resumes(Other::Resumes)]
+#[case::rejects(Other::Rejects)]
+#[tokio::test]
+async fn stream_is_whole_where_held_bytes_are_bounded_and_another_engine(#[case] other: Other) {
+  let mut test = roomy_test().await;
+  test.memory_mb = Some(512);
+  let engines = pausing_engines(2, Place::AfterEvent, PAUSE, other).await;
+  let fleet = EngineFleet::start(test, engines).await;
+  assert_whole(fleet.ask().await);
+}
