A takeover outlasts the failure of the engine that it replaces

Found by the review of the takeover and by the tests of silent engines. A takeover in flight was dropped when the silent engine closed within an unframed event, answered 5xx or without a receipt; the last engine that may run the stream was given up after 1.2 s of its own; a crash of the silent engine during a takeover was recorded nowhere; engines that rejected a takeover, and the one that was blamed for an export, stayed so for the stream's life; E565 said that the engine went on when it had failed, and E528 was logged for stages that were not lost.

Attempts nest now: each one that is silent is kept beside the one that is to replace it. What fails is examined for a crash before the request goes on.

--- a/src/gateway/quarantine/crash_detection.rs
+++ b/src/gateway/quarantine/crash_detection.rs
@@ -85,12 +85,7 @@
   request: &Rc<RoutedRequest>,
   lost: LostStage,
 ) {
-  let is_near = {
-    let registry = gateway.quarantine.registry.borrow();
-    let fingerprints = [lost.fingerprint];
-    let mut suspects = fingerprints.iter().chain(lost.segments.iter());
-    !registry.is_empty() && suspects.any(|suspect| registry.is_near_quarantine(*suspect))
-  };
+  let is_near = is_near_quarantine(gateway, &lost);
   // A task of its own: it completes even when the caller disconnects.
   let examined = spawn_local(examine(gateway.clone(), request.clone(), lost));
   if is_near && let Err(error) = examined.await {
@@ -98,6 +93,26 @@
   }
 }
 
+/// Finds out whether an endpoint that is silent crashed on a stage of a request, if this crash may quarantine the request: that has
+/// to be known before the request is sent again.
+pub(crate) async fn record_silent_stage(
+  gateway: &Rc<Gateway>,
+  request: &Rc<RoutedRequest>,
+  silent: LostStage,
+) {
+  if is_near_quarantine(gateway, &silent) {
+    record_lost_stage(gateway, request, silent).await;
+  }
+}
+
+/// Whether a crash on a stage may quarantine its request or a segment of its prompt.
+fn is_near_quarantine(gateway: &Gateway, lost: &LostStage) -> bool {
+  let registry = gateway.quarantine.registry.borrow();
+  let fingerprints = [lost.fingerprint];
+  let mut suspects = fingerprints.iter().chain(lost.segments.iter());
+  !registry.is_empty() && suspects.any(|suspect| registry.is_near_quarantine(*suspect))
+}
+
 async fn examine(gateway: Rc<Gateway>, request: Rc<RoutedRequest>, lost: LostStage) {
   let ran_ms = gateway.now_ms() - lost.sent_ms;
   let state = endpoint_state(&gateway, &lost.entry).await;
--- a/src/gateway/requests/event_relay.rs
+++ b/src/gateway/requests/event_relay.rs
@@ -6,12 +6,14 @@
     response::StreamAborted,
     stream_request::StreamRequest,
     stream_send::SILENCE_TIMEOUT_MS,
-    takeover::{Race, configurations, race},
+    takeover::{Race, Takeover, configurations},
   },
   crate::gateway::{
     decisions::{AttemptOutcome, UnreadTime},
     edge::SoftwareVersion,
-    quarantine::{is_past_beginning, record_lost_stage, record_sound_segments, record_success},
+    quarantine::{
+      LostStage, is_past_beginning, record_lost_stage, record_sound_segments, record_success,
+    },
     resumption::record_stream,
     stages::{ResponseHead, RoutedRequest, StageError},
     state::{Gateway, UnreadCause},
@@ -176,35 +178,38 @@
     let lost = self
       .stream
       .lost_stage(&head.entry, head.sent_ms, answering_ms, silent);
+    let is_incomplete = self.splitter.has_partial_event() && !head.is_framed();
+    let takeover = Takeover {
+      has_failed: |frame: &Option<hyper::Result<_>>| match frame {
+        Some(frame) => frame.is_err(),
+        None => is_incomplete,
+      },
+      silent: lost.clone(),
+    };
+    let race = self.stream.race_takeover(head.body.frame(), takeover);
     let left = Duration::from_millis(remaining_ms - silent_ms);
-    let takeover = self.stream.take_over(lost);
-    let has_failed = |frame: &Option<hyper::Result<_>>| matches!(frame, Some(Err(_)));
-    match timeout(left, race(head.body.frame(), has_failed, takeover)).await {
-      Ok(Race::Current(frame)) => {
-        self.stream.cancel_takeover(&engine);
-        self.push_frame(frame)
-      }
-      Ok(Race::TakenOver(head)) => {
-        self.replace_head(*head);
-        Ok(true)
-      }
-      Ok(Race::Stays(reason)) => {
-        self.stream.log_no_takeover(&engine, &reason);
+    match timeout(left, race).await {
+      Ok(Race::Current(frame) | Race::Failed(frame)) => self.push_frame(frame),
+      Ok(Race::TakenOver(head, _)) => {
+        self.stream.log_taken_over(&engine, &head);
+        self.replace_head(*head, lost).await;
         Ok(true)
       }
+      Ok(Race::Stays) => Ok(true),
       Err(_) => Err("deadline exceeded".into()),
     }
   }
 
   /// Goes on with the response of another engine, after the last complete event; the connection to the former one is closed.
-  fn replace_head(&mut self, head: ResponseHead) {
+  async fn replace_head(&mut self, head: ResponseHead, lost: LostStage) {
     let former = self.head.replace(head);
     self.splitter = EventSplitter::default();
     self.answering_since_ms = None;
     self.is_overdue = false;
     self.unread = UnreadTime::default();
-    let version = former.map_or_else(SoftwareVersion::default, |head| head.entry.version);
-    self.record_resumed(&version);
+    drop(former);
+    self.record_resumed(&lost.entry.version);
+    record_lost_stage(&self.stream.gateway, &self.stream.request, lost).await;
   }
 
   /// Records that another endpoint goes on with the stream, which `version` of its software had begun.
@@ -225,6 +230,7 @@
       Some(Ok(frame)) => {
         if let Some(data) = frame.data_ref() {
           self.splitter.push(data);
+          self.end_silence();
           self.record_answering();
         }
         if self.splitter.is_overlong() {
@@ -240,17 +246,22 @@
     }
   }
 
+  /// Records that a silent engine has continued.
+  fn end_silence(&mut self) {
+    if std::mem::take(&mut self.is_overdue)
+      && let Some(head) = &self.head
+    {
+      self.stream.gateway.record_continued(&head.entry);
+      self.stream.end_silence();
+    }
+  }
+
   /// Records that the current endpoint has sent bytes of the body. One that goes on to answer shows that the prompt's segments are
   /// sound.
   fn record_answering(&mut self) {
     let StreamRequest {
       gateway, request, ..
     } = &self.stream;
-    if std::mem::take(&mut self.is_overdue)
-      && let Some(head) = &self.head
-    {
-      gateway.record_continued(&head.entry);
-    }
     let now_ms = gateway.now_ms();
     let since_ms = *self.answering_since_ms.get_or_insert(now_ms);
     if !self.has_sound_segments && is_past_beginning(now_ms - since_ms) {
--- a/src/gateway/requests/stream_request.rs
+++ b/src/gateway/requests/stream_request.rs
@@ -47,15 +47,6 @@
   }
 }
 
-/// What an attempt that fails leaves behind.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum AttemptKind {
-  /// No other attempt runs.
-  Sole,
-  /// The attempt before it, whose engine is silent, still runs.
-  Takeover,
-}
-
 /// The result of one attempt. The outer error means that no further attempt is possible.
 type Attempt = Result<Result<ResponseHead, StageError>, StreamFailure>;
 
@@ -69,6 +60,8 @@
   pub(crate) version: Option<SoftwareVersion>,
   /// Endpoints that were tried.
   pub(super) tried: Vec<Name>,
+  /// Those of them that have not run the request.
+  pub(super) not_run_at: Vec<Name>,
   /// Attempts that may have run.
   pub(super) attempts: u32,
   /// Sends that reached an endpoint; all but the first are charged to the retry budget.
@@ -103,6 +96,7 @@
       gateway,
       interrupted_at: None,
       last_event_id: request.attributes.last_event_id,
+      not_run_at: Vec::new(),
       queue_note: None,
       rejected_by: None,
       rejections: 0,
@@ -141,17 +135,16 @@
 
   /// Sends the request until an endpoint streams or no further attempt is allowed.
   pub(crate) async fn begin(&mut self) -> Result<ResponseHead, StreamFailure> {
-    self.run_attempts(AttemptKind::Sole, None).await
+    self.begin_charged(None).await
   }
 
-  /// Attempts of a kind, until an endpoint streams or no further attempt is allowed. The first one may have been charged before.
-  pub(super) async fn run_attempts(
+  /// The same, with the charge for the first attempt if it was taken before.
+  pub(super) async fn begin_charged(
     &mut self,
-    kind: AttemptKind,
     mut charge: Option<SendCharge>,
   ) -> Result<ResponseHead, StreamFailure> {
     loop {
-      let error = match self.attempt(kind, charge.take()).await? {
+      let error = match self.attempt(charge.take()).await? {
         Ok(head) if head.status.is_success() && head.attributes.has_receipt => return Ok(head),
         Ok(head) if head.status.is_success() => {
           StageError::Lost("success without a receipt".into())
@@ -189,16 +182,16 @@
     }
   }
 
-  async fn attempt(&mut self, kind: AttemptKind, charge: Option<SendCharge>) -> Attempt {
+  async fn attempt(&mut self, charge: Option<SendCharge>) -> Attempt {
     if self.request.is_split {
-      self.attempt_split(kind, charge).await
+      self.attempt_split(charge).await
     } else {
-      self.attempt_full(kind, charge).await
+      self.attempt_full(charge).await
     }
   }
 
   /// An attempt at an endpoint that runs the whole request.
-  async fn attempt_full(&mut self, kind: AttemptKind, charge: Option<SendCharge>) -> Attempt {
+  async fn attempt_full(&mut self, charge: Option<SendCharge>) -> Attempt {
     let choice = self.gateway.choose(EndpointCriteria {
       allowed_halls: &self.request.allowed_halls,
       hall: self.gateway.preferred_hall(),
@@ -210,27 +203,27 @@
       version: self.version.as_ref(),
     });
     let entry = choice.ok_or(StreamFailure::NoSlot)?.entry;
-    let charge = self.charge_unless(charge)?;
+    let charge = self.charge_or_take(charge)?;
     let outgoing = OutgoingStream::new(&entry, charge);
-    Ok(self.send_charged(kind, outgoing).await)
+    Ok(self.send_charged(outgoing).await)
   }
 
   /// An attempt with disaggregated prefill: a slot at a decode engine, and the prefill at another engine.
-  async fn attempt_split(&mut self, kind: AttemptKind, charge: Option<SendCharge>) -> Attempt {
+  async fn attempt_split(&mut self, charge: Option<SendCharge>) -> Attempt {
     if let Some((entry, reservation)) = self.resume_slot().await {
-      let charge = self.charge_unless(charge)?;
+      let charge = self.charge_or_take(charge)?;
       let outgoing = OutgoingStream {
         reservation: Some(reservation),
         ..OutgoingStream::new(&entry, charge)
       };
-      return Ok(self.send_charged(kind, outgoing).await);
+      return Ok(self.send_charged(outgoing).await);
     }
     let requested_ms = self.gateway.now_ms();
     let slot = reserve_slot(&self.gateway, &self.request, self.exclusions()).await;
     let reserved_ms = self.gateway.now_ms();
     let (entry, reservation) = slot.ok_or(StreamFailure::NoSlot)?;
     // Charged before the prefill: without a retry for the stream its result would be lost.
-    let charge = self.charge_unless(charge)?;
+    let charge = self.charge_or_take(charge)?;
     let export = self.export_for(&entry.hall).await?;
     let prefilled_ms = self.gateway.now_ms();
     let prefilled_by = export
@@ -241,7 +234,7 @@
       reservation: Some(reservation),
       ..OutgoingStream::new(&entry, charge)
     };
-    let sent = self.send_charged(kind, outgoing).await;
+    let sent = self.send_charged(outgoing).await;
     if let Ok(head) = &sent
       && head.entry.id == entry.id
     {
@@ -314,7 +307,7 @@
     }
     // A first prefill that failed counts like a send.
     if is_first && result.was_received && result.export.is_none() {
-      self.charge_unless(None)?.set_sent(true);
+      self.charge_or_take(None)?.set_sent(true);
     }
     Ok(result.export)
   }
@@ -325,7 +318,7 @@
   }
 
   /// The charge of a send that was charged before, or a new one; fails when the retry budget is spent.
-  fn charge_unless(&self, charge: Option<SendCharge>) -> Result<SendCharge, StreamFailure> {
+  fn charge_or_take(&self, charge: Option<SendCharge>) -> Result<SendCharge, StreamFailure> {
     charge
       .or_else(|| self.take_charge())
       .ok_or(StreamFailure::NoRetry)
@@ -334,7 +327,6 @@
   /// Sends the request to an endpoint. A charge for what reached no endpoint is returned.
   async fn send_charged(
     &mut self,
-    kind: AttemptKind,
     outgoing: OutgoingStream<'_>,
   ) -> Result<ResponseHead, StageError> {
     let OutgoingStream {
@@ -344,7 +336,7 @@
       reservation,
     } = outgoing;
     charge.set_sent(true);
-    let sent = self.send(kind, entry, reservation, export).await;
+    let sent = self.send(entry, reservation, export).await;
     if matches!(&sent, Err(error) if error.is_unsent()) {
       charge.set_sent(false);
     }
--- a/src/gateway/requests/stream_send.rs
+++ b/src/gateway/requests/stream_send.rs
@@ -2,8 +2,8 @@
 
 use {
   super::{
-    stream_request::{AttemptKind, StreamRequest},
-    takeover::{Race, race},
+    stream_request::StreamRequest,
+    takeover::{Race, Takeover},
   },
   crate::gateway::{
     decisions::Unavailable,
@@ -27,19 +27,22 @@
   /// By this engine, or not at all.
   Responded(Result<ResponseHead, StageError>),
   /// By another engine, which took it over while this one was silent.
-  TakenOver(ResponseHead),
+  TakenOver {
+    head: ResponseHead,
+    /// Why this engine failed meanwhile, if it did.
+    error: Option<StageError>,
+  },
 }
 
 impl StreamRequest {
   pub(super) async fn send(
     &mut self,
-    kind: AttemptKind,
     entry: &EndpointEntry,
     mut reservation: Option<Reservation>,
     export: Option<ExportGuard>,
   ) -> Result<ResponseHead, StageError> {
-    self.tried.push(entry.id.clone());
     let checked = self.check_version(entry).await;
+    self.tried.push(entry.id.clone());
     // Counted before it is sent: the deadline may pass before the result is known.
     self.attempts += 1;
     if let Err(error) = checked {
@@ -51,14 +54,15 @@
     let permit = reservation
       .as_mut()
       .map_or(Permit::NotNeeded, Reservation::take_permit);
-    let sent = self
-      .send_within_silence(kind, entry, &proxy_headers, permit)
-      .await;
-    let result = match sent {
+    let result = match self
+      .send_within_silence(entry, &proxy_headers, permit)
+      .await
+    {
       Sent::Responded(result) => result,
-      Sent::TakenOver(head) => {
-        let error = StageError::Lost(format!("taken over by {}", head.entry.id));
-        self.record_error(entry, &error, export);
+      Sent::TakenOver { head, error } => {
+        if let Some(error) = error {
+          self.record_error(entry, &error, None);
+        }
         return Ok(head);
       }
     };
@@ -111,7 +115,6 @@
   /// Waits for the response's head. A silent engine gets no further requests, and is abandoned only once another one has responded.
   async fn send_within_silence(
     &mut self,
-    kind: AttemptKind,
     entry: &EndpointEntry,
     proxy_headers: &ProxyHeaders,
     permit: Permit,
@@ -123,33 +126,40 @@
       ..OutgoingStage::new(entry, proxy_headers, size, 1)
     };
     let sent_ms = gateway.now_ms();
-    let mut is_overdue = false;
+    let silence = Duration::from_millis(SILENCE_TIMEOUT_MS);
     let mut sending = pin!(send_stage(&gateway, &request, stage));
+    if let Ok(result) = timeout(silence, sending.as_mut()).await {
+      return Sent::Responded(result);
+    }
     loop {
-      let silence = Duration::from_millis(SILENCE_TIMEOUT_MS);
-      if let Ok(result) = timeout(silence, sending.as_mut()).await {
-        if is_overdue && result.is_ok() {
-          gateway.record_continued(entry);
-        }
-        return Sent::Responded(result);
-      }
       gateway.mark_overdue(&entry.id);
-      is_overdue = true;
-      if kind == AttemptKind::Takeover {
-        return Sent::Responded(Err(StageError::Lost("no response in time".into())));
-      }
       self.log_silence(&entry.id, SILENCE_TIMEOUT_MS);
       let lost = self.lost_stage(entry, sent_ms, None, "no response in time".into());
-      match race(sending.as_mut(), Result::is_err, self.take_over(lost)).await {
+      let takeover = Takeover {
+        has_failed: is_useless,
+        silent: lost.clone(),
+      };
+      match self.race_takeover(sending.as_mut(), takeover).await {
         Race::Current(result) => {
-          self.cancel_takeover(&entry.id);
-          if result.is_ok() {
-            gateway.record_continued(entry);
-          }
+          gateway.record_continued(entry);
+          self.end_silence();
           return Sent::Responded(result);
         }
-        Race::TakenOver(head) => return Sent::TakenOver(*head),
-        Race::Stays(reason) => self.log_no_takeover(&entry.id, &reason),
+        Race::Failed(result) => return Sent::Responded(result),
+        Race::TakenOver(head, failed) => {
+          self.log_taken_over(&entry.id, &head);
+          let error = failed.and_then(Result::err);
+          record_lost_stage(&gateway, &request, lost).await;
+          return Sent::TakenOver { error, head: *head };
+        }
+        Race::Stays => {}
+      }
+      if let Ok(result) = timeout(silence, sending.as_mut()).await {
+        if result.is_ok() {
+          gateway.record_continued(entry);
+          self.end_silence();
+        }
+        return Sent::Responded(result);
       }
     }
   }
@@ -191,6 +201,7 @@
   ) {
     if error.has_not_run() {
       self.attempts -= 1;
+      self.not_run_at.push(entry.id.clone());
     }
     log::info!(
       "E502 stage failed: {} at {}: {error}",
@@ -231,3 +242,10 @@
     }
   }
 }
+
+/// Whether another endpoint may still do better than a response: it is an error, or lacks its receipt.
+fn is_useless(response: &Result<ResponseHead, StageError>) -> bool {
+  response.as_ref().map_or(true, |head| {
+    head.status.is_server_error() || head.status.is_success() && !head.attributes.has_receipt
+  })
+}
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -37,6 +37,7 @@
 mod slow_readers;
 mod store_proxy;
 mod streams;
+mod takeovers;
 mod versions;
 
 pub(crate) use self::{
