Soak: sound engines fall silent, and keep their streams

Cause: the soak had no sound engine that is silent for a second and goes on. The faults that came near (a hanging engine, a blocked link) are disturbances, which excuse every check, and concern one place at a time, without planned work beside them.

Change: series of silent periods of 0.9 to 1.5 s of one engine, most engines or all at the same moment, each beside a new configuration, a reload, both or none, drawn from a sequence of their own. An engine reads requests meanwhile, and sends nothing on any connection until it goes on where it stopped. `--only-silences` injects nothing else. The new promise, SilentEngineKeepsItsStreams: a stream is neither cut nor ended with an error before its deadline while an engine that has it is sound, unless another engine had continued it before. Its box, and its engine while it has the stream, must be undisturbed; the store, reloads, configurations and crashes before the stream are no excuse. Silence excuses no promise; no bound was changed.

--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -24,7 +24,7 @@
 };
 
 /// Deadline of a request.
-const DEADLINE: Duration = Duration::from_millis(4_000);
+pub(crate) const DEADLINE: Duration = Duration::from_millis(4_000);
 /// Time after the deadline at which a request counts as unanswered.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(1_500);
 /// Share of requests whose caller disconnects early.
--- a/soak/src/disturbance.rs
+++ b/soak/src/disturbance.rs
@@ -13,6 +13,8 @@
   StoreLink(usize),
   /// The endpoint at a place: its process, responses or connections.
   Endpoint(usize),
+  /// The engine at a place, which is sound but silent.
+  SilentEngine(usize),
   /// The store.
   Store,
 }
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -12,6 +12,7 @@
     recorder::{Recorder, RunGuard},
     records::RoleCommandRecord,
     reply::{ReplyBody, cut_body, full_body, json_response, not_run, status, with_retry_after},
+    silence::Silence,
   },
   bytes::Bytes,
   http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header::AUTHORIZATION},
@@ -59,6 +60,7 @@
   /// Start time: the number of this start among the starts of all endpoints.
   pub(crate) start_number: u64,
   events: EngineEventSender,
+  silence: Silence,
 }
 
 /// Identity of an incarnation.
@@ -86,6 +88,7 @@
       recorder: recorder.clone(),
       place: identity.place,
       events,
+      silence: Silence::default(),
       address: identity.address,
       state: Mutex::new(EndpointState::new(identity.kind)),
     })
@@ -104,6 +107,11 @@
     self.state().fault = fault;
   }
 
+  /// Sends nothing on any connection for a while, and then goes on where it stopped.
+  pub(crate) fn fall_silent(&self, duration: Duration) {
+    self.silence.begin(duration);
+  }
+
   /// Signals in all further responses that the endpoint is leaving.
   pub(crate) fn set_leaving(&self) {
     self.state().leaving = true;
@@ -165,12 +173,14 @@
     resources
   }
 
-  /// Responds to a box's call or a forwarded request, with the leaving signal and the limit if they are set.
+  /// Responds to a box's call or a forwarded request, with the leaving signal and the limit if they are set. While the engine
+  /// is silent, requests are read and responses wait.
   pub(crate) async fn handle(
     self: Arc<Self>,
     request: Request<Incoming>,
   ) -> io::Result<Response<ReplyBody>> {
     let mut response = self.clone().handle_request(request).await?;
+    self.silence.end().await;
     let state = self.state();
     if state.leaving {
       let value = HeaderValue::from_static("1");
@@ -377,6 +387,8 @@
     fault: Option<EndpointFault>,
   ) -> io::Result<Response<ReplyBody>> {
     sleep(PREFILL_DURATION).await;
+    // The prompt expires some time after the engine has responded.
+    self.silence.end().await;
     self.apply_fault(id, fault).await?;
     if fault == Some(EndpointFault::Fails) {
       return Ok(self.response(id, StatusCode::INTERNAL_SERVER_ERROR, full_body("failed")));
@@ -422,7 +434,8 @@
       id: header(headers, "resumes").unwrap_or(id).into(),
       version: self.version,
       next: first,
-      _run: run,
+      run,
+      silence: self.silence.clone(),
       _slot: slot,
     };
     let mut response = self.response(id, StatusCode::OK, events.into_body());
--- a/soak/src/event_stream.rs
+++ b/soak/src/event_stream.rs
@@ -1,7 +1,7 @@
 //! The streamed response body of an engine.
 
 use {
-  super::{content, recorder::RunGuard, reply::ReplyBody},
+  super::{content, recorder::RunGuard, reply::ReplyBody, silence::Silence},
   bytes::Bytes,
   futures_util::stream,
   http_body_util::{BodyExt, StreamBody},
@@ -22,7 +22,8 @@
   pub(crate) next: u64,
   /// Number of the event in the middle of which the stream is cut.
   pub(crate) cut_at: Option<u64>,
-  pub(crate) _run: RunGuard,
+  pub(crate) run: RunGuard,
+  pub(crate) silence: Silence,
   pub(crate) _slot: S,
 }
 
@@ -41,9 +42,12 @@
       return Some(Err(io::Error::other("cut")));
     }
     if self.next > content::event_count(&self.id) {
+      self.silence.end().await;
       return None;
     }
     sleep(EVENT_INTERVAL).await;
+    self.silence.end().await;
+    self.run.record_event();
     let event = content::event(&self.id, self.next, self.version);
     let is_cut = self.cut_at == Some(self.next);
     self.next += 1;
--- a/soak/src/fault.rs
+++ b/soak/src/fault.rs
@@ -72,6 +72,31 @@
   Slow,
 }
 
+/// The engines that fall silent together.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SilentEngines {
+  /// One engine.
+  One,
+  /// All but a few engines.
+  AllBut {
+    /// Number of engines that go on.
+    count: usize,
+  },
+  /// All engines.
+  All,
+}
+
+impl SilentEngines {
+  /// Number of silent engines of a number of engines.
+  pub(crate) fn count(self, engines: usize) -> usize {
+    match self {
+      Self::One => 1,
+      Self::AllBut { count } => engines.saturating_sub(count),
+      Self::All => engines,
+    }
+  }
+}
+
 /// A fault.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Fault {
@@ -175,6 +200,15 @@
     /// Duration.
     for_ms: u64,
   },
+  /// Sound engines fall silent at the same moment, and then go on where they stopped.
+  EnginesSilent {
+    /// The engines, from `first` on.
+    engines: SilentEngines,
+    /// Place of the first engine.
+    first: usize,
+    /// Duration.
+    for_ms: u64,
+  },
   /// A fault of an endpoint that is up.
   Endpoint {
     /// The endpoint's place.
--- a/soak/src/fault_injector.rs
+++ b/soak/src/fault_injector.rs
@@ -4,7 +4,7 @@
   super::{
     disturbance::Target,
     error::Result,
-    fault::{EndpointFault, EndpointsCut, Fault, LinkFault, StoreFault},
+    fault::{EndpointFault, EndpointsCut, Fault, LinkFault, SilentEngines, StoreFault},
     fleet::Fleet,
     hall::Hall,
     link::Link,
@@ -91,6 +91,14 @@
       drain_hall(fleet, hall, for_ms).await;
       Ok(())
     }
+    Fault::EnginesSilent {
+      engines,
+      first,
+      for_ms,
+    } => {
+      silence_engines(fleet, engines, first, for_ms).await;
+      Ok(())
+    }
     Fault::Endpoint {
       place,
       fault,
@@ -150,6 +158,24 @@
   fleet.with_endpoint(place, |endpoint| endpoint.set_fault(None));
 }
 
+/// Makes engines fall silent for a while, at the same moment.
+async fn silence_engines(fleet: &Fleet, engines: SilentEngines, first: usize, for_ms: u64) {
+  let duration = Duration::from_millis(for_ms);
+  let places = fleet.engine_places(first);
+  let count = engines.count(places.len());
+  let _silent: Vec<_> = places
+    .into_iter()
+    .take(count)
+    .map(|place| {
+      let target = Target::SilentEngine(place);
+      let guard = fleet.recorder.begin_disturbance(target);
+      fleet.with_endpoint(place, |endpoint| endpoint.fall_silent(duration));
+      guard
+    })
+    .collect();
+  sleep(duration).await;
+}
+
 /// Makes the endpoint advertise a limit for a while, unless it terminates before.
 async fn limit_endpoint(fleet: &Fleet, place: usize, per_s: u32, for_ms: u64) {
   let Some(incarnation) = fleet.incarnation(place) else {
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -287,6 +287,21 @@
     }
   }
 
+  /// The places of engines that are up, from the first given place on.
+  pub(crate) fn engine_places(&self, first: usize) -> Vec<usize> {
+    let is_engine = |place: &usize| {
+      let running = self.places[*place].running();
+      running
+        .as_ref()
+        .is_some_and(|running| running.endpoint.kind() != EndpointKind::Plain)
+    };
+    let places = self.places.len();
+    (first..first + places)
+      .map(|place| place % places)
+      .filter(is_engine)
+      .collect()
+  }
+
   /// The number of decode engines of a software version that stream as usual.
   pub(crate) fn sound_engines(&self, version: &str) -> usize {
     let is_sound = |place: &&Place| {
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -38,6 +38,8 @@
 mod request_check;
 mod request_kind;
 mod running_endpoint;
+mod silence;
+mod silence_check;
 mod subcommand;
 mod undisturbed;
 mod version_check;
@@ -47,9 +49,9 @@
   caller_key::CallerKey,
   disturbance::{Disturbance, Target},
   error::{Error, Result},
-  fault::{EndpointFault, EndpointsCut, Fault, LinkFault, StoreFault},
+  fault::{EndpointFault, EndpointsCut, Fault, LinkFault, SilentEngines, StoreFault},
   hall::Hall,
-  plan::{ScheduledFault, Size, draw_interruptions, draw_plan},
+  plan::{FaultSelection, ScheduledFault, Size, draw_plan},
   play::{Options, Report, play},
   promise::Promise,
   promises::breaches,
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -2,7 +2,7 @@
 
 use {
   super::{
-    fault::{EndpointFault, EndpointsCut, Fault, LinkFault, StoreFault},
+    fault::{EndpointFault, EndpointsCut, Fault, LinkFault, SilentEngines, StoreFault},
     hall::Hall,
   },
   rand::{RngExt, SeedableRng},
@@ -45,6 +45,20 @@
 /// Endpoints of a series, and the interval between them.
 const SERIES_PLACES: u64 = 3;
 const REPLACEMENT_INTERVAL_MS: u64 = 400;
+/// Ratio of the mean interval between series of silent periods to that of other faults.
+const SILENCE_INTERVAL_FACTOR: u64 = 3;
+/// Bits by which the seed is rotated, for an independent sequence of draws.
+const SILENCE_SEED_ROTATION: u32 = 7;
+/// Silent periods of a series, their duration, and the interval from the end of one to the next.
+const SILENCES_OF_SERIES: (u64, u64) = (1, 3);
+const SILENCE_DURATION_MS: (u64, u64) = (900, 1_500);
+const SILENCE_GAP_MS: (u64, u64) = (1_500, 3_500);
+/// Most engines that go on while the others are silent: the number of places by this.
+const MAX_GOING_ON_DIVISOR: usize = 2;
+/// Time from planned work to the silent period beside it.
+const WORK_BEFORE_SILENCE_MS: (u64, u64) = (100, 1_000);
+/// Chance of each kind of planned work beside a silent period.
+const WORK_CHANCE: f64 = 0.6;
 /// Added latency of a delayed link or a slow store.
 const DELAY_MS: (u64, u64) = (20, 800);
 /// Chance that a fault of a box's process is followed by another one, so that signals overlap.
@@ -63,6 +77,28 @@
   pub faults_ms: u64,
 }
 
+/// The faults that a run injects.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum FaultSelection {
+  /// Faults of all kinds.
+  All,
+  /// Interruptions of streams, at engines, at boxes and between callers and boxes.
+  Interruptions,
+  /// Silent periods of engines, and planned work beside them.
+  Silences,
+}
+
+impl FaultSelection {
+  /// Draws the selected faults of a run, sorted by time.
+  pub fn draw(self, seed: u64, size: Size) -> Vec<ScheduledFault> {
+    match self {
+      Self::All => draw_plan(seed, size),
+      Self::Interruptions => draw_interruptions(seed, size),
+      Self::Silences => draw_silences(seed, size),
+    }
+  }
+}
+
 /// A fault and its start time.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ScheduledFault {
@@ -72,7 +108,7 @@
   pub fault: Fault,
 }
 
-/// Draws the faults of a run, sorted by time.
+/// Draws faults of all kinds, sorted by time.
 ///
 /// ```
 /// use soak::{Size, draw_plan};
@@ -106,6 +142,7 @@
   steps.extend(draw_hall_drains(seed, size));
   steps.extend(draw_cuts(seed, size));
   steps.extend(draw_stream_faults(seed, size));
+  steps.extend(draw_silences(seed, size));
   steps.sort_by_key(|step| step.at_ms);
   steps
 }
@@ -204,7 +241,7 @@
 }
 
 /// Draws the faults of a run that interrupts streams only: at engines, at boxes and between callers and boxes.
-pub fn draw_interruptions(seed: u64, size: Size) -> Vec<ScheduledFault> {
+fn draw_interruptions(seed: u64, size: Size) -> Vec<ScheduledFault> {
   let mut draw = Draw {
     random: ChaCha8Rng::seed_from_u64(seed),
     size,
@@ -262,6 +299,31 @@
   steps
 }
 
+/// Draws series of silent periods of sound engines, each beside planned work or not, from a separate sequence.
+fn draw_silences(seed: u64, size: Size) -> Vec<ScheduledFault> {
+  let mut draw = Draw {
+    random: ChaCha8Rng::seed_from_u64(seed.rotate_left(SILENCE_SEED_ROTATION)),
+    size,
+  };
+  let mut steps = Vec::new();
+  let mut at_ms = WORK_BEFORE_SILENCE_MS.1 + draw.interval_ms();
+  while at_ms < size.faults_ms {
+    for _ in 0..draw.between(SILENCES_OF_SERIES) {
+      // The longer of two draws: boxes notice only long silences.
+      let for_ms = draw
+        .between(SILENCE_DURATION_MS)
+        .max(draw.between(SILENCE_DURATION_MS));
+      let fault = draw.silence(for_ms);
+      steps.push(ScheduledFault { at_ms, fault });
+      steps.extend(draw.work_before(at_ms));
+      at_ms += for_ms + draw.between(SILENCE_GAP_MS);
+    }
+    at_ms += SILENCE_INTERVAL_FACTOR * draw.interval_ms();
+  }
+  steps.sort_by_key(|step| step.at_ms);
+  steps
+}
+
 /// The box whose process a fault concerns.
 fn box_of(fault: Fault) -> Option<usize> {
   match fault {
@@ -347,6 +409,39 @@
     }
   }
 
+  /// The silence of one engine, of most engines, or of all.
+  fn silence(&mut self, for_ms: u64) -> Fault {
+    let places = self.size.places;
+    let engines = match self.random.random_range(0..5) {
+      0 => SilentEngines::One,
+      1 => SilentEngines::All,
+      _ => SilentEngines::AllBut {
+        count: self
+          .random
+          .random_range(1..=places.div_ceil(MAX_GOING_ON_DIVISOR)),
+      },
+    };
+    Fault::EnginesSilent {
+      engines,
+      first: self.random.random_range(0..places),
+      for_ms,
+    }
+  }
+
+  /// Planned work shortly before a time: a new configuration, a reload of a box, both or none.
+  fn work_before(&mut self, at_ms: u64) -> Vec<ScheduledFault> {
+    let index = self.random.random_range(0..self.size.boxes);
+    let kinds = [Fault::ConfigurationChanged, Fault::BoxReloaded { index }];
+    let mut work = Vec::new();
+    for fault in kinds {
+      let at_ms = at_ms - self.between(WORK_BEFORE_SILENCE_MS);
+      if self.random.random_bool(WORK_CHANCE) {
+        work.push(ScheduledFault { at_ms, fault });
+      }
+    }
+    work
+  }
+
   fn link_fault(&mut self) -> LinkFault {
     let delay_ms = self.between(DELAY_MS);
     let faults = [
--- a/soak/src/play.rs
+++ b/soak/src/play.rs
@@ -8,7 +8,7 @@
     error::{Error, Result},
     fault_injector::{crash_and_restart, inject},
     fleet::Fleet,
-    plan::{ScheduledFault, Size, draw_interruptions, draw_plan},
+    plan::{FaultSelection, ScheduledFault, Size},
     promises::breaches,
     records::{Outcome, Records},
   },
@@ -54,8 +54,8 @@
   pub callers: u64,
   /// Additional time in the promises' bounds, for a loaded machine.
   pub slack_ms: u64,
-  /// Whether streams are interrupted, and no other faults are injected.
-  pub only_interruptions: bool,
+  /// The faults that are injected.
+  pub faults: FaultSelection,
   /// Directory of the settings files and logs.
   pub directory: PathBuf,
 }
@@ -99,10 +99,7 @@
   let mut background = start_background(&fleet, engine_events);
   let (stop, stopped) = watch::channel(false);
   let mut callers = start_callers(&fleet, options, &stopped);
-  let faults = match options.only_interruptions {
-    true => draw_interruptions(options.seed, size),
-    false => draw_plan(options.seed, size),
-  };
+  let faults = options.faults.draw(options.seed, size);
   inject_faults(&fleet, &faults).await?;
   wait_until_ready(&fleet).await?;
   let faults_ended_ms = fleet.recorder.now_ms();
--- a/soak/src/promise.rs
+++ b/soak/src/promise.rs
@@ -19,6 +19,9 @@
   OnlyRequestedWork,
   /// Each request ends within its deadline.
   DeadlineKept,
+  /// A stream is neither cut nor ended with an error while an engine that has it is sound, even if that engine is silent for
+  /// a while: it goes on there, unless another engine has continued it.
+  SilentEngineKeepsItsStreams,
   /// Endpoints stop work soon after the caller disconnects.
   StopsAfterDisconnect,
   /// Draining endpoints receive no new requests.
--- a/soak/src/promises.rs
+++ b/soak/src/promises.rs
@@ -14,6 +14,7 @@
     records::{Outcome, PlannedStop, Probe, Records, RequestRecord, RoleCommandRecord},
     request_check::RequestCheck,
     request_kind::RequestKind,
+    silence_check::silence_breaches,
     undisturbed::{CONFIGURATION_MS, CONTACT_MS},
     version_check::version_breaches,
   },
@@ -45,6 +46,7 @@
   breaches.extend(cold_breaches(records));
   breaches.extend(cut_off_breaches(records, slack_ms));
   breaches.extend(version_breaches(records));
+  breaches.extend(silence_breaches(records));
   breaches
 }
 
--- a/soak/src/recorder.rs
+++ b/soak/src/recorder.rs
@@ -159,6 +159,7 @@
     record.runs.push(Run {
       began_ms,
       ended_ms: None,
+      first_event_ms: None,
       incarnation: incarnation.into(),
       organisation: organisation.into(),
       place,
@@ -182,6 +183,19 @@
 /// A run in progress.
 pub(crate) struct RunGuard(Option<(Recorder, String, usize)>);
 
+impl RunGuard {
+  /// Records that the engine sends an event of the stream.
+  pub(crate) fn record_event(&self) {
+    let Some((recorder, id, number)) = &self.0 else {
+      return;
+    };
+    let now_ms = recorder.now_ms();
+    if let Some(record) = recorder.records().requests.get_mut(id) {
+      record.runs[*number].first_event_ms.get_or_insert(now_ms);
+    }
+  }
+}
+
 impl Drop for RunGuard {
   fn drop(&mut self) {
     let Some((recorder, id, number)) = self.0.take() else {
--- a/soak/src/records.rs
+++ b/soak/src/records.rs
@@ -41,6 +41,8 @@
   pub organisation: String,
   /// Start of the run.
   pub began_ms: u64,
+  /// Time of its first event, if it is a stream.
+  pub first_event_ms: Option<u64>,
   /// End of the run; `None` while it lasts.
   pub ended_ms: Option<u64>,
 }
--- /dev/null
+++ b/soak/src/silence_check.rs
@@ -0,0 +1,61 @@
+//! Checks that boxes keep the streams of engines that are sound, even while these are silent.
+
+use super::{
+  breach::Breach,
+  caller::DEADLINE,
+  promise::Promise,
+  records::{Outcome, Records, RequestRecord, Run},
+  request_kind::RequestKind,
+};
+
+/// Streams that ended before their deadline without their whole response, although an engine that had them was sound.
+/// Excludes boxes that were disturbed.
+pub(crate) fn silence_breaches(records: &Records) -> Vec<Breach> {
+  let streams = records
+    .requests
+    .iter()
+    .filter(|(_, request)| request.kind.is_stream() && request.kind != RequestKind::CrashingStream);
+  streams
+    .filter_map(|(id, request)| given_up_stream(records, id, request))
+    .collect()
+}
+
+fn given_up_stream(records: &Records, id: &str, request: &RequestRecord) -> Option<Breach> {
+  let ended_ms = request.ended_ms?;
+  if !is_given_up(request)
+    || u128::from(ended_ms - request.sent_ms) >= DEADLINE.as_millis()
+    || !records.is_box_undisturbed(request.box_index, request.sent_ms, ended_ms)
+  {
+    return None;
+  }
+  let mut runs = request.runs.iter();
+  let run = runs.find(|run| is_dropped(records, request, run, ended_ms))?;
+  let observed = format!(
+    "{id} sent at {} ms, given up at {ended_ms} ms, while {} was sound: {:?}",
+    request.sent_ms, run.incarnation, request.runs
+  );
+  Some(Breach::new(Promise::SilentEngineKeepsItsStreams, observed))
+}
+
+/// Whether the caller received a cut response or an error.
+fn is_given_up(request: &RequestRecord) -> bool {
+  match request.outcome {
+    Some(Outcome::ConnectionLost { .. }) => true,
+    Some(Outcome::Complete { status, .. }) => !(200..300).contains(&status),
+    Some(Outcome::Unanswered | Outcome::Disconnected) | None => false,
+  }
+}
+
+/// Whether an engine was sound for as long as it had the stream, and no other one had continued the stream before it lost it.
+fn is_dropped(records: &Records, request: &RequestRecord, run: &Run, ended_ms: u64) -> bool {
+  let lost_ms = run.ended_ms.unwrap_or(ended_ms);
+  let is_sound = records.is_endpoint_undisturbed(run.place, run.began_ms, lost_ms);
+  let mut others = request.runs.iter().filter(|other| *other != run);
+  let is_continued = others.any(|other| {
+    other.began_ms > run.began_ms
+      && other
+        .first_event_ms
+        .is_some_and(|event_ms| event_ms <= lost_ms)
+  });
+  is_sound && !is_continued
+}
--- a/soak/src/subcommand.rs
+++ b/soak/src/subcommand.rs
@@ -2,11 +2,11 @@
 
 use {
   super::{
-    plan::Size,
+    plan::{FaultSelection, Size},
     play::{Options, Report, play},
     records::Outcome,
   },
-  bpaf::Bpaf,
+  bpaf::{Bpaf, Parser, construct, long},
   std::{
     path::{Path, PathBuf},
     process::ExitCode,
@@ -41,8 +41,8 @@
   /// Additional time in the promises' bounds, in milliseconds
   #[bpaf(argument("MS"), fallback(700))]
   slack_ms: u64,
-  /// Interrupt streams, and inject no other faults
-  only_interruptions: bool,
+  #[bpaf(external(fault_selection))]
+  faults: FaultSelection,
   /// Directory for each seed's settings and logs
   #[bpaf(argument("DIRECTORY"), fallback(PathBuf::from("target/soak")))]
   keep: PathBuf,
@@ -51,6 +51,17 @@
   seeds: Option<PathBuf>,
 }
 
+/// Parses the selection of faults.
+fn fault_selection() -> impl Parser<FaultSelection> {
+  let interruptions = long("only-interruptions")
+    .help("Interrupt streams, and inject no other faults")
+    .req_flag(FaultSelection::Interruptions);
+  let silences = long("only-silences")
+    .help("Make engines silent beside planned work, and inject no other faults")
+    .req_flag(FaultSelection::Silences);
+  construct!([interruptions, silences]).fallback(FaultSelection::All)
+}
+
 /// Runs the program.
 pub fn run() -> ExitCode {
   let arguments = arguments().run();
@@ -107,7 +118,7 @@
   let options = Options {
     callers: arguments.callers,
     directory: directory.clone(),
-    only_interruptions: arguments.only_interruptions,
+    faults: arguments.faults,
     program: arguments.program.clone(),
     seed,
     size: Size {
--- a/soak/src/undisturbed.rs
+++ b/soak/src/undisturbed.rs
@@ -23,7 +23,7 @@
         index == request.box_index
       }
       Target::Endpoint(place) => request.runs.iter().any(|run| run.place == place),
-      Target::Store | Target::StoreLink(_) => false,
+      Target::SilentEngine(_) | Target::Store | Target::StoreLink(_) => false,
     })
   }
 
@@ -33,7 +33,7 @@
       Target::Box(index) | Target::Leaving(index) | Target::EndpointPaths(index) => {
         index == box_index
       }
-      Target::Endpoint(_) | Target::Store | Target::StoreLink(_) => false,
+      Target::Endpoint(_) | Target::SilentEngine(_) | Target::Store | Target::StoreLink(_) => false,
     })
   }
 
@@ -50,7 +50,7 @@
     self.is_undisturbed(from_ms, until_ms, |target| match target {
       Target::Box(index) | Target::Leaving(index) | Target::StoreLink(index) => index == box_index,
       Target::Store => true,
-      Target::Endpoint(_) | Target::EndpointPaths(_) => false,
+      Target::Endpoint(_) | Target::SilentEngine(_) | Target::EndpointPaths(_) => false,
     })
   }
 
@@ -74,7 +74,17 @@
       Target::Box(index) | Target::EndpointPaths(index) => index == request.box_index,
       // A crash of the endpoint may cut a stream regardless of the planned stop.
       Target::Endpoint(place) => request.runs.iter().any(|run| run.place == place),
-      Target::Leaving(_) | Target::Store | Target::StoreLink(_) => false,
+      Target::Leaving(_) | Target::SilentEngine(_) | Target::Store | Target::StoreLink(_) => false,
+    })
+  }
+
+  /// Whether an endpoint was undisturbed between two times. Silence is no disturbance.
+  pub(crate) fn is_endpoint_undisturbed(&self, place: usize, from_ms: u64, until_ms: u64) -> bool {
+    !self.disturbances.iter().any(|disturbance| {
+      let ended_ms = disturbance.until_ms.unwrap_or(u64::MAX);
+      disturbance.target == Target::Endpoint(place)
+        && disturbance.from_ms <= until_ms
+        && ended_ms >= from_ms
     })
   }
 
--- a/tests/soak_play.rs
+++ b/tests/soak_play.rs
@@ -1,7 +1,7 @@
 //! A short seeded run of the soak.
 
 use {
-  soak::{Options, Size, play},
+  soak::{FaultSelection, Options, Size, play},
   std::path::Path,
 };
 
@@ -16,7 +16,7 @@
   let report = play(&Options {
     callers: 8,
     directory: directory.path().into(),
-    only_interruptions: false,
+    faults: FaultSelection::All,
     program: Path::new(env!("CARGO_BIN_EXE_rillford")).into(),
     seed: 7,
     size: Size {
--- a/tests/soak_promises.rs
+++ b/tests/soak_promises.rs
@@ -15,6 +15,7 @@
   Run {
     began_ms,
     ended_ms,
+    first_event_ms: None,
     incarnation: format!("i-{place}"),
     organisation: "captions".into(),
     place,
@@ -832,3 +833,110 @@
     .any(|breach| breach.promise == Promise::ResumedStreamsGoOn);
   assert_eq!(is_found, is_breach, "{found:?}");
 }
+
+/// A run of a stream whose engine sends its first event after 20 ms.
+fn streaming_run(place: usize, began_ms: u64, ended_ms: u64) -> Run {
+  Run {
+    first_event_ms: Some(began_ms + 20),
+    ..run(place, began_ms, Some(ended_ms))
+  }
+}
+
+/// The stream "a", sent at 10 s, whose engine is silent for 1.4 s from 10.1 s on, and which ends at 11.5 s.
+fn stream_at_silent_engine(outcome: Outcome, runs: Vec<Run>) -> Records {
+  let mut records = single_request(RequestKind::ResumableStream, outcome, runs);
+  records.requests.get_mut("a").unwrap().ended_ms = Some(11_500);
+  records.disturbances.push(Disturbance {
+    from_ms: 10_100,
+    target: Target::SilentEngine(0),
+    until_ms: Some(11_500),
+  });
+  records
+}
+
+fn cut_at_silent_engine() -> Records {
+  let runs = vec![streaming_run(0, 10_010, 11_400)];
+  stream_at_silent_engine(cut(events(1, 3)), runs)
+}
+
+#[rstest]
+#[case::cut(cut(events(1, 3)), vec![streaming_run(0, 10_010, 11_400)], true)]
+#[case::not_begun(complete(502, None, ""), vec![run(0, 10_110, Some(11_400))], true)]
+#[case::engine_has_not_noticed(cut(events(1, 3)), vec![run(0, 10_010, None)], true)]
+#[case::both_engines_given_up(
+  cut(events(1, 3)),
+  vec![streaming_run(0, 10_010, 11_300), run(1, 11_310, Some(11_400))],
+  true
+)]
+#[case::given_up_after_it_was_continued(
+  cut(events(1, 3)),
+  vec![streaming_run(0, 10_010, 11_400), streaming_run(1, 11_310, 11_490)],
+  true
+)]
+#[case::went_on(served(&events(1, EVENTS)), vec![streaming_run(0, 10_010, 11_400)], false)]
+#[case::caller_left(Outcome::Disconnected, vec![streaming_run(0, 10_010, 11_510)], false)]
+#[case::not_passed_on(complete(503, None, ""), vec![], false)]
+fn stream_given_up_while_its_engine_is_silent_is_found(
+  #[case] outcome: Outcome,
+  #[case] runs: Vec<Run>,
+  #[case] is_breach: bool,
+) {
+  let expected = match is_breach {
+    true => vec![Promise::SilentEngineKeepsItsStreams],
+    false => vec![],
+  };
+  assert_eq!(found(&stream_at_silent_engine(outcome, runs)), expected);
+}
+
+#[rstest]
+#[case::engine_crashed(Target::Endpoint(0), 10_900, true)]
+#[case::engine_crashed_before_it_had_the_stream(Target::Endpoint(0), 9_000, false)]
+#[case::other_engine_crashed(Target::Endpoint(1), 10_900, false)]
+#[case::box_killed(Target::Box(0), 10_900, true)]
+#[case::box_stopped(Target::Leaving(0), 10_900, true)]
+#[case::box_cut_off(Target::EndpointPaths(0), 10_900, true)]
+#[case::other_box_killed(Target::Box(1), 10_900, false)]
+#[case::store_down(Target::Store, 10_900, false)]
+#[case::other_engine_silent(Target::SilentEngine(1), 10_900, false)]
+fn cut_of_a_silent_stream_is_excused_by_its_own_engine_and_box(
+  #[case] target: Target,
+  #[case] from_ms: u64,
+  #[case] excused: bool,
+) {
+  let mut records = cut_at_silent_engine();
+  records.disturbances.push(Disturbance {
+    from_ms,
+    target,
+    until_ms: Some(from_ms + 100),
+  });
+  assert_eq!(found(&records).is_empty(), excused);
+}
+
+/// A second engine that crashes excuses the box only if it had continued the stream before the box gave the first one up.
+#[rstest]
+#[case::continued_before(11_350, true)]
+#[case::continued_after(11_450, false)]
+fn crash_after_takeover_is_excused_if_the_stream_was_continued(
+  #[case] first_event_ms: u64,
+  #[case] excused: bool,
+) {
+  let second = Run {
+    first_event_ms: Some(first_event_ms),
+    ..run(1, 11_310, Some(11_490))
+  };
+  let runs = vec![streaming_run(0, 10_010, 11_400), second];
+  let mut records = stream_at_silent_engine(cut(events(1, 3)), runs);
+  records.disturbances.push(Disturbance {
+    from_ms: 11_480,
+    target: Target::Endpoint(1),
+    until_ms: Some(11_600),
+  });
+  assert_eq!(found(&records).is_empty(), excused);
+}
+
+#[test]
+fn silent_stream_that_reaches_its_deadline_has_no_breach() {
+  let mut records = cut_at_silent_engine();
+  records.requests.get_mut("a").unwrap().ended_ms = Some(14_000);
+  assert_eq!(found(&records), []);
+}
