Soak: runs name the box that sent them

A fault of the soak: the records did not show which box had the stream.

Change: a link connects from its own host, by which an endpoint knows the box; each run records it. A cut stream is excused by a disturbance of the boxes that sent it, and no longer by nothing but that of the caller's box. No other check uses it.

--- a/soak/src/box_process.rs
+++ b/soak/src/box_process.rs
@@ -12,7 +12,7 @@
   stand_ins::PlatformStore,
   std::{
     fs::File,
-    net::{Ipv4Addr, SocketAddr},
+    net::{IpAddr, Ipv4Addr, SocketAddr},
     path::{Path, PathBuf},
     process::Stdio,
     sync::atomic::{AtomicU64, Ordering},
@@ -240,6 +240,14 @@
   )
 }
 
+/// The index of the box with a loopback host.
+pub(crate) fn box_index(host: IpAddr) -> usize {
+  match host {
+    IpAddr::V4(host) => usize::from(host.octets()[3].saturating_sub(1)),
+    IpAddr::V6(_) => 0,
+  }
+}
+
 async fn open_link(target: SocketAddr) -> Result<Link> {
   Link::open(target).await.map_err(Error::Listen)
 }
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -10,7 +10,7 @@
     exports::Exports,
     fault::EndpointFault,
     recorder::{Recorder, RunGuard},
-    records::RoleCommandRecord,
+    records::{RoleCommandRecord, Run},
     reply::{ReplyBody, cut_body, full_body, json_response, not_run, status, with_retry_after},
     silence::Silence,
   },
@@ -46,6 +46,9 @@
 /// Duration of a role switch.
 const SWITCH_DURATION: Duration = Duration::from_millis(400);
 
+/// Header that names the box of a connection, added on arrival.
+pub(crate) const BOX_HEADER: &str = "x-sending-box";
+
 /// One incarnation of an endpoint.
 pub(crate) struct Endpoint {
   pub(crate) incarnation: String,
@@ -355,10 +358,17 @@
       let observed = format!("{id} at {}", self.incarnation);
       self.recorder.records().leaked_keys.push(observed);
     }
-    let organisation = header(headers, "x-tenant").unwrap_or_default();
-    self
-      .recorder
-      .begin_run(id, self.place, &self.incarnation, organisation)
+    let box_index = header(headers, BOX_HEADER).and_then(|text| text.parse().ok());
+    let run = Run {
+      began_ms: self.recorder.now_ms(),
+      box_index: box_index.unwrap_or_default(),
+      ended_ms: None,
+      first_event_ms: None,
+      incarnation: self.incarnation.clone(),
+      organisation: header(headers, "x-tenant").unwrap_or_default().into(),
+      place: self.place,
+    };
+    self.recorder.begin_run(id, run)
   }
 
   async fn run_plain(
--- a/soak/src/link.rs
+++ b/soak/src/link.rs
@@ -13,7 +13,7 @@
   tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{
-      TcpListener, TcpStream,
+      TcpListener, TcpSocket, TcpStream,
       tcp::{OwnedReadHalf, OwnedWriteHalf},
     },
     sync::watch,
@@ -224,7 +224,7 @@
   {
     return;
   }
-  let Ok(target) = TcpStream::connect(link.target()).await else {
+  let Ok(target) = connect(&link).await else {
     reset(&caller);
     return;
   };
@@ -241,6 +241,13 @@
   }
 }
 
+/// Connects to the target from the link's own host, by which an endpoint recognizes the box.
+async fn connect(link: &Link) -> io::Result<TcpStream> {
+  let socket = TcpSocket::new_v4()?;
+  socket.bind(SocketAddr::new(link.address.ip(), 0))?;
+  socket.connect(link.target()).await
+}
+
 /// Copies bytes until both directions are closed, or one is reset.
 async fn copy_both_ways(
   caller: TcpStream,
--- a/soak/src/recorder.rs
+++ b/soak/src/recorder.rs
@@ -138,32 +138,17 @@
   }
 
   /// Records the start of a run at an endpoint, which ends when the guard is dropped.
-  pub(crate) fn begin_run(
-    &self,
-    id: &str,
-    place: usize,
-    incarnation: &str,
-    organisation: &str,
-  ) -> RunGuard {
-    let began_ms = self.now_ms();
+  pub(crate) fn begin_run(&self, id: &str, run: Run) -> RunGuard {
     let mut records = self.records();
     if records.probe_ids.contains(id) {
       return RunGuard(None);
     }
     let Some(record) = records.requests.get_mut(id) else {
-      records
-        .unrequested_runs
-        .push(format!("{id} at {incarnation}"));
+      let observed = format!("{id} at {}", run.incarnation);
+      records.unrequested_runs.push(observed);
       return RunGuard(None);
     };
-    record.runs.push(Run {
-      began_ms,
-      ended_ms: None,
-      first_event_ms: None,
-      incarnation: incarnation.into(),
-      organisation: organisation.into(),
-      place,
-    });
+    record.runs.push(run);
     RunGuard(Some((self.clone(), id.into(), record.runs.len() - 1)))
   }
 
--- a/soak/src/records.rs
+++ b/soak/src/records.rs
@@ -37,6 +37,8 @@
   pub place: usize,
   /// The endpoint's incarnation.
   pub incarnation: String,
+  /// Index of the box that sent it: another one than the caller's if that forwarded the request.
+  pub box_index: usize,
   /// The organisation named in the request that the endpoint received.
   pub organisation: String,
   /// Start of the run.
--- a/soak/src/running_endpoint.rs
+++ b/soak/src/running_endpoint.rs
@@ -1,8 +1,12 @@
 //! An endpoint that serves on a listener.
 
 use {
-  super::endpoint::Endpoint,
-  hyper::{server::conn::http1, service::service_fn},
+  super::{
+    box_process::box_index,
+    endpoint::{BOX_HEADER, Endpoint},
+  },
+  http::Request,
+  hyper::{body::Incoming, server::conn::http1, service::service_fn},
   hyper_util::rt::TokioIo,
   std::sync::Arc,
   tokio::{
@@ -35,16 +39,21 @@
 async fn serve(endpoint: Arc<Endpoint>, listener: TcpListener) {
   let mut connections = JoinSet::new();
   loop {
-    let Ok((stream, _)) = listener.accept().await else {
+    let Ok((stream, peer)) = listener.accept().await else {
       return;
     };
-    connections.spawn(serve_connection(endpoint.clone(), stream));
+    let box_index = box_index(peer.ip());
+    connections.spawn(serve_connection(endpoint.clone(), stream, box_index));
     while connections.try_join_next().is_some() {}
   }
 }
 
-async fn serve_connection(endpoint: Arc<Endpoint>, stream: TcpStream) {
-  let service = service_fn(move |request| endpoint.clone().handle(request));
+async fn serve_connection(endpoint: Arc<Endpoint>, stream: TcpStream, box_index: usize) {
+  let service = service_fn(move |mut request: Request<Incoming>| {
+    let headers = request.headers_mut();
+    headers.insert(BOX_HEADER, box_index.into());
+    endpoint.clone().handle(request)
+  });
   // Runs on a lost connection end through their guards.
   let _ = http1::Builder::new()
     .serve_connection(TokioIo::new(stream), service)
--- a/soak/src/silence_check.rs
+++ b/soak/src/silence_check.rs
@@ -24,7 +24,7 @@
   let ended_ms = request.ended_ms?;
   if !is_given_up(request)
     || u128::from(ended_ms - request.sent_ms) >= DEADLINE.as_millis()
-    || !records.is_box_undisturbed(request.box_index, request.sent_ms, ended_ms)
+    || !are_boxes_undisturbed(records, request, ended_ms)
   {
     return None;
   }
@@ -37,6 +37,13 @@
   Some(Breach::new(Promise::SilentEngineKeepsItsStreams, observed))
 }
 
+/// Whether the caller's box, and those that it forwarded the request to, were undisturbed.
+fn are_boxes_undisturbed(records: &Records, request: &RequestRecord, ended_ms: u64) -> bool {
+  let senders = request.runs.iter().map(|run| run.box_index);
+  let mut boxes = senders.chain([request.box_index]);
+  boxes.all(|index| records.is_box_undisturbed(index, request.sent_ms, ended_ms))
+}
+
 /// Whether the caller received a cut response or an error.
 fn is_given_up(request: &RequestRecord) -> bool {
   match request.outcome {
--- a/tests/soak_promises.rs
+++ b/tests/soak_promises.rs
@@ -14,6 +14,7 @@
 fn run(place: usize, began_ms: u64, ended_ms: Option<u64>) -> Run {
   Run {
     began_ms,
+    box_index: 0,
     ended_ms,
     first_event_ms: None,
     incarnation: format!("i-{place}"),
@@ -934,6 +935,19 @@
   assert_eq!(found(&records).is_empty(), excused);
 }
 
+#[test]
+fn cut_of_a_forwarded_stream_is_excused_by_the_box_that_sent_it_on() {
+  let mut records = cut_at_silent_engine();
+  records.disturbances.push(Disturbance {
+    from_ms: 10_900,
+    target: Target::Box(1),
+    until_ms: Some(11_600),
+  });
+  assert_eq!(found(&records), [Promise::SilentEngineKeepsItsStreams]);
+  records.requests.get_mut("a").unwrap().runs[0].box_index = 1;
+  assert_eq!(found(&records), []);
+}
+
 #[test]
 fn silent_stream_that_reaches_its_deadline_has_no_breach() {
   let mut records = cut_at_silent_engine();
