Soak: some streams last longer, and some boxes allow few retries

Cause: streams lasted 0.4 s at the mean, and boxes allowed more retries than a silence uses up.

Change: a third of the streams has 60 more events (1.5 s), still within the deadline after one silence. On two of four seeds in a row boxes allow a twentieth of the requests and 12 more as retries, in place of a fifth and 60. The faults of a seed stay.

--- a/soak/src/box_process.rs
+++ b/soak/src/box_process.rs
@@ -31,6 +31,16 @@
 const KILL_MARGIN: Duration = Duration::from_millis(1_000);
 const RESTART_DELAY: Duration = Duration::from_millis(200);
 
+/// Bounds of the boxes of a run.
+#[derive(Clone, Copy)]
+pub(crate) struct BoxBounds {
+  /// The boxes' memory, which bounds what they hold for callers; `None` for no bound.
+  pub(crate) memory_mb: Option<u64>,
+  /// Retries that are allowed in a window, as a share of the requests, and in addition to that.
+  pub(crate) retry_ratio: f64,
+  pub(crate) retry_slack: f64,
+}
+
 /// Settings that all boxes of a run share.
 pub(crate) struct BoxPlan<'a> {
   pub(crate) program: &'a Path,
@@ -38,8 +48,7 @@
   pub(crate) directory: &'a Path,
   pub(crate) store: &'a PlatformStore,
   pub(crate) recorder: &'a Recorder,
-  /// The boxes' memory, which bounds what they hold for callers; `None` for no bound.
-  pub(crate) memory_mb: Option<u64>,
+  pub(crate) bounds: BoxBounds,
 }
 
 pub(crate) struct BoxProcess {
@@ -72,7 +81,7 @@
     let caller_link = open_link(direct).await?;
     let name = format!("north-{index:03}");
     let addresses = [direct, ready, boxes, metrics, store_link.address];
-    let contents = settings_text(&name, addresses, plan.memory_mb);
+    let contents = settings_text(&name, addresses, plan.bounds);
     let settings = plan.directory.join(format!("{name}.toml"));
     std::fs::write(&settings, contents).map_err(|source| Error::File {
       path: settings.clone(),
@@ -213,8 +222,13 @@
 }
 
 /// The settings of a box: its addresses for callers, readiness, other boxes and metrics, and the store's address.
-fn settings_text(name: &str, addresses: [SocketAddr; 5], memory_mb: Option<u64>) -> String {
+fn settings_text(name: &str, addresses: [SocketAddr; 5], bounds: BoxBounds) -> String {
   let [callers, ready, boxes, metrics, store] = addresses;
+  let BoxBounds {
+    memory_mb,
+    retry_ratio,
+    retry_slack,
+  } = bounds;
   let memory = memory_mb.map_or_else(String::new, |memory_mb| {
     format!("[memory]\nbox_mb = {memory_mb}\n")
   });
@@ -222,7 +236,7 @@
     "[box]\nname = \"{name}\"\nhall = \"north\"\n\
      [listen]\ncallers = \"{callers}\"\nready = \"{ready}\"\nboxes = \"{boxes}\"\nmetrics = \"{metrics}\"\n\
      [store]\naddress = \"{store}\"\nleast_lease_ms = 1000\n\
-     [bounds]\nstop_s = {STOP_S:.1}\nretry_ratio = 0.2\nretry_window_s = 10\nretry_slack = 60\n\
+     [bounds]\nstop_s = {STOP_S:.1}\nretry_ratio = {retry_ratio:.2}\nretry_window_s = 10\nretry_slack = {retry_slack:.1}\n\
      order_gap_ms = 1000\ncontact_ms = 3000\nconfiguration_ms = 3000\n\
      [limits]\noverage = {OVERAGE}\nslack_units = {SLACK_UNITS:.1}\n\
      [engines]\nprefill_share = 0.25\n{memory}"
--- a/soak/src/content.rs
+++ b/soak/src/content.rs
@@ -5,6 +5,9 @@
 const MIN_EVENTS: u64 = 4;
 /// Range of stream lengths above `MIN_EVENTS`.
 const EVENT_SPREAD: u64 = 24;
+/// One stream in this many is long, so that it lasts through a silence of its engine, and its additional events.
+const LONG_STREAMS: u64 = 3;
+const LONG_STREAM_EVENTS: u64 = 60;
 
 /// Body of a request that crashes every engine that runs it.
 pub(crate) const CRASHING_BODY: &[u8] = b"no engine survives this";
@@ -36,7 +39,9 @@
 /// Number of events in the stream of a request.
 pub(crate) fn event_count(id: &str) -> u64 {
   let sum: u64 = id.bytes().map(u64::from).sum();
-  MIN_EVENTS + sum % EVENT_SPREAD
+  let is_long = (sum / EVENT_SPREAD).is_multiple_of(LONG_STREAMS);
+  let long_events = if is_long { LONG_STREAM_EVENTS } else { 0 };
+  MIN_EVENTS + sum % EVENT_SPREAD + long_events
 }
 
 /// One event of a stream, numbered from 1, with the version of the engine that sends it.
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use {
   super::{
-    box_process::{BoxPlan, BoxProcess, box_host},
+    box_process::{BoxBounds, BoxPlan, BoxProcess, box_host},
     cold_check::COLD_MS,
     configuration::{self, HOST, version_path},
     endpoint::{Endpoint, Identity},
@@ -68,7 +68,7 @@
     directory: &Path,
     boxes: usize,
     places: usize,
-    memory_mb: Option<u64>,
+    bounds: BoxBounds,
   ) -> Result<(Self, EngineEventReceiver)> {
     let recorder = Recorder::default();
     let store = PlatformStore::start().await.map_err(Error::Listen)?;
@@ -95,7 +95,7 @@
       recorder: &fleet.recorder,
       program,
       store: &fleet.store,
-      memory_mb,
+      bounds,
     };
     let mut started = Vec::new();
     for index in 0..boxes {
--- a/soak/src/play.rs
+++ b/soak/src/play.rs
@@ -2,6 +2,7 @@
 
 use {
   super::{
+    box_process::BoxBounds,
     breach::Breach,
     caller::{Caller, CallerWork},
     engine_event::{EngineEvent, EngineEventReceiver},
@@ -36,9 +37,25 @@
 /// One run in this many has boxes that bound what they hold, and read streams ahead.
 const BOUNDED_RUNS: u64 = 3;
 
-/// Whether the boxes of a run bound what they hold.
-fn has_bounded_boxes(seed: u64) -> bool {
-  seed.is_multiple_of(BOUNDED_RUNS)
+/// Retries that boxes allow, as a share of the requests and in addition; and in runs in which few are allowed.
+const RETRIES: (f64, f64) = (0.2, 60.0);
+const FEW_RETRIES: (f64, f64) = (0.05, 12.0);
+/// Of this many pairs of seeds in a row, the first has boxes that allow few retries.
+const RETRY_PAIRS: u64 = 2;
+
+/// The bounds of the boxes of a run.
+fn box_bounds(seed: u64) -> BoxBounds {
+  let has_few_retries = (seed / 2).is_multiple_of(RETRY_PAIRS);
+  let (retry_ratio, retry_slack) = if has_few_retries {
+    FEW_RETRIES
+  } else {
+    RETRIES
+  };
+  BoxBounds {
+    memory_mb: seed.is_multiple_of(BOUNDED_RUNS).then_some(BOX_MB),
+    retry_ratio,
+    retry_slack,
+  }
 }
 
 /// Options of a run.
@@ -91,7 +108,7 @@
     &options.directory,
     size.boxes,
     size.places,
-    has_bounded_boxes(options.seed).then_some(BOX_MB),
+    box_bounds(options.seed),
   )
   .await?;
   let fleet = Arc::new(fleet);
