Soak: an example of the selection of faults

Cause: the selection is public and had no runnable example; `Silence::end` read like an action.

Change: an example which shows that the silent periods of a seed are the same alone and among all faults; the wait is `ended`.

--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -183,7 +183,7 @@
     request: Request<Incoming>,
   ) -> io::Result<Response<ReplyBody>> {
     let mut response = self.clone().handle_request(request).await?;
-    self.silence.end().await;
+    self.silence.ended().await;
     let state = self.state();
     if state.leaving {
       let value = HeaderValue::from_static("1");
@@ -398,7 +398,7 @@
   ) -> io::Result<Response<ReplyBody>> {
     sleep(PREFILL_DURATION).await;
     // The prompt expires some time after the engine has responded.
-    self.silence.end().await;
+    self.silence.ended().await;
     self.apply_fault(id, fault).await?;
     if fault == Some(EndpointFault::Fails) {
       return Ok(self.response(id, StatusCode::INTERNAL_SERVER_ERROR, full_body("failed")));
--- a/soak/src/event_stream.rs
+++ b/soak/src/event_stream.rs
@@ -42,11 +42,11 @@
       return Some(Err(io::Error::other("cut")));
     }
     if self.next > content::event_count(&self.id) {
-      self.silence.end().await;
+      self.silence.ended().await;
       return None;
     }
     sleep(EVENT_INTERVAL).await;
-    self.silence.end().await;
+    self.silence.ended().await;
     self.run.record_event();
     let event = content::event(&self.id, self.next, self.version);
     let is_cut = self.cut_at == Some(self.next);
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -90,6 +90,14 @@
 
 impl FaultSelection {
   /// Draws the selected faults of a run, sorted by time.
+  ///
+  /// ```
+  /// use soak::{FaultSelection, Size};
+  /// let size = Size { boxes: 3, places: 6, faults_ms: 20_000 };
+  /// let silences = FaultSelection::Silences.draw(7, size);
+  /// let all = FaultSelection::All.draw(7, size);
+  /// assert!(silences.iter().all(|fault| all.contains(fault)));
+  /// ```
   pub fn draw(self, seed: u64, size: Size) -> Vec<ScheduledFault> {
     match self {
       Self::All => draw_plan(seed, size),
--- a/soak/src/silence.rs
+++ b/soak/src/silence.rs
@@ -25,7 +25,7 @@
   }
 
   /// Returns once the engine may send.
-  pub(crate) async fn end(&self) {
+  pub(crate) async fn ended(&self) {
     loop {
       let until = *self.until();
       match until {
