--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -10,8 +10,9 @@
     exports::Exports,
     fault::EndpointFault,
     recorder::{Recorder, RunGuard},
-    records::RoleCommandRecord,
+    records::{RoleCommandRecord, Run},
     reply::{ReplyBody, cut_body, full_body, json_response, not_run, status, with_retry_after},
+    silence::Silence,
   },
   bytes::Bytes,
   http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header::AUTHORIZATION},
@@ -45,6 +46,9 @@
 /// Duration of a role switch.
 const SWITCH_DURATION: Duration = Duration::from_millis(400);
 
+/// Header that names the box of a connection, added on arrival.
+pub(crate) const BOX_HEADER: &str = "x-sending-box";
+
 /// One incarnation of an endpoint.
 pub(crate) struct Endpoint {
   pub(crate) incarnation: String,
@@ -59,6 +63,7 @@
   /// Start time: the number of this start among the starts of all endpoints.
   pub(crate) start_number: u64,
   events: EngineEventSender,
+  silence: Silence,
 }
 
 /// Identity of an incarnation.
@@ -86,6 +91,7 @@
       recorder: recorder.clone(),
       place: identity.place,
       events,
+      silence: Silence::default(),
       address: identity.address,
       state: Mutex::new(EndpointState::new(identity.kind)),
     })
@@ -104,6 +110,11 @@
     self.state().fault = fault;
   }
 
+  /// Sends nothing on any connection for a while, and then goes on where it stopped.
+  pub(crate) fn fall_silent(&self, duration: Duration) {
+    self.silence.begin(duration);
+  }
+
   /// Signals in all further responses that the endpoint is leaving.
   pub(crate) fn set_leaving(&self) {
     self.state().leaving = true;
@@ -165,12 +176,14 @@
     resources
   }
 
-  /// Responds to a box's call or a forwarded request, with the leaving signal and the limit if they are set.
+  /// Responds to a box's call or a forwarded request, with the leaving signal and the limit if they are set. While the engine
+  /// is silent, requests are read and responses wait.
   pub(crate) async fn handle(
     self: Arc<Self>,
     request: Request<Incoming>,
   ) -> io::Result<Response<ReplyBody>> {
     let mut response = self.clone().handle_request(request).await?;
+    self.silence.ended().await;
     let state = self.state();
     if state.leaving {
       let value = HeaderValue::from_static("1");
@@ -345,10 +358,17 @@
       let observed = format!("{id} at {}", self.incarnation);
       self.recorder.records().leaked_keys.push(observed);
     }
-    let organisation = header(headers, "x-tenant").unwrap_or_default();
-    self
-      .recorder
-      .begin_run(id, self.place, &self.incarnation, organisation)
+    let box_index = header(headers, BOX_HEADER).and_then(|text| text.parse().ok());
+    let run = Run {
+      began_ms: self.recorder.now_ms(),
+      box_index: box_index.unwrap_or_default(),
+      ended_ms: None,
+      first_event_ms: None,
+      incarnation: self.incarnation.clone(),
+      organisation: header(headers, "x-tenant").unwrap_or_default().into(),
+      place: self.place,
+    };
+    self.recorder.begin_run(id, run)
   }
 
   async fn run_plain(
@@ -377,6 +397,8 @@
     fault: Option<EndpointFault>,
   ) -> io::Result<Response<ReplyBody>> {
     sleep(PREFILL_DURATION).await;
+    // The prompt expires some time after the engine has responded.
+    self.silence.ended().await;
     self.apply_fault(id, fault).await?;
     if fault == Some(EndpointFault::Fails) {
       return Ok(self.response(id, StatusCode::INTERNAL_SERVER_ERROR, full_body("failed")));
@@ -422,7 +444,8 @@
       id: header(headers, "resumes").unwrap_or(id).into(),
       version: self.version,
       next: first,
-      _run: run,
+      run,
+      silence: self.silence.clone(),
       _slot: slot,
     };
     let mut response = self.response(id, StatusCode::OK, events.into_body());
--- a/soak/src/records.rs
+++ b/soak/src/records.rs
@@ -37,10 +37,14 @@
   pub place: usize,
   /// The endpoint's incarnation.
   pub incarnation: String,
+  /// Index of the box that sent it: another one than the caller's if that forwarded the request.
+  pub box_index: usize,
   /// The organisation named in the request that the endpoint received.
   pub organisation: String,
   /// Start of the run.
   pub began_ms: u64,
+  /// Time of its first event, if it is a stream.
+  pub first_event_ms: Option<u64>,
   /// End of the run; `None` while it lasts.
   pub ended_ms: Option<u64>,
 }
