serve: streams are aborted only when their hold at the engine is about to end

All streams at an engine were aborted after one extension of their holds that was not acknowledged: extensions went out every 2 s, the limit was 3 s, and it was checked every 2 s before the next extension. One second of silence around one call ended all streams of a sound engine 4 s after the last acknowledgement, 2 s before the engine could free anything.

Each open command now has its Hold: the start is when the box sent the command or the extension, which is before the engine received it. An extension is sent after a third of it and repeated each twelfth until one is acknowledged, which serves a failed and a missing answer alike; the acknowledgement returns the extension's own time. The stream is aborted a sixth before the end.

On the code before, streams_continue_after_a_missed_hold_extension fails in both cases ("left: [4011], right: []": acknowledged at 11 ms, missed at 2011 ms, aborted at 4011 ms), and stream_is_aborted_shortly_before_its_hold_ends in all three ("Some(Some(2000)) ms left", 1990 if never acknowledged). Now all pass. Ruled out: a limit beside the hold, and a repeat upon HoldExtensionFailed only: a silent engine's call fails after 1 s, half of a 2 s hold.

--- a/emulator/src/decisions/world/commands.rs
+++ b/emulator/src/decisions/world/commands.rs
@@ -64,7 +64,7 @@
       Action::ExtendHolds(command) => {
         let engine = self.engine_index[&command.engine];
         if !self.engines[engine].is_dead {
-          let event = Event::HoldsExtended(command.engine);
+          let event = Event::HoldsExtended(command);
           self
             .schedule
             .after(LOCAL_DELAY_US, SimEvent::Deliver(index, event));
--- a/src/decide/action.rs
+++ b/src/decide/action.rs
@@ -50,6 +50,8 @@
   pub attempts: Vec<AttemptId>,
   /// New time to live of the holds.
   pub hold_ms: u64,
+  /// When the command was sent, on the box's clock.
+  pub sent_ms: u64,
 }
 
 /// A call to a plain service.
--- a/src/decide/context.rs
+++ b/src/decide/context.rs
@@ -3,9 +3,9 @@
 
 use {
   super::{
-    Action, CommandKey, ConfigurationView, EngineView, EventKind, Fleet, Membership, OpenCommands,
-    PeerMessage, PrefixHints, RetryBudget, Role, SlotDecision, SlotMode, SlotRequest, SlotResponse,
-    SlotTable, TimelineEvent, Tuning, rendezvous_order,
+    Action, CommandKey, ConfigurationView, EngineView, EventKind, Fleet, Hold, Membership,
+    OpenCommands, PeerMessage, PrefixHints, RetryBudget, Role, SlotDecision, SlotMode, SlotRequest,
+    SlotResponse, SlotTable, TimelineEvent, Tuning, rendezvous_order,
   },
   crate::ids::{AttemptId, Name},
   rand::SeedableRng,
@@ -84,7 +84,13 @@
 
   /// Tracks a command that is sent to an endpoint.
   pub(crate) fn open_command(&mut self, attempt: &AttemptId, endpoint: &Name) {
-    self.open_commands.open(command_key(attempt, endpoint));
+    let hold = Hold {
+      duration_ms: self.tuning().hold_ms,
+      start_ms: self.now_ms,
+    };
+    self
+      .open_commands
+      .open(command_key(attempt, endpoint), hold);
   }
 
   /// The endpoint holds no memory for the command any more.
--- a/src/decide/event.rs
+++ b/src/decide/event.rs
@@ -1,7 +1,7 @@
 //! The events that [`Machine`](super::Machine) handles.
 
 use {
-  super::{Arrival, ConfigurationView, PeerMessage},
+  super::{Arrival, ConfigurationView, HoldCommand, PeerMessage},
   crate::ids::{AttemptId, Name, RequestId},
   serde::{Deserialize, Serialize},
   std::sync::Arc,
@@ -144,8 +144,8 @@
   CacheReported(Name, Vec<u64>),
   /// The attempts for which an engine holds memory.
   AttemptsListed(Name, Vec<HeldAttempt>),
-  /// An engine has extended the holds on this box's attempts.
-  HoldsExtended(Name),
+  /// An engine has extended holds on this box's attempts.
+  HoldsExtended(HoldCommand),
   /// An engine did not extend the holds.
   HoldExtensionFailed(Name),
   /// A message from a peer.
--- a/src/decide/machine.rs
+++ b/src/decide/machine.rs
@@ -99,6 +99,7 @@
           endpoint.request_backoff(now_ms, wanted_ms)
         });
       }
+      // The poll or the extension is repeated.
       Event::PollFailed(_) | Event::HoldExtensionFailed(_) => {}
       Event::CacheReported(engine, blocks) => {
         self
@@ -107,7 +108,7 @@
           .record_cached(self.context.now_ms, &engine, &blocks);
       }
       Event::AttemptsListed(engine, held) => self.cancel_orphans(&engine, held),
-      Event::HoldsExtended(engine) => self.record_hold_extension(&engine),
+      Event::HoldsExtended(command) => self.record_hold_extension(&command),
       Event::Peer(from, message) => self.handle_peer_message(from, message),
       Event::Boxes(entries) => self.apply_box_list(&entries),
       Event::Configured(view) => self.apply_configuration(view),
@@ -203,8 +204,8 @@
       .collect()
   }
 
-  /// After a jump of the clock this box was probably paused: peers are given a full timeout again, and its own lease and
-  /// holds are treated as lost.
+  /// After a jump of the clock this box was probably paused: peers are given a full timeout again, its own lease is
+  /// treated as lost, and streams whose holds may have ended are aborted.
   fn check_clock(&mut self) {
     let now_ms = self.context.now_ms;
     let jump_ms = now_ms.saturating_sub(self.last_event_ms);
@@ -216,7 +217,7 @@
     self.context.record(EventKind::ClockJumped, jump_ms, "");
     self.context.members.reset_contact_times(now_ms);
     self.timers.drop_lease();
-    self.abort_lost_holds();
+    self.abort_expiring_holds();
   }
 
   pub(super) fn clock(&self) -> Clock {
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -13,6 +13,7 @@
 mod event;
 mod fair_queue;
 mod fleet;
+mod hold;
 mod link_windows;
 mod machine;
 mod membership;
@@ -49,6 +50,7 @@
   },
   fair_queue::{FairQueue, QueueEntry},
   fleet::{Fleet, PoolKey},
+  hold::Hold,
   link_windows::LinkWindows,
   machine::{Machine, Setup},
   membership::{FULL_MESH_BOXES, Membership, Peer, rendezvous_order},
--- a/src/decide/timers.rs
+++ b/src/decide/timers.rs
@@ -2,8 +2,9 @@
 
 use {
   super::{
-    Action, Candidate, EndpointEvent, EndpointKind, EventKind, Heartbeat, HoldCommand, Machine,
-    PeerMessage, Role, RoleCommand, RoleSwitchLimits, next_role_switch,
+    Action, Candidate, EndpointEvent, EndpointKind, EventKind, Heartbeat, Hold, HoldCommand,
+    Machine, PeerMessage, Role, RoleCommand, RoleSwitchLimits, context::command_key,
+    next_role_switch,
   },
   crate::{ids::Name, policy::PoolStats},
   std::collections::{BTreeMap, BTreeSet},
@@ -13,7 +14,7 @@
 const MAX_LOADS_PER_HEARTBEAT: usize = 8;
 /// Every nth heartbeat is a full one, with all load reports and also to other halls.
 const FULL_HEARTBEAT_INTERVAL: u64 = 4;
-const EXTENSIONS_PER_HOLD: u64 = 3;
+const HOLD_CHECK_PERIOD_MS: u64 = 50;
 const SILENCE_CHECK_PERIOD_MS: u64 = 100;
 const ROLE_PERIOD_MS: u64 = 2_000;
 const ORPHAN_CHECK_PERIOD_MS: u64 = 2_000;
@@ -32,8 +33,8 @@
   roles_ms: u64,
   lease_until_ms: u64,
   fence: u64,
-  /// When holds were last extended, by engine.
-  holds_extended_ms: BTreeMap<Name, u64>,
+  /// When the last extension of holds was sent, by engine.
+  extensions_sent_ms: BTreeMap<Name, u64>,
 }
 
 impl Timers {
@@ -98,9 +99,8 @@
     ) {
       self.list_attempts();
     }
-    let extension_ms = self.context.tuning().hold_ms / EXTENSIONS_PER_HOLD;
-    if is_due(&mut self.timers.holds_ms, now_ms, extension_ms) {
-      self.abort_lost_holds();
+    if is_due(&mut self.timers.holds_ms, now_ms, HOLD_CHECK_PERIOD_MS) {
+      self.abort_expiring_holds();
       self.extend_holds();
     }
     if self.timers.holds_lease(now_ms) && is_due(&mut self.timers.roles_ms, now_ms, ROLE_PERIOD_MS)
@@ -237,55 +237,58 @@
     }
   }
 
+  /// Sends the extensions of holds that are due, and repeats those that are not acknowledged.
   fn extend_holds(&mut self) {
     let now_ms = self.context.now_ms;
-    let held = self.context.open_commands.held();
+    let first_holds = self.context.open_commands.first_holds();
     self
       .timers
-      .holds_extended_ms
-      .retain(|engine, _| held.contains_key(engine));
-    for (engine, attempts) in held {
-      self
-        .timers
-        .holds_extended_ms
-        .entry(engine.clone())
-        .or_insert(now_ms);
-      self.context.emit(Action::ExtendHolds(HoldCommand {
-        attempts,
-        engine,
-        hold_ms: self.context.tuning().hold_ms,
-      }));
+      .extensions_sent_ms
+      .retain(|engine, _| first_holds.contains_key(engine));
+    for (engine, hold) in first_holds {
+      let sent_ms = self.timers.extensions_sent_ms.get(&engine).copied();
+      let repeat_due_ms = sent_ms.map_or(0, |sent_ms| sent_ms + hold.repeat_interval_ms());
+      if now_ms >= hold.extension_due_ms().max(repeat_due_ms) {
+        self.send_hold_extension(engine);
+      }
     }
   }
 
-  /// Aborts attempts at engines where holds were not extended for half their time to live, before the engines may free
-  /// them.
-  pub(super) fn abort_lost_holds(&mut self) {
+  fn send_hold_extension(&mut self, engine: Name) {
     let now_ms = self.context.now_ms;
-    let timeout_ms = self.context.tuning().hold_ms / 2;
-    let lost = self
+    self
       .timers
-      .holds_extended_ms
-      .iter()
-      .filter(|(_, extended_ms)| now_ms.saturating_sub(**extended_ms) > timeout_ms)
-      .map(|(engine, _)| engine.clone())
-      .collect::<Vec<_>>();
-    let mut held = self.context.open_commands.held();
-    for engine in lost {
-      self.timers.holds_extended_ms.insert(engine.clone(), now_ms);
-      for attempt in held.remove(&engine).unwrap_or_default() {
-        self.context.record(EventKind::HoldLost, &attempt, &engine);
-        self
-          .context
-          .emit(Action::AbortStream(attempt, engine.clone()));
-      }
-    }
+      .extensions_sent_ms
+      .insert(engine.clone(), now_ms);
+    self.context.emit(Action::ExtendHolds(HoldCommand {
+      attempts: self.context.open_commands.held_at(&engine),
+      engine,
+      hold_ms: self.context.tuning().hold_ms,
+      sent_ms: now_ms,
+    }));
   }
 
-  pub(super) fn record_hold_extension(&mut self, engine: &Name) {
+  /// Aborts attempts whose holds could not be extended, before the engines may free them.
+  pub(super) fn abort_expiring_holds(&mut self) {
     let now_ms = self.context.now_ms;
-    if let Some(extended_ms) = self.timers.holds_extended_ms.get_mut(engine) {
-      *extended_ms = now_ms;
+    for key in self.context.open_commands.abort_expiring(now_ms) {
+      self
+        .context
+        .record(EventKind::HoldLost, &key.attempt, &key.endpoint);
+      self
+        .context
+        .emit(Action::AbortStream(key.attempt, key.endpoint));
+    }
+  }
+
+  pub(super) fn record_hold_extension(&mut self, command: &HoldCommand) {
+    let extended = Hold {
+      duration_ms: command.hold_ms,
+      start_ms: command.sent_ms,
+    };
+    for attempt in &command.attempts {
+      let key = command_key(attempt, &command.engine);
+      self.context.open_commands.extend(&key, extended);
     }
   }
 
--- a/src/egress/worker.rs
+++ b/src/egress/worker.rs
@@ -396,20 +396,18 @@
   }
 
   fn extend_holds(&mut self, command: HoldCommand) {
-    let HoldCommand {
-      engine: endpoint,
-      attempts,
-      hold_ms,
-    } = command;
-    let Some(client) = self.context.client(&endpoint) else {
+    let Some(client) = self.context.client(&command.engine) else {
       return;
     };
     let context = self.context.clone();
     tokio::spawn(async move {
-      let request = HoldsRequest { attempts, hold_ms };
+      let request = HoldsRequest {
+        attempts: command.attempts.clone(),
+        hold_ms: command.hold_ms,
+      };
       let event = match client.extend_holds(&request).await {
-        Some(_) => Event::HoldsExtended(endpoint),
-        None => Event::HoldExtensionFailed(endpoint),
+        Some(_) => Event::HoldsExtended(command),
+        None => Event::HoldExtensionFailed(command.engine),
       };
       context.to_decide.send(event).await;
     });
--- a/tests/machine.rs
+++ b/tests/machine.rs
@@ -10,11 +10,12 @@
   rillford::{
     decide::{
       Action, Arrival, Began, CancelAnswer, ClaimOutcome, ConfigurationView, EndpointKind,
-      EndpointSpec, Event, Identity, LoadReport, Machine, ModelWork, RequestOutcome, Role, Setup,
-      StageOutcome, StageReport, Work,
+      EndpointSpec, Event, HoldCommand, Identity, LoadReport, Machine, ModelWork, RequestOutcome,
+      Role, Setup, StageOutcome, StageReport, Tuning, Work,
     },
     ids::{AttemptId, Name, RequestId},
   },
+  rstest::rstest,
   std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
@@ -74,6 +75,15 @@
   stage: Stage,
 }
 
+/// How engines answer extensions of holds.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ExtensionAnswer {
+  Acknowledged,
+  Failed,
+  /// No answer yet.
+  Pending,
+}
+
 /// A box with its commands in transit, and engines that follow the rules of `model::attempts`.
 struct Simulation {
   machine: Machine,
@@ -88,6 +98,10 @@
   began: BTreeMap<u64, u64>,
   not_repeatable: BTreeSet<u64>,
   outcomes: BTreeMap<u64, Vec<RequestOutcome>>,
+  extension_answer: ExtensionAnswer,
+  extensions_sent_ms: Vec<u64>,
+  pending_extensions: Vec<HoldCommand>,
+  streams_aborted_ms: Vec<u64>,
 }
 
 fn engine(name: &str, role: Role) -> EndpointSpec {
@@ -132,7 +146,11 @@
       began: BTreeMap::new(),
       cancels: Vec::new(),
       claims: Vec::new(),
+      extension_answer: ExtensionAnswer::Acknowledged,
+      extensions_sent_ms: Vec::new(),
       outcomes: BTreeMap::new(),
+      pending_extensions: Vec::new(),
+      streams_aborted_ms: Vec::new(),
       held: BTreeSet::new(),
       machine,
       not_repeatable: BTreeSet::new(),
@@ -203,7 +221,8 @@
         self.outcomes.entry(request.0).or_default().push(outcome);
       }
       Action::PollLoad(engine) => self.report_load(engine),
-      Action::ExtendHolds(command) => self.extend_holds(command.engine),
+      Action::ExtendHolds(command) => self.extend_holds(command),
+      Action::AbortStream(..) => self.streams_aborted_ms.push(self.now_ms),
       _ => {}
     }
   }
@@ -212,8 +231,17 @@
     self.report(&[engine]);
   }
 
-  fn extend_holds(&mut self, engine: Name) {
-    self.handle(Event::HoldsExtended(engine));
+  fn extend_holds(&mut self, command: HoldCommand) {
+    self.extensions_sent_ms.push(self.now_ms);
+    match self.extension_answer {
+      ExtensionAnswer::Acknowledged => self.acknowledge(command),
+      ExtensionAnswer::Failed => self.handle(Event::HoldExtensionFailed(command.engine)),
+      ExtensionAnswer::Pending => self.pending_extensions.push(command),
+    }
+  }
+
+  fn acknowledge(&mut self, command: HoldCommand) {
+    self.handle(Event::HoldsExtended(command));
   }
 
   fn report_stage(&mut self, command: &Command, outcome: StageOutcome) {
@@ -361,6 +389,36 @@
     self.handle(Event::CancelSettled(attempt, engine, answer));
   }
 
+  /// Starts a request and completes its stages up to the first chunk of its stream.
+  fn start_stream(&mut self) {
+    self.arrive(false);
+    for _ in [Stage::Prefill, Stage::Import] {
+      self.deliver(0);
+      self.complete(0);
+    }
+    self.deliver(0);
+    let decode = self.running[0].clone();
+    self.report_stage(&decode, StageOutcome::FirstChunk);
+  }
+
+  fn wait_ms(&mut self, wait_ms: u64) {
+    for _ in 0..wait_ms / 10 {
+      self.apply(&Step::Wait(10));
+    }
+  }
+
+  /// Waits until another extension of holds is sent; returns when that was.
+  fn wait_for_extension(&mut self) -> u64 {
+    let sent = self.extensions_sent_ms.len();
+    for _ in 0..hold_ms() {
+      if let Some(sent_ms) = self.extensions_sent_ms.get(sent) {
+        return *sent_ms;
+      }
+      self.wait_ms(10);
+    }
+    panic!("no extension was sent");
+  }
+
   /// Lets all work end: callers disconnect, commands arrive, cancels are acknowledged, time passes.
   fn settle(&mut self) {
     for request in 0..self.requests {
@@ -399,6 +457,10 @@
   }
 }
 
+fn hold_ms() -> u64 {
+  Tuning::default().hold_ms
+}
+
 fn take<T>(items: &mut Vec<T>, which: usize) -> Option<T> {
   if items.is_empty() {
     return None;
@@ -437,3 +499,47 @@
     panic!("{error}");
   }
 }
+
+// Guards against the abort of all streams at an engine after one second without an extension of their holds.
+#[rstest]
+#[case::failed(ExtensionAnswer::Failed)]
+#[case::unanswered(ExtensionAnswer::Pending)]
+fn streams_continue_after_a_missed_hold_extension(#[case] missed: ExtensionAnswer) {
+  let mut simulation = Simulation::new();
+  simulation.start_stream();
+  simulation.wait_for_extension();
+  simulation.extension_answer = missed;
+  simulation.wait_for_extension();
+  simulation.wait_ms(1_000);
+  simulation.extension_answer = ExtensionAnswer::Acknowledged;
+  simulation.wait_ms(3 * hold_ms());
+  assert_eq!(simulation.streams_aborted_ms, Vec::<u64>::new());
+}
+
+// Guards against the abort of a stream long before its hold ends, and against one that continues after that.
+#[rstest]
+#[case::never_acknowledged(None)]
+#[case::acknowledged_at_once(Some(0))]
+#[case::acknowledged_late(Some(1_500))]
+fn stream_is_aborted_shortly_before_its_hold_ends(#[case] acknowledged_after_ms: Option<u64>) {
+  for start_ms in (0..hold_ms()).step_by(270) {
+    let mut simulation = Simulation::new();
+    simulation.wait_ms(start_ms);
+    simulation.start_stream();
+    let mut hold_start_ms = simulation.now_ms;
+    simulation.extension_answer = ExtensionAnswer::Pending;
+    if let Some(after_ms) = acknowledged_after_ms {
+      hold_start_ms = simulation.wait_for_extension();
+      simulation.wait_ms(after_ms);
+      let command = simulation.pending_extensions.remove(0);
+      simulation.acknowledge(command);
+    }
+    simulation.wait_ms(2 * hold_ms());
+    let aborted = simulation.streams_aborted_ms.first();
+    let left_ms = aborted.map(|aborted_ms| (hold_start_ms + hold_ms()).checked_sub(*aborted_ms));
+    assert!(
+      matches!(left_ms, Some(Some(left_ms)) if left_ms > 0 && left_ms <= hold_ms() / 5),
+      "started after {start_ms} ms: {left_ms:?} ms left"
+    );
+  }
+}
