serve: a test of holds while the hold time is raised

When hold_ms was raised, the next extension waited a third of the new time, while the engine kept the attempts only for the old one: with 2 s raised to 60 s, holds ended 18 s before their next extension.

--- a/tests/machine.rs
+++ b/tests/machine.rs
@@ -389,6 +389,17 @@
     self.handle(Event::CancelSettled(attempt, engine, answer));
   }
 
+  fn configure_hold_ms(&mut self, hold_ms: u64) {
+    let tuning = Tuning {
+      hold_ms,
+      ..Tuning::default()
+    };
+    self.handle(Event::Configured(Arc::new(ConfigurationView {
+      tuning,
+      ..ConfigurationView::default()
+    })));
+  }
+
   /// Starts a request and completes its stages up to the first chunk of its stream.
   fn start_stream(&mut self) {
     self.arrive(false);
@@ -543,3 +554,16 @@
     );
   }
 }
+
+// Guards against holds that end before their extension because a longer hold time was configured meanwhile.
+#[test]
+fn holds_are_extended_in_time_after_the_hold_time_was_raised() {
+  let mut simulation = Simulation::new();
+  simulation.configure_hold_ms(2_000);
+  simulation.start_stream();
+  let first_ms = simulation.wait_for_extension();
+  simulation.configure_hold_ms(60_000);
+  let second_ms = simulation.wait_for_extension();
+  assert!(second_ms - first_ms < 2_000, "{} ms", second_ms - first_ms);
+  assert_eq!(simulation.streams_aborted_ms, Vec::<u64>::new());
+}
