Known red: serve drops a silent stream although no retry is left

Egress ends a stream that is silent for the stall timeout (3 s; 1 s in these tests), and only then does decide look at the attempts and the retry budget. With neither left, an engine that would have continued is given up and the caller gets answer_broken.

The engine stand-in's stalled streams continue when stall_decode_after is reset; a stall that is never reset is as before.

--- a/emulator/src/engine/faults.rs
+++ b/emulator/src/engine/faults.rs
@@ -10,7 +10,7 @@
   pub stall_prefill: bool,
   /// Imports are accepted and never complete.
   pub stall_transfer: bool,
-  /// Streams stall after this many tokens, with the connection left open.
+  /// Streams stall after this many tokens, with the connection left open, and continue when this is reset.
   pub stall_decode_after: Option<u64>,
   /// Streams are closed after this many tokens.
   pub cut_decode_after: Option<u64>,
--- a/emulator/src/engine/routes.rs
+++ b/emulator/src/engine/routes.rs
@@ -34,6 +34,7 @@
 
 const BLOCK_TOKENS: u64 = 128;
 const CHUNK_BUFFER: usize = 16;
+const STALL_CHECK_PERIOD: Duration = Duration::from_millis(10);
 
 impl EngineStandIn {
   pub fn router(&self) -> Router {
@@ -336,13 +337,10 @@
     } else {
       text
     };
-    let faults = engine.inner().faults.clone();
-    if faults
-      .stall_decode_after
-      .is_some_and(|after| index >= after)
-    {
-      std::future::pending::<()>().await;
+    while engine.stalls_decode(index) {
+      sleep(STALL_CHECK_PERIOD).await;
     }
+    let faults = engine.inner().faults.clone();
     if faults.cut_decode_after.is_some_and(|after| index >= after) {
       return;
     }
--- a/emulator/src/engine/state.rs
+++ b/emulator/src/engine/state.rs
@@ -158,6 +158,12 @@
     self.inner().faults = faults;
   }
 
+  /// Whether streams stall before this token.
+  pub(super) fn stalls_decode(&self, index: u64) -> bool {
+    let stall_after = self.inner().faults.stall_decode_after;
+    stall_after.is_some_and(|after| index >= after)
+  }
+
   pub fn tally(&self) -> EngineTally {
     self.inner().tally.clone()
   }
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -5,9 +5,13 @@
   emulator::{Ask, EngineFaults, Told, answer_text},
   rillford::decide::Role,
   rstest::rstest,
+  std::time::Duration,
+  tokio::time::sleep,
 };
 
 const PROMPT: &str = "Which theorem was that? ";
+/// Stall timeout of the boxes in these tests.
+const STALL_TIMEOUT: Duration = Duration::from_secs(1);
 
 fn faults(change: impl FnOnce(&mut EngineFaults)) -> EngineFaults {
   let mut faults = EngineFaults::default();
@@ -147,3 +151,22 @@
   };
   assert!(emulator::eventually(std::time::Duration::from_secs(30), is_answered).await);
 }
+
+// Guards against streams that are dropped while their engine is silent although no retry is left for them.
+#[tokio::test]
+async fn silent_stream_without_a_retry_left_continues() {
+  let test = Test::new()
+    .plan(|plan| {
+      plan.platform_document = r#"{"tuning": {"retry_share": 0.0, "retry_burst": 0.0}}"#.into();
+    })
+    .start()
+    .await;
+  let stall_faults = faults(|faults| faults.stall_decode_after = Some(7));
+  test.set_faults(Role::Decode, stall_faults);
+  let stream = test.open("north-1", &Ask::new(PROMPT, 23)).await;
+  sleep(3 * STALL_TIMEOUT).await;
+  test.set_faults(Role::Decode, EngineFaults::default());
+  let told = finish(stream).await;
+  assert_eq!(told, Told::Answered(answer_text(PROMPT, 23)));
+  test.wait_nothing_held().await;
+}
