serve: a silent stream is ended only once a retry is taken for it

Egress ended a stream that was silent for the stall timeout, and only then did decide look at the attempts and the retry budget: whatever failed there ended a stream that the engine might have continued. All streams of an engine are silent from the same moment, so a small budget lost most.

Egress now reports the silence (Stalled) at each stall timeout and reads on. Decide takes the retry first and then sends EndStream, which ends the stream between two reads if it is still silent. No retry left: the stream stays, and each further stall timeout asks again; after 20 s, the grace that started work has, it ends as before. A retry whose stream ends otherwise is returned.

Two tests of the machine cover the budget over several streams and the bound; random histories have silences too. Ruled out: AbortStream for this, which drops a text that waits for a slow caller. Not in this commit: a slot for the retry before the end, and the stall timeouts of imports, response heads and plain services.

--- a/src/decide/action.rs
+++ b/src/decide/action.rs
@@ -89,6 +89,8 @@
   Cancel(AttemptId, Name),
   /// Abort the attempt's stream and report it as failed, because its hold may have expired.
   AbortStream(AttemptId, Name),
+  /// End the attempt's silent stream and report it as failed, unless it continues first.
+  EndStream(AttemptId, Name),
   ExtendHolds(HoldCommand),
   PollLoad(Name),
   /// List the attempts for which an engine holds memory.
--- a/src/decide/event.rs
+++ b/src/decide/event.rs
@@ -42,6 +42,8 @@
   Imported,
   /// The first chunk of the attempt's stream has arrived.
   FirstChunk,
+  /// The stream has been silent for another stall timeout. It is still read.
+  Stalled { silence_ms: u64 },
   /// The stream ended normally, and all of it was delivered.
   Finished { tokens: u64 },
   /// The endpoint rejected the command because it is full; nothing began.
--- a/src/decide/request_machine.rs
+++ b/src/decide/request_machine.rs
@@ -11,6 +11,8 @@
 
 /// Grace period after the deadline for work that may have begun.
 const STARTED_GRACE_MS: u64 = 20_000;
+/// Silence after which a stream ends although no retry is left for it.
+const MAX_SILENCE_MS: u64 = STARTED_GRACE_MS;
 const CLAIM_RETRY_AFTER_MS: u64 = 2_000;
 
 mod completion;
@@ -78,6 +80,8 @@
   offset: u64,
   began: bool,
   streaming: bool,
+  /// A retry was taken for the current attempt, whose stream is silent.
+  retry_taken: bool,
   claimed: bool,
   prefilled_tokens: u64,
   endpoint: Option<Name>,
@@ -103,6 +107,7 @@
       prefilled_ms: 0,
       prefilled_tokens: 0,
       requeue: false,
+      retry_taken: false,
       slot: None,
       streaming: false,
       tried: Vec::new(),
@@ -302,6 +307,14 @@
         context.record(EventKind::FirstChunk, attempt, "");
         Handled
       }
+      RequestEvent::Stage {
+        attempt,
+        endpoint,
+        outcome: StageOutcome::Stalled { silence_ms },
+      } if self.is_current(attempt) => {
+        self.handle_stall(context, endpoint, *silence_ms);
+        Handled
+      }
       RequestEvent::Stage {
         attempt,
         outcome: StageOutcome::Finished { .. },
--- a/src/decide/request_machine/completion.rs
+++ b/src/decide/request_machine/completion.rs
@@ -1,7 +1,7 @@
 //! Retries, outcomes, and release of the resources of an attempt.
 
 use {
-  super::{RequestMachine, State},
+  super::{MAX_SILENCE_MS, RequestMachine, State},
   crate::{
     decide::{
       Action, Began, Context, EventKind, NotRunReason, RequestOutcome, UnknownReason, Work,
@@ -29,6 +29,23 @@
     Transition(State::queued())
   }
 
+  /// A stream is silent: ends it once a retry is taken for it. Without one its engine may still continue it.
+  pub(super) fn handle_stall(&mut self, context: &mut Context, endpoint: &Name, silence_ms: u64) {
+    if self.retry_taken {
+      return;
+    }
+    let attempt = self.attempt_id(context);
+    if self.may_retry(true) && self.failures + 1 < context.tuning().max_attempts {
+      self.retry_taken = context.budget.take_retry();
+      if !self.retry_taken {
+        context.record(EventKind::RetryDenied, &attempt, "");
+      }
+    }
+    if self.retry_taken || silence_ms >= MAX_SILENCE_MS {
+      context.emit(Action::EndStream(attempt, endpoint.clone()));
+    }
+  }
+
   /// A command failed: retries the request if that is allowed, or finishes it.
   pub(super) fn handle_failure(
     &mut self,
@@ -58,7 +75,7 @@
     if self.failures >= context.tuning().max_attempts {
       return self.finish_failed(context, NotRunReason::NeverBegan, unknown_reason);
     }
-    if !context.budget.take_retry() {
+    if !std::mem::take(&mut self.retry_taken) && !context.budget.take_retry() {
       context.record(EventKind::RetryDenied, &attempt, "");
       return self.finish_failed(context, NotRunReason::RetryBudget, unknown_reason);
     }
@@ -83,6 +100,7 @@
     reason: NotRunReason,
     unknown_reason: UnknownReason,
   ) -> Outcome<State> {
+    self.return_retry(context);
     if self.began {
       return self.finish_unknown(context, unknown_reason);
     }
@@ -141,6 +159,7 @@
   }
 
   pub(super) fn finish_answered(&mut self, context: &mut Context) -> Outcome<State> {
+    self.return_retry(context);
     let attempt = self.attempt_id(context);
     if let Some(placement) = &self.placement {
       context.close_command(&attempt, &placement.decode);
@@ -153,6 +172,7 @@
   }
 
   pub(super) fn finish_abandoned(&mut self, context: &mut Context) -> Outcome<State> {
+    self.return_retry(context);
     self.abandon_attempt(context);
     if !self.began && self.attempt == 0 {
       self.release_claim(context);
@@ -192,6 +212,12 @@
     self.release_slot(context);
   }
 
+  fn return_retry(&mut self, context: &mut Context) {
+    if std::mem::take(&mut self.retry_taken) {
+      context.budget.return_retry();
+    }
+  }
+
   pub(super) fn release_slot(&mut self, context: &mut Context) {
     let Some(engine) = self.slot.take() else {
       return;
--- a/src/decide/retry_budget.rs
+++ b/src/decide/retry_budget.rs
@@ -46,4 +46,9 @@
     self.tokens -= 1.0;
     true
   }
+
+  /// Returns a retry that was taken and not used.
+  pub fn return_retry(&mut self) {
+    self.tokens = (self.tokens + 1.0).min(self.burst);
+  }
 }
--- a/src/egress/chunk_stream.rs
+++ b/src/egress/chunk_stream.rs
@@ -13,10 +13,19 @@
 
 const MAX_LINE_BYTES: usize = 64 * 1024;
 
-/// A stream of chunks, bounded in silence between reads and in line length.
+/// What a stream of chunks gave next.
+pub(super) enum Next {
+  Chunk(DecodeChunk),
+  /// Nothing for another stall timeout; the silence so far.
+  Silent(Duration),
+  End,
+}
+
+/// A stream of chunks, bounded in line length.
 pub(super) struct ChunkStream {
   body: Incoming,
   buffer: BytesMut,
+  silence: Duration,
   stall_timeout: Duration,
 }
 
@@ -25,12 +34,13 @@
     Self {
       body: response.into_body(),
       buffer: BytesMut::new(),
+      silence: Duration::ZERO,
       stall_timeout,
     }
   }
 
-  /// The next chunk, or `None` at the end of the stream.
-  pub(super) async fn next(&mut self) -> Result<Option<DecodeChunk>, CommandFailure> {
+  /// The next chunk, unless the stream is silent or at its end. Cancel safe.
+  pub(super) async fn next(&mut self) -> Result<Next, CommandFailure> {
     loop {
       if let Some(line_end) = self.buffer.iter().position(|byte| *byte == b'\n') {
         let line = self.buffer.split_to(line_end);
@@ -39,17 +49,19 @@
           continue;
         }
         return serde_json::from_slice(&line)
-          .map(Some)
+          .map(Next::Chunk)
           .map_err(|_| CommandFailure::PerhapsBegan);
       }
       if self.buffer.len() > MAX_LINE_BYTES {
         return Err(CommandFailure::PerhapsBegan);
       }
-      let frame = timeout(self.stall_timeout, self.body.frame())
-        .await
-        .map_err(|_| CommandFailure::PerhapsBegan)?;
+      let Ok(frame) = timeout(self.stall_timeout, self.body.frame()).await else {
+        self.silence += self.stall_timeout;
+        return Ok(Next::Silent(self.silence));
+      };
+      self.silence = Duration::ZERO;
       match frame {
-        None => return Ok(None),
+        None => return Ok(Next::End),
         Some(Err(_)) => return Err(CommandFailure::PerhapsBegan),
         Some(Ok(frame)) => {
           if let Ok(data) = frame.into_data() {
--- a/src/egress/response_reader.rs
+++ b/src/egress/response_reader.rs
@@ -2,8 +2,11 @@
 
 use {
   super::{
-    active_request::ActiveRequest, chunk_stream::ChunkStream, context::EgressContext,
-    endpoint_client::CommandFailure, joiner::Joined,
+    active_request::ActiveRequest,
+    chunk_stream::{ChunkStream, Next},
+    context::EgressContext,
+    endpoint_client::CommandFailure,
+    joiner::Joined,
   },
   crate::{
     chunk::{Chunk, Usage},
@@ -12,22 +15,39 @@
     ids::{AttemptId, Name},
   },
   std::sync::PoisonError,
+  tokio::sync::Notify,
 };
 
 /// Reads a decode stream until its finish marker; returns the number of completion tokens.
 ///
-/// A stream that ends before all text up to the finish marker was delivered is a failure.
+/// A stream that ends before all text up to the finish marker was delivered is a failure, and one that is ended from
+/// outside while it is silent.
 pub(super) async fn read_response(
   context: &EgressContext,
   request: &ActiveRequest,
   mut stream: ChunkStream,
   attempt: &AttemptId,
   endpoint: &Name,
+  ended: &Notify,
 ) -> Result<u64, CommandFailure> {
   let mut first = true;
   loop {
-    let Some(chunk) = stream.next().await? else {
-      return Err(CommandFailure::PerhapsBegan);
+    let next = tokio::select! {
+      biased;
+      next = stream.next() => next?,
+      () = ended.notified() => Next::End,
+    };
+    let chunk = match next {
+      Next::Chunk(chunk) => chunk,
+      Next::End => return Err(CommandFailure::PerhapsBegan),
+      Next::Silent(silence) => {
+        let silence_ms = u64::try_from(silence.as_millis()).unwrap_or(u64::MAX);
+        let outcome = StageOutcome::Stalled { silence_ms };
+        context
+          .report(attempt.clone(), endpoint.clone(), outcome)
+          .await;
+        continue;
+      }
     };
     let tokens = chunk.tokens;
     let joined = request.joiner().push(chunk);
--- a/src/egress/worker.rs
+++ b/src/egress/worker.rs
@@ -71,6 +71,8 @@
   context: Arc<EgressContext>,
   requests: HashMap<RequestId, Arc<ActiveRequest>>,
   tasks: HashMap<TaskKey, AbortHandle>,
+  /// Ends the streams that are being read.
+  streams: HashMap<TaskKey, Arc<Notify>>,
   /// Position in each engine's cache events.
   cursors: Arc<Mutex<BTreeMap<Name, u64>>>,
 }
@@ -103,6 +105,7 @@
     context: Arc::new(context),
     cursors: Arc::default(),
     requests: HashMap::new(),
+    streams: HashMap::new(),
     tasks: HashMap::new(),
   };
   let (mut payloads, mut commands) = (setup.payloads, setup.commands);
@@ -141,6 +144,7 @@
       Action::Call(command) => self.call(command),
       Action::Cancel(attempt, endpoint) => self.cancel(attempt, endpoint),
       Action::AbortStream(attempt, endpoint) => self.abort_stream(attempt, endpoint),
+      Action::EndStream(attempt, endpoint) => self.end_stream(attempt, endpoint),
       Action::ExtendHolds(command) => self.extend_holds(command),
       Action::PollLoad(endpoint) => self.poll_load(endpoint),
       Action::ListAttempts(endpoint) => self.list_attempts(endpoint),
@@ -152,6 +156,9 @@
 
   fn remove_request(&mut self, request: RequestId) {
     self.requests.remove(&request);
+    self
+      .streams
+      .retain(|key, _| key.attempt.request() != request);
     self.tasks.retain(|key, task| {
       let keep = key.attempt.request() != request && !task.is_finished();
       if key.attempt.request() == request {
@@ -283,6 +290,12 @@
       return;
     };
     active.joiner().start_attempt(&attempt);
+    let ended = Arc::new(Notify::new());
+    let key = TaskKey {
+      attempt: attempt.clone(),
+      endpoint: engine.clone(),
+    };
+    self.streams.insert(key, ended.clone());
     let context = self.context.clone();
     let (attempt_id, endpoint) = (attempt.clone(), engine.clone());
     self.spawn(attempt.clone(), engine, async move {
@@ -298,7 +311,7 @@
       let outcome = match opened {
         Ok(Ok(response)) => {
           let stream = ChunkStream::new(response, context.stall_timeout());
-          read_response(&context, &active, stream, &attempt_id, &endpoint).await
+          read_response(&context, &active, stream, &attempt_id, &endpoint, &ended).await
         }
         Ok(Err(failure)) => Err(failure),
         Err(_) => Err(CommandFailure::PerhapsBegan),
@@ -395,6 +408,12 @@
     self.spawn(attempt, endpoint, async move { outcome });
   }
 
+  fn end_stream(&mut self, attempt: AttemptId, endpoint: Name) {
+    if let Some(ended) = self.streams.remove(&TaskKey { attempt, endpoint }) {
+      ended.notify_one();
+    }
+  }
+
   fn extend_holds(&mut self, command: HoldCommand) {
     let Some(client) = self.context.client(&command.engine) else {
       return;
--- a/src/settings/types.rs
+++ b/src/settings/types.rs
@@ -106,7 +106,8 @@
   pub connections: usize,
   /// Maximum requests in progress.
   pub requests: usize,
-  /// Silence of an endpoint in the middle of a response after which the response counts as failed.
+  /// Silence of an endpoint in the middle of a response after which the response is retried if a retry is left, or counts
+  /// as failed.
   pub stall_ms: u64,
   /// Time that a stopping box still accepts requests, until the load balancer has noticed.
   pub balancer_lag_ms: u64,
--- a/tests/machine.rs
+++ b/tests/machine.rs
@@ -43,6 +43,10 @@
   /// A cancel reaches its engine; its response arrives or is lost.
   Cancel(usize, bool),
   SettleClaim(usize, u8),
+  /// A stream is silent.
+  Stall(usize),
+  /// Egress ends a silent stream.
+  EndStream(usize),
   Wait(u16),
 }
 
@@ -56,7 +60,9 @@
     6 => which.clone().prop_map(Step::Complete),
     2 => which.clone().prop_map(Step::LoseResponse),
     3 => (which.clone(), any::<bool>()).prop_map(|(which, lost)| Step::Cancel(which, lost)),
-    3 => (which, 0..3_u8).prop_map(|(which, how)| Step::SettleClaim(which, how)),
+    3 => (which.clone(), 0..3_u8).prop_map(|(which, how)| Step::SettleClaim(which, how)),
+    1 => which.clone().prop_map(Step::Stall),
+    1 => which.prop_map(Step::EndStream),
     4 => (1..400_u16).prop_map(Step::Wait),
   ]
 }
@@ -101,6 +107,7 @@
   extension_answer: ExtensionAnswer,
   extensions_sent_ms: Vec<u64>,
   pending_extensions: Vec<HoldCommand>,
+  stream_ends: Vec<(AttemptId, Name)>,
   streams_aborted_ms: Vec<u64>,
 }
 
@@ -150,6 +157,7 @@
       extensions_sent_ms: Vec::new(),
       outcomes: BTreeMap::new(),
       pending_extensions: Vec::new(),
+      stream_ends: Vec::new(),
       streams_aborted_ms: Vec::new(),
       held: BTreeSet::new(),
       machine,
@@ -223,6 +231,7 @@
       Action::PollLoad(engine) => self.report_load(engine),
       Action::ExtendHolds(command) => self.extend_holds(command),
       Action::AbortStream(..) => self.streams_aborted_ms.push(self.now_ms),
+      Action::EndStream(attempt, engine) => self.stream_ends.push((attempt, engine)),
       _ => {}
     }
   }
@@ -293,6 +302,21 @@
           self.handle(Event::ClaimSettled(request, outcome));
         }
       }
+      Step::Stall(which) => {
+        let decodes = self
+          .running
+          .iter()
+          .filter(|command| command.stage == Stage::Decode)
+          .cloned();
+        if let Some(command) = take(&mut decodes.collect::<Vec<_>>(), *which) {
+          self.stall(&command, 3_000);
+        }
+      }
+      Step::EndStream(which) => {
+        if let Some((attempt, engine)) = take(&mut self.stream_ends, *which) {
+          self.end_stream(&attempt, &engine);
+        }
+      }
       Step::Wait(wait_ms) => {
         self.now_ms += u64::from(*wait_ms);
         self.handle(Event::Tick);
@@ -371,6 +395,20 @@
     }
   }
 
+  fn stall(&mut self, command: &Command, silence_ms: u64) {
+    self.report_stage(command, StageOutcome::Stalled { silence_ms });
+  }
+
+  fn end_stream(&mut self, attempt: &AttemptId, engine: &Name) {
+    let index = self.running.iter().position(|command| {
+      command.stage == Stage::Decode && (&command.attempt, &command.engine) == (attempt, engine)
+    });
+    if let Some(index) = index {
+      let command = self.running.remove(index);
+      self.fail(&command, Began::Perhaps);
+    }
+  }
+
   fn cancel(&mut self, which: usize, lost: bool) {
     let Some((attempt, engine)) = take(&mut self.cancels, which) else {
       return;
@@ -389,11 +427,7 @@
     self.handle(Event::CancelSettled(attempt, engine, answer));
   }
 
-  fn configure_hold_ms(&mut self, hold_ms: u64) {
-    let tuning = Tuning {
-      hold_ms,
-      ..Tuning::default()
-    };
+  fn configure(&mut self, tuning: Tuning) {
     self.handle(Event::Configured(Arc::new(ConfigurationView {
       tuning,
       ..ConfigurationView::default()
@@ -401,15 +435,16 @@
   }
 
   /// Starts a request and completes its stages up to the first chunk of its stream.
-  fn start_stream(&mut self) {
+  fn start_stream(&mut self) -> Command {
     self.arrive(false);
     for _ in [Stage::Prefill, Stage::Import] {
       self.deliver(0);
-      self.complete(0);
+      self.complete(self.running.len() - 1);
     }
     self.deliver(0);
-    let decode = self.running[0].clone();
+    let decode = self.running.last().unwrap().clone();
     self.report_stage(&decode, StageOutcome::FirstChunk);
+    decode
   }
 
   fn wait_ms(&mut self, wait_ms: u64) {
@@ -559,11 +594,62 @@
 #[test]
 fn holds_are_extended_in_time_after_the_hold_time_was_raised() {
   let mut simulation = Simulation::new();
-  simulation.configure_hold_ms(2_000);
+  simulation.configure(Tuning {
+    hold_ms: 2_000,
+    ..Tuning::default()
+  });
   simulation.start_stream();
   let first_ms = simulation.wait_for_extension();
-  simulation.configure_hold_ms(60_000);
+  simulation.configure(Tuning {
+    hold_ms: 60_000,
+    ..Tuning::default()
+  });
   let second_ms = simulation.wait_for_extension();
   assert!(second_ms - first_ms < 2_000, "{} ms", second_ms - first_ms);
   assert_eq!(simulation.streams_aborted_ms, Vec::<u64>::new());
 }
+
+// Guards against more silent streams that are ended than retries are left, and against the loss of an unused retry.
+#[test]
+fn silent_streams_end_only_with_a_retry_taken_for_each() {
+  let mut simulation = Simulation::new();
+  simulation.configure(Tuning {
+    retry_burst: 1.0,
+    retry_share: 0.0,
+    ..Tuning::default()
+  });
+  let streams = [simulation.start_stream(), simulation.start_stream()];
+  let keys = streams
+    .clone()
+    .map(|stream| (stream.attempt, stream.engine));
+  for stream in &streams {
+    simulation.stall(stream, 3_000);
+  }
+  assert_eq!(simulation.stream_ends, keys[..1]);
+  assert_eq!(simulation.cancels, []);
+  // The first stream continues after all.
+  simulation.report_stage(&streams[0], StageOutcome::Finished { tokens: 10 });
+  simulation.stall(&streams[1], 6_000);
+  assert_eq!(simulation.stream_ends, keys);
+  simulation.end_stream(&keys[1].0, &keys[1].1);
+  assert_eq!(
+    simulation.in_transit.len(),
+    1,
+    "the second stream is not retried"
+  );
+}
+
+// Guards against streams that stay open for ever at an engine that extends their holds.
+#[test]
+fn stream_without_a_retry_left_ends_after_a_long_silence() {
+  let mut simulation = Simulation::new();
+  simulation.configure(Tuning {
+    max_attempts: 1,
+    ..Tuning::default()
+  });
+  let stream = simulation.start_stream();
+  simulation.stall(&stream, 19_000);
+  assert_eq!(simulation.stream_ends, []);
+  simulation.stall(&stream, 20_000);
+  assert_eq!(simulation.stream_ends, [(stream.attempt, stream.engine)]);
+}
