serve: what EndStream does to a stream that continues

The comment said that a stream which continues first is not ended. Egress reads what has arrived and ends the stream at the next pause, so that a stream which continues within the round trip to decide is moved too; its retry is already taken. Found on reading the diff.

--- a/src/decide/action.rs
+++ b/src/decide/action.rs
@@ -89,7 +89,7 @@
   Cancel(AttemptId, Name),
   /// Abort the attempt's stream and report it as failed, because its hold may have expired.
   AbortStream(AttemptId, Name),
-  /// End the attempt's silent stream and report it as failed, unless it continues first.
+  /// End the attempt's silent stream between two reads, and report it as failed.
   EndStream(AttemptId, Name),
   ExtendHolds(HoldCommand),
   PollLoad(Name),
