--- a/src/decide/action.rs
+++ b/src/decide/action.rs
@@ -50,6 +50,8 @@
   pub attempts: Vec<AttemptId>,
   /// New time to live of the holds.
   pub hold_ms: u64,
+  /// When the command was sent, on the box's clock.
+  pub sent_ms: u64,
 }
 
 /// A call to a plain service.
@@ -87,6 +89,8 @@
   Cancel(AttemptId, Name),
   /// Abort the attempt's stream and report it as failed, because its hold may have expired.
   AbortStream(AttemptId, Name),
+  /// End the attempt's silent stream between two reads, and report it as failed.
+  EndStream(AttemptId, Name),
   ExtendHolds(HoldCommand),
   PollLoad(Name),
   /// List the attempts for which an engine holds memory.
--- a/src/decide/event.rs
+++ b/src/decide/event.rs
@@ -1,7 +1,7 @@
 //! The events that [`Machine`](super::Machine) handles.
 
 use {
-  super::{Arrival, ConfigurationView, PeerMessage},
+  super::{Arrival, ConfigurationView, HoldCommand, PeerMessage},
   crate::ids::{AttemptId, Name, RequestId},
   serde::{Deserialize, Serialize},
   std::sync::Arc,
@@ -42,6 +42,8 @@
   Imported,
   /// The first chunk of the attempt's stream has arrived.
   FirstChunk,
+  /// The stream has been silent for another stall timeout. It is still read.
+  Stalled { silence_ms: u64 },
   /// The stream ended normally, and all of it was delivered.
   Finished { tokens: u64 },
   /// The endpoint rejected the command because it is full; nothing began.
@@ -144,8 +146,8 @@
   CacheReported(Name, Vec<u64>),
   /// The attempts for which an engine holds memory.
   AttemptsListed(Name, Vec<HeldAttempt>),
-  /// An engine has extended the holds on this box's attempts.
-  HoldsExtended(Name),
+  /// An engine has extended holds on this box's attempts.
+  HoldsExtended(HoldCommand),
   /// An engine did not extend the holds.
   HoldExtensionFailed(Name),
   /// A message from a peer.
--- a/src/egress/worker.rs
+++ b/src/egress/worker.rs
@@ -71,6 +71,8 @@
   context: Arc<EgressContext>,
   requests: HashMap<RequestId, Arc<ActiveRequest>>,
   tasks: HashMap<TaskKey, AbortHandle>,
+  /// Ends the streams that are being read.
+  streams: HashMap<TaskKey, Arc<Notify>>,
   /// Position in each engine's cache events.
   cursors: Arc<Mutex<BTreeMap<Name, u64>>>,
 }
@@ -103,6 +105,7 @@
     context: Arc::new(context),
     cursors: Arc::default(),
     requests: HashMap::new(),
+    streams: HashMap::new(),
     tasks: HashMap::new(),
   };
   let (mut payloads, mut commands) = (setup.payloads, setup.commands);
@@ -141,6 +144,7 @@
       Action::Call(command) => self.call(command),
       Action::Cancel(attempt, endpoint) => self.cancel(attempt, endpoint),
       Action::AbortStream(attempt, endpoint) => self.abort_stream(attempt, endpoint),
+      Action::EndStream(attempt, endpoint) => self.end_stream(attempt, endpoint),
       Action::ExtendHolds(command) => self.extend_holds(command),
       Action::PollLoad(endpoint) => self.poll_load(endpoint),
       Action::ListAttempts(endpoint) => self.list_attempts(endpoint),
@@ -152,6 +156,9 @@
 
   fn remove_request(&mut self, request: RequestId) {
     self.requests.remove(&request);
+    self
+      .streams
+      .retain(|key, _| key.attempt.request() != request);
     self.tasks.retain(|key, task| {
       let keep = key.attempt.request() != request && !task.is_finished();
       if key.attempt.request() == request {
@@ -283,6 +290,7 @@
       return;
     };
     active.joiner().start_attempt(&attempt);
+    let ended = self.add_stream(&attempt, &engine);
     let context = self.context.clone();
     let (attempt_id, endpoint) = (attempt.clone(), engine.clone());
     self.spawn(attempt.clone(), engine, async move {
@@ -298,7 +306,7 @@
       let outcome = match opened {
         Ok(Ok(response)) => {
           let stream = ChunkStream::new(response, context.stall_timeout());
-          read_response(&context, &active, stream, &attempt_id, &endpoint).await
+          read_response(&context, &active, stream, &attempt_id, &endpoint, &ended).await
         }
         Ok(Err(failure)) => Err(failure),
         Err(_) => Err(CommandFailure::PerhapsBegan),
@@ -323,6 +331,7 @@
       return;
     };
     let context = self.context.clone();
+    let ended = self.add_stream(&attempt, &endpoint);
     let (attempt_id, endpoint_name) = (attempt.clone(), endpoint.clone());
     self.spawn(attempt, endpoint, async move {
       let Body::Call {
@@ -340,17 +349,18 @@
         headers,
         method,
         path,
+        stall_timeout: context.stall_timeout(),
       };
-      let on_head = || {
+      let on_progress = |outcome| {
         let report = StageReport {
           attempt: attempt_id.clone(),
           endpoint: endpoint_name.clone(),
-          outcome: StageOutcome::FirstChunk,
+          outcome,
         };
         context.to_decide.push(Event::Stage(report)).ok();
       };
       tokio::select! {
-        outcome = call_service(&client, &active.payload, service_call, context.stall_timeout(), on_head) => outcome,
+        outcome = call_service(&client, &active.payload, service_call, &ended, on_progress) => outcome,
         () = active.payload.chunks.closed() => StageOutcome::Failed {
           began: Began::Perhaps,
           offset: 0,
@@ -395,21 +405,36 @@
     self.spawn(attempt, endpoint, async move { outcome });
   }
 
+  /// Registers a stream; the result ends it.
+  fn add_stream(&mut self, attempt: &AttemptId, endpoint: &Name) -> Arc<Notify> {
+    let ended = Arc::new(Notify::new());
+    let key = TaskKey {
+      attempt: attempt.clone(),
+      endpoint: endpoint.clone(),
+    };
+    self.streams.insert(key, ended.clone());
+    ended
+  }
+
+  fn end_stream(&mut self, attempt: AttemptId, endpoint: Name) {
+    if let Some(ended) = self.streams.remove(&TaskKey { attempt, endpoint }) {
+      ended.notify_one();
+    }
+  }
+
   fn extend_holds(&mut self, command: HoldCommand) {
-    let HoldCommand {
-      engine: endpoint,
-      attempts,
-      hold_ms,
-    } = command;
-    let Some(client) = self.context.client(&endpoint) else {
+    let Some(client) = self.context.client(&command.engine) else {
       return;
     };
     let context = self.context.clone();
     tokio::spawn(async move {
-      let request = HoldsRequest { attempts, hold_ms };
+      let request = HoldsRequest {
+        attempts: command.attempts.clone(),
+        hold_ms: command.hold_ms,
+      };
       let event = match client.extend_holds(&request).await {
-        Some(_) => Event::HoldsExtended(endpoint),
-        None => Event::HoldExtensionFailed(endpoint),
+        Some(_) => Event::HoldsExtended(command),
+        None => Event::HoldExtensionFailed(command.engine),
       };
       context.to_decide.send(event).await;
     });
--- a/tests/machine.rs
+++ b/tests/machine.rs
@@ -10,11 +10,12 @@
   rillford::{
     decide::{
       Action, Arrival, Began, CancelAnswer, ClaimOutcome, ConfigurationView, EndpointKind,
-      EndpointSpec, Event, Identity, LoadReport, Machine, ModelWork, RequestOutcome, Role, Setup,
-      StageOutcome, StageReport, Work,
+      EndpointSpec, Event, HoldCommand, Identity, LoadReport, Machine, ModelWork, RequestOutcome,
+      Role, Setup, StageOutcome, StageReport, Tuning, Work,
     },
     ids::{AttemptId, Name, RequestId},
   },
+  rstest::rstest,
   std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
@@ -42,6 +43,10 @@
   /// A cancel reaches its engine; its response arrives or is lost.
   Cancel(usize, bool),
   SettleClaim(usize, u8),
+  /// A stream is silent.
+  Stall(usize),
+  /// Egress ends a silent stream.
+  EndStream(usize),
   Wait(u16),
 }
 
@@ -55,7 +60,9 @@
     6 => which.clone().prop_map(Step::Complete),
     2 => which.clone().prop_map(Step::LoseResponse),
     3 => (which.clone(), any::<bool>()).prop_map(|(which, lost)| Step::Cancel(which, lost)),
-    3 => (which, 0..3_u8).prop_map(|(which, how)| Step::SettleClaim(which, how)),
+    3 => (which.clone(), 0..3_u8).prop_map(|(which, how)| Step::SettleClaim(which, how)),
+    1 => which.clone().prop_map(Step::Stall),
+    1 => which.prop_map(Step::EndStream),
     4 => (1..400_u16).prop_map(Step::Wait),
   ]
 }
@@ -74,6 +81,15 @@
   stage: Stage,
 }
 
+/// How engines answer extensions of holds.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ExtensionAnswer {
+  Acknowledged,
+  Failed,
+  /// No answer yet.
+  Pending,
+}
+
 /// A box with its commands in transit, and engines that follow the rules of `model::attempts`.
 struct Simulation {
   machine: Machine,
@@ -88,6 +104,11 @@
   began: BTreeMap<u64, u64>,
   not_repeatable: BTreeSet<u64>,
   outcomes: BTreeMap<u64, Vec<RequestOutcome>>,
+  extension_answer: ExtensionAnswer,
+  extensions_sent_ms: Vec<u64>,
+  pending_extensions: Vec<HoldCommand>,
+  stream_ends: Vec<(AttemptId, Name)>,
+  streams_aborted_ms: Vec<u64>,
 }
 
 fn engine(name: &str, role: Role) -> EndpointSpec {
@@ -132,7 +153,12 @@
       began: BTreeMap::new(),
       cancels: Vec::new(),
       claims: Vec::new(),
+      extension_answer: ExtensionAnswer::Acknowledged,
+      extensions_sent_ms: Vec::new(),
       outcomes: BTreeMap::new(),
+      pending_extensions: Vec::new(),
+      stream_ends: Vec::new(),
+      streams_aborted_ms: Vec::new(),
       held: BTreeSet::new(),
       machine,
       not_repeatable: BTreeSet::new(),
@@ -203,7 +229,9 @@
         self.outcomes.entry(request.0).or_default().push(outcome);
       }
       Action::PollLoad(engine) => self.report_load(engine),
-      Action::ExtendHolds(command) => self.extend_holds(command.engine),
+      Action::ExtendHolds(command) => self.extend_holds(command),
+      Action::AbortStream(..) => self.streams_aborted_ms.push(self.now_ms),
+      Action::EndStream(attempt, engine) => self.stream_ends.push((attempt, engine)),
       _ => {}
     }
   }
@@ -212,8 +240,17 @@
     self.report(&[engine]);
   }
 
-  fn extend_holds(&mut self, engine: Name) {
-    self.handle(Event::HoldsExtended(engine));
+  fn extend_holds(&mut self, command: HoldCommand) {
+    self.extensions_sent_ms.push(self.now_ms);
+    match self.extension_answer {
+      ExtensionAnswer::Acknowledged => self.acknowledge(command),
+      ExtensionAnswer::Failed => self.handle(Event::HoldExtensionFailed(command.engine)),
+      ExtensionAnswer::Pending => self.pending_extensions.push(command),
+    }
+  }
+
+  fn acknowledge(&mut self, command: HoldCommand) {
+    self.handle(Event::HoldsExtended(command));
   }
 
   fn report_stage(&mut self, command: &Command, outcome: StageOutcome) {
@@ -265,6 +302,21 @@
           self.handle(Event::ClaimSettled(request, outcome));
         }
       }
+      Step::Stall(which) => {
+        let decodes = self
+          .running
+          .iter()
+          .filter(|command| command.stage == Stage::Decode)
+          .cloned();
+        if let Some(command) = take(&mut decodes.collect::<Vec<_>>(), *which) {
+          self.stall(&command, 3_000);
+        }
+      }
+      Step::EndStream(which) => {
+        if let Some((attempt, engine)) = take(&mut self.stream_ends, *which) {
+          self.end_stream(&attempt, &engine);
+        }
+      }
       Step::Wait(wait_ms) => {
         self.now_ms += u64::from(*wait_ms);
         self.handle(Event::Tick);
@@ -343,6 +395,20 @@
     }
   }
 
+  fn stall(&mut self, command: &Command, silence_ms: u64) {
+    self.report_stage(command, StageOutcome::Stalled { silence_ms });
+  }
+
+  fn end_stream(&mut self, attempt: &AttemptId, engine: &Name) {
+    let index = self.running.iter().position(|command| {
+      command.stage == Stage::Decode && (&command.attempt, &command.engine) == (attempt, engine)
+    });
+    if let Some(index) = index {
+      let command = self.running.remove(index);
+      self.fail(&command, Began::Perhaps);
+    }
+  }
+
   fn cancel(&mut self, which: usize, lost: bool) {
     let Some((attempt, engine)) = take(&mut self.cancels, which) else {
       return;
@@ -361,6 +427,44 @@
     self.handle(Event::CancelSettled(attempt, engine, answer));
   }
 
+  fn configure(&mut self, tuning: Tuning) {
+    self.handle(Event::Configured(Arc::new(ConfigurationView {
+      tuning,
+      ..ConfigurationView::default()
+    })));
+  }
+
+  /// Starts a request and completes its stages up to the first chunk of its stream.
+  fn start_stream(&mut self) -> Command {
+    self.arrive(false);
+    for _ in [Stage::Prefill, Stage::Import] {
+      self.deliver(0);
+      self.complete(self.running.len() - 1);
+    }
+    self.deliver(0);
+    let decode = self.running.last().unwrap().clone();
+    self.report_stage(&decode, StageOutcome::FirstChunk);
+    decode
+  }
+
+  fn wait_ms(&mut self, wait_ms: u64) {
+    for _ in 0..wait_ms / 10 {
+      self.apply(&Step::Wait(10));
+    }
+  }
+
+  /// Waits until another extension of holds is sent; returns when that was.
+  fn wait_for_extension(&mut self) -> u64 {
+    let sent = self.extensions_sent_ms.len();
+    for _ in 0..hold_ms() {
+      if let Some(sent_ms) = self.extensions_sent_ms.get(sent) {
+        return *sent_ms;
+      }
+      self.wait_ms(10);
+    }
+    panic!("no extension was sent");
+  }
+
   /// Lets all work end: callers disconnect, commands arrive, cancels are acknowledged, time passes.
   fn settle(&mut self) {
     for request in 0..self.requests {
@@ -399,6 +503,10 @@
   }
 }
 
+fn hold_ms() -> u64 {
+  Tuning::default().hold_ms
+}
+
 fn take<T>(items: &mut Vec<T>, which: usize) -> Option<T> {
   if items.is_empty() {
     return None;
@@ -437,3 +545,111 @@
     panic!("{error}");
   }
 }
+
+// Guards against the abort of all streams at an engine after one second without an extension of their holds.
+#[rstest]
+#[case::failed(ExtensionAnswer::Failed)]
+#[case::unanswered(ExtensionAnswer::Pending)]
+fn streams_continue_after_a_missed_hold_extension(#[case] missed: ExtensionAnswer) {
+  let mut simulation = Simulation::new();
+  simulation.start_stream();
+  simulation.wait_for_extension();
+  simulation.extension_answer = missed;
+  simulation.wait_for_extension();
+  simulation.wait_ms(1_000);
+  simulation.extension_answer = ExtensionAnswer::Acknowledged;
+  simulation.wait_ms(3 * hold_ms());
+  assert_eq!(simulation.streams_aborted_ms, Vec::<u64>::new());
+}
+
+// Guards against the abort of a stream long before its hold ends, and against one that continues after that.
+#[rstest]
+#[case::never_acknowledged(None)]
+#[case::acknowledged_at_once(Some(0))]
+#[case::acknowledged_late(Some(1_500))]
+fn stream_is_aborted_shortly_before_its_hold_ends(#[case] acknowledged_after_ms: Option<u64>) {
+  for start_ms in (0..hold_ms()).step_by(270) {
+    let mut simulation = Simulation::new();
+    simulation.wait_ms(start_ms);
+    simulation.start_stream();
+    let mut hold_start_ms = simulation.now_ms;
+    simulation.extension_answer = ExtensionAnswer::Pending;
+    if let Some(after_ms) = acknowledged_after_ms {
+      hold_start_ms = simulation.wait_for_extension();
+      simulation.wait_ms(after_ms);
+      let command = simulation.pending_extensions.remove(0);
+      simulation.acknowledge(command);
+    }
+    simulation.wait_ms(2 * hold_ms());
+    let aborted = simulation.streams_aborted_ms.first();
+    let left_ms = aborted.map(|aborted_ms| (hold_start_ms + hold_ms()).checked_sub(*aborted_ms));
+    assert!(
+      matches!(left_ms, Some(Some(left_ms)) if left_ms > 0 && left_ms <= hold_ms() / 5),
+      "started after {start_ms} ms: {left_ms:?} ms left"
+    );
+  }
+}
+
+// Guards against holds that end before their extension because a longer hold time was configured meanwhile.
+#[test]
+fn holds_are_extended_in_time_after_the_hold_time_was_raised() {
+  let mut simulation = Simulation::new();
+  simulation.configure(Tuning {
+    hold_ms: 2_000,
+    ..Tuning::default()
+  });
+  simulation.start_stream();
+  let first_ms = simulation.wait_for_extension();
+  simulation.configure(Tuning {
+    hold_ms: 60_000,
+    ..Tuning::default()
+  });
+  let second_ms = simulation.wait_for_extension();
+  assert!(second_ms - first_ms < 2_000, "{} ms", second_ms - first_ms);
+  assert_eq!(simulation.streams_aborted_ms, Vec::<u64>::new());
+}
+
+// Guards against more silent streams that are ended than retries are left, and against the loss of an unused retry.
+#[test]
+fn silent_streams_end_only_with_a_retry_taken_for_each() {
+  let mut simulation = Simulation::new();
+  simulation.configure(Tuning {
+    retry_burst: 1.0,
+    retry_share: 0.0,
+    ..Tuning::default()
+  });
+  let streams = [simulation.start_stream(), simulation.start_stream()];
+  let keys = streams
+    .clone()
+    .map(|stream| (stream.attempt, stream.engine));
+  for stream in &streams {
+    simulation.stall(stream, 3_000);
+  }
+  assert_eq!(simulation.stream_ends, keys[..1]);
+  assert_eq!(simulation.cancels, []);
+  // The first stream continues after all.
+  simulation.report_stage(&streams[0], StageOutcome::Finished { tokens: 10 });
+  simulation.stall(&streams[1], 6_000);
+  assert_eq!(simulation.stream_ends, keys);
+  simulation.end_stream(&keys[1].0, &keys[1].1);
+  assert_eq!(
+    simulation.in_transit.len(),
+    1,
+    "the second stream is not retried"
+  );
+}
+
+// Guards against streams that stay open for ever at an engine that extends their holds.
+#[test]
+fn stream_without_a_retry_left_ends_after_a_long_silence() {
+  let mut simulation = Simulation::new();
+  simulation.configure(Tuning {
+    max_attempts: 1,
+    ..Tuning::default()
+  });
+  let stream = simulation.start_stream();
+  simulation.stall(&stream, 19_000);
+  assert_eq!(simulation.stream_ends, []);
+  simulation.stall(&stream, 20_000);
+  assert_eq!(simulation.stream_ends, [(stream.attempt, stream.engine)]);
+}
