--- a/tests/gateway/leaving.rs
+++ b/tests/gateway/leaving.rs
@@ -167,3 +167,25 @@
   let is_second = |seen: &&ReceivedRequest| seen.id() == "r2";
   assert_eq!(prefill.requests().iter().filter(is_second).count(), 1);
 }
+
+/// Guards against a box that hangs in its stop while it carries a stream, until it is killed.
+#[tokio::test]
+async fn box_that_stops_during_a_long_stream_ends_by_itself() {
+  let beginning = "id: 1\ndata: a\n\n";
+  let prefill = EndpointStandIn::engine(beginning).await;
+  let decode = EndpointStandIn::start(move |seen| match seen.path.as_str() {
+    "/stream/a" => Reply::Write(Reply::stream_part(seen, beginning)),
+    _ => engine_reply(seen, beginning),
+  })
+  .await;
+  let test = GatewayTest::new().await.configure(|configuration| {
+    configuration["routes"][2]["timeoutMs"] = 120_000.into();
+  });
+  let mut gateway = test.with_engines(&prefill, &decode).await;
+  let pending = gateway.ask_in_background("/stream/a", "r1");
+  assert!(eventually(TIMEOUT, async || decode.requests().len() == 1).await);
+  gateway.signal(libc::SIGTERM);
+  let has_ended = async || gateway.process.try_wait().unwrap().is_some();
+  assert!(eventually(TIMEOUT, has_ended).await);
+  drop(pending);
+}
