A taken over stage is recorded once; the retry's test sees a late charge

A stage whose engine failed during its takeover was examined twice (E528, and the count of lost endpoints). The test of the retry budget let the mutant that charges the retry after the slot pass: the first stream had its retry before the others were silent.

--- a/src/gateway/requests/event_relay.rs
+++ b/src/gateway/requests/event_relay.rs
@@ -11,9 +11,7 @@
   crate::gateway::{
     decisions::{AttemptOutcome, UnreadTime},
     edge::SoftwareVersion,
-    quarantine::{
-      LostStage, is_past_beginning, record_lost_stage, record_sound_segments, record_success,
-    },
+    quarantine::{is_past_beginning, record_lost_stage, record_sound_segments, record_success},
     resumption::record_stream,
     stages::{ResponseHead, RoutedRequest, StageError},
     state::{Gateway, UnreadCause},
@@ -184,7 +182,7 @@
         Some(frame) => frame.is_err(),
         None => is_incomplete,
       },
-      silent: lost.clone(),
+      silent: lost,
     };
     let race = self.stream.race_takeover(head.body.frame(), takeover);
     let left = Duration::from_millis(remaining_ms - silent_ms);
@@ -192,7 +190,7 @@
       Ok(Race::Current(frame) | Race::Failed(frame)) => self.push_frame(frame),
       Ok(Race::TakenOver(head, _)) => {
         self.stream.log_taken_over(&engine, &head);
-        self.replace_head(*head, lost).await;
+        self.replace_head(*head);
         Ok(true)
       }
       Ok(Race::Stays) => Ok(true),
@@ -201,15 +199,15 @@
   }
 
   /// Goes on with the response of another engine, after the last complete event; the connection to the former one is closed.
-  async fn replace_head(&mut self, head: ResponseHead, lost: LostStage) {
+  fn replace_head(&mut self, head: ResponseHead) {
     let former = self.head.replace(head);
     self.splitter = EventSplitter::default();
     self.answering_since_ms = None;
     self.is_overdue = false;
     self.unread = UnreadTime::default();
+    let interrupted = former.as_ref().map(|former| former.entry.version.clone());
     drop(former);
-    self.record_resumed(&lost.entry.version);
-    record_lost_stage(&self.stream.gateway, &self.stream.request, lost).await;
+    self.record_resumed(&interrupted.unwrap_or_default());
   }
 
   /// Records that another endpoint goes on with the stream, which `version` of its software had begun.
--- a/src/gateway/requests/stream_send.rs
+++ b/src/gateway/requests/stream_send.rs
@@ -136,8 +136,8 @@
       self.log_silence(&entry.id, SILENCE_TIMEOUT_MS);
       let lost = self.lost_stage(entry, sent_ms, None, "no response in time".into());
       let takeover = Takeover {
-        has_failed: is_useless,
-        silent: lost.clone(),
+        has_failed: is_unusable,
+        silent: lost,
       };
       match self.race_takeover(sending.as_mut(), takeover).await {
         Race::Current(result) => {
@@ -148,9 +148,10 @@
         Race::Failed(result) => return Sent::Responded(result),
         Race::TakenOver(head, failed) => {
           self.log_taken_over(&entry.id, &head);
-          let error = failed.and_then(Result::err);
-          record_lost_stage(&gateway, &request, lost).await;
-          return Sent::TakenOver { error, head: *head };
+          return Sent::TakenOver {
+            error: failed.and_then(Result::err),
+            head: *head,
+          };
         }
         Race::Stays => {}
       }
@@ -244,7 +245,7 @@
 }
 
 /// Whether another endpoint may still do better than a response: it is an error, or lacks its receipt.
-fn is_useless(response: &Result<ResponseHead, StageError>) -> bool {
+fn is_unusable(response: &Result<ResponseHead, StageError>) -> bool {
   response.as_ref().map_or(true, |head| {
     head.status.is_server_error() || head.status.is_success() && !head.attributes.has_receipt
   })
--- a/src/gateway/requests/takeover.rs
+++ b/src/gateway/requests/takeover.rs
@@ -61,7 +61,7 @@
 
 impl StreamRequest {
   /// Runs a takeover beside the `current` attempt until one of them has a result. A current attempt that fails does not end the
-  /// takeover.
+  /// takeover. The silent engine's stage is recorded as lost when it fails or is taken over.
   pub(super) async fn race_takeover<T>(
     &mut self,
     mut current: impl Future<Output = T> + Unpin,
@@ -86,7 +86,10 @@
         }
       }
       taken = &mut taking_over => match taken {
-        Ok(head) => Ok(Race::TakenOver(head, None)),
+        Ok(head) => {
+          record_lost_stage(&gateway, &request, stage).await;
+          Ok(Race::TakenOver(head, None))
+        }
         Err(reason) => Err((Race::Stays, reason)),
       },
     };
--- a/tests/gateway/streams.rs
+++ b/tests/gateway/streams.rs
@@ -251,10 +251,14 @@
 #[tokio::test]
 async fn paused_streams_beyond_the_retry_budget_continue() {
   let prefill = EndpointStandIn::engine(EVENTS).await;
-  let paused = EndpointStandIn::start(|seen| pausing(seen, Duration::from_millis(1_900))).await;
-  let other = EndpointStandIn::start(|seen| match seen.header("last-event-id") {
-    "2" => Reply::stream(seen, "id: 3\ndata: c\n\n"),
-    _ => engine_reply(seen, EVENTS),
+  let paused = EndpointStandIn::start(|seen| pausing(seen, Duration::from_millis(2_900))).await;
+  // Slots are granted slowly: all streams are silent before the first one has its slot.
+  let other = EndpointStandIn::start(|seen| match engine_reply(seen, EVENTS) {
+    Reply::Write(text) if seen.path == "/hold-take" => {
+      Reply::WriteLater(Duration::from_millis(100), text)
+    }
+    _ if seen.header("last-event-id") == "2" => Reply::stream(seen, "id: 3\ndata: c\n\n"),
+    reply => reply,
   })
   .await;
   let mut test = GatewayTest::new().await;
