--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -345,7 +345,7 @@
     match (kind, is_prefill) {
       (EndpointKind::Plain, _) => self.run_plain(&id, headers, fault).await,
       (EndpointKind::Prefill, true) => self.run_prefill(&id, fault).await,
-      (EndpointKind::Decode, false) => self.run_stream(&id, headers, fault).await,
+      (EndpointKind::Decode, false) => self.run_stream(&id, headers).await,
       (EndpointKind::Prefill, false) | (EndpointKind::Decode, true) => {
         Ok(not_run(headers, StatusCode::MISDIRECTED_REQUEST))
       }
@@ -415,7 +415,6 @@
     self: Arc<Self>,
     id: &str,
     headers: &HeaderMap,
-    fault: Option<EndpointFault>,
   ) -> io::Result<Response<ReplyBody>> {
     if let Some(source) = header(headers, "x-kv-source") {
       match self.exports.take(&without_host(source)) {
@@ -433,6 +432,8 @@
       return Ok(not_run(headers, StatusCode::SERVICE_UNAVAILABLE));
     };
     let run = self.begin_run(id, headers);
+    // A fault that ended during the prefill does not act on the run.
+    let fault = self.state().fault;
     self.apply_fault(id, fault).await?;
     if fault == Some(EndpointFault::Fails) {
       return Ok(self.response(id, StatusCode::INTERNAL_SERVER_ERROR, full_body("failed")));
