--- a/tests/gateway/leaving.rs
+++ b/tests/gateway/leaving.rs
@@ -5,6 +5,7 @@
   emulator::eventually,
   http::StatusCode,
   std::time::Duration,
+  tokio::time::timeout,
 };
 
 #[tokio::test]
@@ -182,10 +183,14 @@
     configuration["routes"][2]["timeoutMs"] = 120_000.into();
   });
   let mut gateway = test.with_engines(&prefill, &decode).await;
-  let pending = gateway.ask_in_background("/stream/a", "r1");
-  assert!(eventually(TIMEOUT, async || decode.requests().len() == 1).await);
-  gateway.signal(libc::SIGTERM);
+  let stop = async {
+    assert!(eventually(TIMEOUT, async || decode.requests().len() == 1).await);
+    gateway.signal(libc::SIGTERM);
+  };
+  let both = async { tokio::join!(gateway.ask("/stream/a", "r1"), stop) };
+  // The caller reads until the box ends.
+  let (response, ()) = timeout(TIMEOUT, both).await.unwrap();
+  assert!(response.body.is_err());
   let has_ended = async || gateway.process.try_wait().unwrap().is_some();
   assert!(eventually(TIMEOUT, has_ended).await);
-  drop(pending);
 }
