--- a/soak/src/link.rs
+++ b/soak/src/link.rs
@@ -1,6 +1,11 @@
 //! A loopback TCP proxy in front of one listener, at which connections are delayed, blocked in one or both directions, or
 //! reset.
 
+#![expect(
+  clippy::disallowed_methods,
+  reason = "no guard is held across an await"
+)]
+
 use {
   super::fault::{EndpointsCut, LinkFault},
   socket2::{Domain, SockRef, Socket, Type},
--- a/src/gateway/requests/frontend.rs
+++ b/src/gateway/requests/frontend.rs
@@ -2,11 +2,14 @@
 
 use {
   super::{response::ResponseBody, routing::route_request, serving::serve_here_or_forward},
-  crate::gateway::{
-    connections::{
-      StallTimeout, Stalled, accept, set_send_buffer, set_socket_options, set_user_timeout,
+  crate::{
+    gateway::{
+      connections::{
+        StallTimeout, Stalled, accept, set_send_buffer, set_socket_options, set_user_timeout,
+      },
+      state::{Gateway, InFlight, Phase},
     },
-    state::{Gateway, InFlight, Phase},
+    wait_until,
   },
   http::{HeaderValue, Request, Response, header::CONNECTION},
   hyper::{body::Incoming, server::conn::http1, service::service_fn},
@@ -48,10 +51,9 @@
   }
 }
 
-/// Waits until the box has reached a phase. Releases the channel's lock, which the box needs to enter the next phase.
+/// Waits until the box has reached a phase.
 async fn reach(phase: &mut Receiver<Phase>, target: Phase) {
-  // An error means that the box has ended.
-  let _ = phase.wait_for(|phase| *phase >= target).await;
+  wait_until(phase, |phase| *phase >= target).await;
 }
 
 /// Serves one connection until it is closed; an idle one is closed when the box shuts down.
--- a/src/gateway/state/change_log.rs
+++ b/src/gateway/state/change_log.rs
@@ -1,7 +1,10 @@
 //! The latest changes of the store, for the followers of this box.
 
 use {
-  crate::gateway::edge::{StoreChanges, StoreItem},
+  crate::{
+    gateway::edge::{StoreChanges, StoreItem},
+    wait_until,
+  },
   std::{cell::RefCell, collections::VecDeque},
   tokio::sync::watch,
 };
@@ -93,9 +96,9 @@
   /// Waits for a change after a revision, or until the log no longer reaches back to it.
   pub async fn wait_after(&self, revision: u64) {
     let mut range = self.range.subscribe();
-    // Fails only when the sender is dropped, and `self` owns it.
-    let _ = range
-      .wait_for(|range| range.latest > revision || revision < range.complete_after)
-      .await;
+    wait_until(&mut range, |range| {
+      range.latest > revision || revision < range.complete_after
+    })
+    .await;
   }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 mod run;
 mod serve;
 mod subcommand;
+mod wait_until;
 
 pub mod configuration;
 pub mod decide;
@@ -37,4 +38,5 @@
   http_client::{CallError, HttpClient},
   retry_after::{InvalidRetryAfter, retry_after_ms},
   run::{RunGateway, run},
+  wait_until::wait_until,
 };
--- a/stand_ins/src/platform_store.rs
+++ b/stand_ins/src/platform_store.rs
@@ -169,6 +169,10 @@
   }
 
   /// Waits for a revision after `after`, until the timeout, or until the store is down.
+  #[expect(
+    clippy::disallowed_methods,
+    reason = "no guard is held across an await"
+  )]
   pub(crate) async fn wait_for_revision_after(&self, after: u64, wait: Duration) {
     let mut changed = self.changed.subscribe();
     // After a timeout the response has no events.
