E567: on what the assumed origin of a resumed stream rests

A caller's resumption of unknown origin went on at the only version known without a line, so that the log of a stream of two versions (review/2) could not tell whether boxes lagged, or had just started and known nothing. E567 names the version, how many boxes answered and for how long this one has been running; E559 has the last too.

--- a/src/gateway/resumption/lookup.rs
+++ b/src/gateway/resumption/lookup.rs
@@ -83,6 +83,7 @@
     None if own == RecordedOrigin::Unknown && answers.versions.len() <= 1 => {
       if let Some(version) = only_version(gateway, &answers) {
         gateway.counters.origins_only.inc();
+        log_only_version(gateway, request, &version, &answers);
         return Some(StreamOrigin {
           service: request.service.clone(),
           version,
@@ -124,6 +125,22 @@
   }
 }
 
+fn log_only_version(
+  gateway: &Gateway,
+  request: &RoutedRequest,
+  version: &SoftwareVersion,
+  answers: &Answers,
+) {
+  log::info!(
+    "E567 origin assumed: {} goes on at {} version {version}, the only one known; {} of {} boxes answered, running for {} ms",
+    request.id(),
+    request.service,
+    answers.answered,
+    answers.asked,
+    gateway.now_ms()
+  );
+}
+
 fn log_unknown(gateway: &Gateway, request: &RoutedRequest, own: RecordedOrigin, answers: &Answers) {
   let mut versions = String::new();
   for version in &answers.versions {
@@ -131,12 +148,13 @@
     let _ = write!(versions, " {version}");
   }
   log::info!(
-    "E559 origin unknown: {} of {}, own record {own:?}, {} of {} boxes answered, versions:{versions}, store contact current: {}",
+    "E559 origin unknown: {} of {}, own record {own:?}, {} of {} boxes answered, versions:{versions}, store contact current: {}, running for {} ms",
     request.id(),
     request.service,
     answers.answered,
     answers.asked,
-    gateway.is_current()
+    gateway.is_current(),
+    gateway.now_ms()
   );
 }
 
