Versions of a service outlive all boxes, as records in the store

Cause: the versions that served lately were known to the boxes' memory alone. A box that has just started, and those that answer it, took the only listed version for the one that began the stream.

Change: each listed version of a service with streams has a record in the store, without a lease and without a time; a box counts a recorded version as known from its first listing on, for as long as a stream may be resumed, and the record goes once the version has been unlisted for that long. One box in the rendezvous order writes, the next ones after it. Followers of an older build get no such changes.

Why it works: a record is there half a second after the version is listed and outlives its streams; virtual time shows it for one kill and for two in a row, at each quarter second of a release.

Times in the records: clocks differ.

--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -57,6 +57,7 @@
 mod retry_window;
 mod return_schedule;
 mod role_plan;
+mod service_version;
 mod service_versions;
 mod slot_forecast;
 mod slot_queue;
@@ -70,6 +71,7 @@
 mod unread_time;
 mod usage_table;
 mod usage_verdict;
+mod version_records;
 
 pub use self::{
   advertised_limits::{AdvertisedLimit, AdvertisedLimits, LimitChange, LimitSource},
@@ -118,6 +120,7 @@
   retry_window::{RetryAllowance, RetryUsage, RetryWindow},
   return_schedule::{ReturnSchedule, ReturningCaller},
   role_plan::{RolePlan, plan_roles},
+  service_version::ServiceVersion,
   service_versions::ServiceVersions,
   slot_forecast::SlotForecast,
   slot_queue::{QueuePosition, SlotQueue, SlotUrgency},
@@ -131,6 +134,7 @@
   unread_time::UnreadTime,
   usage_table::{RankedVerdict, ReportScope, UsageTable, UsageTotals},
   usage_verdict::UsageVerdict,
+  version_records::{RecordChange, VersionRecords},
 };
 
 pub(crate) use self::{
--- a/src/gateway/decisions/service_versions.rs
+++ b/src/gateway/decisions/service_versions.rs
@@ -1,6 +1,7 @@
 //! The software versions that each service's endpoints have, or had until recently. Free of I/O.
 
 use {
+  super::service_version::ServiceVersion,
   crate::{gateway::edge::SoftwareVersion, ids::Name},
   std::collections::{BTreeMap, BTreeSet, HashMap},
 };
@@ -50,7 +51,7 @@
     }
   }
 
-  /// Another box reports a version, which may not be listed here yet.
+  /// Another box or the store reports a version, which may not be listed here.
   pub fn report(&mut self, service: &Name, version: &SoftwareVersion) {
     self.state(service, version).last_seen_ms = None;
   }
@@ -74,6 +75,23 @@
     self.services.retain(|_, versions| !versions.is_empty());
   }
 
+  /// The listed versions of all services.
+  pub fn all_listed(&self) -> impl Iterator<Item = ServiceVersion> {
+    self.services.iter().flat_map(|(service, versions)| {
+      let listed = versions.iter().filter(|(_, state)| state.endpoints > 0);
+      listed.map(|(version, _)| ServiceVersion {
+        service: service.clone(),
+        version: version.clone(),
+      })
+    })
+  }
+
+  /// Whether a version of a service counts.
+  pub fn knows(&self, service: &str, version: &SoftwareVersion) -> bool {
+    let versions = self.services.get(service);
+    versions.is_some_and(|versions| versions.contains_key(version))
+  }
+
   /// The versions of a service.
   pub fn of(&self, service: &str) -> BTreeSet<SoftwareVersion> {
     let versions = self.services.get(service);
--- a/src/gateway/edge/route_table.rs
+++ b/src/gateway/edge/route_table.rs
@@ -256,6 +256,12 @@
       .find(|region| !is_region(region))
   }
 
+  /// Whether streams are sent to a service.
+  pub fn streams_from(&self, service: &str) -> bool {
+    let mut routes = self.by_host.values().flatten();
+    routes.any(|route| route.kind.is_stream() && route.leads_to(service))
+  }
+
   /// Whether the operator ranks the callers of a service: its stream routes differ in priority.
   ///
   /// ```
--- a/src/gateway/edge/software_version.rs
+++ b/src/gateway/edge/software_version.rs
@@ -22,6 +22,17 @@
   pub fn new(text: &str) -> Self {
     Self(Some(text.into()))
   }
+
+  /// The listed text.
+  ///
+  /// ```
+  /// use rillford::gateway::SoftwareVersion;
+  /// assert_eq!(SoftwareVersion::new("v1").text(), Some("v1"));
+  /// assert_eq!(SoftwareVersion::default().text(), None);
+  /// ```
+  pub fn text(&self) -> Option<&str> {
+    self.0.as_deref()
+  }
 }
 
 impl Display for SoftwareVersion {
--- a/src/gateway/edge/store.rs
+++ b/src/gateway/edge/store.rs
@@ -27,6 +27,8 @@
   Quarantine(Name),
   /// A drained data hall: it is drained while the key exists, whatever the value.
   HallDrain(Name),
+  /// A recorded version of a service, by the last component of its key. Boxes of older builds can't decode it.
+  Version(Name),
 }
 
 /// A write or removal of one item.
@@ -74,6 +76,24 @@
   HistoryLost,
 }
 
+impl StoreChanges {
+  /// Removes the changes of recorded versions.
+  ///
+  /// ```
+  /// use rillford::gateway::{StoreChanges, StoreItem, StoreKey};
+  /// let item = |key| StoreItem { key, revision: 7, value: None };
+  /// let (version, leader) = (item(StoreKey::Version("4f".into())), item(StoreKey::RoleLeader));
+  /// let mut changes = StoreChanges::Some { items: vec![version, leader.clone()], revision: 7 };
+  /// changes.remove_versions();
+  /// assert_eq!(changes, StoreChanges::Some { items: vec![leader], revision: 7 });
+  /// ```
+  pub fn remove_versions(&mut self) {
+    if let Self::Some { items, .. } = self {
+      items.retain(|item| !matches!(item.key, StoreKey::Version(_)));
+    }
+  }
+}
+
 /// The box that leads the assignment of engine roles.
 #[derive(Clone, Eq, PartialEq)]
 pub struct RoleLeadership {
@@ -154,6 +174,15 @@
   ) -> impl Future<Output = Result<bool, StoreError>>;
   /// Removes quarantine records; at most [`MAX_CHANGED_KEYS`] keys.
   fn remove_quarantine(&self, keys: &[Name]) -> impl Future<Output = Result<(), StoreError>>;
+  /// Records a version of a service; `false` when it is recorded already. Records are not bound to a lease.
+  fn add_version(&self, key: &Name, value: Bytes)
+  -> impl Future<Output = Result<bool, StoreError>>;
+  /// Removes the record of a version; `false` when it was written after a revision.
+  fn remove_version(
+    &self,
+    key: &Name,
+    revision: u64,
+  ) -> impl Future<Output = Result<bool, StoreError>>;
   /// Writes this box's entry under a lease.
   fn put_box(
     &self,
--- a/src/gateway/membership/listing.rs
+++ b/src/gateway/membership/listing.rs
@@ -27,6 +27,7 @@
   pub(super) boxes: HashSet<Name>,
   pub(super) drained_halls: HashSet<Name>,
   pub(super) quarantine: HashSet<Name>,
+  pub(super) versions: HashSet<Name>,
   pub(super) has_leader: bool,
   /// The items that have changed since this box's last known revision.
   pub(super) changed: Vec<StoreItem>,
@@ -43,6 +44,7 @@
       kind,
       quarantine: HashSet::new(),
       revision: None,
+      versions: HashSet::new(),
     }
   }
 
@@ -74,6 +76,7 @@
       StoreKey::Box(name) => drop(self.boxes.insert(name.clone())),
       StoreKey::Quarantine(text) => drop(self.quarantine.insert(text.clone())),
       StoreKey::HallDrain(hall) => drop(self.drained_halls.insert(hall.clone())),
+      StoreKey::Version(key) => drop(self.versions.insert(key.clone())),
       StoreKey::RoleLeader => self.has_leader = true,
       StoreKey::Configuration | StoreKey::Other => {}
     }
--- a/src/gateway/membership/relay.rs
+++ b/src/gateway/membership/relay.rs
@@ -32,6 +32,9 @@
 /// Time for the response after the wait: a box in the same hall needs milliseconds, and 100 ms when it has used up its CPU quota.
 const POLL_MARGIN: Duration = Duration::from_millis(250);
 
+/// The query of a follower that can decode recorded versions. Older readers ignore it.
+const KNOWS_VERSIONS: &str = "versions";
+
 /// A reader without store contact for this long is not followed. The second reader of a hall follows the first, so its contact may
 /// be as old as a watch, a pause and a long poll together.
 pub(super) const READER_STALE_MS: u64 = 1_500;
@@ -50,9 +53,11 @@
   address: SocketAddr,
   revision: u64,
 ) -> Result<RelayResponse, CallError> {
-  let request = Request::get(format!("http://{address}/changes/{revision}"))
-    .body(Full::new(Bytes::new()))
-    .map_err(|error| CallError::NotSent(error.to_string()))?;
+  let request = Request::get(format!(
+    "http://{address}/changes/{revision}?{KNOWS_VERSIONS}"
+  ))
+  .body(Full::new(Bytes::new()))
+  .map_err(|error| CallError::NotSent(error.to_string()))?;
   let body = http.fetch_bytes(request, POLL_WAIT + POLL_MARGIN).await?;
   postcard::from_bytes(&body).map_err(|error| CallError::InvalidResponse(error.to_string()))
 }
@@ -80,6 +85,7 @@
 
 /// Responds to `/changes/REVISION` with the changes after a revision, once there are some or the wait is over.
 async fn handle_changes(gateway: Rc<Gateway>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+  let knows_versions = request.uri().query() == Some(KNOWS_VERSIONS);
   let revision = request
     .uri()
     .path()
@@ -96,8 +102,12 @@
     // After a timeout the response has no changes.
     let _ = timeout(POLL_WAIT, gateway.change_log.wait_after(revision)).await;
   }
+  let mut changes = gateway.change_log.after(revision);
+  if !knows_versions {
+    changes.remove_versions();
+  }
   let response = RelayResponse {
-    changes: gateway.change_log.after(revision),
+    changes,
     store_age_ms: gateway
       .store_contact_ms
       .get()
--- a/src/gateway/membership/store_view.rs
+++ b/src/gateway/membership/store_view.rs
@@ -4,7 +4,7 @@
   super::listing::Listing,
   crate::{
     gateway::{
-      decisions::{HallDrainChange, QuarantineKey, QuarantineStrategy},
+      decisions::{HallDrainChange, QuarantineKey, QuarantineStrategy, ServiceVersion},
       edge::{RouteTable, StoreError, StoreItem, StoreKey},
       quarantine::mark_age_ms,
       state::Gateway,
@@ -84,12 +84,18 @@
     let halls = registry.drained_halls().names().cloned();
     let halls = halls.filter(|hall| !listing.drained_halls.contains(hall));
     let quarantine = self.quarantine_missing_from(listing);
+    let records = self.gateway.version_records.borrow();
+    let versions = records
+      .keys()
+      .filter(|key| !listing.versions.contains(*key))
+      .cloned();
     let leader = (!listing.has_leader).then_some(StoreKey::RoleLeader);
     endpoints
       .map(StoreKey::Endpoint)
       .chain(boxes.map(StoreKey::Box))
       .chain(halls.map(StoreKey::HallDrain))
       .chain(quarantine.into_iter().map(StoreKey::Quarantine))
+      .chain(versions.map(StoreKey::Version))
       .chain(leader)
       .map(|key| StoreItem {
         key,
@@ -114,6 +120,8 @@
         self.apply_hall_drain(&hall, value.is_some(), item.revision)
       }
       (StoreKey::Quarantine(text), value) => self.apply_quarantine_mark(&text, value.as_deref()),
+      (StoreKey::Version(key), Some(value)) => self.put_version(key, &value, item.revision),
+      (StoreKey::Version(key), None) => self.gateway.version_records.borrow_mut().remove(&key),
       (StoreKey::Other, _) => {}
     }
   }
@@ -191,6 +199,23 @@
     }
   }
 
+  /// Applies the record of a version. One that is new to this box may have begun streams, although no endpoint of it is listed.
+  fn put_version(&self, key: Name, value: &[u8], revision: u64) {
+    let record: ServiceVersion = match postcard::from_bytes(value) {
+      Ok(record) => record,
+      Err(error) => {
+        log::warn!("E405 record {key} of a version not decoded: {error}");
+        return;
+      }
+    };
+    let mut records = self.gateway.version_records.borrow_mut();
+    if records.put(key, record.clone(), revision) {
+      let mut endpoints = self.gateway.endpoints.borrow_mut();
+      let versions = endpoints.versions_mut();
+      versions.report(&record.service, &record.version);
+    }
+  }
+
   fn apply_configuration(&self, value: &[u8], revision: u64) {
     match self.gateway.codec.route_table(value) {
       Ok(table) => {
--- a/src/gateway/resumption/mod.rs
+++ b/src/gateway/resumption/mod.rs
@@ -1,14 +1,16 @@
 //! Streams that their callers resume: which version began a stream is recorded at a few boxes while several versions serve, and
-//! looked up by the box that the caller returns to.
+//! looked up by the box that the caller returns to. Which versions serve is recorded in the store.
 //!
 //! Imports `state`, `stages` and the folders below them.
 
 mod lookup;
 mod messages;
 mod publishing;
+mod version_sync;
 
 pub(crate) use self::{
   lookup::{resolve_resumption, stream_metrics},
   messages::{FIND_STREAM_PATH, STREAMS_PATH, handle_lookup, handle_records},
   publishing::{publish_streams, record_stream},
+  version_sync::sync_versions,
 };
--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -16,7 +16,7 @@
         EndpointCounts, EndpointCriteria, EndpointGroup, EndpointRegistry, LocalUsage,
         LongestDeadlines, OrganisationLoads, PeakBoxCount, PeerAnswers, PermitTable, Reachability,
         RetryUsage, RetryWindow, SlotForecast, SlotQueue, StreamRecords, Unavailable, UsageTable,
-        retry_after_backoff_ms,
+        VersionRecords, retry_after_backoff_ms,
       },
       edge::{ColdStart, EndpointEntry, PlatformCodec, RouteTable, StoreLease},
       settings::{GatewaySettings, RoutePolicy},
@@ -139,6 +139,8 @@
   pub(crate) limit_log_throttle: LogThrottle,
   /// Response headers of endpoints that the platform does not define.
   pub(crate) unknown_headers: RefCell<UnknownHeaders>,
+  /// The versions of services that are recorded in the store.
+  pub(crate) version_records: RefCell<VersionRecords>,
   /// Which versions began recent streams.
   pub(crate) stream_records: RefCell<StreamRecords>,
   /// Limits the records that are sent to other boxes.
@@ -209,6 +211,7 @@
       unresponsive_boxes: RefCell::default(),
       unsupporting_boxes: RefCell::default(),
       usage_table: RefCell::default(),
+      version_records: RefCell::default(),
     }
   }
 
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -208,7 +208,18 @@
 
   /// Lists a decode engine with the version of its software.
   pub(crate) fn enter_version(&self, id: &str, endpoint: &EndpointStandIn, version: &str) {
-    self.put_entry(id, "llm", Some("decode"), endpoint.address, |entry| {
+    self.enter_engine_version(id, "decode", endpoint, version);
+  }
+
+  /// Lists an engine with the version of its software.
+  pub(crate) fn enter_engine_version(
+    &self,
+    id: &str,
+    stage: &str,
+    endpoint: &EndpointStandIn,
+    version: &str,
+  ) {
+    self.put_entry(id, "llm", Some(stage), endpoint.address, |entry| {
       entry["version"] = json!(version);
     });
   }
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -38,6 +38,7 @@
 mod store_proxy;
 mod streams;
 mod takeovers;
+mod version_records;
 mod versions;
 
 pub(crate) use self::{
--- /dev/null
+++ b/tests/gateway/version_records.rs
@@ -0,0 +1,258 @@
+//! The records of a service's versions over a release, in virtual time, while boxes are killed.
+
+use {
+  rillford::{
+    gateway::{
+      BoxEntry, BoxList, RecordChange, ServiceVersion, ServiceVersions, SoftwareVersion,
+      VersionRecords,
+    },
+    ids::Name,
+  },
+  rstest::rstest,
+  std::collections::{BTreeMap, BTreeSet},
+};
+
+const TICK_MS: u64 = 50;
+const CHECK_INTERVAL_MS: u64 = 250;
+/// How long a stream may be resumed.
+const KEEP_MS: u64 = 24_000;
+const SECOND_LISTED_MS: u64 = 5_000;
+const FIRST_UNLISTED_MS: u64 = 8_000;
+const RESTART_MS: u64 = 300;
+/// The last box hears of a change this long after the first.
+const MAX_WATCH_MS: u64 = 200;
+const SERVICE: &str = "llm";
+
+#[derive(Clone)]
+enum Event {
+  Listed(SoftwareVersion),
+  Unlisted(SoftwareVersion),
+  Recorded(Name, ServiceVersion, u64),
+  Removed(Name),
+}
+
+/// The store, with all that it was told and when.
+#[derive(Default)]
+struct SimStore {
+  listed: BTreeSet<SoftwareVersion>,
+  /// When each version was listed last.
+  last_listed_ms: BTreeMap<SoftwareVersion, u64>,
+  records: BTreeMap<Name, (ServiceVersion, u64)>,
+  events: Vec<(u64, Event)>,
+  calls: usize,
+}
+
+impl SimStore {
+  fn list(&mut self, version: &SoftwareVersion, now_ms: u64) {
+    self.listed.insert(version.clone());
+    self.events.push((now_ms, Event::Listed(version.clone())));
+  }
+
+  fn unlist(&mut self, version: &SoftwareVersion, now_ms: u64) {
+    self.listed.remove(version);
+    self.events.push((now_ms, Event::Unlisted(version.clone())));
+  }
+
+  fn make(&mut self, change: RecordChange, now_ms: u64) {
+    self.calls += 1;
+    match change {
+      RecordChange::Add(version) if !self.records.contains_key(&version.key()) => {
+        let (key, revision) = (version.key(), self.events.len() as u64);
+        self
+          .records
+          .insert(key.clone(), (version.clone(), revision));
+        let recorded = Event::Recorded(key, version, revision);
+        self.events.push((now_ms, recorded));
+      }
+      RecordChange::Remove(version, revision)
+        if self.records.get(&version.key()) == Some(&(version.clone(), revision)) =>
+      {
+        self.records.remove(&version.key());
+        self.events.push((now_ms, Event::Removed(version.key())));
+      }
+      _ => {}
+    }
+  }
+}
+
+/// A box since its last start.
+struct SimBox {
+  name: Name,
+  watch_ms: u64,
+  next_event: usize,
+  versions: ServiceVersions,
+  records: VersionRecords,
+}
+
+impl SimBox {
+  /// Starts a box, which lists the store.
+  fn start(number: usize, store: &SimStore) -> Self {
+    let mut started = Self {
+      name: format!("box-{number}").as_str().into(),
+      next_event: store.events.len(),
+      records: VersionRecords::default(),
+      versions: ServiceVersions::default(),
+      watch_ms: number as u64 * 7 % MAX_WATCH_MS,
+    };
+    for (key, (record, revision)) in &store.records {
+      started.put_record(key.clone(), record.clone(), *revision);
+    }
+    for version in &store.listed {
+      started.versions.add(&SERVICE.into(), version);
+    }
+    started
+  }
+
+  fn put_record(&mut self, key: Name, record: ServiceVersion, revision: u64) {
+    if self.records.put(key, record.clone(), revision) {
+      self.versions.report(&record.service, &record.version);
+    }
+  }
+
+  fn watch(&mut self, store: &SimStore, now_ms: u64) {
+    while let Some((at_ms, event)) = store.events.get(self.next_event) {
+      if now_ms < at_ms + self.watch_ms {
+        return;
+      }
+      self.next_event += 1;
+      match event.clone() {
+        Event::Listed(version) => self.versions.add(&SERVICE.into(), &version),
+        Event::Unlisted(version) => self.versions.remove(SERVICE, &version),
+        Event::Recorded(key, record, revision) => self.put_record(key, record, revision),
+        Event::Removed(key) => self.records.remove(&key),
+      }
+    }
+  }
+}
+
+fn version(text: &str) -> SoftwareVersion {
+  SoftwareVersion::new(text)
+}
+
+/// Plays a release and kills all boxes at some times; returns the store at the end.
+fn play_release(boxes: usize, kills_ms: &[u64]) -> SimStore {
+  let mut list = BoxList::default();
+  for number in 0..boxes {
+    let entry = BoxEntry {
+      address: ([127, 0, 0, 1], number as u16).into(),
+      hall: "north".into(),
+    };
+    list.put(format!("box-{number}").as_str().into(), entry);
+  }
+  let (first, second) = (version("v1"), version("v2"));
+  let mut store = SimStore::default();
+  store.list(&first, 0);
+  let start = |store: &SimStore| -> Vec<SimBox> {
+    (0..boxes)
+      .map(|number| SimBox::start(number, store))
+      .collect()
+  };
+  let mut running = start(&store);
+  let last_kill_ms = kills_ms.iter().max().copied().unwrap_or(0);
+  let end_ms = FIRST_UNLISTED_MS.max(last_kill_ms) + KEEP_MS + 2_000;
+  for now_ms in (0..end_ms).step_by(TICK_MS as usize) {
+    if now_ms == SECOND_LISTED_MS {
+      store.list(&second, now_ms);
+    }
+    if now_ms == FIRST_UNLISTED_MS {
+      store.unlist(&first, now_ms);
+    }
+    for version in &store.listed {
+      store.last_listed_ms.insert(version.clone(), now_ms);
+    }
+    if kills_ms.contains(&now_ms) {
+      running.clear();
+    }
+    if kills_ms.contains(&now_ms.wrapping_sub(RESTART_MS)) {
+      running = start(&store);
+    }
+    for sim in &mut running {
+      sim.watch(&store, now_ms);
+      if now_ms.is_multiple_of(CHECK_INTERVAL_MS) {
+        sim.versions.expire(now_ms, KEEP_MS);
+        let due = sim
+          .records
+          .due(&sim.versions, |_| true, &list, &sim.name, now_ms);
+        due
+          .into_iter()
+          .for_each(|change| store.make(change, now_ms));
+      }
+      check_known(sim, &store, now_ms);
+    }
+  }
+  store
+}
+
+/// A box knows each version that it may have heard of and that may have begun a stream which is still resumed.
+fn check_known(sim: &SimBox, store: &SimStore, now_ms: u64) {
+  let known = sim.versions.of(SERVICE);
+  for (version, last_ms) in &store.last_listed_ms {
+    let is_new = *version == self::version("v2") && now_ms < SECOND_LISTED_MS + MAX_WATCH_MS;
+    if !is_new && now_ms < last_ms + KEEP_MS {
+      assert!(
+        known.contains(version),
+        "{} at {now_ms} ms: {known:?}",
+        sim.name
+      );
+    }
+  }
+}
+
+/// Guards against boxes that forget a version in a kill of all boxes, at any moment of a release.
+#[rstest]
+#[case::alone(1)]
+#[case::small(6)]
+#[case::medium(60)]
+fn versions_are_known_after_kills_of_all_boxes(#[case] boxes: usize) {
+  let steps = if boxes > 6 { 2_000 } else { 250 };
+  for kill_ms in (2_000..34_000).step_by(steps) {
+    for kills_ms in [vec![kill_ms], vec![kill_ms, kill_ms + 1_500]] {
+      let store = play_release(boxes, &kills_ms);
+      let recorded: Vec<_> = store
+        .records
+        .values()
+        .map(|(record, _)| &record.version)
+        .collect();
+      assert_eq!(recorded, [&version("v2")], "killed at {kills_ms:?}");
+    }
+  }
+}
+
+/// Guards against a write of each box for each change, which the store would reject.
+#[rstest]
+#[case(6)]
+#[case(300)]
+fn few_boxes_write_a_record(#[case] boxes: usize) {
+  // Two versions are recorded, and one record is removed.
+  assert!(play_release(boxes, &[]).calls <= 6);
+}
+
+/// Guards against a record that the box which is first in order never writes.
+#[test]
+fn another_box_writes_a_record_when_the_first_one_does_not() {
+  let mut list = BoxList::default();
+  for name in ["box-0", "box-1", "box-2"] {
+    let entry = BoxEntry {
+      address: ([127, 0, 0, 1], 1).into(),
+      hall: "north".into(),
+    };
+    list.put(name.into(), entry);
+  }
+  let mut versions = ServiceVersions::default();
+  versions.add(&SERVICE.into(), &version("v1"));
+  let mut first_due_ms = |name: &str| {
+    let mut records = VersionRecords::default();
+    (0..10_000)
+      .step_by(CHECK_INTERVAL_MS as usize)
+      .find(|now_ms| {
+        !records
+          .due(&versions, |_| true, &list, name, *now_ms)
+          .is_empty()
+      })
+  };
+  let due_ms: BTreeSet<_> = ["box-0", "box-1", "box-2", "unlisted"]
+    .map(&mut first_due_ms)
+    .into();
+  assert_eq!(due_ms.len(), 4);
+  assert!(due_ms.iter().all(Option::is_some));
+}
--- a/tests/gateway/versions.rs
+++ b/tests/gateway/versions.rs
@@ -237,6 +237,55 @@
   resume_streams(&later, &engines).await;
 }
 
+/// Guards against boxes that take the versions which they list after a kill of all boxes for all that ever served.
+#[rstest]
+#[case::former_version_is_gone(true, StatusCode::SERVICE_UNAVAILABLE)]
+#[case::only_version(false, StatusCode::OK)]
+#[tokio::test]
+async fn streams_do_not_go_on_at_another_version_after_all_boxes_were_killed(
+  #[case] is_replaced: bool,
+  #[case] status: StatusCode,
+) {
+  let prefill = EndpointStandIn::engine(EVENTS).await;
+  let test = GatewayTest::new().await;
+  test.enter("e-1", "llm", Some("prefill"), &prefill);
+  let first = EndpointStandIn::start(begins_and_resumes).await;
+  test.enter_version("e-2", &first, "v1");
+  let later = test.second_box("north-1", test.store.address);
+  let mut began = test.start().await;
+  began.ask_in_background("/resumable/a", "r0");
+  let records = "rillford_stream_records";
+  assert!(eventually(TIMEOUT, async || began.metric(records).await == 1.0).await);
+  wait_until_recorded(&began, 1).await;
+  let second = EndpointStandIn::start(begins_and_resumes).await;
+  if is_replaced {
+    began.test.enter_version("e-3", &second, "v2");
+    wait_until_recorded(&began, 2).await;
+    began
+      .test
+      .enter_engine_version("e-1", "prefill", &prefill, "v2");
+    began.test.store.remove("servers/e-2");
+  }
+  began.process.kill().unwrap();
+  began.process.wait().unwrap();
+  let later = later.start().await;
+  assert_eq!(resume(&later, "again", "r0").await.status, status);
+  assert!(second.requests().iter().all(|seen| seen.id() != "again"));
+}
+
+/// Waits until the store has records of versions, as many as a service has or more.
+async fn wait_until_recorded(gateway: &GatewayBox, versions: usize) {
+  let is_recorded = async || {
+    let keys = gateway.test.store.keys();
+    let recorded = keys
+      .iter()
+      .filter(|key| key.starts_with("rillford/versions/"));
+    recorded.count() >= versions
+  };
+  // What callers get decides whether the test passes.
+  let _ = eventually(Duration::from_secs(4), is_recorded).await;
+}
+
 /// Guards against a box that forwards a resumption to one that serves it at any version.
 #[tokio::test]
 async fn forwarded_stream_goes_on_at_its_version() {
