Boxes that restart get the records of streams from those that have them

Cause: the record of a stream is sent to a few boxes once. A box that restarts forgets what it got, and one that leaves is not asked, since its entry is gone.

Change: boxes, also leaving ones, send the records of services of several versions to each box that has registered since and is asked by all halls for them; a lookup also asks boxes whose entries are gone.

Why it works: a box that has the record outlives the start of the next one, whose registration the store tells it.

--- a/src/gateway/decisions/box_list.rs
+++ b/src/gateway/decisions/box_list.rs
@@ -81,6 +81,23 @@
     others.map(|(_, entry)| entry.address).collect()
   }
 
+  /// The boxes whose entries are gone, as a list of their own. They may serve their last requests.
+  ///
+  /// ```
+  /// use rillford::gateway::{BoxEntry, BoxList};
+  /// let mut boxes = BoxList::default();
+  /// boxes.put("box-1".into(), BoxEntry { hall: "north".into(), address: ([127, 0, 0, 1], 7_000).into() });
+  /// assert!(boxes.former().is_empty());
+  /// boxes.remove("box-1");
+  /// assert_eq!(boxes.former().names(), ["box-1".into()]);
+  /// ```
+  pub fn former(&self) -> Self {
+    Self {
+      boxes: self.former.iter().cloned().collect(),
+      ..Self::default()
+    }
+  }
+
   pub fn names(&self) -> Vec<Name> {
     self.boxes.keys().cloned().collect()
   }
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -25,6 +25,7 @@
 mod fingerprint;
 mod hall_reachability;
 mod held_bytes;
+mod joined_boxes;
 mod limit_strategy;
 mod local_permits;
 mod local_usage;
@@ -95,6 +96,7 @@
   endpoint_registry::EndpointRegistry,
   fingerprint::{Fingerprint, RequestIdentity, SegmentIdentity},
   held_bytes::{HeldBytes, HeldKind, ResponseTicket},
+  joined_boxes::JoinedBoxes,
   limit_strategy::LimitStrategy,
   local_permits::{LocalPermitVerdict, LocalPermits},
   local_usage::{LocalUsage, LocalVerdict, UsageRequest},
@@ -115,7 +117,7 @@
   quarantine_strategy::QuarantineStrategy,
   reachability::{EndpointGroup, GroupLost, Reachability},
   recent_engines::{RecentEngines, stable_engines},
-  record_holders::{RECORD_COPIES, record_holders, record_sources},
+  record_holders::{RECORD_COPIES, is_asked_everywhere, record_holders, record_sources},
   retry_after::retry_after_backoff_ms,
   retry_window::{RetryAllowance, RetryUsage, RetryWindow},
   return_schedule::{ReturnSchedule, ReturningCaller},
--- a/src/gateway/decisions/stream_records.rs
+++ b/src/gateway/decisions/stream_records.rs
@@ -7,7 +7,10 @@
   super::stream_key::StreamKey,
   crate::{gateway::edge::SoftwareVersion, ids::Name},
   serde::{Deserialize, Serialize},
-  std::collections::{HashMap, VecDeque},
+  std::{
+    cmp::Reverse,
+    collections::{HashMap, VecDeque},
+  },
 };
 
 /// Records that a box keeps; the oldest are evicted.
@@ -130,6 +133,20 @@
       .collect()
   }
 
+  /// The streams of a service with a known origin, with the times at which their records expire, the last ones first.
+  pub fn all_of(&self, service: &str, now_ms: u64) -> Vec<(StreamKey, StreamOrigin, u64)> {
+    let unexpired = self
+      .by_key
+      .iter()
+      .filter(|(_, record)| now_ms < record.expires_ms);
+    let mut known: Vec<_> = unexpired
+      .filter_map(|(key, record)| Some((*key, record.origin.clone()?, record.expires_ms)))
+      .filter(|(_, origin, _)| &*origin.service == service)
+      .collect();
+    known.sort_by_key(|(key, _, expires_ms)| (Reverse(*expires_ms), *key));
+    known
+  }
+
   /// Removes expired records.
   pub fn expire(&mut self, now_ms: u64) {
     self.by_key.retain(|_, record| now_ms < record.expires_ms);
--- a/src/gateway/membership/store_view.rs
+++ b/src/gateway/membership/store_view.rs
@@ -110,8 +110,8 @@
       (StoreKey::Configuration, Some(value)) => self.apply_configuration(&value, item.revision),
       (StoreKey::Endpoint(id), Some(value)) => self.put_endpoint(&id, &value, item.revision),
       (StoreKey::Endpoint(id), None) => self.remove_endpoint(&id),
-      (StoreKey::Box(name), Some(value)) => self.put_box(name, &value),
-      (StoreKey::Box(name), None) => self.gateway.boxes.borrow_mut().remove(&name),
+      (StoreKey::Box(name), Some(value)) => self.put_box(name, &value, item.revision),
+      (StoreKey::Box(name), None) => self.remove_box(&name),
       (StoreKey::Configuration, None) => {
         log::warn!("E406 configuration removed: keeping the last one")
       }
@@ -192,13 +192,25 @@
     }
   }
 
-  fn put_box(&self, name: Name, value: &[u8]) {
+  fn put_box(&self, name: Name, value: &[u8], revision: u64) {
     match postcard::from_bytes(value) {
-      Ok(entry) => self.gateway.put_box(name, entry),
+      Ok(entry) => {
+        self
+          .gateway
+          .joined_boxes
+          .borrow_mut()
+          .record(name.clone(), revision);
+        self.gateway.put_box(name, entry);
+      }
       Err(error) => log::warn!("E405 entry of box {name} not decoded: {error}"),
     }
   }
 
+  fn remove_box(&self, name: &str) {
+    self.gateway.joined_boxes.borrow_mut().remove(name);
+    self.gateway.boxes.borrow_mut().remove(name);
+  }
+
   /// Applies the record of a version. One that is new to this box may have begun streams, although no endpoint of it is listed.
   fn put_version(&self, key: Name, value: &[u8], revision: u64) {
     let record: ServiceVersion = match postcard::from_bytes(value) {
--- a/src/gateway/resumption/lookup.rs
+++ b/src/gateway/resumption/lookup.rs
@@ -5,7 +5,7 @@
   crate::{
     CallError,
     gateway::{
-      decisions::{RECORD_COPIES, RecordedOrigin, StreamKey, StreamOrigin, record_sources},
+      decisions::{BoxList, RecordedOrigin, StreamKey, StreamOrigin, record_sources},
       edge::{RouteKind, SoftwareVersion},
       stages::{Resumption, RoutedRequest},
       state::Gateway,
@@ -158,15 +158,13 @@
   );
 }
 
-/// The boxes that may have recorded a stream; former ones if no other is listed.
+/// The boxes that may have recorded a stream: listed ones, and those that may serve their last requests.
 fn boxes_to_ask(gateway: &Gateway, key: &StreamKey) -> Vec<SocketAddr> {
   let identity = &gateway.settings.identity;
   let boxes = gateway.boxes.borrow();
-  let mut addresses = record_sources(&boxes, key, &identity.name, &identity.hall);
-  if addresses.is_empty() {
-    addresses = boxes.former_peers(&identity.name);
-    addresses.truncate(RECORD_COPIES);
-  }
+  let sources = |boxes: &BoxList| record_sources(boxes, key, &identity.name, &identity.hall);
+  let mut addresses = sources(&boxes);
+  addresses.extend(sources(&boxes.former()));
   addresses
 }
 
--- a/src/gateway/resumption/publishing.rs
+++ b/src/gateway/resumption/publishing.rs
@@ -1,10 +1,10 @@
-//! Records where streams began, here and, while several versions serve, at other boxes.
+//! Records where streams began, here and, while several versions serve, at other boxes, also at those that join later.
 
 use {
   super::messages::{StreamRecordMessage, send_records},
   crate::{
     gateway::{
-      decisions::{RecordSource, StreamKey, StreamOrigin, record_holders},
+      decisions::{RecordSource, StreamKey, StreamOrigin, is_asked_everywhere, record_holders},
       edge::{EndpointEntry, SoftwareVersion},
       stages::RoutedRequest,
       state::Gateway,
@@ -22,6 +22,8 @@
 
 /// How long after a request's deadline its caller may still resume the stream.
 const RETURN_MS: u64 = 10_000;
+/// Records that a box sends to one that has joined, which fit into a message.
+const MAX_HANDED_OVER: usize = 400;
 /// Interval of checks for services that have got a second version.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -72,6 +74,7 @@
         publish(&gateway, own);
       }
     }
+    hand_over(&gateway, divided.keys().cloned());
     before = divided
       .into_iter()
       .map(|(service, versions)| (service, versions.into_keys().collect()))
@@ -92,6 +95,48 @@
   gateway.stream_records.borrow_mut().expire(now_ms);
 }
 
+/// Sends the records of divided services to the boxes that have registered lately, which know none.
+fn hand_over(gateway: &Rc<Gateway>, services: impl Iterator<Item = Name>) {
+  let joined = gateway.joined_boxes.borrow_mut().take();
+  let others: Vec<(Name, SocketAddr)> = {
+    let boxes = gateway.boxes.borrow();
+    let others = boxes
+      .entries()
+      .filter(|(name, _)| joined.contains(*name) && **name != gateway.settings.identity.name);
+    others
+      .map(|(name, entry)| (name.clone(), entry.address))
+      .collect()
+  };
+  if others.is_empty() {
+    return;
+  }
+  let now_ms = gateway.now_ms();
+  for service in services {
+    let streams = gateway.stream_records.borrow().all_of(&service, now_ms);
+    for (name, address) in &others {
+      let boxes = gateway.boxes.borrow();
+      let of_box = streams
+        .iter()
+        .filter(|(key, _, _)| is_asked_everywhere(&boxes, key, name));
+      let records: Vec<StreamRecordMessage> = of_box
+        .take(MAX_HANDED_OVER)
+        .map(|(key, origin, expires_ms)| StreamRecordMessage {
+          key: *key,
+          origin: origin.clone(),
+          ttl_ms: expires_ms.saturating_sub(now_ms),
+        })
+        .collect();
+      if !records.is_empty() {
+        log::info!(
+          "E554 {} records of streams sent to {name}, which has joined",
+          records.len()
+        );
+        send(gateway, *address, records);
+      }
+    }
+  }
+}
+
 /// Sends records to the boxes that hold them, in one message for each; does not wait for the calls.
 fn publish(gateway: &Rc<Gateway>, streams: Vec<(StreamKey, StreamOrigin, u64)>) {
   let now_ms = gateway.now_ms();
@@ -120,16 +165,21 @@
     }
   }
   for (address, records) in by_box {
-    gateway
-      .counters
-      .stream_copies
-      .add(u64::try_from(records.len()).unwrap_or(u64::MAX));
-    let gateway = gateway.clone();
-    spawn_local(async move {
-      if let Err(error) = send_records(&gateway.box_client, address, &records).await {
-        gateway.counters.stream_copies_failed.inc();
-        log::debug!("records of streams not sent to {address}: {error}");
-      }
-    });
+    send(gateway, address, records);
   }
 }
+
+/// Sends records to a box; does not wait for the call.
+fn send(gateway: &Rc<Gateway>, address: SocketAddr, records: Vec<StreamRecordMessage>) {
+  gateway
+    .counters
+    .stream_copies
+    .add(u64::try_from(records.len()).unwrap_or(u64::MAX));
+  let gateway = gateway.clone();
+  spawn_local(async move {
+    if let Err(error) = send_records(&gateway.box_client, address, &records).await {
+      gateway.counters.stream_copies_failed.inc();
+      log::debug!("records of streams not sent to {address}: {error}");
+    }
+  });
+}
--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -13,7 +13,7 @@
       connections::{Connection, ConnectionPool},
       decisions::{
         AttemptOutcome, BoxEntry, BoxList, CachedPrompts, Choice, ColdPeriod, CopyBudget,
-        EndpointCounts, EndpointCriteria, EndpointGroup, EndpointRegistry, LocalUsage,
+        EndpointCounts, EndpointCriteria, EndpointGroup, EndpointRegistry, JoinedBoxes, LocalUsage,
         LongestDeadlines, OrganisationLoads, PeakBoxCount, PeerAnswers, PermitTable, Reachability,
         RetryUsage, RetryWindow, SlotForecast, SlotQueue, StreamRecords, Unavailable, UsageTable,
         VersionRecords, retry_after_backoff_ms,
@@ -84,6 +84,8 @@
   /// When the last responses are due, once the box is leaving.
   pub(crate) exit_ms: Cell<Option<u64>>,
   pub(crate) boxes: RefCell<BoxList>,
+  /// The boxes that have registered lately.
+  pub(crate) joined_boxes: RefCell<JoinedBoxes>,
   peak_box_count: RefCell<PeakBoxCount>,
   /// The latest changes of the store, for this box's followers.
   pub(crate) change_log: ChangeLog,
@@ -179,6 +181,7 @@
       in_flight: Cell::new(0),
       incarnation: seed,
       isolated_permits: RefCell::default(),
+      joined_boxes: RefCell::default(),
       last_coordinator: Cell::new(None),
       lease: Cell::new(None),
       limit_log_throttle: LogThrottle::default(),
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -48,7 +48,8 @@
   name: String,
   /// Retries of all boxes in excess of the ratio.
   pub(crate) retry_slack: f64,
-  stop_s: f64,
+  /// Time in which the box stops.
+  pub(crate) stop_s: f64,
   /// The box's memory.
   pub(crate) memory_mb: Option<u64>,
   /// The address by which the box reaches the store.
--- a/tests/gateway/version_records.rs
+++ b/tests/gateway/version_records.rs
@@ -256,3 +256,21 @@
   assert_eq!(due_ms.len(), 4);
   assert!(due_ms.iter().all(Option::is_some));
 }
+
+/// Guards against boxes that record a version again, one after the other, when its record is removed.
+#[test]
+fn version_that_is_known_from_its_record_alone_is_not_recorded_again() {
+  let former = ServiceVersion {
+    service: SERVICE.into(),
+    version: version("v1"),
+  };
+  let mut records = VersionRecords::default();
+  let mut versions = ServiceVersions::default();
+  records.put(former.key(), former.clone(), 1);
+  versions.report(&former.service, &former.version);
+  records.remove(&former.key());
+  for now_ms in (0..10_000).step_by(CHECK_INTERVAL_MS as usize) {
+    let due = records.due(&versions, |_| true, &BoxList::default(), "box-0", now_ms);
+    assert_eq!(due, []);
+  }
+}
--- a/tests/gateway/versions.rs
+++ b/tests/gateway/versions.rs
@@ -237,6 +237,32 @@
   resume_streams(&later, &engines).await;
 }
 
+/// Guards against a box that knows no stream after all boxes were restarted in turn: those that hold the records are leaving.
+#[tokio::test]
+async fn streams_go_on_at_a_box_that_starts_while_the_one_that_began_them_leaves() {
+  let prefill = EndpointStandIn::engine(EVENTS).await;
+  let mut test = GatewayTest::new().await;
+  test.stop_s = 60.0;
+  test.enter("e-1", "llm", Some("prefill"), &prefill);
+  let engines = Engines::start(&test, 2, || begins_and_resumes).await;
+  let [other, again] = ["north-2"; 2].map(|name| test.second_box(name, test.store.address));
+  let began = test.start().await;
+  let mut other = other.start().await;
+  let boxes = async || began.metric("rillford_boxes").await == 2.0;
+  assert!(eventually(TIMEOUT, boxes).await);
+  begin_streams(&began, &engines).await;
+  began.signal(libc::SIGTERM);
+  let is_alone = async || other.metric("rillford_boxes").await == 1.0;
+  assert!(eventually(TIMEOUT, is_alone).await);
+  other.process.kill().unwrap();
+  other.process.wait().unwrap();
+  let other = again.start().await;
+  let records = async || other.metric("rillford_stream_records").await == STREAMS as f64;
+  // What callers get decides whether the test passes.
+  let _ = eventually(Duration::from_secs(4), records).await;
+  resume_streams(&other, &engines).await;
+}
+
 /// Guards against boxes that take the versions which they list after a kill of all boxes for all that ever served.
 #[rstest]
 #[case::former_version_is_gone(true, StatusCode::SERVICE_UNAVAILABLE)]
