--- a/src/gateway/resumption/lookup.rs
+++ b/src/gateway/resumption/lookup.rs
@@ -158,13 +158,15 @@
   );
 }
 
-/// The boxes that may have recorded a stream: listed ones, and those that may serve their last requests.
+/// The boxes that may have recorded a stream; former ones if no other is listed.
 fn boxes_to_ask(gateway: &Gateway, key: &StreamKey) -> Vec<SocketAddr> {
   let identity = &gateway.settings.identity;
   let boxes = gateway.boxes.borrow();
   let sources = |boxes: &BoxList| record_sources(boxes, key, &identity.name, &identity.hall);
-  let mut addresses = sources(&boxes);
-  addresses.extend(sources(&boxes.former()));
+  let addresses = sources(&boxes);
+  if addresses.is_empty() {
+    return sources(&boxes.former());
+  }
   addresses
 }
 
--- a/src/gateway/resumption/version_sync.rs
+++ b/src/gateway/resumption/version_sync.rs
@@ -16,7 +16,7 @@
 };
 
 /// Interval of checks for changes that are due.
-const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Records versions and removes their records until the process exits.
 pub(crate) async fn sync_versions<S: Store>(gateway: Rc<Gateway>, store: S) {
