Soak: releases with kills of all boxes, and planned stops that overlap

--only-releases replaces all engines by those of the other version, whose entries go before they end, and kills all boxes once or twice in a row at any moment of it; callers come back until boxes are there again.

--only-stops sends SIGTERM by chance, about two boxes at a time.

--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -35,6 +35,8 @@
 const THINK_TIME_MS: (u64, u64) = (5, 60);
 /// Requests with which a caller resumes a stream that was cut.
 const MAX_RESUMPTIONS: u32 = 2;
+/// The same where all boxes are killed at once: the first ones meet none.
+const MAX_RESUMPTIONS_AFTER_RESTARTS: u32 = 8;
 /// Delay before reconnecting after a rejection or a lost connection.
 const RECONNECT_DELAY: Duration = Duration::from_millis(150);
 
@@ -68,6 +70,7 @@
   client: HttpClient,
   box_index: usize,
   count: u64,
+  max_resumptions: u32,
 }
 
 impl Caller {
@@ -78,6 +81,7 @@
       box_index: 0,
       client: HttpClient::default(),
       count: 0,
+      max_resumptions: MAX_RESUMPTIONS,
       fleet,
       name: format!("c{number}"),
       random,
@@ -85,6 +89,11 @@
     }
   }
 
+  /// Makes the caller resume streams until the boxes are back.
+  pub(crate) fn resume_after_restarts(&mut self) {
+    self.max_resumptions = MAX_RESUMPTIONS_AFTER_RESTARTS;
+  }
+
   /// Sends requests until `stopped` is set.
   pub(crate) async fn run(mut self, stopped: watch::Receiver<bool>) {
     self.reconnect();
@@ -138,7 +147,7 @@
     let key = self.key();
     let (id, mut is_reusable) = self.send_once(kind, key, None).await;
     let mut last_id = id.clone();
-    for _ in 0..MAX_RESUMPTIONS {
+    for _ in 0..self.max_resumptions {
       let Some(stream) = self.stream_to_resume(&id, &last_id) else {
         break;
       };
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -41,8 +41,6 @@
 const RETRY_AFTER: Duration = Duration::from_secs(3);
 /// Time that an engine runs a crashing request before it terminates.
 const CRASH_AFTER: Duration = Duration::from_millis(40);
-/// Versions of endpoints' software: each start has the other one than the start before it.
-const VERSIONS: [&str; 2] = ["v1", "v2"];
 /// Duration of a role switch.
 const SWITCH_DURATION: Duration = Duration::from_millis(400);
 
@@ -70,6 +68,8 @@
 pub(crate) struct Identity {
   pub(crate) incarnation: String,
   pub(crate) start_number: u64,
+  /// Version of its software.
+  pub(crate) version: &'static str,
   pub(crate) place: usize,
   pub(crate) kind: EndpointKind,
   /// Address under which boxes reach it.
@@ -84,7 +84,7 @@
     events: EngineEventSender,
   ) -> Arc<Self> {
     Arc::new(Self {
-      version: VERSIONS[usize::from(identity.start_number.is_multiple_of(2))],
+      version: identity.version,
       start_number: identity.start_number,
       exports: exports.clone(),
       incarnation: identity.incarnation,
--- a/soak/src/fault.rs
+++ b/soak/src/fault.rs
@@ -107,6 +107,17 @@
     /// Time until the restart.
     down_ms: u64,
   },
+  /// The processes of all boxes are killed at once and restarted.
+  AllBoxesKilled {
+    /// Time until the restart.
+    down_ms: u64,
+  },
+  /// All engines are replaced by engines of the other software version, in two groups. The entries of a group go before its
+  /// engines end, so that after the second one only the new version is listed.
+  Release {
+    /// Interval between the entries of a group.
+    gap_ms: u64,
+  },
   /// A box receives the stop signal and is restarted after it exits.
   BoxStopped {
     /// Index of the box.
--- a/soak/src/fault_injector.rs
+++ b/soak/src/fault_injector.rs
@@ -9,6 +9,7 @@
     hall::Hall,
     link::Link,
   },
+  futures_util::future::try_join_all,
   std::{slice, time::Duration},
   tokio::time::sleep,
 };
@@ -26,6 +27,8 @@
 pub(crate) async fn inject(fleet: &Fleet, fault: Fault) -> Result {
   match fault {
     Fault::BoxKilled { index, down_ms } => fleet.boxes[index].kill(down_ms).await,
+    Fault::AllBoxesKilled { down_ms } => kill_all_boxes(fleet, down_ms).await,
+    Fault::Release { gap_ms } => release(fleet, Duration::from_millis(gap_ms)).await,
     Fault::BoxStopped { index } => fleet.boxes[index].stop().await,
     Fault::BoxPaused { index, for_ms } => {
       fleet.boxes[index].pause(for_ms).await;
@@ -262,6 +265,32 @@
   let _ = fleet.restart_same_id(place, stopped).await;
 }
 
+async fn kill_all_boxes(fleet: &Fleet, down_ms: u64) -> Result {
+  try_join_all(fleet.boxes.iter().map(|target| target.kill(down_ms))).await?;
+  Ok(())
+}
+
+/// Replaces all engines by engines of the other version, first every other one and then the rest.
+async fn release(fleet: &Fleet, gap: Duration) -> Result {
+  fleet.begin_release();
+  let places = fleet.engine_places(0);
+  let group = |first: usize| places.iter().copied().skip(first).step_by(2);
+  for first in [0, 1] {
+    for place in group(first) {
+      fleet.unlist(place);
+      sleep(gap).await;
+    }
+    sleep(LEAVING_PERIOD).await;
+    for place in group(first) {
+      let _disturbed = fleet.recorder.begin_disturbance(Target::Endpoint(place));
+      if let Some(stopped) = fleet.stop_endpoint(place) {
+        fleet.restart(place, stopped.kind).await?;
+      }
+    }
+  }
+  Ok(())
+}
+
 /// Makes the endpoint signal that it is leaving, serve for a while, and terminate.
 async fn shut_down_endpoint(fleet: &Fleet, place: usize, incarnation: String) -> Result {
   fleet.with_endpoint(place, |endpoint| endpoint.set_leaving());
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -17,6 +17,7 @@
     recorder::Recorder,
     records::{HallDrain, Probe},
     running_endpoint::RunningEndpoint,
+    versioning::Versioning,
   },
   futures_util::future::join_all,
   http::{Request, StatusCode},
@@ -58,6 +59,8 @@
   /// Number of the next endpoint start, which serves as its start time.
   starts: AtomicU64,
   versions: AtomicU64,
+  versioning: Versioning,
+  releases: AtomicU64,
   events: EngineEventSender,
 }
 
@@ -69,6 +72,7 @@
     boxes: usize,
     places: usize,
     bounds: BoxBounds,
+    versioning: Versioning,
   ) -> Result<(Self, EngineEventReceiver)> {
     let recorder = Recorder::default();
     let store = PlatformStore::start().await.map_err(Error::Listen)?;
@@ -84,6 +88,8 @@
       ready: Mutex::default(),
       store,
       versions: AtomicU64::new(0),
+      versioning,
+      releases: AtomicU64::new(0),
     };
     let hosts: Vec<Ipv4Addr> = (0..boxes).map(box_host).collect();
     for number in 0..places {
@@ -128,8 +134,11 @@
     kind: EndpointKind,
     listener: TcpListener,
   ) {
+    let start_number = self.starts.fetch_add(1, Ordering::Relaxed);
+    let releases = self.releases.load(Ordering::Relaxed);
     let identity = Identity {
-      start_number: self.starts.fetch_add(1, Ordering::Relaxed),
+      start_number,
+      version: self.versioning.version(start_number, releases),
       incarnation,
       kind,
       place,
@@ -167,6 +176,22 @@
     self.write_entry(place, "ready");
   }
 
+  /// Engines that start from now on have the other version.
+  pub(crate) fn begin_release(&self) {
+    self.releases.fetch_add(1, Ordering::Relaxed);
+  }
+
+  /// Removes the entry of the endpoint at a place, which serves on.
+  pub(crate) fn unlist(&self, place: usize) {
+    let Some(incarnation) = self.incarnation(place) else {
+      return;
+    };
+    self.store.remove(&format!("servers/{incarnation}"));
+    let now_ms = self.recorder.now_ms();
+    let mut records = self.recorder.records();
+    records.draining.insert(incarnation, now_ms);
+  }
+
   /// Marks the endpoint at a place as draining in the store. Returns its incarnation.
   pub(crate) fn announce_leaving(&self, place: usize) -> Option<String> {
     let incarnation = self.write_entry(place, "draining")?;
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -43,6 +43,7 @@
 mod subcommand;
 mod undisturbed;
 mod version_check;
+mod versioning;
 
 pub use self::{
   breach::Breach,
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -59,6 +59,21 @@
 const WORK_BEFORE_SILENCE_MS: (u64, u64) = (100, 1_000);
 /// Chance of each kind of planned work beside a silent period.
 const WORK_CHANCE: f64 = 0.6;
+/// Ratio of the mean interval between planned stops to that of other faults: about two boxes stop at a time.
+const STOP_INTERVAL_FACTOR: u64 = 2;
+/// Interval from the beginning of a release to the next, longer than a stream may be resumed.
+const RELEASE_INTERVAL_MS: (u64, u64) = (15_000, 22_000);
+/// Interval between the entries that go.
+const RELEASE_GAP_MS: (u64, u64) = (50, 400);
+/// Time from the beginning of a release to a kill of all boxes: the entries of the former version are gone after some six
+/// seconds, and its engines after nine.
+const RELEASE_KILL_MS: (u64, u64) = (500, 9_000);
+/// Kills of all boxes in a row, the interval between them, and the time until the restart.
+const RELEASE_KILLS: (u64, u64) = (1, 2);
+const RELEASE_KILL_GAP_MS: (u64, u64) = (400, 2_500);
+const RELEASE_DOWN_MS: (u64, u64) = (50, 400);
+/// Bits by which the seed is rotated, for an independent sequence of draws.
+const RELEASE_SEED_ROTATION: u32 = 11;
 /// Added latency of a delayed link or a slow store.
 const DELAY_MS: (u64, u64) = (20, 800);
 /// Chance that a fault of a box's process is followed by another one, so that signals overlap.
@@ -86,6 +101,10 @@
   Interruptions,
   /// Silent periods of engines, and planned work beside them.
   Silences,
+  /// Planned stops of boxes, which overlap.
+  Stops,
+  /// Releases of another software version, and kills of all boxes beside them.
+  Releases,
 }
 
 impl FaultSelection {
@@ -103,6 +122,8 @@
       Self::All => draw_plan(seed, size),
       Self::Interruptions => draw_interruptions(seed, size),
       Self::Silences => draw_silences(seed, size),
+      Self::Releases => draw_releases(seed, size),
+      Self::Stops => draw_stops(seed, size),
     }
   }
 }
@@ -332,6 +353,52 @@
   steps
 }
 
+/// Draws planned stops of boxes. A box that is still stopping gets another signal.
+fn draw_stops(seed: u64, size: Size) -> Vec<ScheduledFault> {
+  let mut draw = Draw {
+    random: ChaCha8Rng::seed_from_u64(seed),
+    size,
+  };
+  let mut steps = Vec::new();
+  let mut at_ms = draw.interval_ms();
+  while at_ms < size.faults_ms {
+    let index = draw.random.random_range(0..size.boxes);
+    let fault = Fault::BoxStopped { index };
+    steps.push(ScheduledFault { at_ms, fault });
+    at_ms += STOP_INTERVAL_FACTOR * draw.interval_ms();
+  }
+  steps
+}
+
+/// Draws releases, with one or two kills of all boxes at any moment of each.
+fn draw_releases(seed: u64, size: Size) -> Vec<ScheduledFault> {
+  let mut draw = Draw {
+    random: ChaCha8Rng::seed_from_u64(seed.rotate_left(RELEASE_SEED_ROTATION)),
+    size,
+  };
+  let mut steps = Vec::new();
+  let mut at_ms = draw.interval_ms();
+  while at_ms < size.faults_ms {
+    let gap_ms = draw.between(RELEASE_GAP_MS);
+    steps.push(ScheduledFault {
+      at_ms,
+      fault: Fault::Release { gap_ms },
+    });
+    let mut kill_ms = at_ms + draw.between(RELEASE_KILL_MS);
+    for _ in 0..draw.between(RELEASE_KILLS) {
+      let down_ms = draw.between(RELEASE_DOWN_MS);
+      steps.push(ScheduledFault {
+        at_ms: kill_ms,
+        fault: Fault::AllBoxesKilled { down_ms },
+      });
+      kill_ms += draw.between(RELEASE_KILL_GAP_MS);
+    }
+    at_ms += draw.between(RELEASE_INTERVAL_MS);
+  }
+  steps.sort_by_key(|step| step.at_ms);
+  steps
+}
+
 /// The box whose process a fault concerns.
 fn box_of(fault: Fault) -> Option<usize> {
   match fault {
--- a/soak/src/play.rs
+++ b/soak/src/play.rs
@@ -12,6 +12,7 @@
     plan::{FaultSelection, ScheduledFault, Size},
     promises::breaches,
     records::{Outcome, Records},
+    versioning::Versioning,
   },
   std::{path::PathBuf, sync::Arc, time::Duration},
   tokio::{
@@ -109,6 +110,7 @@
     size.boxes,
     size.places,
     box_bounds(options.seed),
+    Versioning::of(options.faults),
   )
   .await?;
   let fleet = Arc::new(fleet);
@@ -152,9 +154,16 @@
 ) -> JoinSet<()> {
   let mut callers = JoinSet::new();
   for number in 0..options.callers {
-    let caller = Caller::new(fleet.clone(), number, options.seed, CallerWork::Mixed);
+    let mut caller = Caller::new(fleet.clone(), number, options.seed, CallerWork::Mixed);
+    if options.faults == FaultSelection::Releases {
+      caller.resume_after_restarts();
+    }
     callers.spawn(caller.run(stopped.clone()));
   }
+  // An engine that a request crashes would start again under its id with the version of a release.
+  if options.faults == FaultSelection::Releases {
+    return callers;
+  }
   let crashing = Caller::new(
     fleet.clone(),
     options.callers,
--- a/soak/src/subcommand.rs
+++ b/soak/src/subcommand.rs
@@ -59,7 +59,13 @@
   let silences = long("only-silences")
     .help("Make engines silent beside planned work, and inject no other faults")
     .req_flag(FaultSelection::Silences);
-  construct!([interruptions, silences]).fallback(FaultSelection::All)
+  let releases = long("only-releases")
+    .help("Release software versions and kill all boxes at once, and inject no other faults")
+    .req_flag(FaultSelection::Releases);
+  let stops = long("only-stops")
+    .help("Stop boxes as planned, and inject no other faults")
+    .req_flag(FaultSelection::Stops);
+  construct!([interruptions, silences, releases, stops]).fallback(FaultSelection::All)
 }
 
 /// Runs the program.
--- /dev/null
+++ b/soak/src/versioning.rs
@@ -0,0 +1,37 @@
+//! The software versions that endpoints start with.
+
+use super::plan::FaultSelection;
+
+/// The software versions of endpoints.
+const VERSIONS: [&str; 2] = ["v1", "v2"];
+
+/// How endpoints get their versions.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Versioning {
+  /// By turns: both versions serve all the time.
+  Alternating,
+  /// That of the last release.
+  Released,
+}
+
+impl Versioning {
+  /// The versions in runs with a selection of faults.
+  pub(crate) fn of(faults: FaultSelection) -> Self {
+    match faults {
+      FaultSelection::Releases => Self::Released,
+      FaultSelection::All
+      | FaultSelection::Interruptions
+      | FaultSelection::Silences
+      | FaultSelection::Stops => Self::Alternating,
+    }
+  }
+
+  /// The version of the endpoint that starts as a given one, after a number of releases.
+  pub(crate) fn version(self, start_number: u64, releases: u64) -> &'static str {
+    let number = match self {
+      Self::Alternating => start_number + 1,
+      Self::Released => releases,
+    };
+    VERSIONS[usize::from(!number.is_multiple_of(2))]
+  }
+}
