Records are handed over without blocking the box's thread

Read in the diff: for each box that joins, the order of its hall was computed for each record at once. With 985 boxes and all services of two versions a burst of restarts would have held up requests. The order of all boxes is computed once a record now, with a turn for requests in between.

--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -117,7 +117,7 @@
   quarantine_strategy::QuarantineStrategy,
   reachability::{EndpointGroup, GroupLost, Reachability},
   recent_engines::{RecentEngines, stable_engines},
-  record_holders::{RECORD_COPIES, is_asked_everywhere, record_holders, record_sources},
+  record_holders::{RECORD_COPIES, asked_by_all_halls, record_holders, record_sources},
   retry_after::retry_after_backoff_ms,
   retry_window::{RetryAllowance, RetryUsage, RetryWindow},
   return_schedule::{ReturnSchedule, ReturningCaller},
--- a/src/gateway/decisions/record_holders.rs
+++ b/src/gateway/decisions/record_holders.rs
@@ -54,30 +54,26 @@
   interleave(own, others)
 }
 
-/// Whether boxes of all halls ask a box for a record: it is among the first of its hall.
+/// The boxes that are asked for a record by boxes of all halls: the first ones of each hall.
 ///
 /// ```
-/// use rillford::gateway::{BoxEntry, BoxList, StreamKey, is_asked_everywhere, record_sources};
+/// use rillford::gateway::{BoxEntry, BoxList, StreamKey, asked_by_all_halls, record_sources};
 /// let mut boxes = BoxList::default();
 /// for number in 0..12_u16 {
 ///   let hall = ["north", "south"][usize::from(number % 2)].into();
 ///   boxes.put(format!("box-{number}").as_str().into(), BoxEntry { address: ([127, 0, 0, 1], number).into(), hall });
 /// }
 /// let key = StreamKey::of(None, "r-1");
-/// let names = boxes.names();
-/// let asked = names.iter().filter(|name| is_asked_everywhere(&boxes, &key, name));
-/// assert_eq!(asked.count(), 4);
+/// let asked = asked_by_all_halls(&boxes, &key);
+/// assert_eq!(asked.len(), 4);
+/// let by_other = record_sources(&boxes, &key, "", "");
+/// assert!(asked.iter().all(|(_, address)| by_other.contains(address)));
 /// ```
-pub fn is_asked_everywhere(boxes: &BoxList, key: &StreamKey, name: &str) -> bool {
-  let Some((_, entry)) = boxes.entries().find(|(other, _)| &***other == name) else {
-    return false;
-  };
-  let own_weight = rendezvous_weight(name, key.as_bytes());
-  let of_hall = boxes
-    .entries()
-    .filter(|(_, other)| other.hall == entry.hall);
-  let before = of_hall.filter(|(other, _)| rendezvous_weight(other, key.as_bytes()) > own_weight);
-  before.count() < ASKED_PER_OTHER_HALL
+pub fn asked_by_all_halls(boxes: &BoxList, key: &StreamKey) -> Vec<(Name, SocketAddr)> {
+  let halls = halls_in_order(boxes, key, "").others.into_iter();
+  halls
+    .flat_map(|boxes| boxes.into_iter().take(ASKED_PER_OTHER_HALL))
+    .collect()
 }
 
 /// The boxes of each hall in the order for a key.
--- a/src/gateway/decisions/service_version.rs
+++ b/src/gateway/decisions/service_version.rs
@@ -9,6 +9,7 @@
 
 /// Length of a key's hash in bytes.
 const KEY_BYTES: usize = 16;
+
 /// A version of a service.
 #[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct ServiceVersion {
--- a/src/gateway/decisions/version_records.rs
+++ b/src/gateway/decisions/version_records.rs
@@ -71,16 +71,6 @@
     self.stored.keys()
   }
 
-  /// The number of records.
-  pub fn len(&self) -> usize {
-    self.stored.len()
-  }
-
-  /// Whether there is none.
-  pub fn is_empty(&self) -> bool {
-    self.stored.is_empty()
-  }
-
   /// The changes that a box makes now, given the versions that it knows. Only listed versions of the services for which
   /// `is_recorded` holds are added: a version that is known from its record alone would be added again after its removal.
   pub fn due(
--- a/src/gateway/resumption/publishing.rs
+++ b/src/gateway/resumption/publishing.rs
@@ -4,7 +4,7 @@
   super::messages::{StreamRecordMessage, send_records},
   crate::{
     gateway::{
-      decisions::{RecordSource, StreamKey, StreamOrigin, is_asked_everywhere, record_holders},
+      decisions::{RecordSource, StreamKey, StreamOrigin, asked_by_all_halls, record_holders},
       edge::{EndpointEntry, SoftwareVersion},
       stages::RoutedRequest,
       state::Gateway,
@@ -17,12 +17,15 @@
     rc::Rc,
     time::Duration,
   },
-  tokio::{task::spawn_local, time::sleep},
+  tokio::{
+    task::{spawn_local, yield_now},
+    time::sleep,
+  },
 };
 
 /// How long after a request's deadline its caller may still resume the stream.
 const RETURN_MS: u64 = 10_000;
-/// Records that a box sends to one that has joined, which fit into a message.
+/// Records of a service that a box considers for boxes that have joined; as many fit into a message.
 const MAX_HANDED_OVER: usize = 400;
 /// Interval of checks for services that have got a second version.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
@@ -74,7 +77,7 @@
         publish(&gateway, own);
       }
     }
-    hand_over(&gateway, divided.keys().cloned());
+    hand_over(&gateway, divided.keys().cloned().collect());
     before = divided
       .into_iter()
       .map(|(service, versions)| (service, versions.into_keys().collect()))
@@ -95,46 +98,45 @@
   gateway.stream_records.borrow_mut().expire(now_ms);
 }
 
-/// Sends the records of divided services to the boxes that have registered lately, which know none.
-fn hand_over(gateway: &Rc<Gateway>, services: impl Iterator<Item = Name>) {
-  let joined = gateway.joined_boxes.borrow_mut().take();
-  let others: Vec<(Name, SocketAddr)> = {
-    let boxes = gateway.boxes.borrow();
-    let others = boxes
-      .entries()
-      .filter(|(name, _)| joined.contains(*name) && **name != gateway.settings.identity.name);
-    others
-      .map(|(name, entry)| (name.clone(), entry.address))
-      .collect()
-  };
-  if others.is_empty() {
-    return;
+/// Sends the records of services to the boxes that have registered lately, which know none.
+fn hand_over(gateway: &Rc<Gateway>, services: Vec<Name>) {
+  let mut joined = gateway.joined_boxes.borrow_mut().take();
+  joined.remove(&gateway.settings.identity.name);
+  if !joined.is_empty() && !services.is_empty() {
+    spawn_local(send_to_joined(gateway.clone(), services, joined));
   }
+}
+
+/// Sends records to those of the joined boxes that all halls ask for them.
+async fn send_to_joined(gateway: Rc<Gateway>, services: Vec<Name>, joined: BTreeSet<Name>) {
   let now_ms = gateway.now_ms();
+  let mut by_box: BTreeMap<(Name, SocketAddr), Vec<StreamRecordMessage>> = BTreeMap::new();
   for service in services {
     let streams = gateway.stream_records.borrow().all_of(&service, now_ms);
-    for (name, address) in &others {
-      let boxes = gateway.boxes.borrow();
-      let of_box = streams
-        .iter()
-        .filter(|(key, _, _)| is_asked_everywhere(&boxes, key, name));
-      let records: Vec<StreamRecordMessage> = of_box
-        .take(MAX_HANDED_OVER)
-        .map(|(key, origin, expires_ms)| StreamRecordMessage {
-          key: *key,
-          origin: origin.clone(),
-          ttl_ms: expires_ms.saturating_sub(now_ms),
-        })
-        .collect();
-      if !records.is_empty() {
-        log::info!(
-          "E554 {} records of streams sent to {name}, which has joined",
-          records.len()
-        );
-        send(gateway, *address, records);
+    for (key, origin, expires_ms) in streams.into_iter().take(MAX_HANDED_OVER) {
+      // The order of all boxes is computed for each record: requests go on in between.
+      yield_now().await;
+      let asked = asked_by_all_halls(&gateway.boxes.borrow(), &key);
+      for receiver in asked.into_iter().filter(|(name, _)| joined.contains(name)) {
+        by_box
+          .entry(receiver)
+          .or_default()
+          .push(StreamRecordMessage {
+            key,
+            origin: origin.clone(),
+            ttl_ms: expires_ms.saturating_sub(now_ms),
+          });
       }
     }
   }
+  for ((name, address), mut records) in by_box {
+    records.truncate(MAX_HANDED_OVER);
+    log::info!(
+      "E554 {} records of streams sent to {name}, which has joined",
+      records.len()
+    );
+    send(&gateway, address, records);
+  }
 }
 
 /// Sends records to the boxes that hold them, in one message for each; does not wait for the calls.
