Logs name the start of the engine that wrote a stream, and restarts of endpoints under their id

E509 and E557 named the version that an engine is listed with, and nothing said which of its starts that was. With the listed start in both lines, and E555 when the list shows another one, a stream whose version was recorded from a former start can be told from one that a box did not know: its E509 is later than the start that E555 names. No logic is changed.

--- a/src/gateway/edge/endpoint_entry.rs
+++ b/src/gateway/edge/endpoint_entry.rs
@@ -30,3 +30,12 @@
   /// An engine's role; plain services have none.
   pub role: Option<Role>,
 }
+
+impl EndpointEntry {
+  /// When it started, for logs: Unix milliseconds, or `-` when that is not listed.
+  pub(crate) fn start_text(&self) -> String {
+    self
+      .started_ms
+      .map_or_else(|| "-".into(), |started_ms| started_ms.to_string())
+  }
+}
--- a/src/gateway/membership/store_view.rs
+++ b/src/gateway/membership/store_view.rs
@@ -5,7 +5,7 @@
   crate::{
     gateway::{
       decisions::{HallDrainChange, QuarantineKey, QuarantineStrategy, ServiceVersion},
-      edge::{RouteTable, StoreError, StoreItem, StoreKey},
+      edge::{EndpointEntry, RouteTable, StoreError, StoreItem, StoreKey},
       quarantine::mark_age_ms,
       state::Gateway,
     },
@@ -184,7 +184,11 @@
           self.gateway.pool.close(id);
         }
         self.gateway.record_cold(&entry, entry.cold_ms);
-        self.gateway.endpoints.borrow_mut().put(entry);
+        let mut endpoints = self.gateway.endpoints.borrow_mut();
+        if let Some(former) = endpoints.entry(id) {
+          log_restart(former, &entry);
+        }
+        endpoints.put(entry);
       }
       Err(error) => {
         log::warn!("E405 entry of endpoint {id} at revision {revision} not decoded: {error}")
@@ -265,3 +269,17 @@
     }
   }
 }
+
+/// Logs that an endpoint has restarted under its id: until now, streams there were taken to come from its former start.
+fn log_restart(former: &EndpointEntry, entry: &EndpointEntry) {
+  if former.started_ms != entry.started_ms {
+    log::info!(
+      "E555 endpoint restarted: {} started {} version {}, before started {} version {}",
+      entry.id,
+      entry.start_text(),
+      entry.version,
+      former.start_text(),
+      former.version
+    );
+  }
+}
--- a/src/gateway/requests/event_relay.rs
+++ b/src/gateway/requests/event_relay.rs
@@ -10,7 +10,7 @@
   },
   crate::gateway::{
     decisions::{AttemptOutcome, UnreadTime},
-    edge::SoftwareVersion,
+    edge::{EndpointEntry, SoftwareVersion},
     quarantine::{is_past_beginning, record_lost_stage, record_sound_segments, record_success},
     resumption::record_stream,
     stages::{ResponseHead, RoutedRequest, StageError},
@@ -123,10 +123,11 @@
         record_stream(&self.stream.gateway, &self.stream.request, entry);
       }
       log::info!(
-        "E509 first event: {} after {took_ms} ms, from {} version {}",
+        "E509 first event: {} after {took_ms} ms, from {} version {} started {}",
         self.stream.request.id(),
         origin.map_or("-", |entry| &entry.id),
-        origin.map_or_else(SoftwareVersion::default, |entry| entry.version.clone())
+        origin.map_or_else(SoftwareVersion::default, |entry| entry.version.clone()),
+        origin.map_or_else(|| "-".into(), EndpointEntry::start_text)
       );
     }
   }
@@ -215,11 +216,12 @@
     let Some(head) = &self.head else { return };
     self.stream.gateway.counters.resumed.inc();
     log::info!(
-      "E557 stream resumed: {} after event {:?} at {} version {}, interrupted at version {version}",
+      "E557 stream resumed: {} after event {:?} at {} version {} started {}, interrupted at version {version}",
       self.stream.request.id(),
       self.stream.last_event_id,
       head.entry.id,
-      head.entry.version
+      head.entry.version,
+      head.entry.start_text()
     );
   }
 
