Tests: streams at engines that have restarted since they were listed

An engine that restarts under its id with another version of its software is listed with its former version until it writes its entry. The existing tests have two listed versions or a list that may lag; these have neither.

--- a/tests/gateway/versions.rs
+++ b/tests/gateway/versions.rs
@@ -18,7 +18,14 @@
     RecordSource, RecordedOrigin, SoftwareVersion, StreamKey, StreamOrigin, StreamRecords,
   },
   rstest::rstest,
-  std::{collections::HashSet, sync::Mutex, time::Duration},
+  std::{
+    collections::HashSet,
+    sync::{
+      Arc, Mutex,
+      atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+  },
 };
 
 const BEGINNING: &str = "id: 1\ndata: a\n\nid: 2\nda";
@@ -432,6 +439,71 @@
   assert!(restarted.requests().is_empty());
 }
 
+/// Cuts each stream that it begins after its first event; reports its start.
+fn cuts_what_it_begins(
+  started_ms: u64,
+) -> impl Fn(&ReceivedRequest) -> Reply + Send + Sync + 'static {
+  let reports = reports_start(started_ms);
+  let fails = fails_what_it_begins(Failure::Cut);
+  move |seen| match seen.path.as_str() {
+    "/report" => reports(seen),
+    _ => fails(seen),
+  }
+}
+
+/// Guards against events of an engine that has restarted with a version which no box has listed yet, in a stream of the version
+/// that is listed for it.
+#[tokio::test]
+async fn stream_runs_at_no_engine_that_has_restarted_since_it_was_listed() {
+  let prefill = EndpointStandIn::engine(EVENTS).await;
+  let test = GatewayTest::new().await;
+  test.enter("e-1", "llm", Some("prefill"), &prefill);
+  let restarted = EndpointStandIn::start(reports_start(8)).await;
+  test.enter_version_started("e-2", &restarted, "v1", 7);
+  let as_listed = EndpointStandIn::start(cuts_what_it_begins(7)).await;
+  test.enter_version_started("e-3", &as_listed, "v1", 7);
+  let gateway = test.start().await;
+  for number in 0..STREAMS {
+    gateway.ask("/resumable/a", &format!("r{number}")).await;
+    let response = resume(&gateway, &format!("again-{number}"), &format!("r{number}")).await;
+    assert_eq!(response.body.unwrap(), REST);
+  }
+  assert!(restarted.requests().is_empty());
+}
+
+/// Guards against an engine that restarts between the report of its start and a stream: a connection outlives no restart.
+#[tokio::test]
+async fn stream_runs_at_no_engine_that_restarts_after_it_has_reported_its_start() {
+  let prefill = EndpointStandIn::engine(EVENTS).await;
+  let test = GatewayTest::new().await;
+  test.enter("e-1", "llm", Some("prefill"), &prefill);
+  let start = Arc::new(AtomicU64::new(0));
+  let current = start.clone();
+  let restarts = move |seen: &ReceivedRequest| {
+    let number = current.load(Ordering::Relaxed);
+    match reports_start(number)(seen) {
+      Reply::Write(report) if seen.path == "/report" && number == 1 => {
+        Reply::Crash(report, Duration::ZERO)
+      }
+      reply => reply,
+    }
+  };
+  let engine = EndpointStandIn::start_restartable(restarts, move |_, number| {
+    start.store(number, Ordering::Relaxed);
+  })
+  .await;
+  test.enter_version_started("e-2", &engine, "v1", 1);
+  let other = EndpointStandIn::start(reports_start(1)).await;
+  test.enter_version_started("e-3", &other, "v1", 1);
+  let gateway = test.start().await;
+  for number in 0..STREAMS {
+    gateway.ask_in_background("/resumable/a", &format!("r{number}"));
+  }
+  let all_run = async || other.requests().len() + engine.requests().len() == STREAMS;
+  assert!(eventually(TIMEOUT, all_run).await);
+  assert!(engine.requests().is_empty());
+}
+
 /// Guards against a stream that goes on at another version when its own is gone.
 #[tokio::test]
 async fn stream_whose_version_is_gone_is_rejected_with_a_time_to_return() {
