An engine confirms its start on the connection of a resumable stream

Callers got streams with events of two software versions: an engine that restarts under its id with another version is listed with its former one until it writes its entry, and a box chose, recorded and resumed streams by the entry. Requests name the engine's id, which the new process has as well.

Cause: the identity of an engine was read from the list, or from a report on another connection, while the stream ran on a connection of its own; and the report was asked for only while several versions were known or the list might lag. The first restart with a new version meets neither condition.

Now an engine reports its start on the connection that the stream is sent on, once per connection. A TCP connection outlives no restart, so whoever answers the stream is whoever reported the start. If it is not the listed one, the stream goes to another engine, unsent. The report on a separate connection is gone.

stream_does_not_go_on_at_an_engine_that_has_restarted had an engine that reported another start than the listed one while the stream began there, which no longer happens. In its place the engine begins the stream, crashes and is back with another start; the status is checked as before, and that the engine gets no part of the resumption.

--- a/src/gateway/connections/connection.rs
+++ b/src/gateway/connections/connection.rs
@@ -43,8 +43,10 @@
 /// One connection to an endpoint.
 #[derive(Debug)]
 pub(crate) struct Connection {
-  /// The endpoint's incarnation.
+  /// The endpoint's id.
   pub(crate) endpoint: Name,
+  /// The start that the endpoint has confirmed on this connection, as Unix milliseconds. The connection outlives no restart.
+  pub(crate) confirmed_start_ms: Option<u64>,
   /// When it must no longer be reused, on the box's clock.
   pub(crate) reusable_until_ms: u64,
   sender: http1::SendRequest<Full<Bytes>>,
@@ -87,6 +89,7 @@
       }
     });
     Ok(Self {
+      confirmed_start_ms: None,
       endpoint,
       reusable_until_ms: 0,
       sender,
--- a/src/gateway/requests/stream_send.rs
+++ b/src/gateway/requests/stream_send.rs
@@ -10,10 +10,7 @@
     edge::{EndpointEntry, ProxyHeaders, Stage},
     permits::Permit,
     quarantine::{LostStage, record_lost_stage},
-    stages::{
-      ExportGuard, OutgoingStage, Reservation, ResponseHead, StageError, check_incarnation,
-      send_stage,
-    },
+    stages::{ExportGuard, OutgoingStage, Reservation, ResponseHead, StageError, send_stage},
   },
   std::{pin::pin, time::Duration},
   tokio::time::timeout,
@@ -41,7 +38,7 @@
     mut reservation: Option<Reservation>,
     export: Option<ExportGuard>,
   ) -> Result<ResponseHead, StageError> {
-    let checked = self.check_version(entry).await;
+    let checked = self.check_version(entry);
     self.tried.push(entry.id.clone());
     // Counted before it is sent: the deadline may pass before the result is known.
     self.attempts += 1;
@@ -77,23 +74,12 @@
     result
   }
 
-  /// Checks that an endpoint has the stream's version, or, if the stream begins there, the version that will be recorded for it:
-  /// one that has restarted under its id may have another version than the listed one.
-  async fn check_version(&self, entry: &EndpointEntry) -> Result<(), StageError> {
-    let are_several = {
-      let endpoints = self.gateway.endpoints.borrow();
-      endpoints.versions().are_several(&entry.service)
-    };
-    let may_lag = !self.gateway.is_current();
-    let needs_check = match &self.version {
-      Some(version) if entry.version != *version => return Err(Unavailable::Unlisted.into()),
-      Some(_) => are_several || may_lag,
-      None => self.may_retry() && are_several && may_lag,
-    };
-    if needs_check {
-      check_incarnation(&self.gateway, entry).await?;
+  /// Checks that an endpoint is listed with the stream's version.
+  fn check_version(&self, entry: &EndpointEntry) -> Result<(), StageError> {
+    match &self.version {
+      Some(version) if entry.version != *version => Err(Unavailable::Unlisted.into()),
+      Some(_) | None => Ok(()),
     }
-    Ok(())
   }
 
   fn proxy_headers(
--- a/src/gateway/stages/engine_call.rs
+++ b/src/gateway/stages/engine_call.rs
@@ -17,12 +17,13 @@
     header::{CONTENT_TYPE, HOST},
   },
   http_body_util::{BodyExt, Full, Limited},
-  std::{fmt::Display, rc::Rc, time::Duration},
+  hyper::body::Incoming,
+  std::{error::Error, fmt::Display, rc::Rc, time::Duration},
   tokio::{task::spawn_local, time::timeout},
 };
 
 /// Timeout of a call to an engine, which answers calls without queueing them.
-const CALL_TIMEOUT: Duration = Duration::from_millis(150);
+pub(super) const CALL_TIMEOUT: Duration = Duration::from_millis(150);
 /// The longest response to a call.
 const MAX_RESPONSE_BYTES: usize = 64 * 1024;
 /// An export is not used this shortly before it expires.
@@ -76,8 +77,7 @@
           error => lost(&error),
         })?;
     let (head, body) = response.into_parts();
-    let read = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
-    let body = read.map_err(|error| lost(&error))?.to_bytes();
+    let body = read_response(body).await.map_err(|error| lost(&error))?;
     gateway.keep_alive(connection, &head.headers);
     match head.status {
       status if status.is_success() => Ok(body),
@@ -93,7 +93,16 @@
   result
 }
 
-fn build_request(entry: &EndpointEntry, call: EndpointCall) -> http::Result<Request<Full<Bytes>>> {
+/// Reads the whole response to a call; fails when it is truncated, or longer than [`MAX_RESPONSE_BYTES`].
+pub(super) async fn read_response(body: Incoming) -> Result<Bytes, Box<dyn Error + Send + Sync>> {
+  let read = Limited::new(body, MAX_RESPONSE_BYTES).collect().await?;
+  Ok(read.to_bytes())
+}
+
+pub(super) fn build_request(
+  entry: &EndpointEntry,
+  call: EndpointCall,
+) -> http::Result<Request<Full<Bytes>>> {
   let mut request = Request::builder()
     .method(call.method)
     .uri(call.path)
--- a/src/gateway/stages/incarnation_check.rs
+++ b/src/gateway/stages/incarnation_check.rs
@@ -1,40 +1,80 @@
-//! Asks an endpoint whether it has restarted since it was listed.
+//! Confirms that an engine is the listed incarnation: one that restarts under its id may have another version, and the list lags.
 
 use {
   super::{
-    engine_call::EngineCallError, engine_call::call_engine, purpose::Purpose,
+    engine_call::{CALL_TIMEOUT, build_request, read_response},
+    notice::SentCall,
+    purpose::Purpose,
+    stage::apply_response_notice,
     stage_error::StageError,
   },
-  crate::gateway::{decisions::Unavailable, edge::EndpointEntry, state::Gateway},
+  crate::gateway::{
+    connections::Connection, decisions::Unavailable, edge::EndpointEntry, state::Gateway,
+  },
+  http::StatusCode,
   std::rc::Rc,
+  tokio::time::timeout,
 };
 
-/// Fails when an engine reports another start than the listed one. It may have restarted under its id with another version, and
-/// the list may lag. An engine that reports no start passes.
-pub(crate) async fn check_incarnation(
+/// Whether nothing is left to confirm on a connection. Entries without a start, and plain services, confirm nothing.
+pub(super) fn has_confirmed_start(connection: &Connection, entry: &EndpointEntry) -> bool {
+  entry.role.is_none()
+    || entry.started_ms.is_none()
+    || connection.confirmed_start_ms == entry.started_ms
+}
+
+/// Has an engine report its start on the connection that is used next, so that it can't restart in between. Fails when it reports
+/// another start than the listed one, or nothing in time. An engine that reports no start passes.
+pub(super) async fn confirm_start(
   gateway: &Rc<Gateway>,
   entry: &EndpointEntry,
+  connection: &mut Connection,
 ) -> Result<(), StageError> {
-  if entry.started_ms.is_none() || entry.role.is_none() {
-    return Ok(());
+  let Ok(reported) = timeout(CALL_TIMEOUT, reported_start_ms(gateway, entry, connection)).await
+  else {
+    gateway.record_unreached(entry);
+    return Err(StageError::Unreachable);
+  };
+  let reported_ms = reported?;
+  if reported_ms.is_some() && reported_ms != entry.started_ms {
+    log::info!(
+      "E518 endpoint has restarted: {} reports its start at {reported_ms:?}, listed {}",
+      entry.id,
+      entry.start_text()
+    );
+    return Err(Unavailable::Restarted.into());
   }
-  let call = gateway.codec.report_call();
-  let body = match call_engine(gateway, entry, call, Purpose::Call).await {
-    Ok(body) => body,
-    Err(EngineCallError::Rejected(_)) => return Ok(()),
-    Err(EngineCallError::Unavailable(unavailable)) => return Err(unavailable.into()),
-    Err(EngineCallError::TimedOut | EngineCallError::Lost(_)) => {
-      return Err(StageError::Unreachable);
-    }
+  connection.confirmed_start_ms = entry.started_ms;
+  Ok(())
+}
+
+/// The start that an engine reports on a connection; `None` when it reports none.
+async fn reported_start_ms(
+  gateway: &Rc<Gateway>,
+  entry: &EndpointEntry,
+  connection: &mut Connection,
+) -> Result<Option<u64>, StageError> {
+  let unsent = |error: &dyn std::fmt::Display| StageError::Unsent(error.to_string());
+  let call = build_request(entry, gateway.codec.report_call()).map_err(|error| unsent(&error))?;
+  let sent = SentCall {
+    entry,
+    purpose: Purpose::Call,
+    sent_ms: gateway.now_ms(),
   };
+  let response = connection
+    .send(call)
+    .await
+    .map_err(|error| unsent(&error))?;
+  let (head, body) = apply_response_notice(gateway, sent, response).into_parts();
+  let body = read_response(body).await.map_err(|error| unsent(&error))?;
+  if head.status != StatusCode::OK {
+    return Ok(None);
+  }
   match gateway.codec.report(&body) {
-    Ok(report) if report.started_ms.is_some() && report.started_ms != entry.started_ms => {
-      Err(Unavailable::Restarted.into())
-    }
-    Ok(_) => Ok(()),
+    Ok(report) => Ok(report.started_ms),
     Err(error) => {
       log::info!("E561 report not decoded: {}: {error}", entry.id);
-      Ok(())
+      Ok(None)
     }
   }
 }
--- a/src/gateway/stages/mod.rs
+++ b/src/gateway/stages/mod.rs
@@ -18,7 +18,6 @@
 
 pub(crate) use self::{
   engine_call::{EngineCallError, ExportGuard, Reservation, call_engine},
-  incarnation_check::check_incarnation,
   notice::apply_forwarded_notice,
   purpose::Purpose,
   reachability_probe::probe_unreachable,
--- a/src/gateway/stages/notice.rs
+++ b/src/gateway/stages/notice.rs
@@ -116,7 +116,7 @@
     purpose,
     sent_ms,
   } = sent;
-  if limit == LimitHeader::Absent && purpose != Purpose::Request {
+  if limit == LimitHeader::Absent && !purpose.is_request() {
     return;
   }
   let now_ms = gateway.now_ms();
--- a/src/gateway/stages/purpose.rs
+++ b/src/gateway/stages/purpose.rs
@@ -5,8 +5,17 @@
 pub(crate) enum Purpose {
   /// A caller's request or a stage of it: not sent to an endpoint that is shutting down or asked for a backoff.
   Request,
+  /// The same, for a stream that other endpoints of its version may resume: its endpoint first confirms the listed start.
+  ResumableStream,
   /// A call of the gateway's own that leads to work: not sent to such an endpoint either.
   Call,
   /// Releases what an endpoint holds. It frees memory, so it is sent to such an endpoint too.
   Release,
 }
+
+impl Purpose {
+  /// Whether a caller's request or a stage of it is sent.
+  pub(super) fn is_request(self) -> bool {
+    matches!(self, Self::Request | Self::ResumableStream)
+  }
+}
--- a/src/gateway/stages/stage.rs
+++ b/src/gateway/stages/stage.rs
@@ -2,6 +2,7 @@
 
 use {
   super::{
+    incarnation_check::{confirm_start, has_confirmed_start},
     notice::{SentCall, apply_notice},
     purpose::Purpose,
     request::RoutedRequest,
@@ -10,9 +11,9 @@
   },
   crate::{
     gateway::{
-      connections::{Connection, SendError, remove_connection_headers},
+      connections::{Connection, remove_connection_headers},
       decisions::{AttemptOutcome, Unavailable},
-      edge::{EndpointEntry, ProxyHeaders, ResponseAttributes},
+      edge::{EndpointEntry, ProxyHeaders, ResponseAttributes, Stage},
       permits::{Permit, acquire_permit, return_permit},
       state::{Gateway, UnreadCause},
     },
@@ -233,13 +234,18 @@
   let sent_ms = gateway.now_ms();
   let sent = request.for_endpoint(&*gateway.codec, proxy_headers);
   request.sends.set(request.sends.get() + 1);
-  let response = exchange(gateway, entry, sent, Purpose::Request)
-    .await
-    .and_then(|(connection, response)| {
-      let (head, body) = response.into_parts();
-      let attributes = validate(gateway, request, entry, &head)?;
-      Ok((connection, head, body, attributes))
-    });
+  let response = exchange(
+    gateway,
+    entry,
+    sent,
+    purpose_of(request, &proxy_headers.stage),
+  )
+  .await
+  .and_then(|(connection, response)| {
+    let (head, body) = response.into_parts();
+    let attributes = validate(gateway, request, entry, &head)?;
+    Ok((connection, head, body, attributes))
+  });
   match response {
     Ok((connection, head, body, attributes)) => Ok(ResponseHead {
       attributes,
@@ -265,6 +271,16 @@
   }
 }
 
+/// The purpose of a stage of a caller's request.
+fn purpose_of(request: &RoutedRequest, stage: &Stage) -> Purpose {
+  let is_resumed = request.attributes.last_event_id.is_some();
+  let kind = request.route.kind;
+  if kind.is_stream() && (kind.may_retry() || is_resumed) && *stage != Stage::Prefill {
+    return Purpose::ResumableStream;
+  }
+  Purpose::Request
+}
+
 /// Sends a request on an idle connection, or on a new one when there is none or it was closed before use.
 pub(crate) async fn exchange(
   gateway: &Rc<Gateway>,
@@ -274,19 +290,15 @@
 ) -> Result<(Connection, Response<Incoming>), StageError> {
   // The endpoint's state may have changed since it was chosen.
   check_available(gateway, entry, purpose)?;
-  let mut sent = SentCall {
-    entry,
-    purpose,
-    sent_ms: gateway.now_ms(),
-  };
-  if let Some(mut connection) = gateway.pool.take_idle(&entry.id, gateway.now_ms()) {
-    match connection.send(request.clone()).await {
-      Ok(response) => {
-        gateway.record_reached(entry);
-        return Ok((connection, apply_response_notice(gateway, sent, response)));
+  if let Some(connection) = gateway.pool.take_idle(&entry.id, gateway.now_ms()) {
+    match exchange_on(gateway, entry, connection, request.clone(), purpose).await {
+      Err(StageError::Unreachable | StageError::Unsent(_)) => {}
+      result => {
+        if result.is_ok() {
+          gateway.record_reached(entry);
+        }
+        return result;
       }
-      Err(SendError::ConnectionLost(text)) => return Err(StageError::Lost(text)),
-      Err(SendError::Unreachable | SendError::Unsent(_)) => {}
     }
   }
   gateway.counters.connections.inc();
@@ -300,15 +312,34 @@
     Ok(_) => gateway.record_reached(entry),
     Err(_) => gateway.record_unreached(entry),
   }
-  let mut connection = opened?;
+  let connection = opened?;
   check_available(gateway, entry, purpose)?;
-  sent.sent_ms = gateway.now_ms();
+  exchange_on(gateway, entry, connection, request, purpose).await
+}
+
+/// Sends a request on a connection. Only the listed start of an endpoint gets a resumable stream.
+async fn exchange_on(
+  gateway: &Rc<Gateway>,
+  entry: &EndpointEntry,
+  mut connection: Connection,
+  request: Request<Full<Bytes>>,
+  purpose: Purpose,
+) -> Result<(Connection, Response<Incoming>), StageError> {
+  if purpose == Purpose::ResumableStream && !has_confirmed_start(&connection, entry) {
+    confirm_start(gateway, entry, &mut connection).await?;
+    check_available(gateway, entry, purpose)?;
+  }
+  let sent = SentCall {
+    entry,
+    purpose,
+    sent_ms: gateway.now_ms(),
+  };
   let response = connection.send(request).await?;
   Ok((connection, apply_response_notice(gateway, sent, response)))
 }
 
 /// Applies the endpoint's notice as soon as the head is there: reading the body may take long.
-fn apply_response_notice(
+pub(super) fn apply_response_notice(
   gateway: &Rc<Gateway>,
   sent: SentCall,
   response: Response<Incoming>,
@@ -327,7 +358,7 @@
   let now_ms = gateway.now_ms();
   let mut endpoints = gateway.endpoints.borrow_mut();
   match (endpoints.check(entry, now_ms), purpose) {
-    (Ok(()), Purpose::Request | Purpose::Call) => {
+    (Ok(()), Purpose::Request | Purpose::ResumableStream | Purpose::Call) => {
       if let Some(requested_ms) = endpoints.record_probe(&entry.id, now_ms) {
         log::info!(
           "E537 first request after its backoff: {}, requested {} ms ago",
@@ -339,7 +370,7 @@
     }
     (Err(Unavailable::Unlisted), _) => Err(Unavailable::Unlisted.into()),
     (_, Purpose::Release) => Ok(()),
-    (Err(unavailable), Purpose::Request | Purpose::Call) => {
+    (Err(unavailable), Purpose::Request | Purpose::ResumableStream | Purpose::Call) => {
       gateway.counters.not_sent.inc();
       Err(unavailable.into())
     }
--- a/tests/gateway/versions.rs
+++ b/tests/gateway/versions.rs
@@ -392,21 +392,34 @@
 
 /// Guards against an engine that has restarted under its id with another version before the list shows it.
 #[rstest]
-#[case::as_listed(7, StatusCode::OK)]
-#[case::restarted(8, StatusCode::SERVICE_UNAVAILABLE)]
+#[case::as_listed(false, StatusCode::OK)]
+#[case::restarted(true, StatusCode::SERVICE_UNAVAILABLE)]
 #[tokio::test]
 async fn stream_does_not_go_on_at_an_engine_that_has_restarted(
-  #[case] reported_start_ms: u64,
+  #[case] restarts: bool,
   #[case] status: StatusCode,
 ) {
   let prefill = EndpointStandIn::engine(EVENTS).await;
   let test = GatewayTest::new().await;
   test.enter("e-1", "llm", Some("prefill"), &prefill);
-  let engine = EndpointStandIn::start(reports_start(reported_start_ms)).await;
-  test.enter_version_started("e-2", &engine, "v1", 7);
+  let start = Arc::new(AtomicU64::new(0));
+  let current = start.clone();
+  let script =
+    move |seen: &ReceivedRequest| match reports_start(current.load(Ordering::Relaxed))(seen) {
+      Reply::Write(beginning) if restarts && is_stream(seen) => {
+        Reply::Crash(beginning, Duration::ZERO)
+      }
+      reply => reply,
+    };
+  let engine = EndpointStandIn::start_restartable(script, move |_, number| {
+    start.store(number, Ordering::Relaxed);
+  })
+  .await;
+  test.enter_version_started("e-2", &engine, "v1", 1);
   let gateway = test.start().await;
   gateway.ask_in_background("/resumable/a", "r1");
-  assert!(eventually(TIMEOUT, async || !engine.requests().is_empty()).await);
+  let records = "rillford_stream_records";
+  assert!(eventually(TIMEOUT, async || gateway.metric(records).await == 1.0).await);
   let other = EndpointStandIn::start(begins_and_resumes).await;
   gateway.test.enter_version("e-3", &other, "v2");
   let divided = "rillford_services_of_several_versions";
@@ -414,6 +427,10 @@
   let response = resume(&gateway, "again", "r1").await;
   assert_eq!(response.status, status);
   assert!(other.requests().iter().all(|seen| seen.id() != "again"));
+  assert_eq!(
+    engine.requests().iter().any(|seen| seen.id() == "again"),
+    !restarts
+  );
 }
 
 /// Guards against a stream whose origin is recorded as a version that its engine no longer has.
