--- a/tests/gateway/endpoint.rs
+++ b/tests/gateway/endpoint.rs
@@ -1,6 +1,7 @@
 //! A fake endpoint of the platform with scripted responses.
 
 use {
+  super::endless_reply::{EndlessEnd, EndlessReply},
   emulator::own_addresses,
   socket2::SockRef,
   std::{
@@ -69,6 +70,8 @@
   WriteInPartsAndClose(Vec<(Duration, String)>),
   /// Writes parts one after another, and resets the connection when the gateway has not taken all of them within a time.
   WritePartsOrAbort(Vec<String>, Duration),
+  /// Writes a response that never ends, until the gateway closes the connection.
+  WriteEndlessly(EndlessReply),
   /// Never responds.
   NoResponse,
   /// Writes bytes and crashes the endpoint with all of its connections; it restarts after a delay.
@@ -134,6 +137,7 @@
   closed: Arc<Mutex<Vec<ReceivedRequest>>>,
   written: Arc<Mutex<Vec<ReceivedRequest>>>,
   aborted: Arc<Mutex<Vec<ReceivedRequest>>>,
+  endless_ends: Arc<Mutex<Vec<EndlessEnd>>>,
   silent_until: Arc<Mutex<Instant>>,
 }
 
@@ -154,6 +158,7 @@
       aborted: Arc::default(),
       address,
       closed: Arc::default(),
+      endless_ends: Arc::default(),
       received: Arc::default(),
       silent_until: Arc::new(Mutex::new(Instant::now())),
       written: Arc::default(),
@@ -163,6 +168,7 @@
     let state = IncarnationState {
       aborted: endpoint.aborted.clone(),
       closed: endpoint.closed.clone(),
+      endless_ends: endpoint.endless_ends.clone(),
       script: Arc::new(script),
       received: endpoint.received.clone(),
       silent_until: endpoint.silent_until.clone(),
@@ -223,6 +229,11 @@
     self.written.lock().unwrap().len()
   }
 
+  /// How the endless responses ended whose connection is closed.
+  pub(crate) fn endless_ends(&self) -> Vec<EndlessEnd> {
+    self.endless_ends.lock().unwrap().clone()
+  }
+
   /// Responses in parts that this endpoint aborted because the gateway left them unread.
   pub(crate) fn aborted(&self) -> usize {
     self.aborted.lock().unwrap().len()
@@ -272,7 +283,7 @@
       }
       Reply::WritePartsOrAbort(parts, limit)
     }
-    Reply::NoResponse | Reply::WriteBytes(_) => reply,
+    Reply::NoResponse | Reply::WriteBytes(_) | Reply::WriteEndlessly(_) => reply,
     Reply::Crash(text, down) => Reply::Crash(marked(text), down),
   }
 }
@@ -305,6 +316,7 @@
   closed: Arc<Mutex<Vec<ReceivedRequest>>>,
   written: Arc<Mutex<Vec<ReceivedRequest>>>,
   aborted: Arc<Mutex<Vec<ReceivedRequest>>>,
+  endless_ends: Arc<Mutex<Vec<EndlessEnd>>>,
   silent_until: Arc<Mutex<Instant>>,
 }
 
@@ -388,6 +400,11 @@
         }
         return;
       }
+      Reply::WriteEndlessly(endless) => {
+        let end = endless.write_until_closed(&mut stream).await;
+        state.endless_ends.lock().unwrap().push(end);
+        return;
+      }
       Reply::NoResponse => {
         wait_until_closed(&mut stream).await;
         state.closed.lock().unwrap().push(request);
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -9,6 +9,8 @@
 mod crashing_request;
 mod crashing_segment;
 mod cut_off;
+mod endless_answers;
+mod endless_reply;
 mod endpoint;
 mod endpoint_limits;
 mod fair_shares;
