An error response to a stream has until the request's deadline

Callers of a stream had no answer at all when the engine sent the head of an error response and then bytes without end, or fell silent within the body: buffer_in_time kept the deadline only where held bytes are bounded, and the engine, which then wasn't at fault for anything, stayed in use.

It is the same timeout for all ways in which the body may not end, so no case is left out.

--- a/src/gateway/requests/stream.rs
+++ b/src/gateway/requests/stream.rs
@@ -14,7 +14,7 @@
     state::{Gateway, InFlight},
   },
   http::Response,
-  std::{rc::Rc, time::Duration},
+  std::{pin::pin, rc::Rc, time::Duration},
   tokio::time::timeout,
 };
 
@@ -106,18 +106,21 @@
   reply.response()
 }
 
-/// Buffers a response; `None` when the deadline passes. Without a bound on held bytes it never waits for room.
+/// Buffers a response; `None` when the deadline passes. Its endpoint is late then, unless the response waits for room.
 async fn buffer_in_time(
   gateway: &Gateway,
   request: &RoutedRequest,
   head: ResponseHead,
 ) -> Option<Result<BufferedResponse, StageError>> {
-  let buffered = head.buffer(gateway, request);
-  if !gateway.held_memory.is_bounded() {
-    return Some(buffered.await);
-  }
+  let endpoint = head.connection.endpoint.clone();
   let remaining = Duration::from_millis(request.remaining_ms(gateway.now_ms()));
-  timeout(remaining, buffered).await.ok()
+  let mut buffered = pin!(head.buffer(gateway, request));
+  let result = timeout(remaining, buffered.as_mut()).await.ok();
+  if result.is_none() && request.waits_for_memory.get() == 0 {
+    log::info!("E503 timed out: {} at {endpoint}", request.id());
+    gateway.mark_overdue(&endpoint);
+  }
+  result
 }
 
 /// Whether a request resumes a stream of a version that no listed endpoint has.
