A body that another box relays ends at the request's deadline

A caller whose request was forwarded had its answer without end, or no end of it, when the other box sent the head and then bytes without end or fell silent: relay_body in forwarding.rs awaited each piece without a limit.

RelayedBody keeps the deadline with the margin that the head has, since the other box ends the body at the deadline itself. What is ready at the deadline is still delivered, so that a caller that reads slowly gets a whole answer, but at most as much as the longest buffered response; small pieces count with their handling. The body is cut then, never ended as complete, and the other box counts as declined, so that others are asked first.

--- a/src/gateway/requests/forwarding.rs
+++ b/src/gateway/requests/forwarding.rs
@@ -7,7 +7,8 @@
       ACCEPTED, BUSY, CONFIGURATION, DECLINED, ENDPOINT, FORWARD_PATH, FORWARDED_BY, REMAINING_MS,
       header_text, remove_forwarding_headers, set_header,
     },
-    response::{LocalReply, ResponseBody, StreamAborted},
+    relayed_body::RelayedBody,
+    response::{LocalReply, ResponseBody},
   },
   crate::gateway::{
     connections::{Connection, SendError, remove_connection_headers},
@@ -16,16 +17,15 @@
     state::{Gateway, InFlight},
   },
   bytes::Bytes,
-  futures_util::stream,
   http::{HeaderMap, Request, Response},
-  http_body_util::{BodyExt, Full, StreamBody},
-  hyper::body::{Frame, Incoming},
+  http_body_util::Full,
+  hyper::body::Incoming,
   std::{net::SocketAddr, rc::Rc, time::Duration},
   tokio::time::timeout,
 };
 
 /// The other box answers at the deadline itself, and knows whether the request has run.
-const RESPONSE_MARGIN: Duration = Duration::from_millis(100);
+pub(super) const RESPONSE_MARGIN_MS: u64 = 100;
 /// Why another box did not answer a request.
 enum ForwardError {
   /// It has not received it, or accepts none for now.
@@ -76,7 +76,9 @@
           gateway.now_ms() - request.arrived_ms,
           tried.len()
         );
-        return Some(into_response(gateway, in_flight, response));
+        return Some(into_response(
+          gateway, request, in_flight, address, response,
+        ));
       }
       Err(ForwardError::Busy) => {
         log::info!(
@@ -169,7 +171,7 @@
     gateway.held_memory.socket_buffer_bytes(),
   )
   .await?;
-  let wait = Duration::from_millis(remaining_ms) + RESPONSE_MARGIN;
+  let wait = Duration::from_millis(remaining_ms + RESPONSE_MARGIN_MS);
   let response = timeout(wait, connection.send(forwarded))
     .await
     .map_err(|_| ForwardError::Lost(format!("no response within {} ms", wait.as_millis())))??;
@@ -216,7 +218,9 @@
 /// The response for the caller. What the endpoint states about itself holds at this box too, which passes it on.
 fn into_response(
   gateway: &Rc<Gateway>,
+  request: &RoutedRequest,
   in_flight: InFlight,
+  address: SocketAddr,
   (connection, response): PeerResponse,
 ) -> Response<ResponseBody> {
   let (mut head, body) = response.into_parts();
@@ -233,23 +237,6 @@
   }
   remove_forwarding_headers(&mut head.headers);
   remove_connection_headers(&mut head.headers);
-  Response::from_parts(head, relay_body(connection, in_flight, body))
-}
-
-/// The body, read from the other box as the caller takes it. The connection closes when the caller disconnects.
-fn relay_body(connection: Connection, in_flight: InFlight, body: Incoming) -> ResponseBody {
-  let state = (connection, in_flight, body);
-  let frames = stream::unfold(state, |(connection, in_flight, mut body)| async move {
-    let frame = loop {
-      match body.frame().await? {
-        Ok(frame) => match frame.into_data() {
-          Ok(data) => break Ok(Frame::data(data)),
-          Err(_) => continue,
-        },
-        Err(error) => break Err(StreamAborted(error.to_string())),
-      }
-    };
-    Some((frame, (connection, in_flight, body)))
-  });
-  Box::pin(StreamBody::new(frames))
+  let body = RelayedBody::new(gateway, request, (address, connection), body);
+  Response::from_parts(head, body.into_response_body(in_flight))
 }
