An event that never ends is searched once, not with every piece

An engine that sent an event without end in small chunks occupied its box: with each piece EventSplitter searched the whole event for its end, a time that grows with the square of the event's length. The box served nobody else meanwhile, and the stream was neither cut at its deadline nor resumed within it.

The splitter keeps where the search goes on: at the last byte, with which an end may begin. So the longest event, 1 MiB, costs one pass, in whatever pieces it arrives.

Evidence: event_in_single_bytes_is_searched_once didn't end; it passes, with 2 of the 3 listed cases of resumable_stream_is_whole_after_an_endless_answer.

--- a/src/gateway/requests/event_splitter.rs
+++ b/src/gateway/requests/event_splitter.rs
@@ -30,6 +30,8 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
   buffer: BytesMut,
+  /// Where the search for the event's end goes on: no end begins before.
+  searched_bytes: usize,
 }
 
 impl EventSplitter {
@@ -40,11 +42,18 @@
 
   /// Removes and returns the next complete event.
   pub fn next_event(&mut self) -> Option<SseEvent> {
-    let end = self
-      .buffer
+    let unsearched = &self.buffer[self.searched_bytes..];
+    let found = unsearched
       .windows(EVENT_END.len())
-      .position(|window| window == EVENT_END)?;
-    let bytes = self.buffer.split_to(end + EVENT_END.len()).freeze();
+      .position(|window| window == EVENT_END);
+    let Some(found) = found else {
+      // An end may begin with the last bytes.
+      self.searched_bytes = (self.buffer.len() + 1).saturating_sub(EVENT_END.len());
+      return None;
+    };
+    let end = self.searched_bytes + found + EVENT_END.len();
+    self.searched_bytes = 0;
+    let bytes = self.buffer.split_to(end).freeze();
     let id = event_id(&bytes);
     Some(SseEvent { bytes, id })
   }
@@ -61,6 +70,7 @@
 
   /// Removes and returns the incomplete event.
   pub fn take_partial_event(&mut self) -> Bytes {
+    self.searched_bytes = 0;
     self.buffer.split().freeze()
   }
 }
