An event in too many pieces counts as too long

A stream at an engine that sent an event without end in chunks of one byte held its box for up to a million reads before the event counted as too long, and was then too late to be resumed: only bytes were counted, and the cost of a piece is not in its bytes.

A piece counts with 64 bytes more, so an event is given up after 16,000 pieces at the latest.

--- a/src/gateway/requests/event_splitter.rs
+++ b/src/gateway/requests/event_splitter.rs
@@ -4,6 +4,8 @@
 
 /// The longest event.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
+/// What a piece of an event counts in addition to its bytes, since handling many small ones takes long.
+const PIECE_OVERHEAD_BYTES: usize = 64;
 /// The blank line that ends an event.
 const EVENT_END: &[u8] = b"\n\n";
 
@@ -32,12 +34,15 @@
   buffer: BytesMut,
   /// Where the search for the event's end goes on: no end begins before.
   searched_bytes: usize,
+  /// Pieces that were received since an event ended.
+  pieces: usize,
 }
 
 impl EventSplitter {
   /// Appends received bytes.
   pub fn push(&mut self, bytes: &[u8]) {
     self.buffer.extend_from_slice(bytes);
+    self.pieces += 1;
   }
 
   /// Removes and returns the next complete event.
@@ -53,6 +58,7 @@
     };
     let end = self.searched_bytes + found + EVENT_END.len();
     self.searched_bytes = 0;
+    self.pieces = 0;
     let bytes = self.buffer.split_to(end).freeze();
     let id = event_id(&bytes);
     Some(SseEvent { bytes, id })
@@ -63,9 +69,9 @@
     !self.buffer.is_empty()
   }
 
-  /// Whether the incomplete event exceeds the longest event.
+  /// Whether the incomplete event exceeds the longest event, or arrives in too many pieces.
   pub fn is_overlong(&self) -> bool {
-    self.buffer.len() > MAX_EVENT_BYTES
+    self.buffer.len() + self.pieces * PIECE_OVERHEAD_BYTES > MAX_EVENT_BYTES
   }
 
   /// Removes and returns the incomplete event.
--- a/tests/gateway/endless_answers.rs
+++ b/tests/gateway/endless_answers.rs
@@ -30,6 +30,8 @@
 const MAX_TAKEN_BYTES: usize = 64 * 1024 * 1024;
 /// The memory of a box.
 const MAX_RESIDENT_KB: u64 = 128 * 1024;
+/// The longest event.
+const MAX_EVENT_BYTES: usize = 1024 * 1024;
 /// What a caller keeps of a body.
 const MAX_KEPT_BYTES: usize = 64 * 1024;
 const SERVER_ERROR: &str = "500 Internal Server Error";
@@ -551,8 +553,29 @@
 #[test]
 fn event_in_single_bytes_is_searched_once() {
   let mut splitter = EventSplitter::default();
-  while !splitter.is_overlong() {
+  for _ in 0..MAX_EVENT_BYTES {
     splitter.push(b"a");
     assert!(splitter.next_event().is_none());
   }
+  splitter.push(b"\n");
+  assert!(splitter.next_event().is_none());
+  splitter.push(b"\nb");
+  let event = splitter.next_event().unwrap();
+  assert_eq!(event.bytes.len(), MAX_EVENT_BYTES + "\n\n".len());
+  assert!(splitter.has_partial_event());
+}
+
+/// Guards against an event whose pieces are so many that handling them occupies the box, though their bytes are few.
+#[test]
+fn event_in_too_many_pieces_is_overlong() {
+  let mut splitter = EventSplitter::default();
+  let few_pieces = MAX_EVENT_BYTES / 1_024;
+  for _ in 0..few_pieces {
+    splitter.push(b"a");
+  }
+  assert!(!splitter.is_overlong());
+  for _ in few_pieces..MAX_EVENT_BYTES / 64 {
+    splitter.push(b"a");
+  }
+  assert!(splitter.is_overlong());
 }
