A stream is cut after its deadline though events are ready

A stream of events without end went on for as long as its caller read: the timeout of a read that is due at once still takes what is ready, and an engine that sends fast always has something ready.

What is ready at the deadline is still delivered to a caller that reads slowly, up to 4 MiB as in a relayed body (LateBytes has the bound for both), then the stream is cut as at its deadline, and the engine counts as lost.

Evidence: the case of complete events at a fast pace had no end within 30 s with a timeout of 2.5 s; it passes, with gateway::streams and gateway::slow_readers.

--- a/src/gateway/requests/event_relay.rs
+++ b/src/gateway/requests/event_relay.rs
@@ -3,6 +3,7 @@
 use {
   super::{
     event_splitter::EventSplitter,
+    late_bytes::LateBytes,
     response::StreamAborted,
     stream_request::StreamRequest,
     stream_send::SILENCE_TIMEOUT_MS,
@@ -42,6 +43,7 @@
   is_overdue: bool,
   /// For how long the current engine's events have been left unread.
   unread: UnreadTime,
+  late: LateBytes,
 }
 
 impl EventRelay {
@@ -55,6 +57,7 @@
       is_finished: false,
       is_overdue: false,
       last_event_ms: None,
+      late: LateBytes::default(),
       longest_pause_ms: 0,
       splitter: EventSplitter::default(),
       stream,
@@ -230,6 +233,11 @@
           self.splitter.push(data);
           self.end_silence();
           self.record_answering();
+          let now_ms = self.stream.gateway.now_ms();
+          let remaining_ms = self.stream.request.remaining_ms(now_ms);
+          if !self.late.record(data.len(), remaining_ms) {
+            return Err("too long after the deadline".into());
+          }
         }
         if self.splitter.is_overlong() {
           return Err("event too long".into());
--- a/src/gateway/requests/relayed_body.rs
+++ b/src/gateway/requests/relayed_body.rs
@@ -22,9 +22,6 @@
   tokio::time::timeout,
 };
 
-/// What a caller that reads slowly may still get after the deadline: the longest response that the other box buffers.
-const MAX_LATE_BYTES: usize = 4 * 1024 * 1024;
-
 /// Reads the body until the deadline, and after it what is ready. The connection closes when it is dropped.
 pub(super) struct RelayedBody {
   gateway: Rc<Gateway>,
@@ -52,7 +49,7 @@
       body,
       due_ms: request.deadline_ms + RESPONSE_MARGIN_MS,
       gateway: gateway.clone(),
-      late: LateBytes::new(MAX_LATE_BYTES),
+      late: LateBytes::default(),
       request: request.id().to_owned(),
       service: request.service.clone(),
     }
