The client for the store and other boxes reads 16 KiB at once

A store or another box that sent interim responses without end occupied the box: the HTTP library parses what one read of the socket brought before it looks at timeouts, 128 reads in a row, and its usual buffer lets a read grow to over 400 KB. The call's timeout came, but its connection was closed only when the parsing paused, so that a box closed one such connection in 30 s.

The buffer, which also bounds the head, is 16 KiB, as on connections to endpoints; so what is parsed in a row is at most 2 MiB.

--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -19,6 +19,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// The largest response body that is buffered in memory.
 const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
+/// Buffer of a connection, and the longest head of a response.
+const BUFFER_BYTES: usize = 16 * 1024;
 const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Why a call failed.
@@ -62,6 +64,7 @@
       .pool_idle_timeout(POOL_IDLE_TIMEOUT)
       .pool_timer(TokioTimer::new())
       .retry_canceled_requests(false)
+      .http1_max_buf_size(BUFFER_BYTES)
       .build(connector);
     Self { inner }
   }
