--- a/src/gateway/requests/event_splitter.rs
+++ b/src/gateway/requests/event_splitter.rs
@@ -4,6 +4,8 @@
 
 /// The longest event.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
+/// What a piece of an event counts in addition to its bytes, since handling many small ones takes long.
+const PIECE_OVERHEAD_BYTES: usize = 64;
 /// The blank line that ends an event.
 const EVENT_END: &[u8] = b"\n\n";
 
@@ -30,21 +32,34 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
   buffer: BytesMut,
+  /// Where the search for the event's end goes on: no end begins before.
+  searched_bytes: usize,
+  /// Pieces that were received since an event ended.
+  pieces: usize,
 }
 
 impl EventSplitter {
   /// Appends received bytes.
   pub fn push(&mut self, bytes: &[u8]) {
     self.buffer.extend_from_slice(bytes);
+    self.pieces += 1;
   }
 
   /// Removes and returns the next complete event.
   pub fn next_event(&mut self) -> Option<SseEvent> {
-    let end = self
-      .buffer
+    let unsearched = &self.buffer[self.searched_bytes..];
+    let found = unsearched
       .windows(EVENT_END.len())
-      .position(|window| window == EVENT_END)?;
-    let bytes = self.buffer.split_to(end + EVENT_END.len()).freeze();
+      .position(|window| window == EVENT_END);
+    let Some(found) = found else {
+      // An end may begin with the last bytes.
+      self.searched_bytes = (self.buffer.len() + 1).saturating_sub(EVENT_END.len());
+      return None;
+    };
+    let end = self.searched_bytes + found + EVENT_END.len();
+    self.searched_bytes = 0;
+    self.pieces = 0;
+    let bytes = self.buffer.split_to(end).freeze();
     let id = event_id(&bytes);
     Some(SseEvent { bytes, id })
   }
@@ -54,13 +69,14 @@
     !self.buffer.is_empty()
   }
 
-  /// Whether the incomplete event exceeds the longest event.
+  /// Whether the incomplete event exceeds the longest event, or arrives in too many pieces.
   pub fn is_overlong(&self) -> bool {
-    self.buffer.len() > MAX_EVENT_BYTES
+    self.buffer.len() + self.pieces * PIECE_OVERHEAD_BYTES > MAX_EVENT_BYTES
   }
 
   /// Removes and returns the incomplete event.
   pub fn take_partial_event(&mut self) -> Bytes {
+    self.searched_bytes = 0;
     self.buffer.split().freeze()
   }
 }
