--- a/tests/gateway/endpoint.rs
+++ b/tests/gateway/endpoint.rs
@@ -23,6 +23,9 @@
 /// Size of a socket's buffer that the kernel raises to its least.
 const SMALLEST_BUFFER_BYTES: usize = 1;
 
+/// Time between the pieces of a response.
+const PIECE_PAUSE: Duration = Duration::from_millis(1);
+
 /// The end of a stream's body.
 pub(crate) const STREAM_END: &str = "0\r\n\r\n";
 
@@ -50,6 +53,19 @@
   }
 }
 
+/// How an endpoint ends the connection after a response in pieces.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum ConnectionEnd {
+  /// Closed in both directions.
+  Closed,
+  /// Closed for what the endpoint sends; it goes on reading.
+  HalfClosed,
+  /// Kept for the next request.
+  Kept,
+  /// Reset.
+  Reset,
+}
+
 /// The endpoint's scripted response to a request.
 #[derive(Clone, Debug)]
 pub(crate) enum Reply {
@@ -69,6 +85,8 @@
   WriteInPartsAndClose(Vec<(Duration, String)>),
   /// Writes parts one after another, and resets the connection when the gateway has not taken all of them within a time.
   WritePartsOrAbort(Vec<String>, Duration),
+  /// Writes pieces, each in a segment of its own, and ends the connection.
+  WritePieces(Vec<Vec<u8>>, ConnectionEnd),
   /// Never responds.
   NoResponse,
   /// Writes bytes and crashes the endpoint with all of its connections; it restarts after a delay.
@@ -272,7 +290,7 @@
       }
       Reply::WritePartsOrAbort(parts, limit)
     }
-    Reply::NoResponse | Reply::WriteBytes(_) => reply,
+    Reply::NoResponse | Reply::WriteBytes(_) | Reply::WritePieces(..) => reply,
     Reply::Crash(text, down) => Reply::Crash(marked(text), down),
   }
 }
@@ -388,6 +406,14 @@
         }
         return;
       }
+      Reply::WritePieces(pieces, end) => {
+        if write_pieces(&mut stream, &pieces).await.is_err()
+          || !end_connection(&mut stream, end).await
+        {
+          return;
+        }
+        continue;
+      }
       Reply::NoResponse => {
         wait_until_closed(&mut stream).await;
         state.closed.lock().unwrap().push(request);
@@ -452,6 +478,33 @@
   matches!(timeout(limit, write).await, Ok(Ok(())))
 }
 
+/// Writes pieces, each in a segment of its own.
+async fn write_pieces(stream: &mut TcpStream, pieces: &[Vec<u8>]) -> std::io::Result<()> {
+  stream.set_nodelay(true)?;
+  for piece in pieces {
+    stream.write_all(piece).await?;
+    // The gateway reads each piece before the next one, unless it is slow.
+    sleep(PIECE_PAUSE).await;
+  }
+  Ok(())
+}
+
+/// Ends a connection; `false` unless another request may follow.
+async fn end_connection(stream: &mut TcpStream, end: ConnectionEnd) -> bool {
+  match end {
+    ConnectionEnd::Closed => {}
+    ConnectionEnd::HalfClosed => {
+      let _ = stream.shutdown().await;
+      wait_until_closed(stream).await;
+    }
+    ConnectionEnd::Kept => return true,
+    ConnectionEnd::Reset => {
+      let _ = SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
+    }
+  }
+  false
+}
+
 /// Bytes that the kernel holds and the gateway has not acknowledged.
 fn unsent_bytes(stream: &TcpStream) -> i32 {
   let mut bytes = 0;
