Streams whose lines end with CR LF are split into events

Callers of an engine that ends its lines with CR LF got all events at the end of the stream, and nothing at all when the answer had neither length nor chunks: the whole stream was one event without an end, so that its complete end counted as a stream broken off within an event.

The splitter looked for LF LF only. An event now ends with a blank line after LF or CR LF, as server-sent events do. A lone CR as the end of a line is still not recognised.

--- a/src/gateway/requests/event_splitter.rs
+++ b/src/gateway/requests/event_splitter.rs
@@ -4,8 +4,8 @@
 
 /// The longest event.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
-/// The blank line that ends an event.
-const EVENT_END: &[u8] = b"\n\n";
+/// The blank line that ends an event, after the end of another line.
+const BLANK_LINES: [&[u8]; 2] = [b"\n", b"\r\n"];
 
 /// One complete event.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -40,11 +40,8 @@
 
   /// Removes and returns the next complete event.
   pub fn next_event(&mut self) -> Option<SseEvent> {
-    let end = self
-      .buffer
-      .windows(EVENT_END.len())
-      .position(|window| window == EVENT_END)?;
-    let bytes = self.buffer.split_to(end + EVENT_END.len()).freeze();
+    let length = event_length(&self.buffer)?;
+    let bytes = self.buffer.split_to(length).freeze();
     let id = event_id(&bytes);
     Some(SseEvent { bytes, id })
   }
@@ -65,6 +62,16 @@
   }
 }
 
+/// The length of the first complete event. Its lines end with LF or with CR LF.
+fn event_length(bytes: &[u8]) -> Option<usize> {
+  let newlines = (1..).zip(bytes).filter(|(_, byte)| **byte == b'\n');
+  newlines.map(|(line_end, _)| line_end).find_map(|line_end| {
+    let is_next = |line: &&&[u8]| bytes[line_end..].starts_with(line);
+    let blank_line = BLANK_LINES.iter().find(is_next)?;
+    Some(line_end + blank_line.len())
+  })
+}
+
 fn event_id(bytes: &[u8]) -> Option<u64> {
   let text = std::str::from_utf8(bytes).ok()?;
   let id = text.lines().find_map(|line| line.strip_prefix("id:"))?;
