The id of an event is read beside data that is no valid UTF-8

A caller got an event twice when its stream was interrupted after one whose data was no valid UTF-8: its id was not read, so the next engine was asked for the events after the one before it.

The whole event was decoded to find the line with the id.

--- a/src/gateway/requests/event_splitter.rs
+++ b/src/gateway/requests/event_splitter.rs
@@ -73,7 +73,7 @@
 }
 
 fn event_id(bytes: &[u8]) -> Option<u64> {
-  let text = std::str::from_utf8(bytes).ok()?;
-  let id = text.lines().find_map(|line| line.strip_prefix("id:"))?;
-  id.trim().parse().ok()
+  let mut lines = bytes.split(|byte| *byte == b'\n');
+  let id = lines.find_map(|line| line.strip_prefix(b"id:"))?;
+  std::str::from_utf8(id).ok()?.trim().parse().ok()
 }
