A stream that is aborted does not look complete to a caller of HTTP/1.0

Such a caller gets neither a length nor chunks: the end of the connection is the end of its stream. A box that aborted a stream closed the connection in order, and so did the kernel for a box that was killed, and the library for a caller that closed its own direction. The caller took the part that it had for the whole stream.

A connection is now reset when it is closed while such a response is written: the socket's linger time is zero from the first byte of the response on, and is taken back when the library shuts the connection down in order, after the response's last byte. As the kernel does it, it holds for a killed process as well. Responses with a length, and callers of HTTP/1.1, which get chunks, are as before. Events that the caller's kernel has not got when the connection is reset are lost; the caller sees the reset.

--- a/src/gateway/connections/mod.rs
+++ b/src/gateway/connections/mod.rs
@@ -5,6 +5,7 @@
 
 mod accept;
 mod box_message;
+mod caller_socket;
 mod connection;
 mod connection_pool;
 mod headers;
@@ -15,6 +16,7 @@
 pub(crate) use self::{
   accept::{accept, serve_port},
   box_message::{message_response, read_message, send_message, status_response},
+  caller_socket::{CallerSocket, EndsWithConnection},
   connection::{Connection, SendError, set_send_buffer, set_socket_options, set_user_timeout},
   connection_pool::ConnectionPool,
   stall_timeout::{StallTimeout, Stalled},
--- a/src/gateway/requests/frontend.rs
+++ b/src/gateway/requests/frontend.rs
@@ -5,14 +5,19 @@
   crate::{
     gateway::{
       connections::{
-        StallTimeout, Stalled, accept, set_send_buffer, set_socket_options, set_user_timeout,
+        CallerSocket, EndsWithConnection, StallTimeout, Stalled, accept, set_send_buffer,
+        set_socket_options, set_user_timeout,
       },
       state::{Gateway, InFlight, Phase},
     },
     wait_until,
   },
-  http::{HeaderValue, Request, Response, header::CONNECTION},
-  hyper::{body::Incoming, server::conn::http1, service::service_fn},
+  http::{HeaderValue, Request, Response, Version, header::CONNECTION},
+  hyper::{
+    body::{Body, Incoming},
+    server::conn::http1,
+    service::service_fn,
+  },
   hyper_util::rt::{TokioIo, TokioTimer},
   std::{convert::Infallible, error::Error, io, pin::pin, rc::Rc, time::Duration},
   tokio::{
@@ -64,7 +69,8 @@
   }
   let limits = gateway.route_table().map(|table| table.limits());
   let idle_ms = limits.map_or(DEFAULT_IDLE_TIMEOUT_MS, |limits| limits.idle_ms);
-  let Ok(stream) = with_stall_timeout(&gateway, stream, idle_ms) else {
+  let ends_with_connection = EndsWithConnection::default();
+  let Ok(stream) = with_stall_timeout(&gateway, stream, idle_ms, &ends_with_connection) else {
     return;
   };
   let timeout_ms = limits.map_or(DEFAULT_IDLE_TIMEOUT_MS, |limits| {
@@ -74,7 +80,7 @@
   let mut phase = gateway.phase.subscribe();
   let service = service_fn({
     let gateway = gateway.clone();
-    move |request| handle(gateway.clone(), request)
+    move |request| handle(gateway.clone(), request, ends_with_connection.clone())
   });
   let connection = http1::Builder::new()
     .timer(TokioTimer::new())
@@ -104,15 +110,17 @@
   gateway: &Gateway,
   stream: TcpStream,
   idle_ms: u64,
-) -> io::Result<StallTimeout<TcpStream>> {
+  ends_with_connection: &EndsWithConnection,
+) -> io::Result<StallTimeout<CallerSocket>> {
+  let socket = |stream| CallerSocket::new(stream, ends_with_connection.clone());
   let Some(buffer_bytes) = gateway.held_memory.socket_buffer_bytes() else {
-    return Ok(StallTimeout::without_limit(stream));
+    return Ok(StallTimeout::without_limit(socket(stream)));
   };
   let limit = Duration::from_millis(idle_ms);
   // The timeout for unacknowledged data would close the connection of a caller that pauses for longer than that.
   set_user_timeout(&stream, limit * USER_TIMEOUT_FACTOR)?;
   set_send_buffer(&stream, buffer_bytes)?;
-  Ok(StallTimeout::new(stream, limit))
+  Ok(StallTimeout::new(socket(stream), limit))
 }
 
 /// Whether a connection failed because the caller accepted nothing.
@@ -128,12 +136,17 @@
 async fn handle(
   gateway: Rc<Gateway>,
   request: Request<Incoming>,
+  ends_with_connection: EndsWithConnection,
 ) -> Result<Response<ResponseBody>, Infallible> {
   let in_flight = InFlight::new(&gateway);
+  let may_send_chunks = request.version() >= Version::HTTP_11;
   gateway.counters.requests.inc();
   let arrived_ms = gateway.now_ms();
   let mut response = respond(gateway.clone(), request, in_flight).await;
   count_response(&gateway, &response, arrived_ms);
+  if !may_send_chunks && response.body().size_hint().exact().is_none() {
+    ends_with_connection.set();
+  }
   if *gateway.phase.borrow() != Phase::Serving {
     response
       .headers_mut()
