A resumed stream that lacks events, or whose events can't be placed, does not end as complete

When a second engine went on with a stream one event too late, with ids that go back or without ids, callers got an answer with a hole, without an event, or with events that they had, and it ended as complete. In a stream that may not be resumed, an event whose id went back was dropped without a trace.

The relay dropped each event whose id was not above the last one, in every answer, and asked nothing else of an event. EventOrder now tells where an event belongs. Up to the event after which an answer goes on, events are dropped as before. After an interruption, a gap counts when the ids of the stream have counted its events so far (two steps of one, none larger): ids only have to rise, and may count tokens, of which an event can hold several. An id that goes back, and an event without an id before the first new one, count as an interruption: the stream goes on at another engine or is aborted. A stream that may not be resumed is forwarded as it comes.

What is not seen: a gap in a caller's own resumption, where nothing tells the size of a step, and an engine that ends its answer in order before its last event.

--- a/src/gateway/requests/event_relay.rs
+++ b/src/gateway/requests/event_relay.rs
@@ -2,6 +2,7 @@
 
 use {
   super::{
+    event_order::{EventOrder, EventPlace},
     event_splitter::EventSplitter,
     response::StreamAborted,
     stream_request::StreamRequest,
@@ -28,6 +29,7 @@
   stream: StreamRequest,
   head: Option<ResponseHead>,
   splitter: EventSplitter,
+  order: EventOrder,
   is_finished: bool,
   first_event_recorded: bool,
   /// When the current endpoint sent the first bytes of the body.
@@ -47,6 +49,7 @@
 impl EventRelay {
   pub(crate) fn new(mut stream: StreamRequest, head: ResponseHead) -> Self {
     stream.version = Some(head.entry.version.clone());
+    let order = EventOrder::new(stream.last_event_id, stream.may_retry());
     Self {
       answering_since_ms: None,
       first_event_recorded: false,
@@ -56,6 +59,7 @@
       is_overdue: false,
       last_event_ms: None,
       longest_pause_ms: 0,
+      order,
       splitter: EventSplitter::default(),
       stream,
       unread: UnreadTime::default(),
@@ -84,16 +88,18 @@
       if self.is_finished {
         return None;
       }
-      if let Some(event) = self.splitter.next_event() {
-        if let (Some(id), Some(last)) = (event.id, self.stream.last_event_id)
-          && id <= last
-        {
-          continue;
-        }
-        self.record_event(event.id);
-        return Some(Ok(event.bytes));
-      }
-      match self.read().await {
+      let read = match self.splitter.next_event() {
+        Some(event) => match self.order.place(&event) {
+          Ok(EventPlace::Next) => {
+            self.record_event(event.id);
+            return Some(Ok(event.bytes));
+          }
+          Ok(EventPlace::Repeated) => continue,
+          Err(misplaced) => Err(misplaced.to_string()),
+        },
+        None => self.read().await,
+      };
+      match read {
         Ok(true) => {}
         Ok(false) => return self.finish(),
         Err(error) => {
@@ -202,6 +208,7 @@
   fn replace_head(&mut self, head: ResponseHead) {
     let former = self.head.replace(head);
     self.splitter = EventSplitter::default();
+    self.order.record_interruption();
     self.answering_since_ms = None;
     self.is_overdue = false;
     self.unread = UnreadTime::default();
@@ -329,6 +336,7 @@
       self.stream.interrupted_at = Some(head.connection.endpoint.clone());
     }
     self.splitter = EventSplitter::default();
+    self.order.record_interruption();
     let remaining_ms = request.remaining_ms(self.stream.gateway.now_ms());
     if remaining_ms == 0 {
       return Err(format!("deadline exceeded after: {error}"));
--- a/src/gateway/requests/event_splitter.rs
+++ b/src/gateway/requests/event_splitter.rs
@@ -16,6 +16,15 @@
   pub id: Option<u64>,
 }
 
+impl SseEvent {
+  /// Whether it has data; one without is a comment, or has no effect on what the caller gets.
+  #[must_use]
+  pub fn has_data(&self) -> bool {
+    let mut lines = self.bytes.split(|byte| *byte == b'\n');
+    lines.any(|line| line.starts_with(b"data"))
+  }
+}
+
 /// Buffers the incomplete event at the end of the stream.
 ///
 /// ```
