The last events before a stream is aborted reach the caller

When an engine's last events and the reason for an abort came in one read, the caller saw the abort without those events, although the box counted and logged them as forwarded. The HTTP library writes while it waits for the body, and drops what it holds when the body fails. The body now lets the connection write once before it fails; what the caller's kernel does not take then is still lost, and its next request names the last event that it has.

--- a/src/gateway/requests/read_ahead.rs
+++ b/src/gateway/requests/read_ahead.rs
@@ -23,7 +23,7 @@
   },
   tokio::{
     sync::Notify,
-    task::{AbortHandle, spawn_local},
+    task::{AbortHandle, spawn_local, yield_now},
     time::timeout,
   },
 };
@@ -43,15 +43,25 @@
   let body = ReadAheadBody::start(relay, in_flight);
   let events = stream::unfold(body, |mut body| async move {
     let item = body.next().await?;
+    flush_before_abort(&item).await;
     Some((item.map(Frame::data), body))
   });
   Box::pin(StreamBody::new(events))
 }
 
+/// Lets the caller's connection write the events before an abort: the HTTP library writes only while it waits for the next one, and
+/// drops what is left at an error.
+async fn flush_before_abort(item: &Result<Bytes, StreamAborted>) {
+  if item.is_err() {
+    yield_now().await;
+  }
+}
+
 /// A body that reads from the engine only when the caller's connection takes more.
 fn as_caller_reads(relay: EventRelay, in_flight: InFlight) -> ResponseBody {
   let events = stream::unfold((relay, in_flight), |(mut relay, in_flight)| async move {
     let item = relay.next().await?;
+    flush_before_abort(&item).await;
     Some((item.map(Frame::data), (relay, in_flight)))
   });
   Box::pin(StreamBody::new(events))
