A stream whose last event has no id is not begun again

Callers of an engine whose events have no ids got them twice when the stream was interrupted or its engine fell silent: without an id to go on after, the next engine began the stream anew. An event without an id after the last one with an id was repeated in the same way.

Where the last forwarded event has data and no id, no other engine goes on: the stream stays with a silent engine, and is aborted when it is interrupted. Comments don't count. Where nothing was forwarded yet, streams are still begun again.

--- a/src/gateway/requests/event_order.rs
+++ b/src/gateway/requests/event_order.rs
@@ -63,12 +63,15 @@
   single_steps: u32,
   /// Whether an id was more than one more than the one before: ids do not count events.
   has_larger_steps: bool,
+  /// Whether an event without an id was forwarded after the last id.
+  ends_without_id: bool,
 }
 
 impl EventOrder {
   /// The order of a stream that goes on after an event which the caller names, if any.
   pub(super) fn new(last_id: Option<u64>, is_resumable: bool) -> Self {
     Self {
+      ends_without_id: false,
       has_larger_steps: false,
       is_resumable,
       last_id,
@@ -77,6 +80,11 @@
     }
   }
 
+  /// Whether another engine can go on with the stream: no event was forwarded that it would repeat.
+  pub(super) fn may_go_on(&self) -> bool {
+    !self.ends_without_id
+  }
+
   /// Another engine goes on with the stream.
   pub(super) fn record_interruption(&mut self) {
     self.start = self.last_id.map_or(Start::Passed, Start::AfterInterruption);
@@ -86,10 +94,7 @@
   /// where the event belongs.
   pub(super) fn place(&mut self, event: &SseEvent) -> Result<EventPlace, Misplaced> {
     let Some(id) = event.id else {
-      return match self.start {
-        Start::AfterInterruption(after) if event.has_data() => Err(Misplaced::WithoutId { after }),
-        _ => Ok(EventPlace::Next),
-      };
+      return self.place_without_id(event);
     };
     match self.start {
       Start::NamedByCaller(after) | Start::AfterInterruption(after) if id <= after => {
@@ -106,11 +111,23 @@
       }
       self.record_step(id, after);
     }
+    self.ends_without_id = false;
     self.last_id = Some(id);
     self.start = Start::Passed;
     Ok(EventPlace::Next)
   }
 
+  fn place_without_id(&mut self, event: &SseEvent) -> Result<EventPlace, Misplaced> {
+    if !event.has_data() {
+      return Ok(EventPlace::Next);
+    }
+    if let Start::AfterInterruption(after) = self.start {
+      return Err(Misplaced::WithoutId { after });
+    }
+    self.ends_without_id = true;
+    Ok(EventPlace::Next)
+  }
+
   fn record_step(&mut self, id: u64, after: u64) {
     if id.checked_sub(after) == Some(1) {
       self.single_steps = self.single_steps.saturating_add(1);
--- a/src/gateway/requests/event_relay.rs
+++ b/src/gateway/requests/event_relay.rs
@@ -146,7 +146,7 @@
       .stream
       .request
       .remaining_ms(self.stream.gateway.now_ms());
-    let timeout_ms = if self.stream.may_retry() {
+    let timeout_ms = if self.stream.may_retry() && self.order.may_go_on() {
       remaining_ms.min(SILENCE_TIMEOUT_MS)
     } else {
       remaining_ms
@@ -341,6 +341,9 @@
     if remaining_ms == 0 {
       return Err(format!("deadline exceeded after: {error}"));
     }
+    if !self.order.may_go_on() {
+      return Err(format!("the last event has no id, after: {error}"));
+    }
     if !self
       .stream
       .may_continue_after(&StageError::Lost(String::new()))
