A transfer coding other than chunks does not tell a stream's end

A stream whose head named such a coding and which ended within an event ended as complete for its caller. Only the presence of the header was asked for, while the HTTP library reads such a body until the connection ends. The end of a response is now told by chunks, or by a length beside no transfer coding.

--- a/src/gateway/stages/stage.rs
+++ b/src/gateway/stages/stage.rs
@@ -20,7 +20,7 @@
   },
   bytes::Bytes,
   http::{
-    HeaderMap, Request, Response, StatusCode,
+    HeaderMap, HeaderValue, Request, Response, StatusCode,
     header::{CONTENT_ENCODING, CONTENT_LENGTH, TRANSFER_ENCODING},
     response,
   },
@@ -111,10 +111,13 @@
     headers
   }
 
-  /// Whether the body's end can be told from a closed connection.
+  /// Whether the body's end can be told from a closed connection. A transfer coding other than chunks does not tell it, and overrides
+  /// a length (RFC 9112, 6.3).
   pub(crate) fn is_framed(&self) -> bool {
-    self.raw_headers.contains_key(CONTENT_LENGTH)
-      || self.raw_headers.contains_key(TRANSFER_ENCODING)
+    match self.raw_headers.get_all(TRANSFER_ENCODING).iter().last() {
+      Some(codings) => ends_with_chunks(codings),
+      None => self.raw_headers.contains_key(CONTENT_LENGTH),
+    }
   }
 
   /// Reads the whole body within the bound on held bytes, and returns the connection to the pool.
@@ -151,6 +154,12 @@
   }
 }
 
+/// Whether the last one of some transfer codings is chunked.
+fn ends_with_chunks(codings: &HeaderValue) -> bool {
+  let last = codings.as_bytes().rsplit(|byte| *byte == b',').next();
+  last.is_some_and(|last| last.trim_ascii().eq_ignore_ascii_case(b"chunked"))
+}
+
 /// A response with its whole body.
 pub(crate) struct BufferedResponse {
   /// The endpoint's entry when the request was sent.
