--- a/tests/gateway/stream_framing.rs
+++ b/tests/gateway/stream_framing.rs
@@ -686,6 +686,27 @@
   assert!(response.body == long_events(1..=length));
 }
 
+/// Guards against the last events being lost where the connection's end tells that the response is complete.
+#[rstest]
+#[tokio::test]
+async fn stream_that_ends_with_its_connection_is_whole_when_the_caller_pauses(
+  #[values(None, Some(512))] memory_mb: Option<u64>,
+) {
+  let length = 32;
+  let script = move |seen: &ReceivedRequest| match is_stream(seen) {
+    true => Reply::stream(seen, &long_events(1..=length)),
+    false => engine_reply(seen, ""),
+  };
+  let fleet = Fleet::start_in(test_with_memory(memory_mb).await, script).await;
+  let request = RawRequest::new("/stream/a", "r1").http_10().small_buffer();
+  let mut caller = fleet.send(&request).await;
+  caller.read_until("id: 1\n").await;
+  sleep(READ_PAUSE).await;
+  let response = caller.finish().await;
+  assert!(response.is_complete);
+  assert!(response.body == long_events(1..=length));
+}
+
 /// Events of a stream that comes slowly.
 const SLOW_EVENTS: u64 = 40;
 
