--- a/src/gateway/stages/stage.rs
+++ b/src/gateway/stages/stage.rs
@@ -114,7 +114,8 @@
   /// Whether the body's end can be told from a closed connection. A transfer coding other than chunks does not tell it, and overrides
   /// a length (RFC 9112, 6.3).
   pub(crate) fn is_framed(&self) -> bool {
-    match self.raw_headers.get_all(TRANSFER_ENCODING).iter().last() {
+    let codings = self.raw_headers.get_all(TRANSFER_ENCODING);
+    match codings.iter().next_back() {
       Some(codings) => ends_with_chunks(codings),
       None => self.raw_headers.contains_key(CONTENT_LENGTH),
     }
