--- a/src/gateway/requests/event_splitter.rs
+++ b/src/gateway/requests/event_splitter.rs
@@ -6,8 +6,10 @@
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 /// What a piece of an event counts in addition to its bytes, since handling many small ones takes long.
 const PIECE_OVERHEAD_BYTES: usize = 64;
-/// The blank line that ends an event.
-const EVENT_END: &[u8] = b"\n\n";
+/// The blank line that ends an event, after the end of another line.
+const BLANK_LINES: [&[u8]; 2] = [b"\n", b"\r\n"];
+/// The end of a line, and the longest blank line.
+const LONGEST_END_BYTES: usize = 3;
 
 /// One complete event.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -18,6 +20,15 @@
   pub id: Option<u64>,
 }
 
+impl SseEvent {
+  /// Whether it has data; one without is a comment, or has no effect on what the caller gets.
+  #[must_use]
+  pub fn has_data(&self) -> bool {
+    let mut lines = self.bytes.split(|byte| *byte == b'\n');
+    lines.any(|line| line.starts_with(b"data"))
+  }
+}
+
 /// Buffers the incomplete event at the end of the stream.
 ///
 /// ```
@@ -47,19 +58,14 @@
 
   /// Removes and returns the next complete event.
   pub fn next_event(&mut self) -> Option<SseEvent> {
-    let unsearched = &self.buffer[self.searched_bytes..];
-    let found = unsearched
-      .windows(EVENT_END.len())
-      .position(|window| window == EVENT_END);
-    let Some(found) = found else {
+    let Some(length) = event_length(&self.buffer[self.searched_bytes..]) else {
       // An end may begin with the last bytes.
-      self.searched_bytes = (self.buffer.len() + 1).saturating_sub(EVENT_END.len());
+      self.searched_bytes = (self.buffer.len() + 1).saturating_sub(LONGEST_END_BYTES);
       return None;
     };
-    let end = self.searched_bytes + found + EVENT_END.len();
+    let bytes = self.buffer.split_to(self.searched_bytes + length).freeze();
     self.searched_bytes = 0;
     self.pieces = 0;
-    let bytes = self.buffer.split_to(end).freeze();
     let id = event_id(&bytes);
     Some(SseEvent { bytes, id })
   }
@@ -81,8 +87,18 @@
   }
 }
 
+/// The length of the first complete event. Its lines end with LF or with CR LF.
+fn event_length(bytes: &[u8]) -> Option<usize> {
+  let newlines = (1..).zip(bytes).filter(|(_, byte)| **byte == b'\n');
+  newlines.map(|(line_end, _)| line_end).find_map(|line_end| {
+    let is_next = |line: &&&[u8]| bytes[line_end..].starts_with(line);
+    let blank_line = BLANK_LINES.iter().find(is_next)?;
+    Some(line_end + blank_line.len())
+  })
+}
+
 fn event_id(bytes: &[u8]) -> Option<u64> {
-  let text = std::str::from_utf8(bytes).ok()?;
-  let id = text.lines().find_map(|line| line.strip_prefix("id:"))?;
-  id.trim().parse().ok()
+  let mut lines = bytes.split(|byte| *byte == b'\n');
+  let id = lines.find_map(|line| line.strip_prefix(b"id:"))?;
+  std::str::from_utf8(id).ok()?.trim().parse().ok()
 }
