Soak: events name their run, and each clause of the order of streams has a promise

What was missing: a stream that was out of order was found by the comparison with the expected text, which does not say what is wrong, and two runs that were joined in a stream that may not be resumed were not found at all, as events named the version that wrote them and not the run.

Each event now names version, incarnation, number of the engine's start, number of the run at that start and the id of the request that the engine received. NoEventMissing, EachEventOnce and EventsInOrder look at the events of all requests of a caller for a stream, in the order of receipt; OneRun and EndIsComplete at each response. OwnCompleteResponse and OneVersion stay as they are; the three planted records that break both now have to be found by both.

--- a/soak/src/content.rs
+++ b/soak/src/content.rs
@@ -1,6 +1,9 @@
 //! Response contents, derived from the request id, so that callers detect mixed-up or truncated responses.
 
-use std::collections::BTreeSet;
+use {
+  super::writer::Writer,
+  std::{collections::BTreeSet, fmt::Display},
+};
 
 const MIN_EVENTS: u64 = 4;
 /// Range of stream lengths above `MIN_EVENTS`.
@@ -44,20 +47,20 @@
   MIN_EVENTS + sum % EVENT_SPREAD + long_events
 }
 
-/// One event of a stream, numbered from 1, with the version of the engine that sends it.
-pub(crate) fn event(id: &str, number: u64, version: &str) -> String {
-  format!("id: {number}\ndata: {id} part {number} by {version}.\n\n")
+/// One event of a stream, numbered from 1, with the run that wrote it.
+pub(crate) fn event(id: &str, number: u64, writer: impl Display) -> String {
+  format!("id: {number}\ndata: {id} part {number} by {writer}.\n\n")
 }
 
-/// The events of a stream after `last_event`, without versions.
+/// The events of a stream after `last_event`, without writers.
 pub(crate) fn stream_after(id: &str, last_event: u64) -> String {
   (last_event + 1..=event_count(id))
-    .map(|number| without_versions(&event(id, number, "")))
+    .map(|number| without_writers(&event(id, number, "")))
     .collect()
 }
 
-/// A stream without the versions in its events. One that ends within an event's version ends before it.
-pub(crate) fn without_versions(body: &str) -> String {
+/// A stream without the writers in its events. One that ends within an event's writer ends before it.
+pub(crate) fn without_writers(body: &str) -> String {
   let ends = [" by", " b", " "];
   let partial = ends.into_iter().find_map(|end| body.strip_suffix(end));
   let mut parts = partial.unwrap_or(body).split(" by ");
@@ -73,14 +76,36 @@
   let parts = body.split(" by ").skip(1);
   parts
     .filter_map(|part| part.split_once('.'))
-    .map(|(version, _)| version)
+    .filter_map(|(writer, _)| writer.split(' ').next())
     .collect()
 }
 
+/// An event that a caller received.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct ReceivedEvent<'a> {
+  pub(crate) id: u64,
+  /// `None` if the event does not name it.
+  pub(crate) writer: Option<Writer<'a>>,
+}
+
+/// The complete events of a stream that have an id, in the order of receipt.
+pub(crate) fn events(body: &str) -> Vec<ReceivedEvent<'_>> {
+  let Some((complete, _)) = body.rsplit_once("\n\n") else {
+    return Vec::new();
+  };
+  complete.split("\n\n").filter_map(parse_event).collect()
+}
+
+fn parse_event(event: &str) -> Option<ReceivedEvent<'_>> {
+  let (id, data) = event.strip_prefix("id: ")?.split_once('\n')?;
+  let writer = data.rsplit_once(" by ").map(|(_, writer)| writer);
+  Some(ReceivedEvent {
+    id: id.parse().ok()?,
+    writer: writer.and_then(Writer::parse),
+  })
+}
+
 /// The id of the last complete event of a stream; `None` when there is none.
 pub(crate) fn last_event(body: &str) -> Option<u64> {
-  let (events, _) = body.rsplit_once("\n\n")?;
-  let last = events.rsplit("\n\n").next()?;
-  let (id, _) = last.strip_prefix("id: ")?.split_once('\n')?;
-  id.parse().ok()
+  events(body).last().map(|event| event.id)
 }
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -13,6 +13,7 @@
     records::{RoleCommandRecord, Run},
     reply::{ReplyBody, cut_body, full_body, json_response, not_run, status, with_retry_after},
     silence::Silence,
+    writer::Writer,
   },
   bytes::Bytes,
   http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header::AUTHORIZATION},
@@ -438,12 +439,19 @@
     if fault == Some(EndpointFault::Fails) {
       return Ok(self.response(id, StatusCode::INTERNAL_SERVER_ERROR, full_body("failed")));
     }
+    let writer = Writer {
+      incarnation: &self.incarnation,
+      request_id: id,
+      run: self.state().next_number(),
+      start_number: self.start_number,
+      version: self.version,
+    };
     let last = header(headers, "last-event-id").and_then(|text| text.parse().ok());
     let first = last.unwrap_or(0) + 1;
     let events = EventStream {
       cut_at: (fault == Some(EndpointFault::TruncatesResponses)).then(|| first + 1),
       id: header(headers, "resumes").unwrap_or(id).into(),
-      version: self.version,
+      writer: writer.to_string(),
       next: first,
       run,
       silence: self.silence.clone(),
--- a/soak/src/endpoint_state.rs
+++ b/soak/src/endpoint_state.rs
@@ -15,7 +15,7 @@
   pub(crate) running: usize,
   /// Expiry time of each reserved slot, by reservation id.
   pub(crate) holds: HashMap<String, Instant>,
-  /// Last number assigned to a reservation or exported prompt.
+  /// Last number assigned to a reservation, an exported prompt or a run.
   pub(crate) last_number: u64,
   pub(crate) commands_taken: u64,
   /// Whether a role switch is in progress.
@@ -42,7 +42,7 @@
     }
   }
 
-  /// Returns the next number for a reservation or exported prompt.
+  /// Returns the next number for a reservation, an exported prompt or a run.
   pub(crate) fn next_number(&mut self) -> u64 {
     self.last_number += 1;
     self.last_number
--- a/soak/src/event_stream.rs
+++ b/soak/src/event_stream.rs
@@ -17,8 +17,8 @@
 pub(crate) struct EventStream<S> {
   /// The stream: the id of the request that began it.
   pub(crate) id: String,
-  /// The engine's version.
-  pub(crate) version: &'static str,
+  /// The run that writes the events, as text.
+  pub(crate) writer: String,
   pub(crate) next: u64,
   /// Number of the event in the middle of which the stream is cut.
   pub(crate) cut_at: Option<u64>,
@@ -48,7 +48,7 @@
     sleep(EVENT_INTERVAL).await;
     self.silence.ended().await;
     self.run.record_event();
-    let event = content::event(&self.id, self.next, self.version);
+    let event = content::event(&self.id, self.next, &self.writer);
     let is_cut = self.cut_at == Some(self.next);
     self.next += 1;
     let data = if is_cut {
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -25,6 +25,7 @@
 mod limit_check;
 mod link;
 mod notice_check;
+mod order_check;
 mod organisation_check;
 mod place;
 mod plan;
@@ -44,6 +45,7 @@
 mod undisturbed;
 mod version_check;
 mod versioning;
+mod writer;
 
 pub use self::{
   breach::Breach,
--- a/soak/src/promise.rs
+++ b/soak/src/promise.rs
@@ -9,6 +9,16 @@
   NotRunIsTrue,
   /// A caller receives the complete response to its own request, or can tell that it is incomplete.
   OwnCompleteResponse,
+  /// A caller receives each event of a stream up to the last one that it has, over all its requests for the stream.
+  NoEventMissing,
+  /// A caller receives no event of a stream twice, over all its requests for the stream.
+  EachEventOnce,
+  /// The ids of a stream's events never go back, over all requests of its caller.
+  EventsInOrder,
+  /// The events of a response are written by runs of its own request, and by one run if the stream may not be resumed.
+  OneRun,
+  /// A stream that ends as complete has its last event.
+  EndIsComplete,
   /// A stream holds events of one software version only, over all requests of its caller.
   OneVersion,
   /// Streams that callers resume go on at least half as often as new ones begin, while engines of their version serve.
--- a/soak/src/promises.rs
+++ b/soak/src/promises.rs
@@ -9,6 +9,7 @@
     hall_check::hall_breaches,
     limit_check::limit_breaches,
     notice_check::notice_breaches,
+    order_check::order_breaches,
     organisation_check::organisation_breaches,
     promise::Promise,
     records::{Outcome, PlannedStop, Probe, Records, RequestRecord, RoleCommandRecord},
@@ -45,6 +46,7 @@
   breaches.extend(hall_breaches(records, slack_ms));
   breaches.extend(cold_breaches(records));
   breaches.extend(cut_off_breaches(records, slack_ms));
+  breaches.extend(order_breaches(records));
   breaches.extend(version_breaches(records));
   breaches.extend(silence_breaches(records));
   breaches
--- a/soak/src/request_check.rs
+++ b/soak/src/request_check.rs
@@ -90,18 +90,18 @@
   }
 
   fn is_expected(&self, body: &str) -> bool {
-    self.without_versions(body) == self.expected_body()
+    self.without_writers(body) == self.expected_body()
   }
 
   fn is_expected_beginning(&self, body: &str) -> bool {
     self
       .expected_body()
-      .starts_with(&self.without_versions(body))
+      .starts_with(&self.without_writers(body))
   }
 
-  fn without_versions(&self, body: &str) -> String {
+  fn without_writers(&self, body: &str) -> String {
     if self.request.kind.is_stream() {
-      content::without_versions(body)
+      content::without_writers(body)
     } else {
       body.into()
     }
--- a/soak/src/request_kind.rs
+++ b/soak/src/request_kind.rs
@@ -32,6 +32,11 @@
     )
   }
 
+  /// Whether another run may go on with the stream.
+  pub fn may_resume(self) -> bool {
+    matches!(self, Self::ResumableStream | Self::CrashingStream)
+  }
+
   /// Path prefix of the route.
   pub(crate) fn path(self) -> &'static str {
     match self {
--- a/tests/soak_promises.rs
+++ b/tests/soak_promises.rs
@@ -126,24 +126,6 @@
   vec![run(0, 10_010, Some(10_020))],
   Promise::OwnCompleteResponse
 )]
-#[case::missing_event(
-  RequestKind::Stream,
-  served(&[events(1, 2), events(4, EVENTS)].concat()),
-  vec![run(0, 10_010, Some(10_900))],
-  Promise::OwnCompleteResponse
-)]
-#[case::event_twice(
-  RequestKind::ResumableStream,
-  served(&[events(1, 5), events(5, EVENTS)].concat()),
-  vec![run(0, 10_010, Some(10_900))],
-  Promise::OwnCompleteResponse
-)]
-#[case::undetectable_cut(
-  RequestKind::Stream,
-  served(&events(1, 3)),
-  vec![run(0, 10_010, Some(10_100))],
-  Promise::OwnCompleteResponse
-)]
 #[case::too_many_endpoints(
   RequestKind::Retryable,
   served(&plain_body()),
@@ -797,7 +779,153 @@
   let beginning = cut(versioned_events(1, 3, "v1"));
   let rest = served(&versioned_events(5, EVENTS, "v1"));
   let records = resumed_stream(beginning, rest);
-  assert_eq!(found(&records), [Promise::OwnCompleteResponse]);
+  assert_eq!(
+    found(&records),
+    [Promise::OwnCompleteResponse, Promise::NoEventMissing]
+  );
+}
+
+/// The events `first` to `last` of the stream "a", by a run: version, incarnation, start, number and request id.
+fn events_of_run(first: u64, last: u64, run: &str) -> String {
+  versioned_events(first, last, run)
+}
+
+/// A response with events of two runs.
+fn joined_events(first_run: &str, second_run: &str) -> String {
+  let parts = [
+    events_of_run(1, 3, first_run),
+    events_of_run(4, EVENTS, second_run),
+  ];
+  parts.concat()
+}
+
+const RUN: &str = "v1 i-0 1 1 a";
+
+#[rstest]
+#[case::missing_event(
+  RequestKind::Stream,
+  &[events(1, 2), events(4, EVENTS)],
+  vec![Promise::OwnCompleteResponse, Promise::NoEventMissing]
+)]
+#[case::event_twice(
+  RequestKind::ResumableStream,
+  &[events(1, 5), events(5, EVENTS)],
+  vec![Promise::OwnCompleteResponse, Promise::EachEventOnce]
+)]
+#[case::id_that_goes_back(
+  RequestKind::ResumableStream,
+  &[events(1, 2), events(4, 4), events(3, 3), events(5, EVENTS)],
+  vec![Promise::OwnCompleteResponse, Promise::EventsInOrder]
+)]
+#[case::begins_anew(
+  RequestKind::ResumableStream,
+  &[events(1, 3), events(1, EVENTS)],
+  vec![Promise::OwnCompleteResponse, Promise::EachEventOnce, Promise::EventsInOrder]
+)]
+#[case::undetectable_cut(
+  RequestKind::Stream,
+  &[events(1, 3)],
+  vec![Promise::OwnCompleteResponse, Promise::EndIsComplete]
+)]
+#[case::last_event_missing(
+  RequestKind::ResumableStream,
+  &[events(1, EVENTS - 1)],
+  vec![Promise::OwnCompleteResponse, Promise::EndIsComplete]
+)]
+#[case::empty(RequestKind::Stream, &[], vec![Promise::OwnCompleteResponse, Promise::EndIsComplete])]
+#[case::one_run(RequestKind::Stream, &[events_of_run(1, EVENTS, RUN)], vec![])]
+#[case::two_runs(RequestKind::Stream, &[joined_events(RUN, "v1 i-1 2 1 a")], vec![Promise::OneRun])]
+#[case::two_runs_of_one_engine(
+  RequestKind::Stream,
+  &[joined_events(RUN, "v1 i-0 1 2 a")],
+  vec![Promise::OneRun]
+)]
+#[case::two_starts_of_one_engine(
+  RequestKind::Stream,
+  &[joined_events(RUN, "v1 i-0 3 1 a")],
+  vec![Promise::OneRun]
+)]
+#[case::two_runs_that_may_be_joined(
+  RequestKind::ResumableStream,
+  &[joined_events(RUN, "v1 i-1 2 1 a")],
+  vec![]
+)]
+#[case::run_of_another_request(
+  RequestKind::ResumableStream,
+  &[joined_events(RUN, "v1 i-1 2 1 b")],
+  vec![Promise::OneRun]
+)]
+#[case::two_versions(
+  RequestKind::ResumableStream,
+  &[joined_events(RUN, "v2 i-1 2 1 a")],
+  vec![Promise::OneVersion]
+)]
+fn each_clause_of_the_order_is_found(
+  #[case] kind: RequestKind,
+  #[case] body: &[String],
+  #[case] promises: Vec<Promise>,
+) {
+  let runs = vec![run(0, 10_010, Some(10_900))];
+  let records = single_request(kind, served(&body.concat()), runs);
+  assert_eq!(found(&records), promises);
+}
+
+/// The first request for the stream "a" brings events 1 to 3; the second, "b", asks for those after the third.
+#[rstest]
+#[case::goes_on(served(&events(4, EVENTS)), vec![])]
+#[case::goes_on_and_is_cut(cut(events(4, 4)), vec![])]
+#[case::gap(cut(events(5, EVENTS)), vec![Promise::OwnCompleteResponse, Promise::NoEventMissing])]
+#[case::event_twice(
+  cut(events(3, EVENTS)),
+  vec![Promise::OwnCompleteResponse, Promise::EachEventOnce]
+)]
+#[case::goes_back(
+  cut(events(2, EVENTS)),
+  vec![Promise::OwnCompleteResponse, Promise::EachEventOnce, Promise::EventsInOrder]
+)]
+#[case::early_end(served(""), vec![Promise::OwnCompleteResponse, Promise::EndIsComplete])]
+#[case::run_of_the_first_request(cut(events_of_run(4, 5, RUN)), vec![Promise::OneRun])]
+#[case::run_of_the_second_request(cut(events_of_run(4, 5, "v1 i-0 1 2 b")), vec![])]
+fn order_over_a_callers_requests_is_checked(
+  #[case] second: Outcome,
+  #[case] promises: Vec<Promise>,
+) {
+  let records = resumed_stream(cut(events(1, 3)), second);
+  assert_eq!(found(&records), promises);
+}
+
+#[test]
+fn stream_that_its_caller_has_received_before_its_end_may_end_without_events() {
+  let mut records = resumed_stream(cut(events(1, EVENTS)), served(""));
+  let resumption = records.requests.get_mut("b").unwrap();
+  resumption.resumes.as_mut().unwrap().last_event = EVENTS;
+  assert_eq!(found(&records), []);
+}
+
+/// The requests of a caller are ordered by time and number, not by the text of their ids.
+#[rstest]
+#[case::by_time([("a", 10_000), ("c", 10_002), ("b", 10_004)])]
+#[case::by_number([("a", 10_000), ("a-9", 10_002), ("a-10", 10_002)])]
+fn order_of_receipt_is_that_of_the_requests(#[case] sent: [(&str, u64); 3]) {
+  let mut records = Records::default();
+  records.versions.insert(1, 0);
+  for (number, (id, sent_ms)) in (0..).zip(sent) {
+    let part = RequestRecord {
+      resumes: (number > 0).then(|| ResumedStream {
+        engines: 2,
+        first_id: "a".into(),
+        last_event: number,
+      }),
+      sent_ms,
+      ..request(
+        RequestKind::ResumableStream,
+        cut(events(number + 1, number + 1)),
+        Vec::new(),
+      )
+    };
+    records.requests.insert(id.into(), part);
+  }
+  assert_eq!(found(&records), []);
 }
 
 #[rstest]
