Soak: callers come back at another box while the first still writes, some of them at once

What was missing: callers of the soak came back only after an answer had ended, 150 ms later, at any ready box. Real callers also come back while a box still writes, at another box, and within a millisecond; then two tries of one stream run at two boxes at the same time.

Of the resumable streams 15 in 100 are left after 1 to 12 events and resumed at another ready box with Resumes and Last-Event-Id, as after a cut. Half of these callers close the first connection, the others leave it open and unread for 50 to 600 ms. 40 in 100 of all resumptions are sent without a delay.

A response that its caller left is an outcome of its own: its events count for the order over all requests, the box has to end its run like that of a caller who disconnects, and it is left out where the share of served requests is compared.

--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -5,8 +5,10 @@
     caller_key::CallerKey,
     configuration::HOST,
     content::{self, CRASHING_BODY, CRASHING_NAME, CRASHING_SEGMENT, SOUND_SEGMENT},
+    departures::{Departure, Departures, RECONNECT_DELAY},
     fleet::Fleet,
-    records::{Outcome, ResumedStream},
+    recorder::Recorder,
+    records::{Outcome, RequestRecord, ResumedStream},
     request_kind::RequestKind,
   },
   bytes::Bytes,
@@ -37,8 +39,6 @@
 const MAX_RESUMPTIONS: u32 = 2;
 /// The same where all boxes are killed at once: the first ones meet none.
 const MAX_RESUMPTIONS_AFTER_RESTARTS: u32 = 8;
-/// Delay before reconnecting after a rejection or a lost connection.
-const RECONNECT_DELAY: Duration = Duration::from_millis(150);
 
 /// The requests that a caller sends.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -67,6 +67,7 @@
   fleet: Arc<Fleet>,
   name: String,
   random: ChaCha8Rng,
+  departures: Departures,
   client: HttpClient,
   box_index: usize,
   count: u64,
@@ -81,6 +82,7 @@
       box_index: 0,
       client: HttpClient::default(),
       count: 0,
+      departures: Departures::new(number, seed),
       max_resumptions: MAX_RESUMPTIONS,
       fleet,
       name: format!("c{number}"),
@@ -115,6 +117,21 @@
     self.box_index = self.fleet.ready_box(draw);
   }
 
+  /// Opens a new connection for a stream whose last response ended, or, if the caller has left it, to another box.
+  fn reconnect_after(&mut self, last_id: &str) {
+    let has_moved = {
+      let records = self.fleet.recorder.records();
+      let last = records.requests.get(last_id);
+      last.is_some_and(RequestRecord::has_left)
+    };
+    if !has_moved {
+      return self.reconnect();
+    }
+    self.client = HttpClient::default();
+    let draw = self.departures.draw_box();
+    self.box_index = self.fleet.other_ready_box(draw, self.box_index);
+  }
+
   fn kind(&mut self) -> RequestKind {
     if self.work != CallerWork::Mixed {
       return RequestKind::CrashingStream;
@@ -151,8 +168,8 @@
       let Some(stream) = self.stream_to_resume(&id, &last_id) else {
         break;
       };
-      self.reconnect();
-      sleep(RECONNECT_DELAY).await;
+      self.reconnect_after(&last_id);
+      sleep(self.departures.return_delay()).await;
       (last_id, is_reusable) = self.send_once(kind, key, Some(stream)).await;
     }
     is_reusable
@@ -199,14 +216,30 @@
           .random
           .random_range(DISCONNECT_AFTER_MS.0..=DISCONNECT_AFTER_MS.1)
       });
+    let departure = match kind {
+      RequestKind::ResumableStream => self.departures.draw(),
+      _ => None,
+    };
     let recorder = &self.fleet.recorder;
     let request = self.request(kind, key, &id, resumes.as_ref());
     recorder.record_request(&id, kind, key, self.box_index, resumes);
     let timeout_after =
       disconnects_after_ms.map_or(DEADLINE + RESPONSE_MARGIN, Duration::from_millis);
-    let result = timeout(timeout_after, self.exchange(request)).await;
+    let result = timeout(timeout_after, self.exchange(request, departure)).await;
     let (outcome, is_reusable) = match result {
-      Ok((outcome, is_reusable)) => (outcome, is_reusable),
+      Ok(Exchange::Ended {
+        outcome,
+        is_reusable,
+      }) => (outcome, is_reusable),
+      Ok(Exchange::Left {
+        body,
+        unread,
+        kept_open,
+      }) => {
+        recorder.record_moved(&id, body);
+        tokio::spawn(close_later(recorder.clone(), id.clone(), unread, kept_open));
+        return (id, false);
+      }
       Err(_) if disconnects_after_ms.is_some() => (Outcome::Disconnected, false),
       Err(_) => (Outcome::Unanswered, false),
     };
@@ -286,30 +319,59 @@
     }
   }
 
-  async fn exchange(&self, request: Request<Full<Bytes>>) -> (Outcome, bool) {
+  async fn exchange(
+    &self,
+    request: Request<Full<Bytes>>,
+    departure: Option<Departure>,
+  ) -> Exchange {
     match self.client.send(request).await {
       Ok(response) => {
         self.record_signals(response.headers());
-        read(response).await
+        read(response, departure).await
       }
-      Err(_) => (
-        Outcome::ConnectionLost {
+      Err(_) => Exchange::Ended {
+        is_reusable: false,
+        outcome: Outcome::ConnectionLost {
           body: String::new(),
           status: None,
         },
-        false,
-      ),
+      },
     }
   }
 }
 
+/// How an exchange with a box ended for the caller.
+enum Exchange {
+  /// The response ended, or the connection was lost.
+  Ended {
+    outcome: Outcome,
+    /// Whether the connection can be reused.
+    is_reusable: bool,
+  },
+  /// The caller leaves while the box writes.
+  Left {
+    body: String,
+    /// The rest of the response; the connection closes when it is dropped.
+    unread: Incoming,
+    /// How long the connection stays open.
+    kept_open: Duration,
+  },
+}
+
+/// Closes the connection of a caller that went to another box.
+async fn close_later(recorder: Recorder, id: String, unread: Incoming, kept_open: Duration) {
+  sleep(kept_open).await;
+  drop(unread);
+  recorder.record_closed(&id);
+}
+
 /// The endpoint's incarnation, from the response's receipt.
 fn receipt(headers: &HeaderMap) -> Option<&str> {
   headers.get("x-response-seal")?.to_str().ok()
 }
 
-/// Reads a response to its end, or until the connection is lost.
-async fn read(response: Response<Incoming>) -> (Outcome, bool) {
+/// Reads a response to its end, until the connection is lost, or until the caller leaves.
+async fn read(response: Response<Incoming>, departure: Option<Departure>) -> Exchange {
   let (head, mut body) = response.into_parts();
   let status = head.status.as_u16();
   let closes = head
@@ -321,7 +383,18 @@
   let mut is_complete = true;
   while let Some(frame) = body.frame().await {
     match frame {
-      Ok(frame) => bytes.extend(frame.into_data().unwrap_or_default()),
+      Ok(frame) => {
+        bytes.extend(frame.into_data().unwrap_or_default());
+        if let Some(departure) = departure
+          && content::events(&String::from_utf8_lossy(&bytes)).len() >= departure.after_events
+        {
+          return Exchange::Left {
+            body: String::from_utf8_lossy(&bytes).into_owned(),
+            kept_open: departure.kept_open,
+            unread: body,
+          };
+        }
+      }
       Err(_) => {
         is_complete = false;
         break;
@@ -341,5 +414,8 @@
       status: Some(status),
     }
   };
-  (outcome, is_complete && !closes && status < 500)
+  Exchange::Ended {
+    is_reusable: is_complete && !closes && status < 500,
+    outcome,
+  }
 }
--- a/soak/src/cut_off_check.rs
+++ b/soak/src/cut_off_check.rs
@@ -6,7 +6,7 @@
     caller_key::CallerKey,
     disturbance::{Disturbance, Target},
     promise::Promise,
-    records::{Records, RequestRecord},
+    records::{Outcome, Records, RequestRecord},
     request_kind::RequestKind,
     undisturbed::CONTACT_MS,
   },
@@ -73,7 +73,8 @@
     .values()
     .filter(|request| request.key != CallerKey::Hot && request.kind != RequestKind::CrashingStream)
     // Only first requests of callers are compared.
-    .filter(|request| request.resumes.is_none());
+    .filter(|request| request.resumes.is_none())
+    .filter(|request| !matches!(request.outcome, Some(Outcome::Moved { .. })));
   let is_cut = |index| {
     let target = Target::EndpointPaths(index);
     cuts.iter().any(|cut| cut.target == target)
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -411,6 +411,18 @@
       .unwrap_or_else(|| pick(self.boxes.len()))
   }
 
+  /// Another ready box than the given one; that box if no other is ready.
+  pub(crate) fn other_ready_box(&self, draw: f64, than: usize) -> usize {
+    let ready = self.ready.lock().unwrap_or_else(PoisonError::into_inner);
+    let others: Vec<usize> = ready
+      .iter()
+      .copied()
+      .filter(|index| *index != than)
+      .collect();
+    let number = (draw * others.len() as f64) as usize;
+    others.get(number).copied().unwrap_or(than)
+  }
+
   /// Lists the resources that engines hold for requests.
   pub(crate) fn unreleased_resources(&self) -> Vec<String> {
     let mut resources = self.exports.live();
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -9,6 +9,7 @@
 mod configuration;
 mod content;
 mod cut_off_check;
+mod departures;
 mod disturbance;
 mod endpoint;
 mod endpoint_kind;
--- a/soak/src/promises.rs
+++ b/soak/src/promises.rs
@@ -12,7 +12,7 @@
     order_check::order_breaches,
     organisation_check::organisation_breaches,
     promise::Promise,
-    records::{Outcome, PlannedStop, Probe, Records, RequestRecord, RoleCommandRecord},
+    records::{PlannedStop, Probe, Records, RequestRecord, RoleCommandRecord},
     request_check::RequestCheck,
     request_kind::RequestKind,
     silence_check::silence_breaches,
@@ -188,7 +188,7 @@
       .records
       .requests
       .values()
-      .filter(|request| request.sent_ms >= since_ms && request.outcome != Some(Outcome::Disconnected))
+      .filter(|request| request.sent_ms >= since_ms && !request.has_left())
       // The organisation over its limit is not served all of its requests.
       .filter(|request| request.key != CallerKey::Hot)
       // Requests that crash engines are not expected to be served.
--- a/soak/src/recorder.rs
+++ b/soak/src/recorder.rs
@@ -75,6 +75,21 @@
     }
   }
 
+  /// Records that a caller goes to another box and leaves the connection open for now.
+  pub(crate) fn record_moved(&self, id: &str, body: String) {
+    if let Some(record) = self.records().requests.get_mut(id) {
+      record.outcome = Some(Outcome::Moved { body });
+    }
+  }
+
+  /// Records that a caller that went to another box closes the connection.
+  pub(crate) fn record_closed(&self, id: &str) {
+    let now_ms = self.now_ms();
+    if let Some(record) = self.records().requests.get_mut(id) {
+      record.ended_ms = Some(now_ms);
+    }
+  }
+
   /// Records that a caller received a leaving signal.
   pub(crate) fn record_leaving_received(&self, box_index: usize, incarnation: &str) {
     let received = LeavingReceived {
--- a/soak/src/records.rs
+++ b/soak/src/records.rs
@@ -26,6 +26,11 @@
   },
   /// The request did not end within the caller's deadline and a margin.
   Unanswered,
+  /// The caller left for another box while the response was being written, and read no more of it.
+  Moved {
+    /// Response body received so far.
+    body: String,
+  },
   /// The caller disconnected early.
   Disconnected,
 }
@@ -93,11 +98,23 @@
   /// The part of the response that the caller received.
   pub(crate) fn body(&self) -> &str {
     match &self.outcome {
-      Some(Outcome::Complete { body, .. } | Outcome::ConnectionLost { body, .. }) => body,
+      Some(
+        Outcome::Complete { body, .. }
+        | Outcome::ConnectionLost { body, .. }
+        | Outcome::Moved { body },
+      ) => body,
       _ => "",
     }
   }
 
+  /// Whether the caller left before the end.
+  pub(crate) fn has_left(&self) -> bool {
+    matches!(
+      self.outcome,
+      Some(Outcome::Disconnected | Outcome::Moved { .. })
+    )
+  }
+
   /// Whether the caller received a successful response.
   pub(crate) fn is_served(&self) -> bool {
     matches!(&self.outcome, Some(Outcome::Complete { status, .. }) if (200..300).contains(status))
--- a/soak/src/request_check.rs
+++ b/soak/src/request_check.rs
@@ -77,7 +77,12 @@
       Outcome::ConnectionLost {
         status: Some(200),
         body,
-      } if !self.is_expected_beginning(body) => format!("{id} cut, but got {body:?}"),
+      }
+      | Outcome::Moved { body }
+        if !self.is_expected_beginning(body) =>
+      {
+        format!("{id} cut, but got {body:?}")
+      }
       _ => return None,
     };
     Some(Breach::new(Promise::OwnCompleteResponse, observed))
@@ -148,7 +153,7 @@
   fn stops_after_disconnect(&self) -> Option<Breach> {
     let Self { id, request, .. } = self;
     let left_ms = request.ended_ms?;
-    if request.outcome != Some(Outcome::Disconnected) {
+    if !request.has_left() {
       return None;
     }
     let due_ms = left_ms + DISCONNECT_MS + self.slack_ms;
--- a/soak/src/silence_check.rs
+++ b/soak/src/silence_check.rs
@@ -49,7 +49,7 @@
   match request.outcome {
     Some(Outcome::ConnectionLost { .. }) => true,
     Some(Outcome::Complete { status, .. }) => !(200..300).contains(&status),
-    Some(Outcome::Unanswered | Outcome::Disconnected) | None => false,
+    Some(Outcome::Unanswered | Outcome::Disconnected | Outcome::Moved { .. }) | None => false,
   }
 }
 
--- a/soak/src/subcommand.rs
+++ b/soak/src/subcommand.rs
@@ -152,7 +152,7 @@
   };
   println!(
     "seed {seed}: {} faults, {} requests: {} served, {} rejected as not run, {} other errors, \
-     {} connections lost, {} disconnected, {} unanswered; {} role commands, {} planned stops; {} breaches",
+     {} connections lost, {} disconnected, {} moved to another box, {} unanswered; {} role commands, {} planned stops; {} breaches",
     report.faults.len(),
     report.records.requests.len(),
     completed(200..300),
@@ -160,6 +160,7 @@
     completed(400..503) + completed(504..600),
     report.count(|outcome| matches!(outcome, Outcome::ConnectionLost { .. })),
     report.count(|outcome| *outcome == Outcome::Disconnected),
+    report.count(|outcome| matches!(outcome, Outcome::Moved { .. })),
     report.count(|outcome| *outcome == Outcome::Unanswered),
     report.records.role_commands.len(),
     report.records.stops.len(),
--- a/tests/soak_promises.rs
+++ b/tests/soak_promises.rs
@@ -98,6 +98,7 @@
   vec![run(0, 10_010, Some(10_100))]
 )]
 #[case::caller_disconnected(RequestKind::Stream, Outcome::Disconnected, vec![run(0, 10_010, Some(20_900))])]
+#[case::caller_moved(RequestKind::ResumableStream, moved(events(1, 3)), vec![run(0, 10_010, Some(20_900))])]
 fn valid_requests_have_no_breach(
   #[case] kind: RequestKind,
   #[case] outcome: Outcome,
@@ -139,6 +140,12 @@
   Promise::AttemptLimit
 )]
 #[case::missed_deadline(RequestKind::Retryable, Outcome::Unanswered, vec![], Promise::DeadlineKept)]
+#[case::running_after_the_caller_moved(
+  RequestKind::ResumableStream,
+  moved(events(1, 3)),
+  vec![run(0, 10_010, Some(21_100))],
+  Promise::StopsAfterDisconnect
+)]
 #[case::running_after_disconnect(
   RequestKind::Stream,
   Outcome::Disconnected,
@@ -734,6 +741,11 @@
   }
 }
 
+/// The outcome for a caller that left for another box.
+fn moved(body: String) -> Outcome {
+  Outcome::Moved { body }
+}
+
 /// Records of the stream "a", which its caller resumes as "b".
 fn resumed_stream(first: Outcome, second: Outcome) -> Records {
   let runs = || vec![run(0, 10_010, Some(10_900))];
@@ -894,6 +906,32 @@
   assert_eq!(found(&records), promises);
 }
 
+#[rstest]
+#[case::goes_on(events(1, 3), served(&events(4, EVENTS)), vec![])]
+#[case::goes_on_at_a_third_box(events(1, 3), moved(events(4, 4)), vec![])]
+#[case::gap_before(
+  [events(1, 1), events(3, 3)].concat(),
+  served(&events(4, EVENTS)),
+  vec![Promise::OwnCompleteResponse, Promise::NoEventMissing]
+)]
+#[case::gap_after(
+  events(1, 3),
+  moved(events(5, EVENTS)),
+  vec![Promise::OwnCompleteResponse, Promise::NoEventMissing]
+)]
+#[case::other_version(
+  versioned_events(1, 3, "v1"),
+  moved(versioned_events(4, 4, "v2")),
+  vec![Promise::OneVersion]
+)]
+fn order_is_checked_after_the_caller_moved_to_another_box(
+  #[case] first: String,
+  #[case] second: Outcome,
+  #[case] promises: Vec<Promise>,
+) {
+  assert_eq!(found(&resumed_stream(moved(first), second)), promises);
+}
+
 #[test]
 fn stream_that_its_caller_has_received_before_its_end_may_end_without_events() {
   let mut records = resumed_stream(cut(events(1, EVENTS)), served(""));
