Soak: releases with kills of all boxes, and engines back under their id, beside all faults

What was missing: the ordinary selection never killed all boxes at once and never released a version, and no engine came back under its id with another version while the store still had its former entry.

While a release is on, engines start with its version; at other times by turns, as before. Callers come back until boxes are there again wherever a plan kills all boxes. A release removes the entry of an engine that another fault had put at the place meanwhile.

--- a/soak/src/fault.rs
+++ b/soak/src/fault.rs
@@ -185,6 +185,15 @@
     /// Time until the restart.
     down_ms: u64,
   },
+  /// An engine ends and starts again under its id with the other software version. Its store entry is updated later.
+  EngineRestarted {
+    /// Place from which on the first engine is taken.
+    first: usize,
+    /// Time until the restart.
+    down_ms: u64,
+    /// Time from the restart until the store entry is updated.
+    stale_ms: u64,
+  },
   /// An endpoint shuts down as planned, and a new incarnation starts at its address.
   EndpointLeaves {
     /// The endpoint's place.
--- a/soak/src/fault_injector.rs
+++ b/soak/src/fault_injector.rs
@@ -74,6 +74,11 @@
       Ok(())
     }
     Fault::EndpointCrashed { place, down_ms } => crash_endpoint(fleet, place, down_ms).await,
+    Fault::EngineRestarted {
+      first,
+      down_ms,
+      stale_ms,
+    } => restart_engine(fleet, first, down_ms, stale_ms).await,
     Fault::EndpointLeaves { place } => match fleet.announce_leaving(place) {
       Some(incarnation) => shut_down_endpoint(fleet, place, incarnation).await,
       None => Ok(()),
@@ -265,6 +270,22 @@
   let _ = fleet.restart_same_id(place, stopped).await;
 }
 
+/// Restarts the first engine from a place on with the other version under its id, and updates its entry later.
+async fn restart_engine(fleet: &Fleet, first: usize, down_ms: u64, stale_ms: u64) -> Result {
+  let Some(place) = fleet.engine_places(first).first().copied() else {
+    return Ok(());
+  };
+  let _disturbed = fleet.recorder.begin_disturbance(Target::Endpoint(place));
+  let Some(stopped) = fleet.stop_endpoint(place) else {
+    return Ok(());
+  };
+  sleep(Duration::from_millis(down_ms)).await;
+  fleet.restart_other_version(place, stopped).await?;
+  sleep(Duration::from_millis(stale_ms)).await;
+  fleet.register(place);
+  Ok(())
+}
+
 async fn kill_all_boxes(fleet: &Fleet, down_ms: u64) -> Result {
   try_join_all(fleet.boxes.iter().map(|target| target.kill(down_ms))).await?;
   Ok(())
@@ -284,10 +305,13 @@
     for place in group(first) {
       let _disturbed = fleet.recorder.begin_disturbance(Target::Endpoint(place));
       if let Some(stopped) = fleet.stop_endpoint(place) {
+        // Another fault may have replaced the engine whose entry is gone.
+        fleet.remove_entry(&stopped);
         fleet.restart(place, stopped.kind).await?;
       }
     }
   }
+  fleet.end_release();
   Ok(())
 }
 
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -17,7 +17,7 @@
     recorder::Recorder,
     records::{HallDrain, Probe},
     running_endpoint::RunningEndpoint,
-    versioning::Versioning,
+    versioning::{Versioning, other_version},
   },
   futures_util::future::join_all,
   http::{Request, StatusCode},
@@ -45,6 +45,8 @@
 pub(crate) struct StoppedEndpoint {
   pub(crate) incarnation: String,
   pub(crate) kind: EndpointKind,
+  /// Version of its software.
+  version: &'static str,
 }
 
 /// A running deployment.
@@ -61,6 +63,8 @@
   versions: AtomicU64,
   versioning: Versioning,
   releases: AtomicU64,
+  /// Releases in progress.
+  releasing: AtomicU64,
   events: EngineEventSender,
 }
 
@@ -90,6 +94,7 @@
       versions: AtomicU64::new(0),
       versioning,
       releases: AtomicU64::new(0),
+      releasing: AtomicU64::new(0),
     };
     let hosts: Vec<Ipv4Addr> = (0..boxes).map(box_host).collect();
     for number in 0..places {
@@ -123,31 +128,34 @@
   /// Starts a new incarnation at a place and registers it in the store.
   fn serve(&self, place: usize, kind: EndpointKind, listener: TcpListener) {
     let number = self.incarnations.fetch_add(1, Ordering::Relaxed);
-    self.start_incarnation(format!("i-{number}"), place, kind, listener);
+    let identity = self.identity(format!("i-{number}"), place, kind);
+    self.start_incarnation(identity, listener);
+    self.register(place);
   }
 
-  /// Starts an incarnation with an id, which may have been used before.
-  fn start_incarnation(
-    &self,
-    incarnation: String,
-    place: usize,
-    kind: EndpointKind,
-    listener: TcpListener,
-  ) {
+  /// The identity of the next start of an incarnation, whose id may have been used before.
+  fn identity(&self, incarnation: String, place: usize, kind: EndpointKind) -> Identity {
     let start_number = self.starts.fetch_add(1, Ordering::Relaxed);
     let releases = self.releases.load(Ordering::Relaxed);
-    let identity = Identity {
+    let is_releasing = self.releasing.load(Ordering::Relaxed) > 0;
+    Identity {
       start_number,
-      version: self.versioning.version(start_number, releases),
+      version: self
+        .versioning
+        .version(start_number, releases, is_releasing),
       incarnation,
       kind,
       place,
       address: self.places[place].address,
-    };
+    }
+  }
+
+  /// Starts an incarnation, which is not registered yet.
+  fn start_incarnation(&self, identity: Identity, listener: TcpListener) {
+    let place = identity.place;
     self.recorder.record_start(&identity.incarnation);
     let endpoint = Endpoint::new(identity, &self.recorder, &self.exports, self.events.clone());
     *self.places[place].running() = Some(RunningEndpoint::start(endpoint, listener));
-    self.register(place);
   }
 
   /// Starts a new incarnation at a place that is down.
@@ -160,7 +168,24 @@
   /// Restarts an endpoint with the same id.
   pub(crate) async fn restart_same_id(&self, place: usize, stopped: StoppedEndpoint) -> Result {
     let listener = self.listen_at(place).await?;
-    self.start_incarnation(stopped.incarnation, place, stopped.kind, listener);
+    let identity = self.identity(stopped.incarnation, place, stopped.kind);
+    self.start_incarnation(identity, listener);
+    self.register(place);
+    Ok(())
+  }
+
+  /// Restarts an endpoint with the same id and the other version. Its entry stays that of the former start.
+  pub(crate) async fn restart_other_version(
+    &self,
+    place: usize,
+    stopped: StoppedEndpoint,
+  ) -> Result {
+    let listener = self.listen_at(place).await?;
+    let identity = Identity {
+      version: other_version(stopped.version),
+      ..self.identity(stopped.incarnation, place, stopped.kind)
+    };
+    self.start_incarnation(identity, listener);
     Ok(())
   }
 
@@ -179,6 +204,12 @@
   /// Engines that start from now on have the other version.
   pub(crate) fn begin_release(&self) {
     self.releases.fetch_add(1, Ordering::Relaxed);
+    self.releasing.fetch_add(1, Ordering::Relaxed);
+  }
+
+  /// All engines have the version of the release.
+  pub(crate) fn end_release(&self) {
+    self.releasing.fetch_sub(1, Ordering::Relaxed);
   }
 
   /// Removes the entry of the endpoint at a place, which serves on.
@@ -256,6 +287,7 @@
     Some(StoppedEndpoint {
       incarnation: running.endpoint.incarnation.clone(),
       kind: running.endpoint.kind(),
+      version: running.endpoint.version,
     })
   }
 
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -74,6 +74,19 @@
 const RELEASE_DOWN_MS: (u64, u64) = (50, 400);
 /// Bits by which the seed is rotated, for an independent sequence of draws.
 const RELEASE_SEED_ROTATION: u32 = 11;
+/// Ratio of the mean interval before the first release beside faults of all kinds to that of other faults.
+const RELEASE_INTERVAL_FACTOR: u64 = 8;
+/// Kills of all boxes beside such a release.
+const KILLS_BESIDE_RELEASE: (u64, u64) = (0, 2);
+/// Bits by which the seed is rotated, for an independent sequence of draws.
+const RELEASE_BESIDE_SEED_ROTATION: u32 = 23;
+/// Ratio of the mean interval between restarts of engines under their id to that of other faults.
+const RESTART_INTERVAL_FACTOR: u64 = 5;
+/// Time until such a restart, and from it until the entry is updated: the platform's heartbeat and some delay at the most.
+const RESTART_DOWN_MS: (u64, u64) = (20, 600);
+const STALE_ENTRY_MS: (u64, u64) = (200, 1_500);
+/// Bits by which the seed is rotated, for an independent sequence of draws.
+const RESTART_SEED_ROTATION: u32 = 37;
 /// Added latency of a delayed link or a slow store.
 const DELAY_MS: (u64, u64) = (20, 800);
 /// Chance that a fault of a box's process is followed by another one, so that signals overlap.
@@ -105,6 +118,8 @@
   Stops,
   /// Releases of another software version, and kills of all boxes beside them.
   Releases,
+  /// Engines that restart under their id with the other software version.
+  Restarts,
 }
 
 impl FaultSelection {
@@ -113,9 +128,11 @@
   /// ```
   /// use soak::{FaultSelection, Size};
   /// let size = Size { boxes: 3, places: 6, faults_ms: 20_000 };
-  /// let silences = FaultSelection::Silences.draw(7, size);
   /// let all = FaultSelection::All.draw(7, size);
-  /// assert!(silences.iter().all(|fault| all.contains(fault)));
+  /// for part in [FaultSelection::Silences, FaultSelection::Restarts] {
+  ///   let selected = part.draw(7, size);
+  ///   assert!(selected.iter().all(|fault| all.contains(fault)));
+  /// }
   /// ```
   pub fn draw(self, seed: u64, size: Size) -> Vec<ScheduledFault> {
     match self {
@@ -123,6 +140,7 @@
       Self::Interruptions => draw_interruptions(seed, size),
       Self::Silences => draw_silences(seed, size),
       Self::Releases => draw_releases(seed, size),
+      Self::Restarts => draw_restarts(seed, size),
       Self::Stops => draw_stops(seed, size),
     }
   }
@@ -172,6 +190,8 @@
   steps.extend(draw_cuts(seed, size));
   steps.extend(draw_stream_faults(seed, size));
   steps.extend(draw_silences(seed, size));
+  steps.extend(draw_releases_beside_others(seed, size));
+  steps.extend(draw_restarts(seed, size));
   steps.sort_by_key(|step| step.at_ms);
   steps
 }
@@ -379,26 +399,48 @@
   let mut steps = Vec::new();
   let mut at_ms = draw.interval_ms();
   while at_ms < size.faults_ms {
-    let gap_ms = draw.between(RELEASE_GAP_MS);
-    steps.push(ScheduledFault {
-      at_ms,
-      fault: Fault::Release { gap_ms },
-    });
-    let mut kill_ms = at_ms + draw.between(RELEASE_KILL_MS);
-    for _ in 0..draw.between(RELEASE_KILLS) {
-      let down_ms = draw.between(RELEASE_DOWN_MS);
-      steps.push(ScheduledFault {
-        at_ms: kill_ms,
-        fault: Fault::AllBoxesKilled { down_ms },
-      });
-      kill_ms += draw.between(RELEASE_KILL_GAP_MS);
-    }
+    steps.extend(draw.release(at_ms, RELEASE_KILLS));
     at_ms += draw.between(RELEASE_INTERVAL_MS);
   }
   steps.sort_by_key(|step| step.at_ms);
   steps
 }
 
+/// Draws releases beside faults of all kinds, some of them with kills of all boxes, from a separate sequence.
+fn draw_releases_beside_others(seed: u64, size: Size) -> Vec<ScheduledFault> {
+  let mut draw = Draw {
+    random: ChaCha8Rng::seed_from_u64(seed.rotate_left(RELEASE_BESIDE_SEED_ROTATION)),
+    size,
+  };
+  let mut steps = Vec::new();
+  let mut at_ms = RELEASE_INTERVAL_FACTOR * draw.interval_ms();
+  while at_ms < size.faults_ms {
+    steps.extend(draw.release(at_ms, KILLS_BESIDE_RELEASE));
+    at_ms += draw.between(RELEASE_INTERVAL_MS);
+  }
+  steps
+}
+
+/// Draws engines that restart under their id with the other version, from a separate sequence.
+fn draw_restarts(seed: u64, size: Size) -> Vec<ScheduledFault> {
+  let mut draw = Draw {
+    random: ChaCha8Rng::seed_from_u64(seed.rotate_left(RESTART_SEED_ROTATION)),
+    size,
+  };
+  let mut steps = Vec::new();
+  let mut at_ms = draw.interval_ms();
+  while at_ms < size.faults_ms {
+    let fault = Fault::EngineRestarted {
+      down_ms: draw.between(RESTART_DOWN_MS),
+      first: draw.random.random_range(0..size.places),
+      stale_ms: draw.between(STALE_ENTRY_MS),
+    };
+    steps.push(ScheduledFault { at_ms, fault });
+    at_ms += RESTART_INTERVAL_FACTOR * draw.interval_ms();
+  }
+  steps
+}
+
 /// The box whose process a fault concerns.
 fn box_of(fault: Fault) -> Option<usize> {
   match fault {
@@ -484,6 +526,25 @@
     }
   }
 
+  /// A release, and kills of all boxes at any moment of it.
+  fn release(&mut self, at_ms: u64, kills: (u64, u64)) -> Vec<ScheduledFault> {
+    let gap_ms = self.between(RELEASE_GAP_MS);
+    let mut steps = vec![ScheduledFault {
+      at_ms,
+      fault: Fault::Release { gap_ms },
+    }];
+    let mut kill_ms = at_ms + self.between(RELEASE_KILL_MS);
+    for _ in 0..self.between(kills) {
+      let down_ms = self.between(RELEASE_DOWN_MS);
+      steps.push(ScheduledFault {
+        at_ms: kill_ms,
+        fault: Fault::AllBoxesKilled { down_ms },
+      });
+      kill_ms += self.between(RELEASE_KILL_GAP_MS);
+    }
+    steps
+  }
+
   /// The silence of one engine, of most engines, or of all.
   fn silence(&mut self, for_ms: u64) -> Fault {
     let places = self.size.places;
--- a/soak/src/play.rs
+++ b/soak/src/play.rs
@@ -7,6 +7,7 @@
     caller::{Caller, CallerWork},
     engine_event::{EngineEvent, EngineEventReceiver},
     error::{Error, Result},
+    fault::Fault,
     fault_injector::{crash_and_restart, inject},
     fleet::Fleet,
     plan::{FaultSelection, ScheduledFault, Size},
@@ -117,8 +118,8 @@
   wait_until_ready(&fleet).await?;
   let mut background = start_background(&fleet, engine_events);
   let (stop, stopped) = watch::channel(false);
-  let mut callers = start_callers(&fleet, options, &stopped);
   let faults = options.faults.draw(options.seed, size);
+  let mut callers = start_callers(&fleet, options, &faults, &stopped);
   inject_faults(&fleet, &faults).await?;
   wait_until_ready(&fleet).await?;
   let faults_ended_ms = fleet.recorder.now_ms();
@@ -150,18 +151,25 @@
 fn start_callers(
   fleet: &Arc<Fleet>,
   options: &Options,
+  faults: &[ScheduledFault],
   stopped: &watch::Receiver<bool>,
 ) -> JoinSet<()> {
   let mut callers = JoinSet::new();
+  let are_all_killed = faults
+    .iter()
+    .any(|scheduled| matches!(scheduled.fault, Fault::AllBoxesKilled { .. }));
   for number in 0..options.callers {
     let mut caller = Caller::new(fleet.clone(), number, options.seed, CallerWork::Mixed);
-    if options.faults == FaultSelection::Releases {
+    if are_all_killed {
       caller.resume_after_restarts();
     }
     callers.spawn(caller.run(stopped.clone()));
   }
-  // An engine that a request crashes would start again under its id with the version of a release.
-  if options.faults == FaultSelection::Releases {
+  // An engine that a request crashes would start again under its id, with another version or that of a release.
+  if matches!(
+    options.faults,
+    FaultSelection::Releases | FaultSelection::Restarts
+  ) {
     return callers;
   }
   let crashing = Caller::new(
--- a/soak/src/subcommand.rs
+++ b/soak/src/subcommand.rs
@@ -62,10 +62,13 @@
   let releases = long("only-releases")
     .help("Release software versions and kill all boxes at once, and inject no other faults")
     .req_flag(FaultSelection::Releases);
+  let restarts = long("only-restarts")
+    .help("Restart engines under their id with the other version, and inject no other faults")
+    .req_flag(FaultSelection::Restarts);
   let stops = long("only-stops")
     .help("Stop boxes as planned, and inject no other faults")
     .req_flag(FaultSelection::Stops);
-  construct!([interruptions, silences, releases, stops]).fallback(FaultSelection::All)
+  construct!([interruptions, silences, releases, restarts, stops]).fallback(FaultSelection::All)
 }
 
 /// Runs the program.
--- a/soak/src/versioning.rs
+++ b/soak/src/versioning.rs
@@ -8,7 +8,7 @@
 /// How endpoints get their versions.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Versioning {
-  /// By turns: both versions serve all the time.
+  /// By turns, but that of the release during one: both versions serve most of the time.
   Alternating,
   /// That of the last release.
   Released,
@@ -21,17 +21,29 @@
       FaultSelection::Releases => Self::Released,
       FaultSelection::All
       | FaultSelection::Interruptions
+      | FaultSelection::Restarts
       | FaultSelection::Silences
       | FaultSelection::Stops => Self::Alternating,
     }
   }
 
-  /// The version of the endpoint that starts as a given one, after a number of releases.
-  pub(crate) fn version(self, start_number: u64, releases: u64) -> &'static str {
+  /// The version of the endpoint that starts as a given one, after a number of releases or during the last of them.
+  pub(crate) fn version(
+    self,
+    start_number: u64,
+    releases: u64,
+    is_releasing: bool,
+  ) -> &'static str {
     let number = match self {
-      Self::Alternating => start_number + 1,
-      Self::Released => releases,
+      Self::Alternating if !is_releasing => start_number + 1,
+      Self::Alternating | Self::Released => releases,
     };
     VERSIONS[usize::from(!number.is_multiple_of(2))]
   }
 }
+
+/// The other one of the two versions.
+pub(crate) fn other_version(version: &str) -> &'static str {
+  let [first, second] = VERSIONS;
+  if version == first { second } else { first }
+}
