Soak: one way to draw faults at intervals, one arm a fault

Draw::at_intervals and Draw::releases take the loops; a caller's outcome and the end of its request are recorded apart, which a caller that has left needs anyway.

--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -119,11 +119,10 @@
 
   /// Opens a new connection for a stream whose last response ended, or, if the caller has left it, to another box.
   fn reconnect_after(&mut self, last_id: &str) {
-    let has_moved = {
-      let records = self.fleet.recorder.records();
-      let last = records.requests.get(last_id);
-      last.is_some_and(RequestRecord::has_left)
-    };
+    let records = self.fleet.recorder.records();
+    let last = records.requests.get(last_id);
+    let has_moved = last.is_some_and(RequestRecord::has_left);
+    drop(records);
     if !has_moved {
       return self.reconnect();
     }
@@ -236,13 +235,14 @@
         unread,
         kept_open,
       }) => {
-        recorder.record_moved(&id, body);
+        recorder.record_outcome(&id, Outcome::Moved { body });
         tokio::spawn(close_later(recorder.clone(), id.clone(), unread, kept_open));
         return (id, false);
       }
       Err(_) if disconnects_after_ms.is_some() => (Outcome::Disconnected, false),
       Err(_) => (Outcome::Unanswered, false),
     };
+    recorder.record_end(&id);
     recorder.record_outcome(&id, outcome);
     (id, is_reusable)
   }
@@ -362,7 +362,7 @@
 async fn close_later(recorder: Recorder, id: String, unread: Incoming, kept_open: Duration) {
   sleep(kept_open).await;
   drop(unread);
-  recorder.record_closed(&id);
+  recorder.record_end(&id);
 }
 
 /// The endpoint's incarnation, from the response's receipt.
--- a/soak/src/departures.rs
+++ b/soak/src/departures.rs
@@ -40,12 +40,10 @@
 
   /// Whether the caller of the next stream leaves for another box.
   pub(crate) fn draw(&mut self) -> Option<Departure> {
-    let (leaves, after_events, is_kept, kept_ms) = (
-      self.0.random_bool(DEPARTURE_CHANCE),
-      self.0.random_range(EVENTS_READ.0..=EVENTS_READ.1),
-      self.0.random_bool(KEPT_OPEN_CHANCE),
-      self.0.random_range(KEPT_OPEN_MS.0..=KEPT_OPEN_MS.1),
-    );
+    let leaves = self.0.random_bool(DEPARTURE_CHANCE);
+    let after_events = self.0.random_range(EVENTS_READ.0..=EVENTS_READ.1);
+    let is_kept = self.0.random_bool(KEPT_OPEN_CHANCE);
+    let kept_ms = self.0.random_range(KEPT_OPEN_MS.0..=KEPT_OPEN_MS.1);
     leaves.then_some(Departure {
       after_events,
       kept_open: Duration::from_millis(if is_kept { kept_ms } else { 0 }),
@@ -59,10 +57,7 @@
 
   /// Delay before the next request for a stream.
   pub(crate) fn return_delay(&mut self) -> Duration {
-    if self.0.random_bool(QUICK_RETURN_CHANCE) {
-      Duration::ZERO
-    } else {
-      RECONNECT_DELAY
-    }
+    let waits = !self.0.random_bool(QUICK_RETURN_CHANCE);
+    RECONNECT_DELAY * u32::from(waits)
   }
 }
--- a/soak/src/fault_injector.rs
+++ b/soak/src/fault_injector.rs
@@ -26,18 +26,12 @@
 /// Injects a fault and returns when it is over.
 pub(crate) async fn inject(fleet: &Fleet, fault: Fault) -> Result {
   match fault {
-    Fault::BoxKilled { index, down_ms } => fleet.boxes[index].kill(down_ms).await,
-    Fault::AllBoxesKilled { down_ms } => kill_all_boxes(fleet, down_ms).await,
-    Fault::Release { gap_ms } => release(fleet, Duration::from_millis(gap_ms)).await,
-    Fault::BoxStopped { index } => fleet.boxes[index].stop().await,
-    Fault::BoxPaused { index, for_ms } => {
-      fleet.boxes[index].pause(for_ms).await;
-      Ok(())
-    }
-    Fault::BoxReloaded { index } => {
-      fleet.boxes[index].reload().await;
-      Ok(())
-    }
+    Fault::BoxKilled { index, down_ms } => fleet.boxes[index].kill(down_ms).await?,
+    Fault::AllBoxesKilled { down_ms } => kill_all_boxes(fleet, down_ms).await?,
+    Fault::Release { gap_ms } => release(fleet, Duration::from_millis(gap_ms)).await?,
+    Fault::BoxStopped { index } => fleet.boxes[index].stop().await?,
+    Fault::BoxPaused { index, for_ms } => fleet.boxes[index].pause(for_ms).await,
+    Fault::BoxReloaded { index } => fleet.boxes[index].reload().await,
     Fault::CallerLink {
       index,
       fault,
@@ -45,7 +39,6 @@
     } => {
       let link = &fleet.boxes[index].caller_link;
       disturb_link(fleet, link, Target::Box(index), fault, for_ms).await;
-      Ok(())
     }
     Fault::StoreLink {
       index,
@@ -54,7 +47,6 @@
     } => {
       let link = &fleet.boxes[index].store_link;
       disturb_link(fleet, link, Target::StoreLink(index), fault, for_ms).await;
-      Ok(())
     }
     Fault::EndpointLink {
       place,
@@ -63,64 +55,47 @@
     } => {
       let links = &fleet.places[place].links;
       disturb_links(fleet, links, Target::Endpoint(place), fault, for_ms).await;
-      Ok(())
-    }
-    Fault::EndpointsCutOff { index, cut, for_ms } => {
-      cut_off(fleet, index, cut, for_ms).await;
-      Ok(())
     }
+    Fault::EndpointsCutOff { index, cut, for_ms } => cut_off(fleet, index, cut, for_ms).await,
     Fault::Store { fault, for_ms } => {
       disturb_store(fleet, fault, Duration::from_millis(for_ms)).await;
-      Ok(())
     }
-    Fault::EndpointCrashed { place, down_ms } => crash_endpoint(fleet, place, down_ms).await,
+    Fault::EndpointCrashed { place, down_ms } => crash_endpoint(fleet, place, down_ms).await?,
     Fault::EngineRestarted {
       first,
       down_ms,
       stale_ms,
-    } => restart_engine(fleet, first, down_ms, stale_ms).await,
-    Fault::EndpointLeaves { place } => match fleet.announce_leaving(place) {
-      Some(incarnation) => shut_down_endpoint(fleet, place, incarnation).await,
-      None => Ok(()),
-    },
-    Fault::EndpointLeavesUnlisted { place } => match fleet.incarnation(place) {
-      Some(incarnation) => shut_down_endpoint(fleet, place, incarnation).await,
-      None => Ok(()),
-    },
+    } => restart_engine(fleet, first, down_ms, stale_ms).await?,
+    Fault::EndpointLeaves { place } => {
+      if let Some(incarnation) = fleet.announce_leaving(place) {
+        shut_down_endpoint(fleet, place, incarnation).await?;
+      }
+    }
+    Fault::EndpointLeavesUnlisted { place } => {
+      if let Some(incarnation) = fleet.incarnation(place) {
+        shut_down_endpoint(fleet, place, incarnation).await?;
+      }
+    }
     Fault::EndpointLimited {
       place,
       per_s,
       for_ms,
-    } => {
-      limit_endpoint(fleet, place, per_s, for_ms).await;
-      Ok(())
-    }
-    Fault::HallDrained { hall, for_ms } => {
-      drain_hall(fleet, hall, for_ms).await;
-      Ok(())
-    }
+    } => limit_endpoint(fleet, place, per_s, for_ms).await,
+    Fault::HallDrained { hall, for_ms } => drain_hall(fleet, hall, for_ms).await,
     Fault::EnginesSilent {
       engines,
       first,
       for_ms,
-    } => {
-      silence_engines(fleet, engines, first, for_ms).await;
-      Ok(())
-    }
+    } => silence_engines(fleet, engines, first, for_ms).await,
     Fault::Endpoint {
       place,
       fault,
       for_ms,
-    } => {
-      disturb_endpoint(fleet, place, fault, for_ms).await;
-      Ok(())
-    }
-    Fault::AddressesSwapped { place, other } => swap_addresses(fleet, place, other).await,
-    Fault::ConfigurationChanged => {
-      fleet.configure();
-      Ok(())
-    }
+    } => disturb_endpoint(fleet, place, fault, for_ms).await,
+    Fault::AddressesSwapped { place, other } => swap_addresses(fleet, place, other).await?,
+    Fault::ConfigurationChanged => fleet.configure(),
   }
+  Ok(())
 }
 
 async fn disturb_link(fleet: &Fleet, link: &Link, target: Target, fault: LinkFault, for_ms: u64) {
@@ -253,11 +228,7 @@
 
 /// Restarts an engine that a request crashed, with the same incarnation id. Its entry remains meanwhile.
 pub(crate) async fn crash_and_restart(fleet: &Fleet, place: usize, incarnation: &str) {
-  let mut is_same = false;
-  fleet.with_endpoint(place, |endpoint| {
-    is_same = endpoint.incarnation == incarnation;
-  });
-  if !is_same {
+  if fleet.incarnation(place).as_deref() != Some(incarnation) {
     return;
   }
   let _disturbed = fleet.recorder.begin_disturbance(Target::Endpoint(place));
@@ -319,11 +290,7 @@
 async fn shut_down_endpoint(fleet: &Fleet, place: usize, incarnation: String) -> Result {
   fleet.with_endpoint(place, |endpoint| endpoint.set_leaving());
   sleep(LEAVING_PERIOD).await;
-  let mut is_same = false;
-  fleet.with_endpoint(place, |endpoint| {
-    is_same = endpoint.incarnation == incarnation
-  });
-  if !is_same {
+  if fleet.incarnation(place) != Some(incarnation) {
     return Ok(());
   }
   let _disturbed = fleet.recorder.begin_disturbance(Target::Endpoint(place));
--- a/soak/src/order_check.rs
+++ b/soak/src/order_check.rs
@@ -25,7 +25,9 @@
     tries.sort_by_key(Try::sequence);
     found.extend(tries.iter().filter_map(Try::foreign_runs));
     found.extend(tries.iter().filter_map(Try::early_end));
-    found.extend(Sequence::of(stream, &tries).breaches());
+    let events = tries.iter().flat_map(Try::events);
+    let ids = events.map(|event| event.id).collect();
+    found.extend(Sequence { stream, ids }.breaches());
   }
   found
 }
@@ -49,9 +51,8 @@
   /// Events of another request's run, or of two runs although the stream may not be resumed.
   fn foreign_runs(&self) -> Option<Breach> {
     let events = self.events();
-    let writers = events.iter().filter_map(|event| event.writer);
+    let mut writers = events.iter().filter_map(|event| event.writer);
     let runs: BTreeSet<String> = writers.clone().map(|writer| writer.to_string()).collect();
-    let mut writers = writers;
     let is_foreign = writers.any(|writer| writer.request_id != self.id);
     let is_joined = runs.len() > 1 && !self.request.kind.may_resume();
     if !is_foreign && !is_joined {
@@ -86,15 +87,7 @@
   ids: Vec<u64>,
 }
 
-impl<'a> Sequence<'a> {
-  fn of(stream: &'a str, tries: &[Try<'a>]) -> Self {
-    let events = tries.iter().flat_map(Try::events);
-    Self {
-      ids: events.map(|event| event.id).collect(),
-      stream,
-    }
-  }
-
+impl Sequence<'_> {
   fn breaches(&self) -> Vec<Breach> {
     let clauses = [
       (Promise::NoEventMissing, self.missing()),
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -22,24 +22,16 @@
 const LIMIT_RANGE_PER_S: std::ops::Range<u32> = 0..6;
 /// Ratio of the mean interval between advertised limits to that of other faults.
 const LIMIT_INTERVAL_FACTOR: u64 = 5;
-/// Bits by which the seed is rotated, for an independent sequence of draws.
-const LIMIT_SEED_ROTATION: u32 = 17;
 /// Duration of a hall drain. The promise applies after five seconds.
 const HALL_DRAIN_DURATION_MS: (u64, u64) = (6_000, 10_000);
 /// Ratio of the mean interval between hall drains to that of other faults.
 const HALL_DRAIN_INTERVAL_FACTOR: u64 = 8;
-/// Bits by which the seed is rotated, for an independent sequence of draws.
-const HALL_DRAIN_SEED_ROTATION: u32 = 31;
 /// Duration of a cut between boxes and all endpoints. The promise applies after three seconds.
 const CUT_DURATION_MS: (u64, u64) = (4_000, 9_000);
 /// Ratio of the mean interval between such cuts to that of other faults.
 const CUT_INTERVAL_FACTOR: u64 = 6;
-/// Bits by which the seed is rotated, for an independent sequence of draws.
-const CUT_SEED_ROTATION: u32 = 43;
 /// Ratio of the mean interval between engines that cut streams, or are replaced in a series, to that of other faults.
 const STREAM_FAULT_INTERVAL_FACTOR: u64 = 3;
-/// Bits by which the seed is rotated, for an independent sequence of draws.
-const STREAM_FAULT_SEED_ROTATION: u32 = 53;
 /// Duration in which an engine cuts all streams.
 const STREAM_CUT_DURATION_MS: (u64, u64) = (300, 1_200);
 /// Endpoints of a series, and the interval between them.
@@ -47,8 +39,6 @@
 const REPLACEMENT_INTERVAL_MS: u64 = 400;
 /// Ratio of the mean interval between series of silent periods to that of other faults.
 const SILENCE_INTERVAL_FACTOR: u64 = 3;
-/// Bits by which the seed is rotated, for an independent sequence of draws.
-const SILENCE_SEED_ROTATION: u32 = 7;
 /// Silent periods of a series, their duration, and the interval from the end of one to the next.
 const SILENCES_OF_SERIES: (u64, u64) = (1, 3);
 const SILENCE_DURATION_MS: (u64, u64) = (900, 1_500);
@@ -72,21 +62,15 @@
 const RELEASE_KILLS: (u64, u64) = (1, 2);
 const RELEASE_KILL_GAP_MS: (u64, u64) = (400, 2_500);
 const RELEASE_DOWN_MS: (u64, u64) = (50, 400);
-/// Bits by which the seed is rotated, for an independent sequence of draws.
-const RELEASE_SEED_ROTATION: u32 = 11;
 /// Ratio of the mean interval before the first release beside faults of all kinds to that of other faults.
 const RELEASE_INTERVAL_FACTOR: u64 = 8;
 /// Kills of all boxes beside such a release.
 const KILLS_BESIDE_RELEASE: (u64, u64) = (0, 2);
-/// Bits by which the seed is rotated, for an independent sequence of draws.
-const RELEASE_BESIDE_SEED_ROTATION: u32 = 23;
 /// Ratio of the mean interval between restarts of engines under their id to that of other faults.
 const RESTART_INTERVAL_FACTOR: u64 = 5;
 /// Time until such a restart, and from it until the entry is updated: the platform's heartbeat and some delay at the most.
 const RESTART_DOWN_MS: (u64, u64) = (20, 600);
 const STALE_ENTRY_MS: (u64, u64) = (200, 1_500);
-/// Bits by which the seed is rotated, for an independent sequence of draws.
-const RESTART_SEED_ROTATION: u32 = 37;
 /// Added latency of a delayed link or a slow store.
 const DELAY_MS: (u64, u64) = (20, 800);
 /// Chance that a fault of a box's process is followed by another one, so that signals overlap.
@@ -94,6 +78,16 @@
 /// Interval between such faults.
 const SERIES_INTERVAL_MS: (u64, u64) = (20, 700);
 
+/// Bits by which the seed is rotated, for independent sequences of draws.
+const CUT_SEED_ROTATION: u32 = 43;
+const HALL_DRAIN_SEED_ROTATION: u32 = 31;
+const LIMIT_SEED_ROTATION: u32 = 17;
+const RELEASE_BESIDE_SEED_ROTATION: u32 = 23;
+const RELEASE_SEED_ROTATION: u32 = 11;
+const RESTART_SEED_ROTATION: u32 = 37;
+const SILENCE_SEED_ROTATION: u32 = 7;
+const STREAM_FAULT_SEED_ROTATION: u32 = 53;
+
 /// The scale of a run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Size {
@@ -164,10 +158,7 @@
 /// assert_ne!(draw_plan(7, size), draw_plan(8, size));
 /// ```
 pub fn draw_plan(seed: u64, size: Size) -> Vec<ScheduledFault> {
-  let mut draw = Draw {
-    random: ChaCha8Rng::seed_from_u64(seed),
-    size,
-  };
+  let mut draw = Draw::new(seed, size);
   let mut steps = Vec::new();
   let mut at_ms = draw.interval_ms();
   while at_ms < size.faults_ms {
@@ -198,74 +189,49 @@
 
 /// Draws endpoints that shed load, or leave without an updated store entry, from a separate sequence.
 fn draw_notices(seed: u64, size: Size) -> Vec<ScheduledFault> {
-  let mut draw = Draw {
-    random: ChaCha8Rng::seed_from_u64(!seed),
-    size,
-  };
-  let mut steps = Vec::new();
-  let mut at_ms = NOTICE_INTERVAL_FACTOR * draw.interval_ms();
-  while at_ms < size.faults_ms {
+  let mut draw = Draw::new(!seed, size);
+  let from_ms = NOTICE_INTERVAL_FACTOR * draw.interval_ms();
+  draw.at_intervals(from_ms, NOTICE_INTERVAL_FACTOR, |draw| {
     let place = draw.random.random_range(0..size.places);
-    let fault = if draw.random.random_bool(0.5) {
-      Fault::EndpointLeavesUnlisted { place }
-    } else {
-      Fault::Endpoint {
-        fault: EndpointFault::ShedsLoad,
-        for_ms: draw.between(SHEDDING_DURATION_MS),
-        place,
-      }
-    };
-    steps.push(ScheduledFault { at_ms, fault });
-    at_ms += NOTICE_INTERVAL_FACTOR * draw.interval_ms();
-  }
-  steps
+    if draw.random.random_bool(0.5) {
+      return Fault::EndpointLeavesUnlisted { place };
+    }
+    Fault::Endpoint {
+      fault: EndpointFault::ShedsLoad,
+      for_ms: draw.between(SHEDDING_DURATION_MS),
+      place,
+    }
+  })
 }
 
 /// Draws endpoints that advertise limits, from a separate sequence.
 fn draw_limits(seed: u64, size: Size) -> Vec<ScheduledFault> {
-  let mut draw = Draw {
-    random: ChaCha8Rng::seed_from_u64(seed.rotate_left(LIMIT_SEED_ROTATION)),
-    size,
-  };
-  let mut steps = Vec::new();
-  let mut at_ms = draw.interval_ms();
-  while at_ms < size.faults_ms {
-    let fault = Fault::EndpointLimited {
+  let mut draw = Draw::new(seed.rotate_left(LIMIT_SEED_ROTATION), size);
+  let from_ms = draw.interval_ms();
+  draw.at_intervals(from_ms, LIMIT_INTERVAL_FACTOR, |draw| {
+    Fault::EndpointLimited {
       for_ms: draw.between(LIMIT_DURATION_MS),
       per_s: draw.random.random_range(LIMIT_RANGE_PER_S),
       place: draw.random.random_range(0..size.places),
-    };
-    steps.push(ScheduledFault { at_ms, fault });
-    at_ms += LIMIT_INTERVAL_FACTOR * draw.interval_ms();
-  }
-  steps
+    }
+  })
 }
 
 /// Draws hall drains, from a separate sequence. Both halls may be drained at once.
 fn draw_hall_drains(seed: u64, size: Size) -> Vec<ScheduledFault> {
-  let mut draw = Draw {
-    random: ChaCha8Rng::seed_from_u64(seed.rotate_left(HALL_DRAIN_SEED_ROTATION)),
-    size,
-  };
-  let mut steps = Vec::new();
-  let mut at_ms = draw.interval_ms();
-  while at_ms < size.faults_ms {
-    let fault = Fault::HallDrained {
+  let mut draw = Draw::new(seed.rotate_left(HALL_DRAIN_SEED_ROTATION), size);
+  let from_ms = draw.interval_ms();
+  draw.at_intervals(from_ms, HALL_DRAIN_INTERVAL_FACTOR, |draw| {
+    Fault::HallDrained {
       for_ms: draw.between(HALL_DRAIN_DURATION_MS),
       hall: draw.one_of(&[Hall::North, Hall::South]),
-    };
-    steps.push(ScheduledFault { at_ms, fault });
-    at_ms += HALL_DRAIN_INTERVAL_FACTOR * draw.interval_ms();
-  }
-  steps
+    }
+  })
 }
 
 /// Draws boxes that are cut off from all endpoints, from a separate sequence. At least one box is not.
 fn draw_cuts(seed: u64, size: Size) -> Vec<ScheduledFault> {
-  let mut draw = Draw {
-    random: ChaCha8Rng::seed_from_u64(seed.rotate_left(CUT_SEED_ROTATION)),
-    size,
-  };
+  let mut draw = Draw::new(seed.rotate_left(CUT_SEED_ROTATION), size);
   let mut steps = Vec::new();
   let mut at_ms = draw.interval_ms();
   while at_ms < size.faults_ms {
@@ -291,39 +257,30 @@
 
 /// Draws the faults of a run that interrupts streams only: at engines, at boxes and between callers and boxes.
 fn draw_interruptions(seed: u64, size: Size) -> Vec<ScheduledFault> {
-  let mut draw = Draw {
-    random: ChaCha8Rng::seed_from_u64(seed),
-    size,
-  };
+  let mut draw = Draw::new(seed, size);
   let mut steps = draw_stream_faults(seed, size);
-  let mut at_ms = draw.interval_ms();
-  while at_ms < size.faults_ms {
+  let from_ms = draw.interval_ms();
+  steps.extend(draw.at_intervals(from_ms, 1, |draw| {
     let index = draw.random.random_range(0..size.boxes);
-    let fault = if draw.random.random_bool(0.5) {
-      Fault::BoxKilled {
+    if draw.random.random_bool(0.5) {
+      return Fault::BoxKilled {
         down_ms: draw.between(FAULT_DURATION_MS),
         index,
-      }
-    } else {
-      Fault::CallerLink {
-        fault: LinkFault::Reset,
-        for_ms: 1,
-        index,
-      }
-    };
-    steps.push(ScheduledFault { at_ms, fault });
-    at_ms += draw.interval_ms();
-  }
+      };
+    }
+    Fault::CallerLink {
+      fault: LinkFault::Reset,
+      for_ms: 1,
+      index,
+    }
+  }));
   steps.sort_by_key(|step| step.at_ms);
   steps
 }
 
 /// Draws endpoints that cut streams, and endpoints that are replaced one after another, from a separate sequence.
 fn draw_stream_faults(seed: u64, size: Size) -> Vec<ScheduledFault> {
-  let mut draw = Draw {
-    random: ChaCha8Rng::seed_from_u64(seed.rotate_left(STREAM_FAULT_SEED_ROTATION)),
-    size,
-  };
+  let mut draw = Draw::new(seed.rotate_left(STREAM_FAULT_SEED_ROTATION), size);
   let mut steps = Vec::new();
   let mut at_ms = draw.interval_ms();
   while at_ms < size.faults_ms {
@@ -350,10 +307,7 @@
 
 /// Draws series of silent periods of sound engines, each beside planned work or not, from a separate sequence.
 fn draw_silences(seed: u64, size: Size) -> Vec<ScheduledFault> {
-  let mut draw = Draw {
-    random: ChaCha8Rng::seed_from_u64(seed.rotate_left(SILENCE_SEED_ROTATION)),
-    size,
-  };
+  let mut draw = Draw::new(seed.rotate_left(SILENCE_SEED_ROTATION), size);
   let mut steps = Vec::new();
   let mut at_ms = WORK_BEFORE_SILENCE_MS.1 + draw.interval_ms();
   while at_ms < size.faults_ms {
@@ -375,70 +329,38 @@
 
 /// Draws planned stops of boxes. A box that is still stopping gets another signal.
 fn draw_stops(seed: u64, size: Size) -> Vec<ScheduledFault> {
-  let mut draw = Draw {
-    random: ChaCha8Rng::seed_from_u64(seed),
-    size,
-  };
-  let mut steps = Vec::new();
-  let mut at_ms = draw.interval_ms();
-  while at_ms < size.faults_ms {
-    let index = draw.random.random_range(0..size.boxes);
-    let fault = Fault::BoxStopped { index };
-    steps.push(ScheduledFault { at_ms, fault });
-    at_ms += STOP_INTERVAL_FACTOR * draw.interval_ms();
-  }
-  steps
+  let mut draw = Draw::new(seed, size);
+  let from_ms = draw.interval_ms();
+  draw.at_intervals(from_ms, STOP_INTERVAL_FACTOR, |draw| Fault::BoxStopped {
+    index: draw.random.random_range(0..size.boxes),
+  })
 }
 
 /// Draws releases, with one or two kills of all boxes at any moment of each.
 fn draw_releases(seed: u64, size: Size) -> Vec<ScheduledFault> {
-  let mut draw = Draw {
-    random: ChaCha8Rng::seed_from_u64(seed.rotate_left(RELEASE_SEED_ROTATION)),
-    size,
-  };
-  let mut steps = Vec::new();
-  let mut at_ms = draw.interval_ms();
-  while at_ms < size.faults_ms {
-    steps.extend(draw.release(at_ms, RELEASE_KILLS));
-    at_ms += draw.between(RELEASE_INTERVAL_MS);
-  }
-  steps.sort_by_key(|step| step.at_ms);
-  steps
+  let mut draw = Draw::new(seed.rotate_left(RELEASE_SEED_ROTATION), size);
+  let from_ms = draw.interval_ms();
+  draw.releases(from_ms, RELEASE_KILLS)
 }
 
 /// Draws releases beside faults of all kinds, some of them with kills of all boxes, from a separate sequence.
 fn draw_releases_beside_others(seed: u64, size: Size) -> Vec<ScheduledFault> {
-  let mut draw = Draw {
-    random: ChaCha8Rng::seed_from_u64(seed.rotate_left(RELEASE_BESIDE_SEED_ROTATION)),
-    size,
-  };
-  let mut steps = Vec::new();
-  let mut at_ms = RELEASE_INTERVAL_FACTOR * draw.interval_ms();
-  while at_ms < size.faults_ms {
-    steps.extend(draw.release(at_ms, KILLS_BESIDE_RELEASE));
-    at_ms += draw.between(RELEASE_INTERVAL_MS);
-  }
-  steps
+  let mut draw = Draw::new(seed.rotate_left(RELEASE_BESIDE_SEED_ROTATION), size);
+  let from_ms = RELEASE_INTERVAL_FACTOR * draw.interval_ms();
+  draw.releases(from_ms, KILLS_BESIDE_RELEASE)
 }
 
 /// Draws engines that restart under their id with the other version, from a separate sequence.
 fn draw_restarts(seed: u64, size: Size) -> Vec<ScheduledFault> {
-  let mut draw = Draw {
-    random: ChaCha8Rng::seed_from_u64(seed.rotate_left(RESTART_SEED_ROTATION)),
-    size,
-  };
-  let mut steps = Vec::new();
-  let mut at_ms = draw.interval_ms();
-  while at_ms < size.faults_ms {
-    let fault = Fault::EngineRestarted {
+  let mut draw = Draw::new(seed.rotate_left(RESTART_SEED_ROTATION), size);
+  let from_ms = draw.interval_ms();
+  draw.at_intervals(from_ms, RESTART_INTERVAL_FACTOR, |draw| {
+    Fault::EngineRestarted {
       down_ms: draw.between(RESTART_DOWN_MS),
       first: draw.random.random_range(0..size.places),
       stale_ms: draw.between(STALE_ENTRY_MS),
-    };
-    steps.push(ScheduledFault { at_ms, fault });
-    at_ms += RESTART_INTERVAL_FACTOR * draw.interval_ms();
-  }
-  steps
+    }
+  })
 }
 
 /// The box whose process a fault concerns.
@@ -458,6 +380,30 @@
 }
 
 impl Draw {
+  fn new(seed: u64, size: Size) -> Self {
+    Self {
+      random: ChaCha8Rng::seed_from_u64(seed),
+      size,
+    }
+  }
+
+  /// Draws faults one after another from a time on, at a multiple of the mean interval.
+  fn at_intervals(
+    &mut self,
+    from_ms: u64,
+    factor: u64,
+    mut next: impl FnMut(&mut Self) -> Fault,
+  ) -> Vec<ScheduledFault> {
+    let mut steps = Vec::new();
+    let mut at_ms = from_ms;
+    while at_ms < self.size.faults_ms {
+      let fault = next(self);
+      steps.push(ScheduledFault { at_ms, fault });
+      at_ms += factor * self.interval_ms();
+    }
+    steps
+  }
+
   fn between(&mut self, (min, max): (u64, u64)) -> u64 {
     self.random.random_range(min..=max)
   }
@@ -526,22 +472,26 @@
     }
   }
 
-  /// A release, and kills of all boxes at any moment of it.
-  fn release(&mut self, at_ms: u64, kills: (u64, u64)) -> Vec<ScheduledFault> {
-    let gap_ms = self.between(RELEASE_GAP_MS);
-    let mut steps = vec![ScheduledFault {
-      at_ms,
-      fault: Fault::Release { gap_ms },
-    }];
-    let mut kill_ms = at_ms + self.between(RELEASE_KILL_MS);
-    for _ in 0..self.between(kills) {
-      let down_ms = self.between(RELEASE_DOWN_MS);
-      steps.push(ScheduledFault {
-        at_ms: kill_ms,
-        fault: Fault::AllBoxesKilled { down_ms },
-      });
-      kill_ms += self.between(RELEASE_KILL_GAP_MS);
+  /// Releases from a time on, with kills of all boxes at any moment of each, sorted by time.
+  fn releases(&mut self, from_ms: u64, kills: (u64, u64)) -> Vec<ScheduledFault> {
+    let mut steps = Vec::new();
+    let mut at_ms = from_ms;
+    while at_ms < self.size.faults_ms {
+      let gap_ms = self.between(RELEASE_GAP_MS);
+      let fault = Fault::Release { gap_ms };
+      steps.push(ScheduledFault { at_ms, fault });
+      let mut kill_ms = at_ms + self.between(RELEASE_KILL_MS);
+      for _ in 0..self.between(kills) {
+        let down_ms = self.between(RELEASE_DOWN_MS);
+        steps.push(ScheduledFault {
+          at_ms: kill_ms,
+          fault: Fault::AllBoxesKilled { down_ms },
+        });
+        kill_ms += self.between(RELEASE_KILL_GAP_MS);
+      }
+      at_ms += self.between(RELEASE_INTERVAL_MS);
     }
+    steps.sort_by_key(|step| step.at_ms);
     steps
   }
 
--- a/soak/src/recorder.rs
+++ b/soak/src/recorder.rs
@@ -68,22 +68,13 @@
 
   /// Records the outcome of a request for its caller.
   pub(crate) fn record_outcome(&self, id: &str, outcome: Outcome) {
-    let now_ms = self.now_ms();
     if let Some(record) = self.records().requests.get_mut(id) {
-      record.ended_ms = Some(now_ms);
       record.outcome = Some(outcome);
     }
   }
 
-  /// Records that a caller goes to another box and leaves the connection open for now.
-  pub(crate) fn record_moved(&self, id: &str, body: String) {
-    if let Some(record) = self.records().requests.get_mut(id) {
-      record.outcome = Some(Outcome::Moved { body });
-    }
-  }
-
-  /// Records that a caller that went to another box closes the connection.
-  pub(crate) fn record_closed(&self, id: &str) {
+  /// Records that a request has ended for its caller, or that a caller closes the connection that it had left.
+  pub(crate) fn record_end(&self, id: &str) {
     let now_ms = self.now_ms();
     if let Some(record) = self.records().requests.get_mut(id) {
       record.ended_ms = Some(now_ms);
--- a/soak/src/undisturbed.rs
+++ b/soak/src/undisturbed.rs
@@ -18,13 +18,11 @@
     from_ms: u64,
     until_ms: u64,
   ) -> bool {
-    self.is_undisturbed(from_ms, until_ms, |target| match target {
-      Target::Box(index) | Target::Leaving(index) | Target::EndpointPaths(index) => {
-        index == request.box_index
-      }
-      Target::Endpoint(place) => request.runs.iter().any(|run| run.place == place),
-      Target::SilentEngine(_) | Target::Store | Target::StoreLink(_) => false,
-    })
+    self.is_box_undisturbed(request.box_index, from_ms, until_ms)
+      && self.is_undisturbed(from_ms, until_ms, |target| {
+        let mut runs = request.runs.iter();
+        runs.any(|run| target == Target::Endpoint(run.place))
+      })
   }
 
   /// Whether a box was undisturbed from `CONTACT_MS` before a time until another.
