Soak: the check for missing events ends at the stream's end

What was wrong: an event with an id far beyond the end of its stream, as from two numbers run together, made the check go through all ids up to it.

It now looks at the ids that the stream has.

--- a/soak/src/order_check.rs
+++ b/soak/src/order_check.rs
@@ -103,11 +103,12 @@
       .collect()
   }
 
-  /// Ids before the highest one that never arrived.
+  /// Ids of the stream before the highest one that never arrived.
   fn missing(&self) -> Vec<u64> {
     let received: BTreeSet<u64> = self.ids.iter().copied().collect();
     let last = received.last().copied().unwrap_or_default();
-    (1..last).filter(|id| !received.contains(id)).collect()
+    let ids = 1..last.min(content::event_count(self.stream) + 1);
+    ids.filter(|id| !received.contains(id)).collect()
   }
 
   /// Ids that arrived before.
--- a/tests/soak_promises.rs
+++ b/tests/soak_promises.rs
@@ -819,6 +819,11 @@
   &[events(1, 2), events(4, EVENTS)],
   vec![Promise::OwnCompleteResponse, Promise::NoEventMissing]
 )]
+#[case::id_beyond_the_end(
+  RequestKind::Stream,
+  &[events(1, 3), events(u64::MAX, u64::MAX)],
+  vec![Promise::OwnCompleteResponse, Promise::NoEventMissing]
+)]
 #[case::event_twice(
   RequestKind::ResumableStream,
   &[events(1, 5), events(5, EVENTS)],
