--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -9,6 +9,7 @@
 mod configuration;
 mod content;
 mod cut_off_check;
+mod departures;
 mod disturbance;
 mod endpoint;
 mod endpoint_kind;
@@ -25,6 +26,7 @@
 mod limit_check;
 mod link;
 mod notice_check;
+mod order_check;
 mod organisation_check;
 mod place;
 mod plan;
@@ -44,6 +46,7 @@
 mod undisturbed;
 mod version_check;
 mod versioning;
+mod writer;
 
 pub use self::{
   breach::Breach,
--- a/soak/src/promises.rs
+++ b/soak/src/promises.rs
@@ -9,9 +9,10 @@
     hall_check::hall_breaches,
     limit_check::limit_breaches,
     notice_check::notice_breaches,
+    order_check::order_breaches,
     organisation_check::organisation_breaches,
     promise::Promise,
-    records::{Outcome, PlannedStop, Probe, Records, RequestRecord, RoleCommandRecord},
+    records::{PlannedStop, Probe, Records, RequestRecord, RoleCommandRecord},
     request_check::RequestCheck,
     request_kind::RequestKind,
     silence_check::silence_breaches,
@@ -45,6 +46,7 @@
   breaches.extend(hall_breaches(records, slack_ms));
   breaches.extend(cold_breaches(records));
   breaches.extend(cut_off_breaches(records, slack_ms));
+  breaches.extend(order_breaches(records));
   breaches.extend(version_breaches(records));
   breaches.extend(silence_breaches(records));
   breaches
@@ -186,7 +188,7 @@
       .records
       .requests
       .values()
-      .filter(|request| request.sent_ms >= since_ms && request.outcome != Some(Outcome::Disconnected))
+      .filter(|request| request.sent_ms >= since_ms && !request.has_left())
       // The organisation over its limit is not served all of its requests.
       .filter(|request| request.key != CallerKey::Hot)
       // Requests that crash engines are not expected to be served.
