Test of a body in single bytes, which takes many times the memory of its bound

Missing: the bound of 4 MiB on answers of the store and of other boxes counts bytes, while each piece was kept as an object of its own.

--- a/tests/gateway/endless_answers.rs
+++ b/tests/gateway/endless_answers.rs
@@ -15,6 +15,7 @@
   hyper::body::Frame,
   rillford::{HttpClient, gateway::EventSplitter},
   rstest::rstest,
+  std::process::{Child, Command, Stdio},
   tokio::time::timeout,
 };
 
@@ -30,6 +31,8 @@
 const MAX_TAKEN_BYTES: usize = 64 * 1024 * 1024;
 /// The memory of a box.
 const MAX_RESIDENT_KB: u64 = 128 * 1024;
+/// The memory of a process that buffers one body: 4 MiB, twice while the buffer grows, and the program.
+const MAX_CLIENT_RESIDENT_KB: u64 = 32 * 1024;
 /// The longest event.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 /// What a caller keeps of a body.
@@ -123,10 +126,16 @@
 
 /// The most memory that a box has held so far, in KiB.
 fn peak_resident_kb(gateway: &GatewayBox) -> u64 {
-  let status = std::fs::read_to_string(format!("/proc/{}/status", gateway.process.id())).unwrap();
-  let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-  let kb = line.unwrap().trim().trim_end_matches(" kB");
-  kb.parse().unwrap()
+  process_peak_kb(&gateway.process).unwrap()
+}
+
+/// The most memory that a process has held so far, in KiB; `None` once it has ended.
+fn process_peak_kb(process: &Child) -> Option<u64> {
+  let status = std::fs::read_to_string(format!("/proc/{}/status", process.id())).ok()?;
+  let line = status
+    .lines()
+    .find_map(|line| line.strip_prefix("VmHWM:"))?;
+  line.trim().trim_end_matches(" kB").parse().ok()
 }
 
 /// Lists an endpoint and waits until the box knows `count` of them.
@@ -549,6 +558,26 @@
   assert!(peak_resident_kb(&gateway) < MAX_RESIDENT_KB);
 }
 
+/// Guards against a body whose pieces take many times the memory of its bytes.
+#[tokio::test]
+async fn body_in_single_bytes_takes_no_more_memory_than_its_bound() {
+  let server =
+    EndpointStandIn::start(|seen| endless(seen, Part::BodyInChunks, Pace::Fast, "200 OK")).await;
+  let mut process = Command::new(env!("CARGO_BIN_EXE_rillford"))
+    .args(["limits", "--metrics"])
+    .arg(format!("http://{}/metrics", server.address))
+    .stderr(Stdio::null())
+    .spawn()
+    .unwrap();
+  let mut peak_kb = 0;
+  let has_ended = async || {
+    peak_kb = peak_kb.max(process_peak_kb(&process).unwrap_or_default());
+    process.try_wait().unwrap().is_some()
+  };
+  assert!(eventually(TIMEOUT, has_ended).await);
+  assert!(peak_kb < MAX_CLIENT_RESIDENT_KB, "{peak_kb} KiB");
+}
+
 /// Guards against an event that is searched for its end from its beginning with every byte.
 #[test]
 fn event_in_single_bytes_is_searched_once() {
