A buffered body takes no more memory than its bytes

A store or another box that answered in chunks of one byte made its box hold 40 times the bound of 4 MiB: Limited::collect bounds the bytes, and keeps an object for each piece. The same read was in calls to engines and in messages of other boxes.

buffer_body copies the pieces into one buffer, in all of these places, so memory follows from the bound alone.

--- a/src/gateway/connections/box_message.rs
+++ b/src/gateway/connections/box_message.rs
@@ -1,10 +1,10 @@
 //! Messages between boxes, as the postcard-encoded bodies of HTTP requests and responses.
 
 use {
-  crate::{CallError, HttpClient},
+  crate::{CallError, HttpClient, bounded_body::buffer_body},
   bytes::Bytes,
   http::{Request, Response, StatusCode},
-  http_body_util::{BodyExt, Full, Limited},
+  http_body_util::Full,
   hyper::body::Incoming,
   serde::{Serialize, de::DeserializeOwned},
   std::{net::SocketAddr, time::Duration},
@@ -30,8 +30,8 @@
   request: Request<Incoming>,
   max_bytes: usize,
 ) -> Result<M, String> {
-  let read = Limited::new(request.into_body(), max_bytes).collect().await;
-  let body = read.map_err(|error| error.to_string())?.to_bytes();
+  let read = buffer_body(request.into_body(), max_bytes).await;
+  let body = read.map_err(|error| error.to_string())?;
   postcard::from_bytes(&body).map_err(|error| error.to_string())
 }
 
--- a/src/gateway/stages/engine_call.rs
+++ b/src/gateway/stages/engine_call.rs
@@ -3,6 +3,7 @@
 use {
   super::{purpose::Purpose, stage::exchange, stage_error::StageError},
   crate::{
+    bounded_body::buffer_body,
     gateway::{
       decisions::{AttemptOutcome, Unavailable},
       edge::{EndpointCall, EndpointEntry, Export},
@@ -16,7 +17,7 @@
     Request, StatusCode,
     header::{CONTENT_TYPE, HOST},
   },
-  http_body_util::{BodyExt, Full, Limited},
+  http_body_util::Full,
   std::{fmt::Display, rc::Rc, time::Duration},
   tokio::{task::spawn_local, time::timeout},
 };
@@ -76,8 +77,8 @@
           error => lost(&error),
         })?;
     let (head, body) = response.into_parts();
-    let read = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
-    let body = read.map_err(|error| lost(&error))?.to_bytes();
+    let read = buffer_body(body, MAX_RESPONSE_BYTES).await;
+    let body = read.map_err(|error| lost(&error))?;
     gateway.keep_alive(connection, &head.headers);
     match head.status {
       status if status.is_success() => Ok(body),
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -2,10 +2,10 @@
 //! and, from the command line, a running box.
 
 use {
-  crate::retry_after_ms,
+  crate::{bounded_body::buffer_body, retry_after_ms},
   bytes::Bytes,
   http::{Method, Request, Response, StatusCode, Uri, header::CONTENT_TYPE},
-  http_body_util::{BodyExt, Full, Limited},
+  http_body_util::Full,
   hyper::body::Incoming,
   hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
@@ -151,10 +151,8 @@
 }
 
 async fn read_body(response: Response<Incoming>) -> Result<Bytes, CallError> {
-  Limited::new(response.into_body(), MAX_RESPONSE_BYTES)
-    .collect()
+  buffer_body(response.into_body(), MAX_RESPONSE_BYTES)
     .await
-    .map(http_body_util::Collected::to_bytes)
     .map_err(|error| CallError::ConnectionLost(error.to_string()))
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod admin;
 mod bearer_key;
+mod bounded_body;
 mod causal_merge;
 mod chunk;
 mod error;
