Relayed body: forwarding passes its due time

architecture::files_of_a_folder_import_each_other_in_no_loop failed since: the body imported the margin from forwarding, which imports the body. The due time is passed instead.

--- a/src/gateway/requests/forwarding.rs
+++ b/src/gateway/requests/forwarding.rs
@@ -25,7 +25,7 @@
 };
 
 /// The other box answers at the deadline itself, and knows whether the request has run.
-pub(super) const RESPONSE_MARGIN_MS: u64 = 100;
+const RESPONSE_MARGIN_MS: u64 = 100;
 /// Why another box did not answer a request.
 enum ForwardError {
   /// It has not received it, or accepts none for now.
@@ -237,6 +237,7 @@
   }
   remove_forwarding_headers(&mut head.headers);
   remove_connection_headers(&mut head.headers);
-  let body = RelayedBody::new(gateway, request, (address, connection), body);
+  let due_ms = request.deadline_ms + RESPONSE_MARGIN_MS;
+  let body = RelayedBody::new(gateway, request, (address, connection), body, due_ms);
   Response::from_parts(head, body.into_response_body(in_flight))
 }
--- a/src/gateway/requests/relayed_body.rs
+++ b/src/gateway/requests/relayed_body.rs
@@ -2,7 +2,6 @@
 
 use {
   super::{
-    forwarding::RESPONSE_MARGIN_MS,
     late_bytes::LateBytes,
     response::{ResponseBody, StreamAborted},
   },
@@ -30,24 +29,25 @@
   request: String,
   service: Name,
   address: SocketAddr,
-  /// When the other box has ended the body by itself, on this box's clock.
   due_ms: u64,
   late: LateBytes,
   _connection: Connection,
 }
 
 impl RelayedBody {
+  /// `due_ms` is when the other box has ended the body by itself, on this box's clock.
   pub(super) fn new(
     gateway: &Rc<Gateway>,
     request: &RoutedRequest,
     (address, connection): (SocketAddr, Connection),
     body: Incoming,
+    due_ms: u64,
   ) -> Self {
     Self {
       _connection: connection,
       address,
       body,
-      due_ms: request.deadline_ms + RESPONSE_MARGIN_MS,
+      due_ms,
       gateway: gateway.clone(),
       late: LateBytes::default(),
       request: request.id().to_owned(),
