--- a/src/gateway/stages/incarnation_check.rs
+++ b/src/gateway/stages/incarnation_check.rs
@@ -2,14 +2,17 @@
 
 use {
   super::{
-    engine_call::{CALL_TIMEOUT, build_request, read_response},
+    engine_call::{CALL_TIMEOUT, MAX_RESPONSE_BYTES, build_request},
     notice::SentCall,
     purpose::Purpose,
     stage::apply_response_notice,
     stage_error::StageError,
   },
-  crate::gateway::{
-    connections::Connection, decisions::Unavailable, edge::EndpointEntry, state::Gateway,
+  crate::{
+    bounded_body::buffer_body,
+    gateway::{
+      connections::Connection, decisions::Unavailable, edge::EndpointEntry, state::Gateway,
+    },
   },
   http::StatusCode,
   std::rc::Rc,
@@ -66,7 +69,8 @@
     .await
     .map_err(|error| unsent(&error))?;
   let (head, body) = apply_response_notice(gateway, sent, response).into_parts();
-  let body = read_response(body).await.map_err(|error| unsent(&error))?;
+  let read = buffer_body(body, MAX_RESPONSE_BYTES).await;
+  let body = read.map_err(|error| unsent(&error))?;
   if head.status != StatusCode::OK {
     return Ok(None);
   }
