--- a/src/gateway/requests/stream_request.rs
+++ b/src/gateway/requests/stream_request.rs
@@ -19,7 +19,7 @@
   std::{cell::Cell, fmt, rc::Rc},
 };
 
-/// Endpoints that may turn out to be unreachable before a request is rejected.
+/// Endpoints that may turn out to be unreachable before a request is rejected; those that have restarted do not count.
 const MAX_UNSENT: usize = 4;
 /// Engines that may reject a request before it is rejected.
 const MAX_REJECTIONS: u32 = 3;
@@ -68,6 +68,8 @@
   pub(super) sends: Rc<Cell<u32>>,
   /// Endpoints that stated that they did not run the request.
   pub(super) rejections: u32,
+  /// Endpoints that have restarted since they were listed.
+  pub(super) restarted: usize,
   /// The exported KV cache, retained after a rejection.
   pub(super) export: Option<ExportGuard>,
   /// The engine that rejected the request with that export.
@@ -100,6 +102,7 @@
       queue_note: None,
       rejected_by: None,
       rejections: 0,
+      restarted: 0,
       request,
       searched_cached: false,
       sends: Rc::default(),
@@ -175,7 +178,7 @@
     match error {
       StageError::Blocked => false,
       StageError::Unreachable | StageError::Unsent(_) | StageError::Unavailable(_) => {
-        self.tried.len() < MAX_UNSENT
+        self.tried.len() < MAX_UNSENT + self.restarted
       }
       StageError::NotRun(_) => self.rejections < MAX_REJECTIONS,
       StageError::Lost(_) | StageError::LeftUnread { .. } => self.has_attempts_left(),
--- a/src/gateway/requests/stream_send.rs
+++ b/src/gateway/requests/stream_send.rs
@@ -186,6 +186,9 @@
     error: &StageError,
     export: Option<ExportGuard>,
   ) {
+    if matches!(error, StageError::Unavailable(Unavailable::Restarted)) {
+      self.restarted += 1;
+    }
     if error.has_not_run() {
       self.attempts -= 1;
       self.not_run_at.push(entry.id.clone());
--- a/src/gateway/requests/takeover.rs
+++ b/src/gateway/requests/takeover.rs
@@ -134,6 +134,7 @@
     let not_run_at = std::mem::take(&mut self.not_run_at);
     self.tried.retain(|tried| !not_run_at.contains(tried));
     self.rejections = 0;
+    self.restarted = 0;
   }
 
   /// Releases what a takeover had secured.
