Connections to an engine's former start are closed when the list shows another one

A pooled connection to a former start refused the first resumable stream, and carried other requests there.

--- a/src/gateway/membership/store_view.rs
+++ b/src/gateway/membership/store_view.rs
@@ -180,15 +180,18 @@
   fn put_endpoint(&self, id: &str, value: &[u8], revision: u64) {
     match self.gateway.codec.endpoint_entry(id, value) {
       Ok(entry) => {
-        if entry.leaving {
-          self.gateway.pool.close(id);
-        }
-        self.gateway.record_cold(&entry, entry.cold_ms);
         let mut endpoints = self.gateway.endpoints.borrow_mut();
-        if let Some(former) = endpoints.entry(id) {
+        let former = endpoints.entry(id);
+        let has_restarted = former.is_some_and(|former| former.started_ms != entry.started_ms);
+        if let Some(former) = former.filter(|_| has_restarted) {
           log_restart(former, &entry);
         }
-        endpoints.put(entry);
+        if entry.leaving || has_restarted {
+          self.gateway.pool.close(id);
+        }
+        endpoints.put(entry.clone());
+        drop(endpoints);
+        self.gateway.record_cold(&entry, entry.cold_ms);
       }
       Err(error) => {
         log::warn!("E405 entry of endpoint {id} at revision {revision} not decoded: {error}")
@@ -272,14 +275,12 @@
 
 /// Logs that an endpoint has restarted under its id: until now, streams there were taken to come from its former start.
 fn log_restart(former: &EndpointEntry, entry: &EndpointEntry) {
-  if former.started_ms != entry.started_ms {
-    log::info!(
-      "E555 endpoint restarted: {} started {} version {}, before started {} version {}",
-      entry.id,
-      entry.start_text(),
-      entry.version,
-      former.start_text(),
-      former.version
-    );
-  }
+  log::info!(
+    "E555 endpoint listed with another start: {} started {} version {}, before started {} version {}",
+    entry.id,
+    entry.start_text(),
+    entry.version,
+    former.start_text(),
+    former.version
+  );
 }
