--- a/src/gateway/connections/connection_pool.rs
+++ b/src/gateway/connections/connection_pool.rs
@@ -60,14 +60,18 @@
   }
 }
 
-/// How long a connection may be idle after a response; `None` when it is closed.
-fn idle_timeout_ms(headers: &HeaderMap) -> Option<u64> {
-  let closes = headers
+/// Whether an endpoint closes the connection after a response.
+pub(crate) fn closes_connection(headers: &HeaderMap) -> bool {
+  headers
     .get_all(CONNECTION)
     .iter()
     .filter_map(|value| value.to_str().ok())
-    .any(|value| value.to_ascii_lowercase().contains("close"));
-  if closes {
+    .any(|value| value.to_ascii_lowercase().contains("close"))
+}
+
+/// How long a connection may be idle after a response; `None` when it is closed.
+fn idle_timeout_ms(headers: &HeaderMap) -> Option<u64> {
+  if closes_connection(headers) {
     return None;
   }
   let advertised_ms = headers
--- a/src/gateway/connections/mod.rs
+++ b/src/gateway/connections/mod.rs
@@ -18,6 +18,6 @@
   box_message::{message_response, read_message, send_message, status_response},
   caller_socket::{CallerSocket, EndsWithConnection},
   connection::{Connection, SendError, set_send_buffer, set_socket_options, set_user_timeout},
-  connection_pool::ConnectionPool,
+  connection_pool::{ConnectionPool, closes_connection},
   stall_timeout::{StallTimeout, Stalled},
 };
--- a/src/gateway/decisions/unavailable.rs
+++ b/src/gateway/decisions/unavailable.rs
@@ -15,6 +15,9 @@
   /// It reports another start than the listed one.
   #[error("endpoint has restarted since it was listed")]
   Restarted,
+  /// It is listed with its start, but reports none.
+  #[error("endpoint does not report its start")]
+  Unconfirmed,
   /// Its hall is drained.
   #[error("data hall is drained")]
   HallDrained,
--- a/src/gateway/stages/incarnation_check.rs
+++ b/src/gateway/stages/incarnation_check.rs
@@ -11,11 +11,15 @@
   crate::{
     bounded_body::buffer_body,
     gateway::{
-      connections::Connection, decisions::Unavailable, edge::EndpointEntry, state::Gateway,
+      connections::{Connection, closes_connection},
+      decisions::Unavailable,
+      edge::EndpointEntry,
+      state::Gateway,
     },
   },
-  http::StatusCode,
-  std::rc::Rc,
+  bytes::Bytes,
+  http::{StatusCode, response},
+  std::{fmt::Display, rc::Rc},
   tokio::time::timeout,
 };
 
@@ -26,38 +30,53 @@
     || connection.confirmed_start_ms == entry.started_ms
 }
 
-/// Has an engine report its start on the connection that is used next, so that it can't restart in between. Fails when it reports
-/// another start than the listed one, or nothing in time. An engine that reports no start passes.
+/// What happens to a connection after the report on it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum AfterReport {
+  /// It may be used.
+  Open,
+  /// The engine closes it.
+  Closed,
+}
+
+/// Has an engine report its start on a connection, which outlives no restart. Fails when it reports another start than the listed
+/// one, none, or nothing in time.
 pub(super) async fn confirm_start(
   gateway: &Rc<Gateway>,
   entry: &EndpointEntry,
   connection: &mut Connection,
-) -> Result<(), StageError> {
-  let Ok(reported) = timeout(CALL_TIMEOUT, reported_start_ms(gateway, entry, connection)).await
-  else {
+) -> Result<AfterReport, StageError> {
+  let report = request_report(gateway, entry, connection);
+  let Ok(report) = timeout(CALL_TIMEOUT, report).await else {
     gateway.record_unreached(entry);
     return Err(StageError::Unreachable);
   };
-  let reported_ms = reported?;
-  if reported_ms.is_some() && reported_ms != entry.started_ms {
+  let (head, body) = report?;
+  let reported_ms = reported_start_ms(gateway, entry, head.status, &body);
+  if reported_ms != entry.started_ms {
     log::info!(
-      "E518 endpoint has restarted: {} reports its start at {reported_ms:?}, listed {}",
+      "E518 start not confirmed: {} reports {reported_ms:?} with status {}, listed {}",
       entry.id,
+      head.status,
       entry.start_text()
     );
-    return Err(Unavailable::Restarted.into());
+    let unavailable = reported_ms.map_or(Unavailable::Unconfirmed, |_| Unavailable::Restarted);
+    return Err(unavailable.into());
   }
   connection.confirmed_start_ms = entry.started_ms;
-  Ok(())
+  if closes_connection(&head.headers) {
+    return Ok(AfterReport::Closed);
+  }
+  Ok(AfterReport::Open)
 }
 
-/// The start that an engine reports on a connection; `None` when it reports none.
-async fn reported_start_ms(
+/// The response to a request for an engine's report.
+async fn request_report(
   gateway: &Rc<Gateway>,
   entry: &EndpointEntry,
   connection: &mut Connection,
-) -> Result<Option<u64>, StageError> {
-  let unsent = |error: &dyn std::fmt::Display| StageError::Unsent(error.to_string());
+) -> Result<(response::Parts, Bytes), StageError> {
+  let unsent = |error: &dyn Display| StageError::Unsent(error.to_string());
   let call = build_request(entry, gateway.codec.report_call()).map_err(|error| unsent(&error))?;
   let sent = SentCall {
     entry,
@@ -71,14 +90,25 @@
   let (head, body) = apply_response_notice(gateway, sent, response).into_parts();
   let read = buffer_body(body, MAX_RESPONSE_BYTES).await;
   let body = read.map_err(|error| unsent(&error))?;
-  if head.status != StatusCode::OK {
-    return Ok(None);
+  Ok((head, body))
+}
+
+/// The start in a report; `None` when the engine rejects it, or when it holds none. The listed one if it can't be read: an engine
+/// without readable reports is not avoided.
+fn reported_start_ms(
+  gateway: &Gateway,
+  entry: &EndpointEntry,
+  status: StatusCode,
+  body: &Bytes,
+) -> Option<u64> {
+  if status != StatusCode::OK {
+    return None;
   }
-  match gateway.codec.report(&body) {
-    Ok(report) => Ok(report.started_ms),
+  match gateway.codec.report(body) {
+    Ok(report) => report.started_ms,
     Err(error) => {
       log::info!("E561 report not decoded: {}: {error}", entry.id);
-      Ok(None)
+      entry.started_ms
     }
   }
 }
--- a/src/gateway/stages/stage.rs
+++ b/src/gateway/stages/stage.rs
@@ -2,7 +2,7 @@
 
 use {
   super::{
-    incarnation_check::{confirm_start, has_confirmed_start},
+    incarnation_check::{AfterReport, confirm_start, has_confirmed_start},
     notice::{SentCall, apply_notice},
     purpose::Purpose,
     request::RoutedRequest,
@@ -311,6 +311,16 @@
       }
     }
   }
+  let connection = open_connection(gateway, entry).await?;
+  check_available(gateway, entry, purpose)?;
+  exchange_on(gateway, entry, connection, request, purpose).await
+}
+
+/// Opens a connection to an endpoint.
+async fn open_connection(
+  gateway: &Gateway,
+  entry: &EndpointEntry,
+) -> Result<Connection, StageError> {
   gateway.counters.connections.inc();
   let opened = Connection::open(
     entry.id.clone(),
@@ -322,9 +332,24 @@
     Ok(_) => gateway.record_reached(entry),
     Err(_) => gateway.record_unreached(entry),
   }
-  let connection = opened?;
-  check_available(gateway, entry, purpose)?;
-  exchange_on(gateway, entry, connection, request, purpose).await
+  Ok(opened?)
+}
+
+/// A connection on which an engine has confirmed its listed start.
+async fn confirmed_connection(
+  gateway: &Rc<Gateway>,
+  entry: &EndpointEntry,
+  mut connection: Connection,
+) -> Result<Connection, StageError> {
+  if confirm_start(gateway, entry, &mut connection).await? == AfterReport::Open {
+    return Ok(connection);
+  }
+  // A start that is confirmed after a connection was opened is the one that the connection leads to, or the connection is dead.
+  let mut connection = open_connection(gateway, entry).await?;
+  let mut reporting = open_connection(gateway, entry).await?;
+  confirm_start(gateway, entry, &mut reporting).await?;
+  connection.confirmed_start_ms = entry.started_ms;
+  Ok(connection)
 }
 
 /// Sends a request on a connection. Only the listed start of an endpoint gets a resumable stream.
@@ -336,7 +361,7 @@
   purpose: Purpose,
 ) -> Result<(Connection, Response<Incoming>), StageError> {
   if purpose == Purpose::ResumableStream && !has_confirmed_start(&connection, entry) {
-    confirm_start(gateway, entry, &mut connection).await?;
+    connection = confirmed_connection(gateway, entry, connection).await?;
     check_available(gateway, entry, purpose)?;
   }
   let sent = SentCall {
--- a/tests/gateway/versions.rs
+++ b/tests/gateway/versions.rs
@@ -4,7 +4,7 @@
   super::{
     EndpointStandIn, GatewayBox, GatewayTest, ReceivedRequest, Reply, TIMEOUT,
     cut_off::{Cut, CutAddress},
-    endpoint::engine_reply,
+    endpoint::{engine_reply, with_header},
     harness::CallerResponse,
     store_proxy::StoreProxy,
   },
@@ -521,6 +521,127 @@
   assert!(engine.requests().is_empty());
 }
 
+/// Guards against a report that fails, or holds no start, and passes for a confirmation.
+#[rstest]
+#[case::rejected(
+  "HTTP/1.1 503 Service Unavailable\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n"
+)]
+#[case::too_many(
+  "HTTP/1.1 429 Too Many Requests\r\nretry-after: 0.01\r\ncontent-length: 0\r\n\r\n"
+)]
+#[case::failed("HTTP/1.1 500 Internal Server Error\r\ncontent-length: 0\r\n\r\n")]
+#[case::unreadable("HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\n{?}")]
+#[case::without_a_start(
+  "HTTP/1.1 200 OK\r\ncontent-length: 50\r\n\r\n{\"stage\":\"decode\",\"callSeq\":0,\"utilization\":false}"
+)]
+#[case::start_of_another_type(
+  "HTTP/1.1 200 OK\r\ncontent-length: 61\r\n\r\n{\"stage\":\"decode\",\"callSeq\":0,\"utilization\":false,\"born\":\"8\"}"
+)]
+#[tokio::test]
+async fn stream_runs_at_no_engine_that_does_not_report_its_listed_start(
+  #[case] report: &'static str,
+) {
+  let prefill = EndpointStandIn::engine(EVENTS).await;
+  let test = GatewayTest::new().await;
+  test.enter("e-1", "llm", Some("prefill"), &prefill);
+  let unconfirmed = EndpointStandIn::start(move |seen| match seen.path.as_str() {
+    "/report" => Reply::Write(report.into()),
+    _ => engine_reply(seen, EVENTS),
+  })
+  .await;
+  test.enter_version_started("e-2", &unconfirmed, "v1", 7);
+  let as_listed = start_reporting(7).await;
+  test.enter_version_started("e-3", &as_listed, "v1", 7);
+  let gateway = test.start().await;
+  for number in 0..STREAMS {
+    gateway.ask("/resumable/a", &format!("r{number}")).await;
+  }
+  assert!(unconfirmed.requests().is_empty());
+}
+
+/// An engine that reports its start and streams.
+async fn start_reporting(started_ms: u64) -> EndpointStandIn {
+  let reports = reports_start(started_ms);
+  EndpointStandIn::start(move |seen| match seen.path.as_str() {
+    "/report" => reports(seen),
+    _ => engine_reply(seen, EVENTS),
+  })
+  .await
+}
+
+/// Guards against an engine that gets no streams as it closes connections after its reports.
+#[rstest]
+#[case::first(1)]
+#[case::first_two(2)]
+#[case::all(u64::MAX)]
+#[tokio::test]
+async fn stream_begins_at_an_engine_whose_reports_close_their_connection(#[case] closing: u64) {
+  let prefill = EndpointStandIn::engine(EVENTS).await;
+  let test = GatewayTest::new().await;
+  test.enter("e-1", "llm", Some("prefill"), &prefill);
+  let reports = AtomicU64::new(0);
+  let engine = EndpointStandIn::start(move |seen| match seen.path.as_str() {
+    "/report" if reports.fetch_add(1, Ordering::Relaxed) < closing => {
+      with_header(reports_start(7)(seen), "connection: close")
+    }
+    "/report" => reports_start(7)(seen),
+    _ => engine_reply(seen, EVENTS),
+  })
+  .await;
+  test.enter_version_started("e-2", &engine, "v1", 7);
+  let gateway = test.start().await;
+  let response = gateway.ask("/resumable/a", "r1").await;
+  assert_eq!(response.body.unwrap(), EVENTS);
+}
+
+/// Guards against engines that have restarted and use up the tries of a stream.
+#[rstest]
+#[case::all_but_one(6, 1, StatusCode::OK)]
+#[case::all(6, 0, StatusCode::SERVICE_UNAVAILABLE)]
+#[tokio::test]
+async fn stream_is_served_beside_engines_that_have_restarted(
+  #[case] restarted: usize,
+  #[case] as_listed: usize,
+  #[case] status: StatusCode,
+) {
+  let prefill = EndpointStandIn::engine(EVENTS).await;
+  let test = GatewayTest::new().await;
+  test.enter("e-1", "llm", Some("prefill"), &prefill);
+  let mut engines = Vec::new();
+  for number in 0..restarted + as_listed {
+    let started_ms = if number < restarted { 8 } else { 7 };
+    let engine = start_reporting(started_ms).await;
+    test.enter_version_started(&format!("e-{}", number + 2), &engine, "v1", 7);
+    engines.push(engine);
+  }
+  let gateway = test.start().await;
+  for number in 0..STREAMS {
+    let response = gateway.ask("/resumable/a", &format!("r{number}")).await;
+    assert_eq!(response.status, status);
+  }
+}
+
+/// Guards against streams that are rejected as a connection to the engine's former start is still open.
+#[tokio::test]
+async fn engine_that_is_listed_with_another_start_and_address_gets_streams() {
+  let prefill = EndpointStandIn::engine(EVENTS).await;
+  let test = GatewayTest::new().await;
+  test.enter("e-1", "llm", Some("prefill"), &prefill);
+  let (former, latter) = (start_reporting(7).await, start_reporting(8).await);
+  test.enter_version_started("e-2", &former, "v1", 7);
+  let gateway = test.start().await;
+  for number in 0..4 {
+    gateway.ask("/resumable/a", &format!("r{number}")).await;
+  }
+  gateway.test.enter_version_started("e-2", &latter, "v2", 8);
+  let divided = "rillford_services_of_several_versions";
+  assert!(eventually(TIMEOUT, async || gateway.metric(divided).await == 1.0).await);
+  for path in ["/resumable/a", "/stream/a"] {
+    assert_eq!(gateway.ask(path, "again").await.status, StatusCode::OK);
+  }
+  assert!(former.requests().iter().all(|seen| seen.id() != "again"));
+}
+
 /// Guards against a stream that goes on at another version when its own is gone.
 #[tokio::test]
 async fn stream_whose_version_is_gone_is_rejected_with_a_time_to_return() {
