Calls to engines and notices of responses import no file that imports them

The requests of calls have a file of their own, and the notice of a response is applied where notices are.

--- /dev/null
+++ b/src/gateway/stages/call_request.rs
@@ -0,0 +1,34 @@
+//! The gateway's own calls to engines, as HTTP requests.
+
+use {
+  crate::gateway::edge::{EndpointCall, EndpointEntry},
+  bytes::Bytes,
+  http::{
+    Request,
+    header::{CONTENT_TYPE, HOST},
+  },
+  http_body_util::Full,
+  std::time::Duration,
+};
+
+/// Timeout of a call to an engine, which answers calls without queueing them.
+pub(super) const CALL_TIMEOUT: Duration = Duration::from_millis(150);
+/// The longest response to a call.
+pub(super) const MAX_RESPONSE_BYTES: usize = 64 * 1024;
+
+/// The HTTP request of a call.
+pub(super) fn build_request(
+  entry: &EndpointEntry,
+  call: EndpointCall,
+) -> http::Result<Request<Full<Bytes>>> {
+  let mut request = Request::builder()
+    .method(call.method)
+    .uri(call.path)
+    .header(HOST, entry.address.to_string());
+  if !call.body.is_empty() {
+    request = request.header(CONTENT_TYPE, "application/json");
+  }
+  let mut request = request.body(Full::new(call.body))?;
+  request.headers_mut().extend(call.headers);
+  Ok(request)
+}
--- a/src/gateway/stages/engine_call.rs
+++ b/src/gateway/stages/engine_call.rs
@@ -1,7 +1,12 @@
 //! The gateway's own calls to engines: to reserve batch slots, and to release what is no longer needed.
 
 use {
-  super::{purpose::Purpose, stage::exchange, stage_error::StageError},
+  super::{
+    call_request::{CALL_TIMEOUT, MAX_RESPONSE_BYTES, build_request},
+    purpose::Purpose,
+    stage::exchange,
+    stage_error::StageError,
+  },
   crate::{
     bounded_body::buffer_body,
     gateway::{
@@ -13,19 +18,11 @@
     ids::Name,
   },
   bytes::Bytes,
-  http::{
-    Request, StatusCode,
-    header::{CONTENT_TYPE, HOST},
-  },
-  http_body_util::Full,
-  std::{fmt::Display, rc::Rc, time::Duration},
+  http::StatusCode,
+  std::{fmt::Display, rc::Rc},
   tokio::{task::spawn_local, time::timeout},
 };
 
-/// Timeout of a call to an engine, which answers calls without queueing them.
-pub(super) const CALL_TIMEOUT: Duration = Duration::from_millis(150);
-/// The longest response to a call.
-pub(super) const MAX_RESPONSE_BYTES: usize = 64 * 1024;
 /// An export is not used this shortly before it expires.
 const EXPORT_EXPIRY_MARGIN_MS: u64 = 120;
 
@@ -94,22 +91,6 @@
   result
 }
 
-pub(super) fn build_request(
-  entry: &EndpointEntry,
-  call: EndpointCall,
-) -> http::Result<Request<Full<Bytes>>> {
-  let mut request = Request::builder()
-    .method(call.method)
-    .uri(call.path)
-    .header(HOST, entry.address.to_string());
-  if !call.body.is_empty() {
-    request = request.header(CONTENT_TYPE, "application/json");
-  }
-  let mut request = request.body(Full::new(call.body))?;
-  request.headers_mut().extend(call.headers);
-  Ok(request)
-}
-
 /// An exported KV cache, released at its engine on drop unless it was used.
 pub(crate) struct ExportGuard {
   pub(crate) export: Export,
--- a/src/gateway/stages/incarnation_check.rs
+++ b/src/gateway/stages/incarnation_check.rs
@@ -2,10 +2,9 @@
 
 use {
   super::{
-    engine_call::{CALL_TIMEOUT, MAX_RESPONSE_BYTES, build_request},
-    notice::SentCall,
+    call_request::{CALL_TIMEOUT, MAX_RESPONSE_BYTES, build_request},
+    notice::{SentCall, apply_response_notice},
     purpose::Purpose,
-    stage::apply_response_notice,
     stage_error::StageError,
   },
   crate::{
--- a/src/gateway/stages/mod.rs
+++ b/src/gateway/stages/mod.rs
@@ -3,6 +3,7 @@
 //! Imports `permits` and what it imports. Takes a [`RoutedRequest`] and a chosen endpoint, and returns the response's
 //! [`ResponseHead`].
 
+mod call_request;
 mod engine_call;
 mod incarnation_check;
 mod notice;
--- a/src/gateway/stages/notice.rs
+++ b/src/gateway/stages/notice.rs
@@ -8,7 +8,8 @@
     permits::announce_limit,
     state::Gateway,
   },
-  http::{StatusCode, response},
+  http::{Response, StatusCode, response},
+  hyper::body::Incoming,
   std::rc::Rc,
 };
 
@@ -27,9 +28,20 @@
   pub(super) sent_ms: u64,
 }
 
+/// Applies the endpoint's notice as soon as the head is there: reading the body may take long.
+pub(super) fn apply_response_notice(
+  gateway: &Rc<Gateway>,
+  sent: SentCall,
+  response: Response<Incoming>,
+) -> Response<Incoming> {
+  let (head, body) = response.into_parts();
+  apply_notice(gateway, sent, &head);
+  Response::from_parts(head, body)
+}
+
 /// Applies the notice in a response's head. A response to any request counts, except one that states that another endpoint
 /// listens at the address.
-pub(super) fn apply_notice(gateway: &Rc<Gateway>, sent: SentCall, response: &response::Parts) {
+fn apply_notice(gateway: &Rc<Gateway>, sent: SentCall, response: &response::Parts) {
   let SentCall { entry, purpose, .. } = sent;
   if response.status == StatusCode::MISDIRECTED_REQUEST {
     return;
--- a/src/gateway/stages/stage.rs
+++ b/src/gateway/stages/stage.rs
@@ -3,7 +3,7 @@
 use {
   super::{
     incarnation_check::{AfterReport, confirm_start, has_confirmed_start},
-    notice::{SentCall, apply_notice},
+    notice::{SentCall, apply_response_notice},
     purpose::Purpose,
     request::RoutedRequest,
     response_body::{BodyReader, BufferedBody},
@@ -373,17 +373,6 @@
   Ok((connection, apply_response_notice(gateway, sent, response)))
 }
 
-/// Applies the endpoint's notice as soon as the head is there: reading the body may take long.
-pub(super) fn apply_response_notice(
-  gateway: &Rc<Gateway>,
-  sent: SentCall,
-  response: Response<Incoming>,
-) -> Response<Incoming> {
-  let (head, body) = response.into_parts();
-  apply_notice(gateway, sent, &head);
-  Response::from_parts(head, body)
-}
-
 /// Fails when the endpoint is no longer listed or, unless something is released there, takes no work.
 fn check_available(
   gateway: &Gateway,
