--- a/soak/src/subcommand.rs
+++ b/soak/src/subcommand.rs
@@ -62,10 +62,13 @@
   let releases = long("only-releases")
     .help("Release software versions and kill all boxes at once, and inject no other faults")
     .req_flag(FaultSelection::Releases);
+  let restarts = long("only-restarts")
+    .help("Restart engines under their id with the other version, and inject no other faults")
+    .req_flag(FaultSelection::Restarts);
   let stops = long("only-stops")
     .help("Stop boxes as planned, and inject no other faults")
     .req_flag(FaultSelection::Stops);
-  construct!([interruptions, silences, releases, stops]).fallback(FaultSelection::All)
+  construct!([interruptions, silences, releases, restarts, stops]).fallback(FaultSelection::All)
 }
 
 /// Runs the program.
@@ -152,7 +155,7 @@
   };
   println!(
     "seed {seed}: {} faults, {} requests: {} served, {} rejected as not run, {} other errors, \
-     {} connections lost, {} disconnected, {} unanswered; {} role commands, {} planned stops; {} breaches",
+     {} connections lost, {} disconnected, {} moved to another box, {} unanswered; {} role commands, {} planned stops; {} breaches",
     report.faults.len(),
     report.records.requests.len(),
     completed(200..300),
@@ -160,6 +163,7 @@
     completed(400..503) + completed(504..600),
     report.count(|outcome| matches!(outcome, Outcome::ConnectionLost { .. })),
     report.count(|outcome| *outcome == Outcome::Disconnected),
+    report.count(|outcome| matches!(outcome, Outcome::Moved { .. })),
     report.count(|outcome| *outcome == Outcome::Unanswered),
     report.records.role_commands.len(),
     report.records.stops.len(),
--- a/src/gateway/requests/event_relay.rs
+++ b/src/gateway/requests/event_relay.rs
@@ -2,7 +2,9 @@
 
 use {
   super::{
+    event_order::{EventOrder, EventPlace},
     event_splitter::EventSplitter,
+    late_bytes::LateBytes,
     response::StreamAborted,
     stream_request::StreamRequest,
     stream_send::SILENCE_TIMEOUT_MS,
@@ -28,6 +30,7 @@
   stream: StreamRequest,
   head: Option<ResponseHead>,
   splitter: EventSplitter,
+  order: EventOrder,
   is_finished: bool,
   first_event_recorded: bool,
   /// When the current endpoint sent the first bytes of the body.
@@ -42,11 +45,13 @@
   is_overdue: bool,
   /// For how long the current engine's events have been left unread.
   unread: UnreadTime,
+  late: LateBytes,
 }
 
 impl EventRelay {
   pub(crate) fn new(mut stream: StreamRequest, head: ResponseHead) -> Self {
     stream.version = Some(head.entry.version.clone());
+    let order = EventOrder::new(stream.last_event_id, stream.may_retry());
     Self {
       answering_since_ms: None,
       first_event_recorded: false,
@@ -55,7 +60,9 @@
       is_finished: false,
       is_overdue: false,
       last_event_ms: None,
+      late: LateBytes::default(),
       longest_pause_ms: 0,
+      order,
       splitter: EventSplitter::default(),
       stream,
       unread: UnreadTime::default(),
@@ -84,16 +91,18 @@
       if self.is_finished {
         return None;
       }
-      if let Some(event) = self.splitter.next_event() {
-        if let (Some(id), Some(last)) = (event.id, self.stream.last_event_id)
-          && id <= last
-        {
-          continue;
-        }
-        self.record_event(event.id);
-        return Some(Ok(event.bytes));
-      }
-      match self.read().await {
+      let read = match self.splitter.next_event() {
+        Some(event) => match self.order.place(&event) {
+          Ok(EventPlace::Next) => {
+            self.record_event(event.id);
+            return Some(Ok(event.bytes));
+          }
+          Ok(EventPlace::Repeated) => continue,
+          Err(misplaced) => Err(misplaced.to_string()),
+        },
+        None => self.read().await,
+      };
+      match read {
         Ok(true) => {}
         Ok(false) => return self.finish(),
         Err(error) => {
@@ -141,7 +150,7 @@
       .stream
       .request
       .remaining_ms(self.stream.gateway.now_ms());
-    let timeout_ms = if self.stream.may_retry() {
+    let timeout_ms = if self.stream.may_retry() && self.order.may_go_on() {
       remaining_ms.min(SILENCE_TIMEOUT_MS)
     } else {
       remaining_ms
@@ -203,6 +212,7 @@
   fn replace_head(&mut self, head: ResponseHead) {
     let former = self.head.replace(head);
     self.splitter = EventSplitter::default();
+    self.order.record_interruption();
     self.answering_since_ms = None;
     self.is_overdue = false;
     self.unread = UnreadTime::default();
@@ -232,6 +242,11 @@
           self.splitter.push(data);
           self.end_silence();
           self.record_answering();
+          let now_ms = self.stream.gateway.now_ms();
+          let remaining_ms = self.stream.request.remaining_ms(now_ms);
+          if !self.late.record(data.len(), remaining_ms) {
+            return Err("too long after the deadline".into());
+          }
         }
         if self.splitter.is_overlong() {
           return Err("event too long".into());
@@ -331,10 +346,14 @@
       self.stream.interrupted_at = Some(head.connection.endpoint.clone());
     }
     self.splitter = EventSplitter::default();
+    self.order.record_interruption();
     let remaining_ms = request.remaining_ms(self.stream.gateway.now_ms());
     if remaining_ms == 0 {
       return Err(format!("deadline exceeded after: {error}"));
     }
+    if !self.order.may_go_on() {
+      return Err(format!("the last event has no id, after: {error}"));
+    }
     if !self
       .stream
       .may_continue_after(&StageError::Lost(String::new()))
--- a/src/gateway/requests/mod.rs
+++ b/src/gateway/requests/mod.rs
@@ -6,14 +6,17 @@
 //! Imports `stages` and what it imports. Requests enter at [`accept_callers`].
 
 mod authentication;
+mod event_order;
 mod event_relay;
 mod event_splitter;
 mod forwarded;
 mod forwarding;
 mod forwarding_headers;
 mod frontend;
+mod late_bytes;
 mod prefill;
 mod read_ahead;
+mod relayed_body;
 mod response;
 mod resume_slot;
 mod return_time;
--- a/src/gateway/stages/engine_call.rs
+++ b/src/gateway/stages/engine_call.rs
@@ -3,6 +3,7 @@
 use {
   super::{purpose::Purpose, stage::exchange, stage_error::StageError},
   crate::{
+    bounded_body::buffer_body,
     gateway::{
       decisions::{AttemptOutcome, Unavailable},
       edge::{EndpointCall, EndpointEntry, Export},
@@ -16,16 +17,15 @@
     Request, StatusCode,
     header::{CONTENT_TYPE, HOST},
   },
-  http_body_util::{BodyExt, Full, Limited},
-  hyper::body::Incoming,
-  std::{error::Error, fmt::Display, rc::Rc, time::Duration},
+  http_body_util::Full,
+  std::{fmt::Display, rc::Rc, time::Duration},
   tokio::{task::spawn_local, time::timeout},
 };
 
 /// Timeout of a call to an engine, which answers calls without queueing them.
 pub(super) const CALL_TIMEOUT: Duration = Duration::from_millis(150);
 /// The longest response to a call.
-const MAX_RESPONSE_BYTES: usize = 64 * 1024;
+pub(super) const MAX_RESPONSE_BYTES: usize = 64 * 1024;
 /// An export is not used this shortly before it expires.
 const EXPORT_EXPIRY_MARGIN_MS: u64 = 120;
 
@@ -77,7 +77,8 @@
           error => lost(&error),
         })?;
     let (head, body) = response.into_parts();
-    let body = read_response(body).await.map_err(|error| lost(&error))?;
+    let read = buffer_body(body, MAX_RESPONSE_BYTES).await;
+    let body = read.map_err(|error| lost(&error))?;
     gateway.keep_alive(connection, &head.headers);
     match head.status {
       status if status.is_success() => Ok(body),
@@ -93,12 +94,6 @@
   result
 }
 
-/// Reads the whole response to a call; fails when it is truncated, or longer than [`MAX_RESPONSE_BYTES`].
-pub(super) async fn read_response(body: Incoming) -> Result<Bytes, Box<dyn Error + Send + Sync>> {
-  let read = Limited::new(body, MAX_RESPONSE_BYTES).collect().await?;
-  Ok(read.to_bytes())
-}
-
 pub(super) fn build_request(
   entry: &EndpointEntry,
   call: EndpointCall,
--- a/src/gateway/stages/stage.rs
+++ b/src/gateway/stages/stage.rs
@@ -2,7 +2,7 @@
 
 use {
   super::{
-    incarnation_check::{confirm_start, has_confirmed_start},
+    incarnation_check::{AfterReport, confirm_start, has_confirmed_start},
     notice::{SentCall, apply_notice},
     purpose::Purpose,
     request::RoutedRequest,
@@ -21,7 +21,7 @@
   },
   bytes::Bytes,
   http::{
-    HeaderMap, Request, Response, StatusCode,
+    HeaderMap, HeaderValue, Request, Response, StatusCode,
     header::{CONTENT_ENCODING, CONTENT_LENGTH, TRANSFER_ENCODING},
     response,
   },
@@ -112,10 +112,14 @@
     headers
   }
 
-  /// Whether the body's end can be told from a closed connection.
+  /// Whether the body's end can be told from a closed connection. A transfer coding other than chunks does not tell it, and overrides
+  /// a length (RFC 9112, 6.3).
   pub(crate) fn is_framed(&self) -> bool {
-    self.raw_headers.contains_key(CONTENT_LENGTH)
-      || self.raw_headers.contains_key(TRANSFER_ENCODING)
+    let codings = self.raw_headers.get_all(TRANSFER_ENCODING);
+    match codings.iter().next_back() {
+      Some(codings) => ends_with_chunks(codings),
+      None => self.raw_headers.contains_key(CONTENT_LENGTH),
+    }
   }
 
   /// Reads the whole body within the bound on held bytes, and returns the connection to the pool.
@@ -152,6 +156,12 @@
   }
 }
 
+/// Whether the last one of some transfer codings is chunked.
+fn ends_with_chunks(codings: &HeaderValue) -> bool {
+  let last = codings.as_bytes().rsplit(|byte| *byte == b',').next();
+  last.is_some_and(|last| last.trim_ascii().eq_ignore_ascii_case(b"chunked"))
+}
+
 /// A response with its whole body.
 pub(crate) struct BufferedResponse {
   /// The endpoint's entry when the request was sent.
@@ -301,6 +311,16 @@
       }
     }
   }
+  let connection = open_connection(gateway, entry).await?;
+  check_available(gateway, entry, purpose)?;
+  exchange_on(gateway, entry, connection, request, purpose).await
+}
+
+/// Opens a connection to an endpoint.
+async fn open_connection(
+  gateway: &Gateway,
+  entry: &EndpointEntry,
+) -> Result<Connection, StageError> {
   gateway.counters.connections.inc();
   let opened = Connection::open(
     entry.id.clone(),
@@ -312,9 +332,24 @@
     Ok(_) => gateway.record_reached(entry),
     Err(_) => gateway.record_unreached(entry),
   }
-  let connection = opened?;
-  check_available(gateway, entry, purpose)?;
-  exchange_on(gateway, entry, connection, request, purpose).await
+  Ok(opened?)
+}
+
+/// A connection on which an engine has confirmed its listed start.
+async fn confirmed_connection(
+  gateway: &Rc<Gateway>,
+  entry: &EndpointEntry,
+  mut connection: Connection,
+) -> Result<Connection, StageError> {
+  if confirm_start(gateway, entry, &mut connection).await? == AfterReport::Open {
+    return Ok(connection);
+  }
+  // A start that is confirmed after a connection was opened is the one that the connection leads to, or the connection is dead.
+  let mut connection = open_connection(gateway, entry).await?;
+  let mut reporting = open_connection(gateway, entry).await?;
+  confirm_start(gateway, entry, &mut reporting).await?;
+  connection.confirmed_start_ms = entry.started_ms;
+  Ok(connection)
 }
 
 /// Sends a request on a connection. Only the listed start of an endpoint gets a resumable stream.
@@ -326,7 +361,7 @@
   purpose: Purpose,
 ) -> Result<(Connection, Response<Incoming>), StageError> {
   if purpose == Purpose::ResumableStream && !has_confirmed_start(&connection, entry) {
-    confirm_start(gateway, entry, &mut connection).await?;
+    connection = confirmed_connection(gateway, entry, connection).await?;
     check_available(gateway, entry, purpose)?;
   }
   let sent = SentCall {
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -2,10 +2,10 @@
 //! and, from the command line, a running box.
 
 use {
-  crate::retry_after_ms,
+  crate::{bounded_body::buffer_body, retry_after_ms},
   bytes::Bytes,
   http::{Method, Request, Response, StatusCode, Uri, header::CONTENT_TYPE},
-  http_body_util::{BodyExt, Full, Limited},
+  http_body_util::Full,
   hyper::body::Incoming,
   hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
@@ -19,6 +19,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// The largest response body that is buffered in memory.
 const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
+/// Buffer of a connection, and the longest head of a response.
+const BUFFER_BYTES: usize = 16 * 1024;
 const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Why a call failed.
@@ -62,6 +64,7 @@
       .pool_idle_timeout(POOL_IDLE_TIMEOUT)
       .pool_timer(TokioTimer::new())
       .retry_canceled_requests(false)
+      .http1_max_buf_size(BUFFER_BYTES)
       .build(connector);
     Self { inner }
   }
@@ -148,10 +151,8 @@
 }
 
 async fn read_body(response: Response<Incoming>) -> Result<Bytes, CallError> {
-  Limited::new(response.into_body(), MAX_RESPONSE_BYTES)
-    .collect()
+  buffer_body(response.into_body(), MAX_RESPONSE_BYTES)
     .await
-    .map(http_body_util::Collected::to_bytes)
     .map_err(|error| CallError::ConnectionLost(error.to_string()))
 }
 
