E515 names how a stream's end was known, and its events beside the tokens allowed

A stream that ends with its connection looks the same whether its engine was done or was killed, and no line showed which streams end so. E515 gains the framing (chunks, length, connection), the events forwarded and the most tokens that the request allows: a stream that ends with its connection below them is the one to look at. The framing moves from ResponseHead to a type of its own; no decision changes.

--- a/src/gateway/requests/event_relay.rs
+++ b/src/gateway/requests/event_relay.rs
@@ -3,7 +3,7 @@
 use {
   super::{
     event_order::{EventOrder, EventPlace},
-    event_splitter::EventSplitter,
+    event_splitter::{EventSplitter, SseEvent},
     late_bytes::LateBytes,
     response::StreamAborted,
     stream_request::StreamRequest,
@@ -15,7 +15,7 @@
     edge::{EndpointEntry, SoftwareVersion},
     quarantine::{is_past_beginning, record_lost_stage, record_sound_segments, record_success},
     resumption::record_stream,
-    stages::{ResponseHead, RoutedRequest, StageError},
+    stages::{Framing, ResponseHead, RoutedRequest, StageError},
     state::{Gateway, UnreadCause},
   },
   bytes::Bytes,
@@ -32,6 +32,8 @@
   splitter: EventSplitter,
   order: EventOrder,
   is_finished: bool,
+  /// Events that were forwarded, comments aside.
+  events: u64,
   first_event_recorded: bool,
   /// When the current endpoint sent the first bytes of the body.
   answering_since_ms: Option<u64>,
@@ -54,6 +56,7 @@
     let order = EventOrder::new(stream.last_event_id, stream.may_retry());
     Self {
       answering_since_ms: None,
+      events: 0,
       first_event_recorded: false,
       has_sound_segments: false,
       head: Some(head),
@@ -94,7 +97,7 @@
       let read = match self.splitter.next_event() {
         Some(event) => match self.order.place(&event) {
           Ok(EventPlace::Next) => {
-            self.record_event(event.id);
+            self.record_event(&event);
             return Some(Ok(event.bytes));
           }
           Ok(EventPlace::Repeated) => continue,
@@ -115,10 +118,11 @@
   }
 
   /// Records that an event is forwarded: a resumed stream continues after it.
-  fn record_event(&mut self, id: Option<u64>) {
-    if id.is_some() {
-      self.stream.last_event_id = id;
+  fn record_event(&mut self, event: &SseEvent) {
+    if event.id.is_some() {
+      self.stream.last_event_id = event.id;
     }
+    self.events += u64::from(event.has_data());
     let now_ms = self.stream.gateway.now_ms();
     if let Some(last_ms) = self.last_event_ms.replace(now_ms) {
       self.longest_pause_ms = self.longest_pause_ms.max(now_ms - last_ms);
@@ -186,7 +190,7 @@
     let lost = self
       .stream
       .lost_stage(&head.entry, head.sent_ms, answering_ms, silent);
-    let is_incomplete = self.splitter.has_partial_event() && !head.is_framed();
+    let is_incomplete = self.splitter.has_partial_event() && head.framing() == Framing::Connection;
     let takeover = Takeover {
       has_failed: |frame: &Option<hyper::Result<_>>| match frame {
         Some(frame) => frame.is_err(),
@@ -254,7 +258,7 @@
         Ok(true)
       }
       Some(Err(error)) => Err(error.to_string()),
-      None if self.splitter.has_partial_event() && !self.is_framed() => {
+      None if self.splitter.has_partial_event() && self.ends_with_connection() => {
         Err("stream ended within an event".into())
       }
       None => Ok(false),
@@ -285,18 +289,27 @@
     }
   }
 
-  fn is_framed(&self) -> bool {
-    self.head.as_ref().is_some_and(ResponseHead::is_framed)
+  /// Whether the current response ends with its connection.
+  fn ends_with_connection(&self) -> bool {
+    self.framing() == Some(Framing::Connection)
+  }
+
+  fn framing(&self) -> Option<Framing> {
+    self.head.as_ref().map(ResponseHead::framing)
   }
 
   /// Completes the stream; returns the remaining bytes, if any.
   fn finish(&mut self) -> Option<Result<Bytes, StreamAborted>> {
     self.is_finished = true;
     let gateway = self.stream.gateway.clone();
+    let framing = self.framing().map(|framing| framing.to_string());
     log::info!(
-      "E515 stream complete: {} to event {:?}, {} ms after arrival, tried {}, longest pause {} ms",
+      "E515 stream complete: {} to event {:?}, {} events of at most {} tokens, framing {}, {} ms after arrival, tried {}, longest pause {} ms",
       self.stream.request.id(),
       self.stream.last_event_id,
+      self.events,
+      self.stream.request.attributes.answer_tokens,
+      framing.as_deref().unwrap_or("-"),
       gateway.now_ms() - self.stream.request.arrived_ms,
       self.stream.tried().len(),
       self.longest_pause_ms
--- a/src/gateway/stages/mod.rs
+++ b/src/gateway/stages/mod.rs
@@ -5,6 +5,7 @@
 
 mod call_request;
 mod engine_call;
+mod framing;
 mod incarnation_check;
 mod notice;
 mod purpose;
@@ -19,6 +20,7 @@
 
 pub(crate) use self::{
   engine_call::{EngineCallError, ExportGuard, Reservation, call_engine},
+  framing::Framing,
   notice::apply_forwarded_notice,
   purpose::Purpose,
   reachability_probe::probe_unreachable,
--- a/src/gateway/stages/stage.rs
+++ b/src/gateway/stages/stage.rs
@@ -2,6 +2,7 @@
 
 use {
   super::{
+    framing::Framing,
     incarnation_check::{AfterReport, confirm_start, has_confirmed_start},
     notice::{SentCall, apply_response_notice},
     purpose::Purpose,
@@ -20,11 +21,7 @@
     ids::Name,
   },
   bytes::Bytes,
-  http::{
-    HeaderMap, HeaderValue, Request, Response, StatusCode,
-    header::{CONTENT_ENCODING, CONTENT_LENGTH, TRANSFER_ENCODING},
-    response,
-  },
+  http::{HeaderMap, Request, Response, StatusCode, header::CONTENT_ENCODING, response},
   http_body_util::Full,
   hyper::body::Incoming,
   std::rc::Rc,
@@ -112,14 +109,9 @@
     headers
   }
 
-  /// Whether the body's end can be told from a closed connection. A transfer coding other than chunks does not tell it, and overrides
-  /// a length (RFC 9112, 6.3).
-  pub(crate) fn is_framed(&self) -> bool {
-    let codings = self.raw_headers.get_all(TRANSFER_ENCODING);
-    match codings.iter().next_back() {
-      Some(codings) => ends_with_chunks(codings),
-      None => self.raw_headers.contains_key(CONTENT_LENGTH),
-    }
+  /// How the body's end is known.
+  pub(crate) fn framing(&self) -> Framing {
+    Framing::of(&self.raw_headers)
   }
 
   /// Reads the whole body within the bound on held bytes, and returns the connection to the pool.
@@ -156,12 +148,6 @@
   }
 }
 
-/// Whether the last one of some transfer codings is chunked.
-fn ends_with_chunks(codings: &HeaderValue) -> bool {
-  let last = codings.as_bytes().rsplit(|byte| *byte == b',').next();
-  last.is_some_and(|last| last.trim_ascii().eq_ignore_ascii_case(b"chunked"))
-}
-
 /// A response with its whole body.
 pub(crate) struct BufferedResponse {
   /// The endpoint's entry when the request was sent.
