An end with the connection counts only while the stream's engine still runs

Callers saw 200 and a complete end after a part of their events: a stream with neither chunks nor a length ends with its connection, and the kernel closes the connection of a killed engine in order, between two events.

Cause: the end of a connection was believed whatever had ended it. Now such an end is confirmed: the engine answers a request for its report after it, on a connection that was idle before or on a new one, under the listed id (421 otherwise) and, where it is listed, the start. Otherwise the stream counts as interrupted: it goes on at another engine, or is aborted. A stream that has brought as many events as its request allows tokens needs no confirmation.

The probe of a crashed endpoint moves to connections, where both uses have it. Cost: a round trip after the last event of such streams alone. Ruled out: believing a new connection alone (a relay, or another engine at the address, accepts it).

--- a/src/gateway/connections/mod.rs
+++ b/src/gateway/connections/mod.rs
@@ -9,6 +9,7 @@
 mod connection;
 mod connection_pool;
 mod headers;
+mod liveness;
 mod stall_timeout;
 
 pub use self::headers::remove_connection_headers;
@@ -19,5 +20,6 @@
   caller_socket::{CallerSocket, EndsWithConnection},
   connection::{Connection, SendError, set_send_buffer, set_socket_options, set_user_timeout},
   connection_pool::{ConnectionPool, closes_connection},
+  liveness::{Liveness, probe},
   stall_timeout::{StallTimeout, Stalled},
 };
--- a/src/gateway/requests/event_relay.rs
+++ b/src/gateway/requests/event_relay.rs
@@ -15,7 +15,7 @@
     edge::{EndpointEntry, SoftwareVersion},
     quarantine::{is_past_beginning, record_lost_stage, record_sound_segments, record_success},
     resumption::record_stream,
-    stages::{Framing, ResponseHead, RoutedRequest, StageError},
+    stages::{Framing, ResponseHead, RoutedRequest, StageError, confirm_end},
     state::{Gateway, UnreadCause},
   },
   bytes::Bytes,
@@ -105,14 +105,16 @@
         },
         None => self.read().await,
       };
-      match read {
-        Ok(true) => {}
-        Ok(false) => return self.finish(),
-        Err(error) => {
-          if let Err(error) = self.resume(error).await {
-            return Some(Err(self.abort(error)));
-          }
-        }
+      let error = match read {
+        Ok(true) => continue,
+        Ok(false) => match self.confirm_end().await {
+          Ok(()) => return self.finish(),
+          Err(error) => error,
+        },
+        Err(error) => error,
+      };
+      if let Err(error) = self.resume(error).await {
+        return Some(Err(self.abort(error)));
       }
     }
   }
@@ -171,6 +173,7 @@
 
   /// Handles a silent engine: it is abandoned once another one has responded, or at the deadline.
   async fn handle_silence(&mut self, silent_ms: u64, remaining_ms: u64) -> Result<bool, String> {
+    let has_all_tokens = self.has_all_tokens();
     let Some(head) = &mut self.head else {
       return Err("no endpoint".into());
     };
@@ -190,11 +193,12 @@
     let lost = self
       .stream
       .lost_stage(&head.entry, head.sent_ms, answering_ms, silent);
-    let is_incomplete = self.splitter.has_partial_event() && head.framing() == Framing::Connection;
+    let is_end_unconfirmed = head.framing() == Framing::Connection
+      && (self.splitter.has_partial_event() || !has_all_tokens);
     let takeover = Takeover {
       has_failed: |frame: &Option<hyper::Result<_>>| match frame {
         Some(frame) => frame.is_err(),
-        None => is_incomplete,
+        None => is_end_unconfirmed,
       },
       silent: lost,
     };
@@ -298,6 +302,32 @@
     self.head.as_ref().map(ResponseHead::framing)
   }
 
+  /// Whether as many events were forwarded as the request allows tokens: each event holds one or more.
+  fn has_all_tokens(&self) -> bool {
+    let attributes = &self.stream.request.attributes;
+    let begins = attributes.last_event_id.is_none();
+    begins && attributes.answer_tokens > 0 && self.events >= attributes.answer_tokens
+  }
+
+  /// Confirms that the stream's end is not that of a killed engine's connection.
+  async fn confirm_end(&mut self) -> Result<(), String> {
+    if !self.ends_with_connection() || self.has_all_tokens() {
+      return Ok(());
+    }
+    let Some(head) = &self.head else {
+      return Ok(());
+    };
+    let StreamRequest {
+      gateway, request, ..
+    } = &self.stream;
+    let remaining_ms = request.remaining_ms(gateway.now_ms());
+    let confirmed = confirm_end(gateway, request.id(), &head.entry);
+    match timeout(Duration::from_millis(remaining_ms), confirmed).await {
+      Ok(confirmed) => confirmed.map_err(|error| error.to_string()),
+      Err(_) => Err("deadline exceeded before the end was confirmed".into()),
+    }
+  }
+
   /// Completes the stream; returns the remaining bytes, if any.
   fn finish(&mut self) -> Option<Result<Bytes, StreamAborted>> {
     self.is_finished = true;
--- a/src/gateway/stages/incarnation_check.rs
+++ b/src/gateway/stages/incarnation_check.rs
@@ -50,8 +50,9 @@
     gateway.record_unreached(entry);
     return Err(StageError::Unreachable);
   };
-  let (head, body) = report?;
-  let reported_ms = reported_start_ms(gateway, entry, head.status, &body);
+  let report = report?;
+  let reported_ms = report.started_ms(gateway, entry);
+  let head = &report.head;
   if reported_ms != entry.started_ms {
     log::info!(
       "E518 start not confirmed: {} reports {reported_ms:?} with status {}, listed {}",
@@ -70,13 +71,20 @@
 }
 
 /// The response to a request for an engine's report.
-async fn request_report(
+pub(super) struct Report {
+  pub(super) head: response::Parts,
+  body: Bytes,
+}
+
+/// Requests an engine's report on a connection.
+pub(super) async fn request_report(
   gateway: &Rc<Gateway>,
   entry: &EndpointEntry,
   connection: &mut Connection,
-) -> Result<(response::Parts, Bytes), StageError> {
+) -> Result<Report, StageError> {
   let unsent = |error: &dyn Display| StageError::Unsent(error.to_string());
-  let call = build_request(entry, gateway.codec.report_call()).map_err(|error| unsent(&error))?;
+  let call = gateway.codec.report_call(&entry.id);
+  let call = build_request(entry, call).map_err(|error| unsent(&error))?;
   let sent = SentCall {
     entry,
     purpose: Purpose::Call,
@@ -89,25 +97,22 @@
   let (head, body) = apply_response_notice(gateway, sent, response).into_parts();
   let read = buffer_body(body, MAX_RESPONSE_BYTES).await;
   let body = read.map_err(|error| unsent(&error))?;
-  Ok((head, body))
+  Ok(Report { head, body })
 }
 
-/// The start in a report; `None` when the engine rejects it, or when it holds none. The listed one if it can't be read: an engine
-/// without readable reports is not avoided.
-fn reported_start_ms(
-  gateway: &Gateway,
-  entry: &EndpointEntry,
-  status: StatusCode,
-  body: &Bytes,
-) -> Option<u64> {
-  if status != StatusCode::OK {
-    return None;
-  }
-  match gateway.codec.report(body) {
-    Ok(report) => report.started_ms,
-    Err(error) => {
-      log::info!("E561 report not decoded: {}: {error}", entry.id);
-      entry.started_ms
+impl Report {
+  /// The start in the report; `None` when the engine rejects it, or when it holds none. The listed one if it can't be read: an engine
+  /// without readable reports is not avoided.
+  pub(super) fn started_ms(&self, gateway: &Gateway, entry: &EndpointEntry) -> Option<u64> {
+    if self.head.status != StatusCode::OK {
+      return None;
+    }
+    match gateway.codec.report(&self.body) {
+      Ok(report) => report.started_ms,
+      Err(error) => {
+        log::info!("E561 report not decoded: {}: {error}", entry.id);
+        entry.started_ms
+      }
     }
   }
 }
--- a/src/gateway/stages/mod.rs
+++ b/src/gateway/stages/mod.rs
@@ -4,10 +4,12 @@
 //! [`ResponseHead`].
 
 mod call_request;
+mod end_check;
 mod engine_call;
 mod framing;
 mod incarnation_check;
 mod notice;
+mod open_connection;
 mod purpose;
 mod reachability_probe;
 mod request;
@@ -19,6 +21,7 @@
 mod stage_error;
 
 pub(crate) use self::{
+  end_check::confirm_end,
   engine_call::{EngineCallError, ExportGuard, Reservation, call_engine},
   framing::Framing,
   notice::apply_forwarded_notice,
--- a/src/gateway/stages/stage.rs
+++ b/src/gateway/stages/stage.rs
@@ -5,6 +5,7 @@
     framing::Framing,
     incarnation_check::{AfterReport, confirm_start, has_confirmed_start},
     notice::{SentCall, apply_response_notice},
+    open_connection::open_connection,
     purpose::Purpose,
     request::RoutedRequest,
     response_body::{BodyReader, BufferedBody},
@@ -302,25 +303,6 @@
   exchange_on(gateway, entry, connection, request, purpose).await
 }
 
-/// Opens a connection to an endpoint.
-async fn open_connection(
-  gateway: &Gateway,
-  entry: &EndpointEntry,
-) -> Result<Connection, StageError> {
-  gateway.counters.connections.inc();
-  let opened = Connection::open(
-    entry.id.clone(),
-    entry.address,
-    gateway.held_memory.socket_buffer_bytes(),
-  )
-  .await;
-  match &opened {
-    Ok(_) => gateway.record_reached(entry),
-    Err(_) => gateway.record_unreached(entry),
-  }
-  Ok(opened?)
-}
-
 /// A connection on which an engine has confirmed its listed start.
 async fn confirmed_connection(
   gateway: &Rc<Gateway>,
