A plain response that ends with its connection is confirmed as a stream's end is

Callers saw the first half of a plain answer as a whole one, with 200: its endpoint was killed while it wrote an answer without a length. Same cause as for streams. After such a response a connection to the endpoint has to stay open; otherwise the attempt counts as lost: a request that may be repeated goes to another endpoint, another one gets 502. JSON that an engine answers to a prefill needs no confirmation, as a truncated part is invalid.

--- a/src/gateway/stages/stage.rs
+++ b/src/gateway/stages/stage.rs
@@ -2,6 +2,7 @@
 
 use {
   super::{
+    end_check::confirm_end,
     framing::Framing,
     incarnation_check::{AfterReport, confirm_start, has_confirmed_start},
     notice::{SentCall, apply_response_notice},
@@ -24,7 +25,7 @@
   bytes::Bytes,
   http::{HeaderMap, Request, Response, StatusCode, header::CONTENT_ENCODING, response},
   http_body_util::Full,
-  hyper::body::Incoming,
+  hyper::body::{Body, Incoming},
   std::rc::Rc,
 };
 
@@ -115,15 +116,32 @@
     Framing::of(&self.raw_headers)
   }
 
-  /// Reads the whole body within the bound on held bytes, and returns the connection to the pool.
+  /// Reads the whole body within the bound on held bytes, confirms its end, and returns the connection to the pool.
   pub(crate) async fn buffer(
+    self,
+    gateway: &Rc<Gateway>,
+    request: &RoutedRequest,
+  ) -> Result<BufferedResponse, StageError> {
+    self.buffer_body(gateway, request, BodyKind::Opaque).await
+  }
+
+  /// The same for a body in JSON.
+  pub(crate) async fn buffer_json(
+    self,
+    gateway: &Rc<Gateway>,
+    request: &RoutedRequest,
+  ) -> Result<BufferedResponse, StageError> {
+    self.buffer_body(gateway, request, BodyKind::Json).await
+  }
+
+  async fn buffer_body(
     mut self,
-    gateway: &Gateway,
+    gateway: &Rc<Gateway>,
     request: &RoutedRequest,
+    kind: BodyKind,
   ) -> Result<BufferedResponse, StageError> {
     let headers = self.headers();
-    let reader = BodyReader::new(gateway, request);
-    let body = match reader.read(&mut self.body).await {
+    let body = match self.read_body(gateway, request, kind).await {
       Ok(body) => body,
       Err(error) => {
         if let StageError::LeftUnread { unread_ms } = error {
@@ -147,6 +165,31 @@
       status: self.status,
     })
   }
+
+  async fn read_body(
+    &mut self,
+    gateway: &Rc<Gateway>,
+    request: &RoutedRequest,
+    kind: BodyKind,
+  ) -> Result<BufferedBody, StageError> {
+    let has_body = !self.body.is_end_stream();
+    let body = BodyReader::new(gateway, request)
+      .read(&mut self.body)
+      .await?;
+    if has_body && kind == BodyKind::Opaque && self.framing() == Framing::Connection {
+      confirm_end(gateway, request.id(), &self.entry).await?;
+    }
+    Ok(body)
+  }
+}
+
+/// Whether a body shows by itself that it is whole.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum BodyKind {
+  /// It is invalid when it is truncated.
+  Json,
+  /// It does not.
+  Opaque,
 }
 
 /// A response with its whole body.
