An engine's unusual end with the connection is checked by a further run

Callers see a complete end after a part of their events also where the engine lives on: it loses the rest of an answer without framing and closes the connection in order. Nothing in the answer tells such an end from a sound one, and the engine answers as before.

Cause: the same as for killed engines, an end believed by itself. Where the streams of a software version end otherwise (eight or more, ends with the connection at most two or one in twenty), the end of a stream that may be resumed is doubted: a run that continues after its last event either ends at once, and the stream is complete, or brings further events. One whole end settles the doubt for the version; after two early ends and no whole one, further ones do not count, for streams that may not be resumed either. If no engine can continue, the stream is complete as before. Weighed: to doubt every such end (doubles the work where they are usual), and to compare the events with the tokens allowed (the deployments allow 1,530 or 1,870 tokens, their longest streams have 170 events: no sign of an early end). Not told: the first such ends of streams that may not be resumed. Cost: a prompt, mostly cached, and a retry for a doubted stream; none elsewhere.

--- a/src/gateway/requests/event_relay.rs
+++ b/src/gateway/requests/event_relay.rs
@@ -2,6 +2,7 @@
 
 use {
   super::{
+    end_check::{EndCheck, Received},
     event_order::{EventOrder, EventPlace},
     event_splitter::{EventSplitter, SseEvent},
     late_bytes::LateBytes,
@@ -15,7 +16,7 @@
     edge::{EndpointEntry, SoftwareVersion},
     quarantine::{is_past_beginning, record_lost_stage, record_sound_segments, record_success},
     resumption::record_stream,
-    stages::{Framing, ResponseHead, RoutedRequest, StageError, confirm_end},
+    stages::{Framing, ResponseHead, RoutedRequest, StageError},
     state::{Gateway, UnreadCause},
   },
   bytes::Bytes,
@@ -32,6 +33,7 @@
   splitter: EventSplitter,
   order: EventOrder,
   is_finished: bool,
+  end_check: EndCheck,
   /// Events that were forwarded, comments aside.
   events: u64,
   first_event_recorded: bool,
@@ -56,6 +58,7 @@
     let order = EventOrder::new(stream.last_event_id, stream.may_retry());
     Self {
       answering_since_ms: None,
+      end_check: EndCheck::default(),
       events: 0,
       first_event_recorded: false,
       has_sound_segments: false,
@@ -107,13 +110,16 @@
       };
       let error = match read {
         Ok(true) => continue,
-        Ok(false) => match self.confirm_end().await {
+        Ok(false) => match self.check_end().await {
           Ok(()) => return self.finish(),
           Err(error) => error,
         },
         Err(error) => error,
       };
       if let Err(error) = self.resume(error).await {
+        if self.end_check.is_doubted() {
+          return self.finish();
+        }
         return Some(Err(self.abort(error)));
       }
     }
@@ -124,7 +130,10 @@
     if event.id.is_some() {
       self.stream.last_event_id = event.id;
     }
-    self.events += u64::from(event.has_data());
+    if event.has_data() {
+      self.events += 1;
+      self.end_check.record_event(&self.stream.gateway);
+    }
     let now_ms = self.stream.gateway.now_ms();
     if let Some(last_ms) = self.last_event_ms.replace(now_ms) {
       self.longest_pause_ms = self.longest_pause_ms.max(now_ms - last_ms);
@@ -309,22 +318,15 @@
     begins && attributes.answer_tokens > 0 && self.events >= attributes.answer_tokens
   }
 
-  /// Confirms that the stream's end is not that of a killed engine's connection.
-  async fn confirm_end(&mut self) -> Result<(), String> {
-    if !self.ends_with_connection() || self.has_all_tokens() {
-      return Ok(());
-    }
-    let Some(head) = &self.head else {
-      return Ok(());
+  /// Checks that the end of the current response is the stream's end.
+  async fn check_end(&mut self) -> Result<(), String> {
+    let received = Received {
+      has_all_tokens: self.has_all_tokens(),
+      may_go_on: self.order.may_go_on(),
     };
-    let StreamRequest {
-      gateway, request, ..
-    } = &self.stream;
-    let remaining_ms = request.remaining_ms(gateway.now_ms());
-    let confirmed = confirm_end(gateway, request.id(), &head.entry);
-    match timeout(Duration::from_millis(remaining_ms), confirmed).await {
-      Ok(confirmed) => confirmed.map_err(|error| error.to_string()),
-      Err(_) => Err("deadline exceeded before the end was confirmed".into()),
+    match &self.head {
+      Some(head) => self.end_check.check(&self.stream, head, received).await,
+      None => Ok(()),
     }
   }
 
@@ -378,6 +380,8 @@
         let endpoint = &head.connection.endpoint;
         let gateway = &self.stream.gateway;
         gateway.record_left_unread(request.id(), endpoint, UnreadCause::Caller, unread_ms);
+      } else if self.end_check.is_doubted() {
+        head.load_guard.answered();
       } else {
         head.load_guard.settle(AttemptOutcome::Lost);
         let answering_ms = since_ms.map(|since_ms| self.stream.gateway.now_ms() - since_ms);
--- a/src/gateway/stages/mod.rs
+++ b/src/gateway/stages/mod.rs
@@ -4,7 +4,7 @@
 //! [`ResponseHead`].
 
 mod call_request;
-mod end_check;
+mod confirm_end;
 mod engine_call;
 mod framing;
 mod incarnation_check;
@@ -21,7 +21,7 @@
 mod stage_error;
 
 pub(crate) use self::{
-  end_check::confirm_end,
+  confirm_end::confirm_end,
   engine_call::{EngineCallError, ExportGuard, Reservation, call_engine},
   framing::Framing,
   notice::apply_forwarded_notice,
--- a/src/gateway/stages/stage.rs
+++ b/src/gateway/stages/stage.rs
@@ -2,7 +2,7 @@
 
 use {
   super::{
-    end_check::confirm_end,
+    confirm_end::confirm_end,
     framing::Framing,
     incarnation_check::{AfterReport, confirm_start, has_confirmed_start},
     notice::{SentCall, apply_response_notice},
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -39,6 +39,7 @@
 mod slots;
 mod slow_readers;
 mod store_proxy;
+mod stream_ends;
 mod stream_framing;
 mod streams;
 mod takeovers;
--- a/tests/gateway/unframed_ends.rs
+++ b/tests/gateway/unframed_ends.rs
@@ -254,3 +254,103 @@
   assert_eq!(response.status, StatusCode::OK);
   assert_eq!(response.body.as_deref(), Ok(PLAIN_BODY));
 }
+
+/// Streams whose chunks tell their end, until ends with the connection are unusual.
+const FRAMED_STREAMS: u64 = 8;
+
+/// An engine that lives on, and ends each stream but the first ones with its connection.
+fn living_engine(seen: &ReceivedRequest, last: u64) -> Reply {
+  if !is_stream(seen) {
+    return engine_reply(seen, "");
+  }
+  let number: u64 = seen.id().trim_start_matches('r').parse().unwrap();
+  let resumes = !seen.header("last-event-id").is_empty();
+  if resumes || number <= FRAMED_STREAMS {
+    return Reply::stream(seen, &rest(seen));
+  }
+  Reply::WriteAndClose(Framing::Neither.head(seen, 0) + events(1..=last).as_str())
+}
+
+/// A box with two decode engines of one script, which have sent streams in chunks.
+async fn usually_framed<S>(script: S) -> (GatewayBox, [EndpointStandIn; 3])
+where
+  S: Fn(&ReceivedRequest) -> Reply + Clone + Send + Sync + 'static,
+{
+  let prefill = EndpointStandIn::engine("").await;
+  let engines = [
+    EndpointStandIn::start(script.clone()).await,
+    EndpointStandIn::start(script).await,
+  ];
+  let test = GatewayTest::new().await;
+  test.enter("e-3", "llm", Some("decode"), &engines[1]);
+  let gateway = test.with_engines(&prefill, &engines[0]).await;
+  for number in 1..=FRAMED_STREAMS {
+    let response = ask(&gateway, "/resumable/a", number).await;
+    assert_eq!(response, complete(whole()));
+  }
+  let [one, other] = engines;
+  (gateway, [one, other, prefill])
+}
+
+async fn ask(gateway: &GatewayBox, path: &str, number: u64) -> RawResponse {
+  let request = RawRequest::new(path, &format!("r{number}"));
+  request.send(gateway.callers).await.finish().await
+}
+
+/// How often a stream was sent to engines.
+fn sends_of(engines: &[EndpointStandIn], number: u64) -> usize {
+  let id = format!("r{number}");
+  let requests = engines.iter().flat_map(EndpointStandIn::requests);
+  let of_stream = |seen: &ReceivedRequest| seen.id() == id && !seen.is_prefill();
+  requests.filter(of_stream).count()
+}
+
+/// Guards against a stream that looks complete although its engine, which lives on, lost the rest of it and closed the connection.
+#[tokio::test]
+async fn stream_that_a_living_engine_ends_early_goes_on_if_that_is_unusual() {
+  let script = |seen: &ReceivedRequest| living_engine(seen, INTERRUPTED_AFTER);
+  let (gateway, _engines) = usually_framed(script).await;
+  let response = ask(&gateway, "/resumable/a", FRAMED_STREAMS + 1).await;
+  assert_eq!(response, complete(whole()));
+}
+
+/// Guards against retries for streams that are whole: one shows that ends with the connection are sound.
+#[tokio::test]
+async fn stream_that_a_living_engine_ends_with_its_connection_is_checked_once() {
+  let script = |seen: &ReceivedRequest| living_engine(seen, EVENTS);
+  let (gateway, engines) = usually_framed(script).await;
+  for (number, sends) in [(FRAMED_STREAMS + 1, 2), (FRAMED_STREAMS + 2, 1)] {
+    let response = ask(&gateway, "/resumable/a", number).await;
+    assert_eq!(response, complete(whole()));
+    assert_eq!(sends_of(&engines, number), sends);
+  }
+}
+
+/// Guards against a stream that is aborted only because no engine can show whether it is whole.
+#[tokio::test]
+async fn stream_whose_unusual_end_can_not_be_checked_is_complete() {
+  let script = |seen: &ReceivedRequest| match seen.header("last-event-id") {
+    "" => living_engine(seen, EVENTS),
+    _ => Reply::not_run(seen),
+  };
+  let (gateway, _engines) = usually_framed(script).await;
+  let response = ask(&gateway, "/resumable/a", FRAMED_STREAMS + 1).await;
+  assert_eq!(response, complete(whole()));
+}
+
+/// Guards against a stream that may not be resumed and looks complete after streams of its version were found to end early. Before
+/// that, nothing tells its end from a sound one.
+#[tokio::test]
+async fn stream_that_may_not_be_resumed_does_not_look_complete_where_others_were_early() {
+  let script = |seen: &ReceivedRequest| living_engine(seen, INTERRUPTED_AFTER);
+  let (gateway, _engines) = usually_framed(script).await;
+  let early = events(1..=INTERRUPTED_AFTER);
+  let first = ask(&gateway, "/stream/a", FRAMED_STREAMS + 1).await;
+  assert_eq!(first, complete(early.clone()));
+  for number in [FRAMED_STREAMS + 2, FRAMED_STREAMS + 3] {
+    let response = ask(&gateway, "/resumable/a", number).await;
+    assert_eq!(response, complete(whole()));
+  }
+  let last = ask(&gateway, "/stream/a", FRAMED_STREAMS + 4).await;
+  assert_eq!(last, broken_off(early));
+}
