A report that can't be decoded confirms no start: it is requested once more, then the engine is passed over

What callers could get: events of a version other than the listed one, from an engine that had restarted under its id and whose report was damaged. The report was let pass for the listed start, because stand-ins of older tests answered /report with a stream.

Change: such a report neither fails nor confirms. The connection is given up, and the report is requested once more on a new one (the way that engines take which close connections after reports); if that one can't be decoded either, the stream goes to another engine. So one damaged report rejects no stream, also where there is one engine.

A report that is cut off, or is no HTTP, is still a connection error: another connection if the first was idle, else another engine.

--- a/src/gateway/stages/incarnation_check.rs
+++ b/src/gateway/stages/incarnation_check.rs
@@ -12,7 +12,7 @@
     gateway::{
       connections::{Connection, closes_connection},
       decisions::Unavailable,
-      edge::EndpointEntry,
+      edge::{DecodeError, EndpointEntry},
       state::Gateway,
     },
   },
@@ -36,10 +36,12 @@
   Open,
   /// The engine closes it.
   Closed,
+  /// The response was no report, so the start is not confirmed.
+  Unreadable,
 }
 
 /// Has an engine report its start on a connection, which outlives no restart. Fails when it reports another start than the listed
-/// one, none, or nothing in time.
+/// one, none, or nothing in time; a report that can't be decoded neither fails nor confirms.
 pub(super) async fn confirm_start(
   gateway: &Rc<Gateway>,
   entry: &EndpointEntry,
@@ -51,7 +53,9 @@
     return Err(StageError::Unreachable);
   };
   let (head, body) = report?;
-  let reported_ms = reported_start_ms(gateway, entry, head.status, &body);
+  let Ok(reported_ms) = reported_start_ms(gateway, entry, head.status, &body) else {
+    return Ok(AfterReport::Unreadable);
+  };
   if reported_ms != entry.started_ms {
     log::info!(
       "E518 start not confirmed: {} reports {reported_ms:?} with status {}, listed {}",
@@ -92,22 +96,18 @@
   Ok((head, body))
 }
 
-/// The start in a report; `None` when the engine rejects it, or when it holds none. The listed one if it can't be read: an engine
-/// without readable reports is not avoided.
+/// The start in a report; `None` when the engine rejects it, or when it holds none.
 fn reported_start_ms(
   gateway: &Gateway,
   entry: &EndpointEntry,
   status: StatusCode,
   body: &Bytes,
-) -> Option<u64> {
+) -> Result<Option<u64>, DecodeError> {
   if status != StatusCode::OK {
-    return None;
-  }
-  match gateway.codec.report(body) {
-    Ok(report) => report.started_ms,
-    Err(error) => {
-      log::info!("E561 report not decoded: {}: {error}", entry.id);
-      entry.started_ms
-    }
+    return Ok(None);
   }
+  let report = gateway.codec.report(body);
+  report
+    .map(|report| report.started_ms)
+    .inspect_err(|error| log::info!("E561 report not decoded: {}: {error}", entry.id))
 }
--- a/src/gateway/stages/stage.rs
+++ b/src/gateway/stages/stage.rs
@@ -335,7 +335,8 @@
   Ok(opened?)
 }
 
-/// A connection on which an engine has confirmed its listed start.
+/// A connection on which an engine has confirmed its listed start. A report that can't be decoded may be damaged on its way, and is
+/// requested once more.
 async fn confirmed_connection(
   gateway: &Rc<Gateway>,
   entry: &EndpointEntry,
@@ -347,7 +348,9 @@
   // A start that is confirmed after a connection was opened is the one that the connection leads to, or the connection is dead.
   let mut connection = open_connection(gateway, entry).await?;
   let mut reporting = open_connection(gateway, entry).await?;
-  confirm_start(gateway, entry, &mut reporting).await?;
+  if confirm_start(gateway, entry, &mut reporting).await? == AfterReport::Unreadable {
+    return Err(Unavailable::Unconfirmed.into());
+  }
   connection.confirmed_start_ms = entry.started_ms;
   Ok(connection)
 }
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -1,7 +1,7 @@
 //! Starts a gateway box with a store and endpoints.
 
 use {
-  super::EndpointStandIn,
+  super::{EndpointStandIn, endpoint::listed_start},
   bytes::Bytes,
   emulator::{eventually, own_addresses},
   http::{HeaderMap, Method, Request, StatusCode},
@@ -246,17 +246,17 @@
       .put(&format!("servers/{id}"), entry.to_string().as_bytes());
   }
 
-  /// Lists an incarnation of an engine, which may restart under the same id.
+  /// Lists the start of an engine with a number, as the engine reports it; it may restart under the same id.
   pub(crate) fn enter_incarnation(
     store: &PlatformStore,
     id: &str,
     stage: &str,
     address: SocketAddr,
-    born: u64,
+    start: u64,
   ) {
     let entry = json!({
       "service": "llm", "address": address, "zone": "north", "version": "v1", "slots": 8, "state": "ready",
-      "coldRemainingMs": 0, "callSeq": 0, "stage": stage, "born": born,
+      "coldRemainingMs": 0, "callSeq": 0, "stage": stage, "born": listed_start(start),
     });
     store.put(&format!("servers/{id}"), entry.to_string().as_bytes());
   }
--- a/tests/gateway/versions.rs
+++ b/tests/gateway/versions.rs
@@ -594,6 +594,30 @@
   assert_eq!(response.body.unwrap(), EVENTS);
 }
 
+/// Guards against streams that are rejected as one report of their only engine is damaged.
+#[rstest]
+#[case::no_json("{?}")]
+#[case::body_of_another_call(r#"{"hold": "h1"}"#)]
+#[tokio::test]
+async fn stream_begins_at_the_only_engine_whose_report_is_damaged_once(
+  #[case] damaged: &'static str,
+) {
+  let prefill = EndpointStandIn::engine(EVENTS).await;
+  let test = GatewayTest::new().await;
+  test.enter("e-1", "llm", Some("prefill"), &prefill);
+  let reports = AtomicU64::new(0);
+  let engine = EndpointStandIn::start(move |seen| match seen.path.as_str() {
+    "/report" if reports.fetch_add(1, Ordering::Relaxed) == 0 => Reply::ok(seen, damaged),
+    "/report" => reports_start(7)(seen),
+    _ => engine_reply(seen, EVENTS),
+  })
+  .await;
+  test.enter_version_started("e-2", &engine, "v1", 7);
+  let gateway = test.start().await;
+  let response = gateway.ask("/resumable/a", "r1").await;
+  assert_eq!(response.body.unwrap(), EVENTS);
+}
+
 /// Guards against engines that have restarted and use up the tries of a stream.
 #[rstest]
 #[case::all_but_one(6, 1, StatusCode::OK)]
