Tests: the log of each box is kept when RILLFORD_TEST_LOGS names a folder

A test that fails beside busy processes left nothing to trace: the boxes' logs went nowhere. Each box now writes into a file of its own there, named after the test and the box. Without the variable nothing changes.

--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -10,8 +10,11 @@
   serde_json::{Value, json},
   stand_ins::PlatformStore,
   std::{
+    fs::File,
     net::SocketAddr,
+    path::Path,
     process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU64, Ordering},
     time::Duration,
   },
   tokio::task::JoinHandle,
@@ -372,7 +375,7 @@
     let process = Command::new(env!("CARGO_BIN_EXE_rillford"))
       .args(["gateway", "--settings"])
       .arg(&path)
-      .stdout(Stdio::null())
+      .stdout(log_output(&self.name))
       .spawn()
       .unwrap();
     GatewayBox {
@@ -388,6 +391,19 @@
   }
 }
 
+/// Where a box's log goes: into a file of its own in the folder that `RILLFORD_TEST_LOGS` names, or nowhere.
+fn log_output(name: &str) -> Stdio {
+  static STARTED: AtomicU64 = AtomicU64::new(0);
+  let Some(folder) = std::env::var_os("RILLFORD_TEST_LOGS") else {
+    return Stdio::null();
+  };
+  let number = STARTED.fetch_add(1, Ordering::Relaxed);
+  let thread = std::thread::current();
+  let test = thread.name().unwrap_or("-").replace("::", ".");
+  let path = Path::new(&folder).join(format!("{test}.{name}.{number}.log"));
+  File::create(path).unwrap().into()
+}
+
 /// A running box.
 pub(crate) struct GatewayBox {
   /// Where the other boxes reach it.
