Known red: boxes without contact to the store take the only version that they know for the only one

Two parts of a deployment have a store each, so that neither hears of the other; the stream begins at v2 in one, and its caller resumes it in the other, which knows v1 and has lost its store.

The case in which the other part's box is not listed looks to the box exactly like a store that is away for everybody (1 of 1 boxes answered, streams_of_unknown_origin_go_on_while_the_store_is_away_for_all): it can't be told without rejecting all such resumptions then.

--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -125,9 +125,14 @@
 
   /// Lists another box of the hall.
   pub(crate) fn enter_box(&self, name: &str, address: SocketAddr) {
+    self.enter_box_of_hall(name, "north", address);
+  }
+
+  /// Lists another box.
+  pub(crate) fn enter_box_of_hall(&self, name: &str, hall: &str, address: SocketAddr) {
     let entry = BoxEntry {
       address,
-      hall: "north".into(),
+      hall: hall.into(),
     };
     let value = postcard::to_stdvec(&entry).unwrap();
     self.store.put(&format!("rillford/boxes/{name}"), &value);
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -42,6 +42,7 @@
 mod stream_framing;
 mod streams;
 mod takeovers;
+mod unknown_origins;
 mod version_records;
 mod versions;
 
--- a/tests/gateway/versions.rs
+++ b/tests/gateway/versions.rs
@@ -30,7 +30,7 @@
 
 const BEGINNING: &str = "id: 1\ndata: a\n\nid: 2\nda";
 const REST: &str = "id: 2\ndata: b\n\n";
-const EVENTS: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+pub(super) const EVENTS: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
 /// Streams of one test; by chance alone each would go on at its own version half of the time.
 const STREAMS: usize = 8;
 
@@ -39,7 +39,7 @@
 }
 
 /// Streams the rest to a caller who resumes, and the beginning to others, whose connections stay open.
-fn begins_and_resumes(seen: &ReceivedRequest) -> Reply {
+pub(super) fn begins_and_resumes(seen: &ReceivedRequest) -> Reply {
   match seen.header("last-event-id") {
     "" if is_stream(seen) => Reply::Write(Reply::stream_part(seen, BEGINNING)),
     _ if is_stream(seen) => Reply::stream(seen, REST),
@@ -113,7 +113,7 @@
 }
 
 /// Resumes a stream after its first event.
-async fn resume(gateway: &GatewayBox, id: &str, resumes: &str) -> CallerResponse {
+pub(super) async fn resume(gateway: &GatewayBox, id: &str, resumes: &str) -> CallerResponse {
   let mut request = gateway.request("/resumable/a", id);
   let headers = request.headers_mut();
   headers.insert("last-event-id", HeaderValue::from_static("1"));
