--- a/tests/gateway/unknown_origins.rs
+++ b/tests/gateway/unknown_origins.rs
@@ -123,3 +123,18 @@
   let response = part.resume("again", "r0").await;
   assert_eq!(response.status, StatusCode::OK);
 }
+
+/// Guards against a hall that is cut off and rejects resumptions of the streams that its own boxes began.
+#[tokio::test]
+async fn streams_of_a_hall_go_on_while_it_is_cut_off() {
+  // More than a box asks while it has contact.
+  let part = Part::start(&["north"; 8], OtherPart::Listed).await;
+  for (number, began) in part.boxes.iter().enumerate().skip(1) {
+    let id = format!("r{number}");
+    began.ask_in_background("/resumable/a", &id);
+    let records = async || began.metric("rillford_stream_records").await == 1.0;
+    assert!(eventually(TIMEOUT, records).await);
+    let response = part.resume(&format!("again-{number}"), &id).await;
+    assert_eq!(response.status, StatusCode::OK);
+  }
+}
