--- a/src/gateway/stages/incarnation_check.rs
+++ b/src/gateway/stages/incarnation_check.rs
@@ -12,7 +12,7 @@
     gateway::{
       connections::{Connection, closes_connection},
       decisions::Unavailable,
-      edge::EndpointEntry,
+      edge::{DecodeError, EndpointEntry},
       state::Gateway,
     },
   },
@@ -36,10 +36,12 @@
   Open,
   /// The engine closes it.
   Closed,
+  /// The response was no report, so the start is not confirmed.
+  Unreadable,
 }
 
 /// Has an engine report its start on a connection, which outlives no restart. Fails when it reports another start than the listed
-/// one, none, or nothing in time.
+/// one, none, or nothing in time; a report that can't be decoded neither fails nor confirms.
 pub(super) async fn confirm_start(
   gateway: &Rc<Gateway>,
   entry: &EndpointEntry,
@@ -51,7 +53,9 @@
     return Err(StageError::Unreachable);
   };
   let report = report?;
-  let reported_ms = report.started_ms(gateway, entry);
+  let Ok(reported_ms) = report.started_ms(gateway, entry) else {
+    return Ok(AfterReport::Unreadable);
+  };
   let head = &report.head;
   if reported_ms != entry.started_ms {
     log::info!(
@@ -101,18 +105,18 @@
 }
 
 impl Report {
-  /// The start in the report; `None` when the engine rejects it, or when it holds none. The listed one if it can't be read: an engine
-  /// without readable reports is not avoided.
-  pub(super) fn started_ms(&self, gateway: &Gateway, entry: &EndpointEntry) -> Option<u64> {
+  /// The start in the report; `None` when the engine rejects it, or when it holds none.
+  pub(super) fn started_ms(
+    &self,
+    gateway: &Gateway,
+    entry: &EndpointEntry,
+  ) -> Result<Option<u64>, DecodeError> {
     if self.head.status != StatusCode::OK {
-      return None;
-    }
-    match gateway.codec.report(&self.body) {
-      Ok(report) => report.started_ms,
-      Err(error) => {
-        log::info!("E561 report not decoded: {}: {error}", entry.id);
-        entry.started_ms
-      }
+      return Ok(None);
     }
+    let report = gateway.codec.report(&self.body);
+    report
+      .map(|report| report.started_ms)
+      .inspect_err(|error| log::info!("E561 report not decoded: {}: {error}", entry.id))
   }
 }
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -44,6 +44,7 @@
 mod streams;
 mod takeovers;
 mod unframed_ends;
+mod unknown_origins;
 mod version_records;
 mod versions;
 
