An endpoint that leaves or backs off gets no request at the end of a stream

The check of an end with the connection sent a report request also to engines that leave or asked for a backoff; these want none. They are probed by a connection, as plain endpoints are. An entry with another start now shows that the former start has terminated.

--- a/src/gateway/stages/confirm_end.rs
+++ b/src/gateway/stages/confirm_end.rs
@@ -59,12 +59,17 @@
 }
 
 async fn find_liveness(gateway: &Rc<Gateway>, entry: &EndpointEntry) -> Result<(), UnconfirmedEnd> {
+  if is_listed_with_another_start(gateway, entry) {
+    return Err(UnconfirmedEnd::Terminated);
+  }
+  // An endpoint that leaves, or asked for a backoff, gets no request.
+  let may_call = entry.role.is_some() && gateway.check(entry).is_ok();
   // An idle connection leads to the process that was there before the end, also where new connections fail.
   let mut idle = gateway.pool.take_idle(&entry.id, gateway.now_ms());
   for _ in 0..MAX_ATTEMPTS {
-    let liveness = match entry.role {
-      Some(_) => engine_liveness(gateway, entry, idle.take()).await,
-      None => probe(entry.address).await,
+    let liveness = match may_call {
+      true => engine_liveness(gateway, entry, idle.take()).await,
+      false => probe(entry.address).await,
     };
     match liveness {
       Liveness::Alive => return Ok(()),
@@ -75,6 +80,12 @@
   Err(UnconfirmedEnd::Unreachable)
 }
 
+fn is_listed_with_another_start(gateway: &Gateway, entry: &EndpointEntry) -> bool {
+  let endpoints = gateway.endpoints.borrow();
+  let current = endpoints.entry(&entry.id);
+  current.is_some_and(|current| current.started_ms != entry.started_ms)
+}
+
 /// Whether an engine runs, by its report on a connection.
 async fn engine_liveness(
   gateway: &Rc<Gateway>,
--- a/tests/gateway/unframed_ends.rs
+++ b/tests/gateway/unframed_ends.rs
@@ -4,7 +4,7 @@
 use {
   super::{
     EndpointStandIn, GatewayBox, GatewayTest, ReceivedRequest, Reply,
-    endpoint::engine_reply,
+    endpoint::{engine_reply, leaving},
     raw_caller::{RawRequest, RawResponse},
     stream_framing::{
       EVENTS, Framing, INTERRUPTED_AFTER, broken_off, complete, events, is_stream, rest, whole,
@@ -354,3 +354,27 @@
   let last = ask(&gateway, "/stream/a", FRAMED_STREAMS + 4).await;
   assert_eq!(last, broken_off(early));
 }
+
+/// Guards against requests to an engine that leaves, and against streams that it has completed and that are aborted.
+#[rstest]
+#[tokio::test]
+async fn stream_of_a_leaving_engine_that_ends_with_its_connection_is_complete(
+  #[values("/stream/a", "/resumable/a")] path: &str,
+) {
+  let script = |seen: &ReceivedRequest| match is_stream(seen) {
+    true => {
+      let head = Framing::Neither.head(seen, 0);
+      leaving(Reply::WriteAndClose(head + whole().as_str()))
+    }
+    false => engine_reply(seen, ""),
+  };
+  let prefill = EndpointStandIn::engine("").await;
+  let decode = EndpointStandIn::start(script).await;
+  let gateway = GatewayTest::new()
+    .await
+    .with_engines(&prefill, &decode)
+    .await;
+  assert_eq!(ask(&gateway, path, 1).await, complete(whole()));
+  let reports = decode.received();
+  assert!(reports.iter().all(|seen| seen.path != "/report"));
+}
