Test of a list that lags: rejected callers return

Cause, from the box's log: "E504 no slot: r7 waited 468 of 360 ms" and E501, as on a slow machine a reservation takes longer than a new stream may wait; the caller never came back, so that the stream never ran.

Change: a rejected caller asks again. As before, exactly eight streams run and none of them at the engine that has restarted, so that a rejected stream that ran still fails the test; each has to begin with 200 (new).

--- a/tests/gateway/versions.rs
+++ b/tests/gateway/versions.rs
@@ -26,6 +26,7 @@
     },
     time::Duration,
   },
+  tokio::time::{sleep, timeout},
 };
 
 const BEGINNING: &str = "id: 1\ndata: a\n\nid: 2\nda";
@@ -33,6 +34,8 @@
 pub(super) const EVENTS: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
 /// Streams of one test; by chance alone each would go on at its own version half of the time.
 const STREAMS: usize = 8;
+/// When a rejected caller returns.
+const RETURN_DELAY: Duration = Duration::from_millis(300);
 
 fn is_stream(seen: &ReceivedRequest) -> bool {
   seen.path.starts_with("/resumable/") && !seen.is_prefill()
@@ -185,7 +188,7 @@
     engines.wait_until_run(&id).await;
   }
   // The first events reach their callers.
-  tokio::time::sleep(Duration::from_millis(200)).await;
+  sleep(Duration::from_millis(200)).await;
   if resumption == Resumption::AfterKill {
     began.process.kill().unwrap();
     began.process.wait().unwrap();
@@ -448,14 +451,25 @@
   proxy.cut().await;
   let is_stale = async || gateway.ask("/missing/", "m").await.status != StatusCode::NOT_FOUND;
   assert!(eventually(TIMEOUT, is_stale).await);
-  for number in 0..STREAMS {
-    gateway.ask_in_background("/resumable/a", &format!("r{number}"));
-  }
+  let ids: Vec<String> = (0..STREAMS).map(|number| format!("r{number}")).collect();
+  let begin = join_all(ids.iter().map(|id| begin_until_served(&gateway, id)));
+  assert!(timeout(TIMEOUT, begin).await.is_ok());
   let all_run = async || other.requests().len() + restarted.requests().len() == STREAMS;
   assert!(eventually(TIMEOUT, all_run).await);
   assert!(restarted.requests().is_empty());
 }
 
+/// Begins a stream, and asks again after each rejection.
+async fn begin_until_served(gateway: &GatewayBox, id: &str) {
+  loop {
+    let asked = gateway.ask_in_background("/resumable/a", id);
+    match asked.await.unwrap().unwrap() {
+      StatusCode::SERVICE_UNAVAILABLE => sleep(RETURN_DELAY).await,
+      status => return assert_eq!(status, StatusCode::OK),
+    }
+  }
+}
+
 /// Cuts each stream that it begins after its first event; reports its start.
 fn cuts_what_it_begins(
   started_ms: u64,
