--- a/src/gateway/stages/mod.rs
+++ b/src/gateway/stages/mod.rs
@@ -4,9 +4,12 @@
 //! [`ResponseHead`].
 
 mod call_request;
+mod confirm_end;
 mod engine_call;
+mod framing;
 mod incarnation_check;
 mod notice;
+mod open_connection;
 mod purpose;
 mod reachability_probe;
 mod request;
@@ -18,7 +21,9 @@
 mod stage_error;
 
 pub(crate) use self::{
+  confirm_end::confirm_end,
   engine_call::{EngineCallError, ExportGuard, Reservation, call_engine},
+  framing::Framing,
   notice::apply_forwarded_notice,
   purpose::Purpose,
   reachability_probe::probe_unreachable,
