Tests: a box that does not answer the administration API shows its log

leader_that_resumes_after_its_lease_sends_no_stale_commands failed once as a box refused the test's connection, and nothing said why. The box's log goes into the message now. Not reproduced: 72 of case 1 (twelve at a time) and 42 of case 2 (six at a time) beside eight busy loops pass.

--- a/tests/test.rs
+++ b/tests/test.rs
@@ -193,7 +193,12 @@
       .header("authorization", format!("Bearer {ADMIN_KEY}"))
       .body(Full::new(Bytes::from(body.to_string())))
       .unwrap();
-    Caller::new("").raw(request).await.unwrap()
+    let response = Caller::new("").raw(request).await;
+    // A box that refuses connections has ended; its log says why.
+    response.unwrap_or_else(|error| {
+      let log = self.deployment.boxes[name].log();
+      panic!("{name} does not answer {path}: {error:?}\n{log}")
+    })
   }
 
   pub(crate) async fn status(&self, name: &str) -> Status {
