An answer to another call is never used, whatever call it is

Callers got a prefill's answer as a whole stream, and boxes took a former reservation, stream or report for the answer to a call of their own: a box's own calls had no id, so nothing was compared, and a connection could carry two requests of one id. An engine that answers a call once more, in the place of the next answer, was believed.

Each call of the box's own now has an X-Request-Id that no other call has. The answer to any call, also a report that confirms a start, is checked in one place before anything in it counts: another id loses the call, closes the connection, and is counted and logged (E519, rillford_other_answers_total). A connection that has carried a request carries no other one of its id; the pool hands out another.

--- a/src/gateway/connections/connection.rs
+++ b/src/gateway/connections/connection.rs
@@ -1,6 +1,7 @@
 //! One connection to an endpoint. Dropping it closes it at once, which cancels the request on it.
 
 use {
+  super::recent_ids::RecentIds,
   crate::ids::Name,
   bytes::Bytes,
   http::{Request, Response},
@@ -49,6 +50,7 @@
   pub(crate) confirmed_start_ms: Option<u64>,
   /// When it must no longer be reused, on the box's clock.
   pub(crate) reusable_until_ms: u64,
+  recent_ids: RecentIds,
   sender: http1::SendRequest<Full<Bytes>>,
   task: AbortHandle,
 }
@@ -91,6 +93,7 @@
     Ok(Self {
       confirmed_start_ms: None,
       endpoint,
+      recent_ids: RecentIds::default(),
       reusable_until_ms: 0,
       sender,
       task: task.abort_handle(),
@@ -122,6 +125,17 @@
       })
   }
 
+  /// Records the id of a request that is about to be sent.
+  pub(crate) fn record_id(&mut self, id: &Name) {
+    self.recent_ids.add(id.clone());
+  }
+
+  /// Whether it may have carried a request before: a late answer to that would be taken for the one to the next. A request
+  /// without an id can't be told from any other.
+  pub(crate) fn may_have_carried(&self, id: Option<&str>) -> bool {
+    id.is_none_or(|id| self.recent_ids.contains(id))
+  }
+
   /// Whether another request may be sent now.
   pub(crate) fn is_usable(&self, now_ms: u64) -> bool {
     now_ms < self.reusable_until_ms && self.sender.is_ready()
--- a/src/gateway/connections/connection_pool.rs
+++ b/src/gateway/connections/connection_pool.rs
@@ -19,12 +19,20 @@
 }
 
 impl ConnectionPool {
-  /// Removes and returns the connection that was idle for the shortest time.
-  pub(crate) fn take_idle(&self, endpoint: &str, now_ms: u64) -> Option<Connection> {
+  /// Removes and returns the connection that was idle for the shortest time, of those that have not carried a request of this id.
+  pub(crate) fn take_idle(
+    &self,
+    endpoint: &str,
+    id: Option<&str>,
+    now_ms: u64,
+  ) -> Option<Connection> {
     let mut idle = self.idle.borrow_mut();
     let connections = idle.get_mut(endpoint)?;
     connections.retain(|connection| connection.is_usable(now_ms));
-    connections.pop()
+    let position = connections
+      .iter()
+      .rposition(|connection| !connection.may_have_carried(id))?;
+    Some(connections.remove(position))
   }
 
   /// Returns a connection after a complete response, unless `max_idle` are idle already; `headers` are that response's.
--- a/src/gateway/connections/mod.rs
+++ b/src/gateway/connections/mod.rs
@@ -9,6 +9,7 @@
 mod connection;
 mod connection_pool;
 mod headers;
+mod recent_ids;
 mod stall_timeout;
 
 pub use self::headers::remove_connection_headers;
--- a/src/gateway/edge/platform_codec.rs
+++ b/src/gateway/edge/platform_codec.rs
@@ -125,6 +125,8 @@
   fn remove_reserved(&self, headers: &mut HeaderMap);
   /// Adds the gateway's headers to a request for an endpoint.
   fn add_proxy_headers(&self, headers: &mut HeaderMap, proxy_headers: &ProxyHeaders);
+  /// Sets the id of a call, which its answer repeats.
+  fn set_request_id(&self, headers: &mut HeaderMap, id: &str);
   /// Decodes a response's headers.
   fn response_attributes(&self, headers: &HeaderMap) -> ResponseAttributes;
   /// Decodes the load that an endpoint reports in any response.
--- a/src/gateway/stages/call_request.rs
+++ b/src/gateway/stages/call_request.rs
@@ -1,8 +1,11 @@
 //! The gateway's own calls to engines, as HTTP requests.
 
 use {
-  crate::gateway::edge::{EndpointCall, EndpointEntry},
-  bytes::Bytes,
+  super::{outgoing_call::OutgoingCall, purpose::Purpose},
+  crate::gateway::{
+    edge::{EndpointCall, EndpointEntry},
+    state::Gateway,
+  },
   http::{
     Request,
     header::{CONTENT_TYPE, HOST},
@@ -16,11 +19,14 @@
 /// The longest response to a call.
 pub(super) const MAX_RESPONSE_BYTES: usize = 64 * 1024;
 
-/// The HTTP request of a call.
-pub(super) fn build_request(
+/// A call with an id that no other call has.
+pub(super) fn build_call(
+  gateway: &Gateway,
   entry: &EndpointEntry,
   call: EndpointCall,
-) -> http::Result<Request<Full<Bytes>>> {
+  purpose: Purpose,
+) -> http::Result<OutgoingCall> {
+  let id = gateway.next_call_id();
   let mut request = Request::builder()
     .method(call.method)
     .uri(call.path)
@@ -30,5 +36,10 @@
   }
   let mut request = request.body(Full::new(call.body))?;
   request.headers_mut().extend(call.headers);
-  Ok(request)
+  gateway.codec.set_request_id(request.headers_mut(), &id);
+  Ok(OutgoingCall {
+    id: Some(id),
+    purpose,
+    request,
+  })
 }
--- a/src/gateway/stages/engine_call.rs
+++ b/src/gateway/stages/engine_call.rs
@@ -2,7 +2,7 @@
 
 use {
   super::{
-    call_request::{CALL_TIMEOUT, MAX_RESPONSE_BYTES, build_request},
+    call_request::{CALL_TIMEOUT, MAX_RESPONSE_BYTES, build_call},
     purpose::Purpose,
     stage::exchange,
     stage_error::StageError,
@@ -63,10 +63,10 @@
   purpose: Purpose,
 ) -> Result<Bytes, EngineCallError> {
   let lost = |error: &dyn Display| EngineCallError::Lost(error.to_string());
-  let request = build_request(entry, call).map_err(|error| lost(&error))?;
+  let call = build_call(gateway, entry, call, purpose).map_err(|error| lost(&error))?;
   let response = async {
     let (connection, response) =
-      exchange(gateway, entry, request, purpose)
+      exchange(gateway, entry, call)
         .await
         .map_err(|error| match error {
           StageError::Unreachable => EngineCallError::TimedOut,
--- a/src/gateway/stages/incarnation_check.rs
+++ b/src/gateway/stages/incarnation_check.rs
@@ -2,7 +2,8 @@
 
 use {
   super::{
-    call_request::{CALL_TIMEOUT, MAX_RESPONSE_BYTES, build_request},
+    answer_check::check_answer,
+    call_request::{CALL_TIMEOUT, MAX_RESPONSE_BYTES, build_call},
     notice::{SentCall, apply_response_notice},
     purpose::Purpose,
     stage_error::StageError,
@@ -76,16 +77,19 @@
   connection: &mut Connection,
 ) -> Result<(response::Parts, Bytes), StageError> {
   let unsent = |error: &dyn Display| StageError::Unsent(error.to_string());
-  let call = build_request(entry, gateway.codec.report_call()).map_err(|error| unsent(&error))?;
+  let report = gateway.codec.report_call();
+  let call = build_call(gateway, entry, report, Purpose::Call).map_err(|error| unsent(&error))?;
   let sent = SentCall {
     entry,
+    id: call.id.as_deref(),
     purpose: Purpose::Call,
     sent_ms: gateway.now_ms(),
   };
   let response = connection
-    .send(call)
+    .send(call.request)
     .await
     .map_err(|error| unsent(&error))?;
+  check_answer(gateway, sent, response.headers()).map_err(|error| unsent(&error))?;
   let (head, body) = apply_response_notice(gateway, sent, response).into_parts();
   let read = buffer_body(body, MAX_RESPONSE_BYTES).await;
   let body = read.map_err(|error| unsent(&error))?;
--- a/src/gateway/stages/mod.rs
+++ b/src/gateway/stages/mod.rs
@@ -3,10 +3,12 @@
 //! Imports `permits` and what it imports. Takes a [`RoutedRequest`] and a chosen endpoint, and returns the response's
 //! [`ResponseHead`].
 
+mod answer_check;
 mod call_request;
 mod engine_call;
 mod incarnation_check;
 mod notice;
+mod outgoing_call;
 mod purpose;
 mod reachability_probe;
 mod request;
--- a/src/gateway/stages/notice.rs
+++ b/src/gateway/stages/notice.rs
@@ -24,6 +24,8 @@
 pub(super) struct SentCall<'a> {
   /// The endpoint's entry when the call was sent.
   pub(super) entry: &'a EndpointEntry,
+  /// The id that the answer repeats.
+  pub(super) id: Option<&'a str>,
   pub(super) purpose: Purpose,
   pub(super) sent_ms: u64,
 }
@@ -98,6 +100,7 @@
 ) {
   let sent = SentCall {
     entry,
+    id: None,
     purpose: Purpose::Request,
     sent_ms: gateway.now_ms(),
   };
@@ -127,6 +130,7 @@
     entry,
     purpose,
     sent_ms,
+    ..
   } = sent;
   if limit == LimitHeader::Absent && !purpose.is_request() {
     return;
--- /dev/null
+++ b/src/gateway/stages/outgoing_call.rs
@@ -0,0 +1,14 @@
+//! A request to an endpoint, with the id that tells its answer from those to other calls on the connection.
+
+use {
+  super::purpose::Purpose, crate::ids::Name, bytes::Bytes, http::Request, http_body_util::Full,
+};
+
+/// A request to an endpoint.
+#[derive(Clone, Debug)]
+pub(super) struct OutgoingCall {
+  /// The answer repeats it; `None` if the caller sent none.
+  pub(super) id: Option<Name>,
+  pub(super) purpose: Purpose,
+  pub(super) request: Request<Full<Bytes>>,
+}
--- a/src/gateway/stages/stage.rs
+++ b/src/gateway/stages/stage.rs
@@ -2,8 +2,10 @@
 
 use {
   super::{
+    answer_check::check_answer,
     incarnation_check::{AfterReport, confirm_start, has_confirmed_start},
     notice::{SentCall, apply_response_notice},
+    outgoing_call::OutgoingCall,
     purpose::Purpose,
     request::RoutedRequest,
     response_body::{BodyReader, BufferedBody},
@@ -19,13 +21,11 @@
     },
     ids::Name,
   },
-  bytes::Bytes,
   http::{
-    HeaderMap, HeaderValue, Request, Response, StatusCode,
+    HeaderMap, HeaderValue, Response, StatusCode,
     header::{CONTENT_ENCODING, CONTENT_LENGTH, TRANSFER_ENCODING},
     response,
   },
-  http_body_util::Full,
   hyper::body::Incoming,
   std::rc::Rc,
 };
@@ -242,20 +242,19 @@
   }
   let mut load_guard = LoadGuard::new(gateway, &entry.id, size, units);
   let sent_ms = gateway.now_ms();
-  let sent = request.for_endpoint(&*gateway.codec, proxy_headers);
+  let call = OutgoingCall {
+    id: request.attributes.request_id.clone(),
+    purpose: purpose_of(request, &proxy_headers.stage),
+    request: request.for_endpoint(&*gateway.codec, proxy_headers),
+  };
   request.sends.set(request.sends.get() + 1);
-  let response = exchange(
-    gateway,
-    entry,
-    sent,
-    purpose_of(request, &proxy_headers.stage),
-  )
-  .await
-  .and_then(|(connection, response)| {
-    let (head, body) = response.into_parts();
-    let attributes = validate(gateway, request, entry, &head)?;
-    Ok((connection, head, body, attributes))
-  });
+  let response = exchange(gateway, entry, call)
+    .await
+    .and_then(|(connection, response)| {
+      let (head, body) = response.into_parts();
+      let attributes = validate(gateway, entry, &head)?;
+      Ok((connection, head, body, attributes))
+    });
   match response {
     Ok((connection, head, body, attributes)) => Ok(ResponseHead {
       attributes,
@@ -295,13 +294,13 @@
 pub(crate) async fn exchange(
   gateway: &Rc<Gateway>,
   entry: &EndpointEntry,
-  request: Request<Full<Bytes>>,
-  purpose: Purpose,
+  call: OutgoingCall,
 ) -> Result<(Connection, Response<Incoming>), StageError> {
   // The endpoint's state may have changed since it was chosen.
-  check_available(gateway, entry, purpose)?;
-  if let Some(connection) = gateway.pool.take_idle(&entry.id, gateway.now_ms()) {
-    match exchange_on(gateway, entry, connection, request.clone(), purpose).await {
+  check_available(gateway, entry, call.purpose)?;
+  let id = call.id.as_deref();
+  if let Some(connection) = gateway.pool.take_idle(&entry.id, id, gateway.now_ms()) {
+    match exchange_on(gateway, entry, connection, call.clone()).await {
       Err(StageError::Unreachable | StageError::Unsent(_)) => {}
       result => {
         if result.is_ok() {
@@ -312,8 +311,8 @@
     }
   }
   let connection = open_connection(gateway, entry).await?;
-  check_available(gateway, entry, purpose)?;
-  exchange_on(gateway, entry, connection, request, purpose).await
+  check_available(gateway, entry, call.purpose)?;
+  exchange_on(gateway, entry, connection, call).await
 }
 
 /// Opens a connection to an endpoint.
@@ -357,19 +356,30 @@
   gateway: &Rc<Gateway>,
   entry: &EndpointEntry,
   mut connection: Connection,
-  request: Request<Full<Bytes>>,
-  purpose: Purpose,
+  call: OutgoingCall,
 ) -> Result<(Connection, Response<Incoming>), StageError> {
+  let OutgoingCall {
+    id,
+    purpose,
+    request,
+  } = call;
   if purpose == Purpose::ResumableStream && !has_confirmed_start(&connection, entry) {
     connection = confirmed_connection(gateway, entry, connection).await?;
     check_available(gateway, entry, purpose)?;
   }
   let sent = SentCall {
     entry,
+    id: id.as_deref(),
     purpose,
     sent_ms: gateway.now_ms(),
   };
+  if purpose.is_request()
+    && let Some(id) = &id
+  {
+    connection.record_id(id);
+  }
   let response = connection.send(request).await?;
+  check_answer(gateway, sent, response.headers())?;
   Ok((connection, apply_response_notice(gateway, sent, response)))
 }
 
@@ -401,17 +411,13 @@
   }
 }
 
-/// Checks that a response belongs to the request, and reads whether the request has run.
+/// Reads whether a request has run, and checks that its response may be forwarded.
 fn validate(
   gateway: &Gateway,
-  request: &RoutedRequest,
   entry: &EndpointEntry,
   head: &response::Parts,
 ) -> Result<ResponseAttributes, StageError> {
   let attributes = gateway.codec.response_attributes(&head.headers);
-  if attributes.request_id != request.attributes.request_id {
-    return Err(StageError::Lost("response to another request".into()));
-  }
   if let Some(load) = attributes.load {
     gateway
       .endpoints
--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -153,6 +153,7 @@
   retry_windows: RefCell<HashMap<Name, RetryWindow>>,
   random: RefCell<ChaCha8Rng>,
   started: Instant,
+  own_calls: Cell<u64>,
 }
 
 impl Gateway {
@@ -189,6 +190,7 @@
       longest_deadlines: RefCell::default(),
       mean_first_event_ms: Cell::new(None),
       organisation_loads: RefCell::default(),
+      own_calls: Cell::new(0),
       peak_box_count: RefCell::default(),
       peer_answers: RefCell::default(),
       permit_table: RefCell::default(),
@@ -223,6 +225,13 @@
     u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
   }
 
+  /// An id for a call of this box's own, which no other call has.
+  pub(crate) fn next_call_id(&self) -> Name {
+    let number = self.own_calls.get();
+    self.own_calls.set(number + 1);
+    format!("{:016x}-{number:x}", self.incarnation).into()
+  }
+
   /// A random number in `[0, 1)`.
   pub(crate) fn draw(&self) -> f64 {
     self.random.borrow_mut().random()
