--- a/tests/gateway/extra_answers.rs
+++ b/tests/gateway/extra_answers.rs
@@ -4,7 +4,7 @@
 use {
   super::{
     EndpointStandIn, GatewayBox, GatewayTest, ReceivedRequest, Reply, TIMEOUT,
-    endpoint::ConnectionEnd, harness::CallerResponse,
+    harness::CallerResponse,
   },
   emulator::eventually,
   http::StatusCode,
