--- a/src/gateway/connections/connection_pool.rs
+++ b/src/gateway/connections/connection_pool.rs
@@ -25,13 +25,27 @@
     endpoint: &str,
     id: Option<&str>,
     now_ms: u64,
+  ) -> Option<Connection> {
+    self.take_where(endpoint, now_ms, |connection| {
+      !connection.may_have_carried(id)
+    })
+  }
+
+  /// Removes and returns the connection that was idle for the shortest time, for a call whose id no other call has.
+  pub(crate) fn take_any_idle(&self, endpoint: &str, now_ms: u64) -> Option<Connection> {
+    self.take_where(endpoint, now_ms, |_| true)
+  }
+
+  fn take_where(
+    &self,
+    endpoint: &str,
+    now_ms: u64,
+    may_take: impl Fn(&Connection) -> bool,
   ) -> Option<Connection> {
     let mut idle = self.idle.borrow_mut();
     let connections = idle.get_mut(endpoint)?;
     connections.retain(|connection| connection.is_usable(now_ms));
-    let position = connections
-      .iter()
-      .rposition(|connection| !connection.may_have_carried(id))?;
+    let position = connections.iter().rposition(may_take)?;
     Some(connections.remove(position))
   }
 
--- a/src/gateway/connections/mod.rs
+++ b/src/gateway/connections/mod.rs
@@ -9,6 +9,7 @@
 mod connection;
 mod connection_pool;
 mod headers;
+mod liveness;
 mod recent_ids;
 mod stall_timeout;
 
@@ -20,5 +21,6 @@
   caller_socket::{CallerSocket, EndsWithConnection},
   connection::{Connection, SendError, set_send_buffer, set_socket_options, set_user_timeout},
   connection_pool::{ConnectionPool, closes_connection},
+  liveness::{Liveness, probe},
   stall_timeout::{StallTimeout, Stalled},
 };
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -65,6 +65,7 @@
 mod slot_supply;
 mod sound_segments;
 mod store_retry_delay;
+mod stream_ends;
 mod stream_key;
 mod stream_records;
 mod token_bucket;
@@ -129,6 +130,7 @@
   slot_supply::SlotSupply,
   sound_segments::SoundSegments,
   store_retry_delay::store_retry_delay_ms,
+  stream_ends::{EndTrust, StreamEnds},
   stream_key::StreamKey,
   stream_records::{RecordSource, RecordedOrigin, StreamOrigin, StreamRecords},
   token_bucket::TokenBucket,
--- a/src/gateway/edge/platform_codec.rs
+++ b/src/gateway/edge/platform_codec.rs
@@ -149,8 +149,8 @@
   fn cached_prompts_call(&self) -> EndpointCall;
   /// Decodes the prompt segments in an engine's prefix cache.
   fn cached_segments(&self, body: &[u8]) -> Result<Vec<PromptSegment>, DecodeError>;
-  /// The call that fetches an engine's report.
-  fn report_call(&self) -> EndpointCall;
+  /// The call that fetches the report of an engine, which another one at its address rejects.
+  fn report_call(&self, endpoint_id: &str) -> EndpointCall;
   /// Decodes an engine's report.
   fn report(&self, body: &[u8]) -> Result<EngineReport, DecodeError>;
   /// The call that changes an engine's role.
--- a/src/gateway/quarantine/crash_detection.rs
+++ b/src/gateway/quarantine/crash_detection.rs
@@ -3,6 +3,7 @@
 use {
   super::screening::publish,
   crate::gateway::{
+    connections::{Liveness, probe},
     decisions::{
       EndpointIncarnation, Fingerprint, QuarantineKey, QuarantineMark, QuarantineStrategy,
     },
@@ -10,19 +11,10 @@
     stages::RoutedRequest,
     state::Gateway,
   },
-  std::{fmt, net::SocketAddr, rc::Rc, time::Duration},
-  tokio::{
-    net::TcpStream,
-    task::spawn_local,
-    time::{sleep, timeout},
-  },
+  std::{rc::Rc, time::Duration},
+  tokio::{task::spawn_local, time::sleep},
 };
 
-/// A reachable host accepts or refuses a connection within milliseconds; an unreachable one does neither.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
-/// A TCP relay accepts a connection for a terminated endpoint, and closes it at once.
-const CLOSE_TIMEOUT: Duration = Duration::from_millis(30);
-
 /// A crash at the beginning of an answer is attributed to the segments of its prompt.
 const BEGINNING_MS: u64 = 500;
 
@@ -30,27 +22,6 @@
 const ENTRY_TIMEOUT_MS: u64 = 1_000;
 const ENTRY_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// The state of an endpoint at which a stage was lost.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum EndpointState {
-  /// Its process terminated: connections are refused, or closed at once.
-  Terminated,
-  /// It accepts connections: only the stage was lost.
-  Alive,
-  /// It is unreachable, or it was leaving.
-  Unknown,
-}
-
-impl fmt::Display for EndpointState {
-  fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-    formatter.write_str(match self {
-      Self::Terminated => "Ended",
-      Self::Alive => "Lives",
-      Self::Unknown => "Unknown",
-    })
-  }
-}
-
 /// What a crash is attributed to.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Suspect {
@@ -115,7 +86,7 @@
 
 async fn examine(gateway: Rc<Gateway>, request: Rc<RoutedRequest>, lost: LostStage) {
   let ran_ms = gateway.now_ms() - lost.sent_ms;
-  let state = endpoint_state(&gateway, &lost.entry).await;
+  let liveness = endpoint_liveness(&gateway, &lost.entry).await;
   let LostStage {
     answering_ms,
     entry,
@@ -125,13 +96,13 @@
     sent_ms,
   } = lost;
   log::info!(
-    "E528 stage lost: {} ({fingerprint}) at {} started {:?}, {ran_ms} ms after it was sent, answering for {answering_ms:?} ms: {error}; endpoint {state}, segments {}",
+    "E528 stage lost: {} ({fingerprint}) at {} started {:?}, {ran_ms} ms after it was sent, answering for {answering_ms:?} ms: {error}; endpoint {liveness}, segments {}",
     request.id(),
     entry.id,
     entry.started_ms,
     fingerprint_list(&segments)
   );
-  if state != EndpointState::Terminated {
+  if liveness != Liveness::Terminated {
     return;
   }
   gateway.counters.lost_with_endpoint.inc();
@@ -224,7 +195,7 @@
 }
 
 /// Finds out whether an endpoint has terminated.
-async fn endpoint_state(gateway: &Gateway, entry: &EndpointEntry) -> EndpointState {
+async fn endpoint_liveness(gateway: &Gateway, entry: &EndpointEntry) -> Liveness {
   let (is_leaving, started_ms) = {
     let endpoints = gateway.endpoints.borrow();
     match endpoints.entry(&entry.id) {
@@ -232,32 +203,18 @@
         endpoints.is_leaving(current, gateway.now_ms()),
         current.started_ms,
       ),
-      None => return EndpointState::Unknown,
+      None => return Liveness::Unknown,
     }
   };
   if is_leaving {
-    return EndpointState::Unknown;
+    return Liveness::Unknown;
   }
   if started_ms != entry.started_ms {
-    return EndpointState::Terminated;
+    return Liveness::Terminated;
   }
   probe(entry.address).await
 }
 
-/// Opens a connection, and checks that it stays open.
-async fn probe(address: SocketAddr) -> EndpointState {
-  let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-    Ok(Ok(stream)) => stream,
-    Ok(Err(_)) => return EndpointState::Terminated,
-    Err(_) => return EndpointState::Unknown,
-  };
-  // Nothing was sent on it, so it becomes readable only when it is closed.
-  match timeout(CLOSE_TIMEOUT, stream.readable()).await {
-    Ok(_) => EndpointState::Terminated,
-    Err(_) => EndpointState::Alive,
-  }
-}
-
 /// Fingerprints separated by spaces, for logs.
 fn fingerprint_list(fingerprints: &[Fingerprint]) -> String {
   let texts: Vec<String> = fingerprints.iter().map(Fingerprint::to_string).collect();
--- a/src/gateway/requests/event_relay.rs
+++ b/src/gateway/requests/event_relay.rs
@@ -2,8 +2,9 @@
 
 use {
   super::{
+    end_check::{EndCheck, Received},
     event_order::{EventOrder, EventPlace},
-    event_splitter::EventSplitter,
+    event_splitter::{EventSplitter, SseEvent},
     late_bytes::LateBytes,
     response::StreamAborted,
     stream_request::StreamRequest,
@@ -15,7 +16,7 @@
     edge::{EndpointEntry, SoftwareVersion},
     quarantine::{is_past_beginning, record_lost_stage, record_sound_segments, record_success},
     resumption::record_stream,
-    stages::{ResponseHead, RoutedRequest, StageError},
+    stages::{Framing, ResponseHead, RoutedRequest, StageError},
     state::{Gateway, UnreadCause},
   },
   bytes::Bytes,
@@ -32,6 +33,9 @@
   splitter: EventSplitter,
   order: EventOrder,
   is_finished: bool,
+  end_check: EndCheck,
+  /// Events that were forwarded, comments aside.
+  events: u64,
   first_event_recorded: bool,
   /// When the current endpoint sent the first bytes of the body.
   answering_since_ms: Option<u64>,
@@ -54,6 +58,8 @@
     let order = EventOrder::new(stream.last_event_id, stream.may_retry());
     Self {
       answering_since_ms: None,
+      end_check: EndCheck::default(),
+      events: 0,
       first_event_recorded: false,
       has_sound_segments: false,
       head: Some(head),
@@ -94,7 +100,7 @@
       let read = match self.splitter.next_event() {
         Some(event) => match self.order.place(&event) {
           Ok(EventPlace::Next) => {
-            self.record_event(event.id);
+            self.record_event(&event);
             return Some(Ok(event.bytes));
           }
           Ok(EventPlace::Repeated) => continue,
@@ -102,22 +108,31 @@
         },
         None => self.read().await,
       };
-      match read {
-        Ok(true) => {}
-        Ok(false) => return self.finish(),
-        Err(error) => {
-          if let Err(error) = self.resume(error).await {
-            return Some(Err(self.abort(error)));
-          }
+      let error = match read {
+        Ok(true) => continue,
+        Ok(false) => match self.check_end().await {
+          Ok(()) => return self.finish(),
+          Err(error) => error,
+        },
+        Err(error) => error,
+      };
+      if let Err(error) = self.resume(error).await {
+        if self.end_check.is_doubted() {
+          return self.finish();
         }
+        return Some(Err(self.abort(error)));
       }
     }
   }
 
   /// Records that an event is forwarded: a resumed stream continues after it.
-  fn record_event(&mut self, id: Option<u64>) {
-    if id.is_some() {
-      self.stream.last_event_id = id;
+  fn record_event(&mut self, event: &SseEvent) {
+    if event.id.is_some() {
+      self.stream.last_event_id = event.id;
+    }
+    if event.has_data() {
+      self.events += 1;
+      self.end_check.record_event(&self.stream.gateway);
     }
     let now_ms = self.stream.gateway.now_ms();
     if let Some(last_ms) = self.last_event_ms.replace(now_ms) {
@@ -167,6 +182,7 @@
 
   /// Handles a silent engine: it is abandoned once another one has responded, or at the deadline.
   async fn handle_silence(&mut self, silent_ms: u64, remaining_ms: u64) -> Result<bool, String> {
+    let has_all_tokens = self.has_all_tokens();
     let Some(head) = &mut self.head else {
       return Err("no endpoint".into());
     };
@@ -186,11 +202,12 @@
     let lost = self
       .stream
       .lost_stage(&head.entry, head.sent_ms, answering_ms, silent);
-    let is_incomplete = self.splitter.has_partial_event() && !head.is_framed();
+    let is_end_unconfirmed = head.framing() == Framing::Connection
+      && (self.splitter.has_partial_event() || !has_all_tokens);
     let takeover = Takeover {
       has_failed: |frame: &Option<hyper::Result<_>>| match frame {
         Some(frame) => frame.is_err(),
-        None => is_incomplete,
+        None => is_end_unconfirmed,
       },
       silent: lost,
     };
@@ -254,7 +271,7 @@
         Ok(true)
       }
       Some(Err(error)) => Err(error.to_string()),
-      None if self.splitter.has_partial_event() && !self.is_framed() => {
+      None if self.splitter.has_partial_event() && self.ends_with_connection() => {
         Err("stream ended within an event".into())
       }
       None => Ok(false),
@@ -285,18 +302,46 @@
     }
   }
 
-  fn is_framed(&self) -> bool {
-    self.head.as_ref().is_some_and(ResponseHead::is_framed)
+  /// Whether the current response ends with its connection.
+  fn ends_with_connection(&self) -> bool {
+    self.framing() == Some(Framing::Connection)
+  }
+
+  fn framing(&self) -> Option<Framing> {
+    self.head.as_ref().map(ResponseHead::framing)
+  }
+
+  /// Whether as many events were forwarded as the request allows tokens: each event holds one or more.
+  fn has_all_tokens(&self) -> bool {
+    let attributes = &self.stream.request.attributes;
+    let begins = attributes.last_event_id.is_none();
+    begins && attributes.answer_tokens > 0 && self.events >= attributes.answer_tokens
+  }
+
+  /// Checks that the end of the current response is the stream's end.
+  async fn check_end(&mut self) -> Result<(), String> {
+    let received = Received {
+      has_all_tokens: self.has_all_tokens(),
+      may_go_on: self.order.may_go_on(),
+    };
+    match &self.head {
+      Some(head) => self.end_check.check(&self.stream, head, received).await,
+      None => Ok(()),
+    }
   }
 
   /// Completes the stream; returns the remaining bytes, if any.
   fn finish(&mut self) -> Option<Result<Bytes, StreamAborted>> {
     self.is_finished = true;
     let gateway = self.stream.gateway.clone();
+    let framing = self.framing().map(|framing| framing.to_string());
     log::info!(
-      "E515 stream complete: {} to event {:?}, {} ms after arrival, tried {}, longest pause {} ms",
+      "E515 stream complete: {} to event {:?}, {} events of at most {} tokens, framing {}, {} ms after arrival, tried {}, longest pause {} ms",
       self.stream.request.id(),
       self.stream.last_event_id,
+      self.events,
+      self.stream.request.attributes.answer_tokens,
+      framing.as_deref().unwrap_or("-"),
       gateway.now_ms() - self.stream.request.arrived_ms,
       self.stream.tried().len(),
       self.longest_pause_ms
@@ -335,6 +380,8 @@
         let endpoint = &head.connection.endpoint;
         let gateway = &self.stream.gateway;
         gateway.record_left_unread(request.id(), endpoint, UnreadCause::Caller, unread_ms);
+      } else if self.end_check.is_doubted() {
+        head.load_guard.answered();
       } else {
         head.load_guard.settle(AttemptOutcome::Lost);
         let answering_ms = since_ms.map(|since_ms| self.stream.gateway.now_ms() - since_ms);
--- a/src/gateway/requests/mod.rs
+++ b/src/gateway/requests/mod.rs
@@ -6,6 +6,7 @@
 //! Imports `stages` and what it imports. Requests enter at [`accept_callers`].
 
 mod authentication;
+mod end_check;
 mod event_order;
 mod event_relay;
 mod event_splitter;
--- a/src/gateway/requests/prefill.rs
+++ b/src/gateway/requests/prefill.rs
@@ -257,7 +257,7 @@
     let stage = OutgoingStage::new(entry, &proxy_headers, tokens, work);
     let head = send_stage(gateway, request, stage).await?;
     let load = head.attributes.load;
-    let response = head.buffer(gateway, request).await;
+    let response = head.buffer_json(gateway, request).await;
     response.map(|response| (response, load))
   };
   let Ok(response) = timeout(Duration::from_millis(timeout_ms), prefill).await else {
--- a/src/gateway/resumption/lookup.rs
+++ b/src/gateway/resumption/lookup.rs
@@ -5,11 +5,12 @@
   crate::{
     CallError,
     gateway::{
-      decisions::{BoxList, RecordedOrigin, StreamKey, StreamOrigin, record_sources},
+      decisions::{BoxEntry, BoxList, RecordedOrigin, StreamKey, StreamOrigin, record_sources},
       edge::{RouteKind, SoftwareVersion},
       stages::{Resumption, RoutedRequest},
       state::Gateway,
     },
+    ids::Name,
   },
   futures_util::{StreamExt, stream::FuturesUnordered},
   std::{collections::BTreeSet, fmt::Write, net::SocketAddr, rc::Rc},
@@ -25,6 +26,8 @@
   asked: usize,
   /// Boxes that answered.
   answered: usize,
+  /// The halls of which no box answered.
+  silent_halls: BTreeSet<Name>,
   /// Where the stream began, and which box has recorded it.
   origin: Option<(RecordedOrigin, SocketAddr)>,
   /// The versions of the service that this box and they know.
@@ -97,11 +100,11 @@
   None
 }
 
-/// The only version that this box and those that answered know of the service. When no box answered, it takes recent contact with
-/// the store: a version that this box does not know yet may have begun the stream.
+/// The only version that this box and those that answered know of the service. Without recent contact with the store a box of each
+/// hall has to answer: a hall that is cut off from this one may have contact, and may have begun the stream at a version that is
+/// not known here.
 fn only_version(gateway: &Gateway, answers: &Answers) -> Option<SoftwareVersion> {
-  let is_unanswered = answers.asked > 0 && answers.answered == 0;
-  if is_unanswered && !gateway.is_current() {
+  if !gateway.is_current() && !answers.are_of_all_halls() {
     return None;
   }
   answers.versions.first().cloned()
@@ -148,26 +151,41 @@
     let _ = write!(versions, " {version}");
   }
   log::info!(
-    "E559 origin unknown: {} of {}, own record {own:?}, {} of {} boxes answered, versions:{versions}, store contact current: {}, running for {} ms",
+    "E559 origin unknown: {} of {}, own record {own:?}, {} of {} boxes answered, {} halls without an answer, versions:{versions}, store contact current: {}, running for {} ms",
     request.id(),
     request.service,
     answers.answered,
     answers.asked,
+    answers.silent_halls.len(),
     gateway.is_current(),
     gateway.now_ms()
   );
 }
 
 /// The boxes that may have recorded a stream; former ones if no other is listed.
-fn boxes_to_ask(gateway: &Gateway, key: &StreamKey) -> Vec<SocketAddr> {
-  let identity = &gateway.settings.identity;
+fn boxes_to_ask(gateway: &Gateway, key: &StreamKey) -> Vec<BoxEntry> {
   let boxes = gateway.boxes.borrow();
-  let sources = |boxes: &BoxList| record_sources(boxes, key, &identity.name, &identity.hall);
-  let addresses = sources(&boxes);
-  if addresses.is_empty() {
-    return sources(&boxes.former());
+  let listed = sources_of(gateway, &boxes, key);
+  if listed.is_empty() {
+    return sources_of(gateway, &boxes.former(), key);
   }
-  addresses
+  listed
+}
+
+/// The boxes of a list that may have recorded a stream. Without recent contact with the store these are all boxes of the own hall:
+/// what none of them has recorded may be rejected.
+fn sources_of(gateway: &Gateway, boxes: &BoxList, key: &StreamKey) -> Vec<BoxEntry> {
+  let identity = &gateway.settings.identity;
+  let addresses = record_sources(boxes, key, &identity.name, &identity.hall);
+  let asks_hall = !gateway.is_current();
+  let others = boxes.entries().filter(|(name, _)| **name != identity.name);
+  others
+    .map(|(_, entry)| entry)
+    .filter(|entry| {
+      (asks_hall && entry.hall == identity.hall) || addresses.contains(&entry.address)
+    })
+    .cloned()
+    .collect()
 }
 
 /// Asks the boxes that may have recorded a stream, at the same time, until one has.
@@ -177,35 +195,52 @@
   key: StreamKey,
   answers: &mut Answers,
 ) {
-  let addresses = boxes_to_ask(gateway, &key);
+  let sources = boxes_to_ask(gateway, &key);
   let message = LookupMessage {
     key,
     service: request.service.clone(),
   };
-  answers.asked = addresses.len();
+  answers.asked = sources.len();
+  answers.silent_halls = sources.iter().map(|source| source.hall.clone()).collect();
   gateway
     .counters
     .origin_lookups
-    .add(u64::try_from(addresses.len()).unwrap_or(u64::MAX));
-  let calls = addresses.into_iter().map(|address| {
+    .add(u64::try_from(sources.len()).unwrap_or(u64::MAX));
+  let calls = sources.iter().map(|source| {
     let message = &message;
-    async move { (address, ask(&gateway.box_client, address, message).await) }
+    async move {
+      let result = ask(&gateway.box_client, source.address, message).await;
+      (source, result)
+    }
   });
   let mut calls: FuturesUnordered<_> = calls.collect();
-  while let Some((address, result)) = calls.next().await {
-    answers.record(address, result);
-    let is_one_version = answers.versions.len() <= 1;
-    if answers.origin.is_some() || (is_one_version && answers.answered >= ENOUGH_ANSWERS) {
+  while let Some((source, result)) = calls.next().await {
+    answers.record(source, result);
+    if answers.origin.is_some() || answers.are_enough(gateway.is_current()) {
       break;
     }
   }
 }
 
 impl Answers {
-  fn record(&mut self, address: SocketAddr, result: Result<LookupResponse, CallError>) {
+  /// Whether other boxes were asked, and one of each of their halls answered.
+  fn are_of_all_halls(&self) -> bool {
+    self.answered > 0 && self.silent_halls.is_empty()
+  }
+
+  /// Whether further answers are not waited for: a box that knows the origin may still answer, but there is one version.
+  fn are_enough(&self, is_current: bool) -> bool {
+    self.versions.len() <= 1
+      && self.answered >= ENOUGH_ANSWERS
+      && (is_current || self.silent_halls.is_empty())
+  }
+
+  fn record(&mut self, source: &BoxEntry, result: Result<LookupResponse, CallError>) {
+    let address = source.address;
     match result {
       Ok(response) => {
         self.answered += 1;
+        self.silent_halls.remove(&source.hall);
         self.versions.extend(response.versions);
         if response.origin != RecordedOrigin::Unknown {
           self.origin = Some((response.origin, address));
--- a/src/gateway/roles/role_leader.rs
+++ b/src/gateway/roles/role_leader.rs
@@ -283,7 +283,7 @@
     let response = call_engine(
       &self.gateway,
       engine,
-      self.gateway.codec.report_call(),
+      self.gateway.codec.report_call(&engine.id),
       Purpose::Call,
     )
     .await;
--- a/src/gateway/stages/answer_check.rs
+++ b/src/gateway/stages/answer_check.rs
@@ -21,7 +21,7 @@
   }
   gateway.counters.other_answers.inc();
   log::info!(
-    "E519 answer to another call: {} sends that to {}, expected to {}, {purpose:?}",
+    "E526 answer to another call: {} sends that to {}, expected to {}, {purpose:?}",
     entry.id,
     received.as_deref().unwrap_or("-"),
     id.unwrap_or("-")
--- /dev/null
+++ b/src/gateway/stages/confirm_end.rs
@@ -0,0 +1,116 @@
+//! Confirms the end of a response that ends with its connection. The kernel closes the connections of a process that was killed in the
+//! same way, so the end counts only if the endpoint still runs after it.
+
+use {
+  super::{
+    call_request::CALL_TIMEOUT,
+    incarnation_check::{Report, request_report},
+    open_connection::open_connection,
+    stage_error::StageError,
+  },
+  crate::gateway::{
+    connections::{Connection, Liveness, probe},
+    edge::EndpointEntry,
+    state::Gateway,
+  },
+  http::StatusCode,
+  std::rc::Rc,
+  tokio::time::timeout,
+};
+
+/// Attempts to find out whether an endpoint still runs.
+const MAX_ATTEMPTS: usize = 3;
+
+/// Why an end was not confirmed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+pub(crate) enum UnconfirmedEnd {
+  /// The endpoint has terminated.
+  #[error("its endpoint terminated as the connection ended")]
+  Terminated,
+  /// The endpoint did not answer.
+  #[error("its endpoint did not answer after the connection ended")]
+  Unreachable,
+}
+
+impl From<UnconfirmedEnd> for StageError {
+  fn from(error: UnconfirmedEnd) -> Self {
+    Self::Lost(error.to_string())
+  }
+}
+
+/// Confirms that an endpoint still runs after it has ended a connection.
+pub(crate) async fn confirm_end(
+  gateway: &Rc<Gateway>,
+  request_id: &str,
+  entry: &EndpointEntry,
+) -> Result<(), UnconfirmedEnd> {
+  let result = find_liveness(gateway, entry).await;
+  match &result {
+    Ok(()) => gateway.counters.ends_confirmed.inc(),
+    Err(error) => {
+      gateway.counters.ends_unconfirmed.inc();
+      log::info!(
+        "E519 end not confirmed: {request_id} at {}: {error}",
+        entry.id
+      );
+    }
+  }
+  result
+}
+
+async fn find_liveness(gateway: &Rc<Gateway>, entry: &EndpointEntry) -> Result<(), UnconfirmedEnd> {
+  // An idle connection leads to the process that was there before the end, also where new connections fail.
+  let mut idle = gateway.pool.take_any_idle(&entry.id, gateway.now_ms());
+  for _ in 0..MAX_ATTEMPTS {
+    let liveness = match entry.role {
+      Some(_) => engine_liveness(gateway, entry, idle.take()).await,
+      None => probe(entry.address).await,
+    };
+    match liveness {
+      Liveness::Alive => return Ok(()),
+      Liveness::Terminated => return Err(UnconfirmedEnd::Terminated),
+      Liveness::Unknown => {}
+    }
+  }
+  Err(UnconfirmedEnd::Unreachable)
+}
+
+/// Whether an engine runs, by its report on a connection.
+async fn engine_liveness(
+  gateway: &Rc<Gateway>,
+  entry: &EndpointEntry,
+  idle: Option<Connection>,
+) -> Liveness {
+  let mut connection = match idle {
+    Some(connection) => connection,
+    None => match open_connection(gateway, entry).await {
+      Ok(connection) => connection,
+      Err(StageError::Unsent(_)) => return Liveness::Terminated,
+      Err(_) => return Liveness::Unknown,
+    },
+  };
+  let report = request_report(gateway, entry, &mut connection);
+  let Ok(Ok(report)) = timeout(CALL_TIMEOUT, report).await else {
+    return Liveness::Unknown;
+  };
+  let liveness = liveness_by_report(gateway, entry, &report);
+  if liveness == Liveness::Alive {
+    gateway.keep_alive(connection, &report.head.headers);
+  }
+  liveness
+}
+
+/// Any answer shows that an engine runs, unless it is that of another one or of a later start.
+fn liveness_by_report(gateway: &Gateway, entry: &EndpointEntry, report: &Report) -> Liveness {
+  if report.head.status == StatusCode::MISDIRECTED_REQUEST {
+    return Liveness::Terminated;
+  }
+  if entry.started_ms.is_none() {
+    return Liveness::Alive;
+  }
+  match report.started_ms(gateway, entry) {
+    Ok(None) | Err(_) => Liveness::Unknown,
+    Ok(started_ms) if started_ms == entry.started_ms => Liveness::Alive,
+    Ok(Some(_)) => Liveness::Terminated,
+  }
+}
--- a/src/gateway/stages/incarnation_check.rs
+++ b/src/gateway/stages/incarnation_check.rs
@@ -13,7 +13,7 @@
     gateway::{
       connections::{Connection, closes_connection},
       decisions::Unavailable,
-      edge::EndpointEntry,
+      edge::{DecodeError, EndpointEntry},
       state::Gateway,
     },
   },
@@ -37,10 +37,12 @@
   Open,
   /// The engine closes it.
   Closed,
+  /// The response was no report, so the start is not confirmed.
+  Unreadable,
 }
 
 /// Has an engine report its start on a connection, which outlives no restart. Fails when it reports another start than the listed
-/// one, none, or nothing in time.
+/// one, none, or nothing in time; a report that can't be decoded neither fails nor confirms.
 pub(super) async fn confirm_start(
   gateway: &Rc<Gateway>,
   entry: &EndpointEntry,
@@ -51,8 +53,11 @@
     gateway.record_unreached(entry);
     return Err(StageError::Unreachable);
   };
-  let (head, body) = report?;
-  let reported_ms = reported_start_ms(gateway, entry, head.status, &body);
+  let report = report?;
+  let Ok(reported_ms) = report.started_ms(gateway, entry) else {
+    return Ok(AfterReport::Unreadable);
+  };
+  let head = &report.head;
   if reported_ms != entry.started_ms {
     log::info!(
       "E518 start not confirmed: {} reports {reported_ms:?} with status {}, listed {}",
@@ -71,14 +76,20 @@
 }
 
 /// The response to a request for an engine's report.
-async fn request_report(
+pub(super) struct Report {
+  pub(super) head: response::Parts,
+  body: Bytes,
+}
+
+/// Requests an engine's report on a connection.
+pub(super) async fn request_report(
   gateway: &Rc<Gateway>,
   entry: &EndpointEntry,
   connection: &mut Connection,
-) -> Result<(response::Parts, Bytes), StageError> {
+) -> Result<Report, StageError> {
   let unsent = |error: &dyn Display| StageError::Unsent(error.to_string());
-  let report = gateway.codec.report_call();
-  let call = build_call(gateway, entry, report, Purpose::Call).map_err(|error| unsent(&error))?;
+  let call = gateway.codec.report_call(&entry.id);
+  let call = build_call(gateway, entry, call, Purpose::Call).map_err(|error| unsent(&error))?;
   let sent = SentCall {
     entry,
     id: call.id.as_deref(),
@@ -93,25 +104,22 @@
   let (head, body) = apply_response_notice(gateway, sent, response).into_parts();
   let read = buffer_body(body, MAX_RESPONSE_BYTES).await;
   let body = read.map_err(|error| unsent(&error))?;
-  Ok((head, body))
+  Ok(Report { head, body })
 }
 
-/// The start in a report; `None` when the engine rejects it, or when it holds none. The listed one if it can't be read: an engine
-/// without readable reports is not avoided.
-fn reported_start_ms(
-  gateway: &Gateway,
-  entry: &EndpointEntry,
-  status: StatusCode,
-  body: &Bytes,
-) -> Option<u64> {
-  if status != StatusCode::OK {
-    return None;
-  }
-  match gateway.codec.report(body) {
-    Ok(report) => report.started_ms,
-    Err(error) => {
-      log::info!("E561 report not decoded: {}: {error}", entry.id);
-      entry.started_ms
+impl Report {
+  /// The start in the report; `None` when the engine rejects it, or when it holds none.
+  pub(super) fn started_ms(
+    &self,
+    gateway: &Gateway,
+    entry: &EndpointEntry,
+  ) -> Result<Option<u64>, DecodeError> {
+    if self.head.status != StatusCode::OK {
+      return Ok(None);
     }
+    let report = gateway.codec.report(&self.body);
+    report
+      .map(|report| report.started_ms)
+      .inspect_err(|error| log::info!("E561 report not decoded: {}: {error}", entry.id))
   }
 }
--- a/src/gateway/stages/mod.rs
+++ b/src/gateway/stages/mod.rs
@@ -5,9 +5,12 @@
 
 mod answer_check;
 mod call_request;
+mod confirm_end;
 mod engine_call;
+mod framing;
 mod incarnation_check;
 mod notice;
+mod open_connection;
 mod outgoing_call;
 mod purpose;
 mod reachability_probe;
@@ -20,7 +23,9 @@
 mod stage_error;
 
 pub(crate) use self::{
+  confirm_end::confirm_end,
   engine_call::{EngineCallError, ExportGuard, Reservation, call_engine},
+  framing::Framing,
   notice::apply_forwarded_notice,
   purpose::Purpose,
   reachability_probe::probe_unreachable,
--- a/src/gateway/stages/stage.rs
+++ b/src/gateway/stages/stage.rs
@@ -3,8 +3,11 @@
 use {
   super::{
     answer_check::check_answer,
+    confirm_end::confirm_end,
+    framing::Framing,
     incarnation_check::{AfterReport, confirm_start, has_confirmed_start},
     notice::{SentCall, apply_response_notice},
+    open_connection::open_connection,
     outgoing_call::OutgoingCall,
     purpose::Purpose,
     request::RoutedRequest,
@@ -22,11 +25,11 @@
     ids::Name,
   },
   http::{
-    HeaderMap, HeaderValue, Response, StatusCode,
-    header::{CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING},
+    HeaderMap, Response, StatusCode,
+    header::{CONTENT_ENCODING, CONTENT_TYPE},
     response,
   },
-  hyper::body::Incoming,
+  hyper::body::{Body, Incoming},
   std::rc::Rc,
 };
 
@@ -115,25 +118,37 @@
     headers
   }
 
-  /// Whether the body's end can be told from a closed connection. A transfer coding other than chunks does not tell it, and overrides
-  /// a length (RFC 9112, 6.3).
-  pub(crate) fn is_framed(&self) -> bool {
-    let codings = self.raw_headers.get_all(TRANSFER_ENCODING);
-    match codings.iter().next_back() {
-      Some(codings) => ends_with_chunks(codings),
-      None => self.raw_headers.contains_key(CONTENT_LENGTH),
-    }
+  /// How the body's end is known.
+  pub(crate) fn framing(&self) -> Framing {
+    Framing::of(&self.raw_headers)
   }
 
-  /// Reads the whole body within the bound on held bytes, and returns the connection to the pool.
+  /// Reads the whole body within the bound on held bytes, confirms its end, and returns the connection to the pool.
   pub(crate) async fn buffer(
+    self,
+    gateway: &Rc<Gateway>,
+    request: &RoutedRequest,
+  ) -> Result<BufferedResponse, StageError> {
+    self.buffer_body(gateway, request, BodyKind::Opaque).await
+  }
+
+  /// The same for a body in JSON.
+  pub(crate) async fn buffer_json(
+    self,
+    gateway: &Rc<Gateway>,
+    request: &RoutedRequest,
+  ) -> Result<BufferedResponse, StageError> {
+    self.buffer_body(gateway, request, BodyKind::Json).await
+  }
+
+  async fn buffer_body(
     mut self,
-    gateway: &Gateway,
+    gateway: &Rc<Gateway>,
     request: &RoutedRequest,
+    kind: BodyKind,
   ) -> Result<BufferedResponse, StageError> {
     let headers = self.headers();
-    let reader = BodyReader::new(gateway, request);
-    let body = match reader.read(&mut self.body).await {
+    let body = match self.read_body(gateway, request, kind).await {
       Ok(body) => body,
       Err(error) => {
         if let StageError::LeftUnread { unread_ms } = error {
@@ -157,12 +172,31 @@
       status: self.status,
     })
   }
+
+  async fn read_body(
+    &mut self,
+    gateway: &Rc<Gateway>,
+    request: &RoutedRequest,
+    kind: BodyKind,
+  ) -> Result<BufferedBody, StageError> {
+    let has_body = !self.body.is_end_stream();
+    let body = BodyReader::new(gateway, request)
+      .read(&mut self.body)
+      .await?;
+    if has_body && kind == BodyKind::Opaque && self.framing() == Framing::Connection {
+      confirm_end(gateway, request.id(), &self.entry).await?;
+    }
+    Ok(body)
+  }
 }
 
-/// Whether the last one of some transfer codings is chunked.
-fn ends_with_chunks(codings: &HeaderValue) -> bool {
-  let last = codings.as_bytes().rsplit(|byte| *byte == b',').next();
-  last.is_some_and(|last| last.trim_ascii().eq_ignore_ascii_case(b"chunked"))
+/// Whether a body shows by itself that it is whole.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum BodyKind {
+  /// It is invalid when it is truncated.
+  Json,
+  /// It does not.
+  Opaque,
 }
 
 /// A response with its whole body.
@@ -338,26 +372,8 @@
   exchange_on(gateway, entry, connection, call).await
 }
 
-/// Opens a connection to an endpoint.
-async fn open_connection(
-  gateway: &Gateway,
-  entry: &EndpointEntry,
-) -> Result<Connection, StageError> {
-  gateway.counters.connections.inc();
-  let opened = Connection::open(
-    entry.id.clone(),
-    entry.address,
-    gateway.held_memory.socket_buffer_bytes(),
-  )
-  .await;
-  match &opened {
-    Ok(_) => gateway.record_reached(entry),
-    Err(_) => gateway.record_unreached(entry),
-  }
-  Ok(opened?)
-}
-
-/// A connection on which an engine has confirmed its listed start.
+/// A connection on which an engine has confirmed its listed start. A report that can't be decoded may be damaged on its way, and is
+/// requested once more.
 async fn confirmed_connection(
   gateway: &Rc<Gateway>,
   entry: &EndpointEntry,
@@ -369,7 +385,9 @@
   // A start that is confirmed after a connection was opened is the one that the connection leads to, or the connection is dead.
   let mut connection = open_connection(gateway, entry).await?;
   let mut reporting = open_connection(gateway, entry).await?;
-  confirm_start(gateway, entry, &mut reporting).await?;
+  if confirm_start(gateway, entry, &mut reporting).await? == AfterReport::Unreadable {
+    return Err(Unavailable::Unconfirmed.into());
+  }
   connection.confirmed_start_ms = entry.started_ms;
   Ok(connection)
 }
--- a/src/gateway/state/counters.rs
+++ b/src/gateway/state/counters.rs
@@ -83,6 +83,10 @@
   pub(crate) quarantined: Counter,
   /// Stages that were lost because their endpoint terminated.
   pub(crate) lost_with_endpoint: Counter,
+  /// Responses that ended with their connection, and whose endpoint still ran after that.
+  pub(crate) ends_confirmed: Counter,
+  /// Responses that ended with their connection, and whose endpoint had terminated or did not answer.
+  pub(crate) ends_unconfirmed: Counter,
   /// Endpoints that signalled in a response that they are leaving.
   pub(crate) leaving_notices: Counter,
   /// Backoffs that endpoints requested in a response.
@@ -163,6 +167,8 @@
         "rillford_lost_with_endpoint_total",
         &self.lost_with_endpoint,
       ),
+      ("rillford_ends_confirmed_total", &self.ends_confirmed),
+      ("rillford_ends_unconfirmed_total", &self.ends_unconfirmed),
       ("rillford_leaving_notices_total", &self.leaving_notices),
       ("rillford_pause_notices_total", &self.pause_notices),
       ("rillford_limit_notices_total", &self.limit_notices),
--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -15,8 +15,8 @@
         AttemptOutcome, BoxEntry, BoxList, CachedPrompts, Choice, ColdPeriod, CopyBudget,
         EndpointCounts, EndpointCriteria, EndpointGroup, EndpointRegistry, JoinedBoxes, LocalUsage,
         LongestDeadlines, OrganisationLoads, PeakBoxCount, PeerAnswers, PermitTable, Reachability,
-        RetryUsage, RetryWindow, SlotForecast, SlotQueue, StreamRecords, Unavailable, UsageTable,
-        VersionRecords, retry_after_backoff_ms,
+        RetryUsage, RetryWindow, SlotForecast, SlotQueue, StreamEnds, StreamRecords, Unavailable,
+        UsageTable, VersionRecords, retry_after_backoff_ms,
       },
       edge::{ColdStart, EndpointEntry, PlatformCodec, RouteTable, StoreLease},
       settings::{GatewaySettings, RoutePolicy},
@@ -145,6 +145,8 @@
   pub(crate) version_records: RefCell<VersionRecords>,
   /// Which versions began recent streams.
   pub(crate) stream_records: RefCell<StreamRecords>,
+  /// How services' streams end.
+  pub(crate) stream_ends: RefCell<StreamEnds>,
   /// Limits the records that are sent to other boxes.
   pub(crate) copy_budget: RefCell<CopyBudget>,
   /// The endpoints that this box can't reach.
@@ -210,6 +212,7 @@
       slot_queue_changed: Notify::new(),
       started: Instant::now(),
       store_contact_ms: Cell::new(None),
+      stream_ends: RefCell::default(),
       stream_records: RefCell::default(),
       unknown_headers: RefCell::default(),
       unreadable_log_throttle: LogThrottle::default(),
--- a/tests/gateway/crashing_request.rs
+++ b/tests/gateway/crashing_request.rs
@@ -55,7 +55,7 @@
     let store = test.store.clone();
     let id = format!("e-{}", 10 + number);
     let on_start = move |address, start| {
-      GatewayTest::enter_incarnation(&store, &id, "decode", address, 1_000 * start);
+      GatewayTest::enter_incarnation(&store, &id, "decode", address, start);
     };
     engines.push(EndpointStandIn::start_restartable(fragile, on_start).await);
   }
@@ -268,15 +268,14 @@
   };
   let store = test.store.clone();
   let on_start = move |address, start| {
-    let enter =
-      |store: &_| GatewayTest::enter_incarnation(store, "e-10", "decode", address, 1_000 * start);
+    let enter = |store: &_| GatewayTest::enter_incarnation(store, "e-10", "decode", address, start);
     if start == 1 {
       return enter(&store);
     }
     let store = store.clone();
     tokio::spawn(async move {
       sleep(REGISTRATION_DELAY).await;
-      GatewayTest::enter_incarnation(&store, "e-10", "decode", address, 1_000 * start);
+      GatewayTest::enter_incarnation(&store, "e-10", "decode", address, start);
     });
   };
   let engine = EndpointStandIn::start_restartable(script, on_start).await;
--- a/tests/gateway/crashing_segment.rs
+++ b/tests/gateway/crashing_segment.rs
@@ -56,7 +56,7 @@
       let store = test.store.clone();
       let id = format!("e-{}", 10 + number);
       let on_start = move |address, start| {
-        GatewayTest::enter_incarnation(&store, &id, "decode", address, 1_000 * start);
+        GatewayTest::enter_incarnation(&store, &id, "decode", address, start);
       };
       engines.push(EndpointStandIn::start_restartable(fragile, on_start).await);
     }
--- a/tests/gateway/cut_off.rs
+++ b/tests/gateway/cut_off.rs
@@ -18,7 +18,7 @@
   socket2::{Domain, Socket, Type},
   std::{
     collections::BTreeSet,
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{SocketAddr, TcpStream},
     time::{Duration, Instant},
   },
   tokio::time::sleep,
@@ -38,44 +38,39 @@
 /// An address at which connection attempts fail, as long as it is held.
 pub(super) struct CutAddress {
   pub(super) address: SocketAddr,
-  _listener: Option<Socket>,
+  _socket: Socket,
   _queued: Vec<TcpStream>,
 }
 
 impl CutAddress {
   pub(super) fn new(cut: Cut) -> Self {
-    match cut {
-      Cut::Refuse => {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        Self {
-          address: listener.local_addr().unwrap(),
-          _listener: None,
-          _queued: Vec::new(),
-        }
-      }
-      Cut::Hang => Self::with_full_queue(),
-    }
-  }
-
-  /// A listener that accepts nothing: its queue is full, and further attempts are dropped.
-  fn with_full_queue() -> Self {
-    let listener = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
     let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
-    listener.bind(&any.into()).unwrap();
-    listener.listen(0).unwrap();
-    let address = listener.local_addr().unwrap().as_socket().unwrap();
-    let mut queued = Vec::new();
-    while let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_millis(100)) {
-      queued.push(stream);
-    }
+    // Bound in any case: the port of a closed socket may go to another test.
+    socket.bind(&any.into()).unwrap();
+    let address = socket.local_addr().unwrap().as_socket().unwrap();
+    let queued = match cut {
+      Cut::Hang => fill_queue(&socket, address),
+      Cut::Refuse => Vec::new(),
+    };
     Self {
       address,
-      _listener: Some(listener),
       _queued: queued,
+      _socket: socket,
     }
   }
 }
 
+/// Listens and accepts nothing: the queue is full, and further attempts are dropped.
+fn fill_queue(listener: &Socket, address: SocketAddr) -> Vec<TcpStream> {
+  listener.listen(0).unwrap();
+  let mut queued = Vec::new();
+  while let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_millis(100)) {
+    queued.push(stream);
+  }
+  queued
+}
+
 /// A box that reaches no endpoint, and one that reaches all.
 struct CutOffBox {
   cut_off: GatewayBox,
--- a/tests/gateway/endpoint.rs
+++ b/tests/gateway/endpoint.rs
@@ -40,6 +40,8 @@
   pub(crate) at: Instant,
   /// The connection that it came on, by the gateway's address.
   pub(crate) connection: SocketAddr,
+  /// The number of the endpoint's start that received it, from 1.
+  pub(crate) start: u64,
 }
 
 impl ReceivedRequest {
@@ -192,16 +194,18 @@
       script: Arc::new(script),
       received: endpoint.received.clone(),
       silent_until: endpoint.silent_until.clone(),
+      start: 1,
       written: endpoint.written.clone(),
     };
     tokio::spawn(async move {
-      let mut listener = listener;
+      let (mut listener, mut state) = (listener, state);
       for start in 2.. {
         let Some(down) = state.serve_until_crash(listener).await else {
           return;
         };
         sleep(down).await;
         listener = TcpListener::bind(address).await.unwrap();
+        state.start = start;
         on_start(address, start);
       }
     });
@@ -264,6 +268,7 @@
 pub(crate) fn engine_reply(request: &ReceivedRequest, events: &str) -> Reply {
   match request.path.as_str() {
     "/hold-take" => Reply::ok(request, r#"{"hold": "h1"}"#),
+    "/report" => report(request),
     path if path.starts_with("/hold-drop/") || path.starts_with("/kv-handle/") => {
       Reply::ok(request, "")
     }
@@ -275,6 +280,20 @@
   }
 }
 
+/// The report of a healthy engine. An order is under way, so that the role leader sends none.
+fn report(request: &ReceivedRequest) -> Reply {
+  let born = listed_start(request.start);
+  Reply::ok(
+    request,
+    &format!(r#"{{"callSeq":0,"utilization":true,"born":{born}}}"#),
+  )
+}
+
+/// The start that is listed and reported for the start of an engine with a number.
+pub(crate) fn listed_start(number: u64) -> u64 {
+  1_000 * number
+}
+
 /// The same response from an endpoint that leaves.
 pub(crate) fn leaving(reply: Reply) -> Reply {
   with_header(reply, "server-leaving: 1")
@@ -331,10 +350,11 @@
   ))
 }
 
-/// The state that all incarnations of an endpoint share.
+/// The state of an incarnation of an endpoint; all but its number is shared.
 #[derive(Clone)]
 struct IncarnationState {
   script: Script,
+  start: u64,
   received: Arc<Mutex<Vec<ReceivedRequest>>>,
   closed: Arc<Mutex<Vec<ReceivedRequest>>>,
   written: Arc<Mutex<Vec<ReceivedRequest>>>,
@@ -374,7 +394,7 @@
 
 async fn serve(mut stream: TcpStream, state: IncarnationState, crash: mpsc::Sender<Duration>) {
   let mut bytes = Vec::new();
-  while let Some(request) = read_request(&mut stream, &mut bytes).await {
+  while let Some(request) = read_request(&mut stream, &mut bytes, state.start).await {
     state.wait_out_silence().await;
     state.received.lock().unwrap().push(request.clone());
     let text = match (state.script)(&request) {
@@ -535,7 +555,11 @@
   bytes
 }
 
-async fn read_request(stream: &mut TcpStream, bytes: &mut Vec<u8>) -> Option<ReceivedRequest> {
+async fn read_request(
+  stream: &mut TcpStream,
+  bytes: &mut Vec<u8>,
+  start: u64,
+) -> Option<ReceivedRequest> {
   loop {
     if let Some(end) = bytes.windows(4).position(|window| window == b"\r\n\r\n") {
       let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
@@ -561,6 +585,7 @@
           headers,
           method,
           path,
+          start,
         });
       }
     }
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -1,7 +1,7 @@
 //! Starts a gateway box with a store and endpoints.
 
 use {
-  super::EndpointStandIn,
+  super::{EndpointStandIn, endpoint::listed_start},
   bytes::Bytes,
   emulator::{eventually, own_addresses},
   http::{HeaderMap, Method, Request, StatusCode},
@@ -10,8 +10,11 @@
   serde_json::{Value, json},
   stand_ins::PlatformStore,
   std::{
+    fs::File,
     net::SocketAddr,
+    path::Path,
     process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU64, Ordering},
     time::Duration,
   },
   tokio::task::JoinHandle,
@@ -122,9 +125,14 @@
 
   /// Lists another box of the hall.
   pub(crate) fn enter_box(&self, name: &str, address: SocketAddr) {
+    self.enter_box_of_hall(name, "north", address);
+  }
+
+  /// Lists another box.
+  pub(crate) fn enter_box_of_hall(&self, name: &str, hall: &str, address: SocketAddr) {
     let entry = BoxEntry {
       address,
-      hall: "north".into(),
+      hall: hall.into(),
     };
     let value = postcard::to_stdvec(&entry).unwrap();
     self.store.put(&format!("rillford/boxes/{name}"), &value);
@@ -246,17 +254,17 @@
       .put(&format!("servers/{id}"), entry.to_string().as_bytes());
   }
 
-  /// Lists an incarnation of an engine, which may restart under the same id.
+  /// Lists the start of an engine with a number, as the engine reports it; it may restart under the same id.
   pub(crate) fn enter_incarnation(
     store: &PlatformStore,
     id: &str,
     stage: &str,
     address: SocketAddr,
-    born: u64,
+    start: u64,
   ) {
     let entry = json!({
       "service": "llm", "address": address, "zone": "north", "version": "v1", "slots": 8, "state": "ready",
-      "coldRemainingMs": 0, "callSeq": 0, "stage": stage, "born": born,
+      "coldRemainingMs": 0, "callSeq": 0, "stage": stage, "born": listed_start(start),
     });
     store.put(&format!("servers/{id}"), entry.to_string().as_bytes());
   }
@@ -372,7 +380,7 @@
     let process = Command::new(env!("CARGO_BIN_EXE_rillford"))
       .args(["gateway", "--settings"])
       .arg(&path)
-      .stdout(Stdio::null())
+      .stdout(log_output(&self.name))
       .spawn()
       .unwrap();
     GatewayBox {
@@ -388,6 +396,19 @@
   }
 }
 
+/// Where a box's log goes: into a file of its own in the folder that `RILLFORD_TEST_LOGS` names, or nowhere.
+fn log_output(name: &str) -> Stdio {
+  static STARTED: AtomicU64 = AtomicU64::new(0);
+  let Some(folder) = std::env::var_os("RILLFORD_TEST_LOGS") else {
+    return Stdio::null();
+  };
+  let number = STARTED.fetch_add(1, Ordering::Relaxed);
+  let thread = std::thread::current();
+  let test = thread.name().unwrap_or("-").replace("::", ".");
+  let path = Path::new(&folder).join(format!("{test}.{name}.{number}.log"));
+  File::create(path).unwrap().into()
+}
+
 /// A running box.
 pub(crate) struct GatewayBox {
   /// Where the other boxes reach it.
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -40,9 +40,12 @@
 mod slots;
 mod slow_readers;
 mod store_proxy;
+mod stream_ends;
 mod stream_framing;
 mod streams;
 mod takeovers;
+mod unframed_ends;
+mod unknown_origins;
 mod version_records;
 mod versions;
 
--- a/tests/gateway/raw_caller.rs
+++ b/tests/gateway/raw_caller.rs
@@ -24,10 +24,16 @@
 
 impl RawRequest {
   pub(crate) fn new(path: &str, id: &str) -> Self {
+    Self::with_tokens(path, id, 50)
+  }
+
+  /// A request whose response has at most some tokens.
+  pub(crate) fn with_tokens(path: &str, id: &str, answer_tokens: u64) -> Self {
     Self {
       has_small_buffer: false,
       headers: format!(
-        "host: {HOST}\r\nx-request-id: {id}\r\nx-deadline-ms: 120000\r\nx-token-counts: 100,50\r\ncontent-length: 6\r\n"
+        "host: {HOST}\r\nx-request-id: {id}\r\nx-deadline-ms: 120000\r\nx-token-counts: 100,{answer_tokens}\r\n\
+         content-length: 6\r\n"
       ),
       path: path.into(),
       version: "HTTP/1.1",
--- a/tests/gateway/stream_framing.rs
+++ b/tests/gateway/stream_framing.rs
@@ -16,9 +16,9 @@
 };
 
 /// Events of a whole stream.
-const EVENTS: u64 = 6;
+pub(super) const EVENTS: u64 = 6;
 /// The last event of a stream that is interrupted.
-const INTERRUPTED_AFTER: u64 = 3;
+pub(super) const INTERRUPTED_AFTER: u64 = 3;
 /// Streams that run at the same time in a test of many.
 const STREAMS_AT_ONCE: usize = 4;
 /// Time for which a caller that returns leaves its response unread.
@@ -30,7 +30,7 @@
 
 /// How the end of a response is told.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Framing {
+pub(super) enum Framing {
   Chunks,
   Length,
   /// By the end of the connection.
@@ -38,7 +38,7 @@
 }
 
 impl Framing {
-  fn head(self, seen: &ReceivedRequest, length: usize) -> String {
+  pub(super) fn head(self, seen: &ReceivedRequest, length: usize) -> String {
     let framing = match self {
       Self::Chunks => "transfer-encoding: chunked\r\n".into(),
       Self::Length => format!("content-length: {length}\r\n"),
@@ -51,7 +51,7 @@
   }
 
   /// A part of a body.
-  fn part(self, text: &str) -> String {
+  pub(super) fn part(self, text: &str) -> String {
     match self {
       Self::Chunks => Reply::stream_chunk(text),
       Self::Length | Self::Neither => text.into(),
@@ -59,7 +59,7 @@
   }
 
   /// The end of a body.
-  fn end(self) -> &'static str {
+  pub(super) fn end(self) -> &'static str {
     match self {
       Self::Chunks => STREAM_END,
       Self::Length | Self::Neither => "",
@@ -83,24 +83,24 @@
   AfterStream,
 }
 
-fn is_stream(seen: &ReceivedRequest) -> bool {
+pub(super) fn is_stream(seen: &ReceivedRequest) -> bool {
   (seen.path.starts_with("/stream/") || seen.path.starts_with("/resumable/")) && !seen.is_prefill()
 }
 
 /// Events whose data has characters of several bytes.
-fn events(ids: RangeInclusive<u64>) -> String {
+pub(super) fn events(ids: RangeInclusive<u64>) -> String {
   ids
     .map(|id| format!("id: {id}\ndata: e{id} žluť 🌊\n\n"))
     .collect()
 }
 
 /// The body of a whole stream.
-fn whole() -> String {
+pub(super) fn whole() -> String {
   events(1..=EVENTS)
 }
 
 /// The events that a request asks for.
-fn rest(seen: &ReceivedRequest) -> String {
+pub(super) fn rest(seen: &ReceivedRequest) -> String {
   let last: u64 = seen.header("last-event-id").parse().unwrap_or(0);
   events(last + 1..=EVENTS)
 }
@@ -171,7 +171,7 @@
   }
 }
 
-fn complete(body: impl Into<String>) -> RawResponse {
+pub(super) fn complete(body: impl Into<String>) -> RawResponse {
   RawResponse {
     body: body.into(),
     is_complete: true,
@@ -179,7 +179,7 @@
   }
 }
 
-fn broken_off(body: impl Into<String>) -> RawResponse {
+pub(super) fn broken_off(body: impl Into<String>) -> RawResponse {
   RawResponse {
     is_complete: false,
     ..complete(body)
--- a/tests/gateway/versions.rs
+++ b/tests/gateway/versions.rs
@@ -30,7 +30,7 @@
 
 const BEGINNING: &str = "id: 1\ndata: a\n\nid: 2\nda";
 const REST: &str = "id: 2\ndata: b\n\n";
-const EVENTS: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+pub(super) const EVENTS: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
 /// Streams of one test; by chance alone each would go on at its own version half of the time.
 const STREAMS: usize = 8;
 
@@ -39,7 +39,7 @@
 }
 
 /// Streams the rest to a caller who resumes, and the beginning to others, whose connections stay open.
-fn begins_and_resumes(seen: &ReceivedRequest) -> Reply {
+pub(super) fn begins_and_resumes(seen: &ReceivedRequest) -> Reply {
   match seen.header("last-event-id") {
     "" if is_stream(seen) => Reply::Write(Reply::stream_part(seen, BEGINNING)),
     _ if is_stream(seen) => Reply::stream(seen, REST),
@@ -113,7 +113,7 @@
 }
 
 /// Resumes a stream after its first event.
-async fn resume(gateway: &GatewayBox, id: &str, resumes: &str) -> CallerResponse {
+pub(super) async fn resume(gateway: &GatewayBox, id: &str, resumes: &str) -> CallerResponse {
   let mut request = gateway.request("/resumable/a", id);
   let headers = request.headers_mut();
   headers.insert("last-event-id", HeaderValue::from_static("1"));
@@ -594,6 +594,30 @@
   assert_eq!(response.body.unwrap(), EVENTS);
 }
 
+/// Guards against streams that are rejected as one report of their only engine is damaged.
+#[rstest]
+#[case::no_json("{?}")]
+#[case::body_of_another_call(r#"{"hold": "h1"}"#)]
+#[tokio::test]
+async fn stream_begins_at_the_only_engine_whose_report_is_damaged_once(
+  #[case] damaged: &'static str,
+) {
+  let prefill = EndpointStandIn::engine(EVENTS).await;
+  let test = GatewayTest::new().await;
+  test.enter("e-1", "llm", Some("prefill"), &prefill);
+  let reports = AtomicU64::new(0);
+  let engine = EndpointStandIn::start(move |seen| match seen.path.as_str() {
+    "/report" if reports.fetch_add(1, Ordering::Relaxed) == 0 => Reply::ok(seen, damaged),
+    "/report" => reports_start(7)(seen),
+    _ => engine_reply(seen, EVENTS),
+  })
+  .await;
+  test.enter_version_started("e-2", &engine, "v1", 7);
+  let gateway = test.start().await;
+  let response = gateway.ask("/resumable/a", "r1").await;
+  assert_eq!(response.body.unwrap(), EVENTS);
+}
+
 /// Guards against engines that have restarted and use up the tries of a stream.
 #[rstest]
 #[case::all_but_one(6, 1, StatusCode::OK)]
