--- a/src/gateway/stages/confirm_end.rs
+++ b/src/gateway/stages/confirm_end.rs
@@ -65,7 +65,7 @@
   // An endpoint that leaves, or asked for a backoff, gets no request.
   let may_call = entry.role.is_some() && gateway.check(entry).is_ok();
   // An idle connection leads to the process that was there before the end, also where new connections fail.
-  let mut idle = gateway.pool.take_idle(&entry.id, gateway.now_ms());
+  let mut idle = gateway.pool.take_any_idle(&entry.id, gateway.now_ms());
   for _ in 0..MAX_ATTEMPTS {
     let liveness = match may_call {
       true => engine_liveness(gateway, entry, idle.take()).await,
--- a/src/gateway/stages/mod.rs
+++ b/src/gateway/stages/mod.rs
@@ -3,6 +3,7 @@
 //! Imports `permits` and what it imports. Takes a [`RoutedRequest`] and a chosen endpoint, and returns the response's
 //! [`ResponseHead`].
 
+mod answer_check;
 mod call_request;
 mod confirm_end;
 mod engine_call;
@@ -10,6 +11,7 @@
 mod incarnation_check;
 mod notice;
 mod open_connection;
+mod outgoing_call;
 mod purpose;
 mod reachability_probe;
 mod request;
