Failing tests: ends with the connection that are misjudged

Callers of plain endpoints get truncated responses and streams that look complete where the endpoint restarts before it is probed; callers of engines get an early end as complete although its check has begun a further event, and whole streams are aborted after a moment of silence, a reset connection, or two early ends of their version.

--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod crashing_request;
 mod crashing_segment;
 mod cut_off;
+mod early_ends;
 mod endless_answers;
 mod endless_reply;
 mod endpoint;
