A part of a further event, or one after a gap, shows that an end was early

Callers got a complete end after 3 of 6 events although the run that checked the doubted end had brought a part of event 4, or event 5, before it was lost: only whole events in order resolved the doubt, and a doubted end that can't be checked counts. A partial event that is dropped at an interruption, and a gap, resolve it as early, so the stream goes on or is aborted. Left: a run that repeats events and is lost within a repeated one counts as early.

--- a/src/gateway/requests/end_check.rs
+++ b/src/gateway/requests/end_check.rs
@@ -46,7 +46,7 @@
     self.doubted.is_some()
   }
 
-  /// A further event has arrived: a doubted end was early.
+  /// A further event has arrived, or a part of one: a doubted end was early.
   pub(super) fn record_event(&mut self, gateway: &Gateway) {
     self.resolve(gateway, true);
   }
--- a/src/gateway/requests/event_relay.rs
+++ b/src/gateway/requests/event_relay.rs
@@ -3,7 +3,7 @@
 use {
   super::{
     end_check::{EndCheck, Received},
-    event_order::{EventOrder, EventPlace},
+    event_order::{EventOrder, EventPlace, Misplaced},
     event_splitter::{EventSplitter, SseEvent},
     late_bytes::LateBytes,
     response::StreamAborted,
@@ -104,7 +104,12 @@
             return Some(Ok(event.bytes));
           }
           Ok(EventPlace::Repeated) => continue,
-          Err(misplaced) => Err(misplaced.to_string()),
+          Err(misplaced) => {
+            if matches!(misplaced, Misplaced::Gap { .. }) {
+              self.end_check.record_event(&self.stream.gateway);
+            }
+            Err(misplaced.to_string())
+          }
         },
         None => self.read().await,
       };
@@ -228,7 +233,7 @@
   /// Goes on with the response of another engine, after the last complete event; the connection to the former one is closed.
   fn replace_head(&mut self, head: ResponseHead) {
     let former = self.head.replace(head);
-    self.splitter = EventSplitter::default();
+    self.discard_partial_event();
     self.order.record_interruption();
     self.answering_since_ms = None;
     self.is_overdue = false;
@@ -238,6 +243,14 @@
     self.record_resumed(&interrupted.unwrap_or_default());
   }
 
+  /// Drops an event that the current engine has begun, which shows that the stream was not complete before.
+  fn discard_partial_event(&mut self) {
+    if self.splitter.has_partial_event() {
+      self.end_check.record_event(&self.stream.gateway);
+    }
+    self.splitter = EventSplitter::default();
+  }
+
   /// Records that another endpoint goes on with the stream, which `version` of its software had begun.
   fn record_resumed(&self, version: &SoftwareVersion) {
     let Some(head) = &self.head else { return };
@@ -392,7 +405,7 @@
       }
       self.stream.interrupted_at = Some(head.connection.endpoint.clone());
     }
-    self.splitter = EventSplitter::default();
+    self.discard_partial_event();
     self.order.record_interruption();
     let remaining_ms = request.remaining_ms(self.stream.gateway.now_ms());
     if remaining_ms == 0 {
--- a/tests/gateway/early_ends.rs
+++ b/tests/gateway/early_ends.rs
@@ -11,6 +11,7 @@
   },
   emulator::own_addresses,
   http::StatusCode,
+  rstest::rstest,
   socket2::SockRef,
   std::{
     net::SocketAddr,
@@ -226,10 +227,13 @@
   assert_eq!(fleet.sends(FRAMED_STREAMS + 8), 1);
 }
 
-/// Guards against an early end that looks complete although the run that checks it has begun a further event.
+/// Guards against an early end that looks complete although the run that checks it has brought a part of the rest.
+#[rstest]
+#[case::within_an_event("id: 4\ndata: ")]
+#[case::after_a_gap("id: 5\ndata: e5\n\n")]
 #[tokio::test]
-async fn early_end_does_not_look_complete_if_its_check_is_lost_within_an_event() {
-  let script = |seen: &ReceivedRequest| {
+async fn early_end_does_not_look_complete_if_its_check_is_lost(#[case] part: &'static str) {
+  let script = move |seen: &ReceivedRequest| {
     if !is_stream(seen) {
       return engine_reply(seen, "");
     }
@@ -240,7 +244,7 @@
     if seen.header("last-event-id").is_empty() {
       return Reply::WriteAndClose(unframed(seen, &events(1..=INTERRUPTED_AFTER)));
     }
-    Reply::WriteAndClose(Reply::stream_part(seen, "id: 4\ndata: "))
+    Reply::WriteAndClose(Reply::stream_part(seen, part))
   };
   let prefill = EndpointStandIn::engine("").await;
   let engines = [
