An end after early ones is checked where it can be, not disbelieved at once

Callers of resumable streams saw whole streams aborted: after two early ends of a software version, each further end with the connection counted as early, at the first engine and at each one that continued, until no attempt was left; and since nothing was checked any more, no whole end could settle it, for up to 256 streams of that version. Such an end is now checked by a further run as a doubted one is, and aborts its stream only if no run can show whether it was early. Streams that may not be resumed are aborted as before.

--- a/src/gateway/requests/end_check.rs
+++ b/src/gateway/requests/end_check.rs
@@ -23,6 +23,8 @@
   service: Name,
   version: SoftwareVersion,
   last_event_id: Option<u64>,
+  /// Whether the stream counts as complete if no run can show it.
+  is_believed_unchecked: bool,
 }
 
 /// What has arrived of a stream when its engine's response ends.
@@ -46,6 +48,12 @@
     self.doubted.is_some()
   }
 
+  /// Whether a doubted end counts although no further run has shown whether it was early.
+  pub(super) fn is_believed_unchecked(&self) -> bool {
+    let doubted = self.doubted.as_ref();
+    doubted.is_some_and(|doubted| doubted.is_believed_unchecked)
+  }
+
   /// A further event has arrived, or a part of one: a doubted end was early.
   pub(super) fn record_event(&mut self, gateway: &Gateway) {
     self.resolve(gateway, true);
@@ -87,9 +95,10 @@
       && self.doubted.is_none()
       && stream.may_continue_after(&StageError::Lost(String::new()));
     match trust {
-      EndTrust::Doubted if may_check => {
+      EndTrust::Doubted | EndTrust::Disbelieved if may_check => {
         self.doubted = Some(DoubtedEnd {
           engine: head.entry.id.clone(),
+          is_believed_unchecked: trust == EndTrust::Doubted,
           last_event_id: stream.last_event_id,
           request: stream.request.id().to_owned(),
           service: service.clone(),
--- a/src/gateway/requests/event_relay.rs
+++ b/src/gateway/requests/event_relay.rs
@@ -122,7 +122,7 @@
         Err(error) => error,
       };
       if let Err(error) = self.resume(error).await {
-        if self.end_check.is_doubted() {
+        if self.end_check.is_believed_unchecked() {
           return self.finish();
         }
         return Some(Err(self.abort(error)));
