A silent engine is asked for longer before a stream's end counts as unconfirmed

Callers of streams that may not be resumed saw whole streams aborted 0.45 s after the last event, where the engine was silent for a second as it ended, which sound engines may be; or at once, where it reset three new connections. Cause: three attempts in a row, each of at most 150 ms. Cost: a resumable stream whose engine's host vanishes as the stream ends goes on 0.75 s later than before.

--- a/src/gateway/stages/confirm_end.rs
+++ b/src/gateway/stages/confirm_end.rs
@@ -14,12 +14,14 @@
     state::Gateway,
   },
   http::StatusCode,
-  std::rc::Rc,
-  tokio::time::timeout,
+  std::{rc::Rc, time::Duration},
+  tokio::time::{sleep, timeout},
 };
 
-/// Attempts to find out whether an endpoint still runs.
-const MAX_ATTEMPTS: usize = 3;
+/// How long an endpoint may be silent: a sound one goes on after a second or so.
+const MAX_SILENCE: Duration = Duration::from_millis(1_200);
+/// Pause between attempts: an endpoint at its limit of connections resets new ones at once.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
 /// Why an end was not confirmed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
@@ -44,7 +46,8 @@
   request_id: &str,
   entry: &EndpointEntry,
 ) -> Result<(), UnconfirmedEnd> {
-  let result = find_liveness(gateway, entry).await;
+  let found = timeout(MAX_SILENCE, find_liveness(gateway, entry)).await;
+  let result = found.unwrap_or(Err(UnconfirmedEnd::Unreachable));
   match &result {
     Ok(()) => gateway.counters.ends_confirmed.inc(),
     Err(error) => {
@@ -61,7 +64,7 @@
 async fn find_liveness(gateway: &Rc<Gateway>, entry: &EndpointEntry) -> Result<(), UnconfirmedEnd> {
   // An idle connection leads to the process that was there before the end, also where new connections fail.
   let mut idle = gateway.pool.take_idle(&entry.id, gateway.now_ms());
-  for _ in 0..MAX_ATTEMPTS {
+  loop {
     let liveness = match entry.role {
       Some(_) => engine_liveness(gateway, entry, idle.take()).await,
       None => probe(entry.address).await,
@@ -69,10 +72,9 @@
     match liveness {
       Liveness::Alive => return Ok(()),
       Liveness::Terminated => return Err(UnconfirmedEnd::Terminated),
-      Liveness::Unknown => {}
+      Liveness::Unknown => sleep(RETRY_PAUSE).await,
     }
   }
-  Err(UnconfirmedEnd::Unreachable)
 }
 
 /// Whether an engine runs, by its report on a connection.
