Soak: a link passes on at once that an endpoint has reset its connection

Cause: the proxy between a box and an endpoint waited for both directions, so that the box saw a reset only once it wrote or closed by itself. An endpoint that resets its connections looked silent. Change: the first direction that fails ends both, and both sockets are reset; no half sends a FIN before. Evidence: soak_links::end_of_a_connection_passes_a_link, case reset, fails on the former link (nothing read in 20 s) and passes now; FIN as FIN, and the reset of connections to an endpoint that is down, held before too (both run on both).

--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -55,6 +55,7 @@
   error::{Error, Result},
   fault::{EndpointFault, EndpointsCut, Fault, LinkFault, SilentEngines, StoreFault},
   hall::Hall,
+  link::Link,
   plan::{FaultSelection, ScheduledFault, Size, draw_plan},
   play::{Options, Report, play},
   promise::Promise,
--- a/soak/src/link.rs
+++ b/soak/src/link.rs
@@ -67,9 +67,9 @@
 
 /// A proxy in front of one target.
 #[derive(Clone)]
-pub(crate) struct Link {
+pub struct Link {
   /// Listen address.
-  pub(crate) address: SocketAddr,
+  pub address: SocketAddr,
   target: Target,
   condition: watch::Sender<Condition>,
   /// Whether connection attempts fail, and how.
@@ -87,8 +87,8 @@
 }
 
 impl Link {
-  /// Opens a link on a free loopback port.
-  pub(crate) async fn open(target: SocketAddr) -> io::Result<Self> {
+  /// Opens a link on a free loopback port. Fails if it can't listen.
+  pub async fn open(target: SocketAddr) -> io::Result<Self> {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     Self::serve(listener, Arc::new(Mutex::new(target)))
   }
@@ -269,12 +269,17 @@
     resets,
     to,
   };
-  let forward = copier(caller_read, target_write, Direction::Forward);
-  let back = copier(target_read, caller_write, Direction::Back);
-  match tokio::join!(forward.run(), back.run()) {
-    (CloseKind::Closed, CloseKind::Closed) => CloseKind::Closed,
-    _ => CloseKind::Reset,
+  let mut forward = copier(caller_read, target_write, Direction::Forward);
+  let mut back = copier(target_read, caller_write, Direction::Back);
+  let copied = tokio::try_join!(forward.copy_all(), back.copy_all());
+  if copied.is_ok() {
+    return CloseKind::Closed;
   }
+  for copier in [forward, back] {
+    // Dropping the half would send a FIN before the reset.
+    copier.to.forget();
+  }
+  CloseKind::Reset
 }
 
 fn reset(stream: &TcpStream) {
@@ -282,10 +287,10 @@
   let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
 }
 
-/// How one direction was closed.
+/// How a connection was closed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum CloseKind {
-  /// By the end of the stream.
+  /// By the end of both directions.
   Closed,
   /// By a reset of the link, or of the connection on one side.
   Reset,
@@ -302,19 +307,8 @@
 }
 
 impl Copier {
-  /// Copies bytes until the end of the stream, subject to the link's condition.
-  async fn run(mut self) -> CloseKind {
-    match self.copy_all().await {
-      Ok(()) => CloseKind::Closed,
-      Err(_) => {
-        // Dropping the half would send a FIN before the reset.
-        self.to.forget();
-        CloseKind::Reset
-      }
-    }
-  }
-
-  /// Fails when the connection or the link was reset.
+  /// Copies bytes until the end of the stream, subject to the link's condition. Fails when the connection or the link was
+  /// reset.
   async fn copy_all(&mut self) -> io::Result<()> {
     let mut buffer = vec![0; CHUNK_BYTES];
     let mut watched = self.condition.clone();
