--- a/soak/src/box_process.rs
+++ b/soak/src/box_process.rs
@@ -6,6 +6,7 @@
     disturbance::Target,
     error::{Error, Result},
     link::Link,
+    profile::Profile,
     recorder::Recorder,
     records::PlannedStop,
   },
@@ -16,7 +17,7 @@
     path::{Path, PathBuf},
     process::Stdio,
     sync::atomic::{AtomicU64, Ordering},
-    time::Duration,
+    time::{Duration, Instant},
   },
   tokio::{
     process::{Child, Command},
@@ -29,6 +30,9 @@
 const STOP_S: f64 = 6.0;
 /// Additional time before a process that did not stop in time is killed.
 const KILL_MARGIN: Duration = Duration::from_millis(1_000);
+/// Turns of a slow process: it runs at about a sixth of its speed.
+const SLOW_SUSPENDED: Duration = Duration::from_millis(45);
+const SLOW_RUNNING: Duration = Duration::from_millis(10);
 const RESTART_DELAY: Duration = Duration::from_millis(200);
 
 /// Bounds of the boxes of a run.
@@ -49,6 +53,7 @@
   pub(crate) store: &'a PlatformStore,
   pub(crate) recorder: &'a Recorder,
   pub(crate) bounds: BoxBounds,
+  pub(crate) profile: Profile,
 }
 
 pub(crate) struct BoxProcess {
@@ -79,9 +84,10 @@
     let view = plan.store.start_view(box_host(index)).await;
     let store_link = open_link(view.map_err(Error::Listen)?.address).await?;
     let caller_link = open_link(direct).await?;
-    let name = format!("north-{index:03}");
+    let hall = plan.profile.hall_of_box(index).name();
+    let name = format!("{hall}-{index:03}");
     let addresses = [direct, ready, boxes, metrics, store_link.address];
-    let contents = settings_text(&name, addresses, plan.bounds);
+    let contents = settings_text(&name, hall, addresses, plan.bounds);
     let settings = plan.directory.join(format!("{name}.toml"));
     std::fs::write(&settings, contents).map_err(|source| Error::File {
       path: settings.clone(),
@@ -214,6 +220,19 @@
     let _ = self.signal(libc::SIGCONT).await;
   }
 
+  /// Suspends and resumes the process in short turns for `for_ms`.
+  pub(crate) async fn slow(&self, for_ms: u64) {
+    let _disturbed = self.recorder.begin_disturbance(Target::Box(self.index));
+    let until = Instant::now() + Duration::from_millis(for_ms);
+    while Instant::now() < until {
+      // The process may be down meanwhile.
+      let _ = self.signal(libc::SIGSTOP).await;
+      sleep(SLOW_SUSPENDED).await;
+      let _ = self.signal(libc::SIGCONT).await;
+      sleep(SLOW_RUNNING).await;
+    }
+  }
+
   /// Sends SIGHUP, so that the process reads its settings again. Not a disturbance.
   pub(crate) async fn reload(&self) {
     // A process that is down reads its settings when it starts.
@@ -222,7 +241,7 @@
 }
 
 /// The settings of a box: its addresses for callers, readiness, other boxes and metrics, and the store's address.
-fn settings_text(name: &str, addresses: [SocketAddr; 5], bounds: BoxBounds) -> String {
+fn settings_text(name: &str, hall: &str, addresses: [SocketAddr; 5], bounds: BoxBounds) -> String {
   let [callers, ready, boxes, metrics, store] = addresses;
   let BoxBounds {
     memory_mb,
@@ -233,7 +252,7 @@
     format!("[memory]\nbox_mb = {memory_mb}\n")
   });
   format!(
-    "[box]\nname = \"{name}\"\nhall = \"north\"\n\
+    "[box]\nname = \"{name}\"\nhall = \"{hall}\"\n\
      [listen]\ncallers = \"{callers}\"\nready = \"{ready}\"\nboxes = \"{boxes}\"\nmetrics = \"{metrics}\"\n\
      [store]\naddress = \"{store}\"\nleast_lease_ms = 1000\n\
      [bounds]\nstop_s = {STOP_S:.1}\nretry_ratio = {retry_ratio:.2}\nretry_window_s = 10\nretry_slack = {retry_slack:.1}\n\
--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -6,6 +6,7 @@
     configuration::HOST,
     content::{self, CRASHING_BODY, CRASHING_NAME, CRASHING_SEGMENT, SOUND_SEGMENT},
     departures::{Departure, Departures, RECONNECT_DELAY},
+    fault::CallerHabit,
     fleet::Fleet,
     recorder::Recorder,
     records::{Outcome, RequestRecord, ResumedStream},
@@ -25,21 +26,30 @@
   },
 };
 
-/// Deadline of a request.
-pub(crate) const DEADLINE: Duration = Duration::from_millis(4_000);
 /// Time after the deadline at which a request counts as unanswered.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(1_500);
 /// Share of requests whose caller disconnects early.
 const DISCONNECT_CHANCE: f64 = 0.05;
 /// Time from sending a request to an early disconnect.
 const DISCONNECT_AFTER_MS: (u64, u64) = (5, 400);
-/// Interval between requests.
-const THINK_TIME_MS: (u64, u64) = (5, 60);
+/// The same while callers leave before the first event.
+const GIVE_UP_CHANCE: f64 = 0.2;
+const GIVE_UP_AFTER_MS: (u64, u64) = (1, 60);
+/// How much shorter the interval between requests is in a burst.
+const BURST_FACTOR: u64 = 2;
 /// Requests with which a caller resumes a stream that was cut.
 const MAX_RESUMPTIONS: u32 = 2;
 /// The same where all boxes are killed at once: the first ones meet none.
 const MAX_RESUMPTIONS_AFTER_RESTARTS: u32 = 8;
 
+/// The kinds of requests that callers mix.
+const MIXED_KINDS: [RequestKind; 4] = [
+  RequestKind::Retryable,
+  RequestKind::NonRetryable,
+  RequestKind::Stream,
+  RequestKind::ResumableStream,
+];
+
 /// The requests that a caller sends.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum CallerWork {
@@ -101,15 +111,28 @@
     self.reconnect();
     while !*stopped.borrow() {
       let is_reusable = self.send_request().await;
+      let habit = self.fleet.habit();
       if !is_reusable {
         self.reconnect();
+        if habit == Some(CallerHabit::RepeatAtOnce) {
+          continue;
+        }
         sleep(RECONNECT_DELAY).await;
       }
-      let think_time_ms = self.random.random_range(THINK_TIME_MS.0..=THINK_TIME_MS.1);
+      let (min_ms, max_ms) = self.fleet.profile.think_time_ms;
+      let mut think_time_ms = self.random.random_range(min_ms..=max_ms);
+      if habit == Some(CallerHabit::Burst) {
+        think_time_ms /= BURST_FACTOR;
+      }
       sleep(Duration::from_millis(think_time_ms)).await;
     }
   }
 
+  /// Deadline of a request.
+  fn deadline(&self) -> Duration {
+    Duration::from_millis(self.fleet.profile.deadline_ms)
+  }
+
   /// Opens a new connection to a ready box.
   fn reconnect(&mut self) {
     self.client = HttpClient::default();
@@ -135,12 +158,15 @@
     if self.work != CallerWork::Mixed {
       return RequestKind::CrashingStream;
     }
-    match self.random.random_range(0..4) {
-      0 => RequestKind::Retryable,
-      1 => RequestKind::NonRetryable,
-      2 => RequestKind::Stream,
-      _ => RequestKind::ResumableStream,
+    let weights = self.fleet.profile.kinds;
+    let mut draw = self.random.random_range(0..weights.iter().sum());
+    for (kind, weight) in MIXED_KINDS.into_iter().zip(weights) {
+      if draw < weight {
+        return kind;
+      }
+      draw -= weight;
     }
+    RequestKind::ResumableStream
   }
 
   /// One request in five belongs to the organisation over its limit.
@@ -199,6 +225,31 @@
     })
   }
 
+  /// When the caller of the next request disconnects, if it does so early.
+  fn draw_disconnect(&mut self) -> Option<u64> {
+    if self.work != CallerWork::Mixed {
+      return None;
+    }
+    let (chance, (min_ms, max_ms)) = match self.fleet.habit() {
+      Some(CallerHabit::GiveUp) => (GIVE_UP_CHANCE, GIVE_UP_AFTER_MS),
+      Some(CallerHabit::RepeatAtOnce | CallerHabit::Burst) | None => {
+        (DISCONNECT_CHANCE, DISCONNECT_AFTER_MS)
+      }
+    };
+    let leaves = self.random.random_bool(chance);
+    leaves.then(|| self.random.random_range(min_ms..=max_ms))
+  }
+
+  /// The id of the next request. That of a stream may tell the number of its events.
+  fn next_id(&mut self) -> String {
+    self.count += 1;
+    let id = format!("{}-{}", self.name, self.count);
+    match self.fleet.profile.events {
+      Some((min, max)) => content::id_with_events(&id, self.random.random_range(min..=max)),
+      None => id,
+    }
+  }
+
   /// Sends one request and records its outcome. Returns its id, and whether the connection can be reused.
   async fn send_once(
     &mut self,
@@ -206,15 +257,8 @@
     key: CallerKey,
     resumes: Option<ResumedStream>,
   ) -> (String, bool) {
-    self.count += 1;
-    let id = format!("{}-{}", self.name, self.count);
-    let may_disconnect = self.work == CallerWork::Mixed;
-    let disconnects_after_ms =
-      (may_disconnect && self.random.random_bool(DISCONNECT_CHANCE)).then(|| {
-        self
-          .random
-          .random_range(DISCONNECT_AFTER_MS.0..=DISCONNECT_AFTER_MS.1)
-      });
+    let id = self.next_id();
+    let disconnects_after_ms = self.draw_disconnect();
     let departure = match kind {
       RequestKind::ResumableStream => self.departures.draw(),
       _ => None,
@@ -223,7 +267,7 @@
     let request = self.request(kind, key, &id, resumes.as_ref());
     recorder.record_request(&id, kind, key, self.box_index, resumes);
     let timeout_after =
-      disconnects_after_ms.map_or(DEADLINE + RESPONSE_MARGIN, Duration::from_millis);
+      disconnects_after_ms.map_or(self.deadline() + RESPONSE_MARGIN, Duration::from_millis);
     let result = timeout(timeout_after, self.exchange(request, departure)).await;
     let (outcome, is_reusable) = match result {
       Ok(Exchange::Ended {
@@ -275,7 +319,7 @@
     *request.method_mut() = method;
     let uri = format!("http://{address}{}{name}", kind.path());
     *request.uri_mut() = uri.parse().unwrap_or_default();
-    let deadline = DEADLINE.as_millis().to_string();
+    let deadline = self.deadline().as_millis().to_string();
     let authorization = format!("Bearer {}", key.text());
     for (name, value) in [
       ("host", HOST),
--- a/soak/src/cold_check.rs
+++ b/soak/src/cold_check.rs
@@ -17,6 +17,9 @@
 /// Starts after which the endpoint received more than its cold rate. Excludes boxes that were disturbed since then, and
 /// endpoints that restarted with the same id, whose old entry was still listed.
 pub(crate) fn cold_breaches(records: &Records) -> Vec<Breach> {
+  if records.has_warm_starts {
+    return Vec::new();
+  }
   let starts = records.starts.iter();
   starts
     .filter(|start| is_first_start(records, start))
--- a/soak/src/configuration.rs
+++ b/soak/src/configuration.rs
@@ -4,8 +4,8 @@
   super::{
     caller_key::organisations,
     cold_check::{COLD_MS, COLD_PER_S},
-    endpoint_state::SLOTS,
     exports::EXPORT_TTL,
+    profile::Profile,
     request_kind::RequestKind,
   },
   serde_json::{Value, json},
@@ -17,22 +17,23 @@
 const VERSION_ROUTES: u64 = 12;
 
 /// Configuration of a version. Each version has a route of its own, which shows whether a box has applied it.
-pub(crate) fn document(version: u64) -> Value {
+pub(crate) fn document(version: u64, profile: &Profile) -> Value {
   let oldest = version.saturating_sub(VERSION_ROUTES - 1).max(1);
   let mut routes = vec![
-    route(RequestKind::Retryable, "safe", "portal"),
-    route(RequestKind::NonRetryable, "unsafe", "portal"),
-    route(RequestKind::Stream, "stream", "llm"),
-    route(RequestKind::ResumableStream, "stream", "llm"),
+    route(profile, RequestKind::Retryable, "safe", "portal"),
+    route(profile, RequestKind::NonRetryable, "unsafe", "portal"),
+    route(profile, RequestKind::Stream, "stream", "llm"),
+    route(profile, RequestKind::ResumableStream, "stream", "llm"),
   ];
   routes.extend((oldest..=version).map(|recent| {
-    let mut route = route(RequestKind::Retryable, "safe", "portal");
+    let mut route = route(profile, RequestKind::Retryable, "safe", "portal");
     route["name"] = json!(version_path(recent));
     route["pathPrefix"] = json!(version_path(recent));
     route["allowAnonymous"] = json!(true);
     route
   }));
-  let cold_start_s = COLD_MS as f64 / 1_000.0;
+  let cold_ms = if profile.has_starts { COLD_MS } else { 0 };
+  let cold_start_s = cold_ms as f64 / 1_000.0;
   json!({
     "version": version,
     "routes": routes,
@@ -41,7 +42,7 @@
        "coldPerS": COLD_PER_S},
       {"name": "llm", "healthPath": "/health", "maxConnections": 400, "coldStartS": cold_start_s,
        "coldPerS": COLD_PER_S, "engine": {
-        "slots": SLOTS, "kvTokens": 60_000, "handleTtlS": EXPORT_TTL.as_secs_f64(), "holdMs": 2_000.0}},
+        "slots": profile.slots, "kvTokens": 60_000, "handleTtlS": EXPORT_TTL.as_secs_f64(), "holdMs": 2_000.0}},
     ],
     "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 65_536, "headerTimeoutMs": 3_000,
       "idleTimeoutMs": 15_000},
@@ -49,10 +50,10 @@
   })
 }
 
-fn route(kind: RequestKind, route_type: &str, service: &str) -> Value {
+fn route(profile: &Profile, kind: RequestKind, route_type: &str, service: &str) -> Value {
   json!({
-    "name": kind.path(), "host": HOST, "pathPrefix": kind.path(), "kind": route_type, "timeoutMs": 4_000,
-    "targetLatencyMs": 900, "priority": 1, "service": service, "maxAttempts": kind.max_attempts(),
+    "name": kind.path(), "host": HOST, "pathPrefix": kind.path(), "kind": route_type, "timeoutMs": profile.deadline_ms,
+    "targetLatencyMs": 900, "priority": 1, "service": service, "maxAttempts": profile.max_attempts(kind),
     "resumable": kind == RequestKind::ResumableStream,
   })
 }
--- a/soak/src/content.rs
+++ b/soak/src/content.rs
@@ -12,6 +12,9 @@
 const LONG_STREAMS: u64 = 3;
 const LONG_STREAM_EVENTS: u64 = 60;
 
+/// What precedes the number of events in a request id that tells it.
+const EVENTS_MARK: &str = "-n";
+
 /// Body of a request that crashes every engine that runs it.
 pub(crate) const CRASHING_BODY: &[u8] = b"no engine survives this";
 /// Last path segment of that request.
@@ -39,8 +42,17 @@
   format!("answer to {id}\n").repeat(8)
 }
 
+/// A request id that tells the number of the stream's events.
+pub(crate) fn id_with_events(id: &str, events: u64) -> String {
+  format!("{id}{EVENTS_MARK}{events}")
+}
+
 /// Number of events in the stream of a request.
 pub(crate) fn event_count(id: &str) -> u64 {
+  let told = id.split_once(EVENTS_MARK);
+  if let Some(events) = told.and_then(|(_, events)| events.parse().ok()) {
+    return events;
+  }
   let sum: u64 = id.bytes().map(u64::from).sum();
   let is_long = (sum / EVENT_SPREAD).is_multiple_of(LONG_STREAMS);
   let long_events = if is_long { LONG_STREAM_EVENTS } else { 0 };
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -2,23 +2,30 @@
 
 use {
   super::{
+    connection::Connection,
     content::{self, CRASHING_BODY},
     endpoint_kind::EndpointKind,
-    endpoint_state::{EndpointState, SLOTS},
+    endpoint_state::EndpointState,
     engine_event::{EngineEvent, EngineEventSender},
     event_stream::EventStream,
     exports::Exports,
-    fault::EndpointFault,
+    fault::{Close, EndpointFault, Losses, Strays},
+    framing::Framing,
+    profile::Profile,
     recorder::{Recorder, RunGuard},
     records::{RoleCommandRecord, Run},
     reply::{ReplyBody, cut_body, full_body, json_response, not_run, status, with_retry_after},
+    response_draws::{ResponseDraws, Subject},
     silence::Silence,
+    stray_response::Stray,
     writer::Writer,
   },
   bytes::Bytes,
   http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header::AUTHORIZATION},
   http_body_util::BodyExt,
   hyper::body::Incoming,
+  rand::RngExt,
+  rand_chacha::ChaCha8Rng,
   serde_json::{Value, json},
   std::{
     future::pending,
@@ -52,6 +59,7 @@
 pub(crate) struct Endpoint {
   pub(crate) incarnation: String,
   place: usize,
+  profile: Profile,
   /// Address under which boxes reach it.
   address: SocketAddr,
   recorder: Recorder,
@@ -62,6 +70,7 @@
   /// Start time: the number of this start among the starts of all endpoints.
   pub(crate) start_number: u64,
   events: EngineEventSender,
+  draws: ResponseDraws,
   silence: Silence,
 }
 
@@ -75,6 +84,7 @@
   pub(crate) kind: EndpointKind,
   /// Address under which boxes reach it.
   pub(crate) address: SocketAddr,
+  pub(crate) profile: Profile,
 }
 
 impl Endpoint {
@@ -83,18 +93,21 @@
     recorder: &Recorder,
     exports: &Exports,
     events: EngineEventSender,
+    draws: ResponseDraws,
   ) -> Arc<Self> {
     Arc::new(Self {
+      draws,
       version: identity.version,
       start_number: identity.start_number,
       exports: exports.clone(),
       incarnation: identity.incarnation,
       recorder: recorder.clone(),
       place: identity.place,
+      profile: identity.profile,
       events,
       silence: Silence::default(),
       address: identity.address,
-      state: Mutex::new(EndpointState::new(identity.kind)),
+      state: Mutex::new(EndpointState::new(identity.kind, identity.profile.slots)),
     })
   }
 
@@ -107,6 +120,16 @@
     self.state().kind
   }
 
+  /// Loses a share of the responses, or none.
+  pub(crate) fn set_losses(&self, losses: Option<Losses>) {
+    self.state().losses = losses;
+  }
+
+  /// Sends stray bytes with a share of the responses, or none.
+  pub(crate) fn set_strays(&self, strays: Option<Strays>) {
+    self.state().strays = strays;
+  }
+
   pub(crate) fn set_fault(&self, fault: Option<EndpointFault>) {
     self.state().fault = fault;
   }
@@ -182,8 +205,9 @@
   pub(crate) async fn handle(
     self: Arc<Self>,
     request: Request<Incoming>,
+    connection: Connection,
   ) -> io::Result<Response<ReplyBody>> {
-    let mut response = self.clone().handle_request(request).await?;
+    let mut response = self.clone().handle_request(request, &connection).await?;
     self.silence.ended().await;
     let state = self.state();
     if state.leaving {
@@ -195,12 +219,35 @@
       response.headers_mut().insert("server-limit", value);
     }
     drop(state);
-    Ok(response)
+    Ok(match self.drawn_stray(&response) {
+      Some(stray) => stray.send(response, &connection),
+      None => response,
+    })
+  }
+
+  /// What is sent besides a response.
+  fn drawn_stray(&self, response: &Response<ReplyBody>) -> Option<Stray> {
+    let strays = self.state().strays?;
+    // Calls of boxes have no id.
+    let number = self.state().next_number().to_string();
+    let id = header(response.headers(), "x-request-id").unwrap_or(&number);
+    let mut random = self.random(Subject::Stray, id);
+    random.random_bool(strays.share()).then_some(strays.stray)
+  }
+
+  /// Whether the response to a request is lost, and how.
+  fn drawn_loss(&self, id: &str) -> Option<(Close, ChaCha8Rng)> {
+    let losses = self.state().losses?;
+    let mut random = self.random(Subject::Loss, id);
+    random
+      .random_bool(losses.share())
+      .then_some((losses.close, random))
   }
 
   async fn handle_request(
     self: Arc<Self>,
     request: Request<Incoming>,
+    connection: &Connection,
   ) -> io::Result<Response<ReplyBody>> {
     let (head, body) = request.into_parts();
     let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
@@ -218,7 +265,7 @@
       _ if self.kind() == EndpointKind::Decode && is_crashing(&head.headers, &body) => {
         self.crash(&head.headers).await
       }
-      _ => self.handle_work(&head.headers).await,
+      _ => self.handle_work(&head.headers, connection).await,
     }
   }
 
@@ -252,10 +299,14 @@
 
   fn load_report(&self) -> Response<ReplyBody> {
     let state = self.state();
-    json_response(json!({
+    let mut report = json!({
       "stage": state.kind.stage(), "callSeq": state.commands_taken, "utilization": state.switching,
-      "inFlight": state.running, "queued": 0, "born": self.start_number,
-    }))
+      "inFlight": state.running, "queued": 0,
+    });
+    if self.profile.has_starts {
+      report["born"] = json!(self.start_number);
+    }
+    json_response(report)
   }
 
   fn handle_role_command(self: &Arc<Self>, body: &Bytes) -> Response<ReplyBody> {
@@ -320,7 +371,11 @@
   }
 
   /// Handles a caller's request, or a stage of one.
-  async fn handle_work(self: Arc<Self>, headers: &HeaderMap) -> io::Result<Response<ReplyBody>> {
+  async fn handle_work(
+    self: Arc<Self>,
+    headers: &HeaderMap,
+    connection: &Connection,
+  ) -> io::Result<Response<ReplyBody>> {
     let id = header(headers, "x-request-id")
       .unwrap_or_default()
       .to_string();
@@ -344,9 +399,9 @@
     }
     let is_prefill = header(headers, "x-serving-stage") == Some("prefill");
     match (kind, is_prefill) {
-      (EndpointKind::Plain, _) => self.run_plain(&id, headers, fault).await,
+      (EndpointKind::Plain, _) => self.run_plain(&id, headers, connection).await,
       (EndpointKind::Prefill, true) => self.run_prefill(&id, fault).await,
-      (EndpointKind::Decode, false) => self.run_stream(&id, headers).await,
+      (EndpointKind::Decode, false) => self.run_stream(&id, headers, connection).await,
       (EndpointKind::Prefill, false) | (EndpointKind::Decode, true) => {
         Ok(not_run(headers, StatusCode::MISDIRECTED_REQUEST))
       }
@@ -376,17 +431,24 @@
     &self,
     id: &str,
     headers: &HeaderMap,
-    fault: Option<EndpointFault>,
+    connection: &Connection,
   ) -> io::Result<Response<ReplyBody>> {
+    let fault = self.state().fault;
     let _run = self.begin_run(id, headers);
     sleep(PLAIN_DURATION).await;
+    if let Some((close, _)) = self.drawn_loss(id) {
+      close.begin(connection);
+      return Err(lost(id));
+    }
     self.apply_fault(id, fault).await?;
     match fault {
       Some(EndpointFault::Fails) => {
         Ok(self.response(id, StatusCode::INTERNAL_SERVER_ERROR, full_body("failed")))
       }
       Some(EndpointFault::TruncatesResponses) => {
-        Ok(self.response(id, StatusCode::OK, cut_body(&content::plain_response(id))))
+        let body = cut_body(&content::plain_response(id));
+        // Without chunks, nobody could tell that it was cut.
+        Ok(self.framed_response(id, StatusCode::OK, body, Framing::Chunks))
       }
       _ => Ok(self.response(id, StatusCode::OK, full_body(&content::plain_response(id)))),
     }
@@ -416,6 +478,7 @@
     self: Arc<Self>,
     id: &str,
     headers: &HeaderMap,
+    connection: &Connection,
   ) -> io::Result<Response<ReplyBody>> {
     if let Some(source) = header(headers, "x-kv-source") {
       match self.exports.take(&without_host(source)) {
@@ -448,9 +511,16 @@
     };
     let last = header(headers, "last-event-id").and_then(|text| text.parse().ok());
     let first = last.unwrap_or(0) + 1;
+    let stream = header(headers, "resumes").unwrap_or(id);
+    let loss = self.drawn_loss(id).map(|(close, mut random)| {
+      close.begin(connection);
+      random.random_range(first..=content::event_count(stream).max(first))
+    });
+    let truncated = (fault == Some(EndpointFault::TruncatesResponses)).then_some(first + 1);
     let events = EventStream {
-      cut_at: (fault == Some(EndpointFault::TruncatesResponses)).then(|| first + 1),
-      id: header(headers, "resumes").unwrap_or(id).into(),
+      cut_at: truncated.or(loss),
+      id: stream.into(),
+      interval: Duration::from_millis(self.profile.event_interval_ms),
       writer: writer.to_string(),
       next: first,
       run,
@@ -469,31 +539,54 @@
   async fn apply_fault(&self, id: &str, fault: Option<EndpointFault>) -> io::Result<()> {
     match fault {
       Some(EndpointFault::Hangs) => pending().await,
-      Some(EndpointFault::DropsResponses) => {
-        Err(io::Error::other(format!("the response to {id} is dropped")))
-      }
+      Some(EndpointFault::DropsResponses) => Err(lost(id)),
       _ => Ok(()),
     }
   }
 
-  /// A response with this incarnation's receipt.
+  /// The draws for the response to a request.
+  fn random(&self, subject: Subject, id: &str) -> ChaCha8Rng {
+    self.draws.random(subject, id, self.start_number)
+  }
+
+  /// A response with this incarnation's receipt, in the framing that is drawn for the request.
   fn response(&self, id: &str, status: StatusCode, body: ReplyBody) -> Response<ReplyBody> {
+    let mut random = self.random(Subject::Framing, id);
+    let framing = self.draws.framings.draw(&mut random);
+    self.framed_response(id, status, body, framing)
+  }
+
+  fn framed_response(
+    &self,
+    id: &str,
+    status: StatusCode,
+    body: ReplyBody,
+    framing: Framing,
+  ) -> Response<ReplyBody> {
     let state = self.state();
     let response_id = if state.fault == Some(EndpointFault::WrongRequestId) {
       "another"
     } else {
       id
     };
-    Response::builder()
+    let response = Response::builder()
       .status(status)
       .header("x-request-id", response_id)
       .header("x-response-seal", &self.incarnation)
-      .header("x-server-load", format!("{},0,{SLOTS}", state.running))
+      .header(
+        "x-server-load",
+        format!("{},0,{}", state.running, state.slots),
+      )
       .body(body)
-      .unwrap_or_else(|_| Response::new(full_body("")))
+      .unwrap_or_else(|_| Response::new(full_body("")));
+    framing.apply(response)
   }
 }
 
+fn lost(id: &str) -> io::Error {
+  io::Error::other(format!("the response to {id} is lost"))
+}
+
 fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
   headers.get(name)?.to_str().ok()
 }
--- a/soak/src/endpoint_state.rs
+++ b/soak/src/endpoint_state.rs
@@ -1,16 +1,18 @@
 //! The mutable state of an endpoint.
 
 use {
-  super::{endpoint_kind::EndpointKind, fault::EndpointFault},
+  super::{
+    endpoint_kind::EndpointKind,
+    fault::{EndpointFault, Losses, Strays},
+  },
   std::{collections::HashMap, time::Instant},
 };
 
-/// Batch slots of an engine.
-pub(crate) const SLOTS: usize = 8;
-
 /// The mutable state of an endpoint.
 pub(crate) struct EndpointState {
   pub(crate) kind: EndpointKind,
+  /// Batch slots of an engine.
+  pub(crate) slots: usize,
   /// Number of slots in use.
   pub(crate) running: usize,
   /// Expiry time of each reserved slot, by reservation id.
@@ -21,6 +23,10 @@
   /// Whether a role switch is in progress.
   pub(crate) switching: bool,
   pub(crate) fault: Option<EndpointFault>,
+  /// Responses that are lost.
+  pub(crate) losses: Option<Losses>,
+  /// Stray bytes besides its responses.
+  pub(crate) strays: Option<Strays>,
   /// Whether its responses signal that it is leaving.
   pub(crate) leaving: bool,
   /// Limit that its responses advertise.
@@ -28,16 +34,19 @@
 }
 
 impl EndpointState {
-  pub(crate) fn new(kind: EndpointKind) -> Self {
+  pub(crate) fn new(kind: EndpointKind, slots: usize) -> Self {
     Self {
       fault: None,
       holds: HashMap::new(),
       last_number: 0,
       leaving: false,
+      losses: None,
+      strays: None,
       limit_per_s: None,
       commands_taken: 0,
       kind,
       running: 0,
+      slots,
       switching: false,
     }
   }
@@ -52,6 +61,6 @@
   pub(crate) fn has_free_slot(&mut self) -> bool {
     let now = Instant::now();
     self.holds.retain(|_, until| now < *until);
-    self.running + self.holds.len() < SLOTS
+    self.running + self.holds.len() < self.slots
   }
 }
--- a/soak/src/event_stream.rs
+++ b/soak/src/event_stream.rs
@@ -7,12 +7,9 @@
   http_body_util::{BodyExt, StreamBody},
   hyper::body::Frame,
   std::{io, time::Duration},
-  tokio::time::sleep,
+  tokio::{task::yield_now, time::sleep},
 };
 
-/// Interval between the events of a stream.
-const EVENT_INTERVAL: Duration = Duration::from_millis(25);
-
 /// The remaining events of a stream. The run ends and the slot is released when the stream is dropped.
 pub(crate) struct EventStream<S> {
   /// The stream: the id of the request that began it.
@@ -20,6 +17,8 @@
   /// The run that writes the events, as text.
   pub(crate) writer: String,
   pub(crate) next: u64,
+  /// Interval between the events.
+  pub(crate) interval: Duration,
   /// Number of the event in the middle of which the stream is cut.
   pub(crate) cut_at: Option<u64>,
   pub(crate) run: RunGuard,
@@ -39,13 +38,15 @@
   async fn take_next(&mut self) -> Option<io::Result<Bytes>> {
     // Checked before the end of the stream: one cut within its last event must not end normally.
     if self.cut_at.is_some_and(|cut_at| self.next > cut_at) {
+      // Lets the server send what it has.
+      yield_now().await;
       return Some(Err(io::Error::other("cut")));
     }
     if self.next > content::event_count(&self.id) {
       self.silence.ended().await;
       return None;
     }
-    sleep(EVENT_INTERVAL).await;
+    sleep(self.interval).await;
     self.silence.ended().await;
     self.run.record_event();
     let event = content::event(&self.id, self.next, &self.writer);
--- a/soak/src/exports.rs
+++ b/soak/src/exports.rs
@@ -3,12 +3,17 @@
 use std::{
   collections::HashMap,
   net::SocketAddr,
-  sync::{Arc, Mutex, MutexGuard, PoisonError},
+  sync::{
+    Arc, Mutex, MutexGuard, PoisonError,
+    atomic::{AtomicBool, Ordering},
+  },
   time::{Duration, Instant},
 };
 
 /// Time after which a prompt that was not fetched expires.
 pub(crate) const EXPORT_TTL: Duration = Duration::from_millis(700);
+/// The same while engines keep prompts for a short time.
+const SHORT_TTL: Duration = Duration::from_millis(15);
 
 /// A prefilled prompt.
 struct Export {
@@ -18,18 +23,28 @@
 
 /// Exported prompts of all engines, by address and handle.
 #[derive(Clone, Default)]
-pub(crate) struct Exports(Arc<Mutex<HashMap<String, Export>>>);
+pub(crate) struct Exports {
+  prompts: Arc<Mutex<HashMap<String, Export>>>,
+  is_short: Arc<AtomicBool>,
+}
 
 impl Exports {
   fn lock(&self) -> MutexGuard<'_, HashMap<String, Export>> {
-    self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    self.prompts.lock().unwrap_or_else(PoisonError::into_inner)
+  }
+
+  /// Prompts that are added from now on expire soon, or after the usual time.
+  pub(crate) fn set_short(&self, is_short: bool) {
+    self.is_short.store(is_short, Ordering::Relaxed);
   }
 
   /// Adds the prompt of a request.
   pub(crate) fn insert(&self, key: String, request: &str) {
+    let is_short = self.is_short.load(Ordering::Relaxed);
+    let ttl = if is_short { SHORT_TTL } else { EXPORT_TTL };
     let export = Export {
       request: request.into(),
-      until: Instant::now() + EXPORT_TTL,
+      until: Instant::now() + ttl,
     };
     self.lock().insert(key, export);
   }
--- a/soak/src/fault.rs
+++ b/soak/src/fault.rs
@@ -1,6 +1,6 @@
 //! The faults that a run injects from outside the boxes.
 
-use super::hall::Hall;
+use super::{connection::Connection, hall::Hall, stray_response::Stray};
 
 /// A fault of a link.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -72,6 +72,66 @@
   Slow,
 }
 
+/// How an endpoint closes a connection in the middle of a response.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Close {
+  /// In order.
+  Fin,
+  /// By a reset.
+  Reset,
+}
+
+impl Close {
+  /// The connection is about to end.
+  pub(crate) fn begin(self, connection: &Connection) {
+    match self {
+      Self::Fin => {}
+      Self::Reset => connection.reset(),
+    }
+  }
+}
+
+/// Responses that a sound endpoint loses, streams within an event.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Losses {
+  /// Share of the responses.
+  pub percent: u8,
+  /// How the connection ends.
+  pub close: Close,
+}
+
+impl Losses {
+  pub(crate) fn share(self) -> f64 {
+    f64::from(self.percent) / 100.0
+  }
+}
+
+/// Stray bytes that an endpoint sends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Strays {
+  /// Share of the responses with which they come.
+  pub percent: u8,
+  /// What is sent.
+  pub stray: Stray,
+}
+
+impl Strays {
+  pub(crate) fn share(self) -> f64 {
+    f64::from(self.percent) / 100.0
+  }
+}
+
+/// What callers do otherwise for a while.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CallerHabit {
+  /// A fifth of them leave before the first event.
+  GiveUp,
+  /// They repeat a request that failed, at once.
+  RepeatAtOnce,
+  /// They send twice as often.
+  Burst,
+}
+
 /// The engines that fall silent together.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SilentEngines {
@@ -185,6 +245,15 @@
     /// Time until the restart.
     down_ms: u64,
   },
+  /// Engines crash at the same moment, and new incarnations start at their addresses.
+  EnginesCrashed {
+    /// Number of engines.
+    count: usize,
+    /// Place from which on they are taken.
+    first: usize,
+    /// Time until the restart.
+    down_ms: u64,
+  },
   /// An engine ends and starts again under its id with the other software version. Its store entry is updated later.
   EngineRestarted {
     /// Place from which on the first engine is taken.
@@ -238,6 +307,63 @@
     /// Duration.
     for_ms: u64,
   },
+  /// Endpoints lose a share of their responses.
+  ResponsesLost {
+    /// Place of the first endpoint.
+    first: usize,
+    /// Number of endpoints.
+    count: usize,
+    /// What they lose.
+    losses: Losses,
+    /// Duration.
+    for_ms: u64,
+  },
+  /// Endpoints send stray bytes with a share of their responses.
+  StraySent {
+    /// Place of the first endpoint.
+    first: usize,
+    /// Number of endpoints.
+    count: usize,
+    /// What they send.
+    strays: Strays,
+    /// Duration.
+    for_ms: u64,
+  },
+  /// An engine leaves as planned, and its place stays empty for a while.
+  EngineRemoved {
+    /// Place from which on the first engine is taken.
+    first: usize,
+    /// Duration.
+    for_ms: u64,
+  },
+  /// Exported prompts expire soon.
+  PromptsShort {
+    /// Duration.
+    for_ms: u64,
+  },
+  /// A box's process runs for a small share of the time.
+  BoxSlowed {
+    /// Index of the box.
+    index: usize,
+    /// Duration.
+    for_ms: u64,
+  },
+  /// The boxes of a hall are cut off from the store and from the endpoints of other halls.
+  HallCutOff {
+    /// The hall.
+    hall: Hall,
+    /// How.
+    fault: LinkFault,
+    /// Duration.
+    for_ms: u64,
+  },
+  /// Callers change their habits.
+  CallersChange {
+    /// What they do.
+    habit: CallerHabit,
+    /// Duration.
+    for_ms: u64,
+  },
   /// Two endpoints crash, and each restarts at the other's address.
   AddressesSwapped {
     /// Place of the first endpoint.
--- a/soak/src/fault_injector.rs
+++ b/soak/src/fault_injector.rs
@@ -3,6 +3,7 @@
 use {
   super::{
     disturbance::Target,
+    endpoint::Endpoint,
     error::Result,
     fault::{EndpointFault, EndpointsCut, Fault, LinkFault, SilentEngines, StoreFault},
     fleet::Fleet,
@@ -61,6 +62,14 @@
       disturb_store(fleet, fault, Duration::from_millis(for_ms)).await;
     }
     Fault::EndpointCrashed { place, down_ms } => crash_endpoint(fleet, place, down_ms).await?,
+    Fault::EnginesCrashed {
+      count,
+      first,
+      down_ms,
+    } => {
+      let places = fleet.engine_places(first).into_iter().take(count);
+      try_join_all(places.map(|place| crash_endpoint(fleet, place, down_ms))).await?;
+    }
     Fault::EngineRestarted {
       first,
       down_ms,
@@ -68,12 +77,12 @@
     } => restart_engine(fleet, first, down_ms, stale_ms).await?,
     Fault::EndpointLeaves { place } => {
       if let Some(incarnation) = fleet.announce_leaving(place) {
-        shut_down_endpoint(fleet, place, incarnation).await?;
+        shut_down_endpoint(fleet, place, incarnation, Duration::ZERO).await?;
       }
     }
     Fault::EndpointLeavesUnlisted { place } => {
       if let Some(incarnation) = fleet.incarnation(place) {
-        shut_down_endpoint(fleet, place, incarnation).await?;
+        shut_down_endpoint(fleet, place, incarnation, Duration::ZERO).await?;
       }
     }
     Fault::EndpointLimited {
@@ -92,6 +101,45 @@
       fault,
       for_ms,
     } => disturb_endpoint(fleet, place, fault, for_ms).await,
+    Fault::ResponsesLost {
+      first,
+      count,
+      losses,
+      for_ms,
+    } => {
+      disturb_endpoints(fleet, first, count, for_ms, |endpoint, is_active| {
+        endpoint.set_losses(is_active.then_some(losses));
+      })
+      .await;
+    }
+    Fault::StraySent {
+      first,
+      count,
+      strays,
+      for_ms,
+    } => {
+      disturb_endpoints(fleet, first, count, for_ms, |endpoint, is_active| {
+        endpoint.set_strays(is_active.then_some(strays));
+      })
+      .await;
+    }
+    Fault::EngineRemoved { first, for_ms } => remove_engine(fleet, first, for_ms).await?,
+    Fault::PromptsShort { for_ms } => {
+      fleet.exports.set_short(true);
+      sleep(Duration::from_millis(for_ms)).await;
+      fleet.exports.set_short(false);
+    }
+    Fault::BoxSlowed { index, for_ms } => fleet.boxes[index].slow(for_ms).await,
+    Fault::HallCutOff {
+      hall,
+      fault,
+      for_ms,
+    } => cut_off_hall(fleet, hall, fault, for_ms).await,
+    Fault::CallersChange { habit, for_ms } => {
+      fleet.set_habit(Some(habit));
+      sleep(Duration::from_millis(for_ms)).await;
+      fleet.set_habit(None);
+    }
     Fault::AddressesSwapped { place, other } => swap_addresses(fleet, place, other).await?,
     Fault::ConfigurationChanged => fleet.configure(),
   }
@@ -141,6 +189,54 @@
   fleet.with_endpoint(place, |endpoint| endpoint.set_fault(None));
 }
 
+/// Makes endpoints, from a place on, behave otherwise for a while.
+async fn disturb_endpoints(
+  fleet: &Fleet,
+  first: usize,
+  count: usize,
+  for_ms: u64,
+  set: impl Fn(&Endpoint, bool),
+) {
+  let places = fleet.places.len();
+  let places: Vec<usize> = (first..first + count.min(places))
+    .map(|place| place % places)
+    .collect();
+  let _disturbed: Vec<_> = places
+    .iter()
+    .map(|place| fleet.recorder.begin_disturbance(Target::Endpoint(*place)))
+    .collect();
+  for is_active in [true, false] {
+    for place in &places {
+      fleet.with_endpoint(*place, |endpoint| set(endpoint, is_active));
+    }
+    if is_active {
+      sleep(Duration::from_millis(for_ms)).await;
+    }
+  }
+}
+
+/// Cuts the boxes of a hall off from the store and from other halls' endpoints for a while.
+async fn cut_off_hall(fleet: &Fleet, hall: Hall, fault: LinkFault, for_ms: u64) {
+  let of_hall = |index: &usize| fleet.profile.hall_of_box(*index) == hall;
+  let boxes: Vec<usize> = (0..fleet.boxes.len()).filter(of_hall).collect();
+  let links: Vec<&Link> = boxes
+    .iter()
+    .flat_map(|index| fleet.links_out_of_hall(*index))
+    .collect();
+  let _disturbed: Vec<_> = boxes
+    .iter()
+    .flat_map(|index| [Target::StoreLink(*index), Target::EndpointPaths(*index)])
+    .map(|target| fleet.recorder.begin_disturbance(target))
+    .collect();
+  for link in &links {
+    link.begin_fault(fault);
+  }
+  sleep(Duration::from_millis(for_ms)).await;
+  for link in &links {
+    link.clear_fault();
+  }
+}
+
 /// Makes engines fall silent for a while, at the same moment.
 async fn silence_engines(fleet: &Fleet, engines: SilentEngines, first: usize, for_ms: u64) {
   let duration = Duration::from_millis(for_ms);
@@ -286,8 +382,26 @@
   Ok(())
 }
 
-/// Makes the endpoint signal that it is leaving, serve for a while, and terminate.
-async fn shut_down_endpoint(fleet: &Fleet, place: usize, incarnation: String) -> Result {
+/// Shuts an engine down as planned, and leaves its place empty for a while.
+async fn remove_engine(fleet: &Fleet, first: usize, for_ms: u64) -> Result {
+  let Some(place) = fleet.engine_places(first).first().copied() else {
+    return Ok(());
+  };
+  match fleet.announce_leaving(place) {
+    Some(incarnation) => {
+      shut_down_endpoint(fleet, place, incarnation, Duration::from_millis(for_ms)).await
+    }
+    None => Ok(()),
+  }
+}
+
+/// Makes the endpoint signal that it is leaving, serve for a while, and terminate. Its place is empty for a time.
+async fn shut_down_endpoint(
+  fleet: &Fleet,
+  place: usize,
+  incarnation: String,
+  empty: Duration,
+) -> Result {
   fleet.with_endpoint(place, |endpoint| endpoint.set_leaving());
   sleep(LEAVING_PERIOD).await;
   if fleet.incarnation(place) != Some(incarnation) {
@@ -298,6 +412,7 @@
     return Ok(());
   };
   fleet.remove_entry(&stopped);
+  sleep(empty).await;
   fleet.restart(place, stopped.kind).await
 }
 
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -7,15 +7,19 @@
     configuration::{self, HOST, version_path},
     endpoint::{Endpoint, Identity},
     endpoint_kind::EndpointKind,
-    endpoint_state::SLOTS,
     engine_event::{EngineEventReceiver, EngineEventSender},
     error::{Error, Result},
     exports::Exports,
+    fault::CallerHabit,
     hall::Hall,
+    link::Link,
+    options::Options,
     place::Place,
     probe_request::{PROBE_TIMEOUT, send_probe},
+    profile::Profile,
     recorder::Recorder,
     records::{HallDrain, Probe},
+    response_draws::ResponseDraws,
     running_endpoint::RunningEndpoint,
     versioning::{Versioning, other_version},
   },
@@ -27,7 +31,6 @@
   stand_ins::PlatformStore,
   std::{
     net::Ipv4Addr,
-    path::Path,
     sync::{
       Mutex, PoisonError,
       atomic::{AtomicU64, Ordering},
@@ -55,8 +58,11 @@
   pub(crate) store: PlatformStore,
   pub(crate) boxes: Vec<BoxProcess>,
   pub(crate) places: Vec<Place>,
+  pub(crate) profile: Profile,
   ready: Mutex<Vec<usize>>,
-  exports: Exports,
+  /// What callers do otherwise at present.
+  habit: Mutex<Option<CallerHabit>>,
+  pub(crate) exports: Exports,
   incarnations: AtomicU64,
   /// Number of the next endpoint start, which serves as its start time.
   starts: AtomicU64,
@@ -66,17 +72,14 @@
   /// Releases in progress.
   releasing: AtomicU64,
   events: EngineEventSender,
+  response_draws: ResponseDraws,
 }
 
 impl Fleet {
   /// Starts the store, the endpoints and the boxes.
   pub(crate) async fn start(
-    program: &Path,
-    directory: &Path,
-    boxes: usize,
-    places: usize,
+    options: &Options,
     bounds: BoxBounds,
-    versioning: Versioning,
   ) -> Result<(Self, EngineEventReceiver)> {
     let recorder = Recorder::default();
     let store = PlatformStore::start().await.map_err(Error::Listen)?;
@@ -84,29 +87,44 @@
     let mut fleet = Self {
       boxes: Vec::new(),
       exports: Exports::default(),
+      response_draws: ResponseDraws {
+        framings: options.framings,
+        seed: options.seed,
+      },
       starts: AtomicU64::new(1),
       incarnations: AtomicU64::new(0),
       recorder,
       places: Vec::new(),
+      profile: options.profile,
       events,
       ready: Mutex::default(),
+      habit: Mutex::default(),
       store,
       versions: AtomicU64::new(0),
-      versioning,
+      versioning: Versioning::of(options.faults),
       releases: AtomicU64::new(0),
       releasing: AtomicU64::new(0),
     };
+    let profile = options.profile;
+    {
+      let mut records = fleet.recorder.records();
+      records.has_warm_starts = !profile.has_starts;
+      records.stream_attempts = Some(profile.stream_attempts);
+    }
+    let boxes = profile.box_count();
     let hosts: Vec<Ipv4Addr> = (0..boxes).map(box_host).collect();
-    for number in 0..places {
-      fleet.add_place(kind_of(number, places), &hosts).await?;
+    for place in 0..profile.place_count() {
+      let kind = profile.kind_of_place(place);
+      fleet.add_place(kind, &hosts).await?;
     }
     fleet.configure();
     let plan = BoxPlan {
-      directory,
+      bounds,
+      directory: &options.directory,
+      profile,
+      program: &options.program,
       recorder: &fleet.recorder,
-      program,
       store: &fleet.store,
-      bounds,
     };
     let mut started = Vec::new();
     for index in 0..boxes {
@@ -147,6 +165,7 @@
       kind,
       place,
       address: self.places[place].address,
+      profile: self.profile,
     }
   }
 
@@ -154,7 +173,14 @@
   fn start_incarnation(&self, identity: Identity, listener: TcpListener) {
     let place = identity.place;
     self.recorder.record_start(&identity.incarnation);
-    let endpoint = Endpoint::new(identity, &self.recorder, &self.exports, self.events.clone());
+    let events = self.events.clone();
+    let endpoint = Endpoint::new(
+      identity,
+      &self.recorder,
+      &self.exports,
+      events,
+      self.response_draws,
+    );
     *self.places[place].running() = Some(RunningEndpoint::start(endpoint, listener));
   }
 
@@ -249,12 +275,15 @@
       return None;
     }
     let kind = endpoint.kind();
+    let profile = &self.profile;
     let mut entry = json!({
       "service": kind.service(), "address": self.places[place].address, "version": endpoint.version,
-      "zone": Hall::of_place(place).name(),
-      "slots": SLOTS, "state": state, "coldRemainingMs": self.cold_remaining_ms(&incarnation), "callSeq": 1,
-      "born": endpoint.start_number,
+      "zone": profile.hall_of_place(place).name(),
+      "slots": profile.slots, "state": state, "coldRemainingMs": self.cold_remaining_ms(&incarnation), "callSeq": 1,
     });
+    if profile.has_starts {
+      entry["born"] = json!(endpoint.start_number);
+    }
     if let Some(stage) = kind.stage() {
       entry["stage"] = json!(stage);
     }
@@ -265,6 +294,9 @@
 
   /// Remaining time that an endpoint is cold.
   fn cold_remaining_ms(&self, incarnation: &str) -> u64 {
+    if !self.profile.has_starts {
+      return 0;
+    }
     let now_ms = self.recorder.now_ms();
     let records = self.recorder.records();
     let mut starts = records.starts.iter().rev();
@@ -370,6 +402,28 @@
     self.places.iter().filter(is_sound).count()
   }
 
+  /// What callers do otherwise at present.
+  pub(crate) fn habit(&self) -> Option<CallerHabit> {
+    *self.habit.lock().unwrap_or_else(PoisonError::into_inner)
+  }
+
+  /// Makes callers behave otherwise, or as usual.
+  pub(crate) fn set_habit(&self, habit: Option<CallerHabit>) {
+    *self.habit.lock().unwrap_or_else(PoisonError::into_inner) = habit;
+  }
+
+  /// The links of a box to the store and to the endpoints of other halls.
+  pub(crate) fn links_out_of_hall(&self, index: usize) -> Vec<&Link> {
+    let hall = self.profile.hall_of_box(index);
+    let mut links = vec![&self.boxes[index].store_link];
+    for (number, place) in self.places.iter().enumerate() {
+      if self.profile.hall_of_place(number) != hall {
+        links.push(&place.links[index]);
+      }
+    }
+    links
+  }
+
   /// Newest version of the configuration.
   pub(crate) fn newest_version(&self) -> u64 {
     self.versions.load(Ordering::Relaxed)
@@ -378,7 +432,7 @@
   /// Writes a new version of the configuration.
   pub(crate) fn configure(&self) {
     let version = self.versions.fetch_add(1, Ordering::Relaxed) + 1;
-    let document = configuration::document(version);
+    let document = configuration::document(version, &self.profile);
     self.store.put("op/config", document.to_string().as_bytes());
     let now_ms = self.recorder.now_ms();
     self.recorder.records().versions.insert(version, now_ms);
@@ -504,18 +558,6 @@
   held
 }
 
-/// The kind of endpoint at a place at the start. A quarter of the places, at least two, are plain services; of the
-/// others a quarter are prefill engines.
-fn kind_of(number: usize, places: usize) -> EndpointKind {
-  let plain = (places / 4).max(2);
-  let prefill = ((places - plain) / 4).max(1);
-  match number {
-    number if number < plain => EndpointKind::Plain,
-    number if number < plain + prefill => EndpointKind::Prefill,
-    _ => EndpointKind::Decode,
-  }
-}
-
 fn drain_key(hall: Hall) -> String {
   format!("op/evacuate/{}", hall.name())
 }
--- a/soak/src/hall.rs
+++ b/soak/src/hall.rs
@@ -1,22 +1,25 @@
 //! The data halls of a run.
 
-/// A data hall. Places alternate between the halls; all boxes are in the first.
+/// A data hall. Places alternate between the halls.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Hall {
-  /// The hall of the boxes.
+  /// The first hall, which has all boxes where there are two.
   North,
-  /// The other hall.
+  /// The second hall.
   South,
+  /// The third hall.
+  East,
 }
 
 impl Hall {
-  /// The hall of a place.
+  /// Most halls of a deployment.
+  pub(crate) const COUNT: usize = 3;
+  /// All halls.
+  pub(crate) const ALL: [Self; Self::COUNT] = [Self::North, Self::South, Self::East];
+
+  /// The hall of a place in a deployment of two halls.
   pub(crate) fn of_place(place: usize) -> Self {
-    if place.is_multiple_of(2) {
-      Self::North
-    } else {
-      Self::South
-    }
+    Self::ALL[place % 2]
   }
 
   /// Name of the hall in store entries.
@@ -24,6 +27,7 @@
     match self {
       Self::North => "north",
       Self::South => "south",
+      Self::East => "east",
     }
   }
 }
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -7,6 +7,7 @@
 mod caller_key;
 mod cold_check;
 mod configuration;
+mod connection;
 mod content;
 mod cut_off_check;
 mod departures;
@@ -21,17 +22,20 @@
 mod fault;
 mod fault_injector;
 mod fleet;
+mod framing;
 mod hall;
 mod hall_check;
 mod limit_check;
 mod link;
 mod notice_check;
+mod options;
 mod order_check;
 mod organisation_check;
 mod place;
 mod plan;
 mod play;
 mod probe_request;
+mod profile;
 mod promise;
 mod promises;
 mod recorder;
@@ -39,10 +43,13 @@
 mod reply;
 mod request_check;
 mod request_kind;
+mod response_draws;
 mod running_endpoint;
 mod silence;
 mod silence_check;
+mod stray_response;
 mod subcommand;
+mod trouble;
 mod undisturbed;
 mod version_check;
 mod versioning;
@@ -53,11 +60,17 @@
   caller_key::CallerKey,
   disturbance::{Disturbance, Target},
   error::{Error, Result},
-  fault::{EndpointFault, EndpointsCut, Fault, LinkFault, SilentEngines, StoreFault},
+  fault::{
+    CallerHabit, Close, EndpointFault, EndpointsCut, Fault, LinkFault, Losses, SilentEngines,
+    StoreFault, Strays,
+  },
+  framing::Framings,
   hall::Hall,
   link::Link,
+  options::Options,
   plan::{FaultSelection, ScheduledFault, Size, draw_plan},
-  play::{Options, Report, play},
+  play::{Report, play},
+  profile::Profile,
   promise::Promise,
   promises::breaches,
   recorder::Recorder,
@@ -66,5 +79,7 @@
     Records, Rejection, RequestRecord, ResumedStream, RoleCommandRecord, Run, Start,
   },
   request_kind::RequestKind,
+  stray_response::Stray,
   subcommand::run,
+  trouble::Trouble,
 };
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -4,6 +4,7 @@
   super::{
     fault::{EndpointFault, EndpointsCut, Fault, LinkFault, SilentEngines, StoreFault},
     hall::Hall,
+    trouble::{Trouble, draw_troubles},
   },
   rand::{RngExt, SeedableRng},
   rand_chacha::ChaCha8Rng,
@@ -71,6 +72,10 @@
 /// Time until such a restart, and from it until the entry is updated: the platform's heartbeat and some delay at the most.
 const RESTART_DOWN_MS: (u64, u64) = (20, 600);
 const STALE_ENTRY_MS: (u64, u64) = (200, 1_500);
+/// Engines that crash in a series, the interval between them, and the time until each is back.
+const CRASHES_OF_SERIES: (u64, u64) = (1, 3);
+const CRASH_GAP_MS: (u64, u64) = (50, 800);
+const CRASH_DOWN_MS: (u64, u64) = (300, 4_000);
 /// Added latency of a delayed link or a slow store.
 const DELAY_MS: (u64, u64) = (20, 800);
 /// Chance that a fault of a box's process is followed by another one, so that signals overlap.
@@ -79,6 +84,7 @@
 const SERIES_INTERVAL_MS: (u64, u64) = (20, 700);
 
 /// Bits by which the seed is rotated, for independent sequences of draws.
+const CRASH_SEED_ROTATION: u32 = 59;
 const CUT_SEED_ROTATION: u32 = 43;
 const HALL_DRAIN_SEED_ROTATION: u32 = 31;
 const LIMIT_SEED_ROTATION: u32 = 17;
@@ -97,6 +103,8 @@
   pub places: usize,
   /// Period in which faults start.
   pub faults_ms: u64,
+  /// The kinds of trouble that the deployment reports besides the common ones.
+  pub more_troubles: &'static [Trouble],
 }
 
 /// The faults that a run injects.
@@ -114,6 +122,10 @@
   Releases,
   /// Engines that restart under their id with the other software version.
   Restarts,
+  /// Engines that crash, in series too.
+  Crashes,
+  /// The kinds of trouble that the deployment reports, two or three at a time.
+  Troubles,
 }
 
 impl FaultSelection {
@@ -121,7 +133,7 @@
   ///
   /// ```
   /// use soak::{FaultSelection, Size};
-  /// let size = Size { boxes: 3, places: 6, faults_ms: 20_000 };
+  /// let size = Size { boxes: 3, places: 6, faults_ms: 20_000, more_troubles: &[] };
   /// let all = FaultSelection::All.draw(7, size);
   /// for part in [FaultSelection::Silences, FaultSelection::Restarts] {
   ///   let selected = part.draw(7, size);
@@ -131,11 +143,13 @@
   pub fn draw(self, seed: u64, size: Size) -> Vec<ScheduledFault> {
     match self {
       Self::All => draw_plan(seed, size),
+      Self::Crashes => draw_crashes(seed, size),
       Self::Interruptions => draw_interruptions(seed, size),
       Self::Silences => draw_silences(seed, size),
       Self::Releases => draw_releases(seed, size),
       Self::Restarts => draw_restarts(seed, size),
       Self::Stops => draw_stops(seed, size),
+      Self::Troubles => draw_troubles(seed, size),
     }
   }
 }
@@ -153,7 +167,7 @@
 ///
 /// ```
 /// use soak::{Size, draw_plan};
-/// let size = Size { boxes: 3, places: 6, faults_ms: 20_000 };
+/// let size = Size { boxes: 3, places: 6, faults_ms: 20_000, more_troubles: &[] };
 /// assert_eq!(draw_plan(7, size), draw_plan(7, size));
 /// assert_ne!(draw_plan(7, size), draw_plan(8, size));
 /// ```
@@ -363,6 +377,26 @@
   })
 }
 
+/// Draws series of engines that crash, from a separate sequence.
+fn draw_crashes(seed: u64, size: Size) -> Vec<ScheduledFault> {
+  let mut draw = Draw::new(seed.rotate_left(CRASH_SEED_ROTATION), size);
+  let mut steps = Vec::new();
+  let mut at_ms = draw.interval_ms();
+  while at_ms < size.faults_ms {
+    for _ in 0..draw.between(CRASHES_OF_SERIES) {
+      let fault = Fault::EnginesCrashed {
+        count: 1,
+        down_ms: draw.between(CRASH_DOWN_MS),
+        first: draw.random.random_range(0..size.places),
+      };
+      steps.push(ScheduledFault { at_ms, fault });
+      at_ms += draw.between(CRASH_GAP_MS);
+    }
+    at_ms += draw.interval_ms();
+  }
+  steps
+}
+
 /// The box whose process a fault concerns.
 fn box_of(fault: Fault) -> Option<usize> {
   match fault {
@@ -374,13 +408,14 @@
   }
 }
 
-struct Draw {
+/// Draws from a sequence of its own.
+pub(crate) struct Draw {
   random: ChaCha8Rng,
-  size: Size,
+  pub(crate) size: Size,
 }
 
 impl Draw {
-  fn new(seed: u64, size: Size) -> Self {
+  pub(crate) fn new(seed: u64, size: Size) -> Self {
     Self {
       random: ChaCha8Rng::seed_from_u64(seed),
       size,
@@ -404,10 +439,14 @@
     steps
   }
 
-  fn between(&mut self, (min, max): (u64, u64)) -> u64 {
+  pub(crate) fn between(&mut self, (min, max): (u64, u64)) -> u64 {
     self.random.random_range(min..=max)
   }
 
+  pub(crate) fn number_below(&mut self, count: usize) -> usize {
+    self.random.random_range(0..count)
+  }
+
   /// An exponentially distributed interval, so that faults cluster.
   fn interval_ms(&mut self) -> u64 {
     let draw: f64 = self.random.random();
@@ -566,7 +605,7 @@
     self.one_of(&faults)
   }
 
-  fn one_of<T: Copy>(&mut self, from: &[T]) -> T {
+  pub(crate) fn one_of<T: Copy>(&mut self, from: &[T]) -> T {
     from[self.random.random_range(0..from.len())]
   }
 }
--- a/soak/src/records.rs
+++ b/soak/src/records.rs
@@ -257,6 +257,10 @@
   pub hall_drains: Vec<HallDrain>,
   /// Rejections with a retry-after delay.
   pub rejections: Vec<Rejection>,
+  /// Whether endpoints are as fast after their start as later.
+  pub has_warm_starts: bool,
+  /// Endpoints that the route of resumable streams allows one request to be sent to, if not the usual number.
+  pub stream_attempts: Option<usize>,
   /// Starts of endpoints.
   pub starts: Vec<Start>,
   /// Role commands in order of arrival.
--- a/soak/src/request_check.rs
+++ b/soak/src/request_check.rs
@@ -124,13 +124,20 @@
   fn attempts(&self) -> Option<Breach> {
     let Self { id, request, .. } = self;
     // A second run of a request that must not be retried is reported by `runs_once`.
-    if !request.kind.may_retry() || request.runs.len() <= request.kind.max_attempts() {
+    if !request.kind.may_retry() || request.runs.len() <= self.max_attempts() {
       return None;
     }
     let observed = format!("{id} ran at {:?}", request.runs);
     Some(Breach::new(Promise::AttemptLimit, observed))
   }
 
+  fn max_attempts(&self) -> usize {
+    let kind = self.request.kind;
+    let of_streams = self.records.stream_attempts;
+    let of_streams = of_streams.filter(|_| kind.may_resume());
+    of_streams.unwrap_or(kind.max_attempts())
+  }
+
   fn meets_deadline(&self) -> Option<Breach> {
     let Self { id, request, .. } = self;
     // A request without an outcome was still open when its caller was stopped.
--- a/soak/src/running_endpoint.rs
+++ b/soak/src/running_endpoint.rs
@@ -3,6 +3,7 @@
 use {
   super::{
     box_process::box_index,
+    connection::{Connection, EndpointSocket},
     endpoint::{BOX_HEADER, Endpoint},
   },
   http::Request,
@@ -49,13 +50,16 @@
 }
 
 async fn serve_connection(endpoint: Arc<Endpoint>, stream: TcpStream, box_index: usize) {
+  let connection = Connection::default();
+  let socket = EndpointSocket::new(stream, &connection);
   let service = service_fn(move |mut request: Request<Incoming>| {
     let headers = request.headers_mut();
     headers.insert(BOX_HEADER, box_index.into());
-    endpoint.clone().handle(request)
+    connection.begin_request();
+    endpoint.clone().handle(request, connection.clone())
   });
   // Runs on a lost connection end through their guards.
   let _ = http1::Builder::new()
-    .serve_connection(TokioIo::new(stream), service)
+    .serve_connection(TokioIo::new(socket), service)
     .await;
 }
--- a/soak/src/silence_check.rs
+++ b/soak/src/silence_check.rs
@@ -2,12 +2,14 @@
 
 use super::{
   breach::Breach,
-  caller::DEADLINE,
   promise::Promise,
   records::{Outcome, Records, RequestRecord, Run},
   request_kind::RequestKind,
 };
 
+/// Shortest deadline of a profile.
+const SHORTEST_DEADLINE_MS: u64 = 4_000;
+
 /// Streams that ended before their deadline without their whole response, although an engine that had them was sound.
 /// Excludes boxes that were disturbed.
 pub(crate) fn silence_breaches(records: &Records) -> Vec<Breach> {
@@ -23,7 +25,7 @@
 fn given_up_stream(records: &Records, id: &str, request: &RequestRecord) -> Option<Breach> {
   let ended_ms = request.ended_ms?;
   if !is_given_up(request)
-    || u128::from(ended_ms - request.sent_ms) >= DEADLINE.as_millis()
+    || ended_ms - request.sent_ms >= SHORTEST_DEADLINE_MS
     || !are_boxes_undisturbed(records, request, ended_ms)
   {
     return None;
--- a/soak/src/subcommand.rs
+++ b/soak/src/subcommand.rs
@@ -2,8 +2,11 @@
 
 use {
   super::{
-    plan::{FaultSelection, Size},
-    play::{Options, Report, play},
+    framing::Framings,
+    options::Options,
+    plan::FaultSelection,
+    play::{Report, play},
+    profile::Profile,
     records::Outcome,
   },
   bpaf::{Bpaf, Parser, construct, long},
@@ -26,15 +29,8 @@
   /// Number of consecutive seeds to play
   #[bpaf(argument("COUNT"), fallback(1))]
   count: u64,
-  /// Number of boxes
-  #[bpaf(argument("COUNT"), fallback(4))]
-  boxes: usize,
-  /// Number of endpoints
-  #[bpaf(argument("COUNT"), fallback(10))]
-  endpoints: usize,
-  /// Number of callers
-  #[bpaf(argument("COUNT"), fallback(24))]
-  callers: u64,
+  #[bpaf(external(shape))]
+  shape: Shape,
   /// Period in which faults start, in seconds
   #[bpaf(argument("SECONDS"), fallback(30))]
   faults_s: u64,
@@ -43,6 +39,8 @@
   slack_ms: u64,
   #[bpaf(external(fault_selection))]
   faults: FaultSelection,
+  #[bpaf(external(framings))]
+  framings: Framings,
   /// Directory for each seed's settings and logs
   #[bpaf(argument("DIRECTORY"), fallback(PathBuf::from("target/soak")))]
   keep: PathBuf,
@@ -51,8 +49,53 @@
   seeds: Option<PathBuf>,
 }
 
+/// The deployment that is played.
+#[derive(Bpaf, Clone, Debug)]
+enum Shape {
+  Size {
+    /// Number of boxes
+    #[bpaf(argument("COUNT"), fallback(4))]
+    boxes: usize,
+    /// Number of endpoints
+    #[bpaf(argument("COUNT"), fallback(10))]
+    endpoints: usize,
+    /// Number of callers
+    #[bpaf(argument("COUNT"), fallback(24))]
+    callers: u64,
+  },
+  Profile {
+    /// A deployment of three halls instead: wide, deep or narrow
+    #[bpaf(long("profile"), argument("NAME"))]
+    profile: Profile,
+  },
+}
+
+impl Shape {
+  fn profile(&self) -> Profile {
+    match self {
+      Self::Size {
+        boxes,
+        endpoints,
+        callers,
+      } => Profile::of_size(*boxes, *endpoints, *callers),
+      Self::Profile { profile } => *profile,
+    }
+  }
+}
+
+/// Parses how the ends of endpoints' responses are marked.
+fn framings() -> impl Parser<Framings> {
+  long("usual-framings")
+    .help("Send all streams in chunks and all other responses with a length")
+    .req_flag(Framings::Usual)
+    .fallback(Framings::Mixed)
+}
+
 /// Parses the selection of faults.
 fn fault_selection() -> impl Parser<FaultSelection> {
+  let crashes = long("only-crashes")
+    .help("Crash engines, and inject no other faults")
+    .req_flag(FaultSelection::Crashes);
   let interruptions = long("only-interruptions")
     .help("Interrupt streams, and inject no other faults")
     .req_flag(FaultSelection::Interruptions);
@@ -68,7 +111,19 @@
   let stops = long("only-stops")
     .help("Stop boxes as planned, and inject no other faults")
     .req_flag(FaultSelection::Stops);
-  construct!([interruptions, silences, releases, restarts, stops]).fallback(FaultSelection::All)
+  let troubles = long("only-troubles")
+    .help("Inject what deployments report, two or three kinds at a time")
+    .req_flag(FaultSelection::Troubles);
+  construct!([
+    crashes,
+    troubles,
+    interruptions,
+    silences,
+    releases,
+    restarts,
+    stops
+  ])
+  .fallback(FaultSelection::All)
 }
 
 /// Runs the program.
@@ -125,16 +180,13 @@
   }
   std::fs::create_dir_all(&directory).map_err(|error| error.to_string())?;
   let options = Options {
-    callers: arguments.callers,
     directory: directory.clone(),
     faults: arguments.faults,
+    faults_ms: arguments.faults_s * 1_000,
+    framings: arguments.framings,
+    profile: arguments.shape.profile(),
     program: arguments.program.clone(),
     seed,
-    size: Size {
-      boxes: arguments.boxes,
-      faults_ms: arguments.faults_s * 1_000,
-      places: arguments.endpoints,
-    },
     slack_ms: arguments.slack_ms,
   };
   let runtime = tokio::runtime::Runtime::new().map_err(|error| error.to_string())?;
--- a/soak/src/versioning.rs
+++ b/soak/src/versioning.rs
@@ -18,7 +18,9 @@
   /// The versions in runs with a selection of faults.
   pub(crate) fn of(faults: FaultSelection) -> Self {
     match faults {
-      FaultSelection::Releases => Self::Released,
+      FaultSelection::Crashes | FaultSelection::Releases | FaultSelection::Troubles => {
+        Self::Released
+      }
       FaultSelection::All
       | FaultSelection::Interruptions
       | FaultSelection::Restarts
