Soak: configurations never go back over restarts, requests without an id are named, plans in files of their own

Change: ConfigurationMonotonic compares all processes of a box, which is stricter. What is drawn is in draw.rs, the troubles' faults in trouble_plan.rs.

--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -262,6 +262,14 @@
       // Its prompts are not cached.
       (&Method::GET, "/kv-list") => Ok(json_response(json!({"epoch": 1, "held": []}))),
       (&Method::DELETE, path) => Ok(self.release(path)),
+      _ if !head.headers.contains_key("x-request-id") => {
+        let observed = format!(
+          "{} {} without an id at {}",
+          head.method, head.uri, self.incarnation
+        );
+        self.recorder.records().unrequested_runs.push(observed);
+        Ok(not_run(&head.headers, StatusCode::BAD_REQUEST))
+      }
       _ if self.kind() == EndpointKind::Decode && is_crashing(&head.headers, &body) => {
         self.crash(&head.headers).await
       }
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -12,6 +12,7 @@
 mod cut_off_check;
 mod departures;
 mod disturbance;
+mod draw;
 mod endpoint;
 mod endpoint_kind;
 mod endpoint_state;
@@ -50,6 +51,7 @@
 mod stray_response;
 mod subcommand;
 mod trouble;
+mod trouble_plan;
 mod undisturbed;
 mod version_check;
 mod versioning;
@@ -59,6 +61,7 @@
   breach::Breach,
   caller_key::CallerKey,
   disturbance::{Disturbance, Target},
+  draw::{ScheduledFault, Size},
   error::{Error, Result},
   fault::{
     CallerHabit, Close, EndpointFault, EndpointsCut, Fault, LinkFault, Losses, SilentEngines,
@@ -68,7 +71,7 @@
   hall::Hall,
   link::Link,
   options::Options,
-  plan::{FaultSelection, ScheduledFault, Size, draw_plan},
+  plan::{FaultSelection, draw_plan},
   play::{Report, play},
   profile::Profile,
   promise::Promise,
--- a/soak/src/options.rs
+++ b/soak/src/options.rs
@@ -1,11 +1,7 @@
 //! The options of a run.
 
 use {
-  super::{
-    framing::Framings,
-    plan::{FaultSelection, Size},
-    profile::Profile,
-  },
+  super::{draw::Size, framing::Framings, plan::FaultSelection, profile::Profile},
   std::path::PathBuf,
 };
 
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -2,16 +2,14 @@
 
 use {
   super::{
+    draw::{Draw, ScheduledFault, Size},
     fault::{EndpointFault, EndpointsCut, Fault, LinkFault, SilentEngines, StoreFault},
     hall::Hall,
-    trouble::{Trouble, draw_troubles},
+    trouble_plan::draw_troubles,
   },
-  rand::{RngExt, SeedableRng},
-  rand_chacha::ChaCha8Rng,
+  rand::RngExt,
 };
 
-/// Mean interval between faults.
-const MEAN_INTERVAL_MS: f64 = 900.0;
 /// Duration of a temporary fault.
 const FAULT_DURATION_MS: (u64, u64) = (200, 4_000);
 /// Duration in which an endpoint sheds all load.
@@ -94,19 +92,6 @@
 const SILENCE_SEED_ROTATION: u32 = 7;
 const STREAM_FAULT_SEED_ROTATION: u32 = 53;
 
-/// The scale of a run.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Size {
-  /// Number of boxes.
-  pub boxes: usize,
-  /// Number of endpoints.
-  pub places: usize,
-  /// Period in which faults start.
-  pub faults_ms: u64,
-  /// The kinds of trouble that the deployment reports besides the common ones.
-  pub more_troubles: &'static [Trouble],
-}
-
 /// The faults that a run injects.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum FaultSelection {
@@ -154,15 +139,6 @@
   }
 }
 
-/// A fault and its start time.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct ScheduledFault {
-  /// Time since the start of the traffic.
-  pub at_ms: u64,
-  /// The fault.
-  pub fault: Fault,
-}
-
 /// Draws faults of all kinds, sorted by time.
 ///
 /// ```
@@ -408,51 +384,7 @@
   }
 }
 
-/// Draws from a sequence of its own.
-pub(crate) struct Draw {
-  random: ChaCha8Rng,
-  pub(crate) size: Size,
-}
-
 impl Draw {
-  pub(crate) fn new(seed: u64, size: Size) -> Self {
-    Self {
-      random: ChaCha8Rng::seed_from_u64(seed),
-      size,
-    }
-  }
-
-  /// Draws faults one after another from a time on, at a multiple of the mean interval.
-  fn at_intervals(
-    &mut self,
-    from_ms: u64,
-    factor: u64,
-    mut next: impl FnMut(&mut Self) -> Fault,
-  ) -> Vec<ScheduledFault> {
-    let mut steps = Vec::new();
-    let mut at_ms = from_ms;
-    while at_ms < self.size.faults_ms {
-      let fault = next(self);
-      steps.push(ScheduledFault { at_ms, fault });
-      at_ms += factor * self.interval_ms();
-    }
-    steps
-  }
-
-  pub(crate) fn between(&mut self, (min, max): (u64, u64)) -> u64 {
-    self.random.random_range(min..=max)
-  }
-
-  pub(crate) fn number_below(&mut self, count: usize) -> usize {
-    self.random.random_range(0..count)
-  }
-
-  /// An exponentially distributed interval, so that faults cluster.
-  fn interval_ms(&mut self) -> u64 {
-    let draw: f64 = self.random.random();
-    (-MEAN_INTERVAL_MS * (1.0 - draw).ln()) as u64 + 1
-  }
-
   fn fault(&mut self) -> Fault {
     let index = self.random.random_range(0..self.size.boxes);
     let place = self.random.random_range(0..self.size.places);
@@ -604,8 +536,4 @@
     ];
     self.one_of(&faults)
   }
-
-  pub(crate) fn one_of<T: Copy>(&mut self, from: &[T]) -> T {
-    from[self.random.random_range(0..from.len())]
-  }
 }
--- a/soak/src/promise.rs
+++ b/soak/src/promise.rs
@@ -48,7 +48,7 @@
   EndpointLimitHonoured,
   /// Configurations are applied in time.
   ConfigurationInTime,
-  /// No box reverts to an older configuration.
+  /// No box reverts to an older configuration, after a restart either.
   ConfigurationMonotonic,
   /// A planned stop of a box cuts no request.
   GracefulStop,
--- a/soak/src/promises.rs
+++ b/soak/src/promises.rs
@@ -78,21 +78,23 @@
 
   fn configuration(&self) -> Vec<Breach> {
     let mut found = Vec::new();
-    // The newest version applied by each process, and the time of the first probe that showed it.
-    let mut newest: BTreeMap<(usize, u64), (u64, u64)> = BTreeMap::new();
+    // The newest version applied by each box, and the time of the first probe that showed it.
+    let mut newest: BTreeMap<usize, (u64, u64)> = BTreeMap::new();
     for probe in &self.records.probes {
-      let process = (probe.box_index, probe.process_number);
       match probe.in_force {
         Some(true) => {
           let observed = newest
-            .entry(process)
+            .entry(probe.box_index)
             .or_insert((probe.version, probe.sent_ms));
           if probe.version > observed.0 {
             *observed = (probe.version, probe.sent_ms);
           }
         }
         Some(false) => {
-          found.extend(reverted_configuration(probe, newest.get(&process).copied()));
+          found.extend(reverted_configuration(
+            probe,
+            newest.get(&probe.box_index).copied(),
+          ));
           found.extend(self.late_configuration(probe));
         }
         None => {}
@@ -204,7 +206,7 @@
   }
 }
 
-/// A version that a process no longer has although it had the same or a newer one before.
+/// A version that a box no longer has, after a restart too, although it had the same or a newer one before.
 fn reverted_configuration(probe: &Probe, newest: Option<(u64, u64)>) -> Option<Breach> {
   let (version, observed_ms) = newest?;
   if version < probe.version || probe.sent_ms <= observed_ms {
--- a/tests/soak_promises.rs
+++ b/tests/soak_promises.rs
@@ -193,6 +193,23 @@
   assert_eq!(found(&records), promises);
 }
 
+#[rstest]
+#[case::usual(None, vec![])]
+#[case::two(Some(2), vec![Promise::AttemptLimit])]
+fn resumable_stream_sent_to_more_engines_than_its_route_allows_is_found(
+  #[case] stream_attempts: Option<usize>,
+  #[case] promises: Vec<Promise>,
+) {
+  let runs = (0..3).map(|place| run(place, 10_010 + 100 * place as u64, Some(10_900)));
+  let mut records = single_request(
+    RequestKind::ResumableStream,
+    served(&events(1, EVENTS)),
+    runs.collect(),
+  );
+  records.stream_attempts = stream_attempts;
+  assert_eq!(found(&records), promises);
+}
+
 fn probe(version: u64, sent_ms: u64, in_force: Option<bool>) -> Probe {
   Probe {
     box_index: 0,
@@ -212,6 +229,20 @@
   vec![probe(5, 11_000, Some(true)), probe(5, 11_500, Some(false))],
   vec![Promise::ConfigurationMonotonic]
 )]
+#[case::reverted_after_a_restart(
+  vec![
+    probe(5, 11_000, Some(true)),
+    Probe { process_number: 2, ..probe(5, 11_500, Some(false)) },
+  ],
+  vec![Promise::ConfigurationMonotonic]
+)]
+#[case::not_yet_at_another_box(
+  vec![
+    probe(5, 11_000, Some(true)),
+    Probe { box_index: 1, ..probe(5, 11_500, Some(false)) },
+  ],
+  vec![]
+)]
 fn late_or_reverted_configuration_is_found(
   #[case] probes: Vec<Probe>,
   #[case] promises: Vec<Promise>,
