Soak: requests declare as many tokens as a stream has events

A gateway that takes a stream with as many events as tokens for whole would look wrong. Change: 100 tokens of prompt and 140 at most. The usage units of a request, the limit of the organisation over it and its slack are scaled by the same 1.6, so that the limit stays 13.3 requests a second and the check as strict.

--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -2,7 +2,7 @@
 
 use {
   super::{
-    caller_key::CallerKey,
+    caller_key::{CallerKey, MAX_TOKENS, PROMPT_TOKENS},
     configuration::HOST,
     content::{self, CRASHING_BODY, CRASHING_NAME, CRASHING_SEGMENT, SOUND_SEGMENT},
     departures::{Departure, Departures, RECONNECT_DELAY},
@@ -320,12 +320,13 @@
     let uri = format!("http://{address}{}{name}", kind.path());
     *request.uri_mut() = uri.parse().unwrap_or_default();
     let deadline = self.deadline().as_millis().to_string();
+    let tokens = format!("{PROMPT_TOKENS},{MAX_TOKENS}");
     let authorization = format!("Bearer {}", key.text());
     for (name, value) in [
       ("host", HOST),
       ("x-request-id", id),
       ("x-deadline-ms", &deadline),
-      ("x-token-counts", "100,50"),
+      ("x-token-counts", &tokens),
       ("x-prompt-prefix", &segments),
       ("authorization", &authorization),
       ("x-tenant", "claimed"),
--- a/soak/src/caller_key.rs
+++ b/soak/src/caller_key.rs
@@ -6,14 +6,17 @@
 pub(crate) const CAPTIONS: &str = "captions";
 const LECTURES: &str = "lectures";
 pub(crate) const HOT: &str = "hot";
-/// Usage units per request: the prompt and the maximum answer length that it declares.
-pub(crate) const REQUEST_UNITS: u64 = 150;
+/// Tokens of the prompt and of the longest answer that a request declares; no stream has more events.
+pub(crate) const PROMPT_TOKENS: u64 = 100;
+pub(crate) const MAX_TOKENS: u64 = 140;
+/// Usage units per request.
+pub(crate) const REQUEST_UNITS: u64 = PROMPT_TOKENS + MAX_TOKENS;
 /// Limit of the hot organisation in even versions; odd versions reduce it by `REDUCED_SHARE`.
-pub(crate) const HOT_UNITS_PER_S: f64 = 2_000.0;
+pub(crate) const HOT_UNITS_PER_S: f64 = 3_200.0;
 const REDUCED_SHARE: f64 = 0.75;
 /// Allowed excess over the limit in a window, as a share and in units.
 pub(crate) const OVERAGE: f64 = 0.1;
-pub(crate) const SLACK_UNITS: f64 = 4_000.0;
+pub(crate) const SLACK_UNITS: f64 = 6_400.0;
 /// Number of versions in which the key of a version is valid, including that version.
 const KEY_LIFETIME_VERSIONS: u64 = 2;
 
