--- a/soak/src/box_process.rs
+++ b/soak/src/box_process.rs
@@ -33,6 +33,8 @@
 /// Turns of a slow process: it runs at about a sixth of its speed.
 const SLOW_SUSPENDED: Duration = Duration::from_millis(45);
 const SLOW_RUNNING: Duration = Duration::from_millis(10);
+/// What stands for the endpoints among the indices of boxes.
+const ENGINE_HOST_INDEX: usize = 249;
 const RESTART_DELAY: Duration = Duration::from_millis(200);
 
 /// Bounds of the boxes of a run.
@@ -273,6 +275,11 @@
   )
 }
 
+/// The loopback host at which the endpoints of a run listen; no box has it.
+pub(crate) fn engine_host() -> Ipv4Addr {
+  box_host(ENGINE_HOST_INDEX)
+}
+
 /// The index of the box with a loopback host.
 pub(crate) fn box_index(host: IpAddr) -> usize {
   match host {
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use {
   super::{
-    box_process::{BoxBounds, BoxPlan, BoxProcess, box_host},
+    box_process::{BoxBounds, BoxPlan, BoxProcess, box_host, engine_host},
     cold_check::COLD_MS,
     configuration::{self, HOST, version_path},
     endpoint::{Endpoint, Identity},
@@ -562,8 +562,9 @@
   format!("op/evacuate/{}", hall.name())
 }
 
+/// Listens at a loopback host of the run's own: at 127.0.0.1, other programs may still call a port that was theirs.
 async fn listen() -> Result<TcpListener> {
-  TcpListener::bind("127.0.0.1:0")
+  TcpListener::bind((engine_host(), 0))
     .await
     .map_err(Error::Listen)
 }
