--- a/tests/gateway/endpoint.rs
+++ b/tests/gateway/endpoint.rs
@@ -38,6 +38,8 @@
   pub(crate) headers: HashMap<String, String>,
   pub(crate) body: Vec<u8>,
   pub(crate) at: Instant,
+  /// The connection that it came on, by the gateway's address.
+  pub(crate) connection: SocketAddr,
   /// The number of the endpoint's start that received it, from 1.
   pub(crate) start: u64,
 }
@@ -579,6 +581,7 @@
         return Some(ReceivedRequest {
           at: Instant::now(),
           body,
+          connection: stream.peer_addr().ok()?,
           headers,
           method,
           path,
