--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -7,10 +7,12 @@
 mod caller_key;
 mod cold_check;
 mod configuration;
+mod connection;
 mod content;
 mod cut_off_check;
 mod departures;
 mod disturbance;
+mod draw;
 mod endpoint;
 mod endpoint_kind;
 mod endpoint_state;
@@ -21,17 +23,20 @@
 mod fault;
 mod fault_injector;
 mod fleet;
+mod framing;
 mod hall;
 mod hall_check;
 mod limit_check;
 mod link;
 mod notice_check;
+mod options;
 mod order_check;
 mod organisation_check;
 mod place;
 mod plan;
 mod play;
 mod probe_request;
+mod profile;
 mod promise;
 mod promises;
 mod recorder;
@@ -39,10 +44,14 @@
 mod reply;
 mod request_check;
 mod request_kind;
+mod response_draws;
 mod running_endpoint;
 mod silence;
 mod silence_check;
+mod stray_response;
 mod subcommand;
+mod trouble;
+mod trouble_plan;
 mod undisturbed;
 mod version_check;
 mod versioning;
@@ -52,11 +61,19 @@
   breach::Breach,
   caller_key::CallerKey,
   disturbance::{Disturbance, Target},
+  draw::{ScheduledFault, Size},
   error::{Error, Result},
-  fault::{EndpointFault, EndpointsCut, Fault, LinkFault, SilentEngines, StoreFault},
+  fault::{
+    CallerHabit, Close, EndpointFault, EndpointsCut, Fault, LinkFault, Losses, SilentEngines,
+    StoreFault, Strays,
+  },
+  framing::Framings,
   hall::Hall,
-  plan::{FaultSelection, ScheduledFault, Size, draw_plan},
-  play::{Options, Report, play},
+  link::Link,
+  options::Options,
+  plan::{FaultSelection, draw_plan},
+  play::{Report, play},
+  profile::Profile,
   promise::Promise,
   promises::breaches,
   recorder::Recorder,
@@ -65,5 +82,7 @@
     Records, Rejection, RequestRecord, ResumedStream, RoleCommandRecord, Run, Start,
   },
   request_kind::RequestKind,
+  stray_response::Stray,
   subcommand::run,
+  trouble::Trouble,
 };
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -2,15 +2,14 @@
 
 use {
   super::{
+    draw::{Draw, ScheduledFault, Size},
     fault::{EndpointFault, EndpointsCut, Fault, LinkFault, SilentEngines, StoreFault},
     hall::Hall,
+    trouble_plan::draw_troubles,
   },
-  rand::{RngExt, SeedableRng},
-  rand_chacha::ChaCha8Rng,
+  rand::RngExt,
 };
 
-/// Mean interval between faults.
-const MEAN_INTERVAL_MS: f64 = 900.0;
 /// Duration of a temporary fault.
 const FAULT_DURATION_MS: (u64, u64) = (200, 4_000);
 /// Duration in which an endpoint sheds all load.
@@ -71,6 +70,10 @@
 /// Time until such a restart, and from it until the entry is updated: the platform's heartbeat and some delay at the most.
 const RESTART_DOWN_MS: (u64, u64) = (20, 600);
 const STALE_ENTRY_MS: (u64, u64) = (200, 1_500);
+/// Engines that crash in a series, the interval between them, and the time until each is back.
+const CRASHES_OF_SERIES: (u64, u64) = (1, 3);
+const CRASH_GAP_MS: (u64, u64) = (50, 800);
+const CRASH_DOWN_MS: (u64, u64) = (300, 4_000);
 /// Added latency of a delayed link or a slow store.
 const DELAY_MS: (u64, u64) = (20, 800);
 /// Chance that a fault of a box's process is followed by another one, so that signals overlap.
@@ -79,6 +82,7 @@
 const SERIES_INTERVAL_MS: (u64, u64) = (20, 700);
 
 /// Bits by which the seed is rotated, for independent sequences of draws.
+const CRASH_SEED_ROTATION: u32 = 59;
 const CUT_SEED_ROTATION: u32 = 43;
 const HALL_DRAIN_SEED_ROTATION: u32 = 31;
 const LIMIT_SEED_ROTATION: u32 = 17;
@@ -88,17 +92,6 @@
 const SILENCE_SEED_ROTATION: u32 = 7;
 const STREAM_FAULT_SEED_ROTATION: u32 = 53;
 
-/// The scale of a run.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Size {
-  /// Number of boxes.
-  pub boxes: usize,
-  /// Number of endpoints.
-  pub places: usize,
-  /// Period in which faults start.
-  pub faults_ms: u64,
-}
-
 /// The faults that a run injects.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum FaultSelection {
@@ -114,6 +107,10 @@
   Releases,
   /// Engines that restart under their id with the other software version.
   Restarts,
+  /// Engines that crash, in series too.
+  Crashes,
+  /// The kinds of trouble that the deployment reports, two or three at a time.
+  Troubles,
 }
 
 impl FaultSelection {
@@ -121,7 +118,7 @@
   ///
   /// ```
   /// use soak::{FaultSelection, Size};
-  /// let size = Size { boxes: 3, places: 6, faults_ms: 20_000 };
+  /// let size = Size { boxes: 3, places: 6, faults_ms: 20_000, more_troubles: &[] };
   /// let all = FaultSelection::All.draw(7, size);
   /// for part in [FaultSelection::Silences, FaultSelection::Restarts] {
   ///   let selected = part.draw(7, size);
@@ -131,29 +128,22 @@
   pub fn draw(self, seed: u64, size: Size) -> Vec<ScheduledFault> {
     match self {
       Self::All => draw_plan(seed, size),
+      Self::Crashes => draw_crashes(seed, size),
       Self::Interruptions => draw_interruptions(seed, size),
       Self::Silences => draw_silences(seed, size),
       Self::Releases => draw_releases(seed, size),
       Self::Restarts => draw_restarts(seed, size),
       Self::Stops => draw_stops(seed, size),
+      Self::Troubles => draw_troubles(seed, size),
     }
   }
 }
 
-/// A fault and its start time.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct ScheduledFault {
-  /// Time since the start of the traffic.
-  pub at_ms: u64,
-  /// The fault.
-  pub fault: Fault,
-}
-
 /// Draws faults of all kinds, sorted by time.
 ///
 /// ```
 /// use soak::{Size, draw_plan};
-/// let size = Size { boxes: 3, places: 6, faults_ms: 20_000 };
+/// let size = Size { boxes: 3, places: 6, faults_ms: 20_000, more_troubles: &[] };
 /// assert_eq!(draw_plan(7, size), draw_plan(7, size));
 /// assert_ne!(draw_plan(7, size), draw_plan(8, size));
 /// ```
@@ -363,6 +353,26 @@
   })
 }
 
+/// Draws series of engines that crash, from a separate sequence.
+fn draw_crashes(seed: u64, size: Size) -> Vec<ScheduledFault> {
+  let mut draw = Draw::new(seed.rotate_left(CRASH_SEED_ROTATION), size);
+  let mut steps = Vec::new();
+  let mut at_ms = draw.interval_ms();
+  while at_ms < size.faults_ms {
+    for _ in 0..draw.between(CRASHES_OF_SERIES) {
+      let fault = Fault::EnginesCrashed {
+        count: 1,
+        down_ms: draw.between(CRASH_DOWN_MS),
+        first: draw.random.random_range(0..size.places),
+      };
+      steps.push(ScheduledFault { at_ms, fault });
+      at_ms += draw.between(CRASH_GAP_MS);
+    }
+    at_ms += draw.interval_ms();
+  }
+  steps
+}
+
 /// The box whose process a fault concerns.
 fn box_of(fault: Fault) -> Option<usize> {
   match fault {
@@ -374,46 +384,7 @@
   }
 }
 
-struct Draw {
-  random: ChaCha8Rng,
-  size: Size,
-}
-
 impl Draw {
-  fn new(seed: u64, size: Size) -> Self {
-    Self {
-      random: ChaCha8Rng::seed_from_u64(seed),
-      size,
-    }
-  }
-
-  /// Draws faults one after another from a time on, at a multiple of the mean interval.
-  fn at_intervals(
-    &mut self,
-    from_ms: u64,
-    factor: u64,
-    mut next: impl FnMut(&mut Self) -> Fault,
-  ) -> Vec<ScheduledFault> {
-    let mut steps = Vec::new();
-    let mut at_ms = from_ms;
-    while at_ms < self.size.faults_ms {
-      let fault = next(self);
-      steps.push(ScheduledFault { at_ms, fault });
-      at_ms += factor * self.interval_ms();
-    }
-    steps
-  }
-
-  fn between(&mut self, (min, max): (u64, u64)) -> u64 {
-    self.random.random_range(min..=max)
-  }
-
-  /// An exponentially distributed interval, so that faults cluster.
-  fn interval_ms(&mut self) -> u64 {
-    let draw: f64 = self.random.random();
-    (-MEAN_INTERVAL_MS * (1.0 - draw).ln()) as u64 + 1
-  }
-
   fn fault(&mut self) -> Fault {
     let index = self.random.random_range(0..self.size.boxes);
     let place = self.random.random_range(0..self.size.places);
@@ -565,8 +536,4 @@
     ];
     self.one_of(&faults)
   }
-
-  fn one_of<T: Copy>(&mut self, from: &[T]) -> T {
-    from[self.random.random_range(0..from.len())]
-  }
 }
--- a/tests/gateway/extra_answers.rs
+++ b/tests/gateway/extra_answers.rs
@@ -4,7 +4,7 @@
 use {
   super::{
     EndpointStandIn, GatewayBox, GatewayTest, ReceivedRequest, Reply, TIMEOUT,
-    harness::CallerResponse,
+    endpoint::listed_start, harness::CallerResponse,
   },
   emulator::eventually,
   http::StatusCode,
@@ -24,6 +24,8 @@
 const REQUESTS: u64 = 6;
 /// The start that engines are listed with.
 const LISTED_START_MS: u64 = 7;
+/// The number of an engine's start.
+const LISTED_START: u64 = 1;
 /// Time from an answer that comes again to the one that is due.
 const OWN_ANSWER_DELAY: Duration = Duration::from_millis(50);
 /// Until a changed entry has reached the box.
@@ -278,17 +280,21 @@
 async fn prefill_is_no_answer_to_the_stream_of_the_same_request(
   #[values("/stream/a", "/resumable/a")] path: &str,
 ) {
-  let repeater = Arc::new(Repeater::new(CallKind::Prefill, CallKind::Stream));
+  let started_ms = listed_start(LISTED_START);
+  let repeater = Arc::new(Repeater {
+    started_ms,
+    ..Repeater::new(CallKind::Prefill, CallKind::Stream)
+  });
   let both = start(&repeater).await;
   let test = GatewayTest::new().await;
   let store = test.store.clone();
   let address = both.address;
   let changes_role = move |seen: &ReceivedRequest| match CallKind::of(seen) {
-    CallKind::Report => Reply::Write(json_answer(seen, &report(LISTED_START_MS))),
+    CallKind::Report => Reply::Write(json_answer(seen, &report(started_ms))),
     CallKind::Reservation => Reply::Write(json_answer(seen, r#"{"hold":"h"}"#)),
     CallKind::Release => Reply::Write(json_answer(seen, "")),
     _ => {
-      GatewayTest::enter_incarnation(&store, "e-1", "decode", address, LISTED_START_MS);
+      GatewayTest::enter_incarnation(&store, "e-1", "decode", address, LISTED_START);
       let Reply::Write(rejection) = Reply::not_run(seen) else {
         unreachable!()
       };
@@ -296,13 +302,13 @@
     }
   };
   let rejecting = EndpointStandIn::start(changes_role).await;
-  GatewayTest::enter_incarnation(&test.store, "e-1", "prefill", address, LISTED_START_MS);
+  GatewayTest::enter_incarnation(&test.store, "e-1", "prefill", address, LISTED_START);
   GatewayTest::enter_incarnation(
     &test.store,
     "e-2",
     "decode",
     rejecting.address,
-    LISTED_START_MS,
+    LISTED_START,
   );
   let gateway = test.start().await;
   let response = gateway.ask(path, "r1").await;
