--- a/src/gateway/stages/end_check.rs
+++ b/src/gateway/stages/confirm_end.rs
@@ -109,8 +109,8 @@
     return Liveness::Alive;
   }
   match report.started_ms(gateway, entry) {
-    None => Liveness::Unknown,
-    started_ms if started_ms == entry.started_ms => Liveness::Alive,
-    Some(_) => Liveness::Terminated,
+    Ok(None) | Err(_) => Liveness::Unknown,
+    Ok(started_ms) if started_ms == entry.started_ms => Liveness::Alive,
+    Ok(Some(_)) => Liveness::Terminated,
   }
 }
