--- a/src/gateway/connections/mod.rs
+++ b/src/gateway/connections/mod.rs
@@ -10,6 +10,7 @@
 mod connection_pool;
 mod headers;
 mod liveness;
+mod recent_ids;
 mod stall_timeout;
 
 pub use self::headers::remove_connection_headers;
--- a/src/gateway/stages/incarnation_check.rs
+++ b/src/gateway/stages/incarnation_check.rs
@@ -2,7 +2,8 @@
 
 use {
   super::{
-    call_request::{CALL_TIMEOUT, MAX_RESPONSE_BYTES, build_request},
+    answer_check::check_answer,
+    call_request::{CALL_TIMEOUT, MAX_RESPONSE_BYTES, build_call},
     notice::{SentCall, apply_response_notice},
     purpose::Purpose,
     stage_error::StageError,
@@ -12,7 +13,7 @@
     gateway::{
       connections::{Connection, closes_connection},
       decisions::Unavailable,
-      edge::EndpointEntry,
+      edge::{DecodeError, EndpointEntry},
       state::Gateway,
     },
   },
@@ -36,10 +37,12 @@
   Open,
   /// The engine closes it.
   Closed,
+  /// The response was no report, so the start is not confirmed.
+  Unreadable,
 }
 
 /// Has an engine report its start on a connection, which outlives no restart. Fails when it reports another start than the listed
-/// one, none, or nothing in time.
+/// one, none, or nothing in time; a report that can't be decoded neither fails nor confirms.
 pub(super) async fn confirm_start(
   gateway: &Rc<Gateway>,
   entry: &EndpointEntry,
@@ -51,7 +54,9 @@
     return Err(StageError::Unreachable);
   };
   let report = report?;
-  let reported_ms = report.started_ms(gateway, entry);
+  let Ok(reported_ms) = report.started_ms(gateway, entry) else {
+    return Ok(AfterReport::Unreadable);
+  };
   let head = &report.head;
   if reported_ms != entry.started_ms {
     log::info!(
@@ -84,16 +89,18 @@
 ) -> Result<Report, StageError> {
   let unsent = |error: &dyn Display| StageError::Unsent(error.to_string());
   let call = gateway.codec.report_call(&entry.id);
-  let call = build_request(entry, call).map_err(|error| unsent(&error))?;
+  let call = build_call(gateway, entry, call, Purpose::Call).map_err(|error| unsent(&error))?;
   let sent = SentCall {
     entry,
+    id: call.id.as_deref(),
     purpose: Purpose::Call,
     sent_ms: gateway.now_ms(),
   };
   let response = connection
-    .send(call)
+    .send(call.request)
     .await
     .map_err(|error| unsent(&error))?;
+  check_answer(gateway, sent, response.headers()).map_err(|error| unsent(&error))?;
   let (head, body) = apply_response_notice(gateway, sent, response).into_parts();
   let read = buffer_body(body, MAX_RESPONSE_BYTES).await;
   let body = read.map_err(|error| unsent(&error))?;
@@ -101,18 +108,18 @@
 }
 
 impl Report {
-  /// The start in the report; `None` when the engine rejects it, or when it holds none. The listed one if it can't be read: an engine
-  /// without readable reports is not avoided.
-  pub(super) fn started_ms(&self, gateway: &Gateway, entry: &EndpointEntry) -> Option<u64> {
+  /// The start in the report; `None` when the engine rejects it, or when it holds none.
+  pub(super) fn started_ms(
+    &self,
+    gateway: &Gateway,
+    entry: &EndpointEntry,
+  ) -> Result<Option<u64>, DecodeError> {
     if self.head.status != StatusCode::OK {
-      return None;
-    }
-    match gateway.codec.report(&self.body) {
-      Ok(report) => report.started_ms,
-      Err(error) => {
-        log::info!("E561 report not decoded: {}: {error}", entry.id);
-        entry.started_ms
-      }
+      return Ok(None);
     }
+    let report = gateway.codec.report(&self.body);
+    report
+      .map(|report| report.started_ms)
+      .inspect_err(|error| log::info!("E561 report not decoded: {}: {error}", entry.id))
   }
 }
--- a/src/gateway/stages/stage.rs
+++ b/src/gateway/stages/stage.rs
@@ -2,11 +2,13 @@
 
 use {
   super::{
+    answer_check::check_answer,
     confirm_end::confirm_end,
     framing::Framing,
     incarnation_check::{AfterReport, confirm_start, has_confirmed_start},
     notice::{SentCall, apply_response_notice},
     open_connection::open_connection,
+    outgoing_call::OutgoingCall,
     purpose::Purpose,
     request::RoutedRequest,
     response_body::{BodyReader, BufferedBody},
@@ -22,9 +24,11 @@
     },
     ids::Name,
   },
-  bytes::Bytes,
-  http::{HeaderMap, Request, Response, StatusCode, header::CONTENT_ENCODING, response},
-  http_body_util::Full,
+  http::{
+    HeaderMap, Response, StatusCode,
+    header::{CONTENT_ENCODING, CONTENT_TYPE},
+    response,
+  },
   hyper::body::{Body, Incoming},
   std::rc::Rc,
 };
@@ -32,6 +36,9 @@
 /// The status of an endpoint that is not the incarnation that the request is for (RFC 9110, 15.5.20).
 const MISDIRECTED: u16 = 421;
 
+/// The type of a stream's response.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// Counts a stage towards its endpoint's load until dropped, and then records the outcome; cancelled unless settled.
 pub(crate) struct LoadGuard {
   gateway: Rc<Gateway>,
@@ -272,20 +279,25 @@
   }
   let mut load_guard = LoadGuard::new(gateway, &entry.id, size, units);
   let sent_ms = gateway.now_ms();
-  let sent = request.for_endpoint(&*gateway.codec, proxy_headers);
+  let call = OutgoingCall {
+    id: request.attributes.request_id.clone(),
+    purpose: purpose_of(request, &proxy_headers.stage),
+    request: request.for_endpoint(&*gateway.codec, proxy_headers),
+  };
   request.sends.set(request.sends.get() + 1);
-  let response = exchange(
-    gateway,
-    entry,
-    sent,
-    purpose_of(request, &proxy_headers.stage),
-  )
-  .await
-  .and_then(|(connection, response)| {
-    let (head, body) = response.into_parts();
-    let attributes = validate(gateway, request, entry, &head)?;
-    Ok((connection, head, body, attributes))
-  });
+  let response = exchange(gateway, entry, call)
+    .await
+    .and_then(|(connection, response)| {
+      let (head, body) = response.into_parts();
+      let attributes = validate(gateway, entry, &head)?;
+      if is_stream(request, &proxy_headers.stage)
+        && head.status.is_success()
+        && !is_event_stream(&head.headers)
+      {
+        return Err(StageError::Lost("success without an event stream".into()));
+      }
+      Ok((connection, head, body, attributes))
+    });
   match response {
     Ok((connection, head, body, attributes)) => Ok(ResponseHead {
       attributes,
@@ -311,11 +323,25 @@
   }
 }
 
+/// Whether a stage is answered with a stream.
+fn is_stream(request: &RoutedRequest, stage: &Stage) -> bool {
+  request.route.kind.is_stream() && *stage != Stage::Prefill
+}
+
+/// Whether a response is a stream, by its type.
+fn is_event_stream(headers: &HeaderMap) -> bool {
+  let Some(content_type) = headers.get(CONTENT_TYPE) else {
+    return false;
+  };
+  let essence = content_type.as_bytes().split(|byte| *byte == b';').next();
+  essence.is_some_and(|essence| essence.trim_ascii().eq_ignore_ascii_case(EVENT_STREAM))
+}
+
 /// The purpose of a stage of a caller's request.
 fn purpose_of(request: &RoutedRequest, stage: &Stage) -> Purpose {
   let is_resumed = request.attributes.last_event_id.is_some();
   let kind = request.route.kind;
-  if kind.is_stream() && (kind.may_retry() || is_resumed) && *stage != Stage::Prefill {
+  if is_stream(request, stage) && (kind.may_retry() || is_resumed) {
     return Purpose::ResumableStream;
   }
   Purpose::Request
@@ -325,13 +351,13 @@
 pub(crate) async fn exchange(
   gateway: &Rc<Gateway>,
   entry: &EndpointEntry,
-  request: Request<Full<Bytes>>,
-  purpose: Purpose,
+  call: OutgoingCall,
 ) -> Result<(Connection, Response<Incoming>), StageError> {
   // The endpoint's state may have changed since it was chosen.
-  check_available(gateway, entry, purpose)?;
-  if let Some(connection) = gateway.pool.take_idle(&entry.id, gateway.now_ms()) {
-    match exchange_on(gateway, entry, connection, request.clone(), purpose).await {
+  check_available(gateway, entry, call.purpose)?;
+  let id = call.id.as_deref();
+  if let Some(connection) = gateway.pool.take_idle(&entry.id, id, gateway.now_ms()) {
+    match exchange_on(gateway, entry, connection, call.clone()).await {
       Err(StageError::Unreachable | StageError::Unsent(_)) => {}
       result => {
         if result.is_ok() {
@@ -342,11 +368,12 @@
     }
   }
   let connection = open_connection(gateway, entry).await?;
-  check_available(gateway, entry, purpose)?;
-  exchange_on(gateway, entry, connection, request, purpose).await
+  check_available(gateway, entry, call.purpose)?;
+  exchange_on(gateway, entry, connection, call).await
 }
 
-/// A connection on which an engine has confirmed its listed start.
+/// A connection on which an engine has confirmed its listed start. A report that can't be decoded may be damaged on its way, and is
+/// requested once more.
 async fn confirmed_connection(
   gateway: &Rc<Gateway>,
   entry: &EndpointEntry,
@@ -358,7 +385,9 @@
   // A start that is confirmed after a connection was opened is the one that the connection leads to, or the connection is dead.
   let mut connection = open_connection(gateway, entry).await?;
   let mut reporting = open_connection(gateway, entry).await?;
-  confirm_start(gateway, entry, &mut reporting).await?;
+  if confirm_start(gateway, entry, &mut reporting).await? == AfterReport::Unreadable {
+    return Err(Unavailable::Unconfirmed.into());
+  }
   connection.confirmed_start_ms = entry.started_ms;
   Ok(connection)
 }
@@ -368,19 +397,30 @@
   gateway: &Rc<Gateway>,
   entry: &EndpointEntry,
   mut connection: Connection,
-  request: Request<Full<Bytes>>,
-  purpose: Purpose,
+  call: OutgoingCall,
 ) -> Result<(Connection, Response<Incoming>), StageError> {
+  let OutgoingCall {
+    id,
+    purpose,
+    request,
+  } = call;
   if purpose == Purpose::ResumableStream && !has_confirmed_start(&connection, entry) {
     connection = confirmed_connection(gateway, entry, connection).await?;
     check_available(gateway, entry, purpose)?;
   }
   let sent = SentCall {
     entry,
+    id: id.as_deref(),
     purpose,
     sent_ms: gateway.now_ms(),
   };
+  if purpose.is_request()
+    && let Some(id) = &id
+  {
+    connection.record_id(id);
+  }
   let response = connection.send(request).await?;
+  check_answer(gateway, sent, response.headers())?;
   Ok((connection, apply_response_notice(gateway, sent, response)))
 }
 
@@ -412,17 +452,13 @@
   }
 }
 
-/// Checks that a response belongs to the request, and reads whether the request has run.
+/// Reads whether a request has run, and checks that its response may be forwarded.
 fn validate(
   gateway: &Gateway,
-  request: &RoutedRequest,
   entry: &EndpointEntry,
   head: &response::Parts,
 ) -> Result<ResponseAttributes, StageError> {
   let attributes = gateway.codec.response_attributes(&head.headers);
-  if attributes.request_id != request.attributes.request_id {
-    return Err(StageError::Lost("response to another request".into()));
-  }
   if let Some(load) = attributes.load {
     gateway
       .endpoints
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod endless_reply;
 mod endpoint;
 mod endpoint_limits;
+mod extra_answers;
 mod fair_shares;
 mod hall_drain;
 mod harness;
@@ -45,6 +46,7 @@
 mod streams;
 mod takeovers;
 mod unframed_ends;
+mod unknown_origins;
 mod version_records;
 mod versions;
 
--- a/tests/gateway/versions.rs
+++ b/tests/gateway/versions.rs
@@ -26,20 +26,23 @@
     },
     time::Duration,
   },
+  tokio::time::{sleep, timeout},
 };
 
 const BEGINNING: &str = "id: 1\ndata: a\n\nid: 2\nda";
 const REST: &str = "id: 2\ndata: b\n\n";
-const EVENTS: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+pub(super) const EVENTS: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
 /// Streams of one test; by chance alone each would go on at its own version half of the time.
 const STREAMS: usize = 8;
+/// When a rejected caller returns.
+const RETURN_DELAY: Duration = Duration::from_millis(300);
 
 fn is_stream(seen: &ReceivedRequest) -> bool {
   seen.path.starts_with("/resumable/") && !seen.is_prefill()
 }
 
 /// Streams the rest to a caller who resumes, and the beginning to others, whose connections stay open.
-fn begins_and_resumes(seen: &ReceivedRequest) -> Reply {
+pub(super) fn begins_and_resumes(seen: &ReceivedRequest) -> Reply {
   match seen.header("last-event-id") {
     "" if is_stream(seen) => Reply::Write(Reply::stream_part(seen, BEGINNING)),
     _ if is_stream(seen) => Reply::stream(seen, REST),
@@ -113,7 +116,7 @@
 }
 
 /// Resumes a stream after its first event.
-async fn resume(gateway: &GatewayBox, id: &str, resumes: &str) -> CallerResponse {
+pub(super) async fn resume(gateway: &GatewayBox, id: &str, resumes: &str) -> CallerResponse {
   let mut request = gateway.request("/resumable/a", id);
   let headers = request.headers_mut();
   headers.insert("last-event-id", HeaderValue::from_static("1"));
@@ -185,7 +188,7 @@
     engines.wait_until_run(&id).await;
   }
   // The first events reach their callers.
-  tokio::time::sleep(Duration::from_millis(200)).await;
+  sleep(Duration::from_millis(200)).await;
   if resumption == Resumption::AfterKill {
     began.process.kill().unwrap();
     began.process.wait().unwrap();
@@ -448,14 +451,25 @@
   proxy.cut().await;
   let is_stale = async || gateway.ask("/missing/", "m").await.status != StatusCode::NOT_FOUND;
   assert!(eventually(TIMEOUT, is_stale).await);
-  for number in 0..STREAMS {
-    gateway.ask_in_background("/resumable/a", &format!("r{number}"));
-  }
+  let ids: Vec<String> = (0..STREAMS).map(|number| format!("r{number}")).collect();
+  let begin = join_all(ids.iter().map(|id| begin_until_served(&gateway, id)));
+  assert!(timeout(TIMEOUT, begin).await.is_ok());
   let all_run = async || other.requests().len() + restarted.requests().len() == STREAMS;
   assert!(eventually(TIMEOUT, all_run).await);
   assert!(restarted.requests().is_empty());
 }
 
+/// Begins a stream, and asks again after each rejection.
+async fn begin_until_served(gateway: &GatewayBox, id: &str) {
+  loop {
+    let asked = gateway.ask_in_background("/resumable/a", id);
+    match asked.await.unwrap().unwrap() {
+      StatusCode::SERVICE_UNAVAILABLE => sleep(RETURN_DELAY).await,
+      status => return assert_eq!(status, StatusCode::OK),
+    }
+  }
+}
+
 /// Cuts each stream that it begins after its first event; reports its start.
 fn cuts_what_it_begins(
   started_ms: u64,
@@ -594,6 +608,30 @@
   assert_eq!(response.body.unwrap(), EVENTS);
 }
 
+/// Guards against streams that are rejected as one report of their only engine is damaged.
+#[rstest]
+#[case::no_json("{?}")]
+#[case::body_of_another_call(r#"{"hold": "h1"}"#)]
+#[tokio::test]
+async fn stream_begins_at_the_only_engine_whose_report_is_damaged_once(
+  #[case] damaged: &'static str,
+) {
+  let prefill = EndpointStandIn::engine(EVENTS).await;
+  let test = GatewayTest::new().await;
+  test.enter("e-1", "llm", Some("prefill"), &prefill);
+  let reports = AtomicU64::new(0);
+  let engine = EndpointStandIn::start(move |seen| match seen.path.as_str() {
+    "/report" if reports.fetch_add(1, Ordering::Relaxed) == 0 => Reply::ok(seen, damaged),
+    "/report" => reports_start(7)(seen),
+    _ => engine_reply(seen, EVENTS),
+  })
+  .await;
+  test.enter_version_started("e-2", &engine, "v1", 7);
+  let gateway = test.start().await;
+  let response = gateway.ask("/resumable/a", "r1").await;
+  assert_eq!(response.body.unwrap(), EVENTS);
+}
+
 /// Guards against engines that have restarted and use up the tries of a stream.
 #[rstest]
 #[case::all_but_one(6, 1, StatusCode::OK)]
