A reset probe does not show that an endpoint has terminated

Callers of requests that may not be repeated got 502 for a whole answer that ended with its connection, where the endpoint was at its limit of connections and reset the one by which it was probed: a reset counted as terminated, as a refused connection does. The probe now tells the two apart, and a probe that is closed or reset is repeated for as long as one that gets no answer. Crash detection takes both as before.

--- a/src/gateway/quarantine/crash_detection.rs
+++ b/src/gateway/quarantine/crash_detection.rs
@@ -102,8 +102,9 @@
     entry.started_ms,
     fingerprint_list(&segments)
   );
-  if liveness != Liveness::Terminated {
-    return;
+  match liveness {
+    Liveness::Terminated | Liveness::Closing => {}
+    Liveness::Alive | Liveness::Unknown => return,
   }
   gateway.counters.lost_with_endpoint.inc();
   if gateway.settings.quarantine.strategy != QuarantineStrategy::Off {
--- a/src/gateway/stages/confirm_end.rs
+++ b/src/gateway/stages/confirm_end.rs
@@ -77,7 +77,7 @@
     match liveness {
       Liveness::Alive => return Ok(()),
       Liveness::Terminated => return Err(UnconfirmedEnd::Terminated),
-      Liveness::Unknown => sleep(RETRY_PAUSE).await,
+      Liveness::Closing | Liveness::Unknown => sleep(RETRY_PAUSE).await,
     }
   }
 }
