A leaving engine is asked for its report at the end of a stream, unless it backs off

Callers of streams whose engine was leaving, or no longer listed, saw an early end as complete: such an engine was only probed by a connection, which the next process at its address accepts. A probe that is closed at once is repeated twice, not for 1.2 s, in which a relay may lead to the next process.

--- a/src/gateway/connections/connection.rs
+++ b/src/gateway/connections/connection.rs
@@ -131,7 +131,7 @@
   }
 
   /// Whether it may have carried a request before: a late answer to that would be taken for the one to the next. A request
-  /// without an id can't be told from any other.
+  /// without an id is indistinguishable from any other.
   pub(crate) fn may_have_carried(&self, id: Option<&str>) -> bool {
     id.is_none_or(|id| self.recent_ids.contains(id))
   }
--- a/src/gateway/decisions/stream_ends.rs
+++ b/src/gateway/decisions/stream_ends.rs
@@ -19,7 +19,7 @@
 /// Versions that are remembered.
 const MAX_VERSIONS: usize = 256;
 
-/// What an end with the connection says about a stream whose engine runs on.
+/// What an end with the connection means for a stream whose engine runs on.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum EndTrust {
   /// The stream is complete.
--- a/src/gateway/stages/confirm_end.rs
+++ b/src/gateway/stages/confirm_end.rs
@@ -10,6 +10,7 @@
   },
   crate::gateway::{
     connections::{Connection, Liveness, probe},
+    decisions::Unavailable,
     edge::EndpointEntry,
     state::Gateway,
   },
@@ -22,6 +23,8 @@
 const MAX_SILENCE: Duration = Duration::from_millis(1_200);
 /// Pause between attempts: an endpoint at its limit of connections resets new ones at once.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// Connections that are closed at once, after which the endpoint counts as terminated.
+const MAX_CLOSED: u32 = 3;
 
 /// Why an end was not confirmed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
@@ -65,20 +68,27 @@
   if is_listed_with_another_start(gateway, entry) {
     return Err(UnconfirmedEnd::Terminated);
   }
-  // An endpoint that leaves, or asked for a backoff, gets no request.
-  let may_call = entry.role.is_some() && gateway.check(entry).is_ok();
+  let backs_off = matches!(gateway.check(entry), Err(Unavailable::BackingOff { .. }));
+  let reports = entry.role.is_some() && !backs_off;
   // An idle connection leads to the process that was there before the end, also where new connections fail.
   let mut idle = gateway.pool.take_any_idle(&entry.id, gateway.now_ms());
+  let mut closed = 0;
   loop {
-    let liveness = match may_call {
+    let liveness = match reports {
       true => engine_liveness(gateway, entry, idle.take()).await,
       false => probe(entry.address).await,
     };
     match liveness {
       Liveness::Alive => return Ok(()),
       Liveness::Terminated => return Err(UnconfirmedEnd::Terminated),
-      Liveness::Closing | Liveness::Unknown => sleep(RETRY_PAUSE).await,
+      Liveness::Closing => closed += 1,
+      Liveness::Unknown => {}
     }
+    // A relay leads to the next process at the address before long.
+    if closed == MAX_CLOSED {
+      return Err(UnconfirmedEnd::Terminated);
+    }
+    sleep(RETRY_PAUSE).await;
   }
 }
 
--- a/src/gateway/stages/outgoing_call.rs
+++ b/src/gateway/stages/outgoing_call.rs
@@ -1,4 +1,4 @@
-//! A request to an endpoint, with the id that tells its answer from those to other calls on the connection.
+//! A request to an endpoint, with the id that distinguishes its answer from those to other calls on the connection.
 
 use {
   super::purpose::Purpose, crate::ids::Name, bytes::Bytes, http::Request, http_body_util::Full,
