--- a/src/gateway/connections/connection.rs
+++ b/src/gateway/connections/connection.rs
@@ -68,6 +68,8 @@
   /// When it must no longer be reused, on the box's clock.
   pub(crate) reusable_until_ms: u64,
   recent_ids: RecentIds,
+  /// Calls that it has carried.
+  calls: u64,
   closed: Rc<Cell<Option<ClosedConnection>>>,
   sender: http1::SendRequest<Full<Bytes>>,
   task: AbortHandle,
@@ -125,6 +127,7 @@
       }));
     });
     Ok(Self {
+      calls: 0,
       closed,
       confirmed_start_ms: None,
       endpoint,
@@ -145,6 +148,7 @@
       .ready()
       .await
       .map_err(|error| SendError::Unsent(error.to_string()))?;
+    self.calls += 1;
     self
       .sender
       .try_send_request(request)
@@ -160,6 +164,11 @@
       })
   }
 
+  /// The number of calls that it has carried.
+  pub(crate) fn calls(&self) -> u64 {
+    self.calls
+  }
+
   /// Records the id of a request that is about to be sent.
   pub(crate) fn record_id(&mut self, id: &Name) {
     self.recent_ids.add(id.clone());
--- a/src/gateway/stages/incarnation_check.rs
+++ b/src/gateway/stages/incarnation_check.rs
@@ -2,10 +2,9 @@
 
 use {
   super::{
-    answer_check::check_answer,
     call_request::{CALL_TIMEOUT, MAX_RESPONSE_BYTES, build_call},
-    notice::{SentCall, apply_response_notice},
     purpose::Purpose,
+    send_call::send_call,
     stage_error::StageError,
   },
   crate::{
@@ -90,18 +89,10 @@
   let unsent = |error: &dyn Display| StageError::Unsent(error.to_string());
   let call = gateway.codec.report_call(&entry.id);
   let call = build_call(gateway, entry, call, Purpose::Call).map_err(|error| unsent(&error))?;
-  let sent = SentCall {
-    entry,
-    id: call.id.as_deref(),
-    purpose: Purpose::Call,
-    sent_ms: gateway.now_ms(),
-  };
-  let response = connection
-    .send(call.request)
+  let response = send_call(gateway, entry, connection, call)
     .await
     .map_err(|error| unsent(&error))?;
-  check_answer(gateway, sent, response.headers()).map_err(|error| unsent(&error))?;
-  let (head, body) = apply_response_notice(gateway, sent, response).into_parts();
+  let (head, body) = response.into_parts();
   let read = buffer_body(body, MAX_RESPONSE_BYTES).await;
   let body = read.map_err(|error| unsent(&error))?;
   Ok(Report { head, body })
--- a/src/gateway/stages/mod.rs
+++ b/src/gateway/stages/mod.rs
@@ -18,6 +18,7 @@
 mod request;
 mod response_body;
 mod resumption;
+mod send_call;
 mod send_check;
 mod send_mode;
 mod stage;
--- a/src/gateway/stages/stage.rs
+++ b/src/gateway/stages/stage.rs
@@ -2,17 +2,16 @@
 
 use {
   super::{
-    answer_check::check_answer,
     confirm_end::{AnswerEnd, confirm_end},
     end_witness::EndWitness,
     framing::Framing,
     incarnation_check::{AfterReport, confirm_start, has_confirmed_start},
-    notice::{SentCall, apply_response_notice},
     open_connection::open_connection,
     outgoing_call::OutgoingCall,
     purpose::Purpose,
     request::RoutedRequest,
     response_body::{BodyReader, BufferedBody},
+    send_call::send_call,
     stage_error::StageError,
   },
   crate::{
@@ -473,29 +472,13 @@
   mut connection: Connection,
   call: OutgoingCall,
 ) -> Result<(Connection, Response<Incoming>), StageError> {
-  let OutgoingCall {
-    id,
-    purpose,
-    request,
-  } = call;
+  let purpose = call.purpose;
   if purpose == Purpose::ResumableStream && !has_confirmed_start(&connection, entry) {
     connection = confirmed_connection(gateway, entry, connection).await?;
     check_available(gateway, entry, purpose)?;
   }
-  let sent = SentCall {
-    entry,
-    id: id.as_deref(),
-    purpose,
-    sent_ms: gateway.now_ms(),
-  };
-  if purpose.is_request()
-    && let Some(id) = &id
-  {
-    connection.record_id(id);
-  }
-  let response = connection.send(request).await?;
-  check_answer(gateway, sent, response.headers())?;
-  Ok((connection, apply_response_notice(gateway, sent, response)))
+  let response = send_call(gateway, entry, &mut connection, call).await?;
+  Ok((connection, response))
 }
 
 /// Fails when the endpoint is no longer listed or, unless something is released there, takes no work.
