--- a/tests/gateway/extra_answers.rs
+++ b/tests/gateway/extra_answers.rs
@@ -34,6 +34,7 @@
 /// What a request to an endpoint is for.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub(super) enum CallKind {
+  Listing,
   Plain,
   Prefill,
   Release,
@@ -47,6 +48,7 @@
   pub(super) fn of(seen: &ReceivedRequest) -> Self {
     match seen.path.as_str() {
       "/hold-take" => Self::Reservation,
+      "/kv-list" => Self::Listing,
       "/order" => Self::RoleCommand,
       "/report" => Self::Report,
       _ if seen.method == "DELETE" => Self::Release,
@@ -117,6 +119,7 @@
     let number = self.answers.fetch_add(1, Ordering::Relaxed);
     match CallKind::of(seen) {
       CallKind::Plain => answer(seen, "200 OK", "text/plain", &format!("answer {number}")),
+      CallKind::Listing => json_answer(seen, r#"{"epoch":1,"held":[]}"#),
       CallKind::Prefill => json_answer(
         seen,
         &format!(r#"{{"promptHandle":"e{number}","tokens":100,"version":1}}"#),
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -40,6 +40,7 @@
 mod responses;
 mod resume;
 mod return_order;
+mod reused_addresses;
 mod review_findings;
 mod role_plan;
 mod roles;
--- /dev/null
+++ b/tests/gateway/reused_addresses.rs
@@ -0,0 +1,158 @@
+//! The address of an engine that is gone is given to an endpoint of another service, which runs each request that has an id and does
+//! not name another endpoint. Boxes learn of it later, or not at all while the store is silent.
+
+use {
+  super::{
+    EndpointStandIn, GatewayBox, GatewayTest, ReceivedRequest, Reply, TIMEOUT,
+    endpoint::engine_reply,
+    extra_answers::{CallKind, LISTED_START_MS},
+    harness::CallerResponse,
+  },
+  emulator::eventually,
+  http::StatusCode,
+  rstest::rstest,
+  std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+  },
+  tokio::time::sleep,
+};
+
+/// The endpoint that has the address now.
+const OTHER_ENDPOINT: &str = "p-9";
+/// Requests of one test.
+const REQUESTS: usize = 6;
+/// Calls in the background have been sent by then.
+const BACKGROUND_CALLS: Duration = Duration::from_millis(300);
+const EVENTS: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+
+/// An address that an engine leaves, and what the endpoint of another service has run there since.
+#[derive(Default)]
+struct ReusedAddress {
+  is_given_on: Mutex<bool>,
+  ran: Mutex<Vec<ReceivedRequest>>,
+}
+
+impl ReusedAddress {
+  /// An engine whose address is given on once it has answered the first call of a kind; without one, it already is.
+  async fn start(last_answered: Option<CallKind>) -> (Arc<Self>, EndpointStandIn) {
+    let reused = Arc::new(Self {
+      is_given_on: Mutex::new(last_answered.is_none()),
+      ran: Mutex::default(),
+    });
+    let script = reused.clone();
+    let endpoint = EndpointStandIn::start(move |seen| script.reply(seen, last_answered)).await;
+    (reused, endpoint)
+  }
+
+  fn reply(&self, seen: &ReceivedRequest, last_answered: Option<CallKind>) -> Reply {
+    let mut is_given_on = self.is_given_on.lock().unwrap();
+    if *is_given_on {
+      return self.run(seen);
+    }
+    *is_given_on = last_answered == Some(CallKind::of(seen));
+    engine_reply(seen, EVENTS)
+  }
+
+  /// What an endpoint of another service does with a request.
+  fn run(&self, seen: &ReceivedRequest) -> Reply {
+    let expected = seen.header("x-expect-instance");
+    if !expected.is_empty() && expected != OTHER_ENDPOINT {
+      return misdirected(seen);
+    }
+    if seen.id().is_empty() {
+      return Reply::status(seen, "400 Bad Request", "");
+    }
+    self.ran.lock().unwrap().push(seen.clone());
+    Reply::ok(seen, "the answer of another service")
+  }
+
+  fn ran(&self) -> Vec<String> {
+    let ran = self.ran.lock().unwrap();
+    let text = |seen: &ReceivedRequest| format!("{} {} {}", seen.method, seen.path, seen.id());
+    ran.iter().map(text).collect()
+  }
+}
+
+fn misdirected(seen: &ReceivedRequest) -> Reply {
+  Reply::Write(format!(
+    "HTTP/1.1 421 Misdirected Request\r\nx-request-id: {}\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n",
+    seen.id()
+  ))
+}
+
+/// Asks for streams one after another; with a last event, each resumes one.
+async fn ask(gateway: &GatewayBox, path: &str, last_event: Option<&str>) -> Vec<CallerResponse> {
+  let mut responses = Vec::new();
+  for number in 0..REQUESTS {
+    let mut request = gateway.request(path, &format!("r{number}"));
+    if let Some(last_event) = last_event {
+      let value = last_event.parse().unwrap();
+      request.headers_mut().insert("last-event-id", value);
+    }
+    responses.push(gateway.send(request).await);
+  }
+  sleep(BACKGROUND_CALLS).await;
+  responses
+}
+
+fn assert_served(responses: &[CallerResponse]) {
+  let statuses: Vec<StatusCode> = responses.iter().map(|response| response.status).collect();
+  assert!(
+    statuses.iter().all(|status| *status == StatusCode::OK),
+    "{statuses:?}"
+  );
+}
+
+/// Guards against a reservation, its release or a listing that an endpoint of another service runs, at the former address of a decode
+/// engine.
+#[rstest]
+#[case::reservation(None, "/resumable/a", None, CallKind::Reservation)]
+#[case::release_of_a_reservation(
+  Some(CallKind::Reservation),
+  "/resumable/a",
+  None,
+  CallKind::Release
+)]
+#[case::listing(None, "/resumable/a", Some("1"), CallKind::Listing)]
+#[tokio::test]
+async fn own_call_is_run_by_no_endpoint_of_another_service(
+  #[case] last_answered: Option<CallKind>,
+  #[case] path: &str,
+  #[case] last_event: Option<&str>,
+  #[case] kind: CallKind,
+) {
+  let prefill = EndpointStandIn::engine(EVENTS).await;
+  let decode = EndpointStandIn::engine(EVENTS).await;
+  let (reused, endpoint) = ReusedAddress::start(last_answered).await;
+  let test = GatewayTest::new().await;
+  test.enter("e-1", "llm", Some("prefill"), &prefill);
+  test.enter("e-2", "llm", Some("decode"), &decode);
+  test.enter_version_started("e-3", &endpoint, "v1", LISTED_START_MS);
+  let gateway = test.start().await;
+  let responses = ask(&gateway, path, last_event).await;
+  assert_eq!(reused.ran(), Vec::<String>::new(), "{kind:?}");
+  let received = endpoint.received();
+  assert!(!received.is_empty(), "no call was made at the address");
+  assert_served(&responses);
+}
+
+/// Guards against the release of an export that an endpoint of another service runs, at the former address of a prefill engine.
+#[tokio::test]
+async fn release_of_an_export_is_run_by_no_endpoint_of_another_service() {
+  let (reused, prefill) = ReusedAddress::start(Some(CallKind::Prefill)).await;
+  let decode = EndpointStandIn::start(|seen| match CallKind::of(seen) {
+    CallKind::Stream => Reply::not_run(seen),
+    _ => engine_reply(seen, EVENTS),
+  })
+  .await;
+  let gateway = GatewayTest::new()
+    .await
+    .with_engines(&prefill, &decode)
+    .await;
+  gateway.ask("/stream/a", "r0").await;
+  let is_rejected = async || !decode.requests().is_empty();
+  assert!(eventually(TIMEOUT, is_rejected).await);
+  sleep(BACKGROUND_CALLS).await;
+  assert_eq!(reused.ran(), Vec::<String>::new());
+}
