Soak: plain endpoints take engines' calls for requests

Cause: its plain endpoints answered reservations, releases, listings, reports and role orders as engines do. A real one of another service runs each request that has an id and does not name another endpoint, so that a misdirected call went unseen. Change: calls are recognised at engines only (engine_call.rs). A DELETE of another path is a request. A role order of an unknown operation is rejected, and a decode engine that is asked to read a crashing prompt rejects it as any other.

--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -6,6 +6,7 @@
     content::{self, CRASHING_BODY},
     endpoint_kind::EndpointKind,
     endpoint_state::EndpointState,
+    engine_call::EngineCall,
     engine_event::{EngineEvent, EngineEventSender},
     event_stream::EventStream,
     exports::Exports,
@@ -24,8 +25,7 @@
   },
   bytes::Bytes,
   http::{
-    HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header::AUTHORIZATION,
-    request::Parts,
+    HeaderMap, HeaderValue, Request, Response, StatusCode, header::AUTHORIZATION, request::Parts,
   },
   http_body_util::BodyExt,
   hyper::body::Incoming,
@@ -303,25 +303,40 @@
     if header(&head.headers, "x-expect-instance").is_some_and(|id| id != self.incarnation) {
       return Ok(not_run(&head.headers, StatusCode::MISDIRECTED_REQUEST));
     }
-    match (&head.method, path.as_str()) {
-      (&Method::POST, "/hold-take") => Ok(self.reserve(&body)),
-      (&Method::POST, "/order") => Ok(self.handle_role_command(&body)),
-      (&Method::GET, "/report") => Ok(self.load_report()),
+    let kind = self.kind();
+    if let Some(call) = EngineCall::of(kind, &head.method, &path) {
+      return Ok(self.answer_call(call, &body));
+    }
+    if !head.headers.contains_key("x-request-id") {
+      let observed = format!(
+        "{} {} without an id at {}",
+        head.method, head.uri, self.incarnation
+      );
+      self.recorder.records().unrequested_runs.push(observed);
+      return Ok(not_run(&head.headers, StatusCode::BAD_REQUEST));
+    }
+    let is_prefill = is_prefill(&head.headers);
+    if kind == EndpointKind::Decode && !is_prefill && is_crashing(&head.headers, &body) {
+      return self.crash(&head.headers).await;
+    }
+    self.handle_work(&head.headers, connection).await
+  }
+
+  fn answer_call(self: &Arc<Self>, call: EngineCall, body: &Bytes) -> Response<ReplyBody> {
+    match call {
       // Its prompts are not cached.
-      (&Method::GET, "/kv-list") => Ok(json_response(json!({"epoch": 1, "held": []}))),
-      (&Method::DELETE, path) => Ok(self.release(path)),
-      _ if !head.headers.contains_key("x-request-id") => {
-        let observed = format!(
-          "{} {} without an id at {}",
-          head.method, head.uri, self.incarnation
-        );
-        self.recorder.records().unrequested_runs.push(observed);
-        Ok(not_run(&head.headers, StatusCode::BAD_REQUEST))
+      EngineCall::CachedPrompts => json_response(json!({"epoch": 1, "held": []})),
+      EngineCall::ExportRelease { handle } => {
+        self.exports.take(&format!("{}/{handle}", self.address));
+        status(StatusCode::OK)
       }
-      _ if self.kind() == EndpointKind::Decode && is_crashing(&head.headers, &body) => {
-        self.crash(&head.headers).await
+      EngineCall::LoadReport => self.load_report(),
+      EngineCall::Reservation => self.reserve(body),
+      EngineCall::ReservationRelease { id } => {
+        self.state().holds.remove(id);
+        status(StatusCode::OK)
       }
-      _ => self.handle_work(&head.headers, connection).await,
+      EngineCall::RoleCommand => self.handle_role_command(body),
     }
   }
 
@@ -330,10 +345,7 @@
     if state.fault == Some(EndpointFault::ShedsLoad) {
       return with_retry_after(status(StatusCode::SERVICE_UNAVAILABLE), RETRY_AFTER);
     }
-    if state.kind == EndpointKind::Plain
-      || state.fault == Some(EndpointFault::Full)
-      || !state.has_free_slot()
-    {
+    if state.fault == Some(EndpointFault::Full) || !state.has_free_slot() {
       return status(StatusCode::SERVICE_UNAVAILABLE);
     }
     let call: Value = serde_json::from_slice(body).unwrap_or_default();
@@ -343,16 +355,6 @@
     json_response(json!({"hold": id}))
   }
 
-  fn release(&self, path: &str) -> Response<ReplyBody> {
-    if let Some(id) = path.strip_prefix("/hold-drop/") {
-      self.state().holds.remove(id);
-    }
-    if let Some(handle) = path.strip_prefix("/kv-handle/") {
-      self.exports.take(&format!("{}/{handle}", self.address));
-    }
-    status(StatusCode::OK)
-  }
-
   fn load_report(&self) -> Response<ReplyBody> {
     let state = self.state();
     let mut report = json!({
@@ -370,7 +372,9 @@
     let (Some(holder), Some(fence)) = (call["holder"].as_str(), call["fence"].as_u64()) else {
       return status(StatusCode::BAD_REQUEST);
     };
-    let Some(kind) = call["stage"].as_str().and_then(EndpointKind::from_stage) else {
+    let stage = call["stage"].as_str();
+    let stage = stage.filter(|_| call["operation"] == "stage");
+    let Some(kind) = stage.and_then(EndpointKind::from_stage) else {
       return status(StatusCode::BAD_REQUEST);
     };
     let command = RoleCommandRecord {
@@ -453,8 +457,7 @@
     if fault == Some(EndpointFault::Slow) {
       sleep(SLOW_DELAY).await;
     }
-    let is_prefill = header(headers, "x-serving-stage") == Some("prefill");
-    match (kind, is_prefill) {
+    match (kind, is_prefill(headers)) {
       (EndpointKind::Plain, _) => self.run_plain(&id, headers, connection).await,
       (EndpointKind::Prefill, true) => self.run_prefill(&id, fault).await,
       (EndpointKind::Decode, false) => self.run_stream(&id, headers, connection).await,
@@ -674,6 +677,11 @@
   }
 }
 
+/// Whether an engine is asked to read a prompt for another one.
+fn is_prefill(headers: &HeaderMap) -> bool {
+  header(headers, "x-serving-stage") == Some("prefill")
+}
+
 /// Whether a decode engine crashes on a request.
 fn is_crashing(headers: &HeaderMap, body: &[u8]) -> bool {
   let segments = headers.get("x-prompt-prefix");
--- a/soak/src/garble.rs
+++ b/soak/src/garble.rs
@@ -1,8 +1,8 @@
 //! What a faulty endpoint does to its answers.
 
 use {
-  super::{endpoint_kind::EndpointKind, framing::Framing},
-  http::{Method, request::Parts},
+  super::{endpoint_kind::EndpointKind, engine_call::EngineCall, framing::Framing},
+  http::request::Parts,
   rand::RngExt,
   rand_chacha::ChaCha8Rng,
   std::fmt,
@@ -78,13 +78,13 @@
 
   /// The call that a request makes at an endpoint of a kind, if its answer may be garbled.
   pub(crate) fn of(head: &Parts, kind: EndpointKind) -> Option<Self> {
-    match (&head.method, head.uri.path(), kind) {
-      (&Method::POST, "/hold-take", _) => Some(Self::Reservation),
-      (&Method::GET, "/report", _) => Some(Self::Report),
-      (&Method::POST, "/order", _) | (&Method::GET, "/kv-list", _) | (&Method::DELETE, ..) => None,
-      (_, _, EndpointKind::Plain) => Some(Self::Plain),
-      (_, _, EndpointKind::Prefill) => Some(Self::Prefill),
-      (_, _, EndpointKind::Decode) => Some(Self::Stream),
+    match (EngineCall::of(kind, &head.method, head.uri.path()), kind) {
+      (Some(EngineCall::Reservation), _) => Some(Self::Reservation),
+      (Some(EngineCall::LoadReport), _) => Some(Self::Report),
+      (Some(_), _) => None,
+      (None, EndpointKind::Plain) => Some(Self::Plain),
+      (None, EndpointKind::Prefill) => Some(Self::Prefill),
+      (None, EndpointKind::Decode) => Some(Self::Stream),
     }
   }
 
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -16,6 +16,7 @@
 mod endpoint;
 mod endpoint_kind;
 mod endpoint_state;
+mod engine_call;
 mod engine_event;
 mod error;
 mod event_stream;
