Soak: everything that endpoints work on is accounted for

Cause: the check saw an unrequested run by its missing id, or by an id that no caller had sent, and prompts that engines read were not looked at. Since a box's own calls have ids, an own call at another service was no breach; without one it was none either. Change: endpoints record the id, method, path, body and service of all that they run or read (work.rs); the check compares it with what callers, and the run's own probes, sent (work_check.rs). It does not depend on headers, nor on whether own calls have ids. A request without an id, which endpoints reject, is still a breach. It takes the place of `unrequested_runs` and is stricter.

--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -11,6 +11,7 @@
     recorder::Recorder,
     records::{Outcome, RequestRecord, ResumedStream},
     request_kind::RequestKind,
+    work::RequestContent,
   },
   bytes::Bytes,
   http::{HeaderMap, Method, Request, Response, header::CONNECTION},
@@ -265,7 +266,11 @@
     };
     let recorder = &self.fleet.recorder;
     let request = self.request(kind, key, &id, resumes.as_ref());
+    let (method, uri, body) = (request.method(), request.uri(), request.body());
+    let content = RequestContent::new(method, uri, body, kind.service());
+    recorder.record_sent(&id, content);
     recorder.record_request(&id, kind, key, self.box_index, resumes);
+    let request = request.map(Full::new);
     let timeout_after =
       disconnects_after_ms.map_or(self.deadline() + RESPONSE_MARGIN, Duration::from_millis);
     let result = timeout(timeout_after, self.exchange(request, departure)).await;
@@ -297,7 +302,7 @@
     key: CallerKey,
     id: &str,
     resumes: Option<&ResumedStream>,
-  ) -> Request<Full<Bytes>> {
+  ) -> Request<Bytes> {
     let address = self.fleet.boxes[self.box_index].caller_link.address;
     let (method, name, body): (_, _, &[u8]) = match kind {
       RequestKind::Retryable => (Method::GET, id, b""),
@@ -315,7 +320,7 @@
       SOUND_SEGMENT
     };
     let segments = content::prompt_segments(second, id);
-    let mut request = Request::new(Full::new(Bytes::from_static(body)));
+    let mut request = Request::new(Bytes::from_static(body));
     *request.method_mut() = method;
     let uri = format!("http://{address}{}{name}", kind.path());
     *request.uri_mut() = uri.parse().unwrap_or_default();
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -21,6 +21,7 @@
     response_draws::{ResponseDraws, Subject},
     silence::Silence,
     stray_response::Stray,
+    work::RequestContent,
     writer::Writer,
   },
   bytes::Bytes,
@@ -299,27 +300,23 @@
     connection: &Connection,
   ) -> io::Result<Response<ReplyBody>> {
     let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
-    let path = head.uri.path().to_string();
-    if header(&head.headers, "x-expect-instance").is_some_and(|id| id != self.incarnation) {
-      return Ok(not_run(&head.headers, StatusCode::MISDIRECTED_REQUEST));
+    let request = Request::from_parts(head, body);
+    let headers = request.headers();
+    if header(headers, "x-expect-instance").is_some_and(|id| id != self.incarnation) {
+      return Ok(not_run(headers, StatusCode::MISDIRECTED_REQUEST));
     }
     let kind = self.kind();
-    if let Some(call) = EngineCall::of(kind, &head.method, &path) {
-      return Ok(self.answer_call(call, &body));
+    if let Some(call) = EngineCall::of(kind, request.method(), request.uri().path()) {
+      return Ok(self.answer_call(call, request.body()));
     }
-    if !head.headers.contains_key("x-request-id") {
-      let observed = format!(
-        "{} {} without an id at {}",
-        head.method, head.uri, self.incarnation
-      );
-      self.recorder.records().unrequested_runs.push(observed);
-      return Ok(not_run(&head.headers, StatusCode::BAD_REQUEST));
+    if !headers.contains_key("x-request-id") {
+      self.record_work(&request);
+      return Ok(not_run(headers, StatusCode::BAD_REQUEST));
     }
-    let is_prefill = is_prefill(&head.headers);
-    if kind == EndpointKind::Decode && !is_prefill && is_crashing(&head.headers, &body) {
-      return self.crash(&head.headers).await;
+    if kind == EndpointKind::Decode && !is_prefill(headers) && is_crashing(&request) {
+      return self.crash(&request).await;
     }
-    self.handle_work(&head.headers, connection).await
+    self.handle_work(&request, connection).await
   }
 
   fn answer_call(self: &Arc<Self>, call: EngineCall, body: &Bytes) -> Response<ReplyBody> {
@@ -414,12 +411,13 @@
   }
 
   /// Starts to run a request and crashes while it runs.
-  async fn crash(self: Arc<Self>, headers: &HeaderMap) -> io::Result<Response<ReplyBody>> {
+  async fn crash(self: Arc<Self>, request: &Request<Bytes>) -> io::Result<Response<ReplyBody>> {
+    let headers = request.headers();
     let Some(_slot) = SlotGuard::take(&self, header(headers, "x-hold")) else {
       return Ok(not_run(headers, StatusCode::SERVICE_UNAVAILABLE));
     };
     let id = header(headers, "x-request-id").unwrap_or_default();
-    let _run = self.begin_run(id, headers);
+    let _run = self.begin_run(id, request);
     sleep(CRASH_AFTER).await;
     let incarnation = self.incarnation.clone();
     // The receiver is closed once the run is over.
@@ -433,9 +431,10 @@
   /// Handles a caller's request, or a stage of one.
   async fn handle_work(
     self: Arc<Self>,
-    headers: &HeaderMap,
+    request: &Request<Bytes>,
     connection: &Connection,
   ) -> io::Result<Response<ReplyBody>> {
+    let headers = request.headers();
     let id = header(headers, "x-request-id")
       .unwrap_or_default()
       .to_string();
@@ -458,17 +457,27 @@
       sleep(SLOW_DELAY).await;
     }
     match (kind, is_prefill(headers)) {
-      (EndpointKind::Plain, _) => self.run_plain(&id, headers, connection).await,
-      (EndpointKind::Prefill, true) => self.run_prefill(&id, fault).await,
-      (EndpointKind::Decode, false) => self.run_stream(&id, headers, connection).await,
+      (EndpointKind::Plain, _) => self.run_plain(&id, request, connection).await,
+      (EndpointKind::Prefill, true) => self.run_prefill(&id, request, fault).await,
+      (EndpointKind::Decode, false) => self.run_stream(&id, request, connection).await,
       (EndpointKind::Prefill, false) | (EndpointKind::Decode, true) => {
         Ok(not_run(headers, StatusCode::MISDIRECTED_REQUEST))
       }
     }
   }
 
+  /// Records that the endpoint works on a request.
+  fn record_work(&self, request: &Request<Bytes>) {
+    let id = header(request.headers(), "x-request-id").unwrap_or_default();
+    let (method, uri, body) = (request.method(), request.uri(), request.body());
+    let content = RequestContent::new(method, uri, body, self.kind().service());
+    self.recorder.record_work(id, &self.incarnation, content);
+  }
+
   /// Records the start of a run with the organisation from its headers, and a leaked key.
-  fn begin_run(&self, id: &str, headers: &HeaderMap) -> RunGuard {
+  fn begin_run(&self, id: &str, request: &Request<Bytes>) -> RunGuard {
+    self.record_work(request);
+    let headers = request.headers();
     if headers.contains_key(AUTHORIZATION) {
       let observed = format!("{id} at {}", self.incarnation);
       self.recorder.records().leaked_keys.push(observed);
@@ -489,11 +498,11 @@
   async fn run_plain(
     &self,
     id: &str,
-    headers: &HeaderMap,
+    request: &Request<Bytes>,
     connection: &Connection,
   ) -> io::Result<Response<ReplyBody>> {
     let fault = self.state().fault;
-    let _run = self.begin_run(id, headers);
+    let _run = self.begin_run(id, request);
     sleep(PLAIN_DURATION).await;
     if let Some((close, _)) = self.drawn_loss(id) {
       close.begin(connection);
@@ -516,8 +525,10 @@
   async fn run_prefill(
     &self,
     id: &str,
+    request: &Request<Bytes>,
     fault: Option<EndpointFault>,
   ) -> io::Result<Response<ReplyBody>> {
+    self.record_work(request);
     sleep(PREFILL_DURATION).await;
     // The prompt expires some time after the engine has responded.
     self.silence.ended().await;
@@ -536,9 +547,10 @@
   async fn run_stream(
     self: Arc<Self>,
     id: &str,
-    headers: &HeaderMap,
+    request: &Request<Bytes>,
     connection: &Connection,
   ) -> io::Result<Response<ReplyBody>> {
+    let headers = request.headers();
     if let Some(source) = header(headers, "x-kv-source") {
       match self.exports.take(&without_host(source)) {
         Some(request) if request == id => {}
@@ -554,7 +566,7 @@
     let Some(slot) = SlotGuard::take(&self, header(headers, "x-hold")) else {
       return Ok(not_run(headers, StatusCode::SERVICE_UNAVAILABLE));
     };
-    let run = self.begin_run(id, headers);
+    let run = self.begin_run(id, request);
     // A fault that ended during the prefill does not act on the run.
     let fault = self.state().fault;
     self.apply_fault(id, fault).await?;
@@ -683,8 +695,7 @@
 }
 
 /// Whether a decode engine crashes on a request.
-fn is_crashing(headers: &HeaderMap, body: &[u8]) -> bool {
-  let segments = headers.get("x-prompt-prefix");
-  let segments = segments.and_then(|segments| segments.to_str().ok());
-  body == CRASHING_BODY || segments.is_some_and(content::has_crashing_segment)
+fn is_crashing(request: &Request<Bytes>) -> bool {
+  let segments = header(request.headers(), "x-prompt-prefix");
+  request.body() == CRASHING_BODY || segments.is_some_and(content::has_crashing_segment)
 }
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -22,9 +22,10 @@
     response_draws::ResponseDraws,
     running_endpoint::RunningEndpoint,
     versioning::{Versioning, other_version},
+    work::RequestContent,
   },
   futures_util::future::join_all,
-  http::{Request, StatusCode},
+  http::{Method, Request, StatusCode},
   http_body_util::Full,
   rillford::HttpClient,
   serde_json::json,
@@ -444,15 +445,18 @@
     let version = self.newest_version();
     let (process_number, sent_ms) = (target.process_number(), self.recorder.now_ms());
     let id = format!("probe-{index}-{sent_ms}");
-    self.recorder.records().probe_ids.insert(id.clone());
-    let request = Request::get(format!(
-      "http://{}{}probe",
-      target.direct,
-      version_path(version)
-    ))
-    .header("host", HOST)
-    .header("x-request-id", id)
-    .header("x-deadline-ms", PROBE_TIMEOUT.as_millis().to_string());
+    let path = format!("{}probe", version_path(version));
+    let content = RequestContent {
+      body: String::new(),
+      method: Method::GET.to_string(),
+      path: path.clone(),
+      service: EndpointKind::Plain.service().into(),
+    };
+    self.recorder.record_sent(&id, content);
+    let request = Request::get(format!("http://{}{path}", target.direct))
+      .header("host", HOST)
+      .header("x-request-id", id)
+      .header("x-deadline-ms", PROBE_TIMEOUT.as_millis().to_string());
     let status = send_probe(request).await;
     let in_force = match status {
       Some(StatusCode::NOT_FOUND) => Some(false),
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -59,6 +59,8 @@
 mod undisturbed;
 mod version_check;
 mod versioning;
+mod work;
+mod work_check;
 mod writer;
 
 pub use self::{
@@ -91,4 +93,5 @@
   stray_response::Stray,
   subcommand::run,
   trouble::Trouble,
+  work::{RequestContent, Work},
 };
--- a/soak/src/promise.rs
+++ b/soak/src/promise.rs
@@ -25,7 +25,8 @@
   ResumedStreamsGoOn,
   /// No request is sent to more endpoints than its route allows.
   AttemptLimit,
-  /// No endpoint runs a request that no caller sent, or decodes from another request's prompt.
+  /// No endpoint runs, or reads the prompt of, a request that no caller sent with this method, path and body to its service. None
+  /// decodes from another request's prompt.
   OnlyRequestedWork,
   /// Each request ends within its deadline.
   DeadlineKept,
--- a/soak/src/promises.rs
+++ b/soak/src/promises.rs
@@ -18,6 +18,7 @@
     silence_check::silence_breaches,
     undisturbed::{CONFIGURATION_MS, CONTACT_MS},
     version_check::version_breaches,
+    work_check::work_breaches,
   },
   std::collections::BTreeMap,
 };
@@ -33,7 +34,7 @@
   let check = Check { records, slack_ms };
   let mut breaches = Vec::new();
   breaches.extend(check.requests().flat_map(|request| request.breaches()));
-  breaches.extend(check.unrequested_runs());
+  breaches.extend(check.mismatched_prompts());
   breaches.extend(check.configuration());
   breaches.extend(check.planned_stops());
   breaches.extend(check.role_commands());
@@ -49,6 +50,7 @@
   breaches.extend(order_breaches(records));
   breaches.extend(version_breaches(records));
   breaches.extend(silence_breaches(records));
+  breaches.extend(work_breaches(records));
   breaches
 }
 
@@ -70,9 +72,8 @@
     })
   }
 
-  fn unrequested_runs(&self) -> impl Iterator<Item = Breach> {
-    let observed = self.records.unrequested_runs.iter();
-    let observed = observed.chain(&self.records.mismatched_prompts);
+  fn mismatched_prompts(&self) -> impl Iterator<Item = Breach> {
+    let observed = self.records.mismatched_prompts.iter();
     observed.map(|observed| Breach::new(Promise::OnlyRequestedWork, observed))
   }
 
--- a/soak/src/recorder.rs
+++ b/soak/src/recorder.rs
@@ -10,6 +10,7 @@
       ResumedStream, Run, Start,
     },
     request_kind::RequestKind,
+    work::{RequestContent, Work},
   },
   std::{
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -150,15 +151,26 @@
     self.records().starts.push(start);
   }
 
-  /// Records the start of a run at an endpoint, which ends when the guard is dropped.
+  /// Records what is sent under an id.
+  pub(crate) fn record_sent(&self, id: &str, content: RequestContent) {
+    self.records().sent.insert(id.into(), content);
+  }
+
+  /// Records what an endpoint works on from now on.
+  pub(crate) fn record_work(&self, id: &str, incarnation: &str, request: RequestContent) {
+    let work = Work {
+      began_ms: self.now_ms(),
+      id: id.into(),
+      incarnation: incarnation.into(),
+      request,
+    };
+    self.records().work.push(work);
+  }
+
+  /// Records the start of a run of a caller's request at an endpoint, which ends when the guard is dropped.
   pub(crate) fn begin_run(&self, id: &str, run: Run) -> RunGuard {
     let mut records = self.records();
-    if records.probe_ids.contains(id) {
-      return RunGuard(None);
-    }
     let Some(record) = records.requests.get_mut(id) else {
-      let observed = format!("{id} at {}", run.incarnation);
-      records.unrequested_runs.push(observed);
       return RunGuard(None);
     };
     record.runs.push(run);
--- a/soak/src/records.rs
+++ b/soak/src/records.rs
@@ -2,10 +2,14 @@
 
 use {
   super::{
-    caller_key::CallerKey, disturbance::Disturbance, garble::GarbledAnswer, hall::Hall,
+    caller_key::CallerKey,
+    disturbance::Disturbance,
+    garble::GarbledAnswer,
+    hall::Hall,
     request_kind::RequestKind,
+    work::{RequestContent, Work},
   },
-  std::collections::{BTreeMap, BTreeSet},
+  std::collections::BTreeMap,
 };
 
 /// The outcome of a request for its caller.
@@ -236,14 +240,14 @@
 pub struct Records {
   /// Requests by id.
   pub requests: BTreeMap<String, RequestRecord>,
-  /// Runs of request ids that no caller sent.
-  pub unrequested_runs: Vec<String>,
+  /// What callers, and the run's own probes, sent, by id. Endpoints may run it after its sender has given up.
+  pub sent: BTreeMap<String, RequestContent>,
+  /// What endpoints worked on.
+  pub work: Vec<Work>,
   /// API keys that reached endpoints.
   pub leaked_keys: Vec<String>,
   /// Prompts that were used for another request.
   pub mismatched_prompts: Vec<String>,
-  /// Ids of the run's own probes, which endpoints may run after the probe has timed out.
-  pub probe_ids: BTreeSet<String>,
   /// Configuration probes.
   pub probes: Vec<Probe>,
   /// Time at which the store acknowledged each version.
--- a/soak/src/request_kind.rs
+++ b/soak/src/request_kind.rs
@@ -1,5 +1,7 @@
 //! The kinds of requests that callers send.
 
+use super::endpoint_kind::EndpointKind;
+
 /// Kind of request, as far as the promises differ.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RequestKind {
@@ -37,6 +39,15 @@
     matches!(self, Self::ResumableStream | Self::CrashingStream)
   }
 
+  /// Name of the route's service.
+  pub(crate) fn service(self) -> &'static str {
+    if self.is_stream() {
+      EndpointKind::Decode.service()
+    } else {
+      EndpointKind::Plain.service()
+    }
+  }
+
   /// Path prefix of the route.
   pub(crate) fn path(self) -> &'static str {
     match self {
--- a/tests/soak_promises.rs
+++ b/tests/soak_promises.rs
@@ -4,8 +4,8 @@
   rstest::rstest,
   soak::{
     AdvertisedLimit, CallerKey, Disturbance, Hall, HallDrain, LeavingReceived, LimitReceived,
-    Outcome, PlannedStop, Probe, Promise, Records, Rejection, RequestKind, RequestRecord,
-    ResumedStream, RoleCommandRecord, Run, Start, Target, breaches,
+    Outcome, PlannedStop, Probe, Promise, Records, Rejection, RequestContent, RequestKind,
+    RequestRecord, ResumedStream, RoleCommandRecord, Run, Start, Target, Work, breaches,
   },
 };
 
@@ -355,8 +355,64 @@
     found(&records),
     [Promise::ResourcesReleased, Promise::Recovered]
   );
-  records.unrequested_runs.push("b at i-0".into());
-  assert!(found(&records).contains(&Promise::OnlyRequestedWork));
+}
+
+fn content(method: &str, path: &str, body: &str, service: &str) -> RequestContent {
+  RequestContent {
+    body: body.into(),
+    method: method.into(),
+    path: path.into(),
+    service: service.into(),
+  }
+}
+
+/// A caller has sent `POST /unsafe/a` with the body "prompt" under the id "a", for plain endpoints.
+#[rstest]
+#[case::as_sent("a", content("POST", "/unsafe/a", "prompt", "portal"), vec![])]
+#[case::own_call_with_an_id(
+  "5f3c-1a",
+  content("POST", "/hold-take", "{}", "portal"),
+  vec![Promise::OnlyRequestedWork]
+)]
+#[case::own_call_without_an_id(
+  "",
+  content("DELETE", "/kv-handle/e1", "", "portal"),
+  vec![Promise::OnlyRequestedWork]
+)]
+#[case::own_call_with_the_caller_s_id(
+  "a",
+  content("GET", "/kv-list", "", "portal"),
+  vec![Promise::OnlyRequestedWork]
+)]
+#[case::other_id("b", content("POST", "/unsafe/a", "prompt", "portal"), vec![Promise::OnlyRequestedWork])]
+#[case::other_method("a", content("GET", "/unsafe/a", "prompt", "portal"), vec![Promise::OnlyRequestedWork])]
+#[case::other_path("a", content("POST", "/unsafe/b", "prompt", "portal"), vec![Promise::OnlyRequestedWork])]
+#[case::other_query("a", content("POST", "/unsafe/a?b", "prompt", "portal"), vec![Promise::OnlyRequestedWork])]
+#[case::other_body("a", content("POST", "/unsafe/a", "", "portal"), vec![Promise::OnlyRequestedWork])]
+#[case::other_service("a", content("POST", "/unsafe/a", "prompt", "llm"), vec![Promise::OnlyRequestedWork])]
+fn work_that_no_caller_sent_is_found(
+  #[case] id: &str,
+  #[case] request: RequestContent,
+  #[case] promises: Vec<Promise>,
+) {
+  let mut records = Records::default();
+  let sent = content("POST", "/unsafe/a", "prompt", "portal");
+  records.sent.insert("a".into(), sent);
+  records.work.push(Work {
+    began_ms: 10_000,
+    id: id.into(),
+    incarnation: "i-0".into(),
+    request,
+  });
+  assert_eq!(found(&records), promises);
+}
+
+#[test]
+fn decoding_from_the_prompt_of_another_request_is_found() {
+  let mut records = Records::default();
+  let observed = "a decoded from the prompt of b";
+  records.mismatched_prompts.push(observed.into());
+  assert_eq!(found(&records), [Promise::OnlyRequestedWork]);
 }
 
 #[rstest]
