Soak: addresses of engines are given to another service

Cause: no fault gave an address to an endpoint of another service by intent; two endpoints that exchange their addresses do so by chance, with an entry that is stale for 1.5 s and the store at hand. Change: AddressReused: an engine crashes or ends as planned, a plain endpoint gets its address while boxes may still list the engine, and later an engine gets a plain endpoint's address. The store is down, slow or silent for all boxes beside half of them.

--- a/soak/src/fault.rs
+++ b/soak/src/fault.rs
@@ -132,6 +132,15 @@
   Burst,
 }
 
+/// How an engine ends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EngineEnd {
+  /// It crashes; its store entry remains for a while.
+  Crash,
+  /// It shuts down as planned; its store entry goes with it.
+  Planned,
+}
+
 /// The engines that fall silent together.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SilentEngines {
@@ -382,6 +391,20 @@
     /// Place of the second endpoint.
     other: usize,
   },
+  /// An engine ends, and its address is given to an endpoint of the plain service, which boxes may not know yet. Later an engine
+  /// takes the address of an endpoint of the plain service in the same way.
+  AddressReused {
+    /// Place from which on the first engine is taken.
+    first: usize,
+    /// How the engine ends.
+    end: EngineEnd,
+    /// Time from an endpoint's end until its address is in use again.
+    down_ms: u64,
+    /// Time from then until the store entry of a crashed endpoint is removed.
+    stale_ms: u64,
+    /// Time until an engine takes an address of the plain service.
+    for_ms: u64,
+  },
   /// The operator changes the configuration.
   ConfigurationChanged,
 }
--- a/soak/src/fault_injector.rs
+++ b/soak/src/fault_injector.rs
@@ -4,8 +4,9 @@
   super::{
     disturbance::Target,
     endpoint::Endpoint,
+    endpoint_kind::EndpointKind,
     error::Result,
-    fault::{EndpointFault, EndpointsCut, Fault, LinkFault, SilentEngines, StoreFault},
+    fault::{EndpointFault, EndpointsCut, EngineEnd, Fault, LinkFault, SilentEngines, StoreFault},
     fleet::Fleet,
     hall::Hall,
     link::Link,
@@ -157,6 +158,19 @@
       fleet.set_habit(None);
     }
     Fault::AddressesSwapped { place, other } => swap_addresses(fleet, place, other).await?,
+    Fault::AddressReused {
+      first,
+      end,
+      down_ms,
+      stale_ms,
+      for_ms,
+    } => {
+      let [down, stale] = [down_ms, stale_ms].map(Duration::from_millis);
+      if let Some(kind) = give_engine_address_to_plain(fleet, first, end, down, stale).await? {
+        sleep(Duration::from_millis(for_ms)).await;
+        give_plain_address_to_engine(fleet, first, kind, down, stale).await?;
+      }
+    }
     Fault::ConfigurationChanged => fleet.configure(),
   }
   Ok(())
@@ -469,3 +483,61 @@
   }
   Ok(())
 }
+
+/// Ends the first engine from a place on, and starts a plain endpoint at its address. Returns the kind of the engine, if there
+/// was one.
+async fn give_engine_address_to_plain(
+  fleet: &Fleet,
+  first: usize,
+  end: EngineEnd,
+  down: Duration,
+  stale: Duration,
+) -> Result<Option<EndpointKind>> {
+  let Some(place) = fleet.engine_places(first).first().copied() else {
+    return Ok(None);
+  };
+  if end == EngineEnd::Planned {
+    let Some(incarnation) = fleet.announce_leaving(place) else {
+      return Ok(None);
+    };
+    fleet.with_endpoint(place, |endpoint| endpoint.set_leaving());
+    sleep(LEAVING_PERIOD).await;
+    if fleet.incarnation(place) != Some(incarnation) {
+      return Ok(None);
+    }
+  }
+  let _disturbed = fleet.recorder.begin_disturbance(Target::Endpoint(place));
+  let Some(stopped) = fleet.stop_endpoint(place) else {
+    return Ok(None);
+  };
+  if end == EngineEnd::Planned {
+    fleet.remove_entry(&stopped);
+  }
+  sleep(down).await;
+  fleet.restart(place, EndpointKind::Plain).await?;
+  sleep(stale).await;
+  fleet.remove_entry(&stopped);
+  Ok(Some(stopped.kind))
+}
+
+/// Crashes the first plain endpoint from a place on, and starts an engine at its address.
+async fn give_plain_address_to_engine(
+  fleet: &Fleet,
+  first: usize,
+  kind: EndpointKind,
+  down: Duration,
+  stale: Duration,
+) -> Result {
+  let Some(place) = fleet.plain_places(first).first().copied() else {
+    return Ok(());
+  };
+  let _disturbed = fleet.recorder.begin_disturbance(Target::Endpoint(place));
+  let Some(stopped) = fleet.stop_endpoint(place) else {
+    return Ok(());
+  };
+  sleep(down).await;
+  fleet.restart(place, kind).await?;
+  sleep(stale).await;
+  fleet.remove_entry(&stopped);
+  Ok(())
+}
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -379,16 +379,25 @@
 
   /// The places of engines that are up, from the first given place on.
   pub(crate) fn engine_places(&self, first: usize) -> Vec<usize> {
-    let is_engine = |place: &usize| {
+    self.places_where(first, |kind| kind != EndpointKind::Plain)
+  }
+
+  /// The places of plain endpoints that are up, from the first given place on.
+  pub(crate) fn plain_places(&self, first: usize) -> Vec<usize> {
+    self.places_where(first, |kind| kind == EndpointKind::Plain)
+  }
+
+  fn places_where(&self, first: usize, has_kind: impl Fn(EndpointKind) -> bool) -> Vec<usize> {
+    let is_up = |place: &usize| {
       let running = self.places[*place].running();
       running
         .as_ref()
-        .is_some_and(|running| running.endpoint.kind() != EndpointKind::Plain)
+        .is_some_and(|running| has_kind(running.endpoint.kind()))
     };
     let places = self.places.len();
     (first..first + places)
       .map(|place| place % places)
-      .filter(is_engine)
+      .filter(is_up)
       .collect()
   }
 
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -70,8 +70,8 @@
   draw::{ScheduledFault, Size},
   error::{Error, Result},
   fault::{
-    CallerHabit, Close, EndpointFault, EndpointsCut, Fault, LinkFault, Losses, SilentEngines,
-    StoreFault, Strays,
+    CallerHabit, Close, EndpointFault, EndpointsCut, EngineEnd, Fault, LinkFault, Losses,
+    SilentEngines, StoreFault, Strays,
   },
   framing::{Framing, Framings},
   garble::{Call, Garble, GarbledAnswer},
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -3,7 +3,7 @@
 use {
   super::{
     draw::{Draw, ScheduledFault, Size},
-    fault::{EndpointFault, EndpointsCut, Fault, LinkFault, SilentEngines, StoreFault},
+    fault::{EndpointFault, EndpointsCut, EngineEnd, Fault, LinkFault, SilentEngines, StoreFault},
     garble_plan::draw_garbled_answers,
     hall::Hall,
     trouble_plan::draw_troubles,
@@ -71,6 +71,15 @@
 /// Time until such a restart, and from it until the entry is updated: the platform's heartbeat and some delay at the most.
 const RESTART_DOWN_MS: (u64, u64) = (20, 600);
 const STALE_ENTRY_MS: (u64, u64) = (200, 1_500);
+/// Ratio of the mean interval between addresses that are given to another service to that of other faults.
+const REUSE_INTERVAL_FACTOR: u64 = 3;
+/// Time until such an address is in use again, from then until the former entry goes, and until an engine is back.
+const REUSE_DOWN_MS: (u64, u64) = (0, 1_500);
+const REUSE_STALE_ENTRY_MS: (u64, u64) = (300, 4_000);
+const REUSE_DURATION_MS: (u64, u64) = (500, 3_000);
+/// Time from such a fault to the absence of the store beside it, and the duration of the absence.
+const BEFORE_STORE_ABSENCE_MS: (u64, u64) = (0, 2_500);
+const STORE_ABSENCE_MS: (u64, u64) = (2_000, 6_000);
 /// Engines that crash in a series, the interval between them, and the time until each is back.
 const CRASHES_OF_SERIES: (u64, u64) = (1, 3);
 const CRASH_GAP_MS: (u64, u64) = (50, 800);
@@ -90,6 +99,7 @@
 const RELEASE_BESIDE_SEED_ROTATION: u32 = 23;
 const RELEASE_SEED_ROTATION: u32 = 11;
 const RESTART_SEED_ROTATION: u32 = 37;
+const REUSE_SEED_ROTATION: u32 = 47;
 const SILENCE_SEED_ROTATION: u32 = 7;
 const STREAM_FAULT_SEED_ROTATION: u32 = 53;
 
@@ -108,6 +118,8 @@
   Releases,
   /// Engines that restart under their id with the other software version.
   Restarts,
+  /// Addresses that are given to endpoints of another service, some while the store is away.
+  ReusedAddresses,
   /// Endpoints that garble their answers, and engines that crash meanwhile.
   GarbledAnswers,
   /// Engines that crash, in series too.
@@ -123,7 +135,7 @@
   /// use soak::{FaultSelection, Size};
   /// let size = Size { boxes: 3, places: 6, faults_ms: 20_000, more_troubles: &[] };
   /// let all = FaultSelection::All.draw(7, size);
-  /// for part in [FaultSelection::Silences, FaultSelection::Restarts] {
+  /// for part in [FaultSelection::Silences, FaultSelection::Restarts, FaultSelection::ReusedAddresses] {
   ///   let selected = part.draw(7, size);
   ///   assert!(selected.iter().all(|fault| all.contains(fault)));
   /// }
@@ -137,6 +149,7 @@
       Self::Silences => draw_silences(seed, size),
       Self::Releases => draw_releases(seed, size),
       Self::Restarts => draw_restarts(seed, size),
+      Self::ReusedAddresses => draw_reused_addresses(seed, size),
       Self::Stops => draw_stops(seed, size),
       Self::Troubles => draw_troubles(seed, size),
     }
@@ -177,6 +190,7 @@
   steps.extend(draw_silences(seed, size));
   steps.extend(draw_releases_beside_others(seed, size));
   steps.extend(draw_restarts(seed, size));
+  steps.extend(draw_reused_addresses(seed, size));
   steps.sort_by_key(|step| step.at_ms);
   steps
 }
@@ -357,6 +371,32 @@
   })
 }
 
+/// Draws addresses that are given to another service, some while the store is away, from a separate sequence.
+fn draw_reused_addresses(seed: u64, size: Size) -> Vec<ScheduledFault> {
+  let mut draw = Draw::new(seed.rotate_left(REUSE_SEED_ROTATION), size);
+  let mut steps = Vec::new();
+  let mut at_ms = draw.interval_ms();
+  while at_ms < size.faults_ms {
+    let fault = Fault::AddressReused {
+      down_ms: draw.between(REUSE_DOWN_MS),
+      end: draw.one_of(&[EngineEnd::Crash, EngineEnd::Crash, EngineEnd::Planned]),
+      first: draw.random.random_range(0..size.places),
+      for_ms: draw.between(REUSE_DURATION_MS),
+      stale_ms: draw.between(REUSE_STALE_ENTRY_MS),
+    };
+    steps.push(ScheduledFault { at_ms, fault });
+    let away_ms = at_ms + draw.between(BEFORE_STORE_ABSENCE_MS);
+    let absence = draw.store_absence().into_iter();
+    steps.extend(absence.map(|fault| ScheduledFault {
+      at_ms: away_ms,
+      fault,
+    }));
+    at_ms += REUSE_INTERVAL_FACTOR * draw.interval_ms();
+  }
+  steps.sort_by_key(|step| step.at_ms);
+  steps
+}
+
 /// Draws series of engines that crash, from a separate sequence.
 fn draw_crashes(seed: u64, size: Size) -> Vec<ScheduledFault> {
   let mut draw = Draw::new(seed.rotate_left(CRASH_SEED_ROTATION), size);
@@ -489,6 +529,24 @@
     }
   }
 
+  /// The store is down, slow or silent for all boxes for a while, or as usual.
+  fn store_absence(&mut self) -> Vec<Fault> {
+    let for_ms = self.between(STORE_ABSENCE_MS);
+    let delay_ms = self.between(DELAY_MS);
+    let store = |fault| vec![Fault::Store { fault, for_ms }];
+    let silent = |index| Fault::StoreLink {
+      fault: LinkFault::Blocked,
+      for_ms,
+      index,
+    };
+    match self.random.random_range(0..6) {
+      0 => store(StoreFault::Down),
+      1 => store(StoreFault::Slow { delay_ms }),
+      2 => (0..self.size.boxes).map(silent).collect(),
+      _ => Vec::new(),
+    }
+  }
+
   /// Planned work shortly before a time: a new configuration, a reload of a box, both or none.
   fn work_before(&mut self, at_ms: u64) -> Vec<ScheduledFault> {
     let index = self.random.random_range(0..self.size.boxes);
--- a/soak/src/play.rs
+++ b/soak/src/play.rs
@@ -146,6 +146,7 @@
       | FaultSelection::GarbledAnswers
       | FaultSelection::Releases
       | FaultSelection::Restarts
+      | FaultSelection::ReusedAddresses
       | FaultSelection::Troubles
   ) {
     return callers;
--- a/soak/src/subcommand.rs
+++ b/soak/src/subcommand.rs
@@ -111,6 +111,9 @@
   let restarts = long("only-restarts")
     .help("Restart engines under their id with the other version, and inject no other faults")
     .req_flag(FaultSelection::Restarts);
+  let reused_addresses = long("only-reused-addresses")
+    .help("Give addresses to endpoints of another service, and inject no other faults")
+    .req_flag(FaultSelection::ReusedAddresses);
   let stops = long("only-stops")
     .help("Stop boxes as planned, and inject no other faults")
     .req_flag(FaultSelection::Stops);
@@ -125,6 +128,7 @@
     silences,
     releases,
     restarts,
+    reused_addresses,
     stops
   ])
   .fallback(FaultSelection::All)
--- a/soak/src/versioning.rs
+++ b/soak/src/versioning.rs
@@ -21,6 +21,7 @@
       FaultSelection::Crashes
       | FaultSelection::GarbledAnswers
       | FaultSelection::Releases
+      | FaultSelection::ReusedAddresses
       | FaultSelection::Troubles => Self::Released,
       FaultSelection::All
       | FaultSelection::Interruptions
