Each call names its endpoint where it is built, not where someone remembers to

A back end got work that nobody had sent: an endpoint of another service ran a box's own call, at an address that an engine had before. Reservations, their releases, the releases of exports and listings of cached prompts did not name the engine that they were for; requests, reports and role commands did, each by itself.

An AddressedRequest is built with the entry of its endpoint and names it; Connection::send takes nothing else, and only for its own peer. A call without its endpoint can't be written any more. ProxyHeaders, RoleChange, EndpointCall and report_call lose the fields by which single calls named theirs.

--- a/src/gateway/connections/connection.rs
+++ b/src/gateway/connections/connection.rs
@@ -1,10 +1,10 @@
 //! One connection to an endpoint. Dropping it closes it at once, which cancels the request on it.
 
 use {
-  super::recent_ids::RecentIds,
+  super::{addressed_request::AddressedRequest, recent_ids::RecentIds},
   crate::ids::Name,
   bytes::Bytes,
-  http::{Request, Response},
+  http::Response,
   http_body_util::Full,
   hyper::{body::Incoming, client::conn::http1},
   hyper_util::rt::TokioIo,
@@ -138,11 +138,18 @@
     })
   }
 
-  /// Sends a request and waits for the response's head.
+  /// Sends a request and waits for the response's head. Fails with [`SendError::Unsent`] if the request is for another peer.
   pub(crate) async fn send(
     &mut self,
-    request: Request<Full<Bytes>>,
+    request: AddressedRequest,
   ) -> Result<Response<Incoming>, SendError> {
+    if *request.peer() != self.endpoint {
+      return Err(SendError::Unsent(format!(
+        "request for {} on a connection to {}",
+        request.peer(),
+        self.endpoint
+      )));
+    }
     self
       .sender
       .ready()
@@ -151,7 +158,7 @@
     self.calls += 1;
     self
       .sender
-      .try_send_request(request)
+      .try_send_request(request.into_request())
       .await
       .map_err(|mut error| {
         let unsent = error.take_message().is_some();
--- a/src/gateway/connections/mod.rs
+++ b/src/gateway/connections/mod.rs
@@ -1,9 +1,10 @@
 //! Pooled connections to endpoints, listeners, hop-by-hop headers, and messages between boxes.
 //!
-//! Imports no other module of the gateway. A request arrives through [`accept`] and is sent over a [`Connection`], which then
+//! Imports `edge`. A request arrives through [`accept`] and is sent over a [`Connection`], which then
 //! returns to the [`ConnectionPool`].
 
 mod accept;
+mod addressed_request;
 mod box_message;
 mod caller_socket;
 mod connection;
@@ -18,6 +19,7 @@
 
 pub(crate) use self::{
   accept::{accept, serve_port},
+  addressed_request::AddressedRequest,
   box_message::{message_response, read_message, send_message, status_response},
   caller_socket::{CallerSocket, EndsWithConnection},
   connection::{Connection, SendError, set_send_buffer, set_socket_options, set_user_timeout},
--- a/src/gateway/edge/platform_codec.rs
+++ b/src/gateway/edge/platform_codec.rs
@@ -34,8 +34,6 @@
 /// What the gateway adds to a request for one endpoint, as headers.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ProxyHeaders {
-  /// The incarnation that the request is for.
-  pub endpoint_id: Name,
   /// Time remaining for the response.
   pub deadline_ms: u64,
   /// The stage to run.
@@ -85,15 +83,11 @@
   pub path: String,
   /// A JSON body; may be empty.
   pub body: Bytes,
-  /// The platform's headers.
-  pub headers: HeaderMap,
 }
 
 /// A command to an engine to change its role.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct RoleChange {
-  /// The incarnation that the command is for.
-  pub endpoint_id: Name,
   /// The role to take.
   pub role: Role,
   /// The box that sends the command: the role leader.
@@ -136,6 +130,8 @@
   fn remove_reserved(&self, headers: &mut HeaderMap);
   /// Adds the gateway's headers to a request for an endpoint.
   fn add_proxy_headers(&self, headers: &mut HeaderMap, proxy_headers: &ProxyHeaders);
+  /// Sets the endpoint that a request is for; another one at its address rejects the request.
+  fn set_expected_endpoint(&self, headers: &mut HeaderMap, endpoint_id: &str);
   /// Sets the id of a call, which its answer repeats.
   fn set_request_id(&self, headers: &mut HeaderMap, id: &str);
   /// Decodes a response's headers.
@@ -160,8 +156,8 @@
   fn cached_prompts_call(&self) -> EndpointCall;
   /// Decodes the prompt segments in an engine's prefix cache.
   fn cached_segments(&self, body: &[u8]) -> Result<Vec<PromptSegment>, DecodeError>;
-  /// The call that fetches the report of an engine, which another one at its address rejects.
-  fn report_call(&self, endpoint_id: &str) -> EndpointCall;
+  /// The call that fetches an engine's report.
+  fn report_call(&self) -> EndpointCall;
   /// Decodes an engine's report.
   fn report(&self, body: &[u8]) -> Result<EngineReport, DecodeError>;
   /// The call that changes an engine's role.
--- a/src/gateway/requests/forwarding.rs
+++ b/src/gateway/requests/forwarding.rs
@@ -10,11 +10,14 @@
     relayed_body::RelayedBody,
     response::{LocalReply, ResponseBody},
   },
-  crate::gateway::{
-    connections::{Connection, SendError, remove_connection_headers},
-    decisions::{EndpointIncarnation, PeerList},
-    stages::{RequestOrigin, RoutedRequest, apply_forwarded_notice},
-    state::{Gateway, InFlight},
+  crate::{
+    gateway::{
+      connections::{AddressedRequest, Connection, SendError, remove_connection_headers},
+      decisions::{EndpointIncarnation, PeerList},
+      stages::{RequestOrigin, RoutedRequest, apply_forwarded_notice},
+      state::{Gateway, InFlight},
+    },
+    ids::Name,
   },
   bytes::Bytes,
   http::{HeaderMap, Request, Response},
@@ -165,17 +168,21 @@
   let remaining_ms = request.remaining_ms(gateway.now_ms());
   let forwarded = build(gateway, request, headers, remaining_ms)
     .map_err(|error| ForwardError::NotAccepted(error.to_string()))?;
+  let peer: Name = address.to_string().into();
   let mut connection = Connection::open(
-    address.to_string().as_str().into(),
+    peer.clone(),
     address,
     gateway.held_memory.socket_buffer_bytes(),
     || (),
   )
   .await?;
   let wait = Duration::from_millis(remaining_ms + RESPONSE_MARGIN_MS);
-  let response = timeout(wait, connection.send(forwarded))
-    .await
-    .map_err(|_| ForwardError::Lost(format!("no response within {} ms", wait.as_millis())))??;
+  let response = timeout(
+    wait,
+    connection.send(AddressedRequest::to_box(peer, forwarded)),
+  )
+  .await
+  .map_err(|_| ForwardError::Lost(format!("no response within {} ms", wait.as_millis())))??;
   if response.headers().contains_key(ACCEPTED) {
     return Ok((connection, response));
   }
--- a/src/gateway/requests/prefill.rs
+++ b/src/gateway/requests/prefill.rs
@@ -248,7 +248,7 @@
   expected_ms: u64,
 ) -> Result<(Name, Option<LoadHeader>), StageError> {
   let tokens = request.attributes.prompt_tokens.max(1);
-  let proxy_headers = request.proxy_headers(entry, Stage::Prefill, gateway.now_ms());
+  let proxy_headers = request.proxy_headers(Stage::Prefill, gateway.now_ms());
   let work = tokens_ahead + tokens;
   // The coordinator knows engines that are slower than the usual time per token.
   let usual_ms = PREFILL_TIMEOUT_US_PER_TOKEN * work / 1_000;
--- a/src/gateway/requests/stream_send.rs
+++ b/src/gateway/requests/stream_send.rs
@@ -46,7 +46,7 @@
       self.record_error(entry, &error, export);
       return Err(error);
     }
-    let proxy_headers = self.proxy_headers(entry, reservation.as_ref(), export.as_ref());
+    let proxy_headers = self.proxy_headers(reservation.as_ref(), export.as_ref());
     let sent_ms = self.gateway.now_ms();
     let permit = reservation
       .as_mut()
@@ -84,7 +84,6 @@
 
   fn proxy_headers(
     &self,
-    entry: &EndpointEntry,
     reservation: Option<&Reservation>,
     export: Option<&ExportGuard>,
   ) -> ProxyHeaders {
@@ -92,9 +91,7 @@
     ProxyHeaders {
       last_event_id: self.last_event_id,
       reservation: reservation.map(|reservation| reservation.id.clone()),
-      ..self
-        .request
-        .proxy_headers(entry, stage, self.gateway.now_ms())
+      ..self.request.proxy_headers(stage, self.gateway.now_ms())
     }
   }
 
--- a/src/gateway/requests/unary.rs
+++ b/src/gateway/requests/unary.rs
@@ -240,9 +240,7 @@
     let gateway = &self.gateway;
     self.tried.push(entry.id.clone());
     self.awaited.push(entry.id.clone());
-    let proxy_headers = self
-      .request
-      .proxy_headers(&entry, Stage::Full, gateway.now_ms());
+    let proxy_headers = self.request.proxy_headers(Stage::Full, gateway.now_ms());
     let attempt = send_attempt(gateway.clone(), self.request.clone(), entry, proxy_headers);
     self.running.push(attempt.boxed_local());
   }
--- a/src/gateway/roles/role_leader.rs
+++ b/src/gateway/roles/role_leader.rs
@@ -268,7 +268,6 @@
         return;
       };
       let change = RoleChange {
-        endpoint_id: engine.id.clone(),
         fence,
         holder: self.gateway.settings.identity.name.clone(),
         commands_accepted: report.commands_accepted,
@@ -283,7 +282,7 @@
     let response = call_engine(
       &self.gateway,
       engine,
-      self.gateway.codec.report_call(&engine.id),
+      self.gateway.codec.report_call(),
       Purpose::Call,
     )
     .await;
--- a/src/gateway/stages/call_request.rs
+++ b/src/gateway/stages/call_request.rs
@@ -3,6 +3,7 @@
 use {
   super::{outgoing_call::OutgoingCall, purpose::Purpose},
   crate::gateway::{
+    connections::AddressedRequest,
     edge::{EndpointCall, EndpointEntry},
     state::Gateway,
   },
@@ -35,11 +36,10 @@
     request = request.header(CONTENT_TYPE, "application/json");
   }
   let mut request = request.body(Full::new(call.body))?;
-  request.headers_mut().extend(call.headers);
   gateway.codec.set_request_id(request.headers_mut(), &id);
   Ok(OutgoingCall {
     id: Some(id),
     purpose,
-    request,
+    request: AddressedRequest::to_endpoint(&*gateway.codec, entry, request),
   })
 }
--- a/src/gateway/stages/incarnation_check.rs
+++ b/src/gateway/stages/incarnation_check.rs
@@ -87,7 +87,7 @@
   connection: &mut Connection,
 ) -> Result<Report, StageError> {
   let unsent = |error: &dyn Display| StageError::Unsent(error.to_string());
-  let call = gateway.codec.report_call(&entry.id);
+  let call = gateway.codec.report_call();
   let call = build_call(gateway, entry, call, Purpose::Call).map_err(|error| unsent(&error))?;
   let response = send_call(gateway, entry, connection, call)
     .await
--- a/src/gateway/stages/outgoing_call.rs
+++ b/src/gateway/stages/outgoing_call.rs
@@ -1,7 +1,8 @@
 //! A request to an endpoint, with the id that distinguishes its answer from those to other calls on the connection.
 
 use {
-  super::purpose::Purpose, crate::ids::Name, bytes::Bytes, http::Request, http_body_util::Full,
+  super::purpose::Purpose,
+  crate::{gateway::connections::AddressedRequest, ids::Name},
 };
 
 /// A request to an endpoint.
@@ -10,5 +11,5 @@
   /// The answer repeats it; `None` if the caller sent none.
   pub(super) id: Option<Name>,
   pub(super) purpose: Purpose,
-  pub(super) request: Request<Full<Bytes>>,
+  pub(super) request: AddressedRequest,
 }
--- a/src/gateway/stages/request.rs
+++ b/src/gateway/stages/request.rs
@@ -4,6 +4,7 @@
   super::{resumption::Resumption, send_mode::SendMode},
   crate::{
     gateway::{
+      connections::AddressedRequest,
       decisions::{
         AllowedHalls, Fingerprint, QuarantineKey, RequestIdentity, SegmentIdentity, StreamKey,
       },
@@ -100,15 +101,9 @@
 
 impl RoutedRequest {
   /// The gateway's headers for one stage, without a reservation or a last event.
-  pub(crate) fn proxy_headers(
-    &self,
-    entry: &EndpointEntry,
-    stage: Stage,
-    now_ms: u64,
-  ) -> ProxyHeaders {
+  pub(crate) fn proxy_headers(&self, stage: Stage, now_ms: u64) -> ProxyHeaders {
     ProxyHeaders {
       deadline_ms: self.remaining_ms(now_ms),
-      endpoint_id: entry.id.clone(),
       last_event_id: None,
       organisation: self
         .organisation
@@ -124,14 +119,15 @@
   pub(crate) fn for_endpoint(
     &self,
     codec: &dyn PlatformCodec,
+    entry: &EndpointEntry,
     proxy_headers: &ProxyHeaders,
-  ) -> Request<Full<Bytes>> {
+  ) -> AddressedRequest {
     let mut request = Request::new(Full::new(self.body.clone()));
     *request.method_mut() = self.method.clone();
     *request.uri_mut() = self.uri.clone();
     *request.headers_mut() = self.headers.clone();
     codec.add_proxy_headers(request.headers_mut(), proxy_headers);
-    request
+    AddressedRequest::to_endpoint(codec, entry, request)
   }
 
   /// Identifies the request and its retries, whatever their ids.
--- a/src/gateway/stages/stage.rs
+++ b/src/gateway/stages/stage.rs
@@ -298,7 +298,7 @@
   let call = OutgoingCall {
     id: request.attributes.request_id.clone(),
     purpose: purpose_of(request, &proxy_headers.stage),
-    request: request.for_endpoint(&*gateway.codec, proxy_headers),
+    request: request.for_endpoint(&*gateway.codec, entry, proxy_headers),
   };
   request.sends.set(request.sends.get() + 1);
   let witness = begin_witness(gateway, request, entry, &proxy_headers.stage);
