--- a/soak/src/endpoint_kind.rs
+++ b/soak/src/endpoint_kind.rs
@@ -2,7 +2,7 @@
 
 /// The kind of an endpoint. An engine may switch its role.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum EndpointKind {
+pub enum EndpointKind {
   /// A plain service.
   Plain,
   /// A prefill engine.
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -68,6 +68,7 @@
   caller_key::CallerKey,
   disturbance::{Disturbance, Target},
   draw::{ScheduledFault, Size},
+  endpoint_kind::EndpointKind,
   error::{Error, Result},
   fault::{
     CallerHabit, Close, EndpointFault, EndpointsCut, EngineEnd, Fault, LinkFault, Losses,
@@ -89,7 +90,7 @@
     Records, Rejection, RequestRecord, ResumedStream, RoleCommandRecord, Run, Start,
   },
   request_kind::RequestKind,
-  running_endpoint::serve_garbled,
+  running_endpoint::{serve_as, serve_garbled},
   stray_response::Stray,
   subcommand::run,
   trouble::Trouble,
--- a/soak/src/running_endpoint.rs
+++ b/soak/src/running_endpoint.rs
@@ -4,9 +4,15 @@
   super::{
     box_process::box_index,
     connection::{Connection, EndpointSocket},
-    endpoint::{BOX_HEADER, Endpoint},
+    endpoint::{BOX_HEADER, Endpoint, Identity},
+    endpoint_kind::EndpointKind,
+    exports::Exports,
+    framing::Framings,
     garble::GarbledAnswer,
+    profile::Profile,
+    recorder::Recorder,
     reply::{full_body, parted_body},
+    response_draws::ResponseDraws,
   },
   http::{Request, Response},
   hyper::{body::Incoming, server::conn::http1, service::service_fn},
@@ -14,6 +20,7 @@
   std::{
     future::ready,
     io,
+    net::{Ipv4Addr, SocketAddr},
     sync::{
       Arc,
       atomic::{AtomicBool, Ordering},
@@ -21,6 +28,7 @@
   },
   tokio::{
     net::{TcpListener, TcpStream},
+    sync::mpsc::unbounded_channel,
     task::{JoinHandle, JoinSet},
   },
 };
@@ -69,6 +77,26 @@
     .await;
 }
 
+/// Serves a connection as an endpoint of a kind, whose incarnation is `i-0`.
+pub async fn serve_as(kind: EndpointKind, stream: TcpStream, recorder: Recorder) {
+  let identity = Identity {
+    address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+    incarnation: "i-0".into(),
+    kind,
+    place: 0,
+    profile: Profile::of_size(1, 4, 1),
+    start_number: 1,
+    version: "v1",
+  };
+  let draws = ResponseDraws {
+    framings: Framings::Usual,
+    seed: 0,
+  };
+  let (events, _events) = unbounded_channel();
+  let endpoint = Endpoint::new(identity, &recorder, &Exports::default(), events, draws);
+  serve_connection(endpoint, stream, 0).await;
+}
+
 /// Serves until the task is aborted, which closes all connections.
 async fn serve(endpoint: Arc<Endpoint>, listener: TcpListener) {
   let mut connections = JoinSet::new();
