An endpoint whose address another one has gets nothing until its entry changes

A 421 to a call means that another endpoint answers at the address. While the store is silent, boxes went on calling.

An engine also rejects a request for another role like this, so the box requests its report, which it answers in any role, and only the rejection of that displaces it. The failures at the former address are forgotten with the change of the entry. E594, E595, rillford_misdirected_total, rillford_endpoints_displaced.

--- a/src/gateway/decisions/endpoint_counts.rs
+++ b/src/gateway/decisions/endpoint_counts.rs
@@ -6,11 +6,13 @@
 ///
 /// ```
 /// use rillford::gateway::EndpointCounts;
-/// let counts = EndpointCounts { drained: 0, known: 3, leaving: 1, limited: 0, backing_off: 2 };
-/// assert_eq!(counts.to_string(), "3 endpoints known, 1 leaving, 2 backing off, 0 limited, 0 in drained halls");
+/// let counts = EndpointCounts { displaced: 0, drained: 0, known: 3, leaving: 1, limited: 0, backing_off: 2 };
+/// assert_eq!(counts.to_string(), "3 endpoints known, 1 leaving, 2 backing off, 0 limited, 0 in drained halls, 0 displaced");
 /// ```
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct EndpointCounts {
+  /// Those whose addresses other endpoints have.
+  pub displaced: usize,
   /// Those in drained halls.
   pub drained: usize,
   pub known: usize,
@@ -25,6 +27,7 @@
 impl Display for EndpointCounts {
   fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
     let Self {
+      displaced,
       drained,
       known,
       leaving,
@@ -33,7 +36,7 @@
     } = self;
     write!(
       formatter,
-      "{known} endpoints known, {leaving} leaving, {backing_off} backing off, {limited} limited, {drained} in drained halls"
+      "{known} endpoints known, {leaving} leaving, {backing_off} backing off, {limited} limited, {drained} in drained halls, {displaced} displaced"
     )
   }
 }
--- a/src/gateway/decisions/endpoint_registry.rs
+++ b/src/gateway/decisions/endpoint_registry.rs
@@ -4,6 +4,7 @@
   super::{
     advertised_limits::LimitChange,
     choice::{AttemptOutcome, Choice, EndpointCriteria},
+    displacement::{Displacement, Misdirected},
     drained_halls::DrainedHalls,
     endpoint_counts::EndpointCounts,
     endpoint_limits::EndpointLimits,
@@ -80,6 +81,9 @@
       Some(endpoint) => {
         let former = &endpoint.entry;
         self.versions.remove(&former.service, &former.version);
+        if *former != entry {
+          endpoint.end_displacement();
+        }
         endpoint.entry = entry;
         endpoint.lapses_at_ms = None;
       }
@@ -113,7 +117,7 @@
       .filter(|endpoint| endpoint.lapses_at_ms.is_none())?;
     let entry = &endpoint.entry;
     let is_unrestricted =
-      self.check_listed(entry, now_ms).is_ok() && self.limits.in_force(entry, now_ms).is_none();
+      self.check_listed(endpoint, now_ms).is_ok() && self.limits.in_force(entry, now_ms).is_none();
     is_unrestricted.then_some(entry)
   }
 
@@ -176,12 +180,15 @@
     self.endpoints.values().map(|endpoint| &endpoint.entry)
   }
 
-  /// All entries; those of endpoints that signalled that they leave, and those in drained halls, are marked as leaving.
+  /// All entries; those of endpoints that signalled that they leave or are displaced, and those in drained halls, are marked as
+  /// leaving.
   pub fn current_entries(&self, now_ms: u64) -> Vec<EndpointEntry> {
     self
       .entries()
       .map(|entry| EndpointEntry {
-        leaving: self.is_leaving(entry, now_ms) || self.drained_halls.is_drained(&entry.hall),
+        leaving: self.is_leaving(entry, now_ms)
+          || self.drained_halls.is_drained(&entry.hall)
+          || self.displacement(&entry.id).is_in_force(now_ms),
         ..entry.clone()
       })
       .collect()
@@ -198,15 +205,23 @@
 
   /// Whether the incarnation of an endpoint that was chosen before still accepts work; fails with the reason otherwise.
   pub fn check(&self, chosen: &EndpointEntry, now_ms: u64) -> Result<(), Unavailable> {
-    let entry = self
-      .entry(&chosen.id)
-      .filter(|entry| entry.started_ms == chosen.started_ms && entry.version == chosen.version)
+    let endpoint = self
+      .endpoints
+      .get(&chosen.id)
+      .filter(|endpoint| {
+        let entry = &endpoint.entry;
+        entry.started_ms == chosen.started_ms && entry.version == chosen.version
+      })
       .ok_or(Unavailable::Unlisted)?;
-    self.check_listed(entry, now_ms)
+    self.check_listed(endpoint, now_ms)
   }
 
   /// Like [`check`](Self::check), for an entry that is listed.
-  fn check_listed(&self, entry: &EndpointEntry, now_ms: u64) -> Result<(), Unavailable> {
+  fn check_listed(&self, endpoint: &EndpointState, now_ms: u64) -> Result<(), Unavailable> {
+    let entry = &endpoint.entry;
+    if endpoint.displacement.is_in_force(now_ms) {
+      return Err(Unavailable::Displaced);
+    }
     if entry.leaving {
       return Err(Unavailable::ListedAsLeaving);
     }
@@ -229,9 +244,9 @@
   }
 
   /// Like [`check_listed`](Self::check_listed); also fails while no permit is available within the endpoint's limit.
-  fn check_permit(&self, entry: &EndpointEntry, now_ms: u64) -> Result<(), Unavailable> {
-    self.check_listed(entry, now_ms)?;
-    match self.limits.blocked_for_ms(entry, now_ms) {
+  fn check_permit(&self, endpoint: &EndpointState, now_ms: u64) -> Result<(), Unavailable> {
+    self.check_listed(endpoint, now_ms)?;
+    match self.limits.blocked_for_ms(&endpoint.entry, now_ms) {
       0 => Ok(()),
       remaining_ms => Err(Unavailable::NoPermit { remaining_ms }),
     }
@@ -240,12 +255,13 @@
   /// Time until the first answering endpoint of a service accepts work again; `None` while one does, or when none is backing
   /// off or at its limit.
   pub fn available_in_ms(&self, service: &str, now_ms: u64) -> Option<u64> {
-    let answering = self
-      .entries()
-      .filter(|entry| &*entry.service == service && entry.role != Some(Role::Prefill));
+    let answering = self.endpoints.values().filter(|endpoint| {
+      let entry = &endpoint.entry;
+      &*entry.service == service && entry.role != Some(Role::Prefill)
+    });
     let mut first_ms = None;
-    for entry in answering {
-      match self.check_permit(entry, now_ms) {
+    for endpoint in answering {
+      match self.check_permit(endpoint, now_ms) {
         Ok(()) => return None,
         Err(
           Unavailable::BackingOff { remaining_ms, .. } | Unavailable::NoPermit { remaining_ms },
@@ -280,7 +296,8 @@
       honours_notices || self.limits.are_enforced() || !self.drained_halls.is_empty();
     let accepts_work = |endpoint: &EndpointState| {
       !endpoint.entry.leaving
-        && (!honours_signals || self.check_permit(&endpoint.entry, now_ms).is_ok())
+        && !endpoint.displacement.is_in_force(now_ms)
+        && (!honours_signals || self.check_permit(endpoint, now_ms).is_ok())
     };
     let candidates: Vec<&EndpointState> = self
       .endpoints
@@ -365,6 +382,75 @@
     endpoint.record_outcome(units, outcome, now_ms);
   }
 
+  /// Whether another endpoint has an endpoint's address.
+  pub fn displacement(&self, id: &str) -> Displacement {
+    let endpoint = self.endpoints.get(id);
+    endpoint.map_or(Displacement::None, |endpoint| endpoint.displacement)
+  }
+
+  /// Records that a call to an endpoint was rejected as misdirected; ignored unless it is still listed at that address. Returns what
+  /// has changed, if anything.
+  ///
+  /// ```
+  /// use rillford::gateway::{Displacement, EndpointEntry, EndpointRegistry, Misdirected};
+  /// let entry = EndpointEntry {
+  ///   address: "10.0.0.1:80".parse().unwrap(),
+  ///   cold_ms: 0,
+  ///   hall: "north".into(),
+  ///   id: "p-1".into(),
+  ///   leaving: false,
+  ///   role: None,
+  ///   service: "portal".into(),
+  ///   slots: 8,
+  ///   started_ms: None,
+  ///   version: "v1".into(),
+  /// };
+  /// let mut registry = EndpointRegistry::default();
+  /// registry.put(entry.clone());
+  /// let change = registry.record_misdirected(&entry, Misdirected::Other, 0);
+  /// assert_eq!(change, Some(Displacement::Confirmed { at_ms: 0 }));
+  /// assert!(registry.check(&entry, 0).is_err());
+  /// ```
+  pub fn record_misdirected(
+    &mut self,
+    entry: &EndpointEntry,
+    misdirected: Misdirected,
+    now_ms: u64,
+  ) -> Option<Displacement> {
+    let endpoint = self.endpoints.get_mut(&entry.id)?;
+    let listed = &endpoint.entry;
+    if listed.address != entry.address || listed.started_ms != entry.started_ms {
+      return None;
+    }
+    let shown = match (entry.role, misdirected) {
+      (None, _) | (Some(_), Misdirected::Report) => Displacement::Confirmed { at_ms: now_ms },
+      (Some(_), Misdirected::Other) => Displacement::Suspected,
+    };
+    if endpoint.displacement.is_in_force(now_ms) || endpoint.displacement == shown {
+      return None;
+    }
+    endpoint.displacement = shown;
+    Some(shown)
+  }
+
+  /// The engines that may be displaced.
+  pub fn suspected_displacements(&self) -> Vec<EndpointEntry> {
+    let suspected = self
+      .endpoints
+      .values()
+      .filter(|endpoint| endpoint.displacement == Displacement::Suspected);
+    suspected.map(|endpoint| endpoint.entry.clone()).collect()
+  }
+
+  /// Ends the suspicion that an engine is displaced, unless that was confirmed.
+  pub fn forget_suspected_displacement(&mut self, id: &str) {
+    if let Some(endpoint) = self.endpoints.get_mut(id)
+      && endpoint.displacement == Displacement::Suspected
+    {
+      endpoint.displacement = Displacement::None;
+    }
+  }
+
   /// Records a notice from a response of an endpoint's incarnation; ignored if a newer one is listed.
   pub fn record_notice(
     &mut self,
@@ -480,6 +566,8 @@
         self.availability(entry, now_ms),
         Availability::BackingOff { .. }
       );
+      let is_displaced = self.displacement(&entry.id).is_in_force(now_ms);
+      counts.displaced += usize::from(is_displaced);
       counts.drained += usize::from(self.drained_halls.is_drained(&entry.hall));
       counts.known += 1;
       counts.leaving += usize::from(self.is_leaving(entry, now_ms));
--- a/src/gateway/decisions/endpoint_state.rs
+++ b/src/gateway/decisions/endpoint_state.rs
@@ -1,7 +1,10 @@
 //! What a box knows of one endpoint, from its own requests there.
 
 use {
-  super::choice::{AttemptOutcome, EndpointCriteria},
+  super::{
+    choice::{AttemptOutcome, EndpointCriteria},
+    displacement::Displacement,
+  },
   crate::gateway::edge::EndpointEntry,
 };
 
@@ -34,6 +37,8 @@
   pub(super) entry: EndpointEntry,
   /// Set when its entry was missing after an outage of the store: kept until then.
   pub(super) lapses_at_ms: Option<u64>,
+  /// Whether another endpoint has its address.
+  pub(super) displacement: Displacement,
   /// This box's requests in flight there.
   pub(super) requests: u32,
   /// Their size.
@@ -89,6 +94,7 @@
   pub(super) fn new(entry: EndpointEntry) -> Self {
     Self {
       backoff_until_ms: 0,
+      displacement: Displacement::None,
       entry,
       failure_share: 0.0,
       lapses_at_ms: None,
@@ -157,6 +163,15 @@
     self.backoff_until_ms = 0;
   }
 
+  /// Ends a displacement, and forgets the failures at the former address, which were another endpoint's.
+  pub(super) fn end_displacement(&mut self) {
+    if matches!(self.displacement, Displacement::Confirmed { .. }) {
+      self.forget_losses();
+      self.failure_share = 0.0;
+    }
+    self.displacement = Displacement::None;
+  }
+
   pub(super) fn record_failure_share(&mut self, failed: bool) {
     let newest = f64::from(u8::from(failed));
     self.failure_share += NEWEST_WEIGHT * (newest - self.failure_share);
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -16,6 +16,7 @@
 mod coordinator_order;
 mod copy_budget;
 mod demand_bands;
+mod displacement;
 mod drained_halls;
 mod endpoint_counts;
 mod endpoint_incarnation;
@@ -92,6 +93,7 @@
     BandCounts, BandDemand, BandRequest, DemandBand, DemandBands, DemandReport, RequestedUnits,
     ShareState, ShareVerdict,
   },
+  displacement::{Displacement, Misdirected},
   drained_halls::{DrainedHalls, HallDrainChange},
   endpoint_counts::EndpointCounts,
   endpoint_incarnation::EndpointIncarnation,
--- a/src/gateway/decisions/unavailable.rs
+++ b/src/gateway/decisions/unavailable.rs
@@ -18,6 +18,9 @@
   /// It is listed with its start, but reports none.
   #[error("endpoint does not report its start")]
   Unconfirmed,
+  /// Another endpoint has its address.
+  #[error("another endpoint has its address")]
+  Displaced,
   /// Its hall is drained.
   #[error("data hall is drained")]
   HallDrained,
--- a/src/gateway/process/start.rs
+++ b/src/gateway/process/start.rs
@@ -18,7 +18,7 @@
       resumption::{publish_streams, sync_versions},
       roles::manage_roles,
       settings::{GatewayListen, GatewaySettings},
-      stages::probe_unreachable,
+      stages::{check_displacements, probe_unreachable},
       state::{Gateway, Phase},
     },
     listener::bind,
@@ -151,6 +151,7 @@
   }
   spawn_local(accept_callers(gateway.clone(), ports.callers));
   spawn_local(serve_boxes(gateway.clone(), ports.boxes));
+  spawn_local(check_displacements(gateway.clone()));
   spawn_local(probe_unreachable(gateway.clone()));
   spawn_local(sync_usage(gateway.clone()));
   spawn_local(publish_streams(gateway.clone()));
--- a/src/gateway/requests/slot.rs
+++ b/src/gateway/requests/slot.rs
@@ -354,6 +354,7 @@
         return Some((choice.entry, reservation));
       }
       Err(NoSlot::Unreached) => unreached += 1,
+      Err(NoSlot::Misdirected) => {}
       Err(NoSlot::Rejected) => {
         gateway.record_full(&request.service);
         unreached = 0;
@@ -374,6 +375,8 @@
 pub(crate) enum NoSlot {
   /// It is full, or takes no work now.
   Rejected,
+  /// Another endpoint has its address.
+  Misdirected,
   /// It did not answer.
   Unreached,
 }
@@ -414,9 +417,13 @@
           entry.id
         );
       }
-      if matches!(error, EngineCallError::TimedOut | EngineCallError::Lost(_)) {
-        request.met_unreachable.set(true);
-        reason = NoSlot::Unreached;
+      match error {
+        EngineCallError::TimedOut | EngineCallError::Lost(_) => {
+          request.met_unreachable.set(true);
+          reason = NoSlot::Unreached;
+        }
+        EngineCallError::Misdirected => reason = NoSlot::Misdirected,
+        EngineCallError::Rejected(_) | EngineCallError::Unavailable(_) => {}
       }
       load_guard.settle(error.outcome());
     }
--- a/src/gateway/roles/role_leader.rs
+++ b/src/gateway/roles/role_leader.rs
@@ -283,7 +283,7 @@
       &self.gateway,
       engine,
       self.gateway.codec.report_call(),
-      Purpose::Call,
+      Purpose::Report,
     )
     .await;
     let report = response
--- a/src/gateway/stages/engine_call.rs
+++ b/src/gateway/stages/engine_call.rs
@@ -32,6 +32,9 @@
   /// The engine rejected it.
   #[error("status {0}")]
   Rejected(StatusCode),
+  /// Another endpoint has its address, or it has another role.
+  #[error("misdirected")]
+  Misdirected,
   /// The engine did not answer in time.
   #[error("timed out")]
   TimedOut,
@@ -50,7 +53,7 @@
       Self::Rejected(_) => AttemptOutcome::Full,
       Self::TimedOut => AttemptOutcome::Unreachable,
       Self::Unavailable(_) => AttemptOutcome::Cancelled,
-      Self::Lost(_) => AttemptOutcome::Lost,
+      Self::Lost(_) | Self::Misdirected => AttemptOutcome::Lost,
     }
   }
 }
@@ -79,6 +82,7 @@
     gateway.keep_alive(connection, &head.headers);
     match head.status {
       status if status.is_success() => Ok(body),
+      StatusCode::MISDIRECTED_REQUEST => Err(EngineCallError::Misdirected),
       status => Err(EngineCallError::Rejected(status)),
     }
   };
--- a/src/gateway/stages/incarnation_check.rs
+++ b/src/gateway/stages/incarnation_check.rs
@@ -88,7 +88,7 @@
 ) -> Result<Report, StageError> {
   let unsent = |error: &dyn Display| StageError::Unsent(error.to_string());
   let call = gateway.codec.report_call();
-  let call = build_call(gateway, entry, call, Purpose::Call).map_err(|error| unsent(&error))?;
+  let call = build_call(gateway, entry, call, Purpose::Report).map_err(|error| unsent(&error))?;
   let response = send_call(gateway, entry, connection, call)
     .await
     .map_err(|error| unsent(&error))?;
--- a/src/gateway/stages/mod.rs
+++ b/src/gateway/stages/mod.rs
@@ -6,6 +6,7 @@
 mod answer_check;
 mod call_request;
 mod confirm_end;
+mod displacement_check;
 mod end_witness;
 mod engine_call;
 mod framing;
@@ -26,6 +27,7 @@
 
 pub(crate) use self::{
   confirm_end::confirm_end,
+  displacement_check::check_displacements,
   engine_call::{EngineCallError, ExportGuard, Reservation, call_engine},
   framing::Framing,
   notice::apply_forwarded_notice,
--- a/src/gateway/stages/purpose.rs
+++ b/src/gateway/stages/purpose.rs
@@ -11,6 +11,8 @@
   ResumableStream,
   /// A call of the gateway's own that leads to work: not sent to such an endpoint either.
   Call,
+  /// A call for an engine's report, which it answers in any role; sent like [`Call`](Self::Call).
+  Report,
   /// Releases what an endpoint holds. It frees memory, so it is sent to such an endpoint too.
   Release,
 }
--- a/src/gateway/stages/send_call.rs
+++ b/src/gateway/stages/send_call.rs
@@ -5,10 +5,16 @@
     answer_check::check_answer,
     notice::{SentCall, apply_response_notice},
     outgoing_call::OutgoingCall,
+    purpose::Purpose,
     stage_error::StageError,
   },
-  crate::gateway::{connections::Connection, edge::EndpointEntry, state::Gateway},
-  http::Response,
+  crate::gateway::{
+    connections::Connection,
+    decisions::{Displacement, Misdirected},
+    edge::EndpointEntry,
+    state::Gateway,
+  },
+  http::{Response, StatusCode},
   hyper::body::Incoming,
   std::rc::Rc,
 };
@@ -50,5 +56,38 @@
   };
   let response = connection.send(request).await?;
   check_answer(gateway, sent, response.headers())?;
+  if response.status() == StatusCode::MISDIRECTED_REQUEST {
+    record_misdirected(gateway, sent);
+  }
   Ok(apply_response_notice(gateway, sent, response))
 }
+
+/// Records that a call was rejected as misdirected.
+fn record_misdirected(gateway: &Gateway, sent: SentCall) {
+  let SentCall {
+    entry, id, purpose, ..
+  } = sent;
+  gateway.counters.misdirected.inc();
+  let misdirected = match purpose {
+    Purpose::Report => Misdirected::Report,
+    _ => Misdirected::Other,
+  };
+  let change =
+    gateway
+      .endpoints
+      .borrow_mut()
+      .record_misdirected(entry, misdirected, gateway.now_ms());
+  match change {
+    None | Some(Displacement::None) => {}
+    Some(Displacement::Suspected) => gateway.displacement_suspected.notify_one(),
+    Some(Displacement::Confirmed { .. }) => {
+      gateway.pool.close(&entry.id);
+      log::info!(
+        "E594 displaced: another endpoint answers at {}, where {} is listed, by its answer to {}",
+        entry.address,
+        entry.id,
+        id.unwrap_or("-")
+      );
+    }
+  }
+}
--- a/src/gateway/stages/stage.rs
+++ b/src/gateway/stages/stage.rs
@@ -481,7 +481,7 @@
   Ok((connection, response))
 }
 
-/// Fails when the endpoint is no longer listed or, unless something is released there, takes no work.
+/// Fails when the endpoint is no longer listed, when another one has its address or, unless something is released there, takes no work.
 fn check_available(
   gateway: &Gateway,
   entry: &EndpointEntry,
@@ -492,7 +492,11 @@
   match (endpoints.check(entry, now_ms), purpose) {
     (
       Ok(()),
-      Purpose::Request | Purpose::RequestOnce | Purpose::ResumableStream | Purpose::Call,
+      Purpose::Request
+      | Purpose::RequestOnce
+      | Purpose::ResumableStream
+      | Purpose::Call
+      | Purpose::Report,
     ) => {
       if let Some(requested_ms) = endpoints.record_probe(&entry.id, now_ms) {
         log::info!(
@@ -503,11 +507,17 @@
       }
       Ok(())
     }
-    (Err(Unavailable::Unlisted), _) => Err(Unavailable::Unlisted.into()),
+    (Err(unavailable @ (Unavailable::Unlisted | Unavailable::Displaced)), _) => {
+      Err(unavailable.into())
+    }
     (_, Purpose::Release) => Ok(()),
     (
       Err(unavailable),
-      Purpose::Request | Purpose::RequestOnce | Purpose::ResumableStream | Purpose::Call,
+      Purpose::Request
+      | Purpose::RequestOnce
+      | Purpose::ResumableStream
+      | Purpose::Call
+      | Purpose::Report,
     ) => {
       gateway.counters.not_sent.inc();
       Err(unavailable.into())
--- a/src/gateway/state/counters.rs
+++ b/src/gateway/state/counters.rs
@@ -134,6 +134,8 @@
   pub(crate) stalled_callers: Counter,
   /// Answers of endpoints to other calls than the one that waited.
   pub(crate) other_answers: Counter,
+  /// Calls and requests that another endpoint at the address rejected, or an engine in another role.
+  pub(crate) misdirected: Counter,
   /// Connections to endpoints that were closed since bytes came while no call waited.
   pub(crate) stray_answers: Counter,
   pub(crate) connections: Counter,
@@ -214,6 +216,7 @@
       ("rillford_aborted_unread_total", &self.aborted_unread),
       ("rillford_stalled_callers_total", &self.stalled_callers),
       ("rillford_other_answers_total", &self.other_answers),
+      ("rillford_misdirected_total", &self.misdirected),
       ("rillford_stray_answers_total", &self.stray_answers),
       ("rillford_connections_total", &self.connections),
       ("rillford_store_calls_total", &self.store_calls),
--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -102,6 +102,8 @@
   /// The organisations' loads at this box, where fair shares are enabled.
   pub(crate) organisation_loads: RefCell<OrganisationLoads>,
   /// Notified when a request leaves that queue.
+  /// A request was rejected as misdirected.
+  pub(crate) displacement_suspected: Notify,
   pub(crate) slot_queue_changed: Notify,
   /// The longest deadlines of callers, by route.
   pub(crate) longest_deadlines: RefCell<LongestDeadlines>,
@@ -221,6 +223,7 @@
       shared_connections: SharedConnections::default(),
       slot_forecast: RefCell::default(),
       slot_queue: RefCell::default(),
+      displacement_suspected: Notify::new(),
       slot_queue_changed: Notify::new(),
       started: Instant::now(),
       store_contact_ms: Cell::new(None),
@@ -578,6 +581,7 @@
   /// The numbers of endpoints by state, of unknown response headers and of boxes, and the drained halls, as text.
   pub(crate) fn endpoint_metrics(&self) -> String {
     let EndpointCounts {
+      displaced,
       drained,
       known,
       leaving,
@@ -587,7 +591,7 @@
     let unknown_headers = self.unknown_headers.borrow().count();
     let mut text = format!(
       "rillford_endpoints {known}\nrillford_endpoints_leaving {leaving}\nrillford_endpoints_pausing {backing_off}\n\
-       rillford_endpoints_limited {limited}\nrillford_endpoints_drained {drained}\n\
+       rillford_endpoints_limited {limited}\nrillford_endpoints_drained {drained}\nrillford_endpoints_displaced {displaced}\n\
        rillford_unknown_answer_names {unknown_headers}\nrillford_boxes {}\nrillford_boxes_sharing_limits {}\n",
       self.boxes.borrow().len(),
       self.box_count()
--- a/tests/gateway/notice_tracker.rs
+++ b/tests/gateway/notice_tracker.rs
@@ -123,6 +123,7 @@
   assert_eq!(chosen(&registry, 2_600), None);
   assert!(registry.current_entries(2_600)[0].leaving);
   let counts = EndpointCounts {
+    displaced: 0,
     drained: 0,
     known: 1,
     leaving: 1,
