--- a/src/gateway/decisions/endpoint_registry.rs
+++ b/src/gateway/decisions/endpoint_registry.rs
@@ -392,7 +392,7 @@
   /// has changed, if anything.
   ///
   /// ```
-  /// use rillford::gateway::{Displacement, EndpointEntry, EndpointRegistry, Misdirected};
+  /// use rillford::gateway::{Displacement, EndpointEntry, EndpointRegistry, Misdirected, SoftwareVersion};
   /// let entry = EndpointEntry {
   ///   address: "10.0.0.1:80".parse().unwrap(),
   ///   cold_ms: 0,
@@ -403,7 +403,7 @@
   ///   service: "portal".into(),
   ///   slots: 8,
   ///   started_ms: None,
-  ///   version: "v1".into(),
+  ///   version: SoftwareVersion::new("v1"),
   /// };
   /// let mut registry = EndpointRegistry::default();
   /// registry.put(entry.clone());
