Forwarded requests are run by no endpoint at the address of a former box

What callers saw: a box that reaches no endpoints forwards a request as /forward/PATH, with the caller's id. At the address of a box that is gone, an endpoint of any service ran it, with that changed path; its answer did not carry the mark of a box that accepts, so that the box then asked the next one, and a request that may run once could run twice.

Cause: whom a forwarded request is meant for was not stated. Calls to endpoints name their endpoint where they are built; requests to boxes did not.

Fix: AddressedRequest::to_box names a recipient that no endpoint is. An endpoint answers 421 and runs nothing, and the box asks the next one.

Evidence: box_addresses::forwarded_request_..., four cases, one of each kind of route, failed before ("POST /forward/unsafe/a r0" was run) and pass; cut_off passes. Messages between boxes carry no id, so that an endpoint runs none of them: message_to_a_box_... passes before and after.

--- a/src/gateway/connections/addressed_request.rs
+++ b/src/gateway/connections/addressed_request.rs
@@ -10,6 +10,9 @@
   http_body_util::Full,
 };
 
+/// Whom a request to a box names. An endpoint that has the box's address by now rejects the request; boxes ignore the name.
+const BOX: &str = "rillford-box";
+
 /// A request with the peer that it is for: it is sent on connections to that peer only.
 #[derive(Clone, Debug)]
 pub(crate) struct AddressedRequest {
@@ -32,7 +35,12 @@
   }
 
   /// A request that is forwarded to another box.
-  pub(crate) fn to_box(peer: Name, request: Request<Full<Bytes>>) -> Self {
+  pub(crate) fn to_box(
+    codec: &dyn PlatformCodec,
+    peer: Name,
+    mut request: Request<Full<Bytes>>,
+  ) -> Self {
+    codec.set_expected_endpoint(request.headers_mut(), BOX);
     Self { peer, request }
   }
 
--- a/src/gateway/requests/forwarding.rs
+++ b/src/gateway/requests/forwarding.rs
@@ -177,12 +177,10 @@
   )
   .await?;
   let wait = Duration::from_millis(remaining_ms + RESPONSE_MARGIN_MS);
-  let response = timeout(
-    wait,
-    connection.send(AddressedRequest::to_box(peer, forwarded)),
-  )
-  .await
-  .map_err(|_| ForwardError::Lost(format!("no response within {} ms", wait.as_millis())))??;
+  let forwarded = AddressedRequest::to_box(&*gateway.codec, peer, forwarded);
+  let response = timeout(wait, connection.send(forwarded))
+    .await
+    .map_err(|_| ForwardError::Lost(format!("no response within {} ms", wait.as_millis())))??;
   if response.headers().contains_key(ACCEPTED) {
     return Ok((connection, response));
   }
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -2,6 +2,7 @@
 
 mod allowed_regions;
 mod answer_bounds;
+mod box_addresses;
 mod budget;
 mod callers;
 mod choice;
@@ -29,6 +30,7 @@
 mod notice_tracker;
 mod notices;
 mod organisations;
+mod other_service;
 mod permits;
 mod policy;
 mod prefill_directory;
