Requests go on no connection to an endpoint's former address

What callers saw: nothing yet. When the entry of an endpoint names another address, requests went on to the former one for as long as a connection there was idle now and then: 4 s from the last request, so without end for a busy endpoint. A stream that ended after the change put its connection back, so that the next request went to a process that leaves.

Cause: idle connections, and those that streams share to see an end, are kept by the endpoint's id alone. They are closed as an entry with another start comes, but not with another address, and not those in use then.

Fix: a connection knows the address that it was opened to, and is taken only for an entry with that address. It is checked where one is taken, so that it doesn't matter when it was put back.

Evidence: changed_entries, four cases, failed before (the former address got both requests) and pass; confirmed_ends, living_ends and unframed_ends pass. A restart at the same address ends the former connections itself.

--- a/src/gateway/connections/connection.rs
+++ b/src/gateway/connections/connection.rs
@@ -63,6 +63,8 @@
 pub(crate) struct Connection {
   /// The endpoint's id.
   pub(crate) endpoint: Name,
+  /// The address that it was opened to.
+  pub(super) address: SocketAddr,
   /// The start that the endpoint has confirmed on this connection, as Unix milliseconds. The connection outlives no restart.
   pub(crate) confirmed_start_ms: Option<u64>,
   /// When it must no longer be reused, on the box's clock.
@@ -127,6 +129,7 @@
       }));
     });
     Ok(Self {
+      address,
       calls: 0,
       closed,
       confirmed_start_ms: None,
--- a/src/gateway/connections/connection_pool.rs
+++ b/src/gateway/connections/connection_pool.rs
@@ -2,7 +2,7 @@
 
 use {
   super::connection::Connection,
-  crate::ids::Name,
+  crate::{gateway::edge::EndpointEntry, ids::Name},
   http::{HeaderMap, header::CONNECTION},
   std::{cell::RefCell, collections::HashMap},
 };
@@ -22,29 +22,29 @@
   /// Removes and returns the connection that was idle for the shortest time, of those that have not carried a request of this id.
   pub(crate) fn take_idle(
     &self,
-    endpoint: &str,
+    entry: &EndpointEntry,
     id: Option<&str>,
     now_ms: u64,
   ) -> Option<Connection> {
-    self.take_where(endpoint, now_ms, |connection| {
-      !connection.may_have_carried(id)
-    })
+    self.take_where(entry, now_ms, |connection| !connection.may_have_carried(id))
   }
 
   /// Removes and returns the connection that was idle for the shortest time, for a call whose id no other call has.
-  pub(crate) fn take_any_idle(&self, endpoint: &str, now_ms: u64) -> Option<Connection> {
-    self.take_where(endpoint, now_ms, |_| true)
+  pub(crate) fn take_any_idle(&self, entry: &EndpointEntry, now_ms: u64) -> Option<Connection> {
+    self.take_where(entry, now_ms, |_| true)
   }
 
+  /// Closes the connections to a former address of the endpoint: a process there is not the one that is listed.
   fn take_where(
     &self,
-    endpoint: &str,
+    entry: &EndpointEntry,
     now_ms: u64,
     may_take: impl Fn(&Connection) -> bool,
   ) -> Option<Connection> {
     let mut idle = self.idle.borrow_mut();
-    let connections = idle.get_mut(endpoint)?;
-    connections.retain(|connection| connection.is_usable(now_ms));
+    let connections = idle.get_mut(&entry.id)?;
+    connections
+      .retain(|connection| connection.address == entry.address && connection.is_usable(now_ms));
     let position = connections.iter().rposition(may_take)?;
     Some(connections.remove(position))
   }
--- a/src/gateway/stages/confirm_end.rs
+++ b/src/gateway/stages/confirm_end.rs
@@ -98,7 +98,7 @@
     return Err(UnconfirmedEnd::Terminated);
   }
   // An idle connection leads to the process that was there before the end, also where new connections fail.
-  let mut idle = gateway.pool.take_any_idle(&entry.id, gateway.now_ms());
+  let mut idle = gateway.pool.take_any_idle(entry, gateway.now_ms());
   let mut closed = 0;
   loop {
     let liveness = match reports {
--- a/src/gateway/stages/end_witness.rs
+++ b/src/gateway/stages/end_witness.rs
@@ -59,10 +59,10 @@
 impl EndWitness {
   /// Shares the connection to an endpoint, or begins to open one.
   pub(super) fn begin(gateway: &Rc<Gateway>, entry: &EndpointEntry) -> Self {
-    let current = gateway.shared_connections.get(&entry.id);
+    let current = gateway.shared_connections.get(entry);
     let current = current.filter(|shared| is_open(shared) != Some(false));
     let shared = current.unwrap_or_else(|| {
-      let shared = gateway.shared_connections.add(&entry.id);
+      let shared = gateway.shared_connections.add(entry);
       spawn_local(open(gateway.clone(), entry.clone(), Rc::downgrade(&shared)));
       shared
     });
@@ -137,7 +137,7 @@
 
 /// Takes an idle connection that the request itself has not taken, or opens one.
 async fn open(gateway: Rc<Gateway>, entry: EndpointEntry, shared: Weak<SharedConnection>) {
-  let idle = gateway.pool.take_any_idle(&entry.id, gateway.now_ms());
+  let idle = gateway.pool.take_any_idle(&entry, gateway.now_ms());
   let opened = match idle {
     Some(connection) => Ok(connection),
     None => open_connection(&gateway, &entry).await,
--- a/src/gateway/stages/stage.rs
+++ b/src/gateway/stages/stage.rs
@@ -440,7 +440,7 @@
 /// that may run only once: the connection that takes its place has carried no call.
 fn take_idle(gateway: &Gateway, entry: &EndpointEntry, call: &OutgoingCall) -> Option<Connection> {
   let id = call.id.as_deref();
-  let connection = gateway.pool.take_idle(&entry.id, id, gateway.now_ms())?;
+  let connection = gateway.pool.take_idle(entry, id, gateway.now_ms())?;
   let is_doubtful = call.purpose == Purpose::RequestOnce && gateway.expects_stray_answer(entry);
   (!is_doubtful).then_some(connection)
 }
--- /dev/null
+++ b/tests/gateway/changed_entries.rs
@@ -0,0 +1,81 @@
+//! The entry of an endpoint changes under its id: it names another address or another start. A connection to the former one is of
+//! no use.
+
+use {
+  super::{
+    EndpointStandIn, GatewayBox, GatewayTest, ReceivedRequest, Reply,
+    endpoint::{STREAM_END, engine_reply},
+    extra_answers::CallKind,
+  },
+  http::StatusCode,
+  rstest::rstest,
+  std::time::Duration,
+  tokio::time::sleep,
+};
+
+/// Until a changed entry has reached the box.
+const ENTRY_DELAY: Duration = Duration::from_millis(500);
+const EVENTS: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+
+/// The paths of the requests that an endpoint received.
+fn paths(endpoint: &EndpointStandIn) -> Vec<String> {
+  let requests = endpoint.requests().into_iter();
+  requests.map(|seen| seen.path).collect()
+}
+
+async fn assert_served(gateway: &GatewayBox, path: &str, id: &str) {
+  let response = gateway.ask(path, id).await;
+  assert_eq!(response.status, StatusCode::OK);
+}
+
+/// Guards against a request that goes to an endpoint's former address, on a connection that is idle when its entry changes.
+#[rstest]
+#[tokio::test]
+async fn request_is_sent_on_no_connection_to_a_former_address(
+  #[values("/safe/a", "/unsafe/a")] path: &str,
+) {
+  let former = EndpointStandIn::start(|seen| Reply::ok(seen, "former")).await;
+  let present = EndpointStandIn::start(|seen| Reply::ok(seen, "present")).await;
+  let gateway = GatewayTest::new().await.with_portal(&former).await;
+  assert_served(&gateway, path, "r0").await;
+  gateway.test.enter("p-1", "portal", None, &present);
+  sleep(ENTRY_DELAY).await;
+  assert_served(&gateway, path, "r1").await;
+  assert_eq!(paths(&former), [path]);
+  assert_eq!(paths(&present), [path]);
+}
+
+/// A stream that ends after its engine's entry has changed.
+fn long_stream(seen: &ReceivedRequest) -> Reply {
+  if CallKind::of(seen) != CallKind::Stream {
+    return engine_reply(seen, EVENTS);
+  }
+  Reply::WriteInParts(vec![
+    (Duration::ZERO, Reply::stream_part(seen, EVENTS)),
+    (3 * ENTRY_DELAY, STREAM_END.into()),
+  ])
+}
+
+/// Guards against a request that goes to an engine's former address, on a connection whose stream ends after its entry has changed.
+#[rstest]
+#[case::moved(1)]
+#[case::restarted(2)]
+#[tokio::test]
+async fn connection_of_a_stream_is_not_kept_after_its_entry_has_changed(#[case] start: u64) {
+  let prefill = EndpointStandIn::engine(EVENTS).await;
+  let former = EndpointStandIn::start(long_stream).await;
+  let present = EndpointStandIn::engine(EVENTS).await;
+  let test = GatewayTest::new().await;
+  test.enter("e-1", "llm", Some("prefill"), &prefill);
+  let store = test.store.clone();
+  GatewayTest::enter_incarnation(&store, "e-2", "decode", former.address, 1);
+  let gateway = test.start().await;
+  let enter = async {
+    sleep(ENTRY_DELAY).await;
+    GatewayTest::enter_incarnation(&store, "e-2", "decode", present.address, start);
+  };
+  tokio::join!(assert_served(&gateway, "/stream/a", "r0"), enter);
+  assert_served(&gateway, "/stream/a", "r1").await;
+  assert_eq!(paths(&former), ["/stream/a"]);
+  assert_eq!(paths(&present), ["/stream/a"]);
+}
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -5,6 +5,7 @@
 mod box_addresses;
 mod budget;
 mod callers;
+mod changed_entries;
 mod choice;
 mod cold_endpoints;
 mod configuration;
