No stream goes on from an export of an engine whose entry has changed

What callers saw: nothing yet. After a rejection, a request took the exported prompt with it to the next decode engine, as ADDRESS/HANDLE, until it expired, even where the list already named another start or another address for the engine that made it. No server checks whose handle it is: at best the next engine rejects the stream as well, and the engine of the handle is taken for faulty; a start that gives the same handle out again lends another request's prompt.

Cause: an export is bound to an address and a time, not to the start of the engine that holds it.

Fix: an export is of use only while its engine is not listed with another start or address. Where its entry is gone, the engine may serve on and hold the export, so that it is used as before.

--- a/src/gateway/stages/engine_call.rs
+++ b/src/gateway/stages/engine_call.rs
@@ -125,9 +125,17 @@
     self.used = true;
   }
 
-  /// Whether it has not expired.
+  /// Whether it has not expired, and its engine is not listed with another start or address. An engine whose entry is gone may hold
+  /// it still.
   pub(crate) fn is_fresh(&self) -> bool {
-    self.gateway.now_ms() < self.expires_ms
+    let endpoints = self.gateway.endpoints.borrow();
+    let current = endpoints.entry(&self.entry.id);
+    self.gateway.now_ms() < self.expires_ms && current.is_none_or(|current| self.is_at(current))
+  }
+
+  /// Whether an entry is that of the engine as it computed the KV cache.
+  fn is_at(&self, current: &EndpointEntry) -> bool {
+    current.address == self.entry.address && current.started_ms == self.entry.started_ms
   }
 
   /// The engine that holds it.
--- a/tests/gateway/changed_entries.rs
+++ b/tests/gateway/changed_entries.rs
@@ -1,5 +1,5 @@
-//! The entry of an endpoint changes under its id: it names another address or another start. A connection to the former one is of
-//! no use.
+//! The entry of an endpoint changes under its id: it names another address or another start. What belongs to the former one, a connection
+//! or an exported prompt, is of no use at the present one.
 
 use {
   super::{
@@ -9,12 +9,18 @@
   },
   http::StatusCode,
   rstest::rstest,
-  std::time::Duration,
+  serde_json::json,
+  std::{
+    sync::atomic::{AtomicBool, AtomicU64, Ordering},
+    time::Duration,
+  },
   tokio::time::sleep,
 };
 
 /// Until a changed entry has reached the box.
 const ENTRY_DELAY: Duration = Duration::from_millis(500);
+/// Longer than a test.
+const EXPORT_TTL_S: f64 = 20.0;
 const EVENTS: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
 
 /// The paths of the requests that an endpoint received.
@@ -79,3 +85,61 @@
   assert_eq!(paths(&former), ["/stream/a"]);
   assert_eq!(paths(&present), ["/stream/a"]);
 }
+
+/// Guards against a stream that goes on from a prompt which its engine held before it restarted: that handle may be another
+/// request's now.
+#[rstest]
+#[case::moved(1, true)]
+#[case::restarted(2, false)]
+#[tokio::test]
+async fn export_is_not_used_after_the_entry_of_its_engine_has_changed(
+  #[case] start: u64,
+  #[case] moves: bool,
+) {
+  let handles = AtomicU64::new(0);
+  let prefill = EndpointStandIn::start(move |seen| match seen.is_prefill() {
+    true => {
+      let handle = handles.fetch_add(1, Ordering::Relaxed);
+      let body = json!({"promptHandle": format!("h{handle}"), "tokens": 100, "version": 1});
+      Reply::ok(seen, &body.to_string())
+    }
+    false => engine_reply(seen, EVENTS),
+  })
+  .await;
+  let moved = EndpointStandIn::engine(EVENTS).await;
+  let test = GatewayTest::new()
+    .await
+    .configure(|value| value["services"][1]["engine"]["handleTtlS"] = json!(EXPORT_TTL_S));
+  GatewayTest::enter_incarnation(&test.store, "e-1", "prefill", prefill.address, 1);
+  let (store, present) = (
+    test.store.clone(),
+    [prefill.address, moved.address][usize::from(moves)],
+  );
+  let rejects = AtomicBool::new(true);
+  let decode = EndpointStandIn::start(move |seen| {
+    if CallKind::of(seen) != CallKind::Stream || !rejects.swap(false, Ordering::Relaxed) {
+      return engine_reply(seen, EVENTS);
+    }
+    GatewayTest::enter_incarnation(&store, "e-1", "prefill", present, start);
+    let Reply::Write(rejection) = Reply::not_run(seen) else {
+      unreachable!()
+    };
+    Reply::WriteLater(ENTRY_DELAY, rejection)
+  })
+  .await;
+  for id in ["e-2", "e-3"] {
+    GatewayTest::enter_incarnation(&test.store, id, "decode", decode.address, 1);
+  }
+  let gateway = test.start().await;
+  assert_served(&gateway, "/stream/a", "r0").await;
+  let sources: Vec<String> = decode
+    .requests()
+    .iter()
+    .map(|seen| seen.header("x-kv-source").to_owned())
+    .collect();
+  let [first, second] = sources.as_slice() else {
+    panic!("{sources:?}");
+  };
+  assert_eq!(*first, format!("{}/h0", prefill.address));
+  assert_ne!(first, second);
+}
