Tests of addresses at which another service accepts connections: one fails

What callers saw: nothing yet. A box that reaches none of a service's endpoints forwards its requests to a box that does. Where one entry of the service leads to another service, it rejects them: 0 of 9 plain requests and 3 of 9 streams are served.

Cause: a connection alone counts as contact with the endpoint's group, so that the group never counts as unreachable; and a request that another service has rejected with 421 counts as sent, so that it is not forwarded.

--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -21,6 +21,7 @@
 mod extra_answers;
 mod extra_answers_once;
 mod fair_shares;
+mod given_addresses;
 mod hall_drain;
 mod harness;
 mod leaving;
