Test that a connection to a former address shows nothing of an answer's end

What callers saw: nothing yet. An answer whose endpoint had crashed within it was 200 and took itself for complete ("an answer" for "an answer that is whole"): a connection to the endpoint's former address, which another answer held, was open, and was taken as proof that the endpoint lives.

--- a/tests/gateway/changed_entries.rs
+++ b/tests/gateway/changed_entries.rs
@@ -3,9 +3,10 @@
 
 use {
   super::{
-    EndpointStandIn, GatewayBox, GatewayTest, ReceivedRequest, Reply,
+    EndpointStandIn, GatewayBox, GatewayTest, ReceivedRequest, Reply, TIMEOUT,
     endpoint::{STREAM_END, engine_reply},
     extra_answers::CallKind,
+    stream_framing::Framing,
   },
   http::StatusCode,
   rstest::rstest,
@@ -86,6 +87,31 @@
   assert_eq!(paths(&present), ["/stream/a"]);
 }
 
+/// Guards against an answer that is taken for complete when its endpoint crashes, since a connection to the former address is open.
+#[tokio::test]
+async fn end_of_an_answer_is_not_shown_by_a_connection_to_a_former_address() {
+  let begun = |seen: &ReceivedRequest| Framing::Neither.head(seen, 0) + "an answer";
+  let former = EndpointStandIn::start(move |seen| {
+    Reply::WriteInPartsAndClose(vec![
+      (Duration::ZERO, begun(seen)),
+      (4 * ENTRY_DELAY, " that is whole".into()),
+    ])
+  })
+  .await;
+  let present = EndpointStandIn::start(move |seen| Reply::Crash(begun(seen), TIMEOUT)).await;
+  let gateway = GatewayTest::new().await.with_portal(&former).await;
+  let move_and_ask = async {
+    sleep(ENTRY_DELAY).await;
+    gateway.test.enter("p-1", "portal", None, &present);
+    sleep(ENTRY_DELAY).await;
+    gateway.ask("/unsafe/a", "r1").await
+  };
+  let (first, second) = tokio::join!(gateway.ask("/unsafe/a", "r0"), move_and_ask);
+  assert_eq!(first.body.unwrap(), "an answer that is whole");
+  assert_eq!(paths(&present), ["/unsafe/a"]);
+  assert!(!second.status.is_success(), "{second:?}");
+}
+
 /// Guards against a stream that goes on from a prompt which its engine held before it restarted: that handle may be another
 /// request's now.
 #[rstest]
