--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -2,8 +2,10 @@
 
 mod allowed_regions;
 mod answer_bounds;
+mod box_addresses;
 mod budget;
 mod callers;
+mod changed_entries;
 mod choice;
 mod cold_endpoints;
 mod configuration;
@@ -19,6 +21,7 @@
 mod extra_answers;
 mod extra_answers_once;
 mod fair_shares;
+mod given_addresses;
 mod hall_drain;
 mod harness;
 mod leaving;
@@ -29,6 +32,7 @@
 mod notice_tracker;
 mod notices;
 mod organisations;
+mod other_service;
 mod permits;
 mod policy;
 mod prefill_directory;
