Test of endpoints that answer before they have read a long body

The endpoint answers early (not run, failed, complete), reads nothing for 400 ms, and goes on.

In each case the body is whole and what follows it is a whole request: hyper holds the body and writes it first.

--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod crashing_request;
 mod crashing_segment;
 mod cut_off;
+mod early_answers;
 mod early_ends;
 mod endless_answers;
 mod endless_reply;
