--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -39,6 +39,7 @@
 mod raw_caller;
 mod relay;
 mod responses;
+mod restarted_engines;
 mod resume;
 mod return_order;
 mod reused_addresses;
