--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -35,6 +35,7 @@
 mod prefill_directory;
 mod prefill_queue;
 mod prefill_reservations;
+mod proxy_headers;
 mod quarantine;
 mod raw_caller;
 mod relay;
