--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -58,6 +58,7 @@
 mod takeovers;
 mod unframed_ends;
 mod unknown_origins;
+mod unnamed_endpoints;
 mod version_records;
 mod versions;
 
