Endpoints of plain services get no calls although their entries have a stage

Where a plain service's entry had a stage, the role leader asked the endpoint for its report and commanded it into a role, and an end with the connection was confirmed by its report. The endpoint does not know these paths and runs them as requests; the expected endpoint is the right one and does not help. Whether a service has engines is now read from the configuration, as it is for requests.

Trial with each of the two conditions switched off: the test fails; with both it passes. Not covered: a resumable stream of a plain service whose entry has a stage and a start (has_confirmed_start).

--- a/src/gateway/roles/role_leader.rs
+++ b/src/gateway/roles/role_leader.rs
@@ -145,7 +145,7 @@
       .endpoints
       .borrow()
       .entries()
-      .filter(|entry| entry.role.is_some())
+      .filter(|entry| entry.role.is_some() && self.gateway.has_engines(&entry.service))
       .map(|entry| entry.service.clone())
       .collect();
     services.sort();
--- a/src/gateway/stages/confirm_end.rs
+++ b/src/gateway/stages/confirm_end.rs
@@ -88,7 +88,8 @@
 async fn find_liveness(gateway: &Rc<Gateway>, end: AnswerEnd<'_>) -> Result<(), UnconfirmedEnd> {
   let entry = end.entry;
   let backs_off = matches!(gateway.check(entry), Err(Unavailable::BackingOff { .. }));
-  let reports = entry.role.is_some() && !backs_off;
+  let is_engine = entry.role.is_some() && gateway.has_engines(&entry.service);
+  let reports = is_engine && !backs_off;
   if let Some(witness) = end.witness
     && let Some(result) = witnessed(gateway, end, witness, reports).await
   {
--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -253,6 +253,13 @@
     self.random.borrow_mut().random()
   }
 
+  /// Whether the endpoints of a service are engines, by the configuration in force.
+  pub(crate) fn has_engines(&self, service: &str) -> bool {
+    let table = self.route_table.borrow();
+    let service = table.as_ref().and_then(|table| table.service(service));
+    service.is_some_and(|service| service.engine.is_some())
+  }
+
   /// The configuration in force.
   pub(crate) fn route_table(&self) -> Option<Rc<RouteTable>> {
     self.route_table.borrow().clone()
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -50,6 +50,7 @@
 mod silent_engines;
 mod slots;
 mod slow_readers;
+mod staged_plain_services;
 mod store_proxy;
 mod stray_answers;
 mod stream_ends;
