Idle connections to an address that is no longer an endpoint's are closed

They are closed with the change. Trial without: the test's second request is answered by the former address.

Three tests of the same kind fail and are listed: work that was chosen by a former entry of the id goes to the endpoint that has the id now, also one of another service, and the expected endpoint does not help there; and a connection that is in use during the change is kept.

--- a/src/gateway/membership/store_view.rs
+++ b/src/gateway/membership/store_view.rs
@@ -183,10 +183,11 @@
         let mut endpoints = self.gateway.endpoints.borrow_mut();
         let former = endpoints.entry(id);
         let has_restarted = former.is_some_and(|former| former.started_ms != entry.started_ms);
+        let has_moved = former.is_some_and(|former| former.address != entry.address);
         if let Some(former) = former.filter(|_| has_restarted) {
           log_restart(former, &entry);
         }
-        if entry.leaving || has_restarted {
+        if entry.leaving || has_restarted || has_moved {
           self.gateway.pool.close(id);
         }
         endpoints.put(entry.clone());
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -4,6 +4,7 @@
 mod answer_bounds;
 mod budget;
 mod callers;
+mod changed_entries;
 mod choice;
 mod cold_endpoints;
 mod configuration;
