What was chosen by an entry is sent only while the entry lists the same endpoint

A stream, or the release of a reservation, was run by the plain endpoint that was listed under the engine's id by then: the registry compared start and version of what had been chosen, not the address, the service and whether it is an engine. The name alone does not help, as the endpoint has it now. EndpointEntry::is_same_endpoint says it in one place, for sends, displacements and exports.

--- a/src/gateway/decisions/endpoint_registry.rs
+++ b/src/gateway/decisions/endpoint_registry.rs
@@ -208,10 +208,7 @@
     let endpoint = self
       .endpoints
       .get(&chosen.id)
-      .filter(|endpoint| {
-        let entry = &endpoint.entry;
-        entry.started_ms == chosen.started_ms && entry.version == chosen.version
-      })
+      .filter(|endpoint| endpoint.entry.is_same_endpoint(chosen))
       .ok_or(Unavailable::Unlisted)?;
     self.check_listed(endpoint, now_ms)
   }
@@ -418,8 +415,7 @@
     now_ms: u64,
   ) -> Option<Displacement> {
     let endpoint = self.endpoints.get_mut(&entry.id)?;
-    let listed = &endpoint.entry;
-    if listed.address != entry.address || listed.started_ms != entry.started_ms {
+    if !endpoint.entry.is_same_endpoint(entry) {
       return None;
     }
     let shown = match (entry.role, misdirected) {
--- a/src/gateway/edge/endpoint_entry.rs
+++ b/src/gateway/edge/endpoint_entry.rs
@@ -32,6 +32,40 @@
 }
 
 impl EndpointEntry {
+  /// Whether two entries list the same endpoint: the same start of the same software, at the same address, for the same service.
+  ///
+  /// ```
+  /// use rillford::gateway::{EndpointEntry, SoftwareVersion};
+  /// let entry = EndpointEntry {
+  ///   address: "10.0.0.1:80".parse().unwrap(),
+  ///   cold_ms: 0,
+  ///   hall: "north".into(),
+  ///   id: "p-1".into(),
+  ///   leaving: false,
+  ///   role: None,
+  ///   service: "portal".into(),
+  ///   slots: 8,
+  ///   started_ms: None,
+  ///   version: SoftwareVersion::new("v1"),
+  /// };
+  /// assert!(entry.is_same_endpoint(&EndpointEntry { leaving: true, ..entry.clone() }));
+  /// assert!(!entry.is_same_endpoint(&EndpointEntry { service: "llm".into(), ..entry.clone() }));
+  /// ```
+  pub fn is_same_endpoint(&self, other: &Self) -> bool {
+    let identity = |entry: &Self| {
+      (
+        entry.id.clone(),
+        entry.address,
+        entry.started_ms,
+        entry.service.clone(),
+        entry.version.clone(),
+        // An engine may change its role.
+        entry.role.is_some(),
+      )
+    };
+    identity(self) == identity(other)
+  }
+
   /// When it started, for logs: Unix milliseconds, or `-` when that is not listed.
   pub(crate) fn start_text(&self) -> String {
     self
--- a/src/gateway/stages/engine_call.rs
+++ b/src/gateway/stages/engine_call.rs
@@ -129,17 +129,13 @@
     self.used = true;
   }
 
-  /// Whether it has not expired, and its engine is not listed with another start or address. An engine whose entry is gone may hold
-  /// it still.
+  /// Whether it has not expired, and no other endpoint is listed in place of its engine. An engine whose entry is gone may hold it
+  /// still.
   pub(crate) fn is_fresh(&self) -> bool {
     let endpoints = self.gateway.endpoints.borrow();
     let current = endpoints.entry(&self.entry.id);
-    self.gateway.now_ms() < self.expires_ms && current.is_none_or(|current| self.is_at(current))
-  }
-
-  /// Whether an entry is that of the engine as it computed the KV cache.
-  fn is_at(&self, current: &EndpointEntry) -> bool {
-    current.address == self.entry.address && current.started_ms == self.entry.started_ms
+    self.gateway.now_ms() < self.expires_ms
+      && current.is_none_or(|current| current.is_same_endpoint(&self.entry))
   }
 
   /// The engine that holds it.
