An engine that goes on rejecting requests is checked once a second

Each call that an engine rejected as misdirected led to a call for its report as soon as the last check had ended. A request that waits for a slot asks again every 8 ms: an engine that rejects reservations for another reason than its address answered 33 reports beside 34 reservations of one request, on (mistaken_displacements::engine_that_rejects_a_role_is_not_checked_at_each_rejection, which failed there). Reports are priced as probes.

A check that does not confirm a displacement is remembered with its time, and a rejection within a second of it leads to no other check. A change of the entry ends that, so an address that is given on then is checked at once.

--- a/src/gateway/decisions/displacement.rs
+++ b/src/gateway/decisions/displacement.rs
@@ -2,6 +2,8 @@
 
 /// Time after which an endpoint whose entry has not changed is tried again: it may have rejected a request for another reason.
 const MAX_AGE_MS: u64 = 30_000;
+/// Time after which an engine that goes on rejecting requests is checked again.
+const CHECK_INTERVAL_MS: u64 = 1_000;
 
 /// Whether another endpoint answers at an endpoint's address.
 ///
@@ -14,6 +16,11 @@
   None,
   /// A request was rejected as misdirected.
   Suspected,
+  /// A check did not confirm it.
+  Unconfirmed {
+    /// When the check ended.
+    at_ms: u64,
+  },
   /// Another endpoint answers there: nothing is sent until the entry changes.
   Confirmed {
     /// When it was confirmed.
@@ -32,10 +39,25 @@
   /// ```
   pub fn is_in_force(self, now_ms: u64) -> bool {
     match self {
-      Self::None | Self::Suspected => false,
+      Self::None | Self::Suspected | Self::Unconfirmed { .. } => false,
       Self::Confirmed { at_ms } => now_ms < at_ms + MAX_AGE_MS,
     }
   }
+
+  /// Whether it was checked so recently that a further rejection does not lead to another check.
+  ///
+  /// ```
+  /// use rillford::gateway::Displacement;
+  /// let displacement = Displacement::Unconfirmed { at_ms: 1_000 };
+  /// assert!(displacement.was_just_checked(1_500));
+  /// assert!(!displacement.was_just_checked(2_000));
+  /// ```
+  pub fn was_just_checked(self, now_ms: u64) -> bool {
+    match self {
+      Self::None | Self::Suspected | Self::Confirmed { .. } => false,
+      Self::Unconfirmed { at_ms } => now_ms < at_ms + CHECK_INTERVAL_MS,
+    }
+  }
 }
 
 /// What was rejected as misdirected.
--- a/src/gateway/decisions/endpoint_registry.rs
+++ b/src/gateway/decisions/endpoint_registry.rs
@@ -422,7 +422,11 @@
       (None, _) | (Some(_), Misdirected::Report) => Displacement::Confirmed { at_ms: now_ms },
       (Some(_), Misdirected::Other) => Displacement::Suspected,
     };
-    if endpoint.displacement.is_in_force(now_ms) || endpoint.displacement == shown {
+    let current = endpoint.displacement;
+    if current.is_in_force(now_ms) || current == shown {
+      return None;
+    }
+    if shown == Displacement::Suspected && current.was_just_checked(now_ms) {
       return None;
     }
     endpoint.displacement = shown;
@@ -438,12 +442,12 @@
     suspected.map(|endpoint| endpoint.entry.clone()).collect()
   }
 
-  /// Ends the suspicion that an engine is displaced, unless that was confirmed.
-  pub fn forget_suspected_displacement(&mut self, id: &str) {
+  /// Records that a check has ended; ends the suspicion that an engine is displaced, unless that was confirmed.
+  pub fn record_displacement_check(&mut self, id: &str, now_ms: u64) {
     if let Some(endpoint) = self.endpoints.get_mut(id)
       && endpoint.displacement == Displacement::Suspected
     {
-      endpoint.displacement = Displacement::None;
+      endpoint.displacement = Displacement::Unconfirmed { at_ms: now_ms };
     }
   }
 
--- a/src/gateway/stages/displacement_check.rs
+++ b/src/gateway/stages/displacement_check.rs
@@ -23,5 +23,5 @@
     log::info!("E595 displacement checked: {}: {error}", entry.id);
   }
   let mut endpoints = gateway.endpoints.borrow_mut();
-  endpoints.forget_suspected_displacement(&entry.id);
+  endpoints.record_displacement_check(&entry.id, gateway.now_ms());
 }
--- a/src/gateway/stages/send_call.rs
+++ b/src/gateway/stages/send_call.rs
@@ -78,7 +78,7 @@
       .borrow_mut()
       .record_misdirected(entry, misdirected, gateway.now_ms());
   match change {
-    None | Some(Displacement::None) => {}
+    None | Some(Displacement::None | Displacement::Unconfirmed { .. }) => {}
     Some(Displacement::Suspected) => gateway.displacement_suspected.notify_one(),
     Some(Displacement::Confirmed { .. }) => {
       gateway.pool.close(&entry.id);
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -31,6 +31,7 @@
 mod limits;
 mod living_ends;
 mod load;
+mod mistaken_displacements;
 mod notice_tracker;
 mod notices;
 mod organisations;
