Plain endpoints whose entries have a stage get no call for a report

An endpoint of a plain service whose entry has a stage, and that rejected a request as misdirected, was sent GET /report with an id of the box's own: the check of a suspected displacement took it for an engine by its entry's role. Such endpoints get no calls since.

Whether a rejection may be for a role depends on the service by the configuration, as elsewhere. The test failed before: the endpoint got [Plain, Report].

--- a/src/gateway/decisions/displacement.rs
+++ b/src/gateway/decisions/displacement.rs
@@ -65,6 +65,8 @@
 pub enum Misdirected {
   /// The call for an engine's report, which an engine answers in any role.
   Report,
+  /// A request to a plain service, whose endpoints have no roles, whatever their entries state.
+  PlainService,
   /// Any other call, or a request.
   Other,
 }
--- a/src/gateway/decisions/endpoint_registry.rs
+++ b/src/gateway/decisions/endpoint_registry.rs
@@ -419,7 +419,9 @@
       return None;
     }
     let shown = match (entry.role, misdirected) {
-      (None, _) | (Some(_), Misdirected::Report) => Displacement::Confirmed { at_ms: now_ms },
+      (None, _) | (Some(_), Misdirected::PlainService | Misdirected::Report) => {
+        Displacement::Confirmed { at_ms: now_ms }
+      }
       (Some(_), Misdirected::Other) => Displacement::Suspected,
     };
     let current = endpoint.displacement;
--- a/src/gateway/stages/send_call.rs
+++ b/src/gateway/stages/send_call.rs
@@ -70,7 +70,8 @@
   gateway.counters.misdirected.inc();
   let misdirected = match purpose {
     Purpose::Report => Misdirected::Report,
-    _ => Misdirected::Other,
+    _ if gateway.has_engines(&entry.service) => Misdirected::Other,
+    _ => Misdirected::PlainService,
   };
   let change =
     gateway
--- a/tests/gateway/mistaken_displacements.rs
+++ b/tests/gateway/mistaken_displacements.rs
@@ -84,3 +84,17 @@
     response.status
   );
 }
+
+/// Guards against a call for a report to an endpoint of a plain service whose entry has a stage, after it rejected a request.
+#[tokio::test]
+async fn endpoint_of_a_plain_service_that_rejects_a_request_gets_no_call_for_a_report() {
+  let endpoint = EndpointStandIn::start(misdirected).await;
+  let test = GatewayTest::new().await;
+  test.enter("p-1", "portal", Some("prefill"), &endpoint);
+  let gateway = test.start().await;
+  gateway.ask("/safe/a", "r0").await;
+  sleep(BACKGROUND_CALLS).await;
+  let kinds: Vec<CallKind> = endpoint.received().iter().map(CallKind::of).collect();
+  assert_eq!(kinds, [CallKind::Plain]);
+  assert_eq!(gateway.metric("rillford_endpoints_displaced").await, 1.0);
+}
