The test of a misdirected answer's notice sees one that is applied

Since notice_of_another_endpoint_at_the_address_is_ignored waits for the endpoint's new address. It now also expects that no endpoint counts as leaving after the answer, and fails without the return (1.0 for 0.0).

--- a/tests/gateway/notices.rs
+++ b/tests/gateway/notices.rs
@@ -187,6 +187,7 @@
   let gateway = GatewayTest::new().await.with_portal(&other).await;
   gateway.ask("/safe/a", "r0").await;
   assert_eq!(other.requests().len(), 1);
+  assert_eq!(gateway.metric("rillford_endpoints_leaving").await, 0.0);
   gateway.test.enter("p-1", "portal", None, &one);
   let is_called = async || {
     gateway.ask("/safe/a", "r1").await;
