--- a/tests/gateway/mistaken_displacements.rs
+++ b/tests/gateway/mistaken_displacements.rs
@@ -2,7 +2,7 @@
 
 use {
   super::{
-    EndpointStandIn, GatewayTest, ReceivedRequest, Reply, TIMEOUT, endpoint::engine_reply,
+    EndpointStandIn, GatewayTest, ReceivedRequest, Reply, endpoint::engine_reply,
     extra_answers::CallKind,
   },
   emulator::eventually,
@@ -21,6 +21,8 @@
 const ENTRY_DELAY: Duration = Duration::from_millis(500);
 /// Calls in the background have been sent by then.
 const BACKGROUND_CALLS: Duration = Duration::from_millis(300);
+/// Longer than the backoff from an endpoint that was lost, and shorter than a displacement.
+const SERVED_WITHIN: Duration = Duration::from_secs(10);
 const EVENTS: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
 
 fn misdirected(seen: &ReceivedRequest) -> Reply {
@@ -48,7 +50,7 @@
   sleep(ENTRY_DELAY).await;
   let is_served = async || gateway.ask("/safe/a", "r1").await.status == StatusCode::OK;
   assert!(
-    eventually(TIMEOUT, is_served).await,
+    eventually(SERVED_WITHIN, is_served).await,
     "{} requests at the former address",
     former.received().len()
   );
