--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -102,9 +102,9 @@
   /// The organisations' loads at this box, where fair shares are enabled.
   pub(crate) organisation_loads: RefCell<OrganisationLoads>,
   /// Notified when a request leaves that queue.
-  /// A request was rejected as misdirected.
-  pub(crate) displacement_suspected: Notify,
   pub(crate) slot_queue_changed: Notify,
+  /// Notified when an engine may be displaced.
+  pub(crate) displacement_suspected: Notify,
   /// The longest deadlines of callers, by route.
   pub(crate) longest_deadlines: RefCell<LongestDeadlines>,
   /// Room and return times, by service.
