--- a/src/gateway/stages/send_call.rs
+++ b/src/gateway/stages/send_call.rs
@@ -70,7 +70,8 @@
   gateway.counters.misdirected.inc();
   let misdirected = match purpose {
     Purpose::Report => Misdirected::Report,
-    _ => Misdirected::Other,
+    _ if gateway.has_engines(&entry.service) => Misdirected::Other,
+    _ => Misdirected::PlainService,
   };
   let change =
     gateway
@@ -78,7 +79,7 @@
       .borrow_mut()
       .record_misdirected(entry, misdirected, gateway.now_ms());
   match change {
-    None | Some(Displacement::None) => {}
+    None | Some(Displacement::None | Displacement::Unconfirmed { .. }) => {}
     Some(Displacement::Suspected) => gateway.displacement_suspected.notify_one(),
     Some(Displacement::Confirmed { .. }) => {
       gateway.pool.close(&entry.id);
