Log on which evidence an engine's version is held

E509 and E557 name the version and the start of an entry, but not whether the process that sent the events wrote that entry. Boxes now observe the process behind each connection: connections that overlap lead to one process, and an entry that is listed two heartbeats after it was first seen, or written meanwhile, is its own. E509 and E557 add the evidence: start, observed, or none with the time observed. Nothing is decided by it yet. The settings get [endpoints] heartbeat_ms, which the platform names.

--- a/src/gateway/connections/connection.rs
+++ b/src/gateway/connections/connection.rs
@@ -1,8 +1,13 @@
 //! One connection to an endpoint. Dropping it closes it at once, which cancels the request on it.
 
 use {
-  super::{addressed_request::AddressedRequest, recent_ids::RecentIds},
-  crate::ids::Name,
+  super::{
+    addressed_request::AddressedRequest, observed_stream::ObservedStream, recent_ids::RecentIds,
+  },
+  crate::{
+    gateway::decisions::{ConnectionState, ObservedProcess},
+    ids::Name,
+  },
   bytes::Bytes,
   http::Response,
   http_body_util::Full,
@@ -67,6 +72,9 @@
   pub(super) address: SocketAddr,
   /// The start that the endpoint has confirmed on this connection, as Unix milliseconds. The connection outlives no restart.
   pub(crate) confirmed_start_ms: Option<u64>,
+  pub(crate) state: Rc<ConnectionState>,
+  /// The process of an endpoint that it leads to.
+  pub(crate) process: Option<Rc<ObservedProcess>>,
   /// When it must no longer be reused, on the box's clock.
   pub(crate) reusable_until_ms: u64,
   recent_ids: RecentIds,
@@ -104,6 +112,8 @@
         .set_recv_buffer_size(bytes)
         .map_err(|error| unsent(&error))?;
     }
+    let state = Rc::<ConnectionState>::default();
+    let stream = ObservedStream::new(stream, &state);
     let (sender, connection) = http1::Builder::new()
       .max_buf_size(BUFFER_BYTES)
       .handshake(TokioIo::new(stream))
@@ -112,8 +122,10 @@
     let opened_at = Instant::now();
     let closed = Rc::<Cell<_>>::default();
     let closing = closed.clone();
+    let ended_state = state.clone();
     let task = spawn_local(async move {
       let result = connection.await;
+      ended_state.record_end();
       if let Err(error) = &result {
         log::debug!("connection to {address} failed: {error}");
         if is_unexpected_message(error) {
@@ -134,9 +146,11 @@
       closed,
       confirmed_start_ms: None,
       endpoint,
+      process: None,
       recent_ids: RecentIds::default(),
       reusable_until_ms: 0,
       sender,
+      state,
       task: task.abort_handle(),
     })
   }
--- a/src/gateway/connections/mod.rs
+++ b/src/gateway/connections/mod.rs
@@ -1,6 +1,6 @@
 //! Pooled connections to endpoints, listeners, hop-by-hop headers, and messages between boxes.
 //!
-//! Imports `edge`. A request arrives through [`accept`] and is sent over a [`Connection`], which then
+//! Imports `edge` and `decisions`. A request arrives through [`accept`] and is sent over a [`Connection`], which then
 //! returns to the [`ConnectionPool`].
 
 mod accept;
@@ -11,6 +11,7 @@
 mod connection_pool;
 mod headers;
 mod liveness;
+mod observed_stream;
 mod recent_ids;
 mod shared_connections;
 mod stall_timeout;
--- a/src/gateway/decisions/endpoint_registry.rs
+++ b/src/gateway/decisions/endpoint_registry.rs
@@ -11,6 +11,7 @@
     endpoint_state::{EndpointState, PROBE_RANK, PeerAverages, ReportedLoad, ReportedSlowdown},
     hall_reachability::HallReachability,
     notice_tracker::{Availability, NoticeChange, NoticeTracker},
+    processes::{ConnectionState, EndpointProcesses, ObservedProcess, VersionEvidence},
     reachability::EndpointGroup,
     service_versions::ServiceVersions,
     unavailable::Unavailable,
@@ -20,7 +21,10 @@
     gateway::edge::{EndpointEntry, EndpointNotice, LimitHeader, LoadHeader},
     ids::Name,
   },
-  std::collections::{BTreeMap, HashMap},
+  std::{
+    collections::{BTreeMap, HashMap},
+    rc::Rc,
+  },
 };
 
 /// Width of the random factor that keeps boxes with equal knowledge from making the same choice.
@@ -42,6 +46,8 @@
   limits: EndpointLimits,
   /// The software versions of the services.
   versions: ServiceVersions,
+  /// The processes that are observed at them.
+  processes: EndpointProcesses,
   /// Whether notices are recorded and not honoured.
   ignores_notices: bool,
   /// When an endpoint of each service reported a slowdown last.
@@ -69,10 +75,19 @@
     }
   }
 
+  /// The same registry, whose endpoints renew their entries each `heartbeat_ms`.
+  pub fn with_heartbeat(self, heartbeat_ms: u64) -> Self {
+    Self {
+      processes: EndpointProcesses::new(heartbeat_ms),
+      ..self
+    }
+  }
+
   /// Inserts or updates an entry.
   pub fn put(&mut self, entry: EndpointEntry) {
     self.versions.add(&entry.service, &entry.version);
-    let former = self.entry(&entry.id);
+    let former = self.endpoints.get(&entry.id).map(|former| &former.entry);
+    self.processes.record_entry(former, &entry);
     if lists_prefill_engine(former) || lists_prefill_engine(Some(&entry)) {
       let is_same = former.is_some_and(|former| has_same_prefill_engine(former, &entry));
       self.prefill_revision += u64::from(!is_same);
@@ -159,6 +174,59 @@
     &mut self.versions
   }
 
+  /// The box's view of the store includes all changes until a time.
+  pub fn set_viewed(&mut self, viewed_ms: u64) {
+    self.processes.set_viewed(viewed_ms);
+  }
+
+  /// A connection to an endpoint was opened; returns the process that it leads to.
+  pub fn record_connection(
+    &mut self,
+    entry: &EndpointEntry,
+    connection: &Rc<ConnectionState>,
+    now_ms: u64,
+  ) -> Rc<ObservedProcess> {
+    let listed = self.entry(&entry.id);
+    let is_listed_there = listed
+      .is_some_and(|listed| listed.address == entry.address && listed.service == entry.service);
+    if is_listed_there {
+      return self.processes.connect(entry, connection, now_ms);
+    }
+    let process = Rc::new(ObservedProcess::since(now_ms));
+    process.add(connection);
+    process
+  }
+
+  /// On which evidence a process that was met at an endpoint has the version in an entry.
+  pub fn version_evidence(
+    &mut self,
+    entry: &EndpointEntry,
+    process: &ObservedProcess,
+    now_ms: u64,
+  ) -> VersionEvidence {
+    self.settle_version(&entry.id);
+    if process.version() == Some(&entry.version) {
+      return VersionEvidence::Observed;
+    }
+    VersionEvidence::None {
+      observed_ms: now_ms.saturating_sub(process.since_ms()),
+    }
+  }
+
+  fn settle_version(&mut self, id: &str) {
+    if let Some(endpoint) = self.endpoints.get(id) {
+      self.processes.settle(&endpoint.entry);
+    }
+  }
+
+  /// Learns the versions of the processes that were observed for long enough, and forgets those that are no longer observed.
+  pub fn settle_versions(&mut self) {
+    self.processes.expire();
+    for endpoint in self.endpoints.values() {
+      self.processes.settle(&endpoint.entry);
+    }
+  }
+
   /// The ids of all endpoints.
   pub fn ids(&self) -> Vec<Name> {
     self.endpoints.keys().cloned().collect()
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -46,6 +46,7 @@
 mod prefill_place;
 mod prefill_queue;
 mod prefill_speed;
+mod processes;
 mod quarantine_key;
 mod quarantine_registry;
 mod quarantine_strategy;
@@ -117,6 +118,7 @@
   prefill_offer::{PrefillOffer, asks_other_halls, best_prefill_offer, extra_transfer_ms},
   prefill_place::{EngineQueue, Place, PlaceId, PlaceOutcome, PlaceRequest, ReportedEngineLoad},
   prefill_queue::PrefillQueue,
+  processes::{ConnectionState, EndpointProcesses, ObservedProcess, VersionEvidence},
   quarantine_key::{QuarantineKey, QuarantineMark},
   quarantine_registry::{QuarantineRegistry, QuarantineVerdict},
   quarantine_strategy::QuarantineStrategy,
--- /dev/null
+++ b/src/gateway/decisions/processes/mod.rs
@@ -0,0 +1,11 @@
+//! Which process an endpoint's entry describes. One that restarts under its id may have another version, and its entry lags.
+
+mod connection_state;
+mod endpoint_processes;
+mod observed_process;
+mod version_evidence;
+
+pub use self::{
+  connection_state::ConnectionState, endpoint_processes::EndpointProcesses,
+  observed_process::ObservedProcess, version_evidence::VersionEvidence,
+};
--- a/src/gateway/membership/store_sync.rs
+++ b/src/gateway/membership/store_sync.rs
@@ -157,6 +157,7 @@
       }
     }
     self.gateway.has_listed.set(true);
+    self.view.record_applied();
     Some(revision)
   }
 
@@ -243,6 +244,7 @@
     for item in items {
       self.view.apply(item);
     }
+    self.view.record_applied();
     self
       .gateway
       .endpoints
--- a/src/gateway/membership/store_view.rs
+++ b/src/gateway/membership/store_view.rs
@@ -56,6 +56,13 @@
     self.is_failing = false;
   }
 
+  /// Records that all changes until the last contact were applied.
+  pub(super) fn record_applied(&self) {
+    if let Some(contact_ms) = self.gateway.store_contact_ms.get() {
+      self.gateway.endpoints.borrow_mut().set_viewed(contact_ms);
+    }
+  }
+
   pub(super) fn record_failure(&mut self, step: &str, error: &StoreError) {
     self.gateway.counters.store_failures.inc();
     if !self.is_failing {
--- a/src/gateway/requests/event_relay.rs
+++ b/src/gateway/requests/event_relay.rs
@@ -249,15 +249,23 @@
         record_stream(&self.stream.gateway, &self.stream.request, entry);
       }
       log::info!(
-        "E509 first event: {} after {took_ms} ms, from {} version {} started {}",
+        "E509 first event: {} after {took_ms} ms, from {} version {} started {}, evidence {}",
         self.stream.request.id(),
         origin.map_or("-", |entry| &entry.id),
         origin.map_or_else(SoftwareVersion::default, |entry| entry.version.clone()),
-        origin.map_or_else(|| "-".into(), EndpointEntry::start_text)
+        origin.map_or_else(|| "-".into(), EndpointEntry::start_text),
+        self.evidence_text()
       );
     }
   }
 
+  /// On which evidence the current endpoint has its version, for logs.
+  fn evidence_text(&self) -> String {
+    let head = self.head.as_ref();
+    let evidence = head.map(|head| head.version_evidence(&self.stream.gateway));
+    evidence.map_or_else(|| "-".into(), |evidence| evidence.to_string())
+  }
+
   /// Reads the next bytes from the engine.
   async fn read(&mut self) -> Result<Read, String> {
     let Some(head) = &mut self.head else {
@@ -355,12 +363,13 @@
     let Some(head) = &self.head else { return };
     self.stream.gateway.counters.resumed.inc();
     log::info!(
-      "E557 stream resumed: {} after event {:?} at {} version {} started {}, interrupted at version {version}",
+      "E557 stream resumed: {} after event {:?} at {} version {} started {}, evidence {}, interrupted at version {version}",
       self.stream.request.id(),
       self.stream.last_event_id,
       head.entry.id,
       head.entry.version,
-      head.entry.start_text()
+      head.entry.start_text(),
+      self.evidence_text()
     );
   }
 
--- a/src/gateway/resumption/publishing.rs
+++ b/src/gateway/resumption/publishing.rs
@@ -90,11 +90,12 @@
   let now_ms = gateway.now_ms();
   let table = gateway.route_table();
   let longest_ms = table.map_or(0, |table| table.longest_timeout_ms());
-  gateway
-    .endpoints
-    .borrow_mut()
+  let mut endpoints = gateway.endpoints.borrow_mut();
+  endpoints.settle_versions();
+  endpoints
     .versions_mut()
     .expire(now_ms, longest_ms + RETURN_MS);
+  drop(endpoints);
   gateway.stream_records.borrow_mut().expire(now_ms);
 }
 
--- a/src/gateway/settings/document.rs
+++ b/src/gateway/settings/document.rs
@@ -31,6 +31,9 @@
   pub bounds: GatewayBounds,
   /// How engines are divided between prefill and decode.
   pub engines: EngineSettings,
+  /// How endpoints maintain their entries.
+  #[serde(default)]
+  pub endpoints: EndpointSettings,
   /// The operators' policy program; without one, the routes' configuration applies.
   pub policy: Option<PolicySettings>,
   /// Enforcement of organisations' limits.
@@ -111,6 +114,21 @@
   pub utc_offset_minutes: i64,
 }
 
+/// How endpoints maintain their entries in the store.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct EndpointSettings {
+  /// Interval at which an endpoint renews its entry, which is removed after three that were missed.
+  pub heartbeat_ms: u64,
+}
+
+impl Default for EndpointSettings {
+  fn default() -> Self {
+    Self {
+      heartbeat_ms: 1_200,
+    }
+  }
+}
+
 /// How engines are divided between prefill and decode.
 #[derive(Clone, Debug, Deserialize)]
 pub struct EngineSettings {
@@ -179,6 +197,14 @@
         return Err(invalid(path, 1, key, "must be a number of 0 or more"));
       }
     }
+    if self.endpoints.heartbeat_ms == 0 {
+      return Err(invalid(
+        path,
+        1,
+        "endpoints.heartbeat_ms",
+        "must be above 0",
+      ));
+    }
     if let Some((key, message)) = self.limits.validation_error() {
       return Err(invalid(path, 1, key, message));
     }
--- a/src/gateway/settings/mod.rs
+++ b/src/gateway/settings/mod.rs
@@ -14,8 +14,8 @@
 pub use self::{
   activation::Activation,
   document::{
-    EnginePriority, EngineSettings, GatewayBounds, GatewayIdentity, GatewayListen, GatewaySettings,
-    PolicySettings, StoreSettings,
+    EndpointSettings, EnginePriority, EngineSettings, GatewayBounds, GatewayIdentity,
+    GatewayListen, GatewaySettings, PolicySettings, StoreSettings,
   },
   limits::LimitSettings,
   mechanisms::Mechanisms,
--- a/src/gateway/stages/incarnation_check.rs
+++ b/src/gateway/stages/incarnation_check.rs
@@ -11,7 +11,7 @@
     bounded_body::buffer_body,
     gateway::{
       connections::{Connection, closes_connection},
-      decisions::Unavailable,
+      decisions::{Unavailable, VersionEvidence},
       edge::{DecodeError, EndpointEntry, RunReport},
       state::Gateway,
     },
@@ -29,6 +29,22 @@
     || connection.confirmed_start_ms == entry.started_ms
 }
 
+/// On which evidence the process behind a connection has the version in an entry.
+pub(super) fn version_evidence(
+  gateway: &Gateway,
+  entry: &EndpointEntry,
+  connection: &Connection,
+) -> VersionEvidence {
+  if entry.started_ms.is_some() && connection.confirmed_start_ms == entry.started_ms {
+    return VersionEvidence::Start;
+  }
+  let Some(process) = &connection.process else {
+    return VersionEvidence::None { observed_ms: 0 };
+  };
+  let mut endpoints = gateway.endpoints.borrow_mut();
+  endpoints.version_evidence(entry, process, gateway.now_ms())
+}
+
 /// What happens to a connection after the report on it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum AfterReport {
--- a/src/gateway/stages/open_connection.rs
+++ b/src/gateway/stages/open_connection.rs
@@ -23,7 +23,9 @@
     Ok(_) => gateway.record_reached(entry),
     Err(_) => gateway.record_unreached(entry),
   }
-  Ok(opened?)
+  let mut connection = opened?;
+  connection.process = Some(gateway.record_connection(entry, &connection.state));
+  Ok(connection)
 }
 
 /// Records that bytes came on a connection to an endpoint while no call waited on it.
--- a/src/gateway/stages/stage.rs
+++ b/src/gateway/stages/stage.rs
@@ -5,7 +5,7 @@
     confirm_end::{AnswerEnd, confirm_end},
     end_witness::EndWitness,
     framing::Framing,
-    incarnation_check::{AfterReport, confirm_start, has_confirmed_start},
+    incarnation_check::{AfterReport, confirm_start, has_confirmed_start, version_evidence},
     open_connection::open_connection,
     outgoing_call::OutgoingCall,
     purpose::Purpose,
@@ -17,7 +17,7 @@
   crate::{
     gateway::{
       connections::{Connection, remove_connection_headers},
-      decisions::{AnswerKind, AttemptOutcome, Unavailable},
+      decisions::{AnswerKind, AttemptOutcome, Unavailable, VersionEvidence},
       edge::{EndpointEntry, ProxyHeaders, ResponseAttributes, Stage},
       permits::{Permit, acquire_permit, return_permit},
       state::{Gateway, UnreadCause},
@@ -120,6 +120,11 @@
     headers
   }
 
+  /// On which evidence its endpoint has the version of the entry.
+  pub(crate) fn version_evidence(&self, gateway: &Gateway) -> VersionEvidence {
+    version_evidence(gateway, &self.entry, &self.connection)
+  }
+
   /// How the body's end is known.
   pub(crate) fn framing(&self) -> Framing {
     Framing::of(&self.raw_headers)
--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -13,11 +13,11 @@
       connections::{Connection, ConnectionPool, SharedConnections},
       decisions::{
         AttemptOutcome, BoxEntry, BoxList, CachedPrompts, CheckedEnds, Choice, ColdPeriod,
-        CopyBudget, EndpointCounts, EndpointCriteria, EndpointGroup, EndpointRegistry, JoinedBoxes,
-        LocalUsage, LongestDeadlines, OrganisationLoads, PeakBoxCount, PeerAnswers, PermitTable,
-        Reachability, RetryUsage, RetryWindow, SlotForecast, SlotQueue, StrayAnswers,
-        StreamRecords, Unavailable, UnframedAnswers, UsageTable, VersionIdSteps, VersionRecords,
-        retry_after_backoff_ms,
+        ConnectionState, CopyBudget, EndpointCounts, EndpointCriteria, EndpointGroup,
+        EndpointRegistry, JoinedBoxes, LocalUsage, LongestDeadlines, ObservedProcess,
+        OrganisationLoads, PeakBoxCount, PeerAnswers, PermitTable, Reachability, RetryUsage,
+        RetryWindow, SlotForecast, SlotQueue, StrayAnswers, StreamRecords, Unavailable,
+        UnframedAnswers, UsageTable, VersionIdSteps, VersionRecords, retry_after_backoff_ms,
       },
       edge::{ColdStart, EndpointEntry, PlatformCodec, RouteTable, StoreLease},
       settings::{GatewaySettings, RoutePolicy},
@@ -384,6 +384,16 @@
     choice
   }
 
+  /// Records that a connection to an endpoint was opened; returns the process that it leads to.
+  pub(crate) fn record_connection(
+    &self,
+    entry: &EndpointEntry,
+    connection: &Rc<ConnectionState>,
+  ) -> Rc<ObservedProcess> {
+    let mut endpoints = self.endpoints.borrow_mut();
+    endpoints.record_connection(entry, connection, self.now_ms())
+  }
+
   /// Records that an endpoint is cold for `cold_ms` from now. Has no effect when the configuration sets no cold start for its service.
   pub(crate) fn record_cold(&self, entry: &EndpointEntry, cold_ms: u64) {
     let Some(cold_start) = self.cold_start(&entry.service) else {
@@ -714,6 +724,7 @@
   } else {
     EndpointRegistry::ignoring_notices()
   };
+  let registry = registry.with_heartbeat(settings.endpoints.heartbeat_ms);
   if mechanisms.endpoint_limits {
     registry
   } else {
