Tests: a restarted stand-in binds its address again while a forked child still holds it

A test that starts a box forks; until the child executes its program it holds the listener of another thread's stand-in.

--- a/tests/gateway/endpoint.rs
+++ b/tests/gateway/endpoint.rs
@@ -7,6 +7,7 @@
   std::{
     collections::HashMap,
     future::pending,
+    io::ErrorKind,
     net::SocketAddr,
     os::fd::AsRawFd,
     sync::{Arc, Mutex},
@@ -24,6 +25,10 @@
 /// Size of a socket's buffer that the kernel raises to its least.
 const SMALLEST_BUFFER_BYTES: usize = 1;
 
+/// For how long a restarted endpoint tries to bind its address, and the pause between two tries.
+const BIND_TIMEOUT: Duration = Duration::from_secs(5);
+const BIND_PAUSE: Duration = Duration::from_millis(1);
+
 /// Time between the pieces of a response.
 const PIECE_PAUSE: Duration = Duration::from_millis(1);
 
@@ -204,7 +209,7 @@
           return;
         };
         sleep(down).await;
-        listener = TcpListener::bind(address).await.unwrap();
+        listener = bind_again(address).await;
         state.start = start;
         on_start(address, start);
       }
@@ -392,6 +397,20 @@
   }
 }
 
+/// Binds the address of a former listener, which a child that another thread is forking may hold until it executes its program.
+async fn bind_again(address: SocketAddr) -> TcpListener {
+  let since = Instant::now();
+  loop {
+    match TcpListener::bind(address).await {
+      Ok(listener) => return listener,
+      Err(error) if error.kind() == ErrorKind::AddrInUse && since.elapsed() < BIND_TIMEOUT => {
+        sleep(BIND_PAUSE).await;
+      }
+      Err(error) => panic!("{address} not bound again: {error}"),
+    }
+  }
+}
+
 async fn serve(mut stream: TcpStream, state: IncarnationState, crash: mpsc::Sender<Duration>) {
   let mut bytes = Vec::new();
   while let Some(request) = read_request(&mut stream, &mut bytes, state.start).await {
