Tests that fail: versions of engines that come back under their id where entries or reports lack the start

Engines without a start in their entry come back with v2 while the entry says v1 for 0.9 s. 36 cases fail on: a box, or a caller's resumption at the same box, another one, one without connections and one that has just started, joins events of v1 and v2, in both orders. 12 counter-cases pass: engines that live on and end connections, engines that were observed, the store away, new streams, a start in the entry only.

--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -48,6 +48,7 @@
 mod responses;
 mod restarted_engines;
 mod resume;
+mod resuming_caller;
 mod return_order;
 mod reused_addresses;
 mod review_findings;
@@ -67,7 +68,9 @@
 mod unknown_origins;
 mod unnamed_endpoints;
 mod version_records;
+mod versioned_engine;
 mod versions;
+mod versions_of_restarted_engines;
 
 pub(crate) use self::{
   endpoint::{EndpointStandIn, ReceivedRequest, Reply},
