Tests of restarted engines: expired connections and silent engines; held streams write events

A stream that stays silent is taken over by another engine after 1.2 s, so three cases were interrupted by that, not by the crash.

--- a/tests/gateway/resuming_caller.rs
+++ b/tests/gateway/resuming_caller.rs
@@ -3,7 +3,7 @@
 use {
   super::{
     GatewayBox,
-    versioned_engine::{EVENTS, INTERRUPTED_AFTER},
+    versioned_engine::{EVENTS, FIRST_EVENTS},
   },
   bytes::Bytes,
   http::{HeaderValue, Request, StatusCode},
@@ -49,7 +49,7 @@
     };
     let request = gateway.request("/resumable/a", id);
     assert_eq!(caller.send(request).await, StatusCode::OK, "{id}");
-    while caller.last_event() < INTERRUPTED_AFTER && caller.read().await {}
+    while caller.last_event() < FIRST_EVENTS && caller.read().await {}
     caller
   }
 
--- a/tests/gateway/versioned_engine.rs
+++ b/tests/gateway/versioned_engine.rs
@@ -3,7 +3,7 @@
 use {
   super::{
     EndpointStandIn, GatewayTest, ReceivedRequest, Reply, TIMEOUT,
-    endpoint::{ConnectionEnd, engine_reply, listed_start},
+    endpoint::{ConnectionEnd, STREAM_END, engine_reply, listed_start},
     stream_framing::is_stream,
   },
   emulator::eventually,
@@ -22,15 +22,15 @@
 };
 
 /// Events of a whole stream.
-pub(super) const EVENTS: u64 = 6;
-/// The last event of a stream that its engine does not go on with.
-pub(super) const INTERRUPTED_AFTER: u64 = 2;
+pub(super) const EVENTS: u64 = 40;
+/// Events that an engine writes at once when a stream begins.
+pub(super) const FIRST_EVENTS: u64 = 2;
 /// The downtime of an engine that does not come back.
 pub(super) const FOR_GOOD: Duration = Duration::from_secs(600);
 /// The path of a request of the test itself that crashes the engine.
 const CRASH_PATH: &str = "/test-crash";
-/// For how long an engine holds a stream open.
-const HELD: Duration = Duration::from_secs(60);
+/// The pause of an engine between two events.
+const EVENT_PAUSE: Duration = Duration::from_millis(300);
 /// After which time an engine that lives on closes the connection of a stream.
 const CLOSED_AFTER: Duration = Duration::from_millis(300);
 
@@ -47,8 +47,8 @@
 pub(super) enum Beginning {
   /// Writes the rest.
   Whole,
-  /// Keeps the connection open.
-  Held,
+  /// Writes one after another; most tests end before the last one.
+  Slow,
   /// Closes the connection, and lives on.
   Closed,
   /// Resets the connection, and lives on.
@@ -103,18 +103,28 @@
     if is_whole || self.beginning == Beginning::Whole {
       return Reply::stream(seen, &self.events(seen.start, after, EVENTS));
     }
-    let part = Reply::stream_part(seen, &self.events(seen.start, 0, INTERRUPTED_AFTER));
+    let part = Reply::stream_part(seen, &self.events(seen.start, 0, FIRST_EVENTS));
     match self.beginning {
       Beginning::Whole => Reply::stream(seen, ""),
-      Beginning::Held => {
-        Reply::WriteInPartsAndClose(vec![(Duration::ZERO, part), (HELD, String::new())])
-      }
+      Beginning::Slow => Reply::WriteInParts(self.slow_parts(seen, part)),
       Beginning::Closed => {
         Reply::WriteInPartsAndClose(vec![(Duration::ZERO, part), (CLOSED_AFTER, String::new())])
       }
       Beginning::Reset => Reply::WritePieces(vec![part.into_bytes()], ConnectionEnd::Reset),
     }
   }
+
+  /// The parts of a whole stream, whose first events are given.
+  fn slow_parts(&self, seen: &ReceivedRequest, first: String) -> Vec<(Duration, String)> {
+    let rest = (FIRST_EVENTS..EVENTS).map(|after| {
+      let event = self.events(seen.start, after, after + 1);
+      (EVENT_PAUSE, Reply::stream_chunk(&event))
+    });
+    let mut parts = vec![(Duration::ZERO, first)];
+    parts.extend(rest);
+    parts.push((Duration::ZERO, STREAM_END.into()));
+    parts
+  }
 }
 
 /// Whether a stream only keeps a box in touch with its engine.
@@ -123,9 +133,9 @@
 }
 
 impl VersionedEngine {
-  /// An engine without a start, whose streams stay open after their first events.
+  /// An engine without a start, that writes the events of a stream slowly.
   pub(super) async fn start(id: &'static str, versions: &[&'static str]) -> Self {
-    Self::start_with(id, versions, StartField::Nowhere, Beginning::Held).await
+    Self::start_with(id, versions, StartField::Nowhere, Beginning::Slow).await
   }
 
   pub(super) async fn start_with(
@@ -173,6 +183,11 @@
     self.state.has_slots.store(has_slots, Ordering::Relaxed);
   }
 
+  /// Lets it write nothing for some time.
+  pub(super) fn fall_silent(&self, silence: Duration) {
+    self.endpoint.fall_silent(silence);
+  }
+
   /// Crashes it with all of its connections; it comes back at the same address after some time.
   pub(super) async fn crash(&self, down: Duration) {
     let mut stream = TcpStream::connect(self.endpoint.address).await.unwrap();
--- a/tests/gateway/versions_of_restarted_engines.rs
+++ b/tests/gateway/versions_of_restarted_engines.rs
@@ -27,6 +27,12 @@
 const OBSERVED: Duration = Duration::from_millis(2_900);
 /// Pause between two streams that keep a box in touch with its engines.
 const OBSERVATION_PAUSE: Duration = Duration::from_millis(100);
+/// After this time without requests a box has closed its connections to an engine.
+const CONNECTIONS_EXPIRE: Duration = Duration::from_millis(5_500);
+/// For how long a silent engine writes nothing; a box lets another one take its streams over before.
+const SILENCE: Duration = Duration::from_millis(6_000);
+/// From the silence of an engine until shortly before another one takes its streams over.
+const BEFORE_TAKEOVER: Duration = Duration::from_millis(700);
 /// For how long a caller resumes its stream after an engine came back: its entry is written, and known to be the engine's.
 const RESUMED: Duration = Duration::from_millis(5_000);
 /// The time that a stream may take.
@@ -120,23 +126,37 @@
   }
 }
 
+/// What a box's connections to an engine tell of a restart.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Contact {
+  /// The restart ends them, and the box has opened none since.
+  Broken,
+  /// The box had closed them before, as they were idle.
+  Expired,
+  /// The restart ends them, and a new stream has run since.
+  Renewed,
+}
+
 /// Guards against a box that continues a stream at an engine that has just come back with another version.
 #[rstest]
 #[tokio::test]
 async fn interrupted_stream_goes_on_at_no_engine_that_came_back_with_another_version(
   #[values(StartField::Nowhere, StartField::InReport)] start_field: StartField,
-  #[values(false, true)] has_new_connection: bool,
+  #[values(Contact::Broken, Contact::Expired, Contact::Renewed)] contact: Contact,
 ) {
   let sound = VersionedEngine::start("e-2", &["v1"]).await;
   let versions = ["v1", "v2"];
-  let restarted = VersionedEngine::start_with("e-3", &versions, start_field, Beginning::Held).await;
+  let restarted = VersionedEngine::start_with("e-3", &versions, start_field, Beginning::Slow).await;
   let test = deployment(&[(&sound, "v1"), (&restarted, "v1")]).await;
   let gateway = test.start().await;
   observe(&[&gateway], &[&sound, &restarted]).await;
   let mut caller = begin_at(&sound, &[&restarted], &gateway).await;
+  if contact == Contact::Expired {
+    sleep(CONNECTIONS_EXPIRE).await;
+  }
   restarted.restart().await;
   let interrupt = async {
-    if has_new_connection {
+    if contact == Contact::Renewed {
       run_at(&gateway, &restarted, &[&sound]).await;
     }
     sound.crash(FOR_GOOD).await;
@@ -146,6 +166,26 @@
   caller.assert_one_version();
 }
 
+/// Guards against a silent engine whose stream another one takes over that has just come back with another version.
+#[rstest]
+#[tokio::test]
+async fn silent_stream_is_taken_over_by_no_engine_that_came_back_with_another_version(
+  #[values(StartField::Nowhere, StartField::InReport)] start_field: StartField,
+) {
+  let silent = VersionedEngine::start("e-2", &["v1"]).await;
+  let versions = ["v1", "v2"];
+  let restarted = VersionedEngine::start_with("e-3", &versions, start_field, Beginning::Slow).await;
+  let test = deployment(&[(&silent, "v1"), (&restarted, "v1")]).await;
+  let gateway = test.start().await;
+  observe(&[&gateway], &[&silent, &restarted]).await;
+  let mut caller = begin_at(&silent, &[&restarted], &gateway).await;
+  silent.fall_silent(SILENCE);
+  sleep(BEFORE_TAKEOVER).await;
+  restarted.restart().await;
+  join(list_later(&restarted, &gateway.test, "v2"), caller.finish()).await;
+  caller.assert_one_version();
+}
+
 /// Guards against a stream that goes on, within its response or at its caller's resumption, at an engine that has a start in its
 /// entry, but reports none, and came back with another version.
 #[tokio::test]
@@ -153,7 +193,7 @@
   let sound = VersionedEngine::start("e-2", &["v1"]).await;
   let versions = ["v1", "v2"];
   let restarted =
-    VersionedEngine::start_with("e-3", &versions, StartField::InEntry, Beginning::Held).await;
+    VersionedEngine::start_with("e-3", &versions, StartField::InEntry, Beginning::Slow).await;
   let test = deployment(&[(&sound, "v1"), (&restarted, "v1")]).await;
   let gateway = test.start().await;
   // The other one gets no streams.
@@ -179,6 +219,8 @@
   SecondRestart,
   /// It closes the connection, and has no slots.
   Close,
+  /// It falls silent.
+  Silence,
 }
 
 /// When that happens.
@@ -193,6 +235,7 @@
 #[case::crash_before_entry(Interruption::Crash, When::BeforeEntry)]
 #[case::second_restart_before_entry(Interruption::SecondRestart, When::BeforeEntry)]
 #[case::close_before_entry(Interruption::Close, When::BeforeEntry)]
+#[case::silence_before_entry(Interruption::Silence, When::BeforeEntry)]
 #[case::crash_after_entry(Interruption::Crash, When::AfterEntry)]
 #[case::second_restart_after_entry(Interruption::SecondRestart, When::AfterEntry)]
 #[tokio::test]
@@ -204,7 +247,7 @@
   let sound = VersionedEngine::start("e-2", &["v1"]).await;
   let beginning = match interruption {
     Interruption::Close => Beginning::Closed,
-    Interruption::Crash | Interruption::SecondRestart => Beginning::Held,
+    Interruption::Crash | Interruption::SecondRestart | Interruption::Silence => Beginning::Slow,
   };
   let restarted = VersionedEngine::start_with("e-3", &["v1", "v2"], start_field, beginning).await;
   let test = deployment(&[(&sound, "v1"), (&restarted, "v1")]).await;
@@ -222,6 +265,7 @@
       Interruption::Crash => restarted.crash(FOR_GOOD).await,
       Interruption::SecondRestart => restarted.restart().await,
       Interruption::Close => {}
+      Interruption::Silence => restarted.fall_silent(SILENCE),
     }
     caller.finish().await;
     caller
@@ -242,7 +286,7 @@
 ) {
   let former = VersionedEngine::start("e-2", &["v1"]).await;
   let versions = ["v1", "v2"];
-  let restarted = VersionedEngine::start_with("e-3", &versions, start_field, Beginning::Held).await;
+  let restarted = VersionedEngine::start_with("e-3", &versions, start_field, Beginning::Slow).await;
   let later = VersionedEngine::start("e-4", &["v2"]).await;
   let test = deployment(&[(&former, "v1"), (&restarted, "v1"), (&later, "v2")]).await;
   let gateway = test.start().await;
@@ -323,7 +367,7 @@
   #[values(StartField::Nowhere, StartField::InReport)] start_field: StartField,
 ) {
   let versions = ["v1", "v2"];
-  let engine = VersionedEngine::start_with("e-2", &versions, start_field, Beginning::Held).await;
+  let engine = VersionedEngine::start_with("e-2", &versions, start_field, Beginning::Slow).await;
   let test = deployment(&[(&engine, "v1")]).await;
   let lister = test.second_box("lister", test.store.address);
   let mut boxes = Boxes::start(test, resumed_at, &[&engine]).await;
@@ -354,7 +398,7 @@
 ) {
   let sound = VersionedEngine::start("e-2", &["v1"]).await;
   let versions = ["v1", "v2"];
-  let restarted = VersionedEngine::start_with("e-3", &versions, start_field, Beginning::Held).await;
+  let restarted = VersionedEngine::start_with("e-3", &versions, start_field, Beginning::Slow).await;
   let test = deployment(&[(&sound, "v1"), (&restarted, "v1")]).await;
   let lister = test.second_box("lister", test.store.address);
   let mut boxes = Boxes::start(test, resumed_at, &[&sound, &restarted]).await;
