--- a/tests/gateway/versioned_engine.rs
+++ b/tests/gateway/versioned_engine.rs
@@ -178,6 +178,19 @@
     }
   }
 
+  /// Lists it as an endpoint of a plain service, with the first version.
+  pub(super) fn list_plain(&self, test: &GatewayTest) {
+    match self.start_field {
+      StartField::InEntry => {
+        let address = self.endpoint.address;
+        GatewayTest::enter_plain_incarnation(&test.store, self.id, address, listed_start(1));
+      }
+      StartField::Nowhere | StartField::InReport => {
+        test.enter(self.id, "portal", None, &self.endpoint);
+      }
+    }
+  }
+
   /// Lets it grant slots, or none.
   pub(super) fn set_slots(&self, has_slots: bool) {
     self.state.has_slots.store(has_slots, Ordering::Relaxed);
--- a/tests/gateway/versions_of_restarted_engines.rs
+++ b/tests/gateway/versions_of_restarted_engines.rs
@@ -186,6 +186,32 @@
   caller.assert_one_version();
 }
 
+/// Guards against a stream of a plain service that goes on at an endpoint that has just come back with another version.
+#[rstest]
+#[case::no_start(StartField::Nowhere)]
+#[case::start_in_entry(StartField::InEntry)]
+#[tokio::test]
+async fn stream_of_a_plain_service_goes_on_at_no_endpoint_with_another_version(
+  #[case] start_field: StartField,
+) {
+  let sound = VersionedEngine::start_with("p-1", &["v1"], start_field, Beginning::Slow).await;
+  let versions = ["v1", "v2"];
+  let restarted = VersionedEngine::start_with("p-2", &versions, start_field, Beginning::Slow).await;
+  let test = deployment(&[]).await.configure(|configuration| {
+    configuration["routes"][3]["service"] = "portal".into();
+  });
+  sound.list_plain(&test);
+  let gateway = test.start().await;
+  let mut caller = begin_at(&sound, &[], &gateway).await;
+  restarted.list_plain(&gateway.test);
+  // The entry has reached the box.
+  sleep(HEARTBEAT / 2).await;
+  restarted.restart().await;
+  sound.crash(FOR_GOOD).await;
+  caller.finish().await;
+  caller.assert_one_version();
+}
+
 /// Guards against a stream that goes on, within its response or at its caller's resumption, at an engine that has a start in its
 /// entry, but reports none, and came back with another version.
 #[tokio::test]
