Soak: the check of drained halls knows deployments of three halls

The check of HallDrained took the hall of a place to be that of a deployment of two halls, while the profiles' places alternate among three: it found runs in halls that were not drained, and did not see those in halls that were.

`--profile narrow`: 157 breaches at i-65 and i-47, "in North". The records have them at the places 8 and 10, whose entries say east and south; the boxes' logs have E412 and E413 of each drain.

The number of halls is recorded, and both sides ask one function. The bound and the excuses are as they were. Planted records of two and of three halls, each place of them: a late run in the drained hall is found, one in another hall is not.

--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -110,6 +110,7 @@
     {
       let mut records = fleet.recorder.records();
       records.has_warm_starts = !profile.has_starts;
+      records.halls = Some(profile.halls);
       records.stream_attempts = Some(profile.stream_attempts);
     }
     let boxes = profile.box_count();
--- a/soak/src/hall.rs
+++ b/soak/src/hall.rs
@@ -17,9 +17,12 @@
   /// All halls.
   pub(crate) const ALL: [Self; Self::COUNT] = [Self::North, Self::South, Self::East];
 
-  /// The hall of a place in a deployment of two halls.
-  pub(crate) fn of_place(place: usize) -> Self {
-    Self::ALL[place % 2]
+  /// Halls among which places alternate, unless the deployment has another number.
+  pub(crate) const USUAL_COUNT: usize = 2;
+
+  /// The hall of a place, where places alternate among a number of halls.
+  pub(crate) fn of_place(place: usize, halls: usize) -> Self {
+    Self::ALL[place % halls]
   }
 
   /// Name of the hall in store entries.
--- a/soak/src/hall_check.rs
+++ b/soak/src/hall_check.rs
@@ -22,8 +22,9 @@
 fn runs_in(records: &Records, drain: &HallDrain, slack_ms: u64) -> Vec<Breach> {
   let from_ms = drain.from_ms + DRAIN_MS + slack_ms;
   let until_ms = drain.until_ms.unwrap_or(u64::MAX);
+  let halls = records.halls.unwrap_or(Hall::USUAL_COUNT);
   let is_late = |request: &RequestRecord, run: &Run| {
-    Hall::of_place(run.place) == drain.hall
+    Hall::of_place(run.place, halls) == drain.hall
       && (from_ms..until_ms).contains(&run.began_ms)
       && records.is_connected(request.box_index, drain.from_ms, run.began_ms)
   };
--- a/soak/src/profile.rs
+++ b/soak/src/profile.rs
@@ -62,7 +62,7 @@
       decode_engines: endpoints - plain_services - prefill_engines,
       event_interval_ms: 25,
       events: None,
-      halls: 2,
+      halls: Hall::USUAL_COUNT,
       has_starts: true,
       kinds: [1; 4],
       plain_services,
@@ -164,7 +164,7 @@
 
   /// The hall of a place.
   pub(crate) fn hall_of_place(&self, place: usize) -> Hall {
-    Hall::ALL[place % self.halls]
+    Hall::of_place(place, self.halls)
   }
 
   /// The kind of endpoint at a place at the start.
--- a/soak/src/records.rs
+++ b/soak/src/records.rs
@@ -262,6 +262,8 @@
   pub limits_received: Vec<LimitReceived>,
   /// Drains of data halls.
   pub hall_drains: Vec<HallDrain>,
+  /// Halls among which places alternate, if not the usual number.
+  pub halls: Option<usize>,
   /// Rejections with a retry-after delay.
   pub rejections: Vec<Rejection>,
   /// Whether endpoints are as fast after their start as later.
--- a/tests/soak_promises.rs
+++ b/tests/soak_promises.rs
@@ -667,7 +667,7 @@
   assert_eq!(found(&limit_withdrawn), []);
 }
 
-/// A request that started at `place` at `began_ms`, with the hall of the even places drained from 1 s on.
+/// A request that started at `place` at `began_ms`, with the hall of the first place drained from 1 s on.
 fn run_during_hall_drain(place: usize, began_ms: u64) -> Records {
   let run = run(place, began_ms, Some(began_ms + 5));
   let mut records = single_request(RequestKind::NonRetryable, Outcome::Disconnected, vec![run]);
@@ -698,6 +698,21 @@
   assert_eq!(found(&disconnected), []);
 }
 
+#[rstest]
+#[case::usual(None, [true, false, true, false, true, false])]
+#[case::three(Some(3), [true, false, false, true, false, false])]
+fn late_run_in_a_drained_hall_is_found_among_any_number_of_halls(
+  #[case] halls: Option<usize>,
+  #[case] is_found: [bool; 6],
+) {
+  for (place, is_found) in is_found.into_iter().enumerate() {
+    let mut records = run_during_hall_drain(place, 7_000);
+    records.halls = halls;
+    let breach = is_found.then_some(Promise::HallDrained);
+    assert_eq!(found(&records), Vec::from_iter(breach), "place {place}");
+  }
+}
+
 /// Requests every `interval_ms` to an endpoint that started at 1 s.
 fn requests_after_start(interval_ms: u64) -> Records {
   let mut records = Records::default();
