Soak: where endpoints name their starts is an option of its own

The profiles had no starts in entries and reports, all other sizes had them in both, so two combinations were never drawn, and no size without starts was but the three profiles. `--starts everywhere|nowhere|entries|reports` sets it for any deployment; the defaults are as they were. Whether endpoints are cold after their start stays with the deployment.

Tests: each name and what a report says with it, names that there are not.

--- a/soak/src/configuration.rs
+++ b/soak/src/configuration.rs
@@ -32,7 +32,7 @@
     route["allowAnonymous"] = json!(true);
     route
   }));
-  let cold_ms = if profile.has_starts { COLD_MS } else { 0 };
+  let cold_ms = if profile.has_cold_starts { COLD_MS } else { 0 };
   let cold_start_s = cold_ms as f64 / 1_000.0;
   json!({
     "version": version,
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -358,7 +358,7 @@
       "stage": state.kind.stage(), "callSeq": state.commands_taken, "utilization": state.switching,
       "inFlight": state.running, "queued": 0,
     });
-    if self.profile.has_starts {
+    if self.profile.starts.in_reports() {
       report["born"] = json!(self.start_number);
     }
     json_response(report)
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -109,7 +109,7 @@
     let profile = options.profile;
     {
       let mut records = fleet.recorder.records();
-      records.has_warm_starts = !profile.has_starts;
+      records.has_warm_starts = !profile.has_cold_starts;
       records.halls = Some(profile.halls);
       records.stream_attempts = Some(profile.stream_attempts);
     }
@@ -283,7 +283,7 @@
       "zone": profile.hall_of_place(place).name(),
       "slots": profile.slots, "state": state, "coldRemainingMs": self.cold_remaining_ms(&incarnation), "callSeq": 1,
     });
-    if profile.has_starts {
+    if profile.starts.in_entries() {
       entry["born"] = json!(endpoint.start_number);
     }
     if let Some(stage) = kind.stage() {
@@ -296,7 +296,7 @@
 
   /// Remaining time that an endpoint is cold.
   fn cold_remaining_ms(&self, incarnation: &str) -> u64 {
-    if !self.profile.has_starts {
+    if !self.profile.has_cold_starts {
       return 0;
     }
     let now_ms = self.recorder.now_ms();
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -52,6 +52,7 @@
 mod running_endpoint;
 mod silence;
 mod silence_check;
+mod starts;
 mod stray_response;
 mod subcommand;
 mod trouble;
@@ -91,6 +92,7 @@
   },
   request_kind::RequestKind,
   running_endpoint::{serve_as, serve_garbled},
+  starts::Starts,
   stray_response::Stray,
   subcommand::run,
   trouble::Trouble,
--- a/soak/src/profile.rs
+++ b/soak/src/profile.rs
@@ -1,7 +1,10 @@
 //! The shape of a deployment: its halls, boxes, endpoints, callers and streams.
 
 use {
-  super::{endpoint_kind::EndpointKind, hall::Hall, request_kind::RequestKind, trouble::Trouble},
+  super::{
+    endpoint_kind::EndpointKind, hall::Hall, request_kind::RequestKind, starts::Starts,
+    trouble::Trouble,
+  },
   std::str::FromStr,
 };
 
@@ -32,8 +35,10 @@
   pub(crate) events: Option<(u64, u64)>,
   /// The kinds of trouble that the deployment reports besides the common ones.
   pub(crate) more_troubles: &'static [Trouble],
-  /// Whether endpoints name their starts, and are slow after them.
-  pub(crate) has_starts: bool,
+  /// Whether endpoints are cold after their starts.
+  pub(crate) has_cold_starts: bool,
+  /// Where endpoints name their starts.
+  pub(crate) starts: Starts,
 }
 
 impl FromStr for Profile {
@@ -63,11 +68,12 @@
       event_interval_ms: 25,
       events: None,
       halls: Hall::USUAL_COUNT,
-      has_starts: true,
+      has_cold_starts: true,
       kinds: [1; 4],
       plain_services,
       prefill_engines,
       slots: 8,
+      starts: Starts::Everywhere,
       stream_attempts: RequestKind::ResumableStream.max_attempts(),
       think_time_ms: (5, 60),
       more_troubles: &[],
@@ -132,16 +138,22 @@
     event_interval_ms: 45,
     events: Some((10, 132)),
     halls: 3,
-    has_starts: false,
+    has_cold_starts: false,
     kinds: [0; 4],
     plain_services: 3,
     prefill_engines: 0,
     slots: 0,
+    starts: Starts::Nowhere,
     stream_attempts: 2,
     think_time_ms: (0, 0),
     more_troubles: &[],
   };
 
+  /// The same deployment, with starts named elsewhere.
+  pub fn with_starts(self, starts: Starts) -> Self {
+    Self { starts, ..self }
+  }
+
   /// Number of boxes.
   pub(crate) fn box_count(&self) -> usize {
     self.boxes.iter().sum()
--- a/soak/src/running_endpoint.rs
+++ b/soak/src/running_endpoint.rs
@@ -13,6 +13,7 @@
     recorder::Recorder,
     reply::{full_body, parted_body},
     response_draws::ResponseDraws,
+    starts::Starts,
   },
   http::{Request, Response},
   hyper::{body::Incoming, server::conn::http1, service::service_fn},
@@ -77,14 +78,14 @@
     .await;
 }
 
-/// Serves a connection as an endpoint of a kind, whose incarnation is `i-0`.
-pub async fn serve_as(kind: EndpointKind, stream: TcpStream, recorder: Recorder) {
+/// Serves a connection as an endpoint of a kind, whose incarnation is `i-0`, and that names its starts as given.
+pub async fn serve_as(kind: EndpointKind, starts: Starts, stream: TcpStream, recorder: Recorder) {
   let identity = Identity {
     address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
     incarnation: "i-0".into(),
     kind,
     place: 0,
-    profile: Profile::of_size(1, 4, 1),
+    profile: Profile::of_size(1, 4, 1).with_starts(starts),
     start_number: 1,
     version: "v1",
   };
--- /dev/null
+++ b/soak/src/starts.rs
@@ -0,0 +1,42 @@
+//! Where endpoints name their starts.
+
+use std::str::FromStr;
+
+/// The messages in which an endpoint names its start.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Starts {
+  /// The entry in the store, and load reports.
+  Everywhere,
+  /// No message.
+  Nowhere,
+  /// The entry in the store alone.
+  Entries,
+  /// Load reports alone.
+  Reports,
+}
+
+impl Starts {
+  pub(crate) fn in_entries(self) -> bool {
+    matches!(self, Self::Everywhere | Self::Entries)
+  }
+
+  pub(crate) fn in_reports(self) -> bool {
+    matches!(self, Self::Everywhere | Self::Reports)
+  }
+}
+
+impl FromStr for Starts {
+  type Err = String;
+
+  fn from_str(name: &str) -> Result<Self, String> {
+    match name {
+      "everywhere" => Ok(Self::Everywhere),
+      "nowhere" => Ok(Self::Nowhere),
+      "entries" => Ok(Self::Entries),
+      "reports" => Ok(Self::Reports),
+      _ => Err(format!(
+        "no place of starts is named {name:?}, expected everywhere, nowhere, entries or reports"
+      )),
+    }
+  }
+}
--- a/soak/src/subcommand.rs
+++ b/soak/src/subcommand.rs
@@ -8,6 +8,7 @@
     play::{Report, play},
     profile::Profile,
     records::Outcome,
+    starts::Starts,
   },
   bpaf::{Bpaf, Parser, construct, long},
   std::{
@@ -31,6 +32,10 @@
   count: u64,
   #[bpaf(external(shape))]
   shape: Shape,
+  /// Where endpoints name their starts: everywhere, nowhere, entries or reports. By default nowhere with --profile, and
+  /// everywhere without
+  #[bpaf(argument("PLACE"), optional)]
+  starts: Option<Starts>,
   /// Period in which faults start, in seconds
   #[bpaf(argument("SECONDS"), fallback(30))]
   faults_s: u64,
@@ -70,6 +75,15 @@
   },
 }
 
+impl Arguments {
+  fn profile(&self) -> Profile {
+    let profile = self.shape.profile();
+    self
+      .starts
+      .map_or(profile, |starts| profile.with_starts(starts))
+  }
+}
+
 impl Shape {
   fn profile(&self) -> Profile {
     match self {
@@ -192,7 +206,7 @@
     faults: arguments.faults,
     faults_ms: arguments.faults_s * 1_000,
     framings: arguments.framings,
-    profile: arguments.shape.profile(),
+    profile: arguments.profile(),
     program: arguments.program.clone(),
     seed,
     slack_ms: arguments.slack_ms,
--- a/tests/soak_endpoints.rs
+++ b/tests/soak_endpoints.rs
@@ -2,7 +2,7 @@
 
 use {
   rstest::rstest,
-  soak::{EndpointKind, Recorder, serve_as},
+  soak::{EndpointKind, Recorder, Starts, serve_as},
   std::time::Duration,
   tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -23,13 +23,29 @@
   headers: &[&str],
   body: &str,
 ) -> (u16, bool, Vec<String>) {
+  let recorder = Recorder::default();
+  let response = response(kind, Starts::Everywhere, &recorder, line, headers, body).await;
+  let status = response.split(' ').nth(1).unwrap().parse().unwrap();
+  let records = recorder.records();
+  let ids = records.work.iter().map(|work| work.id.clone()).collect();
+  (status, response.contains("x-not-executed: 1"), ids)
+}
+
+/// Sends a request to an endpoint of a kind that names its starts as given. Returns the response's head and body.
+async fn response(
+  kind: EndpointKind,
+  starts: Starts,
+  recorder: &Recorder,
+  line: &str,
+  headers: &[&str],
+  body: &str,
+) -> String {
   let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
   let address = listener.local_addr().unwrap();
-  let recorder = Recorder::default();
   let of_endpoint = recorder.clone();
   spawn(async move {
     let (stream, _) = listener.accept().await.unwrap();
-    serve_as(kind, stream, of_endpoint).await;
+    serve_as(kind, starts, stream, of_endpoint).await;
   });
   let mut box_side = TcpStream::connect(address).await.unwrap();
   let headers: String = headers
@@ -44,10 +60,7 @@
   let mut response = String::new();
   let read = timeout(PATIENCE, box_side.read_to_string(&mut response)).await;
   read.unwrap().unwrap();
-  let status = response.split(' ').nth(1).unwrap().parse().unwrap();
-  let records = recorder.records();
-  let ids = records.work.iter().map(|work| work.id.clone()).collect();
-  (status, response.contains("x-not-executed: 1"), ids)
+  response
 }
 
 #[rstest]
@@ -92,3 +105,37 @@
   let (status, _, work) = send(EndpointKind::Prefill, "POST /order", &[], ORDER).await;
   assert_eq!((status, work), (400, vec![]));
 }
+
+#[rstest]
+#[case::everywhere("everywhere", Starts::Everywhere, true)]
+#[case::nowhere("nowhere", Starts::Nowhere, false)]
+#[case::entries("entries", Starts::Entries, false)]
+#[case::reports("reports", Starts::Reports, true)]
+#[tokio::test]
+async fn report_names_the_start_if_it_is_to(
+  #[case] name: &str,
+  #[case] starts: Starts,
+  #[case] is_named: bool,
+) {
+  assert_eq!(name.parse(), Ok(starts));
+  let recorder = Recorder::default();
+  let response = response(
+    EndpointKind::Decode,
+    starts,
+    &recorder,
+    "GET /report",
+    &[],
+    "",
+  )
+  .await;
+  assert_eq!(response.contains(r#""born":1"#), is_named, "{response}");
+}
+
+#[rstest]
+#[case::empty("")]
+#[case::upper_case("Entries")]
+#[case::singular("report")]
+fn unknown_place_of_starts_is_an_error_that_names_it(#[case] name: &str) {
+  let error = name.parse::<Starts>().unwrap_err();
+  assert!(error.contains(&format!("{name:?}")), "{error}");
+}
