A stream goes on only at the version of the process that began it, with or without a start

Callers got streams that hold events of two software versions, status 200 and complete: at engines whose entry in the store names no start, and that came back under their id with another version before the entry was rewritten. The box took the entry's version for that of the process, both where a stream began and where one went on.

Cause: has_confirmed_start confirmed nothing where the entry has no start, or no role. Class: a check that does nothing where a field is missing.

Streams that begin at a process without evidence have a pending record; they go on at the version that turns out, and not at all if the process is gone before. Streams go on only at processes with evidence, for which a box waits up to three heartbeats. It works without any field: no connection outlives its process.

Engines of the tests list the start now that their reports had already; what they check is the same. Engines without a start have the counter-cases of versions_of_restarted_engines: those that end connections and live on, that were observed, while the store is away.

--- a/src/gateway/connections/connection.rs
+++ b/src/gateway/connections/connection.rs
@@ -73,6 +73,8 @@
   /// The start that the endpoint has confirmed on this connection, as Unix milliseconds. The connection outlives no restart.
   pub(crate) confirmed_start_ms: Option<u64>,
   pub(crate) state: Rc<ConnectionState>,
+  /// Another connection to the same process, which shows whether the process outlives this one.
+  pub(crate) beside: Option<Box<Connection>>,
   /// The process of an endpoint that it leads to.
   pub(crate) process: Option<Rc<ObservedProcess>>,
   /// When it must no longer be reused, on the box's clock.
@@ -142,6 +144,7 @@
     });
     Ok(Self {
       address,
+      beside: None,
       calls: 0,
       closed,
       confirmed_start_ms: None,
--- a/src/gateway/decisions/endpoint_registry.rs
+++ b/src/gateway/decisions/endpoint_registry.rs
@@ -179,6 +179,11 @@
     self.processes.set_viewed(viewed_ms);
   }
 
+  /// When the box's view of the store has to be updated for the version of a further process to be known.
+  pub fn next_settle_ms(&self) -> Option<u64> {
+    self.processes.next_settle_ms()
+  }
+
   /// A connection to an endpoint was opened; returns the process that it leads to.
   pub fn record_connection(
     &mut self,
@@ -199,12 +204,14 @@
 
   /// On which evidence a process that was met at an endpoint has the version in an entry.
   pub fn version_evidence(
-    &mut self,
+    &self,
     entry: &EndpointEntry,
     process: &ObservedProcess,
     now_ms: u64,
   ) -> VersionEvidence {
-    self.settle_version(&entry.id);
+    if let Some(listed) = self.entry(&entry.id) {
+      self.processes.settle(listed);
+    }
     if process.version() == Some(&entry.version) {
       return VersionEvidence::Observed;
     }
@@ -213,15 +220,13 @@
     }
   }
 
-  fn settle_version(&mut self, id: &str) {
-    if let Some(endpoint) = self.endpoints.get(id) {
-      self.processes.settle(&endpoint.entry);
-    }
+  /// Forgets the processes that are no longer observed.
+  pub fn expire_processes(&mut self) {
+    self.processes.expire();
   }
 
-  /// Learns the versions of the processes that were observed for long enough, and forgets those that are no longer observed.
-  pub fn settle_versions(&mut self) {
-    self.processes.expire();
+  /// Learns the versions of the processes that were observed for long enough.
+  pub fn settle_versions(&self) {
     for endpoint in self.endpoints.values() {
       self.processes.settle(&endpoint.entry);
     }
@@ -364,6 +369,10 @@
         && !endpoint.displacement.is_in_force(now_ms)
         && (!honours_signals || self.check_permit(endpoint, now_ms).is_ok())
     };
+    let may_go_on = |entry: &EndpointEntry| {
+      let version = criteria.version;
+      version.is_none_or(|version| entry.version == *version && self.is_version_known(entry))
+    };
     let candidates: Vec<&EndpointState> = self
       .endpoints
       .values()
@@ -372,9 +381,7 @@
           && accepts_work(endpoint)
           && criteria.allowed_halls.contains(&endpoint.entry.hall)
           && (criteria.role.is_none() || endpoint.entry.role == criteria.role)
-          && criteria
-            .version
-            .is_none_or(|version| endpoint.entry.version == *version)
+          && may_go_on(&endpoint.entry)
           && !criteria.tried.contains(&endpoint.entry.id)
       })
       .collect();
@@ -407,6 +414,37 @@
       })
   }
 
+  /// Whether a listed endpoint's process has, or can confirm, the version of the entry.
+  pub fn is_version_known(&self, entry: &EndpointEntry) -> bool {
+    entry.confirms_start() || self.processes.is_version_known(entry)
+  }
+
+  /// The endpoints of the wanted version that accept work, and may have restarted with another one since they were listed. Those that
+  /// are observed come first.
+  pub fn with_unknown_version(
+    &self,
+    criteria: EndpointCriteria,
+    now_ms: u64,
+  ) -> Vec<EndpointEntry> {
+    let is_unknown = |entry: &&EndpointEntry| {
+      &*entry.service == criteria.service
+        && criteria.version == Some(&entry.version)
+        && (criteria.role.is_none() || entry.role == criteria.role)
+        && criteria.allowed_halls.contains(&entry.hall)
+        && !criteria.tried.contains(&entry.id)
+        && !self.is_version_known(entry)
+        && self.check(entry, now_ms).is_ok()
+    };
+    let mut unknown: Vec<EndpointEntry> = self.entries().filter(is_unknown).cloned().collect();
+    unknown.sort_by_key(|entry| !self.processes.is_observed(entry));
+    unknown
+  }
+
+  /// Whether the process of a listed endpoint is observed.
+  pub fn is_observed(&self, entry: &EndpointEntry) -> bool {
+    self.processes.is_observed(entry)
+  }
+
   /// Whether there are notices, and they are honoured.
   fn honours_notices(&self) -> bool {
     !self.ignores_notices && !self.notices.is_empty()
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -118,7 +118,9 @@
   prefill_offer::{PrefillOffer, asks_other_halls, best_prefill_offer, extra_transfer_ms},
   prefill_place::{EngineQueue, Place, PlaceId, PlaceOutcome, PlaceRequest, ReportedEngineLoad},
   prefill_queue::PrefillQueue,
-  processes::{ConnectionState, EndpointProcesses, ObservedProcess, VersionEvidence},
+  processes::{
+    ConnectionState, EndpointProcesses, ObservedProcess, VIEW_DELAY_MS, VersionEvidence,
+  },
   quarantine_key::{QuarantineKey, QuarantineMark},
   quarantine_registry::{QuarantineRegistry, QuarantineVerdict},
   quarantine_strategy::QuarantineStrategy,
--- a/src/gateway/decisions/processes/connection_state.rs
+++ b/src/gateway/decisions/processes/connection_state.rs
@@ -1,6 +1,12 @@
 //! What the reader of a connection knows of it. Free of I/O.
 
-use std::cell::Cell;
+use std::{
+  cell::Cell,
+  time::{Duration, Instant},
+};
+
+/// Bytes that are left unread for longer may hide the end of their connection.
+const MAX_UNREAD: Duration = Duration::from_millis(100);
 
 /// What the reader of a connection knows of it.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -8,8 +14,8 @@
   /// It waits for bytes, or for the end.
   #[default]
   Waiting,
-  /// It has left bytes unread, so that it would not notice the end.
-  Unread,
+  /// It has read bytes at a time, and may have left others unread.
+  Reading(Instant),
   /// The connection has ended.
   Ended,
 }
@@ -19,10 +25,10 @@
 /// ```
 /// use rillford::gateway::ConnectionState;
 /// let state = ConnectionState::default();
-/// assert!(state.is_waiting());
+/// assert!(state.is_open());
 /// state.record_end();
 /// state.record_waiting();
-/// assert!(!state.is_waiting());
+/// assert!(!state.is_open());
 /// ```
 #[derive(Debug, Default)]
 pub struct ConnectionState {
@@ -31,8 +37,12 @@
 
 impl ConnectionState {
   /// Whether it is open, and its end would be noticed.
-  pub fn is_waiting(&self) -> bool {
-    self.phase.get() == Phase::Waiting
+  pub fn is_open(&self) -> bool {
+    match self.phase.get() {
+      Phase::Waiting => true,
+      Phase::Reading(since) => since.elapsed() < MAX_UNREAD,
+      Phase::Ended => false,
+    }
   }
 
   /// All that has arrived was read.
@@ -42,7 +52,7 @@
 
   /// Bytes have arrived, and more may have.
   pub fn record_bytes(&self) {
-    self.set(Phase::Unread);
+    self.set(Phase::Reading(Instant::now()));
   }
 
   /// It has ended or failed.
--- a/src/gateway/decisions/processes/endpoint_processes.rs
+++ b/src/gateway/decisions/processes/endpoint_processes.rs
@@ -7,7 +7,7 @@
 };
 
 /// Delay until a change of the store is in the view that a box takes for current.
-const VIEW_DELAY_MS: u64 = 500;
+pub const VIEW_DELAY_MS: u64 = 200;
 /// Heartbeats after a process's start until the listed entry is its own: one write of the entry may fail.
 const ENTRY_HEARTBEATS: u64 = 2;
 
@@ -43,7 +43,8 @@
 /// ```
 #[derive(Debug, Default)]
 pub struct EndpointProcesses {
-  by_endpoint: HashMap<Name, Rc<ObservedProcess>>,
+  /// One for each endpoint, as a rule: connections that are not read at the moment can't show that a further one leads to the same.
+  by_endpoint: HashMap<Name, Vec<Rc<ObservedProcess>>>,
   /// Time after a process's start from which a listed entry is its own.
   entry_lag_ms: u64,
   /// The box's view of the store includes all changes until then.
@@ -72,11 +73,11 @@
     connection: &Rc<ConnectionState>,
     now_ms: u64,
   ) -> Rc<ObservedProcess> {
-    let current = self.by_endpoint.get(&entry.id);
-    let current = current.filter(|process| process.is_observed()).cloned();
-    let process = current.unwrap_or_else(|| {
+    let processes = self.by_endpoint.entry(entry.id.clone()).or_default();
+    let current = processes.iter().find(|process| process.is_observed());
+    let process = current.cloned().unwrap_or_else(|| {
       let process = Rc::new(ObservedProcess::since(now_ms));
-      self.by_endpoint.insert(entry.id.clone(), process.clone());
+      processes.push(process.clone());
       process
     });
     process.add(connection);
@@ -88,35 +89,69 @@
     if let Some(former) = former {
       self.settle(former);
     }
-    let Some(process) = self.by_endpoint.get(&entry.id) else {
+    let Some(processes) = self.by_endpoint.get_mut(&entry.id) else {
       return;
     };
     let is_there = former
       .is_none_or(|former| former.address == entry.address && former.service == entry.service);
-    let version = process.version();
-    if !is_there || version.is_some_and(|version| *version != entry.version) {
-      self.by_endpoint.remove(&entry.id);
-      return;
-    }
-    let was_viewed = process.since_ms() + VIEW_DELAY_MS <= self.viewed_ms;
-    if was_viewed && process.is_observed() {
-      process.set_version(&entry.version);
+    // A process keeps its version: another one has written the entry.
+    let is_its_own = |process: &Rc<ObservedProcess>| {
+      let version = process.version();
+      is_there && version.is_none_or(|version| *version == entry.version)
+    };
+    processes.retain(is_its_own);
+    let viewed_ms = self.viewed_ms;
+    let observed = processes.iter().filter(|process| process.is_observed());
+    for process in observed {
+      if process.since_ms() + VIEW_DELAY_MS <= viewed_ms {
+        process.set_version(&entry.version);
+      }
     }
   }
 
+  /// Whether a process is observed at a listed endpoint, and has the version of the entry.
+  pub fn is_version_known(&self, entry: &EndpointEntry) -> bool {
+    self.settle(entry);
+    let mut observed = self.observed(entry);
+    observed.any(|process| process.version() == Some(&entry.version))
+  }
+
+  /// Whether a process is observed at a listed endpoint.
+  pub fn is_observed(&self, entry: &EndpointEntry) -> bool {
+    self.observed(entry).next().is_some()
+  }
+
   /// Forgets the processes that are no longer observed.
   pub fn expire(&mut self) {
-    self.by_endpoint.retain(|_, process| process.is_observed());
+    self.by_endpoint.retain(|_, processes| {
+      processes.retain(|process| process.is_observed());
+      !processes.is_empty()
+    });
   }
 
-  /// Learns the version of the process at a listed endpoint, if it was observed for long enough.
-  pub fn settle(&mut self, entry: &EndpointEntry) {
-    let Some(process) = self.by_endpoint.get(&entry.id) else {
-      return;
-    };
-    let is_due = process.since_ms() + self.entry_lag_ms <= self.viewed_ms;
-    if process.version().is_none() && is_due && process.is_observed() {
-      process.set_version(&entry.version);
+  /// Learns the versions of the processes at a listed endpoint that were observed for long enough.
+  pub fn settle(&self, entry: &EndpointEntry) {
+    for process in self.observed(entry) {
+      if self.known_from_ms(process) <= self.viewed_ms {
+        process.set_version(&entry.version);
+      }
     }
   }
+
+  /// When the box's view of the store has to be updated for the version of a further process to be known.
+  pub fn next_settle_ms(&self) -> Option<u64> {
+    let processes = self.by_endpoint.values().flatten();
+    let unknown = processes.filter(|process| process.version().is_none() && process.is_observed());
+    unknown.map(|process| self.known_from_ms(process)).min()
+  }
+
+  fn known_from_ms(&self, process: &ObservedProcess) -> u64 {
+    process.since_ms() + self.entry_lag_ms
+  }
+
+  fn observed(&self, entry: &EndpointEntry) -> impl Iterator<Item = &Rc<ObservedProcess>> {
+    let processes = self.by_endpoint.get(&entry.id);
+    let processes = processes.into_iter().flatten();
+    processes.filter(|process| process.is_observed())
+  }
 }
--- a/src/gateway/decisions/processes/mod.rs
+++ b/src/gateway/decisions/processes/mod.rs
@@ -6,6 +6,8 @@
 mod version_evidence;
 
 pub use self::{
-  connection_state::ConnectionState, endpoint_processes::EndpointProcesses,
-  observed_process::ObservedProcess, version_evidence::VersionEvidence,
+  connection_state::ConnectionState,
+  endpoint_processes::{EndpointProcesses, VIEW_DELAY_MS},
+  observed_process::ObservedProcess,
+  version_evidence::VersionEvidence,
 };
--- a/src/gateway/decisions/processes/observed_process.rs
+++ b/src/gateway/decisions/processes/observed_process.rs
@@ -53,9 +53,14 @@
 
   /// Whether a connection shows that it runs.
   pub fn is_observed(&self) -> bool {
+    self.open_connections() > 0
+  }
+
+  /// The connections that show that it runs.
+  pub fn open_connections(&self) -> usize {
     let connections = self.connections.borrow();
-    let mut open = connections.iter().filter_map(Weak::upgrade);
-    open.any(|connection| connection.is_waiting())
+    let open = connections.iter().filter_map(Weak::upgrade);
+    open.filter(|connection| connection.is_open()).count()
   }
 
   /// The version of its software; `None` until it is known.
--- a/src/gateway/decisions/processes/version_evidence.rs
+++ b/src/gateway/decisions/processes/version_evidence.rs
@@ -21,6 +21,13 @@
   },
 }
 
+impl VersionEvidence {
+  /// Whether there is any.
+  pub fn is_known(self) -> bool {
+    !matches!(self, Self::None { .. })
+  }
+}
+
 impl fmt::Display for VersionEvidence {
   fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
     match self {
--- a/src/gateway/decisions/stream_records.rs
+++ b/src/gateway/decisions/stream_records.rs
@@ -4,12 +4,13 @@
 //! caller returns within the request's deadline or shortly after it, at any box.
 
 use {
-  super::stream_key::StreamKey,
+  super::{processes::ObservedProcess, stream_key::StreamKey},
   crate::{gateway::edge::SoftwareVersion, ids::Name},
   serde::{Deserialize, Serialize},
   std::{
     cmp::Reverse,
     collections::{HashMap, VecDeque},
+    rc::Rc,
   },
 };
 
@@ -32,7 +33,7 @@
   Unknown,
   /// It began here.
   Known(StreamOrigin),
-  /// Two streams with the same key began at different origins.
+  /// Two streams with the same key began at different origins, or the version of the process that began it is not known.
   Ambiguous,
 }
 
@@ -45,10 +46,35 @@
   Peer,
 }
 
+/// The origin in a record.
+#[derive(Clone, Debug)]
+enum OriginState {
+  Known(StreamOrigin),
+  /// It is known once the version of the process is.
+  Pending {
+    service: Name,
+    process: Rc<ObservedProcess>,
+  },
+  Ambiguous,
+}
+
+impl OriginState {
+  /// The origin, if it is known by now.
+  fn known(&self) -> Option<StreamOrigin> {
+    match self {
+      Self::Known(origin) => Some(origin.clone()),
+      Self::Pending { service, process } => process.version().map(|version| StreamOrigin {
+        service: service.clone(),
+        version: version.clone(),
+      }),
+      Self::Ambiguous => None,
+    }
+  }
+}
+
 #[derive(Clone, Debug)]
 struct StreamRecord {
-  /// `None` when the key is ambiguous.
-  origin: Option<StreamOrigin>,
+  origin: OriginState,
   source: RecordSource,
   expires_ms: u64,
 }
@@ -86,18 +112,65 @@
   ) {
     if let Some(known) = self.by_key.get_mut(&key) {
       known.expires_ms = known.expires_ms.max(expires_ms);
-      if known.origin.as_ref() != Some(&origin) {
-        known.origin = None;
+      if known.origin.known().as_ref() != Some(&origin) {
+        known.origin = OriginState::Ambiguous;
       }
       return;
     }
+    self.insert(
+      key,
+      StreamRecord {
+        expires_ms,
+        origin: OriginState::Known(origin),
+        source,
+      },
+    );
+  }
+
+  /// Records a stream that this box began at a process whose version is not known yet, unless the stream has a record.
+  pub fn record_pending(
+    &mut self,
+    key: StreamKey,
+    service: &Name,
+    process: &Rc<ObservedProcess>,
+    expires_ms: u64,
+  ) {
+    if self.by_key.contains_key(&key) {
+      return;
+    }
+    let origin = OriginState::Pending {
+      process: process.clone(),
+      service: service.clone(),
+    };
+    let source = RecordSource::Own;
+    self.insert(
+      key,
+      StreamRecord {
+        expires_ms,
+        origin,
+        source,
+      },
+    );
+  }
+
+  /// The streams of this box whose origins have become known since the last call, with the times at which their records expire.
+  pub fn take_settled(&mut self) -> Vec<(StreamKey, StreamOrigin, u64)> {
+    let mut settled = Vec::new();
+    for (key, record) in &mut self.by_key {
+      if matches!(record.origin, OriginState::Pending { .. })
+        && let Some(origin) = record.origin.known()
+      {
+        record.origin = OriginState::Known(origin.clone());
+        settled.push((*key, origin, record.expires_ms));
+      }
+    }
+    settled.sort_by_key(|(key, _, _)| *key);
+    settled
+  }
+
+  fn insert(&mut self, key: StreamKey, record: StreamRecord) {
     self.evict_oldest();
     self.order.push_back(key);
-    let record = StreamRecord {
-      expires_ms,
-      origin: Some(origin),
-      source,
-    };
     self.by_key.insert(key, record);
   }
 
@@ -113,10 +186,10 @@
   /// Where a stream began.
   pub fn find(&self, key: &StreamKey, now_ms: u64) -> RecordedOrigin {
     match self.by_key.get(key) {
-      Some(record) if now_ms < record.expires_ms => match &record.origin {
-        Some(origin) => RecordedOrigin::Known(origin.clone()),
-        None => RecordedOrigin::Ambiguous,
-      },
+      Some(record) if now_ms < record.expires_ms => {
+        let origin = record.origin.known();
+        origin.map_or(RecordedOrigin::Ambiguous, RecordedOrigin::Known)
+      }
       _ => RecordedOrigin::Unknown,
     }
   }
@@ -128,7 +201,7 @@
       .iter()
       .filter(|(_, record)| record.source == RecordSource::Own && now_ms < record.expires_ms);
     own
-      .filter_map(|(key, record)| Some((*key, record.origin.clone()?, record.expires_ms)))
+      .filter_map(|(key, record)| Some((*key, record.origin.known()?, record.expires_ms)))
       .filter(|(_, origin, _)| &*origin.service == service)
       .collect()
   }
@@ -140,7 +213,7 @@
       .iter()
       .filter(|(_, record)| now_ms < record.expires_ms);
     let mut known: Vec<_> = unexpired
-      .filter_map(|(key, record)| Some((*key, record.origin.clone()?, record.expires_ms)))
+      .filter_map(|(key, record)| Some((*key, record.origin.known()?, record.expires_ms)))
       .filter(|(_, origin, _)| &*origin.service == service)
       .collect();
     known.sort_by_key(|(key, _, expires_ms)| (Reverse(*expires_ms), *key));
--- a/src/gateway/decisions/unavailable.rs
+++ b/src/gateway/decisions/unavailable.rs
@@ -18,6 +18,9 @@
   /// It is listed with its start, but reports none.
   #[error("endpoint does not report its start")]
   Unconfirmed,
+  /// It may have restarted with another version since it was listed.
+  #[error("version of the endpoint's process is not known")]
+  VersionUnknown,
   /// Another endpoint has its address.
   #[error("another endpoint has its address")]
   Displaced,
--- a/src/gateway/edge/endpoint_entry.rs
+++ b/src/gateway/edge/endpoint_entry.rs
@@ -66,6 +66,11 @@
     identity(self) == identity(other)
   }
 
+  /// Whether its process can confirm the listed start: an engine reports it.
+  pub(crate) fn confirms_start(&self) -> bool {
+    self.role.is_some() && self.started_ms.is_some()
+  }
+
   /// When it started, for logs: Unix milliseconds, or `-` when that is not listed.
   pub(crate) fn start_text(&self) -> String {
     self
--- a/src/gateway/membership/store_sync.rs
+++ b/src/gateway/membership/store_sync.rs
@@ -9,7 +9,7 @@
   crate::{
     CallError, HttpClient,
     gateway::{
-      decisions::store_retry_delay_ms,
+      decisions::{VIEW_DELAY_MS, store_retry_delay_ms},
       edge::{Store, StoreChanges, StoreItem},
       state::Gateway,
     },
@@ -344,12 +344,18 @@
       .await;
       SHORT_WATCH_WAIT
     } else {
-      WATCH_WAIT
+      self.watch_wait()
     };
     self.gateway.counters.store_calls.inc();
+    let called_ms = self.gateway.now_ms();
     match self.store.changes(revision, wait).await {
       Ok(changes) => {
         self.view.record_contact(0);
+        let waited_ms = self.gateway.now_ms() - called_ms;
+        if waited_ms > VIEW_DELAY_MS {
+          // A call that waits returns with the first change.
+          self.view.record_applied();
+        }
         Some(changes)
       }
       Err(error) => {
@@ -359,6 +365,16 @@
     }
   }
 
+  /// How long a watch call waits: until its return shows the version of an endpoint's process, if that is sooner.
+  fn watch_wait(&self) -> Duration {
+    let next_ms = self.gateway.endpoints.borrow().next_settle_ms();
+    let Some(next_ms) = next_ms else {
+      return WATCH_WAIT;
+    };
+    let wait_ms = next_ms.saturating_sub(self.gateway.now_ms());
+    Duration::from_millis(wait_ms).clamp(SHORT_WATCH_WAIT, WATCH_WAIT)
+  }
+
   /// Polls a reader; `None` when it fails or has no recent store contact.
   async fn poll_reader(&mut self, reader: SocketAddr, revision: u64) -> Option<StoreChanges> {
     let response = poll_changes(&self.http, reader, revision).await;
--- a/src/gateway/requests/event_relay.rs
+++ b/src/gateway/requests/event_relay.rs
@@ -92,8 +92,8 @@
 }
 
 impl EventRelay {
-  pub(crate) fn new(mut stream: StreamRequest, head: ResponseHead) -> Self {
-    stream.version = Some(head.entry.version.clone());
+  pub(crate) fn new(mut stream: StreamRequest, mut head: ResponseHead) -> Self {
+    stream.record_beginning(&mut head);
     // Another stream begins anew, whatever its caller names.
     let continues_after = stream.last_event_id.filter(|_| stream.may_retry());
     let order = EventOrder::new(continues_after, id_steps(&stream.gateway, &head.entry));
@@ -244,10 +244,10 @@
       self.first_event_recorded = true;
       let took_ms = self.stream.gateway.now_ms() - self.stream.request.arrived_ms;
       self.stream.gateway.counters.first_event_ms.record(took_ms);
-      let origin = self.head.as_ref().map(|head| &head.entry);
-      if let Some(entry) = origin {
-        record_stream(&self.stream.gateway, &self.stream.request, entry);
+      if let Some(head) = &self.head {
+        record_stream(&self.stream.gateway, &self.stream.request, head);
       }
+      let origin = self.head.as_ref().map(|head| &head.entry);
       log::info!(
         "E509 first event: {} after {took_ms} ms, from {} version {} started {}, evidence {}",
         self.stream.request.id(),
@@ -522,11 +522,10 @@
   /// Records how the ids of the stream's events rose.
   fn record_id_steps(&self) {
     let StreamRequest {
-      gateway,
-      request,
-      version,
-      ..
+      gateway, request, ..
     } = &self.stream;
+    let listed = self.head.as_ref().map(|head| &head.entry.version);
+    let version = self.stream.version.as_ref().or(listed);
     if let (Some(version), Some(has_skipped)) = (version, self.order.has_skipped_ids()) {
       let mut steps = gateway.id_steps.borrow_mut();
       steps.record(&request.service, version, has_skipped);
@@ -578,7 +577,13 @@
     {
       return Err(format!("no attempt left after: {error}"));
     }
-    match timeout(Duration::from_millis(remaining_ms), self.stream.begin()).await {
+    let resumed = timeout(Duration::from_millis(remaining_ms), async {
+      let settled = self.stream.settle_version().await;
+      settled.map_err(|failure| failure.to_string())?;
+      let begun = self.stream.begin().await;
+      begun.map_err(|failure| failure.to_string())
+    });
+    match resumed.await {
       Ok(Ok(head)) => {
         self.head = Some(head);
         self.record_resumed(&interrupted_version);
--- a/src/gateway/requests/mod.rs
+++ b/src/gateway/requests/mod.rs
@@ -29,6 +29,7 @@
 mod stream;
 mod stream_request;
 mod stream_send;
+mod stream_version;
 mod takeover;
 mod unary;
 
--- a/src/gateway/requests/resume_slot.rs
+++ b/src/gateway/requests/resume_slot.rs
@@ -36,7 +36,7 @@
     };
     let may_decode = |entry: &EndpointEntry| {
       entry.role == Some(Role::Decode)
-        && version.is_none_or(|version| entry.version == *version)
+        && version.is_none_or(|version| may_go_on(gateway, entry, version))
         && request.allowed_halls.contains(&entry.hall)
         && gateway.check(entry).is_ok()
     };
@@ -57,6 +57,11 @@
   None
 }
 
+/// Whether an engine is known to have a version.
+fn may_go_on(gateway: &Gateway, entry: &EndpointEntry, version: &SoftwareVersion) -> bool {
+  entry.version == *version && gateway.endpoints.borrow().is_version_known(entry)
+}
+
 /// The engines that have enough of the prompt's prefix cached, the longest prefix first. The listings of a service are refreshed by
 /// the first request that needs them.
 async fn engines_with_prompt(gateway: &Rc<Gateway>, request: &RoutedRequest) -> Vec<Name> {
--- a/src/gateway/requests/stream_request.rs
+++ b/src/gateway/requests/stream_request.rs
@@ -8,8 +8,10 @@
     slot::{Exclusions, reserve_slot},
   },
   crate::{
+    decide::Role,
     gateway::{
-      decisions::{AttemptOutcome, EndpointCriteria},
+      connections::Connection,
+      decisions::{AttemptOutcome, EndpointCriteria, ObservedProcess},
       edge::{EndpointEntry, SoftwareVersion},
       stages::{ExportGuard, Reservation, ResponseHead, Resumption, RoutedRequest, StageError},
       state::Gateway,
@@ -58,6 +60,10 @@
   pub(crate) last_event_id: Option<u64>,
   /// The version of the endpoint that began the stream; only endpoints of that version may go on.
   pub(crate) version: Option<SoftwareVersion>,
+  /// The process that began the stream, until its version is known.
+  pub(super) began_at: Option<Rc<ObservedProcess>>,
+  /// A connection to that process, beside the one of the stream.
+  pub(super) beside: Option<Box<Connection>>,
   /// Endpoints that were tried.
   pub(super) tried: Vec<Name>,
   /// Those of them that have not run the request.
@@ -94,6 +100,8 @@
     };
     Self {
       attempts: 0,
+      began_at: None,
+      beside: None,
       export: None,
       gateway,
       interrupted_at: None,
@@ -195,6 +203,7 @@
 
   /// An attempt at an endpoint that runs the whole request.
   async fn attempt_full(&mut self, charge: Option<SendCharge>) -> Attempt {
+    self.await_known_engine(None).await;
     let choice = self.gateway.choose(EndpointCriteria {
       allowed_halls: &self.request.allowed_halls,
       hall: self.gateway.preferred_hall(),
@@ -213,6 +222,7 @@
 
   /// An attempt with disaggregated prefill: a slot at a decode engine, and the prefill at another engine.
   async fn attempt_split(&mut self, charge: Option<SendCharge>) -> Attempt {
+    self.await_known_engine(Some(Role::Decode)).await;
     if let Some((entry, reservation)) = self.resume_slot().await {
       let charge = self.charge_or_take(charge)?;
       let outgoing = OutgoingStream {
--- /dev/null
+++ b/src/gateway/requests/stream_version.rs
@@ -0,0 +1,116 @@
+//! The version at which a stream goes on: that of the process that began it, at engines whose processes are known to have it.
+
+use {
+  super::stream_request::StreamRequest,
+  crate::{
+    decide::Role,
+    gateway::{
+      decisions::EndpointCriteria,
+      edge::EndpointEntry,
+      stages::{ResponseHead, observe_endpoint},
+    },
+  },
+  futures_util::future::join_all,
+  std::time::Duration,
+  tokio::time::sleep,
+};
+
+/// Heartbeats for which a stream waits until a version is known: the box's view of the store is updated meanwhile.
+const MAX_HEARTBEATS: u64 = 3;
+/// Interval at which it is checked whether a version is known.
+const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Engines that are connected to at the same time when none is observed.
+const MAX_CONNECTED: usize = 2;
+
+/// The version that began a stream will not be known: its engine's process may have ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("version that began the stream is not known")]
+pub(crate) struct VersionUnknown;
+
+impl StreamRequest {
+  /// A response has begun, whose engine began the stream unless another one did.
+  pub(super) fn record_beginning(&mut self, head: &mut ResponseHead) {
+    let beside = head.take_beside();
+    if self.version.is_some() {
+      return;
+    }
+    match head.process() {
+      Some(process) if !head.version_evidence(&self.gateway).is_known() => {
+        self.began_at = Some(process.clone());
+        self.beside = beside;
+      }
+      Some(_) | None => self.version = Some(head.entry.version.clone()),
+    }
+  }
+
+  /// Waits until the version that began the stream is known. A stream that has not begun goes on at any.
+  pub(super) async fn settle_version(&mut self) -> Result<(), VersionUnknown> {
+    let Some(process) = self.began_at.clone().filter(|_| self.version.is_none()) else {
+      return Ok(());
+    };
+    let until_ms = self.known_until_ms();
+    loop {
+      self.gateway.endpoints.borrow().settle_versions();
+      if let Some(version) = process.version() {
+        self.version = Some(version.clone());
+        self.beside = None;
+        return Ok(());
+      }
+      if !process.is_observed() || !self.may_wait(until_ms) {
+        return Err(VersionUnknown);
+      }
+      sleep(CHECK_INTERVAL).await;
+    }
+  }
+
+  /// Waits until the version of an engine is known that may go on with the stream, unless there is none of the stream's version.
+  pub(super) async fn await_known_engine(&self, role: Option<Role>) {
+    let until_ms = self.known_until_ms();
+    let mut has_connected = false;
+    loop {
+      let unknown = self.engines_of_unknown_version(role);
+      if unknown.is_empty() || !self.may_wait(until_ms) {
+        return;
+      }
+      let is_observed = {
+        let endpoints = self.gateway.endpoints.borrow();
+        unknown.iter().any(|entry| endpoints.is_observed(entry))
+      };
+      if !is_observed && !std::mem::replace(&mut has_connected, true) {
+        let connected = unknown.iter().take(MAX_CONNECTED);
+        join_all(connected.map(|entry| observe_endpoint(&self.gateway, entry))).await;
+      }
+      sleep(CHECK_INTERVAL).await;
+    }
+  }
+
+  /// The engines of the stream's version that may have restarted since they were listed; none if one has not, or if any will do.
+  fn engines_of_unknown_version(&self, role: Option<Role>) -> Vec<EndpointEntry> {
+    let criteria = EndpointCriteria {
+      allowed_halls: &self.request.allowed_halls,
+      hall: self.gateway.preferred_hall(),
+      is_retryable: self.may_retry(),
+      role,
+      service: &self.request.service,
+      size: self.request.expected_tokens().max(1),
+      tried: &self.tried,
+      version: self.version.as_ref(),
+    };
+    let now_ms = self.gateway.now_ms();
+    let endpoints = self.gateway.endpoints.borrow();
+    if self.version.is_none() || endpoints.choose(criteria, now_ms, || 0.0).is_some() {
+      return Vec::new();
+    }
+    endpoints.with_unknown_version(criteria, now_ms)
+  }
+
+  fn known_until_ms(&self) -> u64 {
+    let heartbeat_ms = self.gateway.settings.endpoints.heartbeat_ms;
+    self.gateway.now_ms() + MAX_HEARTBEATS * heartbeat_ms
+  }
+
+  /// Whether to wait: without contact with the store no version becomes known.
+  fn may_wait(&self, until_ms: u64) -> bool {
+    self.gateway.now_ms() < until_ms && self.gateway.is_current()
+  }
+}
--- a/src/gateway/requests/takeover.rs
+++ b/src/gateway/requests/takeover.rs
@@ -2,7 +2,10 @@
 //! goes on with the stream if it continues before that.
 
 use {
-  super::stream_request::{StreamFailure, StreamRequest},
+  super::{
+    stream_request::{StreamFailure, StreamRequest},
+    stream_version::VersionUnknown,
+  },
   crate::gateway::{
     edge::RouteTable,
     quarantine::{LostStage, record_lost_stage, record_silent_stage},
@@ -21,6 +24,8 @@
   Blocked,
   /// The route allows no further attempt.
   NoAttempt,
+  /// The version that began the stream is not known.
+  VersionUnknown(VersionUnknown),
   /// The silent engine went on first.
   WentOn,
   /// No other engine has responded with the stream.
@@ -33,6 +38,7 @@
       Self::Disabled => formatter.write_str("takeovers are disabled"),
       Self::Blocked => formatter.write_str("request is quarantined"),
       Self::NoAttempt => formatter.write_str("no attempt left"),
+      Self::VersionUnknown(error) => error.fmt(formatter),
       Self::WentOn => formatter.write_str("it went on"),
       Self::Failed(failure) => failure.fmt(formatter),
     }
@@ -116,6 +122,10 @@
       if !self.has_attempts_left() {
         return Err(NoTakeover::NoAttempt);
       }
+      self
+        .settle_version()
+        .await
+        .map_err(NoTakeover::VersionUnknown)?;
       let Some(charge) = self.take_charge() else {
         return Err(NoTakeover::Failed(StreamFailure::NoRetry));
       };
--- a/src/gateway/resumption/lookup.rs
+++ b/src/gateway/resumption/lookup.rs
@@ -65,6 +65,7 @@
 /// Where the stream began that a request resumes; `None` when that is not known.
 async fn find_origin(gateway: &Rc<Gateway>, request: &RoutedRequest) -> Option<StreamOrigin> {
   let key = request.stream_key();
+  gateway.endpoints.borrow().settle_versions();
   let own = gateway.stream_records.borrow().find(&key, gateway.now_ms());
   if let RecordedOrigin::Known(origin) = own {
     gateway.counters.origins_own.inc();
--- a/src/gateway/resumption/messages.rs
+++ b/src/gateway/resumption/messages.rs
@@ -118,6 +118,7 @@
   match read_message::<LookupMessage>(request, MAX_BODY_BYTES).await {
     Ok(message) => {
       let now_ms = gateway.now_ms();
+      gateway.endpoints.borrow().settle_versions();
       let origin = gateway.stream_records.borrow().find(&message.key, now_ms);
       let versions = gateway.endpoints.borrow().versions().of(&message.service);
       message_response(&LookupResponse {
--- a/src/gateway/resumption/publishing.rs
+++ b/src/gateway/resumption/publishing.rs
@@ -5,8 +5,8 @@
   crate::{
     gateway::{
       decisions::{RecordSource, StreamKey, StreamOrigin, asked_by_all_halls, record_holders},
-      edge::{EndpointEntry, SoftwareVersion},
-      stages::RoutedRequest,
+      edge::SoftwareVersion,
+      stages::{ResponseHead, RoutedRequest},
       state::Gateway,
     },
     ids::Name,
@@ -31,25 +31,35 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Records which version began a stream whose first event is forwarded now.
-pub(crate) fn record_stream(gateway: &Rc<Gateway>, request: &RoutedRequest, entry: &EndpointEntry) {
+pub(crate) fn record_stream(gateway: &Rc<Gateway>, request: &RoutedRequest, head: &ResponseHead) {
   let key = request.stream_key();
+  let entry = &head.entry;
+  let now_ms = gateway.now_ms();
+  let expires_ms = now_ms + request.remaining_ms(now_ms) + RETURN_MS;
+  let mut records = gateway.stream_records.borrow_mut();
+  if let Some(process) = head.process()
+    && !head.version_evidence(gateway).is_known()
+  {
+    records.record_pending(key, &entry.service, process, expires_ms);
+    return;
+  }
   let origin = StreamOrigin {
     service: entry.service.clone(),
     version: entry.version.clone(),
   };
-  let now_ms = gateway.now_ms();
-  let expires_ms = now_ms + request.remaining_ms(now_ms) + RETURN_MS;
-  gateway
-    .stream_records
-    .borrow_mut()
-    .record(key, origin.clone(), RecordSource::Own, expires_ms);
-  if gateway
-    .endpoints
-    .borrow()
-    .versions()
-    .are_several(&entry.service)
-  {
-    publish(gateway, vec![(key, origin, expires_ms)]);
+  records.record(key, origin.clone(), RecordSource::Own, expires_ms);
+  drop(records);
+  publish_divided(gateway, vec![(key, origin, expires_ms)]);
+}
+
+/// Publishes the streams of services that have several versions.
+fn publish_divided(gateway: &Rc<Gateway>, mut streams: Vec<(StreamKey, StreamOrigin, u64)>) {
+  let endpoints = gateway.endpoints.borrow();
+  let versions = endpoints.versions();
+  streams.retain(|(_, origin, _)| versions.are_several(&origin.service));
+  drop(endpoints);
+  if !streams.is_empty() {
+    publish(gateway, streams);
   }
 }
 
@@ -60,6 +70,8 @@
   loop {
     sleep(CHECK_INTERVAL).await;
     expire(&gateway);
+    let settled = gateway.stream_records.borrow_mut().take_settled();
+    publish_divided(&gateway, settled);
     let divided = gateway.endpoints.borrow().versions().divided();
     for (service, versions) in &divided {
       let names: BTreeSet<SoftwareVersion> = versions.keys().cloned().collect();
@@ -92,6 +104,7 @@
   let longest_ms = table.map_or(0, |table| table.longest_timeout_ms());
   let mut endpoints = gateway.endpoints.borrow_mut();
   endpoints.settle_versions();
+  endpoints.expire_processes();
   endpoints
     .versions_mut()
     .expire(now_ms, longest_ms + RETURN_MS);
--- a/src/gateway/stages/incarnation_check.rs
+++ b/src/gateway/stages/incarnation_check.rs
@@ -22,11 +22,10 @@
   tokio::time::timeout,
 };
 
-/// Whether nothing is left to confirm on a connection. Entries without a start, and plain services, confirm nothing.
+/// Whether nothing is left to confirm on a connection. Entries without a start, and plain services, have none to confirm: their
+/// processes are observed instead.
 pub(super) fn has_confirmed_start(connection: &Connection, entry: &EndpointEntry) -> bool {
-  entry.role.is_none()
-    || entry.started_ms.is_none()
-    || connection.confirmed_start_ms == entry.started_ms
+  !entry.confirms_start() || connection.confirmed_start_ms == entry.started_ms
 }
 
 /// On which evidence the process behind a connection has the version in an entry.
@@ -35,13 +34,13 @@
   entry: &EndpointEntry,
   connection: &Connection,
 ) -> VersionEvidence {
-  if entry.started_ms.is_some() && connection.confirmed_start_ms == entry.started_ms {
+  if entry.confirms_start() && connection.confirmed_start_ms == entry.started_ms {
     return VersionEvidence::Start;
   }
   let Some(process) = &connection.process else {
     return VersionEvidence::None { observed_ms: 0 };
   };
-  let mut endpoints = gateway.endpoints.borrow_mut();
+  let endpoints = gateway.endpoints.borrow();
   endpoints.version_evidence(entry, process, gateway.now_ms())
 }
 
--- a/src/gateway/stages/mod.rs
+++ b/src/gateway/stages/mod.rs
@@ -31,6 +31,7 @@
   engine_call::{EngineCallError, ExportGuard, Reservation, call_engine},
   framing::Framing,
   notice::apply_forwarded_notice,
+  open_connection::observe_endpoint,
   purpose::Purpose,
   reachability_probe::probe_unreachable,
   request::{RequestOrigin, RoutedRequest},
--- a/src/gateway/stages/open_connection.rs
+++ b/src/gateway/stages/open_connection.rs
@@ -28,6 +28,14 @@
   Ok(connection)
 }
 
+/// Opens a connection that shows whether the endpoint's process goes on.
+pub(crate) async fn observe_endpoint(gateway: &Rc<Gateway>, entry: &EndpointEntry) {
+  match open_connection(gateway, entry).await {
+    Ok(connection) => gateway.keep_unused(connection),
+    Err(error) => log::info!("E597 not observed: {}: {error}", entry.id),
+  }
+}
+
 /// Records that bytes came on a connection to an endpoint while no call waited on it.
 fn on_stray_bytes(gateway: &Rc<Gateway>, entry: &EndpointEntry) -> impl FnOnce() + 'static {
   let gateway = gateway.clone();
--- a/src/gateway/stages/purpose.rs
+++ b/src/gateway/stages/purpose.rs
@@ -9,6 +9,8 @@
   RequestOnce,
   /// The same, for a stream that other endpoints of its version may resume: its endpoint first confirms the listed start.
   ResumableStream,
+  /// The same, for a stream that another endpoint began: the version of its endpoint's process has to be known.
+  ResumedStream,
   /// A call of the gateway's own that leads to work: not sent to such an endpoint either.
   Call,
   /// A call for an engine's report, which it answers in any role; sent like [`Call`](Self::Call).
@@ -22,7 +24,7 @@
   pub(super) fn is_request(self) -> bool {
     matches!(
       self,
-      Self::Request | Self::RequestOnce | Self::ResumableStream
+      Self::Request | Self::RequestOnce | Self::ResumableStream | Self::ResumedStream
     )
   }
 }
--- a/src/gateway/stages/stage.rs
+++ b/src/gateway/stages/stage.rs
@@ -17,7 +17,7 @@
   crate::{
     gateway::{
       connections::{Connection, remove_connection_headers},
-      decisions::{AnswerKind, AttemptOutcome, Unavailable, VersionEvidence},
+      decisions::{AnswerKind, AttemptOutcome, ObservedProcess, Unavailable, VersionEvidence},
       edge::{EndpointEntry, ProxyHeaders, ResponseAttributes, Stage},
       permits::{Permit, acquire_permit, return_permit},
       state::{Gateway, UnreadCause},
@@ -120,6 +120,16 @@
     headers
   }
 
+  /// The connection beside its own, which shows whether the process outlives that one.
+  pub(crate) fn take_beside(&mut self) -> Option<Box<Connection>> {
+    self.connection.beside.take()
+  }
+
+  /// The process that sends it.
+  pub(crate) fn process(&self) -> Option<&Rc<ObservedProcess>> {
+    self.connection.process.as_ref()
+  }
+
   /// On which evidence its endpoint has the version of the entry.
   pub(crate) fn version_evidence(&self, gateway: &Gateway) -> VersionEvidence {
     version_evidence(gateway, &self.entry, &self.connection)
@@ -302,7 +312,7 @@
   let sent_ms = gateway.now_ms();
   let call = OutgoingCall {
     id: request.attributes.request_id.clone(),
-    purpose: purpose_of(request, &proxy_headers.stage),
+    purpose: purpose_of(request, proxy_headers),
     request: request.for_endpoint(&*gateway.codec, entry, proxy_headers),
   };
   request.sends.set(request.sends.get() + 1);
@@ -406,10 +416,12 @@
 }
 
 /// The purpose of a stage of a caller's request.
-fn purpose_of(request: &RoutedRequest, stage: &Stage) -> Purpose {
+fn purpose_of(request: &RoutedRequest, headers: &ProxyHeaders) -> Purpose {
+  let stage = &headers.stage;
   let is_resumed = request.attributes.last_event_id.is_some();
   let may_repeat = request.route.kind.may_retry() || is_resumed;
   match is_stream(request, stage) {
+    true if may_repeat && headers.last_event_id.is_some() => Purpose::ResumedStream,
     true if may_repeat => Purpose::ResumableStream,
     // A prefill runs nothing.
     _ if may_repeat || *stage == Stage::Prefill => Purpose::Request,
@@ -470,7 +482,8 @@
   Ok(connection)
 }
 
-/// Sends a request on a connection. Only the listed start of an endpoint gets a resumable stream.
+/// Sends a request on a connection. Only the listed start of an endpoint gets a resumable stream, and one that goes on only if the
+/// version of the process is known.
 async fn exchange_on(
   gateway: &Rc<Gateway>,
   entry: &EndpointEntry,
@@ -478,14 +491,29 @@
   call: OutgoingCall,
 ) -> Result<(Connection, Response<Incoming>), StageError> {
   let purpose = call.purpose;
-  if purpose == Purpose::ResumableStream && !has_confirmed_start(&connection, entry) {
+  let is_stream = matches!(purpose, Purpose::ResumableStream | Purpose::ResumedStream);
+  if is_stream && !has_confirmed_start(&connection, entry) {
     connection = confirmed_connection(gateway, entry, connection).await?;
     check_available(gateway, entry, purpose)?;
   }
+  if is_stream && !version_evidence(gateway, entry, &connection).is_known() {
+    if purpose == Purpose::ResumedStream {
+      return Err(Unavailable::VersionUnknown.into());
+    }
+    observe_beside(gateway, entry, &mut connection).await;
+  }
   let response = send_call(gateway, entry, &mut connection, call).await?;
   Ok((connection, response))
 }
 
+/// Observes the process of a connection by another one as well: its endpoint may end the connection of a stream, and run on.
+async fn observe_beside(gateway: &Rc<Gateway>, entry: &EndpointEntry, connection: &mut Connection) {
+  match open_connection(gateway, entry).await {
+    Ok(beside) => connection.beside = Some(Box::new(beside)),
+    Err(error) => log::info!("E597 not observed: {}: {error}", entry.id),
+  }
+}
+
 /// Fails when the endpoint is no longer listed, when another one has its address or, unless something is released there, takes no work.
 fn check_available(
   gateway: &Gateway,
@@ -500,6 +528,7 @@
       Purpose::Request
       | Purpose::RequestOnce
       | Purpose::ResumableStream
+      | Purpose::ResumedStream
       | Purpose::Call
       | Purpose::Report,
     ) => {
@@ -521,6 +550,7 @@
       Purpose::Request
       | Purpose::RequestOnce
       | Purpose::ResumableStream
+      | Purpose::ResumedStream
       | Purpose::Call
       | Purpose::Report,
     ) => {
--- a/tests/gateway/choice.rs
+++ b/tests/gateway/choice.rs
@@ -281,6 +281,8 @@
 #[test]
 fn new_version_gets_no_requests_chosen_for_the_former_one() {
   let versioned = |id, version| EndpointEntry {
+    role: Some(Role::Decode),
+    started_ms: Some(1_000),
     version: SoftwareVersion::new(version),
     ..entry(id, "north", None)
   };
--- a/tests/gateway/confirmed_ends.rs
+++ b/tests/gateway/confirmed_ends.rs
@@ -200,7 +200,7 @@
 ) -> impl Fn(&ReceivedRequest) -> Reply + Clone + Send + Sync + 'static {
   move |seen| {
     if seen.path == "/report" {
-      let body = format!(r#"{{"callSeq": 0, "utilization": true, "runs": {runs}}}"#);
+      let body = format!(r#"{{"callSeq": 0, "utilization": true, "born": 1000, "runs": {runs}}}"#);
       return Reply::ok(seen, &body);
     }
     if !is_stream(seen) {
@@ -307,7 +307,8 @@
 ) {
   let script = |seen: &ReceivedRequest| {
     if seen.path == "/report" {
-      let body = r#"{"callSeq": 0, "utilization": true, "runs": [["r1", 100, 6, 5]]}"#;
+      let body =
+        r#"{"callSeq": 0, "utilization": true, "born": 1000, "runs": [["r1", 100, 6, 5]]}"#;
       return Reply::ok(seen, body);
     }
     if !is_stream(seen) {
--- a/tests/gateway/early_ends.rs
+++ b/tests/gateway/early_ends.rs
@@ -114,7 +114,7 @@
     let left = since.map_or(Duration::ZERO, |since| {
       SILENCE.saturating_sub(since.elapsed())
     });
-    let body = r#"{"stage": "decode", "callSeq": 9, "utilization": false}"#;
+    let body = r#"{"stage": "decode", "callSeq": 9, "utilization": false, "born": 1000}"#;
     let Reply::Write(text) = Reply::ok(seen, body) else {
       return Reply::NoResponse;
     };
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -220,6 +220,19 @@
     self.enter_engine_version(id, "decode", endpoint, version);
   }
 
+  /// The same, without its start.
+  pub(crate) fn enter_version_without_start(
+    &self,
+    id: &str,
+    endpoint: &EndpointStandIn,
+    version: &str,
+  ) {
+    self.put_entry(id, "llm", Some("decode"), endpoint.address, |entry| {
+      entry["version"] = json!(version);
+      entry["born"] = Value::Null;
+    });
+  }
+
   /// Lists an engine with the version of its software.
   pub(crate) fn enter_engine_version(
     &self,
@@ -247,6 +260,8 @@
     });
     if let Some(stage) = stage {
       entry["stage"] = json!(stage);
+      // What a stand-in reports that was not restarted.
+      entry["born"] = json!(listed_start(1));
     }
     change(&mut entry);
     self
--- a/tests/gateway/unframed_ends.rs
+++ b/tests/gateway/unframed_ends.rs
@@ -24,7 +24,7 @@
 /// The downtime of an endpoint that does not come back.
 const NEVER: Duration = Duration::from_secs(600);
 /// The start that engines are listed with, and a later one.
-const LISTED_START: u64 = 7;
+const LISTED_START: u64 = 1_000;
 const LATER_START: u64 = 8;
 /// The body of a plain response, and what of it is sent before its endpoint is killed.
 const PLAIN_BODY: &str = "a whole answer";
--- a/tests/gateway/versioned_engine.rs
+++ b/tests/gateway/versioned_engine.rs
@@ -173,7 +173,7 @@
         test.enter_version_started(self.id, &self.endpoint, version, listed_start(start));
       }
       StartField::Nowhere | StartField::InReport => {
-        test.enter_version(self.id, &self.endpoint, version);
+        test.enter_version_without_start(self.id, &self.endpoint, version);
       }
     }
   }
