Ends that no further run checks are counted by the reason

What callers saw: nothing of it yet. An answer without framing may end early, and a further run that would show it is not always possible. E592 told that no run could check an end (`may_check: false`), not why, so it couldn't be seen whether the retry budget, the route's attempts, the slots or events without ids decide how many ends are believed.

E592 names the reason, and rillford_checks_total and rillford_checks_without_{attempt,order,retry,slot}_total count them. Ends that are known otherwise (framing, all tokens, the end of a check itself) count in none of them, nor do streams that may not be resumed or are quarantined.

No logic changes. Test: living_ends::ends_that_no_run_checks_are_counted_ by_the_reason (retry, attempt, order; slot has no test). living_ends, stream_ends, early_ends, answer_bounds, budget: 236 passed.

--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -137,7 +137,10 @@
   stray_answers::StrayAnswers,
   stream_key::StreamKey,
   stream_records::{RecordSource, RecordedOrigin, StreamOrigin, StreamRecords},
-  streams::{AnswerEnd, CheckedEnds, EarlyEnds, EndEvidence, EndVerdict, IdSteps, VersionIdSteps},
+  streams::{
+    AnswerEnd, CheckDenial, CheckedEnds, EarlyEnds, EndEvidence, EndVerdict, IdSteps,
+    VersionIdSteps,
+  },
   token_bucket::TokenBucket,
   unavailable::Unavailable,
   unframed_answers::{AnswerKind, UnframedAnswers},
--- a/src/gateway/decisions/streams/answer_end.rs
+++ b/src/gateway/decisions/streams/answer_end.rs
@@ -46,6 +46,11 @@
 }
 
 impl EndEvidence {
+  /// Whether only a further run could show what the end means.
+  pub(crate) fn is_to_be_checked(self) -> bool {
+    self.end != AnswerEnd::Framed && !self.has_all_tokens && !self.was_repeated
+  }
+
   /// What the end means. Without a sign to the contrary an end with the connection counts, since some services have no other.
   ///
   /// ```
@@ -66,7 +71,7 @@
   /// ```
   #[must_use]
   pub fn verdict(self) -> EndVerdict {
-    if self.end == AnswerEnd::Framed || self.has_all_tokens || self.was_repeated {
+    if !self.is_to_be_checked() {
       return EndVerdict::Complete;
     }
     if self.may_check {
--- /dev/null
+++ b/src/gateway/decisions/streams/check_denial.rs
@@ -0,0 +1,24 @@
+//! Why no further run checks the end of an answer.
+
+/// Why no further run checks the end of an answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum CheckDenial {
+  /// The request may run only once.
+  #[error("the stream may not be resumed")]
+  NotResumable,
+  /// The last event has no id after which another run could continue.
+  #[error("the last event has no id")]
+  NoOrder,
+  /// The request may be what crashes its engines.
+  #[error("the request is quarantined")]
+  Quarantined,
+  /// The route allows no further attempt.
+  #[error("no attempt left")]
+  NoAttempt,
+  /// The retry budget is spent, or the rest of it is kept for requests that have failed.
+  #[error("no retry left")]
+  NoRetry,
+  /// No engine of the stream's version has a free slot.
+  #[error("no free slot")]
+  NoSlot,
+}
--- a/src/gateway/requests/end_check.rs
+++ b/src/gateway/requests/end_check.rs
@@ -1,12 +1,12 @@
 //! Finds out whether the end of an engine's answer is the end of its stream.
 
 use {
-  super::stream_request::StreamRequest,
+  super::stream_request::{StreamFailure, StreamRequest},
   crate::{
     gateway::{
-      decisions::{AnswerEnd, EarlyEnds, EndEvidence, EndVerdict},
+      decisions::{AnswerEnd, CheckDenial, EarlyEnds, EndEvidence, EndVerdict},
       edge::SoftwareVersion,
-      stages::{ResponseHead, StageError, confirm_end},
+      stages::{ResponseHead, confirm_end},
       state::Gateway,
     },
     ids::Name,
@@ -57,6 +57,18 @@
     self.open.is_some()
   }
 
+  /// No engine responds with the run that was to check an end.
+  pub(super) fn record_failure(&self, gateway: &Gateway, failure: &StreamFailure) {
+    let denial = match failure {
+      StreamFailure::NoSlot => CheckDenial::NoSlot,
+      StreamFailure::NoRetry => CheckDenial::NoRetry,
+      StreamFailure::Failed(_) | StreamFailure::NotStreamed(_) => return,
+    };
+    if self.is_open() {
+      gateway.counters.count_check_denial(denial);
+    }
+  }
+
   /// The end that was to be checked, if it completes the stream although no run can check it.
   pub(super) fn complete_unchecked(&self) -> Option<AnswerEnd> {
     let open = self.open.as_ref().filter(|open| !open.is_run_lost)?;
@@ -91,11 +103,19 @@
     if received.end == AnswerEnd::Connection && !received.has_all_tokens {
       confirm_running(stream, head, received.events).await?;
     }
-    let evidence = self.evidence(stream, head, received);
+    let (evidence, denial) = self.evidence(stream, head, received);
     let verdict = evidence.verdict();
+    if evidence.is_to_be_checked() {
+      let counters = &stream.gateway.counters;
+      match denial {
+        Some(denial) => counters.count_check_denial(denial),
+        None => counters.checks.inc(),
+      }
+    }
     if evidence.end != AnswerEnd::Framed {
+      let unchecked = denial.map_or_else(String::new, |denial| format!(", not checked: {denial}"));
       log::info!(
-        "E592 end judged: {} after event {:?} at {} version {}, {verdict:?} by {evidence:?}",
+        "E592 end judged: {} after event {:?} at {} version {}, {verdict:?} by {evidence:?}{unchecked}",
         stream.request.id(),
         stream.last_event_id,
         head.entry.id,
@@ -128,25 +148,23 @@
     stream: &StreamRequest,
     head: &ResponseHead,
     received: Received,
-  ) -> EndEvidence {
+  ) -> (EndEvidence, Option<CheckDenial>) {
     let gateway = &stream.gateway;
     let (service, version) = (&head.entry.service, &head.entry.version);
     let ends = gateway.checked_ends.borrow();
     let early_ends = ends.early(service, version, gateway.now_ms());
-    let may_check = received.may_go_on
-      && !self.is_open()
-      && stream.may_continue_after(&StageError::Lost(String::new()))
-      && gateway.may_check_end(service, early_ends != EarlyEnds::None);
-    EndEvidence {
+    let denial = check_denial(stream, service, received, early_ends);
+    let evidence = EndEvidence {
       early_ends,
       end: received.end,
       has_all_tokens: received.has_all_tokens,
       is_empty_rest: received.is_empty_rest,
       may_be_resumed: stream.may_retry() && received.may_go_on,
-      may_check,
+      may_check: denial.is_none() && !self.is_open(),
       was_interrupted: self.was_interrupted,
       was_repeated: self.is_open(),
-    }
+    };
+    (evidence, denial)
   }
 
   fn resolve(&mut self, gateway: &Gateway, was_early: bool) {
@@ -165,6 +183,29 @@
   }
 }
 
+/// Why no further run may check an end; `None` if one may.
+fn check_denial(
+  stream: &StreamRequest,
+  service: &Name,
+  received: Received,
+  early_ends: EarlyEnds,
+) -> Option<CheckDenial> {
+  let gateway = &stream.gateway;
+  if !stream.may_retry() {
+    Some(CheckDenial::NotResumable)
+  } else if !received.may_go_on {
+    Some(CheckDenial::NoOrder)
+  } else if stream.request.is_blocked(gateway) {
+    Some(CheckDenial::Quarantined)
+  } else if !stream.has_attempts_left() {
+    Some(CheckDenial::NoAttempt)
+  } else if !gateway.may_check_end(service, early_ends != EarlyEnds::None) {
+    Some(CheckDenial::NoRetry)
+  } else {
+    None
+  }
+}
+
 /// Confirms that an engine runs after the end of its connection, before the request's deadline.
 async fn confirm_running(
   stream: &StreamRequest,
--- a/src/gateway/requests/event_relay.rs
+++ b/src/gateway/requests/event_relay.rs
@@ -575,9 +575,13 @@
         self.record_resumed(&interrupted_version);
         Ok(())
       }
-      Ok(Err(failure)) => Err(format!(
-        "no endpoint resumed the stream, {failure}, after: {error}"
-      )),
+      Ok(Err(failure)) => {
+        let gateway = &self.stream.gateway;
+        self.end_check.record_failure(gateway, &failure);
+        Err(format!(
+          "no endpoint resumed the stream, {failure}, after: {error}"
+        ))
+      }
       Err(_) => Err("deadline exceeded".into()),
     }
   }
--- a/src/gateway/state/counters.rs
+++ b/src/gateway/state/counters.rs
@@ -1,8 +1,11 @@
 //! Counters and latency histograms of a box, and their text format.
 
-use std::{
-  cell::{Cell, RefCell},
-  fmt::Write,
+use {
+  crate::gateway::decisions::CheckDenial,
+  std::{
+    cell::{Cell, RefCell},
+    fmt::Write,
+  },
 };
 
 /// Upper bounds of the latency histograms' buckets.
@@ -87,6 +90,12 @@
   pub(crate) ends_confirmed: Counter,
   /// Responses that ended with their connection, and whose endpoint had terminated or did not answer.
   pub(crate) ends_unconfirmed: Counter,
+  /// Ends that a further run was to check, and those that none could, by the reason.
+  pub(crate) checks: Counter,
+  pub(crate) checks_without_attempt: Counter,
+  pub(crate) checks_without_order: Counter,
+  pub(crate) checks_without_retry: Counter,
+  pub(crate) checks_without_slot: Counter,
   /// Endpoints that signalled in a response that they are leaving.
   pub(crate) leaving_notices: Counter,
   /// Backoffs that endpoints requested in a response.
@@ -146,6 +155,17 @@
 }
 
 impl Counters {
+  /// Counts an end that no further run checks. Streams that may not be resumed, or not now, are not counted.
+  pub(crate) fn count_check_denial(&self, denial: CheckDenial) {
+    match denial {
+      CheckDenial::NoAttempt => self.checks_without_attempt.inc(),
+      CheckDenial::NoOrder => self.checks_without_order.inc(),
+      CheckDenial::NoRetry => self.checks_without_retry.inc(),
+      CheckDenial::NoSlot => self.checks_without_slot.inc(),
+      CheckDenial::NotResumable | CheckDenial::Quarantined => {}
+    }
+  }
+
   /// The metrics as text, one line each.
   pub(crate) fn text(&self) -> String {
     let counters = [
@@ -173,6 +193,23 @@
       ),
       ("rillford_ends_confirmed_total", &self.ends_confirmed),
       ("rillford_ends_unconfirmed_total", &self.ends_unconfirmed),
+      ("rillford_checks_total", &self.checks),
+      (
+        "rillford_checks_without_attempt_total",
+        &self.checks_without_attempt,
+      ),
+      (
+        "rillford_checks_without_order_total",
+        &self.checks_without_order,
+      ),
+      (
+        "rillford_checks_without_retry_total",
+        &self.checks_without_retry,
+      ),
+      (
+        "rillford_checks_without_slot_total",
+        &self.checks_without_slot,
+      ),
       ("rillford_leaving_notices_total", &self.leaving_notices),
       ("rillford_pause_notices_total", &self.pause_notices),
       ("rillford_limit_notices_total", &self.limit_notices),
--- a/tests/gateway/living_ends.rs
+++ b/tests/gateway/living_ends.rs
@@ -192,3 +192,38 @@
   let response = fleet.ask("/resumable/a", 1).await;
   assert_eq!(response, broken_off(events(1..=INTERRUPTED_AFTER)));
 }
+
+/// An answer whose last event has no id.
+fn ends_without_id(seen: &ReceivedRequest) -> Reply {
+  unframed(seen, &(events(1..=1) + "data: last\n\n"))
+}
+
+fn ends_whole(seen: &ReceivedRequest) -> Reply {
+  unframed(seen, &rest(seen))
+}
+
+/// A stream whose first engine stops after an event, and whose second one brings the rest.
+fn is_interrupted(seen: &ReceivedRequest) -> Reply {
+  match last_event_id(seen) {
+    0 => Reply::WriteAndClose(Reply::stream_part(seen, &events(1..=1))),
+    _ => ends_whole(seen),
+  }
+}
+
+/// Guards against ends that no further run checks, and nothing tells why.
+#[rstest]
+#[case::no_retry(0.0, ends_whole, "retry")]
+#[case::no_attempt(ROOMY_RETRY_SLACK, is_interrupted, "attempt")]
+#[case::no_order(ROOMY_RETRY_SLACK, ends_without_id, "order")]
+#[tokio::test]
+async fn ends_that_no_run_checks_are_counted_by_the_reason(
+  #[case] retry_slack: f64,
+  #[case] script: fn(&ReceivedRequest) -> Reply,
+  #[case] reason: &str,
+) {
+  let fleet = Fleet::start_with_slack(script, retry_slack).await;
+  fleet.ask("/resumable/a", 1).await;
+  let denied = format!("rillford_checks_without_{reason}_total");
+  assert_eq!(fleet.gateway.metric(&denied).await, 1.0);
+  assert_eq!(fleet.gateway.metric("rillford_checks_total").await, 0.0);
+}
