Failing test: early end of a stream that its caller has resumed

What callers see: a stream that its caller has resumed is cut off in order between two events, by an answer without framing, at a box that has no retry for a check. It looks complete.

Fails each time: the box believes an unchecked end unless the same request was interrupted before, and the answers that the caller got before this request don't count.

Its counter-cases pass today and are to stay so: streams of a service without framing are complete where no retry is left, and one that its caller resumes is complete after its last event.

--- a/tests/gateway/living_ends.rs
+++ b/tests/gateway/living_ends.rs
@@ -57,6 +57,13 @@
     request.send(self.gateway.callers).await.finish().await
   }
 
+  /// Sends a caller's own resumption after an event.
+  async fn ask_after(&self, event: u64, number: u64) -> RawResponse {
+    let request = RawRequest::new("/resumable/a", &format!("r{number}"));
+    let request = request.header("last-event-id", &event.to_string());
+    request.send(self.gateway.callers).await.finish().await
+  }
+
   /// How often streams were sent to engines.
   fn sends(&self) -> usize {
     let requests = self.engines.iter().flat_map(EndpointStandIn::requests);
@@ -227,3 +234,36 @@
   assert_eq!(fleet.gateway.metric(&denied).await, 1.0);
   assert_eq!(fleet.gateway.metric("rillford_checks_total").await, 0.0);
 }
+
+/// Guards against an early end that looks complete in a stream that its caller has resumed, because the box has no retry for a check.
+#[tokio::test]
+async fn stream_that_its_caller_has_resumed_does_not_look_complete_where_no_retry_is_left() {
+  let script = |seen: &ReceivedRequest| match last_event_id(seen) {
+    last if last < INTERRUPTED_AFTER => unframed(seen, &events(last + 1..=INTERRUPTED_AFTER)),
+    _ => ends_whole(seen),
+  };
+  let fleet = Fleet::start_with_slack(script, 0.0).await;
+  let response = fleet.ask_after(1, 2).await;
+  assert_eq!(response, broken_off(events(2..=INTERRUPTED_AFTER)));
+}
+
+/// Guards against whole streams that are aborted because the box has no retry for a check of their ends.
+#[rstest]
+#[tokio::test]
+async fn streams_of_a_service_without_framing_are_complete_where_no_retry_is_left(
+  #[values("/stream/a", "/resumable/a")] path: &str,
+) {
+  let fleet = Fleet::start_with_slack(ends_whole, 0.0).await;
+  for number in 1..=UNFRAMED_STREAMS / 2 {
+    assert_eq!(fleet.ask(path, number).await, complete(whole()));
+  }
+}
+
+/// Guards against a stream of a service without framing that its caller resumes again and again, because no retry is left.
+#[tokio::test]
+async fn stream_that_its_caller_resumes_is_complete_after_its_last_event_where_no_retry_is_left() {
+  let fleet = Fleet::start_with_slack(ends_whole, 0.0).await;
+  let response = fleet.ask_after(1, 2).await;
+  assert_eq!(response.body, events(2..=EVENTS));
+  assert_eq!(fleet.ask_after(EVENTS, 3).await, complete(String::new()));
+}
