Unchecked ends of streams that their callers have resumed don't count

Cause: an end with the connection that no run can check is believed unless the stream was interrupted before, and "before" meant within the same request. A caller's resumption names the event it goes on after, so the interruption is known, but wasn't considered.

Fix: a caller's resumption counts as an interruption. Since the stream is then aborted without a check, such a check may use as much of the retry budget as a retry of a failed request, as is so already where ends of the version were early: without it, the caller sends a whole request more. A rest that is empty counts as before, so a caller who comes back after the last event of a sound stream is done.

Evidence: E592 of the failing test, `may_check: false`, "no retry left".

living_ends::stream_that_its_caller_has_resumed_does_not_look_complete_ where_no_retry_is_left failed before and passes. living_ends, stream_ends, early_ends, answer_bounds, unframed_ends, confirmed_ends, stream_framing, streams, resume, silent_engines, takeovers, budget: 567 passed, 0 failed.

--- a/src/gateway/decisions/streams/answer_end.rs
+++ b/src/gateway/decisions/streams/answer_end.rs
@@ -24,7 +24,7 @@
   pub is_empty_rest: bool,
   /// Whether a run before this one, which it checks, ended after the same event.
   pub was_repeated: bool,
-  /// Whether an answer of the same stream was interrupted, or ended early. Its caller may resume it, too.
+  /// Whether an answer of the same stream was interrupted, or ended early, or its caller has resumed it. Its caller may resume it, too.
   pub was_interrupted: bool,
   /// Whether a further run may continue after the last event.
   pub may_check: bool,
--- a/src/gateway/requests/end_check.rs
+++ b/src/gateway/requests/end_check.rs
@@ -152,18 +152,22 @@
     let gateway = &stream.gateway;
     let (service, version) = (&head.entry.service, &head.entry.version);
     let ends = gateway.checked_ends.borrow();
-    let early_ends = ends.early(service, version, gateway.now_ms());
-    let denial = check_denial(stream, service, received, early_ends);
-    let evidence = EndEvidence {
-      early_ends,
+    let was_resumed = stream.may_retry() && stream.request.attributes.last_event_id.is_some();
+    let unchecked = EndEvidence {
+      early_ends: ends.early(service, version, gateway.now_ms()),
       end: received.end,
       has_all_tokens: received.has_all_tokens,
       is_empty_rest: received.is_empty_rest,
       may_be_resumed: stream.may_retry() && received.may_go_on,
-      may_check: denial.is_none() && !self.is_open(),
-      was_interrupted: self.was_interrupted,
+      may_check: false,
+      was_interrupted: self.was_interrupted || was_resumed,
       was_repeated: self.is_open(),
     };
+    let denial = check_denial(stream, service, received, unchecked);
+    let evidence = EndEvidence {
+      may_check: denial.is_none() && !self.is_open(),
+      ..unchecked
+    };
     (evidence, denial)
   }
 
@@ -188,9 +192,11 @@
   stream: &StreamRequest,
   service: &Name,
   received: Received,
-  early_ends: EarlyEnds,
+  unchecked: EndEvidence,
 ) -> Option<CheckDenial> {
   let gateway = &stream.gateway;
+  let is_needed =
+    unchecked.early_ends != EarlyEnds::None || unchecked.verdict() == EndVerdict::Incomplete;
   if !stream.may_retry() {
     Some(CheckDenial::NotResumable)
   } else if !received.may_go_on {
@@ -199,7 +205,7 @@
     Some(CheckDenial::Quarantined)
   } else if !stream.has_attempts_left() {
     Some(CheckDenial::NoAttempt)
-  } else if !gateway.may_check_end(service, early_ends != EarlyEnds::None) {
+  } else if !gateway.may_check_end(service, is_needed) {
     Some(CheckDenial::NoRetry)
   } else {
     None
--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -660,11 +660,11 @@
     window.usage(allowance, boxes, now_ms)
   }
 
-  /// Whether the retry budget allows a retry that only shows whether a stream is complete. Where ends were early, that is as much
-  /// needed as a retry of a failed request.
-  pub(crate) fn may_check_end(&self, service: &Name, has_early_ends: bool) -> bool {
+  /// Whether the retry budget allows a retry that only shows whether a stream is complete. One that is needed, since ends were early
+  /// or the stream is aborted without it, may use as much as a retry of a failed request.
+  pub(crate) fn may_check_end(&self, service: &Name, is_needed: bool) -> bool {
     let usage = self.retry_usage(service);
-    match has_early_ends {
+    match is_needed {
       true => usage.has_retry_left(),
       false => usage.has_spare_retry(),
     }
