--- a/tests/gateway/living_ends.rs
+++ b/tests/gateway/living_ends.rs
@@ -15,6 +15,8 @@
 /// Retries of all boxes that allow each end of a test to be checked, and the usual ones.
 const ROOMY_RETRY_SLACK: f64 = 300.0;
 const RETRY_SLACK: f64 = 60.0;
+/// Retries of all boxes that leave a box one, and none to spare for a check that may be left out.
+const SCARCE_RETRY_SLACK: f64 = 22.5;
 /// Streams of a service that always ends them with their connection: more than the retry budget allows to check.
 const UNFRAMED_STREAMS: u64 = 40;
 
@@ -267,3 +269,10 @@
   assert_eq!(response.body, events(2..=EVENTS));
   assert_eq!(fleet.ask_after(EVENTS, 3).await, complete(String::new()));
 }
+
+/// Guards against a whole stream that is aborted for want of a check although the box has a retry left.
+#[tokio::test]
+async fn whole_stream_that_its_caller_has_resumed_is_complete_where_one_retry_is_left() {
+  let fleet = Fleet::start_with_slack(ends_whole, SCARCE_RETRY_SLACK).await;
+  assert_eq!(fleet.ask_after(1, 1).await, complete(events(2..=EVENTS)));
+}
