--- a/src/gateway/decisions/streams/answer_end.rs
+++ b/src/gateway/decisions/streams/answer_end.rs
@@ -24,7 +24,7 @@
   pub is_empty_rest: bool,
   /// Whether a run before this one, which it checks, ended after the same event.
   pub was_repeated: bool,
-  /// Whether an answer of the same stream was interrupted, or ended early. Its caller may resume it, too.
+  /// Whether an answer of the same stream was interrupted, or ended early, or its caller has resumed it. Its caller may resume it, too.
   pub was_interrupted: bool,
   /// Whether a further run may continue after the last event.
   pub may_check: bool,
@@ -46,6 +46,11 @@
 }
 
 impl EndEvidence {
+  /// Whether only a further run could show what the end means.
+  pub(crate) fn is_to_be_checked(self) -> bool {
+    self.end != AnswerEnd::Framed && !self.has_all_tokens && !self.was_repeated
+  }
+
   /// What the end means. Without a sign to the contrary an end with the connection counts, since some services have no other.
   ///
   /// ```
@@ -66,7 +71,7 @@
   /// ```
   #[must_use]
   pub fn verdict(self) -> EndVerdict {
-    if self.end == AnswerEnd::Framed || self.has_all_tokens || self.was_repeated {
+    if !self.is_to_be_checked() {
       return EndVerdict::Complete;
     }
     if self.may_check {
--- a/tests/gateway/living_ends.rs
+++ b/tests/gateway/living_ends.rs
@@ -15,6 +15,8 @@
 /// Retries of all boxes that allow each end of a test to be checked, and the usual ones.
 const ROOMY_RETRY_SLACK: f64 = 300.0;
 const RETRY_SLACK: f64 = 60.0;
+/// Retries of all boxes that leave a box one, and none to spare for a check that may be left out.
+const SCARCE_RETRY_SLACK: f64 = 22.5;
 /// Streams of a service that always ends them with their connection: more than the retry budget allows to check.
 const UNFRAMED_STREAMS: u64 = 40;
 
@@ -57,6 +59,13 @@
     request.send(self.gateway.callers).await.finish().await
   }
 
+  /// Sends a caller's own resumption after an event.
+  async fn ask_after(&self, event: u64, number: u64) -> RawResponse {
+    let request = RawRequest::new("/resumable/a", &format!("r{number}"));
+    let request = request.header("last-event-id", &event.to_string());
+    request.send(self.gateway.callers).await.finish().await
+  }
+
   /// How often streams were sent to engines.
   fn sends(&self) -> usize {
     let requests = self.engines.iter().flat_map(EndpointStandIn::requests);
@@ -192,3 +201,78 @@
   let response = fleet.ask("/resumable/a", 1).await;
   assert_eq!(response, broken_off(events(1..=INTERRUPTED_AFTER)));
 }
+
+/// An answer whose last event has no id.
+fn ends_without_id(seen: &ReceivedRequest) -> Reply {
+  unframed(seen, &(events(1..=1) + "data: last\n\n"))
+}
+
+fn ends_whole(seen: &ReceivedRequest) -> Reply {
+  unframed(seen, &rest(seen))
+}
+
+/// A stream whose first engine stops after an event, and whose second one brings the rest.
+fn is_interrupted(seen: &ReceivedRequest) -> Reply {
+  match last_event_id(seen) {
+    0 => Reply::WriteAndClose(Reply::stream_part(seen, &events(1..=1))),
+    _ => ends_whole(seen),
+  }
+}
+
+/// Guards against ends that no further run checks, and nothing tells why.
+#[rstest]
+#[case::no_retry(0.0, ends_whole, "retry")]
+#[case::no_attempt(ROOMY_RETRY_SLACK, is_interrupted, "attempt")]
+#[case::no_order(ROOMY_RETRY_SLACK, ends_without_id, "order")]
+#[tokio::test]
+async fn ends_that_no_run_checks_are_counted_by_the_reason(
+  #[case] retry_slack: f64,
+  #[case] script: fn(&ReceivedRequest) -> Reply,
+  #[case] reason: &str,
+) {
+  let fleet = Fleet::start_with_slack(script, retry_slack).await;
+  fleet.ask("/resumable/a", 1).await;
+  let denied = format!("rillford_checks_without_{reason}_total");
+  assert_eq!(fleet.gateway.metric(&denied).await, 1.0);
+  assert_eq!(fleet.gateway.metric("rillford_checks_total").await, 0.0);
+}
+
+/// Guards against an early end that looks complete in a stream that its caller has resumed, because the box has no retry for a check.
+#[tokio::test]
+async fn stream_that_its_caller_has_resumed_does_not_look_complete_where_no_retry_is_left() {
+  let script = |seen: &ReceivedRequest| match last_event_id(seen) {
+    last if last < INTERRUPTED_AFTER => unframed(seen, &events(last + 1..=INTERRUPTED_AFTER)),
+    _ => ends_whole(seen),
+  };
+  let fleet = Fleet::start_with_slack(script, 0.0).await;
+  let response = fleet.ask_after(1, 2).await;
+  assert_eq!(response, broken_off(events(2..=INTERRUPTED_AFTER)));
+}
+
+/// Guards against whole streams that are aborted because the box has no retry for a check of their ends.
+#[rstest]
+#[tokio::test]
+async fn streams_of_a_service_without_framing_are_complete_where_no_retry_is_left(
+  #[values("/stream/a", "/resumable/a")] path: &str,
+) {
+  let fleet = Fleet::start_with_slack(ends_whole, 0.0).await;
+  for number in 1..=UNFRAMED_STREAMS / 2 {
+    assert_eq!(fleet.ask(path, number).await, complete(whole()));
+  }
+}
+
+/// Guards against a stream of a service without framing that its caller resumes again and again, because no retry is left.
+#[tokio::test]
+async fn stream_that_its_caller_resumes_is_complete_after_its_last_event_where_no_retry_is_left() {
+  let fleet = Fleet::start_with_slack(ends_whole, 0.0).await;
+  let response = fleet.ask_after(1, 2).await;
+  assert_eq!(response.body, events(2..=EVENTS));
+  assert_eq!(fleet.ask_after(EVENTS, 3).await, complete(String::new()));
+}
+
+/// Guards against a whole stream that is aborted for want of a check although the box has a retry left.
+#[tokio::test]
+async fn whole_stream_that_its_caller_has_resumed_is_complete_where_one_retry_is_left() {
+  let fleet = Fleet::start_with_slack(ends_whole, SCARCE_RETRY_SLACK).await;
+  assert_eq!(fleet.ask_after(1, 1).await, complete(events(2..=EVENTS)));
+}
