--- a/src/gateway/requests/end_check.rs
+++ b/src/gateway/requests/end_check.rs
@@ -62,7 +62,9 @@
     let denial = match failure {
       StreamFailure::NoSlot => CheckDenial::NoSlot,
       StreamFailure::NoRetry => CheckDenial::NoRetry,
-      StreamFailure::Failed(_) | StreamFailure::NotStreamed(_) => return,
+      StreamFailure::Failed(_) | StreamFailure::NotStreamed(_) | StreamFailure::VersionUnknown => {
+        return;
+      }
     };
     if self.is_open() {
       gateway.counters.count_check_denial(denial);
--- a/src/gateway/requests/event_relay.rs
+++ b/src/gateway/requests/event_relay.rs
@@ -578,10 +578,8 @@
       return Err(format!("no attempt left after: {error}"));
     }
     let resumed = timeout(Duration::from_millis(remaining_ms), async {
-      let settled = self.stream.settle_version().await;
-      settled.map_err(|failure| failure.to_string())?;
-      let begun = self.stream.begin().await;
-      begun.map_err(|failure| failure.to_string())
+      self.stream.settle_version().await?;
+      self.stream.begin().await
     });
     match resumed.await {
       Ok(Ok(head)) => {
--- a/src/gateway/requests/stream.rs
+++ b/src/gateway/requests/stream.rs
@@ -85,7 +85,7 @@
     _ if lacks_version(gateway, request) => LocalReply::NotRun {
       retry_after_ms: RETRY_AFTER_NO_ENDPOINT_MS,
     },
-    StreamFailure::NoRetry | StreamFailure::Failed(_) => {
+    StreamFailure::NoRetry | StreamFailure::VersionUnknown | StreamFailure::Failed(_) => {
       not_run(gateway, request, RETRY_AFTER_FULL_MS)
     }
     StreamFailure::NoSlot => {
--- a/src/gateway/requests/stream_request.rs
+++ b/src/gateway/requests/stream_request.rs
@@ -32,6 +32,8 @@
   NoSlot,
   /// The retry budget is spent.
   NoRetry,
+  /// The version that began the stream will not be known: its engine's process may have ended.
+  VersionUnknown,
   /// The last attempt has failed.
   Failed(StageError),
   /// An endpoint's response is not a stream.
@@ -43,6 +45,7 @@
     match self {
       Self::NoSlot => formatter.write_str("no free slot"),
       Self::NoRetry => formatter.write_str("no retry left"),
+      Self::VersionUnknown => formatter.write_str("version that began the stream is not known"),
       Self::Failed(error) => write!(formatter, "last attempt failed: {error}"),
       Self::NotStreamed(head) => write!(formatter, "status {}", head.status),
     }
--- a/src/gateway/requests/stream_version.rs
+++ b/src/gateway/requests/stream_version.rs
@@ -1,7 +1,7 @@
 //! The version at which a stream goes on: that of the process that began it, at engines whose processes are known to have it.
 
 use {
-  super::stream_request::StreamRequest,
+  super::stream_request::{StreamFailure, StreamRequest},
   crate::{
     decide::Role,
     gateway::{
@@ -22,11 +22,6 @@
 /// Engines that are connected to at the same time when none is observed.
 const MAX_CONNECTED: usize = 2;
 
-/// The version that began a stream will not be known: its engine's process may have ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
-#[error("version that began the stream is not known")]
-pub(crate) struct VersionUnknown;
-
 impl StreamRequest {
   /// A response has begun, whose engine began the stream unless another one did.
   pub(super) fn record_beginning(&mut self, head: &mut ResponseHead) {
@@ -44,7 +39,7 @@
   }
 
   /// Waits until the version that began the stream is known. A stream that has not begun goes on at any.
-  pub(super) async fn settle_version(&mut self) -> Result<(), VersionUnknown> {
+  pub(super) async fn settle_version(&mut self) -> Result<(), StreamFailure> {
     let Some(process) = self.began_at.clone().filter(|_| self.version.is_none()) else {
       return Ok(());
     };
@@ -57,7 +52,7 @@
         return Ok(());
       }
       if !process.is_observed() || !self.may_wait(until_ms) {
-        return Err(VersionUnknown);
+        return Err(StreamFailure::VersionUnknown);
       }
       sleep(CHECK_INTERVAL).await;
     }
--- a/src/gateway/requests/takeover.rs
+++ b/src/gateway/requests/takeover.rs
@@ -2,10 +2,7 @@
 //! goes on with the stream if it continues before that.
 
 use {
-  super::{
-    stream_request::{StreamFailure, StreamRequest},
-    stream_version::VersionUnknown,
-  },
+  super::stream_request::{StreamFailure, StreamRequest},
   crate::gateway::{
     edge::RouteTable,
     quarantine::{LostStage, record_lost_stage, record_silent_stage},
@@ -24,8 +21,6 @@
   Blocked,
   /// The route allows no further attempt.
   NoAttempt,
-  /// The version that began the stream is not known.
-  VersionUnknown(VersionUnknown),
   /// The silent engine went on first.
   WentOn,
   /// No other engine has responded with the stream.
@@ -38,7 +33,6 @@
       Self::Disabled => formatter.write_str("takeovers are disabled"),
       Self::Blocked => formatter.write_str("request is quarantined"),
       Self::NoAttempt => formatter.write_str("no attempt left"),
-      Self::VersionUnknown(error) => error.fmt(formatter),
       Self::WentOn => formatter.write_str("it went on"),
       Self::Failed(failure) => failure.fmt(formatter),
     }
@@ -122,10 +116,7 @@
       if !self.has_attempts_left() {
         return Err(NoTakeover::NoAttempt);
       }
-      self
-        .settle_version()
-        .await
-        .map_err(NoTakeover::VersionUnknown)?;
+      self.settle_version().await.map_err(NoTakeover::Failed)?;
       let Some(charge) = self.take_charge() else {
         return Err(NoTakeover::Failed(StreamFailure::NoRetry));
       };
