A pending version: outages, listings and late views prove nothing; callers' resumptions wait for it

- an entry that a listing repeats counted as written: only a higher revision does now;
- the view of the store counted as of the time at which a call returned, not at which it was made;
- processes of removed entries were kept, a request that is sent again under its id kept the origin of its first run;
- a stream without events was bound to a version; the box connected to the same two engines again and again; connections whose bytes had just been read counted as unread;

--- a/src/gateway/connections/connection.rs
+++ b/src/gateway/connections/connection.rs
@@ -2,7 +2,9 @@
 
 use {
   super::{
-    addressed_request::AddressedRequest, observed_stream::ObservedStream, recent_ids::RecentIds,
+    addressed_request::AddressedRequest,
+    observed_stream::{ObservedStream, clock_ms},
+    recent_ids::RecentIds,
   },
   crate::{
     gateway::decisions::{ConnectionState, ObservedProcess},
@@ -114,7 +116,7 @@
         .set_recv_buffer_size(bytes)
         .map_err(|error| unsent(&error))?;
     }
-    let state = Rc::<ConnectionState>::default();
+    let state = Rc::new(ConnectionState::new(clock_ms));
     let stream = ObservedStream::new(stream, &state);
     let (sender, connection) = http1::Builder::new()
       .max_buf_size(BUFFER_BYTES)
--- a/src/gateway/connections/observed_stream.rs
+++ b/src/gateway/connections/observed_stream.rs
@@ -6,7 +6,9 @@
     io::{self, IoSlice},
     pin::Pin,
     rc::Rc,
+    sync::LazyLock,
     task::{Context, Poll, ready},
+    time::Instant,
   },
   tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
@@ -14,6 +16,12 @@
   },
 };
 
+/// A steady clock, in ms since its first use.
+pub(super) fn clock_ms() -> u64 {
+  static START: LazyLock<Instant> = LazyLock::new(Instant::now);
+  u64::try_from(START.elapsed().as_millis()).unwrap_or(u64::MAX)
+}
+
 /// A connection's socket. Its state shows whether the end of the connection would be noticed.
 pub(super) struct ObservedStream {
   stream: TcpStream,
--- a/src/gateway/decisions/endpoint_registry.rs
+++ b/src/gateway/decisions/endpoint_registry.rs
@@ -87,7 +87,9 @@
   pub fn put(&mut self, entry: EndpointEntry) {
     self.versions.add(&entry.service, &entry.version);
     let former = self.endpoints.get(&entry.id).map(|former| &former.entry);
-    self.processes.record_entry(former, &entry);
+    if let Some(former) = former {
+      self.processes.replace_entry(former, &entry);
+    }
     if lists_prefill_engine(former) || lists_prefill_engine(Some(&entry)) {
       let is_same = former.is_some_and(|former| has_same_prefill_engine(former, &entry));
       self.prefill_revision += u64::from(!is_same);
@@ -114,6 +116,7 @@
   pub fn remove(&mut self, id: &str) {
     if let Some(EndpointState { entry, .. }) = self.endpoints.remove(id) {
       self.versions.remove(&entry.service, &entry.version);
+      self.processes.remove(id);
       self.prefill_revision += u64::from(lists_prefill_engine(Some(&entry)));
     }
   }
@@ -174,6 +177,18 @@
     &mut self.versions
   }
 
+  /// A listed endpoint's entry was written after a time, on the box's clock.
+  pub fn record_entry_write(&mut self, id: &str, after_ms: u64) {
+    if let Some(endpoint) = self.endpoints.get(id) {
+      self.processes.record_write(&endpoint.entry, after_ms);
+    }
+  }
+
+  /// The time until which the box's view of the store includes all changes.
+  pub fn viewed_ms(&self) -> u64 {
+    self.processes.viewed_ms()
+  }
+
   /// The box's view of the store includes all changes until a time.
   pub fn set_viewed(&mut self, viewed_ms: u64) {
     self.processes.set_viewed(viewed_ms);
@@ -209,9 +224,7 @@
     process: &ObservedProcess,
     now_ms: u64,
   ) -> VersionEvidence {
-    if let Some(listed) = self.entry(&entry.id) {
-      self.processes.settle(listed);
-    }
+    self.settle_version(&entry.id);
     if process.version() == Some(&entry.version) {
       return VersionEvidence::Observed;
     }
@@ -227,7 +240,15 @@
 
   /// Learns the versions of the processes that were observed for long enough.
   pub fn settle_versions(&self) {
-    for endpoint in self.endpoints.values() {
+    for id in self.processes.with_unknown_version() {
+      self.settle_version(id);
+    }
+  }
+
+  /// The same at one endpoint. An entry that was missing after an outage of the store tells nothing.
+  fn settle_version(&self, id: &str) {
+    let endpoint = self.endpoints.get(id);
+    if let Some(endpoint) = endpoint.filter(|endpoint| endpoint.lapses_at_ms.is_none()) {
       self.processes.settle(&endpoint.entry);
     }
   }
@@ -416,6 +437,7 @@
 
   /// Whether a listed endpoint's process has, or can confirm, the version of the entry.
   pub fn is_version_known(&self, entry: &EndpointEntry) -> bool {
+    self.settle_version(&entry.id);
     entry.confirms_start() || self.processes.is_version_known(entry)
   }
 
@@ -634,6 +656,9 @@
   /// Sets the start of the uninterrupted contact with the store; `None` when it is lost.
   pub fn set_store_connected_since(&mut self, since_ms: Option<u64>) {
     self.store_connected_since_ms = since_ms;
+    if let Some(since_ms) = since_ms {
+      self.processes.set_connected_since(since_ms);
+    }
   }
 
   /// Evicts expired notices and limits; returns the endpoints that are readmitted although they signalled that they leave.
--- a/src/gateway/decisions/processes/endpoint_processes.rs
+++ b/src/gateway/decisions/processes/endpoint_processes.rs
@@ -6,7 +6,7 @@
   std::{collections::HashMap, rc::Rc},
 };
 
-/// Delay until a change of the store is in the view that a box takes for current.
+/// Delay until a change of the store reaches a box that waits for it.
 pub const VIEW_DELAY_MS: u64 = 200;
 /// Heartbeats after a process's start until the listed entry is its own: one write of the entry may fail.
 const ENTRY_HEARTBEATS: u64 = 2;
@@ -31,7 +31,7 @@
 ///   started_ms: None,
 ///   version: SoftwareVersion::new("v1"),
 /// };
-/// let connection = Rc::new(ConnectionState::default());
+/// let connection = Rc::new(ConnectionState::new(|| 0));
 /// let mut processes = EndpointProcesses::new(1_000);
 /// let process = processes.connect(&entry, &connection, 0);
 /// processes.set_viewed(1_999);
@@ -49,6 +49,8 @@
   entry_lag_ms: u64,
   /// The box's view of the store includes all changes until then.
   viewed_ms: u64,
+  /// Start of the uninterrupted contact with the store: an entry may have lagged for longer before.
+  connected_since_ms: u64,
 }
 
 impl EndpointProcesses {
@@ -56,6 +58,7 @@
   pub fn new(heartbeat_ms: u64) -> Self {
     Self {
       by_endpoint: HashMap::new(),
+      connected_since_ms: 0,
       entry_lag_ms: ENTRY_HEARTBEATS * heartbeat_ms,
       viewed_ms: 0,
     }
@@ -66,6 +69,16 @@
     self.viewed_ms = viewed_ms;
   }
 
+  /// Uninterrupted contact with the store began at a time.
+  pub fn set_connected_since(&mut self, since_ms: u64) {
+    self.connected_since_ms = since_ms;
+  }
+
+  /// The time until which the box's view of the store includes all changes.
+  pub fn viewed_ms(&self) -> u64 {
+    self.viewed_ms
+  }
+
   /// A connection to a listed endpoint was opened. It leads to the process that is observed there, or to another one if none is.
   pub fn connect(
     &mut self,
@@ -84,34 +97,36 @@
     process
   }
 
-  /// An endpoint's entry was written; `former` is the entry before.
-  pub fn record_entry(&mut self, former: Option<&EndpointEntry>, entry: &EndpointEntry) {
-    if let Some(former) = former {
-      self.settle(former);
-    }
+  /// An entry replaces another one of the same endpoint.
+  pub fn replace_entry(&mut self, former: &EndpointEntry, entry: &EndpointEntry) {
+    self.settle(former);
     let Some(processes) = self.by_endpoint.get_mut(&entry.id) else {
       return;
     };
-    let is_there = former
-      .is_none_or(|former| former.address == entry.address && former.service == entry.service);
+    let is_there = former.address == entry.address && former.service == entry.service;
     // A process keeps its version: another one has written the entry.
-    let is_its_own = |process: &Rc<ObservedProcess>| {
+    processes.retain(|process| {
       let version = process.version();
       is_there && version.is_none_or(|version| *version == entry.version)
-    };
-    processes.retain(is_its_own);
-    let viewed_ms = self.viewed_ms;
-    let observed = processes.iter().filter(|process| process.is_observed());
-    for process in observed {
-      if process.since_ms() + VIEW_DELAY_MS <= viewed_ms {
+    });
+  }
+
+  /// A listed endpoint's entry was written after a time.
+  pub fn record_write(&mut self, entry: &EndpointEntry, after_ms: u64) {
+    for process in self.observed(entry) {
+      if process.since_ms() <= after_ms {
         process.set_version(&entry.version);
       }
     }
   }
 
+  /// An endpoint is no longer listed.
+  pub fn remove(&mut self, id: &str) {
+    self.by_endpoint.remove(id);
+  }
+
   /// Whether a process is observed at a listed endpoint, and has the version of the entry.
   pub fn is_version_known(&self, entry: &EndpointEntry) -> bool {
-    self.settle(entry);
     let mut observed = self.observed(entry);
     observed.any(|process| process.version() == Some(&entry.version))
   }
@@ -138,6 +153,15 @@
     }
   }
 
+  /// The endpoints that have a process whose version is not known.
+  pub fn with_unknown_version(&self) -> impl Iterator<Item = &Name> {
+    let unknown = self
+      .by_endpoint
+      .iter()
+      .filter(|(_, processes)| processes.iter().any(|process| process.version().is_none()));
+    unknown.map(|(id, _)| id)
+  }
+
   /// When the box's view of the store has to be updated for the version of a further process to be known.
   pub fn next_settle_ms(&self) -> Option<u64> {
     let processes = self.by_endpoint.values().flatten();
@@ -146,7 +170,7 @@
   }
 
   fn known_from_ms(&self, process: &ObservedProcess) -> u64 {
-    process.since_ms() + self.entry_lag_ms
+    process.since_ms().max(self.connected_since_ms) + self.entry_lag_ms
   }
 
   fn observed(&self, entry: &EndpointEntry) -> impl Iterator<Item = &Rc<ObservedProcess>> {
--- a/src/gateway/decisions/processes/observed_process.rs
+++ b/src/gateway/decisions/processes/observed_process.rs
@@ -15,7 +15,7 @@
 /// use rillford::gateway::{ConnectionState, ObservedProcess};
 /// use std::rc::Rc;
 /// let process = ObservedProcess::since(1_000);
-/// let connection = Rc::new(ConnectionState::default());
+/// let connection = Rc::new(ConnectionState::new(|| 0));
 /// process.add(&connection);
 /// assert!(process.is_observed());
 /// connection.record_end();
--- a/src/gateway/decisions/stream_records.rs
+++ b/src/gateway/decisions/stream_records.rs
@@ -127,7 +127,7 @@
     );
   }
 
-  /// Records a stream that this box began at a process whose version is not known yet, unless the stream has a record.
+  /// Records a stream that this box began at a process whose version is not known yet. One that began elsewhere before is ambiguous.
   pub fn record_pending(
     &mut self,
     key: StreamKey,
@@ -135,7 +135,11 @@
     process: &Rc<ObservedProcess>,
     expires_ms: u64,
   ) {
-    if self.by_key.contains_key(&key) {
+    if let Some(known) = self.by_key.get_mut(&key) {
+      let is_same = matches!(&known.origin, OriginState::Pending { process: began_at, .. } if Rc::ptr_eq(began_at, process));
+      if !is_same {
+        known.origin = OriginState::Ambiguous;
+      }
       return;
     }
     let origin = OriginState::Pending {
--- a/src/gateway/membership/store_sync.rs
+++ b/src/gateway/membership/store_sync.rs
@@ -23,6 +23,8 @@
 const WATCH_WAIT: Duration = Duration::from_millis(2_500);
 /// How long a watch call waits in a large deployment: its return is the proof of contact that followers depend on.
 const SHORT_WATCH_WAIT: Duration = Duration::from_millis(500);
+/// How long a watch call waits at least.
+const MIN_WATCH_WAIT: Duration = Duration::from_millis(100);
 /// Pause of a fallback reader between watch calls, which batches changes into one call and one response to each follower.
 const READER_PAUSE: Duration = Duration::from_millis(150);
 /// The same for any other box that reads the store itself for now: there may be many of them.
@@ -134,6 +136,7 @@
   /// Lists the store; returns the revision to watch from.
   async fn list(&mut self) -> Option<u64> {
     let known_revision = self.gateway.change_log.latest_revision();
+    self.view.expect_changes(self.gateway.now_ms());
     let listing = self.list_pages(known_revision).await?;
     let revision = listing.revision()?;
     let removed = self.view.missing_from(&listing, revision);
@@ -284,6 +287,7 @@
         let until_ms = self.gateway.now_ms() + HELPER_MS;
         self.helper = Some((address, until_ms));
         self.view.record_contact(age_ms);
+        self.expect_relayed(age_ms);
         return Some(changes);
       }
     }
@@ -351,11 +355,7 @@
     match self.store.changes(revision, wait).await {
       Ok(changes) => {
         self.view.record_contact(0);
-        let waited_ms = self.gateway.now_ms() - called_ms;
-        if waited_ms > VIEW_DELAY_MS {
-          // A call that waits returns with the first change.
-          self.view.record_applied();
-        }
+        self.expect(&changes, called_ms, wait);
         Some(changes)
       }
       Err(error) => {
@@ -365,6 +365,27 @@
     }
   }
 
+  /// Records when the changes of a watch call were made. A call that waits returns with the first one, or with none at its end.
+  fn expect(&mut self, changes: &StoreChanges, called_ms: u64, wait: Duration) {
+    let has_waited = self.gateway.now_ms() > called_ms + VIEW_DELAY_MS;
+    let is_empty = matches!(changes, StoreChanges::Some { items, .. } if items.is_empty());
+    let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+    match (is_empty, has_waited) {
+      (true, _) => {
+        let until_ms = self.gateway.now_ms().min(called_ms + wait_ms);
+        self.view.expect_changes(until_ms);
+      }
+      (false, true) => self.view.expect_new_changes(called_ms),
+      (false, false) => self.view.expect_changes(called_ms),
+    }
+  }
+
+  /// Records when changes were made that another box relays, whose contact with the store was `age_ms` ago.
+  fn expect_relayed(&mut self, age_ms: u64) {
+    let until_ms = self.gateway.now_ms().saturating_sub(age_ms + VIEW_DELAY_MS);
+    self.view.expect_changes(until_ms);
+  }
+
   /// How long a watch call waits: until its return shows the version of an endpoint's process, if that is sooner.
   fn watch_wait(&self) -> Duration {
     let next_ms = self.gateway.endpoints.borrow().next_settle_ms();
@@ -372,7 +393,7 @@
       return WATCH_WAIT;
     };
     let wait_ms = next_ms.saturating_sub(self.gateway.now_ms());
-    Duration::from_millis(wait_ms).clamp(SHORT_WATCH_WAIT, WATCH_WAIT)
+    Duration::from_millis(wait_ms).clamp(MIN_WATCH_WAIT, WATCH_WAIT)
   }
 
   /// Polls a reader; `None` when it fails or has no recent store contact.
@@ -386,6 +407,7 @@
     };
     self.failed_readers = 0;
     self.view.record_contact(age_ms);
+    self.expect_relayed(age_ms);
     Some(changes)
   }
 }
--- a/src/gateway/membership/store_view.rs
+++ b/src/gateway/membership/store_view.rs
@@ -4,14 +4,16 @@
   super::listing::Listing,
   crate::{
     gateway::{
-      decisions::{HallDrainChange, QuarantineKey, QuarantineStrategy, ServiceVersion},
+      decisions::{
+        HallDrainChange, QuarantineKey, QuarantineStrategy, ServiceVersion, VIEW_DELAY_MS,
+      },
       edge::{EndpointEntry, RouteTable, StoreError, StoreItem, StoreKey},
       quarantine::mark_age_ms,
       state::Gateway,
     },
     ids::Name,
   },
-  std::rc::Rc,
+  std::{cell::RefCell, collections::HashMap, rc::Rc},
 };
 
 /// Entries whose leases expired during an outage of the store are back within this time of its return.
@@ -26,14 +28,29 @@
   is_failing: bool,
   /// Until then a removed entry may have lapsed during an outage of the store.
   lapse_until_ms: u64,
+  /// When the changes that are applied now were made.
+  period: ChangePeriod,
+  /// The revisions of the endpoints' entries.
+  entry_revisions: RefCell<HashMap<Name, u64>>,
+}
+
+/// When changes of the store were made, on the box's clock.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct ChangePeriod {
+  /// Not before.
+  pub(super) after_ms: u64,
+  /// Those until then are complete.
+  pub(super) until_ms: u64,
 }
 
 impl StoreView {
   pub(super) fn new(gateway: Rc<Gateway>) -> Self {
     Self {
       gateway,
+      entry_revisions: RefCell::default(),
       is_failing: false,
       lapse_until_ms: 0,
+      period: ChangePeriod::default(),
     }
   }
 
@@ -56,11 +73,23 @@
     self.is_failing = false;
   }
 
-  /// Records that all changes until the last contact were applied.
+  /// Changes follow that are complete until a time, and were made after the ones before.
+  pub(super) fn expect_changes(&mut self, until_ms: u64) {
+    let after_ms = self.gateway.endpoints.borrow().viewed_ms();
+    self.period = ChangePeriod { after_ms, until_ms };
+  }
+
+  /// Changes follow that were made at this moment.
+  pub(super) fn expect_new_changes(&mut self, until_ms: u64) {
+    let after_ms = self.gateway.now_ms().saturating_sub(VIEW_DELAY_MS);
+    self.period = ChangePeriod { after_ms, until_ms };
+  }
+
+  /// The expected changes were applied.
   pub(super) fn record_applied(&self) {
-    if let Some(contact_ms) = self.gateway.store_contact_ms.get() {
-      self.gateway.endpoints.borrow_mut().set_viewed(contact_ms);
-    }
+    let mut endpoints = self.gateway.endpoints.borrow_mut();
+    let viewed_ms = endpoints.viewed_ms().max(self.period.until_ms);
+    endpoints.set_viewed(viewed_ms);
   }
 
   pub(super) fn record_failure(&mut self, step: &str, error: &StoreError) {
@@ -198,6 +227,9 @@
           self.gateway.pool.close(id);
         }
         endpoints.put(entry.clone());
+        if self.is_newer(&entry.id, revision) {
+          endpoints.record_entry_write(id, self.period.after_ms);
+        }
         drop(endpoints);
         self.gateway.record_cold(&entry, entry.cold_ms);
       }
@@ -207,6 +239,13 @@
     }
   }
 
+  /// Whether an entry was written since it was last applied, or is new.
+  fn is_newer(&self, id: &Name, revision: u64) -> bool {
+    let mut revisions = self.entry_revisions.borrow_mut();
+    let before = revisions.insert(id.clone(), revision);
+    before.is_none_or(|before| revision > before)
+  }
+
   fn put_box(&self, name: Name, value: &[u8], revision: u64) {
     match postcard::from_bytes(value) {
       Ok(entry) => {
@@ -276,6 +315,7 @@
       endpoints.mark_lapsed(id, self.lapse_until_ms);
     } else {
       endpoints.remove(id);
+      self.entry_revisions.borrow_mut().remove(id);
       self.gateway.pool.close(id);
     }
   }
--- a/src/gateway/requests/event_relay.rs
+++ b/src/gateway/requests/event_relay.rs
@@ -65,6 +65,8 @@
 /// Forwards the events of a stream, and resumes it at another engine when it is interrupted.
 pub(crate) struct EventRelay {
   stream: StreamRequest,
+  /// The version in the entry of the engine that answered first.
+  listed_version: SoftwareVersion,
   head: Option<ResponseHead>,
   splitter: EventSplitter,
   order: EventOrder,
@@ -94,6 +96,7 @@
 impl EventRelay {
   pub(crate) fn new(mut stream: StreamRequest, mut head: ResponseHead) -> Self {
     stream.record_beginning(&mut head);
+    let listed_version = head.entry.version.clone();
     // Another stream begins anew, whatever its caller names.
     let continues_after = stream.last_event_id.filter(|_| stream.may_retry());
     let order = EventOrder::new(continues_after, id_steps(&stream.gateway, &head.entry));
@@ -108,6 +111,7 @@
       is_overdue: false,
       last_event_ms: None,
       late: LateBytes::default(),
+      listed_version,
       longest_pause_ms: 0,
       not_forwarded: 0,
       order,
@@ -336,7 +340,8 @@
   }
 
   /// Goes on with the response of another engine, after the last complete event; the connection to the former one is closed.
-  fn replace_head(&mut self, head: ResponseHead) {
+  fn replace_head(&mut self, mut head: ResponseHead) {
+    self.stream.record_beginning(&mut head);
     let former = self.head.replace(head);
     self.end_check.record_lost_run();
     self.discard_partial_event();
@@ -524,11 +529,9 @@
     let StreamRequest {
       gateway, request, ..
     } = &self.stream;
-    let listed = self.head.as_ref().map(|head| &head.entry.version);
-    let version = self.stream.version.as_ref().or(listed);
-    if let (Some(version), Some(has_skipped)) = (version, self.order.has_skipped_ids()) {
+    if let Some(has_skipped) = self.order.has_skipped_ids() {
       let mut steps = gateway.id_steps.borrow_mut();
-      steps.record(&request.service, version, has_skipped);
+      steps.record(&request.service, &self.listed_version, has_skipped);
     }
   }
 
@@ -582,7 +585,8 @@
       self.stream.begin().await
     });
     match resumed.await {
-      Ok(Ok(head)) => {
+      Ok(Ok(mut head)) => {
+        self.stream.record_beginning(&mut head);
         self.head = Some(head);
         self.record_resumed(&interrupted_version);
         Ok(())
--- a/src/gateway/requests/stream_request.rs
+++ b/src/gateway/requests/stream_request.rs
@@ -360,6 +360,15 @@
   }
 }
 
+impl Drop for StreamRequest {
+  fn drop(&mut self) {
+    // Its caller may resume the stream before the version of the process is known.
+    if let Some(beside) = self.beside.take() {
+      self.gateway.keep_unused(*beside);
+    }
+  }
+}
+
 /// A request that is to be sent to an endpoint, with what was secured for it.
 struct OutgoingStream<'a> {
   entry: &'a EndpointEntry,
--- a/src/gateway/requests/stream_version.rs
+++ b/src/gateway/requests/stream_version.rs
@@ -19,8 +19,9 @@
 const MAX_HEARTBEATS: u64 = 3;
 /// Interval at which it is checked whether a version is known.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// Engines that are connected to at the same time when none is observed.
+/// Engines that are connected to at the same time when none is observed, and how often others are tried.
 const MAX_CONNECTED: usize = 2;
+const MAX_ROUNDS: u32 = 3;
 
 impl StreamRequest {
   /// A response has begun, whose engine began the stream unless another one did.
@@ -40,6 +41,9 @@
 
   /// Waits until the version that began the stream is known. A stream that has not begun goes on at any.
   pub(super) async fn settle_version(&mut self) -> Result<(), StreamFailure> {
+    if self.last_event_id.is_none() {
+      self.began_at = None;
+    }
     let Some(process) = self.began_at.clone().filter(|_| self.version.is_none()) else {
       return Ok(());
     };
@@ -61,7 +65,7 @@
   /// Waits until the version of an engine is known that may go on with the stream, unless there is none of the stream's version.
   pub(super) async fn await_known_engine(&self, role: Option<Role>) {
     let until_ms = self.known_until_ms();
-    let mut has_connected = false;
+    let mut rounds = 0;
     loop {
       let unknown = self.engines_of_unknown_version(role);
       if unknown.is_empty() || !self.may_wait(until_ms) {
@@ -71,9 +75,15 @@
         let endpoints = self.gateway.endpoints.borrow();
         unknown.iter().any(|entry| endpoints.is_observed(entry))
       };
-      if !is_observed && !std::mem::replace(&mut has_connected, true) {
-        let connected = unknown.iter().take(MAX_CONNECTED);
-        join_all(connected.map(|entry| observe_endpoint(&self.gateway, entry))).await;
+      if !is_observed && rounds < MAX_ROUNDS {
+        rounds += 1;
+        let first = (self.gateway.draw() * unknown.len() as f64) as usize;
+        let drawn = unknown
+          .iter()
+          .cycle()
+          .skip(first)
+          .take(MAX_CONNECTED.min(unknown.len()));
+        join_all(drawn.map(|entry| observe_endpoint(&self.gateway, entry))).await;
       }
       sleep(CHECK_INTERVAL).await;
     }
--- a/src/gateway/resumption/lookup.rs
+++ b/src/gateway/resumption/lookup.rs
@@ -13,12 +13,18 @@
     ids::Name,
   },
   futures_util::{StreamExt, stream::FuturesUnordered},
-  std::{collections::BTreeSet, fmt::Write, net::SocketAddr, rc::Rc},
+  std::{collections::BTreeSet, fmt::Write, net::SocketAddr, rc::Rc, time::Duration},
+  tokio::time::sleep,
 };
 
 /// Answers after which a box that knows one version only waits for no more: a box that is down delays nothing.
 const ENOUGH_ANSWERS: usize = 3;
 
+/// Heartbeats for which a stream is looked up again.
+const MAX_HEARTBEATS: u64 = 3;
+/// Pause between two lookups of a stream.
+const LOOKUP_INTERVAL: Duration = Duration::from_millis(200);
+
 /// What boxes answered to a lookup.
 #[derive(Debug, Default)]
 struct Answers {
@@ -62,14 +68,41 @@
   request
 }
 
-/// Where the stream began that a request resumes; `None` when that is not known.
+/// Where the stream began that a request resumes; `None` when that is not known. While the version of the process that began it may
+/// still become known, it is looked up again.
 async fn find_origin(gateway: &Rc<Gateway>, request: &RoutedRequest) -> Option<StreamOrigin> {
+  let heartbeat_ms = gateway.settings.endpoints.heartbeat_ms;
+  let until_ms = gateway.now_ms() + MAX_HEARTBEATS * heartbeat_ms;
+  loop {
+    match look_up(gateway, request).await {
+      Lookup::Known(origin) => return Some(origin),
+      Lookup::Ambiguous(..) if gateway.now_ms() < until_ms && gateway.is_current() => {
+        sleep(LOOKUP_INTERVAL).await;
+      }
+      Lookup::Ambiguous(own, answers) | Lookup::Unknown(own, answers) => {
+        gateway.counters.origins_unknown.inc();
+        log_unknown(gateway, request, own, &answers);
+        return None;
+      }
+    }
+  }
+}
+
+/// What boxes know of where a stream began.
+enum Lookup {
+  Known(StreamOrigin),
+  /// A box has a record, which names no origin or none yet.
+  Ambiguous(RecordedOrigin, Answers),
+  Unknown(RecordedOrigin, Answers),
+}
+
+async fn look_up(gateway: &Rc<Gateway>, request: &RoutedRequest) -> Lookup {
   let key = request.stream_key();
   gateway.endpoints.borrow().settle_versions();
   let own = gateway.stream_records.borrow().find(&key, gateway.now_ms());
   if let RecordedOrigin::Known(origin) = own {
     gateway.counters.origins_own.inc();
-    return Some(along_route(request, origin, "recorded here"));
+    return Lookup::Known(along_route(request, origin, "recorded here"));
   }
   let mut answers = Answers {
     versions: gateway.endpoints.borrow().versions().of(&request.service),
@@ -82,13 +115,13 @@
     Some((RecordedOrigin::Known(origin), address)) => {
       gateway.counters.origins_asked.inc();
       let source = format!("recorded by {address}");
-      return Some(along_route(request, origin.clone(), &source));
+      return Lookup::Known(along_route(request, origin.clone(), &source));
     }
     None if own == RecordedOrigin::Unknown && answers.versions.len() <= 1 => {
       if let Some(version) = only_version(gateway, &answers) {
         gateway.counters.origins_only.inc();
         log_only_version(gateway, request, &version, &answers);
-        return Some(StreamOrigin {
+        return Lookup::Known(StreamOrigin {
           service: request.service.clone(),
           version,
         });
@@ -96,9 +129,10 @@
     }
     _ => {}
   }
-  gateway.counters.origins_unknown.inc();
-  log_unknown(gateway, request, own, &answers);
-  None
+  if own != RecordedOrigin::Unknown || answers.origin.is_some() {
+    return Lookup::Ambiguous(own, answers);
+  }
+  Lookup::Unknown(own, answers)
 }
 
 /// The only version that this box and those that answered know of the service. Without recent contact with the store a box of each
