An event that is cut off before another answer's head is damaged

Callers saw an event that ended in the head of another answer, in a stream that went on and looked complete: an engine cuts its answer off within an event, and a second answer follows within the same chunk, or on a connection that tells the end of the body. The lines of the head are fields without an effect, so the block passed for an event. A line that ends with a status line, with a header field behind it, now makes the block damaged: the stream is interrupted before it. A status line in the text of an event passes, as before.

--- a/src/gateway/requests/event_block.rs
+++ b/src/gateway/requests/event_block.rs
@@ -31,6 +31,9 @@
     {
       return Self::AnswerHead;
     }
+    if holds_answer_head(lines.clone()) {
+      return Self::Damaged;
+    }
     let has_effect = lines.clone().any(has_effect);
     let are_fields = lines.clone().all(is_field);
     match (are_fields, has_effect, lines.any(is_no_text)) {
@@ -47,6 +50,27 @@
   block.split(|byte| matches!(byte, b'\n' | b'\r'))
 }
 
+/// Whether the head of another response begins within a line, as after an event that was cut off: a status line, and a header field,
+/// which has no effect in an event.
+fn holds_answer_head<'a>(mut lines: impl Iterator<Item = &'a [u8]>) -> bool {
+  let Some(mut line) = lines.next() else {
+    return false;
+  };
+  lines.any(|next| {
+    let former = std::mem::replace(&mut line, next);
+    ends_with_status_line(former) && is_field(next) && next.contains(&b':') && !has_effect(next)
+  })
+}
+
+/// Whether a line ends with a status line.
+fn ends_with_status_line(line: &[u8]) -> bool {
+  let mut positions = line.windows(STATUS_LINE.len()).enumerate();
+  let found = positions.rfind(|(_, bytes)| *bytes == STATUS_LINE);
+  let status = found.and_then(|(at, _)| line.get(at + STATUS_LINE.len() + 1..));
+  let code = status.and_then(|status| status.strip_prefix(b" "));
+  code.is_some_and(|code| code.len() >= 3 && code[..3].iter().all(u8::is_ascii_digit))
+}
+
 /// The name of a line's field; empty for a comment.
 fn name(line: &[u8]) -> &[u8] {
   line.split(|byte| *byte == b':').next().unwrap_or_default()
--- a/tests/gateway/review_findings.rs
+++ b/tests/gateway/review_findings.rs
@@ -166,6 +166,42 @@
   assert!(whole().starts_with(&response.body), "{response:?}");
 }
 
+/// Guards against an event that is damaged by the head of another answer within its chunk, which the engine cut off.
+#[rstest]
+#[tokio::test]
+async fn head_of_another_answer_within_a_chunk_is_not_forwarded(
+  #[values("/stream/a", "/resumable/a")] path: &str,
+) {
+  let script = move |seen: &ReceivedRequest| match begins(seen) {
+    true => {
+      let another = Framing::Chunks.head(seen, 0) + Reply::stream_chunk(&events(1..=2)).as_str();
+      let cut = format!("id: 4\ndata: e{another}{another}");
+      let text = Framing::Chunks.head(seen, 0)
+        + Reply::stream_chunk(&events(1..=INTERRUPTED_AFTER)).as_str()
+        + Reply::stream_chunk(&cut).as_str();
+      Reply::WriteAndClose(text)
+    }
+    false => answer(seen, Framing::Chunks, &rest(seen)),
+  };
+  let fleet = Fleet::start(script).await;
+  let response = fleet.ask(RawRequest::new(path, "r1")).await;
+  assert!(!response.body.contains("HTTP/1.1"), "{response:?}");
+  assert!(whole().starts_with(&response.body), "{response:?}");
+}
+
+/// Guards against sound events that are taken for damaged ones because their text is about answers.
+#[rstest]
+#[case::alone("id: 1\ndata: HTTP/1.1 200 OK\n\n")]
+#[case::before_data("data: see HTTP/1.1 404 Not Found\ndata: x-request-id: 7\nid: 1\n\n")]
+#[case::before_an_unknown_line("data: as in HTTP/1.1 says\nnote: x\nid: 1\n\n")]
+#[tokio::test]
+async fn event_whose_text_holds_a_status_line_is_forwarded_unchanged(#[case] body: &'static str) {
+  let script = move |seen: &ReceivedRequest| answer(seen, Framing::Chunks, body);
+  let fleet = Fleet::start(script).await;
+  let response = fleet.ask(RawRequest::new("/stream/a", "r1")).await;
+  assert_eq!(response, complete(body.to_owned()));
+}
+
 /// Guards against an early end that looks complete because the run that checks it sent nothing but bytes that are no answer.
 #[rstest]
 #[case::no_answer_then_cut_off(Framing::Neither, "\u{16}\u{3}\u{1} no answer\r\n\r\n")]
