--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -23,7 +23,7 @@
   std::{sync::Arc, time::Duration},
   tokio::{
     sync::watch,
-    time::{sleep, timeout},
+    time::{Instant, sleep, timeout},
   },
 };
 
@@ -83,6 +83,7 @@
   box_index: usize,
   count: u64,
   max_resumptions: u32,
+  waits_for_boxes: bool,
 }
 
 impl Caller {
@@ -95,6 +96,7 @@
       count: 0,
       departures: Departures::new(number, seed),
       max_resumptions: MAX_RESUMPTIONS,
+      waits_for_boxes: false,
       fleet,
       name: format!("c{number}"),
       random,
@@ -107,6 +109,11 @@
     self.max_resumptions = MAX_RESUMPTIONS_AFTER_RESTARTS;
   }
 
+  /// Makes requests that meet no box count for nothing, as long as the first one has time.
+  pub(crate) fn wait_for_boxes(&mut self) {
+    self.waits_for_boxes = true;
+  }
+
   /// Sends requests until `stopped` is set.
   pub(crate) async fn run(mut self, stopped: watch::Receiver<bool>) {
     self.reconnect();
@@ -190,17 +197,30 @@
     let key = self.key();
     let (id, mut is_reusable) = self.send_once(kind, key, None).await;
     let mut last_id = id.clone();
-    for _ in 0..self.max_resumptions {
+    let until = Instant::now() + self.deadline();
+    let mut resumptions = 0;
+    while resumptions < self.max_resumptions && (!self.waits_for_boxes || Instant::now() < until) {
       let Some(stream) = self.stream_to_resume(&id, &last_id) else {
         break;
       };
       self.reconnect_after(&last_id);
       sleep(self.departures.return_delay()).await;
       (last_id, is_reusable) = self.send_once(kind, key, Some(stream)).await;
+      resumptions += u32::from(!self.waits_for_boxes || self.has_met_box(&last_id));
     }
     is_reusable
   }
 
+  /// Whether a request got a response.
+  fn has_met_box(&self, id: &str) -> bool {
+    let records = self.fleet.recorder.records();
+    let outcome = records
+      .requests
+      .get(id)
+      .and_then(|request| request.outcome.as_ref());
+    !matches!(outcome, Some(Outcome::ConnectionLost { status: None, .. }))
+  }
+
   /// The stream that a request began, if it is resumable and the last request for it did not complete it.
   fn stream_to_resume(&self, first_id: &str, last_id: &str) -> Option<ResumedStream> {
     let records = self.fleet.recorder.records();
--- /dev/null
+++ b/soak/src/day.rs
@@ -0,0 +1,50 @@
+//! Scripted days: fixed faults at times that vary a little by seed.
+
+use {
+  super::{
+    day_plan::{release_beside_crashes, release_beside_store_outages},
+    draw::{ScheduledFault, Size},
+  },
+  std::str::FromStr,
+};
+
+/// A scripted day. In each, half of the engines are replaced one after another, and all boxes lose their power at its end.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Day {
+  /// The release follows partial outages of the store and lost responses; the power is lost while the store is silent or
+  /// soon after.
+  StoreOutages,
+  /// The release follows crashes, garbled answers and restarts of boxes, and is still in progress when the power is lost.
+  Crashes,
+}
+
+impl Day {
+  /// The faults of the day, sorted by time.
+  ///
+  /// ```
+  /// use soak::{Day, Size};
+  /// let size = Size { boxes: 6, places: 21, faults_ms: 0, more_troubles: &[] };
+  /// assert_eq!(Day::Crashes.faults(7, size), Day::Crashes.faults(7, size));
+  /// assert_ne!(Day::Crashes.faults(7, size), Day::Crashes.faults(8, size));
+  /// ```
+  pub fn faults(self, seed: u64, size: Size) -> Vec<ScheduledFault> {
+    match self {
+      Self::Crashes => release_beside_crashes(seed, size),
+      Self::StoreOutages => release_beside_store_outages(seed, size),
+    }
+  }
+}
+
+impl FromStr for Day {
+  type Err = String;
+
+  fn from_str(name: &str) -> Result<Self, String> {
+    match name {
+      "crashes" => Ok(Self::Crashes),
+      "store-outages" => Ok(Self::StoreOutages),
+      _ => Err(format!(
+        "no day is named {name:?}, expected crashes or store-outages"
+      )),
+    }
+  }
+}
--- a/soak/src/fault.rs
+++ b/soak/src/fault.rs
@@ -181,12 +181,30 @@
     /// Time until the restart.
     down_ms: u64,
   },
+  /// All boxes lose their power at once and are started again. Until then their connections stay open and silent.
+  PowerLost {
+    /// Time until the restart.
+    down_ms: u64,
+  },
   /// All engines are replaced by engines of the other software version, in two groups. The entries of a group go before its
   /// engines end, so that after the second one only the new version is listed.
   Release {
     /// Interval between the entries of a group.
     gap_ms: u64,
   },
+  /// Engines are replaced one after another by engines of the other software version and other ids. Each replacement starts
+  /// before its engine begins to leave. Every third entry goes instead of saying that its engine leaves, and every fourth
+  /// engine serves on for three times as long.
+  RollingRelease {
+    /// Place from which on engines are taken.
+    first: usize,
+    /// Share of the engines.
+    percent: u8,
+    /// Interval between the replacements.
+    gap_ms: u64,
+    /// Time that an engine serves on.
+    drain_ms: u64,
+  },
   /// A box receives the stop signal and is restarted after it exits.
   BoxStopped {
     /// Index of the box.
--- a/soak/src/fault_injector.rs
+++ b/soak/src/fault_injector.rs
@@ -7,12 +7,12 @@
     endpoint_kind::EndpointKind,
     error::Result,
     fault::{EndpointFault, EndpointsCut, EngineEnd, Fault, LinkFault, SilentEngines, StoreFault},
-    fleet::Fleet,
+    fleet::{Fleet, StoppedEndpoint},
     hall::Hall,
     link::Link,
     recorder::DisturbanceGuard,
   },
-  futures_util::future::try_join_all,
+  futures_util::future::{try_join, try_join_all},
   std::{slice, time::Duration},
   tokio::time::sleep,
 };
@@ -25,6 +25,13 @@
 const CRASH_DOWNTIME: Duration = Duration::from_millis(1_000);
 /// Time after which streams that began while answers were garbled have ended.
 const GARBLED_STREAM_PERIOD: Duration = Duration::from_secs(3);
+/// Time from the return of the links of boxes that lost their power to their start.
+const POWER_MARGIN: Duration = Duration::from_millis(20);
+/// One engine of a rolling release in this many has no entry while it leaves, and one in this many leaves slowly.
+const UNLISTED_ENGINES: u32 = 3;
+const SLOW_ENGINES: u32 = 4;
+/// How much longer such an engine serves on.
+const SLOW_FACTOR: u32 = 3;
 /// Time that the store entry of a crashed endpoint remains after its address is in use by another.
 const STALE_ENTRY_PERIOD: Duration = Duration::from_millis(1_500);
 
@@ -33,7 +40,17 @@
   match fault {
     Fault::BoxKilled { index, down_ms } => fleet.boxes[index].kill(down_ms).await?,
     Fault::AllBoxesKilled { down_ms } => kill_all_boxes(fleet, down_ms).await?,
+    Fault::PowerLost { down_ms } => cut_power(fleet, down_ms).await?,
     Fault::Release { gap_ms } => release(fleet, Duration::from_millis(gap_ms)).await?,
+    Fault::RollingRelease {
+      first,
+      percent,
+      gap_ms,
+      drain_ms,
+    } => {
+      let [gap, drain] = [gap_ms, drain_ms].map(Duration::from_millis);
+      release_in_turn(fleet, first, percent, gap, drain).await?;
+    }
     Fault::BoxStopped { index } => fleet.boxes[index].stop().await?,
     Fault::BoxPaused { index, for_ms } => fleet.boxes[index].pause(for_ms).await,
     Fault::BoxReloaded { index } => fleet.boxes[index].reload().await,
@@ -359,7 +376,7 @@
   };
   sleep(Duration::from_millis(down_ms)).await;
   fleet.remove_entry(&stopped);
-  fleet.restart(place, stopped.kind).await
+  fleet.restart(place, &stopped).await
 }
 
 /// Restarts an engine that a request crashed, with the same incarnation id. Its entry remains meanwhile.
@@ -398,6 +415,19 @@
   Ok(())
 }
 
+/// Kills all boxes, whose connections stay open and silent until shortly before the boxes start again.
+async fn cut_power(fleet: &Fleet, down_ms: u64) -> Result {
+  let links = || fleet.boxes.iter().flat_map(|target| fleet.links(target));
+  links().for_each(Link::begin_power_loss);
+  let back = async {
+    sleep(Duration::from_millis(down_ms).saturating_sub(POWER_MARGIN)).await;
+    links().for_each(Link::end_power_loss);
+    Ok(())
+  };
+  try_join(kill_all_boxes(fleet, down_ms), back).await?;
+  Ok(())
+}
+
 /// Replaces all engines by engines of the other version, first every other one and then the rest.
 async fn release(fleet: &Fleet, gap: Duration) -> Result {
   fleet.begin_release();
@@ -414,7 +444,7 @@
       if let Some(stopped) = fleet.stop_endpoint(place) {
         // Another fault may have replaced the engine whose entry is gone.
         fleet.remove_entry(&stopped);
-        fleet.restart(place, stopped.kind).await?;
+        fleet.restart(place, &stopped).await?;
       }
     }
   }
@@ -422,6 +452,36 @@
   Ok(())
 }
 
+/// Replaces a share of the engines by engines of the other version, one after another.
+async fn release_in_turn(
+  fleet: &Fleet,
+  first: usize,
+  percent: u8,
+  gap: Duration,
+  drain: Duration,
+) -> Result {
+  let places = fleet.engine_places(first);
+  let count = places.len() * usize::from(percent) / 100;
+  let replacements = places.into_iter().take(count).zip(0..);
+  let replaced = replacements.map(|(place, number)| async move {
+    sleep(gap * number).await;
+    fleet.start_replacement(place).await?;
+    let incarnation = if number % UNLISTED_ENGINES == UNLISTED_ENGINES - 1 {
+      fleet.unlist(place)
+    } else {
+      fleet.announce_leaving(place)
+    };
+    let is_slow = number % SLOW_ENGINES == SLOW_ENGINES - 1;
+    let drain = drain * if is_slow { SLOW_FACTOR } else { 1 };
+    if let Some(incarnation) = incarnation {
+      leave_after(fleet, place, incarnation, drain).await;
+    }
+    Ok(())
+  });
+  try_join_all(replaced).await?;
+  Ok(())
+}
+
 /// Shuts an engine down as planned, and leaves its place empty for a while.
 async fn remove_engine(fleet: &Fleet, first: usize, for_ms: u64) -> Result {
   let Some(place) = fleet.engine_places(first).first().copied() else {
@@ -442,18 +502,30 @@
   incarnation: String,
   empty: Duration,
 ) -> Result {
+  let Some((stopped, _disturbed)) = leave_after(fleet, place, incarnation, LEAVING_PERIOD).await
+  else {
+    return Ok(());
+  };
+  sleep(empty).await;
+  fleet.restart(place, &stopped).await
+}
+
+/// Makes the endpoint signal that it is leaving, serve for a while, and terminate, unless it terminates before.
+async fn leave_after(
+  fleet: &Fleet,
+  place: usize,
+  incarnation: String,
+  period: Duration,
+) -> Option<(StoppedEndpoint, DisturbanceGuard)> {
   fleet.with_endpoint(place, |endpoint| endpoint.set_leaving());
-  sleep(LEAVING_PERIOD).await;
+  sleep(period).await;
   if fleet.incarnation(place) != Some(incarnation) {
-    return Ok(());
+    return None;
   }
-  let _disturbed = fleet.recorder.begin_disturbance(Target::Endpoint(place));
-  let Some(stopped) = fleet.stop_endpoint(place) else {
-    return Ok(());
-  };
+  let disturbed = fleet.recorder.begin_disturbance(Target::Endpoint(place));
+  let stopped = fleet.stop_endpoint(place)?;
   fleet.remove_entry(&stopped);
-  sleep(empty).await;
-  fleet.restart(place, stopped.kind).await
+  Some((stopped, disturbed))
 }
 
 /// Stops both endpoints and restarts each at the other's address at once, while the old entries are still listed.
@@ -474,7 +546,7 @@
   };
   for (place, kind) in [(place, kind), (other, other_kind)] {
     if let Some(kind) = kind {
-      fleet.restart(place, kind).await?;
+      fleet.start_at(place, kind).await?;
     }
   }
   sleep(STALE_ENTRY_PERIOD).await;
@@ -514,7 +586,7 @@
     fleet.remove_entry(&stopped);
   }
   sleep(down).await;
-  fleet.restart(place, EndpointKind::Plain).await?;
+  fleet.start_at(place, EndpointKind::Plain).await?;
   sleep(stale).await;
   fleet.remove_entry(&stopped);
   Ok(Some(stopped.kind))
@@ -536,7 +608,7 @@
     return Ok(());
   };
   sleep(down).await;
-  fleet.restart(place, kind).await?;
+  fleet.start_at(place, kind).await?;
   sleep(stale).await;
   fleet.remove_entry(&stopped);
   Ok(())
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -119,6 +119,9 @@
       let kind = profile.kind_of_place(place);
       fleet.add_place(kind, &hosts).await?;
     }
+    for _ in 0..options.faults.spare_places(options.size()) {
+      fleet.add_empty_place(&hosts).await?;
+    }
     fleet.configure();
     let plan = BoxPlan {
       bounds,
@@ -137,22 +140,33 @@
   }
 
   async fn add_place(&mut self, kind: EndpointKind, hosts: &[Ipv4Addr]) -> Result {
+    let listener = self.add_empty_place(hosts).await?;
+    self.serve(self.places.len() - 1, kind, listener);
+    Ok(())
+  }
+
+  /// Adds a place without an endpoint. Returns a listener for one.
+  async fn add_empty_place(&mut self, hosts: &[Ipv4Addr]) -> Result<TcpListener> {
     let listener = listen().await?;
     let target = listener.local_addr().map_err(Error::Listen)?;
     let place = Place::open(hosts, target).await.map_err(Error::Listen)?;
     self.places.push(place);
-    self.serve(self.places.len() - 1, kind, listener);
-    Ok(())
+    Ok(listener)
   }
 
   /// Starts a new incarnation at a place and registers it in the store.
   fn serve(&self, place: usize, kind: EndpointKind, listener: TcpListener) {
-    let number = self.incarnations.fetch_add(1, Ordering::Relaxed);
-    let identity = self.identity(format!("i-{number}"), place, kind);
+    let identity = self.identity(self.next_incarnation(), place, kind);
     self.start_incarnation(identity, listener);
     self.register(place);
   }
 
+  /// The id of the next incarnation.
+  fn next_incarnation(&self) -> String {
+    let number = self.incarnations.fetch_add(1, Ordering::Relaxed);
+    format!("i-{number}")
+  }
+
   /// The identity of the next start of an incarnation, whose id may have been used before.
   fn identity(&self, incarnation: String, place: usize, kind: EndpointKind) -> Identity {
     let start_number = self.starts.fetch_add(1, Ordering::Relaxed);
@@ -186,13 +200,53 @@
     *self.places[place].running() = Some(RunningEndpoint::start(endpoint, listener));
   }
 
-  /// Starts a new incarnation at a place that is down.
-  pub(crate) async fn restart(&self, place: usize, kind: EndpointKind) -> Result {
+  /// Starts a new incarnation of a kind at a place that is down.
+  pub(crate) async fn start_at(&self, place: usize, kind: EndpointKind) -> Result {
     let listener = self.listen_at(place).await?;
     self.serve(place, kind, listener);
     Ok(())
   }
 
+  /// Starts a new incarnation in the place of one that has terminated.
+  pub(crate) async fn restart(&self, place: usize, stopped: &StoppedEndpoint) -> Result {
+    match self.versioning {
+      Versioning::Kept => self.start_with(place, stopped.kind, stopped.version).await,
+      Versioning::Alternating | Versioning::Released => self.start_at(place, stopped.kind).await,
+    }
+  }
+
+  /// Starts a new incarnation with a version.
+  async fn start_with(&self, place: usize, kind: EndpointKind, version: &'static str) -> Result {
+    let listener = self.listen_at(place).await?;
+    let identity = Identity {
+      version,
+      ..self.identity(self.next_incarnation(), place, kind)
+    };
+    self.start_incarnation(identity, listener);
+    self.register(place);
+    Ok(())
+  }
+
+  /// Starts an engine with the other version beside the one at a place, in the same hall, if both places are there.
+  pub(crate) async fn start_replacement(&self, place: usize) -> Result {
+    let running = self.places[place].running().as_ref().map(|running| {
+      let endpoint = &running.endpoint;
+      (endpoint.kind(), other_version(endpoint.version))
+    });
+    match (running, self.spare_place(self.profile.hall_of_place(place))) {
+      (Some((kind, version)), Some(spare)) => self.start_with(spare, kind, version).await,
+      _ => Ok(()),
+    }
+  }
+
+  /// An empty place of a hall that had no endpoint at the start.
+  fn spare_place(&self, hall: Hall) -> Option<usize> {
+    let mut spares = self.profile.place_count()..self.places.len();
+    spares.find(|place| {
+      self.profile.hall_of_place(*place) == hall && self.places[*place].running().is_none()
+    })
+  }
+
   /// Restarts an endpoint with the same id.
   pub(crate) async fn restart_same_id(&self, place: usize, stopped: StoppedEndpoint) -> Result {
     let listener = self.listen_at(place).await?;
@@ -240,15 +294,14 @@
     self.releasing.fetch_sub(1, Ordering::Relaxed);
   }
 
-  /// Removes the entry of the endpoint at a place, which serves on.
-  pub(crate) fn unlist(&self, place: usize) {
-    let Some(incarnation) = self.incarnation(place) else {
-      return;
-    };
+  /// Removes the entry of the endpoint at a place, which serves on. Returns its incarnation.
+  pub(crate) fn unlist(&self, place: usize) -> Option<String> {
+    let incarnation = self.incarnation(place)?;
     self.store.remove(&format!("servers/{incarnation}"));
     let now_ms = self.recorder.now_ms();
     let mut records = self.recorder.records();
-    records.draining.insert(incarnation, now_ms);
+    records.draining.insert(incarnation.clone(), now_ms);
+    Some(incarnation)
   }
 
   /// Marks the endpoint at a place as draining in the store. Returns its incarnation.
@@ -423,6 +476,12 @@
     *self.habit.lock().unwrap_or_else(PoisonError::into_inner) = habit;
   }
 
+  /// All links of a box: to callers, the store and all endpoints.
+  pub(crate) fn links<'a>(&'a self, target: &'a BoxProcess) -> impl Iterator<Item = &'a Link> {
+    let to_endpoints = self.places.iter().map(|place| &place.links[target.index]);
+    to_endpoints.chain([&target.caller_link, &target.store_link])
+  }
+
   /// The links of a box to the store and to the endpoints of other halls.
   pub(crate) fn links_out_of_hall(&self, index: usize) -> Vec<&Link> {
     let hall = self.profile.hall_of_box(index);
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -10,6 +10,8 @@
 mod connection;
 mod content;
 mod cut_off_check;
+mod day;
+mod day_plan;
 mod departures;
 mod disturbance;
 mod draw;
@@ -67,6 +69,7 @@
 pub use self::{
   breach::Breach,
   caller_key::CallerKey,
+  day::Day,
   disturbance::{Disturbance, Target},
   draw::{ScheduledFault, Size},
   endpoint_kind::EndpointKind,
@@ -81,7 +84,7 @@
   link::Link,
   options::Options,
   plan::{FaultSelection, draw_plan},
-  play::{Report, play},
+  play::{Report, play, play_faults},
   profile::Profile,
   promise::Promise,
   promises::breaches,
--- a/soak/src/link.rs
+++ b/soak/src/link.rs
@@ -37,6 +37,8 @@
   fault: Option<LinkFault>,
   /// Number of resets so far; connections opened before the last one are reset.
   resets: u64,
+  /// Whether one side has lost its power: all traffic is lost, whatever other fault begins or ends.
+  is_powerless: bool,
 }
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -50,6 +52,7 @@
 impl Condition {
   fn blocks(self, direction: Direction) -> bool {
     match self.fault {
+      _ if self.is_powerless => true,
       Some(LinkFault::Blocked) => true,
       Some(LinkFault::BlockedForward) => direction == Direction::Forward,
       Some(LinkFault::BlockedBack) => direction == Direction::Back,
@@ -145,6 +148,21 @@
     });
   }
 
+  /// One side loses its power: connections stay open and silent.
+  pub(crate) fn begin_power_loss(&self) {
+    self
+      .condition
+      .send_modify(|condition| condition.is_powerless = true);
+  }
+
+  /// That side is back, and knows none of the open connections.
+  pub(crate) fn end_power_loss(&self) {
+    self.condition.send_modify(|condition| {
+      condition.is_powerless = false;
+      condition.resets += 1;
+    });
+  }
+
   /// Ends the current fault; traffic that was blocked is delivered.
   pub(crate) fn clear_fault(&self) {
     self
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -2,6 +2,7 @@
 
 use {
   super::{
+    day::Day,
     draw::{Draw, ScheduledFault, Size},
     fault::{EndpointFault, EndpointsCut, EngineEnd, Fault, LinkFault, SilentEngines, StoreFault},
     garble_plan::draw_garbled_answers,
@@ -126,9 +127,19 @@
   Crashes,
   /// The kinds of trouble that the deployment reports, two or three at a time.
   Troubles,
+  /// Those of a scripted day.
+  Day(Day),
 }
 
 impl FaultSelection {
+  /// Additional places for engines that start before those that they replace end.
+  pub(crate) fn spare_places(self, size: Size) -> usize {
+    match self {
+      Self::Day(_) => size.places.div_ceil(2),
+      _ => 0,
+    }
+  }
+
   /// Draws the selected faults of a run, sorted by time.
   ///
   /// ```
@@ -143,6 +154,7 @@
   pub fn draw(self, seed: u64, size: Size) -> Vec<ScheduledFault> {
     match self {
       Self::All => draw_plan(seed, size),
+      Self::Day(day) => day.faults(seed, size),
       Self::GarbledAnswers => draw_garbled_answers(seed, size),
       Self::Crashes => draw_crashes(seed, size),
       Self::Interruptions => draw_interruptions(seed, size),
--- a/soak/src/play.rs
+++ b/soak/src/play.rs
@@ -86,12 +86,17 @@
 
 /// Plays one run. Fails if it can't be carried out; breaches are part of the report.
 pub async fn play(options: &Options) -> Result<Report> {
+  let faults = options.faults.draw(options.seed, options.size());
+  play_faults(options, faults).await
+}
+
+/// Plays one run with other faults than those that its options select. They are sorted by time.
+pub async fn play_faults(options: &Options, faults: Vec<ScheduledFault>) -> Result<Report> {
   let (fleet, engine_events) = Fleet::start(options, box_bounds(options.seed)).await?;
   let fleet = Arc::new(fleet);
   wait_until_ready(&fleet).await?;
   let mut background = start_background(&fleet, engine_events);
   let (stop, stopped) = watch::channel(false);
-  let faults = options.faults.draw(options.seed, options.size());
   let mut callers = start_callers(&fleet, options, &faults, &stopped);
   inject_faults(&fleet, &faults).await?;
   wait_until_ready(&fleet).await?;
@@ -128,14 +133,20 @@
   stopped: &watch::Receiver<bool>,
 ) -> JoinSet<()> {
   let mut callers = JoinSet::new();
-  let are_all_killed = faults
-    .iter()
-    .any(|scheduled| matches!(scheduled.fault, Fault::AllBoxesKilled { .. }));
+  let are_all_killed = faults.iter().any(|scheduled| {
+    matches!(
+      scheduled.fault,
+      Fault::AllBoxesKilled { .. } | Fault::PowerLost { .. }
+    )
+  });
   for number in 0..options.profile.callers {
     let mut caller = Caller::new(fleet.clone(), number, options.seed, CallerWork::Mixed);
     if are_all_killed {
       caller.resume_after_restarts();
     }
+    if matches!(options.faults, FaultSelection::Day(_)) {
+      caller.wait_for_boxes();
+    }
     callers.spawn(caller.run(stopped.clone()));
   }
   // An engine that a request crashes would start again under its id, with another version or that of a release, and would
@@ -143,6 +154,7 @@
   if matches!(
     options.faults,
     FaultSelection::Crashes
+      | FaultSelection::Day(_)
       | FaultSelection::GarbledAnswers
       | FaultSelection::Releases
       | FaultSelection::Restarts
--- a/soak/src/subcommand.rs
+++ b/soak/src/subcommand.rs
@@ -2,6 +2,7 @@
 
 use {
   super::{
+    day::Day,
     framing::Framings,
     options::Options,
     plan::FaultSelection,
@@ -134,8 +135,13 @@
   let troubles = long("only-troubles")
     .help("Inject what deployments report, two or three kinds at a time")
     .req_flag(FaultSelection::Troubles);
+  let day = long("day")
+    .help("Play a scripted day instead: crashes or store-outages")
+    .argument::<Day>("NAME")
+    .map(FaultSelection::Day);
   construct!([
     crashes,
+    day,
     garbled_answers,
     troubles,
     interruptions,
--- a/soak/src/versioning.rs
+++ b/soak/src/versioning.rs
@@ -12,12 +12,15 @@
   Alternating,
   /// That of the last release.
   Released,
+  /// The first one, or that of the engine that it replaces, unless it is released.
+  Kept,
 }
 
 impl Versioning {
   /// The versions in runs with a selection of faults.
   pub(crate) fn of(faults: FaultSelection) -> Self {
     match faults {
+      FaultSelection::Day(_) => Self::Kept,
       FaultSelection::Crashes
       | FaultSelection::GarbledAnswers
       | FaultSelection::Releases
@@ -41,6 +44,7 @@
     let number = match self {
       Self::Alternating if !is_releasing => start_number + 1,
       Self::Alternating | Self::Released => releases,
+      Self::Kept => 0,
     };
     VERSIONS[usize::from(!number.is_multiple_of(2))]
   }
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -17,6 +17,7 @@
 mod path;
 mod regress;
 mod roles;
+mod soak_days;
 mod soak_endpoints;
 mod soak_garbled;
 mod soak_links;
