--- a/soak/src/fault.rs
+++ b/soak/src/fault.rs
@@ -181,12 +181,30 @@
     /// Time until the restart.
     down_ms: u64,
   },
+  /// All boxes lose their power at once and are started again. Until then their connections stay open and silent.
+  PowerLost {
+    /// Time until the restart.
+    down_ms: u64,
+  },
   /// All engines are replaced by engines of the other software version, in two groups. The entries of a group go before its
   /// engines end, so that after the second one only the new version is listed.
   Release {
     /// Interval between the entries of a group.
     gap_ms: u64,
   },
+  /// Engines are replaced one after another by engines of the other software version and other ids. Each replacement starts
+  /// before its engine begins to leave. Every third entry goes instead of saying that its engine leaves, and every fourth
+  /// engine serves on for three times as long.
+  RollingRelease {
+    /// Place from which on engines are taken.
+    first: usize,
+    /// Share of the engines.
+    percent: u8,
+    /// Interval between the replacements.
+    gap_ms: u64,
+    /// Time that an engine serves on.
+    drain_ms: u64,
+  },
   /// A box receives the stop signal and is restarted after it exits.
   BoxStopped {
     /// Index of the box.
@@ -407,4 +425,39 @@
   },
   /// The operator changes the configuration.
   ConfigurationChanged,
+  /// The operator writes a configuration with many more routes, which later ones keep.
+  ConfigurationGrown {
+    /// Number of additional routes.
+    routes: usize,
+  },
+  /// Callers of a hall go to boxes of the next one.
+  CallersShifted {
+    /// The callers' hall.
+    hall: Hall,
+    /// Duration.
+    for_ms: u64,
+  },
+  /// A box's process is killed for good, and another box comes in its hall, under another name and at other addresses.
+  BoxReplaced {
+    /// Index of the box, which the other one takes over.
+    index: usize,
+    /// Time until the other one starts.
+    down_ms: u64,
+  },
+  /// Prompts move to decode engines slowly.
+  MovesSlow {
+    /// Duration.
+    for_ms: u64,
+  },
+  /// Engines do not answer role orders, and act on them later.
+  OrdersLate {
+    /// Place of the first endpoint.
+    first: usize,
+    /// Number of endpoints.
+    count: usize,
+    /// Time from an order to its effect.
+    delay_ms: u64,
+    /// Duration.
+    for_ms: u64,
+  },
 }
