Boxes lend each other retries

Cause: a box uses no more than its share of the retry budget, so a box with little traffic aborts interrupted streams and can't check ends while the others' shares are unused.

Change: where a share is spent, up to two other boxes are asked for one retry; a lender counts it as its own, so the sum over all boxes is that of the shares. The decisions (whom to ask, when asking is pointless, what a lender keeps) are free of I/O. A loan that is not sent goes back to its lender. Hedges and second prefills, which can be left out, borrow nothing, nor does a request with less than half a second left. A lender in its first window lends nothing. [mechanisms] retry_loans = false ends loans; E611 to E613 and counters show them.

A send's charge is taken in an async call; a request's charges are kept beside its number of sends, since a loan is returned elsewhere than an own retry.

Tests: budget patterns with loans on, 3 to 985 boxes; retry_loans with real boxes, all four seen failing with the program before the change.

Not built: parts of a retry. A share of 1.9 with one retry used asks for a whole retry.

--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -57,6 +57,8 @@
 mod rendezvous;
 mod reporter_list;
 mod retry_after;
+mod retry_lenders;
+mod retry_need;
 mod retry_window;
 mod return_schedule;
 mod role_plan;
@@ -128,6 +130,8 @@
   recent_engines::{RecentEngines, stable_engines},
   record_holders::{RECORD_COPIES, asked_by_all_halls, record_holders, record_sources},
   retry_after::retry_after_backoff_ms,
+  retry_lenders::{LoanAnswer, RetryLenders},
+  retry_need::RetryNeed,
   retry_window::{RetryAllowance, RetryUsage, RetryWindow},
   return_schedule::{ReturnSchedule, ReturningCaller},
   role_plan::{RolePlan, plan_roles},
--- a/src/gateway/decisions/retry_window.rs
+++ b/src/gateway/decisions/retry_window.rs
@@ -1,6 +1,6 @@
 //! Bounds retries over all boxes without messages: each box uses its share of the allowance.
 
-use std::collections::VecDeque;
+use {super::retry_need::RetryNeed, std::collections::VecDeque};
 
 /// Buckets per second of the window.
 const BUCKETS_PER_SECOND: u64 = 4;
@@ -13,6 +13,9 @@
 const SLACK_SHARE_AT_START: f64 = 0.4;
 /// Share of the allowance that retries may use which no failed request needs.
 const SPARE_SHARE: f64 = 0.5;
+/// Share of the allowance that a box may use or lend before it keeps the rest for its own failed requests. Its first retry may be lent
+/// whatever the share: where shares are small, all of them would be kept.
+const LENT_SHARE: f64 = 0.75;
 
 /// The retries that are allowed over all boxes.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -39,6 +42,8 @@
   pub allowed: f64,
   pub requests: u32,
   pub retries: u32,
+  /// Whether the box has run for less than a window: it does not know what it used before a restart.
+  pub is_first_window: bool,
 }
 
 impl RetryUsage {
@@ -51,6 +56,25 @@
   pub fn has_retry_left(&self) -> bool {
     self.allowed - f64::from(self.retries) >= 1.0
   }
+
+  /// Whether this box may send one more retry.
+  pub fn has_retry_for(&self, need: RetryNeed) -> bool {
+    match need {
+      RetryNeed::Required => self.has_retry_left(),
+      RetryNeed::Optional => self.has_spare_retry(),
+    }
+  }
+
+  /// Whether another box may send one more retry in the place of this one, which keeps some for its own failed requests.
+  pub fn may_lend(&self, need: RetryNeed) -> bool {
+    let keeps_enough = match need {
+      RetryNeed::Required => {
+        self.retries == 0 || self.allowed * LENT_SHARE - f64::from(self.retries) >= 1.0
+      }
+      RetryNeed::Optional => self.has_spare_retry(),
+    };
+    keeps_enough && self.has_retry_left() && !self.is_first_window
+  }
 }
 
 /// The requests and retries that this box sent to one service in the last window. Times are since the process started.
@@ -108,6 +132,31 @@
     true
   }
 
+  /// Takes a retry that another box sends, if this one can spare it.
+  ///
+  /// ```
+  /// use rillford::gateway::{RetryAllowance, RetryNeed, RetryWindow};
+  /// let allowance = RetryAllowance { ratio: 0.2, window_ms: 10_000, slack: 8.0 };
+  /// let mut window = RetryWindow::default();
+  /// // Of four retries the box keeps one.
+  /// assert!((0..3).all(|_| window.lend(allowance, 1, RetryNeed::Required, 20_000)));
+  /// assert!(!window.lend(allowance, 1, RetryNeed::Required, 20_000));
+  /// assert!(window.take(allowance, 1, 20_000));
+  /// ```
+  pub fn lend(
+    &mut self,
+    allowance: RetryAllowance,
+    boxes: usize,
+    need: RetryNeed,
+    now_ms: u64,
+  ) -> bool {
+    if !self.usage(allowance, boxes, now_ms).may_lend(need) {
+      return false;
+    }
+    self.record_retry(now_ms);
+    true
+  }
+
   /// The requests and retries in the window, and the retries that this box may send in it.
   pub fn usage(&mut self, allowance: RetryAllowance, boxes: usize, now_ms: u64) -> RetryUsage {
     let oldest = now_ms
@@ -127,8 +176,8 @@
       .filter(|bucket| Some(bucket.number) > oldest);
     let requests: u32 = within.map(|bucket| bucket.requests).sum();
     let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
-    let is_start = now_ms < allowance.window_ms;
-    let share = if is_start {
+    let is_first_window = now_ms < allowance.window_ms;
+    let share = if is_first_window {
       SLACK_SHARE_AT_START
     } else {
       SLACK_SHARE
@@ -136,6 +185,7 @@
     let slack = share * allowance.slack / boxes.max(1) as f64;
     RetryUsage {
       allowed: allowance.ratio / WINDOWS_COVERED * f64::from(requests) + slack,
+      is_first_window,
       requests,
       retries,
     }
--- a/src/gateway/membership/relay.rs
+++ b/src/gateway/membership/relay.rs
@@ -14,6 +14,7 @@
       prefill_queue::{FINISH_PATH, PLACE_PATH, handle_finish, handle_place},
       quarantine::{MARKS_PATH, handle_marks},
       resumption::{FIND_STREAM_PATH, STREAMS_PATH, handle_lookup, handle_records},
+      retries::{LEND_RETRY_PATH, RETURN_RETRY_PATH, handle_lend_retry, handle_return_retry},
       state::Gateway,
     },
   },
@@ -79,6 +80,8 @@
     MARKS_PATH => handle_marks(&gateway, request).await,
     STREAMS_PATH => handle_records(&gateway, request).await,
     FIND_STREAM_PATH => handle_lookup(&gateway, request).await,
+    LEND_RETRY_PATH => handle_lend_retry(&gateway, request).await,
+    RETURN_RETRY_PATH => handle_return_retry(&gateway, request).await,
     _ => handle_changes(gateway, request).await,
   }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,7 +5,7 @@
 //! endpoints in sync with the store. The platform is accessed through [`PlatformCodec`] and [`Store`] only.
 //!
 //! The modules in order, each importing only those before it: `edge`, `decisions`, `settings`, `connections`, `state`,
-//! `permits`, `stages`, then `limits`, `prefill_queue`, `quarantine` and `resumption`, then `requests`, `roles` and `membership`, and `process`. A test enforces
+//! `permits`, `stages`, then `limits`, `prefill_queue`, `quarantine`, `resumption` and `retries`, then `requests`, `roles` and `membership`, and `process`. A test enforces
 //! this order.
 //!
 //! One thread serves everything, since a box has only a fraction of a core and little memory.
@@ -21,6 +21,7 @@
 mod quarantine;
 mod requests;
 mod resumption;
+mod retries;
 mod roles;
 mod settings;
 mod stages;
@@ -36,22 +37,23 @@
     EndpointCriteria, EndpointGroup, EndpointIncarnation, EndpointLimits, EndpointProcesses,
     EndpointRegistry, EngineQueue, Fingerprint, GroupLost, GroupedEngine, HallDrainChange,
     HeldBytes, HeldKind, ISOLATED_BOXES, IdSteps, JoinedBoxes, LimitChange, LimitSource,
-    LimitStrategy, LocalPermitVerdict, LocalPermits, LocalUsage, LocalVerdict, LongestDeadlines,
-    Misdirected, NoticeChange, NoticeTracker, ObservedProcess, OrganisationLoad, OrganisationLoads,
-    PeakBoxCount, PeerAnswers, PeerList, PermitAccount, PermitRequest, PermitTable, PermitVerdict,
-    Place, PlaceId, PlaceOutcome, PlaceRequest, PrefillDirectory, PrefillGroup, PrefillOffer,
-    PrefillQueue, QuarantineKey, QuarantineMark, QuarantineRegistry, QuarantineStrategy,
-    QuarantineVerdict, QueuePosition, RECORD_COPIES, RankedVerdict, Reachability, RecentEngines,
-    RecordChange, RecordSource, RecordedOrigin, ReportScope, ReportedEngineLoad, RequestIdentity,
-    RequestedUnits, ResponseTicket, RetryAllowance, RetryUsage, RetryWindow, ReturnSchedule,
-    ReturningCaller, RolePlan, SegmentIdentity, ServiceVersion, ServiceVersions, ShareState,
-    ShareVerdict, SlotForecast, SlotQueue, SlotSupply, SlotUrgency, SoundSegments, StrayAnswers,
-    StreamKey, StreamOrigin, StreamRecords, TokenBucket, Unavailable, UnreadTime, UsageRequest,
-    UsageTable, UsageTotals, UsageVerdict, VersionEvidence, VersionIdSteps, VersionRecords,
-    asked_by_all_halls, asks_other_halls, best_prefill_offer, coordinator_limit, coordinator_order,
-    extra_transfer_ms, isolated_limit, jittered_backoff_ms, plan_roles, prefill_shard,
-    prefill_shard_count, record_holders, record_sources, retry_after_backoff_ms, share_over,
-    stable_engines, store_retry_delay_ms,
+    LimitStrategy, LoanAnswer, LocalPermitVerdict, LocalPermits, LocalUsage, LocalVerdict,
+    LongestDeadlines, Misdirected, NoticeChange, NoticeTracker, ObservedProcess, OrganisationLoad,
+    OrganisationLoads, PeakBoxCount, PeerAnswers, PeerList, PermitAccount, PermitRequest,
+    PermitTable, PermitVerdict, Place, PlaceId, PlaceOutcome, PlaceRequest, PrefillDirectory,
+    PrefillGroup, PrefillOffer, PrefillQueue, QuarantineKey, QuarantineMark, QuarantineRegistry,
+    QuarantineStrategy, QuarantineVerdict, QueuePosition, RECORD_COPIES, RankedVerdict,
+    Reachability, RecentEngines, RecordChange, RecordSource, RecordedOrigin, ReportScope,
+    ReportedEngineLoad, RequestIdentity, RequestedUnits, ResponseTicket, RetryAllowance,
+    RetryLenders, RetryNeed, RetryUsage, RetryWindow, ReturnSchedule, ReturningCaller, RolePlan,
+    SegmentIdentity, ServiceVersion, ServiceVersions, ShareState, ShareVerdict, SlotForecast,
+    SlotQueue, SlotSupply, SlotUrgency, SoundSegments, StrayAnswers, StreamKey, StreamOrigin,
+    StreamRecords, TokenBucket, Unavailable, UnreadTime, UsageRequest, UsageTable, UsageTotals,
+    UsageVerdict, VersionEvidence, VersionIdSteps, VersionRecords, asked_by_all_halls,
+    asks_other_halls, best_prefill_offer, coordinator_limit, coordinator_order, extra_transfer_ms,
+    isolated_limit, jittered_backoff_ms, plan_roles, prefill_shard, prefill_shard_count,
+    record_holders, record_sources, retry_after_backoff_ms, share_over, stable_engines,
+    store_retry_delay_ms,
   },
   edge::{
     CallerAttributes, CallerLimits, ColdStart, DecodeError, EndpointCall, EndpointEntry,
--- a/src/gateway/requests/end_check.rs
+++ b/src/gateway/requests/end_check.rs
@@ -207,7 +207,7 @@
     Some(CheckDenial::Quarantined)
   } else if !stream.has_attempts_left() {
     Some(CheckDenial::NoAttempt)
-  } else if !gateway.may_check_end(service, is_needed) {
+  } else if !stream.may_check_end(service, is_needed) {
     Some(CheckDenial::NoRetry)
   } else {
     None
--- a/src/gateway/requests/stream_request.rs
+++ b/src/gateway/requests/stream_request.rs
@@ -4,15 +4,16 @@
   super::{
     prefill::prefill,
     resume_slot::reserve_resume_slot,
-    send_charge::SendCharge,
+    send_charge::{SendCharge, Sends},
     slot::{Exclusions, reserve_slot},
   },
   crate::{
     decide::Role,
     gateway::{
       connections::Connection,
-      decisions::{AttemptOutcome, EndpointCriteria, ObservedProcess},
+      decisions::{AttemptOutcome, EndpointCriteria, ObservedProcess, RetryNeed},
       edge::{EndpointEntry, SoftwareVersion},
+      retries::may_borrow_retry,
       stages::{ExportGuard, Reservation, ResponseHead, Resumption, RoutedRequest, StageError},
       state::Gateway,
     },
@@ -73,8 +74,9 @@
   pub(super) not_run_at: Vec<Name>,
   /// Attempts that may have run.
   pub(super) attempts: u32,
-  /// Sends that reached an endpoint; all but the first are charged to the retry budget.
-  pub(super) sends: Rc<Cell<u32>>,
+  pub(super) sends: Rc<Sends>,
+  /// How much the next retry is needed.
+  retry_need: Cell<RetryNeed>,
   /// Endpoints that stated that they did not run the request.
   pub(super) rejections: u32,
   /// Endpoints that have restarted since they were listed.
@@ -115,6 +117,7 @@
       rejections: 0,
       restarted: 0,
       request,
+      retry_need: Cell::default(),
       searched_cached: false,
       sends: Rc::default(),
       skips_prefill: false,
@@ -159,7 +162,10 @@
   ) -> Result<ResponseHead, StreamFailure> {
     loop {
       let error = match self.attempt(charge.take()).await? {
-        Ok(head) if head.status.is_success() && head.attributes.has_receipt => return Ok(head),
+        Ok(head) if head.status.is_success() && head.attributes.has_receipt => {
+          self.retry_need.set(RetryNeed::Required);
+          return Ok(head);
+        }
         Ok(head) if head.status.is_success() => {
           StageError::Lost("success without a receipt".into())
         }
@@ -218,7 +224,7 @@
       version: self.version.as_ref(),
     });
     let entry = choice.ok_or(StreamFailure::NoSlot)?.entry;
-    let charge = self.charge_or_take(charge)?;
+    let charge = self.charge_or_take(charge).await?;
     let outgoing = OutgoingStream::new(&entry, charge);
     Ok(self.send_charged(outgoing).await)
   }
@@ -227,7 +233,7 @@
   async fn attempt_split(&mut self, charge: Option<SendCharge>) -> Attempt {
     self.await_known_engine(Some(Role::Decode)).await;
     if let Some((entry, reservation)) = self.resume_slot().await {
-      let charge = self.charge_or_take(charge)?;
+      let charge = self.charge_or_take(charge).await?;
       let outgoing = OutgoingStream {
         reservation: Some(reservation),
         ..OutgoingStream::new(&entry, charge)
@@ -239,7 +245,7 @@
     let reserved_ms = self.gateway.now_ms();
     let (entry, reservation) = slot.ok_or(StreamFailure::NoSlot)?;
     // Charged before the prefill: without a retry for the stream its result would be lost.
-    let charge = self.charge_or_take(charge)?;
+    let charge = self.charge_or_take(charge).await?;
     let export = self.export_for(&entry.hall).await?;
     let prefilled_ms = self.gateway.now_ms();
     let prefilled_by = export
@@ -308,7 +314,10 @@
       return Ok(Some(export));
     }
     let is_first = !std::mem::replace(&mut self.was_prefilled, true);
-    let mut charge = if is_first { None } else { self.take_charge() };
+    let mut charge = match is_first {
+      true => None,
+      false => SendCharge::take_own(&self.gateway, &self.request, &self.sends),
+    };
     // A second prefill is charged to the retry budget; without budget the decode engine prefills.
     if !is_first && charge.is_none() {
       return Ok(None);
@@ -323,21 +332,34 @@
     }
     // A first prefill that failed counts like a send.
     if is_first && result.was_received && result.export.is_none() {
-      self.charge_or_take(None)?.set_sent(true);
+      self.charge_or_take(None).await?.set_sent(true);
     }
     Ok(result.export)
   }
 
+  /// Whether the retry budget may allow a retry that only shows whether the stream is complete. One that is needed, since ends were
+  /// early or the stream is aborted without it, may use as much as a retry of a failed request.
+  pub(super) fn may_check_end(&self, service: &Name, is_needed: bool) -> bool {
+    let need = match is_needed {
+      true => RetryNeed::Required,
+      false => RetryNeed::Optional,
+    };
+    self.retry_need.set(need);
+    self.gateway.has_retry_for(service, need) || may_borrow_retry(&self.gateway, service)
+  }
+
   /// Charges a send before it is sent: always the first one, then as the retry budget allows.
-  pub(super) fn take_charge(&self) -> Option<SendCharge> {
-    SendCharge::take(&self.gateway, &self.request, &self.sends)
+  pub(super) async fn take_charge(&self) -> Option<SendCharge> {
+    let need = self.retry_need.get();
+    SendCharge::take(&self.gateway, &self.request, &self.sends, need).await
   }
 
   /// The charge of a send that was charged before, or a new one; fails when the retry budget is spent.
-  fn charge_or_take(&self, charge: Option<SendCharge>) -> Result<SendCharge, StreamFailure> {
-    charge
-      .or_else(|| self.take_charge())
-      .ok_or(StreamFailure::NoRetry)
+  async fn charge_or_take(&self, charge: Option<SendCharge>) -> Result<SendCharge, StreamFailure> {
+    match charge {
+      Some(charge) => Ok(charge),
+      None => self.take_charge().await.ok_or(StreamFailure::NoRetry),
+    }
   }
 
   /// Sends the request to an endpoint. A charge for what reached no endpoint is returned.
--- a/src/gateway/requests/takeover.rs
+++ b/src/gateway/requests/takeover.rs
@@ -117,7 +117,7 @@
         return Err(NoTakeover::NoAttempt);
       }
       self.settle_version().await.map_err(NoTakeover::Failed)?;
-      let Some(charge) = self.take_charge() else {
+      let Some(charge) = self.take_charge().await else {
         return Err(NoTakeover::Failed(StreamFailure::NoRetry));
       };
       record_silent_stage(&self.gateway, &self.request, silent).await;
--- a/src/gateway/requests/unary.rs
+++ b/src/gateway/requests/unary.rs
@@ -8,9 +8,10 @@
   },
   crate::{
     gateway::{
-      decisions::{EndpointCriteria, RETRY_AFTER_FULL_MS, RETRY_AFTER_NO_ENDPOINT_MS},
+      decisions::{EndpointCriteria, RETRY_AFTER_FULL_MS, RETRY_AFTER_NO_ENDPOINT_MS, RetryNeed},
       edge::{EndpointEntry, ProxyHeaders, Stage},
       quarantine::{LostStage, record_lost_stage, record_sound_segments, record_success},
+      retries::{RetryCharge, take_own_retry, take_retry},
       stages::{BufferedResponse, OutgoingStage, RoutedRequest, StageError, send_stage},
       state::Gateway,
     },
@@ -39,8 +40,8 @@
   unsent: u32,
   /// Of those, the endpoints whose rate limit left no permit.
   without_permit: u32,
-  /// When a retry was taken from the budget, while no endpoint has received the request that it is for.
-  unused_retry_ms: Option<u64>,
+  /// A retry that was taken from the budget, while no endpoint has received the request that it is for.
+  unused_retry: Option<RetryCharge>,
   running: FuturesUnordered<Attempt>,
   /// The endpoints that have not responded yet.
   awaited: Vec<Name>,
@@ -65,7 +66,7 @@
     running: FuturesUnordered::new(),
     tried: Vec::new(),
     unsent: 0,
-    unused_retry_ms: None,
+    unused_retry: None,
     without_permit: 0,
   };
   if !unary.start() {
@@ -91,7 +92,7 @@
           if let Some(response) = self.handle_result(&endpoint, result) {
             return response;
           }
-          if self.running.is_empty() && !self.retry() {
+          if self.running.is_empty() && !self.retry().await {
             return self.give_up();
           }
         }
@@ -100,7 +101,7 @@
           may_hedge = false;
           // A second response would need room too.
           if self.gateway.held_memory.accepts_request(0) {
-            self.retry();
+            self.hedge();
           }
         }
       }
@@ -159,7 +160,7 @@
           self.without_permit += u32::from(error.is_without_permit());
           self.reroute();
         } else {
-          self.unused_retry_ms = None;
+          self.unused_retry = None;
         }
       }
     }
@@ -167,26 +168,41 @@
   }
 
   /// Sends the request to a further endpoint, if its route and the retry budget allow.
-  fn retry(&mut self) -> bool {
+  async fn retry(&mut self) -> bool {
+    let Some(entry) = self.choose_for_retry() else {
+      return false;
+    };
+    let charge = take_retry(&self.gateway, &self.request, RetryNeed::Required).await;
+    self.send_charged(entry, charge)
+  }
+
+  /// Sends the request to a second endpoint while it runs at the first, if its route and this box's share of the budget allow.
+  fn hedge(&mut self) {
+    if let Some(entry) = self.choose_for_retry() {
+      let charge = take_own_retry(&self.gateway, &self.request);
+      self.send_charged(entry, charge);
+    }
+  }
+
+  /// The endpoint for a retry, if the request may be sent again.
+  fn choose_for_retry(&self) -> Option<EndpointEntry> {
     let may_have_run = self.may_have_run || !self.running.is_empty();
     let attempts = self.tried.len() as u32 - self.unsent;
     let route = &self.request.route;
     let allowed = !self.request.is_blocked(&self.gateway)
       && (!may_have_run || (route.kind.may_retry() && attempts < route.max_attempts));
     if !allowed {
-      return false;
+      return None;
     }
-    let Some(entry) = self.choose() else {
+    self.choose()
+  }
+
+  fn send_charged(&mut self, entry: EndpointEntry, charge: Option<RetryCharge>) -> bool {
+    let Some(charge) = charge else {
       return false;
     };
-    if !self
-      .gateway
-      .take_retry(self.request.id(), &self.request.service)
-    {
-      return false;
-    }
     self.gateway.counters.retries.inc();
-    self.unused_retry_ms = Some(self.gateway.now_ms());
+    self.unused_retry = Some(charge);
     self.send_to(entry);
     true
   }
@@ -197,8 +213,8 @@
     if may_start && self.start() {
       return;
     }
-    if let Some(taken_ms) = self.unused_retry_ms.take() {
-      self.gateway.return_retry(&self.request.service, taken_ms);
+    if let Some(charge) = self.unused_retry.take() {
+      charge.give_back(&self.gateway, &self.request.service);
     }
   }
 
--- a/src/gateway/settings/mechanisms.rs
+++ b/src/gateway/settings/mechanisms.rs
@@ -29,6 +29,8 @@
   /// Reject a request at once that is unlikely to get a batch slot in time.
   #[serde(rename = "refusal_by_forecast")]
   pub rejection_by_forecast: bool,
+  /// Borrow retries of other boxes when this box's share of the retry budget is spent, and lend them.
+  pub retry_loans: bool,
   /// Let the role leader change engines' roles.
   #[serde(rename = "role_orders")]
   pub role_commands: bool,
@@ -49,6 +51,7 @@
       recent_engines: true,
       rejection_by_forecast: true,
       resume_on_cached_prompt: true,
+      retry_loans: true,
       role_commands: true,
       silence_takeover: true,
       slot_by_estimate: true,
--- a/src/gateway/state/counters.rs
+++ b/src/gateway/state/counters.rs
@@ -115,6 +115,14 @@
   pub(crate) caller_disconnects: Counter,
   pub(crate) retries: Counter,
   pub(crate) retries_denied: Counter,
+  /// Retries that other boxes were asked for, and those that they lent and did not lend.
+  pub(crate) loans_asked: Counter,
+  pub(crate) loans_granted: Counter,
+  pub(crate) loans_refused: Counter,
+  /// Borrowed retries that were returned, since they were not sent.
+  pub(crate) loans_returned: Counter,
+  /// Retries that this box lent to others.
+  pub(crate) retries_lent: Counter,
   pub(crate) resumed: Counter,
   /// Requests that another box answered, since this one could not reach their endpoints.
   pub(crate) forwarded: Counter,
@@ -221,6 +229,11 @@
       ("rillford_callers_gone_total", &self.caller_disconnects),
       ("rillford_repeats_total", &self.retries),
       ("rillford_repeats_denied_total", &self.retries_denied),
+      ("rillford_loans_asked_total", &self.loans_asked),
+      ("rillford_loans_granted_total", &self.loans_granted),
+      ("rillford_loans_refused_total", &self.loans_refused),
+      ("rillford_loans_returned_total", &self.loans_returned),
+      ("rillford_retries_lent_total", &self.retries_lent),
       ("rillford_resumed_total", &self.resumed),
       ("rillford_forwarded_total", &self.forwarded),
       ("rillford_not_forwarded_total", &self.not_forwarded),
--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -15,9 +15,10 @@
         AttemptOutcome, BoxEntry, BoxList, CachedPrompts, CheckedEnds, Choice, ColdPeriod,
         ConnectionState, CopyBudget, EndpointCounts, EndpointCriteria, EndpointGroup,
         EndpointRegistry, JoinedBoxes, LocalUsage, LongestDeadlines, ObservedProcess,
-        OrganisationLoads, PeakBoxCount, PeerAnswers, PermitTable, Reachability, RetryUsage,
-        RetryWindow, SlotForecast, SlotQueue, StrayAnswers, StreamRecords, Unavailable,
-        UnframedAnswers, UsageTable, VersionIdSteps, VersionRecords, retry_after_backoff_ms,
+        OrganisationLoads, PeakBoxCount, PeerAnswers, PermitTable, Reachability, RetryLenders,
+        RetryNeed, RetryUsage, RetryWindow, SlotForecast, SlotQueue, StrayAnswers, StreamRecords,
+        Unavailable, UnframedAnswers, UsageTable, VersionIdSteps, VersionRecords,
+        retry_after_backoff_ms,
       },
       edge::{ColdStart, EndpointEntry, PlatformCodec, RouteTable, StoreLease},
       settings::{GatewaySettings, RoutePolicy},
@@ -164,6 +165,8 @@
   pub(crate) reachability: RefCell<Reachability>,
   route_table: RefCell<Option<Rc<RouteTable>>>,
   retry_windows: RefCell<HashMap<Name, RetryWindow>>,
+  /// The boxes that may lend retries to this one.
+  pub(crate) retry_lenders: RefCell<RetryLenders>,
   random: RefCell<ChaCha8Rng>,
   started: Instant,
   own_calls: Cell<u64>,
@@ -219,6 +222,7 @@
       quarantine: Quarantine::default(),
       random: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
       reachability: RefCell::default(),
+      retry_lenders: RefCell::default(),
       retry_windows: RefCell::default(),
       route_table: RefCell::new(None),
       service_returns: RefCell::default(),
@@ -670,14 +674,9 @@
     window.usage(allowance, boxes, now_ms)
   }
 
-  /// Whether the retry budget allows a retry that only shows whether a stream is complete. One that is needed, since ends were early
-  /// or the stream is aborted without it, may use as much as a retry of a failed request.
-  pub(crate) fn may_check_end(&self, service: &Name, is_needed: bool) -> bool {
-    let usage = self.retry_usage(service);
-    match is_needed {
-      true => usage.has_retry_left(),
-      false => usage.has_spare_retry(),
-    }
+  /// Whether this box's share of a service's retry budget allows one more retry.
+  pub(crate) fn has_retry_for(&self, service: &Name, need: RetryNeed) -> bool {
+    self.retry_usage(service).has_retry_for(need)
   }
 
   /// Returns a retry that was taken at a time, and reached no endpoint, to the budget.
@@ -688,31 +687,57 @@
   }
 
   /// Takes a retry of a request from this box's share of the retry budget; returns whether one was left.
-  pub(crate) fn take_retry(&self, request_id: &str, service: &Name) -> bool {
+  pub(crate) fn take_retry(&self, request_id: &str, service: &Name, need: RetryNeed) -> bool {
     let usage = self.retry_usage(service);
-    let is_taken = usage.has_retry_left();
-    if is_taken {
-      let mut windows = self.retry_windows.borrow_mut();
-      let window = windows.entry(service.clone()).or_default();
-      window.record_retry(self.now_ms());
-    } else {
-      self.counters.retries_denied.inc();
+    if !usage.has_retry_for(need) {
+      return false;
     }
+    let now_ms = self.now_ms();
+    let mut windows = self.retry_windows.borrow_mut();
+    let window = windows.entry(service.clone()).or_default();
+    window.record_retry(now_ms);
+    let summary = self.usage_summary(usage);
+    log::info!("E546 retry charged: {request_id} {service}: {summary}");
+    true
+  }
+
+  /// Records that a request gets no retry, for a reason beside this box's own share.
+  pub(crate) fn record_retry_denied(&self, request_id: &str, service: &Name, reason: &str) {
+    self.counters.retries_denied.inc();
+    let summary = self.usage_summary(self.retry_usage(service));
+    log::info!("E547 retry denied: {request_id} {service}: {summary}, {reason}");
+  }
+
+  /// Takes a retry that another box sends; returns when it was taken, or `None` if this box can't spare one.
+  pub(crate) fn lend_retry(&self, service: &Name, need: RetryNeed) -> Option<u64> {
+    let table = self.route_table()?;
+    table.service(service)?;
+    let usage = self.retry_usage(service);
+    let (boxes, lent_ms) = (self.box_count(), self.now_ms());
+    let allowance = self.settings.retry_allowance();
+    let mut windows = self.retry_windows.borrow_mut();
+    let window = windows.entry(service.clone()).or_default();
+    if !window.lend(allowance, boxes, need, lent_ms) {
+      return None;
+    }
+    self.counters.retries_lent.inc();
+    let summary = self.usage_summary(usage);
+    log::info!("E612 retry lent: {service}: {summary}");
+    Some(lent_ms)
+  }
+
+  /// The use of this box's share of a retry budget, for logs.
+  fn usage_summary(&self, usage: RetryUsage) -> String {
     let RetryUsage {
       allowed,
       requests,
       retries,
+      ..
     } = usage;
-    let event = if is_taken {
-      "E546 retry charged"
-    } else {
-      "E547 retry denied"
-    };
-    log::info!(
-      "{event}: {request_id} {service}: {retries} of {allowed:.1} used before, {requests} requests, {} boxes",
+    format!(
+      "{retries} of {allowed:.1} used before, {requests} requests, {} boxes",
       self.box_count()
-    );
-    is_taken
+    )
   }
 }
 
--- a/tests/architecture.rs
+++ b/tests/architecture.rs
@@ -17,7 +17,13 @@
   &["state"],
   &["permits"],
   &["stages"],
-  &["limits", "prefill_queue", "quarantine", "resumption"],
+  &[
+    "limits",
+    "prefill_queue",
+    "quarantine",
+    "resumption",
+    "retries",
+  ],
   &["membership", "requests", "roles"],
   &["process"],
 ];
--- a/tests/gateway/budget.rs
+++ b/tests/gateway/budget.rs
@@ -6,7 +6,7 @@
   http::{HeaderValue, StatusCode},
   rand::{RngExt, SeedableRng},
   rand_chacha::ChaCha8Rng,
-  rillford::gateway::{BoxEntry, RetryAllowance, RetryWindow},
+  rillford::gateway::{BoxEntry, RetryAllowance, RetryNeed, RetryWindow},
   rstest::rstest,
 };
 
@@ -148,6 +148,40 @@
   fn may_retry(&mut self, boxes: usize, now_ms: u64) -> bool {
     self.window.take(ALLOWANCE, boxes, now_ms - self.started_ms)
   }
+
+  fn lends(&mut self, boxes: usize, now_ms: u64) -> bool {
+    let at_ms = now_ms - self.started_ms;
+    self
+      .window
+      .lend(ALLOWANCE, boxes, RetryNeed::Required, at_ms)
+  }
+}
+
+/// Whether boxes borrow retries when their shares are spent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Loans {
+  Off,
+  On,
+}
+
+/// The time after which a loan is sent at the latest: the timeout of a message.
+const LOAN_DELAY_MS: u64 = 120;
+/// Boxes that are asked for a loan.
+const MAX_ASKED: usize = 2;
+
+/// Whether one of the boxes that another one asks lends it a retry.
+fn borrows(
+  fleet: &mut [SimulatedBox],
+  borrower: usize,
+  now_ms: u64,
+  random: &mut ChaCha8Rng,
+) -> bool {
+  let boxes = fleet.len();
+  let asked: Vec<_> = (0..MAX_ASKED)
+    .map(|_| random.random_range(0..boxes))
+    .collect();
+  let mut others = asked.into_iter().filter(|lender| *lender != borrower);
+  others.any(|lender| fleet[lender].lends(boxes.max(MIN_BOXES), now_ms))
 }
 
 /// Plays a pattern with a share of 20 requests a second at each box, and returns the times of requests and of retries.
@@ -156,8 +190,10 @@
   boxes: usize,
   request_share: f64,
   seed: u64,
+  loans: Loans,
 ) -> (Vec<u64>, Vec<u64>) {
   let mut random = ChaCha8Rng::seed_from_u64(seed);
+  let mut loan_random = ChaCha8Rng::seed_from_u64(seed);
   let mut fleet: Vec<_> = (0..boxes)
     .map(|_| SimulatedBox {
       started_ms: 0,
@@ -166,7 +202,8 @@
     .collect();
   let (mut requests, mut retries) = (Vec::new(), Vec::new());
   for now_ms in (20_000..60_000).step_by(50) {
-    for (index, at) in fleet.iter_mut().enumerate() {
+    for index in 0..boxes {
+      let at = &mut fleet[index];
       let is_first_half = index < boxes / 2;
       let (has_request, retries_now) = match pattern {
         RetryPattern::Steady | RetryPattern::JointRestart => (true, true),
@@ -190,8 +227,12 @@
       while retries_now && at.may_retry(boxes.max(MIN_BOXES), now_ms) {
         retries.push(now_ms);
       }
+      if loans == Loans::On && retries_now && borrows(&mut fleet, index, now_ms, &mut loan_random) {
+        retries.push(now_ms + LOAN_DELAY_MS);
+      }
     }
   }
+  retries.sort_unstable();
   (requests, retries)
 }
 
@@ -216,8 +257,9 @@
   #[values(3, 8, 30, 58, 300, 985)] boxes: usize,
   #[values(0.02, 0.5)] request_share: f64,
   #[values(1, 2)] seed: u64,
+  #[values(Loans::Off, Loans::On)] loans: Loans,
 ) {
-  let (requests, retries) = play(pattern, boxes, request_share, seed);
+  let (requests, retries) = play(pattern, boxes, request_share, seed, loans);
   for from_ms in (20_000..50_000).step_by(50) {
     let counted = [0, 5_000, 10_000].map(|before_ms| count_within(&requests, from_ms - before_ms));
     let counted = counted.into_iter().fold(0.0, f64::max);
@@ -230,6 +272,33 @@
   }
 }
 
+/// Guards against retries that are denied at the boxes that need them while others leave theirs.
+#[rstest]
+#[case(8)]
+#[case(12)]
+#[case(20)]
+fn box_uses_retries_that_others_leave(#[case] boxes: usize) {
+  let retries_of_one = |loans| {
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    let mut fleet: Vec<_> = (0..boxes)
+      .map(|_| SimulatedBox {
+        started_ms: 0,
+        window: RetryWindow::default(),
+      })
+      .collect();
+    let wanted = 0..10;
+    wanted
+      .filter(|_| {
+        fleet[0].may_retry(boxes, 20_000)
+          || (loans == Loans::On && borrows(&mut fleet, 0, 20_000, &mut random))
+      })
+      .count()
+  };
+  let share = (ALLOWANCE.slack / 2.0 / boxes as f64) as usize;
+  assert_eq!(retries_of_one(Loans::Off), share);
+  assert!(retries_of_one(Loans::On) > 2 * share);
+}
+
 /// Guards against boxes that divide the budget by the few boxes that are still registered after leases have expired.
 #[rstest]
 #[case::usual_slack(60.0)]
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -51,6 +51,8 @@
   name: String,
   /// Retries of all boxes in excess of the ratio.
   pub(crate) retry_slack: f64,
+  /// The retry budget's window.
+  pub(crate) retry_window_s: f64,
   /// Time in which the box stops.
   pub(crate) stop_s: f64,
   /// The box's memory.
@@ -93,6 +95,7 @@
       metrics_port_taken: false,
       name: "north-1".into(),
       retry_slack: 60.0,
+      retry_window_s: 10.0,
       stop_s: 6.0,
       store_address: store.address,
       store,
@@ -111,6 +114,7 @@
       metrics_port_taken: false,
       name: name.into(),
       retry_slack: self.retry_slack,
+      retry_window_s: self.retry_window_s,
       stop_s: self.stop_s,
       store: self.store.clone(),
       store_address,
@@ -362,7 +366,7 @@
 [bounds]
 stop_s = {:.1}
 retry_ratio = 0.2
-retry_window_s = 10
+retry_window_s = {:.1}
 retry_slack = {:.1}
 order_gap_ms = 300
 contact_ms = 3000
@@ -376,6 +380,7 @@
       self.hall,
       self.store_address,
       self.stop_s,
+      self.retry_window_s,
       self.retry_slack,
       self.engine_priority,
       self.extra_settings
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -49,6 +49,8 @@
 mod restarted_engines;
 mod resume;
 mod resuming_caller;
+mod retry_lenders;
+mod retry_loans;
 mod return_order;
 mod reused_addresses;
 mod review_findings;
