Log why nothing checked a stream's end, and how it was confirmed

Cause: E592 named the reason only where a check was possible, and the counters left out streams that may not be resumed, quarantined ones, and checks that failed. So the log of a stream that ended early didn't say why.

Change, without a change of logic: each end that isn't framed has a reason (two more: all tokens arrived, the run checks an earlier end), and each reason a counter. E592 also says what showed that the engine runs on, and how long that took. E525 names the reason where a check was begun and no run could be had (two more reasons: version unknown, run failed).

--- a/src/gateway/decisions/streams/check_denial.rs
+++ b/src/gateway/decisions/streams/check_denial.rs
@@ -3,6 +3,12 @@
 /// Why no further run checks the end of an answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum CheckDenial {
+  /// As many events arrived as the request allows tokens, so the stream is complete.
+  #[error("all tokens arrived")]
+  AllTokens,
+  /// The answer itself checks the end of another one.
+  #[error("the run checks an earlier end")]
+  IsCheck,
   /// The request may run only once.
   #[error("the stream may not be resumed")]
   NotResumable,
@@ -21,4 +27,10 @@
   /// No engine of the stream's version has a free slot.
   #[error("no free slot")]
   NoSlot,
+  /// The version that began the stream is not known.
+  #[error("the stream's version is not known")]
+  NoVersion,
+  /// The run that was to check it has failed.
+  #[error("the run that was to check it failed")]
+  Failed,
 }
--- a/src/gateway/requests/end_check.rs
+++ b/src/gateway/requests/end_check.rs
@@ -6,12 +6,15 @@
     gateway::{
       decisions::{AnswerEnd, CheckDenial, EarlyEnds, EndEvidence, EndVerdict},
       edge::SoftwareVersion,
-      stages::{ResponseHead, confirm_end},
+      stages::{EndProof, ResponseHead, confirm_end},
       state::Gateway,
     },
     ids::Name,
   },
-  std::time::Duration,
+  std::{
+    fmt,
+    time::{Duration, Instant},
+  },
   tokio::time::timeout,
 };
 
@@ -28,6 +31,25 @@
   is_run_lost: bool,
 }
 
+/// How an answer's end was confirmed.
+#[derive(Clone, Copy, Debug)]
+struct Confirmation {
+  proof: EndProof,
+  /// The time from the end until that.
+  took: Duration,
+}
+
+impl fmt::Display for Confirmation {
+  fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+    let Self { proof, took } = self;
+    write!(
+      formatter,
+      "confirmed by {proof} after {} ms",
+      took.as_millis()
+    )
+  }
+}
+
 /// What has arrived of a stream when its engine's answer ends.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Received {
@@ -59,16 +81,23 @@
 
   /// No engine responds with the run that was to check an end.
   pub(super) fn record_failure(&self, gateway: &Gateway, failure: &StreamFailure) {
+    let Some(open) = &self.open else {
+      return;
+    };
     let denial = match failure {
       StreamFailure::NoSlot => CheckDenial::NoSlot,
       StreamFailure::NoRetry => CheckDenial::NoRetry,
-      StreamFailure::Failed(_) | StreamFailure::NotStreamed(_) | StreamFailure::VersionUnknown => {
-        return;
-      }
+      StreamFailure::VersionUnknown => CheckDenial::NoVersion,
+      StreamFailure::Failed(_) | StreamFailure::NotStreamed(_) => CheckDenial::Failed,
     };
-    if self.is_open() {
-      gateway.counters.count_check_denial(denial);
-    }
+    gateway.counters.count_check_denial(denial);
+    log::info!(
+      "E525 end not checked: {} after event {:?} at {} version {}: {denial}",
+      open.request,
+      open.last_event_id,
+      open.engine,
+      open.version
+    );
   }
 
   /// The end that was to be checked, if it completes the stream although no run can check it.
@@ -102,22 +131,25 @@
     head: &ResponseHead,
     received: Received,
   ) -> Result<(), String> {
+    let mut confirmation = None;
     if received.end == AnswerEnd::Connection && !received.has_all_tokens {
-      confirm_running(stream, head, received.events).await?;
+      confirmation = Some(confirm_running(stream, head, received.events).await?);
     }
     let (evidence, denial) = self.evidence(stream, head, received);
     let verdict = evidence.verdict();
-    if evidence.is_to_be_checked() {
+    if evidence.end != AnswerEnd::Framed {
       let counters = &stream.gateway.counters;
       match denial {
         Some(denial) => counters.count_check_denial(denial),
         None => counters.checks.inc(),
       }
-    }
-    if evidence.end != AnswerEnd::Framed {
-      let unchecked = denial.map_or_else(String::new, |denial| format!(", not checked: {denial}"));
+      let reason = denial.map_or_else(String::new, |denial| format!(", not checked: {denial}"));
+      let confirmed = confirmation.map_or_else(
+        || ", not confirmed".into(),
+        |confirmation| format!(", {confirmation}"),
+      );
       log::info!(
-        "E592 end judged: {} after event {:?} at {} version {}, {verdict:?} by {evidence:?}{unchecked}",
+        "E592 end judged: {} after event {:?} at {} version {}, {verdict:?} by {evidence:?}{reason}{confirmed}",
         stream.request.id(),
         stream.last_event_id,
         head.entry.id,
@@ -167,7 +199,7 @@
     };
     let denial = check_denial(stream, service, received, unchecked);
     let evidence = EndEvidence {
-      may_check: denial.is_none() && !self.is_open(),
+      may_check: denial.is_none(),
       ..unchecked
     };
     (evidence, denial)
@@ -199,7 +231,11 @@
   let gateway = &stream.gateway;
   let is_needed =
     unchecked.early_ends != EarlyEnds::None || unchecked.verdict() == EndVerdict::Incomplete;
-  if !stream.may_retry() {
+  if received.has_all_tokens {
+    Some(CheckDenial::AllTokens)
+  } else if unchecked.was_repeated {
+    Some(CheckDenial::IsCheck)
+  } else if !stream.may_retry() {
     Some(CheckDenial::NotResumable)
   } else if !received.may_go_on {
     Some(CheckDenial::NoOrder)
@@ -219,7 +255,7 @@
   stream: &StreamRequest,
   head: &ResponseHead,
   events: u64,
-) -> Result<(), String> {
+) -> Result<Confirmation, String> {
   let StreamRequest {
     gateway, request, ..
   } = stream;
@@ -227,9 +263,14 @@
   // Ids may begin at 0.
   let forwarded = stream.last_event_id.max(Some(events));
   let end = head.answer_end(request.id(), forwarded);
+  let ended_at = Instant::now();
   let confirmed = confirm_end(gateway, end);
   match timeout(Duration::from_millis(remaining_ms), confirmed).await {
-    Ok(confirmed) => confirmed.map_err(|error| error.to_string()),
+    Ok(Ok(proof)) => Ok(Confirmation {
+      proof,
+      took: ended_at.elapsed(),
+    }),
+    Ok(Err(error)) => Err(error.to_string()),
     Err(_) => Err("deadline exceeded before the end was confirmed".into()),
   }
 }
--- a/src/gateway/stages/confirm_end.rs
+++ b/src/gateway/stages/confirm_end.rs
@@ -18,6 +18,7 @@
   },
   http::StatusCode,
   std::{
+    fmt,
     rc::Rc,
     time::{Duration, Instant},
   },
@@ -31,6 +32,30 @@
 /// Connections that are closed at once, after which the endpoint counts as terminated.
 const MAX_CLOSED: u32 = 3;
 
+/// What showed that an endpoint runs after it has ended a connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum EndProof {
+  /// A connection from before the answer is open.
+  OpenConnection,
+  /// The endpoint's report on a connection from before the answer.
+  EarlierReport,
+  /// The endpoint's report on another connection.
+  LaterReport,
+  /// The endpoint accepts connections.
+  Probe,
+}
+
+impl fmt::Display for EndProof {
+  fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+    formatter.write_str(match self {
+      Self::OpenConnection => "an open connection from before the answer",
+      Self::EarlierReport => "a report on a connection from before the answer",
+      Self::LaterReport => "a report on another connection",
+      Self::Probe => "a probe",
+    })
+  }
+}
+
 /// Why an end was not confirmed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
 pub(crate) enum UnconfirmedEnd {
@@ -66,14 +91,14 @@
 pub(crate) async fn confirm_end(
   gateway: &Rc<Gateway>,
   end: AnswerEnd<'_>,
-) -> Result<(), UnconfirmedEnd> {
+) -> Result<EndProof, UnconfirmedEnd> {
   let AnswerEnd {
     entry, request_id, ..
   } = end;
   let found = timeout(MAX_SILENCE, find_liveness(gateway, end)).await;
   let result = found.unwrap_or(Err(UnconfirmedEnd::Unreachable));
   match &result {
-    Ok(()) => gateway.counters.ends_confirmed.inc(),
+    Ok(_) => gateway.counters.ends_confirmed.inc(),
     Err(error) => {
       gateway.counters.ends_unconfirmed.inc();
       log::info!(
@@ -85,7 +110,10 @@
   result
 }
 
-async fn find_liveness(gateway: &Rc<Gateway>, end: AnswerEnd<'_>) -> Result<(), UnconfirmedEnd> {
+async fn find_liveness(
+  gateway: &Rc<Gateway>,
+  end: AnswerEnd<'_>,
+) -> Result<EndProof, UnconfirmedEnd> {
   let entry = end.entry;
   let backs_off = matches!(gateway.check(entry), Err(Unavailable::BackingOff { .. }));
   let is_engine = entry.role.is_some() && gateway.has_engines(&entry.service);
@@ -107,7 +135,8 @@
       false => probe(entry.address).await,
     };
     match liveness {
-      Liveness::Alive => return Ok(()),
+      Liveness::Alive if reports => return Ok(EndProof::LaterReport),
+      Liveness::Alive => return Ok(EndProof::Probe),
       Liveness::Terminated => return Err(UnconfirmedEnd::Terminated),
       Liveness::Closing => closed += 1,
       Liveness::Unknown => {}
@@ -126,7 +155,7 @@
   end: AnswerEnd<'_>,
   witness: &EndWitness,
   reports: bool,
-) -> Option<Result<(), UnconfirmedEnd>> {
+) -> Option<Result<EndProof, UnconfirmedEnd>> {
   let ended_at = Instant::now();
   let state = match reports {
     false => witness.state_after(ended_at).await,
@@ -144,7 +173,8 @@
     },
   };
   match state {
-    WitnessState::Open => Some(Ok(())),
+    WitnessState::Open if reports => Some(Ok(EndProof::EarlierReport)),
+    WitnessState::Open => Some(Ok(EndProof::OpenConnection)),
     // The start of an engine tells whether it closed the connection for a reason of its own.
     WitnessState::ClosedWithAnswer if reports && end.entry.started_ms.is_some() => None,
     WitnessState::ClosedWithAnswer => Some(Err(UnconfirmedEnd::Terminated)),
--- a/src/gateway/stages/stage.rs
+++ b/src/gateway/stages/stage.rs
@@ -215,7 +215,7 @@
       .read(&mut self.body)
       .await?;
     if has_body && kind == BodyKind::Opaque && self.framing() == Framing::Connection {
-      confirm_end(gateway, self.answer_end(request.id(), None)).await?;
+      let _proof = confirm_end(gateway, self.answer_end(request.id(), None)).await?;
     }
     Ok(body)
   }
--- a/src/gateway/state/counters.rs
+++ b/src/gateway/state/counters.rs
@@ -90,12 +90,18 @@
   pub(crate) ends_confirmed: Counter,
   /// Responses that ended with their connection, and whose endpoint had terminated or did not answer.
   pub(crate) ends_unconfirmed: Counter,
-  /// Ends that a further run was to check, and those that none could, by the reason.
+  /// Ends that a further run was to check, and those that none checks, by the reason.
   pub(crate) checks: Counter,
+  pub(crate) checks_of_all_tokens: Counter,
+  pub(crate) checks_of_checks: Counter,
+  pub(crate) checks_not_resumable: Counter,
+  pub(crate) checks_quarantined: Counter,
   pub(crate) checks_without_attempt: Counter,
   pub(crate) checks_without_order: Counter,
   pub(crate) checks_without_retry: Counter,
   pub(crate) checks_without_slot: Counter,
+  pub(crate) checks_without_version: Counter,
+  pub(crate) checks_failed: Counter,
   /// Endpoints that signalled in a response that they are leaving.
   pub(crate) leaving_notices: Counter,
   /// Backoffs that endpoints requested in a response.
@@ -155,14 +161,19 @@
 }
 
 impl Counters {
-  /// Counts an end that no further run checks. Streams that may not be resumed, or not now, are not counted.
+  /// Counts an end that no further run checks.
   pub(crate) fn count_check_denial(&self, denial: CheckDenial) {
     match denial {
+      CheckDenial::AllTokens => self.checks_of_all_tokens.inc(),
+      CheckDenial::IsCheck => self.checks_of_checks.inc(),
+      CheckDenial::NotResumable => self.checks_not_resumable.inc(),
+      CheckDenial::Quarantined => self.checks_quarantined.inc(),
       CheckDenial::NoAttempt => self.checks_without_attempt.inc(),
       CheckDenial::NoOrder => self.checks_without_order.inc(),
       CheckDenial::NoRetry => self.checks_without_retry.inc(),
       CheckDenial::NoSlot => self.checks_without_slot.inc(),
-      CheckDenial::NotResumable | CheckDenial::Quarantined => {}
+      CheckDenial::NoVersion => self.checks_without_version.inc(),
+      CheckDenial::Failed => self.checks_failed.inc(),
     }
   }
 
@@ -194,6 +205,19 @@
       ("rillford_ends_confirmed_total", &self.ends_confirmed),
       ("rillford_ends_unconfirmed_total", &self.ends_unconfirmed),
       ("rillford_checks_total", &self.checks),
+      (
+        "rillford_checks_of_all_tokens_total",
+        &self.checks_of_all_tokens,
+      ),
+      ("rillford_checks_of_checks_total", &self.checks_of_checks),
+      (
+        "rillford_checks_not_resumable_total",
+        &self.checks_not_resumable,
+      ),
+      (
+        "rillford_checks_quarantined_total",
+        &self.checks_quarantined,
+      ),
       (
         "rillford_checks_without_attempt_total",
         &self.checks_without_attempt,
@@ -210,6 +234,11 @@
         "rillford_checks_without_slot_total",
         &self.checks_without_slot,
       ),
+      (
+        "rillford_checks_without_version_total",
+        &self.checks_without_version,
+      ),
+      ("rillford_checks_failed_total", &self.checks_failed),
       ("rillford_leaving_notices_total", &self.leaving_notices),
       ("rillford_pause_notices_total", &self.pause_notices),
       ("rillford_limit_notices_total", &self.limit_notices),
--- a/tests/gateway/living_ends.rs
+++ b/tests/gateway/living_ends.rs
@@ -237,6 +237,21 @@
   assert_eq!(fleet.gateway.metric("rillford_checks_total").await, 0.0);
 }
 
+/// Guards against ends of streams that may not be resumed, or of runs that check others, that no metric shows.
+#[tokio::test]
+async fn ends_that_need_no_check_are_counted_by_the_reason() {
+  let fleet = Fleet::start(ends_whole).await;
+  let metric = async |name: &str| fleet.gateway.metric(name).await;
+  fleet.ask("/stream/a", 1).await;
+  assert_eq!(metric("rillford_checks_not_resumable_total").await, 1.0);
+  fleet.ask("/resumable/a", 2).await;
+  assert_eq!(metric("rillford_checks_total").await, 1.0);
+  assert_eq!(metric("rillford_checks_of_checks_total").await, 1.0);
+  let request = RawRequest::with_tokens("/resumable/a", "r3", EVENTS);
+  request.send(fleet.gateway.callers).await.finish().await;
+  assert_eq!(metric("rillford_checks_of_all_tokens_total").await, 1.0);
+}
+
 /// Guards against an early end that looks complete in a stream that its caller has resumed, because the box has no retry for a check.
 #[tokio::test]
 async fn stream_that_its_caller_has_resumed_does_not_look_complete_where_no_retry_is_left() {
