Believe the end of an interrupted stream where the version's last checked ends were whole

Cause: a stream that was interrupted, or that its caller has resumed, was aborted at an end with its connection whenever the box had no retry for a check, whatever other ends of the version had shown.

Change: an end that no run can check is complete where two checked ends of the version at least were whole within 30 s, and none of the last four early.

--- a/src/gateway/decisions/streams/answer_end.rs
+++ b/src/gateway/decisions/streams/answer_end.rs
@@ -32,6 +32,8 @@
   pub may_be_resumed: bool,
   /// How many ends of the same software version were early lately.
   pub early_ends: EarlyEnds,
+  /// Whether ends of the same version were checked lately, and all whole.
+  pub others_are_whole: bool,
 }
 
 /// What an end means.
@@ -62,6 +64,7 @@
   ///   is_empty_rest: false,
   ///   may_be_resumed: true,
   ///   may_check: true,
+  ///   others_are_whole: false,
   ///   was_interrupted: false,
   ///   was_repeated: false,
   /// };
@@ -77,7 +80,7 @@
     if self.may_check {
       return EndVerdict::Check;
     }
-    if self.is_empty_rest {
+    if self.is_empty_rest || self.others_are_whole {
       return EndVerdict::Complete;
     }
     if self.was_interrupted {
--- a/src/gateway/decisions/streams/checked_ends.rs
+++ b/src/gateway/decisions/streams/checked_ends.rs
@@ -11,6 +11,8 @@
 const MIN_EARLY: usize = 2;
 /// An outcome says nothing about later ends.
 const OUTCOME_LIFETIME_MS: u64 = 30_000;
+/// Whole ends among them at least, until further ones are expected to be whole.
+const MIN_WHOLE: usize = 2;
 /// Versions that are remembered.
 const MAX_VERSIONS: usize = 256;
 
@@ -72,11 +74,27 @@
     });
   }
 
-  /// How many of the version's last ends that were checked were early.
-  pub fn early(&self, service: &Name, version: &SoftwareVersion, now_ms: u64) -> EarlyEnds {
+  /// Whether the version's last ends that were checked were whole, and enough of them to tell.
+  pub fn are_whole(&self, service: &Name, version: &SoftwareVersion, now_ms: u64) -> bool {
+    let counted = self.counted(service, version, now_ms);
+    counted.len() >= MIN_WHOLE && counted.iter().all(|outcome| !outcome.was_early)
+  }
+
+  /// The outcomes of a version that count still.
+  fn counted(&self, service: &Name, version: &SoftwareVersion, now_ms: u64) -> Vec<Outcome> {
     let outcomes = self.versions.get(&(service.clone(), version.clone()));
     let counts = |outcome: &&Outcome| now_ms < outcome.shown_ms + OUTCOME_LIFETIME_MS;
-    let counted: Vec<_> = outcomes.into_iter().flatten().filter(counts).collect();
+    outcomes
+      .into_iter()
+      .flatten()
+      .filter(counts)
+      .copied()
+      .collect()
+  }
+
+  /// How many of the version's last ends that were checked were early.
+  pub fn early(&self, service: &Name, version: &SoftwareVersion, now_ms: u64) -> EarlyEnds {
+    let counted = self.counted(service, version, now_ms);
     let early = counted.iter().filter(|outcome| outcome.was_early).count();
     match early {
       0 => EarlyEnds::None,
--- a/src/gateway/requests/end_check.rs
+++ b/src/gateway/requests/end_check.rs
@@ -203,6 +203,7 @@
       is_empty_rest: received.is_empty_rest,
       may_be_resumed: stream.may_retry() && received.may_go_on,
       may_check: false,
+      others_are_whole: ends.are_whole(service, version, gateway.now_ms()),
       was_interrupted: self.was_interrupted || was_resumed,
       was_repeated: self.is_open(),
     };
--- a/tests/gateway/living_ends.rs
+++ b/tests/gateway/living_ends.rs
@@ -276,6 +276,24 @@
   }
 }
 
+/// Guards against whole streams that are aborted for want of a retry although the last checked ends of their version were whole.
+#[tokio::test]
+async fn streams_after_whole_ones_are_complete_where_no_retry_is_left() {
+  let fleet = Fleet::start_with_slack(ends_whole, RETRY_SLACK).await;
+  for number in 1..=UNFRAMED_STREAMS / 4 {
+    assert_eq!(fleet.ask("/resumable/a", number).await, complete(whole()));
+  }
+  // Interrupted by its caller.
+  assert_eq!(fleet.ask_after(1, 99).await, complete(events(2..=EVENTS)));
+  assert!(
+    fleet
+      .gateway
+      .metric("rillford_checks_without_retry_total")
+      .await
+      > 0.0
+  );
+}
+
 /// Guards against a stream of a service without framing that its caller resumes again and again, because no retry is left.
 #[tokio::test]
 async fn stream_that_its_caller_resumes_is_complete_after_its_last_event_where_no_retry_is_left() {
--- a/tests/gateway/stream_ends.rs
+++ b/tests/gateway/stream_ends.rs
@@ -27,6 +27,7 @@
     may_check: false,
     early_ends: EarlyEnds::None,
     may_be_resumed: false,
+    others_are_whole: false,
     was_interrupted: false,
     was_repeated: false,
   }
@@ -58,6 +59,8 @@
   EndEvidence { early_ends: EarlyEnds::Some, may_be_resumed: true, ..end(AnswerEnd::Connection) }, EndVerdict::Incomplete)]
 #[case::the_engine_had_ended_it(EndEvidence { early_ends: EarlyEnds::Most, ..end(AnswerEnd::NextAnswer) }, EndVerdict::Complete)]
 #[case::the_stream_was_interrupted(EndEvidence { was_interrupted: true, ..end(AnswerEnd::Connection) }, EndVerdict::Incomplete)]
+#[case::the_stream_was_interrupted_and_others_are_whole(
+  EndEvidence { others_are_whole: true, was_interrupted: true, ..end(AnswerEnd::Connection) }, EndVerdict::Complete)]
 #[case::a_run_before_ended_there(EndEvidence { is_empty_rest: true, early_ends: EarlyEnds::Most, ..end(AnswerEnd::Connection) }, EndVerdict::Complete)]
 #[case::a_run_may_show_that_the_rest_is_empty(
   EndEvidence { is_empty_rest: true, ..checkable(AnswerEnd::Connection) }, EndVerdict::Check)]
@@ -114,6 +117,21 @@
   assert_eq!(early("v2", SOON_MS), EarlyEnds::None);
 }
 
+#[rstest]
+#[case::nothing_known(&[], false)]
+#[case::too_few(&[false], false)]
+#[case::enough(&[false, false], true)]
+#[case::one_was_early(&[true, false, false, false], false)]
+#[case::the_last_ones_were_whole(&[true, false, false, false, false], true)]
+fn others_are_whole_by_the_last_checks(#[case] outcomes: &[bool], #[case] expected: bool) {
+  let ends = checked_ends(outcomes);
+  let are_whole =
+    |version: &str, now_ms: u64| ends.are_whole(&service(), &SoftwareVersion::new(version), now_ms);
+  assert_eq!(are_whole("v1", SOON_MS), expected);
+  assert!(!are_whole("v2", SOON_MS));
+  assert!(!are_whole("v1", LATER_MS));
+}
+
 /// Guards against a judgement that outlives the behaviour that it came from.
 #[test]
 fn early_ends_do_not_count_for_long() {
