Leave an end that the box has no retry to check to the caller who may resume the stream

Cause: a first answer without framing that was cut off between two events by an engine that lives on looked complete where the box had no retry left.

Change: where only a bound on retries prevents a check (no retry, no attempt), and too little is known of the version's other ends, the stream is incomplete if its caller may resume it: that request is no retry, and shows it. Where nobody could run a check (no slot, no version), the end counts as before, since the caller's request would find no engine either.

--- a/src/gateway/decisions/streams/answer_end.rs
+++ b/src/gateway/decisions/streams/answer_end.rs
@@ -34,6 +34,8 @@
   pub early_ends: EarlyEnds,
   /// Whether ends of the same version were checked lately, and all whole.
   pub others_are_whole: bool,
+  /// Whether only this box's budget or the route prevents a check: the caller's next request has neither of these bounds.
+  pub caller_may_check: bool,
 }
 
 /// What an end means.
@@ -53,11 +55,17 @@
     self.end != AnswerEnd::Framed && !self.has_all_tokens && !self.was_repeated
   }
 
+  /// Whether the caller's next request shows what a run of this box could not be paid to show.
+  fn is_left_to_caller(self) -> bool {
+    self.may_be_resumed && self.caller_may_check && self.end == AnswerEnd::Connection
+  }
+
   /// What the end means. Without a sign to the contrary an end with the connection counts, since some services have no other.
   ///
   /// ```
   /// use rillford::gateway::{AnswerEnd, EarlyEnds, EndEvidence, EndVerdict};
   /// let evidence = EndEvidence {
+  ///   caller_may_check: false,
   ///   early_ends: EarlyEnds::None,
   ///   end: AnswerEnd::Connection,
   ///   has_all_tokens: false,
@@ -71,6 +79,8 @@
   /// assert_eq!(evidence.verdict(), EndVerdict::Check);
   /// let unchecked = EndEvidence { may_check: false, ..evidence };
   /// assert_eq!(unchecked.verdict(), EndVerdict::Complete);
+  /// let over_budget = EndEvidence { caller_may_check: true, ..unchecked };
+  /// assert_eq!(over_budget.verdict(), EndVerdict::Incomplete);
   /// ```
   #[must_use]
   pub fn verdict(self) -> EndVerdict {
@@ -83,7 +93,7 @@
     if self.is_empty_rest || self.others_are_whole {
       return EndVerdict::Complete;
     }
-    if self.was_interrupted {
+    if self.was_interrupted || self.is_left_to_caller() {
       return EndVerdict::Incomplete;
     }
     // An abort costs a caller who may resume the stream a request, and others the stream.
--- a/src/gateway/decisions/streams/check_denial.rs
+++ b/src/gateway/decisions/streams/check_denial.rs
@@ -34,3 +34,20 @@
   #[error("the run that was to check it failed")]
   Failed,
 }
+
+impl CheckDenial {
+  /// Whether only a bound on retries prevents a check. A caller's next request is not a retry, and is not bound by it.
+  pub(crate) fn is_budget(self) -> bool {
+    match self {
+      Self::NoAttempt | Self::NoRetry => true,
+      Self::AllTokens
+      | Self::Failed
+      | Self::IsCheck
+      | Self::NoOrder
+      | Self::NoSlot
+      | Self::NoVersion
+      | Self::NotResumable
+      | Self::Quarantined => false,
+    }
+  }
+}
--- a/src/gateway/requests/end_check.rs
+++ b/src/gateway/requests/end_check.rs
@@ -80,8 +80,8 @@
   }
 
   /// No engine responds with the run that was to check an end.
-  pub(super) fn record_failure(&self, gateway: &Gateway, failure: &StreamFailure) {
-    let Some(open) = &self.open else {
+  pub(super) fn record_failure(&mut self, gateway: &Gateway, failure: &StreamFailure) {
+    let Some(open) = &mut self.open else {
       return;
     };
     let denial = match failure {
@@ -90,6 +90,7 @@
       StreamFailure::VersionUnknown => CheckDenial::NoVersion,
       StreamFailure::Failed(_) | StreamFailure::NotStreamed(_) => CheckDenial::Failed,
     };
+    open.evidence.caller_may_check = denial.is_budget();
     gateway.counters.count_check_denial(denial);
     log::info!(
       "E525 end not checked: {} after event {:?} at {} version {}: {denial}",
@@ -197,6 +198,7 @@
     let ends = gateway.checked_ends.borrow();
     let was_resumed = stream.may_retry() && stream.request.attributes.last_event_id.is_some();
     let unchecked = EndEvidence {
+      caller_may_check: true,
       early_ends: ends.early(service, version, gateway.now_ms()),
       end: received.end,
       has_all_tokens: received.has_all_tokens,
@@ -209,6 +211,7 @@
     };
     let denial = check_denial(stream, service, received, unchecked);
     let evidence = EndEvidence {
+      caller_may_check: denial.is_some_and(CheckDenial::is_budget),
       may_check: denial.is_none(),
       ..unchecked
     };
--- a/tests/gateway/stream_ends.rs
+++ b/tests/gateway/stream_ends.rs
@@ -21,6 +21,7 @@
 /// The end of an answer of which nothing else is known.
 fn end(end: AnswerEnd) -> EndEvidence {
   EndEvidence {
+    caller_may_check: false,
     end,
     has_all_tokens: false,
     is_empty_rest: false,
@@ -61,6 +62,14 @@
 #[case::the_stream_was_interrupted(EndEvidence { was_interrupted: true, ..end(AnswerEnd::Connection) }, EndVerdict::Incomplete)]
 #[case::the_stream_was_interrupted_and_others_are_whole(
   EndEvidence { others_are_whole: true, was_interrupted: true, ..end(AnswerEnd::Connection) }, EndVerdict::Complete)]
+#[case::only_the_caller_may_check(
+  EndEvidence { caller_may_check: true, may_be_resumed: true, ..end(AnswerEnd::Connection) }, EndVerdict::Incomplete)]
+#[case::only_the_caller_may_check_and_others_are_whole(
+  EndEvidence { caller_may_check: true, may_be_resumed: true, others_are_whole: true, ..end(AnswerEnd::Connection) },
+  EndVerdict::Complete)]
+#[case::only_the_caller_may_check_what_the_engine_had_ended(
+  EndEvidence { caller_may_check: true, may_be_resumed: true, ..end(AnswerEnd::NextAnswer) }, EndVerdict::Complete)]
+#[case::nobody_may_check(EndEvidence { may_be_resumed: true, ..end(AnswerEnd::Connection) }, EndVerdict::Complete)]
 #[case::a_run_before_ended_there(EndEvidence { is_empty_rest: true, early_ends: EarlyEnds::Most, ..end(AnswerEnd::Connection) }, EndVerdict::Complete)]
 #[case::a_run_may_show_that_the_rest_is_empty(
   EndEvidence { is_empty_rest: true, ..checkable(AnswerEnd::Connection) }, EndVerdict::Check)]
