--- a/src/gateway/requests/end_check.rs
+++ b/src/gateway/requests/end_check.rs
@@ -6,12 +6,15 @@
     gateway::{
       decisions::{AnswerEnd, CheckDenial, EarlyEnds, EndEvidence, EndVerdict},
       edge::SoftwareVersion,
-      stages::{ResponseHead, confirm_end},
+      stages::{EndProof, ResponseHead, UnconfirmedEnd, confirm_end, confirm_end_again},
       state::Gateway,
     },
     ids::Name,
   },
-  std::time::Duration,
+  std::{
+    fmt,
+    time::{Duration, Instant},
+  },
   tokio::time::timeout,
 };
 
@@ -28,6 +31,25 @@
   is_run_lost: bool,
 }
 
+/// How an answer's end was confirmed.
+#[derive(Clone, Copy, Debug)]
+struct Confirmation {
+  proof: EndProof,
+  /// The time from the end until that.
+  took: Duration,
+}
+
+impl fmt::Display for Confirmation {
+  fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+    let Self { proof, took } = self;
+    write!(
+      formatter,
+      "confirmed by {proof} after {} ms",
+      took.as_millis()
+    )
+  }
+}
+
 /// What has arrived of a stream when its engine's answer ends.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Received {
@@ -58,17 +80,25 @@
   }
 
   /// No engine responds with the run that was to check an end.
-  pub(super) fn record_failure(&self, gateway: &Gateway, failure: &StreamFailure) {
+  pub(super) fn record_failure(&mut self, gateway: &Gateway, failure: &StreamFailure) {
+    let Some(open) = &mut self.open else {
+      return;
+    };
     let denial = match failure {
       StreamFailure::NoSlot => CheckDenial::NoSlot,
       StreamFailure::NoRetry => CheckDenial::NoRetry,
-      StreamFailure::Failed(_) | StreamFailure::NotStreamed(_) | StreamFailure::VersionUnknown => {
-        return;
-      }
+      StreamFailure::VersionUnknown => CheckDenial::NoVersion,
+      StreamFailure::Failed(_) | StreamFailure::NotStreamed(_) => CheckDenial::Failed,
     };
-    if self.is_open() {
-      gateway.counters.count_check_denial(denial);
-    }
+    open.evidence.caller_may_check = denial.is_budget();
+    gateway.counters.count_check_denial(denial);
+    log::info!(
+      "E525 end not checked: {} after event {:?} at {} version {}: {denial}",
+      open.request,
+      open.last_event_id,
+      open.engine,
+      open.version
+    );
   }
 
   /// The end that was to be checked, if it completes the stream although no run can check it.
@@ -102,22 +132,30 @@
     head: &ResponseHead,
     received: Received,
   ) -> Result<(), String> {
-    if received.end == AnswerEnd::Connection && !received.has_all_tokens {
-      confirm_running(stream, head, received.events).await?;
+    // Ids may begin at 0.
+    let forwarded = stream.last_event_id.max(Some(received.events));
+    let answer_end = head.answer_end(stream.request.id(), forwarded);
+    let is_unframed = received.end == AnswerEnd::Connection && !received.has_all_tokens;
+    let mut confirmation = None;
+    if is_unframed {
+      let confirmed = confirm_end(&stream.gateway, answer_end);
+      confirmation = Some(confirm_in_time(stream, confirmed).await?);
     }
     let (evidence, denial) = self.evidence(stream, head, received);
     let verdict = evidence.verdict();
-    if evidence.is_to_be_checked() {
+    if evidence.end != AnswerEnd::Framed {
       let counters = &stream.gateway.counters;
       match denial {
         Some(denial) => counters.count_check_denial(denial),
         None => counters.checks.inc(),
       }
-    }
-    if evidence.end != AnswerEnd::Framed {
-      let unchecked = denial.map_or_else(String::new, |denial| format!(", not checked: {denial}"));
+      let reason = denial.map_or_else(String::new, |denial| format!(", not checked: {denial}"));
+      let confirmed = confirmation.map_or_else(
+        || ", not confirmed".into(),
+        |confirmation| format!(", {confirmation}"),
+      );
       log::info!(
-        "E592 end judged: {} after event {:?} at {} version {}, {verdict:?} by {evidence:?}{unchecked}",
+        "E592 end judged: {} after event {:?} at {} version {}, {verdict:?} by {evidence:?}{reason}{confirmed}",
         stream.request.id(),
         stream.last_event_id,
         head.entry.id,
@@ -126,6 +164,10 @@
     }
     match verdict {
       EndVerdict::Complete => {
+        if is_unframed && evidence.is_to_be_checked() {
+          let confirmed = confirm_end_again(&stream.gateway, answer_end);
+          confirm_in_time(stream, confirmed).await?;
+        }
         self.resolve(&stream.gateway, false);
         Ok(())
       }
@@ -156,18 +198,21 @@
     let ends = gateway.checked_ends.borrow();
     let was_resumed = stream.may_retry() && stream.request.attributes.last_event_id.is_some();
     let unchecked = EndEvidence {
+      caller_may_check: true,
       early_ends: ends.early(service, version, gateway.now_ms()),
       end: received.end,
       has_all_tokens: received.has_all_tokens,
       is_empty_rest: received.is_empty_rest,
       may_be_resumed: stream.may_retry() && received.may_go_on,
       may_check: false,
+      others_are_whole: ends.are_whole(service, version, gateway.now_ms()),
       was_interrupted: self.was_interrupted || was_resumed,
       was_repeated: self.is_open(),
     };
     let denial = check_denial(stream, service, received, unchecked);
     let evidence = EndEvidence {
-      may_check: denial.is_none() && !self.is_open(),
+      caller_may_check: denial.is_some_and(CheckDenial::is_budget),
+      may_check: denial.is_none(),
       ..unchecked
     };
     (evidence, denial)
@@ -199,7 +244,11 @@
   let gateway = &stream.gateway;
   let is_needed =
     unchecked.early_ends != EarlyEnds::None || unchecked.verdict() == EndVerdict::Incomplete;
-  if !stream.may_retry() {
+  if received.has_all_tokens {
+    Some(CheckDenial::AllTokens)
+  } else if unchecked.was_repeated {
+    Some(CheckDenial::IsCheck)
+  } else if !stream.may_retry() {
     Some(CheckDenial::NotResumable)
   } else if !received.may_go_on {
     Some(CheckDenial::NoOrder)
@@ -214,22 +263,19 @@
   }
 }
 
-/// Confirms that an engine runs after the end of its connection, before the request's deadline.
-async fn confirm_running(
+/// Waits for the confirmation of an end until the request's deadline.
+async fn confirm_in_time(
   stream: &StreamRequest,
-  head: &ResponseHead,
-  events: u64,
-) -> Result<(), String> {
-  let StreamRequest {
-    gateway, request, ..
-  } = stream;
-  let remaining_ms = request.remaining_ms(gateway.now_ms());
-  // Ids may begin at 0.
-  let forwarded = stream.last_event_id.max(Some(events));
-  let end = head.answer_end(request.id(), forwarded);
-  let confirmed = confirm_end(gateway, end);
+  confirmed: impl Future<Output = Result<EndProof, UnconfirmedEnd>>,
+) -> Result<Confirmation, String> {
+  let remaining_ms = stream.request.remaining_ms(stream.gateway.now_ms());
+  let since = Instant::now();
   match timeout(Duration::from_millis(remaining_ms), confirmed).await {
-    Ok(confirmed) => confirmed.map_err(|error| error.to_string()),
+    Ok(Ok(proof)) => Ok(Confirmation {
+      proof,
+      took: since.elapsed(),
+    }),
+    Ok(Err(error)) => Err(error.to_string()),
     Err(_) => Err("deadline exceeded before the end was confirmed".into()),
   }
 }
