--- a/src/gateway/decisions/streams/answer_end.rs
+++ b/src/gateway/decisions/streams/answer_end.rs
@@ -57,7 +57,10 @@
 
   /// Whether the caller's next request shows what a run of this box could not be paid to show.
   fn is_left_to_caller(self) -> bool {
-    self.may_be_resumed && self.caller_may_check && self.end == AnswerEnd::Connection
+    self.may_be_resumed
+      && self.caller_may_check
+      && !self.others_are_whole
+      && self.end == AnswerEnd::Connection
   }
 
   /// What the end means. Without a sign to the contrary an end with the connection counts, since some services have no other.
@@ -90,7 +93,7 @@
     if self.may_check {
       return EndVerdict::Check;
     }
-    if self.is_empty_rest || self.others_are_whole {
+    if self.is_empty_rest {
       return EndVerdict::Complete;
     }
     if self.was_interrupted || self.is_left_to_caller() {
--- a/src/gateway/requests/end_check.rs
+++ b/src/gateway/requests/end_check.rs
@@ -5,8 +5,10 @@
   crate::{
     gateway::{
       decisions::{AnswerEnd, CheckDenial, EarlyEnds, EndEvidence, EndVerdict},
-      edge::SoftwareVersion,
-      stages::{EndProof, ResponseHead, UnconfirmedEnd, confirm_end, confirm_end_again},
+      edge::{EndpointEntry, SoftwareVersion},
+      stages::{
+        ConnectionEnd, EndProof, ResponseHead, UnconfirmedEnd, confirm_end, confirm_end_again,
+      },
       state::Gateway,
     },
     ids::Name,
@@ -18,6 +20,15 @@
   tokio::time::timeout,
 };
 
+/// Why an end does not complete its stream.
+#[derive(Debug)]
+pub(super) enum EndDoubt {
+  /// The stream goes on at another engine, if one may: its engine ended early, or a further run is to check the end.
+  GoesOn(String),
+  /// The stream is aborted: its caller may resume it, or nothing else shows that it is incomplete. Its engine runs.
+  Aborted(&'static str),
+}
+
 /// An end that a further run checks.
 #[derive(Debug)]
 struct OpenCheck {
@@ -27,6 +38,9 @@
   version: SoftwareVersion,
   last_event_id: Option<u64>,
   evidence: EndEvidence,
+  /// The entry of the engine, and when its answer ended.
+  entry: EndpointEntry,
+  ended_at: Instant,
   /// Whether a run that was to check it was lost.
   is_run_lost: bool,
 }
@@ -101,14 +115,22 @@
     );
   }
 
-  /// The end that was to be checked, if it completes the stream although no run can check it.
-  pub(super) fn complete_unchecked(&self) -> Option<AnswerEnd> {
+  /// The end that was to be checked, if it completes the stream although no run can check it, and its engine still runs.
+  pub(super) async fn complete_unchecked(&self, stream: &StreamRequest) -> Option<AnswerEnd> {
     let open = self.open.as_ref().filter(|open| !open.is_run_lost)?;
     let evidence = EndEvidence {
       may_check: false,
       ..open.evidence
     };
-    (evidence.verdict() == EndVerdict::Complete).then_some(evidence.end)
+    if evidence.verdict() != EndVerdict::Complete {
+      return None;
+    }
+    if evidence.end == AnswerEnd::Connection {
+      let end = ConnectionEnd::without_connection(stream.request.id(), &open.entry, open.ended_at);
+      let confirmed = confirm_end_again(&stream.gateway, end);
+      confirm_in_time(stream, confirmed).await.ok()?;
+    }
+    Some(evidence.end)
   }
 
   /// The current run is lost. One that was to check an end shows nothing.
@@ -131,7 +153,7 @@
     stream: &StreamRequest,
     head: &ResponseHead,
     received: Received,
-  ) -> Result<(), String> {
+  ) -> Result<(), EndDoubt> {
     // Ids may begin at 0.
     let forwarded = stream.last_event_id.max(Some(received.events));
     let answer_end = head.answer_end(stream.request.id(), forwarded);
@@ -139,7 +161,8 @@
     let mut confirmation = None;
     if is_unframed {
       let confirmed = confirm_end(&stream.gateway, answer_end);
-      confirmation = Some(confirm_in_time(stream, confirmed).await?);
+      let confirmed = confirm_in_time(stream, confirmed).await;
+      confirmation = Some(confirmed.map_err(EndDoubt::GoesOn)?);
     }
     let (evidence, denial) = self.evidence(stream, head, received);
     let verdict = evidence.verdict();
@@ -164,16 +187,19 @@
     }
     match verdict {
       EndVerdict::Complete => {
-        if is_unframed && evidence.is_to_be_checked() {
+        if is_unframed {
           let confirmed = confirm_end_again(&stream.gateway, answer_end);
-          confirm_in_time(stream, confirmed).await?;
+          let confirmed = confirm_in_time(stream, confirmed).await;
+          confirmed.map_err(EndDoubt::GoesOn)?;
         }
         self.resolve(&stream.gateway, false);
         Ok(())
       }
       EndVerdict::Check => {
         self.open = Some(OpenCheck {
+          ended_at: Instant::now(),
           engine: head.entry.id.clone(),
+          entry: head.entry.clone(),
           evidence,
           is_run_lost: false,
           last_event_id: stream.last_event_id,
@@ -181,9 +207,12 @@
           service: head.entry.service.clone(),
           version: head.entry.version.clone(),
         });
-        Err("the end of its answer is to be checked".into())
+        let reason = "the end of its answer is to be checked";
+        Err(EndDoubt::GoesOn(reason.into()))
       }
-      EndVerdict::Incomplete => Err("others that ended like this were incomplete".into()),
+      EndVerdict::Incomplete => Err(EndDoubt::Aborted(
+        "nothing shows that it was whole when its answer ended",
+      )),
     }
   }
 
--- a/src/gateway/requests/event_relay.rs
+++ b/src/gateway/requests/event_relay.rs
@@ -2,7 +2,7 @@
 
 use {
   super::{
-    end_check::{EndCheck, Received},
+    end_check::{EndCheck, EndDoubt, Received},
     event_block::BlockKind,
     event_order::{EventOrder, EventPlace, Misplaced},
     event_splitter::{EventSplitter, SseEvent},
@@ -88,6 +88,8 @@
   longest_pause_ms: u64,
   /// Whether the current engine is silent.
   is_overdue: bool,
+  /// Whether the current answer has lacked an event, or has held a damaged or a foreign one: its engine may do so again.
+  is_answer_spoilt: bool,
   /// For how long the current engine's events have been left unread.
   unread: UnreadTime,
   late: LateBytes,
@@ -107,6 +109,7 @@
       first_event_recorded: false,
       has_sound_segments: false,
       head: Some(head),
+      is_answer_spoilt: false,
       is_finished: false,
       is_overdue: false,
       last_event_ms: None,
@@ -153,7 +156,11 @@
         Ok(Read::Nothing) => continue,
         Ok(Read::End(end)) => match self.check_end(end).await {
           Ok(()) => return self.finish(end),
-          Err(error) => error,
+          Err(EndDoubt::GoesOn(error)) => error,
+          Err(EndDoubt::Aborted(reason)) => {
+            self.settle_sound_engine();
+            return Some(Err(self.abort(reason.into())));
+          }
         },
         Err(error) => {
           self.end_check.record_lost_run();
@@ -161,7 +168,7 @@
         }
       };
       if let Err(error) = self.resume(error).await {
-        if let Some(end) = self.end_check.complete_unchecked() {
+        if let Some(end) = self.end_check.complete_unchecked(&self.stream).await {
           return self.finish(end);
         }
         return Some(Err(self.abort(error)));
@@ -185,6 +192,7 @@
       }
       BlockKind::Damaged => {
         self.log_not_forwarded(&block, &"it is damaged");
+        self.is_answer_spoilt = true;
         Err("an event is damaged".into())
       }
     }
@@ -205,6 +213,7 @@
         if self.has_all_tokens() {
           return Ok(Read::End(AnswerEnd::NextAnswer));
         }
+        self.is_answer_spoilt = true;
         if matches!(misplaced, Misplaced::Gap { .. }) {
           self.end_check.record_event(&self.stream.gateway);
         }
@@ -347,6 +356,7 @@
     self.discard_partial_event();
     self.order.record_interruption();
     self.answering_since_ms = None;
+    self.is_answer_spoilt = false;
     self.is_overdue = false;
     self.unread = UnreadTime::default();
     let interrupted = former.as_ref().map(|former| former.entry.version.clone());
@@ -475,7 +485,7 @@
   }
 
   /// Checks that the end of the current response is the stream's end.
-  async fn check_end(&mut self, end: AnswerEnd) -> Result<(), String> {
+  async fn check_end(&mut self, end: AnswerEnd) -> Result<(), EndDoubt> {
     let received = Received {
       end,
       events: self.events,
@@ -489,6 +499,13 @@
     }
   }
 
+  /// Records that the current engine has answered, although its answer does not complete the stream.
+  fn settle_sound_engine(&mut self) {
+    if let Some(head) = &mut self.head {
+      head.load_guard.answered();
+    }
+  }
+
   /// Completes the stream.
   fn finish(&mut self, end: AnswerEnd) -> Option<Result<Bytes, StreamAborted>> {
     self.is_finished = true;
@@ -563,7 +580,8 @@
           .lost_stage(&head.entry, head.sent_ms, answering_ms, error.clone());
         record_lost_stage(&self.stream.gateway, &request, lost).await;
       }
-      self.stream.interrupted_at = Some(head.connection.endpoint.clone());
+      let is_spoilt = std::mem::take(&mut self.is_answer_spoilt);
+      self.stream.interrupted_at = (!is_spoilt).then(|| head.connection.endpoint.clone());
     }
     self.discard_partial_event();
     self.order.record_interruption();
--- a/src/gateway/stages/confirm_end.rs
+++ b/src/gateway/stages/confirm_end.rs
@@ -28,7 +28,9 @@
 /// How long an endpoint may be silent: a sound one goes on after a second or so.
 const MAX_SILENCE: Duration = Duration::from_millis(1_200);
 /// How long a process may still answer after it has closed its streams and before it ends.
-const SHUTDOWN_TIME: Duration = Duration::from_millis(150);
+const SHUTDOWN_TIME: Duration = Duration::from_millis(250);
+/// The same for an endpoint that leaves, whose end is near.
+const LEAVING_SHUTDOWN_TIME: Duration = Duration::from_millis(1_000);
 /// Pause between attempts: an endpoint at its limit of connections resets new ones at once.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 /// Connections that are closed at once, after which the endpoint counts as terminated.
@@ -80,7 +82,7 @@
 
 /// The end of a response that ended with its connection.
 #[derive(Clone, Copy)]
-pub(crate) struct AnswerEnd<'a> {
+pub(crate) struct ConnectionEnd<'a> {
   pub(super) ended_at: Instant,
   pub(super) request_id: &'a str,
   /// The endpoint's entry when the request was sent.
@@ -90,12 +92,29 @@
   pub(super) witness: Option<&'a EndWitness>,
 }
 
+impl<'a> ConnectionEnd<'a> {
+  /// The end of a response of which no connection is left.
+  pub(crate) fn without_connection(
+    request_id: &'a str,
+    entry: &'a EndpointEntry,
+    ended_at: Instant,
+  ) -> Self {
+    Self {
+      ended_at,
+      entry,
+      forwarded: None,
+      request_id,
+      witness: None,
+    }
+  }
+}
+
 /// Confirms that an endpoint still runs after it has ended a connection.
 pub(crate) async fn confirm_end(
   gateway: &Rc<Gateway>,
-  end: AnswerEnd<'_>,
+  end: ConnectionEnd<'_>,
 ) -> Result<EndProof, UnconfirmedEnd> {
-  let AnswerEnd {
+  let ConnectionEnd {
     entry, request_id, ..
   } = end;
   let found = timeout(MAX_SILENCE, find_liveness(gateway, end)).await;
@@ -118,15 +137,27 @@
 /// and still answer until it closes everything.
 pub(crate) async fn confirm_end_again(
   gateway: &Rc<Gateway>,
-  end: AnswerEnd<'_>,
+  end: ConnectionEnd<'_>,
 ) -> Result<EndProof, UnconfirmedEnd> {
-  sleep(SHUTDOWN_TIME.saturating_sub(end.ended_at.elapsed())).await;
+  let shutdown = match is_leaving(gateway, end.entry) {
+    true => LEAVING_SHUTDOWN_TIME,
+    false => SHUTDOWN_TIME,
+  };
+  sleep(shutdown.saturating_sub(end.ended_at.elapsed())).await;
   confirm_end(gateway, end).await
 }
 
+/// Whether an endpoint leaves, or has left, as far as it is known.
+pub(super) fn is_leaving(gateway: &Gateway, entry: &EndpointEntry) -> bool {
+  matches!(
+    gateway.check(entry),
+    Err(Unavailable::Unlisted | Unavailable::ListedAsLeaving | Unavailable::Leaving { .. })
+  )
+}
+
 async fn find_liveness(
   gateway: &Rc<Gateway>,
-  end: AnswerEnd<'_>,
+  end: ConnectionEnd<'_>,
 ) -> Result<EndProof, UnconfirmedEnd> {
   let entry = end.entry;
   let backs_off = matches!(gateway.check(entry), Err(Unavailable::BackingOff { .. }));
@@ -166,7 +197,7 @@
 /// What a connection from before the response shows; `None` if it shows nothing.
 async fn witnessed(
   gateway: &Gateway,
-  end: AnswerEnd<'_>,
+  end: ConnectionEnd<'_>,
   witness: &EndWitness,
   reports: bool,
 ) -> Option<Result<EndProof, UnconfirmedEnd>> {
@@ -204,7 +235,7 @@
 /// Whether an engine runs, by its report on a connection.
 async fn engine_liveness(
   gateway: &Rc<Gateway>,
-  end: AnswerEnd<'_>,
+  end: ConnectionEnd<'_>,
   idle: Option<Connection>,
 ) -> Result<Liveness, UnconfirmedEnd> {
   let entry = end.entry;
@@ -230,7 +261,11 @@
 
 /// Fails when the stream's run has made events that have not arrived. The report is older than the end of the stream, so a run with no
 /// further events shows nothing.
-fn check_run(gateway: &Gateway, end: AnswerEnd<'_>, report: &Report) -> Result<(), UnconfirmedEnd> {
+fn check_run(
+  gateway: &Gateway,
+  end: ConnectionEnd<'_>,
+  report: &Report,
+) -> Result<(), UnconfirmedEnd> {
   let (Some(forwarded), Some(events)) =
     (end.forwarded, report.events_made(gateway, end.request_id))
   else {
--- a/src/gateway/stages/mod.rs
+++ b/src/gateway/stages/mod.rs
@@ -26,7 +26,7 @@
 mod stage_error;
 
 pub(crate) use self::{
-  confirm_end::{EndProof, UnconfirmedEnd, confirm_end, confirm_end_again},
+  confirm_end::{ConnectionEnd, EndProof, UnconfirmedEnd, confirm_end, confirm_end_again},
   displacement_check::check_displacements,
   engine_call::{EngineCallError, ExportGuard, Reservation, call_engine},
   framing::Framing,
--- a/src/gateway/stages/stage.rs
+++ b/src/gateway/stages/stage.rs
@@ -2,7 +2,7 @@
 
 use {
   super::{
-    confirm_end::{AnswerEnd, confirm_end},
+    confirm_end::{ConnectionEnd, confirm_end, confirm_end_again, is_leaving},
     end_witness::EndWitness,
     framing::Framing,
     incarnation_check::{AfterReport, confirm_start, has_confirmed_start, version_evidence},
@@ -145,8 +145,8 @@
     &'a self,
     request_id: &'a str,
     forwarded: Option<u64>,
-  ) -> AnswerEnd<'a> {
-    AnswerEnd {
+  ) -> ConnectionEnd<'a> {
+    ConnectionEnd {
       ended_at: Instant::now(),
       entry: &self.entry,
       forwarded,
@@ -216,7 +216,11 @@
       .read(&mut self.body)
       .await?;
     if has_body && kind == BodyKind::Opaque && self.framing() == Framing::Connection {
-      confirm_end(gateway, self.answer_end(request.id(), None)).await?;
+      let end = self.answer_end(request.id(), None);
+      confirm_end(gateway, end).await?;
+      if is_leaving(gateway, &self.entry) {
+        confirm_end_again(gateway, end).await?;
+      }
     }
     Ok(body)
   }
