Connections that only show that a process goes on are kept

Callers saw: a resumption, or an interrupted stream, waited three heartbeats for an engine that the box had connected to for its version, and was rejected (E562, engines listed) or aborted.

Cause: a connection that was just opened is not ready for a request before its task has run once, and put_unused dropped those that are not ready. So observe_endpoint opened a connection and closed it at once: the process was never observed.

Change: an unused connection returns to the pool unless it has ended; those that are not ready are not taken.

Ruled out: the store's view being late (the watch returns in time), and idle connections being closed by the engine (the log has no end).

--- a/src/gateway/connections/connection_pool.rs
+++ b/src/gateway/connections/connection_pool.rs
@@ -65,12 +65,12 @@
   }
 
   /// Returns a connection that was not used since it was taken, unless `max_idle` are idle already. One that never was may be
-  /// idle for as long as after a response that names no time.
+  /// idle for as long as after a response that names no time, and may not be ready yet.
   pub(crate) fn put_unused(&self, mut connection: Connection, max_idle: usize, now_ms: u64) {
     if connection.reusable_until_ms == 0 {
       connection.reusable_until_ms = now_ms + DEFAULT_IDLE_TIMEOUT_MS;
     }
-    if connection.is_usable(now_ms) {
+    if connection.state.is_open() {
       self.push(connection, max_idle);
     }
   }
