A check that found no engine: the end is confirmed by the connection from before the answer

Cause: the second confirmation of such an end had no connection from before the answer, so that an engine which accepts no further connections lost its whole streams (confirmed_ends::stream_whose_engine_refuses_connections_after_it_is_complete, path /resumable/a). The share in that connection is kept with the open check.

--- a/src/gateway/requests/end_check.rs
+++ b/src/gateway/requests/end_check.rs
@@ -7,7 +7,8 @@
       decisions::{AnswerEnd, CheckDenial, EarlyEnds, EndEvidence, EndVerdict},
       edge::{EndpointEntry, SoftwareVersion},
       stages::{
-        ConnectionEnd, EndProof, ResponseHead, UnconfirmedEnd, confirm_end, confirm_end_again,
+        ConnectionEnd, EndProof, EndWitness, ResponseHead, UnconfirmedEnd, confirm_end,
+        confirm_end_again,
       },
       state::Gateway,
     },
@@ -41,6 +42,8 @@
   /// The entry of the engine, and when its answer ended.
   entry: EndpointEntry,
   ended_at: Instant,
+  /// Shows whether the engine outlives the end.
+  witness: Option<EndWitness>,
   /// Whether a run that was to check it was lost.
   is_run_lost: bool,
 }
@@ -126,7 +129,8 @@
       return None;
     }
     if evidence.end == AnswerEnd::Connection {
-      let end = ConnectionEnd::without_connection(stream.request.id(), &open.entry, open.ended_at);
+      let witness = open.witness.as_ref();
+      let end = ConnectionEnd::of_former(stream.request.id(), &open.entry, witness, open.ended_at);
       let confirmed = confirm_end_again(&stream.gateway, end);
       confirm_in_time(stream, confirmed).await.ok()?;
     }
@@ -206,6 +210,7 @@
           request: stream.request.id().to_owned(),
           service: head.entry.service.clone(),
           version: head.entry.version.clone(),
+          witness: head.witness(),
         });
         let reason = "the end of its answer is to be checked";
         Err(EndDoubt::GoesOn(reason.into()))
--- a/src/gateway/stages/confirm_end.rs
+++ b/src/gateway/stages/confirm_end.rs
@@ -93,10 +93,11 @@
 }
 
 impl<'a> ConnectionEnd<'a> {
-  /// The end of a response of which no connection is left.
-  pub(crate) fn without_connection(
+  /// The end of a response whose connection is gone.
+  pub(crate) fn of_former(
     request_id: &'a str,
     entry: &'a EndpointEntry,
+    witness: Option<&'a EndWitness>,
     ended_at: Instant,
   ) -> Self {
     Self {
@@ -104,7 +105,7 @@
       entry,
       forwarded: None,
       request_id,
-      witness: None,
+      witness,
     }
   }
 }
--- a/src/gateway/stages/end_witness.rs
+++ b/src/gateway/stages/end_witness.rs
@@ -13,6 +13,7 @@
     state::Gateway,
   },
   std::{
+    fmt,
     rc::{Rc, Weak},
     time::{Duration, Instant},
   },
@@ -38,11 +39,18 @@
 }
 
 /// A share in a connection; with the last one, the connection returns to the pool.
+#[derive(Clone)]
 pub(crate) struct EndWitness {
   gateway: Rc<Gateway>,
   shared: Rc<SharedConnection>,
 }
 
+impl fmt::Debug for EndWitness {
+  fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+    formatter.debug_struct("EndWitness").finish_non_exhaustive()
+  }
+}
+
 impl Drop for EndWitness {
   fn drop(&mut self) {
     if Rc::strong_count(&self.shared) > 1 {
--- a/src/gateway/stages/mod.rs
+++ b/src/gateway/stages/mod.rs
@@ -28,6 +28,7 @@
 pub(crate) use self::{
   confirm_end::{ConnectionEnd, EndProof, UnconfirmedEnd, confirm_end, confirm_end_again},
   displacement_check::check_displacements,
+  end_witness::EndWitness,
   engine_call::{EngineCallError, ExportGuard, Reservation, call_engine},
   framing::Framing,
   notice::apply_forwarded_notice,
--- a/src/gateway/stages/stage.rs
+++ b/src/gateway/stages/stage.rs
@@ -135,6 +135,11 @@
     version_evidence(gateway, &self.entry, &self.connection)
   }
 
+  /// The connection that shows whether the endpoint outlives the response.
+  pub(crate) fn witness(&self) -> Option<EndWitness> {
+    self.witness.clone()
+  }
+
   /// How the body's end is known.
   pub(crate) fn framing(&self) -> Framing {
     Framing::of(&self.raw_headers)
