Soak: one play at a time in a process

Cause: the loopback hosts of boxes follow from the process's id.

Change: a play holds a lock of the process.

--- a/soak/src/play.rs
+++ b/soak/src/play.rs
@@ -19,12 +19,14 @@
   },
   std::{sync::Arc, time::Duration},
   tokio::{
-    sync::watch,
+    sync::{Mutex, watch},
     task::JoinSet,
     time::{sleep, timeout},
   },
 };
 
+/// Held during a play: the addresses of boxes belong to this process.
+static PLAYING: Mutex<()> = Mutex::const_new(());
 /// Time in which all boxes must become ready, at the start and after the last fault.
 const START_TIMEOUT: Duration = Duration::from_secs(30);
 /// Interval between polls of the load balancer.
@@ -93,6 +95,7 @@
 
 /// Plays one run with other faults than those that its options select. They are sorted by time.
 pub async fn play_faults(options: &Options, faults: Vec<ScheduledFault>) -> Result<Report> {
+  let _playing = PLAYING.lock().await;
   let (fleet, engine_events) = Fleet::start(options, box_bounds(options.seed)).await?;
   let fleet = Arc::new(fleet);
   wait_until_ready(&fleet).await?;
