A whole end that a caller's empty rest shows counts as checked; one suffices

Cause: a box without retries left each first end of a stream without framing to its caller, and learned nothing from the caller's next request, whose empty rest shows that the stream was whole.

Change: an empty rest that a caller has asked for counts as a whole end of the version, and one whole end suffices where none of the last four was early.

--- a/src/gateway/decisions/streams/checked_ends.rs
+++ b/src/gateway/decisions/streams/checked_ends.rs
@@ -11,8 +11,6 @@
 const MIN_EARLY: usize = 2;
 /// An outcome says nothing about later ends.
 const OUTCOME_LIFETIME_MS: u64 = 30_000;
-/// Whole ends among them at least, until further ones are expected to be whole.
-const MIN_WHOLE: usize = 2;
 /// Versions that are remembered.
 const MAX_VERSIONS: usize = 256;
 
@@ -74,10 +72,10 @@
     });
   }
 
-  /// Whether the version's last ends that were checked were whole, and enough of them to tell.
+  /// Whether the version's last ends that were checked were whole; not while none is known.
   pub fn are_whole(&self, service: &Name, version: &SoftwareVersion, now_ms: u64) -> bool {
     let counted = self.counted(service, version, now_ms);
-    counted.len() >= MIN_WHOLE && counted.iter().all(|outcome| !outcome.was_early)
+    !counted.is_empty() && counted.iter().all(|outcome| !outcome.was_early)
   }
 
   /// The outcomes of a version that count still.
--- a/src/gateway/requests/end_check.rs
+++ b/src/gateway/requests/end_check.rs
@@ -196,6 +196,9 @@
           let confirmed = confirm_in_time(stream, confirmed).await;
           confirmed.map_err(EndDoubt::GoesOn)?;
         }
+        if evidence.is_empty_rest && !self.is_open() {
+          record_whole_end(stream, head);
+        }
         self.resolve(&stream.gateway, false);
         Ok(())
       }
@@ -268,6 +271,14 @@
   }
 }
 
+/// A caller's own request has shown that the stream was whole when its former answer ended.
+fn record_whole_end(stream: &StreamRequest, head: &ResponseHead) {
+  let gateway = &stream.gateway;
+  let (service, version) = (&head.entry.service, &head.entry.version);
+  let mut ends = gateway.checked_ends.borrow_mut();
+  ends.record(service, version, false, gateway.now_ms());
+}
+
 /// Why no further run may check an end; `None` if one may.
 fn check_denial(
   stream: &StreamRequest,
