--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -36,6 +36,7 @@
 mod notices;
 mod organisations;
 mod other_service;
+mod pending_origins;
 mod permits;
 mod policy;
 mod prefill_directory;
--- a/tests/gateway/versions_of_restarted_engines.rs
+++ b/tests/gateway/versions_of_restarted_engines.rs
@@ -39,7 +39,7 @@
 const DEADLINE: Duration = Duration::from_secs(20);
 
 /// A deployment with a prefill engine, and decode engines that are listed with a version.
-async fn deployment(engines: &[(&VersionedEngine, &str)]) -> GatewayTest {
+pub(super) async fn deployment(engines: &[(&VersionedEngine, &str)]) -> GatewayTest {
   let prefill = EndpointStandIn::engine("").await;
   let test = GatewayTest::new().await.configure(|configuration| {
     configuration["routes"][3]["timeoutMs"] = (DEADLINE.as_millis() as u64).into();
@@ -93,7 +93,7 @@
 }
 
 /// Begins a stream at one engine while others have no slots, which they have again in the end.
-async fn begin_at(
+pub(super) async fn begin_at(
   engine: &VersionedEngine,
   others: &[&VersionedEngine],
   gateway: &GatewayBox,
@@ -106,20 +106,20 @@
 }
 
 /// Lists an engine that has just come back with its version, after the time by which entries lag.
-async fn list_later(engine: &VersionedEngine, test: &GatewayTest, version: &str) {
+pub(super) async fn list_later(engine: &VersionedEngine, test: &GatewayTest, version: &str) {
   sleep(ENTRY_LAG).await;
   engine.list(test, version);
 }
 
 /// Waits until a box has listed two versions.
-async fn wait_until_two_versions(gateway: &GatewayBox) {
+pub(super) async fn wait_until_two_versions(gateway: &GatewayBox) {
   let divided = "rillford_services_of_several_versions";
   let is_divided = async || gateway.metric(divided).await == 1.0;
   assert!(eventually(TIMEOUT, is_divided).await);
 }
 
-/// Waits until boxes know each other.
-async fn wait_until_two_boxes(boxes: &[&GatewayBox]) {
+/// Waits until two boxes know each other.
+pub(super) async fn wait_until_two_boxes(boxes: &[&GatewayBox]) {
   for gateway in boxes {
     let are_known = async || gateway.metric("rillford_boxes").await == 2.0;
     assert!(eventually(TIMEOUT, are_known).await);
