An end whose check does not know the stream's version is left to the caller

Cause, by its log: the end was to be checked (E592 Check), the run that was to check it did not know the version of the process that had begun the stream (E525 not checked), and such an end counted as complete, as one that no engine has a slot to check.

Change: the caller's next request may come when the version is known, so the end is left to the caller, as one without a retry is. Where no engine has a free slot nothing changes.

Test: end_whose_check_was_denied_is_left_to_a_caller_who_may_check_it.

--- a/src/gateway/decisions/streams/answer_end.rs
+++ b/src/gateway/decisions/streams/answer_end.rs
@@ -34,7 +34,7 @@
   pub early_ends: EarlyEnds,
   /// Whether ends of the same version were checked lately, and all whole.
   pub others_are_whole: bool,
-  /// Whether only this box's budget or the route prevents a check: the caller's next request has neither of these bounds.
+  /// Whether the caller's next request may check the end although no run of this box can.
   pub caller_may_check: bool,
 }
 
--- a/src/gateway/decisions/streams/check_denial.rs
+++ b/src/gateway/decisions/streams/check_denial.rs
@@ -36,16 +36,22 @@
 }
 
 impl CheckDenial {
-  /// Whether only a bound on retries prevents a check. A caller's next request is not a retry, and is not bound by it.
-  pub(crate) fn is_budget(self) -> bool {
+  /// Whether the caller's next request may check what this box's run can't: it is no retry, and may come when the version is known.
+  ///
+  /// ```
+  /// use rillford::gateway::CheckDenial;
+  /// assert!(CheckDenial::NoVersion.is_left_to_caller());
+  /// assert!(!CheckDenial::NoSlot.is_left_to_caller());
+  /// ```
+  #[must_use]
+  pub fn is_left_to_caller(self) -> bool {
     match self {
-      Self::NoAttempt | Self::NoRetry => true,
+      Self::NoAttempt | Self::NoRetry | Self::NoVersion => true,
       Self::AllTokens
       | Self::Failed
       | Self::IsCheck
       | Self::NoOrder
       | Self::NoSlot
-      | Self::NoVersion
       | Self::NotResumable
       | Self::Quarantined => false,
     }
--- a/src/gateway/requests/end_check.rs
+++ b/src/gateway/requests/end_check.rs
@@ -107,7 +107,7 @@
       StreamFailure::VersionUnknown => CheckDenial::NoVersion,
       StreamFailure::Failed(_) | StreamFailure::NotStreamed(_) => CheckDenial::Failed,
     };
-    open.evidence.caller_may_check = denial.is_budget();
+    open.evidence.caller_may_check = denial.is_left_to_caller();
     gateway.counters.count_check_denial(denial);
     log::info!(
       "E525 end not checked: {} after event {:?} at {} version {}: {denial}",
@@ -248,7 +248,7 @@
     };
     let denial = check_denial(stream, service, received, unchecked);
     let evidence = EndEvidence {
-      caller_may_check: denial.is_some_and(CheckDenial::is_budget),
+      caller_may_check: denial.is_some_and(CheckDenial::is_left_to_caller),
       may_check: denial.is_none(),
       ..unchecked
     };
--- a/tests/gateway/stream_ends.rs
+++ b/tests/gateway/stream_ends.rs
@@ -2,7 +2,7 @@
 
 use {
   rillford::gateway::{
-    AnswerEnd, CheckedEnds, EarlyEnds, EndEvidence, EndVerdict, SoftwareVersion,
+    AnswerEnd, CheckDenial, CheckedEnds, EarlyEnds, EndEvidence, EndVerdict, SoftwareVersion,
   },
   rillford::ids::Name,
   rstest::rstest,
@@ -139,6 +139,23 @@
   assert!(!are_whole("v1", LATER_MS));
 }
 
+/// Guards against an early end that looks complete, because the run that was to check it did not know the stream's version.
+#[rstest]
+#[case::version_not_known(CheckDenial::NoVersion, EndVerdict::Incomplete)]
+#[case::no_retry(CheckDenial::NoRetry, EndVerdict::Incomplete)]
+#[case::no_slot(CheckDenial::NoSlot, EndVerdict::Complete)]
+fn end_whose_check_was_denied_is_left_to_a_caller_who_may_check_it(
+  #[case] denial: CheckDenial,
+  #[case] expected: EndVerdict,
+) {
+  let evidence = EndEvidence {
+    caller_may_check: denial.is_left_to_caller(),
+    may_be_resumed: true,
+    ..end(AnswerEnd::Connection)
+  };
+  assert_eq!(evidence.verdict(), expected);
+}
+
 /// Guards against a judgement that outlives the behaviour that it came from.
 #[test]
 fn early_ends_do_not_count_for_long() {
