A stream goes on at the only known version only while it is the only one

What callers saw: a stream with events of two software versions. All boxes are killed while an engine without a start, back under its id with another version, has begun a stream; a box that has just started knows one version, takes it for the one that began the stream, and then waits until it knows an engine's version. The second version is listed meanwhile, and the stream went on at the first all the same.

Cause: the assumption was made once, when the request arrived, and became a known origin. It is now kept apart from a known origin and checked again before the stream is sent to an engine; with a second version the request is rejected with when to come back.

Ruled out: waiting at arrival until every engine's version is known, which delays each resumption by two heartbeats where boxes don't talk to all engines.

--- a/src/gateway/requests/stream.rs
+++ b/src/gateway/requests/stream.rs
@@ -10,7 +10,7 @@
   },
   crate::gateway::{
     decisions::{RETRY_AFTER_FULL_MS, RETRY_AFTER_NO_ENDPOINT_MS},
-    stages::{BufferedResponse, ResponseHead, Resumption, RoutedRequest, StageError},
+    stages::{BufferedResponse, ResponseHead, RoutedRequest, StageError},
     state::{Gateway, InFlight},
   },
   http::Response,
@@ -125,7 +125,7 @@
 
 /// Whether a request resumes a stream of a version that no listed endpoint has.
 fn lacks_version(gateway: &Gateway, request: &RoutedRequest) -> bool {
-  let Resumption::At(version) = &request.resumption else {
+  let Some(version) = request.resumption.version() else {
     return false;
   };
   let endpoints = gateway.endpoints.borrow();
--- a/src/gateway/requests/stream_request.rs
+++ b/src/gateway/requests/stream_request.rs
@@ -14,7 +14,7 @@
       decisions::{AttemptOutcome, EndpointCriteria, ObservedProcess, RetryNeed},
       edge::{EndpointEntry, SoftwareVersion},
       retries::may_borrow_retry,
-      stages::{ExportGuard, Reservation, ResponseHead, Resumption, RoutedRequest, StageError},
+      stages::{ExportGuard, Reservation, ResponseHead, RoutedRequest, StageError},
       state::Gateway,
     },
     ids::Name,
@@ -99,10 +99,7 @@
 
 impl StreamRequest {
   pub(crate) fn new(gateway: Rc<Gateway>, request: Rc<RoutedRequest>) -> Self {
-    let version = match &request.resumption {
-      Resumption::At(version) => Some(version.clone()),
-      Resumption::None | Resumption::UnknownOrigin => None,
-    };
+    let version = request.resumption.version().cloned();
     Self {
       attempts: 0,
       began_at: None,
--- a/src/gateway/requests/stream_send.rs
+++ b/src/gateway/requests/stream_send.rs
@@ -10,7 +10,9 @@
     edge::{EndpointEntry, ProxyHeaders, Stage},
     permits::Permit,
     quarantine::{LostStage, record_lost_stage},
-    stages::{ExportGuard, OutgoingStage, Reservation, ResponseHead, StageError, send_stage},
+    stages::{
+      ExportGuard, OutgoingStage, Reservation, ResponseHead, Resumption, StageError, send_stage,
+    },
   },
   std::{pin::pin, time::Duration},
   tokio::time::timeout,
@@ -74,14 +76,25 @@
     result
   }
 
-  /// Checks that an endpoint is listed with the stream's version.
+  /// Checks that an endpoint is listed with the stream's version, and that this is still known.
   fn check_version(&self, entry: &EndpointEntry) -> Result<(), StageError> {
     match &self.version {
       Some(version) if entry.version != *version => Err(Unavailable::Unlisted.into()),
+      Some(_) if self.is_origin_uncertain() => Err(Unavailable::VersionUnknown.into()),
       Some(_) | None => Ok(()),
     }
   }
 
+  /// Whether the stream was to go on at the only version that was known, and another one has become known before it did.
+  fn is_origin_uncertain(&self) -> bool {
+    let request = &self.request;
+    let has_gone_on = self.last_event_id != request.attributes.last_event_id;
+    let endpoints = self.gateway.endpoints.borrow();
+    matches!(request.resumption, Resumption::AtOnlyKnown(_))
+      && !has_gone_on
+      && endpoints.versions().are_several(&request.service)
+  }
+
   fn proxy_headers(
     &self,
     reservation: Option<&Reservation>,
--- a/src/gateway/resumption/lookup.rs
+++ b/src/gateway/resumption/lookup.rs
@@ -58,31 +58,41 @@
       .as_deref()
       .unwrap_or("-")
   );
-  request.resumption = match find_origin(gateway, &request).await {
-    Some(origin) => {
-      request.service = origin.service;
-      Resumption::At(origin.version)
+  match find_origin(gateway, &request).await {
+    Origin::Known(StreamOrigin { service, version }) => {
+      request.service = service;
+      request.resumption = Resumption::At(version);
     }
-    None => Resumption::UnknownOrigin,
-  };
+    Origin::OnlyVersion(version) => request.resumption = Resumption::AtOnlyKnown(version),
+    Origin::Unknown => request.resumption = Resumption::UnknownOrigin,
+  }
   request
 }
 
-/// Where the stream began that a request resumes; `None` when that is not known. While the version of the process that began it may
-/// still become known, it is looked up again.
-async fn find_origin(gateway: &Rc<Gateway>, request: &RoutedRequest) -> Option<StreamOrigin> {
+/// Where a stream began.
+enum Origin {
+  Known(StreamOrigin),
+  /// Not known; one version of the service is.
+  OnlyVersion(SoftwareVersion),
+  Unknown,
+}
+
+/// Where the stream began that a request resumes. While the version of the process that began it may still become known, it is looked
+/// up again.
+async fn find_origin(gateway: &Rc<Gateway>, request: &RoutedRequest) -> Origin {
   let heartbeat_ms = gateway.settings.endpoints.heartbeat_ms;
   let until_ms = gateway.now_ms() + MAX_HEARTBEATS * heartbeat_ms;
   loop {
     match look_up(gateway, request).await {
-      Lookup::Known(origin) => return Some(origin),
+      Lookup::Known(origin) => return Origin::Known(origin),
+      Lookup::OnlyVersion(version) => return Origin::OnlyVersion(version),
       Lookup::Ambiguous(..) if gateway.now_ms() < until_ms && gateway.is_current() => {
         sleep(LOOKUP_INTERVAL).await;
       }
       Lookup::Ambiguous(own, answers) | Lookup::Unknown(own, answers) => {
         gateway.counters.origins_unknown.inc();
         log_unknown(gateway, request, own, &answers);
-        return None;
+        return Origin::Unknown;
       }
     }
   }
@@ -91,6 +101,8 @@
 /// What boxes know of where a stream began.
 enum Lookup {
   Known(StreamOrigin),
+  /// No box has a record, and one version of the service is known.
+  OnlyVersion(SoftwareVersion),
   /// A box has a record, which names no origin or none yet.
   Ambiguous(RecordedOrigin, Answers),
   Unknown(RecordedOrigin, Answers),
@@ -121,10 +133,7 @@
       if let Some(version) = only_version(gateway, &answers) {
         gateway.counters.origins_only.inc();
         log_only_version(gateway, request, &version, &answers);
-        return Lookup::Known(StreamOrigin {
-          service: request.service.clone(),
-          version,
-        });
+        return Lookup::OnlyVersion(version);
       }
     }
     _ => {}
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -2,6 +2,7 @@
 
 mod allowed_regions;
 mod answer_bounds;
+mod assumed_versions;
 mod box_addresses;
 mod budget;
 mod callers;
