A stream goes on when its engine sends nothing but bytes that are no event

What callers saw: a stream that may be resumed was aborted at its deadline while its engine sent noise within its answer. Cause: any byte ends the silence after which another engine takes over. Noise alone for as long is an interruption now.

--- a/src/gateway/requests/event_relay.rs
+++ b/src/gateway/requests/event_relay.rs
@@ -71,6 +71,8 @@
   splitter: EventSplitter,
   order: EventOrder,
   tail: Tail,
+  /// Since when the current answer has brought nothing but bytes that are no event.
+  noise_since_ms: Option<u64>,
   /// Blocks that the caller does not get.
   not_forwarded: u32,
   is_finished: bool,
@@ -116,6 +118,7 @@
       late: LateBytes::default(),
       listed_version,
       longest_pause_ms: 0,
+      noise_since_ms: None,
       not_forwarded: 0,
       order,
       splitter: EventSplitter::default(),
@@ -188,6 +191,7 @@
       BlockKind::AnswerHead | BlockKind::Noise => {
         self.log_not_forwarded(&block, &"it is no event");
         self.tail = self.tail.after_noise();
+        self.check_noise()?;
         Ok(Read::Nothing)
       }
       BlockKind::Damaged => {
@@ -198,6 +202,17 @@
     }
   }
 
+  /// Fails when an engine has sent nothing but bytes that are no event for as long as a silent one is waited for.
+  fn check_noise(&mut self) -> Result<(), String> {
+    let now_ms = self.stream.gateway.now_ms();
+    let noise_ms = now_ms - *self.noise_since_ms.get_or_insert(now_ms);
+    if noise_ms < SILENCE_TIMEOUT_MS || !self.stream.may_retry() || !self.order.may_go_on() {
+      return Ok(());
+    }
+    self.is_answer_spoilt = true;
+    Err(format!("no event for {noise_ms} ms, bytes that are none"))
+  }
+
   fn take_event(&mut self, event: SseEvent) -> Result<Read, String> {
     match self.order.place(&event) {
       Ok(EventPlace::Next) => {
@@ -243,6 +258,7 @@
 
   /// Records that an event is forwarded: a resumed stream continues after it.
   fn record_event(&mut self, event: &SseEvent) {
+    self.noise_since_ms = None;
     self.stream.last_event_id = self.stream.last_event_id.max(event.id);
     if event.has_data() {
       self.tail = Tail::Event;
@@ -367,6 +383,7 @@
   /// Drops an event that the current engine has begun, which shows that the stream was not complete before.
   fn discard_partial_event(&mut self) {
     self.tail = Tail::Nothing;
+    self.noise_since_ms = None;
     if self.splitter.partial_kind().is_some() {
       self.end_check.record_event(&self.stream.gateway);
     }
