A plain response without framing ends before another answer to its request

What callers saw: a body with the head and the body of a second answer behind it, with status 200. Cause: a response that ends with its connection was taken whole.

--- a/src/gateway/stages/mod.rs
+++ b/src/gateway/stages/mod.rs
@@ -13,6 +13,7 @@
 mod incarnation_check;
 mod notice;
 mod open_connection;
+mod other_answer;
 mod outgoing_call;
 mod purpose;
 mod reachability_probe;
--- a/src/gateway/stages/response_body.rs
+++ b/src/gateway/stages/response_body.rs
@@ -1,9 +1,14 @@
 //! Buffers a response within the bound on held bytes.
 
 use {
-  super::{request::RoutedRequest, stage_error::StageError},
+  super::{
+    other_answer::{MAX_HEAD_BYTES, find_other_answer},
+    request::RoutedRequest,
+    stage_error::StageError,
+  },
   crate::gateway::{
     decisions::UnreadTime,
+    edge::PlatformCodec,
     state::{Gateway, HeldGuard, ResponseRoom},
   },
   bytes::{Bytes, BytesMut},
@@ -42,6 +47,35 @@
     }
   }
 
+  /// Ends the body before another answer to the request, if one follows; returns whether it does.
+  pub(super) fn end_before_other_answer(
+    &mut self,
+    codec: &dyn PlatformCodec,
+    request_id: &str,
+  ) -> bool {
+    for index in 0..self.chunks.len() {
+      let bytes = self.with_next_bytes(index);
+      let until = self.chunks[index].len();
+      if let Some(at) = find_other_answer(codec, &bytes, until, request_id) {
+        self.chunks.truncate(index + 1);
+        self.chunks[index].truncate(at);
+        return true;
+      }
+    }
+    false
+  }
+
+  /// A chunk, and as many of the bytes behind it as a head may have.
+  fn with_next_bytes(&self, index: usize) -> Bytes {
+    let chunk = &self.chunks[index];
+    if index + 1 == self.chunks.len() {
+      return chunk.clone();
+    }
+    let next = self.chunks.iter().skip(index + 1).flatten();
+    let next = next.take(MAX_HEAD_BYTES);
+    chunk.iter().chain(next).copied().collect()
+  }
+
   fn len(&self) -> u64 {
     self.chunks.iter().map(|chunk| chunk.len() as u64).sum()
   }
--- a/src/gateway/stages/stage.rs
+++ b/src/gateway/stages/stage.rs
@@ -217,10 +217,17 @@
     kind: BodyKind,
   ) -> Result<BufferedBody, StageError> {
     let has_body = !self.body.is_end_stream();
-    let body = BodyReader::new(gateway, request)
+    let mut body = BodyReader::new(gateway, request)
       .read(&mut self.body)
       .await?;
     if has_body && kind == BodyKind::Opaque && self.framing() == Framing::Connection {
+      if body.end_before_other_answer(&*gateway.codec, request.id()) {
+        log::info!(
+          "E599 other answer dropped: {} behind the response of {}",
+          request.id(),
+          self.entry.id
+        );
+      }
       let end = self.answer_end(request.id(), None);
       confirm_end(gateway, end).await?;
       if is_leaving(gateway, &self.entry) {
