Soak: a second judge of streams, from raw bytes alone

The checks of the order of streams read what the caller's HTTP library made of an answer, and events by their ids. What callers had read when they left or gave up was not recorded.

Callers now use a connection that records all bytes of the socket and how it ended, and engines record the pieces that each run made.

--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -2,6 +2,7 @@
 
 use {
   super::{
+    caller_connection::CallerConnection,
     caller_key::{CallerKey, MAX_TOKENS, PROMPT_TOKENS},
     configuration::HOST,
     content::{self, CRASHING_BODY, CRASHING_NAME, CRASHING_SEGMENT, SOUND_SEGMENT},
@@ -9,6 +10,7 @@
     fault::CallerHabit,
     fleet::Fleet,
     hall::Hall,
+    page_judge::RawRequest,
     recorder::Recorder,
     records::{Outcome, RequestRecord, ResumedStream},
     request_kind::RequestKind,
@@ -20,7 +22,6 @@
   hyper::body::Incoming,
   rand::{RngExt, SeedableRng},
   rand_chacha::ChaCha8Rng,
-  rillford::HttpClient,
   std::{sync::Arc, time::Duration},
   tokio::{
     sync::watch,
@@ -80,7 +81,7 @@
   name: String,
   random: ChaCha8Rng,
   departures: Departures,
-  client: HttpClient,
+  connection: CallerConnection,
   box_index: usize,
   count: u64,
   max_resumptions: u32,
@@ -95,7 +96,7 @@
     random.set_stream(number + 1);
     Self {
       box_index: 0,
-      client: HttpClient::default(),
+      connection: CallerConnection::new(&fleet.recorder.raw),
       count: 0,
       departures: Departures::new(number, seed),
       max_resumptions: MAX_RESUMPTIONS,
@@ -162,7 +163,7 @@
 
   /// Opens a new connection to a ready box.
   fn reconnect(&mut self) {
-    self.client = HttpClient::default();
+    self.connection = CallerConnection::new(&self.fleet.recorder.raw);
     let draw = self.random.random();
     self.box_index = self.fleet.ready_box(draw, self.hall());
   }
@@ -176,7 +177,7 @@
     if !has_moved {
       return self.reconnect();
     }
-    self.client = HttpClient::default();
+    self.connection = CallerConnection::new(&self.fleet.recorder.raw);
     let draw = self.departures.draw_box();
     self.box_index = self.fleet.other_ready_box(draw, self.box_index);
   }
@@ -303,16 +304,23 @@
       RequestKind::ResumableStream => self.departures.draw(),
       _ => None,
     };
-    let recorder = &self.fleet.recorder;
+    let recorder = self.fleet.recorder.clone();
     let request = self.request(kind, key, &id, resumes.as_ref());
     let (method, uri, body) = (request.method(), request.uri(), request.body());
     let content = RequestContent::new(method, uri, body, kind.service());
     recorder.record_sent(&id, content);
+    let raw_request = recorder
+      .raw
+      .record_request(raw_request(&id, kind, resumes.as_ref()));
     recorder.record_request(&id, kind, key, self.box_index, resumes);
     let request = request.map(Full::new);
     let timeout_after =
       disconnects_after_ms.map_or(self.deadline() + RESPONSE_MARGIN, Duration::from_millis);
-    let result = timeout(timeout_after, self.exchange(request, departure)).await;
+    let result = timeout(
+      timeout_after,
+      self.exchange(request, raw_request, departure),
+    )
+    .await;
     let (outcome, is_reusable) = match result {
       Ok(Exchange::Ended {
         outcome,
@@ -409,11 +417,13 @@
   }
 
   async fn exchange(
-    &self,
+    &mut self,
     request: Request<Full<Bytes>>,
+    raw_request: usize,
     departure: Option<Departure>,
   ) -> Exchange {
-    match self.client.send(request).await {
+    let address = self.fleet.boxes[self.box_index].caller_link.address;
+    match self.connection.send(address, request, raw_request).await {
       Ok(response) => {
         self.record_signals(response.headers());
         read(response, departure).await
@@ -429,6 +439,17 @@
   }
 }
 
+/// A request as it is judged.
+fn raw_request(id: &str, kind: RequestKind, resumes: Option<&ResumedStream>) -> RawRequest {
+  let stream = resumes.map_or(id, |stream| &stream.first_id);
+  RawRequest {
+    id: id.into(),
+    last_event_id: resumes.map(|stream| stream.last_event),
+    may_resume: kind.may_resume(),
+    stream: kind.is_stream().then(|| stream.to_owned()),
+  }
+}
+
 /// How an exchange with a box ended for the caller.
 enum Exchange {
   /// The response ended, or the connection was lost.
--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -14,6 +14,7 @@
     framing::Framing,
     garble::{Call, GarbledAnswer},
     garbled_body::DrawnGarble,
+    page_judge::RawRun,
     profile::Profile,
     recorder::{Recorder, RunGuard},
     records::{RoleCommandRecord, Run},
@@ -612,12 +613,21 @@
       random.random_range(first..=content::event_count(stream).max(first))
     });
     let truncated = (fault == Some(EndpointFault::TruncatesResponses)).then_some(first + 1);
+    let raw_run = self.recorder.raw.begin_run(RawRun {
+      incarnation: self.incarnation.clone(),
+      last_event_id: last,
+      last_piece: content::event_count(stream),
+      pieces: Vec::new(),
+      request: id.into(),
+      version: self.version.into(),
+    });
     let events = EventStream {
       cut_at: truncated.or(loss),
       id: stream.into(),
       interval: Duration::from_millis(self.profile.event_interval_ms),
       writer: writer.to_string(),
       next: first,
+      raw_run,
       run,
       silence: self.silence.clone(),
       _slot: slot,
--- a/soak/src/event_stream.rs
+++ b/soak/src/event_stream.rs
@@ -1,7 +1,9 @@
 //! The streamed response body of an engine.
 
 use {
-  super::{content, recorder::RunGuard, reply::ReplyBody, silence::Silence},
+  super::{
+    content, raw_recorder::RawRunRecorder, recorder::RunGuard, reply::ReplyBody, silence::Silence,
+  },
   bytes::Bytes,
   futures_util::stream,
   http_body_util::{BodyExt, StreamBody},
@@ -22,6 +24,7 @@
   /// Number of the event in the middle of which the stream is cut.
   pub(crate) cut_at: Option<u64>,
   pub(crate) run: RunGuard,
+  pub(crate) raw_run: RawRunRecorder,
   pub(crate) silence: Silence,
   pub(crate) _slot: S,
 }
@@ -50,6 +53,7 @@
     self.silence.ended().await;
     self.run.record_event();
     let event = content::event(&self.id, self.next, &self.writer);
+    self.raw_run.record_piece(self.next, &event);
     let is_cut = self.cut_at == Some(self.next);
     self.next += 1;
     let data = if is_cut {
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -4,6 +4,7 @@
 mod box_process;
 mod breach;
 mod caller;
+mod caller_connection;
 mod caller_key;
 mod cold_check;
 mod configuration;
@@ -38,6 +39,7 @@
 mod options;
 mod order_check;
 mod organisation_check;
+mod page_judge;
 mod place;
 mod plan;
 mod play;
@@ -45,6 +47,8 @@
 mod profile;
 mod promise;
 mod promises;
+mod raw_recorder;
+mod recorded_stream;
 mod recorder;
 mod records;
 mod reply;
@@ -83,6 +87,10 @@
   hall::Hall,
   link::Link,
   options::Options,
+  page_judge::{
+    Clause, Difference, Finding, RawConnection, RawRecords, RawRequest, RawRun, ReadEnd,
+    differences, judge,
+  },
   plan::{FaultSelection, draw_plan},
   play::{Report, play, play_faults},
   profile::Profile,
--- a/soak/src/play.rs
+++ b/soak/src/play.rs
@@ -13,6 +13,7 @@
     fleet::Fleet,
     hall::Hall,
     options::Options,
+    page_judge::{Difference, Finding, RawRecords, differences, judge},
     plan::FaultSelection,
     promises::breaches,
     records::{Outcome, Records},
@@ -73,9 +74,20 @@
   pub records: Records,
   /// The breaches that were found.
   pub breaches: Vec<Breach>,
+  /// What engines made and callers read.
+  pub raw_records: RawRecords,
+  /// What the judge of the raw records found.
+  pub findings: Vec<Finding>,
+  /// Streams that only the promises or only the judge find broken.
+  pub differences: Vec<Difference>,
 }
 
 impl Report {
+  /// Whether neither the promises nor the judge found a breach.
+  pub fn is_sound(&self) -> bool {
+    self.breaches.is_empty() && self.findings.is_empty()
+  }
+
   /// Number of requests whose outcome matches.
   pub fn count(&self, matches: impl Fn(&Outcome) -> bool) -> usize {
     let outcomes = self
@@ -114,8 +126,14 @@
   fleet.recorder.records().unreleased_resources = resources;
   background.shutdown().await;
   let records = fleet.recorder.records().clone();
+  let raw_records = fleet.recorder.raw.records().clone();
+  let breaches = breaches(&records, options.slack_ms);
+  let findings = judge(&raw_records);
   Ok(Report {
-    breaches: breaches(&records, options.slack_ms),
+    differences: differences(&records, &breaches, &findings),
+    breaches,
+    findings,
+    raw_records,
     records,
     faults,
   })
--- a/soak/src/recorder.rs
+++ b/soak/src/recorder.rs
@@ -5,6 +5,7 @@
     caller_key::CallerKey,
     disturbance::{Disturbance, Target},
     garble::GarbledAnswer,
+    raw_recorder::RawRecorder,
     records::{
       AdvertisedLimit, LeavingReceived, LimitReceived, Outcome, Records, Rejection, RequestRecord,
       ResumedStream, Run, Start,
@@ -23,11 +24,14 @@
 pub struct Recorder {
   started: Instant,
   records: Arc<Mutex<Records>>,
+  /// What engines made and callers read.
+  pub(crate) raw: RawRecorder,
 }
 
 impl Default for Recorder {
   fn default() -> Self {
     Self {
+      raw: RawRecorder::default(),
       records: Arc::default(),
       started: Instant::now(),
     }
--- a/soak/src/subcommand.rs
+++ b/soak/src/subcommand.rs
@@ -178,7 +178,7 @@
   let mut failed = 0;
   for seed in seeds {
     let report = play_seed(arguments, seed)?;
-    failed += usize::from(!report.breaches.is_empty());
+    failed += usize::from(!report.is_sound());
   }
   Ok(failed)
 }
@@ -224,6 +224,9 @@
   print_report(seed, &report);
   let records = format!("{:#?}\n{:#?}\n", report.faults, report.records);
   std::fs::write(directory.join("records.txt"), records).map_err(|error| error.to_string())?;
+  let raw_records = report.raw_records.to_string();
+  std::fs::write(directory.join("raw-records.txt"), raw_records)
+    .map_err(|error| error.to_string())?;
   Ok(report)
 }
 
@@ -252,4 +255,10 @@
   for breach in &report.breaches {
     println!("  {breach}");
   }
+  for finding in &report.findings {
+    println!("  judged {finding}");
+  }
+  for difference in &report.differences {
+    println!("  difference: {difference}");
+  }
 }
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -21,6 +21,7 @@
 mod soak_endpoints;
 mod soak_garbled;
 mod soak_links;
+mod soak_page_judge;
 mod soak_play;
 mod soak_promises;
 mod specification;
--- a/tests/soak_play.rs
+++ b/tests/soak_play.rs
@@ -26,5 +26,7 @@
   .await
   .unwrap();
   assert_eq!(report.breaches, []);
+  assert_eq!(report.findings, []);
+  assert_eq!(report.differences, []);
   assert!(!report.records.requests.is_empty());
 }
