A gap behind bytes that are no event is a missing event

An engine that sends bytes that are no answer in the place of one of a stream's first events, or of the first one after the caller's Last-Event-Id, had its stream forwarded as complete without that event: the bytes were dropped, and the order could not tell a gap while too few ids had shown that they count events; before the first event it checked nothing.

The order now knows that such bytes came since the last event. Behind them, a step larger than one is a missing event unless the stream or its version skips ids, and a first id over 1 too. A stream that may be resumed goes on at another engine; another one breaks off.

--- a/src/gateway/requests/event_order.rs
+++ b/src/gateway/requests/event_order.rs
@@ -6,6 +6,8 @@
   std::hash::{DefaultHasher, Hash, Hasher},
 };
 
+/// The highest id of a first event that has none before it, where ids count events from 0 or 1.
+const MAX_FIRST_ID: u64 = 1;
 /// Steps of one between ids after which a larger one means that events are missing.
 const MIN_SINGLE_STEPS: u32 = 2;
 
@@ -86,6 +88,8 @@
   skip: Option<Skip>,
   /// Whether an event without an id was forwarded after the last id.
   ends_without_id: bool,
+  /// Whether the current answer has brought bytes that are no event since its last event: they may stand in the place of one.
+  follows_noise: bool,
 }
 
 impl EventOrder {
@@ -93,6 +97,7 @@
   pub(super) fn new(last_id: Option<u64>, version_steps: IdSteps) -> Self {
     Self {
       ends_without_id: false,
+      follows_noise: false,
       has_larger_steps: false,
       last: last_id.map(|id| LastEvent { hash: None, id }),
       single_steps: 0,
@@ -111,6 +116,12 @@
   pub(super) fn record_interruption(&mut self) {
     let after = |last: LastEvent| Start::AfterInterruption(last.id);
     self.start = self.last.map_or(Start::Passed, after);
+    self.follows_noise = false;
+  }
+
+  /// The current answer has brought bytes that are no event.
+  pub(super) fn record_noise(&mut self) {
+    self.follows_noise = true;
   }
 
   /// Whether ids were skipped in the stream; `None` while too few events have come.
@@ -130,13 +141,13 @@
       return Ok(EventPlace::Next);
     }
     let hash = hash(event);
-    if let Some(last) = self.last {
-      if id <= last.id {
-        return self.place_again(id, hash, last);
-      }
-      self.check_step(Skip { after: last.id, id })?;
+    match self.last {
+      Some(last) if id <= last.id => return self.place_again(id, hash, last),
+      Some(last) => self.check_step(Skip { after: last.id, id })?,
+      None => self.check_first(id)?,
     }
     self.ends_without_id = false;
+    self.follows_noise = false;
     self.last = Some(LastEvent {
       hash: Some(hash),
       id,
@@ -167,6 +178,14 @@
     Ok(EventPlace::Next)
   }
 
+  /// Checks the first event of a stream.
+  fn check_first(&self, id: u64) -> Result<(), Misplaced> {
+    if self.follows_noise && id > MAX_FIRST_ID && self.version_steps != IdSteps::Any {
+      return Err(Misplaced::Gap { after: 0, id });
+    }
+    Ok(())
+  }
+
   /// Checks the step to an event that comes after the last one.
   fn check_step(&mut self, step: Skip) -> Result<(), Misplaced> {
     let Skip { after, id } = step;
@@ -193,7 +212,7 @@
     let is_single = match self.version_steps {
       IdSteps::Any => false,
       IdSteps::Single => true,
-      IdSteps::Unknown => self.single_steps >= MIN_SINGLE_STEPS,
+      IdSteps::Unknown => self.follows_noise || self.single_steps >= MIN_SINGLE_STEPS,
     };
     is_single && !self.has_larger_steps
   }
--- a/src/gateway/requests/event_relay.rs
+++ b/src/gateway/requests/event_relay.rs
@@ -187,6 +187,7 @@
       }
       BlockKind::AnswerHead | BlockKind::Noise => {
         self.log_not_forwarded(&block, &"it is no event");
+        self.order.record_noise();
         self.tail = self.tail.after_noise();
         Ok(Read::Nothing)
       }
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of gateway boxes: processes against stand-ins that implement the platform's published protocol, and unit tests.
 
+mod absent_events;
 mod allowed_regions;
 mod answer_bounds;
 mod box_addresses;
--- a/tests/gateway/review_findings.rs
+++ b/tests/gateway/review_findings.rs
@@ -32,13 +32,13 @@
 const ROOMY_RETRY_SLACK: f64 = 300.0;
 
 /// A box with a prefill engine and three decode engines of one script.
-struct Fleet {
+pub(super) struct Fleet {
   _engines: [EndpointStandIn; 4],
   gateway: GatewayBox,
 }
 
 impl Fleet {
-  async fn start<S>(script: S) -> Self
+  pub(super) async fn start<S>(script: S) -> Self
   where
     S: Fn(&ReceivedRequest) -> Reply + Clone + Send + Sync + 'static,
   {
@@ -63,13 +63,13 @@
     }
   }
 
-  async fn ask(&self, request: RawRequest) -> RawResponse {
+  pub(super) async fn ask(&self, request: RawRequest) -> RawResponse {
     request.send(self.gateway.callers).await.finish().await
   }
 }
 
 /// A stream's body in a framing, after which the connection ends where that tells the body's end.
-fn answer(seen: &ReceivedRequest, framing: Framing, body: &str) -> Reply {
+pub(super) fn answer(seen: &ReceivedRequest, framing: Framing, body: &str) -> Reply {
   let text = framing.head(seen, body.len()) + framing.part(body).as_str() + framing.end();
   let end = match framing {
     Framing::Chunks | Framing::Length => ConnectionEnd::Kept,
@@ -78,7 +78,7 @@
   Reply::WritePieces(vec![text.into_bytes()], end)
 }
 
-fn begins(seen: &ReceivedRequest) -> bool {
+pub(super) fn begins(seen: &ReceivedRequest) -> bool {
   seen.header("last-event-id").is_empty()
 }
 
