The soak cuts halls and boxes from each other by resets

Cause: of a hall's cut only silence between its boxes and others' endpoints was played, and boxes reached each other without a link, so nothing could cut them.

Change: boxes see each other at links on their own hosts where a run cuts them, by the store's view that shows endpoints there already.

--- a/soak/src/box_process.rs
+++ b/soak/src/box_process.rs
@@ -5,7 +5,7 @@
     caller_key::{OVERAGE, SLACK_UNITS},
     disturbance::Target,
     error::{Error, Result},
-    link::Link,
+    link::{Link, Target as LinkTarget},
     profile::Profile,
     recorder::Recorder,
     records::PlannedStop,
@@ -16,7 +16,10 @@
     net::{IpAddr, Ipv4Addr, SocketAddr},
     path::{Path, PathBuf},
     process::Stdio,
-    sync::atomic::{AtomicU64, Ordering},
+    sync::{
+      Arc, PoisonError,
+      atomic::{AtomicU64, Ordering},
+    },
     time::{Duration, Instant},
   },
   tokio::{
@@ -39,6 +42,11 @@
 const ADDRESSES: usize = 4;
 /// Ports between those of a box and those of the one that takes its place.
 const GENERATION_PORTS: u16 = 100;
+/// First port of the links between boxes.
+const BOX_LINK_PORTS: u16 = 20_000;
+/// Prefixes of store entries.
+const ENDPOINT_PREFIX: &str = "servers/";
+const BOX_PREFIX: &str = "rillford/boxes/";
 const RESTART_DELAY: Duration = Duration::from_millis(200);
 
 /// Bounds of the boxes of a run.
@@ -60,6 +68,8 @@
   pub(crate) recorder: &'a Recorder,
   pub(crate) bounds: BoxBounds,
   pub(crate) profile: Profile,
+  /// Whether boxes reach each other through links.
+  pub(crate) has_box_links: bool,
 }
 
 pub(crate) struct BoxProcess {
@@ -71,6 +81,10 @@
   hall: &'static str,
   bounds: BoxBounds,
   pub(crate) store_link: Link,
+  /// Links of other boxes to this one, each with the index of the other box.
+  pub(crate) box_links: Vec<(usize, Link)>,
+  /// The target of these links.
+  box_target: LinkTarget,
   recorder: Recorder,
   program: PathBuf,
   settings: PathBuf,
@@ -84,8 +98,16 @@
 impl BoxProcess {
   /// Writes a box's settings file and starts its process.
   pub(crate) async fn start(plan: &BoxPlan<'_>, index: usize) -> Result<Self> {
-    let [direct, ..] = loopback_addresses::<ADDRESSES>(index, 0);
-    let view = plan.store.start_view(box_host(index)).await;
+    let [direct, _, boxes, _] = loopback_addresses::<ADDRESSES>(index, 0);
+    let view = plan.store.start_view(store_view(index, plan.has_box_links));
+    let view = view.await;
+    let box_target = Arc::new(std::sync::Mutex::new(boxes));
+    let mut box_links = Vec::new();
+    for from in (0..plan.profile.box_count()).filter(|from| plan.has_box_links && *from != index) {
+      let address = SocketAddr::from((box_host(from), box_link_port(index)));
+      let link = Link::open_at(address, &box_target).await;
+      box_links.push((from, link.map_err(Error::Listen)?));
+    }
     let store_link = open_link(view.map_err(Error::Listen)?.address).await?;
     let caller_link = open_link(direct).await?;
     let hall = plan.profile.hall_of_box(index).name();
@@ -94,6 +116,8 @@
       caller_link,
       index,
       bounds: plan.bounds,
+      box_links,
+      box_target,
       generation: AtomicU64::new(0),
       hall,
       recorder: plan.recorder.clone(),
@@ -196,7 +220,12 @@
     child.kill().await.map_err(Error::Wait)?;
     let generation = self.generation.fetch_add(1, Ordering::Relaxed) + 1;
     self.write_settings(&format!("{}-{:03}-{generation}", self.hall, self.index))?;
-    self.caller_link.set_target(self.direct());
+    let [direct, _, boxes, _] = self.addresses();
+    self.caller_link.set_target(direct);
+    *self
+      .box_target
+      .lock()
+      .unwrap_or_else(PoisonError::into_inner) = boxes;
     sleep(Duration::from_millis(down_ms)).await;
     self.restart().await
   }
@@ -328,6 +357,39 @@
   }
 }
 
+/// Port of the links to a box, on the host of each other box.
+fn box_link_port(index: usize) -> u16 {
+  BOX_LINK_PORTS + index as u16
+}
+
+/// The store as a box sees it: endpoints, and other boxes where they have links, are at addresses on the box's own host.
+fn store_view(index: usize, has_box_links: bool) -> impl Fn(&str, Vec<u8>) -> Vec<u8> {
+  move |key, value| {
+    if key.starts_with(ENDPOINT_PREFIX) {
+      let text = String::from_utf8_lossy(&value);
+      let host = box_host(index).to_string();
+      text
+        .replace(&Ipv4Addr::LOCALHOST.to_string(), &host)
+        .into_bytes()
+    } else if has_box_links && key.starts_with(BOX_PREFIX) {
+      linked_box_entry(index, &value).unwrap_or(value)
+    } else {
+      value
+    }
+  }
+}
+
+/// The entry of a box with the address of a viewer's link to it. The viewer's own entry stays, and what is no entry.
+fn linked_box_entry(viewer: usize, value: &[u8]) -> Option<Vec<u8>> {
+  let (hall, address): (String, SocketAddr) = postcard::from_bytes(value).ok()?;
+  let index = box_index(address.ip());
+  if index == viewer {
+    return None;
+  }
+  let linked = SocketAddr::from((box_host(viewer), box_link_port(index)));
+  postcard::to_stdvec(&(hall, linked)).ok()
+}
+
 async fn open_link(target: SocketAddr) -> Result<Link> {
   Link::open(target).await.map_err(Error::Listen)
 }
--- a/soak/src/day.rs
+++ b/soak/src/day.rs
@@ -2,7 +2,10 @@
 
 use {
   super::{
-    day_plan::{release_beside_crashes, release_beside_store_outages, shift_beside_crashes},
+    day_plan::{
+      release_beside_crashes, release_beside_partitions, release_beside_store_outages,
+      shift_beside_crashes,
+    },
     draw::{ScheduledFault, Size},
   },
   std::str::FromStr,
@@ -16,6 +19,9 @@
   StoreOutages,
   /// A release follows crashes, garbled answers and restarts of boxes, and is still in progress when the power is lost.
   Crashes,
+  /// Halls are cut from each other by resets, beside slow boxes and crashes. All boxes are killed during a release, shortly
+  /// after the last cut.
+  Partitions,
   /// Callers of a hall go to another one, after crashes and late role orders. There is no release, and all boxes are killed.
   Shifts,
 }
@@ -32,6 +38,7 @@
   pub fn faults(self, seed: u64, size: Size) -> Vec<ScheduledFault> {
     match self {
       Self::Crashes => release_beside_crashes(seed, size),
+      Self::Partitions => release_beside_partitions(seed, size),
       Self::Shifts => shift_beside_crashes(seed, size),
       Self::StoreOutages => release_beside_store_outages(seed, size),
     }
@@ -44,10 +51,11 @@
   fn from_str(name: &str) -> Result<Self, String> {
     match name {
       "crashes" => Ok(Self::Crashes),
+      "partitions" => Ok(Self::Partitions),
       "shifts" => Ok(Self::Shifts),
       "store-outages" => Ok(Self::StoreOutages),
       _ => Err(format!(
-        "no day is named {name:?}, expected crashes, shifts or store-outages"
+        "no day is named {name:?}, expected crashes, partitions, shifts or store-outages"
       )),
     }
   }
--- a/soak/src/day_plan.rs
+++ b/soak/src/day_plan.rs
@@ -1,9 +1,11 @@
 //! The faults of scripted days.
 
 use super::{
+  cut::Cut,
   draw::{Draw, ScheduledFault, Size},
   fault::{CallerHabit, Close, Fault, LinkFault, Losses, StoreFault, Strays},
   hall::Hall,
+  partition_plan::KILL_AFTER_CUT_MS,
   stray_response::Stray,
 };
 
@@ -72,6 +74,16 @@
     }));
   }
 
+  /// Cuts a hall from the others by resets. Returns the time.
+  fn cut_halls(&mut self, at_ms: u64, for_ms: u64) -> u64 {
+    let at_ms = at_ms + self.draw.between(JITTER_MS);
+    let cut = self.draw.one_of(&Cut::RESETS);
+    let hall = self.draw.one_of(&Hall::ALL);
+    let fault = Fault::HallsCut { cut, for_ms, hall };
+    self.steps.push(ScheduledFault { at_ms, fault });
+    at_ms
+  }
+
   fn lose_responses(&mut self, at_ms: u64, for_ms: u64, count: usize, percent: u8) {
     let fault = Fault::ResponsesLost {
       count,
@@ -124,10 +136,16 @@
 
   /// Cuts the power of all boxes, and on odd seeds kills them once more soon after their return.
   fn cut_power(&mut self, at_ms: u64, down_ms: u64) {
-    let first = ScheduledFault {
-      at_ms,
-      fault: Fault::PowerLost { down_ms },
-    };
+    self.stop_all(at_ms, down_ms, Fault::PowerLost { down_ms });
+  }
+
+  /// Kills all boxes, and on odd seeds once more soon after their return.
+  fn kill_all(&mut self, at_ms: u64, down_ms: u64) {
+    self.stop_all(at_ms, down_ms, Fault::AllBoxesKilled { down_ms });
+  }
+
+  fn stop_all(&mut self, at_ms: u64, down_ms: u64, fault: Fault) {
+    let first = ScheduledFault { at_ms, fault };
     let second = ScheduledFault {
       at_ms: at_ms + down_ms + SECOND_KILL_MS,
       fault: Fault::AllBoxesKilled { down_ms },
@@ -273,3 +291,32 @@
   script.cut_power(killed_ms, 1_600);
   script.finish()
 }
+
+/// A release after cuts of halls and boxes by resets, whose last one is followed by a kill of all boxes.
+pub(crate) fn release_beside_partitions(seed: u64, size: Size) -> Vec<ScheduledFault> {
+  let Size { boxes, places, .. } = size;
+  let mut script = Script::new(seed, size);
+  script.lose_responses(1_000, 4_500, places.div_ceil(2), 5);
+  script.crash_engines(4_200, 3_600, places.div_ceil(7));
+  let index = script.draw.number_below(boxes);
+  let slow = |for_ms| Fault::BoxSlowed { for_ms, index };
+  script.add(7_000, slow(6_900));
+  script.cut_halls(10_000, 5_000);
+  let cut = script.draw.one_of(&Cut::RESETS);
+  script.add(
+    18_000,
+    Fault::BoxesCutOff {
+      cut,
+      for_ms: 5_000,
+      index,
+    },
+  );
+  script.crash_engines(20_000, 2_000, places.div_ceil(5));
+  script.add(23_500, Fault::ConfigurationChanged);
+  script.remove_engine(25_400);
+  script.release(26_000, 940);
+  let cut_ms = script.cut_halls(33_500, 6_100);
+  let down_ms = script.draw.between((400, 1_600));
+  script.kill_all(cut_ms + KILL_AFTER_CUT_MS, down_ms);
+  script.finish()
+}
--- a/soak/src/disturbance.rs
+++ b/soak/src/disturbance.rs
@@ -9,6 +9,10 @@
   Leaving(usize),
   /// The connections of a box to all endpoints.
   EndpointPaths(usize),
+  /// The connections of a box, the first number, to the endpoint at a place.
+  EndpointPath(usize, usize),
+  /// Connections of a box to other boxes.
+  BoxPaths(usize),
   /// The connection of a box to the store.
   StoreLink(usize),
   /// The endpoint at a place: its process, responses or connections.
--- a/soak/src/fault.rs
+++ b/soak/src/fault.rs
@@ -1,6 +1,6 @@
 //! The faults that a run injects from outside the boxes.
 
-use super::{connection::Connection, hall::Hall, stray_response::Stray};
+use super::{connection::Connection, cut::Cut, hall::Hall, stray_response::Stray};
 
 /// A fault of a link.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -20,17 +20,6 @@
   Reset,
 }
 
-/// How a box is cut off from all endpoints.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum EndpointsCut {
-  /// Open connections hang, and connection attempts get no answer.
-  Hang,
-  /// Open connections are reset, and connection attempts get no answer.
-  Reset,
-  /// Open connections live on, and connection attempts are refused.
-  RefuseNew,
-}
-
 /// A fault of the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum StoreFault {
@@ -254,7 +243,25 @@
     /// Index of the box.
     index: usize,
     /// How.
-    cut: EndpointsCut,
+    cut: Cut,
+    /// Duration.
+    for_ms: u64,
+  },
+  /// A box is cut from all other boxes.
+  BoxesCutOff {
+    /// Index of the box.
+    index: usize,
+    /// How.
+    cut: Cut,
+    /// Duration.
+    for_ms: u64,
+  },
+  /// A hall is cut from the others: their boxes from its endpoints and boxes, and its boxes from theirs and from the store.
+  HallsCut {
+    /// The hall.
+    hall: Hall,
+    /// How.
+    cut: Cut,
     /// Duration.
     for_ms: u64,
   },
@@ -461,3 +468,10 @@
     for_ms: u64,
   },
 }
+
+impl Fault {
+  /// Whether boxes are cut from each other.
+  pub(crate) fn cuts_boxes_from_each_other(self) -> bool {
+    matches!(self, Self::BoxesCutOff { .. } | Self::HallsCut { .. })
+  }
+}
--- a/soak/src/fault_injector.rs
+++ b/soak/src/fault_injector.rs
@@ -2,11 +2,12 @@
 
 use {
   super::{
+    cuts::{cut_from_boxes, cut_from_endpoints, cut_halls, cut_off_hall},
     disturbance::Target,
     endpoint::Endpoint,
     endpoint_kind::EndpointKind,
     error::Result,
-    fault::{EndpointFault, EndpointsCut, EngineEnd, Fault, LinkFault, SilentEngines, StoreFault},
+    fault::{EndpointFault, EngineEnd, Fault, LinkFault, SilentEngines, StoreFault},
     fleet::{Fleet, StoppedEndpoint},
     hall::Hall,
     link::Link,
@@ -78,7 +79,13 @@
       let links = &fleet.places[place].links;
       disturb_links(fleet, links, Target::Endpoint(place), fault, for_ms).await;
     }
-    Fault::EndpointsCutOff { index, cut, for_ms } => cut_off(fleet, index, cut, for_ms).await,
+    Fault::EndpointsCutOff { index, cut, for_ms } => {
+      cut_from_endpoints(fleet, index, cut, for_ms).await;
+    }
+    Fault::BoxesCutOff { index, cut, for_ms } => {
+      cut_from_boxes(fleet, index, cut, for_ms).await;
+    }
+    Fault::HallsCut { hall, cut, for_ms } => cut_halls(fleet, hall, cut, for_ms).await,
     Fault::Store { fault, for_ms } => {
       disturb_store(fleet, fault, Duration::from_millis(for_ms)).await;
     }
@@ -241,21 +248,6 @@
   }
 }
 
-/// Cuts a box off from all endpoints for a while.
-async fn cut_off(fleet: &Fleet, index: usize, cut: EndpointsCut, for_ms: u64) {
-  let _disturbed = fleet
-    .recorder
-    .begin_disturbance(Target::EndpointPaths(index));
-  let links = || fleet.places.iter().map(|place| &place.links[index]);
-  for link in links() {
-    link.begin_cut(cut);
-  }
-  sleep(Duration::from_millis(for_ms)).await;
-  for link in links() {
-    link.end_cut(cut);
-  }
-}
-
 async fn disturb_endpoint(fleet: &Fleet, place: usize, fault: EndpointFault, for_ms: u64) {
   let _disturbed = fleet.recorder.begin_disturbance(Target::Endpoint(place));
   fleet.with_endpoint(place, |endpoint| endpoint.set_fault(Some(fault)));
@@ -299,28 +291,6 @@
   }
 }
 
-/// Cuts the boxes of a hall off from the store and from other halls' endpoints for a while.
-async fn cut_off_hall(fleet: &Fleet, hall: Hall, fault: LinkFault, for_ms: u64) {
-  let of_hall = |index: &usize| fleet.profile.hall_of_box(*index) == hall;
-  let boxes: Vec<usize> = (0..fleet.boxes.len()).filter(of_hall).collect();
-  let links: Vec<&Link> = boxes
-    .iter()
-    .flat_map(|index| fleet.links_out_of_hall(*index))
-    .collect();
-  let _disturbed: Vec<_> = boxes
-    .iter()
-    .flat_map(|index| [Target::StoreLink(*index), Target::EndpointPaths(*index)])
-    .map(|target| fleet.recorder.begin_disturbance(target))
-    .collect();
-  for link in &links {
-    link.begin_fault(fault);
-  }
-  sleep(Duration::from_millis(for_ms)).await;
-  for link in &links {
-    link.clear_fault();
-  }
-}
-
 /// Makes engines fall silent for a while, at the same moment.
 async fn silence_engines(fleet: &Fleet, engines: SilentEngines, first: usize, for_ms: u64) {
   let duration = Duration::from_millis(for_ms);
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -85,6 +85,7 @@
   pub(crate) async fn start(
     options: &Options,
     bounds: BoxBounds,
+    has_box_links: bool,
   ) -> Result<(Self, EngineEventReceiver)> {
     let recorder = Recorder::default();
     let store = PlatformStore::start().await.map_err(Error::Listen)?;
@@ -131,6 +132,7 @@
     fleet.configure();
     let plan = BoxPlan {
       bounds,
+      has_box_links,
       directory: &options.directory,
       profile,
       program: &options.program,
@@ -482,10 +484,13 @@
     *self.habit.lock().unwrap_or_else(PoisonError::into_inner) = habit;
   }
 
-  /// All links of a box: to callers, the store and all endpoints.
+  /// All links of a box: to callers, the store and all endpoints, and those of other boxes to it.
   pub(crate) fn links<'a>(&'a self, target: &'a BoxProcess) -> impl Iterator<Item = &'a Link> {
     let to_endpoints = self.places.iter().map(|place| &place.links[target.index]);
-    to_endpoints.chain([&target.caller_link, &target.store_link])
+    let of_boxes = target.box_links.iter().map(|(_, link)| link);
+    to_endpoints
+      .chain(of_boxes)
+      .chain([&target.caller_link, &target.store_link])
   }
 
   /// The links of a box to the store and to the endpoints of other halls.
@@ -500,6 +505,20 @@
     links
   }
 
+  /// The links between two boxes, given the index of each, from the first to the second.
+  pub(crate) fn links_between_boxes(
+    &self,
+    is_wanted: impl Fn(usize, usize) -> bool,
+  ) -> impl Iterator<Item = &Link> {
+    let to_boxes = self.boxes.iter().flat_map(|target| {
+      let links = target.box_links.iter();
+      links.map(move |(from, link)| (*from, target.index, link))
+    });
+    to_boxes
+      .filter(move |(from, to, _)| is_wanted(*from, *to))
+      .map(|(_, _, link)| link)
+  }
+
   /// Newest version of the configuration.
   pub(crate) fn newest_version(&self) -> u64 {
     self.versions.load(Ordering::Relaxed)
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -9,7 +9,9 @@
 mod configuration;
 mod connection;
 mod content;
+mod cut;
 mod cut_off_check;
+mod cuts;
 mod day;
 mod day_plan;
 mod departures;
@@ -38,6 +40,7 @@
 mod options;
 mod order_check;
 mod organisation_check;
+mod partition_plan;
 mod place;
 mod plan;
 mod play;
@@ -69,14 +72,15 @@
 pub use self::{
   breach::Breach,
   caller_key::CallerKey,
+  cut::Cut,
   day::Day,
   disturbance::{Disturbance, Target},
   draw::{ScheduledFault, Size},
   endpoint_kind::EndpointKind,
   error::{Error, Result},
   fault::{
-    CallerHabit, Close, EndpointFault, EndpointsCut, EngineEnd, Fault, LinkFault, Losses,
-    SilentEngines, StoreFault, Strays,
+    CallerHabit, Close, EndpointFault, EngineEnd, Fault, LinkFault, Losses, SilentEngines,
+    StoreFault, Strays,
   },
   framing::{Framing, Framings},
   garble::{Call, Garble, GarbledAnswer},
--- a/soak/src/link.rs
+++ b/soak/src/link.rs
@@ -7,7 +7,7 @@
 )]
 
 use {
-  super::fault::{EndpointsCut, LinkFault},
+  super::{cut::Cut, fault::LinkFault},
   socket2::{Domain, SockRef, Socket, Type},
   std::{
     io,
@@ -22,6 +22,7 @@
       tcp::{OwnedReadHalf, OwnedWriteHalf},
     },
     sync::watch,
+    task::spawn_blocking,
     time::sleep,
   },
 };
@@ -87,6 +88,8 @@
 enum Closed {
   Refused,
   Unanswered,
+  /// Connections are established, and reset at once.
+  Reset,
 }
 
 impl Link {
@@ -113,21 +116,23 @@
   }
 
   /// Cuts the link until [`end_cut`](Self::end_cut).
-  pub(crate) fn begin_cut(&self, cut: EndpointsCut) {
-    match cut {
-      EndpointsCut::Hang => self.begin_fault(LinkFault::Blocked),
-      EndpointsCut::Reset => self.begin_fault(LinkFault::Reset),
-      EndpointsCut::RefuseNew => {}
+  pub fn begin_cut(&self, cut: Cut) {
+    if cut == Cut::Hang {
+      self.begin_fault(LinkFault::Blocked);
+    } else if cut.resets_open() {
+      self.begin_fault(LinkFault::Reset);
     }
     let closed = match cut {
-      EndpointsCut::Hang | EndpointsCut::Reset => Closed::Unanswered,
-      EndpointsCut::RefuseNew => Closed::Refused,
+      Cut::Hang | Cut::Reset => Closed::Unanswered,
+      Cut::RefuseNew | Cut::ResetAndRefuse => Closed::Refused,
+      Cut::ResetAll => Closed::Reset,
     };
     self.closed.send_replace(Some(closed));
   }
 
-  pub(crate) fn end_cut(&self, cut: EndpointsCut) {
-    if cut == EndpointsCut::Hang {
+  /// Connections are possible again.
+  pub fn end_cut(&self, cut: Cut) {
+    if cut == Cut::Hang {
       self.clear_fault();
     }
     self.closed.send_replace(None);
@@ -184,9 +189,19 @@
       _ = closed.wait_for(Option::is_some) => {}
       () = accept(&listener, &link) => return,
     }
+    let now = *closed.borrow();
+    if now == Some(Closed::Reset) {
+      tokio::select! {
+        _ = closed.wait_for(|now| *now != Some(Closed::Reset)) => {}
+        () = reset_new(&listener) => return,
+      }
+      continue;
+    }
     drop(listener);
-    let is_unanswered = *closed.borrow() == Some(Closed::Unanswered);
-    let blocker = is_unanswered.then(|| FullListener::open(link.address));
+    let blocker = match now {
+      Some(Closed::Unanswered) => FullListener::open(link.address).await,
+      _ => None,
+    };
     if closed.wait_for(Option::is_none).await.is_err() {
       return;
     }
@@ -211,6 +226,12 @@
   }
 }
 
+async fn reset_new(listener: &TcpListener) {
+  while let Ok((caller, _)) = listener.accept().await {
+    reset(&caller);
+  }
+}
+
 /// A listener whose queue is full, so that further connection attempts are dropped.
 struct FullListener {
   _listener: Option<Socket>,
@@ -219,7 +240,11 @@
 
 impl FullListener {
   /// Opens it. Attempts are refused if that fails.
-  fn open(address: SocketAddr) -> Self {
+  async fn open(address: SocketAddr) -> Option<Self> {
+    spawn_blocking(move || Self::fill(address)).await.ok()
+  }
+
+  fn fill(address: SocketAddr) -> Self {
     let listener = Self::listen(address).ok();
     let mut queued = Vec::new();
     while let Ok(stream) = std::net::TcpStream::connect_timeout(&address, FULL_TIMEOUT) {
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -2,11 +2,13 @@
 
 use {
   super::{
+    cut::Cut,
     day::Day,
     draw::{Draw, ScheduledFault, Size},
-    fault::{EndpointFault, EndpointsCut, EngineEnd, Fault, LinkFault, SilentEngines, StoreFault},
+    fault::{EndpointFault, EngineEnd, Fault, LinkFault, SilentEngines, StoreFault},
     garble_plan::draw_garbled_answers,
     hall::Hall,
+    partition_plan::draw_partitions,
     trouble_plan::draw_troubles,
   },
   rand::RngExt,
@@ -125,6 +127,8 @@
   GarbledAnswers,
   /// Engines that crash, in series too.
   Crashes,
+  /// Halls that are cut from each other, some shortly before a kill of all boxes, and boxes that are cut from others.
+  Partitions,
   /// The kinds of trouble that the deployment reports, two or three at a time.
   Troubles,
   /// Those of a scripted day.
@@ -157,6 +161,7 @@
       Self::Day(day) => day.faults(seed, size),
       Self::GarbledAnswers => draw_garbled_answers(seed, size),
       Self::Crashes => draw_crashes(seed, size),
+      Self::Partitions => draw_partitions(seed, size),
       Self::Interruptions => draw_interruptions(seed, size),
       Self::Silences => draw_silences(seed, size),
       Self::Releases => draw_releases(seed, size),
@@ -255,11 +260,7 @@
   let mut steps = Vec::new();
   let mut at_ms = draw.interval_ms();
   while at_ms < size.faults_ms {
-    let cut = draw.one_of(&[
-      EndpointsCut::Hang,
-      EndpointsCut::Reset,
-      EndpointsCut::RefuseNew,
-    ]);
+    let cut = draw.one_of(&[Cut::Hang, Cut::Reset, Cut::RefuseNew]);
     let for_ms = draw.between(CUT_DURATION_MS);
     let first = draw.random.random_range(0..size.boxes);
     let count = draw.random.random_range(0..size.boxes);
--- a/soak/src/play.rs
+++ b/soak/src/play.rs
@@ -96,7 +96,11 @@
 /// Plays one run with other faults than those that its options select. They are sorted by time.
 pub async fn play_faults(options: &Options, faults: Vec<ScheduledFault>) -> Result<Report> {
   let _playing = PLAYING.lock().await;
-  let (fleet, engine_events) = Fleet::start(options, box_bounds(options.seed)).await?;
+  let has_box_links = faults
+    .iter()
+    .any(|scheduled| scheduled.fault.cuts_boxes_from_each_other());
+  let (fleet, engine_events) =
+    Fleet::start(options, box_bounds(options.seed), has_box_links).await?;
   let fleet = Arc::new(fleet);
   wait_until_ready(&fleet).await?;
   let mut background = start_background(&fleet, engine_events);
@@ -167,6 +171,7 @@
     FaultSelection::Crashes
       | FaultSelection::Day(_)
       | FaultSelection::GarbledAnswers
+      | FaultSelection::Partitions
       | FaultSelection::Releases
       | FaultSelection::Restarts
       | FaultSelection::ReusedAddresses
--- a/soak/src/silence_check.rs
+++ b/soak/src/silence_check.rs
@@ -46,7 +46,10 @@
 fn are_boxes_undisturbed(records: &Records, request: &RequestRecord, ended_ms: u64) -> bool {
   let senders = request.runs.iter().map(|run| run.box_index);
   let mut boxes = senders.chain([request.box_index]);
-  boxes.all(|index| records.is_box_undisturbed(index, request.sent_ms, ended_ms))
+  boxes.all(|index| {
+    records.is_box_undisturbed(index, request.sent_ms, ended_ms)
+      && (!request.is_forwarded() || records.is_in_touch(index, request.sent_ms, ended_ms))
+  })
 }
 
 /// Whether the caller received a cut response or an error.
@@ -61,7 +64,7 @@
 /// Whether an engine was sound for as long as it had the stream, and no other one had continued the stream before it lost it.
 fn is_dropped(records: &Records, request: &RequestRecord, run: &Run, ended_ms: u64) -> bool {
   let lost_ms = run.ended_ms.unwrap_or(ended_ms);
-  let is_sound = records.is_endpoint_undisturbed(run.place, run.began_ms, lost_ms);
+  let is_sound = records.is_run_undisturbed(run, run.began_ms, lost_ms);
   let mut others = request.runs.iter().filter(|other| *other != run);
   let is_continued = others.any(|other| {
     other.began_ms > run.began_ms
--- a/soak/src/subcommand.rs
+++ b/soak/src/subcommand.rs
@@ -117,6 +117,9 @@
   let interruptions = long("only-interruptions")
     .help("Interrupt streams, and inject no other faults")
     .req_flag(FaultSelection::Interruptions);
+  let partitions = long("only-partitions")
+    .help("Cut halls and boxes from each other, and inject no other faults but kills of all boxes")
+    .req_flag(FaultSelection::Partitions);
   let silences = long("only-silences")
     .help("Make engines silent beside planned work, and inject no other faults")
     .req_flag(FaultSelection::Silences);
@@ -136,7 +139,7 @@
     .help("Inject what deployments report, two or three kinds at a time")
     .req_flag(FaultSelection::Troubles);
   let day = long("day")
-    .help("Play a scripted day instead: crashes, shifts or store-outages")
+    .help("Play a scripted day instead: crashes, partitions, shifts or store-outages")
     .argument::<Day>("NAME")
     .map(FaultSelection::Day);
   construct!([
@@ -145,6 +148,7 @@
     garbled_answers,
     troubles,
     interruptions,
+    partitions,
     silences,
     releases,
     restarts,
--- a/soak/src/trouble_plan.rs
+++ b/soak/src/trouble_plan.rs
@@ -4,6 +4,7 @@
   draw::{Draw, ScheduledFault, Size},
   fault::{CallerHabit, Close, EndpointFault, Fault, LinkFault, Losses, StoreFault, Strays},
   hall::Hall,
+  partition_plan::draw_partitions,
   stray_response::Stray,
   trouble::Trouble,
 };
@@ -179,6 +180,7 @@
     at_ms += draw.between(GROUP_INTERVAL_MS);
   }
   steps.extend(draw_apart(seed, size));
+  steps.extend(draw_partitions(seed, size));
   steps.sort_by_key(|step| step.at_ms);
   steps
 }
--- a/soak/src/undisturbed.rs
+++ b/soak/src/undisturbed.rs
@@ -2,7 +2,7 @@
 
 use super::{
   disturbance::{Disturbance, Target},
-  records::{PlannedStop, Records, RequestRecord},
+  records::{PlannedStop, Records, RequestRecord, Run},
 };
 
 /// Time without disturbances after which a box counts as connected.
@@ -10,6 +10,21 @@
 /// Time in which a configuration must be applied after the store accepted it.
 pub(crate) const CONFIGURATION_MS: u64 = 2_000;
 
+impl RequestRecord {
+  /// Whether another box sent the request to an endpoint.
+  pub(crate) fn is_forwarded(&self) -> bool {
+    self.runs.iter().any(|run| run.box_index != self.box_index)
+  }
+}
+
+impl Run {
+  /// Whether a disturbance of the component may end the run.
+  fn depends_on(&self, target: Target) -> bool {
+    target == Target::Endpoint(self.place)
+      || target == Target::EndpointPath(self.box_index, self.place)
+  }
+}
+
 impl Records {
   /// Whether the box and the endpoints of a request were undisturbed from `CONTACT_MS` before a time until another.
   pub(crate) fn is_request_undisturbed(
@@ -21,7 +36,7 @@
     self.is_box_undisturbed(request.box_index, from_ms, until_ms)
       && self.is_undisturbed(from_ms, until_ms, |target| {
         let mut runs = request.runs.iter();
-        runs.any(|run| target == Target::Endpoint(run.place))
+        runs.any(|run| run.depends_on(target))
       })
   }
 
@@ -31,7 +46,7 @@
       Target::Box(index) | Target::Leaving(index) | Target::EndpointPaths(index) => {
         index == box_index
       }
-      Target::Endpoint(_) | Target::SilentEngine(_) | Target::Store | Target::StoreLink(_) => false,
+      _ => false,
     })
   }
 
@@ -48,7 +63,14 @@
     self.is_undisturbed(from_ms, until_ms, |target| match target {
       Target::Box(index) | Target::Leaving(index) | Target::StoreLink(index) => index == box_index,
       Target::Store => true,
-      Target::Endpoint(_) | Target::SilentEngine(_) | Target::EndpointPaths(_) => false,
+      _ => false,
+    })
+  }
+
+  /// Whether the connections of a box to other boxes were undisturbed from `CONTACT_MS` before a time until another.
+  pub(crate) fn is_in_touch(&self, box_index: usize, from_ms: u64, until_ms: u64) -> bool {
+    self.is_undisturbed(from_ms, until_ms, |target| {
+      target == Target::BoxPaths(box_index)
     })
   }
 
@@ -70,19 +92,18 @@
     let until_ms = request.ended_ms.unwrap_or(u64::MAX);
     self.is_undisturbed(request.sent_ms, until_ms, |target| match target {
       Target::Box(index) | Target::EndpointPaths(index) => index == request.box_index,
+      Target::BoxPaths(index) => request.is_forwarded() && index == request.box_index,
       // A crash of the endpoint may cut a stream regardless of the planned stop.
-      Target::Endpoint(place) => request.runs.iter().any(|run| run.place == place),
-      Target::Leaving(_) | Target::SilentEngine(_) | Target::Store | Target::StoreLink(_) => false,
+      target => request.runs.iter().any(|run| run.depends_on(target)),
     })
   }
 
-  /// Whether an endpoint was undisturbed between two times. Silence is no disturbance.
-  pub(crate) fn is_endpoint_undisturbed(&self, place: usize, from_ms: u64, until_ms: u64) -> bool {
+  /// Whether the endpoint of a run, and its box's connections to it, were undisturbed between two times. Silence is no
+  /// disturbance.
+  pub(crate) fn is_run_undisturbed(&self, run: &Run, from_ms: u64, until_ms: u64) -> bool {
     !self.disturbances.iter().any(|disturbance| {
       let ended_ms = disturbance.until_ms.unwrap_or(u64::MAX);
-      disturbance.target == Target::Endpoint(place)
-        && disturbance.from_ms <= until_ms
-        && ended_ms >= from_ms
+      run.depends_on(disturbance.target) && disturbance.from_ms <= until_ms && ended_ms >= from_ms
     })
   }
 
--- a/soak/src/versioning.rs
+++ b/soak/src/versioning.rs
@@ -30,6 +30,7 @@
       | FaultSelection::Interruptions
       | FaultSelection::Restarts
       | FaultSelection::Silences
+      | FaultSelection::Partitions
       | FaultSelection::Stops => Self::Alternating,
     }
   }
--- a/stand_ins/src/platform_store.rs
+++ b/stand_ins/src/platform_store.rs
@@ -7,7 +7,7 @@
   serde_json::Value,
   std::{
     future::pending,
-    net::{Ipv4Addr, SocketAddr},
+    net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
   },
@@ -24,26 +24,23 @@
   pub address: SocketAddr,
   pub(crate) contents: Arc<Mutex<Contents>>,
   pub(crate) changed: watch::Sender<u64>,
-  /// The host at which endpoints are shown, instead of 127.0.0.1.
-  pub(crate) endpoint_host: Option<Ipv4Addr>,
+  pub(crate) show: Option<Show>,
 }
 
+/// The value of a key as it is shown to callers.
+pub(crate) type Show = Arc<dyn Fn(&str, Vec<u8>) -> Vec<u8> + Send + Sync>;
+
 impl PlatformStore {
   /// An item or event as it is shown to callers.
   pub(crate) fn shown(&self, mut item: Value) -> Value {
-    let Some(host) = self.endpoint_host else {
+    let Some(show) = &self.show else {
       return item;
     };
-    let is_endpoint = item["key"]
-      .as_str()
-      .is_some_and(|key| key.starts_with("servers/"));
     let value = item["value"]
       .as_str()
       .and_then(|text| STANDARD.decode(text).ok());
-    let value = value.and_then(|bytes| String::from_utf8(bytes).ok());
-    if let Some(value) = value.filter(|_| is_endpoint) {
-      let shown = value.replace(&Ipv4Addr::LOCALHOST.to_string(), &host.to_string());
-      item["value"] = STANDARD.encode(shown).into();
+    if let (Some(key), Some(value)) = (item["key"].as_str(), value) {
+      item["value"] = STANDARD.encode(show(key, value)).into();
     }
     item
   }
--- a/stand_ins/src/start_store.rs
+++ b/stand_ins/src/start_store.rs
@@ -8,7 +8,6 @@
   },
   std::{
     io,
-    net::Ipv4Addr,
     sync::Arc,
     time::{Duration, Instant},
   },
@@ -26,19 +25,22 @@
       address: listener.local_addr()?,
       changed: watch::Sender::new(0),
       contents: Arc::default(),
-      endpoint_host: None,
+      show: None,
     };
     store.serve(listener);
     tokio::spawn(run_lease_expiry(store.clone()));
     Ok(store)
   }
 
-  /// Serves the same contents at another address, with endpoints shown at a host. Fails if no port can be opened.
-  pub async fn start_view(&self, endpoint_host: Ipv4Addr) -> io::Result<Self> {
+  /// Serves the same contents at another address, each value of a key as a function shows it. Fails if no port can be opened.
+  pub async fn start_view(
+    &self,
+    show: impl Fn(&str, Vec<u8>) -> Vec<u8> + Send + Sync + 'static,
+  ) -> io::Result<Self> {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let view = Self {
       address: listener.local_addr()?,
-      endpoint_host: Some(endpoint_host),
+      show: Some(Arc::new(show)),
       ..self.clone()
     };
     view.serve(listener);
--- a/tests/soak_days.rs
+++ b/tests/soak_days.rs
@@ -3,8 +3,8 @@
 use {
   rstest::rstest,
   soak::{
-    Day, Fault, FaultSelection, Framings, Hall, Options, Outcome, Profile, Report, ScheduledFault,
-    Size, play_faults,
+    Cut, Day, Fault, FaultSelection, Framings, Hall, Options, Outcome, Profile, Report,
+    ScheduledFault, Size, play_faults,
   },
   std::path::Path,
 };
@@ -47,7 +47,7 @@
 
 #[rstest]
 fn days_are_sorted_and_depend_on_the_seed(
-  #[values(Day::Crashes, Day::Shifts, Day::StoreOutages)] day: Day,
+  #[values(Day::Crashes, Day::Partitions, Day::Shifts, Day::StoreOutages)] day: Day,
   #[values(1, 2, 77)] seed: u64,
 ) {
   let faults = FaultSelection::Day(day).draw(seed, SIZE);
@@ -65,9 +65,45 @@
   assert!(first_ms < released_ms(&faults, 18));
 }
 
+// The boxes of a hall have noticed a cut, and told others, before they are killed.
+#[rstest]
+fn all_boxes_are_killed_half_a_second_after_a_hall_is_cut_by_resets(
+  #[values(1, 2, 3, 4)] seed: u64,
+) {
+  let faults = Day::Partitions.faults(seed, SIZE);
+  let cuts = faults.iter().filter_map(|scheduled| match scheduled.fault {
+    Fault::HallsCut { cut, for_ms, .. } => Some((scheduled.at_ms, cut, for_ms)),
+    _ => None,
+  });
+  let (cut_ms, cut, for_ms) = cuts.last().unwrap();
+  let [(killed_ms, down_ms), ..] = kills(&faults)[..] else {
+    panic!("no kill of all boxes");
+  };
+  assert_eq!(killed_ms, cut_ms + 500);
+  assert!(down_ms + 500 < for_ms);
+  assert!(!matches!(cut, Cut::Hang | Cut::RefuseNew));
+}
+
+// Former plays of deployments' troubles can't be repeated.
+#[rstest]
+fn cuts_of_halls_are_drawn_beside_the_other_troubles(#[values(750201, 1100001)] seed: u64) {
+  let size = Size {
+    faults_ms: 34_000,
+    ..SIZE
+  };
+  let troubles = FaultSelection::Troubles.draw(seed, size);
+  let partitions = FaultSelection::Partitions.draw(seed, size);
+  assert!(partitions.iter().all(|fault| troubles.contains(fault)));
+  assert!(
+    partitions
+      .iter()
+      .any(|scheduled| matches!(scheduled.fault, Fault::HallsCut { .. }))
+  );
+}
+
 #[rstest]
 fn odd_seeds_have_a_second_kill_soon_after_the_boxes_return(
-  #[values(Day::Crashes, Day::StoreOutages)] day: Day,
+  #[values(Day::Crashes, Day::Partitions, Day::StoreOutages)] day: Day,
 ) {
   assert_eq!(kills(&day.faults(4, SIZE)).len(), 1);
   let [(first_ms, down_ms), (second_ms, _)] = kills(&day.faults(5, SIZE))[..] else {
@@ -78,6 +114,7 @@
 
 #[rstest]
 #[case("crashes", Some(Day::Crashes))]
+#[case("partitions", Some(Day::Partitions))]
 #[case("shifts", Some(Day::Shifts))]
 #[case("store-outages", Some(Day::StoreOutages))]
 #[case("sunday", None)]
--- a/tests/soak_links.rs
+++ b/tests/soak_links.rs
@@ -2,17 +2,19 @@
 
 use {
   rstest::rstest,
-  soak::Link,
+  soak::{Cut, Link},
   socket2::SockRef,
   std::{io::ErrorKind, time::Duration},
   tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
-    time::timeout,
+    time::{sleep, timeout},
   },
 };
 
 const PATIENCE: Duration = Duration::from_secs(20);
+/// Time in which a cut takes effect, and no connection arrives.
+const CLOSING: Duration = Duration::from_millis(300);
 const EVENT: &[u8] = b"id: 1\ndata: first\n\n";
 
 /// How the endpoint's process closes a connection.
@@ -61,3 +63,79 @@
     Err(ErrorKind::ConnectionReset)
   );
 }
+
+/// A link to a listener that accepts connections and keeps them open.
+async fn open_link() -> (Link, TcpListener) {
+  let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+  let link = Link::open(listener.local_addr().unwrap()).await.unwrap();
+  (link, listener)
+}
+
+// A hall that is cut from the others keeps a connection to them.
+#[rstest]
+#[tokio::test]
+async fn cut_by_resets_ends_open_connections_and_no_new_one_is_served(
+  #[values(Cut::Reset, Cut::ResetAndRefuse, Cut::ResetAll)] cut: Cut,
+) {
+  let (link, listener) = open_link().await;
+  let mut caller = TcpStream::connect(link.address).await.unwrap();
+  let (_target, _) = timeout(PATIENCE, listener.accept()).await.unwrap().unwrap();
+  link.begin_cut(cut);
+  let mut byte = [0];
+  let end = timeout(PATIENCE, caller.read(&mut byte)).await.unwrap();
+  assert_eq!(
+    end.map_err(|error| error.kind()),
+    Err(ErrorKind::ConnectionReset)
+  );
+  sleep(CLOSING).await;
+  let attempt = timeout(CLOSING, TcpStream::connect(link.address)).await;
+  match (cut, attempt) {
+    (Cut::Reset, attempt) => assert!(attempt.is_err(), "{attempt:?}"),
+    (Cut::ResetAndRefuse, attempt) => {
+      let error = attempt.unwrap().unwrap_err();
+      assert_eq!(error.kind(), ErrorKind::ConnectionRefused);
+    }
+    (_, attempt) => {
+      let mut caller = attempt.unwrap().unwrap();
+      let end = timeout(PATIENCE, caller.read(&mut byte)).await.unwrap();
+      assert_eq!(
+        end.map_err(|error| error.kind()),
+        Err(ErrorKind::ConnectionReset)
+      );
+    }
+  }
+  assert!(timeout(CLOSING, listener.accept()).await.is_err());
+}
+
+// A hall stays cut from the others after the cut.
+#[rstest]
+#[tokio::test]
+async fn connections_are_served_after_a_cut(
+  #[values(
+    Cut::Hang,
+    Cut::RefuseNew,
+    Cut::Reset,
+    Cut::ResetAndRefuse,
+    Cut::ResetAll
+  )]
+  cut: Cut,
+) {
+  let (link, listener) = open_link().await;
+  link.begin_cut(cut);
+  sleep(CLOSING).await;
+  link.end_cut(cut);
+  let caller = timeout(PATIENCE, async {
+    loop {
+      // The link may not listen again yet.
+      if let Ok(mut caller) = TcpStream::connect(link.address).await
+        && caller.write_all(EVENT).await.is_ok()
+        && let Ok(Ok((mut target, _))) = timeout(CLOSING, listener.accept()).await
+      {
+        let mut event = vec![0; EVENT.len()];
+        target.read_exact(&mut event).await.unwrap();
+        return event;
+      }
+    }
+  });
+  assert_eq!(caller.await.unwrap(), EVENT);
+}
