A plain response without framing ends before a late answer to a former request of its connection

What callers saw: another caller's answer behind their own, in one body with status 200, where an engine sends an answer a second time late. Cause: only the head of an answer to the same request ended such a body. Now any head does that names a request of the connection.

--- a/src/gateway/stages/other_answer.rs
+++ b/src/gateway/stages/other_answer.rs
@@ -13,23 +13,23 @@
 /// The longest head that is recognised, in bytes.
 pub(super) const MAX_HEAD_BYTES: usize = 8 * 1024;
 
-/// Where the head of another answer to a request begins, of the answers that begin within the first `until` bytes. A body may hold
-/// the head of an answer, but not one that names the request.
+/// Where the head of an answer begins that names a request of the connection, of those that begin within the first `until` bytes. A
+/// body may hold the head of another answer, but hardly of one of these.
 pub(super) fn find_other_answer(
   codec: &dyn PlatformCodec,
   bytes: &[u8],
   until: usize,
-  request_id: &str,
+  was_sent: impl Fn(&str) -> bool,
 ) -> Option<usize> {
   let mut positions = bytes.windows(STATUS_LINE.len()).take(until).enumerate();
   positions.find_map(|(at, window)| {
-    let is_head = window == STATUS_LINE && names_request(codec, &bytes[at..], request_id);
+    let is_head = window == STATUS_LINE && names_request(codec, &bytes[at..], &was_sent);
     is_head.then_some(at)
   })
 }
 
-/// Whether bytes begin with the head of an answer that names a request.
-fn names_request(codec: &dyn PlatformCodec, bytes: &[u8], request_id: &str) -> bool {
+/// Whether bytes begin with the head of an answer to a request that was sent.
+fn names_request(codec: &dyn PlatformCodec, bytes: &[u8], was_sent: impl Fn(&str) -> bool) -> bool {
   let mut fields = [EMPTY_HEADER; MAX_FIELDS];
   let mut head = Response::new(&mut fields);
   if !matches!(head.parse(bytes), Ok(Status::Complete(_))) {
@@ -37,7 +37,7 @@
   }
   let headers: HeaderMap = head.headers.iter().filter_map(field).collect();
   let id = codec.response_attributes(&headers).request_id;
-  id.is_some_and(|id| *id == *request_id)
+  id.is_some_and(|id| was_sent(&id))
 }
 
 fn field(header: &Header<'_>) -> Option<(HeaderName, HeaderValue)> {
--- a/src/gateway/stages/response_body.rs
+++ b/src/gateway/stages/response_body.rs
@@ -47,16 +47,16 @@
     }
   }
 
-  /// Ends the body before another answer to the request, if one follows; returns whether it does.
+  /// Ends the body before an answer to a request that was sent, if one follows; returns whether it does.
   pub(super) fn end_before_other_answer(
     &mut self,
     codec: &dyn PlatformCodec,
-    request_id: &str,
+    was_sent: impl Fn(&str) -> bool,
   ) -> bool {
     for index in 0..self.chunks.len() {
       let bytes = self.with_next_bytes(index);
       let until = self.chunks[index].len();
-      if let Some(at) = find_other_answer(codec, &bytes, until, request_id) {
+      if let Some(at) = find_other_answer(codec, &bytes, until, &was_sent) {
         self.chunks.truncate(index + 1);
         self.chunks[index].truncate(at);
         return true;
--- a/src/gateway/stages/stage.rs
+++ b/src/gateway/stages/stage.rs
@@ -221,7 +221,8 @@
       .read(&mut self.body)
       .await?;
     if has_body && kind == BodyKind::Opaque && self.framing() == Framing::Connection {
-      if body.end_before_other_answer(&*gateway.codec, request.id()) {
+      let was_sent = |id: &str| self.connection.may_have_carried(Some(id));
+      if body.end_before_other_answer(&*gateway.codec, was_sent) {
         log::info!(
           "E599 other answer dropped: {} behind the response of {}",
           request.id(),
