An end that nothing checks counts as whole only after eight whole ones of its version

What callers saw: a stream that may be resumed looked complete after an engine that lives on had ended its answer without framing between two events. Cause: one whole end of the version within 30 s let all others pass that no retry could check; an end whose checking run failed was not left to its caller at all. Both are left to the caller who may resume the stream now, until eight ends in a row were whole. Tests: two that asked for complete streams after a single whole end ask for it after eight now, and check every body before; new: an early end after four whole ones, and a failed check.

--- a/src/gateway/decisions/streams/answer_end.rs
+++ b/src/gateway/decisions/streams/answer_end.rs
@@ -32,7 +32,7 @@
   pub may_be_resumed: bool,
   /// How many ends of the same software version were early lately.
   pub early_ends: EarlyEnds,
-  /// Whether ends of the same version were checked lately, and all whole.
+  /// Whether many ends of the same version were checked lately, and all whole.
   pub others_are_whole: bool,
   /// Whether the caller's next request may check the end although no run of this box can.
   pub caller_may_check: bool,
--- a/src/gateway/decisions/streams/check_denial.rs
+++ b/src/gateway/decisions/streams/check_denial.rs
@@ -46,9 +46,8 @@
   #[must_use]
   pub fn is_left_to_caller(self) -> bool {
     match self {
-      Self::NoAttempt | Self::NoRetry | Self::NoVersion => true,
+      Self::Failed | Self::NoAttempt | Self::NoRetry | Self::NoVersion => true,
       Self::AllTokens
-      | Self::Failed
       | Self::IsCheck
       | Self::NoOrder
       | Self::NoSlot
--- a/src/gateway/decisions/streams/checked_ends.rs
+++ b/src/gateway/decisions/streams/checked_ends.rs
@@ -5,8 +5,11 @@
   std::collections::{HashMap, VecDeque},
 };
 
-/// The outcomes of a version that are remembered.
-const MAX_OUTCOMES: usize = 4;
+/// Whole ends in a row, without an early one, after which an end that nothing checks counts as whole, too. All outcomes of a version
+/// that are remembered.
+const MIN_WHOLE: usize = 8;
+/// The last outcomes that tell how many ends of a version are early.
+const LAST_OUTCOMES: usize = 4;
 /// Early ones among them at least, until most ends of the version count as early.
 const MIN_EARLY: usize = 2;
 /// An outcome says nothing about later ends.
@@ -63,7 +66,7 @@
       self.versions.clear();
     }
     let outcomes = self.versions.entry(key).or_default();
-    if outcomes.len() == MAX_OUTCOMES {
+    if outcomes.len() == MIN_WHOLE {
       outcomes.pop_front();
     }
     outcomes.push_back(Outcome {
@@ -72,10 +75,10 @@
     });
   }
 
-  /// Whether the version's last ends that were checked were whole; not while none is known.
+  /// Whether the version's last ends that were checked were whole; not while few are known.
   pub fn are_whole(&self, service: &Name, version: &SoftwareVersion, now_ms: u64) -> bool {
     let counted = self.counted(service, version, now_ms);
-    !counted.is_empty() && counted.iter().all(|outcome| !outcome.was_early)
+    counted.len() == MIN_WHOLE && counted.iter().all(|outcome| !outcome.was_early)
   }
 
   /// The outcomes of a version that count still.
@@ -92,11 +95,12 @@
 
   /// How many of the version's last ends that were checked were early.
   pub fn early(&self, service: &Name, version: &SoftwareVersion, now_ms: u64) -> EarlyEnds {
-    let counted = self.counted(service, version, now_ms);
-    let early = counted.iter().filter(|outcome| outcome.was_early).count();
+    let mut counted = self.counted(service, version, now_ms);
+    let last = counted.split_off(counted.len().saturating_sub(LAST_OUTCOMES));
+    let early = last.iter().filter(|outcome| outcome.was_early).count();
     match early {
       0 => EarlyEnds::None,
-      _ if early >= MIN_EARLY && early * 2 > counted.len() => EarlyEnds::Most,
+      _ if early >= MIN_EARLY && early * 2 > last.len() => EarlyEnds::Most,
       _ => EarlyEnds::Some,
     }
   }
--- a/tests/gateway/living_ends.rs
+++ b/tests/gateway/living_ends.rs
@@ -19,6 +19,8 @@
 const FEW_STREAMS: u64 = 4;
 /// Retries of all boxes that leave a box one, and none to spare for a check that may be left out.
 const SCARCE_RETRY_SLACK: f64 = 22.5;
+/// Whole ends of a version after which one that nothing checks is whole, too.
+const WHOLE_ENDS: u64 = 8;
 /// Streams of a service that always ends them with their connection: more than the retry budget allows to check.
 const UNFRAMED_STREAMS: u64 = 40;
 
@@ -68,6 +70,18 @@
     request.send(self.gateway.callers).await.finish().await
   }
 
+  /// Runs whole streams, which their callers resume once where they do not look complete.
+  async fn finish_whole_ends(&self) {
+    for number in 1..=WHOLE_ENDS {
+      let response = self.ask("/resumable/a", number).await;
+      assert_eq!(response.body, whole());
+      if !response.is_complete {
+        let rest = self.ask_after(EVENTS, 100 + number).await;
+        assert_eq!(rest, complete(String::new()));
+      }
+    }
+  }
+
   /// How often streams were sent to engines.
   fn sends(&self) -> usize {
     let requests = self.engines.iter().flat_map(EndpointStandIn::requests);
@@ -292,22 +306,38 @@
 /// Guards against streams of a service without framing that callers resume again and again, or whose events do not all arrive, because
 /// the box has no retry for a check of their ends.
 #[tokio::test]
-async fn streams_of_a_service_without_framing_are_complete_after_one_resumption_where_no_retry_is_left()
- {
+async fn streams_of_a_service_without_framing_are_complete_after_whole_ones_where_no_retry_is_left()
+{
   let fleet = Fleet::start_with_slack(ends_whole, 0.0).await;
-  assert_eq!(fleet.ask("/resumable/a", 1).await, broken_off(whole()));
-  let rest = fleet.ask_after(EVENTS, 2).await;
-  assert_eq!(rest, complete(String::new()));
-  for number in 3..=FEW_STREAMS {
+  fleet.finish_whole_ends().await;
+  for number in WHOLE_ENDS + 1..=WHOLE_ENDS + FEW_STREAMS {
     assert_eq!(fleet.ask("/resumable/a", number).await, complete(whole()));
   }
 }
 
+/// Guards against an early end that looks complete because a few ends of its version were whole, where no retry is left for a check.
+#[tokio::test]
+async fn early_end_does_not_look_complete_after_a_few_whole_ones_where_no_retry_is_left() {
+  let script = |seen: &ReceivedRequest| match (seen.id(), last_event_id(seen)) {
+    ("r5", 0) => unframed(seen, &events(1..=INTERRUPTED_AFTER)),
+    _ => ends_whole(seen),
+  };
+  let fleet = Fleet::start_with_slack(script, 0.0).await;
+  for number in 1..=FEW_STREAMS {
+    fleet.ask("/resumable/a", number).await;
+    let rest = fleet.ask_after(EVENTS, 100 + number).await;
+    assert_eq!(rest, complete(String::new()));
+  }
+  let response = fleet.ask("/resumable/a", FEW_STREAMS + 1).await;
+  assert_eq!(response, broken_off(events(1..=INTERRUPTED_AFTER)));
+}
+
 /// Guards against whole streams that are aborted for want of a retry although the last checked ends of their version were whole.
 #[tokio::test]
 async fn streams_after_whole_ones_are_complete_where_no_retry_is_left() {
   let fleet = Fleet::start_with_slack(ends_whole, RETRY_SLACK).await;
-  for number in 1..=UNFRAMED_STREAMS / 4 {
+  fleet.finish_whole_ends().await;
+  for number in WHOLE_ENDS + 1..=UNFRAMED_STREAMS {
     assert_eq!(fleet.ask("/resumable/a", number).await, complete(whole()));
   }
   assert!(
--- a/tests/gateway/stream_ends.rs
+++ b/tests/gateway/stream_ends.rs
@@ -127,9 +127,11 @@
 
 #[rstest]
 #[case::nothing_known(&[], false)]
-#[case::one_was_whole(&[false], true)]
-#[case::one_was_early(&[true, false, false, false], false)]
-#[case::the_last_ones_were_whole(&[true, false, false, false, false], true)]
+#[case::one_was_whole(&[false], false)]
+#[case::few_were_whole(&[false; 7], false)]
+#[case::many_were_whole(&[false; 8], true)]
+#[case::one_was_early(&[true, false, false, false, false, false, false, false], false)]
+#[case::the_last_ones_were_whole(&[true, false, false, false, false, false, false, false, false], true)]
 fn others_are_whole_by_the_last_checks(#[case] outcomes: &[bool], #[case] expected: bool) {
   let ends = checked_ends(outcomes);
   let are_whole =
@@ -144,6 +146,7 @@
 #[case::version_not_known(CheckDenial::NoVersion, EndVerdict::Incomplete)]
 #[case::no_retry(CheckDenial::NoRetry, EndVerdict::Incomplete)]
 #[case::no_slot(CheckDenial::NoSlot, EndVerdict::Complete)]
+#[case::run_failed(CheckDenial::Failed, EndVerdict::Incomplete)]
 fn end_whose_check_was_denied_is_left_to_a_caller_who_may_check_it(
   #[case] denial: CheckDenial,
   #[case] expected: EndVerdict,
