--- a/src/gateway/requests/event_order.rs
+++ b/src/gateway/requests/event_order.rs
@@ -179,10 +179,13 @@
   }
 
   /// Checks the first event of a stream.
-  fn check_first(&self, id: u64) -> Result<(), Misplaced> {
+  fn check_first(&mut self, id: u64) -> Result<(), Misplaced> {
     if self.follows_noise && id > MAX_FIRST_ID && self.version_steps != IdSteps::Any {
+      // A service whose streams all begin like this is known by it before long.
+      self.skip = Some(Skip { after: 0, id });
       return Err(Misplaced::Gap { after: 0, id });
     }
+    self.skip = None;
     Ok(())
   }
 
--- a/src/gateway/requests/event_relay.rs
+++ b/src/gateway/requests/event_relay.rs
@@ -35,6 +35,8 @@
   Nothing,
   /// The answer's end.
   End(AnswerEnd),
+  /// An event of a version that may not be the one which began the stream.
+  UncertainVersion,
 }
 
 /// Blocks of a stream that are logged because its caller does not get them.
@@ -71,8 +73,6 @@
   splitter: EventSplitter,
   order: EventOrder,
   tail: Tail,
-  /// Since when the current answer has brought nothing but bytes that are no event.
-  noise_since_ms: Option<u64>,
   /// Blocks that the caller does not get.
   not_forwarded: u32,
   is_finished: bool,
@@ -95,6 +95,8 @@
   /// For how long the current engine's events have been left unread.
   unread: UnreadTime,
   late: LateBytes,
+  /// Since when the current answer has brought bytes and no event.
+  without_event_since_ms: Option<u64>,
 }
 
 impl EventRelay {
@@ -118,13 +120,13 @@
       late: LateBytes::default(),
       listed_version,
       longest_pause_ms: 0,
-      noise_since_ms: None,
       not_forwarded: 0,
       order,
       splitter: EventSplitter::default(),
       stream,
       tail: Tail::Nothing,
       unread: UnreadTime::default(),
+      without_event_since_ms: None,
     }
   }
 
@@ -157,6 +159,11 @@
       let error = match read {
         Ok(Read::Event(bytes)) => return Some(Ok(bytes)),
         Ok(Read::Nothing) => continue,
+        Ok(Read::UncertainVersion) => {
+          self.settle_sound_engine();
+          let reason = "another version than the one assumed has become known";
+          return Some(Err(self.abort(reason.into())));
+        }
         Ok(Read::End(end)) => match self.check_end(end).await {
           Ok(()) => return self.finish(end),
           Err(EndDoubt::GoesOn(error)) => error,
@@ -192,7 +199,6 @@
         self.log_not_forwarded(&block, &"it is no event");
         self.order.record_noise();
         self.tail = self.tail.after_noise();
-        self.check_noise()?;
         Ok(Read::Nothing)
       }
       BlockKind::Damaged => {
@@ -206,15 +212,29 @@
   /// Fails when an engine has sent nothing but bytes that are no event for as long as a silent one is waited for.
   fn check_noise(&mut self) -> Result<(), String> {
     let now_ms = self.stream.gateway.now_ms();
-    let noise_ms = now_ms - *self.noise_since_ms.get_or_insert(now_ms);
-    if noise_ms < SILENCE_TIMEOUT_MS || !self.stream.may_retry() || !self.order.may_go_on() {
+    let since_ms = *self.without_event_since_ms.get_or_insert(now_ms);
+    if now_ms - since_ms < SILENCE_TIMEOUT_MS || !self.stream.may_retry() || !self.order.may_go_on()
+    {
+      return Ok(());
+    }
+    // The bytes are not looked through again with each read.
+    self.without_event_since_ms = Some(now_ms);
+    let is_noise = matches!(self.tail, Tail::NoiseAfterEvent | Tail::NoiseAlone)
+      || self.splitter.partial_kind() == Some(BlockKind::Noise);
+    if !is_noise {
       return Ok(());
     }
     self.is_answer_spoilt = true;
-    Err(format!("no event for {noise_ms} ms, bytes that are none"))
+    Err(format!(
+      "no event for {} ms, bytes that are none",
+      now_ms - since_ms
+    ))
   }
 
   fn take_event(&mut self, event: SseEvent) -> Result<Read, String> {
+    if event.has_data() && self.stream.is_origin_uncertain() {
+      return Ok(Read::UncertainVersion);
+    }
     match self.order.place(&event) {
       Ok(EventPlace::Next) => {
         self.record_event(&event);
@@ -259,12 +279,18 @@
 
   /// Records that an event is forwarded: a resumed stream continues after it.
   fn record_event(&mut self, event: &SseEvent) {
-    self.noise_since_ms = None;
+    self.without_event_since_ms = None;
     self.stream.last_event_id = self.stream.last_event_id.max(event.id);
     if event.has_data() {
       self.tail = Tail::Event;
       self.events += 1;
       self.end_check.record_event(&self.stream.gateway);
+      // Another engine may have sent comments before.
+      if self.events == 1
+        && let Some(head) = &self.head
+      {
+        record_stream(&self.stream.gateway, &self.stream.request, head);
+      }
     }
     let now_ms = self.stream.gateway.now_ms();
     if let Some(last_ms) = self.last_event_ms.replace(now_ms) {
@@ -274,9 +300,6 @@
       self.first_event_recorded = true;
       let took_ms = self.stream.gateway.now_ms() - self.stream.request.arrived_ms;
       self.stream.gateway.counters.first_event_ms.record(took_ms);
-      if let Some(head) = &self.head {
-        record_stream(&self.stream.gateway, &self.stream.request, head);
-      }
       let origin = self.head.as_ref().map(|head| &head.entry);
       log::info!(
         "E509 first event: {} after {took_ms} ms, from {} version {} started {}, evidence {}",
@@ -384,7 +407,7 @@
   /// Drops an event that the current engine has begun, which shows that the stream was not complete before.
   fn discard_partial_event(&mut self) {
     self.tail = Tail::Nothing;
-    self.noise_since_ms = None;
+    self.without_event_since_ms = None;
     if self.splitter.partial_kind().is_some() {
       self.end_check.record_event(&self.stream.gateway);
     }
@@ -422,6 +445,7 @@
         if self.splitter.is_overlong() {
           return Err("event too long".into());
         }
+        self.check_noise()?;
         Ok(Read::Nothing)
       }
       Some(Err(error)) => Err(error.to_string()),
--- a/src/gateway/requests/stream_send.rs
+++ b/src/gateway/requests/stream_send.rs
@@ -86,7 +86,7 @@
   }
 
   /// Whether the stream was to go on at the only version that was known, and another one has become known before it did.
-  fn is_origin_uncertain(&self) -> bool {
+  pub(super) fn is_origin_uncertain(&self) -> bool {
     let request = &self.request;
     let has_gone_on = self.last_event_id != request.attributes.last_event_id;
     let endpoints = self.gateway.endpoints.borrow();
