A stream at a process of unknown version is held by another box before it begins

Cause: the box that began a stream was the only one to observe the engine's process.

Change: such a stream is sent once another box watches the process through a connection of its own, opened after this box's or shown alive by a report, and has acknowledged; after 50 ms at the latest. The first event on the older connection is the proof that both observe one process; it is told to the holder, which names the version once its own observation has it. Until it is told, the record names none, and the only version known is not assumed. Where versions are known nothing is sent. New paths; a box of an older build answers 404.

Ruled out: a record with the first event (the engine may restart between), and holding the first event back (an answer that came before the acknowledgement shows nothing).

--- a/emulator/src/streams/replay.rs
+++ b/emulator/src/streams/replay.rs
@@ -234,7 +234,7 @@
         self.streams[stream].at_box = at_box;
         self.record(stream, at_box, RecordSource::Own, now_ms);
       }
-      RecordedOrigin::Unknown | RecordedOrigin::Ambiguous => {}
+      RecordedOrigin::Unknown | RecordedOrigin::Ambiguous | RecordedOrigin::Held => {}
     }
   }
 
--- a/src/gateway/connections/connection.rs
+++ b/src/gateway/connections/connection.rs
@@ -7,7 +7,7 @@
     recent_ids::RecentIds,
   },
   crate::{
-    gateway::decisions::{ConnectionState, ObservedProcess},
+    gateway::decisions::{ConnectionState, ObservedProcess, WatchedProcess},
     ids::Name,
   },
   bytes::Bytes,
@@ -56,6 +56,16 @@
   ConnectionLost(String),
 }
 
+/// The boxes that hold the record of a stream which is sent on a connection.
+#[derive(Clone, Debug)]
+pub(crate) struct SentHold {
+  /// Distinguishes the sends of a stream.
+  pub(crate) send: u64,
+  pub(crate) holders: Vec<SocketAddr>,
+  /// The process, watched by this box since no other one does.
+  pub(crate) watched: Option<WatchedProcess>,
+}
+
 /// How a connection was closed.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ClosedConnection {
@@ -77,6 +87,8 @@
   pub(crate) state: Rc<ConnectionState>,
   /// Another connection to the same process, which shows whether the process outlives this one.
   pub(crate) beside: Option<Box<Connection>>,
+  /// Who holds the record of the stream that was sent on it last.
+  pub(crate) hold: Option<SentHold>,
   /// The process of an endpoint that it leads to.
   pub(crate) process: Option<Rc<ObservedProcess>>,
   /// When it must no longer be reused, on the box's clock.
@@ -151,6 +163,7 @@
       closed,
       confirmed_start_ms: None,
       endpoint,
+      hold: None,
       process: None,
       recent_ids: RecentIds::default(),
       reusable_until_ms: 0,
--- a/src/gateway/connections/mod.rs
+++ b/src/gateway/connections/mod.rs
@@ -15,6 +15,7 @@
 mod recent_ids;
 mod shared_connections;
 mod stall_timeout;
+mod watching_connections;
 
 pub use self::headers::remove_connection_headers;
 
@@ -23,9 +24,12 @@
   addressed_request::AddressedRequest,
   box_message::{message_response, read_message, send_message, status_response},
   caller_socket::{CallerSocket, EndsWithConnection},
-  connection::{Connection, SendError, set_send_buffer, set_socket_options, set_user_timeout},
+  connection::{
+    Connection, SendError, SentHold, set_send_buffer, set_socket_options, set_user_timeout,
+  },
   connection_pool::{ConnectionPool, closes_connection},
   liveness::{Liveness, probe},
   shared_connections::{SharedConnection, SharedConnections},
   stall_timeout::{StallTimeout, Stalled},
+  watching_connections::WatchingConnections,
 };
--- a/src/gateway/decisions/copy_budget.rs
+++ b/src/gateway/decisions/copy_budget.rs
@@ -16,6 +16,9 @@
 /// Share of the burst below which a stream is recorded at one other box only.
 const SCARCE_SHARE: f64 = 0.5;
 
+/// Messages to a box that holds a stream: that it is about to begin, and that it has.
+const HOLD_MESSAGES: f64 = 2.0;
+
 /// Limits the records that a box sends.
 ///
 /// ```
@@ -38,13 +41,30 @@
 
   /// Takes the copies of one stream's record.
   pub fn take(&mut self, now_ms: u64) -> usize {
+    self.take_messages(RECORD_COPIES, 1.0, now_ms)
+  }
+
+  /// Takes the boxes that hold one stream, a number of them at the most.
+  ///
+  /// ```
+  /// use rillford::gateway::CopyBudget;
+  /// let mut budget = CopyBudget::new(0);
+  /// assert_eq!(budget.take_holders(2, 0), 2);
+  /// let holders: usize = (0..200).map(|_| budget.take_holders(2, 0)).sum();
+  /// assert_eq!(holders, 98);
+  /// ```
+  pub fn take_holders(&mut self, most: usize, now_ms: u64) -> usize {
+    self.take_messages(most, HOLD_MESSAGES, now_ms)
+  }
+
+  fn take_messages(&mut self, most: usize, messages: f64, now_ms: u64) -> usize {
     let level = self.0.level(LIMIT, now_ms);
     let copies = if level > LIMIT.burst * SCARCE_SHARE {
-      RECORD_COPIES
+      most
     } else {
-      usize::from(level >= 1.0)
+      usize::from(level >= messages)
     };
-    self.0.charge(LIMIT, copies as f64);
+    self.0.charge(LIMIT, copies as f64 * messages);
     copies
   }
 }
--- a/src/gateway/decisions/endpoint_registry.rs
+++ b/src/gateway/decisions/endpoint_registry.rs
@@ -206,10 +206,7 @@
     connection: &Rc<ConnectionState>,
     now_ms: u64,
   ) -> Rc<ObservedProcess> {
-    let listed = self.entry(&entry.id);
-    let is_listed_there = listed
-      .is_some_and(|listed| listed.address == entry.address && listed.service == entry.service);
-    if is_listed_there {
+    if self.is_listed_there(entry) {
       return self.processes.connect(entry, connection, now_ms);
     }
     let process = Rc::new(ObservedProcess::since(now_ms));
@@ -217,6 +214,25 @@
     process
   }
 
+  /// The same for a connection that alone shows whether its process runs.
+  pub fn record_lone_connection(
+    &mut self,
+    entry: &EndpointEntry,
+    connection: &Rc<ConnectionState>,
+    now_ms: u64,
+  ) -> Rc<ObservedProcess> {
+    if self.is_listed_there(entry) {
+      return self.processes.connect_alone(entry, connection, now_ms);
+    }
+    Rc::new(ObservedProcess::through_one_connection(now_ms, connection))
+  }
+
+  /// Whether an entry's endpoint is listed with the same address and service.
+  fn is_listed_there(&self, entry: &EndpointEntry) -> bool {
+    let listed = self.entry(&entry.id);
+    listed.is_some_and(|listed| listed.address == entry.address && listed.service == entry.service)
+  }
+
   /// On which evidence a process that was met at an endpoint has the version in an entry.
   pub fn version_evidence(
     &self,
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -144,7 +144,9 @@
   store_retry_delay::store_retry_delay_ms,
   stray_answers::StrayAnswers,
   stream_key::StreamKey,
-  stream_records::{RecordSource, RecordedOrigin, StreamOrigin, StreamRecords},
+  stream_records::{
+    RecordSource, RecordedOrigin, StreamHold, StreamOrigin, StreamRecords, WatchedProcess,
+  },
   streams::{
     AnswerEnd, CheckDenial, CheckedEnds, EarlyEnds, EndEvidence, EndVerdict, IdSteps,
     VersionIdSteps,
--- a/src/gateway/decisions/processes/endpoint_processes.rs
+++ b/src/gateway/decisions/processes/endpoint_processes.rs
@@ -44,6 +44,7 @@
 #[derive(Debug, Default)]
 pub struct EndpointProcesses {
   /// One for each endpoint, as a rule: connections that are not read at the moment can't show that a further one leads to the same.
+  /// Beside it may stand those that are observed through one connection only.
   by_endpoint: HashMap<Name, Vec<Rc<ObservedProcess>>>,
   /// Time after a process's start from which a listed entry is its own.
   entry_lag_ms: u64,
@@ -87,16 +88,35 @@
     now_ms: u64,
   ) -> Rc<ObservedProcess> {
     let processes = self.by_endpoint.entry(entry.id.clone()).or_default();
-    let current = processes.iter().find(|process| process.is_observed());
-    let process = current.cloned().unwrap_or_else(|| {
-      let process = Rc::new(ObservedProcess::since(now_ms));
-      processes.push(process.clone());
-      process
-    });
+    let mut observed = processes.iter().filter(|process| process.is_observed());
+    let joinable = observed.clone().find(|process| process.is_joinable());
+    let current = joinable.or_else(|| observed.next()).cloned();
+    let process = match current {
+      Some(process) if process.is_joinable() => process,
+      current => {
+        let process = Rc::new(ObservedProcess::following(current.as_deref(), now_ms));
+        processes.push(process.clone());
+        process
+      }
+    };
     process.add(connection);
     process
   }
 
+  /// A connection to a listed endpoint was opened, whose process is observed through it only.
+  pub fn connect_alone(
+    &mut self,
+    entry: &EndpointEntry,
+    connection: &Rc<ConnectionState>,
+    now_ms: u64,
+  ) -> Rc<ObservedProcess> {
+    let process = ObservedProcess::through_one_connection(now_ms, connection);
+    let process = Rc::new(process);
+    let processes = self.by_endpoint.entry(entry.id.clone()).or_default();
+    processes.push(process.clone());
+    process
+  }
+
   /// An entry replaces another one of the same endpoint.
   pub fn replace_entry(&mut self, former: &EndpointEntry, entry: &EndpointEntry) {
     self.settle(former);
--- a/src/gateway/decisions/processes/observed_process.rs
+++ b/src/gateway/decisions/processes/observed_process.rs
@@ -25,6 +25,8 @@
 pub struct ObservedProcess {
   /// When its first connection was opened.
   since_ms: u64,
+  /// Whether further connections may count as leading to it.
+  is_joinable: bool,
   connections: RefCell<Vec<Weak<ConnectionState>>>,
   version: OnceCell<SoftwareVersion>,
 }
@@ -34,11 +36,38 @@
   pub fn since(since_ms: u64) -> Self {
     Self {
       connections: RefCell::default(),
+      is_joinable: true,
       since_ms,
       version: OnceCell::new(),
     }
   }
 
+  /// A process that another observation shows to run already, or one whose first connection is opened at a time.
+  pub fn following(former: Option<&Self>, now_ms: u64) -> Self {
+    let Some(former) = former else {
+      return Self::since(now_ms);
+    };
+    Self {
+      version: former.version.clone(),
+      ..Self::since(former.since_ms)
+    }
+  }
+
+  /// A process that is observed through one connection only, opened at a time: no other one is taken for a connection to it.
+  pub fn through_one_connection(since_ms: u64, connection: &Rc<ConnectionState>) -> Self {
+    let process = Self {
+      is_joinable: false,
+      ..Self::since(since_ms)
+    };
+    process.add(connection);
+    process
+  }
+
+  /// Whether further connections may count as leading to it.
+  pub fn is_joinable(&self) -> bool {
+    self.is_joinable
+  }
+
   /// When its first connection was opened.
   pub fn since_ms(&self) -> u64 {
     self.since_ms
--- a/src/gateway/requests/routing.rs
+++ b/src/gateway/requests/routing.rs
@@ -19,6 +19,7 @@
   hyper::body::{Body, Incoming},
   std::{
     cell::{Cell, OnceCell, RefCell},
+    rc::Rc,
     time::Duration,
   },
   tokio::time::timeout,
@@ -109,6 +110,7 @@
   Ok(RoutedRequest {
     allowed_halls,
     arrived_ms,
+    asked_holders: Rc::default(),
     attributes,
     body,
     configuration: table.version(),
--- a/src/gateway/resumption/lookup.rs
+++ b/src/gateway/resumption/lookup.rs
@@ -36,6 +36,8 @@
   silent_halls: BTreeSet<Name>,
   /// Where the stream began, and which box has recorded it.
   origin: Option<(RecordedOrigin, SocketAddr)>,
+  /// Whether a box holds the stream, and does not know whether it has begun.
+  is_held: bool,
   /// The versions of the service that this box and they know.
   versions: BTreeSet<SoftwareVersion>,
 }
@@ -108,7 +110,8 @@
     versions: gateway.endpoints.borrow().versions().of(&request.service),
     ..Answers::default()
   };
-  if own == RecordedOrigin::Unknown {
+  let is_recorded = !matches!(own, RecordedOrigin::Unknown | RecordedOrigin::Held);
+  if !is_recorded {
     ask_boxes(gateway, request, key, &mut answers).await;
   }
   match &answers.origin {
@@ -117,7 +120,7 @@
       let source = format!("recorded by {address}");
       return Lookup::Known(along_route(request, origin.clone(), &source));
     }
-    None if own == RecordedOrigin::Unknown && answers.versions.len() <= 1 => {
+    None if own == RecordedOrigin::Unknown && !answers.is_held && answers.versions.len() <= 1 => {
       if let Some(version) = only_version(gateway, &answers) {
         gateway.counters.origins_only.inc();
         log_only_version(gateway, request, &version, &answers);
@@ -129,7 +132,7 @@
     }
     _ => {}
   }
-  if own != RecordedOrigin::Unknown || answers.origin.is_some() {
+  if is_recorded || answers.origin.is_some() {
     return Lookup::Ambiguous(own, answers);
   }
   Lookup::Unknown(own, answers)
@@ -277,8 +280,10 @@
         self.answered += 1;
         self.silent_halls.remove(&source.hall);
         self.versions.extend(response.versions);
-        if response.origin != RecordedOrigin::Unknown {
-          self.origin = Some((response.origin, address));
+        match response.origin {
+          RecordedOrigin::Unknown => {}
+          RecordedOrigin::Held => self.is_held = true,
+          origin => self.origin = Some((origin, address)),
         }
       }
       Err(error) => log::debug!("stream not looked up at {address}: {error}"),
--- a/src/gateway/resumption/mod.rs
+++ b/src/gateway/resumption/mod.rs
@@ -3,12 +3,14 @@
 //!
 //! Imports `state`, `stages` and the folders below them.
 
+mod holding;
 mod lookup;
 mod messages;
 mod publishing;
 mod version_sync;
 
 pub(crate) use self::{
+  holding::{handle_begin, handle_hold},
   lookup::{resolve_resumption, stream_metrics},
   messages::{FIND_STREAM_PATH, STREAMS_PATH, handle_lookup, handle_records},
   publishing::{publish_streams, record_stream},
--- a/src/gateway/resumption/publishing.rs
+++ b/src/gateway/resumption/publishing.rs
@@ -1,12 +1,15 @@
 //! Records where streams began, here and, while several versions serve, at other boxes, also at those that join later.
 
 use {
-  super::messages::{StreamRecordMessage, send_records},
+  super::{
+    messages::{StreamRecordMessage, send_records},
+  },
   crate::{
     gateway::{
+      connections::SentHold,
       decisions::{RecordSource, StreamKey, StreamOrigin, asked_by_all_halls, record_holders},
       edge::SoftwareVersion,
-      stages::{ResponseHead, RoutedRequest},
+      stages::{BeginMessage, RETURN_MS, ResponseHead, RoutedRequest, confirm_hold},
       state::Gateway,
     },
     ids::Name,
@@ -23,8 +26,6 @@
   },
 };
 
-/// How long after a request's deadline its caller may still resume the stream.
-const RETURN_MS: u64 = 10_000;
 /// Records of a service that a box considers for boxes that have joined; as many fit into a message.
 const MAX_HANDED_OVER: usize = 400;
 /// Interval of checks for services that have got a second version.
@@ -35,12 +36,19 @@
   let key = request.stream_key();
   let entry = &head.entry;
   let now_ms = gateway.now_ms();
-  let expires_ms = now_ms + request.remaining_ms(now_ms) + RETURN_MS;
+  let expires_ms = now_ms + request.resumable_ms(now_ms);
+  let hold = head.hold();
+  if let Some(SentHold { holders, send, .. }) = hold {
+    let message = BeginMessage { key, send: *send };
+    let holders = holders.iter();
+    holders.for_each(|holder| confirm_hold(gateway, *holder, message));
+  }
   let mut records = gateway.stream_records.borrow_mut();
   if let Some(process) = head.process()
     && !head.version_evidence(gateway).is_known()
   {
-    records.record_pending(key, &entry.service, process, expires_ms);
+    let watched = hold.and_then(|hold| hold.watched.clone());
+    records.record_pending(key, &entry.service, process, watched, expires_ms);
     return;
   }
   let origin = StreamOrigin {
@@ -49,9 +57,27 @@
   };
   records.record(key, origin.clone(), RecordSource::Own, expires_ms);
   drop(records);
+  tell_asked(gateway, request, key, &origin);
   publish_divided(gateway, vec![(key, origin, expires_ms)]);
 }
 
+/// Tells the boxes that were asked to hold a stream where it has begun: they may wait for an earlier send.
+fn tell_asked(
+  gateway: &Rc<Gateway>,
+  request: &RoutedRequest,
+  key: StreamKey,
+  origin: &StreamOrigin,
+) {
+  for address in request.asked_holders.take() {
+    let record = StreamRecordMessage {
+      key,
+      origin: origin.clone(),
+      ttl_ms: request.resumable_ms(gateway.now_ms()),
+    };
+    send(gateway, address, vec![record]);
+  }
+}
+
 /// Publishes the streams of services that have several versions.
 fn publish_divided(gateway: &Rc<Gateway>, mut streams: Vec<(StreamKey, StreamOrigin, u64)>) {
   let endpoints = gateway.endpoints.borrow();
@@ -110,6 +136,7 @@
     .expire(now_ms, longest_ms + RETURN_MS);
   drop(endpoints);
   gateway.stream_records.borrow_mut().expire(now_ms);
+  gateway.watching_connections.expire(now_ms);
 }
 
 /// Sends the records of services to the boxes that have registered lately, which know none.
--- a/src/gateway/stages/call_request.rs
+++ b/src/gateway/stages/call_request.rs
@@ -38,6 +38,7 @@
   let mut request = request.body(Full::new(call.body))?;
   gateway.codec.set_request_id(request.headers_mut(), &id);
   Ok(OutgoingCall {
+    begins: None,
     id: Some(id),
     purpose,
     request: AddressedRequest::to_endpoint(&*gateway.codec, entry, request),
--- a/src/gateway/stages/mod.rs
+++ b/src/gateway/stages/mod.rs
@@ -10,6 +10,7 @@
 mod end_witness;
 mod engine_call;
 mod framing;
+mod hold_stream;
 mod incarnation_check;
 mod notice;
 mod open_connection;
@@ -31,11 +32,14 @@
   end_witness::EndWitness,
   engine_call::{EngineCallError, ExportGuard, Reservation, call_engine},
   framing::Framing,
+  hold_stream::{
+    BEGIN_PATH, BeginMessage, HOLD_PATH, HoldMessage, confirm_hold, watch_process,
+  },
   notice::apply_forwarded_notice,
   open_connection::observe_endpoint,
   purpose::Purpose,
   reachability_probe::probe_unreachable,
-  request::{RequestOrigin, RoutedRequest},
+  request::{RETURN_MS, RequestOrigin, RoutedRequest},
   response_body::BufferedBody,
   resumption::Resumption,
   send_mode::SendMode,
--- a/src/gateway/stages/open_connection.rs
+++ b/src/gateway/stages/open_connection.rs
@@ -11,6 +11,22 @@
   gateway: &Rc<Gateway>,
   entry: &EndpointEntry,
 ) -> Result<Connection, StageError> {
+  let mut connection = connect(gateway, entry).await?;
+  connection.process = Some(gateway.record_connection(entry, &connection.state));
+  Ok(connection)
+}
+
+/// Opens a connection that alone shows whether the process at its other end runs.
+pub(super) async fn open_lone_connection(
+  gateway: &Rc<Gateway>,
+  entry: &EndpointEntry,
+) -> Result<Connection, StageError> {
+  let mut connection = connect(gateway, entry).await?;
+  connection.process = Some(gateway.record_lone_connection(entry, &connection.state));
+  Ok(connection)
+}
+
+async fn connect(gateway: &Rc<Gateway>, entry: &EndpointEntry) -> Result<Connection, StageError> {
   gateway.counters.connections.inc();
   let opened = Connection::open(
     entry.id.clone(),
@@ -23,9 +39,7 @@
     Ok(_) => gateway.record_reached(entry),
     Err(_) => gateway.record_unreached(entry),
   }
-  let mut connection = opened?;
-  connection.process = Some(gateway.record_connection(entry, &connection.state));
-  Ok(connection)
+  Ok(opened?)
 }
 
 /// Opens a connection that shows whether the endpoint's process goes on.
--- a/src/gateway/stages/request.rs
+++ b/src/gateway/stages/request.rs
@@ -23,6 +23,8 @@
   http_body_util::Full,
   std::{
     cell::{Cell, OnceCell, RefCell},
+    collections::BTreeSet,
+    net::SocketAddr,
     rc::Rc,
   },
 };
@@ -39,6 +41,9 @@
 /// Segments of a prompt that are fingerprinted.
 const MAX_SEGMENTS: usize = 32;
 
+/// How long after a request's deadline its caller may still resume the stream.
+pub(crate) const RETURN_MS: u64 = 10_000;
+
 /// Priority of a resumed stream: rejecting it would waste the work done for it.
 const HIGHEST_PRIORITY: u8 = 0;
 
@@ -91,6 +96,8 @@
   pub(crate) met_unreachable: Cell<bool>,
   /// Attempts whose response waits until this box has room for it.
   pub(crate) waits_for_memory: Cell<u32>,
+  /// The boxes that were asked to hold its stream.
+  pub(crate) asked_holders: Rc<RefCell<BTreeSet<SocketAddr>>>,
   /// Held for the body.
   pub(crate) _held_body: HeldGuard,
   /// Computed on first use.
@@ -182,6 +189,11 @@
     )
   }
 
+  /// For how long the caller may resume the stream.
+  pub(crate) fn resumable_ms(&self, now_ms: u64) -> u64 {
+    self.remaining_ms(now_ms) + RETURN_MS
+  }
+
   /// Identifies the separate prefill of this request and of its retries.
   pub(crate) fn prefill_fingerprint(&self) -> Fingerprint {
     self.fingerprint().of_prefill()
--- a/src/gateway/stages/send_call.rs
+++ b/src/gateway/stages/send_call.rs
@@ -35,6 +35,7 @@
     id,
     purpose,
     request,
+    ..
   } = call;
   if let Some(id) = &id {
     if purpose.is_request() {
--- a/src/gateway/stages/stage.rs
+++ b/src/gateway/stages/stage.rs
@@ -5,9 +5,10 @@
     confirm_end::{ConnectionEnd, confirm_end, confirm_end_again, is_leaving},
     end_witness::EndWitness,
     framing::Framing,
+    hold_stream::hold_stream,
     incarnation_check::{AfterReport, confirm_start, has_confirmed_start, version_evidence},
     open_connection::open_connection,
-    outgoing_call::OutgoingCall,
+    outgoing_call::{BeginningStream, OutgoingCall},
     purpose::Purpose,
     request::RoutedRequest,
     response_body::{BodyReader, BufferedBody},
@@ -16,7 +17,7 @@
   },
   crate::{
     gateway::{
-      connections::{Connection, remove_connection_headers},
+      connections::{Connection, SentHold, remove_connection_headers},
       decisions::{AnswerKind, AttemptOutcome, ObservedProcess, Unavailable, VersionEvidence},
       edge::{EndpointEntry, ProxyHeaders, ResponseAttributes, Stage},
       permits::{Permit, acquire_permit, return_permit},
@@ -24,6 +25,7 @@
     },
     ids::Name,
   },
+  futures_util::future::join,
   http::{
     HeaderMap, Response, StatusCode,
     header::{CONTENT_ENCODING, CONTENT_TYPE},
@@ -125,6 +127,11 @@
     self.connection.beside.take()
   }
 
+  /// The boxes that hold the record of the stream that it begins.
+  pub(crate) fn hold(&self) -> Option<&SentHold> {
+    self.connection.hold.as_ref()
+  }
+
   /// The process that sends it.
   pub(crate) fn process(&self) -> Option<&Rc<ObservedProcess>> {
     self.connection.process.as_ref()
@@ -321,6 +328,11 @@
   let mut load_guard = LoadGuard::new(gateway, &entry.id, size, units);
   let sent_ms = gateway.now_ms();
   let call = OutgoingCall {
+    begins: Some(BeginningStream {
+      asked: request.asked_holders.clone(),
+      key: request.stream_key(),
+      ttl_ms: request.resumable_ms(gateway.now_ms()),
+    }),
     id: request.attributes.request_id.clone(),
     purpose: purpose_of(request, proxy_headers),
     request: request.for_endpoint(&*gateway.codec, entry, proxy_headers),
@@ -506,11 +518,15 @@
     connection = confirmed_connection(gateway, entry, connection).await?;
     check_available(gateway, entry, purpose)?;
   }
+  connection.hold = None;
   if is_stream && !version_evidence(gateway, entry, &connection).is_known() {
     if purpose == Purpose::ResumedStream {
       return Err(Unavailable::VersionUnknown.into());
     }
-    observe_beside(gateway, entry, &mut connection).await;
+    let held = hold_stream(gateway, entry, call.begins.clone());
+    let (hold, ()) = join(held, observe_beside(gateway, entry, &mut connection)).await;
+    connection.hold = hold;
+    check_available(gateway, entry, purpose)?;
   }
   let response = send_call(gateway, entry, &mut connection, call).await?;
   Ok((connection, response))
--- a/src/gateway/state/counters.rs
+++ b/src/gateway/state/counters.rs
@@ -147,6 +147,9 @@
   pub(crate) stream_copies: Counter,
   pub(crate) stream_copies_failed: Counter,
   pub(crate) streams_not_copied: Counter,
+  /// Streams at processes of unknown version that another box held before they began, and those that none held in time.
+  pub(crate) streams_held: Counter,
+  pub(crate) streams_unheld: Counter,
   /// Requests rejected because the box held too many bytes.
   pub(crate) rejected_for_memory: Counter,
   /// Streams that were read while events of theirs waited for the caller.
@@ -284,6 +287,8 @@
         "rillford_streams_not_copied_total",
         &self.streams_not_copied,
       ),
+      ("rillford_streams_held_total", &self.streams_held),
+      ("rillford_streams_unheld_total", &self.streams_unheld),
       (
         "rillford_rejected_for_memory_total",
         &self.rejected_for_memory,
--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -10,7 +10,7 @@
   crate::{
     HttpClient,
     gateway::{
-      connections::{Connection, ConnectionPool, SharedConnections},
+      connections::{Connection, ConnectionPool, SharedConnections, WatchingConnections},
       decisions::{
         AttemptOutcome, BoxEntry, BoxList, CachedPrompts, CheckedEnds, Choice, ColdPeriod,
         ConnectionState, CopyBudget, EndpointCounts, EndpointCriteria, EndpointGroup,
@@ -78,6 +78,8 @@
   pub(crate) pool: ConnectionPool,
   /// Connections that show whether endpoints outlive their answers.
   pub(crate) shared_connections: SharedConnections,
+  /// Connections that show whether the processes go on at which this box holds streams of other boxes.
+  pub(crate) watching_connections: WatchingConnections,
   pub(crate) counters: Counters,
   pub(crate) phase: watch::Sender<Phase>,
   pub(crate) in_flight: Cell<usize>,
@@ -235,6 +237,7 @@
       started: Instant::now(),
       store_contact_ms: Cell::new(None),
       stream_records: RefCell::default(),
+      watching_connections: WatchingConnections::default(),
       unframed_answers: RefCell::default(),
       unknown_headers: RefCell::default(),
       unreadable_log_throttle: LogThrottle::default(),
@@ -258,6 +261,11 @@
     format!("{:016x}-{number:x}", self.incarnation).into()
   }
 
+  /// A number for the send of a stream, which no other box has.
+  pub(crate) fn next_send(&self) -> u64 {
+    self.random.borrow_mut().random()
+  }
+
   /// A random number in `[0, 1)`.
   pub(crate) fn draw(&self) -> f64 {
     self.random.borrow_mut().random()
@@ -398,6 +406,16 @@
     endpoints.record_connection(entry, connection, self.now_ms())
   }
 
+  /// The same for a connection that alone shows whether its process runs.
+  pub(crate) fn record_lone_connection(
+    &self,
+    entry: &EndpointEntry,
+    connection: &Rc<ConnectionState>,
+  ) -> Rc<ObservedProcess> {
+    let mut endpoints = self.endpoints.borrow_mut();
+    endpoints.record_lone_connection(entry, connection, self.now_ms())
+  }
+
   /// Records that an endpoint is cold for `cold_ms` from now. Has no effect when the configuration sets no cold start for its service.
   pub(crate) fn record_cold(&self, entry: &EndpointEntry, cold_ms: u64) {
     let Some(cold_start) = self.cold_start(&entry.service) else {
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -26,6 +26,7 @@
 mod given_addresses;
 mod hall_drain;
 mod harness;
+mod held_streams;
 mod leaving;
 mod limited_listener;
 mod limits;
