--- a/src/gateway/resumption/mod.rs
+++ b/src/gateway/resumption/mod.rs
@@ -3,6 +3,7 @@
 //!
 //! Imports `state`, `stages` and the folders below them.
 
+mod handing_over;
 mod holding;
 mod lookup;
 mod messages;
--- a/src/gateway/resumption/publishing.rs
+++ b/src/gateway/resumption/publishing.rs
@@ -2,6 +2,7 @@
 
 use {
   super::{
+    handing_over::hand_over_watched,
     messages::{StreamRecordMessage, send_records},
   },
   crate::{
@@ -115,7 +116,9 @@
         publish(&gateway, own);
       }
     }
-    hand_over(&gateway, divided.keys().cloned().collect());
+    let joined = take_joined(&gateway);
+    hand_over_watched(&gateway, joined.clone());
+    hand_over(&gateway, joined, divided.keys().cloned().collect());
     before = divided
       .into_iter()
       .map(|(service, versions)| (service, versions.into_keys().collect()))
@@ -139,10 +142,15 @@
   gateway.watching_connections.expire(now_ms);
 }
 
-/// Sends the records of services to the boxes that have registered lately, which know none.
-fn hand_over(gateway: &Rc<Gateway>, services: Vec<Name>) {
+/// The other boxes that have registered lately.
+fn take_joined(gateway: &Gateway) -> BTreeSet<Name> {
   let mut joined = gateway.joined_boxes.borrow_mut().take();
   joined.remove(&gateway.settings.identity.name);
+  joined
+}
+
+/// Sends the records of services to the boxes that have registered lately, which know none.
+fn hand_over(gateway: &Rc<Gateway>, joined: BTreeSet<Name>, services: Vec<Name>) {
   if !joined.is_empty() && !services.is_empty() {
     spawn_local(send_to_joined(gateway.clone(), services, joined));
   }
--- a/src/gateway/stages/mod.rs
+++ b/src/gateway/stages/mod.rs
@@ -33,7 +33,7 @@
   engine_call::{EngineCallError, ExportGuard, Reservation, call_engine},
   framing::Framing,
   hold_stream::{
-    BEGIN_PATH, BeginMessage, HOLD_PATH, HoldMessage, confirm_hold, watch_process,
+    BEGIN_PATH, BeginMessage, HOLD_PATH, HoldMessage, confirm_hold, request_hold, watch_process,
   },
   notice::apply_forwarded_notice,
   open_connection::observe_endpoint,
