A holder takes an engine by its id, not by the address that another box has

Cause: a holder compared the address in its entry with that of the asking box.

Change: the holder's connection counts once the engine has answered for its report on it, which names the engine: another one answers 421. A plain service, which is asked nothing, still has to have the same address.

--- a/src/gateway/resumption/holding.rs
+++ b/src/gateway/resumption/holding.rs
@@ -38,11 +38,15 @@
     .endpoints
     .borrow()
     .entry(&message.endpoint)
-    .filter(|entry| entry.address == message.address && entry.service == message.service)
+    .filter(|entry| entry.service == message.service)
     .cloned();
   let Some(entry) = entry else {
     return false;
   };
+  // An engine names itself on the connection; boxes may reach it at several addresses.
+  if entry.address != message.address && !gateway.has_engines(&entry.service) {
+    return false;
+  }
   let watched = match watch_process(gateway, &entry).await {
     Ok(watched) => watched,
     Err(error) => {
--- a/src/gateway/stages/hold_stream.rs
+++ b/src/gateway/stages/hold_stream.rs
@@ -17,6 +17,7 @@
     ids::Name,
   },
   futures_util::{StreamExt, stream::FuturesUnordered},
+  http::StatusCode,
   serde::{Deserialize, Serialize},
   std::{cell::RefCell, collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration},
   tokio::{
@@ -201,23 +202,33 @@
   shared: Rc<SharedConnection>,
 ) -> Result<Rc<ObservedProcess>, StageError> {
   let mut shared = shared.lock().await;
-  if let Some(connection) = shared.take_if(|open| open.closed().is_none()) {
-    if !gateway.has_engines(&entry.service) {
-      // Nothing asks a plain service whether it runs; the streams that are held already need the connection.
-      *shared = Some(connection);
-      return Err(Unavailable::VersionUnknown.into());
+  let open = shared.take_if(|open| open.closed().is_none());
+  let connection = if gateway.has_engines(&entry.service) {
+    let alive = match open {
+      Some(open) => shown_alive(&gateway, &entry, open).await,
+      None => None,
+    };
+    match alive {
+      Some(connection) => Some(connection),
+      None => {
+        let opened = open_lone_connection(&gateway, &entry).await?;
+        shown_alive(&gateway, &entry, opened).await
+      }
     }
-    *shared = shown_alive(&gateway, &entry, connection).await;
-  }
-  let connection = match shared.take_if(|open| open.closed().is_none()) {
-    Some(connection) => connection,
-    None => open_lone_connection(&gateway, &entry).await?,
+  } else if open.is_some() {
+    // Nothing asks a plain service whether it runs; the streams that are held already need the connection.
+    *shared = open;
+    None
+  } else {
+    Some(open_lone_connection(&gateway, &entry).await?)
   };
+  let connection = connection.ok_or(Unavailable::Unconfirmed)?;
   let process = shared.insert(connection).process.clone();
   process.ok_or_else(|| Unavailable::VersionUnknown.into())
 }
 
-/// A connection whose process has answered on it now; `None` if it has not. One whose process is gone may seem to be open.
+/// A connection on which the endpoint's process has answered now; `None` if it has not. One whose process is gone may seem to be
+/// open, and another endpoint may have the address.
 async fn shown_alive(
   gateway: &Rc<Gateway>,
   entry: &EndpointEntry,
@@ -225,6 +236,8 @@
 ) -> Option<Connection> {
   let report = request_report(gateway, entry, &mut connection);
   let report = timeout(CALL_TIMEOUT, report).await.ok()?;
-  let is_open = report.is_ok_and(|report| !closes_connection(&report.head.headers));
-  is_open.then_some(connection)
+  let is_alive = report.is_ok_and(|report| {
+    report.head.status == StatusCode::OK && !closes_connection(&report.head.headers)
+  });
+  is_alive.then_some(connection)
 }
