--- a/src/gateway/stages/hold_stream.rs
+++ b/src/gateway/stages/hold_stream.rs
@@ -101,9 +101,12 @@
   asked: &RefCell<BTreeSet<SocketAddr>>,
 ) -> Vec<SocketAddr> {
   let identity = &gateway.settings.identity;
-  let boxes = gateway.boxes.borrow();
-  let mut others = record_holders(&boxes, &message.key, &identity.name, &identity.hall);
-  drop(boxes);
+  let mut others = record_holders(
+    &gateway.boxes.borrow(),
+    &message.key,
+    &identity.name,
+    &identity.hall,
+  );
   if others.is_empty() {
     return Vec::new();
   }
