--- a/tests/soak_days.rs
+++ b/tests/soak_days.rs
@@ -71,11 +71,11 @@
   #[values(1, 2, 3, 4)] seed: u64,
 ) {
   let faults = Day::Partitions.faults(seed, SIZE);
-  let cuts = faults.iter().filter_map(|scheduled| match scheduled.fault {
+  let mut cuts = faults.iter().filter_map(|scheduled| match scheduled.fault {
     Fault::HallsCut { cut, for_ms, .. } => Some((scheduled.at_ms, cut, for_ms)),
     _ => None,
   });
-  let (cut_ms, cut, for_ms) = cuts.last().unwrap();
+  let (cut_ms, cut, for_ms) = cuts.next_back().unwrap();
   let [(killed_ms, down_ms), ..] = kills(&faults)[..] else {
     panic!("no kill of all boxes");
   };
