--- a/tests/gateway/versioned_engine.rs
+++ b/tests/gateway/versioned_engine.rs
@@ -34,6 +34,9 @@
 /// After which time an engine that lives on closes the connection of a stream.
 const CLOSED_AFTER: Duration = Duration::from_millis(300);
 
+/// The pause of an engine that reads a prompt, before the rest of a stream.
+const LATE_AFTER: Duration = Duration::from_millis(900);
+
 /// Where the start of an engine is told.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum StartField {
@@ -51,6 +54,8 @@
   Slow,
   /// Closes the connection, and lives on.
   Closed,
+  /// Writes the rest, and begins late with that of another engine's stream.
+  LateRest,
   /// Resets the connection, and lives on.
   Reset,
 }
@@ -100,12 +105,16 @@
   fn stream(&self, seen: &ReceivedRequest) -> Reply {
     let after: u64 = seen.header("last-event-id").parse().unwrap_or(0);
     let is_whole = after > 0 || is_warm_up(seen);
-    if is_whole || self.beginning == Beginning::Whole {
+    if self.beginning == Beginning::LateRest && after > 0 {
+      let rest = Reply::stream_part(seen, &self.events(seen.start, after, EVENTS));
+      return Reply::WriteInParts(vec![(LATE_AFTER, rest + STREAM_END)]);
+    }
+    if is_whole || matches!(self.beginning, Beginning::Whole | Beginning::LateRest) {
       return Reply::stream(seen, &self.events(seen.start, after, EVENTS));
     }
     let part = Reply::stream_part(seen, &self.events(seen.start, 0, FIRST_EVENTS));
     match self.beginning {
-      Beginning::Whole => Reply::stream(seen, ""),
+      Beginning::Whole | Beginning::LateRest => Reply::stream(seen, ""),
       Beginning::Slow => Reply::WriteInParts(self.slow_parts(seen, part)),
       Beginning::Closed => {
         Reply::WriteInPartsAndClose(vec![(Duration::ZERO, part), (CLOSED_AFTER, String::new())])
--- a/tests/gateway/versions_of_restarted_engines.rs
+++ b/tests/gateway/versions_of_restarted_engines.rs
@@ -82,7 +82,7 @@
 }
 
 /// Keeps boxes in touch with engines until they know that the entries are theirs.
-async fn observe(boxes: &[&GatewayBox], engines: &[&VersionedEngine]) {
+pub(super) async fn observe(boxes: &[&GatewayBox], engines: &[&VersionedEngine]) {
   let since = Instant::now();
   while since.elapsed() < OBSERVED {
     for gateway in boxes {
