An end that nothing checks counts as whole after four whole ones and no early one of the last sixteen

Eight whole ends in a row broke streams_of_a_service_without_framing_are_complete and two cases of answer_that_is_split_at_any_byte: at the usual retries a single box can pay for five checks, and the sixth stream of a service without framing was aborted.

--- a/src/gateway/decisions/streams/checked_ends.rs
+++ b/src/gateway/decisions/streams/checked_ends.rs
@@ -5,9 +5,10 @@
   std::collections::{HashMap, VecDeque},
 };
 
-/// Whole ends in a row, without an early one, after which an end that nothing checks counts as whole, too. All outcomes of a version
-/// that are remembered.
-const MIN_WHOLE: usize = 8;
+/// The outcomes of a version that are remembered.
+const MAX_OUTCOMES: usize = 16;
+/// Whole ends after which one that nothing checks counts as whole, too, unless one that is remembered was early.
+const MIN_WHOLE: usize = 4;
 /// The last outcomes that tell how many ends of a version are early.
 const LAST_OUTCOMES: usize = 4;
 /// Early ones among them at least, until most ends of the version count as early.
@@ -66,7 +67,7 @@
       self.versions.clear();
     }
     let outcomes = self.versions.entry(key).or_default();
-    if outcomes.len() == MIN_WHOLE {
+    if outcomes.len() == MAX_OUTCOMES {
       outcomes.pop_front();
     }
     outcomes.push_back(Outcome {
@@ -78,7 +79,7 @@
   /// Whether the version's last ends that were checked were whole; not while few are known.
   pub fn are_whole(&self, service: &Name, version: &SoftwareVersion, now_ms: u64) -> bool {
     let counted = self.counted(service, version, now_ms);
-    counted.len() == MIN_WHOLE && counted.iter().all(|outcome| !outcome.was_early)
+    counted.len() >= MIN_WHOLE && counted.iter().all(|outcome| !outcome.was_early)
   }
 
   /// The outcomes of a version that count still.
