--- a/src/gateway/resumption/lookup.rs
+++ b/src/gateway/resumption/lookup.rs
@@ -17,7 +17,8 @@
   tokio::time::sleep,
 };
 
-/// Answers after which a box that knows one version only waits for no more: a box that is down delays nothing.
+/// Answers after which a box that knows one version only waits for no more where none can have a record: a box that is down delays
+/// nothing.
 const ENOUGH_ANSWERS: usize = 3;
 
 /// Heartbeats for which a stream is looked up again.
@@ -263,7 +264,9 @@
   let mut calls: FuturesUnordered<_> = calls.collect();
   while let Some((source, result)) = calls.next().await {
     answers.record(source, result);
-    if answers.origin.is_some() || answers.are_enough(gateway.is_current()) {
+    let may_be_recorded = request.attributes.resumed_request_id.is_some();
+    let are_enough = !may_be_recorded && answers.are_enough(gateway.is_current());
+    if answers.origin.is_some() || are_enough {
       break;
     }
   }
@@ -275,7 +278,7 @@
     self.answered > 0 && self.silent_halls.is_empty()
   }
 
-  /// Whether further answers are not waited for: a box that knows the origin may still answer, but there is one version.
+  /// Whether further answers would tell nothing: there is one version, and none can have a record.
   fn are_enough(&self, is_current: bool) -> bool {
     self.versions.len() <= 1
       && self.answered >= ENOUGH_ANSWERS
