--- a/src/gateway/requests/event_block.rs
+++ b/src/gateway/requests/event_block.rs
@@ -1,7 +1,9 @@
 //! What a block of lines in a stream's body is: an event, or bytes that belong to no event.
 
-/// The fields of an event that have an effect, or a comment.
+/// The fields of an event that have an effect.
 const FIELDS: [&[u8]; 4] = [b"data", b"event", b"id", b"retry"];
+/// The field that names an event.
+const ID: &[u8] = b"id";
 /// May stand before the first event.
 const BYTE_ORDER_MARK: &[u8] = "\u{feff}".as_bytes();
 /// How the head of a response begins.
@@ -36,7 +38,9 @@
     }
     let has_effect = lines.clone().any(has_effect);
     let are_fields = lines.clone().all(is_field);
-    match (are_fields, has_effect, lines.any(is_no_text)) {
+    // Text before an event may hide the field behind it.
+    let may_hide_id = !lines.clone().any(|line| name(line) == ID);
+    match (are_fields, has_effect, lines.any(is_no_text) || may_hide_id) {
       (true, ..) | (false, true, false) => Self::Event,
       (false, true, true) => Self::Damaged,
       (false, false, _) => Self::Noise,
@@ -76,6 +80,11 @@
   line.split(|byte| *byte == b':').next().unwrap_or_default()
 }
 
+/// Whether a block has a field with an effect.
+pub(super) fn has_field(block: &[u8]) -> bool {
+  lines(block).any(|line| FIELDS.contains(&name(line)))
+}
+
 /// Whether a line is a comment, or a field that has an effect.
 fn has_effect(line: &[u8]) -> bool {
   let name = name(line);
--- a/src/gateway/requests/event_order.rs
+++ b/src/gateway/requests/event_order.rs
@@ -3,11 +3,15 @@
 use {
   super::event_splitter::SseEvent,
   crate::gateway::decisions::IdSteps,
-  std::hash::{DefaultHasher, Hash, Hasher},
+  std::{
+    hash::{DefaultHasher, Hash, Hasher},
+    ops::RangeInclusive,
+  },
 };
 
-/// The highest id of a first event that has none before it, where ids count events from 0 or 1.
-const MAX_FIRST_ID: u64 = 1;
+/// The ids of a first event behind bytes that may stand in the place of others. Ids that count events begin with 0 or 1; higher ones
+/// begin elsewhere.
+const HIDING_FIRST_IDS: RangeInclusive<u64> = 2..=16;
 /// Steps of one between ids after which a larger one means that events are missing.
 const MIN_SINGLE_STEPS: u32 = 2;
 
@@ -180,7 +184,7 @@
 
   /// Checks the first event of a stream.
   fn check_first(&mut self, id: u64) -> Result<(), Misplaced> {
-    if self.follows_noise && id > MAX_FIRST_ID && self.version_steps != IdSteps::Any {
+    if self.follows_noise && HIDING_FIRST_IDS.contains(&id) && self.version_steps != IdSteps::Any {
       // A service whose streams all begin like this is known by it before long.
       self.skip = Some(Skip { after: 0, id });
       return Err(Misplaced::Gap { after: 0, id });
--- a/src/gateway/requests/event_relay.rs
+++ b/src/gateway/requests/event_relay.rs
@@ -219,8 +219,8 @@
     }
     // The bytes are not looked through again with each read.
     self.without_event_since_ms = Some(now_ms);
-    let is_noise = matches!(self.tail, Tail::NoiseAfterEvent | Tail::NoiseAlone)
-      || self.splitter.partial_kind() == Some(BlockKind::Noise);
+    let is_noise =
+      matches!(self.tail, Tail::NoiseAfterEvent | Tail::NoiseAlone) || self.splitter.lacks_fields();
     if !is_noise {
       return Ok(());
     }
--- a/src/gateway/requests/event_splitter.rs
+++ b/src/gateway/requests/event_splitter.rs
@@ -1,7 +1,7 @@
 //! Splits a byte stream into server-sent events, so that an interrupted stream ends between two of them.
 
 use {
-  super::event_block::{BlockKind, lines},
+  super::event_block::{BlockKind, has_field, lines},
   bytes::{Bytes, BytesMut},
 };
 
@@ -85,6 +85,11 @@
     self.buffer.len() + self.pieces * PIECE_OVERHEAD_BYTES > MAX_EVENT_BYTES
   }
 
+  /// Whether the incomplete block at the end has no field of an event.
+  pub(super) fn lacks_fields(&self) -> bool {
+    !self.buffer.is_empty() && !has_field(&self.buffer)
+  }
+
   /// What the incomplete block at the end is; `None` without one.
   pub(super) fn partial_kind(&self) -> Option<BlockKind> {
     let has_lines = lines(&self.buffer).any(|line| !line.is_empty());
