--- a/src/gateway/requests/event_block.rs
+++ b/src/gateway/requests/event_block.rs
@@ -4,6 +4,8 @@
 const FIELDS: [&[u8]; 4] = [b"data", b"event", b"id", b"retry"];
 /// The field that names an event.
 const ID: &[u8] = b"id";
+/// The same behind other text on its line.
+const HIDDEN_ID: &[u8] = b"id:";
 /// May stand before the first event.
 const BYTE_ORDER_MARK: &[u8] = "\u{feff}".as_bytes();
 /// How the head of a response begins.
@@ -38,8 +40,8 @@
     }
     let has_effect = lines.clone().any(has_effect);
     let are_fields = lines.clone().all(is_field);
-    // Text before an event may hide the field behind it.
-    let may_hide_id = !lines.clone().any(|line| name(line) == ID);
+    let has_id = lines.clone().any(|line| name(line) == ID);
+    let may_hide_id = !has_id && lines.clone().any(hides_id);
     match (are_fields, has_effect, lines.any(is_no_text) || may_hide_id) {
       (true, ..) | (false, true, false) => Self::Event,
       (false, true, true) => Self::Damaged,
@@ -80,6 +82,14 @@
   line.split(|byte| *byte == b':').next().unwrap_or_default()
 }
 
+/// Whether a line is no field, and text in it may stand before an id.
+fn hides_id(line: &[u8]) -> bool {
+  !is_field(line)
+    && line
+      .windows(HIDDEN_ID.len())
+      .any(|bytes| bytes == HIDDEN_ID)
+}
+
 /// Whether a block has a field with an effect.
 pub(super) fn has_field(block: &[u8]) -> bool {
   lines(block).any(|line| FIELDS.contains(&name(line)))
