--- a/replay/src/error.rs
+++ b/replay/src/error.rs
@@ -21,6 +21,14 @@
     /// What is wrong with it.
     reason: String,
   },
+  /// A deploy file is not valid.
+  #[error("{}: {reason}", path.display())]
+  Deploy {
+    /// The file.
+    path: PathBuf,
+    /// What is wrong with it.
+    reason: String,
+  },
   /// A settings template is not valid.
   #[error("settings template: {0}")]
   Template(String),
@@ -35,6 +43,9 @@
     /// The cause.
     source: io::Error,
   },
+  /// The end of a process can't be waited for.
+  #[error("cannot wait for a process: {0}")]
+  Wait(io::Error),
   /// A box was not ready in time.
   #[error("{0} boxes were not ready in time")]
   NotReady(usize),
--- a/replay/src/site.rs
+++ b/replay/src/site.rs
@@ -1,16 +1,25 @@
 //! A site file: the deployment, its traffic and its days.
 
+mod bounds;
+mod check;
 mod day;
 mod impairment;
+mod machines;
+mod network;
 mod request_class;
 mod server_group;
+mod timing;
 mod traffic;
 
 pub use self::{
+  bounds::Bounds,
   day::{Closing, Day},
   impairment::Impairment,
-  request_class::{Distribution, RequestClass, RequestKind, StreamShape},
+  machines::Machines,
+  network::Network,
+  request_class::{Chain, Distribution, RequestClass, RequestKind, StreamShape},
   server_group::{EngineModel, Servers, Service},
+  timing::Timing,
   traffic::{Shape, Traffic},
 };
 
@@ -20,30 +29,6 @@
   std::{path::Path, sync::Arc},
 };
 
-/// The machines of a class in a zone.
-#[derive(Clone, Debug, Deserialize)]
-pub struct Machines {
-  /// The class; `front` machines carry the traffic.
-  pub class: Arc<str>,
-  /// The zone.
-  pub zone: Arc<str>,
-  /// Number of machines.
-  pub count: usize,
-  /// Machines that may be added during a day.
-  #[serde(default)]
-  pub spare: usize,
-  /// Share of a core.
-  pub cpu_share: f64,
-  /// Cores that a process sees.
-  pub cores: u32,
-  /// Memory of a process.
-  pub memory_mb: u64,
-  /// File descriptors of a process.
-  pub fds: u64,
-  /// Bandwidth of the machine.
-  pub link_mbps: f64,
-}
-
 /// A zone.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Zone {
@@ -92,26 +77,6 @@
   pub regions: usize,
 }
 
-/// Bounds of the rules.
-#[derive(Clone, Debug, Deserialize)]
-pub struct Bounds {
-  /// Time until a server that leaves gets no more requests.
-  pub drain_ms: u64,
-  /// Time until a configuration is in force.
-  pub config_ms: u64,
-  /// Time of undisturbed work after which a machine counts as in touch.
-  pub touch_ms: u64,
-  /// Time that a process has to stop.
-  pub grace_s: f64,
-  /// Time until requests are served again after the last fault.
-  pub recover_s: f64,
-  /// Retries beside the share of the requests.
-  pub budget_slack: f64,
-  /// Whether servers check fences.
-  #[serde(default)]
-  pub fenced: bool,
-}
-
 /// A deployment, its traffic and its days. Fields that are not read here are passed over.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Site {
@@ -134,6 +99,12 @@
   /// What drawn days may hold.
   #[serde(default)]
   pub troubles: Vec<Impairment>,
+  /// Delays of the network.
+  #[serde(default, rename = "net")]
+  pub network: Network,
+  /// Times of the system and of its clients.
+  #[serde(default)]
+  pub timing: Timing,
   /// Discovery of servers.
   pub discovery: Discovery,
   /// The store.
@@ -189,29 +160,14 @@
     self.machines.iter().filter(|of| &*of.class == "front")
   }
 
-  fn check(&self) -> std::result::Result<(), String> {
-    let zones = |name: &str| self.zones.iter().any(|zone| &*zone.name == name);
-    if self.fronts().map(|of| of.count).sum::<usize>() == 0 {
-      return Err("no front machines".into());
-    }
-    for class in &self.classes {
-      let service = &class.service;
-      if self.service(service).is_none() {
-        return Err(format!("class {}: no service {service}", class.name));
-      }
-    }
-    for machines in self.machines.iter().filter(|of| !zones(&of.zone)) {
-      return Err(format!("machines: no zone {}", machines.zone));
-    }
-    let days = self.days.iter().filter_map(|day| day.traffic.as_ref());
-    for traffic in self.traffic.iter().chain(days.flatten()) {
-      if !zones(&traffic.zone) {
-        return Err(format!("traffic: no zone {}", traffic.zone));
-      }
-      for class in traffic.mix.keys().filter(|name| self.class(name).is_none()) {
-        return Err(format!("traffic: no class {class}"));
-      }
-    }
-    Ok(())
+  /// The machines of a zone that carry the traffic.
+  pub fn fronts_of(&self, zone: &str) -> Option<&Machines> {
+    self.fronts().find(|machines| &*machines.zone == zone)
+  }
+
+  /// The region of a zone.
+  pub fn region(&self, zone: &str) -> Option<&Arc<str>> {
+    let zone = self.zones.iter().find(|of| &*of.name == zone);
+    zone.map(|zone| &zone.region)
   }
 }
--- a/replay/src/site/impairment.rs
+++ b/replay/src/site/impairment.rs
@@ -50,4 +50,20 @@
   pub fn has(&self, word: &str) -> bool {
     self.how.split_whitespace().any(|of| of == word)
   }
+
+  /// Checks its figures. `place` stands before what is wrong.
+  pub(super) fn check(&self, place: &str) -> Result<(), String> {
+    if self
+      .share
+      .is_some_and(|share| !(0.0..=1.0).contains(&share))
+    {
+      return Err(format!("{place}: share is not from 0 to 1"));
+    }
+    let times = [Some(self.at_s), self.for_s, self.gap_s];
+    let is_time = |time: f64| time >= 0.0 && time.is_finite();
+    if times.into_iter().flatten().any(|time| !is_time(time)) {
+      return Err(format!("{place}: at, for_s or gap_s is no time"));
+    }
+    Ok(())
+  }
 }
--- a/replay/src/site/request_class.rs
+++ b/replay/src/site/request_class.rs
@@ -10,6 +10,12 @@
   /// The standard deviation of the logarithm.
   #[serde(default)]
   pub spread: f64,
+  /// Share of the values that are larger, by the factor `tail_x`.
+  #[serde(default)]
+  pub tail: f64,
+  /// That factor.
+  #[serde(default)]
+  pub tail_x: f64,
   /// The largest value.
   #[serde(default)]
   pub max: Option<f64>,
@@ -27,6 +33,15 @@
   Stream,
 }
 
+/// A part of prompts that requests share.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Chain {
+  /// Tokens of the part.
+  pub tokens: Distribution,
+  /// Number of different parts.
+  pub things: u64,
+}
+
 /// The streams of a kind of request.
 #[derive(Clone, Debug, Deserialize)]
 pub struct StreamShape {
@@ -41,6 +56,9 @@
   pub resume: bool,
   /// Tokens of the prompt.
   pub prompt_tokens: Distribution,
+  /// The parts at the beginning of a prompt that requests share.
+  #[serde(default)]
+  pub chain: Vec<Chain>,
 }
 
 /// A kind of request.
--- a/replay/src/site/server_group.rs
+++ b/replay/src/site/server_group.rs
@@ -32,6 +32,9 @@
   pub kv_bytes: f64,
   /// Bandwidth of moves of memory.
   pub link_mbps: f64,
+  /// Time until a move of memory begins.
+  #[serde(default)]
+  pub setup_ms: f64,
   /// Age of a report.
   pub report_lag_ms: f64,
   /// Share of the servers that read prompts at first.
@@ -62,6 +65,18 @@
   /// Time that a new connection may hold a slot.
   #[serde(default)]
   pub handshake_ms: f64,
+  /// Time of an answer to a health check.
+  #[serde(default)]
+  pub health_ms: f64,
+  /// Whether answers tell the server's load.
+  #[serde(default)]
+  pub load_header: bool,
+  /// Time for which an idle connection is kept.
+  #[serde(default)]
+  pub linger_ms: Option<f64>,
+  /// Relative speeds of the servers, in turn; all are equal without them.
+  #[serde(default)]
+  pub speeds: Vec<f64>,
   /// The model; `None` for a plain service.
   #[serde(default)]
   pub llm: Option<EngineModel>,
