--- a/replay/src/box_process.rs
+++ b/replay/src/box_process.rs
@@ -30,10 +30,11 @@
   },
 };
 
-/// First port of the boxes that take a box's place, and of each of their listeners.
+/// First port of a box. Each box that takes its place has the next ports, and after some the first ones again.
 const FIRST_PORT: u16 = 7_000;
 const GENERATION_PORTS: u16 = 20;
 const GENERATIONS: u16 = 100;
+/// Ports of the listeners, counted from a box's first one.
 const CALLERS_PORT: u16 = 1;
 const READY_PORT: u16 = 2;
 const BOXES_PORT: u16 = 5;
@@ -170,7 +171,8 @@
     }
   }
 
-  /// Writes the settings and starts the process, if it is down.
+  /// Writes the settings and starts the process, if it is down. The process is killed when the thread that calls this ends. Fails
+  /// if the settings can't be written, or the program can't be started.
   pub async fn start(&self) -> Result {
     self.is_wanted.store(true, Ordering::Relaxed);
     self.hold_to_quota();
--- a/replay/src/box_settings.rs
+++ b/replay/src/box_settings.rs
@@ -6,7 +6,7 @@
   std::{collections::BTreeMap, net::SocketAddr, sync::Arc},
 };
 
-/// Ports from the boxes' port on that no other listener of the box has.
+/// Ports after the boxes' port that are free for the box, too.
 const INTERNAL_PORTS: u16 = 10;
 
 /// The place of a box in a deployment.
--- a/replay/src/held_process.rs
+++ b/replay/src/held_process.rs
@@ -95,8 +95,11 @@
     self.child.try_wait()
   }
 
-  /// Kills it and waits for its end.
+  /// Kills it, unless it has ended, and waits for its end.
   pub(crate) async fn kill(mut self) -> io::Result<()> {
+    if self.try_wait()?.is_some() {
+      return Ok(());
+    }
     self.child.kill().await
   }
 }
