Replay: engines and plain services on raw sockets

Engines and plain services of a replay, whose answers, faults and ends are written by hand so that cuts, framing and the close of each socket are exact to the byte.

--- a/replay/src/lib.rs
+++ b/replay/src/lib.rs
@@ -3,11 +3,16 @@
 
 mod error;
 mod recorder;
+mod server;
 mod site;
 
 pub use self::{
   error::{Error, Result},
   recorder::{Recorder, RequestNote},
+  server::{
+    ClassLookup, Condition, ConditionCell, ConditionGuard, Exports, GarbleKind, GreyKind, Server,
+    ServerSpec, ServerWorld, Stage, StartNaming, sample, stream_events,
+  },
   site::{
     Bounds, Closing, Configuration, Day, Discovery, Distribution, EngineModel, Impairment,
     Machines, Platform, RequestClass, RequestKind, Servers, Service, Shape, Site, StreamShape,
