--- a/replay/src/lib.rs
+++ b/replay/src/lib.rs
@@ -11,6 +11,7 @@
 mod host;
 mod recorder;
 mod settings_template;
+mod server;
 mod site;
 
 pub use self::{
@@ -23,6 +24,10 @@
   host::{box_host, server_host},
   recorder::{Recorder, RequestNote},
   settings_template::SettingsTemplate,
+  server::{
+    ClassLookup, Condition, ConditionCell, ConditionGuard, Exports, GarbleKind, GreyKind, Server,
+    ServerSpec, ServerWorld, Stage, StartNaming, sample, stream_events,
+  },
   site::{
     Bounds, Chain, Closing, Configuration, Day, Discovery, Distribution, EngineModel, Impairment,
     Machines, Network, Platform, RequestClass, RequestKind, Servers, Service, Shape, Site,
