--- a/replay/src/caller/attempt.rs
+++ b/replay/src/caller/attempt.rs
@@ -140,7 +140,7 @@
     let mut writing = std::pin::pin!(writer.write_all(request));
     let mut is_written = false;
     let mut began = Some(began);
-    let mut buffer = [0; READ_BYTES];
+    let mut buffer = vec![0; READ_BYTES];
     let read_bytes = if self.limits.reads_slowly {
       SLOW_READ_BYTES
     } else {
--- a/replay/src/caller/client.rs
+++ b/replay/src/caller/client.rs
@@ -3,6 +3,7 @@
 use {
   super::{
     CallerPlan,
+    answer_reader::AnswerHead,
     attempt::{AttemptEnd, Limits, Received, exchange},
     channel::Channel,
     drawn_request::{DrawnRequest, TryHeaders},
@@ -204,7 +205,7 @@
     let told_s = received
       .head
       .as_ref()
-      .and_then(|head| head.retry_after_s())
+      .and_then(AnswerHead::retry_after_s)
       .filter(|_| !received.is_success());
     let told = told_s.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
     let wait = told.unwrap_or(Duration::from_millis(backoff_ms));
@@ -233,7 +234,7 @@
     };
     let received = exchange(&mut channel, &bytes, self.limits(), began).await;
     if received.is_reusable && !self.reads_slowly {
-      let keep_alive_s = received.head.as_ref().and_then(|head| head.keep_alive_s());
+      let keep_alive_s = received.head.as_ref().and_then(AnswerHead::keep_alive_s);
       self.client.keep(channel, &zone, keep_alive_s);
     }
     self.apply(&id, &received);
--- a/replay/src/caller/drawn_request.rs
+++ b/replay/src/caller/drawn_request.rs
@@ -13,6 +13,8 @@
 /// Prompts share one of this many first parts, of this size.
 const SHARED_PARTS: u32 = 500;
 const SHARED_PART_TOKENS: u64 = 200;
+/// Spreads the ids of shared parts.
+const SHARED_ID_FACTOR: u32 = 0x9e37_79b1;
 /// Share of the bodies that are sent in chunks.
 const CHUNKED_CHANCE: f64 = 0.3;
 const CHUNK_BYTES: usize = 1_000;
@@ -24,10 +26,10 @@
 /// The contents of a request.
 #[derive(Clone, Debug)]
 pub(super) struct DrawnRequest {
-  /// Host, headers of the prompt, and the request line.
   method: Arc<str>,
   host: Arc<str>,
   path: String,
+  /// Headers of a stream's prompt, each with its line end.
   prompt_headers: String,
   body: Vec<u8>,
   is_chunked: bool,
@@ -60,7 +62,10 @@
       prompt_headers(stream, engine.map_or(1, |engine| engine.stride), random)
     });
     Some(Self {
-      body: vec![b'a' + random.random_range(0..26); whole(body_bytes) as usize],
+      body: vec![
+        b'a' + random.random_range(0..26);
+        usize::try_from(whole(body_bytes)).unwrap_or_default()
+      ],
       host: place.host.clone(),
       is_chunked: random.random_bool(CHUNKED_CHANCE),
       method: class.method.clone(),
@@ -71,21 +76,24 @@
 
   /// The bytes of a try.
   pub(super) fn bytes(&self, of_try: TryHeaders<'_>) -> Vec<u8> {
-    let mut head = format!(
-      "{} {} HTTP/1.1\r\nHost: {}\r\nX-Request-Id: {}\r\n{}X-Deadline-Ms: {}\r\n",
-      self.method, self.path, self.host, of_try.id, self.prompt_headers, of_try.left_ms
+    let Self {
+      method,
+      host,
+      path,
+      prompt_headers,
+      ..
+    } = self;
+    let TryHeaders { id, left_ms, .. } = of_try;
+    let resumption = resumption_headers(of_try);
+    let head = format!(
+      "{method} {path} HTTP/1.1\r\nHost: {host}\r\nX-Request-Id: {id}\r\n{prompt_headers}X-Deadline-Ms: {left_ms}\r\n{resumption}"
     );
-    if let Some(last) = of_try.last_event_id {
-      head += &format!("Last-Event-Id: {last}\r\n");
-    }
-    if let Some(resumes) = of_try.resumes {
-      head += &format!("Resumes: {resumes}\r\n");
-    }
     if self.body.is_empty() && &*self.method == "GET" {
       return (head + "\r\n").into_bytes();
     }
     if !self.is_chunked {
-      head += &format!("Content-Length: {}\r\n\r\n", self.body.len());
+      let length = self.body.len();
+      let head = format!("{head}Content-Length: {length}\r\n\r\n");
       return [head.as_bytes(), &self.body].concat();
     }
     let mut bytes = (head + "Transfer-Encoding: chunked\r\n\r\n").into_bytes();
@@ -99,18 +107,28 @@
   }
 }
 
+fn resumption_headers(of_try: TryHeaders<'_>) -> String {
+  let last = of_try.last_event_id;
+  let last = last.map(|last| format!("Last-Event-Id: {last}\r\n"));
+  let resumes = of_try.resumes;
+  let resumes = resumes.map(|resumes| format!("Resumes: {resumes}\r\n"));
+  last.unwrap_or_default() + &resumes.unwrap_or_default()
+}
+
 fn prompt_headers(stream: &StreamShape, stride: u64, random: &mut ChaCha8Rng) -> String {
   let tokens = whole(draw(&stream.prompt_tokens, random)).max(1);
-  let most_out = whole(draw(&stream.pieces, random)).max(1) * stride;
-  let hint = whole(scaled(most_out as f64, HINT_SPREAD, random)).max(1);
+  let pieces = draw(&stream.pieces, random).round().max(1.0);
+  let most_out = whole(pieces) * stride;
+  let hint = whole(scaled(pieces * as_f64(stride), HINT_SPREAD, random)).max(1);
   let shared = random.random_range(0..SHARED_PARTS);
   let own: u32 = random.random();
   let shared_tokens = SHARED_PART_TOKENS.min(tokens / 2);
-  let mut prefix = String::new();
-  if shared_tokens > 0 {
-    prefix += &format!("{:08x}:{shared_tokens},", shared.wrapping_mul(0x9e37_79b1));
-  }
-  prefix += &format!("{own:08x}:{}", tokens - shared_tokens);
+  let shared_part = format!(
+    "{:08x}:{shared_tokens},",
+    shared.wrapping_mul(SHARED_ID_FACTOR)
+  );
+  let first = if shared_tokens > 0 { &*shared_part } else { "" };
+  let prefix = format!("{first}{own:08x}:{}", tokens - shared_tokens);
   format!(
     "X-Model: m\r\nX-Token-Counts: {tokens},{most_out}\r\nX-Prompt-Prefix: {prefix}\r\nX-Length-Hint: {hint}\r\n"
   )
@@ -139,3 +157,7 @@
 fn whole(value: f64) -> u64 {
   value.round() as u64
 }
+
+fn as_f64(value: u64) -> f64 {
+  u32::try_from(value).map_or(f64::MAX, f64::from)
+}
--- a/replay/src/lib.rs
+++ b/replay/src/lib.rs
@@ -5,6 +5,7 @@
 mod caller;
 mod error;
 mod recorder;
+mod report;
 mod routes;
 mod site;
 
@@ -16,6 +17,7 @@
   },
   error::{Error, Result},
   recorder::{Recorder, RequestNote},
+  report::{Report, ReportTitle},
   routes::{RoutePlace, Routes},
   site::{
     Bounds, Closing, Configuration, Day, Discovery, Distribution, EngineModel, Impairment,
