--- a/replay/src/lib.rs
+++ b/replay/src/lib.rs
@@ -6,6 +6,8 @@
 mod cpu_quota;
 mod deploy_file;
 mod drawn_day;
+mod balancer;
+mod caller;
 mod error;
 mod held_process;
 mod host;
@@ -20,6 +22,16 @@
   cpu_quota::CpuQuota,
   deploy_file::DeployFile,
   drawn_day::drawn_day,
+mod report;
+mod routes;
+mod site;
+
+pub use self::{
+  balancer::{Balancer, BoxTarget},
+  caller::{
+    AnswerHead, AnswerProgress, AnswerReader, CallerPlan, ClassOutcome, Habit, HabitGuard, Habits,
+    Outcome, run_callers,
+  },
   error::{Error, Result},
   host::{box_host, server_host},
   recorder::{Recorder, RequestNote},
@@ -28,6 +40,8 @@
     ClassLookup, Condition, ConditionCell, ConditionGuard, Exports, GarbleKind, GreyKind, Server,
     ServerSpec, ServerWorld, Stage, StartNaming, sample, stream_events,
   },
+  report::{Report, ReportTitle},
+  routes::{RoutePlace, Routes},
   site::{
     Bounds, Chain, Closing, Configuration, Day, Discovery, Distribution, EngineModel, Impairment,
     Machines, Network, Platform, RequestClass, RequestKind, Servers, Service, Shape, Site,
