Stand-in of the store: conditions of views, limits, lost writes and stale reads

Each view can be made busy, silent or reset its connections while the others are served; faults overlap and end apart. Calls are limited over all views, writes can lose their responses or be carried out late, reads that may be stale show earlier items, and watches can miss a compaction. Without limits and faults the stand-in behaves as before.

--- a/stand_ins/src/platform_store.rs
+++ b/stand_ins/src/platform_store.rs
@@ -1,9 +1,15 @@
 //! The simulated store, in memory, with the changes and faults that tests control.
 
 use {
-  super::store_contents::{Contents, StaleItems},
-  axum::response::Response,
+  super::{
+    store_condition::StoreCondition,
+    store_contents::{Contents, StaleItems},
+    store_limits::{CallCost, StoreLimits},
+    write_loss::WriteFate,
+  },
+  axum::response::{IntoResponse, Response},
   base64::{Engine, engine::general_purpose::STANDARD},
+  http::StatusCode,
   serde_json::Value,
   std::{
     future::pending,
@@ -11,10 +17,7 @@
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
   },
-  tokio::{
-    sync::watch,
-    time::{sleep, timeout},
-  },
+  tokio::{sync::watch, time::sleep},
 };
 
 /// A running store.
@@ -24,6 +27,10 @@
   pub address: SocketAddr,
   pub(crate) contents: Arc<Mutex<Contents>>,
   pub(crate) changed: watch::Sender<u64>,
+  /// Number of changes of the conditions of views.
+  pub(crate) conditions: watch::Sender<u64>,
+  /// Number of times that waiting watches were cut.
+  pub(crate) watch_cuts: watch::Sender<u64>,
   pub(crate) show: Option<Show>,
 }
 
@@ -79,11 +86,7 @@
 
   /// Compacts the history: a watch from an earlier revision fails as gone.
   pub fn compact_history(&self) {
-    self.update(|contents| {
-      contents.revision += 1;
-      contents.compacted_revision = contents.revision;
-      contents.history.clear();
-    });
+    self.update(Contents::compact);
   }
 
   /// Responds to every call with 503, or serves again.
@@ -111,6 +114,30 @@
     });
   }
 
+  /// Sets the limits; without them every call is allowed, and the history stays.
+  pub fn set_limits(&self, limits: StoreLimits) {
+    self.contents().set_limits(limits);
+  }
+
+  /// Ends the leases that this view granted, at once.
+  pub fn end_leases_of_view(&self) {
+    self.update(|contents| {
+      let granted = contents.leases.iter();
+      let granted: Vec<u64> = granted
+        .filter(|(_, lease)| lease.view == self.address)
+        .map(|(id, _)| *id)
+        .collect();
+      for lease in granted {
+        contents.revoke_lease(lease);
+      }
+    });
+  }
+
+  /// Address of the view that last wrote a key with a lease under a condition, as a box does that becomes a leader.
+  pub fn last_leader(&self) -> Option<SocketAddr> {
+    self.contents().last_leader
+  }
+
   /// Withholds every page of a listing but the first.
   pub fn set_withholds_pages(&self, withholds_pages: bool) {
     self.contents().withholds_pages = withholds_pages;
@@ -158,26 +185,56 @@
     self.contents().listings
   }
 
-  /// Waits for the configured latency. Returns `false` when the store is down.
-  pub(crate) async fn admit_call(&self) -> bool {
-    let delay = self.contents().delay;
-    sleep(delay).await;
-    !self.contents().is_down
-  }
-
-  /// Waits for a revision after `after`, until the timeout, or until the store is down.
-  #[expect(
-    clippy::disallowed_methods,
-    reason = "no guard is held across an await"
-  )]
-  pub(crate) async fn wait_for_revision_after(&self, after: u64, wait: Duration) {
-    let mut changed = self.changed.subscribe();
-    // After a timeout the response has no events.
-    let _ = timeout(
-      wait,
-      changed.wait_for(|revision| *revision > after || self.contents().is_down),
-    )
-    .await;
+  /// How the callers of this view are treated.
+  pub fn condition(&self) -> StoreCondition {
+    self.contents().condition(self.address)
+  }
+
+  /// Waits for the latency. Fails with the response when the call is rejected.
+  pub(crate) async fn admit(&self, cost: CallCost) -> Result<(), Response> {
+    let latency = self.contents().latency();
+    sleep(latency).await;
+    if self.contents().is_down {
+      return Err(StatusCode::SERVICE_UNAVAILABLE.into_response());
+    }
+    match self.condition() {
+      StoreCondition::Serving => {}
+      StoreCondition::Busy => return Err(StatusCode::SERVICE_UNAVAILABLE.into_response()),
+      StoreCondition::Many => return Err(StatusCode::TOO_MANY_REQUESTS.into_response()),
+      // The connection is reset, or stays silent.
+      StoreCondition::Reset | StoreCondition::Silent => pending().await,
+    }
+    if !self.contents().take(cost) {
+      return Err(StatusCode::TOO_MANY_REQUESTS.into_response());
+    }
+    Ok(())
+  }
+
+  /// Carries out a write, and responds unless responses are lost.
+  pub(crate) async fn carry_out(
+    &self,
+    write: impl FnOnce(&mut Contents) -> Response + Send + 'static,
+  ) -> Response {
+    let fate = self.contents().next_fate();
+    match fate {
+      WriteFate::Answered => {
+        let response = self.update(write);
+        self.respond(response).await
+      }
+      WriteFate::Unanswered => {
+        self.update(write);
+        pending().await
+      }
+      WriteFate::Late(late) => {
+        let store = self.clone();
+        // Outlives the connection.
+        tokio::spawn(async move {
+          sleep(late).await;
+          store.update(write);
+        });
+        pending().await
+      }
+    }
   }
 
   /// Responds to a call that changed something, unless responses are dropped.
--- a/stand_ins/src/start_store.rs
+++ b/stand_ins/src/start_store.rs
@@ -1,7 +1,7 @@
 //! Starting the simulated store.
 
 use {
-  super::{platform_store::PlatformStore, store_calls},
+  super::{platform_store::PlatformStore, store_calls, store_channel},
   axum::{
     Router,
     routing::{delete, get, post},
@@ -24,8 +24,10 @@
     let store = Self {
       address: listener.local_addr()?,
       changed: watch::Sender::new(0),
+      conditions: watch::Sender::new(0),
       contents: Arc::default(),
       show: None,
+      watch_cuts: watch::Sender::new(0),
     };
     store.serve(listener);
     tokio::spawn(run_lease_expiry(store.clone()));
@@ -57,7 +59,7 @@
       .route("/kv-keep/{lease}", post(store_calls::renew))
       .route("/kv-lease-end/{lease}", delete(store_calls::revoke_lease))
       .with_state(self.clone());
-    tokio::spawn(async move { axum::serve(listener, router).await });
+    tokio::spawn(store_channel::serve(self.clone(), router, listener));
   }
 }
 
@@ -65,13 +67,10 @@
   loop {
     sleep(LEASE_CHECK_INTERVAL).await;
     let now = Instant::now();
-    let expired: Vec<u64> = {
-      let contents = store.contents();
-      let old = contents
-        .leases
-        .iter()
-        .filter(|(_, lease)| lease.expires < now);
-      old.map(|(id, _)| *id).collect()
+    let expired = {
+      let mut contents = store.contents();
+      contents.forget(now);
+      contents.expired_leases(now)
     };
     for lease in expired {
       store.update(|contents| contents.revoke_lease(lease));
