--- a/replay/src/lib.rs
+++ b/replay/src/lib.rs
@@ -12,15 +12,23 @@
 mod error;
 mod held_process;
 mod host;
+mod impairment_kind;
+mod injector;
 mod name_draws;
 mod operator;
+mod play;
 mod recorder;
 mod report;
 mod routes;
+mod selection;
 mod server;
+mod server_place;
 mod settings_template;
 mod site;
 mod store_faults;
+mod store_view;
+mod subcommand;
+mod world;
 
 pub use self::{
   balancer::{Balancer, BoxTarget},
@@ -36,7 +44,9 @@
   drawn_day::drawn_day,
   error::{Error, Result},
   host::{box_host, server_host},
+  impairment_kind::ImpairmentKind,
   operator::Operator,
+  play::{PlayOptions, play, unplayable_kinds},
   recorder::{Recorder, RequestNote},
   report::{Report, ReportTitle},
   routes::{RoutePlace, Routes},
@@ -50,9 +60,6 @@
     Machines, Network, Platform, RequestClass, RequestKind, Servers, Service, Shape, Site,
     StreamShape, Timing, Tolerate, Traffic, Zone,
   },
+  store_faults::{StoreFaultPlay, play_store_fault, struck_boxes},
+  subcommand::run,
 };
-
-/// Runs the command line.
-pub fn run() -> std::process::ExitCode {
-  std::process::ExitCode::SUCCESS
-}
