--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -17,6 +17,7 @@
 mod path;
 mod regress;
 mod replay_boxes;
+mod replay_callers;
 mod replay_quota;
 mod replay_settings;
 mod replay_site;
