--- a/replay/src/caller/client.rs
+++ b/replay/src/caller/client.rs
@@ -35,8 +35,11 @@
 const UNREAD_SHARE: u32 = 3;
 /// A `Retry-After` is honoured for this share of the time left.
 const RETRY_AFTER_SHARE: u32 = 3;
-/// Longest wait before a try where no time was told.
+/// Longest wait before the second try where no time was told. It doubles with each further one.
 const MAX_BACKOFF_MS: u64 = 100;
+/// Shortest wait before the third try. It doubles with each further one.
+const MIN_BACKOFF_MS: u64 = 300;
+const MAX_DOUBLINGS: u32 = 4;
 /// Requests with which a caller takes up a stream.
 const MAX_RESUMPTIONS: u32 = 4;
 /// Shortest pause after which a caller leaves a stream, and the multiples of the objectives.
@@ -191,7 +194,7 @@
       *left = rest;
       number += 1;
       if abusive_tries.is_none() {
-        sleep(self.wait(&received)).await;
+        sleep(self.wait(&received, number)).await;
       }
       if Instant::now() >= self.leaves_at {
         return;
@@ -199,9 +202,16 @@
     }
   }
 
-  /// How long to wait before the next try.
-  fn wait(&mut self, received: &Received) -> Duration {
-    let backoff_ms = self.request.random.random_range(0..=MAX_BACKOFF_MS);
+  /// How long to wait before a further try.
+  fn wait(&mut self, received: &Received, number: u32) -> Duration {
+    let doublings = number.saturating_sub(1).min(MAX_DOUBLINGS);
+    let least_ms = if number > 1 {
+      MIN_BACKOFF_MS << (doublings - 1)
+    } else {
+      0
+    };
+    let most_ms = least_ms + (MAX_BACKOFF_MS << doublings);
+    let backoff_ms = self.request.random.random_range(least_ms..=most_ms);
     let told_s = received
       .head
       .as_ref()
