--- a/replay/src/server/connection.rs
+++ b/replay/src/server/connection.rs
@@ -98,8 +98,7 @@
       }
       let idle = Duration::from_secs(self.server.idle_s);
       match timeout(idle, self.channel.read(&mut self.buffer)).await {
-        Err(_) => return Ok(None),
-        Ok(Ok(0)) => return Ok(None),
+        Err(_) | Ok(Ok(0)) => return Ok(None),
         Ok(Ok(_)) => {}
         Ok(Err(error)) => return Err(error),
       }
--- a/replay/src/server/exchange.rs
+++ b/replay/src/server/exchange.rs
@@ -220,12 +220,16 @@
       GreyKind::Shed => self.refuse(503).await,
       GreyKind::Busy => self.refuse(429).await,
       GreyKind::Reset => Ok(Sent::then(Next::Reset)),
-      GreyKind::Mute => pending().await,
+      GreyKind::Mute => {
+        let _admitted = self.admit(0).await;
+        pending().await
+      }
       GreyKind::Errors | GreyKind::Slow(_) => {
         let answer = self.server.sealed(500, self.request, &mut self.random);
         self.send(answer, true).await
       }
       GreyKind::Hang => {
+        let _admitted = self.admit(0).await;
         let mut answer = self.server.sealed(500, self.request, &mut self.random);
         answer.body = vec![b'.'; HANGING_BODY_BYTES];
         let bytes = [answer.head(), b"failed: ".to_vec()].concat();
--- a/replay/src/server/prompt_cache.rs
+++ b/replay/src/server/prompt_cache.rs
@@ -72,15 +72,15 @@
     if changes.is_empty() {
       return None;
     }
-    Some(self.changes_answer(first > since + 1, changes))
+    Some(self.changes_answer(first > since + 1, &changes))
   }
 
   /// The answer of `GET /kv-events` without changes.
   pub(super) fn no_changes(&self) -> Value {
-    self.changes_answer(false, Vec::new())
+    self.changes_answer(false, &[])
   }
 
-  fn changes_answer(&self, lost: bool, changes: Vec<Value>) -> Value {
+  fn changes_answer(&self, lost: bool, changes: &[Value]) -> Value {
     json!({"epoch": 1, "nextPageToken": self.last_change, "lost": lost, "events": changes})
   }
 
--- a/replay/src/server/stream_run.rs
+++ b/replay/src/server/stream_run.rs
@@ -131,7 +131,15 @@
     }
     let _place = self.engine.batch.join();
     let conditions = &self.exchange.server.conditions;
-    match AnswerFault::draw(conditions, true, &mut self.exchange.random) {
+    let fault = AnswerFault::draw(conditions, true, &mut self.exchange.random);
+    if let Some(fault) = fault {
+      let recorder = &self.exchange.server.world.recorder;
+      recorder.note(format!(
+        "answer of run {} is faulty: {fault:?}",
+        self.number
+      ));
+    }
+    match fault {
       Some(AnswerFault::Lost { resets }) => self.run_unheard(&recorder, resets).await,
       Some(AnswerFault::Spoilt(NoisePlace::Instead)) => {
         let noise = noise(&mut self.exchange.random);
@@ -146,13 +154,19 @@
     let Exchange {
       request, server, ..
     } = &self.exchange;
+    let (id, version, number) = (&server.spec.id, &server.spec.version, self.number);
+    let last_event_id: Option<u64> = request.parsed("last-event-id");
+    server.world.recorder.note(format!(
+      "engine {id} version {version} begins run {number} of {} after {last_event_id:?}",
+      request.id()
+    ));
     server.world.recorder.raw.begin_run(RawRun {
-      incarnation: server.spec.id.as_ref().into(),
-      last_event_id: request.parsed("last-event-id"),
+      incarnation: id.as_ref().into(),
+      last_event_id,
       last_piece: self.last,
       pieces: Vec::new(),
       request: request.id().into(),
-      version: server.spec.version.as_ref().into(),
+      version: version.as_ref().into(),
     })
   }
 
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -16,6 +16,7 @@
 mod memory;
 mod path;
 mod regress;
+mod replay_servers;
 mod roles;
 mod soak_days;
 mod soak_endpoints;
