--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -21,6 +21,7 @@
 mod replay_quota;
 mod replay_settings;
 mod replay_site;
+mod replay_servers;
 mod roles;
 mod soak_days;
 mod soak_endpoints;
