--- a/tests/replay_callers.rs
+++ b/tests/replay_callers.rs
@@ -439,9 +439,9 @@
     if request.is_again {
       return Reply::Keep(engine.chunked(request, &pieces.concat()));
     }
-    let body = pieces[..2].concat() + &pieces[2][..9];
+    let body = [&pieces[0], &pieces[1], &pieces[2][..9]].concat();
     let text = match framing {
-      "" => engine.head(request, "") + &body,
+      "" => [engine.head(request, ""), body].concat(),
       _ => engine.unfinished(request, &body),
     };
     if resets {
@@ -618,11 +618,11 @@
   }
   let made = first.run(request);
   let body = match breach {
-    Breach::Absent => pick(&made, 0..=0) + &pick(&made, 2..=3),
-    Breach::Twice => pick(&made, 0..=1) + &pick(&made, 1..=3),
+    Breach::Absent => [pick(&made, 0..=0), pick(&made, 2..=3)].concat(),
+    Breach::Twice => [pick(&made, 0..=1), pick(&made, 1..=3)].concat(),
     Breach::Joined => {
       let others = second.run(request);
-      pick(&made, 0..=1) + &pick(&others, 2..=3)
+      [pick(&made, 0..=1), pick(&others, 2..=3)].concat()
     }
     Breach::EndsEarly => pick(&made, 0..=2),
     Breach::TwoVersions => return Reply::Close(first.unfinished(request, &made[0])),
