--- a/replay/src/routes.rs
+++ b/replay/src/routes.rs
@@ -1,48 +1,68 @@
-//! The routes of a replay: where the requests of each kind go.
+//! Where the kinds of requests are found.
 
 use {
-  super::site::Site,
-  rand::{RngExt, SeedableRng},
+  super::{name_draws::NameDraws, site::Site},
+  rand::SeedableRng,
   rand_chacha::ChaCha8Rng,
   std::{collections::BTreeMap, sync::Arc},
 };
 
-/// Number of the random stream.
-const RANDOM_STREAM: u64 = 0x726f_7574;
+/// Number of the sequence of draws.
+const STREAM: u64 = 41;
 
-/// Where the requests of a kind go.
+/// The host and path prefix of a route.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct RoutePlace {
   /// The host.
   pub host: Arc<str>,
-  /// Beginning of the path, with a slash at either end.
+  /// The path prefix, which begins and ends with a slash.
   pub path_prefix: Arc<str>,
 }
 
-/// The routes of a replay, by the name of the kind of request.
+/// The routes of the kinds of requests, drawn anew for each seed. No two kinds share a path prefix.
 #[derive(Clone, Debug, Default)]
-pub struct Routes(BTreeMap<Arc<str>, RoutePlace>);
+pub struct Routes {
+  places: BTreeMap<Arc<str>, RoutePlace>,
+}
 
 impl Routes {
-  /// Draws a route for each kind of request. No two are the same.
+  /// Draws the routes of a site: a host for each service, a path prefix for each kind of request.
   pub fn draw(site: &Site, seed: u64) -> Self {
-    let mut random = ChaCha8Rng::seed_from_u64(seed);
-    random.set_stream(RANDOM_STREAM);
-    let host: Arc<str> = format!("h{:05x}.example", random.random_range(0..0x10_0000)).into();
-    let classes = site.classes.iter().enumerate();
-    let places = classes.map(|(index, class)| {
-      let draw: u16 = random.random();
+    let mut draws = ChaCha8Rng::seed_from_u64(seed);
+    draws.set_stream(STREAM);
+    let mut names = NameDraws::new(draws, []);
+    let services = site.services.iter();
+    let hosts: BTreeMap<Arc<str>, Arc<str>> = services
+      .map(|service| (service.name.clone(), names.host()))
+      .collect();
+    let places = site.classes.iter().filter_map(|class| {
       let place = RoutePlace {
-        host: host.clone(),
-        path_prefix: format!("/r{index}{draw:04x}/").into(),
+        host: hosts.get(&class.service)?.clone(),
+        path_prefix: names.path_prefix(),
       };
-      (class.name.clone(), place)
+      Some((class.name.clone(), place))
     });
-    Self(places.collect())
+    Self {
+      places: places.collect(),
+    }
   }
 
-  /// Where the requests of a kind go.
+  /// The route of a kind of request.
   pub fn get(&self, class: &str) -> Option<&RoutePlace> {
-    self.0.get(class)
+    self.places.get(class)
+  }
+
+  /// The kind of request of a host and a path.
+  pub fn class_of(&self, host: &str, path: &str) -> Option<&Arc<str>> {
+    let found = self
+      .places
+      .iter()
+      .find(|(_, place)| &*place.host == host && path.starts_with(&*place.path_prefix));
+    found.map(|(class, _)| class)
+  }
+
+  /// The routes, by their kinds of requests.
+  pub fn iter(&self) -> impl Iterator<Item = (&Arc<str>, &RoutePlace)> {
+    self.places.iter()
   }
 }
