--- a/replay/src/lib.rs
+++ b/replay/src/lib.rs
@@ -1,7 +1,6 @@
 //! Replays a day of a deployment, as its site file describes it, with real gateway processes on one machine: engines, plain services,
 //! callers and the store are played, and what callers read is judged by the rules of streams. Not part of a release.
 
-mod box_stores;
 mod error;
 mod name_draws;
 mod operator;
@@ -11,7 +10,6 @@
 mod store_faults;
 
 pub use self::{
-  box_stores::BoxStores,
   error::{Error, Result},
   operator::Operator,
   recorder::{Recorder, RequestNote},
@@ -21,7 +19,7 @@
     Machines, Platform, RequestClass, RequestKind, Servers, Service, Shape, Site, StreamShape,
     Tolerate, Traffic, Zone,
   },
-  store_faults::{StoreFaultPlay, play_store_fault, struck_boxes},
+  store_faults::{BoxStores, play_store_fault},
 };
 
 /// Runs the command line.
--- a/replay/src/store_faults.rs
+++ b/replay/src/store_faults.rs
@@ -1,190 +1,167 @@
 //! Faults of the store.
 
+mod box_stores;
+
+pub use self::box_stores::BoxStores;
+
 use {
-  super::{
-    box_stores::{BoxStores, LATENCY},
-    recorder::Recorder,
-    site::Impairment,
-  },
-  rand::{SeedableRng, seq::SliceRandom},
-  rand_chacha::ChaCha8Rng,
+  super::site::Impairment,
+  box_stores::LATENCY,
   stand_ins::{StoreCondition, WriteLoss},
   std::time::Duration,
   tokio::time::sleep,
 };
 
-/// Number of the sequence of draws.
-const STREAM: u64 = 44;
 /// Defaults of the fields of a fault.
 const LENGTH_S: f64 = 5.0;
-const BOX_SHARE: f64 = 0.35;
 const SLOWNESS: f64 = 50.0;
 const LOST_SHARE: f64 = 0.3;
 const STALE_S: f64 = 3.0;
 /// Time for which watches hear nothing before a compaction.
 const DEAF_TIME: Duration = Duration::from_secs(1);
 
-/// What a fault of the store draws from and calls.
+/// A fault of the store.
 #[derive(Clone, Copy)]
-pub struct StoreFaultPlay<'a> {
-  /// Seed of the draws; another one for each fault.
-  pub seed: u64,
-  /// What happens is noted here.
-  pub recorder: &'a Recorder,
-  /// Lets a server leave: while watches hear nothing, or as the store is back.
-  pub drain: &'a (dyn Fn() + Send + Sync),
-  /// Changes the configuration: during a fault, and as the store is back.
-  pub meet: &'a (dyn Fn() + Send + Sync),
+struct StoreFault<'a> {
+  impairment: &'a Impairment,
+  stores: &'a BoxStores,
+  /// The boxes that it strikes, if not all.
+  boxes: &'a [usize],
+  drain: &'a (dyn Fn() + Sync),
+  meet: &'a (dyn Fn() + Sync),
 }
 
-/// Plays a fault of the store from its beginning to its end. Returns `false` at once if the kind is none of the store's.
+/// Plays a fault of the store from its beginning to its end; other kinds end at once. With `nodes`, `boxes` are those that it strikes.
+/// `drain` lets a server leave, while watches hear nothing or as the store is back. `meet` changes the configuration, halfway through the
+/// fault and as the store is back.
 pub async fn play_store_fault(
-  fault: &Impairment,
+  impairment: &Impairment,
   stores: &BoxStores,
-  play: StoreFaultPlay<'_>,
-) -> bool {
-  match &*fault.kind {
-    "platform_compact" => compact(fault, stores, play).await,
-    "platform_down" if fault.has("nodes") => reject_boxes(fault, stores, play).await,
-    "platform_down" => reject_all(fault, stores, play).await,
-    "platform_lost" => lose_writes(fault, stores, play).await,
-    "platform_slow" => slow_down(fault, stores, play).await,
-    _ => return false,
+  boxes: &[usize],
+  drain: &(dyn Fn() + Sync),
+  meet: &(dyn Fn() + Sync),
+) {
+  let fault = StoreFault {
+    boxes,
+    drain,
+    impairment,
+    meet,
+    stores,
+  };
+  match &*impairment.kind {
+    "platform_compact" => fault.compact().await,
+    "platform_down" if impairment.has("nodes") => fault.reject_boxes().await,
+    "platform_down" => fault.reject_all().await,
+    "platform_lost" => fault.lose_writes().await,
+    "platform_slow" => fault.slow_down().await,
+    _ => {}
   }
-  true
 }
 
-/// The boxes that a fault strikes, in the order of their draw; with `leader`, the box that last acted as one comes first.
-pub fn struck_boxes(fault: &Impairment, stores: &BoxStores, seed: u64) -> Vec<usize> {
-  let mut boxes = stores.boxes();
-  let mut draws = ChaCha8Rng::seed_from_u64(seed);
-  draws.set_stream(STREAM);
-  boxes.shuffle(&mut draws);
-  if fault.has("leader") {
-    let leader = stores.leader();
-    // The sort is stable.
-    boxes.sort_by_key(|index| Some(*index) != leader);
+impl StoreFault<'_> {
+  fn length(&self) -> Duration {
+    seconds(self.impairment.for_s.unwrap_or(LENGTH_S))
   }
-  let share = fault.share.unwrap_or(BOX_SHARE);
-  let by_share = (boxes.len() as f64 * share).round() as usize;
-  boxes.truncate(fault.count.unwrap_or(by_share).max(1));
-  boxes
-}
 
-fn condition(fault: &Impairment) -> StoreCondition {
-  let conditions = [
-    ("busy", StoreCondition::Busy),
-    ("many", StoreCondition::Many),
-    ("reset", StoreCondition::Reset),
-  ];
-  let named = conditions.iter().find(|(word, _)| fault.has(word));
-  named.map_or(StoreCondition::Silent, |(_, condition)| *condition)
-}
-
-fn seconds(time_s: f64) -> Duration {
-  Duration::try_from_secs_f64(time_s).unwrap_or(Duration::ZERO)
-}
-
-fn length(fault: &Impairment) -> Duration {
-  seconds(fault.for_s.unwrap_or(LENGTH_S))
-}
+  /// How the callers that it strikes are treated.
+  fn condition(&self) -> StoreCondition {
+    let conditions = [
+      ("busy", StoreCondition::Busy),
+      ("many", StoreCondition::Many),
+      ("reset", StoreCondition::Reset),
+    ];
+    let mut conditions = conditions.iter();
+    let named = conditions.find(|(word, _)| self.impairment.has(word));
+    named.map_or(StoreCondition::Silent, |(_, condition)| *condition)
+  }
 
-async fn reject_boxes(fault: &Impairment, stores: &BoxStores, play: StoreFaultPlay<'_>) {
-  let condition = condition(fault);
-  let boxes = struck_boxes(fault, stores, play.seed);
-  let views = boxes.iter().filter_map(|index| stores.view(*index));
-  let views: Vec<_> = views.collect();
-  let guards: Vec<_> = views
-    .iter()
-    .map(|view| view.begin_condition(condition))
-    .collect();
-  if fault.has("revoke") {
-    for view in &views {
-      view.end_leases_of_view();
+  async fn reject_boxes(&self) {
+    let views = self.boxes.iter();
+    let views = views.filter_map(|index| self.stores.view(*index));
+    let views: Vec<_> = views.collect();
+    let condition = self.condition();
+    let guards: Vec<_> = views
+      .iter()
+      .map(|view| view.begin_condition(condition))
+      .collect();
+    if self.impairment.has("revoke") {
+      for view in &views {
+        view.end_leases_of_view();
+      }
     }
+    self.wait_and_change().await;
+    drop(guards);
+    self.change_after();
   }
-  let line = format!("store: {condition:?} for boxes {boxes:?}");
-  play.recorder.note(line);
-  wait_and_meet(fault, play).await;
-  drop(guards);
-  let line = format!("store: serves boxes {boxes:?} again");
-  play.recorder.note(line);
-  call_back(fault, play);
-}
 
-async fn reject_all(fault: &Impairment, stores: &BoxStores, play: StoreFaultPlay<'_>) {
-  let condition = condition(fault);
-  let store = stores.store();
-  let waiting_leases = (!fault.has("lapse")).then(|| store.begin_lease_pause());
-  let guard = store.begin_condition_everywhere(condition);
-  play.recorder.note(format!("store: {condition:?}"));
-  wait_and_meet(fault, play).await;
-  drop(waiting_leases);
-  drop(guard);
-  play.recorder.note("store: serves again");
-  call_back(fault, play);
-}
+  async fn reject_all(&self) {
+    let store = self.stores.store();
+    let lapses = self.impairment.has("lapse");
+    let waiting_leases = (!lapses).then(|| store.begin_lease_pause());
+    let guard = store.begin_condition_everywhere(self.condition());
+    self.wait_and_change().await;
+    drop(waiting_leases);
+    drop(guard);
+    self.change_after();
+  }
 
-/// Waits until the end of a fault; a configuration change may come halfway.
-async fn wait_and_meet(fault: &Impairment, play: StoreFaultPlay<'_>) {
-  let half = length(fault) / 2;
-  sleep(half).await;
-  if fault.has("meet") {
-    (play.meet)();
+  /// Waits until the end; a change of the configuration may come halfway.
+  async fn wait_and_change(&self) {
+    let half = self.length() / 2;
+    sleep(half).await;
+    if self.impairment.has("meet") {
+      (self.meet)();
+    }
+    sleep(half).await;
   }
-  sleep(half).await;
-}
 
-/// Makes the changes that come as the store is back.
-fn call_back(fault: &Impairment, play: StoreFaultPlay<'_>) {
-  if fault.has("meet") {
-    (play.meet)();
+  /// Makes the changes that come as the store is back.
+  fn change_after(&self) {
+    if self.impairment.has("meet") {
+      (self.meet)();
+    }
+    if self.impairment.has("drain") {
+      (self.drain)();
+    }
   }
-  if fault.has("drain") {
-    (play.drain)();
+
+  async fn slow_down(&self) {
+    let factor = self.impairment.x.unwrap_or(SLOWNESS);
+    let delay = seconds(LATENCY.as_secs_f64() * factor);
+    let guard = self.stores.store().begin_delay(delay);
+    sleep(self.length()).await;
+    drop(guard);
   }
-}
 
-async fn slow_down(fault: &Impairment, stores: &BoxStores, play: StoreFaultPlay<'_>) {
-  let delay = seconds(LATENCY.as_secs_f64() * fault.x.unwrap_or(SLOWNESS));
-  let guard = stores.store().begin_delay(delay);
-  let line = format!("store: answers after {} ms", delay.as_millis());
-  play.recorder.note(line);
-  sleep(length(fault)).await;
-  drop(guard);
-  play.recorder.note("store: answers in time again");
-}
+  async fn lose_writes(&self) {
+    let loss = WriteLoss {
+      is_late: self.impairment.has("late"),
+      // Faults of one play differ by their times.
+      seed: self.stores.seed() ^ self.impairment.at_s.to_bits(),
+      share: self.impairment.x.unwrap_or(LOST_SHARE),
+    };
+    let guard = self.stores.store().begin_write_loss(loss);
+    sleep(self.length()).await;
+    drop(guard);
+  }
 
-async fn lose_writes(fault: &Impairment, stores: &BoxStores, play: StoreFaultPlay<'_>) {
-  let loss = WriteLoss {
-    is_late: fault.has("late"),
-    seed: play.seed,
-    share: fault.x.unwrap_or(LOST_SHARE),
-  };
-  let guard = stores.store().begin_write_loss(loss);
-  let line = format!("store: {} of the writes get no answer", loss.share);
-  play.recorder.note(line);
-  sleep(length(fault)).await;
-  drop(guard);
-  play.recorder.note("store: all writes get answers");
+  async fn compact(&self) {
+    let store = self.stores.store();
+    let age = seconds(self.impairment.x.unwrap_or(STALE_S));
+    let stale_reads = store.begin_stale_reads(age);
+    let deaf_watches = store.begin_deaf_watches();
+    sleep(DEAF_TIME / 2).await;
+    if self.impairment.has("drain") {
+      (self.drain)();
+    }
+    sleep(DEAF_TIME / 2).await;
+    store.compact_history();
+    drop(deaf_watches);
+    sleep(self.length().saturating_sub(DEAF_TIME)).await;
+    drop(stale_reads);
+  }
 }
 
-async fn compact(fault: &Impairment, stores: &BoxStores, play: StoreFaultPlay<'_>) {
-  let store = stores.store();
-  let age = seconds(fault.x.unwrap_or(STALE_S));
-  let stale_reads = store.begin_stale_reads(age);
-  let deaf_watches = store.begin_deaf_watches();
-  play.recorder.note("store: watches hear nothing");
-  sleep(DEAF_TIME / 2).await;
-  if fault.has("drain") {
-    (play.drain)();
-  }
-  sleep(DEAF_TIME / 2).await;
-  store.compact_history();
-  drop(deaf_watches);
-  let line = format!("store: compacted, reads {} s stale", age.as_secs_f64());
-  play.recorder.note(line);
-  sleep(length(fault).saturating_sub(DEAF_TIME)).await;
-  drop(stale_reads);
-  play.recorder.note("store: reads are fresh again");
+fn seconds(time_s: f64) -> Duration {
+  Duration::try_from_secs_f64(time_s).unwrap_or(Duration::ZERO)
 }
