--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -17,6 +17,7 @@
 mod path;
 mod regress;
 mod replay_callers;
+mod replay_store;
 mod roles;
 mod soak_days;
 mod soak_endpoints;
