--- a/tests/replay_store.rs
+++ b/tests/replay_store.rs
@@ -3,7 +3,10 @@
 
 use {
   base64::{Engine, engine::general_purpose::STANDARD},
-  replay::{BoxStores, Impairment, Operator, Recorder, Routes, Site, play_store_fault},
+  replay::{
+    BoxStores, Impairment, Operator, Recorder, Routes, Site, StoreFaultPlay, play_store_fault,
+    struck_boxes,
+  },
   rstest::rstest,
   serde_json::{Value, json},
   stand_ins::{FaultGuard, PlatformStore, StoreCondition, StoreLimits, WriteLoss},
@@ -629,35 +632,53 @@
   assert_eq!(write(&first, "record", 0, Some(0)).await.0, 200);
   assert_eq!(write(&first, "leader", lease, Some(0)).await.0, 412);
   assert_eq!(store.last_leader(), Some(second.address));
-  let stores = BoxStores::new(store, vec![first, second]);
-  assert_eq!(stores.leader(), Some(1));
 }
 
-/// The conditions of both boxes' views at each call of `meet` and `drain`.
-type Calls = Arc<Mutex<Vec<(&'static str, StoreCondition, StoreCondition)>>>;
+/// A store with the views of four boxes, of which the last does not run.
+async fn four_boxes() -> BoxStores {
+  let stores = BoxStores::start(&site()).await.unwrap();
+  for index in 0..4 {
+    stores.open_view(index, |_, value| value).await.unwrap();
+  }
+  for index in 0..3 {
+    let view = stores.view(index).unwrap();
+    let lease = grant(&view, 60_000).await;
+    let (status, _) = write(&view, &format!("box-{index}"), lease, None).await;
+    assert_eq!(status, 200);
+  }
+  stores
+}
 
-async fn played(kind: &str, how: &str, boxes: &[usize]) -> (BoxStores, Calls) {
-  let (store, first, second) = two_views().await;
-  let conditions = {
-    let (first, second) = (first.clone(), second.clone());
-    move || (first.condition(), second.condition())
-  };
-  let stores = BoxStores::new(store, vec![first, second]);
-  let calls = Calls::default();
-  let note = |name| {
-    let (first, second) = conditions();
-    calls.lock().unwrap().push((name, first, second));
-  };
-  let fault = Impairment {
+fn conditions(stores: &BoxStores) -> Vec<StoreCondition> {
+  let boxes = stores.boxes();
+  let views = boxes.iter().filter_map(|index| stores.view(*index));
+  views.map(|view| view.condition()).collect()
+}
+
+/// A call of `meet` or `drain`, and the conditions of the boxes' views at it.
+type Change = (&'static str, Vec<StoreCondition>);
+
+fn fault(kind: &str, how: &str) -> Impairment {
+  Impairment {
+    count: Some(1),
     for_s: Some(0.02),
     how: how.into(),
     kind: kind.into(),
     ..Impairment::default()
+  }
+}
+
+async fn play(fault: &Impairment, stores: &BoxStores, seed: u64) -> (bool, Vec<Change>) {
+  let changes = Mutex::new(Vec::new());
+  let note = |name| changes.lock().unwrap().push((name, conditions(stores)));
+  let play = StoreFaultPlay {
+    drain: &|| note("drain"),
+    meet: &|| note("meet"),
+    recorder: &Recorder::default(),
+    seed,
   };
-  let (drain, meet) = (|| note("drain"), || note("meet"));
-  play_store_fault(&fault, &stores, boxes, &drain, &meet).await;
-  drop((drain, meet));
-  (stores, calls)
+  let is_played = play_store_fault(fault, stores, play).await;
+  (is_played, changes.into_inner().unwrap())
 }
 
 #[rstest]
@@ -666,67 +687,112 @@
 #[case::reset("nodes reset meet drain", StoreCondition::Reset)]
 #[case::silent("nodes meet drain", StoreCondition::Silent)]
 #[tokio::test]
-async fn fault_strikes_the_boxes_that_it_is_given(
+async fn fault_strikes_one_box_and_ends_before_a_server_leaves(
   #[case] how: &str,
   #[case] condition: StoreCondition,
 ) {
-  let (_, calls) = played("platform_down", how, &[1]).await;
-  let serving = StoreCondition::Serving;
+  let stores = four_boxes().await;
+  let fault = fault("platform_down", how);
+  let struck = struck_boxes(&fault, &stores, 5);
+  assert_eq!(struck.len(), 1);
+  let (_, changes) = play(&fault, &stores, 5).await;
+  let serving = vec![StoreCondition::Serving; 4];
+  let mut during = serving.clone();
+  during[struck[0]] = condition;
   let expected = [
-    ("meet", serving, condition),
-    ("meet", serving, serving),
-    ("drain", serving, serving),
+    ("meet", during),
+    ("meet", serving.clone()),
+    ("drain", serving),
   ];
-  assert_eq!(*calls.lock().unwrap(), expected);
+  assert_eq!(changes, expected);
+  let entry = format!("box-{}", struck[0]);
+  assert_eq!(has_key(stores.store(), &entry), !fault.has("revoke"));
+  assert_eq!(
+    stores.store().keys().len(),
+    3 - usize::from(fault.has("revoke"))
+  );
+}
+
+#[tokio::test]
+async fn struck_boxes_run_and_are_as_seeded() {
+  let stores = four_boxes().await;
+  let all = Impairment {
+    count: None,
+    share: Some(1.0),
+    ..fault("platform_down", "nodes")
+  };
+  let draws: Vec<_> = (0..20)
+    .map(|seed| struck_boxes(&all, &stores, seed))
+    .collect();
+  let again: Vec<_> = (0..20)
+    .map(|seed| struck_boxes(&all, &stores, seed))
+    .collect();
+  assert_eq!(draws, again);
+  assert!(draws.iter().any(|boxes| *boxes != draws[0]));
+  for boxes in draws {
+    assert_eq!(BTreeSet::from_iter(boxes), BTreeSet::from([0, 1, 2]));
+  }
+}
+
+#[tokio::test]
+async fn share_of_no_whole_box_strikes_one() {
+  let stores = four_boxes().await;
+  let few = Impairment {
+    count: None,
+    share: Some(0.01),
+    ..fault("platform_down", "nodes")
+  };
+  assert_eq!(struck_boxes(&few, &stores, 1).len(), 1);
+}
+
+#[tokio::test]
+async fn leader_is_struck_first() {
+  let stores = four_boxes().await;
+  let leader = stores.view(2).unwrap();
+  let lease = grant(&leader, 60_000).await;
+  assert_eq!(write(&leader, "leader", lease, Some(0)).await.0, 200);
+  assert_eq!(stores.leader(), Some(2));
+  let fault = fault("platform_down", "nodes leader busy");
+  for seed in 0..20 {
+    assert_eq!(struck_boxes(&fault, &stores, seed), [2]);
+  }
 }
 
 #[tokio::test]
 async fn fault_of_the_whole_store_strikes_all_boxes() {
-  let (_, calls) = played("platform_down", "busy meet", &[]).await;
-  let (busy, serving) = (StoreCondition::Busy, StoreCondition::Serving);
-  let expected = [("meet", busy, busy), ("meet", serving, serving)];
-  assert_eq!(*calls.lock().unwrap(), expected);
+  let stores = four_boxes().await;
+  let fault = fault("platform_down", "busy meet");
+  let (_, changes) = play(&fault, &stores, 1).await;
+  let serving = vec![StoreCondition::Serving; 4];
+  let expected = [("meet", vec![StoreCondition::Busy; 4]), ("meet", serving)];
+  assert_eq!(changes, expected);
 }
 
 #[tokio::test]
 async fn server_leaves_before_a_compaction() {
-  let (stores, calls) = played("platform_compact", "drain", &[]).await;
-  let serving = StoreCondition::Serving;
-  assert_eq!(*calls.lock().unwrap(), [("drain", serving, serving)]);
+  let stores = four_boxes().await;
+  let fault = fault("platform_compact", "drain");
+  let (_, changes) = play(&fault, &stores, 1).await;
+  let serving = vec![StoreCondition::Serving; 4];
+  assert_eq!(changes, [("drain", serving)]);
   let watch = "/kv-watch?pathPrefix=&after=0&waitMs=1";
   assert_eq!(get(stores.store(), watch).await.0, 410);
 }
 
 #[rstest]
-#[case::slow("platform_slow")]
-#[case::lost("platform_lost")]
-#[case::other("zone_cut")]
-#[tokio::test]
-async fn store_serves_all_boxes_after_a_fault(#[case] kind: &str) {
-  let (stores, calls) = played(kind, "", &[]).await;
-  assert!(calls.lock().unwrap().is_empty());
-  for index in 0..2 {
+#[case::slow("platform_slow", true)]
+#[case::lost("platform_lost", true)]
+#[case::other("zone_cut", false)]
+#[tokio::test]
+async fn store_serves_all_boxes_after_a_fault(#[case] kind: &str, #[case] expected: bool) {
+  let stores = four_boxes().await;
+  let (is_played, changes) = play(&fault(kind, ""), &stores, 1).await;
+  assert_eq!(is_played, expected);
+  assert!(changes.is_empty());
+  for index in 0..4 {
     let view = stores.view(index).unwrap();
-    assert_eq!(write(view, "box", 0, None).await.0, 200);
-  }
-}
-
-#[tokio::test]
-async fn revoked_boxes_lose_their_entries_without_a_request() {
-  let (store, first, second) = two_views().await;
-  for (view, key) in [(&first, "first"), (&second, "second")] {
-    let lease = grant(view, 60_000).await;
-    assert_eq!(write(view, key, lease, None).await.0, 200);
+    assert_eq!(write(&view, "box", 0, None).await.0, 200);
   }
-  let stores = BoxStores::new(store.clone(), vec![first, second]);
-  let fault = Impairment {
-    for_s: Some(0.0),
-    how: "nodes silent revoke".into(),
-    kind: "platform_down".into(),
-    ..Impairment::default()
-  };
-  play_store_fault(&fault, &stores, &[1], &|| {}, &|| {}).await;
-  assert_eq!(store.keys(), ["first"]);
 }
 
 #[tokio::test]
--- a/tests/soak_days.rs
+++ b/tests/soak_days.rs
@@ -3,8 +3,8 @@
 use {
   rstest::rstest,
   soak::{
-    Day, Fault, FaultSelection, Framings, Hall, Options, Outcome, Profile, Report,
-    ScheduledFault, Size, play_faults,
+    Day, Fault, FaultSelection, Framings, Hall, Options, Outcome, Profile, Report, ScheduledFault,
+    Size, play_faults,
   },
   stand_ins::Cut,
   std::path::Path,
