--- a/replay/src/operator.rs
+++ b/replay/src/operator.rs
@@ -186,7 +186,10 @@
   fn change_timeout(&mut self, site: &Site) -> String {
     let index = self.draws.random_range(0..site.classes.len());
     let factor = self.draws.random_range(TIMEOUT_FACTOR.0..TIMEOUT_FACTOR.1);
-    let timeout_ms = (site.classes[index].timeout_ms * factor).round();
+    let drawn_ms = (site.classes[index].timeout_ms * factor).round();
+    let is_present = drawn_ms == self.document.routes[index].timeout_ms;
+    // Every version changes something.
+    let timeout_ms = drawn_ms + f64::from(is_present);
     let route = &mut self.document.routes[index];
     route.timeout_ms = timeout_ms;
     format!("time-out of {} is {timeout_ms} ms", route.name)
--- a/tests/replay_store.rs
+++ b/tests/replay_store.rs
@@ -92,11 +92,11 @@
 
   async fn send(&mut self, method: &str, path: &str, body: &Value) {
     let body = body.to_string();
-    let head = format!(
-      "{method} {path} HTTP/1.1\r\nhost: store\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n",
-      body.len()
+    let length = body.len();
+    let bytes = format!(
+      "{method} {path} HTTP/1.1\r\nhost: store\r\ncontent-type: application/json\r\n\
+       content-length: {length}\r\n\r\n{body}"
     );
-    let bytes = head + &body;
     self.0.write_all(bytes.as_bytes()).await.unwrap();
   }
 
