--- a/replay/src/store_faults.rs
+++ b/replay/src/store_faults.rs
@@ -54,9 +54,12 @@
   true
 }
 
-/// The boxes that a fault strikes, in the order of their draw; with `leader`, the box that last acted as one comes first.
+/// The boxes that a fault strikes, of those that run if any does, in the order of their draw; with `leader`, the box that last acted as one comes first.
 pub fn struck_boxes(fault: &Impairment, stores: &BoxStores, seed: u64) -> Vec<usize> {
-  let mut boxes = stores.boxes();
+  let mut boxes = stores.running_boxes();
+  if boxes.is_empty() {
+    boxes = stores.boxes();
+  }
   let mut draws = ChaCha8Rng::seed_from_u64(seed);
   draws.set_stream(STREAM);
   boxes.shuffle(&mut draws);
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -22,6 +22,7 @@
 mod replay_settings;
 mod replay_site;
 mod replay_servers;
+mod replay_store;
 mod roles;
 mod soak_days;
 mod soak_endpoints;
