--- a/replay/src/box_stores.rs
+++ b/replay/src/box_stores.rs
@@ -70,6 +70,13 @@
     self.views().keys().copied().collect()
   }
 
+  /// The boxes that hold a lease, in order: those that run.
+  pub fn running_boxes(&self) -> Vec<usize> {
+    let views = self.views();
+    let running = views.iter().filter(|(_, view)| view.has_leases_of_view());
+    running.map(|(index, _)| *index).collect()
+  }
+
   /// The box that last acted as a leader.
   pub fn leader(&self) -> Option<usize> {
     let leader = self.store.last_leader()?;
--- a/stand_ins/src/platform_store.rs
+++ b/stand_ins/src/platform_store.rs
@@ -133,6 +133,13 @@
     });
   }
 
+  /// Whether a lease that this view granted lasts.
+  pub fn has_leases_of_view(&self) -> bool {
+    let contents = self.contents();
+    let mut leases = contents.leases.values();
+    leases.any(|lease| lease.view == self.address)
+  }
+
   /// Address of the view that last wrote a key with a lease under a condition, as a box does that becomes a leader.
   pub fn last_leader(&self) -> Option<SocketAddr> {
     self.contents().last_leader
