Callers don't keep a connection that has closed

An answer without framing ends with its connection; it was put among the idle ones. A test of an unframed early end guards the recorded end.

--- a/replay/src/caller/answer_reader.rs
+++ b/replay/src/caller/answer_reader.rs
@@ -96,6 +96,11 @@
     }
   }
 
+  /// Whether the answer was read to the end that its framing gives.
+  pub fn is_whole(&self) -> bool {
+    self.state == State::Whole
+  }
+
   /// Whether the answer is whole if its connection closes now.
   pub fn is_whole_at_close(&self) -> bool {
     matches!(self.state, State::Whole | State::Unframed)
--- a/replay/src/caller/attempt.rs
+++ b/replay/src/caller/attempt.rs
@@ -117,13 +117,13 @@
   };
   let end = attempt.run(channel, request, began).await;
   let head = attempt.answer.head().cloned();
-  let is_kept = end == AttemptEnd::Whole && attempt.answer.surplus().is_empty();
-  let is_framed = head.as_ref().is_some_and(|head| !head.closes());
+  let is_kept = attempt.answer.is_whole() && attempt.answer.surplus().is_empty();
+  let may_go_on = head.as_ref().is_some_and(|head| !head.closes());
   Received {
     end,
     events: attempt.events,
     head,
-    is_reusable: is_kept && is_framed,
+    is_reusable: is_kept && may_go_on,
   }
 }
 
--- a/tests/replay_callers.rs
+++ b/tests/replay_callers.rs
@@ -604,6 +604,7 @@
   Twice,
   Joined,
   EndsEarly,
+  EndsEarlyUnframed,
   TwoVersions,
 }
 
@@ -625,6 +626,9 @@
       [pick(&made, 0..=1), pick(&others, 2..=3)].concat()
     }
     Breach::EndsEarly => pick(&made, 0..=2),
+    Breach::EndsEarlyUnframed => {
+      return Reply::Close([first.head(request, ""), pick(&made, 0..=2)].concat());
+    }
     Breach::TwoVersions => return Reply::Close(first.unfinished(request, &made[0])),
   };
   Reply::Keep(first.chunked(request, &body))
@@ -636,6 +640,7 @@
 #[case::twice("chat", Breach::Twice, Clause::Twice)]
 #[case::joined("talk", Breach::Joined, Clause::Joined)]
 #[case::ends_early("chat", Breach::EndsEarly, Clause::EndsEarly)]
+#[case::ends_early_unframed("chat", Breach::EndsEarlyUnframed, Clause::EndsEarly)]
 #[case::two_versions("chat", Breach::TwoVersions, Clause::TwoVersions)]
 #[tokio::test]
 async fn planted_breach_stands_in_the_report(
