--- a/replay/src/server/draw.rs
+++ b/replay/src/server/draw.rs
@@ -10,14 +10,22 @@
 /// Events of a stream of an unknown kind.
 const DEFAULT_EVENTS: u64 = 8;
 
-/// Draws from a log-normal distribution with the given mean, cut off at its largest value.
+/// Draws from a log-normal distribution with the given mean and some larger values, cut off at its largest value.
 pub fn sample(distribution: &Distribution, random: &mut ChaCha8Rng) -> f64 {
   let Distribution {
-    mean, spread, max, ..
+    max,
+    mean,
+    spread,
+    tail,
+    tail_x,
   } = *distribution;
   let radius = (-2.0 * random.random_range(f64::MIN_POSITIVE..1.0).ln()).sqrt();
   let normal = radius * (TAU * random.random_range(0.0..1.0)).cos();
-  let value = mean * (spread * normal - spread * spread / 2.0).exp();
+  let factor = match random.random_range(0.0..1.0) < tail {
+    true => tail_x,
+    false => 1.0,
+  };
+  let value = mean * (spread * normal - spread * spread / 2.0).exp() * factor;
   max.map_or(value, |max| value.min(max))
 }
 
--- a/tests/replay_servers.rs
+++ b/tests/replay_servers.rs
@@ -2,9 +2,11 @@
 
 use {
   judge::{RawConnection, RawRecords, RawRequest, ReadEnd, judge},
+  rand::SeedableRng,
+  rand_chacha::ChaCha8Rng,
   replay::{
-    ClassLookup, Condition, GarbleKind, GreyKind, Recorder, RequestClass, Server, ServerSpec,
-    ServerWorld, Service, Stage, StartNaming,
+    ClassLookup, Condition, Distribution, GarbleKind, GreyKind, Recorder, RequestClass, Server,
+    ServerSpec, ServerWorld, Service, Stage, StartNaming, sample,
   },
   rstest::rstest,
   std::{collections::BTreeSet, io::ErrorKind, net::SocketAddr, sync::Arc, time::Duration},
@@ -371,7 +373,7 @@
     read_until(&mut stream, &mut bytes, &format!("id: {}\n", seed + 1)).await;
     rig.server.kill();
     let made = rig.made(0);
-    while let None = read_some(&mut stream, &mut bytes).await {}
+    while read_some(&mut stream, &mut bytes).await.is_none() {}
     sleep(Duration::from_millis(20)).await;
     assert_eq!(rig.made(0), made, "events made after the kill");
     let data = match garble {
@@ -870,6 +872,32 @@
   assert_eq!(answer, (Vec::new(), ReadEnd::Reset));
 }
 
+#[test]
+fn drawn_sizes_miss_their_mean_tail_or_largest_value() {
+  let draws = |distribution: Distribution| {
+    let mut random = ChaCha8Rng::seed_from_u64(34);
+    let draws = (0..20_000).map(|_| sample(&distribution, &mut random));
+    draws.collect::<Vec<f64>>()
+  };
+  let spread = draws(Distribution {
+    mean: 60.0,
+    spread: 0.5,
+    ..Distribution::default()
+  });
+  let mean = spread.iter().sum::<f64>() / 20_000.0;
+  assert!((58.0..62.0).contains(&mean), "{mean}");
+  let tail = draws(Distribution {
+    max: Some(100.0),
+    mean: 30.0,
+    tail: 0.1,
+    tail_x: 5.0,
+    ..Distribution::default()
+  });
+  let cut_off = tail.iter().filter(|draw| **draw >= 100.0).count();
+  assert!((1_800..2_200).contains(&cut_off), "{cut_off}");
+  assert!(tail.iter().all(|draw| *draw <= 100.0));
+}
+
 #[tokio::test]
 async fn plain_service_loses_the_receipt_or_the_framing() {
   let rig = Rig::start(PLAIN, None, 32).await;
