Replay: the end of an engine's process may fall between two events of an unframed stream

The stand-in held the last byte of each event back, so that a kill always fell inside an event. A process that ends closes its sockets wherever it is, and its connections and its listener show that it has ended; so the player plays it. The test asked for the end inside an event; it now asks that both occur.

--- a/replay/src/server/event_writer.rs
+++ b/replay/src/server/event_writer.rs
@@ -13,8 +13,8 @@
 /// One in so many events waits for the next.
 const JOINED_EVENTS: u32 = 10;
 
-/// Writes the events of a stream to its connection: in chunks, or up to the end of the connection. An unframed stream always ends inside an
-/// event until it is whole, since its reader could not tell otherwise that it was broken off.
+/// Writes the events of a stream to its connection: in chunks, or up to the end of the connection. One that its engine breaks off ends
+/// inside an event; the end of the engine's process may fall between two.
 #[derive(Debug)]
 pub(super) struct EventWriter {
   framing: Framing,
@@ -57,10 +57,7 @@
     if self.has_begun && random.random_range(0..JOINED_EVENTS) == 0 {
       return Ok(());
     }
-    let mut events = std::mem::take(&mut self.events);
-    if self.framing == Framing::Connection {
-      self.events.extend(events.pop());
-    }
+    let events = std::mem::take(&mut self.events);
     self.write(&events, channel, random).await
   }
 
@@ -116,11 +113,7 @@
   ) -> io::Result<()> {
     let mut bytes = std::mem::take(&mut self.raw);
     bytes.extend(self.framed(events, random));
-    let is_first = !std::mem::replace(&mut self.has_begun, true);
-    if is_first && self.framing == Framing::Connection {
-      // A head alone would be a whole answer without events.
-      return channel.write(&bytes).await;
-    }
+    self.has_begun = true;
     channel.write_split(&bytes, random).await
   }
 }
