--- a/tests/soak_days.rs
+++ b/tests/soak_days.rs
@@ -3,9 +3,10 @@
 use {
   rstest::rstest,
   soak::{
-    Cut, Day, Fault, FaultSelection, Framings, Hall, Options, Outcome, Profile, Report,
-    ScheduledFault, Size, play_faults,
+    Day, Fault, FaultSelection, Framings, Hall, Options, Outcome, Profile, Report, ScheduledFault,
+    Size, play_faults,
   },
+  stand_ins::Cut,
   std::path::Path,
 };
 
