--- a/tests/gateway/endpoint.rs
+++ b/tests/gateway/endpoint.rs
@@ -186,6 +186,15 @@
     on_start: impl Fn(SocketAddr, u64) + Send + Sync + 'static,
   ) -> Self {
     let [address] = own_addresses();
+    Self::start_at(address, script, on_start).await
+  }
+
+  /// The same at an address that another process may have left just now.
+  pub(super) async fn start_at(
+    address: SocketAddr,
+    script: impl Fn(&ReceivedRequest) -> Reply + Send + Sync + 'static,
+    on_start: impl Fn(SocketAddr, u64) + Send + Sync + 'static,
+  ) -> Self {
     let endpoint = Self {
       aborted: Arc::default(),
       address,
@@ -195,7 +204,7 @@
       silent_until: Arc::new(Mutex::new(Instant::now())),
       written: Arc::default(),
     };
-    let listener = TcpListener::bind(address).await.unwrap();
+    let listener = bind_again(address).await;
     on_start(address, 1);
     let state = IncarnationState {
       aborted: endpoint.aborted.clone(),
@@ -581,7 +590,7 @@
 }
 
 /// Bytes that the kernel holds and the gateway has not acknowledged.
-fn unsent_bytes(stream: &TcpStream) -> i32 {
+pub(super) fn unsent_bytes(stream: &TcpStream) -> i32 {
   let mut bytes = 0;
   // SAFETY: the descriptor is open, and the call writes one integer.
   unsafe { libc::ioctl(stream.as_raw_fd(), libc::TIOCOUTQ, &raw mut bytes) };
@@ -593,34 +602,10 @@
   bytes: &mut Vec<u8>,
   start: u64,
 ) -> Option<ReceivedRequest> {
+  let peer = stream.peer_addr().ok()?;
   loop {
-    if let Some(end) = bytes.windows(4).position(|window| window == b"\r\n\r\n") {
-      let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
-      let mut lines = head.lines();
-      let mut first = lines.next()?.split(' ');
-      let method = first.next()?.to_string();
-      let path = first.next()?.to_string();
-      let headers: HashMap<String, String> = lines
-        .filter_map(|line| line.split_once(':'))
-        .map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_string()))
-        .collect();
-      let length = headers
-        .get("content-length")
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(0);
-      if bytes.len() >= end + 4 + length {
-        let body = bytes[end + 4..end + 4 + length].to_vec();
-        bytes.drain(..end + 4 + length);
-        return Some(ReceivedRequest {
-          at: Instant::now(),
-          body,
-          connection: stream.peer_addr().ok()?,
-          headers,
-          method,
-          path,
-          start,
-        });
-      }
+    if let Some(request) = take_request(bytes, peer, start) {
+      return Some(request);
     }
     let mut buffer = [0; 4096];
     match stream.read(&mut buffer).await {
@@ -629,3 +614,45 @@
     }
   }
 }
+
+/// Removes the first request from the bytes that were read from a connection; `None` if it is not whole yet.
+pub(super) fn take_request(
+  bytes: &mut Vec<u8>,
+  connection: SocketAddr,
+  start: u64,
+) -> Option<ReceivedRequest> {
+  let mut request = parse_head(bytes, connection, start)?;
+  let head_bytes = bytes.windows(4).position(|window| window == b"\r\n\r\n")? + 4;
+  let length: usize = request.header("content-length").parse().unwrap_or(0);
+  let body = bytes.get(head_bytes..head_bytes + length)?;
+  request.body = body.to_vec();
+  bytes.drain(..head_bytes + length);
+  Some(request)
+}
+
+/// A request without its body; `None` if its head is not whole yet.
+pub(super) fn parse_head(
+  bytes: &[u8],
+  connection: SocketAddr,
+  start: u64,
+) -> Option<ReceivedRequest> {
+  let end = bytes.windows(4).position(|window| window == b"\r\n\r\n")?;
+  let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
+  let mut lines = head.lines();
+  let mut first = lines.next()?.split(' ');
+  let method = first.next()?.to_string();
+  let path = first.next()?.to_string();
+  let headers = lines
+    .filter_map(|line| line.split_once(':'))
+    .map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_string()))
+    .collect();
+  Some(ReceivedRequest {
+    at: Instant::now(),
+    body: Vec::new(),
+    connection,
+    headers,
+    method,
+    path,
+    start,
+  })
+}
