Streams go on after no id that their engine has contradicted

A stream that may be resumed and whose event has a too high id (11 for 1) went on after it once the engine's next event showed the fault, and looked complete without all events between:

RawResponse { status: 200, body: "id: 11\ndata: e1 ...\n\n", is_complete: true }

Cause: an id that goes back is taken for another run's event, so the last id always counted as sure. An id that neither follows the one before by one nor begins the stream is doubtful now; where the same answer goes back behind it, no engine goes on and the stream breaks off.

The price: a stream with ids that count no events, into which an event of another run falls, breaks off where it went on before.

--- a/src/gateway/requests/event_order.rs
+++ b/src/gateway/requests/event_order.rs
@@ -11,7 +11,9 @@
 
 /// The ids of a first event behind bytes that may stand in the place of others. Ids that count events begin with 0 or 1; higher ones
 /// begin elsewhere.
-const HIDING_FIRST_IDS: RangeInclusive<u64> = 2..=16;
+const HIDING_FIRST_IDS: RangeInclusive<u64> = HIGHEST_FIRST_ID + 1..=16;
+/// The highest id with which ids that count events begin.
+const HIGHEST_FIRST_ID: u64 = 1;
 /// Steps of one between ids after which a larger one means that events are missing.
 const MIN_SINGLE_STEPS: u32 = 2;
 
@@ -66,6 +68,8 @@
 #[derive(Clone, Copy, Debug)]
 struct LastEvent {
   id: u64,
+  /// Whether nothing but the event itself told its id: it did not follow the one before by one, or begin the stream.
+  is_doubtful: bool,
   /// Of its bytes; `None` for one that the caller names.
   hash: Option<u64>,
 }
@@ -94,6 +98,8 @@
   ends_without_id: bool,
   /// Whether the current answer has brought bytes that are no event since its last event: they may stand in the place of one.
   follows_noise: bool,
+  /// Whether the last event's id was too high: the next event of the same answer has a lower one.
+  is_last_contradicted: bool,
 }
 
 impl EventOrder {
@@ -103,7 +109,12 @@
       ends_without_id: false,
       follows_noise: false,
       has_larger_steps: false,
-      last: last_id.map(|id| LastEvent { hash: None, id }),
+      is_last_contradicted: false,
+      last: last_id.map(|id| LastEvent {
+        hash: None,
+        id,
+        is_doubtful: false,
+      }),
       single_steps: 0,
       skip: None,
       start: last_id.map_or(Start::Passed, Start::NamedByCaller),
@@ -111,9 +122,10 @@
     }
   }
 
-  /// Whether another engine can go on with the stream: no event was forwarded that it would repeat.
+  /// Whether another engine can go on with the stream: no event was forwarded that it would repeat, and the last one's id is sure, so
+  /// that it leaves out none.
   pub(super) fn may_go_on(&self) -> bool {
-    !self.ends_without_id
+    !self.ends_without_id && !self.is_last_contradicted
   }
 
   /// Another engine goes on with the stream.
@@ -152,21 +164,24 @@
     }
     self.ends_without_id = false;
     self.follows_noise = false;
+    let follows = |last: LastEvent| id == last.id + 1;
     self.last = Some(LastEvent {
       hash: Some(hash),
       id,
+      is_doubtful: !self.last.map_or(id <= HIGHEST_FIRST_ID, follows),
     });
     self.start = Start::Passed;
     Ok(EventPlace::Next)
   }
 
   /// Places an event that does not come after the last one.
-  fn place_again(&self, id: u64, hash: u64, last: LastEvent) -> Result<EventPlace, Misplaced> {
+  fn place_again(&mut self, id: u64, hash: u64, last: LastEvent) -> Result<EventPlace, Misplaced> {
     let is_before_start = self.start != Start::Passed;
     let is_last_again = id == last.id && last.hash == Some(hash) && !self.ends_without_id;
     if is_before_start || is_last_again {
       return Ok(EventPlace::Repeated);
     }
+    self.is_last_contradicted |= last.is_doubtful;
     let after = last.id;
     Err(Misplaced::GoesBack { after, id })
   }
--- a/src/gateway/requests/event_relay.rs
+++ b/src/gateway/requests/event_relay.rs
@@ -632,7 +632,9 @@
       return Err(format!("deadline exceeded after: {error}"));
     }
     if !self.order.may_go_on() {
-      return Err(format!("the last event has no id, after: {error}"));
+      return Err(format!(
+        "the last event has no id that is sure, after: {error}"
+      ));
     }
     if !self
       .stream
