Events with a renamed field are not forwarded

An event whose field `id` or `data` has another name passed for one with a field that readers don't know, and its stream looked complete with an event that the caller's reader drops, or can't resume after:

RawResponse { status: 200, body: "... id: 3\ndAta: e3 ...\n\n...", is_complete: true }

An event with an id, without data and with a line that readers ignore is damaged now; so is one without an id whose ignored line holds the number that is next. Other unknown fields pass as before (answer_bounds::events_of_all_fields_are_forwarded).

--- a/src/gateway/requests/event_block.rs
+++ b/src/gateway/requests/event_block.rs
@@ -6,6 +6,8 @@
 const ID: &[u8] = b"id";
 /// The same behind other text on its line.
 const HIDDEN_ID: &[u8] = b"id:";
+/// The field that holds an event's data.
+const DATA: &[u8] = b"data";
 /// May stand before the first event.
 const BYTE_ORDER_MARK: &[u8] = "\u{feff}".as_bytes();
 /// How the head of a response begins.
@@ -38,9 +40,14 @@
     if holds_answer_head(lines.clone()) {
       return Self::Damaged;
     }
+    let has_id = lines.clone().any(|line| name(line) == ID);
+    let lacks_data = has_id && !lines.clone().any(|line| name(line) == DATA);
+    if lacks_data && !lines.clone().all(has_effect) {
+      // An ignored line may be its data, under another name.
+      return Self::Damaged;
+    }
     let has_effect = lines.clone().any(has_effect);
     let are_fields = lines.clone().all(is_field);
-    let has_id = lines.clone().any(|line| name(line) == ID);
     let may_hide_id = !has_id && lines.clone().any(hides_id);
     match (are_fields, has_effect, lines.any(is_no_text) || may_hide_id) {
       (true, ..) | (false, true, false) => Self::Event,
@@ -95,6 +102,15 @@
   lines(block).any(|line| FIELDS.contains(&name(line)))
 }
 
+/// Whether a block has a number in a line that readers ignore, which may be a field under another name.
+pub(super) fn has_ignored_number(block: &[u8], number: u64) -> bool {
+  let value = |line: &[u8]| {
+    let value = line.strip_prefix(name(line))?.strip_prefix(b":")?;
+    std::str::from_utf8(value).ok()?.trim().parse().ok()
+  };
+  lines(block).any(|line| !has_effect(line) && value(line) == Some(number))
+}
+
 /// Whether a line is a comment, or a field that has an effect.
 fn has_effect(line: &[u8]) -> bool {
   let name = name(line);
--- a/src/gateway/requests/event_order.rs
+++ b/src/gateway/requests/event_order.rs
@@ -45,6 +45,12 @@
     /// The event.
     id: u64,
   },
+  /// The field of its id has another name.
+  #[error("event whose id has another name, after event {after}")]
+  RenamedId {
+    /// The last event that was forwarded.
+    after: u64,
+  },
   /// Nothing tells whether the caller has it already.
   #[error("event without an id in a stream that goes on after event {after}")]
   WithoutId {
@@ -193,6 +199,11 @@
     if let Start::AfterInterruption(after) = self.start {
       return Err(Misplaced::WithoutId { after });
     }
+    if let Some(LastEvent { id: after, .. }) = self.last
+      && event.has_ignored_number(after.saturating_add(1))
+    {
+      return Err(Misplaced::RenamedId { after });
+    }
     self.ends_without_id = true;
     Ok(EventPlace::Next)
   }
--- a/src/gateway/requests/event_splitter.rs
+++ b/src/gateway/requests/event_splitter.rs
@@ -1,7 +1,7 @@
 //! Splits a byte stream into server-sent events, so that an interrupted stream ends between two of them.
 
 use {
-  super::event_block::{BlockKind, has_field, lines},
+  super::event_block::{BlockKind, has_field, has_ignored_number, lines},
   bytes::{Bytes, BytesMut},
 };
 
@@ -32,6 +32,11 @@
   pub fn has_data(&self) -> bool {
     lines(&self.bytes).any(|line| line.starts_with(b"data"))
   }
+
+  /// Whether it has a number in a line that readers ignore.
+  pub(super) fn has_ignored_number(&self, number: u64) -> bool {
+    has_ignored_number(&self.bytes, number)
+  }
 }
 
 /// Buffers the incomplete event at the end of the stream.
--- a/tests/gateway/spoilt_events.rs
+++ b/tests/gateway/spoilt_events.rs
@@ -9,6 +9,10 @@
     stream_framing::{EVENTS, Framing, complete, events, rest, whole},
   },
   rstest::rstest,
+  std::sync::{
+    Arc,
+    atomic::{AtomicBool, Ordering},
+  },
 };
 
 /// Streams after which a box knows how a version numbers its events.
@@ -63,8 +67,10 @@
 
 /// The response to a stream whose first engine spoils an event, and whose next one sends the rest.
 async fn ask(framing: Framing, path: &str, spoilt: Spoilt, id: u64, known: Known) -> RawResponse {
+  let is_first = Arc::new(AtomicBool::new(true));
   let script = move |seen: &ReceivedRequest| {
-    match begins(seen) && seen.id().starts_with("spoilt") {
+    let is_spoilt = begins(seen) && seen.id() == "spoilt";
+    match is_spoilt && is_first.swap(false, Ordering::Relaxed) {
       true => answer(seen, framing, &spoilt.stream(id)),
       // Nothing is to be checked where chunks tell the end.
       false => answer(seen, Framing::Chunks, &rest(seen)),
