Events whose id is no number are not forwarded where others count events

An id line that can't be read passed for an event without an id. At the second or the last place of a stream it looked complete:

RawResponse { status: 200, body: "id: 1\ndata: e1 ...\n\nid: \u{1}2\ndata: e2 ...\n\nid: 3 ...", is_complete: true }

It interrupts the stream now, unless the last id itself did not follow the one before, or the version's ids are known to rise in other steps. Two streams that hold such ids count as ones that skip ids, so a service that numbers in another way (base 16, a word at the end) loses two streams of a version and no more.

--- a/src/gateway/requests/event_order.rs
+++ b/src/gateway/requests/event_order.rs
@@ -51,6 +51,12 @@
     /// The last event that was forwarded.
     after: u64,
   },
+  /// Its id is no number, where others count events.
+  #[error("event whose id is no number, after event {after}")]
+  UnreadableId {
+    /// The last event that was forwarded.
+    after: u64,
+  },
   /// Nothing tells whether the caller has it already.
   #[error("event without an id in a stream that goes on after event {after}")]
   WithoutId {
@@ -104,6 +110,8 @@
   ends_without_id: bool,
   /// Whether the current answer has brought bytes that are no event since its last event: they may stand in the place of one.
   follows_noise: bool,
+  /// Whether an event's id was no number although others are.
+  has_unreadable_ids: bool,
   /// Whether the last event's id was too high: the next event of the same answer has a lower one.
   is_last_contradicted: bool,
 }
@@ -115,6 +123,7 @@
       ends_without_id: false,
       follows_noise: false,
       has_larger_steps: false,
+      has_unreadable_ids: false,
       is_last_contradicted: false,
       last: last_id.map(|id| LastEvent {
         hash: None,
@@ -146,9 +155,9 @@
     self.follows_noise = true;
   }
 
-  /// Whether ids were skipped in the stream; `None` while too few events have come.
+  /// Whether ids were skipped in the stream, or some were no numbers; `None` while too few events have come.
   pub(super) fn has_skipped_ids(&self) -> Option<bool> {
-    let has_skipped = self.has_larger_steps || self.skip.is_some();
+    let has_skipped = self.has_larger_steps || self.has_unreadable_ids || self.skip.is_some();
     (has_skipped || self.single_steps >= MIN_SINGLE_STEPS).then_some(has_skipped)
   }
 
@@ -204,6 +213,14 @@
     {
       return Err(Misplaced::RenamedId { after });
     }
+    if let Some(last) = self.last.filter(|last| !last.is_doubtful)
+      && self.version_steps != IdSteps::Any
+      && event.has_unreadable_id()
+    {
+      // A service whose streams all do so is known by it before long.
+      self.has_unreadable_ids = true;
+      return Err(Misplaced::UnreadableId { after: last.id });
+    }
     self.ends_without_id = true;
     Ok(EventPlace::Next)
   }
--- a/src/gateway/requests/event_splitter.rs
+++ b/src/gateway/requests/event_splitter.rs
@@ -33,6 +33,13 @@
     lines(&self.bytes).any(|line| line.starts_with(b"data"))
   }
 
+  /// Whether it has an id that is no number.
+  pub(super) fn has_unreadable_id(&self) -> bool {
+    let mut lines = lines(&self.bytes);
+    let id = lines.find_map(|line| line.strip_prefix(b"id:"));
+    self.id.is_none() && id.is_some_and(|id| !id.trim_ascii().is_empty())
+  }
+
   /// Whether it has a number in a line that readers ignore.
   pub(super) fn has_ignored_number(&self, number: u64) -> bool {
     has_ignored_number(&self.bytes, number)
--- a/tests/gateway/spoilt_events.rs
+++ b/tests/gateway/spoilt_events.rs
@@ -226,3 +226,27 @@
     assert_eq!(fleet.ask(request).await, complete(body.to_owned()));
   }
 }
+
+/// Guards against a service whose streams are aborted for good because not all of its ids are numbers, or not all events have one.
+#[rstest]
+#[case::ids_in_base_16("id: 8\ndata: a\n\nid: 9\ndata: b\n\nid: a\ndata: c\n\nid: b\ndata: d\n\n")]
+#[case::text_after_numbers("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: end\ndata: c\n\n")]
+#[case::each_second_event_has_an_id(
+  "id: 1\ndata: a\n\ndata: b\n\nid: 3\ndata: c\n\ndata: d\n\nid: 5\ndata: e\n\n"
+)]
+#[case::ids_begin_later("data: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\nid: 4\ndata: d\n\n")]
+#[tokio::test]
+async fn streams_of_a_service_with_ids_of_its_own_are_complete_before_long(
+  #[case] body: &'static str,
+  #[values("/stream/a", "/resumable/a")] path: &str,
+) {
+  let script = move |seen: &ReceivedRequest| answer(seen, Framing::Chunks, body);
+  let fleet = Fleet::start(script).await;
+  for number in 1..=WHOLE_STREAMS {
+    fleet
+      .ask(RawRequest::new(path, &format!("r{number}")))
+      .await;
+  }
+  let response = fleet.ask(RawRequest::new(path, "last")).await;
+  assert_eq!(response, complete(body.to_owned()));
+}
