Streams with an event that has lost its id do not look complete

Before ids have shown that they count events, an event without an id was forwarded, and the larger step behind it passed for ids that don't:

RawResponse { status: 200, body: "data: e1 ...\n\nid: 2\ndata: e2 ...\n\nid: 3 ...", is_complete: true }

A step that is as large as the events without an id before it and one counts them, so they have lost theirs: the stream breaks off, as at a missing event.

--- a/src/gateway/requests/event_order.rs
+++ b/src/gateway/requests/event_order.rs
@@ -106,8 +106,8 @@
   has_larger_steps: bool,
   /// The last step within an answer that was taken for missing events. Another run that takes it too shows that none are missing.
   skip: Option<Skip>,
-  /// Whether an event without an id was forwarded after the last id.
-  ends_without_id: bool,
+  /// Events without an id that were forwarded after the last id.
+  without_id: u64,
   /// Whether the current answer has brought bytes that are no event since its last event: they may stand in the place of one.
   follows_noise: bool,
   /// Whether an event's id was no number although others are.
@@ -120,7 +120,6 @@
   /// The order of a stream that goes on after an event which the caller names, if any.
   pub(super) fn new(last_id: Option<u64>, version_steps: IdSteps) -> Self {
     Self {
-      ends_without_id: false,
       follows_noise: false,
       has_larger_steps: false,
       has_unreadable_ids: false,
@@ -134,13 +133,14 @@
       skip: None,
       start: last_id.map_or(Start::Passed, Start::NamedByCaller),
       version_steps,
+      without_id: 0,
     }
   }
 
   /// Whether another engine can go on with the stream: no event was forwarded that it would repeat, and the last one's id is sure, so
   /// that it leaves out none.
   pub(super) fn may_go_on(&self) -> bool {
-    !self.ends_without_id && !self.is_last_contradicted
+    self.without_id == 0 && !self.is_last_contradicted
   }
 
   /// Another engine goes on with the stream.
@@ -177,7 +177,7 @@
       Some(last) => self.check_step(Skip { after: last.id, id })?,
       None => self.check_first(id)?,
     }
-    self.ends_without_id = false;
+    self.without_id = 0;
     self.follows_noise = false;
     let follows = |last: LastEvent| id == last.id + 1;
     self.last = Some(LastEvent {
@@ -192,7 +192,7 @@
   /// Places an event that does not come after the last one.
   fn place_again(&mut self, id: u64, hash: u64, last: LastEvent) -> Result<EventPlace, Misplaced> {
     let is_before_start = self.start != Start::Passed;
-    let is_last_again = id == last.id && last.hash == Some(hash) && !self.ends_without_id;
+    let is_last_again = id == last.id && last.hash == Some(hash) && self.without_id == 0;
     if is_before_start || is_last_again {
       return Ok(EventPlace::Repeated);
     }
@@ -221,13 +221,14 @@
       self.has_unreadable_ids = true;
       return Err(Misplaced::UnreadableId { after: last.id });
     }
-    self.ends_without_id = true;
+    self.without_id += 1;
     Ok(EventPlace::Next)
   }
 
   /// Checks the first event of a stream.
   fn check_first(&mut self, id: u64) -> Result<(), Misplaced> {
-    if self.follows_noise && HIDING_FIRST_IDS.contains(&id) && self.version_steps != IdSteps::Any {
+    let may_hide = self.follows_noise || self.counts_without_id(id);
+    if may_hide && HIDING_FIRST_IDS.contains(&id) && self.version_steps != IdSteps::Any {
       // A service whose streams all begin like this is known by it before long.
       self.skip = Some(Skip { after: 0, id });
       return Err(Misplaced::Gap { after: 0, id });
@@ -247,7 +248,8 @@
       self.single_steps = self.single_steps.saturating_add(1);
       return Ok(());
     }
-    if self.counts_events() && self.skip != Some(step) {
+    let is_missing = self.counts_events() || self.counts_without_id(id - after);
+    if is_missing && self.skip != Some(step) {
       if self.start == Start::Passed {
         self.skip = Some(step);
       }
@@ -257,6 +259,12 @@
     Ok(())
   }
 
+  /// Whether a step to an id counts the events without an id before it: they have lost theirs.
+  fn counts_without_id(&self, step: u64) -> bool {
+    let may_count = self.version_steps != IdSteps::Any && !self.has_larger_steps;
+    may_count && self.without_id > 0 && step == self.without_id + 1
+  }
+
   /// Whether ids count events, as far as they show.
   fn counts_events(&self) -> bool {
     let is_single = match self.version_steps {
