Streams without their first event do not look complete where others of the version had it

The first id of a stream was checked only behind bytes that are no event. Where nothing stood in the first event's place, the rest looked complete:

RawResponse { status: 200, body: "id: 2\ndata: e2 ...\n\nid: 3 ...", is_complete: true }

A box records for each version whether streams begin with the lowest id, 0 or 1, as it records steps of one: four streams show it, and it holds while most do. A stream that begins with another id is then taken for one without its first event, unless a second run begins there, too.

Left: a box that has seen fewer than four streams of a version takes such a stream for whole.

--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -148,8 +148,8 @@
     RecordSource, RecordedOrigin, StreamHold, StreamOrigin, StreamRecords, WatchedProcess,
   },
   streams::{
-    AnswerEnd, CheckDenial, CheckedEnds, EarlyEnds, EndEvidence, EndVerdict, IdSteps,
-    VersionIdSteps,
+    AnswerEnd, CheckDenial, CheckedEnds, EarlyEnds, EndEvidence, EndVerdict, IdSteps, Numbering,
+    StreamIds, VersionIdSteps,
   },
   token_bucket::TokenBucket,
   unavailable::Unavailable,
--- a/src/gateway/decisions/streams/id_steps.rs
+++ b/src/gateway/decisions/streams/id_steps.rs
@@ -1,14 +1,14 @@
-//! Whether the ids of a version's events count them, so that a skipped number is a missing event. Free of I/O.
+//! How the events of a software version are numbered, so that an absent or a spoilt event shows. Free of I/O.
 
 use {
   crate::{gateway::edge::SoftwareVersion, ids::Name},
   std::collections::HashMap,
 };
 
-/// Streams in which ids rose by one alone, until they count events.
-const MIN_SINGLE: u32 = 4;
-/// Streams in which an id was skipped, until ids do not count events.
-const MIN_SKIPPED: u32 = 2;
+/// Streams that keep a rule, until the version does.
+const MIN_KEPT: u32 = 4;
+/// Streams that break it, until the version does not.
+const MIN_BROKEN: u32 = 2;
 /// Streams after which both counts are halved, so that they follow a change.
 const HALVED_AT: u32 = 64;
 /// Versions that are remembered.
@@ -26,24 +26,78 @@
   Any,
 }
 
+/// How the events of a version are numbered.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Numbering {
+  /// How ids rise.
+  pub steps: IdSteps,
+  /// Whether streams are known to begin with the lowest id.
+  pub begins_lowest: bool,
+}
+
+/// What one stream has shown; `None` where too few events have come, or none.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct StreamIds {
+  /// Whether an id was skipped.
+  pub has_skipped: Option<bool>,
+  /// Whether it began with the lowest id.
+  pub began_lowest: Option<bool>,
+}
+
+/// Streams that kept a rule, and that broke it.
+#[derive(Clone, Copy, Debug, Default)]
+struct Rule {
+  kept: u32,
+  broken: u32,
+}
+
+impl Rule {
+  fn record(&mut self, is_kept: Option<bool>) {
+    let Some(is_kept) = is_kept else {
+      return;
+    };
+    if self.kept + self.broken >= HALVED_AT {
+      self.kept /= 2;
+      self.broken /= 2;
+    }
+    match is_kept {
+      true => self.kept += 1,
+      false => self.broken += 1,
+    }
+  }
+
+  /// Whether the version keeps it; `None` while too few streams have shown it.
+  fn is_kept(self) -> Option<bool> {
+    let Self { kept, broken } = self;
+    if broken > kept && broken >= MIN_BROKEN {
+      Some(false)
+    } else if kept > broken && kept >= MIN_KEPT {
+      Some(true)
+    } else {
+      None
+    }
+  }
+}
+
 /// The streams of one version.
 #[derive(Clone, Copy, Debug, Default)]
 struct Streams {
-  single: u32,
-  skipped: u32,
+  single_steps: Rule,
+  lowest_first: Rule,
 }
 
-/// How ids rise in the streams of each service's software versions.
+/// How events are numbered in the streams of each service's software versions.
 ///
 /// ```
-/// use rillford::gateway::{IdSteps, SoftwareVersion, VersionIdSteps};
+/// use rillford::gateway::{IdSteps, SoftwareVersion, StreamIds, VersionIdSteps};
 /// let version = SoftwareVersion::new("v1");
 /// let mut steps = VersionIdSteps::default();
-/// assert_eq!(steps.of(&"llm".into(), &version), IdSteps::Unknown);
+/// assert_eq!(steps.of(&"llm".into(), &version).steps, IdSteps::Unknown);
 /// for _ in 0..4 {
-///   steps.record(&"llm".into(), &version, false);
+///   let ids = StreamIds { has_skipped: Some(false), ..StreamIds::default() };
+///   steps.record(&"llm".into(), &version, ids);
 /// }
-/// assert_eq!(steps.of(&"llm".into(), &version), IdSteps::Single);
+/// assert_eq!(steps.of(&"llm".into(), &version).steps, IdSteps::Single);
 /// ```
 #[derive(Debug, Default)]
 pub struct VersionIdSteps {
@@ -51,33 +105,29 @@
 }
 
 impl VersionIdSteps {
-  /// Records a stream of which several events were seen, and whether an id was skipped in it.
-  pub fn record(&mut self, service: &Name, version: &SoftwareVersion, has_skipped: bool) {
+  /// Records what a stream has shown.
+  pub fn record(&mut self, service: &Name, version: &SoftwareVersion, ids: StreamIds) {
     let key = (service.clone(), version.clone());
     if self.versions.len() >= MAX_VERSIONS && !self.versions.contains_key(&key) {
       self.versions.clear();
     }
     let streams = self.versions.entry(key).or_default();
-    if streams.single + streams.skipped >= HALVED_AT {
-      streams.single /= 2;
-      streams.skipped /= 2;
-    }
-    match has_skipped {
-      true => streams.skipped += 1,
-      false => streams.single += 1,
-    }
+    let has_single_steps = ids.has_skipped.map(|has_skipped| !has_skipped);
+    streams.single_steps.record(has_single_steps);
+    streams.lowest_first.record(ids.began_lowest);
   }
 
-  /// How the ids of a version rise.
-  pub fn of(&self, service: &Name, version: &SoftwareVersion) -> IdSteps {
+  /// How the events of a version are numbered.
+  pub fn of(&self, service: &Name, version: &SoftwareVersion) -> Numbering {
     let streams = self.versions.get(&(service.clone(), version.clone()));
-    let Streams { single, skipped } = streams.copied().unwrap_or_default();
-    if skipped > single && skipped >= MIN_SKIPPED {
-      IdSteps::Any
-    } else if single > skipped && single >= MIN_SINGLE {
-      IdSteps::Single
-    } else {
-      IdSteps::Unknown
+    let streams = streams.copied().unwrap_or_default();
+    Numbering {
+      begins_lowest: streams.lowest_first.is_kept() == Some(true),
+      steps: match streams.single_steps.is_kept() {
+        None => IdSteps::Unknown,
+        Some(true) => IdSteps::Single,
+        Some(false) => IdSteps::Any,
+      },
     }
   }
 }
--- a/src/gateway/decisions/streams/mod.rs
+++ b/src/gateway/decisions/streams/mod.rs
@@ -9,5 +9,5 @@
   answer_end::{AnswerEnd, EndEvidence, EndVerdict},
   check_denial::CheckDenial,
   checked_ends::{CheckedEnds, EarlyEnds},
-  id_steps::{IdSteps, VersionIdSteps},
+  id_steps::{IdSteps, Numbering, StreamIds, VersionIdSteps},
 };
--- a/src/gateway/requests/event_order.rs
+++ b/src/gateway/requests/event_order.rs
@@ -2,7 +2,7 @@
 
 use {
   super::event_splitter::SseEvent,
-  crate::gateway::decisions::IdSteps,
+  crate::gateway::decisions::{IdSteps, Numbering, StreamIds},
   std::{
     hash::{DefaultHasher, Hash, Hasher},
     ops::RangeInclusive,
@@ -98,8 +98,10 @@
 pub(super) struct EventOrder {
   last: Option<LastEvent>,
   start: Start,
-  /// How ids rise in other streams of the version.
-  version_steps: IdSteps,
+  /// How events are numbered in other streams of the version.
+  numbering: Numbering,
+  /// The first id that an answer brought which begins the stream.
+  first_id: Option<u64>,
   /// Ids that were one more than the one before.
   single_steps: u32,
   /// Whether an id was more than one more than the one before: ids do not count events.
@@ -118,8 +120,9 @@
 
 impl EventOrder {
   /// The order of a stream that goes on after an event which the caller names, if any.
-  pub(super) fn new(last_id: Option<u64>, version_steps: IdSteps) -> Self {
+  pub(super) fn new(last_id: Option<u64>, numbering: Numbering) -> Self {
     Self {
+      first_id: None,
       follows_noise: false,
       has_larger_steps: false,
       has_unreadable_ids: false,
@@ -129,10 +132,10 @@
         id,
         is_doubtful: false,
       }),
+      numbering,
       single_steps: 0,
       skip: None,
       start: last_id.map_or(Start::Passed, Start::NamedByCaller),
-      version_steps,
       without_id: 0,
     }
   }
@@ -156,7 +159,7 @@
   }
 
   /// Whether ids were skipped in the stream, or some were no numbers; `None` while too few events have come.
-  pub(super) fn has_skipped_ids(&self) -> Option<bool> {
+  fn has_skipped_ids(&self) -> Option<bool> {
     let has_skipped = self.has_larger_steps || self.has_unreadable_ids || self.skip.is_some();
     (has_skipped || self.single_steps >= MIN_SINGLE_STEPS).then_some(has_skipped)
   }
@@ -214,7 +217,7 @@
       return Err(Misplaced::RenamedId { after });
     }
     if let Some(last) = self.last.filter(|last| !last.is_doubtful)
-      && self.version_steps != IdSteps::Any
+      && self.numbering.steps != IdSteps::Any
       && event.has_unreadable_id()
     {
       // A service whose streams all do so is known by it before long.
@@ -225,10 +228,21 @@
     Ok(EventPlace::Next)
   }
 
+  /// What the stream has shown of how its version numbers events.
+  pub(super) fn shown(&self) -> StreamIds {
+    StreamIds {
+      began_lowest: self.first_id.map(|id| id <= HIGHEST_FIRST_ID),
+      has_skipped: self.has_skipped_ids(),
+    }
+  }
+
   /// Checks the first event of a stream.
   fn check_first(&mut self, id: u64) -> Result<(), Misplaced> {
-    let may_hide = self.follows_noise || self.counts_without_id(id);
-    if may_hide && HIDING_FIRST_IDS.contains(&id) && self.version_steps != IdSteps::Any {
+    self.first_id.get_or_insert(id);
+    let others_begin_lower =
+      self.numbering.begins_lowest && self.skip != Some(Skip { after: 0, id });
+    let may_hide = self.follows_noise || self.counts_without_id(id) || others_begin_lower;
+    if may_hide && HIDING_FIRST_IDS.contains(&id) && self.numbering.steps != IdSteps::Any {
       // A service whose streams all begin like this is known by it before long.
       self.skip = Some(Skip { after: 0, id });
       return Err(Misplaced::Gap { after: 0, id });
@@ -261,13 +275,13 @@
 
   /// Whether a step to an id counts the events without an id before it: they have lost theirs.
   fn counts_without_id(&self, step: u64) -> bool {
-    let may_count = self.version_steps != IdSteps::Any && !self.has_larger_steps;
+    let may_count = self.numbering.steps != IdSteps::Any && !self.has_larger_steps;
     may_count && self.without_id > 0 && step == self.without_id + 1
   }
 
   /// Whether ids count events, as far as they show.
   fn counts_events(&self) -> bool {
-    let is_single = match self.version_steps {
+    let is_single = match self.numbering.steps {
       IdSteps::Any => false,
       IdSteps::Single => true,
       IdSteps::Unknown => self.follows_noise || self.single_steps >= MIN_SINGLE_STEPS,
--- a/src/gateway/requests/event_relay.rs
+++ b/src/gateway/requests/event_relay.rs
@@ -13,7 +13,7 @@
     takeover::{Race, Takeover, configurations},
   },
   crate::gateway::{
-    decisions::{AnswerEnd, AttemptOutcome, IdSteps, UnreadTime},
+    decisions::{AnswerEnd, AttemptOutcome, Numbering, UnreadTime},
     edge::{EndpointEntry, SoftwareVersion},
     quarantine::{is_past_beginning, record_lost_stage, record_sound_segments, record_success},
     resumption::record_stream,
@@ -105,7 +105,7 @@
     let listed_version = head.entry.version.clone();
     // Another stream begins anew, whatever its caller names.
     let continues_after = stream.last_event_id.filter(|_| stream.may_retry());
-    let order = EventOrder::new(continues_after, id_steps(&stream.gateway, &head.entry));
+    let order = EventOrder::new(continues_after, numbering(&stream.gateway, &head.entry));
     Self {
       answering_since_ms: None,
       end_check: EndCheck::default(),
@@ -583,15 +583,13 @@
     (!blank_lines.is_empty()).then_some(Ok(blank_lines))
   }
 
-  /// Records how the ids of the stream's events rose.
+  /// Records how the stream's events were numbered.
   fn record_id_steps(&self) {
     let StreamRequest {
       gateway, request, ..
     } = &self.stream;
-    if let Some(has_skipped) = self.order.has_skipped_ids() {
-      let mut steps = gateway.id_steps.borrow_mut();
-      steps.record(&request.service, &self.listed_version, has_skipped);
-    }
+    let mut steps = gateway.id_steps.borrow_mut();
+    steps.record(&request.service, &self.listed_version, self.order.shown());
   }
 
   /// Resumes the stream at another engine, after the last complete event.
@@ -678,8 +676,8 @@
   }
 }
 
-/// How the ids of an endpoint's events rise, as far as streams of its version have shown.
-fn id_steps(gateway: &Gateway, entry: &EndpointEntry) -> IdSteps {
+/// How an endpoint's events are numbered, as far as streams of its version have shown.
+fn numbering(gateway: &Gateway, entry: &EndpointEntry) -> Numbering {
   let steps = gateway.id_steps.borrow();
   steps.of(&entry.service, &entry.version)
 }
