--- a/src/gateway/requests/event_order.rs
+++ b/src/gateway/requests/event_order.rs
@@ -2,7 +2,7 @@
 
 use {
   super::event_splitter::SseEvent,
-  crate::gateway::decisions::IdSteps,
+  crate::gateway::decisions::{IdSteps, Numbering, StreamIds},
   std::{
     hash::{DefaultHasher, Hash, Hasher},
     ops::RangeInclusive,
@@ -11,7 +11,9 @@
 
 /// The ids of a first event behind bytes that may stand in the place of others. Ids that count events begin with 0 or 1; higher ones
 /// begin elsewhere.
-const HIDING_FIRST_IDS: RangeInclusive<u64> = 2..=16;
+const HIDING_FIRST_IDS: RangeInclusive<u64> = HIGHEST_FIRST_ID + 1..=16;
+/// The highest id with which ids that count events begin.
+const HIGHEST_FIRST_ID: u64 = 1;
 /// Steps of one between ids after which a larger one means that events are missing.
 const MIN_SINGLE_STEPS: u32 = 2;
 
@@ -43,6 +45,21 @@
     /// The event.
     id: u64,
   },
+  /// The field of its id has another name.
+  #[error("event whose id has another name, after event {after}")]
+  RenamedId {
+    /// The last event that was forwarded.
+    after: u64,
+  },
+  /// All events of other streams have one.
+  #[error("event without an id, which all events of other streams have")]
+  LacksId,
+  /// Its id is no number, where others count events.
+  #[error("event whose id is no number, after event {after}")]
+  UnreadableId {
+    /// The last event that was forwarded.
+    after: u64,
+  },
   /// Nothing tells whether the caller has it already.
   #[error("event without an id in a stream that goes on after event {after}")]
   WithoutId {
@@ -66,6 +83,8 @@
 #[derive(Clone, Copy, Debug)]
 struct LastEvent {
   id: u64,
+  /// Whether nothing but the event itself told its id: it did not follow the one before by one, or begin the stream.
+  is_doubtful: bool,
   /// Of its bytes; `None` for one that the caller names.
   hash: Option<u64>,
 }
@@ -82,38 +101,55 @@
 pub(super) struct EventOrder {
   last: Option<LastEvent>,
   start: Start,
-  /// How ids rise in other streams of the version.
-  version_steps: IdSteps,
+  /// How events are numbered in other streams of the version.
+  numbering: Numbering,
+  /// The first id that an answer brought which begins the stream.
+  first_id: Option<u64>,
   /// Ids that were one more than the one before.
   single_steps: u32,
   /// Whether an id was more than one more than the one before: ids do not count events.
   has_larger_steps: bool,
   /// The last step within an answer that was taken for missing events. Another run that takes it too shows that none are missing.
   skip: Option<Skip>,
-  /// Whether an event without an id was forwarded after the last id.
-  ends_without_id: bool,
+  /// Whether an answer has brought an event without an id.
+  has_events_without_id: bool,
+  /// Events without an id that were forwarded after the last id.
+  without_id: u64,
   /// Whether the current answer has brought bytes that are no event since its last event: they may stand in the place of one.
   follows_noise: bool,
+  /// Whether an event's id was no number although others are.
+  has_unreadable_ids: bool,
+  /// Whether the last event's id was too high: the next event of the same answer has a lower one.
+  is_last_contradicted: bool,
 }
 
 impl EventOrder {
   /// The order of a stream that goes on after an event which the caller names, if any.
-  pub(super) fn new(last_id: Option<u64>, version_steps: IdSteps) -> Self {
+  pub(super) fn new(last_id: Option<u64>, numbering: Numbering) -> Self {
     Self {
-      ends_without_id: false,
+      first_id: None,
       follows_noise: false,
+      has_events_without_id: false,
       has_larger_steps: false,
-      last: last_id.map(|id| LastEvent { hash: None, id }),
+      has_unreadable_ids: false,
+      is_last_contradicted: false,
+      last: last_id.map(|id| LastEvent {
+        hash: None,
+        id,
+        is_doubtful: false,
+      }),
+      numbering,
       single_steps: 0,
       skip: None,
       start: last_id.map_or(Start::Passed, Start::NamedByCaller),
-      version_steps,
+      without_id: 0,
     }
   }
 
-  /// Whether another engine can go on with the stream: no event was forwarded that it would repeat.
+  /// Whether another engine can go on with the stream: no event was forwarded that it would repeat, and the last one's id is sure, so
+  /// that it leaves out none.
   pub(super) fn may_go_on(&self) -> bool {
-    !self.ends_without_id
+    self.without_id == 0 && !self.is_last_contradicted
   }
 
   /// Another engine goes on with the stream.
@@ -128,9 +164,9 @@
     self.follows_noise = true;
   }
 
-  /// Whether ids were skipped in the stream; `None` while too few events have come.
-  pub(super) fn has_skipped_ids(&self) -> Option<bool> {
-    let has_skipped = self.has_larger_steps || self.skip.is_some();
+  /// Whether ids were skipped in the stream, or some were no numbers; `None` while too few events have come.
+  fn has_skipped_ids(&self) -> Option<bool> {
+    let has_skipped = self.has_larger_steps || self.has_unreadable_ids || self.skip.is_some();
     (has_skipped || self.single_steps >= MIN_SINGLE_STEPS).then_some(has_skipped)
   }
 
@@ -150,23 +186,26 @@
       Some(last) => self.check_step(Skip { after: last.id, id })?,
       None => self.check_first(id)?,
     }
-    self.ends_without_id = false;
+    self.without_id = 0;
     self.follows_noise = false;
+    let follows = |last: LastEvent| id == last.id + 1;
     self.last = Some(LastEvent {
       hash: Some(hash),
       id,
+      is_doubtful: !self.last.map_or(id <= HIGHEST_FIRST_ID, follows),
     });
     self.start = Start::Passed;
     Ok(EventPlace::Next)
   }
 
   /// Places an event that does not come after the last one.
-  fn place_again(&self, id: u64, hash: u64, last: LastEvent) -> Result<EventPlace, Misplaced> {
+  fn place_again(&mut self, id: u64, hash: u64, last: LastEvent) -> Result<EventPlace, Misplaced> {
     let is_before_start = self.start != Start::Passed;
-    let is_last_again = id == last.id && last.hash == Some(hash) && !self.ends_without_id;
+    let is_last_again = id == last.id && last.hash == Some(hash) && self.without_id == 0;
     if is_before_start || is_last_again {
       return Ok(EventPlace::Repeated);
     }
+    self.is_last_contradicted |= last.is_doubtful;
     let after = last.id;
     Err(Misplaced::GoesBack { after, id })
   }
@@ -175,16 +214,46 @@
     if !event.has_data() {
       return Ok(EventPlace::Next);
     }
+    self.has_events_without_id = true;
     if let Start::AfterInterruption(after) = self.start {
       return Err(Misplaced::WithoutId { after });
     }
-    self.ends_without_id = true;
+    if self.numbering.is_complete {
+      return Err(Misplaced::LacksId);
+    }
+    if let Some(LastEvent { id: after, .. }) = self.last
+      && event.has_ignored_number(after.saturating_add(1))
+    {
+      return Err(Misplaced::RenamedId { after });
+    }
+    if let Some(last) = self.last.filter(|last| !last.is_doubtful)
+      && self.numbering.steps != IdSteps::Any
+      && event.has_unreadable_id()
+    {
+      // A service whose streams all do so is known by it before long.
+      self.has_unreadable_ids = true;
+      return Err(Misplaced::UnreadableId { after: last.id });
+    }
+    self.without_id += 1;
     Ok(EventPlace::Next)
   }
 
+  /// What the stream has shown of how its version numbers events.
+  pub(super) fn shown(&self) -> StreamIds {
+    StreamIds {
+      began_lowest: self.first_id.map(|id| id <= HIGHEST_FIRST_ID),
+      has_skipped: self.has_skipped_ids(),
+      was_complete: self.last.map(|_| !self.has_events_without_id),
+    }
+  }
+
   /// Checks the first event of a stream.
   fn check_first(&mut self, id: u64) -> Result<(), Misplaced> {
-    if self.follows_noise && HIDING_FIRST_IDS.contains(&id) && self.version_steps != IdSteps::Any {
+    self.first_id.get_or_insert(id);
+    let others_begin_lower =
+      self.numbering.begins_lowest && self.skip != Some(Skip { after: 0, id });
+    let may_hide = self.follows_noise || self.counts_without_id(id) || others_begin_lower;
+    if may_hide && HIDING_FIRST_IDS.contains(&id) && self.numbering.steps != IdSteps::Any {
       // A service whose streams all begin like this is known by it before long.
       self.skip = Some(Skip { after: 0, id });
       return Err(Misplaced::Gap { after: 0, id });
@@ -204,7 +273,8 @@
       self.single_steps = self.single_steps.saturating_add(1);
       return Ok(());
     }
-    if self.counts_events() && self.skip != Some(step) {
+    let is_missing = self.counts_events() || self.counts_without_id(id - after);
+    if is_missing && self.skip != Some(step) {
       if self.start == Start::Passed {
         self.skip = Some(step);
       }
@@ -214,9 +284,15 @@
     Ok(())
   }
 
+  /// Whether a step to an id counts the events without an id before it: they have lost theirs.
+  fn counts_without_id(&self, step: u64) -> bool {
+    let may_count = self.numbering.steps != IdSteps::Any && !self.has_larger_steps;
+    may_count && self.without_id > 0 && step == self.without_id + 1
+  }
+
   /// Whether ids count events, as far as they show.
   fn counts_events(&self) -> bool {
-    let is_single = match self.version_steps {
+    let is_single = match self.numbering.steps {
       IdSteps::Any => false,
       IdSteps::Single => true,
       IdSteps::Unknown => self.follows_noise || self.single_steps >= MIN_SINGLE_STEPS,
