Replay: no file of its servers imports another in a loop

Dispatch of requests and an engine's background tasks become files of their own; the ports of links stand beside the hosts. architecture::files_of_a_folder_import_each_other_in_no_loop found both loops.

--- a/replay/src/host.rs
+++ b/replay/src/host.rs
@@ -2,6 +2,9 @@
 
 use std::net::Ipv4Addr;
 
+/// First port of the links between boxes, on the host of each box.
+pub(crate) const BOX_LINK_PORTS: u16 = 20_000;
+
 /// Last octet of the servers' host; no box has it.
 const SERVER_OCTET: u8 = 250;
 
--- a/replay/src/server.rs
+++ b/replay/src/server.rs
@@ -8,9 +8,11 @@
 mod class_lookup;
 mod condition_cell;
 mod connection;
+mod dispatch;
 mod draw;
 mod engine;
 mod engine_calls;
+mod engine_tasks;
 mod event_writer;
 mod exchange;
 mod exports;
@@ -31,7 +33,7 @@
 };
 
 use {
-  self::{connection::serve, engine::keep_reports, server_state::ServerState},
+  self::{connection::serve, engine_tasks::keep_reports, server_state::ServerState},
   serde_json::{Value, json},
   std::sync::Arc,
   tokio::{
--- a/replay/src/server/engine.rs
+++ b/replay/src/server/engine.rs
@@ -3,26 +3,22 @@
 use {
   super::{
     super::site::EngineModel,
-    admission::Usage,
     batch::Batch,
     draw::real,
     prompt_cache::{PromptCache, PromptPart},
     server_spec::Stage,
-    server_state::ServerState,
   },
-  serde_json::{Value, json},
+  serde_json::Value,
   std::{
     collections::VecDeque,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Mutex, MutexGuard, PoisonError},
     time::Instant,
   },
-  tokio::time::{Duration, sleep, sleep_until},
+  tokio::time::{Duration, sleep_until},
 };
 
 /// Interval of the reports that are kept.
-const REPORT_INTERVAL: Duration = Duration::from_millis(50);
-/// Interval of the checks whether all runs have come to their end.
-const SWITCH_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+pub(super) const REPORT_INTERVAL: Duration = Duration::from_millis(50);
 /// Longest wait for the link of an engine.
 const MAX_MOVE_WAIT: Duration = Duration::from_secs(2);
 
@@ -151,7 +147,7 @@
     Some(report.clone())
   }
 
-  fn keep_report(&self, report: Value) {
+  pub(super) fn keep_report(&self, report: Value) {
     let mut reports = lock(&self.reports);
     let now = Instant::now();
     let kept = Duration::from_secs_f64(self.model.report_lag_ms / 1e3) + REPORT_INTERVAL * 2;
@@ -164,7 +160,7 @@
     reports.push_back((now, report));
   }
 
-  fn end_switch(&self) {
+  pub(super) fn end_switch(&self) {
     let mut state = lock(&self.stage);
     if let Some(next) = state.next.take() {
       state.stage = next;
@@ -172,51 +168,6 @@
   }
 }
 
-/// Keeps the reports of an engine for a while.
-pub(super) async fn keep_reports(server: Arc<ServerState>) {
-  while let Some(engine) = &server.engine {
-    let report = current_report(&server, engine);
-    engine.keep_report(report);
-    sleep(REPORT_INTERVAL).await;
-  }
-}
-
-/// Changes the stage of an engine, once all that runs has come to its end.
-pub(super) async fn switch_stage(server: Arc<ServerState>) {
-  let Some(engine) = &server.engine else {
-    return;
-  };
-  while server.admission.usage().running > 0 {
-    sleep(SWITCH_CHECK_INTERVAL).await;
-  }
-  sleep(Duration::from_secs_f64(engine.model.switch_s)).await;
-  engine.end_switch();
-}
-
-fn current_report(server: &ServerState, engine: &Engine) -> Value {
-  let Usage {
-    held,
-    queued,
-    running,
-    tokens,
-  } = server.admission.usage();
-  let mut report = json!({
-    "stage": engine.stage().name(),
-    "models": [{"name": "m", "version": 1, "adapters": []}],
-    "utilization": engine.is_switching(),
-    "callSeq": engine.orders(),
-    "queued": queued,
-    "inFlight": running,
-    "kvUsed": tokens,
-    "kvTotal": engine.model.kv_tokens,
-    "handles": server.world.exports.count(server.spec.address.port()),
-    "pinned": 0,
-    "held": held,
-  });
-  server.name_start(&mut report);
-  report
-}
-
 /// Adds a duration to what is under way, and returns when it ends.
 fn extend(until: &Mutex<Instant>, duration: Duration) -> Instant {
   let mut until = lock(until);
--- a/replay/src/server/engine_calls.rs
+++ b/replay/src/server/engine_calls.rs
@@ -3,7 +3,8 @@
 use {
   super::{
     answer::Answer,
-    engine::{Engine, StageOrder, switch_stage},
+    engine::{Engine, StageOrder},
+    engine_tasks::switch_stage,
     request::Request,
     server_spec::Stage,
     server_state::ServerState,
--- a/replay/src/server/exchange.rs
+++ b/replay/src/server/exchange.rs
@@ -10,12 +10,9 @@
     condition_cell::GreyKind,
     draw::sample,
     engine::Engine,
-    engine_calls::answer_call,
     exports::Export,
     request::Request,
-    server_spec::Stage,
     server_state::ServerState,
-    stream_run::run_stream,
   },
   rand::RngExt,
   rand_chacha::ChaCha8Rng,
@@ -25,7 +22,7 @@
 };
 
 /// Path of the health checks.
-const HEALTH_PATH: &str = "/health";
+pub(super) const HEALTH_PATH: &str = "/health";
 /// Time of the work on a request of an unknown kind.
 const DEFAULT_WORK_MS: f64 = 5.0;
 /// Body of an answer to a request of an unknown kind.
@@ -82,43 +79,6 @@
 }
 
 impl Exchange<'_> {
-  /// Answers the request. Fails if the connection is broken.
-  pub(super) async fn run(mut self) -> io::Result<Sent> {
-    let Self {
-      request, server, ..
-    } = self;
-    let expected = request.header("x-expect-instance");
-    if expected.is_some_and(|expected| expected != &*server.spec.id) {
-      let answer = server.not_run(421, request, &mut self.random);
-      let answer = answer.with("X-Instance-Id", server.spec.id.as_ref());
-      return self.send(answer, false).await;
-    }
-    if request.path() == HEALTH_PATH && request.method == "GET" {
-      return self.answer_health().await;
-    }
-    if let Some(engine) = &server.engine
-      && let Some(answer) = answer_call(server, engine, request, &mut self.random).await
-    {
-      return self.send(answer, false).await;
-    }
-    if request.id().is_empty() {
-      return self.refuse(400).await;
-    }
-    self.slowness = server.conditions.work_factor();
-    if let Some(grey) = server.conditions.draw_grey(&mut self.random) {
-      match grey {
-        GreyKind::Slow(factor) => self.slowness *= factor,
-        _ => return self.fail(grey).await,
-      }
-    }
-    let class = server.world.classes.find(request.host(), request.path());
-    let class = class.as_deref();
-    match &server.engine {
-      None => self.run_plain(class).await,
-      Some(engine) => self.run_engine(engine, class).await,
-    }
-  }
-
   /// Answers that the request was not run.
   pub(super) async fn refuse(mut self, status: u16) -> io::Result<Sent> {
     let answer = self.server.not_run(status, self.request, &mut self.random);
@@ -202,7 +162,7 @@
     }
   }
 
-  async fn answer_health(mut self) -> io::Result<Sent> {
+  pub(super) async fn answer_health(mut self) -> io::Result<Sent> {
     let Ok(_admitted) = self.admit(0).await else {
       return self.refuse(503).await;
     };
@@ -214,7 +174,7 @@
     Ok(sent)
   }
 
-  async fn fail(mut self, grey: GreyKind) -> io::Result<Sent> {
+  pub(super) async fn fail(mut self, grey: GreyKind) -> io::Result<Sent> {
     sleep(FAILURE_DELAY).await;
     match grey {
       GreyKind::Shed => self.refuse(503).await,
@@ -239,7 +199,7 @@
     }
   }
 
-  async fn run_plain(mut self, class: Option<&RequestClass>) -> io::Result<Sent> {
+  pub(super) async fn run_plain(mut self, class: Option<&RequestClass>) -> io::Result<Sent> {
     let Ok(_admitted) = self.admit(0).await else {
       return self.refuse(503).await;
     };
@@ -262,24 +222,8 @@
     self.send(answer, true).await
   }
 
-  async fn run_engine(self, engine: &Engine, class: Option<&RequestClass>) -> io::Result<Sent> {
-    let is_prefill = self.request.header("x-serving-stage") == Some("prefill");
-    let version: Option<u64> = self.request.parsed("x-expect-version");
-    if version.is_some_and(|version| version != 1) {
-      return self.refuse(421).await;
-    }
-    if engine.is_switching() {
-      return self.refuse(503).await;
-    }
-    match (is_prefill, engine.stage()) {
-      (true, Stage::Prefill) => self.read_prompt(engine).await,
-      (false, Stage::Decode) => run_stream(self, engine, class).await,
-      _ => self.refuse(421).await,
-    }
-  }
-
   /// Reads the prompt and keeps it for another engine.
-  async fn read_prompt(mut self, engine: &Engine) -> io::Result<Sent> {
+  pub(super) async fn read_prompt(mut self, engine: &Engine) -> io::Result<Sent> {
     let prompt = self.request.prompt();
     let tokens = self.prompt_tokens();
     let Ok(_admitted) = self.admit(tokens).await else {
--- a/replay/src/store_view.rs
+++ b/replay/src/store_view.rs
@@ -1,7 +1,7 @@
 //! The store as a box sees it: servers and other boxes are at the addresses of its own links to them.
 
 use {
-  super::{host::box_host, world::BOX_LINK_PORTS},
+  super::host::{BOX_LINK_PORTS, box_host},
   std::net::{IpAddr, Ipv4Addr, SocketAddr},
 };
 
--- a/replay/src/world.rs
+++ b/replay/src/world.rs
@@ -7,7 +7,7 @@
     box_settings::BoxPlace,
     box_stores::BoxStores,
     error::{Error, Result},
-    host::{box_host, server_host},
+    host::{BOX_LINK_PORTS, box_host, server_host},
     operator::Operator,
     recorder::Recorder,
     server::{Server, ServerSpec, ServerWorld, Stage, StartNaming},
@@ -33,8 +33,6 @@
   },
 };
 
-/// First port of the links between boxes, on the host of each box.
-pub(crate) const BOX_LINK_PORTS: u16 = 20_000;
 /// Versions of the software of servers, and of those that a release brings.
 const VERSIONS: [&str; 2] = ["v1", "v2"];
 /// Check-ins of silence after which the entry of a server goes.
