--- a/replay/src/subcommand.rs
+++ b/replay/src/subcommand.rs
@@ -9,7 +9,7 @@
     site::{Day, Site},
   },
   bpaf::{Parser, construct, long},
-  std::{path::PathBuf, process::ExitCode},
+  std::{collections::BTreeSet, path::PathBuf, process::ExitCode},
 };
 
 /// What the command line asks for.
@@ -103,8 +103,7 @@
 async fn play_day(arguments: &Arguments) -> Result<bool> {
   let site = Site::read(&arguments.site)?;
   let day = day(arguments, &site)?;
-  let kinds = unplayable_kinds(&day);
-  println!("not played: {}", Vec::from_iter(kinds).join(", "));
+  println!("{}", kinds_line(&day));
   let temporary = tempfile::tempdir().map_err(|source| Error::File {
     path: std::env::temp_dir(),
     source,
@@ -133,6 +132,15 @@
   Ok(report.is_clean())
 }
 
+/// The kinds of a day's impairments, and those of them that are not played.
+fn kinds_line(day: &Day) -> String {
+  let impairments = day.plan.iter().chain(&day.faults);
+  let kinds: BTreeSet<&str> = impairments.map(|impairment| &*impairment.kind).collect();
+  let unplayable = Vec::from_iter(unplayable_kinds(day)).join(", ");
+  let kinds = Vec::from_iter(kinds).join(", ");
+  format!("day {}: {kinds}; not played: {unplayable}", day.name)
+}
+
 /// The day that the arguments name.
 fn day(arguments: &Arguments, site: &Site) -> Result<Day> {
   let fail = |reason: String| Error::Site {
