Reports of replays name the faults in force

The timeline had the number, kind and variant of a fault before "begins"; the report looks for "fault N begins KIND", so every finding of a real play would have said that no fault was in force.

--- a/replay/src/injector.rs
+++ b/replay/src/injector.rs
@@ -44,12 +44,12 @@
     let Ok(kind) = impairment.kind.parse() else {
       return Ok(());
     };
-    let name = format!("{number} {} {}", impairment.kind, impairment.how);
+    let name = format!("{} {}", impairment.kind, impairment.how);
     let recorder = &self.world.recorder;
-    recorder.note(format!("fault {name} begins"));
+    recorder.note(format!("fault {number} begins {}", name.trim_end()));
     let selection = Selection::new(self.seed, number);
     let result = self.carry_out(kind, &impairment, selection, number).await;
-    recorder.note(format!("fault {name} ends"));
+    recorder.note(format!("fault {number} ends {}", name.trim_end()));
     result
   }
 
@@ -591,7 +591,7 @@
   /// What strikes at the end of a day: a configuration is written, and all boxes are killed or lose power.
   pub(crate) async fn close(&self, closing: &Closing) -> Result {
     let recorder = &self.world.recorder;
-    recorder.note(format!("fault closing {} begins", closing.kind));
+    recorder.note(format!("fault closing begins {}", closing.kind));
     self.world.operator.change("timeout");
     sleep(Duration::from_secs_f64(SHORT_S)).await;
     let is_dark = &*closing.kind != "kill_all";
@@ -607,7 +607,7 @@
         }
       });
     let result = join_all(kills).await.into_iter().collect();
-    recorder.note(format!("fault closing {} ends", closing.kind));
+    recorder.note(format!("fault closing ends {}", closing.kind));
     result
   }
 }
