--- a/tests/replay_servers.rs
+++ b/tests/replay_servers.rs
@@ -371,7 +371,7 @@
     read_until(&mut stream, &mut bytes, &format!("id: {}\n", seed + 1)).await;
     rig.server.kill();
     let made = rig.made(0);
-    while let None = read_some(&mut stream, &mut bytes).await {}
+    while read_some(&mut stream, &mut bytes).await.is_none() {}
     sleep(Duration::from_millis(20)).await;
     assert_eq!(rig.made(0), made, "events made after the kill");
     let data = match garble {
