--- a/justfile
+++ b/justfile
@@ -24,6 +24,11 @@
   cargo build --release --locked -p rillford -p soak
   target/release/soak --seed {{seed}} --count {{count}}
 
+# replay a day of a site file with real boxes: `just replay tests/data/two_halls.toml eventful`
+replay site day *options:
+  cargo build --release --locked -p rillford -p replay
+  target/release/replay --site {{site}} --day {{day}} {{options}}
+
 # score a site on the users' bench: `just score BENCH SITE "why"`
 score bench site why:
   {{bench}} score {{site}} --why "{{why}}"
