--- a/soak/src/endpoint.rs
+++ b/soak/src/endpoint.rs
@@ -277,7 +277,8 @@
       Call::Reservation | Call::Report | Call::Prefill | Call::Plain => 2,
     };
     // Of a single part, nothing can be left out.
-    (parts > 1).then(|| DrawnGarble::draw(id, parts, call, framing, &mut random))
+    let ends = self.draws.early_ends;
+    (parts > 1).then(|| DrawnGarble::draw(id, parts, call, framing, ends, &mut random))
   }
 
   /// What is sent besides a response.
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -93,6 +93,7 @@
       boxes: Vec::new(),
       exports: Exports::default(),
       response_draws: ResponseDraws {
+        early_ends: options.early_ends,
         framings: options.framings,
         seed: options.seed,
       },
--- a/soak/src/garble.rs
+++ b/soak/src/garble.rs
@@ -1,7 +1,9 @@
 //! What a faulty endpoint does to its answers.
 
 use {
-  super::{endpoint_kind::EndpointKind, engine_call::EngineCall, framing::Framing},
+  super::{
+    early_ends::EarlyEnds, endpoint_kind::EndpointKind, engine_call::EngineCall, framing::Framing,
+  },
   http::request::Parts,
   rand::RngExt,
   rand_chacha::ChaCha8Rng,
@@ -16,6 +18,8 @@
 pub enum Garble {
   /// Ends it in order before its last part.
   CutOff,
+  /// Ends it in order within a part.
+  CutWithin,
   /// Sends noise in place of the answer.
   NoiseInstead,
   /// Sends noise before the answer.
@@ -38,8 +42,9 @@
 
 impl Garble {
   /// All kinds.
-  pub const ALL: [Self; 10] = [
+  pub const ALL: [Self; 11] = [
     Self::CutOff,
+    Self::CutWithin,
     Self::NoiseInstead,
     Self::NoiseBefore,
     Self::NoiseWithin,
@@ -111,7 +116,7 @@
 
 impl GarbledAnswer {
   /// Draws what becomes of an answer.
-  pub(crate) fn draw(call: Call, framing: Framing, random: &mut ChaCha8Rng) -> Self {
+  pub fn draw(call: Call, framing: Framing, ends: EarlyEnds, random: &mut ChaCha8Rng) -> Self {
     // An engine does not know the length of a stream when it sends the head.
     let framing = match (call, framing) {
       (Call::Stream, Framing::Length) => Framing::Chunks,
@@ -122,8 +127,18 @@
       framing,
       garble,
     });
-    let playable: Vec<Self> = answers.into_iter().filter(|it| it.is_playable()).collect();
-    playable[random.random_range(0..playable.len())]
+    let is_drawn = |it: &Self| it.is_playable() && it.is_of(ends);
+    let drawn: Vec<Self> = answers.into_iter().filter(is_drawn).collect();
+    drawn[random.random_range(0..drawn.len())]
+  }
+
+  /// Whether such an answer is drawn where engines that run on end streams early as given.
+  fn is_of(self, ends: EarlyEnds) -> bool {
+    match self.garble {
+      Garble::CutOff if self.is_stream_without_framing() => ends == EarlyEnds::BetweenEvents,
+      Garble::CutWithin => ends == EarlyEnds::WithinEvents,
+      _ => true,
+    }
   }
 
   /// Whether there is such an answer, and a rule for what a caller may get of it.
@@ -133,6 +148,8 @@
       Garble::EventTwice | Garble::EventLeftOut => {
         self.call == Call::Stream && self.framing != Framing::Length
       }
+      // In the other framings, the end of the connection shows the cut, wherever it is.
+      Garble::CutWithin => self.is_stream_without_framing(),
       // In the other framings, this is the same as noise outside of the framing.
       Garble::NoiseInBody => self.framing == Framing::Chunks && self.call != Call::Plain,
       Garble::NoiseWithin => {
@@ -151,6 +168,10 @@
     self.call == Call::Stream && self.framing == Framing::Length
   }
 
+  fn is_stream_without_framing(self) -> bool {
+    self.call == Call::Stream && self.framing == Framing::ConnectionEnd
+  }
+
   /// Whether anyone can tell such an answer to a caller's request from a sound one.
   pub fn can_be_told(self, may_resume: bool) -> bool {
     let ends_as_usual = self.framing == Framing::ConnectionEnd && self.garble == Garble::CutOff;
--- a/soak/src/garbled_body.rs
+++ b/soak/src/garbled_body.rs
@@ -3,6 +3,7 @@
 use {
   super::{
     connection::Connection,
+    early_ends::EarlyEnds,
     framing::Framing,
     garble::{Call, Garble, GarbledAnswer},
     recorder::Recorder,
@@ -44,10 +45,11 @@
     parts: u64,
     call: Call,
     framing: Framing,
+    ends: EarlyEnds,
     random: &mut ChaCha8Rng,
   ) -> Self {
     let after_parts = random.random_range(1..parts);
-    let answer = GarbledAnswer::draw(call, framing, random);
+    let answer = GarbledAnswer::draw(call, framing, ends, random);
     let after_parts = match answer.garble {
       // Without its last event, a stream would be cut off.
       Garble::EventLeftOut => after_parts.min(parts - 2),
@@ -164,6 +166,7 @@
       self.state = State::Garbled;
       match self.answer.garble {
         Garble::CutOff => return self.cut_off().await,
+        Garble::CutWithin => return self.cut_within().await,
         Garble::EventTwice => return Some(Ok(self.last.clone())),
         Garble::EventLeftOut => {
           self.take_part().await;
@@ -204,6 +207,13 @@
     Some(Err(io::Error::other("cut off")))
   }
 
+  /// The first half of the next part, with which the answer ends.
+  async fn cut_within(&mut self) -> Option<io::Result<Bytes>> {
+    let part = self.take_part().await?;
+    self.state = State::Over;
+    Some(part.map(|part| part.slice(..part.len() / 2)))
+  }
+
   /// The next event of a stream, or half of another body.
   async fn take_part(&mut self) -> Option<io::Result<Bytes>> {
     while self.parts.is_empty() {
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -18,6 +18,7 @@
 mod differences;
 mod disturbance;
 mod draw;
+mod early_ends;
 mod endpoint;
 mod endpoint_kind;
 mod endpoint_state;
@@ -77,6 +78,7 @@
   differences::{Difference, differences},
   disturbance::{Disturbance, Target},
   draw::{ScheduledFault, Size},
+  early_ends::EarlyEnds,
   endpoint_kind::EndpointKind,
   error::{Error, Result},
   fault::{
--- a/soak/src/options.rs
+++ b/soak/src/options.rs
@@ -1,7 +1,9 @@
 //! The options of a run.
 
 use {
-  super::{draw::Size, framing::Framings, plan::FaultSelection, profile::Profile},
+  super::{
+    draw::Size, early_ends::EarlyEnds, framing::Framings, plan::FaultSelection, profile::Profile,
+  },
   std::path::PathBuf,
 };
 
@@ -22,6 +24,8 @@
   pub faults: FaultSelection,
   /// How the ends of endpoints' responses are marked.
   pub framings: Framings,
+  /// Where engines that run on end streams early.
+  pub early_ends: EarlyEnds,
   /// Directory of the settings files and logs.
   pub directory: PathBuf,
 }
--- a/soak/src/response_draws.rs
+++ b/soak/src/response_draws.rs
@@ -1,7 +1,7 @@
 //! What is drawn for each response of an endpoint, apart from the faults of the plan.
 
 use {
-  super::framing::Framings,
+  super::{early_ends::EarlyEnds, framing::Framings},
   rand::SeedableRng,
   rand_chacha::ChaCha8Rng,
   std::hash::{DefaultHasher, Hash, Hasher},
@@ -13,6 +13,7 @@
 /// Draws of a run, which depend on its seed and on the request alone.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ResponseDraws {
+  pub(crate) early_ends: EarlyEnds,
   pub(crate) framings: Framings,
   pub(crate) seed: u64,
 }
--- a/soak/src/running_endpoint.rs
+++ b/soak/src/running_endpoint.rs
@@ -4,6 +4,7 @@
   super::{
     box_process::box_index,
     connection::{Connection, EndpointSocket},
+    early_ends::EarlyEnds,
     endpoint::{BOX_HEADER, Endpoint, Identity},
     endpoint_kind::EndpointKind,
     exports::Exports,
@@ -90,6 +91,7 @@
     version: "v1",
   };
   let draws = ResponseDraws {
+    early_ends: EarlyEnds::WithinEvents,
     framings: Framings::Usual,
     seed: 0,
   };
--- a/soak/src/subcommand.rs
+++ b/soak/src/subcommand.rs
@@ -3,6 +3,7 @@
 use {
   super::{
     day::Day,
+    early_ends::EarlyEnds,
     framing::Framings,
     options::Options,
     plan::FaultSelection,
@@ -47,6 +48,8 @@
   faults: FaultSelection,
   #[bpaf(external(framings))]
   framings: Framings,
+  #[bpaf(external(early_ends))]
+  early_ends: EarlyEnds,
   /// Directory for each seed's settings and logs
   #[bpaf(argument("DIRECTORY"), fallback(PathBuf::from("target/soak")))]
   keep: PathBuf,
@@ -106,6 +109,14 @@
     .fallback(Framings::Mixed)
 }
 
+/// Parses where engines that run on end streams early.
+fn early_ends() -> impl Parser<EarlyEnds> {
+  long("living-ends")
+    .help("Have engines that run on end streams without framing between two events, too, which nothing tells from whole streams")
+    .req_flag(EarlyEnds::BetweenEvents)
+    .fallback(EarlyEnds::WithinEvents)
+}
+
 /// Parses the selection of faults.
 fn fault_selection() -> impl Parser<FaultSelection> {
   let crashes = long("only-crashes")
@@ -213,6 +224,7 @@
   std::fs::create_dir_all(&directory).map_err(|error| error.to_string())?;
   let options = Options {
     directory: directory.clone(),
+    early_ends: arguments.early_ends,
     faults: arguments.faults,
     faults_ms: arguments.faults_s * 1_000,
     framings: arguments.framings,
