Soak: a way of starts in which each one has a new id

--starts new-ids plays deployments without born as the platform's page has them: every start of a server begins a new incarnation with a new id. An engine that a request crashes, or that restarts with the other version, comes back under a new id, and the entry of its former start stays listed for as long as it did. The other ways are as before, and the profiles keep nowhere: their checks would be the same with new ids, but engines back under their id with another version, for which OneVersion is checked, would not be played.

--- a/soak/src/fault_injector.rs
+++ b/soak/src/fault_injector.rs
@@ -376,7 +376,7 @@
   fleet.restart(place, &stopped).await
 }
 
-/// Restarts an engine that a request crashed, with the same incarnation id. Its entry remains meanwhile.
+/// Restarts an engine that a request crashed, with the same incarnation id if starts keep it. Its entry remains meanwhile.
 pub(crate) async fn crash_and_restart(fleet: &Fleet, place: usize, incarnation: &str) {
   if fleet.incarnation(place).as_deref() != Some(incarnation) {
     return;
@@ -388,10 +388,10 @@
   fleet.record_crash();
   sleep(CRASH_DOWNTIME).await;
   // Without a free port the place stays down, which later checks of the run detect.
-  let _ = fleet.restart_same_id(place, stopped).await;
+  let _ = fleet.restart_same_id(place, &stopped).await;
 }
 
-/// Restarts the first engine from a place on with the other version under its id, and updates its entry later.
+/// Restarts the first engine from a place on with the other version, under its id if starts keep it, and updates its entry later.
 async fn restart_engine(fleet: &Fleet, first: usize, down_ms: u64, stale_ms: u64) -> Result {
   let Some(place) = fleet.engine_places(first).first().copied() else {
     return Ok(());
@@ -401,9 +401,9 @@
     return Ok(());
   };
   sleep(Duration::from_millis(down_ms)).await;
-  fleet.restart_other_version(place, stopped).await?;
+  fleet.restart_other_version(place, &stopped).await?;
   sleep(Duration::from_millis(stale_ms)).await;
-  fleet.register(place);
+  fleet.replace_entry(place, &stopped);
   Ok(())
 }
 
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -255,30 +255,46 @@
     })
   }
 
-  /// Restarts an endpoint with the same id.
-  pub(crate) async fn restart_same_id(&self, place: usize, stopped: StoppedEndpoint) -> Result {
+  /// Restarts an endpoint with the same id, if starts keep it.
+  pub(crate) async fn restart_same_id(&self, place: usize, stopped: &StoppedEndpoint) -> Result {
     let listener = self.listen_at(place).await?;
-    let identity = self.identity(stopped.incarnation, place, stopped.kind);
+    let identity = self.identity(self.id_after(stopped), place, stopped.kind);
     self.start_incarnation(identity, listener);
-    self.register(place);
+    self.replace_entry(place, stopped);
     Ok(())
   }
 
-  /// Restarts an endpoint with the same id and the other version. Its entry stays that of the former start.
+  /// Restarts an endpoint with the same id, if starts keep it, and the other version. The entry stays that of the former start.
   pub(crate) async fn restart_other_version(
     &self,
     place: usize,
-    stopped: StoppedEndpoint,
+    stopped: &StoppedEndpoint,
   ) -> Result {
     let listener = self.listen_at(place).await?;
     let identity = Identity {
       version: other_version(stopped.version),
-      ..self.identity(stopped.incarnation, place, stopped.kind)
+      ..self.identity(self.id_after(stopped), place, stopped.kind)
     };
     self.start_incarnation(identity, listener);
     Ok(())
   }
 
+  /// The id of the next start of an endpoint.
+  fn id_after(&self, stopped: &StoppedEndpoint) -> String {
+    match self.profile.starts.keep_ids() {
+      true => stopped.incarnation.clone(),
+      false => self.next_incarnation(),
+    }
+  }
+
+  /// Writes the entry of the endpoint at a place, which takes the place of that of its former start.
+  pub(crate) fn replace_entry(&self, place: usize, stopped: &StoppedEndpoint) {
+    if !self.profile.starts.keep_ids() {
+      self.remove_entry(stopped);
+    }
+    self.register(place);
+  }
+
   async fn listen_at(&self, place: usize) -> Result<TcpListener> {
     let listener = listen().await?;
     let target = listener.local_addr().map_err(Error::Listen)?;
--- a/soak/src/starts.rs
+++ b/soak/src/starts.rs
@@ -1,4 +1,4 @@
-//! Where endpoints name their starts.
+//! Where endpoints name their starts, and whether they keep their ids.
 
 use std::str::FromStr;
 
@@ -13,9 +13,16 @@
   Entries,
   /// Load reports alone.
   Reports,
+  /// No message: each start has an id of its own.
+  NewIds,
 }
 
 impl Starts {
+  /// Whether an endpoint may start again under its id.
+  pub(crate) fn keep_ids(self) -> bool {
+    self != Self::NewIds
+  }
+
   pub(crate) fn in_entries(self) -> bool {
     matches!(self, Self::Everywhere | Self::Entries)
   }
@@ -34,8 +41,9 @@
       "nowhere" => Ok(Self::Nowhere),
       "entries" => Ok(Self::Entries),
       "reports" => Ok(Self::Reports),
+      "new-ids" => Ok(Self::NewIds),
       _ => Err(format!(
-        "no place of starts is named {name:?}, expected everywhere, nowhere, entries or reports"
+        "no place of starts is named {name:?}, expected everywhere, nowhere, entries, reports or new-ids"
       )),
     }
   }
--- a/soak/src/subcommand.rs
+++ b/soak/src/subcommand.rs
@@ -34,8 +34,8 @@
   count: u64,
   #[bpaf(external(shape))]
   shape: Shape,
-  /// Where endpoints name their starts: everywhere, nowhere, entries or reports. By default nowhere with --profile, and
-  /// everywhere without
+  /// Where endpoints name their starts: everywhere, nowhere, entries, reports or new-ids (nowhere, and each start has a new id).
+  /// By default nowhere with --profile, and everywhere without
   #[bpaf(argument("PLACE"), optional)]
   starts: Option<Starts>,
   /// Period in which faults start, in seconds
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -23,6 +23,7 @@
 mod soak_links;
 mod soak_play;
 mod soak_promises;
+mod soak_starts;
 mod specification;
 mod test;
 mod two_at_once;
--- a/tests/soak_endpoints.rs
+++ b/tests/soak_endpoints.rs
@@ -111,6 +111,7 @@
 #[case::nowhere("nowhere", Starts::Nowhere, false)]
 #[case::entries("entries", Starts::Entries, false)]
 #[case::reports("reports", Starts::Reports, true)]
+#[case::new_ids("new-ids", Starts::NewIds, false)]
 #[tokio::test]
 async fn report_names_the_start_if_it_is_to(
   #[case] name: &str,
