--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -63,6 +63,7 @@
 mod role_plan;
 mod roles;
 mod silent_engines;
+mod silent_records;
 mod slots;
 mod slow_readers;
 mod socket_engine;
--- a/tests/gateway/versions.rs
+++ b/tests/gateway/versions.rs
@@ -310,7 +310,7 @@
 }
 
 /// Waits until the store has records of versions, as many as a service has or more.
-async fn wait_until_recorded(gateway: &GatewayBox, versions: usize) {
+pub(super) async fn wait_until_recorded(gateway: &GatewayBox, versions: usize) {
   let is_recorded = async || {
     let keys = gateway.test.store.keys();
     let recorded = keys
