Setting unnamed_restarts: engines that restart under their id and name no start

The rule that an id without a start is one process (VersionEvidence::Id) is the default now; the former rule, by observed connections, stays in full behind the setting [endpoints] unnamed_restarts.

--- a/src/gateway/decisions/endpoint_registry.rs
+++ b/src/gateway/decisions/endpoint_registry.rs
@@ -58,6 +58,8 @@
   prefill_revision: u64,
   /// Start of the uninterrupted contact with the store.
   store_connected_since_ms: Option<u64>,
+  /// Whether engines that name no start may start again under their ids.
+  unnamed_restarts: bool,
 }
 
 impl EndpointRegistry {
@@ -85,6 +87,14 @@
     }
   }
 
+  /// The same registry, whose engines may start again under their ids without naming their starts, if `unnamed_restarts` is set.
+  pub fn with_unnamed_restarts(self, unnamed_restarts: bool) -> Self {
+    Self {
+      unnamed_restarts,
+      ..self
+    }
+  }
+
   /// Inserts or updates an entry.
   pub fn put(&mut self, entry: EndpointEntry) {
     self.versions.add(&entry.service, &entry.version);
@@ -291,7 +301,7 @@
 
   /// What the reports of a listed engine say of its start, which an entry does not name; `None` where that does not matter.
   fn reported_start(&self, entry: &EndpointEntry) -> Option<ReportedStart> {
-    if entry.role.is_none() || entry.started_ms.is_some() {
+    if self.unnamed_restarts || entry.role.is_none() || entry.started_ms.is_some() {
       return None;
     }
     let endpoint = self.endpoints.get(&entry.id)?;
--- a/src/gateway/settings/document.rs
+++ b/src/gateway/settings/document.rs
@@ -118,13 +118,24 @@
 #[derive(Clone, Copy, Debug, Deserialize)]
 pub struct EndpointSettings {
   /// Interval at which an endpoint renews its entry, which is removed after three that were missed.
+  #[serde(default = "EndpointSettings::default_heartbeat_ms")]
   pub heartbeat_ms: u64,
+  /// Whether an engine that names its start neither in its entry nor in its reports may start again under its id.
+  #[serde(default)]
+  pub unnamed_restarts: bool,
+}
+
+impl EndpointSettings {
+  fn default_heartbeat_ms() -> u64 {
+    Self::default().heartbeat_ms
+  }
 }
 
 impl Default for EndpointSettings {
   fn default() -> Self {
     Self {
       heartbeat_ms: 1_200,
+      unnamed_restarts: false,
     }
   }
 }
--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -767,7 +767,9 @@
   } else {
     EndpointRegistry::ignoring_notices()
   };
-  let registry = registry.with_heartbeat(settings.endpoints.heartbeat_ms);
+  let registry = registry
+    .with_heartbeat(settings.endpoints.heartbeat_ms)
+    .with_unnamed_restarts(settings.endpoints.unnamed_restarts);
   if mechanisms.endpoint_limits {
     registry
   } else {
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -121,6 +121,14 @@
     }
   }
 
+  /// The same box, whose engines may start again under their ids without naming their starts.
+  pub(crate) fn with_unnamed_restarts(mut self) -> Self {
+    self
+      .extra_settings
+      .push_str("[endpoints]\nunnamed_restarts = true\n");
+    self
+  }
+
   /// The same test for a box of another name.
   pub(crate) fn named(mut self, name: &str) -> Self {
     self.name = name.into();
