Replay: overlapping slowdowns of a box end apart

The end of one made the box as fast as before, also while another one lasted. Each has a guard now, and the largest counts.

--- a/replay/src/box_process.rs
+++ b/replay/src/box_process.rs
@@ -2,6 +2,7 @@
 
 use {
   super::{
+    box_quota::{BoxQuota, SlowdownGuard},
     box_settings::{BoxAddresses, BoxPlace, box_values},
     cpu_quota::{ProcessSlot, hold_to_share},
     deploy_file::DeployFile,
@@ -25,7 +26,7 @@
   },
   tokio::{
     process::{Child, Command},
-    sync::{Mutex, watch},
+    sync::Mutex,
     time::{Instant, sleep},
   },
 };
@@ -80,20 +81,10 @@
   slot: ProcessSlot,
   /// Whether the process is to run; one that ends by itself is started again only then.
   is_wanted: AtomicBool,
-  quota: std::sync::Mutex<Quota>,
-  share: watch::Sender<Option<f64>>,
+  quota: BoxQuota,
   has_quota_task: AtomicBool,
 }
 
-/// What the share of a core results from.
-#[derive(Clone, Copy, Default)]
-struct Quota {
-  /// Whether the process is held to its machine's share at all times.
-  is_on: bool,
-  /// How many times slower it is.
-  slow: Option<f64>,
-}
-
 impl BoxProcess {
   /// A box that is not started yet. `store` is the address at which it sees the store. Fails if there is no such program, or the
   /// directory can't be made.
@@ -109,6 +100,7 @@
       path: plan.directory.into(),
       source,
     })?;
+    let machines = plan.site.fronts_of(&place.zone);
     Ok(Self {
       place,
       store,
@@ -122,8 +114,7 @@
       process_count: AtomicU64::new(0),
       slot: Arc::new(Mutex::new(None)),
       is_wanted: AtomicBool::new(false),
-      quota: std::sync::Mutex::default(),
-      share: watch::Sender::new(None),
+      quota: BoxQuota::new(machines.map_or(1.0, |machines| machines.cpu_share)),
       has_quota_task: AtomicBool::new(false),
     })
   }
@@ -317,32 +308,15 @@
     Some(ended)
   }
 
-  /// Makes it `factor` times slower than its machine's share of a core, or as fast as before.
-  pub fn set_slow(&self, factor: Option<f64>) {
-    self.change_quota(|quota| quota.slow = factor);
+  /// Makes it `factor` times slower than its machine's share of a core until the guard is dropped. Of several slowdowns the largest
+  /// counts.
+  pub fn begin_slowdown(&self, factor: f64) -> SlowdownGuard {
+    self.quota.begin_slowdown(factor)
   }
 
   /// Holds it to its machine's share of a core, or not.
   pub fn set_cpu_quota(&self, is_on: bool) {
-    self.change_quota(|quota| quota.is_on = is_on);
-  }
-
-  fn change_quota(&self, change: impl FnOnce(&mut Quota)) {
-    let quota = {
-      // Each change is one assignment.
-      let mut quota = self
-        .quota
-        .lock()
-        .unwrap_or_else(std::sync::PoisonError::into_inner);
-      change(&mut quota);
-      *quota
-    };
-    let machines = self.site.fronts_of(&self.place.zone);
-    let share = machines.map_or(1.0, |machines| machines.cpu_share);
-    self.share.send_replace(match quota.slow {
-      Some(factor) => Some(share / factor.max(1.0)),
-      None => quota.is_on.then_some(share),
-    });
+    self.quota.set_on(is_on);
   }
 
   /// Starts the task that holds the box's processes to their share, once.
@@ -350,7 +324,7 @@
     if !self.has_quota_task.swap(true, Ordering::Relaxed) {
       tokio::spawn(hold_to_share(
         Arc::clone(&self.slot),
-        self.share.subscribe(),
+        self.quota.subscribe(),
       ));
     }
   }
--- a/replay/src/injector.rs
+++ b/replay/src/injector.rs
@@ -396,13 +396,11 @@
       .world
       .recorder
       .note(format!("boxes {boxes:?} are slow"));
-    for index in &boxes {
-      self.world.boxes[*index].set_slow(Some(impairment.x.unwrap_or(5.0)));
-    }
+    let factor = impairment.x.unwrap_or(5.0);
+    let boxes = boxes.iter().map(|index| &self.world.boxes[*index]);
+    let guards: Vec<_> = boxes.map(|of| of.begin_slowdown(factor)).collect();
     sleep(Duration::from_secs_f64(for_s)).await;
-    for index in &boxes {
-      self.world.boxes[*index].set_slow(None);
-    }
+    drop(guards);
   }
 
   async fn hang_up_boxes(&self, impairment: &Impairment, draw: &mut Selection) {
--- a/replay/src/lib.rs
+++ b/replay/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod balancer;
 mod box_process;
+mod box_quota;
 mod box_settings;
 mod box_stores;
 mod caller;
@@ -33,6 +34,7 @@
 pub use self::{
   balancer::{Balancer, BoxTarget},
   box_process::{BoxPlan, BoxProcess},
+  box_quota::SlowdownGuard,
   box_settings::{BoxAddresses, BoxPlace, box_values},
   box_stores::BoxStores,
   caller::{
--- a/tests/replay_boxes.rs
+++ b/tests/replay_boxes.rs
@@ -112,10 +112,10 @@
 #[tokio::test]
 async fn quota_does_not_resume_a_suspended_box() {
   let script = ScriptBox::start(BUSY).await;
-  script.process.set_slow(Some(1_000.0));
+  let slowdown = script.process.begin_slowdown(1_000.0);
   script.wait_until_stopped(true).await;
   script.process.suspend().await;
-  script.process.set_slow(None);
+  drop(slowdown);
   // Some ticks of the quota.
   sleep(Duration::from_millis(100)).await;
   assert_eq!(script.state().await, 'T');
@@ -127,22 +127,41 @@
 async fn end_of_a_suspension_does_not_end_the_quota() {
   let script = ScriptBox::start(BUSY).await;
   script.process.suspend().await;
-  script.process.set_slow(Some(1_000.0));
+  let slowdown = script.process.begin_slowdown(1_000.0);
   script.process.resume().await;
   script.wait_until_stopped(true).await;
-  script.process.set_slow(None);
+  drop(slowdown);
   script.wait_until_stopped(false).await;
 }
 
+/// Guards against a slowdown that ends with another one.
+#[tokio::test]
+async fn overlapping_slowdowns_end_apart() {
+  for ends_first in [0, 1] {
+    let script = ScriptBox::start(BUSY).await;
+    let mut slowdowns = vec![
+      script.process.begin_slowdown(1_000.0),
+      script.process.begin_slowdown(2_000.0),
+    ];
+    script.wait_until_stopped(true).await;
+    drop(slowdowns.remove(ends_first));
+    // Some ticks of the quota.
+    sleep(Duration::from_millis(100)).await;
+    assert_eq!(script.state().await, 'T');
+    drop(slowdowns);
+    script.wait_until_stopped(false).await;
+  }
+}
+
 #[tokio::test]
 async fn quota_holds_the_next_process_too() {
   let script = ScriptBox::start(BUSY).await;
-  script.process.set_slow(Some(1_000.0));
+  let slowdown = script.process.begin_slowdown(1_000.0);
   script.wait_until_stopped(true).await;
   script.process.kill().await.unwrap();
   script.process.start().await.unwrap();
   script.wait_until_stopped(true).await;
-  script.process.set_slow(None);
+  drop(slowdown);
   script.wait_until_stopped(false).await;
 }
 
