--- a/replay/src/drawn_day.rs
+++ b/replay/src/drawn_day.rs
@@ -1,9 +1,13 @@
 //! Days drawn from the troubles of a site.
 
 use {
-  super::site::{Closing, Day, Impairment, Site},
+  super::{
+    impairment_kind::ImpairmentKind,
+    site::{Closing, Day, Impairment, Site},
+  },
   rand::{RngExt, SeedableRng, seq::IndexedRandom},
   rand_chacha::ChaCha8Rng,
+  std::{collections::BTreeSet, sync::Arc},
 };
 
 /// Troubles of a day, at least and at most.
@@ -29,12 +33,18 @@
 /// Time until the machines are back after that, at least and at most.
 const DOWN_S: (f64, f64) = (0.5, 1.6);
 
-/// A day with three to six different troubles of a site, or all if it has fewer, at random moments of the first four fifths of its
-/// traffic, and with or without a fault at its end. The same seed gives the same day.
+/// A day with three to six different troubles of a site that can be played, or all of these if there are fewer, at random moments of
+/// the first four fifths of its traffic, and with or without a fault at its end. The same seed gives the same day.
 pub fn drawn_day(site: &Site, seed: u64) -> Day {
   let mut random = ChaCha8Rng::seed_from_u64(seed);
   let count = random.random_range(TROUBLES.0..=TROUBLES.1);
-  let drawn: Vec<Impairment> = site.troubles.sample(&mut random, count).cloned().collect();
+  let troubles = site.troubles.iter();
+  let playable: Vec<&Impairment> = troubles.filter(|trouble| is_playable(trouble)).collect();
+  let drawn: Vec<Impairment> = playable
+    .sample(&mut random, count)
+    .copied()
+    .cloned()
+    .collect();
   let latest_s = site.length_s * BEGINNINGS;
   let mut troubles: Vec<Impairment> = drawn
     .into_iter()
@@ -56,6 +66,17 @@
   }
 }
 
+/// The kinds of a site's troubles that are never drawn, since they can't be played, in alphabetical order.
+pub fn undrawn_kinds(site: &Site) -> BTreeSet<Arc<str>> {
+  let troubles = site.troubles.iter();
+  let undrawn = troubles.filter(|trouble| !is_playable(trouble));
+  undrawn.map(|trouble| trouble.kind.clone()).collect()
+}
+
+fn is_playable(trouble: &Impairment) -> bool {
+  trouble.kind.parse::<ImpairmentKind>().is_ok()
+}
+
 fn is_planned(trouble: &Impairment) -> bool {
   let kind = &*trouble.kind;
   PLANNED.contains(&kind) || kind == REPLACEMENT && trouble.has("planned")
--- a/replay/src/injector.rs
+++ b/replay/src/injector.rs
@@ -3,6 +3,7 @@
 use {
   super::{
     caller::{Habit, Habits},
+    closing_kind::ClosingKind,
     error::Result,
     impairment_kind::ImpairmentKind,
     selection::Selection,
@@ -586,22 +587,23 @@
     play_store_fault(impairment, &self.world.stores, play).await;
   }
 
-  /// What strikes at the end of a day: a configuration is written, and all boxes are killed or lose power.
+  /// Carries out what strikes at the end of a day: a configuration is written, and all boxes are killed or lose power.
   pub(crate) async fn close(&self, closing: &Closing) -> Result {
+    let Ok(kind) = closing.kind.parse::<ClosingKind>() else {
+      return Ok(());
+    };
     let recorder = &self.world.recorder;
     recorder.note(format!("fault closing begins {}", closing.kind));
     self.world.operator.change("timeout");
     sleep(Duration::from_secs_f64(SHORT_S)).await;
-    let is_dark = &*closing.kind != "kill_all";
     let kills = self
       .world
       .present_boxes()
       .into_iter()
       .map(|index| async move {
-        if is_dark {
-          self.world.power_off_box(index, closing.down_s).await
-        } else {
-          self.world.kill_box(index, closing.down_s).await
+        match kind {
+          ClosingKind::KillAll => self.world.kill_box(index, closing.down_s).await,
+          ClosingKind::PowerOffAll => self.world.power_off_box(index, closing.down_s).await,
         }
       });
     let result = join_all(kills).await.into_iter().collect();
--- a/replay/src/lib.rs
+++ b/replay/src/lib.rs
@@ -7,6 +7,7 @@
 mod box_settings;
 mod box_stores;
 mod caller;
+mod closing_kind;
 mod cpu_quota;
 mod deploy_file;
 mod drawn_day;
@@ -41,9 +42,10 @@
     AnswerHead, AnswerProgress, AnswerReader, CallerPlan, ClassOutcome, Habit, HabitGuard, Habits,
     Outcome, run_callers,
   },
+  closing_kind::ClosingKind,
   cpu_quota::CpuQuota,
   deploy_file::DeployFile,
-  drawn_day::drawn_day,
+  drawn_day::{drawn_day, undrawn_kinds},
   error::{Error, Result},
   host::{box_host, server_host},
   impairment_kind::ImpairmentKind,
--- a/replay/src/play.rs
+++ b/replay/src/play.rs
@@ -5,6 +5,7 @@
     box_process::BoxPlan,
     box_stores::BoxStores,
     caller::{CallerPlan, Habits, Outcome, run_callers},
+    closing_kind::ClosingKind,
     deploy_file::DeployFile,
     error::Result,
     impairment_kind::ImpairmentKind,
@@ -48,13 +49,14 @@
   pub starts: StartNaming,
 }
 
-/// The kinds of a day's impairments that can't be played, in alphabetical order.
+/// The kinds of a day's impairments, and of its closing, that can't be played, in alphabetical order.
 pub fn unplayable_kinds(day: &Day) -> BTreeSet<Arc<str>> {
   let impairments = day.plan.iter().chain(&day.faults);
   let kinds = impairments.map(|impairment| impairment.kind.clone());
-  kinds
-    .filter(|kind| kind.parse::<ImpairmentKind>().is_err())
-    .collect()
+  let kinds = kinds.filter(|kind| kind.parse::<ImpairmentKind>().is_err());
+  let closings = day.closing.iter().map(|closing| closing.kind.clone());
+  let closings = closings.filter(|kind| kind.parse::<ClosingKind>().is_err());
+  kinds.chain(closings).collect()
 }
 
 /// Plays a day and judges what callers received. Fails if it can't be carried out; findings are part of the report.
--- a/replay/src/subcommand.rs
+++ b/replay/src/subcommand.rs
@@ -2,7 +2,7 @@
 
 use {
   super::{
-    drawn_day::drawn_day,
+    drawn_day::{drawn_day, undrawn_kinds},
     error::{Error, Result},
     play::{PlayOptions, play, unplayable_kinds},
     server::StartNaming,
@@ -104,6 +104,10 @@
   let site = Site::read(&arguments.site)?;
   let day = day(arguments, &site)?;
   println!("{}", kinds_line(&day));
+  if arguments.drawn.is_some() {
+    let kinds = Vec::from_iter(undrawn_kinds(&site));
+    println!("never drawn, since not played: {}", kinds.join(", "));
+  }
   let temporary = tempfile::tempdir().map_err(|source| Error::File {
     path: std::env::temp_dir(),
     source,
@@ -132,10 +136,12 @@
   Ok(report.is_clean())
 }
 
-/// The kinds of a day's impairments, and those of them that are not played.
+/// The kinds of a day's impairments and closing, and those of them that are not played.
 fn kinds_line(day: &Day) -> String {
   let impairments = day.plan.iter().chain(&day.faults);
-  let kinds: BTreeSet<&str> = impairments.map(|impairment| &*impairment.kind).collect();
+  let kinds = impairments.map(|impairment| &*impairment.kind);
+  let closing = day.closing.iter().map(|closing| &*closing.kind);
+  let kinds: BTreeSet<&str> = kinds.chain(closing).collect();
   let unplayable = Vec::from_iter(unplayable_kinds(day)).join(", ");
   let kinds = Vec::from_iter(kinds).join(", ");
   format!("day {}: {kinds}; not played: {unplayable}", day.name)
--- a/tests/replay_site.rs
+++ b/tests/replay_site.rs
@@ -1,7 +1,7 @@
 //! The replay's site files and the days that are drawn from them.
 
 use {
-  replay::{Day, Error, Impairment, Site, drawn_day},
+  replay::{Day, Error, Impairment, Site, drawn_day, undrawn_kinds, unplayable_kinds},
   rstest::rstest,
   std::{collections::BTreeSet, fs, path::Path},
 };
@@ -163,6 +163,38 @@
   assert_eq!(endings.collect::<BTreeSet<_>>(), BTreeSet::from(expected));
 }
 
+#[test]
+fn drawn_day_leaves_out_what_can_not_be_played() {
+  let text = SITE.replacen("kind = \"garble\"", "kind = \"tilt\"", 1);
+  let site = Site::parse(&text).unwrap();
+  for seed in 0..100 {
+    let day = drawn_day(&site, seed);
+    assert!(unplayable_kinds(&day).is_empty(), "seed {seed}: {day:?}");
+    assert!(
+      day.plan.len() + day.faults.len() >= 3,
+      "seed {seed}: {day:?}"
+    );
+  }
+  let undrawn = undrawn_kinds(&site);
+  assert_eq!(
+    undrawn.iter().map(|kind| &**kind).collect::<Vec<_>>(),
+    ["tilt"]
+  );
+}
+
+#[test]
+fn what_can_not_be_played_is_named() {
+  let closing = "name = \"one\"\nclosing = { kind = \"melt\", down_s = 1.0 }";
+  let text = SITE.replacen("name = \"one\"", closing, 1);
+  let text = text.replacen("at = 1.0, kind = \"burst\"", "at = 1.0, kind = \"tilt\"", 1);
+  let site = Site::parse(&text).unwrap();
+  let kinds = unplayable_kinds(site.day("one").unwrap());
+  assert_eq!(
+    kinds.iter().map(|kind| &**kind).collect::<Vec<_>>(),
+    ["melt", "tilt"]
+  );
+}
+
 #[test]
 fn day_of_a_site_without_troubles_is_empty() {
   let (before, rest) = SITE.split_once("troubles = [").unwrap();
