--- a/replay/src/drawn_day.rs
+++ b/replay/src/drawn_day.rs
@@ -32,9 +32,11 @@
 const CLOSINGS: [&str; 3] = ["", "kill_all", "power_off_all"];
 /// Time until the machines are back after that, at least and at most.
 const DOWN_S: (f64, f64) = (0.5, 1.6);
+/// Traffic after that.
+const RECOVERY_S: f64 = 7.0;
 
 /// A day with three to six different troubles of a site that can be played, or all of these if there are fewer, at random moments of
-/// the first four fifths of its traffic, and with or without a fault at its end. The same seed gives the same day.
+/// the first four fifths of its traffic, and with or without a fault at its end, through whose recovery the traffic goes on. The same seed gives the same day.
 pub fn drawn_day(site: &Site, seed: u64) -> Day {
   let mut random = ChaCha8Rng::seed_from_u64(seed);
   let count = random.random_range(TROUBLES.0..=TROUBLES.1);
@@ -55,13 +57,14 @@
     .collect();
   troubles.sort_by(|a, b| a.at_s.total_cmp(&b.at_s));
   let (plan, faults) = troubles.into_iter().partition(is_planned);
+  let closing = draw_closing(&mut random);
   Day {
     name: format!("drawn-{seed}").into(),
     seed,
-    length_s: None,
+    length_s: closing.is_some().then_some(site.length_s + RECOVERY_S),
     plan,
     faults,
-    closing: draw_closing(&mut random),
+    closing,
     traffic: None,
   }
 }
--- a/tests/replay_site.rs
+++ b/tests/replay_site.rs
@@ -134,6 +134,10 @@
     assert_eq!(kinds.len(), troubles.len(), "seed {seed}: {day:?}");
     let is_early = |of: &&Impairment| (0.0..16.0).contains(&of.at_s);
     assert!(troubles.iter().all(is_early), "seed {seed}: {day:?}");
+    let goes_on = day
+      .length_s
+      .is_some_and(|length_s| length_s > site.length_s);
+    assert_eq!(goes_on, day.closing.is_some(), "seed {seed}: {day:?}");
     if let Some(closing) = &day.closing {
       assert!(
         (0.5..=1.6).contains(&closing.down_s),
