--- a/replay/src/lib.rs
+++ b/replay/src/lib.rs
@@ -3,9 +3,11 @@
 
 mod balancer;
 mod box_process;
+mod box_quota;
 mod box_settings;
 mod box_stores;
 mod caller;
+mod closing_kind;
 mod cpu_quota;
 mod deploy_file;
 mod drawn_day;
@@ -33,15 +35,17 @@
 pub use self::{
   balancer::{Balancer, BoxTarget},
   box_process::{BoxPlan, BoxProcess},
+  box_quota::SlowdownGuard,
   box_settings::{BoxAddresses, BoxPlace, box_values},
   box_stores::BoxStores,
   caller::{
     AnswerHead, AnswerProgress, AnswerReader, CallerPlan, ClassOutcome, Habit, HabitGuard, Habits,
     Outcome, run_callers,
   },
+  closing_kind::ClosingKind,
   cpu_quota::CpuQuota,
   deploy_file::DeployFile,
-  drawn_day::drawn_day,
+  drawn_day::{drawn_day, undrawn_kinds},
   error::{Error, Result},
   host::{box_host, server_host},
   impairment_kind::ImpairmentKind,
