--- a/soak/src/box_process.rs
+++ b/soak/src/box_process.rs
@@ -79,6 +79,8 @@
   generation: AtomicU64,
   hall: &'static str,
   bounds: BoxBounds,
+  /// Whether its engines may restart under their ids without naming their starts.
+  unnamed_restarts: bool,
   pub(crate) store_link: Link,
   /// Links of other boxes to this one, each with the index of the other box.
   pub(crate) box_links: Vec<(usize, Link)>,
@@ -119,6 +121,7 @@
       box_target,
       generation: AtomicU64::new(0),
       hall,
+      unnamed_restarts: plan.profile.starts.may_be_unnamed(),
       recorder: plan.recorder.clone(),
       process_count: AtomicU64::new(0),
       log: plan.directory.join(format!("{name}.log")),
@@ -155,7 +158,13 @@
   fn write_settings(&self, name: &str) -> Result {
     let [callers, ready, boxes, metrics] = self.addresses();
     let addresses = [callers, ready, boxes, metrics, self.store_link.address];
-    let contents = settings_text(name, self.hall, addresses, self.bounds);
+    let contents = settings_text(
+      name,
+      self.hall,
+      addresses,
+      self.bounds,
+      self.unnamed_restarts,
+    );
     std::fs::write(&self.settings, contents).map_err(|source| Error::File {
       path: self.settings.clone(),
       source,
@@ -311,7 +320,13 @@
 }
 
 /// The settings of a box: its addresses for callers, readiness, other boxes and metrics, and the store's address.
-fn settings_text(name: &str, hall: &str, addresses: [SocketAddr; 5], bounds: BoxBounds) -> String {
+fn settings_text(
+  name: &str,
+  hall: &str,
+  addresses: [SocketAddr; 5],
+  bounds: BoxBounds,
+  unnamed_restarts: bool,
+) -> String {
   let [callers, ready, boxes, metrics, store] = addresses;
   let BoxBounds {
     memory_mb,
@@ -328,6 +343,7 @@
      [bounds]\nstop_s = {STOP_S:.1}\nretry_ratio = {retry_ratio:.2}\nretry_window_s = 10\nretry_slack = {retry_slack:.1}\n\
      order_gap_ms = 1000\ncontact_ms = 3000\nconfiguration_ms = 3000\n\
      [limits]\noverage = {OVERAGE}\nslack_units = {SLACK_UNITS:.1}\n\
+     [endpoints]\nunnamed_restarts = {unnamed_restarts}\n\
      [engines]\nprefill_share = 0.25\n{memory}"
   )
 }
--- a/soak/src/profile.rs
+++ b/soak/src/profile.rs
@@ -143,7 +143,7 @@
     plain_services: 3,
     prefill_engines: 0,
     slots: 0,
-    starts: Starts::Nowhere,
+    starts: Starts::NewIds,
     stream_attempts: 2,
     think_time_ms: (0, 0),
     more_troubles: &[],
--- a/soak/src/starts.rs
+++ b/soak/src/starts.rs
@@ -23,6 +23,11 @@
     self != Self::NewIds
   }
 
+  /// Whether an endpoint may start again under its id without naming its start wherever it speaks of itself.
+  pub(crate) fn may_be_unnamed(self) -> bool {
+    matches!(self, Self::Nowhere | Self::Entries | Self::Reports)
+  }
+
   pub(crate) fn in_entries(self) -> bool {
     matches!(self, Self::Everywhere | Self::Entries)
   }
--- a/soak/src/subcommand.rs
+++ b/soak/src/subcommand.rs
@@ -35,7 +35,7 @@
   #[bpaf(external(shape))]
   shape: Shape,
   /// Where endpoints name their starts: everywhere, nowhere, entries, reports or new-ids (nowhere, and each start has a new id).
-  /// By default nowhere with --profile, and everywhere without
+  /// By default new-ids with --profile, and everywhere without
   #[bpaf(argument("PLACE"), optional)]
   starts: Option<Starts>,
   /// Period in which faults start, in seconds
