A stream remembers which process began it after a takeover that came to nothing

Streams that went on at another version: an engine without a named start sent the head of a stream and fell silent before the first event. The takeover that was tried then (no retry or slot was left) forgot the engine's process, as the stream had not begun. The engine went on, and as its stream was interrupted later, it went on at an engine of any version.

Cause: settle_version cleared began_at where no event had come, also while the silent engine could still begin the stream.

Test: versions_after_silence fails without the change.

--- a/src/gateway/requests/stream_version.rs
+++ b/src/gateway/requests/stream_version.rs
@@ -39,10 +39,11 @@
     }
   }
 
-  /// Waits until the version that began the stream is known. A stream that has not begun goes on at any.
+  /// Waits until the version that began the stream is known. A stream that has not begun goes on at any; its engine is remembered,
+  /// since a silent one may still begin it.
   pub(super) async fn settle_version(&mut self) -> Result<(), StreamFailure> {
     if self.last_event_id.is_none() {
-      self.began_at = None;
+      return Ok(());
     }
     let Some(process) = self.began_at.clone().filter(|_| self.version.is_none()) else {
       return Ok(());
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -77,6 +77,7 @@
 mod version_records;
 mod versioned_engine;
 mod versions;
+mod versions_after_silence;
 mod versions_of_restarted_engines;
 
 pub(crate) use self::{
--- a/tests/gateway/versioned_engine.rs
+++ b/tests/gateway/versioned_engine.rs
@@ -36,6 +36,8 @@
 
 /// The pause of an engine that reads a prompt, before the rest of a stream.
 const LATE_AFTER: Duration = Duration::from_millis(900);
+/// The pause of an engine between the head of a stream and the first event; a box lets another one take the stream over meanwhile.
+const LATE_FIRST_AFTER: Duration = Duration::from_millis(1_700);
 
 /// Where the start of an engine is told.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -58,6 +60,8 @@
   LateRest,
   /// Resets the connection, and lives on.
   Reset,
+  /// Falls silent between the head and the first event, and then writes one event after another.
+  LateFirst,
 }
 
 /// A decode engine whose starts may have different versions.
@@ -112,9 +116,16 @@
     if is_whole || matches!(self.beginning, Beginning::Whole | Beginning::LateRest) {
       return Reply::stream(seen, &self.events(seen.start, after, EVENTS));
     }
-    let part = Reply::stream_part(seen, &self.events(seen.start, 0, FIRST_EVENTS));
+    let first = self.events(seen.start, 0, FIRST_EVENTS);
+    if self.beginning == Beginning::LateFirst {
+      let mut parts = self.slow_parts(seen, Reply::stream_chunk(&first));
+      parts[0].0 = LATE_FIRST_AFTER;
+      parts.insert(0, (Duration::ZERO, Reply::stream_head(seen)));
+      return Reply::WriteInParts(parts);
+    }
+    let part = Reply::stream_part(seen, &first);
     match self.beginning {
-      Beginning::Whole | Beginning::LateRest => Reply::stream(seen, ""),
+      Beginning::Whole | Beginning::LateRest | Beginning::LateFirst => Reply::stream(seen, ""),
       Beginning::Slow => Reply::WriteInParts(self.slow_parts(seen, part)),
       Beginning::Closed => {
         Reply::WriteInPartsAndClose(vec![(Duration::ZERO, part), (CLOSED_AFTER, String::new())])
