--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -81,6 +81,7 @@
 mod version_records;
 mod versioned_engine;
 mod versions;
+mod versions_after_silence;
 mod versions_by_id;
 mod versions_of_restarted_engines;
 
