--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -237,6 +237,14 @@
     });
   }
 
+  /// Lists an engine by an entry that lacks its version and its start.
+  pub(crate) fn enter_without_version(&self, id: &str, endpoint: &EndpointStandIn) {
+    self.put_entry(id, "llm", Some("decode"), endpoint.address, |entry| {
+      entry["version"] = Value::Null;
+      entry["born"] = Value::Null;
+    });
+  }
+
   /// Lists an engine with the version of its software.
   pub(crate) fn enter_engine_version(
     &self,
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -59,6 +59,7 @@
 mod return_order;
 mod reused_addresses;
 mod review_findings;
+mod review_seventh;
 mod review_sixth;
 mod role_plan;
 mod roles;
--- a/tests/gateway/versioned_engine.rs
+++ b/tests/gateway/versioned_engine.rs
@@ -42,6 +42,8 @@
 pub(super) enum StartField {
   Nowhere,
   InReport,
+  /// In the reports of all starts but the first one.
+  InReportSinceSecond,
   InEntry,
   /// Nowhere; requests for the report are rejected.
   NoReport,
@@ -100,8 +102,9 @@
       "/hold-take" if !self.has_slots.load(Ordering::Relaxed) => Reply::not_run(seen),
       "/report" => match self.start_field {
         StartField::InReport => engine_reply(seen, ""),
+        StartField::InReportSinceSecond if seen.start > 1 => engine_reply(seen, ""),
         StartField::NoReport => Reply::not_run(seen),
-        StartField::Nowhere | StartField::InEntry => {
+        StartField::Nowhere | StartField::InEntry | StartField::InReportSinceSecond => {
           Reply::ok(seen, r#"{"callSeq":0,"utilization":true}"#)
         }
       },
@@ -189,12 +192,20 @@
       StartField::InEntry => {
         test.enter_version_started(self.id, &self.endpoint, version, listed_start(start));
       }
-      StartField::Nowhere | StartField::InReport | StartField::NoReport => {
+      StartField::Nowhere
+      | StartField::InReport
+      | StartField::InReportSinceSecond
+      | StartField::NoReport => {
         test.enter_version_without_start(self.id, &self.endpoint, version);
       }
     }
   }
 
+  /// Lists it by an entry of another writer, which lacks the version.
+  pub(super) fn list_without_version(&self, test: &GatewayTest) {
+    test.enter_without_version(self.id, &self.endpoint);
+  }
+
   /// Lists it as an endpoint of a plain service, with the first version.
   pub(super) fn list_plain(&self, test: &GatewayTest) {
     match self.start_field {
@@ -202,7 +213,10 @@
         let address = self.endpoint.address;
         GatewayTest::enter_plain_incarnation(&test.store, self.id, address, listed_start(1));
       }
-      StartField::Nowhere | StartField::InReport | StartField::NoReport => {
+      StartField::Nowhere
+      | StartField::InReport
+      | StartField::InReportSinceSecond
+      | StartField::NoReport => {
         test.enter(self.id, "portal", None, &self.endpoint);
       }
     }
