An entry without a version does not tell that of its engine's process

Such an entry is no evidence now. An engine whose report has a start that its entry lacks is chosen for no stream that may be resumed once that is known.

--- a/src/gateway/decisions/endpoint_registry.rs
+++ b/src/gateway/decisions/endpoint_registry.rs
@@ -315,9 +315,10 @@
     reported.is_some_and(|reported| reported.is_wanted(now_ms))
   }
 
-  /// Whether an engine has only one process under its id, so that its entry describes this process.
+  /// Whether an engine has only one process under its id, so that its entry describes this process. One without a version, which another
+  /// writer may have written, does not.
   fn is_one_process(&self, entry: &EndpointEntry) -> bool {
-    self.reported_start(entry) == Some(ReportedStart::Unnamed)
+    entry.version.text().is_some() && self.reported_start(entry) == Some(ReportedStart::Unnamed)
   }
 
   /// Whether an entry lacks the start that its engine reports: it tells no version.
@@ -481,12 +482,17 @@
       let version = criteria.version;
       version.is_none_or(|version| entry.version == *version && self.is_version_known(entry))
     };
+    let may_decode = |entry: &EndpointEntry| {
+      let needs_version = criteria.is_retryable && criteria.role == Some(Role::Decode);
+      !needs_version || !self.lacks_start(entry)
+    };
     let candidates: Vec<&EndpointState> = self
       .endpoints
       .values()
       .filter(|endpoint| {
         &*endpoint.entry.service == criteria.service
           && accepts_work(endpoint)
+          && may_decode(&endpoint.entry)
           && criteria.allowed_halls.contains(&endpoint.entry.hall)
           && (criteria.role.is_none() || endpoint.entry.role == criteria.role)
           && may_go_on(&endpoint.entry)
