--- a/tests/gateway/review_sixth.rs
+++ b/tests/gateway/review_sixth.rs
@@ -8,7 +8,9 @@
     review_findings::{Fleet, answer, begins},
     stream_framing::{EVENTS, Framing, INTERRUPTED_AFTER, complete, events, rest, whole},
     versioned_engine::{Beginning, StartField, VersionedEngine},
-    versions_of_restarted_engines::{begin_at, deployment, observe, wait_until_two_boxes},
+    versions_of_restarted_engines::{
+      begin_at, observe, restarting_deployment, wait_until_two_boxes,
+    },
   },
   futures_util::future::join,
   rstest::rstest,
@@ -141,7 +143,7 @@
   let sound =
     VersionedEngine::start_with("e-2", &["v1"], StartField::Nowhere, Beginning::LateRest).await;
   let restarted = VersionedEngine::start("e-3", &["v1", "v2"]).await;
-  let test = deployment(&[(&sound, "v1"), (&restarted, "v1")]).await;
+  let test = restarting_deployment(&[(&sound, "v1"), (&restarted, "v1")]).await;
   let (first, second) = two_boxes(&test).await;
   observe(&[&first, &second], &[&sound, &restarted]).await;
   restarted.restart().await;
