--- a/soak/src/box_process.rs
+++ b/soak/src/box_process.rs
@@ -343,7 +343,7 @@
      [bounds]\nstop_s = {STOP_S:.1}\nretry_ratio = {retry_ratio:.2}\nretry_window_s = 10\nretry_slack = {retry_slack:.1}\n\
      order_gap_ms = 1000\ncontact_ms = 3000\nconfiguration_ms = 3000\n\
      [limits]\noverage = {OVERAGE}\nslack_units = {SLACK_UNITS:.1}\n\
-     [endpoints]\nunnamed_restarts = {unnamed_restarts}\n\
+     [endpoints]\nheartbeat_ms = 1200\nunnamed_restarts = {unnamed_restarts}\n\
      [engines]\nprefill_share = 0.25\n{memory}"
   )
 }
