Trial: where no start is named, an id is that of one process

So where neither an engine's reports nor its entry name a start, its entry tells the version of its process at once (VersionEvidence::Id): no wait of two heartbeats, no holder, no second connection, and a stream whose engine or box ends early has a known version.

What a report says is learnt from any report that the box reads: before the first stream that may be resumed at an engine, or when a stream waits for an engine of its version, the box requests one. While it can't be read (no answer, another status, not decoded; requested again after a second), for plain services, and for an id whose entry was replaced by that of another process, the rule stays as it was. An engine whose report has a start that its entry lacks gets no stream that may be resumed. Where an entry names a start nothing changes.

Tests: versions_by_id is new; its first two fail without the change.

--- a/src/gateway/decisions/endpoint_registry.rs
+++ b/src/gateway/decisions/endpoint_registry.rs
@@ -11,7 +11,9 @@
     endpoint_state::{EndpointState, PROBE_RANK, PeerAverages, ReportedLoad, ReportedSlowdown},
     hall_reachability::HallReachability,
     notice_tracker::{Availability, NoticeChange, NoticeTracker},
-    processes::{ConnectionState, EndpointProcesses, ObservedProcess, VersionEvidence},
+    processes::{
+      ConnectionState, EndpointProcesses, ObservedProcess, ReportedStart, VersionEvidence,
+    },
     reachability::EndpointGroup,
     service_versions::ServiceVersions,
     unavailable::Unavailable,
@@ -101,6 +103,9 @@
         if *former != entry {
           endpoint.end_displacement();
         }
+        if lists_other_process(&endpoint.entry, &entry) {
+          endpoint.reported_start = endpoint.reported_start.after_other_process();
+        }
         endpoint.entry = entry;
         endpoint.lapses_at_ms = None;
       }
@@ -207,7 +212,9 @@
     now_ms: u64,
   ) -> Rc<ObservedProcess> {
     if self.is_listed_there(entry) {
-      return self.processes.connect(entry, connection, now_ms);
+      let process = self.processes.connect(entry, connection, now_ms);
+      self.settle_version(&entry.id);
+      return process;
     }
     let process = Rc::new(ObservedProcess::since(now_ms));
     process.add(connection);
@@ -240,6 +247,16 @@
     process: &ObservedProcess,
     now_ms: u64,
   ) -> VersionEvidence {
+    if self.lacks_start(entry) {
+      return VersionEvidence::None {
+        observed_ms: now_ms.saturating_sub(process.since_ms()),
+      };
+    }
+    let version = process.version();
+    if self.is_one_process(entry) && version.is_none_or(|version| *version == entry.version) {
+      process.set_version(&entry.version);
+      return VersionEvidence::Id;
+    }
     self.settle_version(&entry.id);
     if process.version() == Some(&entry.version) {
       return VersionEvidence::Observed;
@@ -264,11 +281,55 @@
   /// The same at one endpoint. An entry that was missing after an outage of the store tells nothing.
   fn settle_version(&self, id: &str) {
     let endpoint = self.endpoints.get(id);
-    if let Some(endpoint) = endpoint.filter(|endpoint| endpoint.lapses_at_ms.is_none()) {
+    let Some(endpoint) = endpoint else { return };
+    if self.is_one_process(&endpoint.entry) {
+      self.processes.settle_all(&endpoint.entry);
+    } else if endpoint.lapses_at_ms.is_none() {
       self.processes.settle(&endpoint.entry);
     }
   }
 
+  /// What the reports of a listed engine say of its start, which an entry does not name; `None` where that does not matter.
+  fn reported_start(&self, entry: &EndpointEntry) -> Option<ReportedStart> {
+    if entry.role.is_none() || entry.started_ms.is_some() {
+      return None;
+    }
+    let endpoint = self.endpoints.get(&entry.id)?;
+    let is_same = endpoint.entry.is_same_endpoint(entry);
+    is_same.then_some(endpoint.reported_start)
+  }
+
+  /// Whether an engine's report has to be read, to learn whether it names a start.
+  pub fn wants_report(&self, entry: &EndpointEntry, now_ms: u64) -> bool {
+    let reported = self.reported_start(entry);
+    reported.is_some_and(|reported| reported.is_wanted(now_ms))
+  }
+
+  /// Whether an engine has only one process under its id, so that its entry describes this process.
+  fn is_one_process(&self, entry: &EndpointEntry) -> bool {
+    self.reported_start(entry) == Some(ReportedStart::Unnamed)
+  }
+
+  /// Whether an entry lacks the start that its engine reports: it tells no version.
+  pub fn lacks_start(&self, entry: &EndpointEntry) -> bool {
+    self.reported_start(entry) == Some(ReportedStart::Named)
+  }
+
+  /// An engine's report was read, with the start that it names.
+  pub fn record_reported_start(&mut self, id: &str, started_ms: Option<u64>) {
+    if let Some(endpoint) = self.endpoints.get_mut(id) {
+      endpoint.reported_start = endpoint.reported_start.after_report(started_ms);
+    }
+    self.settle_version(id);
+  }
+
+  /// An engine's report could not be read.
+  pub fn record_unread_report(&mut self, id: &str, now_ms: u64) {
+    if let Some(endpoint) = self.endpoints.get_mut(id) {
+      endpoint.reported_start = endpoint.reported_start.after_failure(now_ms);
+    }
+  }
+
   /// The ids of all endpoints.
   pub fn ids(&self) -> Vec<Name> {
     self.endpoints.keys().cloned().collect()
@@ -453,8 +514,11 @@
 
   /// Whether a listed endpoint's process has, or can confirm, the version of the entry.
   pub fn is_version_known(&self, entry: &EndpointEntry) -> bool {
+    if self.lacks_start(entry) {
+      return false;
+    }
     self.settle_version(&entry.id);
-    entry.confirms_start() || self.processes.is_version_known(entry)
+    entry.confirms_start() || self.is_one_process(entry) || self.processes.is_version_known(entry)
   }
 
   /// The endpoints of the wanted version that accept work, and may have restarted with another one since they were listed. Those that
@@ -471,6 +535,7 @@
         && criteria.allowed_halls.contains(&entry.hall)
         && !criteria.tried.contains(&entry.id)
         && !self.is_version_known(entry)
+        && !self.lacks_start(entry)
         && self.check(entry, now_ms).is_ok()
     };
     let mut unknown: Vec<EndpointEntry> = self.entries().filter(is_unknown).cloned().collect();
@@ -810,6 +875,13 @@
   }
 }
 
+/// Whether an entry under an id is that of another process than the former one: a process keeps these.
+fn lists_other_process(former: &EndpointEntry, entry: &EndpointEntry) -> bool {
+  former.version != entry.version
+    || former.address != entry.address
+    || former.service != entry.service
+}
+
 fn lists_prefill_engine(entry: Option<&EndpointEntry>) -> bool {
   entry.is_some_and(|entry| entry.role == Some(Role::Prefill))
 }
--- a/src/gateway/decisions/endpoint_state.rs
+++ b/src/gateway/decisions/endpoint_state.rs
@@ -4,6 +4,7 @@
   super::{
     choice::{AttemptOutcome, EndpointCriteria},
     displacement::Displacement,
+    processes::ReportedStart,
   },
   crate::gateway::edge::EndpointEntry,
 };
@@ -45,6 +46,8 @@
   pub(super) size: u64,
   /// The load that it reported last.
   pub(super) reported_load: Option<ReportedLoad>,
+  /// What its reports say of its start.
+  pub(super) reported_start: ReportedStart,
   /// The slowdown of its machine that it reported last.
   pub(super) reported_slowdown: Option<ReportedSlowdown>,
   /// Losses since its last response.
@@ -103,6 +106,7 @@
       requests: 0,
       size: 0,
       reported_load: None,
+      reported_start: ReportedStart::default(),
       reported_slowdown: None,
     }
   }
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -121,7 +121,8 @@
   prefill_place::{EngineQueue, Place, PlaceId, PlaceOutcome, PlaceRequest, ReportedEngineLoad},
   prefill_queue::PrefillQueue,
   processes::{
-    ConnectionState, EndpointProcesses, ObservedProcess, VIEW_DELAY_MS, VersionEvidence,
+    ConnectionState, EndpointProcesses, ObservedProcess, ReportedStart, VIEW_DELAY_MS,
+    VersionEvidence,
   },
   quarantine_key::{QuarantineKey, QuarantineMark},
   quarantine_registry::{QuarantineRegistry, QuarantineVerdict},
--- a/src/gateway/decisions/processes/endpoint_processes.rs
+++ b/src/gateway/decisions/processes/endpoint_processes.rs
@@ -140,6 +140,13 @@
     }
   }
 
+  /// The entry of a listed endpoint is that of its process.
+  pub fn settle_all(&self, entry: &EndpointEntry) {
+    for process in self.observed(entry) {
+      process.set_version(&entry.version);
+    }
+  }
+
   /// An endpoint is no longer listed.
   pub fn remove(&mut self, id: &str) {
     self.by_endpoint.remove(id);
--- a/src/gateway/decisions/processes/mod.rs
+++ b/src/gateway/decisions/processes/mod.rs
@@ -3,11 +3,13 @@
 mod connection_state;
 mod endpoint_processes;
 mod observed_process;
+mod reported_start;
 mod version_evidence;
 
 pub use self::{
   connection_state::ConnectionState,
   endpoint_processes::{EndpointProcesses, VIEW_DELAY_MS},
   observed_process::ObservedProcess,
+  reported_start::ReportedStart,
   version_evidence::VersionEvidence,
 };
--- a/src/gateway/decisions/processes/version_evidence.rs
+++ b/src/gateway/decisions/processes/version_evidence.rs
@@ -12,6 +12,8 @@
 pub enum VersionEvidence {
   /// The process reports the start that the entry names.
   Start,
+  /// Neither the engine's reports nor the entry name a start: the id is that of one process.
+  Id,
   /// The process was observed for longer than its entry lags.
   Observed,
   /// None: a former process may have written the entry.
@@ -32,6 +34,7 @@
   fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
     match self {
       Self::Start => formatter.write_str("start"),
+      Self::Id => formatter.write_str("id"),
       Self::Observed => formatter.write_str("observed"),
       Self::None { observed_ms } => write!(formatter, "none, observed for {observed_ms} ms"),
     }
--- a/src/gateway/stages/incarnation_check.rs
+++ b/src/gateway/stages/incarnation_check.rs
@@ -89,6 +89,36 @@
   Ok(AfterReport::Open)
 }
 
+/// Reads an engine's report on a connection, unless it is known whether its reports name a start that the entry does not. Fails when
+/// they do: such an entry tells no version.
+pub(super) async fn learn_reported_start(
+  gateway: &Rc<Gateway>,
+  entry: &EndpointEntry,
+  connection: &mut Connection,
+) -> Result<AfterReport, StageError> {
+  let mut after = AfterReport::Open;
+  let wants_report = gateway
+    .endpoints
+    .borrow()
+    .wants_report(entry, gateway.now_ms());
+  if wants_report && gateway.has_engines(&entry.service) {
+    let report = timeout(CALL_TIMEOUT, request_report(gateway, entry, connection)).await;
+    let is_readable = matches!(&report, Ok(Ok(report)) if report.head.status == StatusCode::OK);
+    if !is_readable {
+      let mut endpoints = gateway.endpoints.borrow_mut();
+      endpoints.record_unread_report(&entry.id, gateway.now_ms());
+    }
+    let report = report.map_err(|_| StageError::Unreachable)??;
+    if closes_connection(&report.head.headers) {
+      after = AfterReport::Closed;
+    }
+  }
+  if gateway.endpoints.borrow().lacks_start(entry) {
+    return Err(Unavailable::Unconfirmed.into());
+  }
+  Ok(after)
+}
+
 /// The response to a request for an engine's report.
 pub(super) struct Report {
   pub(super) head: response::Parts,
@@ -110,7 +140,9 @@
   let (head, body) = response.into_parts();
   let read = buffer_body(body, MAX_RESPONSE_BYTES).await;
   let body = read.map_err(|error| unsent(&error))?;
-  Ok(Report { head, body })
+  let report = Report { head, body };
+  report.record_start(gateway, entry);
+  Ok(report)
 }
 
 impl Report {
@@ -121,6 +153,19 @@
     report.runs.iter().find(of_request).map(|run| run.events)
   }
 
+  /// Records whether the report names a start.
+  fn record_start(&self, gateway: &Gateway, entry: &EndpointEntry) {
+    if self.head.status != StatusCode::OK {
+      return;
+    }
+    let now_ms = gateway.now_ms();
+    let mut endpoints = gateway.endpoints.borrow_mut();
+    match gateway.codec.report(&self.body) {
+      Ok(report) => endpoints.record_reported_start(&entry.id, report.started_ms),
+      Err(_) => endpoints.record_unread_report(&entry.id, now_ms),
+    }
+  }
+
   /// The start in the report; `None` when the engine rejects it, or when it holds none.
   pub(super) fn started_ms(
     &self,
--- a/src/gateway/stages/open_connection.rs
+++ b/src/gateway/stages/open_connection.rs
@@ -1,7 +1,10 @@
 //! Opens connections to endpoints, and records which endpoints can be reached.
 
 use {
-  super::stage_error::StageError,
+  super::{
+    incarnation_check::{AfterReport, learn_reported_start},
+    stage_error::StageError,
+  },
   crate::gateway::{connections::Connection, edge::EndpointEntry, state::Gateway},
   std::rc::Rc,
 };
@@ -44,8 +47,17 @@
 
 /// Opens a connection that shows whether the endpoint's process goes on.
 pub(crate) async fn observe_endpoint(gateway: &Rc<Gateway>, entry: &EndpointEntry) {
-  match open_connection(gateway, entry).await {
-    Ok(connection) => gateway.keep_unused(connection),
+  let opened = open_connection(gateway, entry).await;
+  let observed = match opened {
+    Ok(mut connection) => {
+      let learned = learn_reported_start(gateway, entry, &mut connection).await;
+      learned.map(|after| (connection, after))
+    }
+    Err(error) => Err(error),
+  };
+  match observed {
+    Ok((connection, AfterReport::Open)) => gateway.keep_unused(connection),
+    Ok(_) => {}
     Err(error) => log::info!("E597 not observed: {}: {error}", entry.id),
   }
 }
--- a/src/gateway/stages/stage.rs
+++ b/src/gateway/stages/stage.rs
@@ -6,7 +6,9 @@
     end_witness::EndWitness,
     framing::Framing,
     hold_stream::hold_stream,
-    incarnation_check::{AfterReport, confirm_start, has_confirmed_start, version_evidence},
+    incarnation_check::{
+      AfterReport, confirm_start, has_confirmed_start, learn_reported_start, version_evidence,
+    },
     open_connection::open_connection,
     outgoing_call::{BeginningStream, OutgoingCall},
     purpose::Purpose,
@@ -526,6 +528,11 @@
     connection = confirmed_connection(gateway, entry, connection).await?;
     check_available(gateway, entry, purpose)?;
   }
+  if is_stream
+    && learn_reported_start(gateway, entry, &mut connection).await? == AfterReport::Closed
+  {
+    connection = open_connection(gateway, entry).await?;
+  }
   connection.hold = None;
   if is_stream && !version_evidence(gateway, entry, &connection).is_known() {
     if purpose == Purpose::ResumedStream {
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -78,6 +78,7 @@
 mod versioned_engine;
 mod versions;
 mod versions_after_silence;
+mod versions_by_id;
 mod versions_of_restarted_engines;
 
 pub(crate) use self::{
--- a/tests/gateway/versioned_engine.rs
+++ b/tests/gateway/versioned_engine.rs
@@ -45,6 +45,8 @@
   Nowhere,
   InReport,
   InEntry,
+  /// Nowhere; requests for the report are rejected.
+  NoReport,
 }
 
 /// What an engine does with a stream that it begins, after its first events.
@@ -75,7 +77,7 @@
 struct EngineState {
   /// The version of each start; the last one is that of all later ones, too.
   versions: Vec<&'static str>,
-  reports_start: bool,
+  start_field: StartField,
   beginning: Beginning,
   starts: AtomicU64,
   has_slots: AtomicBool,
@@ -100,7 +102,13 @@
     match seen.path.as_str() {
       CRASH_PATH => Reply::Crash(String::new(), down),
       "/hold-take" if !self.has_slots.load(Ordering::Relaxed) => Reply::not_run(seen),
-      "/report" if !self.reports_start => Reply::ok(seen, r#"{"callSeq":0,"utilization":true}"#),
+      "/report" => match self.start_field {
+        StartField::InReport => engine_reply(seen, ""),
+        StartField::NoReport => Reply::not_run(seen),
+        StartField::Nowhere | StartField::InEntry => {
+          Reply::ok(seen, r#"{"callSeq":0,"utilization":true}"#)
+        }
+      },
       _ if is_stream(seen) => self.stream(seen),
       _ => engine_reply(seen, ""),
     }
@@ -167,7 +175,7 @@
     let state = Arc::new(EngineState {
       beginning,
       has_slots: AtomicBool::new(true),
-      reports_start: start_field == StartField::InReport,
+      start_field,
       starts: AtomicU64::new(0),
       versions: versions.into(),
     });
@@ -192,7 +200,7 @@
       StartField::InEntry => {
         test.enter_version_started(self.id, &self.endpoint, version, listed_start(start));
       }
-      StartField::Nowhere | StartField::InReport => {
+      StartField::Nowhere | StartField::InReport | StartField::NoReport => {
         test.enter_version_without_start(self.id, &self.endpoint, version);
       }
     }
@@ -205,7 +213,7 @@
         let address = self.endpoint.address;
         GatewayTest::enter_plain_incarnation(&test.store, self.id, address, listed_start(1));
       }
-      StartField::Nowhere | StartField::InReport => {
+      StartField::Nowhere | StartField::InReport | StartField::NoReport => {
         test.enter(self.id, "portal", None, &self.endpoint);
       }
     }
