A stream may begin after the event that its caller names on any route

On a route that may not be resumed, where the engine goes on after Last-Event-Id nonetheless, callers saw a stream aborted without an event once the version was known to begin with 0 or 1: the first id counted as one after an absent event. The order of events was not told which event the caller names. An id that follows it is a beginning like the lowest one, unless noise or events without ids came before.

--- a/src/gateway/requests/event_order.rs
+++ b/src/gateway/requests/event_order.rs
@@ -101,6 +101,8 @@
 pub(super) struct EventOrder {
   last: Option<LastEvent>,
   start: Start,
+  /// The event that the caller names, also where the stream may not be resumed: some engines go on after it nonetheless.
+  named: Option<u64>,
   /// How events are numbered in other streams of the version.
   numbering: Numbering,
   /// The first id that an answer brought which begins the stream.
@@ -124,8 +126,9 @@
 }
 
 impl EventOrder {
-  /// The order of a stream that goes on after an event which the caller names, if any.
-  pub(super) fn new(last_id: Option<u64>, numbering: Numbering) -> Self {
+  /// The order of a stream whose caller may name an event. One that may be resumed goes on after it; another one may begin anew.
+  pub(super) fn new(named: Option<u64>, may_be_resumed: bool, numbering: Numbering) -> Self {
+    let last_id = named.filter(|_| may_be_resumed);
     Self {
       first_id: None,
       follows_noise: false,
@@ -138,6 +141,7 @@
         id,
         is_doubtful: false,
       }),
+      named,
       numbering,
       single_steps: 0,
       skip: None,
@@ -249,6 +253,10 @@
 
   /// Checks the first event of a stream.
   fn check_first(&mut self, id: u64) -> Result<(), Misplaced> {
+    let is_after_named = self.named.and_then(|named| named.checked_add(1)) == Some(id);
+    if is_after_named && !self.follows_noise && self.without_id == 0 {
+      return Ok(());
+    }
     self.first_id.get_or_insert(id);
     let others_begin_lower =
       self.numbering.begins_lowest && self.skip != Some(Skip { after: 0, id });
--- a/src/gateway/requests/event_relay.rs
+++ b/src/gateway/requests/event_relay.rs
@@ -103,9 +103,8 @@
   pub(crate) fn new(mut stream: StreamRequest, mut head: ResponseHead) -> Self {
     stream.record_beginning(&mut head);
     let listed_version = head.entry.version.clone();
-    // Another stream begins anew, whatever its caller names.
-    let continues_after = stream.last_event_id.filter(|_| stream.may_retry());
-    let order = EventOrder::new(continues_after, numbering(&stream.gateway, &head.entry));
+    let numbering = numbering(&stream.gateway, &head.entry);
+    let order = EventOrder::new(stream.last_event_id, stream.may_retry(), numbering);
     Self {
       answering_since_ms: None,
       end_check: EndCheck::default(),
