Streams without an id on some event are remembered for as long as their version

Where one stream in 41 had an event without an id, callers saw each of four such streams aborted. The counts of both kinds of streams are halved after 64 streams, and one half of one is none, so that the box forgot the exception. A habit of a version counts streams without it for good; the rule of steps keeps its halved counts.

--- a/src/gateway/decisions/streams/id_steps.rs
+++ b/src/gateway/decisions/streams/id_steps.rs
@@ -9,6 +9,8 @@
 const MIN_KEPT: u32 = 4;
 /// Streams that break it, until the version does not.
 const MIN_BROKEN: u32 = 2;
+/// Streams with an event without an id, from which on the version's events need none.
+const MIN_INCOMPLETE: u32 = 1;
 /// Streams after which both counts are halved, so that they follow a change.
 const HALVED_AT: u32 = 64;
 /// Versions that are remembered.
@@ -70,11 +72,6 @@
     }
   }
 
-  /// Whether no stream has broken it, and enough have kept it.
-  fn is_unbroken(self) -> bool {
-    self.broken == 0 && self.kept >= MIN_KEPT
-  }
-
   /// Whether the version keeps it; `None` while too few streams have shown it.
   fn is_kept(self) -> Option<bool> {
     let Self { kept, broken } = self;
@@ -88,12 +85,34 @@
   }
 }
 
+/// A habit of a version's streams. Those without it are never forgotten: a few of a version's requests may always have such streams.
+#[derive(Clone, Copy, Debug, Default)]
+struct Habit {
+  with: u32,
+  without: u32,
+}
+
+impl Habit {
+  fn record(&mut self, has_habit: Option<bool>) {
+    match has_habit {
+      Some(true) => self.with = self.with.saturating_add(1),
+      Some(false) => self.without = self.without.saturating_add(1),
+      None => {}
+    }
+  }
+
+  /// Whether enough streams have it, and fewer than some are without it.
+  fn holds(self, min_without: u32) -> bool {
+    self.with >= MIN_KEPT && self.without < min_without
+  }
+}
+
 /// The streams of one version.
 #[derive(Clone, Copy, Debug, Default)]
 struct Streams {
   single_steps: Rule,
   lowest_first: Rule,
-  complete: Rule,
+  complete: Habit,
 }
 
 /// How events are numbered in the streams of each service's software versions.
@@ -135,7 +154,7 @@
     Numbering {
       begins_lowest: streams.lowest_first.is_kept() == Some(true),
       // Some requests may ask for an event more, as one with the usage, which has no id.
-      is_complete: streams.complete.is_unbroken(),
+      is_complete: streams.complete.holds(MIN_INCOMPLETE),
       steps: match streams.single_steps.is_kept() {
         None => IdSteps::Unknown,
         Some(true) => IdSteps::Single,
