Aborted streams show how their version numbers events

Callers of a service of which some requests have streams of another kind (no ids, a first event without one, ids that begin later or are no numbers) saw each of these streams aborted, for good, once five numbered ones had passed. A stream that is aborted before its first id, or for an id that is no number, left no trace, or one that the majority outvoted.

What is refused is recorded where the stream is aborted, with the events behind it that had been received. One stream with an event without an id, or two with another first id or an id that is no number, end the check for that version. What a further run makes good is a fault and does not count, where it did before.

--- a/src/gateway/decisions/streams/id_steps.rs
+++ b/src/gateway/decisions/streams/id_steps.rs
@@ -7,7 +7,7 @@
 
 /// Streams that keep a rule, until the version does.
 const MIN_KEPT: u32 = 4;
-/// Streams that break it, until the version does not.
+/// Streams that break it, until the version does not, or other ones are allowed.
 const MIN_BROKEN: u32 = 2;
 /// Streams with an event without an id, from which on the version's events need none.
 const MIN_INCOMPLETE: u32 = 1;
@@ -37,9 +37,11 @@
   pub begins_lowest: bool,
   /// Whether all events with data are known to have an id.
   pub is_complete: bool,
+  /// Whether ids are known to be no numbers at times.
+  pub has_unreadable_ids: bool,
 }
 
-/// What one stream has shown; `None` where too few events have come, or none.
+/// What one stream has shown, also by events for which it was aborted; `None` where too few events have come, or none.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct StreamIds {
   /// Whether an id was skipped.
@@ -48,6 +50,8 @@
   pub began_lowest: Option<bool>,
   /// Whether all events with data had an id.
   pub was_complete: Option<bool>,
+  /// Whether it was aborted for an id that is no number.
+  pub had_unreadable_ids: bool,
 }
 
 /// Streams that kept a rule, and that broke it.
@@ -111,8 +115,10 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Streams {
   single_steps: Rule,
-  lowest_first: Rule,
+  lowest_first: Habit,
   complete: Habit,
+  /// Streams that were aborted for an id that is no number.
+  unreadable_ids: u32,
 }
 
 /// How events are numbered in the streams of each service's software versions.
@@ -145,6 +151,8 @@
     streams.single_steps.record(has_single_steps);
     streams.lowest_first.record(ids.began_lowest);
     streams.complete.record(ids.was_complete);
+    let unreadable_ids = &mut streams.unreadable_ids;
+    *unreadable_ids = unreadable_ids.saturating_add(ids.had_unreadable_ids.into());
   }
 
   /// How the events of a version are numbered.
@@ -152,7 +160,8 @@
     let streams = self.versions.get(&(service.clone(), version.clone()));
     let streams = streams.copied().unwrap_or_default();
     Numbering {
-      begins_lowest: streams.lowest_first.is_kept() == Some(true),
+      has_unreadable_ids: streams.unreadable_ids >= MIN_BROKEN,
+      begins_lowest: streams.lowest_first.holds(MIN_BROKEN),
       // Some requests may ask for an event more, as one with the usage, which has no id.
       is_complete: streams.complete.holds(MIN_INCOMPLETE),
       steps: match streams.single_steps.is_kept() {
--- a/src/gateway/requests/event_order.rs
+++ b/src/gateway/requests/event_order.rs
@@ -96,6 +96,15 @@
   id: u64,
 }
 
+/// What was refused as a fault, by which the stream shows how its version numbers events if no other run brings anything else.
+#[derive(Clone, Copy, Debug, Default)]
+struct Refused {
+  /// An event with data and no id.
+  has_events_without_id: bool,
+  /// An event whose id is no number.
+  has_unreadable_ids: bool,
+}
+
 /// The order of a stream's events.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct EventOrder {
@@ -105,22 +114,21 @@
   named: Option<u64>,
   /// How events are numbered in other streams of the version.
   numbering: Numbering,
-  /// The first id that an answer brought which begins the stream.
+  /// The first id of the answer that began the stream, or else of the last one that was refused.
   first_id: Option<u64>,
+  refused: Refused,
   /// Ids that were one more than the one before.
   single_steps: u32,
   /// Whether an id was more than one more than the one before: ids do not count events.
   has_larger_steps: bool,
   /// The last step within an answer that was taken for missing events. Another run that takes it too shows that none are missing.
   skip: Option<Skip>,
-  /// Whether an answer has brought an event without an id.
+  /// Whether an event without an id was forwarded.
   has_events_without_id: bool,
   /// Events without an id that were forwarded after the last id.
   without_id: u64,
   /// Whether the current answer has brought bytes that are no event since its last event: they may stand in the place of one.
   follows_noise: bool,
-  /// Whether an event's id was no number although others are.
-  has_unreadable_ids: bool,
   /// Whether the last event's id was too high: the next event of the same answer has a lower one.
   is_last_contradicted: bool,
 }
@@ -134,7 +142,6 @@
       follows_noise: false,
       has_events_without_id: false,
       has_larger_steps: false,
-      has_unreadable_ids: false,
       is_last_contradicted: false,
       last: last_id.map(|id| LastEvent {
         hash: None,
@@ -143,6 +150,7 @@
       }),
       named,
       numbering,
+      refused: Refused::default(),
       single_steps: 0,
       skip: None,
       start: last_id.map_or(Start::Passed, Start::NamedByCaller),
@@ -168,12 +176,6 @@
     self.follows_noise = true;
   }
 
-  /// Whether ids were skipped in the stream, or some were no numbers; `None` while too few events have come.
-  fn has_skipped_ids(&self) -> Option<bool> {
-    let has_skipped = self.has_larger_steps || self.has_unreadable_ids || self.skip.is_some();
-    (has_skipped || self.single_steps >= MIN_SINGLE_STEPS).then_some(has_skipped)
-  }
-
   /// Where an event belongs; one that is next counts as forwarded. Fails when its engine left others out, goes back, or does not tell
   /// where the event belongs.
   pub(super) fn place(&mut self, event: &SseEvent) -> Result<EventPlace, Misplaced> {
@@ -218,11 +220,32 @@
     if !event.has_data() {
       return Ok(EventPlace::Next);
     }
-    self.has_events_without_id = true;
+    let placed = self.check_without_id(event);
+    match placed {
+      Ok(()) => {
+        self.has_events_without_id |= !event.has_unreadable_id();
+        self.without_id += 1;
+      }
+      Err(_) => self.record_refused(event),
+    }
+    placed.map(|()| EventPlace::Next)
+  }
+
+  /// Checks an event with data and without an id that is a number.
+  fn check_without_id(&self, event: &SseEvent) -> Result<(), Misplaced> {
     if let Start::AfterInterruption(after) = self.start {
       return Err(Misplaced::WithoutId { after });
     }
-    if self.numbering.is_complete {
+    let is_unreadable = event.has_unreadable_id();
+    let is_known = is_unreadable && self.numbering.has_unreadable_ids;
+    if let Some(last) = self.last.filter(|last| !last.is_doubtful)
+      && is_unreadable
+      && !is_known
+      && self.numbering.steps != IdSteps::Any
+    {
+      return Err(Misplaced::UnreadableId { after: last.id });
+    }
+    if self.numbering.is_complete && !is_known {
       return Err(Misplaced::LacksId);
     }
     if let Some(LastEvent { id: after, .. }) = self.last
@@ -230,24 +253,33 @@
     {
       return Err(Misplaced::RenamedId { after });
     }
-    if let Some(last) = self.last.filter(|last| !last.is_doubtful)
-      && self.numbering.steps != IdSteps::Any
-      && event.has_unreadable_id()
-    {
-      // A service whose streams all do so is known by it before long.
-      self.has_unreadable_ids = true;
-      return Err(Misplaced::UnreadableId { after: last.id });
+    Ok(())
+  }
+
+  /// Records an event of an answer that the stream does not go on with: one that was refused, or that came after such a one.
+  pub(super) fn record_refused(&mut self, event: &SseEvent) {
+    if event.id.is_some() || !event.has_data() {
+      return;
     }
-    self.without_id += 1;
-    Ok(EventPlace::Next)
+    let is_unreadable = event.has_unreadable_id();
+    self.refused.has_unreadable_ids |= is_unreadable;
+    self.refused.has_events_without_id |= !is_unreadable;
   }
 
-  /// What the stream has shown of how its version numbers events.
-  pub(super) fn shown(&self) -> StreamIds {
+  /// What the stream has shown of how its version numbers events. What was refused in a stream that is whole was a fault.
+  pub(super) fn shown(&self, is_whole: bool) -> StreamIds {
+    let refused = match is_whole {
+      true => Refused::default(),
+      false => self.refused,
+    };
+    let has_skipped = self.has_larger_steps || refused.has_unreadable_ids || self.skip.is_some();
+    let has_shown_steps = has_skipped || self.single_steps >= MIN_SINGLE_STEPS;
+    let is_incomplete = self.has_events_without_id || refused.has_events_without_id;
     StreamIds {
       began_lowest: self.first_id.map(|id| id <= HIGHEST_FIRST_ID),
-      has_skipped: self.has_skipped_ids(),
-      was_complete: self.last.map(|_| !self.has_events_without_id),
+      had_unreadable_ids: refused.has_unreadable_ids,
+      has_skipped: has_shown_steps.then_some(has_skipped),
+      was_complete: (is_incomplete || self.last.is_some()).then_some(!is_incomplete),
     }
   }
 
@@ -257,7 +289,7 @@
     if is_after_named && !self.follows_noise && self.without_id == 0 {
       return Ok(());
     }
-    self.first_id.get_or_insert(id);
+    self.first_id = Some(id);
     let others_begin_lower =
       self.numbering.begins_lowest && self.skip != Some(Skip { after: 0, id });
     let may_hide = self.follows_noise || self.counts_without_id(id) || others_begin_lower;
--- a/src/gateway/requests/event_relay.rs
+++ b/src/gateway/requests/event_relay.rs
@@ -202,7 +202,7 @@
       }
       BlockKind::Damaged => {
         self.log_not_forwarded(&block, &"it is damaged");
-        self.is_answer_spoilt = true;
+        self.refuse_answer();
         Err("an event is damaged".into())
       }
     }
@@ -248,7 +248,7 @@
         if self.has_all_tokens() {
           return Ok(Read::End(AnswerEnd::NextAnswer));
         }
-        self.is_answer_spoilt = true;
+        self.refuse_answer();
         if matches!(misplaced, Misplaced::Gap { .. }) {
           self.end_check.record_event(&self.stream.gateway);
         }
@@ -257,6 +257,18 @@
     }
   }
 
+  /// The stream does not go on with the current answer, of which an event is refused. The events behind it still show how the version
+  /// numbers them.
+  fn refuse_answer(&mut self) {
+    self.is_answer_spoilt = true;
+    let mut rest = self.splitter.clone();
+    while let Some(block) = rest.next_event() {
+      if block.kind() == BlockKind::Event {
+        self.order.record_refused(&block);
+      }
+    }
+  }
+
   /// Logs that the current engine sent an event that its caller does not get.
   fn log_not_forwarded(&mut self, event: &SseEvent, reason: &dyn Display) {
     self.not_forwarded += 1;
@@ -550,7 +562,7 @@
   /// Completes the stream.
   fn finish(&mut self, end: AnswerEnd) -> Option<Result<Bytes, StreamAborted>> {
     self.is_finished = true;
-    self.record_id_steps();
+    self.record_id_steps(true);
     let gateway = self.stream.gateway.clone();
     let framing = self.framing().map(|framing| framing.to_string());
     log::info!(
@@ -583,12 +595,16 @@
   }
 
   /// Records how the stream's events were numbered.
-  fn record_id_steps(&self) {
+  fn record_id_steps(&self, is_whole: bool) {
     let StreamRequest {
       gateway, request, ..
     } = &self.stream;
     let mut steps = gateway.id_steps.borrow_mut();
-    steps.record(&request.service, &self.listed_version, self.order.shown());
+    steps.record(
+      &request.service,
+      &self.listed_version,
+      self.order.shown(is_whole),
+    );
   }
 
   /// Resumes the stream at another engine, after the last complete event.
@@ -664,7 +680,7 @@
   /// Aborts the stream, so that the caller sees that it is incomplete.
   fn abort(&mut self, error: String) -> StreamAborted {
     self.is_finished = true;
-    self.record_id_steps();
+    self.record_id_steps(false);
     self.stream.gateway.counters.interrupted_streams.inc();
     log::info!(
       "E507 stream aborted: {}: {error}; {}",
--- a/src/gateway/requests/event_splitter.rs
+++ b/src/gateway/requests/event_splitter.rs
@@ -57,7 +57,7 @@
 /// assert!(splitter.next_event().is_none());
 /// assert!(splitter.has_partial_event());
 /// ```
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct EventSplitter {
   buffer: BytesMut,
   /// Where the search for the event's end goes on: no end begins before.
