Fields that readers ignore are known by name after two aborted streams

Callers saw each stream of a service aborted that sends an unknown field in an event without data, or the next number in one of an event without an id: such a line may be the data or the id under another name, and nothing was learnt from the abort. The names of these fields are recorded where a stream is aborted for them; after two streams the version is known to send them. A name that is spoilt in another way each time stays a fault.

--- a/src/gateway/decisions/streams/id_steps.rs
+++ b/src/gateway/decisions/streams/id_steps.rs
@@ -2,7 +2,7 @@
 
 use {
   crate::{gateway::edge::SoftwareVersion, ids::Name},
-  std::collections::HashMap,
+  std::collections::{BTreeMap, BTreeSet, HashMap},
 };
 
 /// Streams that keep a rule, until the version does.
@@ -13,6 +13,8 @@
 const MIN_INCOMPLETE: u32 = 1;
 /// Streams after which both counts are halved, so that they follow a change.
 const HALVED_AT: u32 = 64;
+/// Names of ignored fields that are remembered of a version.
+const MAX_IGNORED_FIELDS: usize = 32;
 /// Versions that are remembered.
 const MAX_VERSIONS: usize = 256;
 
@@ -29,7 +31,7 @@
 }
 
 /// How the events of a version are numbered.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Numbering {
   /// How ids rise.
   pub steps: IdSteps,
@@ -39,10 +41,12 @@
   pub is_complete: bool,
   /// Whether ids are known to be no numbers at times.
   pub has_unreadable_ids: bool,
+  /// Names of fields that readers ignore and the version is known to send.
+  pub ignored_fields: BTreeSet<Name>,
 }
 
 /// What one stream has shown, also by events for which it was aborted; `None` where too few events have come, or none.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct StreamIds {
   /// Whether an id was skipped.
   pub has_skipped: Option<bool>,
@@ -52,6 +56,8 @@
   pub was_complete: Option<bool>,
   /// Whether it was aborted for an id that is no number.
   pub had_unreadable_ids: bool,
+  /// Names of ignored fields for which it was aborted, since each might be that of another field.
+  pub ignored_fields: BTreeSet<Name>,
 }
 
 /// Streams that kept a rule, and that broke it.
@@ -112,13 +118,37 @@
 }
 
 /// The streams of one version.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Debug, Default)]
 struct Streams {
   single_steps: Rule,
   lowest_first: Habit,
   complete: Habit,
   /// Streams that were aborted for an id that is no number.
   unreadable_ids: u32,
+  /// Streams that were aborted for each ignored field.
+  ignored_fields: BTreeMap<Name, u32>,
+}
+
+impl Streams {
+  fn record_ignored_fields(&mut self, fields: BTreeSet<Name>) {
+    for field in fields {
+      if self.ignored_fields.len() >= MAX_IGNORED_FIELDS {
+        // Names that came once may be spoilt ones.
+        self.ignored_fields.retain(|_, count| *count >= MIN_BROKEN);
+      }
+      if self.ignored_fields.len() < MAX_IGNORED_FIELDS || self.ignored_fields.contains_key(&field)
+      {
+        let count = self.ignored_fields.entry(field).or_default();
+        *count = count.saturating_add(1);
+      }
+    }
+  }
+
+  fn known_ignored_fields(&self) -> BTreeSet<Name> {
+    let known = self.ignored_fields.iter();
+    let known = known.filter(|(_, count)| **count >= MIN_BROKEN);
+    known.map(|(field, _)| field.clone()).collect()
+  }
 }
 
 /// How events are numbered in the streams of each service's software versions.
@@ -151,15 +181,18 @@
     streams.single_steps.record(has_single_steps);
     streams.lowest_first.record(ids.began_lowest);
     streams.complete.record(ids.was_complete);
+    streams.record_ignored_fields(ids.ignored_fields);
     let unreadable_ids = &mut streams.unreadable_ids;
     *unreadable_ids = unreadable_ids.saturating_add(ids.had_unreadable_ids.into());
   }
 
   /// How the events of a version are numbered.
   pub fn of(&self, service: &Name, version: &SoftwareVersion) -> Numbering {
-    let streams = self.versions.get(&(service.clone(), version.clone()));
-    let streams = streams.copied().unwrap_or_default();
+    let Some(streams) = self.versions.get(&(service.clone(), version.clone())) else {
+      return Numbering::default();
+    };
     Numbering {
+      ignored_fields: streams.known_ignored_fields(),
       has_unreadable_ids: streams.unreadable_ids >= MIN_BROKEN,
       begins_lowest: streams.lowest_first.holds(MIN_BROKEN),
       // Some requests may ask for an event more, as one with the usage, which has no id.
--- a/src/gateway/requests/event_block.rs
+++ b/src/gateway/requests/event_block.rs
@@ -20,6 +20,8 @@
   Event,
   /// The head of another response.
   AnswerHead,
+  /// An event with an id, without data, and with a line that readers ignore, which may be its data under another name.
+  IgnoredLines,
   /// An event with bytes that belong to none: it may lack a field.
   Damaged,
   /// Bytes that are no event.
@@ -43,8 +45,7 @@
     let has_id = lines.clone().any(|line| name(line) == ID);
     let lacks_data = has_id && !lines.clone().any(|line| name(line) == DATA);
     if lacks_data && !lines.clone().all(has_effect) {
-      // An ignored line may be its data, under another name.
-      return Self::Damaged;
+      return Self::IgnoredLines;
     }
     let has_effect = lines.clone().any(has_effect);
     let are_fields = lines.clone().all(is_field);
@@ -102,13 +103,21 @@
   lines(block).any(|line| FIELDS.contains(&name(line)))
 }
 
-/// Whether a block has a number in a line that readers ignore, which may be a field under another name.
-pub(super) fn has_ignored_number(block: &[u8], number: u64) -> bool {
+/// The names of a block's lines that readers ignore.
+pub(super) fn ignored_names(block: &[u8]) -> impl Iterator<Item = &[u8]> {
+  let ignored = lines(block).filter(|line| !has_effect(line));
+  ignored.map(name)
+}
+
+/// The names of a block's lines that readers ignore and that hold a number: each may be a field under another name.
+pub(super) fn ignored_names_of(block: &[u8], number: u64) -> impl Iterator<Item = &[u8]> {
   let value = |line: &[u8]| {
     let value = line.strip_prefix(name(line))?.strip_prefix(b":")?;
     std::str::from_utf8(value).ok()?.trim().parse().ok()
   };
-  lines(block).any(|line| !has_effect(line) && value(line) == Some(number))
+  let ignored = lines(block).filter(|line| !has_effect(line));
+  let of_number = ignored.filter(move |line| value(line) == Some(number));
+  of_number.map(name)
 }
 
 /// Whether a line is a comment, or a field that has an effect.
--- a/src/gateway/requests/event_order.rs
+++ b/src/gateway/requests/event_order.rs
@@ -2,8 +2,12 @@
 
 use {
   super::event_splitter::SseEvent,
-  crate::gateway::decisions::{IdSteps, Numbering, StreamIds},
+  crate::{
+    gateway::decisions::{IdSteps, Numbering, StreamIds},
+    ids::Name,
+  },
   std::{
+    collections::BTreeSet,
     hash::{DefaultHasher, Hash, Hasher},
     ops::RangeInclusive,
   },
@@ -14,6 +18,8 @@
 const HIDING_FIRST_IDS: RangeInclusive<u64> = HIGHEST_FIRST_ID + 1..=16;
 /// The highest id with which ids that count events begin.
 const HIGHEST_FIRST_ID: u64 = 1;
+/// The longest name of an ignored field that is remembered.
+const MAX_FIELD_NAME_BYTES: usize = 64;
 /// Steps of one between ids after which a larger one means that events are missing.
 const MIN_SINGLE_STEPS: u32 = 2;
 
@@ -97,16 +103,18 @@
 }
 
 /// What was refused as a fault, by which the stream shows how its version numbers events if no other run brings anything else.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Refused {
   /// An event with data and no id.
   has_events_without_id: bool,
   /// An event whose id is no number.
   has_unreadable_ids: bool,
+  /// Names of ignored fields, each of which may be that of another field.
+  ignored_fields: BTreeSet<Name>,
 }
 
 /// The order of a stream's events.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct EventOrder {
   last: Option<LastEvent>,
   start: Start,
@@ -249,7 +257,9 @@
       return Err(Misplaced::LacksId);
     }
     if let Some(LastEvent { id: after, .. }) = self.last
-      && event.has_ignored_number(after.saturating_add(1))
+      && event
+        .ignored_names_of(after.saturating_add(1))
+        .any(|name| !self.is_known_field(name))
     {
       return Err(Misplaced::RenamedId { after });
     }
@@ -261,22 +271,41 @@
     if event.id.is_some() || !event.has_data() {
       return;
     }
+    if let Some(LastEvent { id: after, .. }) = self.last {
+      let names = event.ignored_names_of(after.saturating_add(1));
+      self.refused.ignored_fields.extend(names.map(field_name));
+    }
     let is_unreadable = event.has_unreadable_id();
     self.refused.has_unreadable_ids |= is_unreadable;
     self.refused.has_events_without_id |= !is_unreadable;
   }
 
+  /// Whether the version is known to send all of an event's fields that readers ignore; unknown ones count as refused.
+  pub(super) fn knows_ignored_fields(&mut self, event: &SseEvent) -> bool {
+    let is_known = event.ignored_names().all(|name| self.is_known_field(name));
+    if !is_known {
+      let names = event.ignored_names().map(field_name);
+      self.refused.ignored_fields.extend(names);
+    }
+    is_known
+  }
+
+  fn is_known_field(&self, name: &[u8]) -> bool {
+    self.numbering.ignored_fields.contains(&field_name(name))
+  }
+
   /// What the stream has shown of how its version numbers events. What was refused in a stream that is whole was a fault.
   pub(super) fn shown(&self, is_whole: bool) -> StreamIds {
     let refused = match is_whole {
       true => Refused::default(),
-      false => self.refused,
+      false => self.refused.clone(),
     };
     let has_skipped = self.has_larger_steps || refused.has_unreadable_ids || self.skip.is_some();
     let has_shown_steps = has_skipped || self.single_steps >= MIN_SINGLE_STEPS;
     let is_incomplete = self.has_events_without_id || refused.has_events_without_id;
     StreamIds {
       began_lowest: self.first_id.map(|id| id <= HIGHEST_FIRST_ID),
+      ignored_fields: refused.ignored_fields,
       had_unreadable_ids: refused.has_unreadable_ids,
       has_skipped: has_shown_steps.then_some(has_skipped),
       was_complete: (is_incomplete || self.last.is_some()).then_some(!is_incomplete),
@@ -341,6 +370,12 @@
   }
 }
 
+/// The name of an ignored field, or how it begins.
+fn field_name(name: &[u8]) -> Name {
+  let name = &name[..name.len().min(MAX_FIELD_NAME_BYTES)];
+  String::from_utf8_lossy(name).into()
+}
+
 fn hash(event: &SseEvent) -> u64 {
   let mut hasher = DefaultHasher::new();
   event.bytes.hash(&mut hasher);
--- a/src/gateway/requests/event_relay.rs
+++ b/src/gateway/requests/event_relay.rs
@@ -189,6 +189,7 @@
   fn take_block(&mut self, block: SseEvent) -> Result<Read, String> {
     match block.kind() {
       BlockKind::Event => self.take_event(block),
+      BlockKind::IgnoredLines if self.order.knows_ignored_fields(&block) => self.take_event(block),
       BlockKind::AnswerHead if self.ends_with_connection() => {
         self.log_not_forwarded(&block, &"it begins another answer");
         self.splitter = EventSplitter::default();
@@ -200,7 +201,7 @@
         self.tail = self.tail.after_noise();
         Ok(Read::Nothing)
       }
-      BlockKind::Damaged => {
+      BlockKind::Damaged | BlockKind::IgnoredLines => {
         self.log_not_forwarded(&block, &"it is damaged");
         self.refuse_answer();
         Err("an event is damaged".into())
@@ -468,7 +469,7 @@
   fn end_answer(&mut self) -> Result<Read, String> {
     let partial = self.splitter.partial_kind();
     let end = match (partial, self.ends_with_connection()) {
-      (Some(BlockKind::Event | BlockKind::Damaged), _) => {
+      (Some(BlockKind::Event | BlockKind::IgnoredLines | BlockKind::Damaged), _) => {
         return Err("stream ended within an event".into());
       }
       (Some(BlockKind::AnswerHead), true) => AnswerEnd::NextAnswer,
--- a/src/gateway/requests/event_splitter.rs
+++ b/src/gateway/requests/event_splitter.rs
@@ -1,7 +1,7 @@
 //! Splits a byte stream into server-sent events, so that an interrupted stream ends between two of them.
 
 use {
-  super::event_block::{BlockKind, has_field, has_ignored_number, lines},
+  super::event_block::{BlockKind, has_field, ignored_names, ignored_names_of, lines},
   bytes::{Bytes, BytesMut},
 };
 
@@ -40,9 +40,14 @@
     self.id.is_none() && id.is_some_and(|id| !id.trim_ascii().is_empty())
   }
 
-  /// Whether it has a number in a line that readers ignore.
-  pub(super) fn has_ignored_number(&self, number: u64) -> bool {
-    has_ignored_number(&self.bytes, number)
+  /// The names of its lines that readers ignore.
+  pub(super) fn ignored_names(&self) -> impl Iterator<Item = &[u8]> {
+    ignored_names(&self.bytes)
+  }
+
+  /// The names of its lines that readers ignore and that hold a number.
+  pub(super) fn ignored_names_of(&self, number: u64) -> impl Iterator<Item = &[u8]> {
+    ignored_names_of(&self.bytes, number)
   }
 }
 
