--- a/src/gateway/requests/event_relay.rs
+++ b/src/gateway/requests/event_relay.rs
@@ -103,9 +103,8 @@
   pub(crate) fn new(mut stream: StreamRequest, mut head: ResponseHead) -> Self {
     stream.record_beginning(&mut head);
     let listed_version = head.entry.version.clone();
-    // Another stream begins anew, whatever its caller names.
-    let continues_after = stream.last_event_id.filter(|_| stream.may_retry());
-    let order = EventOrder::new(continues_after, numbering(&stream.gateway, &head.entry));
+    let numbering = numbering(&stream.gateway, &head.entry);
+    let order = EventOrder::new(stream.last_event_id, stream.may_retry(), numbering);
     Self {
       answering_since_ms: None,
       end_check: EndCheck::default(),
@@ -190,6 +189,7 @@
   fn take_block(&mut self, block: SseEvent) -> Result<Read, String> {
     match block.kind() {
       BlockKind::Event => self.take_event(block),
+      BlockKind::IgnoredLines if self.order.knows_ignored_fields(&block) => self.take_event(block),
       BlockKind::AnswerHead if self.ends_with_connection() => {
         self.log_not_forwarded(&block, &"it begins another answer");
         self.splitter = EventSplitter::default();
@@ -201,9 +201,9 @@
         self.tail = self.tail.after_noise();
         Ok(Read::Nothing)
       }
-      BlockKind::Damaged => {
+      BlockKind::Damaged | BlockKind::IgnoredLines => {
         self.log_not_forwarded(&block, &"it is damaged");
-        self.is_answer_spoilt = true;
+        self.refuse_answer();
         Err("an event is damaged".into())
       }
     }
@@ -249,7 +249,7 @@
         if self.has_all_tokens() {
           return Ok(Read::End(AnswerEnd::NextAnswer));
         }
-        self.is_answer_spoilt = true;
+        self.refuse_answer();
         if matches!(misplaced, Misplaced::Gap { .. }) {
           self.end_check.record_event(&self.stream.gateway);
         }
@@ -258,6 +258,18 @@
     }
   }
 
+  /// The stream does not go on with the current answer, of which an event is refused. The events behind it still show how the version
+  /// numbers them.
+  fn refuse_answer(&mut self) {
+    self.is_answer_spoilt = true;
+    let mut rest = self.splitter.clone();
+    while let Some(block) = rest.next_event() {
+      if block.kind() == BlockKind::Event {
+        self.order.record_refused(&block);
+      }
+    }
+  }
+
   /// Logs that the current engine sent an event that its caller does not get.
   fn log_not_forwarded(&mut self, event: &SseEvent, reason: &dyn Display) {
     self.not_forwarded += 1;
@@ -457,7 +469,7 @@
   fn end_answer(&mut self) -> Result<Read, String> {
     let partial = self.splitter.partial_kind();
     let end = match (partial, self.ends_with_connection()) {
-      (Some(BlockKind::Event | BlockKind::Damaged), _) => {
+      (Some(BlockKind::Event | BlockKind::IgnoredLines | BlockKind::Damaged), _) => {
         return Err("stream ended within an event".into());
       }
       (Some(BlockKind::AnswerHead), true) => AnswerEnd::NextAnswer,
@@ -551,7 +563,7 @@
   /// Completes the stream.
   fn finish(&mut self, end: AnswerEnd) -> Option<Result<Bytes, StreamAborted>> {
     self.is_finished = true;
-    self.record_id_steps();
+    self.record_id_steps(true);
     let gateway = self.stream.gateway.clone();
     let framing = self.framing().map(|framing| framing.to_string());
     log::info!(
@@ -584,12 +596,16 @@
   }
 
   /// Records how the stream's events were numbered.
-  fn record_id_steps(&self) {
+  fn record_id_steps(&self, is_whole: bool) {
     let StreamRequest {
       gateway, request, ..
     } = &self.stream;
     let mut steps = gateway.id_steps.borrow_mut();
-    steps.record(&request.service, &self.listed_version, self.order.shown());
+    steps.record(
+      &request.service,
+      &self.listed_version,
+      self.order.shown(is_whole),
+    );
   }
 
   /// Resumes the stream at another engine, after the last complete event.
@@ -665,7 +681,7 @@
   /// Aborts the stream, so that the caller sees that it is incomplete.
   fn abort(&mut self, error: String) -> StreamAborted {
     self.is_finished = true;
-    self.record_id_steps();
+    self.record_id_steps(false);
     self.stream.gateway.counters.interrupted_streams.inc();
     log::info!(
       "E507 stream aborted: {}: {error}; {}",
