--- a/src/gateway/decisions/endpoint_registry.rs
+++ b/src/gateway/decisions/endpoint_registry.rs
@@ -321,7 +321,7 @@
     entry.version.text().is_some() && self.reported_start(entry) == Some(ReportedStart::Unnamed)
   }
 
-  /// Whether an entry lacks the start that its engine reports: it tells no version.
+  /// Whether an entry lacks the start that its engine reports, so that its version may be that of another process.
   pub fn lacks_start(&self, entry: &EndpointEntry) -> bool {
     self.reported_start(entry) == Some(ReportedStart::Named)
   }
--- a/src/gateway/requests/event_order.rs
+++ b/src/gateway/requests/event_order.rs
@@ -89,7 +89,7 @@
 #[derive(Clone, Copy, Debug)]
 struct LastEvent {
   id: u64,
-  /// Whether nothing but the event itself told its id: it did not follow the one before by one, or begin the stream.
+  /// Whether its id neither follows the one before by one nor is the lowest of a stream, so that it may be wrong.
   is_doubtful: bool,
   /// Of its bytes; `None` for one that the caller names.
   hash: Option<u64>,
--- a/src/gateway/stages/incarnation_check.rs
+++ b/src/gateway/stages/incarnation_check.rs
@@ -90,7 +90,7 @@
 }
 
 /// Reads an engine's report on a connection, unless it is known whether its reports name a start that the entry does not. Fails when
-/// they do: such an entry tells no version.
+/// they do, since such an entry may be that of another process.
 pub(super) async fn learn_reported_start(
   gateway: &Rc<Gateway>,
   entry: &EndpointEntry,
