--- a/replay/src/error.rs
+++ b/replay/src/error.rs
@@ -32,6 +32,9 @@
   /// A settings template is not valid.
   #[error("settings template: {0}")]
   Template(String),
+  /// The threads of the replay can't be started.
+  #[error("cannot start threads: {0}")]
+  Threads(io::Error),
   /// A listener can't be opened.
   #[error("cannot listen: {0}")]
   Listen(io::Error),
--- a/replay/src/injector.rs
+++ b/replay/src/injector.rs
@@ -23,11 +23,11 @@
 const USUAL_GAP_S: f64 = 1.0;
 /// Time after which a box that was killed or stopped starts again.
 const RESTART_S: f64 = 0.3;
-/// Time after a crash until a server that lost no power is back, if not said.
-const SHORT_S: f64 = 0.004;
+/// Time from a change of the configuration to the loss that is to follow it at once.
+const LOSS_DELAY_S: f64 = 0.004;
 /// Added latency of a link that loses packets.
 const LOSSY_DELAY_MS: u64 = 30;
-/// Boxes and servers that no impairment strikes at once.
+/// No bound on the boxes or servers that an impairment strikes at once.
 const MOST: usize = usize::MAX;
 
 /// Carries out the impairments of a play.
@@ -112,7 +112,7 @@
       }
       ImpairmentKind::KillAfterChange => {
         self.world.operator.change("timeout");
-        sleep(Duration::from_secs_f64(SHORT_S)).await;
+        sleep(Duration::from_secs_f64(LOSS_DELAY_S)).await;
         self.kill_boxes(kind, impairment, &mut draw, for_s).await
       }
       ImpairmentKind::BoxesFrozen => {
@@ -595,7 +595,7 @@
     let recorder = &self.world.recorder;
     recorder.note(format!("fault closing begins {}", closing.kind));
     self.world.operator.change("timeout");
-    sleep(Duration::from_secs_f64(SHORT_S)).await;
+    sleep(Duration::from_secs_f64(LOSS_DELAY_S)).await;
     let kills = self
       .world
       .present_boxes()
--- a/replay/src/subcommand.rs
+++ b/replay/src/subcommand.rs
@@ -38,7 +38,7 @@
     .build();
   let played = match runtime {
     Ok(runtime) => runtime.block_on(play_day(&arguments)),
-    Err(error) => Err(Error::Listen(error)),
+    Err(error) => Err(Error::Threads(error)),
   };
   match played {
     Ok(true) => ExitCode::SUCCESS,
