Log: the start of a stream names the record of its version

What callers saw: streams of two software versions. E510 names the revision of the record that the box knew when the stream began, or None.

--- a/src/gateway/decisions/version_records.rs
+++ b/src/gateway/decisions/version_records.rs
@@ -9,7 +9,7 @@
     box_list::BoxList, rendezvous::rendezvous_order, service_version::ServiceVersion,
     service_versions::ServiceVersions,
   },
-  crate::ids::Name,
+  crate::{gateway::edge::SoftwareVersion, ids::Name},
   std::collections::{BTreeMap, BTreeSet},
 };
 
@@ -66,6 +66,16 @@
     self.stored.remove(key);
   }
 
+  /// The revision of a version's record; `None` if this box knows no record.
+  pub fn revision(&self, service: &Name, version: &SoftwareVersion) -> Option<u64> {
+    let version = ServiceVersion {
+      service: service.clone(),
+      version: version.clone(),
+    };
+    let stored = self.stored.get(&version.key());
+    stored.map(|(_, revision)| *revision)
+  }
+
   /// The keys of all records.
   pub fn keys(&self) -> impl Iterator<Item = &Name> {
     self.stored.keys()
--- a/src/gateway/requests/stream_request.rs
+++ b/src/gateway/requests/stream_request.rs
@@ -260,8 +260,10 @@
       self
         .gateway
         .record_first_event(self.gateway.now_ms() - reserved_ms);
+      let records = self.gateway.version_records.borrow();
+      let recorded_at = records.revision(&entry.service, &entry.version);
       log::info!(
-        "E510 streaming: {} at {} version {} with status {}, prefilled by {prefilled_by}: seat {} ms, prompt {} ms, head {} ms, {} ms after arrival, try {}{}",
+        "E510 streaming: {} at {} version {} recorded at {recorded_at:?} with status {}, prefilled by {prefilled_by}: seat {} ms, prompt {} ms, head {} ms, {} ms after arrival, try {}{}",
         self.request.id(),
         entry.id,
         entry.version,
