--- a/src/gateway/decisions/endpoint_registry.rs
+++ b/src/gateway/decisions/endpoint_registry.rs
@@ -15,8 +15,10 @@
       ConnectionState, EndpointProcesses, ObservedProcess, ReportedStart, VersionEvidence,
     },
     reachability::EndpointGroup,
+    service_version::ServiceVersion,
     service_versions::ServiceVersions,
     unavailable::Unavailable,
+    version_records::{RecordChange, RecordMaker, VersionRecords},
   },
   crate::{
     decide::Role,
@@ -48,6 +50,10 @@
   limits: EndpointLimits,
   /// The software versions of the services.
   versions: ServiceVersions,
+  /// Their records in the store.
+  version_records: VersionRecords,
+  /// Whether streams that may be resumed begin at recorded versions alone.
+  requires_records: bool,
   /// The processes that are observed at them.
   processes: EndpointProcesses,
   /// Whether notices are recorded and not honoured.
@@ -95,6 +101,14 @@
     }
   }
 
+  /// The same registry, which chooses engines of recorded versions alone for streams that may be resumed.
+  pub fn requiring_records(self) -> Self {
+    Self {
+      requires_records: true,
+      ..self
+    }
+  }
+
   /// Inserts or updates an entry.
   pub fn put(&mut self, entry: EndpointEntry) {
     self.versions.add(&entry.service, &entry.version);
@@ -192,6 +206,39 @@
     &mut self.versions
   }
 
+  /// Forgets the versions that are neither listed nor recorded, and were not for a time.
+  pub fn expire_versions(&mut self, now_ms: u64, keep_ms: u64) {
+    for ServiceVersion { service, version } in self.version_records.recorded() {
+      self.versions.report(service, version);
+    }
+    self.versions.expire(now_ms, keep_ms);
+  }
+
+  /// The records of versions in the store.
+  pub fn version_records(&self) -> &VersionRecords {
+    &self.version_records
+  }
+
+  /// Mutable access to [`version_records`](Self::version_records).
+  pub fn version_records_mut(&mut self) -> &mut VersionRecords {
+    &mut self.version_records
+  }
+
+  /// The changes of the records that a box makes now, for the services for which `is_recorded` holds.
+  pub fn due_record_changes(
+    &mut self,
+    is_recorded: impl Fn(&str) -> bool,
+    maker: RecordMaker<'_>,
+  ) -> Vec<RecordChange> {
+    self.version_records.due(is_recorded, &self.versions, maker)
+  }
+
+  /// The revision of the record under which a stream may begin at an endpoint that may be resumed for a time; `None` if there is none.
+  pub fn covering_record(&self, entry: &EndpointEntry, resumable_ms: u64) -> Option<u64> {
+    let version = ServiceVersion::of(entry);
+    self.version_records.covers(&version, resumable_ms)
+  }
+
   /// A listed endpoint's entry was written after a time, on the box's clock.
   pub fn record_entry_write(&mut self, id: &str, after_ms: u64) {
     if let Some(endpoint) = self.endpoints.get(id) {
@@ -484,7 +531,7 @@
     };
     let may_decode = |entry: &EndpointEntry| {
       let needs_version = criteria.is_retryable && criteria.role == Some(Role::Decode);
-      !needs_version || !self.lacks_start(entry)
+      !needs_version || (self.is_recorded(entry) && !self.lacks_start(entry))
     };
     let candidates: Vec<&EndpointState> = self
       .endpoints
@@ -528,6 +575,11 @@
       })
   }
 
+  /// Whether streams may begin at an endpoint's version, as far as records are required.
+  fn is_recorded(&self, entry: &EndpointEntry) -> bool {
+    !self.requires_records || self.covering_record(entry, 0).is_some()
+  }
+
   /// Whether a listed endpoint's process has, or can confirm, the version of the entry.
   pub fn is_version_known(&self, entry: &EndpointEntry) -> bool {
     if self.lacks_start(entry) {
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -79,6 +79,7 @@
 mod unread_time;
 mod usage_table;
 mod usage_verdict;
+mod version_record;
 mod version_records;
 
 pub use self::{
@@ -158,7 +159,8 @@
   unread_time::UnreadTime,
   usage_table::{RankedVerdict, ReportScope, UsageTable, UsageTotals},
   usage_verdict::UsageVerdict,
-  version_records::{RecordChange, VersionRecords},
+  version_record::{RecordState, VersionRecord},
+  version_records::{RecordChange, RecordMaker, VersionRecords},
 };
 
 pub(crate) use self::{
@@ -167,4 +169,5 @@
     RETRY_AFTER_NO_CONFIGURATION_MS, RETRY_AFTER_NO_ENDPOINT_MS, RETRY_AFTER_UNKNOWN_ORIGIN_MS,
   },
   role_plan::with_role,
+  stream_records::RETURN_MS,
 };
--- a/src/gateway/decisions/service_version.rs
+++ b/src/gateway/decisions/service_version.rs
@@ -1,7 +1,10 @@
 //! A version of a service, and its key in the store. Free of I/O.
 
 use {
-  crate::{gateway::edge::SoftwareVersion, ids::Name},
+  crate::{
+    gateway::edge::{EndpointEntry, SoftwareVersion},
+    ids::Name,
+  },
   serde::{Deserialize, Serialize},
   sha2::{Digest, Sha256},
   std::fmt::Write,
@@ -18,6 +21,22 @@
 }
 
 impl ServiceVersion {
+  /// The version in an endpoint's entry.
+  pub fn of(entry: &EndpointEntry) -> Self {
+    Self {
+      service: entry.service.clone(),
+      version: entry.version.clone(),
+    }
+  }
+
+  /// The version of a service's endpoints whose version is not known.
+  pub fn unknown(service: &Name) -> Self {
+    Self {
+      service: service.clone(),
+      version: SoftwareVersion::default(),
+    }
+  }
+
   /// The last component of its key in the store: a hash, since names may have any length.
   ///
   /// ```
--- a/src/gateway/decisions/stream_records.rs
+++ b/src/gateway/decisions/stream_records.rs
@@ -17,6 +17,8 @@
   },
 };
 
+/// How long after a request's deadline its caller may still resume the stream.
+pub(crate) const RETURN_MS: u64 = 10_000;
 /// Records that a box keeps; the oldest are evicted.
 const MAX_RECORDS: usize = 20_000;
 
@@ -315,13 +317,19 @@
 
   /// The streams of a service that this box began, with the times at which their records expire.
   pub fn own_of(&self, service: &str, now_ms: u64) -> Vec<(StreamKey, StreamOrigin, u64)> {
+    let mut own = self.own(now_ms);
+    own.retain(|(_, origin, _)| &*origin.service == service);
+    own
+  }
+
+  /// The streams of all services that this box began at a known origin, with the times at which their records expire.
+  pub fn own(&self, now_ms: u64) -> Vec<(StreamKey, StreamOrigin, u64)> {
     let own = self
       .by_key
       .iter()
       .filter(|(_, record)| record.source == RecordSource::Own && now_ms < record.expires_ms);
     own
       .filter_map(|(key, record)| Some((*key, record.origin.known()?, record.expires_ms)))
-      .filter(|(_, origin, _)| &*origin.service == service)
       .collect()
   }
 
--- a/src/gateway/decisions/unavailable.rs
+++ b/src/gateway/decisions/unavailable.rs
@@ -21,6 +21,9 @@
   /// It may have restarted with another version since it was listed.
   #[error("version of the endpoint's process is not known")]
   VersionUnknown,
+  /// The store has no record of its version under which the stream may begin.
+  #[error("version of the endpoint is not recorded in the store")]
+  VersionUnrecorded,
   /// Another endpoint has its address.
   #[error("another endpoint has its address")]
   Displaced,
--- a/src/gateway/edge/store.rs
+++ b/src/gateway/edge/store.rs
@@ -174,9 +174,16 @@
   ) -> impl Future<Output = Result<bool, StoreError>>;
   /// Removes quarantine records; at most [`MAX_CHANGED_KEYS`] keys.
   fn remove_quarantine(&self, keys: &[Name]) -> impl Future<Output = Result<(), StoreError>>;
-  /// Records a version of a service; `false` when it is recorded already. Records are not bound to a lease.
-  fn add_version(&self, key: &Name, value: Bytes)
-  -> impl Future<Output = Result<bool, StoreError>>;
+  /// Writes the record of a version if it was last written at a revision, 0 if it was not; returns the revision of the write, or
+  /// `None` if the record has changed. Records are not bound to a lease.
+  fn write_version(
+    &self,
+    key: &Name,
+    value: Bytes,
+    revision: u64,
+  ) -> impl Future<Output = Result<Option<u64>, StoreError>>;
+  /// Lists the records of all versions: a read that is up to date when it begins.
+  fn versions(&self) -> impl Future<Output = Result<Vec<StoreItem>, StoreError>>;
   /// Removes the record of a version; `false` when it was written after a revision.
   fn remove_version(
     &self,
--- a/src/gateway/membership/store_view.rs
+++ b/src/gateway/membership/store_view.rs
@@ -5,7 +5,7 @@
   crate::{
     gateway::{
       decisions::{
-        HallDrainChange, QuarantineKey, QuarantineStrategy, ServiceVersion, VIEW_DELAY_MS,
+        HallDrainChange, QuarantineKey, QuarantineStrategy, VIEW_DELAY_MS, VersionRecord,
       },
       edge::{EndpointEntry, RouteTable, StoreError, StoreItem, StoreKey},
       quarantine::mark_age_ms,
@@ -120,8 +120,8 @@
     let halls = registry.drained_halls().names().cloned();
     let halls = halls.filter(|hall| !listing.drained_halls.contains(hall));
     let quarantine = self.quarantine_missing_from(listing);
-    let records = self.gateway.version_records.borrow();
-    let versions = records
+    let versions = registry
+      .version_records()
       .keys()
       .filter(|key| !listing.versions.contains(*key))
       .cloned();
@@ -157,7 +157,10 @@
       }
       (StoreKey::Quarantine(text), value) => self.apply_quarantine_mark(&text, value.as_deref()),
       (StoreKey::Version(key), Some(value)) => self.put_version(key, &value, item.revision),
-      (StoreKey::Version(key), None) => self.gateway.version_records.borrow_mut().remove(&key),
+      (StoreKey::Version(key), None) => {
+        let mut endpoints = self.gateway.endpoints.borrow_mut();
+        endpoints.version_records_mut().remove(&key, item.revision);
+      }
       (StoreKey::Other, _) => {}
     }
   }
@@ -265,20 +268,10 @@
     self.gateway.boxes.borrow_mut().remove(name);
   }
 
-  /// Applies the record of a version. One that is new to this box may have begun streams, although no endpoint of it is listed.
   fn put_version(&self, key: Name, value: &[u8], revision: u64) {
-    let record: ServiceVersion = match postcard::from_bytes(value) {
-      Ok(record) => record,
-      Err(error) => {
-        log::warn!("E405 record {key} of a version not decoded: {error}");
-        return;
-      }
-    };
-    let mut records = self.gateway.version_records.borrow_mut();
-    if records.put(key, record.clone(), revision) {
-      let mut endpoints = self.gateway.endpoints.borrow_mut();
-      let versions = endpoints.versions_mut();
-      versions.report(&record.service, &record.version);
+    match VersionRecord::decode(value) {
+      Ok(record) => self.gateway.put_version_record(key, record, revision),
+      Err(error) => log::warn!("E405 record {key} of a version not decoded: {error}"),
     }
   }
 
--- a/src/gateway/process/start.rs
+++ b/src/gateway/process/start.rs
@@ -15,7 +15,7 @@
       prefill_queue::expire_places,
       quarantine::sync_quarantine,
       requests::accept_callers,
-      resumption::{publish_streams, sync_versions},
+      resumption::{publish_streams, serve_version_reads, sync_versions},
       roles::manage_roles,
       settings::{GatewayListen, GatewaySettings},
       stages::{check_displacements, probe_unreachable},
@@ -156,6 +156,7 @@
   spawn_local(sync_usage(gateway.clone()));
   spawn_local(publish_streams(gateway.clone()));
   spawn_local(sync_versions(gateway.clone(), store.clone()));
+  spawn_local(serve_version_reads(gateway.clone(), store.clone()));
   spawn_local(sync_quarantine(gateway.clone(), store.clone()));
   spawn_local(remove_expired(gateway.clone()));
 }
--- a/src/gateway/requests/event_relay.rs
+++ b/src/gateway/requests/event_relay.rs
@@ -35,8 +35,6 @@
   Nothing,
   /// The answer's end.
   End(AnswerEnd),
-  /// An event of a version that may not be the one which began the stream.
-  UncertainVersion,
 }
 
 /// Blocks of a stream that are logged because its caller does not get them.
@@ -158,11 +156,6 @@
       let error = match read {
         Ok(Read::Event(bytes)) => return Some(Ok(bytes)),
         Ok(Read::Nothing) => continue,
-        Ok(Read::UncertainVersion) => {
-          self.settle_sound_engine();
-          let reason = "another version than the one assumed has become known";
-          return Some(Err(self.abort(reason.into())));
-        }
         Ok(Read::End(end)) => match self.check_end(end).await {
           Ok(()) => return self.finish(end),
           Err(EndDoubt::GoesOn(error)) => error,
@@ -232,9 +225,6 @@
   }
 
   fn take_event(&mut self, event: SseEvent) -> Result<Read, String> {
-    if event.has_data() && self.stream.is_origin_uncertain() {
-      return Ok(Read::UncertainVersion);
-    }
     match self.order.place(&event) {
       Ok(EventPlace::Next) => {
         self.record_event(&event);
--- a/src/gateway/requests/stream_request.rs
+++ b/src/gateway/requests/stream_request.rs
@@ -209,6 +209,7 @@
 
   /// An attempt at an endpoint that runs the whole request.
   async fn attempt_full(&mut self, charge: Option<SendCharge>) -> Attempt {
+    self.await_recorded_version(None).await;
     self.await_known_engine(None).await;
     let choice = self.gateway.choose(EndpointCriteria {
       allowed_halls: &self.request.allowed_halls,
@@ -228,6 +229,7 @@
 
   /// An attempt with disaggregated prefill: a slot at a decode engine, and the prefill at another engine.
   async fn attempt_split(&mut self, charge: Option<SendCharge>) -> Attempt {
+    self.await_recorded_version(Some(Role::Decode)).await;
     self.await_known_engine(Some(Role::Decode)).await;
     if let Some((entry, reservation)) = self.resume_slot().await {
       let charge = self.charge_or_take(charge).await?;
@@ -260,8 +262,8 @@
       self
         .gateway
         .record_first_event(self.gateway.now_ms() - reserved_ms);
-      let records = self.gateway.version_records.borrow();
-      let recorded_at = records.revision(&entry.service, &entry.version);
+      let endpoints = self.gateway.endpoints.borrow();
+      let recorded_at = endpoints.covering_record(&entry, 0);
       log::info!(
         "E510 streaming: {} at {} version {} recorded at {recorded_at:?} with status {}, prefilled by {prefilled_by}: seat {} ms, prompt {} ms, head {} ms, {} ms after arrival, try {}{}",
         self.request.id(),
--- a/src/gateway/requests/stream_send.rs
+++ b/src/gateway/requests/stream_send.rs
@@ -10,9 +10,7 @@
     edge::{EndpointEntry, ProxyHeaders, Stage},
     permits::Permit,
     quarantine::{LostStage, record_lost_stage},
-    stages::{
-      ExportGuard, OutgoingStage, Reservation, ResponseHead, Resumption, StageError, send_stage,
-    },
+    stages::{ExportGuard, OutgoingStage, Reservation, ResponseHead, StageError, send_stage},
   },
   std::{pin::pin, time::Duration},
   tokio::time::timeout,
@@ -76,23 +74,17 @@
     result
   }
 
-  /// Checks that an endpoint is listed with the stream's version, and that this is still known.
+  /// Checks that an endpoint is listed with the stream's version, and that the store has the record without which a stream that may
+  /// be resumed must not begin.
   fn check_version(&self, entry: &EndpointEntry) -> Result<(), StageError> {
-    match &self.version {
-      Some(version) if entry.version != *version => Err(Unavailable::Unlisted.into()),
-      Some(_) if self.is_origin_uncertain() => Err(Unavailable::VersionUnknown.into()),
-      Some(_) | None => Ok(()),
+    let version = self.version.as_ref();
+    if version.is_some_and(|version| entry.version != *version) {
+      return Err(Unavailable::Unlisted.into());
     }
-  }
-
-  /// Whether the stream was to go on at the only version that was known, and another one has become known before it did.
-  pub(super) fn is_origin_uncertain(&self) -> bool {
-    let request = &self.request;
-    let has_gone_on = self.last_event_id != request.attributes.last_event_id;
-    let endpoints = self.gateway.endpoints.borrow();
-    matches!(request.resumption, Resumption::AtOnlyKnown(_))
-      && !has_gone_on
-      && endpoints.versions().are_several(&request.service)
+    if self.may_retry() && !self.is_recorded(entry) {
+      return Err(Unavailable::VersionUnrecorded.into());
+    }
+    Ok(())
   }
 
   fn proxy_headers(
--- a/src/gateway/requests/stream_version.rs
+++ b/src/gateway/requests/stream_version.rs
@@ -5,13 +5,13 @@
   crate::{
     decide::Role,
     gateway::{
-      decisions::EndpointCriteria,
+      decisions::{EndpointCriteria, ServiceVersion},
       edge::EndpointEntry,
       stages::{ResponseHead, observe_endpoint},
     },
   },
   futures_util::future::join_all,
-  std::time::Duration,
+  std::{collections::BTreeSet, time::Duration},
   tokio::time::sleep,
 };
 
@@ -90,6 +90,48 @@
     }
   }
 
+  /// Whether the store has the record under which the stream may begin at an endpoint, or go on.
+  pub(super) fn is_recorded(&self, entry: &EndpointEntry) -> bool {
+    let resumable_ms = self.request.resumable_ms(self.gateway.now_ms());
+    let endpoints = self.gateway.endpoints.borrow();
+    endpoints.covering_record(entry, resumable_ms).is_some()
+  }
+
+  /// Waits for the record of a version, unless an engine of a recorded one may run the stream.
+  pub(super) async fn await_recorded_version(&self, role: Option<Role>) {
+    if self.may_retry() {
+      let missing = || self.unrecorded_versions(role);
+      // Without a record no engine is chosen.
+      let _ = self.gateway.await_version_records(missing).await;
+    }
+  }
+
+  /// The versions of the engines that may run the stream; none if one of them is recorded.
+  fn unrecorded_versions(&self, role: Option<Role>) -> BTreeSet<ServiceVersion> {
+    let request = &self.request;
+    let now_ms = self.gateway.now_ms();
+    let endpoints = self.gateway.endpoints.borrow();
+    let may_run = |entry: &&EndpointEntry| {
+      entry.service == request.service
+        && (role.is_none() || entry.role == role)
+        && request.allowed_halls.contains(&entry.hall)
+        && self
+          .version
+          .as_ref()
+          .is_none_or(|version| entry.version == *version)
+        && !self.tried.contains(&entry.id)
+        && endpoints.check(entry, now_ms).is_ok()
+    };
+    let mut unrecorded = BTreeSet::new();
+    for entry in endpoints.entries().filter(may_run) {
+      if self.is_recorded(entry) {
+        return BTreeSet::new();
+      }
+      unrecorded.insert(ServiceVersion::of(entry));
+    }
+    unrecorded
+  }
+
   /// The engines of the stream's version that may have restarted since they were listed; none if one has not, or if any will do.
   fn engines_of_unknown_version(&self, role: Option<Role>) -> Vec<EndpointEntry> {
     let criteria = EndpointCriteria {
--- a/src/gateway/resumption/lookup.rs
+++ b/src/gateway/resumption/lookup.rs
@@ -5,22 +5,21 @@
   crate::{
     CallError,
     gateway::{
-      decisions::{BoxEntry, BoxList, RecordedOrigin, StreamKey, StreamOrigin, record_sources},
+      decisions::{
+        BoxEntry, BoxList, RecordedOrigin, ServiceVersion, StreamKey, StreamOrigin, record_sources,
+      },
       edge::{RouteKind, SoftwareVersion},
       stages::{Resumption, RoutedRequest},
       state::Gateway,
     },
-    ids::Name,
   },
   futures_util::{StreamExt, stream::FuturesUnordered},
   std::{collections::BTreeSet, fmt::Write, net::SocketAddr, rc::Rc, time::Duration},
-  tokio::time::sleep,
+  tokio::time::{sleep, timeout},
 };
 
-/// Answers after which a box that knows one version only waits for no more where none can have a record: a box that is down delays
-/// nothing.
-const ENOUGH_ANSWERS: usize = 3;
-
+/// How long a request waits for a read of the store: more than a slow one takes.
+const READ_TIMEOUT: Duration = Duration::from_millis(600);
 /// Heartbeats for which a stream is looked up again.
 const MAX_HEARTBEATS: u64 = 3;
 /// Pause between two lookups of a stream.
@@ -33,14 +32,10 @@
   asked: usize,
   /// Boxes that answered.
   answered: usize,
-  /// The halls of which no box answered.
-  silent_halls: BTreeSet<Name>,
   /// Where the stream began, and which box has recorded it.
   origin: Option<(RecordedOrigin, SocketAddr)>,
   /// Whether a box holds the stream, and does not know whether it has begun.
   is_held: bool,
-  /// The versions of the service that this box and they know.
-  versions: BTreeSet<SoftwareVersion>,
 }
 
 /// Binds a request that resumes a stream to the service and the version that began the stream; other requests stay as they are.
@@ -62,40 +57,30 @@
       .unwrap_or("-")
   );
   match find_origin(gateway, &request).await {
-    Origin::Known(StreamOrigin { service, version }) => {
+    Some(StreamOrigin { service, version }) => {
       request.service = service;
       request.resumption = Resumption::At(version);
     }
-    Origin::OnlyVersion(version) => request.resumption = Resumption::AtOnlyKnown(version),
-    Origin::Unknown => request.resumption = Resumption::UnknownOrigin,
+    None => request.resumption = Resumption::UnknownOrigin,
   }
   request
 }
 
-/// Where a stream began.
-enum Origin {
-  Known(StreamOrigin),
-  /// Not known; one version of the service is.
-  OnlyVersion(SoftwareVersion),
-  Unknown,
-}
-
-/// Where the stream began that a request resumes. While the version of the process that began it may still become known, it is looked
+/// Where the stream began that a request resumes; `None` if that is not known. While the version of the process that began it may still become known, it is looked
 /// up again.
-async fn find_origin(gateway: &Rc<Gateway>, request: &RoutedRequest) -> Origin {
+async fn find_origin(gateway: &Rc<Gateway>, request: &RoutedRequest) -> Option<StreamOrigin> {
   let heartbeat_ms = gateway.settings.endpoints.heartbeat_ms;
   let until_ms = gateway.now_ms() + MAX_HEARTBEATS * heartbeat_ms;
   loop {
     match look_up(gateway, request).await {
-      Lookup::Known(origin) => return Origin::Known(origin),
-      Lookup::OnlyVersion(version) => return Origin::OnlyVersion(version),
+      Lookup::Known(origin) => return Some(origin),
       Lookup::Ambiguous(..) if gateway.now_ms() < until_ms && gateway.is_current() => {
         sleep(LOOKUP_INTERVAL).await;
       }
       Lookup::Ambiguous(own, answers) | Lookup::Unknown(own, answers) => {
         gateway.counters.origins_unknown.inc();
         log_unknown(gateway, request, own, &answers);
-        return Origin::Unknown;
+        return None;
       }
     }
   }
@@ -104,8 +89,6 @@
 /// What boxes know of where a stream began.
 enum Lookup {
   Known(StreamOrigin),
-  /// No box has a record, and one version of the service is known.
-  OnlyVersion(SoftwareVersion),
   /// A box has a record, which names no origin or none yet.
   Ambiguous(RecordedOrigin, Answers),
   Unknown(RecordedOrigin, Answers),
@@ -119,10 +102,7 @@
     gateway.counters.origins_own.inc();
     return Lookup::Known(along_route(request, origin, "recorded here"));
   }
-  let mut answers = Answers {
-    versions: gateway.endpoints.borrow().versions().of(&request.service),
-    ..Answers::default()
-  };
+  let mut answers = Answers::default();
   let is_recorded = !matches!(own, RecordedOrigin::Unknown | RecordedOrigin::Held);
   if !is_recorded {
     ask_boxes(gateway, request, key, &mut answers).await;
@@ -133,11 +113,14 @@
       let source = format!("recorded by {address}");
       return Lookup::Known(along_route(request, origin.clone(), &source));
     }
-    None if own == RecordedOrigin::Unknown && !answers.is_held && answers.versions.len() <= 1 => {
-      if let Some(version) = only_version(gateway, &answers) {
+    None if own == RecordedOrigin::Unknown && !answers.is_held => {
+      if let Some(version) = only_version(gateway, request).await {
         gateway.counters.origins_only.inc();
         log_only_version(gateway, request, &version, &answers);
-        return Lookup::OnlyVersion(version);
+        return Lookup::Known(StreamOrigin {
+          service: request.service.clone(),
+          version,
+        });
       }
     }
     _ => {}
@@ -148,14 +131,24 @@
   Lookup::Unknown(own, answers)
 }
 
-/// The only version that this box and those that answered know of the service. Without recent contact with the store a box of each
-/// hall has to answer: a hall that is cut off from this one may have contact, and may have begun the stream at a version that is
-/// not known here.
-fn only_version(gateway: &Gateway, answers: &Answers) -> Option<SoftwareVersion> {
-  if !gateway.is_current() && !answers.are_of_all_halls() {
+/// The only version that has begun streams of the services to which a request's route leads, as the store shows after the request
+/// arrived. Without recent contact it is not asked: a request that waits for it in vain is rejected late.
+async fn only_version(gateway: &Gateway, request: &RoutedRequest) -> Option<SoftwareVersion> {
+  if !gateway.is_current() {
     return None;
   }
-  answers.versions.first().cloned()
+  let read = timeout(READ_TIMEOUT, gateway.version_reads.read()).await;
+  let recorded = read.ok()???;
+  let services = &request.route.services;
+  let is_of_route = |recorded: &&ServiceVersion| {
+    services
+      .iter()
+      .any(|target| target.service == recorded.service)
+  };
+  let of_route = recorded.iter().filter(is_of_route);
+  let versions: BTreeSet<_> = of_route.map(|recorded| &recorded.version).collect();
+  let only = versions.first().filter(|_| versions.len() == 1)?;
+  Some((*only).clone())
 }
 
 /// An origin, at the service that the request's route leads to now.
@@ -183,7 +176,7 @@
   answers: &Answers,
 ) {
   log::info!(
-    "E567 origin assumed: {} goes on at {} version {version}, the only one known; {} of {} boxes answered, running for {} ms",
+    "E567 origin shown: {} goes on at {} version {version}, the only one recorded; {} of {} boxes answered, running for {} ms",
     request.id(),
     request.service,
     answers.answered,
@@ -194,17 +187,17 @@
 
 fn log_unknown(gateway: &Gateway, request: &RoutedRequest, own: RecordedOrigin, answers: &Answers) {
   let mut versions = String::new();
-  for version in &answers.versions {
+  let known = gateway.endpoints.borrow().versions().of(&request.service);
+  for version in known {
     // Writing to a string never fails.
     let _ = write!(versions, " {version}");
   }
   log::info!(
-    "E559 origin unknown: {} of {}, own record {own:?}, {} of {} boxes answered, {} halls without an answer, versions:{versions}, store contact current: {}, running for {} ms",
+    "E559 origin unknown: {} of {}, own record {own:?}, {} of {} boxes answered, versions:{versions}, store contact current: {}, running for {} ms",
     request.id(),
     request.service,
     answers.answered,
     answers.asked,
-    answers.silent_halls.len(),
     gateway.is_current(),
     gateway.now_ms()
   );
@@ -249,7 +242,6 @@
     service: request.service.clone(),
   };
   answers.asked = sources.len();
-  answers.silent_halls = sources.iter().map(|source| source.hall.clone()).collect();
   gateway
     .counters
     .origin_lookups
@@ -258,40 +250,23 @@
     let message = &message;
     async move {
       let result = ask(&gateway.box_client, source.address, message).await;
-      (source, result)
+      (source.address, result)
     }
   });
   let mut calls: FuturesUnordered<_> = calls.collect();
-  while let Some((source, result)) = calls.next().await {
-    answers.record(source, result);
-    let may_be_recorded = request.attributes.resumed_request_id.is_some();
-    let are_enough = !may_be_recorded && answers.are_enough(gateway.is_current());
-    if answers.origin.is_some() || are_enough {
+  while let Some((address, result)) = calls.next().await {
+    answers.record(address, result);
+    if answers.origin.is_some() {
       break;
     }
   }
 }
 
 impl Answers {
-  /// Whether other boxes were asked, and one of each of their halls answered.
-  fn are_of_all_halls(&self) -> bool {
-    self.answered > 0 && self.silent_halls.is_empty()
-  }
-
-  /// Whether further answers would tell nothing: there is one version, and none can have a record.
-  fn are_enough(&self, is_current: bool) -> bool {
-    self.versions.len() <= 1
-      && self.answered >= ENOUGH_ANSWERS
-      && (is_current || self.silent_halls.is_empty())
-  }
-
-  fn record(&mut self, source: &BoxEntry, result: Result<LookupResponse, CallError>) {
-    let address = source.address;
+  fn record(&mut self, address: SocketAddr, result: Result<LookupResponse, CallError>) {
     match result {
       Ok(response) => {
         self.answered += 1;
-        self.silent_halls.remove(&source.hall);
-        self.versions.extend(response.versions);
         match response.origin {
           RecordedOrigin::Unknown => {}
           RecordedOrigin::Held => self.is_held = true,
--- a/src/gateway/resumption/messages.rs
+++ b/src/gateway/resumption/messages.rs
@@ -51,7 +51,7 @@
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(super) struct LookupResponse {
   pub(super) origin: RecordedOrigin,
-  /// The versions of the service that the answering box knows.
+  /// The versions of the service that the answering box knows, for boxes of older builds.
   pub(super) versions: Vec<SoftwareVersion>,
 }
 
--- a/src/gateway/resumption/mod.rs
+++ b/src/gateway/resumption/mod.rs
@@ -15,5 +15,5 @@
   lookup::{resolve_resumption, stream_metrics},
   messages::{FIND_STREAM_PATH, STREAMS_PATH, handle_lookup, handle_records},
   publishing::{publish_streams, record_stream},
-  version_sync::sync_versions,
+  version_sync::{serve_version_reads, sync_versions},
 };
--- a/src/gateway/resumption/publishing.rs
+++ b/src/gateway/resumption/publishing.rs
@@ -10,7 +10,7 @@
       connections::SentHold,
       decisions::{RecordSource, StreamKey, StreamOrigin, asked_by_all_halls, record_holders},
       edge::SoftwareVersion,
-      stages::{BeginMessage, RETURN_MS, ResponseHead, RoutedRequest, confirm_hold},
+      stages::{BeginMessage, ResponseHead, RoutedRequest, confirm_hold},
       state::Gateway,
     },
     ids::Name,
@@ -79,11 +79,13 @@
   }
 }
 
-/// Publishes the streams of services that have several versions.
+/// Publishes the streams of services that have several versions, and all while this box does not know whether other boxes record
+/// further versions.
 fn publish_divided(gateway: &Rc<Gateway>, mut streams: Vec<(StreamKey, StreamOrigin, u64)>) {
+  let is_current = gateway.is_current();
   let endpoints = gateway.endpoints.borrow();
   let versions = endpoints.versions();
-  streams.retain(|(_, origin, _)| versions.are_several(&origin.service));
+  streams.retain(|(_, origin, _)| !is_current || versions.are_several(&origin.service));
   drop(endpoints);
   if !streams.is_empty() {
     publish(gateway, streams);
@@ -94,9 +96,16 @@
 /// that no stream needs any more. Runs until the process exits.
 pub(crate) async fn publish_streams(gateway: Rc<Gateway>) {
   let mut before: BTreeMap<Name, BTreeSet<SoftwareVersion>> = BTreeMap::new();
+  let mut was_current = true;
   loop {
     sleep(CHECK_INTERVAL).await;
     expire(&gateway);
+    let is_current = gateway.is_current();
+    if was_current && !is_current {
+      let own = gateway.stream_records.borrow().own(gateway.now_ms());
+      publish(&gateway, own);
+    }
+    was_current = is_current;
     let settled = gateway.stream_records.borrow_mut().take_settled();
     publish_divided(&gateway, settled);
     let divided = gateway.endpoints.borrow().versions().divided();
@@ -129,14 +138,11 @@
 /// Forgets expired records, and versions that began no stream which may still be resumed.
 fn expire(gateway: &Gateway) {
   let now_ms = gateway.now_ms();
-  let table = gateway.route_table();
-  let longest_ms = table.map_or(0, |table| table.longest_timeout_ms());
+  let lifetime_ms = gateway.stream_lifetime_ms();
   let mut endpoints = gateway.endpoints.borrow_mut();
   endpoints.settle_versions();
   endpoints.expire_processes();
-  endpoints
-    .versions_mut()
-    .expire(now_ms, longest_ms + RETURN_MS);
+  endpoints.expire_versions(now_ms, lifetime_ms);
   drop(endpoints);
   gateway.stream_records.borrow_mut().expire(now_ms);
   gateway.watching_connections.expire(now_ms);
--- a/src/gateway/resumption/version_sync.rs
+++ b/src/gateway/resumption/version_sync.rs
@@ -1,34 +1,44 @@
-//! Keeps the records of services' versions in the store in step with the listed versions. They are not bound to a lease: they
-//! outlast the boxes.
+//! Keeps the records of services' versions in the store in step with the listed versions, and reads them for requests that resume
+//! streams. The records are not bound to a lease: they outlast the boxes.
 
 use {
   crate::{
     Result,
     gateway::{
-      decisions::{RecordChange, ServiceVersion},
-      edge::{Store, StoreError},
+      decisions::{RecordChange, RecordMaker, ServiceVersion, VersionRecord},
+      edge::{Store, StoreError, StoreItem, StoreKey},
       state::Gateway,
     },
   },
-  bytes::Bytes,
   std::{rc::Rc, time::Duration},
-  tokio::time::sleep,
+  tokio::time::timeout,
 };
 
 /// Interval of checks for changes that are due.
-const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// The same while streams wait for a record.
+const URGENT_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Records versions and removes their records until the process exits.
 pub(crate) async fn sync_versions<S: Store>(gateway: Rc<Gateway>, store: S) {
   loop {
-    sleep(CHECK_INTERVAL).await;
-    // A view that lags could remove the record of a version that is listed again.
-    if !gateway.has_listed.get() || !gateway.is_current() {
+    let is_awaited = gateway
+      .endpoints
+      .borrow()
+      .version_records()
+      .are_any_awaited();
+    let interval = match is_awaited {
+      true => URGENT_INTERVAL,
+      false => CHECK_INTERVAL,
+    };
+    // Either way the changes that are due are made.
+    let _ = timeout(interval, gateway.version_awaited.notified()).await;
+    if !gateway.has_listed.get() {
       continue;
     }
     for change in due_changes(&gateway) {
       gateway.counters.store_calls.inc();
-      if let Err(error) = make(&store, &change).await {
+      if let Err(error) = make(&gateway, &store, &change).await {
         log::info!("E569 version not recorded: {change:?}: {error}");
       }
     }
@@ -40,34 +50,74 @@
   let Some(table) = gateway.route_table() else {
     return Vec::new();
   };
-  gateway.version_records.borrow_mut().due(
-    gateway.endpoints.borrow().versions(),
+  gateway.endpoints.borrow_mut().due_record_changes(
     |service| table.streams_from(service),
-    &gateway.boxes.borrow(),
-    &gateway.settings.identity.name,
-    gateway.now_ms(),
+    RecordMaker {
+      box_name: &gateway.settings.identity.name,
+      boxes: &gateway.boxes.borrow(),
+      is_current: gateway.is_current(),
+      lifetime_ms: gateway.stream_lifetime_ms(),
+      now_ms: gateway.now_ms(),
+    },
   )
 }
 
-async fn make<S: Store>(store: &S, change: &RecordChange) -> Result<(), StoreError> {
-  let is_made = match change {
-    RecordChange::Add(version) => {
-      let value = encode(version)?;
-      store.add_version(&version.key(), value).await?
+async fn make<S: Store>(
+  gateway: &Gateway,
+  store: &S,
+  change: &RecordChange,
+) -> Result<(), StoreError> {
+  match change {
+    RecordChange::Write(record, revision) => {
+      let key = record.subject.key();
+      let value = record
+        .encode()
+        .map_err(|error| StoreError::Call(error.to_string()))?;
+      let written = store.write_version(&key, value.into(), *revision).await?;
+      // Otherwise another box was first, and its record arrives with the next changes.
+      if let Some(written_at) = written {
+        log::info!("E568 version record written: {record:?} at revision {written_at}");
+        gateway.put_version_record(key, record.clone(), written_at);
+      }
     }
     RecordChange::Remove(version, revision) => {
-      store.remove_version(&version.key(), *revision).await?
+      if store.remove_version(&version.key(), *revision).await? {
+        log::info!("E568 version record removed: {version:?}, written at revision {revision}");
+      }
     }
-  };
-  // Otherwise another box was first.
-  if is_made {
-    log::info!("E568 version records changed: {change:?}");
   }
   Ok(())
 }
 
-fn encode(version: &ServiceVersion) -> Result<Bytes, StoreError> {
-  postcard::to_stdvec(version)
-    .map(Bytes::from)
-    .map_err(|error| StoreError::Call(error.to_string()))
+/// Reads the records of all versions for the requests that wait for them, until the process exits.
+pub(crate) async fn serve_version_reads<S: Store>(gateway: Rc<Gateway>, store: S) {
+  let read = async || {
+    gateway.counters.store_calls.inc();
+    match store.versions().await {
+      Ok(items) => Some(recorded_versions(&gateway, items)),
+      Err(error) => {
+        log::info!("E617 records of versions not read: {error}");
+        None
+      }
+    }
+  };
+  gateway.version_reads.serve(read).await;
+}
+
+/// The versions in the records of a read.
+fn recorded_versions(gateway: &Gateway, items: Vec<StoreItem>) -> Rc<[ServiceVersion]> {
+  let mut versions = Vec::new();
+  for item in items {
+    let (StoreKey::Version(key), Some(value)) = (item.key, item.value) else {
+      continue;
+    };
+    match VersionRecord::decode(&value) {
+      Ok(record) => {
+        versions.push(record.subject.clone());
+        gateway.put_version_record(key, record, item.revision);
+      }
+      Err(error) => log::warn!("E405 record {key} of a version not decoded: {error}"),
+    }
+  }
+  versions.into()
 }
--- a/src/gateway/stages/mod.rs
+++ b/src/gateway/stages/mod.rs
@@ -40,7 +40,7 @@
   open_connection::observe_endpoint,
   purpose::Purpose,
   reachability_probe::probe_unreachable,
-  request::{RETURN_MS, RequestOrigin, RoutedRequest},
+  request::{RequestOrigin, RoutedRequest},
   response_body::BufferedBody,
   resumption::Resumption,
   send_mode::SendMode,
--- a/src/gateway/stages/request.rs
+++ b/src/gateway/stages/request.rs
@@ -6,7 +6,8 @@
     gateway::{
       connections::AddressedRequest,
       decisions::{
-        AllowedHalls, Fingerprint, QuarantineKey, RequestIdentity, SegmentIdentity, StreamKey,
+        AllowedHalls, Fingerprint, QuarantineKey, RETURN_MS, RequestIdentity, SegmentIdentity,
+        StreamKey,
       },
       edge::{
         CallerAttributes, EndpointEntry, Organisation, PlatformCodec, PromptSegment, ProxyHeaders,
@@ -41,9 +42,6 @@
 /// Segments of a prompt that are fingerprinted.
 const MAX_SEGMENTS: usize = 32;
 
-/// How long after a request's deadline its caller may still resume the stream.
-pub(crate) const RETURN_MS: u64 = 10_000;
-
 /// Priority of a resumed stream: rejecting it would waste the work done for it.
 const HIGHEST_PRIORITY: u8 = 0;
 
--- a/src/gateway/stages/resumption.rs
+++ b/src/gateway/stages/resumption.rs
@@ -10,8 +10,6 @@
   None,
   /// At the version that began the stream.
   At(SoftwareVersion),
-  /// At the only version that is known, for as long as no other one is.
-  AtOnlyKnown(SoftwareVersion),
   /// Nowhere: which version began the stream is not known.
   UnknownOrigin,
 }
@@ -20,7 +18,7 @@
   /// The version of the endpoints that may go on with the stream; `None` for a request that resumes none, or that none may.
   pub(crate) fn version(&self) -> Option<&SoftwareVersion> {
     match self {
-      Self::At(version) | Self::AtOnlyKnown(version) => Some(version),
+      Self::At(version) => Some(version),
       Self::None | Self::UnknownOrigin => None,
     }
   }
--- a/src/gateway/stages/stage.rs
+++ b/src/gateway/stages/stage.rs
@@ -20,7 +20,9 @@
   crate::{
     gateway::{
       connections::{Connection, SentHold, remove_connection_headers},
-      decisions::{AnswerKind, AttemptOutcome, ObservedProcess, Unavailable, VersionEvidence},
+      decisions::{
+        AnswerKind, AttemptOutcome, ObservedProcess, ServiceVersion, Unavailable, VersionEvidence,
+      },
       edge::{EndpointEntry, ProxyHeaders, ResponseAttributes, Stage},
       permits::{Permit, acquire_permit, return_permit},
       state::{Gateway, UnreadCause},
@@ -34,7 +36,7 @@
     response,
   },
   hyper::body::{Body, Incoming},
-  std::{rc::Rc, time::Instant},
+  std::{collections::BTreeSet, rc::Rc, time::Instant},
 };
 
 /// The status of an endpoint that is not the incarnation that the request is for (RFC 9110, 15.5.20).
@@ -538,6 +540,9 @@
     if purpose == Purpose::ResumedStream {
       return Err(Unavailable::VersionUnknown.into());
     }
+    if let Some(begins) = &call.begins {
+      record_unknown_version(gateway, entry, begins.ttl_ms).await?;
+    }
     let held = hold_stream(gateway, entry, call.begins.clone());
     let (hold, ()) = join(held, observe_beside(gateway, entry, &mut connection)).await;
     connection.hold = hold;
@@ -547,6 +552,27 @@
   Ok((connection, response))
 }
 
+/// Has the store show that streams of a service may have begun at a version that is not known, which no record names.
+async fn record_unknown_version(
+  gateway: &Gateway,
+  entry: &EndpointEntry,
+  resumable_ms: u64,
+) -> Result<(), StageError> {
+  let unknown = ServiceVersion::unknown(&entry.service);
+  let missing = || {
+    let endpoints = gateway.endpoints.borrow();
+    let record = endpoints.version_records().covers(&unknown, resumable_ms);
+    match record {
+      Some(_) => BTreeSet::new(),
+      None => [unknown.clone()].into(),
+    }
+  };
+  match gateway.await_version_records(missing).await {
+    true => Ok(()),
+    false => Err(Unavailable::VersionUnrecorded.into()),
+  }
+}
+
 /// Observes the process of a connection by another one as well: its endpoint may end the connection of a stream, and run on.
 async fn observe_beside(gateway: &Rc<Gateway>, entry: &EndpointEntry, connection: &mut Connection) {
   match open_connection(gateway, entry).await {
--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -4,7 +4,7 @@
   super::{
     change_log::ChangeLog, counters::Counters, held_memory::HeldMemory, log_budget::LogBudget,
     log_throttle::LogThrottle, prefill_queues::PrefillQueues, quarantine::Quarantine,
-    service_returns::ServiceReturns, unknown_headers::UnknownHeaders,
+    service_returns::ServiceReturns, shared_read::SharedRead, unknown_headers::UnknownHeaders,
     unresponsive_boxes::UnresponsiveBoxes, unsupporting_boxes::UnsupportingBoxes,
   },
   crate::{
@@ -15,10 +15,10 @@
         AttemptOutcome, BoxEntry, BoxList, CachedPrompts, CheckedEnds, Choice, ColdPeriod,
         ConnectionState, CopyBudget, EndpointCounts, EndpointCriteria, EndpointGroup,
         EndpointRegistry, JoinedBoxes, LocalUsage, LongestDeadlines, ObservedProcess,
-        OrganisationLoads, PeakBoxCount, PeerAnswers, PermitTable, Reachability, RetryLenders,
-        RetryNeed, RetryUsage, RetryWindow, SlotForecast, SlotQueue, StrayAnswers, StreamRecords,
-        Unavailable, UnframedAnswers, UsageTable, VersionIdSteps, VersionRecords,
-        retry_after_backoff_ms,
+        OrganisationLoads, PeakBoxCount, PeerAnswers, PermitTable, RETURN_MS, Reachability,
+        RetryLenders, RetryNeed, RetryUsage, RetryWindow, ServiceVersion, SlotForecast, SlotQueue,
+        StrayAnswers, StreamRecords, Unavailable, UnframedAnswers, UsageTable, VersionIdSteps,
+        VersionRecord, retry_after_backoff_ms,
       },
       edge::{ColdStart, EndpointEntry, PlatformCodec, RouteTable, StoreLease},
       settings::{GatewaySettings, RoutePolicy},
@@ -151,8 +151,12 @@
   pub(crate) limit_log_throttle: LogThrottle,
   /// Response headers of endpoints that the platform does not define.
   pub(crate) unknown_headers: RefCell<UnknownHeaders>,
-  /// The versions of services that are recorded in the store.
-  pub(crate) version_records: RefCell<VersionRecords>,
+  /// Notified when a stream waits for the record of a version.
+  pub(crate) version_awaited: Notify,
+  /// Notified when a record of a version has changed.
+  pub(crate) version_recorded: Notify,
+  /// Reads of all records of versions.
+  pub(crate) version_reads: SharedRead<Option<Rc<[ServiceVersion]>>>,
   /// Which versions began recent streams.
   pub(crate) stream_records: RefCell<StreamRecords>,
   /// How the ids of events rise.
@@ -245,7 +249,9 @@
       unresponsive_boxes: RefCell::default(),
       unsupporting_boxes: RefCell::default(),
       usage_table: RefCell::default(),
-      version_records: RefCell::default(),
+      version_awaited: Notify::new(),
+      version_reads: SharedRead::default(),
+      version_recorded: Notify::new(),
     }
   }
 
@@ -278,6 +284,13 @@
     service.is_some_and(|service| service.engine.is_some())
   }
 
+  /// For how long a stream may be resumed after it has begun, under the configuration in force.
+  pub(crate) fn stream_lifetime_ms(&self) -> u64 {
+    let table = self.route_table.borrow();
+    let longest_ms = table.as_ref().map_or(0, |table| table.longest_timeout_ms());
+    longest_ms + RETURN_MS
+  }
+
   /// The configuration in force.
   pub(crate) fn route_table(&self) -> Option<Rc<RouteTable>> {
     self.route_table.borrow().clone()
@@ -416,6 +429,19 @@
     endpoints.record_lone_connection(entry, connection, self.now_ms())
   }
 
+  /// Applies the record of a version, which may have begun streams although no endpoint of it is listed.
+  pub(crate) fn put_version_record(&self, key: Name, record: VersionRecord, revision: u64) {
+    let now_ms = self.now_ms();
+    let mut endpoints = self.endpoints.borrow_mut();
+    let ServiceVersion { service, version } = &record.subject;
+    endpoints.versions_mut().report(service, version);
+    endpoints
+      .version_records_mut()
+      .put(key, record, revision, now_ms);
+    drop(endpoints);
+    self.version_recorded.notify_waiters();
+  }
+
   /// Records that an endpoint is cold for `cold_ms` from now. Has no effect when the configuration sets no cold start for its service.
   pub(crate) fn record_cold(&self, entry: &EndpointEntry, cold_ms: u64) {
     let Some(cold_start) = self.cold_start(&entry.service) else {
@@ -769,7 +795,8 @@
   };
   let registry = registry
     .with_heartbeat(settings.endpoints.heartbeat_ms)
-    .with_unnamed_restarts(settings.endpoints.unnamed_restarts);
+    .with_unnamed_restarts(settings.endpoints.unnamed_restarts)
+    .requiring_records();
   if mechanisms.endpoint_limits {
     registry
   } else {
--- a/src/gateway/state/mod.rs
+++ b/src/gateway/state/mod.rs
@@ -12,10 +12,12 @@
 mod quarantine;
 mod reachability;
 mod service_returns;
+mod shared_read;
 mod unknown_headers;
 mod unread_cause;
 mod unresponsive_boxes;
 mod unsupporting_boxes;
+mod version_wait;
 
 pub use self::change_log::ChangeLog;
 
--- a/tests/gateway/unknown_origins.rs
+++ b/tests/gateway/unknown_origins.rs
@@ -6,7 +6,7 @@
     cut_off::{Cut, CutAddress},
     harness::CallerResponse,
     store_proxy::StoreProxy,
-    versions::{EVENTS, begins_and_resumes, resume},
+    versions::{EVENTS, begins_and_resumes, resume, wait_until_recorded},
   },
   emulator::eventually,
   http::StatusCode,
@@ -53,6 +53,8 @@
       let lists_all = async || gateway.metric("rillford_boxes").await == count;
       assert!(eventually(TIMEOUT, lists_all).await);
     }
+    // Streams begin at recorded versions alone.
+    wait_until_recorded(&boxes[0], 1).await;
     proxy.cut().await;
     for gateway in &boxes {
       let is_stale = async || gateway.ask("/missing/", "m").await.status != StatusCode::NOT_FOUND;
@@ -111,16 +113,61 @@
   assert_rejected(&Part::start(&["north"], OtherPart::Unlisted).await).await;
 }
 
-/// Guards against boxes that reject all resumptions of an unknown origin while no box reaches the store.
+/// When a stream begins.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Begins {
+  WithTheStore,
+  WhileItIsAway,
+}
+
+/// Guards against streams that are lost with the box that began them while no box reaches the store.
 #[rstest]
 #[case::one_hall(&["north", "north"])]
 #[case::two_halls(&["north", "south"])]
 #[tokio::test]
-async fn streams_of_unknown_origin_go_on_while_the_store_is_away_for_all(
+async fn streams_of_a_killed_box_go_on_while_the_store_is_away_for_all(
   #[case] halls: &[&'static str],
+  #[values(Begins::WithTheStore, Begins::WhileItIsAway)] begins: Begins,
 ) {
-  let part = Part::start(halls, OtherPart::Unlisted).await;
-  let response = part.resume("again", "r0").await;
+  let test = GatewayTest::new().await;
+  let prefill = EndpointStandIn::engine(EVENTS).await;
+  test.enter("e-1", "llm", Some("prefill"), &prefill);
+  let decode = EndpointStandIn::start(begins_and_resumes).await;
+  test.enter_version("e-2", &decode, "v1");
+  let proxy = StoreProxy::to(test.store.address).await;
+  let mut boxes = Vec::new();
+  for hall in halls {
+    let mut of_hall = test.second_box(&format!("{hall}-{}", boxes.len()), proxy.address);
+    of_hall.hall = hall;
+    boxes.push(of_hall.start().await);
+  }
+  for gateway in &boxes {
+    let lists_all = async || gateway.metric("rillford_boxes").await == 2.0;
+    assert!(eventually(TIMEOUT, lists_all).await);
+  }
+  wait_until_recorded(&boxes[0], 1).await;
+  let begin = async || {
+    boxes[1].ask_in_background("/resumable/a", "r0");
+    let records = async || boxes[1].metric("rillford_stream_records").await == 1.0;
+    assert!(eventually(TIMEOUT, records).await);
+  };
+  if begins == Begins::WithTheStore {
+    begin().await;
+  }
+  proxy.cut().await;
+  for gateway in &boxes {
+    let is_stale = async || gateway.ask("/missing/", "m").await.status != StatusCode::NOT_FOUND;
+    assert!(eventually(TIMEOUT, is_stale).await);
+  }
+  if begins == Begins::WhileItIsAway {
+    begin().await;
+  }
+  let has_copy = async || boxes[0].metric("rillford_stream_records").await == 1.0;
+  assert!(eventually(TIMEOUT, has_copy).await);
+  let mut began = boxes.pop().unwrap();
+  began.process.kill().unwrap();
+  began.process.wait().unwrap();
+  let response = resume(&boxes[0], "again", "r0").await;
   assert_eq!(response.status, StatusCode::OK);
 }
 
@@ -132,8 +179,9 @@
   for (number, began) in part.boxes.iter().enumerate().skip(1) {
     let id = format!("r{number}");
     began.ask_in_background("/resumable/a", &id);
-    let records = async || began.metric("rillford_stream_records").await == 1.0;
-    assert!(eventually(TIMEOUT, records).await);
+    // Records of other streams come from the other boxes.
+    let has_begun = async || began.metric("rillford_stream_copies_total").await >= 1.0;
+    assert!(eventually(TIMEOUT, has_begun).await);
     let response = part.resume(&format!("again-{number}"), &id).await;
     assert_eq!(response.status, StatusCode::OK);
   }
--- a/tests/gateway/version_records.rs
+++ b/tests/gateway/version_records.rs
@@ -3,8 +3,8 @@
 use {
   rillford::{
     gateway::{
-      BoxEntry, BoxList, RecordChange, ServiceVersion, ServiceVersions, SoftwareVersion,
-      VersionRecords,
+      BoxEntry, BoxList, RecordChange, RecordMaker, RecordState, ServiceVersion, ServiceVersions,
+      SoftwareVersion, VersionRecord, VersionRecords,
     },
     ids::Name,
   },
@@ -19,6 +19,10 @@
 const SECOND_LISTED_MS: u64 = 5_000;
 const FIRST_UNLISTED_MS: u64 = 8_000;
 const RESTART_MS: u64 = 300;
+/// Until a version that is not listed is retired.
+const RETIRE_DELAY_MS: u64 = 5_000;
+/// The oldest view of the store under which a stream may begin.
+const MAX_VIEW_AGE_MS: u64 = 30_000;
 /// The last box hears of a change this long after the first.
 const MAX_WATCH_MS: u64 = 200;
 const SERVICE: &str = "llm";
@@ -27,8 +31,8 @@
 enum Event {
   Listed(SoftwareVersion),
   Unlisted(SoftwareVersion),
-  Recorded(Name, ServiceVersion, u64),
-  Removed(Name),
+  Recorded(Name, VersionRecord, u64),
+  Removed(Name, u64),
 }
 
 /// The store, with all that it was told and when.
@@ -37,7 +41,7 @@
   listed: BTreeSet<SoftwareVersion>,
   /// When each version was listed last.
   last_listed_ms: BTreeMap<SoftwareVersion, u64>,
-  records: BTreeMap<Name, (ServiceVersion, u64)>,
+  records: BTreeMap<Name, (VersionRecord, u64)>,
   events: Vec<(u64, Event)>,
   calls: usize,
 }
@@ -53,22 +57,31 @@
     self.events.push((now_ms, Event::Unlisted(version.clone())));
   }
 
+  /// The revision of a record; 0 if there is none.
+  fn revision_of(&self, key: &Name) -> u64 {
+    self.records.get(key).map_or(0, |(_, revision)| *revision)
+  }
+
+  fn next_revision(&self) -> u64 {
+    self.events.len() as u64 + 1
+  }
+
   fn make(&mut self, change: RecordChange, now_ms: u64) {
     self.calls += 1;
     match change {
-      RecordChange::Add(version) if !self.records.contains_key(&version.key()) => {
-        let (key, revision) = (version.key(), self.events.len() as u64);
-        self
-          .records
-          .insert(key.clone(), (version.clone(), revision));
-        let recorded = Event::Recorded(key, version, revision);
+      RecordChange::Write(record, expected)
+        if self.revision_of(&record.subject.key()) == expected =>
+      {
+        let (key, revision) = (record.subject.key(), self.next_revision());
+        self.records.insert(key.clone(), (record.clone(), revision));
+        let recorded = Event::Recorded(key, record, revision);
         self.events.push((now_ms, recorded));
       }
-      RecordChange::Remove(version, revision)
-        if self.records.get(&version.key()) == Some(&(version.clone(), revision)) =>
-      {
+      RecordChange::Remove(version, expected) if self.revision_of(&version.key()) == expected => {
+        let revision = self.next_revision();
         self.records.remove(&version.key());
-        self.events.push((now_ms, Event::Removed(version.key())));
+        let removed = Event::Removed(version.key(), revision);
+        self.events.push((now_ms, removed));
       }
       _ => {}
     }
@@ -86,7 +99,7 @@
 
 impl SimBox {
   /// Starts a box, which lists the store.
-  fn start(number: usize, store: &SimStore) -> Self {
+  fn start(number: usize, store: &SimStore, now_ms: u64) -> Self {
     let mut started = Self {
       name: format!("box-{number}").as_str().into(),
       next_event: store.events.len(),
@@ -95,7 +108,7 @@
       watch_ms: number as u64 * 7 % MAX_WATCH_MS,
     };
     for (key, (record, revision)) in &store.records {
-      started.put_record(key.clone(), record.clone(), *revision);
+      started.put_record(key.clone(), record.clone(), *revision, now_ms);
     }
     for version in &store.listed {
       started.versions.add(&SERVICE.into(), version);
@@ -103,10 +116,17 @@
     started
   }
 
-  fn put_record(&mut self, key: Name, record: ServiceVersion, revision: u64) {
-    if self.records.put(key, record.clone(), revision) {
-      self.versions.report(&record.service, &record.version);
+  fn put_record(&mut self, key: Name, record: VersionRecord, revision: u64, now_ms: u64) {
+    let ServiceVersion { service, version } = &record.subject;
+    self.versions.report(service, version);
+    self.records.put(key, record, revision, now_ms);
+  }
+
+  fn expire(&mut self, now_ms: u64) {
+    for ServiceVersion { service, version } in self.records.recorded() {
+      self.versions.report(service, version);
     }
+    self.versions.expire(now_ms, KEEP_MS);
   }
 
   fn watch(&mut self, store: &SimStore, now_ms: u64) {
@@ -118,13 +138,24 @@
       match event.clone() {
         Event::Listed(version) => self.versions.add(&SERVICE.into(), &version),
         Event::Unlisted(version) => self.versions.remove(SERVICE, &version),
-        Event::Recorded(key, record, revision) => self.put_record(key, record, revision),
-        Event::Removed(key) => self.records.remove(&key),
+        Event::Recorded(key, record, revision) => self.put_record(key, record, revision, now_ms),
+        Event::Removed(key, revision) => self.records.remove(&key, revision),
       }
     }
   }
 }
 
+/// A box that makes changes of records.
+fn maker<'a>(boxes: &'a BoxList, box_name: &'a str, now_ms: u64) -> RecordMaker<'a> {
+  RecordMaker {
+    box_name,
+    boxes,
+    is_current: true,
+    lifetime_ms: KEEP_MS,
+    now_ms,
+  }
+}
+
 fn version(text: &str) -> SoftwareVersion {
   SoftwareVersion::new(text)
 }
@@ -142,14 +173,15 @@
   let (first, second) = (version("v1"), version("v2"));
   let mut store = SimStore::default();
   store.list(&first, 0);
-  let start = |store: &SimStore| -> Vec<SimBox> {
+  let start = |store: &SimStore, now_ms| -> Vec<SimBox> {
     (0..boxes)
-      .map(|number| SimBox::start(number, store))
+      .map(|number| SimBox::start(number, store, now_ms))
       .collect()
   };
-  let mut running = start(&store);
+  let mut running = start(&store, 0);
   let last_kill_ms = kills_ms.iter().max().copied().unwrap_or(0);
-  let end_ms = FIRST_UNLISTED_MS.max(last_kill_ms) + KEEP_MS + 2_000;
+  let removed_ms = RETIRE_DELAY_MS + KEEP_MS + MAX_VIEW_AGE_MS;
+  let end_ms = FIRST_UNLISTED_MS.max(last_kill_ms) + removed_ms + 2_000;
   for now_ms in (0..end_ms).step_by(TICK_MS as usize) {
     if now_ms == SECOND_LISTED_MS {
       store.list(&second, now_ms);
@@ -164,15 +196,14 @@
       running.clear();
     }
     if kills_ms.contains(&now_ms.wrapping_sub(RESTART_MS)) {
-      running = start(&store);
+      running = start(&store, now_ms);
     }
     for sim in &mut running {
       sim.watch(&store, now_ms);
       if now_ms.is_multiple_of(CHECK_INTERVAL_MS) {
-        sim.versions.expire(now_ms, KEEP_MS);
-        let due = sim
-          .records
-          .due(&sim.versions, |_| true, &list, &sim.name, now_ms);
+        sim.expire(now_ms);
+        let maker = maker(&list, &sim.name, now_ms);
+        let due = sim.records.due(|_| true, &sim.versions, maker);
         due
           .into_iter()
           .for_each(|change| store.make(change, now_ms));
@@ -211,7 +242,7 @@
       let recorded: Vec<_> = store
         .records
         .values()
-        .map(|(record, _)| &record.version)
+        .map(|(record, _)| &record.subject.version)
         .collect();
       assert_eq!(recorded, [&version("v2")], "killed at {kills_ms:?}");
     }
@@ -224,7 +255,7 @@
 #[case::medium(300)]
 #[case::target(985)]
 fn few_boxes_write_a_record(#[case] boxes: usize) {
-  // Two versions are recorded, and one record is removed.
+  // Two versions are recorded, and one record is retired and removed.
   let calls = play_release(boxes, &[]).calls;
   assert!(calls <= 6, "{calls} calls");
 }
@@ -248,7 +279,7 @@
       .step_by(CHECK_INTERVAL_MS as usize)
       .find(|now_ms| {
         !records
-          .due(&versions, |_| true, &list, name, *now_ms)
+          .due(|_| true, &versions, maker(&list, name, *now_ms))
           .is_empty()
       })
   };
@@ -268,11 +299,17 @@
   };
   let mut records = VersionRecords::default();
   let mut versions = ServiceVersions::default();
-  records.put(former.key(), former.clone(), 1);
+  let record = VersionRecord {
+    subject: former.clone(),
+    state: RecordState::Active,
+    lifetime_ms: KEEP_MS,
+  };
+  records.put(former.key(), record, 1, 0);
   versions.report(&former.service, &former.version);
-  records.remove(&former.key());
+  records.remove(&former.key(), 2);
   for now_ms in (0..10_000).step_by(CHECK_INTERVAL_MS as usize) {
-    let due = records.due(&versions, |_| true, &BoxList::default(), "box-0", now_ms);
+    let boxes = BoxList::default();
+    let due = records.due(|_| true, &versions, maker(&boxes, "box-0", now_ms));
     assert_eq!(due, []);
   }
 }
--- a/tests/gateway/versions.rs
+++ b/tests/gateway/versions.rs
@@ -448,6 +448,7 @@
   test.enter_version_started("e-3", &other, "v2", 7);
   let proxy = StoreProxy::to(test.store.address).await;
   let gateway = test.second_box("north-2", proxy.address).start().await;
+  wait_until_recorded(&gateway, 2).await;
   proxy.cut().await;
   let is_stale = async || gateway.ask("/missing/", "m").await.status != StatusCode::NOT_FOUND;
   assert!(eventually(TIMEOUT, is_stale).await);
@@ -794,6 +795,7 @@
   gateway.test.enter_version("e-3", &other, "v2");
   let divided = "rillford_services_of_several_versions";
   assert!(eventually(TIMEOUT, async || gateway.metric(divided).await == 1.0).await);
+  wait_until_recorded(&gateway, 2).await;
   let rejected = resume("two-versions").await;
   assert_eq!(rejected.status, StatusCode::SERVICE_UNAVAILABLE);
   assert_eq!(rejected.headers["retry-after"], "1.000");
