Origins of streams in the store while a service has several versions

What callers saw: after a kill of all boxes beside two versions nobody knew which version had begun a stream, and each resumption was rejected with 503.

Cause: records of streams are in the boxes' memory alone.

Change: each box sends the streams that it begins, while their service has several versions, to one box that writes them in batches under leases; a lookup that no box answers reads the store. Batches are dropped from watches, wake no follower, and make a box pause before the next call. [mechanisms] stored_origins switches it off.

--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -33,6 +33,7 @@
 mod longest_deadlines;
 mod notice_tracker;
 mod organisation_loads;
+mod origins;
 mod peak_box_count;
 mod peer_answers;
 mod peer_usage;
@@ -111,6 +112,10 @@
   longest_deadlines::LongestDeadlines,
   notice_tracker::{Availability, NoticeChange, NoticeTracker},
   organisation_loads::{OrganisationLoad, OrganisationLoads},
+  origins::{
+    BegunStream, BucketWriters, ORIGIN_SEND_INTERVAL_MS, ORIGIN_WRITE_INTERVAL_MS, OriginBatch,
+    OriginBucket, OriginOutbox, OriginWrite, OriginWriter, StoredOrigins, StoredStream, TakenLease,
+  },
   peak_box_count::PeakBoxCount,
   peer_answers::{PeerAnswers, PeerList},
   permit_account::{PermitAccount, PermitRequest, PermitVerdict},
--- a/src/gateway/edge/store.rs
+++ b/src/gateway/edge/store.rs
@@ -29,6 +29,8 @@
   HallDrain(Name),
   /// A recorded version of a service, by the last component of its key. Boxes of older builds can't decode it.
   Version(Name),
+  /// A batch of streams and where they began, which boxes look up when they need it.
+  Origins,
 }
 
 /// A write or removal of one item.
@@ -92,6 +94,25 @@
       items.retain(|item| !matches!(item.key, StoreKey::Version(_)));
     }
   }
+
+  /// Removes the changes of batches of origins; returns whether these were all changes.
+  ///
+  /// ```
+  /// use rillford::gateway::{StoreChanges, StoreItem, StoreKey};
+  /// let item = |key| StoreItem { key, revision: 7, value: None };
+  /// let mut changes = StoreChanges::Some { items: vec![item(StoreKey::Origins)], revision: 7 };
+  /// assert!(changes.remove_origins());
+  /// assert_eq!(changes, StoreChanges::Some { items: Vec::new(), revision: 7 });
+  /// assert!(!changes.remove_origins());
+  /// ```
+  pub fn remove_origins(&mut self) -> bool {
+    let Self::Some { items, .. } = self else {
+      return false;
+    };
+    let count = items.len();
+    items.retain(|item| item.key != StoreKey::Origins);
+    items.is_empty() && count > 0
+  }
 }
 
 /// The box that leads the assignment of engine roles.
@@ -183,6 +204,14 @@
     key: &Name,
     revision: u64,
   ) -> impl Future<Output = Result<bool, StoreError>>;
+  /// Writes batches of origins by their names, under a lease; at most [`MAX_CHANGED_KEYS`] of them.
+  fn put_origins(
+    &self,
+    batches: &[(Name, Bytes)],
+    lease: StoreLease,
+  ) -> impl Future<Output = Result<(), StoreError>>;
+  /// Lists the batches of origins whose names begin with a prefix: a read that is up to date when it begins.
+  fn origins(&self, prefix: &str) -> impl Future<Output = Result<Vec<StoreItem>, StoreError>>;
   /// Writes this box's entry under a lease.
   fn put_box(
     &self,
--- a/src/gateway/membership/listing.rs
+++ b/src/gateway/membership/listing.rs
@@ -68,6 +68,9 @@
 
   /// Records an item of a page; `known_revision` is the last one that this box knew before the listing.
   pub(super) fn record_item(&mut self, item: &StoreItem, known_revision: u64) {
+    if item.key == StoreKey::Origins {
+      return;
+    }
     if self.kind == ListingKind::Relist && item.revision > known_revision {
       self.changed.push(item.clone());
     }
@@ -78,7 +81,7 @@
       StoreKey::HallDrain(hall) => drop(self.drained_halls.insert(hall.clone())),
       StoreKey::Version(key) => drop(self.versions.insert(key.clone())),
       StoreKey::RoleLeader => self.has_leader = true,
-      StoreKey::Configuration | StoreKey::Other => {}
+      StoreKey::Configuration | StoreKey::Origins | StoreKey::Other => {}
     }
   }
 
--- a/src/gateway/membership/relay.rs
+++ b/src/gateway/membership/relay.rs
@@ -14,7 +14,8 @@
       prefill_queue::{FINISH_PATH, PLACE_PATH, handle_finish, handle_place},
       quarantine::{MARKS_PATH, handle_marks},
       resumption::{
-        FIND_STREAM_PATH, STREAMS_PATH, handle_begin, handle_hold, handle_lookup, handle_records,
+        FIND_ORIGIN_PATH, FIND_STREAM_PATH, ORIGINS_PATH, STREAMS_PATH, handle_begin,
+        handle_find_origin, handle_hold, handle_lookup, handle_origins, handle_records,
       },
       retries::{LEND_RETRY_PATH, RETURN_RETRY_PATH, handle_lend_retry, handle_return_retry},
       stages::{BEGIN_PATH, HOLD_PATH},
@@ -83,6 +84,8 @@
     MARKS_PATH => handle_marks(&gateway, request).await,
     STREAMS_PATH => handle_records(&gateway, request).await,
     FIND_STREAM_PATH => handle_lookup(&gateway, request).await,
+    ORIGINS_PATH => handle_origins(&gateway, request).await,
+    FIND_ORIGIN_PATH => handle_find_origin(&gateway, request).await,
     HOLD_PATH => handle_hold(&gateway, request).await,
     BEGIN_PATH => handle_begin(&gateway, request).await,
     LEND_RETRY_PATH => handle_lend_retry(&gateway, request).await,
--- a/src/gateway/membership/store_sync.rs
+++ b/src/gateway/membership/store_sync.rs
@@ -29,6 +29,8 @@
 const READER_PAUSE: Duration = Duration::from_millis(150);
 /// The same for any other box that reads the store itself for now: there may be many of them.
 const DIRECT_PAUSE: Duration = Duration::from_millis(500);
+/// Pause after a watch call that returned nothing but batches of origins: boxes write some each second while versions differ.
+const ORIGINS_PAUSE: Duration = Duration::from_millis(500);
 /// Attempts at one page of a listing: with the longest pauses they end within the 20 s of history that the store keeps.
 const MAX_PAGE_ATTEMPTS: u32 = 8;
 /// Spread of simultaneous listings, per box: a listing of the largest supported deployment has 12 pages, and the store takes 2,000
@@ -55,6 +57,7 @@
     next_helper: 0,
     reader_index: 0,
     reads_once: false,
+    returned_origins: false,
     store,
     view: StoreView::new(gateway.clone()),
   };
@@ -99,6 +102,8 @@
   next_helper: usize,
   /// Whether the next changes are read from the store although there are readers to follow.
   reads_once: bool,
+  /// Whether the last watch call returned nothing but batches of origins.
+  returned_origins: bool,
 }
 
 impl<S: Store> StoreSync<S> {
@@ -339,23 +344,29 @@
         boxes.is_fallback_reader(&self.gateway.settings.identity.name),
       )
     };
-    let wait = if is_large {
-      sleep(if is_fallback_reader {
-        READER_PAUSE
-      } else {
-        DIRECT_PAUSE
-      })
-      .await;
-      SHORT_WATCH_WAIT
-    } else {
-      self.watch_wait()
+    let pause = match (is_large, is_fallback_reader) {
+      (true, true) => READER_PAUSE,
+      (true, false) => DIRECT_PAUSE,
+      (false, _) => Duration::ZERO,
+    };
+    let pause = match mem::take(&mut self.returned_origins) {
+      true => pause.max(ORIGINS_PAUSE),
+      false => pause,
+    };
+    if !pause.is_zero() {
+      sleep(pause).await;
+    }
+    let wait = match is_large {
+      true => SHORT_WATCH_WAIT,
+      false => self.watch_wait(),
     };
     self.gateway.counters.store_calls.inc();
     let called_ms = self.gateway.now_ms();
     match self.store.changes(revision, wait).await {
-      Ok(changes) => {
+      Ok(mut changes) => {
         self.view.record_contact(0);
         self.expect(&changes, called_ms, wait);
+        self.returned_origins = changes.remove_origins();
         Some(changes)
       }
       Err(error) => {
--- a/src/gateway/membership/store_view.rs
+++ b/src/gateway/membership/store_view.rs
@@ -158,7 +158,7 @@
       (StoreKey::Quarantine(text), value) => self.apply_quarantine_mark(&text, value.as_deref()),
       (StoreKey::Version(key), Some(value)) => self.put_version(key, &value, item.revision),
       (StoreKey::Version(key), None) => self.gateway.version_records.borrow_mut().remove(&key),
-      (StoreKey::Other, _) => {}
+      (StoreKey::Origins | StoreKey::Other, _) => {}
     }
   }
 
--- a/src/gateway/process/start.rs
+++ b/src/gateway/process/start.rs
@@ -15,7 +15,9 @@
       prefill_queue::expire_places,
       quarantine::sync_quarantine,
       requests::accept_callers,
-      resumption::{publish_streams, sync_versions},
+      resumption::{
+        publish_streams, send_origins, serve_origin_reads, sync_versions, write_origins,
+      },
       roles::manage_roles,
       settings::{GatewayListen, GatewaySettings},
       stages::{check_displacements, probe_unreachable},
@@ -156,6 +158,11 @@
   spawn_local(sync_usage(gateway.clone()));
   spawn_local(publish_streams(gateway.clone()));
   spawn_local(sync_versions(gateway.clone(), store.clone()));
+  if gateway.settings.mechanisms.stored_origins {
+    spawn_local(send_origins(gateway.clone()));
+    spawn_local(write_origins(gateway.clone(), store.clone()));
+    spawn_local(serve_origin_reads(gateway.clone(), store.clone()));
+  }
   spawn_local(sync_quarantine(gateway.clone(), store.clone()));
   spawn_local(remove_expired(gateway.clone()));
 }
--- a/src/gateway/resumption/lookup.rs
+++ b/src/gateway/resumption/lookup.rs
@@ -1,7 +1,10 @@
 //! Finds out which version began a stream that a caller resumes.
 
 use {
-  super::messages::{LookupMessage, LookupResponse, ask},
+  super::{
+    messages::{LookupMessage, LookupResponse, ask},
+    origin_reading::find_stored_origin,
+  },
   crate::{
     CallError,
     gateway::{
@@ -145,6 +148,12 @@
   if is_recorded || answers.origin.is_some() {
     return Lookup::Ambiguous(own, answers);
   }
+  if request.attributes.resumed_request_id.is_some()
+    && let Some(origin) = find_stored_origin(gateway, &key).await
+  {
+    gateway.counters.origins_stored.inc();
+    return Lookup::Known(along_route(request, origin, "recorded in the store"));
+  }
   Lookup::Unknown(own, answers)
 }
 
--- a/src/gateway/resumption/publishing.rs
+++ b/src/gateway/resumption/publishing.rs
@@ -4,6 +4,8 @@
   super::{
     handing_over::hand_over_watched,
     messages::{StreamRecordMessage, send_records},
+    origin_reading::expire_stored,
+    origin_sending::keep_origin,
   },
   crate::{
     gateway::{
@@ -140,6 +142,7 @@
   drop(endpoints);
   gateway.stream_records.borrow_mut().expire(now_ms);
   gateway.watching_connections.expire(now_ms);
+  expire_stored(gateway);
 }
 
 /// The other boxes that have registered lately.
@@ -194,6 +197,7 @@
   let identity = &gateway.settings.identity;
   let mut by_box: BTreeMap<SocketAddr, Vec<StreamRecordMessage>> = BTreeMap::new();
   for (key, origin, expires_ms) in streams {
+    keep_origin(gateway, key, &origin, expires_ms);
     let copies = gateway.copy_budget.borrow_mut().take(now_ms);
     if copies == 0 {
       gateway.counters.streams_not_copied.inc();
--- a/src/gateway/settings/mechanisms.rs
+++ b/src/gateway/settings/mechanisms.rs
@@ -39,6 +39,8 @@
   pub slot_by_estimate: bool,
   /// Move a retryable request from a silent endpoint to another one.
   pub silence_takeover: bool,
+  /// Keep in the store where streams began while a service has several versions.
+  pub stored_origins: bool,
 }
 
 impl Default for Mechanisms {
@@ -55,6 +57,7 @@
       role_commands: true,
       silence_takeover: true,
       slot_by_estimate: true,
+      stored_origins: true,
     }
   }
 }
--- a/src/gateway/state/change_log.rs
+++ b/src/gateway/state/change_log.rs
@@ -46,7 +46,7 @@
     });
   }
 
-  /// Adds changes up to a revision.
+  /// Adds changes up to a revision. A revision without a change wakes no follower.
   pub fn add(&self, items: &[StoreItem], revision: u64) {
     let mut changes = self.changes.borrow_mut();
     let mut range = *self.range.borrow();
@@ -58,7 +58,10 @@
     }
     range.latest = range.latest.max(revision);
     drop(changes);
-    self.range.send_replace(range);
+    self.range.send_if_modified(|current| {
+      *current = range;
+      !items.is_empty()
+    });
   }
 
   /// The latest known revision.
--- a/src/gateway/state/counters.rs
+++ b/src/gateway/state/counters.rs
@@ -141,6 +141,14 @@
   pub(crate) origins_asked: Counter,
   pub(crate) origins_only: Counter,
   pub(crate) origins_unknown: Counter,
+  /// The same, read from the store.
+  pub(crate) origins_stored: Counter,
+  /// Origins that this box wrote to the store, and those that it dropped unwritten or unsent.
+  pub(crate) origins_written: Counter,
+  pub(crate) origins_dropped: Counter,
+  /// Writes and reads of origins at the store.
+  pub(crate) origin_writes: Counter,
+  pub(crate) origin_reads: Counter,
   /// Boxes that were asked where streams began.
   pub(crate) origin_lookups: Counter,
   /// Records of streams that were sent to other boxes, messages with them that failed, and streams that the budget left no copy for.
@@ -277,6 +285,11 @@
       ("rillford_origins_asked_total", &self.origins_asked),
       ("rillford_origins_only_total", &self.origins_only),
       ("rillford_origins_unknown_total", &self.origins_unknown),
+      ("rillford_origins_stored_total", &self.origins_stored),
+      ("rillford_origins_written_total", &self.origins_written),
+      ("rillford_origins_dropped_total", &self.origins_dropped),
+      ("rillford_origin_writes_total", &self.origin_writes),
+      ("rillford_origin_reads_total", &self.origin_reads),
       ("rillford_origin_lookups_total", &self.origin_lookups),
       ("rillford_stream_copies_total", &self.stream_copies),
       (
--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -3,8 +3,8 @@
 use {
   super::{
     change_log::ChangeLog, counters::Counters, held_memory::HeldMemory, log_budget::LogBudget,
-    log_throttle::LogThrottle, prefill_queues::PrefillQueues, quarantine::Quarantine,
-    service_returns::ServiceReturns, unknown_headers::UnknownHeaders,
+    log_throttle::LogThrottle, origin_state::OriginState, prefill_queues::PrefillQueues,
+    quarantine::Quarantine, service_returns::ServiceReturns, unknown_headers::UnknownHeaders,
     unresponsive_boxes::UnresponsiveBoxes, unsupporting_boxes::UnsupportingBoxes,
   },
   crate::{
@@ -161,6 +161,8 @@
   pub(crate) checked_ends: RefCell<CheckedEnds>,
   /// Which answers may end with their connection.
   pub(crate) unframed_answers: RefCell<UnframedAnswers>,
+  /// The origins of streams that are kept in the store.
+  pub(crate) origins: OriginState,
   /// Limits the records that are sent to other boxes.
   pub(crate) copy_budget: RefCell<CopyBudget>,
   /// The endpoints that this box can't reach.
@@ -212,6 +214,7 @@
       longest_deadlines: RefCell::default(),
       mean_first_event_ms: Cell::new(None),
       organisation_loads: RefCell::default(),
+      origins: OriginState::default(),
       own_call_log: LogBudget::default(),
       own_calls: Cell::new(0),
       peak_box_count: RefCell::default(),
--- a/tests/gateway/relay.rs
+++ b/tests/gateway/relay.rs
@@ -4,6 +4,7 @@
   super::{EndpointStandIn, GatewayBox, GatewayTest, Reply, TIMEOUT},
   bytes::Bytes,
   emulator::eventually,
+  futures_util::poll,
   http::Request,
   http_body_util::Full,
   rillford::{
@@ -13,6 +14,7 @@
     },
   },
   rstest::rstest,
+  std::pin::pin,
 };
 
 pub(super) fn boxes(halls: &[(&str, usize)]) -> BoxList {
@@ -126,6 +128,21 @@
   tokio::join!(log.wait_after(11), async { log.restart(20) });
 }
 
+/// Guards against followers that poll again with each batch of origins, which changes nothing for them.
+#[tokio::test]
+async fn revision_without_a_change_wakes_no_follower() {
+  let log = ChangeLog::default();
+  log.restart(10);
+  let mut waiting = pin!(log.wait_after(10));
+  assert!(poll!(&mut waiting).is_pending());
+  log.add(&[], 11);
+  assert!(poll!(&mut waiting).is_pending());
+  // The follower goes on from there with its next poll.
+  assert_eq!(log.latest_revision(), 11);
+  log.add(&[item(12)], 12);
+  waiting.await;
+}
+
 #[rstest]
 #[case::few(8, 3_000)]
 #[case::grown(87, 4_000)]
--- a/tests/gateway/versions.rs
+++ b/tests/gateway/versions.rs
@@ -30,10 +30,10 @@
 };
 
 const BEGINNING: &str = "id: 1\ndata: a\n\nid: 2\nda";
-const REST: &str = "id: 2\ndata: b\n\n";
+pub(super) const REST: &str = "id: 2\ndata: b\n\n";
 pub(super) const EVENTS: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
 /// Streams of one test; by chance alone each would go on at its own version half of the time.
-const STREAMS: usize = 8;
+pub(super) const STREAMS: usize = 8;
 /// When a rejected caller returns.
 const RETURN_DELAY: Duration = Duration::from_millis(300);
 
@@ -83,10 +83,10 @@
 }
 
 /// Decode engines, as many of each of two versions.
-struct Engines(Vec<(&'static str, EndpointStandIn)>);
+pub(super) struct Engines(Vec<(&'static str, EndpointStandIn)>);
 
 impl Engines {
-  async fn start<S>(test: &GatewayTest, of_each: usize, script: impl Fn() -> S) -> Self
+  pub(super) async fn start<S>(test: &GatewayTest, of_each: usize, script: impl Fn() -> S) -> Self
   where
     S: Fn(&ReceivedRequest) -> Reply + Send + Sync + 'static,
   {
@@ -101,7 +101,7 @@
   }
 
   /// The versions of the engines that ran a request.
-  fn versions_of(&self, id: &str) -> Vec<&'static str> {
+  pub(super) fn versions_of(&self, id: &str) -> Vec<&'static str> {
     let ran = |engine: &EndpointStandIn| engine.requests().iter().any(|seen| seen.id() == id);
     let engines = self.0.iter().filter(|(_, engine)| ran(engine));
     let mut versions: Vec<_> = engines.map(|(version, _)| *version).collect();
@@ -207,7 +207,7 @@
 }
 
 /// Begins streams at a box, and waits until their callers have the first events.
-async fn begin_streams(gateway: &GatewayBox, engines: &Engines) {
+pub(super) async fn begin_streams(gateway: &GatewayBox, engines: &Engines) {
   for number in 0..STREAMS {
     let id = format!("r{number}");
     gateway.ask_in_background("/resumable/a", &id);
@@ -218,7 +218,7 @@
 }
 
 /// Resumes the streams at a box, and checks that each goes on at its version.
-async fn resume_streams(gateway: &GatewayBox, engines: &Engines) {
+pub(super) async fn resume_streams(gateway: &GatewayBox, engines: &Engines) {
   for number in 0..STREAMS {
     let (first, again) = (format!("r{number}"), format!("again-{number}"));
     let response = resume(gateway, &again, &first).await;
