--- a/src/gateway/membership/store_view.rs
+++ b/src/gateway/membership/store_view.rs
@@ -161,7 +161,7 @@
         let mut endpoints = self.gateway.endpoints.borrow_mut();
         endpoints.version_records_mut().remove(&key, item.revision);
       }
-      (StoreKey::Other, _) => {}
+      (StoreKey::Origins | StoreKey::Other, _) => {}
     }
   }
 
