Return times: the room is known in the millisecond in which an endpoint was full

Cause: the rate of room counts as unknown until a millisecond of asking in vain has been counted. Endpoints that reject a burst within one millisecond leave none, so each caller got the default, which isn't scheduled. Neither the draw nor the schedule took part.

An endpoint that has reported itself full now makes the rate known at once, as it was a millisecond later.

--- a/src/gateway/decisions/slot_supply.rs
+++ b/src/gateway/decisions/slot_supply.rs
@@ -154,8 +154,7 @@
   /// assert_eq!(supply.room_per_s(30_000).map(f64::round), Some(5.0));
   /// ```
   pub fn room_per_s(&self, now_ms: u64) -> Option<f64> {
-    let contended_ms = self.contended_ms.at(now_ms, MEMORY_MS) + self.uncounted_ms(now_ms);
-    if contended_ms < 1.0 {
+    if !self.were_full_lately(now_ms) {
       return None;
     }
     let obtained = self.obtained_slots.at(now_ms, OBTAINED_MEMORY_MS);
@@ -168,6 +167,11 @@
     self.arrivals.add(1.0, now_ms, OBTAINED_MEMORY_MS);
   }
 
+  /// Whether an engine reported itself full lately, also in this millisecond.
+  fn were_full_lately(&self, now_ms: u64) -> bool {
+    self.contended_since_ms.is_some() || self.contended_ms.at(now_ms, MEMORY_MS) >= 1.0
+  }
+
   fn uncounted_ms(&self, now_ms: u64) -> f64 {
     let since_ms = self.contended_since_ms.unwrap_or(now_ms);
     now_ms.saturating_sub(since_ms).min(MAX_ASKING_MS) as f64
--- a/tests/gateway/return_order.rs
+++ b/tests/gateway/return_order.rs
@@ -291,6 +291,16 @@
   assert!(supply.room_per_s(50_000).unwrap() > 5.0);
 }
 
+/// Guards against callers who all return after the same time, because no time has passed since an endpoint was full.
+#[test]
+fn room_is_known_in_the_millisecond_in_which_an_endpoint_was_full() {
+  let mut supply = SlotSupply::default();
+  supply.record_slot(1_000);
+  supply.record_full(1_005);
+  let [at_once, later] = [1_005, 1_006].map(|now_ms| supply.room_per_s(now_ms).unwrap());
+  assert!((at_once - later).abs() < 0.001, "{at_once} {later}");
+}
+
 /// A request that has little chance of a slot must be rejected while that is useful to its caller.
 #[test]
 fn request_without_a_likely_slot_does_not_wait_on() {
