Streams: an event that has lost its data is not forwarded

A caller got a complete stream in which an event had an id and no data, because the line was gone, had become a comment, or had the name of another field with an effect (6 cases of `event_that_has_lost_its_data_is_not_forwarded`).

Cause: only lines that readers ignore were taken for a spoilt field, and an event without data counted as next whatever others of its version were like.

Four streams of a version now show that each event with an id of its own has data, until one stream has shown one without. Where they do, such an event interrupts the stream, unless another run brings the same event: a sound stream of a rare shape costs a retry where it may be resumed, and one stream of the version where not. Heartbeats that repeat the last id stay as they were, and so do versions whose streams have events without data from the first.

New: `seldom_streams_with_an_event_without_data_are_complete_in_the_end`.

--- a/src/gateway/decisions/streams/id_steps.rs
+++ b/src/gateway/decisions/streams/id_steps.rs
@@ -11,6 +11,8 @@
 const MIN_BROKEN: u32 = 2;
 /// Streams with an event without an id, from which on the version's events need none.
 const MIN_INCOMPLETE: u32 = 1;
+/// Streams with an event that has an id and no data, from which on the version's events need none.
+const MIN_WITHOUT_DATA: u32 = 1;
 /// Streams after which both counts are halved, so that they follow a change.
 const HALVED_AT: u32 = 64;
 /// Names of ignored fields that are remembered of a version.
@@ -39,6 +41,8 @@
   pub begins_lowest: bool,
   /// Whether all events with data are known to have an id.
   pub is_complete: bool,
+  /// Whether all events with an id are known to have data.
+  pub has_all_data: bool,
   /// Whether ids are known to be no numbers at times.
   pub has_unreadable_ids: bool,
   /// Names of fields that readers ignore and the version is known to send.
@@ -54,6 +58,8 @@
   pub began_lowest: Option<bool>,
   /// Whether all events with data had an id.
   pub was_complete: Option<bool>,
+  /// Whether all events with an id of their own had data.
+  pub had_all_data: Option<bool>,
   /// Whether it was aborted for an id that is no number.
   pub had_unreadable_ids: bool,
   /// Names of ignored fields for which it was aborted, since each might be that of another field.
@@ -123,6 +129,7 @@
   single_steps: Rule,
   lowest_first: Habit,
   complete: Habit,
+  all_data: Habit,
   /// Streams that were aborted for an id that is no number.
   unreadable_ids: u32,
   /// Streams that were aborted for each ignored field.
@@ -181,6 +188,7 @@
     streams.single_steps.record(has_single_steps);
     streams.lowest_first.record(ids.began_lowest);
     streams.complete.record(ids.was_complete);
+    streams.all_data.record(ids.had_all_data);
     streams.record_ignored_fields(ids.ignored_fields);
     let unreadable_ids = &mut streams.unreadable_ids;
     *unreadable_ids = unreadable_ids.saturating_add(ids.had_unreadable_ids.into());
@@ -194,6 +202,7 @@
     Numbering {
       ignored_fields: streams.known_ignored_fields(),
       has_unreadable_ids: streams.unreadable_ids >= MIN_BROKEN,
+      has_all_data: streams.all_data.holds(MIN_WITHOUT_DATA),
       begins_lowest: streams.lowest_first.holds(MIN_BROKEN),
       // Some requests may ask for an event more, as one with the usage, which has no id.
       is_complete: streams.complete.holds(MIN_INCOMPLETE),
--- a/src/gateway/requests/event_order.rs
+++ b/src/gateway/requests/event_order.rs
@@ -60,6 +60,12 @@
   /// All events of other streams have one.
   #[error("event without an id, which all events of other streams have")]
   LacksId,
+  /// All events of other streams with an id have some.
+  #[error("event {id} without data, which all events of other streams have")]
+  LacksData {
+    /// The event.
+    id: u64,
+  },
   /// Its id is no number, where others count events.
   #[error("event whose id is no number, after event {after}")]
   UnreadableId {
@@ -107,6 +113,8 @@
 struct Refused {
   /// An event with data and no id.
   has_events_without_id: bool,
+  /// An event with an id and no data.
+  has_events_without_data: bool,
   /// An event whose id is no number.
   has_unreadable_ids: bool,
   /// Names of ignored fields, each of which may be that of another field.
@@ -133,6 +141,10 @@
   skip: Option<Skip>,
   /// Whether an event without an id was forwarded.
   has_events_without_id: bool,
+  /// Whether an event with an id of its own and without data was forwarded.
+  has_events_without_data: bool,
+  /// Of the bytes of the event that was refused last because it has no data. Another run that brings it too shows that none are missing.
+  without_data_hash: Option<u64>,
   /// Events without an id that were forwarded after the last id.
   without_id: u64,
   /// Whether the current answer has brought bytes that are no event since its last event: they may stand in the place of one.
@@ -148,6 +160,7 @@
     Self {
       first_id: None,
       follows_noise: false,
+      has_events_without_data: false,
       has_events_without_id: false,
       has_larger_steps: false,
       is_last_contradicted: false,
@@ -162,6 +175,7 @@
       single_steps: 0,
       skip: None,
       start: last_id.map_or(Start::Passed, Start::NamedByCaller),
+      without_data_hash: None,
       without_id: 0,
     }
   }
@@ -197,9 +211,16 @@
     let hash = hash(event);
     match self.last {
       Some(last) if id <= last.id => return self.place_again(id, hash, last),
-      Some(last) => self.check_step(Skip { after: last.id, id })?,
-      None => self.check_first(id)?,
+      Some(last) => {
+        self.check_data(event, id, hash)?;
+        self.check_step(Skip { after: last.id, id })?;
+      }
+      None => {
+        self.check_data(event, id, hash)?;
+        self.check_first(id)?;
+      }
     }
+    self.has_events_without_data |= !event.has_data();
     self.without_id = 0;
     self.follows_noise = false;
     let follows = |last: LastEvent| id == last.id + 1;
@@ -266,9 +287,25 @@
     Ok(())
   }
 
+  /// Checks that an event with an id has data, where those of other streams have some.
+  fn check_data(&mut self, event: &SseEvent, id: u64, hash: u64) -> Result<(), Misplaced> {
+    let may_lack_data = !self.numbering.has_all_data || self.without_data_hash == Some(hash);
+    if event.has_data() || may_lack_data {
+      return Ok(());
+    }
+    self.without_data_hash = Some(hash);
+    self.refused.has_events_without_data = true;
+    Err(Misplaced::LacksData { id })
+  }
+
   /// Records an event of an answer that the stream does not go on with: one that was refused, or that came after such a one.
   pub(super) fn record_refused(&mut self, event: &SseEvent) {
-    if event.id.is_some() || !event.has_data() {
+    if let Some(id) = event.id {
+      let is_next = self.last.is_none_or(|last| id > last.id);
+      self.refused.has_events_without_data |= is_next && !event.has_data();
+      return;
+    }
+    if !event.has_data() {
       return;
     }
     if let Some(LastEvent { id: after, .. }) = self.last {
@@ -302,10 +339,13 @@
     };
     let has_skipped = self.has_larger_steps || refused.has_unreadable_ids || self.skip.is_some();
     let has_shown_steps = has_skipped || self.single_steps >= MIN_SINGLE_STEPS;
+    let has_events_with_id = self.last.is_some_and(|last| last.hash.is_some());
+    let lacks_data = self.has_events_without_data || refused.has_events_without_data;
     let is_incomplete = self.has_events_without_id || refused.has_events_without_id;
     StreamIds {
       began_lowest: self.first_id.map(|id| id <= HIGHEST_FIRST_ID),
       ignored_fields: refused.ignored_fields,
+      had_all_data: (lacks_data || has_events_with_id).then_some(!lacks_data),
       had_unreadable_ids: refused.has_unreadable_ids,
       has_skipped: has_shown_steps.then_some(has_skipped),
       was_complete: (is_incomplete || self.last.is_some()).then_some(!is_incomplete),
--- a/tests/gateway/spoilt_events.rs
+++ b/tests/gateway/spoilt_events.rs
@@ -272,3 +272,31 @@
   let expected = whole() + "event: usage\ndata: {}\n\n";
   assert_eq!(response, complete(expected));
 }
+
+/// Guards against requests that fail again and again because few streams have an event with an id and without data.
+#[rstest]
+#[tokio::test]
+async fn seldom_streams_with_an_event_without_data_are_complete_in_the_end(
+  #[values("/stream/a", "/resumable/a")] path: &str,
+) {
+  let other = "id: 1\ndata: a\n\nevent: ping\nid: 2\n\nid: 3\ndata: b\n\n";
+  let after_first = "event: ping\nid: 2\n\nid: 3\ndata: b\n\n";
+  let script = move |seen: &ReceivedRequest| match (seen.id().starts_with("other"), begins(seen)) {
+    (true, true) => answer(seen, Framing::Chunks, other),
+    (true, false) => answer(seen, Framing::Chunks, after_first),
+    (false, _) => answer(seen, Framing::Chunks, &rest(seen)),
+  };
+  let fleet = Fleet::start(script).await;
+  for round in 1..=3 {
+    for number in 1..=WHOLE_STREAMS {
+      let request = RawRequest::new("/resumable/a", &format!("r{round}-{number}"));
+      assert_eq!(fleet.ask(request).await, complete(whole()));
+    }
+    let request = RawRequest::new(path, &format!("other{round}"));
+    let response = fleet.ask(request).await;
+    // Nothing tells the first one from a spoilt stream where no other run can show it.
+    if round > 1 || path == "/resumable/a" {
+      assert_eq!(response, complete(other.to_owned()));
+    }
+  }
+}
