Streams: engines whose entries lack their start don't use up a request's attempts

Cause: a stream is rejected after four endpoints that could not be sent it. Each of these engines is asked once before its report is known, and gets no streams from then on, but counted like one that can't be reached.

They no longer count, as those that have restarted since they were listed don't: a box learns each one's report once, so the sum over all requests is bounded by their number.

--- a/src/gateway/requests/stream_request.rs
+++ b/src/gateway/requests/stream_request.rs
@@ -11,7 +11,7 @@
     decide::Role,
     gateway::{
       connections::Connection,
-      decisions::{AttemptOutcome, EndpointCriteria, ObservedProcess, RetryNeed},
+      decisions::{AttemptOutcome, EndpointCriteria, ObservedProcess, RetryNeed, Unavailable},
       edge::{EndpointEntry, SoftwareVersion},
       retries::may_borrow_retry,
       stages::{ExportGuard, Reservation, ResponseHead, RoutedRequest, StageError},
@@ -22,7 +22,7 @@
   std::{cell::Cell, fmt, rc::Rc},
 };
 
-/// Endpoints that may turn out to be unreachable before a request is rejected; those that have restarted do not count.
+/// Endpoints that may turn out to be unreachable before a request is rejected; those that get no streams from now on do not count.
 const MAX_UNSENT: usize = 4;
 /// Engines that may reject a request before it is rejected.
 const MAX_REJECTIONS: u32 = 3;
@@ -81,6 +81,8 @@
   pub(super) rejections: u32,
   /// Endpoints that have restarted since they were listed.
   pub(super) restarted: usize,
+  /// Endpoints whose reports name a start that their entries lack.
+  pub(super) lacking_start: usize,
   /// The exported KV cache, retained after a rejection.
   pub(super) export: Option<ExportGuard>,
   /// The engine that rejected the request with that export.
@@ -107,6 +109,7 @@
       export: None,
       gateway,
       interrupted_at: None,
+      lacking_start: 0,
       last_event_id: request.attributes.last_event_id,
       not_run_at: Vec::new(),
       queue_note: None,
@@ -192,7 +195,7 @@
     match error {
       StageError::Blocked => false,
       StageError::Unreachable | StageError::Unsent(_) | StageError::Unavailable(_) => {
-        self.tried.len() < MAX_UNSENT + self.restarted
+        self.tried.len() < MAX_UNSENT + self.restarted + self.lacking_start
       }
       StageError::NotRun(_) => self.rejections < MAX_REJECTIONS,
       StageError::Lost(_) | StageError::LeftUnread { .. } => self.has_attempts_left(),
@@ -375,6 +378,13 @@
     if matches!(&sent, Err(error) if error.is_unsent()) {
       charge.set_sent(false);
     }
+    let is_unconfirmed = matches!(
+      &sent,
+      Err(StageError::Unavailable(Unavailable::Unconfirmed))
+    );
+    if is_unconfirmed && self.gateway.endpoints.borrow().lacks_start(entry) {
+      self.lacking_start += 1;
+    }
     sent
   }
 }
--- a/src/gateway/requests/takeover.rs
+++ b/src/gateway/requests/takeover.rs
@@ -136,6 +136,7 @@
     self.tried.retain(|tried| !not_run_at.contains(tried));
     self.rejections = 0;
     self.restarted = 0;
+    self.lacking_start = 0;
   }
 
   /// Releases what a takeover had secured.
