Lookup: a resumption waits for the first record of its service's versions

What callers saw: with an empty store each resumption in the first 100 ms of a deployment was rejected. Cause: a read that names no version tells nothing, although the listed versions are about to be recorded. Change: such a resumption waits for that write, as a new stream does, and the records are read again. A version that is recorded later has begun no stream before.

--- a/src/gateway/resumption/lookup.rs
+++ b/src/gateway/resumption/lookup.rs
@@ -146,6 +146,21 @@
   if !gateway.is_current() {
     return None;
   }
+  let mut versions = read_versions(gateway, request).await?;
+  if versions.is_empty() {
+    // The listed versions are about to be recorded for the first time.
+    await_first_record(gateway, &request.service).await;
+    versions = read_versions(gateway, request).await?;
+  }
+  let only = versions.pop_first();
+  only.filter(|_| versions.is_empty())
+}
+
+/// The recorded versions of the services to which a request's route leads; `None` if the store does not answer.
+async fn read_versions(
+  gateway: &Gateway,
+  request: &RoutedRequest,
+) -> Option<BTreeSet<SoftwareVersion>> {
   let read = timeout(READ_TIMEOUT, gateway.version_reads.read()).await;
   let recorded = read.ok()???;
   let services = &request.route.services;
@@ -155,9 +170,28 @@
       .any(|target| target.service == recorded.service)
   };
   let of_route = recorded.iter().filter(is_of_route);
-  let versions: BTreeSet<_> = of_route.map(|recorded| &recorded.version).collect();
-  let only = versions.first().filter(|_| versions.len() == 1)?;
-  Some((*only).clone())
+  Some(of_route.map(|recorded| recorded.version.clone()).collect())
+}
+
+/// Waits until a listed version of a service is recorded.
+async fn await_first_record(gateway: &Gateway, service: &str) {
+  let missing = || {
+    let endpoints = gateway.endpoints.borrow();
+    let listed = endpoints.versions().all_listed();
+    let listed: BTreeSet<_> = listed
+      .filter(|listed| &*listed.service == service)
+      .collect();
+    let records = endpoints.version_records();
+    match listed
+      .iter()
+      .any(|listed| records.covers(listed, 0).is_some())
+    {
+      true => BTreeSet::new(),
+      false => listed,
+    }
+  };
+  // The read shows whether it came in time.
+  let _ = gateway.await_version_records(missing).await;
 }
 
 /// An origin, at the service that the request's route leads to now.
