Lookup: a record that can't be read leaves the only version unknown

What callers would see: a stream that goes on at the only version whose record can be read. Cause: a damaged record was left out of the read, and the conclusion was drawn from the rest. Change: such a read fails, and the resumption is rejected. Test: recorded_versions::stream_does_not_go_on_beside_a_record_that_can_not_be_read; not played on the code before.

--- a/src/gateway/edge/store.rs
+++ b/src/gateway/edge/store.rs
@@ -203,7 +203,7 @@
     value: Bytes,
     revision: u64,
   ) -> impl Future<Output = Result<Option<u64>, StoreError>>;
-  /// Lists the records of all versions: a read that is up to date when it begins.
+  /// Lists the records of all versions: a read that is up to date when it begins. Fails if one can't be read.
   fn versions(&self) -> impl Future<Output = Result<Vec<StoreItem>, StoreError>>;
   /// Removes the record of a version; `false` when it was written after a revision.
   fn remove_version(
--- a/src/gateway/resumption/version_sync.rs
+++ b/src/gateway/resumption/version_sync.rs
@@ -94,7 +94,7 @@
   let read = async || {
     gateway.counters.store_calls.inc();
     match store.versions().await {
-      Ok(items) => Some(recorded_versions(&gateway, items)),
+      Ok(items) => recorded_versions(&gateway, items),
       Err(error) => {
         log::info!("E617 records of versions not read: {error}");
         None
@@ -104,20 +104,18 @@
   gateway.version_reads.serve(read).await;
 }
 
-/// The versions in the records of a read.
-fn recorded_versions(gateway: &Gateway, items: Vec<StoreItem>) -> Rc<[ServiceVersion]> {
+/// The versions in the records of a read; `None` if one can't be decoded, which may be of any version.
+fn recorded_versions(gateway: &Gateway, items: Vec<StoreItem>) -> Option<Rc<[ServiceVersion]>> {
   let mut versions = Vec::new();
   for item in items {
     let (StoreKey::Version(key), Some(value)) = (item.key, item.value) else {
       continue;
     };
-    match VersionRecord::decode(&value) {
-      Ok(record) => {
-        versions.push(record.subject.clone());
-        gateway.put_version_record(key, record, item.revision);
-      }
-      Err(error) => log::warn!("E405 record {key} of a version not decoded: {error}"),
-    }
+    let record = VersionRecord::decode(&value)
+      .inspect_err(|error| log::warn!("E405 record {key} of a version not decoded: {error}"))
+      .ok()?;
+    versions.push(record.subject.clone());
+    gateway.put_version_record(key, record, item.revision);
   }
-  versions.into()
+  Some(versions.into())
 }
--- a/tests/gateway/recorded_versions.rs
+++ b/tests/gateway/recorded_versions.rs
@@ -9,6 +9,7 @@
   },
   emulator::eventually,
   http::StatusCode,
+  rstest::rstest,
   std::time::Duration,
   tokio::time::sleep,
 };
@@ -114,3 +115,17 @@
   kill(&mut began);
   release.assert_rejected(&lagging).await;
 }
+
+/// Guards against a stream that goes on at the only version whose record can be read.
+#[rstest]
+#[case::truncated("Aw==")]
+#[case::no_base64("?")]
+#[tokio::test]
+async fn stream_does_not_go_on_beside_a_record_that_can_not_be_read(#[case] record: &str) {
+  let mut release = Release::start().await;
+  kill(&mut release.first);
+  let store = &release.first.test.store;
+  store.put_raw("rillford/versions/00", record);
+  let second = release.another_box("north-2").start().await;
+  release.assert_rejected(&second).await;
+}
