--- a/src/gateway/process/start.rs
+++ b/src/gateway/process/start.rs
@@ -16,7 +16,8 @@
       quarantine::sync_quarantine,
       requests::accept_callers,
       resumption::{
-        publish_streams, send_origins, serve_origin_reads, sync_versions, write_origins,
+        publish_streams, send_origins, serve_origin_reads, serve_version_reads, sync_versions,
+        write_origins,
       },
       roles::manage_roles,
       settings::{GatewayListen, GatewaySettings},
@@ -158,6 +159,7 @@
   spawn_local(sync_usage(gateway.clone()));
   spawn_local(publish_streams(gateway.clone()));
   spawn_local(sync_versions(gateway.clone(), store.clone()));
+  spawn_local(serve_version_reads(gateway.clone(), store.clone()));
   if gateway.settings.mechanisms.stored_origins {
     spawn_local(send_origins(gateway.clone()));
     spawn_local(write_origins(gateway.clone(), store.clone()));
--- a/src/gateway/resumption/mod.rs
+++ b/src/gateway/resumption/mod.rs
@@ -26,5 +26,5 @@
   origin_sending::send_origins,
   origin_writing::write_origins,
   publishing::{publish_streams, record_stream},
-  version_sync::sync_versions,
+  version_sync::{serve_version_reads, sync_versions},
 };
--- a/src/gateway/resumption/origin_sending.rs
+++ b/src/gateway/resumption/origin_sending.rs
@@ -30,7 +30,8 @@
   origin: &StreamOrigin,
   expires_ms: u64,
 ) {
-  if !gateway.settings.mechanisms.stored_origins {
+  let versions = gateway.endpoints.borrow().versions().of(&origin.service);
+  if !gateway.settings.mechanisms.stored_origins || versions.len() < 2 {
     return;
   }
   let stream = BegunStream {
--- a/src/gateway/resumption/origin_writing.rs
+++ b/src/gateway/resumption/origin_writing.rs
@@ -4,7 +4,6 @@
   crate::gateway::{
     decisions::{ORIGIN_WRITE_INTERVAL_MS, OriginWrite, OriginWriter, TakenLease},
     edge::{Store, StoreError, StoreLease},
-    stages::RETURN_MS,
     state::Gateway,
   },
   crate::ids::Name,
@@ -85,8 +84,7 @@
 /// The lease of the next batches. Its keys are not removed before the longest stream can't be resumed any more.
 async fn current_lease<S: Store>(gateway: &Gateway, store: &S) -> Result<StoreLease, StoreError> {
   let sent_ms = gateway.now_ms();
-  let table = gateway.route_table();
-  let lifetime_ms = table.map_or(0, |table| table.longest_timeout_ms()) + RETURN_MS;
+  let lifetime_ms = gateway.stream_lifetime_ms();
   let current = gateway.origins.writer.borrow().lease(lifetime_ms, sent_ms);
   if let Some(lease) = current {
     return Ok(lease);
--- a/src/gateway/state/mod.rs
+++ b/src/gateway/state/mod.rs
@@ -18,6 +18,7 @@
 mod unread_cause;
 mod unresponsive_boxes;
 mod unsupporting_boxes;
+mod version_wait;
 
 pub use self::change_log::ChangeLog;
 
