Records of versions: one comparison an engine, reads spaced, plain services choose recorded versions

What callers would see: at a large service each choice of an engine took milliseconds; after a kill of all boxes each box read the store for each caller that returned; where engines have no role, a stream was rejected after four engines of a version that is not recorded, although others serve. Cause: a hash of the version for each engine of a choice; reads without an interval; the choice looked at records for decode engines alone. Change: the active versions of the service are listed once a choice; 200 ms between reads, each with a limit of 600 ms; engines of unrecorded versions are left out of the choice of plain services. Measured: the modules on versions pass; the time of a choice was not measured.

--- a/src/gateway/decisions/endpoint_registry.rs
+++ b/src/gateway/decisions/endpoint_registry.rs
@@ -529,9 +529,17 @@
       let version = criteria.version;
       version.is_none_or(|version| entry.version == *version && self.is_version_known(entry))
     };
+    let active = match self.requires_records {
+      true => Some(self.version_records.active(criteria.service)),
+      false => None,
+    };
+    let is_recorded = |entry: &EndpointEntry| {
+      let active = active.as_ref();
+      active.is_none_or(|active| active.contains(&&entry.version))
+    };
     let may_decode = |entry: &EndpointEntry| {
       let needs_version = criteria.is_retryable && criteria.role == Some(Role::Decode);
-      !needs_version || (self.is_recorded(entry) && !self.lacks_start(entry))
+      !needs_version || (is_recorded(entry) && !self.lacks_start(entry))
     };
     let candidates: Vec<&EndpointState> = self
       .endpoints
@@ -575,11 +583,6 @@
       })
   }
 
-  /// Whether streams may begin at an endpoint's version, as far as records are required.
-  fn is_recorded(&self, entry: &EndpointEntry) -> bool {
-    !self.requires_records || self.covering_record(entry, 0).is_some()
-  }
-
   /// Whether a listed endpoint's process has, or can confirm, the version of the entry.
   pub fn is_version_known(&self, entry: &EndpointEntry) -> bool {
     if self.lacks_start(entry) {
--- a/src/gateway/decisions/version_records.rs
+++ b/src/gateway/decisions/version_records.rs
@@ -13,7 +13,7 @@
     service_versions::ServiceVersions,
     version_record::{RecordState, VersionRecord},
   },
-  crate::ids::Name,
+  crate::{gateway::edge::SoftwareVersion, ids::Name},
   std::collections::{BTreeMap, BTreeSet},
 };
 
@@ -153,6 +153,14 @@
     is_covered.then_some(*revision)
   }
 
+  /// The versions of a service at which streams may begin, at least short ones.
+  pub fn active(&self, service: &str) -> Vec<&SoftwareVersion> {
+    let records = self.stored.values().map(|stored| &stored.record);
+    let active = records
+      .filter(|record| record.state == RecordState::Active && &*record.subject.service == service);
+    active.map(|record| &record.subject.version).collect()
+  }
+
   /// Whether streams wait for a record.
   pub fn are_any_awaited(&self) -> bool {
     !self.awaited.is_empty()
--- a/src/gateway/requests/stream_request.rs
+++ b/src/gateway/requests/stream_request.rs
@@ -214,6 +214,7 @@
   async fn attempt_full(&mut self, charge: Option<SendCharge>) -> Attempt {
     self.await_recorded_version(None).await;
     self.await_known_engine(None).await;
+    let excluded = self.tried_or_unrecorded();
     let choice = self.gateway.choose(EndpointCriteria {
       allowed_halls: &self.request.allowed_halls,
       hall: self.gateway.preferred_hall(),
@@ -221,7 +222,7 @@
       role: None,
       service: &self.request.service,
       size: self.request.expected_tokens().max(1),
-      tried: &self.tried,
+      tried: &excluded,
       version: self.version.as_ref(),
     });
     let entry = choice.ok_or(StreamFailure::NoSlot)?.entry;
--- a/src/gateway/requests/stream_version.rs
+++ b/src/gateway/requests/stream_version.rs
@@ -9,6 +9,7 @@
       edge::EndpointEntry,
       stages::{ResponseHead, observe_endpoint},
     },
+    ids::Name,
   },
   futures_util::future::join_all,
   std::{collections::BTreeSet, time::Duration},
@@ -97,6 +98,20 @@
     endpoints.covering_record(entry, resumable_ms).is_some()
   }
 
+  /// The endpoints that were tried, and those at which the stream must not begin.
+  pub(super) fn tried_or_unrecorded(&self) -> Vec<Name> {
+    let mut excluded = self.tried.clone();
+    if self.may_retry() {
+      let endpoints = self.gateway.endpoints.borrow();
+      let of_service = endpoints
+        .entries()
+        .filter(|entry| entry.service == self.request.service);
+      let unrecorded = of_service.filter(|entry| !self.is_recorded(entry));
+      excluded.extend(unrecorded.map(|entry| entry.id.clone()));
+    }
+    excluded
+  }
+
   /// Waits for the record of a version, unless an engine of a recorded one may run the stream.
   pub(super) async fn await_recorded_version(&self, role: Option<Role>) {
     if self.may_retry() {
--- a/src/gateway/resumption/lookup.rs
+++ b/src/gateway/resumption/lookup.rs
@@ -21,8 +21,8 @@
   tokio::time::{sleep, timeout},
 };
 
-/// How long a request waits for a read of the store: more than a slow one takes.
-const READ_TIMEOUT: Duration = Duration::from_millis(600);
+/// How long a request waits for a read of the store, which may begin after another one.
+const READ_TIMEOUT: Duration = Duration::from_millis(900);
 /// Heartbeats for which a stream is looked up again.
 const MAX_HEARTBEATS: u64 = 3;
 /// Pause between two lookups of a stream.
--- a/src/gateway/resumption/version_sync.rs
+++ b/src/gateway/resumption/version_sync.rs
@@ -11,11 +11,15 @@
     },
   },
   std::{rc::Rc, time::Duration},
-  tokio::time::timeout,
+  tokio::time::{Instant, sleep_until, timeout},
 };
 
 /// Interval of checks for changes that are due.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time between the beginnings of two reads at least: after a kill of all boxes each of them reads.
+const READ_INTERVAL: Duration = Duration::from_millis(200);
+/// Timeout of a read: more than a slow store takes.
+const READ_TIMEOUT: Duration = Duration::from_millis(600);
 /// The same while streams wait for a record.
 const URGENT_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -91,14 +95,21 @@
 
 /// Reads the records of all versions for the requests that wait for them, until the process exits.
 pub(crate) async fn serve_version_reads<S: Store>(gateway: Rc<Gateway>, store: S) {
+  let mut next = Instant::now();
   let read = async || {
+    sleep_until(next).await;
+    next = Instant::now() + READ_INTERVAL;
     gateway.counters.store_calls.inc();
-    match store.versions().await {
-      Ok(items) => recorded_versions(&gateway, items),
-      Err(error) => {
+    match timeout(READ_TIMEOUT, store.versions()).await {
+      Ok(Ok(items)) => recorded_versions(&gateway, items),
+      Ok(Err(error)) => {
         log::info!("E617 records of versions not read: {error}");
         None
       }
+      Err(_) => {
+        log::info!("E617 records of versions not read: no answer for {READ_TIMEOUT:?}");
+        None
+      }
     }
   };
   gateway.version_reads.serve(read).await;
