--- a/tests/gateway/stored_origins.rs
+++ b/tests/gateway/stored_origins.rs
@@ -209,3 +209,21 @@
   let later = later.start().await;
   resume_streams(&later, &engines).await;
 }
+
+/// The pages that a box reads at its start while the store has a number of batches.
+async fn pages_of_a_start(batches: usize) -> usize {
+  let endpoint = EndpointStandIn::engine(EVENTS).await;
+  let test = GatewayTest::new().await;
+  for number in 0..batches {
+    let key = format!("rillford/origins/b/north-2-7f-{number:x}");
+    test.store.put(&key, b"batch");
+  }
+  let gateway = test.with_engines(&endpoint, &endpoint).await;
+  gateway.test.store.listings()
+}
+
+/// Guards against boxes that read all batches when they start.
+#[tokio::test]
+async fn a_listing_leaves_batches_out() {
+  assert_eq!(pages_of_a_start(40).await, pages_of_a_start(4).await);
+}
