--- a/tests/gateway/stored_origins.rs
+++ b/tests/gateway/stored_origins.rs
@@ -209,3 +209,51 @@
   let later = later.start().await;
   resume_streams(&later, &engines).await;
 }
+
+/// Lists more boxes than one box writes for, all at the address of one that runs.
+fn list_many(test: &GatewayTest, running: &GatewayBox) {
+  for number in 0..70 {
+    test.enter_box(&format!("zone-{number:02}"), running.boxes);
+  }
+}
+
+/// Guards against a large deployment in which each box reads the batches: those that write a bucket read it for the others.
+#[tokio::test]
+async fn box_asks_one_that_writes_the_bucket_in_a_large_deployment() {
+  let prefill = EndpointStandIn::engine(EVENTS).await;
+  let test = GatewayTest::new().await;
+  test.enter("e-1", "llm", Some("prefill"), &prefill);
+  let engines = Engines::start(&test, 2, || begins_and_resumes).await;
+  let [other, later, later_other] =
+    ["north-2", "north-1", "north-2"].map(|name| test.second_box(name, test.store.address));
+  let mut boxes = [test.start().await, other.start().await];
+  list_many(&boxes[0].test, &boxes[1]);
+  wait_until_listed(&boxes, 72.0).await;
+  begin_streams(&boxes[0], &engines).await;
+  wait_until_written(&boxes).await;
+  kill(&mut boxes);
+  let readers = [later_other.start().await];
+  list_many(&later, &readers[0]);
+  let later = later.start().await;
+  wait_until_listed(&readers, 72.0).await;
+  resume_streams(&later, &engines).await;
+  assert!(readers[0].metric("rillford_origin_reads_total").await > 0.0);
+}
+
+/// The pages that a box reads at its start while the store has a number of batches.
+async fn pages_of_a_start(batches: usize) -> usize {
+  let endpoint = EndpointStandIn::engine(EVENTS).await;
+  let test = GatewayTest::new().await;
+  for number in 0..batches {
+    let key = format!("rillford/origins/b/north-2-7f-{number:x}");
+    test.store.put(&key, b"batch");
+  }
+  let gateway = test.with_engines(&endpoint, &endpoint).await;
+  gateway.test.store.listings()
+}
+
+/// Guards against boxes that read all batches when they start.
+#[tokio::test]
+async fn a_listing_leaves_batches_out() {
+  assert_eq!(pages_of_a_start(40).await, pages_of_a_start(4).await);
+}
