Specification: a version is recorded before its first stream

The proof in version-records.md was checked by nothing that runs: views that lag, late writes and restarts in any order. The property holds. The retired record has to stay for the oldest view and for the time that a read takes: without the latter a read that the store carries out late no longer names the version.

--- a/model/src/lib.rs
+++ b/model/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod configuration;
 pub mod leader;
 mod search;
+pub mod versions;
 
 pub use self::search::{Exploration, Spec, explore};
--- a/model/src/main.rs
+++ b/model/src/main.rs
@@ -8,6 +8,7 @@
     configuration::{self, Configuration},
     explore,
     leader::{self, Leadership},
+    versions::{self, Versions},
   },
   std::time::Instant,
 };
@@ -30,6 +31,7 @@
 fn main() {
   use {
     attempts::Mutant as A, claim::Mutant as C, configuration::Mutant as R, leader::Mutant as L,
+    versions::Mutant as V,
   };
   for mutant in [
     C::None,
@@ -72,4 +74,20 @@
       },
     );
   }
+  for mutant in [
+    V::None,
+    V::StreamsBeforeRecord,
+    V::IgnoresRetirement,
+    V::ResumesWithoutRecord,
+    V::ConcludesFromView,
+    V::ReadsBeforeRequest,
+    V::RemovesActive,
+    V::RemovesUnconditionally,
+    V::ShortensLifetime,
+    V::IgnoresViewAge,
+    V::IgnoresReadTime,
+    V::ViewsLagLonger,
+  ] {
+    report(&format!("versions, {mutant:?}"), &Versions { mutant });
+  }
 }
--- a/tests/specification.rs
+++ b/tests/specification.rs
@@ -6,6 +6,7 @@
     claim::{self, Claim},
     configuration::{self, Configuration},
     leader::{self, Leadership},
+    versions::{self, Versions},
   },
   rstest::rstest,
 };
@@ -13,6 +14,8 @@
 const ONCE: &str = "run at most once";
 const ANSWERED: &str = "answered at most once";
 const HELD: &str = "no memory held once idle";
+const ONE_VERSION: &str =
+  "no stream goes on at another version than the one that began it";
 const STALE: &str = "no command of an old leader after one of a new leader";
 
 #[rstest]
@@ -74,3 +77,21 @@
   let found = spec.check();
   assert_eq!(found.counterexample.map(|(property, _)| property), violated);
 }
+
+#[rstest]
+#[case(versions::Mutant::None, None)]
+#[case(versions::Mutant::StreamsBeforeRecord, Some(ONE_VERSION))]
+#[case(versions::Mutant::IgnoresRetirement, Some(ONE_VERSION))]
+#[case(versions::Mutant::ResumesWithoutRecord, Some(ONE_VERSION))]
+#[case(versions::Mutant::ConcludesFromView, Some(ONE_VERSION))]
+#[case(versions::Mutant::ReadsBeforeRequest, Some(ONE_VERSION))]
+#[case(versions::Mutant::RemovesActive, Some(ONE_VERSION))]
+#[case(versions::Mutant::RemovesUnconditionally, Some(ONE_VERSION))]
+#[case(versions::Mutant::ShortensLifetime, Some(ONE_VERSION))]
+#[case(versions::Mutant::IgnoresViewAge, Some(ONE_VERSION))]
+#[case(versions::Mutant::IgnoresReadTime, Some(ONE_VERSION))]
+#[case(versions::Mutant::ViewsLagLonger, Some(ONE_VERSION))]
+fn recorded_versions(#[case] mutant: versions::Mutant, #[case] violated: Option<&str>) {
+  let found = Versions { mutant }.check();
+  assert_eq!(found.counterexample.map(|(property, _)| property), violated);
+}
