--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -50,6 +50,7 @@
 mod quarantine;
 mod raw_caller;
 mod recorded_versions;
+mod recorded_versions_in_time;
 mod relay;
 mod responses;
 mod restarted_engines;
--- a/tests/specification.rs
+++ b/tests/specification.rs
@@ -14,8 +14,7 @@
 const ONCE: &str = "run at most once";
 const ANSWERED: &str = "answered at most once";
 const HELD: &str = "no memory held once idle";
-const ONE_VERSION: &str =
-  "no stream goes on at another version than the one that began it";
+const ONE_VERSION: &str = "no stream goes on at another version than the one that began it";
 const STALE: &str = "no command of an old leader after one of a new leader";
 
 #[rstest]
