Replay tests: a play begins when all sockets of the one before are closed

Seen while tests of new impairments were added: 4 of 15 plays in three runs of tests/replay_play failed with "cannot listen: Address already in use", three of them in the two tests that stood before (two more of 5 in a run whose messages were not kept). Replays of one process use the same addresses, and the guard that lets one play at a time was dropped before the runtime that still held the listeners.

Each play has a runtime of its own now, and the guard outlives it. No check is changed.

--- a/tests/replay_play.rs
+++ b/tests/replay_play.rs
@@ -11,8 +11,9 @@
     collections::BTreeSet,
     fs,
     path::{Path, PathBuf},
+    sync::{Mutex, PoisonError},
   },
-  tokio::{sync::Mutex, task::JoinSet},
+  tokio::{runtime::Builder, task::JoinSet},
 };
 
 const SITE: &str = include_str!("data/two_halls.toml");
@@ -24,7 +25,16 @@
 const COVERED_PORT: u16 = 9_001;
 
 /// Replays of one process use the same addresses.
-static ONE_AT_A_TIME: Mutex<()> = Mutex::const_new(());
+static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+
+/// Runs a replay on a runtime of its own. The next one begins when all sockets of this one are closed.
+fn run_alone<T>(replay: impl Future<Output = T>) -> T {
+  let _one = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+  let runtime = Builder::new_multi_thread().enable_all().build().unwrap();
+  let result = runtime.block_on(replay);
+  drop(runtime);
+  result
+}
 
 fn repository() -> PathBuf {
   env!("CARGO_MANIFEST_DIR").into()
@@ -54,13 +64,12 @@
 }
 
 /// Guards against a player that finds breaches where there are none, or plays no traffic.
-#[tokio::test(flavor = "multi_thread")]
-async fn eventful_day_of_a_small_site_has_no_findings() {
-  let _one = ONE_AT_A_TIME.lock().await;
+#[test]
+fn eventful_day_of_a_small_site_has_no_findings() {
   let site = Site::parse(SITE).unwrap();
   let day = site.day("eventful").unwrap();
   let directory = tempfile::tempdir().unwrap();
-  let report = play_day(&site, day, &repository(), directory.path()).await;
+  let report = run_alone(play_day(&site, day, &repository(), directory.path()));
   assert_eq!(report.findings_text(), "");
   assert!(report.is_clean());
   let [sent, begun, complete] = streams(&report.to_string());
@@ -98,9 +107,8 @@
 }
 
 /// Guards against breaches that the whole player doesn't find, or reports without their circumstances.
-#[tokio::test(flavor = "multi_thread")]
-async fn planted_breaches_are_found_with_their_circumstances() {
-  let _one = ONE_AT_A_TIME.lock().await;
+#[test]
+fn planted_breaches_are_found_with_their_circumstances() {
   let site = Site::parse(&SITE.replacen("length_s = 14.0", "length_s = 5.0", 1)).unwrap();
   let mut day = site.day("quiet").unwrap().clone();
   let eventful = site.day("eventful").unwrap();
@@ -111,14 +119,16 @@
   let directory = tempfile::tempdir().unwrap();
   cover_boxes(directory.path());
   let plants = Plants::default();
-  let mut proxies = JoinSet::new();
-  for index in 0..BOXES {
-    let host = box_host(index);
-    let (at, to) = ((host, CALLERS_PORT), (host, COVERED_PORT));
-    planting_proxy::start(at.into(), to.into(), plants.clone(), &mut proxies).await;
-  }
   let output = directory.path().join("output");
-  let report = play_day(&site, &day, directory.path(), &output).await;
+  let report = run_alone(async {
+    let mut proxies = JoinSet::new();
+    for index in 0..BOXES {
+      let host = box_host(index);
+      let (at, to) = ((host, CALLERS_PORT), (host, COVERED_PORT));
+      planting_proxy::start(at.into(), to.into(), plants.clone(), &mut proxies).await;
+    }
+    play_day(&site, &day, directory.path(), &output).await
+  });
   assert!(!report.is_clean());
   let read = |name: &str| fs::read_to_string(output.join(name)).unwrap();
   let (text, requests) = (read("findings.txt"), read("requests.csv"));
