--- a/replay/src/error.rs
+++ b/replay/src/error.rs
@@ -35,6 +35,9 @@
   /// The threads of the replay can't be started.
   #[error("cannot start threads: {0}")]
   Threads(io::Error),
+  /// An impairment can't be added to a day.
+  #[error("{0}")]
+  Impairment(String),
   /// A listener can't be opened.
   #[error("cannot listen: {0}")]
   Listen(io::Error),
--- a/replay/src/impairment_kind.rs
+++ b/replay/src/impairment_kind.rs
@@ -35,6 +35,8 @@
   HangUp,
   /// Moves of memory are slow.
   MovesSlow,
+  /// Messages of boxes to each other, and the store's answers to them, are late.
+  LateLinks,
   /// The links of a hall to the others are slow.
   Lossy,
   /// Boxes are frozen.
@@ -93,6 +95,7 @@
       "herd_kill" => Self::HerdKill,
       "hup" => Self::HangUp,
       "kv_slow" => Self::MovesSlow,
+      "late_links" => Self::LateLinks,
       "lossy" => Self::Lossy,
       "node_freeze" => Self::BoxesFrozen,
       "node_kill" => Self::BoxesKilled,
--- a/replay/src/injector.rs
+++ b/replay/src/injector.rs
@@ -6,6 +6,7 @@
     closing_kind::ClosingKind,
     error::Result,
     impairment_kind::ImpairmentKind,
+    late_links::hold_late_links,
     selection::Selection,
     server::{Condition, GarbleKind, GreyKind},
     site::{Closing, Impairment},
@@ -103,6 +104,11 @@
         self.cut_hall(impairment, &mut draw, for_s).await;
         Ok(())
       }
+      ImpairmentKind::LateLinks => {
+        let boxes = draw.pick(self.world.present_boxes(), impairment, 0.3, MOST);
+        hold_late_links(&self.world, impairment, &boxes, for_s).await;
+        Ok(())
+      }
       ImpairmentKind::Lossy => {
         self.slow_links(impairment, &mut draw, for_s).await;
         Ok(())
--- a/replay/src/lib.rs
+++ b/replay/src/lib.rs
@@ -1,6 +1,7 @@
 //! Replays a day of a deployment, as its site file describes it, with real gateway processes on one machine: engines, plain services,
 //! callers and the store are played, and what callers read is judged by the rules of streams. Not part of a release.
 
+mod added_impairments;
 mod balancer;
 mod box_process;
 mod box_quota;
@@ -16,6 +17,7 @@
 mod host;
 mod impairment_kind;
 mod injector;
+mod late_links;
 mod name_draws;
 mod operator;
 mod play;
@@ -33,6 +35,7 @@
 mod world;
 
 pub use self::{
+  added_impairments::add_impairments,
   balancer::{Balancer, BoxTarget},
   box_process::{BoxPlan, BoxProcess},
   box_quota::SlowdownGuard,
--- a/replay/src/subcommand.rs
+++ b/replay/src/subcommand.rs
@@ -2,6 +2,7 @@
 
 use {
   super::{
+    added_impairments::add_impairments,
     drawn_day::{drawn_day, undrawn_kinds},
     error::{Error, Result},
     play::{PlayOptions, play, unplayable_kinds},
@@ -18,6 +19,7 @@
   site: PathBuf,
   day: Option<String>,
   drawn: Option<u64>,
+  added: Vec<String>,
   seed: u64,
   program: PathBuf,
   repository: PathBuf,
@@ -62,6 +64,10 @@
     .help("Draw a day from the site's list of troubles")
     .argument::<u64>("SEED")
     .optional();
+  let added = long("add")
+    .help("Add an impairment of this kind to the day; may be given several times")
+    .argument::<String>("KIND")
+    .many();
   let seed = long("seed")
     .help("Seed of all other draws")
     .argument::<u64>("SEED")
@@ -89,6 +95,7 @@
     site,
     day,
     drawn,
+    added,
     seed,
     program,
     repository,
@@ -102,7 +109,8 @@
 /// Plays the day that the arguments name. Returns whether nothing was found.
 async fn play_day(arguments: &Arguments) -> Result<bool> {
   let site = Site::read(&arguments.site)?;
-  let day = day(arguments, &site)?;
+  let mut day = day(arguments, &site)?;
+  add_impairments(&mut day, &site, &arguments.added, arguments.seed)?;
   println!("{}", kinds_line(&day));
   if arguments.drawn.is_some() {
     let kinds = Vec::from_iter(undrawn_kinds(&site));
--- a/stand_ins/src/lib.rs
+++ b/stand_ins/src/lib.rs
@@ -4,6 +4,7 @@
 mod call_rate;
 mod cut;
 mod fault_guard;
+mod lateness;
 mod link;
 mod link_fault;
 mod overlap;
@@ -21,6 +22,7 @@
 pub use self::{
   cut::Cut,
   fault_guard::FaultGuard,
+  lateness::Lateness,
   link::{Link, Target},
   link_fault::LinkFault,
   platform_store::PlatformStore,
--- a/stand_ins/src/link.rs
+++ b/stand_ins/src/link.rs
@@ -7,12 +7,19 @@
 )]
 
 use {
-  super::{cut::Cut, link_fault::LinkFault},
+  super::{
+    cut::Cut, fault_guard::FaultGuard, lateness::Lateness, link_fault::LinkFault, overlap::Overlap,
+  },
+  rand::{RngExt, SeedableRng},
+  rand_chacha::ChaCha8Rng,
   socket2::{Domain, SockRef, Socket, Type},
   std::{
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{
+      Arc, Mutex, PoisonError,
+      atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
   },
   tokio::{
@@ -36,6 +43,8 @@
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 struct Condition {
   fault: Option<LinkFault>,
+  /// Independent of the fault.
+  lateness: Option<Lateness>,
   /// Number of resets so far; connections opened before the last one are reset.
   resets: u64,
   /// Whether one side has lost its power: all traffic is lost, whatever other fault begins or ends.
@@ -67,6 +76,12 @@
       _ => Duration::ZERO,
     }
   }
+
+  /// How late the traffic of a direction is.
+  fn lateness(self, direction: Direction) -> Option<Lateness> {
+    let lateness = self.lateness?;
+    (direction == Direction::Back || !lateness.is_back_only).then_some(lateness)
+  }
 }
 
 /// A proxy in front of one target.
@@ -76,6 +91,9 @@
   pub address: SocketAddr,
   target: Target,
   condition: watch::Sender<Condition>,
+  latenesses: Arc<Mutex<Overlap<Lateness>>>,
+  /// Number of connections so far.
+  connections: Arc<AtomicU64>,
   /// Whether connection attempts fail, and how.
   closed: watch::Sender<Option<Closed>>,
 }
@@ -109,6 +127,8 @@
       address: listener.local_addr()?,
       closed: watch::Sender::default(),
       condition: watch::Sender::default(),
+      connections: Arc::default(),
+      latenesses: Arc::default(),
       target,
     };
     tokio::spawn(run(listener, link.clone()));
@@ -158,6 +178,26 @@
     });
   }
 
+  /// Traffic is late until the guard is dropped, whatever other fault begins or ends. Of overlapping ones the last counts.
+  pub fn begin_lateness(&self, lateness: Lateness) -> FaultGuard {
+    let number = self.change_lateness(|latenesses| latenesses.begin(lateness));
+    let link = self.clone();
+    FaultGuard::new(move || link.change_lateness(|latenesses| latenesses.end(number)))
+  }
+
+  fn change_lateness<T>(&self, change: impl FnOnce(&mut Overlap<Lateness>) -> T) -> T {
+    let mut latenesses = self
+      .latenesses
+      .lock()
+      .unwrap_or_else(PoisonError::into_inner);
+    let result = change(&mut latenesses);
+    let current = latenesses.current().copied();
+    self
+      .condition
+      .send_modify(|condition| condition.lateness = current);
+    result
+  }
+
   /// One side loses its power: connections stay open and silent.
   pub fn begin_power_loss(&self) {
     self
@@ -310,8 +350,10 @@
 ) -> CloseKind {
   let (caller_read, caller_write) = caller.into_split();
   let (target_read, target_write) = target.into_split();
+  let number = link.connections.fetch_add(1, Ordering::Relaxed);
   let copier = |from, to, direction| Copier {
     condition: link.condition.subscribe(),
+    delays: delays(link.address.port(), number, direction),
     direction,
     from,
     resets,
@@ -330,6 +372,14 @@
   CloseKind::Reset
 }
 
+/// The draws of a connection's delays.
+fn delays(port: u16, connection: u64, direction: Direction) -> ChaCha8Rng {
+  let mut draws = ChaCha8Rng::seed_from_u64(u64::from(port));
+  let direction = u64::from(direction == Direction::Back);
+  draws.set_stream(2 * connection + direction);
+  draws
+}
+
 fn reset(stream: &TcpStream) {
   // The socket may already be closed.
   let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
@@ -349,6 +399,7 @@
   from: OwnedReadHalf,
   to: OwnedWriteHalf,
   condition: watch::Receiver<Condition>,
+  delays: ChaCha8Rng,
   direction: Direction,
   /// Number of resets of the link when the connection was opened.
   resets: u64,
@@ -366,6 +417,7 @@
         count = self.from.read(&mut buffer) => count?,
         _ = watched.wait_for(|now| now.resets != resets) => 0,
       };
+      let late = self.read_while_late().await;
       let direction = self.direction;
       let now = *self
         .condition
@@ -380,6 +432,23 @@
         return self.to.shutdown().await;
       }
       self.to.write_all(&buffer[..count]).await?;
+      self.to.write_all(&late).await?;
     }
   }
+
+  /// Waits while what was read is late. Returns what has arrived behind it meanwhile.
+  async fn read_while_late(&mut self) -> Vec<u8> {
+    let mut behind = Vec::new();
+    let lateness = self.condition.borrow().lateness(self.direction);
+    let Some(lateness) = lateness else {
+      return behind;
+    };
+    let delay_ms = self
+      .delays
+      .random_range(lateness.least_ms..=lateness.most_ms.max(lateness.least_ms));
+    sleep(Duration::from_millis(delay_ms)).await;
+    // An end or an error is found again by the next read.
+    while matches!(self.from.try_read_buf(&mut behind), Ok(1..)) {}
+    behind
+  }
 }
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -18,6 +18,7 @@
 mod regress;
 mod replay_boxes;
 mod replay_callers;
+mod replay_links;
 mod replay_play;
 mod replay_quota;
 mod replay_servers;
--- a/tests/replay_play.rs
+++ b/tests/replay_play.rs
@@ -1,6 +1,7 @@
 //! A replay of a small deployment with the real program: a sound program on a day with faults, and breaches that are planted between
 //! boxes and callers.
 
+mod added_impairments;
 mod planting_proxy;
 
 use {
