Replay: everything outside the boxes stands still at once, and goes on

Gap: on a busy machine all that is no box may be one process, which gets no processor for a second: engines, store and callers fall silent together, and all their timers expire together afterwards.

Ruled out: SIGSTOP to the own process, which the shell that started it would notice and which needs a second process to end it; silence at each engine, link and caller, whose timers would go on in time.

--- a/replay/src/impairment_kind.rs
+++ b/replay/src/impairment_kind.rs
@@ -45,6 +45,8 @@
   BoxesKilled,
   /// Boxes run slowly.
   BoxesSlow,
+  /// Everything outside the boxes stands still.
+  Standstill,
   /// The store forgets its history.
   StoreCompacts,
   /// The store is down, for all boxes or for some.
@@ -113,6 +115,7 @@
       "srv_crash" => Self::ServersCrash,
       "srv_grey" => Self::ServersGrey,
       "shift" => Self::Shift,
+      "standstill" => Self::Standstill,
       "zone_cut" => Self::HallCut,
       _ => return Err(format!("{kind} can't be played")),
     })
--- a/replay/src/injector.rs
+++ b/replay/src/injector.rs
@@ -10,6 +10,7 @@
     selection::Selection,
     server::{Condition, GarbleKind, GreyKind},
     site::{Closing, Impairment},
+    standstill::play_standstills,
     store_faults::{StoreFaultPlay, play_store_fault},
     world::World,
   },
@@ -142,6 +143,10 @@
         self.remove_servers(impairment, &mut draw).await;
         Ok(())
       }
+      ImpairmentKind::Standstill => {
+        play_standstills(impairment, &mut draw, &self.world.recorder).await;
+        Ok(())
+      }
       ImpairmentKind::StoreCompacts
       | ImpairmentKind::StoreDown
       | ImpairmentKind::StoreLosesAnswers
--- a/replay/src/lib.rs
+++ b/replay/src/lib.rs
@@ -29,6 +29,7 @@
 mod server_place;
 mod settings_template;
 mod site;
+mod standstill;
 mod store_faults;
 mod store_view;
 mod subcommand;
@@ -67,6 +68,7 @@
     Machines, Network, Platform, RequestClass, RequestKind, Servers, Service, Shape, Site,
     StreamShape, Timing, Tolerate, Traffic, Zone,
   },
+  standstill::stand_still,
   store_faults::{StoreFaultPlay, play_store_fault, struck_boxes},
   subcommand::run,
 };
--- a/replay/src/selection.rs
+++ b/replay/src/selection.rs
@@ -43,6 +43,11 @@
     things
   }
 
+  /// A number of a range.
+  pub(crate) fn between(&mut self, least: f64, most: f64) -> f64 {
+    self.random.random_range(least..=most)
+  }
+
   /// One of the things.
   pub(crate) fn one_of<T: Clone>(&mut self, things: &[T]) -> Option<T> {
     if things.is_empty() {
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -24,6 +24,7 @@
 mod replay_servers;
 mod replay_settings;
 mod replay_site;
+mod replay_standstill;
 mod replay_store;
 mod roles;
 mod soak_days;
--- a/tests/replay_play/added_impairments.rs
+++ b/tests/replay_play/added_impairments.rs
@@ -13,14 +13,25 @@
 /// Impairments of a day, and what the timeline tells of each, in this order.
 type Expected = &'static [(&'static str, &'static [&'static str])];
 
-const HOLDS: Expected = &[(
-  "kind = 'late_links'\nat = 1.0\nshare = 1.0\nfor_s = 4.0",
-  &[
-    "fault 0 begins late_links",
-    "messages are up to 600 ms late",
-    "fault 0 ends late_links",
-  ],
-)];
+const HOLDS: Expected = &[
+  (
+    "kind = 'late_links'\nat = 1.0\nshare = 1.0\nfor_s = 4.0",
+    &[
+      "fault 0 begins late_links",
+      "messages are up to 600 ms late",
+      "fault 0 ends late_links",
+    ],
+  ),
+  (
+    "kind = 'standstill'\nat = 2.0\ncount = 2\ngap_s = 0.5",
+    &[
+      "fault 1 begins standstill",
+      "stands still for",
+      "stands still for",
+      "fault 1 ends standstill",
+    ],
+  ),
+];
 
 /// Plays impairments in a day of a length, with a closing or none, and gives the timeline.
 fn play_impairments(
