--- a/tests/replay_links.rs
+++ b/tests/replay_links.rs
@@ -3,7 +3,10 @@
 use {
   rstest::rstest,
   stand_ins::{Cut, Lateness, Link, LinkFault},
-  std::time::{Duration, Instant},
+  std::{
+    io::ErrorKind,
+    time::{Duration, Instant},
+  },
   tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -100,6 +103,51 @@
   drop(late);
 }
 
+/// Guards against a reset that strikes connections that were opened after it, or one direction alone.
+#[rstest]
+#[case::none(0.0, 0, 0)]
+#[case::half(0.5, 5, 25)]
+#[case::all(1.0, 30, 30)]
+#[tokio::test]
+async fn share_of_the_open_connections_is_reset(
+  #[case] share: f64,
+  #[case] least: usize,
+  #[case] most: usize,
+) {
+  let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+  let link = Link::open(listener.local_addr().unwrap()).await.unwrap();
+  let mut pairs = Vec::new();
+  for _ in 0..31 {
+    if pairs.len() == 30 {
+      link.reset_share(share, 7);
+    }
+    let caller = TcpStream::connect(link.address).await.unwrap();
+    let accepted = timeout(PATIENCE, listener.accept()).await.unwrap();
+    pairs.push((caller, accepted.unwrap().0));
+  }
+  let mut resets = 0;
+  for (number, (mut caller, mut target)) in pairs.into_iter().enumerate() {
+    if is_reset(&mut caller).await {
+      assert!(number < 30);
+      assert!(is_reset(&mut target).await);
+      resets += 1;
+      continue;
+    }
+    caller.write_all(WORD).await.unwrap();
+    read_word(&mut target).await;
+  }
+  assert!((least..=most).contains(&resets), "{resets}");
+}
+
+/// Whether a connection is reset; one that is open has nothing to read.
+async fn is_reset(stream: &mut TcpStream) -> bool {
+  match timeout(QUIET, stream.read(&mut [0])).await {
+    Err(_) => false,
+    Ok(Err(error)) if error.kind() == ErrorKind::ConnectionReset => true,
+    Ok(end) => panic!("{end:?}"),
+  }
+}
+
 /// Guards against a lateness that ends with another fault of its link.
 #[rstest]
 #[case::cut(|link: &Link| {
