--- a/replay/src/lib.rs
+++ b/replay/src/lib.rs
@@ -1,6 +1,7 @@
 //! Replays a day of a deployment, as its site file describes it, with real gateway processes on one machine: engines, plain services,
 //! callers and the store are played, and what callers read is judged by the rules of streams. Not part of a release.
 
+mod added_impairments;
 mod balancer;
 mod box_process;
 mod box_quota;
@@ -8,6 +9,7 @@
 mod box_stores;
 mod caller;
 mod closing_kind;
+mod connection_resets;
 mod cpu_quota;
 mod deploy_file;
 mod drawn_day;
@@ -16,23 +18,28 @@
 mod host;
 mod impairment_kind;
 mod injector;
+mod late_links;
 mod name_draws;
 mod operator;
 mod play;
 mod recorder;
 mod report;
+mod reused_addresses;
 mod routes;
 mod selection;
 mod server;
+mod server_cut;
 mod server_place;
 mod settings_template;
 mod site;
+mod standstill;
 mod store_faults;
 mod store_view;
 mod subcommand;
 mod world;
 
 pub use self::{
+  added_impairments::add_impairments,
   balancer::{Balancer, BoxTarget},
   box_process::{BoxPlan, BoxProcess},
   box_quota::SlowdownGuard,
@@ -64,6 +71,7 @@
     Machines, Network, Platform, RequestClass, RequestKind, Servers, Service, Shape, Site,
     StreamShape, Timing, Tolerate, Traffic, Zone,
   },
+  standstill::stand_still,
   store_faults::{StoreFaultPlay, play_store_fault, struck_boxes},
   subcommand::run,
 };
