--- a/replay/src/injector.rs
+++ b/replay/src/injector.rs
@@ -487,9 +487,8 @@
     let gap = Duration::from_secs_f64(impairment.gap_s.unwrap_or(USUAL_GAP_S));
     for group in places.chunks(at_a_time) {
       for place in group {
-        let version = self.world.version(*place) + 1;
         if let Some(beside) = self.world.empty_place_beside(*place) {
-          self.world.set_version(beside, version);
+          self.world.plan_release(*place, beside);
           self.world.start_server(beside).await?;
         }
         let (world, place) = (self.world.clone(), *place);
--- a/replay/src/lib.rs
+++ b/replay/src/lib.rs
@@ -25,6 +25,7 @@
 mod selection;
 mod server;
 mod server_place;
+mod server_versions;
 mod settings_template;
 mod site;
 mod store_faults;
@@ -58,6 +59,7 @@
     ClassLookup, Condition, ConditionCell, ConditionGuard, Exports, GarbleKind, GreyKind, Server,
     ServerSpec, ServerWorld, Stage, StartNaming, sample, stream_events,
   },
+  server_versions::{ServedVersions, ServerVersions, SoftwareVersion},
   settings_template::SettingsTemplate,
   site::{
     Bounds, Chain, Closing, Configuration, Day, Discovery, Distribution, EngineModel, Impairment,
--- a/replay/src/play.rs
+++ b/replay/src/play.rs
@@ -14,6 +14,7 @@
     recorder::Recorder,
     report::{Report, ReportTitle},
     server::{ClassLookup, ServerWorld, StartNaming},
+    server_versions::ServedVersions,
     site::{Day, Impairment, Site},
     world::{World, WorldPlan},
   },
@@ -47,6 +48,8 @@
   pub names_streams: bool,
   /// Where servers name their starts.
   pub starts: StartNaming,
+  /// Versions of engines that serve side by side.
+  pub versions: ServedVersions,
 }
 
 /// The kinds of a day's impairments, and of its closing, that can't be played, in alphabetical order.
@@ -83,6 +86,7 @@
     has_cpu_quota: options.has_cpu_quota,
     seed: options.seed,
     starts: options.starts,
+    versions: options.versions,
   };
   let world = World::start(&plan, stores, operator, server_world).await?;
   let mut background = world.spawn_background();
--- a/replay/src/subcommand.rs
+++ b/replay/src/subcommand.rs
@@ -6,6 +6,7 @@
     error::{Error, Result},
     play::{PlayOptions, play, unplayable_kinds},
     server::StartNaming,
+    server_versions::ServedVersions,
     site::{Day, Site},
   },
   bpaf::{Parser, construct, long},
@@ -25,6 +26,7 @@
   has_cpu_quota: bool,
   omits_streams: bool,
   names_starts: bool,
+  versions: ServedVersions,
 }
 
 /// Runs the command line. Exits with 1 if there are findings, with 2 if the day can't be played.
@@ -85,6 +87,10 @@
     .help("Callers do not name the stream that they resume")
     .switch();
   let names_starts = long("born").help("Servers name their starts").switch();
+  let versions = long("versions")
+    .help("Versions of the engines of a service that serve side by side: one or both")
+    .argument::<ServedVersions>("one|both")
+    .fallback(ServedVersions::One);
   construct!(Arguments {
     site,
     day,
@@ -96,6 +102,7 @@
     has_cpu_quota,
     omits_streams,
     names_starts,
+    versions,
   })
 }
 
@@ -130,6 +137,7 @@
     } else {
       StartNaming::Nowhere
     },
+    versions: arguments.versions,
   };
   let report = play(&site, &day, &options).await?;
   println!("{report}");
--- a/replay/src/world.rs
+++ b/replay/src/world.rs
@@ -12,6 +12,7 @@
     recorder::Recorder,
     server::{Server, ServerSpec, ServerWorld, Stage, StartNaming},
     server_place::{ServerPlace, server_port},
+    server_versions::{ServedVersions, ServerVersions},
     site::{Service, Site},
     store_view::view_of_box,
   },
@@ -33,8 +34,6 @@
   },
 };
 
-/// Versions of the software of servers, and of those that a release brings.
-const VERSIONS: [&str; 2] = ["v1", "v2"];
 /// Check-ins of silence after which the entry of a server goes.
 const SILENT_BEATS: u32 = 3;
 /// Time in which all boxes must become ready.
@@ -50,6 +49,7 @@
   pub(crate) has_cpu_quota: bool,
   pub(crate) seed: u64,
   pub(crate) starts: StartNaming,
+  pub(crate) versions: ServedVersions,
 }
 
 /// A running deployment.
@@ -80,8 +80,7 @@
   next_server: AtomicU64,
   /// The ids of servers that have left the list and serve on.
   unlisted: Mutex<BTreeSet<Arc<str>>>,
-  /// The version of each place's next server.
-  versions: Mutex<HashMap<usize, usize>>,
+  versions: ServerVersions,
 }
 
 #[derive(Default)]
@@ -144,10 +143,12 @@
       stores,
       unlisted: Mutex::default(),
       usual_boxes,
-      versions: Mutex::default(),
+      versions: ServerVersions::new(plan.versions, plan.seed),
     });
     world.operator.write_first();
-    for place in &world.usual_places() {
+    let usual_places = world.usual_places();
+    world.plan_first_versions(&usual_places);
+    for place in &usual_places {
       world.start_server(*place).await?;
     }
     for of in &world.boxes[..usual_boxes] {
@@ -344,14 +345,32 @@
     found.map(|place| place.index)
   }
 
-  /// The number of the version of a place's servers.
-  pub(crate) fn version(&self, place: usize) -> usize {
-    *self.versions().entry(place).or_default()
+  /// Settles the versions of the first engines of each service.
+  fn plan_first_versions(&self, usual_places: &[usize]) {
+    for service in &self.site.services {
+      let places = usual_places.iter().map(|index| &self.places[*index]);
+      let engines = places.filter(|place| place.service == service.name);
+      let engines: Vec<(usize, Stage)> = engines
+        .filter_map(|place| Some((place.index, self.first_stage(service, place.index)?)))
+        .collect();
+      self.versions.plan_first(&engines);
+    }
   }
 
-  /// The next servers at a place have this version.
-  pub(crate) fn set_version(&self, place: usize, version: usize) {
-    self.versions().insert(place, version % VERSIONS.len());
+  /// The next server at the place beside another one has the version by which a release replaces that one's.
+  pub(crate) fn plan_release(&self, place: usize, beside: usize) {
+    let others = self.places_that_stay(place);
+    self.versions.plan_release(place, beside, &others);
+  }
+
+  /// The other places of the same service whose servers don't leave.
+  fn places_that_stay(&self, place: usize) -> Vec<usize> {
+    let serving = self.serving_places(Some(&self.places[place].service));
+    let stays = |other: &usize| {
+      let server = self.places[*other].server();
+      *other != place && server.is_some_and(|server| !server.is_draining())
+    };
+    serving.into_iter().filter(stays).collect()
   }
 
   /// Starts a server with a new id at a place, which registers within the lag of discovery.
@@ -365,6 +384,9 @@
       return Ok(());
     };
     let number = self.next_server.fetch_add(1, Ordering::Relaxed);
+    let stage = self.first_stage(service, place);
+    let others = self.places_that_stay(place);
+    let version = self.versions.next(place, stage, number, &others);
     let spec = ServerSpec {
       address: SocketAddr::from((Ipv4Addr::LOCALHOST, at.port())),
       born_ms: unix_ms(),
@@ -372,10 +394,10 @@
       seed: self.seed ^ number,
       service: Arc::new(service.clone()),
       speed: 1.0,
-      stage: self.first_stage(service, place),
+      stage,
       says_leaving: false,
       starts: self.starts,
-      version: VERSIONS[self.version(place)].into(),
+      version: version.name().into(),
       zone: at.zone.clone(),
     };
     self.recorder.note(format!(
@@ -509,10 +531,6 @@
   fn unlisted(&self) -> MutexGuard<'_, BTreeSet<Arc<str>>> {
     self.unlisted.lock().unwrap_or_else(PoisonError::into_inner)
   }
-
-  fn versions(&self) -> MutexGuard<'_, HashMap<usize, usize>> {
-    self.versions.lock().unwrap_or_else(PoisonError::into_inner)
-  }
 }
 
 fn unix_ms() -> u64 {
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -24,6 +24,7 @@
 mod replay_settings;
 mod replay_site;
 mod replay_store;
+mod replay_versions;
 mod roles;
 mod soak_days;
 mod soak_endpoints;
--- a/tests/replay_play.rs
+++ b/tests/replay_play.rs
@@ -6,7 +6,7 @@
 use {
   self::planting_proxy::{Planted, Plants},
   judge::Clause,
-  replay::{Day, PlayOptions, Report, Site, StartNaming, box_host, play},
+  replay::{Day, PlayOptions, Report, ServedVersions, Site, StartNaming, box_host, play},
   std::{
     collections::BTreeSet,
     fs,
@@ -15,7 +15,7 @@
   tokio::{sync::Mutex, task::JoinSet},
 };
 
-const SITE: &str = include_str!("data/two_halls.toml");
+pub(crate) const SITE: &str = include_str!("data/two_halls.toml");
 const SEED: u64 = 3;
 /// Boxes of the site.
 const BOXES: usize = 3;
@@ -24,13 +24,19 @@
 const COVERED_PORT: u16 = 9_001;
 
 /// Replays of one process use the same addresses.
-static ONE_AT_A_TIME: Mutex<()> = Mutex::const_new(());
+pub(crate) static ONE_AT_A_TIME: Mutex<()> = Mutex::const_new(());
 
-fn repository() -> PathBuf {
+pub(crate) fn repository() -> PathBuf {
   env!("CARGO_MANIFEST_DIR").into()
 }
 
-async fn play_day(site: &Site, day: &Day, repository: &Path, directory: &Path) -> Report {
+pub(crate) async fn play_day(
+  site: &Site,
+  day: &Day,
+  repository: &Path,
+  directory: &Path,
+  versions: ServedVersions,
+) -> Report {
   let options = PlayOptions {
     directory: directory.into(),
     has_cpu_quota: false,
@@ -39,6 +45,7 @@
     repository: repository.into(),
     seed: SEED,
     starts: StartNaming::Nowhere,
+    versions,
   };
   play(site, day, &options).await.unwrap()
 }
@@ -60,7 +67,8 @@
   let site = Site::parse(SITE).unwrap();
   let day = site.day("eventful").unwrap();
   let directory = tempfile::tempdir().unwrap();
-  let report = play_day(&site, day, &repository(), directory.path()).await;
+  let versions = ServedVersions::One;
+  let report = play_day(&site, day, &repository(), directory.path(), versions).await;
   assert_eq!(report.findings_text(), "");
   assert!(report.is_clean());
   let [sent, begun, complete] = streams(&report.to_string());
@@ -118,7 +126,8 @@
     planting_proxy::start(at.into(), to.into(), plants.clone(), &mut proxies).await;
   }
   let output = directory.path().join("output");
-  let report = play_day(&site, &day, directory.path(), &output).await;
+  let versions = ServedVersions::One;
+  let report = play_day(&site, &day, directory.path(), &output, versions).await;
   assert!(!report.is_clean());
   let read = |name: &str| fs::read_to_string(output.join(name)).unwrap();
   let (text, requests) = (read("findings.txt"), read("requests.csv"));
