--- a/replay/src/lib.rs
+++ b/replay/src/lib.rs
@@ -30,6 +30,7 @@
 mod server;
 mod server_cut;
 mod server_place;
+mod server_versions;
 mod settings_template;
 mod site;
 mod standstill;
@@ -65,6 +66,7 @@
     ClassLookup, Condition, ConditionCell, ConditionGuard, Exports, GarbleKind, GreyKind, Server,
     ServerSpec, ServerWorld, Stage, StartNaming, sample, stream_events,
   },
+  server_versions::{ServedVersions, ServerVersions, SoftwareVersion},
   settings_template::SettingsTemplate,
   site::{
     Bounds, Chain, Closing, Configuration, Day, Discovery, Distribution, EngineModel, Impairment,
--- a/replay/src/reused_addresses.rs
+++ b/replay/src/reused_addresses.rs
@@ -25,7 +25,7 @@
     let others: Vec<Arc<str>> = others.filter(|name| *name != service).collect();
     reused.push((*place, draw.one_of(&others).unwrap_or(service)));
     if let Some(beside) = world.empty_place_beside(*place) {
-      world.set_version(beside, world.version(*place));
+      world.plan_same_version(beside, *place);
       world.start_server(beside).await?;
     }
   }
@@ -52,8 +52,9 @@
       .recorder
       .note(format!("place {place} is given to {service}"));
     let serving = world.serving_places(Some(&service));
-    let version = serving.first().map_or(0, |other| world.version(*other));
-    world.set_version(place, version);
+    if let Some(other) = serving.first() {
+      world.plan_same_version(place, *other);
+    }
     world.start_server(place).await?;
   }
   Ok(())
--- a/replay/src/subcommand.rs
+++ b/replay/src/subcommand.rs
@@ -7,6 +7,7 @@
     error::{Error, Result},
     play::{PlayOptions, play, unplayable_kinds},
     server::StartNaming,
+    server_versions::ServedVersions,
     site::{Day, Site},
   },
   bpaf::{Parser, construct, long},
@@ -27,6 +28,7 @@
   has_cpu_quota: bool,
   omits_streams: bool,
   names_starts: bool,
+  versions: ServedVersions,
 }
 
 /// Runs the command line. Exits with 1 if there are findings, with 2 if the day can't be played.
@@ -91,6 +93,10 @@
     .help("Callers do not name the stream that they resume")
     .switch();
   let names_starts = long("born").help("Servers name their starts").switch();
+  let versions = long("versions")
+    .help("Versions of the engines of a service that serve side by side: one or both")
+    .argument::<ServedVersions>("one|both")
+    .fallback(ServedVersions::One);
   construct!(Arguments {
     site,
     day,
@@ -103,6 +109,7 @@
     has_cpu_quota,
     omits_streams,
     names_starts,
+    versions,
   })
 }
 
@@ -138,6 +145,7 @@
     } else {
       StartNaming::Nowhere
     },
+    versions: arguments.versions,
   };
   let report = play(&site, &day, &options).await?;
   println!("{report}");
--- a/tests/lib.rs
+++ b/tests/lib.rs
@@ -26,6 +26,7 @@
 mod replay_site;
 mod replay_standstill;
 mod replay_store;
+mod replay_versions;
 mod roles;
 mod soak_days;
 mod soak_endpoints;
--- a/tests/replay_play.rs
+++ b/tests/replay_play.rs
@@ -7,7 +7,7 @@
 use {
   self::planting_proxy::{Planted, Plants},
   judge::Clause,
-  replay::{Day, PlayOptions, Report, Site, StartNaming, box_host, play},
+  replay::{Day, PlayOptions, Report, ServedVersions, Site, StartNaming, box_host, play},
   std::{
     collections::BTreeSet,
     fs,
@@ -17,7 +17,7 @@
   tokio::{runtime::Builder, task::JoinSet},
 };
 
-const SITE: &str = include_str!("data/two_halls.toml");
+pub(crate) const SITE: &str = include_str!("data/two_halls.toml");
 const SEED: u64 = 3;
 /// Boxes of the site.
 const BOXES: usize = 3;
@@ -29,7 +29,7 @@
 static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
 
 /// Runs a replay on a runtime of its own. The next one begins when all sockets of this one are closed.
-fn run_alone<T>(replay: impl Future<Output = T>) -> T {
+pub(crate) fn run_alone<T>(replay: impl Future<Output = T>) -> T {
   let _one = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
   let runtime = Builder::new_multi_thread().enable_all().build().unwrap();
   let result = runtime.block_on(replay);
@@ -37,11 +37,17 @@
   result
 }
 
-fn repository() -> PathBuf {
+pub(crate) fn repository() -> PathBuf {
   env!("CARGO_MANIFEST_DIR").into()
 }
 
-async fn play_day(site: &Site, day: &Day, repository: &Path, directory: &Path) -> Report {
+pub(crate) async fn play_day(
+  site: &Site,
+  day: &Day,
+  repository: &Path,
+  directory: &Path,
+  versions: ServedVersions,
+) -> Report {
   let options = PlayOptions {
     directory: directory.into(),
     has_cpu_quota: false,
@@ -50,6 +56,7 @@
     repository: repository.into(),
     seed: SEED,
     starts: StartNaming::Nowhere,
+    versions,
   };
   play(site, day, &options).await.unwrap()
 }
@@ -70,7 +77,14 @@
   let site = Site::parse(SITE).unwrap();
   let day = site.day("eventful").unwrap();
   let directory = tempfile::tempdir().unwrap();
-  let report = run_alone(play_day(&site, day, &repository(), directory.path()));
+  let versions = ServedVersions::One;
+  let report = run_alone(play_day(
+    &site,
+    day,
+    &repository(),
+    directory.path(),
+    versions,
+  ));
   assert_eq!(report.findings_text(), "");
   assert!(report.is_clean());
   let [sent, begun, complete] = streams(&report.to_string());
@@ -128,7 +142,7 @@
       let (at, to) = ((host, CALLERS_PORT), (host, COVERED_PORT));
       planting_proxy::start(at.into(), to.into(), plants.clone(), &mut proxies).await;
     }
-    play_day(&site, &day, directory.path(), &output).await
+    play_day(&site, &day, directory.path(), &output, ServedVersions::One).await
   });
   assert!(!report.is_clean());
   let read = |name: &str| fs::read_to_string(output.join(name)).unwrap();
--- a/tests/replay_play/added_impairments.rs
+++ b/tests/replay_play/added_impairments.rs
@@ -2,7 +2,7 @@
 
 use {
   super::{SITE, play_day, repository, run_alone, streams},
-  replay::{Closing, Error, Impairment, Site, add_impairments, unplayable_kinds},
+  replay::{Closing, Error, Impairment, ServedVersions, Site, add_impairments, unplayable_kinds},
   rstest::rstest,
   std::{collections::BTreeSet, fs, path::Path},
 };
@@ -126,7 +126,13 @@
   day.length_s = closing.is_some().then_some(length_s + RECOVERY_S);
   day.closing = closing;
   assert!(unplayable_kinds(&day).is_empty());
-  let report = run_alone(play_day(&site, &day, &repository(), directory));
+  let report = run_alone(play_day(
+    &site,
+    &day,
+    &repository(),
+    directory,
+    ServedVersions::One,
+  ));
   assert_eq!(report.findings_text(), "");
   let [sent, begun, _] = streams(&report.to_string());
   assert!(sent > 5 && begun > 0, "{report}");
