Versions: all streams begin at recorded ones, whose records cover the configuration's timeouts

What callers would see: a stream on a route that may not be resumed begins at a version that is not recorded yet, and a request that names its last event goes on at another one; after a change to longer timeouts streams are tried at four engines whose record is too short, and rejected; a box whose write came second waits for changes that lag; a lookup waits for a second read of a store that did not answer the first one. Change: the rule holds for every stream; the choice asks for records that cover the lifetime of the configuration in force; a write that came second is followed by a read; a failed read of the versions ends the lookup.

--- a/src/gateway/decisions/endpoint_registry.rs
+++ b/src/gateway/decisions/endpoint_registry.rs
@@ -52,8 +52,8 @@
   versions: ServiceVersions,
   /// Their records in the store.
   version_records: VersionRecords,
-  /// Whether streams that may be resumed begin at recorded versions alone.
-  requires_records: bool,
+  /// For how long streams may be resumed that begin at recorded versions alone; `None` if they begin at any version.
+  recorded_lifetime_ms: Option<u64>,
   /// The processes that are observed at them.
   processes: EndpointProcesses,
   /// Whether notices are recorded and not honoured.
@@ -101,14 +101,6 @@
     }
   }
 
-  /// The same registry, which chooses engines of recorded versions alone for streams that may be resumed.
-  pub fn requiring_records(self) -> Self {
-    Self {
-      requires_records: true,
-      ..self
-    }
-  }
-
   /// Inserts or updates an entry.
   pub fn put(&mut self, entry: EndpointEntry) {
     self.versions.add(&entry.service, &entry.version);
@@ -214,6 +206,11 @@
     self.versions.expire(now_ms, keep_ms);
   }
 
+  /// Streams begin at recorded versions alone, whose records cover the time for which streams may be resumed.
+  pub fn require_records(&mut self, lifetime_ms: u64) {
+    self.recorded_lifetime_ms = Some(lifetime_ms);
+  }
+
   /// The records of versions in the store.
   pub fn version_records(&self) -> &VersionRecords {
     &self.version_records
@@ -525,21 +522,21 @@
         && !endpoint.displacement.is_in_force(now_ms)
         && (!honours_signals || self.check_permit(endpoint, now_ms).is_ok())
     };
+    let decodes = criteria.role == Some(Role::Decode);
     let may_go_on = |entry: &EndpointEntry| {
       let version = criteria.version;
       version.is_none_or(|version| entry.version == *version && self.is_version_known(entry))
     };
-    let active = match self.requires_records {
-      true => Some(self.version_records.active(criteria.service)),
-      false => None,
-    };
+    let lifetime_ms = self.recorded_lifetime_ms.filter(|_| decodes);
+    let covered =
+      lifetime_ms.map(|lifetime_ms| self.version_records.covered(criteria.service, lifetime_ms));
     let is_recorded = |entry: &EndpointEntry| {
-      let active = active.as_ref();
-      active.is_none_or(|active| active.contains(&&entry.version))
+      let covered = covered.as_ref();
+      covered.is_none_or(|covered| covered.contains(&&entry.version))
     };
     let may_decode = |entry: &EndpointEntry| {
-      let needs_version = criteria.is_retryable && criteria.role == Some(Role::Decode);
-      !needs_version || (is_recorded(entry) && !self.lacks_start(entry))
+      let needs_version = decodes && criteria.is_retryable;
+      is_recorded(entry) && (!needs_version || !self.lacks_start(entry))
     };
     let candidates: Vec<&EndpointState> = self
       .endpoints
--- a/src/gateway/decisions/version_record.rs
+++ b/src/gateway/decisions/version_record.rs
@@ -25,6 +25,11 @@
 }
 
 impl VersionRecord {
+  /// Whether a stream may begin under it that may be resumed for a time.
+  pub fn covers(&self, resumable_ms: u64) -> bool {
+    self.state == RecordState::Active && resumable_ms <= self.lifetime_ms
+  }
+
   /// The value in the store. Fails if it can't be encoded.
   pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
     postcard::to_stdvec(self)
--- a/src/gateway/decisions/version_records.rs
+++ b/src/gateway/decisions/version_records.rs
@@ -149,16 +149,15 @@
     let StoredRecord {
       record, revision, ..
     } = self.stored.get(&version.key())?;
-    let is_covered = record.state == RecordState::Active && resumable_ms <= record.lifetime_ms;
-    is_covered.then_some(*revision)
+    record.covers(resumable_ms).then_some(*revision)
   }
 
-  /// The versions of a service at which streams may begin, at least short ones.
-  pub fn active(&self, service: &str) -> Vec<&SoftwareVersion> {
+  /// The versions of a service at which streams may begin that may be resumed for a time.
+  pub fn covered(&self, service: &str, resumable_ms: u64) -> Vec<&SoftwareVersion> {
     let records = self.stored.values().map(|stored| &stored.record);
-    let active = records
-      .filter(|record| record.state == RecordState::Active && &*record.subject.service == service);
-    active.map(|record| &record.subject.version).collect()
+    let covering =
+      records.filter(|record| record.covers(resumable_ms) && &*record.subject.service == service);
+    covering.map(|record| &record.subject.version).collect()
   }
 
   /// Whether streams wait for a record.
--- a/src/gateway/requests/stream_send.rs
+++ b/src/gateway/requests/stream_send.rs
@@ -74,14 +74,14 @@
     result
   }
 
-  /// Checks that an endpoint is listed with the stream's version, and that the store has the record without which a stream that may
-  /// be resumed must not begin.
+  /// Checks that an endpoint is listed with the stream's version, and that the store has the record without which no stream begins or
+  /// goes on.
   fn check_version(&self, entry: &EndpointEntry) -> Result<(), StageError> {
     let version = self.version.as_ref();
     if version.is_some_and(|version| entry.version != *version) {
       return Err(Unavailable::Unlisted.into());
     }
-    if self.may_retry() && !self.is_recorded(entry) {
+    if !self.is_recorded(entry) {
       return Err(Unavailable::VersionUnrecorded.into());
     }
     Ok(())
--- a/src/gateway/requests/stream_version.rs
+++ b/src/gateway/requests/stream_version.rs
@@ -100,25 +100,20 @@
 
   /// The endpoints that were tried, and those at which the stream must not begin.
   pub(super) fn tried_or_unrecorded(&self) -> Vec<Name> {
-    let mut excluded = self.tried.clone();
-    if self.may_retry() {
-      let endpoints = self.gateway.endpoints.borrow();
-      let of_service = endpoints
-        .entries()
-        .filter(|entry| entry.service == self.request.service);
-      let unrecorded = of_service.filter(|entry| !self.is_recorded(entry));
-      excluded.extend(unrecorded.map(|entry| entry.id.clone()));
-    }
-    excluded
+    let endpoints = self.gateway.endpoints.borrow();
+    let of_service = endpoints
+      .entries()
+      .filter(|entry| entry.service == self.request.service);
+    let unrecorded = of_service.filter(|entry| !self.is_recorded(entry));
+    let unrecorded = unrecorded.map(|entry| entry.id.clone());
+    self.tried.iter().cloned().chain(unrecorded).collect()
   }
 
   /// Waits for the record of a version, unless an engine of a recorded one may run the stream.
   pub(super) async fn await_recorded_version(&self, role: Option<Role>) {
-    if self.may_retry() {
-      let missing = || self.unrecorded_versions(role);
-      // Without a record no engine is chosen.
-      let _ = self.gateway.await_version_records(missing).await;
-    }
+    let missing = || self.unrecorded_versions(role);
+    // Without a record no engine is chosen.
+    let _ = self.gateway.await_version_records(missing).await;
   }
 
   /// The versions of the engines that may run the stream; none if one of them is recorded.
--- a/src/gateway/resumption/lookup.rs
+++ b/src/gateway/resumption/lookup.rs
@@ -117,13 +117,17 @@
       return Lookup::Known(along_route(request, origin.clone(), &source));
     }
     None if own == RecordedOrigin::Unknown && !answers.is_held => {
-      if let Some(version) = only_version(gateway, request).await {
-        gateway.counters.origins_only.inc();
-        log_only_version(gateway, request, &version, &answers);
-        return Lookup::Known(StreamOrigin {
-          service: request.service.clone(),
-          version,
-        });
+      match recorded_versions(gateway, request).await {
+        RecordedVersions::Only(version) => {
+          gateway.counters.origins_only.inc();
+          log_only_version(gateway, request, &version, &answers);
+          return Lookup::Known(StreamOrigin {
+            service: request.service.clone(),
+            version,
+          });
+        }
+        RecordedVersions::Several => {}
+        RecordedVersions::Unread => return Lookup::Unknown(own, answers),
       }
     }
     _ => {}
@@ -140,20 +144,34 @@
   Lookup::Unknown(own, answers)
 }
 
-/// The only version that has begun streams of the services to which a request's route leads, as the store shows after the request
-/// arrived. Without recent contact it is not asked: a request that waits for it in vain is rejected late.
-async fn only_version(gateway: &Gateway, request: &RoutedRequest) -> Option<SoftwareVersion> {
+/// The versions that may have begun streams of the services to which a request's route leads.
+enum RecordedVersions {
+  Only(SoftwareVersion),
+  Several,
+  /// The store has not shown them.
+  Unread,
+}
+
+/// What the store shows after a request arrived. Without recent contact it is not asked: a request that waits for it in vain is
+/// rejected late.
+async fn recorded_versions(gateway: &Gateway, request: &RoutedRequest) -> RecordedVersions {
   if !gateway.is_current() {
-    return None;
+    return RecordedVersions::Unread;
   }
-  let mut versions = read_versions(gateway, request).await?;
-  if versions.is_empty() {
+  let mut versions = read_versions(gateway, request).await;
+  if versions.as_ref().is_some_and(BTreeSet::is_empty) {
     // The listed versions are about to be recorded for the first time.
     await_first_record(gateway, &request.service).await;
-    versions = read_versions(gateway, request).await?;
+    versions = read_versions(gateway, request).await;
+  }
+  let Some(mut versions) = versions else {
+    return RecordedVersions::Unread;
+  };
+  match versions.pop_first() {
+    Some(only) if versions.is_empty() => RecordedVersions::Only(only),
+    Some(_) => RecordedVersions::Several,
+    None => RecordedVersions::Unread,
   }
-  let only = versions.pop_first();
-  only.filter(|_| versions.is_empty())
 }
 
 /// The recorded versions of the services to which a request's route leads; `None` if the store does not answer.
--- a/src/gateway/resumption/version_sync.rs
+++ b/src/gateway/resumption/version_sync.rs
@@ -78,10 +78,16 @@
         .encode()
         .map_err(|error| StoreError::Call(error.to_string()))?;
       let written = store.write_version(&key, value.into(), *revision).await?;
-      // Otherwise another box was first, and its record arrives with the next changes.
-      if let Some(written_at) = written {
-        log::info!("E568 version record written: {record:?} at revision {written_at}");
-        gateway.put_version_record(key, record.clone(), written_at);
+      match written {
+        Some(written_at) => {
+          log::info!("E568 version record written: {record:?} at revision {written_at}");
+          gateway.put_version_record(key, record.clone(), written_at);
+        }
+        // Another box was first; the changes that show its record may lag.
+        None => {
+          gateway.counters.store_calls.inc();
+          drop(recorded_versions(gateway, store.versions().await?));
+        }
       }
     }
     RecordChange::Remove(version, revision) => {
--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -317,6 +317,9 @@
       .borrow_mut()
       .set_limits(limits, self.now_ms());
     *current = Some(Rc::new(table));
+    drop(current);
+    let lifetime_ms = self.stream_lifetime_ms();
+    self.endpoints.borrow_mut().require_records(lifetime_ms);
     true
   }
 
@@ -799,8 +802,7 @@
   };
   let registry = registry
     .with_heartbeat(settings.endpoints.heartbeat_ms)
-    .with_unnamed_restarts(settings.endpoints.unnamed_restarts)
-    .requiring_records();
+    .with_unnamed_restarts(settings.endpoints.unnamed_restarts);
   if mechanisms.endpoint_limits {
     registry
   } else {
