--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -60,6 +60,7 @@
 mod retry_loans;
 mod return_order;
 mod reused_addresses;
+mod review_eighth;
 mod review_findings;
 mod review_seventh;
 mod review_sixth;
