--- a/tests/gateway/review_eighth.rs
+++ b/tests/gateway/review_eighth.rs
@@ -6,6 +6,7 @@
     cut_off::{Cut, CutAddress},
     endpoint::listed_start,
     versions::{EVENTS, REST, begins_and_resumes, resume, wait_until_recorded},
+    versions_of_restarted_engines::wait_until_two_boxes,
   },
   emulator::eventually,
   http::{HeaderValue, StatusCode},
@@ -461,3 +462,40 @@
   assert!(!ran(&one, "again"));
   assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
 }
+
+/// Guards against streams that are lost with their box since their route leads to services of different versions, each of which has one.
+#[tokio::test]
+async fn stream_goes_on_after_its_box_was_killed_where_its_route_leads_to_two_services() {
+  let prefill = EndpointStandIn::engine(EVENTS).await;
+  let [one, other] = [
+    EndpointStandIn::start(begins_and_resumes).await,
+    EndpointStandIn::start(begins_and_resumes).await,
+  ];
+  let test = GatewayTest::new().await.configure(|configuration| {
+    let mut large = configuration["services"][1].clone();
+    large["name"] = OTHER_SERVICE.into();
+    let services = configuration["services"].as_array_mut().unwrap();
+    services.push(large);
+    let route = configuration["routes"][3].as_object_mut().unwrap();
+    route.remove("service");
+    let split = json!([{"service": "llm", "weight": 1}, {"service": OTHER_SERVICE, "weight": 1}]);
+    route.insert("split".into(), split);
+  });
+  test.enter("e-1", "llm", Some("prefill"), &prefill);
+  test.enter_version("e-2", &one, "v1");
+  for (id, stage, engine) in [("f-1", "prefill", &prefill), ("f-2", "decode", &other)] {
+    enter_engine(&test.store, id, OTHER_SERVICE, stage, engine.address, "v2");
+  }
+  let second = test.second_box("north-2", test.store.address);
+  let mut first = test.start().await;
+  let second = second.start().await;
+  wait_until_recorded(&second, 2).await;
+  wait_until_two_boxes(&[&first, &second]).await;
+  begin(&first, "/resumable/a").await;
+  sleep(WATCHED).await;
+  kill(&mut first);
+  let response = resume(&second, "again", "r0").await;
+  assert_eq!(response.status, StatusCode::OK);
+  assert_eq!(ran(&one, "r0"), ran(&one, "again"));
+  assert_eq!(ran(&other, "r0"), ran(&other, "again"));
+}
