Replay: reset connections, cut and slow servers, reused addresses, and a closing that loses a box

Gap: the player passed over `reset_conns`, `srv_cut`, `srv_slow`, `replace_with_reuse` and the closing `wipe_after_ack`, each of which may come on any deployment. `clock_step` stays out: the time of day is one for all processes of a machine, and setting it needs rights.

A link can reset a share of its open connections. A server that loses the store keeps serving, and its entry lapses after three check-ins. The address of a place may be given to a server of another service 2 s after its server has ended, while the former entry is still listed if that one crashed. No box has a disk, so the closing is a loss of power of all boxes, of which one comes back empty at other addresses.

Tests: a share of a link's connections is reset, and neither later ones nor one direction alone; two plays of the small site.

--- a/replay/src/closing_kind.rs
+++ b/replay/src/closing_kind.rs
@@ -9,6 +9,8 @@
   KillAll,
   /// All boxes lose power.
   PowerOffAll,
+  /// All boxes lose power, one of them for good.
+  WipeAfterChange,
 }
 
 impl FromStr for ClosingKind {
@@ -18,6 +20,7 @@
     match kind {
       "kill_all" => Ok(Self::KillAll),
       "power_off_all" => Ok(Self::PowerOffAll),
+      "wipe_after_ack" => Ok(Self::WipeAfterChange),
       _ => Err(format!("{kind} can't be played")),
     }
   }
--- a/replay/src/impairment_kind.rs
+++ b/replay/src/impairment_kind.rs
@@ -21,6 +21,8 @@
   ConfigurationChange,
   /// The configuration is changed again and again.
   ConfigurationStorm,
+  /// Some connections of boxes are reset.
+  ConnectionsReset,
   /// Boxes are cut from the other boxes and the store.
   BoxesCut,
   /// Servers break off or spoil answers.
@@ -63,6 +65,12 @@
   RetryAbuse,
   /// Boxes are stopped and started again, one after another.
   RollingStop,
+  /// Servers end, and their addresses are given to another service.
+  AddressesReused,
+  /// Servers are cut from the store.
+  ServersCut,
+  /// Servers work slowly.
+  ServersSlow,
   /// Servers leave.
   ServersLeave,
   /// Servers are added.
@@ -108,12 +116,16 @@
       "platform_slow" => Self::StoreSlow,
       "release" => Self::Release,
       "replace_core" => Self::ReplaceBox,
+      "replace_with_reuse" => Self::AddressesReused,
+      "reset_conns" => Self::ConnectionsReset,
       "retry_abuse" => Self::RetryAbuse,
       "roll_term" => Self::RollingStop,
       "scale_in" => Self::ServersLeave,
       "scale_out" => Self::ServersAdded,
       "srv_crash" => Self::ServersCrash,
+      "srv_cut" => Self::ServersCut,
       "srv_grey" => Self::ServersGrey,
+      "srv_slow" => Self::ServersSlow,
       "shift" => Self::Shift,
       "standstill" => Self::Standstill,
       "zone_cut" => Self::HallCut,
--- a/replay/src/injector.rs
+++ b/replay/src/injector.rs
@@ -4,11 +4,14 @@
   super::{
     caller::{Habit, Habits},
     closing_kind::ClosingKind,
+    connection_resets::reset_connections,
     error::Result,
     impairment_kind::ImpairmentKind,
     late_links::hold_late_links,
+    reused_addresses::reuse_addresses,
     selection::Selection,
     server::{Condition, GarbleKind, GreyKind},
+    server_cut::cut_servers,
     site::{Closing, Impairment},
     standstill::play_standstills,
     store_faults::{StoreFaultPlay, play_store_fault},
@@ -71,7 +74,8 @@
       | ImpairmentKind::Garble
       | ImpairmentKind::HandlesLapse
       | ImpairmentKind::MovesSlow
-      | ImpairmentKind::ServersGrey => {
+      | ImpairmentKind::ServersGrey
+      | ImpairmentKind::ServersSlow => {
         self
           .hold_condition(kind, impairment, &mut draw, for_s)
           .await;
@@ -97,6 +101,20 @@
         self.change_again_and_again(impairment, for_s).await;
         Ok(())
       }
+      ImpairmentKind::AddressesReused => {
+        let places = self.servers(impairment, &mut draw, 0.15);
+        reuse_addresses(&self.world, impairment, &mut draw, &places).await
+      }
+      ImpairmentKind::ServersCut => {
+        let places = self.servers(impairment, &mut draw, 0.2);
+        cut_servers(&self.world, impairment, &mut draw, &places, for_s).await
+      }
+      ImpairmentKind::ConnectionsReset => {
+        let boxes = draw.pick(self.world.present_boxes(), impairment, 0.1, MOST);
+        let share = impairment.x.unwrap_or(0.5);
+        reset_connections(&self.world, &boxes, share, self.seed ^ number);
+        Ok(())
+      }
       ImpairmentKind::BoxesCut => {
         self.cut_boxes(impairment, &mut draw, for_s).await;
         Ok(())
@@ -607,16 +625,22 @@
     recorder.note(format!("fault closing begins {}", closing.kind));
     self.world.operator.change("timeout");
     sleep(Duration::from_secs_f64(LOSS_DELAY_S)).await;
-    let kills = self
-      .world
-      .present_boxes()
-      .into_iter()
-      .map(|index| async move {
-        match kind {
-          ClosingKind::KillAll => self.world.kill_box(index, closing.down_s).await,
-          ClosingKind::PowerOffAll => self.world.power_off_box(index, closing.down_s).await,
+    let present = self.world.present_boxes();
+    let leader = self.world.stores.leader();
+    let lost = leader
+      .filter(|leader| present.contains(leader))
+      .or(present.first().copied());
+    let kills = present.into_iter().map(|index| async move {
+      match kind {
+        ClosingKind::KillAll => self.world.kill_box(index, closing.down_s).await,
+        ClosingKind::WipeAfterChange if Some(index) == lost => {
+          self.world.replace_dark_box(index, closing.down_s).await
         }
-      });
+        ClosingKind::PowerOffAll | ClosingKind::WipeAfterChange => {
+          self.world.power_off_box(index, closing.down_s).await
+        }
+      }
+    });
     let result = join_all(kills).await.into_iter().collect();
     recorder.note(format!("fault closing ends {}", closing.kind));
     result
@@ -657,6 +681,7 @@
     ImpairmentKind::HandlesLapse => (Condition::HandlesLapse, 0.3),
     ImpairmentKind::MovesSlow => (Condition::MovesSlowed(x.unwrap_or(8.0)), 0.3),
     ImpairmentKind::ServersGrey => (grey(impairment), 0.15),
+    ImpairmentKind::ServersSlow => (Condition::WorkSlowed(x.unwrap_or(4.0)), 0.15),
     _ => return None,
   })
 }
--- a/replay/src/world.rs
+++ b/replay/src/world.rs
@@ -167,7 +167,7 @@
       }
     }
     let is_usual = |place: &&ServerPlace| {
-      let key = (place.service.clone(), place.zone.clone());
+      let key = (place.service(), place.zone.clone());
       let left = rest.entry(key).or_default();
       let is_usual = *left > 0;
       *left = left.saturating_sub(1);
@@ -314,6 +314,18 @@
 
   /// A box loses power for a time: nobody hears from it until it is back.
   pub(crate) async fn power_off_box(&self, index: usize, down_s: f64) -> Result {
+    self.darken_box(index, down_s).await?;
+    self.boxes[index].start().await
+  }
+
+  /// A box loses power for good; after a time, an empty one takes its place at other addresses.
+  pub(crate) async fn replace_dark_box(&self, index: usize, down_s: f64) -> Result {
+    self.darken_box(index, down_s).await?;
+    self.move_box(index).await;
+    self.boxes[index].start().await
+  }
+
+  async fn darken_box(&self, index: usize, down_s: f64) -> Result {
     let links = self.links_of_box(index);
     for link in &links {
       link.begin_power_loss();
@@ -323,13 +335,13 @@
     for link in &links {
       link.end_power_loss();
     }
-    self.boxes[index].start().await
+    Ok(())
   }
 
   /// The places of a service that have a server.
   pub(crate) fn serving_places(&self, service: Option<&str>) -> Vec<usize> {
     let is_there = |place: &&ServerPlace| {
-      service.is_none_or(|service| &*place.service == service) && place.server().is_some()
+      service.is_none_or(|service| *place.service() == *service) && place.server().is_some()
     };
     let places = self.places.iter().filter(is_there);
     places.map(|place| place.index).collect()
@@ -339,8 +351,9 @@
   pub(crate) fn empty_place_beside(&self, place: usize) -> Option<usize> {
     let beside = &self.places[place];
     let mut places = self.places.iter();
-    let found = places
-      .find(|of| of.service == beside.service && of.zone == beside.zone && of.server().is_none());
+    let found = places.find(|of| {
+      of.service() == beside.service() && of.zone == beside.zone && of.server().is_none()
+    });
     found.map(|place| place.index)
   }
 
@@ -361,7 +374,7 @@
     let address = listener.local_addr().map_err(Error::Listen)?;
     let at = &self.places[place];
     *at.target.lock().unwrap_or_else(PoisonError::into_inner) = address;
-    let Some(service) = self.site.service(&at.service) else {
+    let Some(service) = self.site.service(&at.service()) else {
       return Ok(());
     };
     let number = self.next_server.fetch_add(1, Ordering::Relaxed);
@@ -391,7 +404,7 @@
   /// The stage of the first server at a place: the share of the service's servers that read prompts, spread over the zones.
   fn first_stage(&self, service: &Service, place: usize) -> Option<Stage> {
     let model = service.llm.as_ref()?;
-    let places = self.places.iter().filter(|of| of.service == service.name);
+    let places = self.places.iter().filter(|of| of.service() == service.name);
     let of_service: Vec<usize> = places.map(|of| of.index).collect();
     let number = of_service.iter().position(|of| *of == place)? as f64;
     let before = (number * model.prefill).floor();
@@ -408,6 +421,7 @@
     let beat = Duration::from_millis(self.site.discovery.beat_ms);
     let key = server.key();
     let mut written = None;
+    let mut silent_beats = 0;
     loop {
       let is_current = self.places[place]
         .server()
@@ -415,6 +429,20 @@
       if !is_current || self.is_unlisted(&server) {
         break;
       }
+      if self.places[place].is_cut_from_store() {
+        silent_beats += 1;
+        if silent_beats == SILENT_BEATS {
+          let id = &server.spec().id;
+          self
+            .recorder
+            .note(format!("the entry of server {id} lapses"));
+          self.stores.store().remove(&key);
+          written = None;
+        }
+        sleep(beat).await;
+        continue;
+      }
+      silent_beats = 0;
       let entry = server.entry();
       if written.as_ref().map(without_sequence) != Some(without_sequence(&entry)) {
         self.stores.store().put(&key, entry.to_string().as_bytes());
@@ -470,7 +498,9 @@
     self.recorder.note(format!("server {id} leaves"));
     if is_announced {
       server.drain();
-      self.write_entry(&server);
+      if !self.places[place].is_cut_from_store() {
+        self.write_entry(&server);
+      }
     } else {
       self.unlisted().insert(id.clone());
       self.stores.store().remove(&server.key());
--- a/stand_ins/src/link.rs
+++ b/stand_ins/src/link.rs
@@ -37,6 +37,8 @@
 /// Time after which a connection attempt shows that a queue is full.
 const FULL_TIMEOUT: Duration = Duration::from_millis(20);
 const REOPEN_INTERVAL: Duration = Duration::from_millis(20);
+/// Parts of a whole, in which shares are given.
+const PPM: u32 = 1_000_000;
 const CHUNK_BYTES: usize = 16 * 1024;
 
 /// The current state of a link.
@@ -47,10 +49,46 @@
   lateness: Option<Lateness>,
   /// Number of resets so far; connections opened before the last one are reset.
   resets: u64,
+  /// The last reset of a share of the connections.
+  partial_reset: PartialReset,
   /// Whether one side has lost its power: all traffic is lost, whatever other fault begins or ends.
   is_powerless: bool,
 }
 
+/// A reset of some of the connections.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+struct PartialReset {
+  /// Number of such resets so far; only connections opened before the last one are reset.
+  number: u64,
+  seed: u64,
+  share_ppm: u32,
+}
+
+impl PartialReset {
+  fn strikes(self, connection: u64) -> bool {
+    let mut draws = ChaCha8Rng::seed_from_u64(self.seed);
+    draws.set_stream(connection);
+    draws.random_range(0..PPM) < self.share_ppm
+  }
+}
+
+/// An open connection.
+#[derive(Clone, Copy, Debug)]
+struct Opened {
+  number: u64,
+  /// Numbers of resets when it was opened.
+  resets: u64,
+  partial_resets: u64,
+}
+
+impl Opened {
+  fn is_reset(self, now: &Condition) -> bool {
+    let partial = now.partial_reset;
+    now.resets != self.resets
+      || partial.number != self.partial_resets && partial.strikes(self.number)
+  }
+}
+
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Direction {
   /// Towards the target.
@@ -178,6 +216,18 @@
     });
   }
 
+  /// Resets a share, from 0 to 1, of the open connections, once.
+  pub fn reset_share(&self, share: f64, seed: u64) {
+    let share_ppm = (share.clamp(0.0, 1.0) * f64::from(PPM)) as u32;
+    self.condition.send_modify(|condition| {
+      condition.partial_reset = PartialReset {
+        number: condition.partial_reset.number + 1,
+        seed,
+        share_ppm,
+      };
+    });
+  }
+
   /// Traffic is late until the guard is dropped, whatever other fault begins or ends. Of overlapping ones the last counts.
   pub fn begin_lateness(&self, lateness: Lateness) -> FaultGuard {
     let number = self.change_lateness(|latenesses| latenesses.begin(lateness));
@@ -308,10 +358,17 @@
 /// Forwards one connection until it is closed or reset.
 async fn proxy_connection(caller: TcpStream, link: Link) {
   let mut condition = link.condition.subscribe();
-  let resets = condition.borrow().resets;
+  let opened = {
+    let now = condition.borrow();
+    Opened {
+      number: link.connections.fetch_add(1, Ordering::Relaxed),
+      partial_resets: now.partial_reset.number,
+      resets: now.resets,
+    }
+  };
   // A connection opened while the link is blocked is established once it is unblocked, if its caller still waits.
   if condition
-    .wait_for(|now| !now.blocks(Direction::Forward) || now.resets != resets)
+    .wait_for(|now| !now.blocks(Direction::Forward) || opened.is_reset(now))
     .await
     .is_err()
   {
@@ -326,7 +383,7 @@
     return;
   }
   let sockets = [&caller, &target].map(|stream| SockRef::from(stream).try_clone());
-  if copy_both_ways(caller, target, &link, resets).await == CloseKind::Reset {
+  if copy_both_ways(caller, target, &link, opened).await == CloseKind::Reset {
     for socket in sockets.into_iter().flatten() {
       // The socket may already be closed.
       let _ = socket.set_linger(Some(Duration::ZERO));
@@ -346,17 +403,16 @@
   caller: TcpStream,
   target: TcpStream,
   link: &Link,
-  resets: u64,
+  opened: Opened,
 ) -> CloseKind {
   let (caller_read, caller_write) = caller.into_split();
   let (target_read, target_write) = target.into_split();
-  let number = link.connections.fetch_add(1, Ordering::Relaxed);
   let copier = |from, to, direction| Copier {
     condition: link.condition.subscribe(),
-    delays: delays(link.address.port(), number, direction),
+    delays: delays(link.address.port(), opened.number, direction),
     direction,
     from,
-    resets,
+    opened,
     to,
   };
   let mut forward = copier(caller_read, target_write, Direction::Forward);
@@ -401,8 +457,7 @@
   condition: watch::Receiver<Condition>,
   delays: ChaCha8Rng,
   direction: Direction,
-  /// Number of resets of the link when the connection was opened.
-  resets: u64,
+  opened: Opened,
 }
 
 impl Copier {
@@ -411,20 +466,20 @@
   async fn copy_all(&mut self) -> io::Result<()> {
     let mut buffer = vec![0; CHUNK_BYTES];
     let mut watched = self.condition.clone();
-    let resets = self.resets;
+    let opened = self.opened;
     loop {
       let count = tokio::select! {
         count = self.from.read(&mut buffer) => count?,
-        _ = watched.wait_for(|now| now.resets != resets) => 0,
+        _ = watched.wait_for(|now| opened.is_reset(now)) => 0,
       };
       let late = self.read_while_late().await;
       let direction = self.direction;
       let now = *self
         .condition
-        .wait_for(|now| !now.blocks(direction) || now.resets != resets)
+        .wait_for(|now| !now.blocks(direction) || opened.is_reset(now))
         .await
         .map_err(io::Error::other)?;
-      if now.resets != resets {
+      if opened.is_reset(&now) {
         return Err(io::ErrorKind::ConnectionReset.into());
       }
       sleep(now.delay()).await;
--- a/tests/replay_links.rs
+++ b/tests/replay_links.rs
@@ -3,7 +3,10 @@
 use {
   rstest::rstest,
   stand_ins::{Cut, Lateness, Link, LinkFault},
-  std::time::{Duration, Instant},
+  std::{
+    io::ErrorKind,
+    time::{Duration, Instant},
+  },
   tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -100,6 +103,60 @@
   drop(late);
 }
 
+/// Guards against a reset that strikes connections that were opened after it, or one direction alone.
+#[rstest]
+#[case::none(0.0, 0, 0)]
+#[case::half(0.5, 5, 25)]
+#[case::all(1.0, 30, 30)]
+#[tokio::test]
+async fn share_of_the_open_connections_is_reset(
+  #[case] share: f64,
+  #[case] least: usize,
+  #[case] most: usize,
+) {
+  let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+  let link = Link::open(listener.local_addr().unwrap()).await.unwrap();
+  let mut pairs = Vec::new();
+  for _ in 0..31 {
+    if pairs.len() == 30 {
+      link.reset_share(share, 7);
+    }
+    let caller = TcpStream::connect(link.address).await.unwrap();
+    let accepted = timeout(PATIENCE, listener.accept()).await.unwrap();
+    pairs.push((caller, accepted.unwrap().0));
+  }
+  let mut resets = 0;
+  for (number, (mut caller, mut target)) in pairs.into_iter().enumerate() {
+    let written = caller.write_all(WORD).await;
+    if is_word(&mut target).await {
+      target.write_all(WORD).await.unwrap();
+      assert!(is_word(&mut caller).await);
+      continue;
+    }
+    assert!(number < 30);
+    // A reset is told once: to the write, if it has arrived before.
+    match written {
+      Ok(()) => assert!(!is_word(&mut caller).await),
+      Err(error) => assert_eq!(error.kind(), ErrorKind::ConnectionReset),
+    }
+    resets += 1;
+  }
+  assert!((least..=most).contains(&resets), "{resets}");
+}
+
+/// Whether a word arrives. Otherwise the connection is reset.
+async fn is_word(from: &mut TcpStream) -> bool {
+  let mut word = [0; WORD.len()];
+  let read = timeout(PATIENCE, from.read_exact(&mut word)).await.unwrap();
+  match read {
+    Ok(_) => word == WORD,
+    Err(error) => {
+      assert_eq!(error.kind(), ErrorKind::ConnectionReset);
+      false
+    }
+  }
+}
+
 /// Guards against a lateness that ends with another fault of its link.
 #[rstest]
 #[case::cut(|link: &Link| {
--- a/tests/replay_play/added_impairments.rs
+++ b/tests/replay_play/added_impairments.rs
@@ -7,6 +7,8 @@
   std::{collections::BTreeSet, fs, path::Path},
 };
 
+/// Boxes of the small site.
+const BOXES: [&str; 3] = ["front-north-0", "front-north-1", "front-south-2"];
 /// Traffic after a closing.
 const RECOVERY_S: f64 = 6.0;
 
@@ -31,6 +33,82 @@
       "fault 1 ends standstill",
     ],
   ),
+  (
+    "kind = 'srv_slow'\nat = 1.0\nservice = 'writer'\ncount = 2\nfor_s = 4.0",
+    &[
+      "fault 2 begins srv_slow",
+      "WorkSlowed(4.0)",
+      "fault 2 ends srv_slow",
+    ],
+  ),
+];
+
+const CUTS: Expected = &[
+  (
+    "kind = 'reset_conns'\nat = 2.0\nshare = 1.0\nx = 0.5",
+    &[
+      "fault 0 begins reset_conns",
+      "0.5 of the connections are reset",
+      "fault 0 ends reset_conns",
+    ],
+  ),
+  (
+    "kind = 'srv_cut'\nat = 1.0\nservice = 'office'\ncount = 1\nfor_s = 3.0",
+    &[
+      "fault 1 begins srv_cut",
+      "beside boxes {}",
+      "the entry of server",
+      "fault 1 ends srv_cut",
+    ],
+  ),
+  (
+    "kind = 'srv_cut'\nat = 3.0\nservice = 'writer'\ncount = 2\nfor_s = 4.0\nhow = 'fronts reborn'",
+    &[
+      "fault 2 begins srv_cut",
+      "beside boxes {",
+      "crashes",
+      "(writer, v1) starts",
+      "fault 2 ends srv_cut",
+    ],
+  ),
+  (
+    "kind = 'srv_cut'\nat = 7.5\nservice = 'writer'\ncount = 2\nfor_s = 2.0\nhow = 'some lossy'",
+    &[
+      "fault 3 begins srv_cut",
+      "beside boxes {",
+      "fault 3 ends srv_cut",
+    ],
+  ),
+];
+
+const REUSES: Expected = &[
+  (
+    "kind = 'replace_with_reuse'\nat = 1.0\nservice = 'writer'\ncount = 1",
+    &[
+      "fault 0 begins replace_with_reuse",
+      "crashes",
+      "is given to office",
+      "(office, v1) starts",
+    ],
+  ),
+  (
+    "kind = 'replace_with_reuse'\nat = 3.5\nservice = 'writer'\ncount = 1\nhow = 'dark'",
+    &[
+      "fault 1 begins replace_with_reuse",
+      "crashes",
+      "is given to office",
+      "(office, v1) starts",
+    ],
+  ),
+  (
+    "kind = 'replace_with_reuse'\nat = 2.0\nservice = 'office'\ncount = 1\nhow = 'drain'",
+    &[
+      "fault 2 begins replace_with_reuse",
+      "has left",
+      "is given to writer",
+      "(writer, v1) starts",
+    ],
+  ),
 ];
 
 /// Plays impairments in a day of a length, with a closing or none, and gives the timeline.
@@ -68,6 +146,7 @@
 
 #[rstest]
 #[case::holds(HOLDS, 7.0)]
+#[case::cuts(CUTS, 10.0)]
 fn impairments_are_played_without_findings(#[case] expected: Expected, #[case] length_s: f64) {
   let directory = tempfile::tempdir().unwrap();
   let timeline = play_impairments(expected, length_s, None, directory.path());
@@ -76,6 +155,32 @@
   }
 }
 
+/// Guards against addresses that nobody is given, and a closing from which all boxes come back as they were.
+#[test]
+fn reused_addresses_and_a_lost_box_are_played_without_findings() {
+  let directory = tempfile::tempdir().unwrap();
+  let closing = Closing {
+    down_s: 0.5,
+    how: "".into(),
+    kind: "wipe_after_ack".into(),
+  };
+  let timeline = play_impairments(REUSES, 8.0, Some(closing), directory.path());
+  for (_, lines) in REUSES {
+    assert_holds(&timeline, lines);
+  }
+  let closing = [
+    "closing begins wipe_after_ack",
+    "closing ends wipe_after_ack",
+  ];
+  assert_holds(&timeline, &closing);
+  let replaced = BOXES.iter().filter(|name| {
+    let settings = directory.path().join(format!("{name}.toml"));
+    let settings = fs::read_to_string(settings).unwrap();
+    settings.contains(&format!("{name}-1"))
+  });
+  assert_eq!(replaced.count(), 1);
+}
+
 #[test]
 fn added_impairments_leave_a_day_as_it_is() {
   let site = Site::parse(SITE).unwrap();
