--- a/src/gateway/state/mod.rs
+++ b/src/gateway/state/mod.rs
@@ -8,6 +8,7 @@
 mod held_memory;
 mod log_budget;
 mod log_throttle;
+mod origin_state;
 mod prefill_queues;
 mod quarantine;
 mod reachability;
