--- a/src/gateway/decisions/version_records.rs
+++ b/src/gateway/decisions/version_records.rs
@@ -188,9 +188,10 @@
         true => URGENT_STEP_MS,
         false => STEP_MS,
       };
-      let delay_ms = change.delay_ms() + step_ms * position(&change, maker);
       let since_ms = self.needed_since_ms.entry(change.clone()).or_insert(now_ms);
-      if now_ms >= *since_ms + delay_ms {
+      let due_ms = *since_ms + change.delay_ms();
+      // The order of all boxes is computed only once the change may be due.
+      if now_ms >= due_ms && now_ms >= due_ms + step_ms * position(&change, maker) {
         // Another box may make it meanwhile; its record takes time to arrive.
         *since_ms = now_ms + STEP_MS;
         due.push(change);
