--- a/replay/src/impairment_kind.rs
+++ b/replay/src/impairment_kind.rs
@@ -21,6 +21,8 @@
   ConfigurationChange,
   /// The configuration is changed again and again.
   ConfigurationStorm,
+  /// Some connections of boxes are reset.
+  ConnectionsReset,
   /// Boxes are cut from the other boxes and the store.
   BoxesCut,
   /// Servers break off or spoil answers.
@@ -35,6 +37,8 @@
   HangUp,
   /// Moves of memory are slow.
   MovesSlow,
+  /// Messages of boxes to each other, and the store's answers to them, are late.
+  LateLinks,
   /// The links of a hall to the others are slow.
   Lossy,
   /// Boxes are frozen.
@@ -43,6 +47,8 @@
   BoxesKilled,
   /// Boxes run slowly.
   BoxesSlow,
+  /// Everything outside the boxes stands still.
+  Standstill,
   /// The store forgets its history.
   StoreCompacts,
   /// The store is down, for all boxes or for some.
@@ -59,6 +65,12 @@
   RetryAbuse,
   /// Boxes are stopped and started again, one after another.
   RollingStop,
+  /// Servers end, and their addresses are given to another service.
+  AddressesReused,
+  /// Servers are cut from the store.
+  ServersCut,
+  /// Servers work slowly.
+  ServersSlow,
   /// Servers leave.
   ServersLeave,
   /// Servers are added.
@@ -93,6 +105,7 @@
       "herd_kill" => Self::HerdKill,
       "hup" => Self::HangUp,
       "kv_slow" => Self::MovesSlow,
+      "late_links" => Self::LateLinks,
       "lossy" => Self::Lossy,
       "node_freeze" => Self::BoxesFrozen,
       "node_kill" => Self::BoxesKilled,
@@ -103,13 +116,18 @@
       "platform_slow" => Self::StoreSlow,
       "release" => Self::Release,
       "replace_core" => Self::ReplaceBox,
+      "replace_with_reuse" => Self::AddressesReused,
+      "reset_conns" => Self::ConnectionsReset,
       "retry_abuse" => Self::RetryAbuse,
       "roll_term" => Self::RollingStop,
       "scale_in" => Self::ServersLeave,
       "scale_out" => Self::ServersAdded,
       "srv_crash" => Self::ServersCrash,
+      "srv_cut" => Self::ServersCut,
       "srv_grey" => Self::ServersGrey,
+      "srv_slow" => Self::ServersSlow,
       "shift" => Self::Shift,
+      "standstill" => Self::Standstill,
       "zone_cut" => Self::HallCut,
       _ => return Err(format!("{kind} can't be played")),
     })
--- a/replay/src/subcommand.rs
+++ b/replay/src/subcommand.rs
@@ -2,10 +2,12 @@
 
 use {
   super::{
+    added_impairments::add_impairments,
     drawn_day::{drawn_day, undrawn_kinds},
     error::{Error, Result},
     play::{PlayOptions, play, unplayable_kinds},
     server::StartNaming,
+    server_versions::ServedVersions,
     site::{Day, Site},
   },
   bpaf::{Parser, construct, long},
@@ -18,6 +20,7 @@
   site: PathBuf,
   day: Option<String>,
   drawn: Option<u64>,
+  added: Vec<String>,
   seed: u64,
   program: PathBuf,
   repository: PathBuf,
@@ -25,6 +28,7 @@
   has_cpu_quota: bool,
   omits_streams: bool,
   names_starts: bool,
+  versions: ServedVersions,
 }
 
 /// Runs the command line. Exits with 1 if there are findings, with 2 if the day can't be played.
@@ -62,6 +66,10 @@
     .help("Draw a day from the site's list of troubles")
     .argument::<u64>("SEED")
     .optional();
+  let added = long("add")
+    .help("Add an impairment of this kind to the day; may be given several times")
+    .argument::<String>("KIND")
+    .many();
   let seed = long("seed")
     .help("Seed of all other draws")
     .argument::<u64>("SEED")
@@ -85,10 +93,15 @@
     .help("Callers do not name the stream that they resume")
     .switch();
   let names_starts = long("born").help("Servers name their starts").switch();
+  let versions = long("versions")
+    .help("Versions of the engines of a service that serve side by side: one or both")
+    .argument::<ServedVersions>("one|both")
+    .fallback(ServedVersions::One);
   construct!(Arguments {
     site,
     day,
     drawn,
+    added,
     seed,
     program,
     repository,
@@ -96,13 +109,15 @@
     has_cpu_quota,
     omits_streams,
     names_starts,
+    versions,
   })
 }
 
 /// Plays the day that the arguments name. Returns whether nothing was found.
 async fn play_day(arguments: &Arguments) -> Result<bool> {
   let site = Site::read(&arguments.site)?;
-  let day = day(arguments, &site)?;
+  let mut day = day(arguments, &site)?;
+  add_impairments(&mut day, &site, &arguments.added, arguments.seed)?;
   println!("{}", kinds_line(&day));
   if arguments.drawn.is_some() {
     let kinds = Vec::from_iter(undrawn_kinds(&site));
@@ -130,6 +145,7 @@
     } else {
       StartNaming::Nowhere
     },
+    versions: arguments.versions,
   };
   let report = play(&site, &day, &options).await?;
   println!("{report}");
--- a/replay/src/world.rs
+++ b/replay/src/world.rs
@@ -12,6 +12,7 @@
     recorder::Recorder,
     server::{Server, ServerSpec, ServerWorld, Stage, StartNaming},
     server_place::{ServerPlace, server_port},
+    server_versions::{ServedVersions, ServerVersions},
     site::{Service, Site},
     store_view::view_of_box,
   },
@@ -33,8 +34,6 @@
   },
 };
 
-/// Versions of the software of servers, and of those that a release brings.
-const VERSIONS: [&str; 2] = ["v1", "v2"];
 /// Check-ins of silence after which the entry of a server goes.
 const SILENT_BEATS: u32 = 3;
 /// Time in which all boxes must become ready.
@@ -50,6 +49,7 @@
   pub(crate) has_cpu_quota: bool,
   pub(crate) seed: u64,
   pub(crate) starts: StartNaming,
+  pub(crate) versions: ServedVersions,
 }
 
 /// A running deployment.
@@ -80,8 +80,7 @@
   next_server: AtomicU64,
   /// The ids of servers that have left the list and serve on.
   unlisted: Mutex<BTreeSet<Arc<str>>>,
-  /// The version of each place's next server.
-  versions: Mutex<HashMap<usize, usize>>,
+  versions: ServerVersions,
 }
 
 #[derive(Default)]
@@ -144,10 +143,12 @@
       stores,
       unlisted: Mutex::default(),
       usual_boxes,
-      versions: Mutex::default(),
+      versions: ServerVersions::new(plan.versions, plan.seed),
     });
     world.operator.write_first();
-    for place in &world.usual_places() {
+    let usual_places = world.usual_places();
+    world.plan_first_versions(&usual_places);
+    for place in &usual_places {
       world.start_server(*place).await?;
     }
     for of in &world.boxes[..usual_boxes] {
@@ -167,7 +168,7 @@
       }
     }
     let is_usual = |place: &&ServerPlace| {
-      let key = (place.service.clone(), place.zone.clone());
+      let key = (place.service(), place.zone.clone());
       let left = rest.entry(key).or_default();
       let is_usual = *left > 0;
       *left = left.saturating_sub(1);
@@ -314,6 +315,18 @@
 
   /// A box loses power for a time: nobody hears from it until it is back.
   pub(crate) async fn power_off_box(&self, index: usize, down_s: f64) -> Result {
+    self.darken_box(index, down_s).await?;
+    self.boxes[index].start().await
+  }
+
+  /// A box loses power for good; after a time, an empty one takes its place at other addresses.
+  pub(crate) async fn replace_dark_box(&self, index: usize, down_s: f64) -> Result {
+    self.darken_box(index, down_s).await?;
+    self.move_box(index).await;
+    self.boxes[index].start().await
+  }
+
+  async fn darken_box(&self, index: usize, down_s: f64) -> Result {
     let links = self.links_of_box(index);
     for link in &links {
       link.begin_power_loss();
@@ -323,13 +336,13 @@
     for link in &links {
       link.end_power_loss();
     }
-    self.boxes[index].start().await
+    Ok(())
   }
 
   /// The places of a service that have a server.
   pub(crate) fn serving_places(&self, service: Option<&str>) -> Vec<usize> {
     let is_there = |place: &&ServerPlace| {
-      service.is_none_or(|service| &*place.service == service) && place.server().is_some()
+      service.is_none_or(|service| *place.service() == *service) && place.server().is_some()
     };
     let places = self.places.iter().filter(is_there);
     places.map(|place| place.index).collect()
@@ -339,19 +352,43 @@
   pub(crate) fn empty_place_beside(&self, place: usize) -> Option<usize> {
     let beside = &self.places[place];
     let mut places = self.places.iter();
-    let found = places
-      .find(|of| of.service == beside.service && of.zone == beside.zone && of.server().is_none());
+    let found = places.find(|of| {
+      of.service() == beside.service() && of.zone == beside.zone && of.server().is_none()
+    });
     found.map(|place| place.index)
   }
 
-  /// The number of the version of a place's servers.
-  pub(crate) fn version(&self, place: usize) -> usize {
-    *self.versions().entry(place).or_default()
+  /// Settles the versions of the first engines of each service.
+  fn plan_first_versions(&self, usual_places: &[usize]) {
+    for service in &self.site.services {
+      let places = usual_places.iter().map(|index| &self.places[*index]);
+      let engines = places.filter(|place| place.service() == service.name);
+      let engines: Vec<(usize, Stage)> = engines
+        .filter_map(|place| Some((place.index, self.first_stage(service, place.index)?)))
+        .collect();
+      self.versions.plan_first(&engines);
+    }
+  }
+
+  /// The next server at a place has the version of the last one at another place.
+  pub(crate) fn plan_same_version(&self, place: usize, as_at: usize) {
+    self.versions.plan_same(place, as_at);
+  }
+
+  /// The next server at the place beside another one has the version by which a release replaces that one's.
+  pub(crate) fn plan_release(&self, place: usize, beside: usize) {
+    let others = self.places_that_stay(place);
+    self.versions.plan_release(place, beside, &others);
   }
 
-  /// The next servers at a place have this version.
-  pub(crate) fn set_version(&self, place: usize, version: usize) {
-    self.versions().insert(place, version % VERSIONS.len());
+  /// The other places of the same service whose servers don't leave.
+  fn places_that_stay(&self, place: usize) -> Vec<usize> {
+    let serving = self.serving_places(Some(&self.places[place].service()));
+    let stays = |other: &usize| {
+      let server = self.places[*other].server();
+      *other != place && server.is_some_and(|server| !server.is_draining())
+    };
+    serving.into_iter().filter(stays).collect()
   }
 
   /// Starts a server with a new id at a place, which registers within the lag of discovery.
@@ -361,10 +398,13 @@
     let address = listener.local_addr().map_err(Error::Listen)?;
     let at = &self.places[place];
     *at.target.lock().unwrap_or_else(PoisonError::into_inner) = address;
-    let Some(service) = self.site.service(&at.service) else {
+    let Some(service) = self.site.service(&at.service()) else {
       return Ok(());
     };
     let number = self.next_server.fetch_add(1, Ordering::Relaxed);
+    let stage = self.first_stage(service, place);
+    let others = self.places_that_stay(place);
+    let version = self.versions.next(place, stage, number, &others);
     let spec = ServerSpec {
       address: SocketAddr::from((Ipv4Addr::LOCALHOST, at.port())),
       born_ms: unix_ms(),
@@ -372,10 +412,10 @@
       seed: self.seed ^ number,
       service: Arc::new(service.clone()),
       speed: 1.0,
-      stage: self.first_stage(service, place),
+      stage,
       says_leaving: false,
       starts: self.starts,
-      version: VERSIONS[self.version(place)].into(),
+      version: version.name().into(),
       zone: at.zone.clone(),
     };
     self.recorder.note(format!(
@@ -391,7 +431,7 @@
   /// The stage of the first server at a place: the share of the service's servers that read prompts, spread over the zones.
   fn first_stage(&self, service: &Service, place: usize) -> Option<Stage> {
     let model = service.llm.as_ref()?;
-    let places = self.places.iter().filter(|of| of.service == service.name);
+    let places = self.places.iter().filter(|of| of.service() == service.name);
     let of_service: Vec<usize> = places.map(|of| of.index).collect();
     let number = of_service.iter().position(|of| *of == place)? as f64;
     let before = (number * model.prefill).floor();
@@ -408,6 +448,7 @@
     let beat = Duration::from_millis(self.site.discovery.beat_ms);
     let key = server.key();
     let mut written = None;
+    let mut silent_beats = 0;
     loop {
       let is_current = self.places[place]
         .server()
@@ -415,6 +456,20 @@
       if !is_current || self.is_unlisted(&server) {
         break;
       }
+      if self.places[place].is_cut_from_store() {
+        silent_beats += 1;
+        if silent_beats == SILENT_BEATS {
+          let id = &server.spec().id;
+          self
+            .recorder
+            .note(format!("the entry of server {id} lapses"));
+          self.stores.store().remove(&key);
+          written = None;
+        }
+        sleep(beat).await;
+        continue;
+      }
+      silent_beats = 0;
       let entry = server.entry();
       if written.as_ref().map(without_sequence) != Some(without_sequence(&entry)) {
         self.stores.store().put(&key, entry.to_string().as_bytes());
@@ -470,7 +525,9 @@
     self.recorder.note(format!("server {id} leaves"));
     if is_announced {
       server.drain();
-      self.write_entry(&server);
+      if !self.places[place].is_cut_from_store() {
+        self.write_entry(&server);
+      }
     } else {
       self.unlisted().insert(id.clone());
       self.stores.store().remove(&server.key());
@@ -509,10 +566,6 @@
   fn unlisted(&self) -> MutexGuard<'_, BTreeSet<Arc<str>>> {
     self.unlisted.lock().unwrap_or_else(PoisonError::into_inner)
   }
-
-  fn versions(&self) -> MutexGuard<'_, HashMap<usize, usize>> {
-    self.versions.lock().unwrap_or_else(PoisonError::into_inner)
-  }
 }
 
 fn unix_ms() -> u64 {
--- a/src/gateway/decisions/endpoint_registry.rs
+++ b/src/gateway/decisions/endpoint_registry.rs
@@ -15,8 +15,10 @@
       ConnectionState, EndpointProcesses, ObservedProcess, ReportedStart, VersionEvidence,
     },
     reachability::EndpointGroup,
+    service_version::ServiceVersion,
     service_versions::ServiceVersions,
     unavailable::Unavailable,
+    version_records::{RecordChange, RecordMaker, VersionRecords},
   },
   crate::{
     decide::Role,
@@ -48,6 +50,10 @@
   limits: EndpointLimits,
   /// The software versions of the services.
   versions: ServiceVersions,
+  /// Their records in the store.
+  version_records: VersionRecords,
+  /// For how long streams may be resumed that begin at recorded versions alone; `None` if they begin at any version.
+  recorded_lifetime_ms: Option<u64>,
   /// The processes that are observed at them.
   processes: EndpointProcesses,
   /// Whether notices are recorded and not honoured.
@@ -192,6 +198,44 @@
     &mut self.versions
   }
 
+  /// Forgets the versions that are neither listed nor recorded, and were not for a time.
+  pub fn expire_versions(&mut self, now_ms: u64, keep_ms: u64) {
+    for ServiceVersion { service, version } in self.version_records.recorded() {
+      self.versions.report(service, version);
+    }
+    self.versions.expire(now_ms, keep_ms);
+  }
+
+  /// Streams begin at recorded versions alone, whose records cover the time for which streams may be resumed.
+  pub fn require_records(&mut self, lifetime_ms: u64) {
+    self.recorded_lifetime_ms = Some(lifetime_ms);
+  }
+
+  /// The records of versions in the store.
+  pub fn version_records(&self) -> &VersionRecords {
+    &self.version_records
+  }
+
+  /// Mutable access to [`version_records`](Self::version_records).
+  pub fn version_records_mut(&mut self) -> &mut VersionRecords {
+    &mut self.version_records
+  }
+
+  /// The changes of the records that a box makes now, for the services for which `is_recorded` holds.
+  pub fn due_record_changes(
+    &mut self,
+    is_recorded: impl Fn(&str) -> bool,
+    maker: RecordMaker<'_>,
+  ) -> Vec<RecordChange> {
+    self.version_records.due(is_recorded, &self.versions, maker)
+  }
+
+  /// The revision of the record under which a stream may begin at an endpoint that may be resumed for a time; `None` if there is none.
+  pub fn covering_record(&self, entry: &EndpointEntry, resumable_ms: u64) -> Option<u64> {
+    let version = ServiceVersion::of(entry);
+    self.version_records.covers(&version, resumable_ms)
+  }
+
   /// A listed endpoint's entry was written after a time, on the box's clock.
   pub fn record_entry_write(&mut self, id: &str, after_ms: u64) {
     if let Some(endpoint) = self.endpoints.get(id) {
@@ -478,13 +522,21 @@
         && !endpoint.displacement.is_in_force(now_ms)
         && (!honours_signals || self.check_permit(endpoint, now_ms).is_ok())
     };
+    let decodes = criteria.role == Some(Role::Decode);
     let may_go_on = |entry: &EndpointEntry| {
       let version = criteria.version;
       version.is_none_or(|version| entry.version == *version && self.is_version_known(entry))
     };
+    let lifetime_ms = self.recorded_lifetime_ms.filter(|_| decodes);
+    let covered =
+      lifetime_ms.map(|lifetime_ms| self.version_records.covered(criteria.service, lifetime_ms));
+    let is_recorded = |entry: &EndpointEntry| {
+      let covered = covered.as_ref();
+      covered.is_none_or(|covered| covered.contains(&&entry.version))
+    };
     let may_decode = |entry: &EndpointEntry| {
-      let needs_version = criteria.is_retryable && criteria.role == Some(Role::Decode);
-      !needs_version || !self.lacks_start(entry)
+      let needs_version = decodes && criteria.is_retryable;
+      is_recorded(entry) && (!needs_version || !self.lacks_start(entry))
     };
     let candidates: Vec<&EndpointState> = self
       .endpoints
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -33,6 +33,7 @@
 mod longest_deadlines;
 mod notice_tracker;
 mod organisation_loads;
+mod origins;
 mod peak_box_count;
 mod peer_answers;
 mod peer_usage;
@@ -79,6 +80,7 @@
 mod unread_time;
 mod usage_table;
 mod usage_verdict;
+mod version_record;
 mod version_records;
 
 pub use self::{
@@ -111,6 +113,10 @@
   longest_deadlines::LongestDeadlines,
   notice_tracker::{Availability, NoticeChange, NoticeTracker},
   organisation_loads::{OrganisationLoad, OrganisationLoads},
+  origins::{
+    BegunStream, BucketWriters, ORIGIN_SEND_INTERVAL_MS, ORIGIN_WRITE_INTERVAL_MS, OriginBatch,
+    OriginBucket, OriginOutbox, OriginWrite, OriginWriter, StoredOrigins, StoredStream, TakenLease,
+  },
   peak_box_count::PeakBoxCount,
   peer_answers::{PeerAnswers, PeerList},
   permit_account::{PermitAccount, PermitRequest, PermitVerdict},
@@ -158,7 +164,8 @@
   unread_time::UnreadTime,
   usage_table::{RankedVerdict, ReportScope, UsageTable, UsageTotals},
   usage_verdict::UsageVerdict,
-  version_records::{RecordChange, VersionRecords},
+  version_record::{RecordState, VersionRecord},
+  version_records::{RecordChange, RecordMaker, VersionRecords},
 };
 
 pub(crate) use self::{
@@ -167,4 +174,5 @@
     RETRY_AFTER_NO_CONFIGURATION_MS, RETRY_AFTER_NO_ENDPOINT_MS, RETRY_AFTER_UNKNOWN_ORIGIN_MS,
   },
   role_plan::with_role,
+  stream_records::RETURN_MS,
 };
--- a/src/gateway/state/gateway.rs
+++ b/src/gateway/state/gateway.rs
@@ -3,9 +3,10 @@
 use {
   super::{
     change_log::ChangeLog, counters::Counters, held_memory::HeldMemory, log_budget::LogBudget,
-    log_throttle::LogThrottle, prefill_queues::PrefillQueues, quarantine::Quarantine,
-    service_returns::ServiceReturns, unknown_headers::UnknownHeaders,
-    unresponsive_boxes::UnresponsiveBoxes, unsupporting_boxes::UnsupportingBoxes,
+    log_throttle::LogThrottle, origin_state::OriginState, prefill_queues::PrefillQueues,
+    quarantine::Quarantine, service_returns::ServiceReturns, shared_read::SharedRead,
+    unknown_headers::UnknownHeaders, unresponsive_boxes::UnresponsiveBoxes,
+    unsupporting_boxes::UnsupportingBoxes,
   },
   crate::{
     HttpClient,
@@ -15,10 +16,10 @@
         AttemptOutcome, BoxEntry, BoxList, CachedPrompts, CheckedEnds, Choice, ColdPeriod,
         ConnectionState, CopyBudget, EndpointCounts, EndpointCriteria, EndpointGroup,
         EndpointRegistry, JoinedBoxes, LocalUsage, LongestDeadlines, ObservedProcess,
-        OrganisationLoads, PeakBoxCount, PeerAnswers, PermitTable, Reachability, RetryLenders,
-        RetryNeed, RetryUsage, RetryWindow, SlotForecast, SlotQueue, StrayAnswers, StreamRecords,
-        Unavailable, UnframedAnswers, UsageTable, VersionIdSteps, VersionRecords,
-        retry_after_backoff_ms,
+        OrganisationLoads, PeakBoxCount, PeerAnswers, PermitTable, RETURN_MS, Reachability,
+        RetryLenders, RetryNeed, RetryUsage, RetryWindow, ServiceVersion, SlotForecast, SlotQueue,
+        StrayAnswers, StreamRecords, Unavailable, UnframedAnswers, UsageTable, VersionIdSteps,
+        VersionRecord, retry_after_backoff_ms,
       },
       edge::{ColdStart, EndpointEntry, PlatformCodec, RouteTable, StoreLease},
       settings::{GatewaySettings, RoutePolicy},
@@ -30,7 +31,7 @@
   rand_chacha::ChaCha8Rng,
   std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     fmt::Write,
     net::SocketAddr,
     rc::Rc,
@@ -151,8 +152,12 @@
   pub(crate) limit_log_throttle: LogThrottle,
   /// Response headers of endpoints that the platform does not define.
   pub(crate) unknown_headers: RefCell<UnknownHeaders>,
-  /// The versions of services that are recorded in the store.
-  pub(crate) version_records: RefCell<VersionRecords>,
+  /// Notified when a stream waits for the record of a version.
+  pub(crate) version_awaited: Notify,
+  /// Notified when a record of a version has changed.
+  pub(crate) version_recorded: Notify,
+  /// Reads of all records of versions.
+  pub(crate) version_reads: SharedRead<Option<Rc<[ServiceVersion]>>>,
   /// Which versions began recent streams.
   pub(crate) stream_records: RefCell<StreamRecords>,
   /// How the ids of events rise.
@@ -161,6 +166,8 @@
   pub(crate) checked_ends: RefCell<CheckedEnds>,
   /// Which answers may end with their connection.
   pub(crate) unframed_answers: RefCell<UnframedAnswers>,
+  /// The origins of streams that are kept in the store.
+  pub(crate) origins: OriginState,
   /// Limits the records that are sent to other boxes.
   pub(crate) copy_budget: RefCell<CopyBudget>,
   /// The endpoints that this box can't reach.
@@ -212,6 +219,7 @@
       longest_deadlines: RefCell::default(),
       mean_first_event_ms: Cell::new(None),
       organisation_loads: RefCell::default(),
+      origins: OriginState::default(),
       own_call_log: LogBudget::default(),
       own_calls: Cell::new(0),
       peak_box_count: RefCell::default(),
@@ -245,7 +253,9 @@
       unresponsive_boxes: RefCell::default(),
       unsupporting_boxes: RefCell::default(),
       usage_table: RefCell::default(),
-      version_records: RefCell::default(),
+      version_awaited: Notify::new(),
+      version_reads: SharedRead::default(),
+      version_recorded: Notify::new(),
     }
   }
 
@@ -278,6 +288,28 @@
     service.is_some_and(|service| service.engine.is_some())
   }
 
+  /// Whether streams of a service may have begun at several versions, its own or those of services that its routes lead to as well.
+  pub(crate) fn is_divided(&self, service: &Name) -> bool {
+    let table = self.route_table.borrow();
+    let beside = table.as_ref().map(|table| table.services_beside(service));
+    let endpoints = self.endpoints.borrow();
+    let versions = endpoints.versions();
+    let beside = beside
+      .into_iter()
+      .flatten()
+      .filter(|beside| *beside != service);
+    let beside = beside.flat_map(|beside| versions.of(beside));
+    let known: BTreeSet<_> = beside.chain(versions.of(service)).collect();
+    known.len() > 1
+  }
+
+  /// For how long a stream may be resumed after it has begun, under the configuration in force.
+  pub(crate) fn stream_lifetime_ms(&self) -> u64 {
+    let table = self.route_table.borrow();
+    let longest_ms = table.as_ref().map_or(0, |table| table.longest_timeout_ms());
+    longest_ms + RETURN_MS
+  }
+
   /// The configuration in force.
   pub(crate) fn route_table(&self) -> Option<Rc<RouteTable>> {
     self.route_table.borrow().clone()
@@ -300,6 +332,9 @@
       .borrow_mut()
       .set_limits(limits, self.now_ms());
     *current = Some(Rc::new(table));
+    drop(current);
+    let lifetime_ms = self.stream_lifetime_ms();
+    self.endpoints.borrow_mut().require_records(lifetime_ms);
     true
   }
 
@@ -416,6 +451,19 @@
     endpoints.record_lone_connection(entry, connection, self.now_ms())
   }
 
+  /// Applies the record of a version, which may have begun streams although no endpoint of it is listed.
+  pub(crate) fn put_version_record(&self, key: Name, record: VersionRecord, revision: u64) {
+    let now_ms = self.now_ms();
+    let mut endpoints = self.endpoints.borrow_mut();
+    let ServiceVersion { service, version } = &record.subject;
+    endpoints.versions_mut().report(service, version);
+    endpoints
+      .version_records_mut()
+      .put(key, record, revision, now_ms);
+    drop(endpoints);
+    self.version_recorded.notify_waiters();
+  }
+
   /// Records that an endpoint is cold for `cold_ms` from now. Has no effect when the configuration sets no cold start for its service.
   pub(crate) fn record_cold(&self, entry: &EndpointEntry, cold_ms: u64) {
     let Some(cold_start) = self.cold_start(&entry.service) else {
--- a/src/gateway/state/mod.rs
+++ b/src/gateway/state/mod.rs
@@ -8,14 +8,17 @@
 mod held_memory;
 mod log_budget;
 mod log_throttle;
+mod origin_state;
 mod prefill_queues;
 mod quarantine;
 mod reachability;
 mod service_returns;
+mod shared_read;
 mod unknown_headers;
 mod unread_cause;
 mod unresponsive_boxes;
 mod unsupporting_boxes;
+mod version_wait;
 
 pub use self::change_log::ChangeLog;
 
--- a/stand_ins/src/link.rs
+++ b/stand_ins/src/link.rs
@@ -7,12 +7,19 @@
 )]
 
 use {
-  super::{cut::Cut, link_fault::LinkFault},
+  super::{
+    cut::Cut, fault_guard::FaultGuard, lateness::Lateness, link_fault::LinkFault, overlap::Overlap,
+  },
+  rand::{RngExt, SeedableRng},
+  rand_chacha::ChaCha8Rng,
   socket2::{Domain, SockRef, Socket, Type},
   std::{
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{
+      Arc, Mutex, PoisonError,
+      atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
   },
   tokio::{
@@ -30,18 +37,58 @@
 /// Time after which a connection attempt shows that a queue is full.
 const FULL_TIMEOUT: Duration = Duration::from_millis(20);
 const REOPEN_INTERVAL: Duration = Duration::from_millis(20);
+/// Parts of a whole, in which shares are given.
+const PPM: u32 = 1_000_000;
 const CHUNK_BYTES: usize = 16 * 1024;
 
 /// The current state of a link.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 struct Condition {
   fault: Option<LinkFault>,
+  /// Independent of the fault.
+  lateness: Option<Lateness>,
   /// Number of resets so far; connections opened before the last one are reset.
   resets: u64,
+  /// The last reset of a share of the connections.
+  partial_reset: PartialReset,
   /// Whether one side has lost its power: all traffic is lost, whatever other fault begins or ends.
   is_powerless: bool,
 }
 
+/// A reset of some of the connections.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+struct PartialReset {
+  /// Number of such resets so far; only connections opened before the last one are reset.
+  number: u64,
+  seed: u64,
+  share_ppm: u32,
+}
+
+impl PartialReset {
+  fn strikes(self, connection: u64) -> bool {
+    let mut draws = ChaCha8Rng::seed_from_u64(self.seed);
+    draws.set_stream(connection);
+    draws.random_range(0..PPM) < self.share_ppm
+  }
+}
+
+/// An open connection.
+#[derive(Clone, Copy, Debug)]
+struct Opened {
+  number: u64,
+  /// Numbers of resets when it was opened.
+  resets: u64,
+  partial_resets: u64,
+}
+
+impl Opened {
+  fn is_reset(self, now: &Condition) -> bool {
+    let partial = now.partial_reset;
+    now.resets != self.resets
+      || partial.number != self.partial_resets && partial.strikes(self.number)
+  }
+}
+
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Direction {
   /// Towards the target.
@@ -67,6 +114,12 @@
       _ => Duration::ZERO,
     }
   }
+
+  /// How late the traffic of a direction is.
+  fn lateness(self, direction: Direction) -> Option<Lateness> {
+    let lateness = self.lateness?;
+    (direction == Direction::Back || !lateness.is_back_only).then_some(lateness)
+  }
 }
 
 /// A proxy in front of one target.
@@ -76,6 +129,9 @@
   pub address: SocketAddr,
   target: Target,
   condition: watch::Sender<Condition>,
+  latenesses: Arc<Mutex<Overlap<Lateness>>>,
+  /// Number of connections so far.
+  connections: Arc<AtomicU64>,
   /// Whether connection attempts fail, and how.
   closed: watch::Sender<Option<Closed>>,
 }
@@ -109,6 +165,8 @@
       address: listener.local_addr()?,
       closed: watch::Sender::default(),
       condition: watch::Sender::default(),
+      connections: Arc::default(),
+      latenesses: Arc::default(),
       target,
     };
     tokio::spawn(run(listener, link.clone()));
@@ -158,6 +216,38 @@
     });
   }
 
+  /// Resets a share, from 0 to 1, of the open connections, once.
+  pub fn reset_share(&self, share: f64, seed: u64) {
+    let share_ppm = (share.clamp(0.0, 1.0) * f64::from(PPM)) as u32;
+    self.condition.send_modify(|condition| {
+      condition.partial_reset = PartialReset {
+        number: condition.partial_reset.number + 1,
+        seed,
+        share_ppm,
+      };
+    });
+  }
+
+  /// Traffic is late until the guard is dropped, whatever other fault begins or ends. Of overlapping ones the last counts.
+  pub fn begin_lateness(&self, lateness: Lateness) -> FaultGuard {
+    let number = self.change_lateness(|latenesses| latenesses.begin(lateness));
+    let link = self.clone();
+    FaultGuard::new(move || link.change_lateness(|latenesses| latenesses.end(number)))
+  }
+
+  fn change_lateness<T>(&self, change: impl FnOnce(&mut Overlap<Lateness>) -> T) -> T {
+    let mut latenesses = self
+      .latenesses
+      .lock()
+      .unwrap_or_else(PoisonError::into_inner);
+    let result = change(&mut latenesses);
+    let current = latenesses.current().copied();
+    self
+      .condition
+      .send_modify(|condition| condition.lateness = current);
+    result
+  }
+
   /// One side loses its power: connections stay open and silent.
   pub fn begin_power_loss(&self) {
     self
@@ -268,10 +358,17 @@
 /// Forwards one connection until it is closed or reset.
 async fn proxy_connection(caller: TcpStream, link: Link) {
   let mut condition = link.condition.subscribe();
-  let resets = condition.borrow().resets;
+  let opened = {
+    let now = condition.borrow();
+    Opened {
+      number: link.connections.fetch_add(1, Ordering::Relaxed),
+      partial_resets: now.partial_reset.number,
+      resets: now.resets,
+    }
+  };
   // A connection opened while the link is blocked is established once it is unblocked, if its caller still waits.
   if condition
-    .wait_for(|now| !now.blocks(Direction::Forward) || now.resets != resets)
+    .wait_for(|now| !now.blocks(Direction::Forward) || opened.is_reset(now))
     .await
     .is_err()
   {
@@ -286,7 +383,7 @@
     return;
   }
   let sockets = [&caller, &target].map(|stream| SockRef::from(stream).try_clone());
-  if copy_both_ways(caller, target, &link, resets).await == CloseKind::Reset {
+  if copy_both_ways(caller, target, &link, opened).await == CloseKind::Reset {
     for socket in sockets.into_iter().flatten() {
       // The socket may already be closed.
       let _ = socket.set_linger(Some(Duration::ZERO));
@@ -306,15 +403,16 @@
   caller: TcpStream,
   target: TcpStream,
   link: &Link,
-  resets: u64,
+  opened: Opened,
 ) -> CloseKind {
   let (caller_read, caller_write) = caller.into_split();
   let (target_read, target_write) = target.into_split();
   let copier = |from, to, direction| Copier {
     condition: link.condition.subscribe(),
+    delays: delays(link.address.port(), opened.number, direction),
     direction,
     from,
-    resets,
+    opened,
     to,
   };
   let mut forward = copier(caller_read, target_write, Direction::Forward);
@@ -330,6 +428,14 @@
   CloseKind::Reset
 }
 
+/// The draws of a connection's delays.
+fn delays(port: u16, connection: u64, direction: Direction) -> ChaCha8Rng {
+  let mut draws = ChaCha8Rng::seed_from_u64(u64::from(port));
+  let direction = u64::from(direction == Direction::Back);
+  draws.set_stream(2 * connection + direction);
+  draws
+}
+
 fn reset(stream: &TcpStream) {
   // The socket may already be closed.
   let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
@@ -349,9 +455,9 @@
   from: OwnedReadHalf,
   to: OwnedWriteHalf,
   condition: watch::Receiver<Condition>,
+  delays: ChaCha8Rng,
   direction: Direction,
-  /// Number of resets of the link when the connection was opened.
-  resets: u64,
+  opened: Opened,
 }
 
 impl Copier {
@@ -360,19 +466,20 @@
   async fn copy_all(&mut self) -> io::Result<()> {
     let mut buffer = vec![0; CHUNK_BYTES];
     let mut watched = self.condition.clone();
-    let resets = self.resets;
+    let opened = self.opened;
     loop {
       let count = tokio::select! {
         count = self.from.read(&mut buffer) => count?,
-        _ = watched.wait_for(|now| now.resets != resets) => 0,
+        _ = watched.wait_for(|now| opened.is_reset(now)) => 0,
       };
+      let late = self.read_while_late().await;
       let direction = self.direction;
       let now = *self
         .condition
-        .wait_for(|now| !now.blocks(direction) || now.resets != resets)
+        .wait_for(|now| !now.blocks(direction) || opened.is_reset(now))
         .await
         .map_err(io::Error::other)?;
-      if now.resets != resets {
+      if opened.is_reset(&now) {
         return Err(io::ErrorKind::ConnectionReset.into());
       }
       sleep(now.delay()).await;
@@ -380,6 +487,23 @@
         return self.to.shutdown().await;
       }
       self.to.write_all(&buffer[..count]).await?;
+      self.to.write_all(&late).await?;
     }
   }
+
+  /// Waits while what was read is late. Returns what has arrived behind it meanwhile.
+  async fn read_while_late(&mut self) -> Vec<u8> {
+    let mut behind = Vec::new();
+    let lateness = self.condition.borrow().lateness(self.direction);
+    let Some(lateness) = lateness else {
+      return behind;
+    };
+    let delay_ms = self
+      .delays
+      .random_range(lateness.least_ms..=lateness.most_ms.max(lateness.least_ms));
+    sleep(Duration::from_millis(delay_ms)).await;
+    // An end or an error is found again by the next read.
+    while matches!(self.from.try_read_buf(&mut behind), Ok(1..)) {}
+    behind
+  }
 }
