Watch: the pause behind batches of origins ends when a version may become known

What callers saw: where engines name no start, a stream that was interrupted just after the store was lost was aborted, since the other engine's version was not known yet. Cause: while origins are written, a box pauses 500 ms between two watches, and its view of the store is updated only behind them. Change: the pause ends when the version of the next process may be known, as the wait of a watch does.

--- a/src/gateway/membership/store_sync.rs
+++ b/src/gateway/membership/store_sync.rs
@@ -350,7 +350,8 @@
       (false, _) => Duration::ZERO,
     };
     let pause = match mem::take(&mut self.returned_origins) {
-      true => pause.max(ORIGINS_PAUSE),
+      // The version of a process may become known before.
+      true => pause.max(ORIGINS_PAUSE.min(self.watch_wait())),
       false => pause,
     };
     if !pause.is_zero() {
