Origins: comments in the field's terms

What readers saw: 'the store says'. Cause: figurative words in three doc comments of the origins. Changed: the three lines. No change of the product.

--- a/src/gateway/resumption/origin_messages.rs
+++ b/src/gateway/resumption/origin_messages.rs
@@ -31,7 +31,7 @@
   pub(super) batch: OriginBatch,
 }
 
-/// Asks where the store says that a stream began.
+/// Asks which origin of a stream the store has.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 pub(super) struct FindOriginMessage {
   pub(super) bucket: OriginBucket,
@@ -69,7 +69,7 @@
   result.map(drop)
 }
 
-/// Asks a box where the store says that a stream began.
+/// Asks a box which origin of a stream the store has.
 pub(super) async fn ask_reader(
   gateway: &Gateway,
   address: SocketAddr,
--- a/src/gateway/resumption/origin_reading.rs
+++ b/src/gateway/resumption/origin_reading.rs
@@ -23,7 +23,7 @@
 /// Boxes that may fail to read a bucket.
 const MAX_FAILED: usize = 2;
 
-/// Where the store says that a stream began; `None` if it does not, or names two origins.
+/// The origin of a stream in the store; `None` if there is none, or two.
 pub(super) async fn find_stored_origin(gateway: &Gateway, key: &StreamKey) -> Option<StreamOrigin> {
   if !gateway.settings.mechanisms.stored_origins || !gateway.is_current() {
     return None;
